--- a/core/claim.c
+++ b/core/claim.c
@@ -558,7 +558,9 @@
   g_free(a);
 }
 
-static void conclude(mp_State *M, Asking *a, mp_Verdict v, mp_Ran ran) {
+/* 'home' is who granted: when another one is home by now, it is told */
+static void conclude(mp_State *M, Asking *a, mp_Verdict v, mp_Ran ran,
+                     mp_Addr home) {
   ClaimFn fn = a->fn;
   void *ud = a->ud;
   if (v == MP_GRANTED) {
@@ -566,8 +568,10 @@
     mine->claim = a->claim;
     mine->ran = MP_RAN_UNKNOWN;
     mine->until = M->now + (mp_Time)a->claim.ttl_ms * MP_MS;
-    mine->home = homeof(M, a->claim.id);
+    mine->home = home;
     g_hash_table_replace(M->claims->mine, mine->claim.id, mine);
+    if (homeof(M, a->claim.id) != home)
+      mpI_homesmoved(M);
   } else if (v == MP_UNAVAILABLE)
     /* it may have been granted all the same: give it back */
     mpI_settle(M, a->claim.id, &a->claim.token, MP_RAN_NO, a->claim.durable);
@@ -583,7 +587,7 @@
     mpM_silent(M, from);
   if (v == MP_GRANTED || v == MP_DENIED ||
       (v == MP_UNAVAILABLE && m != NULL)) {
-    conclude(M, a, v, (mp_Ran)m->u.claim.ran);
+    conclude(M, a, v, (mp_Ran)m->u.claim.ran, from);
     return;
   }
   /* no answer, another home, or one that settles: ask again */
@@ -595,7 +599,7 @@
   mp_Addr home = homeof(M, a->claim.id);
   mp_Msg m = {0};
   if (M->now >= a->until) {
-    conclude(M, a, MP_UNAVAILABLE, MP_RAN_NO);
+    conclude(M, a, MP_UNAVAILABLE, MP_RAN_NO, 0);
     return;
   }
   if (home == 0) {
@@ -717,6 +721,11 @@
           NULL);
 }
 
+void mpI_homesmoved(mp_State *M) {
+  if (M->claims != NULL) /* not while the state is being made */
+    mpT_arm(&M->timers, &M->claims->tidy, M->now, tidy, NULL);
+}
+
 unsigned mpI_handover(mp_State *M) {
   GHashTableIter it;
   gpointer v;
--- a/core/claim.h
+++ b/core/claim.h
@@ -40,6 +40,9 @@
 void mpI_onclaim(mp_State *M, mp_Addr from, const mp_Msg *m);
 void mpI_onsettle(mp_State *M, mp_Addr from, const mp_Msg *m);
 
+/* the set of instances changed: holders announce to new homes at once */
+void mpI_homesmoved(mp_State *M);
+
 /* draining: hand the rows kept here to their new homes; 0 when done */
 unsigned mpI_handover(mp_State *M);
 
--- a/core/flow.c
+++ b/core/flow.c
@@ -394,6 +394,12 @@
   return e;
 }
 
+/* the same for work that the endpoint has nothing of yet */
+static Endpoint *gatenew(mp_State *M, const Request *r, const Attempt *a) {
+  Endpoint *e = gate(M, r, a);
+  return e != NULL && !e->leaving && !e->drained ? e : NULL;
+}
+
 /* a rule changed under way: nothing goes there any more */
 static void gated(mp_State *M, Request *r, Attempt *a) {
   avoid(r, a->endpoint);
@@ -443,7 +449,7 @@
 
 static void prefill(mp_State *M, Request *r) {
   Attempt *a = &r->prefill;
-  Endpoint *e = gate(M, r, a);
+  Endpoint *e = gatenew(M, r, a);
   mp_Xcall x = {0};
   mp_Time expect;
   if (e == NULL) {
@@ -518,7 +524,7 @@
 static void import(mp_State *M, void *ud) {
   Request *r = ud;
   Attempt *a = &r->decode;
-  const Endpoint *d = gate(M, r, a);
+  const Endpoint *d = gatenew(M, r, a);
   const Endpoint *p = mpE_get(M, r->kv_at);
   const mp_Rule *rule = mpP_rule(M->config, r->class_name, r->account);
   mp_Xcall x = {0};
--- a/core/member.c
+++ b/core/member.c
@@ -15,6 +15,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "claim.h"
 #include "doc.h"
 #include "fx.h"
 #include "keep.h"
@@ -102,6 +103,8 @@
     setchanged(M, old);
   else
     g_array_unref(old);
+  if (before != serves(m))
+    mpI_homesmoved(M);
   mp_addr_text(m->addr, text);
   mpX_log(M, said[s], " instance=%s start=%u", text, m->start);
 }
@@ -225,6 +228,8 @@
 ** ===================================================================
 */
 
+static void greet(mp_State *M, void *ud);
+
 void mpM_heard(mp_State *M, mp_Addr a) {
   Member *m = mpM_get(M, a);
   if (m == NULL)
@@ -258,8 +263,10 @@
 static void aboutself(mp_State *M, const mp_MemberNews *n) {
   if (n->start != M->start || n->incarnation < M->incarnation)
     return;
-  if (n->state == MP_MEMBER_SUSPECT || n->state == MP_MEMBER_DEAD)
-    M->incarnation = n->incarnation + 1; /* refute */
+  if (n->state != MP_MEMBER_SUSPECT && n->state != MP_MEMBER_DEAD)
+    return;
+  M->incarnation = n->incarnation + 1; /* refute, to everyone */
+  mpT_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
 }
 
 static void learn(mp_State *M, const mp_MemberNews *n) {
@@ -478,6 +485,21 @@
   mpX_rpc(M, target, &p, MP_PROBE_TIMEOUT, viadone, v);
 }
 
+/*
+** Tell all members at once that this instance is there, or still there.
+** Holders hear by it that they have a new home to announce to, before the
+** home has settled.
+*/
+static void greet(mp_State *M, void *ud) {
+  guint i;
+  (void)ud;
+  for (i = 0; i < M->members->len; i++) {
+    const Member *m = M->members->pdata[i];
+    if (m->state != MP_MEMBER_DEAD)
+      probe(M, m->addr);
+  }
+}
+
 /* the next member of this data centre (or of others) in turn */
 static Member *inturn(mp_State *M, unsigned *next, int remote) {
   guint n = M->members->len;
@@ -532,12 +554,19 @@
     if (in->leaving && m->state == MP_MEMBER_ALIVE)
       become(M, m, MP_MEMBER_LEAVING);
   }
+  if (!M->greeted) {
+    M->greeted = 1;
+    M->settled = M->now;
+    mpT_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
+  }
 }
 
 /* the set may have changed behind its back: as after a fresh start */
 void mpM_paused(mp_State *M) {
   M->settled = M->now;
   M->changes = 2;
+  M->incarnation++; /* others may have called it dead */
+  mpT_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
 }
 
 static void seedanswered(mp_State *M, void *ud, mp_Addr from,
--- a/core/state.h
+++ b/core/state.h
@@ -66,7 +66,8 @@
   unsigned changes;  /* changes within MP_HOME_SETTLE */
   unsigned probenext, remotenext;
   GHashTable *scratch; /* memory of probes under way */
-  Timer probetimer, renewtimer, keeptimer, draintimer;
+  int greeted;         /* all members of the first list were told */
+  Timer greettimer, probetimer, renewtimer, keeptimer, draintimer;
   GHashTable *kept;    /* endpoints kept here: address -> mp_Time since */
   GHashTable *orphans; /* text of token -> mp_Time first seen */
   GHashTable *loading; /* endpoints with a load call open */
--- a/makefile
+++ b/makefile
@@ -19,7 +19,7 @@
 LUALIBS := $(shell pkg-config --libs lua5.4)
 
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -Werror -D_GNU_SOURCE
-CXXFLAGS = -std=gnu++17 $(OPT) $(WARNXX) $(SAN) -Werror
+CXXFLAGS = -std=gnu++20 $(OPT) $(WARNXX) $(SAN) -Werror
 LDFLAGS = $(SAN)
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(wildcard $(1)/*.c))
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -30,16 +30,22 @@
     result "build-$2" 1
     return
   }
-  out=$(mktemp)
-  "$1/unit" --gtest_brief=1 --gtest_output=xml:"$out" >"$out.log" 2>&1
-  local code=$?
+  out=$(mktemp -d)
+  local i code=0
+  for i in 0 1 2 3 4 5 6 7; do
+    GTEST_TOTAL_SHARDS=8 GTEST_SHARD_INDEX=$i "$1/unit" --gtest_brief=1 \
+      --gtest_output=xml:"$out/$i.xml" >"$out/$i.log" 2>&1 &
+    pids[i]=$!
+  done
+  for i in 0 1 2 3 4 5 6 7; do
+    wait "${pids[i]}" || code=1
+  done
+  cat "$out"/*.log >"$out/log"
   # a crash or a leak fails the run even when every test said it passed
-  local bad
-  bad=$(sed -n 's/^\[  FAILED  \] \([A-Za-z0-9_./]*\).*/\1/p' "$out.log" |
+  local bad all n=0
+  bad=$(sed -n 's/^\[  FAILED  \] \([A-Za-z0-9_./]*\).*/\1/p' "$out/log" |
     sort -u)
-  local all
-  all=$(grep -c '<testcase ' "$out")
-  local n=0
+  all=$(cat "$out"/*.xml | grep -c '<testcase .*status="run"')
   for name in $bad; do
     result "$name" 1
     n=$((n + 1))
@@ -48,10 +54,10 @@
     result "unit-$2" 1
   fi
   if [ $code != 0 ]; then
-    grep -v '^\[  FAILED' "$out.log" | tail -60
+    grep -v '^\[  FAILED' "$out/log" | tail -60
   fi
   passed=$((passed + all - n))
-  rm -f "$out" "$out.log"
+  rm -rf "$out"
 }
 
 units build plain ""
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,102 @@
+#!/bin/bash
+# Does each test see the fault it is there for? Takes one mechanism out of a
+# copy of the sources at a time, and runs the unit tests: they must fail.
+# Ends with "N mutants caught, N missed".
+#   scripts/mutants.sh [NAME...]
+set -u
+cd "$(dirname "$0")/.."
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+caught=0
+missed=0
+
+# one mutant: name, what is taken out, file, python replacement old -> new
+mutant() {
+  local name=$1 what=$2 file=$3 old=$4 new=$5
+  rm -rf "$dir/src"
+  mkdir "$dir/src"
+  cp -r include core conf wire io daemon cli standin test makefile "$dir/src"
+  python3 - "$dir/src/$file" "$old" "$new" <<'P' || { echo "$name: STALE"; missed=$((missed + 1)); return; }
+import sys
+path, old, new = sys.argv[1:]
+s = open(path).read()
+if old not in s:
+    sys.exit(1)
+open(path, "w").write(s.replace(old, new))
+P
+  if ! make -s -C "$dir/src" -j8 build/unit WARN=-w WARNXX=-w \
+    >"$dir/log" 2>&1; then
+    echo "$name: DOES NOT BUILD"
+    tail -5 "$dir/log"
+    missed=$((missed + 1))
+    return
+  fi
+  rm -f "$dir"/out.*
+  for i in 0 1 2 3 4 5 6 7; do
+    GTEST_TOTAL_SHARDS=8 GTEST_SHARD_INDEX=$i timeout 300 \
+      "$dir/src/build/unit" --gtest_brief=1 >"$dir/out.$i" 2>&1 &
+  done
+  wait
+  local n
+  n=$(cat "$dir"/out.* | grep -cE ': Failure$|Assertion|SIG')
+  if [ "$n" -gt 0 ]; then
+    caught=$((caught + 1))
+    printf '%-14s caught, %5d failures: %s\n' "$name" "$n" "$what"
+    cat "$dir"/out.* | grep -oE '[0-8]: [a-z][^0-9<]*' | sed 's/ *$//' |
+      sort | uniq -c | sort -rn | head -3
+  else
+    missed=$((missed + 1))
+    printf '%-14s MISSED: %s\n' "$name" "$what"
+  fi
+}
+
+want() {
+  [ ${#only[@]} = 0 ] && return 0
+  local o
+  for o in "${only[@]}"; do [ "$o" = "$1" ] && return 0; done
+  return 1
+}
+
+only=("$@")
+m() { want "$1" && mutant "$@"; }
+
+m place "0: the place gate" core/route.c \
+  'if (!mpP_runs(M->config, rule(M, r), e->dc))' 'if (0)'
+m orphan "1: the keeper's cancel of orphans" core/keep.c \
+  'if (M->now - *first < MP_ORPHAN_GRACE)' 'if (1)'
+m cancel "1: the cancel when a caller is gone" core/flow.c \
+  'if (a->sent && a->role != MP_ROLE_PLAIN)' 'if (0)'
+m home "2: the home's memory of IDs" core/claim.c \
+  'if (r != NULL && !mpS_sametoken(&r->token, &c->token)) {' 'if (0) {'
+m settle "2: a new home waits for the holders" core/claim.c \
+  'if (!settled(M, c->id)) {' 'if (0) {'
+m announce "2: holders announce to a new home" core/claim.c \
+  'if (home == 0 || home == mine->home)' 'if (1)'
+m index "3: pieces are checked by their number" core/flow.c \
+  'if (e->index < r->got) {' 'if (0) {'
+m whole "3: an end is checked against the count" core/flow.c \
+  'if (e->tokens != r->got) {' 'if (0) {'
+m silent "3: a stalled stream is ended" core/flow.c \
+  'mpT_arm(&M->timers, &r->timer, M->now + MP_STALL_TIME, stalled, r);' ';'
+m ran "4: dispatched work may have run" core/flow.c \
+  'r->ran = MP_RAN_UNKNOWN;
+  a->sent = 1;' 'a->sent = 1;'
+m notrun "4: a lost call is not taken for one that did not run" core/flow.c \
+  'return e->fail == MP_EPF_CONNECT || e->fail == MP_EPF_REFUSED;' 'return 1;'
+m durable "5: the claim is written before dispatch" core/claim.c \
+  'if (c->durable) {' 'if (0) {'
+m repeat "5: no retry of what may have run" core/flow.c \
+  '(!clean && !r->repeatable) ||' ''
+m readback "5: a conflict reads the claims back" core/claim.c \
+  'sift(M, s);
+  if (s->pending->len > 0)' 'if (s->pending->len > 0)'
+m leaving "6: an endpoint says that it is leaving" core/keep.c \
+  'if (l->leaving && !e->leaving) {' 'if (0) {'
+m drain "7: a drain waits for what is in flight" core/state.c \
+  'if (M->requests->len == 0 && mpC_open(M) == 0 &&' 'if ('
+m version "8: only a higher version is taken" core/doc.c \
+  'if (c->man.version <= M->doc[MP_DOC_CONFIG].version) {' 'if (0) {'
+m pause "a paused home does not trust what it knew" core/state.c \
+  'mpM_paused(M);' ''
+echo "$caught mutants caught, $missed missed"
+[ $missed = 0 ]
