Load tool, and prefill chosen with its transfer in mind

A prompt of 14,000 tokens makes 1.8 GB of KV; prefill engines were chosen by prefix and queue alone, so most results crossed the 2 GB/s links between data centres, which then ran at their limit. Ruled out: engine queues (p95 first token of short classes was fine at 30/s), slots (8 refusals against 84 timeouts), the stand-in (its one fault found on the way, a macro that looked in the cache twice, is mended). Change: the cost of a prefill engine is its queue plus the transfer to the decode engine's data centre, twice when the link is shared with others; prefix affinity works within 125% + 150 ms of the cheapest. An engine that refuses because it is full is not counted as failing any more.

--- a/core/flow.c
+++ b/core/flow.c
@@ -361,19 +361,41 @@
   r->ran = r->before;
 }
 
-/* a call failed: was the work certainly not run? */
-static int clean(const mp_EndpointEvent *e) {
-  return e->fail == MP_EPF_CONNECT || e->fail == MP_EPF_REFUSED;
+/* how a call to an endpoint ended */
+typedef enum Why { WHY_REFUSED, WHY_CONNECT, WHY_BROKEN, WHY_SILENT } Why;
+
+static Why whyof(const mp_EndpointEvent *e) {
+  switch (e->fail) {
+  case MP_EPF_CONNECT:
+    return WHY_CONNECT;
+  case MP_EPF_REFUSED:
+    return WHY_REFUSED;
+  default:
+    return WHY_BROKEN;
+  }
+}
+
+/* was the work certainly not run? */
+static int clean(Why w) {
+  return w == WHY_REFUSED || w == WHY_CONNECT;
 }
 
 /* the attempt is over without an answer; begin again elsewhere */
-static void failed(mp_State *M, Request *r, Attempt *a, int cleanly) {
+static void failed(mp_State *M, Request *r, Attempt *a, Why why) {
+  static const char *const names[] = {"refused", "connect", "broken",
+                                      "silent"};
   mp_Addr ep = a->endpoint;
+  int cleanly = clean(why);
+  char text[24];
+  mp_addr_text(ep, text);
+  mpX_log(M, MP_LOG_FAILED, " seq=%08x endpoint=%s step=%d why=%s",
+          r->token.seq, text, (int)r->step, names[why]);
   if (cleanly) {
     notrun(r);
     a->sent = a->role == MP_ROLE_DECODE && r->step == ST_DECODE;
   }
-  mpE_bad(M, ep);
+  if (why != WHY_REFUSED) /* one that refuses is well, but busy */
+    mpE_bad(M, ep);
   avoid(r, ep);
   endattempt(M, r, a);
   if (!policy(M)->keep_prefill && !r->plain)
@@ -410,7 +432,7 @@
 /* an attempt that was asked nothing more: its endpoint is silent */
 static void prefilllate(mp_State *M, void *ud) {
   Request *r = ud;
-  failed(M, r, &r->prefill, 0);
+  failed(M, r, &r->prefill, WHY_SILENT);
 }
 
 static void prefilled(mp_State *M, Request *r, const mp_EndpointEvent *e) {
@@ -444,7 +466,7 @@
   if (e->fail == MP_EPF_REJECTED)
     rejected(M, r);
   else
-    failed(M, r, &r->prefill, clean(e));
+    failed(M, r, &r->prefill, whyof(e));
 }
 
 static void prefill(mp_State *M, Request *r) {
@@ -499,7 +521,7 @@
 static void importlate(mp_State *M, void *ud) {
   Request *r = ud;
   mpL_done(M, r);
-  failed(M, r, &r->decode, 0);
+  failed(M, r, &r->decode, WHY_SILENT);
 }
 
 static void onimport(mp_State *M, void *ud, const mp_EndpointEvent *e) {
@@ -517,7 +539,7 @@
     a->sent = 0; /* the source knows no such KV: nothing is held here */
     kvlost(M, r);
   } else
-    failed(M, r, a, clean(e));
+    failed(M, r, a, whyof(e));
 }
 
 /* the link is free: the gate once more, for this very move */
@@ -573,13 +595,13 @@
 */
 
 static void ondecode(mp_State *M, void *ud, const mp_EndpointEvent *e);
-static void broke(mp_State *M, Request *r, int cleanly);
+static void broke(mp_State *M, Request *r, Why why);
 
 static void stalled(mp_State *M, void *ud) {
   Request *r = ud;
   mpX_xabort(M, r->decode.xcall);
   r->decode.xcall = 0;
-  broke(M, r, 0);
+  broke(M, r, WHY_SILENT);
 }
 
 static void watch(mp_State *M, Request *r) {
@@ -610,15 +632,15 @@
 }
 
 /* the stream broke: resume it once where it is, then go elsewhere */
-static void broke(mp_State *M, Request *r, int cleanly) {
+static void broke(mp_State *M, Request *r, Why why) {
   mpT_stop(&M->timers, &r->timer);
-  if (!cleanly && !r->resumed) {
+  if (!clean(why) && !r->resumed) {
     r->resumed = 1;
     decode(M, r, MP_X_RESUME);
     return;
   }
   /* after a resume that was refused, the first call still ran */
-  failed(M, r, &r->decode, cleanly && !r->resumed);
+  failed(M, r, &r->decode, clean(why) && r->resumed ? WHY_BROKEN : why);
 }
 
 static void head(mp_State *M, Request *r, int status, void *h) {
@@ -660,7 +682,7 @@
   if (e->index > r->got) {
     mpX_xabort(M, r->decode.xcall);
     r->decode.xcall = 0;
-    broke(M, r, 0); /* a gap: nothing behind it may pass */
+    broke(M, r, WHY_BROKEN); /* a gap: nothing behind it may pass */
     return;
   }
   if (r->prefill.no != 0)
@@ -684,7 +706,7 @@
   case MP_EP_DONE:
     r->decode.xcall = 0;
     if (e->tokens != r->got) {
-      broke(M, r, 0); /* the end without the whole */
+      broke(M, r, WHY_BROKEN); /* the end without the whole */
       return;
     }
     if (r->prefill.no != 0)
@@ -694,7 +716,7 @@
     break;
   case MP_EP_FAIL:
     r->decode.xcall = 0;
-    broke(M, r, clean(e));
+    broke(M, r, whyof(e));
     break;
   }
 }
@@ -712,7 +734,7 @@
   if (r->head)
     giveup(M, r); /* a part of the answer is out: no second one */
   else
-    failed(M, r, &r->decode, 0);
+    failed(M, r, &r->decode, WHY_SILENT);
 }
 
 static void plainfail(mp_State *M, Request *r, const mp_EndpointEvent *e) {
@@ -723,7 +745,7 @@
   else if (e->fail == MP_EPF_REJECTED)
     rejected(M, r);
   else
-    failed(M, r, &r->decode, clean(e));
+    failed(M, r, &r->decode, whyof(e));
 }
 
 static void onplain(mp_State *M, void *ud, const mp_EndpointEvent *e) {
--- a/core/route.c
+++ b/core/route.c
@@ -14,11 +14,12 @@
 #include "fleet.h"
 #include "member.h"
 #include "place.h"
+#include "plan.h"
 #include "route.h"
 
 /* work ahead that never turns a prompt away from its cache, in ms */
 #define BOUND_LEAST 150
-/* how far above the average the bound lies, in percent */
+/* how far above the cheapest the bound lies, in percent */
 #define BOUND_OVER 125
 /* engines of other data centres are taken when emptier by this share */
 #define AWAY_COST 0.08
@@ -202,28 +203,59 @@
   }
 }
 
-/* the first by weight for the prefix whose load is within the bound */
-static Endpoint *byprefix(const mp_State *M, const GPtrArray *a,
-                          uint64_t prefix) {
+/* bytes of KV that this request's prefill makes */
+static uint64_t kvbytes(const mp_State *M, const Request *r) {
+  const mp_Config *c = M->config;
+  unsigned i;
+  for (i = 0; i < c->models_count; i++) {
+    if (strcmp(c->models[i].name, r->model) == 0)
+      return (uint64_t)c->models[i].kv_bytes_per_token * r->prompt_tokens;
+  }
+  return 0;
+}
+
+/*
+** Milliseconds until a KV made at 'e' is at data centre 'dc'. A link
+** between data centres is shared with all other instances, so its time
+** counts twice; within a data centre nothing waits.
+*/
+static uint32_t cost(const mp_State *M, const Request *r, const Endpoint *e,
+                     const char *dc) {
+  uint32_t ms = mpR_prefilltime(e, 0);
+  if (dc != NULL && strcmp(dc, e->dc) != 0 && M->config->policy->transfer_plan)
+    ms += (uint32_t)(2 * mpL_time(M, e->dc, dc, kvbytes(M, r)) / MP_MS);
+  return ms;
+}
+
+static Endpoint *cheapest(const mp_State *M, const Request *r,
+                          const GPtrArray *a, const char *dc) {
+  Endpoint *win = a->pdata[0];
+  guint i;
+  for (i = 1; i < a->len; i++) {
+    Endpoint *e = a->pdata[i];
+    if (cost(M, r, e, dc) < cost(M, r, win, dc))
+      win = e;
+  }
+  return win;
+}
+
+/* the first by weight for the prefix whose cost is within the bound */
+static Endpoint *byprefix(const mp_State *M, const Request *r,
+                          const GPtrArray *a, const char *dc) {
   Endpoint *win = NULL;
   uint64_t top = 0;
-  uint64_t sum = 0;
-  uint64_t bound;
+  uint32_t bound = cost(M, r, cheapest(M, r, a, dc), dc);
   guint i;
-  for (i = 0; i < a->len; i++)
-    sum += mpR_prefilltime(a->pdata[i], 0);
-  bound = MAX(BOUND_LEAST, sum * BOUND_OVER / 100 / a->len);
+  bound = MAX(bound + BOUND_LEAST, bound * BOUND_OVER / 100);
   for (i = 0; i < a->len; i++) {
     Endpoint *e = a->pdata[i];
-    uint64_t w = mpM_weight(e->addr, prefix);
-    if (mpR_prefilltime(e, 0) > bound)
-      continue;
-    if (win == NULL || w > top) {
+    uint64_t w = mpM_weight(e->addr, r->prefix);
+    if (cost(M, r, e, dc) <= bound && (win == NULL || w > top)) {
       win = e;
       top = w;
     }
   }
-  return win != NULL ? win : least(M, a);
+  return win;
 }
 
 /* }================================================================== */
@@ -255,11 +287,12 @@
     keeppaired(M, r, a, d, 1);
     g_ptr_array_unref(d);
   }
-  if (a->len > 0 && p->pick == MP_PICK_MADDERPIER && p->prefix_affinity &&
-      r->prefix != 0)
-    e = byprefix(M, a, r->prefix);
-  else
+  if (a->len == 0 || p->pick != MP_PICK_MADDERPIER)
     e = bypolicy(M, a);
+  else if (p->prefix_affinity && r->prefix != 0)
+    e = byprefix(M, r, a, dc);
+  else
+    e = cheapest(M, r, a, dc);
   g_ptr_array_unref(a);
   return e;
 }
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -706,6 +706,7 @@
   X(BROKE, 1005, MP_WARN, "request ended in an error after work began") \
   X(STEP, 1006, MP_DEBUG, "request enters a step")                      \
   X(RETRY, 1007, MP_INFO, "step is tried again")                        \
+  X(FAILED, 1008, MP_INFO, "endpoint failed a step")                    \
   X(GRANT, 2001, MP_DEBUG, "reservation granted")                       \
   X(DENY, 2002, MP_DEBUG, "reservation denied")                         \
   X(EXPIRE, 2003, MP_INFO, "reservation not renewed, dropped")          \
--- a/makefile
+++ b/makefile
@@ -67,6 +67,10 @@
   $(BUILD)/standin/serve.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/load: $(BUILD)/bench/load.o $(BUILD)/bench/caller.o \
+  $(BUILD)/standin/model.o $(BUILD)/io/http.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lm
+
 STANDINS = $(BUILD)/standin-platform $(BUILD)/standin-engine
 
 demo: all $(STANDINS)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -82,7 +82,7 @@
   'r->ran = MP_RAN_UNKNOWN;
   a->sent = 1;' 'a->sent = 1;'
 m notrun "4: a lost call is not taken for one that did not run" core/flow.c \
-  'return e->fail == MP_EPF_CONNECT || e->fail == MP_EPF_REFUSED;' 'return 1;'
+  'return w == WHY_REFUSED || w == WHY_CONNECT;' 'return 1;'
 m durable "5: the claim is written before dispatch" core/claim.c \
   'if (c->durable) {' 'if (0) {'
 m repeat "5: no retry of what may have run" core/flow.c \
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -156,19 +156,11 @@
   return r;
 }
 
-static void dropconn(evutil_socket_t fd, short what, void *arg) {
-  (void)fd;
-  (void)what;
-  evhttp_connection_free(arg);
-}
-
-/* break the reader's connection, from within any callback */
+/* break the reader's connection; evhttp frees it when it sees the end */
 static void breakreader(Work *w) {
   struct evhttp_request *r = letgo(w);
-  struct timeval t = {0, 0};
   if (r != NULL)
-    event_base_once(base, -1, EV_TIMEOUT, dropconn,
-                    evhttp_request_get_connection(r), &t);
+    serve_cut(r);
 }
 
 static void destroywork(void *p) {
@@ -372,7 +364,8 @@
   w = addwork(e, W_PREFILL, id, r);
   w->hash = model_hash(p);
   w->tokens = model_tokens(p);
-  w->cached = MIN(usecache(e, p->str, p->len), w->tokens - 1);
+  w->cached = usecache(e, p->str, p->len);
+  w->cached = MIN(w->cached, w->tokens - 1);
   w->left = w->tokens - w->cached;
   w->priority = (int)json_integer_value(json_object_get(j, "priority"));
   g_string_free(p, TRUE);
@@ -659,10 +652,8 @@
   guint i = 0;
   int n = 0;
   if (e->losecancel > 0) {
-    struct timeval t = {0, 0};
     e->losecancel--;
-    event_base_once(base, -1, EV_TIMEOUT, dropconn,
-                    evhttp_request_get_connection(r), &t);
+    serve_cut(r);
     return;
   }
   if (id == NULL) {
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -151,19 +151,6 @@
     sendobject(r, o);
 }
 
-static void closeit(evutil_socket_t fd, short what, void *arg) {
-  (void)fd;
-  (void)what;
-  evhttp_connection_free(arg);
-}
-
-/* the reply is lost: the connection ends without one */
-static void closenow(struct evhttp_request *r) {
-  struct timeval now = {0, 0};
-  event_base_once(base, -1, EV_TIMEOUT, closeit,
-                  evhttp_request_get_connection(r), &now);
-}
-
 static void putreq(struct evhttp_request *r, const char *key) {
   const Object *o = g_hash_table_lookup(objects, key);
   int64_t expect = serve_query(r, "version", -1);
@@ -183,7 +170,7 @@
   o = put(key, (const char *)evbuffer_pullup(b, -1), n);
   if (lose > 0) {
     lose--;
-    closenow(r);
+    serve_cut(r); /* the reply is lost */
   } else
     sendobject(r, o);
   wake(o);
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -6,6 +6,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+
+#include <event2/bufferevent.h>
 
 #include "standin/serve.h"
 
@@ -37,6 +40,12 @@
   json_decref(j);
 }
 
+void serve_cut(struct evhttp_request *r) {
+  struct evhttp_connection *c = evhttp_request_get_connection(r);
+  struct bufferevent *b = evhttp_connection_get_bufferevent(c);
+  shutdown(bufferevent_getfd(b), SHUT_RDWR);
+}
+
 json_t *serve_body(struct evhttp_request *r) {
   struct evbuffer *b = evhttp_request_get_input_buffer(r);
   size_t n = evbuffer_get_length(b);
--- a/standin/serve.h
+++ b/standin/serve.h
@@ -21,6 +21,9 @@
 
 void serve_json(struct evhttp_request *r, int status, json_t *j);
 
+/* cut the connection, without a reply; safe from any callback */
+void serve_cut(struct evhttp_request *r);
+
 /* the body as JSON, or NULL */
 json_t *serve_body(struct evhttp_request *r);
 
