--- a/makefile
+++ b/makefile
@@ -71,6 +71,14 @@
   $(BUILD)/standin/model.o $(BUILD)/io/http.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lm
 
+$(BUILD)/compare: $(BUILD)/bench/compare.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+# the comparison of policies; see docs/MEASURES.md for longer ones
+bench: all $(STANDINS) $(BUILD)/load $(BUILD)/compare
+	scripts/compare.sh funkbuch-ost 70 12 "1 2 3" none madderpier random \
+	  round_robin least_loaded two_choices
+
 STANDINS = $(BUILD)/standin-platform $(BUILD)/standin-engine
 
 demo: all $(STANDINS)
@@ -106,5 +114,5 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all clean demo check lint format
+.PHONY: all clean demo check bench lint format
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -75,12 +75,13 @@
   json_t *loadnow; /* as it will be reported after the lag */
   /* faults */
   int frozen;
-  int losereply;   /* next replies that are lost */
-  int losecancel;  /* next cancels that are not heard */
-  int breakafter;  /* streams break after so many tokens; 0: never */
-  int refuse;      /* next works that are refused */
-  int slow;        /* percent of the normal time */
-  GPtrArray *held; /* requests that came while frozen */
+  int losereply;     /* next replies that are lost */
+  int losecancel;    /* next cancels that are not heard */
+  int breakafter;    /* streams break after so many tokens; 0: never */
+  int refuse;        /* next works that are refused */
+  int slow;          /* percent of the normal time */
+  mp_Time deaduntil; /* killed: every connection is cut until then */
+  GPtrArray *held;   /* requests that came while frozen */
 };
 
 static struct event_base *base;
@@ -733,8 +734,22 @@
   return v != NULL ? (int)json_integer_value(v) : other;
 }
 
+/* all work and memory is gone, and nobody answers for a while */
+static void killfor(Engine *e, int ms) {
+  e->deaduntil = now() + (mp_Time)ms * MP_MS;
+  while (e->work->len > 0) {
+    Work *w = e->work->pdata[0];
+    ledger(e, w->id, opnames[w->kind], "killed", w->tokens - w->left,
+           w->cached);
+    breakreader(w);
+    freework(w);
+  }
+  g_hash_table_remove_all(e->cache);
+}
+
 /*
-** {"freeze": 1 | 0, "leaving": 1 | 0, "lose_reply": N, "lose_cancel": N,
+** {"kill": MILLISECONDS, "freeze": 1 | 0, "leaving": 1 | 0, "lose_reply": N,
+*"lose_cancel": N,
 **  "break_after": N, "refuse": N, "slow": PERCENT}
 */
 static void fault(Engine *e, struct evhttp_request *r) {
@@ -746,6 +761,8 @@
   e->breakafter = number(j, "break_after", e->breakafter);
   e->refuse = number(j, "refuse", e->refuse);
   e->slow = number(j, "slow", e->slow);
+  if (json_object_get(j, "kill") != NULL)
+    killfor(e, number(j, "kill", 0));
   json_decref(j);
   if (frozen)
     e->frozen = 1;
@@ -810,6 +827,8 @@
     sendledger(e, r);
   else if (strcmp(path, "/holds") == 0)
     serve_json(r, 200, load(e)); /* without lag, for tests */
+  else if (now() < e->deaduntil)
+    serve_cut(r);
   else if (e->frozen) {
     g_ptr_array_add(e->held, r);
     evhttp_connection_set_closecb(evhttp_request_get_connection(r), heldgone,
