--- a/cli/madderpier.c
+++ b/cli/madderpier.c
@@ -474,8 +474,8 @@
       const char *who = json_string_value(json_object_get(j, "who"));
       const char *what = json_string_value(json_object_get(j, "what"));
       const char *end = json_string_value(json_object_get(j, "outcome"));
-      printf("%s %-12s %-8s %d -> %d  %s\n", when, who, what,
-             (int)json_integer_value(json_object_get(j, "from")),
+      printf("%-20s %-12s %-8s %d -> %d  %s\n", when != NULL ? when : "-", who,
+             what, (int)json_integer_value(json_object_get(j, "from")),
              (int)json_integer_value(json_object_get(j, "to")), end);
     }
     json_decref(j);
--- a/core/admit.c
+++ b/core/admit.c
@@ -51,12 +51,27 @@
   return NULL;
 }
 
+static int has(char *const *names, unsigned n, const char *name) {
+  unsigned i;
+  for (i = 0; i < n; i++) {
+    if (strcmp(names[i], name) == 0)
+      return 1;
+  }
+  return 0;
+}
+
+/* the service that holds a model, or an adapter, of this name */
 static const mp_Service *bymodel(const mp_Config *c, const char *model) {
   unsigned i;
   for (i = 0; i < c->models_count; i++) {
     if (strcmp(c->models[i].name, model) == 0)
       return findservice(c, c->models[i].service);
   }
+  for (i = 0; i < c->pools_count; i++) {
+    const mp_Pool *p = &c->pools[i];
+    if (has(p->adapters, p->adapters_count, model))
+      return findservice(c, p->service);
+  }
   return NULL;
 }
 
@@ -81,15 +96,6 @@
   return win;
 }
 
-static int opento(const mp_Account *a, const char *class_name) {
-  unsigned i;
-  for (i = 0; i < a->classes_count; i++) {
-    if (strcmp(a->classes[i], class_name) == 0)
-      return 1;
-  }
-  return 0;
-}
-
 static mp_Error find(const mp_Config *c, const mp_Call *q, Found *f) {
   const char *class_name = q->class_name;
   f->account = findaccount(c, q->bearer);
@@ -108,7 +114,8 @@
   if (class_name == NULL && f->account->classes_count > 0)
     class_name = f->account->classes[0]; /* the account's default */
   f->class_ = findclass(c, class_name);
-  if (f->class_ == NULL || !opento(f->account, f->class_->name))
+  if (f->class_ == NULL ||
+      !has(f->account->classes, f->account->classes_count, f->class_->name))
     return MP_ERR_CLASS;
   if (mpP_rule(c, f->class_->name, f->account->name) == NULL)
     return MP_ERR_PLACE;
--- a/core/board.h
+++ b/core/board.h
@@ -57,8 +57,9 @@
   uint32_t stamp;
   mp_Time seen; /* of the load below */
   uint32_t slots, used;
-  uint32_t wait; /* milliseconds */
-  uint32_t rate; /* prefill: tokens a second; decode: us per token */
+  uint32_t running; /* decode: streams, as the engine reports */
+  uint32_t wait;    /* milliseconds */
+  uint32_t rate;    /* prefill: tokens a second; decode: us per token */
   unsigned told;
   unsigned mine;    /* attempts of this instance there now */
   uint32_t pledged; /* tokens sent there since the last load */
--- a/core/flow.c
+++ b/core/flow.c
@@ -70,7 +70,7 @@
   memset(a, 0, sizeof *a);
 }
 
-static void remove_(mp_State *M, Request *r) {
+static void forget(mp_State *M, Request *r) {
   mpT_stop(&M->timers, &r->timer);
   mpT_stop(&M->timers, &r->limit);
   mpH_forget(M, r);
@@ -110,7 +110,7 @@
   p.retry_s = retry_s;
   mp_token_text(&r->token, 0, p.id);
   settle(M, r, r->ran);
-  if (r->ran == MP_RAN_NO) {
+  if (r->ran == MP_RAN_NO || e == MP_ERR_DUPLICATE) {
     mpcount(M, REFUSED);
     logend(M, r, MP_LOG_REFUSE, mp_error_name(e));
   } else {
@@ -118,7 +118,7 @@
     logend(M, r, MP_LOG_BROKE, mp_error_name(e));
   }
   mpX_reply(M, &p);
-  remove_(M, r);
+  forget(M, r);
 }
 
 void mpW_refuse(mp_State *M, Request *r, mp_Error e, int retry_s) {
@@ -129,7 +129,7 @@
   mpcount(M, HANGUPS);
   logend(M, r, MP_LOG_GONE, "caller_gone");
   settle(M, r, r->ran);
-  remove_(M, r);
+  forget(M, r);
 }
 
 static void complete(mp_State *M, Request *r) {
@@ -147,7 +147,7 @@
   logend(M, r, MP_LOG_ANSWERED, "ok");
   mpX_reply(M, &p);
   r->decode.sent = 0; /* it ended by itself: nothing to cancel */
-  remove_(M, r);
+  forget(M, r);
 }
 
 /* no way on: say what is known, and when to come back */
@@ -177,7 +177,7 @@
     r->avoid[r->navoid++] = a;
 }
 
-static void resume_(mp_State *M, void *ud) {
+static void goon(mp_State *M, void *ud) {
   Request *r = ud;
   enter(M, r, r->next);
 }
@@ -199,7 +199,7 @@
           r->tries);
   r->step = ST_WAIT;
   r->next = s;
-  mpT_arm(&M->timers, &r->timer, M->now + wait, resume_, r);
+  mpT_arm(&M->timers, &r->timer, M->now + wait, goon, r);
 }
 
 /*
@@ -504,16 +504,6 @@
 ** ===================================================================
 */
 
-static uint64_t kvbytes(const mp_State *M, const Request *r) {
-  const mp_Config *c = M->config;
-  unsigned i;
-  for (i = 0; i < c->models_count; i++) {
-    if (strcmp(c->models[i].name, r->model) == 0)
-      return (uint64_t)c->models[i].kv_bytes_per_token * r->prompt_tokens;
-  }
-  return 0;
-}
-
 /* the KV result ran out, or its engine is gone: prefill anew */
 static void kvlost(mp_State *M, Request *r) {
   r->kv_until = 0;
@@ -566,7 +556,7 @@
   x.kv_from = r->kv_at;
   dispatched(r, a);
   a->xcall = mpX_xcall(M, &x, onimport, r);
-  expect = mpL_time(M, p->dc, d->dc, kvbytes(M, r));
+  expect = mpL_time(M, p->dc, d->dc, mpR_kvbytes(M, r));
   mpT_arm(&M->timers, &r->timer,
           MIN(M->now + 4 * expect + MP_STALL_TIME / 2,
               MAX(r->kv_until, M->now) + MP_SEC / 2),
@@ -576,7 +566,7 @@
 static void transfer(mp_State *M, Request *r) {
   const Endpoint *d = mpE_get(M, r->decode.endpoint);
   const Endpoint *p = mpE_get(M, r->kv_at);
-  uint64_t bytes = kvbytes(M, r);
+  uint64_t bytes = mpR_kvbytes(M, r);
   if (d == NULL) {
     gated(M, r, &r->decode);
     return;
--- a/core/keep.c
+++ b/core/keep.c
@@ -504,6 +504,7 @@
   if (l != NULL) {
     e->role = l->role;
     e->slots = l->slots;
+    e->running = l->used;
     if (e->role == MP_ROLE_DECODE)
       e->used = l->used;
     e->rate = l->rate;
@@ -573,6 +574,7 @@
   n->stamp = e->stamp;
   n->slots = (uint16_t)MIN(e->slots, 65535);
   n->used = (uint16_t)MIN(e->used, 65535);
+  n->running = (uint16_t)MIN(e->running, 65535);
   n->wait = e->wait;
   n->rate = e->rate;
   n->role = (uint8_t)e->role;
@@ -619,6 +621,7 @@
   e->stamp = n->stamp;
   e->slots = n->slots;
   e->used = n->used;
+  e->running = n->running;
   e->wait = n->wait;
   e->rate = n->rate;
   e->role = (mp_Role)n->role;
--- a/core/order.c
+++ b/core/order.c
@@ -23,9 +23,10 @@
 #define LEASE_KEY 0x6c65617365ULL /* rendezvous key of the candidates */
 #define CANDIDATES 2
 
-/* pressure of a pool: waiting work by what the pool does at once */
+/* pressure: seconds of prefill waiting, or share of decode slots running */
 #define PRESSURE_HIGH 1.0
 #define PRESSURE_LOW 0.5
+#define DECODE_HIGH 0.9
 
 struct Orders {
   Timer timer;
@@ -37,8 +38,9 @@
   mp_Time begun;    /* own lease: since when */
   mp_Time asked;    /* when the renewal under way was sent */
   mp_Time pressing; /* since when one pool is pressed; 0: none is */
-  mp_Role pressed;
-  uint64_t xcall; /* the one order outstanding */
+  mp_Role pressed;  /* the role that engines are wanted for */
+  mp_Role from;     /* the role of the engine that is ordered */
+  uint64_t xcall;   /* the one order outstanding */
   mp_Addr target;
   Timer late;
 };
@@ -139,9 +141,13 @@
   Endpoint *idlest;
 } PoolLoad;
 
+/*
+** Decode: streams that run, not slots that are promised. Since slots are
+** promised before the prefill starts, a pressed prefill pool fills them.
+*/
 static double loadof(const Endpoint *e) {
   if (e->role == MP_ROLE_DECODE)
-    return ((double)e->used + e->wait / 1000.0) / MAX(e->slots, 1);
+    return (double)e->running / MAX(e->slots, 1);
   return e->wait / 1000.0;
 }
 
@@ -185,6 +191,32 @@
          MP_ORDER_LEASE + MP_ORDER_MAX + MP_ORDER_MARGIN;
 }
 
+static void audited(mp_State *M, void *ud, const mp_StoreEvent *e) {
+  (void)M;
+  (void)ud;
+  (void)e; /* a lost record is in the log all the same (E6004, E6005) */
+}
+
+/* every order leaves a record beside those of the operators' changes */
+static void audit(mp_State *M, const char *outcome) {
+  const Orders *O = M->orders;
+  char key[96];
+  char who[24];
+  char at[24];
+  char text[256];
+  int n;
+  mp_addr_text(M->self, who);
+  mp_addr_text(O->target, at);
+  snprintf(key, sizeof key, "audit/order-%s-%010" G_GUINT64_FORMAT, M->dc,
+           (guint64)O->version);
+  n = snprintf(text, sizeof text,
+               "{\"who\":\"%s\",\"what\":\"order %s\",\"from\":%d,"
+               "\"to\":%d,\"outcome\":\"%s\"}",
+               who, at, (int)O->from, (int)O->pressed, outcome);
+  mpX_store(M, MP_ST_PUT, key, 0, text, (size_t)n, MP_STORE_TIMEOUT, audited,
+            NULL);
+}
+
 static void orderdone(mp_State *M, int ok) {
   Orders *O = M->orders;
   const Endpoint *e = mpE_get(M, O->target);
@@ -192,6 +224,7 @@
   O->xcall = 0;
   mpX_log(M, ok ? MP_LOG_ORDER_DONE : MP_LOG_ORDER_FAIL, " endpoint=%s",
           e != NULL ? e->name : "gone");
+  audit(M, ok ? "done" : "failed or unknown");
 }
 
 static void ordered(mp_State *M, void *ud, const mp_EndpointEvent *e) {
@@ -218,6 +251,7 @@
   x.fence = O->version;
   x.valid_ms = (uint32_t)(MIN(MP_ORDER_MAX, O->until - M->now) / MP_MS);
   O->target = e->addr;
+  O->from = e->role;
   O->xcall = mpX_xcall(M, &x, ordered, NULL);
   mpT_arm(&M->timers, &O->late, M->now + MP_ORDER_MAX, orderlate, NULL);
   mpcount(M, ORDERS);
@@ -232,7 +266,7 @@
   PoolLoad p = measure(M, s->name, MP_ROLE_PREFILL);
   PoolLoad d = measure(M, s->name, MP_ROLE_DECODE);
   int toprefill = p.pressure > PRESSURE_HIGH && d.pressure < PRESSURE_LOW;
-  int todecode = d.pressure > PRESSURE_HIGH && p.pressure < PRESSURE_LOW;
+  int todecode = d.pressure > DECODE_HIGH && p.pressure < PRESSURE_LOW;
   mp_Role want = toprefill ? MP_ROLE_PREFILL : MP_ROLE_DECODE;
   const PoolLoad *giver = toprefill ? &d : &p;
   mp_Role from = toprefill ? MP_ROLE_DECODE : MP_ROLE_PREFILL;
--- a/core/quota.c
+++ b/core/quota.c
@@ -170,7 +170,8 @@
 }
 
 static void borrow(mp_State *M, Slice *s) {
-  mp_Addr home = homeof(M, s->account);
+  int slices = M->config->policy->quota_slices;
+  mp_Addr home = slices ? homeof(M, s->account) : 0;
   mp_Msg m = {0};
   double want = s->recent / SLICES_PER_S;
   if (home == 0) {
--- a/core/quota.h
+++ b/core/quota.h
@@ -5,7 +5,8 @@
 **
 ** The home (an instance, by rendezvous) owns the account's bucket and
 ** lends slices that expire. Whoever cannot reach the home falls back to an
-** even share of the limit, so a cut neither stops an account nor frees it.
+** even share of the limit, so a cut neither stops an account nor frees it;
+** with the switch quota_slices off that is all there is.
 */
 
 #ifndef QUOTA_H
--- a/core/route.c
+++ b/core/route.c
@@ -58,6 +58,10 @@
       if (strcmp(p->models[k], r->model) == 0)
         return 1;
     }
+    for (k = 0; k < p->adapters_count; k++) {
+      if (strcmp(p->adapters[k], r->model) == 0)
+        return 1;
+    }
   }
   return 0;
 }
@@ -180,6 +184,22 @@
   return e->rate > 0 ? e->rate : MP_PREFILL_RATE;
 }
 
+/* an adapter's KV is as large as that of its service's largest model */
+uint64_t mpR_kvbytes(const mp_State *M, const Request *r) {
+  const mp_Config *c = M->config;
+  uint32_t each = 0;
+  unsigned i;
+  for (i = 0; i < c->models_count; i++) {
+    const mp_Model *m = &c->models[i];
+    if (strcmp(m->service, r->service) != 0)
+      continue;
+    if (strcmp(m->name, r->model) == 0)
+      return (uint64_t)m->kv_bytes_per_token * r->prompt_tokens;
+    each = MAX(each, m->kv_bytes_per_token);
+  }
+  return (uint64_t)each * r->prompt_tokens;
+}
+
 uint32_t mpR_prefilltime(const Endpoint *e, uint32_t tokens) {
   uint64_t sum = (uint64_t)tokens + e->pledged;
   return e->wait + (uint32_t)(sum * 1000 / prefillrate(e));
@@ -260,17 +280,6 @@
   }
 }
 
-/* bytes of KV that this request's prefill makes */
-static uint64_t kvbytes(const mp_State *M, const Request *r) {
-  const mp_Config *c = M->config;
-  unsigned i;
-  for (i = 0; i < c->models_count; i++) {
-    if (strcmp(c->models[i].name, r->model) == 0)
-      return (uint64_t)c->models[i].kv_bytes_per_token * r->prompt_tokens;
-  }
-  return 0;
-}
-
 /*
 ** Milliseconds until a KV made at 'e' is at data centre 'dc'. A link
 ** between data centres is shared with all other instances, so its time
@@ -283,7 +292,7 @@
     ms += (uint32_t)((uint64_t)e->used * r->prompt_tokens * 1000 /
                      prefillrate(e));
   if (dc != NULL && strcmp(dc, e->dc) != 0 && M->config->policy->transfer_plan)
-    ms += (uint32_t)(2 * mpL_time(M, e->dc, dc, kvbytes(M, r)) / MP_MS);
+    ms += (uint32_t)(2 * mpL_time(M, e->dc, dc, mpR_kvbytes(M, r)) / MP_MS);
   return ms;
 }
 
--- a/core/route.h
+++ b/core/route.h
@@ -22,6 +22,9 @@
 /* may this request run at this endpoint, now? The gate at dispatch */
 int mpR_allowed(const mp_State *M, const Request *r, const Endpoint *e);
 
+/* bytes of KV that the request's prefill makes */
+uint64_t mpR_kvbytes(const mp_State *M, const Request *r);
+
 /* milliseconds until a prefill of this prompt would be done there */
 uint32_t mpR_prefilltime(const Endpoint *e, uint32_t tokens);
 
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -367,13 +367,14 @@
 /* load of one endpoint, as its keeper sees it */
 typedef struct mp_LoadNews {
   mp_Addr addr;
-  uint32_t stamp; /* grows with every observation */
-  uint16_t slots; /* decode: slots in all */
-  uint16_t used;  /* decode: slots held or promised */
-  uint32_t wait;  /* prefill: milliseconds of work ahead */
-  uint32_t rate;  /* prefill: tokens a second; decode: us per token */
-  uint8_t flags;  /* MP_LOAD_* */
-  uint8_t role;   /* mp_Role */
+  uint32_t stamp;   /* grows with every observation */
+  uint16_t slots;   /* decode: slots in all */
+  uint16_t used;    /* decode: slots held or promised */
+  uint16_t running; /* decode: streams at the engine, as it reports */
+  uint32_t wait;    /* prefill: milliseconds of work ahead */
+  uint32_t rate;    /* prefill: tokens a second; decode: us per token */
+  uint8_t flags;    /* MP_LOAD_* */
+  uint8_t role;     /* mp_Role */
 } mp_LoadNews;
 
 #define MP_LOAD_LEAVING 1
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -61,16 +61,13 @@
 }
 
 static bool_t loadrow(XDR *x, mp_LoadNews *l) {
-  uint16_t flags = l->flags;
-  uint16_t role = l->role;
+  uint16_t what = (uint16_t)(l->flags << 8 | l->role);
   if (!u64(x, &l->addr) || !u32(x, &l->stamp) ||
       !pair(x, &l->slots, &l->used) || !u32(x, &l->wait) ||
-      !u32(x, &l->rate) || !pair(x, &flags, &role))
+      !u32(x, &l->rate) || !pair(x, &what, &l->running))
     return FALSE;
-  if (flags > UINT8_MAX || role > UINT8_MAX)
-    return FALSE;
-  l->flags = (uint8_t)flags;
-  l->role = (uint8_t)role;
+  l->flags = (uint8_t)(what >> 8);
+  l->role = (uint8_t)(what & UINT8_MAX);
   return TRUE;
 }
 
