--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -346,6 +346,7 @@
   e->u.endpoint.text = d->text;
   e->u.endpoint.len = strlen(d->text);
   feed(R, d->node, e);
+  e->u.endpoint.load = NULL; /* it lives in this function */
 }
 
 static void happen(Run *R, Due *d) {
--- /dev/null
+++ b/core/step.h
@@ -0,0 +1,128 @@
+/*
+** step.h
+** What the files of a request's path share with each other (flow.c,
+** slots.c, work.c, answer.c, ending.c) and with nobody else
+** A function marked "may end" may free the request: it is the last thing
+** that its caller does.
+*/
+
+#ifndef STEP_H
+#define STEP_H
+
+#include "state.h"
+
+/* how a call to an endpoint ended */
+typedef enum Why { WHY_REFUSED, WHY_CONNECT, WHY_BROKEN, WHY_SILENT } Why;
+
+const mp_Policy *mpW_policy(const mp_State *M);
+
+/*
+** {==================================================================
+** flow.c: the path
+** ===================================================================
+*/
+
+/* go to a step; may end */
+void mpW_enter(mp_State *M, Request *r, Step s);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** ending.c: ending, and trying again
+** ===================================================================
+*/
+
+/* the answer is whole; ends */
+void mpW_complete(mp_State *M, Request *r);
+
+/* no way on: say what is known, and when to come back; ends */
+void mpW_giveup(mp_State *M, Request *r);
+
+/* timer: the deadline passed; ends */
+void mpW_late(mp_State *M, void *ud);
+
+/* end an attempt: close its call, free what it holds, give it back */
+void mpW_endattempt(mp_State *M, Request *r, Attempt *a);
+
+/* do not choose this endpoint for the step again */
+void mpW_avoid(Request *r, mp_Addr a);
+
+/* enter a step after a wait */
+void mpW_later(mp_State *M, Request *r, Step s, mp_Time wait);
+
+/* back to a step after a failure, if that is allowed; may end */
+void mpW_again(mp_State *M, Request *r, Step s, int clean);
+
+/* where to begin again, given what is still there */
+Step mpW_restart(mp_State *M, Request *r);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** slots.c: reservations
+** ===================================================================
+*/
+
+/* number an attempt and give it its endpoint */
+void mpW_attempt(Request *r, Attempt *a, const Endpoint *e, mp_Role role,
+                 uint32_t tokens);
+
+/* no endpoint can be chosen; ends */
+void mpW_nowhere(mp_State *M, Request *r);
+
+/* the two steps; may end */
+void mpW_decodeslot(mp_State *M, Request *r);
+void mpW_prefillslot(mp_State *M, Request *r);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** work.c: work at endpoints
+** ===================================================================
+*/
+
+/* the work goes out now: from here on it may have run */
+void mpW_dispatched(Request *r, Attempt *a);
+
+/* the endpoint certainly did not run it */
+void mpW_notrun(Request *r);
+
+Why mpW_whyof(const mp_EndpointEvent *e);
+
+/* was the work certainly not run? */
+int mpW_clean(Why w);
+
+/* the attempt is over without an answer; begin again elsewhere; may end */
+void mpW_failed(mp_State *M, Request *r, Attempt *a, Why why);
+
+/* the endpoint found the request at fault; ends */
+void mpW_rejected(mp_State *M, Request *r);
+
+/* the place gate at the instant of dispatch; NULL: forbidden */
+Endpoint *mpW_gate(mp_State *M, const Request *r, const Attempt *a);
+
+/* a rule changed under way: nothing goes there any more; may end */
+void mpW_gated(mp_State *M, Request *r, Attempt *a);
+
+/* the two steps; may end */
+void mpW_prefill(mp_State *M, Request *r);
+void mpW_transfer(mp_State *M, Request *r);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** answer.c: decode and plain services
+** ===================================================================
+*/
+
+/* MP_X_DECODE or MP_X_RESUME; may end */
+void mpW_decode(mp_State *M, Request *r, mp_XcallOp op);
+void mpW_plain(mp_State *M, Request *r);
+
+/* }================================================================== */
+
+#endif
--- /dev/null
+++ b/core/work.c
@@ -0,0 +1,271 @@
+/*
+** work.c
+** Work at engines: prefill, and the transfer of its result
+**
+** 'ran' leaves MP_RAN_NO at the instant of dispatch, and comes back only
+** when the endpoint certainly did not run the work.
+*/
+
+#include "fleet.h"
+#include "flow.h"
+#include "fx.h"
+#include "holder.h"
+#include "place.h"
+#include "plan.h"
+#include "retry.h"
+#include "route.h"
+#include "step.h"
+
+/*
+** {==================================================================
+** Work at endpoints
+** ===================================================================
+*/
+
+/* the work goes out now: from here on it may have run */
+void mpW_dispatched(Request *r, Attempt *a) {
+  r->before = r->ran;
+  if (r->ran == MP_RAN_NO)
+    r->ran = MP_RAN_UNKNOWN;
+  a->sent = 1;
+}
+
+/* the endpoint certainly did not run it */
+void mpW_notrun(Request *r) {
+  r->ran = r->before;
+}
+
+Why mpW_whyof(const mp_EndpointEvent *e) {
+  switch (e->fail) {
+  case MP_EPF_CONNECT:
+    return WHY_CONNECT;
+  case MP_EPF_REFUSED:
+    return WHY_REFUSED;
+  default:
+    return WHY_BROKEN;
+  }
+}
+
+/* was the work certainly not run? */
+int mpW_clean(Why w) {
+  return w == WHY_REFUSED || w == WHY_CONNECT;
+}
+
+/* the attempt is over without an answer; begin again elsewhere */
+void mpW_failed(mp_State *M, Request *r, Attempt *a, Why why) {
+  static const char *const names[] = {"refused", "connect", "broken",
+                                      "silent"};
+  mp_Addr ep = a->endpoint;
+  int cleanly = mpW_clean(why);
+  char text[24];
+  mp_addr_text(ep, text);
+  mpX_log(M, MP_LOG_FAILED, " seq=%08x endpoint=%s step=%d why=%s",
+          r->token.seq, text, (int)r->step, names[why]);
+  if (cleanly) {
+    mpW_notrun(r);
+    a->sent = a->role == MP_ROLE_DECODE && r->step == ST_DECODE;
+  }
+  if (why != WHY_REFUSED) /* one that refuses is well, but busy */
+    mpE_bad(M, ep);
+  mpW_avoid(r, ep);
+  mpW_endattempt(M, r, a);
+  mpW_again(M, r, mpW_restart(M, r), cleanly);
+}
+
+void mpW_rejected(mp_State *M, Request *r) {
+  mpW_notrun(r);
+  mpW_refuse(M, r, MP_ERR_REJECTED, 0);
+}
+
+/* the gate, asked again at the instant of dispatch */
+Endpoint *mpW_gate(mp_State *M, const Request *r, const Attempt *a) {
+  Endpoint *e = mpE_get(M, a->endpoint);
+  if (e == NULL || !mpR_allowed(M, r, e))
+    return NULL;
+  return e;
+}
+
+/* the same for work that the endpoint has nothing of yet */
+static Endpoint *gatenew(mp_State *M, const Request *r, const Attempt *a) {
+  Endpoint *e = mpW_gate(M, r, a);
+  return e != NULL && !e->leaving && !e->drained ? e : NULL;
+}
+
+/* a rule changed under way: nothing goes there any more */
+void mpW_gated(mp_State *M, Request *r, Attempt *a) {
+  mpW_avoid(r, a->endpoint);
+  mpW_endattempt(M, r, a);
+  mpW_again(M, r, mpW_restart(M, r), 1);
+}
+
+/* an attempt that was asked nothing more: its endpoint is silent */
+static void prefilllate(mp_State *M, void *ud) {
+  Request *r = ud;
+  mpW_failed(M, r, &r->prefill, WHY_SILENT);
+}
+
+static void prefilled(mp_State *M, Request *r, const mp_EndpointEvent *e) {
+  Attempt *a = &r->prefill;
+  a->xcall = 0;
+  mpT_stop(&M->timers, &r->timer);
+  mpE_good(M, a->endpoint);
+  r->ran = MP_RAN_YES;
+  r->kv = g_strndup(e->text, e->len);
+  r->kv_at = a->endpoint;
+  r->kv_until = M->now + (mp_Time)e->life_ms * MP_MS;
+  r->kv_used = 0;
+  r->kv_tokens = a->tokens - MIN(e->cached, a->tokens);
+  r->tries = 0;
+  r->navoid = 0;
+  M->count[MP_C_PREFILL_TOKENS] += r->kv_tokens;
+  mpH_release(M, r, a, 1);
+  mpW_enter(M, r, r->decode.granted ? ST_TRANSFER : ST_DECODE_SLOT);
+}
+
+static void onprefill(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+  Request *r = ud;
+  if (e->what == MP_EP_DONE) {
+    prefilled(M, r, e);
+    return;
+  }
+  if (e->what != MP_EP_FAIL)
+    return;
+  r->prefill.xcall = 0;
+  mpT_stop(&M->timers, &r->timer);
+  if (e->fail == MP_EPF_REJECTED)
+    mpW_rejected(M, r);
+  else
+    mpW_failed(M, r, &r->prefill, mpW_whyof(e));
+}
+
+void mpW_prefill(mp_State *M, Request *r) {
+  Attempt *a = &r->prefill;
+  Endpoint *e = gatenew(M, r, a);
+  mp_Xcall x = {0};
+  mp_Time expect;
+  if (e == NULL) {
+    mpW_gated(M, r, a);
+    return;
+  }
+  x.op = MP_X_PREFILL;
+  x.endpoint = a->endpoint;
+  x.token = r->token;
+  x.attempt = a->no;
+  x.call = r->call;
+  x.from_token = r->got;
+  x.partial = r->got > 0 ? r->text->str : NULL;
+  x.priority = r->first_ms / MAX(r->weight, 1);
+  mpW_dispatched(r, a);
+  mpcount(M, PREFILLS);
+  a->xcall = mpX_xcall(M, &x, onprefill, r);
+  expect = (mp_Time)mpR_prefilltime(e, r->prompt_tokens) * MP_MS;
+  mpT_arm(&M->timers, &r->timer, M->now + 4 * expect + MP_STALL_TIME,
+          prefilllate, r);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Transfer
+** ===================================================================
+*/
+
+/* the KV result ran out, or its engine is gone: prefill anew */
+static void kvlost(mp_State *M, Request *r) {
+  r->kv_until = 0;
+  mpW_again(M, r, mpW_restart(M, r), 0);
+}
+
+/*
+** The engine had no slot after all: its keeper promised too much. The
+** result is there, so the request queues for a slot again, at another
+** engine first, for as long as the result lives.
+*/
+static void noslot(mp_State *M, Request *r) {
+  mp_Addr ep = r->decode.endpoint;
+  mp_Time wait = mpB_wait(M, 1);
+  mpW_notrun(r);
+  r->decode.sent = 0;
+  r->navoid = 0;
+  mpW_avoid(r, ep);
+  mpW_endattempt(M, r, &r->decode);
+  if (!mpW_policy(M)->keep_prefill ||
+      M->now + wait >= MIN(r->kv_until, r->deadline)) {
+    mpW_again(M, r, mpW_restart(M, r), 1);
+    return;
+  }
+  mpW_later(M, r, ST_DECODE_SLOT, wait);
+}
+
+static void importlate(mp_State *M, void *ud) {
+  Request *r = ud;
+  mpL_done(M, r);
+  mpW_failed(M, r, &r->decode, WHY_SILENT);
+}
+
+static void onimport(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+  Request *r = ud;
+  Attempt *a = &r->decode;
+  if (e->what != MP_EP_DONE && e->what != MP_EP_FAIL)
+    return;
+  a->xcall = 0;
+  mpT_stop(&M->timers, &r->timer);
+  mpL_done(M, r);
+  if (e->what == MP_EP_DONE) {
+    mpcount(M, TRANSFERS);
+    mpW_enter(M, r, ST_DECODE);
+  } else if (e->fail == MP_EPF_REJECTED) {
+    a->sent = 0; /* the source knows no such KV: nothing is held here */
+    kvlost(M, r);
+  } else if (e->fail == MP_EPF_REFUSED)
+    noslot(M, r);
+  else
+    mpW_failed(M, r, a, mpW_whyof(e));
+}
+
+/* the link is free: the gate once more, for this very move */
+static void import(mp_State *M, void *ud) {
+  Request *r = ud;
+  Attempt *a = &r->decode;
+  const Endpoint *d = gatenew(M, r, a);
+  const Endpoint *p = mpE_get(M, r->kv_at);
+  const mp_Rule *rule = mpP_rule(M->config, r->class_name, r->account);
+  mp_Xcall x = {0};
+  mp_Time expect;
+  if (d == NULL || p == NULL || !mpP_moves(M->config, rule, p->dc, d->dc)) {
+    mpL_done(M, r);
+    mpW_gated(M, r, a);
+    return;
+  }
+  x.op = MP_X_IMPORT;
+  x.endpoint = a->endpoint;
+  x.token = r->token;
+  x.attempt = a->no;
+  x.kv = r->kv;
+  x.kv_from = r->kv_at;
+  mpW_dispatched(r, a);
+  a->xcall = mpX_xcall(M, &x, onimport, r);
+  expect = mpL_time(M, p->dc, d->dc, mpR_kvbytes(M, r));
+  mpT_arm(&M->timers, &r->timer,
+          MIN(M->now + 4 * expect + MP_STALL_TIME / 2,
+              MAX(r->kv_until, M->now) + MP_SEC / 2),
+          importlate, r);
+}
+
+void mpW_transfer(mp_State *M, Request *r) {
+  const Endpoint *d = mpE_get(M, r->decode.endpoint);
+  const Endpoint *p = mpE_get(M, r->kv_at);
+  uint64_t bytes = mpR_kvbytes(M, r);
+  if (d == NULL) {
+    mpW_gated(M, r, &r->decode);
+    return;
+  }
+  if (p == NULL || M->now + mpL_time(M, p->dc, d->dc, bytes) > r->kv_until) {
+    kvlost(M, r);
+    return;
+  }
+  mpL_ask(M, p->dc, d->dc, bytes, r->kv_until, import, r);
+}
+
+/* }================================================================== */
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -64,7 +64,7 @@
   'if (!mpP_runs(M->config, rule(M, r), e->dc))' 'if (0)'
 m orphan "1: the keeper's cancel of orphans" core/keep.c \
   'if (M->now - *first < MP_ORPHAN_GRACE)' 'if (1)'
-m cancel "1: the cancel when a caller is gone" core/flow.c \
+m cancel "1: the cancel when a caller is gone" core/ending.c \
   'if (a->sent && a->role != MP_ROLE_PLAIN)' 'if (0)'
 m home "2: the home's memory of IDs" core/claim.c \
   'if (r != NULL && !mpS_sametoken(&r->token, &c->token)) {' 'if (0) {'
@@ -72,20 +72,20 @@
   'if (!settled(M, c->id)) {' 'if (0) {'
 m announce "2: holders announce to a new home" core/claim.c \
   'if (home == 0 || home == mine->home)' 'if (1)'
-m index "3: pieces are checked by their number" core/flow.c \
+m index "3: pieces are checked by their number" core/answer.c \
   'if (e->index < r->got) {' 'if (0) {'
-m whole "3: an end is checked against the count" core/flow.c \
+m whole "3: an end is checked against the count" core/answer.c \
   'if (e->tokens != r->got) {' 'if (0) {'
-m silent "3: a stalled stream is ended" core/flow.c \
+m silent "3: a stalled stream is ended" core/answer.c \
   'mpT_arm(&M->timers, &r->timer, M->now + MP_STALL_TIME, stalled, r);' ';'
-m ran "4: dispatched work may have run" core/flow.c \
+m ran "4: dispatched work may have run" core/work.c \
   'r->ran = MP_RAN_UNKNOWN;
   a->sent = 1;' 'a->sent = 1;'
-m notrun "4: a lost call is not taken for one that did not run" core/flow.c \
+m notrun "4: a lost call is not taken for one that did not run" core/work.c \
   'return w == WHY_REFUSED || w == WHY_CONNECT;' 'return 1;'
 m durable "5: the claim is written before dispatch" core/claim.c \
   'if (c->durable) {' 'if (0) {'
-m repeat "5: no retry of what may have run" core/flow.c \
+m repeat "5: no retry of what may have run" core/ending.c \
   '(!clean && !r->repeatable) ||' ''
 m readback "5: a conflict reads the claims back" core/claim.c \
   'sift(M, s);
@@ -97,8 +97,8 @@
 m version "8: only a higher version is taken" core/doc.c \
   'if (c->man.version <= M->doc[MP_DOC_CONFIG].version) {' 'if (0) {'
 m kvgone "3: a prefill of no more use is ended before the next" \
-  core/flow.c '  endattempt(M, r, &r->prefill);
-  if (!policy(M)->decode_first' '  if (!policy(M)->decode_first'
+  core/ending.c '  mpW_endattempt(M, r, &r->prefill);
+  if (!mpW_policy(M)->decode_first' '  if (!mpW_policy(M)->decode_first'
 m longs "short work does not wait behind long prompts" core/keep.c \
   'return h->role == MP_ROLE_PREFILL && h->tokens >= MP_LONG_PROMPT;' \
   'return 0;'
--- a/test/scenario.c
+++ b/test/scenario.c
@@ -33,8 +33,6 @@
 #define MAXPROCS 128
 #define MAXWORDS 32
 
-extern char **environ;
-
 typedef struct Call {
   HttpCall *http;
   GString *body;
--- a/test/sim.cc
+++ b/test/sim.cc
@@ -111,6 +111,20 @@
   return engines.size() - 1;
 }
 
+void Sim::build(const std::vector<const char *> &node_dcs,
+                const std::vector<std::pair<mp_Role, const char *>> &each) {
+  for (const char *dc : node_dcs)
+    addnode(dc);
+  for (const char *dc : {"a", "b", "c"}) {
+    for (auto &e : each)
+      addengine(dc, e.first, e.second);
+  }
+  publishlist();
+  publish(1, config());
+  startnodes();
+  run(now + 5 * sec);
+}
+
 void Sim::publishlist() {
   static const char *const roles[] = {"prefill", "decode", "plain"};
   std::string s = "{\"version\": " + std::to_string(store_version + 1) +
--- a/test/sim.h
+++ b/test/sim.h
@@ -132,6 +132,9 @@
   size_t addnode(const std::string &dc);
   size_t addengine(const std::string &dc, mp_Role role,
                    const std::string &service);
+  /* nodes in these data centres, and engines in each of a, b and c */
+  void build(const std::vector<const char *> &node_dcs,
+             const std::vector<std::pair<mp_Role, const char *>> &engines);
   /* put the instance list and a configuration into the platform */
   void publishlist();
   void publish(uint64_t version, const std::string &yaml);
--- a/test/test_path.cc
+++ b/test/test_path.cc
@@ -15,18 +15,10 @@
   Sim s;
 
   void SetUp() override {
-    for (const char *dc : {"a", "b", "c"}) {
-      s.addnode(dc);
-      s.addnode(dc);
-      s.addengine(dc, MP_ROLE_PREFILL, "llm");
-      s.addengine(dc, MP_ROLE_DECODE, "llm");
-      s.addengine(dc, MP_ROLE_PLAIN, "app");
-      s.addengine(dc, MP_ROLE_PLAIN, "claims");
-    }
-    s.publishlist();
-    s.publish(1, config());
-    s.startnodes();
-    s.run(s.now + 5 * sec);
+    s.build({"a", "a", "b", "b", "c", "c"}, {{MP_ROLE_PREFILL, "llm"},
+                                             {MP_ROLE_DECODE, "llm"},
+                                             {MP_ROLE_PLAIN, "app"},
+                                             {MP_ROLE_PLAIN, "claims"}});
   }
 
   void TearDown() override {
--- a/test/test_promises.cc
+++ b/test/test_promises.cc
@@ -18,17 +18,9 @@
   std::set<std::string> places = {"a", "b"};
 
   void SetUp() override {
-    for (const char *dc : {"a", "a", "b", "b", "c", "c"})
-      s.addnode(dc);
-    for (const char *dc : {"a", "b", "c"}) {
-      s.addengine(dc, MP_ROLE_PREFILL, "llm");
-      s.addengine(dc, MP_ROLE_DECODE, "llm");
-      s.addengine(dc, MP_ROLE_PLAIN, "claims");
-    }
-    s.publishlist();
-    s.publish(1, config());
-    s.startnodes();
-    s.run(s.now + 5 * sec);
+    s.build({"a", "a", "b", "b", "c", "c"}, {{MP_ROLE_PREFILL, "llm"},
+                                             {MP_ROLE_DECODE, "llm"},
+                                             {MP_ROLE_PLAIN, "claims"}});
   }
 
   void TearDown() override {
