Durable claims in a file of their own

Ruled out: splitting home and holder too (they share the rows' keys and are read together). Change: shard.c writes the objects; claim.c keeps homes and holders and lends it the rows through shard.h. No behaviour changed.

--- a/core/claim.c
+++ b/core/claim.c
@@ -8,11 +8,9 @@
 ** grants nothing that it was not the home of before until it has heard
 ** them out (MP_HOME_SETTLE).
 **
-** The shard's object holds all its live claims and is written only by
-** conditional update on the version that was read, so a claim in it is
-** unique whoever else believes to be the home. Rows end by the monotonic
-** clock of the home that saw them, never by a date: a wall clock that
-** jumps frees nothing.
+** Rows end by the monotonic clock of the home that saw them, never by a
+** date: a wall clock that jumps frees nothing. Claims that must last are
+** written by shard.c.
 */
 
 #include <stdio.h>
@@ -24,39 +22,10 @@
 #include "claim.h"
 #include "fx.h"
 #include "member.h"
+#include "shard.h"
 
 #define SHARD_KEY 0x7368617264ULL /* rendezvous key of shards */
 
-/* longest one durable claim is as text: "C " and four fields, newline */
-#define ROWTEXT 96
-
-/* a claim under way to the platform */
-typedef struct Pending {
-  ClaimRow row;
-  mp_Addr from; /* to answer */
-  mp_Msg call;
-} Pending;
-
-typedef enum ShardState {
-  SH_COLD,
-  SH_READING,
-  SH_WARM,
-  SH_WRITING
-} ShardState;
-
-/* durable side of a shard; 'version' is of the object as last read */
-typedef struct Shard {
-  mp_State *M;
-  unsigned no;
-  char dc[MP_MAXNAME + 1]; /* the home data centre when it was read */
-  ShardState state;
-  uint64_t version;
-  GPtrArray *pending; /* Pending, not yet in a write */
-  GPtrArray *writing; /* Pending, in the write that is under way */
-  int dirty;          /* rows were freed since the last write */
-  Timer timer;
-} Shard;
-
 /* a claim that this instance asked for */
 typedef struct Asking {
   mp_State *M;
@@ -78,8 +47,7 @@
 } Mine;
 
 struct Claims {
-  GHashTable *rows; /* id -> ClaimRow, where this instance is the home */
-  Shard shard[MP_CLAIM_SHARDS];
+  GHashTable *rows;   /* id -> ClaimRow, where this instance is the home */
   GHashTable *asking; /* number -> Asking */
   GHashTable *mine;   /* id -> Mine */
   Timer tidy;
@@ -95,7 +63,7 @@
   return (guint)(*(const uint64_t *)p);
 }
 
-static gboolean idequal(gconstpointer a, gconstpointer b) {
+gboolean mpI_sameid(gconstpointer a, gconstpointer b) {
   return memcmp(a, b, 2 * sizeof(uint64_t)) == 0;
 }
 
@@ -112,7 +80,7 @@
   id[1] = h.high64;
 }
 
-static unsigned shardof(const uint64_t id[2]) {
+unsigned mpI_shardof(const uint64_t id[2]) {
   return (unsigned)(id[1] % MP_CLAIM_SHARDS);
 }
 
@@ -136,7 +104,7 @@
   const char *dc = homedc(M, id);
   if (dc == NULL)
     return 0;
-  return mpM_home(M, mpS_hash(dc), SHARD_KEY + shardof(id));
+  return mpM_home(M, mpS_hash(dc), SHARD_KEY + mpI_shardof(id));
 }
 
 /*
@@ -148,10 +116,10 @@
   if (M->now - M->settled >= MP_HOME_SETTLE)
     return 1;
   return M->changes == 1 &&
-         mpM_homebefore(M, SHARD_KEY + shardof(id)) == M->self;
+         mpM_homebefore(M, SHARD_KEY + mpI_shardof(id)) == M->self;
 }
 
-static ClaimRow *addrow(mp_State *M, const mp_Claim *c, mp_Ran ran) {
+ClaimRow *mpI_addrow(mp_State *M, const mp_Claim *c, mp_Ran ran) {
   ClaimRow *r = g_new0(ClaimRow, 1);
   memcpy(r->id, c->id, sizeof r->id);
   r->token = c->token;
@@ -162,7 +130,7 @@
   return r;
 }
 
-static ClaimRow *getrow(const mp_State *M, const uint64_t id[2]) {
+ClaimRow *mpI_getrow(const mp_State *M, const uint64_t id[2]) {
   return g_hash_table_lookup(M->claims->rows, id);
 }
 
@@ -174,8 +142,8 @@
 ** ===================================================================
 */
 
-static void answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
-                   mp_Ran ran) {
+void mpI_answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
+                mp_Ran ran) {
   mp_Msg a = {0};
   a.u.claim = call->u.claim;
   a.u.claim.verdict = (uint8_t)v;
@@ -183,293 +151,6 @@
   mpX_answer(M, from, call, &a);
 }
 
-static void answerall(mp_State *M, GPtrArray *ps, mp_Verdict v) {
-  guint i;
-  for (i = 0; i < ps->len; i++) {
-    Pending *p = ps->pdata[i];
-    answer(M, p->from, &p->call, v, MP_RAN_UNKNOWN);
-  }
-  g_ptr_array_set_size(ps, 0);
-}
-
-/* }================================================================== */
-
-/*
-** {==================================================================
-** The home: durable claims
-** ===================================================================
-*/
-
-static void work(mp_State *M, void *ud);
-
-static void shardkey(const Shard *s, char out[96]) {
-  snprintf(out, 96, "claims/%s/%u", s->dc, s->no);
-}
-
-static void rowtext(GString *g, const ClaimRow *r) {
-  char t[64];
-  mp_token_text(&r->token, 0, t);
-  g_string_append_printf(g,
-                         "%016" G_GINT64_MODIFIER "x"
-                         "%016" G_GINT64_MODIFIER "x %s %u\n",
-                         (guint64)r->id[0], (guint64)r->id[1], t, r->ttl_ms);
-}
-
-/* one line of the object; 0 when it is malformed */
-static int parserow(const char *s, mp_Claim *c) {
-  guint64 a;
-  guint64 b;
-  char token[64];
-  uint32_t no;
-  if (sscanf(s, "%16" G_GINT64_MODIFIER "x%16" G_GINT64_MODIFIER "x %63s %10u",
-             &a, &b, token, &c->ttl_ms) != 4)
-    return 0;
-  c->id[0] = a;
-  c->id[1] = b;
-  return mp_token_parse(token, &c->token, &no);
-}
-
-/* take the object's rows over; an unknown line spoils the whole */
-static int absorb(mp_State *M, const char *value, size_t len) {
-  gchar *text = g_strndup(value, len);
-  gchar **lines = g_strsplit(text, "\n", -1);
-  int ok = 1;
-  guint i;
-  for (i = 0; ok && lines[i] != NULL; i++) {
-    mp_Claim c = {0};
-    ClaimRow *r;
-    if (lines[i][0] == '\0')
-      continue;
-    ok = parserow(lines[i], &c);
-    if (!ok)
-      break;
-    r = getrow(M, c.id);
-    if (r == NULL)
-      r = addrow(M, &c, MP_RAN_UNKNOWN);
-    r->token = c.token; /* the object decides who has it */
-    r->durable = 1;
-  }
-  g_strfreev(lines);
-  g_free(text);
-  return ok;
-}
-
-static void forgetdurable(mp_State *M, const Shard *s) {
-  GHashTableIter it;
-  gpointer v;
-  g_hash_table_iter_init(&it, M->claims->rows);
-  while (g_hash_table_iter_next(&it, NULL, &v)) {
-    ClaimRow *r = v;
-    if (r->durable && shardof(r->id) == s->no)
-      g_hash_table_iter_remove(&it);
-  }
-}
-
-static void cold(mp_State *M, Shard *s, mp_Verdict v) {
-  s->state = SH_COLD;
-  answerall(M, s->writing, v);
-  answerall(M, s->pending, v);
-}
-
-static void shardread(mp_State *M, void *ud, const mp_StoreEvent *e) {
-  Shard *s = ud;
-  s->state = SH_COLD;
-  if (e->status == MP_STORE_ABSENT)
-    s->version = 0;
-  else if (e->status == MP_STORE_OK) {
-    s->version = e->version;
-    forgetdurable(M, s); /* what was freed elsewhere is free */
-    if (!absorb(M, e->value, e->len)) {
-      cold(M, s, MP_UNAVAILABLE);
-      return;
-    }
-  } else {
-    cold(M, s, MP_UNAVAILABLE);
-    return;
-  }
-  s->state = SH_WARM;
-  work(M, s);
-}
-
-static void readshard(mp_State *M, Shard *s) {
-  char key[96];
-  s->state = SH_READING;
-  shardkey(s, key);
-  mpX_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, shardread, s);
-}
-
-/* the claims of a write are in force */
-static void written(mp_State *M, Shard *s) {
-  guint i;
-  for (i = 0; i < s->writing->len; i++) {
-    Pending *p = s->writing->pdata[i];
-    ClaimRow *r = addrow(M, &p->call.u.claim, MP_RAN_UNKNOWN);
-    r->durable = 1;
-    answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
-  }
-  mpX_log(M, MP_LOG_CLAIM_WRITE, " shard=%s/%u claims=%u", s->dc, s->no,
-          s->writing->len);
-  g_ptr_array_set_size(s->writing, 0);
-}
-
-/* put the claims of a write that did not count back in the queue */
-static void unwrite(Shard *s) {
-  while (s->writing->len > 0)
-    g_ptr_array_insert(
-        s->pending, 0,
-        g_ptr_array_steal_index(s->writing, s->writing->len - 1));
-}
-
-static void shardwritten(mp_State *M, void *ud, const mp_StoreEvent *e) {
-  Shard *s = ud;
-  switch (e->status) {
-  case MP_STORE_OK:
-    s->version = e->version;
-    s->state = SH_WARM;
-    written(M, s);
-    work(M, s);
-    break;
-  case MP_STORE_CONFLICT:
-    mpX_log(M, MP_LOG_CLAIM_FENCED, " shard=%s/%u", s->dc, s->no);
-    unwrite(s);
-    readshard(M, s);
-    break;
-  case MP_STORE_UNKNOWN:
-    /* the reply was lost: reading back shows whose claims stand there */
-    unwrite(s);
-    readshard(M, s);
-    break;
-  default:
-    unwrite(s);
-    cold(M, s, MP_UNAVAILABLE);
-    break;
-  }
-}
-
-/* answer what the rows decide already; the rest stays pending */
-static void sift(mp_State *M, Shard *s) {
-  guint i = 0;
-  while (i < s->pending->len) {
-    Pending *p = s->pending->pdata[i];
-    const ClaimRow *r = getrow(M, p->row.id);
-    if (r == NULL) {
-      i++;
-      continue;
-    }
-    if (mpS_sametoken(&r->token, &p->row.token))
-      answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
-    else
-      answer(M, p->from, &p->call, MP_DENIED, r->ran);
-    g_ptr_array_remove_index(s->pending, i);
-  }
-}
-
-/* two claims on one ID in one write: the second waits for the next */
-static int inwrite(const Shard *s, const Pending *p) {
-  guint i;
-  for (i = 0; i < s->writing->len; i++) {
-    const Pending *o = s->writing->pdata[i];
-    if (idequal(o->row.id, p->row.id))
-      return 1;
-  }
-  return 0;
-}
-
-static void pickbatch(Shard *s) {
-  guint i = 0;
-  while (i < s->pending->len && s->writing->len < MP_CLAIM_BATCH) {
-    Pending *p = s->pending->pdata[i];
-    if (inwrite(s, p)) {
-      i++;
-      continue;
-    }
-    g_ptr_array_steal_index(s->pending, i);
-    g_ptr_array_add(s->writing, p);
-  }
-}
-
-static void writeshard(mp_State *M, Shard *s) {
-  GString *g = g_string_new(NULL);
-  GHashTableIter it;
-  gpointer v;
-  char key[96];
-  guint i;
-  pickbatch(s);
-  g_hash_table_iter_init(&it, M->claims->rows);
-  while (g_hash_table_iter_next(&it, NULL, &v)) {
-    const ClaimRow *r = v;
-    if (r->durable && shardof(r->id) == s->no)
-      rowtext(g, r);
-  }
-  for (i = 0; i < s->writing->len; i++)
-    rowtext(g, &((Pending *)s->writing->pdata[i])->row);
-  s->state = SH_WRITING;
-  s->dirty = 0;
-  shardkey(s, key);
-  mpX_store(M, MP_ST_PUT, key, s->version, g->str, g->len, MP_STORE_TIMEOUT,
-            shardwritten, s);
-  g_string_free(g, TRUE);
-}
-
-/* the group commit: all that came in one window goes in one write */
-static void commit(mp_State *M, void *ud) {
-  Shard *s = ud;
-  if (s->state != SH_WARM)
-    return; /* the end of that read or write comes back here */
-  sift(M, s);
-  if (s->pending->len > 0)
-    writeshard(M, s);
-}
-
-static void work(mp_State *M, void *ud) {
-  Shard *s = ud;
-  if (s->pending->len == 0)
-    return;
-  if (s->state == SH_COLD)
-    readshard(M, s);
-  else if (s->state == SH_WARM && s->timer.pos == 0)
-    mpT_arm(&M->timers, &s->timer, M->now + MP_CLAIM_WINDOW, commit, s);
-}
-
-static int sentagain(const GPtrArray *ps, mp_Addr from, const mp_Msg *m) {
-  guint i;
-  for (i = 0; i < ps->len; i++) {
-    Pending *p = ps->pdata[i];
-    if (idequal(p->row.id, m->u.claim.id) &&
-        mpS_sametoken(&p->row.token, &m->u.claim.token)) {
-      p->from = from;
-      p->call = *m; /* answer the newest call */
-      return 1;
-    }
-  }
-  return 0;
-}
-
-static void durable(mp_State *M, mp_Addr from, const mp_Msg *m,
-                    const char *dc) {
-  Shard *s = &M->claims->shard[shardof(m->u.claim.id)];
-  Pending *p;
-  if (strcmp(s->dc, dc) != 0 && s->pending->len + s->writing->len == 0 &&
-      (s->state == SH_COLD || s->state == SH_WARM)) {
-    g_strlcpy(s->dc, dc, sizeof s->dc);
-    s->state = SH_COLD; /* another object */
-  }
-  if (strcmp(s->dc, dc) != 0) {
-    answer(M, from, m, MP_UNAVAILABLE, MP_RAN_NO);
-    return;
-  }
-  if (sentagain(s->pending, from, m) || sentagain(s->writing, from, m))
-    return;
-  p = g_new0(Pending, 1);
-  memcpy(p->row.id, m->u.claim.id, sizeof p->row.id);
-  p->row.token = m->u.claim.token;
-  p->row.ttl_ms = m->u.claim.ttl_ms;
-  p->from = from;
-  p->call = *m;
-  g_ptr_array_add(s->pending, p);
-  work(M, s);
-}
-
 /* }================================================================== */
 
 /*
@@ -480,9 +161,9 @@
 
 /* a holder tells what it has; the first one to have it keeps it */
 static void announced(mp_State *M, const mp_Claim *c) {
-  ClaimRow *r = getrow(M, c->id);
+  ClaimRow *r = mpI_getrow(M, c->id);
   if (r == NULL)
-    addrow(M, c, (mp_Ran)c->ran);
+    mpI_addrow(M, c, (mp_Ran)c->ran);
   else if (mpS_sametoken(&r->token, &c->token))
     r->ran = (mp_Ran)c->ran;
 }
@@ -493,46 +174,45 @@
   const ClaimRow *r;
   if (c->announce) {
     announced(M, c);
-    answer(M, from, m, MP_GRANTED, MP_RAN_UNKNOWN);
+    mpI_answer(M, from, m, MP_GRANTED, MP_RAN_UNKNOWN);
     return;
   }
   if (dc == NULL || homeof(M, c->id) != M->self) {
-    answer(M, from, m, MP_WRONG_HOME, MP_RAN_NO);
+    mpI_answer(M, from, m, MP_WRONG_HOME, MP_RAN_NO);
     return;
   }
-  r = getrow(M, c->id);
+  r = mpI_getrow(M, c->id);
   if (r != NULL && mpS_sametoken(&r->token, &c->token) &&
       r->durable >= c->durable) {
-    answer(M, from, m, MP_GRANTED, MP_RAN_NO); /* sent again */
+    mpI_answer(M, from, m, MP_GRANTED, MP_RAN_NO); /* sent again */
     return;
   }
   if (r != NULL && !mpS_sametoken(&r->token, &c->token)) {
-    answer(M, from, m, MP_DENIED, r->ran);
+    mpI_answer(M, from, m, MP_DENIED, r->ran);
     return;
   }
   if (!settled(M, c->id)) {
-    answer(M, from, m, MP_QUEUED, MP_RAN_NO); /* ask again soon */
+    mpI_answer(M, from, m, MP_QUEUED, MP_RAN_NO); /* ask again soon */
     return;
   }
   if (c->durable) {
-    durable(M, from, m, dc);
+    mpD_claim(M, from, m, dc);
     return;
   }
-  addrow(M, c, MP_RAN_UNKNOWN);
-  answer(M, from, m, MP_GRANTED, MP_RAN_NO);
+  mpI_addrow(M, c, MP_RAN_UNKNOWN);
+  mpI_answer(M, from, m, MP_GRANTED, MP_RAN_NO);
 }
 
 void mpI_onsettle(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Settle *t = &m->u.settle;
-  ClaimRow *r = getrow(M, t->id);
+  ClaimRow *r = mpI_getrow(M, t->id);
   mp_Msg a = {0};
   if (r != NULL && mpS_sametoken(&r->token, &t->token)) {
     if (t->ran != MP_RAN_NO)
       r->ran = (mp_Ran)t->ran;
     else {
       /* free at once here; the object follows with its next write */
-      if (r->durable)
-        M->claims->shard[shardof(t->id)].dirty = 1;
+      mpD_freed(M, r);
       g_hash_table_remove(M->claims->rows, t->id);
     }
   }
@@ -700,7 +380,6 @@
 static void tidy(mp_State *M, void *ud) {
   GHashTableIter it;
   gpointer v;
-  unsigned i;
   (void)ud;
   announce(M);
   g_hash_table_iter_init(&it, M->claims->rows);
@@ -708,15 +387,10 @@
     const ClaimRow *r = v;
     if (M->now - r->seen <= (mp_Time)r->ttl_ms * MP_MS)
       continue;
-    if (r->durable)
-      M->claims->shard[shardof(r->id)].dirty = 1;
+    mpD_freed(M, r);
     g_hash_table_iter_remove(&it);
   }
-  for (i = 0; i < MP_CLAIM_SHARDS; i++) {
-    Shard *s = &M->claims->shard[i];
-    if (s->dirty && s->state == SH_WARM && s->pending->len == 0)
-      writeshard(M, s);
-  }
+  mpD_tidy(M);
   mpT_arm(&M->timers, &M->claims->tidy, M->now + MP_HOME_SETTLE / 3, tidy,
           NULL);
 }
@@ -747,6 +421,10 @@
   return left;
 }
 
+GHashTable *mpI_rows(const mp_State *M) {
+  return M->claims->rows;
+}
+
 unsigned mpI_count(const mp_State *M) {
   return g_hash_table_size(M->claims->rows);
 }
@@ -755,29 +433,19 @@
 
 void mpI_init(mp_State *M) {
   Claims *C = g_new0(Claims, 1);
-  unsigned i;
   M->claims = C;
-  C->rows = g_hash_table_new_full(idhash, idequal, NULL, g_free);
-  C->mine = g_hash_table_new_full(idhash, idequal, NULL, g_free);
+  C->rows = g_hash_table_new_full(idhash, mpI_sameid, NULL, g_free);
+  C->mine = g_hash_table_new_full(idhash, mpI_sameid, NULL, g_free);
   C->asking = mpS_table(freeasking);
-  for (i = 0; i < MP_CLAIM_SHARDS; i++) {
-    C->shard[i].M = M;
-    C->shard[i].no = i;
-    C->shard[i].pending = g_ptr_array_new_with_free_func(g_free);
-    C->shard[i].writing = g_ptr_array_new_with_free_func(g_free);
-  }
+  mpD_init(M);
   mpT_arm(&M->timers, &C->tidy, M->now + MP_HOME_SETTLE / 3, tidy, NULL);
 }
 
 void mpI_free(mp_State *M) {
   Claims *C = M->claims;
-  unsigned i;
   g_hash_table_destroy(C->asking);
   g_hash_table_destroy(C->rows);
   g_hash_table_destroy(C->mine);
-  for (i = 0; i < MP_CLAIM_SHARDS; i++) {
-    g_ptr_array_unref(C->shard[i].pending);
-    g_ptr_array_unref(C->shard[i].writing);
-  }
+  mpD_free(M);
   g_free(C);
 }
--- a/core/state.h
+++ b/core/state.h
@@ -9,6 +9,7 @@
 #include "board.h"
 
 typedef struct Claims Claims;   /* claim.c */
+typedef struct Shards Shards;   /* shard.c */
 typedef struct Quotas Quotas;   /* quota.c */
 typedef struct Docs Docs;       /* doc.c */
 typedef struct Orders Orders;   /* order.c */
@@ -80,6 +81,7 @@
   mp_Time retryat;
   unsigned robin;
   Claims *claims;
+  Shards *shards;
   Quotas *quotas;
   Docs *docs;
   Orders *orders;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -87,7 +87,7 @@
   'if (c->durable) {' 'if (0) {'
 m repeat "5: no retry of what may have run" core/ending.c \
   '(!clean && !r->repeatable) ||' ''
-m readback "5: a conflict reads the claims back" core/claim.c \
+m readback "5: a conflict reads the claims back" core/shard.c \
   'sift(M, s);
   if (s->pending->len > 0)' 'if (s->pending->len > 0)'
 m leaving "6: an endpoint says that it is leaving" core/keep.c \
