Scenarios run sanitized processes in every check

Cause: unit tests ran under the sanitizers, the daemons' own input and output did not. The first sanitized run of the scenarios ended the platform's stand-in: its fault command answered with a text that it had just freed. Ruled out: the daemons (no report from any of them in nine scenarios). Change: the stand-in frees after it answers; make check builds all processes sanitized and runs the scenarios with those.

--- a/makefile
+++ b/makefile
@@ -133,12 +133,15 @@
 matrix: $(BUILD)/matrix
 	$(BUILD)/matrix
 
+# what scenarios run
+processes: all $(STANDINS) $(BUILD)/scenario
+
 # every test, then the same ones under the sanitizers
-check: all $(STANDINS) $(BUILD)/scenario $(BUILD)/embed
+check: processes $(BUILD)/embed
 	+scripts/check.sh
 
 clean:
 	rm -rf build build-san
 
-.PHONY: all clean demo check bench slopes matrix lint format
+.PHONY: all clean demo check processes bench slopes matrix lint format
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -60,17 +60,20 @@
   rm -rf "$out"
 }
 
+san="-fsanitize=address,undefined -fno-sanitize-recover=undefined"
 units build plain ""
-units build-san sanitized \
-  "-fsanitize=address,undefined -fno-sanitize-recover=undefined"
+units build-san sanitized "$san"
 
+# scenarios run the sanitized processes: a fault of memory ends them
+make -s -j8 BUILD=build-san SAN="$san" processes 2>&1 ||
+  result build-processes 1
 for s in test/scenario/*.lua; do
-  [ -f "$s" ] || continue
-  build/scenario build "$s" >/tmp/scenario.$$ 2>&1
+  log=$(mktemp)
+  build-san/scenario build-san "$s" >"$log" 2>&1
   code=$?
-  [ $code = 0 ] || tail -40 /tmp/scenario.$$
+  [ $code = 0 ] || tail -40 "$log"
   result "$(basename "$s" .lua)" $code
-  rm -f /tmp/scenario.$$
+  rm -f "$log"
 done
 
 [ $known = 0 ] || echo "$known known red, see KNOWN-RED.txt"
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -213,8 +213,8 @@
   else if (strcmp(m, "lose") == 0)
     lose = (int)json_integer_value(json_object_get(j, "count"));
   slowms = (int)json_integer_value(json_object_get(j, "ms"));
-  json_decref(j);
   serve_json(r, 200, json_pack("{s:s}", "mode", m));
+  json_decref(j); /* 'm' was its text */
 }
 
 static void api(struct evhttp_request *r) {
