--- a/cli/client.c
+++ b/cli/client.c
@@ -21,6 +21,7 @@
   Reply reply;
   HttpEnd end;
   int done;
+  HttpCall *open; /* NULL once it has ended */
 } Call;
 
 void client_init(mp_Addr at) {
@@ -46,6 +47,7 @@
   c->end = e;
   c->reply.status = status;
   c->done = 1;
+  c->open = NULL;
 }
 
 static void late(evutil_socket_t fd, short what, void *arg) {
@@ -62,17 +64,18 @@
   static const HttpHooks hooks = {head, data, end};
   struct timeval t = {PATIENCE_S, 0};
   struct event *timer = evtimer_new(base, late, c);
-  HttpCall *h;
   memset(c, 0, sizeof *c);
   c->reply.text = g_string_new(NULL);
   c->end = HTTP_END_CONNECT;
   event_add(timer, &t);
-  h = http_call(base, to, m, uri, NULL, body, n, &hooks, c);
-  while (h != NULL && !c->done)
+  c->open = http_call(base, to, m, uri, NULL, body, n, &hooks, c);
+  c->done = c->open == NULL;
+  while (!c->done)
     event_base_loop(base, EVLOOP_ONCE);
-  if (h != NULL && c->reply.status == 0 && c->end == HTTP_END_BROKEN)
-    event_del(timer);
+  if (c->open != NULL) /* too late: nothing may come for 'c' any more */
+    http_abort(c->open);
   event_free(timer);
+  event_base_loop(base, EVLOOP_NONBLOCK); /* what was deferred is freed */
 }
 
 static void setdown(GError **err, const char *what) {
