One function makes the call of an attempt

Ruled out: a macro; and leaving the import without the caller's number, which it does not need and now carries unused. Change: mpW_call fills what every kind of work says; each adds its own.

--- a/core/answer.c
+++ b/core/answer.c
@@ -34,20 +34,12 @@
 
 void mpW_decode(mp_State *M, Request *r, mp_XcallOp op) {
   Attempt *a = &r->decode;
-  mp_Xcall x = {0};
+  mp_Xcall x;
   if (mpW_gate(M, r, a) == NULL) {
     mpW_gated(M, r, a);
     return;
   }
-  x.op = op;
-  x.endpoint = a->endpoint;
-  x.token = r->token;
-  x.attempt = a->no;
-  x.call = r->call;
-  x.from_token = r->got;
-  x.partial = r->got > 0 ? r->text->str : NULL;
-  x.max_tokens = r->max_tokens;
-  x.priority = r->first_ms / MAX(r->weight, 1);
+  x = mpW_call(r, a, op);
   mpW_dispatched(r, a);
   if (op == MP_X_DECODE)
     mpcount(M, DECODES);
@@ -200,7 +192,7 @@
 void mpW_plain(mp_State *M, Request *r) {
   Endpoint *e = mpR_plain(M, r);
   Attempt *a = &r->decode;
-  mp_Xcall x = {0};
+  mp_Xcall x;
   if (e == NULL) {
     mpW_nowhere(M, r);
     return;
@@ -209,11 +201,7 @@
   e->mine++;
   a->granted = 1;
   a->begun = M->now;
-  x.op = MP_X_PLAIN;
-  x.endpoint = a->endpoint;
-  x.token = r->token;
-  x.attempt = a->no;
-  x.call = r->call;
+  x = mpW_call(r, a, MP_X_PLAIN);
   mpW_dispatched(r, a);
   a->xcall = mpX_xcall(M, &x, onplain, r);
   /* time to fail over is left where the class allows it */
--- a/core/step.h
+++ b/core/step.h
@@ -87,6 +87,9 @@
 /* the work goes out now: from here on it may have run */
 void mpW_dispatched(Request *r, Attempt *a);
 
+/* the call of an attempt, with all that every kind of work says */
+mp_Xcall mpW_call(const Request *r, const Attempt *a, mp_XcallOp op);
+
 /* the endpoint certainly did not run it */
 void mpW_notrun(Request *r);
 
--- a/core/work.c
+++ b/core/work.c
@@ -30,6 +30,20 @@
   a->sent = 1;
 }
 
+mp_Xcall mpW_call(const Request *r, const Attempt *a, mp_XcallOp op) {
+  mp_Xcall x = {0};
+  x.op = op;
+  x.endpoint = a->endpoint;
+  x.token = r->token;
+  x.attempt = a->no;
+  x.call = r->call;
+  x.from_token = r->got;
+  x.partial = r->got > 0 ? r->text->str : NULL;
+  x.max_tokens = r->max_tokens;
+  x.priority = r->first_ms / MAX(r->weight, 1);
+  return x;
+}
+
 /* the endpoint certainly did not run it */
 void mpW_notrun(Request *r) {
   r->ran = r->before;
@@ -141,20 +155,13 @@
 void mpW_prefill(mp_State *M, Request *r) {
   Attempt *a = &r->prefill;
   Endpoint *e = gatenew(M, r, a);
-  mp_Xcall x = {0};
+  mp_Xcall x;
   mp_Time expect;
   if (e == NULL) {
     mpW_gated(M, r, a);
     return;
   }
-  x.op = MP_X_PREFILL;
-  x.endpoint = a->endpoint;
-  x.token = r->token;
-  x.attempt = a->no;
-  x.call = r->call;
-  x.from_token = r->got;
-  x.partial = r->got > 0 ? r->text->str : NULL;
-  x.priority = r->first_ms / MAX(r->weight, 1);
+  x = mpW_call(r, a, MP_X_PREFILL);
   mpW_dispatched(r, a);
   mpcount(M, PREFILLS);
   a->xcall = mpX_xcall(M, &x, onprefill, r);
@@ -231,17 +238,14 @@
   const Endpoint *d = gatenew(M, r, a);
   const Endpoint *p = mpE_get(M, r->kv_at);
   const mp_Rule *rule = mpP_rule(M->config, r->class_name, r->account);
-  mp_Xcall x = {0};
+  mp_Xcall x;
   mp_Time expect;
   if (d == NULL || p == NULL || !mpP_moves(M->config, rule, p->dc, d->dc)) {
     mpL_done(M, r);
     mpW_gated(M, r, a);
     return;
   }
-  x.op = MP_X_IMPORT;
-  x.endpoint = a->endpoint;
-  x.token = r->token;
-  x.attempt = a->no;
+  x = mpW_call(r, a, MP_X_IMPORT);
   x.kv = r->kv;
   x.kv_from = r->kv_at;
   mpW_dispatched(r, a);
