diff and stop answer in JSON too

Ruled out: the line differences as JSON (a program wants to know which sections differ; the texts come with show).

--- a/cli/diff.c
+++ b/cli/diff.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "cli/diff.h"
 
 typedef struct Lines {
@@ -78,6 +80,44 @@
   return x == NULL || y == NULL || !g_bytes_equal(x, y);
 }
 
+/* "new", "changed" or "removed"; NULL when the section is the same */
+static const char *state(const Draft *a, const Draft *b, const char *name) {
+  GBytes *old = textof(a, name);
+  GBytes *new = textof(b, name);
+  if (new == NULL)
+    return "removed";
+  if (old == NULL)
+    return "new";
+  return differs(old, new) ? "changed" : NULL;
+}
+
+static int addstates(json_t *list, const Draft *a, const Draft *b,
+                     const Draft *names, int onlygone) {
+  int n = 0;
+  unsigned i;
+  for (i = 0; i < names->man.n; i++) {
+    const char *name = names->man.section[i].name;
+    const char *s = state(a, b, name);
+    if (s == NULL || (onlygone && strcmp(s, "removed") != 0))
+      continue;
+    json_array_append_new(list,
+                          json_pack("{s:s, s:s}", "section", name, "is", s));
+    n++;
+  }
+  return n;
+}
+
+int diff_json(const Draft *a, const Draft *b) {
+  json_t *list = json_array();
+  int n = addstates(list, a, b, b, 0) + addstates(list, a, b, a, 1);
+  json_t *j = json_pack("{s:I, s:o}", "from", (json_int_t)a->man.version,
+                        "sections", list);
+  json_dumpf(j, stdout, JSON_INDENT(1));
+  printf("\n");
+  json_decref(j);
+  return n;
+}
+
 int diff_print(const Draft *a, const Draft *b) {
   int n = 0;
   unsigned i;
--- a/cli/diff.h
+++ b/cli/diff.h
@@ -11,4 +11,7 @@
 /* print what changes from 'a' to 'b'; returns how many sections differ */
 int diff_print(const Draft *a, const Draft *b);
 
+/* the same as JSON: which sections are new, changed or removed */
+int diff_json(const Draft *a, const Draft *b);
+
 #endif
--- a/cli/madderpier.c
+++ b/cli/madderpier.c
@@ -171,7 +171,7 @@
     draft_free(&new);
     return fail(a, err);
   }
-  n = diff_print(&old, &new);
+  n = a->json ? diff_json(&old, &new) : diff_print(&old, &new);
   draft_free(&old);
   draft_free(&new);
   return n > 0 ? EXIT_NO : 0;
@@ -364,7 +364,10 @@
   audit(key, a->by, "stop", 0, 0, "draining");
   g_free(key);
   g_free(when);
-  printf("%s: draining\n", a->word[1]);
+  if (a->json)
+    printf("{\"draining\": \"%s\"}\n", a->word[1]);
+  else
+    printf("%s: draining\n", a->word[1]);
   return 0;
 }
 
--- a/test/scenario/config.lua
+++ b/test/scenario/config.lua
@@ -39,5 +39,10 @@
 code, text = cli("apply", bad)
 expect(code == 2 and text:find("nowhere", 1, true), "refused: " .. text)
 everywhere(version + 1)
+code, text = cli("--json", "diff", a)
+expect(code == 1 and text:find('"policy.yaml"', 1, true) and
+       text:find('"changed"', 1, true), "a difference as JSON: " .. text)
+code, text = cli("--json", "diff", CONFIG)
+expect(code == 0 and text:find('"sections": []', 1, true), "none: " .. text)
 code, text = cli("explain", "-c", "lookup", "-a", "merged")
 expect(code == 0 and text:find("wien%-a%s+no"), "explained: " .. text)
