--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -12,7 +12,9 @@
 
 #include "daemon/settings.h"
 #include "io/adapters.h"
+#include "io/gateway.h"
 #include "io/node.h"
+#include "platform/platform.h"
 
 #define EXIT_CUT 1
 #define EXIT_SETTINGS 2
@@ -59,13 +61,18 @@
     NULL,
     NULL};
 
-static Node *node;
+static Node *node;       /* the dialect "own" */
+static Gateway *gateway; /* the dialect "platform" */
 static Log *logger;
 
 static void onterm(evutil_socket_t sig, short what, void *arg) {
   mp_Status s;
   (void)sig;
   (void)what;
+  if (gateway != NULL) {
+    gateway_drain(gateway);
+    return;
+  }
   mp_status(node->M, &s);
   if (s.draining)
     event_base_loopbreak(arg);
@@ -112,14 +119,56 @@
   event_free(term);
   event_free(intr);
   event_free(hup);
+  if (gateway != NULL)
+    return gateway_drained(gateway) ? 0 : EXIT_CUT;
   return node->drained ? 0 : EXIT_CUT;
 }
 
+static mp_Addr optional_address(const char *s) {
+  return s != NULL ? mp_addr_parse(s) : 0;
+}
+
+static void fill_gateway(GatewayOptions *o, const Settings *s,
+                         mp_Addr *peers) {
+  unsigned i;
+  for (i = 0; i < s->peers_count; i++)
+    peers[i] = mp_addr_parse(s->peers[i]);
+  o->instance = s->instance;
+  o->zone = s->data_centre;
+  o->callers = mp_addr_parse(s->callers);
+  o->ready = optional_address(s->ready);
+  o->control = optional_address(s->control);
+  o->metrics = optional_address(s->metrics);
+  o->store = mp_addr_parse(s->platform);
+  o->peers = peers;
+  o->peers_count = s->peers_count;
+  o->retry_ratio = s->retry_ratio;
+  o->retry_slack = s->retry_slack;
+  o->retry_window = s->retry_window_s * MP_SEC;
+  o->watch_wait = s->watch_wait_ms * MP_MS;
+  o->drain_least = s->drain_least_ms * MP_MS;
+  o->drain_most = s->drain_most_ms * MP_MS;
+}
+
+/* make the instance that the settings' dialect wants */
+static gboolean make(struct event_base *base, const Settings *s,
+                     GError **err) {
+  mp_Addr peers[64];
+  NodeOptions o = {0};
+  GatewayOptions g = {0};
+  if (settings_dialect(s) == DIALECT_PLATFORM) {
+    fill_gateway(&g, s, peers);
+    gateway = gateway_new(base, &platform_dialect, &g, logger, err);
+    return gateway != NULL;
+  }
+  fill(&o, s, peers);
+  node = node_new(base, &o, logger, err);
+  return node != NULL;
+}
+
 static int run(const Settings *s) {
   GError *err = NULL;
   mp_Level level = MP_INFO;
-  mp_Addr seeds[64];
-  NodeOptions o = {0};
   struct event_base *base;
   int code;
   if (s->log_level != NULL && !log_level(s->log_level, &level)) {
@@ -129,16 +178,16 @@
   }
   logger = log_new(s->log_file, level, &err);
   base = event_base_new();
-  fill(&o, s, seeds);
-  if (logger != NULL)
-    node = node_new(base, &o, logger, &err);
-  if (node == NULL) {
+  if (logger == NULL || !make(base, s, &err)) {
     fprintf(stderr, "madderpierd: %s\n", err->message);
     g_error_free(err);
     return EXIT_SETTINGS;
   }
   code = loop(base);
-  node_free(node);
+  if (gateway != NULL)
+    gateway_free(gateway);
+  else
+    node_free(node);
   event_base_loop(base, EVLOOP_NONBLOCK); /* what was deferred is freed */
   event_base_free(base);
   log_free(logger);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -13,6 +13,10 @@
 #define DEFAULT_BODY (1 << 20)
 #define DEFAULT_HEADERS 64
 #define DEFAULT_TIMEOUT 10
+#define DEFAULT_RETRY_WINDOW 10
+#define DEFAULT_WATCH_WAIT 3000
+#define DEFAULT_DRAIN_LEAST 3000
+#define DEFAULT_DRAIN_MOST 7400
 
 #define STR(k, f) \
   CYAML_FIELD_STRING_PTR(k, CYAML_FLAG_POINTER, Settings, f, 1, 255)
@@ -25,11 +29,23 @@
     CYAML_VALUE_STRING(CYAML_FLAG_POINTER, char, 1, 64)};
 
 static const cyaml_schema_field_t fields[] = {
+    OPTSTR("dialect", dialect),
     STR("data_centre", data_centre),
     STR("callers", callers),
-    STR("rpc", rpc),
-    STR("operators", operators),
+    OPTSTR("rpc", rpc),
+    OPTSTR("operators", operators),
     STR("platform", platform),
+    OPTSTR("instance", instance),
+    OPTSTR("ready", ready),
+    OPTSTR("control", control),
+    OPTSTR("metrics", metrics),
+    CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, Settings,
+                      retry_ratio),
+    OPTUINT("retry_slack", retry_slack),
+    OPTUINT("retry_window_s", retry_window_s),
+    OPTUINT("watch_wait_ms", watch_wait_ms),
+    OPTUINT("drain_least_ms", drain_least_ms),
+    OPTUINT("drain_most_ms", drain_most_ms),
     CYAML_FIELD_SEQUENCE("peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                          Settings, peers, &address, 0, 64),
     OPTSTR("instance_network", instance_network),
@@ -51,7 +67,7 @@
 
 static gboolean isaddress(GError **err, const char *path, const char *key,
                           const char *v) {
-  if (mp_addr_parse(v) != 0)
+  if (v != NULL && mp_addr_parse(v) != 0)
     return TRUE;
   return bad(err, path, key,
              "write an IPv4 address and a port, as 10.0.0.1:7000");
@@ -73,14 +89,38 @@
   return ok;
 }
 
+SettingsDialect settings_dialect(const Settings *s) {
+  return s->dialect != NULL && strcmp(s->dialect, "platform") == 0
+             ? DIALECT_PLATFORM
+             : DIALECT_OWN;
+}
+
+static gboolean check_dialect(const Settings *s, const char *path,
+                              GError **err) {
+  if (s->dialect != NULL && strcmp(s->dialect, "platform") != 0 &&
+      strcmp(s->dialect, "own") != 0)
+    return bad(err, path, "dialect", "use own or platform");
+  if (settings_dialect(s) == DIALECT_OWN)
+    return isaddress(err, path, "rpc", s->rpc) &&
+           isaddress(err, path, "operators", s->operators);
+  if (s->instance == NULL)
+    return bad(err, path, "instance", "give the instance a name");
+  if (s->retry_ratio < 0 || s->retry_ratio > 1)
+    return bad(err, path, "retry_ratio", "use a number from 0 to 1");
+  if (s->control != NULL && !isaddress(err, path, "control", s->control))
+    return FALSE;
+  if (s->metrics != NULL && !isaddress(err, path, "metrics", s->metrics))
+    return FALSE;
+  return isaddress(err, path, "ready", s->ready);
+}
+
 static gboolean check(const Settings *s, const char *path, GError **err) {
   uint32_t net;
   uint32_t mask;
   unsigned i;
   if (!isaddress(err, path, "callers", s->callers) ||
-      !isaddress(err, path, "rpc", s->rpc) ||
-      !isaddress(err, path, "operators", s->operators) ||
-      !isaddress(err, path, "platform", s->platform))
+      !isaddress(err, path, "platform", s->platform) ||
+      !check_dialect(s, path, err))
     return FALSE;
   for (i = 0; i < s->peers_count; i++) {
     if (!isaddress(err, path, "peers", s->peers[i]))
@@ -102,6 +142,14 @@
     s->max_headers = DEFAULT_HEADERS;
   if (s->caller_timeout_s == 0)
     s->caller_timeout_s = DEFAULT_TIMEOUT;
+  if (s->retry_window_s == 0)
+    s->retry_window_s = DEFAULT_RETRY_WINDOW;
+  if (s->watch_wait_ms == 0)
+    s->watch_wait_ms = DEFAULT_WATCH_WAIT;
+  if (s->drain_least_ms == 0)
+    s->drain_least_ms = DEFAULT_DRAIN_LEAST;
+  if (s->drain_most_ms == 0)
+    s->drain_most_ms = DEFAULT_DRAIN_MOST;
 }
 
 /* libcyaml's own words, with the line, as one text */
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -8,7 +8,11 @@
 
 #include "madderpier.h"
 
+/* which interface an instance speaks */
+typedef enum SettingsDialect { DIALECT_OWN, DIALECT_PLATFORM } SettingsDialect;
+
 typedef struct Settings {
+  char *dialect; /* "own" (default) or "platform" */
   char *data_centre;
   char *callers; /* addresses "a.b.c.d:port" */
   char *rpc;
@@ -22,12 +26,25 @@
   uint32_t max_body_bytes;
   uint32_t max_headers;
   uint32_t caller_timeout_s;
+  /* of the dialect "platform" alone */
+  char *instance; /* its own name */
+  char *ready;    /* addresses */
+  char *control;
+  char *metrics;
+  double retry_ratio;      /* extra arrivals per request */
+  uint32_t retry_slack;    /* and beside those, over all instances */
+  uint32_t retry_window_s; /* in every window of this length */
+  uint32_t watch_wait_ms;  /* longest wait of one watch of the store */
+  uint32_t drain_least_ms; /* a planned stop takes connections so long */
+  uint32_t drain_most_ms;  /* and ends after this */
 } Settings;
 
 /* NULL and an error that names file, line, key and remedy */
 Settings *settings_read(const char *path, GError **err);
 void settings_free(Settings *s);
 
+SettingsDialect settings_dialect(const Settings *s);
+
 /* "a.b.c.d/bits"; 0 when malformed */
 int settings_network(const char *s, uint32_t *net, uint32_t *mask);
 
--- /dev/null
+++ b/dialect/dialect.h
@@ -0,0 +1,88 @@
+/*
+** dialect.h
+** The seam between the product and one way of saying things
+**
+** A dialect translates between what io/ carries (heads and bodies) and
+** the typed records of router/. It opens no socket, keeps no state,
+** decides nothing and retries nothing: every function here is pure.
+*/
+
+#ifndef DIALECT_H
+#define DIALECT_H
+
+#include "http/head.h"
+#include "router/follower.h"
+#include "router/records.h"
+#include "router/router.h"
+
+/* a caller's head as the dialect read it; texts point into the head */
+typedef struct CallerHead {
+  CallerRequest request;
+  char *host; /* without port; owned */
+  char *path; /* without query; owned */
+} CallerHead;
+
+void caller_head_clear(CallerHead *head);
+
+/* an endpoint's head as the dialect read it */
+typedef struct EndpointHead {
+  gboolean not_run;     /* the endpoint promises that it did not run it */
+  gboolean misdirected; /* another endpoint has the address */
+  gboolean is_signed;   /* it bears the endpoint's signature */
+  gboolean is_event_stream;
+  const char *request_id; /* echoed; NULL: not said. Points into the head */
+  gint64 idle_limit;      /* the connection may rest so long; 0: not said */
+} EndpointHead;
+
+/* what a prefill engine answers */
+typedef struct PrefillAnswer {
+  char *handle; /* owned */
+} PrefillAnswer;
+
+typedef struct Dialect {
+  const char *name;
+
+  /*
+  ** Callers
+  */
+
+  /* FALSE: the head lacks something, as the error says */
+  gboolean (*read_caller)(const HttpHead *head, CallerHead *out,
+                          GError **error);
+  /* the answer to a refusal: its head, and a body that the caller frees */
+  HttpHead *(*write_refusal)(const Refusal *refusal, const char *request_id,
+                             char **body);
+  /* an answer to input that could not be read; 'status' is HTTP's */
+  HttpHead *(*write_bad_input)(int status, const char *detail, char **body);
+
+  /*
+  ** Endpoints
+  */
+
+  /* 'caller' is the caller's head; NULL for DISPATCH_RELEASE */
+  HttpHead *(*write_dispatch)(const Dispatch *dispatch,
+                              const HttpHead *caller);
+  void (*read_endpoint)(const HttpHead *head, EndpointHead *out);
+  gboolean (*read_prefill)(const char *body, gsize size, PrefillAnswer *out,
+                           GError **error);
+
+  /*
+  ** The store
+  */
+
+  HttpHead *(*write_store_call)(const StoreCall *call, char **body);
+  /* objects of the reply are owned by it: store_reply_clear */
+  gboolean (*read_store_reply)(const StoreCall *call, int status,
+                               const char *body, gsize size, StoreReply *out,
+                               GError **error);
+
+  /*
+  ** Records: the text of an object, as read_store_reply handed it out
+  */
+
+  RouteTable *(*read_configuration)(const char *text, GError **error);
+  gboolean (*read_record)(const char *name, const char *text,
+                          EndpointRecord *out, GError **error);
+} Dialect;
+
+#endif
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -734,7 +734,21 @@
   X(ORDER_DONE, 6004, MP_INFO, "role order done")                       \
   X(ORDER_FAIL, 6005, MP_WARN, "role order failed")                     \
   X(DRAIN, 7001, MP_INFO, "drain begins")                               \
-  X(DRAINED, 7002, MP_INFO, "drain complete")
+  X(DRAINED, 7002, MP_INFO, "drain complete")                           \
+  X(START, 7003, MP_INFO, "instance starts")                            \
+  X(STOP, 7004, MP_INFO, "instance stops")                              \
+  X(RELOAD, 7005, MP_INFO, "settings read again")                       \
+  X(READY, 7006, MP_INFO, "instance ready")                             \
+  X(ROUTE_REFUSED, 8001, MP_WARN, "routed request refused")             \
+  X(ROUTE_BROKEN_OFF, 8002, MP_WARN, "routed answer broken off")        \
+  X(ROUTE_HANGUP, 8003, MP_INFO, "caller of a routed request gone")     \
+  X(ROUTE_PREFILL, 8004, MP_INFO, "prompt read, or not")                \
+  X(ROUTE_OUTCOME, 8005, MP_INFO, "endpoint answered a dispatch")       \
+  X(STORE_RECORD_BAD, 8101, MP_FAULT, "record of the store refused")    \
+  X(STORE_LIST, 8102, MP_INFO, "list read from the store")              \
+  X(STORE_HISTORY_GONE, 8103, MP_WARN, "watch lost its history")        \
+  X(PEER_SNAPSHOT, 8104, MP_INFO, "configuration taken from a peer")    \
+  X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")
 
 typedef enum mp_EventNo {
 #define X(sym, no, level, text) MP_LOG_##sym = no,
--- /dev/null
+++ b/io/directory.c
@@ -0,0 +1,409 @@
+/*
+** directory.c
+** Keeps the router in step with the store
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "io/directory.h"
+#include "io/http.h"
+#include "io/node.h"
+#include "io/store_link.h"
+
+/* an answer may come so much later than a watch's wait */
+#define WATCH_SLACK (700 * MP_MS)
+/* other calls are given up after this */
+#define CALL_PATIENCE (1000 * MP_MS)
+/* a young instance without a configuration asks a peer this often */
+#define PEER_FIRST (600 * MP_MS)
+#define PEER_AGAIN (400 * MP_MS)
+/* how often the instances are counted, and the wait after a failure */
+#define CENSUS_PERIOD (10 * MP_SEC)
+#define CENSUS_RETRY (2 * MP_SEC)
+
+/* one kind that is followed */
+typedef struct Following {
+  Directory *directory;
+  Follower follower;
+  StoreLink *link;
+  struct event *timer;
+} Following;
+
+struct Directory {
+  struct event_base *base;
+  const Dialect *dialect;
+  Router *router;
+  Log *log;
+  DirectoryHooks hooks;
+  char *instance;
+  mp_Addr *peers;
+  unsigned peers_count, next_peer;
+  Following configuration, endpoints;
+  /* texts as the store holds them, for peers */
+  char *configuration_text;
+  GHashTable *endpoint_texts; /* id -> text */
+  gboolean has_endpoints;
+  /* counting the instances */
+  StoreLink *census;
+  struct event *census_timer;
+  gboolean registered;
+  StoreCall census_call;
+  char *census_after;
+  unsigned census_count;
+  /* asking a peer */
+  struct event *peer_timer;
+  HttpCall *peer_call;
+  GString *peer_text;
+};
+
+static void say(const Directory *directory, mp_EventNo number, mp_Level level,
+                const char *text, const char *format, ...) G_GNUC_PRINTF(5, 6);
+
+static void say(const Directory *directory, mp_EventNo number, mp_Level level,
+                const char *text, const char *format, ...) {
+  char fields[512];
+  va_list arguments;
+  va_start(arguments, format);
+  g_vsnprintf(fields, sizeof fields, format, arguments);
+  va_end(arguments);
+  log_event(directory->log, (int)number, level, text, fields);
+}
+
+static void start_timer(struct event *timer, gint64 wait) {
+  struct timeval time = {MAX(wait, 0) / MP_SEC, MAX(wait, 0) % MP_SEC};
+  event_add(timer, &time);
+}
+
+/*
+** {==================================================================
+** Objects
+** ===================================================================
+*/
+
+static void bad_record(const Directory *directory, const char *name,
+                       GError *error) {
+  say(directory, MP_LOG_STORE_RECORD_BAD, MP_FAULT, "record refused",
+      " name=%s error=\"%s\"", name,
+      error != NULL ? error->message : "unreadable");
+  g_clear_error(&error);
+}
+
+static void take_configuration(Directory *directory, const char *name,
+                               const char *text) {
+  GError *error = NULL;
+  RouteTable *table = directory->dialect->read_configuration(text, &error);
+  if (table == NULL) {
+    bad_record(directory, name, error);
+    return;
+  }
+  g_free(directory->configuration_text);
+  directory->configuration_text = g_strdup(text);
+  router_set_routes(directory->router, table, node_now());
+  directory->hooks.configuration(directory->hooks.data, table);
+  route_table_unref(table);
+}
+
+static void take_endpoint(Directory *directory, const char *name,
+                          const char *text) {
+  EndpointRecord record;
+  GError *error = NULL;
+  if (!directory->dialect->read_record(name, text, &record, &error)) {
+    bad_record(directory, name, error);
+    return;
+  }
+  g_hash_table_replace(directory->endpoint_texts, g_strdup(name),
+                       g_strdup(text));
+  router_set_endpoint(directory->router, &record, FALSE, node_now());
+  endpoint_record_clear(&record);
+}
+
+static void drop_endpoint(Directory *directory, const char *name) {
+  EndpointRecord record = {0};
+  record.id = (char *)name;
+  g_hash_table_remove(directory->endpoint_texts, name);
+  router_set_endpoint(directory->router, &record, TRUE, node_now());
+}
+
+static void on_object(void *data, StoreKind kind, const StoreObject *object) {
+  Directory *directory = data;
+  if (kind == STORE_CONFIGURATION) {
+    if (!object->gone) /* without one, the last one stays in force */
+      take_configuration(directory, object->name, object->text);
+  } else if (object->gone)
+    drop_endpoint(directory, object->name);
+  else
+    take_endpoint(directory, object->name, object->text);
+}
+
+static gboolean is_unlisted(gpointer name, gpointer text, gpointer names) {
+  (void)text;
+  return !g_hash_table_contains(names, name);
+}
+
+static void on_listed(void *data, StoreKind kind, GHashTable *names) {
+  Directory *directory = data;
+  say(directory, MP_LOG_STORE_LIST, MP_INFO, "list read",
+      " kind=%d objects=%u", (int)kind, g_hash_table_size(names));
+  if (kind != STORE_ENDPOINTS)
+    return;
+  directory->has_endpoints = TRUE;
+  g_hash_table_foreach_remove(directory->endpoint_texts, is_unlisted, names);
+  router_keep_endpoints(directory->router, names, node_now());
+}
+
+static void on_lost(void *data, StoreKind kind) {
+  say(data, MP_LOG_STORE_DOWN, MP_WARN, "store does not answer", " kind=%d",
+      (int)kind);
+}
+
+static void on_regained(void *data, StoreKind kind) {
+  say(data, MP_LOG_STORE_UP, MP_INFO, "store answers again", " kind=%d",
+      (int)kind);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Following
+** ===================================================================
+*/
+
+static void on_follow_timer(evutil_socket_t fd, short what, void *data) {
+  Following *following = data;
+  StoreCall call;
+  gint64 patience = CALL_PATIENCE;
+  (void)fd;
+  (void)what;
+  follower_begin(&following->follower, &call);
+  if (call.operation == STORE_WATCH)
+    patience = call.wait + WATCH_SLACK;
+  store_link_call(following->link, &call, patience);
+}
+
+static void on_follow_reply(void *data, const StoreReply *reply,
+                            const GError *error) {
+  Following *following = data;
+  gint64 now = node_now();
+  if (reply->status == STORE_HISTORY_GONE)
+    say(following->directory, MP_LOG_STORE_HISTORY_GONE, MP_WARN,
+        "history gone", " kind=%d", (int)following->follower.kind);
+  (void)error;
+  follower_reply(&following->follower, reply, now);
+  start_timer(following->timer,
+              follower_next_call(&following->follower) - now);
+}
+
+static void follow(Directory *directory, Following *following, StoreKind kind,
+                   const DirectoryOptions *options) {
+  FollowerHost host = {directory, on_object, on_listed, on_lost, on_regained};
+  following->directory = directory;
+  follower_init(&following->follower, kind, options->watch_wait, &host);
+  following->link =
+      store_link_new(directory->base, options->store, directory->dialect,
+                     on_follow_reply, following);
+  following->timer = evtimer_new(directory->base, on_follow_timer, following);
+  start_timer(following->timer, 0);
+}
+
+static void unfollow(Following *following) {
+  event_free(following->timer);
+  store_link_free(following->link);
+  follower_clear(&following->follower);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Counting instances: each keeps one object under its own name
+** ===================================================================
+*/
+
+static void on_census_timer(evutil_socket_t fd, short what, void *data) {
+  Directory *directory = data;
+  StoreCall *call = &directory->census_call;
+  (void)fd;
+  (void)what;
+  memset(call, 0, sizeof *call);
+  call->kind = STORE_INSTANCES;
+  if (!directory->registered) {
+    call->operation = STORE_CREATE;
+    call->name = directory->instance;
+  } else {
+    call->operation = STORE_LIST;
+    call->stale = TRUE;
+    call->after = directory->census_after;
+  }
+  store_link_call(directory->census, call, CALL_PATIENCE);
+}
+
+static void count_page(Directory *directory, const StoreReply *reply) {
+  const StoreObject *last;
+  directory->census_count += reply->objects->len;
+  g_clear_pointer(&directory->census_after, g_free);
+  if (reply->more && reply->objects->len > 0) {
+    last =
+        &g_array_index(reply->objects, StoreObject, reply->objects->len - 1);
+    directory->census_after = g_strdup(last->name);
+    return;
+  }
+  router_set_instances(directory->router, directory->census_count);
+  directory->census_count = 0;
+}
+
+static void on_census_reply(void *data, const StoreReply *reply,
+                            const GError *error) {
+  Directory *directory = data;
+  gint64 wait = CENSUS_RETRY;
+  (void)error;
+  if (!directory->registered) {
+    directory->registered =
+        reply->status == STORE_OK || reply->status == STORE_EXISTS;
+  } else if (reply->status == STORE_OK) {
+    count_page(directory, reply);
+    wait = directory->census_after != NULL ? 0 : CENSUS_PERIOD;
+  }
+  start_timer(directory->census_timer, wait);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Snapshots between instances
+** ===================================================================
+*/
+
+char *directory_snapshot(const Directory *directory) {
+  json_t *endpoints = json_object();
+  json_t *snapshot;
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer text;
+  char *dumped;
+  char *out;
+  g_hash_table_iter_init(&iterator, directory->endpoint_texts);
+  while (g_hash_table_iter_next(&iterator, &name, &text))
+    json_object_set_new(endpoints, name, json_string(text));
+  snapshot = json_pack("{s:o}", "endpoints", endpoints);
+  if (directory->configuration_text != NULL)
+    json_object_set_new(snapshot, "configuration",
+                        json_string(directory->configuration_text));
+  dumped = json_dumps(snapshot, JSON_COMPACT);
+  out = g_strdup(dumped);
+  free(dumped);
+  json_decref(snapshot);
+  return out;
+}
+
+static void take_snapshot(Directory *directory, const char *text) {
+  json_t *json = json_loads(text, 0, NULL);
+  json_t *endpoints = json_object_get(json, "endpoints");
+  const char *configuration =
+      json_string_value(json_object_get(json, "configuration"));
+  const char *name;
+  json_t *value;
+  if (configuration != NULL && !router_configured(directory->router)) {
+    say(directory, MP_LOG_PEER_SNAPSHOT, MP_INFO, "snapshot taken",
+        " endpoints=%zu", json_object_size(endpoints));
+    take_configuration(directory, "peer", configuration);
+    json_object_foreach(endpoints, name, value) {
+      if (!directory->has_endpoints && json_is_string(value))
+        take_endpoint(directory, name, json_string_value(value));
+    }
+    directory->has_endpoints = TRUE;
+  }
+  json_decref(json);
+}
+
+static void on_peer_data(void *data, const char *bytes, size_t size) {
+  Directory *directory = data;
+  g_string_append_len(directory->peer_text, bytes, (gssize)size);
+}
+
+static void on_peer_end(void *data, HttpEnd end, int status) {
+  Directory *directory = data;
+  directory->peer_call = NULL;
+  if (end == HTTP_END_OK && status == 200)
+    take_snapshot(directory, directory->peer_text->str);
+}
+
+/* until there is a configuration: one peer after the other */
+static void on_peer_timer(evutil_socket_t fd, short what, void *data) {
+  static const HttpHooks hooks = {NULL, on_peer_data, on_peer_end};
+  Directory *directory = data;
+  mp_Addr peer;
+  (void)fd;
+  (void)what;
+  if (directory->peer_call != NULL)
+    http_abort(directory->peer_call);
+  directory->peer_call = NULL;
+  if (router_configured(directory->router) || directory->peers_count == 0)
+    return;
+  peer = directory->peers[directory->next_peer++ % directory->peers_count];
+  g_string_truncate(directory->peer_text, 0);
+  directory->peer_call =
+      http_call(directory->base, peer, EVHTTP_REQ_GET, "/snapshot", NULL, NULL,
+                0, &hooks, directory);
+  start_timer(directory->peer_timer, PEER_AGAIN);
+}
+
+/* }================================================================== */
+
+Directory *directory_new(struct event_base *base, const Dialect *dialect,
+                         const DirectoryOptions *options, Router *router,
+                         Log *log, const DirectoryHooks *hooks) {
+  Directory *directory = g_new0(Directory, 1);
+  directory->base = base;
+  directory->dialect = dialect;
+  directory->router = router;
+  directory->log = log;
+  directory->hooks = *hooks;
+  directory->instance = g_strdup(options->instance);
+  directory->peers =
+      g_memdup2(options->peers, options->peers_count * sizeof *options->peers);
+  directory->peers_count = options->peers_count;
+  directory->endpoint_texts =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  directory->peer_text = g_string_new(NULL);
+  follow(directory, &directory->configuration, STORE_CONFIGURATION, options);
+  follow(directory, &directory->endpoints, STORE_ENDPOINTS, options);
+  directory->census = store_link_new(base, options->store, dialect,
+                                     on_census_reply, directory);
+  directory->census_timer = evtimer_new(base, on_census_timer, directory);
+  start_timer(directory->census_timer, 500 * MP_MS);
+  directory->peer_timer = evtimer_new(base, on_peer_timer, directory);
+  start_timer(directory->peer_timer, PEER_FIRST);
+  return directory;
+}
+
+void directory_free(Directory *directory) {
+  unfollow(&directory->configuration);
+  unfollow(&directory->endpoints);
+  store_link_free(directory->census);
+  event_free(directory->census_timer);
+  event_free(directory->peer_timer);
+  if (directory->peer_call != NULL)
+    http_abort(directory->peer_call);
+  g_string_free(directory->peer_text, TRUE);
+  g_hash_table_destroy(directory->endpoint_texts);
+  g_free(directory->census_after);
+  g_free(directory->configuration_text);
+  g_free(directory->instance);
+  g_free(directory->peers);
+  g_free(directory);
+}
+
+gboolean directory_has_endpoints(const Directory *directory) {
+  return directory->has_endpoints;
+}
+
+guint64 directory_store_calls(const Directory *directory) {
+  return store_link_calls(directory->configuration.link) +
+         store_link_calls(directory->endpoints.link) +
+         store_link_calls(directory->census);
+}
--- /dev/null
+++ b/io/endpoint_links.c
@@ -0,0 +1,552 @@
+/*
+** endpoint_links.c
+** Connections to endpoints, on bufferevents and http_parser
+** evhttp hands bytes left from one answer to the next request; why that
+** rules it out here is in docs/design/style.md.
+*/
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "http/events.h"
+#include "http/reader.h"
+#include "io/endpoint_links.h"
+
+/* how long a connection rests when its endpoint does not say */
+#define IDLE_UNSAID (800 * MP_MS)
+/* it is closed so long before the endpoint would close it */
+#define IDLE_MARGIN (600 * MP_MS)
+/* data that the peer's kernel does not take: the peer is gone */
+#define UNACKED_MS 2500
+/* largest whole answer that is kept in memory, bytes */
+#define MAX_ANSWER (8 << 20)
+/* an answer to a release is waited for so long */
+#define RELEASE_TIMEOUT (1 * MP_SEC)
+
+struct EndpointLinks {
+  struct event_base *base;
+  const Dialect *dialect;
+  EndpointLinksHooks hooks;
+  GHashTable *idle;  /* endpoint id -> GQueue of Link, newest first */
+  GHashTable *calls; /* dispatch -> Link that carries it */
+  GHashTable *links; /* Link, as a set */
+  unsigned idle_count;
+  guint64 opened;
+};
+
+/* one dispatch on its way */
+typedef struct Call {
+  guint64 dispatch;
+  DispatchKind kind;
+  gboolean stream; /* the route's answers come as events */
+  char *request_id;
+  GString *text;  /* the request, until it is written */
+  HttpHead *head; /* of the answer */
+  EndpointHead facts;
+  gboolean skip;      /* the answer that comes in is another request's */
+  gboolean is_stream; /* it is passed on event by event */
+  gboolean head_told;
+  EventSplitter events;
+  GByteArray *body;
+} Call;
+
+typedef struct Link {
+  EndpointLinks *links;
+  char *endpoint;
+  struct bufferevent *events;
+  struct event *timer; /* connecting, resting, or waiting for a release */
+  HttpReader *reader;
+  gboolean connected;
+  gboolean doubtful; /* never used again */
+  gint64 idle_limit;
+  Call *call; /* NULL while it rests */
+} Link;
+
+/*
+** {==================================================================
+** Life
+** ===================================================================
+*/
+
+static void call_free(Call *call) {
+  if (call == NULL)
+    return;
+  g_free(call->request_id);
+  if (call->text != NULL)
+    g_string_free(call->text, TRUE);
+  http_head_free(call->head);
+  event_splitter_clear(&call->events);
+  g_byte_array_free(call->body, TRUE);
+  g_free(call);
+}
+
+static void link_free(gpointer p) {
+  Link *link = p;
+  bufferevent_free(link->events);
+  event_free(link->timer);
+  http_reader_free(link->reader);
+  call_free(link->call);
+  g_free(link->endpoint);
+  g_free(link);
+}
+
+static void take_off_idle(Link *link) {
+  GQueue *queue = g_hash_table_lookup(link->links->idle, link->endpoint);
+  if (queue != NULL && g_queue_remove(queue, link))
+    link->links->idle_count--;
+}
+
+/* close the connection; its call, if there is one, is forgotten */
+static void drop(Link *link) {
+  EndpointLinks *links = link->links;
+  if (link->call != NULL)
+    g_hash_table_remove(links->calls, &link->call->dispatch);
+  else
+    take_off_idle(link);
+  g_hash_table_remove(links->links, link);
+}
+
+static void start_timer(Link *link, gint64 wait) {
+  struct timeval time = {wait / MP_SEC, wait % MP_SEC};
+  event_add(link->timer, &time);
+}
+
+/* the call is over: keep the connection where nothing speaks against it */
+static void rest_or_close(Link *link) {
+  EndpointLinks *links = link->links;
+  GQueue *queue;
+  gint64 limit = IDLE_UNSAID;
+  gboolean keep =
+      !link->doubtful && http_reader_state(link->reader) == HTTP_READER_DONE &&
+      http_reader_keep_alive(link->reader) &&
+      evbuffer_get_length(bufferevent_get_input(link->events)) == 0 &&
+      evbuffer_get_length(bufferevent_get_output(link->events)) == 0;
+  if (link->idle_limit > 0)
+    limit = MAX(link->idle_limit - IDLE_MARGIN, 100 * MP_MS);
+  if (!keep) {
+    drop(link);
+    return;
+  }
+  g_hash_table_remove(links->calls, &link->call->dispatch);
+  call_free(link->call);
+  link->call = NULL;
+  http_reader_next(link->reader);
+  queue = g_hash_table_lookup(links->idle, link->endpoint);
+  if (queue == NULL) {
+    queue = g_queue_new();
+    g_hash_table_insert(links->idle, g_strdup(link->endpoint), queue);
+  }
+  g_queue_push_head(queue, link);
+  links->idle_count++;
+  start_timer(link, limit);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Outcomes
+** ===================================================================
+*/
+
+/* hand an outcome on; FALSE when the link is gone after it */
+static gboolean tell(Link *link, Outcome *outcome) {
+  EndpointLinks *links = link->links;
+  guint64 dispatch = link->call->dispatch;
+  outcome->dispatch = dispatch;
+  links->hooks.outcome(links->hooks.data, outcome);
+  return g_hash_table_lookup(links->calls, &dispatch) == link;
+}
+
+/* the connection ends without a whole answer */
+static void fail(Link *link, OutcomeKind kind) {
+  Outcome outcome = {0};
+  EndpointLinks *links = link->links;
+  Call *call = link->call;
+  outcome.kind = kind;
+  outcome.dispatch = call->dispatch;
+  link->call = NULL;
+  g_hash_table_remove(links->calls, &call->dispatch);
+  g_hash_table_remove(links->links, link);
+  if (call->kind != DISPATCH_RELEASE)
+    links->hooks.outcome(links->hooks.data, &outcome);
+  call_free(call);
+}
+
+/* statuses that promise "not run" are believed only with that promise */
+static gboolean promises_falsely(const Call *call) {
+  int status = call->head->status;
+  return status == 408 || status == 429 || status == 503;
+}
+
+static OutcomeKind classify(const Call *call) {
+  const HttpHead *head = call->head;
+  gboolean success = head->status >= 200 && head->status < 300;
+  if (call->facts.not_run)
+    return OUTCOME_NOT_RUN;
+  if (promises_falsely(call) ||
+      http_head_get(head, "Content-Encoding") != NULL)
+    return OUTCOME_BROKEN;
+  if (call->kind == DISPATCH_PREFILL)
+    return head->status == 200 ? OUTCOME_ANSWER : OUTCOME_BROKEN;
+  if (success && !call->facts.is_signed)
+    return OUTCOME_BROKEN;
+  return OUTCOME_ANSWER;
+}
+
+/* the whole answer is there */
+static void finish(Link *link) {
+  Call *call = link->call;
+  Outcome outcome = {0};
+  PrefillAnswer prefill = {0};
+  EndpointAnswer answer = {call->head, (const char *)call->body->data,
+                           call->body->len};
+  if (call->kind == DISPATCH_RELEASE) {
+    rest_or_close(link);
+    return;
+  }
+  outcome.kind = call->is_stream ? OUTCOME_STREAM_END : classify(call);
+  if (call->is_stream && event_splitter_pending(&call->events) > 0)
+    outcome.kind = OUTCOME_BROKEN;
+  outcome.status = call->head->status;
+  outcome.misdirected = call->facts.misdirected;
+  outcome.payload = &answer;
+  if (call->kind == DISPATCH_PREFILL && outcome.kind == OUTCOME_ANSWER) {
+    if (!link->links->dialect->read_prefill(answer.bytes, answer.size,
+                                            &prefill, NULL))
+      outcome.kind = OUTCOME_BROKEN;
+    outcome.handle = prefill.handle;
+  }
+  if (outcome.kind == OUTCOME_BROKEN || outcome.misdirected)
+    link->doubtful = TRUE;
+  link->idle_limit = call->facts.idle_limit;
+  if (tell(link, &outcome))
+    rest_or_close(link);
+  g_free(prefill.handle);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Reading
+** ===================================================================
+*/
+
+static void on_head(void *data, HttpHead *head) {
+  Link *link = data;
+  Call *call = link->call;
+  const EndpointHead *facts = &call->facts;
+  http_head_free(call->head);
+  call->head = head;
+  link->links->dialect->read_endpoint(head, &call->facts);
+  call->skip = facts->request_id != NULL && call->request_id != NULL &&
+               strcmp(facts->request_id, call->request_id) != 0;
+  if (call->skip)
+    link->doubtful = TRUE;
+  call->is_stream = !call->skip && call->stream && facts->is_event_stream &&
+                    facts->is_signed && head->status == 200 &&
+                    http_head_get(head, "Content-Encoding") == NULL;
+}
+
+static void on_body(void *data, const char *bytes, size_t size) {
+  Link *link = data;
+  Call *call = link->call;
+  if (!call->skip && call->body->len + size <= MAX_ANSWER)
+    g_byte_array_append(call->body, (const guint8 *)bytes, (guint)size);
+}
+
+/* pass on the head and the whole events so far; FALSE: the link is gone */
+static gboolean tell_stream(Link *link) {
+  Call *call = link->call;
+  EndpointAnswer answer = {call->head, NULL, 0};
+  Outcome outcome = {0};
+  GString *whole;
+  char *id = NULL;
+  gboolean alive = TRUE;
+  outcome.payload = &answer;
+  outcome.status = call->head->status;
+  if (!call->head_told) {
+    call->head_told = TRUE;
+    outcome.kind = OUTCOME_STREAM_HEAD;
+    if (!tell(link, &outcome))
+      return FALSE;
+  }
+  if (call->body->len == 0)
+    return TRUE;
+  whole = g_string_new(NULL);
+  event_splitter_feed(&call->events, (const char *)call->body->data,
+                      call->body->len, whole, &id);
+  g_byte_array_set_size(call->body, 0);
+  if (whole->len > 0) {
+    answer.bytes = whole->str;
+    answer.size = whole->len;
+    outcome.kind = OUTCOME_STREAM_PIECE;
+    outcome.event = id;
+    alive = tell(link, &outcome);
+  }
+  g_string_free(whole, TRUE);
+  g_free(id);
+  return alive;
+}
+
+/* what the bytes read so far amount to; FALSE: the link is gone */
+static gboolean digest(Link *link) {
+  HttpReaderState state = http_reader_state(link->reader);
+  const Call *call = link->call;
+  if (state == HTTP_READER_BAD) {
+    fail(link, OUTCOME_BROKEN);
+    return FALSE;
+  }
+  if (call->head != NULL && call->is_stream && !tell_stream(link))
+    return FALSE;
+  if (state != HTTP_READER_DONE)
+    return TRUE;
+  if (call->head->status < 200 || call->skip) { /* not the answer yet */
+    http_reader_next(link->reader);
+    return TRUE;
+  }
+  finish(link);
+  return FALSE;
+}
+
+static void read_answer(Link *link) {
+  struct evbuffer *in = bufferevent_get_input(link->events);
+  while (evbuffer_get_length(in) > 0) {
+    size_t size = evbuffer_get_contiguous_space(in);
+    const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
+    size_t used = http_reader_feed(link->reader, bytes, size);
+    evbuffer_drain(in, used);
+    if (!digest(link))
+      return;
+  }
+}
+
+static void on_read(struct bufferevent *events, void *data) {
+  Link *link = data;
+  (void)events;
+  if (link->call == NULL)
+    drop(link); /* bytes that nobody asked for */
+  else
+    read_answer(link);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Connection events
+** ===================================================================
+*/
+
+static void set_socket_options(struct bufferevent *events) {
+  evutil_socket_t fd = bufferevent_getfd(events);
+  int on = 1;
+  int unacked = UNACKED_MS;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+}
+
+static void write_call(Link *link) {
+  Call *call = link->call;
+  event_del(link->timer);
+  bufferevent_write(link->events, call->text->str, call->text->len);
+  g_string_free(call->text, TRUE);
+  call->text = NULL;
+  if (call->kind == DISPATCH_RELEASE)
+    start_timer(link, RELEASE_TIMEOUT);
+}
+
+/* the peer closed in good order: that may end an answer without length */
+static void on_eof(Link *link) {
+  EndpointLinks *links = link->links;
+  guint64 dispatch = link->call->dispatch;
+  read_answer(link);
+  if (g_hash_table_lookup(links->calls, &dispatch) != link)
+    return;
+  http_reader_end(link->reader);
+  link->doubtful = TRUE;
+  if (http_reader_state(link->reader) != HTTP_READER_DONE)
+    fail(link, OUTCOME_BROKEN);
+  else
+    digest(link);
+}
+
+static void on_event(struct bufferevent *events, short what, void *data) {
+  Link *link = data;
+  if (what & BEV_EVENT_CONNECTED) {
+    link->connected = TRUE;
+    set_socket_options(events);
+    write_call(link);
+    return;
+  }
+  if (link->call == NULL) {
+    drop(link);
+    return;
+  }
+  if (!link->connected) {
+    fail(link, OUTCOME_UNREACHABLE);
+    return;
+  }
+  if ((what & BEV_EVENT_ERROR) && (what & BEV_EVENT_WRITING)) {
+    /* an answer that came before the body was out is still read */
+    link->doubtful = TRUE;
+    bufferevent_disable(events, EV_WRITE);
+    bufferevent_enable(events, EV_READ);
+    return;
+  }
+  if (what & BEV_EVENT_EOF)
+    on_eof(link);
+  else {
+    EndpointLinks *links = link->links;
+    guint64 dispatch = link->call->dispatch;
+    read_answer(link); /* what came before the reset */
+    if (g_hash_table_lookup(links->calls, &dispatch) == link)
+      fail(link, OUTCOME_BROKEN);
+  }
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *data) {
+  Link *link = data;
+  (void)fd;
+  (void)what;
+  if (link->call == NULL || link->connected)
+    drop(link); /* rested long enough, or a release without an answer */
+  else
+    fail(link, OUTCOME_UNREACHABLE);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Sending
+** ===================================================================
+*/
+
+static const HttpReaderHooks reader_hooks = {on_head, on_body};
+
+static Link *link_new(EndpointLinks *links, const Dispatch *dispatch) {
+  Link *link = g_new0(Link, 1);
+  link->links = links;
+  link->endpoint = g_strdup(dispatch->endpoint);
+  link->reader = http_reader_new(HTTP_ANSWERS, &reader_hooks, link);
+  link->timer = evtimer_new(links->base, on_timer, link);
+  link->events = bufferevent_socket_new(
+      links->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb(link->events, on_read, NULL, on_event, link);
+  bufferevent_enable(link->events, EV_READ | EV_WRITE);
+  g_hash_table_add(links->links, link);
+  return link;
+}
+
+static void connect_link(Link *link, const Dispatch *dispatch) {
+  struct sockaddr_in at = {0};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl((uint32_t)(dispatch->address >> 16));
+  at.sin_port = htons((uint16_t)(dispatch->address & 0xffff));
+  link->links->opened++;
+  start_timer(link, dispatch->connect_timeout);
+  if (bufferevent_socket_connect(link->events, (struct sockaddr *)&at,
+                                 sizeof at) != 0)
+    start_timer(link, 0); /* fails from the loop, not from here */
+}
+
+static Link *idle_link(EndpointLinks *links, const char *endpoint) {
+  GQueue *queue = g_hash_table_lookup(links->idle, endpoint);
+  Link *link = queue != NULL ? g_queue_pop_head(queue) : NULL;
+  if (link == NULL)
+    return NULL;
+  links->idle_count--;
+  event_del(link->timer);
+  return link;
+}
+
+static GString *request_text(const EndpointLinks *links,
+                             const Dispatch *dispatch, const HttpHead *caller,
+                             const GByteArray *body) {
+  HttpHead *head = links->dialect->write_dispatch(dispatch, caller);
+  GString *text = g_string_new(NULL);
+  if (body != NULL &&
+      (body->len > 0 || g_ascii_strcasecmp(head->method, "GET") != 0))
+    http_head_add_number(head, "Content-Length", body->len);
+  http_head_write(head, text);
+  if (body != NULL)
+    g_string_append_len(text, (const char *)body->data, body->len);
+  http_head_free(head);
+  return text;
+}
+
+void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
+                         const HttpHead *caller, const GByteArray *body) {
+  Call *call = g_new0(Call, 1);
+  Link *link = idle_link(links, dispatch->endpoint);
+  CallerHead read;
+  call->dispatch = dispatch->number;
+  call->kind = dispatch->kind;
+  call->stream = dispatch->stream;
+  call->text = request_text(links, dispatch, caller, body);
+  call->body = g_byte_array_new();
+  event_splitter_init(&call->events);
+  if (caller != NULL && links->dialect->read_caller(caller, &read, NULL)) {
+    call->request_id = g_strdup(read.request.id);
+    caller_head_clear(&read);
+  }
+  if (link == NULL)
+    link = link_new(links, dispatch);
+  link->call = call;
+  g_hash_table_insert(links->calls, &call->dispatch, link);
+  if (caller != NULL && g_ascii_strcasecmp(caller->method, "HEAD") == 0)
+    http_reader_expect_no_body(link->reader);
+  if (link->connected)
+    write_call(link);
+  else
+    connect_link(link, dispatch);
+}
+
+/* after a whole answer this keeps the connection, else it closes it */
+void endpoint_links_cancel(EndpointLinks *links, guint64 dispatch) {
+  Link *link = g_hash_table_lookup(links->calls, &dispatch);
+  if (link != NULL)
+    drop(link);
+}
+
+/* }================================================================== */
+
+static void queue_free(gpointer p) {
+  g_queue_free(p);
+}
+
+EndpointLinks *endpoint_links_new(struct event_base *base,
+                                  const Dialect *dialect,
+                                  const EndpointLinksHooks *hooks) {
+  EndpointLinks *links = g_new0(EndpointLinks, 1);
+  links->base = base;
+  links->dialect = dialect;
+  links->hooks = *hooks;
+  links->idle =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, queue_free);
+  links->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+  links->links = g_hash_table_new_full(NULL, NULL, link_free, NULL);
+  return links;
+}
+
+void endpoint_links_free(EndpointLinks *links) {
+  g_hash_table_destroy(links->links);
+  g_hash_table_destroy(links->calls);
+  g_hash_table_destroy(links->idle);
+  g_free(links);
+}
+
+unsigned endpoint_links_idle(const EndpointLinks *links) {
+  return links->idle_count;
+}
+
+guint64 endpoint_links_opened(const EndpointLinks *links) {
+  return links->opened;
+}
--- /dev/null
+++ b/io/endpoint_links.h
@@ -0,0 +1,48 @@
+/*
+** endpoint_links.h
+** Connections to endpoints, kept between dispatches
+**
+** Invariants. One dispatch at a time uses a connection. A connection is
+** kept only after a whole answer that bears the id of its own request,
+** with nothing left to write and nothing more to read; any byte or end
+** while it rests closes it. A dispatch whose connection never stood has
+** certainly not run; from the first byte written on it has perhaps run.
+*/
+
+#ifndef ENDPOINT_LINKS_H
+#define ENDPOINT_LINKS_H
+
+#include <event2/event.h>
+
+#include "dialect/dialect.h"
+
+typedef struct EndpointLinks EndpointLinks;
+
+/* the payload of an outcome: what goes on to the caller */
+typedef struct EndpointAnswer {
+  const HttpHead *head; /* ANSWER and STREAM_HEAD */
+  const char *bytes;    /* ANSWER: the whole body; STREAM_PIECE: events */
+  gsize size;
+} EndpointAnswer;
+
+typedef struct EndpointLinksHooks {
+  void *data;
+  /* never called from within a function below */
+  void (*outcome)(void *data, const Outcome *outcome);
+} EndpointLinksHooks;
+
+EndpointLinks *endpoint_links_new(struct event_base *base,
+                                  const Dialect *dialect,
+                                  const EndpointLinksHooks *hooks);
+void endpoint_links_free(EndpointLinks *links);
+
+/* send a dispatch; 'caller' and 'body' are NULL for DISPATCH_RELEASE */
+void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
+                         const HttpHead *caller, const GByteArray *body);
+/* forget a dispatch and close its connection; no outcome comes any more */
+void endpoint_links_cancel(EndpointLinks *links, guint64 dispatch);
+
+unsigned endpoint_links_idle(const EndpointLinks *links);
+guint64 endpoint_links_opened(const EndpointLinks *links);
+
+#endif
--- /dev/null
+++ b/io/front.c
@@ -0,0 +1,473 @@
+/*
+** front.c
+** Callers' connections, on bufferevents and http_parser
+** libevhtp cannot keep the platform's rules here (docs/design/style.md
+** says which), so this is its nearest kin.
+*/
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "http/reader.h"
+#include "io/front.h"
+
+/* a caller that leaves this much of its answer unread is given up, bytes */
+#define MAX_UNREAD (4 << 20)
+/* bytes taken from a caller while its request is open */
+#define READ_AHEAD (64 << 10)
+/* how long the rest of refused input is read and dropped */
+#define LINGER_SECONDS 1
+#define LISTEN_BACKLOG 512
+
+/* limits until a configuration tells them */
+#define DEFAULT_HEAD_BYTES (16 << 10)
+#define DEFAULT_BODY_BYTES (4 << 20)
+#define DEFAULT_HEAD_TIMEOUT (3 * MP_SEC)
+#define DEFAULT_IDLE_TIMEOUT (15 * MP_SEC)
+
+struct Front {
+  struct event_base *base;
+  struct evconnlistener *listener;
+  const Dialect *dialect;
+  FrontHooks hooks;
+  CallerLimits limits;
+  guint64 last_number;
+  gboolean draining;
+  GHashTable *connections; /* Connection, as a set */
+  GHashTable *open;        /* number -> Connection */
+};
+
+typedef enum ConnectionState {
+  CONNECTION_READING,   /* waiting for a request, or for the rest of one */
+  CONNECTION_OPEN,      /* a request is open; nothing was answered */
+  CONNECTION_ANSWERING, /* an answer in pieces has begun */
+  CONNECTION_FLUSHING,  /* closes once all is written */
+  CONNECTION_LINGERING  /* closes once the peer closes, or soon */
+} ConnectionState;
+
+typedef struct Connection {
+  Front *front;
+  struct bufferevent *events;
+  HttpReader *reader;
+  ConnectionState state;
+  guint64 number; /* of the open request, or 0 */
+  HttpHead *head;
+  GByteArray *body;
+  gboolean linger; /* input was refused: drop what still comes */
+} Connection;
+
+/*
+** {==================================================================
+** Life of a connection
+** ===================================================================
+*/
+
+static void connection_free(gpointer p) {
+  Connection *connection = p;
+  bufferevent_free(connection->events);
+  http_reader_free(connection->reader);
+  http_head_free(connection->head);
+  g_byte_array_free(connection->body, TRUE);
+  g_free(connection);
+}
+
+static void close_connection(Connection *connection) {
+  Front *front = connection->front;
+  guint64 number = connection->number;
+  if (number != 0)
+    g_hash_table_remove(front->open, &connection->number);
+  g_hash_table_remove(front->connections, connection);
+  if (number != 0)
+    front->hooks.hangup(front->hooks.data, number);
+}
+
+/* reading waits so long; 0: for ever */
+static void set_read_timeout(Connection *connection, gint64 wait) {
+  struct timeval time = {wait / MP_SEC, wait % MP_SEC};
+  struct timeval write_time = {10, 0};
+  bufferevent_set_timeouts(connection->events, wait > 0 ? &time : NULL,
+                           &write_time);
+}
+
+static void forget_request(Connection *connection) {
+  if (connection->number != 0)
+    g_hash_table_remove(connection->front->open, &connection->number);
+  connection->number = 0;
+  http_head_free(connection->head);
+  connection->head = NULL;
+  g_byte_array_set_size(connection->body, 0);
+}
+
+static void read_request(Connection *connection);
+
+static void close_when_flushed(Connection *connection) {
+  struct evbuffer *out = bufferevent_get_output(connection->events);
+  connection->state = CONNECTION_FLUSHING;
+  if (evbuffer_get_length(out) == 0)
+    close_connection(connection);
+}
+
+/* the answer is whole: close, or take the next request */
+static void answer_ended(Connection *connection, gboolean close) {
+  forget_request(connection);
+  if (close) {
+    close_when_flushed(connection);
+    return;
+  }
+  connection->state = CONNECTION_READING;
+  http_reader_next(connection->reader);
+  set_read_timeout(connection, connection->front->limits.idle_timeout);
+  if (evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
+    bufferevent_trigger(connection->events, EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Writing
+** ===================================================================
+*/
+
+static void write_head(Connection *connection, const HttpHead *head) {
+  GString *text = g_string_new(NULL);
+  http_head_write(head, text);
+  bufferevent_write(connection->events, text->str, text->len);
+  g_string_free(text, TRUE);
+}
+
+/* our own fields beside those of the answer */
+static HttpHead *answer_head(const HttpHead *from, gboolean close) {
+  HttpHead *head = http_head_answer(from->status);
+  http_head_copy_end_to_end(head, from);
+  if (close)
+    http_head_add(head, "Connection", "close");
+  return head;
+}
+
+static gboolean closes(const Connection *connection) {
+  return connection->front->draining || connection->linger ||
+         !http_reader_keep_alive(connection->reader);
+}
+
+static gboolean has_no_body(const Connection *connection, int status) {
+  return status == 204 || status == 304 || status < 200 ||
+         (connection->head != NULL &&
+          g_ascii_strcasecmp(connection->head->method, "HEAD") == 0);
+}
+
+static void write_answer(Connection *connection, const HttpHead *from,
+                         const char *body, gsize size, gboolean close) {
+  HttpHead *head = answer_head(from, close);
+  gboolean bare = has_no_body(connection, from->status);
+  if (!bare)
+    http_head_add_number(head, "Content-Length", (gint64)size);
+  write_head(connection, head);
+  if (!bare && size > 0)
+    bufferevent_write(connection->events, body, size);
+  http_head_free(head);
+}
+
+/* malformed input: say so, and take nothing more */
+static void refuse_input(Connection *connection, int status,
+                         const char *detail) {
+  Front *front = connection->front;
+  char *body = NULL;
+  HttpHead *head = front->dialect->write_bad_input(status, detail, &body);
+  front->hooks.bad_input(front->hooks.data, status, detail);
+  connection->linger = TRUE;
+  write_answer(connection, head, body, strlen(body), TRUE);
+  http_head_free(head);
+  g_free(body);
+  close_when_flushed(connection);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Reading
+** ===================================================================
+*/
+
+static void on_head(void *data, HttpHead *head) {
+  Connection *connection = data;
+  http_head_free(connection->head);
+  connection->head = head;
+}
+
+static void on_body(void *data, const char *bytes, size_t size) {
+  Connection *connection = data;
+  g_byte_array_append(connection->body, (const guint8 *)bytes, (guint)size);
+}
+
+static void request_is_whole(Connection *connection) {
+  Front *front = connection->front;
+  connection->state = CONNECTION_OPEN;
+  connection->number = ++front->last_number;
+  g_hash_table_insert(front->open, &connection->number, connection);
+  set_read_timeout(connection, 0);
+  front->hooks.request(front->hooks.data, connection->number,
+                       connection->head);
+}
+
+static void refuse_fault(Connection *connection) {
+  switch (http_reader_fault(connection->reader)) {
+  case HTTP_FAULT_HEAD_SIZE:
+    refuse_input(connection, 431, "the head is larger than the limit");
+    break;
+  case HTTP_FAULT_BODY_SIZE:
+    refuse_input(connection, 413, "the body is larger than the limit");
+    break;
+  default:
+    refuse_input(connection, 400, "not an HTTP/1.1 request");
+  }
+}
+
+static void read_request(Connection *connection) {
+  struct evbuffer *in = bufferevent_get_input(connection->events);
+  HttpReader *reader = connection->reader;
+  while (connection->state == CONNECTION_READING &&
+         evbuffer_get_length(in) > 0) {
+    size_t size = evbuffer_get_contiguous_space(in);
+    const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
+    size_t used = http_reader_feed(reader, bytes, size);
+    evbuffer_drain(in, used);
+    if (http_reader_state(reader) == HTTP_READER_BAD) {
+      refuse_fault(connection);
+      return;
+    }
+    if (http_reader_state(reader) == HTTP_READER_DONE) {
+      request_is_whole(connection);
+      return;
+    }
+  }
+  if (http_reader_state(reader) == HTTP_READER_PARTIAL)
+    set_read_timeout(connection, connection->front->limits.head_timeout);
+}
+
+static void on_read(struct bufferevent *events, void *data) {
+  Connection *connection = data;
+  if (connection->state == CONNECTION_READING)
+    read_request(connection);
+  else if (connection->state == CONNECTION_LINGERING)
+    evbuffer_drain(bufferevent_get_input(events), READ_AHEAD);
+}
+
+static void linger(Connection *connection) {
+  connection->state = CONNECTION_LINGERING;
+  shutdown(bufferevent_getfd(connection->events), SHUT_WR);
+  set_read_timeout(connection, LINGER_SECONDS * MP_SEC);
+  evbuffer_drain(bufferevent_get_input(connection->events), READ_AHEAD);
+}
+
+static void on_write(struct bufferevent *events, void *data) {
+  Connection *connection = data;
+  (void)events;
+  if (connection->state != CONNECTION_FLUSHING)
+    return;
+  if (connection->linger)
+    linger(connection);
+  else
+    close_connection(connection);
+}
+
+static void on_event(struct bufferevent *events, short what, void *data) {
+  Connection *connection = data;
+  gboolean timeout = (what & BEV_EVENT_TIMEOUT) && (what & BEV_EVENT_READING);
+  (void)events;
+  if (timeout && connection->state == CONNECTION_READING &&
+      http_reader_state(connection->reader) == HTTP_READER_PARTIAL) {
+    refuse_input(connection, 408, "the request did not arrive in time");
+    return;
+  }
+  close_connection(connection);
+}
+
+static const HttpReaderHooks reader_hooks = {on_head, on_body};
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                      struct sockaddr *address, int size, void *data) {
+  Front *front = data;
+  Connection *connection = g_new0(Connection, 1);
+  int on = 1;
+  (void)listener;
+  (void)address;
+  (void)size;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  connection->front = front;
+  connection->body = g_byte_array_new();
+  connection->reader =
+      http_reader_new(HTTP_REQUESTS, &reader_hooks, connection);
+  http_reader_limit(connection->reader, front->limits.max_head_bytes,
+                    front->limits.max_body_bytes);
+  connection->events = bufferevent_socket_new(
+      front->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setwatermark(connection->events, EV_READ, 0, READ_AHEAD);
+  bufferevent_setcb(connection->events, on_read, on_write, on_event,
+                    connection);
+  g_hash_table_add(front->connections, connection);
+  set_read_timeout(connection, front->limits.idle_timeout);
+  bufferevent_enable(connection->events, EV_READ | EV_WRITE);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Answers
+** ===================================================================
+*/
+
+static Connection *find(const Front *front, guint64 number) {
+  return g_hash_table_lookup(front->open, &number);
+}
+
+const HttpHead *front_request_head(const Front *front, guint64 number) {
+  const Connection *connection = find(front, number);
+  return connection != NULL ? connection->head : NULL;
+}
+
+const GByteArray *front_request_body(const Front *front, guint64 number) {
+  const Connection *connection = find(front, number);
+  return connection != NULL ? connection->body : NULL;
+}
+
+void front_answer(Front *front, guint64 number, const HttpHead *head,
+                  const char *body, gsize size) {
+  Connection *connection = find(front, number);
+  gboolean close;
+  if (connection == NULL)
+    return;
+  close = closes(connection);
+  write_answer(connection, head, body, size, close);
+  answer_ended(connection, close);
+}
+
+void front_begin(Front *front, guint64 number, const HttpHead *from) {
+  Connection *connection = find(front, number);
+  HttpHead *head;
+  if (connection == NULL)
+    return;
+  head = answer_head(from, closes(connection));
+  http_head_add(head, "Transfer-Encoding", "chunked");
+  write_head(connection, head);
+  http_head_free(head);
+  connection->state = CONNECTION_ANSWERING;
+}
+
+void front_piece(Front *front, guint64 number, const char *bytes, gsize size) {
+  Connection *connection = find(front, number);
+  struct evbuffer *out;
+  if (connection == NULL || size == 0)
+    return;
+  out = bufferevent_get_output(connection->events);
+  evbuffer_add_printf(out, "%zx\r\n", (size_t)size);
+  evbuffer_add(out, bytes, size);
+  evbuffer_add(out, "\r\n", 2);
+  if (evbuffer_get_length(out) > MAX_UNREAD)
+    shutdown(bufferevent_getfd(connection->events), SHUT_RDWR);
+}
+
+void front_end(Front *front, guint64 number) {
+  Connection *connection = find(front, number);
+  if (connection == NULL)
+    return;
+  bufferevent_write(connection->events, "0\r\n\r\n", 5);
+  answer_ended(connection, closes(connection));
+}
+
+void front_break_off(Front *front, guint64 number) {
+  Connection *connection = find(front, number);
+  if (connection == NULL)
+    return;
+  forget_request(connection);
+  close_when_flushed(connection); /* without the last chunk */
+}
+
+/* }================================================================== */
+
+static void bind_failed(mp_Addr address, GError **error) {
+  char text[24];
+  mp_addr_text(address, text);
+  g_set_error(error, MP_ERROR, MP_ERR_SETTINGS,
+              "callers: cannot bind %s; choose a free address of this "
+              "instance",
+              text);
+}
+
+Front *front_new(struct event_base *base, mp_Addr address,
+                 const Dialect *dialect, const FrontHooks *hooks,
+                 GError **error) {
+  static const CallerLimits defaults = {DEFAULT_HEAD_BYTES, DEFAULT_BODY_BYTES,
+                                        DEFAULT_HEAD_TIMEOUT,
+                                        DEFAULT_IDLE_TIMEOUT};
+  Front *front = g_new0(Front, 1);
+  struct sockaddr_in at = {0};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+  at.sin_port = htons((uint16_t)(address & 0xffff));
+  front->base = base;
+  front->dialect = dialect;
+  front->hooks = *hooks;
+  front->limits = defaults;
+  front->connections =
+      g_hash_table_new_full(NULL, NULL, connection_free, NULL);
+  front->open = g_hash_table_new(g_int64_hash, g_int64_equal);
+  front->listener = evconnlistener_new_bind(
+      base, on_accept, front, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      LISTEN_BACKLOG, (struct sockaddr *)&at, sizeof at);
+  if (front->listener == NULL) {
+    bind_failed(address, error);
+    front_free(front);
+    return NULL;
+  }
+  return front;
+}
+
+void front_free(Front *front) {
+  if (front->listener != NULL)
+    evconnlistener_free(front->listener);
+  g_hash_table_destroy(front->open);
+  g_hash_table_destroy(front->connections);
+  g_free(front);
+}
+
+void front_limits(Front *front, const CallerLimits *limits) {
+  if (limits->max_head_bytes > 0)
+    front->limits.max_head_bytes = limits->max_head_bytes;
+  if (limits->max_body_bytes > 0)
+    front->limits.max_body_bytes = limits->max_body_bytes;
+  if (limits->head_timeout > 0)
+    front->limits.head_timeout = limits->head_timeout;
+  if (limits->idle_timeout > 0)
+    front->limits.idle_timeout = limits->idle_timeout;
+}
+
+void front_drain(Front *front) {
+  front->draining = TRUE;
+}
+
+void front_close_idle(Front *front) {
+  GHashTableIter iterator;
+  gpointer key;
+  g_hash_table_iter_init(&iterator, front->connections);
+  while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+    Connection *connection = key;
+    if (connection->state == CONNECTION_READING &&
+        http_reader_state(connection->reader) == HTTP_READER_IDLE &&
+        evbuffer_get_length(bufferevent_get_input(connection->events)) == 0)
+      g_hash_table_iter_remove(&iterator);
+  }
+}
+
+unsigned front_open_requests(const Front *front) {
+  return g_hash_table_size(front->open);
+}
--- /dev/null
+++ b/io/gateway.c
@@ -0,0 +1,400 @@
+/*
+** gateway.c
+** One instance that routes requests in a dialect
+*/
+
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include "io/directory.h"
+#include "io/endpoint_links.h"
+#include "io/front.h"
+#include "io/gateway.h"
+#include "io/node.h"
+
+/* how often a drain looks whether it is over */
+#define DRAIN_LOOK (50 * MP_MS)
+/* the longest time between two looks at the router's clock */
+#define TICK_MOST (1 * MP_SEC)
+
+struct Gateway {
+  struct event_base *base;
+  const Dialect *dialect;
+  Log *log;
+  Router *router;
+  Front *front;
+  EndpointLinks *links;
+  Directory *directory;
+  struct evhttp *ready_http, *control_http, *metrics_http;
+  struct event *tick;
+  struct event *drain_timer;
+  gint64 drain_least, drain_most;
+  gint64 drain_began; /* 0: not draining */
+  gboolean drained;
+  gboolean was_ready;
+};
+
+static void say(const Gateway *gateway, mp_EventNo number, mp_Level level,
+                const char *text, const char *fields) {
+  log_event(gateway->log, (int)number, level, text, fields);
+}
+
+static void set_tick(Gateway *gateway) {
+  gint64 wait = router_next_tick(gateway->router) - node_now();
+  struct timeval time;
+  wait = CLAMP(wait, 0, TICK_MOST);
+  time.tv_sec = wait / MP_SEC;
+  time.tv_usec = wait % MP_SEC;
+  event_add(gateway->tick, &time);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *data) {
+  Gateway *gateway = data;
+  (void)fd;
+  (void)what;
+  router_tick(gateway->router, node_now());
+  set_tick(gateway);
+}
+
+/*
+** {==================================================================
+** What the router asks for
+** ===================================================================
+*/
+
+static void host_dispatch(void *data, const Dispatch *dispatch) {
+  Gateway *gateway = data;
+  endpoint_links_send(gateway->links, dispatch,
+                      front_request_head(gateway->front, dispatch->request),
+                      front_request_body(gateway->front, dispatch->request));
+}
+
+static void host_cancel(void *data, guint64 dispatch) {
+  Gateway *gateway = data;
+  endpoint_links_cancel(gateway->links, dispatch);
+}
+
+static void host_answer(void *data, guint64 request, const Outcome *outcome) {
+  Gateway *gateway = data;
+  const EndpointAnswer *answer = outcome->payload;
+  switch (outcome->kind) {
+  case OUTCOME_STREAM_HEAD:
+    front_begin(gateway->front, request, answer->head);
+    break;
+  case OUTCOME_STREAM_PIECE:
+    front_piece(gateway->front, request, answer->bytes, answer->size);
+    break;
+  case OUTCOME_STREAM_END:
+    front_end(gateway->front, request);
+    break;
+  default:
+    front_answer(gateway->front, request, answer->head, answer->bytes,
+                 answer->size);
+  }
+}
+
+static void host_refuse(void *data, guint64 request, const Refusal *refusal) {
+  Gateway *gateway = data;
+  const HttpHead *caller = front_request_head(gateway->front, request);
+  CallerHead read;
+  char *body = NULL;
+  HttpHead *head;
+  if (caller == NULL)
+    return;
+  if (!gateway->dialect->read_caller(caller, &read, NULL))
+    return;
+  head = gateway->dialect->write_refusal(refusal, read.request.id, &body);
+  front_answer(gateway->front, request, head, body, strlen(body));
+  caller_head_clear(&read);
+  http_head_free(head);
+  g_free(body);
+}
+
+static void host_break_off(void *data, guint64 request) {
+  Gateway *gateway = data;
+  front_break_off(gateway->front, request);
+}
+
+static void host_log(void *data, mp_EventNo number, const char *fields) {
+  static const struct {
+    mp_EventNo number;
+    mp_Level level;
+    const char *text;
+  } all[] = {
+#define X(symbol, value, level, text) {MP_LOG_##symbol, level, text},
+      MP_EVENTS(X)
+#undef X
+  };
+  gsize i;
+  for (i = 0; i < G_N_ELEMENTS(all); i++) {
+    if (all[i].number == number)
+      say(data, number, all[i].level, all[i].text, fields);
+  }
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** What the carriers tell
+** ===================================================================
+*/
+
+static void on_request(void *data, guint64 number, const HttpHead *head) {
+  Gateway *gateway = data;
+  GError *error = NULL;
+  CallerHead read;
+  if (!gateway->dialect->read_caller(head, &read, &error)) {
+    char *body = NULL;
+    HttpHead *refused =
+        gateway->dialect->write_bad_input(400, error->message, &body);
+    say(gateway, MP_LOG_CALLER_BAD, MP_INFO, error->message, "");
+    front_answer(gateway->front, number, refused, body, strlen(body));
+    http_head_free(refused);
+    g_free(body);
+    g_error_free(error);
+  } else {
+    read.request.number = number;
+    router_request(gateway->router, &read.request, node_now());
+    set_tick(gateway);
+  }
+  caller_head_clear(&read);
+}
+
+static void on_hangup(void *data, guint64 number) {
+  Gateway *gateway = data;
+  router_hangup(gateway->router, number, node_now());
+}
+
+static void on_bad_input(void *data, int status, const char *detail) {
+  char fields[160];
+  g_snprintf(fields, sizeof fields, " status=%d detail=\"%s\"", status,
+             detail);
+  say(data, MP_LOG_CALLER_BAD, MP_INFO, "malformed input", fields);
+}
+
+static void on_outcome(void *data, const Outcome *outcome) {
+  Gateway *gateway = data;
+  router_outcome(gateway->router, outcome, node_now());
+  set_tick(gateway);
+}
+
+static void on_configuration(void *data, RouteTable *table) {
+  Gateway *gateway = data;
+  front_limits(gateway->front, &table->limits);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Readiness, metrics and snapshots, by evhttp
+** ===================================================================
+*/
+
+static void reply(struct evhttp_request *request, int status, const char *type,
+                  const char *text) {
+  struct evbuffer *body = evbuffer_new();
+  evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
+                    type);
+  evbuffer_add(body, text, strlen(text));
+  evhttp_send_reply(request, status, NULL, body);
+  evbuffer_free(body);
+}
+
+static gboolean is_ready(const Gateway *gateway) {
+  return gateway->drain_began == 0 && router_configured(gateway->router) &&
+         directory_has_endpoints(gateway->directory);
+}
+
+static void on_ready(struct evhttp_request *request, void *data) {
+  Gateway *gateway = data;
+  gboolean ready = is_ready(gateway);
+  if (ready && !gateway->was_ready)
+    say(gateway, MP_LOG_READY, MP_INFO, "ready", "");
+  gateway->was_ready = ready;
+  reply(request, ready ? 200 : 503, "text/plain",
+        ready ? "ready\n" : "not ready\n");
+}
+
+static void on_metrics(struct evhttp_request *request, void *data) {
+  const Gateway *gateway = data;
+  GString *text = g_string_new(NULL);
+  const char *name;
+  unsigned i;
+  for (i = 0; (name = router_counter_name(i)) != NULL; i++)
+    g_string_append_printf(text, "madderpier_%s_total %" G_GUINT64_FORMAT "\n",
+                           name, router_counter(gateway->router, i));
+  g_string_append_printf(
+      text,
+      "madderpier_open_requests %u\n"
+      "madderpier_idle_endpoint_connections %u\n"
+      "madderpier_endpoint_connections_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_store_calls_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_ready %d\n",
+      router_open_requests(gateway->router),
+      endpoint_links_idle(gateway->links),
+      endpoint_links_opened(gateway->links),
+      directory_store_calls(gateway->directory), is_ready(gateway));
+  reply(request, 200, "text/plain; version=0.0.4", text->str);
+  g_string_free(text, TRUE);
+}
+
+static void on_snapshot(struct evhttp_request *request, void *data) {
+  const Gateway *gateway = data;
+  char *text = directory_snapshot(gateway->directory);
+  reply(request, router_configured(gateway->router) ? 200 : 503,
+        "application/json", text);
+  g_free(text);
+}
+
+/* NULL without an error when there is no address */
+static struct evhttp *serve(Gateway *gateway, mp_Addr address,
+                            const char *path,
+                            void (*handler)(struct evhttp_request *, void *),
+                            GError **error) {
+  struct evhttp *http;
+  char host[24];
+  if (address == 0)
+    return NULL;
+  http = evhttp_new(gateway->base);
+  evhttp_set_cb(http, path, handler, gateway);
+  mp_addr_text(address, host);
+  *strchr(host, ':') = '\0';
+  if (evhttp_bind_socket(http, host, (uint16_t)(address & 0xffff)) == 0)
+    return http;
+  evhttp_free(http);
+  g_set_error(error, MP_ERROR, MP_ERR_SETTINGS,
+              "%s: cannot bind %s:%u; choose a free address of this instance",
+              path, host, (unsigned)(address & 0xffff));
+  return NULL;
+}
+
+static gboolean serve_all(Gateway *gateway, const GatewayOptions *options,
+                          GError **error) {
+  GError *failed = NULL;
+  gateway->ready_http =
+      serve(gateway, options->ready, "/readyz", on_ready, &failed);
+  if (failed == NULL)
+    gateway->control_http =
+        serve(gateway, options->control, "/snapshot", on_snapshot, &failed);
+  if (failed == NULL)
+    gateway->metrics_http =
+        serve(gateway, options->metrics, "/metrics", on_metrics, &failed);
+  if (failed == NULL)
+    return TRUE;
+  g_propagate_error(error, failed);
+  return FALSE;
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Planned stop
+** ===================================================================
+*/
+
+static void look_again(Gateway *gateway) {
+  struct timeval time = {0, DRAIN_LOOK};
+  event_add(gateway->drain_timer, &time);
+}
+
+static void on_drain_timer(evutil_socket_t fd, short what, void *data) {
+  Gateway *gateway = data;
+  gint64 age = node_now() - gateway->drain_began;
+  (void)fd;
+  (void)what;
+  if (age >= gateway->drain_least)
+    front_close_idle(gateway->front);
+  if (age >= gateway->drain_least && front_open_requests(gateway->front) == 0)
+    gateway->drained = TRUE;
+  if (gateway->drained || age >= gateway->drain_most)
+    event_base_loopbreak(gateway->base);
+  else
+    look_again(gateway);
+}
+
+void gateway_drain(Gateway *gateway) {
+  if (gateway->drain_began != 0)
+    return;
+  gateway->drain_began = node_now();
+  say(gateway, MP_LOG_DRAIN, MP_INFO, "drain begins", "");
+  front_drain(gateway->front);
+  look_again(gateway);
+}
+
+gboolean gateway_drained(const Gateway *gateway) {
+  return gateway->drained;
+}
+
+/* }================================================================== */
+
+static void make_router(Gateway *gateway, const GatewayOptions *options) {
+  RouterHost host = {gateway,     host_dispatch,  host_cancel, host_answer,
+                     host_refuse, host_break_off, host_log};
+  RouterOptions settings = {0};
+  settings.zone = options->zone;
+  settings.seed = (guint64)node_now() ^ options->callers * 2654435761u;
+  settings.retry_ratio = options->retry_ratio;
+  settings.retry_slack = options->retry_slack;
+  settings.retry_window = options->retry_window;
+  gateway->router = router_new(&settings, &host, node_now());
+}
+
+static void make_directory(Gateway *gateway, const GatewayOptions *options) {
+  DirectoryHooks hooks = {gateway, on_configuration};
+  DirectoryOptions settings = {options->instance, options->store,
+                               options->peers, options->peers_count,
+                               options->watch_wait};
+  gateway->directory =
+      directory_new(gateway->base, gateway->dialect, &settings,
+                    gateway->router, gateway->log, &hooks);
+}
+
+Gateway *gateway_new(struct event_base *base, const Dialect *dialect,
+                     const GatewayOptions *options, Log *log, GError **error) {
+  Gateway *gateway = g_new0(Gateway, 1);
+  FrontHooks front = {gateway, on_request, on_hangup, on_bad_input};
+  EndpointLinksHooks links = {gateway, on_outcome};
+  gateway->base = base;
+  gateway->dialect = dialect;
+  gateway->log = log;
+  gateway->drain_least = options->drain_least;
+  gateway->drain_most = options->drain_most;
+  gateway->tick = evtimer_new(base, on_tick, gateway);
+  gateway->drain_timer = evtimer_new(base, on_drain_timer, gateway);
+  gateway->links = endpoint_links_new(base, dialect, &links);
+  make_router(gateway, options);
+  gateway->front = front_new(base, options->callers, dialect, &front, error);
+  if (gateway->front == NULL || !serve_all(gateway, options, error)) {
+    gateway_free(gateway);
+    return NULL;
+  }
+  make_directory(gateway, options);
+  say(gateway, MP_LOG_START, MP_INFO, "instance starts", "");
+  set_tick(gateway);
+  return gateway;
+}
+
+static void stop_serving(struct evhttp *http) {
+  if (http != NULL)
+    evhttp_free(http);
+}
+
+void gateway_free(Gateway *gateway) {
+  stop_serving(gateway->ready_http);
+  stop_serving(gateway->control_http);
+  stop_serving(gateway->metrics_http);
+  if (gateway->directory != NULL)
+    directory_free(gateway->directory);
+  if (gateway->front != NULL)
+    front_free(gateway->front);
+  endpoint_links_free(gateway->links);
+  router_free(gateway->router);
+  event_free(gateway->tick);
+  event_free(gateway->drain_timer);
+  g_free(gateway);
+}
--- /dev/null
+++ b/io/store_link.c
@@ -0,0 +1,226 @@
+/*
+** store_link.c
+** One call at a time to the store
+*/
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include "http/reader.h"
+#include "io/store_link.h"
+
+/* largest answer that is read, bytes */
+#define MAX_ANSWER (16 << 20)
+/* data that the peer's kernel does not take: the path is cut */
+#define UNACKED_MS 1500
+
+struct StoreLink {
+  struct event_base *base;
+  mp_Addr address;
+  const Dialect *dialect;
+  StoreLinkReply on_reply;
+  void *data;
+  struct bufferevent *events; /* NULL: not connected */
+  HttpReader *reader;
+  struct event *timer;
+  gboolean open;
+  StoreCall call;
+  GString *text; /* the request, until it is written */
+  HttpHead *head;
+  GByteArray *body;
+  guint64 calls;
+};
+
+static void disconnect(StoreLink *link) {
+  if (link->events != NULL)
+    bufferevent_free(link->events);
+  http_reader_free(link->reader);
+  link->events = NULL;
+  link->reader = NULL;
+}
+
+static void end_call(StoreLink *link, const StoreReply *reply,
+                     const GError *error) {
+  link->open = FALSE;
+  event_del(link->timer);
+  g_clear_pointer(&link->head, http_head_free);
+  g_byte_array_set_size(link->body, 0);
+  link->on_reply(link->data, reply, error);
+}
+
+static void fail(StoreLink *link, const char *why) {
+  StoreReply reply = {STORE_FAILED, NULL, FALSE, 0};
+  GError *error = g_error_new(MP_ERROR, MP_ERR_STORE, "%s", why);
+  disconnect(link);
+  if (link->open)
+    end_call(link, &reply, error);
+  g_error_free(error);
+}
+
+static void on_head(void *data, HttpHead *head) {
+  StoreLink *link = data;
+  http_head_free(link->head);
+  link->head = head;
+}
+
+static void on_body(void *data, const char *bytes, size_t size) {
+  StoreLink *link = data;
+  g_byte_array_append(link->body, (const guint8 *)bytes, (guint)size);
+}
+
+static void finish(StoreLink *link) {
+  StoreReply reply = {0};
+  GError *error = NULL;
+  gboolean clean =
+      evbuffer_get_length(bufferevent_get_input(link->events)) == 0 &&
+      http_reader_keep_alive(link->reader);
+  link->dialect->read_store_reply(&link->call, link->head->status,
+                                  (const char *)link->body->data,
+                                  link->body->len, &reply, &error);
+  if (error == NULL && reply.status == STORE_FAILED)
+    g_set_error(&error, MP_ERROR, MP_ERR_STORE, "the store answered %d",
+                link->head->status);
+  if (clean)
+    http_reader_next(link->reader);
+  else
+    disconnect(link);
+  end_call(link, &reply, error);
+  store_reply_clear(&reply);
+  g_clear_error(&error);
+}
+
+static void on_read(struct bufferevent *events, void *data) {
+  StoreLink *link = data;
+  struct evbuffer *in = bufferevent_get_input(events);
+  if (!link->open) { /* nobody asked */
+    disconnect(link);
+    return;
+  }
+  while (evbuffer_get_length(in) > 0) {
+    size_t size = evbuffer_get_contiguous_space(in);
+    const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
+    evbuffer_drain(in, http_reader_feed(link->reader, bytes, size));
+    if (http_reader_state(link->reader) == HTTP_READER_BAD) {
+      fail(link, "the store's answer is no HTTP");
+      return;
+    }
+    if (http_reader_state(link->reader) == HTTP_READER_DONE) {
+      finish(link);
+      return;
+    }
+  }
+}
+
+static void write_call(StoreLink *link) {
+  bufferevent_write(link->events, link->text->str, link->text->len);
+  g_string_free(link->text, TRUE);
+  link->text = NULL;
+}
+
+static void set_socket_options(struct bufferevent *events) {
+  evutil_socket_t fd = bufferevent_getfd(events);
+  int on = 1;
+  int unacked = UNACKED_MS;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
+}
+
+static void on_event(struct bufferevent *events, short what, void *data) {
+  StoreLink *link = data;
+  if (what & BEV_EVENT_CONNECTED) {
+    set_socket_options(events);
+    if (link->text != NULL)
+      write_call(link);
+    return;
+  }
+  fail(link, "the connection to the store ended");
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *data) {
+  (void)fd;
+  (void)what;
+  fail(data, "the store did not answer in time");
+}
+
+static const HttpReaderHooks reader_hooks = {on_head, on_body};
+
+static void connect_link(StoreLink *link) {
+  struct sockaddr_in at = {0};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl((uint32_t)(link->address >> 16));
+  at.sin_port = htons((uint16_t)(link->address & 0xffff));
+  link->reader = http_reader_new(HTTP_ANSWERS, &reader_hooks, link);
+  http_reader_limit(link->reader, 0, MAX_ANSWER);
+  link->events = bufferevent_socket_new(
+      link->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb(link->events, on_read, NULL, on_event, link);
+  bufferevent_enable(link->events, EV_READ | EV_WRITE);
+  /* a failure here is told by on_event or by the timer */
+  bufferevent_socket_connect(link->events, (struct sockaddr *)&at, sizeof at);
+}
+
+static GString *request_text(const StoreLink *link, const StoreCall *call) {
+  char *body = NULL;
+  HttpHead *head = link->dialect->write_store_call(call, &body);
+  GString *text = g_string_new(NULL);
+  if (body != NULL)
+    http_head_add_number(head, "Content-Length", (gint64)strlen(body));
+  http_head_write(head, text);
+  if (body != NULL)
+    g_string_append(text, body);
+  http_head_free(head);
+  g_free(body);
+  return text;
+}
+
+void store_link_call(StoreLink *link, const StoreCall *call, gint64 patience) {
+  struct timeval time = {patience / MP_SEC, patience % MP_SEC};
+  gboolean fresh = link->events == NULL;
+  g_assert(!link->open);
+  link->open = TRUE;
+  link->calls++;
+  link->call = *call;
+  link->call.after = NULL; /* not needed to read the answer */
+  link->call.name = NULL;
+  if (link->text != NULL)
+    g_string_free(link->text, TRUE);
+  link->text = request_text(link, call);
+  event_add(link->timer, &time);
+  if (fresh)
+    connect_link(link);
+  else
+    write_call(link);
+}
+
+StoreLink *store_link_new(struct event_base *base, mp_Addr address,
+                          const Dialect *dialect, StoreLinkReply on_reply,
+                          void *data) {
+  StoreLink *link = g_new0(StoreLink, 1);
+  link->base = base;
+  link->address = address;
+  link->dialect = dialect;
+  link->on_reply = on_reply;
+  link->data = data;
+  link->timer = evtimer_new(base, on_timer, link);
+  link->body = g_byte_array_new();
+  return link;
+}
+
+void store_link_free(StoreLink *link) {
+  disconnect(link);
+  event_free(link->timer);
+  if (link->text != NULL)
+    g_string_free(link->text, TRUE);
+  http_head_free(link->head);
+  g_byte_array_free(link->body, TRUE);
+  g_free(link);
+}
+
+guint64 store_link_calls(const StoreLink *link) {
+  return link->calls;
+}
--- /dev/null
+++ b/io/store_link.h
@@ -0,0 +1,31 @@
+/*
+** store_link.h
+** One call at a time to the store, over a kept connection
+** A call that gets no answer in time ends its connection, since a store
+** that lost an answer says nothing more there.
+*/
+
+#ifndef STORE_LINK_H
+#define STORE_LINK_H
+
+#include <event2/event.h>
+
+#include "dialect/dialect.h"
+
+typedef struct StoreLink StoreLink;
+
+/* never called from within store_link_call; 'reply' is cleared after it */
+typedef void (*StoreLinkReply)(void *data, const StoreReply *reply,
+                               const GError *error);
+
+StoreLink *store_link_new(struct event_base *base, mp_Addr address,
+                          const Dialect *dialect, StoreLinkReply on_reply,
+                          void *data);
+void store_link_free(StoreLink *link);
+
+/* no call may be open; 'patience' is how long an answer is waited for */
+void store_link_call(StoreLink *link, const StoreCall *call, gint64 patience);
+
+guint64 store_link_calls(const StoreLink *link);
+
+#endif
--- a/makefile
+++ b/makefile
@@ -15,7 +15,7 @@
 CORECF := $(shell pkg-config --cflags glib-2.0)
 ALLCF := $(shell pkg-config --cflags $(PKG))
 LIBS := $(shell pkg-config --libs evhtp libevent jansson libtirpc libcyaml \
-  glib-2.0)
+  glib-2.0) -lhttp_parser -lm
 LUALIBS := $(shell pkg-config --libs lua5.4)
 
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -Werror -D_GNU_SOURCE
@@ -27,6 +27,9 @@
 CONF = $(call obj,conf)
 WIRE = $(call obj,wire)
 IO = $(call obj,io)
+HTTP = $(call obj,http)
+ROUTER = $(call obj,router)
+DIALECT = $(call obj,dialect) $(call obj,platform)
 LIB = $(BUILD)/libmadderpier.a
 
 DAEMON = $(BUILD)/madderpierd
@@ -36,7 +39,7 @@
 
 all: $(LIB) $(DAEMON) $(CLI)
 
-$(LIB): $(CORE) $(CONF)
+$(LIB): $(CORE) $(CONF) $(ROUTER) $(HTTP)
 	rm -f $@
 	ar rcs $@ $^
 
@@ -53,7 +56,7 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) -Iinclude -I. $(ALLCF) -MMD -c -o $@ $<
 
-$(DAEMON): $(call obj,daemon) $(IO) $(WIRELIB) $(LIB)
+$(DAEMON): $(call obj,daemon) $(IO) $(DIALECT) $(WIRELIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(CLI): $(call obj,cli) $(BUILD)/io/http.o $(LIB)
@@ -105,10 +108,11 @@
 	@mkdir -p $(dir $@)
 	$(CXX) $(CXXFLAGS) -Iinclude -Icore -I. $(ALLCF) -MMD -c -o $@ $<
 
-$(BUILD)/unit: $(TESTS) $(BUILD)/daemon/settings.o $(WIRELIB) $(LIB)
+$(BUILD)/unit: $(TESTS) $(BUILD)/daemon/settings.o $(DIALECT) $(WIRELIB) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LIBS) -lpthread
 
 SOURCES = $(wildcard include/*.h core/*.[ch] conf/*.[ch] wire/*.[ch] io/*.[ch] \
+  http/*.[ch] router/*.[ch] dialect/*.[ch] platform/*.[ch] \
   daemon/*.[ch] cli/*.[ch] standin/*.[ch] bench/*.[ch] examples/*.c \
   test/*.cc test/*.[ch] test/tools/*.cc)
 
--- /dev/null
+++ b/router/endpoint_table.c
@@ -0,0 +1,234 @@
+/*
+** endpoint_table.c
+** The endpoints that an instance knows, and which one takes a dispatch
+*/
+
+#include <math.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "router/endpoint_table.h"
+
+/* an endpoint out of reach is left alone this long, doubled each time */
+#define AVOID_FIRST (500 * MP_MS)
+#define AVOID_MOST (4 * MP_SEC)
+/* recent failures lose their weight with this time constant */
+#define FAILURE_MEMORY (3.0 * MP_SEC)
+/* weight of one dispatch among the recent ones */
+#define FAILURE_STEP 0.3
+
+/* scores are in open dispatches of a service with few slots */
+#define COST_OTHER_ZONE 1.5
+#define COST_FAILURES 12.0
+#define COST_COLD 3.0
+/* an engine's share of memory in use, as open dispatches */
+#define COST_MEMORY 12.0
+/* affinity turns the choice while the load is within this of the best */
+#define AFFINITY_REACH 1.6
+
+static void endpoint_free(gpointer p) {
+  Endpoint *endpoint = p;
+  endpoint_record_clear(&endpoint->record);
+  g_free(endpoint);
+}
+
+EndpointTable *endpoint_table_new(const char *zone) {
+  EndpointTable *table = g_new0(EndpointTable, 1);
+  table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+  table->all = g_ptr_array_new_with_free_func(endpoint_free);
+  table->zone = g_strdup(zone);
+  return table;
+}
+
+void endpoint_table_free(EndpointTable *table) {
+  g_hash_table_destroy(table->by_id);
+  g_ptr_array_free(table->all, TRUE);
+  g_free(table->zone);
+  g_free(table);
+}
+
+Endpoint *endpoint_table_get(const EndpointTable *table, const char *id) {
+  return g_hash_table_lookup(table->by_id, id);
+}
+
+static void record_copy(EndpointRecord *to, const EndpointRecord *from) {
+  endpoint_record_clear(to);
+  *to = *from;
+  to->id = g_strdup(from->id);
+  to->service = g_strdup(from->service);
+  to->zone = g_strdup(from->zone);
+}
+
+void endpoint_table_set(EndpointTable *table, const EndpointRecord *record) {
+  Endpoint *endpoint = endpoint_table_get(table, record->id);
+  if (endpoint == NULL) {
+    endpoint = g_new0(Endpoint, 1);
+    g_ptr_array_add(table->all, endpoint);
+  } else
+    g_hash_table_remove(table->by_id, record->id);
+  record_copy(&endpoint->record, record);
+  g_hash_table_insert(table->by_id, endpoint->record.id, endpoint);
+}
+
+void endpoint_table_remove(EndpointTable *table, const char *id) {
+  Endpoint *endpoint = endpoint_table_get(table, id);
+  if (endpoint == NULL)
+    return;
+  g_hash_table_remove(table->by_id, id);
+  g_ptr_array_remove(table->all, endpoint);
+}
+
+void endpoint_table_keep(EndpointTable *table, GHashTable *names) {
+  guint i = 0;
+  while (i < table->all->len) {
+    Endpoint *endpoint = table->all->pdata[i];
+    if (g_hash_table_contains(names, endpoint->record.id))
+      i++;
+    else
+      endpoint_table_remove(table, endpoint->record.id);
+  }
+}
+
+/*
+** {==================================================================
+** Choice
+** ===================================================================
+*/
+
+static gboolean is_excluded(const EndpointWish *wish, const char *id) {
+  guint i;
+  for (i = 0; i < wish->excluded_count; i++) {
+    if (strcmp(wish->excluded[i], id) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static gboolean fits(const Endpoint *endpoint, const char *service,
+                     EndpointStage stage) {
+  return endpoint->record.ready && endpoint->record.stage == stage &&
+         strcmp(endpoint->record.service, service) == 0;
+}
+
+static double recent_failures(const Endpoint *endpoint, gint64 now) {
+  double age = (double)(now - endpoint->failed_at);
+  return endpoint->failures * exp(-age / FAILURE_MEMORY);
+}
+
+/* smaller is better */
+static double cost(const EndpointTable *table, const EndpointWish *wish,
+                   const Endpoint *endpoint, gint64 now) {
+  const char *zone = wish->zone != NULL ? wish->zone : table->zone;
+  double sum = endpoint->open;
+  if (wish->capacity > 0)
+    sum = COST_MEMORY * (double)(endpoint->tokens + wish->tokens) /
+          (double)wish->capacity;
+  if (strcmp(endpoint->record.zone, zone) != 0)
+    sum += COST_OTHER_ZONE;
+  if (endpoint->record.cold_left > 0)
+    sum += COST_COLD;
+  sum += COST_FAILURES * recent_failures(endpoint, now);
+  return sum;
+}
+
+/* rendezvous hash: the endpoint with the largest weight is the home */
+static guint64 affinity_weight(const Endpoint *endpoint, guint64 affinity) {
+  return XXH3_64bits_withSeed(endpoint->record.id, strlen(endpoint->record.id),
+                              affinity);
+}
+
+typedef struct Candidate {
+  Endpoint *endpoint;
+  double cost;
+} Candidate;
+
+static GArray *candidates(const EndpointTable *table, const EndpointWish *wish,
+                          gboolean avoided_too, gint64 now) {
+  GArray *found = g_array_new(FALSE, FALSE, sizeof(Candidate));
+  guint i;
+  for (i = 0; i < table->all->len; i++) {
+    Endpoint *endpoint = table->all->pdata[i];
+    Candidate candidate;
+    if (!fits(endpoint, wish->service, wish->stage) ||
+        is_excluded(wish, endpoint->record.id))
+      continue;
+    if (!avoided_too && endpoint->avoid_until > now)
+      continue;
+    candidate.endpoint = endpoint;
+    candidate.cost = cost(table, wish, endpoint, now);
+    g_array_append_val(found, candidate);
+  }
+  return found;
+}
+
+static Endpoint *best_of(const GArray *found, const EndpointWish *wish) {
+  double reach = wish->affinity != 0 ? AFFINITY_REACH : 0.01;
+  guint64 seed = wish->affinity != 0 ? wish->affinity : wish->spread;
+  double least = HUGE_VAL;
+  Endpoint *best = NULL;
+  guint64 best_weight = 0;
+  guint i;
+  for (i = 0; i < found->len; i++)
+    least = MIN(least, g_array_index(found, Candidate, i).cost);
+  for (i = 0; i < found->len; i++) {
+    const Candidate *candidate = &g_array_index(found, Candidate, i);
+    guint64 weight = affinity_weight(candidate->endpoint, seed);
+    if (candidate->cost > least + reach)
+      continue;
+    if (best == NULL || weight > best_weight) {
+      best = candidate->endpoint;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+Endpoint *endpoint_table_choose(const EndpointTable *table,
+                                const EndpointWish *wish, gint64 now) {
+  GArray *found = candidates(table, wish, FALSE, now);
+  Endpoint *best;
+  if (found->len == 0) { /* better one that failed lately than none */
+    g_array_free(found, TRUE);
+    found = candidates(table, wish, TRUE, now);
+  }
+  best = best_of(found, wish);
+  g_array_free(found, TRUE);
+  return best;
+}
+
+gboolean endpoint_table_has(const EndpointTable *table, const char *service,
+                            EndpointStage stage, gint64 now) {
+  guint i;
+  for (i = 0; i < table->all->len; i++) {
+    const Endpoint *endpoint = table->all->pdata[i];
+    if (fits(endpoint, service, stage) && endpoint->avoid_until <= now)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* }================================================================== */
+
+static void count_failure(Endpoint *endpoint, double failed, gint64 now) {
+  double recent = recent_failures(endpoint, now);
+  endpoint->failures = recent + FAILURE_STEP * (failed - recent);
+  endpoint->failed_at = now;
+}
+
+void endpoint_succeeded(Endpoint *endpoint, gint64 now) {
+  count_failure(endpoint, 0, now);
+  endpoint->misses = 0;
+  endpoint->avoid_until = 0;
+}
+
+void endpoint_failed(Endpoint *endpoint, gint64 now) {
+  count_failure(endpoint, 1, now);
+}
+
+void endpoint_unreachable(Endpoint *endpoint, gint64 now) {
+  gint64 wait = AVOID_FIRST << MIN(endpoint->misses, 3);
+  endpoint->misses++;
+  endpoint->avoid_until = now + MIN(wait, AVOID_MOST);
+}
--- /dev/null
+++ b/router/endpoint_table.h
@@ -0,0 +1,69 @@
+/*
+** endpoint_table.h
+** The endpoints that an instance knows, and which one takes a dispatch
+**
+** What the platform lists (EndpointRecord) stands beside what this
+** instance has seen itself: its own open dispatches and recent failures.
+*/
+
+#ifndef ROUTER_ENDPOINT_TABLE_H
+#define ROUTER_ENDPOINT_TABLE_H
+
+#include "router/records.h"
+
+/* most endpoints that one request leaves out after they failed it */
+#define MAX_EXCLUDED 8
+
+typedef struct Endpoint {
+  EndpointRecord record;
+  guint open;         /* this instance's dispatches there */
+  guint64 tokens;     /* prompt and output tokens of those */
+  double failures;    /* recent share of failed dispatches, 0 to 1 */
+  gint64 failed_at;   /* when 'failures' was last changed */
+  gint64 avoid_until; /* out of reach: not chosen before then */
+  unsigned misses;    /* out of reach so many times in a row */
+} Endpoint;
+
+typedef struct EndpointTable {
+  GHashTable *by_id; /* id -> Endpoint */
+  GPtrArray *all;    /* Endpoint, in the order they came */
+  char *zone;        /* this instance's */
+} EndpointTable;
+
+/* what is asked of an endpoint */
+typedef struct EndpointWish {
+  const char *service;
+  EndpointStage stage;
+  const char *zone; /* preferred; NULL: this instance's */
+  guint64 affinity; /* equal ones meet the same endpoint; 0: none */
+  guint64 spread;   /* random: tells equals apart where there is none */
+  guint64 capacity; /* engines: tokens of memory, 0: unknown */
+  guint64 tokens;   /* tokens that the dispatch adds */
+  const char *const *excluded; /* ids */
+  guint excluded_count;
+} EndpointWish;
+
+EndpointTable *endpoint_table_new(const char *zone);
+void endpoint_table_free(EndpointTable *table);
+
+void endpoint_table_set(EndpointTable *table, const EndpointRecord *record);
+void endpoint_table_remove(EndpointTable *table, const char *id);
+/* forget every endpoint whose id is no key of 'names' */
+void endpoint_table_keep(EndpointTable *table, GHashTable *names);
+
+/* NULL when it is not listed (any more) */
+Endpoint *endpoint_table_get(const EndpointTable *table, const char *id);
+
+/* the best endpoint for a wish, or NULL */
+Endpoint *endpoint_table_choose(const EndpointTable *table,
+                                const EndpointWish *wish, gint64 now);
+/* are there endpoints of this service and stage that could be chosen? */
+gboolean endpoint_table_has(const EndpointTable *table, const char *service,
+                            EndpointStage stage, gint64 now);
+
+/* what became of a dispatch */
+void endpoint_succeeded(Endpoint *endpoint, gint64 now);
+void endpoint_failed(Endpoint *endpoint, gint64 now);
+void endpoint_unreachable(Endpoint *endpoint, gint64 now);
+
+#endif
--- /dev/null
+++ b/router/follower.h
@@ -0,0 +1,99 @@
+/*
+** follower.h
+** Following one kind of object of the store: list, then watch
+**
+** A Follower decides which call to make next and what an answer means; it
+** does no input or output. Its host performs StoreCall and hands back a
+** StoreReply. Invariants: one call is open at a time; an object never
+** takes effect over a newer revision of itself; a list that took several
+** calls takes effect for absent objects only when it is whole.
+*/
+
+#ifndef ROUTER_FOLLOWER_H
+#define ROUTER_FOLLOWER_H
+
+#include <glib.h>
+
+typedef enum StoreKind {
+  STORE_CONFIGURATION, /* the operators' configuration, one object */
+  STORE_ENDPOINTS,     /* what may run requests */
+  STORE_INSTANCES      /* instances of this system; kept by themselves */
+} StoreKind;
+
+typedef enum StoreOperation {
+  STORE_LIST,
+  STORE_WATCH,
+  STORE_CREATE
+} StoreOperation;
+
+typedef struct StoreCall {
+  StoreKind kind;
+  StoreOperation operation;
+  const char *after; /* LIST: continue behind this name, or NULL */
+  gint64 revision;   /* WATCH: the last one known */
+  gint64 wait;       /* WATCH: answer after so long at the latest */
+  gboolean stale;    /* LIST: seconds old will do */
+  const char *name;  /* CREATE */
+} StoreCall;
+
+typedef enum StoreStatus {
+  STORE_OK,
+  STORE_HISTORY_GONE, /* WATCH: list again */
+  STORE_EXISTS,       /* CREATE */
+  STORE_FAILED        /* no answer, or none that can be used */
+} StoreStatus;
+
+typedef struct StoreObject {
+  char *name;
+  gint64 revision;
+  gboolean gone;
+  char *text; /* its content; NULL when gone */
+} StoreObject;
+
+typedef struct StoreReply {
+  StoreStatus status;
+  GArray *objects; /* StoreObject; may be NULL */
+  gboolean more;   /* LIST: it goes on behind the last name */
+  gint64 at;       /* revision of the store */
+} StoreReply;
+
+/* an empty array of StoreObject that clears its elements */
+GArray *store_objects_new(void);
+void store_reply_clear(StoreReply *reply);
+
+/* what a follower tells its host */
+typedef struct FollowerHost {
+  void *data;
+  /* an object is new, changed or gone */
+  void (*object)(void *data, StoreKind kind, const StoreObject *object);
+  /* a list is whole: 'names' are the keys of all objects there are */
+  void (*listed)(void *data, StoreKind kind, GHashTable *names);
+  void (*lost)(void *data, StoreKind kind);     /* no answers any more */
+  void (*regained)(void *data, StoreKind kind); /* answers again */
+} FollowerHost;
+
+typedef struct Follower {
+  StoreKind kind;
+  FollowerHost host;
+  gint64 watch_wait;     /* longest wait of one watch */
+  gboolean watching;     /* else the next call lists */
+  gboolean open;         /* a call is out */
+  gint64 revision;       /* of the store, as far as it was read */
+  char *after;           /* a list goes on behind this name */
+  GHashTable *names;     /* seen by the list that is being read */
+  GHashTable *revisions; /* name -> newest revision seen (gint64) */
+  gint64 retry_at;       /* no call before then */
+  unsigned failures;     /* in a row */
+} Follower;
+
+void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
+                   const FollowerHost *host);
+void follower_clear(Follower *follower);
+
+/* when the next call may be made; G_MAXINT64 while one is out */
+gint64 follower_next_call(const Follower *follower);
+/* the call to make now; the texts live until its reply is handed in */
+void follower_begin(Follower *follower, StoreCall *call);
+void follower_reply(Follower *follower, const StoreReply *reply, gint64 now);
+
+#endif
--- /dev/null
+++ b/router/path.c
@@ -0,0 +1,329 @@
+/*
+** path.c
+** The path of one request over the endpoints
+**
+** Invariants. A request that is not repeatable is sent again only after
+** its endpoint said that it did not run it, or was never connected to. At
+** most Route.attempts dispatches of a request may have run. Every arrival
+** after the first is drawn from the service's retry budget before it is
+** sent.
+*/
+
+#include <string.h>
+
+#include "router/state.h"
+
+/* patience with endpoints that do not take a connection */
+#define CONNECT_TIMEOUT (400 * MP_MS)
+/* endpoints that may be out of reach before a request gives up */
+#define MOST_UNREACHABLE 6
+/* runs that may be turned away before a request gives up */
+#define MOST_ARRIVALS 4
+/* repeatable streams are resumed after this silence, at the least */
+#define HEAD_SILENCE (1500 * MP_MS)
+#define PIECE_SILENCE (900 * MP_MS)
+/* plain repeatable requests: silence of so many objectives */
+#define SAFE_SILENCE_OBJECTIVES 4
+/* time that must be left for another try to make sense */
+#define LEAST_TIME_LEFT (30 * MP_MS)
+
+EndpointWish path_wish(Router *router, const Request *request,
+                       EndpointStage stage) {
+  EndpointWish wish = {0};
+  wish.service = request->service->name;
+  wish.stage = stage;
+  wish.capacity = request->service->kv_tokens;
+  wish.tokens = (guint64)request->prompt_tokens + request->output_tokens;
+  wish.excluded = (const char *const *)request->excluded;
+  wish.excluded_count = request->excluded_count;
+  wish.spread = (guint64)g_rand_int(router->random) + 1;
+  return wish;
+}
+
+void path_exclude(Request *request, const char *endpoint) {
+  if (request->excluded_count == MAX_EXCLUDED)
+    return;
+  request->excluded[request->excluded_count++] = g_strdup(endpoint);
+}
+
+/*
+** {==================================================================
+** Dispatches
+** ===================================================================
+*/
+
+void path_close_dispatch(Router *router, Request *request, gboolean cancel) {
+  OpenDispatch *open = &request->open;
+  Endpoint *endpoint;
+  if (open->number == 0)
+    return;
+  endpoint = endpoint_table_get(router->endpoints, open->endpoint);
+  if (endpoint != NULL) {
+    endpoint->open -= MIN(endpoint->open, 1);
+    endpoint->tokens -= MIN(endpoint->tokens, open->tokens);
+  }
+  g_hash_table_remove(router->dispatched, &open->number);
+  if (cancel)
+    router->host.cancel(router->host.data, open->number);
+  open->number = 0;
+  g_clear_pointer(&open->endpoint, g_free);
+  request->stall_at = 0;
+}
+
+void path_send(Router *router, Request *request, DispatchKind kind,
+               Endpoint *endpoint, guint64 tokens, gint64 now) {
+  Dispatch dispatch = {0};
+  OpenDispatch *open = &request->open;
+  open->number = ++router->last_dispatch;
+  open->endpoint = g_strdup(endpoint->record.id);
+  open->tokens = tokens;
+  open->sent = now;
+  endpoint->open++;
+  endpoint->tokens += tokens;
+  g_hash_table_insert(router->dispatched, &open->number, request);
+  dispatch.number = open->number;
+  dispatch.kind = kind;
+  dispatch.request = request->number;
+  dispatch.address = endpoint->record.address;
+  dispatch.endpoint = endpoint->record.id;
+  dispatch.deadline_ms = MAX((request->caller_deadline - now) / MP_MS, 1);
+  dispatch.connect_timeout = CONNECT_TIMEOUT;
+  if (kind == DISPATCH_RUN) {
+    dispatch.stream = request->route->kind == ROUTE_STREAM;
+    dispatch.handle = request->handle;
+    dispatch.handle_address = request->handle_address;
+    dispatch.last_event = request->last_event;
+  }
+  router_count(router, DISPATCHES);
+  router->host.dispatch(router->host.data, &dispatch);
+}
+
+/* the engine that was reserved, if it can still be used */
+static Endpoint *reserved_decode(Router *router, const Request *request) {
+  Endpoint *endpoint;
+  if (request->decode == NULL)
+    return NULL;
+  endpoint = endpoint_table_get(router->endpoints, request->decode);
+  return endpoint != NULL && endpoint->record.ready ? endpoint : NULL;
+}
+
+static Endpoint *choose(Router *router, const Request *request, gint64 now) {
+  EndpointStage stage =
+      request->service->is_engine ? STAGE_DECODE : STAGE_NONE;
+  EndpointWish wish = path_wish(router, request, stage);
+  Endpoint *endpoint = reserved_decode(router, request);
+  if (endpoint == NULL)
+    endpoint = endpoint_table_choose(router->endpoints, &wish, now);
+  return endpoint;
+}
+
+/* when silence of the endpoint is taken for a failure; 0: never */
+static gint64 silence_limit(const Request *request, gint64 now) {
+  gint64 wait;
+  if (!request->repeatable || request->runs + 1 >= request->route->attempts)
+    return 0;
+  if (request->route->kind == ROUTE_STREAM)
+    return now + HEAD_SILENCE;
+  wait = request->route->objective * SAFE_SILENCE_OBJECTIVES;
+  return now + MAX(wait, 100 * MP_MS);
+}
+
+void path_run(Router *router, Request *request, gint64 now) {
+  Endpoint *endpoint;
+  guint64 tokens = 0;
+  request->phase = PHASE_RUN;
+  if (request->handle != NULL && now >= request->handle_until)
+    prefill_drop_handle(router, request, now);
+  endpoint = choose(router, request, now);
+  if (endpoint == NULL) {
+    finish_give_up(router, request, now);
+    return;
+  }
+  prefill_unreserve(router, request);
+  if (request->service->is_engine)
+    tokens = (guint64)request->prompt_tokens + request->output_tokens;
+  path_send(router, request, DISPATCH_RUN, endpoint, tokens, now);
+  request->stall_at = silence_limit(request, now);
+  /* a handle serves once, whatever becomes of the run */
+  g_clear_pointer(&request->handle, g_free);
+  g_clear_pointer(&request->handle_endpoint, g_free);
+}
+
+void path_begin(Router *router, Request *request, gint64 now) {
+  if (request->service->is_engine && prefill_begin(router, request, now))
+    return;
+  path_run(router, request, now);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Trying again
+** ===================================================================
+*/
+
+static gboolean may_try_again(const Request *request, gboolean may_have_run,
+                              gint64 now) {
+  if (now + LEAST_TIME_LEFT >= request->expires ||
+      request->arrivals >= MOST_ARRIVALS)
+    return FALSE;
+  if (!may_have_run)
+    return TRUE;
+  return request->repeatable && request->runs < request->route->attempts;
+}
+
+void path_run_again(Router *router, Request *request, gboolean may_have_run,
+                    gint64 now) {
+  RetryBudget *budget = router_budget(router, request->service->name);
+  if (!may_try_again(request, may_have_run, now)) {
+    finish_give_up(router, request, now);
+    return;
+  }
+  if (!retry_budget_take(budget, &router->retry, now)) {
+    router_count(router, RETRIES_DENIED);
+    finish_give_up(router, request, now);
+    return;
+  }
+  router_count(router, RETRIES);
+  path_run(router, request, now);
+}
+
+/* no connection stood: the next endpoint, and no retry is spent */
+static void unreachable(Router *router, Request *request, Endpoint *endpoint,
+                        gint64 now) {
+  router_count(router, UNREACHABLE);
+  if (endpoint != NULL)
+    endpoint_unreachable(endpoint, now);
+  path_close_dispatch(router, request, FALSE);
+  if (++request->unreachable >= MOST_UNREACHABLE ||
+      now + LEAST_TIME_LEFT >= request->expires)
+    finish_give_up(router, request, now);
+  else
+    path_run(router, request, now);
+}
+
+static void not_run(Router *router, Request *request, Endpoint *endpoint,
+                    const Outcome *outcome, gint64 now) {
+  router_count(router, NOT_RUN);
+  request->arrivals++;
+  request->was_busy = TRUE;
+  if (endpoint != NULL) {
+    endpoint_failed(endpoint, now);
+    if (outcome->misdirected)
+      endpoint_unreachable(endpoint, now);
+  }
+  path_close_dispatch(router, request, FALSE);
+  path_run_again(router, request, FALSE, now);
+}
+
+static void broken(Router *router, Request *request, Endpoint *endpoint,
+                   gboolean cancel, gint64 now) {
+  router_count(router, BROKEN);
+  request->arrivals++;
+  request->runs++;
+  if (endpoint != NULL)
+    endpoint_failed(endpoint, now);
+  path_close_dispatch(router, request, cancel);
+  if (request->head_sent)
+    router_count(router, RESUMED);
+  path_run_again(router, request, TRUE, now);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Outcomes
+** ===================================================================
+*/
+
+/* the endpoint's own failure: pass it on, or try another one */
+static void answered(Router *router, Request *request, Endpoint *endpoint,
+                     const Outcome *outcome, gint64 now) {
+  gboolean failed = outcome->status >= 500;
+  if (endpoint != NULL && failed)
+    endpoint_failed(endpoint, now);
+  else if (endpoint != NULL)
+    endpoint_succeeded(endpoint, now);
+  if (failed && request->repeatable &&
+      request->runs + 1 < request->route->attempts &&
+      may_try_again(request, TRUE, now) &&
+      retry_budget_take(router_budget(router, request->service->name),
+                        &router->retry, now)) {
+    request->arrivals++;
+    request->runs++;
+    router_count(router, RETRIES);
+    path_close_dispatch(router, request, FALSE);
+    path_run(router, request, now);
+    return;
+  }
+  if (request->head_sent) { /* a resumed stream got no stream */
+    request->runs++;
+    finish_give_up(router, request, now);
+    return;
+  }
+  finish_answered(router, request, outcome);
+}
+
+static void piece(Router *router, Request *request, const Outcome *outcome,
+                  gint64 now) {
+  if (outcome->event != NULL) {
+    g_free(request->last_event);
+    request->last_event = g_strdup(outcome->event);
+  }
+  if (request->stall_at != 0)
+    request->stall_at = now + PIECE_SILENCE;
+  router->host.answer(router->host.data, request->number, outcome);
+}
+
+static void stream_head(Router *router, Request *request,
+                        const Outcome *outcome, gint64 now) {
+  if (request->stall_at != 0)
+    request->stall_at = now + HEAD_SILENCE;
+  if (request->head_sent)
+    return; /* resumed: the caller keeps its first head */
+  request->head_sent = TRUE;
+  router->host.answer(router->host.data, request->number, outcome);
+}
+
+void path_outcome(Router *router, Request *request, const Outcome *outcome,
+                  gint64 now) {
+  Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->open.endpoint);
+  if (outcome->kind != OUTCOME_STREAM_PIECE)
+    router_log(router, MP_LOG_ROUTE_OUTCOME,
+               " request=%s endpoint=%s outcome=%d status=%d after_ms=%d",
+               request->id, request->open.endpoint, (int)outcome->kind,
+               outcome->status, (int)((now - request->open.sent) / MP_MS));
+  if (outcome->kind == OUTCOME_UNREACHABLE ||
+      outcome->kind == OUTCOME_NOT_RUN || outcome->kind == OUTCOME_BROKEN)
+    path_exclude(request, request->open.endpoint);
+  switch (outcome->kind) {
+  case OUTCOME_UNREACHABLE:
+    unreachable(router, request, endpoint, now);
+    break;
+  case OUTCOME_NOT_RUN:
+    not_run(router, request, endpoint, outcome, now);
+    break;
+  case OUTCOME_BROKEN:
+    broken(router, request, endpoint, FALSE, now);
+    break;
+  case OUTCOME_ANSWER:
+    answered(router, request, endpoint, outcome, now);
+    break;
+  case OUTCOME_STREAM_HEAD:
+    stream_head(router, request, outcome, now);
+    break;
+  case OUTCOME_STREAM_PIECE:
+    piece(router, request, outcome, now);
+    break;
+  case OUTCOME_STREAM_END:
+    if (endpoint != NULL)
+      endpoint_succeeded(endpoint, now);
+    finish_answered(router, request, outcome);
+    break;
+  }
+}
+
+/* }================================================================== */
--- /dev/null
+++ b/router/prefill.c
@@ -0,0 +1,141 @@
+/*
+** prefill.c
+** Reading the prompt at a prefill engine before the run
+**
+** The decode engine is chosen first and its memory reserved; the prompt
+** is then read near it, and the run fetches the result by its handle. A
+** handle lives shortly and serves once. Whenever anything goes wrong the
+** request runs at a decode engine that reads the prompt itself: that run
+** is its first arrival and costs no retry.
+*/
+
+#include <string.h>
+
+#include "router/state.h"
+
+/* pace of an engine that reads prompts, in tokens a millisecond */
+#define PREFILL_PACE 33
+/* it may take so many times as long, and this on top */
+#define PREFILL_PATIENCE 4
+#define PREFILL_GRACE (400 * MP_MS)
+/* a handle with less time left than this is not worth the fetch */
+#define HANDLE_MARGIN (60 * MP_MS)
+
+static guint64 prompt_and_output(const Request *request) {
+  return (guint64)request->prompt_tokens + request->output_tokens;
+}
+
+void prefill_unreserve(Router *router, Request *request) {
+  Endpoint *endpoint;
+  if (request->decode == NULL)
+    return;
+  endpoint = endpoint_table_get(router->endpoints, request->decode);
+  if (endpoint != NULL)
+    endpoint->tokens -= MIN(endpoint->tokens, request->decode_tokens);
+  g_clear_pointer(&request->decode, g_free);
+}
+
+static void reserve_decode(Request *request, Endpoint *endpoint) {
+  request->decode = g_strdup(endpoint->record.id);
+  request->decode_tokens = prompt_and_output(request);
+  endpoint->tokens += request->decode_tokens;
+}
+
+gboolean prefill_begin(Router *router, Request *request, gint64 now) {
+  EndpointWish wish = path_wish(router, request, STAGE_DECODE);
+  Endpoint *decode;
+  Endpoint *prefill;
+  gint64 expected;
+  if (!endpoint_table_has(router->endpoints, request->service->name,
+                          STAGE_PREFILL, now))
+    return FALSE;
+  wish.affinity = request->session;
+  decode = endpoint_table_choose(router->endpoints, &wish, now);
+  if (decode == NULL)
+    return FALSE;
+  wish = path_wish(router, request, STAGE_PREFILL);
+  wish.zone = decode->record.zone;
+  wish.affinity = request->session;
+  prefill = endpoint_table_choose(router->endpoints, &wish, now);
+  if (prefill == NULL)
+    return FALSE;
+  reserve_decode(request, decode);
+  router_count(router, PREFILLS);
+  expected = request->prompt_tokens / PREFILL_PACE * MP_MS;
+  request->phase = PHASE_PREFILL;
+  request->stall_at = now + PREFILL_PATIENCE * expected + PREFILL_GRACE;
+  path_send(router, request, DISPATCH_PREFILL, prefill, request->prompt_tokens,
+            now);
+  return TRUE;
+}
+
+/* the prompt was read: run where it can be fetched */
+static void take_handle(Request *request, const Outcome *outcome,
+                        const Endpoint *endpoint, gint64 now) {
+  gint64 life = outcome->handle_life > 0 ? outcome->handle_life
+                                         : request->service->handle_life;
+  request->handle = g_strdup(outcome->handle);
+  request->handle_endpoint = g_strdup(endpoint->record.id);
+  request->handle_address = endpoint->record.address;
+  request->handle_until = now + life - HANDLE_MARGIN;
+}
+
+void prefill_outcome(Router *router, Request *request, const Outcome *outcome,
+                     gint64 now) {
+  Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->open.endpoint);
+  RetryBudget *budget = router_budget(router, request->service->name);
+  if (outcome->kind == OUTCOME_ANSWER && outcome->handle != NULL) {
+    request->prefills++;
+    if (endpoint != NULL) {
+      endpoint_succeeded(endpoint, now);
+      take_handle(request, outcome, endpoint, now);
+    }
+  } else if (outcome->kind == OUTCOME_UNREACHABLE) {
+    router_count(router, UNREACHABLE);
+    if (endpoint != NULL)
+      endpoint_unreachable(endpoint, now);
+  } else {
+    if (outcome->kind == OUTCOME_NOT_RUN)
+      retry_budget_spend(budget, &router->retry, now);
+    if (endpoint != NULL)
+      endpoint_failed(endpoint, now);
+  }
+  router_log(router, MP_LOG_ROUTE_PREFILL,
+             " request=%s endpoint=%s outcome=%d handle=%s after_ms=%d",
+             request->id, request->open.endpoint, (int)outcome->kind,
+             request->handle != NULL ? request->handle : "-",
+             (int)((now - request->open.sent) / MP_MS));
+  path_close_dispatch(router, request, FALSE);
+  path_run(router, request, now);
+}
+
+void prefill_stalled(Router *router, Request *request, gint64 now) {
+  Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->open.endpoint);
+  if (endpoint != NULL)
+    endpoint_failed(endpoint, now);
+  router_log(router, MP_LOG_ROUTE_PREFILL,
+             " request=%s endpoint=%s outcome=stalled after_ms=%d",
+             request->id, request->open.endpoint,
+             (int)((now - request->open.sent) / MP_MS));
+  path_close_dispatch(router, request, TRUE);
+  path_run(router, request, now);
+}
+
+void prefill_drop_handle(Router *router, Request *request, gint64 now) {
+  Dispatch release = {0};
+  if (request->handle == NULL)
+    return;
+  if (now < request->handle_until) {
+    release.number = ++router->last_dispatch;
+    release.kind = DISPATCH_RELEASE;
+    release.address = request->handle_address;
+    release.endpoint = request->handle_endpoint;
+    release.handle = request->handle;
+    release.connect_timeout = 300 * MP_MS;
+    router->host.dispatch(router->host.data, &release);
+  }
+  g_clear_pointer(&request->handle, g_free);
+  g_clear_pointer(&request->handle_endpoint, g_free);
+}
--- /dev/null
+++ b/router/records.h
@@ -0,0 +1,123 @@
+/*
+** records.h
+** What the platform tells about routes, services and endpoints
+** A dialect fills these; the router reads them.
+*/
+
+#ifndef ROUTER_RECORDS_H
+#define ROUTER_RECORDS_H
+
+#include <glib.h>
+
+#include "madderpier.h"
+
+/*
+** {==================================================================
+** Configuration
+** ===================================================================
+*/
+
+typedef struct Service {
+  char *name;
+  char *health_path;
+  gboolean is_engine;
+  guint32 slots;      /* engines: requests at once */
+  guint32 kv_tokens;  /* engines: memory, in tokens */
+  gint64 handle_life; /* engines: microseconds */
+  guint32 max_connections;
+} Service;
+
+typedef enum RouteKind {
+  ROUTE_SAFE,   /* may run more than once */
+  ROUTE_UNSAFE, /* may run at most once */
+  ROUTE_STREAM  /* an answer in pieces; at most once unless resumable */
+} RouteKind;
+
+/* one of the services that share a route's requests */
+typedef struct RouteTarget {
+  char *service;
+  guint32 weight;
+} RouteTarget;
+
+typedef struct Route {
+  char *name;
+  char *host;
+  char *prefix; /* begins and ends with a slash */
+  RouteKind kind;
+  gboolean resumable;
+  guint32 attempts; /* most endpoints that may run one request */
+  gint64 timeout;   /* longest that a request is held */
+  gint64 objective; /* time within which an answer earns all */
+  gint64 gap;       /* longest pause between pieces */
+  guint32 priority; /* 0 is the highest */
+  GArray *targets;  /* RouteTarget, one at least */
+} Route;
+
+/* limits on what callers may send */
+typedef struct CallerLimits {
+  gsize max_head_bytes;
+  gsize max_body_bytes;
+  gint64 head_timeout;
+  gint64 idle_timeout;
+} CallerLimits;
+
+/* one configuration, whole; immutable once built, shared by reference */
+typedef struct RouteTable {
+  gint refs;
+  guint64 version;
+  GPtrArray *routes;   /* Route */
+  GPtrArray *services; /* Service */
+  CallerLimits limits;
+} RouteTable;
+
+RouteTable *route_table_new(void);
+RouteTable *route_table_ref(RouteTable *table);
+void route_table_unref(RouteTable *table);
+
+/* append an empty row; the table owns it */
+Route *route_table_add_route(RouteTable *table);
+Service *route_table_add_service(RouteTable *table);
+void route_add_target(Route *route, const char *service, guint32 weight);
+
+/* the route of this host with the longest prefix of the path, or NULL */
+const Route *route_table_find(const RouteTable *table, const char *host,
+                              const char *path);
+const Service *route_table_service(const RouteTable *table, const char *name);
+
+/* the service for a request; 'draw' is uniform over guint32 */
+const char *route_choose_service(const Route *route, guint32 draw);
+
+/* may the requests of this route run more than once? */
+gboolean route_repeatable(const Route *route);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Endpoints
+** ===================================================================
+*/
+
+typedef enum EndpointStage {
+  STAGE_NONE,
+  STAGE_PREFILL,
+  STAGE_DECODE
+} EndpointStage;
+
+/* one incarnation of an endpoint as the platform's list has it */
+typedef struct EndpointRecord {
+  char *id; /* of this incarnation; appears nowhere else */
+  char *service;
+  char *zone;
+  mp_Addr address;
+  gboolean ready; /* FALSE: it is leaving */
+  guint32 slots;
+  EndpointStage stage;
+  gint64 cold_left; /* how long it will still be slow; microseconds */
+} EndpointRecord;
+
+void endpoint_record_clear(EndpointRecord *record);
+
+/* }================================================================== */
+
+#endif
--- /dev/null
+++ b/router/router.c
@@ -0,0 +1,289 @@
+/*
+** router.c
+** The router: its tables, and the doors through which events come in
+*/
+
+#include <stdarg.h>
+#include <string.h>
+
+#include "router/state.h"
+
+/* the last word leaves this long before the caller stops waiting */
+#define ANSWER_MARGIN (15 * MP_MS)
+
+/*
+** {==================================================================
+** Life
+** ===================================================================
+*/
+
+static void request_free(gpointer p) {
+  Request *request = p;
+  guint i;
+  route_table_unref(request->table);
+  g_free(request->id);
+  g_free(request->open.endpoint);
+  g_free(request->last_event);
+  g_free(request->decode);
+  g_free(request->handle);
+  g_free(request->handle_endpoint);
+  for (i = 0; i < request->excluded_count; i++)
+    g_free(request->excluded[i]);
+  g_free(request);
+}
+
+Router *router_new(const RouterOptions *options, const RouterHost *host,
+                   gint64 now) {
+  Router *router = g_new0(Router, 1);
+  router->host = *host;
+  router->retry.ratio = options->retry_ratio;
+  router->retry.window = options->retry_window;
+  router->retry.born = now;
+  router->retry_slack = options->retry_slack;
+  router->random = g_rand_new_with_seed((guint32)options->seed);
+  router->endpoints = endpoint_table_new(options->zone);
+  router->budgets =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  router->requests =
+      g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, request_free);
+  router->dispatched = g_hash_table_new(g_int64_hash, g_int64_equal);
+  return router;
+}
+
+void router_free(Router *router) {
+  g_hash_table_destroy(router->dispatched);
+  g_hash_table_destroy(router->requests);
+  g_hash_table_destroy(router->budgets);
+  endpoint_table_free(router->endpoints);
+  route_table_unref(router->routes);
+  g_rand_free(router->random);
+  g_free(router);
+}
+
+void router_log(Router *router, mp_EventNo number, const char *format, ...) {
+  char fields[512];
+  va_list arguments;
+  va_start(arguments, format);
+  g_vsnprintf(fields, sizeof fields, format, arguments);
+  va_end(arguments);
+  router->host.log(router->host.data, number, fields);
+}
+
+RetryBudget *router_budget(Router *router, const char *service) {
+  RetryBudget *budget = g_hash_table_lookup(router->budgets, service);
+  if (budget == NULL) {
+    budget = g_new0(RetryBudget, 1);
+    g_hash_table_insert(router->budgets, g_strdup(service), budget);
+  }
+  return budget;
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Configuration and endpoints
+** ===================================================================
+*/
+
+void router_set_routes(Router *router, RouteTable *routes, gint64 now) {
+  (void)now;
+  if (router->routes != NULL && routes->version <= router->routes->version)
+    return; /* never back within a life */
+  route_table_ref(routes);
+  route_table_unref(router->routes);
+  router->routes = routes;
+  router_log(router, MP_LOG_CONFIG_NEW,
+             " version=%" G_GUINT64_FORMAT " routes=%u services=%u",
+             routes->version, routes->routes->len, routes->services->len);
+}
+
+void router_set_endpoint(Router *router, const EndpointRecord *record,
+                         gboolean gone, gint64 now) {
+  const Endpoint *known = endpoint_table_get(router->endpoints, record->id);
+  (void)now;
+  if (gone) {
+    if (known != NULL)
+      router_log(router, MP_LOG_EP_LEAVING, " endpoint=%s gone=1", record->id);
+    endpoint_table_remove(router->endpoints, record->id);
+    return;
+  }
+  if (known == NULL || known->record.ready != record->ready)
+    router_log(router, record->ready ? MP_LOG_EP_UP : MP_LOG_EP_LEAVING,
+               " endpoint=%s service=%s zone=%s stage=%d", record->id,
+               record->service, record->zone, (int)record->stage);
+  endpoint_table_set(router->endpoints, record);
+}
+
+void router_keep_endpoints(Router *router, GHashTable *names, gint64 now) {
+  (void)now;
+  endpoint_table_keep(router->endpoints, names);
+}
+
+void router_set_instances(Router *router, unsigned count) {
+  router->retry.slack = (double)router->retry_slack / MAX(count, 1);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Requests
+** ===================================================================
+*/
+
+static Request *request_new(const CallerRequest *call, RouteTable *table,
+                            const Route *route, gint64 now) {
+  Request *request = g_new0(Request, 1);
+  gint64 patience =
+      call->deadline_ms > 0 ? call->deadline_ms * MP_MS : route->timeout;
+  request->number = call->number;
+  request->id = g_strdup(call->id);
+  request->table = route_table_ref(table);
+  request->route = route;
+  request->repeatable = route_repeatable(route);
+  request->prompt_tokens = call->prompt_tokens;
+  request->output_tokens = call->output_tokens;
+  request->session = call->session;
+  request->arrived = now;
+  request->caller_deadline = now + patience;
+  request->expires = now + patience - ANSWER_MARGIN;
+  if (route->timeout > 0)
+    request->expires = MIN(request->expires, now + route->timeout);
+  return request;
+}
+
+static void refuse_unrouted(Router *router, const CallerRequest *call,
+                            RefusalKind kind) {
+  Refusal refusal = {kind, kind == REFUSAL_NO_CONFIGURATION ? 700 : 0};
+  router_count(router, REFUSED);
+  router_log(
+      router, MP_LOG_ROUTE_REFUSED, " request=%s reason=%s host=%s", call->id,
+      kind == REFUSAL_NO_ROUTE ? "no_route" : "no_configuration", call->host);
+  router->host.refuse(router->host.data, call->number, &refusal);
+}
+
+void router_request(Router *router, const CallerRequest *call, gint64 now) {
+  const Route *route;
+  Request *request;
+  const char *service;
+  router_count(router, REQUESTS);
+  if (router->routes == NULL) {
+    refuse_unrouted(router, call, REFUSAL_NO_CONFIGURATION);
+    return;
+  }
+  route = route_table_find(router->routes, call->host, call->path);
+  if (route == NULL) {
+    refuse_unrouted(router, call, REFUSAL_NO_ROUTE);
+    return;
+  }
+  service = route_choose_service(route, g_rand_int(router->random));
+  request = request_new(call, router->routes, route, now);
+  request->service = route_table_service(router->routes, service);
+  g_hash_table_insert(router->requests, &request->number, request);
+  if (request->service == NULL) {
+    finish_refuse(router, request, REFUSAL_NO_ENDPOINT);
+    return;
+  }
+  retry_budget_request(router_budget(router, service), &router->retry, now);
+  path_begin(router, request, now);
+}
+
+void router_hangup(Router *router, guint64 number, gint64 now) {
+  Request *request = g_hash_table_lookup(router->requests, &number);
+  if (request != NULL)
+    finish_hangup(router, request, now);
+}
+
+void router_outcome(Router *router, const Outcome *outcome, gint64 now) {
+  Request *request =
+      g_hash_table_lookup(router->dispatched, &outcome->dispatch);
+  if (request == NULL)
+    return; /* given up before */
+  if (request->phase == PHASE_PREFILL)
+    prefill_outcome(router, request, outcome, now);
+  else
+    path_outcome(router, request, outcome, now);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Time
+** ===================================================================
+*/
+
+static gint64 wake_time(const Request *request) {
+  if (request->stall_at != 0)
+    return MIN(request->stall_at, request->expires);
+  return request->expires;
+}
+
+gint64 router_next_tick(const Router *router) {
+  gint64 next = G_MAXINT64;
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, router->requests);
+  while (g_hash_table_iter_next(&iterator, NULL, &value))
+    next = MIN(next, wake_time(value));
+  return next;
+}
+
+static void stalled(Router *router, Request *request, gint64 now) {
+  Outcome outcome = {0};
+  if (request->phase == PHASE_PREFILL) {
+    prefill_stalled(router, request, now);
+    return;
+  }
+  outcome.dispatch = request->open.number;
+  outcome.kind = OUTCOME_BROKEN;
+  router->host.cancel(router->host.data, request->open.number);
+  path_outcome(router, request, &outcome, now);
+}
+
+/* one request whose time has come; 0 when there is none */
+static gboolean tick_one(Router *router, gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, router->requests);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    Request *request = value;
+    if (wake_time(request) > now)
+      continue;
+    if (request->expires <= now)
+      finish_expire(router, request, now);
+    else
+      stalled(router, request, now);
+    return TRUE;
+  }
+  return FALSE;
+}
+
+void router_tick(Router *router, gint64 now) {
+  while (tick_one(router, now)) {
+  }
+}
+
+/* }================================================================== */
+
+unsigned router_open_requests(const Router *router) {
+  return g_hash_table_size(router->requests);
+}
+
+gboolean router_configured(const Router *router) {
+  return router->routes != NULL;
+}
+
+guint64 router_counter(const Router *router, unsigned counter) {
+  return counter < ROUTER_COUNTER_COUNT ? router->counters[counter] : 0;
+}
+
+const char *router_counter_name(unsigned counter) {
+  static const char *const names[] = {
+#define X(symbol, name) name,
+      ROUTER_COUNTERS(X)
+#undef X
+  };
+  return counter < ROUTER_COUNTER_COUNT ? names[counter] : NULL;
+}
--- /dev/null
+++ b/router/router.h
@@ -0,0 +1,152 @@
+/*
+** router.h
+** The decisions about routed requests, without input or output
+**
+** A Router belongs to one instance. Its host (io/gateway.c, or a test)
+** tells it what happened, with the time, and performs what it asks for
+** through RouterHost. Every duration and time is in microseconds of a
+** steady clock unless a name says otherwise.
+**
+** Words: a caller sends a request; an endpoint (an engine or a plain
+** service's process) is sent dispatches for it. A dispatch has perhaps
+** run from the moment its first byte was sent, unless its endpoint says
+** otherwise.
+*/
+
+#ifndef ROUTER_H
+#define ROUTER_H
+
+#include <glib.h>
+
+#include "madderpier.h"
+#include "router/records.h"
+
+typedef struct Router Router;
+
+/* a caller's request as its dialect read it; texts are copied */
+typedef struct CallerRequest {
+  guint64 number; /* the host's; unique while the request is open */
+  const char *id; /* the caller's own id for this attempt */
+  const char *host;
+  const char *path;
+  gint64 deadline_ms;     /* how long the caller will wait; 0: not said */
+  guint32 prompt_tokens;  /* 0: not said */
+  guint32 output_tokens;  /* the most that may be generated */
+  guint64 session;        /* hash of the prompt's last part; 0: none */
+  guint32 session_tokens; /* tokens of that part */
+} CallerRequest;
+
+typedef enum DispatchKind {
+  DISPATCH_RUN,     /* the request itself */
+  DISPATCH_PREFILL, /* read the prompt and keep it under a handle */
+  DISPATCH_RELEASE  /* free a handle */
+} DispatchKind;
+
+/* work for an endpoint */
+typedef struct Dispatch {
+  guint64 number; /* the router's; named again in the outcome */
+  DispatchKind kind;
+  guint64 request; /* the caller's request; 0 for DISPATCH_RELEASE */
+  mp_Addr address;
+  const char *endpoint;   /* the endpoint's id: no other one may run it */
+  gint64 deadline_ms;     /* what is left of the caller's time */
+  const char *handle;     /* RUN: where to continue; RELEASE: what to free */
+  mp_Addr handle_address; /* RUN with a handle: who holds it */
+  const char *last_event; /* RUN: resume behind this event, or NULL */
+  gboolean stream;        /* the answer comes in pieces */
+  gint64 connect_timeout; /* then the endpoint counts as out of reach */
+} Dispatch;
+
+/* why a caller gets an answer of the router's own */
+typedef enum RefusalKind {
+  REFUSAL_NO_CONFIGURATION,
+  REFUSAL_NO_ROUTE,
+  REFUSAL_NO_ENDPOINT,     /* not run: nobody is there to run it */
+  REFUSAL_BUSY,            /* not run: endpoints turned it away */
+  REFUSAL_NOT_RUN,         /* not run: its time passed while it waited */
+  REFUSAL_OUTCOME_UNKNOWN, /* it may have run */
+  REFUSAL_TIMEOUT          /* it may have run; its time passed */
+} RefusalKind;
+
+typedef struct Refusal {
+  RefusalKind kind;
+  gint64 retry_after_ms; /* 0: say nothing */
+} Refusal;
+
+/* how a dispatch ended, or where it stands */
+typedef enum OutcomeKind {
+  OUTCOME_UNREACHABLE, /* no connection: certainly not run */
+  OUTCOME_NOT_RUN,     /* the endpoint said that it did not run it */
+  OUTCOME_BROKEN,      /* no whole answer: it may have run */
+  OUTCOME_ANSWER,      /* a whole answer */
+  OUTCOME_STREAM_HEAD, /* a good head; pieces follow */
+  OUTCOME_STREAM_PIECE,
+  OUTCOME_STREAM_END /* the stream ended as a whole */
+} OutcomeKind;
+
+typedef struct Outcome {
+  guint64 dispatch;
+  OutcomeKind kind;
+  int status;           /* ANSWER */
+  gboolean misdirected; /* NOT_RUN: another endpoint has the address */
+  const char *event;    /* STREAM_PIECE: id of its last event */
+  void *payload;        /* the host's own: passed on to 'answer' */
+  const char *handle;   /* ANSWER of a prefill */
+  gint64 handle_life;   /* ANSWER of a prefill; 0: the service's */
+} Outcome;
+
+/* what the router asks of its host; nothing here may call back at once */
+typedef struct RouterHost {
+  void *data;
+  void (*dispatch)(void *data, const Dispatch *dispatch);
+  /* forget a dispatch; its connection is closed */
+  void (*cancel)(void *data, guint64 dispatch);
+  /* pass an endpoint's answer, or a part of it, to the caller */
+  void (*answer)(void *data, guint64 request, const Outcome *outcome);
+  /* end the request with an answer of our own */
+  void (*refuse)(void *data, guint64 request, const Refusal *refusal);
+  /* end an answer that has begun so that it cannot look whole */
+  void (*break_off)(void *data, guint64 request);
+  /* the host's timer for this request: router_timer at that time */
+  void (*log)(void *data, mp_EventNo number, const char *fields);
+} RouterHost;
+
+typedef struct RouterOptions {
+  const char *zone;
+  guint64 seed;
+  double retry_ratio;  /* extra arrivals allowed per request */
+  guint32 retry_slack; /* and beside those, over all instances */
+  gint64 retry_window;
+} RouterOptions;
+
+Router *router_new(const RouterOptions *options, const RouterHost *host,
+                   gint64 now);
+void router_free(Router *router);
+
+/* a newer configuration is in force; the router shares the table */
+void router_set_routes(Router *router, RouteTable *routes, gint64 now);
+/* add, change or (with 'gone') remove one endpoint */
+void router_set_endpoint(Router *router, const EndpointRecord *record,
+                         gboolean gone, gint64 now);
+/* after a whole list: forget every endpoint that it did not name */
+void router_keep_endpoints(Router *router, GHashTable *names, gint64 now);
+/* how many instances share the traffic, this one included */
+void router_set_instances(Router *router, unsigned count);
+
+/* a whole request came; the host hears about it through RouterHost */
+void router_request(Router *router, const CallerRequest *request, gint64 now);
+/* the caller is gone */
+void router_hangup(Router *router, guint64 request, gint64 now);
+void router_outcome(Router *router, const Outcome *outcome, gint64 now);
+
+/* when router_tick wants to be called next; G_MAXINT64: not at all */
+gint64 router_next_tick(const Router *router);
+void router_tick(Router *router, gint64 now);
+
+/* looking in */
+unsigned router_open_requests(const Router *router);
+gboolean router_configured(const Router *router);
+guint64 router_counter(const Router *router, unsigned counter);
+const char *router_counter_name(unsigned counter); /* NULL past the last */
+
+#endif
--- /dev/null
+++ b/router/state.h
@@ -0,0 +1,168 @@
+/*
+** state.h
+** What the files of the router share: its tables and open requests
+** (router.c, path.c, prefill.c, finish.c), and with nobody else
+**
+** A function marked "may end" may free the request: it is the last thing
+** that its caller does with it.
+*/
+
+#ifndef ROUTER_STATE_H
+#define ROUTER_STATE_H
+
+#include "router/endpoint_table.h"
+#include "router/retry_budget.h"
+#include "router/router.h"
+
+/* X(symbol, name); all of them count from the start of the instance */
+#define ROUTER_COUNTERS(X)                \
+  X(REQUESTS, "requests")                 \
+  X(ANSWERED, "answered")                 \
+  X(REFUSED, "refused")                   \
+  X(BROKEN_OFF, "broken_off")             \
+  X(HANGUPS, "caller_hangups")            \
+  X(DISPATCHES, "dispatches")             \
+  X(PREFILLS, "prefills")                 \
+  X(RETRIES, "retries")                   \
+  X(RETRIES_DENIED, "retries_denied")     \
+  X(RESUMED, "streams_resumed")           \
+  X(UNREACHABLE, "endpoints_unreachable") \
+  X(NOT_RUN, "dispatches_not_run")        \
+  X(BROKEN, "dispatches_broken")
+
+typedef enum RouterCounter {
+#define X(symbol, name) ROUTER_COUNT_##symbol,
+  ROUTER_COUNTERS(X)
+#undef X
+      ROUTER_COUNTER_COUNT
+} RouterCounter;
+
+/* the dispatch that a request waits for */
+typedef struct OpenDispatch {
+  guint64 number; /* 0: none */
+  char *endpoint; /* its id */
+  guint64 tokens; /* counted at the endpoint */
+  gint64 sent;
+} OpenDispatch;
+
+typedef enum Phase { PHASE_PREFILL, PHASE_RUN } Phase;
+
+typedef struct Request {
+  guint64 number;
+  char *id;
+  RouteTable *table;  /* the configuration that it came under */
+  const Route *route; /* of that table */
+  const Service *service;
+  guint32 prompt_tokens, output_tokens;
+  guint64 session;
+  gint64 arrived;
+  gint64 caller_deadline; /* when the caller stops waiting */
+  gint64 expires;         /* when it gets its last word here */
+  Phase phase;
+  OpenDispatch open;
+  gboolean repeatable;
+  unsigned runs;     /* dispatches that have perhaps run */
+  unsigned arrivals; /* runs that reached an endpoint, rejected too */
+  unsigned prefills; /* prefills that reached an endpoint */
+  unsigned unreachable;
+  gboolean was_busy;     /* some endpoint turned it away */
+  gboolean head_sent;    /* the answer has begun */
+  char *last_event;      /* passed on to the caller */
+  char *decode;          /* id of the engine that shall decode */
+  guint64 decode_tokens; /* reserved there until it is dispatched */
+  char *handle;          /* of the prompt that was read, not yet used */
+  mp_Addr handle_address;
+  char *handle_endpoint;
+  gint64 handle_until;
+  gint64 stall_at; /* give the open dispatch up then; 0: never */
+  char *excluded[MAX_EXCLUDED];
+  guint excluded_count;
+} Request;
+
+struct Router {
+  RouterHost host;
+  RetryPolicy retry;
+  guint32 retry_slack; /* over all instances */
+  GRand *random;
+  RouteTable *routes; /* NULL: no configuration yet */
+  EndpointTable *endpoints;
+  GHashTable *budgets;    /* service -> RetryBudget */
+  GHashTable *requests;   /* number -> Request */
+  GHashTable *dispatched; /* dispatch number -> Request */
+  guint64 last_dispatch;
+  guint64 counters[ROUTER_COUNTER_COUNT];
+};
+
+#define router_count(router, name) ((router)->counters[ROUTER_COUNT_##name]++)
+
+void router_log(Router *router, mp_EventNo number, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
+/* the service's budget of extra arrivals */
+RetryBudget *router_budget(Router *router, const char *service);
+
+/*
+** {==================================================================
+** path.c: choosing endpoints and sending dispatches
+** ===================================================================
+*/
+
+/* begin: with a prefill where there are engines for it; may end */
+void path_begin(Router *router, Request *request, gint64 now);
+/* send the request itself; may end */
+void path_run(Router *router, Request *request, gint64 now);
+/* send it again after a dispatch that failed; may end */
+void path_run_again(Router *router, Request *request, gboolean may_have_run,
+                    gint64 now);
+/* the open dispatch is over: forget it; 'cancel' closes its connection */
+void path_close_dispatch(Router *router, Request *request, gboolean cancel);
+/* fill in and send a dispatch to an endpoint */
+void path_send(Router *router, Request *request, DispatchKind kind,
+               Endpoint *endpoint, guint64 tokens, gint64 now);
+/* a wish with what every wish of this request says */
+EndpointWish path_wish(Router *router, const Request *request,
+                       EndpointStage stage);
+void path_exclude(Request *request, const char *endpoint);
+/* an outcome of the open RUN dispatch; may end */
+void path_outcome(Router *router, Request *request, const Outcome *outcome,
+                  gint64 now);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** prefill.c: reading the prompt before the run
+** ===================================================================
+*/
+
+/* FALSE when the request is better run without one */
+gboolean prefill_begin(Router *router, Request *request, gint64 now);
+/* an outcome of the open PREFILL dispatch; may end */
+void prefill_outcome(Router *router, Request *request, const Outcome *outcome,
+                     gint64 now);
+/* it takes too long; may end */
+void prefill_stalled(Router *router, Request *request, gint64 now);
+/* free the handle, if it was not used */
+void prefill_drop_handle(Router *router, Request *request, gint64 now);
+/* the decode engine's memory is no longer reserved */
+void prefill_unreserve(Router *router, Request *request);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** finish.c: how a request ends. All of these end it
+** ===================================================================
+*/
+
+void finish_answered(Router *router, Request *request, const Outcome *outcome);
+void finish_refuse(Router *router, Request *request, RefusalKind kind);
+/* no further try: say what is known about whether it ran */
+void finish_give_up(Router *router, Request *request, gint64 now);
+/* its time is over */
+void finish_expire(Router *router, Request *request, gint64 now);
+void finish_hangup(Router *router, Request *request, gint64 now);
+
+/* }================================================================== */
+
+#endif
