--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -602,7 +602,7 @@
 static void showkinds(const Run *R) {
   static const char *const names[] = {
       "",        "probe", "probe via", "reserve", "grant", "renew",
-      "release", "claim", "settle",    "quota",   "fetch"};
+      "release", "claim", "settle",    "quota",   "fetch", "digest"};
   double seconds = (double)LOADED / MP_SEC * R->nodes;
   int i;
   printf("  sent     per node and second:");
--- a/core/state.c
+++ b/core/state.c
@@ -240,6 +240,7 @@
   case MP_MSG_FETCH:
     mpF_fetch(M, from, m);
     break;
+  case MP_MSG_LOAD_DIGEST: /* between routers of another dialect */
   case MP_MSG_LAST:
     break;
   }
--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -139,6 +139,7 @@
   o->ready = optional_address(s->ready);
   o->control = optional_address(s->control);
   o->metrics = optional_address(s->metrics);
+  o->exchange = mp_addr_parse(s->exchange);
   o->store = mp_addr_parse(s->platform);
   o->peers = peers;
   o->peers_count = s->peers_count;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -39,6 +39,7 @@
     OPTSTR("ready", ready),
     OPTSTR("control", control),
     OPTSTR("metrics", metrics),
+    OPTSTR("exchange", exchange),
     CYAML_FIELD_FLOAT("retry_ratio", CYAML_FLAG_OPTIONAL, Settings,
                       retry_ratio),
     OPTUINT("retry_slack", retry_slack),
@@ -111,7 +112,8 @@
     return FALSE;
   if (s->metrics != NULL && !isaddress(err, path, "metrics", s->metrics))
     return FALSE;
-  return isaddress(err, path, "ready", s->ready);
+  return isaddress(err, path, "ready", s->ready) &&
+         isaddress(err, path, "exchange", s->exchange);
 }
 
 static gboolean check(const Settings *s, const char *path, GError **err) {
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -31,6 +31,7 @@
   char *ready;    /* addresses */
   char *control;
   char *metrics;
+  char *exchange;          /* datagrams between instances */
   double retry_ratio;      /* extra arrivals per request */
   uint32_t retry_slack;    /* and beside those, over all instances */
   uint32_t retry_window_s; /* in every window of this length */
--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -81,6 +81,8 @@
   */
 
   RouteTable *(*read_configuration)(const char *text, GError **error);
+  /* the address in an instance's own object; 0: it has none */
+  mp_Addr (*read_instance)(const char *text);
   gboolean (*read_record)(const char *name, const char *text,
                           EndpointRecord *out, GError **error);
 } Dialect;
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -339,6 +339,7 @@
   MP_MSG_SETTLE,
   MP_MSG_QUOTA,
   MP_MSG_FETCH,
+  MP_MSG_LOAD_DIGEST,
   MP_MSG_LAST
 } mp_MsgKind;
 
@@ -489,6 +490,19 @@
   char data[MP_CHUNK];
 } mp_Fetch;
 
+/* what one instance has open at one endpoint */
+typedef struct mp_LoadRow {
+  uint32_t endpoint; /* hash of its id */
+  uint32_t tokens;   /* prompt and output tokens, reserved ones too */
+  uint32_t open;     /* dispatches */
+} mp_LoadRow;
+
+/* all that the sender has open; replaces what it said before */
+typedef struct mp_LoadDigest {
+  unsigned n;
+  mp_LoadRow row[MP_DIGEST_ROWS];
+} mp_LoadDigest;
+
 typedef struct mp_Msg {
   mp_MsgKind kind;
   uint32_t seq;
@@ -502,6 +516,7 @@
     mp_Settle settle;
     mp_Quota quota;
     mp_Fetch fetch;
+    mp_LoadDigest digest;
   } u;
 } mp_Msg;
 
@@ -739,6 +754,7 @@
   X(STOP, 7004, MP_INFO, "instance stops")                              \
   X(RELOAD, 7005, MP_INFO, "settings read again")                       \
   X(READY, 7006, MP_INFO, "instance ready")                             \
+  X(ROUTE_ACCEPT, 8000, MP_DEBUG, "routed request accepted")            \
   X(ROUTE_REFUSED, 8001, MP_WARN, "routed request refused")             \
   X(ROUTE_BROKEN_OFF, 8002, MP_WARN, "routed answer broken off")        \
   X(ROUTE_HANGUP, 8003, MP_INFO, "caller of a routed request gone")     \
@@ -748,6 +764,7 @@
   X(STORE_LIST, 8102, MP_INFO, "list read from the store")              \
   X(STORE_HISTORY_GONE, 8103, MP_WARN, "watch lost its history")        \
   X(PEER_SNAPSHOT, 8104, MP_INFO, "configuration taken from a peer")    \
+  X(INSTANCES, 8105, MP_INFO, "count of instances changed")             \
   X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")
 
 typedef enum mp_EventNo {
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -47,6 +47,9 @@
 #define MP_GOSSIP_MEMBERS 4
 #define MP_GOSSIP_LOADS 8
 
+/* rows of a load digest, in one datagram */
+#define MP_DIGEST_ROWS 100
+
 /* renewals carried by one datagram */
 #define MP_RENEW_BATCH 40
 
--- a/io/directory.c
+++ b/io/directory.c
@@ -20,9 +20,10 @@
 /* a young instance without a configuration asks a peer this often */
 #define PEER_FIRST (600 * MP_MS)
 #define PEER_AGAIN (400 * MP_MS)
-/* how often the instances are counted, and the wait after a failure */
-#define CENSUS_PERIOD (10 * MP_SEC)
-#define CENSUS_RETRY (2 * MP_SEC)
+/* the wait before an instance tries again to enter its own object */
+#define REGISTER_RETRY (2 * MP_SEC)
+/* longest wait of a watch of the instances: they change rarely */
+#define INSTANCES_WAIT (12 * MP_SEC)
 
 /* one kind that is followed */
 typedef struct Following {
@@ -46,13 +47,13 @@
   char *configuration_text;
   GHashTable *endpoint_texts; /* id -> text */
   gboolean has_endpoints;
-  /* counting the instances */
-  StoreLink *census;
-  struct event *census_timer;
-  gboolean registered;
-  StoreCall census_call;
-  char *census_after;
-  unsigned census_count;
+  /* the other instances */
+  Following following_instances;
+  GHashTable *instances; /* name -> mp_Addr */
+  gboolean instances_listed;
+  mp_Addr exchange; /* this instance's own address among them */
+  StoreLink *registration;
+  struct event *register_timer;
   /* asking a peer */
   struct event *peer_timer;
   HttpCall *peer_call;
@@ -127,9 +128,14 @@
   router_set_endpoint(directory->router, &record, TRUE, node_now());
 }
 
+static void take_instance(Directory *directory, const StoreObject *object);
+static void tell_instances(Directory *directory);
+
 static void on_object(void *data, StoreKind kind, const StoreObject *object) {
   Directory *directory = data;
-  if (kind == STORE_CONFIGURATION) {
+  if (kind == STORE_INSTANCES)
+    take_instance(directory, object);
+  else if (kind == STORE_CONFIGURATION) {
     if (!object->gone) /* without one, the last one stays in force */
       take_configuration(directory, object->name, object->text);
   } else if (object->gone)
@@ -147,6 +153,11 @@
   Directory *directory = data;
   say(directory, MP_LOG_STORE_LIST, MP_INFO, "list read",
       " kind=%d objects=%u", (int)kind, g_hash_table_size(names));
+  if (kind == STORE_INSTANCES) {
+    directory->instances_listed = TRUE;
+    g_hash_table_foreach_remove(directory->instances, is_unlisted, names);
+    tell_instances(directory);
+  }
   if (kind != STORE_ENDPOINTS)
     return;
   directory->has_endpoints = TRUE;
@@ -198,10 +209,10 @@
 }
 
 static void follow(Directory *directory, Following *following, StoreKind kind,
-                   const DirectoryOptions *options) {
+                   const DirectoryOptions *options, gint64 watch_wait) {
   FollowerHost host = {directory, on_object, on_listed, on_lost, on_regained};
   following->directory = directory;
-  follower_init(&following->follower, kind, options->watch_wait, &host);
+  follower_init(&following->follower, kind, watch_wait, &host);
   following->link =
       store_link_new(directory->base, options->store, directory->dialect,
                      on_follow_reply, following);
@@ -219,55 +230,61 @@
 
 /*
 ** {==================================================================
-** Counting instances: each keeps one object under its own name
+** Instances: each keeps one object under its own name
 ** ===================================================================
 */
 
-static void on_census_timer(evutil_socket_t fd, short what, void *data) {
-  Directory *directory = data;
-  StoreCall *call = &directory->census_call;
-  (void)fd;
-  (void)what;
-  memset(call, 0, sizeof *call);
-  call->kind = STORE_INSTANCES;
-  if (!directory->registered) {
-    call->operation = STORE_CREATE;
-    call->name = directory->instance;
-  } else {
-    call->operation = STORE_LIST;
-    call->stale = TRUE;
-    call->after = directory->census_after;
+static void tell_instances(Directory *directory) {
+  GArray *addresses = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  unsigned count = g_hash_table_size(directory->instances);
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer address;
+  g_hash_table_iter_init(&iterator, directory->instances);
+  while (g_hash_table_iter_next(&iterator, &name, &address)) {
+    mp_Addr at = *(mp_Addr *)address;
+    if (at != 0 && strcmp(name, directory->instance) != 0)
+      g_array_append_val(addresses, at);
   }
-  store_link_call(directory->census, call, CALL_PATIENCE);
+  say(directory, MP_LOG_INSTANCES, MP_INFO, "instances", " count=%u", count);
+  /* until this one is listed, it counts beside the others */
+  router_set_instances(directory->router, MAX(count, 1));
+  directory->hooks.instances(directory->hooks.data, addresses);
+  g_array_free(addresses, TRUE);
 }
 
-static void count_page(Directory *directory, const StoreReply *reply) {
-  const StoreObject *last;
-  directory->census_count += reply->objects->len;
-  g_clear_pointer(&directory->census_after, g_free);
-  if (reply->more && reply->objects->len > 0) {
-    last =
-        &g_array_index(reply->objects, StoreObject, reply->objects->len - 1);
-    directory->census_after = g_strdup(last->name);
-    return;
+static void take_instance(Directory *directory, const StoreObject *object) {
+  mp_Addr *address;
+  if (object->gone)
+    g_hash_table_remove(directory->instances, object->name);
+  else {
+    address = g_new(mp_Addr, 1);
+    *address = directory->dialect->read_instance(object->text);
+    g_hash_table_replace(directory->instances, g_strdup(object->name),
+                         address);
   }
-  router_set_instances(directory->router, directory->census_count);
-  directory->census_count = 0;
+  if (directory->instances_listed)
+    tell_instances(directory);
 }
 
-static void on_census_reply(void *data, const StoreReply *reply,
-                            const GError *error) {
+static void on_register_timer(evutil_socket_t fd, short what, void *data) {
+  Directory *directory = data;
+  StoreCall call = {0};
+  (void)fd;
+  (void)what;
+  call.kind = STORE_INSTANCES;
+  call.operation = STORE_CREATE;
+  call.name = directory->instance;
+  call.address = directory->exchange;
+  store_link_call(directory->registration, &call, CALL_PATIENCE);
+}
+
+static void on_register_reply(void *data, const StoreReply *reply,
+                              const GError *error) {
   Directory *directory = data;
-  gint64 wait = CENSUS_RETRY;
   (void)error;
-  if (!directory->registered) {
-    directory->registered =
-        reply->status == STORE_OK || reply->status == STORE_EXISTS;
-  } else if (reply->status == STORE_OK) {
-    count_page(directory, reply);
-    wait = directory->census_after != NULL ? 0 : CENSUS_PERIOD;
-  }
-  start_timer(directory->census_timer, wait);
+  if (reply->status != STORE_OK && reply->status != STORE_EXISTS)
+    start_timer(directory->register_timer, REGISTER_RETRY);
 }
 
 /* }================================================================== */
@@ -369,13 +386,20 @@
   directory->peers_count = options->peers_count;
   directory->endpoint_texts =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  directory->instances =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  directory->exchange = options->exchange;
   directory->peer_text = g_string_new(NULL);
-  follow(directory, &directory->configuration, STORE_CONFIGURATION, options);
-  follow(directory, &directory->endpoints, STORE_ENDPOINTS, options);
-  directory->census = store_link_new(base, options->store, dialect,
-                                     on_census_reply, directory);
-  directory->census_timer = evtimer_new(base, on_census_timer, directory);
-  start_timer(directory->census_timer, 500 * MP_MS);
+  follow(directory, &directory->configuration, STORE_CONFIGURATION, options,
+         options->watch_wait);
+  follow(directory, &directory->endpoints, STORE_ENDPOINTS, options,
+         options->watch_wait);
+  follow(directory, &directory->following_instances, STORE_INSTANCES, options,
+         INSTANCES_WAIT);
+  directory->registration = store_link_new(base, options->store, dialect,
+                                           on_register_reply, directory);
+  directory->register_timer = evtimer_new(base, on_register_timer, directory);
+  start_timer(directory->register_timer, 0);
   directory->peer_timer = evtimer_new(base, on_peer_timer, directory);
   start_timer(directory->peer_timer, PEER_FIRST);
   return directory;
@@ -384,14 +408,15 @@
 void directory_free(Directory *directory) {
   unfollow(&directory->configuration);
   unfollow(&directory->endpoints);
-  store_link_free(directory->census);
-  event_free(directory->census_timer);
+  unfollow(&directory->following_instances);
+  store_link_free(directory->registration);
+  event_free(directory->register_timer);
+  g_hash_table_destroy(directory->instances);
   event_free(directory->peer_timer);
   if (directory->peer_call != NULL)
     http_abort(directory->peer_call);
   g_string_free(directory->peer_text, TRUE);
   g_hash_table_destroy(directory->endpoint_texts);
-  g_free(directory->census_after);
   g_free(directory->configuration_text);
   g_free(directory->instance);
   g_free(directory->peers);
@@ -405,5 +430,6 @@
 guint64 directory_store_calls(const Directory *directory) {
   return store_link_calls(directory->configuration.link) +
          store_link_calls(directory->endpoints.link) +
-         store_link_calls(directory->census);
+         store_link_calls(directory->following_instances.link) +
+         store_link_calls(directory->registration);
 }
--- a/io/directory.h
+++ b/io/directory.h
@@ -20,6 +20,7 @@
 
 typedef struct DirectoryOptions {
   const char *instance; /* this instance's own name */
+  mp_Addr exchange;     /* where it hears from the others */
   mp_Addr store;
   const mp_Addr *peers; /* instances to ask for a snapshot */
   unsigned peers_count;
@@ -29,6 +30,8 @@
 typedef struct DirectoryHooks {
   void *data;
   void (*configuration)(void *data, RouteTable *table);
+  /* the addresses (mp_Addr) of the other instances */
+  void (*instances)(void *data, const GArray *addresses);
 } DirectoryHooks;
 
 Directory *directory_new(struct event_base *base, const Dialect *dialect,
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -12,6 +12,7 @@
 #include "io/endpoint_links.h"
 #include "io/front.h"
 #include "io/gateway.h"
+#include "io/load_exchange.h"
 #include "io/node.h"
 
 /* how often a drain looks whether it is over */
@@ -27,6 +28,7 @@
   Front *front;
   EndpointLinks *links;
   Directory *directory;
+  LoadExchange *exchange;
   struct evhttp *ready_http, *control_http, *metrics_http;
   struct event *tick;
   struct event *drain_timer;
@@ -44,6 +46,7 @@
 static void set_tick(Gateway *gateway) {
   gint64 wait = router_next_tick(gateway->router) - node_now();
   struct timeval time;
+  load_exchange_notice(gateway->exchange);
   wait = CLAMP(wait, 0, TICK_MOST);
   time.tv_sec = wait / MP_SEC;
   time.tv_usec = wait % MP_SEC;
@@ -166,6 +169,7 @@
 static void on_hangup(void *data, guint64 number) {
   Gateway *gateway = data;
   router_hangup(gateway->router, number, node_now());
+  set_tick(gateway);
 }
 
 static void on_bad_input(void *data, int status, const char *detail) {
@@ -181,6 +185,11 @@
   set_tick(gateway);
 }
 
+static void on_instances(void *data, const GArray *addresses) {
+  Gateway *gateway = data;
+  load_exchange_set_peers(gateway->exchange, addresses);
+}
+
 static void on_configuration(void *data, RouteTable *table) {
   Gateway *gateway = data;
   front_limits(gateway->front, &table->limits);
@@ -345,10 +354,10 @@
 }
 
 static void make_directory(Gateway *gateway, const GatewayOptions *options) {
-  DirectoryHooks hooks = {gateway, on_configuration};
-  DirectoryOptions settings = {options->instance, options->store,
-                               options->peers, options->peers_count,
-                               options->watch_wait};
+  DirectoryHooks hooks = {gateway, on_configuration, on_instances};
+  DirectoryOptions settings = {options->instance,    options->exchange,
+                               options->store,       options->peers,
+                               options->peers_count, options->watch_wait};
   gateway->directory =
       directory_new(gateway->base, gateway->dialect, &settings,
                     gateway->router, gateway->log, &hooks);
@@ -369,7 +378,10 @@
   gateway->links = endpoint_links_new(base, dialect, &links);
   make_router(gateway, options);
   gateway->front = front_new(base, options->callers, dialect, &front, error);
-  if (gateway->front == NULL || !serve_all(gateway, options, error)) {
+  if (gateway->front != NULL)
+    gateway->exchange =
+        load_exchange_new(base, options->exchange, gateway->router, error);
+  if (gateway->exchange == NULL || !serve_all(gateway, options, error)) {
     gateway_free(gateway);
     return NULL;
   }
@@ -392,6 +404,8 @@
     directory_free(gateway->directory);
   if (gateway->front != NULL)
     front_free(gateway->front);
+  if (gateway->exchange != NULL)
+    load_exchange_free(gateway->exchange);
   endpoint_links_free(gateway->links);
   router_free(gateway->router);
   event_free(gateway->tick);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -18,9 +18,10 @@
   const char *instance; /* its own name */
   const char *zone;
   mp_Addr callers;
-  mp_Addr ready;   /* asked by the balancer */
-  mp_Addr control; /* asked by other instances; 0: none */
-  mp_Addr metrics; /* 0: none */
+  mp_Addr ready;    /* asked by the balancer */
+  mp_Addr control;  /* asked by other instances; 0: none */
+  mp_Addr metrics;  /* 0: none */
+  mp_Addr exchange; /* datagrams between instances */
   mp_Addr store;
   const mp_Addr *peers; /* control addresses of other instances */
   unsigned peers_count;
--- /dev/null
+++ b/io/load_exchange.c
@@ -0,0 +1,170 @@
+/*
+** load_exchange.c
+** Tells the other instances what is open here, and hears it from them
+*/
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "io/load_exchange.h"
+#include "io/node.h"
+#include "wire/rpc.h"
+
+/* datagrams read in one go, before others get their turn */
+#define READ_BURST 64
+/* least time between two digests, for each instance there is */
+#define INTERVAL_PER_PEER (2 * MP_MS)
+/* a digest goes out this often even when nothing changed */
+#define REFRESH (500 * MP_MS)
+
+struct LoadExchange {
+  Router *router;
+  evutil_socket_t fd;
+  struct event *readable;
+  struct event *timer;
+  GArray *peers; /* mp_Addr */
+  guint32 sequence;
+  guint64 told; /* the version that was sent last */
+  gint64 sent_at;
+};
+
+static gint64 least_interval(const LoadExchange *exchange) {
+  return INTERVAL_PER_PEER * (gint64)exchange->peers->len;
+}
+
+static struct sockaddr_in socket_address(mp_Addr address) {
+  struct sockaddr_in at;
+  memset(&at, 0, sizeof at);
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+  at.sin_port = htons((uint16_t)(address & 0xffff));
+  return at;
+}
+
+static void send_digest(LoadExchange *exchange) {
+  mp_Msg message;
+  char bytes[MP_MAXDGRAM];
+  size_t size;
+  guint i;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_LOAD_DIGEST;
+  message.seq = ++exchange->sequence;
+  router_load_digest(exchange->router, &message.u.digest);
+  size = rpc_encode(&message, bytes, sizeof bytes);
+  for (i = 0; i < exchange->peers->len; i++) {
+    struct sockaddr_in to =
+        socket_address(g_array_index(exchange->peers, mp_Addr, i));
+    /* one that cannot be sent now is lost like any other */
+    (void)sendto(exchange->fd, bytes, size, MSG_DONTWAIT,
+                 (struct sockaddr *)&to, sizeof to);
+  }
+  exchange->told = router_load_version(exchange->router);
+  exchange->sent_at = node_now();
+}
+
+static void start_timer(LoadExchange *exchange, gint64 wait) {
+  struct timeval time = {wait / MP_SEC, wait % MP_SEC};
+  event_add(exchange->timer, &time);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *data) {
+  LoadExchange *exchange = data;
+  (void)fd;
+  (void)what;
+  send_digest(exchange);
+  start_timer(exchange, REFRESH);
+}
+
+void load_exchange_notice(LoadExchange *exchange) {
+  gint64 due = exchange->sent_at + least_interval(exchange) - node_now();
+  if (router_load_version(exchange->router) == exchange->told)
+    return;
+  if (due <= 0) {
+    send_digest(exchange);
+    start_timer(exchange, REFRESH);
+  } else
+    start_timer(exchange, due);
+}
+
+static mp_MsgKind no_reply_expected(void *data, uint32_t sequence) {
+  (void)data;
+  (void)sequence;
+  return (mp_MsgKind)0;
+}
+
+static void take(LoadExchange *exchange, const struct sockaddr_in *from,
+                 const char *bytes, size_t size) {
+  mp_Addr peer =
+      (mp_Addr)ntohl(from->sin_addr.s_addr) << 16 | ntohs(from->sin_port);
+  mp_Msg message;
+  char answer[MP_MAXDGRAM];
+  size_t answer_size;
+  if (rpc_decode(bytes, size, no_reply_expected, NULL, &message, answer,
+                 sizeof answer, &answer_size) != RPC_CALL ||
+      message.kind != MP_MSG_LOAD_DIGEST)
+    return;
+  router_peer_load(exchange->router, peer, message.seq, &message.u.digest,
+                   node_now());
+}
+
+static void on_readable(evutil_socket_t fd, short what, void *data) {
+  LoadExchange *exchange = data;
+  int i;
+  (void)what;
+  for (i = 0; i < READ_BURST; i++) {
+    char bytes[MP_MAXDGRAM + 1]; /* one more, so that too long ones show */
+    struct sockaddr_in from = {0};
+    socklen_t length = sizeof from;
+    ssize_t size = recvfrom(fd, bytes, sizeof bytes, MSG_DONTWAIT,
+                            (struct sockaddr *)&from, &length);
+    if (size < 0)
+      break;
+    take(exchange, &from, bytes, (size_t)size);
+  }
+  load_exchange_notice(exchange); /* waiting requests may have started */
+}
+
+LoadExchange *load_exchange_new(struct event_base *base, mp_Addr address,
+                                Router *router, GError **error) {
+  LoadExchange *exchange;
+  struct sockaddr_in at = socket_address(address);
+  int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  char text[24];
+  if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof at) < 0) {
+    mp_addr_text(address, text);
+    g_set_error(error, MP_ERROR, MP_ERR_SETTINGS,
+                "exchange: cannot bind %s: %s; choose a free address of "
+                "this instance",
+                text, g_strerror(errno));
+    if (fd >= 0)
+      close(fd);
+    return NULL;
+  }
+  exchange = g_new0(LoadExchange, 1);
+  exchange->router = router;
+  exchange->fd = fd;
+  exchange->peers = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  exchange->sequence = g_random_int(); /* another life starts elsewhere */
+  exchange->readable =
+      event_new(base, fd, EV_READ | EV_PERSIST, on_readable, exchange);
+  exchange->timer = evtimer_new(base, on_timer, exchange);
+  event_add(exchange->readable, NULL);
+  start_timer(exchange, REFRESH);
+  return exchange;
+}
+
+void load_exchange_free(LoadExchange *exchange) {
+  event_free(exchange->readable);
+  event_free(exchange->timer);
+  close(exchange->fd);
+  g_array_free(exchange->peers, TRUE);
+  g_free(exchange);
+}
+
+void load_exchange_set_peers(LoadExchange *exchange, const GArray *addresses) {
+  g_array_set_size(exchange->peers, 0);
+  g_array_append_vals(exchange->peers, addresses->data, addresses->len);
+}
--- /dev/null
+++ b/io/load_exchange.h
@@ -0,0 +1,30 @@
+/*
+** load_exchange.h
+** Tells the other instances what is open here, and hears it from them
+** Datagrams, ONC RPC calls without a reply. A digest goes out soon after
+** a change, at most once in a time that grows with the number of
+** instances, so that what each receives stays bounded; and now and then
+** without a change, since datagrams get lost.
+*/
+
+#ifndef LOAD_EXCHANGE_H
+#define LOAD_EXCHANGE_H
+
+#include <event2/event.h>
+
+#include "router/router.h"
+
+typedef struct LoadExchange LoadExchange;
+
+/* NULL and an error when the address cannot be bound */
+LoadExchange *load_exchange_new(struct event_base *base, mp_Addr address,
+                                Router *router, GError **error);
+void load_exchange_free(LoadExchange *exchange);
+
+/* the addresses of the other instances; copied */
+void load_exchange_set_peers(LoadExchange *exchange, const GArray *addresses);
+
+/* what is open here may have changed */
+void load_exchange_notice(LoadExchange *exchange);
+
+#endif
--- /dev/null
+++ b/router/admission.c
@@ -0,0 +1,147 @@
+/*
+** admission.c
+** Requests for engines wait here until a decode engine has room
+**
+** Memory at the decode engines is the scarce thing: a request that is
+** sent there without room is turned away after its prompt was read, or
+** pushes another one out. So a request starts only once some engine has
+** room for all of it, counted over all instances. Requests that came back
+** after a refusal go first, the others in the order they came. One that
+** would wait past its objective is refused at once, with when to come
+** back, which serves it better than a late answer.
+*/
+
+#include <string.h>
+
+#include "router/state.h"
+
+/* a fresh request waits at most about this long for room */
+#define WAIT_FRESH (550 * MP_MS)
+/* an early refusal leaves before this share of the objective */
+#define EARLY_SHARE 0.22
+/* nobody waits longer: callers give silent streams up soon after */
+#define WAIT_MOST (2800 * MP_MS)
+/* refused callers come back after this and a random part of SPREAD */
+#define COME_BACK (1200 * MP_MS)
+#define COME_BACK_SPREAD (2000 * MP_MS)
+/* a caller with less than this share of the route's time has come back */
+#define FRESH_SHARE 0.97
+/* weight of the newest end among the intervals between ends */
+#define INTERVAL_STEP 0.15
+
+static gboolean has_come_back(const Request *request) {
+  gint64 patience = request->caller_deadline - request->arrived;
+  return (double)patience < FRESH_SHARE * (double)request->route->timeout;
+}
+
+/* how long until the one at this place in the queue may start */
+static gint64 expected_wait(const Router *router, guint place) {
+  return (gint64)((place + 1) * router->end_interval);
+}
+
+void admission_ended(Router *router, gint64 now) {
+  double interval = (double)(now - router->last_end);
+  if (router->last_end != 0)
+    router->end_interval +=
+        INTERVAL_STEP * (MIN(interval, 1.0 * MP_SEC) - router->end_interval);
+  router->last_end = now;
+}
+
+static Endpoint *engine_with_room(Router *router, const Request *request,
+                                  gint64 now) {
+  EndpointWish wish = path_wish(router, request, STAGE_DECODE);
+  wish.must_fit = TRUE;
+  return endpoint_table_choose(router->endpoints, &wish, now);
+}
+
+static gint64 come_back(Router *router) {
+  return COME_BACK +
+         (gint64)(g_rand_double(router->random) * (double)COME_BACK_SPREAD);
+}
+
+static void refuse(Router *router, Request *request) {
+  request->was_busy = TRUE;
+  request->come_back = come_back(router);
+  finish_refuse(router, request, REFUSAL_BUSY);
+}
+
+/* behind all that came back when it did, else at the end */
+static void enqueue(Router *router, Request *request) {
+  guint at = router->waiting->len;
+  if (request->returned) {
+    for (at = 0; at < router->waiting->len; at++) {
+      const Request *other = router->waiting->pdata[at];
+      if (!other->returned)
+        break;
+    }
+  }
+  g_ptr_array_insert(router->waiting, (gint)at, request);
+}
+
+/* when the next look at a waiting request is due */
+static gint64 next_look(const Request *request, gint64 now) {
+  gint64 early = request->arrived +
+                 (gint64)(EARLY_SHARE * (double)request->route->objective);
+  gint64 last = request->arrived + WAIT_MOST;
+  return !request->returned && now < early ? early : last;
+}
+
+void admission_enter(Router *router, Request *request, gint64 now) {
+  Endpoint *engine = NULL;
+  request->returned = has_come_back(request);
+  if (router->waiting->len == 0 || request->returned)
+    engine = engine_with_room(router, request, now);
+  if (engine != NULL) {
+    path_place(router, request, engine, now);
+    return;
+  }
+  if (!request->returned &&
+      expected_wait(router, router->waiting->len) > WAIT_FRESH) {
+    refuse(router, request);
+    return;
+  }
+  request->phase = PHASE_WAIT;
+  enqueue(router, request);
+  request->stall_at = next_look(request, now);
+}
+
+void admission_leave(Router *router, Request *request) {
+  if (request->phase == PHASE_WAIT)
+    g_ptr_array_remove(router->waiting, request);
+}
+
+static guint place_of(const Router *router, const Request *request) {
+  guint i;
+  for (i = 0; i < router->waiting->len; i++) {
+    if (router->waiting->pdata[i] == request)
+      break;
+  }
+  return i;
+}
+
+void admission_look(Router *router, Request *request, gint64 now) {
+  gint64 waited = now - request->arrived;
+  guint place = place_of(router, request);
+  if (waited >= WAIT_MOST ||
+      (!request->returned &&
+       waited + expected_wait(router, place) > WAIT_FRESH)) {
+    refuse(router, request);
+    return;
+  }
+  request->stall_at = request->arrived + WAIT_MOST;
+}
+
+void admission_run(Router *router, gint64 now) {
+  guint i = 0;
+  while (i < router->waiting->len) {
+    Request *request = router->waiting->pdata[i];
+    Endpoint *engine = engine_with_room(router, request, now);
+    if (engine == NULL) {
+      i++;
+      continue;
+    }
+    admission_leave(router, request);
+    request->stall_at = 0;
+    path_place(router, request, engine, now);
+  }
+}
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -25,6 +25,8 @@
 #define COST_COLD 3.0
 /* an engine's share of memory in use, as open dispatches */
 #define COST_MEMORY 12.0
+/* an engine's memory is planned up to this share of what it has */
+#define MEMORY_FILL 1.0
 /* affinity turns the choice while the load is within this of the best */
 #define AFFINITY_REACH 1.6
 
@@ -39,6 +41,7 @@
   table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
   table->all = g_ptr_array_new_with_free_func(endpoint_free);
   table->zone = g_strdup(zone);
+  table->peers = peer_loads_new();
   return table;
 }
 
@@ -46,6 +49,7 @@
   g_hash_table_destroy(table->by_id);
   g_ptr_array_free(table->all, TRUE);
   g_free(table->zone);
+  peer_loads_free(table->peers);
   g_free(table);
 }
 
@@ -65,6 +69,7 @@
   Endpoint *endpoint = endpoint_table_get(table, record->id);
   if (endpoint == NULL) {
     endpoint = g_new0(Endpoint, 1);
+    endpoint->hash = (guint32)XXH3_64bits(record->id, strlen(record->id));
     g_ptr_array_add(table->all, endpoint);
   } else
     g_hash_table_remove(table->by_id, record->id);
@@ -117,13 +122,29 @@
   return endpoint->failures * exp(-age / FAILURE_MEMORY);
 }
 
+guint64 endpoint_tokens(const EndpointTable *table, const Endpoint *endpoint) {
+  return endpoint->tokens + peer_loads_tokens(table->peers, endpoint->hash);
+}
+
+guint endpoint_open(const EndpointTable *table, const Endpoint *endpoint) {
+  return endpoint->open + peer_loads_open(table->peers, endpoint->hash);
+}
+
+static gboolean has_room(const EndpointTable *table, const EndpointWish *wish,
+                         const Endpoint *endpoint) {
+  double planned = (double)(endpoint_tokens(table, endpoint) + wish->tokens);
+  return wish->capacity == 0 ||
+         planned <= MEMORY_FILL * (double)wish->capacity;
+}
+
 /* smaller is better */
 static double cost(const EndpointTable *table, const EndpointWish *wish,
                    const Endpoint *endpoint, gint64 now) {
   const char *zone = wish->zone != NULL ? wish->zone : table->zone;
-  double sum = endpoint->open;
+  double sum = endpoint_open(table, endpoint);
   if (wish->capacity > 0)
-    sum = COST_MEMORY * (double)(endpoint->tokens + wish->tokens) /
+    sum = COST_MEMORY *
+          (double)(endpoint_tokens(table, endpoint) + wish->tokens) /
           (double)wish->capacity;
   if (strcmp(endpoint->record.zone, zone) != 0)
     sum += COST_OTHER_ZONE;
@@ -156,6 +177,8 @@
       continue;
     if (!avoided_too && endpoint->avoid_until > now)
       continue;
+    if (wish->must_fit && !has_room(table, wish, endpoint))
+      continue;
     candidate.endpoint = endpoint;
     candidate.cost = cost(table, wish, endpoint, now);
     g_array_append_val(found, candidate);
@@ -189,7 +212,7 @@
                                 const EndpointWish *wish, gint64 now) {
   GArray *found = candidates(table, wish, FALSE, now);
   Endpoint *best;
-  if (found->len == 0) { /* better one that failed lately than none */
+  if (found->len == 0 && !wish->must_fit) { /* better a doubtful one */
     g_array_free(found, TRUE);
     found = candidates(table, wish, TRUE, now);
   }
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -9,6 +9,7 @@
 #ifndef ROUTER_ENDPOINT_TABLE_H
 #define ROUTER_ENDPOINT_TABLE_H
 
+#include "router/peer_loads.h"
 #include "router/records.h"
 
 /* most endpoints that one request leaves out after they failed it */
@@ -16,6 +17,7 @@
 
 typedef struct Endpoint {
   EndpointRecord record;
+  guint32 hash;       /* of its id, as digests name it */
   guint open;         /* this instance's dispatches there */
   guint64 tokens;     /* prompt and output tokens of those */
   double failures;    /* recent share of failed dispatches, 0 to 1 */
@@ -28,17 +30,19 @@
   GHashTable *by_id; /* id -> Endpoint */
   GPtrArray *all;    /* Endpoint, in the order they came */
   char *zone;        /* this instance's */
+  PeerLoads *peers;  /* what the other instances have open */
 } EndpointTable;
 
 /* what is asked of an endpoint */
 typedef struct EndpointWish {
   const char *service;
   EndpointStage stage;
-  const char *zone; /* preferred; NULL: this instance's */
-  guint64 affinity; /* equal ones meet the same endpoint; 0: none */
-  guint64 spread;   /* random: tells equals apart where there is none */
-  guint64 capacity; /* engines: tokens of memory, 0: unknown */
-  guint64 tokens;   /* tokens that the dispatch adds */
+  const char *zone;  /* preferred; NULL: this instance's */
+  guint64 affinity;  /* equal ones meet the same endpoint; 0: none */
+  guint64 spread;    /* random: tells equals apart where there is none */
+  guint64 capacity;  /* engines: tokens of memory, 0: unknown */
+  guint64 tokens;    /* tokens that the dispatch adds */
+  gboolean must_fit; /* only where these find room now */
   const char *const *excluded; /* ids */
   guint excluded_count;
 } EndpointWish;
@@ -61,6 +65,10 @@
 gboolean endpoint_table_has(const EndpointTable *table, const char *service,
                             EndpointStage stage, gint64 now);
 
+/* tokens and dispatches of all instances at an endpoint */
+guint64 endpoint_tokens(const EndpointTable *table, const Endpoint *endpoint);
+guint endpoint_open(const EndpointTable *table, const Endpoint *endpoint);
+
 /* what became of a dispatch */
 void endpoint_succeeded(Endpoint *endpoint, gint64 now);
 void endpoint_failed(Endpoint *endpoint, gint64 now);
--- a/router/finish.c
+++ b/router/finish.c
@@ -13,6 +13,7 @@
 
 static void forget(Router *router, Request *request) {
   path_close_dispatch(router, request, TRUE);
+  admission_leave(router, request);
   prefill_unreserve(router, request);
   g_hash_table_remove(router->requests, &request->number);
 }
@@ -47,6 +48,8 @@
 
 void finish_refuse(Router *router, Request *request, RefusalKind kind) {
   Refusal refusal = {kind, retry_after(kind)};
+  if (request->come_back != 0)
+    refusal.retry_after_ms = request->come_back / MP_MS;
   router_count(router, REFUSED);
   router_log(router, MP_LOG_ROUTE_REFUSED,
              " request=%s reason=%s runs=%u arrivals=%u unreachable=%u",
--- a/router/follower.c
+++ b/router/follower.c
@@ -5,7 +5,6 @@
 
 #include <string.h>
 
-#include "madderpier.h"
 #include "router/follower.h"
 
 /* waits after failures in a row: doubled from the first to the most */
--- a/router/follower.h
+++ b/router/follower.h
@@ -14,6 +14,8 @@
 
 #include <glib.h>
 
+#include "madderpier.h"
+
 typedef enum StoreKind {
   STORE_CONFIGURATION, /* the operators' configuration, one object */
   STORE_ENDPOINTS,     /* what may run requests */
@@ -34,6 +36,7 @@
   gint64 wait;       /* WATCH: answer after so long at the latest */
   gboolean stale;    /* LIST: seconds old will do */
   const char *name;  /* CREATE */
+  mp_Addr address;   /* CREATE: where the instance is called */
 } StoreCall;
 
 typedef enum StoreStatus {
--- a/router/path.c
+++ b/router/path.c
@@ -62,6 +62,7 @@
     endpoint->open -= MIN(endpoint->open, 1);
     endpoint->tokens -= MIN(endpoint->tokens, open->tokens);
   }
+  router->load_version++;
   g_hash_table_remove(router->dispatched, &open->number);
   if (cancel)
     router->host.cancel(router->host.data, open->number);
@@ -80,6 +81,7 @@
   open->sent = now;
   endpoint->open++;
   endpoint->tokens += tokens;
+  router->load_version++;
   g_hash_table_insert(router->dispatched, &open->number, request);
   dispatch.number = open->number;
   dispatch.kind = kind;
@@ -112,9 +114,14 @@
       request->service->is_engine ? STAGE_DECODE : STAGE_NONE;
   EndpointWish wish = path_wish(router, request, stage);
   Endpoint *endpoint = reserved_decode(router, request);
-  if (endpoint == NULL)
-    endpoint = endpoint_table_choose(router->endpoints, &wish, now);
-  return endpoint;
+  if (endpoint != NULL)
+    return endpoint;
+  wish.must_fit = stage == STAGE_DECODE;
+  endpoint = endpoint_table_choose(router->endpoints, &wish, now);
+  if (endpoint != NULL)
+    return endpoint;
+  wish.must_fit = FALSE;
+  return endpoint_table_choose(router->endpoints, &wish, now);
 }
 
 /* when silence of the endpoint is taken for a failure; 0: never */
@@ -144,15 +151,20 @@
     tokens = (guint64)request->prompt_tokens + request->output_tokens;
   path_send(router, request, DISPATCH_RUN, endpoint, tokens, now);
   request->stall_at = silence_limit(request, now);
-  /* a handle serves once, whatever becomes of the run */
-  g_clear_pointer(&request->handle, g_free);
-  g_clear_pointer(&request->handle_endpoint, g_free);
+}
+
+void path_place(Router *router, Request *request, Endpoint *decode,
+                gint64 now) {
+  prefill_reserve(router, request, decode);
+  if (!prefill_begin(router, request, now))
+    path_run(router, request, now);
 }
 
 void path_begin(Router *router, Request *request, gint64 now) {
-  if (request->service->is_engine && prefill_begin(router, request, now))
-    return;
-  path_run(router, request, now);
+  if (request->service->is_engine)
+    admission_enter(router, request, now);
+  else
+    path_run(router, request, now);
 }
 
 /* }================================================================== */
@@ -296,6 +308,12 @@
                " request=%s endpoint=%s outcome=%d status=%d after_ms=%d",
                request->id, request->open.endpoint, (int)outcome->kind,
                outcome->status, (int)((now - request->open.sent) / MP_MS));
+  if (outcome->kind != OUTCOME_UNREACHABLE &&
+      (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
+    /* a handle serves once; one that two engines refused is gone */
+    g_clear_pointer(&request->handle, g_free);
+    g_clear_pointer(&request->handle_endpoint, g_free);
+  }
   if (outcome->kind == OUTCOME_UNREACHABLE ||
       outcome->kind == OUTCOME_NOT_RUN || outcome->kind == OUTCOME_BROKEN)
     path_exclude(request, request->open.endpoint);
@@ -321,6 +339,7 @@
   case OUTCOME_STREAM_END:
     if (endpoint != NULL)
       endpoint_succeeded(endpoint, now);
+    admission_ended(router, now);
     finish_answered(router, request, outcome);
     break;
   }
--- /dev/null
+++ b/router/peer_loads.c
@@ -0,0 +1,122 @@
+/*
+** peer_loads.c
+** What the other instances have open at each endpoint
+*/
+
+#include <string.h>
+
+#include "router/peer_loads.h"
+
+/* a sequence number this far behind is a peer that started anew */
+#define REORDER_WINDOW 64
+
+typedef struct Peer {
+  mp_Addr address;
+  guint32 sequence;
+  gint64 heard;
+  mp_LoadDigest digest;
+} Peer;
+
+typedef struct LoadSum {
+  guint64 tokens;
+  guint open;
+} LoadSum;
+
+struct PeerLoads {
+  GHashTable *peers; /* address -> Peer */
+  GHashTable *sums;  /* endpoint hash -> LoadSum */
+};
+
+PeerLoads *peer_loads_new(void) {
+  PeerLoads *loads = g_new0(PeerLoads, 1);
+  loads->peers =
+      g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+  loads->sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+  return loads;
+}
+
+void peer_loads_free(PeerLoads *loads) {
+  g_hash_table_destroy(loads->peers);
+  g_hash_table_destroy(loads->sums);
+  g_free(loads);
+}
+
+static void add(PeerLoads *loads, const mp_LoadRow *row) {
+  gpointer key = GUINT_TO_POINTER(row->endpoint);
+  LoadSum *sum = g_hash_table_lookup(loads->sums, key);
+  if (sum == NULL) {
+    sum = g_new0(LoadSum, 1);
+    g_hash_table_insert(loads->sums, key, sum);
+  }
+  sum->tokens += row->tokens;
+  sum->open += row->open;
+}
+
+static void subtract(PeerLoads *loads, const mp_LoadRow *row) {
+  gpointer key = GUINT_TO_POINTER(row->endpoint);
+  LoadSum *sum = g_hash_table_lookup(loads->sums, key);
+  sum->tokens -= row->tokens;
+  sum->open -= row->open;
+  if (sum->tokens == 0 && sum->open == 0)
+    g_hash_table_remove(loads->sums, key);
+}
+
+static void subtract_all(PeerLoads *loads, const Peer *peer) {
+  unsigned i;
+  for (i = 0; i < peer->digest.n; i++)
+    subtract(loads, &peer->digest.row[i]);
+}
+
+/* an older digest that was overtaken; not one of a new life */
+static gboolean is_late(const Peer *peer, guint32 sequence) {
+  guint32 behind = peer->sequence - sequence;
+  return behind < REORDER_WINDOW;
+}
+
+void peer_loads_take(PeerLoads *loads, mp_Addr address, guint32 sequence,
+                     const mp_LoadDigest *digest, gint64 now) {
+  Peer *peer = g_hash_table_lookup(loads->peers, &address);
+  unsigned i;
+  if (peer == NULL) {
+    peer = g_new0(Peer, 1);
+    peer->address = address;
+    g_hash_table_insert(loads->peers, &peer->address, peer);
+  } else if (is_late(peer, sequence))
+    return;
+  subtract_all(loads, peer);
+  peer->sequence = sequence;
+  peer->heard = now;
+  peer->digest = *digest;
+  for (i = 0; i < digest->n; i++)
+    add(loads, &digest->row[i]);
+}
+
+gboolean peer_loads_expire(PeerLoads *loads, gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  gboolean found = FALSE;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    Peer *peer = value;
+    if (now - peer->heard < PEER_SILENCE || peer->digest.n == 0)
+      continue;
+    subtract_all(loads, peer);
+    peer->digest.n = 0;
+    found = TRUE;
+  }
+  return found;
+}
+
+static const LoadSum *sum_of(const PeerLoads *loads, guint32 endpoint) {
+  return g_hash_table_lookup(loads->sums, GUINT_TO_POINTER(endpoint));
+}
+
+guint64 peer_loads_tokens(const PeerLoads *loads, guint32 endpoint) {
+  const LoadSum *sum = sum_of(loads, endpoint);
+  return sum != NULL ? sum->tokens : 0;
+}
+
+guint peer_loads_open(const PeerLoads *loads, guint32 endpoint) {
+  const LoadSum *sum = sum_of(loads, endpoint);
+  return sum != NULL ? sum->open : 0;
+}
--- /dev/null
+++ b/router/peer_loads.h
@@ -0,0 +1,33 @@
+/*
+** peer_loads.h
+** What the other instances have open at each endpoint, as they last said
+**
+** Each instance sends all that it has open whenever that changes, so a
+** lost message is made good by the next one. What a peer said counts
+** until it says something else, or for PEER_SILENCE.
+*/
+
+#ifndef ROUTER_PEER_LOADS_H
+#define ROUTER_PEER_LOADS_H
+
+#include "madderpier.h"
+
+/* a peer that is silent this long has nothing open any more */
+#define PEER_SILENCE (1500 * MP_MS)
+
+typedef struct PeerLoads PeerLoads;
+
+PeerLoads *peer_loads_new(void);
+void peer_loads_free(PeerLoads *loads);
+
+/* 'sequence' grows with every digest of one life of the peer */
+void peer_loads_take(PeerLoads *loads, mp_Addr peer, guint32 sequence,
+                     const mp_LoadDigest *digest, gint64 now);
+/* forget the peers that are silent; FALSE when there were none */
+gboolean peer_loads_expire(PeerLoads *loads, gint64 now);
+
+/* sums over all peers, by the hash of the endpoint's id */
+guint64 peer_loads_tokens(const PeerLoads *loads, guint32 endpoint);
+guint peer_loads_open(const PeerLoads *loads, guint32 endpoint);
+
+#endif
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -32,34 +32,32 @@
   endpoint = endpoint_table_get(router->endpoints, request->decode);
   if (endpoint != NULL)
     endpoint->tokens -= MIN(endpoint->tokens, request->decode_tokens);
+  router->load_version++;
   g_clear_pointer(&request->decode, g_free);
 }
 
-static void reserve_decode(Request *request, Endpoint *endpoint) {
-  request->decode = g_strdup(endpoint->record.id);
+void prefill_reserve(Router *router, Request *request, Endpoint *decode) {
+  request->decode = g_strdup(decode->record.id);
   request->decode_tokens = prompt_and_output(request);
-  endpoint->tokens += request->decode_tokens;
+  decode->tokens += request->decode_tokens;
+  router->load_version++;
 }
 
 gboolean prefill_begin(Router *router, Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, STAGE_DECODE);
-  Endpoint *decode;
+  EndpointWish wish = path_wish(router, request, STAGE_PREFILL);
+  const Endpoint *decode =
+      endpoint_table_get(router->endpoints, request->decode);
   Endpoint *prefill;
   gint64 expected;
   if (!endpoint_table_has(router->endpoints, request->service->name,
                           STAGE_PREFILL, now))
     return FALSE;
-  wish.affinity = request->session;
-  decode = endpoint_table_choose(router->endpoints, &wish, now);
-  if (decode == NULL)
-    return FALSE;
-  wish = path_wish(router, request, STAGE_PREFILL);
+  wish.tokens = request->prompt_tokens;
   wish.zone = decode->record.zone;
   wish.affinity = request->session;
   prefill = endpoint_table_choose(router->endpoints, &wish, now);
   if (prefill == NULL)
     return FALSE;
-  reserve_decode(request, decode);
   router_count(router, PREFILLS);
   expected = request->prompt_tokens / PREFILL_PACE * MP_MS;
   request->phase = PHASE_PREFILL;
--- a/router/router.c
+++ b/router/router.c
@@ -46,12 +46,14 @@
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   router->requests =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, request_free);
+  router->waiting = g_ptr_array_new();
   router->dispatched = g_hash_table_new(g_int64_hash, g_int64_equal);
   return router;
 }
 
 void router_free(Router *router) {
   g_hash_table_destroy(router->dispatched);
+  g_ptr_array_free(router->waiting, TRUE);
   g_hash_table_destroy(router->requests);
   g_hash_table_destroy(router->budgets);
   endpoint_table_free(router->endpoints);
@@ -186,13 +188,19 @@
     return;
   }
   retry_budget_request(router_budget(router, service), &router->retry, now);
+  router_log(router, MP_LOG_ROUTE_ACCEPT,
+             " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d",
+             request->id, route->name, service, request->prompt_tokens,
+             request->output_tokens, (int)((request->expires - now) / MP_MS));
   path_begin(router, request, now);
 }
 
 void router_hangup(Router *router, guint64 number, gint64 now) {
   Request *request = g_hash_table_lookup(router->requests, &number);
-  if (request != NULL)
-    finish_hangup(router, request, now);
+  if (request == NULL)
+    return;
+  finish_hangup(router, request, now);
+  admission_run(router, now);
 }
 
 void router_outcome(Router *router, const Outcome *outcome, gint64 now) {
@@ -204,6 +212,7 @@
     prefill_outcome(router, request, outcome, now);
   else
     path_outcome(router, request, outcome, now);
+  admission_run(router, now);
 }
 
 /* }================================================================== */
@@ -232,6 +241,10 @@
 
 static void stalled(Router *router, Request *request, gint64 now) {
   Outcome outcome = {0};
+  if (request->phase == PHASE_WAIT) {
+    admission_look(router, request, now);
+    return;
+  }
   if (request->phase == PHASE_PREFILL) {
     prefill_stalled(router, request, now);
     return;
@@ -263,6 +276,42 @@
 void router_tick(Router *router, gint64 now) {
   while (tick_one(router, now)) {
   }
+  peer_loads_expire(router->endpoints->peers, now);
+  admission_run(router, now);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Loads
+** ===================================================================
+*/
+
+guint64 router_load_version(const Router *router) {
+  return router->load_version;
+}
+
+void router_load_digest(const Router *router, mp_LoadDigest *out) {
+  const GPtrArray *all = router->endpoints->all;
+  guint i;
+  out->n = 0;
+  for (i = 0; i < all->len && out->n < MP_DIGEST_ROWS; i++) {
+    const Endpoint *endpoint = all->pdata[i];
+    mp_LoadRow *row = &out->row[out->n];
+    if (endpoint->open == 0 && endpoint->tokens == 0)
+      continue;
+    row->endpoint = endpoint->hash;
+    row->tokens = (uint32_t)endpoint->tokens;
+    row->open = endpoint->open;
+    out->n++;
+  }
+}
+
+void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
+                      const mp_LoadDigest *digest, gint64 now) {
+  peer_loads_take(router->endpoints->peers, peer, sequence, digest, now);
+  admission_run(router, now);
 }
 
 /* }================================================================== */
--- a/router/router.h
+++ b/router/router.h
@@ -143,6 +143,13 @@
 gint64 router_next_tick(const Router *router);
 void router_tick(Router *router, gint64 now);
 
+/* what this instance has open, for the others: changes with its version */
+guint64 router_load_version(const Router *router);
+void router_load_digest(const Router *router, mp_LoadDigest *out);
+/* what another instance has open; 'sequence' grows with each */
+void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
+                      const mp_LoadDigest *digest, gint64 now);
+
 /* looking in */
 unsigned router_open_requests(const Router *router);
 gboolean router_configured(const Router *router);
--- a/router/state.h
+++ b/router/state.h
@@ -45,7 +45,7 @@
   gint64 sent;
 } OpenDispatch;
 
-typedef enum Phase { PHASE_PREFILL, PHASE_RUN } Phase;
+typedef enum Phase { PHASE_WAIT, PHASE_PREFILL, PHASE_RUN } Phase;
 
 typedef struct Request {
   guint64 number;
@@ -66,6 +66,8 @@
   unsigned prefills; /* prefills that reached an endpoint */
   unsigned unreachable;
   gboolean was_busy;     /* some endpoint turned it away */
+  gboolean returned;     /* it was refused before, and came back */
+  gint64 come_back;      /* when refused: come back after this; 0: as usual */
   gboolean head_sent;    /* the answer has begun */
   char *last_event;      /* passed on to the caller */
   char *decode;          /* id of the engine that shall decode */
@@ -90,6 +92,10 @@
   GHashTable *requests;   /* number -> Request */
   GHashTable *dispatched; /* dispatch number -> Request */
   guint64 last_dispatch;
+  GPtrArray *waiting;   /* Request in PHASE_WAIT, first one first */
+  gint64 last_end;      /* when the last run at an engine ended */
+  double end_interval;  /* mean time between such ends */
+  guint64 load_version; /* grows when what is open here changes */
   guint64 counters[ROUTER_COUNTER_COUNT];
 };
 
@@ -107,8 +113,11 @@
 ** ===================================================================
 */
 
-/* begin: with a prefill where there are engines for it; may end */
+/* begin; may end */
 void path_begin(Router *router, Request *request, gint64 now);
+/* a decode engine has room: prefill for it, or run there; may end */
+void path_place(Router *router, Request *request, Endpoint *decode,
+                gint64 now);
 /* send the request itself; may end */
 void path_run(Router *router, Request *request, gint64 now);
 /* send it again after a dispatch that failed; may end */
@@ -135,8 +144,9 @@
 ** ===================================================================
 */
 
-/* FALSE when the request is better run without one */
+/* FALSE when there is no engine for it; the decode engine is reserved */
 gboolean prefill_begin(Router *router, Request *request, gint64 now);
+void prefill_reserve(Router *router, Request *request, Endpoint *decode);
 /* an outcome of the open PREFILL dispatch; may end */
 void prefill_outcome(Router *router, Request *request, const Outcome *outcome,
                      gint64 now);
@@ -149,6 +159,25 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** admission.c: waiting for room at the decode engines
+** ===================================================================
+*/
+
+/* start the request, or let it wait, or refuse it; may end */
+void admission_enter(Router *router, Request *request, gint64 now);
+/* it waits no more */
+void admission_leave(Router *router, Request *request);
+/* its time to be looked at has come; may end */
+void admission_look(Router *router, Request *request, gint64 now);
+/* there may be room: start what fits */
+void admission_run(Router *router, gint64 now);
+/* a run at an engine ended */
+void admission_ended(Router *router, gint64 now);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** finish.c: how a request ends. All of these end it
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -76,6 +76,11 @@
     m.u.fetch.n = MP_CHUNK;
     m.u.fetch.data[MP_CHUNK - 1] = 'z';
     break;
+  case MP_MSG_LOAD_DIGEST:
+    m.u.digest.n = MP_DIGEST_ROWS;
+    m.u.digest.row[MP_DIGEST_ROWS - 1].tokens = 99;
+    m.u.digest.row[MP_DIGEST_ROWS - 1].open = 3;
+    break;
   default:
     m.u.reserve.token.owner = 0x7f0000011b58;
     break;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -160,6 +160,19 @@
   return xdr_opaque(x, f->data, f->n);
 }
 
+static bool_t digest(XDR *x, mp_LoadDigest *d) {
+  unsigned i;
+  if (!count(x, &d->n, MP_DIGEST_ROWS))
+    return FALSE;
+  for (i = 0; i < d->n; i++) {
+    mp_LoadRow *row = &d->row[i];
+    if (!u32(x, &row->endpoint) || !u32(x, &row->tokens) ||
+        !u32(x, &row->open))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static bool_t body(XDR *x, mp_Msg *m) {
   switch (m->kind) {
   case MP_MSG_PROBE:
@@ -181,6 +194,8 @@
     return quota(x, &m->u.quota);
   case MP_MSG_FETCH:
     return fetch(x, &m->u.fetch);
+  case MP_MSG_LOAD_DIGEST:
+    return digest(x, &m->u.digest);
   default:
     return FALSE;
   }
