Planned stop: no request is taken once the balancer has looked twice

Ruled out: a longer drain (the platform kills after GraceS). The change: 2.8 s after the signal new and waiting requests are refused, not run, with when to come back; the drain ends 0.4 s before the kill.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -15,7 +15,9 @@
 #define DEFAULT_TIMEOUT 10
 #define DEFAULT_RETRY_WINDOW 10
 #define DEFAULT_WATCH_WAIT 3000
-#define DEFAULT_DRAIN_LEAST 3000
+#define DEFAULT_DRAIN_LEAST 2800
+/* a drain ends so long before the kill, milliseconds */
+#define GRACE_MARGIN 400
 #define DEFAULT_DRAIN_MOST 7400
 
 #define STR(k, f) \
@@ -47,6 +49,7 @@
     OPTUINT("watch_wait_ms", watch_wait_ms),
     OPTUINT("drain_least_ms", drain_least_ms),
     OPTUINT("drain_most_ms", drain_most_ms),
+    OPTUINT("grace_s", grace_s),
     CYAML_FIELD_SEQUENCE("peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                          Settings, peers, &address, 0, 64),
     OPTSTR("instance_network", instance_network),
@@ -151,7 +154,8 @@
   if (s->drain_least_ms == 0)
     s->drain_least_ms = DEFAULT_DRAIN_LEAST;
   if (s->drain_most_ms == 0)
-    s->drain_most_ms = DEFAULT_DRAIN_MOST;
+    s->drain_most_ms =
+        s->grace_s > 0 ? s->grace_s * 1000 - GRACE_MARGIN : DEFAULT_DRAIN_MOST;
 }
 
 /* libcyaml's own words, with the line, as one text */
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -37,6 +37,7 @@
   uint32_t retry_window_s; /* in every window of this length */
   uint32_t watch_wait_ms;  /* longest wait of one watch of the store */
   uint32_t drain_least_ms; /* a planned stop takes connections so long */
+  uint32_t grace_s;        /* between the signal to stop and the kill */
   uint32_t drain_most_ms;  /* and ends after this */
 } Settings;
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -316,8 +316,10 @@
   gint64 age = node_now() - gateway->drain_began;
   (void)fd;
   (void)what;
-  if (age >= gateway->drain_least)
+  if (age >= gateway->drain_least) {
+    router_stop_taking(gateway->router);
     front_close_idle(gateway->front);
+  }
   if (age >= gateway->drain_least && front_open_requests(gateway->front) == 0)
     gateway->drained = TRUE;
   if (gateway->drained || age >= gateway->drain_most)
--- a/router/finish.c
+++ b/router/finish.c
@@ -10,6 +10,7 @@
 /* when a refused caller may come back */
 #define RETRY_AFTER_BUSY_MS 400
 #define RETRY_AFTER_ABSENT_MS 700
+#define RETRY_AFTER_DRAINING_MS 50
 
 static void forget(Router *router, Request *request) {
   path_close_dispatch(router, request, TRUE);
@@ -26,7 +27,7 @@
   forget(router, request);
 }
 
-static gint64 retry_after(RefusalKind kind) {
+gint64 finish_retry_after(RefusalKind kind) {
   switch (kind) {
   case REFUSAL_BUSY:
   case REFUSAL_NOT_RUN:
@@ -34,27 +35,29 @@
   case REFUSAL_NO_CONFIGURATION:
   case REFUSAL_NO_ENDPOINT:
     return RETRY_AFTER_ABSENT_MS;
+  case REFUSAL_DRAINING:
+    return RETRY_AFTER_DRAINING_MS;
   default:
     return 0;
   }
 }
 
-static const char *refusal_name(RefusalKind kind) {
+const char *finish_refusal_name(RefusalKind kind) {
   static const char *const names[] = {
-      "no_configuration", "no_route",        "no_endpoint", "busy",
-      "not_run",          "outcome_unknown", "timeout"};
+      "no_configuration", "no_route", "no_endpoint",     "busy",
+      "not_run",          "draining", "outcome_unknown", "timeout"};
   return names[kind];
 }
 
 void finish_refuse(Router *router, Request *request, RefusalKind kind) {
-  Refusal refusal = {kind, retry_after(kind)};
+  Refusal refusal = {kind, finish_retry_after(kind)};
   if (request->come_back != 0)
     refusal.retry_after_ms = request->come_back / MP_MS;
   router_count(router, REFUSED);
   router_log(router, MP_LOG_ROUTE_REFUSED,
              " request=%s reason=%s runs=%u arrivals=%u unreachable=%u",
-             request->id, refusal_name(kind), request->runs, request->arrivals,
-             request->unreachable);
+             request->id, finish_refusal_name(kind), request->runs,
+             request->arrivals, request->unreachable);
   path_close_dispatch(router, request, TRUE);
   router->host.refuse(router->host.data, request->number, &refusal);
   forget(router, request);
--- a/router/router.c
+++ b/router/router.c
@@ -157,11 +157,10 @@
 
 static void refuse_unrouted(Router *router, const CallerRequest *call,
                             RefusalKind kind) {
-  Refusal refusal = {kind, kind == REFUSAL_NO_CONFIGURATION ? 700 : 0};
+  Refusal refusal = {kind, finish_retry_after(kind)};
   router_count(router, REFUSED);
-  router_log(
-      router, MP_LOG_ROUTE_REFUSED, " request=%s reason=%s host=%s", call->id,
-      kind == REFUSAL_NO_ROUTE ? "no_route" : "no_configuration", call->host);
+  router_log(router, MP_LOG_ROUTE_REFUSED, " request=%s reason=%s host=%s",
+             call->id, finish_refusal_name(kind), call->host);
   router->host.refuse(router->host.data, call->number, &refusal);
 }
 
@@ -174,6 +173,10 @@
     refuse_unrouted(router, call, REFUSAL_NO_CONFIGURATION);
     return;
   }
+  if (router->stopping) {
+    refuse_unrouted(router, call, REFUSAL_DRAINING);
+    return;
+  }
   route = route_table_find(router->routes, call->host, call->path);
   if (route == NULL) {
     refuse_unrouted(router, call, REFUSAL_NO_ROUTE);
@@ -195,6 +198,12 @@
   path_begin(router, request, now);
 }
 
+void router_stop_taking(Router *router) {
+  router->stopping = TRUE;
+  while (router->waiting->len > 0)
+    finish_refuse(router, router->waiting->pdata[0], REFUSAL_DRAINING);
+}
+
 void router_hangup(Router *router, guint64 number, gint64 now) {
   Request *request = g_hash_table_lookup(router->requests, &number);
   if (request == NULL)
--- a/router/router.h
+++ b/router/router.h
@@ -64,6 +64,7 @@
   REFUSAL_NO_ENDPOINT,     /* not run: nobody is there to run it */
   REFUSAL_BUSY,            /* not run: endpoints turned it away */
   REFUSAL_NOT_RUN,         /* not run: its time passed while it waited */
+  REFUSAL_DRAINING,        /* not run: this instance is leaving */
   REFUSAL_OUTCOME_UNKNOWN, /* it may have run */
   REFUSAL_TIMEOUT          /* it may have run; its time passed */
 } RefusalKind;
@@ -133,6 +134,9 @@
 /* how many instances share the traffic, this one included */
 void router_set_instances(Router *router, unsigned count);
 
+/* planned stop: take no request any more, and refuse those that wait */
+void router_stop_taking(Router *router);
+
 /* a whole request came; the host hears about it through RouterHost */
 void router_request(Router *router, const CallerRequest *request, gint64 now);
 /* the caller is gone */
--- a/router/state.h
+++ b/router/state.h
@@ -92,6 +92,7 @@
   GHashTable *requests;   /* number -> Request */
   GHashTable *dispatched; /* dispatch number -> Request */
   guint64 last_dispatch;
+  gboolean stopping;    /* no request is taken any more */
   GPtrArray *waiting;   /* Request in PHASE_WAIT, first one first */
   gint64 last_end;      /* when the last run at an engine ended */
   double end_interval;  /* mean time between such ends */
@@ -184,6 +185,10 @@
 ** ===================================================================
 */
 
+/* what a refusal is called in logs, and when to come back after it */
+const char *finish_refusal_name(RefusalKind kind);
+gint64 finish_retry_after(RefusalKind kind);
+
 void finish_answered(Router *router, Request *request, const Outcome *outcome);
 void finish_refuse(Router *router, Request *request, RefusalKind kind);
 /* no further try: say what is known about whether it ran */
