Decode memory is counted by what streams have made

Cause: a run reserved its announced output (2210 tokens always), but made 936 on average: a third of the engines' memory stood empty, requests waited and were late. The change: a run counts its prompt, what its events say it has made (tokens an event come with the configuration), and room to grow by 0.8 of the mean output learned per service.

--- a/router/path.c
+++ b/router/path.c
@@ -24,16 +24,57 @@
 #define PIECE_SILENCE (900 * MP_MS)
 /* plain repeatable requests: silence of so many objectives */
 #define SAFE_SILENCE_OBJECTIVES 4
+/* a run is given room to grow by this share of the usual output */
+#define GROWTH_SHARE 0.8
+/* the usual output, while no stream has ended: share of the announced */
+#define FIRST_OUTPUT_SHARE 0.4
+/* weight of the newest output in the mean */
+#define OUTPUT_STEP 0.05
+/* memory is counted anew each time a stream has made so many tokens */
+#define COUNT_STEP 64
 /* time that must be left for another try to make sense */
 #define LEAST_TIME_LEFT (30 * MP_MS)
 
+guint64 path_memory(Router *router, const Request *request) {
+  const ServiceState *state = router_service(router, request->service->name);
+  double usual = state->mean_output;
+  double grown;
+  if (usual <= 0)
+    usual = FIRST_OUTPUT_SHARE * request->output_tokens;
+  grown = request->made + GROWTH_SHARE * usual;
+  return request->prompt_tokens +
+         (guint64)MIN(grown, (double)request->output_tokens);
+}
+
+/* a stream has grown: count its memory anew */
+static void count_memory(Router *router, Request *request) {
+  OpenDispatch *open = &request->open;
+  Endpoint *endpoint = endpoint_table_get(router->endpoints, open->endpoint);
+  guint64 tokens = path_memory(router, request);
+  if (endpoint == NULL || tokens < open->tokens + COUNT_STEP)
+    return;
+  endpoint->tokens += tokens - open->tokens;
+  open->tokens = tokens;
+  router->load_version++;
+}
+
+/* learn how long the streams of a service are */
+static void learn_output(Router *router, const Request *request) {
+  ServiceState *state = router_service(router, request->service->name);
+  if (request->made == 0)
+    return;
+  if (state->mean_output <= 0)
+    state->mean_output = FIRST_OUTPUT_SHARE * request->output_tokens;
+  state->mean_output += OUTPUT_STEP * (request->made - state->mean_output);
+}
+
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage) {
   EndpointWish wish = {0};
   wish.service = request->service->name;
   wish.stage = stage;
   wish.capacity = request->service->kv_tokens;
-  wish.tokens = (guint64)request->prompt_tokens + request->output_tokens;
+  wish.tokens = path_memory(router, request);
   wish.excluded = (const char *const *)request->excluded;
   wish.excluded_count = request->excluded_count;
   wish.spread = (guint64)g_rand_int(router->random) + 1;
@@ -148,7 +189,7 @@
   }
   prefill_unreserve(router, request);
   if (request->service->is_engine)
-    tokens = (guint64)request->prompt_tokens + request->output_tokens;
+    tokens = path_memory(router, request);
   path_send(router, request, DISPATCH_RUN, endpoint, tokens, now);
   request->stall_at = silence_limit(request, now);
 }
@@ -283,6 +324,9 @@
   if (outcome->event != NULL) {
     g_free(request->last_event);
     request->last_event = g_strdup(outcome->event);
+    request->made = (guint32)(g_ascii_strtoull(outcome->event, NULL, 10) *
+                              request->service->event_tokens);
+    count_memory(router, request);
   }
   if (request->stall_at != 0)
     request->stall_at = now + PIECE_SILENCE;
@@ -305,9 +349,11 @@
       endpoint_table_get(router->endpoints, request->open.endpoint);
   if (outcome->kind != OUTCOME_STREAM_PIECE)
     router_log(router, MP_LOG_ROUTE_OUTCOME,
-               " request=%s endpoint=%s outcome=%d status=%d after_ms=%d",
+               " request=%s endpoint=%s outcome=%d status=%d after_ms=%d "
+               "last_event=%s",
                request->id, request->open.endpoint, (int)outcome->kind,
-               outcome->status, (int)((now - request->open.sent) / MP_MS));
+               outcome->status, (int)((now - request->open.sent) / MP_MS),
+               request->last_event != NULL ? request->last_event : "-");
   if (outcome->kind != OUTCOME_UNREACHABLE &&
       (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
     /* a handle serves once; one that two engines refused is gone */
@@ -339,6 +385,7 @@
   case OUTCOME_STREAM_END:
     if (endpoint != NULL)
       endpoint_succeeded(endpoint, now);
+    learn_output(router, request);
     admission_ended(router, now);
     finish_answered(router, request, outcome);
     break;
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -21,10 +21,6 @@
 /* a handle with less time left than this is not worth the fetch */
 #define HANDLE_MARGIN (60 * MP_MS)
 
-static guint64 prompt_and_output(const Request *request) {
-  return (guint64)request->prompt_tokens + request->output_tokens;
-}
-
 void prefill_unreserve(Router *router, Request *request) {
   Endpoint *endpoint;
   if (request->decode == NULL)
@@ -38,7 +34,7 @@
 
 void prefill_reserve(Router *router, Request *request, Endpoint *decode) {
   request->decode = g_strdup(decode->record.id);
-  request->decode_tokens = prompt_and_output(request);
+  request->decode_tokens = path_memory(router, request);
   decode->tokens += request->decode_tokens;
   router->load_version++;
 }
--- a/router/records.h
+++ b/router/records.h
@@ -21,9 +21,10 @@
   char *name;
   char *health_path;
   gboolean is_engine;
-  guint32 slots;      /* engines: requests at once */
-  guint32 kv_tokens;  /* engines: memory, in tokens */
-  gint64 handle_life; /* engines: microseconds */
+  guint32 slots;        /* engines: requests at once */
+  guint32 kv_tokens;    /* engines: memory, in tokens */
+  guint32 event_tokens; /* engines: tokens in one event of a stream */
+  gint64 handle_life;   /* engines: microseconds */
   guint32 max_connections;
 } Service;
 
--- a/router/router.c
+++ b/router/router.c
@@ -42,7 +42,7 @@
   router->retry_slack = options->retry_slack;
   router->random = g_rand_new_with_seed((guint32)options->seed);
   router->endpoints = endpoint_table_new(options->zone);
-  router->budgets =
+  router->services =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   router->requests =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, request_free);
@@ -55,7 +55,7 @@
   g_hash_table_destroy(router->dispatched);
   g_ptr_array_free(router->waiting, TRUE);
   g_hash_table_destroy(router->requests);
-  g_hash_table_destroy(router->budgets);
+  g_hash_table_destroy(router->services);
   endpoint_table_free(router->endpoints);
   route_table_unref(router->routes);
   g_rand_free(router->random);
@@ -71,13 +71,17 @@
   router->host.log(router->host.data, number, fields);
 }
 
-RetryBudget *router_budget(Router *router, const char *service) {
-  RetryBudget *budget = g_hash_table_lookup(router->budgets, service);
-  if (budget == NULL) {
-    budget = g_new0(RetryBudget, 1);
-    g_hash_table_insert(router->budgets, g_strdup(service), budget);
+ServiceState *router_service(Router *router, const char *service) {
+  ServiceState *state = g_hash_table_lookup(router->services, service);
+  if (state == NULL) {
+    state = g_new0(ServiceState, 1);
+    g_hash_table_insert(router->services, g_strdup(service), state);
   }
-  return budget;
+  return state;
+}
+
+RetryBudget *router_budget(Router *router, const char *service) {
+  return &router_service(router, service)->budget;
 }
 
 /* }================================================================== */
--- a/router/state.h
+++ b/router/state.h
@@ -37,6 +37,12 @@
       ROUTER_COUNTER_COUNT
 } RouterCounter;
 
+/* what is kept for each service, over configurations */
+typedef struct ServiceState {
+  RetryBudget budget;
+  double mean_output; /* tokens that streams made lately; 0: none ended */
+} ServiceState;
+
 /* the dispatch that a request waits for */
 typedef struct OpenDispatch {
   guint64 number; /* 0: none */
@@ -70,6 +76,7 @@
   gint64 come_back;      /* when refused: come back after this; 0: as usual */
   gboolean head_sent;    /* the answer has begun */
   char *last_event;      /* passed on to the caller */
+  guint32 made;          /* tokens made, as the events tell */
   char *decode;          /* id of the engine that shall decode */
   guint64 decode_tokens; /* reserved there until it is dispatched */
   char *handle;          /* of the prompt that was read, not yet used */
@@ -88,7 +95,7 @@
   GRand *random;
   RouteTable *routes; /* NULL: no configuration yet */
   EndpointTable *endpoints;
-  GHashTable *budgets;    /* service -> RetryBudget */
+  GHashTable *services;   /* name -> ServiceState */
   GHashTable *requests;   /* number -> Request */
   GHashTable *dispatched; /* dispatch number -> Request */
   guint64 last_dispatch;
@@ -105,6 +112,7 @@
 void router_log(Router *router, mp_EventNo number, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
+ServiceState *router_service(Router *router, const char *service);
 /* the service's budget of extra arrivals */
 RetryBudget *router_budget(Router *router, const char *service);
 
@@ -129,6 +137,8 @@
 /* fill in and send a dispatch to an endpoint */
 void path_send(Router *router, Request *request, DispatchKind kind,
                Endpoint *endpoint, guint64 tokens, gint64 now);
+/* tokens of memory that a run takes, with room to grow */
+guint64 path_memory(Router *router, const Request *request);
 /* a wish with what every wish of this request says */
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage);
