--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -168,6 +168,7 @@
   Outcome outcome = {0};
   EndpointLinks *links = link->links;
   Call *call = link->call;
+  g_assert(call != NULL);
   outcome.kind = kind;
   outcome.dispatch = call->dispatch;
   link->call = NULL;
@@ -299,7 +300,9 @@
 static gboolean digest(Link *link) {
   HttpReaderState state = http_reader_state(link->reader);
   const Call *call = link->call;
-  if (state == HTTP_READER_BAD) {
+  g_assert(call != NULL);
+  if (state == HTTP_READER_BAD ||
+      (state == HTTP_READER_DONE && call->head == NULL)) {
     fail(link, OUTCOME_BROKEN);
     return FALSE;
   }
--- a/io/store_link.c
+++ b/io/store_link.c
@@ -48,7 +48,8 @@
                      const GError *error) {
   link->open = FALSE;
   event_del(link->timer);
-  g_clear_pointer(&link->head, http_head_free);
+  http_head_free(link->head);
+  link->head = NULL;
   g_byte_array_set_size(link->body, 0);
   link->on_reply(link->data, reply, error);
 }
--- a/router/router.c
+++ b/router/router.c
@@ -287,9 +287,10 @@
 }
 
 void router_tick(Router *router, gint64 now) {
+  if (peer_loads_expire(router->endpoints->peers, now))
+    admission_run(router, now);
   while (tick_one(router, now)) {
   }
-  peer_loads_expire(router->endpoints->peers, now);
   admission_run(router, now);
 }
 
--- /dev/null
+++ b/scripts/seam.sh
@@ -0,0 +1,35 @@
+#!/bin/bash
+# The seam: nothing outside platform/ knows the platform's names, and
+# platform/ only translates: it opens no socket, keeps no state, waits for
+# nothing and decides nothing. Prints what is wrong; exits 1 then.
+set -u
+cd "$(dirname "$0")/.."
+wrong=0
+
+# names of header fields, record fields and kinds that only platform/ knows
+names='Request-Id|Server-Stamp|Prompt-Prefix|Token-Count|Expect-Instance'
+names+='|Kv-From|Kv-Backup|Kv-Fetch|Kv-Hold|Not-Run|KvHandle|Deadline-Ms'
+names+='|PathPrefix|TimeoutMs|SloMs|GapTargetMs|KvTokens|KvHoldS|ColdLeftMs'
+names+='|HealthPath|MaxConns|MaxHeaderBytes|IdleTimeoutMs|WaitMs'
+names+='|objects/servers|config/main|kv-handle|/report'
+if git grep -nE "\"([^\"]*[^-A-Za-z\"])?($names)[^\"]*\"" -- core http router dialect io wire \
+  conf daemon cli include; then
+  echo "names of the platform outside platform/ (above)"
+  wrong=1
+fi
+
+# what a dialect must not do
+acts='socket\(|connect\(|bufferevent|evbuffer|event_(new|add|base)'
+acts+='|evhttp|evtimer|gettimeofday|clock_gettime|g_get_monotonic_time'
+acts+='|g_timeout|g_rand|sleep\('
+if grep -nE "$acts" platform/*.[ch]; then
+  echo "platform/ does input or output, or reads a clock (above)"
+  wrong=1
+fi
+
+# state: every static that is no function must be constant
+if grep -nE '^ *static ' platform/*.c | grep -vE 'const|\('; then
+  echo "platform/ keeps state (above)"
+  wrong=1
+fi
+exit $wrong
--- /dev/null
+++ b/test/router_world.cc
@@ -0,0 +1,225 @@
+/*
+** router_world.cc
+** A router with a host that writes down what it asks for
+*/
+
+#include <algorithm>
+
+#include "router_world.h"
+
+namespace routing {
+
+void World::on_dispatch(void *data, const Dispatch *dispatch) {
+  auto *world = static_cast<World *>(data);
+  Sent sent;
+  sent.number = dispatch->number;
+  sent.kind = dispatch->kind;
+  sent.request = dispatch->request;
+  sent.endpoint = dispatch->endpoint;
+  sent.deadline_ms = dispatch->deadline_ms;
+  sent.handle = dispatch->handle != nullptr ? dispatch->handle : "";
+  sent.last_event =
+      dispatch->last_event != nullptr ? dispatch->last_event : "";
+  sent.stream = dispatch->stream;
+  world->dispatches.push_back(sent);
+}
+
+void World::on_cancel(void *data, guint64 dispatch) {
+  auto *world = static_cast<World *>(data);
+  for (auto &sent : world->dispatches) {
+    if (sent.number == dispatch)
+      sent.cancelled = true;
+  }
+}
+
+void World::on_answer(void *data, guint64 request, const Outcome *outcome) {
+  auto *world = static_cast<World *>(data);
+  Ended &ended = world->ended[request];
+  ended.at = world->now;
+  switch (outcome->kind) {
+  case OUTCOME_STREAM_HEAD:
+    ended.heads++;
+    break;
+  case OUTCOME_STREAM_PIECE:
+    ended.events.emplace_back(outcome->event);
+    break;
+  default:
+    ended.answers++;
+    ended.status = outcome->status;
+  }
+}
+
+void World::on_refuse(void *data, guint64 request, const Refusal *refusal) {
+  auto *world = static_cast<World *>(data);
+  Ended &ended = world->ended[request];
+  ended.refusals++;
+  ended.refusal = refusal->kind;
+  ended.retry_after_ms = refusal->retry_after_ms;
+  ended.at = world->now;
+}
+
+void World::on_break_off(void *data, guint64 request) {
+  auto *world = static_cast<World *>(data);
+  world->ended[request].broken_off++;
+}
+
+void World::on_log(void *data, mp_EventNo number, const char *fields) {
+  auto *world = static_cast<World *>(data);
+  world->log.push_back(std::to_string(static_cast<int>(number)) + fields);
+}
+
+World::World(guint32 slack, double ratio) {
+  RouterHost host = {this,      on_dispatch,  on_cancel, on_answer,
+                     on_refuse, on_break_off, on_log};
+  RouterOptions options = {};
+  options.zone = "a";
+  options.seed = 7;
+  options.retry_ratio = ratio;
+  options.retry_slack = slack;
+  options.retry_window = 10 * second;
+  router = router_new(&options, &host, now);
+  router_set_instances(router, 1);
+}
+
+World::~World() {
+  router_free(router);
+}
+
+static void add_route(RouteTable *table, const char *prefix, RouteKind kind,
+                      bool resumable, guint32 attempts, const char *service,
+                      gint64 timeout) {
+  Route *route = route_table_add_route(table);
+  route->name = g_strdup(prefix);
+  route->host = g_strdup("host");
+  route->prefix = g_strdup(prefix);
+  route->kind = kind;
+  route->resumable = resumable;
+  route->attempts = attempts;
+  route->timeout = timeout;
+  route->objective = 900 * ms;
+  route->gap = 300 * ms;
+  route_add_target(route, service, 1);
+}
+
+void World::configure(guint64 version, gint64 timeout) {
+  RouteTable *table = route_table_new();
+  Service *app = route_table_add_service(table);
+  Service *llm;
+  app->name = g_strdup("app");
+  llm = route_table_add_service(table);
+  llm->name = g_strdup("llm");
+  llm->is_engine = TRUE;
+  llm->kv_tokens = 10000;
+  llm->event_tokens = 10;
+  llm->handle_life = 500 * ms;
+  table->version = version;
+  add_route(table, "/safe/", ROUTE_SAFE, false, 2, "app", timeout);
+  add_route(table, "/unsafe/", ROUTE_UNSAFE, false, 1, "app", timeout);
+  add_route(table, "/stream/", ROUTE_STREAM, false, 1, "llm", timeout);
+  add_route(table, "/resume/", ROUTE_STREAM, true, 2, "llm", timeout);
+  router_set_routes(router, table, now);
+  route_table_unref(table);
+}
+
+void World::endpoint(const Place &place, bool ready, bool gone) {
+  EndpointRecord record = {};
+  record.id = const_cast<char *>(place.id);
+  record.service = const_cast<char *>(place.service);
+  record.zone = const_cast<char *>(place.zone);
+  record.address = mp_addr_parse("10.0.0.1:80");
+  record.ready = ready;
+  record.stage = place.stage;
+  router_set_endpoint(router, &record, gone, now);
+}
+
+void World::populate() {
+  configure();
+  endpoint({"app-1", "app", "a", STAGE_NONE});
+  endpoint({"app-2", "app", "b", STAGE_NONE});
+  endpoint({"pre-1", "llm", "a", STAGE_PREFILL});
+  endpoint({"dec-1", "llm", "a", STAGE_DECODE});
+  endpoint({"dec-2", "llm", "a", STAGE_DECODE});
+}
+
+guint64 World::request(const std::string &path, gint64 deadline_ms,
+                       guint32 prompt, guint32 output) {
+  CallerRequest call = {};
+  std::string id = "r" + std::to_string(++last_number);
+  call.number = last_number;
+  call.id = id.c_str();
+  call.host = "host";
+  call.path = path.c_str();
+  call.deadline_ms = deadline_ms;
+  call.prompt_tokens = prompt;
+  call.output_tokens = output;
+  router_request(router, &call, now);
+  return last_number;
+}
+
+void World::hangup(guint64 number) {
+  router_hangup(router, number, now);
+}
+
+void World::advance(gint64 span) {
+  gint64 until = now + span;
+  while (router_next_tick(router) <= until) {
+    now = std::max(now, router_next_tick(router));
+    router_tick(router, now);
+  }
+  now = until;
+}
+
+static bool is_last(OutcomeKind kind) {
+  return kind != OUTCOME_STREAM_HEAD && kind != OUTCOME_STREAM_PIECE;
+}
+
+void World::outcome(guint64 dispatch, OutcomeKind kind, int status) {
+  Outcome outcome = {};
+  outcome.dispatch = dispatch;
+  outcome.kind = kind;
+  outcome.status = status;
+  for (auto &sent : dispatches) {
+    if (sent.number == dispatch && is_last(kind))
+      sent.ended = true;
+  }
+  router_outcome(router, &outcome, now);
+}
+
+void World::prefilled(guint64 dispatch, const char *handle) {
+  Outcome outcome = {};
+  outcome.dispatch = dispatch;
+  outcome.kind = OUTCOME_ANSWER;
+  outcome.status = 200;
+  outcome.handle = handle;
+  router_outcome(router, &outcome, now);
+}
+
+void World::piece(guint64 dispatch, const char *event) {
+  Outcome outcome = {};
+  outcome.dispatch = dispatch;
+  outcome.kind = OUTCOME_STREAM_PIECE;
+  outcome.event = event;
+  router_outcome(router, &outcome, now);
+}
+
+Sent &World::last() {
+  return dispatches.back();
+}
+
+const Sent &World::sent(guint64 dispatch) const {
+  return *std::find_if(dispatches.begin(), dispatches.end(),
+                       [=](const Sent &s) { return s.number == dispatch; });
+}
+
+unsigned World::runs(guint64 request) const {
+  return static_cast<unsigned>(
+      std::count_if(dispatches.begin(), dispatches.end(), [=](const Sent &s) {
+        return s.request == request && s.kind == DISPATCH_RUN;
+      }));
+}
+
+Ended &World::end(guint64 request) {
+  return ended[request];
+}
+
+} // namespace routing
--- /dev/null
+++ b/test/router_world.h
@@ -0,0 +1,112 @@
+/*
+** router_world.h
+** A router with a host that writes down what it asks for, in virtual time
+*/
+
+#ifndef ROUTER_WORLD_H
+#define ROUTER_WORLD_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "router/router.h"
+}
+
+namespace routing {
+
+constexpr gint64 ms = 1000;
+constexpr gint64 second = 1000 * ms;
+
+/* a dispatch as it was asked for */
+struct Sent {
+  guint64 number = 0;
+  DispatchKind kind = DISPATCH_RUN;
+  guint64 request = 0;
+  std::string endpoint;
+  gint64 deadline_ms = 0;
+  std::string handle;
+  std::string last_event;
+  bool stream = false;
+  bool cancelled = false;
+  bool ended = false; /* its last outcome was told */
+};
+
+/* what became of a caller's request */
+struct Ended {
+  int answers = 0; /* whole answers, ends of streams */
+  int refusals = 0;
+  int broken_off = 0;
+  int heads = 0;
+  int status = 0;
+  RefusalKind refusal = REFUSAL_NO_ROUTE;
+  gint64 retry_after_ms = 0;
+  std::vector<std::string> events;
+  gint64 at = 0;
+
+  int ends() const {
+    return answers + refusals + broken_off;
+  }
+};
+
+struct Place {
+  const char *id;
+  const char *service;
+  const char *zone;
+  EndpointStage stage;
+};
+
+class World {
+public:
+  /* by default the retry budget is no matter */
+  explicit World(guint32 slack = 0, double ratio = 10.0);
+  ~World();
+  World(const World &) = delete;
+  World &operator=(const World &) = delete;
+
+  /*
+  ** Routes: /safe/ and /unsafe/ to "app"; /stream/ (at most once) and
+  ** /resume/ (resumable, two attempts) to the engines of "llm".
+  */
+  void configure(guint64 version = 1, gint64 timeout = 10 * second);
+  void endpoint(const Place &place, bool ready = true, bool gone = false);
+  /* two plain endpoints, one prefill and two decode engines */
+  void populate();
+
+  guint64 request(const std::string &path, gint64 deadline_ms = 10000,
+                  guint32 prompt = 1000, guint32 output = 500);
+  void hangup(guint64 number);
+  void advance(gint64 span);
+
+  /* outcomes of a dispatch */
+  void outcome(guint64 dispatch, OutcomeKind kind, int status = 200);
+  void prefilled(guint64 dispatch, const char *handle = "h1");
+  void piece(guint64 dispatch, const char *event);
+
+  Sent &last();
+  const Sent &sent(guint64 dispatch) const;
+  /* runs sent for a request */
+  unsigned runs(guint64 request) const;
+  Ended &end(guint64 request);
+
+  Router *router;
+  gint64 now = 100 * second;
+  std::vector<Sent> dispatches;
+  std::map<guint64, Ended> ended;
+  std::vector<std::string> log;
+
+private:
+  static void on_dispatch(void *data, const Dispatch *dispatch);
+  static void on_cancel(void *data, guint64 dispatch);
+  static void on_answer(void *data, guint64 request, const Outcome *outcome);
+  static void on_refuse(void *data, guint64 request, const Refusal *refusal);
+  static void on_break_off(void *data, guint64 request);
+  static void on_log(void *data, mp_EventNo number, const char *fields);
+  guint64 last_number = 0;
+};
+
+} // namespace routing
+
+#endif
--- /dev/null
+++ b/test/test_follower.cc
@@ -0,0 +1,161 @@
+/*
+** test_follower.cc
+** Following the store: pages, watches, lost history, outages
+*/
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "router/follower.h"
+}
+
+namespace {
+
+struct Follow : ::testing::Test {
+  Follower follower;
+  std::map<std::string, std::string> objects;
+  int lists = 0;
+  int lost = 0;
+  int regained = 0;
+  gint64 now = 1000000;
+
+  void SetUp() override {
+    FollowerHost host = {this, on_object, on_listed, on_lost, on_regained};
+    follower_init(&follower, STORE_ENDPOINTS, 3 * MP_SEC, &host);
+  }
+  void TearDown() override {
+    follower_clear(&follower);
+  }
+
+  static void on_object(void *data, StoreKind, const StoreObject *object) {
+    auto *self = static_cast<Follow *>(data);
+    if (object->gone)
+      self->objects.erase(object->name);
+    else
+      self->objects[object->name] = object->text;
+  }
+  static void on_listed(void *data, StoreKind, GHashTable *names) {
+    auto *self = static_cast<Follow *>(data);
+    self->lists++;
+    for (auto it = self->objects.begin(); it != self->objects.end();) {
+      if (g_hash_table_contains(names, it->first.c_str()))
+        ++it;
+      else
+        it = self->objects.erase(it);
+    }
+  }
+  static void on_lost(void *data, StoreKind) {
+    static_cast<Follow *>(data)->lost++;
+  }
+  static void on_regained(void *data, StoreKind) {
+    static_cast<Follow *>(data)->regained++;
+  }
+
+  struct Row {
+    const char *name;
+    gint64 revision;
+    const char *text; /* nullptr: gone */
+  };
+
+  StoreCall call() {
+    StoreCall out;
+    follower_begin(&follower, &out);
+    return out;
+  }
+  void answer(StoreStatus status, gint64 at = 0,
+              const std::vector<Row> &rows = {}, bool more = false) {
+    StoreReply reply = {status, store_objects_new(), more, at};
+    for (const Row &row : rows) {
+      StoreObject object = {g_strdup(row.name), row.revision,
+                            row.text == nullptr, g_strdup(row.text)};
+      g_array_append_val(reply.objects, object);
+    }
+    follower_reply(&follower, &reply, now);
+    store_reply_clear(&reply);
+  }
+};
+
+TEST_F(Follow, ReadsEveryPageThenWatchesFromTheFirstOnesRevision) {
+  EXPECT_EQ(call().operation, STORE_LIST);
+  answer(STORE_OK, 10, {{"a", 1, "1"}, {"b", 2, "2"}}, true);
+  EXPECT_EQ(lists, 0);
+  StoreCall second = call();
+  EXPECT_EQ(second.operation, STORE_LIST);
+  EXPECT_STREQ(second.after, "b");
+  answer(STORE_OK, 14, {{"c", 3, "3"}});
+  EXPECT_EQ(lists, 1);
+  EXPECT_EQ(objects.size(), 3u);
+  StoreCall watch = call();
+  EXPECT_EQ(watch.operation, STORE_WATCH);
+  EXPECT_EQ(watch.revision, 10);
+}
+
+TEST_F(Follow, EventsTakeEffectAndMoveTheRevision) {
+  call();
+  answer(STORE_OK, 10, {{"a", 1, "1"}});
+  call();
+  answer(STORE_OK, 12, {{"a", 11, "new"}, {"b", 12, "2"}});
+  EXPECT_EQ(objects["a"], "new");
+  EXPECT_EQ(call().revision, 12);
+  answer(STORE_OK, 13, {{"a", 13, nullptr}});
+  EXPECT_EQ(objects.count("a"), 0u);
+}
+
+TEST_F(Follow, AnOlderRevisionNeverTakesEffect) {
+  call();
+  answer(STORE_OK, 10, {{"a", 9, "new"}});
+  call();
+  answer(STORE_OK, 11, {{"a", 5, "old"}});
+  EXPECT_EQ(objects["a"], "new");
+}
+
+TEST_F(Follow, LostHistoryIsListedAnewAndWhatIsGoneIsForgotten) {
+  call();
+  answer(STORE_OK, 10, {{"a", 1, "1"}, {"b", 2, "2"}});
+  call();
+  answer(STORE_HISTORY_GONE);
+  EXPECT_EQ(call().operation, STORE_LIST);
+  answer(STORE_OK, 40, {{"b", 2, "2"}});
+  EXPECT_EQ(objects.size(), 1u);
+  EXPECT_EQ(call().revision, 40);
+}
+
+TEST_F(Follow, AnOutageIsToldOnceAndWaitsGrow) {
+  call();
+  answer(STORE_FAILED);
+  gint64 first = follower_next_call(&follower) - now;
+  call();
+  answer(STORE_FAILED);
+  gint64 second = follower_next_call(&follower) - now;
+  EXPECT_GT(second, first);
+  for (int i = 0; i < 10; i++) {
+    call();
+    answer(STORE_FAILED);
+  }
+  EXPECT_LE(follower_next_call(&follower) - now, 1 * MP_SEC);
+  EXPECT_EQ(lost, 1);
+  call();
+  answer(STORE_OK, 10);
+  EXPECT_EQ(regained, 1);
+}
+
+TEST_F(Follow, AFailedWatchGoesOnFromWhereItWas) {
+  call();
+  answer(STORE_OK, 10, {{"a", 1, "1"}});
+  call();
+  answer(STORE_FAILED);
+  StoreCall again = call();
+  EXPECT_EQ(again.operation, STORE_WATCH);
+  EXPECT_EQ(again.revision, 10);
+}
+
+TEST_F(Follow, OneCallIsOpenAtATime) {
+  call();
+  EXPECT_EQ(follower_next_call(&follower), G_MAXINT64);
+}
+
+} // namespace
--- /dev/null
+++ b/test/test_http.cc
@@ -0,0 +1,234 @@
+/*
+** test_http.cc
+** Framing of messages and of events, with good and bad bytes
+*/
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+extern "C" {
+#include "http/events.h"
+#include "http/reader.h"
+}
+
+namespace {
+
+/* a reader and what it told */
+struct Reading {
+  HttpReader *reader;
+  HttpHead *head = nullptr;
+  std::string body;
+
+  explicit Reading(HttpReaderKind kind) {
+    static const HttpReaderHooks hooks = {on_head, on_body};
+    reader = http_reader_new(kind, &hooks, this);
+  }
+  ~Reading() {
+    http_head_free(head);
+    http_reader_free(reader);
+  }
+  Reading(const Reading &) = delete;
+  Reading &operator=(const Reading &) = delete;
+
+  static void on_head(void *data, HttpHead *head) {
+    auto *self = static_cast<Reading *>(data);
+    http_head_free(self->head);
+    self->head = head;
+  }
+  static void on_body(void *data, const char *bytes, size_t size) {
+    static_cast<Reading *>(data)->body.append(bytes, size);
+  }
+
+  /* feed in pieces of this size; returns the bytes consumed */
+  size_t feed(const std::string &bytes, size_t step = 1 << 20) {
+    size_t used = 0;
+    while (used < bytes.size()) {
+      size_t size = std::min(step, bytes.size() - used);
+      size_t n = http_reader_feed(reader, bytes.data() + used, size);
+      used += n;
+      if (n < size)
+        break;
+    }
+    return used;
+  }
+  HttpReaderState state() const {
+    return http_reader_state(reader);
+  }
+};
+
+const char *const answer = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 5\r\n"
+                           "\r\nhello";
+
+TEST(Reader, StopsBehindAWholeAnswer) {
+  for (size_t step : {1, 2, 7, 1000}) {
+    Reading r(HTTP_ANSWERS);
+    std::string bytes = std::string(answer) + "HTTP/1.1 200 OK\r\n";
+    EXPECT_EQ(r.feed(bytes, step), std::string(answer).size()) << step;
+    EXPECT_EQ(r.state(), HTTP_READER_DONE);
+    EXPECT_EQ(r.body, "hello");
+    EXPECT_STREQ(http_head_get(r.head, "x"), "1");
+  }
+}
+
+TEST(Reader, GoesOnWithTheNextMessage) {
+  Reading r(HTTP_ANSWERS);
+  r.feed(answer);
+  http_reader_next(r.reader);
+  EXPECT_EQ(r.state(), HTTP_READER_IDLE);
+  r.body.clear();
+  r.feed(answer);
+  EXPECT_EQ(r.state(), HTTP_READER_DONE);
+  EXPECT_EQ(r.body, "hello");
+}
+
+TEST(Reader, JoinsChunks) {
+  Reading r(HTTP_ANSWERS);
+  r.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+         1);
+  EXPECT_EQ(r.state(), HTTP_READER_DONE);
+  EXPECT_EQ(r.body, "abcde");
+}
+
+TEST(Reader, WithoutALengthOnlyAGoodEndMakesItWhole) {
+  Reading r(HTTP_ANSWERS);
+  r.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  EXPECT_EQ(r.state(), HTTP_READER_PARTIAL);
+  http_reader_end(r.reader);
+  EXPECT_EQ(r.state(), HTTP_READER_DONE);
+}
+
+TEST(Reader, AnEndTooEarlyIsBad) {
+  for (const char *bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Le"}) {
+    Reading r(HTTP_ANSWERS);
+    r.feed(bytes);
+    http_reader_end(r.reader);
+    EXPECT_EQ(r.state(), HTTP_READER_BAD) << bytes;
+  }
+}
+
+TEST(Reader, DoubtfulFramingIsBad) {
+  for (const char *bytes :
+       {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
+        "\x01\x02garbage\r\n\r\n"}) {
+    Reading r(HTTP_REQUESTS);
+    r.feed(bytes);
+    EXPECT_EQ(r.state(), HTTP_READER_BAD) << bytes;
+    EXPECT_EQ(http_reader_fault(r.reader), HTTP_FAULT_SYNTAX) << bytes;
+  }
+}
+
+TEST(Reader, LimitsAreTold) {
+  Reading head(HTTP_REQUESTS);
+  http_reader_limit(head.reader, 100, 10);
+  head.feed("GET / HTTP/1.1\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+  EXPECT_EQ(http_reader_fault(head.reader), HTTP_FAULT_HEAD_SIZE);
+  Reading body(HTTP_REQUESTS);
+  http_reader_limit(body.reader, 100, 10);
+  body.feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901");
+  EXPECT_EQ(http_reader_fault(body.reader), HTTP_FAULT_BODY_SIZE);
+}
+
+TEST(Reader, KeepsTheTargetAsItCame) {
+  Reading r(HTTP_REQUESTS);
+  r.feed("GET /a/b%20c?q=1&r=%2f HTTP/1.1\r\nHost: h\r\n\r\n", 3);
+  EXPECT_STREQ(r.head->target, "/a/b%20c?q=1&r=%2f");
+  EXPECT_STREQ(r.head->method, "GET");
+}
+
+/* mutated input never makes the reader read past its bytes or hang */
+TEST(Reader, SurvivesMutatedInput) {
+  std::mt19937 random(20261202);
+  std::string good = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                     "Keep-Alive: timeout=5\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (int i = 0; i < 20000; i++) {
+    std::string bytes = good;
+    int changes = 1 + static_cast<int>(random() % 4);
+    for (int k = 0; k < changes; k++)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    Reading r(i % 2 ? HTTP_ANSWERS : HTTP_REQUESTS);
+    http_reader_limit(r.reader, 4096, 4096);
+    EXPECT_LE(r.feed(bytes, 1 + random() % 40), bytes.size());
+    http_reader_end(r.reader);
+  }
+}
+
+TEST(Head, ConnectionFieldsAreNotPassedOn) {
+  HttpHead *from = http_head_answer(200);
+  HttpHead *to = http_head_answer(200);
+  http_head_add(from, "Connection", "close, X-Hop");
+  http_head_add(from, "X-Hop", "1");
+  http_head_add(from, "Keep-Alive", "timeout=5");
+  http_head_add(from, "Transfer-Encoding", "chunked");
+  http_head_add(from, "Content-Length", "4");
+  http_head_add(from, "X-End", "2");
+  http_head_copy_end_to_end(to, from);
+  EXPECT_EQ(to->fields->len, 1u);
+  EXPECT_STREQ(http_head_get(to, "X-End"), "2");
+  http_head_free(from);
+  http_head_free(to);
+}
+
+/* feed a stream in pieces; the whole events and the last id that came */
+std::pair<std::string, std::string> split(const std::string &stream,
+                                          size_t step, gsize *left) {
+  EventSplitter splitter;
+  GString *whole = g_string_new(nullptr);
+  std::string last;
+  event_splitter_init(&splitter);
+  for (size_t at = 0; at < stream.size(); at += step) {
+    char *id = nullptr;
+    event_splitter_feed(&splitter, stream.data() + at,
+                        std::min(step, stream.size() - at), whole, &id);
+    if (id != nullptr)
+      last = id;
+    g_free(id);
+  }
+  *left = event_splitter_pending(&splitter);
+  std::string out(whole->str, whole->len);
+  g_string_free(whole, TRUE);
+  event_splitter_clear(&splitter);
+  return {out, last};
+}
+
+TEST(Events, OnlyWholeOnesArePassedOn) {
+  std::string whole = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+  for (size_t step : {1, 2, 5, 100}) {
+    gsize left = 0;
+    auto [out, last] = split(whole + "id: 3\ndata: c\n", step, &left);
+    EXPECT_EQ(out, whole) << step;
+    EXPECT_EQ(last, "2") << step;
+    EXPECT_EQ(left, 14u) << step;
+  }
+}
+
+TEST(Events, AnEventWithoutAnIdKeepsTheLastOne) {
+  gsize left = 0;
+  auto [out, last] = split("id: 9\ndata: a\n\ndata: b\n\n", 4, &left);
+  EXPECT_EQ(last, "9");
+  EXPECT_EQ(left, 0u);
+}
+
+TEST(Events, SurviveMutatedInput) {
+  std::mt19937 random(7);
+  std::string good = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\n";
+  for (int i = 0; i < 20000; i++) {
+    std::string bytes = good;
+    for (int k = 0; k < 3; k++)
+      bytes[random() % bytes.size()] = "\n\r:id 0"[random() % 7];
+    gsize left = 0;
+    auto [out, last] = split(bytes, 1 + random() % 9, &left);
+    EXPECT_EQ(out.size() + left, bytes.size());
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/test/test_platform.cc
@@ -0,0 +1,310 @@
+/*
+** test_platform.cc
+** The platform's dialect: what is read and written, with good and bad input
+*/
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+extern "C" {
+#include "platform/platform.h"
+}
+
+namespace {
+
+const char *const configuration =
+    R"({"Version":7,"Routes":[{"Name":"r","Host":"h.example",)"
+    R"("PathPrefix":"/a/","Kind":"stream","TimeoutMs":14000,"SloMs":900,)"
+    R"("Priority":1,"Service":"s","Attempts":2,"Sticky":true,)"
+    R"("Resumable":true,"GapTargetMs":300},{"Name":"q","Host":"h.example",)"
+    R"("PathPrefix":"/a/b/","Kind":"unsafe","TimeoutMs":2500,"SloMs":150,)"
+    R"("Priority":2,"Split":[{"Service":"s","Weight":90},{"Service":"t",)"
+    R"("Weight":10}],"Attempts":1}],"Services":[{"Name":"s","HealthPath":)"
+    R"("/healthz","MaxConns":370,"Engine":{"Slots":64,"KvTokens":37745,)"
+    R"("Stride":12,"KvHoldS":0.5}},{"Name":"t","HealthPath":"/h",)"
+    R"("MaxConns":9}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":)"
+    R"(4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+HttpHead *caller() {
+  HttpHead *head = http_head_request("POST", "/a/b/c?x=1");
+  http_head_add(head, "Host", "h.example:80");
+  http_head_add(head, "Request-Id", "9c41");
+  http_head_add(head, "Deadline-Ms", "14000");
+  http_head_add(head, "Token-Count", "1460,80");
+  http_head_add(head, "Prompt-Prefix", "5c:800,e44:250");
+  http_head_add(head, "Stage", "decode");
+  http_head_add(head, "Kv-From", "1.2.3.4:5/x");
+  http_head_add(head, "Connection", "keep-alive");
+  return head;
+}
+
+TEST(PlatformCaller, IsRead) {
+  HttpHead *head = caller();
+  CallerHead read;
+  ASSERT_TRUE(platform_read_caller(head, &read, nullptr));
+  EXPECT_STREQ(read.request.id, "9c41");
+  EXPECT_STREQ(read.request.host, "h.example");
+  EXPECT_STREQ(read.request.path, "/a/b/c");
+  EXPECT_EQ(read.request.deadline_ms, 14000);
+  EXPECT_EQ(read.request.prompt_tokens, 1460u);
+  EXPECT_EQ(read.request.output_tokens, 80u);
+  EXPECT_EQ(read.request.session, 0xe44u);
+  caller_head_clear(&read);
+  http_head_free(head);
+}
+
+TEST(PlatformCaller, WithoutAnIdOrAHostIsRefused) {
+  for (const char *field : {"Host", "Request-Id"}) {
+    HttpHead *head = caller();
+    CallerHead read;
+    GError *error = nullptr;
+    http_head_remove(head, field);
+    EXPECT_FALSE(platform_read_caller(head, &read, &error));
+    EXPECT_TRUE(g_error_matches(error, MP_ERROR, MP_ERR_BAD_REQUEST));
+    g_clear_error(&error);
+    caller_head_clear(&read);
+    http_head_free(head);
+  }
+}
+
+TEST(PlatformRefusal, PromisesNotRunOnlyWhereThatIsMeant) {
+  for (int kind = 0; kind <= REFUSAL_TIMEOUT; kind++) {
+    Refusal refusal = {static_cast<RefusalKind>(kind), 1500};
+    char *body = nullptr;
+    HttpHead *head = platform_write_refusal(&refusal, "9c41", &body);
+    bool unknown = kind == REFUSAL_OUTCOME_UNKNOWN || kind == REFUSAL_TIMEOUT;
+    bool promises = head->status == 503 || head->status == 429;
+    if (kind != REFUSAL_NO_ROUTE) {
+      EXPECT_EQ(promises, !unknown) << kind;
+    }
+    EXPECT_EQ(http_head_get(head, "Server-Stamp"), nullptr);
+    EXPECT_STREQ(http_head_get(head, "Retry-After"), "1.500");
+    EXPECT_NE(strstr(body, "\"kind\""), nullptr);
+    http_head_free(head);
+    g_free(body);
+  }
+}
+
+TEST(PlatformDispatch, SaysWhatTheSystemSetsAndKeepsTheRest) {
+  HttpHead *from = caller();
+  Dispatch dispatch = {};
+  dispatch.kind = DISPATCH_RUN;
+  dispatch.endpoint = "i-7f";
+  dispatch.deadline_ms = 900;
+  dispatch.handle = "3fa0";
+  dispatch.handle_address = mp_addr_parse("10.1.64.9:8080");
+  dispatch.last_event = "12";
+  HttpHead *head = platform_write_dispatch(&dispatch, from);
+  EXPECT_STREQ(head->method, "POST");
+  EXPECT_STREQ(head->target, "/a/b/c?x=1");
+  EXPECT_STREQ(http_head_get(head, "Deadline-Ms"), "900");
+  EXPECT_EQ(http_head_count(head, "Deadline-Ms"), 1u);
+  EXPECT_STREQ(http_head_get(head, "Expect-Instance"), "i-7f");
+  EXPECT_STREQ(http_head_get(head, "Kv-From"), "10.1.64.9:8080/3fa0");
+  EXPECT_EQ(http_head_count(head, "Kv-From"), 1u);
+  EXPECT_STREQ(http_head_get(head, "Last-Event-Id"), "12");
+  EXPECT_STREQ(http_head_get(head, "Request-Id"), "9c41");
+  EXPECT_STREQ(http_head_get(head, "Token-Count"), "1460,80");
+  EXPECT_EQ(http_head_get(head, "Stage"), nullptr);
+  EXPECT_EQ(http_head_get(head, "Connection"), nullptr);
+  http_head_free(head);
+  http_head_free(from);
+}
+
+TEST(PlatformEndpoint, HeadIsRead) {
+  HttpHead *head = http_head_answer(503);
+  EndpointHead read;
+  http_head_add(head, "Not-Run", "1");
+  http_head_add(head, "Keep-Alive", "timeout=5, max=9");
+  http_head_add(head, "Request-Id", "9c41");
+  platform_read_endpoint(head, &read);
+  EXPECT_TRUE(read.not_run);
+  EXPECT_FALSE(read.is_signed);
+  EXPECT_FALSE(read.misdirected);
+  EXPECT_EQ(read.idle_limit, 5 * MP_SEC);
+  EXPECT_STREQ(read.request_id, "9c41");
+  head->status = 421;
+  platform_read_endpoint(head, &read);
+  EXPECT_TRUE(read.misdirected);
+  http_head_free(head);
+}
+
+TEST(PlatformEndpoint, A503WithoutItsPromiseMayHaveRun) {
+  HttpHead *head = http_head_answer(503);
+  EndpointHead read;
+  platform_read_endpoint(head, &read);
+  EXPECT_FALSE(read.not_run);
+  http_head_free(head);
+}
+
+TEST(PlatformConfiguration, IsRead) {
+  RouteTable *table = platform_read_configuration(configuration, nullptr);
+  ASSERT_NE(table, nullptr);
+  EXPECT_EQ(table->version, 7u);
+  const Route *route = route_table_find(table, "h.example", "/a/x");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->kind, ROUTE_STREAM);
+  EXPECT_TRUE(route_repeatable(route));
+  EXPECT_EQ(route->timeout, 14 * MP_SEC);
+  route = route_table_find(table, "H.example", "/a/b/x");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->kind, ROUTE_UNSAFE);
+  EXPECT_STREQ(route_choose_service(route, 0), "s");
+  EXPECT_STREQ(route_choose_service(route, G_MAXUINT32), "t");
+  EXPECT_EQ(route_table_find(table, "h.example", "/b/"), nullptr);
+  EXPECT_EQ(route_table_find(table, "other", "/a/"), nullptr);
+  const Service *service = route_table_service(table, "s");
+  ASSERT_NE(service, nullptr);
+  EXPECT_TRUE(service->is_engine);
+  EXPECT_EQ(service->event_tokens, 12u);
+  EXPECT_EQ(service->handle_life, 500 * MP_MS);
+  EXPECT_EQ(table->limits.max_body_bytes, 4194304u);
+  route_table_unref(table);
+}
+
+TEST(PlatformConfiguration, ABadOneIsRefusedWhole) {
+  for (const char *text :
+       {"", "null", "[]", R"({"Version":0,"Routes":[],"Services":[]})",
+        R"({"Version":3,"Services":[]})",
+        R"({"Version":3,"Routes":[{"Name":"x"}],"Services":[]})",
+        R"({"Version":3,"Routes":[{"Host":"h","PathPrefix":"/"}],)"
+        R"("Services":[]})"}) {
+    GError *error = nullptr;
+    EXPECT_EQ(platform_read_configuration(text, &error), nullptr) << text;
+    EXPECT_TRUE(g_error_matches(error, MP_ERROR, MP_ERR_SETTINGS)) << text;
+    g_clear_error(&error);
+  }
+}
+
+TEST(PlatformRecord, IsRead) {
+  EndpointRecord record;
+  ASSERT_TRUE(platform_read_record(
+      "i-7f",
+      R"({"Service":"s","Addr":"10.128.0.9:8080","Zone":"z","Slots":64,)"
+      R"("State":"ready","ColdLeftMs":20,"Stage":"prefill"})",
+      &record, nullptr));
+  EXPECT_STREQ(record.id, "i-7f");
+  EXPECT_TRUE(record.ready);
+  EXPECT_EQ(record.stage, STAGE_PREFILL);
+  EXPECT_EQ(record.cold_left, 20 * MP_MS);
+  endpoint_record_clear(&record);
+  EXPECT_FALSE(
+      platform_read_record("i-7f", R"({"Service":"s"})", &record, nullptr));
+  ASSERT_TRUE(platform_read_record(
+      "i-7f", R"({"Service":"s","Addr":"1.2.3.4:5","State":"draining"})",
+      &record, nullptr));
+  EXPECT_FALSE(record.ready);
+  endpoint_record_clear(&record);
+}
+
+StoreReply reply(StoreOperation operation, int status, const std::string &body,
+                 gboolean *good) {
+  StoreCall call = {};
+  StoreReply out;
+  GError *error = nullptr;
+  call.kind = STORE_ENDPOINTS;
+  call.operation = operation;
+  *good = platform_read_store_reply(&call, status, body.data(), body.size(),
+                                    &out, &error);
+  EXPECT_EQ(*good, error == nullptr);
+  g_clear_error(&error);
+  return out;
+}
+
+TEST(PlatformStore, ListsAndEventsAreRead) {
+  gboolean good;
+  StoreReply list =
+      reply(STORE_LIST, 200,
+            R"({"items":[{"Metadata":{"Name":"a","Rev":4},"Spec":{"x":1}}],)"
+            R"("more":true,"at":530})",
+            &good);
+  ASSERT_TRUE(good);
+  ASSERT_EQ(list.objects->len, 1u);
+  const StoreObject *object = &g_array_index(list.objects, StoreObject, 0);
+  EXPECT_STREQ(object->name, "a");
+  EXPECT_STREQ(object->text, R"({"x":1})");
+  EXPECT_EQ(object->revision, 4);
+  EXPECT_TRUE(list.more);
+  EXPECT_EQ(list.at, 530);
+  store_reply_clear(&list);
+  StoreReply events =
+      reply(STORE_WATCH, 200,
+            R"({"events":[{"gone":true,"object":{"Metadata":{"Name":"a",)"
+            R"("Rev":9}}}],"at":533})",
+            &good);
+  ASSERT_TRUE(good);
+  EXPECT_TRUE(g_array_index(events.objects, StoreObject, 0).gone);
+  store_reply_clear(&events);
+}
+
+TEST(PlatformStore, StatusesAreTold) {
+  gboolean good;
+  EXPECT_EQ(reply(STORE_WATCH, 410, "", &good).status, STORE_HISTORY_GONE);
+  EXPECT_EQ(reply(STORE_CREATE, 409, "{}", &good).status, STORE_EXISTS);
+  EXPECT_EQ(reply(STORE_LIST, 503, "", &good).status, STORE_FAILED);
+  EXPECT_EQ(reply(STORE_LIST, 429, "", &good).status, STORE_FAILED);
+  EXPECT_EQ(reply(STORE_LIST, 200, "{}", &good).status, STORE_FAILED);
+  EXPECT_FALSE(good);
+}
+
+TEST(PlatformStore, CallsAreWritten) {
+  StoreCall call = {};
+  char *body = nullptr;
+  call.kind = STORE_ENDPOINTS;
+  call.operation = STORE_LIST;
+  call.after = "i 7";
+  HttpHead *head = platform_write_store_call(&call, &body);
+  EXPECT_STREQ(head->target, "/objects/servers?after=i%207");
+  http_head_free(head);
+  call.operation = STORE_WATCH;
+  call.revision = 530;
+  call.wait = 3 * MP_SEC;
+  head = platform_write_store_call(&call, &body);
+  EXPECT_STREQ(head->target, "/objects/servers?watch=530&WaitMs=3000");
+  http_head_free(head);
+  call.kind = STORE_INSTANCES;
+  call.operation = STORE_CREATE;
+  call.name = "edge-1";
+  call.address = mp_addr_parse("10.1.0.38:7381");
+  head = platform_write_store_call(&call, &body);
+  EXPECT_STREQ(head->method, "POST");
+  EXPECT_NE(strstr(body, "\"edge-1\""), nullptr);
+  EXPECT_NE(strstr(body, "10.1.0.38:7381"), nullptr);
+  http_head_free(head);
+  g_free(body);
+}
+
+/* mutated documents are read or refused; nothing is lost or overrun */
+TEST(PlatformFuzz, SurvivesMutatedDocuments) {
+  std::mt19937 random(20261202);
+  std::string good = configuration;
+  std::string list =
+      R"({"items":[{"Metadata":{"Name":"a","Rev":4},"Spec":{"Service":"s"}}],)"
+      R"("more":false,"at":530})";
+  for (int i = 0; i < 5000; i++) {
+    std::string text = good;
+    std::string answer = list;
+    for (int k = 0; k < 3; k++) {
+      text[random() % text.size()] = "{}[]\",:0a"[random() % 9];
+      answer[random() % answer.size()] = "{}[]\",:0a"[random() % 9];
+    }
+    GError *error = nullptr;
+    RouteTable *table = platform_read_configuration(text.c_str(), &error);
+    EXPECT_NE(table == nullptr, error == nullptr);
+    route_table_unref(table);
+    g_clear_error(&error);
+    gboolean read;
+    StoreReply out = reply(STORE_LIST, 200, answer, &read);
+    store_reply_clear(&out);
+    EndpointRecord record;
+    if (platform_read_record("i", answer.c_str(), &record, nullptr))
+      endpoint_record_clear(&record);
+    PrefillAnswer prefill = {};
+    if (platform_read_prefill(answer.data(), answer.size(), &prefill, nullptr))
+      g_free(prefill.handle);
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/test/test_router.cc
@@ -0,0 +1,452 @@
+/*
+** test_router.cc
+** Promises of routed requests, one by one, in virtual time
+*/
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "router_world.h"
+
+using namespace routing;
+
+namespace {
+
+struct Routed : ::testing::Test {
+  World world;
+
+  void SetUp() override {
+    world.populate();
+  }
+
+  /* a stream that has been prefilled and whose run is out */
+  guint64 running(const char *path) {
+    guint64 request = world.request(path);
+    EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+    world.prefilled(world.last().number);
+    EXPECT_EQ(world.last().kind, DISPATCH_RUN);
+    return request;
+  }
+};
+
+/*
+** At most once, and honest refusals
+*/
+
+TEST_F(Routed, UnsafeIsNotSentAgainAfterABrokenRun) {
+  guint64 request = world.request("/unsafe/x");
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  EXPECT_EQ(world.runs(request), 1u);
+  EXPECT_EQ(world.end(request).refusals, 1);
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_OUTCOME_UNKNOWN);
+}
+
+TEST_F(Routed, UnsafeGoesElsewhereWhenItWasNotRun) {
+  guint64 request = world.request("/unsafe/x");
+  std::string first = world.last().endpoint;
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  ASSERT_EQ(world.runs(request), 2u);
+  EXPECT_NE(world.last().endpoint, first);
+  world.outcome(world.last().number, OUTCOME_ANSWER);
+  EXPECT_EQ(world.end(request).answers, 1);
+}
+
+TEST_F(Routed, UnreachableCostsNoRetry) {
+  World strict(0, 0.0); /* no retry is allowed at all */
+  strict.populate();
+  guint64 request = strict.request("/unsafe/x");
+  std::string first = strict.last().endpoint;
+  strict.outcome(strict.last().number, OUTCOME_UNREACHABLE);
+  ASSERT_EQ(strict.runs(request), 2u);
+  EXPECT_NE(strict.last().endpoint, first);
+}
+
+TEST_F(Routed, SafeIsSentToAsManyAsItsRouteAllows) {
+  guint64 request = world.request("/safe/x");
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  ASSERT_EQ(world.runs(request), 2u);
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  EXPECT_EQ(world.runs(request), 2u);
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_OUTCOME_UNKNOWN);
+}
+
+TEST_F(Routed, NotRunIsNeverSaidOnceItMayHaveRun) {
+  guint64 request = world.request("/safe/x");
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  while (world.end(request).ends() == 0)
+    world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_OUTCOME_UNKNOWN);
+}
+
+TEST_F(Routed, AFailureOfASafeRequestIsTriedAgainOnceThenPassedOn) {
+  guint64 request = world.request("/safe/x");
+  world.outcome(world.last().number, OUTCOME_ANSWER, 500);
+  ASSERT_EQ(world.runs(request), 2u);
+  world.outcome(world.last().number, OUTCOME_ANSWER, 500);
+  EXPECT_EQ(world.end(request).answers, 1);
+  EXPECT_EQ(world.end(request).status, 500);
+}
+
+TEST_F(Routed, AFailureOfAnUnsafeRequestIsPassedOn) {
+  guint64 request = world.request("/unsafe/x");
+  world.outcome(world.last().number, OUTCOME_ANSWER, 500);
+  EXPECT_EQ(world.runs(request), 1u);
+  EXPECT_EQ(world.end(request).status, 500);
+}
+
+/*
+** Routes and configuration
+*/
+
+TEST_F(Routed, AnUnknownPathHasNoRoute) {
+  guint64 request = world.request("/elsewhere/x");
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_NO_ROUTE);
+  EXPECT_TRUE(world.dispatches.empty());
+}
+
+TEST(Unconfigured, ARequestIsRefusedAsNotRun) {
+  World world;
+  guint64 request = world.request("/safe/x");
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_NO_CONFIGURATION);
+  EXPECT_GT(world.end(request).retry_after_ms, 0);
+}
+
+TEST_F(Routed, AnOlderConfigurationNeverTakesEffect) {
+  world.configure(5, 3 * second);
+  world.configure(4, 9 * second);
+  guint64 request = world.request("/unsafe/x");
+  world.advance(3 * second);
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_TIMEOUT);
+}
+
+TEST_F(Routed, AnOpenRequestKeepsTheRouteItCameUnder) {
+  guint64 request = world.request("/unsafe/x");
+  world.configure(2, 1 * second);
+  world.advance(5 * second);
+  EXPECT_EQ(world.end(request).ends(), 0);
+  world.outcome(world.last().number, OUTCOME_ANSWER);
+  EXPECT_EQ(world.end(request).answers, 1);
+}
+
+TEST_F(Routed, ALeavingEndpointGetsNothingNew) {
+  world.endpoint({"app-1", "app", "a", STAGE_NONE}, false);
+  for (int i = 0; i < 20; i++) {
+    world.request("/unsafe/x");
+    EXPECT_EQ(world.last().endpoint, "app-2");
+  }
+  world.endpoint({"app-2", "app", "b", STAGE_NONE}, true, true);
+  guint64 request = world.request("/unsafe/x");
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_NO_ENDPOINT);
+}
+
+TEST_F(Routed, AListForgetsWhatItDoesNotName) {
+  GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+  g_hash_table_add(names, const_cast<char *>("app-2"));
+  router_keep_endpoints(world.router, names, world.now);
+  g_hash_table_destroy(names);
+  world.request("/unsafe/x");
+  EXPECT_EQ(world.last().endpoint, "app-2");
+}
+
+/*
+** Time
+*/
+
+TEST_F(Routed, TheRoutesTimeoutIsAnsweredAtOnce) {
+  world.configure(2, 2 * second);
+  guint64 request = world.request("/unsafe/x");
+  world.advance(2 * second);
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_TIMEOUT);
+  EXPECT_TRUE(world.dispatches[0].cancelled);
+}
+
+TEST_F(Routed, WhatIsLeftOfTheDeadlineIsHandedOn) {
+  world.request("/safe/x", 4000);
+  EXPECT_LE(world.last().deadline_ms, 4000);
+  world.advance(1500 * ms);
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_LE(world.last().deadline_ms, 2500);
+  EXPECT_GT(world.last().deadline_ms, 2000);
+}
+
+TEST_F(Routed, AHangupCancelsTheRun) {
+  guint64 request = world.request("/unsafe/x");
+  world.hangup(request);
+  EXPECT_TRUE(world.dispatches[0].cancelled);
+  EXPECT_EQ(router_open_requests(world.router), 0u);
+  world.outcome(world.dispatches[0].number, OUTCOME_ANSWER);
+  EXPECT_EQ(world.end(request).ends(), 0);
+}
+
+TEST_F(Routed, ASilentEndpointOfASafeRequestIsGivenUp) {
+  guint64 request = world.request("/safe/x");
+  world.advance(5 * second);
+  EXPECT_EQ(world.runs(request), 2u);
+  EXPECT_TRUE(world.dispatches[0].cancelled);
+}
+
+TEST_F(Routed, SilenceOfAnEndpointEndsNoUnsafeRequest) {
+  guint64 request = world.request("/unsafe/x");
+  world.advance(9 * second);
+  EXPECT_EQ(world.end(request).ends(), 0);
+  EXPECT_FALSE(world.dispatches[0].cancelled);
+}
+
+/*
+** Streams
+*/
+
+TEST_F(Routed, APromptIsReadApartAndFetchedByItsHandle) {
+  guint64 request = world.request("/stream/x");
+  EXPECT_EQ(world.last().endpoint, "pre-1");
+  world.prefilled(world.last().number, "h7");
+  EXPECT_EQ(world.last().handle, "h7");
+  EXPECT_TRUE(world.last().stream);
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  world.piece(world.last().number, "1");
+  world.outcome(world.last().number, OUTCOME_STREAM_END);
+  EXPECT_EQ(world.end(request).heads, 1);
+  EXPECT_EQ(world.end(request).answers, 1);
+}
+
+TEST_F(Routed, AHandleIsOfferedToASecondEngineAndNoThird) {
+  world.endpoint({"dec-3", "llm", "a", STAGE_DECODE});
+  running("/stream/x");
+  EXPECT_EQ(world.last().handle, "h1");
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.last().handle, "h1");
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.last().handle, "");
+}
+
+TEST_F(Routed, AHandleThatLapsedIsNotOffered) {
+  world.request("/stream/x");
+  world.prefilled(world.last().number);
+  world.advance(600 * ms);
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.last().kind, DISPATCH_RUN);
+  EXPECT_EQ(world.last().handle, "");
+}
+
+TEST_F(Routed, AHangupFreesTheHandle) {
+  guint64 request = running("/stream/x");
+  world.hangup(request);
+  EXPECT_EQ(world.last().kind, DISPATCH_RELEASE);
+  EXPECT_EQ(world.last().handle, "h1");
+}
+
+TEST_F(Routed, APrefillThatFailsLeavesAFirstRunWithoutAHandle) {
+  World strict(0, 0.0);
+  strict.populate();
+  guint64 request = strict.request("/stream/x");
+  strict.outcome(strict.last().number, OUTCOME_BROKEN);
+  EXPECT_EQ(strict.runs(request), 1u);
+  EXPECT_EQ(strict.last().handle, "");
+}
+
+TEST_F(Routed, APrefillThatHangsIsGivenUp) {
+  guint64 request = world.request("/stream/x");
+  world.advance(3 * second);
+  EXPECT_TRUE(world.dispatches[0].cancelled);
+  EXPECT_EQ(world.runs(request), 1u);
+}
+
+TEST_F(Routed, ABrokenStreamThatMayNotBeResumedIsBrokenOff) {
+  guint64 request = running("/stream/x");
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  world.piece(world.last().number, "1");
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  EXPECT_EQ(world.runs(request), 1u);
+  EXPECT_EQ(world.end(request).broken_off, 1);
+}
+
+TEST_F(Routed, ABrokenStreamIsResumedBehindItsLastEvent) {
+  guint64 request = running("/resume/x");
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  world.piece(world.last().number, "1");
+  world.piece(world.last().number, "2");
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  ASSERT_EQ(world.runs(request), 2u);
+  EXPECT_EQ(world.last().last_event, "2");
+  EXPECT_EQ(world.last().handle, "");
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  world.piece(world.last().number, "3");
+  world.outcome(world.last().number, OUTCOME_STREAM_END);
+  EXPECT_EQ(world.end(request).heads, 1);
+  EXPECT_EQ(world.end(request).events,
+            (std::vector<std::string>{"1", "2", "3"}));
+  EXPECT_EQ(world.end(request).answers, 1);
+}
+
+TEST_F(Routed, AResumedStreamThatGetsAFailureIsBrokenOff) {
+  guint64 request = running("/resume/x");
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  world.piece(world.last().number, "1");
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  world.outcome(world.last().number, OUTCOME_ANSWER, 500);
+  EXPECT_EQ(world.end(request).broken_off, 1);
+  EXPECT_EQ(world.end(request).answers, 0);
+}
+
+TEST_F(Routed, AStreamThatGoesSilentIsResumedElsewhere) {
+  guint64 request = running("/resume/x");
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  world.piece(world.last().number, "1");
+  guint64 first = world.last().number;
+  world.advance(1200 * ms);
+  EXPECT_TRUE(world.sent(first).cancelled);
+  EXPECT_EQ(world.runs(request), 2u);
+}
+
+/*
+** Room at the decode engines
+*/
+
+TEST_F(Routed, WithoutRoomARequestWaitsAndStartsOnceThereIsSome) {
+  std::vector<guint64> first;
+  for (int i = 0; i < 2; i++) /* one fills each engine */
+    first.push_back(world.request("/stream/x", 10000, 9000));
+  guint64 waiting = world.request("/stream/x", 10000, 9000);
+  EXPECT_EQ(world.dispatches.size(), 2u);
+  world.hangup(first[0]);
+  EXPECT_EQ(world.last().request, waiting);
+  EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+}
+
+TEST_F(Routed, OneThatCameBackGoesFirst) {
+  guint64 first = world.request("/stream/x", 10000, 9000);
+  world.request("/stream/x", 10000, 9000);
+  world.request("/stream/x", 10000, 9000);
+  guint64 returned = world.request("/stream/x", 6000, 9000);
+  world.hangup(first);
+  EXPECT_EQ(world.last().request, returned);
+}
+
+TEST_F(Routed, NobodyWaitsForRoomUntilTheCallerGivesUp) {
+  world.request("/stream/x", 10000, 9000);
+  world.request("/stream/x", 10000, 9000);
+  guint64 waiting = world.request("/stream/x", 10000, 9000);
+  world.advance(3 * second);
+  EXPECT_EQ(world.end(waiting).refusal, REFUSAL_BUSY);
+  EXPECT_GT(world.end(waiting).retry_after_ms, 0);
+  EXPECT_EQ(world.runs(waiting), 0u);
+}
+
+TEST_F(Routed, WhatOthersHaveOpenTakesRoom) {
+  mp_LoadDigest own;
+  World other;
+  other.populate();
+  other.request("/stream/x", 10000, 9000);
+  other.request("/stream/x", 10000, 9000);
+  router_load_digest(other.router, &own);
+  ASSERT_GE(own.n, 2u);
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1, &own,
+                   world.now);
+  world.request("/stream/x", 10000, 9000);
+  EXPECT_TRUE(world.dispatches.empty());
+  own.n = 0;
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 2, &own,
+                   world.now);
+  EXPECT_EQ(world.dispatches.size(), 1u);
+}
+
+TEST_F(Routed, AnOvertakenDigestChangesNothing) {
+  mp_LoadDigest full;
+  mp_LoadDigest empty = {};
+  World other;
+  other.populate();
+  other.request("/stream/x", 10000, 9000);
+  other.request("/stream/x", 10000, 9000);
+  router_load_digest(other.router, &full);
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 8, &empty,
+                   world.now);
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 7, &full,
+                   world.now);
+  world.request("/stream/x", 10000, 9000);
+  EXPECT_EQ(world.dispatches.size(), 1u);
+}
+
+TEST_F(Routed, ASilentPeerHasNothingOpen) {
+  mp_LoadDigest full;
+  World other;
+  other.populate();
+  other.request("/stream/x", 10000, 9000);
+  other.request("/stream/x", 10000, 9000);
+  router_load_digest(other.router, &full);
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1, &full,
+                   world.now);
+  guint64 request = world.request("/stream/x", 10000, 9000);
+  world.now += 2 * second;
+  router_tick(world.router, world.now);
+  EXPECT_EQ(world.last().request, request);
+}
+
+TEST_F(Routed, APlannedStopRefusesWhoWaitsAndWhoComes) {
+  world.request("/stream/x", 10000, 9000);
+  guint64 running_one = world.request("/stream/x", 10000, 9000);
+  guint64 waiting = world.request("/stream/x", 10000, 9000);
+  router_stop_taking(world.router);
+  EXPECT_EQ(world.end(waiting).refusal, REFUSAL_DRAINING);
+  guint64 late = world.request("/unsafe/x");
+  EXPECT_EQ(world.end(late).refusal, REFUSAL_DRAINING);
+  EXPECT_EQ(world.end(running_one).ends(), 0);
+}
+
+/*
+** The retry budget
+*/
+
+TEST(Budget, AYoungInstanceHasNoShareOfTheSlack) {
+  World world(100, 0.0);
+  world.populate();
+  guint64 request = world.request("/unsafe/x");
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.runs(request), 1u);
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_BUSY);
+}
+
+TEST(Budget, TheSlackIsSharedByTheInstances) {
+  World world(100, 0.0);
+  world.populate();
+  router_set_instances(world.router, 10);
+  world.now += 20 * second;
+  unsigned again = 0;
+  for (int i = 0; i < 50; i++) {
+    guint64 request = world.request("/unsafe/x");
+    world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+    again += world.runs(request) - 1;
+  }
+  EXPECT_GT(again, 0u);
+  EXPECT_LE(again, 10u);
+}
+
+TEST(Budget, HoldsInEverySlidingWindow) {
+  World world(0, 0.2);
+  world.populate();
+  std::vector<gint64> requests;
+  std::vector<gint64> extras;
+  for (int i = 0; i < 2000; i++) {
+    guint64 request = world.request("/safe/x");
+    requests.push_back(world.now);
+    while (world.end(request).ends() == 0)
+      world.outcome(world.last().number, OUTCOME_BROKEN);
+    for (unsigned k = 1; k < world.runs(request); k++)
+      extras.push_back(world.now);
+    world.advance(i % 400 < 200 ? 5 * ms : 60 * ms);
+  }
+  ASSERT_FALSE(extras.empty());
+  for (gint64 from : extras) {
+    auto within = [from](const std::vector<gint64> &all, gint64 start) {
+      return std::count_if(all.begin(), all.end(), [=](gint64 at) {
+        return at >= start && at < start + 10 * second;
+      });
+    };
+    auto most =
+        std::max(within(requests, from), within(requests, from - 10 * second));
+    EXPECT_LE(within(extras, from), 0.2 * static_cast<double>(most) + 1);
+  }
+}
+
+} // namespace
