Requests in time start before late ones; fresh ones wait up to 0.9 s

The change: the limit of the expected wait 0.55 -> 0.9 s; a request that can still make its objective starts before one that cannot.

--- a/router/admission.c
+++ b/router/admission.c
@@ -16,7 +16,7 @@
 #include "router/state.h"
 
 /* a fresh request waits at most about this long for room */
-#define WAIT_FRESH (550 * MP_MS)
+#define WAIT_FRESH (900 * MP_MS)
 /* an early refusal leaves before this share of the objective */
 #define EARLY_SHARE 0.22
 /* nobody waits longer: callers give silent streams up soon after */
@@ -26,6 +26,8 @@
 #define COME_BACK_SPREAD (2000 * MP_MS)
 /* a caller with less than this share of the route's time has come back */
 #define FRESH_SHARE 0.97
+/* one that waited less than this share of its objective is in time */
+#define IN_TIME_SHARE 0.7
 /* weight of the newest end among the intervals between ends */
 #define INTERVAL_STEP 0.15
 
@@ -131,11 +133,23 @@
   request->stall_at = request->arrived + WAIT_MOST;
 }
 
-void admission_run(Router *router, gint64 now) {
+/* can its first token still come within the objective? */
+static gboolean is_in_time(const Request *request, gint64 now) {
+  return (double)(now - request->arrived) <
+         IN_TIME_SHARE * (double)request->route->objective;
+}
+
+/* start what fits among those in time, or among the others */
+static guint run_some(Router *router, gboolean in_time, gint64 now) {
+  guint left = 0;
   guint i = 0;
   while (i < router->waiting->len) {
     Request *request = router->waiting->pdata[i];
-    Endpoint *engine = engine_with_room(router, request, now);
+    Endpoint *engine = NULL;
+    if (is_in_time(request, now) == in_time) {
+      engine = engine_with_room(router, request, now);
+      left += engine == NULL;
+    }
     if (engine == NULL) {
       i++;
       continue;
@@ -144,4 +158,11 @@
     request->stall_at = 0;
     path_place(router, request, engine, now);
   }
+  return left;
+}
+
+/* who is late anyway starts only when nobody in time waits for the room */
+void admission_run(Router *router, gint64 now) {
+  if (router->waiting->len > 0 && run_some(router, TRUE, now) == 0)
+    run_some(router, FALSE, now);
 }
