Logs that never wait and stay bounded; histograms; trace

Cause: an engineer on call has logs and metrics alone; the log blocked on a slow reader, went to standard error, and no line said why an endpoint was chosen or a retry refused. Ruled out: a logging library: none of those packaged bounds by event number and counts what a full pipe loses.

--- a/cli/madderpier.c
+++ b/cli/madderpier.c
@@ -15,6 +15,7 @@
 #include "cli/apply.h"
 #include "cli/client.h"
 #include "cli/diff.h"
+#include "cli/trace.h"
 #include "conf/conf.h"
 
 #define EXIT_NO 1
@@ -89,6 +90,8 @@
     "centres\n"
     "  undrain NAME...      take that back\n"
     "  stop ADDRESS         drain an instance (its operators' address)\n"
+    "  trace ID [FILE...]   one request's story, from logs (or standard "
+    "input)\n"
     "  audit                who changed what, and how it ended\n"
     "Exit codes: 0 done; 1 no (difference, conflict, forbidden); 2 wrong "
     "use or configuration; 3 platform or instance away.",
@@ -491,6 +494,19 @@
 
 /* }================================================================== */
 
+static int trace(const Args *a) {
+  int found;
+  if (a->n < 2)
+    return usage("trace: give the request's id");
+  found = trace_print(a->word[1], a->word + 2, a->n - 2, stdout);
+  if (found == 0)
+    fprintf(stderr,
+            "trace: no line names '%s'; give the logs of all "
+            "instances, of the time of the request\n",
+            a->word[1]);
+  return found < 0 ? EXIT_WRONG : found == 0 ? EXIT_NO : 0;
+}
+
 static int run(const Args *a) {
   const char *c = a->word[0];
   if (strcmp(c, "check") == 0)
@@ -511,6 +527,8 @@
     return drain(a, 1);
   if (strcmp(c, "stop") == 0)
     return stop(a);
+  if (strcmp(c, "trace") == 0)
+    return trace(a);
   if (strcmp(c, "audit") == 0)
     return audits(a);
   return usage("unknown command");
@@ -527,7 +545,8 @@
   if (strlen(a.by) > MP_MAXNAME)
     return usage("--by takes at most 63 bytes");
   at = a.platform != NULL ? mp_addr_parse(a.platform) : 0;
-  if (at == 0 && strcmp(a.word[0], "check") != 0)
+  if (at == 0 && strcmp(a.word[0], "check") != 0 &&
+      strcmp(a.word[0], "trace") != 0)
     return usage("give the platform's address with --platform");
   client_init(at);
   return run(&a);
--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -88,6 +88,8 @@
   (void)what;
   (void)arg;
   log_reopen(logger);
+  if (gateway != NULL)
+    gateway_reload(gateway);
 }
 
 static void fill(NodeOptions *o, const Settings *s, mp_Addr *seeds) {
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -754,18 +754,23 @@
   X(STOP, 7004, MP_INFO, "instance stops")                              \
   X(RELOAD, 7005, MP_INFO, "settings read again")                       \
   X(READY, 7006, MP_INFO, "instance ready")                             \
-  X(ROUTE_ACCEPT, 8000, MP_DEBUG, "routed request accepted")            \
+  X(ROUTE_ACCEPT, 8000, MP_INFO, "routed request accepted")             \
   X(ROUTE_REFUSED, 8001, MP_WARN, "routed request refused")             \
   X(ROUTE_BROKEN_OFF, 8002, MP_WARN, "routed answer broken off")        \
   X(ROUTE_HANGUP, 8003, MP_INFO, "caller of a routed request gone")     \
   X(ROUTE_PREFILL, 8004, MP_INFO, "prompt read, or not")                \
   X(ROUTE_OUTCOME, 8005, MP_INFO, "endpoint answered a dispatch")       \
+  X(ROUTE_DISPATCH, 8006, MP_INFO, "dispatch sent to an endpoint")      \
+  X(ROUTE_WAIT, 8007, MP_INFO, "request waits for room")                \
+  X(ROUTE_RETRY, 8008, MP_INFO, "request is tried again, or not")       \
   X(STORE_RECORD_BAD, 8101, MP_FAULT, "record of the store refused")    \
   X(STORE_LIST, 8102, MP_INFO, "list read from the store")              \
   X(STORE_HISTORY_GONE, 8103, MP_WARN, "watch lost its history")        \
   X(PEER_SNAPSHOT, 8104, MP_INFO, "configuration taken from a peer")    \
   X(INSTANCES, 8105, MP_INFO, "count of instances changed")             \
-  X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")
+  X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")       \
+  X(LINES_LEFT_OUT, 9001, MP_INFO, "log lines left out")                \
+  X(LINES_LOST, 9002, MP_WARN, "log lines lost")
 
 typedef enum mp_EventNo {
 #define X(sym, no, level, text) MP_LOG_##sym = no,
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -228,9 +228,28 @@
         ready ? "ready\n" : "not ready\n");
 }
 
-static void on_metrics(struct evhttp_request *request, void *data) {
-  const Gateway *gateway = data;
-  GString *text = g_string_new(NULL);
+static void write_duration(GString *text, const Router *router,
+                           RouterDuration which) {
+  const Histogram *histogram = router_duration(router, which);
+  const char *name = router_duration_name(which);
+  guint64 below = 0;
+  unsigned i;
+  for (i = 0; i < HISTOGRAM_BOUNDS; i++) {
+    below += histogram->counts[i];
+    g_string_append_printf(text,
+                           "madderpier_%s_seconds_bucket{le=\"%.4g\"} "
+                           "%" G_GUINT64_FORMAT "\n",
+                           name, histogram_bound(i), below);
+  }
+  g_string_append_printf(
+      text,
+      "madderpier_%s_seconds_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+      "madderpier_%s_seconds_sum %.6f\n"
+      "madderpier_%s_seconds_count %" G_GUINT64_FORMAT "\n",
+      name, histogram->count, name, histogram->sum, name, histogram->count);
+}
+
+static void write_counters(GString *text, const Gateway *gateway) {
   const char *name;
   unsigned i;
   for (i = 0; (name = router_counter_name(i)) != NULL; i++)
@@ -238,15 +257,26 @@
                            name, router_counter(gateway->router, i));
   g_string_append_printf(
       text,
-      "madderpier_open_requests %u\n"
-      "madderpier_idle_endpoint_connections %u\n"
       "madderpier_endpoint_connections_total %" G_GUINT64_FORMAT "\n"
       "madderpier_store_calls_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_log_lines_left_out_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_log_lines_lost_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_open_requests %u\n"
+      "madderpier_idle_endpoint_connections %u\n"
       "madderpier_ready %d\n",
-      router_open_requests(gateway->router),
-      endpoint_links_idle(gateway->links),
       endpoint_links_opened(gateway->links),
-      directory_store_calls(gateway->directory), is_ready(gateway));
+      directory_store_calls(gateway->directory), log_left_out(gateway->log),
+      log_lost(gateway->log), router_open_requests(gateway->router),
+      endpoint_links_idle(gateway->links), is_ready(gateway));
+}
+
+static void on_metrics(struct evhttp_request *request, void *data) {
+  const Gateway *gateway = data;
+  GString *text = g_string_new(NULL);
+  int which;
+  write_counters(text, gateway);
+  for (which = 0; which < DURATION_COUNT; which++)
+    write_duration(text, gateway->router, (RouterDuration)which);
   reply(request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free(text, TRUE);
 }
@@ -398,7 +428,13 @@
     evhttp_free(http);
 }
 
+void gateway_reload(Gateway *gateway) {
+  say(gateway, MP_LOG_RELOAD, MP_INFO, "settings read again", "");
+}
+
 void gateway_free(Gateway *gateway) {
+  say(gateway, MP_LOG_STOP, MP_INFO, "instance stops",
+      gateway->drained ? " drained=1" : " drained=0");
   stop_serving(gateway->ready_http);
   stop_serving(gateway->control_http);
   stop_serving(gateway->metrics_http);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -38,6 +38,9 @@
                      const GatewayOptions *options, Log *log, GError **error);
 void gateway_free(Gateway *gateway);
 
+/* the settings may have changed: what can change in a life takes effect */
+void gateway_reload(Gateway *gateway);
+
 /* planned stop: the loop is broken once nothing is open */
 void gateway_drain(Gateway *gateway);
 /* the last drain left nothing open */
--- a/io/log.c
+++ b/io/log.c
@@ -4,16 +4,36 @@
 */
 
 #include <errno.h>
-#include <stdio.h>
+#include <fcntl.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "io/log.h"
 
+/* lines of one event number a second, below the level "warn" */
+#define LINES_PER_SECOND 100
+/* bytes kept while the pipe is full */
+#define MAX_PENDING (256 << 10)
+
+/* how many lines of one event number were written in this second */
+typedef struct Quota {
+  int number;
+  time_t second;
+  unsigned written;
+  unsigned left_out;
+} Quota;
+
 struct Log {
-  FILE *f;
+  int fd;
   char *path;
   mp_Level least;
+  GString *pending;   /* not taken by the pipe yet */
+  GHashTable *quotas; /* event number -> Quota */
+  guint64 left_out;
+  guint64 lost;
+  guint64 lost_told;
 };
 
 static const char *const levels[] = {"debug", "info", "warn", "fault"};
@@ -29,57 +49,171 @@
   return 0;
 }
 
-static FILE *openlog(const char *path) {
-  FILE *f = path != NULL ? fopen(path, "ae") : stderr;
-  if (f != NULL)
-    setvbuf(f, NULL, _IOLBF, 0);
-  return f;
+/*
+** {==================================================================
+** Writing without waiting
+** ===================================================================
+*/
+
+/* a pipe's writer would wait for its reader: never do */
+static void never_wait(int fd) {
+  struct stat st;
+  int flags;
+  if (fstat(fd, &st) != 0 || !(S_ISFIFO(st.st_mode) || S_ISSOCK(st.st_mode)))
+    return;
+  flags = fcntl(fd, F_GETFL);
+  if (flags >= 0)
+    fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+static int open_log(const char *path) {
+  int fd = STDOUT_FILENO;
+  if (path != NULL)
+    fd = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (fd >= 0)
+    never_wait(fd);
+  return fd;
+}
+
+static void flush(Log *l) {
+  while (l->pending->len > 0) {
+    ssize_t n = write(l->fd, l->pending->str, l->pending->len);
+    if (n < 0 && errno == EINTR)
+      continue;
+    if (n <= 0)
+      return;
+    g_string_erase(l->pending, 0, n);
+  }
+}
+
+static void append(Log *l, const struct timespec *now, int no, mp_Level level,
+                   const char *text, const char *fields) {
+  struct tm tm;
+  char when[32];
+  gmtime_r(&now->tv_sec, &tm);
+  strftime(when, sizeof when, "%Y-%m-%dT%H:%M:%S", &tm);
+  g_string_append_printf(l->pending, "%s.%03ldZ %s E%d msg=\"%s\"%s\n", when,
+                         now->tv_nsec / 1000000, levels[level], no, text,
+                         fields);
 }
 
+static void write_line(Log *l, const struct timespec *now, int no,
+                       mp_Level level, const char *text, const char *fields) {
+  char count[48];
+  flush(l);
+  if (l->pending->len > MAX_PENDING) {
+    l->lost++;
+    return;
+  }
+  if (l->lost > l->lost_told) {
+    g_snprintf(count, sizeof count, " count=%" G_GUINT64_FORMAT,
+               l->lost - l->lost_told);
+    l->lost_told = l->lost;
+    append(l, now, MP_LOG_LINES_LOST, MP_WARN, "log lines lost", count);
+  }
+  append(l, now, no, level, text, fields);
+  flush(l);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Bounded volume
+** ===================================================================
+*/
+
+static Quota *quota_of(Log *l, int no) {
+  Quota *quota = g_hash_table_lookup(l->quotas, GINT_TO_POINTER(no));
+  if (quota == NULL) {
+    quota = g_new0(Quota, 1);
+    quota->number = no;
+    g_hash_table_insert(l->quotas, GINT_TO_POINTER(no), quota);
+  }
+  return quota;
+}
+
+/* a new second: tell what the last one left out */
+static void turn(Log *l, Quota *quota, const struct timespec *now) {
+  char fields[64];
+  if (quota->left_out > 0) {
+    g_snprintf(fields, sizeof fields, " number=E%d count=%u", quota->number,
+               quota->left_out);
+    write_line(l, now, MP_LOG_LINES_LEFT_OUT, MP_INFO, "log lines left out",
+               fields);
+  }
+  quota->second = now->tv_sec;
+  quota->written = 0;
+  quota->left_out = 0;
+}
+
+static int within_quota(Log *l, int no, const struct timespec *now) {
+  Quota *quota = quota_of(l, no);
+  if (quota->second != now->tv_sec)
+    turn(l, quota, now);
+  if (quota->written++ < LINES_PER_SECOND)
+    return 1;
+  quota->left_out++;
+  l->left_out++;
+  return 0;
+}
+
+/* }================================================================== */
+
 Log *log_new(const char *path, mp_Level least, GError **err) {
-  FILE *f = openlog(path);
+  int fd = open_log(path);
   Log *l;
-  if (f == NULL) {
+  if (fd < 0) {
     g_set_error(err, MP_ERROR, MP_ERR_SETTINGS,
                 "log: cannot open '%s': %s; choose a writable path", path,
                 g_strerror(errno));
     return NULL;
   }
   l = g_new0(Log, 1);
-  l->f = f;
+  l->fd = fd;
   l->path = g_strdup(path);
   l->least = least;
+  l->pending = g_string_new(NULL);
+  l->quotas = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   return l;
 }
 
 void log_reopen(Log *l) {
-  FILE *f;
+  int fd;
   if (l->path == NULL)
     return;
-  f = openlog(l->path);
-  if (f == NULL)
+  fd = open_log(l->path);
+  if (fd < 0)
     return; /* better the old file than none */
-  fclose(l->f);
-  l->f = f;
+  close(l->fd);
+  l->fd = fd;
 }
 
 void log_event(Log *l, int no, mp_Level level, const char *text,
                const char *fields) {
-  struct timespec t;
-  struct tm tm;
-  char when[32];
+  struct timespec now;
   if (level < l->least)
     return;
-  clock_gettime(CLOCK_REALTIME, &t);
-  gmtime_r(&t.tv_sec, &tm);
-  strftime(when, sizeof when, "%Y-%m-%dT%H:%M:%S", &tm);
-  fprintf(l->f, "%s.%03ldZ %s E%d msg=\"%s\"%s\n", when, t.tv_nsec / 1000000,
-          levels[level], no, text, fields);
+  clock_gettime(CLOCK_REALTIME, &now);
+  if (level < MP_WARN && !within_quota(l, no, &now))
+    return;
+  write_line(l, &now, no, level, text, fields);
+}
+
+guint64 log_left_out(const Log *l) {
+  return l->left_out;
+}
+
+guint64 log_lost(const Log *l) {
+  return l->lost;
 }
 
 void log_free(Log *l) {
+  flush(l);
   if (l->path != NULL)
-    fclose(l->f);
+    close(l->fd);
+  g_string_free(l->pending, TRUE);
+  g_hash_table_destroy(l->quotas);
   g_free(l->path);
   g_free(l);
 }
--- a/makefile
+++ b/makefile
@@ -108,7 +108,7 @@
 	@mkdir -p $(dir $@)
 	$(CXX) $(CXXFLAGS) -Iinclude -Icore -I. $(ALLCF) -MMD -c -o $@ $<
 
-$(BUILD)/unit: $(TESTS) $(BUILD)/daemon/settings.o $(DIALECT) $(WIRELIB) $(LIB)
+$(BUILD)/unit: $(TESTS) $(BUILD)/daemon/settings.o $(BUILD)/io/log.o $(BUILD)/cli/trace.o $(DIALECT) $(WIRELIB) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LIBS) -lpthread
 
 SOURCES = $(wildcard include/*.h core/*.[ch] conf/*.[ch] wire/*.[ch] io/*.[ch] \
--- a/router/admission.c
+++ b/router/admission.c
@@ -104,6 +104,11 @@
   }
   request->phase = PHASE_WAIT;
   enqueue(router, request);
+  router_log(router, MP_LOG_ROUTE_WAIT,
+             " request=%s place=%u expected_ms=%d came_back=%d", request->id,
+             router->waiting->len,
+             (int)(expected_wait(router, router->waiting->len - 1) / MP_MS),
+             request->returned);
   request->stall_at = next_look(request, now);
 }
 
--- a/router/path.c
+++ b/router/path.c
@@ -112,6 +112,22 @@
   request->stall_at = 0;
 }
 
+/* what was known of the endpoint when it was chosen */
+static void log_dispatch(Router *router, const Request *request,
+                         const Dispatch *dispatch, const Endpoint *endpoint) {
+  const EndpointTable *table = router->endpoints;
+  router_log(router, MP_LOG_ROUTE_DISPATCH,
+             " request=%s kind=%s endpoint=%s zone=%s open=%u tokens=%u "
+             "failures=%.2f config=%u left_ms=%d handle=%s resume_after=%s",
+             request->id, dispatch->kind == DISPATCH_RUN ? "run" : "prefill",
+             endpoint->record.id, endpoint->record.zone,
+             endpoint_open(table, endpoint) - 1,
+             (guint)endpoint_tokens(table, endpoint), endpoint->failures,
+             (guint)request->table->version, (int)dispatch->deadline_ms,
+             dispatch->handle != NULL ? dispatch->handle : "-",
+             dispatch->last_event != NULL ? dispatch->last_event : "-");
+}
+
 void path_send(Router *router, Request *request, DispatchKind kind,
                Endpoint *endpoint, guint64 tokens, gint64 now) {
   Dispatch dispatch = {0};
@@ -138,6 +154,7 @@
     dispatch.last_event = request->last_event;
   }
   router_count(router, DISPATCHES);
+  log_dispatch(router, request, &dispatch, endpoint);
   router->host.dispatch(router->host.data, &dispatch);
 }
 
@@ -196,6 +213,7 @@
 
 void path_place(Router *router, Request *request, Endpoint *decode,
                 gint64 now) {
+  router_time(router, request, DURATION_WAIT, now);
   prefill_reserve(router, request, decode);
   if (!prefill_begin(router, request, now))
     path_run(router, request, now);
@@ -229,12 +247,16 @@
 void path_run_again(Router *router, Request *request, gboolean may_have_run,
                     gint64 now) {
   RetryBudget *budget = router_budget(router, request->service->name);
-  if (!may_try_again(request, may_have_run, now)) {
-    finish_give_up(router, request, now);
-    return;
-  }
-  if (!retry_budget_take(budget, &router->retry, now)) {
+  gboolean allowed = may_try_again(request, may_have_run, now);
+  if (allowed && !retry_budget_take(budget, &router->retry, now)) {
     router_count(router, RETRIES_DENIED);
+    allowed = FALSE;
+  }
+  router_log(router, MP_LOG_ROUTE_RETRY,
+             " request=%s again=%d may_have_run=%d runs=%u arrivals=%u",
+             request->id, allowed, may_have_run, request->runs,
+             request->arrivals);
+  if (!allowed) {
     finish_give_up(router, request, now);
     return;
   }
@@ -316,6 +338,7 @@
     finish_give_up(router, request, now);
     return;
   }
+  router_time(router, request, DURATION_PLAIN, now);
   finish_answered(router, request, outcome);
 }
 
@@ -340,6 +363,7 @@
   if (request->head_sent)
     return; /* resumed: the caller keeps its first head */
   request->head_sent = TRUE;
+  router_time(router, request, DURATION_FIRST_PIECE, now);
   router->host.answer(router->host.data, request->number, outcome);
 }
 
@@ -349,10 +373,11 @@
       endpoint_table_get(router->endpoints, request->open.endpoint);
   if (outcome->kind != OUTCOME_STREAM_PIECE)
     router_log(router, MP_LOG_ROUTE_OUTCOME,
-               " request=%s endpoint=%s outcome=%d status=%d after_ms=%d "
+               " request=%s endpoint=%s outcome=%s status=%d after_ms=%d "
                "last_event=%s",
-               request->id, request->open.endpoint, (int)outcome->kind,
-               outcome->status, (int)((now - request->open.sent) / MP_MS),
+               request->id, request->open.endpoint,
+               outcome_name(outcome->kind), outcome->status,
+               (int)((now - request->open.sent) / MP_MS),
                request->last_event != NULL ? request->last_event : "-");
   if (outcome->kind != OUTCOME_UNREACHABLE &&
       (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
@@ -386,6 +411,7 @@
     if (endpoint != NULL)
       endpoint_succeeded(endpoint, now);
     learn_output(router, request);
+    router_time(router, request, DURATION_STREAM, now);
     admission_ended(router, now);
     finish_answered(router, request, outcome);
     break;
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -96,8 +96,8 @@
       endpoint_failed(endpoint, now);
   }
   router_log(router, MP_LOG_ROUTE_PREFILL,
-             " request=%s endpoint=%s outcome=%d handle=%s after_ms=%d",
-             request->id, request->open.endpoint, (int)outcome->kind,
+             " request=%s endpoint=%s outcome=%s handle=%s after_ms=%d",
+             request->id, request->open.endpoint, outcome_name(outcome->kind),
              request->handle != NULL ? request->handle : "-",
              (int)((now - request->open.sent) / MP_MS));
   path_close_dispatch(router, request, FALSE);
--- a/router/router.c
+++ b/router/router.c
@@ -350,3 +350,25 @@
   };
   return counter < ROUTER_COUNTER_COUNT ? names[counter] : NULL;
 }
+
+void router_time(Router *router, const Request *request, RouterDuration which,
+                 gint64 now) {
+  histogram_add(&router->durations[which], now - request->arrived);
+}
+
+const Histogram *router_duration(const Router *router, RouterDuration which) {
+  return &router->durations[which];
+}
+
+const char *router_duration_name(RouterDuration which) {
+  static const char *const names[] = {"wait", "first_piece", "stream",
+                                      "plain"};
+  return names[which];
+}
+
+const char *outcome_name(OutcomeKind kind) {
+  static const char *const names[] = {
+      "unreachable", "not_run",      "broken",    "answer",
+      "stream_head", "stream_piece", "stream_end"};
+  return names[kind];
+}
--- a/router/router.h
+++ b/router/router.h
@@ -19,6 +19,7 @@
 #include <glib.h>
 
 #include "madderpier.h"
+#include "router/histogram.h"
 #include "router/records.h"
 
 typedef struct Router Router;
@@ -85,6 +86,9 @@
   OUTCOME_STREAM_END /* the stream ended as a whole */
 } OutcomeKind;
 
+/* the name of an outcome, as logs have it */
+const char *outcome_name(OutcomeKind kind);
+
 typedef struct Outcome {
   guint64 dispatch;
   OutcomeKind kind;
@@ -160,4 +164,16 @@
 guint64 router_counter(const Router *router, unsigned counter);
 const char *router_counter_name(unsigned counter); /* NULL past the last */
 
+/* durations that are counted, from a request's arrival */
+typedef enum RouterDuration {
+  DURATION_WAIT,        /* to the start of a request for an engine */
+  DURATION_FIRST_PIECE, /* to the head of a stream */
+  DURATION_STREAM,      /* to the end of a stream */
+  DURATION_PLAIN,       /* to a whole answer */
+  DURATION_COUNT
+} RouterDuration;
+
+const Histogram *router_duration(const Router *router, RouterDuration which);
+const char *router_duration_name(RouterDuration which);
+
 #endif
--- a/router/state.h
+++ b/router/state.h
@@ -105,10 +105,15 @@
   double end_interval;  /* mean time between such ends */
   guint64 load_version; /* grows when what is open here changes */
   guint64 counters[ROUTER_COUNTER_COUNT];
+  Histogram durations[DURATION_COUNT];
 };
 
 #define router_count(router, name) ((router)->counters[ROUTER_COUNT_##name]++)
 
+/* count the time since the request came */
+void router_time(Router *router, const Request *request, RouterDuration which,
+                 gint64 now);
+
 void router_log(Router *router, mp_EventNo number, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
--- /dev/null
+++ b/test/test_log.cc
@@ -0,0 +1,88 @@
+/*
+** test_log.cc
+** The logger never waits, and its volume is bounded
+*/
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+extern "C" {
+#include "io/log.h"
+#include "router/histogram.h"
+}
+
+namespace {
+
+struct Logged : ::testing::Test {
+  std::string path =
+      ::testing::TempDir() + "madderpier-log-" + std::to_string(getpid());
+
+  void TearDown() override {
+    unlink(path.c_str());
+  }
+
+  unsigned count(const std::string &what) const {
+    std::ifstream in(path);
+    std::string line;
+    unsigned n = 0;
+    while (std::getline(in, line))
+      n += line.find(what) != std::string::npos;
+    return n;
+  }
+};
+
+TEST_F(Logged, LinesOfOneNumberAreBoundedAndFailuresAreNot) {
+  Log *log = log_new(path.c_str(), MP_INFO, nullptr);
+  for (int i = 0; i < 5000; i++) {
+    log_event(log, 8005, MP_INFO, "ordinary", "");
+    log_event(log, 8001, MP_WARN, "failure", "");
+  }
+  EXPECT_GT(log_left_out(log), 0u);
+  EXPECT_EQ(count("E8005") + log_left_out(log), 5000u);
+  EXPECT_EQ(count("E8001"), 5000u);
+  EXPECT_EQ(log_lost(log), 0u);
+  log_free(log);
+}
+
+TEST_F(Logged, AFullPipeLosesLinesAndNeverWaits) {
+  ASSERT_EQ(mkfifo(path.c_str(), 0600), 0);
+  int reader = open(path.c_str(), O_RDONLY | O_NONBLOCK);
+  ASSERT_GE(reader, 0);
+  Log *log = log_new(path.c_str(), MP_INFO, nullptr);
+  ASSERT_NE(log, nullptr);
+  std::string fields = " x=" + std::string(200, 'x');
+  for (int i = 0; i < 5000; i++) /* more than pipe and buffer hold */
+    log_event(log, 8001, MP_WARN, "failure", fields.c_str());
+  EXPECT_GT(log_lost(log), 0u);
+  char bytes[65536];
+  std::string all;
+  ssize_t n;
+  for (int i = 0; i < 100; i++) {
+    while ((n = read(reader, bytes, sizeof bytes)) > 0)
+      all.append(bytes, static_cast<size_t>(n));
+    log_event(log, 8001, MP_WARN, "later", "");
+  }
+  EXPECT_NE(all.find("E9002"), std::string::npos);
+  EXPECT_NE(all.find("later"), std::string::npos);
+  log_free(log);
+  close(reader);
+}
+
+TEST(Histograms, CountWithinTheirBounds) {
+  Histogram histogram = {};
+  for (gint64 at : {1000, 5000, 7000, 900000, 60000000})
+    histogram_add(&histogram, at);
+  EXPECT_EQ(histogram.count, 5u);
+  EXPECT_EQ(histogram.counts[0], 2u);
+  EXPECT_EQ(histogram.counts[1], 1u);
+  EXPECT_EQ(histogram.counts[HISTOGRAM_BOUNDS], 1u);
+  EXPECT_GT(histogram_bound(HISTOGRAM_BOUNDS - 1), 20.0);
+}
+
+} // namespace
