--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -15,7 +15,8 @@
   local name=$1 what=$2 file=$3 old=$4 new=$5
   rm -rf "$dir/src"
   mkdir "$dir/src"
-  cp -r include core conf wire io daemon cli standin test makefile "$dir/src"
+  cp -r include core conf wire io daemon cli standin test makefile http router \
+    dialect platform "$dir/src"
   python3 - "$dir/src/$file" "$old" "$new" <<'P' || { echo "$name: STALE"; missed=$((missed + 1)); return; }
 import sys
 path, old, new = sys.argv[1:]
@@ -104,5 +105,53 @@
   'return 0;'
 m pause "a paused home does not trust what it knew" core/state.c \
   'mpM_paused(M);' ''
+# routed requests (router/, http/, platform/)
+m r-once "TWICE: no second run of what may not be repeated" router/path.c \
+  'return request->repeatable && request->runs < request->route->attempts;' \
+  'return 1;'
+m r-promise "REFUSED: an open run may be at work" router/finish.c \
+  '(request->phase == PHASE_RUN && request->open.number != 0);' '0;'
+m r-count "REFUSED: a broken run counts as run" router/path.c \
+  '  request->runs++;
+  if (endpoint != NULL)' '  if (endpoint != NULL)'
+m r-back "CONFIG: never an older version" router/router.c \
+  'routes->version <= router->routes->version' '0'
+m r-budget "BUDGET: the window's extras" router/retry_budget.c \
+  'if (extras + 1 > allowed)' 'if (0)'
+m r-young "BUDGET: no slack in a young life" router/retry_budget.c \
+  'if (now - policy->born >= policy->window)' 'if (1)'
+m r-gone "GONE: a hangup cancels the run" router/finish.c \
+  'path_close_dispatch(router, request, TRUE);
+  admission_leave' 'path_close_dispatch(router, request, FALSE);
+  admission_leave'
+m r-handle "MIXED: a handle that two engines refused is dropped" router/path.c \
+  '(outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)' \
+  '(outcome->kind != OUTCOME_NOT_RUN)'
+m r-resume "ORDER: a resumed stream keeps its first head" router/path.c \
+  'if (request->head_sent)
+    return;' ''
+m r-drain "LOST: a planned stop takes nothing new" router/router.c \
+  'if (router->stopping) {' 'if (0) {'
+m r-leaving "DRAIN: a leaving endpoint is not chosen" router/endpoint_table.c \
+  'return endpoint->record.ready && ' 'return '
+m r-room "a run starts only where there is room" router/endpoint_table.c \
+  'if (wish->must_fit && !has_room(table, wish, endpoint))' 'if (0)'
+m r-late "an overtaken digest changes nothing" router/peer_loads.c \
+  'return behind < REORDER_WINDOW;' 'return 0;'
+m r-newer "CONFIG: an older revision takes no effect" router/follower.c \
+  'if (known != NULL && *known >= object->revision)' 'if (0)'
+m r-list "DRAIN: a list forgets what it does not name" \
+  router/endpoint_table.c 'if (g_hash_table_contains(names, endpoint->record.id))' \
+  'if (1)'
+m r-framing "UNASKED: doubtful framing is refused" http/reader.c \
+  'return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);' \
+  'return 0;'
+m r-event "ORDER: a partial event is held back" http/events.c \
+  'if (empty > 0)' 'if (1)'
+m r-own "the system sets its own fields" platform/endpoints.c \
+  'http_head_remove(head, own_fields[i]);' ';'
+m r-notrun "REFUSED: 503 alone promises nothing" platform/endpoints.c \
+  'out->not_run = out->misdirected ||' \
+  'out->not_run = head->status == 503 || out->misdirected ||'
 echo "$caught mutants caught, $missed missed"
 [ $missed = 0 ]
