Connections are tested against raw peers; a cut answer mended

Cause: framing and reuse of connections had no test of their own. Writing them found that libevent's write callback also comes for an earlier, empty write: an answer followed by a close (malformed input, a drain) could be cut off. Ruled out: the reader (its states were right); seen with a backtrace at SIGPIPE. The change: 18 cases of endpoints' connections and 9 of callers'; the connection closes only once its output is empty.

--- a/io/front.c
+++ b/io/front.c
@@ -270,8 +270,9 @@
 
 static void on_write(struct bufferevent *events, void *data) {
   Connection *connection = data;
-  (void)events;
-  if (connection->state != CONNECTION_FLUSHING)
+  /* libevent also calls this for a write that came before the last one */
+  if (connection->state != CONNECTION_FLUSHING ||
+      evbuffer_get_length(bufferevent_get_output(events)) > 0)
     return;
   if (connection->linger)
     linger(connection);
--- a/makefile
+++ b/makefile
@@ -108,7 +108,9 @@
 	@mkdir -p $(dir $@)
 	$(CXX) $(CXXFLAGS) -Iinclude -Icore -I. $(ALLCF) -MMD -c -o $@ $<
 
-$(BUILD)/unit: $(TESTS) $(BUILD)/daemon/settings.o $(BUILD)/io/log.o $(BUILD)/cli/trace.o $(DIALECT) $(WIRELIB) $(LIB)
+UNIT_IO = $(BUILD)/io/log.o $(BUILD)/io/front.o $(BUILD)/io/endpoint_links.o
+
+$(BUILD)/unit: $(TESTS) $(BUILD)/daemon/settings.o $(UNIT_IO) $(BUILD)/cli/trace.o $(DIALECT) $(WIRELIB) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LIBS) -lpthread
 
 SOURCES = $(wildcard include/*.h core/*.[ch] conf/*.[ch] wire/*.[ch] io/*.[ch] \
--- /dev/null
+++ b/test/test_links.cc
@@ -0,0 +1,443 @@
+/*
+** test_links.cc
+** Connections to endpoints and from callers, against raw peers on loopback
+*/
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "loopback.h"
+
+extern "C" {
+#include "io/endpoint_links.h"
+#include "io/front.h"
+#include "platform/platform.h"
+}
+
+using loopback::Listener;
+using loopback::Peer;
+
+namespace {
+
+struct Told {
+  OutcomeKind kind;
+  int status;
+  std::string bytes;
+  std::string event;
+};
+
+struct Links : ::testing::Test {
+  struct event_base *base = event_base_new();
+  Listener endpoint;
+  EndpointLinks *links = nullptr;
+  HttpHead *caller = http_head_request("POST", "/a/b?c=1");
+  GByteArray *body = g_byte_array_new();
+  std::map<guint64, std::vector<Told>> told;
+  guint64 last = 0;
+
+  void SetUp() override {
+    EndpointLinksHooks hooks = {this, on_outcome};
+    links = endpoint_links_new(base, &platform_dialect, &hooks);
+    http_head_add(caller, "Host", "h");
+    http_head_add(caller, "Request-Id", "r1");
+  }
+  void TearDown() override {
+    endpoint_links_free(links);
+    http_head_free(caller);
+    g_byte_array_free(body, TRUE);
+    event_base_free(base);
+  }
+
+  static void on_outcome(void *data, const Outcome *outcome) {
+    auto *self = static_cast<Links *>(data);
+    const auto *answer = static_cast<const EndpointAnswer *>(outcome->payload);
+    Told one = {outcome->kind, outcome->status, "", ""};
+    if (answer != nullptr && answer->bytes != nullptr)
+      one.bytes.assign(answer->bytes, answer->size);
+    if (outcome->event != nullptr)
+      one.event = outcome->event;
+    self->told[outcome->dispatch].push_back(one);
+  }
+
+  guint64 dispatch(bool stream = false, mp_Addr address = 0) {
+    Dispatch one = {};
+    one.number = ++last;
+    one.kind = DISPATCH_RUN;
+    one.address = address != 0 ? address : endpoint.address;
+    one.endpoint = "i-1";
+    one.deadline_ms = 5000;
+    one.stream = stream;
+    one.connect_timeout = 500 * MP_MS;
+    endpoint_links_send(links, &one, caller, body);
+    return last;
+  }
+
+  bool wait(const std::function<bool()> &done) {
+    return loopback::until(
+        base, [this] { endpoint.work(); }, done);
+  }
+  /* a whole request reached connection 'i' for the 'n'th time */
+  Peer *asked(size_t i, unsigned n = 1) {
+    bool there = wait([&] {
+      if (endpoint.peers.size() <= i)
+        return false;
+      unsigned count = 0;
+      size_t at = 0;
+      const std::string &got = endpoint.peers[i]->got;
+      while ((at = got.find("\r\n\r\n", at)) != std::string::npos) {
+        count++;
+        at += 4;
+      }
+      return count >= n;
+    });
+    EXPECT_TRUE(there);
+    return there ? endpoint.peers[i].get() : nullptr;
+  }
+  Told ended(guint64 number) {
+    EXPECT_TRUE(wait([&] {
+      return !told[number].empty() &&
+             told[number].back().kind != OUTCOME_STREAM_HEAD &&
+             told[number].back().kind != OUTCOME_STREAM_PIECE;
+    }));
+    return told[number].empty() ? Told{} : told[number].back();
+  }
+  void settle() {
+    int turns = 0;
+    wait([&] { return ++turns > 20; });
+  }
+};
+
+std::string answer(const std::string &body, const std::string &fields = "") {
+  return "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: r1\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+TEST_F(Links, AConnectionIsKeptAfterAWholeAnswer) {
+  guint64 first = dispatch();
+  asked(0)->send_text(answer("one"));
+  EXPECT_EQ(ended(first).bytes, "one");
+  guint64 second = dispatch();
+  asked(0, 2)->send_text(answer("two"));
+  EXPECT_EQ(ended(second).bytes, "two");
+  EXPECT_EQ(endpoint.peers.size(), 1u);
+}
+
+TEST_F(Links, BytesBehindAnAnswerAreNobodys) {
+  guint64 first = dispatch();
+  asked(0)->send_text(answer("one") + answer("stray"));
+  EXPECT_EQ(ended(first).bytes, "one");
+  guint64 second = dispatch();
+  asked(1)->send_text(answer("two"));
+  EXPECT_EQ(ended(second).bytes, "two");
+}
+
+TEST_F(Links, BytesWhileItRestsEndAConnection) {
+  guint64 first = dispatch();
+  asked(0)->send_text(answer("one"));
+  ended(first);
+  endpoint.peers[0]->send_text(answer("stray"));
+  settle();
+  EXPECT_EQ(endpoint_links_idle(links), 0u);
+  guint64 second = dispatch();
+  asked(1)->send_text(answer("two"));
+  EXPECT_EQ(ended(second).bytes, "two");
+}
+
+TEST_F(Links, AnAnswerOfAnotherRequestIsPassedOver) {
+  guint64 first = dispatch();
+  Peer *peer = asked(0);
+  peer->send_text("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: r0\r\n"
+                  "Content-Length: 3\r\n\r\nold");
+  settle();
+  EXPECT_TRUE(told[first].empty());
+  peer->send_text(answer("mine"));
+  EXPECT_EQ(ended(first).bytes, "mine");
+  EXPECT_EQ(endpoint_links_idle(links), 0u);
+}
+
+TEST_F(Links, WithoutALengthAGoodEndIsTheEnd) {
+  guint64 first = dispatch();
+  Peer *peer = asked(0);
+  peer->send_text("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\nall");
+  peer->close_now();
+  Told end = ended(first);
+  EXPECT_EQ(end.kind, OUTCOME_ANSWER);
+  EXPECT_EQ(end.bytes, "all");
+}
+
+TEST_F(Links, WithoutALengthAResetIsNoEnd) {
+  guint64 first = dispatch();
+  Peer *peer = asked(0);
+  peer->send_text("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\nall");
+  settle();
+  peer->reset();
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+}
+
+TEST_F(Links, AnAnswerCutShortIsBroken) {
+  guint64 first = dispatch();
+  Peer *peer = asked(0);
+  peer->send_text("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 9"
+                  "\r\n\r\nall");
+  peer->close_now();
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+}
+
+TEST_F(Links, BytesThatAreNoAnswerAreBroken) {
+  guint64 first = dispatch();
+  asked(0)->send_text("\x01\x02 nothing of HTTP\r\n\r\n");
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+}
+
+TEST_F(Links, ASuccessWithoutASignatureIsBroken) {
+  guint64 first = dispatch();
+  asked(0)->send_text("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                      "Content-Length: 2\r\n\r\nok");
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+}
+
+TEST_F(Links, AnEncodedAnswerIsBroken) {
+  guint64 first = dispatch();
+  asked(0)->send_text(answer("zip", "Content-Encoding: gzip\r\n"));
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+}
+
+TEST_F(Links, OnlyAPromiseMeansNotRun) {
+  guint64 first = dispatch();
+  asked(0)->send_text("HTTP/1.1 503 Full\r\nNot-Run: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ(ended(first).kind, OUTCOME_NOT_RUN);
+  guint64 second = dispatch();
+  asked(0, 2)->send_text("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(ended(second).kind, OUTCOME_BROKEN);
+}
+
+TEST_F(Links, AnAnswerBeforeTheBodyIsOutIsStillRead) {
+  std::string long_body(8 << 20, 'x');
+  g_byte_array_append(body, reinterpret_cast<const guint8 *>(long_body.data()),
+                      static_cast<guint>(long_body.size()));
+  guint64 first = dispatch();
+  Peer *peer = asked(0);
+  peer->reading = false;
+  peer->send_text("HTTP/1.1 413 Large\r\nServer-Stamp: s\r\nRequest-Id: r1\r\n"
+                  "Content-Length: 3\r\n\r\nbig");
+  Told end = ended(first);
+  EXPECT_EQ(end.kind, OUTCOME_ANSWER);
+  EXPECT_EQ(end.status, 413);
+  EXPECT_EQ(endpoint_links_idle(links), 0u);
+}
+
+TEST_F(Links, ALeavingEndpointsConnectionIsNotKept) {
+  guint64 first = dispatch();
+  asked(0)->send_text(answer("one", "Connection: close\r\n"));
+  ended(first);
+  EXPECT_EQ(endpoint_links_idle(links), 0u);
+}
+
+TEST_F(Links, ARefusedConnectionWasCertainlyNotRun) {
+  mp_Addr nobody;
+  {
+    Listener gone;
+    nobody = gone.address;
+  }
+  EXPECT_EQ(ended(dispatch(false, nobody)).kind, OUTCOME_UNREACHABLE);
+}
+
+TEST_F(Links, ACancelledDispatchEndsItsConnection) {
+  guint64 first = dispatch();
+  Peer *peer = asked(0);
+  endpoint_links_cancel(links, first);
+  EXPECT_TRUE(wait([&] { return peer->ended; }));
+  EXPECT_TRUE(told[first].empty());
+}
+
+const char *const stream_head =
+    "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: r1\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string &bytes) {
+  char size[16];
+  g_snprintf(size, sizeof size, "%zx", bytes.size());
+  return std::string(size) + "\r\n" + bytes + "\r\n";
+}
+
+TEST_F(Links, EventsArePassedOnAsTheyBecomeWhole) {
+  guint64 first = dispatch(true);
+  Peer *peer = asked(0);
+  peer->send_text(stream_head + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+  EXPECT_TRUE(wait([&] { return told[first].size() == 2; }));
+  EXPECT_EQ(told[first][0].kind, OUTCOME_STREAM_HEAD);
+  EXPECT_EQ(told[first][1].event, "1");
+  EXPECT_EQ(told[first][1].bytes, "id: 1\ndata: a\n\n");
+  peer->send_text(chunk("ta: b\n\n") + "0\r\n\r\n");
+  EXPECT_EQ(ended(first).kind, OUTCOME_STREAM_END);
+  EXPECT_EQ(told[first][2].event, "2");
+}
+
+TEST_F(Links, AStreamThatEndsWithinAnEventIsBroken) {
+  guint64 first = dispatch(true);
+  asked(0)->send_text(stream_head + chunk("id: 1\ndata: a\n\nid: 2\n") +
+                      "0\r\n\r\n");
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+}
+
+TEST_F(Links, AStreamWithoutItsLastChunkIsBroken) {
+  guint64 first = dispatch(true);
+  Peer *peer = asked(0);
+  peer->send_text(stream_head + chunk("id: 1\ndata: a\n\n"));
+  peer->close_now();
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+}
+
+/*
+** Callers
+*/
+
+struct Fronted : ::testing::Test {
+  struct event_base *base = event_base_new();
+  Front *front = nullptr;
+  mp_Addr address = 0;
+  std::vector<guint64> requests;
+  std::vector<std::string> targets;
+  std::vector<guint64> hangups;
+  std::unique_ptr<Peer> caller;
+
+  void SetUp() override {
+    FrontHooks hooks = {this, on_request, on_hangup, on_bad_input};
+    {
+      Listener free_port;
+      address = free_port.address;
+    }
+    front = front_new(base, address, &platform_dialect, &hooks, nullptr);
+    ASSERT_NE(front, nullptr);
+    caller = loopback::call(address);
+  }
+  void TearDown() override {
+    front_free(front);
+    event_base_free(base);
+  }
+
+  static void on_request(void *data, guint64 number, const HttpHead *head) {
+    auto *self = static_cast<Fronted *>(data);
+    self->requests.push_back(number);
+    self->targets.emplace_back(head->target);
+  }
+  static void on_hangup(void *data, guint64 number) {
+    static_cast<Fronted *>(data)->hangups.push_back(number);
+  }
+  static void on_bad_input(void *, int, const char *) {
+  }
+
+  bool wait(const std::function<bool()> &done) {
+    return loopback::until(
+        base, [this] { caller->read_some(); }, done);
+  }
+  void whole(guint64 number, const char *text) {
+    HttpHead *head = http_head_answer(200);
+    front_answer(front, number, head, text, strlen(text));
+    http_head_free(head);
+  }
+};
+
+TEST_F(Fronted, RequestsOnOneConnectionAreAnsweredInTheirOrder) {
+  caller->send_text("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                    "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return requests.size() == 1; }));
+  whole(requests[0], "first");
+  ASSERT_TRUE(wait([&] { return requests.size() == 2; }));
+  EXPECT_EQ(targets[1], "/2");
+  whole(requests[1], "second");
+  EXPECT_TRUE(
+      wait([&] { return caller->got.find("second") != std::string::npos; }));
+  EXPECT_LT(caller->got.find("first"), caller->got.find("second"));
+}
+
+TEST_F(Fronted, ACallerThatLeavesIsToldOf) {
+  caller->send_text("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return requests.size() == 1; }));
+  caller->close_now();
+  EXPECT_TRUE(wait([&] { return hangups.size() == 1; }));
+  EXPECT_EQ(front_open_requests(front), 0u);
+}
+
+TEST_F(Fronted, MalformedInputIsAnsweredOnceAndTheConnectionCloses) {
+  caller->send_text("nothing of HTTP\r\n\r\n");
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+  EXPECT_EQ(caller->got.rfind("HTTP/1.1 400", 0), 0u);
+  EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(Fronted, ABodyOverTheLimitIsRefusedWithAnAnswer) {
+  CallerLimits limits = {1000, 1000, MP_SEC, MP_SEC};
+  front_limits(front, &limits);
+  caller = loopback::call(address);
+  std::string body(32 << 10, 'x');
+  caller->send_text("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body);
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+  EXPECT_EQ(caller->got.rfind("HTTP/1.1 413", 0), 0u);
+}
+
+TEST_F(Fronted, AHeadOverTheLimitIsRefusedWithAnAnswer) {
+  CallerLimits limits = {1000, 1000, MP_SEC, MP_SEC};
+  front_limits(front, &limits);
+  caller = loopback::call(address);
+  caller->send_text("GET /1 HTTP/1.1\r\nX: " + std::string(3000, 'x') +
+                    "\r\n\r\n");
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+  EXPECT_EQ(caller->got.rfind("HTTP/1.1 431", 0), 0u);
+}
+
+TEST_F(Fronted, ARequestThatDoesNotArriveInTimeIsRefused) {
+  CallerLimits limits = {1000, 1000, 100 * MP_MS, MP_SEC};
+  front_limits(front, &limits);
+  caller = loopback::call(address);
+  caller->send_text("GET /1 HTTP/1.1\r\nHo");
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+  EXPECT_EQ(caller->got.rfind("HTTP/1.1 408", 0), 0u);
+}
+
+TEST_F(Fronted, ABrokenOffAnswerCannotLookWhole) {
+  HttpHead *head = http_head_answer(200);
+  caller->send_text("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return requests.size() == 1; }));
+  front_begin(front, requests[0], head);
+  front_piece(front, requests[0], "data: a\n\n", 9);
+  front_break_off(front, requests[0]);
+  http_head_free(head);
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+  EXPECT_NE(caller->got.find("data: a"), std::string::npos);
+  EXPECT_EQ(caller->got.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_TRUE(hangups.empty());
+}
+
+TEST_F(Fronted, AWholeStreamHasItsLastChunk) {
+  HttpHead *head = http_head_answer(200);
+  caller->send_text("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return requests.size() == 1; }));
+  front_begin(front, requests[0], head);
+  front_piece(front, requests[0], "data: a\n\n", 9);
+  front_end(front, requests[0]);
+  http_head_free(head);
+  EXPECT_TRUE(wait(
+      [&] { return caller->got.find("\r\n0\r\n\r\n") != std::string::npos; }));
+}
+
+TEST_F(Fronted, ADrainSaysCloseAndClosesWhatIsIdle) {
+  caller->send_text("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(wait([&] { return requests.size() == 1; }));
+  front_drain(front);
+  whole(requests[0], "last");
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+  EXPECT_NE(caller->got.find("Connection: close"), std::string::npos);
+  auto idle = loopback::call(address);
+  caller.swap(idle);
+  int turns = 0;
+  wait([&] { return ++turns > 20; });
+  EXPECT_FALSE(caller->ended);
+  front_close_idle(front);
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+}
+
+} // namespace
