A fault soak of our own, and scenarios on stand-ins of the platform

Ruled out: faults inside the stand-ins alone: connections are spoiled by a loopback proxy, processes by signals, from outside.

--- a/makefile
+++ b/makefile
@@ -93,10 +93,18 @@
 slopes: $(BUILD)/slopes
 	$(BUILD)/slopes
 
-$(BUILD)/scenario: $(BUILD)/test/scenario.o $(BUILD)/io/http.o $(LIB)
+$(BUILD)/scenario: $(BUILD)/test/scenario.o $(BUILD)/test/kept.o $(BUILD)/io/http.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) $(LUALIBS)
 
-STANDINS = $(BUILD)/standin-platform $(BUILD)/standin-engine
+$(BUILD)/standin-fleet: $(BUILD)/standin/fleet.o $(BUILD)/standin/store.o \
+  $(BUILD)/standin/serve.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/standin-proxy: $(BUILD)/standin/proxy.o $(BUILD)/standin/serve.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+STANDINS = $(BUILD)/standin-platform $(BUILD)/standin-engine \
+  $(BUILD)/standin-fleet $(BUILD)/standin-proxy
 
 demo: all $(STANDINS)
 	scripts/demo.sh
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -76,6 +76,19 @@
   rm -f "$log"
 done
 
+# the soak, shortly: the seeds that ever failed, and two fixed ones
+soak() { # arguments of scripts/soak.sh
+  local log
+  log=$(mktemp)
+  BUILD=build-san scripts/soak.sh "$@" >"$log" 2>&1
+  local code=$?
+  [ $code = 0 ] || tail -20 "$log"
+  result "soak-$1" $code
+  rm -f "$log"
+}
+soak regress
+soak 1 2 6
+
 [ $known = 0 ] || echo "$known known red, see KNOWN-RED.txt"
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- /dev/null
+++ b/standin/fleet.c
@@ -0,0 +1,405 @@
+/*
+** fleet.c
+** Stand-in for the users' platform: its store, model workers and plain
+** services, in one process
+**
+**   standin-fleet FLEET.json
+**
+** FLEET.json: {"store": ADDR, "admin": ADDR, "configuration": {...},
+**   "workers": [{"id", "service", "zone", "stage", "listen", "addr"}]}
+** ("addr" is what the list says, "listen" where the worker is: a proxy may
+** stand between). The admin port:
+**   GET  /ledger   what each worker took: id, worker, what, method, path
+**   POST /store    {"mode": M}, see store.h
+**   POST /worker   {"id", "mode"}: ok, error, shed, cut, mute, slow;
+**                  draining, gone, back (in the list)
+**   POST /configuration   the next version of the configuration
+*/
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/serve.h"
+#include "standin/store.h"
+
+/* pieces of a stream, and the pause between them */
+#define PIECES 12
+#define PAUSE_MS 25
+#define SLOW_MS 400
+
+typedef struct Worker {
+  char *id, *service, *zone, *stage, *addr;
+  char mode[16];
+  int draining, gone;
+} Worker;
+
+/* one answer that is still being written */
+typedef struct Work {
+  Worker *worker;
+  struct evhttp_request *request;
+  struct event *timer;
+  int next;
+  int started;
+} Work;
+
+static struct event_base *base;
+static GPtrArray *workers;  /* Worker */
+static GPtrArray *working;  /* Work */
+static GHashTable *handles; /* KV handle -> request id */
+static json_t *ledger;
+static unsigned last_handle;
+
+/*
+** {==================================================================
+** Requests at a worker
+** ===================================================================
+*/
+
+static const char *header(struct evhttp_request *request, const char *name) {
+  return evhttp_find_header(evhttp_request_get_input_headers(request), name);
+}
+
+static void set(struct evhttp_request *request, const char *name,
+                const char *value) {
+  evhttp_add_header(evhttp_request_get_output_headers(request), name, value);
+}
+
+static const char *method_name(struct evhttp_request *request) {
+  switch (evhttp_request_get_command(request)) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  default:
+    return "POST";
+  }
+}
+
+static void note(const Worker *worker, struct evhttp_request *request,
+                 const char *what) {
+  const char *id = header(request, "Request-Id");
+  const char *resumed = header(request, "Last-Event-Id");
+  json_array_append_new(ledger,
+                        json_pack("{s:s, s:s, s:s, s:s, s:s, s:s}", "id",
+                                  id != NULL ? id : "", "worker", worker->id,
+                                  "what", what, "method", method_name(request),
+                                  "path", evhttp_request_get_uri(request),
+                                  "resumed", resumed != NULL ? resumed : ""));
+}
+
+/* the answer's fields that every worker sends */
+static void sign(const Worker *worker, struct evhttp_request *request) {
+  set(request, "Request-Id", header(request, "Request-Id"));
+  set(request, "Server-Stamp", worker->id);
+  set(request, "Keep-Alive", "timeout=5");
+}
+
+static void not_run(struct evhttp_request *request, int status) {
+  set(request, "Not-Run", "1");
+  evhttp_send_reply(request, status, NULL, NULL);
+}
+
+static void on_work_closed(struct evhttp_connection *connection, void *data);
+
+static Work *work_new(Worker *worker, struct evhttp_request *request,
+                      event_callback_fn step) {
+  Work *work = g_new0(Work, 1);
+  work->worker = worker;
+  work->request = request;
+  work->timer = event_new(base, -1, EV_PERSIST, step, work);
+  g_ptr_array_add(working, work);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                on_work_closed, work);
+  return work;
+}
+
+static void work_free(Work *work) {
+  struct evhttp_connection *connection =
+      evhttp_request_get_connection(work->request);
+  if (connection != NULL)
+    evhttp_connection_set_closecb(connection, NULL, NULL);
+  g_ptr_array_remove(working, work);
+  event_free(work->timer);
+  g_free(work);
+}
+
+/* the caller is gone: drop the work */
+static void on_work_closed(struct evhttp_connection *connection, void *data) {
+  Work *work = data;
+  (void)connection;
+  g_ptr_array_remove(working, work);
+  event_free(work->timer);
+  g_free(work);
+}
+
+static void schedule(Work *work, int ms) {
+  struct timeval time = {ms / 1000, ms % 1000 * 1000};
+  event_add(work->timer, &time);
+}
+
+/* close the connection in the middle */
+static void cut(Work *work) {
+  struct evhttp_request *request = work->request;
+  work_free(work);
+  serve_cut(request);
+}
+
+static void stream_step(evutil_socket_t fd, short what, void *data) {
+  Work *work = data;
+  struct evhttp_request *request = work->request;
+  struct evbuffer *piece;
+  (void)fd;
+  (void)what;
+  if (!work->started) {
+    work->started = 1;
+    sign(work->worker, request);
+    set(request, "Content-Type", "text/event-stream");
+    evhttp_send_reply_start(request, 200, "OK");
+  }
+  if (strcmp(work->worker->mode, "cut") == 0 && work->next > PIECES / 2) {
+    cut(work);
+    return;
+  }
+  if (work->next > PIECES) {
+    work_free(work);
+    evhttp_send_reply_end(request);
+    return;
+  }
+  piece = evbuffer_new();
+  evbuffer_add_printf(piece, "id: %d\ndata: piece %d\n\n", work->next,
+                      work->next);
+  work->next++;
+  evhttp_send_reply_chunk(request, piece);
+  evbuffer_free(piece);
+}
+
+static void plain_step(evutil_socket_t fd, short what, void *data) {
+  Work *work = data;
+  struct evhttp_request *request = work->request;
+  struct evbuffer *body;
+  (void)fd;
+  (void)what;
+  if (strcmp(work->worker->mode, "cut") == 0) {
+    cut(work);
+    return;
+  }
+  sign(work->worker, request);
+  body = evbuffer_new();
+  evbuffer_add_printf(body, "answer to %s", header(request, "Request-Id"));
+  work_free(work);
+  evhttp_send_reply(request, 200, "OK", body);
+  evbuffer_free(body);
+}
+
+static void on_prefill(Worker *worker, struct evhttp_request *request) {
+  char handle[24];
+  g_snprintf(handle, sizeof handle, "kv%u", ++last_handle);
+  note(worker, request, "prefill");
+  g_hash_table_replace(handles, g_strdup(handle),
+                       g_strdup(header(request, "Request-Id")));
+  serve_json(request, 200,
+             json_pack("{s:s, s:i, s:i}", "KvHandle", handle, "Tokens", 100,
+                       "Version", 1));
+}
+
+/* does the request fetch a handle, and is it its own? */
+static int takes_handle(struct evhttp_request *request) {
+  const char *from = header(request, "Kv-From");
+  const char *handle = from != NULL ? strrchr(from, '/') : NULL;
+  const char *owner;
+  int mine;
+  if (handle == NULL)
+    return 1;
+  owner = g_hash_table_lookup(handles, handle + 1);
+  mine = owner != NULL && strcmp(owner, header(request, "Request-Id")) == 0;
+  g_hash_table_remove(handles, handle + 1);
+  return mine;
+}
+
+static void run(Worker *worker, struct evhttp_request *request) {
+  const char *last = header(request, "Last-Event-Id");
+  int slow = strcmp(worker->mode, "slow") == 0 ? SLOW_MS : 0;
+  Work *work;
+  note(worker, request, "run");
+  if (strcmp(worker->mode, "error") == 0) {
+    sign(worker, request);
+    evhttp_send_reply(request, 500, NULL, NULL);
+    return;
+  }
+  if (worker->stage[0] != '\0') {
+    work = work_new(worker, request, stream_step);
+    work->next = last != NULL ? atoi(last) + 1 : 1;
+    schedule(work, PAUSE_MS + slow);
+    return;
+  }
+  work = work_new(worker, request, plain_step);
+  if (strcmp(worker->mode, "mute") != 0)
+    schedule(work, PAUSE_MS + slow);
+}
+
+static void on_request(struct evhttp_request *request, void *data) {
+  Worker *worker = data;
+  const char *expected = header(request, "Expect-Instance");
+  const char *stage = header(request, "Stage");
+  if (evhttp_request_get_command(request) == EVHTTP_REQ_DELETE) {
+    note(worker, request, "release");
+    evhttp_send_reply(request, 200, NULL, NULL);
+  } else if (expected != NULL && strcmp(expected, worker->id) != 0)
+    not_run(request, 421);
+  else if (worker->gone || strcmp(worker->mode, "shed") == 0)
+    not_run(request, 503);
+  else if (header(request, "Request-Id") == NULL)
+    not_run(request, 400);
+  else if (stage != NULL && strcmp(stage, "prefill") == 0)
+    on_prefill(worker, request);
+  else if (!takes_handle(request))
+    not_run(request, 503);
+  else
+    run(worker, request);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Administration
+** ===================================================================
+*/
+
+static void list_worker(const Worker *worker) {
+  json_t *spec = json_pack(
+      "{s:s, s:s, s:s, s:i, s:s, s:i}", "Service", worker->service, "Addr",
+      worker->addr, "Zone", worker->zone, "Slots", 8, "State",
+      worker->draining ? "draining" : "ready", "ColdLeftMs", 0);
+  if (worker->stage[0] != '\0')
+    json_object_set_new(spec, "Stage", json_string(worker->stage));
+  store_put("servers", worker->id, spec);
+}
+
+static Worker *worker_of(const char *id) {
+  guint i;
+  for (i = 0; id != NULL && i < workers->len; i++) {
+    Worker *worker = workers->pdata[i];
+    if (strcmp(worker->id, id) == 0)
+      return worker;
+  }
+  return NULL;
+}
+
+static int set_mode(Worker *worker, const char *mode) {
+  static const char *const modes[] = {"ok",  "error", "shed",
+                                      "cut", "mute",  "slow"};
+  gsize i;
+  if (strcmp(mode, "draining") == 0 || strcmp(mode, "back") == 0) {
+    worker->draining = mode[0] == 'd';
+    worker->gone = 0;
+    list_worker(worker);
+    return 1;
+  }
+  if (strcmp(mode, "gone") == 0) {
+    worker->gone = 1;
+    store_remove("servers", worker->id);
+    return 1;
+  }
+  for (i = 0; i < G_N_ELEMENTS(modes); i++) {
+    if (strcmp(mode, modes[i]) == 0) {
+      g_strlcpy(worker->mode, mode, sizeof worker->mode);
+      return 1;
+    }
+  }
+  return 0;
+}
+
+static int on_worker(const json_t *body) {
+  Worker *worker = worker_of(json_string_value(json_object_get(body, "id")));
+  const char *mode = json_string_value(json_object_get(body, "mode"));
+  return worker != NULL && mode != NULL && set_mode(worker, mode);
+}
+
+static int on_store(const json_t *body) {
+  const char *mode = json_string_value(json_object_get(body, "mode"));
+  return mode != NULL && store_fault(mode);
+}
+
+static void on_admin(struct evhttp_request *request, void *data) {
+  const char *uri = evhttp_request_get_uri(request);
+  json_t *body = serve_body(request);
+  int done = 1;
+  (void)data;
+  if (strcmp(uri, "/ledger") == 0) {
+    serve_json(request, 200,
+               json_pack("{s:O, s:i}", "rows", ledger, "store_calls",
+                         (int)store_calls()));
+    json_decref(body);
+    return;
+  }
+  if (strcmp(uri, "/configuration") == 0)
+    store_put("config", "main", json_incref(body));
+  else if (strcmp(uri, "/store") == 0)
+    done = on_store(body);
+  else if (strcmp(uri, "/worker") == 0)
+    done = on_worker(body);
+  else
+    done = 0;
+  serve_json(request, done ? 200 : 400, json_object());
+  json_decref(body);
+}
+
+/* }================================================================== */
+
+static char *text_of(const json_t *json, const char *key) {
+  const char *text = json_string_value(json_object_get(json, key));
+  return g_strdup(text != NULL ? text : "");
+}
+
+static void open_worker(const json_t *json) {
+  Worker *worker = g_new0(Worker, 1);
+  char *at = text_of(json, "listen");
+  worker->id = text_of(json, "id");
+  worker->service = text_of(json, "service");
+  worker->zone = text_of(json, "zone");
+  worker->stage = text_of(json, "stage");
+  worker->addr = text_of(json, "addr");
+  g_strlcpy(worker->mode, "ok", sizeof worker->mode);
+  g_ptr_array_add(workers, worker);
+  serve_new(base, mp_addr_parse(at), on_request, worker);
+  list_worker(worker);
+  g_free(at);
+}
+
+static mp_Addr address_of(const json_t *json, const char *key) {
+  char *text = text_of(json, key);
+  mp_Addr at = mp_addr_parse(text);
+  g_free(text);
+  return at;
+}
+
+int main(int argc, char **argv) {
+  size_t size;
+  char *text;
+  json_t *fleet;
+  json_t *row;
+  size_t i;
+  if (argc != 2) {
+    fprintf(stderr, "usage: standin-fleet FLEET.json\n");
+    return 2;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  text = serve_file(argv[1], &size);
+  fleet = json_loadb(text, size, 0, NULL);
+  base = event_base_new();
+  workers = g_ptr_array_new();
+  working = g_ptr_array_new();
+  handles = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  ledger = json_array();
+  store_start(base, address_of(fleet, "store"));
+  serve_new(base, address_of(fleet, "admin"), on_admin, NULL);
+  store_put("config", "main",
+            json_incref(json_object_get(fleet, "configuration")));
+  json_array_foreach(json_object_get(fleet, "workers"), i, row)
+      open_worker(row);
+  event_base_dispatch(base);
+  return 0;
+}
--- /dev/null
+++ b/test/kept.h
@@ -0,0 +1,23 @@
+/*
+** kept.h
+** Kept connections of callers, for Lua: sys.connect(port)
+**
+**   c = sys.connect(port)
+**   c:send(method, path, headers, body)   one request at a time
+**   done, status, body, head, whole = c:get()
+**   c:alive()   the server has not ended the connection
+**   c:close()
+** 'done' is true once the answer or the connection ended; 'whole' says that
+** the answer was complete.
+*/
+
+#ifndef KEPT_H
+#define KEPT_H
+
+#include <event2/event.h>
+#include <lua.h>
+
+/* add connect() to the table on top of the stack */
+void kept_open(lua_State *L, struct event_base *event_base);
+
+#endif
--- a/test/scenario.c
+++ b/test/scenario.c
@@ -28,6 +28,7 @@
 #include <lua.h>
 #include <lualib.h>
 
+#include "test/kept.h"
 #include "io/http.h"
 
 #define MAXPROCS 128
@@ -132,20 +133,26 @@
   return ok;
 }
 
+/* ports from which freeport gives: a block for each process, below the
+** range from which connections get theirs */
+#define FIRST_PORT 10240
+#define BLOCKS 200
+#define BLOCK_SIZE 100
+
 /*
-** freeport() -> a port that nobody uses now, for TCP and UDP. Below the
-** range from which connections get theirs: one of those could take it
-** between this look and the process that binds it.
+** freeport() -> a port that nobody uses now, for TCP and UDP, and that was
+** not given before. One out of the range of connections could be taken by
+** one of those between this look and the process that binds it; scripts
+** that run side by side give from blocks of their own.
 */
 static int l_freeport(lua_State *L) {
-  static uint16_t last;
-  int tries;
-  for (tries = 0; tries < 1000; tries++) {
-    uint16_t port = (uint16_t)(10240 + g_random_int_range(0, 20000));
-    if (port == last || !bindable(SOCK_STREAM, port) ||
-        !bindable(SOCK_DGRAM, port))
+  static unsigned given;
+  unsigned block = (unsigned)getpid() % BLOCKS;
+  while (given < BLOCKS * BLOCK_SIZE) {
+    unsigned offset = (block * BLOCK_SIZE + given++) % (BLOCKS * BLOCK_SIZE);
+    uint16_t port = (uint16_t)(FIRST_PORT + offset);
+    if (!bindable(SOCK_STREAM, port) || !bindable(SOCK_DGRAM, port))
       continue;
-    last = port;
     lua_pushinteger(L, port);
     return 1;
   }
@@ -316,6 +323,7 @@
   lua_setfield(L, -2, "__gc");
   lua_pop(L, 1);
   luaL_newlib(L, primitives);
+  kept_open(L, base);
   lua_pushstring(L, build);
   lua_setfield(L, -2, "build");
   lua_pushstring(L, dir);
--- /dev/null
+++ b/test/scenario/lib/gateway.lua
@@ -0,0 +1,286 @@
+-- gateway.lua
+-- The verbs of scenarios on the users' platform: a fleet of stand-ins behind
+-- a loopback proxy, instances, callers on kept connections, and the judge
+-- that compares what callers and workers saw.
+
+local TERM, KILL, STOP, CONT = 15, 9, 19, 18
+
+gateway = { instances = {}, workers = {}, asked = {}, last = 0,
+            version = 1, timeout = 8000 }
+
+local function addr(port)
+  return "127.0.0.1:" .. port
+end
+
+local function write(path, text)
+  local f = assert(io.open(path, "w"))
+  f:write(text)
+  f:close()
+end
+
+local function route(name, kind, service, attempts, resumable)
+  return string.format(
+    '{"Name":"%s","Host":"h.example","PathPrefix":"/%s/","Kind":"%s",' ..
+    '"TimeoutMs":%d,"SloMs":900,"Priority":1,"Service":"%s",' ..
+    '"Attempts":%d,"Resumable":%s,"GapTargetMs":300}',
+    name, name, kind, gateway.timeout, service, attempts,
+    tostring(resumable))
+end
+
+-- 'more': names of further routes, all unsafe
+function configuration(more)
+  local routes = {
+    route("safe", "safe", "app", 2, false),
+    route("unsafe", "unsafe", "app", 1, false),
+    route("stream", "stream", "llm", 1, false),
+    route("resume", "stream", "llm", 2, true)
+  }
+  for _, name in ipairs(more or {}) do
+    routes[#routes + 1] = route(name, "unsafe", "app", 1, false)
+  end
+  return string.format(
+    '{"Version":%d,"Routes":[%s],"Services":[{"Name":"app","HealthPath":' ..
+    '"/healthz","MaxConns":100},{"Name":"llm","HealthPath":"/healthz",' ..
+    '"MaxConns":100,"Engine":{"Slots":8,"KvTokens":20000,"Stride":10,' ..
+    '"KvHoldS":0.5}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":' ..
+    '1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}',
+    gateway.version, table.concat(routes, ","))
+end
+
+local function add_worker(service, stage, zone)
+  local w = { id = "i-" .. #gateway.workers + 1, service = service,
+              stage = stage, zone = zone, port = sys.freeport(),
+              proxy = sys.freeport() }
+  gateway.workers[#gateway.workers + 1] = w
+end
+
+local function write_fleet()
+  local rows, links = {}, {}
+  for _, w in ipairs(gateway.workers) do
+    rows[#rows + 1] = string.format(
+      '{"id":"%s","service":"%s","zone":"%s","stage":"%s","listen":"%s",' ..
+      '"addr":"%s"}', w.id, w.service, w.zone, w.stage, addr(w.port),
+      addr(w.proxy))
+    links[#links + 1] = string.format(
+      '{"name":"%s","listen":"%s","to":"%s"}', w.id, addr(w.proxy),
+      addr(w.port))
+  end
+  links[#links + 1] = string.format(
+    '{"name":"store","listen":"%s","to":"%s"}', addr(gateway.store_proxy),
+    addr(gateway.store))
+  write(sys.dir .. "/fleet.json", string.format(
+    '{"store":"%s","admin":"%s","configuration":%s,"workers":[%s]}',
+    addr(gateway.store), addr(gateway.admin), configuration(),
+    table.concat(rows, ",")))
+  write(sys.dir .. "/proxy.json", string.format(
+    '{"admin":"%s","links":[%s]}', addr(gateway.proxy_admin),
+    table.concat(links, ",")))
+end
+
+local function write_settings(e)
+  write(e.yaml, table.concat({
+    "dialect: platform",
+    "instance: " .. e.name,
+    "data_centre: " .. e.zone,
+    "callers: " .. addr(e.port),
+    "ready: " .. addr(e.ready),
+    "control: " .. addr(e.control),
+    "metrics: " .. addr(e.metrics),
+    "exchange: " .. addr(e.exchange),
+    "platform: " .. addr(gateway.store_proxy),
+    "peers: [" .. addr(gateway.instances[1].control) .. ", " ..
+      addr(gateway.instances[#gateway.instances].control) .. "]",
+    "retry_ratio: 0.2",
+    "retry_slack: 60",
+    "grace_s: 8",
+    "log_level: debug", ""
+  }, "\n"))
+end
+
+function launch(e)
+  e.pid = sys.spawn(e.log, sys.build .. "/madderpierd", e.yaml)
+end
+
+function is_ready(e)
+  local c = sys.http("GET", e.ready, "/readyz", {}, "")
+  for _ = 1, 50 do
+    local done, status = c:get()
+    if done then
+      return status == 200
+    end
+    sys.pump(10)
+  end
+  return false
+end
+
+function wait_ready(e)
+  wait(e.name .. " ready", function() return is_ready(e) end)
+end
+
+-- a fleet of eight workers in two zones, and so many instances
+function start_gateway(instances)
+  for _, zone in ipairs { "a", "b" } do
+    add_worker("app", "", zone)
+    add_worker("llm", "prefill", zone)
+    add_worker("llm", "decode", zone)
+    add_worker("llm", "decode", zone)
+  end
+  gateway.store, gateway.store_proxy = sys.freeport(), sys.freeport()
+  gateway.admin, gateway.proxy_admin = sys.freeport(), sys.freeport()
+  for i = 1, instances do
+    local e = { name = "entry-" .. i, zone = i % 2 == 1 and "a" or "b",
+                port = sys.freeport(), ready = sys.freeport(),
+                control = sys.freeport(), metrics = sys.freeport(),
+                exchange = sys.freeport() }
+    e.yaml = sys.dir .. "/" .. e.name .. ".yaml"
+    e.log = sys.dir .. "/" .. e.name .. ".log"
+    gateway.instances[i] = e
+  end
+  write_fleet()
+  sys.spawn(sys.dir .. "/fleet.log", sys.build .. "/standin-fleet",
+            sys.dir .. "/fleet.json")
+  sys.spawn(sys.dir .. "/proxy.log", sys.build .. "/standin-proxy",
+            sys.dir .. "/proxy.json")
+  for _, e in ipairs(gateway.instances) do
+    write_settings(e)
+    launch(e)
+  end
+  for _, e in ipairs(gateway.instances) do
+    wait_ready(e)
+  end
+end
+
+-- faults
+function link(name, mode, ms)
+  ask("POST", gateway.proxy_admin, "/link", {}, string.format(
+    '{"name":"%s","mode":"%s","ms":%d}', name, mode, ms or 0))
+end
+
+function store(mode)
+  ask("POST", gateway.admin, "/store", {},
+      string.format('{"mode":"%s"}', mode))
+end
+
+function worker(w, mode)
+  ask("POST", gateway.admin, "/worker", {},
+      string.format('{"id":"%s","mode":"%s"}', w.id, mode))
+end
+
+function configure(more)
+  gateway.version = gateway.version + 3
+  ask("POST", gateway.admin, "/configuration", {}, configuration(more))
+end
+
+function end_now(e)
+  sys.signal(e.pid, KILL)
+  wait(e.name .. "'s end", function() return sys.reap(e.pid) end)
+end
+
+function stop_planned(e) sys.signal(e.pid, TERM) end
+function freeze(e) sys.signal(e.pid, STOP) end
+function thaw(e) sys.signal(e.pid, CONT) end
+function hangup(e) sys.signal(e.pid, 1) end
+
+-- a caller's request on a kept connection (or a new one)
+function request(e, kind, connection)
+  gateway.last = gateway.last + 1
+  local r = { id = "q" .. gateway.last, kind = kind, instance = e,
+              connection = connection or sys.connect(e.port) }
+  gateway.asked[#gateway.asked + 1] = r
+  r.connection:send("POST", "/" .. kind .. "/x", {
+    Host = "h.example", ["Request-Id"] = r.id, ["Deadline-Ms"] = "9000",
+    Model = "m", ["Token-Count"] = "1000,300",
+    ["Prompt-Prefix"] = "aa:200,bb:800" }, "body of " .. r.id)
+  return r
+end
+
+-- TRUE once it ended; then r.status, r.body, r.whole are set
+function ended(r)
+  if r.over then
+    return true
+  end
+  local done, status, body, head, whole = r.connection:get()
+  if done then
+    r.over, r.status, r.body, r.head, r.whole = true, status, body, head,
+                                                whole
+  end
+  return done
+end
+
+function answer_of(r)
+  wait("an answer to " .. r.id, function() return ended(r) end)
+  return r
+end
+
+function leave(r)
+  r.left, r.over = true, true
+  r.connection:close()
+end
+
+-- what the workers took: id -> rows
+function worker_ledger()
+  local _, text = ask("GET", gateway.admin, "/ledger")
+  local rows = {}
+  for row in text:gmatch("{([^{}]*)}") do
+    local id = row:match('"id":"([^"]*)"')
+    if id then
+      rows[id] = rows[id] or {}
+      table.insert(rows[id], {
+        what = row:match('"what":"([^"]*)"'),
+        worker = row:match('"worker":"([^"]*)"'),
+        resumed = row:match('"resumed":"([^"]*)"') })
+    end
+  end
+  return rows
+end
+
+local function runs_of(rows)
+  local n = 0
+  for _, row in ipairs(rows or {}) do
+    n = n + (row.what == "run" and 1 or 0)
+  end
+  return n
+end
+
+-- events of a stream come once each, in their order
+local function check_events(r)
+  local expected = 1
+  for id in r.body:gmatch("id: (%d+)\n") do
+    expect(tonumber(id) == expected,
+           r.id .. ": event " .. id .. " where " .. expected .. " is due")
+    expected = expected + 1
+  end
+  if r.whole and r.status == 200 then
+    expect(expected == 13, r.id .. ": a whole stream has 12 events, not " ..
+           expected - 1)
+  end
+end
+
+-- the promises, from both sides
+function judge()
+  local rows = worker_ledger()
+  for _, r in ipairs(gateway.asked) do
+    local runs = runs_of(rows[r.id])
+    local once = r.kind ~= "safe" and r.kind ~= "resume"
+    expect(not once or runs <= 1, r.id .. " (" .. r.kind .. ") ran " ..
+           runs .. " times")
+    if not r.left and r.over and r.whole then
+      if r.status == 503 or r.status == 429 then
+        expect(runs == 0, r.id .. ": promised not run, but ran")
+        expect(r.head["server-stamp"] == nil, r.id .. ": a signed refusal")
+      elseif r.status == 200 then
+        expect(runs >= 1, r.id .. ": answered without a run")
+        expect(r.head["server-stamp"], r.id .. ": no signature")
+      end
+    end
+    if not r.left and r.over and r.status == 200 and r.body then
+      if r.kind == "stream" or r.kind == "resume" then
+        check_events(r)
+      elseif r.whole then
+        expect(r.body == "answer to " .. r.id,
+               r.id .. " got another's answer: " .. r.body)
+      end
+    end
+  end
+  return rows
+end
--- /dev/null
+++ b/test/soak/soak.lua
@@ -0,0 +1,194 @@
+-- soak.lua
+-- Random faults from outside against real processes, judged from what
+-- callers and workers saw. SOAK_SEED, SOAK_SECONDS and SOAK_INSTANCES are
+-- taken from the environment; scripts/soak.sh runs it over many seeds.
+dofile("test/scenario/lib/gateway.lua")
+
+local seed = tonumber(os.getenv("SOAK_SEED") or "1")
+local seconds = tonumber(os.getenv("SOAK_SECONDS") or "8")
+local instances = tonumber(os.getenv("SOAK_INSTANCES") or "3")
+local STEP = 20 -- milliseconds
+local KINDS = { "safe", "unsafe", "stream", "resume" }
+
+math.randomseed(seed)
+start_gateway(instances)
+
+local connections = {} -- kept ones, used until their process is gone
+local open = {}        -- requests that have not ended
+local frozen = {}      -- instance -> steps until it is thawed
+local ending = {}      -- instances that were told to stop
+
+local function any(list)
+  return list[math.random(#list)]
+end
+
+local function running()
+  local out = {}
+  for _, e in ipairs(gateway.instances) do
+    if not ending[e] and not frozen[e] then
+      out[#out + 1] = e
+    end
+  end
+  return out
+end
+
+-- a connection that no request is using, or a new one
+local function connection_to(e)
+  local kept = connections[e] or {}
+  connections[e] = kept
+  for i = #kept, 1, -1 do
+    if not kept[i].connection:alive() then
+      table.remove(kept, i)
+    elseif not kept[i].request or ended(kept[i].request) then
+      return kept[i]
+    end
+  end
+  if #kept >= 12 then
+    return nil
+  end
+  kept[#kept + 1] = { connection = sys.connect(e.port) }
+  return kept[#kept]
+end
+
+local function ask_something()
+  local e = any(gateway.instances)
+  local row = connection_to(e)
+  if row then
+    row.request = request(e, any(KINDS), row.connection)
+    open[#open + 1] = row.request
+  end
+end
+
+local function leave_something()
+  local r = #open > 0 and any(open)
+  if r and not ended(r) then
+    leave(r)
+  end
+end
+
+local function restart_ended()
+  for e in pairs(ending) do
+    if sys.reap(e.pid) then
+      ending[e] = nil
+      launch(e)
+    end
+  end
+end
+
+local function thaw_some()
+  for e, left in pairs(frozen) do
+    if left <= 0 then
+      frozen[e] = nil
+      thaw(e)
+    else
+      frozen[e] = left - 1
+    end
+  end
+end
+
+-- each fault, with how it is struck
+local faults = {
+  function() end_now(any(gateway.instances)) end,
+  function()
+    local e = any(running())
+    if e then stop_planned(e); ending[e] = true end
+  end,
+  function()
+    local e = any(running())
+    if e then freeze(e); frozen[e] = math.random(10, 80) end
+  end,
+  function()
+    local e = any(running())
+    if e then hangup(e) end
+  end,
+  function() worker(any(gateway.workers),
+                    any { "error", "shed", "cut", "mute", "slow" }) end,
+  function() worker(any(gateway.workers), "ok") end,
+  function() worker(any(gateway.workers), any { "draining", "gone" }) end,
+  function() worker(any(gateway.workers), "back") end,
+  function() link(any(gateway.workers).id,
+                  any { "delay", "silent", "oneway", "reset" },
+                  math.random(20, 300)) end,
+  function() link(any(gateway.workers).id, "pass") end,
+  function() link("*", "pass") end,
+  function() link("store", any { "delay", "silent", "oneway", "reset" },
+                  math.random(20, 300)) end,
+  function() link("store", "pass") end,
+  function() store(any { "down", "silent", "lose", "compact" }) end,
+  function() store("ok") end,
+  function() configure({ "extra" .. math.random(3) }) end
+}
+
+local function strike()
+  local n = math.random(#faults)
+  if n == 1 then -- one that runs, and is started again at once
+    local e = any(running())
+    if e then
+      end_now(e)
+      launch(e)
+    end
+  else
+    faults[n]()
+  end
+end
+
+local function sweep()
+  for i = #open, 1, -1 do
+    if ended(open[i]) then
+      table.remove(open, i)
+    end
+  end
+end
+
+for step = 1, seconds * 1000 // STEP do
+  for _ = 1, math.random(0, 2) do
+    ask_something()
+  end
+  if math.random(40) == 1 then
+    leave_something()
+  end
+  if math.random(8) == 1 then
+    strike()
+  end
+  restart_ended()
+  thaw_some()
+  sweep()
+  sys.pump(STEP)
+end
+
+-- heal everything; then every request ends, and all are served again
+store("ok")
+link("*", "pass")
+for _, w in ipairs(gateway.workers) do
+  worker(w, "ok")
+  worker(w, "back")
+end
+for e in pairs(frozen) do
+  thaw(e)
+end
+wait("the end of planned stops", function()
+  restart_ended()
+  return next(ending) == nil
+end)
+wait("the end of every request", function()
+  sweep()
+  return #open == 0
+end)
+for _, e in ipairs(gateway.instances) do
+  wait_ready(e)
+  wait("service at " .. e.name, function()
+    local r = answer_of(request(e, "unsafe"))
+    return r.whole and r.status == 200
+  end)
+end
+judge()
+local served, refused = 0, 0
+for _, r in ipairs(gateway.asked) do
+  if r.whole and r.status == 200 then
+    served = served + 1
+  elseif r.whole and r.status == 503 then
+    refused = refused + 1
+  end
+end
+print(string.format("seed %d: %d requests, %d served whole, %d refused",
+                    seed, #gateway.asked, served, refused))
