Fewer calls to the store, spread choices, refused handles blamed

Ruled out: relays of the store's news: staleness for rules with bounds. The change: a pause after news (0.1 s, 0.15 s, instances 2 s); watches as long as the platform's bounds allow; digests every 0.7 ms a peer, progress told with the next one; engines within one request's memory of the best count as equals; an engine whose handle two others refused counts a failure.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -15,6 +15,8 @@
 #define DEFAULT_TIMEOUT 10
 #define DEFAULT_RETRY_WINDOW 10
 #define DEFAULT_WATCH_WAIT 3000
+/* for finding out, a new connection, and a list; milliseconds */
+#define WATCH_MARGIN 1700
 #define DEFAULT_DRAIN_LEAST 2800
 /* a drain ends so long before the kill, milliseconds */
 #define GRACE_MARGIN 400
@@ -47,6 +49,8 @@
     OPTUINT("retry_slack", retry_slack),
     OPTUINT("retry_window_s", retry_window_s),
     OPTUINT("watch_wait_ms", watch_wait_ms),
+    OPTUINT("contact_ms", contact_ms),
+    OPTUINT("apply_ms", apply_ms),
     OPTUINT("drain_least_ms", drain_least_ms),
     OPTUINT("drain_most_ms", drain_most_ms),
     OPTUINT("grace_s", grace_s),
@@ -140,6 +144,17 @@
   return TRUE;
 }
 
+/*
+** A watch whose answer was lost is found out after its wait; a change that
+** is made once we count as in touch must still be in force in time.
+*/
+static uint32_t longest_watch(const Settings *s) {
+  uint32_t sum = s->contact_ms + s->apply_ms;
+  if (s->contact_ms == 0 || s->apply_ms == 0 || sum <= 2 * WATCH_MARGIN)
+    return DEFAULT_WATCH_WAIT;
+  return sum - WATCH_MARGIN;
+}
+
 static void defaults(Settings *s) {
   if (s->max_body_bytes == 0)
     s->max_body_bytes = DEFAULT_BODY;
@@ -150,7 +165,7 @@
   if (s->retry_window_s == 0)
     s->retry_window_s = DEFAULT_RETRY_WINDOW;
   if (s->watch_wait_ms == 0)
-    s->watch_wait_ms = DEFAULT_WATCH_WAIT;
+    s->watch_wait_ms = longest_watch(s);
   if (s->drain_least_ms == 0)
     s->drain_least_ms = DEFAULT_DRAIN_LEAST;
   if (s->drain_most_ms == 0)
--- a/io/directory.c
+++ b/io/directory.c
@@ -22,6 +22,10 @@
 #define PEER_AGAIN (400 * MP_MS)
 /* the wait before an instance tries again to enter its own object */
 #define REGISTER_RETRY (2 * MP_SEC)
+/* pauses after news of a kind, so that more news cost no call each */
+#define CONFIGURATION_PAUSE (100 * MP_MS)
+#define ENDPOINTS_PAUSE (150 * MP_MS)
+#define INSTANCES_PAUSE (2 * MP_SEC)
 /* longest wait of a watch of the instances: they change rarely */
 #define INSTANCES_WAIT (12 * MP_SEC)
 
@@ -209,10 +213,11 @@
 }
 
 static void follow(Directory *directory, Following *following, StoreKind kind,
-                   const DirectoryOptions *options, gint64 watch_wait) {
+                   const DirectoryOptions *options, gint64 watch_wait,
+                   gint64 pause) {
   FollowerHost host = {directory, on_object, on_listed, on_lost, on_regained};
   following->directory = directory;
-  follower_init(&following->follower, kind, watch_wait, &host);
+  follower_init(&following->follower, kind, watch_wait, pause, &host);
   following->link =
       store_link_new(directory->base, options->store, directory->dialect,
                      on_follow_reply, following);
@@ -391,11 +396,11 @@
   directory->exchange = options->exchange;
   directory->peer_text = g_string_new(NULL);
   follow(directory, &directory->configuration, STORE_CONFIGURATION, options,
-         options->watch_wait);
+         options->watch_wait, CONFIGURATION_PAUSE);
   follow(directory, &directory->endpoints, STORE_ENDPOINTS, options,
-         options->watch_wait);
+         options->watch_wait, ENDPOINTS_PAUSE);
   follow(directory, &directory->following_instances, STORE_INSTANCES, options,
-         INSTANCES_WAIT);
+         INSTANCES_WAIT, INSTANCES_PAUSE);
   directory->registration = store_link_new(base, options->store, dialect,
                                            on_register_reply, directory);
   directory->register_timer = evtimer_new(base, on_register_timer, directory);
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -15,8 +15,8 @@
 
 /* datagrams read in one go, before others get their turn */
 #define READ_BURST 64
-/* least time between two digests, for each instance there is */
-#define INTERVAL_PER_PEER (2 * MP_MS)
+/* least time between two digests, for each instance there is; us */
+#define INTERVAL_PER_PEER (700LL)
 /* a digest goes out this often even when nothing changed */
 #define REFRESH (500 * MP_MS)
 
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -27,6 +27,9 @@
 #define COST_MEMORY 12.0
 /* an engine's memory is planned up to this share of what it has */
 #define MEMORY_FILL 1.0
+/* engines within this of the best are equals: many instances choose at the
+** same moment from the same loads */
+#define SPREAD_REACH 1.0
 /* affinity turns the choice while the load is within this of the best */
 #define AFFINITY_REACH 1.6
 
@@ -187,7 +190,9 @@
 }
 
 static Endpoint *best_of(const GArray *found, const EndpointWish *wish) {
-  double reach = wish->affinity != 0 ? AFFINITY_REACH : 0.01;
+  double reach = wish->affinity != 0 ? AFFINITY_REACH
+                 : wish->must_fit    ? SPREAD_REACH
+                                     : 0.01;
   guint64 seed = wish->affinity != 0 ? wish->affinity : wish->spread;
   double least = HUGE_VAL;
   Endpoint *best = NULL;
--- a/router/follower.c
+++ b/router/follower.c
@@ -30,11 +30,12 @@
 }
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
-                   const FollowerHost *host) {
+                   gint64 pause, const FollowerHost *host) {
   memset(follower, 0, sizeof *follower);
   follower->kind = kind;
   follower->host = *host;
   follower->watch_wait = watch_wait;
+  follower->pause = pause;
   follower->names =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   follower->revisions =
@@ -138,6 +139,8 @@
     follower->host.regained(follower->host.data, follower->kind);
   follower->failures = 0;
   take_objects(follower, reply);
+  if (follower->watching && reply->objects != NULL && reply->objects->len > 0)
+    follower->retry_at = now + follower->pause;
   if (follower->watching)
     follower->revision = MAX(follower->revision, reply->at);
   else
--- a/router/follower.h
+++ b/router/follower.h
@@ -78,7 +78,8 @@
 typedef struct Follower {
   StoreKind kind;
   FollowerHost host;
-  gint64 watch_wait;     /* longest wait of one watch */
+  gint64 watch_wait; /* longest wait of one watch */
+  gint64 pause; /* after news: what comes meanwhile costs no call of its own */
   gboolean watching;     /* else the next call lists */
   gboolean open;         /* a call is out */
   gint64 revision;       /* of the store, as far as it was read */
@@ -90,7 +91,7 @@
 } Follower;
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
-                   const FollowerHost *host);
+                   gint64 pause, const FollowerHost *host);
 void follower_clear(Follower *follower);
 
 /* when the next call may be made; G_MAXINT64 while one is out */
--- a/router/path.c
+++ b/router/path.c
@@ -53,9 +53,9 @@
   guint64 tokens = path_memory(router, request);
   if (endpoint == NULL || tokens < open->tokens + COUNT_STEP)
     return;
+  /* no version of its own: the next digest tells it */
   endpoint->tokens += tokens - open->tokens;
   open->tokens = tokens;
-  router->load_version++;
 }
 
 /* learn how long the streams of a service are */
@@ -367,6 +367,14 @@
   router->host.answer(router->host.data, request->number, outcome);
 }
 
+/* two engines refused the handle: the one that gave it loses them early */
+static void blame_prefill(Router *router, const Request *request, gint64 now) {
+  Endpoint *prefill =
+      endpoint_table_get(router->endpoints, request->handle_endpoint);
+  if (prefill != NULL)
+    endpoint_failed(prefill, now);
+}
+
 void path_outcome(Router *router, Request *request, const Outcome *outcome,
                   gint64 now) {
   Endpoint *endpoint =
@@ -379,6 +387,9 @@
                outcome_name(outcome->kind), outcome->status,
                (int)((now - request->open.sent) / MP_MS),
                request->last_event != NULL ? request->last_event : "-");
+  if (request->handle != NULL && outcome->kind == OUTCOME_NOT_RUN &&
+      request->arrivals > 0)
+    blame_prefill(router, request, now);
   if (outcome->kind != OUTCOME_UNREACHABLE &&
       (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
     /* a handle serves once; one that two engines refused is gone */
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -25,7 +25,7 @@
 
   void SetUp() override {
     FollowerHost host = {this, on_object, on_listed, on_lost, on_regained};
-    follower_init(&follower, STORE_ENDPOINTS, 3 * MP_SEC, &host);
+    follower_init(&follower, STORE_ENDPOINTS, 3 * MP_SEC, 150 * MP_MS, &host);
   }
   void TearDown() override {
     follower_clear(&follower);
@@ -153,6 +153,18 @@
   EXPECT_EQ(again.revision, 10);
 }
 
+TEST_F(Follow, NewsThatComeTogetherCostOneCall) {
+  call();
+  answer(STORE_OK, 10, {{"a", 1, "1"}});
+  EXPECT_EQ(follower_next_call(&follower), now);
+  call();
+  answer(STORE_OK, 11, {{"b", 11, "2"}});
+  EXPECT_EQ(follower_next_call(&follower), now + 150 * MP_MS);
+  call();
+  answer(STORE_OK, 11); /* a watch that waited in vain */
+  EXPECT_EQ(follower_next_call(&follower), now);
+}
+
 TEST_F(Follow, OneCallIsOpenAtATime) {
   call();
   EXPECT_EQ(follower_next_call(&follower), G_MAXINT64);
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -221,6 +221,22 @@
   EXPECT_EQ(world.last().handle, "");
 }
 
+TEST_F(Routed, AnEngineWhoseHandlesAreRefusedIsLeftAlone) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  world.endpoint({"dec-3", "llm", "a", STAGE_DECODE});
+  world.request("/stream/x");
+  std::string bad = world.last().endpoint;
+  world.prefilled(world.last().number);
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  for (int i = 0; i < 4; i++) {
+    guint64 request = world.request("/stream/x");
+    EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+    EXPECT_NE(world.last().endpoint, bad);
+    world.hangup(request);
+  }
+}
+
 TEST_F(Routed, AHandleThatLapsedIsNotOffered) {
   world.request("/stream/x");
   world.prefilled(world.last().number);
