--- a/core/admit.c
+++ b/core/admit.c
@@ -117,7 +117,7 @@
   if (f->class_ == NULL ||
       !has(f->account->classes, f->account->classes_count, f->class_->name))
     return MP_ERR_CLASS;
-  if (mpP_rule(c, f->class_->name, f->account->name) == NULL)
+  if (place_rule(c, f->class_->name, f->account->name) == NULL)
     return MP_ERR_PLACE;
   return MP_ERR_NONE;
 }
@@ -130,8 +130,8 @@
   p.ran = MP_RAN_NO;
   p.retry_s = mp_error_retry(e);
   mpcount(M, REFUSED);
-  mpX_log(M, MP_LOG_REFUSE, " kind=%s ran=no", mp_error_name(e));
-  mpX_reply(M, &p);
+  effect_log(M, MP_LOG_REFUSE, " kind=%s ran=no", mp_error_name(e));
+  effect_reply(M, &p);
 }
 
 static Request *newrequest(mp_State *M, const mp_Call *c, const Found *f) {
@@ -157,23 +157,23 @@
   r->repeatable = k->repeatable;
   r->keyed = c->key != NULL;
   if (r->keyed)
-    mpI_id(r->account, c->key, r->id);
+    claim_id(r->account, c->key, r->id);
   r->text = g_string_new(NULL);
   g_ptr_array_add(M->requests, r);
-  mpS_set(M->requestby, r->call, r);
-  mpS_set(M->requestseq, r->token.seq, r);
+  state_set(M->requestby, r->call, r);
+  state_set(M->requestseq, r->token.seq, r);
   return r;
 }
 
 static void admitted(mp_State *M, void *ud, int ok) {
   Request *r = ud;
   if (ok)
-    mpW_begin(M, r);
+    flow_begin(M, r);
   else
-    mpW_refuse(M, r, MP_ERR_QUOTA, mp_error_retry(MP_ERR_QUOTA));
+    flow_refuse(M, r, MP_ERR_QUOTA, mp_error_retry(MP_ERR_QUOTA));
 }
 
-void mpA_call(mp_State *M, const mp_Call *c) {
+void admit_call(mp_State *M, const mp_Call *c) {
   Found f = {0};
   mp_Error e;
   Request *r;
@@ -191,11 +191,12 @@
     refusecall(M, c, e);
     return;
   }
-  mpB_earn(M);
+  retry_earn(M);
   r = newrequest(M, c, &f);
-  mpX_log(M, MP_LOG_ACCEPT, " seq=%08x class=%s account=%s prompt_tokens=%u",
-          r->token.seq, r->class_name, r->account, r->prompt_tokens);
-  ok = mpQ_admit(M, f.account, admitted, r);
+  effect_log(M, MP_LOG_ACCEPT,
+             " seq=%08x class=%s account=%s prompt_tokens=%u", r->token.seq,
+             r->class_name, r->account, r->prompt_tokens);
+  ok = quota_admit(M, f.account, admitted, r);
   if (ok >= 0)
     admitted(M, r, ok);
 }
--- a/core/answer.c
+++ b/core/answer.c
@@ -23,43 +23,43 @@
 
 static void stalled(mp_State *M, void *ud) {
   Request *r = ud;
-  mpX_xabort(M, r->decode.xcall);
+  effect_xabort(M, r->decode.xcall);
   r->decode.xcall = 0;
   broke(M, r, WHY_SILENT);
 }
 
 static void watch(mp_State *M, Request *r) {
-  mpT_arm(&M->timers, &r->timer, M->now + MP_STALL_TIME, stalled, r);
+  timer_arm(&M->timers, &r->timer, M->now + MP_STALL_TIME, stalled, r);
 }
 
-void mpW_decode(mp_State *M, Request *r, mp_XcallOp op) {
+void flow_decode(mp_State *M, Request *r, mp_XcallOp op) {
   Attempt *a = &r->decode;
   mp_Xcall x;
-  if (mpW_gate(M, r, a) == NULL) {
-    mpW_gated(M, r, a);
+  if (flow_gate(M, r, a) == NULL) {
+    flow_gated(M, r, a);
     return;
   }
-  x = mpW_call(r, a, op);
-  mpW_dispatched(r, a);
+  x = flow_call(r, a, op);
+  flow_dispatched(r, a);
   if (op == MP_X_DECODE)
     mpcount(M, DECODES);
-  a->xcall = mpX_xcall(M, &x, ondecode, r);
+  a->xcall = effect_xcall(M, &x, ondecode, r);
   watch(M, r);
 }
 
 /* the stream broke: resume it once where it is, then go elsewhere */
 static void broke(mp_State *M, Request *r, Why why) {
-  const Endpoint *e = mpE_get(M, r->decode.endpoint);
+  const Endpoint *e = fleet_get(M, r->decode.endpoint);
   int there = e != NULL && !e->down;
-  mpT_stop(&M->timers, &r->timer);
-  if (!mpW_clean(why) && !r->resumed && there) {
+  timer_stop(&M->timers, &r->timer);
+  if (!flow_clean(why) && !r->resumed && there) {
     r->resumed = 1;
-    mpW_decode(M, r, MP_X_RESUME);
+    flow_decode(M, r, MP_X_RESUME);
     return;
   }
   /* after a resume that was refused, the first call still ran */
-  mpW_failed(M, r, &r->decode,
-             mpW_clean(why) && r->resumed ? WHY_BROKEN : why);
+  flow_failed(M, r, &r->decode,
+              flow_clean(why) && r->resumed ? WHY_BROKEN : why);
 }
 
 static void head(mp_State *M, Request *r, int status, void *h) {
@@ -72,7 +72,7 @@
   p.status = status;
   p.head = h;
   mp_token_text(&r->token, 0, p.id);
-  mpX_reply(M, &p);
+  effect_reply(M, &p);
 }
 
 static void pass(mp_State *M, Request *r, const mp_EndpointEvent *e) {
@@ -81,7 +81,7 @@
   p.what = MP_REPLY_PIECE;
   p.text = e->text;
   p.len = e->len;
-  mpX_reply(M, &p);
+  effect_reply(M, &p);
 }
 
 /* the first token is there: the prefill's copy has done its work */
@@ -89,8 +89,8 @@
   r->ran = MP_RAN_YES;
   r->kv_used = 1;
   r->prefill_at = r->prefill.endpoint;
-  mpE_good(M, r->decode.endpoint);
-  mpW_endattempt(M, r, &r->prefill);
+  fleet_good(M, r->decode.endpoint);
+  flow_endattempt(M, r, &r->prefill);
 }
 
 static void piece(mp_State *M, Request *r, const mp_EndpointEvent *e) {
@@ -99,7 +99,7 @@
     return;
   }
   if (e->index > r->got) {
-    mpX_xabort(M, r->decode.xcall);
+    effect_xabort(M, r->decode.xcall);
     r->decode.xcall = 0;
     broke(M, r, WHY_BROKEN); /* a gap: nothing behind it may pass */
     return;
@@ -131,11 +131,11 @@
     if (r->prefill.no != 0)
       firsttoken(M, r);
     head(M, r, 200, NULL);
-    mpW_complete(M, r);
+    flow_complete(M, r);
     break;
   case MP_EP_FAIL:
     r->decode.xcall = 0;
-    broke(M, r, mpW_whyof(e));
+    broke(M, r, flow_whyof(e));
     break;
   }
 }
@@ -151,20 +151,20 @@
 static void plainlate(mp_State *M, void *ud) {
   Request *r = ud;
   if (r->head)
-    mpW_giveup(M, r); /* a part of the answer is out: no second one */
+    flow_giveup(M, r); /* a part of the answer is out: no second one */
   else
-    mpW_failed(M, r, &r->decode, WHY_SILENT);
+    flow_failed(M, r, &r->decode, WHY_SILENT);
 }
 
 static void plainfail(mp_State *M, Request *r, const mp_EndpointEvent *e) {
   r->decode.xcall = 0;
-  mpT_stop(&M->timers, &r->timer);
+  timer_stop(&M->timers, &r->timer);
   if (r->head)
-    mpW_refuse(M, r, MP_ERR_INCOMPLETE, 0);
+    flow_refuse(M, r, MP_ERR_INCOMPLETE, 0);
   else if (e->fail == MP_EPF_REJECTED)
-    mpW_rejected(M, r);
+    flow_rejected(M, r);
   else
-    mpW_failed(M, r, &r->decode, mpW_whyof(e));
+    flow_failed(M, r, &r->decode, flow_whyof(e));
 }
 
 static void onplain(mp_State *M, void *ud, const mp_EndpointEvent *e) {
@@ -172,8 +172,8 @@
   switch (e->what) {
   case MP_EP_HEAD:
     r->ran = MP_RAN_YES;
-    mpE_good(M, r->decode.endpoint);
-    mpT_arm(&M->timers, &r->timer, r->deadline, plainlate, r);
+    fleet_good(M, r->decode.endpoint);
+    timer_arm(&M->timers, &r->timer, r->deadline, plainlate, r);
     head(M, r, e->status, e->head);
     break;
   case MP_EP_PIECE:
@@ -181,7 +181,7 @@
     break;
   case MP_EP_DONE:
     r->decode.xcall = 0;
-    mpW_complete(M, r);
+    flow_complete(M, r);
     break;
   case MP_EP_FAIL:
     plainfail(M, r, e);
@@ -189,25 +189,25 @@
   }
 }
 
-void mpW_plain(mp_State *M, Request *r) {
-  Endpoint *e = mpR_plain(M, r);
+void flow_plain(mp_State *M, Request *r) {
+  Endpoint *e = choice_plain(M, r);
   Attempt *a = &r->decode;
   mp_Xcall x;
   if (e == NULL) {
-    mpW_nowhere(M, r);
+    flow_nowhere(M, r);
     return;
   }
-  mpW_attempt(r, a, e, MP_ROLE_PLAIN, 0);
+  flow_attempt(r, a, e, MP_ROLE_PLAIN, 0);
   e->mine++;
   a->granted = 1;
   a->begun = M->now;
-  x = mpW_call(r, a, MP_X_PLAIN);
-  mpW_dispatched(r, a);
-  a->xcall = mpX_xcall(M, &x, onplain, r);
+  x = flow_call(r, a, MP_X_PLAIN);
+  flow_dispatched(r, a);
+  a->xcall = effect_xcall(M, &x, onplain, r);
   /* time to fail over is left where the class allows it */
-  mpT_arm(&M->timers, &r->timer,
-          M->now + (r->deadline - M->now) / (r->repeatable ? 2 : 1), plainlate,
-          r);
+  timer_arm(&M->timers, &r->timer,
+            M->now + (r->deadline - M->now) / (r->repeatable ? 2 : 1),
+            plainlate, r);
 }
 
 /* }================================================================== */
--- a/core/cancel.c
+++ b/core/cancel.c
@@ -22,7 +22,7 @@
 
 static void freecancel(void *p) {
   Cancel *c = p;
-  mpT_stop(&c->M->timers, &c->timer);
+  timer_stop(&c->M->timers, &c->timer);
   g_free(c);
 }
 
@@ -49,22 +49,23 @@
   x.token = c->token;
   x.attempt = c->attempt;
   c->tries++;
-  c->xcall = mpX_xcall(M, &x, answered, c);
-  mpT_arm(&M->timers, &c->timer, M->now + c->tries * MP_CANCEL_PERIOD, again,
-          c);
+  c->xcall = effect_xcall(M, &x, answered, c);
+  timer_arm(&M->timers, &c->timer, M->now + c->tries * MP_CANCEL_PERIOD, again,
+            c);
 }
 
 static void again(mp_State *M, void *ud) {
   Cancel *c = ud;
   if (c->xcall != 0)
-    mpX_xabort(M, c->xcall);
+    effect_xabort(M, c->xcall);
   if (c->tries >= MP_CANCEL_TRIES)
     end(M, c);
   else
     send(M, c);
 }
 
-void mpC_cancel(mp_State *M, mp_Addr ep, const mp_Token *t, uint32_t attempt) {
+void cancel_cancel(mp_State *M, mp_Addr ep, const mp_Token *t,
+                   uint32_t attempt) {
   Cancel *c = g_new0(Cancel, 1);
   c->M = M;
   c->ep = ep;
@@ -74,16 +75,16 @@
   send(M, c);
 }
 
-unsigned mpC_open(const mp_State *M) {
+unsigned cancel_open(const mp_State *M) {
   return M->cancels->open->len;
 }
 
-void mpC_init(mp_State *M) {
+void cancel_init(mp_State *M) {
   M->cancels = g_new0(Cancels, 1);
   M->cancels->open = g_ptr_array_new_with_free_func(freecancel);
 }
 
-void mpC_free(mp_State *M) {
+void cancel_free(mp_State *M) {
   g_ptr_array_unref(M->cancels->open);
   g_free(M->cancels);
 }
--- a/core/cancel.h
+++ b/core/cancel.h
@@ -10,13 +10,14 @@
 
 #include "state.h"
 
-void mpC_init(mp_State *M);
-void mpC_free(mp_State *M);
+void cancel_init(mp_State *M);
+void cancel_free(mp_State *M);
 
 /* end the attempt at the endpoint and free all that it holds there */
-void mpC_cancel(mp_State *M, mp_Addr ep, const mp_Token *t, uint32_t attempt);
+void cancel_cancel(mp_State *M, mp_Addr ep, const mp_Token *t,
+                   uint32_t attempt);
 
 /* cancels not yet confirmed */
-unsigned mpC_open(const mp_State *M);
+unsigned cancel_open(const mp_State *M);
 
 #endif
--- a/core/claim.c
+++ b/core/claim.c
@@ -63,11 +63,11 @@
   return (guint)(*(const uint64_t *)p);
 }
 
-gboolean mpI_sameid(gconstpointer a, gconstpointer b) {
+gboolean claim_sameid(gconstpointer a, gconstpointer b) {
   return memcmp(a, b, 2 * sizeof(uint64_t)) == 0;
 }
 
-void mpI_id(const char *account, const char *key, uint64_t id[2]) {
+void claim_id(const char *account, const char *key, uint64_t id[2]) {
   XXH3_state_t *s = XXH3_createState();
   XXH128_hash_t h;
   XXH3_128bits_reset(s);
@@ -80,7 +80,7 @@
   id[1] = h.high64;
 }
 
-unsigned mpI_shardof(const uint64_t id[2]) {
+unsigned claim_shardof(const uint64_t id[2]) {
   return (unsigned)(id[1] % MP_CLAIM_SHARDS);
 }
 
@@ -91,7 +91,7 @@
   unsigned i;
   for (i = 0; M->config != NULL && i < M->config->data_centres_count; i++) {
     const char *name = M->config->data_centres[i].name;
-    uint64_t w = mpM_weight(mpS_hash(name), id[0]);
+    uint64_t w = member_weight(state_hash(name), id[0]);
     if (win == NULL || w > top) {
       win = name;
       top = w;
@@ -104,7 +104,7 @@
   const char *dc = homedc(M, id);
   if (dc == NULL)
     return 0;
-  return mpM_home(M, mpS_hash(dc), SHARD_KEY + mpI_shardof(id));
+  return member_home(M, state_hash(dc), SHARD_KEY + claim_shardof(id));
 }
 
 /*
@@ -116,10 +116,10 @@
   if (M->now - M->settled >= MP_HOME_SETTLE)
     return 1;
   return M->changes == 1 &&
-         mpM_homebefore(M, SHARD_KEY + mpI_shardof(id)) == M->self;
+         member_homebefore(M, SHARD_KEY + claim_shardof(id)) == M->self;
 }
 
-ClaimRow *mpI_addrow(mp_State *M, const mp_Claim *c, mp_Ran ran) {
+ClaimRow *claim_addrow(mp_State *M, const mp_Claim *c, mp_Ran ran) {
   ClaimRow *r = g_new0(ClaimRow, 1);
   memcpy(r->id, c->id, sizeof r->id);
   r->token = c->token;
@@ -130,7 +130,7 @@
   return r;
 }
 
-ClaimRow *mpI_getrow(const mp_State *M, const uint64_t id[2]) {
+ClaimRow *claim_getrow(const mp_State *M, const uint64_t id[2]) {
   return g_hash_table_lookup(M->claims->rows, id);
 }
 
@@ -142,13 +142,13 @@
 ** ===================================================================
 */
 
-void mpI_answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
-                mp_Ran ran) {
+void claim_answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
+                  mp_Ran ran) {
   mp_Msg a = {0};
   a.u.claim = call->u.claim;
   a.u.claim.verdict = (uint8_t)v;
   a.u.claim.ran = (uint8_t)ran;
-  mpX_answer(M, from, call, &a);
+  effect_answer(M, from, call, &a);
 }
 
 /* }================================================================== */
@@ -161,63 +161,63 @@
 
 /* a holder tells what it has; the first one to have it keeps it */
 static void announced(mp_State *M, const mp_Claim *c) {
-  ClaimRow *r = mpI_getrow(M, c->id);
+  ClaimRow *r = claim_getrow(M, c->id);
   if (r == NULL)
-    mpI_addrow(M, c, (mp_Ran)c->ran);
-  else if (mpS_sametoken(&r->token, &c->token))
+    claim_addrow(M, c, (mp_Ran)c->ran);
+  else if (state_sametoken(&r->token, &c->token))
     r->ran = (mp_Ran)c->ran;
 }
 
-void mpI_onclaim(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void claim_onclaim(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Claim *c = &m->u.claim;
   const char *dc = homedc(M, c->id);
   const ClaimRow *r;
   if (c->announce) {
     announced(M, c);
-    mpI_answer(M, from, m, MP_GRANTED, MP_RAN_UNKNOWN);
+    claim_answer(M, from, m, MP_GRANTED, MP_RAN_UNKNOWN);
     return;
   }
   if (dc == NULL || homeof(M, c->id) != M->self) {
-    mpI_answer(M, from, m, MP_WRONG_HOME, MP_RAN_NO);
+    claim_answer(M, from, m, MP_WRONG_HOME, MP_RAN_NO);
     return;
   }
-  r = mpI_getrow(M, c->id);
-  if (r != NULL && mpS_sametoken(&r->token, &c->token) &&
+  r = claim_getrow(M, c->id);
+  if (r != NULL && state_sametoken(&r->token, &c->token) &&
       r->durable >= c->durable) {
-    mpI_answer(M, from, m, MP_GRANTED, MP_RAN_NO); /* sent again */
+    claim_answer(M, from, m, MP_GRANTED, MP_RAN_NO); /* sent again */
     return;
   }
-  if (r != NULL && !mpS_sametoken(&r->token, &c->token)) {
-    mpI_answer(M, from, m, MP_DENIED, r->ran);
+  if (r != NULL && !state_sametoken(&r->token, &c->token)) {
+    claim_answer(M, from, m, MP_DENIED, r->ran);
     return;
   }
   if (!settled(M, c->id)) {
-    mpI_answer(M, from, m, MP_QUEUED, MP_RAN_NO); /* ask again soon */
+    claim_answer(M, from, m, MP_QUEUED, MP_RAN_NO); /* ask again soon */
     return;
   }
   if (c->durable) {
-    mpD_claim(M, from, m, dc);
+    shard_claim(M, from, m, dc);
     return;
   }
-  mpI_addrow(M, c, MP_RAN_UNKNOWN);
-  mpI_answer(M, from, m, MP_GRANTED, MP_RAN_NO);
+  claim_addrow(M, c, MP_RAN_UNKNOWN);
+  claim_answer(M, from, m, MP_GRANTED, MP_RAN_NO);
 }
 
-void mpI_onsettle(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void claim_onsettle(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Settle *t = &m->u.settle;
-  ClaimRow *r = mpI_getrow(M, t->id);
+  ClaimRow *r = claim_getrow(M, t->id);
   mp_Msg a = {0};
-  if (r != NULL && mpS_sametoken(&r->token, &t->token)) {
+  if (r != NULL && state_sametoken(&r->token, &t->token)) {
     if (t->ran != MP_RAN_NO)
       r->ran = (mp_Ran)t->ran;
     else {
       /* free at once here; the object follows with its next write */
-      mpD_freed(M, r);
+      shard_freed(M, r);
       g_hash_table_remove(M->claims->rows, t->id);
     }
   }
   a.u.settle = *t;
-  mpX_answer(M, from, m, &a);
+  effect_answer(M, from, m, &a);
 }
 
 /* }================================================================== */
@@ -233,8 +233,8 @@
 static void freeasking(void *p) {
   Asking *a = p;
   if (a->rpc != 0)
-    mpX_rpcdrop(a->M, a->rpc);
-  mpT_stop(&a->M->timers, &a->timer);
+    effect_rpcdrop(a->M, a->rpc);
+  timer_stop(&a->M->timers, &a->timer);
   g_free(a);
 }
 
@@ -251,11 +251,11 @@
     mine->home = home;
     g_hash_table_replace(M->claims->mine, mine->claim.id, mine);
     if (homeof(M, a->claim.id) != home)
-      mpI_homesmoved(M);
+      claim_homesmoved(M);
   } else if (v == MP_UNAVAILABLE)
     /* it may have been granted all the same: give it back */
-    mpI_settle(M, a->claim.id, &a->claim.token, MP_RAN_NO, a->claim.durable);
-  mpS_del(M->claims->asking, a->no);
+    claim_settle(M, a->claim.id, &a->claim.token, MP_RAN_NO, a->claim.durable);
+  state_del(M->claims->asking, a->no);
   fn(M, ud, v, ran);
 }
 
@@ -264,14 +264,14 @@
   mp_Verdict v = m != NULL ? (mp_Verdict)m->u.claim.verdict : MP_UNAVAILABLE;
   a->rpc = 0;
   if (m == NULL)
-    mpM_silent(M, from);
+    member_silent(M, from);
   if (v == MP_GRANTED || v == MP_DENIED ||
       (v == MP_UNAVAILABLE && m != NULL)) {
     conclude(M, a, v, (mp_Ran)m->u.claim.ran, from);
     return;
   }
   /* no answer, another home, or one that settles: ask again */
-  mpT_arm(&M->timers, &a->timer, M->now + 2 * MP_RPC_WAIT, askhome, a);
+  timer_arm(&M->timers, &a->timer, M->now + 2 * MP_RPC_WAIT, askhome, a);
 }
 
 static void askhome(mp_State *M, void *ud) {
@@ -283,18 +283,18 @@
     return;
   }
   if (home == 0) {
-    mpT_arm(&M->timers, &a->timer, M->now + 2 * MP_RPC_WAIT, askhome, a);
+    timer_arm(&M->timers, &a->timer, M->now + 2 * MP_RPC_WAIT, askhome, a);
     return;
   }
   m.kind = MP_MSG_CLAIM;
   m.u.claim = a->claim;
-  a->rpc = mpX_rpc(M, home, &m,
-                   a->claim.durable ? a->until - M->now : 8 * MP_RPC_WAIT,
-                   verdict, a);
+  a->rpc = effect_rpc(M, home, &m,
+                      a->claim.durable ? a->until - M->now : 8 * MP_RPC_WAIT,
+                      verdict, a);
 }
 
-uint64_t mpI_claim(mp_State *M, const uint64_t id[2], const mp_Token *t,
-                   mp_Time ttl, int durably, ClaimFn fn, void *ud) {
+uint64_t claim_claim(mp_State *M, const uint64_t id[2], const mp_Token *t,
+                     mp_Time ttl, int durably, ClaimFn fn, void *ud) {
   Asking *a = g_new0(Asking, 1);
   a->M = M;
   a->no = ++M->lastnum;
@@ -305,13 +305,13 @@
   a->until = M->now + MP_STORE_TIMEOUT + MP_HOME_SETTLE;
   a->fn = fn;
   a->ud = ud;
-  mpS_set(M->claims->asking, a->no, a);
+  state_set(M->claims->asking, a->no, a);
   askhome(M, a);
   return a->no;
 }
 
-void mpI_forget(mp_State *M, uint64_t asking) {
-  mpS_del(M->claims->asking, asking);
+void claim_forget(mp_State *M, uint64_t asking) {
+  state_del(M->claims->asking, asking);
 }
 
 static void settledone(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
@@ -321,12 +321,12 @@
   (void)m; /* a lost one leaves the ID taken until its time is over */
 }
 
-void mpI_settle(mp_State *M, const uint64_t id[2], const mp_Token *t,
-                mp_Ran ran, int durably) {
+void claim_settle(mp_State *M, const uint64_t id[2], const mp_Token *t,
+                  mp_Ran ran, int durably) {
   mp_Addr home = homeof(M, id);
   Mine *mine = g_hash_table_lookup(M->claims->mine, id);
   mp_Msg m = {0};
-  if (mine != NULL && mpS_sametoken(&mine->claim.token, t)) {
+  if (mine != NULL && state_sametoken(&mine->claim.token, t)) {
     mine->ran = ran;
     if (ran == MP_RAN_NO)
       g_hash_table_remove(M->claims->mine, id);
@@ -338,7 +338,7 @@
   m.u.settle.token = *t;
   m.u.settle.ran = (uint8_t)ran;
   m.u.settle.durable = (uint8_t)(durably != 0);
-  mpX_rpc(M, home, &m, MP_SEC, settledone, NULL);
+  effect_rpc(M, home, &m, MP_SEC, settledone, NULL);
 }
 
 static void announceto(mp_State *M, mp_Addr home, const mp_Claim *c,
@@ -348,7 +348,7 @@
   m.u.claim = *c;
   m.u.claim.announce = 1;
   m.u.claim.ran = (uint8_t)ran;
-  mpX_rpc(M, home, &m, MP_SEC, settledone, NULL);
+  effect_rpc(M, home, &m, MP_SEC, settledone, NULL);
 }
 
 /* }================================================================== */
@@ -387,20 +387,20 @@
     const ClaimRow *r = v;
     if (M->now - r->seen <= (mp_Time)r->ttl_ms * MP_MS)
       continue;
-    mpD_freed(M, r);
+    shard_freed(M, r);
     g_hash_table_iter_remove(&it);
   }
-  mpD_tidy(M);
-  mpT_arm(&M->timers, &M->claims->tidy, M->now + MP_HOME_SETTLE / 3, tidy,
-          NULL);
+  shard_tidy(M);
+  timer_arm(&M->timers, &M->claims->tidy, M->now + MP_HOME_SETTLE / 3, tidy,
+            NULL);
 }
 
-void mpI_homesmoved(mp_State *M) {
+void claim_homesmoved(mp_State *M) {
   if (M->claims != NULL) /* not while the state is being made */
-    mpT_arm(&M->timers, &M->claims->tidy, M->now, tidy, NULL);
+    timer_arm(&M->timers, &M->claims->tidy, M->now, tidy, NULL);
 }
 
-unsigned mpI_handover(mp_State *M) {
+unsigned claim_handover(mp_State *M) {
   GHashTableIter it;
   gpointer v;
   unsigned left = 0;
@@ -421,31 +421,31 @@
   return left;
 }
 
-GHashTable *mpI_rows(const mp_State *M) {
+GHashTable *claim_rows(const mp_State *M) {
   return M->claims->rows;
 }
 
-unsigned mpI_count(const mp_State *M) {
+unsigned claim_count(const mp_State *M) {
   return g_hash_table_size(M->claims->rows);
 }
 
 /* }================================================================== */
 
-void mpI_init(mp_State *M) {
+void claim_init(mp_State *M) {
   Claims *C = g_new0(Claims, 1);
   M->claims = C;
-  C->rows = g_hash_table_new_full(idhash, mpI_sameid, NULL, g_free);
-  C->mine = g_hash_table_new_full(idhash, mpI_sameid, NULL, g_free);
-  C->asking = mpS_table(freeasking);
-  mpD_init(M);
-  mpT_arm(&M->timers, &C->tidy, M->now + MP_HOME_SETTLE / 3, tidy, NULL);
+  C->rows = g_hash_table_new_full(idhash, claim_sameid, NULL, g_free);
+  C->mine = g_hash_table_new_full(idhash, claim_sameid, NULL, g_free);
+  C->asking = state_table(freeasking);
+  shard_init(M);
+  timer_arm(&M->timers, &C->tidy, M->now + MP_HOME_SETTLE / 3, tidy, NULL);
 }
 
-void mpI_free(mp_State *M) {
+void claim_free(mp_State *M) {
   Claims *C = M->claims;
   g_hash_table_destroy(C->asking);
   g_hash_table_destroy(C->rows);
   g_hash_table_destroy(C->mine);
-  mpD_free(M);
+  shard_free(M);
   g_free(C);
 }
--- a/core/claim.h
+++ b/core/claim.h
@@ -17,35 +17,35 @@
 
 typedef void (*ClaimFn)(mp_State *M, void *ud, mp_Verdict v, mp_Ran ran);
 
-void mpI_init(mp_State *M);
-void mpI_free(mp_State *M);
+void claim_init(mp_State *M);
+void claim_free(mp_State *M);
 
 /* the ID of an account's key */
-void mpI_id(const char *account, const char *key, uint64_t id[2]);
+void claim_id(const char *account, const char *key, uint64_t id[2]);
 
 /*
 ** Ask for the claim; 'fn' gets MP_GRANTED, MP_DENIED (with what is known
 ** of the earlier request) or MP_UNAVAILABLE. Returns a number for
-** mpI_forget.
+** claim_forget.
 */
-uint64_t mpI_claim(mp_State *M, const uint64_t id[2], const mp_Token *t,
-                   mp_Time ttl, int durable, ClaimFn fn, void *ud);
-void mpI_forget(mp_State *M, uint64_t asking);
+uint64_t claim_claim(mp_State *M, const uint64_t id[2], const mp_Token *t,
+                     mp_Time ttl, int durable, ClaimFn fn, void *ud);
+void claim_forget(mp_State *M, uint64_t asking);
 
 /* tell the home how the claimed request ended; MP_RAN_NO frees the ID */
-void mpI_settle(mp_State *M, const uint64_t id[2], const mp_Token *t,
-                mp_Ran ran, int durable);
+void claim_settle(mp_State *M, const uint64_t id[2], const mp_Token *t,
+                  mp_Ran ran, int durable);
 
 /* handle CLAIM and SETTLE */
-void mpI_onclaim(mp_State *M, mp_Addr from, const mp_Msg *m);
-void mpI_onsettle(mp_State *M, mp_Addr from, const mp_Msg *m);
+void claim_onclaim(mp_State *M, mp_Addr from, const mp_Msg *m);
+void claim_onsettle(mp_State *M, mp_Addr from, const mp_Msg *m);
 
 /* the set of instances changed: holders announce to new homes at once */
-void mpI_homesmoved(mp_State *M);
+void claim_homesmoved(mp_State *M);
 
 /* draining: hand the rows kept here to their new homes; 0 when done */
-unsigned mpI_handover(mp_State *M);
+unsigned claim_handover(mp_State *M);
 
-unsigned mpI_count(const mp_State *M);
+unsigned claim_count(const mp_State *M);
 
 #endif
--- a/core/doc.c
+++ b/core/doc.c
@@ -48,19 +48,19 @@
 static void lookat(mp_State *M, void *ud);
 
 static int relay(const mp_State *M) {
-  return mpM_among(M, RELAY_KEY, MP_RELAYS);
+  return member_among(M, RELAY_KEY, MP_RELAYS);
 }
 
 static void again(mp_State *M, mp_DocKind k, mp_Time wait) {
   M->docs->asking[k] = 0;
-  mpT_arm(&M->timers, &M->docs->look[k], M->now + wait, lookat,
-          GINT_TO_POINTER(k));
+  timer_arm(&M->timers, &M->docs->look[k], M->now + wait, lookat,
+            GINT_TO_POINTER(k));
 }
 
 static void clear(mp_State *M, Coming *c) {
   c->active = 0;
   if (c->rpc != 0)
-    mpX_rpcdrop(M, c->rpc);
+    effect_rpcdrop(M, c->rpc);
   c->rpc = 0;
   if (c->buf != NULL)
     g_string_free(c->buf, TRUE);
@@ -112,7 +112,7 @@
                  o->doc[MP_DOC_LIST] < M->doc[MP_DOC_LIST].version;
     if (o->state == MP_MEMBER_DEAD || !behind)
       continue;
-    mpX_send(M, o->addr, &m);
+    effect_send(M, o->addr, &m);
     sent++;
   }
 }
@@ -147,9 +147,9 @@
     text[i] = g_hash_table_lookup(M->docs->blobs, c->man.section[i].digest);
   conf = M->codec->config(&c->man, text, &err);
   if (conf == NULL) {
-    mpX_log(M, MP_LOG_CONFIG_BAD,
-            " version=%" G_GUINT64_FORMAT " error=\"%s\"",
-            (guint64)c->man.version, err->message);
+    effect_log(M, MP_LOG_CONFIG_BAD,
+               " version=%" G_GUINT64_FORMAT " error=\"%s\"",
+               (guint64)c->man.version, err->message);
     g_error_free(err);
     c->bad = c->man.version;
     return;
@@ -159,9 +159,9 @@
   M->config = conf;
   inforce(M, MP_DOC_CONFIG, c->man.version, c->text);
   g_hash_table_foreach_remove(M->docs->blobs, unused, &c->man);
-  mpX_log(M, MP_LOG_CONFIG_NEW, " version=%" G_GUINT64_FORMAT " by=%s",
-          (guint64)c->man.version, c->man.by);
-  mpE_refresh(M);
+  effect_log(M, MP_LOG_CONFIG_NEW, " version=%" G_GUINT64_FORMAT " by=%s",
+             (guint64)c->man.version, c->man.by);
+  fleet_refresh(M);
   tellothers(M);
 }
 
@@ -171,7 +171,8 @@
   const char *s = g_bytes_get_data(c->text, &n);
   mp_List *l = M->codec->list(s, n, &err);
   if (l == NULL) {
-    mpX_log(M, MP_LOG_CONFIG_BAD, " document=list error=\"%s\"", err->message);
+    effect_log(M, MP_LOG_CONFIG_BAD, " document=list error=\"%s\"",
+               err->message);
     g_error_free(err);
     c->bad = c->version;
     return;
@@ -184,10 +185,10 @@
     M->codec->free_list(M->list);
   M->list = l;
   inforce(M, MP_DOC_LIST, l->version, c->text);
-  mpX_log(M, MP_LOG_LIST_NEW, " version=%" G_GUINT64_FORMAT " rows=%u",
-          (guint64)l->version, l->n);
-  mpM_list(M);
-  mpE_refresh(M);
+  effect_log(M, MP_LOG_LIST_NEW, " version=%" G_GUINT64_FORMAT " rows=%u",
+             (guint64)l->version, l->n);
+  member_list(M);
+  fleet_refresh(M);
   tellothers(M);
 }
 
@@ -201,8 +202,8 @@
     return;
   }
   if (!M->codec->manifest(s, n, &c->man, &err)) {
-    mpX_log(M, MP_LOG_CONFIG_BAD, " document=manifest error=\"%s\"",
-            err->message);
+    effect_log(M, MP_LOG_CONFIG_BAD, " document=manifest error=\"%s\"",
+               err->message);
     g_error_free(err);
     c->bad = c->version;
     finish(M, c, 1);
@@ -265,10 +266,10 @@
   m.u.fetch.version = c->version;
   memcpy(m.u.fetch.digest, c->digest, sizeof c->digest);
   m.u.fetch.offset = (uint32_t)c->buf->len;
-  c->rpc = mpX_rpc(M, c->from, &m, 4 * MP_PROBE_TIMEOUT, part, c);
+  c->rpc = effect_rpc(M, c->from, &m, 4 * MP_PROBE_TIMEOUT, part, c);
 }
 
-void mpF_fetch(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void document_fetch(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Fetch *q = &m->u.fetch;
   GBytes *b = NULL;
   mp_Msg a = {0};
@@ -288,7 +289,7 @@
       memcpy(f->data, s + q->offset, f->n);
     }
   }
-  mpX_answer(M, from, m, &a);
+  effect_answer(M, from, m, &a);
 }
 
 /* }================================================================== */
@@ -330,7 +331,8 @@
     return;
   }
   snprintf(key, sizeof key, "%s%s", DOC_KEY_SECTION, c->digest);
-  mpX_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, sectionread, c);
+  effect_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, sectionread,
+               c);
 }
 
 static void begin(mp_State *M, Coming *c, mp_Addr from, uint64_t version) {
@@ -344,7 +346,7 @@
   c->buf = g_string_new(NULL);
 }
 
-void mpF_offered(mp_State *M, mp_Addr from, const uint64_t *versions) {
+void document_offered(mp_State *M, mp_Addr from, const uint64_t *versions) {
   int k;
   for (k = 0; k < MP_DOC_COUNT; k++) {
     Coming *c = &M->docs->coming[k];
@@ -387,26 +389,28 @@
     return;
   M->docs->asking[k] = 1;
   if (seen != 0 && relay(M))
-    mpX_store(M, MP_ST_WATCH, dockey[k], seen, NULL, 0,
-              MP_WATCH_TIME + MP_STORE_TIMEOUT, fn, NULL);
+    effect_store(M, MP_ST_WATCH, dockey[k], seen, NULL, 0,
+                 MP_WATCH_TIME + MP_STORE_TIMEOUT, fn, NULL);
   else
-    mpX_store(M, MP_ST_GET, dockey[k], 0, NULL, 0, MP_STORE_TIMEOUT, fn, NULL);
+    effect_store(M, MP_ST_GET, dockey[k], 0, NULL, 0, MP_STORE_TIMEOUT, fn,
+                 NULL);
 }
 
 /* }================================================================== */
 
-void mpF_init(mp_State *M) {
+void document_init(mp_State *M) {
   int k;
   M->docs = g_new0(Docs, 1);
   M->docs->blobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                          (GDestroyNotify)g_bytes_unref);
   for (k = 0; k < MP_DOC_COUNT; k++) {
     M->docs->coming[k].kind = (mp_DocKind)k;
-    mpT_arm(&M->timers, &M->docs->look[k], M->now, lookat, GINT_TO_POINTER(k));
+    timer_arm(&M->timers, &M->docs->look[k], M->now, lookat,
+              GINT_TO_POINTER(k));
   }
 }
 
-void mpF_free(mp_State *M) {
+void document_free(mp_State *M) {
   int k;
   for (k = 0; k < MP_DOC_COUNT; k++) {
     clear(M, &M->docs->coming[k]);
--- a/core/ending.c
+++ b/core/ending.c
@@ -38,53 +38,53 @@
 }
 
 /* end an attempt: close its call, free what it holds, give it back */
-void mpW_endattempt(mp_State *M, Request *r, Attempt *a) {
+void flow_endattempt(mp_State *M, Request *r, Attempt *a) {
   if (a->xcall != 0)
-    mpX_xabort(M, a->xcall);
+    effect_xabort(M, a->xcall);
   a->xcall = 0;
   if (a->sent && a->role != MP_ROLE_PLAIN)
-    mpC_cancel(M, a->endpoint, &r->token, a->no);
+    cancel_cancel(M, a->endpoint, &r->token, a->no);
   if (a == &r->prefill) {
     if (a->sent && r->kv == NULL && r->step == ST_PREFILL)
       waste(M, a->tokens);
     dropkv(M, r);
   }
-  mpH_release(M, r, a, 0);
+  holder_release(M, r, a, 0);
   memset(a, 0, sizeof *a);
 }
 
 static void forget(mp_State *M, Request *r) {
-  mpT_stop(&M->timers, &r->timer);
-  mpT_stop(&M->timers, &r->limit);
-  mpH_forget(M, r);
-  mpL_done(M, r);
-  mpQ_forget(M, r);
+  timer_stop(&M->timers, &r->timer);
+  timer_stop(&M->timers, &r->limit);
+  holder_forget(M, r);
+  link_done(M, r);
+  quota_forget(M, r);
   if (r->asking != 0)
-    mpI_forget(M, r->asking);
-  mpW_endattempt(M, r, &r->prefill);
-  mpW_endattempt(M, r, &r->decode);
+    claim_forget(M, r->asking);
+  flow_endattempt(M, r, &r->prefill);
+  flow_endattempt(M, r, &r->decode);
   g_string_free(r->text, TRUE);
-  mpS_del(M->requestby, r->call);
-  mpS_del(M->requestseq, r->token.seq);
+  state_del(M->requestby, r->call);
+  state_del(M->requestseq, r->token.seq);
   g_ptr_array_remove_fast(M->requests, r); /* frees the row */
 }
 
 static void settle(mp_State *M, Request *r, mp_Ran ran) {
   if (r->claimed || r->asking != 0)
-    mpI_settle(M, r->id, &r->token, ran, r->durable);
+    claim_settle(M, r->id, &r->token, ran, r->durable);
 }
 
 static void logend(mp_State *M, const Request *r, mp_EventNo no,
                    const char *kind) {
   char id[64];
   mp_token_text(&r->token, 0, id);
-  mpX_log(M, no,
-          " request=%s class=%s account=%s kind=%s ran=%s tokens=%u ms=%d", id,
-          r->class_name, r->account, kind, mp_ran_name(r->ran), r->got,
-          (int)((M->now - r->arrived) / MP_MS));
+  effect_log(M, no,
+             " request=%s class=%s account=%s kind=%s ran=%s tokens=%u ms=%d",
+             id, r->class_name, r->account, kind, mp_ran_name(r->ran), r->got,
+             (int)((M->now - r->arrived) / MP_MS));
 }
 
-void mpW_refuse(mp_State *M, Request *r, mp_Error e, int retry_s) {
+void flow_refuse(mp_State *M, Request *r, mp_Error e, int retry_s) {
   mp_Reply p = {0};
   p.call = r->call;
   p.what = MP_REPLY_ERROR;
@@ -100,18 +100,18 @@
     mpcount(M, FAILED);
     logend(M, r, MP_LOG_BROKE, mp_error_name(e));
   }
-  mpX_reply(M, &p);
+  effect_reply(M, &p);
   forget(M, r);
 }
 
-void mpW_hangup(mp_State *M, Request *r) {
+void flow_hangup(mp_State *M, Request *r) {
   mpcount(M, HANGUPS);
   logend(M, r, MP_LOG_GONE, "caller_gone");
   settle(M, r, r->ran);
   forget(M, r);
 }
 
-void mpW_complete(mp_State *M, Request *r) {
+void flow_complete(mp_State *M, Request *r) {
   mp_Reply p = {0};
   p.call = r->call;
   p.what = MP_REPLY_END;
@@ -124,23 +124,23 @@
   settle(M, r, MP_RAN_YES);
   mpcount(M, ANSWERED);
   logend(M, r, MP_LOG_ANSWERED, "ok");
-  mpX_reply(M, &p);
+  effect_reply(M, &p);
   r->decode.sent = 0; /* it ended by itself: nothing to cancel */
   forget(M, r);
 }
 
 /* no way on: say what is known, and when to come back */
-void mpW_giveup(mp_State *M, Request *r) {
+void flow_giveup(mp_State *M, Request *r) {
   if (r->ran == MP_RAN_NO)
-    mpW_refuse(M, r, MP_ERR_PLACE_AWAY, mp_error_retry(MP_ERR_PLACE_AWAY));
+    flow_refuse(M, r, MP_ERR_PLACE_AWAY, mp_error_retry(MP_ERR_PLACE_AWAY));
   else if (r->repeatable)
-    mpW_refuse(M, r, MP_ERR_INCOMPLETE, mp_error_retry(MP_ERR_INCOMPLETE));
+    flow_refuse(M, r, MP_ERR_INCOMPLETE, mp_error_retry(MP_ERR_INCOMPLETE));
   else
-    mpW_refuse(M, r, MP_ERR_LOST, 0);
+    flow_refuse(M, r, MP_ERR_LOST, 0);
 }
 
-void mpW_late(mp_State *M, void *ud) {
-  mpW_refuse(M, ud, MP_ERR_DEADLINE, mp_error_retry(MP_ERR_DEADLINE));
+void flow_late(mp_State *M, void *ud) {
+  flow_refuse(M, ud, MP_ERR_DEADLINE, mp_error_retry(MP_ERR_DEADLINE));
 }
 
 /* }================================================================== */
@@ -151,51 +151,51 @@
 ** ===================================================================
 */
 
-void mpW_avoid(Request *r, mp_Addr a) {
+void flow_avoid(Request *r, mp_Addr a) {
   if (r->navoid < MP_MAXTRIES)
     r->avoid[r->navoid++] = a;
 }
 
 static void goon(mp_State *M, void *ud) {
   Request *r = ud;
-  mpW_enter(M, r, r->next);
+  flow_enter(M, r, r->next);
 }
 
-void mpW_later(mp_State *M, Request *r, Step s, mp_Time wait) {
+void flow_later(mp_State *M, Request *r, Step s, mp_Time wait) {
   r->step = ST_WAIT;
   r->next = s;
-  mpT_arm(&M->timers, &r->timer, M->now + wait, goon, r);
+  timer_arm(&M->timers, &r->timer, M->now + wait, goon, r);
 }
 
 /*
 ** Go back to 's' after a failure. 'clean' says that the failed work was
 ** certainly not run, so even a class that may not be repeated goes on.
 */
-void mpW_again(mp_State *M, Request *r, Step s, int clean) {
+void flow_again(mp_State *M, Request *r, Step s, int clean) {
   mp_Time wait;
   r->tries++;
-  wait = mpB_wait(M, r->tries);
+  wait = retry_wait(M, r->tries);
   if ((!clean && !r->repeatable) || r->tries >= MP_MAXTRIES ||
-      M->now + wait >= r->deadline || !mpB_spend(M)) {
-    mpW_giveup(M, r);
+      M->now + wait >= r->deadline || !retry_spend(M)) {
+    flow_giveup(M, r);
     return;
   }
-  mpX_log(M, MP_LOG_RETRY, " seq=%08x step=%d try=%u", r->token.seq, (int)s,
-          r->tries);
-  mpW_later(M, r, s, wait);
+  effect_log(M, MP_LOG_RETRY, " seq=%08x step=%d try=%u", r->token.seq, (int)s,
+             r->tries);
+  flow_later(M, r, s, wait);
 }
 
 /*
 ** Where to begin again, given what is still there. A prefill whose result
 ** cannot be used any more is ended first: there is one at a time.
 */
-Step mpW_restart(mp_State *M, Request *r) {
+Step flow_restart(mp_State *M, Request *r) {
   if (r->plain)
     return ST_PLAIN;
-  if (r->kv != NULL && mpW_policy(M)->keep_prefill && M->now < r->kv_until)
+  if (r->kv != NULL && flow_policy(M)->keep_prefill && M->now < r->kv_until)
     return r->decode.granted ? ST_TRANSFER : ST_DECODE_SLOT;
-  mpW_endattempt(M, r, &r->prefill);
-  if (!mpW_policy(M)->decode_first || r->decode.granted)
+  flow_endattempt(M, r, &r->prefill);
+  if (!flow_policy(M)->decode_first || r->decode.granted)
     return ST_PREFILL_SLOT;
   return ST_DECODE_SLOT;
 }
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -15,11 +15,11 @@
 #include "fx.h"
 #include "place.h"
 
-Endpoint *mpE_get(const mp_State *M, mp_Addr a) {
-  return mpS_get(M->endpointby, a);
+Endpoint *fleet_get(const mp_State *M, mp_Addr a) {
+  return state_get(M->endpointby, a);
 }
 
-int mpE_open(const mp_State *M, const Endpoint *e) {
+int fleet_open(const mp_State *M, const Endpoint *e) {
   return !e->leaving && !e->drained && !e->down && e->ejected <= M->now;
 }
 
@@ -31,9 +31,9 @@
   g_strlcpy(e->name, in->name, sizeof e->name);
   g_strlcpy(e->dc, in->dc, sizeof e->dc);
   g_strlcpy(e->service, in->service, sizeof e->service);
-  e->dchash = mpS_hash(in->dc);
+  e->dchash = state_hash(in->dc);
   g_ptr_array_add(M->endpoints, e);
-  mpS_set(M->endpointby, e->addr, e);
+  state_set(M->endpointby, e->addr, e);
   return e;
 }
 
@@ -51,7 +51,7 @@
   if (e->leaving)
     return;
   e->leaving = 1;
-  mpX_log(M, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
+  effect_log(M, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
 }
 
 static void dropgone(mp_State *M) {
@@ -67,12 +67,12 @@
       i++;
       continue;
     }
-    mpS_del(M->endpointby, e->addr);
+    state_del(M->endpointby, e->addr);
     g_ptr_array_remove_index(M->endpoints, i); /* frees the row */
   }
 }
 
-void mpE_refresh(mp_State *M) {
+void fleet_refresh(mp_State *M) {
   unsigned i;
   if (M->list == NULL)
     return;
@@ -81,19 +81,19 @@
     Endpoint *e;
     if (in->kind != MP_INST_ENDPOINT)
       continue;
-    e = mpE_get(M, in->addr);
+    e = fleet_get(M, in->addr);
     if (e == NULL)
       e = add(M, in);
     if (in->leaving)
       leaving(M, e);
     e->drained =
-        mpP_drained(M->config, e->name) || mpP_drained(M->config, e->dc);
+        place_drained(M->config, e->name) || place_drained(M->config, e->dc);
   }
   dropgone(M);
 }
 
-void mpE_good(mp_State *M, mp_Addr a) {
-  Endpoint *e = mpE_get(M, a);
+void fleet_good(mp_State *M, mp_Addr a) {
+  Endpoint *e = fleet_get(M, a);
   if (e == NULL)
     return;
   e->fails = 0;
@@ -110,14 +110,14 @@
     if (o->role != e->role || strcmp(o->service, e->service) != 0)
       continue;
     all++;
-    if (o != e && mpE_open(M, o))
+    if (o != e && fleet_open(M, o))
       open++;
   }
   return open > 0 && open * 100 >= all * MP_EJECT_FLOOR;
 }
 
-void mpE_bad(mp_State *M, mp_Addr a) {
-  Endpoint *e = mpE_get(M, a);
+void fleet_bad(mp_State *M, mp_Addr a) {
+  Endpoint *e = fleet_get(M, a);
   mp_Time t;
   if (e == NULL)
     return;
@@ -130,6 +130,6 @@
   e->ejected = M->now + MIN(t, MP_EJECT_MAX);
   e->ejections++;
   mpcount(M, EJECTIONS);
-  mpX_log(M, MP_LOG_EJECT, " endpoint=%s seconds=%d", e->name,
-          (int)((e->ejected - M->now) / MP_SEC));
+  effect_log(M, MP_LOG_EJECT, " endpoint=%s seconds=%d", e->name,
+             (int)((e->ejected - M->now) / MP_SEC));
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -10,15 +10,15 @@
 #include "state.h"
 
 /* the list or the configuration is new: bring the rows up to date */
-void mpE_refresh(mp_State *M);
+void fleet_refresh(mp_State *M);
 
-Endpoint *mpE_get(const mp_State *M, mp_Addr a);
+Endpoint *fleet_get(const mp_State *M, mp_Addr a);
 
 /* may new work go there, as far as this instance knows? */
-int mpE_open(const mp_State *M, const Endpoint *e);
+int fleet_open(const mp_State *M, const Endpoint *e);
 
 /* report how a call to the endpoint went; decides about ejection */
-void mpE_good(mp_State *M, mp_Addr a);
-void mpE_bad(mp_State *M, mp_Addr a);
+void fleet_good(mp_State *M, mp_Addr a);
+void fleet_bad(mp_State *M, mp_Addr a);
 
 #endif
--- a/core/fx.c
+++ b/core/fx.c
@@ -88,7 +88,7 @@
 ** ===================================================================
 */
 
-void mpX_send(mp_State *M, mp_Addr to, const mp_Msg *m) {
+void effect_send(mp_State *M, mp_Addr to, const mp_Msg *m) {
   if (to == M->self) {
     g_queue_push_tail(&M->loop, g_memdup2(m, sizeof *m));
     return;
@@ -101,7 +101,7 @@
   }
 }
 
-int mpX_looped(mp_State *M, mp_Msg *m) {
+int effect_looped(mp_State *M, mp_Msg *m) {
   mp_Msg *first = g_queue_pop_head(&M->loop);
   if (first == NULL)
     return 0;
@@ -110,11 +110,11 @@
   return 1;
 }
 
-void mpX_answer(mp_State *M, mp_Addr to, const mp_Msg *call, mp_Msg *m) {
+void effect_answer(mp_State *M, mp_Addr to, const mp_Msg *call, mp_Msg *m) {
   m->kind = call->kind;
   m->seq = call->seq;
   m->reply = 1;
-  mpX_send(M, to, m);
+  effect_send(M, to, m);
 }
 
 static void rpcagain(mp_State *M, void *ud) {
@@ -123,17 +123,18 @@
     RpcFn fn = c->fn;
     void *fud = c->ud;
     mp_Addr to = c->to;
-    mpX_rpcdrop(M, c->seq);
+    effect_rpcdrop(M, c->seq);
     fn(M, fud, to, NULL);
     return;
   }
-  mpX_send(M, c->to, &c->msg);
+  effect_send(M, c->to, &c->msg);
   c->wait *= 2;
-  mpT_arm(&M->timers, &c->timer, MIN(M->now + c->wait, c->until), rpcagain, c);
+  timer_arm(&M->timers, &c->timer, MIN(M->now + c->wait, c->until), rpcagain,
+            c);
 }
 
-uint32_t mpX_rpc(mp_State *M, mp_Addr to, const mp_Msg *m, mp_Time patience,
-                 RpcFn fn, void *ud) {
+uint32_t effect_rpc(mp_State *M, mp_Addr to, const mp_Msg *m, mp_Time patience,
+                    RpcFn fn, void *ud) {
   Rpc *c = g_new0(Rpc, 1);
   c->M = M;
   if (++M->lastseq == 0) /* 0 means "no call" */
@@ -147,29 +148,30 @@
   c->until = M->now + patience;
   c->fn = fn;
   c->ud = ud;
-  mpS_set(M->rpcs, c->seq, c);
-  mpX_send(M, to, &c->msg);
-  mpT_arm(&M->timers, &c->timer, MIN(M->now + c->wait, c->until), rpcagain, c);
+  state_set(M->rpcs, c->seq, c);
+  effect_send(M, to, &c->msg);
+  timer_arm(&M->timers, &c->timer, MIN(M->now + c->wait, c->until), rpcagain,
+            c);
   return c->seq;
 }
 
-void mpX_rpcdrop(mp_State *M, uint32_t seq) {
-  mpS_del(M->rpcs, seq);
+void effect_rpcdrop(mp_State *M, uint32_t seq) {
+  state_del(M->rpcs, seq);
 }
 
 mp_MsgKind mp_pending(const mp_State *M, uint32_t seq) {
-  const Rpc *c = mpS_get(M->rpcs, seq);
+  const Rpc *c = state_get(M->rpcs, seq);
   return c != NULL ? c->msg.kind : (mp_MsgKind)0;
 }
 
 static void freerpc(void *p) {
   Rpc *c = p;
-  mpT_stop(&c->M->timers, &c->timer);
+  timer_stop(&c->M->timers, &c->timer);
   g_free(c);
 }
 
-void mpX_gotreply(mp_State *M, mp_Addr from, const mp_Msg *m) {
-  Rpc *c = mpS_get(M->rpcs, m->seq);
+void effect_gotreply(mp_State *M, mp_Addr from, const mp_Msg *m) {
+  Rpc *c = state_get(M->rpcs, m->seq);
   RpcFn fn;
   void *ud;
   /* an answer counts only from the instance that was asked */
@@ -177,7 +179,7 @@
     return;
   fn = c->fn;
   ud = c->ud;
-  mpX_rpcdrop(M, m->seq);
+  effect_rpcdrop(M, m->seq);
   fn(M, ud, from, m);
 }
 
@@ -189,28 +191,28 @@
 ** ===================================================================
 */
 
-uint64_t mpX_xcall(mp_State *M, mp_Xcall *x, XcallFn fn, void *ud) {
+uint64_t effect_xcall(mp_State *M, mp_Xcall *x, XcallFn fn, void *ud) {
   Xopen *o = g_new0(Xopen, 1);
   Fx *f = push(M, MP_FX_XCALL);
   x->xcall = ++M->lastnum;
   o->fn = fn;
   o->ud = ud;
-  mpS_set(M->xcalls, x->xcall, o);
+  state_set(M->xcalls, x->xcall, o);
   f->e.u.xcall = *x;
   f->e.u.xcall.kv = keepz(f, 0, x->kv);
   f->e.u.xcall.partial = keepz(f, 1, x->partial);
   return x->xcall;
 }
 
-void mpX_xabort(mp_State *M, uint64_t xcall) {
-  if (mpS_get(M->xcalls, xcall) == NULL)
+void effect_xabort(mp_State *M, uint64_t xcall) {
+  if (state_get(M->xcalls, xcall) == NULL)
     return;
-  mpS_del(M->xcalls, xcall);
+  state_del(M->xcalls, xcall);
   push(M, MP_FX_XABORT)->e.u.xabort = xcall;
 }
 
-int mpX_gotxcall(mp_State *M, const mp_EndpointEvent *e) {
-  Xopen *o = mpS_get(M->xcalls, e->xcall);
+int effect_gotxcall(mp_State *M, const mp_EndpointEvent *e) {
+  Xopen *o = state_get(M->xcalls, e->xcall);
   XcallFn fn;
   void *ud;
   if (o == NULL)
@@ -218,7 +220,7 @@
   fn = o->fn;
   ud = o->ud;
   if (e->what == MP_EP_DONE || e->what == MP_EP_FAIL)
-    mpS_del(M->xcalls, e->xcall);
+    state_del(M->xcalls, e->xcall);
   fn(M, ud, e);
   return 1;
 }
@@ -237,12 +239,12 @@
   e.op = o->op;
   /* a read has no effect; a write may still have had its own */
   e.status = o->write ? MP_STORE_UNKNOWN : MP_STORE_DOWN;
-  mpX_gotstore(M, &e);
+  effect_gotstore(M, &e);
 }
 
-uint64_t mpX_store(mp_State *M, mp_StoreOp what, const char *key,
-                   uint64_t version, const char *value, size_t len,
-                   mp_Time patience, StoreFn fn, void *ud) {
+uint64_t effect_store(mp_State *M, mp_StoreOp what, const char *key,
+                      uint64_t version, const char *value, size_t len,
+                      mp_Time patience, StoreFn fn, void *ud) {
   Stopen *o = g_new0(Stopen, 1);
   Fx *f = push(M, MP_FX_STORE);
   mp_StoreCall *s = &f->e.u.store;
@@ -251,8 +253,8 @@
   o->write = what == MP_ST_PUT;
   o->fn = fn;
   o->ud = ud;
-  mpS_set(M->stores, o->op, o);
-  mpT_arm(&M->timers, &o->timer, M->now + patience, storelate, o);
+  state_set(M->stores, o->op, o);
+  timer_arm(&M->timers, &o->timer, M->now + patience, storelate, o);
   s->op = o->op;
   s->what = what;
   s->key = keepz(f, 0, key);
@@ -267,12 +269,12 @@
 
 static void freestore(void *p) {
   Stopen *o = p;
-  mpT_stop(&o->M->timers, &o->timer);
+  timer_stop(&o->M->timers, &o->timer);
   g_free(o);
 }
 
-int mpX_gotstore(mp_State *M, const mp_StoreEvent *e) {
-  Stopen *o = mpS_get(M->stores, e->op);
+int effect_gotstore(mp_State *M, const mp_StoreEvent *e) {
+  Stopen *o = state_get(M->stores, e->op);
   StoreFn fn;
   void *ud;
   int down = e->status == MP_STORE_DOWN || e->status == MP_STORE_UNKNOWN;
@@ -280,10 +282,10 @@
     return 0;
   fn = o->fn;
   ud = o->ud;
-  mpS_del(M->stores, e->op);
+  state_del(M->stores, e->op);
   if (down != M->storedown) {
     M->storedown = down;
-    mpX_log(M, down ? MP_LOG_STORE_DOWN : MP_LOG_STORE_UP, "%s", "");
+    effect_log(M, down ? MP_LOG_STORE_DOWN : MP_LOG_STORE_UP, "%s", "");
   }
   fn(M, ud, e);
   return 1;
@@ -297,7 +299,7 @@
 ** ===================================================================
 */
 
-void mpX_reply(mp_State *M, const mp_Reply *r) {
+void effect_reply(mp_State *M, const mp_Reply *r) {
   Fx *f = push(M, MP_FX_REPLY);
   f->e.u.reply = *r;
   f->e.u.reply.text = keep(f, 0, r->text, r->len);
@@ -313,7 +315,7 @@
 #undef X
 };
 
-void mpX_log(mp_State *M, mp_EventNo no, const char *fmt, ...) {
+void effect_log(mp_State *M, mp_EventNo no, const char *fmt, ...) {
   Fx *f = push(M, MP_FX_LOG);
   mp_Log *l = &f->e.u.log;
   va_list ap;
@@ -330,21 +332,21 @@
   l->fields = f->own[0];
 }
 
-void mpX_drained(mp_State *M) {
+void effect_drained(mp_State *M) {
   push(M, MP_FX_DRAINED);
 }
 
 /* }================================================================== */
 
-void mpX_init(mp_State *M) {
+void effect_init(mp_State *M) {
   g_queue_init(&M->fx);
   g_queue_init(&M->loop);
-  M->rpcs = mpS_table(freerpc);
-  M->xcalls = mpS_table(g_free);
-  M->stores = mpS_table(freestore);
+  M->rpcs = state_table(freerpc);
+  M->xcalls = state_table(g_free);
+  M->stores = state_table(freestore);
 }
 
-void mpX_free(mp_State *M) {
+void effect_free(mp_State *M) {
   Fx *f;
   g_hash_table_destroy(M->rpcs);
   g_hash_table_destroy(M->xcalls);
--- a/core/holder.c
+++ b/core/holder.c
@@ -17,30 +17,30 @@
   const mp_Reserve *v = m != NULL ? &m->u.reserve : NULL;
   a = r->step == ST_PREFILL_SLOT ? &r->prefill : &r->decode;
   r->rpc = 0;
-  e = mpE_get(M, a->endpoint);
+  e = fleet_get(M, a->endpoint);
   if (v == NULL)
-    mpM_silent(M, from);
+    member_silent(M, from);
   else if (e != NULL && v->verdict != MP_WRONG_HOME) {
     e->slots = v->slots > 0 ? v->slots : e->slots;
     e->used = v->used;
     if (v->verdict != MP_GRANTED)
       e->wait = v->wait_ms;
   }
-  mpW_reserved(M, r, a, v != NULL ? (mp_Verdict)v->verdict : MP_WRONG_HOME,
-               v != NULL ? v->wait_ms : 0);
+  flow_reserved(M, r, a, v != NULL ? (mp_Verdict)v->verdict : MP_WRONG_HOME,
+                v != NULL ? v->wait_ms : 0);
 }
 
-void mpH_reserve(mp_State *M, Request *r, Attempt *a, uint32_t slack_ms,
-                 uint32_t start_ms) {
-  Endpoint *e = mpE_get(M, a->endpoint);
-  mp_Addr keeper = e != NULL ? mpK_keeper(M, e) : 0;
+void holder_reserve(mp_State *M, Request *r, Attempt *a, uint32_t slack_ms,
+                    uint32_t start_ms) {
+  Endpoint *e = fleet_get(M, a->endpoint);
+  mp_Addr keeper = e != NULL ? keeper_keeper(M, e) : 0;
   const Member *k;
   mp_Msg m = {0};
   mp_Reserve *v = &m.u.reserve;
-  if (keeper != 0 && (k = mpM_get(M, keeper)) != NULL && k->avoid > M->now)
+  if (keeper != 0 && (k = member_get(M, keeper)) != NULL && k->avoid > M->now)
     keeper = 0; /* it did not answer just now */
   if (keeper == 0) {
-    mpW_reserved(M, r, a, MP_WRONG_HOME, 0);
+    flow_reserved(M, r, a, MP_WRONG_HOME, 0);
     return;
   }
   m.kind = MP_MSG_RESERVE;
@@ -54,17 +54,17 @@
   v->weight = r->weight;
   e->mine++;
   e->pledged += a->role == MP_ROLE_DECODE ? 1 : a->tokens;
-  r->rpc = mpX_rpc(M, keeper, &m, 4 * MP_RPC_WAIT, answered, r);
+  r->rpc = effect_rpc(M, keeper, &m, 4 * MP_RPC_WAIT, answered, r);
 }
 
-void mpH_release(mp_State *M, Request *r, Attempt *a, int kept) {
+void holder_release(mp_State *M, Request *r, Attempt *a, int kept) {
   Endpoint *e;
   mp_Addr keeper;
   mp_Msg m = {0};
   if (a->no == 0)
     return;
-  e = mpE_get(M, a->endpoint);
-  keeper = e != NULL ? mpK_keeper(M, e) : 0;
+  e = fleet_get(M, a->endpoint);
+  keeper = e != NULL ? keeper_keeper(M, e) : 0;
   if (e != NULL && !kept && e->mine > 0)
     e->mine--;
   if (keeper != 0 && a->role != MP_ROLE_PLAIN) {
@@ -74,15 +74,15 @@
     m.u.release.endpoint = a->endpoint;
     m.u.release.kept = (uint8_t)(kept != 0);
     m.u.release.took_ms = (uint32_t)((M->now - a->begun) / MP_MS);
-    mpX_send(M, keeper, &m); /* when it is lost, the lease ends it */
+    effect_send(M, keeper, &m); /* when it is lost, the lease ends it */
   }
   if (!kept)
     a->no = 0;
 }
 
-void mpH_forget(mp_State *M, Request *r) {
+void holder_forget(mp_State *M, Request *r) {
   if (r->rpc != 0)
-    mpX_rpcdrop(M, r->rpc);
+    effect_rpcdrop(M, r->rpc);
   r->rpc = 0;
 }
 
@@ -94,22 +94,22 @@
   return NULL;
 }
 
-void mpH_ongrant(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void holder_ongrant(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Reserve *v = &m->u.reserve;
   Request *r = NULL;
   Attempt *a = NULL;
   mp_Msg ans = {0};
   if (v->token.owner == M->self && v->token.start == M->start)
-    r = mpS_get(M->requestseq, v->token.seq);
+    r = state_get(M->requestseq, v->token.seq);
   if (r != NULL)
     a = attempt(r, v->attempt);
   ans.u.reserve = *v;
   ans.u.reserve.verdict = a != NULL ? MP_GRANTED : MP_DENIED;
-  mpX_answer(M, from, m, &ans);
+  effect_answer(M, from, m, &ans);
   if (a == NULL || !a->waiting)
     return;
-  mpH_forget(M, r); /* the answer to the call itself is late */
-  mpW_reserved(M, r, a, (mp_Verdict)v->verdict, v->wait_ms);
+  holder_forget(M, r); /* the answer to the call itself is late */
+  flow_reserved(M, r, a, (mp_Verdict)v->verdict, v->wait_ms);
 }
 
 /*
@@ -121,19 +121,19 @@
 /* one datagram for each keeper, sent when it is full */
 static void renew(mp_State *M, GHashTable *batches, const Request *r,
                   const Attempt *a, mp_HoldState state) {
-  const Endpoint *e = a->no != 0 ? mpE_get(M, a->endpoint) : NULL;
-  mp_Addr keeper = e != NULL ? mpK_keeper(M, e) : 0;
+  const Endpoint *e = a->no != 0 ? fleet_get(M, a->endpoint) : NULL;
+  mp_Addr keeper = e != NULL ? keeper_keeper(M, e) : 0;
   mp_Msg *m;
   mp_Renewal *w;
   if (keeper == 0 || a->role == MP_ROLE_PLAIN)
     return;
-  m = mpS_get(batches, keeper);
+  m = state_get(batches, keeper);
   if (m == NULL) {
     m = g_new0(mp_Msg, 1);
     m->kind = MP_MSG_RENEW;
     m->u.renew.owner = M->self;
     m->u.renew.start = M->start;
-    mpS_set(batches, keeper, m);
+    state_set(batches, keeper, m);
   }
   w = &m->u.renew.row[m->u.renew.n++];
   w->seq = r->token.seq;
@@ -143,7 +143,7 @@
   w->state = (uint8_t)state;
   w->tokens = a->tokens;
   if (m->u.renew.n == MP_RENEW_BATCH) {
-    mpX_send(M, keeper, m);
+    effect_send(M, keeper, m);
     m->u.renew.n = 0;
   }
 }
@@ -157,7 +157,7 @@
 }
 
 static void renewall(mp_State *M, void *ud) {
-  GHashTable *batches = mpS_table(g_free);
+  GHashTable *batches = state_table(g_free);
   GHashTableIter it;
   gpointer k;
   gpointer v;
@@ -171,16 +171,16 @@
   g_hash_table_iter_init(&it, batches);
   while (g_hash_table_iter_next(&it, &k, &v)) {
     if (((mp_Msg *)v)->u.renew.n > 0)
-      mpX_send(M, (mp_Addr)(*(gint64 *)k), v);
+      effect_send(M, (mp_Addr)(*(gint64 *)k), v);
   }
   g_hash_table_destroy(batches);
-  mpT_arm(&M->timers, &M->renewtimer, M->now + MP_RENEW_PERIOD, renewall,
-          NULL);
+  timer_arm(&M->timers, &M->renewtimer, M->now + MP_RENEW_PERIOD, renewall,
+            NULL);
 }
 
 /* }================================================================== */
 
-void mpH_init(mp_State *M) {
-  mpT_arm(&M->timers, &M->renewtimer, M->now + MP_RENEW_PERIOD, renewall,
-          NULL);
+void holder_init(mp_State *M) {
+  timer_arm(&M->timers, &M->renewtimer, M->now + MP_RENEW_PERIOD, renewall,
+            NULL);
 }
--- a/core/keep.c
+++ b/core/keep.c
@@ -18,12 +18,12 @@
 #include "keep.h"
 #include "member.h"
 
-mp_Addr mpK_keeper(const mp_State *M, const Endpoint *e) {
-  return mpM_home(M, e->dchash, e->addr);
+mp_Addr keeper_keeper(const mp_State *M, const Endpoint *e) {
+  return member_home(M, e->dchash, e->addr);
 }
 
 static int minetokeep(const mp_State *M, const Endpoint *e) {
-  return e->dchash == M->dchash && mpK_keeper(M, e) == M->self;
+  return e->dchash == M->dchash && keeper_keeper(M, e) == M->self;
 }
 
 static const mp_Policy *policy(const mp_State *M) {
@@ -48,7 +48,7 @@
   for (i = 0; i < M->holds->len; i++) {
     Hold *h = M->holds->pdata[i];
     if (h->endpoint == ep && h->attempt == attempt &&
-        mpS_sametoken(&h->token, t))
+        state_sametoken(&h->token, t))
       return h;
   }
   return NULL;
@@ -111,7 +111,7 @@
 
 /* a new keeper does not yet know every hold: it trusts the engine more */
 static int rebuilding(const mp_State *M, const Endpoint *e) {
-  const mp_Time *since = mpS_get(M->kept, e->addr);
+  const mp_Time *since = state_get(M->kept, e->addr);
   return since == NULL || M->now - *since < MP_RENEW_PERIOD + MP_SEC / 2;
 }
 
@@ -235,7 +235,7 @@
   r->slots = e->slots;
   r->used = e->used;
   r->wait_ms = waitfor(M, e, INT64_MAX);
-  mpX_rpc(M, h->token.owner, &m, MP_LEASE / 2, heard, NULL);
+  effect_rpc(M, h->token.owner, &m, MP_LEASE / 2, heard, NULL);
 }
 
 /* the waiting hold that goes next: by slack, or first come */
@@ -331,7 +331,7 @@
   if (e->role == MP_ROLE_PREFILL && r->tokens >= MP_LONG_PROMPT)
     r->wait_ms +=
         (uint32_t)((uint64_t)longs(M, e) * r->tokens * 1000 / prefillrate(e));
-  if (!mpE_open(M, e) || e->role != (mp_Role)r->role)
+  if (!fleet_open(M, e) || e->role != (mp_Role)r->role)
     return MP_DENIED;
   h = addhold(M, &r->token, r->attempt, e, r->tokens);
   h->weight = r->weight;
@@ -349,8 +349,8 @@
   return MP_QUEUED;
 }
 
-void mpK_reserve(mp_State *M, mp_Addr from, const mp_Msg *m) {
-  Endpoint *e = mpE_get(M, m->u.reserve.endpoint);
+void keeper_reserve(mp_State *M, mp_Addr from, const mp_Msg *m) {
+  Endpoint *e = fleet_get(M, m->u.reserve.endpoint);
   mp_Msg a = {0};
   mp_Reserve *r = &a.u.reserve;
   *r = m->u.reserve;
@@ -362,21 +362,21 @@
     observe(M, e, &was);
     r->slots = e->slots;
     r->used = e->used;
-    mpX_log(M, r->verdict == MP_DENIED ? MP_LOG_DENY : MP_LOG_GRANT,
-            " endpoint=%s seq=%08x attempt=%u verdict=%u wait_ms=%u", e->name,
-            r->token.seq, r->attempt, r->verdict, r->wait_ms);
+    effect_log(M, r->verdict == MP_DENIED ? MP_LOG_DENY : MP_LOG_GRANT,
+               " endpoint=%s seq=%08x attempt=%u verdict=%u wait_ms=%u",
+               e->name, r->token.seq, r->attempt, r->verdict, r->wait_ms);
   }
-  mpX_answer(M, from, m, &a);
+  effect_answer(M, from, m, &a);
 }
 
-void mpK_renew(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void keeper_renew(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Renew *n = &m->u.renew;
   unsigned i;
   if (from != n->owner)
     return;
   for (i = 0; i < n->n; i++) {
     const mp_Renewal *w = &n->row[i];
-    Endpoint *e = mpE_get(M, w->endpoint);
+    Endpoint *e = fleet_get(M, w->endpoint);
     mp_Token t = {n->owner, n->start, w->seq};
     Hold *h;
     if (e == NULL || !minetokeep(M, e))
@@ -390,9 +390,9 @@
   }
 }
 
-void mpK_release(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void keeper_release(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Release *r = &m->u.release;
-  Endpoint *e = mpE_get(M, r->endpoint);
+  Endpoint *e = fleet_get(M, r->endpoint);
   Hold *h = find(M, &r->token, r->attempt, r->endpoint);
   if (from != r->token.owner)
     return;
@@ -419,8 +419,8 @@
   while (i < M->holds->len) {
     Hold *h = M->holds->pdata[i];
     if (M->now > h->lease) {
-      mpX_log(M, MP_LOG_EXPIRE, " seq=%08x attempt=%u", h->token.seq,
-              h->attempt);
+      effect_log(M, MP_LOG_EXPIRE, " seq=%08x attempt=%u", h->token.seq,
+                 h->attempt);
       drop(M, h);
     } else
       i++;
@@ -453,8 +453,8 @@
       continue;
     g_hash_table_remove(M->orphans, key);
     mpcount(M, ORPHANS);
-    mpX_log(M, MP_LOG_ORPHAN, " endpoint=%s attempt=%s", e->name, key);
-    mpC_cancel(M, e->addr, &w->token, w->attempt);
+    effect_log(M, MP_LOG_ORPHAN, " endpoint=%s attempt=%s", e->name, key);
+    cancel_cancel(M, e->addr, &w->token, w->attempt);
   }
 }
 
@@ -469,7 +469,7 @@
   if (e->down == down)
     return;
   e->down = down;
-  mpX_log(M, down ? MP_LOG_EP_DOWN : MP_LOG_EP_UP, " endpoint=%s", e->name);
+  effect_log(M, down ? MP_LOG_EP_DOWN : MP_LOG_EP_UP, " endpoint=%s", e->name);
 }
 
 /* an open load call; the endpoint's row may be gone when it ends */
@@ -482,24 +482,24 @@
 
 static void loadlate(mp_State *M, void *ud) {
   Loading *g = ud;
-  Endpoint *e = mpE_get(M, g->ep);
-  mpX_xabort(M, g->xcall);
+  Endpoint *e = fleet_get(M, g->ep);
+  effect_xabort(M, g->xcall);
   if (e != NULL) {
     Endpoint was = *e;
     setdown(M, e, 1);
     observe(M, e, &was);
   }
-  mpS_del(M->loading, g->ep);
+  state_del(M->loading, g->ep);
 }
 
 static void loaded(mp_State *M, void *ud, const mp_EndpointEvent *ev) {
   Loading *g = ud;
-  Endpoint *e = mpE_get(M, g->ep);
+  Endpoint *e = fleet_get(M, g->ep);
   const mp_LoadAnswer *l = ev->what == MP_EP_DONE ? ev->load : NULL;
   Endpoint was;
   if (ev->what != MP_EP_DONE && ev->what != MP_EP_FAIL)
     return;
-  mpS_del(M->loading, g->ep);
+  state_del(M->loading, g->ep);
   if (e == NULL)
     return;
   was = *e;
@@ -513,7 +513,7 @@
     e->rate = l->rate;
     if (l->leaving && !e->leaving) {
       e->leaving = 1;
-      mpX_log(M, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
+      effect_log(M, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
     }
     orphans(M, e, l);
   }
@@ -522,23 +522,23 @@
 
 static void freeloading(void *p) {
   Loading *g = p;
-  mpT_stop(&g->M->timers, &g->timer);
+  timer_stop(&g->M->timers, &g->timer);
   g_free(g);
 }
 
 static void askload(mp_State *M, Endpoint *e) {
   Loading *g;
   mp_Xcall x = {0};
-  if (mpS_get(M->loading, e->addr) != NULL)
+  if (state_get(M->loading, e->addr) != NULL)
     return;
   g = g_new0(Loading, 1);
   g->M = M;
   g->ep = e->addr;
-  mpS_set(M->loading, e->addr, g);
+  state_set(M->loading, e->addr, g);
   x.op = MP_X_LOAD;
   x.endpoint = e->addr;
-  mpT_arm(&M->timers, &g->timer, M->now + MP_LOAD_TIMEOUT, loadlate, g);
-  g->xcall = mpX_xcall(M, &x, loaded, g);
+  timer_arm(&M->timers, &g->timer, M->now + MP_LOAD_TIMEOUT, loadlate, g);
+  g->xcall = effect_xcall(M, &x, loaded, g);
 }
 
 static void lookafter(mp_State *M, void *ud) {
@@ -549,18 +549,19 @@
   for (i = 0; i < M->endpoints->len; i++) {
     Endpoint *e = M->endpoints->pdata[i];
     if (!minetokeep(M, e)) {
-      mpS_del(M->kept, e->addr);
+      state_del(M->kept, e->addr);
       continue;
     }
-    if (mpS_get(M->kept, e->addr) == NULL)
-      mpS_set(M->kept, e->addr, g_memdup2(&M->now, sizeof M->now));
+    if (state_get(M->kept, e->addr) == NULL)
+      state_set(M->kept, e->addr, g_memdup2(&M->now, sizeof M->now));
     {
       Endpoint was = *e;
       pump(M, e, &was);
     }
     askload(M, e);
   }
-  mpT_arm(&M->timers, &M->keeptimer, M->now + MP_LOAD_PERIOD, lookafter, NULL);
+  timer_arm(&M->timers, &M->keeptimer, M->now + MP_LOAD_PERIOD, lookafter,
+            NULL);
 }
 
 /* }================================================================== */
@@ -592,7 +593,7 @@
   for (i = 0; i < M->endpoints->len; i++) {
     Endpoint *e = M->endpoints->pdata[i];
     unsigned k;
-    if (e->stamp == 0 || e->told >= mpM_toldoften(M))
+    if (e->stamp == 0 || e->told >= member_toldoften(M))
       continue;
     for (k = 0; k < p->nload && p->load[k].addr != e->addr; k++)
       ;
@@ -606,7 +607,7 @@
   return win;
 }
 
-void mpK_fillloads(mp_State *M, mp_Probe *p, const Member *to) {
+void keeper_fillloads(mp_State *M, mp_Probe *p, const Member *to) {
   (void)to;
   while (p->nload < MP_GOSSIP_LOADS) {
     Endpoint *e = leasttold(M, p);
@@ -617,8 +618,8 @@
   }
 }
 
-void mpK_learn(mp_State *M, const mp_LoadNews *n) {
-  Endpoint *e = mpE_get(M, n->addr);
+void keeper_learn(mp_State *M, const mp_LoadNews *n) {
+  Endpoint *e = fleet_get(M, n->addr);
   if (e == NULL || n->stamp <= e->stamp || n->role > MP_ROLE_PLAIN)
     return;
   e->stamp = n->stamp;
@@ -638,14 +639,15 @@
 
 /* }================================================================== */
 
-void mpK_init(mp_State *M) {
-  M->kept = mpS_table(g_free);
-  M->loading = mpS_table(freeloading);
+void keeper_init(mp_State *M) {
+  M->kept = state_table(g_free);
+  M->loading = state_table(freeloading);
   M->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  mpT_arm(&M->timers, &M->keeptimer, M->now + MP_LOAD_PERIOD, lookafter, NULL);
+  timer_arm(&M->timers, &M->keeptimer, M->now + MP_LOAD_PERIOD, lookafter,
+            NULL);
 }
 
-void mpK_free(mp_State *M) {
+void keeper_free(mp_State *M) {
   g_hash_table_destroy(M->kept);
   g_hash_table_destroy(M->loading);
   g_hash_table_destroy(M->orphans);
--- a/core/keep.h
+++ b/core/keep.h
@@ -14,19 +14,19 @@
 
 #include "state.h"
 
-void mpK_init(mp_State *M);
-void mpK_free(mp_State *M);
+void keeper_init(mp_State *M);
+void keeper_free(mp_State *M);
 
 /* handle RESERVE, RENEW and RELEASE */
-void mpK_reserve(mp_State *M, mp_Addr from, const mp_Msg *m);
-void mpK_renew(mp_State *M, mp_Addr from, const mp_Msg *m);
-void mpK_release(mp_State *M, mp_Addr from, const mp_Msg *m);
+void keeper_reserve(mp_State *M, mp_Addr from, const mp_Msg *m);
+void keeper_renew(mp_State *M, mp_Addr from, const mp_Msg *m);
+void keeper_release(mp_State *M, mp_Addr from, const mp_Msg *m);
 
 /* the endpoint's keeper, or 0 when none is in reach */
-mp_Addr mpK_keeper(const mp_State *M, const Endpoint *e);
+mp_Addr keeper_keeper(const mp_State *M, const Endpoint *e);
 
 /* loads that travel with probes; 'to' may be NULL */
-void mpK_fillloads(mp_State *M, mp_Probe *p, const Member *to);
-void mpK_learn(mp_State *M, const mp_LoadNews *n);
+void keeper_fillloads(mp_State *M, mp_Probe *p, const Member *to);
+void keeper_learn(mp_State *M, const mp_LoadNews *n);
 
 #endif
--- a/core/member.c
+++ b/core/member.c
@@ -39,15 +39,15 @@
   g_hash_table_remove(M->scratch, p);
 }
 
-uint64_t mpM_weight(mp_Addr a, uint64_t key) {
+uint64_t member_weight(mp_Addr a, uint64_t key) {
   uint64_t both[2];
   both[0] = a;
   both[1] = key;
   return XXH3_64bits(both, sizeof both);
 }
 
-Member *mpM_get(const mp_State *M, mp_Addr a) {
-  return mpS_get(M->memberby, a);
+Member *member_get(const mp_State *M, mp_Addr a) {
+  return state_get(M->memberby, a);
 }
 
 static int serves(const Member *m) {
@@ -104,9 +104,9 @@
   else
     g_array_unref(old);
   if (before != serves(m))
-    mpI_homesmoved(M);
+    claim_homesmoved(M);
   mp_addr_text(m->addr, text);
-  mpX_log(M, said[s], " instance=%s start=%u", text, m->start);
+  effect_log(M, said[s], " instance=%s start=%u", text, m->start);
 }
 
 static Member *add(mp_State *M, mp_Addr a, uint32_t start, uint32_t dc) {
@@ -118,7 +118,7 @@
   m->since = M->now;
   m->state = MP_MEMBER_DEAD; /* until become below counts it in */
   g_ptr_array_add(M->members, m);
-  mpS_set(M->memberby, a, m);
+  state_set(M->memberby, a, m);
   become(M, m, MP_MEMBER_ALIVE);
   return m;
 }
@@ -129,7 +129,7 @@
     Member *m = M->members->pdata[i];
     if (m->state == MP_MEMBER_DEAD && !m->listed &&
         M->now - m->since > MP_DEAD_KEEP) {
-      mpS_del(M->memberby, m->addr);
+      state_del(M->memberby, m->addr);
       g_ptr_array_remove_index(M->members, i); /* frees the row */
     } else
       i++;
@@ -149,7 +149,7 @@
   uint64_t top = 0;
   guint i;
   for (i = 0; i < n; i++) {
-    uint64_t w = mpM_weight(a[i], key);
+    uint64_t w = member_weight(a[i], key);
     if (win == 0 || w > top || (w == top && a[i] < win)) {
       win = a[i];
       top = w;
@@ -158,20 +158,20 @@
   return win;
 }
 
-mp_Addr mpM_home(const mp_State *M, uint32_t dc, uint64_t key) {
+mp_Addr member_home(const mp_State *M, uint32_t dc, uint64_t key) {
   mp_Addr win = 0;
   uint64_t top = 0;
   guint i;
   if (dc == M->dchash && !M->draining) {
     win = M->self;
-    top = mpM_weight(win, key);
+    top = member_weight(win, key);
   }
   for (i = 0; i < M->members->len; i++) {
     const Member *m = M->members->pdata[i];
     uint64_t w;
     if (m->dc != dc || !serves(m))
       continue;
-    w = mpM_weight(m->addr, key);
+    w = member_weight(m->addr, key);
     if (win == 0 || w > top || (w == top && m->addr < win)) {
       win = m->addr;
       top = w;
@@ -180,24 +180,24 @@
   return win;
 }
 
-mp_Addr mpM_homebefore(const mp_State *M, uint64_t key) {
+mp_Addr member_homebefore(const mp_State *M, uint64_t key) {
   const GArray *b = M->beforeset;
   return best((const mp_Addr *)(const void *)b->data, b->len, key);
 }
 
-int mpM_among(const mp_State *M, uint64_t key, unsigned n) {
-  uint64_t own = mpM_weight(M->self, key);
+int member_among(const mp_State *M, uint64_t key, unsigned n) {
+  uint64_t own = member_weight(M->self, key);
   unsigned before = 0;
   guint i;
   for (i = 0; i < M->members->len; i++) {
     const Member *m = M->members->pdata[i];
-    if (!m->remote && serves(m) && mpM_weight(m->addr, key) > own)
+    if (!m->remote && serves(m) && member_weight(m->addr, key) > own)
       before++;
   }
   return before < n;
 }
 
-unsigned mpM_count(const mp_State *M, int all) {
+unsigned member_count(const mp_State *M, int all) {
   unsigned n = 1;
   guint i;
   for (i = 0; i < M->members->len; i++) {
@@ -208,7 +208,7 @@
   return n;
 }
 
-int mpM_reach(const mp_State *M, uint32_t dc) {
+int member_reach(const mp_State *M, uint32_t dc) {
   unsigned i;
   if (dc == M->dchash)
     return 1;
@@ -240,8 +240,8 @@
 
 static void greet(mp_State *M, void *ud);
 
-void mpM_heard(mp_State *M, mp_Addr a) {
-  Member *m = mpM_get(M, a);
+void member_heard(mp_State *M, mp_Addr a) {
+  Member *m = member_get(M, a);
   if (m == NULL)
     return;
   m->heard = M->now;
@@ -249,15 +249,15 @@
   heardfrom(M, m->dc);
 }
 
-void mpM_silent(mp_State *M, mp_Addr a) {
-  Member *m = mpM_get(M, a);
+void member_silent(mp_State *M, mp_Addr a) {
+  Member *m = member_get(M, a);
   if (m != NULL)
     m->avoid = M->now + MP_PROBE_PERIOD;
 }
 
-int mpM_trusted(const mp_State *M, mp_Addr a) {
+int member_trusted(const mp_State *M, mp_Addr a) {
   uint32_t ip = (uint32_t)(a >> 16);
-  if (mpM_get(M, a) != NULL || a == M->self)
+  if (member_get(M, a) != NULL || a == M->self)
     return 1;
   return M->mask != 0 && (ip & M->mask) == (M->net & M->mask);
 }
@@ -277,7 +277,7 @@
   if (n->state != MP_MEMBER_SUSPECT && n->state != MP_MEMBER_DEAD)
     return;
   M->incarnation = n->incarnation + 1; /* refute, to everyone */
-  mpT_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
+  timer_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
 }
 
 static void learn(mp_State *M, const mp_MemberNews *n) {
@@ -288,9 +288,9 @@
   }
   if (n->state > MP_MEMBER_DEAD || n->addr == 0)
     return;
-  m = mpM_get(M, n->addr);
+  m = member_get(M, n->addr);
   if (m == NULL) {
-    if (n->state == MP_MEMBER_DEAD || !mpM_trusted(M, n->addr))
+    if (n->state == MP_MEMBER_DEAD || !member_trusted(M, n->addr))
       return;
     m = add(M, n->addr, n->start, n->dc);
   } else if (!newer(m, n))
@@ -301,7 +301,7 @@
   become(M, m, (mp_MemberState)n->state);
 }
 
-unsigned mpM_toldoften(const mp_State *M) {
+unsigned member_toldoften(const mp_State *M) {
   return 2 + (unsigned)g_bit_storage(M->members->len);
 }
 
@@ -312,7 +312,7 @@
   for (i = 0; i < M->members->len; i++) {
     Member *m = M->members->pdata[i];
     unsigned k;
-    if (m->addr == to || m->told >= mpM_toldoften(M) ||
+    if (m->addr == to || m->told >= member_toldoften(M) ||
         (win != NULL && m->told >= win->told))
       continue;
     for (k = 0; k < p->nmember && p->member[k].addr != m->addr; k++)
@@ -324,7 +324,7 @@
 }
 
 static void fillmembers(mp_State *M, mp_Probe *p, mp_Addr to) {
-  Member *about = mpM_get(M, to);
+  Member *about = member_get(M, to);
   /* a suspect must hear of it, to refute */
   if (about != NULL && about->state != MP_MEMBER_ALIVE) {
     mp_MemberNews n = {about->addr, about->start, about->incarnation,
@@ -356,7 +356,7 @@
   for (i = 0; i < MP_DOC_COUNT; i++)
     p->doc[i] = M->doc[i].version;
   fillmembers(M, p, to);
-  mpK_fillloads(M, p, mpM_get(M, to));
+  keeper_fillloads(M, p, member_get(M, to));
 }
 
 static void take(mp_State *M, mp_Addr from, const mp_Probe *p) {
@@ -364,24 +364,24 @@
   unsigned i;
   Member *m;
   learn(M, &n);
-  mpM_heard(M, from);
-  m = mpM_get(M, from);
+  member_heard(M, from);
+  m = member_get(M, from);
   for (i = 0; i < p->nmember; i++)
     learn(M, &p->member[i]);
   for (i = 0; i < p->nload; i++)
-    mpK_learn(M, &p->load[i]);
+    keeper_learn(M, &p->load[i]);
   if (m != NULL) {
     memcpy(m->doc, p->doc, sizeof m->doc);
-    mpF_offered(M, from, p->doc);
+    document_offered(M, from, p->doc);
   }
 }
 
-void mpM_probe(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void member_probe(mp_State *M, mp_Addr from, const mp_Msg *m) {
   mp_Msg a = {0};
   take(M, from, &m->u.probe);
   fill(M, &a.u.probe, from);
   a.u.probe.target = M->self;
-  mpX_answer(M, from, m, &a);
+  effect_answer(M, from, m, &a);
 }
 
 /* }================================================================== */
@@ -393,10 +393,10 @@
 */
 
 static void suspect(mp_State *M, mp_Addr a) {
-  Member *m = mpM_get(M, a);
+  Member *m = member_get(M, a);
   if (m == NULL || m->remote)
     return;
-  mpM_silent(M, a);
+  member_silent(M, a);
   if (m->state == MP_MEMBER_ALIVE)
     become(M, m, MP_MEMBER_SUSPECT);
 }
@@ -442,7 +442,7 @@
     fill(M, &m.u.probe, v->addr);
     m.u.probe.target = target;
     p->open++;
-    mpX_rpc(M, v->addr, &m, 3 * MP_PROBE_TIMEOUT, viaanswered, p);
+    effect_rpc(M, v->addr, &m, 3 * MP_PROBE_TIMEOUT, viaanswered, p);
   }
   if (p->open == 0) {
     suspect(M, target);
@@ -451,13 +451,13 @@
 }
 
 static void answered(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
-  Member *t = mpM_get(M, from);
+  Member *t = member_get(M, from);
   (void)ud;
   if (m != NULL) {
     take(M, from, &m->u.probe);
     return;
   }
-  mpM_silent(M, from);
+  member_silent(M, from);
   if (t != NULL && !t->remote)
     askothers(M, from);
 }
@@ -466,7 +466,7 @@
   mp_Msg m = {0};
   m.kind = MP_MSG_PROBE;
   fill(M, &m.u.probe, a);
-  mpX_rpc(M, a, &m, MP_PROBE_TIMEOUT, answered, NULL);
+  effect_rpc(M, a, &m, MP_PROBE_TIMEOUT, answered, NULL);
 }
 
 /* the asker's call, kept while the probe on its behalf is out */
@@ -482,23 +482,23 @@
     take(M, from, &m->u.probe);
   fill(M, &a.u.probe, v->asker);
   a.u.probe.target = m != NULL ? from : 0;
-  mpX_answer(M, v->asker, &v->call, &a);
+  effect_answer(M, v->asker, &v->call, &a);
   unscratch(M, v);
 }
 
-void mpM_probevia(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void member_probevia(mp_State *M, mp_Addr from, const mp_Msg *m) {
   mp_Addr target = m->u.probe.target;
   Via *v;
   mp_Msg p = {0};
   take(M, from, &m->u.probe);
-  if (!mpM_trusted(M, target) || target == M->self)
+  if (!member_trusted(M, target) || target == M->self)
     return;
   v = scratch(M, sizeof *v);
   v->asker = from;
   v->call = *m;
   p.kind = MP_MSG_PROBE;
   fill(M, &p.u.probe, target);
-  mpX_rpc(M, target, &p, MP_PROBE_TIMEOUT, viadone, v);
+  effect_rpc(M, target, &p, MP_PROBE_TIMEOUT, viadone, v);
 }
 
 /*
@@ -551,12 +551,13 @@
                                           : NULL;
   if (m != NULL)
     probe(M, m->addr);
-  mpT_arm(&M->timers, &M->probetimer, M->now + MP_PROBE_PERIOD, period, NULL);
+  timer_arm(&M->timers, &M->probetimer, M->now + MP_PROBE_PERIOD, period,
+            NULL);
 }
 
 /* }================================================================== */
 
-void mpM_list(mp_State *M) {
+void member_list(mp_State *M) {
   unsigned i;
   guint k;
   for (k = 0; k < M->members->len; k++)
@@ -566,9 +567,9 @@
     Member *m;
     if (in->kind != MP_INST_ENTRY || in->addr == M->self)
       continue;
-    m = mpM_get(M, in->addr);
+    m = member_get(M, in->addr);
     if (m == NULL)
-      m = add(M, in->addr, 0, mpS_hash(in->dc));
+      m = add(M, in->addr, 0, state_hash(in->dc));
     m->listed = 1;
     if (in->leaving && m->state == MP_MEMBER_ALIVE)
       become(M, m, MP_MEMBER_LEAVING);
@@ -576,16 +577,16 @@
   if (!M->greeted) {
     M->greeted = 1;
     M->settled = M->now;
-    mpT_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
+    timer_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
   }
 }
 
 /* the set may have changed behind its back: as after a fresh start */
-void mpM_paused(mp_State *M) {
+void member_paused(mp_State *M) {
   M->settled = M->now;
   M->changes = 2;
   M->incarnation++; /* others may have called it dead */
-  mpT_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
+  timer_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
 }
 
 static void seedanswered(mp_State *M, void *ud, mp_Addr from,
@@ -593,16 +594,16 @@
   (void)ud;
   if (m == NULL)
     return;
-  if (mpM_get(M, from) == NULL)
+  if (member_get(M, from) == NULL)
     add(M, from, m->u.probe.start, m->u.probe.dc);
   take(M, from, &m->u.probe);
 }
 
-void mpM_seed(mp_State *M, mp_Addr a, const mp_Msg *m) {
-  mpX_rpc(M, a, m, 4 * MP_PROBE_TIMEOUT, seedanswered, NULL);
+void member_seed(mp_State *M, mp_Addr a, const mp_Msg *m) {
+  effect_rpc(M, a, m, 4 * MP_PROBE_TIMEOUT, seedanswered, NULL);
 }
 
-void mpM_leave(mp_State *M) {
+void member_leave(mp_State *M) {
   guint i;
   setchanged(M, liveset(M));
   M->draining = 1;
@@ -614,7 +615,7 @@
   }
 }
 
-void mpM_init(mp_State *M) {
+void member_init(mp_State *M) {
   /* the first probes go out at once, then spread by a random phase */
   mp_Time phase = g_rand_int_range(M->rand, 0, MP_PROBE_PERIOD);
   /* everyone has the same list: beginning anywhere in it keeps all from
@@ -625,10 +626,10 @@
   M->beforeset = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
   M->settled = M->now;
   M->changes = 2; /* a fresh instance knows of no set before it */
-  mpT_arm(&M->timers, &M->probetimer, M->now + phase, period, NULL);
+  timer_arm(&M->timers, &M->probetimer, M->now + phase, period, NULL);
 }
 
-void mpM_free(mp_State *M) {
+void member_free(mp_State *M) {
   g_array_unref(M->beforeset);
   g_hash_table_destroy(M->scratch);
 }
--- a/core/order.c
+++ b/core/order.c
@@ -48,12 +48,12 @@
 static void step(mp_State *M, void *ud);
 
 static void rearm(mp_State *M, mp_Time wait) {
-  mpT_arm(&M->timers, &M->orders->timer, M->now + wait, step, NULL);
+  timer_arm(&M->timers, &M->orders->timer, M->now + wait, step, NULL);
 }
 
 static int wanted(const mp_State *M) {
   return M->config != NULL && M->config->policy->role_orders && !M->draining &&
-         mpM_among(M, LEASE_KEY, CANDIDATES);
+         member_among(M, LEASE_KEY, CANDIDATES);
 }
 
 static void leasekey(const mp_State *M, char out[96]) {
@@ -68,8 +68,8 @@
 
 static void lose(mp_State *M) {
   if (M->orders->held)
-    mpX_log(M, MP_LOG_LEASE_LOST, " fence=%" G_GUINT64_FORMAT,
-            (guint64)M->orders->version);
+    effect_log(M, MP_LOG_LEASE_LOST, " fence=%" G_GUINT64_FORMAT,
+               (guint64)M->orders->version);
   M->orders->held = 0;
 }
 
@@ -90,7 +90,8 @@
   char key[96];
   M->orders->asking = 1;
   leasekey(M, key);
-  mpX_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, seenlease, NULL);
+  effect_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, seenlease,
+               NULL);
 }
 
 static void tookit(mp_State *M, void *ud, const mp_StoreEvent *e) {
@@ -106,8 +107,8 @@
   if (!O->held) {
     O->held = 1;
     O->begun = M->now;
-    mpX_log(M, MP_LOG_LEASE_HELD, " fence=%" G_GUINT64_FORMAT,
-            (guint64)e->version);
+    effect_log(M, MP_LOG_LEASE_HELD, " fence=%" G_GUINT64_FORMAT,
+               (guint64)e->version);
   }
   O->version = e->version;
   O->changed = M->now;
@@ -122,8 +123,8 @@
   mp_addr_text(M->self, who);
   M->orders->asking = 1;
   M->orders->asked = M->now;
-  mpX_store(M, MP_ST_PUT, key, M->orders->version, who, strlen(who),
-            MP_STORE_TIMEOUT, tookit, NULL);
+  effect_store(M, MP_ST_PUT, key, M->orders->version, who, strlen(who),
+               MP_STORE_TIMEOUT, tookit, NULL);
 }
 
 /* }================================================================== */
@@ -156,7 +157,7 @@
   guint i;
   for (i = 0; i < M->endpoints->len; i++) {
     Endpoint *e = M->endpoints->pdata[i];
-    if (e->dchash != M->dchash || e->role != role || !mpE_open(M, e) ||
+    if (e->dchash != M->dchash || e->role != role || !fleet_open(M, e) ||
         strcmp(e->service, service) != 0)
       continue;
     p.n++;
@@ -213,17 +214,17 @@
                "{\"who\":\"%s\",\"what\":\"order %s\",\"from\":%d,"
                "\"to\":%d,\"outcome\":\"%s\"}",
                who, at, (int)O->from, (int)O->pressed, outcome);
-  mpX_store(M, MP_ST_PUT, key, 0, text, (size_t)n, MP_STORE_TIMEOUT, audited,
-            NULL);
+  effect_store(M, MP_ST_PUT, key, 0, text, (size_t)n, MP_STORE_TIMEOUT,
+               audited, NULL);
 }
 
 static void orderdone(mp_State *M, int ok) {
   Orders *O = M->orders;
-  const Endpoint *e = mpE_get(M, O->target);
-  mpT_stop(&M->timers, &O->late);
+  const Endpoint *e = fleet_get(M, O->target);
+  timer_stop(&M->timers, &O->late);
   O->xcall = 0;
-  mpX_log(M, ok ? MP_LOG_ORDER_DONE : MP_LOG_ORDER_FAIL, " endpoint=%s",
-          e != NULL ? e->name : "gone");
+  effect_log(M, ok ? MP_LOG_ORDER_DONE : MP_LOG_ORDER_FAIL, " endpoint=%s",
+             e != NULL ? e->name : "gone");
   audit(M, ok ? "done" : "failed or unknown");
 }
 
@@ -236,7 +237,7 @@
 /* the reply is lost: the next load answer shows the role in force */
 static void orderlate(mp_State *M, void *ud) {
   (void)ud;
-  mpX_xabort(M, M->orders->xcall);
+  effect_xabort(M, M->orders->xcall);
   orderdone(M, 0);
 }
 
@@ -252,12 +253,12 @@
   x.valid_ms = (uint32_t)(MIN(MP_ORDER_MAX, O->until - M->now) / MP_MS);
   O->target = e->addr;
   O->from = e->role;
-  O->xcall = mpX_xcall(M, &x, ordered, NULL);
-  mpT_arm(&M->timers, &O->late, M->now + MP_ORDER_MAX, orderlate, NULL);
+  O->xcall = effect_xcall(M, &x, ordered, NULL);
+  timer_arm(&M->timers, &O->late, M->now + MP_ORDER_MAX, orderlate, NULL);
   mpcount(M, ORDERS);
-  mpX_log(M, MP_LOG_ORDER_SENT,
-          " endpoint=%s role=%d fence=%" G_GUINT64_FORMAT, e->name, (int)role,
-          (guint64)O->version);
+  effect_log(M, MP_LOG_ORDER_SENT,
+             " endpoint=%s role=%d fence=%" G_GUINT64_FORMAT, e->name,
+             (int)role, (guint64)O->version);
 }
 
 /* has 'role' of some service been pressed long enough? */
@@ -314,20 +315,20 @@
     readlease(M);
 }
 
-void mpO_release(mp_State *M) {
+void order_release(mp_State *M) {
   lose(M); /* it runs out by itself; nothing is ordered any more */
 }
 
-void mpO_paused(mp_State *M) {
+void order_paused(mp_State *M) {
   lose(M);
   M->orders->changed = 0; /* watch the lease anew */
 }
 
-void mpO_init(mp_State *M) {
+void order_init(mp_State *M) {
   M->orders = g_new0(Orders, 1);
   rearm(M, MP_ORDER_RENEW);
 }
 
-void mpO_free(mp_State *M) {
+void order_free(mp_State *M) {
   g_free(M->orders);
 }
--- a/core/order.h
+++ b/core/order.h
@@ -9,13 +9,13 @@
 
 #include "state.h"
 
-void mpO_init(mp_State *M);
-void mpO_free(mp_State *M);
+void order_init(mp_State *M);
+void order_free(mp_State *M);
 
 /* draining: give the lease back */
-void mpO_release(mp_State *M);
+void order_release(mp_State *M);
 
 /* this core stood still for long: the lease is not trusted any more */
-void mpO_paused(mp_State *M);
+void order_paused(mp_State *M);
 
 #endif
--- a/core/plan.c
+++ b/core/plan.c
@@ -37,8 +37,8 @@
   return MP_LINK_MBYTES;
 }
 
-mp_Time mpL_time(const mp_State *M, const char *from, const char *to,
-                 uint64_t bytes) {
+mp_Time link_time(const mp_State *M, const char *from, const char *to,
+                  uint64_t bytes) {
   /* bytes by megabytes a second are microseconds */
   return (mp_Time)(bytes / MAX(rate(M, from, to), 1));
 }
@@ -68,12 +68,12 @@
   m->fn(M, m->ud);
 }
 
-void mpL_ask(mp_State *M, const char *from, const char *to, uint64_t bytes,
-             mp_Time until, PlanFn fn, void *ud) {
+void link_ask(mp_State *M, const char *from, const char *to, uint64_t bytes,
+              mp_Time until, PlanFn fn, void *ud) {
   Move *m = g_new0(Move, 1);
   g_strlcpy(m->from, from, sizeof m->from);
   g_strlcpy(m->to, to, sizeof m->to);
-  m->until = until - mpL_time(M, from, to, bytes);
+  m->until = until - link_time(M, from, to, bytes);
   m->fn = fn;
   m->ud = ud;
   g_ptr_array_add(M->links->moves, m);
@@ -81,7 +81,7 @@
     start(M, m);
 }
 
-void mpL_done(mp_State *M, void *ud) {
+void link_done(mp_State *M, void *ud) {
   GPtrArray *a = M->links->moves;
   guint i;
   for (i = 0; i < a->len; i++) {
@@ -100,12 +100,12 @@
   }
 }
 
-void mpL_init(mp_State *M) {
+void link_init(mp_State *M) {
   M->links = g_new0(Links, 1);
   M->links->moves = g_ptr_array_new_with_free_func(g_free);
 }
 
-void mpL_free(mp_State *M) {
+void link_free(mp_State *M) {
   g_ptr_array_unref(M->links->moves);
   g_free(M->links);
 }
--- a/core/plan.h
+++ b/core/plan.h
@@ -11,21 +11,21 @@
 
 typedef void (*PlanFn)(mp_State *M, void *ud);
 
-void mpL_init(mp_State *M);
-void mpL_free(mp_State *M);
+void link_init(mp_State *M);
+void link_free(mp_State *M);
 
 /*
 ** Ask for the path between two data centres for 'bytes' that expire at
 ** 'until'. 'fn' is called when the transfer may start (perhaps at once).
 */
-void mpL_ask(mp_State *M, const char *from, const char *to, uint64_t bytes,
-             mp_Time until, PlanFn fn, void *ud);
+void link_ask(mp_State *M, const char *from, const char *to, uint64_t bytes,
+              mp_Time until, PlanFn fn, void *ud);
 
 /* the transfer (waiting or under way) of 'ud' is over */
-void mpL_done(mp_State *M, void *ud);
+void link_done(mp_State *M, void *ud);
 
 /* how long that many bytes take on the path, alone */
-mp_Time mpL_time(const mp_State *M, const char *from, const char *to,
-                 uint64_t bytes);
+mp_Time link_time(const mp_State *M, const char *from, const char *to,
+                  uint64_t bytes);
 
 #endif
--- a/core/quota.c
+++ b/core/quota.c
@@ -54,7 +54,7 @@
 static const mp_Account *account(const mp_State *M, uint32_t hash) {
   unsigned i;
   for (i = 0; M->config != NULL && i < M->config->accounts_count; i++) {
-    if (mpS_hash(M->config->accounts[i].name) == hash)
+    if (state_hash(M->config->accounts[i].name) == hash)
       return &M->config->accounts[i];
   }
   return NULL;
@@ -65,14 +65,14 @@
   uint32_t dc = 0;
   unsigned i;
   for (i = 0; i < M->config->data_centres_count; i++) {
-    uint32_t d = mpS_hash(M->config->data_centres[i].name);
-    uint64_t w = mpM_weight(d, hash);
+    uint32_t d = state_hash(M->config->data_centres[i].name);
+    uint64_t w = member_weight(d, hash);
     if (dc == 0 || w > top) {
       dc = d;
       top = w;
     }
   }
-  return mpM_reach(M, dc) ? mpM_home(M, dc, hash) : 0;
+  return member_reach(M, dc) ? member_home(M, dc, hash) : 0;
 }
 
 static void refill(const mp_State *M, Bucket *b, const mp_Account *a) {
@@ -82,29 +82,29 @@
   b->at = M->now;
 }
 
-void mpQ_onquota(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void quota_onquota(mp_State *M, mp_Addr from, const mp_Msg *m) {
   const mp_Account *a = account(M, m->u.quota.account);
   mp_Msg r = {0};
   Bucket *b;
   r.u.quota = m->u.quota;
   if (a == NULL || homeof(M, m->u.quota.account) != M->self) {
     r.u.quota.verdict = MP_WRONG_HOME;
-    mpX_answer(M, from, m, &r);
+    effect_answer(M, from, m, &r);
     return;
   }
-  b = mpS_get(M->quotas->buckets, m->u.quota.account);
+  b = state_get(M->quotas->buckets, m->u.quota.account);
   if (b == NULL) {
     b = g_new0(Bucket, 1);
     b->left = a->requests_per_s; /* a new home starts without the burst */
     b->at = M->now;
-    mpS_set(M->quotas->buckets, m->u.quota.account, b);
+    state_set(M->quotas->buckets, m->u.quota.account, b);
   }
   refill(M, b, a);
   r.u.quota.given = (uint32_t)MIN((double)m->u.quota.want, b->left);
   b->left -= r.u.quota.given;
   r.u.quota.for_ms = MP_SLICE_TIME / MP_MS;
   r.u.quota.verdict = r.u.quota.given > 0 ? MP_GRANTED : MP_DENIED;
-  mpX_answer(M, from, m, &r);
+  effect_answer(M, from, m, &r);
 }
 
 /* }================================================================== */
@@ -122,14 +122,14 @@
 }
 
 static Slice *slice(mp_State *M, const mp_Account *a) {
-  uint32_t h = mpS_hash(a->name);
-  Slice *s = mpS_get(M->quotas->slices, h);
+  uint32_t h = state_hash(a->name);
+  Slice *s = state_get(M->quotas->slices, h);
   if (s == NULL) {
     s = g_new0(Slice, 1);
     s->M = M;
     s->account = h;
     s->waiters = g_array_new(FALSE, FALSE, sizeof(Waiter));
-    mpS_set(M->quotas->slices, h, s);
+    state_set(M->quotas->slices, h, s);
   }
   s->copy.requests_per_s = a->requests_per_s;
   s->copy.burst = a->burst;
@@ -152,10 +152,10 @@
   const mp_Quota *q = m != NULL ? &m->u.quota : NULL;
   s->rpc = 0;
   if (q == NULL)
-    mpM_silent(M, from);
+    member_silent(M, from);
   if (q == NULL || q->verdict == MP_WRONG_HOME) {
     /* the home is out of reach: an even share of the limit */
-    double share = (double)s->copy.requests_per_s / mpM_count(M, 1);
+    double share = (double)s->copy.requests_per_s / member_count(M, 1);
     s->left = MAX(1.0, share);
     s->until = M->now + MP_SLICE_TIME;
   } else if (q->verdict == MP_GRANTED) {
@@ -181,7 +181,7 @@
   m.kind = MP_MSG_QUOTA;
   m.u.quota.account = s->account;
   m.u.quota.want = (uint32_t)MAX(want, s->waiters->len + SLICE_LEAST);
-  s->rpc = mpX_rpc(M, home, &m, 3 * MP_RPC_WAIT, lent, s);
+  s->rpc = effect_rpc(M, home, &m, 3 * MP_RPC_WAIT, lent, s);
 }
 
 /* requests a second of late, for the size of the next slice */
@@ -191,7 +191,7 @@
   s->at = M->now;
 }
 
-int mpQ_admit(mp_State *M, const mp_Account *a, QuotaFn fn, void *ud) {
+int quota_admit(mp_State *M, const mp_Account *a, QuotaFn fn, void *ud) {
   Slice *s;
   Waiter w = {fn, ud};
   if (a->requests_per_s == 0)
@@ -210,7 +210,7 @@
   return -1;
 }
 
-void mpQ_forget(mp_State *M, void *ud) {
+void quota_forget(mp_State *M, void *ud) {
   GHashTableIter it;
   gpointer v;
   guint i;
@@ -228,13 +228,13 @@
 
 /* }================================================================== */
 
-void mpQ_init(mp_State *M) {
+void quota_init(mp_State *M) {
   M->quotas = g_new0(Quotas, 1);
-  M->quotas->slices = mpS_table(freeslice);
-  M->quotas->buckets = mpS_table(g_free);
+  M->quotas->slices = state_table(freeslice);
+  M->quotas->buckets = state_table(g_free);
 }
 
-void mpQ_free(mp_State *M) {
+void quota_free(mp_State *M) {
   g_hash_table_destroy(M->quotas->slices);
   g_hash_table_destroy(M->quotas->buckets);
   g_free(M->quotas);
--- a/core/quota.h
+++ b/core/quota.h
@@ -16,19 +16,19 @@
 
 typedef void (*QuotaFn)(mp_State *M, void *ud, int admitted);
 
-void mpQ_init(mp_State *M);
-void mpQ_free(mp_State *M);
+void quota_init(mp_State *M);
+void quota_free(mp_State *M);
 
 /*
 ** Ask to admit one request of the account. Returns 1 or 0 when that is
 ** known now, -1 when 'fn' will say.
 */
-int mpQ_admit(mp_State *M, const mp_Account *a, QuotaFn fn, void *ud);
+int quota_admit(mp_State *M, const mp_Account *a, QuotaFn fn, void *ud);
 
 /* the one that waits is gone */
-void mpQ_forget(mp_State *M, void *ud);
+void quota_forget(mp_State *M, void *ud);
 
 /* handle QUOTA */
-void mpQ_onquota(mp_State *M, mp_Addr from, const mp_Msg *m);
+void quota_onquota(mp_State *M, mp_Addr from, const mp_Msg *m);
 
 #endif
--- a/core/retry.c
+++ b/core/retry.c
@@ -13,12 +13,12 @@
   M->retrybudget = MIN(BUDGET_MOST, M->retrybudget + secs * MP_RETRY_FLOOR);
 }
 
-void mpB_earn(mp_State *M) {
+void retry_earn(mp_State *M) {
   refill(M);
   M->retrybudget = MIN(BUDGET_MOST, M->retrybudget + MP_RETRY_SHARE / 100.0);
 }
 
-int mpB_spend(mp_State *M) {
+int retry_spend(mp_State *M) {
   refill(M);
   if (M->retrybudget < 1) {
     mpcount(M, RETRIES_DENIED);
@@ -29,7 +29,7 @@
   return 1;
 }
 
-mp_Time mpB_wait(mp_State *M, unsigned n) {
+mp_Time retry_wait(mp_State *M, unsigned n) {
   mp_Time most = MP_RETRY_WAIT << MIN(n, 4);
   return most / 2 + g_rand_int_range(M->rand, 0, (gint32)(most / 2 + 1));
 }
--- a/core/route.c
+++ b/core/route.c
@@ -66,11 +66,11 @@
   return 0;
 }
 
-int mpR_allowed(const mp_State *M, const Request *r, const Endpoint *e) {
-  const mp_Rule *rule = mpP_rule(M->config, r->class_name, r->account);
+int choice_allowed(const mp_State *M, const Request *r, const Endpoint *e) {
+  const mp_Rule *rule = place_rule(M->config, r->class_name, r->account);
   if (strcmp(e->service, r->service) != 0)
     return 0;
-  if (!mpP_runs(M->config, rule, e->dc))
+  if (!place_runs(M->config, rule, e->dc))
     return 0;
   return holds(M, r, e->role);
 }
@@ -80,12 +80,12 @@
   const mp_Config *c = M->config;
   Scope s;
   unsigned i;
-  s.rule = mpP_rule(c, r->class_name, r->account);
+  s.rule = place_rule(c, r->class_name, r->account);
   s.n = 0;
   for (i = 0; i < c->data_centres_count; i++) {
     const char *dc = c->data_centres[i].name;
-    uint32_t h = mpS_hash(dc);
-    if (!mpP_runs(c, s.rule, dc) || !mpM_reach(M, h))
+    uint32_t h = state_hash(dc);
+    if (!place_runs(c, s.rule, dc) || !member_reach(M, h))
       continue;
     s.name[s.n] = dc;
     s.dc[s.n++] = h;
@@ -113,7 +113,7 @@
 
 static int fit(const mp_State *M, const Request *r, const Scope *s,
                const Endpoint *e, mp_Role role) {
-  return e->role == role && inscope(s, e->dchash) && mpE_open(M, e) &&
+  return e->role == role && inscope(s, e->dchash) && fleet_open(M, e) &&
          !avoided(r, e) && strcmp(e->service, r->service) == 0;
 }
 
@@ -145,8 +145,8 @@
   for (i = 0; i < all.n; i++) {
     for (k = 0; k < others->len; k++) {
       const Endpoint *o = others->pdata[k];
-      if (mpP_moves(M->config, s->rule, to ? o->dc : all.name[i],
-                    to ? all.name[i] : o->dc))
+      if (place_moves(M->config, s->rule, to ? o->dc : all.name[i],
+                      to ? all.name[i] : o->dc))
         break;
     }
     if (k == others->len)
@@ -161,8 +161,8 @@
 static void narrowto(const mp_State *M, Scope *s, const char *dc, int to) {
   unsigned i = 0;
   while (i < s->n) {
-    if (mpP_moves(M->config, s->rule, to ? dc : s->name[i],
-                  to ? s->name[i] : dc)) {
+    if (place_moves(M->config, s->rule, to ? dc : s->name[i],
+                    to ? s->name[i] : dc)) {
       i++;
       continue;
     }
@@ -185,7 +185,7 @@
 }
 
 /* an adapter's KV is as large as that of its service's largest model */
-uint64_t mpR_kvbytes(const mp_State *M, const Request *r) {
+uint64_t choice_kvbytes(const mp_State *M, const Request *r) {
   const mp_Config *c = M->config;
   uint32_t each = 0;
   unsigned i;
@@ -200,7 +200,7 @@
   return (uint64_t)each * r->prompt_tokens;
 }
 
-uint32_t mpR_prefilltime(const Endpoint *e, uint32_t tokens) {
+uint32_t choice_prefilltime(const Endpoint *e, uint32_t tokens) {
   uint64_t sum = (uint64_t)tokens + e->pledged;
   return e->wait + (uint32_t)(sum * 1000 / prefillrate(e));
 }
@@ -210,11 +210,11 @@
   double away = e->dchash != M->dchash ? AWAY_COST : 0;
   switch (e->role) {
   case MP_ROLE_DECODE:
-    if (mpS_get(M->kept, e->addr) != NULL)
+    if (state_get(M->kept, e->addr) != NULL)
       away -= KEPT_GAIN;
     return ((double)e->used + e->pledged) / MAX(e->slots, 1) + away;
   case MP_ROLE_PREFILL:
-    return mpR_prefilltime(e, 0);
+    return choice_prefilltime(e, 0);
   default:
     return e->mine + away;
   }
@@ -257,7 +257,7 @@
   guint i;
   for (i = 0; i < a->len; i++) {
     Endpoint *e = a->pdata[i];
-    if (mpS_get(M->kept, e->addr) != NULL && score(M, e) < score(M, win))
+    if (state_get(M->kept, e->addr) != NULL && score(M, e) < score(M, win))
       win = e;
   }
   return win;
@@ -287,12 +287,13 @@
 */
 static uint32_t cost(const mp_State *M, const Request *r, const Endpoint *e,
                      const char *dc) {
-  uint32_t ms = mpR_prefilltime(e, 0);
+  uint32_t ms = choice_prefilltime(e, 0);
   if (r->prompt_tokens >= MP_LONG_PROMPT) /* long ones wait for each other */
     ms += (uint32_t)((uint64_t)e->used * r->prompt_tokens * 1000 /
                      prefillrate(e));
   if (dc != NULL && strcmp(dc, e->dc) != 0 && M->config->policy->transfer_plan)
-    ms += (uint32_t)(2 * mpL_time(M, e->dc, dc, mpR_kvbytes(M, r)) / MP_MS);
+    ms +=
+        (uint32_t)(2 * link_time(M, e->dc, dc, choice_kvbytes(M, r)) / MP_MS);
   return ms;
 }
 
@@ -320,7 +321,7 @@
   bound = MAX(bound + BOUND_LEAST, bound * BOUND_OVER / 100);
   for (i = 0; i < a->len; i++) {
     Endpoint *e = a->pdata[i];
-    uint64_t w = mpM_weight(e->addr, r->prefix);
+    uint64_t w = member_weight(e->addr, r->prefix);
     if (cost(M, r, e, dc) <= bound && (win == NULL || w > top)) {
       win = e;
       top = w;
@@ -331,8 +332,8 @@
 
 /* }================================================================== */
 
-Endpoint *mpR_decode(mp_State *M, const Request *r) {
-  const Endpoint *src = r->kv != NULL ? mpE_get(M, r->kv_at) : NULL;
+Endpoint *choice_decode(mp_State *M, const Request *r) {
+  const Endpoint *src = r->kv != NULL ? fleet_get(M, r->kv_at) : NULL;
   Scope s = scope(M, r);
   GPtrArray *a;
   Endpoint *e;
@@ -346,7 +347,7 @@
   return e;
 }
 
-Endpoint *mpR_prefill(mp_State *M, const Request *r, const char *dc) {
+Endpoint *choice_prefill(mp_State *M, const Request *r, const char *dc) {
   const mp_Policy *p = M->config->policy;
   Scope s = scope(M, r);
   GPtrArray *a;
@@ -366,7 +367,7 @@
   return e;
 }
 
-Endpoint *mpR_plain(mp_State *M, const Request *r) {
+Endpoint *choice_plain(mp_State *M, const Request *r) {
   Scope s = scope(M, r);
   GPtrArray *a = candidates(M, r, &s, MP_ROLE_PLAIN);
   Endpoint *e = bypolicy(M, a);
--- a/core/shard.c
+++ b/core/shard.c
@@ -51,7 +51,7 @@
   guint i;
   for (i = 0; i < ps->len; i++) {
     Pending *p = ps->pdata[i];
-    mpI_answer(M, p->from, &p->call, v, MP_RAN_UNKNOWN);
+    claim_answer(M, p->from, &p->call, v, MP_RAN_UNKNOWN);
   }
   g_ptr_array_set_size(ps, 0);
 }
@@ -99,9 +99,9 @@
     ok = parserow(lines[i], &c);
     if (!ok)
       break;
-    r = mpI_getrow(M, c.id);
+    r = claim_getrow(M, c.id);
     if (r == NULL)
-      r = mpI_addrow(M, &c, MP_RAN_UNKNOWN);
+      r = claim_addrow(M, &c, MP_RAN_UNKNOWN);
     r->token = c.token; /* the object decides who has it */
     r->durable = 1;
   }
@@ -113,10 +113,10 @@
 static void forgetdurable(mp_State *M, const Shard *s) {
   GHashTableIter it;
   gpointer v;
-  g_hash_table_iter_init(&it, mpI_rows(M));
+  g_hash_table_iter_init(&it, claim_rows(M));
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     ClaimRow *r = v;
-    if (r->durable && mpI_shardof(r->id) == s->no)
+    if (r->durable && claim_shardof(r->id) == s->no)
       g_hash_table_iter_remove(&it);
   }
 }
@@ -151,7 +151,7 @@
   char key[96];
   s->state = SH_READING;
   shardkey(s, key);
-  mpX_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, shardread, s);
+  effect_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, shardread, s);
 }
 
 /* the claims of a write are in force */
@@ -159,12 +159,12 @@
   guint i;
   for (i = 0; i < s->writing->len; i++) {
     Pending *p = s->writing->pdata[i];
-    ClaimRow *r = mpI_addrow(M, &p->call.u.claim, MP_RAN_UNKNOWN);
+    ClaimRow *r = claim_addrow(M, &p->call.u.claim, MP_RAN_UNKNOWN);
     r->durable = 1;
-    mpI_answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
+    claim_answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
   }
-  mpX_log(M, MP_LOG_CLAIM_WRITE, " shard=%s/%u claims=%u", s->dc, s->no,
-          s->writing->len);
+  effect_log(M, MP_LOG_CLAIM_WRITE, " shard=%s/%u claims=%u", s->dc, s->no,
+             s->writing->len);
   g_ptr_array_set_size(s->writing, 0);
 }
 
@@ -186,7 +186,7 @@
     work(M, s);
     break;
   case MP_STORE_CONFLICT:
-    mpX_log(M, MP_LOG_CLAIM_FENCED, " shard=%s/%u", s->dc, s->no);
+    effect_log(M, MP_LOG_CLAIM_FENCED, " shard=%s/%u", s->dc, s->no);
     unwrite(s);
     readshard(M, s);
     break;
@@ -207,15 +207,15 @@
   guint i = 0;
   while (i < s->pending->len) {
     Pending *p = s->pending->pdata[i];
-    const ClaimRow *r = mpI_getrow(M, p->row.id);
+    const ClaimRow *r = claim_getrow(M, p->row.id);
     if (r == NULL) {
       i++;
       continue;
     }
-    if (mpS_sametoken(&r->token, &p->row.token))
-      mpI_answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
+    if (state_sametoken(&r->token, &p->row.token))
+      claim_answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
     else
-      mpI_answer(M, p->from, &p->call, MP_DENIED, r->ran);
+      claim_answer(M, p->from, &p->call, MP_DENIED, r->ran);
     g_ptr_array_remove_index(s->pending, i);
   }
 }
@@ -225,7 +225,7 @@
   guint i;
   for (i = 0; i < s->writing->len; i++) {
     const Pending *o = s->writing->pdata[i];
-    if (mpI_sameid(o->row.id, p->row.id))
+    if (claim_sameid(o->row.id, p->row.id))
       return 1;
   }
   return 0;
@@ -251,10 +251,10 @@
   char key[96];
   guint i;
   pickbatch(s);
-  g_hash_table_iter_init(&it, mpI_rows(M));
+  g_hash_table_iter_init(&it, claim_rows(M));
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const ClaimRow *r = v;
-    if (r->durable && mpI_shardof(r->id) == s->no)
+    if (r->durable && claim_shardof(r->id) == s->no)
       rowtext(g, r);
   }
   for (i = 0; i < s->writing->len; i++)
@@ -262,8 +262,8 @@
   s->state = SH_WRITING;
   s->dirty = 0;
   shardkey(s, key);
-  mpX_store(M, MP_ST_PUT, key, s->version, g->str, g->len, MP_STORE_TIMEOUT,
-            shardwritten, s);
+  effect_store(M, MP_ST_PUT, key, s->version, g->str, g->len, MP_STORE_TIMEOUT,
+               shardwritten, s);
   g_string_free(g, TRUE);
 }
 
@@ -284,15 +284,15 @@
   if (s->state == SH_COLD)
     readshard(M, s);
   else if (s->state == SH_WARM && s->timer.pos == 0)
-    mpT_arm(&M->timers, &s->timer, M->now + MP_CLAIM_WINDOW, commit, s);
+    timer_arm(&M->timers, &s->timer, M->now + MP_CLAIM_WINDOW, commit, s);
 }
 
 static int sentagain(const GPtrArray *ps, mp_Addr from, const mp_Msg *m) {
   guint i;
   for (i = 0; i < ps->len; i++) {
     Pending *p = ps->pdata[i];
-    if (mpI_sameid(p->row.id, m->u.claim.id) &&
-        mpS_sametoken(&p->row.token, &m->u.claim.token)) {
+    if (claim_sameid(p->row.id, m->u.claim.id) &&
+        state_sametoken(&p->row.token, &m->u.claim.token)) {
       p->from = from;
       p->call = *m; /* answer the newest call */
       return 1;
@@ -301,8 +301,8 @@
   return 0;
 }
 
-void mpD_claim(mp_State *M, mp_Addr from, const mp_Msg *m, const char *dc) {
-  Shard *s = &M->shards->shard[mpI_shardof(m->u.claim.id)];
+void shard_claim(mp_State *M, mp_Addr from, const mp_Msg *m, const char *dc) {
+  Shard *s = &M->shards->shard[claim_shardof(m->u.claim.id)];
   Pending *p;
   if (strcmp(s->dc, dc) != 0 && s->pending->len + s->writing->len == 0 &&
       (s->state == SH_COLD || s->state == SH_WARM)) {
@@ -310,7 +310,7 @@
     s->state = SH_COLD; /* another object */
   }
   if (strcmp(s->dc, dc) != 0) {
-    mpI_answer(M, from, m, MP_UNAVAILABLE, MP_RAN_NO);
+    claim_answer(M, from, m, MP_UNAVAILABLE, MP_RAN_NO);
     return;
   }
   if (sentagain(s->pending, from, m) || sentagain(s->writing, from, m))
@@ -325,12 +325,12 @@
   work(M, s);
 }
 
-void mpD_freed(mp_State *M, const ClaimRow *r) {
+void shard_freed(mp_State *M, const ClaimRow *r) {
   if (r->durable)
-    M->shards->shard[mpI_shardof(r->id)].dirty = 1;
+    M->shards->shard[claim_shardof(r->id)].dirty = 1;
 }
 
-void mpD_tidy(mp_State *M) {
+void shard_tidy(mp_State *M) {
   unsigned i;
   for (i = 0; i < MP_CLAIM_SHARDS; i++) {
     Shard *s = &M->shards->shard[i];
@@ -339,7 +339,7 @@
   }
 }
 
-void mpD_init(mp_State *M) {
+void shard_init(mp_State *M) {
   unsigned i;
   M->shards = g_new0(Shards, 1);
   for (i = 0; i < MP_CLAIM_SHARDS; i++) {
@@ -351,7 +351,7 @@
   }
 }
 
-void mpD_free(mp_State *M) {
+void shard_free(mp_State *M) {
   unsigned i;
   for (i = 0; i < MP_CLAIM_SHARDS; i++) {
     g_ptr_array_unref(M->shards->shard[i].pending);
--- a/core/shard.h
+++ b/core/shard.h
@@ -9,17 +9,17 @@
 
 #include "state.h"
 
-void mpD_init(mp_State *M);
-void mpD_free(mp_State *M);
+void shard_init(mp_State *M);
+void shard_free(mp_State *M);
 
 /* a CLAIM that must last; 'dc' is the home data centre of its ID */
-void mpD_claim(mp_State *M, mp_Addr from, const mp_Msg *m, const char *dc);
+void shard_claim(mp_State *M, mp_Addr from, const mp_Msg *m, const char *dc);
 
 /* a row is about to go: its object follows with the next write */
-void mpD_freed(mp_State *M, const ClaimRow *r);
+void shard_freed(mp_State *M, const ClaimRow *r);
 
 /* write objects from which rows were freed, and nothing else was written */
-void mpD_tidy(mp_State *M);
+void shard_tidy(mp_State *M);
 
 /*
 ** {==================================================================
@@ -28,15 +28,15 @@
 */
 
 /* rows by ID */
-GHashTable *mpI_rows(const mp_State *M);
-ClaimRow *mpI_getrow(const mp_State *M, const uint64_t id[2]);
-ClaimRow *mpI_addrow(mp_State *M, const mp_Claim *c, mp_Ran ran);
-gboolean mpI_sameid(gconstpointer a, gconstpointer b);
-unsigned mpI_shardof(const uint64_t id[2]);
+GHashTable *claim_rows(const mp_State *M);
+ClaimRow *claim_getrow(const mp_State *M, const uint64_t id[2]);
+ClaimRow *claim_addrow(mp_State *M, const mp_Claim *c, mp_Ran ran);
+gboolean claim_sameid(gconstpointer a, gconstpointer b);
+unsigned claim_shardof(const uint64_t id[2]);
 
 /* answer a CLAIM */
-void mpI_answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
-                mp_Ran ran);
+void claim_answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
+                  mp_Ran ran);
 
 /* }================================================================== */
 
--- a/core/slots.c
+++ b/core/slots.c
@@ -18,8 +18,8 @@
 ** ===================================================================
 */
 
-void mpW_attempt(Request *r, Attempt *a, const Endpoint *e, mp_Role role,
-                 uint32_t tokens) {
+void flow_attempt(Request *r, Attempt *a, const Endpoint *e, mp_Role role,
+                  uint32_t tokens) {
   g_assert(a->no == 0);
   a->no = ++r->attempts;
   a->endpoint = e->addr;
@@ -33,9 +33,9 @@
   mp_Time left;
   if (r->kv != NULL) /* a result that is there is used late rather than lost */
     by = MIN(by, r->kv_until);
-  else if (mpW_policy(M)->refuse_early && r->got == 0)
+  else if (flow_policy(M)->refuse_early && r->got == 0)
     by = MIN(by, r->arrived + (mp_Time)r->first_ms * MP_MS *
-                                  mpW_policy(M)->refuse_at / 100);
+                                  flow_policy(M)->refuse_at / 100);
   left = by - M->now - (mp_Time)need * MP_MS;
   return left > 0 ? (uint32_t)(left / MP_MS) : 0;
 }
@@ -44,54 +44,54 @@
 static void full(mp_State *M, Request *r) {
   int s = MAX(mp_error_retry(MP_ERR_OVERLOAD), (int)(r->wait_ms / 1000) + 1);
   if (r->ran != MP_RAN_NO)
-    mpW_giveup(M, r);
+    flow_giveup(M, r);
   else
-    mpW_refuse(M, r, MP_ERR_OVERLOAD, MIN(s, 30));
+    flow_refuse(M, r, MP_ERR_OVERLOAD, MIN(s, 30));
 }
 
-void mpW_nowhere(mp_State *M, Request *r) {
+void flow_nowhere(mp_State *M, Request *r) {
   if (r->wait_ms > 0)
     full(M, r);
   else if (r->ran == MP_RAN_NO)
-    mpW_refuse(M, r, MP_ERR_PLACE_AWAY, mp_error_retry(MP_ERR_PLACE_AWAY));
+    flow_refuse(M, r, MP_ERR_PLACE_AWAY, mp_error_retry(MP_ERR_PLACE_AWAY));
   else
-    mpW_giveup(M, r);
+    flow_giveup(M, r);
 }
 
 static void slotlate(mp_State *M, void *ud) {
   Request *r = ud;
   Attempt *a = r->step == ST_PREFILL_SLOT ? &r->prefill : &r->decode;
-  mpW_reserved(M, r, a, MP_DENIED, slack(M, r, 0));
+  flow_reserved(M, r, a, MP_DENIED, slack(M, r, 0));
 }
 
-void mpW_decodeslot(mp_State *M, Request *r) {
-  Endpoint *e = mpR_decode(M, r);
+void flow_decodeslot(mp_State *M, Request *r) {
+  Endpoint *e = choice_decode(M, r);
   uint32_t need = 0;
   if (e == NULL) {
-    mpW_nowhere(M, r);
+    flow_nowhere(M, r);
     return;
   }
   if (r->kv == NULL) {
-    const Endpoint *p = mpR_prefill(M, r, e->dc);
-    need = p != NULL ? mpR_prefilltime(p, r->prompt_tokens) : 0;
+    const Endpoint *p = choice_prefill(M, r, e->dc);
+    need = p != NULL ? choice_prefilltime(p, r->prompt_tokens) : 0;
   }
-  mpW_attempt(r, &r->decode, e, MP_ROLE_DECODE, r->max_tokens - r->got);
-  mpH_reserve(M, r, &r->decode, slack(M, r, need), need);
+  flow_attempt(r, &r->decode, e, MP_ROLE_DECODE, r->max_tokens - r->got);
+  holder_reserve(M, r, &r->decode, slack(M, r, need), need);
 }
 
-void mpW_prefillslot(mp_State *M, Request *r) {
+void flow_prefillslot(mp_State *M, Request *r) {
   const Endpoint *d =
-      r->decode.no != 0 ? mpE_get(M, r->decode.endpoint) : NULL;
-  Endpoint *e = mpR_prefill(M, r, d != NULL ? d->dc : NULL);
+      r->decode.no != 0 ? fleet_get(M, r->decode.endpoint) : NULL;
+  Endpoint *e = choice_prefill(M, r, d != NULL ? d->dc : NULL);
   uint32_t need;
   if (e == NULL) {
-    mpW_nowhere(M, r);
+    flow_nowhere(M, r);
     return;
   }
   need = (uint32_t)((uint64_t)r->prompt_tokens * 1000 /
                     MAX(e->rate > 0 ? e->rate : MP_PREFILL_RATE, 1));
-  mpW_attempt(r, &r->prefill, e, MP_ROLE_PREFILL, r->prompt_tokens + r->got);
-  mpH_reserve(M, r, &r->prefill, slack(M, r, need), 0);
+  flow_attempt(r, &r->prefill, e, MP_ROLE_PREFILL, r->prompt_tokens + r->got);
+  holder_reserve(M, r, &r->prefill, slack(M, r, need), 0);
 }
 
 static void granted(mp_State *M, Request *r, Attempt *a) {
@@ -100,15 +100,15 @@
   a->begun = M->now;
   r->navoid = 0;
   r->wait_ms = 0;
-  mpT_stop(&M->timers, &r->timer);
+  timer_stop(&M->timers, &r->timer);
   if (a == &r->prefill)
-    mpW_enter(M, r, ST_PREFILL);
+    flow_enter(M, r, ST_PREFILL);
   else
-    mpW_enter(M, r, r->kv != NULL ? ST_TRANSFER : ST_PREFILL_SLOT);
+    flow_enter(M, r, r->kv != NULL ? ST_TRANSFER : ST_PREFILL_SLOT);
 }
 
-void mpW_reserved(mp_State *M, Request *r, Attempt *a, mp_Verdict v,
-                  uint32_t wait_ms) {
+void flow_reserved(mp_State *M, Request *r, Attempt *a, mp_Verdict v,
+                   uint32_t wait_ms) {
   Step s = a == &r->prefill ? ST_PREFILL_SLOT : ST_DECODE_SLOT;
   g_assert(a->no != 0);
   if (a->granted)
@@ -119,24 +119,24 @@
   }
   if (v == MP_QUEUED) {
     a->waiting = 1;
-    mpT_arm(&M->timers, &r->timer,
-            M->now + (mp_Time)slack(M, r, 0) * MP_MS + MP_RPC_WAIT, slotlate,
-            r);
+    timer_arm(&M->timers, &r->timer,
+              M->now + (mp_Time)slack(M, r, 0) * MP_MS + MP_RPC_WAIT, slotlate,
+              r);
     return;
   }
-  mpT_stop(&M->timers, &r->timer);
-  mpH_forget(M, r);
-  mpW_avoid(r, a->endpoint);
-  mpW_endattempt(M, r, a);
+  timer_stop(&M->timers, &r->timer);
+  holder_forget(M, r);
+  flow_avoid(r, a->endpoint);
+  flow_endattempt(M, r, a);
   if (v == MP_DENIED) {
     r->wait_ms = MAX(r->wait_ms, MAX(wait_ms, 1));
     if (r->navoid >= MP_MAXTRIES)
       full(M, r);
     else
-      mpW_enter(M, r, s);
+      flow_enter(M, r, s);
     return;
   }
-  mpW_again(M, r, s, 1); /* no keeper answered: nothing was run */
+  flow_again(M, r, s, 1); /* no keeper answered: nothing was run */
 }
 
 /* }================================================================== */
--- a/core/state.c
+++ b/core/state.c
@@ -31,28 +31,28 @@
 ** ===================================================================
 */
 
-uint32_t mpS_hash(const char *s) {
+uint32_t state_hash(const char *s) {
   uint32_t h = XXH32(s, strlen(s), 0);
   return h != 0 ? h : 1; /* 0 is "none" */
 }
 
-GHashTable *mpS_table(GDestroyNotify freerow) {
+GHashTable *state_table(GDestroyNotify freerow) {
   return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, freerow);
 }
 
-void *mpS_get(GHashTable *t, uint64_t key) {
+void *state_get(GHashTable *t, uint64_t key) {
   return g_hash_table_lookup(t, &key);
 }
 
-void mpS_set(GHashTable *t, uint64_t key, void *row) {
+void state_set(GHashTable *t, uint64_t key, void *row) {
   g_hash_table_replace(t, g_memdup2(&key, sizeof key), row);
 }
 
-void mpS_del(GHashTable *t, uint64_t key) {
+void state_del(GHashTable *t, uint64_t key) {
   g_hash_table_remove(t, &key);
 }
 
-int mpS_sametoken(const mp_Token *a, const mp_Token *b) {
+int state_sametoken(const mp_Token *a, const mp_Token *b) {
   return a->owner == b->owner && a->start == b->start && a->seq == b->seq;
 }
 
@@ -70,12 +70,12 @@
 
 static void tables(mp_State *M) {
   M->members = g_ptr_array_new_with_free_func(g_free);
-  M->memberby = mpS_table(NULL);
+  M->memberby = state_table(NULL);
   M->endpoints = g_ptr_array_new_with_free_func(g_free);
-  M->endpointby = mpS_table(NULL);
+  M->endpointby = state_table(NULL);
   M->requests = g_ptr_array_new_with_free_func(freerequest);
-  M->requestby = mpS_table(NULL);
-  M->requestseq = mpS_table(NULL);
+  M->requestby = state_table(NULL);
+  M->requestseq = state_table(NULL);
   M->holds = g_ptr_array_new_with_free_func(g_free);
 }
 
@@ -88,7 +88,7 @@
     m.kind = MP_MSG_PROBE;
     m.u.probe.start = M->start;
     m.u.probe.dc = M->dchash;
-    mpM_seed(M, o->seeds[i], &m);
+    member_seed(M, o->seeds[i], &m);
   }
 }
 
@@ -100,24 +100,24 @@
   M->now = now;
   M->self = o->self;
   g_strlcpy(M->dc, o->dc, sizeof M->dc);
-  M->dchash = mpS_hash(o->dc);
+  M->dchash = state_hash(o->dc);
   M->start = o->start;
   M->net = o->net;
   M->mask = o->mask;
   M->codec = o->codec;
   M->rand = g_rand_new_with_seed((guint32)(o->seed ^ (o->seed >> 32)));
   M->retryat = now;
-  mpX_init(M);
+  effect_init(M);
   tables(M);
-  mpM_init(M);
-  mpF_init(M);
-  mpK_init(M);
-  mpC_init(M);
-  mpI_init(M);
-  mpQ_init(M);
-  mpL_init(M);
-  mpH_init(M);
-  mpO_init(M);
+  member_init(M);
+  document_init(M);
+  keeper_init(M);
+  cancel_init(M);
+  claim_init(M);
+  quota_init(M);
+  link_init(M);
+  holder_init(M);
+  order_init(M);
   seed(M, o);
   return M;
 }
@@ -127,17 +127,17 @@
     return;
   while (M->requests->len > 0) {
     Request *r = M->requests->pdata[0];
-    mpW_hangup(M, r);
+    flow_hangup(M, r);
   }
-  mpT_free(&M->timers);
-  mpO_free(M);
-  mpL_free(M);
-  mpQ_free(M);
-  mpI_free(M);
-  mpC_free(M);
-  mpK_free(M);
-  mpF_free(M);
-  mpM_free(M);
+  timer_free(&M->timers);
+  order_free(M);
+  link_free(M);
+  quota_free(M);
+  claim_free(M);
+  cancel_free(M);
+  keeper_free(M);
+  document_free(M);
+  member_free(M);
   g_hash_table_destroy(M->memberby);
   g_hash_table_destroy(M->endpointby);
   g_hash_table_destroy(M->requestby);
@@ -150,7 +150,7 @@
     M->codec->free_config(M->config);
   if (M->list != NULL)
     M->codec->free_list(M->list);
-  mpX_free(M);
+  effect_free(M);
   g_rand_free(M->rand);
   g_free(M);
 }
@@ -169,23 +169,23 @@
 */
 static void drained(mp_State *M, void *ud) {
   (void)ud;
-  if (M->requests->len == 0 && mpC_open(M) == 0 &&
-      M->now - M->drainsince >= MP_DRAIN_LINGER && mpI_handover(M) == 0) {
-    mpX_log(M, MP_LOG_DRAINED, "%s", "");
-    mpX_drained(M);
+  if (M->requests->len == 0 && cancel_open(M) == 0 &&
+      M->now - M->drainsince >= MP_DRAIN_LINGER && claim_handover(M) == 0) {
+    effect_log(M, MP_LOG_DRAINED, "%s", "");
+    effect_drained(M);
     return;
   }
-  mpT_arm(&M->timers, &M->draintimer, M->now + MP_SEC / 2, drained, NULL);
+  timer_arm(&M->timers, &M->draintimer, M->now + MP_SEC / 2, drained, NULL);
 }
 
 static void drain(mp_State *M) {
   if (M->draining)
     return;
   M->drainsince = M->now;
-  mpX_log(M, MP_LOG_DRAIN, " requests=%u", M->requests->len);
-  mpM_leave(M);
-  mpO_release(M);
-  mpT_arm(&M->timers, &M->draintimer, M->now + MP_SEC / 2, drained, NULL);
+  effect_log(M, MP_LOG_DRAIN, " requests=%u", M->requests->len);
+  member_leave(M);
+  order_release(M);
+  timer_arm(&M->timers, &M->draintimer, M->now + MP_SEC / 2, drained, NULL);
 }
 
 /* }================================================================== */
@@ -200,45 +200,45 @@
   char a[24];
   mp_addr_text(from, a);
   mpcount(M, STRANGERS);
-  mpX_log(M, MP_LOG_STRANGER, " from=%s", a);
+  effect_log(M, MP_LOG_STRANGER, " from=%s", a);
 }
 
 static void message(mp_State *M, mp_Addr from, const mp_Msg *m) {
   if (m->reply) {
-    mpM_heard(M, from);
-    mpX_gotreply(M, from, m);
+    member_heard(M, from);
+    effect_gotreply(M, from, m);
     return;
   }
   switch (m->kind) {
   case MP_MSG_PROBE:
-    mpM_probe(M, from, m);
+    member_probe(M, from, m);
     break;
   case MP_MSG_PROBE_VIA:
-    mpM_probevia(M, from, m);
+    member_probevia(M, from, m);
     break;
   case MP_MSG_RESERVE:
-    mpK_reserve(M, from, m);
+    keeper_reserve(M, from, m);
     break;
   case MP_MSG_GRANT:
-    mpH_ongrant(M, from, m);
+    holder_ongrant(M, from, m);
     break;
   case MP_MSG_RENEW:
-    mpK_renew(M, from, m);
+    keeper_renew(M, from, m);
     break;
   case MP_MSG_RELEASE:
-    mpK_release(M, from, m);
+    keeper_release(M, from, m);
     break;
   case MP_MSG_CLAIM:
-    mpI_onclaim(M, from, m);
+    claim_onclaim(M, from, m);
     break;
   case MP_MSG_SETTLE:
-    mpI_onsettle(M, from, m);
+    claim_onsettle(M, from, m);
     break;
   case MP_MSG_QUOTA:
-    mpQ_onquota(M, from, m);
+    quota_onquota(M, from, m);
     break;
   case MP_MSG_FETCH:
-    mpF_fetch(M, from, m);
+    document_fetch(M, from, m);
     break;
   case MP_MSG_LOAD_DIGEST: /* between routers of another dialect */
   case MP_MSG_LAST:
@@ -247,9 +247,9 @@
 }
 
 static void hangup(mp_State *M, uint64_t call) {
-  Request *r = mpS_get(M->requestby, call);
+  Request *r = state_get(M->requestby, call);
   if (r != NULL)
-    mpW_hangup(M, r);
+    flow_hangup(M, r);
 }
 
 static void dispatch(mp_State *M, const mp_Event *e) {
@@ -257,24 +257,24 @@
   case MP_EV_TICK:
     break;
   case MP_EV_CALL:
-    mpA_call(M, &e->u.call);
+    admit_call(M, &e->u.call);
     break;
   case MP_EV_HANGUP:
     hangup(M, e->u.hangup);
     break;
   case MP_EV_MSG:
     mpcount(M, MSG_IN);
-    if (mpM_trusted(M, e->u.msg.from))
+    if (member_trusted(M, e->u.msg.from))
       message(M, e->u.msg.from, e->u.msg.msg);
     else
       stranger(M, e->u.msg.from);
     break;
   case MP_EV_ENDPOINT:
-    if (!mpX_gotxcall(M, &e->u.endpoint))
+    if (!effect_gotxcall(M, &e->u.endpoint))
       mpcount(M, STALE); /* of an attempt that is over */
     break;
   case MP_EV_STORE:
-    mpX_gotstore(M, &e->u.store);
+    effect_gotstore(M, &e->u.store);
     break;
   case MP_EV_DRAIN:
     drain(M);
@@ -285,7 +285,7 @@
 /* what this instance sent to itself is handled before it waits again */
 static void loop(mp_State *M) {
   mp_Msg m;
-  while (mpX_looped(M, &m))
+  while (effect_looped(M, &m))
     message(M, M->self, &m);
 }
 
@@ -293,18 +293,18 @@
   g_assert(now >= M->now);
   if (now - M->now > PAUSED) {
     M->now = now;
-    mpM_paused(M); /* before any timer or message acts on what is old */
-    mpO_paused(M);
+    member_paused(M); /* before any timer or message acts on what is old */
+    order_paused(M);
   }
   M->now = now;
-  mpT_run(M, &M->timers, now);
+  timer_run(M, &M->timers, now);
   loop(M);
   dispatch(M, e);
   loop(M);
 }
 
 mp_Time mp_wake(const mp_State *M) {
-  return mpT_next(&M->timers);
+  return timer_next(&M->timers);
 }
 
 /* }================================================================== */
@@ -337,8 +337,8 @@
   out->list_version = M->doc[MP_DOC_LIST].version;
   out->requests = M->requests->len;
   out->holds = M->holds->len;
-  out->claims = mpI_count(M);
-  out->members = mpM_count(M, 1);
+  out->claims = claim_count(M);
+  out->members = member_count(M, 1);
   out->endpoints = M->endpoints->len;
   out->draining = M->draining;
   out->ready = M->config != NULL && M->list != NULL && !M->draining;
@@ -360,7 +360,7 @@
   out->leaving = e->leaving || e->drained;
   out->down = e->down;
   out->ejected = e->ejected > M->now;
-  out->keeper = mpK_keeper(M, e);
+  out->keeper = keeper_keeper(M, e);
   return 1;
 }
 
--- a/core/state.h
+++ b/core/state.h
@@ -92,14 +92,14 @@
 #define mpcount(M, c) ((M)->count[MP_C_##c]++)
 
 /* hash of a name, as sent between instances */
-uint32_t mpS_hash(const char *s);
+uint32_t state_hash(const char *s);
 
 /* GHashTable of 64-bit numbers */
-GHashTable *mpS_table(GDestroyNotify freerow);
-void *mpS_get(GHashTable *t, uint64_t key);
-void mpS_set(GHashTable *t, uint64_t key, void *row);
-void mpS_del(GHashTable *t, uint64_t key);
+GHashTable *state_table(GDestroyNotify freerow);
+void *state_get(GHashTable *t, uint64_t key);
+void state_set(GHashTable *t, uint64_t key, void *row);
+void state_del(GHashTable *t, uint64_t key);
 
-int mpS_sametoken(const mp_Token *a, const mp_Token *b);
+int state_sametoken(const mp_Token *a, const mp_Token *b);
 
 #endif
--- a/core/step.h
+++ b/core/step.h
@@ -14,7 +14,7 @@
 /* how a call to an endpoint ended */
 typedef enum Why { WHY_REFUSED, WHY_CONNECT, WHY_BROKEN, WHY_SILENT } Why;
 
-const mp_Policy *mpW_policy(const mp_State *M);
+const mp_Policy *flow_policy(const mp_State *M);
 
 /*
 ** {==================================================================
@@ -23,7 +23,7 @@
 */
 
 /* go to a step; may end */
-void mpW_enter(mp_State *M, Request *r, Step s);
+void flow_enter(mp_State *M, Request *r, Step s);
 
 /* }================================================================== */
 
@@ -34,28 +34,28 @@
 */
 
 /* the answer is whole; ends */
-void mpW_complete(mp_State *M, Request *r);
+void flow_complete(mp_State *M, Request *r);
 
 /* no way on: say what is known, and when to come back; ends */
-void mpW_giveup(mp_State *M, Request *r);
+void flow_giveup(mp_State *M, Request *r);
 
 /* timer: the deadline passed; ends */
-void mpW_late(mp_State *M, void *ud);
+void flow_late(mp_State *M, void *ud);
 
 /* end an attempt: close its call, free what it holds, give it back */
-void mpW_endattempt(mp_State *M, Request *r, Attempt *a);
+void flow_endattempt(mp_State *M, Request *r, Attempt *a);
 
 /* do not choose this endpoint for the step again */
-void mpW_avoid(Request *r, mp_Addr a);
+void flow_avoid(Request *r, mp_Addr a);
 
 /* enter a step after a wait */
-void mpW_later(mp_State *M, Request *r, Step s, mp_Time wait);
+void flow_later(mp_State *M, Request *r, Step s, mp_Time wait);
 
 /* back to a step after a failure, if that is allowed; may end */
-void mpW_again(mp_State *M, Request *r, Step s, int clean);
+void flow_again(mp_State *M, Request *r, Step s, int clean);
 
 /* where to begin again, given what is still there */
-Step mpW_restart(mp_State *M, Request *r);
+Step flow_restart(mp_State *M, Request *r);
 
 /* }================================================================== */
 
@@ -66,15 +66,15 @@
 */
 
 /* number an attempt and give it its endpoint */
-void mpW_attempt(Request *r, Attempt *a, const Endpoint *e, mp_Role role,
-                 uint32_t tokens);
+void flow_attempt(Request *r, Attempt *a, const Endpoint *e, mp_Role role,
+                  uint32_t tokens);
 
 /* no endpoint can be chosen; ends */
-void mpW_nowhere(mp_State *M, Request *r);
+void flow_nowhere(mp_State *M, Request *r);
 
 /* the two steps; may end */
-void mpW_decodeslot(mp_State *M, Request *r);
-void mpW_prefillslot(mp_State *M, Request *r);
+void flow_decodeslot(mp_State *M, Request *r);
+void flow_prefillslot(mp_State *M, Request *r);
 
 /* }================================================================== */
 
@@ -85,34 +85,34 @@
 */
 
 /* the work goes out now: from here on it may have run */
-void mpW_dispatched(Request *r, Attempt *a);
+void flow_dispatched(Request *r, Attempt *a);
 
 /* the call of an attempt, with all that every kind of work says */
-mp_Xcall mpW_call(const Request *r, const Attempt *a, mp_XcallOp op);
+mp_Xcall flow_call(const Request *r, const Attempt *a, mp_XcallOp op);
 
 /* the endpoint certainly did not run it */
-void mpW_notrun(Request *r);
+void flow_notrun(Request *r);
 
-Why mpW_whyof(const mp_EndpointEvent *e);
+Why flow_whyof(const mp_EndpointEvent *e);
 
 /* was the work certainly not run? */
-int mpW_clean(Why w);
+int flow_clean(Why w);
 
 /* the attempt is over without an answer; begin again elsewhere; may end */
-void mpW_failed(mp_State *M, Request *r, Attempt *a, Why why);
+void flow_failed(mp_State *M, Request *r, Attempt *a, Why why);
 
 /* the endpoint found the request at fault; ends */
-void mpW_rejected(mp_State *M, Request *r);
+void flow_rejected(mp_State *M, Request *r);
 
 /* the place gate at the instant of dispatch; NULL: forbidden */
-Endpoint *mpW_gate(mp_State *M, const Request *r, const Attempt *a);
+Endpoint *flow_gate(mp_State *M, const Request *r, const Attempt *a);
 
 /* a rule changed under way: nothing goes there any more; may end */
-void mpW_gated(mp_State *M, Request *r, Attempt *a);
+void flow_gated(mp_State *M, Request *r, Attempt *a);
 
 /* the two steps; may end */
-void mpW_prefill(mp_State *M, Request *r);
-void mpW_transfer(mp_State *M, Request *r);
+void flow_prefill(mp_State *M, Request *r);
+void flow_transfer(mp_State *M, Request *r);
 
 /* }================================================================== */
 
@@ -123,8 +123,8 @@
 */
 
 /* MP_X_DECODE or MP_X_RESUME; may end */
-void mpW_decode(mp_State *M, Request *r, mp_XcallOp op);
-void mpW_plain(mp_State *M, Request *r);
+void flow_decode(mp_State *M, Request *r, mp_XcallOp op);
+void flow_plain(mp_State *M, Request *r);
 
 /* }================================================================== */
 
--- a/core/timer.c
+++ b/core/timer.c
@@ -38,8 +38,8 @@
   put(T, i, t);
 }
 
-void mpT_arm(Timers *T, Timer *t, mp_Time when, TimerFn fn, void *ud) {
-  mpT_stop(T, t);
+void timer_arm(Timers *T, Timer *t, mp_Time when, TimerFn fn, void *ud) {
+  timer_stop(T, t);
   if (T->n == T->size) {
     T->size = T->size ? 2 * T->size : 64;
     T->heap = g_renew(Timer *, T->heap, T->size);
@@ -52,7 +52,7 @@
   up(T, T->n - 1);
 }
 
-void mpT_stop(Timers *T, Timer *t) {
+void timer_stop(Timers *T, Timer *t) {
   unsigned i;
   Timer *last;
   if (t->pos == 0)
@@ -69,19 +69,19 @@
   up(T, last->pos - 1);
 }
 
-void mpT_run(mp_State *M, Timers *T, mp_Time now) {
+void timer_run(mp_State *M, Timers *T, mp_Time now) {
   while (T->n > 0 && T->heap[0]->when <= now) {
     Timer *t = T->heap[0];
-    mpT_stop(T, t);
+    timer_stop(T, t);
     t->fn(M, t->ud);
   }
 }
 
-mp_Time mpT_next(const Timers *T) {
+mp_Time timer_next(const Timers *T) {
   return T->n > 0 ? T->heap[0]->when : INT64_MAX;
 }
 
-void mpT_free(Timers *T) {
+void timer_free(Timers *T) {
   unsigned i;
   for (i = 0; i < T->n; i++)
     T->heap[i]->pos = 0; /* their rows are freed later */
--- a/core/timer.h
+++ b/core/timer.h
@@ -25,15 +25,15 @@
 } Timers;
 
 /* arm 't', or move it when it is armed */
-void mpT_arm(Timers *T, Timer *t, mp_Time when, TimerFn fn, void *ud);
-void mpT_stop(Timers *T, Timer *t);
+void timer_arm(Timers *T, Timer *t, mp_Time when, TimerFn fn, void *ud);
+void timer_stop(Timers *T, Timer *t);
 
 /* run all that are due; a timer is disarmed before its function runs */
-void mpT_run(mp_State *M, Timers *T, mp_Time now);
+void timer_run(mp_State *M, Timers *T, mp_Time now);
 
 /* when the earliest is due, or INT64_MAX */
-mp_Time mpT_next(const Timers *T);
+mp_Time timer_next(const Timers *T);
 
-void mpT_free(Timers *T);
+void timer_free(Timers *T);
 
 #endif
--- a/core/work.c
+++ b/core/work.c
@@ -23,14 +23,14 @@
 */
 
 /* the work goes out now: from here on it may have run */
-void mpW_dispatched(Request *r, Attempt *a) {
+void flow_dispatched(Request *r, Attempt *a) {
   r->before = r->ran;
   if (r->ran == MP_RAN_NO)
     r->ran = MP_RAN_UNKNOWN;
   a->sent = 1;
 }
 
-mp_Xcall mpW_call(const Request *r, const Attempt *a, mp_XcallOp op) {
+mp_Xcall flow_call(const Request *r, const Attempt *a, mp_XcallOp op) {
   mp_Xcall x = {0};
   x.op = op;
   x.endpoint = a->endpoint;
@@ -45,11 +45,11 @@
 }
 
 /* the endpoint certainly did not run it */
-void mpW_notrun(Request *r) {
+void flow_notrun(Request *r) {
   r->ran = r->before;
 }
 
-Why mpW_whyof(const mp_EndpointEvent *e) {
+Why flow_whyof(const mp_EndpointEvent *e) {
   switch (e->fail) {
   case MP_EPF_CONNECT:
     return WHY_CONNECT;
@@ -61,68 +61,68 @@
 }
 
 /* was the work certainly not run? */
-int mpW_clean(Why w) {
+int flow_clean(Why w) {
   return w == WHY_REFUSED || w == WHY_CONNECT;
 }
 
 /* the attempt is over without an answer; begin again elsewhere */
-void mpW_failed(mp_State *M, Request *r, Attempt *a, Why why) {
+void flow_failed(mp_State *M, Request *r, Attempt *a, Why why) {
   static const char *const names[] = {"refused", "connect", "broken",
                                       "silent"};
   mp_Addr ep = a->endpoint;
-  int cleanly = mpW_clean(why);
+  int cleanly = flow_clean(why);
   char text[24];
   mp_addr_text(ep, text);
-  mpX_log(M, MP_LOG_FAILED, " seq=%08x endpoint=%s step=%d why=%s",
-          r->token.seq, text, (int)r->step, names[why]);
+  effect_log(M, MP_LOG_FAILED, " seq=%08x endpoint=%s step=%d why=%s",
+             r->token.seq, text, (int)r->step, names[why]);
   if (cleanly) {
-    mpW_notrun(r);
+    flow_notrun(r);
     a->sent = a->role == MP_ROLE_DECODE && r->step == ST_DECODE;
   }
   if (why != WHY_REFUSED) /* one that refuses is well, but busy */
-    mpE_bad(M, ep);
-  mpW_avoid(r, ep);
-  mpW_endattempt(M, r, a);
-  mpW_again(M, r, mpW_restart(M, r), cleanly);
+    fleet_bad(M, ep);
+  flow_avoid(r, ep);
+  flow_endattempt(M, r, a);
+  flow_again(M, r, flow_restart(M, r), cleanly);
 }
 
-void mpW_rejected(mp_State *M, Request *r) {
-  mpW_notrun(r);
-  mpW_refuse(M, r, MP_ERR_REJECTED, 0);
+void flow_rejected(mp_State *M, Request *r) {
+  flow_notrun(r);
+  flow_refuse(M, r, MP_ERR_REJECTED, 0);
 }
 
 /* the gate, asked again at the instant of dispatch */
-Endpoint *mpW_gate(mp_State *M, const Request *r, const Attempt *a) {
-  Endpoint *e = mpE_get(M, a->endpoint);
-  if (e == NULL || !mpR_allowed(M, r, e))
+Endpoint *flow_gate(mp_State *M, const Request *r, const Attempt *a) {
+  Endpoint *e = fleet_get(M, a->endpoint);
+  if (e == NULL || !choice_allowed(M, r, e))
     return NULL;
   return e;
 }
 
 /* the same for work that the endpoint has nothing of yet */
 static Endpoint *gatenew(mp_State *M, const Request *r, const Attempt *a) {
-  Endpoint *e = mpW_gate(M, r, a);
+  Endpoint *e = flow_gate(M, r, a);
   return e != NULL && !e->leaving && !e->drained ? e : NULL;
 }
 
 /* a rule changed under way: nothing goes there any more */
-void mpW_gated(mp_State *M, Request *r, Attempt *a) {
-  mpW_avoid(r, a->endpoint);
-  mpW_endattempt(M, r, a);
-  mpW_again(M, r, mpW_restart(M, r), 1);
+void flow_gated(mp_State *M, Request *r, Attempt *a) {
+  flow_avoid(r, a->endpoint);
+  flow_endattempt(M, r, a);
+  flow_again(M, r, flow_restart(M, r), 1);
 }
 
 /* an attempt that was asked nothing more: its endpoint is silent */
 static void prefilllate(mp_State *M, void *ud) {
   Request *r = ud;
-  mpW_failed(M, r, &r->prefill, WHY_SILENT);
+  flow_failed(M, r, &r->prefill, WHY_SILENT);
 }
 
 static void prefilled(mp_State *M, Request *r, const mp_EndpointEvent *e) {
   Attempt *a = &r->prefill;
   a->xcall = 0;
-  mpT_stop(&M->timers, &r->timer);
-  mpE_good(M, a->endpoint);
+  timer_stop(&M->timers, &r->timer);
+  fleet_good(M, a->endpoint);
   r->ran = MP_RAN_YES;
   r->kv = g_strndup(e->text, e->len);
   r->kv_at = a->endpoint;
@@ -132,8 +132,8 @@
   r->tries = 0;
   r->navoid = 0;
   M->count[MP_C_PREFILL_TOKENS] += r->kv_tokens;
-  mpH_release(M, r, a, 1);
-  mpW_enter(M, r, r->decode.granted ? ST_TRANSFER : ST_DECODE_SLOT);
+  holder_release(M, r, a, 1);
+  flow_enter(M, r, r->decode.granted ? ST_TRANSFER : ST_DECODE_SLOT);
 }
 
 static void onprefill(mp_State *M, void *ud, const mp_EndpointEvent *e) {
@@ -145,29 +145,29 @@
   if (e->what != MP_EP_FAIL)
     return;
   r->prefill.xcall = 0;
-  mpT_stop(&M->timers, &r->timer);
+  timer_stop(&M->timers, &r->timer);
   if (e->fail == MP_EPF_REJECTED)
-    mpW_rejected(M, r);
+    flow_rejected(M, r);
   else
-    mpW_failed(M, r, &r->prefill, mpW_whyof(e));
+    flow_failed(M, r, &r->prefill, flow_whyof(e));
 }
 
-void mpW_prefill(mp_State *M, Request *r) {
+void flow_prefill(mp_State *M, Request *r) {
   Attempt *a = &r->prefill;
   Endpoint *e = gatenew(M, r, a);
   mp_Xcall x;
   mp_Time expect;
   if (e == NULL) {
-    mpW_gated(M, r, a);
+    flow_gated(M, r, a);
     return;
   }
-  x = mpW_call(r, a, MP_X_PREFILL);
-  mpW_dispatched(r, a);
+  x = flow_call(r, a, MP_X_PREFILL);
+  flow_dispatched(r, a);
   mpcount(M, PREFILLS);
-  a->xcall = mpX_xcall(M, &x, onprefill, r);
-  expect = (mp_Time)mpR_prefilltime(e, r->prompt_tokens) * MP_MS;
-  mpT_arm(&M->timers, &r->timer, M->now + 4 * expect + MP_STALL_TIME,
-          prefilllate, r);
+  a->xcall = effect_xcall(M, &x, onprefill, r);
+  expect = (mp_Time)choice_prefilltime(e, r->prompt_tokens) * MP_MS;
+  timer_arm(&M->timers, &r->timer, M->now + 4 * expect + MP_STALL_TIME,
+            prefilllate, r);
 }
 
 /* }================================================================== */
@@ -181,7 +181,7 @@
 /* the KV result ran out, or its engine is gone: prefill anew */
 static void kvlost(mp_State *M, Request *r) {
   r->kv_until = 0;
-  mpW_again(M, r, mpW_restart(M, r), 0);
+  flow_again(M, r, flow_restart(M, r), 0);
 }
 
 /*
@@ -191,24 +191,24 @@
 */
 static void noslot(mp_State *M, Request *r) {
   mp_Addr ep = r->decode.endpoint;
-  mp_Time wait = mpB_wait(M, 1);
-  mpW_notrun(r);
+  mp_Time wait = retry_wait(M, 1);
+  flow_notrun(r);
   r->decode.sent = 0;
   r->navoid = 0;
-  mpW_avoid(r, ep);
-  mpW_endattempt(M, r, &r->decode);
-  if (!mpW_policy(M)->keep_prefill ||
+  flow_avoid(r, ep);
+  flow_endattempt(M, r, &r->decode);
+  if (!flow_policy(M)->keep_prefill ||
       M->now + wait >= MIN(r->kv_until, r->deadline)) {
-    mpW_again(M, r, mpW_restart(M, r), 1);
+    flow_again(M, r, flow_restart(M, r), 1);
     return;
   }
-  mpW_later(M, r, ST_DECODE_SLOT, wait);
+  flow_later(M, r, ST_DECODE_SLOT, wait);
 }
 
 static void importlate(mp_State *M, void *ud) {
   Request *r = ud;
-  mpL_done(M, r);
-  mpW_failed(M, r, &r->decode, WHY_SILENT);
+  link_done(M, r);
+  flow_failed(M, r, &r->decode, WHY_SILENT);
 }
 
 static void onimport(mp_State *M, void *ud, const mp_EndpointEvent *e) {
@@ -217,18 +217,18 @@
   if (e->what != MP_EP_DONE && e->what != MP_EP_FAIL)
     return;
   a->xcall = 0;
-  mpT_stop(&M->timers, &r->timer);
-  mpL_done(M, r);
+  timer_stop(&M->timers, &r->timer);
+  link_done(M, r);
   if (e->what == MP_EP_DONE) {
     mpcount(M, TRANSFERS);
-    mpW_enter(M, r, ST_DECODE);
+    flow_enter(M, r, ST_DECODE);
   } else if (e->fail == MP_EPF_REJECTED) {
     a->sent = 0; /* the source knows no such KV: nothing is held here */
     kvlost(M, r);
   } else if (e->fail == MP_EPF_REFUSED)
     noslot(M, r);
   else
-    mpW_failed(M, r, a, mpW_whyof(e));
+    flow_failed(M, r, a, flow_whyof(e));
 }
 
 /* the link is free: the gate once more, for this very move */
@@ -236,40 +236,40 @@
   Request *r = ud;
   Attempt *a = &r->decode;
   const Endpoint *d = gatenew(M, r, a);
-  const Endpoint *p = mpE_get(M, r->kv_at);
-  const mp_Rule *rule = mpP_rule(M->config, r->class_name, r->account);
+  const Endpoint *p = fleet_get(M, r->kv_at);
+  const mp_Rule *rule = place_rule(M->config, r->class_name, r->account);
   mp_Xcall x;
   mp_Time expect;
-  if (d == NULL || p == NULL || !mpP_moves(M->config, rule, p->dc, d->dc)) {
-    mpL_done(M, r);
-    mpW_gated(M, r, a);
+  if (d == NULL || p == NULL || !place_moves(M->config, rule, p->dc, d->dc)) {
+    link_done(M, r);
+    flow_gated(M, r, a);
     return;
   }
-  x = mpW_call(r, a, MP_X_IMPORT);
+  x = flow_call(r, a, MP_X_IMPORT);
   x.kv = r->kv;
   x.kv_from = r->kv_at;
-  mpW_dispatched(r, a);
-  a->xcall = mpX_xcall(M, &x, onimport, r);
-  expect = mpL_time(M, p->dc, d->dc, mpR_kvbytes(M, r));
-  mpT_arm(&M->timers, &r->timer,
-          MIN(M->now + 4 * expect + MP_STALL_TIME / 2,
-              MAX(r->kv_until, M->now) + MP_SEC / 2),
-          importlate, r);
+  flow_dispatched(r, a);
+  a->xcall = effect_xcall(M, &x, onimport, r);
+  expect = link_time(M, p->dc, d->dc, choice_kvbytes(M, r));
+  timer_arm(&M->timers, &r->timer,
+            MIN(M->now + 4 * expect + MP_STALL_TIME / 2,
+                MAX(r->kv_until, M->now) + MP_SEC / 2),
+            importlate, r);
 }
 
-void mpW_transfer(mp_State *M, Request *r) {
-  const Endpoint *d = mpE_get(M, r->decode.endpoint);
-  const Endpoint *p = mpE_get(M, r->kv_at);
-  uint64_t bytes = mpR_kvbytes(M, r);
+void flow_transfer(mp_State *M, Request *r) {
+  const Endpoint *d = fleet_get(M, r->decode.endpoint);
+  const Endpoint *p = fleet_get(M, r->kv_at);
+  uint64_t bytes = choice_kvbytes(M, r);
   if (d == NULL) {
-    mpW_gated(M, r, &r->decode);
+    flow_gated(M, r, &r->decode);
     return;
   }
-  if (p == NULL || M->now + mpL_time(M, p->dc, d->dc, bytes) > r->kv_until) {
+  if (p == NULL || M->now + link_time(M, p->dc, d->dc, bytes) > r->kv_until) {
     kvlost(M, r);
     return;
   }
-  mpL_ask(M, p->dc, d->dc, bytes, r->kv_until, import, r);
+  link_ask(M, p->dc, d->dc, bytes, r->kv_until, import, r);
 }
 
 /* }================================================================== */
