--- a/core/admit.c
+++ b/core/admit.c
@@ -122,25 +122,25 @@
   return MP_ERR_NONE;
 }
 
-static void refusecall(mp_State *M, const mp_Call *c, mp_Error e) {
+static void refusecall(mp_State *state, const mp_Call *c, mp_Error e) {
   mp_Reply p = {0};
   p.call = c->call;
   p.what = MP_REPLY_ERROR;
   p.error = e;
   p.ran = MP_RAN_NO;
   p.retry_s = mp_error_retry(e);
-  mpcount(M, REFUSED);
-  effect_log(M, MP_LOG_REFUSE, " kind=%s ran=no", mp_error_name(e));
-  effect_reply(M, &p);
+  mpcount(state, REFUSED);
+  effect_log(state, MP_LOG_REFUSE, " kind=%s ran=no", mp_error_name(e));
+  effect_reply(state, &p);
 }
 
-static Request *newrequest(mp_State *M, const mp_Call *c, const Found *f) {
+static Request *newrequest(mp_State *state, const mp_Call *c, const Found *f) {
   Request *r = g_new0(Request, 1);
   const mp_Class *k = f->class_;
   r->call = c->call;
-  r->token.owner = M->self;
-  r->token.start = M->start;
-  r->token.seq = ++M->lastreq;
+  r->token.owner = state->self;
+  r->token.start = state->start;
+  r->token.seq = ++state->lastreq;
   g_strlcpy(r->class_name, k->name, sizeof r->class_name);
   g_strlcpy(r->account, f->account->name, sizeof r->account);
   g_strlcpy(r->service, f->service->name, sizeof r->service);
@@ -150,8 +150,8 @@
   r->prompt_tokens = MAX(c->prompt_tokens, 1);
   r->max_tokens = MAX(c->max_tokens, 1);
   r->prefix = c->prefix;
-  r->arrived = M->now;
-  r->deadline = M->now + (mp_Time)k->deadline_ms * MP_MS;
+  r->arrived = state->now;
+  r->deadline = state->now + (mp_Time)k->deadline_ms * MP_MS;
   r->first_ms = k->first_token_ms;
   r->weight = k->weight;
   r->repeatable = k->repeatable;
@@ -159,44 +159,44 @@
   if (r->keyed)
     claim_id(r->account, c->key, r->id);
   r->text = g_string_new(NULL);
-  g_ptr_array_add(M->requests, r);
-  state_set(M->requestby, r->call, r);
-  state_set(M->requestseq, r->token.seq, r);
+  g_ptr_array_add(state->requests, r);
+  state_set(state->requestby, r->call, r);
+  state_set(state->requestseq, r->token.seq, r);
   return r;
 }
 
-static void admitted(mp_State *M, void *ud, int ok) {
+static void admitted(mp_State *state, void *ud, int ok) {
   Request *r = ud;
   if (ok)
-    flow_begin(M, r);
+    flow_begin(state, r);
   else
-    flow_refuse(M, r, MP_ERR_QUOTA, mp_error_retry(MP_ERR_QUOTA));
+    flow_refuse(state, r, MP_ERR_QUOTA, mp_error_retry(MP_ERR_QUOTA));
 }
 
-void admit_call(mp_State *M, const mp_Call *c) {
+void admit_call(mp_State *state, const mp_Call *c) {
   Found f = {0};
   mp_Error e;
   Request *r;
   int ok;
-  mpcount(M, REQUESTS);
-  if (M->draining && M->now - M->drainsince > MP_DRAIN_LINGER)
+  mpcount(state, REQUESTS);
+  if (state->draining && state->now - state->drainsince > MP_DRAIN_LINGER)
     e = MP_ERR_DRAINING;
-  else if (M->config == NULL)
+  else if (state->config == NULL)
     e = MP_ERR_NO_CONFIG;
   else if (c->key != NULL && strlen(c->key) > MP_MAXKEY)
     e = MP_ERR_BAD_REQUEST;
   else
-    e = find(M->config, c, &f);
+    e = find(state->config, c, &f);
   if (e != MP_ERR_NONE) {
-    refusecall(M, c, e);
+    refusecall(state, c, e);
     return;
   }
-  retry_earn(M);
-  r = newrequest(M, c, &f);
-  effect_log(M, MP_LOG_ACCEPT,
+  retry_earn(state);
+  r = newrequest(state, c, &f);
+  effect_log(state, MP_LOG_ACCEPT,
              " seq=%08x class=%s account=%s prompt_tokens=%u", r->token.seq,
              r->class_name, r->account, r->prompt_tokens);
-  ok = quota_admit(M, f.account, admitted, r);
+  ok = quota_admit(state, f.account, admitted, r);
   if (ok >= 0)
-    admitted(M, r, ok);
+    admitted(state, r, ok);
 }
--- a/core/admit.h
+++ b/core/admit.h
@@ -10,6 +10,6 @@
 #include "state.h"
 
 /* handle a caller's request; it is answered at once when refused */
-void admit_call(mp_State *M, const mp_Call *c);
+void admit_call(mp_State *state, const mp_Call *c);
 
 #endif
--- a/core/answer.c
+++ b/core/answer.c
@@ -18,51 +18,51 @@
 ** ===================================================================
 */
 
-static void ondecode(mp_State *M, void *ud, const mp_EndpointEvent *e);
-static void broke(mp_State *M, Request *r, Why why);
+static void ondecode(mp_State *state, void *ud, const mp_EndpointEvent *e);
+static void broke(mp_State *state, Request *r, Why why);
 
-static void stalled(mp_State *M, void *ud) {
+static void stalled(mp_State *state, void *ud) {
   Request *r = ud;
-  effect_xabort(M, r->decode.xcall);
+  effect_xabort(state, r->decode.xcall);
   r->decode.xcall = 0;
-  broke(M, r, WHY_SILENT);
+  broke(state, r, WHY_SILENT);
 }
 
-static void watch(mp_State *M, Request *r) {
-  timer_arm(&M->timers, &r->timer, M->now + MP_STALL_TIME, stalled, r);
+static void watch(mp_State *state, Request *r) {
+  timer_arm(&state->timers, &r->timer, state->now + MP_STALL_TIME, stalled, r);
 }
 
-void flow_decode(mp_State *M, Request *r, mp_XcallOp op) {
+void flow_decode(mp_State *state, Request *r, mp_XcallOp op) {
   Attempt *a = &r->decode;
   mp_Xcall x;
-  if (flow_gate(M, r, a) == NULL) {
-    flow_gated(M, r, a);
+  if (flow_gate(state, r, a) == NULL) {
+    flow_gated(state, r, a);
     return;
   }
   x = flow_call(r, a, op);
   flow_dispatched(r, a);
   if (op == MP_X_DECODE)
-    mpcount(M, DECODES);
-  a->xcall = effect_xcall(M, &x, ondecode, r);
-  watch(M, r);
+    mpcount(state, DECODES);
+  a->xcall = effect_xcall(state, &x, ondecode, r);
+  watch(state, r);
 }
 
 /* the stream broke: resume it once where it is, then go elsewhere */
-static void broke(mp_State *M, Request *r, Why why) {
-  const Endpoint *e = fleet_get(M, r->decode.endpoint);
+static void broke(mp_State *state, Request *r, Why why) {
+  const Endpoint *e = fleet_get(state, r->decode.endpoint);
   int there = e != NULL && !e->down;
-  timer_stop(&M->timers, &r->timer);
+  timer_stop(&state->timers, &r->timer);
   if (!flow_clean(why) && !r->resumed && there) {
     r->resumed = 1;
-    flow_decode(M, r, MP_X_RESUME);
+    flow_decode(state, r, MP_X_RESUME);
     return;
   }
   /* after a resume that was refused, the first call still ran */
-  flow_failed(M, r, &r->decode,
+  flow_failed(state, r, &r->decode,
               flow_clean(why) && r->resumed ? WHY_BROKEN : why);
 }
 
-static void head(mp_State *M, Request *r, int status, void *h) {
+static void head(mp_State *state, Request *r, int status, void *h) {
   mp_Reply p = {0};
   if (r->head)
     return;
@@ -72,70 +72,70 @@
   p.status = status;
   p.head = h;
   mp_token_text(&r->token, 0, p.id);
-  effect_reply(M, &p);
+  effect_reply(state, &p);
 }
 
-static void pass(mp_State *M, Request *r, const mp_EndpointEvent *e) {
+static void pass(mp_State *state, Request *r, const mp_EndpointEvent *e) {
   mp_Reply p = {0};
   p.call = r->call;
   p.what = MP_REPLY_PIECE;
   p.text = e->text;
   p.len = e->len;
-  effect_reply(M, &p);
+  effect_reply(state, &p);
 }
 
 /* the first token is there: the prefill's copy has done its work */
-static void firsttoken(mp_State *M, Request *r) {
+static void firsttoken(mp_State *state, Request *r) {
   r->ran = MP_RAN_YES;
   r->kv_used = 1;
   r->prefill_at = r->prefill.endpoint;
-  fleet_good(M, r->decode.endpoint);
-  flow_endattempt(M, r, &r->prefill);
+  fleet_good(state, r->decode.endpoint);
+  flow_endattempt(state, r, &r->prefill);
 }
 
-static void piece(mp_State *M, Request *r, const mp_EndpointEvent *e) {
+static void piece(mp_State *state, Request *r, const mp_EndpointEvent *e) {
   if (e->index < r->got) {
-    mpcount(M, STALE); /* the caller has it already */
+    mpcount(state, STALE); /* the caller has it already */
     return;
   }
   if (e->index > r->got) {
-    effect_xabort(M, r->decode.xcall);
+    effect_xabort(state, r->decode.xcall);
     r->decode.xcall = 0;
-    broke(M, r, WHY_BROKEN); /* a gap: nothing behind it may pass */
+    broke(state, r, WHY_BROKEN); /* a gap: nothing behind it may pass */
     return;
   }
   if (r->prefill.no != 0)
-    firsttoken(M, r);
-  head(M, r, 200, NULL);
+    firsttoken(state, r);
+  head(state, r, 200, NULL);
   r->got += e->tokens;
   r->tries = 0;
   g_string_append_len(r->text, e->text, (gssize)e->len);
-  pass(M, r, e);
-  watch(M, r);
+  pass(state, r, e);
+  watch(state, r);
 }
 
-static void ondecode(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+static void ondecode(mp_State *state, void *ud, const mp_EndpointEvent *e) {
   Request *r = ud;
   switch (e->what) {
   case MP_EP_HEAD:
     break;
   case MP_EP_PIECE:
-    piece(M, r, e);
+    piece(state, r, e);
     break;
   case MP_EP_DONE:
     r->decode.xcall = 0;
     if (e->tokens != r->got) {
-      broke(M, r, WHY_BROKEN); /* the end without the whole */
+      broke(state, r, WHY_BROKEN); /* the end without the whole */
       return;
     }
     if (r->prefill.no != 0)
-      firsttoken(M, r);
-    head(M, r, 200, NULL);
-    flow_complete(M, r);
+      firsttoken(state, r);
+    head(state, r, 200, NULL);
+    flow_complete(state, r);
     break;
   case MP_EP_FAIL:
     r->decode.xcall = 0;
-    broke(M, r, flow_whyof(e));
+    broke(state, r, flow_whyof(e));
     break;
   }
 }
@@ -148,65 +148,65 @@
 ** ===================================================================
 */
 
-static void plainlate(mp_State *M, void *ud) {
+static void plainlate(mp_State *state, void *ud) {
   Request *r = ud;
   if (r->head)
-    flow_giveup(M, r); /* a part of the answer is out: no second one */
+    flow_giveup(state, r); /* a part of the answer is out: no second one */
   else
-    flow_failed(M, r, &r->decode, WHY_SILENT);
+    flow_failed(state, r, &r->decode, WHY_SILENT);
 }
 
-static void plainfail(mp_State *M, Request *r, const mp_EndpointEvent *e) {
+static void plainfail(mp_State *state, Request *r, const mp_EndpointEvent *e) {
   r->decode.xcall = 0;
-  timer_stop(&M->timers, &r->timer);
+  timer_stop(&state->timers, &r->timer);
   if (r->head)
-    flow_refuse(M, r, MP_ERR_INCOMPLETE, 0);
+    flow_refuse(state, r, MP_ERR_INCOMPLETE, 0);
   else if (e->fail == MP_EPF_REJECTED)
-    flow_rejected(M, r);
+    flow_rejected(state, r);
   else
-    flow_failed(M, r, &r->decode, flow_whyof(e));
+    flow_failed(state, r, &r->decode, flow_whyof(e));
 }
 
-static void onplain(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+static void onplain(mp_State *state, void *ud, const mp_EndpointEvent *e) {
   Request *r = ud;
   switch (e->what) {
   case MP_EP_HEAD:
     r->ran = MP_RAN_YES;
-    fleet_good(M, r->decode.endpoint);
-    timer_arm(&M->timers, &r->timer, r->deadline, plainlate, r);
-    head(M, r, e->status, e->head);
+    fleet_good(state, r->decode.endpoint);
+    timer_arm(&state->timers, &r->timer, r->deadline, plainlate, r);
+    head(state, r, e->status, e->head);
     break;
   case MP_EP_PIECE:
-    pass(M, r, e);
+    pass(state, r, e);
     break;
   case MP_EP_DONE:
     r->decode.xcall = 0;
-    flow_complete(M, r);
+    flow_complete(state, r);
     break;
   case MP_EP_FAIL:
-    plainfail(M, r, e);
+    plainfail(state, r, e);
     break;
   }
 }
 
-void flow_plain(mp_State *M, Request *r) {
-  Endpoint *e = choice_plain(M, r);
+void flow_plain(mp_State *state, Request *r) {
+  Endpoint *e = choice_plain(state, r);
   Attempt *a = &r->decode;
   mp_Xcall x;
   if (e == NULL) {
-    flow_nowhere(M, r);
+    flow_nowhere(state, r);
     return;
   }
   flow_attempt(r, a, e, MP_ROLE_PLAIN, 0);
   e->mine++;
   a->granted = 1;
-  a->begun = M->now;
+  a->begun = state->now;
   x = flow_call(r, a, MP_X_PLAIN);
   flow_dispatched(r, a);
-  a->xcall = effect_xcall(M, &x, onplain, r);
+  a->xcall = effect_xcall(state, &x, onplain, r);
   /* time to fail over is left where the class allows it */
-  timer_arm(&M->timers, &r->timer,
-            M->now + (r->deadline - M->now) / (r->repeatable ? 2 : 1),
+  timer_arm(&state->timers, &r->timer,
+            state->now + (r->deadline - state->now) / (r->repeatable ? 2 : 1),
             plainlate, r);
 }
 
--- a/core/cancel.c
+++ b/core/cancel.c
@@ -7,7 +7,7 @@
 #include "fx.h"
 
 typedef struct Cancel {
-  mp_State *M;
+  mp_State *state;
   mp_Addr ep;
   mp_Token token;
   uint32_t attempt;
@@ -22,69 +22,69 @@
 
 static void freecancel(void *p) {
   Cancel *c = p;
-  timer_stop(&c->M->timers, &c->timer);
+  timer_stop(&c->state->timers, &c->timer);
   g_free(c);
 }
 
-static void end(mp_State *M, Cancel *c) {
-  g_ptr_array_remove_fast(M->cancels->open, c);
+static void end(mp_State *state, Cancel *c) {
+  g_ptr_array_remove_fast(state->cancels->open, c);
 }
 
-static void again(mp_State *M, void *ud);
+static void again(mp_State *state, void *ud);
 
-static void answered(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+static void answered(mp_State *state, void *ud, const mp_EndpointEvent *e) {
   Cancel *c = ud;
   if (e->what == MP_EP_DONE) {
-    end(M, c);
+    end(state, c);
     return;
   }
   if (e->what == MP_EP_FAIL)
     c->xcall = 0; /* the timer tries again */
 }
 
-static void send(mp_State *M, Cancel *c) {
+static void send(mp_State *state, Cancel *c) {
   mp_Xcall x = {0};
   x.op = MP_X_CANCEL;
   x.endpoint = c->ep;
   x.token = c->token;
   x.attempt = c->attempt;
   c->tries++;
-  c->xcall = effect_xcall(M, &x, answered, c);
-  timer_arm(&M->timers, &c->timer, M->now + c->tries * MP_CANCEL_PERIOD, again,
-            c);
+  c->xcall = effect_xcall(state, &x, answered, c);
+  timer_arm(&state->timers, &c->timer,
+            state->now + c->tries * MP_CANCEL_PERIOD, again, c);
 }
 
-static void again(mp_State *M, void *ud) {
+static void again(mp_State *state, void *ud) {
   Cancel *c = ud;
   if (c->xcall != 0)
-    effect_xabort(M, c->xcall);
+    effect_xabort(state, c->xcall);
   if (c->tries >= MP_CANCEL_TRIES)
-    end(M, c);
+    end(state, c);
   else
-    send(M, c);
+    send(state, c);
 }
 
-void cancel_cancel(mp_State *M, mp_Addr ep, const mp_Token *t,
+void cancel_cancel(mp_State *state, mp_Addr ep, const mp_Token *t,
                    uint32_t attempt) {
   Cancel *c = g_new0(Cancel, 1);
-  c->M = M;
+  c->state = state;
   c->ep = ep;
   c->token = *t;
   c->attempt = attempt;
-  g_ptr_array_add(M->cancels->open, c);
-  send(M, c);
+  g_ptr_array_add(state->cancels->open, c);
+  send(state, c);
 }
 
-unsigned cancel_open(const mp_State *M) {
-  return M->cancels->open->len;
+unsigned cancel_open(const mp_State *state) {
+  return state->cancels->open->len;
 }
 
-void cancel_init(mp_State *M) {
-  M->cancels = g_new0(Cancels, 1);
-  M->cancels->open = g_ptr_array_new_with_free_func(freecancel);
+void cancel_init(mp_State *state) {
+  state->cancels = g_new0(Cancels, 1);
+  state->cancels->open = g_ptr_array_new_with_free_func(freecancel);
 }
 
-void cancel_free(mp_State *M) {
-  g_ptr_array_unref(M->cancels->open);
-  g_free(M->cancels);
+void cancel_free(mp_State *state) {
+  g_ptr_array_unref(state->cancels->open);
+  g_free(state->cancels);
 }
--- a/core/claim.c
+++ b/core/claim.c
@@ -28,7 +28,7 @@
 
 /* a claim that this instance asked for */
 typedef struct Asking {
-  mp_State *M;
+  mp_State *state;
   uint64_t no;
   mp_Claim claim;
   mp_Time until;
@@ -85,12 +85,13 @@
 }
 
 /* every ID has one data centre as home, whatever can be reached */
-static const char *homedc(const mp_State *M, const uint64_t id[2]) {
+static const char *homedc(const mp_State *state, const uint64_t id[2]) {
   const char *win = NULL;
   uint64_t top = 0;
   unsigned i;
-  for (i = 0; M->config != NULL && i < M->config->data_centres_count; i++) {
-    const char *name = M->config->data_centres[i].name;
+  for (i = 0; state->config != NULL && i < state->config->data_centres_count;
+       i++) {
+    const char *name = state->config->data_centres[i].name;
     uint64_t w = member_weight(state_hash(name), id[0]);
     if (win == NULL || w > top) {
       win = name;
@@ -100,11 +101,11 @@
   return win;
 }
 
-static mp_Addr homeof(const mp_State *M, const uint64_t id[2]) {
-  const char *dc = homedc(M, id);
+static mp_Addr homeof(const mp_State *state, const uint64_t id[2]) {
+  const char *dc = homedc(state, id);
   if (dc == NULL)
     return 0;
-  return member_home(M, state_hash(dc), SHARD_KEY + claim_shardof(id));
+  return member_home(state, state_hash(dc), SHARD_KEY + claim_shardof(id));
 }
 
 /*
@@ -112,26 +113,27 @@
 ** was the home before the last change of the set too, or when that change
 ** is long enough ago for every holder to have announced.
 */
-static int settled(const mp_State *M, const uint64_t id[2]) {
-  if (M->now - M->settled >= MP_HOME_SETTLE)
+static int settled(const mp_State *state, const uint64_t id[2]) {
+  if (state->now - state->settled >= MP_HOME_SETTLE)
     return 1;
-  return M->changes == 1 &&
-         member_homebefore(M, SHARD_KEY + claim_shardof(id)) == M->self;
+  return state->changes == 1 &&
+         member_homebefore(state, SHARD_KEY + claim_shardof(id)) ==
+             state->self;
 }
 
-ClaimRow *claim_addrow(mp_State *M, const mp_Claim *c, mp_Ran ran) {
+ClaimRow *claim_addrow(mp_State *state, const mp_Claim *c, mp_Ran ran) {
   ClaimRow *r = g_new0(ClaimRow, 1);
   memcpy(r->id, c->id, sizeof r->id);
   r->token = c->token;
   r->ran = ran;
   r->ttl_ms = c->ttl_ms;
-  r->seen = M->now;
-  g_hash_table_replace(M->claims->rows, r->id, r);
+  r->seen = state->now;
+  g_hash_table_replace(state->claims->rows, r->id, r);
   return r;
 }
 
-ClaimRow *claim_getrow(const mp_State *M, const uint64_t id[2]) {
-  return g_hash_table_lookup(M->claims->rows, id);
+ClaimRow *claim_getrow(const mp_State *state, const uint64_t id[2]) {
+  return g_hash_table_lookup(state->claims->rows, id);
 }
 
 /* }================================================================== */
@@ -142,13 +144,13 @@
 ** ===================================================================
 */
 
-void claim_answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
-                  mp_Ran ran) {
+void claim_answer(mp_State *state, mp_Addr from, const mp_Msg *call,
+                  mp_Verdict v, mp_Ran ran) {
   mp_Msg a = {0};
   a.u.claim = call->u.claim;
   a.u.claim.verdict = (uint8_t)v;
   a.u.claim.ran = (uint8_t)ran;
-  effect_answer(M, from, call, &a);
+  effect_answer(state, from, call, &a);
 }
 
 /* }================================================================== */
@@ -160,64 +162,64 @@
 */
 
 /* a holder tells what it has; the first one to have it keeps it */
-static void announced(mp_State *M, const mp_Claim *c) {
-  ClaimRow *r = claim_getrow(M, c->id);
+static void announced(mp_State *state, const mp_Claim *c) {
+  ClaimRow *r = claim_getrow(state, c->id);
   if (r == NULL)
-    claim_addrow(M, c, (mp_Ran)c->ran);
+    claim_addrow(state, c, (mp_Ran)c->ran);
   else if (state_sametoken(&r->token, &c->token))
     r->ran = (mp_Ran)c->ran;
 }
 
-void claim_onclaim(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void claim_onclaim(mp_State *state, mp_Addr from, const mp_Msg *m) {
   const mp_Claim *c = &m->u.claim;
-  const char *dc = homedc(M, c->id);
+  const char *dc = homedc(state, c->id);
   const ClaimRow *r;
   if (c->announce) {
-    announced(M, c);
-    claim_answer(M, from, m, MP_GRANTED, MP_RAN_UNKNOWN);
+    announced(state, c);
+    claim_answer(state, from, m, MP_GRANTED, MP_RAN_UNKNOWN);
     return;
   }
-  if (dc == NULL || homeof(M, c->id) != M->self) {
-    claim_answer(M, from, m, MP_WRONG_HOME, MP_RAN_NO);
+  if (dc == NULL || homeof(state, c->id) != state->self) {
+    claim_answer(state, from, m, MP_WRONG_HOME, MP_RAN_NO);
     return;
   }
-  r = claim_getrow(M, c->id);
+  r = claim_getrow(state, c->id);
   if (r != NULL && state_sametoken(&r->token, &c->token) &&
       r->durable >= c->durable) {
-    claim_answer(M, from, m, MP_GRANTED, MP_RAN_NO); /* sent again */
+    claim_answer(state, from, m, MP_GRANTED, MP_RAN_NO); /* sent again */
     return;
   }
   if (r != NULL && !state_sametoken(&r->token, &c->token)) {
-    claim_answer(M, from, m, MP_DENIED, r->ran);
+    claim_answer(state, from, m, MP_DENIED, r->ran);
     return;
   }
-  if (!settled(M, c->id)) {
-    claim_answer(M, from, m, MP_QUEUED, MP_RAN_NO); /* ask again soon */
+  if (!settled(state, c->id)) {
+    claim_answer(state, from, m, MP_QUEUED, MP_RAN_NO); /* ask again soon */
     return;
   }
   if (c->durable) {
-    shard_claim(M, from, m, dc);
+    shard_claim(state, from, m, dc);
     return;
   }
-  claim_addrow(M, c, MP_RAN_UNKNOWN);
-  claim_answer(M, from, m, MP_GRANTED, MP_RAN_NO);
+  claim_addrow(state, c, MP_RAN_UNKNOWN);
+  claim_answer(state, from, m, MP_GRANTED, MP_RAN_NO);
 }
 
-void claim_onsettle(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void claim_onsettle(mp_State *state, mp_Addr from, const mp_Msg *m) {
   const mp_Settle *t = &m->u.settle;
-  ClaimRow *r = claim_getrow(M, t->id);
+  ClaimRow *r = claim_getrow(state, t->id);
   mp_Msg a = {0};
   if (r != NULL && state_sametoken(&r->token, &t->token)) {
     if (t->ran != MP_RAN_NO)
       r->ran = (mp_Ran)t->ran;
     else {
       /* free at once here; the object follows with its next write */
-      shard_freed(M, r);
-      g_hash_table_remove(M->claims->rows, t->id);
+      shard_freed(state, r);
+      g_hash_table_remove(state->claims->rows, t->id);
     }
   }
   a.u.settle = *t;
-  effect_answer(M, from, m, &a);
+  effect_answer(state, from, m, &a);
 }
 
 /* }================================================================== */
@@ -228,18 +230,18 @@
 ** ===================================================================
 */
 
-static void askhome(mp_State *M, void *ud);
+static void askhome(mp_State *state, void *ud);
 
 static void freeasking(void *p) {
   Asking *a = p;
   if (a->rpc != 0)
-    effect_rpcdrop(a->M, a->rpc);
-  timer_stop(&a->M->timers, &a->timer);
+    effect_rpcdrop(a->state, a->rpc);
+  timer_stop(&a->state->timers, &a->timer);
   g_free(a);
 }
 
 /* 'home' is who granted: when another one is home by now, it is told */
-static void conclude(mp_State *M, Asking *a, mp_Verdict v, mp_Ran ran,
+static void conclude(mp_State *state, Asking *a, mp_Verdict v, mp_Ran ran,
                      mp_Addr home) {
   ClaimFn fn = a->fn;
   void *ud = a->ud;
@@ -247,89 +249,93 @@
     Mine *mine = g_new0(Mine, 1);
     mine->claim = a->claim;
     mine->ran = MP_RAN_UNKNOWN;
-    mine->until = M->now + (mp_Time)a->claim.ttl_ms * MP_MS;
+    mine->until = state->now + (mp_Time)a->claim.ttl_ms * MP_MS;
     mine->home = home;
-    g_hash_table_replace(M->claims->mine, mine->claim.id, mine);
-    if (homeof(M, a->claim.id) != home)
-      claim_homesmoved(M);
+    g_hash_table_replace(state->claims->mine, mine->claim.id, mine);
+    if (homeof(state, a->claim.id) != home)
+      claim_homesmoved(state);
   } else if (v == MP_UNAVAILABLE)
     /* it may have been granted all the same: give it back */
-    claim_settle(M, a->claim.id, &a->claim.token, MP_RAN_NO, a->claim.durable);
-  state_del(M->claims->asking, a->no);
-  fn(M, ud, v, ran);
+    claim_settle(state, a->claim.id, &a->claim.token, MP_RAN_NO,
+                 a->claim.durable);
+  state_del(state->claims->asking, a->no);
+  fn(state, ud, v, ran);
 }
 
-static void verdict(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
+static void verdict(mp_State *state, void *ud, mp_Addr from, const mp_Msg *m) {
   Asking *a = ud;
   mp_Verdict v = m != NULL ? (mp_Verdict)m->u.claim.verdict : MP_UNAVAILABLE;
   a->rpc = 0;
   if (m == NULL)
-    member_silent(M, from);
+    member_silent(state, from);
   if (v == MP_GRANTED || v == MP_DENIED ||
       (v == MP_UNAVAILABLE && m != NULL)) {
-    conclude(M, a, v, (mp_Ran)m->u.claim.ran, from);
+    conclude(state, a, v, (mp_Ran)m->u.claim.ran, from);
     return;
   }
   /* no answer, another home, or one that settles: ask again */
-  timer_arm(&M->timers, &a->timer, M->now + 2 * MP_RPC_WAIT, askhome, a);
+  timer_arm(&state->timers, &a->timer, state->now + 2 * MP_RPC_WAIT, askhome,
+            a);
 }
 
-static void askhome(mp_State *M, void *ud) {
+static void askhome(mp_State *state, void *ud) {
   Asking *a = ud;
-  mp_Addr home = homeof(M, a->claim.id);
+  mp_Addr home = homeof(state, a->claim.id);
   mp_Msg m = {0};
-  if (M->now >= a->until) {
-    conclude(M, a, MP_UNAVAILABLE, MP_RAN_NO, 0);
+  if (state->now >= a->until) {
+    conclude(state, a, MP_UNAVAILABLE, MP_RAN_NO, 0);
     return;
   }
   if (home == 0) {
-    timer_arm(&M->timers, &a->timer, M->now + 2 * MP_RPC_WAIT, askhome, a);
+    timer_arm(&state->timers, &a->timer, state->now + 2 * MP_RPC_WAIT, askhome,
+              a);
     return;
   }
   m.kind = MP_MSG_CLAIM;
   m.u.claim = a->claim;
-  a->rpc = effect_rpc(M, home, &m,
-                      a->claim.durable ? a->until - M->now : 8 * MP_RPC_WAIT,
-                      verdict, a);
+  a->rpc = effect_rpc(
+      state, home, &m,
+      a->claim.durable ? a->until - state->now : 8 * MP_RPC_WAIT, verdict, a);
 }
 
-uint64_t claim_claim(mp_State *M, const uint64_t id[2], const mp_Token *t,
+uint64_t claim_claim(mp_State *state, const uint64_t id[2], const mp_Token *t,
                      mp_Time ttl, int durably, ClaimFn fn, void *ud) {
   Asking *a = g_new0(Asking, 1);
-  a->M = M;
-  a->no = ++M->lastnum;
+  a->state = state;
+  a->no = ++state->lastnum;
   memcpy(a->claim.id, id, sizeof a->claim.id);
   a->claim.token = *t;
   a->claim.ttl_ms = (uint32_t)(ttl / MP_MS);
   a->claim.durable = (uint8_t)(durably != 0);
-  a->until = M->now + MP_STORE_TIMEOUT + MP_HOME_SETTLE;
+  a->until = state->now + MP_STORE_TIMEOUT + MP_HOME_SETTLE;
   a->fn = fn;
   a->ud = ud;
-  state_set(M->claims->asking, a->no, a);
-  askhome(M, a);
+  state_set(state->claims->asking, a->no, a);
+  askhome(state, a);
   return a->no;
 }
 
-void claim_forget(mp_State *M, uint64_t asking) {
-  state_del(M->claims->asking, asking);
+void claim_forget(mp_State *state, uint64_t asking) {
+  state_del(state->claims->asking, asking);
 }
 
-static void settledone(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
-  (void)M;
+static void settledone(mp_State *state, void *ud, mp_Addr from,
+                       const mp_Msg *m) {
+  (void)state;
   (void)ud;
   (void)from;
   (void)m; /* a lost one leaves the ID taken until its time is over */
 }
 
-void claim_settle(mp_State *M, const uint64_t id[2], const mp_Token *t,
+void claim_settle(mp_State *state, const uint64_t id[2], const mp_Token *t,
                   mp_Ran ran, int durably) {
-  mp_Addr home = homeof(M, id);
-  Mine *mine = g_hash_table_lookup(M->claims->mine, id);
+  mp_Addr home = homeof(state, id);
+  Mine *mine = g_hash_table_lookup(state->claims->mine, id);
   mp_Msg m = {0};
   if (mine != NULL && state_sametoken(&mine->claim.token, t)) {
     mine->ran = ran;
     if (ran == MP_RAN_NO)
-      g_hash_table_remove(M->claims->mine, id);
+      g_hash_table_remove(state->claims->mine, id);
   }
   if (home == 0)
     return;
@@ -338,17 +344,17 @@
   m.u.settle.token = *t;
   m.u.settle.ran = (uint8_t)ran;
   m.u.settle.durable = (uint8_t)(durably != 0);
-  effect_rpc(M, home, &m, MP_SEC, settledone, NULL);
+  effect_rpc(state, home, &m, MP_SEC, settledone, NULL);
 }
 
-static void announceto(mp_State *M, mp_Addr home, const mp_Claim *c,
+static void announceto(mp_State *state, mp_Addr home, const mp_Claim *c,
                        mp_Ran ran) {
   mp_Msg m = {0};
   m.kind = MP_MSG_CLAIM;
   m.u.claim = *c;
   m.u.claim.announce = 1;
   m.u.claim.ran = (uint8_t)ran;
-  effect_rpc(M, home, &m, MP_SEC, settledone, NULL);
+  effect_rpc(state, home, &m, MP_SEC, settledone, NULL);
 }
 
 /* }================================================================== */
@@ -359,93 +365,94 @@
 ** ===================================================================
 */
 
-static void announce(mp_State *M) {
+static void announce(mp_State *state) {
   GHashTableIter it;
   gpointer v;
-  g_hash_table_iter_init(&it, M->claims->mine);
+  g_hash_table_iter_init(&it, state->claims->mine);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     Mine *mine = v;
-    mp_Addr home = homeof(M, mine->claim.id);
-    if (M->now > mine->until) {
+    mp_Addr home = homeof(state, mine->claim.id);
+    if (state->now > mine->until) {
       g_hash_table_iter_remove(&it);
       continue;
     }
     if (home == 0 || home == mine->home)
       continue;
     mine->home = home;
-    announceto(M, home, &mine->claim, mine->ran);
+    announceto(state, home, &mine->claim, mine->ran);
   }
 }
 
-static void tidy(mp_State *M, void *ud) {
+static void tidy(mp_State *state, void *ud) {
   GHashTableIter it;
   gpointer v;
   (void)ud;
-  announce(M);
-  g_hash_table_iter_init(&it, M->claims->rows);
+  announce(state);
+  g_hash_table_iter_init(&it, state->claims->rows);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const ClaimRow *r = v;
-    if (M->now - r->seen <= (mp_Time)r->ttl_ms * MP_MS)
+    if (state->now - r->seen <= (mp_Time)r->ttl_ms * MP_MS)
       continue;
-    shard_freed(M, r);
+    shard_freed(state, r);
     g_hash_table_iter_remove(&it);
   }
-  shard_tidy(M);
-  timer_arm(&M->timers, &M->claims->tidy, M->now + MP_HOME_SETTLE / 3, tidy,
-            NULL);
+  shard_tidy(state);
+  timer_arm(&state->timers, &state->claims->tidy,
+            state->now + MP_HOME_SETTLE / 3, tidy, NULL);
 }
 
-void claim_homesmoved(mp_State *M) {
-  if (M->claims != NULL) /* not while the state is being made */
-    timer_arm(&M->timers, &M->claims->tidy, M->now, tidy, NULL);
+void claim_homesmoved(mp_State *state) {
+  if (state->claims != NULL) /* not while the state is being made */
+    timer_arm(&state->timers, &state->claims->tidy, state->now, tidy, NULL);
 }
 
-unsigned claim_handover(mp_State *M) {
+unsigned claim_handover(mp_State *state) {
   GHashTableIter it;
   gpointer v;
   unsigned left = 0;
-  g_hash_table_iter_init(&it, M->claims->rows);
+  g_hash_table_iter_init(&it, state->claims->rows);
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const ClaimRow *r = v;
     mp_Claim c = {0};
-    mp_Addr home = homeof(M, r->id);
-    if (home == 0 || home == M->self)
+    mp_Addr home = homeof(state, r->id);
+    if (home == 0 || home == state->self)
       continue; /* nobody is there to take it */
     memcpy(c.id, r->id, sizeof c.id);
     c.token = r->token;
     c.ttl_ms = r->ttl_ms;
-    announceto(M, home, &c, r->ran);
+    announceto(state, home, &c, r->ran);
     g_hash_table_iter_remove(&it);
     left++;
   }
   return left;
 }
 
-GHashTable *claim_rows(const mp_State *M) {
-  return M->claims->rows;
+GHashTable *claim_rows(const mp_State *state) {
+  return state->claims->rows;
 }
 
-unsigned claim_count(const mp_State *M) {
-  return g_hash_table_size(M->claims->rows);
+unsigned claim_count(const mp_State *state) {
+  return g_hash_table_size(state->claims->rows);
 }
 
 /* }================================================================== */
 
-void claim_init(mp_State *M) {
+void claim_init(mp_State *state) {
   Claims *C = g_new0(Claims, 1);
-  M->claims = C;
+  state->claims = C;
   C->rows = g_hash_table_new_full(idhash, claim_sameid, NULL, g_free);
   C->mine = g_hash_table_new_full(idhash, claim_sameid, NULL, g_free);
   C->asking = state_table(freeasking);
-  shard_init(M);
-  timer_arm(&M->timers, &C->tidy, M->now + MP_HOME_SETTLE / 3, tidy, NULL);
+  shard_init(state);
+  timer_arm(&state->timers, &C->tidy, state->now + MP_HOME_SETTLE / 3, tidy,
+            NULL);
 }
 
-void claim_free(mp_State *M) {
-  Claims *C = M->claims;
+void claim_free(mp_State *state) {
+  Claims *C = state->claims;
   g_hash_table_destroy(C->asking);
   g_hash_table_destroy(C->rows);
   g_hash_table_destroy(C->mine);
-  shard_free(M);
+  shard_free(state);
   g_free(C);
 }
--- a/core/doc.c
+++ b/core/doc.c
@@ -44,23 +44,23 @@
   uint64_t seen[MP_DOC_COUNT]; /* the platform's own version */
 };
 
-static void next(mp_State *M, Coming *c);
-static void lookat(mp_State *M, void *ud);
+static void next(mp_State *state, Coming *c);
+static void lookat(mp_State *state, void *ud);
 
-static int relay(const mp_State *M) {
-  return member_among(M, RELAY_KEY, MP_RELAYS);
+static int relay(const mp_State *state) {
+  return member_among(state, RELAY_KEY, MP_RELAYS);
 }
 
-static void again(mp_State *M, mp_DocKind k, mp_Time wait) {
-  M->docs->asking[k] = 0;
-  timer_arm(&M->timers, &M->docs->look[k], M->now + wait, lookat,
+static void again(mp_State *state, mp_DocKind k, mp_Time wait) {
+  state->docs->asking[k] = 0;
+  timer_arm(&state->timers, &state->docs->look[k], state->now + wait, lookat,
             GINT_TO_POINTER(k));
 }
 
-static void clear(mp_State *M, Coming *c) {
+static void clear(mp_State *state, Coming *c) {
   c->active = 0;
   if (c->rpc != 0)
-    effect_rpcdrop(M, c->rpc);
+    effect_rpcdrop(state, c->rpc);
   c->rpc = 0;
   if (c->buf != NULL)
     g_string_free(c->buf, TRUE);
@@ -75,16 +75,16 @@
 ** saw, so that the next look reads instead of waiting for a change; one
 ** from a peer is begun again by the next probe.
 */
-static void finish(mp_State *M, Coming *c, int ok) {
+static void finish(mp_State *state, Coming *c, int ok) {
   int platform = c->from == 0;
-  clear(M, c);
+  clear(state, c);
   if (!platform)
     return;
   if (!ok) {
-    M->docs->seen[c->kind] = 0;
-    again(M, c->kind, MP_STORE_RETRY);
+    state->docs->seen[c->kind] = 0;
+    again(state, c->kind, MP_STORE_RETRY);
   } else
-    again(M, c->kind, relay(M) ? 0 : MP_DOC_POLL);
+    again(state, c->kind, relay(state) ? 0 : MP_DOC_POLL);
 }
 
 /*
@@ -93,37 +93,38 @@
 ** ===================================================================
 */
 
-static void tellothers(mp_State *M) {
+static void tellothers(mp_State *state) {
   mp_Msg m = {0};
   unsigned sent = 0;
   guint i;
   m.kind = MP_MSG_PROBE;
   /* an empty probe: the answer is not waited for */
-  m.u.probe.start = M->start;
-  m.u.probe.incarnation = M->incarnation;
-  m.u.probe.dc = M->dchash;
-  m.u.probe.state = M->draining ? MP_MEMBER_LEAVING : MP_MEMBER_ALIVE;
+  m.u.probe.start = state->start;
+  m.u.probe.incarnation = state->incarnation;
+  m.u.probe.dc = state->dchash;
+  m.u.probe.state = state->draining ? MP_MEMBER_LEAVING : MP_MEMBER_ALIVE;
   for (i = 0; i < MP_DOC_COUNT; i++)
-    m.u.probe.doc[i] = M->doc[i].version;
-  for (i = 0; i < M->members->len && sent < MP_FANOUT; i++) {
-    guint at = (i + (guint)(M->self % M->members->len)) % M->members->len;
-    Member *o = M->members->pdata[at];
-    int behind = o->doc[MP_DOC_CONFIG] < M->doc[MP_DOC_CONFIG].version ||
-                 o->doc[MP_DOC_LIST] < M->doc[MP_DOC_LIST].version;
+    m.u.probe.doc[i] = state->doc[i].version;
+  for (i = 0; i < state->members->len && sent < MP_FANOUT; i++) {
+    guint at =
+        (i + (guint)(state->self % state->members->len)) % state->members->len;
+    Member *o = state->members->pdata[at];
+    int behind = o->doc[MP_DOC_CONFIG] < state->doc[MP_DOC_CONFIG].version ||
+                 o->doc[MP_DOC_LIST] < state->doc[MP_DOC_LIST].version;
     if (o->state == MP_MEMBER_DEAD || !behind)
       continue;
-    effect_send(M, o->addr, &m);
+    effect_send(state, o->addr, &m);
     sent++;
   }
 }
 
-static void inforce(mp_State *M, mp_DocKind k, uint64_t version,
+static void inforce(mp_State *state, mp_DocKind k, uint64_t version,
                     GBytes *text) {
-  g_assert(version > M->doc[k].version); /* never back */
-  M->doc[k].version = version;
-  if (M->doc[k].text != NULL)
-    g_bytes_unref(M->doc[k].text);
-  M->doc[k].text = g_bytes_ref(text);
+  g_assert(version > state->doc[k].version); /* never back */
+  state->doc[k].version = version;
+  if (state->doc[k].text != NULL)
+    g_bytes_unref(state->doc[k].text);
+  state->doc[k].text = g_bytes_ref(text);
 }
 
 /* forget sections that the configuration in force does not name */
@@ -138,94 +139,95 @@
   return TRUE;
 }
 
-static void takeconfig(mp_State *M, Coming *c) {
+static void takeconfig(mp_State *state, Coming *c) {
   GBytes *text[MP_MAXSECTIONS];
   GError *err = NULL;
   mp_Config *conf;
   unsigned i;
   for (i = 0; i < c->man.n; i++)
-    text[i] = g_hash_table_lookup(M->docs->blobs, c->man.section[i].digest);
-  conf = M->codec->config(&c->man, text, &err);
+    text[i] =
+        g_hash_table_lookup(state->docs->blobs, c->man.section[i].digest);
+  conf = state->codec->config(&c->man, text, &err);
   if (conf == NULL) {
-    effect_log(M, MP_LOG_CONFIG_BAD,
+    effect_log(state, MP_LOG_CONFIG_BAD,
                " version=%" G_GUINT64_FORMAT " error=\"%s\"",
                (guint64)c->man.version, err->message);
     g_error_free(err);
     c->bad = c->man.version;
     return;
   }
-  if (M->config != NULL)
-    M->codec->free_config(M->config);
-  M->config = conf;
-  inforce(M, MP_DOC_CONFIG, c->man.version, c->text);
-  g_hash_table_foreach_remove(M->docs->blobs, unused, &c->man);
-  effect_log(M, MP_LOG_CONFIG_NEW, " version=%" G_GUINT64_FORMAT " by=%s",
+  if (state->config != NULL)
+    state->codec->free_config(state->config);
+  state->config = conf;
+  inforce(state, MP_DOC_CONFIG, c->man.version, c->text);
+  g_hash_table_foreach_remove(state->docs->blobs, unused, &c->man);
+  effect_log(state, MP_LOG_CONFIG_NEW, " version=%" G_GUINT64_FORMAT " by=%s",
              (guint64)c->man.version, c->man.by);
-  fleet_refresh(M);
-  tellothers(M);
+  fleet_refresh(state);
+  tellothers(state);
 }
 
-static void takelist(mp_State *M, Coming *c) {
+static void takelist(mp_State *state, Coming *c) {
   GError *err = NULL;
   gsize n;
   const char *s = g_bytes_get_data(c->text, &n);
-  mp_List *l = M->codec->list(s, n, &err);
+  mp_List *l = state->codec->list(s, n, &err);
   if (l == NULL) {
-    effect_log(M, MP_LOG_CONFIG_BAD, " document=list error=\"%s\"",
+    effect_log(state, MP_LOG_CONFIG_BAD, " document=list error=\"%s\"",
                err->message);
     g_error_free(err);
     c->bad = c->version;
     return;
   }
-  if (l->version <= M->doc[MP_DOC_LIST].version) {
-    M->codec->free_list(l);
+  if (l->version <= state->doc[MP_DOC_LIST].version) {
+    state->codec->free_list(l);
     return;
   }
-  if (M->list != NULL)
-    M->codec->free_list(M->list);
-  M->list = l;
-  inforce(M, MP_DOC_LIST, l->version, c->text);
-  effect_log(M, MP_LOG_LIST_NEW, " version=%" G_GUINT64_FORMAT " rows=%u",
+  if (state->list != NULL)
+    state->codec->free_list(state->list);
+  state->list = l;
+  inforce(state, MP_DOC_LIST, l->version, c->text);
+  effect_log(state, MP_LOG_LIST_NEW, " version=%" G_GUINT64_FORMAT " rows=%u",
              (guint64)l->version, l->n);
-  member_list(M);
-  fleet_refresh(M);
-  tellothers(M);
+  member_list(state);
+  fleet_refresh(state);
+  tellothers(state);
 }
 
 /* the document's text is here: what else is needed? */
-static void gottext(mp_State *M, Coming *c, const char *s, size_t n) {
+static void gottext(mp_State *state, Coming *c, const char *s, size_t n) {
   GError *err = NULL;
   c->text = g_bytes_new(s, n);
   if (c->kind == MP_DOC_LIST) {
-    takelist(M, c);
-    finish(M, c, 1);
+    takelist(state, c);
+    finish(state, c, 1);
     return;
   }
-  if (!M->codec->manifest(s, n, &c->man, &err)) {
-    effect_log(M, MP_LOG_CONFIG_BAD, " document=manifest error=\"%s\"",
+  if (!state->codec->manifest(s, n, &c->man, &err)) {
+    effect_log(state, MP_LOG_CONFIG_BAD, " document=manifest error=\"%s\"",
                err->message);
     g_error_free(err);
     c->bad = c->version;
-    finish(M, c, 1);
+    finish(state, c, 1);
     return;
   }
-  if (c->man.version <= M->doc[MP_DOC_CONFIG].version) {
-    finish(M, c, 1);
+  if (c->man.version <= state->doc[MP_DOC_CONFIG].version) {
+    finish(state, c, 1);
     return;
   }
   c->version = c->man.version;
-  next(M, c);
+  next(state, c);
 }
 
-static void gotsection(mp_State *M, Coming *c, const char *s, size_t n) {
+static void gotsection(mp_State *state, Coming *c, const char *s, size_t n) {
   char d[MP_DIGEST + 1];
   mp_digest(s, n, d);
   if (strcmp(d, c->digest) != 0) {
-    finish(M, c, 0);
+    finish(state, c, 0);
     return;
   }
-  g_hash_table_insert(M->docs->blobs, g_strdup(d), g_bytes_new(s, n));
-  next(M, c);
+  g_hash_table_insert(state->docs->blobs, g_strdup(d), g_bytes_new(s, n));
+  next(state, c);
 }
 
 /* }================================================================== */
@@ -236,40 +238,40 @@
 ** ===================================================================
 */
 
-static void ask(mp_State *M, Coming *c);
+static void ask(mp_State *state, Coming *c);
 
-static void part(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
+static void part(mp_State *state, void *ud, mp_Addr from, const mp_Msg *m) {
   Coming *c = ud;
   const mp_Fetch *f = m != NULL ? &m->u.fetch : NULL;
   (void)from;
   c->rpc = 0;
   if (f == NULL || f->total == 0 || f->total > MP_MAXDOC ||
       f->offset != c->buf->len) {
-    finish(M, c, 0);
+    finish(state, c, 0);
     return;
   }
   g_string_append_len(c->buf, f->data, f->n);
   if (c->buf->len < f->total && f->n > 0) {
-    ask(M, c);
+    ask(state, c);
     return;
   }
   if (c->digest[0] != '\0')
-    gotsection(M, c, c->buf->str, c->buf->len);
+    gotsection(state, c, c->buf->str, c->buf->len);
   else
-    gottext(M, c, c->buf->str, c->buf->len);
+    gottext(state, c, c->buf->str, c->buf->len);
 }
 
-static void ask(mp_State *M, Coming *c) {
+static void ask(mp_State *state, Coming *c) {
   mp_Msg m = {0};
   m.kind = MP_MSG_FETCH;
   m.u.fetch.doc = (uint8_t)c->kind;
   m.u.fetch.version = c->version;
   memcpy(m.u.fetch.digest, c->digest, sizeof c->digest);
   m.u.fetch.offset = (uint32_t)c->buf->len;
-  c->rpc = effect_rpc(M, c->from, &m, 4 * MP_PROBE_TIMEOUT, part, c);
+  c->rpc = effect_rpc(state, c->from, &m, 4 * MP_PROBE_TIMEOUT, part, c);
 }
 
-void document_fetch(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void document_fetch(mp_State *state, mp_Addr from, const mp_Msg *m) {
   const mp_Fetch *q = &m->u.fetch;
   GBytes *b = NULL;
   mp_Msg a = {0};
@@ -277,9 +279,9 @@
   *f = *q;
   f->total = f->n = 0;
   if (q->digest[0] != '\0')
-    b = g_hash_table_lookup(M->docs->blobs, q->digest);
-  else if (q->doc < MP_DOC_COUNT && M->doc[q->doc].version >= q->version)
-    b = M->doc[q->doc].text;
+    b = g_hash_table_lookup(state->docs->blobs, q->digest);
+  else if (q->doc < MP_DOC_COUNT && state->doc[q->doc].version >= q->version)
+    b = state->doc[q->doc].text;
   if (b != NULL) {
     gsize n;
     const char *s = g_bytes_get_data(b, &n);
@@ -289,7 +291,7 @@
       memcpy(f->data, s + q->offset, f->n);
     }
   }
-  effect_answer(M, from, m, &a);
+  effect_answer(state, from, m, &a);
 }
 
 /* }================================================================== */
@@ -300,45 +302,45 @@
 ** ===================================================================
 */
 
-static void sectionread(mp_State *M, void *ud, const mp_StoreEvent *e) {
+static void sectionread(mp_State *state, void *ud, const mp_StoreEvent *e) {
   Coming *c = ud;
   if (!c->active || c->from != 0)
     return;
   if (e->status != MP_STORE_OK) {
-    finish(M, c, 0);
+    finish(state, c, 0);
     return;
   }
-  gotsection(M, c, e->value, e->len);
+  gotsection(state, c, e->value, e->len);
 }
 
 /* the next missing section, or the whole is there */
-static void next(mp_State *M, Coming *c) {
+static void next(mp_State *state, Coming *c) {
   unsigned i;
   char key[sizeof DOC_KEY_SECTION + MP_DIGEST];
   for (i = 0; i < c->man.n; i++) {
-    if (!g_hash_table_contains(M->docs->blobs, c->man.section[i].digest))
+    if (!g_hash_table_contains(state->docs->blobs, c->man.section[i].digest))
       break;
   }
   if (i == c->man.n) {
-    takeconfig(M, c);
-    finish(M, c, 1);
+    takeconfig(state, c);
+    finish(state, c, 1);
     return;
   }
   memcpy(c->digest, c->man.section[i].digest, sizeof c->digest);
   if (c->from != 0) {
     g_string_truncate(c->buf, 0);
-    ask(M, c);
+    ask(state, c);
     return;
   }
   snprintf(key, sizeof key, "%s%s", DOC_KEY_SECTION, c->digest);
-  effect_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, sectionread,
-               c);
+  effect_store(state, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT,
+               sectionread, c);
 }
 
-static void begin(mp_State *M, Coming *c, mp_Addr from, uint64_t version) {
+static void begin(mp_State *state, Coming *c, mp_Addr from, uint64_t version) {
   if (c->active && c->from == 0)
-    finish(M, c, 0); /* the platform is looked at again, later */
-  clear(M, c);
+    finish(state, c, 0); /* the platform is looked at again, later */
+  clear(state, c);
   c->active = 1;
   c->from = from;
   c->version = version;
@@ -346,77 +348,78 @@
   c->buf = g_string_new(NULL);
 }
 
-void document_offered(mp_State *M, mp_Addr from, const uint64_t *versions) {
+void document_offered(mp_State *state, mp_Addr from,
+                      const uint64_t *versions) {
   int k;
   for (k = 0; k < MP_DOC_COUNT; k++) {
-    Coming *c = &M->docs->coming[k];
-    if (versions[k] <= M->doc[k].version || versions[k] <= c->bad)
+    Coming *c = &state->docs->coming[k];
+    if (versions[k] <= state->doc[k].version || versions[k] <= c->bad)
       continue;
     if (c->active && c->version >= versions[k])
       continue;
-    begin(M, c, from, versions[k]);
-    ask(M, c);
+    begin(state, c, from, versions[k]);
+    ask(state, c);
   }
 }
 
-static void docread(mp_State *M, mp_DocKind k, const mp_StoreEvent *e) {
-  Coming *c = &M->docs->coming[k];
+static void docread(mp_State *state, mp_DocKind k, const mp_StoreEvent *e) {
+  Coming *c = &state->docs->coming[k];
   if (e->status == MP_STORE_OK) {
-    M->docs->seen[k] = e->version;
-    begin(M, c, 0, 0);
-    gottext(M, c, e->value, e->len);
-  } else if (e->status == MP_STORE_ABSENT || M->doc[k].version == 0)
-    again(M, k, MP_SEC);
+    state->docs->seen[k] = e->version;
+    begin(state, c, 0, 0);
+    gottext(state, c, e->value, e->len);
+  } else if (e->status == MP_STORE_ABSENT || state->doc[k].version == 0)
+    again(state, k, MP_SEC);
   else
-    again(M, k, relay(M) ? MP_STORE_RETRY : MP_DOC_POLL);
+    again(state, k, relay(state) ? MP_STORE_RETRY : MP_DOC_POLL);
 }
 
-static void configread(mp_State *M, void *ud, const mp_StoreEvent *e) {
+static void configread(mp_State *state, void *ud, const mp_StoreEvent *e) {
   (void)ud;
-  docread(M, MP_DOC_CONFIG, e);
+  docread(state, MP_DOC_CONFIG, e);
 }
 
-static void listread(mp_State *M, void *ud, const mp_StoreEvent *e) {
+static void listread(mp_State *state, void *ud, const mp_StoreEvent *e) {
   (void)ud;
-  docread(M, MP_DOC_LIST, e);
+  docread(state, MP_DOC_LIST, e);
 }
 
-static void lookat(mp_State *M, void *ud) {
+static void lookat(mp_State *state, void *ud) {
   mp_DocKind k = (mp_DocKind)GPOINTER_TO_INT(ud);
   StoreFn fn = k == MP_DOC_CONFIG ? configread : listread;
-  uint64_t seen = M->docs->seen[k];
-  if (M->docs->asking[k])
+  uint64_t seen = state->docs->seen[k];
+  if (state->docs->asking[k])
     return;
-  M->docs->asking[k] = 1;
-  if (seen != 0 && relay(M))
-    effect_store(M, MP_ST_WATCH, dockey[k], seen, NULL, 0,
+  state->docs->asking[k] = 1;
+  if (seen != 0 && relay(state))
+    effect_store(state, MP_ST_WATCH, dockey[k], seen, NULL, 0,
                  MP_WATCH_TIME + MP_STORE_TIMEOUT, fn, NULL);
   else
-    effect_store(M, MP_ST_GET, dockey[k], 0, NULL, 0, MP_STORE_TIMEOUT, fn,
+    effect_store(state, MP_ST_GET, dockey[k], 0, NULL, 0, MP_STORE_TIMEOUT, fn,
                  NULL);
 }
 
 /* }================================================================== */
 
-void document_init(mp_State *M) {
+void document_init(mp_State *state) {
   int k;
-  M->docs = g_new0(Docs, 1);
-  M->docs->blobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                         (GDestroyNotify)g_bytes_unref);
+  state->docs = g_new0(Docs, 1);
+  state->docs->blobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             (GDestroyNotify)g_bytes_unref);
   for (k = 0; k < MP_DOC_COUNT; k++) {
-    M->docs->coming[k].kind = (mp_DocKind)k;
-    timer_arm(&M->timers, &M->docs->look[k], M->now, lookat,
+    state->docs->coming[k].kind = (mp_DocKind)k;
+    timer_arm(&state->timers, &state->docs->look[k], state->now, lookat,
               GINT_TO_POINTER(k));
   }
 }
 
-void document_free(mp_State *M) {
+void document_free(mp_State *state) {
   int k;
   for (k = 0; k < MP_DOC_COUNT; k++) {
-    clear(M, &M->docs->coming[k]);
-    if (M->doc[k].text != NULL)
-      g_bytes_unref(M->doc[k].text);
+    clear(state, &state->docs->coming[k]);
+    if (state->doc[k].text != NULL)
+      g_bytes_unref(state->doc[k].text);
   }
-  g_hash_table_destroy(M->docs->blobs);
-  g_free(M->docs);
+  g_hash_table_destroy(state->docs->blobs);
+  g_free(state->docs);
 }
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -15,15 +15,15 @@
 #include "fx.h"
 #include "place.h"
 
-Endpoint *fleet_get(const mp_State *M, mp_Addr a) {
-  return state_get(M->endpointby, a);
+Endpoint *fleet_get(const mp_State *state, mp_Addr a) {
+  return state_get(state->endpointby, a);
 }
 
-int fleet_open(const mp_State *M, const Endpoint *e) {
-  return !e->leaving && !e->drained && !e->down && e->ejected <= M->now;
+int fleet_open(const mp_State *state, const Endpoint *e) {
+  return !e->leaving && !e->drained && !e->down && e->ejected <= state->now;
 }
 
-static Endpoint *add(mp_State *M, const mp_Instance *in) {
+static Endpoint *add(mp_State *state, const mp_Instance *in) {
   Endpoint *e = g_new0(Endpoint, 1);
   e->addr = in->addr;
   e->role = in->role;
@@ -32,68 +32,68 @@
   g_strlcpy(e->dc, in->dc, sizeof e->dc);
   g_strlcpy(e->service, in->service, sizeof e->service);
   e->dchash = state_hash(in->dc);
-  g_ptr_array_add(M->endpoints, e);
-  state_set(M->endpointby, e->addr, e);
+  g_ptr_array_add(state->endpoints, e);
+  state_set(state->endpointby, e->addr, e);
   return e;
 }
 
-static const mp_Instance *inlist(const mp_State *M, const Endpoint *e) {
+static const mp_Instance *inlist(const mp_State *state, const Endpoint *e) {
   unsigned i;
-  for (i = 0; i < M->list->n; i++) {
-    const mp_Instance *in = &M->list->inst[i];
+  for (i = 0; i < state->list->n; i++) {
+    const mp_Instance *in = &state->list->inst[i];
     if (in->kind == MP_INST_ENDPOINT && in->addr == e->addr)
       return in;
   }
   return NULL;
 }
 
-static void leaving(mp_State *M, Endpoint *e) {
+static void leaving(mp_State *state, Endpoint *e) {
   if (e->leaving)
     return;
   e->leaving = 1;
-  effect_log(M, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
+  effect_log(state, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
 }
 
-static void dropgone(mp_State *M) {
+static void dropgone(mp_State *state) {
   guint i = 0;
-  while (i < M->endpoints->len) {
-    Endpoint *e = M->endpoints->pdata[i];
-    if (inlist(M, e) != NULL) {
+  while (i < state->endpoints->len) {
+    Endpoint *e = state->endpoints->pdata[i];
+    if (inlist(state, e) != NULL) {
       i++;
       continue;
     }
-    leaving(M, e);
+    leaving(state, e);
     if (e->mine > 0) {
       i++;
       continue;
     }
-    state_del(M->endpointby, e->addr);
-    g_ptr_array_remove_index(M->endpoints, i); /* frees the row */
+    state_del(state->endpointby, e->addr);
+    g_ptr_array_remove_index(state->endpoints, i); /* frees the row */
   }
 }
 
-void fleet_refresh(mp_State *M) {
+void fleet_refresh(mp_State *state) {
   unsigned i;
-  if (M->list == NULL)
+  if (state->list == NULL)
     return;
-  for (i = 0; i < M->list->n; i++) {
-    const mp_Instance *in = &M->list->inst[i];
+  for (i = 0; i < state->list->n; i++) {
+    const mp_Instance *in = &state->list->inst[i];
     Endpoint *e;
     if (in->kind != MP_INST_ENDPOINT)
       continue;
-    e = fleet_get(M, in->addr);
+    e = fleet_get(state, in->addr);
     if (e == NULL)
-      e = add(M, in);
+      e = add(state, in);
     if (in->leaving)
-      leaving(M, e);
-    e->drained =
-        place_drained(M->config, e->name) || place_drained(M->config, e->dc);
+      leaving(state, e);
+    e->drained = place_drained(state->config, e->name) ||
+                 place_drained(state->config, e->dc);
   }
-  dropgone(M);
+  dropgone(state);
 }
 
-void fleet_good(mp_State *M, mp_Addr a) {
-  Endpoint *e = fleet_get(M, a);
+void fleet_good(mp_State *state, mp_Addr a) {
+  Endpoint *e = fleet_get(state, a);
   if (e == NULL)
     return;
   e->fails = 0;
@@ -101,35 +101,35 @@
 }
 
 /* would closing 'e' leave enough of its pool open? */
-static int spare(const mp_State *M, const Endpoint *e) {
+static int spare(const mp_State *state, const Endpoint *e) {
   unsigned all = 0;
   unsigned open = 0;
   guint i;
-  for (i = 0; i < M->endpoints->len; i++) {
-    const Endpoint *o = M->endpoints->pdata[i];
+  for (i = 0; i < state->endpoints->len; i++) {
+    const Endpoint *o = state->endpoints->pdata[i];
     if (o->role != e->role || strcmp(o->service, e->service) != 0)
       continue;
     all++;
-    if (o != e && fleet_open(M, o))
+    if (o != e && fleet_open(state, o))
       open++;
   }
   return open > 0 && open * 100 >= all * MP_EJECT_FLOOR;
 }
 
-void fleet_bad(mp_State *M, mp_Addr a) {
-  Endpoint *e = fleet_get(M, a);
+void fleet_bad(mp_State *state, mp_Addr a) {
+  Endpoint *e = fleet_get(state, a);
   mp_Time t;
   if (e == NULL)
     return;
   e->fails++;
   if (e->fails < MP_EJECT_FAILS && e->ejections == 0)
     return;
-  if (e->ejected > M->now || !spare(M, e))
+  if (e->ejected > state->now || !spare(state, e))
     return;
   t = MP_EJECT_TIME << MIN(e->ejections, 4);
-  e->ejected = M->now + MIN(t, MP_EJECT_MAX);
+  e->ejected = state->now + MIN(t, MP_EJECT_MAX);
   e->ejections++;
-  mpcount(M, EJECTIONS);
-  effect_log(M, MP_LOG_EJECT, " endpoint=%s seconds=%d", e->name,
-             (int)((e->ejected - M->now) / MP_SEC));
+  mpcount(state, EJECTIONS);
+  effect_log(state, MP_LOG_EJECT, " endpoint=%s seconds=%d", e->name,
+             (int)((e->ejected - state->now) / MP_SEC));
 }
--- a/core/flow.c
+++ b/core/flow.c
@@ -17,73 +17,74 @@
 ** ===================================================================
 */
 
-const mp_Policy *flow_policy(const mp_State *M) {
-  return M->config->policy;
+const mp_Policy *flow_policy(const mp_State *state) {
+  return state->config->policy;
 }
 
-static Step first(const mp_State *M, const Request *r) {
+static Step first(const mp_State *state, const Request *r) {
   if (r->plain)
     return ST_PLAIN;
-  return flow_policy(M)->decode_first ? ST_DECODE_SLOT : ST_PREFILL_SLOT;
+  return flow_policy(state)->decode_first ? ST_DECODE_SLOT : ST_PREFILL_SLOT;
 }
 
-static void claimed(mp_State *M, void *ud, mp_Verdict v, mp_Ran ran) {
+static void claimed(mp_State *state, void *ud, mp_Verdict v, mp_Ran ran) {
   Request *r = ud;
   r->asking = 0;
   if (v == MP_GRANTED) {
     r->claimed = 1;
-    flow_enter(M, r, first(M, r));
+    flow_enter(state, r, first(state, r));
     return;
   }
   if (v == MP_UNAVAILABLE) {
-    flow_refuse(M, r, MP_ERR_CLAIM, mp_error_retry(MP_ERR_CLAIM));
+    flow_refuse(state, r, MP_ERR_CLAIM, mp_error_retry(MP_ERR_CLAIM));
     return;
   }
   /* the answer is about the request of this ID that came before */
   r->ran = ran == MP_RAN_NO ? MP_RAN_UNKNOWN : ran;
-  flow_refuse(M, r, MP_ERR_DUPLICATE, 0);
+  flow_refuse(state, r, MP_ERR_DUPLICATE, 0);
 }
 
-static void claim(mp_State *M, Request *r) {
-  mp_Time ttl = r->deadline - M->now + MP_CLAIM_GRACE;
+static void claim(mp_State *state, Request *r) {
+  mp_Time ttl = r->deadline - state->now + MP_CLAIM_GRACE;
   r->durable = !r->repeatable;
-  r->asking = claim_claim(M, r->id, &r->token, ttl, r->durable, claimed, r);
+  r->asking =
+      claim_claim(state, r->id, &r->token, ttl, r->durable, claimed, r);
 }
 
-void flow_enter(mp_State *M, Request *r, Step s) {
+void flow_enter(mp_State *state, Request *r, Step s) {
   r->step = s;
-  effect_log(M, MP_LOG_STEP, " seq=%08x step=%d", r->token.seq, (int)s);
+  effect_log(state, MP_LOG_STEP, " seq=%08x step=%d", r->token.seq, (int)s);
   switch (s) {
   case ST_CLAIM:
-    claim(M, r);
+    claim(state, r);
     break;
   case ST_DECODE_SLOT:
-    flow_decodeslot(M, r);
+    flow_decodeslot(state, r);
     break;
   case ST_PREFILL_SLOT:
-    flow_prefillslot(M, r);
+    flow_prefillslot(state, r);
     break;
   case ST_PREFILL:
-    flow_prefill(M, r);
+    flow_prefill(state, r);
     break;
   case ST_TRANSFER:
-    flow_transfer(M, r);
+    flow_transfer(state, r);
     break;
   case ST_DECODE:
     r->resumed = 0;
-    flow_decode(M, r, MP_X_DECODE);
+    flow_decode(state, r, MP_X_DECODE);
     break;
   case ST_PLAIN:
-    flow_plain(M, r);
+    flow_plain(state, r);
     break;
   case ST_WAIT:
     g_assert_not_reached();
   }
 }
 
-void flow_begin(mp_State *M, Request *r) {
-  timer_arm(&M->timers, &r->limit, r->deadline, flow_late, r);
-  flow_enter(M, r, r->keyed ? ST_CLAIM : first(M, r));
+void flow_begin(mp_State *state, Request *r) {
+  timer_arm(&state->timers, &r->limit, r->deadline, flow_late, r);
+  flow_enter(state, r, r->keyed ? ST_CLAIM : first(state, r));
 }
 
 /* }================================================================== */
--- a/core/flow.h
+++ b/core/flow.h
@@ -10,16 +10,16 @@
 #include "state.h"
 
 /* an admitted request begins its path */
-void flow_begin(mp_State *M, Request *r);
+void flow_begin(mp_State *state, Request *r);
 
 /* a keeper's word about an attempt; from holder.c */
-void flow_reserved(mp_State *M, Request *r, Attempt *a, mp_Verdict v,
+void flow_reserved(mp_State *state, Request *r, Attempt *a, mp_Verdict v,
                    uint32_t wait_ms);
 
 /* the caller is gone */
-void flow_hangup(mp_State *M, Request *r);
+void flow_hangup(mp_State *state, Request *r);
 
 /* end the request with an error, at once */
-void flow_refuse(mp_State *M, Request *r, mp_Error e, int retry_s);
+void flow_refuse(mp_State *state, Request *r, mp_Error e, int retry_s);
 
 #endif
--- a/core/fx.c
+++ b/core/fx.c
@@ -9,7 +9,7 @@
 #include "fx.h"
 
 typedef struct Rpc {
-  mp_State *M;
+  mp_State *state;
   uint32_t seq;
   mp_Addr to;
   mp_Msg msg;
@@ -26,7 +26,7 @@
 } Xopen;
 
 typedef struct Stopen {
-  mp_State *M;
+  mp_State *state;
   uint64_t op;
   int write;
   Timer timer;
@@ -40,10 +40,10 @@
 ** ===================================================================
 */
 
-static Fx *push(mp_State *M, mp_EffectKind kind) {
+static Fx *push(mp_State *state, mp_EffectKind kind) {
   Fx *f = g_new0(Fx, 1);
   f->e.kind = kind;
-  g_queue_push_tail(&M->fx, f);
+  g_queue_push_tail(&state->fx, f);
   return f;
 }
 
@@ -71,12 +71,12 @@
   return keep(f, i, s, s == NULL ? 0 : strlen(s));
 }
 
-int mp_take(mp_State *M, mp_Effect *out) {
-  freefx(M->taken);
-  M->taken = g_queue_pop_head(&M->fx);
-  if (M->taken == NULL)
+int mp_take(mp_State *state, mp_Effect *out) {
+  freefx(state->taken);
+  state->taken = g_queue_pop_head(&state->fx);
+  if (state->taken == NULL)
     return 0;
-  *out = M->taken->e;
+  *out = state->taken->e;
   return 1;
 }
 
@@ -88,21 +88,21 @@
 ** ===================================================================
 */
 
-void effect_send(mp_State *M, mp_Addr to, const mp_Msg *m) {
-  if (to == M->self) {
-    g_queue_push_tail(&M->loop, g_memdup2(m, sizeof *m));
+void effect_send(mp_State *state, mp_Addr to, const mp_Msg *m) {
+  if (to == state->self) {
+    g_queue_push_tail(&state->loop, g_memdup2(m, sizeof *m));
     return;
   }
   {
-    Fx *f = push(M, MP_FX_SEND);
+    Fx *f = push(state, MP_FX_SEND);
     f->e.u.send.to = to;
     f->e.u.send.msg = *m;
-    mpcount(M, MSG_OUT);
+    mpcount(state, MSG_OUT);
   }
 }
 
-int effect_looped(mp_State *M, mp_Msg *m) {
-  mp_Msg *first = g_queue_pop_head(&M->loop);
+int effect_looped(mp_State *state, mp_Msg *m) {
+  mp_Msg *first = g_queue_pop_head(&state->loop);
   if (first == NULL)
     return 0;
   *m = *first;
@@ -110,68 +110,69 @@
   return 1;
 }
 
-void effect_answer(mp_State *M, mp_Addr to, const mp_Msg *call, mp_Msg *m) {
+void effect_answer(mp_State *state, mp_Addr to, const mp_Msg *call,
+                   mp_Msg *m) {
   m->kind = call->kind;
   m->seq = call->seq;
   m->reply = 1;
-  effect_send(M, to, m);
+  effect_send(state, to, m);
 }
 
-static void rpcagain(mp_State *M, void *ud) {
+static void rpcagain(mp_State *state, void *ud) {
   Rpc *c = ud;
-  if (M->now >= c->until) {
+  if (state->now >= c->until) {
     RpcFn fn = c->fn;
     void *fud = c->ud;
     mp_Addr to = c->to;
-    effect_rpcdrop(M, c->seq);
-    fn(M, fud, to, NULL);
+    effect_rpcdrop(state, c->seq);
+    fn(state, fud, to, NULL);
     return;
   }
-  effect_send(M, c->to, &c->msg);
+  effect_send(state, c->to, &c->msg);
   c->wait *= 2;
-  timer_arm(&M->timers, &c->timer, MIN(M->now + c->wait, c->until), rpcagain,
-            c);
+  timer_arm(&state->timers, &c->timer, MIN(state->now + c->wait, c->until),
+            rpcagain, c);
 }
 
-uint32_t effect_rpc(mp_State *M, mp_Addr to, const mp_Msg *m, mp_Time patience,
-                    RpcFn fn, void *ud) {
+uint32_t effect_rpc(mp_State *state, mp_Addr to, const mp_Msg *m,
+                    mp_Time patience, RpcFn fn, void *ud) {
   Rpc *c = g_new0(Rpc, 1);
-  c->M = M;
-  if (++M->lastseq == 0) /* 0 means "no call" */
-    M->lastseq = 1;
-  c->seq = M->lastseq;
+  c->state = state;
+  if (++state->lastseq == 0) /* 0 means "no call" */
+    state->lastseq = 1;
+  c->seq = state->lastseq;
   c->to = to;
   c->msg = *m;
   c->msg.seq = c->seq;
   c->msg.reply = 0;
   c->wait = MP_RPC_WAIT;
-  c->until = M->now + patience;
+  c->until = state->now + patience;
   c->fn = fn;
   c->ud = ud;
-  state_set(M->rpcs, c->seq, c);
-  effect_send(M, to, &c->msg);
-  timer_arm(&M->timers, &c->timer, MIN(M->now + c->wait, c->until), rpcagain,
-            c);
+  state_set(state->rpcs, c->seq, c);
+  effect_send(state, to, &c->msg);
+  timer_arm(&state->timers, &c->timer, MIN(state->now + c->wait, c->until),
+            rpcagain, c);
   return c->seq;
 }
 
-void effect_rpcdrop(mp_State *M, uint32_t seq) {
-  state_del(M->rpcs, seq);
+void effect_rpcdrop(mp_State *state, uint32_t seq) {
+  state_del(state->rpcs, seq);
 }
 
-mp_MsgKind mp_pending(const mp_State *M, uint32_t seq) {
-  const Rpc *c = state_get(M->rpcs, seq);
+mp_MsgKind mp_pending(const mp_State *state, uint32_t seq) {
+  const Rpc *c = state_get(state->rpcs, seq);
   return c != NULL ? c->msg.kind : (mp_MsgKind)0;
 }
 
 static void freerpc(void *p) {
   Rpc *c = p;
-  timer_stop(&c->M->timers, &c->timer);
+  timer_stop(&c->state->timers, &c->timer);
   g_free(c);
 }
 
-void effect_gotreply(mp_State *M, mp_Addr from, const mp_Msg *m) {
-  Rpc *c = state_get(M->rpcs, m->seq);
+void effect_gotreply(mp_State *state, mp_Addr from, const mp_Msg *m) {
+  Rpc *c = state_get(state->rpcs, m->seq);
   RpcFn fn;
   void *ud;
   /* an answer counts only from the instance that was asked */
@@ -179,8 +180,8 @@
     return;
   fn = c->fn;
   ud = c->ud;
-  effect_rpcdrop(M, m->seq);
-  fn(M, ud, from, m);
+  effect_rpcdrop(state, m->seq);
+  fn(state, ud, from, m);
 }
 
 /* }================================================================== */
@@ -191,28 +192,28 @@
 ** ===================================================================
 */
 
-uint64_t effect_xcall(mp_State *M, mp_Xcall *x, XcallFn fn, void *ud) {
+uint64_t effect_xcall(mp_State *state, mp_Xcall *x, XcallFn fn, void *ud) {
   Xopen *o = g_new0(Xopen, 1);
-  Fx *f = push(M, MP_FX_XCALL);
-  x->xcall = ++M->lastnum;
+  Fx *f = push(state, MP_FX_XCALL);
+  x->xcall = ++state->lastnum;
   o->fn = fn;
   o->ud = ud;
-  state_set(M->xcalls, x->xcall, o);
+  state_set(state->xcalls, x->xcall, o);
   f->e.u.xcall = *x;
   f->e.u.xcall.kv = keepz(f, 0, x->kv);
   f->e.u.xcall.partial = keepz(f, 1, x->partial);
   return x->xcall;
 }
 
-void effect_xabort(mp_State *M, uint64_t xcall) {
-  if (state_get(M->xcalls, xcall) == NULL)
+void effect_xabort(mp_State *state, uint64_t xcall) {
+  if (state_get(state->xcalls, xcall) == NULL)
     return;
-  state_del(M->xcalls, xcall);
-  push(M, MP_FX_XABORT)->e.u.xabort = xcall;
+  state_del(state->xcalls, xcall);
+  push(state, MP_FX_XABORT)->e.u.xabort = xcall;
 }
 
-int effect_gotxcall(mp_State *M, const mp_EndpointEvent *e) {
-  Xopen *o = state_get(M->xcalls, e->xcall);
+int effect_gotxcall(mp_State *state, const mp_EndpointEvent *e) {
+  Xopen *o = state_get(state->xcalls, e->xcall);
   XcallFn fn;
   void *ud;
   if (o == NULL)
@@ -220,8 +221,8 @@
   fn = o->fn;
   ud = o->ud;
   if (e->what == MP_EP_DONE || e->what == MP_EP_FAIL)
-    state_del(M->xcalls, e->xcall);
-  fn(M, ud, e);
+    state_del(state->xcalls, e->xcall);
+  fn(state, ud, e);
   return 1;
 }
 
@@ -233,48 +234,48 @@
 ** ===================================================================
 */
 
-static void storelate(mp_State *M, void *ud) {
+static void storelate(mp_State *state, void *ud) {
   Stopen *o = ud;
   mp_StoreEvent e = {0};
   e.op = o->op;
   /* a read has no effect; a write may still have had its own */
   e.status = o->write ? MP_STORE_UNKNOWN : MP_STORE_DOWN;
-  effect_gotstore(M, &e);
+  effect_gotstore(state, &e);
 }
 
-uint64_t effect_store(mp_State *M, mp_StoreOp what, const char *key,
+uint64_t effect_store(mp_State *state, mp_StoreOp what, const char *key,
                       uint64_t version, const char *value, size_t len,
                       mp_Time patience, StoreFn fn, void *ud) {
   Stopen *o = g_new0(Stopen, 1);
-  Fx *f = push(M, MP_FX_STORE);
+  Fx *f = push(state, MP_FX_STORE);
   mp_StoreCall *s = &f->e.u.store;
-  o->M = M;
-  o->op = ++M->lastnum;
+  o->state = state;
+  o->op = ++state->lastnum;
   o->write = what == MP_ST_PUT;
   o->fn = fn;
   o->ud = ud;
-  state_set(M->stores, o->op, o);
-  timer_arm(&M->timers, &o->timer, M->now + patience, storelate, o);
+  state_set(state->stores, o->op, o);
+  timer_arm(&state->timers, &o->timer, state->now + patience, storelate, o);
   s->op = o->op;
   s->what = what;
   s->key = keepz(f, 0, key);
   s->version = version;
   s->value = keep(f, 1, value, len);
   s->len = len;
-  mpcount(M, STORE_CALLS);
+  mpcount(state, STORE_CALLS);
   if (o->write)
-    mpcount(M, STORE_WRITES);
+    mpcount(state, STORE_WRITES);
   return o->op;
 }
 
 static void freestore(void *p) {
   Stopen *o = p;
-  timer_stop(&o->M->timers, &o->timer);
+  timer_stop(&o->state->timers, &o->timer);
   g_free(o);
 }
 
-int effect_gotstore(mp_State *M, const mp_StoreEvent *e) {
-  Stopen *o = state_get(M->stores, e->op);
+int effect_gotstore(mp_State *state, const mp_StoreEvent *e) {
+  Stopen *o = state_get(state->stores, e->op);
   StoreFn fn;
   void *ud;
   int down = e->status == MP_STORE_DOWN || e->status == MP_STORE_UNKNOWN;
@@ -282,12 +283,12 @@
     return 0;
   fn = o->fn;
   ud = o->ud;
-  state_del(M->stores, e->op);
-  if (down != M->storedown) {
-    M->storedown = down;
-    effect_log(M, down ? MP_LOG_STORE_DOWN : MP_LOG_STORE_UP, "%s", "");
+  state_del(state->stores, e->op);
+  if (down != state->storedown) {
+    state->storedown = down;
+    effect_log(state, down ? MP_LOG_STORE_DOWN : MP_LOG_STORE_UP, "%s", "");
   }
-  fn(M, ud, e);
+  fn(state, ud, e);
   return 1;
 }
 
@@ -299,8 +300,8 @@
 ** ===================================================================
 */
 
-void effect_reply(mp_State *M, const mp_Reply *r) {
-  Fx *f = push(M, MP_FX_REPLY);
+void effect_reply(mp_State *state, const mp_Reply *r) {
+  Fx *f = push(state, MP_FX_REPLY);
   f->e.u.reply = *r;
   f->e.u.reply.text = keep(f, 0, r->text, r->len);
 }
@@ -315,8 +316,8 @@
 #undef X
 };
 
-void effect_log(mp_State *M, mp_EventNo no, const char *fmt, ...) {
-  Fx *f = push(M, MP_FX_LOG);
+void effect_log(mp_State *state, mp_EventNo no, const char *fmt, ...) {
+  Fx *f = push(state, MP_FX_LOG);
   mp_Log *l = &f->e.u.log;
   va_list ap;
   size_t i;
@@ -332,27 +333,27 @@
   l->fields = f->own[0];
 }
 
-void effect_drained(mp_State *M) {
-  push(M, MP_FX_DRAINED);
+void effect_drained(mp_State *state) {
+  push(state, MP_FX_DRAINED);
 }
 
 /* }================================================================== */
 
-void effect_init(mp_State *M) {
-  g_queue_init(&M->fx);
-  g_queue_init(&M->loop);
-  M->rpcs = state_table(freerpc);
-  M->xcalls = state_table(g_free);
-  M->stores = state_table(freestore);
+void effect_init(mp_State *state) {
+  g_queue_init(&state->fx);
+  g_queue_init(&state->loop);
+  state->rpcs = state_table(freerpc);
+  state->xcalls = state_table(g_free);
+  state->stores = state_table(freestore);
 }
 
-void effect_free(mp_State *M) {
+void effect_free(mp_State *state) {
   Fx *f;
-  g_hash_table_destroy(M->rpcs);
-  g_hash_table_destroy(M->xcalls);
-  g_hash_table_destroy(M->stores);
-  while ((f = g_queue_pop_head(&M->fx)) != NULL)
+  g_hash_table_destroy(state->rpcs);
+  g_hash_table_destroy(state->xcalls);
+  g_hash_table_destroy(state->stores);
+  while ((f = g_queue_pop_head(&state->fx)) != NULL)
     freefx(f);
-  freefx(M->taken);
-  g_queue_clear_full(&M->loop, g_free);
+  freefx(state->taken);
+  g_queue_clear_full(&state->loop, g_free);
 }
--- a/core/holder.c
+++ b/core/holder.c
@@ -10,37 +10,40 @@
 #include "keep.h"
 #include "member.h"
 
-static void answered(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
+static void answered(mp_State *state, void *ud, mp_Addr from,
+                     const mp_Msg *m) {
   Request *r = ud;
   Attempt *a;
   Endpoint *e;
   const mp_Reserve *v = m != NULL ? &m->u.reserve : NULL;
   a = r->step == ST_PREFILL_SLOT ? &r->prefill : &r->decode;
   r->rpc = 0;
-  e = fleet_get(M, a->endpoint);
+  e = fleet_get(state, a->endpoint);
   if (v == NULL)
-    member_silent(M, from);
+    member_silent(state, from);
   else if (e != NULL && v->verdict != MP_WRONG_HOME) {
     e->slots = v->slots > 0 ? v->slots : e->slots;
     e->used = v->used;
     if (v->verdict != MP_GRANTED)
       e->wait = v->wait_ms;
   }
-  flow_reserved(M, r, a, v != NULL ? (mp_Verdict)v->verdict : MP_WRONG_HOME,
+  flow_reserved(state, r, a,
+                v != NULL ? (mp_Verdict)v->verdict : MP_WRONG_HOME,
                 v != NULL ? v->wait_ms : 0);
 }
 
-void holder_reserve(mp_State *M, Request *r, Attempt *a, uint32_t slack_ms,
+void holder_reserve(mp_State *state, Request *r, Attempt *a, uint32_t slack_ms,
                     uint32_t start_ms) {
-  Endpoint *e = fleet_get(M, a->endpoint);
-  mp_Addr keeper = e != NULL ? keeper_keeper(M, e) : 0;
+  Endpoint *e = fleet_get(state, a->endpoint);
+  mp_Addr keeper = e != NULL ? keeper_keeper(state, e) : 0;
   const Member *k;
   mp_Msg m = {0};
   mp_Reserve *v = &m.u.reserve;
-  if (keeper != 0 && (k = member_get(M, keeper)) != NULL && k->avoid > M->now)
+  if (keeper != 0 && (k = member_get(state, keeper)) != NULL &&
+      k->avoid > state->now)
     keeper = 0; /* it did not answer just now */
   if (keeper == 0) {
-    flow_reserved(M, r, a, MP_WRONG_HOME, 0);
+    flow_reserved(state, r, a, MP_WRONG_HOME, 0);
     return;
   }
   m.kind = MP_MSG_RESERVE;
@@ -54,17 +57,17 @@
   v->weight = r->weight;
   e->mine++;
   e->pledged += a->role == MP_ROLE_DECODE ? 1 : a->tokens;
-  r->rpc = effect_rpc(M, keeper, &m, 4 * MP_RPC_WAIT, answered, r);
+  r->rpc = effect_rpc(state, keeper, &m, 4 * MP_RPC_WAIT, answered, r);
 }
 
-void holder_release(mp_State *M, Request *r, Attempt *a, int kept) {
+void holder_release(mp_State *state, Request *r, Attempt *a, int kept) {
   Endpoint *e;
   mp_Addr keeper;
   mp_Msg m = {0};
   if (a->no == 0)
     return;
-  e = fleet_get(M, a->endpoint);
-  keeper = e != NULL ? keeper_keeper(M, e) : 0;
+  e = fleet_get(state, a->endpoint);
+  keeper = e != NULL ? keeper_keeper(state, e) : 0;
   if (e != NULL && !kept && e->mine > 0)
     e->mine--;
   if (keeper != 0 && a->role != MP_ROLE_PLAIN) {
@@ -73,16 +76,16 @@
     m.u.release.attempt = a->no;
     m.u.release.endpoint = a->endpoint;
     m.u.release.kept = (uint8_t)(kept != 0);
-    m.u.release.took_ms = (uint32_t)((M->now - a->begun) / MP_MS);
-    effect_send(M, keeper, &m); /* when it is lost, the lease ends it */
+    m.u.release.took_ms = (uint32_t)((state->now - a->begun) / MP_MS);
+    effect_send(state, keeper, &m); /* when it is lost, the lease ends it */
   }
   if (!kept)
     a->no = 0;
 }
 
-void holder_forget(mp_State *M, Request *r) {
+void holder_forget(mp_State *state, Request *r) {
   if (r->rpc != 0)
-    effect_rpcdrop(M, r->rpc);
+    effect_rpcdrop(state, r->rpc);
   r->rpc = 0;
 }
 
@@ -94,22 +97,22 @@
   return NULL;
 }
 
-void holder_ongrant(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void holder_ongrant(mp_State *state, mp_Addr from, const mp_Msg *m) {
   const mp_Reserve *v = &m->u.reserve;
   Request *r = NULL;
   Attempt *a = NULL;
   mp_Msg ans = {0};
-  if (v->token.owner == M->self && v->token.start == M->start)
-    r = state_get(M->requestseq, v->token.seq);
+  if (v->token.owner == state->self && v->token.start == state->start)
+    r = state_get(state->requestseq, v->token.seq);
   if (r != NULL)
     a = attempt(r, v->attempt);
   ans.u.reserve = *v;
   ans.u.reserve.verdict = a != NULL ? MP_GRANTED : MP_DENIED;
-  effect_answer(M, from, m, &ans);
+  effect_answer(state, from, m, &ans);
   if (a == NULL || !a->waiting)
     return;
-  holder_forget(M, r); /* the answer to the call itself is late */
-  flow_reserved(M, r, a, (mp_Verdict)v->verdict, v->wait_ms);
+  holder_forget(state, r); /* the answer to the call itself is late */
+  flow_reserved(state, r, a, (mp_Verdict)v->verdict, v->wait_ms);
 }
 
 /*
@@ -119,10 +122,10 @@
 */
 
 /* one datagram for each keeper, sent when it is full */
-static void renew(mp_State *M, GHashTable *batches, const Request *r,
-                  const Attempt *a, mp_HoldState state) {
-  const Endpoint *e = a->no != 0 ? fleet_get(M, a->endpoint) : NULL;
-  mp_Addr keeper = e != NULL ? keeper_keeper(M, e) : 0;
+static void renew(mp_State *state, GHashTable *batches, const Request *r,
+                  const Attempt *a, mp_HoldState hold) {
+  const Endpoint *e = a->no != 0 ? fleet_get(state, a->endpoint) : NULL;
+  mp_Addr keeper = e != NULL ? keeper_keeper(state, e) : 0;
   mp_Msg *m;
   mp_Renewal *w;
   if (keeper == 0 || a->role == MP_ROLE_PLAIN)
@@ -131,8 +134,8 @@
   if (m == NULL) {
     m = g_new0(mp_Msg, 1);
     m->kind = MP_MSG_RENEW;
-    m->u.renew.owner = M->self;
-    m->u.renew.start = M->start;
+    m->u.renew.owner = state->self;
+    m->u.renew.start = state->start;
     state_set(batches, keeper, m);
   }
   w = &m->u.renew.row[m->u.renew.n++];
@@ -140,10 +143,10 @@
   w->attempt = a->no;
   w->endpoint = a->endpoint;
   w->role = (uint8_t)a->role;
-  w->state = (uint8_t)state;
+  w->state = (uint8_t)hold;
   w->tokens = a->tokens;
   if (m->u.renew.n == MP_RENEW_BATCH) {
-    effect_send(M, keeper, m);
+    effect_send(state, keeper, m);
     m->u.renew.n = 0;
   }
 }
@@ -156,31 +159,31 @@
   return MP_HOLD_BUSY;
 }
 
-static void renewall(mp_State *M, void *ud) {
+static void renewall(mp_State *state, void *ud) {
   GHashTable *batches = state_table(g_free);
   GHashTableIter it;
   gpointer k;
   gpointer v;
   guint i;
   (void)ud;
-  for (i = 0; i < M->requests->len; i++) {
-    const Request *r = M->requests->pdata[i];
-    renew(M, batches, r, &r->prefill, holdstate(r, &r->prefill));
-    renew(M, batches, r, &r->decode, holdstate(r, &r->decode));
+  for (i = 0; i < state->requests->len; i++) {
+    const Request *r = state->requests->pdata[i];
+    renew(state, batches, r, &r->prefill, holdstate(r, &r->prefill));
+    renew(state, batches, r, &r->decode, holdstate(r, &r->decode));
   }
   g_hash_table_iter_init(&it, batches);
   while (g_hash_table_iter_next(&it, &k, &v)) {
     if (((mp_Msg *)v)->u.renew.n > 0)
-      effect_send(M, (mp_Addr)(*(gint64 *)k), v);
+      effect_send(state, (mp_Addr)(*(gint64 *)k), v);
   }
   g_hash_table_destroy(batches);
-  timer_arm(&M->timers, &M->renewtimer, M->now + MP_RENEW_PERIOD, renewall,
-            NULL);
+  timer_arm(&state->timers, &state->renewtimer, state->now + MP_RENEW_PERIOD,
+            renewall, NULL);
 }
 
 /* }================================================================== */
 
-void holder_init(mp_State *M) {
-  timer_arm(&M->timers, &M->renewtimer, M->now + MP_RENEW_PERIOD, renewall,
-            NULL);
+void holder_init(mp_State *state) {
+  timer_arm(&state->timers, &state->renewtimer, state->now + MP_RENEW_PERIOD,
+            renewall, NULL);
 }
--- a/core/holder.h
+++ b/core/holder.h
@@ -10,18 +10,18 @@
 #include "state.h"
 
 /* 'a' is set up and numbered; flow.c hears through flow_reserved */
-void holder_reserve(mp_State *M, Request *r, Attempt *a, uint32_t slack_ms,
+void holder_reserve(mp_State *state, Request *r, Attempt *a, uint32_t slack_ms,
                     uint32_t start_ms);
 
 /* give it back; with 'kept' only the prefill's time */
-void holder_release(mp_State *M, Request *r, Attempt *a, int kept);
+void holder_release(mp_State *state, Request *r, Attempt *a, int kept);
 
 /* handle GRANT */
-void holder_ongrant(mp_State *M, mp_Addr from, const mp_Msg *m);
+void holder_ongrant(mp_State *state, mp_Addr from, const mp_Msg *m);
 
-void holder_init(mp_State *M);
+void holder_init(mp_State *state);
 
 /* drop calls that wait on behalf of this request */
-void holder_forget(mp_State *M, Request *r);
+void holder_forget(mp_State *state, Request *r);
 
 #endif
--- a/core/keep.c
+++ b/core/keep.c
@@ -18,16 +18,16 @@
 #include "keep.h"
 #include "member.h"
 
-mp_Addr keeper_keeper(const mp_State *M, const Endpoint *e) {
-  return member_home(M, e->dchash, e->addr);
+mp_Addr keeper_keeper(const mp_State *state, const Endpoint *e) {
+  return member_home(state, e->dchash, e->addr);
 }
 
-static int minetokeep(const mp_State *M, const Endpoint *e) {
-  return e->dchash == M->dchash && keeper_keeper(M, e) == M->self;
+static int minetokeep(const mp_State *state, const Endpoint *e) {
+  return e->dchash == state->dchash && keeper_keeper(state, e) == state->self;
 }
 
-static const mp_Policy *policy(const mp_State *M) {
-  return M->config != NULL ? M->config->policy : NULL;
+static const mp_Policy *policy(const mp_State *state) {
+  return state->config != NULL ? state->config->policy : NULL;
 }
 
 /* share of the slots promised ahead of their being free, at the most */
@@ -42,11 +42,11 @@
 ** ===================================================================
 */
 
-static Hold *find(const mp_State *M, const mp_Token *t, uint32_t attempt,
+static Hold *find(const mp_State *state, const mp_Token *t, uint32_t attempt,
                   mp_Addr ep) {
   guint i;
-  for (i = 0; i < M->holds->len; i++) {
-    Hold *h = M->holds->pdata[i];
+  for (i = 0; i < state->holds->len; i++) {
+    Hold *h = state->holds->pdata[i];
     if (h->endpoint == ep && h->attempt == attempt &&
         state_sametoken(&h->token, t))
       return h;
@@ -54,8 +54,8 @@
   return NULL;
 }
 
-static void drop(mp_State *M, Hold *h) {
-  g_ptr_array_remove_fast(M->holds, h); /* frees the row */
+static void drop(mp_State *state, Hold *h) {
+  g_ptr_array_remove_fast(state->holds, h); /* frees the row */
 }
 
 /* what is in use or promised at an endpoint */
@@ -75,10 +75,10 @@
 }
 
 /* chance that a running decode ends within 'soon' */
-static double ends(const mp_State *M, const Endpoint *e, const Hold *h,
+static double ends(const mp_State *state, const Endpoint *e, const Hold *h,
                    mp_Time soon) {
   mp_Time all = (mp_Time)h->tokens * tokentime(e);
-  mp_Time gone = M->now - h->since;
+  mp_Time gone = state->now - h->since;
   mp_Time left = all > gone ? all - gone : tokentime(e);
   return soon >= left ? 1.0 : (double)soon / (double)(left + all);
 }
@@ -91,11 +91,11 @@
   return h->role == MP_ROLE_PREFILL && h->tokens >= MP_LONG_PROMPT;
 }
 
-static Use use(const mp_State *M, const Endpoint *e, mp_Time soon) {
+static Use use(const mp_State *state, const Endpoint *e, mp_Time soon) {
   Use u = {0};
   guint i;
-  for (i = 0; i < M->holds->len; i++) {
-    const Hold *h = M->holds->pdata[i];
+  for (i = 0; i < state->holds->len; i++) {
+    const Hold *h = state->holds->pdata[i];
     if (h->endpoint != e->addr || h->state != MP_HOLD_BUSY)
       continue;
     u.busy++;
@@ -104,29 +104,29 @@
     else
       u.tokens += h->tokens;
     if (e->role == MP_ROLE_DECODE && soon > 0)
-      u.ending += ends(M, e, h, soon);
+      u.ending += ends(state, e, h, soon);
   }
   return u;
 }
 
 /* a new keeper does not yet know every hold: it trusts the engine more */
-static int rebuilding(const mp_State *M, const Endpoint *e) {
-  const mp_Time *since = state_get(M->kept, e->addr);
-  return since == NULL || M->now - *since < MP_RENEW_PERIOD + MP_SEC / 2;
+static int rebuilding(const mp_State *state, const Endpoint *e) {
+  const mp_Time *since = state_get(state->kept, e->addr);
+  return since == NULL || state->now - *since < MP_RENEW_PERIOD + MP_SEC / 2;
 }
 
 /* may 'tokens' more start now? */
-static int fits(const mp_State *M, const Endpoint *e, uint32_t tokens,
+static int fits(const mp_State *state, const Endpoint *e, uint32_t tokens,
                 mp_Time soon) {
-  Use u = use(M, e, soon);
+  Use u = use(state, e, soon);
   if (e->role == MP_ROLE_DECODE) {
     double n = u.busy;
-    if (rebuilding(M, e) && e->used > u.busy)
+    if (rebuilding(state, e) && e->used > u.busy)
       n = e->used;
     return n - MIN(u.ending, e->slots * OVERBOOK) < (double)e->slots;
   }
   if (tokens >= MP_LONG_PROMPT)
-    return policy(M)->long_cap ? u.longs == 0 : u.longs <= LONGS_AHEAD;
+    return policy(state)->long_cap ? u.longs == 0 : u.longs <= LONGS_AHEAD;
   if (u.tokens == 0)
     return 1;
   return (mp_Time)u.tokens * MP_SEC / prefillrate(e) < MP_PREFILL_AHEAD;
@@ -141,16 +141,17 @@
 */
 
 /* milliseconds until a newcomer that must start by 'latest' would start */
-static uint32_t waitfor(const mp_State *M, const Endpoint *e, mp_Time latest) {
-  Use u = use(M, e, 0);
+static uint32_t waitfor(const mp_State *state, const Endpoint *e,
+                        mp_Time latest) {
+  Use u = use(state, e, 0);
   uint64_t tokens = u.tokens;
   unsigned ahead = 0;
   guint i;
-  for (i = 0; i < M->holds->len; i++) {
-    const Hold *h = M->holds->pdata[i];
+  for (i = 0; i < state->holds->len; i++) {
+    const Hold *h = state->holds->pdata[i];
     if (h->endpoint != e->addr || h->state != MP_HOLD_WAIT)
       continue;
-    if (policy(M)->slack_order && h->latest > latest)
+    if (policy(state)->slack_order && h->latest > latest)
       continue;
     if (islong(h))
       continue;
@@ -169,11 +170,11 @@
 }
 
 /* long prompts at a prefill engine, granted or waiting */
-static uint32_t longs(const mp_State *M, const Endpoint *e) {
+static uint32_t longs(const mp_State *state, const Endpoint *e) {
   uint32_t n = 0;
   guint i;
-  for (i = 0; i < M->holds->len; i++) {
-    const Hold *h = M->holds->pdata[i];
+  for (i = 0; i < state->holds->len; i++) {
+    const Hold *h = state->holds->pdata[i];
     n += h->endpoint == e->addr && h->state != MP_HOLD_KEPT && islong(h);
   }
   return n;
@@ -191,10 +192,11 @@
 ** Bring the endpoint's row up to date; 'was' is the row before the event.
 ** A new stamp goes out with the next probes, an unchanged row does not.
 */
-static void observe(mp_State *M, Endpoint *e, const Endpoint *was) {
-  e->wait = waitfor(M, e, INT64_MAX);
-  e->used = e->role == MP_ROLE_DECODE ? use(M, e, 0).busy : longs(M, e);
-  e->seen = M->now;
+static void observe(mp_State *state, Endpoint *e, const Endpoint *was) {
+  e->wait = waitfor(state, e, INT64_MAX);
+  e->used =
+      e->role == MP_ROLE_DECODE ? use(state, e, 0).busy : longs(state, e);
+  e->seen = state->now;
   e->pledged = 0;
   if (!changed(e, was))
     return;
@@ -210,20 +212,21 @@
 ** ===================================================================
 */
 
-static void heard(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
+static void heard(mp_State *state, void *ud, mp_Addr from, const mp_Msg *m) {
   Hold *h;
   (void)ud;
   (void)from;
   if (m == NULL || m->u.reserve.verdict == MP_GRANTED)
     return;
   /* the holder does not want it any more */
-  h = find(M, &m->u.reserve.token, m->u.reserve.attempt,
+  h = find(state, &m->u.reserve.token, m->u.reserve.attempt,
            m->u.reserve.endpoint);
   if (h != NULL)
-    drop(M, h);
+    drop(state, h);
 }
 
-static void tell(mp_State *M, const Endpoint *e, const Hold *h, mp_Verdict v) {
+static void tell(mp_State *state, const Endpoint *e, const Hold *h,
+                 mp_Verdict v) {
   mp_Msg m = {0};
   mp_Reserve *r = &m.u.reserve;
   m.kind = MP_MSG_GRANT;
@@ -234,22 +237,22 @@
   r->verdict = (uint8_t)v;
   r->slots = e->slots;
   r->used = e->used;
-  r->wait_ms = waitfor(M, e, INT64_MAX);
-  effect_rpc(M, h->token.owner, &m, MP_LEASE / 2, heard, NULL);
+  r->wait_ms = waitfor(state, e, INT64_MAX);
+  effect_rpc(state, h->token.owner, &m, MP_LEASE / 2, heard, NULL);
 }
 
 /* the waiting hold that goes next: by slack, or first come */
-static Hold *nextup(const mp_State *M, const Endpoint *e) {
-  int slack = policy(M)->slack_order;
+static Hold *nextup(const mp_State *state, const Endpoint *e) {
+  int slack = policy(state)->slack_order;
   Hold *win = NULL;
   guint i;
-  for (i = 0; i < M->holds->len; i++) {
-    Hold *h = M->holds->pdata[i];
+  for (i = 0; i < state->holds->len; i++) {
+    Hold *h = state->holds->pdata[i];
     mp_Time a;
     mp_Time b;
     if (h->endpoint != e->addr || h->state != MP_HOLD_WAIT)
       continue;
-    if (slack && !fits(M, e, h->tokens, h->needed - M->now))
+    if (slack && !fits(state, e, h->tokens, h->needed - state->now))
       continue; /* a long one waits; shorter ones may pass */
     if (win == NULL) {
       win = h;
@@ -264,38 +267,38 @@
 }
 
 /* those that can no longer start in time are told so at once */
-static void denylate(mp_State *M, Endpoint *e) {
+static void denylate(mp_State *state, Endpoint *e) {
   guint i = 0;
-  while (i < M->holds->len) {
-    Hold *h = M->holds->pdata[i];
+  while (i < state->holds->len) {
+    Hold *h = state->holds->pdata[i];
     if (h->endpoint == e->addr && h->state == MP_HOLD_WAIT &&
-        M->now > h->latest) {
-      tell(M, e, h, MP_DENIED);
-      drop(M, h);
+        state->now > h->latest) {
+      tell(state, e, h, MP_DENIED);
+      drop(state, h);
     } else
       i++;
   }
 }
 
-static void grant(mp_State *M, Hold *h) {
+static void grant(mp_State *state, Hold *h) {
   h->state = MP_HOLD_BUSY;
-  h->since = M->now;
-  h->lease = M->now + MP_LEASE;
+  h->since = state->now;
+  h->lease = state->now + MP_LEASE;
 }
 
-static void pump(mp_State *M, Endpoint *e, const Endpoint *was) {
-  if (policy(M) == NULL)
+static void pump(mp_State *state, Endpoint *e, const Endpoint *was) {
+  if (policy(state) == NULL)
     return;
-  if (policy(M)->refuse_early)
-    denylate(M, e);
+  if (policy(state)->refuse_early)
+    denylate(state, e);
   for (;;) {
-    Hold *h = nextup(M, e);
-    if (h == NULL || !fits(M, e, h->tokens, h->needed - M->now))
+    Hold *h = nextup(state, e);
+    if (h == NULL || !fits(state, e, h->tokens, h->needed - state->now))
       break;
-    grant(M, h);
-    tell(M, e, h, MP_GRANTED);
+    grant(state, h);
+    tell(state, e, h, MP_GRANTED);
   }
-  observe(M, e, was);
+  observe(state, e, was);
 }
 
 /* }================================================================== */
@@ -306,7 +309,7 @@
 ** ===================================================================
 */
 
-static Hold *addhold(mp_State *M, const mp_Token *t, uint32_t attempt,
+static Hold *addhold(mp_State *state, const mp_Token *t, uint32_t attempt,
                      const Endpoint *e, uint32_t tokens) {
   Hold *h = g_new0(Hold, 1);
   h->token = *t;
@@ -314,95 +317,95 @@
   h->endpoint = e->addr;
   h->role = e->role;
   h->tokens = tokens;
-  h->since = M->now;
+  h->since = state->now;
   h->latest = INT64_MAX;
-  h->needed = M->now;
-  h->lease = M->now + MP_QUEUE_LEASE;
-  g_ptr_array_add(M->holds, h);
+  h->needed = state->now;
+  h->lease = state->now + MP_QUEUE_LEASE;
+  g_ptr_array_add(state->holds, h);
   return h;
 }
 
-static mp_Verdict consider(mp_State *M, Endpoint *e, mp_Reserve *r) {
-  Hold *h = find(M, &r->token, r->attempt, r->endpoint);
-  mp_Time latest = M->now + (mp_Time)r->slack_ms * MP_MS;
+static mp_Verdict consider(mp_State *state, Endpoint *e, mp_Reserve *r) {
+  Hold *h = find(state, &r->token, r->attempt, r->endpoint);
+  mp_Time latest = state->now + (mp_Time)r->slack_ms * MP_MS;
   if (h != NULL) /* sent again */
     return h->state == MP_HOLD_WAIT ? MP_QUEUED : MP_GRANTED;
-  r->wait_ms = waitfor(M, e, latest);
+  r->wait_ms = waitfor(state, e, latest);
   if (e->role == MP_ROLE_PREFILL && r->tokens >= MP_LONG_PROMPT)
-    r->wait_ms +=
-        (uint32_t)((uint64_t)longs(M, e) * r->tokens * 1000 / prefillrate(e));
-  if (!fleet_open(M, e) || e->role != (mp_Role)r->role)
+    r->wait_ms += (uint32_t)((uint64_t)longs(state, e) * r->tokens * 1000 /
+                             prefillrate(e));
+  if (!fleet_open(state, e) || e->role != (mp_Role)r->role)
     return MP_DENIED;
-  h = addhold(M, &r->token, r->attempt, e, r->tokens);
+  h = addhold(state, &r->token, r->attempt, e, r->tokens);
   h->weight = r->weight;
   h->latest = latest;
-  h->needed = M->now + (mp_Time)r->start_ms * MP_MS;
-  if (nextup(M, e) == h &&
-      fits(M, e, r->tokens, (mp_Time)r->start_ms * MP_MS)) {
-    grant(M, h);
+  h->needed = state->now + (mp_Time)r->start_ms * MP_MS;
+  if (nextup(state, e) == h &&
+      fits(state, e, r->tokens, (mp_Time)r->start_ms * MP_MS)) {
+    grant(state, h);
     return MP_GRANTED;
   }
-  if (policy(M)->refuse_early && r->wait_ms > r->slack_ms) {
-    drop(M, h);
+  if (policy(state)->refuse_early && r->wait_ms > r->slack_ms) {
+    drop(state, h);
     return MP_DENIED;
   }
   return MP_QUEUED;
 }
 
-void keeper_reserve(mp_State *M, mp_Addr from, const mp_Msg *m) {
-  Endpoint *e = fleet_get(M, m->u.reserve.endpoint);
+void keeper_reserve(mp_State *state, mp_Addr from, const mp_Msg *m) {
+  Endpoint *e = fleet_get(state, m->u.reserve.endpoint);
   mp_Msg a = {0};
   mp_Reserve *r = &a.u.reserve;
   *r = m->u.reserve;
-  if (e == NULL || policy(M) == NULL || !minetokeep(M, e))
+  if (e == NULL || policy(state) == NULL || !minetokeep(state, e))
     r->verdict = MP_WRONG_HOME;
   else {
     Endpoint was = *e;
-    r->verdict = (uint8_t)consider(M, e, r);
-    observe(M, e, &was);
+    r->verdict = (uint8_t)consider(state, e, r);
+    observe(state, e, &was);
     r->slots = e->slots;
     r->used = e->used;
-    effect_log(M, r->verdict == MP_DENIED ? MP_LOG_DENY : MP_LOG_GRANT,
+    effect_log(state, r->verdict == MP_DENIED ? MP_LOG_DENY : MP_LOG_GRANT,
                " endpoint=%s seq=%08x attempt=%u verdict=%u wait_ms=%u",
                e->name, r->token.seq, r->attempt, r->verdict, r->wait_ms);
   }
-  effect_answer(M, from, m, &a);
+  effect_answer(state, from, m, &a);
 }
 
-void keeper_renew(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void keeper_renew(mp_State *state, mp_Addr from, const mp_Msg *m) {
   const mp_Renew *n = &m->u.renew;
   unsigned i;
   if (from != n->owner)
     return;
   for (i = 0; i < n->n; i++) {
     const mp_Renewal *w = &n->row[i];
-    Endpoint *e = fleet_get(M, w->endpoint);
+    Endpoint *e = fleet_get(state, w->endpoint);
     mp_Token t = {n->owner, n->start, w->seq};
     Hold *h;
-    if (e == NULL || !minetokeep(M, e))
+    if (e == NULL || !minetokeep(state, e))
       continue;
-    h = find(M, &t, w->attempt, w->endpoint);
+    h = find(state, &t, w->attempt, w->endpoint);
     if (h == NULL)
-      h = addhold(M, &t, w->attempt, e, w->tokens); /* rebuilt */
+      h = addhold(state, &t, w->attempt, e, w->tokens); /* rebuilt */
     if (w->state != MP_HOLD_WAIT)
       h->state = (mp_HoldState)w->state;
-    h->lease = M->now + MP_LEASE;
+    h->lease = state->now + MP_LEASE;
   }
 }
 
-void keeper_release(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void keeper_release(mp_State *state, mp_Addr from, const mp_Msg *m) {
   const mp_Release *r = &m->u.release;
-  Endpoint *e = fleet_get(M, r->endpoint);
-  Hold *h = find(M, &r->token, r->attempt, r->endpoint);
+  Endpoint *e = fleet_get(state, r->endpoint);
+  Hold *h = find(state, &r->token, r->attempt, r->endpoint);
   if (from != r->token.owner)
     return;
   if (h != NULL && r->kept)
     h->state = MP_HOLD_KEPT;
   else if (h != NULL)
-    drop(M, h);
-  if (e != NULL && minetokeep(M, e)) {
+    drop(state, h);
+  if (e != NULL && minetokeep(state, e)) {
     Endpoint was = *e;
-    pump(M, e, &was);
+    pump(state, e, &was);
   }
 }
 
@@ -414,14 +417,14 @@
 ** ===================================================================
 */
 
-static void expire(mp_State *M) {
+static void expire(mp_State *state) {
   guint i = 0;
-  while (i < M->holds->len) {
-    Hold *h = M->holds->pdata[i];
-    if (M->now > h->lease) {
-      effect_log(M, MP_LOG_EXPIRE, " seq=%08x attempt=%u", h->token.seq,
+  while (i < state->holds->len) {
+    Hold *h = state->holds->pdata[i];
+    if (state->now > h->lease) {
+      effect_log(state, MP_LOG_EXPIRE, " seq=%08x attempt=%u", h->token.seq,
                  h->attempt);
-      drop(M, h);
+      drop(state, h);
     } else
       i++;
   }
@@ -432,78 +435,80 @@
 ** MP_ORPHAN_GRACE, counted from when this keeper first saw it: a live
 ** holder has renewed by then, whoever kept before.
 */
-static void orphans(mp_State *M, const Endpoint *e, const mp_LoadAnswer *l) {
+static void orphans(mp_State *state, const Endpoint *e,
+                    const mp_LoadAnswer *l) {
   unsigned i;
   for (i = 0; i < l->nhold; i++) {
     const mp_HoldNews *w = &l->hold[i];
     char key[64];
     mp_Time *first;
     mp_token_text(&w->token, w->attempt, key);
-    if (find(M, &w->token, w->attempt, e->addr) != NULL) {
-      g_hash_table_remove(M->orphans, key);
+    if (find(state, &w->token, w->attempt, e->addr) != NULL) {
+      g_hash_table_remove(state->orphans, key);
       continue;
     }
-    first = g_hash_table_lookup(M->orphans, key);
+    first = g_hash_table_lookup(state->orphans, key);
     if (first == NULL) {
-      g_hash_table_insert(M->orphans, g_strdup(key),
-                          g_memdup2(&M->now, sizeof M->now));
+      g_hash_table_insert(state->orphans, g_strdup(key),
+                          g_memdup2(&state->now, sizeof state->now));
       continue;
     }
-    if (M->now - *first < MP_ORPHAN_GRACE)
+    if (state->now - *first < MP_ORPHAN_GRACE)
       continue;
-    g_hash_table_remove(M->orphans, key);
-    mpcount(M, ORPHANS);
-    effect_log(M, MP_LOG_ORPHAN, " endpoint=%s attempt=%s", e->name, key);
-    cancel_cancel(M, e->addr, &w->token, w->attempt);
+    g_hash_table_remove(state->orphans, key);
+    mpcount(state, ORPHANS);
+    effect_log(state, MP_LOG_ORPHAN, " endpoint=%s attempt=%s", e->name, key);
+    cancel_cancel(state, e->addr, &w->token, w->attempt);
   }
 }
 
 /* a hold that ended by itself is not reported again */
 static gboolean stale(gpointer key, gpointer value, gpointer ud) {
-  const mp_State *M = ud;
+  const mp_State *state = ud;
   (void)key;
-  return M->now - *(mp_Time *)value > 2 * MP_ORPHAN_GRACE;
+  return state->now - *(mp_Time *)value > 2 * MP_ORPHAN_GRACE;
 }
 
-static void setdown(mp_State *M, Endpoint *e, int down) {
+static void setdown(mp_State *state, Endpoint *e, int down) {
   if (e->down == down)
     return;
   e->down = down;
-  effect_log(M, down ? MP_LOG_EP_DOWN : MP_LOG_EP_UP, " endpoint=%s", e->name);
+  effect_log(state, down ? MP_LOG_EP_DOWN : MP_LOG_EP_UP, " endpoint=%s",
+             e->name);
 }
 
 /* an open load call; the endpoint's row may be gone when it ends */
 typedef struct Loading {
-  mp_State *M;
+  mp_State *state;
   mp_Addr ep;
   uint64_t xcall;
   Timer timer;
 } Loading;
 
-static void loadlate(mp_State *M, void *ud) {
+static void loadlate(mp_State *state, void *ud) {
   Loading *g = ud;
-  Endpoint *e = fleet_get(M, g->ep);
-  effect_xabort(M, g->xcall);
+  Endpoint *e = fleet_get(state, g->ep);
+  effect_xabort(state, g->xcall);
   if (e != NULL) {
     Endpoint was = *e;
-    setdown(M, e, 1);
-    observe(M, e, &was);
+    setdown(state, e, 1);
+    observe(state, e, &was);
   }
-  state_del(M->loading, g->ep);
+  state_del(state->loading, g->ep);
 }
 
-static void loaded(mp_State *M, void *ud, const mp_EndpointEvent *ev) {
+static void loaded(mp_State *state, void *ud, const mp_EndpointEvent *ev) {
   Loading *g = ud;
-  Endpoint *e = fleet_get(M, g->ep);
+  Endpoint *e = fleet_get(state, g->ep);
   const mp_LoadAnswer *l = ev->what == MP_EP_DONE ? ev->load : NULL;
   Endpoint was;
   if (ev->what != MP_EP_DONE && ev->what != MP_EP_FAIL)
     return;
-  state_del(M->loading, g->ep);
+  state_del(state->loading, g->ep);
   if (e == NULL)
     return;
   was = *e;
-  setdown(M, e, l == NULL);
+  setdown(state, e, l == NULL);
   if (l != NULL) {
     e->role = l->role;
     e->slots = l->slots;
@@ -513,55 +518,57 @@
     e->rate = l->rate;
     if (l->leaving && !e->leaving) {
       e->leaving = 1;
-      effect_log(M, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
+      effect_log(state, MP_LOG_EP_LEAVING, " endpoint=%s", e->name);
     }
-    orphans(M, e, l);
+    orphans(state, e, l);
   }
-  pump(M, e, &was);
+  pump(state, e, &was);
 }
 
 static void freeloading(void *p) {
   Loading *g = p;
-  timer_stop(&g->M->timers, &g->timer);
+  timer_stop(&g->state->timers, &g->timer);
   g_free(g);
 }
 
-static void askload(mp_State *M, Endpoint *e) {
+static void askload(mp_State *state, Endpoint *e) {
   Loading *g;
   mp_Xcall x = {0};
-  if (state_get(M->loading, e->addr) != NULL)
+  if (state_get(state->loading, e->addr) != NULL)
     return;
   g = g_new0(Loading, 1);
-  g->M = M;
+  g->state = state;
   g->ep = e->addr;
-  state_set(M->loading, e->addr, g);
+  state_set(state->loading, e->addr, g);
   x.op = MP_X_LOAD;
   x.endpoint = e->addr;
-  timer_arm(&M->timers, &g->timer, M->now + MP_LOAD_TIMEOUT, loadlate, g);
-  g->xcall = effect_xcall(M, &x, loaded, g);
+  timer_arm(&state->timers, &g->timer, state->now + MP_LOAD_TIMEOUT, loadlate,
+            g);
+  g->xcall = effect_xcall(state, &x, loaded, g);
 }
 
-static void lookafter(mp_State *M, void *ud) {
+static void lookafter(mp_State *state, void *ud) {
   guint i;
   (void)ud;
-  expire(M);
-  g_hash_table_foreach_remove(M->orphans, stale, M);
-  for (i = 0; i < M->endpoints->len; i++) {
-    Endpoint *e = M->endpoints->pdata[i];
-    if (!minetokeep(M, e)) {
-      state_del(M->kept, e->addr);
+  expire(state);
+  g_hash_table_foreach_remove(state->orphans, stale, state);
+  for (i = 0; i < state->endpoints->len; i++) {
+    Endpoint *e = state->endpoints->pdata[i];
+    if (!minetokeep(state, e)) {
+      state_del(state->kept, e->addr);
       continue;
     }
-    if (state_get(M->kept, e->addr) == NULL)
-      state_set(M->kept, e->addr, g_memdup2(&M->now, sizeof M->now));
+    if (state_get(state->kept, e->addr) == NULL)
+      state_set(state->kept, e->addr,
+                g_memdup2(&state->now, sizeof state->now));
     {
       Endpoint was = *e;
-      pump(M, e, &was);
+      pump(state, e, &was);
     }
-    askload(M, e);
+    askload(state, e);
   }
-  timer_arm(&M->timers, &M->keeptimer, M->now + MP_LOAD_PERIOD, lookafter,
-            NULL);
+  timer_arm(&state->timers, &state->keeptimer, state->now + MP_LOAD_PERIOD,
+            lookafter, NULL);
 }
 
 /* }================================================================== */
@@ -587,30 +594,30 @@
 }
 
 /* those told the fewest times; of this data centre first */
-static Endpoint *leasttold(mp_State *M, const mp_Probe *p) {
+static Endpoint *leasttold(mp_State *state, const mp_Probe *p) {
   Endpoint *win = NULL;
   guint i;
-  for (i = 0; i < M->endpoints->len; i++) {
-    Endpoint *e = M->endpoints->pdata[i];
+  for (i = 0; i < state->endpoints->len; i++) {
+    Endpoint *e = state->endpoints->pdata[i];
     unsigned k;
-    if (e->stamp == 0 || e->told >= member_toldoften(M))
+    if (e->stamp == 0 || e->told >= member_toldoften(state))
       continue;
     for (k = 0; k < p->nload && p->load[k].addr != e->addr; k++)
       ;
     if (k < p->nload)
       continue;
     if (win == NULL || e->told < win->told ||
-        (e->told == win->told && e->dchash == M->dchash &&
-         win->dchash != M->dchash))
+        (e->told == win->told && e->dchash == state->dchash &&
+         win->dchash != state->dchash))
       win = e;
   }
   return win;
 }
 
-void keeper_fillloads(mp_State *M, mp_Probe *p, const Member *to) {
+void keeper_fillloads(mp_State *state, mp_Probe *p, const Member *to) {
   (void)to;
   while (p->nload < MP_GOSSIP_LOADS) {
-    Endpoint *e = leasttold(M, p);
+    Endpoint *e = leasttold(state, p);
     if (e == NULL)
       break;
     putload(p, e);
@@ -618,8 +625,8 @@
   }
 }
 
-void keeper_learn(mp_State *M, const mp_LoadNews *n) {
-  Endpoint *e = fleet_get(M, n->addr);
+void keeper_learn(mp_State *state, const mp_LoadNews *n) {
+  Endpoint *e = fleet_get(state, n->addr);
   if (e == NULL || n->stamp <= e->stamp || n->role > MP_ROLE_PLAIN)
     return;
   e->stamp = n->stamp;
@@ -629,26 +636,27 @@
   e->wait = n->wait;
   e->rate = n->rate;
   e->role = (mp_Role)n->role;
-  e->seen = M->now;
+  e->seen = state->now;
   e->told = 0;
   e->pledged = 0;
   if (n->flags & MP_LOAD_LEAVING)
     e->leaving = 1;
-  setdown(M, e, (n->flags & MP_LOAD_DOWN) != 0);
+  setdown(state, e, (n->flags & MP_LOAD_DOWN) != 0);
 }
 
 /* }================================================================== */
 
-void keeper_init(mp_State *M) {
-  M->kept = state_table(g_free);
-  M->loading = state_table(freeloading);
-  M->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  timer_arm(&M->timers, &M->keeptimer, M->now + MP_LOAD_PERIOD, lookafter,
-            NULL);
+void keeper_init(mp_State *state) {
+  state->kept = state_table(g_free);
+  state->loading = state_table(freeloading);
+  state->orphans =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  timer_arm(&state->timers, &state->keeptimer, state->now + MP_LOAD_PERIOD,
+            lookafter, NULL);
 }
 
-void keeper_free(mp_State *M) {
-  g_hash_table_destroy(M->kept);
-  g_hash_table_destroy(M->loading);
-  g_hash_table_destroy(M->orphans);
+void keeper_free(mp_State *state) {
+  g_hash_table_destroy(state->kept);
+  g_hash_table_destroy(state->loading);
+  g_hash_table_destroy(state->orphans);
 }
--- a/core/keep.h
+++ b/core/keep.h
@@ -14,19 +14,19 @@
 
 #include "state.h"
 
-void keeper_init(mp_State *M);
-void keeper_free(mp_State *M);
+void keeper_init(mp_State *state);
+void keeper_free(mp_State *state);
 
 /* handle RESERVE, RENEW and RELEASE */
-void keeper_reserve(mp_State *M, mp_Addr from, const mp_Msg *m);
-void keeper_renew(mp_State *M, mp_Addr from, const mp_Msg *m);
-void keeper_release(mp_State *M, mp_Addr from, const mp_Msg *m);
+void keeper_reserve(mp_State *state, mp_Addr from, const mp_Msg *m);
+void keeper_renew(mp_State *state, mp_Addr from, const mp_Msg *m);
+void keeper_release(mp_State *state, mp_Addr from, const mp_Msg *m);
 
 /* the endpoint's keeper, or 0 when none is in reach */
-mp_Addr keeper_keeper(const mp_State *M, const Endpoint *e);
+mp_Addr keeper_keeper(const mp_State *state, const Endpoint *e);
 
 /* loads that travel with probes; 'to' may be NULL */
-void keeper_fillloads(mp_State *M, mp_Probe *p, const Member *to);
-void keeper_learn(mp_State *M, const mp_LoadNews *n);
+void keeper_fillloads(mp_State *state, mp_Probe *p, const Member *to);
+void keeper_learn(mp_State *state, const mp_LoadNews *n);
 
 #endif
--- a/core/member.c
+++ b/core/member.c
@@ -29,14 +29,14 @@
 } Probing;
 
 /* memory of a call under way, freed with the state if not before */
-static void *scratch(mp_State *M, size_t n) {
+static void *scratch(mp_State *state, size_t n) {
   void *p = g_malloc0(n);
-  g_hash_table_add(M->scratch, p);
+  g_hash_table_add(state->scratch, p);
   return p;
 }
 
-static void unscratch(mp_State *M, void *p) {
-  g_hash_table_remove(M->scratch, p);
+static void unscratch(mp_State *state, void *p) {
+  g_hash_table_remove(state->scratch, p);
 }
 
 uint64_t member_weight(mp_Addr a, uint64_t key) {
@@ -46,8 +46,8 @@
   return XXH3_64bits(both, sizeof both);
 }
 
-Member *member_get(const mp_State *M, mp_Addr a) {
-  return state_get(M->memberby, a);
+Member *member_get(const mp_State *state, mp_Addr a) {
+  return state_get(state->memberby, a);
 }
 
 static int serves(const Member *m) {
@@ -60,13 +60,13 @@
 ** ===================================================================
 */
 
-static GArray *liveset(const mp_State *M) {
+static GArray *liveset(const mp_State *state) {
   GArray *a = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
   guint i;
-  if (!M->draining)
-    g_array_append_val(a, M->self);
-  for (i = 0; i < M->members->len; i++) {
-    const Member *m = M->members->pdata[i];
+  if (!state->draining)
+    g_array_append_val(a, state->self);
+  for (i = 0; i < state->members->len; i++) {
+    const Member *m = state->members->pdata[i];
     if (!m->remote && serves(m))
       g_array_append_val(a, m->addr);
   }
@@ -74,19 +74,19 @@
 }
 
 /* 'old' is the set before this change; consumed */
-static void setchanged(mp_State *M, GArray *old) {
-  if (M->now - M->settled < MP_HOME_SETTLE) {
-    M->changes++; /* 'beforeset' stays what it was before the first */
+static void setchanged(mp_State *state, GArray *old) {
+  if (state->now - state->settled < MP_HOME_SETTLE) {
+    state->changes++; /* 'beforeset' stays what it was before the first */
     g_array_unref(old);
   } else {
-    M->changes = 1;
-    g_array_unref(M->beforeset);
-    M->beforeset = old;
+    state->changes = 1;
+    g_array_unref(state->beforeset);
+    state->beforeset = old;
   }
-  M->settled = M->now;
+  state->settled = state->now;
 }
 
-static void become(mp_State *M, Member *m, mp_MemberState s) {
+static void become(mp_State *state, Member *m, mp_MemberState s) {
   static const mp_EventNo said[] = {MP_LOG_MEMBER_UP, MP_LOG_MEMBER_SUSPECT,
                                     MP_LOG_MEMBER_LEAVING, MP_LOG_MEMBER_DEAD};
   GArray *old;
@@ -94,43 +94,43 @@
   char text[24];
   if (m->state == s)
     return;
-  old = liveset(M);
+  old = liveset(state);
   before = serves(m);
   m->state = s;
-  m->since = M->now;
+  m->since = state->now;
   m->told = 0;
   if (!m->remote && before != serves(m))
-    setchanged(M, old);
+    setchanged(state, old);
   else
     g_array_unref(old);
   if (before != serves(m))
-    claim_homesmoved(M);
+    claim_homesmoved(state);
   mp_addr_text(m->addr, text);
-  effect_log(M, said[s], " instance=%s start=%u", text, m->start);
+  effect_log(state, said[s], " instance=%s start=%u", text, m->start);
 }
 
-static Member *add(mp_State *M, mp_Addr a, uint32_t start, uint32_t dc) {
+static Member *add(mp_State *state, mp_Addr a, uint32_t start, uint32_t dc) {
   Member *m = g_new0(Member, 1);
   m->addr = a;
   m->start = start;
   m->dc = dc;
-  m->remote = dc != M->dchash;
-  m->since = M->now;
+  m->remote = dc != state->dchash;
+  m->since = state->now;
   m->state = MP_MEMBER_DEAD; /* until become below counts it in */
-  g_ptr_array_add(M->members, m);
-  state_set(M->memberby, a, m);
-  become(M, m, MP_MEMBER_ALIVE);
+  g_ptr_array_add(state->members, m);
+  state_set(state->memberby, a, m);
+  become(state, m, MP_MEMBER_ALIVE);
   return m;
 }
 
-static void dropold(mp_State *M) {
+static void dropold(mp_State *state) {
   guint i = 0;
-  while (i < M->members->len) {
-    Member *m = M->members->pdata[i];
+  while (i < state->members->len) {
+    Member *m = state->members->pdata[i];
     if (m->state == MP_MEMBER_DEAD && !m->listed &&
-        M->now - m->since > MP_DEAD_KEEP) {
-      state_del(M->memberby, m->addr);
-      g_ptr_array_remove_index(M->members, i); /* frees the row */
+        state->now - m->since > MP_DEAD_KEEP) {
+      state_del(state->memberby, m->addr);
+      g_ptr_array_remove_index(state->members, i); /* frees the row */
     } else
       i++;
   }
@@ -158,16 +158,16 @@
   return win;
 }
 
-mp_Addr member_home(const mp_State *M, uint32_t dc, uint64_t key) {
+mp_Addr member_home(const mp_State *state, uint32_t dc, uint64_t key) {
   mp_Addr win = 0;
   uint64_t top = 0;
   guint i;
-  if (dc == M->dchash && !M->draining) {
-    win = M->self;
+  if (dc == state->dchash && !state->draining) {
+    win = state->self;
     top = member_weight(win, key);
   }
-  for (i = 0; i < M->members->len; i++) {
-    const Member *m = M->members->pdata[i];
+  for (i = 0; i < state->members->len; i++) {
+    const Member *m = state->members->pdata[i];
     uint64_t w;
     if (m->dc != dc || !serves(m))
       continue;
@@ -180,54 +180,54 @@
   return win;
 }
 
-mp_Addr member_homebefore(const mp_State *M, uint64_t key) {
-  const GArray *b = M->beforeset;
+mp_Addr member_homebefore(const mp_State *state, uint64_t key) {
+  const GArray *b = state->beforeset;
   return best((const mp_Addr *)(const void *)b->data, b->len, key);
 }
 
-int member_among(const mp_State *M, uint64_t key, unsigned n) {
-  uint64_t own = member_weight(M->self, key);
+int member_among(const mp_State *state, uint64_t key, unsigned n) {
+  uint64_t own = member_weight(state->self, key);
   unsigned before = 0;
   guint i;
-  for (i = 0; i < M->members->len; i++) {
-    const Member *m = M->members->pdata[i];
+  for (i = 0; i < state->members->len; i++) {
+    const Member *m = state->members->pdata[i];
     if (!m->remote && serves(m) && member_weight(m->addr, key) > own)
       before++;
   }
   return before < n;
 }
 
-unsigned member_count(const mp_State *M, int all) {
+unsigned member_count(const mp_State *state, int all) {
   unsigned n = 1;
   guint i;
-  for (i = 0; i < M->members->len; i++) {
-    const Member *m = M->members->pdata[i];
+  for (i = 0; i < state->members->len; i++) {
+    const Member *m = state->members->pdata[i];
     if (serves(m) && (all || !m->remote))
       n++;
   }
   return n;
 }
 
-int member_reach(const mp_State *M, uint32_t dc) {
+int member_reach(const mp_State *state, uint32_t dc) {
   unsigned i;
-  if (dc == M->dchash)
+  if (dc == state->dchash)
     return 1;
-  for (i = 0; i < M->ncentre; i++) {
-    if (M->centre[i].dc == dc)
-      return M->now - M->centre[i].heard < MP_DC_SILENT;
+  for (i = 0; i < state->ncentre; i++) {
+    if (state->centre[i].dc == dc)
+      return state->now - state->centre[i].heard < MP_DC_SILENT;
   }
   return 0;
 }
 
-static void heardfrom(mp_State *M, uint32_t dc) {
+static void heardfrom(mp_State *state, uint32_t dc) {
   unsigned i;
-  for (i = 0; i < M->ncentre && M->centre[i].dc != dc; i++)
+  for (i = 0; i < state->ncentre && state->centre[i].dc != dc; i++)
     ;
   if (i == MP_MAXDCS)
     return;
-  if (i == M->ncentre)
-    M->centre[M->ncentre++].dc = dc;
-  M->centre[i].heard = M->now;
+  if (i == state->ncentre)
+    state->centre[state->ncentre++].dc = dc;
+  state->centre[i].heard = state->now;
 }
 
 /* }================================================================== */
@@ -238,28 +238,28 @@
 ** ===================================================================
 */
 
-static void greet(mp_State *M, void *ud);
+static void greet(mp_State *state, void *ud);
 
-void member_heard(mp_State *M, mp_Addr a) {
-  Member *m = member_get(M, a);
+void member_heard(mp_State *state, mp_Addr a) {
+  Member *m = member_get(state, a);
   if (m == NULL)
     return;
-  m->heard = M->now;
+  m->heard = state->now;
   m->avoid = 0;
-  heardfrom(M, m->dc);
+  heardfrom(state, m->dc);
 }
 
-void member_silent(mp_State *M, mp_Addr a) {
-  Member *m = member_get(M, a);
+void member_silent(mp_State *state, mp_Addr a) {
+  Member *m = member_get(state, a);
   if (m != NULL)
-    m->avoid = M->now + MP_PROBE_PERIOD;
+    m->avoid = state->now + MP_PROBE_PERIOD;
 }
 
-int member_trusted(const mp_State *M, mp_Addr a) {
+int member_trusted(const mp_State *state, mp_Addr a) {
   uint32_t ip = (uint32_t)(a >> 16);
-  if (member_get(M, a) != NULL || a == M->self)
+  if (member_get(state, a) != NULL || a == state->self)
     return 1;
-  return M->mask != 0 && (ip & M->mask) == (M->net & M->mask);
+  return state->mask != 0 && (ip & state->mask) == (state->net & state->mask);
 }
 
 /* does (start, incarnation, state) of the news beat what is known? */
@@ -271,48 +271,48 @@
   return n->state > (uint8_t)m->state;
 }
 
-static void aboutself(mp_State *M, const mp_MemberNews *n) {
-  if (n->start != M->start || n->incarnation < M->incarnation)
+static void aboutself(mp_State *state, const mp_MemberNews *n) {
+  if (n->start != state->start || n->incarnation < state->incarnation)
     return;
   if (n->state != MP_MEMBER_SUSPECT && n->state != MP_MEMBER_DEAD)
     return;
-  M->incarnation = n->incarnation + 1; /* refute, to everyone */
-  timer_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
+  state->incarnation = n->incarnation + 1; /* refute, to everyone */
+  timer_arm(&state->timers, &state->greettimer, state->now, greet, NULL);
 }
 
-static void learn(mp_State *M, const mp_MemberNews *n) {
+static void learn(mp_State *state, const mp_MemberNews *n) {
   Member *m;
-  if (n->addr == M->self) {
-    aboutself(M, n);
+  if (n->addr == state->self) {
+    aboutself(state, n);
     return;
   }
   if (n->state > MP_MEMBER_DEAD || n->addr == 0)
     return;
-  m = member_get(M, n->addr);
+  m = member_get(state, n->addr);
   if (m == NULL) {
-    if (n->state == MP_MEMBER_DEAD || !member_trusted(M, n->addr))
+    if (n->state == MP_MEMBER_DEAD || !member_trusted(state, n->addr))
       return;
-    m = add(M, n->addr, n->start, n->dc);
+    m = add(state, n->addr, n->start, n->dc);
   } else if (!newer(m, n))
     return;
   m->start = n->start;
   m->incarnation = n->incarnation;
   m->told = 0;
-  become(M, m, (mp_MemberState)n->state);
+  become(state, m, (mp_MemberState)n->state);
 }
 
-unsigned member_toldoften(const mp_State *M) {
-  return 2 + (unsigned)g_bit_storage(M->members->len);
+unsigned member_toldoften(const mp_State *state) {
+  return 2 + (unsigned)g_bit_storage(state->members->len);
 }
 
 /* the member with the fewest tellings, after those taken already */
-static Member *leasttold(mp_State *M, const mp_Probe *p, mp_Addr to) {
+static Member *leasttold(mp_State *state, const mp_Probe *p, mp_Addr to) {
   Member *win = NULL;
   guint i;
-  for (i = 0; i < M->members->len; i++) {
-    Member *m = M->members->pdata[i];
+  for (i = 0; i < state->members->len; i++) {
+    Member *m = state->members->pdata[i];
     unsigned k;
-    if (m->addr == to || m->told >= member_toldoften(M) ||
+    if (m->addr == to || m->told >= member_toldoften(state) ||
         (win != NULL && m->told >= win->told))
       continue;
     for (k = 0; k < p->nmember && p->member[k].addr != m->addr; k++)
@@ -323,8 +323,8 @@
   return win;
 }
 
-static void fillmembers(mp_State *M, mp_Probe *p, mp_Addr to) {
-  Member *about = member_get(M, to);
+static void fillmembers(mp_State *state, mp_Probe *p, mp_Addr to) {
+  Member *about = member_get(state, to);
   /* a suspect must hear of it, to refute */
   if (about != NULL && about->state != MP_MEMBER_ALIVE) {
     mp_MemberNews n = {about->addr, about->start, about->incarnation,
@@ -332,7 +332,7 @@
     p->member[p->nmember++] = n;
   }
   while (p->nmember < MP_GOSSIP_MEMBERS) {
-    Member *m = leasttold(M, p, to);
+    Member *m = leasttold(state, p, to);
     mp_MemberNews n;
     if (m == NULL)
       break;
@@ -346,42 +346,42 @@
   }
 }
 
-static void fill(mp_State *M, mp_Probe *p, mp_Addr to) {
+static void fill(mp_State *state, mp_Probe *p, mp_Addr to) {
   int i;
   memset(p, 0, sizeof *p);
-  p->start = M->start;
-  p->incarnation = M->incarnation;
-  p->dc = M->dchash;
-  p->state = M->draining ? MP_MEMBER_LEAVING : MP_MEMBER_ALIVE;
+  p->start = state->start;
+  p->incarnation = state->incarnation;
+  p->dc = state->dchash;
+  p->state = state->draining ? MP_MEMBER_LEAVING : MP_MEMBER_ALIVE;
   for (i = 0; i < MP_DOC_COUNT; i++)
-    p->doc[i] = M->doc[i].version;
-  fillmembers(M, p, to);
-  keeper_fillloads(M, p, member_get(M, to));
+    p->doc[i] = state->doc[i].version;
+  fillmembers(state, p, to);
+  keeper_fillloads(state, p, member_get(state, to));
 }
 
-static void take(mp_State *M, mp_Addr from, const mp_Probe *p) {
+static void take(mp_State *state, mp_Addr from, const mp_Probe *p) {
   mp_MemberNews n = {from, p->start, p->incarnation, p->dc, p->state};
   unsigned i;
   Member *m;
-  learn(M, &n);
-  member_heard(M, from);
-  m = member_get(M, from);
+  learn(state, &n);
+  member_heard(state, from);
+  m = member_get(state, from);
   for (i = 0; i < p->nmember; i++)
-    learn(M, &p->member[i]);
+    learn(state, &p->member[i]);
   for (i = 0; i < p->nload; i++)
-    keeper_learn(M, &p->load[i]);
+    keeper_learn(state, &p->load[i]);
   if (m != NULL) {
     memcpy(m->doc, p->doc, sizeof m->doc);
-    document_offered(M, from, p->doc);
+    document_offered(state, from, p->doc);
   }
 }
 
-void member_probe(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void member_probe(mp_State *state, mp_Addr from, const mp_Msg *m) {
   mp_Msg a = {0};
-  take(M, from, &m->u.probe);
-  fill(M, &a.u.probe, from);
-  a.u.probe.target = M->self;
-  effect_answer(M, from, m, &a);
+  take(state, from, &m->u.probe);
+  fill(state, &a.u.probe, from);
+  a.u.probe.target = state->self;
+  effect_answer(state, from, m, &a);
 }
 
 /* }================================================================== */
@@ -392,81 +392,83 @@
 ** ===================================================================
 */
 
-static void suspect(mp_State *M, mp_Addr a) {
-  Member *m = member_get(M, a);
+static void suspect(mp_State *state, mp_Addr a) {
+  Member *m = member_get(state, a);
   if (m == NULL || m->remote)
     return;
-  member_silent(M, a);
+  member_silent(state, a);
   if (m->state == MP_MEMBER_ALIVE)
-    become(M, m, MP_MEMBER_SUSPECT);
+    become(state, m, MP_MEMBER_SUSPECT);
 }
 
-static void viaanswered(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
+static void viaanswered(mp_State *state, void *ud, mp_Addr from,
+                        const mp_Msg *m) {
   Probing *p = ud;
   (void)from;
   if (m != NULL && m->u.probe.target == p->target)
     p->answered = 1;
   if (m != NULL)
-    take(M, from, &m->u.probe);
+    take(state, from, &m->u.probe);
   if (--p->open > 0)
     return;
   if (!p->answered)
-    suspect(M, p->target);
-  unscratch(M, p);
+    suspect(state, p->target);
+  unscratch(state, p);
 }
 
-static Member *anyother(mp_State *M, mp_Addr but) {
-  guint n = M->members->len;
-  guint at = n > 0 ? (guint)g_rand_int_range(M->rand, 0, (gint32)n) : 0;
+static Member *anyother(mp_State *state, mp_Addr but) {
+  guint n = state->members->len;
+  guint at = n > 0 ? (guint)g_rand_int_range(state->rand, 0, (gint32)n) : 0;
   guint i;
   for (i = 0; i < n; i++) {
-    Member *m = M->members->pdata[(at + i) % n];
+    Member *m = state->members->pdata[(at + i) % n];
     if (!m->remote && m->state == MP_MEMBER_ALIVE && m->addr != but)
       return m;
   }
   return NULL;
 }
 
-static void askothers(mp_State *M, mp_Addr target) {
-  Probing *p = scratch(M, sizeof *p);
+static void askothers(mp_State *state, mp_Addr target) {
+  Probing *p = scratch(state, sizeof *p);
   mp_Addr asked = 0;
   int i;
   p->target = target;
   for (i = 0; i < MP_PROBE_INDIRECT; i++) {
-    Member *v = anyother(M, target);
+    Member *v = anyother(state, target);
     mp_Msg m = {0};
     if (v == NULL || v->addr == asked)
       break;
     asked = v->addr;
     m.kind = MP_MSG_PROBE_VIA;
-    fill(M, &m.u.probe, v->addr);
+    fill(state, &m.u.probe, v->addr);
     m.u.probe.target = target;
     p->open++;
-    effect_rpc(M, v->addr, &m, 3 * MP_PROBE_TIMEOUT, viaanswered, p);
+    effect_rpc(state, v->addr, &m, 3 * MP_PROBE_TIMEOUT, viaanswered, p);
   }
   if (p->open == 0) {
-    suspect(M, target);
-    unscratch(M, p);
+    suspect(state, target);
+    unscratch(state, p);
   }
 }
 
-static void answered(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
-  Member *t = member_get(M, from);
+static void answered(mp_State *state, void *ud, mp_Addr from,
+                     const mp_Msg *m) {
+  Member *t = member_get(state, from);
   (void)ud;
   if (m != NULL) {
-    take(M, from, &m->u.probe);
+    take(state, from, &m->u.probe);
     return;
   }
-  member_silent(M, from);
+  member_silent(state, from);
   if (t != NULL && !t->remote)
-    askothers(M, from);
+    askothers(state, from);
 }
 
-static void probe(mp_State *M, mp_Addr a) {
+static void probe(mp_State *state, mp_Addr a) {
   mp_Msg m = {0};
   m.kind = MP_MSG_PROBE;
-  fill(M, &m.u.probe, a);
-  effect_rpc(M, a, &m, MP_PROBE_TIMEOUT, answered, NULL);
+  fill(state, &m.u.probe, a);
+  effect_rpc(state, a, &m, MP_PROBE_TIMEOUT, answered, NULL);
 }
 
 /* the asker's call, kept while the probe on its behalf is out */
@@ -475,30 +477,30 @@
   mp_Msg call;
 } Via;
 
-static void viadone(mp_State *M, void *ud, mp_Addr from, const mp_Msg *m) {
+static void viadone(mp_State *state, void *ud, mp_Addr from, const mp_Msg *m) {
   Via *v = ud;
   mp_Msg a = {0};
   if (m != NULL)
-    take(M, from, &m->u.probe);
-  fill(M, &a.u.probe, v->asker);
+    take(state, from, &m->u.probe);
+  fill(state, &a.u.probe, v->asker);
   a.u.probe.target = m != NULL ? from : 0;
-  effect_answer(M, v->asker, &v->call, &a);
-  unscratch(M, v);
+  effect_answer(state, v->asker, &v->call, &a);
+  unscratch(state, v);
 }
 
-void member_probevia(mp_State *M, mp_Addr from, const mp_Msg *m) {
+void member_probevia(mp_State *state, mp_Addr from, const mp_Msg *m) {
   mp_Addr target = m->u.probe.target;
   Via *v;
   mp_Msg p = {0};
-  take(M, from, &m->u.probe);
-  if (!member_trusted(M, target) || target == M->self)
+  take(state, from, &m->u.probe);
+  if (!member_trusted(state, target) || target == state->self)
     return;
-  v = scratch(M, sizeof *v);
+  v = scratch(state, sizeof *v);
   v->asker = from;
   v->call = *m;
   p.kind = MP_MSG_PROBE;
-  fill(M, &p.u.probe, target);
-  effect_rpc(M, target, &p, MP_PROBE_TIMEOUT, viadone, v);
+  fill(state, &p.u.probe, target);
+  effect_rpc(state, target, &p, MP_PROBE_TIMEOUT, viadone, v);
 }
 
 /*
@@ -506,24 +508,24 @@
 ** Holders hear by it that they have a new home to announce to, before the
 ** home has settled.
 */
-static void greet(mp_State *M, void *ud) {
+static void greet(mp_State *state, void *ud) {
   guint i;
   (void)ud;
-  for (i = 0; i < M->members->len; i++) {
-    const Member *m = M->members->pdata[i];
+  for (i = 0; i < state->members->len; i++) {
+    const Member *m = state->members->pdata[i];
     if (m->state != MP_MEMBER_DEAD)
-      probe(M, m->addr);
+      probe(state, m->addr);
   }
 }
 
 /* the next member of this data centre (or of others) in turn */
-static Member *inturn(mp_State *M, unsigned *next, int remote) {
-  guint n = M->members->len;
+static Member *inturn(mp_State *state, unsigned *next, int remote) {
+  guint n = state->members->len;
   guint i;
   if (n > 0)
     *next %= n;
   for (i = 0; i < n; i++) {
-    Member *m = M->members->pdata[(*next + i) % n];
+    Member *m = state->members->pdata[(*next + i) % n];
     if (m->remote != remote || (remote && !serves(m)))
       continue;
     if (m->state == MP_MEMBER_DEAD && !m->listed)
@@ -534,102 +536,105 @@
   return NULL;
 }
 
-static void period(mp_State *M, void *ud) {
+static void period(mp_State *state, void *ud) {
   Member *m;
   guint i;
   (void)ud;
-  dropold(M);
-  for (i = 0; i < M->members->len; i++) {
-    m = M->members->pdata[i];
-    if (m->state == MP_MEMBER_SUSPECT && M->now - m->since > MP_SUSPECT_TIME)
-      become(M, m, MP_MEMBER_DEAD);
+  dropold(state);
+  for (i = 0; i < state->members->len; i++) {
+    m = state->members->pdata[i];
+    if (m->state == MP_MEMBER_SUSPECT &&
+        state->now - m->since > MP_SUSPECT_TIME)
+      become(state, m, MP_MEMBER_DEAD);
   }
-  m = inturn(M, &M->probenext, 0);
+  m = inturn(state, &state->probenext, 0);
   if (m != NULL)
-    probe(M, m->addr);
-  m = M->periods++ % MP_REMOTE_EVERY == 0 ? inturn(M, &M->remotenext, 1)
-                                          : NULL;
+    probe(state, m->addr);
+  m = state->periods++ % MP_REMOTE_EVERY == 0
+          ? inturn(state, &state->remotenext, 1)
+          : NULL;
   if (m != NULL)
-    probe(M, m->addr);
-  timer_arm(&M->timers, &M->probetimer, M->now + MP_PROBE_PERIOD, period,
-            NULL);
+    probe(state, m->addr);
+  timer_arm(&state->timers, &state->probetimer, state->now + MP_PROBE_PERIOD,
+            period, NULL);
 }
 
 /* }================================================================== */
 
-void member_list(mp_State *M) {
+void member_list(mp_State *state) {
   unsigned i;
   guint k;
-  for (k = 0; k < M->members->len; k++)
-    ((Member *)M->members->pdata[k])->listed = 0;
-  for (i = 0; i < M->list->n; i++) {
-    const mp_Instance *in = &M->list->inst[i];
+  for (k = 0; k < state->members->len; k++)
+    ((Member *)state->members->pdata[k])->listed = 0;
+  for (i = 0; i < state->list->n; i++) {
+    const mp_Instance *in = &state->list->inst[i];
     Member *m;
-    if (in->kind != MP_INST_ENTRY || in->addr == M->self)
+    if (in->kind != MP_INST_ENTRY || in->addr == state->self)
       continue;
-    m = member_get(M, in->addr);
+    m = member_get(state, in->addr);
     if (m == NULL)
-      m = add(M, in->addr, 0, state_hash(in->dc));
+      m = add(state, in->addr, 0, state_hash(in->dc));
     m->listed = 1;
     if (in->leaving && m->state == MP_MEMBER_ALIVE)
-      become(M, m, MP_MEMBER_LEAVING);
+      become(state, m, MP_MEMBER_LEAVING);
   }
-  if (!M->greeted) {
-    M->greeted = 1;
-    M->settled = M->now;
-    timer_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
+  if (!state->greeted) {
+    state->greeted = 1;
+    state->settled = state->now;
+    timer_arm(&state->timers, &state->greettimer, state->now, greet, NULL);
   }
 }
 
 /* the set may have changed behind its back: as after a fresh start */
-void member_paused(mp_State *M) {
-  M->settled = M->now;
-  M->changes = 2;
-  M->incarnation++; /* others may have called it dead */
-  timer_arm(&M->timers, &M->greettimer, M->now, greet, NULL);
+void member_paused(mp_State *state) {
+  state->settled = state->now;
+  state->changes = 2;
+  state->incarnation++; /* others may have called it dead */
+  timer_arm(&state->timers, &state->greettimer, state->now, greet, NULL);
 }
 
-static void seedanswered(mp_State *M, void *ud, mp_Addr from,
+static void seedanswered(mp_State *state, void *ud, mp_Addr from,
                          const mp_Msg *m) {
   (void)ud;
   if (m == NULL)
     return;
-  if (member_get(M, from) == NULL)
-    add(M, from, m->u.probe.start, m->u.probe.dc);
-  take(M, from, &m->u.probe);
+  if (member_get(state, from) == NULL)
+    add(state, from, m->u.probe.start, m->u.probe.dc);
+  take(state, from, &m->u.probe);
 }
 
-void member_seed(mp_State *M, mp_Addr a, const mp_Msg *m) {
-  effect_rpc(M, a, m, 4 * MP_PROBE_TIMEOUT, seedanswered, NULL);
+void member_seed(mp_State *state, mp_Addr a, const mp_Msg *m) {
+  effect_rpc(state, a, m, 4 * MP_PROBE_TIMEOUT, seedanswered, NULL);
 }
 
-void member_leave(mp_State *M) {
+void member_leave(mp_State *state) {
   guint i;
-  setchanged(M, liveset(M));
-  M->draining = 1;
-  M->incarnation++;
-  for (i = 0; i < M->members->len; i++) {
-    Member *m = M->members->pdata[i];
+  setchanged(state, liveset(state));
+  state->draining = 1;
+  state->incarnation++;
+  for (i = 0; i < state->members->len; i++) {
+    Member *m = state->members->pdata[i];
     if (serves(m))
-      probe(M, m->addr);
+      probe(state, m->addr);
   }
 }
 
-void member_init(mp_State *M) {
+void member_init(mp_State *state) {
   /* the first probes go out at once, then spread by a random phase */
-  mp_Time phase = g_rand_int_range(M->rand, 0, MP_PROBE_PERIOD);
+  mp_Time phase = g_rand_int_range(state->rand, 0, MP_PROBE_PERIOD);
   /* everyone has the same list: beginning anywhere in it keeps all from
   ** probing the same member at the same time */
-  M->probenext = g_rand_int(M->rand);
-  M->remotenext = g_rand_int(M->rand);
-  M->scratch = g_hash_table_new_full(NULL, NULL, g_free, NULL);
-  M->beforeset = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
-  M->settled = M->now;
-  M->changes = 2; /* a fresh instance knows of no set before it */
-  timer_arm(&M->timers, &M->probetimer, M->now + phase, period, NULL);
-}
-
-void member_free(mp_State *M) {
-  g_array_unref(M->beforeset);
-  g_hash_table_destroy(M->scratch);
+  state->probenext = g_rand_int(state->rand);
+  state->remotenext = g_rand_int(state->rand);
+  state->scratch = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+  state->beforeset = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  state->settled = state->now;
+  state->changes = 2; /* a fresh instance knows of no set before it */
+  timer_arm(&state->timers, &state->probetimer, state->now + phase, period,
+            NULL);
+}
+
+void member_free(mp_State *state) {
+  g_array_unref(state->beforeset);
+  g_hash_table_destroy(state->scratch);
 }
--- a/core/member.h
+++ b/core/member.h
@@ -11,55 +11,55 @@
 
 #include "state.h"
 
-void member_init(mp_State *M);
-void member_free(mp_State *M);
+void member_init(mp_State *state);
+void member_free(mp_State *state);
 
 /* ask an instance that the settings name, before a list is there */
-void member_seed(mp_State *M, mp_Addr a, const mp_Msg *m);
+void member_seed(mp_State *state, mp_Addr a, const mp_Msg *m);
 
 /* this core stood still for long: what it knows of others may be old */
-void member_paused(mp_State *M);
+void member_paused(mp_State *state);
 
 /* an answer or call came straight from 'a': it is alive */
-void member_heard(mp_State *M, mp_Addr a);
+void member_heard(mp_State *state, mp_Addr a);
 /* 'a' did not answer a call: leave it alone for a while */
-void member_silent(mp_State *M, mp_Addr a);
+void member_silent(mp_State *state, mp_Addr a);
 
 /* handle PROBE and PROBE_VIA */
-void member_probe(mp_State *M, mp_Addr from, const mp_Msg *m);
-void member_probevia(mp_State *M, mp_Addr from, const mp_Msg *m);
+void member_probe(mp_State *state, mp_Addr from, const mp_Msg *m);
+void member_probevia(mp_State *state, mp_Addr from, const mp_Msg *m);
 
 /* take over the entries of a new instance list */
-void member_list(mp_State *M);
+void member_list(mp_State *state);
 
 /* this instance is leaving: say so at once */
-void member_leave(mp_State *M);
+void member_leave(mp_State *state);
 
 /* does the address belong to the set of instances? */
-int member_trusted(const mp_State *M, mp_Addr a);
+int member_trusted(const mp_State *state, mp_Addr a);
 
 /*
 ** The instance of data centre 'dc' that answers for 'key', by rendezvous
 ** hash over the live ones; 0 when none is in reach.
 */
-mp_Addr member_home(const mp_State *M, uint32_t dc, uint64_t key);
+mp_Addr member_home(const mp_State *state, uint32_t dc, uint64_t key);
 
 /* the same over the set that was there before the last change; own centre */
-mp_Addr member_homebefore(const mp_State *M, uint64_t key);
+mp_Addr member_homebefore(const mp_State *state, uint64_t key);
 
 /* is this instance among the 'n' first for 'key' in its data centre? */
-int member_among(const mp_State *M, uint64_t key, unsigned n);
+int member_among(const mp_State *state, uint64_t key, unsigned n);
 
 /* live instances here (with this one), and in all data centres */
-unsigned member_count(const mp_State *M, int all);
+unsigned member_count(const mp_State *state, int all);
 
 /* was anything heard from the data centre lately? */
-int member_reach(const mp_State *M, uint32_t dc);
+int member_reach(const mp_State *state, uint32_t dc);
 
-Member *member_get(const mp_State *M, mp_Addr a);
+Member *member_get(const mp_State *state, mp_Addr a);
 
 /* news told so often has reached everyone, with near certainty */
-unsigned member_toldoften(const mp_State *M);
+unsigned member_toldoften(const mp_State *state);
 
 /* weight of an address for a key in a rendezvous hash */
 uint64_t member_weight(mp_Addr a, uint64_t key);
--- a/core/order.c
+++ b/core/order.c
@@ -45,19 +45,20 @@
   Timer late;
 };
 
-static void step(mp_State *M, void *ud);
+static void step(mp_State *state, void *ud);
 
-static void rearm(mp_State *M, mp_Time wait) {
-  timer_arm(&M->timers, &M->orders->timer, M->now + wait, step, NULL);
+static void rearm(mp_State *state, mp_Time wait) {
+  timer_arm(&state->timers, &state->orders->timer, state->now + wait, step,
+            NULL);
 }
 
-static int wanted(const mp_State *M) {
-  return M->config != NULL && M->config->policy->role_orders && !M->draining &&
-         member_among(M, LEASE_KEY, CANDIDATES);
+static int wanted(const mp_State *state) {
+  return state->config != NULL && state->config->policy->role_orders &&
+         !state->draining && member_among(state, LEASE_KEY, CANDIDATES);
 }
 
-static void leasekey(const mp_State *M, char out[96]) {
-  snprintf(out, 96, "lease/%s", M->dc);
+static void leasekey(const mp_State *state, char out[96]) {
+  snprintf(out, 96, "lease/%s", state->dc);
 }
 
 /*
@@ -66,64 +67,64 @@
 ** ===================================================================
 */
 
-static void lose(mp_State *M) {
-  if (M->orders->held)
-    effect_log(M, MP_LOG_LEASE_LOST, " fence=%" G_GUINT64_FORMAT,
-               (guint64)M->orders->version);
-  M->orders->held = 0;
+static void lose(mp_State *state) {
+  if (state->orders->held)
+    effect_log(state, MP_LOG_LEASE_LOST, " fence=%" G_GUINT64_FORMAT,
+               (guint64)state->orders->version);
+  state->orders->held = 0;
 }
 
-static void seenlease(mp_State *M, void *ud, const mp_StoreEvent *e) {
-  Orders *O = M->orders;
+static void seenlease(mp_State *state, void *ud, const mp_StoreEvent *e) {
+  Orders *O = state->orders;
   (void)ud;
   O->asking = 0;
   if (e->status == MP_STORE_OK || e->status == MP_STORE_ABSENT) {
     uint64_t v = e->status == MP_STORE_OK ? e->version : 0;
     if (v != O->version || O->changed == 0)
-      O->changed = M->now;
+      O->changed = state->now;
     O->version = v;
   }
-  rearm(M, MP_ORDER_RENEW);
+  rearm(state, MP_ORDER_RENEW);
 }
 
-static void readlease(mp_State *M) {
+static void readlease(mp_State *state) {
   char key[96];
-  M->orders->asking = 1;
-  leasekey(M, key);
-  effect_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, seenlease,
+  state->orders->asking = 1;
+  leasekey(state, key);
+  effect_store(state, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, seenlease,
                NULL);
 }
 
-static void tookit(mp_State *M, void *ud, const mp_StoreEvent *e) {
-  Orders *O = M->orders;
+static void tookit(mp_State *state, void *ud, const mp_StoreEvent *e) {
+  Orders *O = state->orders;
   (void)ud;
   O->asking = 0;
   if (e->status != MP_STORE_OK) {
     /* a lost reply counts as lost: the new version is waited out */
-    lose(M);
-    readlease(M);
+    lose(state);
+    readlease(state);
     return;
   }
   if (!O->held) {
     O->held = 1;
-    O->begun = M->now;
-    effect_log(M, MP_LOG_LEASE_HELD, " fence=%" G_GUINT64_FORMAT,
+    O->begun = state->now;
+    effect_log(state, MP_LOG_LEASE_HELD, " fence=%" G_GUINT64_FORMAT,
                (guint64)e->version);
   }
   O->version = e->version;
-  O->changed = M->now;
+  O->changed = state->now;
   O->until = O->asked + MP_ORDER_LEASE;
-  rearm(M, MP_ORDER_RENEW);
+  rearm(state, MP_ORDER_RENEW);
 }
 
-static void takelease(mp_State *M) {
+static void takelease(mp_State *state) {
   char key[96];
   char who[24];
-  leasekey(M, key);
-  mp_addr_text(M->self, who);
-  M->orders->asking = 1;
-  M->orders->asked = M->now;
-  effect_store(M, MP_ST_PUT, key, M->orders->version, who, strlen(who),
+  leasekey(state, key);
+  mp_addr_text(state->self, who);
+  state->orders->asking = 1;
+  state->orders->asked = state->now;
+  effect_store(state, MP_ST_PUT, key, state->orders->version, who, strlen(who),
                MP_STORE_TIMEOUT, tookit, NULL);
 }
 
@@ -152,13 +153,14 @@
   return e->wait / 1000.0;
 }
 
-static PoolLoad measure(const mp_State *M, const char *service, mp_Role role) {
+static PoolLoad measure(const mp_State *state, const char *service,
+                        mp_Role role) {
   PoolLoad p = {0};
   guint i;
-  for (i = 0; i < M->endpoints->len; i++) {
-    Endpoint *e = M->endpoints->pdata[i];
-    if (e->dchash != M->dchash || e->role != role || !fleet_open(M, e) ||
-        strcmp(e->service, service) != 0)
+  for (i = 0; i < state->endpoints->len; i++) {
+    Endpoint *e = state->endpoints->pdata[i];
+    if (e->dchash != state->dchash || e->role != role ||
+        !fleet_open(state, e) || strcmp(e->service, service) != 0)
       continue;
     p.n++;
     p.pressure += loadof(e);
@@ -170,102 +172,104 @@
   return p;
 }
 
-static unsigned leastof(const mp_State *M, const char *service, mp_Role role) {
+static unsigned leastof(const mp_State *state, const char *service,
+                        mp_Role role) {
   unsigned i;
-  for (i = 0; i < M->config->pools_count; i++) {
-    const mp_Pool *p = &M->config->pools[i];
+  for (i = 0; i < state->config->pools_count; i++) {
+    const mp_Pool *p = &state->config->pools[i];
     if (p->role == role && strcmp(p->service, service) == 0)
       return MAX(p->least, 1);
   }
   return G_MAXUINT; /* no such pool: never ordered away */
 }
 
-static int trusted(const mp_State *M) {
-  return M->orders->held && M->now < M->orders->until;
+static int trusted(const mp_State *state) {
+  return state->orders->held && state->now < state->orders->until;
 }
 
 /* may this service's engines be given an order yet? */
-static int waitedout(const mp_State *M, const mp_Service *s) {
+static int waitedout(const mp_State *state, const mp_Service *s) {
   if (s->checks_fence)
     return 1;
-  return M->now - M->orders->begun >
+  return state->now - state->orders->begun >
          MP_ORDER_LEASE + MP_ORDER_MAX + MP_ORDER_MARGIN;
 }
 
-static void audited(mp_State *M, void *ud, const mp_StoreEvent *e) {
-  (void)M;
+static void audited(mp_State *state, void *ud, const mp_StoreEvent *e) {
+  (void)state;
   (void)ud;
   (void)e; /* a lost record is in the log all the same (E6004, E6005) */
 }
 
 /* every order leaves a record beside those of the operators' changes */
-static void audit(mp_State *M, const char *outcome) {
-  const Orders *O = M->orders;
+static void audit(mp_State *state, const char *outcome) {
+  const Orders *O = state->orders;
   char key[96];
   char who[24];
   char at[24];
   char text[256];
   int n;
-  mp_addr_text(M->self, who);
+  mp_addr_text(state->self, who);
   mp_addr_text(O->target, at);
-  snprintf(key, sizeof key, "audit/order-%s-%010" G_GUINT64_FORMAT, M->dc,
+  snprintf(key, sizeof key, "audit/order-%s-%010" G_GUINT64_FORMAT, state->dc,
            (guint64)O->version);
   n = snprintf(text, sizeof text,
                "{\"who\":\"%s\",\"what\":\"order %s\",\"from\":%d,"
                "\"to\":%d,\"outcome\":\"%s\"}",
                who, at, (int)O->from, (int)O->pressed, outcome);
-  effect_store(M, MP_ST_PUT, key, 0, text, (size_t)n, MP_STORE_TIMEOUT,
+  effect_store(state, MP_ST_PUT, key, 0, text, (size_t)n, MP_STORE_TIMEOUT,
                audited, NULL);
 }
 
-static void orderdone(mp_State *M, int ok) {
-  Orders *O = M->orders;
-  const Endpoint *e = fleet_get(M, O->target);
-  timer_stop(&M->timers, &O->late);
+static void orderdone(mp_State *state, int ok) {
+  Orders *O = state->orders;
+  const Endpoint *e = fleet_get(state, O->target);
+  timer_stop(&state->timers, &O->late);
   O->xcall = 0;
-  effect_log(M, ok ? MP_LOG_ORDER_DONE : MP_LOG_ORDER_FAIL, " endpoint=%s",
+  effect_log(state, ok ? MP_LOG_ORDER_DONE : MP_LOG_ORDER_FAIL, " endpoint=%s",
              e != NULL ? e->name : "gone");
-  audit(M, ok ? "done" : "failed or unknown");
+  audit(state, ok ? "done" : "failed or unknown");
 }
 
-static void ordered(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+static void ordered(mp_State *state, void *ud, const mp_EndpointEvent *e) {
   (void)ud;
   if (e->what == MP_EP_DONE || e->what == MP_EP_FAIL)
-    orderdone(M, e->what == MP_EP_DONE);
+    orderdone(state, e->what == MP_EP_DONE);
 }
 
 /* the reply is lost: the next load answer shows the role in force */
-static void orderlate(mp_State *M, void *ud) {
+static void orderlate(mp_State *state, void *ud) {
   (void)ud;
-  effect_xabort(M, M->orders->xcall);
-  orderdone(M, 0);
+  effect_xabort(state, state->orders->xcall);
+  orderdone(state, 0);
 }
 
-static void order(mp_State *M, Endpoint *e, mp_Role role) {
-  Orders *O = M->orders;
+static void order(mp_State *state, Endpoint *e, mp_Role role) {
+  Orders *O = state->orders;
   mp_Xcall x = {0};
-  if (!trusted(M)) /* right before it goes out */
+  if (!trusted(state)) /* right before it goes out */
     return;
   x.op = MP_X_ORDER;
   x.endpoint = e->addr;
   x.role = role;
   x.fence = O->version;
-  x.valid_ms = (uint32_t)(MIN(MP_ORDER_MAX, O->until - M->now) / MP_MS);
+  x.valid_ms = (uint32_t)(MIN(MP_ORDER_MAX, O->until - state->now) / MP_MS);
   O->target = e->addr;
   O->from = e->role;
-  O->xcall = effect_xcall(M, &x, ordered, NULL);
-  timer_arm(&M->timers, &O->late, M->now + MP_ORDER_MAX, orderlate, NULL);
-  mpcount(M, ORDERS);
-  effect_log(M, MP_LOG_ORDER_SENT,
+  O->xcall = effect_xcall(state, &x, ordered, NULL);
+  timer_arm(&state->timers, &O->late, state->now + MP_ORDER_MAX, orderlate,
+            NULL);
+  mpcount(state, ORDERS);
+  effect_log(state, MP_LOG_ORDER_SENT,
              " endpoint=%s role=%d fence=%" G_GUINT64_FORMAT, e->name,
              (int)role, (guint64)O->version);
 }
 
 /* has 'role' of some service been pressed long enough? */
-static void balance(mp_State *M, const mp_Service *s) {
-  Orders *O = M->orders;
-  PoolLoad p = measure(M, s->name, MP_ROLE_PREFILL);
-  PoolLoad d = measure(M, s->name, MP_ROLE_DECODE);
+static void balance(mp_State *state, const mp_Service *s) {
+  Orders *O = state->orders;
+  PoolLoad p = measure(state, s->name, MP_ROLE_PREFILL);
+  PoolLoad d = measure(state, s->name, MP_ROLE_DECODE);
   int toprefill = p.pressure > PRESSURE_HIGH && d.pressure < PRESSURE_LOW;
   int todecode = d.pressure > DECODE_HIGH && p.pressure < PRESSURE_LOW;
   mp_Role want = toprefill ? MP_ROLE_PREFILL : MP_ROLE_DECODE;
@@ -276,59 +280,61 @@
     return;
   }
   if (O->pressing == 0 || O->pressed != want) {
-    O->pressing = M->now;
+    O->pressing = state->now;
     O->pressed = want;
     return;
   }
-  if (M->now - O->pressing < MP_ROLE_PATIENCE || !waitedout(M, s))
+  if (state->now - O->pressing < MP_ROLE_PATIENCE || !waitedout(state, s))
     return;
-  if (giver->idlest == NULL || giver->n <= leastof(M, s->name, from))
+  if (giver->idlest == NULL || giver->n <= leastof(state, s->name, from))
     return;
   O->pressing = 0;
-  order(M, giver->idlest, want);
+  order(state, giver->idlest, want);
 }
 
 /* }================================================================== */
 
-static void step(mp_State *M, void *ud) {
-  Orders *O = M->orders;
+static void step(mp_State *state, void *ud) {
+  Orders *O = state->orders;
   unsigned i;
   (void)ud;
-  if (!wanted(M)) {
-    lose(M);
-    rearm(M, MP_ORDER_RENEW);
+  if (!wanted(state)) {
+    lose(state);
+    rearm(state, MP_ORDER_RENEW);
     return;
   }
   if (O->asking)
     return;
-  if (O->held && M->now >= O->until)
-    lose(M);
-  for (i = 0; trusted(M) && O->xcall == 0 && i < M->config->services_count;
+  if (O->held && state->now >= O->until)
+    lose(state);
+  for (i = 0;
+       trusted(state) && O->xcall == 0 && i < state->config->services_count;
        i++) {
-    if (M->config->services[i].kind == MP_SVC_ENGINE)
-      balance(M, &M->config->services[i]);
+    if (state->config->services[i].kind == MP_SVC_ENGINE)
+      balance(state, &state->config->services[i]);
   }
-  if (O->held || (O->changed != 0 &&
-                  (O->version == 0 || M->now - O->changed > MP_ORDER_LEASE)))
-    takelease(M);
+  if (O->held ||
+      (O->changed != 0 &&
+       (O->version == 0 || state->now - O->changed > MP_ORDER_LEASE)))
+    takelease(state);
   else
-    readlease(M);
+    readlease(state);
 }
 
-void order_release(mp_State *M) {
-  lose(M); /* it runs out by itself; nothing is ordered any more */
+void order_release(mp_State *state) {
+  lose(state); /* it runs out by itself; nothing is ordered any more */
 }
 
-void order_paused(mp_State *M) {
-  lose(M);
-  M->orders->changed = 0; /* watch the lease anew */
+void order_paused(mp_State *state) {
+  lose(state);
+  state->orders->changed = 0; /* watch the lease anew */
 }
 
-void order_init(mp_State *M) {
-  M->orders = g_new0(Orders, 1);
-  rearm(M, MP_ORDER_RENEW);
+void order_init(mp_State *state) {
+  state->orders = g_new0(Orders, 1);
+  rearm(state, MP_ORDER_RENEW);
 }
 
-void order_free(mp_State *M) {
-  g_free(M->orders);
+void order_free(mp_State *state) {
+  g_free(state->orders);
 }
--- a/core/quota.h
+++ b/core/quota.h
@@ -14,21 +14,21 @@
 
 #include "state.h"
 
-typedef void (*QuotaFn)(mp_State *M, void *ud, int admitted);
+typedef void (*QuotaFn)(mp_State *state, void *ud, int admitted);
 
-void quota_init(mp_State *M);
-void quota_free(mp_State *M);
+void quota_init(mp_State *state);
+void quota_free(mp_State *state);
 
 /*
 ** Ask to admit one request of the account. Returns 1 or 0 when that is
 ** known now, -1 when 'fn' will say.
 */
-int quota_admit(mp_State *M, const mp_Account *a, QuotaFn fn, void *ud);
+int quota_admit(mp_State *state, const mp_Account *a, QuotaFn fn, void *ud);
 
 /* the one that waits is gone */
-void quota_forget(mp_State *M, void *ud);
+void quota_forget(mp_State *state, void *ud);
 
 /* handle QUOTA */
-void quota_onquota(mp_State *M, mp_Addr from, const mp_Msg *m);
+void quota_onquota(mp_State *state, mp_Addr from, const mp_Msg *m);
 
 #endif
--- a/core/route.c
+++ b/core/route.c
@@ -44,8 +44,8 @@
 } Scope;
 
 /* does the pool of this service and role hold the model? */
-static int holds(const mp_State *M, const Request *r, mp_Role role) {
-  const mp_Config *c = M->config;
+static int holds(const mp_State *state, const Request *r, mp_Role role) {
+  const mp_Config *c = state->config;
   unsigned i;
   unsigned k;
   if (role == MP_ROLE_PLAIN)
@@ -66,18 +66,19 @@
   return 0;
 }
 
-int choice_allowed(const mp_State *M, const Request *r, const Endpoint *e) {
-  const mp_Rule *rule = place_rule(M->config, r->class_name, r->account);
+int choice_allowed(const mp_State *state, const Request *r,
+                   const Endpoint *e) {
+  const mp_Rule *rule = place_rule(state->config, r->class_name, r->account);
   if (strcmp(e->service, r->service) != 0)
     return 0;
-  if (!place_runs(M->config, rule, e->dc))
+  if (!place_runs(state->config, rule, e->dc))
     return 0;
-  return holds(M, r, e->role);
+  return holds(state, r, e->role);
 }
 
 /* what the place gate permits, and what is in reach */
-static Scope scope(const mp_State *M, const Request *r) {
-  const mp_Config *c = M->config;
+static Scope scope(const mp_State *state, const Request *r) {
+  const mp_Config *c = state->config;
   Scope s;
   unsigned i;
   s.rule = place_rule(c, r->class_name, r->account);
@@ -85,7 +86,7 @@
   for (i = 0; i < c->data_centres_count; i++) {
     const char *dc = c->data_centres[i].name;
     uint32_t h = state_hash(dc);
-    if (!place_runs(c, s.rule, dc) || !member_reach(M, h))
+    if (!place_runs(c, s.rule, dc) || !member_reach(state, h))
       continue;
     s.name[s.n] = dc;
     s.dc[s.n++] = h;
@@ -111,21 +112,21 @@
   return 0;
 }
 
-static int fit(const mp_State *M, const Request *r, const Scope *s,
+static int fit(const mp_State *state, const Request *r, const Scope *s,
                const Endpoint *e, mp_Role role) {
-  return e->role == role && inscope(s, e->dchash) && fleet_open(M, e) &&
+  return e->role == role && inscope(s, e->dchash) && fleet_open(state, e) &&
          !avoided(r, e) && strcmp(e->service, r->service) == 0;
 }
 
-static GPtrArray *candidates(const mp_State *M, const Request *r,
+static GPtrArray *candidates(const mp_State *state, const Request *r,
                              const Scope *s, mp_Role role) {
   GPtrArray *a = g_ptr_array_new();
   guint i;
-  if (!holds(M, r, role))
+  if (!holds(state, r, role))
     return a;
-  for (i = 0; i < M->endpoints->len; i++) {
-    Endpoint *e = M->endpoints->pdata[i];
-    if (fit(M, r, s, e, role))
+  for (i = 0; i < state->endpoints->len; i++) {
+    Endpoint *e = state->endpoints->pdata[i];
+    if (fit(state, r, s, e, role))
       g_ptr_array_add(a, e);
   }
   return a;
@@ -135,9 +136,9 @@
 ** Narrow the scope to data centres that KV may come from (or, with 'to',
 ** go to) in one of those where an endpoint of 'role' fits.
 */
-static void narrow(const mp_State *M, const Request *r, Scope *s, mp_Role role,
-                   int to) {
-  GPtrArray *others = candidates(M, r, s, role);
+static void narrow(const mp_State *state, const Request *r, Scope *s,
+                   mp_Role role, int to) {
+  GPtrArray *others = candidates(state, r, s, role);
   Scope all = *s;
   unsigned i;
   guint k;
@@ -145,7 +146,7 @@
   for (i = 0; i < all.n; i++) {
     for (k = 0; k < others->len; k++) {
       const Endpoint *o = others->pdata[k];
-      if (place_moves(M->config, s->rule, to ? o->dc : all.name[i],
+      if (place_moves(state->config, s->rule, to ? o->dc : all.name[i],
                       to ? all.name[i] : o->dc))
         break;
     }
@@ -158,10 +159,10 @@
 }
 
 /* the same for one data centre: KV comes from there (to), or goes there */
-static void narrowto(const mp_State *M, Scope *s, const char *dc, int to) {
+static void narrowto(const mp_State *state, Scope *s, const char *dc, int to) {
   unsigned i = 0;
   while (i < s->n) {
-    if (place_moves(M->config, s->rule, to ? dc : s->name[i],
+    if (place_moves(state->config, s->rule, to ? dc : s->name[i],
                     to ? s->name[i] : dc)) {
       i++;
       continue;
@@ -185,8 +186,8 @@
 }
 
 /* an adapter's KV is as large as that of its service's largest model */
-uint64_t choice_kvbytes(const mp_State *M, const Request *r) {
-  const mp_Config *c = M->config;
+uint64_t choice_kvbytes(const mp_State *state, const Request *r) {
+  const mp_Config *c = state->config;
   uint32_t each = 0;
   unsigned i;
   for (i = 0; i < c->models_count; i++) {
@@ -206,11 +207,11 @@
 }
 
 /* smaller is better; about 0 to 1 for decode, milliseconds for the rest */
-static double score(const mp_State *M, const Endpoint *e) {
-  double away = e->dchash != M->dchash ? AWAY_COST : 0;
+static double score(const mp_State *state, const Endpoint *e) {
+  double away = e->dchash != state->dchash ? AWAY_COST : 0;
   switch (e->role) {
   case MP_ROLE_DECODE:
-    if (state_get(M->kept, e->addr) != NULL)
+    if (state_get(state->kept, e->addr) != NULL)
       away -= KEPT_GAIN;
     return ((double)e->used + e->pledged) / MAX(e->slots, 1) + away;
   case MP_ROLE_PREFILL:
@@ -220,28 +221,28 @@
   }
 }
 
-static Endpoint *draw(mp_State *M, const GPtrArray *a) {
-  return a->pdata[g_rand_int_range(M->rand, 0, (gint32)a->len)];
+static Endpoint *draw(mp_State *state, const GPtrArray *a) {
+  return a->pdata[g_rand_int_range(state->rand, 0, (gint32)a->len)];
 }
 
 /* the best of 'n' drawn at random */
-static Endpoint *bestof(mp_State *M, const GPtrArray *a, guint n) {
-  Endpoint *win = draw(M, a);
+static Endpoint *bestof(mp_State *state, const GPtrArray *a, guint n) {
+  Endpoint *win = draw(state, a);
   guint i;
   for (i = 1; i < n; i++) {
-    Endpoint *e = draw(M, a);
-    if (score(M, e) < score(M, win))
+    Endpoint *e = draw(state, a);
+    if (score(state, e) < score(state, win))
       win = e;
   }
   return win;
 }
 
-static Endpoint *least(const mp_State *M, const GPtrArray *a) {
+static Endpoint *least(const mp_State *state, const GPtrArray *a) {
   Endpoint *win = a->pdata[0];
   guint i;
   for (i = 1; i < a->len; i++) {
     Endpoint *e = a->pdata[i];
-    if (score(M, e) < score(M, win))
+    if (score(state, e) < score(state, win))
       win = e;
   }
   return win;
@@ -252,31 +253,32 @@
 ** of a few others; those are drawn at random, since everyone sees the same
 ** loads late.
 */
-static Endpoint *mine(mp_State *M, const GPtrArray *a) {
-  Endpoint *win = bestof(M, a, 2 + MIN(a->len / 2, DRAWN));
+static Endpoint *mine(mp_State *state, const GPtrArray *a) {
+  Endpoint *win = bestof(state, a, 2 + MIN(a->len / 2, DRAWN));
   guint i;
   for (i = 0; i < a->len; i++) {
     Endpoint *e = a->pdata[i];
-    if (state_get(M->kept, e->addr) != NULL && score(M, e) < score(M, win))
+    if (state_get(state->kept, e->addr) != NULL &&
+        score(state, e) < score(state, win))
       win = e;
   }
   return win;
 }
 
-static Endpoint *bypolicy(mp_State *M, const GPtrArray *a) {
+static Endpoint *bypolicy(mp_State *state, const GPtrArray *a) {
   if (a->len == 0)
     return NULL;
-  switch (M->config->policy->pick) {
+  switch (state->config->policy->pick) {
   case MP_PICK_RANDOM:
-    return draw(M, a);
+    return draw(state, a);
   case MP_PICK_ROUND_ROBIN:
-    return a->pdata[M->robin++ % a->len];
+    return a->pdata[state->robin++ % a->len];
   case MP_PICK_LEAST_LOADED:
-    return least(M, a);
+    return least(state, a);
   case MP_PICK_TWO_CHOICES:
-    return bestof(M, a, 2);
+    return bestof(state, a, 2);
   default:
-    return mine(M, a);
+    return mine(state, a);
   }
 }
 
@@ -285,44 +287,46 @@
 ** between data centres is shared with all other instances, so its time
 ** counts twice; within a data centre nothing waits.
 */
-static uint32_t cost(const mp_State *M, const Request *r, const Endpoint *e,
-                     const char *dc) {
+static uint32_t cost(const mp_State *state, const Request *r,
+                     const Endpoint *e, const char *dc) {
   uint32_t ms = choice_prefilltime(e, 0);
   if (r->prompt_tokens >= MP_LONG_PROMPT) /* long ones wait for each other */
     ms += (uint32_t)((uint64_t)e->used * r->prompt_tokens * 1000 /
                      prefillrate(e));
-  if (dc != NULL && strcmp(dc, e->dc) != 0 && M->config->policy->transfer_plan)
+  if (dc != NULL && strcmp(dc, e->dc) != 0 &&
+      state->config->policy->transfer_plan)
     ms +=
-        (uint32_t)(2 * link_time(M, e->dc, dc, choice_kvbytes(M, r)) / MP_MS);
+        (uint32_t)(2 * link_time(state, e->dc, dc, choice_kvbytes(state, r)) /
+                   MP_MS);
   return ms;
 }
 
 /* of equals, any: everyone would take the first one otherwise */
-static Endpoint *cheapest(const mp_State *M, const Request *r,
+static Endpoint *cheapest(const mp_State *state, const Request *r,
                           const GPtrArray *a, const char *dc) {
-  guint from = (guint)g_rand_int_range(M->rand, 0, (gint32)a->len);
+  guint from = (guint)g_rand_int_range(state->rand, 0, (gint32)a->len);
   Endpoint *win = a->pdata[from];
   guint i;
   for (i = 1; i < a->len; i++) {
     Endpoint *e = a->pdata[(from + i) % a->len];
-    if (cost(M, r, e, dc) < cost(M, r, win, dc))
+    if (cost(state, r, e, dc) < cost(state, r, win, dc))
       win = e;
   }
   return win;
 }
 
 /* the first by weight for the prefix whose cost is within the bound */
-static Endpoint *byprefix(const mp_State *M, const Request *r,
+static Endpoint *byprefix(const mp_State *state, const Request *r,
                           const GPtrArray *a, const char *dc) {
   Endpoint *win = NULL;
   uint64_t top = 0;
-  uint32_t bound = cost(M, r, cheapest(M, r, a, dc), dc);
+  uint32_t bound = cost(state, r, cheapest(state, r, a, dc), dc);
   guint i;
   bound = MAX(bound + BOUND_LEAST, bound * BOUND_OVER / 100);
   for (i = 0; i < a->len; i++) {
     Endpoint *e = a->pdata[i];
     uint64_t w = member_weight(e->addr, r->prefix);
-    if (cost(M, r, e, dc) <= bound && (win == NULL || w > top)) {
+    if (cost(state, r, e, dc) <= bound && (win == NULL || w > top)) {
       win = e;
       top = w;
     }
@@ -332,45 +336,45 @@
 
 /* }================================================================== */
 
-Endpoint *choice_decode(mp_State *M, const Request *r) {
-  const Endpoint *src = r->kv != NULL ? fleet_get(M, r->kv_at) : NULL;
-  Scope s = scope(M, r);
+Endpoint *choice_decode(mp_State *state, const Request *r) {
+  const Endpoint *src = r->kv != NULL ? fleet_get(state, r->kv_at) : NULL;
+  Scope s = scope(state, r);
   GPtrArray *a;
   Endpoint *e;
   if (src != NULL)
-    narrowto(M, &s, src->dc, 1);
+    narrowto(state, &s, src->dc, 1);
   else
-    narrow(M, r, &s, MP_ROLE_PREFILL, 1);
-  a = candidates(M, r, &s, MP_ROLE_DECODE);
-  e = bypolicy(M, a);
+    narrow(state, r, &s, MP_ROLE_PREFILL, 1);
+  a = candidates(state, r, &s, MP_ROLE_DECODE);
+  e = bypolicy(state, a);
   g_ptr_array_unref(a);
   return e;
 }
 
-Endpoint *choice_prefill(mp_State *M, const Request *r, const char *dc) {
-  const mp_Policy *p = M->config->policy;
-  Scope s = scope(M, r);
+Endpoint *choice_prefill(mp_State *state, const Request *r, const char *dc) {
+  const mp_Policy *p = state->config->policy;
+  Scope s = scope(state, r);
   GPtrArray *a;
   Endpoint *e;
   if (dc != NULL)
-    narrowto(M, &s, dc, 0);
+    narrowto(state, &s, dc, 0);
   else
-    narrow(M, r, &s, MP_ROLE_DECODE, 0);
-  a = candidates(M, r, &s, MP_ROLE_PREFILL);
+    narrow(state, r, &s, MP_ROLE_DECODE, 0);
+  a = candidates(state, r, &s, MP_ROLE_PREFILL);
   if (a->len == 0 || p->pick != MP_PICK_MADDERPIER)
-    e = bypolicy(M, a);
+    e = bypolicy(state, a);
   else if (p->prefix_affinity && r->prefix != 0)
-    e = byprefix(M, r, a, dc);
+    e = byprefix(state, r, a, dc);
   else
-    e = cheapest(M, r, a, dc);
+    e = cheapest(state, r, a, dc);
   g_ptr_array_unref(a);
   return e;
 }
 
-Endpoint *choice_plain(mp_State *M, const Request *r) {
-  Scope s = scope(M, r);
-  GPtrArray *a = candidates(M, r, &s, MP_ROLE_PLAIN);
-  Endpoint *e = bypolicy(M, a);
+Endpoint *choice_plain(mp_State *state, const Request *r) {
+  Scope s = scope(state, r);
+  GPtrArray *a = candidates(state, r, &s, MP_ROLE_PLAIN);
+  Endpoint *e = bypolicy(state, a);
   g_ptr_array_unref(a);
   return e;
 }
--- a/core/shard.c
+++ b/core/shard.c
@@ -32,7 +32,7 @@
 
 /* durable side of a shard; 'version' is of the object as last read */
 typedef struct Shard {
-  mp_State *M;
+  mp_State *owner;
   unsigned no;
   char dc[MP_MAXNAME + 1]; /* the home data centre when it was read */
   ShardState state;
@@ -47,16 +47,16 @@
   Shard shard[MP_CLAIM_SHARDS];
 };
 
-static void answerall(mp_State *M, GPtrArray *ps, mp_Verdict v) {
+static void answerall(mp_State *state, GPtrArray *ps, mp_Verdict v) {
   guint i;
   for (i = 0; i < ps->len; i++) {
     Pending *p = ps->pdata[i];
-    claim_answer(M, p->from, &p->call, v, MP_RAN_UNKNOWN);
+    claim_answer(state, p->from, &p->call, v, MP_RAN_UNKNOWN);
   }
   g_ptr_array_set_size(ps, 0);
 }
 
-static void work(mp_State *M, void *ud);
+static void work(mp_State *state, void *ud);
 
 static void shardkey(const Shard *s, char out[96]) {
   snprintf(out, 96, "claims/%s/%u", s->dc, s->no);
@@ -86,7 +86,7 @@
 }
 
 /* take the object's rows over; an unknown line spoils the whole */
-static int absorb(mp_State *M, const char *value, size_t len) {
+static int absorb(mp_State *state, const char *value, size_t len) {
   gchar *text = g_strndup(value, len);
   gchar **lines = g_strsplit(text, "\n", -1);
   int ok = 1;
@@ -99,9 +99,9 @@
     ok = parserow(lines[i], &c);
     if (!ok)
       break;
-    r = claim_getrow(M, c.id);
+    r = claim_getrow(state, c.id);
     if (r == NULL)
-      r = claim_addrow(M, &c, MP_RAN_UNKNOWN);
+      r = claim_addrow(state, &c, MP_RAN_UNKNOWN);
     r->token = c.token; /* the object decides who has it */
     r->durable = 1;
   }
@@ -110,10 +110,10 @@
   return ok;
 }
 
-static void forgetdurable(mp_State *M, const Shard *s) {
+static void forgetdurable(mp_State *state, const Shard *s) {
   GHashTableIter it;
   gpointer v;
-  g_hash_table_iter_init(&it, claim_rows(M));
+  g_hash_table_iter_init(&it, claim_rows(state));
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     ClaimRow *r = v;
     if (r->durable && claim_shardof(r->id) == s->no)
@@ -121,49 +121,50 @@
   }
 }
 
-static void cold(mp_State *M, Shard *s, mp_Verdict v) {
+static void cold(mp_State *state, Shard *s, mp_Verdict v) {
   s->state = SH_COLD;
-  answerall(M, s->writing, v);
-  answerall(M, s->pending, v);
+  answerall(state, s->writing, v);
+  answerall(state, s->pending, v);
 }
 
-static void shardread(mp_State *M, void *ud, const mp_StoreEvent *e) {
+static void shardread(mp_State *state, void *ud, const mp_StoreEvent *e) {
   Shard *s = ud;
   s->state = SH_COLD;
   if (e->status == MP_STORE_ABSENT)
     s->version = 0;
   else if (e->status == MP_STORE_OK) {
     s->version = e->version;
-    forgetdurable(M, s); /* what was freed elsewhere is free */
-    if (!absorb(M, e->value, e->len)) {
-      cold(M, s, MP_UNAVAILABLE);
+    forgetdurable(state, s); /* what was freed elsewhere is free */
+    if (!absorb(state, e->value, e->len)) {
+      cold(state, s, MP_UNAVAILABLE);
       return;
     }
   } else {
-    cold(M, s, MP_UNAVAILABLE);
+    cold(state, s, MP_UNAVAILABLE);
     return;
   }
   s->state = SH_WARM;
-  work(M, s);
+  work(state, s);
 }
 
-static void readshard(mp_State *M, Shard *s) {
+static void readshard(mp_State *state, Shard *s) {
   char key[96];
   s->state = SH_READING;
   shardkey(s, key);
-  effect_store(M, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, shardread, s);
+  effect_store(state, MP_ST_GET, key, 0, NULL, 0, MP_STORE_TIMEOUT, shardread,
+               s);
 }
 
 /* the claims of a write are in force */
-static void written(mp_State *M, Shard *s) {
+static void written(mp_State *state, Shard *s) {
   guint i;
   for (i = 0; i < s->writing->len; i++) {
     Pending *p = s->writing->pdata[i];
-    ClaimRow *r = claim_addrow(M, &p->call.u.claim, MP_RAN_UNKNOWN);
+    ClaimRow *r = claim_addrow(state, &p->call.u.claim, MP_RAN_UNKNOWN);
     r->durable = 1;
-    claim_answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
+    claim_answer(state, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
   }
-  effect_log(M, MP_LOG_CLAIM_WRITE, " shard=%s/%u claims=%u", s->dc, s->no,
+  effect_log(state, MP_LOG_CLAIM_WRITE, " shard=%s/%u claims=%u", s->dc, s->no,
              s->writing->len);
   g_ptr_array_set_size(s->writing, 0);
 }
@@ -176,46 +177,46 @@
         g_ptr_array_steal_index(s->writing, s->writing->len - 1));
 }
 
-static void shardwritten(mp_State *M, void *ud, const mp_StoreEvent *e) {
+static void shardwritten(mp_State *state, void *ud, const mp_StoreEvent *e) {
   Shard *s = ud;
   switch (e->status) {
   case MP_STORE_OK:
     s->version = e->version;
     s->state = SH_WARM;
-    written(M, s);
-    work(M, s);
+    written(state, s);
+    work(state, s);
     break;
   case MP_STORE_CONFLICT:
-    effect_log(M, MP_LOG_CLAIM_FENCED, " shard=%s/%u", s->dc, s->no);
+    effect_log(state, MP_LOG_CLAIM_FENCED, " shard=%s/%u", s->dc, s->no);
     unwrite(s);
-    readshard(M, s);
+    readshard(state, s);
     break;
   case MP_STORE_UNKNOWN:
     /* the reply was lost: reading back shows whose claims stand there */
     unwrite(s);
-    readshard(M, s);
+    readshard(state, s);
     break;
   default:
     unwrite(s);
-    cold(M, s, MP_UNAVAILABLE);
+    cold(state, s, MP_UNAVAILABLE);
     break;
   }
 }
 
 /* answer what the rows decide already; the rest stays pending */
-static void sift(mp_State *M, Shard *s) {
+static void sift(mp_State *state, Shard *s) {
   guint i = 0;
   while (i < s->pending->len) {
     Pending *p = s->pending->pdata[i];
-    const ClaimRow *r = claim_getrow(M, p->row.id);
+    const ClaimRow *r = claim_getrow(state, p->row.id);
     if (r == NULL) {
       i++;
       continue;
     }
     if (state_sametoken(&r->token, &p->row.token))
-      claim_answer(M, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
+      claim_answer(state, p->from, &p->call, MP_GRANTED, MP_RAN_NO);
     else
-      claim_answer(M, p->from, &p->call, MP_DENIED, r->ran);
+      claim_answer(state, p->from, &p->call, MP_DENIED, r->ran);
     g_ptr_array_remove_index(s->pending, i);
   }
 }
@@ -244,14 +245,14 @@
   }
 }
 
-static void writeshard(mp_State *M, Shard *s) {
+static void writeshard(mp_State *state, Shard *s) {
   GString *g = g_string_new(NULL);
   GHashTableIter it;
   gpointer v;
   char key[96];
   guint i;
   pickbatch(s);
-  g_hash_table_iter_init(&it, claim_rows(M));
+  g_hash_table_iter_init(&it, claim_rows(state));
   while (g_hash_table_iter_next(&it, NULL, &v)) {
     const ClaimRow *r = v;
     if (r->durable && claim_shardof(r->id) == s->no)
@@ -262,29 +263,30 @@
   s->state = SH_WRITING;
   s->dirty = 0;
   shardkey(s, key);
-  effect_store(M, MP_ST_PUT, key, s->version, g->str, g->len, MP_STORE_TIMEOUT,
-               shardwritten, s);
+  effect_store(state, MP_ST_PUT, key, s->version, g->str, g->len,
+               MP_STORE_TIMEOUT, shardwritten, s);
   g_string_free(g, TRUE);
 }
 
 /* the group commit: all that came in one window goes in one write */
-static void commit(mp_State *M, void *ud) {
+static void commit(mp_State *state, void *ud) {
   Shard *s = ud;
   if (s->state != SH_WARM)
     return; /* the end of that read or write comes back here */
-  sift(M, s);
+  sift(state, s);
   if (s->pending->len > 0)
-    writeshard(M, s);
+    writeshard(state, s);
 }
 
-static void work(mp_State *M, void *ud) {
+static void work(mp_State *state, void *ud) {
   Shard *s = ud;
   if (s->pending->len == 0)
     return;
   if (s->state == SH_COLD)
-    readshard(M, s);
+    readshard(state, s);
   else if (s->state == SH_WARM && s->timer.pos == 0)
-    timer_arm(&M->timers, &s->timer, M->now + MP_CLAIM_WINDOW, commit, s);
+    timer_arm(&state->timers, &s->timer, state->now + MP_CLAIM_WINDOW, commit,
+              s);
 }
 
 static int sentagain(const GPtrArray *ps, mp_Addr from, const mp_Msg *m) {
@@ -301,8 +303,9 @@
   return 0;
 }
 
-void shard_claim(mp_State *M, mp_Addr from, const mp_Msg *m, const char *dc) {
-  Shard *s = &M->shards->shard[claim_shardof(m->u.claim.id)];
+void shard_claim(mp_State *state, mp_Addr from, const mp_Msg *m,
+                 const char *dc) {
+  Shard *s = &state->shards->shard[claim_shardof(m->u.claim.id)];
   Pending *p;
   if (strcmp(s->dc, dc) != 0 && s->pending->len + s->writing->len == 0 &&
       (s->state == SH_COLD || s->state == SH_WARM)) {
@@ -310,7 +313,7 @@
     s->state = SH_COLD; /* another object */
   }
   if (strcmp(s->dc, dc) != 0) {
-    claim_answer(M, from, m, MP_UNAVAILABLE, MP_RAN_NO);
+    claim_answer(state, from, m, MP_UNAVAILABLE, MP_RAN_NO);
     return;
   }
   if (sentagain(s->pending, from, m) || sentagain(s->writing, from, m))
@@ -322,40 +325,40 @@
   p->from = from;
   p->call = *m;
   g_ptr_array_add(s->pending, p);
-  work(M, s);
+  work(state, s);
 }
 
-void shard_freed(mp_State *M, const ClaimRow *r) {
+void shard_freed(mp_State *state, const ClaimRow *r) {
   if (r->durable)
-    M->shards->shard[claim_shardof(r->id)].dirty = 1;
+    state->shards->shard[claim_shardof(r->id)].dirty = 1;
 }
 
-void shard_tidy(mp_State *M) {
+void shard_tidy(mp_State *state) {
   unsigned i;
   for (i = 0; i < MP_CLAIM_SHARDS; i++) {
-    Shard *s = &M->shards->shard[i];
+    Shard *s = &state->shards->shard[i];
     if (s->dirty && s->state == SH_WARM && s->pending->len == 0)
-      writeshard(M, s);
+      writeshard(state, s);
   }
 }
 
-void shard_init(mp_State *M) {
+void shard_init(mp_State *state) {
   unsigned i;
-  M->shards = g_new0(Shards, 1);
+  state->shards = g_new0(Shards, 1);
   for (i = 0; i < MP_CLAIM_SHARDS; i++) {
-    Shard *s = &M->shards->shard[i];
-    s->M = M;
+    Shard *s = &state->shards->shard[i];
+    s->owner = state;
     s->no = i;
     s->pending = g_ptr_array_new_with_free_func(g_free);
     s->writing = g_ptr_array_new_with_free_func(g_free);
   }
 }
 
-void shard_free(mp_State *M) {
+void shard_free(mp_State *state) {
   unsigned i;
   for (i = 0; i < MP_CLAIM_SHARDS; i++) {
-    g_ptr_array_unref(M->shards->shard[i].pending);
-    g_ptr_array_unref(M->shards->shard[i].writing);
+    g_ptr_array_unref(state->shards->shard[i].pending);
+    g_ptr_array_unref(state->shards->shard[i].writing);
   }
-  g_free(M->shards);
+  g_free(state->shards);
 }
--- a/core/shard.h
+++ b/core/shard.h
@@ -9,17 +9,18 @@
 
 #include "state.h"
 
-void shard_init(mp_State *M);
-void shard_free(mp_State *M);
+void shard_init(mp_State *state);
+void shard_free(mp_State *state);
 
 /* a CLAIM that must last; 'dc' is the home data centre of its ID */
-void shard_claim(mp_State *M, mp_Addr from, const mp_Msg *m, const char *dc);
+void shard_claim(mp_State *state, mp_Addr from, const mp_Msg *m,
+                 const char *dc);
 
 /* a row is about to go: its object follows with the next write */
-void shard_freed(mp_State *M, const ClaimRow *r);
+void shard_freed(mp_State *state, const ClaimRow *r);
 
 /* write objects from which rows were freed, and nothing else was written */
-void shard_tidy(mp_State *M);
+void shard_tidy(mp_State *state);
 
 /*
 ** {==================================================================
@@ -28,15 +29,15 @@
 */
 
 /* rows by ID */
-GHashTable *claim_rows(const mp_State *M);
-ClaimRow *claim_getrow(const mp_State *M, const uint64_t id[2]);
-ClaimRow *claim_addrow(mp_State *M, const mp_Claim *c, mp_Ran ran);
+GHashTable *claim_rows(const mp_State *state);
+ClaimRow *claim_getrow(const mp_State *state, const uint64_t id[2]);
+ClaimRow *claim_addrow(mp_State *state, const mp_Claim *c, mp_Ran ran);
 gboolean claim_sameid(gconstpointer a, gconstpointer b);
 unsigned claim_shardof(const uint64_t id[2]);
 
 /* answer a CLAIM */
-void claim_answer(mp_State *M, mp_Addr from, const mp_Msg *call, mp_Verdict v,
-                  mp_Ran ran);
+void claim_answer(mp_State *state, mp_Addr from, const mp_Msg *call,
+                  mp_Verdict v, mp_Ran ran);
 
 /* }================================================================== */
 
--- a/core/slots.c
+++ b/core/slots.c
@@ -28,115 +28,116 @@
 }
 
 /* milliseconds left until the work must start to meet its target */
-static uint32_t slack(const mp_State *M, const Request *r, uint32_t need) {
+static uint32_t slack(const mp_State *state, const Request *r, uint32_t need) {
   mp_Time by = r->deadline;
   mp_Time left;
   if (r->kv != NULL) /* a result that is there is used late rather than lost */
     by = MIN(by, r->kv_until);
-  else if (flow_policy(M)->refuse_early && r->got == 0)
+  else if (flow_policy(state)->refuse_early && r->got == 0)
     by = MIN(by, r->arrived + (mp_Time)r->first_ms * MP_MS *
-                                  flow_policy(M)->refuse_at / 100);
-  left = by - M->now - (mp_Time)need * MP_MS;
+                                  flow_policy(state)->refuse_at / 100);
+  left = by - state->now - (mp_Time)need * MP_MS;
   return left > 0 ? (uint32_t)(left / MP_MS) : 0;
 }
 
 /* the estimate said no everywhere: refuse at once */
-static void full(mp_State *M, Request *r) {
+static void full(mp_State *state, Request *r) {
   int s = MAX(mp_error_retry(MP_ERR_OVERLOAD), (int)(r->wait_ms / 1000) + 1);
   if (r->ran != MP_RAN_NO)
-    flow_giveup(M, r);
+    flow_giveup(state, r);
   else
-    flow_refuse(M, r, MP_ERR_OVERLOAD, MIN(s, 30));
+    flow_refuse(state, r, MP_ERR_OVERLOAD, MIN(s, 30));
 }
 
-void flow_nowhere(mp_State *M, Request *r) {
+void flow_nowhere(mp_State *state, Request *r) {
   if (r->wait_ms > 0)
-    full(M, r);
+    full(state, r);
   else if (r->ran == MP_RAN_NO)
-    flow_refuse(M, r, MP_ERR_PLACE_AWAY, mp_error_retry(MP_ERR_PLACE_AWAY));
+    flow_refuse(state, r, MP_ERR_PLACE_AWAY,
+                mp_error_retry(MP_ERR_PLACE_AWAY));
   else
-    flow_giveup(M, r);
+    flow_giveup(state, r);
 }
 
-static void slotlate(mp_State *M, void *ud) {
+static void slotlate(mp_State *state, void *ud) {
   Request *r = ud;
   Attempt *a = r->step == ST_PREFILL_SLOT ? &r->prefill : &r->decode;
-  flow_reserved(M, r, a, MP_DENIED, slack(M, r, 0));
+  flow_reserved(state, r, a, MP_DENIED, slack(state, r, 0));
 }
 
-void flow_decodeslot(mp_State *M, Request *r) {
-  Endpoint *e = choice_decode(M, r);
+void flow_decodeslot(mp_State *state, Request *r) {
+  Endpoint *e = choice_decode(state, r);
   uint32_t need = 0;
   if (e == NULL) {
-    flow_nowhere(M, r);
+    flow_nowhere(state, r);
     return;
   }
   if (r->kv == NULL) {
-    const Endpoint *p = choice_prefill(M, r, e->dc);
+    const Endpoint *p = choice_prefill(state, r, e->dc);
     need = p != NULL ? choice_prefilltime(p, r->prompt_tokens) : 0;
   }
   flow_attempt(r, &r->decode, e, MP_ROLE_DECODE, r->max_tokens - r->got);
-  holder_reserve(M, r, &r->decode, slack(M, r, need), need);
+  holder_reserve(state, r, &r->decode, slack(state, r, need), need);
 }
 
-void flow_prefillslot(mp_State *M, Request *r) {
+void flow_prefillslot(mp_State *state, Request *r) {
   const Endpoint *d =
-      r->decode.no != 0 ? fleet_get(M, r->decode.endpoint) : NULL;
-  Endpoint *e = choice_prefill(M, r, d != NULL ? d->dc : NULL);
+      r->decode.no != 0 ? fleet_get(state, r->decode.endpoint) : NULL;
+  Endpoint *e = choice_prefill(state, r, d != NULL ? d->dc : NULL);
   uint32_t need;
   if (e == NULL) {
-    flow_nowhere(M, r);
+    flow_nowhere(state, r);
     return;
   }
   need = (uint32_t)((uint64_t)r->prompt_tokens * 1000 /
                     MAX(e->rate > 0 ? e->rate : MP_PREFILL_RATE, 1));
   flow_attempt(r, &r->prefill, e, MP_ROLE_PREFILL, r->prompt_tokens + r->got);
-  holder_reserve(M, r, &r->prefill, slack(M, r, need), 0);
+  holder_reserve(state, r, &r->prefill, slack(state, r, need), 0);
 }
 
-static void granted(mp_State *M, Request *r, Attempt *a) {
+static void granted(mp_State *state, Request *r, Attempt *a) {
   a->granted = 1;
   a->waiting = 0;
-  a->begun = M->now;
+  a->begun = state->now;
   r->navoid = 0;
   r->wait_ms = 0;
-  timer_stop(&M->timers, &r->timer);
+  timer_stop(&state->timers, &r->timer);
   if (a == &r->prefill)
-    flow_enter(M, r, ST_PREFILL);
+    flow_enter(state, r, ST_PREFILL);
   else
-    flow_enter(M, r, r->kv != NULL ? ST_TRANSFER : ST_PREFILL_SLOT);
+    flow_enter(state, r, r->kv != NULL ? ST_TRANSFER : ST_PREFILL_SLOT);
 }
 
-void flow_reserved(mp_State *M, Request *r, Attempt *a, mp_Verdict v,
+void flow_reserved(mp_State *state, Request *r, Attempt *a, mp_Verdict v,
                    uint32_t wait_ms) {
   Step s = a == &r->prefill ? ST_PREFILL_SLOT : ST_DECODE_SLOT;
   g_assert(a->no != 0);
   if (a->granted)
     return;
   if (v == MP_GRANTED) {
-    granted(M, r, a);
+    granted(state, r, a);
     return;
   }
   if (v == MP_QUEUED) {
     a->waiting = 1;
-    timer_arm(&M->timers, &r->timer,
-              M->now + (mp_Time)slack(M, r, 0) * MP_MS + MP_RPC_WAIT, slotlate,
-              r);
+    timer_arm(&state->timers, &r->timer,
+              state->now + (mp_Time)slack(state, r, 0) * MP_MS + MP_RPC_WAIT,
+              slotlate, r);
     return;
   }
-  timer_stop(&M->timers, &r->timer);
-  holder_forget(M, r);
+  timer_stop(&state->timers, &r->timer);
+  holder_forget(state, r);
   flow_avoid(r, a->endpoint);
-  flow_endattempt(M, r, a);
+  flow_endattempt(state, r, a);
   if (v == MP_DENIED) {
     r->wait_ms = MAX(r->wait_ms, MAX(wait_ms, 1));
     if (r->navoid >= MP_MAXTRIES)
-      full(M, r);
+      full(state, r);
     else
-      flow_enter(M, r, s);
+      flow_enter(state, r, s);
     return;
   }
-  flow_again(M, r, s, 1); /* no keeper answered: nothing was run */
+  flow_again(state, r, s, 1); /* no keeper answered: nothing was run */
 }
 
 /* }================================================================== */
--- a/core/state.c
+++ b/core/state.c
@@ -68,91 +68,91 @@
   g_free(p); /* what it owns was freed when its path ended */
 }
 
-static void tables(mp_State *M) {
-  M->members = g_ptr_array_new_with_free_func(g_free);
-  M->memberby = state_table(NULL);
-  M->endpoints = g_ptr_array_new_with_free_func(g_free);
-  M->endpointby = state_table(NULL);
-  M->requests = g_ptr_array_new_with_free_func(freerequest);
-  M->requestby = state_table(NULL);
-  M->requestseq = state_table(NULL);
-  M->holds = g_ptr_array_new_with_free_func(g_free);
+static void tables(mp_State *state) {
+  state->members = g_ptr_array_new_with_free_func(g_free);
+  state->memberby = state_table(NULL);
+  state->endpoints = g_ptr_array_new_with_free_func(g_free);
+  state->endpointby = state_table(NULL);
+  state->requests = g_ptr_array_new_with_free_func(freerequest);
+  state->requestby = state_table(NULL);
+  state->requestseq = state_table(NULL);
+  state->holds = g_ptr_array_new_with_free_func(g_free);
 }
 
-static void seed(mp_State *M, const mp_Options *o) {
+static void seed(mp_State *state, const mp_Options *o) {
   unsigned i;
   for (i = 0; i < o->nseed; i++) {
     mp_Msg m = {0};
-    if (o->seeds[i] == M->self)
+    if (o->seeds[i] == state->self)
       continue;
     m.kind = MP_MSG_PROBE;
-    m.u.probe.start = M->start;
-    m.u.probe.dc = M->dchash;
-    member_seed(M, o->seeds[i], &m);
+    m.u.probe.start = state->start;
+    m.u.probe.dc = state->dchash;
+    member_seed(state, o->seeds[i], &m);
   }
 }
 
 mp_State *mp_new(const mp_Options *o, mp_Time now) {
-  mp_State *M;
+  mp_State *state;
   if (o->self == 0 || o->dc == NULL || o->codec == NULL)
     return NULL;
-  M = g_new0(mp_State, 1);
-  M->now = now;
-  M->self = o->self;
-  g_strlcpy(M->dc, o->dc, sizeof M->dc);
-  M->dchash = state_hash(o->dc);
-  M->start = o->start;
-  M->net = o->net;
-  M->mask = o->mask;
-  M->codec = o->codec;
-  M->rand = g_rand_new_with_seed((guint32)(o->seed ^ (o->seed >> 32)));
-  M->retryat = now;
-  effect_init(M);
-  tables(M);
-  member_init(M);
-  document_init(M);
-  keeper_init(M);
-  cancel_init(M);
-  claim_init(M);
-  quota_init(M);
-  link_init(M);
-  holder_init(M);
-  order_init(M);
-  seed(M, o);
-  return M;
+  state = g_new0(mp_State, 1);
+  state->now = now;
+  state->self = o->self;
+  g_strlcpy(state->dc, o->dc, sizeof state->dc);
+  state->dchash = state_hash(o->dc);
+  state->start = o->start;
+  state->net = o->net;
+  state->mask = o->mask;
+  state->codec = o->codec;
+  state->rand = g_rand_new_with_seed((guint32)(o->seed ^ (o->seed >> 32)));
+  state->retryat = now;
+  effect_init(state);
+  tables(state);
+  member_init(state);
+  document_init(state);
+  keeper_init(state);
+  cancel_init(state);
+  claim_init(state);
+  quota_init(state);
+  link_init(state);
+  holder_init(state);
+  order_init(state);
+  seed(state, o);
+  return state;
 }
 
-void mp_free(mp_State *M) {
-  if (M == NULL)
+void mp_free(mp_State *state) {
+  if (state == NULL)
     return;
-  while (M->requests->len > 0) {
-    Request *r = M->requests->pdata[0];
-    flow_hangup(M, r);
+  while (state->requests->len > 0) {
+    Request *r = state->requests->pdata[0];
+    flow_hangup(state, r);
   }
-  timer_free(&M->timers);
-  order_free(M);
-  link_free(M);
-  quota_free(M);
-  claim_free(M);
-  cancel_free(M);
-  keeper_free(M);
-  document_free(M);
-  member_free(M);
-  g_hash_table_destroy(M->memberby);
-  g_hash_table_destroy(M->endpointby);
-  g_hash_table_destroy(M->requestby);
-  g_hash_table_destroy(M->requestseq);
-  g_ptr_array_unref(M->members);
-  g_ptr_array_unref(M->endpoints);
-  g_ptr_array_unref(M->requests);
-  g_ptr_array_unref(M->holds);
-  if (M->config != NULL)
-    M->codec->free_config(M->config);
-  if (M->list != NULL)
-    M->codec->free_list(M->list);
-  effect_free(M);
-  g_rand_free(M->rand);
-  g_free(M);
+  timer_free(&state->timers);
+  order_free(state);
+  link_free(state);
+  quota_free(state);
+  claim_free(state);
+  cancel_free(state);
+  keeper_free(state);
+  document_free(state);
+  member_free(state);
+  g_hash_table_destroy(state->memberby);
+  g_hash_table_destroy(state->endpointby);
+  g_hash_table_destroy(state->requestby);
+  g_hash_table_destroy(state->requestseq);
+  g_ptr_array_unref(state->members);
+  g_ptr_array_unref(state->endpoints);
+  g_ptr_array_unref(state->requests);
+  g_ptr_array_unref(state->holds);
+  if (state->config != NULL)
+    state->codec->free_config(state->config);
+  if (state->list != NULL)
+    state->codec->free_list(state->list);
+  effect_free(state);
+  g_rand_free(state->rand);
+  g_free(state);
 }
 
 /* }================================================================== */
@@ -167,25 +167,28 @@
 ** Empty means: no caller, no cancel unconfirmed, the time for lagging
 ** balancers over, and the rows of claims told to their new homes.
 */
-static void drained(mp_State *M, void *ud) {
+static void drained(mp_State *state, void *ud) {
   (void)ud;
-  if (M->requests->len == 0 && cancel_open(M) == 0 &&
-      M->now - M->drainsince >= MP_DRAIN_LINGER && claim_handover(M) == 0) {
-    effect_log(M, MP_LOG_DRAINED, "%s", "");
-    effect_drained(M);
+  if (state->requests->len == 0 && cancel_open(state) == 0 &&
+      state->now - state->drainsince >= MP_DRAIN_LINGER &&
+      claim_handover(state) == 0) {
+    effect_log(state, MP_LOG_DRAINED, "%s", "");
+    effect_drained(state);
     return;
   }
-  timer_arm(&M->timers, &M->draintimer, M->now + MP_SEC / 2, drained, NULL);
+  timer_arm(&state->timers, &state->draintimer, state->now + MP_SEC / 2,
+            drained, NULL);
 }
 
-static void drain(mp_State *M) {
-  if (M->draining)
+static void drain(mp_State *state) {
+  if (state->draining)
     return;
-  M->drainsince = M->now;
-  effect_log(M, MP_LOG_DRAIN, " requests=%u", M->requests->len);
-  member_leave(M);
-  order_release(M);
-  timer_arm(&M->timers, &M->draintimer, M->now + MP_SEC / 2, drained, NULL);
+  state->drainsince = state->now;
+  effect_log(state, MP_LOG_DRAIN, " requests=%u", state->requests->len);
+  member_leave(state);
+  order_release(state);
+  timer_arm(&state->timers, &state->draintimer, state->now + MP_SEC / 2,
+            drained, NULL);
 }
 
 /* }================================================================== */
@@ -196,49 +199,49 @@
 ** ===================================================================
 */
 
-static void stranger(mp_State *M, mp_Addr from) {
+static void stranger(mp_State *state, mp_Addr from) {
   char a[24];
   mp_addr_text(from, a);
-  mpcount(M, STRANGERS);
-  effect_log(M, MP_LOG_STRANGER, " from=%s", a);
+  mpcount(state, STRANGERS);
+  effect_log(state, MP_LOG_STRANGER, " from=%s", a);
 }
 
-static void message(mp_State *M, mp_Addr from, const mp_Msg *m) {
+static void message(mp_State *state, mp_Addr from, const mp_Msg *m) {
   if (m->reply) {
-    member_heard(M, from);
-    effect_gotreply(M, from, m);
+    member_heard(state, from);
+    effect_gotreply(state, from, m);
     return;
   }
   switch (m->kind) {
   case MP_MSG_PROBE:
-    member_probe(M, from, m);
+    member_probe(state, from, m);
     break;
   case MP_MSG_PROBE_VIA:
-    member_probevia(M, from, m);
+    member_probevia(state, from, m);
     break;
   case MP_MSG_RESERVE:
-    keeper_reserve(M, from, m);
+    keeper_reserve(state, from, m);
     break;
   case MP_MSG_GRANT:
-    holder_ongrant(M, from, m);
+    holder_ongrant(state, from, m);
     break;
   case MP_MSG_RENEW:
-    keeper_renew(M, from, m);
+    keeper_renew(state, from, m);
     break;
   case MP_MSG_RELEASE:
-    keeper_release(M, from, m);
+    keeper_release(state, from, m);
     break;
   case MP_MSG_CLAIM:
-    claim_onclaim(M, from, m);
+    claim_onclaim(state, from, m);
     break;
   case MP_MSG_SETTLE:
-    claim_onsettle(M, from, m);
+    claim_onsettle(state, from, m);
     break;
   case MP_MSG_QUOTA:
-    quota_onquota(M, from, m);
+    quota_onquota(state, from, m);
     break;
   case MP_MSG_FETCH:
-    document_fetch(M, from, m);
+    document_fetch(state, from, m);
     break;
   case MP_MSG_LOAD_DIGEST: /* between routers of another dialect */
   case MP_MSG_LAST:
@@ -246,65 +249,65 @@
   }
 }
 
-static void hangup(mp_State *M, uint64_t call) {
-  Request *r = state_get(M->requestby, call);
+static void hangup(mp_State *state, uint64_t call) {
+  Request *r = state_get(state->requestby, call);
   if (r != NULL)
-    flow_hangup(M, r);
+    flow_hangup(state, r);
 }
 
-static void dispatch(mp_State *M, const mp_Event *e) {
+static void dispatch(mp_State *state, const mp_Event *e) {
   switch (e->kind) {
   case MP_EV_TICK:
     break;
   case MP_EV_CALL:
-    admit_call(M, &e->u.call);
+    admit_call(state, &e->u.call);
     break;
   case MP_EV_HANGUP:
-    hangup(M, e->u.hangup);
+    hangup(state, e->u.hangup);
     break;
   case MP_EV_MSG:
-    mpcount(M, MSG_IN);
-    if (member_trusted(M, e->u.msg.from))
-      message(M, e->u.msg.from, e->u.msg.msg);
+    mpcount(state, MSG_IN);
+    if (member_trusted(state, e->u.msg.from))
+      message(state, e->u.msg.from, e->u.msg.msg);
     else
-      stranger(M, e->u.msg.from);
+      stranger(state, e->u.msg.from);
     break;
   case MP_EV_ENDPOINT:
-    if (!effect_gotxcall(M, &e->u.endpoint))
-      mpcount(M, STALE); /* of an attempt that is over */
+    if (!effect_gotxcall(state, &e->u.endpoint))
+      mpcount(state, STALE); /* of an attempt that is over */
     break;
   case MP_EV_STORE:
-    effect_gotstore(M, &e->u.store);
+    effect_gotstore(state, &e->u.store);
     break;
   case MP_EV_DRAIN:
-    drain(M);
+    drain(state);
     break;
   }
 }
 
 /* what this instance sent to itself is handled before it waits again */
-static void loop(mp_State *M) {
+static void loop(mp_State *state) {
   mp_Msg m;
-  while (effect_looped(M, &m))
-    message(M, M->self, &m);
+  while (effect_looped(state, &m))
+    message(state, state->self, &m);
 }
 
-void mp_feed(mp_State *M, mp_Time now, const mp_Event *e) {
-  g_assert(now >= M->now);
-  if (now - M->now > PAUSED) {
-    M->now = now;
-    member_paused(M); /* before any timer or message acts on what is old */
-    order_paused(M);
+void mp_feed(mp_State *state, mp_Time now, const mp_Event *e) {
+  g_assert(now >= state->now);
+  if (now - state->now > PAUSED) {
+    state->now = now;
+    member_paused(state); /* before any timer or message acts on what is old */
+    order_paused(state);
   }
-  M->now = now;
-  timer_run(M, &M->timers, now);
-  loop(M);
-  dispatch(M, e);
-  loop(M);
+  state->now = now;
+  timer_run(state, &state->timers, now);
+  loop(state);
+  dispatch(state, e);
+  loop(state);
 }
 
-mp_Time mp_wake(const mp_State *M) {
-  return timer_next(&M->timers);
+mp_Time mp_wake(const mp_State *state) {
+  return timer_next(&state->timers);
 }
 
 /* }================================================================== */
@@ -321,9 +324,9 @@
 #undef X
 };
 
-uint64_t mp_counter(const mp_State *M, mp_Counter c) {
+uint64_t mp_counter(const mp_State *state, mp_Counter c) {
   g_assert(c < MP_C_COUNT);
-  return M->count[c];
+  return state->count[c];
 }
 
 const char *mp_counter_name(mp_Counter c) {
@@ -331,24 +334,25 @@
   return counternames[c];
 }
 
-void mp_status(const mp_State *M, mp_Status *out) {
+void mp_status(const mp_State *state, mp_Status *out) {
   memset(out, 0, sizeof *out);
-  out->config_version = M->doc[MP_DOC_CONFIG].version;
-  out->list_version = M->doc[MP_DOC_LIST].version;
-  out->requests = M->requests->len;
-  out->holds = M->holds->len;
-  out->claims = claim_count(M);
-  out->members = member_count(M, 1);
-  out->endpoints = M->endpoints->len;
-  out->draining = M->draining;
-  out->ready = M->config != NULL && M->list != NULL && !M->draining;
+  out->config_version = state->doc[MP_DOC_CONFIG].version;
+  out->list_version = state->doc[MP_DOC_LIST].version;
+  out->requests = state->requests->len;
+  out->holds = state->holds->len;
+  out->claims = claim_count(state);
+  out->members = member_count(state, 1);
+  out->endpoints = state->endpoints->len;
+  out->draining = state->draining;
+  out->ready =
+      state->config != NULL && state->list != NULL && !state->draining;
 }
 
-int mp_endpoint(const mp_State *M, unsigned i, mp_EndpointInfo *out) {
+int mp_endpoint(const mp_State *state, unsigned i, mp_EndpointInfo *out) {
   const Endpoint *e;
-  if (i >= M->endpoints->len)
+  if (i >= state->endpoints->len)
     return 0;
-  e = M->endpoints->pdata[i];
+  e = state->endpoints->pdata[i];
   out->addr = e->addr;
   out->name = e->name;
   out->dc = e->dc;
@@ -359,16 +363,16 @@
   out->wait_ms = e->wait;
   out->leaving = e->leaving || e->drained;
   out->down = e->down;
-  out->ejected = e->ejected > M->now;
-  out->keeper = keeper_keeper(M, e);
+  out->ejected = e->ejected > state->now;
+  out->keeper = keeper_keeper(state, e);
   return 1;
 }
 
-int mp_member(const mp_State *M, unsigned i, mp_MemberInfo *out) {
+int mp_member(const mp_State *state, unsigned i, mp_MemberInfo *out) {
   const Member *m;
-  if (i >= M->members->len)
+  if (i >= state->members->len)
     return 0;
-  m = M->members->pdata[i];
+  m = state->members->pdata[i];
   out->addr = m->addr;
   out->start = m->start;
   out->state = m->state;
--- a/core/state.h
+++ b/core/state.h
@@ -89,7 +89,7 @@
   Links *links;
 };
 
-#define mpcount(M, c) ((M)->count[MP_C_##c]++)
+#define mpcount(state, c) ((state)->count[MP_C_##c]++)
 
 /* hash of a name, as sent between instances */
 uint32_t state_hash(const char *s);
--- a/core/step.h
+++ b/core/step.h
@@ -14,7 +14,7 @@
 /* how a call to an endpoint ended */
 typedef enum Why { WHY_REFUSED, WHY_CONNECT, WHY_BROKEN, WHY_SILENT } Why;
 
-const mp_Policy *flow_policy(const mp_State *M);
+const mp_Policy *flow_policy(const mp_State *state);
 
 /*
 ** {==================================================================
@@ -23,7 +23,7 @@
 */
 
 /* go to a step; may end */
-void flow_enter(mp_State *M, Request *r, Step s);
+void flow_enter(mp_State *state, Request *r, Step s);
 
 /* }================================================================== */
 
@@ -34,28 +34,28 @@
 */
 
 /* the answer is whole; ends */
-void flow_complete(mp_State *M, Request *r);
+void flow_complete(mp_State *state, Request *r);
 
 /* no way on: say what is known, and when to come back; ends */
-void flow_giveup(mp_State *M, Request *r);
+void flow_giveup(mp_State *state, Request *r);
 
 /* timer: the deadline passed; ends */
-void flow_late(mp_State *M, void *ud);
+void flow_late(mp_State *state, void *ud);
 
 /* end an attempt: close its call, free what it holds, give it back */
-void flow_endattempt(mp_State *M, Request *r, Attempt *a);
+void flow_endattempt(mp_State *state, Request *r, Attempt *a);
 
 /* do not choose this endpoint for the step again */
 void flow_avoid(Request *r, mp_Addr a);
 
 /* enter a step after a wait */
-void flow_later(mp_State *M, Request *r, Step s, mp_Time wait);
+void flow_later(mp_State *state, Request *r, Step s, mp_Time wait);
 
 /* back to a step after a failure, if that is allowed; may end */
-void flow_again(mp_State *M, Request *r, Step s, int clean);
+void flow_again(mp_State *state, Request *r, Step s, int clean);
 
 /* where to begin again, given what is still there */
-Step flow_restart(mp_State *M, Request *r);
+Step flow_restart(mp_State *state, Request *r);
 
 /* }================================================================== */
 
@@ -70,11 +70,11 @@
                   uint32_t tokens);
 
 /* no endpoint can be chosen; ends */
-void flow_nowhere(mp_State *M, Request *r);
+void flow_nowhere(mp_State *state, Request *r);
 
 /* the two steps; may end */
-void flow_decodeslot(mp_State *M, Request *r);
-void flow_prefillslot(mp_State *M, Request *r);
+void flow_decodeslot(mp_State *state, Request *r);
+void flow_prefillslot(mp_State *state, Request *r);
 
 /* }================================================================== */
 
@@ -99,20 +99,20 @@
 int flow_clean(Why w);
 
 /* the attempt is over without an answer; begin again elsewhere; may end */
-void flow_failed(mp_State *M, Request *r, Attempt *a, Why why);
+void flow_failed(mp_State *state, Request *r, Attempt *a, Why why);
 
 /* the endpoint found the request at fault; ends */
-void flow_rejected(mp_State *M, Request *r);
+void flow_rejected(mp_State *state, Request *r);
 
 /* the place gate at the instant of dispatch; NULL: forbidden */
-Endpoint *flow_gate(mp_State *M, const Request *r, const Attempt *a);
+Endpoint *flow_gate(mp_State *state, const Request *r, const Attempt *a);
 
 /* a rule changed under way: nothing goes there any more; may end */
-void flow_gated(mp_State *M, Request *r, Attempt *a);
+void flow_gated(mp_State *state, Request *r, Attempt *a);
 
 /* the two steps; may end */
-void flow_prefill(mp_State *M, Request *r);
-void flow_transfer(mp_State *M, Request *r);
+void flow_prefill(mp_State *state, Request *r);
+void flow_transfer(mp_State *state, Request *r);
 
 /* }================================================================== */
 
@@ -123,8 +123,8 @@
 */
 
 /* MP_X_DECODE or MP_X_RESUME; may end */
-void flow_decode(mp_State *M, Request *r, mp_XcallOp op);
-void flow_plain(mp_State *M, Request *r);
+void flow_decode(mp_State *state, Request *r, mp_XcallOp op);
+void flow_plain(mp_State *state, Request *r);
 
 /* }================================================================== */
 
--- a/core/timer.c
+++ b/core/timer.c
@@ -69,11 +69,11 @@
   up(T, last->pos - 1);
 }
 
-void timer_run(mp_State *M, Timers *T, mp_Time now) {
+void timer_run(mp_State *state, Timers *T, mp_Time now) {
   while (T->n > 0 && T->heap[0]->when <= now) {
     Timer *t = T->heap[0];
     timer_stop(T, t);
-    t->fn(M, t->ud);
+    t->fn(state, t->ud);
   }
 }
 
--- a/core/timer.h
+++ b/core/timer.h
@@ -8,7 +8,7 @@
 
 #include "madderpier.h"
 
-typedef void (*TimerFn)(mp_State *M, void *ud);
+typedef void (*TimerFn)(mp_State *state, void *ud);
 
 /* lives inside its owner's row; all zero is "not armed" */
 typedef struct Timer {
@@ -29,7 +29,7 @@
 void timer_stop(Timers *T, Timer *t);
 
 /* run all that are due; a timer is disarmed before its function runs */
-void timer_run(mp_State *M, Timers *T, mp_Time now);
+void timer_run(mp_State *state, Timers *T, mp_Time now);
 
 /* when the earliest is due, or INT64_MAX */
 mp_Time timer_next(const Timers *T);
