--- a/core/work.c
+++ b/core/work.c
@@ -66,107 +66,107 @@
 }
 
 /* the attempt is over without an answer; begin again elsewhere */
-void flow_failed(mp_State *M, Request *r, Attempt *a, Why why) {
+void flow_failed(mp_State *state, Request *r, Attempt *a, Why why) {
   static const char *const names[] = {"refused", "connect", "broken",
                                       "silent"};
   mp_Addr ep = a->endpoint;
   int cleanly = flow_clean(why);
   char text[24];
   mp_addr_text(ep, text);
-  effect_log(M, MP_LOG_FAILED, " seq=%08x endpoint=%s step=%d why=%s",
+  effect_log(state, MP_LOG_FAILED, " seq=%08x endpoint=%s step=%d why=%s",
              r->token.seq, text, (int)r->step, names[why]);
   if (cleanly) {
     flow_notrun(r);
     a->sent = a->role == MP_ROLE_DECODE && r->step == ST_DECODE;
   }
   if (why != WHY_REFUSED) /* one that refuses is well, but busy */
-    fleet_bad(M, ep);
+    fleet_bad(state, ep);
   flow_avoid(r, ep);
-  flow_endattempt(M, r, a);
-  flow_again(M, r, flow_restart(M, r), cleanly);
+  flow_endattempt(state, r, a);
+  flow_again(state, r, flow_restart(state, r), cleanly);
 }
 
-void flow_rejected(mp_State *M, Request *r) {
+void flow_rejected(mp_State *state, Request *r) {
   flow_notrun(r);
-  flow_refuse(M, r, MP_ERR_REJECTED, 0);
+  flow_refuse(state, r, MP_ERR_REJECTED, 0);
 }
 
 /* the gate, asked again at the instant of dispatch */
-Endpoint *flow_gate(mp_State *M, const Request *r, const Attempt *a) {
-  Endpoint *e = fleet_get(M, a->endpoint);
-  if (e == NULL || !choice_allowed(M, r, e))
+Endpoint *flow_gate(mp_State *state, const Request *r, const Attempt *a) {
+  Endpoint *e = fleet_get(state, a->endpoint);
+  if (e == NULL || !choice_allowed(state, r, e))
     return NULL;
   return e;
 }
 
 /* the same for work that the endpoint has nothing of yet */
-static Endpoint *gatenew(mp_State *M, const Request *r, const Attempt *a) {
-  Endpoint *e = flow_gate(M, r, a);
+static Endpoint *gatenew(mp_State *state, const Request *r, const Attempt *a) {
+  Endpoint *e = flow_gate(state, r, a);
   return e != NULL && !e->leaving && !e->drained ? e : NULL;
 }
 
 /* a rule changed under way: nothing goes there any more */
-void flow_gated(mp_State *M, Request *r, Attempt *a) {
+void flow_gated(mp_State *state, Request *r, Attempt *a) {
   flow_avoid(r, a->endpoint);
-  flow_endattempt(M, r, a);
-  flow_again(M, r, flow_restart(M, r), 1);
+  flow_endattempt(state, r, a);
+  flow_again(state, r, flow_restart(state, r), 1);
 }
 
 /* an attempt that was asked nothing more: its endpoint is silent */
-static void prefilllate(mp_State *M, void *ud) {
+static void prefilllate(mp_State *state, void *ud) {
   Request *r = ud;
-  flow_failed(M, r, &r->prefill, WHY_SILENT);
+  flow_failed(state, r, &r->prefill, WHY_SILENT);
 }
 
-static void prefilled(mp_State *M, Request *r, const mp_EndpointEvent *e) {
+static void prefilled(mp_State *state, Request *r, const mp_EndpointEvent *e) {
   Attempt *a = &r->prefill;
   a->xcall = 0;
-  timer_stop(&M->timers, &r->timer);
-  fleet_good(M, a->endpoint);
+  timer_stop(&state->timers, &r->timer);
+  fleet_good(state, a->endpoint);
   r->ran = MP_RAN_YES;
   r->kv = g_strndup(e->text, e->len);
   r->kv_at = a->endpoint;
-  r->kv_until = M->now + (mp_Time)e->life_ms * MP_MS;
+  r->kv_until = state->now + (mp_Time)e->life_ms * MP_MS;
   r->kv_used = 0;
   r->kv_tokens = a->tokens - MIN(e->cached, a->tokens);
   r->tries = 0;
   r->navoid = 0;
-  M->count[MP_C_PREFILL_TOKENS] += r->kv_tokens;
-  holder_release(M, r, a, 1);
-  flow_enter(M, r, r->decode.granted ? ST_TRANSFER : ST_DECODE_SLOT);
+  state->count[MP_C_PREFILL_TOKENS] += r->kv_tokens;
+  holder_release(state, r, a, 1);
+  flow_enter(state, r, r->decode.granted ? ST_TRANSFER : ST_DECODE_SLOT);
 }
 
-static void onprefill(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+static void onprefill(mp_State *state, void *ud, const mp_EndpointEvent *e) {
   Request *r = ud;
   if (e->what == MP_EP_DONE) {
-    prefilled(M, r, e);
+    prefilled(state, r, e);
     return;
   }
   if (e->what != MP_EP_FAIL)
     return;
   r->prefill.xcall = 0;
-  timer_stop(&M->timers, &r->timer);
+  timer_stop(&state->timers, &r->timer);
   if (e->fail == MP_EPF_REJECTED)
-    flow_rejected(M, r);
+    flow_rejected(state, r);
   else
-    flow_failed(M, r, &r->prefill, flow_whyof(e));
+    flow_failed(state, r, &r->prefill, flow_whyof(e));
 }
 
-void flow_prefill(mp_State *M, Request *r) {
+void flow_prefill(mp_State *state, Request *r) {
   Attempt *a = &r->prefill;
-  Endpoint *e = gatenew(M, r, a);
+  Endpoint *e = gatenew(state, r, a);
   mp_Xcall x;
   mp_Time expect;
   if (e == NULL) {
-    flow_gated(M, r, a);
+    flow_gated(state, r, a);
     return;
   }
   x = flow_call(r, a, MP_X_PREFILL);
   flow_dispatched(r, a);
-  mpcount(M, PREFILLS);
-  a->xcall = effect_xcall(M, &x, onprefill, r);
+  mpcount(state, PREFILLS);
+  a->xcall = effect_xcall(state, &x, onprefill, r);
   expect = (mp_Time)choice_prefilltime(e, r->prompt_tokens) * MP_MS;
-  timer_arm(&M->timers, &r->timer, M->now + 4 * expect + MP_STALL_TIME,
+  timer_arm(&state->timers, &r->timer, state->now + 4 * expect + MP_STALL_TIME,
             prefilllate, r);
 }
 
@@ -179,9 +179,9 @@
 */
 
 /* the KV result ran out, or its engine is gone: prefill anew */
-static void kvlost(mp_State *M, Request *r) {
+static void kvlost(mp_State *state, Request *r) {
   r->kv_until = 0;
-  flow_again(M, r, flow_restart(M, r), 0);
+  flow_again(state, r, flow_restart(state, r), 0);
 }
 
 /*
@@ -189,87 +189,89 @@
 ** result is there, so the request queues for a slot again, at another
 ** engine first, for as long as the result lives.
 */
-static void noslot(mp_State *M, Request *r) {
+static void noslot(mp_State *state, Request *r) {
   mp_Addr ep = r->decode.endpoint;
-  mp_Time wait = retry_wait(M, 1);
+  mp_Time wait = retry_wait(state, 1);
   flow_notrun(r);
   r->decode.sent = 0;
   r->navoid = 0;
   flow_avoid(r, ep);
-  flow_endattempt(M, r, &r->decode);
-  if (!flow_policy(M)->keep_prefill ||
-      M->now + wait >= MIN(r->kv_until, r->deadline)) {
-    flow_again(M, r, flow_restart(M, r), 1);
+  flow_endattempt(state, r, &r->decode);
+  if (!flow_policy(state)->keep_prefill ||
+      state->now + wait >= MIN(r->kv_until, r->deadline)) {
+    flow_again(state, r, flow_restart(state, r), 1);
     return;
   }
-  flow_later(M, r, ST_DECODE_SLOT, wait);
+  flow_later(state, r, ST_DECODE_SLOT, wait);
 }
 
-static void importlate(mp_State *M, void *ud) {
+static void importlate(mp_State *state, void *ud) {
   Request *r = ud;
-  link_done(M, r);
-  flow_failed(M, r, &r->decode, WHY_SILENT);
+  link_done(state, r);
+  flow_failed(state, r, &r->decode, WHY_SILENT);
 }
 
-static void onimport(mp_State *M, void *ud, const mp_EndpointEvent *e) {
+static void onimport(mp_State *state, void *ud, const mp_EndpointEvent *e) {
   Request *r = ud;
   Attempt *a = &r->decode;
   if (e->what != MP_EP_DONE && e->what != MP_EP_FAIL)
     return;
   a->xcall = 0;
-  timer_stop(&M->timers, &r->timer);
-  link_done(M, r);
+  timer_stop(&state->timers, &r->timer);
+  link_done(state, r);
   if (e->what == MP_EP_DONE) {
-    mpcount(M, TRANSFERS);
-    flow_enter(M, r, ST_DECODE);
+    mpcount(state, TRANSFERS);
+    flow_enter(state, r, ST_DECODE);
   } else if (e->fail == MP_EPF_REJECTED) {
     a->sent = 0; /* the source knows no such KV: nothing is held here */
-    kvlost(M, r);
+    kvlost(state, r);
   } else if (e->fail == MP_EPF_REFUSED)
-    noslot(M, r);
+    noslot(state, r);
   else
-    flow_failed(M, r, a, flow_whyof(e));
+    flow_failed(state, r, a, flow_whyof(e));
 }
 
 /* the link is free: the gate once more, for this very move */
-static void import(mp_State *M, void *ud) {
+static void import(mp_State *state, void *ud) {
   Request *r = ud;
   Attempt *a = &r->decode;
-  const Endpoint *d = gatenew(M, r, a);
-  const Endpoint *p = fleet_get(M, r->kv_at);
-  const mp_Rule *rule = place_rule(M->config, r->class_name, r->account);
+  const Endpoint *d = gatenew(state, r, a);
+  const Endpoint *p = fleet_get(state, r->kv_at);
+  const mp_Rule *rule = place_rule(state->config, r->class_name, r->account);
   mp_Xcall x;
   mp_Time expect;
-  if (d == NULL || p == NULL || !place_moves(M->config, rule, p->dc, d->dc)) {
-    link_done(M, r);
-    flow_gated(M, r, a);
+  if (d == NULL || p == NULL ||
+      !place_moves(state->config, rule, p->dc, d->dc)) {
+    link_done(state, r);
+    flow_gated(state, r, a);
     return;
   }
   x = flow_call(r, a, MP_X_IMPORT);
   x.kv = r->kv;
   x.kv_from = r->kv_at;
   flow_dispatched(r, a);
-  a->xcall = effect_xcall(M, &x, onimport, r);
-  expect = link_time(M, p->dc, d->dc, choice_kvbytes(M, r));
-  timer_arm(&M->timers, &r->timer,
-            MIN(M->now + 4 * expect + MP_STALL_TIME / 2,
-                MAX(r->kv_until, M->now) + MP_SEC / 2),
+  a->xcall = effect_xcall(state, &x, onimport, r);
+  expect = link_time(state, p->dc, d->dc, choice_kvbytes(state, r));
+  timer_arm(&state->timers, &r->timer,
+            MIN(state->now + 4 * expect + MP_STALL_TIME / 2,
+                MAX(r->kv_until, state->now) + MP_SEC / 2),
             importlate, r);
 }
 
-void flow_transfer(mp_State *M, Request *r) {
-  const Endpoint *d = fleet_get(M, r->decode.endpoint);
-  const Endpoint *p = fleet_get(M, r->kv_at);
-  uint64_t bytes = choice_kvbytes(M, r);
+void flow_transfer(mp_State *state, Request *r) {
+  const Endpoint *d = fleet_get(state, r->decode.endpoint);
+  const Endpoint *p = fleet_get(state, r->kv_at);
+  uint64_t bytes = choice_kvbytes(state, r);
   if (d == NULL) {
-    flow_gated(M, r, &r->decode);
+    flow_gated(state, r, &r->decode);
     return;
   }
-  if (p == NULL || M->now + link_time(M, p->dc, d->dc, bytes) > r->kv_until) {
-    kvlost(M, r);
+  if (p == NULL ||
+      state->now + link_time(state, p->dc, d->dc, bytes) > r->kv_until) {
+    kvlost(state, r);
     return;
   }
-  link_ask(M, p->dc, d->dc, bytes, r->kv_until, import, r);
+  link_ask(state, p->dc, d->dc, bytes, r->kv_until, import, r);
 }
 
 /* }================================================================== */
--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -73,7 +73,7 @@
     gateway_drain(gateway);
     return;
   }
-  mp_status(node->M, &s);
+  mp_status(node->state, &s);
   if (s.draining)
     event_base_loopbreak(arg);
   else {
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -821,19 +821,19 @@
 
 /* NULL when an option is missing; free by mp_free */
 MP_API mp_State *mp_new(const mp_Options *o, mp_Time now);
-MP_API void mp_free(mp_State *M);
+MP_API void mp_free(mp_State *state);
 
 /* hand in one event; 'now' never goes back */
-MP_API void mp_feed(mp_State *M, mp_Time now, const mp_Event *e);
+MP_API void mp_feed(mp_State *state, mp_Time now, const mp_Event *e);
 
 /* take the next effect; 0 when there is none */
-MP_API int mp_take(mp_State *M, mp_Effect *out);
+MP_API int mp_take(mp_State *state, mp_Effect *out);
 
 /* kind of the open call with this number, for decoding its reply; or 0 */
-MP_API mp_MsgKind mp_pending(const mp_State *M, uint32_t seq);
+MP_API mp_MsgKind mp_pending(const mp_State *state, uint32_t seq);
 
 /* when the core next wants MP_EV_TICK */
-MP_API mp_Time mp_wake(const mp_State *M);
+MP_API mp_Time mp_wake(const mp_State *state);
 
 /* }================================================================== */
 
@@ -874,7 +874,7 @@
       MP_C_COUNT
 } mp_Counter;
 
-MP_API uint64_t mp_counter(const mp_State *M, mp_Counter c);
+MP_API uint64_t mp_counter(const mp_State *state, mp_Counter c);
 MP_API const char *mp_counter_name(mp_Counter c);
 
 /* a snapshot of the state, for /status and 'madderpier status' */
@@ -886,7 +886,7 @@
   int ready;
 } mp_Status;
 
-MP_API void mp_status(const mp_State *M, mp_Status *out);
+MP_API void mp_status(const mp_State *state, mp_Status *out);
 
 /* a snapshot of one endpoint as this instance sees it */
 typedef struct mp_EndpointInfo {
@@ -899,7 +899,8 @@
 } mp_EndpointInfo;
 
 /* the i-th endpoint; 0 when there is none */
-MP_API int mp_endpoint(const mp_State *M, unsigned i, mp_EndpointInfo *out);
+MP_API int mp_endpoint(const mp_State *state, unsigned i,
+                       mp_EndpointInfo *out);
 
 /* the i-th instance; 0 when there is none */
 typedef struct mp_MemberInfo {
@@ -909,7 +910,7 @@
   uint64_t config_version;
 } mp_MemberInfo;
 
-MP_API int mp_member(const mp_State *M, unsigned i, mp_MemberInfo *out);
+MP_API int mp_member(const mp_State *state, unsigned i, mp_MemberInfo *out);
 
 /*
 ** May this class of request, from this account, run in data centre 'dc'?
--- a/io/adapters.h
+++ b/io/adapters.h
@@ -28,7 +28,7 @@
   const char *content_type;
 } CallBody;
 
-Callers *callers_new(Node *N, const NodeOptions *o, GError **err);
+Callers *callers_new(Node *node, const NodeOptions *o, GError **err);
 void callers_free(Callers *C);
 void callers_reply(Callers *C, const mp_Reply *r);
 /* NULL when the caller is gone */
@@ -44,7 +44,7 @@
 ** ===================================================================
 */
 
-Endpoints *endpoints_new(Node *N);
+Endpoints *endpoints_new(Node *node);
 void endpoints_free(Endpoints *E);
 void endpoints_call(Endpoints *E, const mp_Xcall *x);
 void endpoints_abort(Endpoints *E, uint64_t xcall);
@@ -57,7 +57,7 @@
 ** ===================================================================
 */
 
-Peers *peers_new(Node *N, mp_Addr rpc, GError **err);
+Peers *peers_new(Node *node, mp_Addr rpc, GError **err);
 void peers_free(Peers *P);
 void peers_send(Peers *P, mp_Addr to, const mp_Msg *m);
 
@@ -69,7 +69,7 @@
 ** ===================================================================
 */
 
-Platform *platform_new(Node *N, mp_Addr at);
+Platform *platform_new(Node *node, mp_Addr at);
 void platform_free(Platform *P);
 void platform_call(Platform *P, const mp_StoreCall *s);
 
@@ -81,7 +81,7 @@
 ** ===================================================================
 */
 
-Ops *ops_new(Node *N, mp_Addr at, GError **err);
+Ops *ops_new(Node *node, mp_Addr at, GError **err);
 void ops_free(Ops *O);
 
 /* }================================================================== */
--- a/io/callers.c
+++ b/io/callers.c
@@ -30,7 +30,7 @@
 #define DEFAULT_MAX_TOKENS 256
 
 struct Callers {
-  Node *N;
+  Node *node;
   evhtp_t *htp;
   uint64_t last;
   GHashTable *open;   /* call -> Caller */
@@ -118,7 +118,7 @@
 */
 
 typedef struct Gone {
-  Node *N;
+  Node *node;
   uint64_t call;
 } Gone;
 
@@ -129,7 +129,7 @@
   (void)what;
   e.kind = MP_EV_HANGUP;
   e.u.hangup = g->call;
-  node_feed(g->N, &e);
+  node_feed(g->node, &e);
   g_free(g);
 }
 
@@ -153,9 +153,9 @@
   c->req = NULL;
   if (c->known && !c->ended) {
     Gone *g = g_new0(Gone, 1);
-    g->N = c->C->N;
+    g->node = c->C->node;
     g->call = c->call;
-    event_base_once(c->C->N->base, -1, EV_TIMEOUT, tellgone, g, &now);
+    event_base_once(c->C->node->base, -1, EV_TIMEOUT, tellgone, g, &now);
   }
   g_hash_table_remove(c->C->open, &c->call);
   return EVHTP_RES_OK;
@@ -332,7 +332,7 @@
   q->class_name = header(r, "X-Request-Class");
   q->key = header(r, "Idempotency-Key");
   c->known = 1;
-  node_feed(C->N, &e);
+  node_feed(C->node, &e);
 }
 
 /* }================================================================== */
@@ -601,17 +601,17 @@
 
 /* }================================================================== */
 
-Callers *callers_new(Node *N, const NodeOptions *o, GError **err) {
+Callers *callers_new(Node *node, const NodeOptions *o, GError **err) {
   Callers *C = g_new0(Callers, 1);
   char host[24];
-  C->N = N;
+  C->node = node;
   C->open =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, freecaller);
   C->byconn = g_hash_table_new(NULL, NULL);
   C->max_body = o->max_body;
   C->max_headers = o->max_headers;
   C->timeout.tv_sec = o->caller_timeout_s;
-  C->htp = evhtp_new(N->base, NULL);
+  C->htp = evhtp_new(node->base, NULL);
   evhtp_set_gencb(C->htp, onrequest, C);
   evhtp_set_post_accept_cb(C->htp, onaccept, C);
   mp_addr_text(o->callers, host);
--- a/io/endpoints.c
+++ b/io/endpoints.c
@@ -17,7 +17,7 @@
 #include "io/http.h"
 
 struct Endpoints {
-  Node *N;
+  Node *node;
   GHashTable *open; /* xcall -> Calling */
 };
 
@@ -52,7 +52,7 @@
   e.kind = MP_EV_ENDPOINT;
   x->xcall = c->xcall;
   e.u.endpoint = *x;
-  node_feed(c->E->N, &e);
+  node_feed(c->E->node, &e);
 }
 
 /* the call is over; the row goes first, since feeding may reach it */
@@ -371,8 +371,9 @@
   size_t n = evbuffer_get_length(b->raw);
   if (b->content_type == NULL)
     h[1].name = NULL;
-  c->call = http_call(c->E->N->base, x->endpoint, method(b->method), b->uri, h,
-                      (const char *)evbuffer_pullup(b->raw, -1), n, &hooks, c);
+  c->call =
+      http_call(c->E->node->base, x->endpoint, method(b->method), b->uri, h,
+                (const char *)evbuffer_pullup(b->raw, -1), n, &hooks, c);
 }
 
 static void sendjson(Calling *c, const mp_Xcall *x, const char *uri,
@@ -380,7 +381,7 @@
   static const HttpHeader h[] = {{"Content-Type", "application/json"},
                                  {NULL, NULL}};
   char *s = j != NULL ? json_dumps(j, JSON_COMPACT) : NULL;
-  c->call = http_call(c->E->N->base, x->endpoint,
+  c->call = http_call(c->E->node->base, x->endpoint,
                       j != NULL ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, uri, h, s,
                       s != NULL ? strlen(s) : 0, &hooks, c);
   free(s);
@@ -388,7 +389,7 @@
 }
 
 static void sendwork(Calling *c, const mp_Xcall *x) {
-  const CallBody *b = callers_body(c->E->N->callers, x->call);
+  const CallBody *b = callers_body(c->E->node->callers, x->call);
   if (b == NULL)
     return; /* the caller is gone; the core hears of it by itself */
   if (x->op == MP_X_PLAIN)
@@ -455,7 +456,7 @@
     struct timeval now = {0, 0};
     b->E = E;
     b->xcall = x->xcall;
-    event_base_once(E->N->base, -1, EV_TIMEOUT, failnow, b, &now);
+    event_base_once(E->node->base, -1, EV_TIMEOUT, failnow, b, &now);
   }
 }
 
@@ -465,9 +466,9 @@
 
 /* }================================================================== */
 
-Endpoints *endpoints_new(Node *N) {
+Endpoints *endpoints_new(Node *node) {
   Endpoints *E = g_new0(Endpoints, 1);
-  E->N = N;
+  E->node = node;
   E->open =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, freecalling);
   return E;
--- a/io/node.c
+++ b/io/node.c
@@ -18,54 +18,54 @@
   return g_get_monotonic_time();
 }
 
-static void perform(Node *N, const mp_Effect *e) {
+static void perform(Node *node, const mp_Effect *e) {
   switch (e->kind) {
   case MP_FX_NONE:
     break;
   case MP_FX_SEND:
-    peers_send(N->peers, e->u.send.to, &e->u.send.msg);
+    peers_send(node->peers, e->u.send.to, &e->u.send.msg);
     break;
   case MP_FX_XCALL:
-    endpoints_call(N->endpoints, &e->u.xcall);
+    endpoints_call(node->endpoints, &e->u.xcall);
     break;
   case MP_FX_XABORT:
-    endpoints_abort(N->endpoints, e->u.xabort);
+    endpoints_abort(node->endpoints, e->u.xabort);
     break;
   case MP_FX_REPLY:
-    callers_reply(N->callers, &e->u.reply);
+    callers_reply(node->callers, &e->u.reply);
     break;
   case MP_FX_STORE:
-    platform_call(N->platform, &e->u.store);
+    platform_call(node->platform, &e->u.store);
     break;
   case MP_FX_LOG:
-    log_event(N->log, (int)e->u.log.no, e->u.log.level, e->u.log.text,
+    log_event(node->log, (int)e->u.log.no, e->u.log.level, e->u.log.text,
               e->u.log.fields);
     break;
   case MP_FX_DRAINED:
-    N->drained = 1;
-    event_base_loopbreak(N->base);
+    node->drained = 1;
+    event_base_loopbreak(node->base);
     break;
   }
 }
 
-static void rearm(Node *N) {
-  mp_Time wait = mp_wake(N->M) - node_now();
+static void rearm(Node *node) {
+  mp_Time wait = mp_wake(node->state) - node_now();
   struct timeval t;
   wait = CLAMP(wait, 0, 10 * MP_SEC);
   t.tv_sec = wait / MP_SEC;
   t.tv_usec = wait % MP_SEC;
-  event_add(N->timer, &t);
+  event_add(node->timer, &t);
 }
 
-void node_feed(Node *N, const mp_Event *e) {
+void node_feed(Node *node, const mp_Event *e) {
   mp_Effect fx;
-  g_assert(!N->performing);
-  mp_feed(N->M, node_now(), e);
-  N->performing = 1;
-  while (mp_take(N->M, &fx))
-    perform(N, &fx);
-  N->performing = 0;
-  rearm(N);
+  g_assert(!node->performing);
+  mp_feed(node->state, node_now(), e);
+  node->performing = 1;
+  while (mp_take(node->state, &fx))
+    perform(node, &fx);
+  node->performing = 0;
+  rearm(node);
 }
 
 static void ontimer(evutil_socket_t fd, short what, void *arg) {
@@ -94,38 +94,38 @@
 
 Node *node_new(struct event_base *base, const NodeOptions *o, Log *log,
                GError **err) {
-  Node *N = g_new0(Node, 1);
+  Node *node = g_new0(Node, 1);
   mp_Event e = {0};
-  N->base = base;
-  N->log = log;
-  N->timer = evtimer_new(base, ontimer, N);
-  N->M = newcore(o);
-  N->endpoints = endpoints_new(N);
-  N->platform = platform_new(N, o->platform);
-  N->peers = peers_new(N, o->rpc, err);
-  if (N->peers != NULL)
-    N->ops = ops_new(N, o->ops, err);
-  if (N->ops != NULL)
-    N->callers = callers_new(N, o, err);
-  if (N->callers == NULL) {
-    node_free(N);
+  node->base = base;
+  node->log = log;
+  node->timer = evtimer_new(base, ontimer, node);
+  node->state = newcore(o);
+  node->endpoints = endpoints_new(node);
+  node->platform = platform_new(node, o->platform);
+  node->peers = peers_new(node, o->rpc, err);
+  if (node->peers != NULL)
+    node->ops = ops_new(node, o->ops, err);
+  if (node->ops != NULL)
+    node->callers = callers_new(node, o, err);
+  if (node->callers == NULL) {
+    node_free(node);
     return NULL;
   }
   e.kind = MP_EV_TICK;
-  node_feed(N, &e);
-  return N;
+  node_feed(node, &e);
+  return node;
 }
 
-void node_free(Node *N) {
-  if (N->callers != NULL)
-    callers_free(N->callers);
-  if (N->ops != NULL)
-    ops_free(N->ops);
-  if (N->peers != NULL)
-    peers_free(N->peers);
-  platform_free(N->platform);
-  endpoints_free(N->endpoints);
-  mp_free(N->M);
-  event_free(N->timer);
-  g_free(N);
+void node_free(Node *node) {
+  if (node->callers != NULL)
+    callers_free(node->callers);
+  if (node->ops != NULL)
+    ops_free(node->ops);
+  if (node->peers != NULL)
+    peers_free(node->peers);
+  platform_free(node->platform);
+  endpoints_free(node->endpoints);
+  mp_free(node->state);
+  event_free(node->timer);
+  g_free(node);
 }
--- a/io/node.h
+++ b/io/node.h
@@ -34,7 +34,7 @@
 
 typedef struct Node {
   struct event_base *base;
-  mp_State *M;
+  mp_State *state;
   Log *log;
   struct event *timer;
   int performing;
@@ -49,10 +49,10 @@
 /* NULL and an error when an address cannot be bound */
 Node *node_new(struct event_base *base, const NodeOptions *o, Log *log,
                GError **err);
-void node_free(Node *N);
+void node_free(Node *node);
 
 /* hand an event to the core and perform what it wants */
-void node_feed(Node *N, const mp_Event *e);
+void node_feed(Node *node, const mp_Event *e);
 
 /* the host's monotonic clock */
 mp_Time node_now(void);
--- a/io/ops.c
+++ b/io/ops.c
@@ -11,7 +11,7 @@
 #include "io/adapters.h"
 
 struct Ops {
-  Node *N;
+  Node *node;
   struct evhttp *http;
 };
 
@@ -42,7 +42,7 @@
 static void ready(struct evhttp_request *r, void *arg) {
   const Ops *O = arg;
   mp_Status s;
-  mp_status(O->N->M, &s);
+  mp_status(O->node->state, &s);
   replytext(r, s.ready ? 200 : 503, "text/plain",
             s.ready ? "ready\n" : "not ready\n");
 }
@@ -55,8 +55,8 @@
   for (i = 0; i < MP_C_COUNT; i++)
     g_string_append_printf(g, "madderpier_%s %" G_GUINT64_FORMAT "\n",
                            mp_counter_name((mp_Counter)i),
-                           (guint64)mp_counter(O->N->M, (mp_Counter)i));
-  mp_status(O->N->M, &s);
+                           (guint64)mp_counter(O->node->state, (mp_Counter)i));
+  mp_status(O->node->state, &s);
   g_string_append_printf(g,
                          "madderpier_config_version %" G_GUINT64_FORMAT "\n"
                          "madderpier_requests_open %u\n"
@@ -69,13 +69,13 @@
   g_string_free(g, TRUE);
 }
 
-static json_t *endpoints(const mp_State *M) {
+static json_t *endpoints(const mp_State *state) {
   json_t *a = json_array();
   mp_EndpointInfo e;
   char addr[24];
   char keeper[24];
   unsigned i;
-  for (i = 0; mp_endpoint(M, i, &e); i++) {
+  for (i = 0; mp_endpoint(state, i, &e); i++) {
     mp_addr_text(e.addr, addr);
     mp_addr_text(e.keeper, keeper);
     json_array_append_new(
@@ -90,13 +90,13 @@
   return a;
 }
 
-static json_t *members(const mp_State *M) {
+static json_t *members(const mp_State *state) {
   static const char *const states[] = {"alive", "suspect", "leaving", "dead"};
   json_t *a = json_array();
   mp_MemberInfo m;
   char addr[24];
   unsigned i;
-  for (i = 0; mp_member(M, i, &m); i++) {
+  for (i = 0; mp_member(state, i, &m); i++) {
     mp_addr_text(m.addr, addr);
     json_array_append_new(a,
                           json_pack("{s:s, s:s, s:I}", "address", addr,
@@ -109,14 +109,14 @@
 static void status(struct evhttp_request *r, void *arg) {
   const Ops *O = arg;
   mp_Status s;
-  mp_status(O->N->M, &s);
-  replyjson(r,
-            json_pack("{s:I, s:I, s:i, s:i, s:b, s:b, s:o, s:o}",
-                      "config_version", (json_int_t)s.config_version,
-                      "list_version", (json_int_t)s.list_version, "requests",
-                      (int)s.requests, "reservations", (int)s.holds,
-                      "draining", s.draining, "ready", s.ready, "instances",
-                      members(O->N->M), "endpoints", endpoints(O->N->M)));
+  mp_status(O->node->state, &s);
+  replyjson(r, json_pack("{s:I, s:I, s:i, s:i, s:b, s:b, s:o, s:o}",
+                         "config_version", (json_int_t)s.config_version,
+                         "list_version", (json_int_t)s.list_version,
+                         "requests", (int)s.requests, "reservations",
+                         (int)s.holds, "draining", s.draining, "ready",
+                         s.ready, "instances", members(O->node->state),
+                         "endpoints", endpoints(O->node->state)));
 }
 
 static void drain(struct evhttp_request *r, void *arg) {
@@ -127,7 +127,7 @@
     return;
   }
   e.kind = MP_EV_DRAIN;
-  node_feed(O->N, &e);
+  node_feed(O->node, &e);
   replytext(r, 202, "text/plain", "draining\n");
 }
 
@@ -137,11 +137,11 @@
             "use /live, /ready, /metrics, /status or POST /drain\n");
 }
 
-Ops *ops_new(Node *N, mp_Addr at, GError **err) {
+Ops *ops_new(Node *node, mp_Addr at, GError **err) {
   Ops *O = g_new0(Ops, 1);
   char host[24];
-  O->N = N;
-  O->http = evhttp_new(N->base);
+  O->node = node;
+  O->http = evhttp_new(node->base);
   mp_addr_text(at, host);
   *strchr(host, ':') = '\0';
   if (evhttp_bind_socket(O->http, host, (uint16_t)(at & 0xffff)) != 0) {
--- a/io/peers.c
+++ b/io/peers.c
@@ -17,7 +17,7 @@
 #define READ_BURST 64
 
 struct Peers {
-  Node *N;
+  Node *node;
   evutil_socket_t fd;
   struct event *ev;
 };
@@ -50,7 +50,7 @@
 
 static mp_MsgKind kindof(void *ud, uint32_t seq) {
   const Peers *P = ud;
-  return mp_pending(P->N->M, seq);
+  return mp_pending(P->node->state, seq);
 }
 
 static void took(Peers *P, mp_Addr from, const char *s, size_t n) {
@@ -64,7 +64,7 @@
     e.kind = MP_EV_MSG;
     e.u.msg.from = from;
     e.u.msg.msg = &m;
-    node_feed(P->N, &e);
+    node_feed(P->node, &e);
     break;
   case RPC_ANSWER:
     sendraw(P, from, out, nout);
@@ -90,7 +90,7 @@
   }
 }
 
-Peers *peers_new(Node *N, mp_Addr rpc, GError **err) {
+Peers *peers_new(Node *node, mp_Addr rpc, GError **err) {
   Peers *P;
   struct sockaddr_in sa = sockaddr(rpc);
   int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -106,9 +106,9 @@
     return NULL;
   }
   P = g_new0(Peers, 1);
-  P->N = N;
+  P->node = node;
   P->fd = fd;
-  P->ev = event_new(N->base, fd, EV_READ | EV_PERSIST, onread, P);
+  P->ev = event_new(node->base, fd, EV_READ | EV_PERSIST, onread, P);
   event_add(P->ev, NULL);
   return P;
 }
--- a/io/platform.c
+++ b/io/platform.c
@@ -16,7 +16,7 @@
 #include "io/http.h"
 
 struct Platform {
-  Node *N;
+  Node *node;
   mp_Addr at;
   GHashTable *open; /* Storing, as a set */
 };
@@ -45,7 +45,7 @@
   e.u.store.version = s->version;
   e.u.store.value = s->value->str;
   e.u.store.len = s->value->len;
-  node_feed(P->N, &e);
+  node_feed(P->node, &e);
   g_hash_table_remove(P->open, s);
 }
 
@@ -100,16 +100,16 @@
   if (c->what != MP_ST_GET)
     g_snprintf(uri + n, sizeof uri - (size_t)n, "?%s=%" G_GUINT64_FORMAT,
                s->write ? "version" : "watch", (guint64)c->version);
-  s->call =
-      http_call(P->N->base, P->at, s->write ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET,
-                uri, NULL, c->value, c->len, &hooks, s);
+  s->call = http_call(P->node->base, P->at,
+                      s->write ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET, uri, NULL,
+                      c->value, c->len, &hooks, s);
   if (s->call == NULL)
-    event_base_once(P->N->base, -1, EV_TIMEOUT, failed, s, &now);
+    event_base_once(P->node->base, -1, EV_TIMEOUT, failed, s, &now);
 }
 
-Platform *platform_new(Node *N, mp_Addr at) {
+Platform *platform_new(Node *node, mp_Addr at) {
   Platform *P = g_new0(Platform, 1);
-  P->N = N;
+  P->node = node;
   P->at = at;
   P->open = g_hash_table_new_full(NULL, NULL, freestoring, NULL);
   return P;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -64,13 +64,13 @@
 m place "0: the place gate" core/place.c \
   'if (strcmp(r->run_in[i], dc) == 0)' 'if (1)'
 m orphan "1: the keeper's cancel of orphans" core/keep.c \
-  'if (M->now - *first < MP_ORPHAN_GRACE)' 'if (1)'
+  'if (state->now - *first < MP_ORPHAN_GRACE)' 'if (1)'
 m cancel "1: the cancel when a caller is gone" core/ending.c \
   'if (a->sent && a->role != MP_ROLE_PLAIN)' 'if (0)'
 m home "2: the home's memory of IDs" core/claim.c \
   'if (r != NULL && !state_sametoken(&r->token, &c->token)) {' 'if (0) {'
 m settle "2: a new home waits for the holders" core/claim.c \
-  'if (!settled(M, c->id)) {' 'if (0) {'
+  'if (!settled(state, c->id)) {' 'if (0) {'
 m announce "2: holders announce to a new home" core/claim.c \
   'if (home == 0 || home == mine->home)' 'if (1)'
 m index "3: pieces are checked by their number" core/answer.c \
@@ -78,7 +78,7 @@
 m whole "3: an end is checked against the count" core/answer.c \
   'if (e->tokens != r->got) {' 'if (0) {'
 m silent "3: a stalled stream is ended" core/answer.c \
-  'timer_arm(&M->timers, &r->timer, M->now + MP_STALL_TIME, stalled, r);' ';'
+  'timer_arm(&state->timers, &r->timer, state->now + MP_STALL_TIME, stalled, r);' ';'
 m ran "4: dispatched work may have run" core/work.c \
   'r->ran = MP_RAN_UNKNOWN;
   a->sent = 1;' 'a->sent = 1;'
@@ -89,22 +89,22 @@
 m repeat "5: no retry of what may have run" core/ending.c \
   '(!clean && !r->repeatable) ||' ''
 m readback "5: a conflict reads the claims back" core/shard.c \
-  'sift(M, s);
+  'sift(state, s);
   if (s->pending->len > 0)' 'if (s->pending->len > 0)'
 m leaving "6: an endpoint says that it is leaving" core/keep.c \
   'if (l->leaving && !e->leaving) {' 'if (0) {'
 m drain "7: a drain waits for what is in flight" core/state.c \
-  'if (M->requests->len == 0 && cancel_open(M) == 0 &&' 'if ('
+  'if (state->requests->len == 0 && cancel_open(state) == 0 &&' 'if ('
 m version "8: only a higher version is taken" core/doc.c \
-  'if (c->man.version <= M->doc[MP_DOC_CONFIG].version) {' 'if (0) {'
+  'if (c->man.version <= state->doc[MP_DOC_CONFIG].version) {' 'if (0) {'
 m kvgone "3: a prefill of no more use is ended before the next" \
-  core/ending.c '  flow_endattempt(M, r, &r->prefill);
-  if (!flow_policy(M)->decode_first' '  if (!flow_policy(M)->decode_first'
+  core/ending.c '  flow_endattempt(state, r, &r->prefill);
+  if (!flow_policy(state)->decode_first' '  if (!flow_policy(state)->decode_first'
 m longs "short work does not wait behind long prompts" core/keep.c \
   'return h->role == MP_ROLE_PREFILL && h->tokens >= MP_LONG_PROMPT;' \
   'return 0;'
 m pause "a paused home does not trust what it knew" core/state.c \
-  'member_paused(M);' ''
+  'member_paused(state);' ''
 # routed requests (router/, http/, platform/)
 m r-once "TWICE: no second run of what may not be repeated" router/path.c \
   'return request->repeatable && request->runs < request->route->attempts;' \
