--- a/core/keep.c
+++ b/core/keep.c
@@ -469,7 +469,7 @@
   return state->now - *(mp_Time *)value > 2 * MP_ORPHAN_GRACE;
 }
 
-static void setdown(mp_State *state, Endpoint *e, int down) {
+void keeper_setdown(mp_State *state, Endpoint *e, int down) {
   if (e->down == down)
     return;
   e->down = down;
@@ -491,7 +491,7 @@
   effect_xabort(state, g->xcall);
   if (e != NULL) {
     Endpoint was = *e;
-    setdown(state, e, 1);
+    keeper_setdown(state, e, 1);
     observe(state, e, &was);
   }
   state_del(state->loading, g->ep);
@@ -508,7 +508,7 @@
   if (e == NULL)
     return;
   was = *e;
-  setdown(state, e, l == NULL);
+  keeper_setdown(state, e, l == NULL);
   if (l != NULL) {
     e->role = l->role;
     e->slots = l->slots;
@@ -573,79 +573,6 @@
 
 /* }================================================================== */
 
-/*
-** {==================================================================
-** Loads that travel with probes
-** ===================================================================
-*/
-
-static void putload(mp_Probe *p, const Endpoint *e) {
-  mp_LoadNews *n = &p->load[p->nload++];
-  n->addr = e->addr;
-  n->stamp = e->stamp;
-  n->slots = (uint16_t)MIN(e->slots, 65535);
-  n->used = (uint16_t)MIN(e->used, 65535);
-  n->running = (uint16_t)MIN(e->running, 65535);
-  n->wait = e->wait;
-  n->rate = e->rate;
-  n->role = (uint8_t)e->role;
-  n->flags = (uint8_t)((e->leaving ? MP_LOAD_LEAVING : 0) |
-                       (e->down ? MP_LOAD_DOWN : 0));
-}
-
-/* those told the fewest times; of this data centre first */
-static Endpoint *leasttold(mp_State *state, const mp_Probe *p) {
-  Endpoint *win = NULL;
-  guint i;
-  for (i = 0; i < state->endpoints->len; i++) {
-    Endpoint *e = state->endpoints->pdata[i];
-    unsigned k;
-    if (e->stamp == 0 || e->told >= member_toldoften(state))
-      continue;
-    for (k = 0; k < p->nload && p->load[k].addr != e->addr; k++)
-      ;
-    if (k < p->nload)
-      continue;
-    if (win == NULL || e->told < win->told ||
-        (e->told == win->told && e->dchash == state->dchash &&
-         win->dchash != state->dchash))
-      win = e;
-  }
-  return win;
-}
-
-void keeper_fillloads(mp_State *state, mp_Probe *p, const Member *to) {
-  (void)to;
-  while (p->nload < MP_GOSSIP_LOADS) {
-    Endpoint *e = leasttold(state, p);
-    if (e == NULL)
-      break;
-    putload(p, e);
-    e->told++;
-  }
-}
-
-void keeper_learn(mp_State *state, const mp_LoadNews *n) {
-  Endpoint *e = fleet_get(state, n->addr);
-  if (e == NULL || n->stamp <= e->stamp || n->role > MP_ROLE_PLAIN)
-    return;
-  e->stamp = n->stamp;
-  e->slots = n->slots;
-  e->used = n->used;
-  e->running = n->running;
-  e->wait = n->wait;
-  e->rate = n->rate;
-  e->role = (mp_Role)n->role;
-  e->seen = state->now;
-  e->told = 0;
-  e->pledged = 0;
-  if (n->flags & MP_LOAD_LEAVING)
-    e->leaving = 1;
-  setdown(state, e, (n->flags & MP_LOAD_DOWN) != 0);
-}
-
-/* }================================================================== */
-
 void keeper_init(mp_State *state) {
   state->kept = state_table(g_free);
   state->loading = state_table(freeloading);
--- a/core/keep.h
+++ b/core/keep.h
@@ -29,4 +29,7 @@
 void keeper_fillloads(mp_State *state, mp_Probe *p, const Member *to);
 void keeper_learn(mp_State *state, const mp_LoadNews *n);
 
+/* the endpoint does not answer, or answers again */
+void keeper_setdown(mp_State *state, Endpoint *e, int down);
+
 #endif
