io: errors of the own interface in a file of their own

Ruled out: moving the prompt's measuring: it is a part of reading a request. The change: caller_errors.c. Figures: doors.lua and path.lua pass.

--- a/io/callers.c
+++ b/io/callers.c
@@ -20,6 +20,7 @@
 #include <xxhash.h>
 
 #include "io/adapters.h"
+#include "io/caller_errors.h"
 
 /* bytes of a prompt whose hash is its prefix, for cache affinity */
 #define PREFIX_BYTES 2048
@@ -52,65 +53,6 @@
   GString *text; /* answers that are not streamed */
 } Caller;
 
-/*
-** {==================================================================
-** Errors
-** ===================================================================
-*/
-
-static json_t *errorbody(mp_Error e, mp_Ran ran, int retry_s,
-                         const char *detail, const char *id) {
-  json_t *j = json_pack("{s:s, s:s, s:s}", "kind", mp_error_name(e), "message",
-                        mp_error_text(e), "ran", mp_ran_name(ran));
-  if (detail != NULL)
-    json_object_set_new(j, "detail", json_string(detail));
-  if (retry_s > 0)
-    json_object_set_new(j, "retry_after_s", json_integer(retry_s));
-  if (id != NULL && id[0] != '\0')
-    json_object_set_new(j, "request", json_string(id));
-  return json_pack("{s:o}", "error", j);
-}
-
-static void setheader(evhtp_request_t *r, const char *k, const char *v) {
-  evhtp_headers_add_header(r->headers_out, evhtp_header_new(k, v, 1, 1));
-}
-
-static void sendjson(evhtp_request_t *r, int status, json_t *j) {
-  char *s = json_dumps(j, JSON_COMPACT);
-  setheader(r, "Content-Type", "application/json");
-  evbuffer_add_printf(r->buffer_out, "%s\n", s);
-  free(s);
-  json_decref(j);
-  evhtp_send_reply(r, (evhtp_res)status);
-}
-
-static void senderror(evhtp_request_t *r, mp_Error e, mp_Ran ran, int retry_s,
-                      const char *detail, const char *id) {
-  char s[16];
-  if (retry_s > 0) {
-    g_snprintf(s, sizeof s, "%d", retry_s);
-    setheader(r, "Retry-After", s);
-  }
-  sendjson(r, mp_error_status(e), errorbody(e, ran, retry_s, detail, id));
-}
-
-/* straight to the socket: libevhtp is about to close it */
-static void lastwords(evhtp_connection_t *c, mp_Error e, const char *detail) {
-  json_t *j = errorbody(e, MP_RAN_NO, mp_error_retry(e), detail, NULL);
-  char *s = json_dumps(j, JSON_COMPACT);
-  gchar *all = g_strdup_printf("HTTP/1.1 %d Error\r\n"
-                               "Content-Type: application/json\r\n"
-                               "Content-Length: %zu\r\n"
-                               "Connection: close\r\n\r\n%s\n",
-                               mp_error_status(e), strlen(s) + 1, s);
-  (void)send(c->sock, all, strlen(all), MSG_DONTWAIT | MSG_NOSIGNAL);
-  g_free(all);
-  free(s);
-  json_decref(j);
-}
-
-/* }================================================================== */
-
 /*
 ** {==================================================================
 ** Life of a caller
@@ -296,7 +238,7 @@
 
 static void refuse(Caller *c, mp_Error e, const char *detail) {
   c->ended = 1;
-  senderror(c->req, e, MP_RAN_NO, mp_error_retry(e), detail, NULL);
+  caller_send_error(c->req, e, MP_RAN_NO, mp_error_retry(e), detail, NULL);
 }
 
 static void onrequest(evhtp_request_t *r, void *arg) {
@@ -362,22 +304,23 @@
   const char *len = header(r, "Content-Length");
   evhtp_kvs_for_each(h, countheader, &s);
   if (s.all > C->max_headers) {
-    lastwords(r->conn, MP_ERR_TOO_LARGE, "too many headers");
+    caller_last_words(r->conn, MP_ERR_TOO_LARGE, "too many headers");
     return EVHTP_RES_ERROR;
   }
   if (s.length > 1 || s.key > 1 || s.encoding > 1 ||
       (s.length > 0 && s.encoding > 0)) {
-    lastwords(r->conn, MP_ERR_BAD_REQUEST,
-              "Content-Length, Transfer-Encoding and Idempotency-Key may "
-              "stand once, and not the first two together");
+    caller_last_words(
+        r->conn, MP_ERR_BAD_REQUEST,
+        "Content-Length, Transfer-Encoding and Idempotency-Key may "
+        "stand once, and not the first two together");
     return EVHTP_RES_ERROR;
   }
   if (len != NULL && g_ascii_strtoull(len, NULL, 10) > C->max_body) {
-    lastwords(r->conn, MP_ERR_TOO_LARGE, "Content-Length");
+    caller_last_words(r->conn, MP_ERR_TOO_LARGE, "Content-Length");
     return EVHTP_RES_ERROR;
   }
   if (r->uri == NULL || r->uri->path == NULL || r->uri->path->full == NULL) {
-    lastwords(r->conn, MP_ERR_BAD_REQUEST, "no path");
+    caller_last_words(r->conn, MP_ERR_BAD_REQUEST, "no path");
     return EVHTP_RES_ERROR;
   }
   /* now, since libevhtp takes a form's body for the query later on */
@@ -391,7 +334,7 @@
   if (evbuffer_get_length(r->buffer_in) + evbuffer_get_length(b) <=
       C->max_body)
     return EVHTP_RES_OK;
-  lastwords(r->conn, MP_ERR_TOO_LARGE, "body");
+  caller_last_words(r->conn, MP_ERR_TOO_LARGE, "body");
   return EVHTP_RES_ERROR;
 }
 
@@ -402,7 +345,7 @@
   if (c != NULL && (c->known || c->ended))
     return; /* words would mix with the answer */
   if ((events & BEV_EVENT_TIMEOUT) && (events & BEV_EVENT_READING))
-    lastwords(conn, MP_ERR_TIMEOUT, NULL);
+    caller_last_words(conn, MP_ERR_TIMEOUT, NULL);
 }
 
 /* closed by the parser, and not by one of the hooks above */
@@ -413,7 +356,7 @@
   if (c != NULL && (c->known || c->ended))
     return EVHTP_RES_OK;
   if (e != htparse_error_none && e != htparse_error_user)
-    lastwords(conn, MP_ERR_BAD_REQUEST, "not HTTP");
+    caller_last_words(conn, MP_ERR_BAD_REQUEST, "not HTTP");
   return EVHTP_RES_OK;
 }
 
@@ -467,11 +410,11 @@
     struct evkeyval *kv;
     TAILQ_FOREACH(kv, q, next) {
       if (passed(kv->key))
-        setheader(c->req, kv->key, kv->value);
+        caller_set_header(c->req, kv->key, kv->value);
     }
   } else
-    setheader(c->req, "Content-Type", "text/event-stream");
-  setheader(c->req, "X-Request-Id", p->id);
+    caller_set_header(c->req, "Content-Type", "text/event-stream");
+  caller_set_header(c->req, "X-Request-Id", p->id);
   evhtp_send_reply_chunk_start(c->req, (evhtp_res)p->status);
 }
 
@@ -557,14 +500,14 @@
   json_object_set_new(
       j, "choices",
       json_pack("[o]", choice(c, c->text->str, c->text->len, 1)));
-  setheader(c->req, "X-Request-Id", p->id);
-  sendjson(c->req, 200, j);
+  caller_set_header(c->req, "X-Request-Id", p->id);
+  caller_send_json(c->req, 200, j);
 }
 
 /* an answer that broke off never looks like a whole one */
 static void cutoff(Caller *c, const mp_Reply *p) {
   if (c->stream) {
-    sse(c, errorbody(p->error, p->ran, p->retry_s, NULL, p->id));
+    sse(c, caller_error_body(p->error, p->ran, p->retry_s, NULL, p->id));
     evhtp_send_reply_chunk_end(c->req);
   } else
     /* no last chunk: the caller's HTTP library sees the break */
@@ -576,7 +519,7 @@
   if (c->started)
     cutoff(c, p);
   else
-    senderror(c->req, p->error, p->ran, p->retry_s, NULL, p->id);
+    caller_send_error(c->req, p->error, p->ran, p->retry_s, NULL, p->id);
 }
 
 void callers_reply(Callers *C, const mp_Reply *p) {
