Who waits takes turns over all instances when room appears

Cause: when a run ended, every instance with waiting requests heard of the room within a millisecond and started one: at the rejections on the grown site an engine had 44 thousand tokens planned, of 29 thousand that it holds. Ruled out: longer digest intervals (worse), a keeper per engine (two messages more in the way of each request).

--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -499,6 +499,8 @@
 
 /* all that the sender has open; replaces what it said before */
 typedef struct mp_LoadDigest {
+  uint32_t waiting;   /* requests that wait for room */
+  uint32_t oldest_ms; /* how long the first of them has waited */
   unsigned n;
   mp_LoadRow row[MP_DIGEST_ROWS];
 } mp_LoadDigest;
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -52,7 +52,7 @@
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_LOAD_DIGEST;
   message.seq = ++exchange->sequence;
-  router_load_digest(exchange->router, &message.u.digest);
+  router_load_digest(exchange->router, &message.u.digest, node_now());
   size = rpc_encode(&message, bytes, sizeof bytes);
   for (i = 0; i < exchange->peers->len; i++) {
     struct sockaddr_in to =
--- a/router/admission.c
+++ b/router/admission.c
@@ -9,6 +9,12 @@
 ** after a refusal go first, the others in the order they came. One that
 ** would wait past its objective is refused at once, with when to come
 ** back, which serves it better than a late answer.
+**
+** When room appears, all instances hear of it at about the same time. Each
+** request that waits takes its turn by its place among all that wait: as
+** many as there is room for start at once, the next ones one turn later,
+** if there is room left by then. A turn is about as long as it takes to
+** hear what the others have started.
 */
 
 #include <string.h>
@@ -22,12 +28,17 @@
 /* nobody waits longer: callers give silent streams up soon after */
 #define WAIT_MOST (2800 * MP_MS)
 /* refused callers come back after this and a random part of SPREAD */
-#define COME_BACK (1200 * MP_MS)
+#define COME_BACK (1800 * MP_MS)
 #define COME_BACK_SPREAD (2000 * MP_MS)
 /* a caller with less than this share of the route's time has come back */
 #define FRESH_SHARE 0.97
 /* one that waited less than this share of its objective is in time */
 #define IN_TIME_SHARE 0.7
+/* a turn: at least this, and so much for each instance */
+#define TURN_LEAST (3 * MP_MS)
+#define TURN_PER_INSTANCE 1000LL
+/* who came back goes before those that came this much earlier */
+#define RETURNED_AHEAD (1 * MP_SEC)
 /* weight of the newest end among the intervals between ends */
 #define INTERVAL_STEP 0.15
 
@@ -88,33 +99,94 @@
   return !request->returned && now < early ? early : last;
 }
 
+/* when it came, for the order among those that wait */
+static gint64 seniority(const Request *request) {
+  return request->arrived - (request->returned ? RETURNED_AHEAD : 0);
+}
+
+gint64 admission_oldest(const Router *router, gint64 now) {
+  gint64 first = now;
+  guint i;
+  for (i = 0; i < router->waiting->len; i++)
+    first = MIN(first, seniority(router->waiting->pdata[i]));
+  return now - first;
+}
+
+/* how many wait, here and at the others, that go before this one */
+static guint ahead_of(const Router *router, const Request *request) {
+  guint count = peer_loads_older(router->endpoints->peers, seniority(request));
+  guint i;
+  for (i = 0; i < router->waiting->len; i++) {
+    const Request *other = router->waiting->pdata[i];
+    count += other != request && seniority(other) < seniority(request);
+  }
+  return count;
+}
+
+/* how long a request waits for its turn, now that there is some room */
+static gint64 turn_wait(Router *router, const Request *request, gint64 now) {
+  EndpointWish wish = path_wish(router, request, STAGE_DECODE);
+  guint rooms = endpoint_table_rooms(router->endpoints, &wish, now);
+  gint64 turn = TURN_LEAST + TURN_PER_INSTANCE * router->instances;
+  return ahead_of(router, request) / MAX(rooms, 1) * turn;
+}
+
+static void start(Router *router, Request *request, Endpoint *engine,
+                  gint64 now) {
+  admission_leave(router, request);
+  request->stall_at = 0;
+  request->turn_at = 0;
+  path_place(router, request, engine, now);
+}
+
+void admission_turn(Router *router, Request *request, gint64 now) {
+  Endpoint *engine = engine_with_room(router, request, now);
+  request->turn_at = 0;
+  if (engine != NULL)
+    start(router, request, engine, now);
+}
+
+/* start it now or at its turn; FALSE when there is no room; may end */
+static gboolean try_start(Router *router, Request *request, gint64 now) {
+  Endpoint *engine = engine_with_room(router, request, now);
+  gint64 wait;
+  if (engine == NULL) {
+    request->turn_at = 0;
+    return FALSE;
+  }
+  wait = turn_wait(router, request, now);
+  if (wait == 0)
+    start(router, request, engine, now);
+  else if (request->turn_at == 0)
+    request->turn_at = now + wait;
+  return TRUE;
+}
+
 void admission_enter(Router *router, Request *request, gint64 now) {
-  Endpoint *engine = NULL;
   request->returned = has_come_back(request);
-  if (router->waiting->len == 0 || request->returned)
-    engine = engine_with_room(router, request, now);
-  if (engine != NULL) {
-    path_place(router, request, engine, now);
-    return;
-  }
   if (!request->returned &&
-      expected_wait(router, router->waiting->len) > WAIT_FRESH) {
+      expected_wait(router, router->waiting->len) > WAIT_FRESH &&
+      engine_with_room(router, request, now) == NULL) {
     refuse(router, request);
     return;
   }
   request->phase = PHASE_WAIT;
   enqueue(router, request);
+  request->stall_at = next_look(request, now);
+  router->load_version++;
+  if (try_start(router, request, now))
+    return;
   router_log(router, MP_LOG_ROUTE_WAIT,
              " request=%s place=%u expected_ms=%d came_back=%d", request->id,
              router->waiting->len,
              (int)(expected_wait(router, router->waiting->len - 1) / MP_MS),
              request->returned);
-  request->stall_at = next_look(request, now);
 }
 
 void admission_leave(Router *router, Request *request) {
-  if (request->phase == PHASE_WAIT)
-    g_ptr_array_remove(router->waiting, request);
+  if (request->phase == PHASE_WAIT &&
+      g_ptr_array_remove(router->waiting, request))
+    router->load_version++;
 }
 
 static guint place_of(const Router *router, const Request *request) {
@@ -150,18 +222,10 @@
   guint i = 0;
   while (i < router->waiting->len) {
     Request *request = router->waiting->pdata[i];
-    Endpoint *engine = NULL;
-    if (is_in_time(request, now) == in_time) {
-      engine = engine_with_room(router, request, now);
-      left += engine == NULL;
-    }
-    if (engine == NULL) {
+    if (is_in_time(request, now) == in_time)
+      left += !try_start(router, request, now);
+    if (i < router->waiting->len && router->waiting->pdata[i] == request)
       i++;
-      continue;
-    }
-    admission_leave(router, request);
-    request->stall_at = 0;
-    path_place(router, request, engine, now);
   }
   return left;
 }
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -226,6 +226,20 @@
   return best;
 }
 
+guint endpoint_table_rooms(const EndpointTable *table,
+                           const EndpointWish *wish, gint64 now) {
+  guint rooms = 0;
+  guint i;
+  for (i = 0; i < table->all->len; i++) {
+    const Endpoint *endpoint = table->all->pdata[i];
+    guint64 planned = endpoint_tokens(table, endpoint);
+    if (fits(endpoint, wish->service, wish->stage) &&
+        endpoint->avoid_until <= now && planned < wish->capacity)
+      rooms += (guint)((wish->capacity - planned) / MAX(wish->tokens, 1));
+  }
+  return rooms;
+}
+
 gboolean endpoint_table_has(const EndpointTable *table, const char *service,
                             EndpointStage stage, gint64 now) {
   guint i;
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -61,6 +61,9 @@
 /* the best endpoint for a wish, or NULL */
 Endpoint *endpoint_table_choose(const EndpointTable *table,
                                 const EndpointWish *wish, gint64 now);
+/* how many such dispatches would find room now, over all endpoints */
+guint endpoint_table_rooms(const EndpointTable *table,
+                           const EndpointWish *wish, gint64 now);
 /* are there endpoints of this service and stage that could be chosen? */
 gboolean endpoint_table_has(const EndpointTable *table, const char *service,
                             EndpointStage stage, gint64 now);
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -14,6 +14,7 @@
   mp_Addr address;
   guint32 sequence;
   gint64 heard;
+  gint64 oldest; /* when its first waiting request came */
   mp_LoadDigest digest;
 } Peer;
 
@@ -87,6 +88,7 @@
   peer->sequence = sequence;
   peer->heard = now;
   peer->digest = *digest;
+  peer->oldest = now - digest->oldest_ms * MP_MS;
   for (i = 0; i < digest->n; i++)
     add(loads, &digest->row[i]);
 }
@@ -98,10 +100,12 @@
   g_hash_table_iter_init(&iterator, loads->peers);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     Peer *peer = value;
-    if (now - peer->heard < PEER_SILENCE || peer->digest.n == 0)
+    if (now - peer->heard < PEER_SILENCE ||
+        (peer->digest.n == 0 && peer->digest.waiting == 0))
       continue;
     subtract_all(loads, peer);
     peer->digest.n = 0;
+    peer->digest.waiting = 0;
     found = TRUE;
   }
   return found;
@@ -120,3 +124,15 @@
   const LoadSum *sum = sum_of(loads, endpoint);
   return sum != NULL ? sum->open : 0;
 }
+
+guint peer_loads_older(const PeerLoads *loads, gint64 came) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Peer *peer = value;
+    count += peer->digest.waiting > 0 && peer->oldest < came;
+  }
+  return count;
+}
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -30,4 +30,7 @@
 guint64 peer_loads_tokens(const PeerLoads *loads, guint32 endpoint);
 guint peer_loads_open(const PeerLoads *loads, guint32 endpoint);
 
+/* peers whose first waiting request came before that time */
+guint peer_loads_older(const PeerLoads *loads, gint64 came);
+
 #endif
--- a/router/router.c
+++ b/router/router.c
@@ -128,6 +128,7 @@
 
 void router_set_instances(Router *router, unsigned count) {
   router->retry.slack = (double)router->retry_slack / MAX(count, 1);
+  router->instances = MAX(count, 1);
 }
 
 /* }================================================================== */
@@ -237,9 +238,12 @@
 */
 
 static gint64 wake_time(const Request *request) {
+  gint64 wake = request->expires;
   if (request->stall_at != 0)
-    return MIN(request->stall_at, request->expires);
-  return request->expires;
+    wake = MIN(wake, request->stall_at);
+  if (request->turn_at != 0)
+    wake = MIN(wake, request->turn_at);
+  return wake;
 }
 
 gint64 router_next_tick(const Router *router) {
@@ -279,6 +283,8 @@
       continue;
     if (request->expires <= now)
       finish_expire(router, request, now);
+    else if (request->turn_at != 0 && request->turn_at <= now)
+      admission_turn(router, request, now);
     else
       stalled(router, request, now);
     return TRUE;
@@ -306,9 +312,11 @@
   return router->load_version;
 }
 
-void router_load_digest(const Router *router, mp_LoadDigest *out) {
+void router_load_digest(const Router *router, mp_LoadDigest *out, gint64 now) {
   const GPtrArray *all = router->endpoints->all;
   guint i;
+  out->waiting = router->waiting->len;
+  out->oldest_ms = (uint32_t)(admission_oldest(router, now) / MP_MS);
   out->n = 0;
   for (i = 0; i < all->len && out->n < MP_DIGEST_ROWS; i++) {
     const Endpoint *endpoint = all->pdata[i];
--- a/router/router.h
+++ b/router/router.h
@@ -153,7 +153,7 @@
 
 /* what this instance has open, for the others: changes with its version */
 guint64 router_load_version(const Router *router);
-void router_load_digest(const Router *router, mp_LoadDigest *out);
+void router_load_digest(const Router *router, mp_LoadDigest *out, gint64 now);
 /* what another instance has open; 'sequence' grows with each */
 void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
                       const mp_LoadDigest *digest, gint64 now);
--- a/router/state.h
+++ b/router/state.h
@@ -71,9 +71,10 @@
   unsigned arrivals; /* runs that reached an endpoint, rejected too */
   unsigned prefills; /* prefills that reached an endpoint */
   unsigned unreachable;
-  gboolean was_busy;     /* some endpoint turned it away */
-  gboolean returned;     /* it was refused before, and came back */
-  gint64 come_back;      /* when refused: come back after this; 0: as usual */
+  gboolean was_busy; /* some endpoint turned it away */
+  gint64 turn_at;    /* waiting: start then, if there is still room; 0: none */
+  gboolean returned; /* it was refused before, and came back */
+  gint64 come_back;  /* when refused: come back after this; 0: as usual */
   gboolean head_sent;    /* the answer has begun */
   char *last_event;      /* passed on to the caller */
   guint32 made;          /* tokens made, as the events tell */
@@ -99,6 +100,7 @@
   GHashTable *requests;   /* number -> Request */
   GHashTable *dispatched; /* dispatch number -> Request */
   guint64 last_dispatch;
+  unsigned instances;   /* that share the traffic */
   gboolean stopping;    /* no request is taken any more */
   GPtrArray *waiting;   /* Request in PHASE_WAIT, first one first */
   gint64 last_end;      /* when the last run at an engine ended */
@@ -187,6 +189,10 @@
 void admission_leave(Router *router, Request *request);
 /* its time to be looked at has come; may end */
 void admission_look(Router *router, Request *request, gint64 now);
+/* its turn has come: start it if there is still room; may end */
+void admission_turn(Router *router, Request *request, gint64 now);
+/* how long the first waiting request has waited, 0 when there is none */
+gint64 admission_oldest(const Router *router, gint64 now);
 /* there may be room: start what fits */
 void admission_run(Router *router, gint64 now);
 /* a run at an engine ended */
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -356,7 +356,7 @@
   other.populate();
   other.request("/stream/x", 10000, 9000);
   other.request("/stream/x", 10000, 9000);
-  router_load_digest(other.router, &own);
+  router_load_digest(other.router, &own, other.now);
   ASSERT_GE(own.n, 2u);
   router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1, &own,
                    world.now);
@@ -368,6 +368,22 @@
   EXPECT_EQ(world.dispatches.size(), 1u);
 }
 
+TEST_F(Routed, WhoWaitsLongerElsewhereGoesFirst) {
+  mp_LoadDigest waiting = {};
+  guint64 first = world.request("/stream/x", 10000, 9000);
+  world.request("/stream/x", 10000, 9000);
+  world.request("/stream/x", 10000, 9000);
+  size_t before = world.dispatches.size();
+  waiting.waiting = 1;
+  waiting.oldest_ms = 300;
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1, &waiting,
+                   world.now);
+  world.hangup(first); /* room for one */
+  EXPECT_EQ(world.dispatches.size(), before);
+  world.advance(10 * ms); /* nobody took it: our turn */
+  EXPECT_EQ(world.dispatches.size(), before + 1);
+}
+
 TEST_F(Routed, AnOvertakenDigestChangesNothing) {
   mp_LoadDigest full;
   mp_LoadDigest empty = {};
@@ -375,7 +391,7 @@
   other.populate();
   other.request("/stream/x", 10000, 9000);
   other.request("/stream/x", 10000, 9000);
-  router_load_digest(other.router, &full);
+  router_load_digest(other.router, &full, other.now);
   router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 8, &empty,
                    world.now);
   router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 7, &full,
@@ -390,7 +406,7 @@
   other.populate();
   other.request("/stream/x", 10000, 9000);
   other.request("/stream/x", 10000, 9000);
-  router_load_digest(other.router, &full);
+  router_load_digest(other.router, &full, other.now);
   router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1, &full,
                    world.now);
   guint64 request = world.request("/stream/x", 10000, 9000);
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -78,6 +78,8 @@
     break;
   case MP_MSG_LOAD_DIGEST:
     m.u.digest.n = MP_DIGEST_ROWS;
+    m.u.digest.waiting = 3;
+    m.u.digest.oldest_ms = 400;
     m.u.digest.row[MP_DIGEST_ROWS - 1].tokens = 99;
     m.u.digest.row[MP_DIGEST_ROWS - 1].open = 3;
     break;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -162,7 +162,8 @@
 
 static bool_t digest(XDR *x, mp_LoadDigest *d) {
   unsigned i;
-  if (!count(x, &d->n, MP_DIGEST_ROWS))
+  if (!u32(x, &d->waiting) || !u32(x, &d->oldest_ms) ||
+      !count(x, &d->n, MP_DIGEST_ROWS))
     return FALSE;
   for (i = 0; i < d->n; i++) {
     mp_LoadRow *row = &d->row[i];
