Limits of waiting and silence from the routes' own figures

Cause: waits, silences and the pace of reading prompts were constants that fit the two sites at hand. Ruled out: settings: the routes say what callers expect. The change: the longest waits, early refusals, returns and silences are shares of a route's objective, pause and the caller's time; the pace of prefills is learned.

--- a/router/admission.c
+++ b/router/admission.c
@@ -21,15 +21,20 @@
 
 #include "router/state.h"
 
-/* a fresh request waits at most about this long for room */
-#define WAIT_FRESH (900 * MP_MS)
+/* a fresh request waits about so many objectives for room */
+#define WAIT_FRESH_OBJECTIVES 1.0
 /* an early refusal leaves before this share of the objective */
 #define EARLY_SHARE 0.22
-/* nobody waits longer: callers give silent streams up soon after */
-#define WAIT_MOST (2800 * MP_MS)
-/* refused callers come back after this and a random part of SPREAD */
-#define COME_BACK (1800 * MP_MS)
-#define COME_BACK_SPREAD (2000 * MP_MS)
+/* callers give a stream without a first piece up after the longest of these;
+** nobody waits longer than a share of that */
+#define GIVE_UP_LEAST (2 * MP_SEC)
+#define GIVE_UP_OBJECTIVES 4
+#define GIVE_UP_GAPS 8
+#define WAIT_MOST_SHARE 0.78
+/* refused callers come back after this share of their time, and a random
+** part of SPREAD; they heed what is asked up to a third of it */
+#define COME_BACK_SHARE 0.13
+#define COME_BACK_SPREAD 0.14
 /* a caller with less than this share of the route's time has come back */
 #define FRESH_SHARE 0.97
 /* one that waited less than this share of its objective is in time */
@@ -47,6 +52,18 @@
   return (double)patience < FRESH_SHARE * (double)request->route->timeout;
 }
 
+/* longest expected wait of one that has not been refused before */
+static gint64 wait_fresh(const Request *request) {
+  return (gint64)(WAIT_FRESH_OBJECTIVES * (double)request->route->objective);
+}
+
+static gint64 wait_most(const Request *request) {
+  gint64 gives_up =
+      MAX(GIVE_UP_LEAST, GIVE_UP_OBJECTIVES * request->route->objective);
+  gives_up = MAX(gives_up, GIVE_UP_GAPS * request->route->gap);
+  return (gint64)(WAIT_MOST_SHARE * (double)gives_up);
+}
+
 /* how long until the one at this place in the queue may start */
 static gint64 expected_wait(const Router *router, guint place) {
   return (gint64)((place + 1) * router->end_interval);
@@ -67,14 +84,16 @@
   return endpoint_table_choose(router->endpoints, &wish, now);
 }
 
-static gint64 come_back(Router *router) {
-  return COME_BACK +
-         (gint64)(g_rand_double(router->random) * (double)COME_BACK_SPREAD);
+static gint64 come_back(Router *router, const Request *request) {
+  double share =
+      COME_BACK_SHARE + g_rand_double(router->random) * COME_BACK_SPREAD;
+  return (gint64)(share *
+                  (double)(request->caller_deadline - request->arrived));
 }
 
 static void refuse(Router *router, Request *request) {
   request->was_busy = TRUE;
-  request->come_back = come_back(router);
+  request->come_back = come_back(router, request);
   finish_refuse(router, request, REFUSAL_BUSY);
 }
 
@@ -95,7 +114,7 @@
 static gint64 next_look(const Request *request, gint64 now) {
   gint64 early = request->arrived +
                  (gint64)(EARLY_SHARE * (double)request->route->objective);
-  gint64 last = request->arrived + WAIT_MOST;
+  gint64 last = request->arrived + wait_most(request);
   return !request->returned && now < early ? early : last;
 }
 
@@ -165,7 +184,7 @@
 void admission_enter(Router *router, Request *request, gint64 now) {
   request->returned = has_come_back(request);
   if (!request->returned &&
-      expected_wait(router, router->waiting->len) > WAIT_FRESH &&
+      expected_wait(router, router->waiting->len) > wait_fresh(request) &&
       engine_with_room(router, request, now) == NULL) {
     refuse(router, request);
     return;
@@ -201,13 +220,13 @@
 void admission_look(Router *router, Request *request, gint64 now) {
   gint64 waited = now - request->arrived;
   guint place = place_of(router, request);
-  if (waited >= WAIT_MOST ||
+  if (waited >= wait_most(request) ||
       (!request->returned &&
-       waited + expected_wait(router, place) > WAIT_FRESH)) {
+       waited + expected_wait(router, place) > wait_fresh(request))) {
     refuse(router, request);
     return;
   }
-  request->stall_at = request->arrived + WAIT_MOST;
+  request->stall_at = request->arrived + wait_most(request);
 }
 
 /* can its first token still come within the objective? */
--- a/router/path.c
+++ b/router/path.c
@@ -19,9 +19,11 @@
 #define MOST_UNREACHABLE 6
 /* runs that may be turned away before a request gives up */
 #define MOST_ARRIVALS 4
-/* repeatable streams are resumed after this silence, at the least */
-#define HEAD_SILENCE (1500 * MP_MS)
-#define PIECE_SILENCE (900 * MP_MS)
+/* repeatable streams are resumed after this silence: so many objectives
+** before the first piece, so many of the longest pauses between pieces */
+#define HEAD_SILENCE_OBJECTIVES 1.7
+#define PIECE_SILENCE_GAPS 3
+#define SILENCE_LEAST (500 * MP_MS)
 /* plain repeatable requests: silence of so many objectives */
 #define SAFE_SILENCE_OBJECTIVES 4
 /* a run is given room to grow by this share of the usual output */
@@ -182,13 +184,22 @@
   return endpoint_table_choose(router->endpoints, &wish, now);
 }
 
+static gint64 head_silence(const Request *request) {
+  double wait = HEAD_SILENCE_OBJECTIVES * (double)request->route->objective;
+  return MAX((gint64)wait, SILENCE_LEAST);
+}
+
+static gint64 piece_silence(const Request *request) {
+  return MAX(PIECE_SILENCE_GAPS * request->route->gap, SILENCE_LEAST);
+}
+
 /* when silence of the endpoint is taken for a failure; 0: never */
 static gint64 silence_limit(const Request *request, gint64 now) {
   gint64 wait;
   if (!request->repeatable || request->runs + 1 >= request->route->attempts)
     return 0;
   if (request->route->kind == ROUTE_STREAM)
-    return now + HEAD_SILENCE;
+    return now + head_silence(request);
   wait = request->route->objective * SAFE_SILENCE_OBJECTIVES;
   return now + MAX(wait, 100 * MP_MS);
 }
@@ -352,14 +363,14 @@
     count_memory(router, request);
   }
   if (request->stall_at != 0)
-    request->stall_at = now + PIECE_SILENCE;
+    request->stall_at = now + piece_silence(request);
   router->host.answer(router->host.data, request->number, outcome);
 }
 
 static void stream_head(Router *router, Request *request,
                         const Outcome *outcome, gint64 now) {
   if (request->stall_at != 0)
-    request->stall_at = now + HEAD_SILENCE;
+    request->stall_at = now + head_silence(request);
   if (request->head_sent)
     return; /* resumed: the caller keeps its first head */
   request->head_sent = TRUE;
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -13,11 +13,13 @@
 
 #include "router/state.h"
 
-/* pace of an engine that reads prompts, in tokens a millisecond */
-#define PREFILL_PACE 33
-/* it may take so many times as long, and this on top */
+/* pace of reading prompts until some were read, in tokens a millisecond */
+#define FIRST_PACE 12.0
+/* weight of the newest prompt in the pace */
+#define PACE_STEP 0.1
+/* one may take so many times as long as usual, and this on top */
 #define PREFILL_PATIENCE 4
-#define PREFILL_GRACE (400 * MP_MS)
+#define PREFILL_GRACE (300 * MP_MS)
 /* a handle with less time left than this is not worth the fetch */
 #define HANDLE_MARGIN (60 * MP_MS)
 
@@ -39,6 +41,22 @@
   router->load_version++;
 }
 
+static gint64 expected_time(Router *router, const Request *request) {
+  const ServiceState *state = router_service(router, request->service->name);
+  double pace = state->prefill_pace > 0 ? state->prefill_pace : FIRST_PACE;
+  return (gint64)(request->prompt_tokens / pace * MP_MS);
+}
+
+/* learn how fast prompts are read, their waiting included */
+static void learn_pace(Router *router, const Request *request, gint64 now) {
+  ServiceState *state = router_service(router, request->service->name);
+  double ms = MAX((double)(now - request->open.sent) / MP_MS, 1.0);
+  double pace = request->prompt_tokens / ms;
+  if (state->prefill_pace <= 0)
+    state->prefill_pace = FIRST_PACE;
+  state->prefill_pace += PACE_STEP * (pace - state->prefill_pace);
+}
+
 gboolean prefill_begin(Router *router, Request *request, gint64 now) {
   EndpointWish wish = path_wish(router, request, STAGE_PREFILL);
   const Endpoint *decode =
@@ -55,7 +73,7 @@
   if (prefill == NULL)
     return FALSE;
   router_count(router, PREFILLS);
-  expected = request->prompt_tokens / PREFILL_PACE * MP_MS;
+  expected = expected_time(router, request);
   request->phase = PHASE_PREFILL;
   request->stall_at = now + PREFILL_PATIENCE * expected + PREFILL_GRACE;
   path_send(router, request, DISPATCH_PREFILL, prefill, request->prompt_tokens,
@@ -81,6 +99,7 @@
   RetryBudget *budget = router_budget(router, request->service->name);
   if (outcome->kind == OUTCOME_ANSWER && outcome->handle != NULL) {
     request->prefills++;
+    learn_pace(router, request, now);
     if (endpoint != NULL) {
       endpoint_succeeded(endpoint, now);
       take_handle(request, outcome, endpoint, now);
--- a/router/state.h
+++ b/router/state.h
@@ -40,7 +40,8 @@
 /* what is kept for each service, over configurations */
 typedef struct ServiceState {
   RetryBudget budget;
-  double mean_output; /* tokens that streams made lately; 0: none ended */
+  double mean_output;  /* tokens that streams made lately; 0: none ended */
+  double prefill_pace; /* prompt tokens read a millisecond; 0: none yet */
 } ServiceState;
 
 /* the dispatch that a request waits for */
