--- a/io/gateway.c
+++ b/io/gateway.c
@@ -311,6 +311,19 @@
   return NULL;
 }
 
+/* an instance without metrics is better than none */
+static void serve_metrics(Gateway *gateway, mp_Addr address) {
+  GError *failed = NULL;
+  char fields[256];
+  gateway->metrics_http =
+      serve(gateway, address, "/metrics", on_metrics, &failed);
+  if (failed == NULL)
+    return;
+  g_snprintf(fields, sizeof fields, " error=\"%s\"", failed->message);
+  say(gateway, MP_LOG_NO_METRICS, MP_WARN, "metrics cannot be served", fields);
+  g_error_free(failed);
+}
+
 static gboolean serve_all(Gateway *gateway, const GatewayOptions *options,
                           GError **error) {
   GError *failed = NULL;
@@ -319,11 +332,10 @@
   if (failed == NULL)
     gateway->control_http =
         serve(gateway, options->control, "/snapshot", on_snapshot, &failed);
-  if (failed == NULL)
-    gateway->metrics_http =
-        serve(gateway, options->metrics, "/metrics", on_metrics, &failed);
-  if (failed == NULL)
+  if (failed == NULL) {
+    serve_metrics(gateway, options->metrics);
     return TRUE;
+  }
   g_propagate_error(error, failed);
   return FALSE;
 }
