Engines in doubt are told to the other instances

Ruled out: health checks (priced, and said to lie). The change: digests carry the share of failures that an instance saw lately; an engine without a word of a run for 0.4 s counts a failure, the run goes on.

--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -495,6 +495,7 @@
   uint32_t endpoint; /* hash of its id */
   uint32_t tokens;   /* prompt and output tokens, reserved ones too */
   uint32_t open;     /* dispatches */
+  uint32_t failing;  /* recent share of failures, in percent */
 } mp_LoadRow;
 
 /* all that the sender has open; replaces what it said before */
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -48,7 +48,7 @@
 #define MP_GOSSIP_LOADS 8
 
 /* rows of a load digest, in one datagram */
-#define MP_DIGEST_ROWS 100
+#define MP_DIGEST_ROWS 80
 
 /* renewals carried by one datagram */
 #define MP_RENEW_BATCH 40
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -22,6 +22,8 @@
 /* scores are in open dispatches of a service with few slots */
 #define COST_OTHER_ZONE 1.5
 #define COST_FAILURES 12.0
+/* what others saw of an endpoint, together */
+#define COST_PEERS_FAILURES 6.0
 #define COST_COLD 3.0
 /* an engine's share of memory in use, as open dispatches */
 #define COST_MEMORY 12.0
@@ -120,7 +122,7 @@
          strcmp(endpoint->record.service, service) == 0;
 }
 
-static double recent_failures(const Endpoint *endpoint, gint64 now) {
+double endpoint_failing(const Endpoint *endpoint, gint64 now) {
   double age = (double)(now - endpoint->failed_at);
   return endpoint->failures * exp(-age / FAILURE_MEMORY);
 }
@@ -153,7 +155,9 @@
     sum += COST_OTHER_ZONE;
   if (endpoint->record.cold_left > 0)
     sum += COST_COLD;
-  sum += COST_FAILURES * recent_failures(endpoint, now);
+  sum += COST_FAILURES * endpoint_failing(endpoint, now);
+  sum += COST_PEERS_FAILURES *
+         MIN(peer_loads_failing(table->peers, endpoint->hash), 1.0);
   return sum;
 }
 
@@ -254,7 +258,7 @@
 /* }================================================================== */
 
 static void count_failure(Endpoint *endpoint, double failed, gint64 now) {
-  double recent = recent_failures(endpoint, now);
+  double recent = endpoint_failing(endpoint, now);
   endpoint->failures = recent + FAILURE_STEP * (failed - recent);
   endpoint->failed_at = now;
 }
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -72,6 +72,9 @@
 guint64 endpoint_tokens(const EndpointTable *table, const Endpoint *endpoint);
 guint endpoint_open(const EndpointTable *table, const Endpoint *endpoint);
 
+/* recent share of failures that this instance saw, 0 to 1 */
+double endpoint_failing(const Endpoint *endpoint, gint64 now);
+
 /* what became of a dispatch */
 void endpoint_succeeded(Endpoint *endpoint, gint64 now);
 void endpoint_failed(Endpoint *endpoint, gint64 now);
--- a/router/path.c
+++ b/router/path.c
@@ -24,6 +24,9 @@
 #define HEAD_SILENCE_OBJECTIVES 1.7
 #define PIECE_SILENCE_GAPS 3
 #define SILENCE_LEAST (500 * MP_MS)
+/* an engine that says nothing of a run for so long is in doubt: with the
+** prompt read, a head comes within some ten milliseconds */
+#define SUSPECT_SILENCE (400 * MP_MS)
 /* plain repeatable requests: silence of so many objectives */
 #define SAFE_SILENCE_OBJECTIVES 4
 /* a run is given room to grow by this share of the usual output */
@@ -112,6 +115,7 @@
   open->number = 0;
   g_clear_pointer(&open->endpoint, g_free);
   request->stall_at = 0;
+  request->suspect_at = 0;
 }
 
 /* what was known of the endpoint when it was chosen */
@@ -220,6 +224,8 @@
     tokens = path_memory(router, request);
   path_send(router, request, DISPATCH_RUN, endpoint, tokens, now);
   request->stall_at = silence_limit(request, now);
+  if (request->service->is_engine)
+    request->suspect_at = now + SUSPECT_SILENCE;
 }
 
 void path_place(Router *router, Request *request, Endpoint *decode,
@@ -367,8 +373,20 @@
   router->host.answer(router->host.data, request->number, outcome);
 }
 
+/* the run goes on; only the next choices are told */
+void path_suspect(Router *router, Request *request, gint64 now) {
+  Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->open.endpoint);
+  request->suspect_at = 0;
+  if (endpoint == NULL)
+    return;
+  endpoint_failed(endpoint, now);
+  router->load_version++;
+}
+
 static void stream_head(Router *router, Request *request,
                         const Outcome *outcome, gint64 now) {
+  request->suspect_at = 0;
   if (request->stall_at != 0)
     request->stall_at = now + head_silence(request);
   if (request->head_sent)
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -21,6 +21,7 @@
 typedef struct LoadSum {
   guint64 tokens;
   guint open;
+  guint failing; /* percent */
 } LoadSum;
 
 struct PeerLoads {
@@ -51,6 +52,7 @@
   }
   sum->tokens += row->tokens;
   sum->open += row->open;
+  sum->failing += row->failing;
 }
 
 static void subtract(PeerLoads *loads, const mp_LoadRow *row) {
@@ -58,7 +60,8 @@
   LoadSum *sum = g_hash_table_lookup(loads->sums, key);
   sum->tokens -= row->tokens;
   sum->open -= row->open;
-  if (sum->tokens == 0 && sum->open == 0)
+  sum->failing -= row->failing;
+  if (sum->tokens == 0 && sum->open == 0 && sum->failing == 0)
     g_hash_table_remove(loads->sums, key);
 }
 
@@ -120,6 +123,11 @@
   return sum != NULL ? sum->tokens : 0;
 }
 
+double peer_loads_failing(const PeerLoads *loads, guint32 endpoint) {
+  const LoadSum *sum = sum_of(loads, endpoint);
+  return sum != NULL ? sum->failing / 100.0 : 0;
+}
+
 guint peer_loads_open(const PeerLoads *loads, guint32 endpoint) {
   const LoadSum *sum = sum_of(loads, endpoint);
   return sum != NULL ? sum->open : 0;
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -28,6 +28,8 @@
 
 /* sums over all peers, by the hash of the endpoint's id */
 guint64 peer_loads_tokens(const PeerLoads *loads, guint32 endpoint);
+/* sum of the shares of failures that peers saw lately, 0 to 1 each */
+double peer_loads_failing(const PeerLoads *loads, guint32 endpoint);
 guint peer_loads_open(const PeerLoads *loads, guint32 endpoint);
 
 /* peers whose first waiting request came before that time */
--- a/router/router.c
+++ b/router/router.c
@@ -243,6 +243,8 @@
     wake = MIN(wake, request->stall_at);
   if (request->turn_at != 0)
     wake = MIN(wake, request->turn_at);
+  if (request->suspect_at != 0)
+    wake = MIN(wake, request->suspect_at);
   return wake;
 }
 
@@ -283,6 +285,8 @@
       continue;
     if (request->expires <= now)
       finish_expire(router, request, now);
+    else if (request->suspect_at != 0 && request->suspect_at <= now)
+      path_suspect(router, request, now);
     else if (request->turn_at != 0 && request->turn_at <= now)
       admission_turn(router, request, now);
     else
@@ -321,11 +325,13 @@
   for (i = 0; i < all->len && out->n < MP_DIGEST_ROWS; i++) {
     const Endpoint *endpoint = all->pdata[i];
     mp_LoadRow *row = &out->row[out->n];
-    if (endpoint->open == 0 && endpoint->tokens == 0)
+    guint failing = (guint)(100 * endpoint_failing(endpoint, now));
+    if (endpoint->open == 0 && endpoint->tokens == 0 && failing < 5)
       continue;
     row->endpoint = endpoint->hash;
     row->tokens = (uint32_t)endpoint->tokens;
     row->open = endpoint->open;
+    row->failing = failing;
     out->n++;
   }
 }
--- a/router/state.h
+++ b/router/state.h
@@ -85,7 +85,8 @@
   mp_Addr handle_address;
   char *handle_endpoint;
   gint64 handle_until;
-  gint64 stall_at; /* give the open dispatch up then; 0: never */
+  gint64 suspect_at; /* no word of the run by then: doubt the endpoint */
+  gint64 stall_at;   /* give the open dispatch up then; 0: never */
   char *excluded[MAX_EXCLUDED];
   guint excluded_count;
 } Request;
@@ -151,6 +152,8 @@
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage);
 void path_exclude(Request *request, const char *endpoint);
+/* the endpoint of the run is silent for long: others should know */
+void path_suspect(Router *router, Request *request, gint64 now);
 /* an outcome of the open RUN dispatch; may end */
 void path_outcome(Router *router, Request *request, const Outcome *outcome,
                   gint64 now);
--- a/test/test_random.cc
+++ b/test/test_random.cc
@@ -176,7 +176,8 @@
     mp_LoadDigest digest = {};
     digest.n = draw(3);
     for (unsigned i = 0; i < digest.n; i++)
-      digest.row[i] = {static_cast<uint32_t>(random()), draw(9000), draw(5)};
+      digest.row[i] = {static_cast<uint32_t>(random()), draw(9000), draw(5),
+                       draw(100)};
     router_peer_load(world.router, 1 + draw(3), 1 + draw(1000), &digest,
                      world.now);
   }
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -384,6 +384,26 @@
   EXPECT_EQ(world.dispatches.size(), before + 1);
 }
 
+TEST_F(Routed, ASilentEngineIsDoubtedHereAndByTheOthers) {
+  mp_LoadDigest digest;
+  World other;
+  other.populate();
+  running("/stream/x");
+  std::string silent = world.last().endpoint;
+  world.advance(600 * ms);
+  router_load_digest(world.router, &digest, world.now);
+  router_peer_load(other.router, mp_addr_parse("10.0.0.9:1"), 1, &digest,
+                   other.now);
+  for (World *one : {&world, &other}) {
+    for (int i = 0; i < 4; i++) {
+      guint64 request = one->request("/stream/x");
+      one->prefilled(one->last().number, "h");
+      EXPECT_NE(one->last().endpoint, silent);
+      one->hangup(request);
+    }
+  }
+}
+
 TEST_F(Routed, AnOvertakenDigestChangesNothing) {
   mp_LoadDigest full;
   mp_LoadDigest empty = {};
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -82,6 +82,7 @@
     m.u.digest.oldest_ms = 400;
     m.u.digest.row[MP_DIGEST_ROWS - 1].tokens = 99;
     m.u.digest.row[MP_DIGEST_ROWS - 1].open = 3;
+    m.u.digest.row[MP_DIGEST_ROWS - 1].failing = 40;
     break;
   default:
     m.u.reserve.token.owner = 0x7f0000011b58;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -168,7 +168,7 @@
   for (i = 0; i < d->n; i++) {
     mp_LoadRow *row = &d->row[i];
     if (!u32(x, &row->endpoint) || !u32(x, &row->tokens) ||
-        !u32(x, &row->open))
+        !u32(x, &row->open) || !u32(x, &row->failing))
       return FALSE;
   }
   return TRUE;
