--- a/io/directory.c
+++ b/io/directory.c
@@ -217,8 +217,7 @@
                    gint64 pause) {
   FollowerHost host = {directory, on_object, on_listed, on_lost, on_regained};
   following->directory = directory;
-  follower_init(&following->follower, kind, watch_wait, pause,
-                kind == STORE_ENDPOINTS, &host);
+  follower_init(&following->follower, kind, watch_wait, pause, &host);
   following->link =
       store_link_new(directory->base, options->store, directory->dialect,
                      on_follow_reply, following);
--- a/router/follower.c
+++ b/router/follower.c
@@ -30,13 +30,12 @@
 }
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
-                   gint64 pause, gboolean preview, const FollowerHost *host) {
+                   gint64 pause, const FollowerHost *host) {
   memset(follower, 0, sizeof *follower);
   follower->kind = kind;
   follower->host = *host;
   follower->watch_wait = watch_wait;
   follower->pause = pause;
-  follower->preview = preview;
   follower->names =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   follower->revisions =
@@ -64,7 +63,6 @@
   } else {
     call->operation = STORE_LIST;
     call->after = follower->after;
-    call->stale = follower->preview;
   }
 }
 
@@ -93,13 +91,6 @@
   }
 }
 
-static void list_again(Follower *follower) {
-  follower->watching = FALSE;
-  follower->revision = 0;
-  g_clear_pointer(&follower->after, g_free);
-  g_hash_table_remove_all(follower->names);
-}
-
 static void take_list(Follower *follower, const StoreReply *reply) {
   guint count = reply->objects != NULL ? reply->objects->len : 0;
   g_clear_pointer(&follower->after, g_free);
@@ -115,26 +106,22 @@
   if (follower->revision == 0)
     follower->revision = reply->at;
   follower->host.listed(follower->host.data, follower->kind, follower->names);
-  if (follower->preview) {
-    follower->preview = FALSE;
-    list_again(follower);
-    return;
-  }
   g_hash_table_remove_all(follower->names);
   follower->watching = TRUE;
 }
 
-/* instances that fail at the same moment come back at different ones */
-static gint64 scatter(gint64 now) {
-  return (gint64)((guint64)now * 2654435761u >> 16 & G_MAXINT32);
+static void list_again(Follower *follower) {
+  follower->watching = FALSE;
+  follower->revision = 0;
+  g_clear_pointer(&follower->after, g_free);
+  g_hash_table_remove_all(follower->names);
 }
 
 static void failed(Follower *follower, gint64 now) {
   gint64 wait = RETRY_FIRST << MIN(follower->failures, 4);
   if (follower->failures++ == 0)
     follower->host.lost(follower->host.data, follower->kind);
-  wait = MIN(wait, RETRY_MOST);
-  follower->retry_at = now + wait / 2 + scatter(now) % (wait / 2);
+  follower->retry_at = now + MIN(wait, RETRY_MOST);
 }
 
 void follower_reply(Follower *follower, const StoreReply *reply, gint64 now) {
--- a/router/follower.h
+++ b/router/follower.h
@@ -7,10 +7,6 @@
 ** StoreReply. Invariants: one call is open at a time; an object never
 ** takes effect over a newer revision of itself; a list that took several
 ** calls takes effect for absent objects only when it is whole.
-**
-** Where many objects are listed, a stale list comes first: it falls outside
-** the store's rates, so that instances that all start at once can serve
-** before the exact list, which follows and alone is watched from.
 */
 
 #ifndef ROUTER_FOLLOWER_H
@@ -84,7 +80,6 @@
   FollowerHost host;
   gint64 watch_wait; /* longest wait of one watch */
   gint64 pause; /* after news: what comes meanwhile costs no call of its own */
-  gboolean preview;      /* the list being read is a stale one, see below */
   gboolean watching;     /* else the next call lists */
   gboolean open;         /* a call is out */
   gint64 revision;       /* of the store, as far as it was read */
@@ -96,7 +91,7 @@
 } Follower;
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
-                   gint64 pause, gboolean preview, const FollowerHost *host);
+                   gint64 pause, const FollowerHost *host);
 void follower_clear(Follower *follower);
 
 /* when the next call may be made; G_MAXINT64 while one is out */
