Silence alone ends no stream: the resume is paid before the run is left

Ruled out: the worker (its run ended by our close, 3 ms before the caller's). The change: a silent run is left only once another one may be sent, the budget included; else it is looked at again. Test: Silence.EndsNoStreamThatTheBudgetForbidsToResume, which the old code fails by its cancel.

--- a/cli/trace.c
+++ b/cli/trace.c
@@ -12,8 +12,8 @@
 
 #define LINE_SIZE 4096
 /* news of endpoints are printed from and to so long around the story */
-#define STATES_BEFORE (10 * G_USEC_PER_SEC)
-#define STATES_AFTER (5 * G_USEC_PER_SEC)
+#define STATES_BEFORE (10 * (gint64)G_USEC_PER_SEC)
+#define STATES_AFTER (5 * (gint64)G_USEC_PER_SEC)
 
 typedef struct Line {
   char *text;   /* from the time on */
--- a/router/path.c
+++ b/router/path.c
@@ -24,6 +24,8 @@
 #define HEAD_SILENCE_OBJECTIVES 1.7
 #define PIECE_SILENCE_GAPS 3
 #define SILENCE_LEAST (500 * MP_MS)
+/* a silent run that may not be left now is looked at again after this */
+#define STALL_AGAIN (500 * MP_MS)
 /* an engine that says nothing of a run for so long is in doubt: with the
 ** prompt read, a head comes within some ten milliseconds */
 #define SUSPECT_SILENCE (400 * MP_MS)
@@ -281,6 +283,33 @@
   path_run(router, request, now);
 }
 
+/*
+** Silence alone ends no answer: the run is left only once another one is
+** sure to be sent, its place in the retry budget included.
+*/
+void path_stalled(Router *router, Request *request, gint64 now) {
+  RetryBudget *budget = router_budget(router, request->service->name);
+  Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->open.endpoint);
+  if (request->runs + 1 >= request->route->attempts ||
+      request->arrivals + 1 >= MOST_ARRIVALS ||
+      !may_try_again(request, TRUE, now) ||
+      !retry_budget_take(budget, &router->retry, now)) {
+    request->stall_at = now + STALL_AGAIN;
+    return;
+  }
+  router_count(router, RETRIES);
+  request->arrivals++;
+  request->runs++;
+  path_exclude(request, request->open.endpoint);
+  if (endpoint != NULL)
+    endpoint_failed(endpoint, now);
+  g_clear_pointer(&request->handle, g_free);
+  g_clear_pointer(&request->handle_endpoint, g_free);
+  path_close_dispatch(router, request, TRUE);
+  path_run(router, request, now);
+}
+
 /* no connection stood: the next endpoint, and no retry is spent */
 static void unreachable(Router *router, Request *request, Endpoint *endpoint,
                         gint64 now) {
--- a/router/router.c
+++ b/router/router.c
@@ -259,19 +259,12 @@
 }
 
 static void stalled(Router *router, Request *request, gint64 now) {
-  Outcome outcome = {0};
-  if (request->phase == PHASE_WAIT) {
+  if (request->phase == PHASE_WAIT)
     admission_look(router, request, now);
-    return;
-  }
-  if (request->phase == PHASE_PREFILL) {
+  else if (request->phase == PHASE_PREFILL)
     prefill_stalled(router, request, now);
-    return;
-  }
-  outcome.dispatch = request->open.number;
-  outcome.kind = OUTCOME_BROKEN;
-  router->host.cancel(router->host.data, request->open.number);
-  path_outcome(router, request, &outcome, now);
+  else
+    path_stalled(router, request, now);
 }
 
 /* one request whose time has come; 0 when there is none */
--- a/router/state.h
+++ b/router/state.h
@@ -152,6 +152,8 @@
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage);
 void path_exclude(Request *request, const char *endpoint);
+/* a run that may be resumed elsewhere is silent; may end */
+void path_stalled(Router *router, Request *request, gint64 now);
 /* the endpoint of the run is silent for long: others should know */
 void path_suspect(Router *router, Request *request, gint64 now);
 /* an outcome of the open RUN dispatch; may end */
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -135,7 +135,7 @@
 }
 
 static void schedule(Work *work, int ms) {
-  struct timeval time = {ms / 1000, ms % 1000 * 1000};
+  struct timeval time = {ms / 1000, ms % 1000 * 1000L};
   event_add(work->timer, &time);
 }
 
--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -116,7 +116,7 @@
 static void on_read(struct bufferevent *events, void *data) {
   Side *side = data;
   int ms = side->pair->link->delay_ms;
-  struct timeval time = {ms / 1000, ms % 1000 * 1000};
+  struct timeval time = {ms / 1000, ms % 1000 * 1000L};
   (void)events;
   if (side->pair->link->mode != MODE_DELAY)
     hand_on(side);
@@ -197,20 +197,23 @@
   return 0;
 }
 
+/* hand on what was held back; the row may go, and another take its place */
+static void release_pair(Link *link, Pair *pair) {
+  hand_on(&pair->client);
+  if (g_ptr_array_find(link->pairs, pair, NULL))
+    hand_on(&pair->server);
+}
+
 static void set_mode(Link *link, Mode mode, int ms) {
-  guint i = 0;
+  guint i;
   link->mode = mode;
   link->delay_ms = ms;
-  while (mode == MODE_RESET && link->pairs->len > 0)
-    pair_reset(link->pairs->pdata[0]);
-  while (i < link->pairs->len) {
-    Pair *pair = link->pairs->pdata[i];
-    guint before = link->pairs->len;
-    hand_on(&pair->client);
-    if (link->pairs->len == before)
-      hand_on(&pair->server);
-    if (link->pairs->len == before)
-      i++;
+  for (i = link->pairs->len; i > 0; i--) {
+    Pair *pair = link->pairs->pdata[i - 1];
+    if (mode == MODE_RESET)
+      pair_reset(pair);
+    else
+      release_pair(link, pair);
   }
 }
 
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -316,6 +316,21 @@
   EXPECT_EQ(world.runs(request), 2u);
 }
 
+TEST(Silence, EndsNoStreamThatTheBudgetForbidsToResume) {
+  World strict(0, 0.0);
+  strict.populate();
+  guint64 request = strict.request("/resume/x");
+  strict.prefilled(strict.last().number);
+  guint64 run = strict.last().number;
+  strict.outcome(run, OUTCOME_STREAM_HEAD);
+  strict.piece(run, "1");
+  strict.advance(4 * second);
+  EXPECT_FALSE(strict.sent(run).cancelled);
+  EXPECT_EQ(strict.end(request).ends(), 0);
+  strict.outcome(run, OUTCOME_STREAM_END);
+  EXPECT_EQ(strict.end(request).answers, 1);
+}
+
 /*
 ** Room at the decode engines
 */
