--- /dev/null
+++ b/io/datagram.c
@@ -0,0 +1,51 @@
+/*
+** datagram.c
+** UDP between instances
+*/
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "io/datagram.h"
+
+static struct sockaddr_in socket_address(mp_Addr address) {
+  struct sockaddr_in at;
+  memset(&at, 0, sizeof at);
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+  at.sin_port = htons((uint16_t)(address & 0xffff));
+  return at;
+}
+
+int datagram_open(mp_Addr address, const char *what, GError **error) {
+  struct sockaddr_in at = socket_address(address);
+  int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  char text[24];
+  if (fd >= 0 && bind(fd, (struct sockaddr *)&at, sizeof at) == 0)
+    return fd;
+  mp_addr_text(address, text);
+  g_set_error(error, MP_ERROR, MP_ERR_SETTINGS,
+              "%s: cannot bind %s: %s; choose a free address of this instance",
+              what, text, g_strerror(errno));
+  if (fd >= 0)
+    close(fd);
+  return -1;
+}
+
+void datagram_send(int fd, mp_Addr to, const char *bytes, size_t size) {
+  struct sockaddr_in at = socket_address(to);
+  (void)sendto(fd, bytes, size, MSG_DONTWAIT, (struct sockaddr *)&at,
+               sizeof at);
+}
+
+ssize_t datagram_receive(int fd, char *bytes, size_t size, mp_Addr *from) {
+  struct sockaddr_in at = {0};
+  socklen_t length = sizeof at;
+  ssize_t got =
+      recvfrom(fd, bytes, size, MSG_DONTWAIT, (struct sockaddr *)&at, &length);
+  *from = (mp_Addr)ntohl(at.sin_addr.s_addr) << 16 | ntohs(at.sin_port);
+  return got;
+}
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -3,12 +3,10 @@
 ** Tells the other instances what is open here, and hears it from them
 */
 
-#include <errno.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
+#include "io/datagram.h"
 #include "io/load_exchange.h"
 #include "io/node.h"
 #include "wire/rpc.h"
@@ -35,15 +33,6 @@
   return INTERVAL_PER_PEER * (gint64)exchange->peers->len;
 }
 
-static struct sockaddr_in socket_address(mp_Addr address) {
-  struct sockaddr_in at;
-  memset(&at, 0, sizeof at);
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
-  at.sin_port = htons((uint16_t)(address & 0xffff));
-  return at;
-}
-
 static void send_digest(LoadExchange *exchange) {
   mp_Msg message;
   char bytes[MP_MAXDGRAM];
@@ -55,11 +44,8 @@
   router_load_digest(exchange->router, &message.u.digest, node_now());
   size = rpc_encode(&message, bytes, sizeof bytes);
   for (i = 0; i < exchange->peers->len; i++) {
-    struct sockaddr_in to =
-        socket_address(g_array_index(exchange->peers, mp_Addr, i));
-    /* one that cannot be sent now is lost like any other */
-    (void)sendto(exchange->fd, bytes, size, MSG_DONTWAIT,
-                 (struct sockaddr *)&to, sizeof to);
+    datagram_send(exchange->fd, g_array_index(exchange->peers, mp_Addr, i),
+                  bytes, size);
   }
   exchange->told = router_load_version(exchange->router);
   exchange->sent_at = node_now();
@@ -95,10 +81,8 @@
   return (mp_MsgKind)0;
 }
 
-static void take(LoadExchange *exchange, const struct sockaddr_in *from,
-                 const char *bytes, size_t size) {
-  mp_Addr peer =
-      (mp_Addr)ntohl(from->sin_addr.s_addr) << 16 | ntohs(from->sin_port);
+static void take(LoadExchange *exchange, mp_Addr peer, const char *bytes,
+                 size_t size) {
   mp_Msg message;
   char answer[MP_MAXDGRAM];
   size_t answer_size;
@@ -116,13 +100,11 @@
   (void)what;
   for (i = 0; i < READ_BURST; i++) {
     char bytes[MP_MAXDGRAM + 1]; /* one more, so that too long ones show */
-    struct sockaddr_in from = {0};
-    socklen_t length = sizeof from;
-    ssize_t size = recvfrom(fd, bytes, sizeof bytes, MSG_DONTWAIT,
-                            (struct sockaddr *)&from, &length);
+    mp_Addr from;
+    ssize_t size = datagram_receive(fd, bytes, sizeof bytes, &from);
     if (size < 0)
       break;
-    take(exchange, &from, bytes, (size_t)size);
+    take(exchange, from, bytes, (size_t)size);
   }
   load_exchange_notice(exchange); /* waiting requests may have started */
 }
@@ -130,19 +112,9 @@
 LoadExchange *load_exchange_new(struct event_base *base, mp_Addr address,
                                 Router *router, GError **error) {
   LoadExchange *exchange;
-  struct sockaddr_in at = socket_address(address);
-  int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  char text[24];
-  if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof at) < 0) {
-    mp_addr_text(address, text);
-    g_set_error(error, MP_ERROR, MP_ERR_SETTINGS,
-                "exchange: cannot bind %s: %s; choose a free address of "
-                "this instance",
-                text, g_strerror(errno));
-    if (fd >= 0)
-      close(fd);
+  int fd = datagram_open(address, "exchange", error);
+  if (fd < 0)
     return NULL;
-  }
   exchange = g_new0(LoadExchange, 1);
   exchange->router = router;
   exchange->fd = fd;
