One catalogue for log texts; one reader of addresses for the stand-ins

Cause: a second reading: directory.c and gateway.c wrote texts and levels of events by hand, some other than EVENTS.md has them; the lookup of the catalogue stood twice; fleet and proxy read addresses each in its own way.

--- /dev/null
+++ b/core/catalogue.c
@@ -0,0 +1,32 @@
+/*
+** catalogue.c
+** The numbered events: level and text of each
+*/
+
+#include "madderpier.h"
+
+static const struct {
+  mp_EventNo number;
+  mp_Level level;
+  const char *text;
+} events[] = {
+#define X(symbol, number, level, text) {MP_LOG_##symbol, level, text},
+    MP_EVENTS(X)
+#undef X
+};
+
+static size_t place_of(mp_EventNo number) {
+  size_t i;
+  for (i = 0; i < G_N_ELEMENTS(events) && events[i].number != number; i++)
+    ;
+  g_assert(i < G_N_ELEMENTS(events));
+  return i;
+}
+
+mp_Level mp_event_level(mp_EventNo number) {
+  return events[place_of(number)].level;
+}
+
+const char *mp_event_text(mp_EventNo number) {
+  return events[place_of(number)].text;
+}
--- a/core/fx.c
+++ b/core/fx.c
@@ -306,27 +306,13 @@
   f->e.u.reply.text = keep(f, 0, r->text, r->len);
 }
 
-static const struct {
-  mp_EventNo no;
-  mp_Level level;
-  const char *text;
-} events[] = {
-#define X(sym, no, level, text) {MP_LOG_##sym, level, text},
-    MP_EVENTS(X)
-#undef X
-};
-
 void effect_log(mp_State *state, mp_EventNo no, const char *fmt, ...) {
   Fx *f = push(state, MP_FX_LOG);
   mp_Log *l = &f->e.u.log;
   va_list ap;
-  size_t i;
-  for (i = 0; i < G_N_ELEMENTS(events) && events[i].no != no; i++)
-    ;
-  g_assert(i < G_N_ELEMENTS(events));
   l->no = no;
-  l->level = events[i].level;
-  l->text = events[i].text;
+  l->level = mp_event_level(no);
+  l->text = mp_event_text(no);
   va_start(ap, fmt);
   f->own[0] = g_strdup_vprintf(fmt, ap);
   va_end(ap);
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -782,6 +782,10 @@
 #undef X
 } mp_EventNo;
 
+/* of the catalogue; the number must be in it */
+MP_API mp_Level mp_event_level(mp_EventNo number);
+MP_API const char *mp_event_text(mp_EventNo number);
+
 typedef struct mp_Log {
   mp_EventNo no;
   mp_Level level;
--- a/io/directory.c
+++ b/io/directory.c
@@ -64,19 +64,6 @@
   GString *peer_text;
 };
 
-static void say(const Directory *directory, mp_EventNo number, mp_Level level,
-                const char *text, const char *format, ...) G_GNUC_PRINTF(5, 6);
-
-static void say(const Directory *directory, mp_EventNo number, mp_Level level,
-                const char *text, const char *format, ...) {
-  char fields[512];
-  va_list arguments;
-  va_start(arguments, format);
-  g_vsnprintf(fields, sizeof fields, format, arguments);
-  va_end(arguments);
-  log_event(directory->log, (int)number, level, text, fields);
-}
-
 static void start_timer(struct event *timer, gint64 wait) {
   struct timeval time = {MAX(wait, 0) / MP_SEC, MAX(wait, 0) % MP_SEC};
   event_add(timer, &time);
@@ -90,9 +77,9 @@
 
 static void bad_record(const Directory *directory, const char *name,
                        GError *error) {
-  say(directory, MP_LOG_STORE_RECORD_BAD, MP_FAULT, "record refused",
-      " name=%s error=\"%s\"", name,
-      error != NULL ? error->message : "unreadable");
+  log_numbered(directory->log, MP_LOG_STORE_RECORD_BAD,
+               " name=%s error=\"%s\"", name,
+               error != NULL ? error->message : "unreadable");
   g_clear_error(&error);
 }
 
@@ -155,8 +142,8 @@
 
 static void on_listed(void *data, StoreKind kind, GHashTable *names) {
   Directory *directory = data;
-  say(directory, MP_LOG_STORE_LIST, MP_INFO, "list read",
-      " kind=%d objects=%u", (int)kind, g_hash_table_size(names));
+  log_numbered(directory->log, MP_LOG_STORE_LIST, " kind=%d objects=%u",
+               (int)kind, g_hash_table_size(names));
   if (kind == STORE_INSTANCES) {
     directory->instances_listed = TRUE;
     g_hash_table_foreach_remove(directory->instances, is_unlisted, names);
@@ -170,13 +157,13 @@
 }
 
 static void on_lost(void *data, StoreKind kind) {
-  say(data, MP_LOG_STORE_DOWN, MP_WARN, "store does not answer", " kind=%d",
-      (int)kind);
+  log_numbered(((Directory *)data)->log, MP_LOG_STORE_DOWN, " kind=%d",
+               (int)kind);
 }
 
 static void on_regained(void *data, StoreKind kind) {
-  say(data, MP_LOG_STORE_UP, MP_INFO, "store answers again", " kind=%d",
-      (int)kind);
+  log_numbered(((Directory *)data)->log, MP_LOG_STORE_UP, " kind=%d",
+               (int)kind);
 }
 
 /* }================================================================== */
@@ -204,8 +191,8 @@
   Following *following = data;
   gint64 now = node_now();
   if (reply->status == STORE_HISTORY_GONE)
-    say(following->directory, MP_LOG_STORE_HISTORY_GONE, MP_WARN,
-        "history gone", " kind=%d", (int)following->follower.kind);
+    log_numbered(following->directory->log, MP_LOG_STORE_HISTORY_GONE,
+                 " kind=%d", (int)following->follower.kind);
   (void)error;
   follower_reply(&following->follower, reply, now);
   start_timer(following->timer,
@@ -251,7 +238,7 @@
     if (at != 0 && strcmp(name, directory->instance) != 0)
       g_array_append_val(addresses, at);
   }
-  say(directory, MP_LOG_INSTANCES, MP_INFO, "instances", " count=%u", count);
+  log_numbered(directory->log, MP_LOG_INSTANCES, " count=%u", count);
   /* until this one is listed, it counts beside the others */
   router_set_instances(directory->router, MAX(count, 1));
   directory->hooks.instances(directory->hooks.data, addresses);
@@ -330,8 +317,8 @@
   const char *name;
   json_t *value;
   if (configuration != NULL && !router_configured(directory->router)) {
-    say(directory, MP_LOG_PEER_SNAPSHOT, MP_INFO, "snapshot taken",
-        " endpoints=%zu", json_object_size(endpoints));
+    log_numbered(directory->log, MP_LOG_PEER_SNAPSHOT, " endpoints=%zu",
+                 json_object_size(endpoints));
     take_configuration(directory, "peer", configuration);
     json_object_foreach(endpoints, name, value) {
       if (!directory->has_endpoints && json_is_string(value))
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -38,11 +38,6 @@
   gboolean was_ready;
 };
 
-static void say(const Gateway *gateway, mp_EventNo number, mp_Level level,
-                const char *text, const char *fields) {
-  log_event(gateway->log, (int)number, level, text, fields);
-}
-
 static void set_tick(Gateway *gateway) {
   gint64 wait = router_next_tick(gateway->router) - node_now();
   struct timeval time;
@@ -121,20 +116,8 @@
 }
 
 static void host_log(void *data, mp_EventNo number, const char *fields) {
-  static const struct {
-    mp_EventNo number;
-    mp_Level level;
-    const char *text;
-  } all[] = {
-#define X(symbol, value, level, text) {MP_LOG_##symbol, level, text},
-      MP_EVENTS(X)
-#undef X
-  };
-  gsize i;
-  for (i = 0; i < G_N_ELEMENTS(all); i++) {
-    if (all[i].number == number)
-      say(data, number, all[i].level, all[i].text, fields);
-  }
+  const Gateway *gateway = data;
+  log_numbered(gateway->log, number, "%s", fields);
 }
 
 /* }================================================================== */
@@ -153,7 +136,8 @@
     char *body = NULL;
     HttpHead *refused =
         gateway->dialect->write_bad_input(400, error->message, &body);
-    say(gateway, MP_LOG_CALLER_BAD, MP_INFO, error->message, "");
+    log_numbered(gateway->log, MP_LOG_CALLER_BAD, " status=400 detail=\"%s\"",
+                 error->message);
     front_answer(gateway->front, number, refused, body, strlen(body));
     http_head_free(refused);
     g_free(body);
@@ -173,10 +157,9 @@
 }
 
 static void on_bad_input(void *data, int status, const char *detail) {
-  char fields[160];
-  g_snprintf(fields, sizeof fields, " status=%d detail=\"%s\"", status,
-             detail);
-  say(data, MP_LOG_CALLER_BAD, MP_INFO, "malformed input", fields);
+  const Gateway *gateway = data;
+  log_numbered(gateway->log, MP_LOG_CALLER_BAD, " status=%d detail=\"%s\"",
+               status, detail);
 }
 
 static void on_outcome(void *data, const Outcome *outcome) {
@@ -222,7 +205,7 @@
   Gateway *gateway = data;
   gboolean ready = is_ready(gateway);
   if (ready && !gateway->was_ready)
-    say(gateway, MP_LOG_READY, MP_INFO, "ready", "");
+    log_numbered(gateway->log, MP_LOG_READY, "%s", "");
   gateway->was_ready = ready;
   reply(request, ready ? 200 : 503, "text/plain",
         ready ? "ready\n" : "not ready\n");
@@ -314,13 +297,12 @@
 /* an instance without metrics is better than none */
 static void serve_metrics(Gateway *gateway, mp_Addr address) {
   GError *failed = NULL;
-  char fields[256];
   gateway->metrics_http =
       serve(gateway, address, "/metrics", on_metrics, &failed);
   if (failed == NULL)
     return;
-  g_snprintf(fields, sizeof fields, " error=\"%s\"", failed->message);
-  say(gateway, MP_LOG_NO_METRICS, MP_WARN, "metrics cannot be served", fields);
+  log_numbered(gateway->log, MP_LOG_NO_METRICS, " error=\"%s\"",
+               failed->message);
   g_error_free(failed);
 }
 
@@ -374,7 +356,7 @@
   if (gateway->drain_began != 0)
     return;
   gateway->drain_began = node_now();
-  say(gateway, MP_LOG_DRAIN, MP_INFO, "drain begins", "");
+  log_numbered(gateway->log, MP_LOG_DRAIN, "%s", "");
   front_drain(gateway->front);
   look_again(gateway);
 }
@@ -430,7 +412,7 @@
     return NULL;
   }
   make_directory(gateway, options);
-  say(gateway, MP_LOG_START, MP_INFO, "instance starts", "");
+  log_numbered(gateway->log, MP_LOG_START, "%s", "");
   set_tick(gateway);
   return gateway;
 }
@@ -441,12 +423,11 @@
 }
 
 void gateway_reload(Gateway *gateway) {
-  say(gateway, MP_LOG_RELOAD, MP_INFO, "settings read again", "");
+  log_numbered(gateway->log, MP_LOG_RELOAD, "%s", "");
 }
 
 void gateway_free(Gateway *gateway) {
-  say(gateway, MP_LOG_STOP, MP_INFO, "instance stops",
-      gateway->drained ? " drained=1" : " drained=0");
+  log_numbered(gateway->log, MP_LOG_STOP, " drained=%d", gateway->drained);
   stop_serving(gateway->ready_http);
   stop_serving(gateway->control_http);
   stop_serving(gateway->metrics_http);
--- a/io/log.c
+++ b/io/log.c
@@ -5,6 +5,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <stdarg.h>
 #include <string.h>
 #include <sys/stat.h>
 #include <time.h>
@@ -16,6 +17,8 @@
 #define LINES_PER_SECOND 100
 /* bytes kept while the pipe is full */
 #define MAX_PENDING (256 << 10)
+/* longest fields of one line, bytes */
+#define MAX_FIELDS 512
 
 /* how many lines of one event number were written in this second */
 typedef struct Quota {
@@ -109,7 +112,8 @@
     g_snprintf(count, sizeof count, " count=%" G_GUINT64_FORMAT,
                l->lost - l->lost_told);
     l->lost_told = l->lost;
-    append(l, now, MP_LOG_LINES_LOST, MP_WARN, "log lines lost", count);
+    append(l, now, MP_LOG_LINES_LOST, MP_WARN,
+           mp_event_text(MP_LOG_LINES_LOST), count);
   }
   append(l, now, no, level, text, fields);
   flush(l);
@@ -139,8 +143,8 @@
   if (quota->left_out > 0) {
     g_snprintf(fields, sizeof fields, " number=E%d count=%u", quota->number,
                quota->left_out);
-    write_line(l, now, MP_LOG_LINES_LEFT_OUT, MP_INFO, "log lines left out",
-               fields);
+    write_line(l, now, MP_LOG_LINES_LEFT_OUT, MP_INFO,
+               mp_event_text(MP_LOG_LINES_LEFT_OUT), fields);
   }
   quota->second = now->tv_sec;
   quota->written = 0;
@@ -200,6 +204,16 @@
   write_line(l, &now, no, level, text, fields);
 }
 
+void log_numbered(Log *l, mp_EventNo number, const char *format, ...) {
+  char fields[MAX_FIELDS];
+  va_list arguments;
+  va_start(arguments, format);
+  g_vsnprintf(fields, sizeof fields, format, arguments);
+  va_end(arguments);
+  log_event(l, (int)number, mp_event_level(number), mp_event_text(number),
+            fields);
+}
+
 guint64 log_left_out(const Log *l) {
   return l->left_out;
 }
--- a/io/log.h
+++ b/io/log.h
@@ -27,6 +27,10 @@
 void log_event(Log *l, int no, mp_Level level, const char *text,
                const char *fields);
 
+/* an event with the catalogue's level and text; fields as by printf */
+void log_numbered(Log *l, mp_EventNo number, const char *format, ...)
+    G_GNUC_PRINTF(3, 4);
+
 /* lines left out for their number, and lines lost to a full pipe */
 guint64 log_left_out(const Log *l);
 guint64 log_lost(const Log *l);
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -356,7 +356,6 @@
 
 static void open_worker(const json_t *json) {
   Worker *worker = g_new0(Worker, 1);
-  char *at = text_of(json, "listen");
   worker->id = text_of(json, "id");
   worker->service = text_of(json, "service");
   worker->zone = text_of(json, "zone");
@@ -364,16 +363,8 @@
   worker->addr = text_of(json, "addr");
   g_strlcpy(worker->mode, "ok", sizeof worker->mode);
   g_ptr_array_add(workers, worker);
-  serve_new(base, mp_addr_parse(at), on_request, worker);
+  serve_new(base, serve_address(json, "listen"), on_request, worker);
   list_worker(worker);
-  g_free(at);
-}
-
-static mp_Addr address_of(const json_t *json, const char *key) {
-  char *text = text_of(json, key);
-  mp_Addr at = mp_addr_parse(text);
-  g_free(text);
-  return at;
 }
 
 int main(int argc, char **argv) {
@@ -394,8 +385,8 @@
   working = g_ptr_array_new();
   handles = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   ledger = json_array();
-  store_start(base, address_of(fleet, "store"));
-  serve_new(base, address_of(fleet, "admin"), on_admin, NULL);
+  store_start(base, serve_address(fleet, "store"));
+  serve_new(base, serve_address(fleet, "admin"), on_admin, NULL);
   store_put("config", "main",
             json_incref(json_object_get(fleet, "configuration")));
   json_array_foreach(json_object_get(fleet, "workers"), i, row)
--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -241,21 +241,16 @@
 
 /* }================================================================== */
 
-static mp_Addr address_of(const json_t *json, const char *key) {
-  const char *text = json_string_value(json_object_get(json, key));
-  return text != NULL ? mp_addr_parse(text) : 0;
-}
-
 static void open_link(const json_t *json) {
   Link *link = g_new0(Link, 1);
-  mp_Addr listen = address_of(json, "listen");
+  mp_Addr listen = serve_address(json, "listen");
   struct sockaddr_in at = {0};
   const char *name = json_string_value(json_object_get(json, "name"));
   at.sin_family = AF_INET;
   at.sin_addr.s_addr = htonl((uint32_t)(listen >> 16));
   at.sin_port = htons((uint16_t)(listen & 0xffff));
   link->name = g_strdup(name != NULL ? name : "");
-  link->to = address_of(json, "to");
+  link->to = serve_address(json, "to");
   link->pairs = g_ptr_array_new();
   g_ptr_array_add(links, link);
   if (evconnlistener_new_bind(base, on_accept, link,
@@ -283,7 +278,7 @@
   links = g_ptr_array_new();
   json_array_foreach(json_object_get(settings, "links"), i, row)
       open_link(row);
-  serve_new(base, address_of(settings, "admin"), on_admin, NULL);
+  serve_new(base, serve_address(settings, "admin"), on_admin, NULL);
   event_base_dispatch(base);
   return 0;
 }
--- a/standin/serve.c
+++ b/standin/serve.c
@@ -79,3 +79,8 @@
   *n = len;
   return s;
 }
+
+mp_Addr serve_address(const json_t *json, const char *key) {
+  const char *text = json_string_value(json_object_get(json, key));
+  return text != NULL ? mp_addr_parse(text) : 0;
+}
--- a/test/test_random.cc
+++ b/test/test_random.cc
@@ -113,43 +113,35 @@
     world.outcome(number, kind, status);
   }
 
-  void act_prefill(const Sent &sent, Lived &life) {
+  /* what any dispatch may meet; FALSE: nothing of that this time */
+  bool act_badly(const Sent &sent, Lived &life) {
     switch (draw(6)) {
     case 0:
       end(sent, life, OUTCOME_UNREACHABLE);
-      break;
+      return true;
     case 1:
       end(sent, life, OUTCOME_NOT_RUN, 503);
-      break;
+      return true;
     case 2:
       end(sent, life, OUTCOME_BROKEN);
-      break;
-    default: {
-      std::string handle = "h" + std::to_string(sent.number);
-      handle_owner[handle] = sent.request;
-      life.over = true;
-      world.prefilled(sent.number, handle.c_str());
-    }
+      return true;
+    default:
+      return false;
     }
   }
 
+  void act_prefill(const Sent &sent, Lived &life) {
+    if (act_badly(sent, life))
+      return;
+    std::string handle = "h" + std::to_string(sent.number);
+    handle_owner[handle] = sent.request;
+    life.over = true;
+    world.prefilled(sent.number, handle.c_str());
+  }
+
   void act_plain(const Sent &sent, Lived &life) {
-    switch (draw(6)) {
-    case 0:
-      end(sent, life, OUTCOME_UNREACHABLE);
-      break;
-    case 1:
-      end(sent, life, OUTCOME_NOT_RUN, 503);
-      break;
-    case 2:
-      end(sent, life, OUTCOME_BROKEN);
-      break;
-    case 3:
-      end(sent, life, OUTCOME_ANSWER, 500);
-      break;
-    default:
-      end(sent, life, OUTCOME_ANSWER);
-    }
+    if (!act_badly(sent, life))
+      end(sent, life, OUTCOME_ANSWER, draw(3) == 0 ? 500 : 200);
   }
 
   void act_stream(const Sent &sent, Lived &life) {
