A run is left for another one by one rule, asked in full beforehand

Cause: the mending of the silent stream asked attempts and budget before it cancelled, but not whether another endpoint is there: with none the answer was still cut by us. The same rule stood in 'answered' in other words. Ruled out: resuming at the same endpoint: it is the one in doubt. The change: leave_for_another asks attempts, time, endpoints and budget, then leaves; silent runs and failures of repeatable requests both use it; the argument of 'broken' that was always false is gone.

--- a/router/path.c
+++ b/router/path.c
@@ -175,9 +175,13 @@
   return endpoint != NULL && endpoint->record.ready ? endpoint : NULL;
 }
 
+/* the stage of the endpoints that run such a request */
+static EndpointStage run_stage(const Request *request) {
+  return request->service->is_engine ? STAGE_DECODE : STAGE_NONE;
+}
+
 static Endpoint *choose(Router *router, const Request *request, gint64 now) {
-  EndpointStage stage =
-      request->service->is_engine ? STAGE_DECODE : STAGE_NONE;
+  EndpointStage stage = run_stage(request);
   EndpointWish wish = path_wish(router, request, stage);
   Endpoint *endpoint = reserved_decode(router, request);
   if (endpoint != NULL)
@@ -263,6 +267,20 @@
   return request->repeatable && request->runs < request->route->attempts;
 }
 
+static void log_retry(Router *router, const Request *request, gboolean again,
+                      gboolean may_have_run) {
+  router_log(router, MP_LOG_ROUTE_RETRY,
+             " request=%s again=%d may_have_run=%d runs=%u arrivals=%u",
+             request->id, again, may_have_run, request->runs,
+             request->arrivals);
+}
+
+/* a handle serves once, whatever became of the run that was offered it */
+static void drop_used_handle(Request *request) {
+  g_clear_pointer(&request->handle, g_free);
+  g_clear_pointer(&request->handle_endpoint, g_free);
+}
+
 void path_run_again(Router *router, Request *request, gboolean may_have_run,
                     gint64 now) {
   RetryBudget *budget = router_budget(router, request->service->name);
@@ -271,10 +289,7 @@
     router_count(router, RETRIES_DENIED);
     allowed = FALSE;
   }
-  router_log(router, MP_LOG_ROUTE_RETRY,
-             " request=%s again=%d may_have_run=%d runs=%u arrivals=%u",
-             request->id, allowed, may_have_run, request->runs,
-             request->arrivals);
+  log_retry(router, request, allowed, may_have_run);
   if (!allowed) {
     finish_give_up(router, request, now);
     return;
@@ -283,31 +298,52 @@
   path_run(router, request, now);
 }
 
+/* is there an endpoint beside those that failed and the open run's own? */
+static gboolean has_elsewhere(Router *router, Request *request, gint64 now) {
+  EndpointWish wish = path_wish(router, request, run_stage(request));
+  const char *others[MAX_EXCLUDED + 1];
+  guint i;
+  for (i = 0; i < request->excluded_count; i++)
+    others[i] = request->excluded[i];
+  others[i++] = request->open.endpoint;
+  wish.excluded = others;
+  wish.excluded_count = i;
+  return endpoint_table_choose(router->endpoints, &wish, now) != NULL;
+}
+
 /*
-** Silence alone ends no answer: the run is left only once another one is
-** sure to be sent, its place in the retry budget included.
+** Leave the open run, which has perhaps run, and send another one. FALSE,
+** and nothing is changed, unless the route, the time, the endpoints and
+** the retry budget allow that; the budget is paid then. May end.
 */
-void path_stalled(Router *router, Request *request, gint64 now) {
+static gboolean leave_for_another(Router *router, Request *request,
+                                  gboolean cancel, gint64 now) {
   RetryBudget *budget = router_budget(router, request->service->name);
-  Endpoint *endpoint =
-      endpoint_table_get(router->endpoints, request->open.endpoint);
   if (request->runs + 1 >= request->route->attempts ||
       request->arrivals + 1 >= MOST_ARRIVALS ||
       !may_try_again(request, TRUE, now) ||
-      !retry_budget_take(budget, &router->retry, now)) {
-    request->stall_at = now + STALL_AGAIN;
-    return;
-  }
-  router_count(router, RETRIES);
+      !has_elsewhere(router, request, now) ||
+      !retry_budget_take(budget, &router->retry, now))
+    return FALSE;
   request->arrivals++;
   request->runs++;
+  log_retry(router, request, TRUE, TRUE);
+  router_count(router, RETRIES);
   path_exclude(request, request->open.endpoint);
+  drop_used_handle(request);
+  path_close_dispatch(router, request, cancel);
+  path_run(router, request, now);
+  return TRUE;
+}
+
+/* silence alone ends no answer: without another run this one goes on */
+void path_stalled(Router *router, Request *request, gint64 now) {
+  Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->open.endpoint);
   if (endpoint != NULL)
     endpoint_failed(endpoint, now);
-  g_clear_pointer(&request->handle, g_free);
-  g_clear_pointer(&request->handle_endpoint, g_free);
-  path_close_dispatch(router, request, TRUE);
-  path_run(router, request, now);
+  if (!leave_for_another(router, request, TRUE, now))
+    request->stall_at = now + STALL_AGAIN;
 }
 
 /* no connection stood: the next endpoint, and no retry is spent */
@@ -339,13 +375,13 @@
 }
 
 static void broken(Router *router, Request *request, Endpoint *endpoint,
-                   gboolean cancel, gint64 now) {
+                   gint64 now) {
   router_count(router, BROKEN);
   request->arrivals++;
   request->runs++;
   if (endpoint != NULL)
     endpoint_failed(endpoint, now);
-  path_close_dispatch(router, request, cancel);
+  path_close_dispatch(router, request, FALSE);
   if (request->head_sent)
     router_count(router, RESUMED);
   path_run_again(router, request, TRUE, now);
@@ -367,18 +403,8 @@
     endpoint_failed(endpoint, now);
   else if (endpoint != NULL)
     endpoint_succeeded(endpoint, now);
-  if (failed && request->repeatable &&
-      request->runs + 1 < request->route->attempts &&
-      may_try_again(request, TRUE, now) &&
-      retry_budget_take(router_budget(router, request->service->name),
-                        &router->retry, now)) {
-    request->arrivals++;
-    request->runs++;
-    router_count(router, RETRIES);
-    path_close_dispatch(router, request, FALSE);
-    path_run(router, request, now);
+  if (failed && leave_for_another(router, request, FALSE, now))
     return;
-  }
   if (request->head_sent) { /* a resumed stream got no stream */
     request->runs++;
     finish_give_up(router, request, now);
@@ -450,9 +476,7 @@
     blame_prefill(router, request, now);
   if (outcome->kind != OUTCOME_UNREACHABLE &&
       (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
-    /* a handle serves once; one that two engines refused is gone */
-    g_clear_pointer(&request->handle, g_free);
-    g_clear_pointer(&request->handle_endpoint, g_free);
+    drop_used_handle(request); /* one that two engines refused is gone */
   }
   if (outcome->kind == OUTCOME_UNREACHABLE ||
       outcome->kind == OUTCOME_NOT_RUN || outcome->kind == OUTCOME_BROKEN)
@@ -465,7 +489,7 @@
     not_run(router, request, endpoint, outcome, now);
     break;
   case OUTCOME_BROKEN:
-    broken(router, request, endpoint, FALSE, now);
+    broken(router, request, endpoint, now);
     break;
   case OUTCOME_ANSWER:
     answered(router, request, endpoint, outcome, now);
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -150,6 +150,12 @@
   'if (empty > 0)' 'if (1)'
 m r-own "the system sets its own fields" platform/endpoints.c \
   'http_head_remove(head, own_fields[i]);' ';'
+m r-silence "LOST: silence ends nothing without another endpoint" router/path.c \
+  '!has_elsewhere(router, request, now) ||' ''
+m r-paid "LOST: a resume is paid before the run is left" router/path.c \
+  '!retry_budget_take(budget, &router->retry, now))
+    return FALSE;' '0)
+    return FALSE;'
 m r-notrun "REFUSED: 503 alone promises nothing" platform/endpoints.c \
   'out->not_run = out->misdirected ||' \
   'out->not_run = head->status == 503 || out->misdirected ||'
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -331,6 +331,19 @@
   EXPECT_EQ(strict.end(request).answers, 1);
 }
 
+TEST_F(Routed, SilenceEndsNoStreamThatHasNowhereElseToGo) {
+  world.endpoint({"dec-2", "llm", "a", STAGE_DECODE}, true, true);
+  guint64 request = running("/resume/x");
+  guint64 run = world.last().number;
+  world.outcome(run, OUTCOME_STREAM_HEAD);
+  world.piece(run, "1");
+  world.advance(4 * second);
+  EXPECT_FALSE(world.sent(run).cancelled);
+  EXPECT_EQ(world.end(request).ends(), 0);
+  world.outcome(run, OUTCOME_STREAM_END);
+  EXPECT_EQ(world.end(request).answers, 1);
+}
+
 /*
 ** Room at the decode engines
 */
