Watches end before the platform counts us as in touch again

Ruled out: the store's other faults (every instance lost it 6.0 s after a watch began); the pause after news (0.1 s). The change: waits of contact less 1.2 s, short ones after a failure; apply_ms is no setting any more. Tests: Bounds.AWatchIsShorter..., Follow.AfterAFailure...: failed before.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -14,9 +14,11 @@
 #define DEFAULT_HEADERS 64
 #define DEFAULT_TIMEOUT 10
 #define DEFAULT_RETRY_WINDOW 10
-#define DEFAULT_WATCH_WAIT 3000
-/* for finding out, a new connection, and a list; milliseconds */
-#define WATCH_MARGIN 1700
+#define DEFAULT_WATCH_WAIT 1800
+/* the slack for a watch's answer (io/directory.c), a new connection and its
+** first answer; milliseconds */
+#define WATCH_MARGIN 1200
+#define WATCH_LEAST 500
 #define DEFAULT_DRAIN_LEAST 2800
 /* a drain ends so long before the kill, milliseconds */
 #define GRACE_MARGIN 400
@@ -50,7 +52,6 @@
     OPTUINT("retry_window_s", retry_window_s),
     OPTUINT("watch_wait_ms", watch_wait_ms),
     OPTUINT("contact_ms", contact_ms),
-    OPTUINT("apply_ms", apply_ms),
     OPTUINT("drain_least_ms", drain_least_ms),
     OPTUINT("drain_most_ms", drain_most_ms),
     OPTUINT("grace_s", grace_s),
@@ -145,14 +146,14 @@
 }
 
 /*
-** A watch whose answer was lost is found out after its wait; a change that
-** is made once we count as in touch must still be in force in time.
+** A silent store may swallow a watch just before it comes back, and a change
+** may be made at once: the watch must be given up, and another one be
+** answered, before the platform counts this instance as in touch again.
 */
 static uint32_t longest_watch(const Settings *s) {
-  uint32_t sum = s->contact_ms + s->apply_ms;
-  if (s->contact_ms == 0 || s->apply_ms == 0 || sum <= 2 * WATCH_MARGIN)
+  if (s->contact_ms == 0)
     return DEFAULT_WATCH_WAIT;
-  return sum - WATCH_MARGIN;
+  return MAX(s->contact_ms, WATCH_MARGIN + WATCH_LEAST) - WATCH_MARGIN;
 }
 
 static void defaults(Settings *s) {
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -36,7 +36,6 @@
   uint32_t retry_slack;    /* and beside those, over all instances */
   uint32_t retry_window_s; /* in every window of this length */
   uint32_t contact_ms;     /* the platform counts us as in touch after this */
-  uint32_t apply_ms;       /* and wants changes in force within this */
   uint32_t watch_wait_ms;  /* longest wait of one watch of the store */
   uint32_t drain_least_ms; /* a planned stop takes connections so long */
   uint32_t grace_s;        /* between the signal to stop and the kill */
--- a/router/follower.c
+++ b/router/follower.c
@@ -10,6 +10,8 @@
 /* waits after failures in a row: doubled from the first to the most */
 #define RETRY_FIRST (100 * MP_MS)
 #define RETRY_MOST (800 * MP_MS)
+/* the store may still be silent: no long wait until it has answered */
+#define WAIT_AFTER_FAILURE (300 * MP_MS)
 
 static void object_clear(gpointer p) {
   StoreObject *object = p;
@@ -59,7 +61,10 @@
   if (follower->watching) {
     call->operation = STORE_WATCH;
     call->revision = follower->revision;
-    call->wait = follower->watch_wait;
+    /* one that fails again soon is found out soon */
+    call->wait = follower->failures > 0
+                     ? MIN(follower->watch_wait, WAIT_AFTER_FAILURE)
+                     : follower->watch_wait;
   } else {
     call->operation = STORE_LIST;
     call->after = follower->after;
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -165,6 +165,16 @@
   EXPECT_EQ(follower_next_call(&follower), now);
 }
 
+TEST_F(Follow, AfterAFailureTheNextWatchIsShort) {
+  call();
+  answer(STORE_OK, 10);
+  EXPECT_EQ(call().wait, 3 * MP_SEC);
+  answer(STORE_FAILED);
+  EXPECT_LE(call().wait, 500 * MP_MS); /* it may be lost as well */
+  answer(STORE_OK, 10);
+  EXPECT_EQ(call().wait, 3 * MP_SEC);
+}
+
 TEST_F(Follow, OneCallIsOpenAtATime) {
   call();
   EXPECT_EQ(follower_next_call(&follower), G_MAXINT64);
--- /dev/null
+++ b/test/test_settings.cc
@@ -0,0 +1,60 @@
+/*
+** test_settings.cc
+** What the settings make of the platform's bounds
+*/
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <string>
+
+extern "C" {
+#include "daemon/settings.h"
+}
+
+namespace {
+
+struct Bounds : ::testing::Test {
+  std::string path =
+      ::testing::TempDir() + "madderpier-settings-" + std::to_string(getpid());
+
+  void TearDown() override {
+    unlink(path.c_str());
+  }
+
+  Settings *read(const std::string &more) {
+    std::ofstream(path) << "dialect: platform\ninstance: e\ndata_centre: a\n"
+                           "callers: 127.0.0.1:1\nready: 127.0.0.1:2\n"
+                           "exchange: 127.0.0.1:3\nplatform: 127.0.0.1:4\n" +
+                               more;
+    GError *error = nullptr;
+    Settings *settings = settings_read(path.c_str(), &error);
+    EXPECT_NE(settings, nullptr) << (error != nullptr ? error->message : "");
+    g_clear_error(&error);
+    return settings;
+  }
+};
+
+/*
+** A watch that a silent store swallowed just before it came back is given
+** up, with the slack for its answer, while the platform does not yet count
+** the instance as in touch; some time is left for a new connection.
+*/
+TEST_F(Bounds, AWatchIsShorterThanTheTimeUntilWeCountAsInTouch) {
+  for (unsigned contact : {2000u, 3000u, 4000u, 6000u}) {
+    Settings *settings = read("contact_ms: " + std::to_string(contact) + "\n");
+    EXPECT_LE(settings->watch_wait_ms + 700 + 300, contact) << contact;
+    EXPECT_GE(settings->watch_wait_ms, 500u) << contact;
+    settings_free(settings);
+  }
+}
+
+TEST_F(Bounds, ADrainEndsBeforeTheKill) {
+  Settings *settings = read("grace_s: 8\n");
+  EXPECT_LT(settings->drain_most_ms, 8000u);
+  EXPECT_GT(settings->drain_most_ms, settings->drain_least_ms);
+  settings_free(settings);
+}
+
+} // namespace
