--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -51,6 +51,7 @@
     OPTUINT("retry_slack", retry_slack),
     OPTUINT("retry_window_s", retry_window_s),
     OPTUINT("watch_wait_ms", watch_wait_ms),
+    OPTUINT("lease_ms", lease_ms),
     OPTUINT("contact_ms", contact_ms),
     OPTUINT("drain_least_ms", drain_least_ms),
     OPTUINT("drain_most_ms", drain_most_ms),
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -35,6 +35,7 @@
   double retry_ratio;      /* extra arrivals per request */
   uint32_t retry_slack;    /* and beside those, over all instances */
   uint32_t retry_window_s; /* in every window of this length */
+  uint32_t lease_ms;       /* of orders to engines; 0: none are given */
   uint32_t contact_ms;     /* the platform counts us as in touch after this */
   uint32_t watch_wait_ms;  /* longest wait of one watch of the store */
   uint32_t drain_least_ms; /* a planned stop takes connections so long */
--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -12,6 +12,7 @@
 
 #include "http/head.h"
 #include "router/follower.h"
+#include "router/lease.h"
 #include "router/records.h"
 #include "router/router.h"
 
@@ -59,12 +60,15 @@
   ** Endpoints
   */
 
-  /* 'caller' is the caller's head; NULL for DISPATCH_RELEASE */
-  HttpHead *(*write_dispatch)(const Dispatch *dispatch,
-                              const HttpHead *caller);
+  /* 'caller' is the caller's head; NULL for what no caller asked for.
+  ** '*body' is NULL, or a body in place of the caller's; free it */
+  HttpHead *(*write_dispatch)(const Dispatch *dispatch, const HttpHead *caller,
+                              char **body);
   void (*read_endpoint)(const HttpHead *head, EndpointHead *out);
   gboolean (*read_prefill)(const char *body, gsize size, PrefillAnswer *out,
                            GError **error);
+  gboolean (*read_report)(const char *body, gsize size, EngineReport *out,
+                          GError **error);
 
   /*
   ** The store
@@ -85,6 +89,7 @@
   mp_Addr (*read_instance)(const char *text);
   gboolean (*read_record)(const char *name, const char *text,
                           EndpointRecord *out, GError **error);
+  gboolean (*read_lease)(const char *text, LeaseRecord *out, GError **error);
 } Dialect;
 
 #endif
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -504,6 +504,9 @@
   uint32_t oldest_ms; /* how long the first of them has waited */
   unsigned n;
   mp_LoadRow row[MP_DIGEST_ROWS];
+  /* engines that were ordered to change their stage, by hash of their id */
+  unsigned changing_count;
+  uint32_t changing[MP_DIGEST_CHANGING];
 } mp_LoadDigest;
 
 typedef struct mp_Msg {
@@ -751,6 +754,7 @@
   X(ORDER_SENT, 6003, MP_INFO, "role order sent")                       \
   X(ORDER_DONE, 6004, MP_INFO, "role order done")                       \
   X(ORDER_FAIL, 6005, MP_WARN, "role order failed")                     \
+  X(ORDER_ROUND, 6006, MP_INFO, "engines chosen for orders")            \
   X(DRAIN, 7001, MP_INFO, "drain begins")                               \
   X(DRAINED, 7002, MP_INFO, "drain complete")                           \
   X(START, 7003, MP_INFO, "instance starts")                            \
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -49,6 +49,7 @@
 
 /* rows of a load digest, in one datagram */
 #define MP_DIGEST_ROWS 80
+#define MP_DIGEST_CHANGING 12
 
 /* renewals carried by one datagram */
 #define MP_RENEW_BATCH 40
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -25,8 +25,8 @@
 #define UNACKED_MS 2500
 /* largest whole answer that is kept in memory, bytes */
 #define MAX_ANSWER (8 << 20)
-/* an answer to a release is waited for so long */
-#define RELEASE_TIMEOUT (1 * MP_SEC)
+/* answers to what no caller asked for are waited for so long */
+#define CONTROL_TIMEOUT (1 * MP_SEC)
 
 struct EndpointLinks {
   struct event_base *base;
@@ -59,7 +59,7 @@
   EndpointLinks *links;
   char *endpoint;
   struct bufferevent *events;
-  struct event *timer; /* connecting, resting, or waiting for a release */
+  struct event *timer; /* connecting, resting, or waiting for an answer */
   HttpReader *reader;
   gboolean connected;
   gboolean doubtful; /* never used again */
@@ -179,6 +179,12 @@
   call_free(call);
 }
 
+/* no caller asked for it */
+static gboolean is_control(const Call *call) {
+  return call->kind == DISPATCH_RELEASE || call->kind == DISPATCH_REPORT ||
+         call->kind == DISPATCH_ORDER;
+}
+
 /* statuses that promise "not run" are believed only with that promise */
 static gboolean promises_falsely(const Call *call) {
   int status = call->head->status;
@@ -195,7 +201,7 @@
     return OUTCOME_BROKEN;
   if (call->kind == DISPATCH_PREFILL)
     return head->status == 200 ? OUTCOME_ANSWER : OUTCOME_BROKEN;
-  if (success && !call->facts.is_signed)
+  if (success && !call->facts.is_signed && !is_control(call))
     return OUTCOME_BROKEN;
   return OUTCOME_ANSWER;
 }
@@ -205,6 +211,7 @@
   Call *call = link->call;
   Outcome outcome = {0};
   PrefillAnswer prefill = {0};
+  EngineReport report = {0};
   EndpointAnswer answer = {call->head, (const char *)call->body->data,
                            call->body->len};
   if (call->kind == DISPATCH_RELEASE) {
@@ -223,6 +230,12 @@
       outcome.kind = OUTCOME_BROKEN;
     outcome.handle = prefill.handle;
   }
+  if (call->kind == DISPATCH_REPORT && outcome.kind == OUTCOME_ANSWER) {
+    if (!link->links->dialect->read_report(answer.bytes, answer.size, &report,
+                                           NULL))
+      outcome.kind = OUTCOME_BROKEN;
+    outcome.report = &report;
+  }
   if (outcome.kind == OUTCOME_BROKEN || outcome.misdirected)
     link->doubtful = TRUE;
   link->idle_limit = call->facts.idle_limit;
@@ -361,8 +374,8 @@
   bufferevent_write(link->events, call->text->str, call->text->len);
   g_string_free(call->text, TRUE);
   call->text = NULL;
-  if (call->kind == DISPATCH_RELEASE)
-    start_timer(link, RELEASE_TIMEOUT);
+  if (is_control(call))
+    start_timer(link, CONTROL_TIMEOUT);
 }
 
 /* the peer closed in good order: that may end an answer without length */
@@ -418,10 +431,10 @@
   Link *link = data;
   (void)fd;
   (void)what;
-  if (link->call == NULL || link->connected)
-    drop(link); /* rested long enough, or a release without an answer */
+  if (link->call == NULL)
+    drop(link); /* rested long enough */
   else
-    fail(link, OUTCOME_UNREACHABLE);
+    fail(link, link->connected ? OUTCOME_BROKEN : OUTCOME_UNREACHABLE);
 }
 
 /* }================================================================== */
@@ -473,15 +486,21 @@
 static GString *request_text(const EndpointLinks *links,
                              const Dispatch *dispatch, const HttpHead *caller,
                              const GByteArray *body) {
-  HttpHead *head = links->dialect->write_dispatch(dispatch, caller);
+  char *own = NULL;
+  HttpHead *head = links->dialect->write_dispatch(dispatch, caller, &own);
   GString *text = g_string_new(NULL);
-  if (body != NULL &&
-      (body->len > 0 || g_ascii_strcasecmp(head->method, "GET") != 0))
+  if (own != NULL)
+    http_head_add_number(head, "Content-Length", (gint64)strlen(own));
+  else if (body != NULL &&
+           (body->len > 0 || g_ascii_strcasecmp(head->method, "GET") != 0))
     http_head_add_number(head, "Content-Length", body->len);
   http_head_write(head, text);
-  if (body != NULL)
+  if (own != NULL)
+    g_string_append(text, own);
+  else if (body != NULL)
     g_string_append_len(text, (const char *)body->data, body->len);
   http_head_free(head);
+  g_free(own);
   return text;
 }
 
--- a/io/endpoint_links.h
+++ b/io/endpoint_links.h
@@ -36,7 +36,7 @@
                                   const EndpointLinksHooks *hooks);
 void endpoint_links_free(EndpointLinks *links);
 
-/* send a dispatch; 'caller' and 'body' are NULL for DISPATCH_RELEASE */
+/* send a dispatch; 'caller' and 'body' are NULL where no caller asked */
 void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
                          const HttpHead *caller, const GByteArray *body);
 /* forget a dispatch and close its connection; no outcome comes any more */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -14,9 +14,12 @@
 #include "io/gateway.h"
 #include "io/load_exchange.h"
 #include "io/node.h"
+#include "io/store_link.h"
 
 /* how often a drain looks whether it is over */
 #define DRAIN_LOOK (50 * MP_MS)
+/* patience with the store when it is asked for a lease */
+#define LEASE_CALL_PATIENCE (800 * MP_MS)
 /* the longest time between two looks at the router's clock */
 #define TICK_MOST (1 * MP_SEC)
 
@@ -29,6 +32,7 @@
   EndpointLinks *links;
   Directory *directory;
   LoadExchange *exchange;
+  StoreLink *leases;
   struct evhttp *ready_http, *control_http, *metrics_http;
   struct event *tick;
   struct event *drain_timer;
@@ -120,6 +124,11 @@
   log_numbered(gateway->log, number, "%s", fields);
 }
 
+static void host_lease_call(void *data, const StoreCall *call) {
+  Gateway *gateway = data;
+  store_link_call(gateway->leases, call, LEASE_CALL_PATIENCE);
+}
+
 /* }================================================================== */
 
 /*
@@ -168,6 +177,31 @@
   set_tick(gateway);
 }
 
+/* a lease that cannot be read is no answer */
+static void read_lease(const Gateway *gateway, const StoreReply *reply,
+                       LeaseReply *out) {
+  const StoreObject *object;
+  out->status = reply->status;
+  if (reply->objects == NULL || reply->objects->len == 0)
+    return;
+  object = &g_array_index(reply->objects, StoreObject, 0);
+  out->revision = object->revision;
+  if (object->gone ||
+      !gateway->dialect->read_lease(object->text, &out->record, NULL))
+    out->status = STORE_FAILED;
+}
+
+static void on_lease_reply(void *data, const StoreReply *reply,
+                           const GError *error) {
+  Gateway *gateway = data;
+  LeaseReply read = {0};
+  (void)error;
+  read_lease(gateway, reply, &read);
+  router_lease_reply(gateway->router, &read, node_now());
+  lease_record_clear(&read.record);
+  set_tick(gateway);
+}
+
 static void on_instances(void *data, const GArray *addresses) {
   Gateway *gateway = data;
   load_exchange_set_peers(gateway->exchange, addresses);
@@ -248,8 +282,10 @@
       "madderpier_idle_endpoint_connections %u\n"
       "madderpier_ready %d\n",
       endpoint_links_opened(gateway->links),
-      directory_store_calls(gateway->directory), log_left_out(gateway->log),
-      log_lost(gateway->log), router_open_requests(gateway->router),
+      directory_store_calls(gateway->directory) +
+          store_link_calls(gateway->leases),
+      log_left_out(gateway->log), log_lost(gateway->log),
+      router_open_requests(gateway->router),
       endpoint_links_idle(gateway->links), is_ready(gateway));
 }
 
@@ -368,14 +404,18 @@
 /* }================================================================== */
 
 static void make_router(Gateway *gateway, const GatewayOptions *options) {
-  RouterHost host = {gateway,     host_dispatch,  host_cancel, host_answer,
-                     host_refuse, host_break_off, host_log};
+  RouterHost host = {gateway,     host_dispatch,  host_cancel,
+                     host_answer, host_refuse,    host_break_off,
+                     host_log,    host_lease_call};
   RouterOptions settings = {0};
   settings.zone = options->zone;
   settings.seed = (guint64)node_now() ^ options->callers * 2654435761u;
   settings.retry_ratio = options->retry_ratio;
   settings.retry_slack = options->retry_slack;
   settings.retry_window = options->retry_window;
+  settings.instance = options->instance;
+  settings.self = options->exchange;
+  settings.lease_length = options->lease_length;
   gateway->router = router_new(&settings, &host, node_now());
 }
 
@@ -402,6 +442,8 @@
   gateway->tick = evtimer_new(base, on_tick, gateway);
   gateway->drain_timer = evtimer_new(base, on_drain_timer, gateway);
   gateway->links = endpoint_links_new(base, dialect, &links);
+  gateway->leases =
+      store_link_new(base, options->store, dialect, on_lease_reply, gateway);
   make_router(gateway, options);
   gateway->front = front_new(base, options->callers, dialect, &front, error);
   if (gateway->front != NULL)
@@ -438,6 +480,7 @@
   if (gateway->exchange != NULL)
     load_exchange_free(gateway->exchange);
   endpoint_links_free(gateway->links);
+  store_link_free(gateway->leases);
   router_free(gateway->router);
   event_free(gateway->tick);
   event_free(gateway->drain_timer);
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -78,6 +78,8 @@
     g_ptr_array_add(table->all, endpoint);
   } else
     g_hash_table_remove(table->by_id, record->id);
+  if (endpoint->changing_until != 0 && record->stage == endpoint->changing_to)
+    endpoint->changing_until = 0;
   record_copy(&endpoint->record, record);
   g_hash_table_insert(table->by_id, endpoint->record.id, endpoint);
 }
@@ -116,10 +118,17 @@
   return FALSE;
 }
 
-static gboolean fits(const Endpoint *endpoint, const char *service,
-                     EndpointStage stage) {
+gboolean endpoint_changing(const EndpointTable *table,
+                           const Endpoint *endpoint, gint64 now) {
+  return endpoint->changing_until > now ||
+         peer_loads_changing(table->peers, endpoint->hash);
+}
+
+static gboolean fits(const EndpointTable *table, const Endpoint *endpoint,
+                     const char *service, EndpointStage stage, gint64 now) {
   return endpoint->record.ready && endpoint->record.stage == stage &&
-         strcmp(endpoint->record.service, service) == 0;
+         strcmp(endpoint->record.service, service) == 0 &&
+         !endpoint_changing(table, endpoint, now);
 }
 
 double endpoint_failing(const Endpoint *endpoint, gint64 now) {
@@ -179,7 +188,7 @@
   for (i = 0; i < table->all->len; i++) {
     Endpoint *endpoint = table->all->pdata[i];
     Candidate candidate;
-    if (!fits(endpoint, wish->service, wish->stage) ||
+    if (!fits(table, endpoint, wish->service, wish->stage, now) ||
         is_excluded(wish, endpoint->record.id))
       continue;
     if (!avoided_too && endpoint->avoid_until > now)
@@ -237,7 +246,7 @@
   for (i = 0; i < table->all->len; i++) {
     const Endpoint *endpoint = table->all->pdata[i];
     guint64 planned = endpoint_tokens(table, endpoint);
-    if (fits(endpoint, wish->service, wish->stage) &&
+    if (fits(table, endpoint, wish->service, wish->stage, now) &&
         endpoint->avoid_until <= now && planned < wish->capacity)
       rooms += (guint)((wish->capacity - planned) / MAX(wish->tokens, 1));
   }
@@ -249,7 +258,8 @@
   guint i;
   for (i = 0; i < table->all->len; i++) {
     const Endpoint *endpoint = table->all->pdata[i];
-    if (fits(endpoint, service, stage) && endpoint->avoid_until <= now)
+    if (fits(table, endpoint, service, stage, now) &&
+        endpoint->avoid_until <= now)
       return TRUE;
   }
   return FALSE;
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -17,13 +17,16 @@
 
 typedef struct Endpoint {
   EndpointRecord record;
-  guint32 hash;       /* of its id, as digests name it */
-  guint open;         /* this instance's dispatches there */
-  guint64 tokens;     /* prompt and output tokens of those */
-  double failures;    /* recent share of failed dispatches, 0 to 1 */
-  gint64 failed_at;   /* when 'failures' was last changed */
-  gint64 avoid_until; /* out of reach: not chosen before then */
-  unsigned misses;    /* out of reach so many times in a row */
+  guint32 hash;              /* of its id, as digests name it */
+  guint open;                /* this instance's dispatches there */
+  guint64 tokens;            /* prompt and output tokens of those */
+  double failures;           /* recent share of failed dispatches, 0 to 1 */
+  gint64 failed_at;          /* when 'failures' was last changed */
+  gint64 avoid_until;        /* out of reach: not chosen before then */
+  unsigned misses;           /* out of reach so many times in a row */
+  EndpointStage changing_to; /* ordered by this instance */
+  gint64 changing_until;     /* such an order counts until then; 0: none */
+  gint64 order_after;        /* it gets no order before then */
 } Endpoint;
 
 typedef struct EndpointTable {
@@ -72,6 +75,10 @@
 guint64 endpoint_tokens(const EndpointTable *table, const Endpoint *endpoint);
 guint endpoint_open(const EndpointTable *table, const Endpoint *endpoint);
 
+/* is it changing its stage, on this or another instance's order? */
+gboolean endpoint_changing(const EndpointTable *table,
+                           const Endpoint *endpoint, gint64 now);
+
 /* recent share of failures that this instance saw, 0 to 1 */
 double endpoint_failing(const Endpoint *endpoint, gint64 now);
 
--- a/router/follower.h
+++ b/router/follower.h
@@ -19,30 +19,37 @@
 typedef enum StoreKind {
   STORE_CONFIGURATION, /* the operators' configuration, one object */
   STORE_ENDPOINTS,     /* what may run requests */
-  STORE_INSTANCES      /* instances of this system; kept by themselves */
+  STORE_INSTANCES,     /* instances of this system; kept by themselves */
+  STORE_LEASES         /* who may do what only one may do; our own */
 } StoreKind;
 
 typedef enum StoreOperation {
   STORE_LIST,
   STORE_WATCH,
-  STORE_CREATE
+  STORE_CREATE,
+  STORE_READ,   /* one object */
+  STORE_REPLACE /* one object, if it is still at that revision */
 } StoreOperation;
 
+struct LeaseRecord;
+
 typedef struct StoreCall {
   StoreKind kind;
   StoreOperation operation;
   const char *after; /* LIST: continue behind this name, or NULL */
-  gint64 revision;   /* WATCH: the last one known */
+  gint64 revision;   /* WATCH: the last one known; REPLACE: the object's */
   gint64 wait;       /* WATCH: answer after so long at the latest */
   gboolean stale;    /* LIST: seconds old will do */
-  const char *name;  /* CREATE */
-  mp_Addr address;   /* CREATE: where the instance is called */
+  const char *name;  /* CREATE, READ, REPLACE */
+  mp_Addr address;   /* CREATE of an instance: where it is called */
+  const struct LeaseRecord *lease; /* CREATE and REPLACE of a lease */
 } StoreCall;
 
 typedef enum StoreStatus {
   STORE_OK,
   STORE_HISTORY_GONE, /* WATCH: list again */
-  STORE_EXISTS,       /* CREATE */
+  STORE_EXISTS,       /* CREATE; REPLACE: at another revision */
+  STORE_ABSENT,       /* READ, REPLACE */
   STORE_FAILED        /* no answer, or none that can be used */
 } StoreStatus;
 
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -21,7 +21,8 @@
 typedef struct LoadSum {
   guint64 tokens;
   guint open;
-  guint failing; /* percent */
+  guint failing;  /* percent */
+  guint changing; /* so many say that it changes its stage */
 } LoadSum;
 
 struct PeerLoads {
@@ -43,32 +44,55 @@
   g_free(loads);
 }
 
-static void add(PeerLoads *loads, const mp_LoadRow *row) {
-  gpointer key = GUINT_TO_POINTER(row->endpoint);
+static LoadSum *need_sum(PeerLoads *loads, guint32 endpoint) {
+  gpointer key = GUINT_TO_POINTER(endpoint);
   LoadSum *sum = g_hash_table_lookup(loads->sums, key);
   if (sum == NULL) {
     sum = g_new0(LoadSum, 1);
     g_hash_table_insert(loads->sums, key, sum);
   }
+  return sum;
+}
+
+static void drop_empty(PeerLoads *loads, guint32 endpoint,
+                       const LoadSum *sum) {
+  if (sum->tokens == 0 && sum->open == 0 && sum->failing == 0 &&
+      sum->changing == 0)
+    g_hash_table_remove(loads->sums, GUINT_TO_POINTER(endpoint));
+}
+
+static void add(PeerLoads *loads, const mp_LoadRow *row) {
+  LoadSum *sum = need_sum(loads, row->endpoint);
   sum->tokens += row->tokens;
   sum->open += row->open;
   sum->failing += row->failing;
 }
 
 static void subtract(PeerLoads *loads, const mp_LoadRow *row) {
-  gpointer key = GUINT_TO_POINTER(row->endpoint);
-  LoadSum *sum = g_hash_table_lookup(loads->sums, key);
+  LoadSum *sum = need_sum(loads, row->endpoint);
   sum->tokens -= row->tokens;
   sum->open -= row->open;
   sum->failing -= row->failing;
-  if (sum->tokens == 0 && sum->open == 0 && sum->failing == 0)
-    g_hash_table_remove(loads->sums, key);
+  drop_empty(loads, row->endpoint, sum);
+}
+
+static void add_all(PeerLoads *loads, const Peer *peer) {
+  unsigned i;
+  for (i = 0; i < peer->digest.n; i++)
+    add(loads, &peer->digest.row[i]);
+  for (i = 0; i < peer->digest.changing_count; i++)
+    need_sum(loads, peer->digest.changing[i])->changing++;
 }
 
 static void subtract_all(PeerLoads *loads, const Peer *peer) {
   unsigned i;
   for (i = 0; i < peer->digest.n; i++)
     subtract(loads, &peer->digest.row[i]);
+  for (i = 0; i < peer->digest.changing_count; i++) {
+    LoadSum *sum = need_sum(loads, peer->digest.changing[i]);
+    sum->changing--;
+    drop_empty(loads, peer->digest.changing[i], sum);
+  }
 }
 
 /* an older digest that was overtaken; not one of a new life */
@@ -80,7 +104,6 @@
 void peer_loads_take(PeerLoads *loads, mp_Addr address, guint32 sequence,
                      const mp_LoadDigest *digest, gint64 now) {
   Peer *peer = g_hash_table_lookup(loads->peers, &address);
-  unsigned i;
   if (peer == NULL) {
     peer = g_new0(Peer, 1);
     peer->address = address;
@@ -92,8 +115,7 @@
   peer->heard = now;
   peer->digest = *digest;
   peer->oldest = now - digest->oldest_ms * MP_MS;
-  for (i = 0; i < digest->n; i++)
-    add(loads, &digest->row[i]);
+  add_all(loads, peer);
 }
 
 gboolean peer_loads_expire(PeerLoads *loads, gint64 now) {
@@ -104,10 +126,12 @@
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     Peer *peer = value;
     if (now - peer->heard < PEER_SILENCE ||
-        (peer->digest.n == 0 && peer->digest.waiting == 0))
+        (peer->digest.n == 0 && peer->digest.waiting == 0 &&
+         peer->digest.changing_count == 0))
       continue;
     subtract_all(loads, peer);
     peer->digest.n = 0;
+    peer->digest.changing_count = 0;
     peer->digest.waiting = 0;
     found = TRUE;
   }
@@ -144,3 +168,30 @@
   }
   return count;
 }
+
+gboolean peer_loads_changing(const PeerLoads *loads, guint32 endpoint) {
+  const LoadSum *sum = sum_of(loads, endpoint);
+  return sum != NULL && sum->changing > 0;
+}
+
+guint peer_loads_waiting(const PeerLoads *loads) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value))
+    count += ((const Peer *)value)->digest.waiting;
+  return count;
+}
+
+guint peer_loads_before(const PeerLoads *loads, mp_Addr address, gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Peer *peer = value;
+    count += peer->address < address && now - peer->heard < PEER_SILENCE;
+  }
+  return count;
+}
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -32,6 +32,13 @@
 double peer_loads_failing(const PeerLoads *loads, guint32 endpoint);
 guint peer_loads_open(const PeerLoads *loads, guint32 endpoint);
 
+/* does some peer say that this engine changes its stage? */
+gboolean peer_loads_changing(const PeerLoads *loads, guint32 endpoint);
+/* requests that wait for room at the peers */
+guint peer_loads_waiting(const PeerLoads *loads);
+/* peers heard from lately whose address is smaller */
+guint peer_loads_before(const PeerLoads *loads, mp_Addr address, gint64 now);
+
 /* peers whose first waiting request came before that time */
 guint peer_loads_older(const PeerLoads *loads, gint64 came);
 
--- a/router/records.h
+++ b/router/records.h
@@ -25,6 +25,7 @@
   guint32 kv_tokens;    /* engines: memory, in tokens */
   guint32 event_tokens; /* engines: tokens in one event of a stream */
   gint64 handle_life;   /* engines: microseconds */
+  gint64 switch_time;   /* engines: to change the stage; 0: they can't */
   guint32 max_connections;
 } Service;
 
--- a/router/router.c
+++ b/router/router.c
@@ -48,10 +48,13 @@
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, request_free);
   router->waiting = g_ptr_array_new();
   router->dispatched = g_hash_table_new(g_int64_hash, g_int64_equal);
+  router->stages = stages_new(router, options->instance, options->self,
+                              options->lease_length, now);
   return router;
 }
 
 void router_free(Router *router) {
+  stages_free(router->stages);
   g_hash_table_destroy(router->dispatched);
   g_ptr_array_free(router->waiting, TRUE);
   g_hash_table_destroy(router->requests);
@@ -218,8 +221,10 @@
 }
 
 void router_outcome(Router *router, const Outcome *outcome, gint64 now) {
-  Request *request =
-      g_hash_table_lookup(router->dispatched, &outcome->dispatch);
+  Request *request;
+  if (stages_outcome(router->stages, outcome, now))
+    return;
+  request = g_hash_table_lookup(router->dispatched, &outcome->dispatch);
   if (request == NULL)
     return; /* given up before */
   if (request->phase == PHASE_PREFILL)
@@ -249,7 +254,7 @@
 }
 
 gint64 router_next_tick(const Router *router) {
-  gint64 next = G_MAXINT64;
+  gint64 next = stages_next_tick(router->stages);
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init(&iterator, router->requests);
@@ -294,6 +299,7 @@
     admission_run(router, now);
   while (tick_one(router, now)) {
   }
+  stages_tick(router->stages, now);
   admission_run(router, now);
 }
 
@@ -327,6 +333,12 @@
     row->failing = failing;
     out->n++;
   }
+  out->changing_count =
+      stages_changing(router->stages, out->changing, MP_DIGEST_CHANGING, now);
+}
+
+void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now) {
+  stages_lease_reply(router->stages, reply, now);
 }
 
 void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
--- a/router/router.h
+++ b/router/router.h
@@ -19,7 +19,9 @@
 #include <glib.h>
 
 #include "madderpier.h"
+#include "router/follower.h"
 #include "router/histogram.h"
+#include "router/lease.h"
 #include "router/records.h"
 
 typedef struct Router Router;
@@ -40,22 +42,40 @@
 typedef enum DispatchKind {
   DISPATCH_RUN,     /* the request itself */
   DISPATCH_PREFILL, /* read the prompt and keep it under a handle */
-  DISPATCH_RELEASE  /* free a handle */
+  DISPATCH_RELEASE, /* free a handle */
+  DISPATCH_REPORT,  /* an engine tells its state */
+  DISPATCH_ORDER    /* an engine changes its stage */
 } DispatchKind;
 
+/* an order to an engine to change its stage */
+typedef struct StageOrder {
+  EndpointStage stage;
+  const char *holder; /* who gives it: this instance */
+  gint64 fence;       /* of the holder's lease; engines refuse older ones */
+  gint64 sequence;    /* orders that the engine must have taken before */
+} StageOrder;
+
+/* the state of an engine as it told it, some hundred milliseconds old */
+typedef struct EngineReport {
+  EndpointStage stage;
+  gboolean busy;   /* an order is being carried out */
+  gint64 sequence; /* orders taken in this life */
+} EngineReport;
+
 /* work for an endpoint */
 typedef struct Dispatch {
   guint64 number; /* the router's; named again in the outcome */
   DispatchKind kind;
-  guint64 request; /* the caller's request; 0 for DISPATCH_RELEASE */
+  guint64 request; /* the caller's; 0 for RELEASE, REPORT and ORDER */
   mp_Addr address;
-  const char *endpoint;   /* the endpoint's id: no other one may run it */
-  gint64 deadline_ms;     /* what is left of the caller's time */
-  const char *handle;     /* RUN: where to continue; RELEASE: what to free */
-  mp_Addr handle_address; /* RUN with a handle: who holds it */
-  const char *last_event; /* RUN: resume behind this event, or NULL */
-  gboolean stream;        /* the answer comes in pieces */
-  gint64 connect_timeout; /* then the endpoint counts as out of reach */
+  const char *endpoint;    /* the endpoint's id: no other one may run it */
+  gint64 deadline_ms;      /* what is left of the caller's time */
+  const char *handle;      /* RUN: where to continue; RELEASE: what to free */
+  mp_Addr handle_address;  /* RUN with a handle: who holds it */
+  const char *last_event;  /* RUN: resume behind this event, or NULL */
+  gboolean stream;         /* the answer comes in pieces */
+  gint64 connect_timeout;  /* then the endpoint counts as out of reach */
+  const StageOrder *order; /* ORDER */
 } Dispatch;
 
 /* why a caller gets an answer of the router's own */
@@ -92,12 +112,13 @@
 typedef struct Outcome {
   guint64 dispatch;
   OutcomeKind kind;
-  int status;           /* ANSWER */
-  gboolean misdirected; /* NOT_RUN: another endpoint has the address */
-  const char *event;    /* STREAM_PIECE: id of its last event */
-  void *payload;        /* the host's own: passed on to 'answer' */
-  const char *handle;   /* ANSWER of a prefill */
-  gint64 handle_life;   /* ANSWER of a prefill; 0: the service's */
+  int status;                 /* ANSWER */
+  gboolean misdirected;       /* NOT_RUN: another endpoint has the address */
+  const char *event;          /* STREAM_PIECE: id of its last event */
+  void *payload;              /* the host's own: passed on to 'answer' */
+  const char *handle;         /* ANSWER of a prefill */
+  gint64 handle_life;         /* ANSWER of a prefill; 0: the service's */
+  const EngineReport *report; /* ANSWER of a report */
 } Outcome;
 
 /* what the router asks of its host; nothing here may call back at once */
@@ -112,8 +133,9 @@
   void (*refuse)(void *data, guint64 request, const Refusal *refusal);
   /* end an answer that has begun so that it cannot look whole */
   void (*break_off)(void *data, guint64 request);
-  /* the host's timer for this request: router_timer at that time */
   void (*log)(void *data, mp_EventNo number, const char *fields);
+  /* a call to the store for a lease; router_lease_reply answers it */
+  void (*lease_call)(void *data, const StoreCall *call);
 } RouterHost;
 
 typedef struct RouterOptions {
@@ -122,6 +144,9 @@
   double retry_ratio;  /* extra arrivals allowed per request */
   guint32 retry_slack; /* and beside those, over all instances */
   gint64 retry_window;
+  const char *instance; /* this instance's name */
+  mp_Addr self;         /* the address that its load digests come from */
+  gint64 lease_length;  /* of orders to engines; 0: none are given */
 } RouterOptions;
 
 Router *router_new(const RouterOptions *options, const RouterHost *host,
@@ -158,6 +183,9 @@
 void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
                       const mp_LoadDigest *digest, gint64 now);
 
+/* the store answered RouterHost.lease_call */
+void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now);
+
 /* looking in */
 unsigned router_open_requests(const Router *router);
 gboolean router_configured(const Router *router);
--- /dev/null
+++ b/router/stages.c
@@ -0,0 +1,479 @@
+/*
+** stages.c
+** Orders to engines to change their stage
+*/
+
+#include <math.h>
+#include <string.h>
+
+#include "router/stage_plan.h"
+#include "router/stages.h"
+#include "router/state.h"
+
+/* instances that watch the use of the engines: the rest only if these fail */
+#define CANDIDATES 5
+/* time between two looks at the use, and over which it is averaged */
+#define LOOK (200 * MP_MS)
+#define AVERAGE (1500 * MP_MS)
+/* a need must last so long, and longer for each candidate before this one */
+#define NEED_LASTS (600 * MP_MS)
+#define NEED_LASTS_EACH (4 * MP_SEC)
+/* the others hear of a change before it is ordered */
+#define ANNOUNCE (200 * MP_MS)
+/* most changes at a time, as a digest names them */
+#define MOST_MOVES MP_DIGEST_CHANGING
+/* rest after a round of orders, until its effect shows */
+#define ROUND_REST (2 * MP_SEC)
+/* an engine that did not take an order is left alone so long */
+#define REFUSED_REST (10 * MP_SEC)
+/* time to connect to an engine; the lease must last longer than that */
+#define ORDER_CONNECT (400 * MP_MS)
+#define ORDER_MARGIN (600 * MP_MS)
+/* the lease must last for a whole round */
+#define ROUND_MARGIN (1500 * MP_MS)
+/* a change that is not listed after so many switch times, and this, failed */
+#define SWITCH_PATIENCE 2
+#define SWITCH_GRACE (5 * MP_SEC)
+
+typedef enum MoveStep { MOVE_NAMED, MOVE_ASKED, MOVE_ORDERED } MoveStep;
+
+/* one engine on its way to another stage */
+typedef struct Move {
+  char *endpoint;
+  EndpointStage to;
+  gint64 switch_time;
+  MoveStep step;
+  gint64 due; /* NAMED: ask then */
+  guint64 dispatch;
+} Move;
+
+/* averages of one service's use */
+typedef struct UseAverage {
+  double prefill_busy, decode_full;
+  gint64 looked_at;   /* 0: never */
+  gint64 needed_from; /* a change has been due since then; 0: none is */
+} UseAverage;
+
+struct Stages {
+  Router *router;
+  mp_Addr self;
+  char *holder;
+  Lease lease;
+  LeaseRecord record; /* of the call that is out */
+  GHashTable *uses;   /* service -> UseAverage */
+  GPtrArray *moves;   /* Move */
+  gint64 next_look;
+  gint64 rest_until;
+};
+
+static const char *stage_name(EndpointStage stage) {
+  return stage == STAGE_DECODE ? "decode" : "prefill";
+}
+
+static void move_free(gpointer p) {
+  Move *move = p;
+  g_free(move->endpoint);
+  g_free(move);
+}
+
+Stages *stages_new(Router *router, const char *holder, mp_Addr self,
+                   gint64 lease_length, gint64 now) {
+  Stages *stages = g_new0(Stages, 1);
+  stages->router = router;
+  stages->self = self;
+  stages->holder = g_strdup(holder);
+  lease_init(&stages->lease, holder, lease_length);
+  stages->uses =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  stages->moves = g_ptr_array_new_with_free_func(move_free);
+  /* a young instance has not heard of the others yet */
+  stages->rest_until = now + ROUND_REST;
+  stages->next_look = lease_length > 0 ? now : G_MAXINT64;
+  return stages;
+}
+
+void stages_free(Stages *stages) {
+  lease_clear(&stages->lease);
+  g_hash_table_destroy(stages->uses);
+  g_ptr_array_free(stages->moves, TRUE);
+  g_free(stages->holder);
+  g_free(stages);
+}
+
+/*
+** {==================================================================
+** Use of the engines
+** ===================================================================
+*/
+
+/* the stage that it has, or will have */
+static EndpointStage coming_stage(const Stages *stages,
+                                  const Endpoint *endpoint, gint64 now) {
+  EndpointStage stage = endpoint->record.stage;
+  if (!endpoint_changing(stages->router->endpoints, endpoint, now))
+    return stage;
+  return stage == STAGE_PREFILL ? STAGE_DECODE : STAGE_PREFILL;
+}
+
+static gboolean is_counted(const Endpoint *endpoint, const Service *service) {
+  return endpoint->record.ready && endpoint->record.stage != STAGE_NONE &&
+         strcmp(endpoint->record.service, service->name) == 0;
+}
+
+/* what the engines do at this moment */
+static StageUse look(const Stages *stages, const Service *service,
+                     gint64 now) {
+  const EndpointTable *table = stages->router->endpoints;
+  GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
+  StageUse use = {0};
+  guint i;
+  for (i = 0; i < table->all->len; i++) {
+    const Endpoint *endpoint = table->all->pdata[i];
+    if (!is_counted(endpoint, service))
+      continue;
+    g_hash_table_add(zones, endpoint->record.zone);
+    if (coming_stage(stages, endpoint, now) == STAGE_PREFILL)
+      use.prefill++;
+    else
+      use.decode++;
+    if (endpoint->record.stage == STAGE_PREFILL)
+      use.prefill_busy += endpoint_open(table, endpoint) > 0;
+    else
+      use.decode_full += (double)endpoint_tokens(table, endpoint) /
+                         MAX(service->kv_tokens, 1);
+  }
+  use.zones = g_hash_table_size(zones);
+  use.waiting =
+      stages->router->waiting->len > 0 || peer_loads_waiting(table->peers) > 0;
+  g_hash_table_destroy(zones);
+  return use;
+}
+
+static UseAverage *average_of(Stages *stages, const Service *service) {
+  UseAverage *average = g_hash_table_lookup(stages->uses, service->name);
+  if (average == NULL) {
+    average = g_new0(UseAverage, 1);
+    g_hash_table_insert(stages->uses, g_strdup(service->name), average);
+  }
+  return average;
+}
+
+/* the present use goes into the averages, and they into it */
+static void smooth(UseAverage *average, StageUse *use, gint64 now) {
+  double age = (double)(now - average->looked_at);
+  double weight = 1 - exp(-age / AVERAGE);
+  average->prefill_busy +=
+      weight * (use->prefill_busy - average->prefill_busy);
+  average->decode_full += weight * (use->decode_full - average->decode_full);
+  average->looked_at = now;
+  use->prefill_busy = average->prefill_busy;
+  use->decode_full = average->decode_full;
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** A round of changes
+** ===================================================================
+*/
+
+static gboolean is_moving(const Stages *stages, const char *endpoint) {
+  guint i;
+  for (i = 0; i < stages->moves->len; i++) {
+    if (strcmp(((const Move *)stages->moves->pdata[i])->endpoint, endpoint) ==
+        0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* engines of that stage in a zone */
+static guint count_in_zone(const Stages *stages, const Service *service,
+                           EndpointStage stage, const char *zone, gint64 now) {
+  const EndpointTable *table = stages->router->endpoints;
+  guint count = 0;
+  guint i;
+  for (i = 0; i < table->all->len; i++) {
+    const Endpoint *endpoint = table->all->pdata[i];
+    count += is_counted(endpoint, service) &&
+             strcmp(endpoint->record.zone, zone) == 0 &&
+             coming_stage(stages, endpoint, now) == stage;
+  }
+  return count;
+}
+
+/* the best engine to change: of the zone that has most, least at work */
+static Endpoint *pick(const Stages *stages, const Service *service,
+                      EndpointStage from, gint64 now) {
+  const EndpointTable *table = stages->router->endpoints;
+  Endpoint *best = NULL;
+  guint best_count = 0;
+  guint64 best_tokens = 0;
+  guint i;
+  for (i = 0; i < table->all->len; i++) {
+    Endpoint *endpoint = table->all->pdata[i];
+    guint64 tokens = endpoint_tokens(table, endpoint);
+    guint count;
+    if (!is_counted(endpoint, service) || endpoint->record.stage != from ||
+        endpoint_changing(table, endpoint, now) ||
+        endpoint->avoid_until > now || endpoint->order_after > now ||
+        is_moving(stages, endpoint->record.id))
+      continue;
+    count = count_in_zone(stages, service, from, endpoint->record.zone, now);
+    if (count < 2 ||
+        (best != NULL && (count < best_count ||
+                          (count == best_count && tokens >= best_tokens))))
+      continue;
+    best = endpoint;
+    best_count = count;
+    best_tokens = tokens;
+  }
+  return best;
+}
+
+static void name_move(Stages *stages, Endpoint *endpoint, EndpointStage to,
+                      const Service *service, gint64 now) {
+  Move *move = g_new0(Move, 1);
+  move->endpoint = g_strdup(endpoint->record.id);
+  move->to = to;
+  move->switch_time = service->switch_time;
+  move->due = now + ANNOUNCE;
+  endpoint->changing_to = to;
+  endpoint->changing_until =
+      now + SWITCH_PATIENCE * service->switch_time + SWITCH_GRACE;
+  g_ptr_array_add(stages->moves, move);
+  stages->router->load_version++;
+}
+
+static void begin_round(Stages *stages, const Service *service, int wanted,
+                        gint64 now) {
+  EndpointStage from = wanted > 0 ? STAGE_PREFILL : STAGE_DECODE;
+  EndpointStage to = wanted > 0 ? STAGE_DECODE : STAGE_PREFILL;
+  guint count = MIN((guint)ABS(wanted), MOST_MOVES);
+  guint named = 0;
+  Endpoint *endpoint;
+  while (named < count &&
+         (endpoint = pick(stages, service, from, now)) != NULL) {
+    name_move(stages, endpoint, to, service, now);
+    named++;
+  }
+  router_log(stages->router, MP_LOG_ORDER_ROUND,
+             " service=%s to=%s wanted=%d named=%u fence=%" G_GINT64_FORMAT,
+             service->name, stage_name(to), ABS(wanted), named,
+             stages->lease.revision);
+  stages->rest_until = now + ROUND_REST;
+}
+
+static void take_lease(Stages *stages, gint64 now) {
+  StoreCall call;
+  if (lease_step(&stages->lease, &call, &stages->record, now))
+    stages->router->host.lease_call(stages->router->host.data, &call);
+}
+
+/* how long a need must last until this candidate acts on it */
+static gint64 patience(guint before) {
+  return NEED_LASTS + before * NEED_LASTS_EACH;
+}
+
+static void look_at(Stages *stages, const Service *service, guint before,
+                    gint64 now) {
+  UseAverage *average = average_of(stages, service);
+  StageUse use = look(stages, service, now);
+  int wanted;
+  smooth(average, &use, now);
+  wanted = stage_plan(&use);
+  if (wanted == 0 || now < stages->rest_until) {
+    average->needed_from = 0;
+    return;
+  }
+  if (average->needed_from == 0)
+    average->needed_from = now;
+  if (now - average->needed_from < patience(before))
+    return;
+  if (lease_held(&stages->lease, ROUND_MARGIN, now))
+    begin_round(stages, service, wanted, now);
+  else
+    take_lease(stages, now);
+}
+
+static void look_at_all(Stages *stages, gint64 now) {
+  const RouteTable *routes = stages->router->routes;
+  guint before =
+      peer_loads_before(stages->router->endpoints->peers, stages->self, now);
+  guint i;
+  if (routes == NULL || before >= CANDIDATES || stages->router->stopping)
+    return;
+  for (i = 0; i < routes->services->len; i++) {
+    const Service *service = routes->services->pdata[i];
+    if (service->is_engine && service->switch_time > 0 &&
+        service->kv_tokens > 0)
+      look_at(stages, service, before, now);
+  }
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** One change
+** ===================================================================
+*/
+
+static Endpoint *endpoint_of(const Stages *stages, const Move *move) {
+  return endpoint_table_get(stages->router->endpoints, move->endpoint);
+}
+
+/* give the change up; the engine may be sent work again */
+static void give_up(Stages *stages, Move *move, gint64 now) {
+  Endpoint *endpoint = endpoint_of(stages, move);
+  if (endpoint != NULL) {
+    endpoint->changing_until = 0;
+    endpoint->order_after = now + REFUSED_REST;
+  }
+  stages->router->load_version++;
+  g_ptr_array_remove(stages->moves, move);
+}
+
+static void send(Stages *stages, Move *move, Endpoint *endpoint,
+                 const StageOrder *order) {
+  Dispatch dispatch = {0};
+  move->dispatch = ++stages->router->last_dispatch;
+  dispatch.number = move->dispatch;
+  dispatch.kind = order != NULL ? DISPATCH_ORDER : DISPATCH_REPORT;
+  dispatch.address = endpoint->record.address;
+  dispatch.endpoint = endpoint->record.id;
+  dispatch.connect_timeout = ORDER_CONNECT;
+  dispatch.order = order;
+  stages->router->host.dispatch(stages->router->host.data, &dispatch);
+}
+
+static void ask(Stages *stages, Move *move, gint64 now) {
+  Endpoint *endpoint = endpoint_of(stages, move);
+  if (endpoint == NULL || !endpoint->record.ready) {
+    give_up(stages, move, now);
+    return;
+  }
+  move->step = MOVE_ASKED;
+  send(stages, move, endpoint, NULL);
+}
+
+static void log_order(const Stages *stages, const Move *move,
+                      mp_EventNo number, const char *outcome, int status) {
+  router_log(stages->router, number,
+             " endpoint=%s to=%s outcome=%s status=%d fence=%" G_GINT64_FORMAT,
+             move->endpoint, stage_name(move->to), outcome, status,
+             stages->lease.revision);
+}
+
+/* the engine has told its state */
+static void asked(Stages *stages, Move *move, const EngineReport *report,
+                  gint64 now) {
+  Endpoint *endpoint = endpoint_of(stages, move);
+  StageOrder order = {move->to, stages->holder, stages->lease.revision, 0};
+  if (endpoint == NULL || report == NULL || report->busy ||
+      report->stage == move->to ||
+      !lease_held(&stages->lease, ORDER_MARGIN, now)) {
+    log_order(stages, move, MP_LOG_ORDER_FAIL, "not_sent", 0);
+    give_up(stages, move, now);
+    return;
+  }
+  order.sequence = report->sequence;
+  move->step = MOVE_ORDERED;
+  router_count(stages->router, ORDERS);
+  log_order(stages, move, MP_LOG_ORDER_SENT, "-", 0);
+  send(stages, move, endpoint, &order);
+}
+
+/* a newer holder is at work: what is not sent yet is never sent */
+static void stop_all(Stages *stages, gint64 now) {
+  lease_lose(&stages->lease, now);
+  while (stages->moves->len > 0)
+    give_up(stages, stages->moves->pdata[0], now);
+}
+
+/* an order without an answer may have been taken, now or later */
+static void ordered(Stages *stages, Move *move, const Outcome *outcome,
+                    gint64 now) {
+  gboolean taken = outcome->kind == OUTCOME_ANSWER &&
+                   (outcome->status == 200 || outcome->status == 202);
+  log_order(stages, move, taken ? MP_LOG_ORDER_DONE : MP_LOG_ORDER_FAIL,
+            outcome_name(outcome->kind), outcome->status);
+  if (outcome->kind == OUTCOME_ANSWER && outcome->status == 412)
+    stop_all(stages, now);
+  else if (taken || outcome->kind == OUTCOME_BROKEN)
+    g_ptr_array_remove(stages->moves, move);
+  else
+    give_up(stages, move, now);
+}
+
+gboolean stages_outcome(Stages *stages, const Outcome *outcome, gint64 now) {
+  guint i;
+  for (i = 0; i < stages->moves->len; i++) {
+    Move *move = stages->moves->pdata[i];
+    if (move->dispatch != outcome->dispatch || move->step == MOVE_NAMED)
+      continue;
+    if (move->step == MOVE_ASKED)
+      asked(stages, move,
+            outcome->kind == OUTCOME_ANSWER ? outcome->report : NULL, now);
+    else
+      ordered(stages, move, outcome, now);
+    return TRUE;
+  }
+  return FALSE;
+}
+
+/* }================================================================== */
+
+void stages_lease_reply(Stages *stages, const LeaseReply *reply, gint64 now) {
+  lease_reply(&stages->lease, reply, now);
+  if (lease_held(&stages->lease, 0, now))
+    router_log(stages->router, MP_LOG_LEASE_HELD, " fence=%" G_GINT64_FORMAT,
+               stages->lease.revision);
+  stages->next_look = now;
+}
+
+/* the first that is due; asking may remove it */
+static Move *due_move(const Stages *stages, gint64 now) {
+  guint i;
+  for (i = 0; i < stages->moves->len; i++) {
+    Move *move = stages->moves->pdata[i];
+    if (move->step == MOVE_NAMED && move->due <= now)
+      return move;
+  }
+  return NULL;
+}
+
+void stages_tick(Stages *stages, gint64 now) {
+  Move *move;
+  while ((move = due_move(stages, now)) != NULL)
+    ask(stages, move, now);
+  if (now < stages->next_look)
+    return;
+  stages->next_look = now + LOOK;
+  look_at_all(stages, now);
+}
+
+gint64 stages_next_tick(const Stages *stages) {
+  gint64 next = stages->next_look;
+  guint i;
+  for (i = 0; i < stages->moves->len; i++) {
+    const Move *move = stages->moves->pdata[i];
+    if (move->step == MOVE_NAMED)
+      next = MIN(next, move->due);
+  }
+  return next;
+}
+
+guint stages_changing(const Stages *stages, guint32 *hashes, guint most,
+                      gint64 now) {
+  const GPtrArray *all = stages->router->endpoints->all;
+  guint count = 0;
+  guint i;
+  for (i = 0; i < all->len && count < most; i++) {
+    const Endpoint *endpoint = all->pdata[i];
+    if (endpoint->changing_until > now)
+      hashes[count++] = endpoint->hash;
+  }
+  return count;
+}
--- a/router/state.h
+++ b/router/state.h
@@ -13,6 +13,7 @@
 #include "router/endpoint_table.h"
 #include "router/retry_budget.h"
 #include "router/router.h"
+#include "router/stages.h"
 
 /* X(symbol, name); all of them count from the start of the instance */
 #define ROUTER_COUNTERS(X)                \
@@ -28,7 +29,8 @@
   X(RESUMED, "streams_resumed")           \
   X(UNREACHABLE, "endpoints_unreachable") \
   X(NOT_RUN, "dispatches_not_run")        \
-  X(BROKEN, "dispatches_broken")
+  X(BROKEN, "dispatches_broken")          \
+  X(ORDERS, "orders")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -104,6 +106,7 @@
   guint64 last_dispatch;
   unsigned instances;   /* that share the traffic */
   gboolean stopping;    /* no request is taken any more */
+  Stages *stages;       /* orders to engines */
   GPtrArray *waiting;   /* Request in PHASE_WAIT, first one first */
   gint64 last_end;      /* when the last run at an engine ended */
   double end_interval;  /* mean time between such ends */
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -21,6 +21,11 @@
   sent.last_event =
       dispatch->last_event != nullptr ? dispatch->last_event : "";
   sent.stream = dispatch->stream;
+  if (dispatch->order != nullptr) {
+    sent.order_stage = dispatch->order->stage;
+    sent.fence = dispatch->order->fence;
+    sent.sequence = dispatch->order->sequence;
+  }
   world->dispatches.push_back(sent);
 }
 
@@ -68,15 +73,31 @@
   world->log.push_back(std::to_string(static_cast<int>(number)) + fields);
 }
 
-World::World(guint32 slack, double ratio) {
+void World::on_lease_call(void *data, const StoreCall *call) {
+  auto *world = static_cast<World *>(data);
+  LeaseAsked asked;
+  asked.operation = call->operation;
+  asked.revision = call->revision;
+  if (call->lease != nullptr) {
+    asked.holder = call->lease->holder;
+    asked.term = call->lease->term;
+  }
+  world->lease_calls.push_back(asked);
+}
+
+World::World(guint32 slack, double ratio, gint64 lease_length,
+             const char *self) {
   RouterHost host = {this,      on_dispatch,  on_cancel, on_answer,
-                     on_refuse, on_break_off, on_log};
+                     on_refuse, on_break_off, on_log,    on_lease_call};
   RouterOptions options = {};
   options.zone = "a";
   options.seed = 7;
   options.retry_ratio = ratio;
   options.retry_slack = slack;
   options.retry_window = 10 * second;
+  options.instance = "me";
+  options.self = mp_addr_parse(self);
+  options.lease_length = lease_length;
   router = router_new(&options, &host, now);
   router_set_instances(router, 1);
 }
@@ -112,6 +133,7 @@
   llm->kv_tokens = 10000;
   llm->event_tokens = 10;
   llm->handle_life = 500 * ms;
+  llm->switch_time = 6 * second;
   table->version = version;
   add_route(table, "/safe/", ROUTE_SAFE, false, 2, "app", timeout);
   add_route(table, "/unsafe/", ROUTE_UNSAFE, false, 1, "app", timeout);
@@ -202,6 +224,27 @@
   router_outcome(router, &outcome, now);
 }
 
+void World::reported(guint64 dispatch, EndpointStage stage, gint64 sequence,
+                     bool busy) {
+  EngineReport report = {stage, busy, sequence};
+  Outcome outcome = {};
+  outcome.dispatch = dispatch;
+  outcome.kind = OUTCOME_ANSWER;
+  outcome.status = 200;
+  outcome.report = &report;
+  router_outcome(router, &outcome, now);
+}
+
+void World::lease(StoreStatus status, gint64 revision, const char *holder,
+                  guint64 term) {
+  LeaseReply reply = {};
+  reply.status = status;
+  reply.revision = revision;
+  reply.record.holder = const_cast<char *>(holder);
+  reply.record.term = term;
+  router_lease_reply(router, &reply, now);
+}
+
 Sent &World::last() {
   return dispatches.back();
 }
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -30,6 +30,9 @@
   std::string handle;
   std::string last_event;
   bool stream = false;
+  EndpointStage order_stage = STAGE_NONE; /* ORDER */
+  gint64 fence = 0;
+  gint64 sequence = 0;
   bool cancelled = false;
   bool ended = false; /* its last outcome was told */
 };
@@ -58,10 +61,19 @@
   EndpointStage stage;
 };
 
+/* a call for the lease as it was asked for */
+struct LeaseAsked {
+  StoreOperation operation = STORE_READ;
+  gint64 revision = 0;
+  std::string holder;
+  guint64 term = 0;
+};
+
 class World {
 public:
-  /* by default the retry budget is no matter */
-  explicit World(guint32 slack = 0, double ratio = 10.0);
+  /* by default the retry budget is no matter, and no orders are given */
+  explicit World(guint32 slack = 0, double ratio = 10.0,
+                 gint64 lease_length = 0, const char *self = "10.0.0.5:1");
   ~World();
   World(const World &) = delete;
   World &operator=(const World &) = delete;
@@ -84,6 +96,11 @@
   void outcome(guint64 dispatch, OutcomeKind kind, int status = 200);
   void prefilled(guint64 dispatch, const char *handle = "h1");
   void piece(guint64 dispatch, const char *event);
+  void reported(guint64 dispatch, EndpointStage stage, gint64 sequence,
+                bool busy = false);
+  /* the store's answer to the last call for the lease */
+  void lease(StoreStatus status, gint64 revision, const char *holder,
+             guint64 term = 1);
 
   Sent &last();
   const Sent &sent(guint64 dispatch) const;
@@ -96,6 +113,7 @@
   std::vector<Sent> dispatches;
   std::map<guint64, Ended> ended;
   std::vector<std::string> log;
+  std::vector<LeaseAsked> lease_calls;
 
 private:
   static void on_dispatch(void *data, const Dispatch *dispatch);
@@ -104,6 +122,7 @@
   static void on_refuse(void *data, guint64 request, const Refusal *refusal);
   static void on_break_off(void *data, guint64 request);
   static void on_log(void *data, mp_EventNo number, const char *fields);
+  static void on_lease_call(void *data, const StoreCall *call);
   guint64 last_number = 0;
 };
 
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -96,7 +96,9 @@
   dispatch.handle = "3fa0";
   dispatch.handle_address = mp_addr_parse("10.1.64.9:8080");
   dispatch.last_event = "12";
-  HttpHead *head = platform_write_dispatch(&dispatch, from);
+  char *body = nullptr;
+  HttpHead *head = platform_write_dispatch(&dispatch, from, &body);
+  EXPECT_EQ(body, nullptr); /* the caller's own goes on */
   EXPECT_STREQ(head->method, "POST");
   EXPECT_STREQ(head->target, "/a/b/c?x=1");
   EXPECT_STREQ(http_head_get(head, "Deadline-Ms"), "900");
@@ -113,6 +115,46 @@
   http_head_free(from);
 }
 
+TEST(PlatformDispatch, OrdersNameHolderFenceAndSequence) {
+  StageOrder order = {STAGE_DECODE, "edge-1", 41, 3};
+  Dispatch dispatch = {};
+  char *body = nullptr;
+  dispatch.kind = DISPATCH_ORDER;
+  dispatch.endpoint = "i-7f";
+  dispatch.order = &order;
+  HttpHead *head = platform_write_dispatch(&dispatch, nullptr, &body);
+  EXPECT_STREQ(head->method, "POST");
+  EXPECT_STREQ(head->target, "/order");
+  EXPECT_STREQ(http_head_get(head, "Expect-Instance"), "i-7f");
+  EXPECT_STREQ(body, R"({"Op":"Stage","Stage":"decode","Holder":"edge-1",)"
+                     R"("Fence":41,"ExpectRev":3})");
+  http_head_free(head);
+  g_free(body);
+  dispatch.kind = DISPATCH_REPORT;
+  head = platform_write_dispatch(&dispatch, nullptr, &body);
+  EXPECT_STREQ(head->method, "GET");
+  EXPECT_STREQ(head->target, "/report");
+  EXPECT_EQ(body, nullptr);
+  http_head_free(head);
+}
+
+TEST(PlatformEndpoint, ReportsAreRead) {
+  std::string good = R"({"Stage":"prefill","Busy":true,"Seq":2,"Queued":1})";
+  EngineReport report;
+  ASSERT_TRUE(
+      platform_read_report(good.data(), good.size(), &report, nullptr));
+  EXPECT_EQ(report.stage, STAGE_PREFILL);
+  EXPECT_TRUE(report.busy);
+  EXPECT_EQ(report.sequence, 2);
+  for (std::string bad : {R"({"Stage":"prefill"})", R"({"Seq":2})", "[", ""}) {
+    GError *error = nullptr;
+    EXPECT_FALSE(
+        platform_read_report(bad.data(), bad.size(), &report, &error));
+    EXPECT_NE(error, nullptr);
+    g_clear_error(&error);
+  }
+}
+
 TEST(PlatformEndpoint, HeadIsRead) {
   HttpHead *head = http_head_answer(503);
   EndpointHead read;
@@ -276,6 +318,49 @@
   g_free(body);
 }
 
+TEST(PlatformStore, LeasesAreReadAndReplacedOnTheirRevision) {
+  LeaseRecord record = {const_cast<char *>("edge-1"), 5};
+  LeaseRecord read = {};
+  StoreCall call = {};
+  StoreReply out;
+  char *body = nullptr;
+  std::string object =
+      R"({"Metadata":{"Name":"l","Rev":412},"Spec":{"Holder":"e","Term":4}})";
+  call.kind = STORE_LEASES;
+  call.operation = STORE_REPLACE;
+  call.name = "l";
+  call.revision = 412;
+  call.lease = &record;
+  HttpHead *head = platform_write_store_call(&call, &body);
+  EXPECT_STREQ(head->method, "PUT");
+  EXPECT_STREQ(head->target, "/objects/madderpier-leases/l");
+  EXPECT_STREQ(body, R"({"Metadata":{"Name":"l","Rev":412},)"
+                     R"("Spec":{"Holder":"edge-1","Term":5}})");
+  http_head_free(head);
+  g_free(body);
+  for (int status : {200, 409}) {
+    ASSERT_TRUE(platform_read_store_reply(&call, status, object.data(),
+                                          object.size(), &out, nullptr));
+    EXPECT_EQ(out.status, status == 200 ? STORE_OK : STORE_EXISTS);
+    ASSERT_EQ(out.objects->len, 1u);
+    const StoreObject *one = &g_array_index(out.objects, StoreObject, 0);
+    EXPECT_EQ(one->revision, 412);
+    ASSERT_TRUE(platform_read_lease(one->text, &read, nullptr));
+    EXPECT_STREQ(read.holder, "e");
+    EXPECT_EQ(read.term, 4u);
+    lease_record_clear(&read);
+    store_reply_clear(&out);
+  }
+  call.operation = STORE_READ;
+  head = platform_write_store_call(&call, &body);
+  EXPECT_STREQ(head->method, "GET");
+  EXPECT_EQ(body, nullptr);
+  http_head_free(head);
+  platform_read_store_reply(&call, 404, "{}", 2, &out, nullptr);
+  EXPECT_EQ(out.status, STORE_ABSENT);
+  EXPECT_FALSE(platform_read_lease("{}", &read, nullptr));
+}
+
 /* mutated documents are read or refused; nothing is lost or overrun */
 TEST(PlatformFuzz, SurvivesMutatedDocuments) {
   std::mt19937 random(20261202);
@@ -302,6 +387,11 @@
     if (platform_read_record("i", answer.c_str(), &record, nullptr))
       endpoint_record_clear(&record);
     PrefillAnswer prefill = {};
+    EngineReport report;
+    platform_read_report(answer.data(), answer.size(), &report, nullptr);
+    LeaseRecord lease;
+    platform_read_lease(answer.c_str(), &lease, nullptr);
+    lease_record_clear(&lease);
     if (platform_read_prefill(answer.data(), answer.size(), &prefill, nullptr))
       g_free(prefill.handle);
   }
--- /dev/null
+++ b/test/test_stages.cc
@@ -0,0 +1,249 @@
+/*
+** test_stages.cc
+** Orders to engines to change their stage: when, which, by whom
+*/
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "router_world.h"
+
+extern "C" {
+#include "router/stage_plan.h"
+}
+
+using namespace routing;
+
+namespace {
+
+/*
+** The plan
+*/
+
+StageUse use(guint prefill, guint decode, double busy, double full) {
+  StageUse one = {prefill, decode, 1, busy, full, FALSE};
+  return one;
+}
+
+TEST(StagePlan, IdlePrefillEnginesGoToAFullDecodeStage) {
+  StageUse one = use(21, 39, 5.25, 28.0);
+  int moved = stage_plan(&one);
+  EXPECT_GE(moved, 7);
+  EXPECT_LE(moved, 11);
+}
+
+TEST(StagePlan, TheMixDecidesNotTheAmountOfTraffic) {
+  StageUse calm = use(21, 39, 5.25, 28.0);
+  StageUse busy = use(21, 39, 7.0, 28.0 * 7.0 / 5.25);
+  EXPECT_EQ(stage_plan(&calm), stage_plan(&busy));
+}
+
+TEST(StagePlan, NothingMovesWithoutNeed) {
+  StageUse idle = use(21, 39, 0.5, 2.0);
+  StageUse balanced = use(4, 8, 2.5, 7.0);
+  StageUse empty = use(21, 39, 0, 0);
+  EXPECT_EQ(stage_plan(&idle), 0);
+  EXPECT_EQ(stage_plan(&balanced), 0);
+  EXPECT_EQ(stage_plan(&empty), 0);
+}
+
+TEST(StagePlan, EachZoneKeepsAPrefillEngineAndOneEngineDecodes) {
+  StageUse one = use(6, 6, 0.1, 6.0);
+  one.zones = 3;
+  EXPECT_EQ(stage_plan(&one), 3);
+  StageUse few = use(1, 1, 1.0, 1.0);
+  EXPECT_EQ(stage_plan(&few), 0);
+}
+
+TEST(StagePlan, EnginesComeBackWhenPromptsQueue) {
+  StageUse one = use(4, 16, 4.0, 3.0);
+  EXPECT_LE(stage_plan(&one), -2);
+  one.prefill_busy = 3.0; /* they keep pace */
+  EXPECT_GE(stage_plan(&one), 0);
+}
+
+/*
+** The orders
+*/
+
+constexpr gint64 lease_length = 3 * second;
+
+struct Ordered : ::testing::Test {
+  World world{0, 10.0, lease_length};
+
+  void SetUp() override {
+    world.configure();
+    for (const char *id : {"pre-1", "pre-2", "pre-3", "pre-4"})
+      world.endpoint({id, "llm", "a", STAGE_PREFILL});
+    for (const char *id : {"dec-1", "dec-2"})
+      world.endpoint({id, "llm", "a", STAGE_DECODE});
+  }
+
+  /* both decode engines full, one prefill now and then */
+  void load() {
+    for (int i = 0; i < 2; i++) {
+      world.request("/stream/x", 100000, 6000);
+      world.prefilled(world.last().number);
+      world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+    }
+  }
+  /* prompts that are read for 30 ms of every 140 */
+  void traffic(gint64 span) {
+    for (gint64 end = world.now + span; world.now < end;) {
+      guint64 request = world.request("/stream/x", 100000, 500);
+      guint64 prefill = world.last().number;
+      world.advance(30 * ms);
+      if (world.last().number == prefill)
+        world.prefilled(prefill);
+      world.hangup(request);
+      world.advance(110 * ms);
+    }
+  }
+  std::vector<Sent> sent(DispatchKind kind) const {
+    std::vector<Sent> found;
+    for (const auto &one : world.dispatches) {
+      if (one.kind == kind)
+        found.push_back(one);
+    }
+    return found;
+  }
+  /* loaded until the lease is asked for, and granted */
+  void hold() {
+    load();
+    traffic(5 * second);
+    ASSERT_EQ(world.lease_calls.size(), 1u);
+    EXPECT_EQ(world.lease_calls[0].operation, STORE_READ);
+    world.lease(STORE_ABSENT, 0, nullptr);
+    world.advance(300 * ms);
+    ASSERT_EQ(world.lease_calls.size(), 2u);
+    EXPECT_EQ(world.lease_calls[1].operation, STORE_CREATE);
+    world.lease(STORE_OK, 70, "me");
+  }
+  /* and the engines that were chosen are asked for their state */
+  std::vector<Sent> asked() {
+    hold();
+    world.advance(500 * ms);
+    return sent(DISPATCH_REPORT);
+  }
+};
+
+TEST_F(Ordered, NothingIsSentWithoutTheLease) {
+  load();
+  traffic(8 * second);
+  EXPECT_TRUE(sent(DISPATCH_REPORT).empty());
+  EXPECT_TRUE(sent(DISPATCH_ORDER).empty());
+}
+
+TEST_F(Ordered, AnOrderNamesFenceAndSequence) {
+  auto reports = asked();
+  ASSERT_FALSE(reports.empty());
+  world.reported(reports[0].number, STAGE_PREFILL, 4);
+  auto orders = sent(DISPATCH_ORDER);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].endpoint, reports[0].endpoint);
+  EXPECT_EQ(orders[0].order_stage, STAGE_DECODE);
+  EXPECT_EQ(orders[0].fence, 70);
+  EXPECT_EQ(orders[0].sequence, 4);
+}
+
+TEST_F(Ordered, AChosenEngineGetsNoWorkHereNorFromTheOthers) {
+  hold();
+  world.advance(50 * ms);
+  EXPECT_TRUE(sent(DISPATCH_REPORT).empty()); /* named before it is asked */
+  mp_LoadDigest digest;
+  router_load_digest(world.router, &digest, world.now);
+  ASSERT_GT(digest.changing_count, 0u);
+  World other;
+  other.configure();
+  for (const char *id : {"pre-1", "pre-2", "pre-3", "pre-4"})
+    other.endpoint({id, "llm", "a", STAGE_PREFILL});
+  other.endpoint({"dec-1", "llm", "a", STAGE_DECODE});
+  router_peer_load(other.router, mp_addr_parse("10.0.0.5:1"), 1, &digest,
+                   other.now);
+  world.advance(500 * ms);
+  std::set<std::string> chosen;
+  for (const auto &one : sent(DISPATCH_REPORT))
+    chosen.insert(one.endpoint);
+  ASSERT_EQ(chosen.size(), digest.changing_count);
+  for (int i = 0; i < 8; i++) {
+    guint64 request = other.request("/stream/x", 10000, 500);
+    EXPECT_EQ(other.last().kind, DISPATCH_PREFILL);
+    EXPECT_EQ(chosen.count(other.last().endpoint), 0u);
+    other.hangup(request);
+  }
+}
+
+TEST_F(Ordered, ABusyEngineOrOneThatHasChangedIsLeftAlone) {
+  auto reports = asked();
+  ASSERT_GE(reports.size(), 2u);
+  world.reported(reports[0].number, STAGE_PREFILL, 0, true);
+  world.reported(reports[1].number, STAGE_DECODE, 0);
+  EXPECT_TRUE(sent(DISPATCH_ORDER).empty());
+}
+
+TEST_F(Ordered, NothingIsOrderedOnceTheLeaseMayLapse) {
+  auto reports = asked();
+  ASSERT_FALSE(reports.empty());
+  world.now += lease_length; /* this process stood still */
+  world.reported(reports[0].number, STAGE_PREFILL, 0);
+  EXPECT_TRUE(sent(DISPATCH_ORDER).empty());
+}
+
+TEST_F(Ordered, ANewerFenceStopsAllOrders) {
+  auto reports = asked();
+  ASSERT_GE(reports.size(), 2u);
+  world.reported(reports[0].number, STAGE_PREFILL, 0);
+  world.outcome(sent(DISPATCH_ORDER)[0].number, OUTCOME_ANSWER, 412);
+  world.reported(reports[1].number, STAGE_PREFILL, 0);
+  traffic(4 * second);
+  EXPECT_EQ(sent(DISPATCH_ORDER).size(), 1u);
+}
+
+TEST_F(Ordered, AnEngineThatChangedIsNotOrderedAgain) {
+  auto reports = asked();
+  for (const auto &report : reports) {
+    world.reported(report.number, STAGE_PREFILL, 0);
+    world.outcome(sent(DISPATCH_ORDER).back().number, OUTCOME_ANSWER, 202);
+    world.endpoint({report.endpoint.c_str(), "llm", "a", STAGE_DECODE});
+  }
+  size_t orders = sent(DISPATCH_ORDER).size();
+  traffic(4 * second);
+  EXPECT_EQ(sent(DISPATCH_ORDER).size(), orders);
+  mp_LoadDigest digest;
+  router_load_digest(world.router, &digest, world.now);
+  EXPECT_EQ(digest.changing_count, 0u);
+}
+
+TEST_F(Ordered, AnOrderWithoutAnswerIsNotSentAgainAtOnce) {
+  auto reports = asked();
+  ASSERT_FALSE(reports.empty());
+  world.reported(reports[0].number, STAGE_PREFILL, 0);
+  world.outcome(sent(DISPATCH_ORDER)[0].number, OUTCOME_BROKEN);
+  traffic(6 * second);
+  for (const auto &one : sent(DISPATCH_REPORT)) {
+    if (one.number != reports[0].number) {
+      EXPECT_NE(one.endpoint, reports[0].endpoint);
+    }
+  }
+}
+
+TEST_F(Ordered, WhoComesAfterLiveOnesWaitsLonger) {
+  mp_LoadDigest idle = {};
+  load();
+  for (guint32 i = 1; i <= 8; i++) { /* 4 s */
+    router_peer_load(world.router, mp_addr_parse("10.0.0.1:1"), i, &idle,
+                     world.now);
+    traffic(500 * ms);
+  }
+  EXPECT_TRUE(world.lease_calls.empty());
+  for (guint32 i = 9; i <= 20; i++) { /* the first one does nothing */
+    router_peer_load(world.router, mp_addr_parse("10.0.0.1:1"), i, &idle,
+                     world.now);
+    traffic(500 * ms);
+  }
+  EXPECT_FALSE(world.lease_calls.empty());
+}
+
+} // namespace
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -83,6 +83,8 @@
     m.u.digest.row[MP_DIGEST_ROWS - 1].tokens = 99;
     m.u.digest.row[MP_DIGEST_ROWS - 1].open = 3;
     m.u.digest.row[MP_DIGEST_ROWS - 1].failing = 40;
+    m.u.digest.changing_count = MP_DIGEST_CHANGING;
+    m.u.digest.changing[MP_DIGEST_CHANGING - 1] = 7;
     break;
   default:
     m.u.reserve.token.owner = 0x7f0000011b58;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -171,6 +171,12 @@
         !u32(x, &row->open) || !u32(x, &row->failing))
       return FALSE;
   }
+  if (!count(x, &d->changing_count, MP_DIGEST_CHANGING))
+    return FALSE;
+  for (i = 0; i < d->changing_count; i++) {
+    if (!u32(x, &d->changing[i]))
+      return FALSE;
+  }
   return TRUE;
 }
 
