Another prefill engine before a decode engine reads; reach is told

The change: up to three prefill engines (a prompt that may have been read: only within the retry budget); an endpoint out of reach stands at 100% in digests. Tests: Routed.APromptGoesToAnother..., APromptThatMayHaveBeenRead..., AnEndpointOutOfReachIsToldToTheOthers: failed before.

--- a/router/prefill.c
+++ b/router/prefill.c
@@ -20,6 +20,8 @@
 /* one may take so many times as long as usual, and this on top */
 #define PREFILL_PATIENCE 4
 #define PREFILL_GRACE (300 * MP_MS)
+/* prefill engines that one request tries */
+#define MOST_PREFILLS 3
 /* a handle with less time left than this is not worth the fetch */
 #define HANDLE_MARGIN (60 * MP_MS)
 
@@ -63,16 +65,18 @@
       endpoint_table_get(router->endpoints, request->decode);
   Endpoint *prefill;
   gint64 expected;
-  if (!endpoint_table_has(router->endpoints, request->service->name,
+  if (request->prefills_sent >= MOST_PREFILLS ||
+      !endpoint_table_has(router->endpoints, request->service->name,
                           STAGE_PREFILL, now))
     return FALSE;
   wish.tokens = request->prompt_tokens;
-  wish.zone = decode->record.zone;
+  wish.zone = decode != NULL ? decode->record.zone : NULL;
   wish.affinity = request->session;
   prefill = endpoint_table_choose(router->endpoints, &wish, now);
   if (prefill == NULL)
     return FALSE;
   router_count(router, PREFILLS);
+  request->prefills_sent++;
   expected = expected_time(router, request);
   request->phase = PHASE_PREFILL;
   request->stall_at = now + PREFILL_PATIENCE * expected + PREFILL_GRACE;
@@ -92,35 +96,73 @@
   request->handle_until = now + life - HANDLE_MARGIN;
 }
 
+/*
+** Another prefill engine, where the retry budget allows it: a prompt that
+** may have been read is an extra arrival the second time. Else a decode
+** engine reads it, which costs no retry but the time of its streams.
+*/
+static void read_elsewhere(Router *router, Request *request,
+                           gboolean may_have_run, gint64 now) {
+  RetryBudget *budget = router_budget(router, request->service->name);
+  gboolean allowed =
+      !may_have_run || retry_budget_take(budget, &router->retry, now);
+  if (!allowed || !prefill_begin(router, request, now))
+    path_run(router, request, now);
+}
+
+/* judge the engine by how the prefill ended */
+static void judge_engine(Router *router, Request *request,
+                         const Outcome *outcome, gint64 now) {
+  Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->open.endpoint);
+  if (outcome->kind == OUTCOME_UNREACHABLE)
+    router_count(router, UNREACHABLE);
+  if (outcome->kind == OUTCOME_NOT_RUN)
+    retry_budget_spend(router_budget(router, request->service->name),
+                       &router->retry, now);
+  if (endpoint == NULL)
+    return;
+  if (outcome->kind == OUTCOME_UNREACHABLE || outcome->misdirected)
+    endpoint_unreachable(endpoint, now);
+  else
+    endpoint_failed(endpoint, now);
+}
+
+static void log_prefill(Router *router, const Request *request,
+                        const char *outcome, gint64 now) {
+  router_log(router, MP_LOG_ROUTE_PREFILL,
+             " request=%s endpoint=%s outcome=%s handle=%s after_ms=%d",
+             request->id, request->open.endpoint, outcome,
+             request->handle != NULL ? request->handle : "-",
+             (int)((now - request->open.sent) / MP_MS));
+}
+
 void prefill_outcome(Router *router, Request *request, const Outcome *outcome,
                      gint64 now) {
   Endpoint *endpoint =
       endpoint_table_get(router->endpoints, request->open.endpoint);
-  RetryBudget *budget = router_budget(router, request->service->name);
-  if (outcome->kind == OUTCOME_ANSWER && outcome->handle != NULL) {
+  gboolean is_read =
+      outcome->kind == OUTCOME_ANSWER && outcome->handle != NULL;
+  if (is_read) {
     request->prefills++;
     learn_pace(router, request, now);
     if (endpoint != NULL) {
       endpoint_succeeded(endpoint, now);
       take_handle(request, outcome, endpoint, now);
     }
-  } else if (outcome->kind == OUTCOME_UNREACHABLE) {
-    router_count(router, UNREACHABLE);
-    if (endpoint != NULL)
-      endpoint_unreachable(endpoint, now);
   } else {
-    if (outcome->kind == OUTCOME_NOT_RUN)
-      retry_budget_spend(budget, &router->retry, now);
-    if (endpoint != NULL)
-      endpoint_failed(endpoint, now);
+    judge_engine(router, request, outcome, now);
+    path_exclude(request, request->open.endpoint);
   }
-  router_log(router, MP_LOG_ROUTE_PREFILL,
-             " request=%s endpoint=%s outcome=%s handle=%s after_ms=%d",
-             request->id, request->open.endpoint, outcome_name(outcome->kind),
-             request->handle != NULL ? request->handle : "-",
-             (int)((now - request->open.sent) / MP_MS));
+  log_prefill(router, request, outcome_name(outcome->kind), now);
   path_close_dispatch(router, request, FALSE);
-  path_run(router, request, now);
+  if (is_read)
+    path_run(router, request, now);
+  else
+    read_elsewhere(router, request,
+                   outcome->kind != OUTCOME_UNREACHABLE &&
+                       outcome->kind != OUTCOME_NOT_RUN,
+                   now);
 }
 
 void prefill_stalled(Router *router, Request *request, gint64 now) {
@@ -128,12 +170,10 @@
       endpoint_table_get(router->endpoints, request->open.endpoint);
   if (endpoint != NULL)
     endpoint_failed(endpoint, now);
-  router_log(router, MP_LOG_ROUTE_PREFILL,
-             " request=%s endpoint=%s outcome=stalled after_ms=%d",
-             request->id, request->open.endpoint,
-             (int)((now - request->open.sent) / MP_MS));
+  log_prefill(router, request, "stalled", now);
+  path_exclude(request, request->open.endpoint);
   path_close_dispatch(router, request, TRUE);
-  path_run(router, request, now);
+  read_elsewhere(router, request, TRUE, now);
 }
 
 void prefill_drop_handle(Router *router, Request *request, gint64 now) {
--- a/router/router.c
+++ b/router/router.c
@@ -315,6 +315,13 @@
   return router->load_version;
 }
 
+/* in percent; one out of reach fails for certain */
+static guint share_failing(const Endpoint *endpoint, gint64 now) {
+  if (endpoint->avoid_until > now)
+    return 100;
+  return (guint)(100 * endpoint_failing(endpoint, now));
+}
+
 void router_load_digest(const Router *router, mp_LoadDigest *out, gint64 now) {
   const GPtrArray *all = router->endpoints->all;
   guint i;
@@ -324,7 +331,7 @@
   for (i = 0; i < all->len && out->n < MP_DIGEST_ROWS; i++) {
     const Endpoint *endpoint = all->pdata[i];
     mp_LoadRow *row = &out->row[out->n];
-    guint failing = (guint)(100 * endpoint_failing(endpoint, now));
+    guint failing = share_failing(endpoint, now);
     if (endpoint->open == 0 && endpoint->tokens == 0 && failing < 5)
       continue;
     row->endpoint = endpoint->hash;
--- a/router/state.h
+++ b/router/state.h
@@ -72,7 +72,8 @@
   gboolean repeatable;
   unsigned runs;     /* dispatches that have perhaps run */
   unsigned arrivals; /* runs that reached an endpoint, rejected too */
-  unsigned prefills; /* prefills that reached an endpoint */
+  unsigned prefills; /* prefills that were read to the end */
+  unsigned prefills_sent;
   unsigned unreachable;
   gboolean was_busy; /* some endpoint turned it away */
   gint64 turn_at;    /* waiting: start then, if there is still room; 0: none */
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "router_world.h"
 
@@ -262,6 +263,39 @@
   EXPECT_EQ(strict.last().handle, "");
 }
 
+TEST_F(Routed, APromptGoesToAnotherPrefillEngineBeforeADecodeEngineReadsIt) {
+  World strict(0, 0.0); /* neither costs a retry */
+  strict.populate();
+  strict.endpoint({"pre-2", "llm", "b", STAGE_PREFILL});
+  strict.endpoint({"pre-3", "llm", "b", STAGE_PREFILL});
+  guint64 request = strict.request("/stream/x");
+  std::set<std::string> met;
+  for (OutcomeKind kind : {OUTCOME_UNREACHABLE, OUTCOME_NOT_RUN}) {
+    ASSERT_EQ(strict.last().kind, DISPATCH_PREFILL);
+    met.insert(strict.last().endpoint);
+    strict.outcome(strict.last().number, kind, 503);
+  }
+  ASSERT_EQ(strict.last().kind, DISPATCH_PREFILL);
+  met.insert(strict.last().endpoint);
+  EXPECT_EQ(met.size(), 3u);
+  strict.prefilled(strict.last().number);
+  EXPECT_EQ(strict.last().kind, DISPATCH_RUN);
+  EXPECT_EQ(strict.last().handle, "h1");
+  EXPECT_EQ(strict.runs(request), 1u);
+}
+
+TEST_F(Routed, APromptThatMayHaveBeenReadIsReadAgainOnlyWithinTheBudget) {
+  World strict(0, 0.0);
+  for (World *one : {&world, &strict}) {
+    one->populate();
+    one->endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+    one->request("/stream/x");
+    one->outcome(one->last().number, OUTCOME_BROKEN);
+  }
+  EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+  EXPECT_EQ(strict.last().kind, DISPATCH_RUN);
+}
+
 TEST_F(Routed, APrefillThatHangsIsGivenUp) {
   guint64 request = world.request("/stream/x");
   world.advance(3 * second);
@@ -432,6 +466,22 @@
   }
 }
 
+TEST_F(Routed, AnEndpointOutOfReachIsToldToTheOthers) {
+  mp_LoadDigest digest;
+  World other;
+  other.populate();
+  world.request("/unsafe/x");
+  std::string dead = world.last().endpoint;
+  world.outcome(world.last().number, OUTCOME_UNREACHABLE);
+  router_load_digest(world.router, &digest, world.now);
+  router_peer_load(other.router, mp_addr_parse("10.0.0.9:1"), 1, &digest,
+                   other.now);
+  for (int i = 0; i < 4; i++) {
+    other.request("/unsafe/x");
+    EXPECT_NE(other.last().endpoint, dead);
+  }
+}
+
 TEST_F(Routed, AnOvertakenDigestChangesNothing) {
   mp_LoadDigest full;
   mp_LoadDigest empty = {};
