One retry budget over all instances

Ruled out: the bound itself (170 extras a window of 306 allowed). The change: totals of requests and extra arrivals travel with the digests; each instance spends of what remains over all, in each 0.3 s no more than an equal part (a fraction by lot); those not heard from keep their slack. Tests: Budget.WhatOthersDoNotSpend..., HoldsOverAllInstancesThatMeetTheSame..., OfSilentInstances..., ANewLifeOfAPeer...; the older ones stand unchanged.

--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -498,6 +498,13 @@
   uint32_t failing;  /* recent share of failures, in percent */
 } mp_LoadRow;
 
+/* requests for a service and their extra arrivals, since the start */
+typedef struct mp_RetryRow {
+  uint32_t service; /* hash of its name */
+  uint32_t requests;
+  uint32_t extras;
+} mp_RetryRow;
+
 /* all that the sender has open; replaces what it said before */
 typedef struct mp_LoadDigest {
   uint32_t waiting;   /* requests that wait for room */
@@ -507,6 +514,8 @@
   /* engines that were ordered to change their stage, by hash of their id */
   unsigned changing_count;
   uint32_t changing[MP_DIGEST_CHANGING];
+  unsigned retry_count;
+  mp_RetryRow retry[MP_DIGEST_SERVICES];
 } mp_LoadDigest;
 
 typedef struct mp_Msg {
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -48,8 +48,9 @@
 #define MP_GOSSIP_LOADS 8
 
 /* rows of a load digest, in one datagram */
-#define MP_DIGEST_ROWS 80
+#define MP_DIGEST_ROWS 70
 #define MP_DIGEST_CHANGING 12
+#define MP_DIGEST_SERVICES 6
 
 /* renewals carried by one datagram */
 #define MP_RENEW_BATCH 40
--- a/router/path.c
+++ b/router/path.c
@@ -11,6 +11,7 @@
 
 #include <string.h>
 
+#include "router/retry_exchange.h"
 #include "router/state.h"
 
 /* patience with endpoints that do not take a connection */
@@ -283,9 +284,8 @@
 
 void path_run_again(Router *router, Request *request, gboolean may_have_run,
                     gint64 now) {
-  RetryBudget *budget = router_budget(router, request->service->name);
   gboolean allowed = may_try_again(request, may_have_run, now);
-  if (allowed && !retry_budget_take(budget, &router->retry, now)) {
+  if (allowed && !retry_exchange_take(router, request->service->name, now)) {
     router_count(router, RETRIES_DENIED);
     allowed = FALSE;
   }
@@ -318,12 +318,11 @@
 */
 static gboolean leave_for_another(Router *router, Request *request,
                                   gboolean cancel, gint64 now) {
-  RetryBudget *budget = router_budget(router, request->service->name);
   if (request->runs + 1 >= request->route->attempts ||
       request->arrivals + 1 >= MOST_ARRIVALS ||
       !may_try_again(request, TRUE, now) ||
       !has_elsewhere(router, request, now) ||
-      !retry_budget_take(budget, &router->retry, now))
+      !retry_exchange_take(router, request->service->name, now))
     return FALSE;
   request->arrivals++;
   request->runs++;
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -101,21 +101,37 @@
   return behind < REORDER_WINDOW;
 }
 
-void peer_loads_take(PeerLoads *loads, mp_Addr address, guint32 sequence,
-                     const mp_LoadDigest *digest, gint64 now) {
+gboolean peer_loads_take(PeerLoads *loads, mp_Addr address, guint32 sequence,
+                         const mp_LoadDigest *digest, gint64 now) {
   Peer *peer = g_hash_table_lookup(loads->peers, &address);
   if (peer == NULL) {
     peer = g_new0(Peer, 1);
     peer->address = address;
     g_hash_table_insert(loads->peers, &peer->address, peer);
   } else if (is_late(peer, sequence))
-    return;
+    return FALSE;
   subtract_all(loads, peer);
   peer->sequence = sequence;
   peer->heard = now;
   peer->digest = *digest;
   peer->oldest = now - digest->oldest_ms * MP_MS;
   add_all(loads, peer);
+  return TRUE;
+}
+
+const mp_LoadDigest *peer_loads_last(const PeerLoads *loads, mp_Addr address) {
+  const Peer *peer = g_hash_table_lookup(loads->peers, &address);
+  return peer != NULL ? &peer->digest : NULL;
+}
+
+guint peer_loads_heard(const PeerLoads *loads, gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value))
+    count += now - ((const Peer *)value)->heard < PEER_SILENCE;
+  return count;
 }
 
 gboolean peer_loads_expire(PeerLoads *loads, gint64 now) {
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -20,9 +20,14 @@
 PeerLoads *peer_loads_new(void);
 void peer_loads_free(PeerLoads *loads);
 
-/* 'sequence' grows with every digest of one life of the peer */
-void peer_loads_take(PeerLoads *loads, mp_Addr peer, guint32 sequence,
-                     const mp_LoadDigest *digest, gint64 now);
+/* 'sequence' grows with every digest of one life of the peer; FALSE when
+** the digest was overtaken by a newer one */
+gboolean peer_loads_take(PeerLoads *loads, mp_Addr peer, guint32 sequence,
+                         const mp_LoadDigest *digest, gint64 now);
+/* what a peer said last, silent or not; NULL: it was never heard */
+const mp_LoadDigest *peer_loads_last(const PeerLoads *loads, mp_Addr peer);
+/* peers heard from lately */
+guint peer_loads_heard(const PeerLoads *loads, gint64 now);
 /* forget the peers that are silent; FALSE when there were none */
 gboolean peer_loads_expire(PeerLoads *loads, gint64 now);
 
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -11,6 +11,7 @@
 
 #include <string.h>
 
+#include "router/retry_exchange.h"
 #include "router/state.h"
 
 /* pace of reading prompts until some were read, in tokens a millisecond */
@@ -103,9 +104,8 @@
 */
 static void read_elsewhere(Router *router, Request *request,
                            gboolean may_have_run, gint64 now) {
-  RetryBudget *budget = router_budget(router, request->service->name);
-  gboolean allowed =
-      !may_have_run || retry_budget_take(budget, &router->retry, now);
+  gboolean allowed = !may_have_run ||
+                     retry_exchange_take(router, request->service->name, now);
   if (!allowed || !prefill_begin(router, request, now))
     path_run(router, request, now);
 }
--- /dev/null
+++ b/router/retry_exchange.c
@@ -0,0 +1,90 @@
+/*
+** retry_exchange.c
+** What instances tell each other about their retry budgets
+*/
+
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "router/retry_exchange.h"
+
+static guint32 name_hash(const char *service) {
+  return (guint32)XXH3_64bits(service, strlen(service));
+}
+
+void retry_exchange_write(const Router *router, mp_LoadDigest *out) {
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer value;
+  out->retry_count = 0;
+  g_hash_table_iter_init(&iterator, router->services);
+  while (out->retry_count < MP_DIGEST_SERVICES &&
+         g_hash_table_iter_next(&iterator, &name, &value)) {
+    const ServiceState *state = value;
+    mp_RetryRow *row = &out->retry[out->retry_count++];
+    row->service = name_hash(name);
+    row->requests = state->budget.total.requests;
+    row->extras = state->budget.total.extras;
+  }
+}
+
+static const mp_RetryRow *find_row(const mp_LoadDigest *digest,
+                                   guint32 service) {
+  unsigned i;
+  for (i = 0; digest != NULL && i < digest->retry_count; i++) {
+    if (digest->retry[i].service == service)
+      return &digest->retry[i];
+  }
+  return NULL;
+}
+
+static guint32 grown(guint32 before, guint32 after) {
+  return after >= before ? after - before : after;
+}
+
+static ServiceState *state_of(const Router *router, guint32 service) {
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, router->services);
+  while (g_hash_table_iter_next(&iterator, &name, &value)) {
+    if (name_hash(name) == service)
+      return value;
+  }
+  return NULL;
+}
+
+/* what a young instance hears first was spent before its life */
+static gboolean is_old_news(const Router *router, const mp_LoadDigest *before,
+                            gint64 now) {
+  return before == NULL && now - router->retry.born < router->retry.window;
+}
+
+void retry_exchange_hear(Router *router, const mp_LoadDigest *before,
+                         const mp_LoadDigest *after, gint64 now) {
+  unsigned i;
+  if (is_old_news(router, before, now))
+    return;
+  for (i = 0; i < after->retry_count; i++) {
+    const mp_RetryRow *row = &after->retry[i];
+    const mp_RetryRow *old = find_row(before, row->service);
+    ServiceState *state = state_of(router, row->service);
+    RetryCounts more;
+    if (state == NULL)
+      continue;
+    more.requests = grown(old != NULL ? old->requests : 0, row->requests);
+    more.extras = grown(old != NULL ? old->extras : 0, row->extras);
+    retry_budget_hear(&state->budget, &router->retry, &more, now);
+  }
+}
+
+gboolean retry_exchange_take(Router *router, const char *service, gint64 now) {
+  RetrySharers sharers;
+  sharers.instances = router->instances;
+  sharers.heard = 1 + peer_loads_heard(router->endpoints->peers, now);
+  sharers.draw = g_rand_double(router->random);
+  return retry_budget_take(router_budget(router, service), &router->retry,
+                           &sharers, now);
+}
--- /dev/null
+++ b/router/retry_exchange.h
@@ -0,0 +1,22 @@
+/*
+** retry_exchange.h
+** What instances tell each other about their retry budgets
+** Totals since an instance's start travel with every digest: one that is
+** lost is made good by the next, and a smaller total is a new life's.
+*/
+
+#ifndef ROUTER_RETRY_EXCHANGE_H
+#define ROUTER_RETRY_EXCHANGE_H
+
+#include "router/state.h"
+
+/* this instance's own totals */
+void retry_exchange_write(const Router *router, mp_LoadDigest *out);
+/* a peer's digest replaces the one before; NULL: there was none */
+void retry_exchange_hear(Router *router, const mp_LoadDigest *before,
+                         const mp_LoadDigest *after, gint64 now);
+
+/* may a request for that service cause one more arrival? Spends it */
+gboolean retry_exchange_take(Router *router, const char *service, gint64 now);
+
+#endif
--- a/router/router.c
+++ b/router/router.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "router/retry_exchange.h"
 #include "router/state.h"
 
 /* the last word leaves this long before the caller stops waiting */
@@ -39,7 +40,7 @@
   router->retry.ratio = options->retry_ratio;
   router->retry.window = options->retry_window;
   router->retry.born = now;
-  router->retry_slack = options->retry_slack;
+  router->retry.slack = options->retry_slack;
   router->random = g_rand_new_with_seed((guint32)options->seed);
   router->endpoints = endpoint_table_new(options->zone);
   router->services =
@@ -130,7 +131,6 @@
 }
 
 void router_set_instances(Router *router, unsigned count) {
-  router->retry.slack = (double)router->retry_slack / MAX(count, 1);
   router->instances = MAX(count, 1);
 }
 
@@ -340,6 +340,7 @@
     row->failing = failing;
     out->n++;
   }
+  retry_exchange_write(router, out);
   out->changing_count =
       stages_changing(router->stages, out->changing, MP_DIGEST_CHANGING, now);
 }
@@ -350,7 +351,14 @@
 
 void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
                       const mp_LoadDigest *digest, gint64 now) {
-  peer_loads_take(router->endpoints->peers, peer, sequence, digest, now);
+  PeerLoads *peers = router->endpoints->peers;
+  const mp_LoadDigest *known = peer_loads_last(peers, peer);
+  mp_LoadDigest before;
+  if (known != NULL)
+    before = *known;
+  if (!peer_loads_take(peers, peer, sequence, digest, now))
+    return;
+  retry_exchange_hear(router, known != NULL ? &before : NULL, digest, now);
   admission_run(router, now);
 }
 
--- a/router/state.h
+++ b/router/state.h
@@ -97,7 +97,6 @@
 struct Router {
   RouterHost host;
   RetryPolicy retry;
-  guint32 retry_slack; /* over all instances */
   GRand *random;
   RouteTable *routes; /* NULL: no configuration yet */
   EndpointTable *endpoints;
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <memory>
 #include <set>
 
 #include "router_world.h"
@@ -552,6 +553,116 @@
   EXPECT_LE(again, 10u);
 }
 
+/* 'count' worlds that hear each other every 100 ms */
+struct Instances {
+  std::vector<std::unique_ptr<World>> all;
+  guint32 sequence = 0;
+
+  explicit Instances(unsigned count, guint32 slack, double ratio) {
+    for (unsigned i = 0; i < count; i++) {
+      all.push_back(std::make_unique<World>(slack, ratio));
+      all.back()->populate();
+      router_set_instances(all.back()->router, count);
+    }
+  }
+  void exchange() {
+    mp_LoadDigest digest;
+    sequence++;
+    for (size_t from = 0; from < all.size(); from++) {
+      router_load_digest(all[from]->router, &digest, all[from]->now);
+      for (size_t to = 0; to < all.size(); to++) {
+        if (to != from)
+          router_peer_load(all[to]->router, 0x0a00000000010001 + from,
+                           sequence, &digest, all[to]->now);
+      }
+    }
+    for (auto &world : all)
+      world->advance(100 * ms);
+  }
+  /* a request whose dispatches are all turned away: its extra arrivals */
+  unsigned rejected(size_t at) {
+    World &world = *all[at];
+    guint64 request = world.request("/unsafe/x");
+    while (world.end(request).ends() == 0)
+      world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+    return world.runs(request) - 1;
+  }
+};
+
+TEST(Budget, WhatOthersDoNotSpendServesTheOneInNeed) {
+  Instances ten(10, 100, 0.2);
+  unsigned extras = 0;
+  for (int i = 0; i < 200; i++) { /* 20 s: nobody is young any more */
+    for (size_t at = 1; at < 10; at++)
+      ten.all[at]->request("/unsafe/x");
+    if (i >= 150)
+      extras += ten.rejected(0);
+    ten.exchange();
+  }
+  /* its own part would be 100 / 10 * 0.6 and 0.15 of its own requests */
+  EXPECT_GT(extras, 25u);
+}
+
+TEST(Budget, HoldsOverAllInstancesThatMeetTheSameFailureAtOnce) {
+  Instances ten(10, 50, 0.2);
+  std::vector<unsigned> extras;
+  std::vector<unsigned> requests;
+  for (int i = 0; i < 400; i++) {
+    unsigned now = 0;
+    unsigned asked = 0;
+    for (size_t at = 0; at < 10; at++, asked++) {
+      if (i > 150)
+        now += ten.rejected(at);
+      else
+        ten.all[at]->request("/unsafe/x");
+    }
+    extras.push_back(now);
+    requests.push_back(asked);
+    ten.exchange();
+  }
+  for (size_t end = 100; end <= extras.size(); end++) {
+    unsigned sum = 0;
+    unsigned of = 0;
+    for (size_t i = end - 100; i < end; i++) { /* 10 s */
+      sum += extras[i];
+      of += requests[i];
+    }
+    EXPECT_LE(sum, 0.2 * of + 50) << "window ending at " << end;
+  }
+}
+
+TEST(Budget, OfSilentInstancesNothingIsSpent) {
+  Instances ten(10, 100, 0.0);
+  unsigned extras = 0;
+  for (int i = 0; i < 120; i++)
+    ten.exchange();
+  for (auto &world : ten.all)
+    world->advance(3 * second); /* cut off from each other */
+  for (int i = 0; i < 50; i++)
+    extras += ten.rejected(0);
+  EXPECT_LE(extras, 10u);
+}
+
+TEST(Budget, ANewLifeOfAPeerIsCountedFromItsStart) {
+  World world(100, 0.0);
+  mp_LoadDigest digest = {};
+  world.populate();
+  router_set_instances(world.router, 2);
+  world.request("/unsafe/x"); /* the service is known */
+  world.now += 20 * second;
+  router_load_digest(world.router, &digest, world.now);
+  ASSERT_EQ(digest.retry_count, 1u);
+  for (guint32 extras : {40u, 45u, 30u}) { /* then it starts anew */
+    digest.retry[0].extras = extras;
+    router_peer_load(world.router, 0x0a00000000010001,
+                     extras == 30 ? 900 : extras, &digest, world.now);
+  }
+  /* 75 of 60 are spent */
+  guint64 request = world.request("/unsafe/x");
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.runs(request), 1u);
+}
+
 TEST(Budget, HoldsInEverySlidingWindow) {
   World world(0, 0.2);
   world.populate();
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -85,6 +85,8 @@
     m.u.digest.row[MP_DIGEST_ROWS - 1].failing = 40;
     m.u.digest.changing_count = MP_DIGEST_CHANGING;
     m.u.digest.changing[MP_DIGEST_CHANGING - 1] = 7;
+    m.u.digest.retry_count = MP_DIGEST_SERVICES;
+    m.u.digest.retry[MP_DIGEST_SERVICES - 1] = {8, 90, 10};
     break;
   default:
     m.u.reserve.token.owner = 0x7f0000011b58;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -160,6 +160,19 @@
   return xdr_opaque(x, f->data, f->n);
 }
 
+static bool_t retries(XDR *x, mp_LoadDigest *d) {
+  unsigned i;
+  if (!count(x, &d->retry_count, MP_DIGEST_SERVICES))
+    return FALSE;
+  for (i = 0; i < d->retry_count; i++) {
+    mp_RetryRow *row = &d->retry[i];
+    if (!u32(x, &row->service) || !u32(x, &row->requests) ||
+        !u32(x, &row->extras))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static bool_t digest(XDR *x, mp_LoadDigest *d) {
   unsigned i;
   if (!u32(x, &d->waiting) || !u32(x, &d->oldest_ms) ||
@@ -177,7 +190,7 @@
     if (!u32(x, &d->changing[i]))
       return FALSE;
   }
-  return TRUE;
+  return retries(x, d);
 }
 
 static bool_t body(XDR *x, mp_Msg *m) {
