--- a/router/path.c
+++ b/router/path.c
@@ -38,6 +38,8 @@
 #define FIRST_OUTPUT_SHARE 0.4
 /* weight of the newest output in the mean */
 #define OUTPUT_STEP 0.05
+/* weight of the newest prompt in the mean */
+#define PROMPT_STEP 0.1
 /* memory is counted anew each time a stream has made so many tokens */
 #define COUNT_STEP 64
 /* time that must be left for another try to make sense */
@@ -54,6 +56,11 @@
          (guint64)MIN(grown, (double)request->output_tokens);
 }
 
+double path_usual_memory(Router *router, const Service *service) {
+  const ServiceState *state = router_service(router, service->name);
+  return state->mean_prompt + state->mean_output / 2;
+}
+
 /* a stream has grown: count its memory anew */
 static void count_memory(Router *router, Request *request) {
   OpenDispatch *open = &request->open;
@@ -243,7 +250,17 @@
     path_run(router, request, now);
 }
 
+static void learn_prompt(Router *router, const Request *request) {
+  ServiceState *state = router_service(router, request->service->name);
+  if (state->mean_prompt <= 0)
+    state->mean_prompt = request->prompt_tokens;
+  state->mean_prompt +=
+      PROMPT_STEP * (request->prompt_tokens - state->mean_prompt);
+}
+
 void path_begin(Router *router, Request *request, gint64 now) {
+  if (request->service->is_engine)
+    learn_prompt(router, request);
   if (request->service->is_engine)
     admission_enter(router, request, now);
   else
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -122,7 +122,8 @@
                        &router->retry, now);
   if (endpoint == NULL)
     return;
-  if (outcome->kind == OUTCOME_UNREACHABLE || outcome->misdirected)
+  /* one that turns a prompt away may be about to change its stage */
+  if (outcome->kind == OUTCOME_UNREACHABLE || outcome->kind == OUTCOME_NOT_RUN)
     endpoint_unreachable(endpoint, now);
   else
     endpoint_failed(endpoint, now);
@@ -170,6 +171,7 @@
       endpoint_table_get(router->endpoints, request->open.endpoint);
   if (endpoint != NULL)
     endpoint_failed(endpoint, now);
+  learn_pace(router, request, now); /* it is no faster than this */
   log_prefill(router, request, "stalled", now);
   path_exclude(request, request->open.endpoint);
   path_close_dispatch(router, request, TRUE);
--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -9,14 +9,15 @@
 
 /* prefill engines are busy this share of the time when decode is full:
 ** more, and prompts queue past the objective */
-#define PREFILL_SHARE 0.75
+#define PREFILL_SHARE 0.9
 /* below this use of the decode engines nobody gains by more of them */
-#define DECODE_PRESSURE 0.5
+#define DECODE_PRESSURE 0.35
 /* engines' worth of use before the measured mix means anything */
 #define LEAST_USE 0.5
-/* prompts queue when so many of the prefill engines are at work */
-#define PREFILL_PRESSURE 0.9
-/* a change back must be worth so many engines */
+/* prefill is short when each of its engines has so many prompts */
+#define PREFILL_PRESSURE 2.0
+/* a change must be worth one engine of so many, and one back this many */
+#define LEAST_SHARE 30
 #define LEAST_BACK 2
 
 /* prefill engines of 'all' that keep pace with the rest as decode engines */
@@ -31,7 +32,7 @@
 }
 
 static gboolean prefill_is_short(const StageUse *use) {
-  return use->prefill_busy > PREFILL_PRESSURE * (double)use->prefill;
+  return use->prompts > PREFILL_PRESSURE * (double)use->prefill;
 }
 
 int stage_plan(const StageUse *use) {
@@ -45,7 +46,8 @@
   wanted = (int)ceil(balanced_prefill(use, all));
   wanted = CLAMP(wanted, (int)least, (int)all - 1);
   surplus = (int)use->prefill - wanted;
-  if (surplus > 0 && decode_is_short(use))
+  if (surplus >= (int)MAX(all / LEAST_SHARE, 1) && !prefill_is_short(use) &&
+      decode_is_short(use))
     return surplus;
   if (surplus <= -LEAST_BACK && prefill_is_short(use))
     return surplus;
--- a/router/stage_plan.h
+++ b/router/stage_plan.h
@@ -19,7 +19,8 @@
   guint decode;        /* engines that decode, or soon will */
   guint zones;         /* data centres that have engines */
   double prefill_busy; /* engines reading a prompt, on average */
-  double decode_full;  /* memory in use, in whole engines, on average */
+  double prompts;      /* at prefill engines, waiting ones too, on average */
+  double decode_full;  /* memory of runs, in whole engines, on average */
   gboolean waiting;    /* requests wait for room */
 } StageUse;
 
--- a/router/stages.c
+++ b/router/stages.c
@@ -14,7 +14,7 @@
 #define CANDIDATES 5
 /* time between two looks at the use, and over which it is averaged */
 #define LOOK (200 * MP_MS)
-#define AVERAGE (1500 * MP_MS)
+#define AVERAGE (4 * MP_SEC)
 /* a need must last so long, and longer for each candidate before this one */
 #define NEED_LASTS (600 * MP_MS)
 #define NEED_LASTS_EACH (4 * MP_SEC)
@@ -49,7 +49,7 @@
 
 /* averages of one service's use */
 typedef struct UseAverage {
-  double prefill_busy, decode_full;
+  double prefill_busy, prompts, decode_full;
   gint64 looked_at;   /* 0: never */
   gint64 needed_from; /* a change has been due since then; 0: none is */
 } UseAverage;
@@ -125,6 +125,8 @@
                      gint64 now) {
   const EndpointTable *table = stages->router->endpoints;
   GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
+  double run_share =
+      path_usual_memory(stages->router, service) / MAX(service->kv_tokens, 1);
   StageUse use = {0};
   guint i;
   for (i = 0; i < table->all->len; i++) {
@@ -136,11 +138,11 @@
       use.prefill++;
     else
       use.decode++;
-    if (endpoint->record.stage == STAGE_PREFILL)
+    if (endpoint->record.stage == STAGE_PREFILL) {
       use.prefill_busy += endpoint_open(table, endpoint) > 0;
-    else
-      use.decode_full += (double)endpoint_tokens(table, endpoint) /
-                         MAX(service->kv_tokens, 1);
+      use.prompts += endpoint_open(table, endpoint);
+    } else
+      use.decode_full += endpoint_open(table, endpoint) * run_share;
   }
   use.zones = g_hash_table_size(zones);
   use.waiting =
@@ -164,9 +166,11 @@
   double weight = 1 - exp(-age / AVERAGE);
   average->prefill_busy +=
       weight * (use->prefill_busy - average->prefill_busy);
+  average->prompts += weight * (use->prompts - average->prompts);
   average->decode_full += weight * (use->decode_full - average->decode_full);
   average->looked_at = now;
   use->prefill_busy = average->prefill_busy;
+  use->prompts = average->prompts;
   use->decode_full = average->decode_full;
 }
 
--- a/router/state.h
+++ b/router/state.h
@@ -42,6 +42,7 @@
 /* what is kept for each service, over configurations */
 typedef struct ServiceState {
   RetryBudget budget;
+  double mean_prompt;  /* tokens of prompts lately; 0: none came */
   double mean_output;  /* tokens that streams made lately; 0: none ended */
   double prefill_pace; /* prompt tokens read a millisecond; 0: none yet */
 } ServiceState;
@@ -151,6 +152,8 @@
                Endpoint *endpoint, guint64 tokens, gint64 now);
 /* tokens of memory that a run takes, with room to grow */
 guint64 path_memory(Router *router, const Request *request);
+/* tokens of memory that a run of the service takes, on average over it */
+double path_usual_memory(Router *router, const Service *service);
 /* a wish with what every wish of this request says */
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage);
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -297,6 +297,36 @@
   EXPECT_EQ(strict.last().kind, DISPATCH_RUN);
 }
 
+TEST_F(Routed, AnEngineThatTurnsAPromptAwayIsAskedNoMoreForAWhile) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  world.request("/stream/x");
+  std::string bad = world.last().endpoint;
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  for (int i = 0; i < 6; i++) {
+    guint64 request = world.request("/stream/x");
+    EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+    EXPECT_NE(world.last().endpoint, bad);
+    world.hangup(request);
+  }
+}
+
+TEST_F(Routed, AllPrefillEnginesSlowMakesPatienceLonger) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  gint64 first = 0;
+  gint64 later = 0;
+  for (int i = 0; i < 20; i++) { /* each takes too long, and is left */
+    guint64 request = world.request("/stream/x", 100000);
+    guint64 prefill = world.last().number;
+    gint64 from = world.now;
+    while (!world.sent(prefill).cancelled)
+      world.advance(10 * ms);
+    first = first == 0 ? world.now - from : first;
+    later = world.now - from;
+    world.hangup(request);
+  }
+  EXPECT_GT(later, first * 3 / 2);
+}
+
 TEST_F(Routed, APrefillThatHangsIsGivenUp) {
   guint64 request = world.request("/stream/x");
   world.advance(3 * second);
