Prefill engines run at most as full as decode engines ask: share 1.2

Cause: the share of time that prefill engines work when decode is full was a guess. Ruled out: -. The change: 1.0 -> 1.2 (of engines at work as seen from the instances, the way there and back included).

--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -9,7 +9,7 @@
 
 /* prefill engines are busy this share of the time when decode is full:
 ** more, and prompts queue past the objective */
-#define PREFILL_SHARE 1.0
+#define PREFILL_SHARE 1.2
 /* below this use of the decode engines nobody gains by more of them */
 #define DECODE_PRESSURE 0.35
 /* engines' worth of use before the measured mix means anything */
