Reserved room is told to the other instances at once

Ruled out: the engines' count (as before). The change: a small datagram (endpoint, tokens, after which digest) to all as soon as room is reserved; it counts until that peer's next digest. Tests: Routed.RoomThatIsReservedIsToldAtOnce..., wire kinds.

--- a/core/state.c
+++ b/core/state.c
@@ -244,6 +244,7 @@
     document_fetch(state, from, m);
     break;
   case MP_MSG_LOAD_DIGEST: /* between routers of another dialect */
+  case MP_MSG_LOAD_NOTE:
   case MP_MSG_LAST:
     break;
   }
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -340,6 +340,7 @@
   MP_MSG_QUOTA,
   MP_MSG_FETCH,
   MP_MSG_LOAD_DIGEST,
+  MP_MSG_LOAD_NOTE,
   MP_MSG_LAST
 } mp_MsgKind;
 
@@ -518,6 +519,13 @@
   mp_RetryRow retry[MP_DIGEST_SERVICES];
 } mp_LoadDigest;
 
+/* room that the sender has just reserved, until its next digest */
+typedef struct mp_LoadNote {
+  uint32_t after; /* the sequence number of its last digest */
+  uint32_t endpoint;
+  uint32_t tokens;
+} mp_LoadNote;
+
 typedef struct mp_Msg {
   mp_MsgKind kind;
   uint32_t seq;
@@ -532,6 +540,7 @@
     mp_Quota quota;
     mp_Fetch fetch;
     mp_LoadDigest digest;
+    mp_LoadNote note;
   } u;
 } mp_Msg;
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -124,6 +124,11 @@
   log_numbered(gateway->log, number, "%s", fields);
 }
 
+static void host_note(void *data, guint32 endpoint, guint32 tokens) {
+  Gateway *gateway = data;
+  load_exchange_note(gateway->exchange, endpoint, tokens);
+}
+
 static void host_lease_call(void *data, const StoreCall *call) {
   Gateway *gateway = data;
   store_link_call(gateway->leases, call, LEASE_CALL_PATIENCE);
@@ -404,9 +409,9 @@
 /* }================================================================== */
 
 static void make_router(Gateway *gateway, const GatewayOptions *options) {
-  RouterHost host = {gateway,     host_dispatch,  host_cancel,
-                     host_answer, host_refuse,    host_break_off,
-                     host_log,    host_lease_call};
+  RouterHost host = {gateway,     host_dispatch, host_cancel,
+                     host_answer, host_refuse,   host_break_off,
+                     host_log,    host_note,     host_lease_call};
   RouterOptions settings = {0};
   settings.zone = options->zone;
   settings.seed = (guint64)node_now() ^ options->callers * 2654435761u;
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -33,20 +33,35 @@
   return INTERVAL_PER_PEER * (gint64)exchange->peers->len;
 }
 
-static void send_digest(LoadExchange *exchange) {
-  mp_Msg message;
+static void send_to_all(LoadExchange *exchange, const mp_Msg *message) {
   char bytes[MP_MAXDGRAM];
-  size_t size;
+  size_t size = rpc_encode(message, bytes, sizeof bytes);
   guint i;
-  memset(&message, 0, sizeof message);
-  message.kind = MP_MSG_LOAD_DIGEST;
-  message.seq = ++exchange->sequence;
-  router_load_digest(exchange->router, &message.u.digest, node_now());
-  size = rpc_encode(&message, bytes, sizeof bytes);
   for (i = 0; i < exchange->peers->len; i++) {
     datagram_send(exchange->fd, g_array_index(exchange->peers, mp_Addr, i),
                   bytes, size);
   }
+}
+
+void load_exchange_note(LoadExchange *exchange, guint32 endpoint,
+                        guint32 tokens) {
+  mp_Msg message;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_LOAD_NOTE;
+  message.seq = exchange->sequence;
+  message.u.note.after = exchange->sequence;
+  message.u.note.endpoint = endpoint;
+  message.u.note.tokens = tokens;
+  send_to_all(exchange, &message);
+}
+
+static void send_digest(LoadExchange *exchange) {
+  mp_Msg message;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_LOAD_DIGEST;
+  message.seq = ++exchange->sequence;
+  router_load_digest(exchange->router, &message.u.digest, node_now());
+  send_to_all(exchange, &message);
   exchange->told = router_load_version(exchange->router);
   exchange->sent_at = node_now();
 }
@@ -87,11 +102,13 @@
   char answer[MP_MAXDGRAM];
   size_t answer_size;
   if (rpc_decode(bytes, size, no_reply_expected, NULL, &message, answer,
-                 sizeof answer, &answer_size) != RPC_CALL ||
-      message.kind != MP_MSG_LOAD_DIGEST)
+                 sizeof answer, &answer_size) != RPC_CALL)
     return;
-  router_peer_load(exchange->router, peer, message.seq, &message.u.digest,
-                   node_now());
+  if (message.kind == MP_MSG_LOAD_DIGEST)
+    router_peer_load(exchange->router, peer, message.seq, &message.u.digest,
+                     node_now());
+  else if (message.kind == MP_MSG_LOAD_NOTE)
+    router_peer_note(exchange->router, peer, &message.u.note);
 }
 
 static void on_readable(evutil_socket_t fd, short what, void *data) {
--- a/io/load_exchange.h
+++ b/io/load_exchange.h
@@ -26,5 +26,8 @@
 
 /* what is open here may have changed */
 void load_exchange_notice(LoadExchange *exchange);
+/* room was reserved: told to the others without waiting for a digest */
+void load_exchange_note(LoadExchange *exchange, guint32 endpoint,
+                        guint32 tokens);
 
 #endif
--- a/router/path.c
+++ b/router/path.c
@@ -236,6 +236,7 @@
 void path_run(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint;
   guint64 tokens = 0;
+  gboolean is_reserved;
   request->phase = PHASE_RUN;
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now);
@@ -244,9 +245,13 @@
     finish_give_up(router, request, now);
     return;
   }
+  is_reserved = request->decode != NULL &&
+                strcmp(request->decode, endpoint->record.id) == 0;
   prefill_unreserve(router, request);
   if (request->service->is_engine)
     tokens = path_memory(router, request);
+  if (request->service->is_engine && !is_reserved)
+    router->host.note(router->host.data, endpoint->hash, (guint32)tokens);
   path_send(router, request, DISPATCH_RUN, endpoint, tokens, now);
   request->stall_at = silence_limit(request, now);
   if (request->service->is_engine)
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -16,6 +16,7 @@
   gint64 heard;
   gint64 oldest; /* when its first waiting request came */
   mp_LoadDigest digest;
+  GArray *notes; /* mp_LoadRow: room reserved since that digest */
 } Peer;
 
 typedef struct LoadSum {
@@ -30,10 +31,16 @@
   GHashTable *sums;  /* endpoint hash -> LoadSum */
 };
 
+static void peer_free(gpointer p) {
+  Peer *peer = p;
+  g_array_free(peer->notes, TRUE);
+  g_free(peer);
+}
+
 PeerLoads *peer_loads_new(void) {
   PeerLoads *loads = g_new0(PeerLoads, 1);
   loads->peers =
-      g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+      g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, peer_free);
   loads->sums = g_hash_table_new_full(NULL, NULL, NULL, g_free);
   return loads;
 }
@@ -84,8 +91,16 @@
     need_sum(loads, peer->digest.changing[i])->changing++;
 }
 
-static void subtract_all(PeerLoads *loads, const Peer *peer) {
+static void subtract_notes(PeerLoads *loads, Peer *peer) {
+  guint i;
+  for (i = 0; i < peer->notes->len; i++)
+    subtract(loads, &g_array_index(peer->notes, mp_LoadRow, i));
+  g_array_set_size(peer->notes, 0);
+}
+
+static void subtract_all(PeerLoads *loads, Peer *peer) {
   unsigned i;
+  subtract_notes(loads, peer);
   for (i = 0; i < peer->digest.n; i++)
     subtract(loads, &peer->digest.row[i]);
   for (i = 0; i < peer->digest.changing_count; i++) {
@@ -107,6 +122,7 @@
   if (peer == NULL) {
     peer = g_new0(Peer, 1);
     peer->address = address;
+    peer->notes = g_array_new(FALSE, FALSE, sizeof(mp_LoadRow));
     g_hash_table_insert(loads->peers, &peer->address, peer);
   } else if (is_late(peer, sequence))
     return FALSE;
@@ -119,6 +135,18 @@
   return TRUE;
 }
 
+void peer_loads_note(PeerLoads *loads, mp_Addr address,
+                     const mp_LoadNote *note) {
+  Peer *peer = g_hash_table_lookup(loads->peers, &address);
+  mp_LoadRow row = {note->endpoint, note->tokens, 0, 0};
+  /* a digest that is newer has it already */
+  if (peer == NULL || peer->sequence != note->after ||
+      peer->notes->len >= MP_DIGEST_ROWS)
+    return;
+  g_array_append_val(peer->notes, row);
+  add(loads, &row);
+}
+
 const mp_LoadDigest *peer_loads_last(const PeerLoads *loads, mp_Addr address) {
   const Peer *peer = g_hash_table_lookup(loads->peers, &address);
   return peer != NULL ? &peer->digest : NULL;
@@ -143,7 +171,7 @@
     Peer *peer = value;
     if (now - peer->heard < PEER_SILENCE ||
         (peer->digest.n == 0 && peer->digest.waiting == 0 &&
-         peer->digest.changing_count == 0))
+         peer->digest.changing_count == 0 && peer->notes->len == 0))
       continue;
     subtract_all(loads, peer);
     peer->digest.n = 0;
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -24,6 +24,8 @@
 ** the digest was overtaken by a newer one */
 gboolean peer_loads_take(PeerLoads *loads, mp_Addr peer, guint32 sequence,
                          const mp_LoadDigest *digest, gint64 now);
+/* a peer has reserved room since its digest number 'after' */
+void peer_loads_note(PeerLoads *loads, mp_Addr peer, const mp_LoadNote *note);
 /* what a peer said last, silent or not; NULL: it was never heard */
 const mp_LoadDigest *peer_loads_last(const PeerLoads *loads, mp_Addr peer);
 /* peers heard from lately */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -42,6 +42,8 @@
   request->decode_tokens = path_memory(router, request);
   decode->tokens += request->decode_tokens;
   router->load_version++;
+  router->host.note(router->host.data, decode->hash,
+                    (guint32)request->decode_tokens);
 }
 
 static gint64 expected_time(Router *router, const Request *request) {
--- a/router/router.c
+++ b/router/router.c
@@ -364,6 +364,10 @@
 
 /* }================================================================== */
 
+void router_peer_note(Router *router, mp_Addr peer, const mp_LoadNote *note) {
+  peer_loads_note(router->endpoints->peers, peer, note);
+}
+
 unsigned router_open_requests(const Router *router) {
   return g_hash_table_size(router->requests);
 }
--- a/router/router.h
+++ b/router/router.h
@@ -134,6 +134,8 @@
   /* end an answer that has begun so that it cannot look whole */
   void (*break_off)(void *data, guint64 request);
   void (*log)(void *data, mp_EventNo number, const char *fields);
+  /* room was reserved at an engine: the others should know at once */
+  void (*note)(void *data, guint32 endpoint, guint32 tokens);
   /* a call to the store for a lease; router_lease_reply answers it */
   void (*lease_call)(void *data, const StoreCall *call);
 } RouterHost;
@@ -183,6 +185,9 @@
 void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
                       const mp_LoadDigest *digest, gint64 now);
 
+/* another instance has reserved room */
+void router_peer_note(Router *router, mp_Addr peer, const mp_LoadNote *note);
+
 /* the store answered RouterHost.lease_call */
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now);
 
--- a/scripts/panel.py
+++ b/scripts/panel.py
@@ -44,7 +44,8 @@
     for name in sorted(os.listdir("journal"), reverse=True):
         if name.endswith(f"-{snapshot}.json"):
             with open(f"journal/{name}", encoding="utf-8") as entry:
-                return json.load(entry)["days"][0]
+                days = json.load(entry)["days"]
+                return days[0] if days else None
     return None
 
 
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -73,6 +73,11 @@
   world->log.push_back(std::to_string(static_cast<int>(number)) + fields);
 }
 
+void World::on_note(void *data, guint32 endpoint, guint32 tokens) {
+  auto *world = static_cast<World *>(data);
+  world->notes.push_back({0, endpoint, tokens});
+}
+
 void World::on_lease_call(void *data, const StoreCall *call) {
   auto *world = static_cast<World *>(data);
   LeaseAsked asked;
@@ -87,8 +92,9 @@
 
 World::World(guint32 slack, double ratio, gint64 lease_length,
              const char *self) {
-  RouterHost host = {this,      on_dispatch,  on_cancel, on_answer,
-                     on_refuse, on_break_off, on_log,    on_lease_call};
+  RouterHost host = {this,      on_dispatch, on_cancel,
+                     on_answer, on_refuse,   on_break_off,
+                     on_log,    on_note,     on_lease_call};
   RouterOptions options = {};
   options.zone = "a";
   options.seed = 7;
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -114,6 +114,7 @@
   std::map<guint64, Ended> ended;
   std::vector<std::string> log;
   std::vector<LeaseAsked> lease_calls;
+  std::vector<mp_LoadNote> notes;
 
 private:
   static void on_dispatch(void *data, const Dispatch *dispatch);
@@ -122,6 +123,7 @@
   static void on_refuse(void *data, guint64 request, const Refusal *refusal);
   static void on_break_off(void *data, guint64 request);
   static void on_log(void *data, mp_EventNo number, const char *fields);
+  static void on_note(void *data, guint32 endpoint, guint32 tokens);
   static void on_lease_call(void *data, const StoreCall *call);
   guint64 last_number = 0;
 };
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -543,6 +543,32 @@
   EXPECT_EQ(met.size(), 2u);
 }
 
+TEST_F(Routed, RoomThatIsReservedIsToldAtOnceUntilTheNextDigest) {
+  const mp_Addr peer = mp_addr_parse("10.0.0.9:1");
+  mp_LoadDigest digest;
+  World other;
+  other.populate();
+  router_load_digest(other.router, &digest, other.now);
+  router_peer_load(world.router, peer, 7, &digest, world.now);
+  other.request("/stream/x", 10000, 9000);
+  other.request("/stream/x", 10000, 9000);
+  ASSERT_EQ(other.notes.size(), 2u);
+  for (mp_LoadNote note : other.notes) {
+    note.after = 7;
+    router_peer_note(world.router, peer, &note);
+  }
+  guint64 first = world.request("/stream/x", 10000, 9000);
+  EXPECT_TRUE(world.dispatches.empty()); /* there is no room */
+  world.hangup(first);
+  router_peer_load(world.router, peer, 8, &digest, world.now); /* all ended */
+  for (mp_LoadNote note : other.notes) {
+    note.after = 7; /* overtaken by the digest */
+    router_peer_note(world.router, peer, &note);
+  }
+  world.request("/stream/x", 10000, 9000);
+  EXPECT_EQ(world.dispatches.size(), 1u);
+}
+
 TEST_F(Routed, AnOvertakenDigestChangesNothing) {
   mp_LoadDigest full;
   mp_LoadDigest empty = {};
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -88,6 +88,9 @@
     m.u.digest.retry_count = MP_DIGEST_SERVICES;
     m.u.digest.retry[MP_DIGEST_SERVICES - 1] = {8, 90, 10};
     break;
+  case MP_MSG_LOAD_NOTE:
+    m.u.note = {17, 4, 3200};
+    break;
   default:
     m.u.reserve.token.owner = 0x7f0000011b58;
     break;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -216,6 +216,9 @@
     return fetch(x, &m->u.fetch);
   case MP_MSG_LOAD_DIGEST:
     return digest(x, &m->u.digest);
+  case MP_MSG_LOAD_NOTE:
+    return u32(x, &m->u.note.after) && u32(x, &m->u.note.endpoint) &&
+           u32(x, &m->u.note.tokens);
   default:
     return FALSE;
   }
