Orders settle first, come in bounded numbers, and keep a margin

The change: nothing until the use has settled for 7 s; changes back only where decode has room and for 4 s; at most as many changing as a digest names; a square-root margin of prefill engines; a prompt that was turned away goes to another one only while the budget lasts; peers' doubts add up to four.

--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -22,8 +22,10 @@
 /* scores are in open dispatches of a service with few slots */
 #define COST_OTHER_ZONE 1.5
 #define COST_FAILURES 12.0
-/* what others saw of an endpoint, together */
+/* what others saw of an endpoint, together, up to so many of them: one
+** that stands alone may have a bad path of its own */
 #define COST_PEERS_FAILURES 6.0
+#define MOST_PEERS_FAILURES 4.0
 #define COST_COLD 3.0
 /* an engine's share of memory in use, as open dispatches */
 #define COST_MEMORY 12.0
@@ -166,7 +168,8 @@
     sum += COST_COLD;
   sum += COST_FAILURES * endpoint_failing(endpoint, now);
   sum += COST_PEERS_FAILURES *
-         MIN(peer_loads_failing(table->peers, endpoint->hash), 1.0);
+         MIN(peer_loads_failing(table->peers, endpoint->hash),
+             MOST_PEERS_FAILURES);
   return sum;
 }
 
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -101,14 +101,24 @@
 
 /*
 ** Another prefill engine, where the retry budget allows it: a prompt that
-** may have been read is an extra arrival the second time. Else a decode
-** engine reads it, which costs no retry but the time of its streams.
+** may have been read is an extra arrival the second time, and one that was
+** turned away may be turned away again. Else a decode engine reads it,
+** which costs no retry but the time of its streams.
 */
-static void read_elsewhere(Router *router, Request *request,
-                           gboolean may_have_run, gint64 now) {
-  gboolean allowed = !may_have_run ||
-                     retry_exchange_take(router, request->service->name, now);
-  if (!allowed || !prefill_begin(router, request, now))
+static gboolean may_read_again(Router *router, const Request *request,
+                               OutcomeKind kind, gint64 now) {
+  const char *service = request->service->name;
+  if (kind == OUTCOME_UNREACHABLE)
+    return TRUE; /* it arrived nowhere */
+  if (kind == OUTCOME_NOT_RUN)
+    return retry_exchange_left(router, service, now);
+  return retry_exchange_take(router, service, now);
+}
+
+static void read_elsewhere(Router *router, Request *request, OutcomeKind kind,
+                           gint64 now) {
+  if (!may_read_again(router, request, kind, now) ||
+      !prefill_begin(router, request, now))
     path_run(router, request, now);
 }
 
@@ -162,10 +172,7 @@
   if (is_read)
     path_run(router, request, now);
   else
-    read_elsewhere(router, request,
-                   outcome->kind != OUTCOME_UNREACHABLE &&
-                       outcome->kind != OUTCOME_NOT_RUN,
-                   now);
+    read_elsewhere(router, request, outcome->kind, now);
 }
 
 void prefill_stalled(Router *router, Request *request, gint64 now) {
@@ -177,7 +184,7 @@
   log_prefill(router, request, "stalled", now);
   path_exclude(request, request->open.endpoint);
   path_close_dispatch(router, request, TRUE);
-  read_elsewhere(router, request, TRUE, now);
+  read_elsewhere(router, request, OUTCOME_BROKEN, now);
 }
 
 void prefill_drop_handle(Router *router, Request *request, gint64 now) {
--- a/router/retry_budget.c
+++ b/router/retry_budget.c
@@ -85,6 +85,11 @@
   budget->period_quota += sharers->draw < part - budget->period_quota;
 }
 
+gboolean retry_budget_left(RetryBudget *budget, const RetryPolicy *policy,
+                           const RetrySharers *sharers, gint64 now) {
+  return remaining(budget, policy, sharers, now) >= 1;
+}
+
 gboolean retry_budget_take(RetryBudget *budget, const RetryPolicy *policy,
                            const RetrySharers *sharers, gint64 now) {
   double left = remaining(budget, policy, sharers, now);
--- a/router/retry_exchange.c
+++ b/router/retry_exchange.c
@@ -80,11 +80,22 @@
   }
 }
 
-gboolean retry_exchange_take(Router *router, const char *service, gint64 now) {
+static RetrySharers sharers_of(Router *router, gint64 now) {
   RetrySharers sharers;
   sharers.instances = router->instances;
   sharers.heard = 1 + peer_loads_heard(router->endpoints->peers, now);
   sharers.draw = g_rand_double(router->random);
+  return sharers;
+}
+
+gboolean retry_exchange_left(Router *router, const char *service, gint64 now) {
+  RetrySharers sharers = sharers_of(router, now);
+  return retry_budget_left(router_budget(router, service), &router->retry,
+                           &sharers, now);
+}
+
+gboolean retry_exchange_take(Router *router, const char *service, gint64 now) {
+  RetrySharers sharers = sharers_of(router, now);
   return retry_budget_take(router_budget(router, service), &router->retry,
                            &sharers, now);
 }
--- a/router/retry_exchange.h
+++ b/router/retry_exchange.h
@@ -16,6 +16,8 @@
 void retry_exchange_hear(Router *router, const mp_LoadDigest *before,
                          const mp_LoadDigest *after, gint64 now);
 
+/* is one more arrival beyond the first left for that service? */
+gboolean retry_exchange_left(Router *router, const char *service, gint64 now);
 /* may a request for that service cause one more arrival? Spends it */
 gboolean retry_exchange_take(Router *router, const char *service, gint64 now);
 
--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -7,11 +7,15 @@
 
 #include "router/stage_plan.h"
 
-/* prefill engines are busy this share of the time when decode is full:
-** more, and prompts queue past the objective */
-#define PREFILL_SHARE 1.2
+/* runs fill no more than this share of the decode engines' memory */
+#define DECODE_FILL 0.8
+/* prefill engines beyond the load, times its square root: few engines need
+** relatively more of them, so that prompts do not queue */
+#define PREFILL_MARGIN 0.7
 /* below this use of the decode engines nobody gains by more of them */
 #define DECODE_PRESSURE 0.35
+/* and below this one some of them may go */
+#define DECODE_ROOM 0.7
 /* engines' worth of use before the measured mix means anything */
 #define LEAST_USE 0.5
 /* prefill is short when each of its engines has so many prompts */
@@ -20,10 +24,17 @@
 #define LEAST_SHARE 30
 #define LEAST_BACK 2
 
-/* prefill engines of 'all' that keep pace with the rest as decode engines */
-static double balanced_prefill(const StageUse *use, double all) {
-  double asked = use->prefill_busy / use->decode_full;
-  return all * asked / (PREFILL_SHARE + asked);
+/* fewest prefill engines of 'all' that keep pace with the rest, full */
+static guint balanced_prefill(const StageUse *use, guint all) {
+  double asked = DECODE_FILL * use->prefill_busy / use->decode_full;
+  guint prefill = MAX(use->zones, 1);
+  while (prefill + 1 < all) {
+    double load = asked * (all - prefill);
+    if (prefill >= load + PREFILL_MARGIN * sqrt(load))
+      break;
+    prefill++;
+  }
+  return prefill;
 }
 
 static gboolean decode_is_short(const StageUse *use) {
@@ -31,25 +42,26 @@
          use->decode_full > DECODE_PRESSURE * (double)use->decode;
 }
 
+/* decode engines have room that the prompts that queue could use */
+static gboolean decode_has_room(const StageUse *use) {
+  return use->decode_full < DECODE_ROOM * (double)use->decode;
+}
+
 static gboolean prefill_is_short(const StageUse *use) {
   return use->prompts > PREFILL_PRESSURE * (double)use->prefill;
 }
 
 int stage_plan(const StageUse *use) {
   guint all = use->prefill + use->decode;
-  guint least = MAX(use->zones, 1);
-  int wanted;
   int surplus;
   if (use->prefill == 0 || use->decode == 0 || use->decode_full < LEAST_USE ||
       use->prefill_busy <= 0)
     return 0;
-  wanted = (int)ceil(balanced_prefill(use, all));
-  wanted = CLAMP(wanted, (int)least, (int)all - 1);
-  surplus = (int)use->prefill - wanted;
+  surplus = (int)use->prefill - (int)balanced_prefill(use, all);
   if (surplus >= (int)MAX(all / LEAST_SHARE, 1) && !prefill_is_short(use) &&
       decode_is_short(use))
     return surplus;
-  if (surplus <= -LEAST_BACK && prefill_is_short(use))
+  if (surplus <= -LEAST_BACK && prefill_is_short(use) && decode_has_room(use))
     return surplus;
   return 0;
 }
--- a/router/stages.c
+++ b/router/stages.c
@@ -12,18 +12,24 @@
 
 /* instances that watch the use of the engines: the rest only if these fail */
 #define CANDIDATES 5
+/* below so many engines' worth of runs a service counts as idle */
+#define LEAST_USE 0.3
 /* time between two looks at the use, and over which it is averaged */
 #define LOOK (200 * MP_MS)
 #define AVERAGE (4 * MP_SEC)
 /* a need must last so long, and longer for each candidate before this one */
 #define NEED_LASTS (600 * MP_MS)
+#define NEED_LASTS_BACK (4 * MP_SEC)
 #define NEED_LASTS_EACH (4 * MP_SEC)
 /* the others hear of a change before it is ordered */
 #define ANNOUNCE (200 * MP_MS)
-/* most changes at a time, as a digest names them */
+/* most engines that change at a time: a digest names no more of them */
 #define MOST_MOVES MP_DIGEST_CHANGING
 /* rest after a round of orders, until its effect shows */
 #define ROUND_REST (2 * MP_SEC)
+/* streams must have run so long before their use says anything: it lags
+** behind that of the prefill engines by the length of a stream */
+#define SETTLE (7 * MP_SEC)
 /* an engine that did not take an order is left alone so long */
 #define REFUSED_REST (10 * MP_SEC)
 /* time to connect to an engine; the lease must last longer than that */
@@ -50,7 +56,8 @@
 /* averages of one service's use */
 typedef struct UseAverage {
   double prefill_busy, prompts, decode_full;
-  gint64 looked_at;   /* 0: never */
+  gint64 looked_at;
+  gint64 used_from;   /* the service has been in use since then */
   gint64 needed_from; /* a change has been due since then; 0: none is */
 } UseAverage;
 
@@ -151,10 +158,13 @@
   return use;
 }
 
-static UseAverage *average_of(Stages *stages, const Service *service) {
+static UseAverage *average_of(Stages *stages, const Service *service,
+                              gint64 now) {
   UseAverage *average = g_hash_table_lookup(stages->uses, service->name);
   if (average == NULL) {
     average = g_new0(UseAverage, 1);
+    average->looked_at = now;
+    average->used_from = now;
     g_hash_table_insert(stages->uses, g_strdup(service->name), average);
   }
   return average;
@@ -254,7 +264,9 @@
                         gint64 now) {
   EndpointStage from = wanted > 0 ? STAGE_PREFILL : STAGE_DECODE;
   EndpointStage to = wanted > 0 ? STAGE_DECODE : STAGE_PREFILL;
-  guint count = MIN((guint)ABS(wanted), MOST_MOVES);
+  guint32 hashes[MOST_MOVES];
+  guint changing = stages_changing(stages, hashes, MOST_MOVES, now);
+  guint count = MIN((guint)ABS(wanted), MOST_MOVES - changing);
   guint named = 0;
   Endpoint *endpoint;
   while (named < count &&
@@ -276,24 +288,33 @@
 }
 
 /* how long a need must last until this candidate acts on it */
-static gint64 patience(guint before) {
-  return NEED_LASTS + before * NEED_LASTS_EACH;
+static gint64 patience(int wanted, guint before) {
+  gint64 least = wanted < 0 ? NEED_LASTS_BACK : NEED_LASTS;
+  return least + before * NEED_LASTS_EACH;
+}
+
+/* since when there are runs at all */
+static void settle(UseAverage *average, const StageUse *use, gint64 now) {
+  if (use->decode_full < LEAST_USE)
+    average->used_from = now;
 }
 
 static void look_at(Stages *stages, const Service *service, guint before,
                     gint64 now) {
-  UseAverage *average = average_of(stages, service);
+  UseAverage *average = average_of(stages, service, now);
   StageUse use = look(stages, service, now);
   int wanted;
   smooth(average, &use, now);
   wanted = stage_plan(&use);
-  if (wanted == 0 || now < stages->rest_until) {
+  settle(average, &use, now);
+  if (wanted == 0 || now < stages->rest_until ||
+      now - average->used_from < SETTLE) {
     average->needed_from = 0;
     return;
   }
   if (average->needed_from == 0)
     average->needed_from = now;
-  if (now - average->needed_from < patience(before))
+  if (now - average->needed_from < patience(wanted, before))
     return;
   if (lease_held(&stages->lease, ROUND_MARGIN, now))
     begin_round(stages, service, wanted, now);
