--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -8,10 +8,10 @@
 #include "router/stage_plan.h"
 
 /* runs fill no more than this share of the decode engines' memory */
-#define DECODE_FILL 0.8
+#define DECODE_FILL 0.75
 /* prefill engines beyond the load, times its square root: few engines need
 ** relatively more of them, so that prompts do not queue */
-#define PREFILL_MARGIN 0.7
+#define PREFILL_MARGIN 0.4
 /* below this use of the decode engines nobody gains by more of them */
 #define DECODE_PRESSURE 0.35
 /* and below this one some of them may go */
--- a/router/stages.c
+++ b/router/stages.c
@@ -29,7 +29,7 @@
 #define ROUND_REST (2 * MP_SEC)
 /* streams must have run so long before their use says anything: it lags
 ** behind that of the prefill engines by the length of a stream */
-#define SETTLE (7 * MP_SEC)
+#define SETTLE (5 * MP_SEC)
 /* an engine that did not take an order is left alone so long */
 #define REFUSED_REST (10 * MP_SEC)
 /* time to connect to an engine; the lease must last longer than that */
