Longer pauses after the store's news

Ruled out: the bounds (a pause of 0.4 s lies well inside the 2 s for a leaving worker, 0.3 s inside the 2 s for a configuration). The change: pauses 0.10 -> 0.30 s (configuration), 0.15 -> 0.40 s (endpoints).

--- a/io/directory.c
+++ b/io/directory.c
@@ -23,8 +23,8 @@
 /* the wait before an instance tries again to enter its own object */
 #define REGISTER_RETRY (2 * MP_SEC)
 /* pauses after news of a kind, so that more news cost no call each */
-#define CONFIGURATION_PAUSE (100 * MP_MS)
-#define ENDPOINTS_PAUSE (150 * MP_MS)
+#define CONFIGURATION_PAUSE (300 * MP_MS)
+#define ENDPOINTS_PAUSE (400 * MP_MS)
 #define INSTANCES_PAUSE (2 * MP_SEC)
 /* longest wait of a watch of the instances: they change rarely */
 #define INSTANCES_WAIT (12 * MP_SEC)
