--- a/test/test_stages.cc
+++ b/test/test_stages.cc
@@ -75,8 +75,8 @@
 }
 
 TEST(StagePlan, FewEnginesKeepRelativelyMoreForPrompts) {
-  StageUse few = use(4, 8, 2.0, 6.5);
-  StageUse many = use(40, 80, 20.0, 65.0);
+  StageUse few = use(4, 8, 2.4, 6.5);
+  StageUse many = use(40, 80, 24.0, 65.0);
   EXPECT_EQ(stage_plan(&few), 0);
   EXPECT_GE(stage_plan(&many), 8);
 }
@@ -283,13 +283,13 @@
 TEST_F(Ordered, WhoComesAfterLiveOnesWaitsLonger) {
   mp_LoadDigest idle = {};
   load();
-  for (guint32 i = 1; i <= 20; i++) { /* 10 s */
+  for (guint32 i = 1; i <= 16; i++) { /* 8 s: the first one would have */
     router_peer_load(world.router, mp_addr_parse("10.0.0.1:1"), i, &idle,
                      world.now);
     traffic(500 * ms);
   }
   EXPECT_TRUE(world.lease_calls.empty());
-  for (guint32 i = 21; i <= 40; i++) { /* the first one does nothing */
+  for (guint32 i = 17; i <= 40; i++) { /* the first one does nothing */
     router_peer_load(world.router, mp_addr_parse("10.0.0.1:1"), i, &idle,
                      world.now);
     traffic(500 * ms);
