Orders over real processes: stand-ins take them, the soak checks fences

The change: the stand-in store reads one object, stand-in engines report, take fenced orders and change their stage; scenario orders.lua (orders come, the holder is killed, the next one orders under a higher fence); judge() checks fences; soak seeds from 1000 on run with orders; lease_ms below 2000 is refused (a round does not fit: found by the scenario, which saw no order with 1000); a decode stage in use with no prompt at work may take engines, too.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -14,6 +14,7 @@
 #define DEFAULT_HEADERS 64
 #define DEFAULT_TIMEOUT 10
 #define DEFAULT_RETRY_WINDOW 10
+#define LEAST_LEASE 2000 /* a round of orders must fit into it */
 #define DEFAULT_WATCH_WAIT 1800
 /* the slack for a watch's answer (io/directory.c), a new connection and its
 ** first answer; milliseconds */
@@ -117,6 +118,8 @@
     return bad(err, path, "instance", "give the instance a name");
   if (s->retry_ratio < 0 || s->retry_ratio > 1)
     return bad(err, path, "retry_ratio", "use a number from 0 to 1");
+  if (s->lease_ms > 0 && s->lease_ms < LEAST_LEASE)
+    return bad(err, path, "lease_ms", "use 2000 or more, or leave it out");
   if (s->control != NULL && !isaddress(err, path, "control", s->control))
     return FALSE;
   if (s->metrics != NULL && !isaddress(err, path, "metrics", s->metrics))
--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -54,8 +54,7 @@
 int stage_plan(const StageUse *use) {
   guint all = use->prefill + use->decode;
   int surplus;
-  if (use->prefill == 0 || use->decode == 0 || use->decode_full < LEAST_USE ||
-      use->prefill_busy <= 0)
+  if (use->prefill == 0 || use->decode == 0 || use->decode_full < LEAST_USE)
     return 0;
   surplus = (int)use->prefill - (int)balanced_prefill(use, all);
   if (surplus >= (int)MAX(all / LEAST_SHARE, 1) && !prefill_is_short(use) &&
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -12,7 +12,8 @@
 **   GET  /ledger   what each worker took: id, worker, what, method, path
 **   POST /store    {"mode": M}, see store.h
 **   POST /worker   {"id", "mode"}: ok, error, shed, cut, mute, slow;
-**                  draining, gone, back (in the list)
+**                  draining, gone, back (in the list); prefill, decode
+**                  (its stage from now on)
 **   POST /configuration   the next version of the configuration
 */
 
@@ -24,6 +25,8 @@
 #include "standin/serve.h"
 #include "standin/store.h"
 
+/* time that an engine takes to change its stage */
+#define SWITCH_MS 500
 /* pieces of a stream, and the pause between them */
 #define PIECES 12
 #define PAUSE_MS 25
@@ -33,6 +36,10 @@
   char *id, *service, *zone, *stage, *addr;
   char mode[16];
   int draining, gone;
+  json_int_t fence;    /* highest that an order bore */
+  json_int_t sequence; /* orders taken */
+  char *next_stage;    /* NULL: no order is being carried out */
+  struct event *switching;
 } Worker;
 
 /* one answer that is still being written */
@@ -239,6 +246,79 @@
     schedule(work, PAUSE_MS + slow);
 }
 
+/*
+** {==================================================================
+** Orders
+** ===================================================================
+*/
+
+static void list_worker(const Worker *worker);
+
+static void on_switched(evutil_socket_t fd, short what, void *data) {
+  Worker *worker = data;
+  (void)fd;
+  (void)what;
+  g_free(worker->stage);
+  worker->stage = worker->next_stage;
+  worker->next_stage = NULL;
+  list_worker(worker);
+}
+
+static void on_report(const Worker *worker, struct evhttp_request *request) {
+  serve_json(request, 200,
+             json_pack("{s:s, s:b, s:I}", "Stage", worker->stage, "Busy",
+                       worker->next_stage != NULL, "Seq", worker->sequence));
+}
+
+static int order_status(const Worker *worker, const json_t *order) {
+  const json_t *expected = json_object_get(order, "ExpectRev");
+  json_int_t fence = json_integer_value(json_object_get(order, "Fence"));
+  const char *stage = json_string_value(json_object_get(order, "Stage"));
+  if (stage == NULL || fence == 0 ||
+      json_string_value(json_object_get(order, "Holder")) == NULL)
+    return 400;
+  if (fence < worker->fence)
+    return 412;
+  if (worker->next_stage != NULL ||
+      (expected != NULL && json_integer_value(expected) != worker->sequence))
+    return 409;
+  return strcmp(stage, worker->stage) == 0 ? 200 : 202;
+}
+
+static void note_order(const Worker *worker, const json_t *order, int status) {
+  json_array_append_new(
+      ledger, json_pack("{s:s, s:s, s:s, s:O, s:O, s:O, s:i}", "id", "order",
+                        "worker", worker->id, "what", "order", "holder",
+                        json_object_get(order, "Holder"), "fence",
+                        json_object_get(order, "Fence"), "stage",
+                        json_object_get(order, "Stage"), "status", status));
+}
+
+static void begin_switch(Worker *worker, const json_t *order) {
+  struct timeval time = {SWITCH_MS / 1000, SWITCH_MS % 1000 * 1000L};
+  worker->sequence++;
+  worker->next_stage =
+      g_strdup(json_string_value(json_object_get(order, "Stage")));
+  if (worker->switching == NULL)
+    worker->switching = evtimer_new(base, on_switched, worker);
+  event_add(worker->switching, &time);
+}
+
+static void on_order(Worker *worker, struct evhttp_request *request) {
+  json_t *order = serve_body(request);
+  json_int_t fence = json_integer_value(json_object_get(order, "Fence"));
+  int status = order_status(worker, order);
+  if (status != 400)
+    note_order(worker, order, status);
+  if (status == 202)
+    begin_switch(worker, order);
+  worker->fence = MAX(worker->fence, fence);
+  serve_json(request, status, json_object());
+  json_decref(order);
+}
+
+/* }================================================================== */
+
 static void on_request(struct evhttp_request *request, void *data) {
   Worker *worker = data;
   const char *expected = header(request, "Expect-Instance");
@@ -246,8 +326,14 @@
   if (evhttp_request_get_command(request) == EVHTTP_REQ_DELETE) {
     note(worker, request, "release");
     evhttp_send_reply(request, 200, NULL, NULL);
-  } else if (expected != NULL && strcmp(expected, worker->id) != 0)
+  } else if (strcmp(evhttp_request_get_uri(request), "/report") == 0)
+    on_report(worker, request);
+  else if (expected != NULL && strcmp(expected, worker->id) != 0)
     not_run(request, 421);
+  else if (strcmp(evhttp_request_get_uri(request), "/order") == 0)
+    on_order(worker, request);
+  else if (worker->next_stage != NULL)
+    not_run(request, 503);
   else if (worker->gone || strcmp(worker->mode, "shed") == 0)
     not_run(request, 503);
   else if (header(request, "Request-Id") == NULL)
@@ -303,6 +389,12 @@
     store_remove("servers", worker->id);
     return 1;
   }
+  if (strcmp(mode, "prefill") == 0 || strcmp(mode, "decode") == 0) {
+    g_free(worker->stage);
+    worker->stage = g_strdup(mode);
+    list_worker(worker);
+    return 1;
+  }
   for (i = 0; i < G_N_ELEMENTS(modes); i++) {
     if (strcmp(mode, modes[i]) == 0) {
       g_strlcpy(worker->mode, mode, sizeof worker->mode);
--- a/standin/store.c
+++ b/standin/store.c
@@ -3,6 +3,7 @@
 ** Stand-in for the platform's metadata store
 **
 **   GET  /objects/KIND[?after=NAME]         items, more, at
+**   GET  /objects/KIND/NAME                 one object; 404
 **   GET  /objects/KIND?watch=REV&WaitMs=N   events, at; 410
 **   POST /objects/KIND                      creates; 409
 **   PUT  /objects/KIND/NAME                 replaces; 409 with the object
@@ -214,6 +215,13 @@
   g_ptr_array_free(found, TRUE);
 }
 
+static void on_read(struct evhttp_request *request, const char *kind,
+                    const char *name) {
+  const Object *object = find(kind, name);
+  serve_json(request, object != NULL ? 200 : 404,
+             object != NULL ? write_object(object) : json_object());
+}
+
 static void on_create(struct evhttp_request *request, const char *kind) {
   json_t *body = serve_body(request);
   const char *name = json_string_value(
@@ -285,6 +293,8 @@
     on_create(request, parts[0]);
   else if (evhttp_request_get_command(request) == EVHTTP_REQ_PUT)
     on_replace(request, parts[0], parts[1]);
+  else if (parts[1] != NULL && strchr(uri, '?') == NULL)
+    on_read(request, parts[0], parts[1]);
   else
     on_list(request, parts[0], after);
   g_free(after);
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -6,7 +6,8 @@
 local TERM, KILL, STOP, CONT = 15, 9, 19, 18
 
 gateway = { instances = {}, workers = {}, asked = {}, last = 0,
-            version = 1, timeout = 8000 }
+            version = 1, timeout = 8000,
+            kv_tokens = 20000, more_prefill = 0, lease_ms = 0 }
 
 local function addr(port)
   return "127.0.0.1:" .. port
@@ -41,10 +42,10 @@
   return string.format(
     '{"Version":%d,"Routes":[%s],"Services":[{"Name":"app","HealthPath":' ..
     '"/healthz","MaxConns":100},{"Name":"llm","HealthPath":"/healthz",' ..
-    '"MaxConns":100,"Engine":{"Slots":8,"KvTokens":20000,"Stride":10,' ..
-    '"KvHoldS":0.5}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":' ..
+    '"MaxConns":100,"Engine":{"Slots":8,"KvTokens":%d,"Stride":10,' ..
+    '"KvHoldS":0.5,"SwitchS":0.5}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":' ..
     '1048576,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}',
-    gateway.version, table.concat(routes, ","))
+    gateway.version, table.concat(routes, ","), gateway.kv_tokens)
 end
 
 local function add_worker(service, stage, zone)
@@ -93,6 +94,7 @@
     "retry_ratio: 0.2",
     "retry_slack: 60",
     "grace_s: 8",
+    "lease_ms: " .. gateway.lease_ms,
     "log_level: debug", ""
   }, "\n"))
 end
@@ -119,6 +121,9 @@
 
 -- a fleet of eight workers in two zones, and so many instances
 function start_gateway(instances)
+  for i = 1, gateway.more_prefill do
+    add_worker("llm", "prefill", i % 2 == 1 and "a" or "b")
+  end
   for _, zone in ipairs { "a", "b" } do
     add_worker("app", "", zone)
     add_worker("llm", "prefill", zone)
@@ -234,6 +239,23 @@
   return rows
 end
 
+-- the orders that workers got, in their order
+function orders()
+  local _, text = ask("GET", gateway.admin, "/ledger")
+  local rows = {}
+  for row in text:gmatch("{([^{}]*)}") do
+    if row:match('"what":"order"') then
+      rows[#rows + 1] = {
+        worker = row:match('"worker":"([^"]*)"'),
+        holder = row:match('"holder":"([^"]*)"'),
+        stage = row:match('"stage":"([^"]*)"'),
+        fence = tonumber(row:match('"fence":(%d+)')),
+        status = tonumber(row:match('"status":(%d+)')) }
+    end
+  end
+  return rows
+end
+
 local function runs_of(rows)
   local n = 0
   for _, row in ipairs(rows or {}) do
@@ -256,8 +278,24 @@
   end
 end
 
+-- orders that engines took: fences never go back, nor serve two holders
+local function check_orders()
+  local newest, holders = {}, {}
+  for _, row in ipairs(orders()) do
+    local holder = holders[row.fence] or row.holder
+    holders[row.fence] = row.holder
+    expect(holder == row.holder, "fence " .. row.fence .. " of two holders")
+    if row.status == 202 then
+      expect(row.fence >= (newest[row.worker] or 0),
+             row.worker .. ": an older fence was taken")
+      newest[row.worker] = row.fence
+    end
+  end
+end
+
 -- the promises, from both sides
 function judge()
+  check_orders()
   local rows = worker_ledger()
   for _, r in ipairs(gateway.asked) do
     local runs = runs_of(rows[r.id])
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -11,6 +11,9 @@
 local KINDS = { "safe", "unsafe", "stream", "resume" }
 
 math.randomseed(seed)
+if seed >= 1000 then -- engines that are ordered to change their stage, too
+  gateway.lease_ms, gateway.kv_tokens, gateway.more_prefill = 2000, 2500, 4
+end
 start_gateway(instances)
 
 local connections = {} -- kept ones, used until their process is gone
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <cstring>
 #include <fstream>
 #include <string>
 
@@ -23,11 +24,14 @@
     unlink(path.c_str());
   }
 
-  Settings *read(const std::string &more) {
+  void write(const std::string &more) {
     std::ofstream(path) << "dialect: platform\ninstance: e\ndata_centre: a\n"
                            "callers: 127.0.0.1:1\nready: 127.0.0.1:2\n"
                            "exchange: 127.0.0.1:3\nplatform: 127.0.0.1:4\n" +
                                more;
+  }
+  Settings *read(const std::string &more) {
+    write(more);
     GError *error = nullptr;
     Settings *settings = settings_read(path.c_str(), &error);
     EXPECT_NE(settings, nullptr) << (error != nullptr ? error->message : "");
@@ -50,6 +54,17 @@
   }
 }
 
+TEST_F(Bounds, ALeaseTooShortForARoundOfOrdersIsRefused) {
+  settings_free(read("lease_ms: 2000\n"));
+  settings_free(read("lease_ms: 0\n"));
+  write("lease_ms: 900\n");
+  GError *error = nullptr;
+  EXPECT_EQ(settings_read(path.c_str(), &error), nullptr);
+  ASSERT_NE(error, nullptr);
+  EXPECT_NE(strstr(error->message, "lease_ms"), nullptr);
+  g_error_free(error);
+}
+
 TEST_F(Bounds, ADrainEndsBeforeTheKill) {
   Settings *settings = read("grace_s: 8\n");
   EXPECT_LT(settings->drain_most_ms, 8000u);
