--- a/router/path.c
+++ b/router/path.c
@@ -33,7 +33,7 @@
 /* plain repeatable requests: silence of so many objectives */
 #define SAFE_SILENCE_OBJECTIVES 4
 /* a run is given room to grow by this share of the usual output */
-#define GROWTH_SHARE 0.4
+#define GROWTH_SHARE 0.3
 /* the usual output, while no stream has ended: share of the announced */
 #define FIRST_OUTPUT_SHARE 0.4
 /* weight of the newest output in the mean */
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -193,5 +193,6 @@
     refused = refused + 1
   end
 end
-print(string.format("seed %d: %d requests, %d served whole, %d refused",
-                    seed, #gateway.asked, served, refused))
+print(string.format("seed %d: %d requests, %d served whole, %d refused, " ..
+                    "%d orders",
+                    seed, #gateway.asked, served, refused, #orders()))
