Metrics as text in a file of their own

Ruled out: -. The change: io/metrics.[ch], from the router and a typed record of what the carriers count; the lines are the same, orders among the counters. Tests: Metrics.ShowCounters...; gateway.lua passed.

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -13,6 +13,7 @@
 #include "io/front.h"
 #include "io/gateway.h"
 #include "io/load_exchange.h"
+#include "io/metrics.h"
 #include "io/node.h"
 #include "io/store_link.h"
 
@@ -250,57 +251,22 @@
         ready ? "ready\n" : "not ready\n");
 }
 
-static void write_duration(GString *text, const Router *router,
-                           RouterDuration which) {
-  const Histogram *histogram = router_duration(router, which);
-  const char *name = router_duration_name(which);
-  guint64 below = 0;
-  unsigned i;
-  for (i = 0; i < HISTOGRAM_BOUNDS; i++) {
-    below += histogram->counts[i];
-    g_string_append_printf(text,
-                           "madderpier_%s_seconds_bucket{le=\"%.4g\"} "
-                           "%" G_GUINT64_FORMAT "\n",
-                           name, histogram_bound(i), below);
-  }
-  g_string_append_printf(
-      text,
-      "madderpier_%s_seconds_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
-      "madderpier_%s_seconds_sum %.6f\n"
-      "madderpier_%s_seconds_count %" G_GUINT64_FORMAT "\n",
-      name, histogram->count, name, histogram->sum, name, histogram->count);
-}
-
-static void write_counters(GString *text, const Gateway *gateway) {
-  const char *name;
-  unsigned i;
-  for (i = 0; (name = router_counter_name(i)) != NULL; i++)
-    g_string_append_printf(text, "madderpier_%s_total %" G_GUINT64_FORMAT "\n",
-                           name, router_counter(gateway->router, i));
-  g_string_append_printf(
-      text,
-      "madderpier_endpoint_connections_total %" G_GUINT64_FORMAT "\n"
-      "madderpier_store_calls_total %" G_GUINT64_FORMAT "\n"
-      "madderpier_log_lines_left_out_total %" G_GUINT64_FORMAT "\n"
-      "madderpier_log_lines_lost_total %" G_GUINT64_FORMAT "\n"
-      "madderpier_open_requests %u\n"
-      "madderpier_idle_endpoint_connections %u\n"
-      "madderpier_ready %d\n",
-      endpoint_links_opened(gateway->links),
-      directory_store_calls(gateway->directory) +
-          store_link_calls(gateway->leases),
-      log_left_out(gateway->log), log_lost(gateway->log),
-      router_open_requests(gateway->router),
-      endpoint_links_idle(gateway->links), is_ready(gateway));
+static CarrierCounts carrier_counts(const Gateway *gateway) {
+  CarrierCounts counts;
+  counts.endpoint_connections = endpoint_links_opened(gateway->links);
+  counts.store_calls = directory_store_calls(gateway->directory) +
+                       store_link_calls(gateway->leases);
+  counts.log_lines_left_out = log_left_out(gateway->log);
+  counts.log_lines_lost = log_lost(gateway->log);
+  counts.idle_endpoint_connections = endpoint_links_idle(gateway->links);
+  counts.ready = is_ready(gateway);
+  return counts;
 }
 
 static void on_metrics(struct evhttp_request *request, void *data) {
   const Gateway *gateway = data;
-  GString *text = g_string_new(NULL);
-  int which;
-  write_counters(text, gateway);
-  for (which = 0; which < DURATION_COUNT; which++)
-    write_duration(text, gateway->router, (RouterDuration)which);
+  CarrierCounts counts = carrier_counts(gateway);
+  GString *text = metrics_text(gateway->router, &counts);
   reply(request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free(text, TRUE);
 }
--- /dev/null
+++ b/io/metrics.c
@@ -0,0 +1,61 @@
+/*
+** metrics.c
+** Counters and histograms of one instance as text
+*/
+
+#include "io/metrics.h"
+
+static void write_duration(GString *text, const Router *router,
+                           RouterDuration which) {
+  const Histogram *histogram = router_duration(router, which);
+  const char *name = router_duration_name(which);
+  guint64 below = 0;
+  unsigned i;
+  for (i = 0; i < HISTOGRAM_BOUNDS; i++) {
+    below += histogram->counts[i];
+    g_string_append_printf(text,
+                           "madderpier_%s_seconds_bucket{le=\"%.4g\"} "
+                           "%" G_GUINT64_FORMAT "\n",
+                           name, histogram_bound(i), below);
+  }
+  g_string_append_printf(
+      text,
+      "madderpier_%s_seconds_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n"
+      "madderpier_%s_seconds_sum %.6f\n"
+      "madderpier_%s_seconds_count %" G_GUINT64_FORMAT "\n",
+      name, histogram->count, name, histogram->sum, name, histogram->count);
+}
+
+static void write_router(GString *text, const Router *router) {
+  const char *name;
+  unsigned i;
+  for (i = 0; (name = router_counter_name(i)) != NULL; i++)
+    g_string_append_printf(text, "madderpier_%s_total %" G_GUINT64_FORMAT "\n",
+                           name, router_counter(router, i));
+  g_string_append_printf(text, "madderpier_open_requests %u\n",
+                         router_open_requests(router));
+}
+
+static void write_carriers(GString *text, const CarrierCounts *carriers) {
+  g_string_append_printf(
+      text,
+      "madderpier_endpoint_connections_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_store_calls_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_log_lines_left_out_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_log_lines_lost_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_idle_endpoint_connections %u\n"
+      "madderpier_ready %d\n",
+      carriers->endpoint_connections, carriers->store_calls,
+      carriers->log_lines_left_out, carriers->log_lines_lost,
+      carriers->idle_endpoint_connections, carriers->ready);
+}
+
+GString *metrics_text(const Router *router, const CarrierCounts *carriers) {
+  GString *text = g_string_new(NULL);
+  int which;
+  write_router(text, router);
+  write_carriers(text, carriers);
+  for (which = 0; which < DURATION_COUNT; which++)
+    write_duration(text, router, (RouterDuration)which);
+  return text;
+}
--- /dev/null
+++ b/io/metrics.h
@@ -0,0 +1,25 @@
+/*
+** metrics.h
+** Counters and histograms of one instance as text, in the Prometheus
+** format (version 0.0.4). Durations are in seconds.
+*/
+
+#ifndef METRICS_H
+#define METRICS_H
+
+#include "router/router.h"
+
+/* what the carriers count; totals since the start unless said otherwise */
+typedef struct CarrierCounts {
+  guint64 endpoint_connections;
+  guint64 store_calls;
+  guint64 log_lines_left_out;
+  guint64 log_lines_lost;
+  unsigned idle_endpoint_connections; /* now */
+  gboolean ready;                     /* now */
+} CarrierCounts;
+
+/* the caller frees it: g_string_free */
+GString *metrics_text(const Router *router, const CarrierCounts *carriers);
+
+#endif
--- /dev/null
+++ b/test/test_metrics.cc
@@ -0,0 +1,40 @@
+/*
+** test_metrics.cc
+** What the metrics' page shows, line by line
+*/
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "router_world.h"
+
+extern "C" {
+#include "io/metrics.h"
+}
+
+using namespace routing;
+
+namespace {
+
+TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
+  World world;
+  CarrierCounts carriers = {7, 11, 1, 2, 3, TRUE};
+  world.populate();
+  world.request("/unsafe/x");
+  world.outcome(world.last().number, OUTCOME_ANSWER);
+  GString *text = metrics_text(world.router, &carriers);
+  std::string page = std::string("\n") + text->str;
+  for (const char *line :
+       {"madderpier_requests_total 1", "madderpier_answered_total 1",
+        "madderpier_orders_total 0", "madderpier_open_requests 0",
+        "madderpier_endpoint_connections_total 7",
+        "madderpier_store_calls_total 11", "madderpier_ready 1",
+        "madderpier_plain_seconds_count 1",
+        "madderpier_plain_seconds_bucket{le=\"+Inf\"} 1"})
+    EXPECT_NE(page.find("\n" + std::string(line) + "\n"), std::string::npos)
+        << line;
+  g_string_free(text, TRUE);
+}
+
+} // namespace
