--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -117,9 +117,36 @@
 m r-back "CONFIG: never an older version" router/router.c \
   'routes->version <= router->routes->version' '0'
 m r-budget "BUDGET: the window's extras" router/retry_budget.c \
-  'if (extras + 1 > allowed)' 'if (0)'
+  'if (left < 1 || budget->period_taken >= budget->period_quota)' 'if (0)'
 m r-young "BUDGET: no slack in a young life" router/retry_budget.c \
-  'if (now - policy->born >= policy->window)' 'if (1)'
+  'return now - policy->born < policy->window;' 'return FALSE;'
+m r-others "BUDGET: what others spent counts" router/retry_exchange.c \
+  'more.extras = grown(' 'more.extras = 0 * grown('
+m r-part "BUDGET: no more than an equal part a period" router/retry_budget.c \
+  'double part = MAX(left, 0) / among;' 'double part = MAX(left, 0) + 0 * among;'
+m r-silent "BUDGET: silent instances keep their slack" router/retry_budget.c \
+  'MIN(heard, 1.0)' '1.0'
+m r-lease "ONE: another's lease is waited for" router/lease.c \
+  'return now >= free_at(lease) ? STORE_REPLACE : STORE_READ;' \
+  'return STORE_REPLACE;'
+m r-lapse "ONE: a lease counts from before the call" router/lease.c \
+  'lease->held_until = lease->sent_at' 'lease->held_until = now'
+m r-unheard "ONE: a call without an answer gives nothing" router/lease.c \
+  'if (wrote && lease->own)' 'if (lease->own)'
+m r-margin "ONE: nothing is ordered near the lease's end" router/stages.c \
+  '!lease_held(&stages->lease, ORDER_MARGIN, now)' '0'
+m r-fence "ONE: a newer fence stops all orders" router/stages.c \
+  'outcome->status == 412)' 'outcome->status == 1412)'
+m r-named "a changing engine gets no work" router/endpoint_table.c \
+  '!endpoint_changing(table, endpoint, now);' '1;'
+m r-settle "nothing is ordered before the use has settled" router/stages.c \
+  'now - average->used_from < SETTLE' '0'
+m r-capped "no more change than a digest names" router/stages.c \
+  'MOST_MOVES - changing' 'MOST_MOVES + 40 + 0 * changing'
+m r-note "reserved room counts until the next digest" router/peer_loads.c \
+  'peer->sequence != note->after' '1'
+m r-again "an overbooked room is left" router/path.c \
+  '!is_overbooked(router, request, endpoint)' '1'
 m r-gone "GONE: a hangup cancels the run" router/finish.c \
   'path_close_dispatch(router, request, TRUE);
   admission_leave' 'path_close_dispatch(router, request, FALSE);
@@ -153,7 +180,7 @@
 m r-silence "LOST: silence ends nothing without another endpoint" router/path.c \
   '!has_elsewhere(router, request, now) ||' ''
 m r-paid "LOST: a resume is paid before the run is left" router/path.c \
-  '!retry_budget_take(budget, &router->retry, now))
+  '!retry_exchange_take(router, request->service->name, now))
     return FALSE;' '0)
     return FALSE;'
 m r-notrun "REFUSED: 503 alone promises nothing" platform/endpoints.c \
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -727,6 +727,25 @@
   }
 }
 
+TEST(Budget, HoldsWhenAllInstancesFailBetweenTwoDigests) {
+  Instances ten(10, 50, 0.2);
+  unsigned requests = 0;
+  unsigned extras = 0;
+  for (int i = 0; i < 150; i++) {
+    for (auto &world : ten.all) {
+      world->request("/unsafe/x");
+      requests += i >= 50; /* the last 10 s */
+    }
+    ten.exchange();
+  }
+  for (size_t at = 0; at < 10; at++) { /* nobody hears of anybody */
+    for (int i = 0; i < 100; i++, requests++)
+      extras += ten.rejected(at);
+  }
+  EXPECT_GT(extras, 0u);
+  EXPECT_LE(extras, 0.2 * requests + 50);
+}
+
 TEST(Budget, OfSilentInstancesNothingIsSpent) {
   Instances ten(10, 100, 0.0);
   unsigned extras = 0;
