A prefill engine out of reach costs no retry: the check is back

Cause: the test of second prefills was given a budget when a prompt that is turned away began to need one; with that, nothing checked any more that an engine out of reach is passed over without any budget. Ruled out: a fault of the product (the new test passes as the code stands).

--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -285,6 +285,17 @@
   EXPECT_EQ(strict.runs(request), 1u);
 }
 
+TEST_F(Routed, APrefillEngineOutOfReachCostsNoRetry) {
+  World strict(0, 0.0);
+  strict.populate();
+  strict.endpoint({"pre-2", "llm", "b", STAGE_PREFILL});
+  strict.request("/stream/x");
+  std::string first = strict.last().endpoint;
+  strict.outcome(strict.last().number, OUTCOME_UNREACHABLE);
+  EXPECT_EQ(strict.last().kind, DISPATCH_PREFILL);
+  EXPECT_NE(strict.last().endpoint, first);
+}
+
 TEST_F(Routed, APromptThatIsTurnedAwayIsAskedElsewhereOnlyWithinTheBudget) {
   World strict(0, 0.0);
   strict.populate();
