Callers' values of system fields never reach an endpoint

Cause: platform/endpoints.c dropped nine reserved fields; Pin-Ms, which the pages also reserve, was missing. Ruled out: other spellings, repeated fields and prefill dispatches (the new tests pass for the nine names before the change). Tests: PlatformSystemFields.* (four, with 3,000 random heads) and the scenario gateway.lua failed first and pass now.

--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -103,6 +103,24 @@
   set(request, "Keep-Alive", "timeout=5");
 }
 
+/* Fields that only the system may set. Scenarios' callers send them with
+** the value FORGED; no router may hand such a value on. */
+#define FORGED "forged"
+
+static int has_forged_field(struct evhttp_request *request) {
+  static const char *const names[] = {
+      "Deadline-Ms", "Expect-Instance", "Expect-Version", "Stage",
+      "Kv-From",     "Kv-Fetch",        "Kv-Backup",      "Kv-Hold",
+      "Pin-Ms",      "Request-Urgency"};
+  gsize i;
+  for (i = 0; i < G_N_ELEMENTS(names); i++) {
+    const char *value = header(request, names[i]);
+    if (value != NULL && strcmp(value, FORGED) == 0)
+      return 1;
+  }
+  return 0;
+}
+
 static void not_run(struct evhttp_request *request, int status) {
   set(request, "Not-Run", "1");
   evhttp_send_reply(request, status, NULL, NULL);
@@ -328,7 +346,10 @@
     evhttp_send_reply(request, 200, NULL, NULL);
   } else if (strcmp(evhttp_request_get_uri(request), "/report") == 0)
     on_report(worker, request);
-  else if (expected != NULL && strcmp(expected, worker->id) != 0)
+  else if (has_forged_field(request)) {
+    note(worker, request, FORGED);
+    not_run(request, 400);
+  } else if (expected != NULL && strcmp(expected, worker->id) != 0)
     not_run(request, 421);
   else if (strcmp(evhttp_request_get_uri(request), "/order") == 0)
     on_order(worker, request);
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -195,7 +195,12 @@
   r.connection:send("POST", "/" .. kind .. "/x", {
     Host = "h.example", ["Request-Id"] = r.id, ["Deadline-Ms"] = "9000",
     Model = "m", ["Token-Count"] = "1000,300",
-    ["Prompt-Prefix"] = "aa:200,bb:800" }, "body of " .. r.id)
+    ["Prompt-Prefix"] = "aa:200,bb:800",
+    -- the router's to set: no endpoint may see these values
+    ["pin-ms"] = "forged", ["Kv-Hold"] = "forged", ["KV-FROM"] = "forged",
+    ["Kv-Backup"] = "forged", ["Kv-Fetch"] = "forged", Stage = "forged",
+    ["Request-Urgency"] = "forged", ["Expect-Version"] = "forged",
+    Connection = "Kv-Hold" }, "body of " .. r.id)
   return r
 end
 
@@ -299,6 +304,10 @@
   local rows = worker_ledger()
   for _, r in ipairs(gateway.asked) do
     local runs = runs_of(rows[r.id])
+    for _, row in ipairs(rows[r.id] or {}) do
+      expect(row.what ~= "forged", r.id .. ": an endpoint got a field that " ..
+             "only the router may set as its caller sent it")
+    end
     local once = r.kind ~= "safe" and r.kind ~= "resume"
     expect(not once or runs <= 1, r.id .. " (" .. r.kind .. ") ran " ..
            runs .. " times")
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -7,6 +7,7 @@
 
 #include <random>
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "platform/platform.h"
@@ -115,6 +116,131 @@
   http_head_free(from);
 }
 
+/*
+** {==================================================================
+** Fields that only the system may set
+** ===================================================================
+*/
+
+/* source of the names: the platform's pages on requests and on stages */
+const char *const reserved_names[] = {
+    "Deadline-Ms", "Expect-Instance", "Expect-Version", "Stage",
+    "Kv-From",     "Kv-Fetch",        "Kv-Backup",      "Kv-Hold",
+    "Pin-Ms",      "Request-Urgency"};
+
+/* a caller's spelling of a field name: some letters in the other case */
+std::string respelled(const char *name, std::mt19937 &random) {
+  std::string text = name;
+  for (char &letter : text) {
+    if (random() % 2 == 0)
+      letter = g_ascii_isupper(letter) ? g_ascii_tolower(letter)
+                                       : g_ascii_toupper(letter);
+  }
+  return text;
+}
+
+/* the kinds of dispatch that carry a caller's head on */
+std::vector<Dispatch> forwarding_dispatches() {
+  Dispatch plain = {};
+  plain.kind = DISPATCH_RUN;
+  plain.endpoint = "i-7f";
+  plain.deadline_ms = 900;
+  Dispatch prefill = plain;
+  prefill.kind = DISPATCH_PREFILL;
+  Dispatch fetch = plain;
+  fetch.handle = "3fa0";
+  fetch.handle_address = mp_addr_parse("10.1.64.9:8080");
+  Dispatch resumed = plain;
+  resumed.last_event = "12";
+  return {plain, prefill, fetch, resumed};
+}
+
+/* no value that the caller gave to a system field is passed on */
+void expect_not_forwarded(const HttpHead *from) {
+  for (const Dispatch &dispatch : forwarding_dispatches()) {
+    char *body = nullptr;
+    HttpHead *head = platform_write_dispatch(&dispatch, from, &body);
+    for (const char *name : reserved_names) {
+      const char *value = http_head_get(head, name);
+      EXPECT_LE(http_head_count(head, name), 1u) << name;
+      EXPECT_STRNE(value != nullptr ? value : "", "forged") << name;
+    }
+    EXPECT_EQ(http_head_count(head, "Request-Id"), 1u);
+    EXPECT_STREQ(http_head_get(head, "Token-Count"), "1460,80");
+    EXPECT_STREQ(http_head_get(head, "Prompt-Prefix"), "5c:800,e44:250");
+    http_head_free(head);
+    g_free(body);
+  }
+}
+
+TEST(PlatformSystemFields, TheTableHoldsEveryReservedName) {
+  for (const char *name : reserved_names) {
+    const char *const *at = platform_system_fields;
+    while (*at != nullptr && strcmp(*at, name) != 0)
+      at++;
+    EXPECT_NE(*at, nullptr) << name;
+  }
+}
+
+TEST(PlatformSystemFields, AreNeverForwardedAsTheCallerSentThem) {
+  for (const char *name : reserved_names) {
+    for (int form = 0; form < 4; form++) {
+      HttpHead *from = caller();
+      std::string lower = name;
+      for (char &letter : lower)
+        letter = g_ascii_tolower(letter);
+      http_head_remove(from, name);
+      http_head_add(from, form == 1 ? lower.c_str() : name, "forged");
+      if (form == 2)
+        http_head_add(from, lower.c_str(), "forged");
+      if (form == 3)
+        http_head_add(from, "Connection", name);
+      SCOPED_TRACE(std::string(name) + " form " + std::to_string(form));
+      expect_not_forwarded(from);
+      http_head_free(from);
+    }
+  }
+}
+
+TEST(PlatformSystemFields, ACallersConnectionFieldRemovesNoRequestField) {
+  HttpHead *from = caller();
+  http_head_add(from, "Connection",
+                "Request-Id, token-count, Prompt-Prefix, X-Hop");
+  http_head_add(from, "X-Hop", "1");
+  expect_not_forwarded(from);
+  Dispatch dispatch = forwarding_dispatches()[0];
+  char *body = nullptr;
+  HttpHead *head = platform_write_dispatch(&dispatch, from, &body);
+  EXPECT_EQ(http_head_get(head, "X-Hop"), nullptr);
+  http_head_free(head);
+  http_head_free(from);
+}
+
+TEST(PlatformSystemFields, RandomCallersHeadsForwardNone) {
+  std::mt19937 random(20261202);
+  const char *const others[] = {"Accept", "Length-Hint", "Model",
+                                "X-A",    "Cookie",      "Last-Event-Id"};
+  for (int round = 0; round < 3000; round++) {
+    HttpHead *from = caller();
+    for (unsigned i = random() % 9; i > 0; i--) {
+      bool reserved = random() % 3 != 0;
+      const char *name =
+          reserved ? reserved_names[random() % G_N_ELEMENTS(reserved_names)]
+                   : others[random() % G_N_ELEMENTS(others)];
+      std::string spelled = respelled(name, random);
+      http_head_add(from, spelled.c_str(), reserved ? "forged" : "kept");
+      if (random() % 4 == 0)
+        http_head_add(from, respelled("Connection", random).c_str(),
+                      spelled.c_str());
+    }
+    expect_not_forwarded(from);
+    ASSERT_FALSE(HasFailure()) << "round " << round;
+    http_head_free(from);
+  }
+}
+
+/* }================================================================== */
+
 TEST(PlatformDispatch, OrdersNameHolderFenceAndSequence) {
   StageOrder order = {STAGE_DECODE, "edge-1", 41, 3};
   Dispatch dispatch = {};
