--- a/scripts/panel.py
+++ b/scripts/panel.py
@@ -3,6 +3,10 @@
 
     scripts/panel.py WHY [--sites GROUP,GROUP] [--days A,B] [--seeds 1,2]
                      [--jobs N] [--cpu] [--brief]
+                     [--save FILE] [--against FILE]
+
+--save writes each run's worth, --against prints the mean difference to such
+a file with its standard error, over the runs that both have.
 
 For paired trials: the same days and seeds, without processor time unless
 --cpu is given, in several processes. Every run leaves its journal entry.
@@ -13,6 +17,7 @@
 import json
 import os
 import re
+import statistics
 import subprocess
 import sys
 
@@ -77,6 +82,19 @@
               f"of {len(worths)}")
 
 
+def print_difference(worths, path):
+    with open(path, encoding="utf-8") as file:
+        before = json.load(file)
+    for site in sorted({key.split(" ")[0] for key in worths}):
+        steps = [worths[key] - before[key] for key in worths
+                 if key in before and key.startswith(site + " ")]
+        if len(steps) < 2:
+            continue
+        print(f"{site:20} difference {statistics.mean(steps):+.4f} "
+              f"+- {statistics.stdev(steps) / len(steps) ** 0.5:.4f} "
+              f"over {len(steps)}")
+
+
 def main():
     reader = argparse.ArgumentParser()
     reader.add_argument("why")
@@ -86,13 +104,15 @@
     reader.add_argument("--jobs", type=int, default=6)
     reader.add_argument("--cpu", action="store_true")
     reader.add_argument("--brief", action="store_true")
+    reader.add_argument("--save")
+    reader.add_argument("--against")
     options = reader.parse_args()
     groups = SITES if options.sites == "all" else options.sites.split(",")
     sites = [site for group in groups for site in SITES[group]]
     jobs = [(site, day, seed, options.why, options.cpu)
             for site in sites for day in options.days.split(",")
             for seed in options.seeds.split(",")]
-    totals = {}
+    totals, worths = {}, {}
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         for job, day, trouble in pool.map(play, jobs):
             if day is None:
@@ -101,7 +121,13 @@
             if not options.brief or day.get("rules"):
                 print(row(job, day))
             totals.setdefault((job[0], job[1]), []).append(day["G"])
+            worths[f"{job[0]} {job[1]} {job[2]}"] = day["G"]
     print_means(totals)
+    if options.against:
+        print_difference(worths, options.against)
+    if options.save:
+        with open(options.save, "w", encoding="utf-8") as file:
+            json.dump(worths, file)
     return 0 if totals else 1
 
 
