Stage plan: quicker, with a smaller margin for prompts

Cause: on the new site four of nine engines read prompts at the start while the five others' memory bound from second 7 on; the order came at 14 to 23 s, for two reasons: when the candidate with the smallest address cannot reach the store, the next one waited 4 s more, and the margin for queues asked for a fourth prefill engine. Change: next candidate after 1.5 s (was 4), settled after 3 s (was 5), margin 0.1 (was 0.4).

--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -11,7 +11,7 @@
 #define DECODE_FILL 0.75
 /* prefill engines beyond the load, times its square root: few engines need
 ** relatively more of them, so that prompts do not queue */
-#define PREFILL_MARGIN 0.4
+#define PREFILL_MARGIN 0.1
 /* below this use of the decode engines nobody gains by more of them */
 #define DECODE_PRESSURE 0.35
 /* and below this one some of them may go */
--- a/router/stages.c
+++ b/router/stages.c
@@ -20,7 +20,7 @@
 /* a need must last so long, and longer for each candidate before this one */
 #define NEED_LASTS (600 * MP_MS)
 #define NEED_LASTS_BACK (4 * MP_SEC)
-#define NEED_LASTS_EACH (4 * MP_SEC)
+#define NEED_LASTS_EACH (1500 * MP_MS)
 /* the others hear of a change before it is ordered */
 #define ANNOUNCE (200 * MP_MS)
 /* most engines that change at a time: a digest names no more of them */
@@ -29,7 +29,7 @@
 #define ROUND_REST (2 * MP_SEC)
 /* streams must have run so long before their use says anything: it lags
 ** behind that of the prefill engines by the length of a stream */
-#define SETTLE (5 * MP_SEC)
+#define SETTLE (3 * MP_SEC)
 /* an engine that did not take an order is left alone so long */
 #define REFUSED_REST (10 * MP_SEC)
 /* time to connect to an engine; the lease must last longer than that */
