A request whose prompt is read waits for room while its handle lives

Ruled out: the reservation alone (it is overbooked by instances that reserve at the same moment, and by runs that outlive a cut). Change: with a handle and no room the request goes back to waiting, in front, until room appears or the handle lapses; then its prompt is read anew.

--- a/router/admission.c
+++ b/router/admission.c
@@ -91,19 +91,25 @@
                   (double)(request->caller_deadline - request->arrived));
 }
 
-static void refuse(Router *router, Request *request) {
+static void refuse(Router *router, Request *request, gint64 now) {
+  prefill_drop_handle(router, request, now);
   request->was_busy = TRUE;
   request->come_back = come_back(router, request);
   finish_refuse(router, request, REFUSAL_BUSY);
 }
 
-/* behind all that came back when it did, else at the end */
+/* who was refused before, and whose prompt is read already */
+static gboolean goes_first(const Request *request) {
+  return request->returned || request->handle != NULL;
+}
+
+/* behind all that go first when it does, else at the end */
 static void enqueue(Router *router, Request *request) {
   guint at = router->waiting->len;
-  if (request->returned) {
+  if (goes_first(request)) {
     for (at = 0; at < router->waiting->len; at++) {
       const Request *other = router->waiting->pdata[at];
-      if (!other->returned)
+      if (!goes_first(other))
         break;
     }
   }
@@ -120,7 +126,7 @@
 
 /* when it came, for the order among those that wait */
 static gint64 seniority(const Request *request) {
-  return request->arrived - (request->returned ? RETURNED_AHEAD : 0);
+  return request->arrived - (goes_first(request) ? RETURNED_AHEAD : 0);
 }
 
 gint64 admission_oldest(const Router *router, gint64 now) {
@@ -186,7 +192,7 @@
   if (!request->returned &&
       expected_wait(router, router->waiting->len) > wait_fresh(request) &&
       engine_with_room(router, request, now) == NULL) {
-    refuse(router, request);
+    refuse(router, request, now);
     return;
   }
   request->phase = PHASE_WAIT;
@@ -202,6 +208,17 @@
              request->returned);
 }
 
+void admission_return(Router *router, Request *request, gint64 now) {
+  request->phase = PHASE_WAIT;
+  enqueue(router, request);
+  request->stall_at = request->handle_until;
+  router->load_version++;
+  router_log(router, MP_LOG_ROUTE_WAIT,
+             " request=%s place=%u handle=%s left_ms=%d", request->id,
+             router->waiting->len, request->handle,
+             (int)((request->handle_until - now) / MP_MS));
+}
+
 void admission_leave(Router *router, Request *request) {
   if (request->phase == PHASE_WAIT &&
       g_ptr_array_remove(router->waiting, request))
@@ -220,10 +237,12 @@
 void admission_look(Router *router, Request *request, gint64 now) {
   gint64 waited = now - request->arrived;
   guint place = place_of(router, request);
+  if (request->handle != NULL && now >= request->handle_until)
+    prefill_drop_handle(router, request, now); /* it is read anew */
   if (waited >= wait_most(request) ||
       (!request->returned &&
        waited + expected_wait(router, place) > wait_fresh(request))) {
-    refuse(router, request);
+    refuse(router, request, now);
     return;
   }
   request->stall_at = request->arrived + wait_most(request);
@@ -231,8 +250,9 @@
 
 /* can its first token still come within the objective? */
 static gboolean is_in_time(const Request *request, gint64 now) {
-  return (double)(now - request->arrived) <
-         IN_TIME_SHARE * (double)request->route->objective;
+  return request->handle != NULL ||
+         (double)(now - request->arrived) <
+             IN_TIME_SHARE * (double)request->route->objective;
 }
 
 /* start what fits among those in time, or among the others */
--- a/router/path.c
+++ b/router/path.c
@@ -196,15 +196,22 @@
              request->service->kv_tokens;
 }
 
-static Endpoint *choose(Router *router, const Request *request, gint64 now) {
+/* the reserved endpoint, or another one with room; NULL when none has any */
+static Endpoint *choose_with_room(Router *router, const Request *request,
+                                  gint64 now) {
   EndpointStage stage = run_stage(request);
   EndpointWish wish = path_wish(router, request, stage);
   Endpoint *endpoint = reserved_decode(router, request);
-  Endpoint *other;
   if (endpoint != NULL && !is_overbooked(router, request, endpoint))
     return endpoint;
   wish.must_fit = stage == STAGE_DECODE;
-  other = endpoint_table_choose(router->endpoints, &wish, now);
+  return endpoint_table_choose(router->endpoints, &wish, now);
+}
+
+static Endpoint *choose(Router *router, const Request *request, gint64 now) {
+  EndpointWish wish = path_wish(router, request, run_stage(request));
+  Endpoint *endpoint = reserved_decode(router, request);
+  Endpoint *other = choose_with_room(router, request, now);
   if (other != NULL)
     return other;
   if (endpoint != NULL)
@@ -233,6 +240,20 @@
   return now + MAX(wait, 100 * MP_MS);
 }
 
+/*
+** The prompt is read and no decode engine has room for it: wait for room as
+** long as the handle lives, instead of being turned away by a full engine.
+*/
+static gboolean waits_with_handle(Router *router, Request *request,
+                                  gint64 now) {
+  if (request->handle == NULL || request->runs > 0 || request->head_sent ||
+      router->stopping || choose_with_room(router, request, now) != NULL)
+    return FALSE;
+  prefill_unreserve(router, request);
+  admission_return(router, request, now);
+  return TRUE;
+}
+
 void path_run(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint;
   guint64 tokens = 0;
@@ -240,6 +261,8 @@
   request->phase = PHASE_RUN;
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now);
+  if (waits_with_handle(router, request, now))
+    return;
   endpoint = choose(router, request, now);
   if (endpoint == NULL) {
     finish_give_up(router, request, now);
@@ -262,7 +285,7 @@
                 gint64 now) {
   router_time(router, request, DURATION_WAIT, now);
   prefill_reserve(router, request, decode);
-  if (!prefill_begin(router, request, now))
+  if (request->handle != NULL || !prefill_begin(router, request, now))
     path_run(router, request, now);
 }
 
--- a/router/state.h
+++ b/router/state.h
@@ -199,6 +199,8 @@
 
 /* start the request, or let it wait, or refuse it; may end */
 void admission_enter(Router *router, Request *request, gint64 now);
+/* its prompt is read but no engine has room: wait while the handle lives */
+void admission_return(Router *router, Request *request, gint64 now);
 /* it waits no more */
 void admission_leave(Router *router, Request *request);
 /* its time to be looked at has come; may end */
