A prompt that must be read again is read by the engine that read it

Cause: a run that was lost in a cut or by a broken engine went on at a decode engine that read the whole prompt itself: 300 ms and more, its other streams slowed, and all of the prompt read twice. Change: the request remembers who read its prompt; a run without a handle has it read there first, within the retry budget. A planned stop frees the handles of those that wait.

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -348,7 +348,7 @@
   (void)fd;
   (void)what;
   if (age >= gateway->drain_least) {
-    router_stop_taking(gateway->router);
+    router_stop_taking(gateway->router, node_now());
     front_close_idle(gateway->front);
   }
   if (age >= gateway->drain_least && front_open_requests(gateway->front) == 0)
--- a/router/path.c
+++ b/router/path.c
@@ -261,7 +261,8 @@
   request->phase = PHASE_RUN;
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now);
-  if (waits_with_handle(router, request, now))
+  if (waits_with_handle(router, request, now) ||
+      prefill_again(router, request, now))
     return;
   endpoint = choose(router, request, now);
   if (endpoint == NULL) {
@@ -535,8 +536,10 @@
                request->last_event != NULL ? request->last_event : "-",
                (int)(request->longest_pause / MP_MS));
   if (request->handle != NULL && outcome->kind == OUTCOME_NOT_RUN &&
-      request->arrivals > 0)
+      request->arrivals > 0) {
     blame_prefill(router, request, now);
+    g_clear_pointer(&request->read_by, g_free);
+  }
   if (outcome->kind != OUTCOME_UNREACHABLE &&
       (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
     drop_used_handle(request); /* one that two engines refused is gone */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -62,10 +62,26 @@
   state->prefill_pace += PACE_STEP * (pace - state->prefill_pace);
 }
 
+/* the engine that read the prompt, if it can read it again */
+static Endpoint *earlier_reader(Router *router, const Request *request,
+                                gint64 now) {
+  Endpoint *endpoint;
+  if (request->read_by == NULL)
+    return NULL;
+  endpoint = endpoint_table_get(router->endpoints, request->read_by);
+  if (endpoint == NULL || !endpoint->record.ready ||
+      endpoint->record.stage != STAGE_PREFILL || endpoint->avoid_until > now ||
+      endpoint_changing(router->endpoints, endpoint, now))
+    return NULL;
+  return endpoint;
+}
+
 gboolean prefill_begin(Router *router, Request *request, gint64 now) {
   EndpointWish wish = path_wish(router, request, STAGE_PREFILL);
   const Endpoint *decode =
-      endpoint_table_get(router->endpoints, request->decode);
+      request->decode != NULL
+          ? endpoint_table_get(router->endpoints, request->decode)
+          : NULL;
   Endpoint *prefill;
   gint64 expected;
   if (request->prefills_sent >= MOST_PREFILLS ||
@@ -75,7 +91,9 @@
   wish.tokens = request->prompt_tokens;
   wish.zone = decode != NULL ? decode->record.zone : NULL;
   wish.affinity = request->session;
-  prefill = endpoint_table_choose(router->endpoints, &wish, now);
+  prefill = earlier_reader(router, request, now);
+  if (prefill == NULL)
+    prefill = endpoint_table_choose(router->endpoints, &wish, now);
   if (prefill == NULL)
     return FALSE;
   router_count(router, PREFILLS);
@@ -88,6 +106,19 @@
   return TRUE;
 }
 
+/*
+** A run that is lost leaves the prompt in the memory of the engine that read
+** it, for some seconds. Reading it there once more takes some ten
+** milliseconds; a decode engine would read all of it and slow its runs. It is
+** an extra arrival, which the retry budget must allow.
+*/
+gboolean prefill_again(Router *router, Request *request, gint64 now) {
+  return request->handle == NULL && request->read_by != NULL &&
+         earlier_reader(router, request, now) != NULL &&
+         retry_exchange_take(router, request->service->name, now) &&
+         prefill_begin(router, request, now);
+}
+
 /* the prompt was read: run where it can be fetched */
 static void take_handle(Request *request, const Outcome *outcome,
                         const Endpoint *endpoint, gint64 now) {
@@ -95,6 +126,8 @@
                                          : request->service->handle_life;
   request->handle = g_strdup(outcome->handle);
   request->handle_endpoint = g_strdup(endpoint->record.id);
+  g_free(request->read_by);
+  request->read_by = g_strdup(endpoint->record.id);
   request->handle_address = endpoint->record.address;
   request->handle_until = now + life - HANDLE_MARGIN;
 }
--- a/router/router.c
+++ b/router/router.c
@@ -28,6 +28,7 @@
   g_free(request->decode);
   g_free(request->handle);
   g_free(request->handle_endpoint);
+  g_free(request->read_by);
   for (i = 0; i < request->excluded_count; i++)
     g_free(request->excluded[i]);
   g_free(request);
@@ -208,10 +209,13 @@
   path_begin(router, request, now);
 }
 
-void router_stop_taking(Router *router) {
+void router_stop_taking(Router *router, gint64 now) {
   router->stopping = TRUE;
-  while (router->waiting->len > 0)
-    finish_refuse(router, router->waiting->pdata[0], REFUSAL_DRAINING);
+  while (router->waiting->len > 0) {
+    Request *request = router->waiting->pdata[0];
+    prefill_drop_handle(router, request, now);
+    finish_refuse(router, request, REFUSAL_DRAINING);
+  }
 }
 
 void router_hangup(Router *router, guint64 number, gint64 now) {
--- a/router/router.h
+++ b/router/router.h
@@ -166,7 +166,7 @@
 void router_set_instances(Router *router, unsigned count);
 
 /* planned stop: take no request any more, and refuse those that wait */
-void router_stop_taking(Router *router);
+void router_stop_taking(Router *router, gint64 now);
 
 /* a whole request came; the host hears about it through RouterHost */
 void router_request(Router *router, const CallerRequest *request, gint64 now);
--- a/router/state.h
+++ b/router/state.h
@@ -91,6 +91,7 @@
   mp_Addr handle_address;
   char *handle_endpoint;
   gint64 handle_until;
+  char *read_by;         /* the engine that read the prompt, or NULL */
   gint64 suspect_at; /* no word of the run by then: doubt the endpoint */
   gint64 stall_at;   /* give the open dispatch up then; 0: never */
   char *excluded[MAX_EXCLUDED];
@@ -179,6 +180,9 @@
 /* FALSE when there is no engine for it; the decode engine is reserved */
 gboolean prefill_begin(Router *router, Request *request, gint64 now);
 void prefill_reserve(Router *router, Request *request, Endpoint *decode);
+/* read a prompt anew that was read before, where it may be kept still; FALSE
+** when that is not possible: nothing is sent then */
+gboolean prefill_again(Router *router, Request *request, gint64 now);
 /* an outcome of the open PREFILL dispatch; may end */
 void prefill_outcome(Router *router, Request *request, const Outcome *outcome,
                      gint64 now);
