A second reading of a prompt is always charged to the retry budget

Ruled out: prefill_again, which asks first (its test). Change: path_place sends a free prefill only for a prompt never read. Test: Reading.AWaitingRequestIsReadAnewOnlyWithinTheRetryBudget, failed first.

--- a/router/path.c
+++ b/router/path.c
@@ -286,7 +286,8 @@
                 gint64 now) {
   router_time(router, request, DURATION_WAIT, now);
   prefill_reserve(router, request, decode);
-  if (request->handle != NULL || !prefill_begin(router, request, now))
+  /* a second reading is an extra arrival: path_run asks the budget */
+  if (request->prefills > 0 || !prefill_begin(router, request, now))
     path_run(router, request, now);
 }
 
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -300,6 +300,23 @@
   EXPECT_EQ(world.last().handle, "h8");
 }
 
+TEST(Reading, AWaitingRequestIsReadAnewOnlyWithinTheRetryBudget) {
+  World strict(0, 0.0);
+  strict.populate();
+  guint64 request = strict.request("/stream/x");
+  fill(strict, 1, 9500);
+  strict.prefilled(strict.last().number, "h7");
+  for (guint32 i = 2; i < 8; i++) {
+    strict.advance(100 * ms);
+    fill(strict, i, 9500);
+  }
+  fill(strict, 8, 0);
+  strict.advance(10 * ms);
+  ASSERT_EQ(strict.runs(request), 1u); /* the decode engine reads it */
+  EXPECT_EQ(strict.last().kind, DISPATCH_RUN);
+  EXPECT_EQ(strict.last().handle, "");
+}
+
 TEST_F(Routed, AHandleOfAWaitingRequestIsFreedWhenItIsRefused) {
   guint64 request = world.request("/stream/x");
   fill(world, 1, 9500);
