A resumed caller's prompt is read at its session's home engine

Cause: after all instances were killed the callers of lost streams come back together, and each prompt was read at whatever prefill engine had least to do; engines keep prompts for some seconds, so the one that read it before reads it in 50 ms and at no price. Change: the adapter says that a caller goes on with a stream; such a prompt goes to the engine with the largest rendezvous weight, whatever its load. Test: Routed.AResumedCallersPromptIsReadAtItsHomeWhateverTheLoad fails without.

--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -206,9 +206,10 @@
 }
 
 static Endpoint *best_of(const GArray *found, const EndpointWish *wish) {
-  double reach = wish->affinity != 0 ? AFFINITY_REACH
-                 : wish->must_fit    ? SPREAD_REACH
-                                     : 0.01;
+  double reach = wish->at_home         ? HUGE_VAL
+                 : wish->affinity != 0 ? AFFINITY_REACH
+                 : wish->must_fit      ? SPREAD_REACH
+                                       : 0.01;
   guint64 seed = wish->affinity != 0 ? wish->affinity : wish->spread;
   double least = HUGE_VAL;
   Endpoint *best = NULL;
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -42,6 +42,7 @@
   EndpointStage stage;
   const char *zone;  /* preferred; NULL: this instance's */
   guint64 affinity;  /* equal ones meet the same endpoint; 0: none */
+  gboolean at_home;  /* affinity turns the choice whatever the load */
   guint64 spread;    /* random: tells equals apart where there is none */
   guint64 capacity;  /* engines: tokens of memory, 0: unknown */
   guint64 tokens;    /* tokens that the dispatch adds */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -91,6 +91,7 @@
   wish.tokens = request->prompt_tokens;
   wish.zone = decode != NULL ? decode->record.zone : NULL;
   wish.affinity = request->session;
+  wish.at_home = request->resumes;
   prefill = earlier_reader(router, request, now);
   if (prefill == NULL)
     prefill = endpoint_table_choose(router->endpoints, &wish, now);
--- a/router/router.c
+++ b/router/router.c
@@ -156,6 +156,7 @@
   request->prompt_tokens = call->prompt_tokens;
   request->output_tokens = call->output_tokens;
   request->session = call->session;
+  request->resumes = call->resumes;
   request->arrived = now;
   request->caller_deadline = now + patience;
   request->expires = now + patience - ANSWER_MARGIN;
--- a/router/router.h
+++ b/router/router.h
@@ -37,6 +37,7 @@
   guint32 output_tokens;  /* the most that may be generated */
   guint64 session;        /* hash of the prompt's last part; 0: none */
   guint32 session_tokens; /* tokens of that part */
+  gboolean resumes;       /* goes on with a stream that the caller lost */
 } CallerRequest;
 
 typedef enum DispatchKind {
--- a/router/state.h
+++ b/router/state.h
@@ -79,6 +79,7 @@
   gboolean was_busy; /* some endpoint turned it away */
   gint64 turn_at;    /* waiting: start then, if there is still room; 0: none */
   gboolean returned; /* it was refused before, and came back */
+  gboolean resumes;  /* its caller lost it half-way: it is late already */
   gint64 come_back;  /* when refused: come back after this; 0: as usual */
   gboolean head_sent;    /* the answer has begun */
   char *last_event;      /* passed on to the caller */
@@ -91,7 +92,7 @@
   mp_Addr handle_address;
   char *handle_endpoint;
   gint64 handle_until;
-  char *read_by;         /* the engine that read the prompt, or NULL */
+  char *read_by;     /* the engine that read the prompt, or NULL */
   gint64 suspect_at; /* no word of the run by then: doubt the endpoint */
   gint64 stall_at;   /* give the open dispatch up then; 0: never */
   char *excluded[MAX_EXCLUDED];
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -184,6 +184,22 @@
   return last_number;
 }
 
+guint64 World::resumption(const std::string &path, guint64 session) {
+  CallerRequest call = {};
+  std::string id = "r" + std::to_string(++last_number);
+  call.number = last_number;
+  call.id = id.c_str();
+  call.host = "host";
+  call.path = path.c_str();
+  call.deadline_ms = 8000;
+  call.prompt_tokens = 1000;
+  call.output_tokens = 500;
+  call.session = session;
+  call.resumes = TRUE;
+  router_request(router, &call, now);
+  return last_number;
+}
+
 void World::hangup(guint64 number) {
   router_hangup(router, number, now);
 }
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -89,6 +89,8 @@
 
   guint64 request(const std::string &path, gint64 deadline_ms = 10000,
                   guint32 prompt = 1000, guint32 output = 500);
+  /* a caller that lost a stream of this session half-way goes on with it */
+  guint64 resumption(const std::string &path, guint64 session);
   void hangup(guint64 number);
   void advance(gint64 span);
 
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -52,6 +52,11 @@
   EXPECT_EQ(read.request.prompt_tokens, 1460u);
   EXPECT_EQ(read.request.output_tokens, 80u);
   EXPECT_EQ(read.request.session, 0xe44u);
+  EXPECT_FALSE(read.request.resumes);
+  caller_head_clear(&read);
+  http_head_add(head, "Last-Event-Id", "4");
+  ASSERT_TRUE(platform_read_caller(head, &read, nullptr));
+  EXPECT_TRUE(read.request.resumes);
   caller_head_clear(&read);
   http_head_free(head);
 }
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -488,6 +488,21 @@
   EXPECT_NE(world.last().endpoint, world.sent(first).endpoint);
 }
 
+TEST_F(Routed, AResumedCallersPromptIsReadAtItsHomeWhateverTheLoad) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  world.endpoint({"pre-3", "llm", "b", STAGE_PREFILL});
+  world.endpoint({"dec-3", "llm", "a", STAGE_DECODE});
+  for (guint64 session = 1; session <= 9; session++) {
+    guint64 first = world.resumption("/resume/x", session);
+    std::string home = world.last().endpoint;
+    guint64 second = world.resumption("/resume/x", session); /* one more */
+    EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+    EXPECT_EQ(world.last().endpoint, home) << session;
+    world.hangup(first);
+    world.hangup(second);
+  }
+}
+
 TEST_F(Routed, APromptIsReadByADecodeEngineWhenItsReaderIsOutOfReach) {
   guint64 request = running("/resume/x");
   guint64 first = world.last().number;
