A reader that fails the second reading is not asked a third time

Cause: found when reading the diff: prefill_begin asked the engine that had read the prompt even after it had failed this request. Ruled out: an endless loop (three prefills a request at most). Change: earlier_reader passes over excluded engines. Test: Routed.AReaderThatFailsTheSecondReadingIsNotAskedAThirdTime, failed first.

--- a/router/path.c
+++ b/router/path.c
@@ -102,6 +102,15 @@
   request->excluded[request->excluded_count++] = g_strdup(endpoint);
 }
 
+gboolean path_is_excluded(const Request *request, const char *endpoint) {
+  guint i;
+  for (i = 0; i < request->excluded_count; i++) {
+    if (strcmp(request->excluded[i], endpoint) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 /*
 ** {==================================================================
 ** Dispatches
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -66,7 +66,7 @@
 static Endpoint *earlier_reader(Router *router, const Request *request,
                                 gint64 now) {
   Endpoint *endpoint;
-  if (request->read_by == NULL)
+  if (request->read_by == NULL || path_is_excluded(request, request->read_by))
     return NULL;
   endpoint = endpoint_table_get(router->endpoints, request->read_by);
   if (endpoint == NULL || !endpoint->record.ready ||
--- a/router/state.h
+++ b/router/state.h
@@ -162,6 +162,7 @@
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage);
 void path_exclude(Request *request, const char *endpoint);
+gboolean path_is_excluded(const Request *request, const char *endpoint);
 /* a run that may be resumed elsewhere is silent; may end */
 void path_stalled(Router *router, Request *request, gint64 now);
 /* the endpoint of the run is silent for long: others should know */
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -503,6 +503,17 @@
   }
 }
 
+TEST_F(Routed, AReaderThatFailsTheSecondReadingIsNotAskedAThirdTime) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  world.request("/resume/x");
+  std::string reader = world.last().endpoint;
+  world.prefilled(world.last().number);
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  EXPECT_EQ(world.last().endpoint, reader);
+  world.outcome(world.last().number, OUTCOME_BROKEN);
+  EXPECT_NE(world.last().endpoint, reader);
+}
+
 TEST_F(Routed, APromptIsReadByADecodeEngineWhenItsReaderIsOutOfReach) {
   guint64 request = running("/resume/x");
   guint64 first = world.last().number;
