--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -169,35 +169,33 @@
   endpoint({"dec-2", "llm", "a", STAGE_DECODE});
 }
 
-guint64 World::request(const std::string &path, gint64 deadline_ms,
-                       guint32 prompt, guint32 output) {
-  CallerRequest call = {};
+guint64 World::send(const std::string &path, CallerRequest call) {
   std::string id = "r" + std::to_string(++last_number);
   call.number = last_number;
   call.id = id.c_str();
   call.host = "host";
   call.path = path.c_str();
+  router_request(router, &call, now);
+  return last_number;
+}
+
+guint64 World::request(const std::string &path, gint64 deadline_ms,
+                       guint32 prompt, guint32 output) {
+  CallerRequest call = {};
   call.deadline_ms = deadline_ms;
   call.prompt_tokens = prompt;
   call.output_tokens = output;
-  router_request(router, &call, now);
-  return last_number;
+  return send(path, call);
 }
 
 guint64 World::resumption(const std::string &path, guint64 session) {
   CallerRequest call = {};
-  std::string id = "r" + std::to_string(++last_number);
-  call.number = last_number;
-  call.id = id.c_str();
-  call.host = "host";
-  call.path = path.c_str();
   call.deadline_ms = 8000;
   call.prompt_tokens = 1000;
   call.output_tokens = 500;
   call.session = session;
   call.resumes = TRUE;
-  router_request(router, &call, now);
-  return last_number;
+  return send(path, call);
 }
 
 void World::hangup(guint64 number) {
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -119,6 +119,8 @@
   std::vector<mp_LoadNote> notes;
 
 private:
+  /* number, id, host and path are filled in */
+  guint64 send(const std::string &path, CallerRequest call);
   static void on_dispatch(void *data, const Dispatch *dispatch);
   static void on_cancel(void *data, guint64 dispatch);
   static void on_answer(void *data, guint64 request, const Outcome *outcome);
