--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -176,7 +176,7 @@
 m r-event "ORDER: a partial event is held back" http/events.c \
   'if (empty > 0)' 'if (1)'
 m r-own "the system sets its own fields" platform/endpoints.c \
-  'http_head_remove(head, own_fields[i]);' ';'
+  'http_head_remove(head, platform_system_fields[i]);' ';'
 m r-silence "LOST: silence ends nothing without another endpoint" router/path.c \
   '!has_elsewhere(router, request, now) ||' ''
 m r-paid "LOST: a resume is paid before the run is left" router/path.c \
@@ -186,5 +186,18 @@
 m r-notrun "REFUSED: 503 alone promises nothing" platform/endpoints.c \
   'out->not_run = out->misdirected ||' \
   'out->not_run = head->status == 503 || out->misdirected ||'
+m r-handle "with its prompt read a request waits for room" router/path.c \
+  'if (waits_with_handle(router, request, now) ||' \
+  'if ((0 && waits_with_handle(router, request, now)) ||'
+m r-reader "a prompt is read again by its reader" router/path.c \
+  'prefill_again(router, request, now))
+    return;' '0)
+    return;'
+m r-again "BUDGET: a second reading is charged" router/path.c \
+  'if (request->prefills > 0 || !prefill_begin' 'if (!prefill_begin'
+m r-failed "a reader that failed is not asked again" router/prefill.c \
+  ' || path_is_excluded(request, request->read_by))' ')'
+m r-home "a resumed caller's prompt is read at home" router/prefill.c \
+  'wish.at_home = request->resumes;' 'wish.at_home = FALSE;'
 echo "$caught mutants caught, $missed missed"
 [ $missed = 0 ]
