--- a/router/admission.c
+++ b/router/admission.c
@@ -22,7 +22,7 @@
 #include "router/state.h"
 
 /* a fresh request waits about so many objectives for room: reading its prompt
-** takes another 0.2 to 0.3 of them (measured: 1.0, 0.7, 0.45 are worse) */
+** takes another 0.2 to 0.3 of them (1.0 and 0.7 measured worse, ROUNDS.md) */
 #define WAIT_FRESH_OBJECTIVES 0.55
 /* an early refusal leaves before this share of the objective */
 #define EARLY_SHARE 0.22
