--- a/router/path.c
+++ b/router/path.c
@@ -446,8 +446,15 @@
   finish_answered(router, request, outcome);
 }
 
+static void note_pause(Request *request, gint64 now) {
+  gint64 pause = request->last_piece != 0 ? now - request->last_piece : 0;
+  request->longest_pause = MAX(request->longest_pause, pause);
+  request->last_piece = now;
+}
+
 static void piece(Router *router, Request *request, const Outcome *outcome,
                   gint64 now) {
+  note_pause(request, now);
   if (outcome->event != NULL) {
     g_free(request->last_event);
     request->last_event = g_strdup(outcome->event);
@@ -498,11 +505,12 @@
   if (outcome->kind != OUTCOME_STREAM_PIECE)
     router_log(router, MP_LOG_ROUTE_OUTCOME,
                " request=%s endpoint=%s outcome=%s status=%d after_ms=%d "
-               "last_event=%s",
+               "last_event=%s longest_pause_ms=%d",
                request->id, request->open.endpoint,
                outcome_name(outcome->kind), outcome->status,
                (int)((now - request->open.sent) / MP_MS),
-               request->last_event != NULL ? request->last_event : "-");
+               request->last_event != NULL ? request->last_event : "-",
+               (int)(request->longest_pause / MP_MS));
   if (request->handle != NULL && outcome->kind == OUTCOME_NOT_RUN &&
       request->arrivals > 0)
     blame_prefill(router, request, now);
--- a/router/router.c
+++ b/router/router.c
@@ -200,9 +200,11 @@
   }
   retry_budget_request(router_budget(router, service), &router->retry, now);
   router_log(router, MP_LOG_ROUTE_ACCEPT,
-             " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d",
+             " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
+             "objective_ms=%d session=%" G_GINT64_MODIFIER "x",
              request->id, route->name, service, request->prompt_tokens,
-             request->output_tokens, (int)((request->expires - now) / MP_MS));
+             request->output_tokens, (int)((request->expires - now) / MP_MS),
+             (int)(route->objective / MP_MS), request->session);
   path_begin(router, request, now);
 }
 
--- a/router/state.h
+++ b/router/state.h
@@ -83,6 +83,8 @@
   gboolean head_sent;    /* the answer has begun */
   char *last_event;      /* passed on to the caller */
   guint32 made;          /* tokens made, as the events tell */
+  gint64 last_piece;     /* when the last piece came; 0: none yet */
+  gint64 longest_pause;  /* between two pieces, so far */
   char *decode;          /* id of the engine that shall decode */
   guint64 decode_tokens; /* reserved there until it is dispatched */
   char *handle;          /* of the prompt that was read, not yet used */
--- a/scripts/panel.py
+++ b/scripts/panel.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
 """Plays a panel of days on the users' bench and prints their mean worth.
 
-    scripts/panel.py WHY [--sites base|grown|all] [--days A,B] [--seeds 1,2]
-                     [--jobs N] [--cpu] [--runs REPEAT]
+    scripts/panel.py WHY [--sites GROUP,GROUP] [--days A,B] [--seeds 1,2]
+                     [--jobs N] [--cpu] [--brief]
 
 For paired trials: the same days and seeds, without processor time unless
 --cpu is given, in several processes. Every run leaves its journal entry.
@@ -17,16 +17,20 @@
 import sys
 
 KIT = "../given/kit/more/system"
+BENCH = f"{KIT}/more/bench-0d00f8/bin/fleetbench"
 SITES = {
+    "further": ["further/sufra-amman"],
     "base": ["sites/coldlink-suva", "sites/funkbuch-ost"],
+    "further-grown": ["further-grown/sufra-amman-grown"],
     "grown": ["grown/coldlink-suva-grown", "grown/funkbuch-ost-grown"],
 }
+TROUBLE = "trouble-1,scale-1,trouble-2,scale-2,trouble-3"
 PRICES_SHOWN = 3
 
 
 def play(job):
     site, day, seed, why, cpu = job
-    command = [f"{KIT}/bin/fleetbench", "run", f"{KIT}/{site}.toml", day,
+    command = [BENCH, "run", f"{KIT}/{site}.toml", day,
                "--why", why]
     if seed:
         command += ["--seed", seed]
@@ -61,17 +65,30 @@
             f"({shown}){broken}")
 
 
+def print_means(totals):
+    for (site, day), worths in sorted(totals.items()):
+        spread = max(worths) - min(worths)
+        print(f"{site.split('/')[1]:20} {day:10} mean "
+              f"{sum(worths) / len(worths):.4f} spread {spread:.3f}")
+    for site in sorted({site for site, _ in totals}):
+        worths = [worth for (other, _), some in totals.items()
+                  if other == site for worth in some]
+        print(f"{site.split('/')[1]:20} mean {sum(worths)/len(worths):.4f} "
+              f"of {len(worths)}")
+
+
 def main():
     reader = argparse.ArgumentParser()
     reader.add_argument("why")
-    reader.add_argument("--sites", default="grown")
-    reader.add_argument("--days", default="quiet-1,scale-1,scale-2")
+    reader.add_argument("--sites", default="further")
+    reader.add_argument("--days", default=TROUBLE)
     reader.add_argument("--seeds", default="")
     reader.add_argument("--jobs", type=int, default=6)
     reader.add_argument("--cpu", action="store_true")
+    reader.add_argument("--brief", action="store_true")
     options = reader.parse_args()
-    sites = (SITES["base"] + SITES["grown"] if options.sites == "all"
-             else SITES[options.sites])
+    groups = SITES if options.sites == "all" else options.sites.split(",")
+    sites = [site for group in groups for site in SITES[group]]
     jobs = [(site, day, seed, options.why, options.cpu)
             for site in sites for day in options.days.split(",")
             for seed in options.seeds.split(",")]
@@ -81,15 +98,11 @@
             if day is None:
                 print(f"{job[0]} {job[1]}: not played: {trouble}")
                 continue
-            print(row(job, day))
-            totals.setdefault(job[0], []).append(day["G"])
-    for site, worths in totals.items():
-        print(f"{site.split('/')[1]:20} mean {sum(worths)/len(worths):.4f} "
-              f"of {len(worths)}")
-    every = [worth for worths in totals.values() for worth in worths]
-    if every:
-        print(f"all {sum(every) / len(every):.4f}")
-    return 0 if every else 1
+            if not options.brief or day.get("rules"):
+                print(row(job, day))
+            totals.setdefault((job[0], job[1]), []).append(day["G"])
+    print_means(totals)
+    return 0 if totals else 1
 
 
 if __name__ == "__main__":
