--- a/core/state.c
+++ b/core/state.c
@@ -245,6 +245,8 @@
     break;
   case MP_MSG_LOAD_DIGEST: /* between routers of another dialect */
   case MP_MSG_LOAD_NOTE:
+  case MP_MSG_RELAY_BEAT:
+  case MP_MSG_RELAY_ASK:
   case MP_MSG_LAST:
     break;
   }
--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -40,6 +40,14 @@
   char *handle; /* owned */
 } PrefillAnswer;
 
+/* how calls that follow objects are written, and their answers read */
+typedef struct StoreCodec {
+  HttpHead *(*write_call)(const StoreCall *call, char **body);
+  /* objects of the reply are owned by it: store_reply_clear */
+  gboolean (*read_reply)(const StoreCall *call, int status, const char *body,
+                         gsize size, StoreReply *out, GError **error);
+} StoreCodec;
+
 typedef struct Dialect {
   const char *name;
 
@@ -74,19 +82,15 @@
   ** The store
   */
 
-  HttpHead *(*write_store_call)(const StoreCall *call, char **body);
-  /* objects of the reply are owned by it: store_reply_clear */
-  gboolean (*read_store_reply)(const StoreCall *call, int status,
-                               const char *body, gsize size, StoreReply *out,
-                               GError **error);
+  StoreCodec store;
 
   /*
-  ** Records: the text of an object, as read_store_reply handed it out
+  ** Records: the text of an object, as the store's codec handed it out
   */
 
   RouteTable *(*read_configuration)(const char *text, GError **error);
-  /* the address in an instance's own object; 0: it has none */
-  mp_Addr (*read_instance)(const char *text);
+  gboolean (*read_instance)(const char *text, InstanceRecord *out,
+                            GError **error);
   gboolean (*read_record)(const char *name, const char *text,
                           EndpointRecord *out, GError **error);
   gboolean (*read_lease)(const char *text, LeaseRecord *out, GError **error);
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -341,6 +341,8 @@
   MP_MSG_FETCH,
   MP_MSG_LOAD_DIGEST,
   MP_MSG_LOAD_NOTE,
+  MP_MSG_RELAY_BEAT,
+  MP_MSG_RELAY_ASK,
   MP_MSG_LAST
 } mp_MsgKind;
 
@@ -526,6 +528,12 @@
   uint32_t tokens;
 } mp_LoadNote;
 
+/* a relay's heartbeat: what it knows of the store (router/relay_group.h) */
+typedef struct mp_RelayBeat {
+  uint64_t changed[MP_RELAY_KINDS]; /* revision of its newest news, by kind */
+  uint32_t age_ms; /* since the store last answered the relay */
+} mp_RelayBeat;
+
 typedef struct mp_Msg {
   mp_MsgKind kind;
   uint32_t seq;
@@ -541,6 +549,7 @@
     mp_Fetch fetch;
     mp_LoadDigest digest;
     mp_LoadNote note;
+    mp_RelayBeat beat;
   } u;
 } mp_Msg;
 
@@ -792,8 +801,11 @@
   X(STORE_RECORD_BAD, 8101, MP_FAULT, "record of the store refused")    \
   X(STORE_LIST, 8102, MP_INFO, "list read from the store")              \
   X(STORE_HISTORY_GONE, 8103, MP_WARN, "watch lost its history")        \
-  X(PEER_SNAPSHOT, 8104, MP_INFO, "configuration taken from a peer")    \
+  X(PEER_SNAPSHOT, 8104, MP_INFO, "objects taken from a peer")          \
   X(INSTANCES, 8105, MP_INFO, "count of instances changed")             \
+  X(RELAY_ROLE, 8106, MP_INFO, "source of the store's news changed")    \
+  X(RELAY_FAILED, 8107, MP_WARN, "relay did not answer")                \
+  X(NOT_ENTERED, 8108, MP_WARN, "instance could not enter itself")      \
   X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")       \
   X(LINES_LEFT_OUT, 9001, MP_INFO, "log lines left out")                \
   X(LINES_LOST, 9002, MP_WARN, "log lines lost")
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -52,6 +52,9 @@
 #define MP_DIGEST_CHANGING 12
 #define MP_DIGEST_SERVICES 6
 
+/* kinds of the store's objects that relays pass on */
+#define MP_RELAY_KINDS 3
+
 /* renewals carried by one datagram */
 #define MP_RENEW_BATCH 40
 
--- a/io/directory.c
+++ b/io/directory.c
@@ -3,25 +3,22 @@
 ** Keeps the router in step with the store
 */
 
-#include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 #include "io/directory.h"
-#include "io/http.h"
+#include "io/following.h"
 #include "io/node.h"
 #include "io/store_link.h"
 
-/* an answer may come so much later than a watch's wait */
-#define WATCH_SLACK (700 * MP_MS)
-/* other calls are given up after this */
+/* a call that enters this instance is given up after this */
 #define CALL_PATIENCE (1000 * MP_MS)
-/* a young instance without a configuration asks a peer this often */
-#define PEER_FIRST (600 * MP_MS)
-#define PEER_AGAIN (400 * MP_MS)
+/* the first such call, on which the start waits; it takes some milliseconds */
+#define FIRST_CALL_PATIENCE (400 * MP_MS)
 /* the wait before an instance tries again to enter its own object */
 #define REGISTER_RETRY (2 * MP_SEC)
+/* a new instance gives those that start beside it this time to enter
+** themselves, before it lists all: they start within 300 ms of each other */
+#define SETTLE (500 * MP_MS)
 /* pauses after news of a kind, so that more news cost no call each */
 #define CONFIGURATION_PAUSE (300 * MP_MS)
 #define ENDPOINTS_PAUSE (400 * MP_MS)
@@ -29,39 +26,24 @@
 /* longest wait of a watch of the instances: they change rarely */
 #define INSTANCES_WAIT (12 * MP_SEC)
 
-/* one kind that is followed */
-typedef struct Following {
-  Directory *directory;
-  Follower follower;
-  StoreLink *link;
-  struct event *timer;
-} Following;
-
 struct Directory {
   struct event_base *base;
   const Dialect *dialect;
   Router *router;
+  RelayGroup *group;
   Log *log;
   DirectoryHooks hooks;
   char *instance;
-  mp_Addr *peers;
-  unsigned peers_count, next_peer;
-  Following configuration, endpoints;
-  /* texts as the store holds them, for peers */
-  char *configuration_text;
-  GHashTable *endpoint_texts; /* id -> text */
-  gboolean has_endpoints;
-  /* the other instances */
-  Following following_instances;
-  GHashTable *instances; /* name -> mp_Addr */
+  InstanceRecord own; /* as it is entered */
+  mp_Addr *seeds;
+  Following *following[MP_RELAY_KINDS]; /* by StoreKind */
+  GHashTable *instances;                /* name -> InstanceRecord */
   gboolean instances_listed;
-  mp_Addr exchange; /* this instance's own address among them */
   StoreLink *registration;
+  gboolean registering; /* a call is out */
   struct event *register_timer;
-  /* asking a peer */
-  struct event *peer_timer;
-  HttpCall *peer_call;
-  GString *peer_text;
+  gboolean is_started; /* the instances are followed */
+  struct event *settle_timer;
 };
 
 static void start_timer(struct event *timer, gint64 wait) {
@@ -91,8 +73,6 @@
     bad_record(directory, name, error);
     return;
   }
-  g_free(directory->configuration_text);
-  directory->configuration_text = g_strdup(text);
   router_set_routes(directory->router, table, node_now());
   directory->hooks.configuration(directory->hooks.data, table);
   route_table_unref(table);
@@ -106,8 +86,6 @@
     bad_record(directory, name, error);
     return;
   }
-  g_hash_table_replace(directory->endpoint_texts, g_strdup(name),
-                       g_strdup(text));
   router_set_endpoint(directory->router, &record, FALSE, node_now());
   endpoint_record_clear(&record);
 }
@@ -115,12 +93,12 @@
 static void drop_endpoint(Directory *directory, const char *name) {
   EndpointRecord record = {0};
   record.id = (char *)name;
-  g_hash_table_remove(directory->endpoint_texts, name);
   router_set_endpoint(directory->router, &record, TRUE, node_now());
 }
 
 static void take_instance(Directory *directory, const StoreObject *object);
 static void tell_instances(Directory *directory);
+static void enter(Directory *directory);
 
 static void on_object(void *data, StoreKind kind, const StoreObject *object) {
   Directory *directory = data;
@@ -135,8 +113,8 @@
     take_endpoint(directory, object->name, object->text);
 }
 
-static gboolean is_unlisted(gpointer name, gpointer text, gpointer names) {
-  (void)text;
+static gboolean is_unlisted(gpointer name, gpointer instance, gpointer names) {
+  (void)instance;
   return !g_hash_table_contains(names, name);
 }
 
@@ -148,12 +126,10 @@
     directory->instances_listed = TRUE;
     g_hash_table_foreach_remove(directory->instances, is_unlisted, names);
     tell_instances(directory);
+    enter(directory);
   }
-  if (kind != STORE_ENDPOINTS)
-    return;
-  directory->has_endpoints = TRUE;
-  g_hash_table_foreach_remove(directory->endpoint_texts, is_unlisted, names);
-  router_keep_endpoints(directory->router, names, node_now());
+  if (kind == STORE_ENDPOINTS)
+    router_keep_endpoints(directory->router, names, node_now());
 }
 
 static void on_lost(void *data, StoreKind kind) {
@@ -170,258 +146,297 @@
 
 /*
 ** {==================================================================
-** Following
+** Instances: each keeps one object under its own name
 ** ===================================================================
 */
 
-static void on_follow_timer(evutil_socket_t fd, short what, void *data) {
-  Following *following = data;
-  StoreCall call;
-  gint64 patience = CALL_PATIENCE;
-  (void)fd;
-  (void)what;
-  follower_begin(&following->follower, &call);
-  if (call.operation == STORE_WATCH)
-    patience = call.wait + WATCH_SLACK;
-  store_link_call(following->link, &call, patience);
-}
-
-static void on_follow_reply(void *data, const StoreReply *reply,
-                            const GError *error) {
-  Following *following = data;
-  gint64 now = node_now();
-  if (reply->status == STORE_HISTORY_GONE)
-    log_numbered(following->directory->log, MP_LOG_STORE_HISTORY_GONE,
-                 " kind=%d", (int)following->follower.kind);
-  (void)error;
-  follower_reply(&following->follower, reply, now);
-  start_timer(following->timer,
-              follower_next_call(&following->follower) - now);
-}
-
-static void follow(Directory *directory, Following *following, StoreKind kind,
-                   const DirectoryOptions *options, gint64 watch_wait,
-                   gint64 pause) {
-  FollowerHost host = {directory, on_object, on_listed, on_lost, on_regained};
-  following->directory = directory;
-  follower_init(&following->follower, kind, watch_wait, pause, &host);
-  following->link =
-      store_link_new(directory->base, options->store, directory->dialect,
-                     on_follow_reply, following);
-  following->timer = evtimer_new(directory->base, on_follow_timer, following);
-  start_timer(following->timer, 0);
-}
-
-static void unfollow(Following *following) {
-  event_free(following->timer);
-  store_link_free(following->link);
-  follower_clear(&following->follower);
+static void instance_free(gpointer p) {
+  instance_record_clear(p);
+  g_free(p);
 }
 
-/* }================================================================== */
+static gboolean is_near(const Directory *directory,
+                        const InstanceRecord *instance) {
+  return instance->control != 0 && directory->own.control != 0 &&
+         strcmp(instance->zone, directory->own.zone) == 0;
+}
 
-/*
-** {==================================================================
-** Instances: each keeps one object under its own name
-** ===================================================================
-*/
+/* the other instances: everywhere, here, and elsewhere */
+typedef struct Others {
+  GArray *all;  /* mp_Addr */
+  GArray *near; /* mp_Addr */
+  GArray *far;  /* RelayFar */
+} Others;
+
+static void others_add(const Directory *directory, Others *others,
+                       const InstanceRecord *instance) {
+  RelayFar far = {instance->exchange, g_str_hash(instance->zone)};
+  g_array_append_val(others->all, instance->exchange);
+  if (is_near(directory, instance))
+    g_array_append_val(others->near, instance->exchange);
+  else if (instance->control != 0)
+    g_array_append_val(others->far, far);
+}
 
-static void tell_instances(Directory *directory) {
-  GArray *addresses = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
-  unsigned count = g_hash_table_size(directory->instances);
+static void others_collect(const Directory *directory, Others *others) {
   GHashTableIter iterator;
   gpointer name;
-  gpointer address;
+  gpointer value;
+  others->all = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  others->near = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  others->far = g_array_new(FALSE, FALSE, sizeof(RelayFar));
   g_hash_table_iter_init(&iterator, directory->instances);
-  while (g_hash_table_iter_next(&iterator, &name, &address)) {
-    mp_Addr at = *(mp_Addr *)address;
-    if (at != 0 && strcmp(name, directory->instance) != 0)
-      g_array_append_val(addresses, at);
+  while (g_hash_table_iter_next(&iterator, &name, &value)) {
+    if (strcmp(name, directory->instance) != 0)
+      others_add(directory, others, value);
   }
-  log_numbered(directory->log, MP_LOG_INSTANCES, " count=%u", count);
+}
+
+static void others_clear(Others *others) {
+  g_array_free(others->all, TRUE);
+  g_array_free(others->near, TRUE);
+  g_array_free(others->far, TRUE);
+}
+
+static void tell_instances(Directory *directory) {
+  unsigned count = g_hash_table_size(directory->instances);
+  Others others;
+  others_collect(directory, &others);
+  log_numbered(directory->log, MP_LOG_INSTANCES, " count=%u near=%u", count,
+               others.near->len);
   /* until this one is listed, it counts beside the others */
   router_set_instances(directory->router, MAX(count, 1));
-  directory->hooks.instances(directory->hooks.data, addresses);
-  g_array_free(addresses, TRUE);
+  relay_group_set_members(directory->group, others.near, others.far,
+                          node_now());
+  directory->hooks.instances(directory->hooks.data, others.all, others.near);
+  others_clear(&others);
 }
 
 static void take_instance(Directory *directory, const StoreObject *object) {
-  mp_Addr *address;
+  InstanceRecord read = {0};
+  GError *error = NULL;
   if (object->gone)
     g_hash_table_remove(directory->instances, object->name);
-  else {
-    address = g_new(mp_Addr, 1);
-    *address = directory->dialect->read_instance(object->text);
+  else if (directory->dialect->read_instance(object->text, &read, &error)) {
     g_hash_table_replace(directory->instances, g_strdup(object->name),
-                         address);
+                         g_memdup2(&read, sizeof read));
+  } else {
+    instance_record_clear(&read);
+    bad_record(directory, object->name, error);
   }
   if (directory->instances_listed)
     tell_instances(directory);
 }
 
-static void on_register_timer(evutil_socket_t fd, short what, void *data) {
-  Directory *directory = data;
+static mp_Addr control_of(void *data, mp_Addr exchange) {
+  const Directory *directory = data;
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, directory->instances);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const InstanceRecord *instance = value;
+    if (instance->exchange == exchange)
+      return instance->control;
+  }
+  return 0;
+}
+
+static gboolean is_entered(const Directory *directory) {
+  const InstanceRecord *entered =
+      g_hash_table_lookup(directory->instances, directory->instance);
+  return entered != NULL && entered->exchange == directory->own.exchange &&
+         entered->control == directory->own.control &&
+         strcmp(entered->zone, directory->own.zone) == 0;
+}
+
+/* the object's revision when one stands there that says something else */
+static gint64 entered_revision(const Directory *directory) {
+  const Follower *follower =
+      following_follower(directory->following[STORE_INSTANCES]);
+  const FollowedObject *object =
+      g_hash_table_lookup(follower->objects, directory->instance);
+  return object != NULL && object->text != NULL ? object->revision : 0;
+}
+
+/* have this instance's own object stand in the store */
+static void enter(Directory *directory) {
   StoreCall call = {0};
-  (void)fd;
-  (void)what;
+  if (directory->registering || is_entered(directory))
+    return;
+  directory->registering = TRUE;
   call.kind = STORE_INSTANCES;
-  call.operation = STORE_CREATE;
+  call.revision = entered_revision(directory);
+  call.operation = call.revision != 0 ? STORE_REPLACE : STORE_CREATE;
   call.name = directory->instance;
-  call.address = directory->exchange;
-  store_link_call(directory->registration, &call, CALL_PATIENCE);
+  call.instance = &directory->own;
+  store_link_call(directory->registration, &call,
+                  directory->is_started ? CALL_PATIENCE : FIRST_CALL_PATIENCE);
 }
 
+static void on_register_timer(evutil_socket_t fd, short what, void *data) {
+  (void)fd;
+  (void)what;
+  enter(data);
+}
+
+static void begin_following(Directory *directory) {
+  directory->is_started = TRUE;
+  following_look(directory->following[STORE_INSTANCES]);
+}
+
+static void on_settle_timer(evutil_socket_t fd, short what, void *data) {
+  (void)fd;
+  (void)what;
+  begin_following(data);
+}
+
+/* one that has been there before finds the others at once */
+static void begin_after(Directory *directory, StoreStatus status) {
+  if (directory->is_started)
+    return;
+  if (status == STORE_FAILED)
+    relay_group_begin_alone(directory->group);
+  if (status == STORE_OK)
+    start_timer(directory->settle_timer, SETTLE);
+  else
+    begin_following(directory);
+}
+
+/* whether it took effect is seen in the instances that are followed */
 static void on_register_reply(void *data, const StoreReply *reply,
                               const GError *error) {
   Directory *directory = data;
-  (void)error;
-  if (reply->status != STORE_OK && reply->status != STORE_EXISTS)
+  directory->registering = FALSE;
+  if (reply->status == STORE_FAILED) {
+    log_numbered(directory->log, MP_LOG_NOT_ENTERED, " error=\"%s\"",
+                 error->message);
     start_timer(directory->register_timer, REGISTER_RETRY);
+  }
+  begin_after(directory, reply->status);
 }
 
 /* }================================================================== */
 
 /*
 ** {==================================================================
-** Snapshots between instances
+** Following
 ** ===================================================================
 */
 
-char *directory_snapshot(const Directory *directory) {
-  json_t *endpoints = json_object();
-  json_t *snapshot;
-  GHashTableIter iterator;
-  gpointer name;
-  gpointer text;
-  char *dumped;
-  char *out;
-  g_hash_table_iter_init(&iterator, directory->endpoint_texts);
-  while (g_hash_table_iter_next(&iterator, &name, &text))
-    json_object_set_new(endpoints, name, json_string(text));
-  snapshot = json_pack("{s:o}", "endpoints", endpoints);
-  if (directory->configuration_text != NULL)
-    json_object_set_new(snapshot, "configuration",
-                        json_string(directory->configuration_text));
-  dumped = json_dumps(snapshot, JSON_COMPACT);
-  out = g_strdup(dumped);
-  free(dumped);
-  json_decref(snapshot);
-  return out;
-}
-
-static void take_snapshot(Directory *directory, const char *text) {
-  json_t *json = json_loads(text, 0, NULL);
-  json_t *endpoints = json_object_get(json, "endpoints");
-  const char *configuration =
-      json_string_value(json_object_get(json, "configuration"));
-  const char *name;
-  json_t *value;
-  if (configuration != NULL && !router_configured(directory->router)) {
-    log_numbered(directory->log, MP_LOG_PEER_SNAPSHOT, " endpoints=%zu",
-                 json_object_size(endpoints));
-    take_configuration(directory, "peer", configuration);
-    json_object_foreach(endpoints, name, value) {
-      if (!directory->has_endpoints && json_is_string(value))
-        take_endpoint(directory, name, json_string_value(value));
-    }
-    directory->has_endpoints = TRUE;
-  }
-  json_decref(json);
-}
-
-static void on_peer_data(void *data, const char *bytes, size_t size) {
-  Directory *directory = data;
-  g_string_append_len(directory->peer_text, bytes, (gssize)size);
+static void on_answered(void *data) {
+  const Directory *directory = data;
+  directory->hooks.news(directory->hooks.data);
 }
 
-static void on_peer_end(void *data, HttpEnd end, int status) {
-  Directory *directory = data;
-  directory->peer_call = NULL;
-  if (end == HTTP_END_OK && status == 200)
-    take_snapshot(directory, directory->peer_text->str);
+static void follow(Directory *directory, const DirectoryOptions *options,
+                   StoreKind kind, gint64 watch_wait, gint64 pause) {
+  FollowingHost host = {
+      {directory, on_object, on_listed, on_lost, on_regained},
+      control_of,
+      on_answered};
+  FollowingOptions follow = {0};
+  follow.kind = kind;
+  follow.watch_wait = watch_wait;
+  follow.pause = pause;
+  follow.may_start_stale = kind == STORE_INSTANCES;
+  follow.store = options->store;
+  follow.seeds = directory->seeds;
+  follow.seeds_count = options->seeds_count;
+  directory->following[kind] =
+      following_new(directory->base, directory->dialect, &follow,
+                    directory->group, &host, directory->log);
 }
 
-/* until there is a configuration: one peer after the other */
-static void on_peer_timer(evutil_socket_t fd, short what, void *data) {
-  static const HttpHooks hooks = {NULL, on_peer_data, on_peer_end};
-  Directory *directory = data;
-  mp_Addr peer;
-  (void)fd;
-  (void)what;
-  if (directory->peer_call != NULL)
-    http_abort(directory->peer_call);
-  directory->peer_call = NULL;
-  if (router_configured(directory->router) || directory->peers_count == 0)
-    return;
-  peer = directory->peers[directory->next_peer++ % directory->peers_count];
-  g_string_truncate(directory->peer_text, 0);
-  directory->peer_call =
-      http_call(directory->base, peer, EVHTTP_REQ_GET, "/snapshot", NULL, NULL,
-                0, &hooks, directory);
-  start_timer(directory->peer_timer, PEER_AGAIN);
+static void follow_all(Directory *directory, const DirectoryOptions *options) {
+  follow(directory, options, STORE_CONFIGURATION, options->watch_wait,
+         CONFIGURATION_PAUSE);
+  follow(directory, options, STORE_ENDPOINTS, options->watch_wait,
+         ENDPOINTS_PAUSE);
+  follow(directory, options, STORE_INSTANCES, INSTANCES_WAIT, INSTANCES_PAUSE);
 }
 
 /* }================================================================== */
 
 Directory *directory_new(struct event_base *base, const Dialect *dialect,
                          const DirectoryOptions *options, Router *router,
-                         Log *log, const DirectoryHooks *hooks) {
+                         RelayGroup *group, Log *log,
+                         const DirectoryHooks *hooks) {
   Directory *directory = g_new0(Directory, 1);
   directory->base = base;
   directory->dialect = dialect;
   directory->router = router;
+  directory->group = group;
   directory->log = log;
   directory->hooks = *hooks;
   directory->instance = g_strdup(options->instance);
-  directory->peers =
-      g_memdup2(options->peers, options->peers_count * sizeof *options->peers);
-  directory->peers_count = options->peers_count;
-  directory->endpoint_texts =
-      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  directory->own.exchange = options->exchange;
+  directory->own.control = options->control;
+  directory->own.zone = g_strdup(options->zone);
+  directory->seeds =
+      g_memdup2(options->seeds, options->seeds_count * sizeof *options->seeds);
   directory->instances =
-      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-  directory->exchange = options->exchange;
-  directory->peer_text = g_string_new(NULL);
-  follow(directory, &directory->configuration, STORE_CONFIGURATION, options,
-         options->watch_wait, CONFIGURATION_PAUSE);
-  follow(directory, &directory->endpoints, STORE_ENDPOINTS, options,
-         options->watch_wait, ENDPOINTS_PAUSE);
-  follow(directory, &directory->following_instances, STORE_INSTANCES, options,
-         INSTANCES_WAIT, INSTANCES_PAUSE);
-  directory->registration = store_link_new(base, options->store, dialect,
-                                           on_register_reply, directory);
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, instance_free);
+  directory->registration = store_link_new(
+      base, options->store, &dialect->store, on_register_reply, directory);
   directory->register_timer = evtimer_new(base, on_register_timer, directory);
-  start_timer(directory->register_timer, 0);
-  directory->peer_timer = evtimer_new(base, on_peer_timer, directory);
-  start_timer(directory->peer_timer, PEER_FIRST);
+  directory->settle_timer = evtimer_new(base, on_settle_timer, directory);
+  follow_all(directory, options);
+  enter(directory);
   return directory;
 }
 
 void directory_free(Directory *directory) {
-  unfollow(&directory->configuration);
-  unfollow(&directory->endpoints);
-  unfollow(&directory->following_instances);
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    following_free(directory->following[kind]);
   store_link_free(directory->registration);
   event_free(directory->register_timer);
+  event_free(directory->settle_timer);
   g_hash_table_destroy(directory->instances);
-  event_free(directory->peer_timer);
-  if (directory->peer_call != NULL)
-    http_abort(directory->peer_call);
-  g_string_free(directory->peer_text, TRUE);
-  g_hash_table_destroy(directory->endpoint_texts);
-  g_free(directory->configuration_text);
+  instance_record_clear(&directory->own);
   g_free(directory->instance);
-  g_free(directory->peers);
+  g_free(directory->seeds);
   g_free(directory);
 }
 
+void directory_look(Directory *directory) {
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
+    if (kind != STORE_INSTANCES || directory->is_started)
+      following_look(directory->following[kind]);
+  }
+}
+
+void directory_answer(const Directory *directory, StoreKind kind, gint64 since,
+                      StoreReply *out) {
+  follower_answer(following_follower(directory->following[kind]), since, out);
+}
+
+void directory_changed(const Directory *directory,
+                       guint64 changed[MP_RELAY_KINDS]) {
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    changed[kind] =
+        (guint64)following_follower(directory->following[kind])->changed;
+}
+
+static gboolean knows(const Directory *directory, StoreKind kind) {
+  return follower_knows(following_follower(directory->following[kind]));
+}
+
+gboolean directory_knows(const Directory *directory) {
+  return knows(directory, STORE_CONFIGURATION) &&
+         knows(directory, STORE_ENDPOINTS);
+}
+
 gboolean directory_has_endpoints(const Directory *directory) {
-  return directory->has_endpoints;
+  return knows(directory, STORE_ENDPOINTS);
 }
 
 guint64 directory_store_calls(const Directory *directory) {
-  return store_link_calls(directory->configuration.link) +
-         store_link_calls(directory->endpoints.link) +
-         store_link_calls(directory->following_instances.link) +
-         store_link_calls(directory->registration);
+  guint64 calls = store_link_calls(directory->registration);
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    calls += following_store_calls(directory->following[kind]);
+  return calls;
 }
--- a/io/directory.h
+++ b/io/directory.h
@@ -1,11 +1,12 @@
 /*
 ** directory.h
 ** Keeps the router's configuration, endpoints and count of instances in
-** step with the store; asks other instances while there is no store
+** step with the store, and enters this instance there
 **
-** The store's newest word always wins: what a peer handed over serves
-** only until the store has been read. A configuration never goes back to
-** an older version within a life.
+** The news come from the store or from relays (io/following.h); at a start
+** without the store, from the instances that the settings name. An object
+** never goes back to an older revision within a life, nor the configuration
+** to an older version.
 */
 
 #ifndef DIRECTORY_H
@@ -15,34 +16,50 @@
 
 #include "dialect/dialect.h"
 #include "io/log.h"
+#include "router/relay_group.h"
 
 typedef struct Directory Directory;
 
 typedef struct DirectoryOptions {
   const char *instance; /* this instance's own name */
+  const char *zone;     /* its data centre */
   mp_Addr exchange;     /* where it hears from the others */
+  mp_Addr control;      /* where it tells them what it knows; 0: nowhere */
   mp_Addr store;
-  const mp_Addr *peers; /* instances to ask for a snapshot */
-  unsigned peers_count;
+  const mp_Addr *seeds; /* instances to ask while there is no store */
+  unsigned seeds_count;
   gint64 watch_wait; /* longest wait of one watch */
 } DirectoryOptions;
 
 typedef struct DirectoryHooks {
   void *data;
   void (*configuration)(void *data, RouteTable *table);
-  /* the addresses (mp_Addr) of the other instances */
-  void (*instances)(void *data, const GArray *addresses);
+  /* the addresses (mp_Addr) of the other instances, and those of this data
+  ** centre among them */
+  void (*instances)(void *data, const GArray *all, const GArray *near);
+  /* the store has answered, perhaps with news */
+  void (*news)(void *data);
 } DirectoryHooks;
 
 Directory *directory_new(struct event_base *base, const Dialect *dialect,
                          const DirectoryOptions *options, Router *router,
-                         Log *log, const DirectoryHooks *hooks);
+                         RelayGroup *group, Log *log,
+                         const DirectoryHooks *hooks);
 void directory_free(Directory *directory);
 
-/* what a peer is handed; free it */
-char *directory_snapshot(const Directory *directory);
+/* who may be asked has changed: look for news */
+void directory_look(Directory *directory);
 
-/* endpoints have been listed, by the store or by a peer */
+/* what this instance knows of a kind, to answer others with */
+void directory_answer(const Directory *directory, StoreKind kind, gint64 since,
+                      StoreReply *out);
+/* the revision of the newest change known, by kind */
+void directory_changed(const Directory *directory,
+                       guint64 changed[MP_RELAY_KINDS]);
+/* configuration and endpoints have been read, from whoever */
+gboolean directory_knows(const Directory *directory);
+
+/* endpoints have been listed, by the store or by an instance */
 gboolean directory_has_endpoints(const Directory *directory);
 guint64 directory_store_calls(const Directory *directory);
 
--- /dev/null
+++ b/io/following.c
@@ -0,0 +1,128 @@
+/*
+** following.c
+** Follows one kind of the store's objects
+*/
+
+#include "io/following.h"
+#include "io/news_codec.h"
+#include "io/node.h"
+#include "io/store_link.h"
+
+struct Following {
+  Log *log;
+  FollowingHost host;
+  NewsSource source;
+  StoreLink *store;
+  StoreLink *instance; /* a relay, or a seed */
+  struct event *timer;
+};
+
+static void start_timer(Following *following, gint64 at) {
+  gint64 wait = MAX(at - node_now(), 0);
+  struct timeval time = {wait / MP_SEC, wait % MP_SEC};
+  event_add(following->timer, &time);
+}
+
+void following_look(Following *following) {
+  NewsWanted wanted;
+  news_source_next(&following->source, node_now(), &wanted);
+  switch (wanted.step) {
+  case NEWS_WAIT:
+    if (wanted.at != G_MAXINT64)
+      start_timer(following, wanted.at);
+    break;
+  case NEWS_ASK_STORE:
+    store_link_call(following->store, &wanted.call, wanted.patience);
+    break;
+  case NEWS_ASK_INSTANCE:
+    store_link_set_address(following->instance, wanted.instance);
+    store_link_call(following->instance, &wanted.call, wanted.patience);
+    break;
+  case NEWS_LEAVE_STORE:
+    store_link_abandon(following->store);
+    start_timer(following, 0);
+    break;
+  }
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *data) {
+  (void)fd;
+  (void)what;
+  following_look(data);
+}
+
+static void take_reply(Following *following, const StoreReply *reply) {
+  if (reply->status == STORE_HISTORY_GONE)
+    log_numbered(following->log, MP_LOG_STORE_HISTORY_GONE, " kind=%d",
+                 (int)following->source.follower.kind);
+  news_source_reply(&following->source, reply, node_now());
+}
+
+static void on_store_reply(void *data, const StoreReply *reply,
+                           const GError *error) {
+  Following *following = data;
+  (void)error; /* the follower tells its host of the loss */
+  take_reply(following, reply);
+  if (reply->status == STORE_OK)
+    following->host.answered(following->host.objects.data);
+  start_timer(following, 0);
+}
+
+static void log_instance(const Following *following, const StoreReply *reply,
+                         const GError *error) {
+  int kind = (int)following->source.follower.kind;
+  char relay[24];
+  if (reply->status == STORE_OK && following->source.asked == 0)
+    log_numbered(following->log, MP_LOG_PEER_SNAPSHOT, " kind=%d objects=%u",
+                 kind, reply->objects->len);
+  if (reply->status != STORE_FAILED || following->source.asked == 0)
+    return;
+  mp_addr_text(following->source.asked, relay);
+  log_numbered(following->log, MP_LOG_RELAY_FAILED,
+               " kind=%d relay=%s error=\"%s\"", kind, relay,
+               error != NULL ? error->message : "it knows nothing");
+}
+
+static void on_instance_reply(void *data, const StoreReply *reply,
+                              const GError *error) {
+  Following *following = data;
+  log_instance(following, reply, error);
+  take_reply(following, reply);
+  start_timer(following, 0);
+}
+
+Following *following_new(struct event_base *base, const Dialect *dialect,
+                         const FollowingOptions *options, RelayGroup *group,
+                         const FollowingHost *host, Log *log) {
+  Following *following = g_new0(Following, 1);
+  NewsSourceHost source = {host->objects.data, host->control_of};
+  following->log = log;
+  following->host = *host;
+  follower_init(&following->source.follower, options->kind,
+                options->watch_wait, options->pause, &host->objects);
+  following->source.follower.may_start_stale = options->may_start_stale;
+  news_source_init(&following->source, group, &source, options->seeds,
+                   options->seeds_count);
+  following->store = store_link_new(base, options->store, &dialect->store,
+                                    on_store_reply, following);
+  following->instance =
+      store_link_new(base, 0, &news_codec, on_instance_reply, following);
+  following->timer = evtimer_new(base, on_timer, following);
+  return following;
+}
+
+void following_free(Following *following) {
+  event_free(following->timer);
+  store_link_free(following->store);
+  store_link_free(following->instance);
+  follower_clear(&following->source.follower);
+  g_free(following);
+}
+
+const Follower *following_follower(const Following *following) {
+  return &following->source.follower;
+}
+
+guint64 following_store_calls(const Following *following) {
+  return store_link_calls(following->store);
+}
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -14,7 +14,9 @@
 #include "io/gateway.h"
 #include "io/load_exchange.h"
 #include "io/metrics.h"
+#include "io/news_codec.h"
 #include "io/node.h"
+#include "io/relays.h"
 #include "io/store_link.h"
 
 /* how often a drain looks whether it is over */
@@ -33,6 +35,8 @@
   EndpointLinks *links;
   Directory *directory;
   LoadExchange *exchange;
+  RelayGroup *group; /* who follows the store for whom */
+  Relays *relays;
   StoreLink *leases;
   struct evhttp *ready_http, *control_http, *metrics_http;
   struct event *tick;
@@ -208,9 +212,22 @@
   set_tick(gateway);
 }
 
-static void on_instances(void *data, const GArray *addresses) {
+static void on_instances(void *data, const GArray *all, const GArray *near) {
   Gateway *gateway = data;
-  load_exchange_set_peers(gateway->exchange, addresses);
+  (void)near;
+  load_exchange_set_peers(gateway->exchange, all);
+  relays_look(gateway->relays);
+}
+
+static void on_relay_message(void *data, mp_Addr from, const mp_Msg *message) {
+  const Gateway *gateway = data;
+  if (gateway->relays != NULL)
+    relays_take(gateway->relays, from, message);
+}
+
+static void on_store_answer(void *data) {
+  const Gateway *gateway = data;
+  relays_news(gateway->relays);
 }
 
 static void on_configuration(void *data, RouteTable *table) {
@@ -259,6 +276,9 @@
   counts.log_lines_left_out = log_left_out(gateway->log);
   counts.log_lines_lost = log_lost(gateway->log);
   counts.idle_endpoint_connections = endpoint_links_idle(gateway->links);
+  counts.news_role =
+      relay_role_name(relay_group_role(gateway->group, node_now()));
+  counts.news_age = relay_group_age(gateway->group, node_now());
   counts.ready = is_ready(gateway);
   return counts;
 }
@@ -271,11 +291,23 @@
   g_string_free(text, TRUE);
 }
 
-static void on_snapshot(struct evhttp_request *request, void *data) {
+/* what this instance knows of the store, for other instances */
+static void on_news(struct evhttp_request *request, void *data) {
   const Gateway *gateway = data;
-  char *text = directory_snapshot(gateway->directory);
-  reply(request, router_configured(gateway->router) ? 200 : 503,
-        "application/json", text);
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+  StoreReply known;
+  StoreKind kind;
+  gint64 since;
+  char *text;
+  if (!news_read_query(evhttp_uri_get_query(uri), &kind, &since)) {
+    reply(request, HTTP_BADREQUEST, "text/plain",
+          "ask for kind=0, 1 or 2, and since=REVISION\n");
+    return;
+  }
+  directory_answer(gateway->directory, kind, since, &known);
+  text = news_write_reply(&known);
+  reply(request, news_status(&known), "application/json", text);
+  store_reply_clear(&known);
   g_free(text);
 }
 
@@ -320,7 +352,7 @@
       serve(gateway, options->ready, "/readyz", on_ready, &failed);
   if (failed == NULL)
     gateway->control_http =
-        serve(gateway, options->control, "/snapshot", on_snapshot, &failed);
+        serve(gateway, options->control, NEWS_PATH, on_news, &failed);
   if (failed == NULL) {
     serve_metrics(gateway, options->metrics);
     return TRUE;
@@ -391,13 +423,31 @@
 }
 
 static void make_directory(Gateway *gateway, const GatewayOptions *options) {
-  DirectoryHooks hooks = {gateway, on_configuration, on_instances};
-  DirectoryOptions settings = {options->instance,    options->exchange,
-                               options->store,       options->peers,
-                               options->peers_count, options->watch_wait};
+  DirectoryHooks hooks = {gateway, on_configuration, on_instances,
+                          on_store_answer};
+  DirectoryOptions settings = {0};
+  settings.instance = options->instance;
+  settings.zone = options->zone;
+  settings.exchange = options->exchange;
+  settings.control = options->control;
+  settings.store = options->store;
+  settings.seeds = options->peers;
+  settings.seeds_count = options->peers_count;
+  settings.watch_wait = options->watch_wait;
   gateway->directory =
       directory_new(gateway->base, gateway->dialect, &settings,
-                    gateway->router, gateway->log, &hooks);
+                    gateway->router, gateway->group, gateway->log, &hooks);
+  gateway->relays =
+      relays_new(gateway->base, gateway->group, gateway->directory,
+                 gateway->exchange, gateway->log);
+}
+
+static gboolean make_exchange(Gateway *gateway, const GatewayOptions *options,
+                              GError **error) {
+  LoadExchangeHooks hooks = {gateway, on_relay_message};
+  gateway->exchange = load_exchange_new(gateway->base, options->exchange,
+                                        gateway->router, &hooks, error);
+  return gateway->exchange != NULL;
 }
 
 Gateway *gateway_new(struct event_base *base, const Dialect *dialect,
@@ -413,14 +463,14 @@
   gateway->tick = evtimer_new(base, on_tick, gateway);
   gateway->drain_timer = evtimer_new(base, on_drain_timer, gateway);
   gateway->links = endpoint_links_new(base, dialect, &links);
-  gateway->leases =
-      store_link_new(base, options->store, dialect, on_lease_reply, gateway);
+  gateway->leases = store_link_new(base, options->store, &dialect->store,
+                                   on_lease_reply, gateway);
   make_router(gateway, options);
   gateway->front = front_new(base, options->callers, dialect, &front, error);
-  if (gateway->front != NULL)
-    gateway->exchange =
-        load_exchange_new(base, options->exchange, gateway->router, error);
-  if (gateway->exchange == NULL || !serve_all(gateway, options, error)) {
+  gateway->group =
+      relay_group_new(options->exchange, options->watch_wait, node_now());
+  if (gateway->front == NULL || !make_exchange(gateway, options, error) ||
+      !serve_all(gateway, options, error)) {
     gateway_free(gateway);
     return NULL;
   }
@@ -444,8 +494,11 @@
   stop_serving(gateway->ready_http);
   stop_serving(gateway->control_http);
   stop_serving(gateway->metrics_http);
+  if (gateway->relays != NULL)
+    relays_free(gateway->relays);
   if (gateway->directory != NULL)
     directory_free(gateway->directory);
+  relay_group_free(gateway->group);
   if (gateway->front != NULL)
     front_free(gateway->front);
   if (gateway->exchange != NULL)
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -20,6 +20,7 @@
 
 struct LoadExchange {
   Router *router;
+  LoadExchangeHooks hooks;
   evutil_socket_t fd;
   struct event *readable;
   struct event *timer;
@@ -43,6 +44,13 @@
   }
 }
 
+void load_exchange_send(LoadExchange *exchange, mp_Addr to,
+                        const mp_Msg *message) {
+  char bytes[MP_MAXDGRAM];
+  size_t size = rpc_encode(message, bytes, sizeof bytes);
+  datagram_send(exchange->fd, to, bytes, size);
+}
+
 void load_exchange_note(LoadExchange *exchange, guint32 endpoint,
                         guint32 tokens) {
   mp_Msg message;
@@ -109,6 +117,9 @@
                      node_now());
   else if (message.kind == MP_MSG_LOAD_NOTE)
     router_peer_note(exchange->router, peer, &message.u.note);
+  else if (message.kind == MP_MSG_RELAY_BEAT ||
+           message.kind == MP_MSG_RELAY_ASK)
+    exchange->hooks.relay(exchange->hooks.data, peer, &message);
 }
 
 static void on_readable(evutil_socket_t fd, short what, void *data) {
@@ -127,13 +138,15 @@
 }
 
 LoadExchange *load_exchange_new(struct event_base *base, mp_Addr address,
-                                Router *router, GError **error) {
+                                Router *router, const LoadExchangeHooks *hooks,
+                                GError **error) {
   LoadExchange *exchange;
   int fd = datagram_open(address, "exchange", error);
   if (fd < 0)
     return NULL;
   exchange = g_new0(LoadExchange, 1);
   exchange->router = router;
+  exchange->hooks = *hooks;
   exchange->fd = fd;
   exchange->peers = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
   exchange->sequence = g_random_int(); /* another life starts elsewhere */
--- a/io/load_exchange.h
+++ b/io/load_exchange.h
@@ -16,14 +16,25 @@
 
 typedef struct LoadExchange LoadExchange;
 
+/* messages of the relays came */
+typedef struct LoadExchangeHooks {
+  void *data;
+  void (*relay)(void *data, mp_Addr from, const mp_Msg *message);
+} LoadExchangeHooks;
+
 /* NULL and an error when the address cannot be bound */
 LoadExchange *load_exchange_new(struct event_base *base, mp_Addr address,
-                                Router *router, GError **error);
+                                Router *router, const LoadExchangeHooks *hooks,
+                                GError **error);
 void load_exchange_free(LoadExchange *exchange);
 
 /* the addresses of the other instances; copied */
 void load_exchange_set_peers(LoadExchange *exchange, const GArray *addresses);
 
+/* a message of another kind, to one instance */
+void load_exchange_send(LoadExchange *exchange, mp_Addr to,
+                        const mp_Msg *message);
+
 /* what is open here may have changed */
 void load_exchange_notice(LoadExchange *exchange);
 /* room was reserved: told to the others without waiting for a digest */
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -44,10 +44,13 @@
       "madderpier_log_lines_left_out_total %" G_GUINT64_FORMAT "\n"
       "madderpier_log_lines_lost_total %" G_GUINT64_FORMAT "\n"
       "madderpier_idle_endpoint_connections %u\n"
+      "madderpier_news_role{role=\"%s\"} 1\n"
+      "madderpier_news_age_seconds %.3f\n"
       "madderpier_ready %d\n",
       carriers->endpoint_connections, carriers->store_calls,
       carriers->log_lines_left_out, carriers->log_lines_lost,
-      carriers->idle_endpoint_connections, carriers->ready);
+      carriers->idle_endpoint_connections, carriers->news_role,
+      (double)carriers->news_age / MP_SEC, carriers->ready);
 }
 
 GString *metrics_text(const Router *router, const CarrierCounts *carriers) {
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -16,7 +16,9 @@
   guint64 log_lines_left_out;
   guint64 log_lines_lost;
   unsigned idle_endpoint_connections; /* now */
-  gboolean ready;                     /* now */
+  const char *news_role; /* who follows the store for it: relay_role_name */
+  gint64 news_age;       /* since the store answered it or a relay; us */
+  gboolean ready;        /* now */
 } CarrierCounts;
 
 /* the caller frees it: g_string_free */
--- /dev/null
+++ b/io/news_codec.c
@@ -0,0 +1,138 @@
+/*
+** news_codec.c
+** What instances ask each other about the store's objects
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+
+#include "io/news_codec.h"
+
+#define STATUS_HISTORY_GONE 410
+#define STATUS_KNOWS_NOTHING 503
+
+static HttpHead *write_call(const StoreCall *call, char **body) {
+  GString *target = g_string_new(NEWS_PATH);
+  HttpHead *head;
+  *body = NULL;
+  g_string_append_printf(target, "?kind=%d", (int)call->kind);
+  if (call->operation == STORE_WATCH)
+    g_string_append_printf(target, "&since=%" G_GINT64_FORMAT, call->revision);
+  head = http_head_request("GET", target->str);
+  http_head_add(head, "Host", "instance");
+  g_string_free(target, TRUE);
+  return head;
+}
+
+static gboolean read_object(const json_t *json, GArray *objects) {
+  const char *name = json_string_value(json_object_get(json, "name"));
+  const char *text = json_string_value(json_object_get(json, "text"));
+  StoreObject object = {0};
+  if (name == NULL)
+    return FALSE;
+  object.name = g_strdup(name);
+  object.revision = json_integer_value(json_object_get(json, "revision"));
+  object.gone = text == NULL;
+  object.text = g_strdup(text);
+  g_array_append_val(objects, object);
+  return TRUE;
+}
+
+static gboolean read_objects(const json_t *json, StoreReply *out) {
+  const json_t *objects = json_object_get(json, "objects");
+  size_t i;
+  out->at = json_integer_value(json_object_get(json, "at"));
+  if (out->at <= 0 || !json_is_array(objects))
+    return FALSE;
+  for (i = 0; i < json_array_size(objects); i++) {
+    if (!read_object(json_array_get(objects, i), out->objects))
+      return FALSE;
+  }
+  return TRUE;
+}
+
+static gboolean read_reply(const StoreCall *call, int status, const char *body,
+                           gsize size, StoreReply *out, GError **error) {
+  json_t *json;
+  gboolean good;
+  (void)call;
+  memset(out, 0, sizeof *out);
+  out->status =
+      status == STATUS_HISTORY_GONE ? STORE_HISTORY_GONE : STORE_FAILED;
+  if (status != 200)
+    return TRUE;
+  json = json_loadb(body, size, JSON_REJECT_DUPLICATES, NULL);
+  out->objects = store_objects_new();
+  good = read_objects(json, out);
+  json_decref(json);
+  out->status = STORE_OK;
+  if (!good) {
+    store_reply_clear(out);
+    out->status = STORE_FAILED;
+    g_set_error_literal(error, MP_ERROR, MP_ERR_STORE,
+                        "an instance's news cannot be read; look at its log");
+  }
+  return good;
+}
+
+const StoreCodec news_codec = {write_call, read_reply};
+
+static gboolean read_number(const struct evkeyvalq *query, const char *key,
+                            guint64 most, guint64 *out) {
+  const char *text = evhttp_find_header(query, key);
+  return text != NULL &&
+         g_ascii_string_to_unsigned(text, 10, 0, most, out, NULL);
+}
+
+gboolean news_read_query(const char *query, StoreKind *kind, gint64 *since) {
+  struct evkeyvalq fields = {0};
+  guint64 number = 0;
+  guint64 revision = 0;
+  gboolean good;
+  if (query == NULL || evhttp_parse_query_str(query, &fields) != 0)
+    return FALSE;
+  good = read_number(&fields, "kind", MP_RELAY_KINDS - 1, &number);
+  if (evhttp_find_header(&fields, "since") != NULL)
+    good = good && read_number(&fields, "since", G_MAXINT64, &revision);
+  evhttp_clear_headers(&fields);
+  *kind = (StoreKind)number;
+  *since = (gint64)revision;
+  return good;
+}
+
+char *news_write_reply(const StoreReply *reply) {
+  json_t *objects = json_array();
+  json_t *json;
+  char *dumped;
+  char *out;
+  guint i;
+  for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
+    const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
+    json_array_append_new(objects,
+                          json_pack("{s:s, s:I, s:s?}", "name", object->name,
+                                    "revision", (json_int_t)object->revision,
+                                    "text", object->text));
+  }
+  json =
+      json_pack("{s:I, s:o}", "at", (json_int_t)reply->at, "objects", objects);
+  dumped = json_dumps(json, JSON_COMPACT);
+  out = g_strdup(dumped);
+  free(dumped);
+  json_decref(json);
+  return out;
+}
+
+int news_status(const StoreReply *reply) {
+  switch (reply->status) {
+  case STORE_OK:
+    return 200;
+  case STORE_HISTORY_GONE:
+    return STATUS_HISTORY_GONE;
+  default:
+    return STATUS_KNOWS_NOTHING;
+  }
+}
--- /dev/null
+++ b/io/news_codec.h
@@ -0,0 +1,29 @@
+/*
+** news_codec.h
+** What instances ask each other about the store's objects, over HTTP
+**
+** A call is GET /news?kind=K for everything of a kind, with &since=R for
+** what has changed after revision R. The answer is JSON: the revision up
+** to which it is whole, and the objects with the texts that the store has
+** for them. 410 stands for a lost history, 503 for an instance that does
+** not know the store itself.
+*/
+
+#ifndef NEWS_CODEC_H
+#define NEWS_CODEC_H
+
+#include "dialect/dialect.h"
+
+#define NEWS_PATH "/news"
+
+/* calls to another instance: LIST and WATCH alone; a watch does not wait */
+extern const StoreCodec news_codec;
+
+/* read the query of a call; FALSE when it is none */
+gboolean news_read_query(const char *query, StoreKind *kind, gint64 *since);
+/* the answer's body; free it */
+char *news_write_reply(const StoreReply *reply);
+/* the answer's status */
+int news_status(const StoreReply *reply);
+
+#endif
--- /dev/null
+++ b/io/relays.c
@@ -0,0 +1,142 @@
+/*
+** relays.c
+** Heartbeats of the relays of a data centre
+*/
+
+#include <string.h>
+
+#include "io/node.h"
+#include "io/relays.h"
+
+/* members that are asked for a heartbeat: the relays there should be, and as
+** many that take their place when they are lost */
+#define ASKED 4
+
+struct Relays {
+  RelayGroup *group;
+  Directory *directory;
+  LoadExchange *exchange;
+  Log *log;
+  struct event *timer;
+  RelayRole role;
+  guint64 told[MP_RELAY_KINDS]; /* revisions in the last heartbeat */
+};
+
+static void start_timer(Relays *relays) {
+  gint64 now = node_now();
+  gint64 wait =
+      CLAMP(relay_group_next(relays->group, now) - now, MP_MS, RELAY_BEAT);
+  struct timeval time = {wait / MP_SEC, wait % MP_SEC};
+  event_add(relays->timer, &time);
+}
+
+static mp_Msg beat(const Relays *relays, gint64 now) {
+  mp_Msg message;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_RELAY_BEAT;
+  message.u.beat.age_ms =
+      (guint32)(relay_group_age(relays->group, now) / MP_MS);
+  directory_changed(relays->directory, message.u.beat.changed);
+  return message;
+}
+
+static gboolean may_beat(const Relays *relays) {
+  return relays->role == RELAY_ROLE_RELAY &&
+         directory_knows(relays->directory);
+}
+
+static void send_to_all(Relays *relays, const GArray *addresses,
+                        const mp_Msg *message) {
+  guint i;
+  for (i = 0; i < addresses->len; i++)
+    load_exchange_send(relays->exchange, g_array_index(addresses, mp_Addr, i),
+                       message);
+}
+
+static void send_beats(Relays *relays, gint64 now) {
+  mp_Msg message;
+  GArray *far;
+  if (!may_beat(relays))
+    return;
+  message = beat(relays, now);
+  memcpy(relays->told, message.u.beat.changed, sizeof relays->told);
+  send_to_all(relays, relay_group_members(relays->group), &message);
+  far = relay_group_far(relays->group, now);
+  send_to_all(relays, far, &message);
+  g_array_free(far, TRUE);
+}
+
+/* an instance that knows nothing yet does not wait to be found */
+static void ask(Relays *relays) {
+  mp_Addr asked[ASKED];
+  unsigned count = relay_group_ask(relays->group, asked, ASKED);
+  mp_Msg message;
+  unsigned i;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_RELAY_ASK;
+  for (i = 0; i < count; i++)
+    load_exchange_send(relays->exchange, asked[i], &message);
+}
+
+static void take_role(Relays *relays, gint64 now) {
+  RelayRole role = relay_group_role(relays->group, now);
+  if (role == relays->role)
+    return;
+  relays->role = role;
+  log_numbered(relays->log, MP_LOG_RELAY_ROLE, " role=%s members=%u",
+               relay_role_name(role), relay_group_members(relays->group)->len);
+}
+
+void relays_look(Relays *relays) {
+  gint64 now = node_now();
+  take_role(relays, now);
+  send_beats(relays, now);
+  if (relays->role == RELAY_ROLE_MEMBER && !directory_knows(relays->directory))
+    ask(relays);
+  directory_look(relays->directory);
+  start_timer(relays);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *data) {
+  (void)fd;
+  (void)what;
+  relays_look(data);
+}
+
+void relays_news(Relays *relays) {
+  guint64 changed[MP_RELAY_KINDS];
+  gint64 now = node_now();
+  directory_changed(relays->directory, changed);
+  if (memcmp(changed, relays->told, sizeof changed) != 0)
+    send_beats(relays, now);
+}
+
+void relays_take(Relays *relays, mp_Addr from, const mp_Msg *message) {
+  gint64 now = node_now();
+  mp_Msg answer;
+  if (message->kind == MP_MSG_RELAY_BEAT) {
+    relay_group_hear(relays->group, from, &message->u.beat, now);
+    take_role(relays, now);
+    directory_look(relays->directory);
+  } else if (may_beat(relays)) {
+    answer = beat(relays, now);
+    load_exchange_send(relays->exchange, from, &answer);
+  }
+}
+
+Relays *relays_new(struct event_base *base, RelayGroup *group,
+                   Directory *directory, LoadExchange *exchange, Log *log) {
+  Relays *relays = g_new0(Relays, 1);
+  relays->group = group;
+  relays->directory = directory;
+  relays->exchange = exchange;
+  relays->log = log;
+  relays->timer = evtimer_new(base, on_timer, relays);
+  start_timer(relays);
+  return relays;
+}
+
+void relays_free(Relays *relays) {
+  event_free(relays->timer);
+  g_free(relays);
+}
--- a/io/store_link.c
+++ b/io/store_link.c
@@ -22,7 +22,7 @@
 struct StoreLink {
   struct event_base *base;
   mp_Addr address;
-  const Dialect *dialect;
+  const StoreCodec *codec;
   StoreLinkReply on_reply;
   void *data;
   struct bufferevent *events; /* NULL: not connected */
@@ -44,13 +44,17 @@
   link->reader = NULL;
 }
 
-static void end_call(StoreLink *link, const StoreReply *reply,
-                     const GError *error) {
+static void close_call(StoreLink *link) {
   link->open = FALSE;
   event_del(link->timer);
   http_head_free(link->head);
   link->head = NULL;
   g_byte_array_set_size(link->body, 0);
+}
+
+static void end_call(StoreLink *link, const StoreReply *reply,
+                     const GError *error) {
+  close_call(link);
   link->on_reply(link->data, reply, error);
 }
 
@@ -80,9 +84,9 @@
   gboolean clean =
       evbuffer_get_length(bufferevent_get_input(link->events)) == 0 &&
       http_reader_keep_alive(link->reader);
-  link->dialect->read_store_reply(&link->call, link->head->status,
-                                  (const char *)link->body->data,
-                                  link->body->len, &reply, &error);
+  link->codec->read_reply(&link->call, link->head->status,
+                          (const char *)link->body->data, link->body->len,
+                          &reply, &error);
   if (error == NULL && reply.status == STORE_FAILED)
     g_set_error(&error, MP_ERROR, MP_ERR_STORE, "the store answered %d",
                 link->head->status);
@@ -167,7 +171,7 @@
 
 static GString *request_text(const StoreLink *link, const StoreCall *call) {
   char *body = NULL;
-  HttpHead *head = link->dialect->write_store_call(call, &body);
+  HttpHead *head = link->codec->write_call(call, &body);
   GString *text = g_string_new(NULL);
   if (body != NULL)
     http_head_add_number(head, "Content-Length", (gint64)strlen(body));
@@ -199,12 +203,12 @@
 }
 
 StoreLink *store_link_new(struct event_base *base, mp_Addr address,
-                          const Dialect *dialect, StoreLinkReply on_reply,
+                          const StoreCodec *codec, StoreLinkReply on_reply,
                           void *data) {
   StoreLink *link = g_new0(StoreLink, 1);
   link->base = base;
   link->address = address;
-  link->dialect = dialect;
+  link->codec = codec;
   link->on_reply = on_reply;
   link->data = data;
   link->timer = evtimer_new(base, on_timer, link);
@@ -212,6 +216,13 @@
   return link;
 }
 
+void store_link_set_address(StoreLink *link, mp_Addr address) {
+  if (link->address == address)
+    return;
+  disconnect(link);
+  link->address = address;
+}
+
 void store_link_free(StoreLink *link) {
   disconnect(link);
   event_free(link->timer);
@@ -222,6 +233,16 @@
   g_free(link);
 }
 
+gboolean store_link_is_open(const StoreLink *link) {
+  return link->open;
+}
+
+void store_link_abandon(StoreLink *link) {
+  disconnect(link);
+  if (link->open)
+    close_call(link);
+}
+
 guint64 store_link_calls(const StoreLink *link) {
   return link->calls;
 }
--- a/io/store_link.h
+++ b/io/store_link.h
@@ -1,6 +1,7 @@
 /*
 ** store_link.h
-** One call at a time to the store, over a kept connection
+** One call at a time to the store, or to an instance that answers for it,
+** over a kept connection
 ** A call that gets no answer in time ends its connection, since a store
 ** that lost an answer says nothing more there.
 */
@@ -19,13 +20,21 @@
                                const GError *error);
 
 StoreLink *store_link_new(struct event_base *base, mp_Addr address,
-                          const Dialect *dialect, StoreLinkReply on_reply,
+                          const StoreCodec *codec, StoreLinkReply on_reply,
                           void *data);
 void store_link_free(StoreLink *link);
 
+/* call there from now on; no call may be open */
+void store_link_set_address(StoreLink *link, mp_Addr address);
+
 /* no call may be open; 'patience' is how long an answer is waited for */
 void store_link_call(StoreLink *link, const StoreCall *call, gint64 patience);
 
+/* a call is out */
+gboolean store_link_is_open(const StoreLink *link);
+/* forget the open call; nothing is told of it */
+void store_link_abandon(StoreLink *link);
+
 guint64 store_link_calls(const StoreLink *link);
 
 #endif
--- a/makefile
+++ b/makefile
@@ -117,7 +117,7 @@
 	$(CXX) $(CXXFLAGS) -Iinclude -Icore -I. $(ALLCF) -MMD -c -o $@ $<
 
 UNIT_IO = $(BUILD)/io/log.o $(BUILD)/io/front.o $(BUILD)/io/endpoint_links.o \
-  $(BUILD)/io/metrics.o
+  $(BUILD)/io/metrics.o $(BUILD)/io/news_codec.o
 
 $(BUILD)/unit: $(TESTS) $(BUILD)/daemon/settings.o $(UNIT_IO) $(BUILD)/cli/trace.o $(DIALECT) $(WIRELIB) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LIBS) -lpthread
--- a/router/follower.c
+++ b/router/follower.c
@@ -7,11 +7,16 @@
 
 #include "router/follower.h"
 
-/* waits after failures in a row: doubled from the first to the most */
+/* waits after failures in a row: doubled from the first to the most; changes
+** are heard within this after the store is back */
 #define RETRY_FIRST (100 * MP_MS)
 #define RETRY_MOST (800 * MP_MS)
+#define RETRY_DOUBLED 6 /* times at most */
 /* the store may still be silent: no long wait until it has answered */
 #define WAIT_AFTER_FAILURE (300 * MP_MS)
+/* objects that are gone and still told to others: ten times the endpoints
+** of the largest deployment planned for (docs/CAPACITY.md) */
+#define GONE_MOST 8000
 
 static void object_clear(gpointer p) {
   StoreObject *object = p;
@@ -31,6 +36,12 @@
   return objects;
 }
 
+static void followed_object_free(gpointer p) {
+  FollowedObject *object = p;
+  g_free(object->text);
+  g_free(object);
+}
+
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
                    gint64 pause, const FollowerHost *host) {
   memset(follower, 0, sizeof *follower);
@@ -38,15 +49,16 @@
   follower->host = *host;
   follower->watch_wait = watch_wait;
   follower->pause = pause;
+  follower->retry_most = RETRY_MOST;
   follower->names =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-  follower->revisions =
-      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  follower->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            followed_object_free);
 }
 
 void follower_clear(Follower *follower) {
   g_hash_table_destroy(follower->names);
-  g_hash_table_destroy(follower->revisions);
+  g_hash_table_destroy(follower->objects);
   g_free(follower->after);
 }
 
@@ -68,18 +80,68 @@
   } else {
     call->operation = STORE_LIST;
     call->after = follower->after;
+    call->stale = follower->may_start_stale && follower->known == 0;
+  }
+}
+
+/*
+** An older revision than one that was seen does not take effect. An object
+** that is known to be gone is back when an answer as new as that says so,
+** also under its old revision.
+*/
+static gboolean is_news(const FollowedObject *known, const StoreObject *object,
+                        gint64 at) {
+  if (known == NULL)
+    return TRUE;
+  if (object->gone)
+    return known->text != NULL;
+  return known->revision < object->revision ||
+         (known->text == NULL && at >= known->learned);
+}
+
+static void forget_gone(Follower *follower) {
+  GHashTableIter iterator;
+  gpointer value;
+  if (follower->gone <= GONE_MOST)
+    return;
+  g_hash_table_iter_init(&iterator, follower->objects);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const FollowedObject *object = value;
+    if (object->text != NULL)
+      continue;
+    follower->forgotten = MAX(follower->forgotten, object->learned);
+    g_hash_table_iter_remove(&iterator);
   }
+  follower->gone = 0;
+}
+
+/* 'text' NULL: it is gone; 'at' is the store's revision in that answer */
+static void keep_object(Follower *follower, const char *name, gint64 revision,
+                        const char *text, gint64 at) {
+  FollowedObject *object = g_hash_table_lookup(follower->objects, name);
+  if (object == NULL) {
+    object = g_new0(FollowedObject, 1);
+    g_hash_table_insert(follower->objects, g_strdup(name), object);
+  } else
+    follower->gone -= object->text == NULL;
+  object->revision = MAX(object->revision, revision);
+  object->learned = MAX(at, object->revision);
+  g_free(object->text);
+  object->text = g_strdup(text);
+  follower->gone += text == NULL;
+  follower->changed = MAX(follower->changed, object->learned);
+  forget_gone(follower);
 }
 
-/* an older revision than one that was seen does not take effect */
-static gboolean is_news(Follower *follower, const StoreObject *object) {
-  gint64 *known = g_hash_table_lookup(follower->revisions, object->name);
-  if (known != NULL && *known >= object->revision)
-    return FALSE;
-  known = g_new(gint64, 1);
-  *known = object->revision;
-  g_hash_table_replace(follower->revisions, g_strdup(object->name), known);
-  return TRUE;
+static void take_object(Follower *follower, const StoreObject *object,
+                        gint64 at) {
+  const FollowedObject *known =
+      g_hash_table_lookup(follower->objects, object->name);
+  if (!is_news(known, object, at))
+    return;
+  keep_object(follower, object->name, object->revision,
+              object->gone ? NULL : object->text, at);
+  follower->host.object(follower->host.data, follower->kind, object);
 }
 
 static void take_objects(Follower *follower, const StoreReply *reply) {
@@ -88,14 +150,28 @@
     const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
     if (!follower->watching)
       g_hash_table_add(follower->names, g_strdup(object->name));
-    if (object->gone) {
-      g_hash_table_remove(follower->revisions, object->name);
-      follower->host.object(follower->host.data, follower->kind, object);
-    } else if (is_news(follower, object))
-      follower->host.object(follower->host.data, follower->kind, object);
+    take_object(follower, object, reply->at);
   }
 }
 
+/* the list is whole: what it did not name is gone */
+static void keep_listed(Follower *follower) {
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, follower->objects);
+  while (g_hash_table_iter_next(&iterator, &name, &value)) {
+    FollowedObject *object = value;
+    if (object->text == NULL || g_hash_table_contains(follower->names, name))
+      continue;
+    g_clear_pointer(&object->text, g_free);
+    object->learned = MAX(follower->revision, object->revision);
+    follower->changed = MAX(follower->changed, object->learned);
+    follower->gone++;
+  }
+  forget_gone(follower);
+}
+
 static void take_list(Follower *follower, const StoreReply *reply) {
   guint count = reply->objects != NULL ? reply->objects->len : 0;
   g_clear_pointer(&follower->after, g_free);
@@ -110,9 +186,13 @@
   }
   if (follower->revision == 0)
     follower->revision = reply->at;
+  keep_listed(follower);
   follower->host.listed(follower->host.data, follower->kind, follower->names);
   g_hash_table_remove_all(follower->names);
   follower->watching = TRUE;
+  follower->known = MAX(follower->known, follower->revision);
+  if (follower->changed == 0) /* an empty list is news too */
+    follower->changed = follower->known;
 }
 
 static void list_again(Follower *follower) {
@@ -123,10 +203,25 @@
 }
 
 static void failed(Follower *follower, gint64 now) {
-  gint64 wait = RETRY_FIRST << MIN(follower->failures, 4);
+  gint64 wait = RETRY_FIRST << MIN(follower->failures, RETRY_DOUBLED);
   if (follower->failures++ == 0)
     follower->host.lost(follower->host.data, follower->kind);
-  follower->retry_at = now + MIN(wait, RETRY_MOST);
+  follower->retry_at = now + MIN(wait, follower->retry_most);
+}
+
+/* a list that is older than what is known would bring old things back */
+static gboolean is_overtaken(const Follower *follower,
+                             const StoreReply *reply) {
+  return !follower->watching && reply->at < follower->known;
+}
+
+void follower_abandon(Follower *follower, gint64 now) {
+  follower->open = FALSE;
+  follower->retry_at = now;
+}
+
+gboolean follower_knows(const Follower *follower) {
+  return follower->known > 0;
 }
 
 void follower_reply(Follower *follower, const StoreReply *reply, gint64 now) {
@@ -136,7 +231,7 @@
     list_again(follower);
     return;
   }
-  if (reply->status != STORE_OK) {
+  if (reply->status != STORE_OK || is_overtaken(follower, reply)) {
     failed(follower, now);
     return;
   }
@@ -146,8 +241,37 @@
   take_objects(follower, reply);
   if (follower->watching && reply->objects != NULL && reply->objects->len > 0)
     follower->retry_at = now + follower->pause;
-  if (follower->watching)
+  if (follower->watching) {
     follower->revision = MAX(follower->revision, reply->at);
-  else
+    follower->known = follower->revision;
+  } else
     take_list(follower, reply);
 }
+
+void follower_answer(const Follower *follower, gint64 since, StoreReply *out) {
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer value;
+  memset(out, 0, sizeof *out);
+  out->at = follower->known;
+  out->status = STORE_OK;
+  if (follower->known == 0)
+    out->status = STORE_FAILED;
+  else if (since > 0 && since < follower->forgotten)
+    out->status = STORE_HISTORY_GONE;
+  if (out->status != STORE_OK)
+    return;
+  out->objects = store_objects_new();
+  g_hash_table_iter_init(&iterator, follower->objects);
+  while (g_hash_table_iter_next(&iterator, &name, &value)) {
+    const FollowedObject *known = value;
+    StoreObject object = {0};
+    if (known->learned <= since || (since == 0 && known->text == NULL))
+      continue;
+    object.name = g_strdup(name);
+    object.revision = known->revision;
+    object.gone = known->text == NULL;
+    object.text = g_strdup(known->text);
+    g_array_append_val(out->objects, object);
+  }
+}
--- a/router/follower.h
+++ b/router/follower.h
@@ -7,6 +7,10 @@
 ** StoreReply. Invariants: one call is open at a time; an object never
 ** takes effect over a newer revision of itself; a list that took several
 ** calls takes effect for absent objects only when it is whole.
+**
+** A follower keeps what it has read, so that it can answer the same calls
+** for other instances (follower_answer). Objects that are gone stay for a
+** while without their text, so that others hear that they are gone.
 */
 
 #ifndef ROUTER_FOLLOWER_H
@@ -32,6 +36,7 @@
 } StoreOperation;
 
 struct LeaseRecord;
+struct InstanceRecord;
 
 typedef struct StoreCall {
   StoreKind kind;
@@ -41,8 +46,8 @@
   gint64 wait;       /* WATCH: answer after so long at the latest */
   gboolean stale;    /* LIST: seconds old will do */
   const char *name;  /* CREATE, READ, REPLACE */
-  mp_Addr address;   /* CREATE of an instance: where it is called */
-  const struct LeaseRecord *lease; /* CREATE and REPLACE of a lease */
+  const struct InstanceRecord *instance; /* CREATE, REPLACE of an instance */
+  const struct LeaseRecord *lease;       /* CREATE and REPLACE of a lease */
 } StoreCall;
 
 typedef enum StoreStatus {
@@ -82,19 +87,32 @@
   void (*regained)(void *data, StoreKind kind); /* answers again */
 } FollowerHost;
 
+/* an object as it was read last */
+typedef struct FollowedObject {
+  gint64 revision; /* the newest one seen */
+  gint64 learned;  /* no smaller than the revision of its last change */
+  char *text;      /* NULL: it is gone */
+} FollowedObject;
+
 typedef struct Follower {
   StoreKind kind;
   FollowerHost host;
   gint64 watch_wait; /* longest wait of one watch */
   gint64 pause; /* after news: what comes meanwhile costs no call of its own */
-  gboolean watching;     /* else the next call lists */
-  gboolean open;         /* a call is out */
-  gint64 revision;       /* of the store, as far as it was read */
-  char *after;           /* a list goes on behind this name */
-  GHashTable *names;     /* seen by the list that is being read */
-  GHashTable *revisions; /* name -> newest revision seen (gint64) */
-  gint64 retry_at;       /* no call before then */
-  unsigned failures;     /* in a row */
+  gint64 retry_most;        /* longest wait after failures in a row */
+  gboolean may_start_stale; /* the first list may be seconds old */
+  gboolean watching;        /* else the next call lists */
+  gboolean open;            /* a call is out */
+  gint64 revision;          /* of the store, as far as it was read */
+  char *after;              /* a list goes on behind this name */
+  GHashTable *names;        /* seen by the list that is being read */
+  GHashTable *objects;      /* name -> FollowedObject */
+  guint gone;               /* of these, objects that are gone */
+  gint64 known;      /* every change up to this revision is in 'objects' */
+  gint64 changed;    /* the largest 'learned' there is */
+  gint64 forgotten;  /* changes up to this revision may be left out */
+  gint64 retry_at;   /* no call before then */
+  unsigned failures; /* in a row */
 } Follower;
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
@@ -106,5 +124,17 @@
 /* the call to make now; the texts live until its reply is handed in */
 void follower_begin(Follower *follower, StoreCall *call);
 void follower_reply(Follower *follower, const StoreReply *reply, gint64 now);
+/* the call went to somebody else than the store, and came to nothing */
+void follower_abandon(Follower *follower, gint64 now);
+/* a list was whole, or a watch has gone on from one */
+gboolean follower_knows(const Follower *follower);
+
+/*
+** What the store would answer to another follower, as far as this one
+** knows: everything (since 0), or what has changed after a revision. The
+** status is STORE_FAILED until a list was whole, STORE_HISTORY_GONE when
+** the changes since then are not known any more. Clear 'out' afterwards.
+*/
+void follower_answer(const Follower *follower, gint64 since, StoreReply *out);
 
 #endif
--- /dev/null
+++ b/router/news_source.c
@@ -0,0 +1,172 @@
+/*
+** news_source.c
+** Whom an instance asks for the news of one kind of the store's objects
+*/
+
+#include <string.h>
+
+#include "router/news_source.h"
+
+/* an answer may come so much later than a watch's wait: a slow store */
+#define WATCH_SLACK (700 * MP_MS)
+/* other calls to the store are given up after this */
+#define CALL_PATIENCE (1000 * MP_MS)
+/* before anything is known, the first call is given up so soon that another
+** instance is asked in its place; each further one has twice the time */
+#define FIRST_PATIENCE (400 * MP_MS)
+/* an instance answers from memory; a large configuration takes its link some
+** hundred milliseconds */
+#define INSTANCE_PATIENCE (1000 * MP_MS)
+/* news that another instance has are waited for at the store so long: they
+** come there within some ten milliseconds */
+#define BEHIND_MOST (500 * MP_MS)
+
+/* longest waits after failures: instances change rarely; and who stands in for
+** relays that the store does not answer is one of many that ask */
+#define INSTANCES_RETRY (5 * MP_SEC)
+#define STAND_IN_RETRY (3 * MP_SEC)
+
+void news_source_init(NewsSource *source, RelayGroup *group,
+                      const NewsSourceHost *host, const mp_Addr *seeds,
+                      unsigned seeds_count) {
+  source->group = group;
+  source->host = *host;
+  source->seeds = seeds;
+  source->seeds_count = seeds_count;
+  if (source->follower.kind == STORE_INSTANCES)
+    source->follower.retry_most = INSTANCES_RETRY;
+}
+
+static gboolean knows(const NewsSource *source) {
+  return follower_knows(&source->follower);
+}
+
+static mp_Addr relay_with_news(const NewsSource *source, gint64 now) {
+  return relay_group_source(source->group, source->follower.kind,
+                            source->follower.known, now);
+}
+
+/* ask a relay that has news; FALSE when none has */
+static gboolean ask_relay(NewsSource *source, gint64 now, NewsWanted *out) {
+  mp_Addr relay = relay_with_news(source, now);
+  if (relay == 0)
+    return FALSE;
+  out->instance = source->host.control_of(source->host.data, relay);
+  if (out->instance == 0)
+    return FALSE;
+  source->asked = relay;
+  out->step = NEWS_ASK_INSTANCE;
+  return TRUE;
+}
+
+/* every second call of one that knows nothing, after the first failed */
+static gboolean ask_seed(NewsSource *source, NewsWanted *out) {
+  if (knows(source) || source->seeds_count == 0 ||
+      source->follower.failures % 2 == 0)
+    return FALSE;
+  out->instance = source->seeds[source->next_seed++ % source->seeds_count];
+  out->step = NEWS_ASK_INSTANCE;
+  return TRUE;
+}
+
+static void ask_store(NewsWanted *out) {
+  out->step = NEWS_ASK_STORE;
+}
+
+/* one that follows the store: others only when the store has not answered */
+static void choose_for_follower(NewsSource *source, gint64 now,
+                                NewsWanted *out) {
+  gboolean is_behind = source->is_behind || source->follower.failures > 0;
+  source->is_behind = FALSE;
+  if (is_behind && ask_relay(source, now, out))
+    return;
+  if (!ask_seed(source, out))
+    ask_store(out);
+}
+
+static void choose(NewsSource *source, gint64 now, NewsWanted *out) {
+  RelayRole role = relay_group_role(source->group, now);
+  if (role == RELAY_ROLE_STARTING) {
+    if (source->follower.kind == STORE_INSTANCES)
+      ask_store(out);
+  } else if (role == RELAY_ROLE_MEMBER && !source->must_ask)
+    ask_relay(source, now, out);
+  else
+    choose_for_follower(source, now, out);
+}
+
+static gint64 store_patience(const NewsSource *source, const StoreCall *call) {
+  gint64 patience = CALL_PATIENCE;
+  if (call->operation == STORE_WATCH)
+    return call->wait + WATCH_SLACK;
+  if (!knows(source))
+    patience = FIRST_PATIENCE << MIN(source->follower.failures, 2);
+  return MIN(patience, CALL_PATIENCE);
+}
+
+/*
+** A watch of the store is out, and another instance knows more than it has
+** brought. It should answer any moment; one that does not is lost.
+*/
+static void look_behind(NewsSource *source, gint64 now, NewsWanted *out) {
+  if (!source->at_store || relay_with_news(source, now) == 0) {
+    source->behind_since = 0;
+    return;
+  }
+  if (source->behind_since == 0)
+    source->behind_since = now;
+  out->at = source->behind_since + BEHIND_MOST;
+  if (now < out->at)
+    return;
+  source->behind_since = 0;
+  source->is_behind = TRUE;
+  follower_abandon(&source->follower, now);
+  out->step = NEWS_LEAVE_STORE;
+}
+
+void news_source_next(NewsSource *source, gint64 now, NewsWanted *out) {
+  gint64 due = follower_next_call(&source->follower);
+  memset(out, 0, sizeof *out);
+  out->at = G_MAXINT64;
+  if (due == G_MAXINT64) {
+    look_behind(source, now, out);
+    return;
+  }
+  source->behind_since = 0;
+  /* the pause after a failure of the store is none of the relays' */
+  if (due > now &&
+      (source->follower.failures == 0 || relay_with_news(source, now) == 0)) {
+    out->at = due;
+    return;
+  }
+  source->asked = 0;
+  choose(source, now, out);
+  if (out->step == NEWS_WAIT)
+    return;
+  source->at_store = out->step == NEWS_ASK_STORE;
+  follower_begin(&source->follower, &out->call);
+  out->patience = source->at_store ? store_patience(source, &out->call)
+                                   : INSTANCE_PATIENCE;
+}
+
+void news_source_reply(NewsSource *source, const StoreReply *reply,
+                       gint64 now) {
+  gboolean by_relay = source->asked != 0;
+  if (source->at_store) {
+    source->must_ask = FALSE;
+    if (reply->status == STORE_OK)
+      relay_group_confirm(source->group, source->follower.kind, now);
+  }
+  if (by_relay && reply->status == STORE_FAILED) {
+    /* that is no outage of the store */
+    relay_group_doubt(source->group, source->asked);
+    source->must_ask = TRUE;
+    follower_abandon(&source->follower, now);
+    return;
+  }
+  follower_reply(&source->follower, reply, now);
+  if (source->at_store && reply->status == STORE_FAILED &&
+      relay_group_stands_in(source->group, now))
+    source->follower.retry_at =
+        MAX(source->follower.retry_at, now + STAND_IN_RETRY);
+}
--- a/router/records.h
+++ b/router/records.h
@@ -120,6 +120,15 @@
 
 void endpoint_record_clear(EndpointRecord *record);
 
+/* an instance of this system as it enters itself in the store */
+typedef struct InstanceRecord {
+  mp_Addr exchange; /* where it hears datagrams of the others */
+  mp_Addr control;  /* where it tells others what it knows; 0: nowhere */
+  char *zone;       /* its data centre */
+} InstanceRecord;
+
+void instance_record_clear(InstanceRecord *record);
+
 /* }================================================================== */
 
 #endif
--- /dev/null
+++ b/router/relay_group.c
@@ -0,0 +1,337 @@
+/*
+** relay_group.c
+** Which instances of a data centre follow the store for the others
+*/
+
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "router/relay_group.h"
+
+/* relays of a data centre: of two, one may be lost without any delay for the
+** rest; in a smaller group the second would double its calls */
+#define RELAYS 2
+#define RELAYS_SMALL 1
+#define SMALL_GROUP 8
+/* fewer instances follow the store each for itself: their calls are few (9
+** instances in three data centres: under 0.008 of what a day earns) */
+#define GROUP_LEAST 4
+/* the store's last answer to a relay may be as old as its watch's wait and
+** this: the pause after news (io/directory.c) and a slow answer */
+#define FRESH_MARGIN (700 * MP_MS)
+/* three heartbeats */
+#define SILENCE (3 * RELAY_BEAT + 50 * MP_MS)
+/* a member that misses relays waits so long for each place before its own,
+** a heartbeat's travel, and so long at most */
+#define TAKE_OVER_STEP (RELAY_BEAT + 50 * MP_MS)
+#define TAKE_OVER_MOST (1000 * MP_MS)
+/* without the list of instances, the store is followed after this: entering
+** itself, the wait for others that start too, and a list take 0.6 s */
+#define START_WAIT (1500 * MP_MS)
+
+typedef struct Relay {
+  mp_Addr address;
+  guint64 order;
+  gboolean is_near; /* of this data centre */
+  gint64 heard;
+  gboolean doubted;
+  mp_RelayBeat beat;
+} Relay;
+
+struct RelayGroup {
+  mp_Addr self;
+  guint64 order;      /* of this instance among the members */
+  gint64 fresh;       /* a relay's last answer of the store may be so old */
+  gint64 alone_at;    /* not listed by then: the store is followed */
+  gboolean listed;    /* the members are known */
+  GArray *members;    /* mp_Addr, the others, in their order */
+  GArray *far;        /* mp_Addr: who should be relays elsewhere */
+  GHashTable *relays; /* address -> Relay, heard at some time */
+  gint64 confirmed[MP_RELAY_KINDS]; /* when the store answered; 0: never */
+  gint64 short_since; /* too few relays are heard; 0: enough are */
+};
+
+const char *relay_role_name(RelayRole role) {
+  static const char *const names[] = {"starting", "alone", "relay", "member"};
+  return names[role];
+}
+
+/* the same at every instance, and unlike for neighbours */
+static guint64 order_of(mp_Addr address) {
+  return XXH3_64bits(&address, sizeof address);
+}
+
+RelayGroup *relay_group_new(mp_Addr self, gint64 watch_wait, gint64 now) {
+  RelayGroup *group = g_new0(RelayGroup, 1);
+  group->self = self;
+  group->order = order_of(self);
+  group->fresh = watch_wait + FRESH_MARGIN;
+  group->alone_at = now + START_WAIT;
+  group->far = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  group->members = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  group->relays =
+      g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+  return group;
+}
+
+void relay_group_free(RelayGroup *group) {
+  g_array_free(group->members, TRUE);
+  g_array_free(group->far, TRUE);
+  g_hash_table_destroy(group->relays);
+  g_free(group);
+}
+
+static int by_order(const void *a, const void *b) {
+  guint64 first = order_of(*(const mp_Addr *)a);
+  guint64 second = order_of(*(const mp_Addr *)b);
+  return first < second ? -1 : first > second;
+}
+
+/* how many relays a data centre of so many instances has */
+static guint relays_of(guint instances) {
+  return instances < SMALL_GROUP ? RELAYS_SMALL : RELAYS;
+}
+
+static guint relays_wanted(const RelayGroup *group) {
+  return relays_of(group->members->len + 1);
+}
+
+/* by data centre, then in the order that holds within one */
+static int by_zone(const void *a, const void *b) {
+  const RelayFar *first = a;
+  const RelayFar *second = b;
+  if (first->zone != second->zone)
+    return first->zone < second->zone ? -1 : 1;
+  return by_order(&first->address, &second->address);
+}
+
+/* the first RELAYS of each other data centre */
+static void set_far(RelayGroup *group, const GArray *far) {
+  GArray *sorted = g_array_new(FALSE, FALSE, sizeof(RelayFar));
+  guint32 zone = 0;
+  guint taken = 0;
+  guint i;
+  g_array_append_vals(sorted, far->data, far->len);
+  g_array_sort(sorted, by_zone);
+  g_array_set_size(group->far, 0);
+  for (i = 0; i < sorted->len; i++) {
+    const RelayFar *one = &g_array_index(sorted, RelayFar, i);
+    if (i == 0 || one->zone != zone)
+      taken = 0;
+    zone = one->zone;
+    if (taken++ < RELAYS)
+      g_array_append_val(group->far, one->address);
+  }
+  g_array_free(sorted, TRUE);
+}
+
+void relay_group_set_members(RelayGroup *group, const GArray *near,
+                             const GArray *far, gint64 now) {
+  if (!group->listed)
+    group->short_since = now;
+  group->listed = TRUE;
+  g_array_set_size(group->members, 0);
+  g_array_append_vals(group->members, near->data, near->len);
+  g_array_sort(group->members, by_order);
+  set_far(group, far);
+}
+
+void relay_group_begin_alone(RelayGroup *group) {
+  group->alone_at = 0;
+}
+
+static gboolean holds(const GArray *addresses, mp_Addr address) {
+  guint i;
+  for (i = 0; i < addresses->len; i++) {
+    if (g_array_index(addresses, mp_Addr, i) == address)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+void relay_group_hear(RelayGroup *group, mp_Addr from,
+                      const mp_RelayBeat *beat, gint64 now) {
+  Relay *relay = g_hash_table_lookup(group->relays, &from);
+  if (relay == NULL) {
+    relay = g_new0(Relay, 1);
+    relay->address = from;
+    relay->order = order_of(from);
+    g_hash_table_insert(group->relays, &relay->address, relay);
+  }
+  relay->heard = now;
+  relay->doubted = FALSE;
+  relay->is_near = holds(group->members, from);
+  relay->beat = *beat;
+}
+
+void relay_group_confirm(RelayGroup *group, StoreKind kind, gint64 now) {
+  group->confirmed[kind] = now;
+}
+
+/* the instances change rarely and their watch is long: they do not count */
+static gint64 confirmed(const RelayGroup *group) {
+  return MIN(group->confirmed[STORE_CONFIGURATION],
+             group->confirmed[STORE_ENDPOINTS]);
+}
+
+void relay_group_doubt(RelayGroup *group, mp_Addr address) {
+  Relay *relay = g_hash_table_lookup(group->relays, &address);
+  if (relay != NULL)
+    relay->doubted = TRUE;
+}
+
+static gboolean is_heard(const Relay *relay, gint64 now) {
+  return now - relay->heard <= SILENCE;
+}
+
+/* since the store answered it, or another one that it hears */
+static gint64 age_of(const Relay *relay, gint64 now) {
+  return now - relay->heard + relay->beat.age_ms * MP_MS;
+}
+
+static gboolean is_fresh(const RelayGroup *group, const Relay *relay,
+                         gint64 now) {
+  return is_heard(relay, now) && age_of(relay, now) <= group->fresh;
+}
+
+/* relays of this data centre that come before this instance */
+typedef struct RelaysBefore {
+  guint heard;
+  guint fresh;
+} RelaysBefore;
+
+static RelaysBefore relays_before(const RelayGroup *group, gint64 now) {
+  RelaysBefore before = {0, 0};
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, group->relays);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Relay *relay = value;
+    if (!relay->is_near || relay->order > group->order)
+      continue;
+    before.heard += is_heard(relay, now);
+    before.fresh += is_fresh(group, relay, now);
+  }
+  return before;
+}
+
+/* members that come before this instance */
+static guint place_of(const RelayGroup *group) {
+  guint i;
+  for (i = 0; i < group->members->len; i++) {
+    if (order_of(g_array_index(group->members, mp_Addr, i)) > group->order)
+      break;
+  }
+  return i;
+}
+
+/* how long this instance waits for other relays before it becomes one */
+static gint64 take_over_wait(const RelayGroup *group, gint64 now) {
+  guint place = place_of(group);
+  guint wanted = relays_wanted(group);
+  gint64 wait;
+  if (place < wanted)
+    return 0;
+  wait = (place - wanted + 1) * TAKE_OVER_STEP;
+  if (relays_before(group, now).heard >= wanted)
+    return wait;
+  return MIN(wait, TAKE_OVER_MOST);
+}
+
+RelayRole relay_group_role(RelayGroup *group, gint64 now) {
+  if (!group->listed)
+    return now < group->alone_at ? RELAY_ROLE_STARTING : RELAY_ROLE_ALONE;
+  if (group->members->len + 1 < GROUP_LEAST)
+    return RELAY_ROLE_ALONE;
+  if (relays_before(group, now).fresh >= relays_wanted(group)) {
+    group->short_since = 0;
+    return RELAY_ROLE_MEMBER;
+  }
+  if (group->short_since == 0)
+    group->short_since = now;
+  return now - group->short_since >= take_over_wait(group, now)
+             ? RELAY_ROLE_RELAY
+             : RELAY_ROLE_MEMBER;
+}
+
+gint64 relay_group_next(const RelayGroup *group, gint64 now) {
+  gint64 due;
+  if (!group->listed)
+    return MAX(group->alone_at, now);
+  if (group->short_since == 0)
+    return now + RELAY_BEAT;
+  due = group->short_since + take_over_wait(group, now);
+  return due > now ? MIN(due, now + RELAY_BEAT) : now + RELAY_BEAT;
+}
+
+gboolean relay_group_stands_in(RelayGroup *group, gint64 now) {
+  return relay_group_role(group, now) == RELAY_ROLE_RELAY &&
+         relays_before(group, now).heard >= relays_wanted(group);
+}
+
+gboolean relay_group_is_first(RelayGroup *group, gint64 now) {
+  return relay_group_role(group, now) == RELAY_ROLE_RELAY &&
+         relays_before(group, now).heard == 0;
+}
+
+/* of those that have the news, any one: they share the members by chance */
+mp_Addr relay_group_source(const RelayGroup *group, StoreKind kind,
+                           gint64 known, gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  mp_Addr best = 0;
+  guint64 best_weight = 0;
+  g_hash_table_iter_init(&iterator, group->relays);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Relay *relay = value;
+    guint64 weight = relay->order ^ group->order;
+    if (relay->doubted || !is_heard(relay, now) ||
+        (gint64)relay->beat.changed[kind] <= known)
+      continue;
+    if (best == 0 || weight > best_weight) {
+      best = relay->address;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+gint64 relay_group_age(const RelayGroup *group, gint64 now) {
+  gint64 age = confirmed(group) != 0 ? now - confirmed(group) : G_MAXINT32;
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, group->relays);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Relay *relay = value;
+    if (is_heard(relay, now))
+      age = MIN(age, age_of(relay, now));
+  }
+  return MIN(age, G_MAXINT32);
+}
+
+unsigned relay_group_ask(const RelayGroup *group, mp_Addr *out,
+                         unsigned most) {
+  unsigned count = MIN(most, group->members->len);
+  memcpy(out, group->members->data, count * sizeof *out);
+  return count;
+}
+
+const GArray *relay_group_members(const RelayGroup *group) {
+  return group->members;
+}
+
+GArray *relay_group_far(const RelayGroup *group, gint64 now) {
+  GArray *out = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  GHashTableIter iterator;
+  gpointer value;
+  g_array_append_vals(out, group->far->data, group->far->len);
+  g_hash_table_iter_init(&iterator, group->relays);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Relay *relay = value;
+    if (!relay->is_near && is_heard(relay, now) && !holds(out, relay->address))
+      g_array_append_val(out, relay->address);
+  }
+  return out;
+}
--- /dev/null
+++ b/router/relay_group.h
@@ -0,0 +1,101 @@
+/*
+** relay_group.h
+** Which instances of a data centre follow the store for the others
+**
+** In a data centre of GROUP_LEAST instances or more, a few of them, the
+** relays, follow the store. They send a heartbeat to the others, which ask
+** a relay for the changes that it names. Calls to the store so grow with
+** the data centres and not with the instances. The relays of all data
+** centres hear each other's heartbeats as well: one that has lost the store
+** without knowing it hears the news from another one.
+**
+** All instances order the members of a data centre in the same way; the
+** first of them are relays. There is no election and no agreement: a member
+** that hears too few fresh relays before itself becomes one, the sooner the
+** earlier its place, and ceases when enough of them are heard again. Too
+** many relays cost calls, too few are made good within TAKE_OVER_MOST after
+** their heartbeats have stopped. While heartbeats come from relays that the
+** store does not answer, members take over one after the other: the store
+** is then most likely away for all, and a call that fails is a call.
+**
+** A relay is fresh while the store has lately answered it, or a relay that
+** it hears: the age of that answer travels with the heartbeats.
+** Invariants. A member counts fresh relays alone. What a relay tells is
+** bound to revisions of the store, so a change of the source never brings
+** anything old back (follower.h).
+*/
+
+#ifndef ROUTER_RELAY_GROUP_H
+#define ROUTER_RELAY_GROUP_H
+
+#include <glib.h>
+
+#include "madderpier.h"
+#include "router/follower.h"
+
+/* between a relay's heartbeats: lost ones are made good twice before a
+** member takes the relay for lost */
+#define RELAY_BEAT (200 * MP_MS)
+
+typedef enum RelayRole {
+  RELAY_ROLE_STARTING, /* the other instances are not known yet */
+  RELAY_ROLE_ALONE,    /* follows the store, for itself */
+  RELAY_ROLE_RELAY,    /* follows the store, and tells the others */
+  RELAY_ROLE_MEMBER    /* hears the store's news from relays */
+} RelayRole;
+
+const char *relay_role_name(RelayRole role);
+
+typedef struct RelayGroup RelayGroup;
+
+/* an instance of another data centre */
+typedef struct RelayFar {
+  mp_Addr address;
+  guint32 zone; /* hash of its data centre's name */
+} RelayFar;
+
+/* 'watch_wait': longest wait of a watch of the store */
+RelayGroup *relay_group_new(mp_Addr self, gint64 watch_wait, gint64 now);
+void relay_group_free(RelayGroup *group);
+
+/* the other instances as the store has them, copied: 'near' of this data
+** centre (mp_Addr), 'far' of the others (RelayFar) */
+void relay_group_set_members(RelayGroup *group, const GArray *near,
+                             const GArray *far, gint64 now);
+/* the store does not answer at the start: nobody is waited for */
+void relay_group_begin_alone(RelayGroup *group);
+/* a heartbeat came */
+void relay_group_hear(RelayGroup *group, mp_Addr from,
+                      const mp_RelayBeat *beat, gint64 now);
+/* the store has answered this instance about a kind */
+void relay_group_confirm(RelayGroup *group, StoreKind kind, gint64 now);
+/* this relay did not answer: not asked again until its next heartbeat */
+void relay_group_doubt(RelayGroup *group, mp_Addr relay);
+
+/* what this instance is now; looks at the time, so call it again at
+** relay_group_next at the latest */
+RelayRole relay_group_role(RelayGroup *group, gint64 now);
+gint64 relay_group_next(const RelayGroup *group, gint64 now);
+/* is it a relay in the place of others that are heard? */
+gboolean relay_group_stands_in(RelayGroup *group, gint64 now);
+/* is it a relay, and is none heard that comes before it? */
+gboolean relay_group_is_first(RelayGroup *group, gint64 now);
+
+/* a relay that has news of this kind behind that revision; 0: none has */
+mp_Addr relay_group_source(const RelayGroup *group, StoreKind kind,
+                           gint64 known, gint64 now);
+/* since the store answered this instance or a relay that it hears; told in a
+** heartbeat */
+gint64 relay_group_age(const RelayGroup *group, gint64 now);
+
+/* the members to ask for a heartbeat: those that should be relays. Returns
+** how many were written to 'out', at most 'most' */
+unsigned relay_group_ask(const RelayGroup *group, mp_Addr *out, unsigned most);
+/* all other members of this data centre, an array of mp_Addr */
+const GArray *relay_group_members(const RelayGroup *group);
+/* those of other data centres that hear this one's heartbeats too: the ones
+** that should be relays there, and those heard; an array of mp_Addr, to be
+** freed */
+GArray *relay_group_far(const RelayGroup *group, gint64 now);
+
+#endif
--- a/router/route_table.c
+++ b/router/route_table.c
@@ -124,3 +124,8 @@
   g_free(record->zone);
   memset(record, 0, sizeof *record);
 }
+
+void instance_record_clear(InstanceRecord *record) {
+  g_free(record->zone);
+  memset(record, 0, sizeof *record);
+}
--- /dev/null
+++ b/test/relay_world.h
@@ -0,0 +1,141 @@
+/*
+** relay_world.h
+** Instances that follow a store through relays, in virtual time
+**
+** The decisions are the product's (NewsSource, RelayGroup, Follower); the
+** world carries their calls and heartbeats as io/following.c and
+** io/relays.c do, with delay, loss, cuts, kills and a store that can be
+** away for all or for some.
+*/
+
+#ifndef RELAY_WORLD_H
+#define RELAY_WORLD_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "router/news_source.h"
+}
+
+namespace relaying {
+
+constexpr gint64 ms = 1000;
+constexpr gint64 second = 1000 * ms;
+constexpr gint64 watch_wait = 2800 * ms;
+
+/* an object of the store as it stands, or as it left */
+struct Object {
+  gint64 revision = 0;
+  std::string text;
+  bool gone = false;
+};
+
+class World;
+
+struct Instance {
+  World *world = nullptr;
+  mp_Addr address = 0;
+  unsigned zone = 0;
+  bool alive = false;
+  bool cut_from_store = false;
+  unsigned life = 0; /* what was sent to an earlier life is lost */
+  RelayGroup *group = nullptr;
+  NewsSource source[MP_RELAY_KINDS] = {};
+  unsigned open[MP_RELAY_KINDS] = {}; /* number of the open call */
+  std::map<std::string, std::string> seen[MP_RELAY_KINDS];
+  std::map<std::string, gint64> seen_at; /* name=text -> when first */
+  unsigned backwards = 0; /* an object took an older text again */
+};
+
+class World {
+public:
+  World(unsigned zones, unsigned instances, double loss = 0,
+        unsigned seed = 1);
+  ~World();
+  World(const World &) = delete;
+  World &operator=(const World &) = delete;
+
+  void start_all();
+  void start(Instance &one);
+  void kill(Instance &one);
+  void run(gint64 span);
+
+  /* what operators and endpoints do; texts are versions that grow */
+  void write(StoreKind kind, const std::string &name, const std::string &text);
+  void remove(StoreKind kind, const std::string &name);
+  void forget_history();
+
+  /* live instances that know this text, and those that should */
+  unsigned knowing(StoreKind kind, const std::string &name,
+                   const std::string &text) const;
+  unsigned living() const;
+  unsigned with_role(RelayRole role);
+  /* the slowest live instance's delay from the write to knowing */
+  gint64 slowest(const std::string &name, const std::string &text) const;
+
+  std::vector<std::unique_ptr<Instance>> all;
+  gint64 now = 1000 * second;
+  bool store_up = true;
+  guint64 store_calls = 0;
+  guint64 datagrams = 0;
+
+private:
+  struct Event {
+    gint64 at;
+    guint64 order;
+    std::function<void()> act;
+    bool operator<(const Event &other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Watch {
+    Instance *one;
+    StoreKind kind;
+    gint64 since;
+    unsigned call;
+    unsigned life;
+  };
+
+  void at(gint64 when, std::function<void()> act);
+  void later(Instance &one, gint64 wait, std::function<void()> act);
+  void look(Instance &one, int kind);
+  void look_all(Instance &one);
+  void ask_store(Instance &one, int kind, const NewsWanted &wanted);
+  void ask_instance(Instance &one, int kind, const NewsWanted &wanted);
+  void reply(Instance &one, int kind, unsigned call, const StoreReply &reply);
+  void fail_after(Instance &one, int kind, unsigned call, gint64 wait);
+  StoreReply list(StoreKind kind) const;
+  StoreReply events(StoreKind kind, gint64 since) const;
+  void answer_watches();
+  void beat(Instance &one);
+  void send_beat(Instance &from, mp_Addr to);
+  void datagram(mp_Addr to, std::function<void(Instance &)> act);
+  Instance *find(mp_Addr address) const;
+  void set_members(Instance &one);
+  bool lost();
+
+  static void on_object(void *data, StoreKind kind, const StoreObject *object);
+  static void on_listed(void *data, StoreKind kind, GHashTable *names);
+  static mp_Addr control_of(void *data, mp_Addr relay);
+
+  std::priority_queue<Event> queue;
+  guint64 order = 0;
+  std::map<std::string, Object> objects[MP_RELAY_KINDS];
+  std::map<std::string, gint64> written; /* name=text -> when */
+  gint64 revision = 100;
+  gint64 oldest = 0;
+  std::vector<Watch> watches;
+  double loss;
+  GRand *random;
+};
+
+} // namespace relaying
+
+#endif
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -7,7 +7,8 @@
 
 gateway = { instances = {}, workers = {}, asked = {}, last = 0,
             version = 1, timeout = 8000,
-            kv_tokens = 20000, more_prefill = 0, lease_ms = 0 }
+            kv_tokens = 20000, more_prefill = 0, lease_ms = 0,
+            one_zone = false }
 
 local function addr(port)
   return "127.0.0.1:" .. port
@@ -133,7 +134,8 @@
   gateway.store, gateway.store_proxy = sys.freeport(), sys.freeport()
   gateway.admin, gateway.proxy_admin = sys.freeport(), sys.freeport()
   for i = 1, instances do
-    local e = { name = "entry-" .. i, zone = i % 2 == 1 and "a" or "b",
+    local in_a = gateway.one_zone or i % 2 == 1
+    local e = { name = "entry-" .. i, zone = in_a and "a" or "b",
                 port = sys.freeport(), ready = sys.freeport(),
                 control = sys.freeport(), metrics = sys.freeport(),
                 exchange = sys.freeport() }
@@ -331,3 +333,11 @@
   end
   return rows
 end
+
+-- what an instance's metrics say: the role it has for the store's news, and
+-- how many calls it made to the store
+function news_of(e)
+  local _, text = ask("GET", e.metrics, "/metrics")
+  return { role = text:match('madderpier_news_role{role="([a-z]+)"}'),
+           calls = tonumber(text:match("madderpier_store_calls_total (%d+)")) }
+end
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -14,6 +14,7 @@
 if seed >= 1000 then -- engines that are ordered to change their stage, too
   gateway.lease_ms, gateway.kv_tokens, gateway.more_prefill = 2000, 2500, 4
 end
+gateway.one_zone = seed >= 4000 -- relays follow the store for the others
 start_gateway(instances)
 
 local connections = {} -- kept ones, used until their process is gone
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -19,7 +19,7 @@
 
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
-  CarrierCounts carriers = {7, 11, 1, 2, 3, TRUE};
+  CarrierCounts carriers = {7, 11, 1, 2, 3, "relay", 250 * ms, TRUE};
   world.populate();
   world.request("/unsafe/x");
   world.outcome(world.last().number, OUTCOME_ANSWER);
@@ -30,6 +30,8 @@
         "madderpier_orders_total 0", "madderpier_open_requests 0",
         "madderpier_endpoint_connections_total 7",
         "madderpier_store_calls_total 11", "madderpier_ready 1",
+        "madderpier_news_role{role=\"relay\"} 1",
+        "madderpier_news_age_seconds 0.250",
         "madderpier_plain_seconds_count 1",
         "madderpier_plain_seconds_bucket{le=\"+Inf\"} 1"})
     EXPECT_NE(page.find("\n" + std::string(line) + "\n"), std::string::npos)
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -440,11 +440,16 @@
   call.kind = STORE_INSTANCES;
   call.operation = STORE_CREATE;
   call.name = "edge-1";
-  call.address = mp_addr_parse("10.1.0.38:7381");
+  char zone[] = "wien-a";
+  InstanceRecord instance = {mp_addr_parse("10.1.0.38:7381"),
+                             mp_addr_parse("10.1.0.38:8144"), zone};
+  call.instance = &instance;
   head = platform_write_store_call(&call, &body);
   EXPECT_STREQ(head->method, "POST");
   EXPECT_NE(strstr(body, "\"edge-1\""), nullptr);
   EXPECT_NE(strstr(body, "10.1.0.38:7381"), nullptr);
+  EXPECT_NE(strstr(body, "10.1.0.38:8144"), nullptr);
+  EXPECT_NE(strstr(body, "wien-a"), nullptr);
   http_head_free(head);
   g_free(body);
 }
--- /dev/null
+++ b/test/test_relays.cc
@@ -0,0 +1,198 @@
+/*
+** test_relays.cc
+** News of the store through relays: calls, delays, and what is lost when
+** relays or the store are
+*/
+
+#include <gtest/gtest.h>
+
+#include "relay_world.h"
+
+using namespace relaying;
+
+namespace {
+
+/* the bound for a new configuration on the smallest deployments that have
+** relays; a change must be known everywhere before */
+constexpr gint64 apply_bound = 3 * second;
+
+struct Sizes : ::testing::TestWithParam<unsigned> {
+  static constexpr unsigned zones = 5;
+
+  std::unique_ptr<World> begin(double loss = 0.01) {
+    auto world = std::make_unique<World>(zones, GetParam(), loss);
+    world->write(STORE_CONFIGURATION, "main", "1");
+    world->write(STORE_ENDPOINTS, "e1", "1");
+    world->start_all();
+    world->run(5 * second);
+    return world;
+  }
+
+  static void expect_known(World &world, const char *text) {
+    EXPECT_EQ(world.knowing(STORE_CONFIGURATION, "main", text),
+              world.living());
+  }
+
+  /* the relays of one data centre, or of all */
+  static std::vector<Instance *> relays(World &world, int zone = -1) {
+    std::vector<Instance *> found;
+    for (auto &one : world.all) {
+      if (one->alive && (zone < 0 || one->zone == unsigned(zone)) &&
+          relay_group_role(one->group, world.now) == RELAY_ROLE_RELAY)
+        found.push_back(one.get());
+    }
+    return found;
+  }
+};
+
+TEST_P(Sizes, AFewFollowTheStoreAndAllKnow) {
+  auto world = begin();
+  unsigned wanted = GetParam() / zones < 8 ? zones : 2 * zones;
+  EXPECT_EQ(world->with_role(RELAY_ROLE_RELAY), wanted);
+  EXPECT_EQ(world->with_role(RELAY_ROLE_MEMBER), GetParam() - wanted);
+  expect_known(*world, "1");
+  guint64 before = world->store_calls;
+  world->run(20 * second);
+  /* three watches of 2.8 s each */
+  EXPECT_LE(world->store_calls - before, wanted * 3 * 8u);
+}
+
+TEST_P(Sizes, AtTheStartRelaysAloneReadTheStore) {
+  auto world = std::make_unique<World>(zones, GetParam(), 0.01);
+  world->write(STORE_CONFIGURATION, "main", "1");
+  world->start_all();
+  world->run(700 * ms);
+  expect_known(*world, "1");
+  EXPECT_LE(world->store_calls, 2 * zones * 6u);
+}
+
+TEST_P(Sizes, AChangeIsEverywhereWithinTenthsOfASecond) {
+  auto world = begin();
+  for (int i = 2; i < 8; i++) {
+    std::string text = std::to_string(i);
+    world->write(STORE_CONFIGURATION, "main", text);
+    world->run(3 * second);
+    EXPECT_LE(world->slowest("main", text), 800 * ms) << i;
+  }
+}
+
+TEST_P(Sizes, WhatIsGoneIsGoneEverywhere) {
+  auto world = begin();
+  world->write(STORE_ENDPOINTS, "e2", "1");
+  world->run(2 * second);
+  world->remove(STORE_ENDPOINTS, "e2");
+  world->run(2 * second);
+  EXPECT_EQ(world->knowing(STORE_ENDPOINTS, "e2", "1"), 0u);
+  EXPECT_EQ(world->knowing(STORE_ENDPOINTS, "e1", "1"), GetParam());
+}
+
+TEST_P(Sizes, AllRelaysOfADataCentreKilledAtOnce) {
+  auto world = begin();
+  for (auto *relay : relays(*world, 2))
+    world->kill(*relay);
+  world->write(STORE_CONFIGURATION, "main", "2");
+  world->run(apply_bound);
+  expect_known(*world, "2");
+  EXPECT_LT(world->slowest("main", "2"), apply_bound);
+}
+
+TEST_P(Sizes, RelaysCutFromTheStoreHearTheNewsFromOtherDataCentres) {
+  auto world = begin();
+  for (auto *relay : relays(*world, 1))
+    relay->cut_from_store = true;
+  world->run(100 * ms);
+  world->write(STORE_CONFIGURATION, "main", "2");
+  world->run(apply_bound);
+  EXPECT_LT(world->slowest("main", "2"), apply_bound);
+}
+
+TEST_P(Sizes, AllRelaysCutFromTheStoreAreReplaced) {
+  auto world = begin();
+  for (auto *relay : relays(*world))
+    relay->cut_from_store = true;
+  world->run(100 * ms);
+  world->write(STORE_CONFIGURATION, "main", "2");
+  world->run(watch_wait + 700 * ms + 3 * second);
+  expect_known(*world, "2");
+}
+
+TEST_P(Sizes, AStoreThatIsAwayIsAskedByFew) {
+  auto world = begin();
+  guint64 before = world->store_calls;
+  world->store_up = false;
+  world->run(8 * second);
+  /* an instance on its own makes some 25 calls, three kinds each 0.8 s; the
+  ** relays do, and one more each 0.25 s makes a call each 3 s and kind */
+  unsigned wanted = GetParam() / zones < 8 ? zones : 2 * zones;
+  EXPECT_LE(world->store_calls - before, wanted * 25u + zones * 18 * 5u);
+  world->store_up = true;
+  world->write(STORE_CONFIGURATION, "main", "2");
+  world->run(apply_bound);
+  EXPECT_LT(world->slowest("main", "2"), apply_bound);
+  world->run(3 * second);
+  EXPECT_LE(world->with_role(RELAY_ROLE_RELAY), 2 * zones);
+}
+
+TEST_P(Sizes, HistoryThatIsForgottenBringsNothingOldBack) {
+  auto world = begin();
+  world->write(STORE_CONFIGURATION, "main", "2");
+  world->forget_history();
+  world->run(50 * ms);
+  world->write(STORE_CONFIGURATION, "main", "3");
+  world->remove(STORE_ENDPOINTS, "e1");
+  world->run(3 * second);
+  expect_known(*world, "3");
+  EXPECT_EQ(world->knowing(STORE_ENDPOINTS, "e1", "1"), 0u);
+  for (auto &one : world->all)
+    EXPECT_EQ(one->backwards, 0u);
+}
+
+TEST_P(Sizes, AllKilledAtOnceKnowAllAgainWithinASecond) {
+  auto world = begin();
+  for (auto &one : world->all)
+    world->kill(*one);
+  world->run(1 * second);
+  guint64 before = world->store_calls;
+  world->start_all();
+  world->run(700 * ms);
+  expect_known(*world, "1");
+  EXPECT_LE(world->store_calls - before, 2 * zones * 6u);
+}
+
+TEST_P(Sizes, RandomLossesOfRelaysNeverLeaveAnybodyBehind) {
+  auto world = begin(0.05);
+  GRand *random = g_rand_new_with_seed(GetParam());
+  int version = 2;
+  for (int round = 0; round < 12; round++) {
+    for (auto *relay : relays(*world)) {
+      if (g_rand_double(random) < 0.3)
+        world->kill(*relay);
+    }
+    world->write(STORE_CONFIGURATION, "main", std::to_string(100 + version++));
+    world->run(apply_bound);
+    EXPECT_LT(world->slowest("main", std::to_string(99 + version)),
+              apply_bound)
+        << round;
+    for (auto &one : world->all) {
+      if (!one->alive)
+        world->start(*one);
+    }
+    world->run(g_rand_int_range(random, 200, 1500) * ms);
+  }
+  for (auto &one : world->all)
+    EXPECT_EQ(one->backwards, 0u);
+  g_rand_free(random);
+}
+
+INSTANTIATE_TEST_SUITE_P(Instances, Sizes, ::testing::Values(20, 60, 300));
+
+TEST(Relays, SmallDataCentresFollowTheStoreThemselves) {
+  World world(3, 9);
+  world.write(STORE_CONFIGURATION, "main", "1");
+  world.start_all();
+  world.run(3 * second);
+  EXPECT_EQ(world.with_role(RELAY_ROLE_ALONE), 9u);
+  EXPECT_EQ(world.knowing(STORE_CONFIGURATION, "main", "1"), 9u);
+}
+
+} // namespace
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -91,6 +91,9 @@
   case MP_MSG_LOAD_NOTE:
     m.u.note = {17, 4, 3200};
     break;
+  case MP_MSG_RELAY_BEAT:
+    m.u.beat = {{1ULL << 40, 7, 0}, 350};
+    break;
   default:
     m.u.reserve.token.owner = 0x7f0000011b58;
     break;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -193,6 +193,15 @@
   return retries(x, d);
 }
 
+static bool_t beat(XDR *x, mp_RelayBeat *b) {
+  unsigned i;
+  for (i = 0; i < MP_RELAY_KINDS; i++) {
+    if (!u64(x, &b->changed[i]))
+      return FALSE;
+  }
+  return u32(x, &b->age_ms);
+}
+
 static bool_t body(XDR *x, mp_Msg *m) {
   switch (m->kind) {
   case MP_MSG_PROBE:
@@ -219,6 +228,10 @@
   case MP_MSG_LOAD_NOTE:
     return u32(x, &m->u.note.after) && u32(x, &m->u.note.endpoint) &&
            u32(x, &m->u.note.tokens);
+  case MP_MSG_RELAY_BEAT:
+    return beat(x, &m->u.beat);
+  case MP_MSG_RELAY_ASK:
+    return TRUE; /* it says all by its kind */
   default:
     return FALSE;
   }
