--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -21,6 +21,13 @@
 
 /* scores are in open dispatches of a service with few slots */
 #define COST_OTHER_ZONE 1.5
+/* the same where loads elsewhere are known from summaries alone, some tenths
+** of a second late: engines there are promised twice. 8 in place of 1.5
+** earned +0.03 to +0.09 of the worth on three deployments of 58 to 68
+** instances (five days each, paired) and +0.15 on a day of 295; 16 no more
+** than that. Where all loads are heard at once, it cost 0.06 on the
+** deployment with four engines a data centre, so it stays 1.5 there */
+#define COST_OTHER_ZONE_LATE 8.0
 #define COST_FAILURES 12.0
 /* what others saw of an endpoint, together, up to so many of them: one
 ** that stands alone may have a bad path of its own */
@@ -163,7 +170,7 @@
           (double)(endpoint_tokens(table, endpoint) + wish->tokens) /
           (double)wish->capacity;
   if (strcmp(endpoint->record.zone, zone) != 0)
-    sum += COST_OTHER_ZONE;
+    sum += table->is_late ? COST_OTHER_ZONE_LATE : COST_OTHER_ZONE;
   if (endpoint->record.cold_left > 0)
     sum += COST_COLD;
   sum += COST_FAILURES * endpoint_failing(endpoint, now);
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -34,6 +34,7 @@
   GPtrArray *all;    /* Endpoint, in the order they came */
   char *zone;        /* this instance's */
   PeerLoads *peers;  /* what the other instances have open */
+  gboolean is_late;  /* loads in other zones are known late */
 } EndpointTable;
 
 /* what is asked of an endpoint */
--- a/router/router.c
+++ b/router/router.c
@@ -136,6 +136,7 @@
 void router_set_instances(Router *router, unsigned count, unsigned near) {
   router->instances = MAX(count, 1);
   router->near = CLAMP(near, 1, router->instances);
+  router->endpoints->is_late = router->near < router->instances;
 }
 
 /* }================================================================== */
--- a/test/test_summaries.cc
+++ b/test/test_summaries.cc
@@ -65,6 +65,26 @@
   EXPECT_TRUE(has_room());
 }
 
+/* one engine here, loaded by so much, and an empty one elsewhere */
+std::string chosen(unsigned instances, unsigned near, guint32 tokens) {
+  World one;
+  mp_LoadDigest digest = {};
+  one.configure();
+  one.endpoint({"here", "llm", "a", STAGE_DECODE});
+  one.endpoint({"there", "llm", "b", STAGE_DECODE});
+  router_set_instances(one.router, instances, near);
+  digest.row[digest.n++] = {hash_of("here"), tokens, 1, 0};
+  router_peer_load(one.router, 0x0a00000000010001, 1, &digest, one.now);
+  one.request("/stream/x");
+  return one.last().endpoint;
+}
+
+TEST_F(Summaries, WithLoadsElsewhereKnownLateRequestsStayWhileThereIsRoom) {
+  EXPECT_EQ(chosen(9, 9, 5000), "there"); /* balanced */
+  EXPECT_EQ(chosen(60, 12, 5000), "here");
+  EXPECT_EQ(chosen(60, 12, 9500), "there"); /* no room for 1,000 more here */
+}
+
 TEST_F(Summaries, OfOneDataCentreTheRelayHeardLastCounts) {
   mp_LoadSummary full = full_engines(relay_one, 9000);
   mp_LoadSummary empty = full_engines(relay_two, 0);
