--- a/io/directory.c
+++ b/io/directory.c
@@ -174,7 +174,7 @@
   g_array_append_val(others->all, instance->exchange);
   if (is_near(directory, instance))
     g_array_append_val(others->near, instance->exchange);
-  else if (instance->control != 0)
+  else if (instance->control != 0 && directory->own.control != 0)
     g_array_append_val(others->far, far);
 }
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -26,13 +26,6 @@
 /* the longest time between two looks at the router's clock */
 #define TICK_MOST (1 * MP_SEC)
 
-/* up to so many instances hear the loads of all: the bytes between data
-** centres are then few, and room is known everywhere at once (58 instances in
-** three data centres sent 0.28 to 0.48 GB there in a minute) */
-#define ALL_MOST 30
-/* a data centre has relays, which make summaries, with so many others */
-#define NEAR_LEAST 3
-
 struct Gateway {
   struct event_base *base;
   const Dialect *dialect;
@@ -225,9 +218,9 @@
 */
 static void on_instances(void *data, const GArray *all, const GArray *near) {
   Gateway *gateway = data;
-  gboolean summing = near->len >= NEAR_LEAST && all->len >= ALL_MOST;
+  gboolean summing = relay_group_sums(gateway->group);
   const GArray *hearing = summing ? near : all;
-  load_exchange_set_peers(gateway->exchange, hearing);
+  load_exchange_set_peers(gateway->exchange, hearing, summing);
   router_set_instances(gateway->router, all->len + 1, hearing->len + 1);
   relays_set_members(gateway->relays, summing);
 }
@@ -238,6 +231,12 @@
     relays_take(gateway->relays, from, message);
 }
 
+static void on_digest(void *data) {
+  const Gateway *gateway = data;
+  if (gateway->relays != NULL)
+    relays_loads(gateway->relays);
+}
+
 static void on_store_answer(void *data) {
   const Gateway *gateway = data;
   relays_news(gateway->relays);
@@ -458,7 +457,7 @@
 
 static gboolean make_exchange(Gateway *gateway, const GatewayOptions *options,
                               GError **error) {
-  LoadExchangeHooks hooks = {gateway, on_relay_message};
+  LoadExchangeHooks hooks = {gateway, on_relay_message, on_digest};
   gateway->exchange = load_exchange_new(gateway->base, options->exchange,
                                         gateway->router, &hooks, error);
   return gateway->exchange != NULL;
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -25,6 +25,7 @@
   struct event *readable;
   struct event *timer;
   GArray *peers; /* mp_Addr */
+  gboolean only; /* digests of others are not taken */
   guint32 sequence;
   guint64 told; /* the version that was sent last */
   gint64 sent_at;
@@ -104,6 +105,30 @@
   return (mp_MsgKind)0;
 }
 
+static gboolean is_heard(const LoadExchange *exchange, mp_Addr peer) {
+  guint i;
+  if (!exchange->only)
+    return TRUE;
+  for (i = 0; i < exchange->peers->len; i++) {
+    if (g_array_index(exchange->peers, mp_Addr, i) == peer)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+static void take_load(LoadExchange *exchange, mp_Addr peer,
+                      const mp_Msg *message) {
+  if (!is_heard(exchange, peer))
+    return;
+  if (message->kind == MP_MSG_LOAD_NOTE) {
+    router_peer_note(exchange->router, peer, &message->u.note);
+    return;
+  }
+  router_peer_load(exchange->router, peer, message->seq, &message->u.digest,
+                   node_now());
+  exchange->hooks.digest(exchange->hooks.data);
+}
+
 static void take(LoadExchange *exchange, mp_Addr peer, const char *bytes,
                  size_t size) {
   mp_Msg message;
@@ -112,11 +137,8 @@
   if (rpc_decode(bytes, size, no_reply_expected, NULL, &message, answer,
                  sizeof answer, &answer_size) != RPC_CALL)
     return;
-  if (message.kind == MP_MSG_LOAD_DIGEST)
-    router_peer_load(exchange->router, peer, message.seq, &message.u.digest,
-                     node_now());
-  else if (message.kind == MP_MSG_LOAD_NOTE)
-    router_peer_note(exchange->router, peer, &message.u.note);
+  if (message.kind == MP_MSG_LOAD_DIGEST || message.kind == MP_MSG_LOAD_NOTE)
+    take_load(exchange, peer, &message);
   else
     exchange->hooks.relay(exchange->hooks.data, peer, &message);
 }
@@ -165,7 +187,9 @@
   g_free(exchange);
 }
 
-void load_exchange_set_peers(LoadExchange *exchange, const GArray *addresses) {
+void load_exchange_set_peers(LoadExchange *exchange, const GArray *addresses,
+                             gboolean only) {
+  exchange->only = only;
   g_array_set_size(exchange->peers, 0);
   g_array_append_vals(exchange->peers, addresses->data, addresses->len);
 }
--- a/io/load_exchange.h
+++ b/io/load_exchange.h
@@ -16,10 +16,11 @@
 
 typedef struct LoadExchange LoadExchange;
 
-/* a message of another kind than digests and notes came */
+/* what came beside notes: a message of another kind, or a digest */
 typedef struct LoadExchangeHooks {
   void *data;
   void (*relay)(void *data, mp_Addr from, const mp_Msg *message);
+  void (*digest)(void *data); /* a digest was taken */
 } LoadExchangeHooks;
 
 /* NULL and an error when the address cannot be bound */
@@ -28,8 +29,10 @@
                                 GError **error);
 void load_exchange_free(LoadExchange *exchange);
 
-/* the addresses of the instances that hear the digests; copied */
-void load_exchange_set_peers(LoadExchange *exchange, const GArray *addresses);
+/* the addresses of the instances that hear the digests; copied. 'only':
+** digests of others are not taken, since summaries hold them already */
+void load_exchange_set_peers(LoadExchange *exchange, const GArray *addresses,
+                             gboolean only);
 
 /* a message of another kind, to one instance */
 void load_exchange_send(LoadExchange *exchange, mp_Addr to,
--- a/io/relays.c
+++ b/io/relays.c
@@ -11,6 +11,11 @@
 /* members that are asked for a heartbeat: the relays there should be, and as
 ** many that take their place when they are lost */
 #define ASKED 4
+/* least time between two summaries: an engine that turns all away looks idle,
+** and in the 0.2 s between heartbeats 61 prompts of other data centres were
+** sent to one of them in vain (58 instances, a burst with a quarter of the
+** engines lost) */
+#define SUMMARY_LEAST (30 * MP_MS)
 
 struct Relays {
   mp_Addr self;
@@ -25,6 +30,8 @@
   guint64 told[MP_RELAY_KINDS]; /* revisions in the last heartbeat */
   gboolean summing;             /* loads are told in summaries */
   guint32 sequence;             /* of the last summary */
+  gint64 summary_at;            /* when it was sent */
+  guint64 failing;              /* router_failing_set in it */
 };
 
 static void start_timer(Relays *relays) {
@@ -80,6 +87,8 @@
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_LOAD_SUMMARY;
   message.seq = ++relays->sequence;
+  relays->summary_at = now;
+  relays->failing = router_failing_set(relays->router, now);
   router_load_summary(relays->router, &message.u.summary, now);
   message.u.summary.relay = relays->self;
   message.u.summary.zone = relays->zone;
@@ -131,6 +140,15 @@
   look(relays);
 }
 
+void relays_loads(Relays *relays) {
+  gint64 now = node_now();
+  if (!relays->summing || now - relays->summary_at < SUMMARY_LEAST ||
+      !relay_group_is_first(relays->group, now))
+    return;
+  if (router_failing_set(relays->router, now) != relays->failing)
+    send_summary(relays, now);
+}
+
 void relays_news(Relays *relays) {
   guint64 changed[MP_RELAY_KINDS];
   gint64 now = node_now();
--- a/io/relays.h
+++ b/io/relays.h
@@ -34,6 +34,9 @@
 /* the members are known, or have changed; 'summing': loads are told between
 ** data centres in summaries */
 void relays_set_members(Relays *relays, gboolean summing);
+/* loads were heard: endpoints that begin to fail are told to the other data
+** centres at once */
+void relays_loads(Relays *relays);
 /* the store has answered; news are told to the others at once */
 void relays_news(Relays *relays);
 
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -168,7 +168,9 @@
                                const EndpointWish *wish) {
   if (wish->capacity == 0)
     return COST_OTHER_ZONE;
-  return table->is_late ? COST_OTHER_ZONE_LATE : COST_OTHER_ZONE_ENGINE;
+  if (wish->stage == STAGE_PREFILL || !table->is_late)
+    return COST_OTHER_ZONE_ENGINE;
+  return COST_OTHER_ZONE_LATE;
 }
 
 /* smaller is better */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -76,6 +76,18 @@
   return endpoint;
 }
 
+/*
+** A prompt that is turned away is an extra arrival that nothing can refuse
+** beforehand. With the retry budget used up, and the engines of other data
+** centres known late, the decode engine reads it, which risks none.
+*/
+static gboolean is_too_risky(Router *router, const Request *request,
+                             gint64 now) {
+  return router->near < router->instances &&
+         now - router->retry.born >= router->retry.window &&
+         !retry_exchange_left(router, request->service->name, now);
+}
+
 gboolean prefill_begin(Router *router, Request *request, gint64 now) {
   EndpointWish wish = path_wish(router, request, STAGE_PREFILL);
   const Endpoint *decode =
@@ -85,6 +97,7 @@
   Endpoint *prefill;
   gint64 expected;
   if (request->prefills_sent >= MOST_PREFILLS ||
+      is_too_risky(router, request, now) ||
       !endpoint_table_has(router->endpoints, request->service->name,
                           STAGE_PREFILL, now))
     return FALSE;
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -46,6 +46,7 @@
   gint64 fresh;       /* a relay's last answer of the store may be so old */
   gint64 alone_at;    /* not listed by then: the store is followed */
   gboolean listed;    /* the members are known */
+  guint instances;    /* that there are, this one included */
   GArray *members;    /* mp_Addr, the others, in their order */
   GArray *far;        /* mp_Addr: who should be relays elsewhere */
   GHashTable *relays; /* address -> Relay, heard at some time */
@@ -132,6 +133,7 @@
   if (!group->listed)
     group->short_since = now;
   group->listed = TRUE;
+  group->instances = 1 + near->len + far->len;
   g_array_set_size(group->members, 0);
   g_array_append_vals(group->members, near->data, near->len);
   g_array_sort(group->members, by_order);
@@ -243,7 +245,7 @@
 RelayRole relay_group_role(RelayGroup *group, gint64 now) {
   if (!group->listed)
     return now < group->alone_at ? RELAY_ROLE_STARTING : RELAY_ROLE_ALONE;
-  if (group->members->len + 1 < GROUP_LEAST)
+  if (group->members->len + 1 < GROUP_LEAST && !relay_group_sums(group))
     return RELAY_ROLE_ALONE;
   if (relays_before(group, now).fresh >= relays_wanted(group)) {
     group->short_since = 0;
@@ -266,6 +268,10 @@
   return due > now ? MIN(due, now + RELAY_BEAT) : now + RELAY_BEAT;
 }
 
+gboolean relay_group_sums(const RelayGroup *group) {
+  return group->instances > RELAY_MANY;
+}
+
 gboolean relay_group_stands_in(RelayGroup *group, gint64 now) {
   return relay_group_role(group, now) == RELAY_ROLE_RELAY &&
          relays_before(group, now).heard >= relays_wanted(group);
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -2,8 +2,9 @@
 ** relay_group.h
 ** Which instances of a data centre follow the store for the others
 **
-** In a data centre of GROUP_LEAST instances or more, a few of them, the
-** relays, follow the store. They send a heartbeat to the others, which ask
+** In a data centre of GROUP_LEAST instances or more, or in any when there are
+** more than RELAY_MANY of them, a few instances, the relays, follow the store.
+*They send a heartbeat to the others, which ask
 ** a relay for the changes that it names. Calls to the store so grow with
 ** the data centres and not with the instances. The relays of all data
 ** centres hear each other's heartbeats as well: one that has lost the store
@@ -48,6 +49,12 @@
 
 typedef struct RelayGroup RelayGroup;
 
+/* up to so many instances hear the loads of all: the bytes between data
+** centres are then few, and room is known everywhere at once (58 instances in
+** three data centres sent 0.28 to 0.48 GB there in a minute). With more, each
+** data centre has relays, however small, which tell the others its loads */
+#define RELAY_MANY 30
+
 /* an instance of another data centre */
 typedef struct RelayFar {
   mp_Addr address;
@@ -76,6 +83,8 @@
 ** relay_group_next at the latest */
 RelayRole relay_group_role(RelayGroup *group, gint64 now);
 gint64 relay_group_next(const RelayGroup *group, gint64 now);
+/* are there so many instances that data centres hear summaries of loads? */
+gboolean relay_group_sums(const RelayGroup *group);
 /* is it a relay in the place of others that are heard? */
 gboolean relay_group_stands_in(RelayGroup *group, gint64 now);
 /* is it a relay, and is none heard that comes before it? */
--- a/router/retry_budget.c
+++ b/router/retry_budget.c
@@ -10,8 +10,17 @@
 ** messages on their way */
 #define RATIO_MARGIN 0.75
 #define SLACK_MARGIN 0.6
-/* longer than a digest is on its way, its wait for its turn included */
+/* the same where others are heard in summaries: what they spend is known
+** later, and in 0.3 s some hundred prompts may be turned away, which nothing
+** can refuse beforehand (58 instances, a quarter of the engines lost in a
+** burst: 408 to 504 extra arrivals of 395 to 416 allowed with 0.75 and 0.6) */
+#define RATIO_MARGIN_SUMMED 0.6
+#define SLACK_MARGIN_SUMMED 0.45
+/* longer than a digest is on its way, its wait for its turn included; and the
+** same for a summary of another data centre: 0.2 s until the next one, and a
+** way over two relays */
 #define PERIOD (300 * MP_MS)
+#define PERIOD_SUMMED (800 * MP_MS)
 
 static guint slot(RetryBudget *budget, const RetryPolicy *policy, gint64 now) {
   static const RetryCounts none = {0, 0};
@@ -56,6 +65,7 @@
   double heard = (double)sharers->heard / MAX(sharers->instances, 1);
   double requests = 0;
   double extras = 0;
+  double slack;
   guint i;
   for (i = 0; i < RETRY_BUDGET_BUCKETS; i++) {
     if (budget->bucket[i] <= newest - RETRY_BUDGET_BUCKETS)
@@ -67,10 +77,17 @@
     requests += budget->others[i].requests;
     extras += budget->others[i].extras;
   }
-  requests *= policy->ratio * RATIO_MARGIN;
+  requests *= policy->ratio *
+              (sharers->in_summaries ? RATIO_MARGIN_SUMMED : RATIO_MARGIN);
   if (is_young(policy, now))
     return requests - extras;
-  return requests + policy->slack * SLACK_MARGIN * MIN(heard, 1.0) - extras;
+  slack = policy->slack *
+          (sharers->in_summaries ? SLACK_MARGIN_SUMMED : SLACK_MARGIN);
+  return requests + slack * MIN(heard, 1.0) - extras;
+}
+
+static gint64 period_of(const RetrySharers *sharers, gint64 now) {
+  return now / (sharers->in_summaries ? PERIOD_SUMMED : PERIOD);
 }
 
 /* an equal part of what remains; a fraction by lot, once a period */
@@ -79,7 +96,7 @@
                          gint64 now) {
   unsigned among = is_young(policy, now) ? 1 : MAX(sharers->heard, 1);
   double part = MAX(left, 0) / among;
-  budget->period = now / PERIOD;
+  budget->period = period_of(sharers, now);
   budget->period_taken = 0;
   budget->period_quota = (guint32)part;
   budget->period_quota += sharers->draw < part - budget->period_quota;
@@ -93,7 +110,7 @@
 gboolean retry_budget_take(RetryBudget *budget, const RetryPolicy *policy,
                            const RetrySharers *sharers, gint64 now) {
   double left = remaining(budget, policy, sharers, now);
-  if (budget->period != now / PERIOD)
+  if (budget->period != period_of(sharers, now))
     begin_period(budget, policy, sharers, left, now);
   if (left < 1 || budget->period_taken >= budget->period_quota)
     return FALSE;
--- a/router/retry_budget.h
+++ b/router/retry_budget.h
@@ -31,9 +31,10 @@
 
 /* who shares the budget, as this instance sees it now */
 typedef struct RetrySharers {
-  unsigned instances; /* that there are */
-  unsigned heard;     /* of them, heard from lately; this one included */
-  double draw;        /* random, from 0 to 1 */
+  unsigned instances;    /* that there are */
+  unsigned heard;        /* of them, heard from lately; this one included */
+  double draw;           /* random, from 0 to 1 */
+  gboolean in_summaries; /* some are heard in summaries alone */
 } RetrySharers;
 
 typedef struct RetryCounts {
--- a/router/router.c
+++ b/router/router.c
@@ -9,6 +9,10 @@
 #include "router/retry_exchange.h"
 #include "router/state.h"
 
+/* an endpoint is failing from this share on, in percent: one instance could
+** not reach it, or several had runs fail there */
+#define FAILING_SHARE 90
+
 /* the last word leaves this long before the caller stops waiting */
 #define ANSWER_MARGIN (15 * MP_MS)
 
@@ -365,6 +369,20 @@
   retry_exchange_write_sum(router, &out->loads);
 }
 
+guint64 router_failing_set(const Router *router, gint64 now) {
+  const GPtrArray *all = router->endpoints->all;
+  guint64 set = 0;
+  guint i;
+  for (i = 0; i < all->len; i++) {
+    const Endpoint *endpoint = all->pdata[i];
+    if (share_failing(endpoint, now) >= FAILING_SHARE ||
+        peer_loads_failing(router->endpoints->peers, endpoint->hash) >=
+            FAILING_SHARE / 100.0)
+      set += (guint64)endpoint->hash * endpoint->hash;
+  }
+  return set;
+}
+
 void router_zone_load(Router *router, guint32 sequence,
                       const mp_LoadSummary *summary, gint64 now) {
   PeerLoads *peers = router->endpoints->peers;
--- a/router/router.h
+++ b/router/router.h
@@ -191,6 +191,9 @@
 ** centres; who tells it and for which data centre is filled in by the host */
 void router_load_summary(const Router *router, mp_LoadSummary *out,
                          gint64 now);
+/* a number that changes with the set of endpoints that this instance or those
+** it hears find failing: the other data centres should know at once */
+guint64 router_failing_set(const Router *router, gint64 now);
 /* what another data centre has open, as its relay told */
 void router_zone_load(Router *router, guint32 sequence,
                       const mp_LoadSummary *summary, gint64 now);
--- a/test/test_relays.cc
+++ b/test/test_relays.cc
@@ -195,6 +195,37 @@
 
 INSTANTIATE_TEST_SUITE_P(Instances, Sizes, ::testing::Values(20, 60, 300));
 
+/* the role of one whose data centre and others have so many other instances */
+RelayRole role_among(unsigned near_count, unsigned far_count) {
+  RelayGroup *group = relay_group_new(7, watch_wait, 0);
+  GArray *near = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  GArray *far = g_array_new(FALSE, FALSE, sizeof(RelayFar));
+  for (mp_Addr i = 0; i < near_count; i++) {
+    mp_Addr address = 100 + i;
+    g_array_append_val(near, address);
+  }
+  for (unsigned i = 0; i < far_count; i++) {
+    RelayFar one = {1000 + i, i % 4};
+    g_array_append_val(far, one);
+  }
+  relay_group_set_members(group, near, far, second);
+  relay_group_role(group, second); /* it waits for others from now on */
+  RelayRole role = relay_group_role(group, 3 * second);
+  EXPECT_EQ(relay_group_sums(group), near_count + far_count + 1 > RELAY_MANY);
+  g_array_free(near, TRUE);
+  g_array_free(far, TRUE);
+  relay_group_free(group);
+  return role;
+}
+
+/* or its loads would reach others by themselves and in no summary */
+TEST(Relays, AmongManyInstancesEachDataCentreHasOneHoweverSmall) {
+  EXPECT_EQ(role_among(2, 20), RELAY_ROLE_ALONE);
+  EXPECT_EQ(role_among(2, 40), RELAY_ROLE_RELAY);
+  EXPECT_EQ(role_among(0, 40), RELAY_ROLE_RELAY);
+  EXPECT_EQ(role_among(5, 20), RELAY_ROLE_RELAY);
+}
+
 TEST(Relays, SmallDataCentresFollowTheStoreThemselves) {
   World world(3, 9);
   world.write(STORE_CONFIGURATION, "main", "1");
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -177,18 +177,20 @@
 #define BLOCKS_MOST 0xffffu
 #define OPEN_MOST 0x1ffu
 #define FAILING_MOST 0x7fu
+#define FAILING_STEP 4u /* percent: sums over several instances fit */
 
 /* blocks of tokens, dispatches and the share of failures in one word */
 static bool_t packedload(XDR *x, mp_LoadRow *row) {
   uint32_t blocks = (row->tokens + MP_TOKEN_BLOCK - 1) / MP_TOKEN_BLOCK;
+  uint32_t failing = (row->failing + FAILING_STEP - 1) / FAILING_STEP;
   uint32_t word = (blocks < BLOCKS_MOST ? blocks : BLOCKS_MOST) << 16;
   word |= (row->open < OPEN_MOST ? row->open : OPEN_MOST) << 7;
-  word |= row->failing < FAILING_MOST ? row->failing : FAILING_MOST;
+  word |= failing < FAILING_MOST ? failing : FAILING_MOST;
   if (!u32(x, &word))
     return FALSE;
   row->tokens = (word >> 16) * MP_TOKEN_BLOCK;
   row->open = word >> 7 & OPEN_MOST;
-  row->failing = word & FAILING_MOST;
+  row->failing = (word & FAILING_MOST) * FAILING_STEP;
   return TRUE;
 }
 
