--- a/test/scenario/gateway.lua
+++ b/test/scenario/gateway.lua
@@ -95,14 +95,5 @@
 worker(gateway.workers[5], "back")
 
 -- all at once, and service again
-for _, x in ipairs(e) do
-  end_now(x)
-end
-for _, x in ipairs(e) do
-  launch(x)
-end
-for _, x in ipairs(e) do
-  wait_ready(x)
-  expect(answer_of(request(x, "stream")).whole, "service again")
-end
+restart_all()
 judge()
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -334,6 +334,20 @@
   return rows
 end
 
+-- all are killed and started at once, and serve again
+function restart_all()
+  for _, x in ipairs(gateway.instances) do
+    end_now(x)
+  end
+  for _, x in ipairs(gateway.instances) do
+    launch(x)
+  end
+  for _, x in ipairs(gateway.instances) do
+    wait_ready(x)
+    expect(answer_of(request(x, "stream")).whole, "service again")
+  end
+end
+
 -- what an instance's metrics say: the role it has for the store's news, and
 -- how many calls it made to the store
 function news_of(e)
--- a/test/scenario/relays.lua
+++ b/test/scenario/relays.lua
@@ -85,15 +85,6 @@
 worker(gateway.workers[5], "back")
 
 -- all at once
-for _, x in ipairs(e) do
-  end_now(x)
-end
-for _, x in ipairs(e) do
-  launch(x)
-end
-for _, x in ipairs(e) do
-  wait_ready(x)
-  expect(answer_of(request(x, "stream")).whole, "service again")
-end
+restart_all()
 settle()
 judge()
