--- a/io/gateway.c
+++ b/io/gateway.c
@@ -311,6 +311,7 @@
   StoreKind kind;
   gint64 since;
   char *text;
+  int status;
   if (!news_read_query(evhttp_uri_get_query(uri), &kind, &since)) {
     reply(request, HTTP_BADREQUEST, "text/plain",
           "ask for kind=0, 1 or 2, and since=REVISION\n");
@@ -318,7 +319,9 @@
   }
   directory_answer(gateway->directory, kind, since, &known);
   text = news_write_reply(&known);
-  reply(request, news_status(&known), "application/json", text);
+  /* lists are for the few that start without the store */
+  status = news_status(&known, since > 0 ? strlen(text) : 0);
+  reply(request, status, "application/json", status == HTTP_OK ? text : "");
   store_reply_clear(&known);
   g_free(text);
 }
--- a/io/news_codec.c
+++ b/io/news_codec.c
@@ -126,7 +126,9 @@
   return out;
 }
 
-int news_status(const StoreReply *reply) {
+int news_status(const StoreReply *reply, gsize size) {
+  if (size > NEWS_MOST)
+    return STATUS_KNOWS_NOTHING;
   switch (reply->status) {
   case STORE_OK:
     return 200;
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -78,7 +78,7 @@
                                 NewsWanted *out) {
   gboolean is_behind = source->is_behind || source->follower.failures > 0;
   source->is_behind = FALSE;
-  if (is_behind && ask_relay(source, now, out))
+  if (is_behind && !source->must_ask && ask_relay(source, now, out))
     return;
   if (!ask_seed(source, out))
     ask_store(out);
--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -357,7 +357,7 @@
   gint64 since =
       wanted.call.operation == STORE_WATCH ? wanted.call.revision : 0;
   fail_after(one, kind, call, wanted.patience);
-  if (relay == nullptr || !relay->alive)
+  if (relay == nullptr || !relay->alive || !relay->answers)
     return;
   later(*relay, travel, [this, &one, kind, call, relay, since] {
     StoreReply known;
--- a/test/test_news.cc
+++ b/test/test_news.cc
@@ -70,7 +70,7 @@
   g_array_append_val(reply.objects, here);
   g_array_append_val(reply.objects, gone);
   char *text = news_write_reply(&reply);
-  StoreReply out = read(news_status(&reply), text, &good);
+  StoreReply out = read(news_status(&reply, 0), text, &good);
   ASSERT_TRUE(good);
   EXPECT_EQ(out.status, STORE_OK);
   EXPECT_EQ(out.at, 530);
@@ -88,11 +88,17 @@
   bool good;
   for (StoreStatus status : {STORE_HISTORY_GONE, STORE_FAILED}) {
     StoreReply reply = {status, nullptr, FALSE, 0};
-    EXPECT_EQ(read(news_status(&reply), "", &good).status, status);
+    EXPECT_EQ(read(news_status(&reply, 0), "", &good).status, status);
     EXPECT_TRUE(good);
   }
 }
 
+TEST(News, WhatIsTooLargeForARelaysLinkIsLeftToTheStore) {
+  StoreReply reply = {STORE_OK, nullptr, FALSE, 5};
+  EXPECT_EQ(news_status(&reply, NEWS_MOST), 200);
+  EXPECT_EQ(news_status(&reply, NEWS_MOST + 1), 503);
+}
+
 TEST(News, SpoiltRepliesAreNoReplies) {
   const std::string whole =
       R"({"at":5,"objects":[{"name":"a","revision":3,"text":"t"}]})";
--- a/test/test_relays.cc
+++ b/test/test_relays.cc
@@ -141,6 +141,20 @@
   EXPECT_LE(world->with_role(RELAY_ROLE_RELAY), 2 * zones);
 }
 
+/* after an outage, when many stand in for relays: each would ask one after
+** the other */
+TEST_P(Sizes, RelaysThatDoNotAnswerHaveTheStoreAskedAtOnce) {
+  auto world = begin();
+  world->store_up = false;
+  world->run(9 * second);
+  for (auto &one : world->all)
+    one->answers = false;
+  world->store_up = true;
+  world->write(STORE_CONFIGURATION, "main", "2");
+  world->run(apply_bound);
+  EXPECT_LT(world->slowest("main", "2"), apply_bound);
+}
+
 TEST_P(Sizes, HistoryThatIsForgottenBringsNothingOldBack) {
   auto world = begin();
   world->write(STORE_CONFIGURATION, "main", "2");
