--- a/io/news_codec.h
+++ b/io/news_codec.h
@@ -15,9 +15,8 @@
 #include "dialect/dialect.h"
 
 #define NEWS_PATH "/news"
-/* the largest answer with changes, bytes: 20 members that ask at once for 32
-*kB take a link
-** of 10 Mbit/s half a second, half of what they wait */
+/* the largest answer with changes, bytes; 20 members that ask at once for so
+** much take a link of 10 Mbit/s half a second, half of what they wait */
 #define NEWS_MOST (32 << 10)
 
 /* calls to another instance: LIST and WATCH alone; a watch does not wait */
