--- a/router/news_source.c
+++ b/router/news_source.c
@@ -46,17 +46,24 @@
                             source->follower.known, now);
 }
 
-/* ask a relay that has news; FALSE when none has */
+/*
+** Ask a relay that has news; FALSE when none can be asked. One that is not
+** listed yet has no known address: another one is asked, or the store.
+*/
 static gboolean ask_relay(NewsSource *source, gint64 now, NewsWanted *out) {
-  mp_Addr relay = relay_with_news(source, now);
-  if (relay == 0)
-    return FALSE;
-  out->instance = source->host.control_of(source->host.data, relay);
-  if (out->instance == 0)
-    return FALSE;
-  source->asked = relay;
-  out->step = NEWS_ASK_INSTANCE;
-  return TRUE;
+  mp_Addr relay;
+  while ((relay = relay_with_news(source, now)) != 0) {
+    out->instance = source->host.control_of(source->host.data, relay);
+    if (out->instance != 0) {
+      source->asked = relay;
+      source->must_ask = FALSE;
+      out->step = NEWS_ASK_INSTANCE;
+      return TRUE;
+    }
+    relay_group_doubt(source->group, relay);
+    source->must_ask = TRUE;
+  }
+  return FALSE;
 }
 
 /* every second call of one that knows nothing, after the first failed */
@@ -101,10 +108,10 @@
     choose_for_follower(source, now, out);
   else if (role == RELAY_ROLE_STARTING)
     return; /* nobody to ask yet */
-  else if (role == RELAY_ROLE_MEMBER && !source->must_ask)
-    ask_relay(source, now, out);
-  else
+  else if (role != RELAY_ROLE_MEMBER || source->must_ask)
     choose_for_follower(source, now, out);
+  else if (!ask_relay(source, now, out) && source->must_ask)
+    ask_store(out);
 }
 
 static gint64 store_patience(const NewsSource *source, const StoreCall *call) {
--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -101,8 +101,9 @@
   }
 }
 
-mp_Addr World::control_of(void *, mp_Addr relay) {
-  return relay;
+mp_Addr World::control_of(void *data, mp_Addr relay) {
+  const Instance *one = static_cast<Instance *>(data)->world->find(relay);
+  return one != nullptr && one->is_listed ? relay : 0;
 }
 
 void World::set_members(Instance &one) {
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -45,8 +45,9 @@
   unsigned zone = 0;
   bool alive = false;
   bool cut_from_store = false;
-  bool answers = true; /* as a relay, in time */
-  unsigned life = 0;   /* what was sent to an earlier life is lost */
+  bool answers = true;   /* as a relay, in time */
+  bool is_listed = true; /* others know where it answers */
+  unsigned life = 0;     /* what was sent to an earlier life is lost */
   RelayGroup *group = nullptr;
   NewsSource source[MP_RELAY_KINDS] = {};
   unsigned open[MP_RELAY_KINDS] = {}; /* number of the open call */
--- a/test/test_relays.cc
+++ b/test/test_relays.cc
@@ -155,6 +155,17 @@
   EXPECT_LT(world->slowest("main", "2"), apply_bound);
 }
 
+/* new instances: one of two relays of a data centre, and all of another */
+TEST_P(Sizes, RelaysThatAreNotListedYetKeepNobodyFromTheNews) {
+  auto world = begin();
+  relays(*world, 1)[0]->is_listed = false;
+  for (auto *relay : relays(*world, 2))
+    relay->is_listed = false;
+  world->write(STORE_CONFIGURATION, "main", "2");
+  world->run(apply_bound);
+  EXPECT_LT(world->slowest("main", "2"), apply_bound);
+}
+
 TEST_P(Sizes, HistoryThatIsForgottenBringsNothingOldBack) {
   auto world = begin();
   world->write(STORE_CONFIGURATION, "main", "2");
