--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -125,7 +125,7 @@
 void World::start(Instance &one) {
   one.alive = true;
   one.life++;
-  one.group = relay_group_new(one.address, one.capacity, watch_wait, now);
+  one.group = relay_group_new(one.address, one.capacity, longest_watch, now);
   for (int kind = 0; kind < MP_RELAY_KINDS; kind++) {
     FollowerHost host = {&one, on_object, on_listed, [](void *, StoreKind) {},
                          [](void *, StoreKind) {}};
@@ -133,7 +133,7 @@
     one.seen[kind].clear();
     one.source[kind] = {};
     follower_init(&one.source[kind].follower, static_cast<StoreKind>(kind),
-                  watch_wait, 300 * ms, &host);
+                  longest_watch, 300 * ms, &host);
     news_source_init(&one.source[kind], one.group, &source, nullptr, 0);
     if (proving && kind == STORE_CONFIGURATION)
       one.source[kind].proof_within = proof_wait;
@@ -447,4 +447,18 @@
   return slowest;
 }
 
+int World::oldest_configuration(const std::string &name) const {
+  int oldest_known = G_MAXINT;
+  for (auto &one : all) {
+    if (!one->alive || one->cut_from_store)
+      continue;
+    auto known = one->seen[STORE_CONFIGURATION].find(name);
+    int version = known == one->seen[STORE_CONFIGURATION].end()
+                      ? 0
+                      : std::stoi(known->second);
+    oldest_known = std::min(oldest_known, version);
+  }
+  return oldest_known;
+}
+
 } // namespace relaying
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -28,7 +28,7 @@
 
 constexpr gint64 ms = 1000;
 constexpr gint64 second = 1000 * ms;
-constexpr gint64 watch_wait = 2800 * ms;
+constexpr gint64 watch_wait = 2800 * ms; /* unless a world has its own */
 /* watches of the configuration, where the age of it must be known */
 constexpr gint64 proof_wait = 833 * ms;
 
@@ -84,9 +84,12 @@
   unsigned with_role(RelayRole role);
   /* the slowest live instance's delay from the write to knowing */
   gint64 slowest(const std::string &name, const std::string &text) const;
+  /* the oldest configuration (a number) of those that reach the store */
+  int oldest_configuration(const std::string &name) const;
 
   std::vector<std::unique_ptr<Instance>> all;
   gint64 now = 1000 * second;
+  gint64 longest_watch = watch_wait; /* set before the start */
   bool store_up = true;
   guint64 store_calls = 0;
   guint64 stale_calls = 0; /* lists that may be old, not among those */
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -236,4 +236,27 @@
   EXPECT_EQ(follower_next_call(&follower), G_MAXINT64);
 }
 
+/*
+** What may be seen: an endpoint that has left the store gets requests for
+** seconds. A relay starts anew after the endpoint has gone, and lists the
+** store; a member that knew the endpoint asks that relay what has changed.
+** The relay never knew the endpoint, so it names nothing, yet vouches for all
+** changes up to now; the member then asks for later ones alone.
+*/
+TEST_F(Follow, WhatIsGoneBeforeTheFirstListIsVouchedForByNobody) {
+  StoreReply told;
+  call();
+  answer(STORE_OK, 50, {{"stays", 20, "x"}});
+  follower_answer(&follower, 30, &told); /* a member that knows up to 30 */
+  EXPECT_EQ(told.status, STORE_HISTORY_GONE);
+  store_reply_clear(&told);
+  follower_answer(&follower, 50, &told);
+  EXPECT_EQ(told.status, STORE_OK);
+  store_reply_clear(&told);
+  follower_answer(&follower, 0, &told);
+  EXPECT_EQ(told.status, STORE_OK);
+  ASSERT_EQ(told.objects->len, 1u);
+  store_reply_clear(&told);
+}
+
 } // namespace
