Logs: age of the news at role changes and refusals, lost prompts

Cause: the incident's logs show that news came late, and not how old an instance took its knowledge to be when it refused, nor what became of a lost prompt. Ruled out: a metric (madderpier_news_age_seconds stands; scraped every 5 s it read 1.6 s at 75.0 s, which alone does not tell the hypotheses apart). Change: E8106 tells how many relays are heard and fresh and the age of the news, E8001 for an unrouted request the configuration and its age, E8008 whether a lost prompt is read again. No decision is changed. Conclusion: each hypothesis of the timeline leaves another trace now.

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -249,6 +249,8 @@
   const Gateway *gateway = data;
   router_configuration_proved(gateway->router,
                               relay_group_proof(gateway->group)->at);
+  router_news_heard(gateway->router,
+                    node_now() - relay_group_age(gateway->group, node_now()));
   relays_news(gateway->relays);
 }
 
--- a/io/relays.c
+++ b/io/relays.c
@@ -135,11 +135,16 @@
 
 static void take_role(Relays *relays, gint64 now) {
   RelayRole role = relay_group_role(relays->group, now);
+  RelaysBefore before;
   if (role == relays->role)
     return;
   relays->role = role;
-  log_numbered(relays->log, MP_LOG_RELAY_ROLE, " role=%s members=%u",
-               relay_role_name(role), relay_group_members(relays->group)->len);
+  before = relay_group_before(relays->group, now);
+  log_numbered(relays->log, MP_LOG_RELAY_ROLE,
+               " role=%s members=%u relays_heard=%u relays_fresh=%u age_ms=%d",
+               relay_role_name(role), relay_group_members(relays->group)->len,
+               before.heard, before.fresh,
+               (int)(relay_group_age(relays->group, now) / MP_MS));
 }
 
 static void look(Relays *relays) {
@@ -189,6 +194,7 @@
   relay_group_hear(relays->group, from, &message->u.beat, now);
   router_configuration_proved(relays->router,
                               relay_group_proof(relays->group)->at);
+  router_news_heard(relays->router, now - relay_group_age(relays->group, now));
   take_role(relays, now);
   directory_look(relays->directory);
 }
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -167,8 +167,11 @@
 
 static void read_elsewhere(Router *router, Request *request, OutcomeKind kind,
                            gint64 now) {
-  if (!may_read_again(router, request, kind, now) ||
-      !prefill_begin(router, request, now))
+  gboolean again = may_read_again(router, request, kind, now);
+  router_log(router, MP_LOG_ROUTE_RETRY,
+             " request=%s again=%d prompt=1 prefills=%u", request->id, again,
+             request->prefills_sent);
+  if (!again || !prefill_begin(router, request, now))
     path_run(router, request, now);
 }
 
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -250,13 +250,7 @@
   return is_heard(relay, now) && age_of(relay, now) <= group->fresh;
 }
 
-/* relays of this data centre that come before this instance */
-typedef struct RelaysBefore {
-  guint heard;
-  guint fresh;
-} RelaysBefore;
-
-static RelaysBefore relays_before(const RelayGroup *group, gint64 now) {
+RelaysBefore relay_group_before(const RelayGroup *group, gint64 now) {
   RelaysBefore before = {0, 0};
   GHashTableIter iterator;
   gpointer value;
@@ -278,7 +272,7 @@
   if (group->place < wanted)
     return 0;
   wait = (group->place - wanted + 1) * TAKE_OVER_STEP;
-  if (relays_before(group, now).heard >= wanted)
+  if (relay_group_before(group, now).heard >= wanted)
     return wait;
   return MIN(wait, TAKE_OVER_MOST);
 }
@@ -288,7 +282,7 @@
     return now < group->alone_at ? RELAY_ROLE_STARTING : RELAY_ROLE_ALONE;
   if (group->members->len + 1 < GROUP_LEAST && !relay_group_sums(group))
     return RELAY_ROLE_ALONE;
-  if (relays_before(group, now).fresh >= relays_wanted(group)) {
+  if (relay_group_before(group, now).fresh >= relays_wanted(group)) {
     group->short_since = 0;
     return RELAY_ROLE_MEMBER;
   }
@@ -315,12 +309,12 @@
 
 gboolean relay_group_stands_in(RelayGroup *group, gint64 now) {
   return relay_group_role(group, now) == RELAY_ROLE_RELAY &&
-         relays_before(group, now).heard >= relays_wanted(group);
+         relay_group_before(group, now).heard >= relays_wanted(group);
 }
 
 gboolean relay_group_is_first(RelayGroup *group, gint64 now) {
   return relay_group_role(group, now) == RELAY_ROLE_RELAY &&
-         relays_before(group, now).heard == 0;
+         relay_group_before(group, now).heard == 0;
 }
 
 /* of those that have the news, any one: they share the members by chance */
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -105,6 +105,14 @@
 /* a relay that has news of this kind behind that revision; 0: none has */
 mp_Addr relay_group_source(const RelayGroup *group, StoreKind kind,
                            gint64 known, gint64 now);
+/* the relays of this data centre that come before this instance */
+typedef struct RelaysBefore {
+  guint heard; /* lately */
+  guint fresh; /* of them; what they know is recent enough */
+} RelaysBefore;
+
+RelaysBefore relay_group_before(const RelayGroup *group, gint64 now);
+
 /* since the store answered this instance or a relay that it hears; told in a
 ** heartbeat */
 gint64 relay_group_age(const RelayGroup *group, gint64 now);
--- a/router/router.c
+++ b/router/router.c
@@ -122,6 +122,10 @@
   router->proved_at = MAX(router->proved_at, at);
 }
 
+void router_news_heard(Router *router, gint64 at) {
+  router->heard_at = MAX(router->heard_at, at);
+}
+
 void router_set_endpoint(Router *router, const EndpointRecord *record,
                          gboolean gone, gint64 now) {
   const Endpoint *known = endpoint_table_get(router->endpoints, record->id);
@@ -182,11 +186,15 @@
 }
 
 static void refuse_unrouted(Router *router, const CallerRequest *call,
-                            RefusalKind kind) {
+                            RefusalKind kind, gint64 now) {
   Refusal refusal = {kind, finish_retry_after(kind)};
+  guint64 version = router->routes != NULL ? router->routes->version : 0;
   router_count(router, REFUSED);
-  router_log(router, MP_LOG_ROUTE_REFUSED, " request=%s reason=%s host=%s",
-             call->id, finish_refusal_name(kind), call->host);
+  router_log(router, MP_LOG_ROUTE_REFUSED,
+             " request=%s reason=%s host=%s config=%" G_GUINT64_FORMAT
+             " news_age_ms=%d",
+             call->id, finish_refusal_name(kind), call->host, version,
+             (int)((now - router->heard_at) / MP_MS));
   router->host.refuse(router->host.data, call->number, &refusal);
 }
 
@@ -198,16 +206,16 @@
   Refusal refusal = {0};
   router_count(router, REQUESTS);
   if (router->routes == NULL) {
-    refuse_unrouted(router, call, REFUSAL_NO_CONFIGURATION);
+    refuse_unrouted(router, call, REFUSAL_NO_CONFIGURATION, now);
     return;
   }
   if (router->stopping) {
-    refuse_unrouted(router, call, REFUSAL_DRAINING);
+    refuse_unrouted(router, call, REFUSAL_DRAINING, now);
     return;
   }
   route = route_table_find(router->routes, call->host, call->path);
   if (route == NULL) {
-    refuse_unrouted(router, call, REFUSAL_NO_ROUTE);
+    refuse_unrouted(router, call, REFUSAL_NO_ROUTE, now);
     return;
   }
   if (!accounts_admit(router, call, route, &account, &refusal, now)) {
--- a/router/router.h
+++ b/router/router.h
@@ -171,6 +171,8 @@
 /* the configuration was certainly the newest one then (router/config_proof.h);
 ** 0: that is not known */
 void router_configuration_proved(Router *router, gint64 at);
+/* the store answered then whoever this instance has its news from */
+void router_news_heard(Router *router, gint64 at);
 /* add, change or (with 'gone') remove one endpoint */
 void router_set_endpoint(Router *router, const EndpointRecord *record,
                          gboolean gone, gint64 now);
--- a/router/state.h
+++ b/router/state.h
@@ -121,6 +121,7 @@
   AccountLimits *limits;
   gint64 revoke_bound;  /* as in RouterOptions */
   gint64 proved_at;     /* router_configuration_proved */
+  gint64 heard_at;      /* router_news_heard; 0: never */
   gboolean stopping;    /* no request is taken any more */
   Stages *stages;       /* orders to engines */
   GPtrArray *waiting;   /* Request in PHASE_WAIT, first one first */
