A relay names all objects there are to who asks from before its list

Cause: a follower's first list says nothing of objects that went before it, yet follower_answer vouched for all changes since any earlier revision; a member that knew such an endpoint never heard that it had left. Ruled out: answering "history gone" (tried in the test first): each member would list everything after each lost history, 40 kB of endpoints each at 266 of them; names alone are some 60 bytes each. Change: StoreReply.whole: objects that did not change without their text; others are gone.

--- a/io/news_codec.c
+++ b/io/news_codec.c
@@ -12,7 +12,6 @@
 
 #include "io/news_codec.h"
 
-#define STATUS_HISTORY_GONE 410
 #define STATUS_KNOWS_NOTHING 503
 
 static HttpHead *write_call(const StoreCall *call, char **body) {
@@ -28,16 +27,19 @@
   return head;
 }
 
-static gboolean read_object(const json_t *json, GArray *objects) {
+static gboolean read_object(const json_t *json, gboolean whole,
+                            GArray *objects) {
   const char *name = json_string_value(json_object_get(json, "name"));
   const char *text = json_string_value(json_object_get(json, "text"));
   StoreObject object = {0};
   if (name == NULL)
     return FALSE;
+  object.gone = json_is_true(json_object_get(json, "gone"));
+  if (!object.gone && text == NULL && !whole)
+    return FALSE;
   object.name = g_strdup(name);
   object.revision = json_integer_value(json_object_get(json, "revision"));
-  object.gone = text == NULL;
-  object.text = g_strdup(text);
+  object.text = object.gone ? NULL : g_strdup(text);
   g_array_append_val(objects, object);
   return TRUE;
 }
@@ -46,10 +48,11 @@
   const json_t *objects = json_object_get(json, "objects");
   size_t i;
   out->at = json_integer_value(json_object_get(json, "at"));
+  out->whole = json_is_true(json_object_get(json, "whole"));
   if (out->at <= 0 || !json_is_array(objects))
     return FALSE;
   for (i = 0; i < json_array_size(objects); i++) {
-    if (!read_object(json_array_get(objects, i), out->objects))
+    if (!read_object(json_array_get(objects, i), out->whole, out->objects))
       return FALSE;
   }
   return TRUE;
@@ -61,8 +64,7 @@
   gboolean good;
   (void)call;
   memset(out, 0, sizeof *out);
-  out->status =
-      status == STATUS_HISTORY_GONE ? STORE_HISTORY_GONE : STORE_FAILED;
+  out->status = STORE_FAILED;
   if (status != 200)
     return TRUE;
   json = json_loadb(body, size, JSON_REJECT_DUPLICATES, NULL);
@@ -104,6 +106,16 @@
   return good;
 }
 
+static json_t *write_object(const StoreObject *object) {
+  json_t *json = json_pack("{s:s, s:I}", "name", object->name, "revision",
+                           (json_int_t)object->revision);
+  if (object->gone)
+    json_object_set_new(json, "gone", json_true());
+  if (object->text != NULL)
+    json_object_set_new(json, "text", json_string(object->text));
+  return json;
+}
+
 char *news_write_reply(const StoreReply *reply) {
   json_t *objects = json_array();
   json_t *json;
@@ -112,13 +124,10 @@
   guint i;
   for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
     const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
-    json_array_append_new(objects,
-                          json_pack("{s:s, s:I, s:s?}", "name", object->name,
-                                    "revision", (json_int_t)object->revision,
-                                    "text", object->text));
+    json_array_append_new(objects, write_object(object));
   }
-  json =
-      json_pack("{s:I, s:o}", "at", (json_int_t)reply->at, "objects", objects);
+  json = json_pack("{s:I, s:b, s:o}", "at", (json_int_t)reply->at, "whole",
+                   (int)reply->whole, "objects", objects);
   dumped = json_dumps(json, JSON_COMPACT);
   out = g_strdup(dumped);
   free(dumped);
@@ -129,12 +138,5 @@
 int news_status(const StoreReply *reply, gsize size) {
   if (size > NEWS_MOST)
     return STATUS_KNOWS_NOTHING;
-  switch (reply->status) {
-  case STORE_OK:
-    return 200;
-  case STORE_HISTORY_GONE:
-    return STATUS_HISTORY_GONE;
-  default:
-    return STATUS_KNOWS_NOTHING;
-  }
+  return reply->status == STORE_OK ? 200 : STATUS_KNOWS_NOTHING;
 }
--- a/io/news_codec.h
+++ b/io/news_codec.h
@@ -5,7 +5,7 @@
 ** A call is GET /news?kind=K for everything of a kind, with &since=R for
 ** what has changed after revision R. The answer is JSON: the revision up
 ** to which it is whole, and the objects with the texts that the store has
-** for them. 410 stands for a lost history, 503 for an instance that does
+** for them. 503 stands for an instance that does
 ** not know the store itself, or would have more than NEWS_MOST to send.
 */
 
--- a/router/follower.c
+++ b/router/follower.c
@@ -147,14 +147,15 @@
   guint i;
   for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
     const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
-    if (!follower->watching)
+    if ((!follower->watching || reply->whole) && !object->gone)
       g_hash_table_add(follower->names, g_strdup(object->name));
-    take_object(follower, object, reply->at);
+    if (object->gone || object->text != NULL)
+      take_object(follower, object, reply->at);
   }
 }
 
-/* the list is whole: what it did not name is gone */
-static void keep_listed(Follower *follower) {
+/* all objects are named: the others are gone, in the store's revision 'at' */
+static void keep_listed(Follower *follower, gint64 at) {
   GHashTableIter iterator;
   gpointer name;
   gpointer value;
@@ -164,13 +165,21 @@
     if (object->text == NULL || g_hash_table_contains(follower->names, name))
       continue;
     g_clear_pointer(&object->text, g_free);
-    object->learned = MAX(follower->revision, object->revision);
+    object->learned = MAX(at, object->revision);
     follower->changed = MAX(follower->changed, object->learned);
     follower->gone++;
   }
   forget_gone(follower);
 }
 
+/* 'names' holds all objects there are */
+static void take_names(Follower *follower, gint64 at) {
+  follower->forgotten = MAX(follower->forgotten, at);
+  keep_listed(follower, at);
+  follower->host.listed(follower->host.data, follower->kind, follower->names);
+  g_hash_table_remove_all(follower->names);
+}
+
 static void take_list(Follower *follower, const StoreReply *reply) {
   guint count = reply->objects != NULL ? reply->objects->len : 0;
   g_clear_pointer(&follower->after, g_free);
@@ -185,9 +194,7 @@
   }
   if (follower->revision == 0)
     follower->revision = reply->at;
-  keep_listed(follower);
-  follower->host.listed(follower->host.data, follower->kind, follower->names);
-  g_hash_table_remove_all(follower->names);
+  take_names(follower, follower->revision);
   follower->watching = TRUE;
   follower->known = MAX(follower->known, follower->revision);
   if (follower->changed == 0) /* an empty list is news too */
@@ -241,6 +248,9 @@
   if (follower->watching && reply->objects != NULL && reply->objects->len > 0)
     follower->retry_at = now + follower->pause;
   if (follower->watching) {
+    if (reply->whole && reply->at >= follower->known)
+      take_names(follower, reply->at);
+    g_hash_table_remove_all(follower->names);
     follower->revision = MAX(follower->revision, reply->at);
     follower->known = follower->revision;
   } else
@@ -256,21 +266,23 @@
   out->status = STORE_OK;
   if (follower->known == 0)
     out->status = STORE_FAILED;
-  else if (since > 0 && since < follower->forgotten)
-    out->status = STORE_HISTORY_GONE;
   if (out->status != STORE_OK)
     return;
+  out->whole = since > 0 && since < follower->forgotten;
   out->objects = store_objects_new();
   g_hash_table_iter_init(&iterator, follower->objects);
   while (g_hash_table_iter_next(&iterator, &name, &value)) {
     const FollowedObject *known = value;
     StoreObject object = {0};
-    if (known->learned <= since || (since == 0 && known->text == NULL))
+    gboolean is_old = known->learned <= since;
+    if (is_old && !(out->whole && known->text != NULL))
+      continue;
+    if (since == 0 && known->text == NULL)
       continue;
     object.name = g_strdup(name);
     object.revision = known->revision;
     object.gone = known->text == NULL;
-    object.text = g_strdup(known->text);
+    object.text = is_old ? NULL : g_strdup(known->text);
     g_array_append_val(out->objects, object);
   }
 }
--- a/router/follower.h
+++ b/router/follower.h
@@ -10,7 +10,11 @@
 **
 ** A follower keeps what it has read, so that it can answer the same calls
 ** for other instances (follower_answer). Objects that are gone stay for a
-** while without their text, so that others hear that they are gone.
+** while without their text, so that others hear that they are gone. A list
+** says nothing of objects that went before it: who asks for the changes since
+** an earlier revision is told the names of all objects there are. (A relay
+** that had just started named no removal before its start, and vouched for
+** all changes; its members sent requests to an endpoint that had left.)
 */
 
 #ifndef ROUTER_FOLLOWER_H
@@ -62,7 +66,8 @@
   char *name;
   gint64 revision;
   gboolean gone;
-  char *text; /* its content; NULL when gone */
+  char
+      *text; /* its content; NULL when gone, or as it was (StoreReply.whole) */
 } StoreObject;
 
 typedef struct StoreReply {
@@ -70,6 +75,8 @@
   GArray *objects; /* StoreObject; may be NULL */
   gboolean more;   /* LIST: it goes on behind the last name */
   gint64 at;       /* revision of the store */
+  gboolean whole;  /* WATCH: it names all objects there are, those that have
+                   ** not changed without their text; others are gone */
 } StoreReply;
 
 /* an empty array of StoreObject that clears its elements */
@@ -109,7 +116,7 @@
   guint gone;          /* of these, objects that are gone */
   gint64 known;        /* every change up to this revision is in 'objects' */
   gint64 changed;      /* the largest 'learned' there is */
-  gint64 forgotten;    /* changes up to this revision may be left out */
+  gint64 forgotten;    /* removals up to this revision may not be known */
   gint64 retry_at;     /* no call before then */
   unsigned failures;   /* in a row */
 } Follower;
@@ -130,9 +137,9 @@
 
 /*
 ** What the store would answer to another follower, as far as this one
-** knows: everything (since 0), or what has changed after a revision. The
-** status is STORE_FAILED until a list was whole, STORE_HISTORY_GONE when
-** the changes since then are not known any more. Clear 'out' afterwards.
+** knows: everything (since 0), or what has changed after a revision, whole
+** when removals since then may not be known. The status is STORE_FAILED until
+** a list was whole. Clear 'out' afterwards.
 */
 void follower_answer(const Follower *follower, gint64 since, StoreReply *out);
 
