The age up to which a relay is fresh follows from the bound on changes

A relay that had lost the store counted as fresh for its watch's wait (1.8 s) and 0.7 s after the store's last answer, and 0.25 s later another instance took its place: 2.75 s, where 2.0 s are allowed. And a relay was fresh by the one that stood in for it, which so gave up and began anew once a second. Ruled out: heartbeats of instances that follow the store for themselves to the relays elsewhere (a data centre alone would still have no bound); watches that are shorter everywhere (calls of all instances, for a fault of relays alone). Change: settings apply_ms, leave_ms from the platform's bounds; relays' freshness is what remains of the smaller one after two take-overs and the handing on; a relay's watches wait as long as it so stays fresh; the end of freshness is a timer and is not looked for each 0.2 s; a relay's age does not count the ones in its place. AFewFollowTheStoreAndAllKnow allows 30 calls a relay in 20 s for 24 (that is the cost); AllRelaysCutFromTheStoreAreReplaced allows 3 s for 6.5 s.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -24,6 +24,10 @@
 ** first answer; milliseconds */
 #define WATCH_MARGIN 1200
 #define WATCH_LEAST 500
+/* without a bound in the settings: the tightest of the deployments planned
+** for; and what a change needs to be told by another relay; milliseconds */
+#define DEFAULT_NEWS_WITHIN 2000
+#define LEAST_NEWS_WITHIN 1500
 #define DEFAULT_DRAIN_LEAST 2800
 /* a drain ends so long before the kill, milliseconds */
 #define GRACE_MARGIN 400
@@ -65,6 +69,8 @@
     OPTUINT("limit_slack", limit_slack),
     OPTUINT("limit_window_s", limit_window_s),
     OPTUINT("contact_ms", contact_ms),
+    OPTUINT("apply_ms", apply_ms),
+    OPTUINT("leave_ms", leave_ms),
     OPTUINT("drain_least_ms", drain_least_ms),
     OPTUINT("drain_most_ms", drain_most_ms),
     OPTUINT("grace_s", grace_s),
@@ -136,6 +142,10 @@
     return bad(err, path, "limit_over", "use a number from 0 to 1");
   if (s->revoke_ms > 0 && s->revoke_ms < LEAST_REVOKE)
     return bad(err, path, "revoke_ms", "use 2000 or more, or leave it out");
+  if ((s->apply_ms > 0 && s->apply_ms < LEAST_NEWS_WITHIN) ||
+      (s->leave_ms > 0 && s->leave_ms < LEAST_NEWS_WITHIN))
+    return bad(err, path, "apply_ms, leave_ms",
+               "use 1500 or more, or leave them out");
   if (s->lease_ms > 0 && s->lease_ms < LEAST_LEASE)
     return bad(err, path, "lease_ms", "use 2000 or more, or leave it out");
   if (s->control != NULL && !isaddress(err, path, "control", s->control))
@@ -191,6 +201,10 @@
     s->limit_window_s = DEFAULT_LIMIT_WINDOW;
   if (s->watch_wait_ms == 0)
     s->watch_wait_ms = longest_watch(s);
+  if (s->apply_ms == 0)
+    s->apply_ms = DEFAULT_NEWS_WITHIN;
+  if (s->leave_ms == 0)
+    s->leave_ms = DEFAULT_NEWS_WITHIN;
   if (s->drain_least_ms == 0)
     s->drain_least_ms = DEFAULT_DRAIN_LEAST;
   if (s->drain_most_ms == 0)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -43,6 +43,8 @@
   uint32_t limit_window_s; /* in every window of this length */
   uint32_t lease_ms;       /* of orders to engines; 0: none are given */
   uint32_t contact_ms;     /* the platform counts us as in touch after this */
+  uint32_t apply_ms; /* a configuration that was confirmed is in force then */
+  uint32_t leave_ms; /* an endpoint that leaves gets no request after this */
   uint32_t watch_wait_ms;  /* longest wait of one watch of the store */
   uint32_t drain_least_ms; /* a planned stop takes connections so long */
   uint32_t grace_s;        /* between the signal to stop and the kill */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -250,7 +250,8 @@
   router_configuration_proved(gateway->router,
                               relay_group_proof(gateway->group)->at);
   router_news_heard(gateway->router,
-                    node_now() - relay_group_age(gateway->group, node_now()));
+                    node_now() -
+                        relay_group_news_age(gateway->group, node_now()));
   relays_news(gateway->relays);
 }
 
@@ -303,7 +304,7 @@
   counts.idle_endpoint_connections = endpoint_links_idle(gateway->links);
   counts.news_role =
       relay_role_name(relay_group_role(gateway->group, node_now()));
-  counts.news_age = relay_group_age(gateway->group, node_now());
+  counts.news_age = relay_group_news_age(gateway->group, node_now());
   counts.ready = is_ready(gateway);
   return counts;
 }
@@ -496,6 +497,7 @@
   Gateway *gateway = g_new0(Gateway, 1);
   FrontHooks front = {gateway, on_request, on_hangup, on_bad_input};
   EndpointLinksHooks links = {gateway, on_outcome};
+  RelayTimes times = {options->watch_wait, options->news_within};
   gateway->base = base;
   gateway->dialect = dialect;
   gateway->log = log;
@@ -509,7 +511,7 @@
   make_router(gateway, options);
   gateway->front = front_new(base, options->callers, dialect, &front, error);
   gateway->group = relay_group_new(options->exchange, options->capacity,
-                                   options->watch_wait, node_now());
+                                   &times, node_now());
   if (gateway->front == NULL || !make_exchange(gateway, options, error) ||
       !serve_all(gateway, options, error)) {
     gateway_free(gateway);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -31,6 +31,7 @@
   gint64 retry_window;
   gint64 lease_length;   /* of orders to engines; 0: none are given */
   gint64 watch_wait;     /* longest wait of one watch of the store */
+  gint64 news_within;    /* changes of the store are known after this */
   LimitTolerance limits; /* of client accounts */
   gint64 revoke_within;  /* a key that was taken away is served so long at the
                          ** most; 0: until the news is heard */
--- a/io/relays.c
+++ b/io/relays.c
@@ -144,7 +144,7 @@
                " role=%s members=%u relays_heard=%u relays_fresh=%u age_ms=%d",
                relay_role_name(role), relay_group_members(relays->group)->len,
                before.heard, before.fresh,
-               (int)(relay_group_age(relays->group, now) / MP_MS));
+               (int)(relay_group_news_age(relays->group, now) / MP_MS));
 }
 
 static void look(Relays *relays) {
@@ -194,7 +194,8 @@
   relay_group_hear(relays->group, from, &message->u.beat, now);
   router_configuration_proved(relays->router,
                               relay_group_proof(relays->group)->at);
-  router_news_heard(relays->router, now - relay_group_age(relays->group, now));
+  router_news_heard(relays->router,
+                    now - relay_group_news_age(relays->group, now));
   take_role(relays, now);
   directory_look(relays->directory);
 }
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -146,6 +146,9 @@
 static void note_call(NewsSource *source, StoreCall *call, gint64 now) {
   if (source->proof_within > 0)
     call->wait = MIN(call->wait, source->proof_within);
+  if (call->kind != STORE_INSTANCES)
+    call->wait = MIN(call->wait,
+                     relay_group_watch_wait(source->group, call->kind, now));
   source->asked_at = now;
   source->asked_for = call->operation;
   source->asked_wait = call->wait;
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -18,9 +18,19 @@
 /* fewer instances follow the store each for itself: their calls are few (9
 ** instances in three data centres: under 0.008 of what a day earns) */
 #define GROUP_LEAST 4
-/* the store's last answer to a relay may be as old as its watch's wait and
-** this: the pause after news (io/directory.c) and a slow answer */
+/* the store's last answer to an instance is at most as old as its watch's
+** wait and this: the pause after news (io/directory.c) and a slow answer */
 #define FRESH_MARGIN (700 * MP_MS)
+/* a slow answer: 50 times the usual 4 ms, and its way */
+#define SLOW_ANSWER (300 * MP_MS)
+/* a relay's watch waits so long at least, or it would be a poll */
+#define WATCH_LEAST (200 * MP_MS)
+/* members that may take over one after the other within the bound: of the
+** first one the store may turn away too */
+#define TAKE_OVERS 2
+/* from there to everybody: the store's answer, a heartbeat that is lost and
+** the next one, a question to the relay */
+#define HAND_ON (350 * MP_MS)
 /* three heartbeats */
 #define SILENCE (3 * RELAY_BEAT + 50 * MP_MS)
 /* a member that misses relays waits so long for each place before its own,
@@ -48,6 +58,7 @@
 struct RelayGroup {
   mp_Addr self;
   guint64 order;      /* of this instance among the members */
+  gint64 watch_wait;  /* longest wait of a watch */
   gint64 fresh;       /* a relay's last answer of the store may be so old */
   gint64 alone_at;    /* not listed by then: the store is followed */
   gboolean listed;    /* the members are known */
@@ -78,12 +89,20 @@
   return rank << CAPACITY_SHIFT | hash_of(address) >> CAPACITY_BITS;
 }
 
-RelayGroup *relay_group_new(mp_Addr self, guint32 capacity, gint64 watch_wait,
-                            gint64 now) {
+/* TAKE_OVERS, and news handed on, fit into what is left of the bound */
+static gint64 fresh_within(const RelayTimes *times) {
+  gint64 bound = times->news_within - TAKE_OVERS * TAKE_OVER_STEP - HAND_ON;
+  return MIN(times->watch_wait + FRESH_MARGIN,
+             MAX(bound, WATCH_LEAST + SLOW_ANSWER));
+}
+
+RelayGroup *relay_group_new(mp_Addr self, guint32 capacity,
+                            const RelayTimes *times, gint64 now) {
   RelayGroup *group = g_new0(RelayGroup, 1);
   group->self = self;
   group->order = order_of(self, capacity);
-  group->fresh = watch_wait + FRESH_MARGIN;
+  group->watch_wait = times->watch_wait;
+  group->fresh = fresh_within(times);
   config_proof_init(&group->proof);
   group->alone_at = now + START_WAIT;
   group->far = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
@@ -250,6 +269,10 @@
   return is_heard(relay, now) && age_of(relay, now) <= group->fresh;
 }
 
+static gboolean comes_before(const RelayGroup *group, const Relay *relay) {
+  return relay->is_near && relay->order < group->order;
+}
+
 RelaysBefore relay_group_before(const RelayGroup *group, gint64 now) {
   RelaysBefore before = {0, 0};
   GHashTableIter iterator;
@@ -257,7 +280,7 @@
   g_hash_table_iter_init(&iterator, group->relays);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Relay *relay = value;
-    if (!relay->is_near || relay->order > group->order)
+    if (!comes_before(group, relay))
       continue;
     before.heard += is_heard(relay, now);
     before.fresh += is_fresh(group, relay, now);
@@ -293,12 +316,32 @@
              : RELAY_ROLE_MEMBER;
 }
 
+/* when this relay is fresh no more, unless it is heard again */
+static gint64 fresh_until(const RelayGroup *group, const Relay *relay) {
+  gint64 answered = relay->heard - relay->beat.age_ms * MP_MS;
+  return MIN(relay->heard + SILENCE, answered + group->fresh);
+}
+
+/* when the first of the fresh relays before this instance ceases to be */
+static gint64 first_to_cease(const RelayGroup *group, gint64 now) {
+  gint64 first = G_MAXINT64;
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, group->relays);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Relay *relay = value;
+    if (comes_before(group, relay) && is_fresh(group, relay, now))
+      first = MIN(first, fresh_until(group, relay) + MP_MS);
+  }
+  return first;
+}
+
 gint64 relay_group_next(const RelayGroup *group, gint64 now) {
   gint64 due;
   if (!group->listed)
     return MAX(group->alone_at, now);
   if (group->short_since == 0)
-    return now + RELAY_BEAT;
+    return MIN(first_to_cease(group, now), now + RELAY_BEAT);
   due = group->short_since + take_over_wait(group, now);
   return due > now ? MIN(due, now + RELAY_BEAT) : now + RELAY_BEAT;
 }
@@ -339,19 +382,38 @@
   return best;
 }
 
-gint64 relay_group_age(const RelayGroup *group, gint64 now) {
+/* 'all': also of the relays of this data centre that come after it */
+static gint64 age_by(const RelayGroup *group, gboolean all, gint64 now) {
   gint64 age = confirmed(group) != 0 ? now - confirmed(group) : G_MAXINT32;
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init(&iterator, group->relays);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Relay *relay = value;
-    if (is_heard(relay, now))
+    gboolean counts = all || !relay->is_near || comes_before(group, relay);
+    if (counts && is_heard(relay, now))
       age = MIN(age, age_of(relay, now));
   }
   return MIN(age, G_MAXINT32);
 }
 
+gint64 relay_group_age(const RelayGroup *group, gint64 now) {
+  return age_by(group, FALSE, now);
+}
+
+gint64 relay_group_news_age(const RelayGroup *group, gint64 now) {
+  return age_by(group, TRUE, now);
+}
+
+gint64 relay_group_watch_wait(RelayGroup *group, StoreKind kind, gint64 now) {
+  gint64 until;
+  if (relay_group_role(group, now) != RELAY_ROLE_RELAY ||
+      group->confirmed[kind] == 0)
+    return group->watch_wait;
+  until = group->confirmed[kind] + group->fresh - SLOW_ANSWER;
+  return CLAMP(until - now, WATCH_LEAST, group->watch_wait);
+}
+
 unsigned relay_group_ask(const RelayGroup *group, mp_Addr *out,
                          unsigned most) {
   unsigned count = MIN(most, group->members->len);
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -24,7 +24,13 @@
 **
 ** A relay is fresh while the store has lately answered it, or a relay that
 ** it hears: the age of that answer travels with the heartbeats.
-** Invariants. A member counts fresh relays alone. What a relay tells is
+** Invariants. A member counts fresh relays alone, and the age up to which one
+** is fresh follows from RelayTimes.news_within: what is left of that time is
+** enough for two members to take over one after the other and for the news
+** to reach the rest. A relay asks the store often enough to stay fresh.
+** (When the age followed from the watches' wait, members of a relay that had
+** lost the store heard of changes after 2.75 s, where 2 s were allowed.) What
+*a relay tells is
 ** bound to revisions of the store, so a change of the source never brings
 ** anything old back (follower.h).
 */
@@ -66,10 +72,14 @@
   guint32 capacity; /* InstanceRecord.capacity */
 } RelayMember;
 
-/* 'capacity' of this instance; 'watch_wait': longest wait of a watch of the
-** store */
-RelayGroup *relay_group_new(mp_Addr self, guint32 capacity, gint64 watch_wait,
-                            gint64 now);
+typedef struct RelayTimes {
+  gint64 watch_wait;  /* longest wait of a watch of the store */
+  gint64 news_within; /* a change of the store is known everywhere after it */
+} RelayTimes;
+
+/* 'capacity' of this instance */
+RelayGroup *relay_group_new(mp_Addr self, guint32 capacity,
+                            const RelayTimes *times, gint64 now);
 void relay_group_free(RelayGroup *group);
 
 /* the other instances as the store has them, copied (RelayMember): 'near' of
@@ -113,9 +123,18 @@
 
 RelaysBefore relay_group_before(const RelayGroup *group, gint64 now);
 
-/* since the store answered this instance or a relay that it hears; told in a
-** heartbeat */
+/* how long a watch of this kind may wait now, so that a relay stays fresh */
+gint64 relay_group_watch_wait(RelayGroup *group, StoreKind kind, gint64 now);
+
+/*
+** Since the store answered this instance, or a relay that it hears and that
+** does not stand in for it; told in a heartbeat. (A relay that counted the
+** one in its place would be fresh by it, and put it off again: once a second
+** news came 0.9 s late.)
+*/
 gint64 relay_group_age(const RelayGroup *group, gint64 now);
+/* the same of all relays that it hears: how old its own news may be */
+gint64 relay_group_news_age(const RelayGroup *group, gint64 now);
 
 /* the members to ask for a heartbeat: those that should be relays. Returns
 ** how many were written to 'out', at most 'most' */
