An unknown path is no 404 while the news are older than the store's watches

A caller takes it for the last word, where another instance may have the route. Keys asked for the age already (config_proof.h). Ruled out: holding the request until the news are read (a caller is served sooner by another instance); the same for routes that are known (an instance that is cut off goes on serving what it knows: that is its use). Besides: comments that the formatter had torn are whole again (no code). Also a test that finds out when a relay does not ask others at a lost watch (the mutant n-behind was caught by no test any more, since members take over sooner).

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -442,7 +442,13 @@
   return MAX(options->revoke_within - REVOKE_MARGIN, REVOKE_LEAST);
 }
 
+static RelayTimes relay_times(const GatewayOptions *options) {
+  RelayTimes times = {options->watch_wait, options->news_within};
+  return times;
+}
+
 static void make_router(Gateway *gateway, const GatewayOptions *options) {
+  RelayTimes times = relay_times(options);
   RouterHost host = {gateway,     host_dispatch, host_cancel,
                      host_answer, host_refuse,   host_break_off,
                      host_log,    host_note,     host_lease_call};
@@ -457,6 +463,7 @@
   settings.lease_length = options->lease_length;
   settings.limits = options->limits;
   settings.revoke_bound = revoke_bound(options);
+  settings.news_bound = relay_longest_age(&times);
   gateway->router = router_new(&settings, &host, node_now());
 }
 
@@ -497,7 +504,7 @@
   Gateway *gateway = g_new0(Gateway, 1);
   FrontHooks front = {gateway, on_request, on_hangup, on_bad_input};
   EndpointLinksHooks links = {gateway, on_outcome};
-  RelayTimes times = {options->watch_wait, options->news_within};
+  RelayTimes times = relay_times(options);
   gateway->base = base;
   gateway->dialect = dialect;
   gateway->log = log;
--- a/io/relays.c
+++ b/io/relays.c
@@ -20,8 +20,7 @@
 #define SUMMARY_LEAST (30 * MP_MS)
 
 /* a part of an account's burst that the other data centres learn about with
- *the
- ** next summary, 0.2 s later at the most; more is told at once */
+** the next summary, 0.2 s later at the most; more is told at once */
 #define UNTOLD_MOST 0.1
 
 struct Relays {
--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -17,11 +17,10 @@
 ** is one that could have been served. The rest is for what is on its way when
 ** a flood and a cut begin at once (test_account_limits.cc) */
 #define USED_SHARE 0.82
-/* requests that cost less than this part of the burst pass before larger ones:
-** in a bucket that large ones keep empty there is nearly always enough left
-*for
-** them (a day with two floods, prompts of 5,000 tokens and plain requests of
-** 200: 10.3% of the requests refused without it, 3.2% with it) */
+/* requests that cost less than this part of the burst pass before larger
+** ones: in a bucket that large ones keep empty there is nearly always enough
+** left for them (a day with two floods, prompts of 5,000 tokens and plain
+** requests of 200: 10.3% of the requests refused without it, 3.2% with it) */
 #define SMALL_SHARE 0.02
 /* and so many floors lower: what is on its way in a flood */
 #define SMALL_FLOORS 2
@@ -32,12 +31,10 @@
 /* part of the instances that must be heard for the level to be one's own */
 #define HEARD_ENOUGH 0.9
 /* parts of the difference to another's level that one message takes away, in
- *an
- ** instance's first seconds and later. An instance that saw more spent than
- *the
- ** others is as wrong as one that saw less: drawn to the lower by 0.15 and to
- ** the higher by 0.03, 0.04 more of all requests were refused below the limit
- */
+** an instance's first seconds and later. An instance that saw more spent than
+** the others is as wrong as one that saw less: drawn to the lower by 0.15 and
+** to the higher by 0.03, 0.04 more of all requests were refused below
+** the limit */
 #define DRAWN_YOUNG 0.3
 #define DRAWN_OLD 0.03
 #define YOUNG (3 * MP_SEC)
@@ -301,11 +298,10 @@
 }
 
 /*
-** Views of a bucket drift apart: a young instance misses what was spent before
-** it heard each peer for the first time (at 300 instances started one after
-*the
-** other the limit was passed by 9% of its bound), others miss lost messages.
-** Each is drawn towards what it hears.
+** Views of a bucket drift apart: a young instance misses what was spent
+** before it heard each peer for the first time (at 300 instances started one
+** after the other the limit was passed by 9% of its bound), others miss lost
+** messages. Each is drawn towards what it hears.
 */
 static void take_level(Limit *limit, guint32 told, double drawn) {
   double whole = limit->burst + limit->floor;
@@ -384,8 +380,7 @@
 }
 
 /* steps that came on top of what was heard; a total that is heard for the
- *first
- ** time, or after a silence, says nothing of what was spent lately */
+** first time, or after a silence, says nothing of what was spent lately */
 static double take_row(PeerSpent *peer, const mp_AccountRow *row,
                        gboolean was_silent) {
   gpointer key = GUINT_TO_POINTER(row->account);
--- a/router/config_proof.h
+++ b/router/config_proof.h
@@ -11,8 +11,7 @@
 ** A heartbeat may have waited in a queue for seconds, or this instance may
 ** have been stopped since it came, so the time of its arrival proves nothing.
 ** The difference of the two clocks is bounded by a question and its answer:
-*the
-** relay's clock showed what the answer says after the question was sent.
+** the relay's clock showed what the answer says after the question was sent.
 ** Invariant: the moment is never later than the true one.
 */
 
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -159,10 +159,9 @@
 }
 
 /*
-** What the arrival costs that follows on a lost prompt. One that may have been
-** read, or may wait in the engine's queue, is paid for now; one that was
-*turned
-** away has been counted when it came.
+** What the arrival costs that follows on a lost prompt. One that may have
+** been read, or may wait in the engine's queue, is paid for now; one that was
+** turned away has been counted when it came.
 */
 static gboolean may_send_again(Router *router, const Request *request,
                                OutcomeKind kind, gint64 now) {
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -89,11 +89,14 @@
   return rank << CAPACITY_SHIFT | hash_of(address) >> CAPACITY_BITS;
 }
 
+gint64 relay_longest_age(const RelayTimes *times) {
+  return times->watch_wait + FRESH_MARGIN;
+}
+
 /* TAKE_OVERS, and news handed on, fit into what is left of the bound */
 static gint64 fresh_within(const RelayTimes *times) {
   gint64 bound = times->news_within - TAKE_OVERS * TAKE_OVER_STEP - HAND_ON;
-  return MIN(times->watch_wait + FRESH_MARGIN,
-             MAX(bound, WATCH_LEAST + SLOW_ANSWER));
+  return MIN(relay_longest_age(times), MAX(bound, WATCH_LEAST + SLOW_ANSWER));
 }
 
 RelayGroup *relay_group_new(mp_Addr self, guint32 capacity,
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -3,35 +3,34 @@
 ** Which instances of a data centre follow the store for the others
 **
 ** In a data centre of GROUP_LEAST instances or more, or in any when there are
-** more than RELAY_MANY of them, a few instances, the relays, follow the store.
-** They send a heartbeat to the others, which ask a relay for the changes that
-*it names. Calls to the store so grow with
-** the data centres and not with the instances. The relays of all data
-** centres hear each other's heartbeats as well: one that has lost the store
-** without knowing it hears the news from another one.
+** more than RELAY_MANY of them, a few instances, the relays, follow the
+** store. They send a heartbeat to the others, which ask a relay for the
+** changes that it names. Calls to the store so grow with the data centres and
+** not with the instances. The relays of all data centres hear each other's
+** heartbeats as well: one that has lost the store without knowing it hears
+** the news from another one.
 **
 ** All instances order the members of a data centre in the same way, those of
 ** the largest machines first; the first of them are relays. (With 295
 ** instances a relay's work takes up to a quarter of a core, and most machines
 ** have an eighth of one: their callers then got answers 1 to 2 s late.) There
-*is no election and no agreement: a member
-** that hears too few fresh relays before itself becomes one, the sooner the
-** earlier its place, and ceases when enough of them are heard again. Too
-** many relays cost calls, too few are made good within TAKE_OVER_MOST after
-** their heartbeats have stopped. While heartbeats come from relays that the
-** store does not answer, members take over one after the other: the store
-** is then most likely away for all, and a call that fails is a call.
+** is no election and no agreement: a member that hears too few fresh relays
+** before itself becomes one, the sooner the earlier its place, and ceases
+** when enough of them are heard again. Too many relays cost calls, too few
+** are made good within TAKE_OVER_MOST after their heartbeats have stopped.
+** While heartbeats come from relays that the store does not answer, members
+** take over one after the other: the store is then most likely away for all,
+** and a call that fails is a call.
 **
-** A relay is fresh while the store has lately answered it, or a relay that
-** it hears: the age of that answer travels with the heartbeats.
-** Invariants. A member counts fresh relays alone, and the age up to which one
-** is fresh follows from RelayTimes.news_within: what is left of that time is
-** enough for two members to take over one after the other and for the news
-** to reach the rest. A relay asks the store often enough to stay fresh.
-** (When the age followed from the watches' wait, members of a relay that had
-** lost the store heard of changes after 2.75 s, where 2 s were allowed.) What
-*a relay tells is
-** bound to revisions of the store, so a change of the source never brings
+** A relay is fresh while the store has lately answered it, or a relay that it
+** hears: the age of that answer travels with the heartbeats. Invariants. A
+** member counts fresh relays alone, and the age up to which one is fresh
+** follows from RelayTimes.news_within: what is left of that time is enough
+** for two members to take over one after the other and for the news to reach
+** the rest. A relay asks the store often enough to stay fresh. (When the age
+** followed from the watches' wait, members of a relay that had lost the store
+** heard of changes after 2.75 s, where 2 s were allowed.) What a relay tells
+** is bound to revisions of the store, so a change of the source never brings
 ** anything old back (follower.h).
 */
 
@@ -77,6 +76,9 @@
   gint64 news_within; /* a change of the store is known everywhere after it */
 } RelayTimes;
 
+/* the news of an instance that the store answers are no older than this */
+gint64 relay_longest_age(const RelayTimes *times);
+
 /* 'capacity' of this instance */
 RelayGroup *relay_group_new(mp_Addr self, guint32 capacity,
                             const RelayTimes *times, gint64 now);
--- a/router/router.c
+++ b/router/router.c
@@ -57,6 +57,7 @@
   router->waiting = g_ptr_array_new();
   router->limits = account_limits_new(&options->limits, now);
   router->revoke_bound = options->revoke_bound;
+  router->news_bound = options->news_bound;
   router->dispatched = g_hash_table_new(g_int64_hash, g_int64_equal);
   router->stages = stages_new(router, options->instance, options->self,
                               options->lease_length, now);
@@ -185,6 +186,21 @@
   return request;
 }
 
+static gint64 news_age(const Router *router, gint64 now) {
+  return router->heard_at != 0 ? now - router->heard_at : G_MAXINT32;
+}
+
+/*
+** "No such route" is final for a caller. While the news are older than they
+** are at any instance that the store answers, a route may have come since:
+** the caller is told to try again, and reaches another instance.
+*/
+static RefusalKind no_route(const Router *router, gint64 now) {
+  gboolean is_old =
+      router->news_bound > 0 && news_age(router, now) > router->news_bound;
+  return is_old ? REFUSAL_OLD_CONFIGURATION : REFUSAL_NO_ROUTE;
+}
+
 static void refuse_unrouted(Router *router, const CallerRequest *call,
                             RefusalKind kind, gint64 now) {
   Refusal refusal = {kind, finish_retry_after(kind)};
@@ -194,7 +210,7 @@
              " request=%s reason=%s host=%s config=%" G_GUINT64_FORMAT
              " news_age_ms=%d",
              call->id, finish_refusal_name(kind), call->host, version,
-             (int)((now - router->heard_at) / MP_MS));
+             (int)(news_age(router, now) / MP_MS));
   router->host.refuse(router->host.data, call->number, &refusal);
 }
 
@@ -215,7 +231,7 @@
   }
   route = route_table_find(router->routes, call->host, call->path);
   if (route == NULL) {
-    refuse_unrouted(router, call, REFUSAL_NO_ROUTE, now);
+    refuse_unrouted(router, call, no_route(router, now), now);
     return;
   }
   if (!accounts_admit(router, call, route, &account, &refusal, now)) {
--- a/router/router.h
+++ b/router/router.h
@@ -95,7 +95,8 @@
   REFUSAL_TIMEOUT,          /* it may have run; its time passed */
   REFUSAL_KEY,              /* not run: no account has its key */
   REFUSAL_LIMIT,            /* not run: its account's limit is used up */
-  REFUSAL_OLD_CONFIGURATION /* not run: its key may have been taken away */
+  REFUSAL_OLD_CONFIGURATION /* not run: its key may have been taken away, or
+                            ** its route have come, since the configuration */
 } RefusalKind;
 
 typedef struct Refusal {
@@ -158,6 +159,8 @@
   mp_Addr self;          /* the address that its load digests come from */
   gint64 lease_length;   /* of orders to engines; 0: none are given */
   LimitTolerance limits; /* of client accounts */
+  gint64 news_bound;     /* older news say nothing of a route that they lack;
+                         ** 0: at any age (relay_longest_age) */
   gint64 revoke_bound;   /* requests with keys run only while the configuration
                          ** was the newest one so lately; 0: at any age */
 } RouterOptions;
--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -11,8 +11,7 @@
 #define DECODE_FILL 0.75
 /* prefill engines beyond the load, times its square root: few engines need
 ** relatively more of them, so that prompts do not queue (0.1 and 0.5 on 18
-*days
-** of six deployments: mean worth 0.014 higher with 0.5) */
+** days of six deployments: mean worth 0.014 higher with 0.5) */
 #define PREFILL_MARGIN 0.5
 /* below this use of the decode engines nobody gains by more of them */
 #define DECODE_PRESSURE 0.35
--- a/router/stages.c
+++ b/router/stages.c
@@ -18,10 +18,9 @@
 #define LOOK (200 * MP_MS)
 #define AVERAGE (4 * MP_SEC)
 /* the use of the prefill stage counts from its peak, which falls so slowly:
-** when requests stop coming it is idle at once, while the runs they left go on
-** for seconds, and the ratio of the two says nothing (after 4 s without the
-** store 7 prefill engines were taken away, and prompts then queued 1.3
-*to
+** when requests stop coming it is idle at once, while the runs they left go
+** on for seconds, and the ratio of the two says nothing (after 4 s without
+** the store 7 prefill engines were taken away, and prompts then queued 1.3 to
 ** 2.1 s instead of 0.2 s until 12 s later) */
 #define PEAK_DECAY (10 * MP_SEC)
 /* a need must last so long, and longer for each candidate before this one */
--- a/router/state.h
+++ b/router/state.h
@@ -122,6 +122,7 @@
   gint64 revoke_bound;  /* as in RouterOptions */
   gint64 proved_at;     /* router_configuration_proved */
   gint64 heard_at;      /* router_news_heard; 0: never */
+  gint64 news_bound;    /* as in RouterOptions */
   gboolean stopping;    /* no request is taken any more */
   Stages *stages;       /* orders to engines */
   GPtrArray *waiting;   /* Request in PHASE_WAIT, first one first */
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -203,9 +203,8 @@
   router/relay_group.c 'before.fresh += is_fresh(group, relay, now);' \
   'before.fresh += is_heard(relay, now);'
 m n-within "relays: their age is bound by what is allowed" \
-  router/relay_group.c 'return MIN(times->watch_wait + FRESH_MARGIN,
-             MAX(bound, WATCH_LEAST + SLOW_ANSWER));' \
-  'return bound > 0 ? times->watch_wait + FRESH_MARGIN : 0;'
+  router/relay_group.c 'MAX(bound, WATCH_LEAST + SLOW_ANSWER));' \
+  'bound > 0 ? relay_longest_age(times) : 0);'
 m n-often "relays: they ask the store often enough to stay fresh" \
   router/news_source.c 'if (call->kind != STORE_INSTANCES)' 'if (0)'
 m n-standin "relays: none is fresh by the one in its place" \
@@ -214,6 +213,25 @@
 m n-whole "relays: they name what there is to who asks from before a list" \
   router/follower.c 'out->whole = since > 0 && since < follower->forgotten;' \
   'out->whole = FALSE;'
+m n-noroute "router: old news say nothing of a route they lack" \
+  router/router.c 'return is_old ? REFUSAL_OLD_CONFIGURATION : REFUSAL_NO_ROUTE;' \
+  'return is_old ? REFUSAL_NO_ROUTE : REFUSAL_NO_ROUTE;'
+m p-lost "prefill: an arrival after a lost prompt is paid for" \
+  router/prefill.c 'return retry_exchange_take(router, service, now);
+}
+
+static void log_again' 'return TRUE;
+}
+
+static void log_again'
+m p-wait "prefill: a late prompt is not left without a retry to spend" \
+  router/prefill.c 'if (!may_send_again(router, request, OUTCOME_BROKEN, now)) {' \
+  'if (0) {'
+m p-turned "prefill: one that was turned away goes on within the budget" \
+  router/prefill.c 'if (kind == OUTCOME_NOT_RUN)
+    return retry_exchange_left(router, service, now);' \
+  'if (kind == OUTCOME_NOT_RUN)
+    return TRUE;'
 m n-step "relays: members take over one by one in an outage" \
   router/relay_group.c 'if (relay_group_before(group, now).heard >= wanted)
     return wait;' ''
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -108,8 +108,10 @@
   options.lease_length = lease_length;
   options.limits = {0.1, 1000, 8 * second};
   options.revoke_bound = revoke_bound;
+  options.news_bound = news_bound;
   router = router_new(&options, &host, now);
   router_set_instances(router, 1, 1);
+  router_news_heard(router, now);
 }
 
 World::~World() {
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -20,6 +20,9 @@
 constexpr gint64 ms = 1000;
 constexpr gint64 second = 1000 * ms;
 
+/* how old news may be that say there is no route */
+constexpr gint64 news_bound = 2500 * ms;
+
 /* a dispatch as it was asked for */
 struct Sent {
   guint64 number = 0;
--- a/test/test_late_news.cc
+++ b/test/test_late_news.cc
@@ -160,6 +160,19 @@
   EXPECT_EQ(relays_of(*world).size(), 1u);
 }
 
+/* it hears from relays elsewhere that its silent watch lacks something */
+TEST(LateNews, ARelayAmongOthersAsksThemWhenItsWatchIsLost) {
+  for (unsigned seed = 1; seed <= 20; seed++) {
+    auto world = world_of({4, 4, 4}, seed);
+    world->run(4 * second + seed * 93 * ms);
+    Instance *relay = relays_of(*world)[0];
+    relay->cut_from_store = true;
+    world->write(STORE_CONFIGURATION, "main", "200");
+    world->run(1 * second);
+    EXPECT_EQ(world->knowing(STORE_CONFIGURATION, "main", "200"), 12u) << seed;
+  }
+}
+
 /* a relay that is killed and back before it is missed has the news of before
 ** its start from its list alone */
 TEST(LateNews, ARelayThatRestartsTellsWhatLeftBeforeItsStart) {
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -111,6 +111,21 @@
   EXPECT_TRUE(world.dispatches.empty());
 }
 
+/* an instance that has lost the store and all relays cannot know of a route
+** that has come since; a caller would take its "no" for the last word */
+TEST_F(Routed, OldNewsSayNothingOfAnUnknownPath) {
+  world.advance(news_bound);
+  guint64 request = world.request("/nowhere");
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_NO_ROUTE);
+  world.advance(1 * ms);
+  request = world.request("/nowhere");
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_OLD_CONFIGURATION);
+  EXPECT_GT(world.end(request).retry_after_ms, 0);
+  router_news_heard(world.router, world.now);
+  request = world.request("/nowhere");
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_NO_ROUTE);
+}
+
 TEST(Unconfigured, ARequestIsRefusedAsNotRun) {
   World world;
   guint64 request = world.request("/safe/x");
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -2,10 +2,10 @@
 ** rpc.c
 ** Messages between instances as ONC RPC datagrams
 **
-** Every message of the core is one procedure; call and reply have the
-** same body, but for RESERVE, whose reply is the verdict alone. Unknown
-*programs, versions and procedures and bodies that
-** cannot be read are answered as RFC 5531 says.
+** Every message of the core is one procedure; call and reply have the same
+** body, but for RESERVE, whose reply is the verdict alone. Unknown programs,
+** versions and procedures and bodies that cannot be read are answered as RFC
+** 5531 says.
 */
 
 #include <string.h>
