Logs: the digest of what a request asks for

Cause: the hypotheses can't be told apart for requests without a prompt: nothing in the logs says that two requests with different ids ask for the same. Ruled out: the caller's address (the eleven came in at three data centres); the session of a prompt (0 for plain requests). Change: E8000 tells 'content', a digest of method, host, target and body. Conclusion: one request that comes again can be followed over all instances.

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 
+#include "http/content.h"
 #include "io/directory.h"
 #include "io/endpoint_links.h"
 #include "io/front.h"
@@ -171,6 +172,8 @@
     g_error_free(error);
   } else {
     read.request.number = number;
+    read.request.content =
+        content_digest(head, front_request_body(gateway->front, number));
     router_request(gateway->router, &read.request, node_now());
     set_tick(gateway);
   }
--- a/router/router.c
+++ b/router/router.c
@@ -177,6 +177,7 @@
   request->prompt_tokens = call->prompt_tokens;
   request->output_tokens = call->output_tokens;
   request->session = call->session;
+  request->content = call->content;
   request->resumes = call->resumes;
   request->arrived = now;
   request->caller_deadline = now + patience;
@@ -252,12 +253,14 @@
   router_log(router, MP_LOG_ROUTE_ACCEPT,
              " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
              "objective_ms=%d session=%" G_GINT64_MODIFIER
-             "x account=%s config_age_ms=%d",
+             "x account=%s config_age_ms=%d content=%016" G_GINT64_MODIFIER
+             "x",
              request->id, route->name, service, request->prompt_tokens,
              request->output_tokens, (int)((request->expires - now) / MP_MS),
              (int)(route->objective / MP_MS), request->session,
              account != NULL ? account->name : "-",
-             (int)(accounts_configuration_age(router, now) / MP_MS));
+             (int)(accounts_configuration_age(router, now) / MP_MS),
+             request->content);
   path_begin(router, request, now);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -33,6 +33,7 @@
   const char *id; /* the caller's own id for this attempt */
   const char *host;
   const char *path;
+  guint64 content;        /* digest of what it asks for (http/content.h) */
   gint64 deadline_ms;     /* how long the caller will wait; 0: not said */
   guint32 prompt_tokens;  /* 0: not said */
   guint32 output_tokens;  /* the most that may be generated */
--- a/router/state.h
+++ b/router/state.h
@@ -69,6 +69,7 @@
   const Account *account; /* of that table; NULL: it needs none */
   char key_digest[MP_DIGEST + 1];
   double cost; /* taken of the account's limit */
+  guint64 content; /* as in CallerRequest */
   guint32 prompt_tokens, output_tokens;
   guint64 session;
   gint64 arrived;
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 extern "C" {
+#include "http/content.h"
 #include "http/events.h"
 #include "http/reader.h"
 }
@@ -231,4 +232,28 @@
   }
 }
 
+guint64 digest_of(const char *host, const char *target, const char *id,
+                  const std::string &body) {
+  HttpHead *head = http_head_request("POST", target);
+  GByteArray *bytes = g_byte_array_new();
+  guint64 digest;
+  http_head_add(head, "Host", host);
+  http_head_add(head, "Request-Id", id);
+  g_byte_array_append(bytes, reinterpret_cast<const guint8 *>(body.data()),
+                      static_cast<guint>(body.size()));
+  digest = content_digest(head, bytes);
+  g_byte_array_free(bytes, TRUE);
+  http_head_free(head);
+  return digest;
+}
+
+TEST(Content, IsTheSameUnderAnotherIdAndUnlikeForAnotherTargetOrBody) {
+  guint64 one = digest_of("h", "/a/b?c=1", "q1", "body");
+  EXPECT_EQ(one, digest_of("h", "/a/b?c=1", "q2", "body"));
+  EXPECT_NE(one, digest_of("g", "/a/b?c=1", "q1", "body"));
+  EXPECT_NE(one, digest_of("h", "/a/b?c=2", "q1", "body"));
+  EXPECT_NE(one, digest_of("h", "/a/b?c=1", "q1", "bodz"));
+  EXPECT_NE(digest_of("h", "/a", "q1", "bc"), digest_of("h", "/ab", "q1", "c"));
+}
+
 } // namespace
