--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -13,8 +13,11 @@
 **   POST /store    {"mode": M}, see store.h
 **   POST /worker   {"id", "mode"}: ok, error, shed, cut, mute, slow;
 **                  draining, gone, back (in the list); prefill, decode
-**                  (its stage from now on)
+**                  (its stage from now on); crash
 **   POST /configuration   the next version of the configuration
+** A request whose target ends in CRASHES ends each worker that begins to run
+** it, with all that runs there; its entry leaves the list some time later, and
+** the worker comes back under its id, with another time of birth.
 */
 
 #include <signal.h>
@@ -31,10 +34,21 @@
 #define PIECES 12
 #define PAUSE_MS 25
 #define SLOW_MS 400
+/* the end of the target of a request that ends who runs it, and when it does
+ */
+#define CRASHES "crashes"
+#define CRASH_MS 60
+/* a worker that ended leaves the list after this, and is back after that */
+#define LAPSE_MS 900
+#define RETURN_MS 1500
 
 typedef struct Worker {
   char *id, *service, *zone, *stage, *addr;
   char mode[16];
+  mp_Addr listen;
+  struct evhttp *http; /* NULL: the process has ended */
+  struct event *lapse, *comeback;
+  json_int_t born; /* Unix time of its start, milliseconds */
   int draining, gone;
   json_int_t fence;    /* highest that an order bore */
   json_int_t sequence; /* orders taken */
@@ -249,11 +263,31 @@
   return mine;
 }
 
+static int ends_with(const char *text, const char *end) {
+  size_t n = strlen(text);
+  size_t m = strlen(end);
+  return n >= m && strcmp(text + n - m, end) == 0;
+}
+
+static void crash(Worker *worker);
+
+static void crash_step(evutil_socket_t fd, short what, void *data) {
+  Work *work = data;
+  Worker *worker = work->worker;
+  (void)fd;
+  (void)what;
+  crash(worker);
+}
+
 static void run(Worker *worker, struct evhttp_request *request) {
   const char *last = header(request, "Last-Event-Id");
   int slow = strcmp(worker->mode, "slow") == 0 ? SLOW_MS : 0;
   Work *work;
   note(worker, request, "run");
+  if (ends_with(evhttp_request_get_uri(request), CRASHES)) {
+    schedule(work_new(worker, request, crash_step), CRASH_MS);
+    return;
+  }
   if (strcmp(worker->mode, "error") == 0) {
     sign(worker, request);
     evhttp_send_reply(request, 500, NULL, NULL);
@@ -290,8 +324,9 @@
 
 static void on_report(const Worker *worker, struct evhttp_request *request) {
   serve_json(request, 200,
-             json_pack("{s:s, s:b, s:I}", "Stage", worker->stage, "Busy",
-                       worker->next_stage != NULL, "Seq", worker->sequence));
+             json_pack("{s:s, s:b, s:I, s:I}", "Stage", worker->stage, "Busy",
+                       worker->next_stage != NULL, "Seq", worker->sequence,
+                       "born", worker->born));
 }
 
 static int order_status(const Worker *worker, const json_t *order) {
@@ -382,15 +417,73 @@
 */
 
 static void list_worker(const Worker *worker) {
-  json_t *spec = json_pack(
-      "{s:s, s:s, s:s, s:i, s:s, s:i}", "Service", worker->service, "Addr",
-      worker->addr, "Zone", worker->zone, "Slots", 8, "State",
-      worker->draining ? "draining" : "ready", "ColdLeftMs", 0);
+  json_t *spec =
+      json_pack("{s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "Service",
+                worker->service, "Addr", worker->addr, "Zone", worker->zone,
+                "Slots", 8, "State", worker->draining ? "draining" : "ready",
+                "ColdLeftMs", 0, "born", worker->born);
   if (worker->stage[0] != '\0')
     json_object_set_new(spec, "Stage", json_string(worker->stage));
   store_put("servers", worker->id, spec);
 }
 
+/*
+** {==================================================================
+** A worker ends, and comes back
+** ===================================================================
+*/
+
+static json_int_t unix_ms(void) {
+  return (json_int_t)(g_get_real_time() / MS);
+}
+
+static void after(struct event *timer, int ms) {
+  struct timeval time = {ms / 1000, ms % 1000 * 1000L};
+  event_add(timer, &time);
+}
+
+static void on_lapse(evutil_socket_t fd, short what, void *data) {
+  const Worker *worker = data;
+  (void)fd;
+  (void)what;
+  store_remove("servers", worker->id);
+}
+
+static void on_comeback(evutil_socket_t fd, short what, void *data) {
+  Worker *worker = data;
+  (void)fd;
+  (void)what;
+  worker->born = unix_ms();
+  worker->sequence = 0;
+  worker->fence = 0;
+  worker->http = serve_new(base, worker->listen, on_request, worker);
+  list_worker(worker);
+}
+
+/* the process ends: nothing listens any more, all connections close */
+static void crash(Worker *worker) {
+  guint i = 0;
+  if (worker->http == NULL)
+    return;
+  while (i < working->len) {
+    Work *work = working->pdata[i];
+    if (work->worker == worker)
+      work_free(work);
+    else
+      i++;
+  }
+  evhttp_free(worker->http);
+  worker->http = NULL;
+  if (worker->lapse == NULL) {
+    worker->lapse = evtimer_new(base, on_lapse, worker);
+    worker->comeback = evtimer_new(base, on_comeback, worker);
+  }
+  after(worker->lapse, LAPSE_MS);
+  after(worker->comeback, RETURN_MS);
+}
+
+/* }================================================================== */
+
 static Worker *worker_of(const char *id) {
   guint i;
   for (i = 0; id != NULL && i < workers->len; i++) {
@@ -411,6 +504,10 @@
     list_worker(worker);
     return 1;
   }
+  if (strcmp(mode, "crash") == 0) {
+    crash(worker);
+    return 1;
+  }
   if (strcmp(mode, "gone") == 0) {
     worker->gone = 1;
     store_remove("servers", worker->id);
@@ -482,7 +579,9 @@
   worker->addr = text_of(json, "addr");
   g_strlcpy(worker->mode, "ok", sizeof worker->mode);
   g_ptr_array_add(workers, worker);
-  serve_new(base, serve_address(json, "listen"), on_request, worker);
+  worker->listen = serve_address(json, "listen");
+  worker->born = unix_ms();
+  worker->http = serve_new(base, worker->listen, on_request, worker);
   list_worker(worker);
 }
 
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -9,6 +9,8 @@
             version = 1, timeout = 8000,
             kv_tokens = 20000, more_prefill = 0, lease_ms = 0,
             one_zone = false,
+            -- the list names the workers themselves, not the proxy's links
+            direct = false,
             store_late_ms = 0, -- the store starts so long after the instances
             -- client accounts: { name, keys, rate, burst }; none: no keys
             accounts = nil,
@@ -90,7 +92,7 @@
     rows[#rows + 1] = string.format(
       '{"id":"%s","service":"%s","zone":"%s","stage":"%s","listen":"%s",' ..
       '"addr":"%s"}', w.id, w.service, w.zone, w.stage, addr(w.port),
-      addr(w.proxy))
+      addr(gateway.direct and w.port or w.proxy))
     links[#links + 1] = string.format(
       '{"name":"%s","listen":"%s","to":"%s"}', w.id, addr(w.proxy),
       addr(w.port))
@@ -271,14 +273,14 @@
 function hangup(e) sys.signal(e.pid, 1) end
 
 -- a caller's request on a kept connection (or a new one), with the key given
--- or one that some account has or had
-function request(e, kind, connection, key)
+-- or one that some account has or had; 'target' and 'body' where they matter
+function request(e, kind, connection, key, target, body)
   gateway.last = gateway.last + 1
   local r = { id = "q" .. gateway.last, kind = kind, instance = e,
               connection = connection or sys.connect(e.port),
               sent = sys.now(), key = key or any_key() }
   gateway.asked[#gateway.asked + 1] = r
-  r.connection:send("POST", "/" .. kind .. "/x", {
+  r.connection:send("POST", "/" .. kind .. "/" .. (target or "x"), {
     Host = "h.example", ["Request-Id"] = r.id, ["Deadline-Ms"] = "9000",
     Model = "m", ["Token-Count"] = "1000,300",
     ["Prompt-Prefix"] = "aa:200,bb:800",
@@ -287,7 +289,7 @@
     ["Kv-Backup"] = "forged", ["Kv-Fetch"] = "forged", Stage = "forged",
     ["Request-Urgency"] = "forged", ["Expect-Version"] = "forged",
     tenant = gateway.accounts and "forged" or nil, ["Api-Key"] = r.key,
-    Connection = "Kv-Hold" }, "body of " .. r.id)
+    Connection = "Kv-Hold" }, body or "body of " .. r.id)
   return r
 end
 
@@ -306,6 +308,11 @@
   return #keys > 0 and keys[math.random(#keys)] or nil
 end
 
+-- a request that ends every worker that runs it; 'name' tells such apart
+function crashing(e, kind, name, key)
+  return request(e, kind, nil, key, name .. "-crashes", "body of " .. name)
+end
+
 -- TRUE once it ended; then r.status, r.body, r.whole are set
 function ended(r)
   if r.over then
@@ -349,6 +356,20 @@
   return rows
 end
 
+-- runs of these requests in their order: at which worker and when
+function runs_of_all(requests)
+  local rows, found = worker_ledger(), {}
+  for _, r in ipairs(requests) do
+    for _, row in ipairs(rows[r.id] or {}) do
+      if row.what == "run" then
+        found[#found + 1] = row
+      end
+    end
+  end
+  table.sort(found, function(a, b) return a.at < b.at end)
+  return found
+end
+
 -- the orders that workers got, in their order
 function orders()
   local _, text = ask("GET", gateway.admin, "/ledger")
