No call begins while a reply of the store is taken

Cause: handling a list of instances looked for the next call before the list was taken whole; a second list was begun, and its first page (five names, more to come) was read as the events of a watch, since the first list had ended meanwhile. The next page was never asked for: five of six were counted. Ruled out: a call that stays open for good (follower_begin is only reached with none out, and store_link asserts it).

--- a/router/follower.c
+++ b/router/follower.c
@@ -63,7 +63,7 @@
 }
 
 gint64 follower_next_call(const Follower *follower) {
-  return follower->open ? G_MAXINT64 : follower->retry_at;
+  return follower->open || follower->taking ? G_MAXINT64 : follower->retry_at;
 }
 
 void follower_begin(Follower *follower, StoreCall *call) {
@@ -230,9 +230,7 @@
   return follower->known > 0;
 }
 
-void follower_reply(Follower *follower, const StoreReply *reply, gint64 now) {
-  follower->open = FALSE;
-  follower->retry_at = now;
+static void take(Follower *follower, const StoreReply *reply, gint64 now) {
   if (reply->status == STORE_HISTORY_GONE) {
     list_again(follower);
     return;
@@ -257,6 +255,14 @@
     take_list(follower, reply);
 }
 
+void follower_reply(Follower *follower, const StoreReply *reply, gint64 now) {
+  follower->open = FALSE;
+  follower->retry_at = now;
+  follower->taking = TRUE;
+  take(follower, reply, now);
+  follower->taking = FALSE;
+}
+
 void follower_answer(const Follower *follower, gint64 since, StoreReply *out) {
   GHashTableIter iterator;
   gpointer name;
--- a/router/follower.h
+++ b/router/follower.h
@@ -109,6 +109,10 @@
   gint64 retry_most;   /* longest wait after failures in a row */
   gboolean watching;   /* else the next call lists */
   gboolean open;       /* a call is out */
+  gboolean taking;     /* a reply is being taken: no call begins. (One that a
+                       ** hook began before a list was whole was answered with
+                       ** a page, which was read as a watch's events; the next
+                       ** page was never asked for) */
   gint64 revision;     /* of the store, as far as it was read */
   char *after;         /* a list goes on behind this name */
   GHashTable *names;   /* seen by the list that is being read */
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -175,6 +175,8 @@
   gint64 due = follower_next_call(&source->follower);
   memset(out, 0, sizeof *out);
   out->at = G_MAXINT64;
+  if (source->follower.taking)
+    return;
   if (due == G_MAXINT64) {
     look_behind(source, now, out);
     return;
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -71,6 +71,7 @@
 static GHashTable *handles; /* KV handle -> request id */
 static json_t *ledger;
 static unsigned last_handle;
+static json_int_t store_up; /* steady clock, ms: the store listened then */
 
 /*
 ** {==================================================================
@@ -546,8 +547,8 @@
   (void)data;
   if (strcmp(uri, "/ledger") == 0) {
     serve_json(request, 200,
-               json_pack("{s:O, s:i}", "rows", ledger, "store_calls",
-                         (int)store_calls()));
+               json_pack("{s:O, s:i, s:I}", "rows", ledger, "store_calls",
+                         (int)store_calls(), "store_up_ms", store_up));
     json_decref(body);
     return;
   }
@@ -604,6 +605,7 @@
   handles = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   ledger = json_array();
   store_start(base, serve_address(fleet, "store"));
+  store_up = (json_int_t)(g_get_monotonic_time() / MS);
   serve_new(base, serve_address(fleet, "admin"), on_admin, NULL);
   store_put("config", "main",
             json_incref(json_object_get(fleet, "configuration")));
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -356,6 +356,12 @@
   return rows
 end
 
+-- when the store began to listen
+function store_up_at()
+  local _, text = ask("GET", gateway.admin, "/ledger")
+  return tonumber(text:match('"store_up_ms":(%d+)'))
+end
+
 -- runs of these requests in their order: at which worker and when
 function runs_of_all(requests)
   local rows, found = worker_ledger(), {}
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -22,6 +23,12 @@
   int lost = 0;
   int regained = 0;
   gint64 now = 1000000;
+  /* the earliest next call that was seen from within the host's hooks */
+  gint64 next_within = G_MAXINT64;
+
+  void look() {
+    next_within = std::min(next_within, follower_next_call(&follower));
+  }
 
   void SetUp() override {
     FollowerHost host = {this, on_object, on_listed, on_lost, on_regained};
@@ -33,6 +40,7 @@
 
   static void on_object(void *data, StoreKind, const StoreObject *object) {
     auto *self = static_cast<Follow *>(data);
+    self->look();
     if (object->gone)
       self->objects.erase(object->name);
     else
@@ -41,6 +49,7 @@
   static void on_listed(void *data, StoreKind, GHashTable *names) {
     auto *self = static_cast<Follow *>(data);
     self->lists++;
+    self->look();
     for (auto it = self->objects.begin(); it != self->objects.end();) {
       if (g_hash_table_contains(names, it->first.c_str()))
         ++it;
@@ -49,9 +58,11 @@
     }
   }
   static void on_lost(void *data, StoreKind) {
+    static_cast<Follow *>(data)->look();
     static_cast<Follow *>(data)->lost++;
   }
   static void on_regained(void *data, StoreKind) {
+    static_cast<Follow *>(data)->look();
     static_cast<Follow *>(data)->regained++;
   }
 
@@ -94,6 +105,31 @@
   EXPECT_EQ(watch.revision, 10);
 }
 
+/*
+** What was seen: an instance that started beside five others counted five of
+** six of them for a minute.
+** Order of events: its list of instances was taken from another one; telling who
+** they are made it look for its next call, before the list was taken whole, so
+** it listed again; the first page of that (five names, more to come) was then
+** read as the events of a watch, and nobody asked for the next page.
+** Evidence: its log has a list of three, then five within two milliseconds, and
+** no other call that brought instances; the store gives five names a page.
+*/
+TEST_F(Follow, NoCallBeginsWhileAReplyIsTaken) {
+  call();
+  answer(STORE_OK, 10, {{"a", 1, "1"}, {"b", 2, "2"}}, true);
+  call();
+  answer(STORE_OK, 10, {{"c", 3, "3"}});
+  call();
+  answer(STORE_OK, 12, {{"d", 11, "4"}});
+  call();
+  answer(STORE_FAILED);
+  call();
+  answer(STORE_OK, 13, {{"e", 13, "5"}});
+  EXPECT_EQ(next_within, G_MAXINT64);
+  EXPECT_LE(follower_next_call(&follower), now + 150 * MP_MS);
+}
+
 TEST_F(Follow, EventsTakeEffectAndMoveTheRevision) {
   call();
   answer(STORE_OK, 10, {{"a", 1, "1"}});
