--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -94,6 +94,9 @@
   gboolean (*read_record)(const char *name, const char *text,
                           EndpointRecord *out, GError **error);
   gboolean (*read_lease)(const char *text, LeaseRecord *out, GError **error);
+  /* the texts for operators are not read */
+  gboolean (*read_quarantine)(const char *name, const char *text,
+                              QuarantineRecord *out, GError **error);
 } Dialect;
 
 #endif
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -58,7 +58,12 @@
 #define MP_TOKEN_BLOCK 16
 
 /* kinds of the store's objects that relays pass on */
-#define MP_RELAY_KINDS 3
+#define MP_RELAY_KINDS 4
+
+/* requests under which endpoints ended, in one datagram, and the ends that are
+** told of each */
+#define MP_CRASH_ROWS 16
+#define MP_CRASHES_EACH 6
 
 /* renewals carried by one datagram */
 #define MP_RENEW_BATCH 40
--- a/io/directory.c
+++ b/io/directory.c
@@ -25,6 +25,10 @@
 #define INSTANCES_PAUSE (2 * MP_SEC)
 /* longest wait of a watch of the instances: they change rarely */
 #define INSTANCES_WAIT (12 * MP_SEC)
+/* the same of requests that end endpoints: instances tell each other of these
+** at once, the store holds what must outlast them */
+#define QUARANTINE_WAIT INSTANCES_WAIT
+#define QUARANTINE_PAUSE (300 * MP_MS)
 
 struct Directory {
   struct event_base *base;
@@ -97,21 +101,46 @@
   router_set_endpoint(directory->router, &record, TRUE, node_now());
 }
 
+/* an operator lifts a hold by removing the object */
+static void take_quarantine(Directory *directory, const StoreObject *object) {
+  QuarantineRecord record = {0};
+  GError *error = NULL;
+  guint64 content;
+  if (object->gone) {
+    if (g_ascii_string_to_unsigned(object->name, 16, 0, G_MAXUINT64, &content,
+                                   NULL))
+      router_lift_quarantine(directory->router, content, node_now());
+  } else if (directory->dialect->read_quarantine(object->name, object->text,
+                                                 &record, &error))
+    router_take_quarantine(directory->router, &record, object->revision,
+                           node_now());
+  else
+    bad_record(directory, object->name, error);
+}
+
 static void take_instance(Directory *directory, const StoreObject *object);
 static void tell_instances(Directory *directory);
 static void enter(Directory *directory);
 
 static void on_object(void *data, StoreKind kind, const StoreObject *object) {
   Directory *directory = data;
-  if (kind == STORE_INSTANCES)
+  switch (kind) {
+  case STORE_INSTANCES:
     take_instance(directory, object);
-  else if (kind == STORE_CONFIGURATION) {
+    break;
+  case STORE_CONFIGURATION:
     if (!object->gone) /* without one, the last one stays in force */
       take_configuration(directory, object->name, object->text);
-  } else if (object->gone)
-    drop_endpoint(directory, object->name);
-  else
-    take_endpoint(directory, object->name, object->text);
+    break;
+  case STORE_QUARANTINE:
+    take_quarantine(directory, object);
+    break;
+  default:
+    if (object->gone)
+      drop_endpoint(directory, object->name);
+    else
+      take_endpoint(directory, object->name, object->text);
+  }
 }
 
 static gboolean is_unlisted(gpointer name, gpointer instance, gpointer names) {
@@ -368,6 +397,8 @@
   follow(directory, options, STORE_ENDPOINTS, options->watch_wait,
          ENDPOINTS_PAUSE);
   follow(directory, options, STORE_INSTANCES, INSTANCES_WAIT, INSTANCES_PAUSE);
+  follow(directory, options, STORE_QUARANTINE, QUARANTINE_WAIT,
+         QUARANTINE_PAUSE);
 }
 
 /* }================================================================== */
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -116,10 +116,24 @@
   event_add(link->timer, &time);
 }
 
-/* the call is over: keep the connection where nothing speaks against it */
-static void rest_or_close(Link *link) {
+/* the call is over: the connection rests until the next one, or for so long */
+static void rest(Link *link, gint64 limit) {
   EndpointLinks *links = link->links;
-  GQueue *queue;
+  GQueue *queue = g_hash_table_lookup(links->idle, link->endpoint);
+  g_hash_table_remove(links->calls, &link->call->dispatch);
+  call_free(link->call);
+  link->call = NULL;
+  if (queue == NULL) {
+    queue = g_queue_new();
+    g_hash_table_insert(links->idle, g_strdup(link->endpoint), queue);
+  }
+  g_queue_push_head(queue, link);
+  links->idle_count++;
+  start_timer(link, limit);
+}
+
+/* keep the connection where nothing speaks against it */
+static void rest_or_close(Link *link) {
   gint64 limit = IDLE_UNSAID;
   gboolean keep =
       !link->doubtful && http_reader_state(link->reader) == HTTP_READER_DONE &&
@@ -132,18 +146,8 @@
     drop(link);
     return;
   }
-  g_hash_table_remove(links->calls, &link->call->dispatch);
-  call_free(link->call);
-  link->call = NULL;
   http_reader_next(link->reader);
-  queue = g_hash_table_lookup(links->idle, link->endpoint);
-  if (queue == NULL) {
-    queue = g_queue_new();
-    g_hash_table_insert(links->idle, g_strdup(link->endpoint), queue);
-  }
-  g_queue_push_head(queue, link);
-  links->idle_count++;
-  start_timer(link, limit);
+  rest(link, limit);
 }
 
 /* }================================================================== */
@@ -393,12 +397,24 @@
     digest(link);
 }
 
+/* the endpoint takes connections: that was the question. The next dispatch
+** may use this one */
+static void checked(Link *link) {
+  Outcome outcome = {0};
+  outcome.kind = OUTCOME_ANSWER;
+  if (tell(link, &outcome))
+    rest(link, IDLE_UNSAID);
+}
+
 static void on_event(struct bufferevent *events, short what, void *data) {
   Link *link = data;
   if (what & BEV_EVENT_CONNECTED) {
     link->connected = TRUE;
     set_socket_options(events);
-    write_call(link);
+    if (link->call->kind == DISPATCH_CHECK)
+      checked(link);
+    else
+      write_call(link);
     return;
   }
   if (link->call == NULL) {
@@ -504,25 +520,47 @@
   return text;
 }
 
-void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
-                         const HttpHead *caller, const GByteArray *body) {
+static Call *call_new(const Dispatch *dispatch) {
   Call *call = g_new0(Call, 1);
-  Link *link = idle_link(links, dispatch->endpoint);
-  CallerHead read;
   call->dispatch = dispatch->number;
   call->kind = dispatch->kind;
   call->stream = dispatch->stream;
-  call->text = request_text(links, dispatch, caller, body);
   call->body = g_byte_array_new();
   event_splitter_init(&call->events);
+  return call;
+}
+
+static void carry(Link *link, Call *call) {
+  link->call = call;
+  g_hash_table_insert(link->links->calls, &call->dispatch, link);
+}
+
+/* a new connection, whatever rests: an old one may be silent for good */
+static void send_check(EndpointLinks *links, const Dispatch *dispatch) {
+  Link *link = link_new(links, dispatch);
+  carry(link, call_new(dispatch));
+  connect_link(link, dispatch);
+}
+
+void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
+                         const HttpHead *caller, const GByteArray *body) {
+  Call *call;
+  Link *link;
+  CallerHead read;
+  if (dispatch->kind == DISPATCH_CHECK) {
+    send_check(links, dispatch);
+    return;
+  }
+  call = call_new(dispatch);
+  link = idle_link(links, dispatch->endpoint);
+  call->text = request_text(links, dispatch, caller, body);
   if (caller != NULL && links->dialect->read_caller(caller, &read, NULL)) {
     call->request_id = g_strdup(read.request.id);
     caller_head_clear(&read);
   }
   if (link == NULL)
     link = link_new(links, dispatch);
-  link->call = call;
-  g_hash_table_insert(links->calls, &call->dispatch, link);
+  carry(link, call);
   if (caller != NULL && g_ascii_strcasecmp(caller->method, "HEAD") == 0)
     http_reader_expect_no_body(link->reader);
   if (link->connected)
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -17,6 +17,7 @@
 #include "io/metrics.h"
 #include "io/news_codec.h"
 #include "io/node.h"
+#include "io/quarantine_writer.h"
 #include "io/relays.h"
 #include "io/store_link.h"
 
@@ -47,6 +48,7 @@
   RelayGroup *group; /* who follows the store for whom */
   Relays *relays;
   StoreLink *leases;
+  QuarantineWriter *quarantine;
   struct evhttp *ready_http, *control_http, *metrics_http;
   struct event *tick;
   struct event *drain_timer;
@@ -60,6 +62,7 @@
   gint64 wait = router_next_tick(gateway->router) - node_now();
   struct timeval time;
   load_exchange_notice(gateway->exchange);
+  quarantine_writer_look(gateway->quarantine);
   wait = CLAMP(wait, 0, TICK_MOST);
   time.tv_sec = wait / MP_SEC;
   time.tv_usec = wait % MP_SEC;
@@ -242,6 +245,12 @@
     relays_take(gateway->relays, from, message);
 }
 
+static void on_crashes(void *data) {
+  const Gateway *gateway = data;
+  if (gateway->relays != NULL)
+    relays_crashes(gateway->relays);
+}
+
 static void on_digest(void *data) {
   const Gateway *gateway = data;
   if (gateway->relays != NULL)
@@ -301,7 +310,8 @@
   CarrierCounts counts;
   counts.endpoint_connections = endpoint_links_opened(gateway->links);
   counts.store_calls = directory_store_calls(gateway->directory) +
-                       store_link_calls(gateway->leases);
+                       store_link_calls(gateway->leases) +
+                       quarantine_writer_calls(gateway->quarantine);
   counts.log_lines_left_out = log_left_out(gateway->log);
   counts.log_lines_lost = log_lost(gateway->log);
   counts.idle_endpoint_connections = endpoint_links_idle(gateway->links);
@@ -496,7 +506,7 @@
 
 static gboolean make_exchange(Gateway *gateway, const GatewayOptions *options,
                               GError **error) {
-  LoadExchangeHooks hooks = {gateway, on_relay_message, on_digest};
+  LoadExchangeHooks hooks = {gateway, on_crashes, on_relay_message, on_digest};
   gateway->exchange = load_exchange_new(gateway->base, options->exchange,
                                         gateway->router, &hooks, error);
   return gateway->exchange != NULL;
@@ -519,6 +529,8 @@
   gateway->leases = store_link_new(base, options->store, &dialect->store,
                                    on_lease_reply, gateway);
   make_router(gateway, options);
+  gateway->quarantine = quarantine_writer_new(base, dialect, options->store,
+                                              gateway->router, log);
   gateway->front = front_new(base, options->callers, dialect, &front, error);
   gateway->group = relay_group_new(options->exchange, options->capacity,
                                    &times, node_now());
@@ -558,6 +570,7 @@
     load_exchange_free(gateway->exchange);
   endpoint_links_free(gateway->links);
   store_link_free(gateway->leases);
+  quarantine_writer_free(gateway->quarantine);
   router_free(gateway->router);
   event_free(gateway->tick);
   event_free(gateway->drain_timer);
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -27,7 +27,8 @@
   GArray *peers; /* mp_Addr */
   gboolean only; /* digests of others are not taken */
   guint32 sequence;
-  guint64 told; /* the version that was sent last */
+  guint64 told;         /* the version that was sent last */
+  guint64 crashes_told; /* router_crash_version that was sent last */
   gint64 sent_at;
 };
 
@@ -75,6 +76,20 @@
   exchange->sent_at = node_now();
 }
 
+/*
+** Requests that end endpoints are told at once, and again with each refresh
+** for some seconds: a datagram may be lost. There are none to tell mostly.
+*/
+static void send_crashes(LoadExchange *exchange) {
+  mp_Msg message;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_CRASHES;
+  exchange->crashes_told = router_crash_version(exchange->router);
+  router_tell_crashes(exchange->router, FALSE, &message.u.crashes, node_now());
+  if (message.u.crashes.n > 0)
+    send_to_all(exchange, &message);
+}
+
 static void start_timer(LoadExchange *exchange, gint64 wait) {
   struct timeval time = {wait / MP_SEC, wait % MP_SEC};
   event_add(exchange->timer, &time);
@@ -85,11 +100,14 @@
   (void)fd;
   (void)what;
   send_digest(exchange);
+  send_crashes(exchange);
   start_timer(exchange, REFRESH);
 }
 
 void load_exchange_notice(LoadExchange *exchange) {
   gint64 due = exchange->sent_at + least_interval(exchange) - node_now();
+  if (router_crash_version(exchange->router) != exchange->crashes_told)
+    send_crashes(exchange);
   if (router_load_version(exchange->router) == exchange->told)
     return;
   if (due <= 0) {
@@ -129,6 +147,11 @@
   exchange->hooks.digest(exchange->hooks.data);
 }
 
+static void take_crashes(LoadExchange *exchange, const mp_CrashNews *news) {
+  if (router_hear_crashes(exchange->router, news, node_now()))
+    exchange->hooks.crashes(exchange->hooks.data);
+}
+
 static void take(LoadExchange *exchange, mp_Addr peer, const char *bytes,
                  size_t size) {
   mp_Msg message;
@@ -139,6 +162,8 @@
     return;
   if (message.kind == MP_MSG_LOAD_DIGEST || message.kind == MP_MSG_LOAD_NOTE)
     take_load(exchange, peer, &message);
+  else if (message.kind == MP_MSG_CRASHES)
+    take_crashes(exchange, &message.u.crashes);
   else
     exchange->hooks.relay(exchange->hooks.data, peer, &message);
 }
--- a/io/load_exchange.h
+++ b/io/load_exchange.h
@@ -19,6 +19,7 @@
 /* what came beside notes: a message of another kind, or a digest */
 typedef struct LoadExchangeHooks {
   void *data;
+  void (*crashes)(void *data); /* news of requests that end endpoints came */
   void (*relay)(void *data, mp_Addr from, const mp_Msg *message);
   void (*digest)(void *data); /* a digest was taken */
 } LoadExchangeHooks;
--- a/io/relays.c
+++ b/io/relays.c
@@ -107,6 +107,31 @@
   g_array_free(far, TRUE);
 }
 
+/*
+** With many instances each tells its own data centre alone. The first relay
+** hands on to the others, and from them to its members, what it has learned
+** lately, and again with each heartbeat for some seconds.
+*/
+static void send_crashes(Relays *relays, gint64 now) {
+  mp_Msg message;
+  GArray *far;
+  if (!relays->summing || !relay_group_is_first(relays->group, now))
+    return;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_CRASHES;
+  router_tell_crashes(relays->router, TRUE, &message.u.crashes, now);
+  if (message.u.crashes.n == 0)
+    return;
+  far = relay_group_far(relays->group, now);
+  send_to_all(relays, far, &message);
+  send_to_all(relays, relay_group_members(relays->group), &message);
+  g_array_free(far, TRUE);
+}
+
+void relays_crashes(Relays *relays) {
+  send_crashes(relays, node_now());
+}
+
 static void ask_all(Relays *relays, const mp_Addr *asked, unsigned count) {
   mp_Msg message;
   unsigned i;
@@ -151,6 +176,7 @@
   take_role(relays, now);
   send_beats(relays, now);
   send_summary(relays, now);
+  send_crashes(relays, now);
   if (relays->role == RELAY_ROLE_MEMBER && !directory_knows(relays->directory))
     ask(relays);
   if (relays->proving)
--- a/io/relays.h
+++ b/io/relays.h
@@ -38,6 +38,9 @@
 /* loads were heard: endpoints that begin to fail are told to the other data
 ** centres at once */
 void relays_loads(Relays *relays);
+/* requests that end endpoints were heard of: told to the other data centres,
+** and here, at once */
+void relays_crashes(Relays *relays);
 /* the store has answered; news are told to the others at once */
 void relays_news(Relays *relays);
 
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -75,6 +75,17 @@
   return g_hash_table_lookup(table->by_id, id);
 }
 
+Endpoint *endpoint_table_get_life(const EndpointTable *table, const char *id,
+                                  guint32 hash) {
+  Endpoint *endpoint = endpoint_table_get(table, id);
+  return endpoint != NULL && endpoint->hash == hash ? endpoint : NULL;
+}
+
+static guint32 life_hash(const EndpointRecord *record) {
+  return (guint32)XXH3_64bits_withSeed(record->id, strlen(record->id),
+                                       (guint64)record->born_unix_ms);
+}
+
 static void record_copy(EndpointRecord *to, const EndpointRecord *from) {
   endpoint_record_clear(to);
   *to = *from;
@@ -83,17 +94,45 @@
   to->zone = g_strdup(from->zone);
 }
 
+/* a start that is not said tells nothing of another life */
+EndpointNews endpoint_table_compare(const EndpointTable *table,
+                                    const EndpointRecord *record) {
+  const Endpoint *known = endpoint_table_get(table, record->id);
+  gint64 before;
+  if (known == NULL)
+    return ENDPOINT_NEW;
+  before = known->record.born_unix_ms;
+  if (before == 0 || record->born_unix_ms == 0 ||
+      record->born_unix_ms == before)
+    return ENDPOINT_SAME;
+  return record->born_unix_ms > before ? ENDPOINT_RESTARTED
+                                       : ENDPOINT_OUTDATED;
+}
+
+static Endpoint *add(EndpointTable *table) {
+  Endpoint *endpoint = g_new0(Endpoint, 1);
+  g_ptr_array_add(table->all, endpoint);
+  return endpoint;
+}
+
 void endpoint_table_set(EndpointTable *table, const EndpointRecord *record) {
   Endpoint *endpoint = endpoint_table_get(table, record->id);
-  if (endpoint == NULL) {
-    endpoint = g_new0(Endpoint, 1);
-    endpoint->hash = (guint32)XXH3_64bits(record->id, strlen(record->id));
-    g_ptr_array_add(table->all, endpoint);
-  } else
+  EndpointNews news = endpoint_table_compare(table, record);
+  gint64 born;
+  if (news == ENDPOINT_OUTDATED)
+    return;
+  if (news == ENDPOINT_RESTARTED)
+    endpoint_table_remove(table, record->id);
+  else if (news == ENDPOINT_SAME)
     g_hash_table_remove(table->by_id, record->id);
+  if (news != ENDPOINT_SAME)
+    endpoint = add(table);
   if (endpoint->changing_until != 0 && record->stage == endpoint->changing_to)
     endpoint->changing_until = 0;
+  born = MAX(endpoint->record.born_unix_ms, record->born_unix_ms);
   record_copy(&endpoint->record, record);
+  endpoint->record.born_unix_ms = born;
+  endpoint->hash = life_hash(&endpoint->record);
   g_hash_table_insert(table->by_id, endpoint->record.id, endpoint);
 }
 
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -17,7 +17,7 @@
 
 typedef struct Endpoint {
   EndpointRecord record;
-  guint32 hash;              /* of its id, as digests name it */
+  guint32 hash;              /* of its id and life, as digests name it */
   guint open;                /* this instance's dispatches there */
   guint64 tokens;            /* prompt and output tokens of those */
   double failures;           /* recent share of failed dispatches, 0 to 1 */
@@ -55,6 +55,17 @@
 EndpointTable *endpoint_table_new(const char *zone);
 void endpoint_table_free(EndpointTable *table);
 
+/* what a record is to what was known of the endpoint */
+typedef enum EndpointNews {
+  ENDPOINT_NEW,
+  ENDPOINT_SAME,      /* the same life; it may say something else */
+  ENDPOINT_RESTARTED, /* a later life: what was held of the earlier is gone */
+  ENDPOINT_OUTDATED   /* of an earlier life: it changes nothing */
+} EndpointNews;
+
+EndpointNews endpoint_table_compare(const EndpointTable *table,
+                                    const EndpointRecord *record);
+/* as compared: an outdated one is left out */
 void endpoint_table_set(EndpointTable *table, const EndpointRecord *record);
 void endpoint_table_remove(EndpointTable *table, const char *id);
 /* forget every endpoint whose id is no key of 'names' */
@@ -62,6 +73,9 @@
 
 /* NULL when it is not listed (any more) */
 Endpoint *endpoint_table_get(const EndpointTable *table, const char *id);
+/* the same, and NULL when another life of it is listed (Endpoint.hash) */
+Endpoint *endpoint_table_get_life(const EndpointTable *table, const char *id,
+                                  guint32 hash);
 
 /* the best endpoint for a wish, or NULL */
 Endpoint *endpoint_table_choose(const EndpointTable *table,
--- a/router/finish.c
+++ b/router/finish.c
@@ -39,16 +39,25 @@
     return RETRY_AFTER_ABSENT_MS;
   case REFUSAL_DRAINING:
     return RETRY_AFTER_DRAINING_MS;
+  case REFUSAL_HELD: /* the request says when: suspects_may_send */
   default:
     return 0;
   }
 }
 
 const char *finish_refusal_name(RefusalKind kind) {
-  static const char *const names[] = {
-      "no_configuration", "no_route",        "no_endpoint", "busy", "not_run",
-      "draining",         "outcome_unknown", "timeout",     "key",  "limit",
-      "old_configuration"};
+  static const char *const names[] = {"no_configuration",
+                                      "no_route",
+                                      "no_endpoint",
+                                      "busy",
+                                      "not_run",
+                                      "draining",
+                                      "outcome_unknown",
+                                      "timeout",
+                                      "key",
+                                      "limit",
+                                      "old_configuration",
+                                      "held"};
   return names[kind];
 }
 
@@ -64,10 +73,13 @@
   if (request->come_back != 0)
     refusal.retry_after_ms = request->come_back / MP_MS;
   router_count(router, REFUSED);
+  if (kind == REFUSAL_HELD)
+    router_count(router, REFUSED_HELD);
   router_log(router, MP_LOG_ROUTE_REFUSED,
-             " request=%s reason=%s runs=%u arrivals=%u unreachable=%u",
+             " request=%s reason=%s runs=%u arrivals=%u unreachable=%u "
+             "content=%016" G_GINT64_MODIFIER "x",
              request->id, finish_refusal_name(kind), request->runs,
-             request->arrivals, request->unreachable);
+             request->arrivals, request->unreachable, request->content);
   path_close_dispatch(router, request, TRUE);
   router->host.refuse(router->host.data, request->number, &refusal);
   forget(router, request);
--- a/router/follower.h
+++ b/router/follower.h
@@ -28,6 +28,7 @@
   STORE_CONFIGURATION, /* the operators' configuration, one object */
   STORE_ENDPOINTS,     /* what may run requests */
   STORE_INSTANCES,     /* instances of this system; kept by themselves */
+  STORE_QUARANTINE,    /* requests that end endpoints; our own */
   STORE_LEASES         /* who may do what only one may do; our own */
 } StoreKind;
 
@@ -35,12 +36,14 @@
   STORE_LIST,
   STORE_WATCH,
   STORE_CREATE,
-  STORE_READ,   /* one object */
-  STORE_REPLACE /* one object, if it is still at that revision */
+  STORE_READ,    /* one object */
+  STORE_REPLACE, /* one object, if it is still at that revision */
+  STORE_REMOVE   /* likewise */
 } StoreOperation;
 
 struct LeaseRecord;
 struct InstanceRecord;
+struct QuarantineRecord;
 
 typedef struct StoreCall {
   StoreKind kind;
@@ -52,13 +55,14 @@
   const char *name;  /* CREATE, READ, REPLACE */
   const struct InstanceRecord *instance; /* CREATE, REPLACE of an instance */
   const struct LeaseRecord *lease;       /* CREATE and REPLACE of a lease */
+  const struct QuarantineRecord *quarantine; /* the same of such a request */
 } StoreCall;
 
 typedef enum StoreStatus {
   STORE_OK,
   STORE_HISTORY_GONE, /* WATCH: list again */
   STORE_EXISTS,       /* CREATE; REPLACE: at another revision */
-  STORE_ABSENT,       /* READ, REPLACE */
+  STORE_ABSENT,       /* READ, REPLACE, REMOVE */
   STORE_FAILED        /* no answer, or none that can be used */
 } StoreStatus;
 
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -21,9 +21,11 @@
 ** come there within some ten milliseconds */
 #define BEHIND_MOST (500 * MP_MS)
 
-/* longest waits after failures: instances change rarely; and who stands in for
-** relays that the store does not answer is one of many that ask */
-#define INSTANCES_RETRY (5 * MP_SEC)
+/* longest waits after failures: instances change rarely, and what ends
+ *endpoints
+ ** is told between instances besides; and who stands in for
+ ** relays that the store does not answer is one of many that ask */
+#define RARE_RETRY (5 * MP_SEC)
 #define STAND_IN_RETRY (3 * MP_SEC)
 
 void news_source_init(NewsSource *source, RelayGroup *group,
@@ -33,8 +35,9 @@
   source->host = *host;
   source->seeds = seeds;
   source->seeds_count = seeds_count;
-  if (source->follower.kind == STORE_INSTANCES)
-    source->follower.retry_most = INSTANCES_RETRY;
+  if (source->follower.kind == STORE_INSTANCES ||
+      source->follower.kind == STORE_QUARANTINE)
+    source->follower.retry_most = RARE_RETRY;
 }
 
 static gboolean knows(const NewsSource *source) {
@@ -95,15 +98,25 @@
 ** One that starts reads the store once, before it knows who follows it: a
 ** relay's link would take seconds for all that start at once. An old list
 ** will do, and costs less: changes after it are heard in a moment, from a
-** watch or from a relay.
+** watch or from a relay. The quarantine is short and waits for the relay.
 */
 static gboolean is_first_list(const NewsSource *source, RelayRole role) {
-  return !knows(source) &&
+  return !knows(source) && source->follower.kind != STORE_QUARANTINE &&
          (role == RELAY_ROLE_STARTING || role == RELAY_ROLE_MEMBER);
 }
 
+/* One of many that stand in for relays asks for the quarantine once the store
+** answers it about what matters more: a call that fails is a call */
+static gboolean may_wait(const NewsSource *source, gint64 now) {
+  return source->follower.kind == STORE_QUARANTINE &&
+         relay_group_stands_in(source->group, now) &&
+         !relay_group_store_answers(source->group, now);
+}
+
 static void choose(NewsSource *source, gint64 now, NewsWanted *out) {
   RelayRole role = relay_group_role(source->group, now);
+  if (may_wait(source, now))
+    return;
   if (is_first_list(source, role))
     choose_for_follower(source, now, out);
   else if (role == RELAY_ROLE_STARTING)
@@ -146,7 +159,7 @@
 static void note_call(NewsSource *source, StoreCall *call, gint64 now) {
   if (source->proof_within > 0)
     call->wait = MIN(call->wait, source->proof_within);
-  if (call->kind != STORE_INSTANCES)
+  if (call->kind == STORE_CONFIGURATION || call->kind == STORE_ENDPOINTS)
     call->wait = MIN(call->wait,
                      relay_group_watch_wait(source->group, call->kind, now));
   source->asked_at = now;
--- a/router/path.c
+++ b/router/path.c
@@ -70,7 +70,7 @@
 /* a stream has grown: count its memory anew */
 static void count_memory(Router *router, Request *request) {
   OpenDispatch *open = &request->open;
-  Endpoint *endpoint = endpoint_table_get(router->endpoints, open->endpoint);
+  Endpoint *endpoint = path_open_endpoint(router, request);
   guint64 tokens = path_memory(router, request);
   if (endpoint == NULL || tokens < open->tokens + COUNT_STEP)
     return;
@@ -123,12 +123,18 @@
 ** ===================================================================
 */
 
+Endpoint *path_open_endpoint(const Router *router, const Request *request) {
+  const OpenDispatch *open = &request->open;
+  return endpoint_table_get_life(router->endpoints, open->endpoint,
+                                 open->life);
+}
+
 void path_close_dispatch(Router *router, Request *request, gboolean cancel) {
   OpenDispatch *open = &request->open;
   Endpoint *endpoint;
   if (open->number == 0)
     return;
-  endpoint = endpoint_table_get(router->endpoints, open->endpoint);
+  endpoint = path_open_endpoint(router, request);
   if (endpoint != NULL) {
     endpoint->open -= MIN(endpoint->open, 1);
     endpoint->tokens -= MIN(endpoint->tokens, open->tokens);
@@ -165,6 +171,7 @@
   OpenDispatch *open = &request->open;
   open->number = ++router->last_dispatch;
   open->endpoint = g_strdup(endpoint->record.id);
+  open->life = endpoint->hash;
   open->tokens = tokens;
   open->sent = now;
   endpoint->open++;
@@ -277,12 +284,18 @@
                                      : MAX(objectives, CONNECT_LEAST);
 }
 
+gboolean path_may_send(Router *router, Request *request, RefusalKind *why,
+                       gint64 now) {
+  return accounts_may_dispatch(router, request, why, now) &&
+         suspects_may_send(router, request, why, now);
+}
+
 void path_run(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint;
   guint64 tokens = 0;
   gboolean is_reserved;
   RefusalKind why;
-  if (!accounts_may_dispatch(router, request, &why, now)) {
+  if (!path_may_send(router, request, &why, now)) {
     finish_forbidden(router, request, why, now);
     return;
   }
@@ -422,8 +435,7 @@
 
 /* silence alone ends no answer: without another run this one goes on */
 void path_stalled(Router *router, Request *request, gint64 now) {
-  Endpoint *endpoint =
-      endpoint_table_get(router->endpoints, request->open.endpoint);
+  Endpoint *endpoint = path_open_endpoint(router, request);
   if (endpoint != NULL)
     endpoint_failed(endpoint, now);
   if (!leave_for_another(router, request, TRUE, now))
@@ -458,13 +470,24 @@
   path_run_again(router, request, FALSE, now);
 }
 
+void path_suspect_end(Router *router, const Request *request,
+                      const Endpoint *endpoint, gint64 now) {
+  QuarantineSuspect suspect = {request->content, request->id,
+                               request->route->name, NULL};
+  if (request->account != NULL)
+    suspect.account = request->account->name;
+  crash_watch_broken(router->crashes, endpoint, &suspect, now);
+}
+
 static void broken(Router *router, Request *request, Endpoint *endpoint,
                    gint64 now) {
   router_count(router, BROKEN);
   request->arrivals++;
   request->runs++;
-  if (endpoint != NULL)
+  if (endpoint != NULL) {
     endpoint_failed(endpoint, now);
+    path_suspect_end(router, request, endpoint, now);
+  }
   path_close_dispatch(router, request, FALSE);
   if (request->head_sent)
     router_count(router, RESUMED);
@@ -487,6 +510,7 @@
     endpoint_failed(endpoint, now);
   else if (endpoint != NULL)
     endpoint_succeeded(endpoint, now);
+  suspects_succeeded(router, request);
   if (failed && leave_for_another(router, request, FALSE, now))
     return;
   if (request->head_sent) { /* a resumed stream got no stream */
@@ -521,8 +545,7 @@
 
 /* the run goes on; only the next choices are told */
 void path_suspect(Router *router, Request *request, gint64 now) {
-  Endpoint *endpoint =
-      endpoint_table_get(router->endpoints, request->open.endpoint);
+  Endpoint *endpoint = path_open_endpoint(router, request);
   request->suspect_at = 0;
   if (endpoint == NULL)
     return;
@@ -552,8 +575,7 @@
 
 void path_outcome(Router *router, Request *request, const Outcome *outcome,
                   gint64 now) {
-  Endpoint *endpoint =
-      endpoint_table_get(router->endpoints, request->open.endpoint);
+  Endpoint *endpoint = path_open_endpoint(router, request);
   if (outcome->kind != OUTCOME_STREAM_PIECE)
     router_log(router, MP_LOG_ROUTE_OUTCOME,
                " request=%s endpoint=%s outcome=%s status=%d after_ms=%d "
@@ -598,6 +620,7 @@
     if (endpoint != NULL)
       endpoint_succeeded(endpoint, now);
     learn_output(router, request);
+    suspects_succeeded(router, request);
     router_time(router, request, DURATION_STREAM, now);
     admission_ended(router, now);
     finish_answered(router, request, outcome);
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -39,7 +39,8 @@
   Endpoint *endpoint;
   if (request->decode == NULL)
     return;
-  endpoint = endpoint_table_get(router->endpoints, request->decode);
+  endpoint = endpoint_table_get_life(router->endpoints, request->decode,
+                                     request->decode_life);
   if (endpoint != NULL)
     endpoint->tokens -= MIN(endpoint->tokens, request->decode_tokens);
   router->load_version++;
@@ -48,6 +49,7 @@
 
 void prefill_reserve(Router *router, Request *request, Endpoint *decode) {
   request->decode = g_strdup(decode->record.id);
+  request->decode_life = decode->hash;
   request->decode_tokens = path_memory(router, request);
   decode->tokens += request->decode_tokens;
   router->load_version++;
@@ -106,7 +108,7 @@
   Endpoint *prefill;
   RefusalKind why;
   gint64 expected;
-  if (!accounts_may_dispatch(router, request, &why, now))
+  if (!path_may_send(router, request, &why, now))
     return FALSE; /* the run that comes in its place is refused */
   if (request->prefills_sent >= MOST_PREFILLS ||
       is_too_risky(router, request, now) ||
@@ -197,8 +199,7 @@
 /* judge the engine by how the prefill ended */
 static void judge_engine(Router *router, Request *request,
                          const Outcome *outcome, gint64 now) {
-  Endpoint *endpoint =
-      endpoint_table_get(router->endpoints, request->open.endpoint);
+  Endpoint *endpoint = path_open_endpoint(router, request);
   if (outcome->kind == OUTCOME_UNREACHABLE)
     router_count(router, UNREACHABLE);
   if (outcome->kind == OUTCOME_NOT_RUN)
@@ -211,6 +212,8 @@
     endpoint_unreachable(endpoint, now);
   else
     endpoint_failed(endpoint, now);
+  if (outcome->kind == OUTCOME_BROKEN)
+    path_suspect_end(router, request, endpoint, now);
 }
 
 static void log_prefill(Router *router, const Request *request,
@@ -224,8 +227,7 @@
 
 void prefill_outcome(Router *router, Request *request, const Outcome *outcome,
                      gint64 now) {
-  Endpoint *endpoint =
-      endpoint_table_get(router->endpoints, request->open.endpoint);
+  Endpoint *endpoint = path_open_endpoint(router, request);
   gboolean is_read =
       outcome->kind == OUTCOME_ANSWER && outcome->handle != NULL;
   if (is_read) {
@@ -254,8 +256,7 @@
 ** queue, and to leave it would be an arrival more.
 */
 void prefill_stalled(Router *router, Request *request, gint64 now) {
-  Endpoint *endpoint =
-      endpoint_table_get(router->endpoints, request->open.endpoint);
+  Endpoint *endpoint = path_open_endpoint(router, request);
   if (endpoint != NULL)
     endpoint_failed(endpoint, now);
   learn_pace(router, request, now); /* it is no faster than this */
--- a/router/records.h
+++ b/router/records.h
@@ -138,9 +138,14 @@
   STAGE_DECODE
 } EndpointStage;
 
-/* one incarnation of an endpoint as the platform's list has it */
+/*
+** An endpoint as the platform's list has it. Its process may start again under
+** the same id: a life of it is told by the id and the time of its start. What
+** was sent to an earlier life, and what that held, is gone with it.
+*/
 typedef struct EndpointRecord {
-  char *id; /* of this incarnation; appears nowhere else */
+  char *id;            /* appears nowhere else in the list */
+  gint64 born_unix_ms; /* start of this life; 0: not said */
   char *service;
   char *zone;
   mp_Addr address;
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -252,6 +252,14 @@
              group->confirmed[STORE_ENDPOINTS]);
 }
 
+gboolean relay_group_store_answers(const RelayGroup *group, gint64 now) {
+  gint64 last = 0;
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    last = MAX(last, group->confirmed[kind]);
+  return last != 0 && now - last <= group->fresh;
+}
+
 void relay_group_doubt(RelayGroup *group, mp_Addr address) {
   Relay *relay = g_hash_table_lookup(group->relays, &address);
   if (relay != NULL)
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -100,6 +100,8 @@
                                mp_Addr *out, unsigned most);
 /* the store has answered this instance about a kind */
 void relay_group_confirm(RelayGroup *group, StoreKind kind, gint64 now);
+/* has the store answered this instance lately, about any kind? */
+gboolean relay_group_store_answers(const RelayGroup *group, gint64 now);
 /* this relay did not answer: not asked again until its next heartbeat */
 void relay_group_doubt(RelayGroup *group, mp_Addr relay);
 
--- a/router/router.c
+++ b/router/router.c
@@ -6,6 +6,9 @@
 #include <stdarg.h>
 #include <string.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include "router/retry_exchange.h"
 #include "router/state.h"
 
@@ -38,9 +41,37 @@
   g_free(request);
 }
 
+static guint64 check_endpoint(void *data, const Endpoint *endpoint,
+                              gint64 timeout) {
+  Router *router = data;
+  Dispatch dispatch = {0};
+  dispatch.number = ++router->last_dispatch;
+  dispatch.kind = DISPATCH_CHECK;
+  dispatch.address = endpoint->record.address;
+  dispatch.endpoint = endpoint->record.id;
+  dispatch.connect_timeout = timeout;
+  router->host.dispatch(router->host.data, &dispatch);
+  return dispatch.number;
+}
+
+static void endpoint_ended(void *data, const char *endpoint, guint32 life,
+                           const QuarantineSuspect *suspects, guint count,
+                           const char *how, gint64 now) {
+  Router *router = data;
+  guint i;
+  router_count(router, ENDPOINT_ENDS);
+  router_log(router, MP_LOG_EP_ENDED, " endpoint=%s requests=%u proof=%s",
+             endpoint, count, how);
+  for (i = 0; i < count; i++)
+    suspects_strike(router, &suspects[i], life, now);
+  suspects_sweep(router, now);
+}
+
 Router *router_new(const RouterOptions *options, const RouterHost *host,
                    gint64 now) {
   Router *router = g_new0(Router, 1);
+  CrashWatchHost crash_host = {NULL, check_endpoint, endpoint_ended};
+  crash_host.data = router;
   router->host = *host;
   router->retry.ratio = options->retry_ratio;
   router->retry.window = options->retry_window;
@@ -56,6 +87,8 @@
   router->near = 1;
   router->waiting = g_ptr_array_new();
   router->limits = account_limits_new(&options->limits, now);
+  router->crashes = crash_watch_new(&crash_host);
+  router->quarantine = quarantine_new(options->unix_offset, options->seed);
   router->revoke_bound = options->revoke_bound;
   router->news_bound = options->news_bound;
   router->dispatched = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -67,6 +100,8 @@
 void router_free(Router *router) {
   stages_free(router->stages);
   account_limits_free(router->limits);
+  crash_watch_free(router->crashes);
+  quarantine_free(router->quarantine);
   g_hash_table_destroy(router->dispatched);
   g_ptr_array_free(router->waiting, TRUE);
   g_hash_table_destroy(router->requests);
@@ -127,21 +162,97 @@
   router->heard_at = MAX(router->heard_at, at);
 }
 
+/* a dispatch of a request that is open at this life of the endpoint */
+static guint64 open_dispatch(const Router *router, const char *endpoint,
+                             guint32 life) {
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, router->requests);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const OpenDispatch *open = &((const Request *)value)->open;
+    if (open->number != 0 && open->life == life &&
+        strcmp(open->endpoint, endpoint) == 0)
+      return open->number;
+  }
+  return 0;
+}
+
+/* prompts that the endpoint had read, and what was reserved there, are gone */
+static void drop_prompts(Router *router, const char *endpoint) {
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, router->requests);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    Request *request = value;
+    if (g_strcmp0(request->handle_endpoint, endpoint) == 0) {
+      g_clear_pointer(&request->handle, g_free);
+      g_clear_pointer(&request->handle_endpoint, g_free);
+    }
+    if (g_strcmp0(request->read_by, endpoint) == 0)
+      g_clear_pointer(&request->read_by, g_free);
+    if (g_strcmp0(request->decode, endpoint) == 0)
+      g_clear_pointer(&request->decode, g_free);
+  }
+}
+
+/*
+** The endpoint's process has started again, as a record says: this life of it
+** is over. Runs on it have ended, whether their connections have broken off
+** yet or not: they are tried again, or not, by the same rules as others that
+** broke off.
+*/
+static void end_life(Router *router, Endpoint *endpoint, gint64 now) {
+  char *id = g_strdup(endpoint->record.id);
+  guint32 life = endpoint->hash;
+  guint64 number;
+  router_log(router, MP_LOG_EP_RESTARTED, " endpoint=%s", id);
+  drop_prompts(router, id);
+  stages_restarted(router->stages, id);
+  endpoint->avoid_until = G_MAXINT64; /* none is sent there any more */
+  while ((number = open_dispatch(router, id, life)) != 0) {
+    Outcome outcome = {0};
+    outcome.dispatch = number;
+    outcome.kind = OUTCOME_BROKEN;
+    router->host.cancel(router->host.data, number);
+    router_outcome(router, &outcome, now);
+  }
+  crash_watch_over(router->crashes, id, life, "restarted", now);
+  g_free(id);
+}
+
+static void forget_endpoint(Router *router, const Endpoint *known,
+                            gint64 now) {
+  char *id;
+  guint32 life;
+  if (known == NULL)
+    return;
+  id = g_strdup(known->record.id);
+  life = known->hash;
+  router_log(router, MP_LOG_EP_LEAVING, " endpoint=%s gone=1", id);
+  endpoint_table_remove(router->endpoints, id);
+  crash_watch_over(router->crashes, id, life, "gone", now);
+  g_free(id);
+}
+
 void router_set_endpoint(Router *router, const EndpointRecord *record,
                          gboolean gone, gint64 now) {
-  const Endpoint *known = endpoint_table_get(router->endpoints, record->id);
-  (void)now;
+  Endpoint *known = endpoint_table_get(router->endpoints, record->id);
+  gboolean was_ready = known != NULL && known->record.ready;
+  EndpointNews news;
   if (gone) {
-    if (known != NULL)
-      router_log(router, MP_LOG_EP_LEAVING, " endpoint=%s gone=1", record->id);
-    endpoint_table_remove(router->endpoints, record->id);
+    forget_endpoint(router, known, now);
     return;
   }
-  if (known == NULL || known->record.ready != record->ready)
+  news = endpoint_table_compare(router->endpoints, record);
+  if (news == ENDPOINT_OUTDATED)
+    return;
+  if (news == ENDPOINT_RESTARTED)
+    end_life(router, known, now);
+  endpoint_table_set(router->endpoints, record);
+  if (news != ENDPOINT_SAME || was_ready != record->ready)
     router_log(router, record->ready ? MP_LOG_EP_UP : MP_LOG_EP_LEAVING,
                " endpoint=%s service=%s zone=%s stage=%d", record->id,
                record->service, record->zone, (int)record->stage);
-  endpoint_table_set(router->endpoints, record);
 }
 
 void router_keep_endpoints(Router *router, GHashTable *names, gint64 now) {
@@ -164,8 +275,17 @@
 ** ===================================================================
 */
 
+/* what one client account sends is held against that account alone */
+static guint64 content_of(const CallerRequest *call, const Account *account) {
+  if (account == NULL)
+    return call->content;
+  return XXH3_64bits_withSeed(account->name, strlen(account->name),
+                              call->content);
+}
+
 static Request *request_new(const CallerRequest *call, RouteTable *table,
-                            const Route *route, gint64 now) {
+                            const Route *route, const Account *account,
+                            gint64 now) {
   Request *request = g_new0(Request, 1);
   gint64 patience =
       call->deadline_ms > 0 ? call->deadline_ms * MP_MS : route->timeout;
@@ -177,7 +297,7 @@
   request->prompt_tokens = call->prompt_tokens;
   request->output_tokens = call->output_tokens;
   request->session = call->session;
-  request->content = call->content;
+  request->content = content_of(call, account);
   request->resumes = call->resumes;
   request->arrived = now;
   request->caller_deadline = now + patience;
@@ -241,7 +361,7 @@
     return;
   }
   service = route_choose_service(route, g_rand_int(router->random));
-  request = request_new(call, router->routes, route, now);
+  request = request_new(call, router->routes, route, account, now);
   accounts_set(request, call, account);
   request->service = route_table_service(router->routes, service);
   g_hash_table_insert(router->requests, &request->number, request);
@@ -249,6 +369,10 @@
     finish_refuse(router, request, REFUSAL_NO_ENDPOINT);
     return;
   }
+  if (!suspects_may_send(router, request, &refusal.kind, now)) {
+    finish_refuse(router, request, refusal.kind);
+    return;
+  }
   retry_budget_request(router_budget(router, service), &router->retry, now);
   router_log(router, MP_LOG_ROUTE_ACCEPT,
              " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
@@ -283,7 +407,8 @@
 
 void router_outcome(Router *router, const Outcome *outcome, gint64 now) {
   Request *request;
-  if (stages_outcome(router->stages, outcome, now))
+  if (stages_outcome(router->stages, outcome, now) ||
+      crash_watch_outcome(router->crashes, outcome, now))
     return;
   request = g_hash_table_lookup(router->dispatched, &outcome->dispatch);
   if (request == NULL)
@@ -361,6 +486,8 @@
   while (tick_one(router, now)) {
   }
   stages_tick(router->stages, now);
+  crash_watch_expire(router->crashes, now);
+  quarantine_expire(router->quarantine, now);
   admission_run(router, now);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -23,6 +23,7 @@
 #include "router/follower.h"
 #include "router/histogram.h"
 #include "router/lease.h"
+#include "router/quarantine.h"
 #include "router/records.h"
 
 typedef struct Router Router;
@@ -49,6 +50,7 @@
   DISPATCH_PREFILL, /* read the prompt and keep it under a handle */
   DISPATCH_RELEASE, /* free a handle */
   DISPATCH_REPORT,  /* an engine tells its state */
+  DISPATCH_CHECK,   /* does it take connections? One is kept if it does */
   DISPATCH_ORDER    /* an engine changes its stage */
 } DispatchKind;
 
@@ -71,7 +73,7 @@
 typedef struct Dispatch {
   guint64 number; /* the router's; named again in the outcome */
   DispatchKind kind;
-  guint64 request; /* the caller's; 0 for RELEASE, REPORT and ORDER */
+  guint64 request; /* the caller's; 0 for what no caller asked for */
   mp_Addr address;
   const char *endpoint;    /* the endpoint's id: no other one may run it */
   const char *account;     /* RUN, PREFILL: whose request it is, or NULL */
@@ -88,16 +90,17 @@
 typedef enum RefusalKind {
   REFUSAL_NO_CONFIGURATION,
   REFUSAL_NO_ROUTE,
-  REFUSAL_NO_ENDPOINT,      /* not run: nobody is there to run it */
-  REFUSAL_BUSY,             /* not run: endpoints turned it away */
-  REFUSAL_NOT_RUN,          /* not run: its time passed while it waited */
-  REFUSAL_DRAINING,         /* not run: this instance is leaving */
-  REFUSAL_OUTCOME_UNKNOWN,  /* it may have run */
-  REFUSAL_TIMEOUT,          /* it may have run; its time passed */
-  REFUSAL_KEY,              /* not run: no account has its key */
-  REFUSAL_LIMIT,            /* not run: its account's limit is used up */
-  REFUSAL_OLD_CONFIGURATION /* not run: its key may have been taken away, or
-                            ** its route have come, since the configuration */
+  REFUSAL_NO_ENDPOINT,       /* not run: nobody is there to run it */
+  REFUSAL_BUSY,              /* not run: endpoints turned it away */
+  REFUSAL_NOT_RUN,           /* not run: its time passed while it waited */
+  REFUSAL_DRAINING,          /* not run: this instance is leaving */
+  REFUSAL_OUTCOME_UNKNOWN,   /* it may have run */
+  REFUSAL_TIMEOUT,           /* it may have run; its time passed */
+  REFUSAL_KEY,               /* not run: no account has its key */
+  REFUSAL_LIMIT,             /* not run: its account's limit is used up */
+  REFUSAL_OLD_CONFIGURATION, /* not run: its key may have been taken away, or
+                             ** its route have come, since the configuration */
+  REFUSAL_HELD /* not run: endpoints end under it (router/quarantine.h) */
 } RefusalKind;
 
 typedef struct Refusal {
@@ -162,6 +165,7 @@
   LimitTolerance limits; /* of client accounts */
   gint64 news_bound;     /* older news say nothing of a route that they lack;
                          ** 0: at any age (relay_longest_age) */
+  gint64 unix_offset;    /* Unix time less the steady clock's */
   gint64 revoke_bound;   /* requests with keys run only while the configuration
                          ** was the newest one so lately; 0: at any age */
 } RouterOptions;
@@ -223,6 +227,32 @@
 /* another instance has reserved room */
 void router_peer_note(Router *router, mp_Addr peer, const mp_LoadNote *note);
 
+/*
+** Requests under which endpoints ended (router/quarantine.h)
+*/
+
+/* another instance tells of some; TRUE: something was new */
+gboolean router_hear_crashes(Router *router, const mp_CrashNews *news,
+                             gint64 now);
+/* what to tell the others: what this instance saw, or 'all' that it knows */
+void router_tell_crashes(const Router *router, gboolean all, mp_CrashNews *out,
+                         gint64 now);
+/* grows when there is something new to tell */
+guint64 router_crash_version(const Router *router);
+/* an object of the store says so, at this revision; or it is gone from there
+ */
+void router_take_quarantine(Router *router, const QuarantineRecord *record,
+                            gint64 revision, gint64 now);
+void router_lift_quarantine(Router *router, guint64 content, gint64 now);
+/* what has to be written to the store; FALSE: nothing now */
+gboolean router_next_quarantine_save(Router *router, QuarantineSave *out,
+                                     gint64 now);
+void router_quarantine_save_failed(Router *router, guint64 content,
+                                   gint64 now);
+/* requests with a strike, and how many of them are held */
+void router_quarantine_count(const Router *router, gint64 now, guint *suspects,
+                             guint *held);
+
 /* the store answered RouterHost.lease_call */
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now);
 
--- a/router/stages.c
+++ b/router/stages.c
@@ -459,6 +459,17 @@
 
 /* }================================================================== */
 
+void stages_restarted(Stages *stages, const char *endpoint) {
+  guint i = 0;
+  while (i < stages->moves->len) {
+    const Move *move = stages->moves->pdata[i];
+    if (strcmp(move->endpoint, endpoint) == 0)
+      g_ptr_array_remove_index(stages->moves, i);
+    else
+      i++;
+  }
+}
+
 void stages_lease_reply(Stages *stages, const LeaseReply *reply, gint64 now) {
   lease_reply(&stages->lease, reply, now);
   if (lease_held(&stages->lease, 0, now))
--- a/router/state.h
+++ b/router/state.h
@@ -10,30 +10,33 @@
 #ifndef ROUTER_STATE_H
 #define ROUTER_STATE_H
 
+#include "router/crash_watch.h"
 #include "router/endpoint_table.h"
 #include "router/retry_budget.h"
 #include "router/router.h"
 #include "router/stages.h"
 
 /* X(symbol, name); all of them count from the start of the instance */
-#define ROUTER_COUNTERS(X)                \
-  X(REQUESTS, "requests")                 \
-  X(ANSWERED, "answered")                 \
-  X(REFUSED, "refused")                   \
-  X(BROKEN_OFF, "broken_off")             \
-  X(HANGUPS, "caller_hangups")            \
-  X(DISPATCHES, "dispatches")             \
-  X(PREFILLS, "prefills")                 \
-  X(RETRIES, "retries")                   \
-  X(RETRIES_DENIED, "retries_denied")     \
-  X(RESUMED, "streams_resumed")           \
-  X(UNREACHABLE, "endpoints_unreachable") \
-  X(NOT_RUN, "dispatches_not_run")        \
-  X(BROKEN, "dispatches_broken")          \
-  X(ORDERS, "orders")                     \
-  X(REFUSED_KEY, "refused_for_key")       \
-  X(REFUSED_LIMIT, "refused_for_limit")   \
-  X(REFUSED_OLD, "refused_for_old_configuration")
+#define ROUTER_COUNTERS(X)                        \
+  X(REQUESTS, "requests")                         \
+  X(ANSWERED, "answered")                         \
+  X(REFUSED, "refused")                           \
+  X(BROKEN_OFF, "broken_off")                     \
+  X(HANGUPS, "caller_hangups")                    \
+  X(DISPATCHES, "dispatches")                     \
+  X(PREFILLS, "prefills")                         \
+  X(RETRIES, "retries")                           \
+  X(RETRIES_DENIED, "retries_denied")             \
+  X(RESUMED, "streams_resumed")                   \
+  X(UNREACHABLE, "endpoints_unreachable")         \
+  X(NOT_RUN, "dispatches_not_run")                \
+  X(BROKEN, "dispatches_broken")                  \
+  X(ORDERS, "orders")                             \
+  X(REFUSED_KEY, "refused_for_key")               \
+  X(REFUSED_LIMIT, "refused_for_limit")           \
+  X(REFUSED_OLD, "refused_for_old_configuration") \
+  X(REFUSED_HELD, "refused_as_held")              \
+  X(ENDPOINT_ENDS, "endpoints_ended_under_requests")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -54,6 +57,7 @@
 typedef struct OpenDispatch {
   guint64 number; /* 0: none */
   char *endpoint; /* its id */
+  guint32 life;   /* of it: Endpoint.hash */
   guint64 tokens; /* counted at the endpoint */
   gint64 sent;
 } OpenDispatch;
@@ -68,7 +72,7 @@
   const Service *service;
   const Account *account; /* of that table; NULL: it needs none */
   char key_digest[MP_DIGEST + 1];
-  double cost; /* taken of the account's limit */
+  double cost;     /* taken of the account's limit */
   guint64 content; /* as in CallerRequest */
   guint32 prompt_tokens, output_tokens;
   guint64 session;
@@ -94,6 +98,7 @@
   gint64 last_piece;     /* when the last piece came; 0: none yet */
   gint64 longest_pause;  /* between two pieces, so far */
   char *decode;          /* id of the engine that shall decode */
+  guint32 decode_life;   /* of it: Endpoint.hash */
   guint64 decode_tokens; /* reserved there until it is dispatched */
   char *handle;          /* of the prompt that was read, not yet used */
   mp_Addr handle_address;
@@ -120,16 +125,18 @@
   unsigned near;      /* of them, that hear each other's digests */
   gboolean is_listed; /* these two are known */
   AccountLimits *limits;
-  gint64 revoke_bound;  /* as in RouterOptions */
-  gint64 proved_at;     /* router_configuration_proved */
-  gint64 heard_at;      /* router_news_heard; 0: never */
-  gint64 news_bound;    /* as in RouterOptions */
-  gboolean stopping;    /* no request is taken any more */
-  Stages *stages;       /* orders to engines */
-  GPtrArray *waiting;   /* Request in PHASE_WAIT, first one first */
-  gint64 last_end;      /* when the last run at an engine ended */
-  double end_interval;  /* mean time between such ends */
-  guint64 load_version; /* grows when what is open here changes */
+  CrashWatch *crashes;    /* endpoints that may have ended under requests */
+  Quarantine *quarantine; /* requests that end endpoints */
+  gint64 revoke_bound;    /* as in RouterOptions */
+  gint64 proved_at;       /* router_configuration_proved */
+  gint64 heard_at;        /* router_news_heard; 0: never */
+  gint64 news_bound;      /* as in RouterOptions */
+  gboolean stopping;      /* no request is taken any more */
+  Stages *stages;         /* orders to engines */
+  GPtrArray *waiting;     /* Request in PHASE_WAIT, first one first */
+  gint64 last_end;        /* when the last run at an engine ended */
+  double end_interval;    /* mean time between such ends */
+  guint64 load_version;   /* grows when what is open here changes */
   guint64 counters[ROUTER_COUNTER_COUNT];
   Histogram durations[DURATION_COUNT];
 };
@@ -163,6 +170,14 @@
 /* send it again after a dispatch that failed; may end */
 void path_run_again(Router *router, Request *request, gboolean may_have_run,
                     gint64 now);
+/* may anything be sent for it now? Else '*why' says why not */
+gboolean path_may_send(Router *router, Request *request, RefusalKind *why,
+                       gint64 now);
+/* it broke off there: if the endpoint has ended, that may be its doing */
+void path_suspect_end(Router *router, const Request *request,
+                      const Endpoint *endpoint, gint64 now);
+/* the endpoint of the open dispatch; NULL when that life is over */
+Endpoint *path_open_endpoint(const Router *router, const Request *request);
 /* the open dispatch is over: forget it; 'cancel' closes its connection */
 void path_close_dispatch(Router *router, Request *request, gboolean cancel);
 /* fill in and send a dispatch to an endpoint */
@@ -262,6 +277,25 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** suspects.c: requests that end the endpoints that run them
+** ===================================================================
+*/
+
+/* FALSE: it is held; '*why' says so, and when to come back is noted in it */
+gboolean suspects_may_send(Router *router, Request *request, RefusalKind *why,
+                           gint64 now);
+/* an endpoint's life ended under it */
+void suspects_strike(Router *router, const QuarantineSuspect *suspect,
+                     guint32 life, gint64 now);
+/* a run of it ended well */
+void suspects_succeeded(Router *router, const Request *request);
+/* refuse the waiting requests that are held now; they end */
+void suspects_sweep(Router *router, gint64 now);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** finish.c: how a request ends. All of these end it
--- /dev/null
+++ b/router/suspects.c
@@ -0,0 +1,144 @@
+/*
+** suspects.c
+** Requests that end the endpoints that run them: what the router does
+**
+** Who may be sent is asked before every dispatch, so that a request that
+** waited, or whose prompt was read, while it became held is not sent either.
+*/
+
+#include "router/state.h"
+
+/* when to come back to a hold that only an operator ends: what a caller's next
+** try on another day finds */
+#define RETRY_AFTER_LIFTED (24 * 3600 * MP_SEC)
+
+gboolean suspects_may_send(Router *router, Request *request, RefusalKind *why,
+                           gint64 now) {
+  gint64 until =
+      quarantine_held_until(router->quarantine, request->content, now);
+  if (until == 0)
+    return TRUE;
+  *why = REFUSAL_HELD;
+  request->come_back = until == G_MAXINT64 ? RETRY_AFTER_LIFTED : until - now;
+  return FALSE;
+}
+
+static gboolean is_held(const Router *router, guint64 content, gint64 now) {
+  return quarantine_held_until(router->quarantine, content, now) != 0;
+}
+
+/* a request that waits and is held; NULL: there is none */
+static Request *held_waiting(const Router *router, gint64 now) {
+  guint i;
+  for (i = 0; i < router->waiting->len; i++) {
+    Request *request = router->waiting->pdata[i];
+    if (is_held(router, request->content, now))
+      return request;
+  }
+  return NULL;
+}
+
+void suspects_sweep(Router *router, gint64 now) {
+  Request *request;
+  RefusalKind why = REFUSAL_HELD;
+  while ((request = held_waiting(router, now)) != NULL) {
+    suspects_may_send(router, request, &why, now);
+    finish_forbidden(router, request, why, now);
+  }
+}
+
+/* 'from' says who told of the newest strike */
+static void log_held(Router *router, guint64 content, const char *from,
+                     gint64 now) {
+  gint64 until = quarantine_held_until(router->quarantine, content, now);
+  guint strikes = quarantine_strikes(router->quarantine, content);
+  gint64 seconds = until == G_MAXINT64 ? -1 : (until - now) / MP_SEC;
+  if (until == 0)
+    return;
+  router_log(router, MP_LOG_REQUEST_HELD,
+             " content=%016" G_GINT64_MODIFIER
+             "x strikes=%u from=%s for_s=%" G_GINT64_FORMAT,
+             content, strikes, from, seconds);
+}
+
+void suspects_strike(Router *router, const QuarantineSuspect *suspect,
+                     guint32 life, gint64 now) {
+  if (quarantine_strike(router->quarantine, suspect, life, now))
+    log_held(router, suspect->content, "here", now);
+}
+
+void suspects_succeeded(Router *router, const Request *request) {
+  quarantine_succeeded(router->quarantine, request->content);
+}
+
+/*
+** {==================================================================
+** Other instances, and the store
+** ===================================================================
+*/
+
+static void record_of(const mp_CrashRow *row, QuarantineRecord *out) {
+  unsigned i;
+  out->content = row->request;
+  out->count = MIN(row->n, QUARANTINE_MOST);
+  for (i = 0; i < out->count; i++)
+    out->crashes[i] = row->crash[i];
+}
+
+gboolean router_hear_crashes(Router *router, const mp_CrashNews *news,
+                             gint64 now) {
+  gboolean is_news = FALSE;
+  unsigned i;
+  for (i = 0; i < news->n; i++) {
+    QuarantineRecord record = {0};
+    record_of(&news->row[i], &record);
+    if (!quarantine_hear(router->quarantine, &record, now))
+      continue;
+    is_news = TRUE;
+    log_held(router, record.content, "instance", now);
+  }
+  if (is_news)
+    suspects_sweep(router, now);
+  return is_news;
+}
+
+void router_tell_crashes(const Router *router, gboolean all, mp_CrashNews *out,
+                         gint64 now) {
+  quarantine_tell(router->quarantine, all, out, now);
+}
+
+guint64 router_crash_version(const Router *router) {
+  return quarantine_version(router->quarantine);
+}
+
+void router_take_quarantine(Router *router, const QuarantineRecord *record,
+                            gint64 revision, gint64 now) {
+  if (!quarantine_stored(router->quarantine, record, revision, now))
+    return;
+  log_held(router, record->content, "store", now);
+  suspects_sweep(router, now);
+}
+
+void router_lift_quarantine(Router *router, guint64 content, gint64 now) {
+  if (is_held(router, content, now))
+    router_log(router, MP_LOG_REQUEST_LIFTED,
+               " content=%016" G_GINT64_MODIFIER "x", content);
+  quarantine_lift(router->quarantine, content, now);
+}
+
+gboolean router_next_quarantine_save(Router *router, QuarantineSave *out,
+                                     gint64 now) {
+  return quarantine_next_save(router->quarantine, out, now);
+}
+
+void router_quarantine_save_failed(Router *router, guint64 content,
+                                   gint64 now) {
+  quarantine_save_failed(router->quarantine, content, now);
+}
+
+void router_quarantine_count(const Router *router, gint64 now, guint *suspects,
+                             guint *held) {
+  quarantine_count(router->quarantine, now, suspects, held);
+}
+
+/* }================================================================== */
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -29,6 +29,8 @@
 constexpr gint64 ms = 1000;
 constexpr gint64 second = 1000 * ms;
 constexpr gint64 watch_wait = 2800 * ms; /* unless a world has its own */
+/* watches of what changes rarely, as io/directory.c has them */
+constexpr gint64 rare_wait = 12 * second;
 /* watches of the configuration, where the age of it must be known */
 constexpr gint64 proof_wait = 833 * ms;
 
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -28,7 +28,10 @@
     sent.fence = dispatch->order->fence;
     sent.sequence = dispatch->order->sequence;
   }
-  world->dispatches.push_back(sent);
+  if (dispatch->kind == DISPATCH_CHECK)
+    world->checks.push_back(sent);
+  else
+    world->dispatches.push_back(sent);
 }
 
 void World::on_cancel(void *data, guint64 dispatch) {
@@ -177,6 +180,7 @@
   record.address = mp_addr_parse("10.0.0.1:80");
   record.ready = ready;
   record.stage = place.stage;
+  record.born_unix_ms = born_unix_ms;
   router_set_endpoint(router, &record, gone, now);
 }
 
@@ -195,6 +199,7 @@
   call.id = id.c_str();
   call.host = "host";
   call.path = path.c_str();
+  call.content = content != 0 ? content : last_number << 32;
   call.key = key;
   call.keys = key != nullptr ? keys : 0;
   router_request(router, &call, now);
--- a/test/test_random.cc
+++ b/test/test_random.cc
@@ -164,6 +164,17 @@
       world.piece(sent.number, std::to_string(life.next_event++).c_str());
   }
 
+  /* the endpoint takes a connection, refuses it, or says nothing */
+  void act_check() {
+    if (world.checks.empty())
+      return;
+    Sent sent = world.checks.back();
+    world.checks.pop_back();
+    if (draw(3) != 0)
+      world.outcome(sent.number,
+                    draw(2) == 0 ? OUTCOME_UNREACHABLE : OUTCOME_ANSWER);
+  }
+
   void report_peer() {
     mp_LoadDigest digest = {};
     digest.n = draw(3);
@@ -197,6 +208,7 @@
       world.advance(draw(700) * ms);
       break;
     default:
+      act_check();
       if (!world.dispatches.empty()) {
         size_t back = draw(12);
         size_t at = world.dispatches.size();
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -233,6 +233,23 @@
          digest(x, &s->loads);
 }
 
+static bool_t crashes(XDR *x, mp_CrashNews *c) {
+  unsigned i;
+  unsigned k;
+  if (!count(x, &c->n, MP_CRASH_ROWS))
+    return FALSE;
+  for (i = 0; i < c->n; i++) {
+    mp_CrashRow *row = &c->row[i];
+    if (!u64(x, &row->request) || !count(x, &row->n, MP_CRASHES_EACH))
+      return FALSE;
+    for (k = 0; k < row->n; k++) {
+      if (!u32(x, &row->crash[k]))
+        return FALSE;
+    }
+  }
+  return TRUE;
+}
+
 static bool_t beat(XDR *x, mp_RelayBeat *b) {
   unsigned i;
   for (i = 0; i < MP_RELAY_KINDS; i++) {
@@ -271,6 +288,8 @@
            u32(x, &m->u.note.tokens);
   case MP_MSG_LOAD_SUMMARY:
     return summary(x, &m->u.summary);
+  case MP_MSG_CRASHES:
+    return crashes(x, &m->u.crashes);
   case MP_MSG_RELAY_BEAT:
     return beat(x, &m->u.beat);
   case MP_MSG_RELAY_ASK:
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -11,7 +11,7 @@
 #include "madderpier.h"
 
 #define MP_RPC_PROGRAM 0x2006d61dU /* in the range for users */
-#define MP_RPC_VERSION 2U
+#define MP_RPC_VERSION 3U
 
 typedef enum RpcTaken {
   RPC_CALL,   /* a call: '*m' is filled */
