--- a/router/router.c
+++ b/router/router.c
@@ -246,7 +246,7 @@
   news = endpoint_table_compare(router->endpoints, record);
   if (news == ENDPOINT_OUTDATED)
     return;
-  if (news == ENDPOINT_RESTARTED)
+  if (known != NULL && news == ENDPOINT_RESTARTED)
     end_life(router, known, now);
   endpoint_table_set(router->endpoints, record);
   if (news != ENDPOINT_SAME || was_ready != record->ready)
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -10,7 +10,7 @@
 
 /* when to come back to a hold that only an operator ends: what a caller's next
 ** try on another day finds */
-#define RETRY_AFTER_LIFTED (24 * 3600 * MP_SEC)
+#define RETRY_AFTER_LIFTED (86400 * MP_SEC)
 
 gboolean suspects_may_send(Router *router, Request *request, RefusalKind *why,
                            gint64 now) {
