The clock of an instance counts the time that its machine was suspended

Ruled out: the time of day (it jumps). Change: io/clock.c, the boot-time clock; nobody else in the product reads a clock for ages. The quarantine gets the offset to Unix time.

--- a/io/directory.c
+++ b/io/directory.c
@@ -7,7 +7,7 @@
 
 #include "io/directory.h"
 #include "io/following.h"
-#include "io/node.h"
+#include "io/clock.h"
 #include "io/store_link.h"
 
 /* a call that enters this instance is given up after this */
@@ -78,7 +78,7 @@
     bad_record(directory, name, error);
     return;
   }
-  router_set_routes(directory->router, table, node_now());
+  router_set_routes(directory->router, table, clock_now());
   directory->hooks.configuration(directory->hooks.data, table);
   route_table_unref(table);
 }
@@ -91,14 +91,14 @@
     bad_record(directory, name, error);
     return;
   }
-  router_set_endpoint(directory->router, &record, FALSE, node_now());
+  router_set_endpoint(directory->router, &record, FALSE, clock_now());
   endpoint_record_clear(&record);
 }
 
 static void drop_endpoint(Directory *directory, const char *name) {
   EndpointRecord record = {0};
   record.id = (char *)name;
-  router_set_endpoint(directory->router, &record, TRUE, node_now());
+  router_set_endpoint(directory->router, &record, TRUE, clock_now());
 }
 
 /* an operator lifts a hold by removing the object */
@@ -109,11 +109,11 @@
   if (object->gone) {
     if (g_ascii_string_to_unsigned(object->name, 16, 0, G_MAXUINT64, &content,
                                    NULL))
-      router_lift_quarantine(directory->router, content, node_now());
+      router_lift_quarantine(directory->router, content, clock_now());
   } else if (directory->dialect->read_quarantine(object->name, object->text,
                                                  &record, &error))
     router_take_quarantine(directory->router, &record, object->revision,
-                           node_now());
+                           clock_now());
   else
     bad_record(directory, object->name, error);
 }
@@ -159,7 +159,7 @@
     enter(directory);
   }
   if (kind == STORE_ENDPOINTS)
-    router_keep_endpoints(directory->router, names, node_now());
+    router_keep_endpoints(directory->router, names, clock_now());
 }
 
 static void on_lost(void *data, StoreKind kind) {
@@ -240,7 +240,7 @@
   log_numbered(directory->log, MP_LOG_INSTANCES, " count=%u near=%u", count,
                others.near->len);
   relay_group_set_members(directory->group, others.members, others.far,
-                          node_now());
+                          clock_now());
   directory->hooks.instances(directory->hooks.data, others.all, others.near);
   others_clear(&others);
 }
--- a/io/following.c
+++ b/io/following.c
@@ -5,7 +5,7 @@
 
 #include "io/following.h"
 #include "io/news_codec.h"
-#include "io/node.h"
+#include "io/clock.h"
 #include "io/store_link.h"
 
 struct Following {
@@ -18,14 +18,14 @@
 };
 
 static void start_timer(Following *following, gint64 at) {
-  gint64 wait = MAX(at - node_now(), 0);
+  gint64 wait = MAX(at - clock_now(), 0);
   struct timeval time = {wait / MP_SEC, wait % MP_SEC};
   event_add(following->timer, &time);
 }
 
 void following_look(Following *following) {
   NewsWanted wanted;
-  news_source_next(&following->source, node_now(), &wanted);
+  news_source_next(&following->source, clock_now(), &wanted);
   switch (wanted.step) {
   case NEWS_WAIT:
     if (wanted.at != G_MAXINT64)
@@ -55,7 +55,7 @@
   if (reply->status == STORE_HISTORY_GONE)
     log_numbered(following->log, MP_LOG_STORE_HISTORY_GONE, " kind=%d",
                  (int)following->source.follower.kind);
-  news_source_reply(&following->source, reply, node_now());
+  news_source_reply(&following->source, reply, clock_now());
 }
 
 static void on_store_reply(void *data, const StoreReply *reply,
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -16,7 +16,7 @@
 #include "io/load_exchange.h"
 #include "io/metrics.h"
 #include "io/news_codec.h"
-#include "io/node.h"
+#include "io/clock.h"
 #include "io/quarantine_writer.h"
 #include "io/relays.h"
 #include "io/store_link.h"
@@ -59,7 +59,7 @@
 };
 
 static void set_tick(Gateway *gateway) {
-  gint64 wait = router_next_tick(gateway->router) - node_now();
+  gint64 wait = router_next_tick(gateway->router) - clock_now();
   struct timeval time;
   load_exchange_notice(gateway->exchange);
   quarantine_writer_look(gateway->quarantine);
@@ -73,7 +73,7 @@
   Gateway *gateway = data;
   (void)fd;
   (void)what;
-  router_tick(gateway->router, node_now());
+  router_tick(gateway->router, clock_now());
   set_tick(gateway);
 }
 
@@ -177,7 +177,7 @@
     read.request.number = number;
     read.request.content =
         content_digest(head, front_request_body(gateway->front, number));
-    router_request(gateway->router, &read.request, node_now());
+    router_request(gateway->router, &read.request, clock_now());
     set_tick(gateway);
   }
   caller_head_clear(&read);
@@ -185,7 +185,7 @@
 
 static void on_hangup(void *data, guint64 number) {
   Gateway *gateway = data;
-  router_hangup(gateway->router, number, node_now());
+  router_hangup(gateway->router, number, clock_now());
   set_tick(gateway);
 }
 
@@ -197,7 +197,7 @@
 
 static void on_outcome(void *data, const Outcome *outcome) {
   Gateway *gateway = data;
-  router_outcome(gateway->router, outcome, node_now());
+  router_outcome(gateway->router, outcome, clock_now());
   set_tick(gateway);
 }
 
@@ -221,7 +221,7 @@
   LeaseReply read = {0};
   (void)error;
   read_lease(gateway, reply, &read);
-  router_lease_reply(gateway->router, &read, node_now());
+  router_lease_reply(gateway->router, &read, clock_now());
   lease_record_clear(&read.record);
   set_tick(gateway);
 }
@@ -262,8 +262,8 @@
   router_configuration_proved(gateway->router,
                               relay_group_proof(gateway->group)->at);
   router_news_heard(gateway->router,
-                    node_now() -
-                        relay_group_news_age(gateway->group, node_now()));
+                    clock_now() -
+                        relay_group_news_age(gateway->group, clock_now()));
   relays_news(gateway->relays);
 }
 
@@ -292,7 +292,7 @@
 
 static gboolean is_ready(const Gateway *gateway) {
   return gateway->drain_began == 0 &&
-         router_configured(gateway->router, node_now()) &&
+         router_configured(gateway->router, clock_now()) &&
          directory_has_endpoints(gateway->directory);
 }
 
@@ -316,8 +316,8 @@
   counts.log_lines_lost = log_lost(gateway->log);
   counts.idle_endpoint_connections = endpoint_links_idle(gateway->links);
   counts.news_role =
-      relay_role_name(relay_group_role(gateway->group, node_now()));
-  counts.news_age = relay_group_news_age(gateway->group, node_now());
+      relay_role_name(relay_group_role(gateway->group, clock_now()));
+  counts.news_age = relay_group_news_age(gateway->group, clock_now());
   counts.ready = is_ready(gateway);
   return counts;
 }
@@ -418,11 +418,11 @@
 
 static void on_drain_timer(evutil_socket_t fd, short what, void *data) {
   Gateway *gateway = data;
-  gint64 age = node_now() - gateway->drain_began;
+  gint64 age = clock_now() - gateway->drain_began;
   (void)fd;
   (void)what;
   if (age >= gateway->drain_least) {
-    router_stop_taking(gateway->router, node_now());
+    router_stop_taking(gateway->router, clock_now());
     front_close_idle(gateway->front);
   }
   if (age >= gateway->drain_least && front_open_requests(gateway->front) == 0)
@@ -436,7 +436,7 @@
 void gateway_drain(Gateway *gateway) {
   if (gateway->drain_began != 0)
     return;
-  gateway->drain_began = node_now();
+  gateway->drain_began = clock_now();
   log_numbered(gateway->log, MP_LOG_DRAIN, "%s", "");
   front_drain(gateway->front);
   look_again(gateway);
@@ -467,7 +467,7 @@
                      host_log,    host_note,     host_lease_call};
   RouterOptions settings = {0};
   settings.zone = options->zone;
-  settings.seed = (guint64)node_now() ^ options->callers * 2654435761u;
+  settings.seed = (guint64)clock_now() ^ options->callers * 2654435761u;
   settings.retry_ratio = options->retry_ratio;
   settings.retry_slack = options->retry_slack;
   settings.retry_window = options->retry_window;
@@ -475,9 +475,10 @@
   settings.self = options->exchange;
   settings.lease_length = options->lease_length;
   settings.limits = options->limits;
+  settings.unix_offset = g_get_real_time() - clock_now();
   settings.revoke_bound = revoke_bound(options);
   settings.news_bound = relay_longest_age(&times);
-  gateway->router = router_new(&settings, &host, node_now());
+  gateway->router = router_new(&settings, &host, clock_now());
 }
 
 static void make_directory(Gateway *gateway, const GatewayOptions *options) {
@@ -533,7 +534,7 @@
                                               gateway->router, log);
   gateway->front = front_new(base, options->callers, dialect, &front, error);
   gateway->group = relay_group_new(options->exchange, options->capacity,
-                                   &times, node_now());
+                                   &times, clock_now());
   if (gateway->front == NULL || !make_exchange(gateway, options, error) ||
       !serve_all(gateway, options, error)) {
     gateway_free(gateway);
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -8,7 +8,7 @@
 
 #include "io/datagram.h"
 #include "io/load_exchange.h"
-#include "io/node.h"
+#include "io/clock.h"
 #include "wire/rpc.h"
 
 /* datagrams read in one go, before others get their turn */
@@ -70,10 +70,10 @@
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_LOAD_DIGEST;
   message.seq = ++exchange->sequence;
-  router_load_digest(exchange->router, &message.u.digest, node_now());
+  router_load_digest(exchange->router, &message.u.digest, clock_now());
   send_to_all(exchange, &message);
   exchange->told = router_load_version(exchange->router);
-  exchange->sent_at = node_now();
+  exchange->sent_at = clock_now();
 }
 
 /*
@@ -85,7 +85,8 @@
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_CRASHES;
   exchange->crashes_told = router_crash_version(exchange->router);
-  router_tell_crashes(exchange->router, FALSE, &message.u.crashes, node_now());
+  router_tell_crashes(exchange->router, FALSE, &message.u.crashes,
+                      clock_now());
   if (message.u.crashes.n > 0)
     send_to_all(exchange, &message);
 }
@@ -105,7 +106,7 @@
 }
 
 void load_exchange_notice(LoadExchange *exchange) {
-  gint64 due = exchange->sent_at + least_interval(exchange) - node_now();
+  gint64 due = exchange->sent_at + least_interval(exchange) - clock_now();
   if (router_crash_version(exchange->router) != exchange->crashes_told)
     send_crashes(exchange);
   if (router_load_version(exchange->router) == exchange->told)
@@ -143,12 +144,12 @@
     return;
   }
   router_peer_load(exchange->router, peer, message->seq, &message->u.digest,
-                   node_now());
+                   clock_now());
   exchange->hooks.digest(exchange->hooks.data);
 }
 
 static void take_crashes(LoadExchange *exchange, const mp_CrashNews *news) {
-  if (router_hear_crashes(exchange->router, news, node_now()))
+  if (router_hear_crashes(exchange->router, news, clock_now()))
     exchange->hooks.crashes(exchange->hooks.data);
 }
 
--- a/io/node.c
+++ b/io/node.c
@@ -12,12 +12,9 @@
 
 #include "conf/conf.h"
 #include "io/adapters.h"
+#include "io/clock.h"
 #include "io/node.h"
 
-mp_Time node_now(void) {
-  return g_get_monotonic_time();
-}
-
 static void perform(Node *node, const mp_Effect *e) {
   switch (e->kind) {
   case MP_FX_NONE:
@@ -49,7 +46,7 @@
 }
 
 static void rearm(Node *node) {
-  mp_Time wait = mp_wake(node->state) - node_now();
+  mp_Time wait = mp_wake(node->state) - clock_now();
   struct timeval t;
   wait = CLAMP(wait, 0, 10 * MP_SEC);
   t.tv_sec = wait / MP_SEC;
@@ -60,7 +57,7 @@
 void node_feed(Node *node, const mp_Event *e) {
   mp_Effect fx;
   g_assert(!node->performing);
-  mp_feed(node->state, node_now(), e);
+  mp_feed(node->state, clock_now(), e);
   node->performing = 1;
   while (mp_take(node->state, &fx))
     perform(node, &fx);
@@ -89,7 +86,7 @@
   m.net = o->net;
   m.mask = o->mask;
   m.codec = mp_codec();
-  return mp_new(&m, node_now());
+  return mp_new(&m, clock_now());
 }
 
 Node *node_new(struct event_base *base, const NodeOptions *o, Log *log,
--- a/io/node.h
+++ b/io/node.h
@@ -54,7 +54,4 @@
 /* hand an event to the core and perform what it wants */
 void node_feed(Node *node, const mp_Event *e);
 
-/* the host's monotonic clock */
-mp_Time node_now(void);
-
 #endif
--- a/io/quarantine_writer.c
+++ b/io/quarantine_writer.c
@@ -6,7 +6,7 @@
 ** what stands there, which is merged before the next try.
 */
 
-#include "io/node.h"
+#include "io/clock.h"
 #include "io/quarantine_writer.h"
 #include "io/store_link.h"
 
@@ -45,7 +45,7 @@
 void quarantine_writer_look(QuarantineWriter *writer) {
   QuarantineSave save;
   if (!store_link_is_open(writer->link) &&
-      router_next_quarantine_save(writer->router, &save, node_now()))
+      router_next_quarantine_save(writer->router, &save, clock_now()))
     start_call(writer, &save);
 }
 
@@ -60,13 +60,13 @@
   QuarantineRecord record = {0};
   GError *error = NULL;
   if (object->gone) {
-    router_lift_quarantine(writer->router, writer->content, node_now());
+    router_lift_quarantine(writer->router, writer->content, clock_now());
     return;
   }
   if (writer->dialect->read_quarantine(object->name, object->text, &record,
                                        &error)) {
     router_take_quarantine(writer->router, &record, object->revision,
-                           node_now());
+                           clock_now());
     return;
   }
   log_numbered(writer->log, MP_LOG_STORE_RECORD_BAD, " name=%s error=\"%s\"",
@@ -83,9 +83,10 @@
     take_object(writer, &g_array_index(reply->objects, StoreObject, i));
   if (reply->status == STORE_ABSENT ||
       (reply->status == STORE_OK && writer->removing))
-    router_lift_quarantine(writer->router, writer->content, node_now());
+    router_lift_quarantine(writer->router, writer->content, clock_now());
   else if (reply->status != STORE_OK) {
-    router_quarantine_save_failed(writer->router, writer->content, node_now());
+    router_quarantine_save_failed(writer->router, writer->content,
+                                  clock_now());
     log_numbered(writer->log, MP_LOG_NOT_KEPT,
                  " content=%016" G_GINT64_MODIFIER "x error=\"%s\"",
                  writer->content,
--- a/io/relays.c
+++ b/io/relays.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#include "io/node.h"
+#include "io/clock.h"
 #include "io/relays.h"
 
 /* members that are asked for a heartbeat: the relays there should be, and as
@@ -42,7 +42,7 @@
 };
 
 static void start_timer(Relays *relays) {
-  gint64 now = node_now();
+  gint64 now = clock_now();
   gint64 wait =
       CLAMP(relay_group_next(relays->group, now) - now, MP_MS, RELAY_BEAT);
   struct timeval time = {wait / MP_SEC, wait % MP_SEC};
@@ -129,7 +129,7 @@
 }
 
 void relays_crashes(Relays *relays) {
-  send_crashes(relays, node_now());
+  send_crashes(relays, clock_now());
 }
 
 static void ask_all(Relays *relays, const mp_Addr *asked, unsigned count) {
@@ -137,7 +137,7 @@
   unsigned i;
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_RELAY_ASK;
-  message.u.ask.asked_us = (guint64)node_now();
+  message.u.ask.asked_us = (guint64)clock_now();
   for (i = 0; i < count; i++)
     load_exchange_send(relays->exchange, asked[i], &message);
 }
@@ -172,7 +172,7 @@
 }
 
 static void look(Relays *relays) {
-  gint64 now = node_now();
+  gint64 now = clock_now();
   take_role(relays, now);
   send_beats(relays, now);
   send_summary(relays, now);
@@ -197,7 +197,7 @@
 }
 
 void relays_loads(Relays *relays) {
-  gint64 now = node_now();
+  gint64 now = clock_now();
   if (!relays->summing || now - relays->summary_at < SUMMARY_LEAST ||
       !relay_group_is_first(relays->group, now))
     return;
@@ -208,7 +208,7 @@
 
 void relays_news(Relays *relays) {
   guint64 changed[MP_RELAY_KINDS];
-  gint64 now = node_now();
+  gint64 now = clock_now();
   directory_changed(relays->directory, changed);
   if (memcmp(changed, relays->told, sizeof changed) != 0)
     send_beats(relays, now);
@@ -247,7 +247,7 @@
 }
 
 void relays_take(Relays *relays, mp_Addr from, const mp_Msg *message) {
-  gint64 now = node_now();
+  gint64 now = clock_now();
   switch (message->kind) {
   case MP_MSG_RELAY_BEAT:
     take_beat(relays, from, message, now);
