--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -165,7 +165,8 @@
   strike = &row->strikes[row->count++];
   memset(strike, 0, sizeof *strike);
   strike->crash = crash;
-  row->last = MAX(row->last, at);
+  /* 'at' may lie before the machine's start, and be negative */
+  row->last = row->count == 1 ? at : MAX(row->last, at);
   row->learned = now;
   row->over = FALSE;
   quarantine->version++;
