--- a/io/gateway.c
+++ b/io/gateway.c
@@ -319,6 +319,8 @@
       relay_role_name(relay_group_role(gateway->group, clock_now()));
   counts.news_age = relay_group_news_age(gateway->group, clock_now());
   counts.ready = is_ready(gateway);
+  router_quarantine_count(gateway->router, clock_now(), &counts.suspects,
+                          &counts.held);
   return counts;
 }
 
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -48,11 +48,14 @@
       "madderpier_idle_endpoint_connections %u\n"
       "madderpier_news_role{role=\"%s\"} 1\n"
       "madderpier_news_age_seconds %.3f\n"
-      "madderpier_ready %d\n",
+      "madderpier_ready %d\n"
+      "madderpier_suspect_requests %u\n"
+      "madderpier_held_requests %u\n",
       carriers->endpoint_connections, carriers->store_calls,
       carriers->log_lines_left_out, carriers->log_lines_lost,
       carriers->idle_endpoint_connections, carriers->news_role,
-      (double)carriers->news_age / MP_SEC, carriers->ready);
+      (double)carriers->news_age / MP_SEC, carriers->ready, carriers->suspects,
+      carriers->held);
 }
 
 GString *metrics_text(const Router *router, const CarrierCounts *carriers) {
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -19,6 +19,8 @@
   const char *news_role; /* who follows the store for it: relay_role_name */
   gint64 news_age;       /* since the store answered it or a relay; us */
   gboolean ready;        /* now */
+  guint suspects;        /* requests under which endpoints ended lately */
+  guint held;            /* of them, those that are not sent any more */
 } CarrierCounts;
 
 /* the caller frees it: g_string_free */
--- a/standin/store.c
+++ b/standin/store.c
@@ -260,6 +260,23 @@
   json_decref(body);
 }
 
+static void on_remove(struct evhttp_request *request, const char *kind,
+                      const char *name) {
+  const Object *object = find(kind, name);
+  int64_t expected = serve_query(request, "Rev", 0);
+  if (object == NULL)
+    serve_json(request, 404, json_object());
+  else if (expected != 0 && expected != object->revision)
+    serve_json(request, 409, write_object(object));
+  else {
+    store_remove(kind, name);
+    if (lose)
+      serve_cut(request);
+    else
+      serve_json(request, 200, json_object());
+  }
+}
+
 /* }================================================================== */
 
 /* a parameter of the query as text; the caller frees it */
@@ -293,6 +310,8 @@
     on_create(request, parts[0]);
   else if (evhttp_request_get_command(request) == EVHTTP_REQ_PUT)
     on_replace(request, parts[0], parts[1]);
+  else if (evhttp_request_get_command(request) == EVHTTP_REQ_DELETE)
+    on_remove(request, parts[0], parts[1]);
   else if (parts[1] != NULL && strchr(uri, '?') == NULL)
     on_read(request, parts[0], parts[1]);
   else
--- a/test/scenario.c
+++ b/test/scenario.c
@@ -224,6 +224,14 @@
   c->status = end == HTTP_END_OK ? status : c->status;
 }
 
+static enum evhttp_cmd_type method_of(const char *name) {
+  if (strcmp(name, "GET") == 0)
+    return EVHTTP_REQ_GET;
+  if (strcmp(name, "PUT") == 0)
+    return EVHTTP_REQ_PUT;
+  return strcmp(name, "DELETE") == 0 ? EVHTTP_REQ_DELETE : EVHTTP_REQ_POST;
+}
+
 /* http(method, port, path, {header = value}, body) -> call */
 static int l_http(lua_State *L) {
   static const HttpHooks hooks = {onhead, ondata, onend};
@@ -249,11 +257,8 @@
       lua_pop(L, 1);
     }
   }
-  c->http = http_call(base, to,
-                      strcmp(method, "GET") == 0   ? EVHTTP_REQ_GET
-                      : strcmp(method, "PUT") == 0 ? EVHTTP_REQ_PUT
-                                                   : EVHTTP_REQ_POST,
-                      path, h, body, n, &hooks, c);
+  c->http =
+      http_call(base, to, method_of(method), path, h, body, n, &hooks, c);
   if (c->http == NULL)
     c->done = 1;
   return 1;
