One bad object of the store costs one object; an instance's own entry is repaired

Cause: a list or a watch's events were read as one text: of ten ways in which another writer may spoil one object, ten lost the whole list, and as long as it stood an instance that starts learned no endpoint. Ruled out: a repair pass only after a failed whole parse (two paths, the second one never exercised); another library (yyjson, json-c): a bad field within an object still has to be told from the others, and jansson stays for the rest. Metrics and E8110. One test changed: an entry without Zone and Slots was taken as draining; entries that lack fields name nobody now, so that record is given them.

--- a/io/directory.c
+++ b/io/directory.c
@@ -16,6 +16,10 @@
 #define FIRST_CALL_PATIENCE (400 * MP_MS)
 /* the wait before an instance tries again to enter its own object */
 #define REGISTER_RETRY (2 * MP_SEC)
+/* its own object was removed or spoilt by another writer: it stands again
+*after
+** this, and two instances under one name do not write without a pause */
+#define ENTER_AGAIN (300 * MP_MS)
 /* a new instance gives those that start beside it this time to enter
 ** themselves, before it lists all: they start within 300 ms of each other */
 #define SETTLE (500 * MP_MS)
@@ -43,6 +47,7 @@
   Following *following[MP_RELAY_KINDS]; /* by StoreKind */
   GHashTable *instances;                /* name -> InstanceRecord */
   gboolean instances_listed;
+  guint64 bad_objects[MP_RELAY_KINDS]; /* by StoreKind */
   StoreLink *registration;
   gboolean registering;  /* a call is out */
   gboolean entry_failed; /* the store did not take the last one */
@@ -62,10 +67,12 @@
 ** ===================================================================
 */
 
-static void bad_record(const Directory *directory, const char *name,
+/* told once for each revision: a follower hands an object on when it is new */
+static void bad_record(Directory *directory, StoreKind kind, const char *name,
                        GError *error) {
+  directory->bad_objects[kind]++;
   log_numbered(directory->log, MP_LOG_STORE_RECORD_BAD,
-               " name=%s error=\"%s\"", name,
+               " kind=%d name=%s error=\"%s\"", (int)kind, name,
                error != NULL ? error->message : "unreadable");
   g_clear_error(&error);
 }
@@ -75,7 +82,7 @@
   GError *error = NULL;
   RouteTable *table = directory->dialect->read_configuration(text, &error);
   if (table == NULL) {
-    bad_record(directory, name, error);
+    bad_record(directory, STORE_CONFIGURATION, name, error);
     return;
   }
   router_set_routes(directory->router, table, clock_now());
@@ -83,24 +90,27 @@
   route_table_unref(table);
 }
 
+static void drop_endpoint(Directory *directory, const char *name) {
+  EndpointRecord record = {0};
+  record.id = (char *)name;
+  router_set_endpoint(directory->router, &record, TRUE, clock_now());
+}
+
+/* an entry that can't be read names nobody to use, whatever it said before;
+** runs that are under way there go on */
 static void take_endpoint(Directory *directory, const char *name,
                           const char *text) {
   EndpointRecord record;
   GError *error = NULL;
   if (!directory->dialect->read_record(name, text, &record, &error)) {
-    bad_record(directory, name, error);
+    bad_record(directory, STORE_ENDPOINTS, name, error);
+    drop_endpoint(directory, name);
     return;
   }
   router_set_endpoint(directory->router, &record, FALSE, clock_now());
   endpoint_record_clear(&record);
 }
 
-static void drop_endpoint(Directory *directory, const char *name) {
-  EndpointRecord record = {0};
-  record.id = (char *)name;
-  router_set_endpoint(directory->router, &record, TRUE, clock_now());
-}
-
 /* an operator lifts a hold by removing the object */
 static void take_quarantine(Directory *directory, const StoreObject *object) {
   QuarantineRecord record = {0};
@@ -115,9 +125,10 @@
     router_take_quarantine(directory->router, &record, object->revision,
                            clock_now());
   else
-    bad_record(directory, object->name, error);
+    bad_record(directory, STORE_QUARANTINE, object->name, error);
 }
 
+static gboolean is_entered(const Directory *directory);
 static void take_instance(Directory *directory, const StoreObject *object);
 static void tell_instances(Directory *directory);
 static void enter(Directory *directory);
@@ -254,11 +265,15 @@
     g_hash_table_replace(directory->instances, g_strdup(object->name),
                          g_memdup2(&read, sizeof read));
   } else {
+    /* whose it is writes it again, once it reads its own (is_entered) */
     instance_record_clear(&read);
-    bad_record(directory, object->name, error);
+    bad_record(directory, STORE_INSTANCES, object->name, error);
+    g_hash_table_remove(directory->instances, object->name);
   }
   if (directory->instances_listed)
     tell_instances(directory);
+  if (strcmp(object->name, directory->instance) == 0 && !is_entered(directory))
+    start_timer(directory->register_timer, ENTER_AGAIN);
 }
 
 static mp_Addr control_of(void *data, mp_Addr exchange) {
@@ -481,6 +496,11 @@
   return knows(directory, STORE_ENDPOINTS);
 }
 
+guint64 directory_bad_objects(const Directory *directory, StoreKind kind) {
+  return directory->bad_objects[kind] +
+         following_nameless(directory->following[kind]);
+}
+
 guint64 directory_store_calls(const Directory *directory) {
   guint64 calls = store_link_calls(directory->registration);
   int kind;
--- a/io/following.c
+++ b/io/following.c
@@ -15,8 +15,14 @@
   StoreLink *store;
   StoreLink *instance; /* a relay, or a seed */
   struct event *timer;
+  guint64 nameless;
+  gint64 nameless_told; /* when the log had a line about them */
 };
 
+/* a list that holds objects without a name tells of them each time it is read
+ */
+#define NAMELESS_PAUSE (60 * MP_SEC)
+
 static void start_timer(Following *following, gint64 at) {
   gint64 wait = MAX(at - clock_now(), 0);
   struct timeval time = {wait / MP_SEC, wait % MP_SEC};
@@ -58,10 +64,24 @@
   news_source_reply(&following->source, reply, clock_now());
 }
 
+static void note_nameless(Following *following, const StoreReply *reply) {
+  gint64 now = clock_now();
+  if (reply->nameless == 0)
+    return;
+  following->nameless += reply->nameless;
+  if (following->nameless_told != 0 &&
+      now - following->nameless_told < NAMELESS_PAUSE)
+    return;
+  following->nameless_told = now;
+  log_numbered(following->log, MP_LOG_STORE_NAMELESS, " kind=%d objects=%u",
+               (int)following->source.follower.kind, reply->nameless);
+}
+
 static void on_store_reply(void *data, const StoreReply *reply,
                            const GError *error) {
   Following *following = data;
   (void)error; /* the follower tells its host of the loss */
+  note_nameless(following, reply);
   take_reply(following, reply);
   if (reply->status == STORE_OK)
     following->host.answered(following->host.objects.data);
@@ -124,6 +144,10 @@
   return &following->source.follower;
 }
 
+guint64 following_nameless(const Following *following) {
+  return following->nameless;
+}
+
 guint64 following_store_calls(const Following *following) {
   return store_link_calls(following->store);
 }
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -201,18 +201,30 @@
   set_tick(gateway);
 }
 
-/* a lease that cannot be read is no answer */
+/*
+** A lease that can't be read is nobody's that is known: it is left alone like
+** another holder's, and taken once that has certainly lapsed. (Were it no
+*answer,
+** it would stop orders for good.)
+*/
 static void read_lease(const Gateway *gateway, const StoreReply *reply,
                        LeaseReply *out) {
   const StoreObject *object;
+  GError *error = NULL;
   out->status = reply->status;
   if (reply->objects == NULL || reply->objects->len == 0)
     return;
   object = &g_array_index(reply->objects, StoreObject, 0);
   out->revision = object->revision;
-  if (object->gone ||
-      !gateway->dialect->read_lease(object->text, &out->record, NULL))
+  if (object->gone) {
     out->status = STORE_FAILED;
+    return;
+  }
+  if (gateway->dialect->read_lease(object->text, &out->record, &error))
+    return;
+  log_numbered(gateway->log, MP_LOG_STORE_RECORD_BAD, " name=%s error=\"%s\"",
+               object->name, error->message);
+  g_error_free(error);
 }
 
 static void on_lease_reply(void *data, const StoreReply *reply,
@@ -308,6 +320,7 @@
 
 static CarrierCounts carrier_counts(const Gateway *gateway) {
   CarrierCounts counts;
+  int kind;
   counts.endpoint_connections = endpoint_links_opened(gateway->links);
   counts.store_calls = directory_store_calls(gateway->directory) +
                        store_link_calls(gateway->leases) +
@@ -321,6 +334,9 @@
   counts.ready = is_ready(gateway);
   router_quarantine_count(gateway->router, clock_now(), &counts.suspects,
                           &counts.held);
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    counts.bad_objects[kind] =
+        directory_bad_objects(gateway->directory, (StoreKind)kind);
   return counts;
 }
 
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -58,11 +58,23 @@
       carriers->held);
 }
 
+static void write_bad_objects(GString *text, const CarrierCounts *carriers) {
+  static const char *const kinds[MP_RELAY_KINDS] = {
+      "configuration", "endpoints", "instances", "quarantine"};
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    g_string_append_printf(text,
+                           "madderpier_bad_objects_total{kind=\"%s\"} "
+                           "%" G_GUINT64_FORMAT "\n",
+                           kinds[kind], carriers->bad_objects[kind]);
+}
+
 GString *metrics_text(const Router *router, const CarrierCounts *carriers) {
   GString *text = g_string_new(NULL);
   int which;
   write_router(text, router);
   write_carriers(text, carriers);
+  write_bad_objects(text, carriers);
   for (which = 0; which < DURATION_COUNT; which++)
     write_duration(text, router, (RouterDuration)which);
   return text;
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -21,6 +21,7 @@
   gboolean ready;        /* now */
   guint suspects;        /* requests under which endpoints ended lately */
   guint held;            /* of them, those that are not sent any more */
+  guint64 bad_objects[MP_RELAY_KINDS]; /* of the store, by StoreKind */
 } CarrierCounts;
 
 /* the caller frees it: g_string_free */
--- a/router/follower.h
+++ b/router/follower.h
@@ -70,8 +70,8 @@
   char *name;
   gint64 revision;
   gboolean gone;
-  char
-      *text; /* its content; NULL when gone, or as it was (StoreReply.whole) */
+  char *text; /* its content; empty when it can't be read; NULL when gone, or
+              ** as it was (StoreReply.whole) */
 } StoreObject;
 
 typedef struct StoreReply {
@@ -81,6 +81,7 @@
   gint64 at;       /* revision of the store */
   gboolean whole;  /* WATCH: it names all objects there are, those that have
                    ** not changed without their text; others are gone */
+  guint nameless;  /* objects that were left out: their names can't be read */
 } StoreReply;
 
 /* an empty array of StoreObject that clears its elements */
--- a/router/news_source.h
+++ b/router/news_source.h
@@ -45,8 +45,8 @@
   unsigned seeds_count;
   unsigned next_seed;
   gboolean seed_failed; /* the last one asked knew nothing */
-  gboolean at_store; /* the open call went to the store */
-  gint64 asked_at;   /* when the open call was made */
+  gboolean at_store;    /* the open call went to the store */
+  gint64 asked_at;      /* when the open call was made */
   StoreOperation asked_for;
   gint64 asked_wait; /* WATCH: as in the call */
   gboolean asked_stale;
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -15,6 +15,8 @@
 **                  draining, gone, back (in the list); prefill, decode
 **                  (its stage from now on); crash
 **   POST /configuration   the next version of the configuration
+**   POST /entry    {"kind", "name", "spec"}: another writer's entry in the
+*store
 ** A request whose target ends in CRASHES ends each worker that begins to run
 ** it, with all that runs there; its entry leaves the list some time later, and
 ** the worker comes back under its id, with another time of birth.
@@ -535,6 +537,17 @@
   return worker != NULL && mode != NULL && set_mode(worker, mode);
 }
 
+/* another writer's entry */
+static int on_entry(const json_t *body) {
+  const char *kind = json_string_value(json_object_get(body, "kind"));
+  const char *name = json_string_value(json_object_get(body, "name"));
+  json_t *spec = json_object_get(body, "spec");
+  if (kind == NULL || name == NULL || spec == NULL)
+    return 0;
+  store_put(kind, name, json_incref(spec));
+  return 1;
+}
+
 static int on_store(const json_t *body) {
   const char *mode = json_string_value(json_object_get(body, "mode"));
   return mode != NULL && store_fault(mode);
@@ -558,6 +571,8 @@
     done = on_store(body);
   else if (strcmp(uri, "/worker") == 0)
     done = on_worker(body);
+  else if (strcmp(uri, "/entry") == 0)
+    done = on_entry(body);
   else
     done = 0;
   serve_json(request, done ? 200 : 400, json_object());
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -243,6 +243,12 @@
       string.format('{"id":"%s","mode":"%s"}', w.id, mode))
 end
 
+-- another writer puts an entry into the store
+function entry(kind, name, spec)
+  ask("POST", gateway.admin, "/entry", {}, string.format(
+    '{"kind":"%s","name":"%s","spec":%s}', kind, name, spec))
+end
+
 -- take a key away; the store has it when this returns
 function revoke(key)
   any_key() -- callers go on using it
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -79,7 +79,7 @@
   }
   void answer(StoreStatus status, gint64 at = 0,
               const std::vector<Row> &rows = {}, bool more = false) {
-    StoreReply reply = {status, store_objects_new(), more, at, FALSE};
+    StoreReply reply = {status, store_objects_new(), more, at, FALSE, 0};
     for (const Row &row : rows) {
       StoreObject object = {g_strdup(row.name), row.revision,
                             row.text == nullptr, g_strdup(row.text)};
@@ -318,7 +318,7 @@
 
 /* an answer from a relay that is behind takes nothing newer away */
 TEST_F(Follow, AnOlderWholeAnswerRemovesNothing) {
-  StoreReply told = {STORE_OK, store_objects_new(), FALSE, 40, TRUE};
+  StoreReply told = {STORE_OK, store_objects_new(), FALSE, 40, TRUE, 0};
   call();
   answer(STORE_OK, 50, {{"a", 45, "x"}});
   call();
--- a/test/test_lease.cc
+++ b/test/test_lease.cc
@@ -51,6 +51,23 @@
   }
 };
 
+/* another writer spoilt it: it is waited for like another holder's, not for
+ * good */
+TEST_F(Leased, OneThatCannotBeReadIsTakenOnceItHasLapsed) {
+  gint64 began = now;
+  ASSERT_EQ(next(), STORE_READ);
+  answer(STORE_OK, 7, nullptr, 0);
+  EXPECT_FALSE(held());
+  while (next() == STORE_READ)
+    answer(STORE_OK, 7, nullptr, 0);
+  EXPECT_EQ(call.operation, STORE_REPLACE);
+  EXPECT_EQ(call.revision, 7);
+  EXPECT_GE(now - began, length);
+  EXPECT_LE(now - began, 4 * length);
+  answer(STORE_OK, 8);
+  EXPECT_TRUE(held());
+}
+
 TEST_F(Leased, IsCreatedWhereThereIsNone) {
   ASSERT_EQ(next(), STORE_READ);
   answer(STORE_ABSENT);
--- /dev/null
+++ b/test/test_lives.cc
@@ -0,0 +1,155 @@
+/*
+** test_lives.cc
+** Endpoints that start again under their id: a later life ends the earlier
+*one,
+** and late news of an earlier one bring nothing back
+*/
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include "router_world.h"
+
+using namespace routing;
+
+namespace {
+
+const Place decode = {"dec-1", "llm", "a", STAGE_DECODE};
+const Place plain = {"app-1", "app", "a", STAGE_NONE};
+
+struct Lives : ::testing::Test {
+  World world;
+
+  void SetUp() override {
+    world.born_unix_ms = 1000;
+    world.configure();
+  }
+  void start(const Place &place, gint64 born) {
+    world.born_unix_ms = born;
+    world.endpoint(place);
+  }
+  unsigned rows() {
+    mp_LoadDigest digest = {};
+    router_load_digest(world.router, &digest, world.now);
+    return digest.n;
+  }
+  guint32 hash_in_digest() {
+    mp_LoadDigest digest = {};
+    router_load_digest(world.router, &digest, world.now);
+    return digest.n > 0 ? digest.row[0].endpoint : 0;
+  }
+};
+
+TEST_F(Lives, ALaterOneEndsWhatRunsOnTheEarlier) {
+  start(plain, 1000);
+  guint64 request = world.request("/unsafe/x");
+  EXPECT_EQ(world.runs(request), 1u);
+  start(plain, 2000);
+  EXPECT_TRUE(world.last().cancelled);
+  EXPECT_EQ(world.end(request).refusals, 1);
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_OUTCOME_UNKNOWN);
+  EXPECT_EQ(rows(), 0u); /* no dispatch and no failure of the earlier life */
+}
+
+TEST_F(Lives, ARunThatMayBeRepeatedGoesOnElsewhere) {
+  start(plain, 1000);
+  guint64 request = world.request("/safe/x");
+  start({"app-2", "app", "a", STAGE_NONE}, 1500);
+  start(plain, 2000);
+  EXPECT_EQ(world.runs(request), 2u);
+  EXPECT_EQ(world.last().endpoint, "app-2");
+}
+
+TEST_F(Lives, AnEarlierOneHeardLateChangesNothing) {
+  start(plain, 2000);
+  guint64 request = world.request("/unsafe/x");
+  world.born_unix_ms = 1000;
+  world.endpoint(plain, false); /* it was leaving then */
+  EXPECT_EQ(world.end(request).ends(), 0);
+  world.outcome(world.last().number, OUTCOME_ANSWER);
+  EXPECT_EQ(world.end(request).answers, 1);
+  guint64 next = world.request("/unsafe/x");
+  EXPECT_EQ(world.runs(next), 1u); /* it is still ready */
+}
+
+TEST_F(Lives, WithoutAWordOfItsStartALifeGoesOn) {
+  start(plain, 1000);
+  guint64 request = world.request("/unsafe/x");
+  start(plain, 0);
+  start(plain, 1000);
+  EXPECT_EQ(world.end(request).ends(), 0);
+}
+
+TEST_F(Lives, InstancesTellEachOtherOfLives) {
+  start(plain, 1000);
+  world.request("/unsafe/x");
+  guint32 earlier = hash_in_digest();
+  start(plain, 2000);
+  world.request("/unsafe/x");
+  EXPECT_NE(hash_in_digest(), earlier);
+}
+
+TEST_F(Lives, APromptThatTheEarlierOneReadIsReadAgain) {
+  start({"pre-1", "llm", "a", STAGE_PREFILL}, 1000);
+  start(decode, 1000);
+  guint64 request = world.request("/stream/x");
+  guint64 prefill = world.last().number;
+  start(decode, 2000); /* what was reserved there is gone */
+  EXPECT_EQ(rows(), 1u);
+  world.prefilled(prefill);
+  EXPECT_EQ(world.runs(request), 1u);
+  world.outcome(world.last().number, OUTCOME_STREAM_END);
+  EXPECT_EQ(rows(), 0u);
+}
+
+/* a hundred endpoints, ten lives each, with late news of earlier ones */
+TEST_F(Lives, LoadsAreExactWhenAllIsQuiet) {
+  std::mt19937 random(5);
+  std::vector<std::string> names;
+  std::vector<gint64> born;
+  std::set<guint64> over;
+  for (int i = 0; i < 100; i++) {
+    names.push_back((i % 5 == 0 ? "pre-" : "dec-") + std::to_string(i));
+    born.push_back(1000);
+  }
+  auto list = [&](size_t i, gint64 at) {
+    start({names[i].c_str(), "llm", "a",
+           i % 5 == 0 ? STAGE_PREFILL : STAGE_DECODE},
+          at);
+  };
+  for (size_t i = 0; i < names.size(); i++)
+    list(i, born[i]);
+  size_t seen = 0;
+  for (int round = 0; round < 1000; round++) {
+    size_t i = random() % names.size();
+    world.request(round % 2 == 0 ? "/stream/x" : "/resume/x");
+    for (; seen < world.dispatches.size(); seen++) {
+      Sent sent = world.dispatches[seen];
+      if (sent.cancelled)
+        continue;
+      if (sent.kind == DISPATCH_PREFILL)
+        world.prefilled(sent.number, ("h" + std::to_string(seen)).c_str());
+      else if (sent.kind == DISPATCH_RUN && random() % 2 == 0)
+        world.outcome(sent.number, OUTCOME_STREAM_END);
+    }
+    list(i, born[i] += 10);
+    list(i, born[i] - 5 - static_cast<gint64>(random() % 20)); /* late news */
+    world.advance(10 * ms);
+  }
+  world.checks.clear();
+  for (size_t k = 0; k < world.dispatches.size(); k++) {
+    Sent sent = world.dispatches[k];
+    if (sent.kind == DISPATCH_RUN && !sent.cancelled)
+      world.outcome(sent.number, OUTCOME_STREAM_END);
+    else if (sent.kind == DISPATCH_PREFILL && !sent.cancelled)
+      world.prefilled(sent.number, ("g" + std::to_string(k)).c_str());
+  }
+  world.advance(30 * second);
+  EXPECT_EQ(router_open_requests(world.router), 0u);
+  EXPECT_EQ(rows(), 0u);
+}
+
+} // namespace
--- a/test/test_news.cc
+++ b/test/test_news.cc
@@ -62,7 +62,7 @@
 }
 
 TEST(News, RepliesAreReadAsTheyWereWritten) {
-  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, FALSE};
+  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, FALSE, 0};
   StoreObject here = {g_strdup("a"), 4, FALSE,
                       g_strdup("{\"x\":\"\\u00e9\"}")};
   StoreObject gone = {g_strdup("b"), 9, TRUE, nullptr};
@@ -85,7 +85,7 @@
 }
 
 TEST(News, OneThatKnowsNothingSaysSo) {
-  StoreReply reply = {STORE_FAILED, nullptr, FALSE, 0, FALSE};
+  StoreReply reply = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0};
   bool good;
   EXPECT_EQ(read(news_status(&reply, 0), "", &good).status, STORE_FAILED);
   EXPECT_TRUE(good);
@@ -93,7 +93,7 @@
 
 /* only a reply that names all objects may leave the text of one out */
 TEST(News, AWholeReplyNamesWhatHasNotChanged) {
-  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, TRUE};
+  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, TRUE, 0};
   StoreObject same = {g_strdup("a"), 4, FALSE, nullptr};
   bool good;
   g_array_append_val(reply.objects, same);
@@ -115,7 +115,7 @@
 }
 
 TEST(News, WhatIsTooLargeForARelaysLinkIsLeftToTheStore) {
-  StoreReply reply = {STORE_OK, nullptr, FALSE, 5, FALSE};
+  StoreReply reply = {STORE_OK, nullptr, FALSE, 5, FALSE, 0};
   EXPECT_EQ(news_status(&reply, NEWS_MOST), 200);
   EXPECT_EQ(news_status(&reply, NEWS_MOST + 1), 503);
 }
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -366,7 +366,9 @@
   EXPECT_FALSE(
       platform_read_record("i-7f", R"({"Service":"s"})", &record, nullptr));
   ASSERT_TRUE(platform_read_record(
-      "i-7f", R"({"Service":"s","Addr":"1.2.3.4:5","State":"draining"})",
+      "i-7f",
+      R"({"Service":"s","Addr":"1.2.3.4:5","Zone":"z","Slots":64,)"
+      R"("State":"draining"})",
       &record, nullptr));
   EXPECT_FALSE(record.ready);
   endpoint_record_clear(&record);
