--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -271,9 +271,9 @@
 m a-two "accounts: two keys are none" router/accounts.c 'if (call->keys == 1)' \
   'if (call->keys >= 1)'
 m a-again "accounts: age and key are asked before each run" router/path.c \
-  'if (!accounts_may_dispatch(router, request, &why, now))' 'if (FALSE)'
-m a-read "accounts: and before each reading" router/prefill.c \
-  'if (!accounts_may_dispatch(router, request, &why, now))' 'if (FALSE)'
+  'return accounts_may_dispatch(router, request, why, now) &&' 'return'
+m a-read "accounts, holds: and before each reading" router/prefill.c \
+  'if (!path_may_send(router, request, &why, now))' 'if (FALSE)'
 m a-key "accounts: a key is not passed on" platform/endpoints.c \
   '"Api-Key",' ''
 m a-back "accounts: what did not run is given back" router/finish.c \
@@ -303,5 +303,66 @@
   'use->prefill_busy = average->prefill_busy;'
 m d-hang "a plain endpoint that hangs is in doubt" router/path.c \
   'request->suspect_at = now + suspect_silence(request);' ''
+m q-refused "crash: a connection that stands proves no end" \
+  router/crash_watch.c 'if (outcome->kind == OUTCOME_UNREACHABLE &&' 'if ('
+m q-silent "crash: silence proves no end" router/crash_watch.c \
+  'now - watched->checked_at < REFUSED_WITHIN' 'TRUE'
+m q-leaving "crash: one that was leaving ends by plan" router/crash_watch.c \
+  'if (!endpoint->record.ready)' 'if (FALSE)'
+m q-life "crash: of this life" router/crash_watch.c \
+  'watched->life == life &&' ''
+m q-once "hold: an end counts once" router/quarantine.c \
+  'if (find_strike(row, crash) != NULL || !make_room(row))' \
+  'if (!make_room(row))'
+m q-off "hold: a good run takes a strike off" router/quarantine.c \
+  'row->strikes[i].off = TRUE;
+  if (count_of(row) == 0)' 'if (count_of(row) == 0)'
+m q-last "hold: three runs are tried at most" router/quarantine.c \
+  'if (strikes >= QUARANTINE_MOST)
+    return G_MAXINT64;
+  for' 'for'
+m q-store "hold: what instances know is kept in the store" \
+  router/quarantine.c \
+  'return count_of(row) >= SAVED_FROM && has_unsaved(row);' 'return FALSE;'
+m q-tell "hold: instances tell each other" router/quarantine.c \
+  'if (now - row->learned >= TELL_FOR || !(all || has_own(row)))' 'if (TRUE)'
+m q-door "hold: a held request is not sent" router/suspects.c \
+  'if (until == 0)
+    return TRUE;' 'return TRUE;'
+m q-sweep "hold: those that wait are refused at once" router/suspects.c \
+  'while ((request = held_waiting(router, now)) != NULL)' 'while (FALSE)'
+m q-account "hold: of one client account" router/router.c \
+  'if (account == NULL)
+    return call->content;' 'return call->content;'
+m v-later "lives: a later one ends what runs" router/router.c \
+  'while ((number = open_dispatch(router, id, life)) != 0)' 'while (FALSE)'
+m v-early "lives: an earlier one changes nothing" router/endpoint_table.c \
+  ': ENDPOINT_OUTDATED;' ': ENDPOINT_SAME;'
+m v-hash "lives: told apart in digests" router/endpoint_table.c \
+  '(guint64)record->born_unix_ms);' '0);'
+m v-loads "lives: loads of an earlier one are not the later's" router/path.c \
+  'return endpoint_table_get_life(router->endpoints, open->endpoint,
+                                 open->life);' \
+  'return endpoint_table_get(router->endpoints, open->endpoint);'
+m i-item "store: an object that can't be read is known by its name" \
+  platform/store.c 'object.text = read_content(span);' \
+  'object.text = read_content(span);
+  if (object.text != NULL && object.text[0] == 0) { out->nameless++; return; }'
+m i-stage "store: an unknown stage is none" platform/records.c \
+  'else
+    return FALSE;
+  return TRUE;
+}' 'else
+    *out = STAGE_DECODE;
+  return TRUE;
+}'
+m n-taking "news: no call begins while a reply is taken" router/follower.c \
+  'follower->open || follower->taking ?' 'follower->open ?'
+m n-seed "news: a seed that knows nothing is no failure of the store" \
+  router/news_source.c \
+  'if (!source->at_store && !by_relay && reply->status == STORE_FAILED)' \
+  'if (FALSE)'
+m c-boot "clock: suspended time counts" io/clock.c 'CLOCK_BOOTTIME' \
+  'CLOCK_MONOTONIC'
 echo "$caught mutants caught, $missed missed"
 [ $missed = 0 ]
