--- a/io/datagram.c
+++ b/io/datagram.c
@@ -4,21 +4,11 @@
 */
 
 #include <errno.h>
-#include <netinet/in.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "io/datagram.h"
-
-static struct sockaddr_in socket_address(mp_Addr address) {
-  struct sockaddr_in at;
-  memset(&at, 0, sizeof at);
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
-  at.sin_port = htons((uint16_t)(address & 0xffff));
-  return at;
-}
+#include "io/sockets.h"
 
 int datagram_open(mp_Addr address, const char *what, GError **error) {
   struct sockaddr_in at = socket_address(address);
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -5,10 +5,7 @@
 ** rules it out here is in docs/design/style.md.
 */
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -16,6 +13,7 @@
 #include "http/events.h"
 #include "http/reader.h"
 #include "io/endpoint_links.h"
+#include "io/sockets.h"
 
 /* how long a connection rests when its endpoint does not say */
 #define IDLE_UNSAID (800 * MP_MS)
@@ -364,14 +362,6 @@
 ** ===================================================================
 */
 
-static void set_socket_options(struct bufferevent *events) {
-  evutil_socket_t fd = bufferevent_getfd(events);
-  int on = 1;
-  int unacked = UNACKED_MS;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
-}
-
 static void write_call(Link *link) {
   Call *call = link->call;
   event_del(link->timer);
@@ -410,7 +400,7 @@
   Link *link = data;
   if (what & BEV_EVENT_CONNECTED) {
     link->connected = TRUE;
-    set_socket_options(events);
+    socket_set_options(events, UNACKED_MS);
     if (link->call->kind == DISPATCH_CHECK)
       checked(link);
     else
@@ -478,14 +468,9 @@
 }
 
 static void connect_link(Link *link, const Dispatch *dispatch) {
-  struct sockaddr_in at = {0};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl((uint32_t)(dispatch->address >> 16));
-  at.sin_port = htons((uint16_t)(dispatch->address & 0xffff));
   link->links->opened++;
   start_timer(link, dispatch->connect_timeout);
-  if (bufferevent_socket_connect(link->events, (struct sockaddr *)&at,
-                                 sizeof at) != 0)
+  if (!socket_connect(link->events, dispatch->address))
     start_timer(link, 0); /* fails from the loop, not from here */
 }
 
--- a/io/front.c
+++ b/io/front.c
@@ -16,6 +16,7 @@
 
 #include "http/reader.h"
 #include "io/front.h"
+#include "io/sockets.h"
 
 /* a caller that leaves this much of its answer unread is given up, bytes */
 #define MAX_UNREAD (4 << 20)
@@ -411,10 +412,7 @@
                                         DEFAULT_HEAD_TIMEOUT,
                                         DEFAULT_IDLE_TIMEOUT};
   Front *front = g_new0(Front, 1);
-  struct sockaddr_in at = {0};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
-  at.sin_port = htons((uint16_t)(address & 0xffff));
+  struct sockaddr_in at = socket_address(address);
   front->base = base;
   front->dialect = dialect;
   front->hooks = *hooks;
--- /dev/null
+++ b/io/sockets.c
@@ -0,0 +1,31 @@
+/*
+** sockets.c
+** Socket addresses, and outgoing TCP connections as bufferevents
+*/
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "io/sockets.h"
+
+struct sockaddr_in socket_address(mp_Addr address) {
+  struct sockaddr_in at = {0};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+  at.sin_port = htons((uint16_t)(address & 0xffff));
+  return at;
+}
+
+gboolean socket_connect(struct bufferevent *events, mp_Addr address) {
+  struct sockaddr_in at = socket_address(address);
+  return bufferevent_socket_connect(events, (struct sockaddr *)&at,
+                                    sizeof at) == 0;
+}
+
+void socket_set_options(struct bufferevent *events, int unacked_ms) {
+  evutil_socket_t fd = bufferevent_getfd(events);
+  int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+             sizeof unacked_ms);
+}
--- a/io/store_link.c
+++ b/io/store_link.c
@@ -3,16 +3,14 @@
 ** One call at a time to the store
 */
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 #include "http/reader.h"
 #include "io/store_link.h"
+#include "io/sockets.h"
 
 /* largest answer that is read, bytes */
 #define MAX_ANSWER (16 << 20)
@@ -127,18 +125,10 @@
   link->text = NULL;
 }
 
-static void set_socket_options(struct bufferevent *events) {
-  evutil_socket_t fd = bufferevent_getfd(events);
-  int on = 1;
-  int unacked = UNACKED_MS;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked, sizeof unacked);
-}
-
 static void on_event(struct bufferevent *events, short what, void *data) {
   StoreLink *link = data;
   if (what & BEV_EVENT_CONNECTED) {
-    set_socket_options(events);
+    socket_set_options(events, UNACKED_MS);
     if (link->text != NULL)
       write_call(link);
     return;
@@ -155,10 +145,6 @@
 static const HttpReaderHooks reader_hooks = {on_head, on_body};
 
 static void connect_link(StoreLink *link) {
-  struct sockaddr_in at = {0};
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl((uint32_t)(link->address >> 16));
-  at.sin_port = htons((uint16_t)(link->address & 0xffff));
   link->reader = http_reader_new(HTTP_ANSWERS, &reader_hooks, link);
   http_reader_limit(link->reader, 0, MAX_ANSWER);
   link->events = bufferevent_socket_new(
@@ -166,7 +152,7 @@
   bufferevent_setcb(link->events, on_read, NULL, on_event, link);
   bufferevent_enable(link->events, EV_READ | EV_WRITE);
   /* a failure here is told by on_event or by the timer */
-  bufferevent_socket_connect(link->events, (struct sockaddr *)&at, sizeof at);
+  socket_connect(link->events, link->address);
 }
 
 static GString *request_text(const StoreLink *link, const StoreCall *call) {
--- a/router/path.c
+++ b/router/path.c
@@ -38,40 +38,16 @@
 #define PLAIN_SUSPECT_OBJECTIVES 2
 /* plain repeatable requests: silence of so many objectives */
 #define SAFE_SILENCE_OBJECTIVES 2.5
-/* a run is given room to grow by this share of the usual output */
-#define GROWTH_SHARE 0.3
-/* the usual output, while no stream has ended: share of the announced */
-#define FIRST_OUTPUT_SHARE 0.4
-/* weight of the newest output in the mean */
-#define OUTPUT_STEP 0.05
-/* weight of the newest prompt in the mean */
-#define PROMPT_STEP 0.1
 /* memory is counted anew each time a stream has made so many tokens */
 #define COUNT_STEP 64
 /* time that must be left for another try to make sense */
 #define LEAST_TIME_LEFT (30 * MP_MS)
 
-guint64 path_memory(Router *router, const Request *request) {
-  const ServiceState *state = router_service(router, request->service->name);
-  double usual = state->mean_output;
-  double grown;
-  if (usual <= 0)
-    usual = FIRST_OUTPUT_SHARE * request->output_tokens;
-  grown = request->made + GROWTH_SHARE * usual;
-  return request->prompt_tokens +
-         (guint64)MIN(grown, (double)request->output_tokens);
-}
-
-double path_usual_memory(Router *router, const Service *service) {
-  const ServiceState *state = router_service(router, service->name);
-  return state->mean_prompt + state->mean_output / 2;
-}
-
 /* a stream has grown: count its memory anew */
 static void count_memory(Router *router, Request *request) {
   OpenDispatch *open = &request->open;
   Endpoint *endpoint = path_open_endpoint(router, request);
-  guint64 tokens = path_memory(router, request);
+  guint64 tokens = estimate_memory(router, request);
   if (endpoint == NULL || tokens < open->tokens + COUNT_STEP)
     return;
   /* no version of its own: the next digest tells it */
@@ -79,23 +55,13 @@
   open->tokens = tokens;
 }
 
-/* learn how long the streams of a service are */
-static void learn_output(Router *router, const Request *request) {
-  ServiceState *state = router_service(router, request->service->name);
-  if (request->made == 0)
-    return;
-  if (state->mean_output <= 0)
-    state->mean_output = FIRST_OUTPUT_SHARE * request->output_tokens;
-  state->mean_output += OUTPUT_STEP * (request->made - state->mean_output);
-}
-
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage) {
   EndpointWish wish = {0};
   wish.service = request->service->name;
   wish.stage = stage;
   wish.capacity = request->service->kv_tokens;
-  wish.tokens = path_memory(router, request);
+  wish.tokens = estimate_memory(router, request);
   wish.excluded = (const char *const *)request->excluded;
   wish.excluded_count = request->excluded_count;
   wish.spread = (guint64)g_rand_int(router->random) + 1;
@@ -314,7 +280,7 @@
                 strcmp(request->decode, endpoint->record.id) == 0;
   prefill_unreserve(router, request);
   if (request->service->is_engine)
-    tokens = path_memory(router, request);
+    tokens = estimate_memory(router, request);
   if (request->service->is_engine && !is_reserved)
     router->host.note(router->host.data, endpoint->hash, (guint32)tokens);
   path_send(router, request, DISPATCH_RUN, endpoint, tokens, now);
@@ -331,17 +297,9 @@
     path_run(router, request, now);
 }
 
-static void learn_prompt(Router *router, const Request *request) {
-  ServiceState *state = router_service(router, request->service->name);
-  if (state->mean_prompt <= 0)
-    state->mean_prompt = request->prompt_tokens;
-  state->mean_prompt +=
-      PROMPT_STEP * (request->prompt_tokens - state->mean_prompt);
-}
-
 void path_begin(Router *router, Request *request, gint64 now) {
   if (request->service->is_engine)
-    learn_prompt(router, request);
+    estimate_learn_prompt(router, request);
   if (request->service->is_engine)
     admission_enter(router, request, now);
   else
@@ -470,15 +428,6 @@
   path_run_again(router, request, FALSE, now);
 }
 
-void path_suspect_end(Router *router, const Request *request,
-                      const Endpoint *endpoint, gint64 now) {
-  QuarantineSuspect suspect = {request->content, request->id,
-                               request->route->name, NULL};
-  if (request->account != NULL)
-    suspect.account = request->account->name;
-  crash_watch_broken(router->crashes, endpoint, &suspect, now);
-}
-
 static void broken(Router *router, Request *request, Endpoint *endpoint,
                    gint64 now) {
   router_count(router, BROKEN);
@@ -486,7 +435,7 @@
   request->runs++;
   if (endpoint != NULL) {
     endpoint_failed(endpoint, now);
-    path_suspect_end(router, request, endpoint, now);
+    suspects_broken(router, request, endpoint, now);
   }
   path_close_dispatch(router, request, FALSE);
   if (request->head_sent)
@@ -619,7 +568,7 @@
   case OUTCOME_STREAM_END:
     if (endpoint != NULL)
       endpoint_succeeded(endpoint, now);
-    learn_output(router, request);
+    estimate_learn_output(router, request);
     suspects_succeeded(router, request);
     router_time(router, request, DURATION_STREAM, now);
     admission_ended(router, now);
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -50,7 +50,7 @@
 void prefill_reserve(Router *router, Request *request, Endpoint *decode) {
   request->decode = g_strdup(decode->record.id);
   request->decode_life = decode->hash;
-  request->decode_tokens = path_memory(router, request);
+  request->decode_tokens = estimate_memory(router, request);
   decode->tokens += request->decode_tokens;
   router->load_version++;
   router->host.note(router->host.data, decode->hash,
@@ -213,7 +213,7 @@
   else
     endpoint_failed(endpoint, now);
   if (outcome->kind == OUTCOME_BROKEN)
-    path_suspect_end(router, request, endpoint, now);
+    suspects_broken(router, request, endpoint, now);
 }
 
 static void log_prefill(Router *router, const Request *request,
--- a/router/router.c
+++ b/router/router.c
@@ -41,37 +41,9 @@
   g_free(request);
 }
 
-static guint64 check_endpoint(void *data, const Endpoint *endpoint,
-                              gint64 timeout) {
-  Router *router = data;
-  Dispatch dispatch = {0};
-  dispatch.number = ++router->last_dispatch;
-  dispatch.kind = DISPATCH_CHECK;
-  dispatch.address = endpoint->record.address;
-  dispatch.endpoint = endpoint->record.id;
-  dispatch.connect_timeout = timeout;
-  router->host.dispatch(router->host.data, &dispatch);
-  return dispatch.number;
-}
-
-static void endpoint_ended(void *data, const char *endpoint, guint32 life,
-                           const QuarantineSuspect *suspects, guint count,
-                           const char *how, gint64 now) {
-  Router *router = data;
-  guint i;
-  router_count(router, ENDPOINT_ENDS);
-  router_log(router, MP_LOG_EP_ENDED, " endpoint=%s requests=%u proof=%s",
-             endpoint, count, how);
-  for (i = 0; i < count; i++)
-    suspects_strike(router, &suspects[i], life, now);
-  suspects_sweep(router, now);
-}
-
 Router *router_new(const RouterOptions *options, const RouterHost *host,
                    gint64 now) {
   Router *router = g_new0(Router, 1);
-  CrashWatchHost crash_host = {NULL, check_endpoint, endpoint_ended};
-  crash_host.data = router;
   router->host = *host;
   router->retry.ratio = options->retry_ratio;
   router->retry.window = options->retry_window;
@@ -87,7 +59,7 @@
   router->near = 1;
   router->waiting = g_ptr_array_new();
   router->limits = account_limits_new(&options->limits, now);
-  router->crashes = crash_watch_new(&crash_host);
+  router->crashes = lives_watch_new(router);
   router->quarantine = quarantine_new(options->unix_offset, options->seed);
   router->revoke_bound = options->revoke_bound;
   router->news_bound = options->news_bound;
@@ -162,99 +134,6 @@
   router->heard_at = MAX(router->heard_at, at);
 }
 
-/* a dispatch of a request that is open at this life of the endpoint */
-static guint64 open_dispatch(const Router *router, const char *endpoint,
-                             guint32 life) {
-  GHashTableIter iterator;
-  gpointer value;
-  g_hash_table_iter_init(&iterator, router->requests);
-  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-    const OpenDispatch *open = &((const Request *)value)->open;
-    if (open->number != 0 && open->life == life &&
-        strcmp(open->endpoint, endpoint) == 0)
-      return open->number;
-  }
-  return 0;
-}
-
-/* prompts that the endpoint had read, and what was reserved there, are gone */
-static void drop_prompts(Router *router, const char *endpoint) {
-  GHashTableIter iterator;
-  gpointer value;
-  g_hash_table_iter_init(&iterator, router->requests);
-  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-    Request *request = value;
-    if (g_strcmp0(request->handle_endpoint, endpoint) == 0) {
-      g_clear_pointer(&request->handle, g_free);
-      g_clear_pointer(&request->handle_endpoint, g_free);
-    }
-    if (g_strcmp0(request->read_by, endpoint) == 0)
-      g_clear_pointer(&request->read_by, g_free);
-    if (g_strcmp0(request->decode, endpoint) == 0)
-      g_clear_pointer(&request->decode, g_free);
-  }
-}
-
-/*
-** The endpoint's process has started again, as a record says: this life of it
-** is over. Runs on it have ended, whether their connections have broken off
-** yet or not: they are tried again, or not, by the same rules as others that
-** broke off.
-*/
-static void end_life(Router *router, Endpoint *endpoint, gint64 now) {
-  char *id = g_strdup(endpoint->record.id);
-  guint32 life = endpoint->hash;
-  guint64 number;
-  router_log(router, MP_LOG_EP_RESTARTED, " endpoint=%s", id);
-  drop_prompts(router, id);
-  stages_restarted(router->stages, id);
-  endpoint->avoid_until = G_MAXINT64; /* none is sent there any more */
-  while ((number = open_dispatch(router, id, life)) != 0) {
-    Outcome outcome = {0};
-    outcome.dispatch = number;
-    outcome.kind = OUTCOME_BROKEN;
-    router->host.cancel(router->host.data, number);
-    router_outcome(router, &outcome, now);
-  }
-  crash_watch_over(router->crashes, id, life, "restarted", now);
-  g_free(id);
-}
-
-static void forget_endpoint(Router *router, const Endpoint *known,
-                            gint64 now) {
-  char *id;
-  guint32 life;
-  if (known == NULL)
-    return;
-  id = g_strdup(known->record.id);
-  life = known->hash;
-  router_log(router, MP_LOG_EP_LEAVING, " endpoint=%s gone=1", id);
-  endpoint_table_remove(router->endpoints, id);
-  crash_watch_over(router->crashes, id, life, "gone", now);
-  g_free(id);
-}
-
-void router_set_endpoint(Router *router, const EndpointRecord *record,
-                         gboolean gone, gint64 now) {
-  Endpoint *known = endpoint_table_get(router->endpoints, record->id);
-  gboolean was_ready = known != NULL && known->record.ready;
-  EndpointNews news;
-  if (gone) {
-    forget_endpoint(router, known, now);
-    return;
-  }
-  news = endpoint_table_compare(router->endpoints, record);
-  if (news == ENDPOINT_OUTDATED)
-    return;
-  if (known != NULL && news == ENDPOINT_RESTARTED)
-    end_life(router, known, now);
-  endpoint_table_set(router->endpoints, record);
-  if (news != ENDPOINT_SAME || was_ready != record->ready)
-    router_log(router, record->ready ? MP_LOG_EP_UP : MP_LOG_EP_LEAVING,
-               " endpoint=%s service=%s zone=%s stage=%d", record->id,
-               record->service, record->zone, (int)record->stage);
-}
-
 void router_keep_endpoints(Router *router, GHashTable *names, gint64 now) {
   (void)now;
   endpoint_table_keep(router->endpoints, names);
--- a/router/stages.c
+++ b/router/stages.c
@@ -139,8 +139,8 @@
                      gint64 now) {
   const EndpointTable *table = stages->router->endpoints;
   GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
-  double run_share =
-      path_usual_memory(stages->router, service) / MAX(service->kv_tokens, 1);
+  double run_share = estimate_usual_memory(stages->router, service) /
+                     MAX(service->kv_tokens, 1);
   StageUse use = {0};
   guint i;
   for (i = 0; i < table->all->len; i++) {
--- a/router/state.h
+++ b/router/state.h
@@ -173,9 +173,6 @@
 /* may anything be sent for it now? Else '*why' says why not */
 gboolean path_may_send(Router *router, Request *request, RefusalKind *why,
                        gint64 now);
-/* it broke off there: if the endpoint has ended, that may be its doing */
-void path_suspect_end(Router *router, const Request *request,
-                      const Endpoint *endpoint, gint64 now);
 /* the endpoint of the open dispatch; NULL when that life is over */
 Endpoint *path_open_endpoint(const Router *router, const Request *request);
 /* the open dispatch is over: forget it; 'cancel' closes its connection */
@@ -183,10 +180,6 @@
 /* fill in and send a dispatch to an endpoint */
 void path_send(Router *router, Request *request, DispatchKind kind,
                Endpoint *endpoint, guint64 tokens, gint64 now);
-/* tokens of memory that a run takes, with room to grow */
-guint64 path_memory(Router *router, const Request *request);
-/* tokens of memory that a run of the service takes, on average over it */
-double path_usual_memory(Router *router, const Service *service);
 /* a wish with what every wish of this request says */
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage);
@@ -202,6 +195,23 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** estimate.c: what a run will take of an engine
+** ===================================================================
+*/
+
+/* tokens of memory that a run takes, with room to grow */
+guint64 estimate_memory(Router *router, const Request *request);
+/* tokens of memory that a run of the service takes, on average over it */
+double estimate_usual_memory(Router *router, const Service *service);
+/* a stream has ended: how long it was */
+void estimate_learn_output(Router *router, const Request *request);
+/* a request came: how long its prompt is */
+void estimate_learn_prompt(Router *router, const Request *request);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** prefill.c: reading the prompt before the run
@@ -277,6 +287,17 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** lives.c: lives of endpoints
+** ===================================================================
+*/
+
+/* a watch whose checks are dispatches, and that strikes suspects */
+CrashWatch *lives_watch_new(Router *router);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** suspects.c: requests that end the endpoints that run them
@@ -286,6 +307,9 @@
 /* FALSE: it is held; '*why' says so, and when to come back is noted in it */
 gboolean suspects_may_send(Router *router, Request *request, RefusalKind *why,
                            gint64 now);
+/* it broke off there: if the endpoint has ended, that may be its doing */
+void suspects_broken(Router *router, const Request *request,
+                     const Endpoint *endpoint, gint64 now);
 /* an endpoint's life ended under it */
 void suspects_strike(Router *router, const QuarantineSuspect *suspect,
                      guint32 life, gint64 now);
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -61,6 +61,15 @@
              content, strikes, from, seconds);
 }
 
+void suspects_broken(Router *router, const Request *request,
+                     const Endpoint *endpoint, gint64 now) {
+  QuarantineSuspect suspect = {request->content, request->id,
+                               request->route->name, NULL};
+  if (request->account != NULL)
+    suspect.account = request->account->name;
+  crash_watch_broken(router->crashes, endpoint, &suspect, now);
+}
+
 void suspects_strike(Router *router, const QuarantineSuspect *suspect,
                      guint32 life, gint64 now) {
   if (quarantine_strike(router->quarantine, suspect, life, now))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -334,7 +334,7 @@
 m q-account "hold: of one client account" router/router.c \
   'if (account == NULL)
     return call->content;' 'return call->content;'
-m v-later "lives: a later one ends what runs" router/router.c \
+m v-later "lives: a later one ends what runs" router/lives.c \
   'while ((number = open_dispatch(router, id, life)) != 0)' 'while (FALSE)'
 m v-early "lives: an earlier one changes nothing" router/endpoint_table.c \
   ': ENDPOINT_OUTDATED;' ': ENDPOINT_SAME;'
