A test that one mutant of the lives lacked

Cause: v-loads (a run of an earlier life closed at the later one) was missed. Ruled out: - Change: a run that goes on while its endpoint leaves the list and comes back. Figures: the mutant fails it now.

--- a/test/test_lives.cc
+++ b/test/test_lives.cc
@@ -63,6 +63,24 @@
   EXPECT_EQ(world.last().endpoint, "app-2");
 }
 
+/* it left the list, and a later life of it came, while a run went on */
+TEST_F(Lives, ARunOfTheEarlierOneIsNotHeldAgainstTheLater) {
+  mp_LoadDigest digest = {};
+  start(plain, 1000);
+  guint64 first = world.request("/unsafe/x");
+  guint64 dispatch = world.last().number;
+  world.endpoint(plain, true, true);
+  start(plain, 2000);
+  guint64 second = world.request("/unsafe/x");
+  EXPECT_EQ(world.runs(second), 1u);
+  world.outcome(dispatch, OUTCOME_BROKEN);
+  EXPECT_EQ(world.end(first).refusals, 1);
+  router_load_digest(world.router, &digest, world.now);
+  ASSERT_EQ(digest.n, 1u);
+  EXPECT_EQ(digest.row[0].open, 1u);
+  EXPECT_EQ(digest.row[0].failing, 0u);
+}
+
 TEST_F(Lives, AnEarlierOneHeardLateChangesNothing) {
   start(plain, 2000);
   guint64 request = world.request("/unsafe/x");
