Fuzz targets for all that is read from outside; an empty settings file ended the process

Cause: libcyaml takes a file without a document for a good one and hands out nothing; check() then read through a null pointer (found by the first run of the settings target).

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -245,6 +245,10 @@
                 "%s: %s; see docs/SETTINGS.md for the keys", path,
                 said->len > 0 ? said->str : cyaml_strerror(e));
     s = NULL;
+  } else if (s == NULL) { /* a file without a document is no error of YAML */
+    g_set_error(err, MP_ERROR, MP_ERR_SETTINGS,
+                "%s: the file is empty; see docs/SETTINGS.md for the keys",
+                path);
   } else if (!check(s, path, err)) {
     settings_free(s);
     s = NULL;
--- a/makefile
+++ b/makefile
@@ -126,7 +126,7 @@
 SOURCES = $(wildcard include/*.h account/*.[ch] core/*.[ch] conf/*.[ch] wire/*.[ch] io/*.[ch] \
   http/*.[ch] router/*.[ch] dialect/*.[ch] platform/*.[ch] \
   daemon/*.[ch] cli/*.[ch] standin/*.[ch] bench/*.[ch] examples/*.c \
-  test/*.cc test/*.[ch] test/tools/*.cc)
+  test/*.cc test/*.[ch] test/tools/*.cc test/fuzz/*.c)
 
 format:
 	clang-format -i $(SOURCES)
@@ -149,6 +149,20 @@
 matrix: $(BUILD)/matrix
 	$(BUILD)/matrix
 
+# what is read from outside, with libFuzzer: see scripts/fuzz.sh
+FUZZCF = -fsanitize=fuzzer-no-link,address,undefined \
+  -fno-sanitize-recover=undefined
+FUZZ = $(patsubst test/fuzz/%.c,$(BUILD)/fuzz_%,$(wildcard test/fuzz/*.c))
+
+$(BUILD)/fuzz_%: $(BUILD)/test/fuzz/%.o $(BUILD)/daemon/settings.o \
+  $(BUILD)/io/news_codec.o $(DIALECT) $(WIRELIB) $(LIB)
+	clang -fsanitize=fuzzer,address,undefined -o $@ $^ $(LIBS)
+
+fuzz:
+	+$(MAKE) CC=clang WARN=-w SAN="$(FUZZCF)" fuzzers
+
+fuzzers: $(FUZZ)
+
 # what scenarios run
 processes: all $(STANDINS) $(BUILD)/scenario
 
@@ -157,7 +171,8 @@
 	+scripts/check.sh
 
 clean:
-	rm -rf build build-san
+	rm -rf build build-san build-fuzz
 
-.PHONY: all clean demo check processes bench slopes matrix lint format
+.PHONY: all clean demo check processes bench slopes matrix lint format fuzz \
+  fuzzers
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -89,6 +89,15 @@
 soak regress
 soak 1 2 6
 
+# what is read from outside, fuzzed shortly from a fixed seed: two minutes of
+# processor time over all targets
+fuzz_log=$(mktemp)
+scripts/fuzz.sh 15 >"$fuzz_log" 2>&1
+code=$?
+[ $code = 0 ] || tail -40 "$fuzz_log"
+result fuzz $code
+rm -f "$fuzz_log"
+
 [ $known = 0 ] || echo "$known known red, see KNOWN-RED.txt"
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
--- /dev/null
+++ b/test/fuzz/configuration.c
@@ -0,0 +1,19 @@
+/*
+** configuration.c
+** Fuzz target: the operator's configuration
+*/
+
+#include "platform/platform.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
+  char *text = g_strndup((const char *)data, size);
+  RouteTable *table = platform_read_configuration(text, NULL);
+  if (table != NULL) {
+    route_table_find(table, "h.example", "/a/b/c");
+    route_table_unref(table);
+  }
+  g_free(text);
+  return 0;
+}
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -40,6 +40,18 @@
   }
 };
 
+/* libcyaml takes a file without a document for a good one */
+TEST_F(Bounds, AnEmptyFileIsRefusedWithARemedy) {
+  for (const char *text : {"", "\n", "# nothing\n"}) {
+    GError *error = nullptr;
+    std::ofstream(path) << text;
+    EXPECT_EQ(settings_read(path.c_str(), &error), nullptr);
+    ASSERT_NE(error, nullptr);
+    EXPECT_NE(strstr(error->message, "docs/SETTINGS.md"), nullptr);
+    g_clear_error(&error);
+  }
+}
+
 /*
 ** A watch that a silent store swallowed just before it came back is given
 ** up, with the slack for its answer, while the platform does not yet count
