--- a/makefile
+++ b/makefile
@@ -97,7 +97,8 @@
 $(BUILD)/scenario: $(BUILD)/test/scenario.o $(BUILD)/test/kept.o $(BUILD)/io/http.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) $(LUALIBS)
 
-$(BUILD)/standin-fleet: $(BUILD)/standin/fleet.o $(BUILD)/standin/store.o \
+$(BUILD)/standin-fleet: $(BUILD)/standin/fleet.o $(BUILD)/standin/worker.o \
+  $(BUILD)/standin/store.o \
   $(BUILD)/standin/serve.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
