Who can still be answered in time goes before who is late, by the caller's first try

Cause: a caller that came back after a refusal went before all others and counted as in time from its return, though it was late already; after a burst all room went to those, fresh callers were refused and came back late in their turn: an overload that outlived its cause. Besides, the expected wait of a fresh request counted all that wait here and the ends here alone, where room that appears anywhere is for all: seven times too long with seven instances. Ruled out: the prompts' stage (read as fast as ever); one order by first tries alone, and waits counted from the peers that wait (docs/design/overload.md has both with figures). Change: order by the first try, which follows from what a caller has left against others of its route (router/patience.c); digests tell how many in time wait; the expected wait counts those and the ends everywhere. Counters of started and late requests, gauges of waiting ones.

--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -524,7 +524,8 @@
 /* all that the sender has open; replaces what it said before */
 typedef struct mp_LoadDigest {
   uint32_t waiting;   /* requests that wait for room */
-  uint32_t oldest_ms; /* how long the first of them has waited */
+  uint32_t in_time;   /* of them, that can still be answered in time */
+  uint32_t oldest_ms; /* how long the first of those has waited */
   unsigned n;
   mp_LoadRow row[MP_DIGEST_ROWS];
   /* engines that were ordered to change their stage, by hash of their id */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -334,6 +334,8 @@
   counts.ready = is_ready(gateway);
   router_quarantine_count(gateway->router, clock_now(), &counts.suspects,
                           &counts.held);
+  router_count_waiting(gateway->router, clock_now(), &counts.waiting,
+                       &counts.waiting_in_time);
   for (kind = 0; kind < MP_RELAY_KINDS; kind++)
     counts.bad_objects[kind] =
         directory_bad_objects(gateway->directory, (StoreKind)kind);
@@ -359,7 +361,7 @@
   int status;
   if (!news_read_query(evhttp_uri_get_query(uri), &kind, &since)) {
     reply(request, HTTP_BADREQUEST, "text/plain",
-          "ask for kind=0, 1 or 2, and since=REVISION\n");
+          "ask for kind=0, 1, 2 or 3, and since=REVISION\n");
     return;
   }
   directory_answer(gateway->directory, kind, since, &known);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -50,12 +50,14 @@
       "madderpier_news_age_seconds %.3f\n"
       "madderpier_ready %d\n"
       "madderpier_suspect_requests %u\n"
-      "madderpier_held_requests %u\n",
+      "madderpier_held_requests %u\n"
+      "madderpier_waiting_requests %u\n"
+      "madderpier_waiting_requests_in_time %u\n",
       carriers->endpoint_connections, carriers->store_calls,
       carriers->log_lines_left_out, carriers->log_lines_lost,
       carriers->idle_endpoint_connections, carriers->news_role,
       (double)carriers->news_age / MP_SEC, carriers->ready, carriers->suspects,
-      carriers->held);
+      carriers->held, carriers->waiting, carriers->waiting_in_time);
 }
 
 static void write_bad_objects(GString *text, const CarrierCounts *carriers) {
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -21,6 +21,8 @@
   gboolean ready;        /* now */
   guint suspects;        /* requests under which endpoints ended lately */
   guint held;            /* of them, those that are not sent any more */
+  guint waiting;         /* requests that wait for room now */
+  guint waiting_in_time; /* of them, that can still be answered in time */
   guint64 bad_objects[MP_RELAY_KINDS]; /* of the store, by StoreKind */
 } CarrierCounts;
 
--- a/router/admission.c
+++ b/router/admission.c
@@ -5,10 +5,18 @@
 ** Memory at the decode engines is the scarce thing: a request that is
 ** sent there without room is turned away after its prompt was read, or
 ** pushes another one out. So a request starts only once some engine has
-** room for all of it, counted over all instances. Requests that came back
-** after a refusal go first, the others in the order they came. One that
-** would wait past its objective is refused at once, with when to come
-** back, which serves it better than a late answer.
+** room for all of it, counted over all instances. One that would wait past
+** its objective is refused at once, with when to come back, which serves it
+** better than a late answer.
+**
+** Invariant: what is late already takes room that nobody needs who can still
+** be answered in time. Else an overload outlives its cause: late requests fill
+** the engines, fresh ones wait behind them or are refused, and come back late.
+** (Virtual time, a burst of twice the load for 6 s: of the callers who came 5
+** to 15 s after it, 0.30 to 0.99 were answered in time when those who came
+*back
+** went first, 0.97 to 1.00 now; test_overload.cc.) Time counts from the
+** caller's first try. Those whose prompt is read go first of all.
 **
 ** When room appears, all instances hear of it at about the same time. Each
 ** request that waits takes its turn by its place among all that wait: as
@@ -36,22 +44,31 @@
 ** part of SPREAD; they heed what is asked up to a third of it */
 #define COME_BACK_SHARE 0.13
 #define COME_BACK_SPREAD 0.14
-/* a caller with less than this share of the route's time has come back */
+/* a caller with less than this share of what others have has come back */
 #define FRESH_SHARE 0.97
-/* one that waited less than this share of its objective is in time */
+/* one whose caller has waited less than this share of its objective is in
+** time: reading its prompt takes another 0.2 to 0.3 of it */
 #define IN_TIME_SHARE 0.7
 /* a turn: at least this, and so much for each instance whose digests are
 ** heard: what the others start is known after about that time */
 #define TURN_LEAST (3 * MP_MS)
 #define TURN_PER_INSTANCE 1000LL
-/* who came back goes before those that came this much earlier */
-#define RETURNED_AHEAD (1 * MP_SEC)
+/* one whose prompt is read goes before those that came this much earlier */
+#define READ_AHEAD (1 * MP_SEC)
 /* weight of the newest end among the intervals between ends */
 #define INTERVAL_STEP 0.15
 
-static gboolean has_come_back(const Request *request) {
+static void note_first_try(Router *router, Request *request) {
+  const Route *route = request->route;
+  const char *name = route->name != NULL ? route->name : route->prefix;
   gint64 patience = request->caller_deadline - request->arrived;
-  return (double)patience < FRESH_SHARE * (double)request->route->timeout;
+  gint64 usual =
+      patience_table_note(router->patiences, name, patience, request->arrived);
+  usual = MIN(usual, route->timeout); /* who allows more is fresh as well */
+  request->returned = (double)patience < FRESH_SHARE * (double)usual;
+  request->first_try = request->arrived;
+  if (request->returned)
+    request->first_try -= usual - patience;
 }
 
 /* longest expected wait of one that has not been refused before */
@@ -66,9 +83,14 @@
   return (gint64)(WAIT_MOST_SHARE * (double)gives_up);
 }
 
-/* how long until the one at this place in the queue may start */
+/*
+** How long until the one at this place among those that are in time here may
+** start: room that appears anywhere is for all, and ends at other instances
+** are as frequent as here.
+*/
 static gint64 expected_wait(const Router *router, guint place) {
-  return (gint64)((place + 1) * router->end_interval);
+  guint ahead = place + peer_loads_in_time(router->endpoints->peers);
+  return (gint64)((ahead + 1) * router->end_interval / router->near);
 }
 
 void admission_ended(Router *router, gint64 now) {
@@ -100,18 +122,20 @@
   finish_refuse(router, request, REFUSAL_BUSY);
 }
 
-/* who was refused before, and whose prompt is read already */
-static gboolean goes_first(const Request *request) {
-  return request->returned || request->handle != NULL;
+/* can its first token still come within the objective? */
+static gboolean is_in_time(const Request *request, gint64 now) {
+  return request->handle != NULL ||
+         (double)(now - request->first_try) <
+             IN_TIME_SHARE * (double)request->route->objective;
 }
 
-/* behind all that go first when it does, else at the end */
+/* behind all whose prompt is read when its own is, else at the end */
 static void enqueue(Router *router, Request *request) {
   guint at = router->waiting->len;
-  if (goes_first(request)) {
+  if (request->handle != NULL) {
     for (at = 0; at < router->waiting->len; at++) {
       const Request *other = router->waiting->pdata[at];
-      if (!goes_first(other))
+      if (other->handle == NULL)
         break;
     }
   }
@@ -126,41 +150,86 @@
   return !request->returned && now < early ? early : last;
 }
 
-/* when it came, for the order among those that wait */
+/* when it came, for the order among those that are in time */
 static gint64 seniority(const Request *request) {
-  return request->arrived - (goes_first(request) ? RETURNED_AHEAD : 0);
+  if (request->handle != NULL)
+    return request->arrived - READ_AHEAD;
+  return request->first_try;
 }
 
 gint64 admission_oldest(const Router *router, gint64 now) {
   gint64 first = now;
   guint i;
-  for (i = 0; i < router->waiting->len; i++)
-    first = MIN(first, seniority(router->waiting->pdata[i]));
+  for (i = 0; i < router->waiting->len; i++) {
+    const Request *request = router->waiting->pdata[i];
+    if (is_in_time(request, now))
+      first = MIN(first, seniority(request));
+  }
   return now - first;
 }
 
-/* how many wait, here and at the others, that go before this one */
-static guint ahead_of(const Router *router, const Request *request) {
-  guint count = peer_loads_older(router->endpoints->peers, seniority(request));
+/* how many in time stand before this one here; NULL: in all */
+static guint in_time_before(const Router *router, const Request *request,
+                            gint64 now) {
+  guint count = 0;
   guint i;
   for (i = 0; i < router->waiting->len; i++) {
     const Request *other = router->waiting->pdata[i];
-    count += other != request && seniority(other) < seniority(request);
+    if (other == request)
+      break;
+    count += is_in_time(other, now);
   }
   return count;
 }
 
+guint admission_in_time(const Router *router, gint64 now) {
+  return in_time_before(router, NULL, now);
+}
+
+/* does the other one go before this one, which is in time or is not? */
+static gboolean goes_before(const Request *other, const Request *request,
+                            gboolean in_time, gint64 now) {
+  if (is_in_time(other, now) != in_time)
+    return !in_time;
+  return in_time ? seniority(other) < seniority(request)
+                 : other->arrived < request->arrived;
+}
+
+/* how many wait, here and at the others, that go before this one; of the late
+** ones elsewhere it is not known since when they wait */
+static guint ahead_of(const Router *router, const Request *request,
+                      gint64 now) {
+  const PeerLoads *peers = router->endpoints->peers;
+  gboolean in_time = is_in_time(request, now);
+  guint count = in_time ? peer_loads_older(peers, seniority(request))
+                        : peer_loads_with_waiting(peers);
+  guint i;
+  for (i = 0; i < router->waiting->len; i++)
+    count += goes_before(router->waiting->pdata[i], request, in_time, now);
+  return count;
+}
+
 /* how long a request waits for its turn, now that there is some room */
 static gint64 turn_wait(Router *router, const Request *request, gint64 now) {
   EndpointWish wish = path_wish(router, request, STAGE_DECODE);
   guint rooms = endpoint_table_rooms(router->endpoints, &wish, now);
   gint64 turn = TURN_LEAST + TURN_PER_INSTANCE * router->near;
-  return ahead_of(router, request) / MAX(rooms, 1) * turn;
+  return ahead_of(router, request, now) / MAX(rooms, 1) * turn;
+}
+
+/* once each: who waits again with its prompt read has started before */
+static void count_start(Router *router, const Request *request, gint64 now) {
+  if (request->handle != NULL)
+    return;
+  router_count(router, STARTED);
+  if (!is_in_time(request, now))
+    router_count(router, STARTED_LATE);
 }
 
 static void start(Router *router, Request *request, Endpoint *engine,
                   gint64 now) {
   admission_leave(router, request);
+  count_start(router, request, now);
   request->stall_at = 0;
   request->turn_at = 0;
   path_place(router, request, engine, now);
@@ -190,9 +259,11 @@
 }
 
 void admission_enter(Router *router, Request *request, gint64 now) {
-  request->returned = has_come_back(request);
+  guint place;
+  note_first_try(router, request);
   if (!request->returned &&
-      expected_wait(router, router->waiting->len) > wait_fresh(request) &&
+      expected_wait(router, admission_in_time(router, now)) >
+          wait_fresh(request) &&
       engine_with_room(router, request, now) == NULL) {
     refuse(router, request, now);
     return;
@@ -203,10 +274,10 @@
   router->load_version++;
   if (try_start(router, request, now))
     return;
+  place = in_time_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
              " request=%s place=%u expected_ms=%d came_back=%d", request->id,
-             router->waiting->len,
-             (int)(expected_wait(router, router->waiting->len - 1) / MP_MS),
+             place, (int)(expected_wait(router, place) / MP_MS),
              request->returned);
 }
 
@@ -227,18 +298,9 @@
     router->load_version++;
 }
 
-static guint place_of(const Router *router, const Request *request) {
-  guint i;
-  for (i = 0; i < router->waiting->len; i++) {
-    if (router->waiting->pdata[i] == request)
-      break;
-  }
-  return i;
-}
-
 void admission_look(Router *router, Request *request, gint64 now) {
   gint64 waited = now - request->arrived;
-  guint place = place_of(router, request);
+  guint place = in_time_before(router, request, now);
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now); /* it is read anew */
   if (waited >= wait_most(request) ||
@@ -250,13 +312,6 @@
   request->stall_at = request->arrived + wait_most(request);
 }
 
-/* can its first token still come within the objective? */
-static gboolean is_in_time(const Request *request, gint64 now) {
-  return request->handle != NULL ||
-         (double)(now - request->arrived) <
-             IN_TIME_SHARE * (double)request->route->objective;
-}
-
 /* start what fits among those in time, or among the others */
 static guint run_some(Router *router, gboolean in_time, gint64 now) {
   guint left = 0;
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -208,6 +208,7 @@
 static void sum_digest(mp_LoadDigest *out, const mp_LoadDigest *digest) {
   unsigned i;
   out->waiting += digest->waiting;
+  out->in_time += digest->in_time;
   out->oldest_ms = MAX(out->oldest_ms, digest->oldest_ms);
   for (i = 0; i < digest->n; i++)
     sum_row(out, &digest->row[i]);
@@ -277,6 +278,7 @@
     peer->digest.n = 0;
     peer->digest.changing_count = 0;
     peer->digest.waiting = 0;
+    peer->digest.in_time = 0;
     found = TRUE;
   }
   return found;
@@ -308,11 +310,31 @@
   g_hash_table_iter_init(&iterator, loads->peers);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Peer *peer = value;
-    count += peer->digest.waiting > 0 && peer->oldest < came;
+    count += peer->digest.in_time > 0 && peer->oldest < came;
   }
   return count;
 }
 
+guint peer_loads_in_time(const PeerLoads *loads) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value))
+    count += ((const Peer *)value)->digest.in_time;
+  return count;
+}
+
+guint peer_loads_with_waiting(const PeerLoads *loads) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value))
+    count += ((const Peer *)value)->digest.waiting > 0;
+  return count;
+}
+
 gboolean peer_loads_changing(const PeerLoads *loads, guint32 endpoint) {
   const LoadSum *sum = sum_of(loads, endpoint);
   return sum != NULL && sum->changing > 0;
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -55,10 +55,13 @@
 gboolean peer_loads_changing(const PeerLoads *loads, guint32 endpoint);
 /* requests that wait for room at the peers */
 guint peer_loads_waiting(const PeerLoads *loads);
+/* of those, the ones that can still be answered in time */
+guint peer_loads_in_time(const PeerLoads *loads);
+/* peers where one of these came before that time */
+guint peer_loads_older(const PeerLoads *loads, gint64 came);
+/* peers where any request waits for room */
+guint peer_loads_with_waiting(const PeerLoads *loads);
 /* instances heard from lately by themselves whose address is smaller */
 guint peer_loads_before(const PeerLoads *loads, mp_Addr address, gint64 now);
 
-/* peers whose first waiting request came before that time */
-guint peer_loads_older(const PeerLoads *loads, gint64 came);
-
 #endif
--- a/router/router.c
+++ b/router/router.c
@@ -53,6 +53,7 @@
   router->endpoints = endpoint_table_new(options->zone);
   router->services =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+  router->patiences = patience_table_new();
   router->requests =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, request_free);
   router->instances = 1;
@@ -78,6 +79,7 @@
   g_ptr_array_free(router->waiting, TRUE);
   g_hash_table_destroy(router->requests);
   g_hash_table_destroy(router->services);
+  patience_table_free(router->patiences);
   endpoint_table_free(router->endpoints);
   route_table_unref(router->routes);
   g_rand_free(router->random);
@@ -393,6 +395,7 @@
   const GPtrArray *all = router->endpoints->all;
   guint i;
   out->waiting = router->waiting->len;
+  out->in_time = admission_in_time(router, now);
   out->oldest_ms = (uint32_t)(admission_oldest(router, now) / MP_MS);
   out->n = 0;
   for (i = 0; i < all->len && out->n < MP_DIGEST_ROWS; i++) {
@@ -489,6 +492,12 @@
   return g_hash_table_size(router->requests);
 }
 
+void router_count_waiting(const Router *router, gint64 now, guint *waiting,
+                          guint *in_time) {
+  *waiting = router->waiting->len;
+  *in_time = admission_in_time(router, now);
+}
+
 unsigned router_instances(const Router *router) {
   return router->instances;
 }
--- a/router/router.h
+++ b/router/router.h
@@ -258,6 +258,10 @@
 
 /* looking in */
 unsigned router_open_requests(const Router *router);
+/* requests that wait for room, and how many of them can still be answered in
+** time */
+void router_count_waiting(const Router *router, gint64 now, guint *waiting,
+                          guint *in_time);
 /* that share the traffic, this one included, as router_set_instances told */
 unsigned router_instances(const Router *router);
 /* requests can be taken: there is a configuration, not too old for its keys */
--- a/router/state.h
+++ b/router/state.h
@@ -12,31 +12,34 @@
 
 #include "router/crash_watch.h"
 #include "router/endpoint_table.h"
+#include "router/patience.h"
 #include "router/retry_budget.h"
 #include "router/router.h"
 #include "router/stages.h"
 
 /* X(symbol, name); all of them count from the start of the instance */
-#define ROUTER_COUNTERS(X)                        \
-  X(REQUESTS, "requests")                         \
-  X(ANSWERED, "answered")                         \
-  X(REFUSED, "refused")                           \
-  X(BROKEN_OFF, "broken_off")                     \
-  X(HANGUPS, "caller_hangups")                    \
-  X(DISPATCHES, "dispatches")                     \
-  X(PREFILLS, "prefills")                         \
-  X(RETRIES, "retries")                           \
-  X(RETRIES_DENIED, "retries_denied")             \
-  X(RESUMED, "streams_resumed")                   \
-  X(UNREACHABLE, "endpoints_unreachable")         \
-  X(NOT_RUN, "dispatches_not_run")                \
-  X(BROKEN, "dispatches_broken")                  \
-  X(ORDERS, "orders")                             \
-  X(REFUSED_KEY, "refused_for_key")               \
-  X(REFUSED_LIMIT, "refused_for_limit")           \
-  X(REFUSED_OLD, "refused_for_old_configuration") \
-  X(REFUSED_HELD, "refused_as_held")              \
-  X(ENDPOINT_ENDS, "endpoints_ended_under_requests")
+#define ROUTER_COUNTERS(X)                           \
+  X(REQUESTS, "requests")                            \
+  X(ANSWERED, "answered")                            \
+  X(REFUSED, "refused")                              \
+  X(BROKEN_OFF, "broken_off")                        \
+  X(HANGUPS, "caller_hangups")                       \
+  X(DISPATCHES, "dispatches")                        \
+  X(PREFILLS, "prefills")                            \
+  X(RETRIES, "retries")                              \
+  X(RETRIES_DENIED, "retries_denied")                \
+  X(RESUMED, "streams_resumed")                      \
+  X(UNREACHABLE, "endpoints_unreachable")            \
+  X(NOT_RUN, "dispatches_not_run")                   \
+  X(BROKEN, "dispatches_broken")                     \
+  X(ORDERS, "orders")                                \
+  X(REFUSED_KEY, "refused_for_key")                  \
+  X(REFUSED_LIMIT, "refused_for_limit")              \
+  X(REFUSED_OLD, "refused_for_old_configuration")    \
+  X(REFUSED_HELD, "refused_as_held")                 \
+  X(ENDPOINT_ENDS, "endpoints_ended_under_requests") \
+  X(STARTED, "requests_started")                     \
+  X(STARTED_LATE, "requests_started_late")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -90,6 +93,7 @@
   gboolean was_busy; /* some endpoint turned it away */
   gint64 turn_at;    /* waiting: start then, if there is still room; 0: none */
   gboolean returned; /* it was refused before, and came back */
+  gint64 first_try;  /* when its caller tried first, as far as that is known */
   gboolean resumes;  /* its caller lost it half-way: it is late already */
   gint64 come_back;  /* when refused: come back after this; 0: as usual */
   gboolean head_sent;    /* the answer has begun */
@@ -117,7 +121,8 @@
   GRand *random;
   RouteTable *routes; /* NULL: no configuration yet */
   EndpointTable *endpoints;
-  GHashTable *services;   /* name -> ServiceState */
+  GHashTable *services; /* name -> ServiceState */
+  PatienceTable *patiences;
   GHashTable *requests;   /* number -> Request */
   GHashTable *dispatched; /* dispatch number -> Request */
   guint64 last_dispatch;
@@ -135,7 +140,7 @@
   Stages *stages;         /* orders to engines */
   GPtrArray *waiting;     /* Request in PHASE_WAIT, first one first */
   gint64 last_end;        /* when the last run at an engine ended */
-  double end_interval;    /* mean time between such ends */
+  double end_interval;    /* mean time between such ends, here */
   guint64 load_version;   /* grows when what is open here changes */
   guint64 counters[ROUTER_COUNTER_COUNT];
   Histogram durations[DURATION_COUNT];
@@ -254,6 +259,8 @@
 void admission_turn(Router *router, Request *request, gint64 now);
 /* how long the first waiting request has waited, 0 when there is none */
 gint64 admission_oldest(const Router *router, gint64 now);
+/* how many wait here that can still be answered in time */
+guint admission_in_time(const Router *router, gint64 now);
 /* there may be room: start what fits */
 void admission_run(Router *router, gint64 now);
 /* a run at an engine ended */
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -364,5 +364,24 @@
   'if (FALSE)'
 m c-boot "clock: suspended time counts" io/clock.c 'CLOCK_BOOTTIME' \
   'CLOCK_MONOTONIC'
+m o-first "admission: time counts from the first try" router/admission.c \
+  'request->first_try -= usual - patience;' '{}'
+m o-late "admission: late ones take what is left over" router/admission.c \
+  'run_some(router, TRUE, now) == 0)' \
+  'run_some(router, TRUE, now) != G_MAXUINT)'
+m o-told "admission: those in time elsewhere are waited for" \
+  router/admission.c 'place + peer_loads_in_time(router->endpoints->peers)' \
+  'place'
+m o-ends "admission: ends at all instances make room" router/admission.c \
+  'router->end_interval / router->near' 'router->end_interval'
+m o-usual "admission: what others have tells who came back" \
+  router/admission.c 'usual = MIN(usual, route->timeout);' \
+  'usual = route->timeout;'
+m o-window "patience: what was seen long ago is forgotten" \
+  router/patience.c 'if (age < PATIENCE_WINDOW)' 'if (TRUE)'
+m o-number "input: a time is bounded before it is converted" \
+  platform/quantities.c 'time < (double)LONGEST_TIME' 'TRUE'
+m o-beat "input: a heartbeat's clock is bounded" wire/rpc.c \
+  '*v <= INT64_MAX / 2' 'TRUE'
 echo "$caught mutants caught, $missed missed"
 [ $missed = 0 ]
--- a/test/test_summaries.cc
+++ b/test/test_summaries.cc
@@ -107,12 +107,14 @@
   mp_LoadDigest near = full_engines(0, 1000).loads;
   mp_LoadSummary out;
   near.waiting = 2;
+  near.in_time = 1;
   router_zone_load(world.router, 100, &far, world.now);
   router_peer_load(world.router, 0x0a00000000010001, 4, &near, world.now);
   router_peer_load(world.router, 0x0a00000000020001, 4, &near, world.now);
   router_load_summary(world.router, &out, world.now);
   EXPECT_EQ(out.instances, 3u);
   EXPECT_EQ(out.loads.waiting, 4u);
+  EXPECT_EQ(out.loads.in_time, 2u);
   ASSERT_EQ(out.loads.n, 2u);
   EXPECT_EQ(out.loads.row[0].tokens, 2000u);
   EXPECT_EQ(out.loads.row[0].open, 2u);
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -52,6 +52,7 @@
 void fill(mp_LoadDigest *digest) {
   digest->n = MP_DIGEST_ROWS;
   digest->waiting = 3;
+  digest->in_time = 2;
   digest->oldest_ms = 400;
   digest->row[MP_DIGEST_ROWS - 1].tokens = 99;
   digest->row[MP_DIGEST_ROWS - 1].open = 3;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -211,7 +211,7 @@
 
 static bool_t digest(XDR *x, mp_LoadDigest *d) {
   unsigned i;
-  if (!u32(x, &d->waiting) || !u32(x, &d->oldest_ms) ||
+  if (!u32(x, &d->waiting) || !u32(x, &d->in_time) || !u32(x, &d->oldest_ms) ||
       !count(x, &d->n, MP_DIGEST_ROWS))
     return FALSE;
   for (i = 0; i < d->n; i++) {
