--- a/router/admission.c
+++ b/router/admission.c
@@ -235,10 +235,17 @@
   path_place(router, request, engine, now);
 }
 
+/* room that somebody in time waits for, perhaps a larger one than there is, is
+** not for who is late */
+static gboolean must_yield(const Router *router, const Request *request,
+                           gint64 now) {
+  return !is_in_time(request, now) && admission_in_time(router, now) > 0;
+}
+
 void admission_turn(Router *router, Request *request, gint64 now) {
   Endpoint *engine = engine_with_room(router, request, now);
   request->turn_at = 0;
-  if (engine != NULL)
+  if (engine != NULL && !must_yield(router, request, now))
     start(router, request, engine, now);
 }
 
@@ -272,7 +279,7 @@
   enqueue(router, request);
   request->stall_at = next_look(request, now);
   router->load_version++;
-  if (try_start(router, request, now))
+  if (!must_yield(router, request, now) && try_start(router, request, now))
     return;
   place = in_time_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -649,6 +649,22 @@
   EXPECT_EQ(world.last().request, returned);
 }
 
+/* the room that a large one in time waits for is not taken by small late ones
+ */
+TEST_F(Routed, OneThatIsLateStartsWhenNobodyInTimeWaits) {
+  world.request("/stream/x", 10000, 9000);
+  world.request("/stream/x", 10000, 6000);
+  guint64 large = world.request("/stream/x", 10000, 9000);
+  size_t before = world.dispatches.size();
+  guint64 late = world.request("/stream/x", 6000, 1000);
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1,
+                   std::make_unique<mp_LoadDigest>().get(), world.now);
+  EXPECT_EQ(world.dispatches.size(), before);
+  world.hangup(large);
+  world.advance(10 * ms);
+  EXPECT_EQ(world.last().request, late);
+}
+
 /* a caller with less time than the route allows is fresh where all are so */
 TEST_F(Routed, ImpatientCallersAreFreshAmongTheirLike) {
   guint64 first = world.request("/stream/x", 5000, 9000);
