Bad objects of the store are counted by field

Cause: the issue on entries of other writers asks for a counter by kind and field; there was one by kind. Ruled out: the field taken out of the message's text. Change: errors of records are of the domain RECORD_FAULT, their code the field; the metrics have a line for each field that was ever wrong, and the sums by kind as before.

--- a/dialect/dialect.c
+++ b/dialect/dialect.c
@@ -12,3 +12,23 @@
   g_free(head->path);
   memset(head, 0, sizeof *head);
 }
+
+GQuark record_fault_domain(void) {
+  return g_quark_from_static_string("madderpier-record");
+}
+
+const char *record_field_name(RecordField field) {
+  static const char *const names[] = {
+#define X(symbol, name) name,
+      RECORD_FIELDS(X)
+#undef X
+  };
+  return names[field];
+}
+
+RecordField record_fault_field(const GError *error) {
+  if (error == NULL)
+    return RECORD_CONTENT;
+  return error->domain == RECORD_FAULT ? (RecordField)error->code
+                                       : RECORD_CONFIGURATION;
+}
--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -16,6 +16,38 @@
 #include "router/records.h"
 #include "router/router.h"
 
+/*
+** Which field of an object of the store is missing or spoilt: the code of an
+** error of the domain RECORD_FAULT. X(symbol, name in metrics)
+*/
+#define RECORD_FIELDS(X)            \
+  X(CONTENT, "content")             \
+  X(NAME, "name")                   \
+  X(CONFIGURATION, "configuration") \
+  X(SERVICE, "service")             \
+  X(ADDRESS, "address")             \
+  X(DATA_CENTRE, "data_centre")     \
+  X(STATE, "state")                 \
+  X(SLOTS, "slots")                 \
+  X(STAGE, "stage")                 \
+  X(COLD_TIME, "cold_time")         \
+  X(LIFE, "life")                   \
+  X(HOLDER, "holder")               \
+  X(CRASHES, "crashes")
+
+typedef enum RecordField {
+#define X(symbol, name) RECORD_##symbol,
+  RECORD_FIELDS(X)
+#undef X
+      RECORD_FIELD_COUNT
+} RecordField;
+
+#define RECORD_FAULT record_fault_domain()
+GQuark record_fault_domain(void);
+const char *record_field_name(RecordField field);
+/* the field that an error of any domain is about */
+RecordField record_fault_field(const GError *error);
+
 /* a caller's head as the dialect read it; texts point into the head */
 typedef struct CallerHead {
   CallerRequest request;
--- a/io/directory.c
+++ b/io/directory.c
@@ -47,7 +47,8 @@
   Following *following[MP_RELAY_KINDS]; /* by StoreKind */
   GHashTable *instances;                /* name -> InstanceRecord */
   gboolean instances_listed;
-  guint64 bad_objects[MP_RELAY_KINDS]; /* by StoreKind */
+  /* by StoreKind and by the field that is wrong */
+  guint64 bad_objects[MP_RELAY_KINDS][RECORD_FIELD_COUNT];
   StoreLink *registration;
   gboolean registering;  /* a call is out */
   gboolean entry_failed; /* the store did not take the last one */
@@ -70,7 +71,7 @@
 /* told once for each revision: a follower hands an object on when it is new */
 static void bad_record(Directory *directory, StoreKind kind, const char *name,
                        GError *error) {
-  directory->bad_objects[kind]++;
+  directory->bad_objects[kind][record_fault_field(error)]++;
   log_numbered(directory->log, MP_LOG_STORE_RECORD_BAD,
                " kind=%d name=%s error=\"%s\"", (int)kind, name,
                error != NULL ? error->message : "unreadable");
@@ -499,9 +500,12 @@
   return knows(directory, STORE_ENDPOINTS);
 }
 
-guint64 directory_bad_objects(const Directory *directory, StoreKind kind) {
-  return directory->bad_objects[kind] +
-         following_nameless(directory->following[kind]);
+guint64 directory_bad_objects(const Directory *directory, StoreKind kind,
+                              RecordField field) {
+  guint64 nameless = field == RECORD_NAME
+                         ? following_nameless(directory->following[kind])
+                         : 0;
+  return directory->bad_objects[kind][field] + nameless;
 }
 
 guint64 directory_store_calls(const Directory *directory) {
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -321,6 +321,7 @@
 static CarrierCounts carrier_counts(const Gateway *gateway) {
   CarrierCounts counts;
   int kind;
+  int field;
   counts.endpoint_connections = endpoint_links_opened(gateway->links);
   counts.store_calls = directory_store_calls(gateway->directory) +
                        store_link_calls(gateway->leases) +
@@ -336,9 +337,11 @@
                           &counts.held);
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
-  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
-    counts.bad_objects[kind] =
-        directory_bad_objects(gateway->directory, (StoreKind)kind);
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
+    for (field = 0; field < RECORD_FIELD_COUNT; field++)
+      counts.bad_objects[kind][field] = directory_bad_objects(
+          gateway->directory, (StoreKind)kind, (RecordField)field);
+  }
   return counts;
 }
 
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -60,15 +60,32 @@
       carriers->held, carriers->waiting, carriers->waiting_in_time);
 }
 
+/* a line for each field that was ever wrong, and for each kind their sum */
+static void write_bad_kind(GString *text, const char *kind,
+                           const guint64 fields[RECORD_FIELD_COUNT]) {
+  guint64 sum = 0;
+  int field;
+  for (field = 0; field < RECORD_FIELD_COUNT; field++) {
+    sum += fields[field];
+    if (fields[field] > 0)
+      g_string_append_printf(
+          text,
+          "madderpier_bad_fields_total{kind=\"%s\",field=\"%s\"} "
+          "%" G_GUINT64_FORMAT "\n",
+          kind, record_field_name((RecordField)field), fields[field]);
+  }
+  g_string_append_printf(text,
+                         "madderpier_bad_objects_total{kind=\"%s\"} "
+                         "%" G_GUINT64_FORMAT "\n",
+                         kind, sum);
+}
+
 static void write_bad_objects(GString *text, const CarrierCounts *carriers) {
   static const char *const kinds[MP_RELAY_KINDS] = {
       "configuration", "endpoints", "instances", "quarantine"};
   int kind;
   for (kind = 0; kind < MP_RELAY_KINDS; kind++)
-    g_string_append_printf(text,
-                           "madderpier_bad_objects_total{kind=\"%s\"} "
-                           "%" G_GUINT64_FORMAT "\n",
-                           kinds[kind], carriers->bad_objects[kind]);
+    write_bad_kind(text, kinds[kind], carriers->bad_objects[kind]);
 }
 
 GString *metrics_text(const Router *router, const CarrierCounts *carriers) {
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -7,6 +7,7 @@
 #ifndef METRICS_H
 #define METRICS_H
 
+#include "dialect/dialect.h"
 #include "router/router.h"
 
 /* what the carriers count; totals since the start unless said otherwise */
@@ -23,7 +24,8 @@
   guint held;            /* of them, those that are not sent any more */
   guint waiting;         /* requests that wait for room now */
   guint waiting_in_time; /* of them, that can still be answered in time */
-  guint64 bad_objects[MP_RELAY_KINDS]; /* of the store, by StoreKind */
+  /* of the store, by StoreKind and by the field that is wrong */
+  guint64 bad_objects[MP_RELAY_KINDS][RECORD_FIELD_COUNT];
 } CarrierCounts;
 
 /* the caller frees it: g_string_free */
--- a/test/test_bad_entries.cc
+++ b/test/test_bad_entries.cc
@@ -14,6 +14,7 @@
 
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 extern "C" {
@@ -225,6 +226,44 @@
   }
 }
 
+RecordField field_of(const std::string &text) {
+  EndpointRecord record;
+  GError *error = nullptr;
+  EXPECT_FALSE(platform_read_record("i-1", text.c_str(), &record, &error));
+  RecordField field = record_fault_field(error);
+  g_clear_error(&error);
+  return field;
+}
+
+/* the field is told to metrics as well */
+TEST(BadEntries, TheirErrorsTellTheField) {
+  EXPECT_EQ(field_of("7"), RECORD_CONTENT);
+  EXPECT_EQ(field_of("\xff"), RECORD_CONTENT);
+  EXPECT_EQ(field_of(spec("Service", "")), RECORD_SERVICE);
+  EXPECT_EQ(field_of(spec("Addr", "7")), RECORD_ADDRESS);
+  EXPECT_EQ(field_of(spec("Zone", "")), RECORD_DATA_CENTRE);
+  EXPECT_EQ(field_of(spec("State", "1")), RECORD_STATE);
+  EXPECT_EQ(field_of(spec("Slots", "-1")), RECORD_SLOTS);
+  EXPECT_EQ(field_of(spec("Stage", "1")), RECORD_STAGE);
+  EXPECT_EQ(field_of(spec("ColdLeftMs", "-1")), RECORD_COLD_TIME);
+  EXPECT_EQ(field_of(spec("born", "-1")), RECORD_LIFE);
+  for (int i = 0; i < RECORD_FIELD_COUNT; i++)
+    EXPECT_NE(record_field_name(static_cast<RecordField>(i)), nullptr);
+}
+
+TEST(BadEntries, AHoldUnderABadNameOrWithoutEndsTellsWhich) {
+  QuarantineRecord record = {};
+  for (const auto &[name, text, field] :
+       {std::tuple{"xyz", R"({"Crashes":["a"]})", RECORD_NAME},
+        std::tuple{"1f", "{}", RECORD_CRASHES},
+        std::tuple{"1f", R"({"Crashes":["x"]})", RECORD_CRASHES}}) {
+    GError *error = nullptr;
+    EXPECT_FALSE(platform_read_quarantine(name, text, &record, &error));
+    EXPECT_EQ(record_fault_field(error), field) << name << " " << text;
+    g_clear_error(&error);
+  }
+}
+
 TEST(BadEntries, AReportOfAnUnknownStageIsNone) {
   EngineReport report;
   const std::string text = R"({"Stage":"xyz","Busy":false,"Seq":2})";
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -19,24 +19,33 @@
 
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
-  CarrierCounts carriers = {7,    11, 1, 2, 3, "relay",     250 * ms,
-                            TRUE, 5,  4, 9, 8, {0, 6, 0, 0}};
+  CarrierCounts carriers = {7,    11, 1, 2, 3, "relay", 250 * ms,
+                            TRUE, 5,  4, 9, 8, {}};
+  carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
+  carriers.bad_objects[STORE_ENDPOINTS][RECORD_NAME] = 2;
   world.populate();
   world.request("/unsafe/x");
   world.outcome(world.last().number, OUTCOME_ANSWER);
   GString *text = metrics_text(world.router, &carriers);
   std::string page = std::string("\n") + text->str;
   for (const char *line :
-       {"madderpier_requests_total 1", "madderpier_answered_total 1",
-        "madderpier_orders_total 0", "madderpier_open_requests 0",
+       {"madderpier_requests_total 1",
+        "madderpier_answered_total 1",
+        "madderpier_orders_total 0",
+        "madderpier_open_requests 0",
         "madderpier_endpoint_connections_total 7",
-        "madderpier_store_calls_total 11", "madderpier_ready 1",
+        "madderpier_store_calls_total 11",
+        "madderpier_ready 1",
         "madderpier_news_role{role=\"relay\"} 1",
-        "madderpier_suspect_requests 5", "madderpier_held_requests 4",
+        "madderpier_suspect_requests 5",
+        "madderpier_held_requests 4",
         "madderpier_waiting_requests 9",
         "madderpier_waiting_requests_in_time 8",
         "madderpier_requests_started_total 0",
         "madderpier_bad_objects_total{kind=\"endpoints\"} 6",
+        "madderpier_bad_objects_total{kind=\"instances\"} 0",
+        "madderpier_bad_fields_total{kind=\"endpoints\",field=\"slots\"} 4",
+        "madderpier_bad_fields_total{kind=\"endpoints\",field=\"name\"} 2",
         "madderpier_news_age_seconds 0.250",
         "madderpier_plain_seconds_count 1",
         "madderpier_plain_seconds_bucket{le=\"+Inf\"} 1"})
