Tests that two mutants of the order of admission lacked

Ruled out: - Change: a fresh request meets twenty in time elsewhere, then twenty late ones; the impatient caller's test has the late one come first. Conclusion: no product file changed.

--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -665,12 +665,37 @@
   EXPECT_EQ(world.last().request, late);
 }
 
+/* room anywhere is for all that are in time, here and elsewhere */
+TEST_F(Routed, AFreshOneIsRefusedWhenManyInTimeWaitElsewhere) {
+  mp_LoadDigest many = {};
+  for (int i = 0; i < 20; i++) { /* a stream ends each 0.1 s */
+    running("/stream/x");
+    world.outcome(world.last().number, OUTCOME_STREAM_END);
+    world.advance(100 * ms);
+  }
+  world.request("/stream/x", 10000, 9000);
+  world.request("/stream/x", 10000, 9000);
+  guint64 alone = world.request("/stream/x", 10000, 9000);
+  EXPECT_EQ(world.end(alone).ends(), 0);
+  many.waiting = 20;
+  many.in_time = 20;
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1, &many,
+                   world.now);
+  guint64 last = world.request("/stream/x", 10000, 9000);
+  EXPECT_EQ(world.end(last).refusal, REFUSAL_BUSY);
+  many.in_time = 0; /* those are late, and take what is left over */
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 2, &many,
+                   world.now);
+  guint64 next = world.request("/stream/x", 10000, 9000);
+  EXPECT_EQ(world.end(next).ends(), 0);
+}
+
 /* a caller with less time than the route allows is fresh where all are so */
 TEST_F(Routed, ImpatientCallersAreFreshAmongTheirLike) {
   guint64 first = world.request("/stream/x", 5000, 9000);
   world.request("/stream/x", 5000, 9000);
-  guint64 fresh = world.request("/stream/x", 5000, 9000);
   world.request("/stream/x", 4000, 9000); /* late */
+  guint64 fresh = world.request("/stream/x", 5000, 9000);
   world.hangup(first);
   EXPECT_EQ(world.last().request, fresh);
 }
