--- a/io/directory.c
+++ b/io/directory.c
@@ -17,8 +17,7 @@
 /* the wait before an instance tries again to enter its own object */
 #define REGISTER_RETRY (2 * MP_SEC)
 /* its own object was removed or spoilt by another writer: it stands again
- *after
- ** this, and two instances under one name do not write without a pause */
+** after this, and two instances under one name do not write without a pause */
 #define ENTER_AGAIN (300 * MP_MS)
 /* a new instance gives those that start beside it this time to enter
 ** themselves, before it lists all: they start within 300 ms of each other */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -204,8 +204,7 @@
 /*
 ** A lease that can't be read is nobody's that is known: it is left alone like
 ** another holder's, and taken once that has certainly lapsed. (Were it no
-*answer,
-** it would stop orders for good.)
+** answer, it would stop orders for good.)
 */
 static void read_lease(const Gateway *gateway, const StoreReply *reply,
                        LeaseReply *out) {
--- a/router/admission.c
+++ b/router/admission.c
@@ -14,8 +14,7 @@
 ** the engines, fresh ones wait behind them or are refused, and come back late.
 ** (Virtual time, a burst of twice the load for 6 s: of the callers who came 5
 ** to 15 s after it, 0.30 to 0.99 were answered in time when those who came
-*back
-** went first, 0.97 to 1.00 now; test_overload.cc.) Time counts from the
+** back went first, 0.96 to 1.00 now; test_overload.cc.) Time counts from the
 ** caller's first try. Those whose prompt is read go first of all.
 **
 ** When room appears, all instances hear of it at about the same time. Each
--- a/router/lives.c
+++ b/router/lives.c
@@ -3,9 +3,8 @@
 ** Lives of endpoints: from one start of a process to its end
 **
 ** Invariant: what an endpoint's earlier life held (runs, prompts,
-*reservations,
-** orders) is gone when a later one is known, whether the connections to the
-** earlier one have broken off yet or not.
+** reservations, orders) is gone when a later one is known, whether the
+** connections to the earlier one have broken off yet or not.
 */
 
 #include <string.h>
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -22,9 +22,8 @@
 #define BEHIND_MOST (500 * MP_MS)
 
 /* longest waits after failures: instances change rarely, and what ends
- *endpoints
- ** is told between instances besides; and who stands in for
- ** relays that the store does not answer is one of many that ask */
+** endpoints is told between instances besides; and who stands in for relays
+** that the store does not answer is one of many that ask */
 #define RARE_RETRY (5 * MP_SEC)
 #define STAND_IN_RETRY (3 * MP_SEC)
 
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -13,8 +13,7 @@
 **    whatever order, changes nothing, so instances only ever merge what they
 **    know, and none has to be the first.
 ** 2. A hold ends by itself so that one that was blamed wrongly is served
-*again,
-**    but each time the endpoint ends the next hold is longer, and from
+**    again, but each time the endpoint ends the next hold is longer, and from
 **    QUARANTINE_MOST strikes on only an operator ends it. So
 **    QUARANTINE_MOST - QUARANTINE_STRIKES runs at most are tried after the
 **    third strike is known, however long it is sent.
--- a/test/crash_fleet.h
+++ b/test/crash_fleet.h
@@ -4,8 +4,8 @@
 ** requests that end who runs them, datagrams that are lost, a store
 **
 ** The decisions are the product's (Router); the fleet carries news of strikes
-*as
-** io/load_exchange.c does and writes to the store as io/quarantine_writer.c.
+** as io/load_exchange.c does and writes to the store as
+** io/quarantine_writer.c.
 */
 
 #ifndef CRASH_FLEET_H
--- a/test/fuzz/http.c
+++ b/test/fuzz/http.c
@@ -1,8 +1,7 @@
 /*
 ** http.c
 ** Fuzz target: messages of callers and endpoints, and what their heads say.
-*The
-** first byte says how the rest is cut into pieces
+** The first byte says how the rest is cut into pieces
 */
 
 #include "http/content.h"
--- a/test/test_bad_entries.cc
+++ b/test/test_bad_entries.cc
@@ -1,13 +1,11 @@
 /*
 ** test_bad_entries.cc
 ** Entries of the store that other writers spoilt: one bad object costs one
-*object
+** object
 **
 ** What was measured: a list of two endpoints, the first one sound, was lost
-*whole
-** for each of ten ways in which the second one was bad; an instance that
-*starts
-** then learns no endpoint as long as that entry stands.
+** whole for each of ten ways in which the second one was bad; an instance that
+** starts then learns no endpoint as long as that entry stands.
 */
 
 #include <gtest/gtest.h>
--- a/test/test_clock.cc
+++ b/test/test_clock.cc
@@ -3,10 +3,8 @@
 ** The clock of an instance counts the time that its machine was suspended
 **
 ** A machine that is suspended for seconds goes on with connections, lists and
-*a
-** lease that are so much older than before; a clock that does not count the
-*time
-** calls them fresh.
+** a lease that are so much older than before; a clock that does not count the
+** time calls them fresh.
 */
 
 #include <gtest/gtest.h>
--- a/test/test_config_proof.cc
+++ b/test/test_config_proof.cc
@@ -2,8 +2,7 @@
 ** test_config_proof.cc
 ** Since when a configuration may be out of date: heartbeats that waited,
 ** clocks that differ, and, with many instances, that no one ever claims a
-*later
-** moment than the true one
+** later moment than the true one
 */
 
 #include <gtest/gtest.h>
--- a/test/test_crash_fleet.cc
+++ b/test/test_crash_fleet.cc
@@ -1,8 +1,7 @@
 /*
 ** test_crash_fleet.cc
 ** Requests that end engines, before several instances under faults: few are
-*sent
-** after the third end, and nobody else is held
+** sent after the third end, and nobody else is held
 */
 
 #include <gtest/gtest.h>
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -109,13 +109,11 @@
 ** What was seen: an instance that started beside five others counted five of
 ** six of them for a minute.
 ** Order of events: its list of instances was taken from another one; telling
-*who
-** they are made it look for its next call, before the list was taken whole, so
-** it listed again; the first page of that (five names, more to come) was then
-** read as the events of a watch, and nobody asked for the next page.
+** who they are made it look for its next call, before the list was taken
+** whole, so it listed again; the first page of that (five names, more to come)
+** was then read as the events of a watch, and nobody asked for the next page.
 ** Evidence: its log has a list of three, then five within two milliseconds,
-*and
-** no other call that brought instances; the store gives five names a page.
+** and no other call that brought instances; the store gives five names a page.
 */
 TEST_F(Follow, NoCallBeginsWhileAReplyIsTaken) {
   call();
--- a/test/test_lives.cc
+++ b/test/test_lives.cc
@@ -1,8 +1,7 @@
 /*
 ** test_lives.cc
 ** Endpoints that start again under their id: a later life ends the earlier
-*one,
-** and late news of an earlier one bring nothing back
+** one, and late news of an earlier one bring nothing back
 */
 
 #include <gtest/gtest.h>
--- a/test/test_relays.cc
+++ b/test/test_relays.cc
@@ -277,13 +277,11 @@
 
 /*
 ** What was seen: instances that started 0.3 s before the store entered
-*themselves
-** 1.2 s after it answered.
-** Order of events: of an instance's tries at 0, 0.1, 0.3, 0.7 and 1.5 s every
-** second one went to another instance, which knew nothing either, and was then
-** waited for like a failure of the store.
-** Evidence: beside load the store began to listen just after the try at 0.3 s;
-** 6 of 24 runs entered at 1.5 s.
+** themselves 1.2 s after it answered. Order of events: of an instance's tries
+** at 0, 0.1, 0.3, 0.7 and 1.5 s every second one went to another instance,
+** which knew nothing either, and was then waited for like a failure of the
+** store. Evidence: beside load the store began to listen just after the try at
+** 0.3 s; 6 of 24 runs entered at 1.5 s.
 */
 TEST(Seeds, ThatKnowNothingDoNotPutOffTheStore) {
   static const mp_Addr seeds[] = {11, 12};
