--- a/io/gateway.c
+++ b/io/gateway.c
@@ -201,11 +201,8 @@
   set_tick(gateway);
 }
 
-/*
-** A lease that can't be read is nobody's that is known: it is left alone like
-** another holder's, and taken once that has certainly lapsed. (Were it no
-** answer, it would stop orders for good.)
-*/
+/* a lease that can't be read is left alone like another holder's, and taken
+** once it has certainly lapsed: taken for no answer it would stop all orders */
 static void read_lease(const Gateway *gateway, const StoreReply *reply,
                        LeaseReply *out) {
   const StoreObject *object;
