--- a/io/gateway.c
+++ b/io/gateway.c
@@ -202,7 +202,7 @@
 }
 
 /* a lease that can't be read is left alone like another holder's, and taken
-** once it has certainly lapsed: taken for no answer it would stop all orders */
+** once it has certainly lapsed: as no answer it would stop all orders */
 static void read_lease(const Gateway *gateway, const StoreReply *reply,
                        LeaseReply *out) {
   const StoreObject *object;
