Sight: the rate that an endpoint names is read, logged and counted

Cause: not known yet; logs and metrics could not tell the hypotheses of docs/incidents/endpoint-limit.md apart: an answer's head was translated into six facts, and the rate that an endpoint in need takes is none of them. Change: it is read strictly (one plain decimal number), from answers of the endpoint itself to the request itself; E2010 to E2012 tell when it is first named, changed, over or unreadable; madderpier_limited_endpoints and madderpier_endpoint_rates_unreadable_total. No decision reads it. Tests: test_links.cc, test_platform.cc, test_metrics.cc; the HTTP fuzz target checks that what is read is a finite number.

--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -65,6 +65,7 @@
   gboolean is_event_stream;
   const char *request_id; /* echoed; NULL: not said. Points into the head */
   gint64 idle_limit;      /* the connection may rest so long; 0: not said */
+  EndpointRate rate;      /* that the endpoint takes */
 } EndpointHead;
 
 /* what a prefill engine answers */
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -813,6 +813,9 @@
   X(EP_UP, 2006, MP_INFO, "endpoint answers again")                        \
   X(EP_LEAVING, 2007, MP_INFO, "endpoint is leaving")                      \
   X(EP_RESTARTED, 2009, MP_WARN, "endpoint has started again")             \
+  X(EP_RATE, 2010, MP_INFO, "endpoint names the rate that it takes")       \
+  X(EP_RATE_OVER, 2011, MP_INFO, "endpoint names no rate any more")        \
+  X(EP_RATE_BAD, 2012, MP_WARN, "endpoint names an unreadable rate")       \
   X(EJECT, 2008, MP_WARN, "endpoint ejected for a while")                  \
   X(MEMBER_UP, 3001, MP_INFO, "instance joined")                           \
   X(MEMBER_SUSPECT, 3002, MP_INFO, "instance suspected")                   \
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -254,8 +254,20 @@
 ** ===================================================================
 */
 
+/* is it the endpoint itself that speaks, to this request? One that has not run
+** it may say what it takes, but nothing follows from its saying nothing */
+static gboolean tells_rate(const Call *call) {
+  const EndpointHead *facts = &call->facts;
+  if (call->skip || facts->misdirected || call->head->status < 200 ||
+      (call->kind != DISPATCH_RUN && call->kind != DISPATCH_PREFILL))
+    return FALSE;
+  return facts->rate.saying != RATE_UNSAID ||
+         !(facts->not_run || promises_falsely(call));
+}
+
 static void on_head(void *data, HttpHead *head) {
   Link *link = data;
+  const EndpointLinksHooks *hooks = &link->links->hooks;
   Call *call = link->call;
   const EndpointHead *facts = &call->facts;
   http_head_free(call->head);
@@ -265,6 +277,8 @@
                strcmp(facts->request_id, call->request_id) != 0;
   if (call->skip)
     link->doubtful = TRUE;
+  if (tells_rate(call))
+    hooks->rate(hooks->data, call->dispatch, &facts->rate);
   call->is_stream = !call->skip && call->stream && facts->is_event_stream &&
                     facts->is_signed && head->status == 200 &&
                     http_head_get(head, "Content-Encoding") == NULL;
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -201,6 +201,11 @@
   set_tick(gateway);
 }
 
+static void on_rate(void *data, guint64 dispatch, const EndpointRate *rate) {
+  const Gateway *gateway = data;
+  router_endpoint_rate(gateway->router, dispatch, rate, clock_now());
+}
+
 /* a lease that can't be read is left alone like another holder's, and taken
 ** once it has certainly lapsed: as no answer it would stop all orders */
 static void read_lease(const Gateway *gateway, const StoreReply *reply,
@@ -331,6 +336,7 @@
   counts.ready = is_ready(gateway);
   router_quarantine_count(gateway->router, clock_now(), &counts.suspects,
                           &counts.held);
+  counts.limited_endpoints = router_limited_endpoints(gateway->router);
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
   for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
@@ -536,7 +542,7 @@
                      const GatewayOptions *options, Log *log, GError **error) {
   Gateway *gateway = g_new0(Gateway, 1);
   FrontHooks front = {gateway, on_request, on_hangup, on_bad_input};
-  EndpointLinksHooks links = {gateway, on_outcome};
+  EndpointLinksHooks links = {gateway, on_outcome, on_rate};
   RelayTimes times = relay_times(options);
   gateway->base = base;
   gateway->dialect = dialect;
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -17,13 +17,14 @@
   guint64 log_lines_left_out;
   guint64 log_lines_lost;
   unsigned idle_endpoint_connections; /* now */
-  const char *news_role; /* who follows the store for it: relay_role_name */
-  gint64 news_age;       /* since the store answered it or a relay; us */
-  gboolean ready;        /* now */
-  guint suspects;        /* requests under which endpoints ended lately */
-  guint held;            /* of them, those that are not sent any more */
-  guint waiting;         /* requests that wait for room now */
-  guint waiting_in_time; /* of them, that can still be answered in time */
+  const char *news_role;   /* who follows the store for it: relay_role_name */
+  gint64 news_age;         /* since the store answered it or a relay; us */
+  gboolean ready;          /* now */
+  guint suspects;          /* requests under which endpoints ended lately */
+  guint held;              /* of them, those that are not sent any more */
+  guint limited_endpoints; /* that name the rate they take */
+  guint waiting;           /* requests that wait for room now */
+  guint waiting_in_time;   /* of them, that can still be answered in time */
   /* of the store, by StoreKind and by the field that is wrong */
   guint64 bad_objects[MP_RELAY_KINDS][RECORD_FIELD_COUNT];
 } CarrierCounts;
--- a/router/router.c
+++ b/router/router.c
@@ -60,6 +60,7 @@
   router->near = 1;
   router->waiting = g_ptr_array_new();
   router->limits = account_limits_new(&options->limits, now);
+  router->rates = rate_limits_new();
   router->crashes = lives_watch_new(router);
   router->quarantine = quarantine_new(options->unix_offset, options->seed);
   router->revoke_bound = options->revoke_bound;
@@ -73,6 +74,7 @@
 void router_free(Router *router) {
   stages_free(router->stages);
   account_limits_free(router->limits);
+  rate_limits_free(router->rates);
   crash_watch_free(router->crashes);
   quarantine_free(router->quarantine);
   g_hash_table_destroy(router->dispatched);
--- a/router/router.h
+++ b/router/router.h
@@ -108,6 +108,18 @@
   gint64 retry_after_ms; /* 0: say nothing */
 } Refusal;
 
+/* does an answer say which rate its endpoint takes? */
+typedef enum RateSaying {
+  RATE_UNSAID,
+  RATE_NAMED,
+  RATE_UNREADABLE /* it names something that is no rate */
+} RateSaying;
+
+typedef struct EndpointRate {
+  RateSaying saying;
+  double per_second; /* NAMED: requests, from all instances together */
+} EndpointRate;
+
 /* how a dispatch ended, or where it stands */
 typedef enum OutcomeKind {
   OUTCOME_UNREACHABLE, /* no connection: certainly not run */
@@ -198,6 +210,9 @@
 /* the caller is gone */
 void router_hangup(Router *router, guint64 request, gint64 now);
 void router_outcome(Router *router, const Outcome *outcome, gint64 now);
+/* the head of an answer to a RUN or PREFILL is there, before its outcome */
+void router_endpoint_rate(Router *router, guint64 dispatch,
+                          const EndpointRate *rate, gint64 now);
 
 /* when router_tick wants to be called next; G_MAXINT64: not at all */
 gint64 router_next_tick(const Router *router);
@@ -257,6 +272,8 @@
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now);
 
 /* looking in */
+/* endpoints that name a rate */
+guint router_limited_endpoints(const Router *router);
 unsigned router_open_requests(const Router *router);
 /* requests that wait for room, and how many of them can still be answered in
 ** time */
--- a/router/state.h
+++ b/router/state.h
@@ -13,6 +13,7 @@
 #include "router/crash_watch.h"
 #include "router/endpoint_table.h"
 #include "router/patience.h"
+#include "router/rate_limits.h"
 #include "router/retry_budget.h"
 #include "router/router.h"
 #include "router/stages.h"
@@ -39,7 +40,8 @@
   X(REFUSED_HELD, "refused_as_held")                 \
   X(ENDPOINT_ENDS, "endpoints_ended_under_requests") \
   X(STARTED, "requests_started")                     \
-  X(STARTED_LATE, "requests_started_late")
+  X(STARTED_LATE, "requests_started_late")           \
+  X(RATES_BAD, "endpoint_rates_unreadable")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -130,6 +132,7 @@
   unsigned near;      /* of them, that hear each other's digests */
   gboolean is_listed; /* these two are known */
   AccountLimits *limits;
+  RateLimits *rates;      /* that endpoints name */
   CrashWatch *crashes;    /* endpoints that may have ended under requests */
   Quarantine *quarantine; /* requests that end endpoints */
   gint64 revoke_bound;    /* as in RouterOptions */
--- a/test/fuzz/http.c
+++ b/test/fuzz/http.c
@@ -4,6 +4,9 @@
 ** The first byte says how the rest is cut into pieces
 */
 
+#include <math.h>
+#include <stdlib.h>
+
 #include "http/content.h"
 #include "http/reader.h"
 #include "platform/platform.h"
@@ -16,6 +19,8 @@
   CallerHead caller;
   (void)data;
   platform_read_endpoint(head, &endpoint);
+  if (!isfinite(endpoint.rate.per_second) || endpoint.rate.per_second < 0)
+    abort();
   if (head->target != NULL) {
     platform_read_caller(head, &caller, NULL);
     caller_head_clear(&caller);
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -34,10 +34,11 @@
   HttpHead *caller = http_head_request("POST", "/a/b?c=1");
   GByteArray *body = g_byte_array_new();
   std::map<guint64, std::vector<Told>> told;
+  std::vector<EndpointRate> rates; /* as the heads named them */
   guint64 last = 0;
 
   void SetUp() override {
-    EndpointLinksHooks hooks = {this, on_outcome};
+    EndpointLinksHooks hooks = {this, on_outcome, on_rate};
     links = endpoint_links_new(base, &platform_dialect, &hooks);
     http_head_add(caller, "Host", "h");
     http_head_add(caller, "Request-Id", "r1");
@@ -60,6 +61,10 @@
     self->told[outcome->dispatch].push_back(one);
   }
 
+  static void on_rate(void *data, guint64, const EndpointRate *rate) {
+    static_cast<Links *>(data)->rates.push_back(*rate);
+  }
+
   guint64 dispatch(bool stream = false, mp_Addr address = 0) {
     Dispatch one = {};
     one.number = ++last;
@@ -123,6 +128,49 @@
   EXPECT_EQ(endpoint.peers.size(), 1u);
 }
 
+TEST_F(Links, TheRateOfAnAnswerIsHeardWithItsHead) {
+  guint64 first = dispatch();
+  asked(0)->send_text(answer("one", "Server-Limit: 4.5\r\n"));
+  ended(first);
+  ASSERT_EQ(rates.size(), 1u);
+  EXPECT_EQ(rates[0].saying, RATE_NAMED);
+  EXPECT_DOUBLE_EQ(rates[0].per_second, 4.5);
+  guint64 second = dispatch();
+  asked(0, 2)->send_text(answer("two"));
+  ended(second);
+  ASSERT_EQ(rates.size(), 2u);
+  EXPECT_EQ(rates[1].saying, RATE_UNSAID);
+}
+
+/* a refusal may name a rate; that it names none says nothing */
+TEST_F(Links, ARefusalMayNameARateButEndsNone) {
+  guint64 first = dispatch();
+  asked(0)->send_text("HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Run: 1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+  ended(first);
+  EXPECT_TRUE(rates.empty());
+  guint64 second = dispatch();
+  asked(0, 2)->send_text("HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Run: 1"
+                         "\r\nServer-Limit: 3\r\nContent-Length: 0\r\n\r\n");
+  ended(second);
+  ASSERT_EQ(rates.size(), 1u);
+  EXPECT_EQ(rates[0].saying, RATE_NAMED);
+}
+
+TEST_F(Links, ARateFromAnotherEndpointOrForAnotherRequestIsNone) {
+  guint64 first = dispatch();
+  asked(0)->send_text("HTTP/1.1 421 Other\r\nRequest-Id: r1\r\n"
+                      "Server-Limit: 3\r\nContent-Length: 0\r\n\r\n");
+  ended(first);
+  guint64 second = dispatch();
+  asked(1)->send_text("HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Stamp: s"
+                      "\r\nServer-Limit: 3\r\nContent-Length: 0\r\n\r\n");
+  endpoint.peers[1]->send_text(answer("mine"));
+  ended(second);
+  ASSERT_EQ(rates.size(), 1u);
+  EXPECT_EQ(rates[0].saying, RATE_UNSAID);
+}
+
 TEST_F(Links, BytesBehindAnAnswerAreNobodys) {
   guint64 first = dispatch();
   asked(0)->send_text(answer("one") + answer("stray"));
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -20,7 +20,7 @@
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
   CarrierCounts carriers = {7,    11, 1, 2, 3, "relay", 250 * ms,
-                            TRUE, 5,  4, 9, 8, {}};
+                            TRUE, 5,  4, 3, 9, 8,       {}};
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_NAME] = 2;
   world.populate();
@@ -39,6 +39,8 @@
         "madderpier_news_role{role=\"relay\"} 1",
         "madderpier_suspect_requests 5",
         "madderpier_held_requests 4",
+        "madderpier_limited_endpoints 3",
+        "madderpier_endpoint_rates_unreadable_total 0",
         "madderpier_waiting_requests 9",
         "madderpier_waiting_requests_in_time 8",
         "madderpier_requests_started_total 0",
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -286,6 +286,38 @@
   }
 }
 
+EndpointRate read_rate(const std::vector<const char *> &values) {
+  HttpHead *head = http_head_answer(200);
+  EndpointHead read;
+  for (const char *value : values)
+    http_head_add(head, "Server-Limit", value);
+  platform_read_endpoint(head, &read);
+  http_head_free(head);
+  return read.rate;
+}
+
+TEST(PlatformEndpoint, ARateIsAPlainDecimalNumberThatStandsOnce) {
+  EXPECT_EQ(read_rate({}).saying, RATE_UNSAID);
+  struct {
+    const char *text;
+    double rate;
+  } good[] = {{"4.4", 4.4}, {"0", 0},  {"0.05", 0.05},
+              {"12", 12},   {"3.", 3}, {".5", 0.5}};
+  for (const auto &one : good) {
+    EndpointRate rate = read_rate({one.text});
+    EXPECT_EQ(rate.saying, RATE_NAMED) << one.text;
+    EXPECT_DOUBLE_EQ(rate.per_second, one.rate) << one.text;
+  }
+  for (const char *bad : {"", ".", "-1", "+1", "nan", "inf", "1e999", "1e3",
+                          "4,4", "0x10", "5 per second", "five", "4.4.4"})
+    EXPECT_EQ(read_rate({bad}).saying, RATE_UNREADABLE) << bad;
+  EXPECT_EQ(read_rate({"4", "4"}).saying, RATE_UNREADABLE);
+  std::string digits(400, '9');
+  EndpointRate far = read_rate({digits.c_str()});
+  EXPECT_EQ(far.saying, RATE_NAMED);
+  EXPECT_LE(far.per_second, 1e12);
+}
+
 TEST(PlatformEndpoint, HeadIsRead) {
   HttpHead *head = http_head_answer(503);
   EndpointHead read;
