--- /dev/null
+++ b/test/rate_fleet.cc
@@ -0,0 +1,253 @@
+/*
+** rate_fleet.cc
+** Instances before endpoints that name the rate they take, in virtual time
+*/
+
+#include <algorithm>
+#include <cstring>
+
+#include "rate_fleet.h"
+
+namespace rates {
+
+/* time between two steps: about what a datagram takes, and its turn */
+static constexpr gint64 step = 5 * ms;
+/* more instances than this hear each other in sums (router/relay_group.h) */
+static constexpr unsigned most_heard_at_once = 30;
+/* as in io/load_exchange.c: between two digests, for each that hears them */
+static constexpr gint64 interval_per_peer = 700;
+static constexpr gint64 refresh = 500 * ms;
+static constexpr gint64 between_sums = 200 * ms;
+static const char *const zone_names[] = {"a", "b", "c"};
+
+Fleet::Fleet(const FleetOptions &chosen)
+    : demand(chosen.demand), options(chosen), random(chosen.seed),
+      all(chosen.instances) {
+  for (unsigned i = 0; i < options.endpoints; i++)
+    endpoints.push_back({"app-" + std::to_string(i + 1),
+                         zone_names[i % options.zones],
+                         RATE_ANY,
+                         0,
+                         {},
+                         {}});
+  for (unsigned i = 0; i < all.size(); i++) {
+    all[i].address = "10.0." + std::to_string(i / 250) + "." +
+                     std::to_string(i % 250 + 1) + ":7000";
+    all[i].zone = zone_names[i % options.zones];
+    start(i);
+  }
+}
+
+bool Fleet::is_summing() const {
+  return all.size() > most_heard_at_once;
+}
+
+void Fleet::start(unsigned i) {
+  Instance &one = all[i];
+  unsigned near = 0;
+  for (const Instance &other : all)
+    near += !is_summing() || other.zone == one.zone;
+  one.world =
+      std::make_unique<World>(options.retry_slack, options.retry_ratio, 0,
+                              one.address.c_str(), 0, one.zone.c_str());
+  one.life++;
+  one.seen = 0;
+  one.told = 0;
+  one.sequence = static_cast<guint32>(random());
+  one.world->now = now;
+  one.world->configure();
+  for (const Plain &endpoint : endpoints)
+    one.world->endpoint(
+        {endpoint.id.c_str(), "app", endpoint.zone.c_str(), STAGE_NONE});
+  router_set_instances(one.world->router, static_cast<unsigned>(all.size()),
+                       near);
+}
+
+double Fleet::chance() {
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+void Fleet::name(unsigned i, double rate) {
+  endpoints[i].limit = rate;
+}
+
+void Fleet::kill(double share) {
+  for (unsigned i = 0; i < all.size(); i++) {
+    if (chance() < share)
+      start(i);
+  }
+}
+
+void Fleet::freeze(unsigned i, bool frozen) {
+  all[i].is_frozen = frozen;
+}
+
+void Fleet::callers() {
+  double others = all.size() > 1 ? options.at_first : 1;
+  if (!has_callers)
+    return;
+  owed += demand * static_cast<double>(step) / second;
+  for (; owed >= 1; owed--) {
+    unsigned i =
+        chance() < others ? 0 : static_cast<unsigned>(random() % all.size());
+    if (all[i].is_frozen)
+      continue;
+    asked++;
+    all[i].world->request(options.path, 1500);
+    meet(i);
+  }
+}
+
+/* what the instance has sent since the last look arrives */
+void Fleet::meet(unsigned i) {
+  Instance &one = all[i];
+  for (; one.seen < one.world->dispatches.size(); one.seen++) {
+    const Sent &sent = one.world->dispatches[one.seen];
+    for (unsigned k = 0; k < endpoints.size(); k++) {
+      if (endpoints[k].id != sent.endpoint)
+        continue;
+      endpoints[k].arrivals.push_back({now, i});
+      runs.push_back({now + options.work, i, sent.number, k, one.life});
+    }
+  }
+}
+
+void Fleet::end_due_runs() {
+  while (!runs.empty() && runs.front().ends <= now) {
+    Run run = runs.front();
+    Plain &endpoint = endpoints[run.endpoint];
+    Instance &one = all[run.instance];
+    EndpointRate rate = {endpoint.limit >= 0 ? RATE_NAMED : RATE_UNSAID,
+                         MAX(endpoint.limit, 0)};
+    runs.pop_front();
+    if (run.life != one.life || one.is_frozen)
+      continue;
+    if (rate.saying == RATE_NAMED) {
+      endpoint.told.insert({run.instance, now});
+      if (endpoint.named_at == 0)
+        endpoint.named_at = now;
+    }
+    router_endpoint_rate(one.world->router, run.dispatch, &rate, now);
+    one.world->outcome(run.dispatch, OUTCOME_ANSWER,
+                       chance() < options.failing ? 500 : 200);
+    meet(run.instance);
+  }
+}
+
+bool Fleet::hears(unsigned from, unsigned to) {
+  bool cut = cut_at != 0 && (from < cut_at) != (to < cut_at);
+  return !cut && !all[from].is_frozen && !all[to].is_frozen &&
+         chance() >= options.loss;
+}
+
+bool Fleet::is_relay(unsigned i) const {
+  for (unsigned k = 0; k < i; k++) {
+    bool same_side = cut_at == 0 || (k < cut_at) == (i < cut_at);
+    if (all[k].zone == all[i].zone && same_side && !all[k].is_frozen)
+      return false;
+  }
+  return true;
+}
+
+void Fleet::tell_near(unsigned i) {
+  Instance &one = all[i];
+  mp_LoadDigest digest = {};
+  router_load_digest(one.world->router, &digest, now);
+  one.told = router_load_version(one.world->router);
+  one.told_at = now;
+  one.sequence++;
+  for (unsigned k = 0; k < all.size(); k++) {
+    bool near = !is_summing() || all[k].zone == one.zone;
+    if (k != i && near && hears(i, k))
+      router_peer_load(all[k].world->router,
+                       mp_addr_parse(one.address.c_str()), one.sequence,
+                       &digest, now);
+  }
+}
+
+void Fleet::tell_far(unsigned i) {
+  Instance &one = all[i];
+  mp_LoadSummary summary;
+  router_load_summary(one.world->router, &summary, now);
+  summary.relay = mp_addr_parse(one.address.c_str());
+  summary.zone = g_str_hash(one.zone.c_str());
+  one.summed_at = now;
+  for (unsigned k = 0; k < all.size(); k++) {
+    if (all[k].zone != one.zone && hears(i, k))
+      router_zone_load(all[k].world->router, one.sequence, &summary, now);
+  }
+}
+
+void Fleet::exchange() {
+  for (unsigned i = 0; i < all.size(); i++) {
+    Instance &one = all[i];
+    gint64 peers = static_cast<gint64>(
+        is_summing() ? all.size() / options.zones : all.size());
+    if (one.is_frozen)
+      continue;
+    if (now - one.told_at >= refresh ||
+        (router_load_version(one.world->router) != one.told &&
+         now - one.told_at >= interval_per_peer * peers))
+      tell_near(i);
+    if (is_summing() && now - one.summed_at >= between_sums && is_relay(i))
+      tell_far(i);
+  }
+}
+
+void Fleet::pass(gint64 span) {
+  gint64 until = now + span;
+  while (now < until) {
+    now += step;
+    for (unsigned i = 0; i < all.size(); i++) {
+      World &world = *all[i].world;
+      if (all[i].is_frozen)
+        continue;
+      world.now = now;
+      if (router_next_tick(world.router) <= now)
+        router_tick(world.router, now);
+      meet(i);
+    }
+    end_due_runs();
+    callers();
+    exchange();
+    for (unsigned i = 0; i < all.size(); i++) {
+      for (const auto &one : all[i].world->ended) {
+        answered += static_cast<unsigned>(one.second.answers);
+        refused += static_cast<unsigned>(one.second.refusals);
+        if (one.second.refusals > 0)
+          retry_after_ms.push_back(one.second.retry_after_ms);
+      }
+      all[i].world->ended.clear();
+      all[i].world->log.clear();
+    }
+  }
+}
+
+unsigned Fleet::worst_window(unsigned i, gint64 from, gint64 until) const {
+  constexpr gint64 window = 4 * second;
+  constexpr gint64 told_before = 500 * ms;
+  const Plain &endpoint = endpoints[i];
+  std::deque<gint64> in;
+  size_t worst = 0;
+  for (const Arrival &arrival : endpoint.arrivals) {
+    auto told = endpoint.told.find(arrival.instance);
+    if (told == endpoint.told.end() || arrival.at < told->second + told_before)
+      continue;
+    in.push_back(arrival.at);
+    while (in.front() <= arrival.at - window)
+      in.pop_front();
+    if (arrival.at >= from && arrival.at < until)
+      worst = std::max(worst, in.size());
+  }
+  return static_cast<unsigned>(worst);
+}
+
+unsigned Fleet::arrived(unsigned i, gint64 from, gint64 until) const {
+  const auto &arrivals = endpoints[i].arrivals;
+  return static_cast<unsigned>(
+      std::count_if(arrivals.begin(), arrivals.end(), [=](const Arrival &a) {
+        return a.at >= from && a.at < until;
+      }));
+}
+
+} // namespace rates
--- /dev/null
+++ b/test/rate_fleet.h
@@ -0,0 +1,129 @@
+/*
+** rate_fleet.h
+** Instances before endpoints that name the rate they take, in virtual time:
+** callers who come unevenly, datagrams that are late or lost, cuts and kills
+**
+** The decisions are the product's (Router); the fleet carries what instances
+** tell each other as io/load_exchange.c and io/relays.c do: many instances
+** hear those of their data centre, and the others' sums from relays.
+*/
+
+#ifndef RATE_FLEET_H
+#define RATE_FLEET_H
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "router_world.h"
+
+namespace rates {
+
+using routing::ms;
+using routing::second;
+using routing::Sent;
+using routing::World;
+
+struct FleetOptions {
+  unsigned seed = 1;
+  unsigned instances = 8;
+  unsigned zones = 3;
+  unsigned endpoints = 3; /* of the plain service, one zone after the other */
+  double demand = 60;     /* requests a second, over all instances */
+  double at_first = 0.5;  /* share of it that comes to the first instance */
+  double loss = 0.02;     /* of datagrams */
+  gint64 work = 60 * ms;  /* that an endpoint takes for a request */
+  const char *path = "/safe/x";
+  double failing = 0; /* share of the answers that are the endpoint's 500 */
+  guint32 retry_slack = 58;
+  double retry_ratio = 0.2;
+};
+
+/* a request that reached an endpoint */
+struct Arrival {
+  gint64 at;
+  unsigned instance;
+};
+
+struct Plain {
+  std::string id, zone;
+  double limit = RATE_ANY; /* that its answers name */
+  gint64 named_at = 0;     /* when its first answer named one; 0: none did */
+  std::vector<Arrival> arrivals;
+  /* instance -> when it first passed on an answer that named a limit */
+  std::map<unsigned, gint64> told;
+};
+
+class Fleet {
+public:
+  explicit Fleet(const FleetOptions &options);
+
+  void pass(gint64 span);
+  /* endpoint 'i' names this rate from now on; RATE_ANY: none */
+  void name(unsigned i, double rate);
+  /* a share of the instances is killed, and starts again at once */
+  void kill(double share);
+  /* instance 'i' is frozen or goes on */
+  void freeze(unsigned i, bool frozen);
+  /* datagrams between the two parts of the instances are lost: those below
+  ** 'cut_at' and the others; 0: no cut */
+  unsigned cut_at = 0;
+  /* callers come at all */
+  bool has_callers = true;
+  double demand;
+
+  /* the most requests of instances that it had told half a second before, in
+  ** any four seconds that end between these moments */
+  unsigned worst_window(unsigned i, gint64 from, gint64 until) const;
+  unsigned arrived(unsigned i, gint64 from, gint64 until) const;
+  std::vector<Plain> endpoints;
+  unsigned asked = 0, answered = 0, refused = 0;
+  std::vector<gint64> retry_after_ms; /* of the refusals */
+  unsigned messages = 0;              /* that instances sent for limits */
+
+  gint64 now = 100 * second;
+
+private:
+  struct Run {
+    gint64 ends;
+    unsigned instance;
+    guint64 dispatch;
+    unsigned endpoint;
+    int life; /* of the instance */
+  };
+  struct Instance {
+    std::unique_ptr<World> world;
+    std::string address, zone;
+    size_t seen = 0;
+    int life = 0;
+    guint64 told = 0;
+    gint64 told_at = 0, summed_at = 0;
+    guint32 sequence = 0;
+    bool is_frozen = false;
+  };
+
+  void start(unsigned i);
+  void callers();
+  void meet(unsigned i);
+  void end_due_runs();
+  void exchange();
+  void tell_near(unsigned i);
+  void tell_far(unsigned i);
+  bool is_relay(unsigned i) const;
+  bool hears(unsigned from, unsigned to);
+  bool is_summing() const;
+  double chance();
+
+  FleetOptions options;
+  std::mt19937 random;
+  std::vector<Instance> all;
+  std::deque<Run> runs;
+  double owed = 0;
+};
+
+} // namespace rates
+
+#endif
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -96,12 +96,12 @@
 }
 
 World::World(guint32 slack, double ratio, gint64 lease_length,
-             const char *self, gint64 revoke_bound) {
+             const char *self, gint64 revoke_bound, const char *zone) {
   RouterHost host = {this,      on_dispatch, on_cancel,
                      on_answer, on_refuse,   on_break_off,
                      on_log,    on_note,     on_lease_call};
   RouterOptions options = {};
-  options.zone = "a";
+  options.zone = zone;
   options.seed = 7;
   options.retry_ratio = ratio;
   options.retry_slack = slack;
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 extern "C" {
+#include "router/rate_limits.h"
 #include "router/router.h"
 }
 
@@ -87,7 +88,7 @@
   /* by default the retry budget is no matter, and no orders are given */
   explicit World(guint32 slack = 0, double ratio = 10.0,
                  gint64 lease_length = 0, const char *self = "10.0.0.5:1",
-                 gint64 revoke_bound = 0);
+                 gint64 revoke_bound = 0, const char *zone = "a");
   ~World();
   World(const World &) = delete;
   World &operator=(const World &) = delete;
