Totals that instances tell of shared limits are a module of their own

Cause: the rates that endpoints name are shared as limits of client accounts are; what a peer told last, what came on top of it and the share of those heard stood inside account_limits.c. Change: router/shared_totals, used by account_limits.c, which is the same else.

--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -67,18 +67,12 @@
   double summed;       /* own and near in the last sum that was written */
 } Limit;
 
-/* what one peer told last */
-typedef struct PeerSpent {
-  gint64 heard;
-  GHashTable *spent; /* hash of an account -> its total */
-} PeerSpent;
-
 struct AccountLimits {
   LimitTolerance tolerance;
   gint64 born;
   GPtrArray *all;      /* Limit, in the configuration's order */
   GHashTable *by_hash; /* hash of the name -> Limit */
-  GHashTable *peers;   /* address -> PeerSpent */
+  SharedTotals *peers; /* what they spent */
   guint page;          /* first row of the next digest */
 };
 
@@ -94,12 +88,6 @@
   g_free(limit);
 }
 
-static void peer_spent_free(gpointer p) {
-  PeerSpent *peer = p;
-  g_hash_table_destroy(peer->spent);
-  g_free(peer);
-}
-
 AccountLimits *account_limits_new(const LimitTolerance *tolerance,
                                   gint64 now) {
   AccountLimits *limits = g_new0(AccountLimits, 1);
@@ -107,14 +95,13 @@
   limits->born = now;
   limits->all = g_ptr_array_new_with_free_func(limit_free);
   limits->by_hash = g_hash_table_new(NULL, NULL);
-  limits->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                        peer_spent_free);
+  limits->peers = shared_totals_new(ACCOUNT_SILENCE);
   return limits;
 }
 
 void account_limits_free(AccountLimits *limits) {
   g_hash_table_destroy(limits->by_hash);
-  g_hash_table_destroy(limits->peers);
+  shared_totals_free(limits->peers);
   g_ptr_array_free(limits->all, TRUE);
   g_free(limits);
 }
@@ -198,13 +185,6 @@
 ** ===================================================================
 */
 
-/* the part of a limit that is this side's, if instances are out of reach */
-static double share_of(const LimitSharers *sharers) {
-  if (sharers->instances == 0)
-    return 0;
-  return MIN((double)sharers->heard / sharers->instances, 1.0);
-}
-
 static void refill(Limit *limit, double share, gint64 now) {
   double extra = share >= HEARD_ENOUGH ? limit->extra : 0;
   bucket_refill(&limit->bucket, limit->rate * share + extra,
@@ -254,7 +234,7 @@
                              double cost, const LimitSharers *sharers,
                              double draw, gint64 now, gint64 *come_back) {
   Limit *limit = limit_of(limits, account->name);
-  double share = share_of(sharers);
+  double share = limit_share(sharers);
   if (limit == NULL)
     return TRUE; /* it has none */
   refill(limit, share, now);
@@ -363,49 +343,16 @@
   return most;
 }
 
-static PeerSpent *need_peer(AccountLimits *limits, guint64 address) {
-  PeerSpent *peer = g_hash_table_lookup(limits->peers, &address);
-  if (peer == NULL) {
-    peer = g_new0(PeerSpent, 1);
-    peer->spent = g_hash_table_new(NULL, NULL);
-    g_hash_table_insert(limits->peers, g_memdup2(&address, sizeof address),
-                        peer);
-  }
-  return peer;
-}
-
-/* what came on top of a total; a smaller one is of a new life, or has wrapped:
-** then a little is left out, once in some hours */
-static guint32 grown(guint32 before, guint32 after) {
-  return after >= before ? after - before : after;
-}
-
-/* steps that came on top of what was heard; a total that is heard for the
-** first time, or after a silence, says nothing of what was spent lately */
-static double take_row(PeerSpent *peer, const mp_AccountRow *row,
-                       gboolean was_silent) {
-  gpointer key = GUINT_TO_POINTER(row->account);
-  gpointer before;
-  gboolean known =
-      g_hash_table_lookup_extended(peer->spent, key, NULL, &before);
-  g_hash_table_insert(peer->spent, key, GUINT_TO_POINTER(row->spent));
-  if (!known || was_silent)
-    return 0;
-  return grown(GPOINTER_TO_UINT(before), row->spent);
-}
-
 static void hear(AccountLimits *limits, guint64 address, gboolean is_near,
                  const mp_LoadDigest *digest, const LimitSharers *sharers,
                  gint64 now) {
-  PeerSpent *peer = need_peer(limits, address);
-  gboolean was_silent = now - peer->heard > ACCOUNT_SILENCE;
-  double share = share_of(sharers);
+  PeerTotals *peer = shared_totals_hear(limits->peers, address, now);
+  double share = limit_share(sharers);
   double drawn = now - limits->born < YOUNG ? DRAWN_YOUNG : DRAWN_OLD;
   guint i;
-  peer->heard = now;
   for (i = 0; i < digest->account_count; i++) {
     const mp_AccountRow *row = &digest->account[i];
-    double more = take_row(peer, row, was_silent);
+    double more = peer_totals_grown(peer, row->account, row->spent);
     Limit *limit =
         g_hash_table_lookup(limits->by_hash, GUINT_TO_POINTER(row->account));
     if (limit == NULL)
--- a/router/account_limits.h
+++ b/router/account_limits.h
@@ -29,6 +29,7 @@
 
 #include "madderpier.h"
 #include "router/records.h"
+#include "router/shared_totals.h"
 
 /* tokens in one step of a total that is told; requests are told one by one */
 #define ACCOUNT_STEP 64
@@ -42,12 +43,6 @@
   gint64 window;
 } LimitTolerance;
 
-/* who shares the limits, as this instance sees it now */
-typedef struct LimitSharers {
-  unsigned instances; /* that there are; 0: not known yet */
-  unsigned heard;     /* of them, heard within ACCOUNT_SILENCE, and this one */
-} LimitSharers;
-
 typedef struct AccountLimits AccountLimits;
 
 AccountLimits *account_limits_new(const LimitTolerance *tolerance, gint64 now);
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -292,7 +292,7 @@
   router/account_limits.c 'limit->is_unknown = is_young(limits, now);' \
   'limit->is_unknown = FALSE;'
 m l-silent "limits: what was spent out of reach is not charged" \
-  router/account_limits.c 'if (!known || was_silent)' 'if (!known)'
+  router/shared_totals.c 'if (!known || peer->was_silent)' 'if (!known)'
 m l-small "limits: small requests pass first" router/account_limits.c \
   'if (cost <= SMALL_SHARE * limit->burst)' 'if (FALSE)'
 m k-large "relays: the largest machines" router/relay_group.c \
