Endpoints that name a rate get no more than that from all instances together

What callers and operators saw: two endpoints in need named 5.3 and 4.3 requests a second and got 52 and 66 in the next four seconds, and went on to get as many; their relief never came. Cause: nothing read the rate. What an endpoint says of itself was heard by the instance that had the answer, and used for that request alone. Ruled out: that each instance kept to it by itself (no source named the field; 18 in four seconds at most from one instance, so it would have changed nothing); that second tries are what is too much (11 of 52, 3 of 66). Change: router/rate_limits keeps one bucket for each such endpoint at each instance, emptied by what all of them tell that they have sent, as limits of client accounts are. What is on its way is met by a chance of the level over the requests that others may send before this one hears. Choice, admission, reservations and prompts read it; who finds no endpoint for that is refused at once (503 endpoint_rate) with a time to come back. Why it holds: the sum over all instances is what fills the bucket and what is saved up; what was too much is paid back; cut in two, the halves have one rate.

--- a/core/state.c
+++ b/core/state.c
@@ -250,6 +250,7 @@
   case MP_MSG_RELAY_ASK:
   case MP_MSG_LOAD_SUMMARY:
   case MP_MSG_CRASHES:
+  case MP_MSG_RATES:
   case MP_MSG_LAST:
     break;
   }
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -345,6 +345,7 @@
   MP_MSG_RELAY_ASK,
   MP_MSG_LOAD_SUMMARY,
   MP_MSG_CRASHES,
+  MP_MSG_RATES,
   MP_MSG_LAST
 } mp_MsgKind;
 
@@ -580,6 +581,25 @@
   mp_CrashRow row[MP_CRASH_ROWS];
 } mp_CrashNews;
 
+/* an endpoint that names the rate it takes (router/rate_limits.h) */
+typedef struct mp_RateRow {
+  uint32_t endpoint; /* hash of its id and life */
+  uint32_t rate;     /* thousandths of a request a second, or MP_RATE_ANY */
+  uint32_t age_ms;   /* since an answer of the endpoint said so */
+  uint32_t sent; /* requests that the sender has sent there, since it knows */
+} mp_RateRow;
+
+/* it names none any more */
+#define MP_RATE_ANY UINT32_MAX
+
+/* all that an instance knows of them, or a relay's sums of a data centre */
+typedef struct mp_RateNews {
+  mp_Addr relay; /* sums: who made them; others hand them on */
+  uint32_t zone; /* sums: hash of the data centre's name; 0: no sums */
+  unsigned n;
+  mp_RateRow row[MP_RATE_ROWS];
+} mp_RateNews;
+
 typedef struct mp_Msg {
   mp_MsgKind kind;
   uint32_t seq;
@@ -599,6 +619,7 @@
     mp_RelayAsk ask;
     mp_LoadSummary summary;
     mp_CrashNews crashes;
+    mp_RateNews rates;
   } u;
 } mp_Msg;
 
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -65,6 +65,9 @@
 #define MP_CRASH_ROWS 16
 #define MP_CRASHES_EACH 6
 
+/* endpoints that name a rate, in one datagram */
+#define MP_RATE_ROWS 64
+
 /* renewals carried by one datagram */
 #define MP_RENEW_BATCH 40
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -264,6 +264,12 @@
     relays_crashes(gateway->relays);
 }
 
+static void on_rates(void *data) {
+  const Gateway *gateway = data;
+  if (gateway->relays != NULL)
+    relays_rates(gateway->relays);
+}
+
 static void on_digest(void *data) {
   const Gateway *gateway = data;
   if (gateway->relays != NULL)
@@ -336,6 +342,7 @@
   counts.ready = is_ready(gateway);
   router_quarantine_count(gateway->router, clock_now(), &counts.suspects,
                           &counts.held);
+  counts.rate_skips = router_rate_skips(gateway->router);
   counts.limited_endpoints = router_limited_endpoints(gateway->router);
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
@@ -532,7 +539,8 @@
 
 static gboolean make_exchange(Gateway *gateway, const GatewayOptions *options,
                               GError **error) {
-  LoadExchangeHooks hooks = {gateway, on_crashes, on_relay_message, on_digest};
+  LoadExchangeHooks hooks = {gateway, on_crashes, on_rates, on_relay_message,
+                             on_digest};
   gateway->exchange = load_exchange_new(gateway->base, options->exchange,
                                         gateway->router, &hooks, error);
   return gateway->exchange != NULL;
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -29,6 +29,7 @@
   guint32 sequence;
   guint64 told;         /* the version that was sent last */
   guint64 crashes_told; /* router_crash_version that was sent last */
+  guint64 rates_told;   /* router_rates_version that was sent last */
   gint64 sent_at;
 };
 
@@ -91,6 +92,20 @@
     send_to_all(exchange, &message);
 }
 
+/*
+** What is sent to an endpoint that names a rate is told at once: the others
+** count it against that rate. There is none mostly.
+*/
+static void send_rates(LoadExchange *exchange) {
+  mp_Msg message;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_RATES;
+  exchange->rates_told = router_rates_version(exchange->router);
+  router_tell_rates(exchange->router, FALSE, &message.u.rates, clock_now());
+  if (message.u.rates.n > 0)
+    send_to_all(exchange, &message);
+}
+
 static void start_timer(LoadExchange *exchange, gint64 wait) {
   struct timeval time = {wait / MP_SEC, wait % MP_SEC};
   event_add(exchange->timer, &time);
@@ -102,6 +117,7 @@
   (void)what;
   send_digest(exchange);
   send_crashes(exchange);
+  send_rates(exchange);
   start_timer(exchange, REFRESH);
 }
 
@@ -109,6 +125,10 @@
   gint64 due = exchange->sent_at + least_interval(exchange) - clock_now();
   if (router_crash_version(exchange->router) != exchange->crashes_told)
     send_crashes(exchange);
+  if (router_rates_version(exchange->router) != exchange->rates_told) {
+    send_rates(exchange);
+    exchange->hooks.rates(exchange->hooks.data);
+  }
   if (router_load_version(exchange->router) == exchange->told)
     return;
   if (due <= 0) {
@@ -153,6 +173,14 @@
     exchange->hooks.crashes(exchange->hooks.data);
 }
 
+static void take_rates(LoadExchange *exchange, mp_Addr peer,
+                       const mp_RateNews *news) {
+  if (!is_heard(exchange, peer))
+    return;
+  router_hear_rates(exchange->router, peer, news, clock_now());
+  exchange->hooks.rates(exchange->hooks.data);
+}
+
 static void take(LoadExchange *exchange, mp_Addr peer, const char *bytes,
                  size_t size) {
   mp_Msg message;
@@ -165,6 +193,8 @@
     take_load(exchange, peer, &message);
   else if (message.kind == MP_MSG_CRASHES)
     take_crashes(exchange, &message.u.crashes);
+  else if (message.kind == MP_MSG_RATES && message.u.rates.zone == 0)
+    take_rates(exchange, peer, &message.u.rates);
   else
     exchange->hooks.relay(exchange->hooks.data, peer, &message);
 }
--- a/io/load_exchange.h
+++ b/io/load_exchange.h
@@ -20,6 +20,7 @@
 typedef struct LoadExchangeHooks {
   void *data;
   void (*crashes)(void *data); /* news of requests that end endpoints came */
+  void (*rates)(void *data);   /* of endpoints that name rates: sent or came */
   void (*relay)(void *data, mp_Addr from, const mp_Msg *message);
   void (*digest)(void *data); /* a digest was taken */
 } LoadExchangeHooks;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -51,6 +51,7 @@
       "madderpier_ready %d\n"
       "madderpier_suspect_requests %u\n"
       "madderpier_held_requests %u\n"
+      "madderpier_endpoint_rate_skips_total %" G_GUINT64_FORMAT "\n"
       "madderpier_limited_endpoints %u\n"
       "madderpier_waiting_requests %u\n"
       "madderpier_waiting_requests_in_time %u\n",
@@ -58,8 +59,8 @@
       carriers->log_lines_left_out, carriers->log_lines_lost,
       carriers->idle_endpoint_connections, carriers->news_role,
       (double)carriers->news_age / MP_SEC, carriers->ready, carriers->suspects,
-      carriers->held, carriers->limited_endpoints, carriers->waiting,
-      carriers->waiting_in_time);
+      carriers->held, carriers->rate_skips, carriers->limited_endpoints,
+      carriers->waiting, carriers->waiting_in_time);
 }
 
 /* a line for each field that was ever wrong, and for each kind their sum */
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -22,6 +22,7 @@
   gboolean ready;          /* now */
   guint suspects;          /* requests under which endpoints ended lately */
   guint held;              /* of them, those that are not sent any more */
+  guint64 rate_skips;      /* choices that left one of these out */
   guint limited_endpoints; /* that name the rate they take */
   guint waiting;           /* requests that wait for room now */
   guint waiting_in_time;   /* of them, that can still be answered in time */
--- a/io/relays.c
+++ b/io/relays.c
@@ -39,6 +39,7 @@
   guint32 sequence;             /* of the last summary */
   gint64 summary_at;            /* when it was sent */
   guint64 failing;              /* router_failing_set in it */
+  gint64 rates_at;              /* when sums of rates were sent */
 };
 
 static void start_timer(Relays *relays) {
@@ -132,6 +133,31 @@
   send_crashes(relays, clock_now());
 }
 
+/* what this data centre sends to endpoints that name rates */
+static void send_rates(Relays *relays, gint64 now) {
+  mp_Msg message;
+  GArray *far;
+  if (!relays->summing || !relay_group_is_first(relays->group, now))
+    return;
+  memset(&message, 0, sizeof message);
+  message.kind = MP_MSG_RATES;
+  router_tell_rates(relays->router, TRUE, &message.u.rates, now);
+  if (message.u.rates.n == 0)
+    return;
+  relays->rates_at = now;
+  message.u.rates.relay = relays->self;
+  message.u.rates.zone = relays->zone;
+  far = relay_group_far(relays->group, now);
+  send_to_all(relays, far, &message);
+  g_array_free(far, TRUE);
+}
+
+void relays_rates(Relays *relays) {
+  gint64 now = clock_now();
+  if (now - relays->rates_at >= SUMMARY_LEAST)
+    send_rates(relays, now);
+}
+
 static void ask_all(Relays *relays, const mp_Addr *asked, unsigned count) {
   mp_Msg message;
   unsigned i;
@@ -177,6 +203,7 @@
   send_beats(relays, now);
   send_summary(relays, now);
   send_crashes(relays, now);
+  send_rates(relays, now);
   if (relays->role == RELAY_ROLE_MEMBER && !directory_knows(relays->directory))
     ask(relays);
   if (relays->proving)
@@ -246,6 +273,17 @@
     send_to_all(relays, relay_group_members(relays->group), message);
 }
 
+/* the same of rates */
+static void take_rates(Relays *relays, mp_Addr from, const mp_Msg *message,
+                       gint64 now) {
+  const mp_RateNews *news = &message->u.rates;
+  if (news->zone == relays->zone)
+    return;
+  router_hear_rates(relays->router, from, news, now);
+  if (from == news->relay && relay_group_is_first(relays->group, now))
+    send_to_all(relays, relay_group_members(relays->group), message);
+}
+
 void relays_take(Relays *relays, mp_Addr from, const mp_Msg *message) {
   gint64 now = clock_now();
   switch (message->kind) {
@@ -258,6 +296,9 @@
   case MP_MSG_LOAD_SUMMARY:
     take_summary(relays, from, message, now);
     break;
+  case MP_MSG_RATES:
+    take_rates(relays, from, message, now);
+    break;
   default:
     break; /* not for relays */
   }
--- a/io/relays.h
+++ b/io/relays.h
@@ -41,6 +41,8 @@
 /* requests that end endpoints were heard of: told to the other data centres,
 ** and here, at once */
 void relays_crashes(Relays *relays);
+/* the same of endpoints that name rates */
+void relays_rates(Relays *relays);
 /* the store has answered; news are told to the others at once */
 void relays_news(Relays *relays);
 
--- a/router/admission.c
+++ b/router/admission.c
@@ -102,7 +102,7 @@
 
 static Endpoint *engine_with_room(Router *router, const Request *request,
                                   gint64 now) {
-  EndpointWish wish = path_wish(router, request, STAGE_DECODE);
+  EndpointWish wish = path_wish(router, request, STAGE_DECODE, now);
   wish.must_fit = TRUE;
   return endpoint_table_choose(router->endpoints, &wish, now);
 }
@@ -210,7 +210,7 @@
 
 /* how long a request waits for its turn, now that there is some room */
 static gint64 turn_wait(Router *router, const Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, STAGE_DECODE);
+  EndpointWish wish = path_wish(router, request, STAGE_DECODE, now);
   guint rooms = endpoint_table_rooms(router->endpoints, &wish, now);
   gint64 turn = TURN_LEAST + TURN_PER_INSTANCE * router->near;
   return ahead_of(router, request, now) / MAX(rooms, 1) * turn;
@@ -280,6 +280,7 @@
   router->load_version++;
   if (!must_yield(router, request, now) && try_start(router, request, now))
     return;
+  rates_plan_look(router, now);
   place = in_time_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
              " request=%s place=%u expected_ms=%d came_back=%d", request->id,
@@ -336,4 +337,5 @@
 void admission_run(Router *router, gint64 now) {
   if (router->waiting->len > 0 && run_some(router, TRUE, now) == 0)
     run_some(router, FALSE, now);
+  rates_plan_look(router, now);
 }
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -203,6 +203,13 @@
          planned <= MEMORY_FILL * (double)wish->capacity;
 }
 
+/* by the rate that the endpoint names, if it does */
+static gboolean takes_more(const EndpointWish *wish, const Endpoint *endpoint,
+                           gint64 now) {
+  return wish->rates == NULL ||
+         rate_limits_allow(wish->rates, endpoint->hash, &wish->sharers, now);
+}
+
 static double cost_of_distance(const EndpointTable *table,
                                const EndpointWish *wish) {
   if (wish->capacity == 0)
@@ -255,7 +262,8 @@
       continue;
     if (!avoided_too && endpoint->avoid_until > now)
       continue;
-    if (wish->must_fit && !has_room(table, wish, endpoint))
+    if ((wish->must_fit && !has_room(table, wish, endpoint)) ||
+        !takes_more(wish, endpoint, now))
       continue;
     candidate.endpoint = endpoint;
     candidate.cost = cost(table, wish, endpoint, now);
@@ -302,6 +310,14 @@
   return best;
 }
 
+static guint rooms_at(const EndpointWish *wish, const Endpoint *endpoint,
+                      guint64 planned, gint64 now) {
+  guint64 rooms = (wish->capacity - planned) / MAX(wish->tokens, 1);
+  if (wish->rates != NULL && rate_limits_of(wish->rates, endpoint->hash) >= 0)
+    rooms = MIN(rooms, takes_more(wish, endpoint, now) ? 1 : 0);
+  return (guint)rooms;
+}
+
 guint endpoint_table_rooms(const EndpointTable *table,
                            const EndpointWish *wish, gint64 now) {
   guint rooms = 0;
@@ -311,7 +327,7 @@
     guint64 planned = endpoint_tokens(table, endpoint);
     if (fits(table, endpoint, wish->service, wish->stage, now) &&
         endpoint->avoid_until <= now && planned < wish->capacity)
-      rooms += (guint)((wish->capacity - planned) / MAX(wish->tokens, 1));
+      rooms += rooms_at(wish, endpoint, planned, now);
   }
   return rooms;
 }
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -10,6 +10,7 @@
 #define ROUTER_ENDPOINT_TABLE_H
 
 #include "router/peer_loads.h"
+#include "router/rate_limits.h"
 #include "router/records.h"
 
 /* most endpoints that one request leaves out after they failed it */
@@ -41,13 +42,15 @@
 typedef struct EndpointWish {
   const char *service;
   EndpointStage stage;
-  const char *zone;  /* preferred; NULL: this instance's */
-  guint64 affinity;  /* equal ones meet the same endpoint; 0: none */
-  gboolean at_home;  /* affinity turns the choice whatever the load */
-  guint64 spread;    /* random: tells equals apart where there is none */
-  guint64 capacity;  /* engines: tokens of memory, 0: unknown */
-  guint64 tokens;    /* tokens that the dispatch adds */
-  gboolean must_fit; /* only where these find room now */
+  const char *zone;    /* preferred; NULL: this instance's */
+  guint64 affinity;    /* equal ones meet the same endpoint; 0: none */
+  gboolean at_home;    /* affinity turns the choice whatever the load */
+  guint64 spread;      /* random: tells equals apart where there is none */
+  guint64 capacity;    /* engines: tokens of memory, 0: unknown */
+  guint64 tokens;      /* tokens that the dispatch adds */
+  gboolean must_fit;   /* only where these find room now */
+  RateLimits *rates;   /* that endpoints name; NULL: none does */
+  RateSharers sharers; /* of these */
   const char *const *excluded; /* ids */
   guint excluded_count;
 } EndpointWish;
--- a/router/finish.c
+++ b/router/finish.c
@@ -33,6 +33,7 @@
   case REFUSAL_LIMIT:
   case REFUSAL_OLD_CONFIGURATION:
   case REFUSAL_NOT_RUN:
+  case REFUSAL_RATE:
     return RETRY_AFTER_BUSY_MS;
   case REFUSAL_NO_CONFIGURATION:
   case REFUSAL_NO_ENDPOINT:
@@ -57,7 +58,8 @@
                                       "key",
                                       "limit",
                                       "old_configuration",
-                                      "held"};
+                                      "held",
+                                      "endpoint_rate"};
   return names[kind];
 }
 
@@ -102,6 +104,8 @@
     break_off(router, request, "endpoint_lost");
   else if (request->runs > 0)
     finish_refuse(router, request, REFUSAL_OUTCOME_UNKNOWN);
+  else if (request->was_limited)
+    finish_refuse(router, request, REFUSAL_RATE);
   else if (request->was_busy)
     finish_refuse(router, request, REFUSAL_BUSY);
   else
--- a/router/lives.c
+++ b/router/lives.c
@@ -110,6 +110,7 @@
   life = known->hash;
   router_log(router, MP_LOG_EP_LEAVING, " endpoint=%s gone=1", id);
   endpoint_table_remove(router->endpoints, id);
+  rates_endpoints_changed(router);
   crash_watch_over(router->crashes, id, life, "gone", now);
   g_free(id);
 }
@@ -129,6 +130,8 @@
   if (known != NULL && news == ENDPOINT_RESTARTED)
     end_life(router, known, now);
   endpoint_table_set(router->endpoints, record);
+  if (news == ENDPOINT_RESTARTED)
+    rates_endpoints_changed(router);
   if (news != ENDPOINT_SAME || was_ready != record->ready)
     router_log(router, record->ready ? MP_LOG_EP_UP : MP_LOG_EP_LEAVING,
                " endpoint=%s service=%s zone=%s stage=%d", record->id,
--- a/router/path.c
+++ b/router/path.c
@@ -56,7 +56,7 @@
 }
 
 EndpointWish path_wish(Router *router, const Request *request,
-                       EndpointStage stage) {
+                       EndpointStage stage, gint64 now) {
   EndpointWish wish = {0};
   wish.service = request->service->name;
   wish.stage = stage;
@@ -65,6 +65,10 @@
   wish.excluded = (const char *const *)request->excluded;
   wish.excluded_count = request->excluded_count;
   wish.spread = (guint64)g_rand_int(router->random) + 1;
+  if (rate_limits_count(router->rates) > 0) {
+    wish.rates = router->rates;
+    wish.sharers = rates_sharers(router, request->service, now);
+  }
   return wish;
 }
 
@@ -159,6 +163,7 @@
     dispatch.handle_address = request->handle_address;
     dispatch.last_event = request->last_event;
   }
+  rates_sent(router, endpoint->record.id);
   router_count(router, DISPATCHES);
   log_dispatch(router, request, &dispatch, endpoint);
   router->host.dispatch(router->host.data, &dispatch);
@@ -190,7 +195,7 @@
 static Endpoint *choose_with_room(Router *router, const Request *request,
                                   gint64 now) {
   EndpointStage stage = run_stage(request);
-  EndpointWish wish = path_wish(router, request, stage);
+  EndpointWish wish = path_wish(router, request, stage, now);
   Endpoint *endpoint = reserved_decode(router, request);
   if (endpoint != NULL && !is_overbooked(router, request, endpoint))
     return endpoint;
@@ -199,7 +204,7 @@
 }
 
 static Endpoint *choose(Router *router, const Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, run_stage(request));
+  EndpointWish wish = path_wish(router, request, run_stage(request), now);
   Endpoint *endpoint = reserved_decode(router, request);
   Endpoint *other = choose_with_room(router, request, now);
   if (other != NULL)
@@ -273,6 +278,7 @@
     return;
   endpoint = choose(router, request, now);
   if (endpoint == NULL) {
+    request->was_limited = rates_hold_back(router, request, now);
     finish_give_up(router, request, now);
     return;
   }
@@ -356,7 +362,7 @@
 
 /* is there an endpoint beside those that failed and the open run's own? */
 static gboolean has_elsewhere(Router *router, Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, run_stage(request));
+  EndpointWish wish = path_wish(router, request, run_stage(request), now);
   const char *others[MAX_EXCLUDED + 1];
   guint i;
   for (i = 0; i < request->excluded_count; i++)
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -41,8 +41,11 @@
     return;
   endpoint = endpoint_table_get_life(router->endpoints, request->decode,
                                      request->decode_life);
-  if (endpoint != NULL)
+  if (endpoint != NULL) {
     endpoint->tokens -= MIN(endpoint->tokens, request->decode_tokens);
+    if (request->decode_counted)
+      rate_limits_return(router->rates, endpoint->hash);
+  }
   router->load_version++;
   g_clear_pointer(&request->decode, g_free);
 }
@@ -52,6 +55,9 @@
   request->decode_life = decode->hash;
   request->decode_tokens = estimate_memory(router, request);
   decode->tokens += request->decode_tokens;
+  /* the run will come there: counted now, so that nobody else is given the
+  ** same place in the engine's rate while the prompt is read */
+  request->decode_counted = rate_limits_sent(router->rates, decode->hash);
   router->load_version++;
   router->host.note(router->host.data, decode->hash,
                     (guint32)request->decode_tokens);
@@ -82,7 +88,8 @@
   endpoint = endpoint_table_get(router->endpoints, request->read_by);
   if (endpoint == NULL || !endpoint->record.ready ||
       endpoint->record.stage != STAGE_PREFILL || endpoint->avoid_until > now ||
-      endpoint_changing(router->endpoints, endpoint, now))
+      endpoint_changing(router->endpoints, endpoint, now) ||
+      !rates_allow(router, request, endpoint, now))
     return NULL;
   return endpoint;
 }
@@ -100,7 +107,7 @@
 }
 
 gboolean prefill_begin(Router *router, Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, STAGE_PREFILL);
+  EndpointWish wish = path_wish(router, request, STAGE_PREFILL, now);
   const Endpoint *decode =
       request->decode != NULL
           ? endpoint_table_get(router->endpoints, request->decode)
@@ -281,6 +288,7 @@
     release.endpoint = request->handle_endpoint;
     release.handle = request->handle;
     release.connect_timeout = 300 * MP_MS;
+    rates_sent(router, request->handle_endpoint);
     router->host.dispatch(router->host.data, &release);
   }
   g_clear_pointer(&request->handle, g_free);
--- a/router/rates.c
+++ b/router/rates.c
@@ -1,21 +1,66 @@
 /*
 ** rates.c
 ** Rates that endpoints name: what the router does about them
+**
+** Invariant: each request that goes to an endpoint, whatever it is, is counted
+** there (rates_sent), and none of a caller's is sent that the endpoint's rate
+** does not allow (rates_allow).
 */
 
+#include <string.h>
+
+#include "router/retry_exchange.h"
 #include "router/state.h"
 
-static void log_rate(Router *router, const Endpoint *endpoint, double rate,
-                     double before) {
-  if (rate < 0)
-    router_log(router, MP_LOG_EP_RATE_OVER, " endpoint=%s before=%.3f open=%u",
-               endpoint->record.id, before,
-               endpoint_open(router->endpoints, endpoint));
-  else
-    router_log(router, MP_LOG_EP_RATE,
-               " endpoint=%s rate=%.3f before=%.3f open=%u",
-               endpoint->record.id, rate, before,
-               endpoint_open(router->endpoints, endpoint));
+/* requests that wait for an engine look again this often while one of them
+** names a rate: what it still takes grows with time alone */
+#define LOOK_AGAIN (50 * MP_MS)
+/* who is refused comes back after this at least, and each at another moment */
+#define COME_BACK_LEAST (100 * MP_MS)
+#define COME_BACK_SPREAD (400 * MP_MS)
+
+/*
+** {==================================================================
+** What endpoints say
+** ===================================================================
+*/
+
+static const Endpoint *endpoint_of(const Router *router, guint32 hash) {
+  const GPtrArray *all = router->endpoints->all;
+  guint i;
+  for (i = 0; i < all->len; i++) {
+    const Endpoint *endpoint = all->pdata[i];
+    if (endpoint->hash == hash)
+      return endpoint;
+  }
+  return NULL;
+}
+
+static gboolean is_listed(void *data, guint32 endpoint) {
+  return endpoint_of(data, endpoint) != NULL;
+}
+
+void rates_endpoints_changed(Router *router) {
+  rate_limits_keep(router->rates, is_listed, router);
+}
+
+/* 'said_by': an answer, or another instance; 'age_ms' since the answer */
+static void log_change(Router *router, const Endpoint *endpoint, double before,
+                       const char *said_by, guint age_ms, gint64 now) {
+  double rate = rate_limits_of(router->rates, endpoint->hash);
+  LimitSharers sharers = accounts_sharers(router, now);
+  if (rate == before)
+    return;
+  router_log(router, rate < 0 ? MP_LOG_EP_RATE_OVER : MP_LOG_EP_RATE,
+             " endpoint=%s rate=%.3f before=%.3f said_by=%s age_ms=%u "
+             "heard=%u instances=%u open=%u",
+             endpoint->record.id, rate, before, said_by, age_ms, sharers.heard,
+             sharers.instances, endpoint_open(router->endpoints, endpoint));
+}
+
+static void log_unreadable(Router *router, const Endpoint *endpoint) {
+  router_count(router, RATES_BAD);
+  router_log(router, MP_LOG_EP_RATE_BAD, " endpoint=%s", endpoint->record.id);
 }
 
 void router_endpoint_rate(Router *router, guint64 dispatch,
@@ -25,22 +70,159 @@
       request != NULL ? path_open_endpoint(router, request) : NULL;
   double named = rate->saying == RATE_NAMED ? rate->per_second : RATE_ANY;
   double before;
-  (void)now;
   if (endpoint == NULL)
     return; /* given up, or that life is over */
   if (rate->saying == RATE_UNREADABLE) {
-    router_count(router, RATES_BAD);
-    router_log(router, MP_LOG_EP_RATE_BAD, " endpoint=%s",
-               endpoint->record.id);
+    log_unreadable(router, endpoint);
     return;
   }
   before = rate_limits_of(router->rates, endpoint->hash);
-  if (named == before)
-    return;
-  rate_limits_named(router->rates, endpoint->hash, named);
-  log_rate(router, endpoint, named, before);
+  rate_limits_named(router->rates, endpoint->hash, named, now);
+  log_change(router, endpoint, before, "answer", 0, now);
 }
 
 guint router_limited_endpoints(const Router *router) {
   return rate_limits_count(router->rates);
 }
+
+guint64 router_rate_skips(const Router *router) {
+  return rate_limits_skips(router->rates);
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Sending
+** ===================================================================
+*/
+
+/* requests that others may send to the service before this instance hears of
+** them: one each at most, since each draws anew after it */
+static double rivals(Router *router, const Service *service,
+                     const RateSharers *sharers, gint64 now) {
+  const PeerLoads *peers = router->endpoints->peers;
+  double others = sharers->instances.heard - 1;
+  double asked = retry_budget_others(router_budget(router, service->name),
+                                     &router->retry, now);
+  double soon = asked * (double)sharers->delay / MP_SEC;
+  if (service->is_engine)
+    soon += peer_loads_waiting(peers);
+  return MIN(others, soon);
+}
+
+RateSharers rates_sharers(Router *router, const Service *service, gint64 now) {
+  RateSharers sharers = {0};
+  gboolean summed = router->near < router->instances;
+  sharers.instances = accounts_sharers(router, now);
+  sharers.delay = summed ? RATE_NEWS_DELAY_SUMMED : RATE_NEWS_DELAY;
+  if (service != NULL)
+    sharers.rivals = rivals(router, service, &sharers, now);
+  return sharers;
+}
+
+gboolean rates_allow(Router *router, const Request *request,
+                     const Endpoint *endpoint, gint64 now) {
+  RateSharers sharers;
+  if (rate_limits_count(router->rates) == 0)
+    return TRUE;
+  sharers = rates_sharers(router, request->service, now);
+  return rate_limits_allow(router->rates, endpoint->hash, &sharers, now);
+}
+
+void rates_sent(Router *router, const char *id) {
+  const Endpoint *endpoint = endpoint_table_get(router->endpoints, id);
+  if (endpoint != NULL)
+    rate_limits_sent(router->rates, endpoint->hash);
+}
+
+/* the first time at which an endpoint of the service is likely to take one
+** request more; G_MAXINT64: none of them names a rate */
+static gint64 shortest_wait(Router *router, const Service *service,
+                            gint64 now) {
+  RateSharers sharers = rates_sharers(router, service, now);
+  const GPtrArray *all = router->endpoints->all;
+  gint64 least = G_MAXINT64;
+  guint i;
+  for (i = 0; i < all->len; i++) {
+    const Endpoint *endpoint = all->pdata[i];
+    gint64 wait;
+    if (strcmp(endpoint->record.service, service->name) != 0 ||
+        rate_limits_of(router->rates, endpoint->hash) < 0)
+      continue;
+    wait = rate_limits_wait(router->rates, endpoint->hash, &sharers, now);
+    least = MIN(least, wait);
+  }
+  return least;
+}
+
+gboolean rates_hold_back(Router *router, Request *request, gint64 now) {
+  double spread = g_rand_double(router->random) * COME_BACK_SPREAD;
+  gint64 wait;
+  if (rate_limits_count(router->rates) == 0)
+    return FALSE;
+  wait = shortest_wait(router, request->service, now);
+  if (wait == G_MAXINT64)
+    return FALSE;
+  request->come_back = MAX(wait, COME_BACK_LEAST) + (gint64)spread;
+  return TRUE;
+}
+
+void rates_plan_look(Router *router, gint64 now) {
+  gboolean needed =
+      router->waiting->len > 0 && rate_limits_count(router->rates) > 0;
+  if (!needed)
+    router->rates_look_at = 0;
+  else if (router->rates_look_at <= now)
+    router->rates_look_at = now + LOOK_AGAIN;
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** What instances tell each other
+** ===================================================================
+*/
+
+guint64 router_rates_version(const Router *router) {
+  return rate_limits_version(router->rates);
+}
+
+void router_tell_rates(const Router *router, gboolean sums, mp_RateNews *out,
+                       gint64 now) {
+  if (sums)
+    rate_limits_write_sum(router->rates, out, now);
+  else
+    rate_limits_write(router->rates, out, now);
+}
+
+/* news of endpoints that are not listed here are left out: they come again */
+static void keep_listed(const Router *router, mp_RateNews *news,
+                        double before[MP_RATE_ROWS]) {
+  unsigned n = 0;
+  unsigned i;
+  for (i = 0; i < news->n; i++) {
+    if (endpoint_of(router, news->row[i].endpoint) == NULL)
+      continue;
+    before[n] = rate_limits_of(router->rates, news->row[i].endpoint);
+    news->row[n++] = news->row[i];
+  }
+  news->n = n;
+}
+
+void router_hear_rates(Router *router, mp_Addr peer, const mp_RateNews *told,
+                       gint64 now) {
+  RateSharers sharers = rates_sharers(router, NULL, now);
+  double before[MP_RATE_ROWS];
+  mp_RateNews news = *told;
+  unsigned i;
+  keep_listed(router, &news, before);
+  rate_limits_hear(router->rates, peer, &news, &sharers, now);
+  for (i = 0; i < news.n; i++)
+    log_change(router, endpoint_of(router, news.row[i].endpoint), before[i],
+               "instance", news.row[i].age_ms, now);
+  admission_run(router, now);
+}
+
+/* }================================================================== */
--- a/router/retry_budget.c
+++ b/router/retry_budget.c
@@ -22,6 +22,9 @@
 #define PERIOD (300 * MP_MS)
 #define PERIOD_SUMMED (800 * MP_MS)
 
+/* whole buckets that tell what comes now: some 2 s of a window of 10 s */
+#define LATELY_BUCKETS 4
+
 static guint slot(RetryBudget *budget, const RetryPolicy *policy, gint64 now) {
   static const RetryCounts none = {0, 0};
   gint64 span = policy->window / (RETRY_BUDGET_BUCKETS - 1);
@@ -86,6 +89,20 @@
   return requests + slack * MIN(heard, 1.0) - extras;
 }
 
+double retry_budget_others(const RetryBudget *budget,
+                           const RetryPolicy *policy, gint64 now) {
+  gint64 span = MAX(policy->window / (RETRY_BUDGET_BUCKETS - 1), 1);
+  gint64 newest = now / span;
+  double requests = 0;
+  guint i;
+  for (i = 0; i < RETRY_BUDGET_BUCKETS; i++) {
+    gint64 age = newest - budget->bucket[i];
+    if (age > 0 && age <= LATELY_BUCKETS)
+      requests += budget->others[i].requests;
+  }
+  return requests * MP_SEC / (double)(LATELY_BUCKETS * span);
+}
+
 static gint64 period_of(const RetrySharers *sharers, gint64 now) {
   return now / (sharers->in_summaries ? PERIOD_SUMMED : PERIOD);
 }
--- a/router/router.c
+++ b/router/router.c
@@ -60,7 +60,7 @@
   router->near = 1;
   router->waiting = g_ptr_array_new();
   router->limits = account_limits_new(&options->limits, now);
-  router->rates = rate_limits_new();
+  router->rates = rate_limits_new(options->seed ^ options->self);
   router->crashes = lives_watch_new(router);
   router->quarantine = quarantine_new(options->unix_offset, options->seed);
   router->revoke_bound = options->revoke_bound;
@@ -141,6 +141,7 @@
 void router_keep_endpoints(Router *router, GHashTable *names, gint64 now) {
   (void)now;
   endpoint_table_keep(router->endpoints, names);
+  rates_endpoints_changed(router);
 }
 
 void router_set_instances(Router *router, unsigned count, unsigned near) {
@@ -324,6 +325,8 @@
 
 gint64 router_next_tick(const Router *router) {
   gint64 next = stages_next_tick(router->stages);
+  if (router->rates_look_at != 0)
+    next = MIN(next, router->rates_look_at);
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init(&iterator, router->requests);
--- a/router/router.h
+++ b/router/router.h
@@ -100,7 +100,8 @@
   REFUSAL_LIMIT,             /* not run: its account's limit is used up */
   REFUSAL_OLD_CONFIGURATION, /* not run: its key may have been taken away, or
                              ** its route have come, since the configuration */
-  REFUSAL_HELD /* not run: endpoints end under it (router/quarantine.h) */
+  REFUSAL_HELD, /* not run: endpoints end under it (router/quarantine.h) */
+  REFUSAL_RATE  /* not run: endpoints take no more by the rates they name */
 } RefusalKind;
 
 typedef struct Refusal {
@@ -268,12 +269,27 @@
 void router_quarantine_count(const Router *router, gint64 now, guint *suspects,
                              guint *held);
 
+/*
+** Rates that endpoints name (router/rate_limits.h)
+*/
+
+/* another instance tells, or a relay for its data centre */
+void router_hear_rates(Router *router, mp_Addr peer, const mp_RateNews *news,
+                       gint64 now);
+/* what to tell: this instance's, or the 'sums' of those it hears too */
+void router_tell_rates(const Router *router, gboolean sums, mp_RateNews *out,
+                       gint64 now);
+/* grows when there is something new to tell */
+guint64 router_rates_version(const Router *router);
+
 /* the store answered RouterHost.lease_call */
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now);
 
 /* looking in */
 /* endpoints that name a rate */
 guint router_limited_endpoints(const Router *router);
+/* choices in which one of them was left out for its rate */
+guint64 router_rate_skips(const Router *router);
 unsigned router_open_requests(const Router *router);
 /* requests that wait for room, and how many of them can still be answered in
 ** time */
--- a/router/stages.c
+++ b/router/stages.c
@@ -379,6 +379,7 @@
   dispatch.endpoint = endpoint->record.id;
   dispatch.connect_timeout = ORDER_CONNECT;
   dispatch.order = order;
+  rates_sent(stages->router, move->endpoint);
   stages->router->host.dispatch(stages->router->host.data, &dispatch);
 }
 
--- a/router/state.h
+++ b/router/state.h
@@ -92,21 +92,23 @@
   unsigned prefills; /* prefills that were read to the end */
   unsigned prefills_sent;
   unsigned unreachable;
-  gboolean was_busy; /* some endpoint turned it away */
+  gboolean was_busy;    /* some endpoint turned it away */
+  gboolean was_limited; /* endpoints take no more by the rates they name */
   gint64 turn_at;    /* waiting: start then, if there is still room; 0: none */
   gboolean returned; /* it was refused before, and came back */
   gint64 first_try;  /* when its caller tried first, as far as that is known */
   gboolean resumes;  /* its caller lost it half-way: it is late already */
   gint64 come_back;  /* when refused: come back after this; 0: as usual */
-  gboolean head_sent;    /* the answer has begun */
-  char *last_event;      /* passed on to the caller */
-  guint32 made;          /* tokens made, as the events tell */
-  gint64 last_piece;     /* when the last piece came; 0: none yet */
-  gint64 longest_pause;  /* between two pieces, so far */
-  char *decode;          /* id of the engine that shall decode */
-  guint32 decode_life;   /* of it: Endpoint.hash */
-  guint64 decode_tokens; /* reserved there until it is dispatched */
-  char *handle;          /* of the prompt that was read, not yet used */
+  gboolean head_sent;      /* the answer has begun */
+  char *last_event;        /* passed on to the caller */
+  guint32 made;            /* tokens made, as the events tell */
+  gint64 last_piece;       /* when the last piece came; 0: none yet */
+  gint64 longest_pause;    /* between two pieces, so far */
+  char *decode;            /* id of the engine that shall decode */
+  guint32 decode_life;     /* of it: Endpoint.hash */
+  guint64 decode_tokens;   /* reserved there until it is dispatched */
+  gboolean decode_counted; /* its place in the rate that this one names */
+  char *handle;            /* of the prompt that was read, not yet used */
   mp_Addr handle_address;
   char *handle_endpoint;
   gint64 handle_until;
@@ -133,6 +135,7 @@
   gboolean is_listed; /* these two are known */
   AccountLimits *limits;
   RateLimits *rates;      /* that endpoints name */
+  gint64 rates_look_at;   /* who waits looks again then; 0: no need */
   CrashWatch *crashes;    /* endpoints that may have ended under requests */
   Quarantine *quarantine; /* requests that end endpoints */
   gint64 revoke_bound;    /* as in RouterOptions */
@@ -190,7 +193,7 @@
                Endpoint *endpoint, guint64 tokens, gint64 now);
 /* a wish with what every wish of this request says */
 EndpointWish path_wish(Router *router, const Request *request,
-                       EndpointStage stage);
+                       EndpointStage stage, gint64 now);
 void path_exclude(Request *request, const char *endpoint);
 gboolean path_is_excluded(const Request *request, const char *endpoint);
 /* a run that may be resumed elsewhere is silent; may end */
@@ -244,6 +247,29 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** rates.c: rates that endpoints name
+** ===================================================================
+*/
+
+/* 'service' is NULL where nothing is sent */
+RateSharers rates_sharers(Router *router, const Service *service, gint64 now);
+/* may the request be sent there now, by the rate that the endpoint names? */
+gboolean rates_allow(Router *router, const Request *request,
+                     const Endpoint *endpoint, gint64 now);
+/* something is sent to this endpoint, or a request was given its place */
+void rates_sent(Router *router, const char *endpoint);
+/* no endpoint took it: was that for their rates? Then it is told when to come
+** back */
+gboolean rates_hold_back(Router *router, Request *request, gint64 now);
+/* endpoints have come or gone */
+void rates_endpoints_changed(Router *router);
+/* who waits looks again soon, where rates are named */
+void rates_plan_look(Router *router, gint64 now);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** admission.c: waiting for room at the decode engines
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -107,6 +107,13 @@
       m.u.crashes.row[i].crash[MP_CRASHES_EACH - 1] = UINT32_MAX;
     }
     break;
+  case MP_MSG_RATES:
+    m.u.rates.relay = 0x7f0000011b58;
+    m.u.rates.zone = 77;
+    m.u.rates.n = MP_RATE_ROWS;
+    for (unsigned i = 0; i < MP_RATE_ROWS; i++)
+      m.u.rates.row[i] = {i + 1, MP_RATE_ANY, 1u << 20, UINT32_MAX - i};
+    break;
   case MP_MSG_LOAD_NOTE:
     m.u.note = {17, 4, 3200};
     break;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -250,6 +250,20 @@
   return TRUE;
 }
 
+static bool_t rates(XDR *x, mp_RateNews *r) {
+  unsigned i;
+  if (!u64(x, &r->relay) || !u32(x, &r->zone) ||
+      !count(x, &r->n, MP_RATE_ROWS))
+    return FALSE;
+  for (i = 0; i < r->n; i++) {
+    mp_RateRow *row = &r->row[i];
+    if (!u32(x, &row->endpoint) || !u32(x, &row->rate) ||
+        !u32(x, &row->age_ms) || !u32(x, &row->sent))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 /* a steady clock: readers add and subtract two of them in 64 bits with a
 ** sign, so one past half of that is none */
 static bool_t moment(XDR *x, uint64_t *v) {
@@ -300,6 +314,8 @@
     return summary(x, &m->u.summary);
   case MP_MSG_CRASHES:
     return crashes(x, &m->u.crashes);
+  case MP_MSG_RATES:
+    return rates(x, &m->u.rates);
   case MP_MSG_RELAY_BEAT:
     return beat(x, &m->u.beat);
   case MP_MSG_RELAY_ASK:
