--- a/standin/worker.c
+++ b/standin/worker.c
@@ -344,6 +344,8 @@
   Worker *worker = data;
   const char *expected = header(request, "Expect-Instance");
   const char *stage = header(request, "Stage");
+  if (worker->rate[0] != '\0')
+    set(request, "Server-Limit", worker->rate);
   if (evhttp_request_get_command(request) == EVHTTP_REQ_DELETE) {
     note(worker, request, "release");
     evhttp_send_reply(request, 200, NULL, NULL);
@@ -440,6 +442,9 @@
 
 /* }================================================================== */
 
+#define RATE_MODE "rate="
+
+/* "rate=3.5": its answers name this rate; "rate=": none */
 int worker_set_mode(Worker *worker, const char *mode) {
   static const char *const modes[] = {"ok",  "error", "shed",
                                       "cut", "mute",  "slow"};
@@ -450,6 +455,10 @@
     worker_list(worker);
     return 1;
   }
+  if (g_str_has_prefix(mode, RATE_MODE)) {
+    g_strlcpy(worker->rate, mode + strlen(RATE_MODE), sizeof worker->rate);
+    return 1;
+  }
   if (strcmp(mode, "crash") == 0) {
     crash(worker);
     return 1;
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -13,6 +13,7 @@
 typedef struct Worker {
   char *id, *service, *zone, *stage, *addr;
   char mode[16];
+  char rate[16]; /* that its answers name, as text; empty: none */
   mp_Addr listen;
   struct evhttp *http; /* NULL: the process has ended */
   struct event *lapse, *comeback;
