--- a/io/store_link.c
+++ b/io/store_link.c
@@ -57,7 +57,7 @@
 }
 
 static void fail(StoreLink *link, const char *why) {
-  StoreReply reply = {STORE_FAILED, NULL, FALSE, 0, FALSE, 0};
+  StoreReply reply = {.status = STORE_FAILED};
   GError *error = g_error_new(MP_ERROR, MP_ERR_STORE, "%s", why);
   disconnect(link);
   if (link->open)
--- a/router/follower.c
+++ b/router/follower.c
@@ -14,6 +14,11 @@
 #define RETRY_DOUBLED 6 /* times at most */
 /* the store may still be silent: no long wait until it has answered */
 #define WAIT_AFTER_FAILURE (300 * MP_MS)
+/* a list that may hide objects is read again after this: what went before it
+** is known to have gone then, if the list is whole; one call in 5 s for each
+** instance that follows the store is a hundredth of what a small store takes
+ */
+#define PARTIAL_AGAIN (5 * MP_SEC)
 /* objects that are gone and still told to others: ten times the endpoints
 ** of the largest deployment planned for (docs/CAPACITY.md) */
 #define GONE_MOST 8000
@@ -180,8 +185,10 @@
   g_hash_table_remove_all(follower->names);
 }
 
-static void take_list(Follower *follower, const StoreReply *reply) {
+static void take_list(Follower *follower, const StoreReply *reply,
+                      gint64 now) {
   guint count = reply->objects != NULL ? reply->objects->len : 0;
+  follower->partial |= reply->partial;
   g_clear_pointer(&follower->after, g_free);
   if (reply->more && count > 0) {
     const StoreObject *last =
@@ -194,7 +201,11 @@
   }
   if (follower->revision == 0)
     follower->revision = reply->at;
-  take_names(follower, follower->revision);
+  if (follower->partial) {
+    g_hash_table_remove_all(follower->names);
+    follower->list_at = now + PARTIAL_AGAIN;
+  } else
+    take_names(follower, follower->revision);
   follower->watching = TRUE;
   follower->known = MAX(follower->known, follower->revision);
   if (follower->changed == 0) /* an empty list is news too */
@@ -204,6 +215,8 @@
 static void list_again(Follower *follower) {
   follower->watching = FALSE;
   follower->revision = 0;
+  follower->partial = FALSE;
+  follower->list_at = 0;
   g_clear_pointer(&follower->after, g_free);
   g_hash_table_remove_all(follower->names);
 }
@@ -252,7 +265,7 @@
     follower->revision = MAX(follower->revision, reply->at);
     follower->known = follower->revision;
   } else
-    take_list(follower, reply);
+    take_list(follower, reply, now);
 }
 
 void follower_reply(Follower *follower, const StoreReply *reply, gint64 now) {
@@ -260,6 +273,8 @@
   follower->retry_at = now;
   follower->taking = TRUE;
   take(follower, reply, now);
+  if (follower->list_at != 0 && follower->list_at <= now)
+    list_again(follower);
   follower->taking = FALSE;
 }
 
--- a/router/follower.h
+++ b/router/follower.h
@@ -6,7 +6,9 @@
 ** does no input or output. Its host performs StoreCall and hands back a
 ** StoreReply. Invariants: one call is open at a time; an object never
 ** takes effect over a newer revision of itself; a list that took several
-** calls takes effect for absent objects only when it is whole.
+** calls takes effect for absent objects only when it is whole. One in which
+** something could not be read that may hide objects removes none, and is read
+** again until it is whole.
 **
 ** A follower keeps what it has read, so that it can answer the same calls
 ** for other instances (follower_answer). Objects that are gone stay for a
@@ -76,12 +78,13 @@
 
 typedef struct StoreReply {
   StoreStatus status;
-  GArray *objects; /* StoreObject; may be NULL */
-  gboolean more;   /* LIST: it goes on behind the last name */
-  gint64 at;       /* revision of the store */
-  gboolean whole;  /* WATCH: it names all objects there are, those that have
-                   ** not changed without their text; others are gone */
-  guint nameless;  /* objects that were left out: their names can't be read */
+  GArray *objects;  /* StoreObject; may be NULL */
+  gboolean more;    /* LIST: it goes on behind the last name */
+  gint64 at;        /* revision of the store */
+  gboolean whole;   /* WATCH: it names all objects there are, those that have
+                    ** not changed without their text; others are gone */
+  guint nameless;   /* objects that were left out: their names can't be read */
+  gboolean partial; /* LIST: there may be others than those that it names */
 } StoreReply;
 
 /* an empty array of StoreObject that clears its elements */
@@ -120,6 +123,8 @@
                        ** page was never asked for) */
   gint64 revision;     /* of the store, as far as it was read */
   char *after;         /* a list goes on behind this name */
+  gboolean partial;    /* the list may hide objects: it removes none */
+  gint64 list_at;      /* it is read again then; 0: no need */
   GHashTable *names;   /* seen by the list that is being read */
   GHashTable *objects; /* name -> FollowedObject */
   guint gone;          /* of these, objects that are gone */
--- a/test/fuzz/store_reply.c
+++ b/test/fuzz/store_reply.c
@@ -3,6 +3,9 @@
 ** Fuzz target: answers of the store, and what their objects hold
 */
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "platform/platform.h"
 #include "test/fuzz/fixed_hash.h"
 
@@ -35,11 +38,43 @@
   store_reply_clear(&reply);
 }
 
+#define SOUND(name) \
+  "{\"Metadata\":{\"Name\":\"" name "\",\"Rev\":5},\"Spec\":{\"Slots\":1}}"
+
+static gboolean has(const StoreReply *reply, const char *name) {
+  guint i;
+  for (i = 0; i < reply->objects->len; i++) {
+    const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
+    if (strcmp(object->name, name) == 0 && object->text != NULL &&
+        object->text[0] != '\0')
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* any bytes in the place of one item: those before and behind it stand */
+static void read_between(const char *bytes, size_t size) {
+  GString *body = g_string_new("{\"items\":[" SOUND("before") ",");
+  StoreCall call = {0};
+  StoreReply reply;
+  call.kind = STORE_ENDPOINTS;
+  call.operation = STORE_LIST;
+  g_string_append_len(body, bytes, (gssize)size);
+  g_string_append(body, "," SOUND("behind") "],\"more\":false,\"at\":77}");
+  if (!platform_read_store_reply(&call, 200, body->str, body->len, &reply,
+                                 NULL) ||
+      !has(&reply, "before") || (!has(&reply, "behind") && !reply.partial))
+    abort();
+  store_reply_clear(&reply);
+  g_string_free(body, TRUE);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
   read_as(STORE_LIST, (const char *)data, size);
   read_as(STORE_WATCH, (const char *)data, size);
   read_as(STORE_READ, (const char *)data, size);
+  read_between((const char *)data, size);
   return 0;
 }
--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -274,7 +274,7 @@
 
 void World::fail_after(Instance &one, int kind, unsigned call, gint64 wait) {
   later(one, wait, [this, &one, kind, call] {
-    StoreReply failed = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0};
+    StoreReply failed = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0, FALSE};
     reply(one, kind, call, failed);
   });
 }
@@ -287,7 +287,8 @@
 }
 
 StoreReply World::list(StoreKind kind, bool stale) const {
-  StoreReply out = {STORE_OK, store_objects_new(), FALSE, revision, FALSE, 0};
+  StoreReply out = {STORE_OK, store_objects_new(), FALSE, revision, FALSE, 0,
+                    FALSE};
   const std::map<std::string, Object> *from = &objects[kind];
   for (auto &then : past) {
     if (stale && then.at > now - staleness)
@@ -309,7 +310,7 @@
 }
 
 StoreReply World::events(StoreKind kind, gint64 since) const {
-  StoreReply out = {STORE_OK, nullptr, FALSE, revision, FALSE, 0};
+  StoreReply out = {STORE_OK, nullptr, FALSE, revision, FALSE, 0, FALSE};
   if (since < oldest) {
     out.status = STORE_HISTORY_GONE;
     return out;
@@ -333,7 +334,8 @@
   if (wanted.call.operation == STORE_WATCH) {
     watches.push_back({&one, what, since, call, one.life});
     later(one, wanted.call.wait, [this, &one, kind, call] {
-      StoreReply nothing = {STORE_OK, nullptr, FALSE, revision, FALSE, 0};
+      StoreReply nothing = {STORE_OK, nullptr, FALSE, revision,
+                            FALSE,    0,       FALSE};
       if (store_up && !one.cut_from_store)
         reply(one, kind, call, nothing);
     });
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -78,8 +78,10 @@
     return out;
   }
   void answer(StoreStatus status, gint64 at = 0,
-              const std::vector<Row> &rows = {}, bool more = false) {
-    StoreReply reply = {status, store_objects_new(), more, at, FALSE, 0};
+              const std::vector<Row> &rows = {}, bool more = false,
+              bool partial = false) {
+    StoreReply reply = {status, store_objects_new(), more, at, FALSE, 0,
+                        partial};
     for (const Row &row : rows) {
       StoreObject object = {g_strdup(row.name), row.revision,
                             row.text == nullptr, g_strdup(row.text)};
@@ -105,6 +107,33 @@
   EXPECT_EQ(watch.revision, 10);
 }
 
+/* an object may be hidden in what could not be read */
+TEST_F(Follow, AListThatMayHideObjectsRemovesNoneAndIsReadAgain) {
+  call();
+  answer(STORE_OK, 10, {{"a", 1, "1"}, {"b", 2, "2"}, {"c", 3, "3"}});
+  EXPECT_EQ(lists, 1);
+  call();
+  answer(STORE_HISTORY_GONE);
+  EXPECT_EQ(call().operation, STORE_LIST);
+  answer(STORE_OK, 20, {{"a", 1, "1"}}, true, true);
+  EXPECT_EQ(call().operation, STORE_LIST);
+  answer(STORE_OK, 20, {{"c", 3, "3"}}); /* any page may hide one */
+  EXPECT_EQ(lists, 1);
+  EXPECT_EQ(call().operation, STORE_WATCH);
+  now += 2 * MP_SEC;
+  answer(STORE_OK, 21);
+  EXPECT_EQ(call().operation, STORE_WATCH);
+  now += 4 * MP_SEC;
+  answer(STORE_OK, 22);
+  EXPECT_EQ(call().operation, STORE_LIST);
+  answer(STORE_OK, 23, {{"a", 1, "1"}, {"c", 3, "3"}});
+  EXPECT_EQ(lists, 2);
+  EXPECT_EQ(call().operation, STORE_WATCH);
+  now += 60 * MP_SEC;
+  answer(STORE_OK, 24);
+  EXPECT_EQ(call().operation, STORE_WATCH);
+}
+
 /*
 ** What was seen: an instance that started beside five others counted five of
 ** six of them for a minute.
@@ -316,7 +345,7 @@
 
 /* an answer from a relay that is behind takes nothing newer away */
 TEST_F(Follow, AnOlderWholeAnswerRemovesNothing) {
-  StoreReply told = {STORE_OK, store_objects_new(), FALSE, 40, TRUE, 0};
+  StoreReply told = {STORE_OK, store_objects_new(), FALSE, 40, TRUE, 0, FALSE};
   call();
   answer(STORE_OK, 50, {{"a", 45, "x"}});
   call();
--- a/test/test_news.cc
+++ b/test/test_news.cc
@@ -62,7 +62,8 @@
 }
 
 TEST(News, RepliesAreReadAsTheyWereWritten) {
-  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, FALSE, 0};
+  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, FALSE, 0,
+                      FALSE};
   StoreObject here = {g_strdup("a"), 4, FALSE,
                       g_strdup("{\"x\":\"\\u00e9\"}")};
   StoreObject gone = {g_strdup("b"), 9, TRUE, nullptr};
@@ -85,7 +86,7 @@
 }
 
 TEST(News, OneThatKnowsNothingSaysSo) {
-  StoreReply reply = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0};
+  StoreReply reply = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0, FALSE};
   bool good;
   EXPECT_EQ(read(news_status(&reply, 0), "", &good).status, STORE_FAILED);
   EXPECT_TRUE(good);
@@ -93,7 +94,8 @@
 
 /* only a reply that names all objects may leave the text of one out */
 TEST(News, AWholeReplyNamesWhatHasNotChanged) {
-  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, TRUE, 0};
+  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, TRUE, 0,
+                      FALSE};
   StoreObject same = {g_strdup("a"), 4, FALSE, nullptr};
   bool good;
   g_array_append_val(reply.objects, same);
@@ -115,7 +117,7 @@
 }
 
 TEST(News, WhatIsTooLargeForARelaysLinkIsLeftToTheStore) {
-  StoreReply reply = {STORE_OK, nullptr, FALSE, 5, FALSE, 0};
+  StoreReply reply = {STORE_OK, nullptr, FALSE, 5, FALSE, 0, FALSE};
   EXPECT_EQ(news_status(&reply, NEWS_MOST), 200);
   EXPECT_EQ(news_status(&reply, NEWS_MOST + 1), 503);
 }
--- a/test/test_relays.cc
+++ b/test/test_relays.cc
@@ -301,7 +301,7 @@
   news_source_init(&source, group, &none, seeds, 2);
   relay_group_begin_alone(group);
   for (; now < 4 * second; now += ms) {
-    StoreReply failed = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0};
+    StoreReply failed = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0, FALSE};
     NewsWanted wanted;
     news_source_next(&source, now, &wanted);
     if (wanted.step == NEWS_WAIT)
