Lives of an endpoint are ordered by the store's revision, not by its clock

What callers and operators saw: nothing yet; read in the code. An endpoint whose clock stood ahead at its first start, or an entry of another writer from the year 2255, made each true entry under that id an outdated one, as long as the id was listed. Cause: lives were ordered by their start as the endpoint's clock tells it. Change: the store's revision tells which record is later; a start tells lives apart, and orders only records without a revision. Why it holds: each record that is taken comes with its object's revision, from the store or from a peer; the follower lets none go back. Tests: two of test_lives.cc failed before (a life from the future; a hundred endpoints that start again while their clocks step by 2 s ahead and back).

--- a/io/directory.c
+++ b/io/directory.c
@@ -98,15 +98,16 @@
 
 /* an entry that can't be read names nobody to use, whatever it said before;
 ** runs that are under way there go on */
-static void take_endpoint(Directory *directory, const char *name,
-                          const char *text) {
+static void take_endpoint(Directory *directory, const StoreObject *object) {
   EndpointRecord record;
   GError *error = NULL;
-  if (!directory->dialect->read_record(name, text, &record, &error)) {
-    bad_record(directory, STORE_ENDPOINTS, name, error);
-    drop_endpoint(directory, name);
+  if (!directory->dialect->read_record(object->name, object->text, &record,
+                                       &error)) {
+    bad_record(directory, STORE_ENDPOINTS, object->name, error);
+    drop_endpoint(directory, object->name);
     return;
   }
+  record.revision = object->revision;
   router_set_endpoint(directory->router, &record, FALSE, clock_now());
   endpoint_record_clear(&record);
 }
@@ -150,7 +151,7 @@
     if (object->gone)
       drop_endpoint(directory, object->name);
     else
-      take_endpoint(directory, object->name, object->text);
+      take_endpoint(directory, object);
   }
 }
 
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -95,18 +95,36 @@
 }
 
 /* a start that is not said tells nothing of another life */
+static gboolean is_same_life(const EndpointRecord *one,
+                             const EndpointRecord *other) {
+  return one->born_unix_ms == 0 || other->born_unix_ms == 0 ||
+         one->born_unix_ms == other->born_unix_ms;
+}
+
+/*
+** The store's revision tells which of two records is later. A start is told by
+** the endpoint's own clock, or by another writer: it tells lives apart, and
+** orders those alone whose revisions are not known. (Ordered by it, an
+** endpoint whose clock stood ahead at its first start was locked out for as
+** long as its id was listed.)
+*/
+static gboolean is_later(const EndpointRecord *record,
+                         const EndpointRecord *known) {
+  if (record->revision != 0 && known->revision != 0)
+    return record->revision >= known->revision;
+  return record->born_unix_ms >= known->born_unix_ms ||
+         is_same_life(record, known);
+}
+
 EndpointNews endpoint_table_compare(const EndpointTable *table,
                                     const EndpointRecord *record) {
   const Endpoint *known = endpoint_table_get(table, record->id);
-  gint64 before;
   if (known == NULL)
     return ENDPOINT_NEW;
-  before = known->record.born_unix_ms;
-  if (before == 0 || record->born_unix_ms == 0 ||
-      record->born_unix_ms == before)
-    return ENDPOINT_SAME;
-  return record->born_unix_ms > before ? ENDPOINT_RESTARTED
-                                       : ENDPOINT_OUTDATED;
+  if (!is_later(record, &known->record))
+    return ENDPOINT_OUTDATED;
+  return is_same_life(record, &known->record) ? ENDPOINT_SAME
+                                              : ENDPOINT_RESTARTED;
 }
 
 static Endpoint *add(EndpointTable *table) {
@@ -129,7 +147,8 @@
     endpoint = add(table);
   if (endpoint->changing_until != 0 && record->stage == endpoint->changing_to)
     endpoint->changing_until = 0;
-  born = MAX(endpoint->record.born_unix_ms, record->born_unix_ms);
+  born = record->born_unix_ms != 0 ? record->born_unix_ms
+                                   : endpoint->record.born_unix_ms;
   record_copy(&endpoint->record, record);
   endpoint->record.born_unix_ms = born;
   endpoint->hash = life_hash(&endpoint->record);
--- a/router/records.h
+++ b/router/records.h
@@ -145,7 +145,8 @@
 */
 typedef struct EndpointRecord {
   char *id;            /* appears nowhere else in the list */
-  gint64 born_unix_ms; /* start of this life; 0: not said */
+  gint64 born_unix_ms; /* start of this life, by its own clock; 0: not said */
+  gint64 revision;     /* of the store, when it wrote this; 0: not known */
   char *service;
   char *zone;
   mp_Addr address;
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -181,6 +181,7 @@
   record.ready = ready;
   record.stage = place.stage;
   record.born_unix_ms = born_unix_ms;
+  record.revision = revision;
   router_set_endpoint(router, &record, gone, now);
 }
 
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -135,6 +135,8 @@
   guint64 content = 0;
   /* start of the life that the next record of an endpoint tells, Unix ms */
   gint64 born_unix_ms = 0;
+  /* that the next record of an endpoint has in the store */
+  gint64 revision = 0;
 
   Router *router;
   gint64 now = 100 * second;
--- a/test/test_lives.cc
+++ b/test/test_lives.cc
@@ -121,6 +121,66 @@
   EXPECT_EQ(rows(), 0u);
 }
 
+/*
+** What was seen in the code: an endpoint whose clock stood ahead at its first
+** start, or an entry of another writer from the year 2255, made each true
+*entry
+** under that id an outdated one, for as long as the id was listed.
+** Cause: lives were ordered by what the endpoints' clocks say.
+*/
+TEST_F(Lives, WhatTheStoreWroteLaterIsRight) {
+  world.revision = 5;
+  start(plain, 9000000000000);
+  world.revision = 6;
+  start(plain, 1700000000000);
+  guint64 request = world.request("/unsafe/x");
+  EXPECT_EQ(world.runs(request), 1u);
+  world.revision = 7;
+  start(plain, 1600000000000); /* a later life yet: the run has ended */
+  EXPECT_EQ(world.end(request).refusal, REFUSAL_OUTCOME_UNKNOWN);
+  world.revision = 4;
+  world.born_unix_ms = 9000000000000;
+  world.endpoint(plain, false); /* an older word, heard late */
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 1u);
+}
+
+/* a hundred endpoints that start again while their clocks step by 2 s ahead
+*and
+** back, and one entry from the year 2255: each is used after its own entry */
+TEST_F(Lives, ClocksThatStepLockNobodyOut) {
+  std::mt19937 random(9);
+  constexpr gint64 step = 2000;
+  constexpr gint64 far = 9000000000000;
+  gint64 clock = 1700000000000;
+  for (int round = 0; round < 10; round++) {
+    for (int i = 0; i < 100; i++) {
+      std::string id = "app-" + std::to_string(i);
+      Place place = {id.c_str(), "app", "a", STAGE_NONE};
+      gint64 off = step * (static_cast<gint64>(random() % 3) - 1);
+      clock += 7;
+      world.revision++;
+      start(place, i == 50 && round == 3 ? far : clock + off);
+      for (int k = 0; k < 100; k++) { /* the others leave meanwhile */
+        if (k == i)
+          continue;
+        std::string other = "app-" + std::to_string(k);
+        world.endpoint({other.c_str(), "app", "a", STAGE_NONE}, true, true);
+      }
+      guint64 request = world.request("/unsafe/x");
+      ASSERT_EQ(world.runs(request), 1u) << id << " in round " << round;
+      ASSERT_EQ(world.last().endpoint, id);
+      world.outcome(world.last().number, OUTCOME_ANSWER);
+      guint64 next = world.request("/unsafe/x");
+      world.revision++;
+      start(place, clock + off - step); /* it starts again, its clock behind */
+      ASSERT_EQ(world.end(next).refusal, REFUSAL_OUTCOME_UNKNOWN) << id;
+      guint64 last = world.request("/unsafe/x");
+      ASSERT_EQ(world.runs(last), 1u) << id;
+      world.outcome(world.last().number, OUTCOME_ANSWER);
+    }
+  }
+}
+
 /* a hundred endpoints, ten lives each, with late news of earlier ones */
 TEST_F(Lives, LoadsAreExactWhenAllIsQuiet) {
   std::mt19937 random(5);
