Entries whose address can be no endpoint's name nobody to use

What was seen: 0.0.0.0:80 was taken as an endpoint (an instance would have called itself), and ' 10.0.0.1:80', with a blank that sscanf skips.

--- a/io/directory.c
+++ b/io/directory.c
@@ -42,6 +42,7 @@
   DirectoryHooks hooks;
   char *instance;
   InstanceRecord own; /* as it is entered */
+  mp_Addr callers;    /* where callers reach this instance */
   mp_Addr *seeds;
   Following *following[MP_RELAY_KINDS]; /* by StoreKind */
   GHashTable *instances;                /* name -> InstanceRecord */
@@ -96,18 +97,36 @@
   router_set_endpoint(directory->router, &record, TRUE, clock_now());
 }
 
+/* a request that is sent there would come back */
+static gboolean is_own(const Directory *directory, mp_Addr address) {
+  return address == directory->callers || address == directory->own.control ||
+         address == directory->own.exchange;
+}
+
+static gboolean read_endpoint(const Directory *directory,
+                              const StoreObject *object, EndpointRecord *out,
+                              GError **error) {
+  if (!directory->dialect->read_record(object->name, object->text, out, error))
+    return FALSE;
+  out->revision = object->revision;
+  if (!is_own(directory, out->address))
+    return TRUE;
+  endpoint_record_clear(out);
+  g_set_error_literal(error, RECORD_FAULT, RECORD_ADDRESS,
+                      "the address is this instance's own; correct the entry");
+  return FALSE;
+}
+
 /* an entry that can't be read names nobody to use, whatever it said before;
 ** runs that are under way there go on */
 static void take_endpoint(Directory *directory, const StoreObject *object) {
   EndpointRecord record;
   GError *error = NULL;
-  if (!directory->dialect->read_record(object->name, object->text, &record,
-                                       &error)) {
+  if (!read_endpoint(directory, object, &record, &error)) {
     bad_record(directory, STORE_ENDPOINTS, object->name, error);
     drop_endpoint(directory, object->name);
     return;
   }
-  record.revision = object->revision;
   router_set_endpoint(directory->router, &record, FALSE, clock_now());
   endpoint_record_clear(&record);
 }
@@ -436,6 +455,7 @@
   directory->instance = g_strdup(options->instance);
   directory->own.exchange = options->exchange;
   directory->own.control = options->control;
+  directory->callers = options->callers;
   directory->own.zone = g_strdup(options->zone);
   directory->own.capacity = options->capacity;
   directory->seeds =
--- a/io/directory.h
+++ b/io/directory.h
@@ -26,6 +26,7 @@
   guint32 capacity;     /* InstanceRecord.capacity */
   mp_Addr exchange;     /* where it hears from the others */
   mp_Addr control;      /* where it tells them what it knows; 0: nowhere */
+  mp_Addr callers;      /* where callers reach it */
   mp_Addr store;
   const mp_Addr *seeds; /* instances to ask while there is no store */
   unsigned seeds_count;
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -524,6 +524,7 @@
   settings.capacity = options->capacity;
   settings.exchange = options->exchange;
   settings.control = options->control;
+  settings.callers = options->callers;
   settings.store = options->store;
   settings.seeds = options->peers;
   settings.seeds_count = options->peers_count;
--- a/test/scenario/bad_entries.lua
+++ b/test/scenario/bad_entries.lua
@@ -48,6 +48,26 @@
   serve(9, fields)
   expect(runs_at(worker.id) == before, "it was used as " .. fields)
 end
+-- a line of this event that names this object
+local function log_has(x, event, name)
+  for line in io.lines(x.log) do
+    if line:find(event, 1, true) and line:find(name, 1, true) then
+      return true
+    end
+  end
+  return false
+end
+
+-- an entry that names an instance itself: a request would come back to it
+for _, x in ipairs(e) do
+  entry("servers", "i-loop", string.format(
+    '{"Service":"app","Addr":"127.0.0.1:%d","Zone":"a","Slots":8,' ..
+    '"State":"ready","ColdLeftMs":0}', x.port))
+  wait("the loop is refused at " .. x.name, function()
+    return log_has(x, "E8101", "i-loop")
+  end)
+end
+entry("servers", "i-loop", "{}")
 -- it is used again once its entry can be read
 entry("servers", worker.id, spec('"State":"ready","Stage":"decode"'))
 wait("it is used", function()
