--- a/core/text.c
+++ b/core/text.c
@@ -22,8 +22,8 @@
   mp_Addr a = 0;
   /* sscanf alone takes blanks and signs before each number */
   if (s == NULL || s[strspn(s, "0123456789.:")] != '\0' ||
-      sscanf(s, "%3u.%3u.%3u.%3u:%5u%n", &b[0], &b[1], &b[2],
-                          &b[3], &port, &used) != 5)
+      sscanf(s, "%3u.%3u.%3u.%3u:%5u%n", &b[0], &b[1], &b[2], &b[3], &port,
+             &used) != 5)
     return 0;
   if (s[used] != '\0' || port == 0 || port > 65535)
     return 0;
