A rate that an endpoint names ends with an answer that served, and not among others that name it

Suspected, not seen: an endpoint in need fails as well; an answer of its own 500 that leaves the rate out, or one that was overtaken, ended the limit until the next answer that named it, so that for some tens of milliseconds all instances sent what they liked. Change: only an answer that served the request ends it, and only when none has named it for half a second. Tests: two that failed before (test_links.cc, test_rate_limits.cc).

--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -254,15 +254,15 @@
 ** ===================================================================
 */
 
-/* is it the endpoint itself that speaks, to this request? One that has not run
-** it may say what it takes, but nothing follows from its saying nothing */
+/* is it the endpoint itself that speaks, to this request? With any answer it
+** may say what it takes; that it says nothing counts where it has served it */
 static gboolean tells_rate(const Call *call) {
   const EndpointHead *facts = &call->facts;
   if (call->skip || facts->misdirected || call->head->status < 200 ||
       (call->kind != DISPATCH_RUN && call->kind != DISPATCH_PREFILL))
     return FALSE;
   return facts->rate.saying != RATE_UNSAID ||
-         !(facts->not_run || promises_falsely(call));
+         (call->head->status < 300 && !facts->not_run);
 }
 
 static void on_head(void *data, HttpHead *head) {
--- a/router/rate_limits.c
+++ b/router/rate_limits.c
@@ -18,6 +18,9 @@
 /* a peer that was not heard for so long is out of reach: three times its
 ** refresh (io/load_exchange.c) */
 #define SILENCE (1500 * MP_MS)
+/* an answer without a rate ends it when none has named it for so long: answers
+** overtake one another, by some tens of milliseconds */
+#define OVER_AFTER (500 * MP_MS)
 /* that a rate is over is told to the others for so long */
 #define TELL_OVER (5 * MP_SEC)
 /* who is refused comes back when a request passes by this chance */
@@ -103,6 +106,11 @@
   limit->bucket.at = now;
 }
 
+static gboolean is_overtaken(const Limit *limit, double rate, gint64 at) {
+  gint64 newer = at - limit->said_at;
+  return newer < 0 || (rate < 0 && is_limited(limit) && newer < OVER_AFTER);
+}
+
 /* an answer said so at that time; news that were overtaken change nothing */
 static void take_saying(RateLimits *limits, guint32 endpoint, double rate,
                         gint64 at, gint64 now) {
@@ -113,7 +121,7 @@
   if (limit == NULL) {
     limit = g_new0(Limit, 1);
     g_hash_table_insert(limits->all, GUINT_TO_POINTER(endpoint), limit);
-  } else if (at < limit->said_at)
+  } else if (is_overtaken(limit, rate, at))
     return;
   limit->said_at = at;
   limit->rate = rate;
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -157,6 +157,21 @@
   EXPECT_EQ(rates[0].saying, RATE_NAMED);
 }
 
+/* an endpoint in need fails as well: what a failure leaves out ends nothing */
+TEST_F(Links, AFailureMayNameARateButEndsNone) {
+  guint64 first = dispatch();
+  asked(0)->send_text("HTTP/1.1 500 Bad\r\nRequest-Id: r1\r\nServer-Stamp: s"
+                      "\r\nContent-Length: 0\r\n\r\n");
+  ended(first);
+  EXPECT_TRUE(rates.empty());
+  guint64 second = dispatch();
+  asked(0, 2)->send_text("HTTP/1.1 500 Bad\r\nRequest-Id: r1\r\nServer-Stamp:"
+                         " s\r\nServer-Limit: 3\r\nContent-Length: 0\r\n\r\n");
+  ended(second);
+  ASSERT_EQ(rates.size(), 1u);
+  EXPECT_EQ(rates[0].saying, RATE_NAMED);
+}
+
 TEST_F(Links, ARateFromAnotherEndpointOrForAnotherRequestIsNone) {
   guint64 first = dispatch();
   asked(0)->send_text("HTTP/1.1 421 Other\r\nRequest-Id: r1\r\n"
--- a/test/test_rate_limits.cc
+++ b/test/test_rate_limits.cc
@@ -83,6 +83,7 @@
   EXPECT_EQ(rate_limits_of(limits, endpoint), 4);
   hear(9, 5);
   EXPECT_EQ(rate_limits_of(limits, endpoint), 9);
+  now += second;
   rate_limits_named(limits, endpoint, RATE_ANY, now);
   EXPECT_EQ(rate_limits_of(limits, endpoint), RATE_ANY);
   hear(9, 5);
@@ -95,9 +96,26 @@
   EXPECT_EQ(allowed(), 0u);
 }
 
+/* answers overtake one another: one without it among those that name it is no
+** end, and does not set the limit aside until the next */
+TEST_F(Rate, OneAnswerWithoutItAmongOthersEndsNothing) {
+  rate_limits_named(limits, endpoint, 4, now);
+  for (int i = 0; i < 20; i++) {
+    now += 40 * ms;
+    rate_limits_named(limits, endpoint, RATE_ANY, now);
+    EXPECT_EQ(rate_limits_of(limits, endpoint), 4);
+    now += 10 * ms;
+    rate_limits_named(limits, endpoint, 4, now);
+  }
+  now += 600 * ms; /* none has named it for a while */
+  rate_limits_named(limits, endpoint, RATE_ANY, now);
+  EXPECT_EQ(rate_limits_of(limits, endpoint), RATE_ANY);
+}
+
 TEST_F(Rate, ThatItIsOverIsToldForAWhile) {
   rate_limits_named(limits, endpoint, 4, now);
   EXPECT_EQ(told().rate, 4000u);
+  now += second;
   rate_limits_named(limits, endpoint, RATE_ANY, now);
   EXPECT_EQ(told().rate, MP_RATE_ANY);
   EXPECT_EQ(told().endpoint, endpoint);
@@ -234,6 +252,7 @@
   EXPECT_EQ(router_limited_endpoints(world.router), 1u);
   router_endpoint_rate(world.router, world.last().number, &bad, world.now);
   EXPECT_EQ(router_limited_endpoints(world.router), 1u); /* it holds on */
+  world.advance(second);
   name(-1);
   EXPECT_TRUE(logged(MP_LOG_EP_RATE_OVER));
   EXPECT_EQ(router_limited_endpoints(world.router), 0u);
