Who sends to endpoints that name rates is counted once in 5 ms

Cause: each look at a waiting request walked over all instances that are heard and over the retry budget's buckets; with a named rate that is each event times each request that waits. Change: the count is kept for 5 ms. None of it runs while no endpoint names a rate.

--- a/router/rates.c
+++ b/router/rates.c
@@ -15,6 +15,10 @@
 /* requests that wait for an engine look again this often while one of them
 ** names a rate: what it still takes grows with time alone */
 #define LOOK_AGAIN (50 * MP_MS)
+/* who sends is counted anew after this: each look at a request that waits
+*asks,
+** and counting walks over all instances that are heard */
+#define VIEW_KEPT (5 * MP_MS)
 /* who is refused comes back after this at least, and each at another moment */
 #define COME_BACK_LEAST (100 * MP_MS)
 #define COME_BACK_SPREAD (400 * MP_MS)
@@ -111,7 +115,8 @@
   return MIN(others, soon);
 }
 
-RateSharers rates_sharers(Router *router, const Service *service, gint64 now) {
+static RateSharers look_around(Router *router, const Service *service,
+                               gint64 now) {
   RateSharers sharers = {0};
   gboolean summed = router->near < router->instances;
   sharers.instances = accounts_sharers(router, now);
@@ -121,6 +126,16 @@
   return sharers;
 }
 
+RateSharers rates_sharers(Router *router, const Service *service, gint64 now) {
+  RateView *view = &router->rates_view;
+  if (view->service != service || now - view->at >= VIEW_KEPT) {
+    view->sharers = look_around(router, service, now);
+    view->service = service;
+    view->at = now;
+  }
+  return view->sharers;
+}
+
 gboolean rates_allow(Router *router, const Request *request,
                      const Endpoint *endpoint, gint64 now) {
   RateSharers sharers;
--- a/router/state.h
+++ b/router/state.h
@@ -119,6 +119,13 @@
   guint excluded_count;
 } Request;
 
+/* who sends to endpoints that name rates, as it was counted last */
+typedef struct RateView {
+  const Service *service; /* compared alone, never read */
+  gint64 at;
+  RateSharers sharers;
+} RateView;
+
 struct Router {
   RouterHost host;
   RetryPolicy retry;
@@ -134,7 +141,8 @@
   unsigned near;      /* of them, that hear each other's digests */
   gboolean is_listed; /* these two are known */
   AccountLimits *limits;
-  RateLimits *rates;      /* that endpoints name */
+  RateLimits *rates; /* that endpoints name */
+  RateView rates_view;
   gint64 rates_look_at;   /* who waits looks again then; 0: no need */
   CrashWatch *crashes;    /* endpoints that may have ended under requests */
   Quarantine *quarantine; /* requests that end endpoints */
