News of named rates are paced as digests are; one way of telling the other data centres

Cause (read in the code, not seen): each request to an endpoint that names a rate was told to all at once; with a rate of a hundred a second and a hundred instances that hear it, one instance would send ten thousand datagrams a second.

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -264,7 +264,7 @@
     relays_crashes(gateway->relays);
 }
 
-static void on_rates(void *data) {
+static void on_rate_news(void *data) {
   const Gateway *gateway = data;
   if (gateway->relays != NULL)
     relays_rates(gateway->relays);
@@ -540,8 +540,8 @@
 
 static gboolean make_exchange(Gateway *gateway, const GatewayOptions *options,
                               GError **error) {
-  LoadExchangeHooks hooks = {gateway, on_crashes, on_rates, on_relay_message,
-                             on_digest};
+  LoadExchangeHooks hooks = {gateway, on_crashes, on_rate_news,
+                             on_relay_message, on_digest};
   gateway->exchange = load_exchange_new(gateway->base, options->exchange,
                                         gateway->router, &hooks, error);
   return gateway->exchange != NULL;
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -30,6 +30,7 @@
   guint64 told;         /* the version that was sent last */
   guint64 crashes_told; /* router_crash_version that was sent last */
   guint64 rates_told;   /* router_rates_version that was sent last */
+  gint64 rates_at;      /* when that was */
   gint64 sent_at;
 };
 
@@ -93,14 +94,15 @@
 }
 
 /*
-** What is sent to an endpoint that names a rate is told at once: the others
-** count it against that rate. There is none mostly.
+** What is sent to an endpoint that names a rate is told as soon as a digest
+** would be: the others count it against that rate. There is none mostly.
 */
 static void send_rates(LoadExchange *exchange) {
   mp_Msg message;
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_RATES;
   exchange->rates_told = router_rates_version(exchange->router);
+  exchange->rates_at = clock_now();
   router_tell_rates(exchange->router, FALSE, &message.u.rates, clock_now());
   if (message.u.rates.n > 0)
     send_to_all(exchange, &message);
@@ -121,21 +123,37 @@
   start_timer(exchange, REFRESH);
 }
 
-void load_exchange_notice(LoadExchange *exchange) {
+/* send what is new, or be back when it may be sent: the time until then */
+static gint64 notice_rates(LoadExchange *exchange) {
+  gint64 due = exchange->rates_at + least_interval(exchange) - clock_now();
+  if (router_rates_version(exchange->router) == exchange->rates_told)
+    return REFRESH;
+  if (due > 0)
+    return due;
+  send_rates(exchange);
+  exchange->hooks.rates(exchange->hooks.data);
+  return REFRESH;
+}
+
+static gint64 notice_loads(LoadExchange *exchange) {
   gint64 due = exchange->sent_at + least_interval(exchange) - clock_now();
+  if (router_load_version(exchange->router) == exchange->told)
+    return REFRESH;
+  if (due > 0)
+    return due;
+  send_digest(exchange);
+  return REFRESH;
+}
+
+void load_exchange_notice(LoadExchange *exchange) {
+  gint64 sent_at = exchange->sent_at;
+  gint64 wait;
   if (router_crash_version(exchange->router) != exchange->crashes_told)
     send_crashes(exchange);
-  if (router_rates_version(exchange->router) != exchange->rates_told) {
-    send_rates(exchange);
-    exchange->hooks.rates(exchange->hooks.data);
-  }
-  if (router_load_version(exchange->router) == exchange->told)
-    return;
-  if (due <= 0) {
-    send_digest(exchange);
-    start_timer(exchange, REFRESH);
-  } else
-    start_timer(exchange, due);
+  wait = notice_rates(exchange);
+  wait = MIN(wait, notice_loads(exchange));
+  if (wait < REFRESH || exchange->sent_at != sent_at)
+    start_timer(exchange, wait);
 }
 
 static mp_MsgKind no_reply_expected(void *data, uint32_t sequence) {
--- a/io/relays.c
+++ b/io/relays.c
@@ -76,24 +76,32 @@
                        message);
 }
 
+/* to the relays of the other data centres */
+static void send_far(Relays *relays, const mp_Msg *message, gint64 now) {
+  GArray *far = relay_group_far(relays->group, now);
+  send_to_all(relays, far, message);
+  g_array_free(far, TRUE);
+}
+
+/* does this instance tell others what its data centre does? */
+static gboolean is_teller(const Relays *relays, gint64 now) {
+  return relays->summing && relay_group_is_first(relays->group, now);
+}
+
 static void send_beats(Relays *relays, gint64 now) {
   mp_Msg message;
-  GArray *far;
   if (!may_beat(relays))
     return;
   message = beat(relays, now);
   memcpy(relays->told, message.u.beat.changed, sizeof relays->told);
   send_to_all(relays, relay_group_members(relays->group), &message);
-  far = relay_group_far(relays->group, now);
-  send_to_all(relays, far, &message);
-  g_array_free(far, TRUE);
+  send_far(relays, &message, now);
 }
 
 /* what this data centre has open, for the relays of the others */
 static void send_summary(Relays *relays, gint64 now) {
   mp_Msg message;
-  GArray *far;
-  if (!relays->summing || !relay_group_is_first(relays->group, now))
+  if (!is_teller(relays, now))
     return;
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_LOAD_SUMMARY;
@@ -103,9 +111,7 @@
   router_load_summary(relays->router, &message.u.summary, now);
   message.u.summary.relay = relays->self;
   message.u.summary.zone = relays->zone;
-  far = relay_group_far(relays->group, now);
-  send_to_all(relays, far, &message);
-  g_array_free(far, TRUE);
+  send_far(relays, &message, now);
 }
 
 /*
@@ -115,18 +121,15 @@
 */
 static void send_crashes(Relays *relays, gint64 now) {
   mp_Msg message;
-  GArray *far;
-  if (!relays->summing || !relay_group_is_first(relays->group, now))
+  if (!is_teller(relays, now))
     return;
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_CRASHES;
   router_tell_crashes(relays->router, TRUE, &message.u.crashes, now);
   if (message.u.crashes.n == 0)
     return;
-  far = relay_group_far(relays->group, now);
-  send_to_all(relays, far, &message);
+  send_far(relays, &message, now);
   send_to_all(relays, relay_group_members(relays->group), &message);
-  g_array_free(far, TRUE);
 }
 
 void relays_crashes(Relays *relays) {
@@ -136,8 +139,7 @@
 /* what this data centre sends to endpoints that name rates */
 static void send_rates(Relays *relays, gint64 now) {
   mp_Msg message;
-  GArray *far;
-  if (!relays->summing || !relay_group_is_first(relays->group, now))
+  if (!is_teller(relays, now))
     return;
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_RATES;
@@ -147,9 +149,7 @@
   relays->rates_at = now;
   message.u.rates.relay = relays->self;
   message.u.rates.zone = relays->zone;
-  far = relay_group_far(relays->group, now);
-  send_to_all(relays, far, &message);
-  g_array_free(far, TRUE);
+  send_far(relays, &message, now);
 }
 
 void relays_rates(Relays *relays) {
--- a/test/rate_fleet.cc
+++ b/test/rate_fleet.cc
@@ -163,12 +163,21 @@
   return from != to && (!is_summing() || all[from].zone == all[to].zone);
 }
 
-/* at once when there is something new, and again with each refresh */
+/* instances that hear it by itself */
+gint64 Fleet::peers_of(unsigned i) const {
+  gint64 count = 0;
+  for (unsigned k = 0; k < all.size(); k++)
+    count += is_near(i, k);
+  return count;
+}
+
+/* soon when there is something new, and again with each refresh */
 void Fleet::tell_rates(unsigned i) {
   Instance &one = all[i];
   mp_RateNews news = {};
   guint64 version = router_rates_version(one.world->router);
-  if (version == one.rates_told && now - one.rates_at < refresh)
+  gint64 interval = interval_per_peer * peers_of(i);
+  if (now - one.rates_at < (version == one.rates_told ? refresh : interval))
     return;
   one.rates_told = version;
   one.rates_at = now;
@@ -232,13 +241,11 @@
 void Fleet::exchange() {
   for (unsigned i = 0; i < all.size(); i++) {
     Instance &one = all[i];
-    gint64 peers = static_cast<gint64>(
-        is_summing() ? all.size() / options.zones : all.size());
     if (one.is_frozen)
       continue;
     if (now - one.told_at >= refresh ||
         (router_load_version(one.world->router) != one.told &&
-         now - one.told_at >= interval_per_peer * peers))
+         now - one.told_at >= interval_per_peer * peers_of(i)))
       tell_near(i);
     if (is_summing() && now - one.summed_at >= between_sums && is_relay(i))
       tell_far(i);
--- a/test/rate_fleet.h
+++ b/test/rate_fleet.h
@@ -134,6 +134,7 @@
   void tell_rates(unsigned i);
   void tell_rate_sums(unsigned i);
   bool is_near(unsigned from, unsigned to) const;
+  gint64 peers_of(unsigned i) const;
   bool is_relay(unsigned i) const;
   bool hears(unsigned from, unsigned to);
   bool is_summing() const;
