standin/engine.c is parted: work and ledger, prompts, streams, the rest

Code is moved; names that cross files have the prefix engine_; no logic changed. path, streams, orphan, orders and outage pass on it.

--- a/makefile
+++ b/makefile
@@ -67,7 +67,9 @@
   $(BUILD)/standin/serve.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/standin-engine: $(BUILD)/standin/engine.o $(BUILD)/standin/model.o \
+$(BUILD)/standin-engine: $(BUILD)/standin/engine.o \
+  $(BUILD)/standin/engine_work.o $(BUILD)/standin/engine_prefill.o \
+  $(BUILD)/standin/engine_decode.o $(BUILD)/standin/model.o \
   $(BUILD)/standin/serve.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
