--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -383,5 +383,108 @@
   platform/quantities.c 'time < (double)LONGEST_TIME' 'TRUE'
 m o-beat "input: a heartbeat's clock is bounded" wire/rpc.c \
   '*v <= INT64_MAX / 2' 'TRUE'
+m r-peers "rates: what peers send is taken off" router/rate_limits.c \
+  'limit->bucket.level -= more;' \
+  '(void)more;'
+m r-share "rates: the share is of those heard" router/rate_limits.c \
+  'double rate = rate_of(limit) * share;' \
+  'double rate = rate_of(limit);'
+m r-rivals "rates: what is on its way is met by a chance" router/rate_limits.c \
+  'limit->bucket.level / (1 + sharers->rivals)' \
+  'limit->bucket.level'
+m r-newest "rates: the newest answer is right" router/rate_limits.c \
+  'return newer < 0 ||' \
+  'return FALSE ||'
+m r-over "rates: one answer among others ends none" router/rate_limits.c \
+  'newer < OVER_AFTER' \
+  FALSE
+m r-least "rates: none holds for good" router/rate_limits.c \
+  'MAX(limit->rate, LEAST_RATE)' \
+  'limit->rate'
+m r-begin "rates: nothing is saved up when one is named" router/rate_limits.c \
+  'limit->bucket.level = MIN(limit->bucket.level, 0);' \
+  'limit->bucket.level = 50;'
+m r-burst "rates: little is saved up" router/rate_limits.c \
+  'share + BURST_SECONDS * rate' \
+  '60 * rate'
+m r-unused "rates: what is returned is not told twice" router/rate_limits.c \
+  'limit->unused++;' \
+  ''
+m r-sums "rates: sums hold those heard alone" router/rate_limits.c \
+  'limit->near += news->zone == 0 ? more : 0;' \
+  'limit->near += more;'
+m r-told "rates: that one is over is told for a while" router/rate_limits.c \
+  'age > TELL_OVER' \
+  TRUE
+m r-choice "rates: choice leaves those out that take no more" router/endpoint_table.c \
+  '        !takes_more(wish, endpoint, now))' \
+  '        FALSE)'
+m r-counted "rates: a run is counted once" router/prefill.c \
+  '    if (request->decode_counted)
+      rate_limits_return(router->rates, endpoint->hash);' \
+  ''
+m r-reserve "rates: a place is counted when it is reserved" router/prefill.c \
+  'request->decode_counted = rate_limits_sent(router->rates, decode->hash);' \
+  'request->decode_counted = FALSE;'
+m r-look "rates: who waits looks again" router/rates.c \
+  'router->rates_look_at = now + LOOK_AGAIN;' \
+  'router->rates_look_at = 0;'
+m r-life "rates: a later life has none" router/lives.c \
+  '  if (news == ENDPOINT_RESTARTED)
+    rates_endpoints_changed(router);' \
+  ''
+m r-gone "rates: one that is gone has none" router/lives.c \
+  '  endpoint_table_remove(router->endpoints, id);
+  rates_endpoints_changed(router);' \
+  '  endpoint_table_remove(router->endpoints, id);'
+m r-refuse "rates: a shortage is told as one" router/path.c \
+  'request->was_limited = rates_hold_back(router, request, now);' \
+  ''
+m r-silent "rates: a failure without one ends none" io/endpoint_links.c \
+  '(call->head->status < 300 && !facts->not_run)' \
+  TRUE
+m r-number "rates: a plain number" platform/quantities.c \
+  'if (whole + part == 0 || *end != '"'"'\0'"'"')' \
+  'if (whole + part == 0)'
+m r-once "rates: it stands once" platform/endpoints.c \
+  'http_head_count(head, "Server-Limit") == 1' \
+  TRUE
+m t-sweep "totals: silent peers are forgotten" router/shared_totals.c \
+  '    sweep(totals, now);' \
+  ''
+m b-resume "lists: reading goes on behind a broken item" platform/store.c \
+  'return read_sound_list(answer, out) || read_broken_list(answer, out);' \
+  'return read_sound_list(answer, out);'
+m b-swallow "lists: an end that comes too late is seen" platform/broken_list.c \
+  '    if (swallows(item))
+      return FALSE;' \
+  '    if (FALSE)
+      return FALSE;'
+m b-early "lists: an end that comes too early is seen" platform/broken_list.c \
+  '  return json_span_ends(items);' \
+  '  return TRUE;'
+m b-hides "lists: bytes that may hide an object are told" platform/store.c \
+  'out->partial = list.hides || out->nameless > 0;' \
+  'out->partial = FALSE;'
+m b-partial "lists: one that may hide objects removes none" router/follower.c \
+  'follower->partial |= reply->partial;' \
+  ''
+m b-again "lists: such a one is read again" router/follower.c \
+  'follower->list_at = now + PARTIAL_AGAIN;' \
+  'follower->list_at = 0;'
+m b-watch 'watches: one that can'"'"'t be cut has the list read' platform/store.c \
+  '    out->status = STORE_HISTORY_GONE;
+    return TRUE;' \
+  '    out->status = STORE_FAILED;
+    return FALSE;'
+m v-revision 'lives: the store'"'"'s revision orders them' router/endpoint_table.c \
+  'if (record->revision != 0 && known->revision != 0)' \
+  'if (FALSE)'
+m v-address "entries: addresses of no machine" platform/records.c \
+  'return *out != 0 && is_one_machines(*out);' \
+  'return *out != 0;'
+m v-blank "entries: an address has no blanks" core/text.c \
+  's[strspn(s, "0123456789.:")] != '"'"'\0'"'"' ||' \
+  ''
 echo "$caught mutants caught, $missed missed"
 [ $missed = 0 ]
