--- a/makefile
+++ b/makefile
@@ -85,7 +85,8 @@
 	scripts/compare.sh funkbuch-ost 70 12 "1 2 3" none madderpier random \
 	  round_robin least_loaded two_choices
 
-$(BUILD)/slopes: $(BUILD)/bench/slopes.o $(WIRELIB) $(LIB)
+$(BUILD)/slopes: $(BUILD)/bench/slopes.o $(BUILD)/bench/slopes_run.o \
+  $(BUILD)/bench/slopes_world.o $(WIRELIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lm
 
 # the core embedded in a foreign program
