--- a/test/test_broken_lists.cc
+++ b/test/test_broken_lists.cc
@@ -127,9 +127,8 @@
 INSTANTIATE_TEST_SUITE_P(Forms, BrokenLists, ::testing::ValuesIn(forms()),
                          [](const auto &info) { return info.param.name; });
 
-/* two stray quotes: brackets and strings agree again behind the second, and
-*all
-** between the two looks like one item */
+/* two stray quotes: brackets and strings agree again behind the second one,
+** and all between the two looks like one item */
 TEST(BrokenListsAlone, WhatStandsBetweenTwoBrokenItemsStands) {
   auto broken = [](const char *name) {
     return std::string(R"({"Metadata":{"Name":")") + name +
--- a/test/test_rate_limits.cc
+++ b/test/test_rate_limits.cc
@@ -335,8 +335,8 @@
 }
 
 /* with both decode engines in need a request waits, and starts by itself when
-** one of them takes it: before it would be looked at for its own time's sake, a
-** fifth of its objective after it came */
+** one of them takes it: before it would be looked at for its own time's sake,
+** a fifth of its objective after it came */
 TEST_F(RateWorld, WhoWaitsStartsWhenTheRateAllowsIt) {
   constexpr gint64 looked_at = 198 * ms;
   served("/stream/x", 20);
