--- a/router/rate_limits.c
+++ b/router/rate_limits.c
@@ -1,6 +1,6 @@
 /*
 ** rate_limits.c
-** Rates that endpoints in need name, kept by all instances together
+** Rates that overloaded endpoints name, kept by all instances together
 */
 
 #define XXH_INLINE_ALL
@@ -100,7 +100,7 @@
     limits->limited += is_limited(value);
 }
 
-/* an endpoint in need has nothing saved up for it */
+/* an overloaded endpoint has nothing saved up for it */
 static void begin(Limit *limit, gint64 now) {
   limit->bucket.level = MIN(limit->bucket.level, 0);
   limit->bucket.at = now;
--- a/router/rate_limits.h
+++ b/router/rate_limits.h
@@ -1,6 +1,6 @@
 /*
 ** rate_limits.h
-** Rates that endpoints in need name, kept by all instances together
+** Rates that overloaded endpoints name, kept by all instances together
 **
 ** Such a rate is the requests a second that an endpoint takes from all
 ** instances together, for as long as its answers say so. Each instance keeps
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -15,8 +15,7 @@
 **                  draining, gone, back (in the list); prefill, decode
 **                  (its stage from now on); crash
 **   POST /configuration   the next version of the configuration
-**   POST /entry    {"kind", "name", "spec"}: another writer's entry in the
-*store
+**   POST /entry    {"kind", "name", "spec"}: another writer's entry
 ** A request whose target ends in CRASHES ends each worker that begins to run
 ** it, with all that runs there; its entry leaves the list some time later, and
 ** the worker comes back under its id, with another time of birth.
--- a/test/scenario/endpoint_rates.lua
+++ b/test/scenario/endpoint_rates.lua
@@ -1,4 +1,4 @@
--- Endpoints in need name the requests a second that they take from all
+-- Overloaded endpoints name the requests a second that they take from all
 -- instances together; real daemons, one of which gets half of the callers.
 --
 -- What was seen: endpoints that named 5.3 and 4.3 a second went on to get as
--- a/test/test_endpoint_rates.cc
+++ b/test/test_endpoint_rates.cc
@@ -2,12 +2,12 @@
 ** test_endpoint_rates.cc
 ** Endpoints that name the rate they take of all instances together
 **
-** What was seen: two of three plain endpoints, in need, named 5.3 and 4.3
-** requests a second in their answers. In the next four seconds they got 52 and
-** 66 requests, from seven and eight of eight instances, where 37 and 31 are
-*the
-** most; so an endpoint that asks for relief got none. No instance alone sent
-** more than was named: 18 in four seconds, where 5.3 a second are 21.
+** What was seen: two of three plain endpoints, overloaded, named 5.3 and 4.3
+** requests a second in their answers. In the next four seconds they got 52
+** and 66 requests, from seven and eight of eight instances, where 37 and 31
+** are the most; so an endpoint that asks for relief got none. No instance
+** alone sent more than was named: 18 in four seconds, where 5.3 a second are
+** 21.
 **
 ** Cause: an answer's head was translated into six facts and the rate was none
 ** of them; what an endpoint says of itself was heard by the instance that had
@@ -198,12 +198,10 @@
   EXPECT_GE(fleet.arrived(0, fleet.now - 2 * second, fleet.now), 10u);
 }
 
-/* callers who come back all at once after a pause find no instance that knows
-** of the others (0.5 a second, 3,000 callers a second at 90 instances: 6.0
-*over
-** what half as much again allows, where 5 are the most, with the last 2 s
-*alone
-** to tell how many may come) */
+/* callers who come back all at once after a pause find no instance that
+** knows of the others. (0.5 a second, 3,000 callers a second, 90 instances:
+** 6.0 over what half as much again allows, where 5 are the most, with the
+** last 2 s alone to tell how many may come) */
 TEST(EndpointRatesAlone, AFloodAfterAPauseKeepsToThem) {
   FleetOptions options;
   options.seed = 5;
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -157,7 +157,7 @@
   EXPECT_EQ(rates[0].saying, RATE_NAMED);
 }
 
-/* an endpoint in need fails as well: what a failure leaves out ends nothing */
+/* an overloaded endpoint fails as well: what a failure omits ends nothing */
 TEST_F(Links, AFailureMayNameARateButEndsNone) {
   guint64 first = dispatch();
   asked(0)->send_text("HTTP/1.1 500 Bad\r\nRequest-Id: r1\r\nServer-Stamp: s"
--- a/test/test_lives.cc
+++ b/test/test_lives.cc
@@ -124,8 +124,7 @@
 /*
 ** What was seen in the code: an endpoint whose clock stood ahead at its first
 ** start, or an entry of another writer from the year 2255, made each true
-*entry
-** under that id an outdated one, for as long as the id was listed.
+** entry under that id an outdated one, for as long as the id was listed.
 ** Cause: lives were ordered by what the endpoints' clocks say.
 */
 TEST_F(Lives, WhatTheStoreWroteLaterIsRight) {
--- a/test/test_rate_limits.cc
+++ b/test/test_rate_limits.cc
@@ -123,7 +123,7 @@
   EXPECT_EQ(told().endpoint, 0u);
 }
 
-/* what an endpoint that is in need again has taken meanwhile is not known */
+/* what an endpoint has taken before it is overloaded again is not known */
 TEST_F(Rate, NamedAgainNothingIsSavedUp) {
   rate_limits_named(limits, endpoint, 4, now);
   now += 10 * second;
@@ -334,9 +334,9 @@
   EXPECT_EQ(world.last().kind, DISPATCH_RUN);
 }
 
-/* with both decode engines in need a request waits, and starts by itself when
-** one of them takes it: before it would be looked at for its own time's sake,
-** a fifth of its objective after it came */
+/* with both decode engines overloaded a request waits, and starts by itself
+** when one of them takes it: before it would be looked at for its own sake, a
+** fifth of its objective after it came */
 TEST_F(RateWorld, WhoWaitsStartsWhenTheRateAllowsIt) {
   constexpr gint64 looked_at = 198 * ms;
   served("/stream/x", 20);
