--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -25,6 +25,7 @@
 -- workers that end and come back, requests that end them, spoilt entries
 local ends = seed >= 7000
 gateway.direct = ends and seed % 2 == 1 -- who has ended refuses connections
+local named = seed >= 8000 -- workers that name the rate they take
 gateway.one_zone = seed >= 4000 and seed < 6000 -- relays follow the store for the others
 start_gateway(instances)
 
@@ -166,6 +167,13 @@
   end
 end
 
+if named then
+  faults[#faults + 1] = function()
+    worker(any(gateway.workers),
+           "rate=" .. any { "0", "0.5", "3", "12.5", "nan", "4,4", "", "" })
+  end
+end
+
 local function strike()
   local n = math.random(#faults)
   if n == 1 then -- one that runs, and is started again at once
@@ -209,6 +217,7 @@
 for _, w in ipairs(gateway.workers) do
   worker(w, "ok")
   worker(w, "back")
+  worker(w, "rate=")
 end
 for e in pairs(frozen) do
   thaw(e)
