Sight: what endpoints tell about themselves is read, kept and logged

What callers saw: requests went to endpoints that leave or want rest. Nothing in logs or metrics showed that an endpoint had said either, so hypothesis 1 (nobody reads it) could not be told from 2 (it is read and lost again). Change: the head of an answer is translated into EndpointSignals (rate, leaving, rest; each absent, given or unreadable); an outgoing dispatch names the life of its endpoint, so a signal is held against that life; router/availability keeps it. E2013 tells when an endpoint is first known to leave, with what the list says of it, E2014 when it asks for rest, E2015 once for a life when a signal can't be read; madderpier_leaving_endpoints, madderpier_resting_endpoints, madderpier_endpoint_signals_unreadable_total. Signals are taken from reports and answers to orders too. Nothing reads what is kept: choice is as before. Ruled out: a status other than 503 and 429 as a wish for rest (Retry-After there is the caller's matter), 421 (another endpoint speaks), interim answers. Test changes: the same facts are asked of the new types, none fewer.

--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -63,9 +63,9 @@
   gboolean misdirected; /* another endpoint has the address */
   gboolean is_signed;   /* it bears the endpoint's signature */
   gboolean is_event_stream;
-  const char *request_id; /* echoed; NULL: not said. Points into the head */
-  gint64 idle_limit;      /* the connection may rest so long; 0: not said */
-  EndpointRate rate;      /* that the endpoint takes */
+  const char *request_id;  /* echoed; NULL: not said. Points into the head */
+  gint64 idle_limit;       /* the connection may rest so long; 0: not said */
+  EndpointSignals signals; /* what it tells about itself */
 } EndpointHead;
 
 /* what a prefill engine answers */
--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -837,6 +837,9 @@
   X(EP_RATE, 2010, MP_INFO, "endpoint names the rate that it takes")       \
   X(EP_RATE_OVER, 2011, MP_INFO, "endpoint names no rate any more")        \
   X(EP_RATE_BAD, 2012, MP_WARN, "endpoint names an unreadable rate")       \
+  X(EP_SAYS_LEAVING, 2013, MP_INFO, "endpoint says that it leaves")        \
+  X(EP_REST, 2014, MP_INFO, "endpoint asks for rest")                      \
+  X(EP_SIGNAL_BAD, 2015, MP_WARN, "endpoint sends an unreadable signal")   \
   X(EJECT, 2008, MP_WARN, "endpoint ejected for a while")                  \
   X(MEMBER_UP, 3001, MP_INFO, "instance joined")                           \
   X(MEMBER_SUSPECT, 3002, MP_INFO, "instance suspected")                   \
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -41,6 +41,7 @@
 typedef struct Call {
   guint64 dispatch;
   DispatchKind kind;
+  guint32 life;    /* of the endpoint: Dispatch.life */
   gboolean stream; /* the route's answers come as events */
   char *request_id;
   GString *text;  /* the request, until it is written */
@@ -254,20 +255,25 @@
 ** ===================================================================
 */
 
-/* is it the endpoint itself that speaks, to this request? With any answer it
-** may say what it takes; that it says nothing counts where it has served it */
-static gboolean tells_rate(const Call *call) {
-  const EndpointHead *facts = &call->facts;
-  if (call->skip || facts->misdirected || call->head->status < 200 ||
-      (call->kind != DISPATCH_RUN && call->kind != DISPATCH_PREFILL))
-    return FALSE;
-  return facts->rate.saying != RATE_UNSAID ||
-         (call->head->status < 300 && !facts->not_run);
+static gboolean has_served(const Call *call) {
+  int status = call->head->status;
+  return status >= 200 && status < 300 && !call->facts.not_run &&
+         (call->kind == DISPATCH_RUN || call->kind == DISPATCH_PREFILL);
+}
+
+/* what the endpoint tells about itself, if it is this request's answer */
+static void tell_signals(const Link *link) {
+  const EndpointLinksHooks *hooks = &link->links->hooks;
+  const Call *call = link->call;
+  EndpointSignals signals = call->facts.signals;
+  if (call->skip || call->facts.misdirected)
+    return;
+  signals.served = has_served(call);
+  hooks->signals(hooks->data, link->endpoint, call->life, &signals);
 }
 
 static void on_head(void *data, HttpHead *head) {
   Link *link = data;
-  const EndpointLinksHooks *hooks = &link->links->hooks;
   Call *call = link->call;
   const EndpointHead *facts = &call->facts;
   http_head_free(call->head);
@@ -277,8 +283,7 @@
                strcmp(facts->request_id, call->request_id) != 0;
   if (call->skip)
     link->doubtful = TRUE;
-  if (tells_rate(call))
-    hooks->rate(hooks->data, call->dispatch, &facts->rate);
+  tell_signals(link);
   call->is_stream = !call->skip && call->stream && facts->is_event_stream &&
                     facts->is_signed && head->status == 200 &&
                     http_head_get(head, "Content-Encoding") == NULL;
@@ -523,6 +528,7 @@
   Call *call = g_new0(Call, 1);
   call->dispatch = dispatch->number;
   call->kind = dispatch->kind;
+  call->life = dispatch->life;
   call->stream = dispatch->stream;
   call->body = g_byte_array_new();
   event_splitter_init(&call->events);
--- a/io/endpoint_links.h
+++ b/io/endpoint_links.h
@@ -29,9 +29,10 @@
   void *data;
   /* never called from within a function below */
   void (*outcome)(void *data, const Outcome *outcome);
-  /* the head of an answer that can be believed says this of the endpoint; no
-  ** dispatch may be sent or cancelled from here */
-  void (*rate)(void *data, guint64 dispatch, const EndpointRate *rate);
+  /* the head of an answer that can be believed tells this about that life of
+  ** the endpoint; no dispatch may be sent or cancelled from here */
+  void (*signals)(void *data, const char *endpoint, guint32 life,
+                  const EndpointSignals *signals);
 } EndpointLinksHooks;
 
 EndpointLinks *endpoint_links_new(struct event_base *base,
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -201,9 +201,11 @@
   set_tick(gateway);
 }
 
-static void on_rate(void *data, guint64 dispatch, const EndpointRate *rate) {
+static void on_signals(void *data, const char *endpoint, guint32 life,
+                       const EndpointSignals *signals) {
   const Gateway *gateway = data;
-  router_endpoint_rate(gateway->router, dispatch, rate, clock_now());
+  router_endpoint_signals(gateway->router, endpoint, life, signals,
+                          clock_now());
 }
 
 /* a lease that can't be read is left alone like another holder's, and taken
@@ -344,6 +346,9 @@
                           &counts.held);
   counts.rate_skips = router_rate_skips(gateway->router);
   counts.limited_endpoints = router_limited_endpoints(gateway->router);
+  counts.leaving_endpoints = router_leaving_endpoints(gateway->router);
+  counts.resting_endpoints =
+      router_resting_endpoints(gateway->router, clock_now());
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
   for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
@@ -551,7 +556,7 @@
                      const GatewayOptions *options, Log *log, GError **error) {
   Gateway *gateway = g_new0(Gateway, 1);
   FrontHooks front = {gateway, on_request, on_hangup, on_bad_input};
-  EndpointLinksHooks links = {gateway, on_outcome, on_rate};
+  EndpointLinksHooks links = {gateway, on_outcome, on_signals};
   RelayTimes times = relay_times(options);
   gateway->base = base;
   gateway->dialect = dialect;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -53,6 +53,8 @@
       "madderpier_held_requests %u\n"
       "madderpier_endpoint_rate_skips_total %" G_GUINT64_FORMAT "\n"
       "madderpier_limited_endpoints %u\n"
+      "madderpier_leaving_endpoints %u\n"
+      "madderpier_resting_endpoints %u\n"
       "madderpier_waiting_requests %u\n"
       "madderpier_waiting_requests_in_time %u\n",
       carriers->endpoint_connections, carriers->store_calls,
@@ -60,6 +62,7 @@
       carriers->idle_endpoint_connections, carriers->news_role,
       (double)carriers->news_age / MP_SEC, carriers->ready, carriers->suspects,
       carriers->held, carriers->rate_skips, carriers->limited_endpoints,
+      carriers->leaving_endpoints, carriers->resting_endpoints,
       carriers->waiting, carriers->waiting_in_time);
 }
 
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -24,6 +24,8 @@
   guint held;              /* of them, those that are not sent any more */
   guint64 rate_skips;      /* choices that left one of these out */
   guint limited_endpoints; /* that name the rate they take */
+  guint leaving_endpoints; /* whose answers said that they leave */
+  guint resting_endpoints; /* that want no request from this instance now */
   guint waiting;           /* requests that wait for room now */
   guint waiting_in_time;   /* of them, that can still be answered in time */
   /* of the store, by StoreKind and by the field that is wrong */
--- /dev/null
+++ b/router/availability.c
@@ -0,0 +1,24 @@
+/*
+** availability.c
+** What one life of an endpoint has said about taking requests
+*/
+
+#include "router/availability.h"
+
+gboolean availability_leave(Availability *known, gint64 now) {
+  if (known->leaving_since != 0)
+    return FALSE;
+  known->leaving_since = MAX(now, 1);
+  return TRUE;
+}
+
+gboolean availability_rest(Availability *known, gint64 time, gint64 now) {
+  gboolean rested = known->rest_until > now;
+  gint64 until = now + MIN(time, REST_MOST);
+  known->rest_until = MAX(known->rest_until, until);
+  return !rested && known->rest_until > now;
+}
+
+gint64 availability_rest_left(const Availability *known, gint64 now) {
+  return MAX(known->rest_until - now, 0);
+}
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -9,6 +9,7 @@
 #ifndef ROUTER_ENDPOINT_TABLE_H
 #define ROUTER_ENDPOINT_TABLE_H
 
+#include "router/availability.h"
 #include "router/peer_loads.h"
 #include "router/rate_limits.h"
 #include "router/records.h"
@@ -25,6 +26,7 @@
   gint64 failed_at;          /* when 'failures' was last changed */
   gint64 avoid_until;        /* out of reach: not chosen before then */
   unsigned misses;           /* out of reach so many times in a row */
+  Availability availability; /* what this life of it has said */
   EndpointStage changing_to; /* ordered by this instance */
   gint64 changing_until;     /* such an order counts until then; 0: none */
   gint64 order_after;        /* it gets no order before then */
--- a/router/lives.c
+++ b/router/lives.c
@@ -19,6 +19,7 @@
   dispatch.kind = DISPATCH_CHECK;
   dispatch.address = endpoint->record.address;
   dispatch.endpoint = endpoint->record.id;
+  dispatch.life = endpoint->hash;
   dispatch.connect_timeout = timeout;
   router->host.dispatch(router->host.data, &dispatch);
   return dispatch.number;
--- a/router/path.c
+++ b/router/path.c
@@ -153,6 +153,7 @@
   dispatch.request = request->number;
   dispatch.address = endpoint->record.address;
   dispatch.endpoint = endpoint->record.id;
+  dispatch.life = endpoint->hash;
   dispatch.account = request->account != NULL ? request->account->name : NULL;
   dispatch.deadline_ms = MAX((request->caller_deadline - now) / MP_MS, 1);
   dispatch.connect_timeout =
--- a/router/rates.c
+++ b/router/rates.c
@@ -68,19 +68,17 @@
   router_log(router, MP_LOG_EP_RATE_BAD, " endpoint=%s", endpoint->record.id);
 }
 
-void router_endpoint_rate(Router *router, guint64 dispatch,
-                          const EndpointRate *rate, gint64 now) {
-  const Request *request = g_hash_table_lookup(router->dispatched, &dispatch);
-  const Endpoint *endpoint =
-      request != NULL ? path_open_endpoint(router, request) : NULL;
-  double named = rate->saying == RATE_NAMED ? rate->per_second : RATE_ANY;
+void rates_signalled(Router *router, const Endpoint *endpoint,
+                     const EndpointSignals *signals, gint64 now) {
+  gboolean given = signals->rate == SIGNAL_GIVEN;
+  double named = given ? signals->rate_per_second : RATE_ANY;
   double before;
-  if (endpoint == NULL)
-    return; /* given up, or that life is over */
-  if (rate->saying == RATE_UNREADABLE) {
+  if (signals->rate == SIGNAL_UNREADABLE) {
     log_unreadable(router, endpoint);
     return;
   }
+  if (!given && !signals->served)
+    return;
   before = rate_limits_of(router->rates, endpoint->hash);
   rate_limits_named(router->rates, endpoint->hash, named, now);
   log_change(router, endpoint, before, "answer", 0, now);
--- a/router/router.h
+++ b/router/router.h
@@ -76,6 +76,7 @@
   guint64 request; /* the caller's; 0 for what no caller asked for */
   mp_Addr address;
   const char *endpoint;    /* the endpoint's id: no other one may run it */
+  guint32 life;            /* of it: Endpoint.hash */
   const char *account;     /* RUN, PREFILL: whose request it is, or NULL */
   gint64 deadline_ms;      /* what is left of the caller's time */
   const char *handle;      /* RUN: where to continue; RELEASE: what to free */
@@ -109,17 +110,29 @@
   gint64 retry_after_ms; /* 0: say nothing */
 } Refusal;
 
-/* does an answer say which rate its endpoint takes? */
-typedef enum RateSaying {
-  RATE_UNSAID,
-  RATE_NAMED,
-  RATE_UNREADABLE /* it names something that is no rate */
-} RateSaying;
+/* does an answer carry a signal? */
+typedef enum SignalState {
+  SIGNAL_ABSENT,
+  SIGNAL_GIVEN,
+  SIGNAL_UNREADABLE /* it stands there, and its value means nothing */
+} SignalState;
 
-typedef struct EndpointRate {
-  RateSaying saying;
-  double per_second; /* NAMED: requests, from all instances together */
-} EndpointRate;
+/*
+** What an endpoint tells about itself with the head of an answer
+** (router/signals.c). Whom each of them binds:
+**   rate     all instances together
+**   leaving  all instances, until a later life of the endpoint
+**   rest     the instance that had the answer
+*/
+typedef struct EndpointSignals {
+  SignalState rate;
+  double rate_per_second; /* rate GIVEN: requests that it takes */
+  SignalState leaving;    /* it is about to end */
+  SignalState rest;
+  gint64 rest_time; /* rest GIVEN: it wants no request for so long */
+  gboolean served;  /* the answer served the request: that it names no rate
+                    ** counts as well */
+} EndpointSignals;
 
 /* how a dispatch ended, or where it stands */
 typedef enum OutcomeKind {
@@ -211,9 +224,11 @@
 /* the caller is gone */
 void router_hangup(Router *router, guint64 request, gint64 now);
 void router_outcome(Router *router, const Outcome *outcome, gint64 now);
-/* the head of an answer to a RUN or PREFILL is there, before its outcome */
-void router_endpoint_rate(Router *router, guint64 dispatch,
-                          const EndpointRate *rate, gint64 now);
+/* the head of an answer of this life of the endpoint is there, before the
+** outcome of its dispatch */
+void router_endpoint_signals(Router *router, const char *endpoint,
+                             guint32 life, const EndpointSignals *signals,
+                             gint64 now);
 
 /* when router_tick wants to be called next; G_MAXINT64: not at all */
 gint64 router_next_tick(const Router *router);
@@ -286,6 +301,10 @@
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now);
 
 /* looking in */
+/* endpoints whose answers said that they leave, in this life */
+guint router_leaving_endpoints(const Router *router);
+/* endpoints that want no request from this instance now */
+guint router_resting_endpoints(const Router *router, gint64 now);
 /* endpoints that name a rate */
 guint router_limited_endpoints(const Router *router);
 /* choices in which one of them was left out for its rate */
--- /dev/null
+++ b/router/signals.c
@@ -0,0 +1,85 @@
+/*
+** signals.c
+** What endpoints tell about themselves with their answers
+*/
+
+#include <string.h>
+
+#include "router/state.h"
+
+/* 'said_by': an answer, or another instance */
+static void log_leaving(Router *router, const Endpoint *endpoint,
+                        const char *said_by) {
+  router_log(router, MP_LOG_EP_SAYS_LEAVING,
+             " endpoint=%s said_by=%s listed=%s open=%u", endpoint->record.id,
+             said_by, endpoint->record.ready ? "ready" : "draining",
+             endpoint_open(router->endpoints, endpoint));
+}
+
+static void note_leaving(Router *router, Endpoint *endpoint,
+                         const char *said_by, gint64 now) {
+  if (!availability_leave(&endpoint->availability, now))
+    return;
+  log_leaving(router, endpoint, said_by);
+  router->load_version++;
+}
+
+static void note_rest(Router *router, Endpoint *endpoint, gint64 time,
+                      gint64 now) {
+  Availability *known = &endpoint->availability;
+  if (!availability_rest(known, time, now))
+    return;
+  router_log(router, MP_LOG_EP_REST,
+             " endpoint=%s asked_ms=%d rest_ms=%d open=%u",
+             endpoint->record.id, (int)(MIN(time, REST_MOST) / MP_MS),
+             (int)(availability_rest_left(known, now) / MP_MS),
+             endpoint_open(router->endpoints, endpoint));
+}
+
+/* once for a life: an endpoint that sends one sends it with each answer */
+static void note_unreadable(Router *router, Endpoint *endpoint,
+                            const EndpointSignals *signals) {
+  router_count(router, SIGNALS_BAD);
+  if (endpoint->availability.is_logged)
+    return;
+  endpoint->availability.is_logged = TRUE;
+  router_log(router, MP_LOG_EP_SIGNAL_BAD, " endpoint=%s leaving=%d rest=%d",
+             endpoint->record.id, signals->leaving == SIGNAL_UNREADABLE,
+             signals->rest == SIGNAL_UNREADABLE);
+}
+
+void router_endpoint_signals(Router *router, const char *id, guint32 life,
+                             const EndpointSignals *signals, gint64 now) {
+  Endpoint *endpoint = endpoint_table_get_life(router->endpoints, id, life);
+  if (endpoint == NULL)
+    return; /* that life is over */
+  if (signals->leaving == SIGNAL_GIVEN)
+    note_leaving(router, endpoint, "answer", now);
+  if (signals->rest == SIGNAL_GIVEN)
+    note_rest(router, endpoint, signals->rest_time, now);
+  if (signals->leaving == SIGNAL_UNREADABLE ||
+      signals->rest == SIGNAL_UNREADABLE)
+    note_unreadable(router, endpoint, signals);
+  rates_signalled(router, endpoint, signals, now);
+}
+
+guint router_leaving_endpoints(const Router *router) {
+  const GPtrArray *all = router->endpoints->all;
+  guint count = 0;
+  guint i;
+  for (i = 0; i < all->len; i++)
+    count +=
+        ((const Endpoint *)all->pdata[i])->availability.leaving_since != 0;
+  return count;
+}
+
+guint router_resting_endpoints(const Router *router, gint64 now) {
+  const GPtrArray *all = router->endpoints->all;
+  guint count = 0;
+  guint i;
+  for (i = 0; i < all->len; i++) {
+    const Endpoint *endpoint = all->pdata[i];
+    count += availability_rest_left(&endpoint->availability, now) > 0;
+  }
+  return count;
+}
--- a/router/stages.c
+++ b/router/stages.c
@@ -377,6 +377,7 @@
   dispatch.kind = order != NULL ? DISPATCH_ORDER : DISPATCH_REPORT;
   dispatch.address = endpoint->record.address;
   dispatch.endpoint = endpoint->record.id;
+  dispatch.life = endpoint->hash;
   dispatch.connect_timeout = ORDER_CONNECT;
   dispatch.order = order;
   rates_sent(stages->router, move->endpoint);
--- a/router/state.h
+++ b/router/state.h
@@ -41,7 +41,8 @@
   X(ENDPOINT_ENDS, "endpoints_ended_under_requests") \
   X(STARTED, "requests_started")                     \
   X(STARTED_LATE, "requests_started_late")           \
-  X(RATES_BAD, "endpoint_rates_unreadable")
+  X(RATES_BAD, "endpoint_rates_unreadable")          \
+  X(SIGNALS_BAD, "endpoint_signals_unreadable")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -261,6 +262,9 @@
 ** ===================================================================
 */
 
+/* an answer of the endpoint says this of its rate */
+void rates_signalled(Router *router, const Endpoint *endpoint,
+                     const EndpointSignals *signals, gint64 now);
 /* 'service' is NULL where nothing is sent */
 RateSharers rates_sharers(Router *router, const Service *service, gint64 now);
 /* may the request be sent there now, by the rate that the endpoint names? */
--- a/test/rate_fleet.cc
+++ b/test/rate_fleet.cc
@@ -127,17 +127,16 @@
     Run run = runs.front();
     Plain &endpoint = endpoints[run.endpoint];
     Instance &one = all[run.instance];
-    EndpointRate rate = {endpoint.limit >= 0 ? RATE_NAMED : RATE_UNSAID,
-                         MAX(endpoint.limit, 0)};
+    EndpointSignals signals = routing::signals_rate(endpoint.limit);
     runs.pop_front();
     if (run.life != one.life || one.is_frozen)
       continue;
-    if (rate.saying == RATE_NAMED) {
+    if (signals.rate == SIGNAL_GIVEN) {
       endpoint.told.insert({run.instance, now});
       if (endpoint.named_at == 0)
         endpoint.named_at = now;
     }
-    router_endpoint_rate(one.world->router, run.dispatch, &rate, now);
+    one.world->signal(run.dispatch, signals);
     one.world->outcome(run.dispatch, OUTCOME_ANSWER,
                        chance() < options.failing ? 500 : 200);
     meet(run.instance);
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -16,6 +16,7 @@
   sent.kind = dispatch->kind;
   sent.request = dispatch->request;
   sent.endpoint = dispatch->endpoint;
+  sent.life = dispatch->life;
   sent.deadline_ms = dispatch->deadline_ms;
   sent.handle = dispatch->handle != nullptr ? dispatch->handle : "";
   sent.last_event =
@@ -239,6 +240,38 @@
   now = until;
 }
 
+EndpointSignals signals_served() {
+  EndpointSignals signals = {};
+  signals.served = TRUE;
+  return signals;
+}
+
+EndpointSignals signals_rate(double rate) {
+  EndpointSignals signals = signals_served();
+  signals.rate = rate < 0 ? SIGNAL_ABSENT : SIGNAL_GIVEN;
+  signals.rate_per_second = std::max(rate, 0.0);
+  return signals;
+}
+
+EndpointSignals signals_leaving() {
+  EndpointSignals signals = signals_served();
+  signals.leaving = SIGNAL_GIVEN;
+  return signals;
+}
+
+EndpointSignals signals_rest(gint64 time) {
+  EndpointSignals signals = {};
+  signals.rest = SIGNAL_GIVEN;
+  signals.rest_time = time;
+  return signals;
+}
+
+void World::signal(guint64 dispatch, const EndpointSignals &signals) {
+  const Sent &one = sent(dispatch);
+  router_endpoint_signals(router, one.endpoint.c_str(), one.life, &signals,
+                          now);
+}
+
 static bool is_last(OutcomeKind kind) {
   return kind != OUTCOME_STREAM_HEAD && kind != OUTCOME_STREAM_PIECE;
 }
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -30,6 +30,7 @@
   DispatchKind kind = DISPATCH_RUN;
   guint64 request = 0;
   std::string endpoint;
+  guint32 life = 0;
   gint64 deadline_ms = 0;
   std::string handle;
   std::string last_event;
@@ -67,6 +68,15 @@
   EndpointStage stage;
 };
 
+/* signals of an answer that served its request */
+EndpointSignals signals_served();
+/* the same of one that names this rate; RATE_ANY: none */
+EndpointSignals signals_rate(double rate);
+/* of an answer that says that the endpoint leaves */
+EndpointSignals signals_leaving();
+/* of a refusal that asks for rest */
+EndpointSignals signals_rest(gint64 time);
+
 /* a client account of the configuration */
 struct Client {
   const char *name;
@@ -111,6 +121,8 @@
   void hangup(guint64 number);
   void advance(gint64 span);
 
+  /* the head of the dispatch's answer carries these */
+  void signal(guint64 dispatch, const EndpointSignals &signals);
   /* outcomes of a dispatch */
   void outcome(guint64 dispatch, OutcomeKind kind, int status = 200);
   void prefilled(guint64 dispatch, const char *handle = "h1");
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -34,11 +34,11 @@
   HttpHead *caller = http_head_request("POST", "/a/b?c=1");
   GByteArray *body = g_byte_array_new();
   std::map<guint64, std::vector<Told>> told;
-  std::vector<EndpointRate> rates; /* as the heads named them */
+  std::vector<EndpointSignals> signals; /* of the heads */
   guint64 last = 0;
 
   void SetUp() override {
-    EndpointLinksHooks hooks = {this, on_outcome, on_rate};
+    EndpointLinksHooks hooks = {this, on_outcome, on_signals};
     links = endpoint_links_new(base, &platform_dialect, &hooks);
     http_head_add(caller, "Host", "h");
     http_head_add(caller, "Request-Id", "r1");
@@ -61,8 +61,15 @@
     self->told[outcome->dispatch].push_back(one);
   }
 
-  static void on_rate(void *data, guint64, const EndpointRate *rate) {
-    static_cast<Links *>(data)->rates.push_back(*rate);
+  static void on_signals(void *data, const char *id, guint32 life,
+                         const EndpointSignals *told) {
+    EXPECT_STREQ(id, "i-1");
+    EXPECT_EQ(life, 77u);
+    static_cast<Links *>(data)->signals.push_back(*told);
+  }
+  /* nothing is said of a rate, and that says nothing */
+  static bool is_silent(const EndpointSignals &one) {
+    return one.rate == SIGNAL_ABSENT && !one.served;
   }
 
   guint64 dispatch(bool stream = false, mp_Addr address = 0) {
@@ -71,6 +78,7 @@
     one.kind = DISPATCH_RUN;
     one.address = address != 0 ? address : endpoint.address;
     one.endpoint = "i-1";
+    one.life = 77;
     one.deadline_ms = 5000;
     one.stream = stream;
     one.connect_timeout = 500 * MP_MS;
@@ -132,14 +140,15 @@
   guint64 first = dispatch();
   asked(0)->send_text(answer("one", "Server-Limit: 4.5\r\n"));
   ended(first);
-  ASSERT_EQ(rates.size(), 1u);
-  EXPECT_EQ(rates[0].saying, RATE_NAMED);
-  EXPECT_DOUBLE_EQ(rates[0].per_second, 4.5);
+  ASSERT_EQ(signals.size(), 1u);
+  EXPECT_EQ(signals[0].rate, SIGNAL_GIVEN);
+  EXPECT_DOUBLE_EQ(signals[0].rate_per_second, 4.5);
   guint64 second = dispatch();
   asked(0, 2)->send_text(answer("two"));
   ended(second);
-  ASSERT_EQ(rates.size(), 2u);
-  EXPECT_EQ(rates[1].saying, RATE_UNSAID);
+  ASSERT_EQ(signals.size(), 2u);
+  EXPECT_EQ(signals[1].rate, SIGNAL_ABSENT);
+  EXPECT_TRUE(signals[1].served);
 }
 
 /* a refusal may name a rate; that it names none says nothing */
@@ -148,13 +157,14 @@
   asked(0)->send_text("HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Run: 1\r\n"
                       "Content-Length: 0\r\n\r\n");
   ended(first);
-  EXPECT_TRUE(rates.empty());
+  ASSERT_EQ(signals.size(), 1u);
+  EXPECT_TRUE(is_silent(signals[0]));
   guint64 second = dispatch();
   asked(0, 2)->send_text("HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nNot-Run: 1"
                          "\r\nServer-Limit: 3\r\nContent-Length: 0\r\n\r\n");
   ended(second);
-  ASSERT_EQ(rates.size(), 1u);
-  EXPECT_EQ(rates[0].saying, RATE_NAMED);
+  ASSERT_EQ(signals.size(), 2u);
+  EXPECT_EQ(signals[1].rate, SIGNAL_GIVEN);
 }
 
 /* an overloaded endpoint fails as well: what a failure omits ends nothing */
@@ -163,13 +173,14 @@
   asked(0)->send_text("HTTP/1.1 500 Bad\r\nRequest-Id: r1\r\nServer-Stamp: s"
                       "\r\nContent-Length: 0\r\n\r\n");
   ended(first);
-  EXPECT_TRUE(rates.empty());
+  ASSERT_EQ(signals.size(), 1u);
+  EXPECT_TRUE(is_silent(signals[0]));
   guint64 second = dispatch();
   asked(0, 2)->send_text("HTTP/1.1 500 Bad\r\nRequest-Id: r1\r\nServer-Stamp:"
                          " s\r\nServer-Limit: 3\r\nContent-Length: 0\r\n\r\n");
   ended(second);
-  ASSERT_EQ(rates.size(), 1u);
-  EXPECT_EQ(rates[0].saying, RATE_NAMED);
+  ASSERT_EQ(signals.size(), 2u);
+  EXPECT_EQ(signals[1].rate, SIGNAL_GIVEN);
 }
 
 TEST_F(Links, ARateFromAnotherEndpointOrForAnotherRequestIsNone) {
@@ -182,8 +193,8 @@
                       "\r\nServer-Limit: 3\r\nContent-Length: 0\r\n\r\n");
   endpoint.peers[1]->send_text(answer("mine"));
   ended(second);
-  ASSERT_EQ(rates.size(), 1u);
-  EXPECT_EQ(rates[0].saying, RATE_UNSAID);
+  ASSERT_EQ(signals.size(), 1u);
+  EXPECT_EQ(signals[0].rate, SIGNAL_ABSENT);
 }
 
 TEST_F(Links, BytesBehindAnAnswerAreNobodys) {
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -19,8 +19,8 @@
 
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
-  CarrierCounts carriers = {7, 11, 1, 2, 3, "relay", 250 * ms, TRUE,
-                            5, 4,  6, 3, 9, 8,       {}};
+  CarrierCounts carriers = {7, 11, 1, 2, 3, "relay", 250 * ms, TRUE, 5,
+                            4, 6,  3, 2, 1, 9,       8,        {}};
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_NAME] = 2;
   world.populate();
@@ -41,7 +41,10 @@
         "madderpier_held_requests 4",
         "madderpier_endpoint_rate_skips_total 6",
         "madderpier_limited_endpoints 3",
+        "madderpier_leaving_endpoints 2",
+        "madderpier_resting_endpoints 1",
         "madderpier_endpoint_rates_unreadable_total 0",
+        "madderpier_endpoint_signals_unreadable_total 0",
         "madderpier_waiting_requests 9",
         "madderpier_waiting_requests_in_time 8",
         "madderpier_requests_started_total 0",
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -286,36 +286,89 @@
   }
 }
 
-EndpointRate read_rate(const std::vector<const char *> &values) {
-  HttpHead *head = http_head_answer(200);
+EndpointSignals read_signals(int status, const char *name,
+                             const std::vector<const char *> &values) {
+  HttpHead *head = http_head_answer(status);
   EndpointHead read;
   for (const char *value : values)
-    http_head_add(head, "Server-Limit", value);
+    http_head_add(head, name, value);
   platform_read_endpoint(head, &read);
   http_head_free(head);
-  return read.rate;
+  return read.signals;
+}
+
+EndpointSignals read_rate(const std::vector<const char *> &values) {
+  return read_signals(200, "Server-Limit", values);
 }
 
 TEST(PlatformEndpoint, ARateIsAPlainDecimalNumberThatStandsOnce) {
-  EXPECT_EQ(read_rate({}).saying, RATE_UNSAID);
+  EXPECT_EQ(read_rate({}).rate, SIGNAL_ABSENT);
   struct {
     const char *text;
     double rate;
   } good[] = {{"4.4", 4.4}, {"0", 0},  {"0.05", 0.05},
               {"12", 12},   {"3.", 3}, {".5", 0.5}};
   for (const auto &one : good) {
-    EndpointRate rate = read_rate({one.text});
-    EXPECT_EQ(rate.saying, RATE_NAMED) << one.text;
-    EXPECT_DOUBLE_EQ(rate.per_second, one.rate) << one.text;
+    EndpointSignals read = read_rate({one.text});
+    EXPECT_EQ(read.rate, SIGNAL_GIVEN) << one.text;
+    EXPECT_DOUBLE_EQ(read.rate_per_second, one.rate) << one.text;
   }
   for (const char *bad : {"", ".", "-1", "+1", "nan", "inf", "1e999", "1e3",
                           "4,4", "0x10", "5 per second", "five", "4.4.4"})
-    EXPECT_EQ(read_rate({bad}).saying, RATE_UNREADABLE) << bad;
-  EXPECT_EQ(read_rate({"4", "4"}).saying, RATE_UNREADABLE);
+    EXPECT_EQ(read_rate({bad}).rate, SIGNAL_UNREADABLE) << bad;
+  EXPECT_EQ(read_rate({"4", "4"}).rate, SIGNAL_UNREADABLE);
   std::string digits(400, '9');
-  EndpointRate far = read_rate({digits.c_str()});
-  EXPECT_EQ(far.saying, RATE_NAMED);
-  EXPECT_LE(far.per_second, 1e12);
+  EndpointSignals far = read_rate({digits.c_str()});
+  EXPECT_EQ(far.rate, SIGNAL_GIVEN);
+  EXPECT_LE(far.rate_per_second, 1e12);
+}
+
+TEST(PlatformEndpoint, LeavingIsSaidWithOne) {
+  const char *name = "Server-Leaving";
+  EXPECT_EQ(read_signals(200, name, {}).leaving, SIGNAL_ABSENT);
+  for (int status : {200, 202, 404, 500, 503})
+    EXPECT_EQ(read_signals(status, name, {"1"}).leaving, SIGNAL_GIVEN);
+  EXPECT_EQ(read_signals(200, name, {"1", "1"}).leaving, SIGNAL_GIVEN);
+  for (const char *bad : {"", "0", "true", "11", "1,1"})
+    EXPECT_EQ(read_signals(200, name, {bad}).leaving, SIGNAL_UNREADABLE);
+  /* an interim answer is none, and 421 comes from another endpoint */
+  EXPECT_EQ(read_signals(100, name, {"1"}).leaving, SIGNAL_ABSENT);
+  EXPECT_EQ(read_signals(421, name, {"1"}).leaving, SIGNAL_ABSENT);
+}
+
+TEST(PlatformEndpoint, RestIsAPlainNumberOfSecondsOfARefusal) {
+  const char *name = "Retry-After";
+  EXPECT_EQ(read_signals(503, name, {}).rest, SIGNAL_ABSENT);
+  struct {
+    const char *text;
+    gint64 time;
+  } good[] = {{"3", 3 * MP_SEC},
+              {"0.25", 250 * MP_MS},
+              {"0", 0},
+              {"1000000000", 366LL * 24 * 3600 * MP_SEC}};
+  for (const auto &one : good) {
+    for (int status : {503, 429}) {
+      EndpointSignals read = read_signals(status, name, {one.text});
+      EXPECT_EQ(read.rest, SIGNAL_GIVEN) << one.text;
+      EXPECT_EQ(read.rest_time, one.time) << one.text;
+    }
+  }
+  for (const char *bad : {"", "-1", "inf", "nan", "1e9", "soon",
+                          "Thu, 03 Dec 2026 07:28:00 GMT", "3 s"})
+    EXPECT_EQ(read_signals(503, name, {bad}).rest, SIGNAL_UNREADABLE) << bad;
+  for (int status : {200, 202, 421, 500, 302})
+    EXPECT_EQ(read_signals(status, name, {"3"}).rest, SIGNAL_ABSENT);
+}
+
+/* each one was asked for: none is kept shorter than it says */
+TEST(PlatformEndpoint, OfSeveralRestsTheLongestCounts) {
+  const char *name = "Retry-After";
+  for (const auto &values : std::vector<std::vector<const char *>>{
+           {"1", "3"}, {"3", "1"}, {"3", "soon"}, {"soon", "3"}}) {
+    EndpointSignals read = read_signals(503, name, values);
+    EXPECT_EQ(read.rest, SIGNAL_GIVEN);
+    EXPECT_EQ(read.rest_time, 3 * MP_SEC);
+  }
 }
 
 TEST(PlatformEndpoint, HeadIsRead) {
--- a/test/test_rate_limits.cc
+++ b/test/test_rate_limits.cc
@@ -217,8 +217,7 @@
   }
   /* the open dispatch's answer names this rate, or none */
   void name(double rate) {
-    EndpointRate named = {rate < 0 ? RATE_UNSAID : RATE_NAMED, MAX(rate, 0)};
-    router_endpoint_rate(world.router, world.last().number, &named, world.now);
+    world.signal(world.last().number, routing::signals_rate(rate));
   }
   bool logged(mp_EventNo number) const {
     for (const std::string &line : world.log) {
@@ -243,14 +242,15 @@
 
 TEST_F(RateWorld, WhatIsSaidIsLogged) {
   world.request("/safe/x");
-  EndpointRate bad = {RATE_UNREADABLE, 0};
-  router_endpoint_rate(world.router, world.last().number, &bad, world.now);
+  EndpointSignals bad = {};
+  bad.rate = SIGNAL_UNREADABLE;
+  world.signal(world.last().number, bad);
   EXPECT_TRUE(logged(MP_LOG_EP_RATE_BAD));
   EXPECT_EQ(router_limited_endpoints(world.router), 0u);
   name(4);
   EXPECT_TRUE(logged(MP_LOG_EP_RATE));
   EXPECT_EQ(router_limited_endpoints(world.router), 1u);
-  router_endpoint_rate(world.router, world.last().number, &bad, world.now);
+  world.signal(world.last().number, bad);
   EXPECT_EQ(router_limited_endpoints(world.router), 1u); /* it holds on */
   world.advance(second);
   name(-1);
