Endpoints that leave or ask for rest: the tests that fail

What callers saw, and users: requests reach a plain endpoint 3 s after an answer had told their instance that it leaves; three and six requests reach one from an instance that it had asked for rest. The stand-ins say both.

--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -13,7 +13,8 @@
 **   POST /store    {"mode": M}, see store.h
 **   POST /worker   {"id", "mode"}: ok, error, shed, cut, mute, slow;
 **                  draining, gone, back (in the list); prefill, decode
-**                  (its stage from now on); crash
+**                  (its stage from now on); crash; rate=R, rest=S, leaving
+**                  (what its answers say of it: worker.c)
 **   POST /configuration   the next version of the configuration
 **   POST /entry    {"kind", "name", "spec"}: another writer's entry
 ** A request whose target ends in CRASHES ends each worker that begins to run
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -340,12 +340,22 @@
 
 /* }================================================================== */
 
+/* it turns the request away and asks the sender for rest */
+static void ask_for_rest(const Worker *worker,
+                         struct evhttp_request *request) {
+  note(worker, request, "rest");
+  set(request, "Retry-After", worker->rest);
+  not_run(request, 503);
+}
+
 static void on_request(struct evhttp_request *request, void *data) {
   Worker *worker = data;
   const char *expected = header(request, "Expect-Instance");
   const char *stage = header(request, "Stage");
   if (worker->rate[0] != '\0')
     set(request, "Server-Limit", worker->rate);
+  if (worker->leaving)
+    set(request, "Server-Leaving", "1");
   if (evhttp_request_get_command(request) == EVHTTP_REQ_DELETE) {
     note(worker, request, "release");
     evhttp_send_reply(request, 200, NULL, NULL);
@@ -356,6 +366,8 @@
     not_run(request, 400);
   } else if (expected != NULL && strcmp(expected, worker->id) != 0)
     not_run(request, 421);
+  else if (worker->rest[0] != '\0')
+    ask_for_rest(worker, request);
   else if (strcmp(evhttp_request_get_uri(request), "/order") == 0)
     on_order(worker, request);
   else if (worker->next_stage != NULL)
@@ -414,6 +426,8 @@
   worker->born = unix_ms();
   worker->sequence = 0;
   worker->fence = 0;
+  worker->leaving = 0;
+  worker->rest[0] = '\0';
   worker->http = serve_new(base, worker->listen, on_request, worker);
   worker_list(worker);
 }
@@ -443,8 +457,11 @@
 /* }================================================================== */
 
 #define RATE_MODE "rate="
+#define REST_MODE "rest="
 
-/* "rate=3.5": its answers name this rate; "rate=": none */
+/* "rate=3.5": its answers name this rate; "rate=": none. "rest=3": it turns
+** all away and asks for rest; "rest=": it takes them. "leaving": its answers
+** say so, and the list does not */
 int worker_set_mode(Worker *worker, const char *mode) {
   static const char *const modes[] = {"ok",  "error", "shed",
                                       "cut", "mute",  "slow"};
@@ -459,6 +476,14 @@
     g_strlcpy(worker->rate, mode + strlen(RATE_MODE), sizeof worker->rate);
     return 1;
   }
+  if (g_str_has_prefix(mode, REST_MODE)) {
+    g_strlcpy(worker->rest, mode + strlen(REST_MODE), sizeof worker->rest);
+    return 1;
+  }
+  if (strcmp(mode, "leaving") == 0) {
+    worker->leaving = 1;
+    return 1;
+  }
   if (strcmp(mode, "crash") == 0) {
     crash(worker);
     return 1;
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -14,6 +14,9 @@
   char *id, *service, *zone, *stage, *addr;
   char mode[16];
   char rate[16]; /* that its answers name, as text; empty: none */
+  char rest[16]; /* it turns all away and asks for so many seconds, as text;
+                 ** empty: it takes requests */
+  int leaving;   /* its answers say so */
   mp_Addr listen;
   struct evhttp *http; /* NULL: the process has ended */
   struct event *lapse, *comeback;
--- a/test/rate_fleet.cc
+++ b/test/rate_fleet.cc
@@ -53,6 +53,7 @@
   one.life++;
   one.trouble_at = now;
   one.seen = 0;
+  one.asked.clear();
   one.told = 0;
   one.sequence = static_cast<guint32>(random());
   one.world->now = now;
@@ -102,6 +103,7 @@
     if (all[i].is_frozen)
       continue;
     asked++;
+    all[i].asked[all[i].world->next_number()] = now;
     all[i].world->request(options.path, 1500);
     meet(i);
   }
@@ -115,32 +117,99 @@
     for (unsigned k = 0; k < endpoints.size(); k++) {
       if (endpoints[k].id != sent.endpoint)
         continue;
-      endpoints[k].arrivals.push_back(
-          {now, i, now - one.trouble_at < contact || cut_at != 0});
-      runs.push_back({now + options.work, i, sent.number, k, one.life});
+      Plain &endpoint = endpoints[k];
+      bool turns_away = endpoint.rest != 0 && chance() < endpoint.resting;
+      endpoint.arrivals.push_back(
+          {now, i, now - one.trouble_at < contact || cut_at != 0,
+           one.asked[sent.request], one.life});
+      runs.push_back({now + (turns_away ? endpoint.rest_work : options.work),
+                      i, sent.number, k, one.life, turns_away, endpoint.rest});
     }
   }
 }
 
-void Fleet::end_due_runs() {
-  while (!runs.empty() && runs.front().ends <= now) {
-    Run run = runs.front();
-    Plain &endpoint = endpoints[run.endpoint];
-    Instance &one = all[run.instance];
-    EndpointSignals signals = routing::signals_rate(endpoint.limit);
-    runs.pop_front();
-    if (run.life != one.life || one.is_frozen)
-      continue;
-    if (signals.rate == SIGNAL_GIVEN) {
-      endpoint.told.insert({run.instance, now});
-      if (endpoint.named_at == 0)
-        endpoint.named_at = now;
-    }
-    one.world->signal(run.dispatch, signals);
+/* the signals of the answer, written down as told */
+EndpointSignals Fleet::signals_of(const Run &run) {
+  Plain &endpoint = endpoints[run.endpoint];
+  EndpointSignals signals = run.turns_away
+                                ? routing::signals_rest(run.rest)
+                                : routing::signals_rate(endpoint.limit);
+  if (run.turns_away)
+    endpoint.rests.push_back({now, run.instance, run.life, run.rest});
+  if (signals.rate == SIGNAL_GIVEN) {
+    endpoint.told.insert({run.instance, now});
+    if (endpoint.named_at == 0)
+      endpoint.named_at = now;
+  }
+  if (endpoint.is_leaving) {
+    signals.leaving = SIGNAL_GIVEN;
+    if (!run.turns_away)
+      endpoint.leavings.push_back({now, run.instance, run.life, 0});
+  }
+  return signals;
+}
+
+void Fleet::end_run(const Run &run) {
+  Instance &one = all[run.instance];
+  if (run.life != one.life || one.is_frozen)
+    return;
+  one.world->signal(run.dispatch, signals_of(run));
+  if (run.turns_away)
+    one.world->outcome(run.dispatch, OUTCOME_NOT_RUN, 503);
+  else
     one.world->outcome(run.dispatch, OUTCOME_ANSWER,
                        chance() < options.failing ? 500 : 200);
-    meet(run.instance);
+  meet(run.instance);
+}
+
+void Fleet::end_due_runs() {
+  std::deque<Run> due;
+  std::deque<Run> later;
+  for (const Run &run : runs)
+    (run.ends <= now ? due : later).push_back(run);
+  runs.swap(later);
+  for (const Run &run : due)
+    end_run(run);
+}
+
+void Fleet::list(unsigned i, bool ready) {
+  const Plain &plain = endpoints[i];
+  for (Instance &one : all)
+    one.world->endpoint(
+        {plain.id.c_str(), "app", plain.zone.c_str(), STAGE_NONE}, ready);
+}
+
+unsigned Fleet::after_leaving(unsigned i, gint64 after, bool of_all) const {
+  const Plain &endpoint = endpoints[i];
+  unsigned count = 0;
+  for (const Arrival &arrival : endpoint.arrivals) {
+    bool is_late =
+        std::any_of(endpoint.leavings.begin(), endpoint.leavings.end(),
+                    [&](const Told &told) {
+                      bool binds =
+                          of_all || (told.instance == arrival.instance &&
+                                     told.life == arrival.life);
+                      return binds && arrival.asked > told.at + after;
+                    });
+    count += is_late;
+  }
+  return count;
+}
+
+unsigned Fleet::most_in_a_rest(unsigned i) const {
+  constexpr gint64 on_its_way = 500 * ms;
+  const Plain &endpoint = endpoints[i];
+  unsigned most = 0;
+  for (const Told &told : endpoint.rests) {
+    unsigned count = 0;
+    for (const Arrival &arrival : endpoint.arrivals)
+      count += arrival.instance == told.instance &&
+               arrival.life == told.life &&
+               arrival.at > told.at + on_its_way &&
+               arrival.at <= told.at + told.rest;
+    most = std::max(most, count);
   }
+  return most;
 }
 
 bool Fleet::hears(unsigned from, unsigned to) {
--- a/test/rate_fleet.h
+++ b/test/rate_fleet.h
@@ -1,7 +1,8 @@
 /*
 ** rate_fleet.h
-** Instances before endpoints that name the rate they take, in virtual time:
-** callers who come unevenly, datagrams that are late or lost, cuts and kills
+** Instances before endpoints that name the rate they take, say that they leave
+** or ask for rest, in virtual time: callers who come unevenly, datagrams that
+** are late or lost, cuts and kills
 **
 ** The decisions are the product's (Router); the fleet carries what instances
 ** tell each other as io/load_exchange.c and io/relays.c do: many instances
@@ -48,6 +49,17 @@
   gint64 at;
   unsigned instance;
   bool in_trouble; /* the instance was restarted, frozen or cut lately */
+  gint64 asked;    /* when its caller sent it */
+  int life;        /* of the instance */
+};
+
+/* an answer that says that its endpoint leaves was passed on, or one that asks
+** for rest came */
+struct Told {
+  gint64 at;
+  unsigned instance;
+  int life; /* of the instance */
+  gint64 rest;
 };
 
 /* an endpoint's answers name this rate from then on */
@@ -67,6 +79,11 @@
   std::vector<Naming> namings{};
   /* instance -> when it first passed on an answer that named a limit */
   std::map<unsigned, gint64> told{};
+  bool is_leaving = false; /* its answers say so */
+  gint64 rest = 0;      /* it turns all away, and asks for so long; 0: not */
+  double resting = 1;   /* share that it turns away then */
+  gint64 rest_work = 0; /* time that it takes to turn one away */
+  std::vector<Told> leavings{}, rests{};
 };
 
 class Fleet {
@@ -83,6 +100,14 @@
   /* datagrams between the two parts of the instances are lost: those below
   ** 'at' and the others; 0: no cut */
   void cut(unsigned at);
+  /* all instances hear from the store that endpoint 'i' is ready or drains */
+  void list(unsigned i, bool ready);
+  /* arrivals of requests that were sent later than 'after' behind an answer
+  ** that this instance passed on, or else that any had */
+  unsigned after_leaving(unsigned i, gint64 after, bool of_all) const;
+  /* the most arrivals from one instance in a rest that it was asked for, from
+  ** half a second on */
+  unsigned most_in_a_rest(unsigned i) const;
   /* callers come at all */
   bool has_callers = true;
   /* what instances tell each other of rates arrives at all */
@@ -109,7 +134,9 @@
     unsigned instance;
     guint64 dispatch;
     unsigned endpoint;
-    int life; /* of the instance */
+    int life;        /* of the instance */
+    bool turns_away; /* and asks for rest */
+    gint64 rest;
   };
   /* news of rates on their way */
   struct Letter {
@@ -122,6 +149,7 @@
     std::unique_ptr<World> world;
     std::string address, zone;
     size_t seen = 0;
+    std::map<guint64, gint64> asked; /* request -> when */
     int life = 0;
     guint64 told = 0;
     gint64 told_at = 0, summed_at = 0;
@@ -136,6 +164,8 @@
   void callers();
   void meet(unsigned i);
   void end_due_runs();
+  void end_run(const Run &run);
+  EndpointSignals signals_of(const Run &run);
   void exchange();
   void tell_near(unsigned i);
   void tell_far(unsigned i);
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -227,6 +227,10 @@
   return send(path, call);
 }
 
+guint64 World::next_number() const {
+  return last_number + 1;
+}
+
 void World::hangup(guint64 number) {
   router_hangup(router, number, now);
 }
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -118,6 +118,8 @@
                   guint32 prompt = 1000, guint32 output = 500);
   /* a caller that lost a stream of this session half-way goes on with it */
   guint64 resumption(const std::string &path, guint64 session);
+  /* that the next request will have */
+  guint64 next_number() const;
   void hangup(guint64 number);
   void advance(gint64 span);
 
