An endpoint that says that it leaves gets nothing more, in that life

What callers saw: requests at an endpoint 3 s after it had said with its answers that it leaves, and broken or late answers when such an endpoint ends. Its class: what an endpoint says of itself is heard per answer, and used there or nowhere (the same as the named rates). Change: leaving is a fact of one life of an endpoint, with its own age (router/availability), beside what the list says: no list, no peer, no lapse of the entry takes it back, a later life does. One gate (router/gate) answers for each kind of dispatch whether it may go there; choice, reservations, prompts, orders ask it, and router/dispatcher is the one place that hands dispatches to the host and asks again. Instances tell each other in their digests (12 hashes, as long as the list still has the endpoint as ready), and the data centres at once, as with failing endpoints. Its planned end is held against no request. A handle at an endpoint that is off the list is left to lapse. Why it holds: the word is kept by life and consulted at the only door.

--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -536,6 +536,10 @@
   mp_RetryRow retry[MP_DIGEST_SERVICES];
   unsigned account_count;
   mp_AccountRow account[MP_DIGEST_ACCOUNTS];
+  /* endpoints that said that they leave while the list has them as ready, by
+  ** hash of their id and life; more take turns */
+  unsigned leaving_count;
+  uint32_t leaving[MP_DIGEST_LEAVING];
 } mp_LoadDigest;
 
 /* all that the instances of one data centre have open, told by a relay */
@@ -840,6 +844,7 @@
   X(EP_SAYS_LEAVING, 2013, MP_INFO, "endpoint says that it leaves")        \
   X(EP_REST, 2014, MP_INFO, "endpoint asks for rest")                      \
   X(EP_SIGNAL_BAD, 2015, MP_WARN, "endpoint sends an unreadable signal")   \
+  X(DISPATCH_HELD_BACK, 2016, MP_FAULT, "dispatch held back at the gate")  \
   X(EJECT, 2008, MP_WARN, "endpoint ejected for a while")                  \
   X(MEMBER_UP, 3001, MP_INFO, "instance joined")                           \
   X(MEMBER_SUSPECT, 3002, MP_INFO, "instance suspected")                   \
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -50,6 +50,7 @@
 /* rows of a load digest, in one datagram */
 #define MP_DIGEST_ROWS 110
 #define MP_DIGEST_CHANGING 12
+#define MP_DIGEST_LEAVING 12
 #define MP_DIGEST_SERVICES 6
 /* client accounts whose totals one digest carries; more take turns */
 #define MP_DIGEST_ACCOUNTS 32
--- a/io/relays.c
+++ b/io/relays.c
@@ -38,7 +38,7 @@
   gboolean summing;             /* loads are told in summaries */
   guint32 sequence;             /* of the last summary */
   gint64 summary_at;            /* when it was sent */
-  guint64 failing;              /* router_failing_set in it */
+  guint64 urgent;               /* router_urgent_set in it */
   gint64 rates_at;              /* when sums of rates were sent */
 };
 
@@ -107,7 +107,7 @@
   message.kind = MP_MSG_LOAD_SUMMARY;
   message.seq = ++relays->sequence;
   relays->summary_at = now;
-  relays->failing = router_failing_set(relays->router, now);
+  relays->urgent = router_urgent_set(relays->router, now);
   router_load_summary(relays->router, &message.u.summary, now);
   message.u.summary.relay = relays->self;
   message.u.summary.zone = relays->zone;
@@ -228,7 +228,7 @@
   if (!relays->summing || now - relays->summary_at < SUMMARY_LEAST ||
       !relay_group_is_first(relays->group, now))
     return;
-  if (router_failing_set(relays->router, now) != relays->failing ||
+  if (router_urgent_set(relays->router, now) != relays->urgent ||
       router_limits_untold(relays->router) > UNTOLD_MOST)
     send_summary(relays, now);
 }
--- a/router/crash_watch.c
+++ b/router/crash_watch.c
@@ -133,14 +133,14 @@
     return;
   watched->checked_at = now;
   watched->check =
-      watch->host.check(watch->host.data, endpoint, CHECK_PATIENCE);
+      watch->host.check(watch->host.data, endpoint, CHECK_PATIENCE, now);
 }
 
 void crash_watch_broken(CrashWatch *watch, const Endpoint *endpoint,
                         const QuarantineSuspect *suspect, gint64 now) {
   Watched *watched;
-  if (!endpoint->record.ready)
-    return;
+  if (endpoint_leaves(endpoint))
+    return; /* its planned end is nobody's doing */
   watched = need(watch, endpoint);
   watched->since = now;
   if (watched->suspects->len >= SUSPECTS_MOST ||
--- a/router/crash_watch.h
+++ b/router/crash_watch.h
@@ -28,7 +28,8 @@
   void *data;
   /* try to connect; its outcome is handed to crash_watch_outcome. Returns the
   ** dispatch's number */
-  guint64 (*check)(void *data, const Endpoint *endpoint, gint64 timeout);
+  guint64 (*check)(void *data, const Endpoint *endpoint, gint64 timeout,
+                   gint64 now);
   /* this life of the endpoint ended while it ran these requests; 'how' says
   ** what proved it */
   void (*ended)(void *data, const char *endpoint, guint32 life,
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "router/endpoint_table.h"
+#include "router/gate.h"
 
 /* an endpoint out of reach is left alone this long, doubled each time */
 #define AVOID_FIRST (500 * MP_MS)
@@ -48,6 +49,18 @@
 /* affinity turns the choice while the load is within this of the best */
 #define AFFINITY_REACH 1.6
 
+/* what a life has said is kept so long after the list lost it: while the store
+** is away entries lapse, and come back, of endpoints that serve on */
+#define UNLISTED_KEPT (600 * MP_SEC)
+#define UNLISTED_MOST 1024
+
+/* a life that is not listed now */
+typedef struct UnlistedLife {
+  gint64 born_unix_ms;
+  Availability availability;
+  gint64 since;
+} UnlistedLife;
+
 static void endpoint_free(gpointer p) {
   Endpoint *endpoint = p;
   endpoint_record_clear(&endpoint->record);
@@ -57,6 +70,8 @@
 EndpointTable *endpoint_table_new(const char *zone) {
   EndpointTable *table = g_new0(EndpointTable, 1);
   table->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+  table->unlisted =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   table->all = g_ptr_array_new_with_free_func(endpoint_free);
   table->zone = g_strdup(zone);
   table->peers = peer_loads_new();
@@ -65,6 +80,7 @@
 
 void endpoint_table_free(EndpointTable *table) {
   g_hash_table_destroy(table->by_id);
+  g_hash_table_destroy(table->unlisted);
   g_ptr_array_free(table->all, TRUE);
   g_free(table->zone);
   peer_loads_free(table->peers);
@@ -81,7 +97,7 @@
   return endpoint != NULL && endpoint->hash == hash ? endpoint : NULL;
 }
 
-static guint32 life_hash(const EndpointRecord *record) {
+guint32 endpoint_life_hash(const EndpointRecord *record) {
   return (guint32)XXH3_64bits_withSeed(record->id, strlen(record->id),
                                        (guint64)record->born_unix_ms);
 }
@@ -127,12 +143,61 @@
                                               : ENDPOINT_RESTARTED;
 }
 
-static Endpoint *add(EndpointTable *table) {
+/*
+** {==================================================================
+** Lives that the list has lost
+** ===================================================================
+*/
+
+static gboolean has_said_something(const Availability *known) {
+  return known->leaving_since != 0;
+}
+
+static gboolean is_outlived(gpointer id, gpointer life, gpointer now) {
+  (void)id;
+  return *(gint64 *)now - ((UnlistedLife *)life)->since >= UNLISTED_KEPT;
+}
+
+/* the endpoint goes off the list, which proves no end: what this life has said
+** holds on if the list has it again */
+static void keep_unlisted(EndpointTable *table, const Endpoint *endpoint,
+                          gint64 now) {
+  UnlistedLife *life;
+  if (!has_said_something(&endpoint->availability))
+    return;
+  g_hash_table_foreach_remove(table->unlisted, is_outlived, &now);
+  if (g_hash_table_size(table->unlisted) >= UNLISTED_MOST)
+    return;
+  life = g_new(UnlistedLife, 1);
+  life->born_unix_ms = endpoint->record.born_unix_ms;
+  life->availability = endpoint->availability;
+  life->since = now;
+  g_hash_table_insert(table->unlisted, g_strdup(endpoint->record.id), life);
+}
+
+static void restore_unlisted(EndpointTable *table, Endpoint *endpoint,
+                             const EndpointRecord *record) {
+  const UnlistedLife *life = g_hash_table_lookup(table->unlisted, record->id);
+  if (life != NULL && (life->born_unix_ms == record->born_unix_ms ||
+                       life->born_unix_ms == 0 || record->born_unix_ms == 0))
+    endpoint->availability = life->availability;
+  g_hash_table_remove(table->unlisted, record->id);
+}
+
+/* }================================================================== */
+
+static Endpoint *add(EndpointTable *table, const EndpointRecord *record) {
   Endpoint *endpoint = g_new0(Endpoint, 1);
+  restore_unlisted(table, endpoint, record);
   g_ptr_array_add(table->all, endpoint);
   return endpoint;
 }
 
+static void drop(EndpointTable *table, Endpoint *endpoint) {
+  g_hash_table_remove(table->by_id, endpoint->record.id);
+  g_ptr_array_remove(table->all, endpoint);
+}
+
 void endpoint_table_set(EndpointTable *table, const EndpointRecord *record) {
   Endpoint *endpoint = endpoint_table_get(table, record->id);
   EndpointNews news = endpoint_table_compare(table, record);
@@ -140,37 +205,37 @@
   if (news == ENDPOINT_OUTDATED)
     return;
   if (news == ENDPOINT_RESTARTED)
-    endpoint_table_remove(table, record->id);
+    drop(table, endpoint);
   else if (news == ENDPOINT_SAME)
     g_hash_table_remove(table->by_id, record->id);
   if (news != ENDPOINT_SAME)
-    endpoint = add(table);
+    endpoint = add(table, record);
   if (endpoint->changing_until != 0 && record->stage == endpoint->changing_to)
     endpoint->changing_until = 0;
   born = record->born_unix_ms != 0 ? record->born_unix_ms
                                    : endpoint->record.born_unix_ms;
   record_copy(&endpoint->record, record);
   endpoint->record.born_unix_ms = born;
-  endpoint->hash = life_hash(&endpoint->record);
+  endpoint->hash = endpoint_life_hash(&endpoint->record);
   g_hash_table_insert(table->by_id, endpoint->record.id, endpoint);
 }
 
-void endpoint_table_remove(EndpointTable *table, const char *id) {
+void endpoint_table_remove(EndpointTable *table, const char *id, gint64 now) {
   Endpoint *endpoint = endpoint_table_get(table, id);
   if (endpoint == NULL)
     return;
-  g_hash_table_remove(table->by_id, id);
-  g_ptr_array_remove(table->all, endpoint);
+  keep_unlisted(table, endpoint, now);
+  drop(table, endpoint);
 }
 
-void endpoint_table_keep(EndpointTable *table, GHashTable *names) {
+void endpoint_table_keep(EndpointTable *table, GHashTable *names, gint64 now) {
   guint i = 0;
   while (i < table->all->len) {
     Endpoint *endpoint = table->all->pdata[i];
     if (g_hash_table_contains(names, endpoint->record.id))
       i++;
     else
-      endpoint_table_remove(table, endpoint->record.id);
+      endpoint_table_remove(table, endpoint->record.id, now);
   }
 }
 
@@ -197,8 +262,9 @@
 
 static gboolean fits(const EndpointTable *table, const Endpoint *endpoint,
                      const char *service, EndpointStage stage, gint64 now) {
-  return endpoint->record.ready && endpoint->record.stage == stage &&
+  return endpoint->record.stage == stage &&
          strcmp(endpoint->record.service, service) == 0 &&
+         gate_ask(endpoint, DISPATCH_RUN, now) == GATE_OPEN &&
          !endpoint_changing(table, endpoint, now);
 }
 
@@ -365,6 +431,10 @@
 
 /* }================================================================== */
 
+gboolean endpoint_leaves(const Endpoint *endpoint) {
+  return !endpoint->record.ready || endpoint->availability.leaving_since != 0;
+}
+
 static void count_failure(Endpoint *endpoint, double failed, gint64 now) {
   double recent = endpoint_failing(endpoint, now);
   endpoint->failures = recent + FAILURE_STEP * (failed - recent);
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -33,11 +33,12 @@
 } Endpoint;
 
 typedef struct EndpointTable {
-  GHashTable *by_id; /* id -> Endpoint */
-  GPtrArray *all;    /* Endpoint, in the order they came */
-  char *zone;        /* this instance's */
-  PeerLoads *peers;  /* what the other instances have open */
-  gboolean is_late;  /* loads in other zones are known late */
+  GHashTable *by_id;    /* id -> Endpoint */
+  GHashTable *unlisted; /* id -> UnlistedLife */
+  GPtrArray *all;       /* Endpoint, in the order they came */
+  char *zone;           /* this instance's */
+  PeerLoads *peers;     /* what the other instances have open */
+  gboolean is_late;     /* loads in other zones are known late */
 } EndpointTable;
 
 /* what is asked of an endpoint */
@@ -72,10 +73,15 @@
                                     const EndpointRecord *record);
 /* as compared: an outdated one is left out */
 void endpoint_table_set(EndpointTable *table, const EndpointRecord *record);
-void endpoint_table_remove(EndpointTable *table, const char *id);
-/* forget every endpoint whose id is no key of 'names' */
-void endpoint_table_keep(EndpointTable *table, GHashTable *names);
-
+/* the list has lost it; what its life has said is kept for a while, in case
+ *the
+ ** list has it again */
+void endpoint_table_remove(EndpointTable *table, const char *id, gint64 now);
+/* the same of every endpoint whose id is no key of 'names' */
+void endpoint_table_keep(EndpointTable *table, GHashTable *names, gint64 now);
+
+/* of an id and the start of a life, as digests name it */
+guint32 endpoint_life_hash(const EndpointRecord *record);
 /* NULL when it is not listed (any more) */
 Endpoint *endpoint_table_get(const EndpointTable *table, const char *id);
 /* the same, and NULL when another life of it is listed (Endpoint.hash) */
@@ -100,6 +106,9 @@
 gboolean endpoint_changing(const EndpointTable *table,
                            const Endpoint *endpoint, gint64 now);
 
+/* does it leave, by its own answers or by the list? */
+gboolean endpoint_leaves(const Endpoint *endpoint);
+
 /* recent share of failures that this instance saw, 0 to 1 */
 double endpoint_failing(const Endpoint *endpoint, gint64 now);
 
--- a/router/lives.c
+++ b/router/lives.c
@@ -12,17 +12,11 @@
 #include "router/state.h"
 
 static guint64 check_endpoint(void *data, const Endpoint *endpoint,
-                              gint64 timeout) {
-  Router *router = data;
+                              gint64 timeout, gint64 now) {
   Dispatch dispatch = {0};
-  dispatch.number = ++router->last_dispatch;
   dispatch.kind = DISPATCH_CHECK;
-  dispatch.address = endpoint->record.address;
-  dispatch.endpoint = endpoint->record.id;
-  dispatch.life = endpoint->hash;
   dispatch.connect_timeout = timeout;
-  router->host.dispatch(router->host.data, &dispatch);
-  return dispatch.number;
+  return dispatcher_send(data, &dispatch, endpoint, now);
 }
 
 static void endpoint_ended(void *data, const char *endpoint, guint32 life,
@@ -110,7 +104,7 @@
   id = g_strdup(known->record.id);
   life = known->hash;
   router_log(router, MP_LOG_EP_LEAVING, " endpoint=%s gone=1", id);
-  endpoint_table_remove(router->endpoints, id);
+  endpoint_table_remove(router->endpoints, id, now);
   rates_endpoints_changed(router);
   crash_watch_over(router->crashes, id, life, "gone", now);
   g_free(id);
--- a/router/path.c
+++ b/router/path.c
@@ -11,6 +11,7 @@
 
 #include <string.h>
 
+#include "router/gate.h"
 #include "router/retry_exchange.h"
 #include "router/state.h"
 
@@ -135,11 +136,11 @@
              dispatch->last_event != NULL ? dispatch->last_event : "-");
 }
 
-void path_send(Router *router, Request *request, DispatchKind kind,
-               Endpoint *endpoint, guint64 tokens, gint64 now) {
-  Dispatch dispatch = {0};
+/* the dispatch that went out is the one that the request waits for */
+static void open_dispatch(Router *router, Request *request, guint64 number,
+                          Endpoint *endpoint, guint64 tokens, gint64 now) {
   OpenDispatch *open = &request->open;
-  open->number = ++router->last_dispatch;
+  open->number = number;
   open->endpoint = g_strdup(endpoint->record.id);
   open->life = endpoint->hash;
   open->tokens = tokens;
@@ -148,12 +149,14 @@
   endpoint->tokens += tokens;
   router->load_version++;
   g_hash_table_insert(router->dispatched, &open->number, request);
-  dispatch.number = open->number;
+}
+
+gboolean path_send(Router *router, Request *request, DispatchKind kind,
+                   Endpoint *endpoint, guint64 tokens, gint64 now) {
+  Dispatch dispatch = {0};
+  guint64 number;
   dispatch.kind = kind;
   dispatch.request = request->number;
-  dispatch.address = endpoint->record.address;
-  dispatch.endpoint = endpoint->record.id;
-  dispatch.life = endpoint->hash;
   dispatch.account = request->account != NULL ? request->account->name : NULL;
   dispatch.deadline_ms = MAX((request->caller_deadline - now) / MP_MS, 1);
   dispatch.connect_timeout =
@@ -164,19 +167,26 @@
     dispatch.handle_address = request->handle_address;
     dispatch.last_event = request->last_event;
   }
-  rates_sent(router, endpoint->record.id);
+  number = dispatcher_send(router, &dispatch, endpoint, now);
+  if (number == 0)
+    return FALSE;
+  open_dispatch(router, request, number, endpoint, tokens, now);
   router_count(router, DISPATCHES);
   log_dispatch(router, request, &dispatch, endpoint);
-  router->host.dispatch(router->host.data, &dispatch);
+  return TRUE;
 }
 
 /* the engine that was reserved, if it can still be used */
-static Endpoint *reserved_decode(Router *router, const Request *request) {
+static Endpoint *reserved_decode(Router *router, const Request *request,
+                                 gint64 now) {
   Endpoint *endpoint;
   if (request->decode == NULL)
     return NULL;
-  endpoint = endpoint_table_get(router->endpoints, request->decode);
-  return endpoint != NULL && endpoint->record.ready ? endpoint : NULL;
+  endpoint = endpoint_table_get_life(router->endpoints, request->decode,
+                                     request->decode_life);
+  if (endpoint == NULL || gate_ask(endpoint, DISPATCH_RUN, now) != GATE_OPEN)
+    return NULL;
+  return endpoint;
 }
 
 /* the stage of the endpoints that run such a request */
@@ -197,7 +207,7 @@
                                   gint64 now) {
   EndpointStage stage = run_stage(request);
   EndpointWish wish = path_wish(router, request, stage, now);
-  Endpoint *endpoint = reserved_decode(router, request);
+  Endpoint *endpoint = reserved_decode(router, request, now);
   if (endpoint != NULL && !is_overbooked(router, request, endpoint))
     return endpoint;
   wish.must_fit = stage == STAGE_DECODE;
@@ -206,7 +216,7 @@
 
 static Endpoint *choose(Router *router, const Request *request, gint64 now) {
   EndpointWish wish = path_wish(router, request, run_stage(request), now);
-  Endpoint *endpoint = reserved_decode(router, request);
+  Endpoint *endpoint = reserved_decode(router, request, now);
   Endpoint *other = choose_with_room(router, request, now);
   if (other != NULL)
     return other;
@@ -290,7 +300,10 @@
     tokens = estimate_memory(router, request);
   if (request->service->is_engine && !is_reserved)
     router->host.note(router->host.data, endpoint->hash, (guint32)tokens);
-  path_send(router, request, DISPATCH_RUN, endpoint, tokens, now);
+  if (!path_send(router, request, DISPATCH_RUN, endpoint, tokens, now)) {
+    finish_give_up(router, request, now);
+    return;
+  }
   request->stall_at = silence_limit(request, now);
   request->suspect_at = now + suspect_silence(request);
 }
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -17,6 +17,7 @@
 
 #include <string.h>
 
+#include "router/gate.h"
 #include "router/retry_exchange.h"
 #include "router/state.h"
 
@@ -34,6 +35,8 @@
 #define MOST_PREFILLS 3
 /* a handle with less time left than this is not worth the fetch */
 #define HANDLE_MARGIN (60 * MP_MS)
+/* patience with an engine that is told to free a handle */
+#define RELEASE_CONNECT (300 * MP_MS)
 
 void prefill_unreserve(Router *router, Request *request) {
   Endpoint *endpoint;
@@ -86,7 +89,8 @@
   if (request->read_by == NULL || path_is_excluded(request, request->read_by))
     return NULL;
   endpoint = endpoint_table_get(router->endpoints, request->read_by);
-  if (endpoint == NULL || !endpoint->record.ready ||
+  if (endpoint == NULL ||
+      gate_ask(endpoint, DISPATCH_PREFILL, now) != GATE_OPEN ||
       endpoint->record.stage != STAGE_PREFILL || endpoint->avoid_until > now ||
       endpoint_changing(router->endpoints, endpoint, now) ||
       !rates_allow(router, request, endpoint, now))
@@ -129,15 +133,14 @@
   prefill = earlier_reader(router, request, now);
   if (prefill == NULL)
     prefill = endpoint_table_choose(router->endpoints, &wish, now);
-  if (prefill == NULL)
+  if (prefill == NULL || !path_send(router, request, DISPATCH_PREFILL, prefill,
+                                    request->prompt_tokens, now))
     return FALSE;
   router_count(router, PREFILLS);
   request->prefills_sent++;
   expected = expected_time(router, request);
   request->phase = PHASE_PREFILL;
   request->stall_at = now + PREFILL_PATIENCE * expected + PREFILL_GRACE;
-  path_send(router, request, DISPATCH_PREFILL, prefill, request->prompt_tokens,
-            now);
   return TRUE;
 }
 
@@ -277,20 +280,24 @@
   read_elsewhere(router, request, now);
 }
 
-void prefill_drop_handle(Router *router, Request *request, gint64 now) {
+/* an endpoint that is not listed any more lets it lapse by itself */
+static void release_handle(Router *router, const Request *request,
+                           gint64 now) {
+  const Endpoint *endpoint =
+      endpoint_table_get(router->endpoints, request->handle_endpoint);
   Dispatch release = {0};
+  if (endpoint == NULL || now >= request->handle_until)
+    return;
+  release.kind = DISPATCH_RELEASE;
+  release.handle = request->handle;
+  release.connect_timeout = RELEASE_CONNECT;
+  dispatcher_send(router, &release, endpoint, now);
+}
+
+void prefill_drop_handle(Router *router, Request *request, gint64 now) {
   if (request->handle == NULL)
     return;
-  if (now < request->handle_until) {
-    release.number = ++router->last_dispatch;
-    release.kind = DISPATCH_RELEASE;
-    release.address = request->handle_address;
-    release.endpoint = request->handle_endpoint;
-    release.handle = request->handle;
-    release.connect_timeout = 300 * MP_MS;
-    rates_sent(router, request->handle_endpoint);
-    router->host.dispatch(router->host.data, &release);
-  }
+  release_handle(router, request, now);
   g_clear_pointer(&request->handle, g_free);
   g_clear_pointer(&request->handle_endpoint, g_free);
 }
--- a/router/rates.c
+++ b/router/rates.c
@@ -3,7 +3,8 @@
 ** Rates that endpoints name: what the router does about them
 **
 ** Invariant: each request that goes to an endpoint, whatever it is, is counted
-** there (rates_sent), and none of a caller's is sent that the endpoint's rate
+** there (dispatcher.c), and none of a caller's is sent that the endpoint's
+*rate
 ** does not allow (rates_allow).
 */
 
@@ -144,12 +145,6 @@
   return rate_limits_allow(router->rates, endpoint->hash, &sharers, now);
 }
 
-void rates_sent(Router *router, const char *id) {
-  const Endpoint *endpoint = endpoint_table_get(router->endpoints, id);
-  if (endpoint != NULL)
-    rate_limits_sent(router->rates, endpoint->hash);
-}
-
 /* the first time at which an endpoint of the service is likely to take one
 ** request more; G_MAXINT64: none of them names a rate */
 static gint64 shortest_wait(Router *router, const Service *service,
--- a/router/router.c
+++ b/router/router.c
@@ -139,8 +139,7 @@
 }
 
 void router_keep_endpoints(Router *router, GHashTable *names, gint64 now) {
-  (void)now;
-  endpoint_table_keep(router->endpoints, names);
+  endpoint_table_keep(router->endpoints, names, now);
   rates_endpoints_changed(router);
 }
 
@@ -419,6 +418,7 @@
   account_limits_write(router->limits, out);
   out->changing_count =
       stages_changing(router->stages, out->changing, MP_DIGEST_CHANGING, now);
+  signals_write(router, out, now);
 }
 
 void router_load_summary(const Router *router, mp_LoadSummary *out,
@@ -431,7 +431,7 @@
   account_limits_write_sum(router->limits, &out->loads);
 }
 
-guint64 router_failing_set(const Router *router, gint64 now) {
+guint64 router_urgent_set(const Router *router, gint64 now) {
   const GPtrArray *all = router->endpoints->all;
   guint64 set = 0;
   guint i;
@@ -441,6 +441,8 @@
         peer_loads_failing(router->endpoints->peers, endpoint->hash) >=
             FAILING_SHARE / 100.0)
       set += (guint64)endpoint->hash * endpoint->hash;
+    if (endpoint->availability.leaving_since != 0)
+      set += endpoint->hash;
   }
   return set;
 }
@@ -464,6 +466,7 @@
   sharers = accounts_sharers(router, now);
   account_limits_hear_sum(router->limits, summary->relay, &summary->loads,
                           &sharers, now);
+  signals_hear(router, &summary->loads, now);
   admission_run(router, now);
 }
 
@@ -484,6 +487,7 @@
   retry_exchange_hear(router, known != NULL ? &before : NULL, digest, now);
   sharers = accounts_sharers(router, now);
   account_limits_hear(router->limits, peer, digest, &sharers, now);
+  signals_hear(router, digest, now);
   admission_run(router, now);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -246,8 +246,9 @@
 void router_load_summary(const Router *router, mp_LoadSummary *out,
                          gint64 now);
 /* a number that changes with the set of endpoints that this instance or those
-** it hears find failing: the other data centres should know at once */
-guint64 router_failing_set(const Router *router, gint64 now);
+** it hears find failing, or that said that they leave: the other data centres
+** should know at once */
+guint64 router_urgent_set(const Router *router, gint64 now);
 /* the largest part of an account's burst that was spent here and near since
 ** the last summary */
 double router_limits_untold(const Router *router);
--- a/router/signals.c
+++ b/router/signals.c
@@ -16,12 +16,13 @@
              endpoint_open(router->endpoints, endpoint));
 }
 
-static void note_leaving(Router *router, Endpoint *endpoint,
-                         const char *said_by, gint64 now) {
+/* TRUE: it was not known */
+static gboolean note_leaving(Router *router, Endpoint *endpoint,
+                             const char *said_by, gint64 now) {
   if (!availability_leave(&endpoint->availability, now))
-    return;
+    return FALSE;
   log_leaving(router, endpoint, said_by);
-  router->load_version++;
+  return TRUE;
 }
 
 static void note_rest(Router *router, Endpoint *endpoint, gint64 time,
@@ -53,8 +54,9 @@
   Endpoint *endpoint = endpoint_table_get_life(router->endpoints, id, life);
   if (endpoint == NULL)
     return; /* that life is over */
-  if (signals->leaving == SIGNAL_GIVEN)
-    note_leaving(router, endpoint, "answer", now);
+  if (signals->leaving == SIGNAL_GIVEN &&
+      note_leaving(router, endpoint, "answer", now))
+    router->load_version++; /* the others should know at once */
   if (signals->rest == SIGNAL_GIVEN)
     note_rest(router, endpoint, signals->rest_time, now);
   if (signals->leaving == SIGNAL_UNREADABLE ||
@@ -63,6 +65,73 @@
   rates_signalled(router, endpoint, signals, now);
 }
 
+/*
+** {==================================================================
+** What instances tell each other
+** ===================================================================
+*/
+
+/* a digest names as many as it holds; if there are more, others in each span
+ *of
+ ** this length, which is the time between two digests */
+#define TURN (500 * MP_MS)
+
+/* others learn it from the list once that says so; a life that is not known by
+** its start can't be told from a later one */
+static gboolean is_news(const Endpoint *endpoint) {
+  return endpoint->availability.leaving_since != 0 && endpoint->record.ready &&
+         endpoint->record.born_unix_ms != 0;
+}
+
+static guint count_news(const Router *router) {
+  const GPtrArray *all = router->endpoints->all;
+  guint count = 0;
+  guint i;
+  for (i = 0; i < all->len; i++)
+    count += is_news(all->pdata[i]);
+  return count;
+}
+
+void signals_write(const Router *router, mp_LoadDigest *out, gint64 now) {
+  const GPtrArray *all = router->endpoints->all;
+  guint count = count_news(router);
+  guint first = 0;
+  guint place = 0;
+  guint i;
+  out->leaving_count = 0;
+  if (count > MP_DIGEST_LEAVING)
+    first = (guint)(now / TURN * MP_DIGEST_LEAVING % count);
+  for (i = 0; i < all->len; i++) {
+    const Endpoint *endpoint = all->pdata[i];
+    if (!is_news(endpoint))
+      continue;
+    if ((place + count - first) % count < MP_DIGEST_LEAVING)
+      out->leaving[out->leaving_count++] = endpoint->hash;
+    place++;
+  }
+}
+
+static gboolean names(const mp_LoadDigest *digest, guint32 hash) {
+  guint i;
+  for (i = 0; i < digest->leaving_count; i++) {
+    if (digest->leaving[i] == hash)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+void signals_hear(Router *router, const mp_LoadDigest *digest, gint64 now) {
+  const GPtrArray *all = router->endpoints->all;
+  guint i;
+  for (i = 0; digest->leaving_count > 0 && i < all->len; i++) {
+    Endpoint *endpoint = all->pdata[i];
+    if (endpoint->record.born_unix_ms != 0 && names(digest, endpoint->hash))
+      note_leaving(router, endpoint, "instance", now);
+  }
+}
+
+/* }================================================================== */
+
 guint router_leaving_endpoints(const Router *router) {
   const GPtrArray *all = router->endpoints->all;
   guint count = 0;
--- a/router/stages.c
+++ b/router/stages.c
@@ -6,6 +6,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "router/gate.h"
 #include "router/stage_plan.h"
 #include "router/stages.h"
 #include "router/state.h"
@@ -130,7 +131,7 @@
 }
 
 static gboolean is_counted(const Endpoint *endpoint, const Service *service) {
-  return endpoint->record.ready && endpoint->record.stage != STAGE_NONE &&
+  return !endpoint_leaves(endpoint) && endpoint->record.stage != STAGE_NONE &&
          strcmp(endpoint->record.service, service->name) == 0;
 }
 
@@ -369,29 +370,28 @@
   g_ptr_array_remove(stages->moves, move);
 }
 
-static void send(Stages *stages, Move *move, Endpoint *endpoint,
-                 const StageOrder *order) {
+static gboolean may_send(const Endpoint *endpoint, DispatchKind kind,
+                         gint64 now) {
+  return endpoint != NULL && gate_ask(endpoint, kind, now) == GATE_OPEN;
+}
+
+static void send(Stages *stages, Move *move, const Endpoint *endpoint,
+                 const StageOrder *order, gint64 now) {
   Dispatch dispatch = {0};
-  move->dispatch = ++stages->router->last_dispatch;
-  dispatch.number = move->dispatch;
   dispatch.kind = order != NULL ? DISPATCH_ORDER : DISPATCH_REPORT;
-  dispatch.address = endpoint->record.address;
-  dispatch.endpoint = endpoint->record.id;
-  dispatch.life = endpoint->hash;
   dispatch.connect_timeout = ORDER_CONNECT;
   dispatch.order = order;
-  rates_sent(stages->router, move->endpoint);
-  stages->router->host.dispatch(stages->router->host.data, &dispatch);
+  move->dispatch = dispatcher_send(stages->router, &dispatch, endpoint, now);
 }
 
 static void ask(Stages *stages, Move *move, gint64 now) {
-  Endpoint *endpoint = endpoint_of(stages, move);
-  if (endpoint == NULL || !endpoint->record.ready) {
+  const Endpoint *endpoint = endpoint_of(stages, move);
+  if (!may_send(endpoint, DISPATCH_REPORT, now)) {
     give_up(stages, move, now);
     return;
   }
   move->step = MOVE_ASKED;
-  send(stages, move, endpoint, NULL);
+  send(stages, move, endpoint, NULL, now);
 }
 
 static void log_order(const Stages *stages, const Move *move,
@@ -407,8 +407,8 @@
                   gint64 now) {
   Endpoint *endpoint = endpoint_of(stages, move);
   StageOrder order = {move->to, stages->holder, stages->lease.revision, 0};
-  if (endpoint == NULL || report == NULL || report->busy ||
-      report->stage == move->to ||
+  if (!may_send(endpoint, DISPATCH_ORDER, now) || report == NULL ||
+      report->busy || report->stage == move->to ||
       !lease_held(&stages->lease, ORDER_MARGIN, now)) {
     log_order(stages, move, MP_LOG_ORDER_FAIL, "not_sent", 0);
     give_up(stages, move, now);
@@ -418,7 +418,7 @@
   move->step = MOVE_ORDERED;
   router_count(stages->router, ORDERS);
   log_order(stages, move, MP_LOG_ORDER_SENT, "-", 0);
-  send(stages, move, endpoint, &order);
+  send(stages, move, endpoint, &order, now);
 }
 
 /* a newer holder is at work: what is not sent yet is never sent */
--- a/router/state.h
+++ b/router/state.h
@@ -42,7 +42,8 @@
   X(STARTED, "requests_started")                     \
   X(STARTED_LATE, "requests_started_late")           \
   X(RATES_BAD, "endpoint_rates_unreadable")          \
-  X(SIGNALS_BAD, "endpoint_signals_unreadable")
+  X(SIGNALS_BAD, "endpoint_signals_unreadable")      \
+  X(HELD_BACK, "dispatches_held_back")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -174,6 +175,32 @@
 /* the service's budget of extra arrivals */
 RetryBudget *router_budget(Router *router, const char *service);
 
+/*
+** {==================================================================
+** dispatcher.c: where dispatches go out
+** ===================================================================
+*/
+
+/* send it to this life of the endpoint, which is filled in; its number, or 0
+** when the gate is closed: nothing was sent */
+guint64 dispatcher_send(Router *router, Dispatch *dispatch,
+                        const Endpoint *endpoint, gint64 now);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** signals.c: what endpoints tell about themselves
+** ===================================================================
+*/
+
+/* endpoints that other instances have to hear of, for a digest */
+void signals_write(const Router *router, mp_LoadDigest *out, gint64 now);
+/* another instance, or a relay, knows that these leave */
+void signals_hear(Router *router, const mp_LoadDigest *digest, gint64 now);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** path.c: choosing endpoints and sending dispatches
@@ -197,9 +224,9 @@
 Endpoint *path_open_endpoint(const Router *router, const Request *request);
 /* the open dispatch is over: forget it; 'cancel' closes its connection */
 void path_close_dispatch(Router *router, Request *request, gboolean cancel);
-/* fill in and send a dispatch to an endpoint */
-void path_send(Router *router, Request *request, DispatchKind kind,
-               Endpoint *endpoint, guint64 tokens, gint64 now);
+/* send a dispatch of the request to an endpoint; FALSE: none may go there */
+gboolean path_send(Router *router, Request *request, DispatchKind kind,
+                   Endpoint *endpoint, guint64 tokens, gint64 now);
 /* a wish with what every wish of this request says */
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage, gint64 now);
@@ -270,8 +297,6 @@
 /* may the request be sent there now, by the rate that the endpoint names? */
 gboolean rates_allow(Router *router, const Request *request,
                      const Endpoint *endpoint, gint64 now);
-/* something is sent to this endpoint, or a request was given its place */
-void rates_sent(Router *router, const char *endpoint);
 /* no endpoint took it: was that for their rates? Then it is told when to come
 ** back */
 gboolean rates_hold_back(Router *router, Request *request, gint64 now);
--- a/scripts/seam.sh
+++ b/scripts/seam.sh
@@ -12,7 +12,7 @@
 names+='|PathPrefix|TimeoutMs|SloMs|GapTargetMs|KvTokens|KvHoldS|ColdLeftMs'
 names+='|HealthPath|MaxConns|MaxHeaderBytes|IdleTimeoutMs|WaitMs'
 names+='|objects/servers|config/main|kv-handle|/report|SwitchS|ExpectRev'
-names+='|Api-Key|ApiKeys|RatePerS|PlainTokens|RevokeMs|QuotaSlack'
+names+='|Server-Limit|Server-Leaving|Api-Key|ApiKeys|RatePerS|PlainTokens|RevokeMs|QuotaSlack'
 if git grep -nE "\"([^\"]*[^-A-Za-z\"])?($names)[^\"]*\"" -- account core http router dialect io wire \
   conf daemon cli include; then
   echo "names of the platform outside platform/ (above)"
--- a/test/rate_fleet.cc
+++ b/test/rate_fleet.cc
@@ -58,6 +58,7 @@
   one.sequence = static_cast<guint32>(random());
   one.world->now = now;
   one.world->configure();
+  one.world->born_unix_ms = 1000;
   for (const Plain &endpoint : endpoints)
     one.world->endpoint(
         {endpoint.id.c_str(), "app", endpoint.zone.c_str(), STAGE_NONE});
--- a/test/scenario/endpoint_leaving.lua
+++ b/test/scenario/endpoint_leaving.lua
@@ -3,6 +3,7 @@
 --
 -- What was seen: an endpoint that had said so went on to get as many requests
 -- as before, from all instances, until the store listed it as draining.
+-- Cause: nothing read it (test/test_endpoint_leaving.cc).
 dofile("test/scenario/lib/gateway.lua")
 start_gateway(6)
 wait_counted(6)
@@ -49,6 +50,15 @@
   return found
 end
 
+-- those that came to any instance after this time
+local function after(w, time)
+  local count = 0
+  for _, one in ipairs(taken_by(w)) do
+    count = count + (one.r.sent > time and 1 or 0)
+  end
+  return count
+end
+
 -- those that came too late behind the first answer that their instance had
 local function late(w, said_at)
   local first, count = {}, 0
@@ -74,9 +84,23 @@
 for _, w in ipairs(left) do
   expect(late(w, said_at) == 0, w.id .. " had said that it leaves, and got " ..
          late(w, said_at) .. " requests later than " .. MOST_AFTER_MS .. " ms")
+  -- the first answer is heard within a second, and the others hear of it
+  expect(after(w, said_at + 1000 + MOST_AFTER_MS) == 0,
+         w.id .. " got requests from instances that had not heard it themselves")
 end
 for _, r in ipairs(sent) do
   answer_of(r)
   expect(r.status == 200, r.id .. ": " .. r.status)
 end
+-- a later life of it is used like any other
+store("ok")
+sys.pump(1000)
+worker(left[1], "crash")
+sys.pump(2500)
+local back_at = sys.now()
+traffic(3000)
+expect(after(left[1], back_at) > 0, left[1].id .. " is back, and is not used")
+for _, r in ipairs(sent) do
+  answer_of(r)
+end
 judge()
--- a/test/test_crash_watch.cc
+++ b/test/test_crash_watch.cc
@@ -41,7 +41,7 @@
     crash_watch_free(watch);
   }
 
-  static guint64 on_check(void *data, const Endpoint *, gint64) {
+  static guint64 on_check(void *data, const Endpoint *, gint64, gint64) {
     return ++static_cast<Watch *>(data)->checks;
   }
   static void on_ended(void *data, const char *endpoint, guint32 life,
--- a/test/test_summaries.cc
+++ b/test/test_summaries.cc
@@ -290,17 +290,17 @@
 
 TEST_F(Summaries, EndpointsThatBeginToFailChangeTheSet) {
   mp_LoadDigest digest = {};
-  guint64 none = router_failing_set(world.router, world.now);
+  guint64 none = router_urgent_set(world.router, world.now);
   digest.row[digest.n++] = {hash_of("dec-1"), 0, 0, 30};
   router_peer_load(world.router, 0x0a00000000010001, 1, &digest, world.now);
-  EXPECT_EQ(router_failing_set(world.router, world.now), none);
+  EXPECT_EQ(router_urgent_set(world.router, world.now), none);
   digest.row[0].failing = 100;
   router_peer_load(world.router, 0x0a00000000010001, 2, &digest, world.now);
-  guint64 one = router_failing_set(world.router, world.now);
+  guint64 one = router_urgent_set(world.router, world.now);
   EXPECT_NE(one, none);
   digest.row[0].endpoint = hash_of("dec-2");
   router_peer_load(world.router, 0x0a00000000010001, 3, &digest, world.now);
-  EXPECT_NE(router_failing_set(world.router, world.now), one);
+  EXPECT_NE(router_urgent_set(world.router, world.now), one);
 }
 
 TEST_F(Totals, AnotherRelaysFirstTotalsAreNoSpending) {
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -59,6 +59,8 @@
   digest->row[MP_DIGEST_ROWS - 1].failing = 40;
   digest->changing_count = MP_DIGEST_CHANGING;
   digest->changing[MP_DIGEST_CHANGING - 1] = 7;
+  digest->leaving_count = MP_DIGEST_LEAVING;
+  digest->leaving[MP_DIGEST_LEAVING - 1] = 9;
   digest->retry_count = MP_DIGEST_SERVICES;
   digest->retry[MP_DIGEST_SERVICES - 1] = {8, 90, 10};
 }
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -209,6 +209,17 @@
   return TRUE;
 }
 
+static bool_t hashes(XDR *x, unsigned *n, uint32_t *hash, unsigned most) {
+  unsigned i;
+  if (!count(x, n, most))
+    return FALSE;
+  for (i = 0; i < *n; i++) {
+    if (!u32(x, &hash[i]))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static bool_t digest(XDR *x, mp_LoadDigest *d) {
   unsigned i;
   if (!u32(x, &d->waiting) || !u32(x, &d->in_time) || !u32(x, &d->oldest_ms) ||
@@ -219,13 +230,9 @@
     if (!u32(x, &row->endpoint) || !packedload(x, row))
       return FALSE;
   }
-  if (!count(x, &d->changing_count, MP_DIGEST_CHANGING))
-    return FALSE;
-  for (i = 0; i < d->changing_count; i++) {
-    if (!u32(x, &d->changing[i]))
-      return FALSE;
-  }
-  return retries(x, d) && accounts(x, d);
+  return hashes(x, &d->changing_count, d->changing, MP_DIGEST_CHANGING) &&
+         retries(x, d) && accounts(x, d) &&
+         hashes(x, &d->leaving_count, d->leaving, MP_DIGEST_LEAVING);
 }
 
 static bool_t summary(XDR *x, mp_LoadSummary *s) {
