An endpoint that asks for rest gets none from that instance until its end

What callers saw: requests turned away twice and failed, because they were sent again and again to an endpoint that had asked for 3 s of rest. Ruled out: that second tries alone did it (two of the three were first tries); that they had waited (0.3 ms at most). Change: a rest is kept with the endpoint's life (router/availability), and the gate closes for runs, prompts, reports and orders; one release may pass in a rest, for it frees memory. The latest of several ends holds, a rest of more than an hour is believed for an hour, a margin of 50 ms is for the endpoint's own clock. Rates are asked at the same gate. Where no endpoint is left, callers hear at once, with the first end of a rest as Retry-After, spread over as long again (router/shortage, which takes over what rates.c did for rates); for engines, when all of them rest for longer than the request could wait. Why it holds: nothing but time ends a rest.

--- a/router/admission.c
+++ b/router/admission.c
@@ -121,6 +121,14 @@
   finish_refuse(router, request, REFUSAL_BUSY);
 }
 
+/* engines rest for longer than it could wait: it is told when the first of
+** them takes requests again */
+static void refuse_for_rest(Router *router, Request *request, gint64 now) {
+  prefill_drop_handle(router, request, now);
+  shortage_note(router, request, now);
+  finish_refuse(router, request, REFUSAL_REST);
+}
+
 /* can its first token still come within the objective? */
 static gboolean is_in_time(const Request *request, gint64 now) {
   return request->handle != NULL ||
@@ -264,9 +272,19 @@
   return TRUE;
 }
 
+/* the longest that it would wait for room, from now on */
+static gint64 most_patience(const Request *request, gint64 now) {
+  gint64 limit = request->returned ? wait_most(request) : wait_fresh(request);
+  return MIN(request->arrived + limit, request->expires) - now;
+}
+
 void admission_enter(Router *router, Request *request, gint64 now) {
   guint place;
   note_first_try(router, request);
+  if (shortage_lasts(router, request, most_patience(request, now), now)) {
+    refuse_for_rest(router, request, now);
+    return;
+  }
   if (!request->returned &&
       expected_wait(router, admission_in_time(router, now)) >
           wait_fresh(request) &&
@@ -280,7 +298,7 @@
   router->load_version++;
   if (!must_yield(router, request, now) && try_start(router, request, now))
     return;
-  rates_plan_look(router, now);
+  shortage_plan_look(router, now);
   place = in_time_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
              " request=%s place=%u expected_ms=%d came_back=%d", request->id,
@@ -337,5 +355,5 @@
 void admission_run(Router *router, gint64 now) {
   if (router->waiting->len > 0 && run_some(router, TRUE, now) == 0)
     run_some(router, FALSE, now);
-  rates_plan_look(router, now);
+  shortage_plan_look(router, now);
 }
--- a/router/availability.c
+++ b/router/availability.c
@@ -14,8 +14,10 @@
 
 gboolean availability_rest(Availability *known, gint64 time, gint64 now) {
   gboolean rested = known->rest_until > now;
-  gint64 until = now + MIN(time, REST_MOST);
+  gint64 until = time > 0 ? now + MIN(time, REST_MOST) + REST_MARGIN : now;
   known->rest_until = MAX(known->rest_until, until);
+  if (!rested)
+    known->is_disturbed = FALSE;
   return !rested && known->rest_until > now;
 }
 
--- a/router/availability.h
+++ b/router/availability.h
@@ -27,11 +27,16 @@
 ** endpoint still wants rest */
 #define REST_MOST (3600 * MP_SEC)
 
+/* kept for so much longer than was asked: the endpoint counts the time by a
+** clock of its own */
+#define REST_MARGIN (50 * MP_MS)
+
 /* all zero: it has said nothing */
 typedef struct Availability {
   gint64 leaving_since; /* known since then; 0: it did not say so */
   gint64 rest_until;
-  gboolean is_logged; /* that it sends unreadable signals */
+  gboolean is_disturbed; /* something was sent to it in this rest */
+  gboolean is_logged;    /* that it sends unreadable signals */
 } Availability;
 
 /* an answer said so, here or at another instance; TRUE: that is new */
--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -16,8 +16,15 @@
   return names[kind];
 }
 
+/* memory that is not freed now lapses by itself */
+static gboolean is_optional(const Dispatch *dispatch) {
+  return dispatch->kind == DISPATCH_RELEASE;
+}
+
 static void hold_back(Router *router, const Dispatch *dispatch,
                       const Endpoint *endpoint, GateVerdict verdict) {
+  if (is_optional(dispatch))
+    return;
   router_count(router, HELD_BACK);
   router_log(router, MP_LOG_DISPATCH_HELD_BACK,
              " endpoint=%s kind=%s reason=%s request=%" G_GUINT64_FORMAT,
@@ -25,9 +32,9 @@
              gate_verdict_name(verdict), dispatch->request);
 }
 
-guint64 dispatcher_send(Router *router, Dispatch *dispatch,
-                        const Endpoint *endpoint, gint64 now) {
-  GateVerdict verdict = gate_ask(endpoint, dispatch->kind, now);
+guint64 dispatcher_send(Router *router, Dispatch *dispatch, Endpoint *endpoint,
+                        gint64 now) {
+  GateVerdict verdict = gate_ask(endpoint, dispatch->kind, NULL, now);
   if (verdict != GATE_OPEN) {
     hold_back(router, dispatch, endpoint, verdict);
     return 0;
@@ -36,8 +43,10 @@
   dispatch->address = endpoint->record.address;
   dispatch->endpoint = endpoint->record.id;
   dispatch->life = endpoint->hash;
-  if (dispatch->kind != DISPATCH_CHECK)
+  if (dispatch->kind != DISPATCH_CHECK) {
     rate_limits_sent(router->rates, endpoint->hash);
+    endpoint->availability.is_disturbed = TRUE;
+  }
   router->host.dispatch(router->host.data, dispatch);
   return dispatch->number;
 }
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -150,7 +150,7 @@
 */
 
 static gboolean has_said_something(const Availability *known) {
-  return known->leaving_since != 0;
+  return known->leaving_since != 0 || known->rest_until != 0;
 }
 
 static gboolean is_outlived(gpointer id, gpointer life, gpointer now) {
@@ -260,11 +260,12 @@
          peer_loads_changing(table->peers, endpoint->hash);
 }
 
+/* no rate is asked: that is done last, for it draws */
 static gboolean fits(const EndpointTable *table, const Endpoint *endpoint,
                      const char *service, EndpointStage stage, gint64 now) {
   return endpoint->record.stage == stage &&
          strcmp(endpoint->record.service, service) == 0 &&
-         gate_ask(endpoint, DISPATCH_RUN, now) == GATE_OPEN &&
+         gate_ask(endpoint, DISPATCH_RUN, NULL, now) == GATE_OPEN &&
          !endpoint_changing(table, endpoint, now);
 }
 
@@ -288,11 +289,9 @@
          planned <= MEMORY_FILL * (double)wish->capacity;
 }
 
-/* by the rate that the endpoint names, if it does */
 static gboolean takes_more(const EndpointWish *wish, const Endpoint *endpoint,
                            gint64 now) {
-  return wish->rates == NULL ||
-         rate_limits_allow(wish->rates, endpoint->hash, &wish->sharers, now);
+  return gate_ask(endpoint, DISPATCH_RUN, &wish->rates, now) == GATE_OPEN;
 }
 
 static double cost_of_distance(const EndpointTable *table,
@@ -398,7 +397,8 @@
 static guint rooms_at(const EndpointWish *wish, const Endpoint *endpoint,
                       guint64 planned, gint64 now) {
   guint64 rooms = (wish->capacity - planned) / MAX(wish->tokens, 1);
-  if (wish->rates != NULL && rate_limits_of(wish->rates, endpoint->hash) >= 0)
+  if (wish->rates.limits != NULL &&
+      rate_limits_of(wish->rates.limits, endpoint->hash) >= 0)
     rooms = MIN(rooms, takes_more(wish, endpoint, now) ? 1 : 0);
   return (guint)rooms;
 }
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -41,19 +41,24 @@
   gboolean is_late;     /* loads in other zones are known late */
 } EndpointTable;
 
+/* the rates that endpoints name, and who shares them now */
+typedef struct GateRates {
+  RateLimits *limits; /* NULL: no endpoint names one */
+  RateSharers sharers;
+} GateRates;
+
 /* what is asked of an endpoint */
 typedef struct EndpointWish {
   const char *service;
   EndpointStage stage;
-  const char *zone;    /* preferred; NULL: this instance's */
-  guint64 affinity;    /* equal ones meet the same endpoint; 0: none */
-  gboolean at_home;    /* affinity turns the choice whatever the load */
-  guint64 spread;      /* random: tells equals apart where there is none */
-  guint64 capacity;    /* engines: tokens of memory, 0: unknown */
-  guint64 tokens;      /* tokens that the dispatch adds */
-  gboolean must_fit;   /* only where these find room now */
-  RateLimits *rates;   /* that endpoints name; NULL: none does */
-  RateSharers sharers; /* of these */
+  const char *zone;  /* preferred; NULL: this instance's */
+  guint64 affinity;  /* equal ones meet the same endpoint; 0: none */
+  gboolean at_home;  /* affinity turns the choice whatever the load */
+  guint64 spread;    /* random: tells equals apart where there is none */
+  guint64 capacity;  /* engines: tokens of memory, 0: unknown */
+  guint64 tokens;    /* tokens that the dispatch adds */
+  gboolean must_fit; /* only where these find room now */
+  GateRates rates;
   const char *const *excluded; /* ids */
   guint excluded_count;
 } EndpointWish;
--- a/router/finish.c
+++ b/router/finish.c
@@ -34,6 +34,7 @@
   case REFUSAL_OLD_CONFIGURATION:
   case REFUSAL_NOT_RUN:
   case REFUSAL_RATE:
+  case REFUSAL_REST:
     return RETRY_AFTER_BUSY_MS;
   case REFUSAL_NO_CONFIGURATION:
   case REFUSAL_NO_ENDPOINT:
@@ -59,7 +60,8 @@
                                       "limit",
                                       "old_configuration",
                                       "held",
-                                      "endpoint_rate"};
+                                      "endpoint_rate",
+                                      "endpoint_rest"};
   return names[kind];
 }
 
@@ -72,11 +74,13 @@
   Refusal refusal = {kind, finish_retry_after(kind)};
   if (promises_not_run(kind))
     accounts_return(router, request);
-  if (request->come_back != 0)
+  if (request->come_back != 0 && promises_not_run(kind))
     refusal.retry_after_ms = request->come_back / MP_MS;
   router_count(router, REFUSED);
   if (kind == REFUSAL_HELD)
     router_count(router, REFUSED_HELD);
+  if (kind == REFUSAL_REST)
+    router_count(router, REFUSED_REST);
   router_log(router, MP_LOG_ROUTE_REFUSED,
              " request=%s reason=%s runs=%u arrivals=%u unreachable=%u "
              "content=%016" G_GINT64_MODIFIER "x",
@@ -104,8 +108,8 @@
     break_off(router, request, "endpoint_lost");
   else if (request->runs > 0)
     finish_refuse(router, request, REFUSAL_OUTCOME_UNKNOWN);
-  else if (request->was_limited)
-    finish_refuse(router, request, REFUSAL_RATE);
+  else if (request->is_short)
+    finish_refuse(router, request, request->short_for);
   else if (request->was_busy)
     finish_refuse(router, request, REFUSAL_BUSY);
   else
--- a/router/gate.h
+++ b/router/gate.h
@@ -6,11 +6,13 @@
 ** dispatch that goes out: what an endpoint has said forbids a dispatch in one
 ** place, whoever wants to send it.
 **
-**                   the endpoint leaves
-**   RUN, PREFILL      no
-**   ORDER, REPORT     no
-**   RELEASE           yes: it frees memory
-**   CHECK             yes: no request is sent
+**                   it leaves   it rests                 it names a rate
+**   RUN, PREFILL    no          no                       as that allows
+**   ORDER, REPORT   no          no                       yes, and counted
+**   RELEASE         yes         one in a rest: it frees  yes, and counted
+**                               memory, the next ones
+**                               lapse by themselves
+**   CHECK           yes         yes: no request is sent  yes
 */
 
 #ifndef ROUTER_GATE_H
@@ -21,10 +23,15 @@
 
 typedef enum GateVerdict {
   GATE_OPEN,
-  GATE_LEAVING /* the endpoint leaves, by its own word or the list's */
+  GATE_LEAVING, /* the endpoint leaves, by its own word or the list's */
+  GATE_RESTING, /* it wants no request from this instance */
+  GATE_RATE     /* it takes no more by the rate it names */
 } GateVerdict;
 
-GateVerdict gate_ask(const Endpoint *endpoint, DispatchKind kind, gint64 now);
+/* 'rates' is NULL where no rate is asked: the place in it is given already, or
+** nothing is sent yet. With rates the answer holds until something is sent */
+GateVerdict gate_ask(const Endpoint *endpoint, DispatchKind kind,
+                     const GateRates *rates, gint64 now);
 /* as logs and traces have it */
 const char *gate_verdict_name(GateVerdict verdict);
 
--- a/router/lives.c
+++ b/router/lives.c
@@ -13,10 +13,13 @@
 
 static guint64 check_endpoint(void *data, const Endpoint *endpoint,
                               gint64 timeout, gint64 now) {
+  Router *router = data;
+  Endpoint *target = endpoint_table_get_life(
+      router->endpoints, endpoint->record.id, endpoint->hash);
   Dispatch dispatch = {0};
   dispatch.kind = DISPATCH_CHECK;
   dispatch.connect_timeout = timeout;
-  return dispatcher_send(data, &dispatch, endpoint, now);
+  return target != NULL ? dispatcher_send(router, &dispatch, target, now) : 0;
 }
 
 static void endpoint_ended(void *data, const char *endpoint, guint32 life,
--- a/router/path.c
+++ b/router/path.c
@@ -66,10 +66,7 @@
   wish.excluded = (const char *const *)request->excluded;
   wish.excluded_count = request->excluded_count;
   wish.spread = (guint64)g_rand_int(router->random) + 1;
-  if (rate_limits_count(router->rates) > 0) {
-    wish.rates = router->rates;
-    wish.sharers = rates_sharers(router, request->service, now);
-  }
+  wish.rates = rates_of_service(router, request->service, now);
   return wish;
 }
 
@@ -184,13 +181,13 @@
     return NULL;
   endpoint = endpoint_table_get_life(router->endpoints, request->decode,
                                      request->decode_life);
-  if (endpoint == NULL || gate_ask(endpoint, DISPATCH_RUN, now) != GATE_OPEN)
+  if (endpoint == NULL ||
+      gate_ask(endpoint, DISPATCH_RUN, NULL, now) != GATE_OPEN)
     return NULL;
   return endpoint;
 }
 
-/* the stage of the endpoints that run such a request */
-static EndpointStage run_stage(const Request *request) {
+EndpointStage path_run_stage(const Request *request) {
   return request->service->is_engine ? STAGE_DECODE : STAGE_NONE;
 }
 
@@ -205,7 +202,7 @@
 /* the reserved endpoint, or another one with room; NULL when none has any */
 static Endpoint *choose_with_room(Router *router, const Request *request,
                                   gint64 now) {
-  EndpointStage stage = run_stage(request);
+  EndpointStage stage = path_run_stage(request);
   EndpointWish wish = path_wish(router, request, stage, now);
   Endpoint *endpoint = reserved_decode(router, request, now);
   if (endpoint != NULL && !is_overbooked(router, request, endpoint))
@@ -215,7 +212,7 @@
 }
 
 static Endpoint *choose(Router *router, const Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, run_stage(request), now);
+  EndpointWish wish = path_wish(router, request, path_run_stage(request), now);
   Endpoint *endpoint = reserved_decode(router, request, now);
   Endpoint *other = choose_with_room(router, request, now);
   if (other != NULL)
@@ -289,7 +286,7 @@
     return;
   endpoint = choose(router, request, now);
   if (endpoint == NULL) {
-    request->was_limited = rates_hold_back(router, request, now);
+    shortage_note(router, request, now);
     finish_give_up(router, request, now);
     return;
   }
@@ -376,7 +373,7 @@
 
 /* is there an endpoint beside those that failed and the open run's own? */
 static gboolean has_elsewhere(Router *router, Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, run_stage(request), now);
+  EndpointWish wish = path_wish(router, request, path_run_stage(request), now);
   const char *others[MAX_EXCLUDED + 1];
   guint i;
   for (i = 0; i < request->excluded_count; i++)
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -85,15 +85,15 @@
 /* the engine that read the prompt, if it can read it again */
 static Endpoint *earlier_reader(Router *router, const Request *request,
                                 gint64 now) {
+  GateRates rates = rates_of_service(router, request->service, now);
   Endpoint *endpoint;
   if (request->read_by == NULL || path_is_excluded(request, request->read_by))
     return NULL;
   endpoint = endpoint_table_get(router->endpoints, request->read_by);
-  if (endpoint == NULL ||
-      gate_ask(endpoint, DISPATCH_PREFILL, now) != GATE_OPEN ||
-      endpoint->record.stage != STAGE_PREFILL || endpoint->avoid_until > now ||
+  if (endpoint == NULL || endpoint->record.stage != STAGE_PREFILL ||
+      endpoint->avoid_until > now ||
       endpoint_changing(router->endpoints, endpoint, now) ||
-      !rates_allow(router, request, endpoint, now))
+      gate_ask(endpoint, DISPATCH_PREFILL, &rates, now) != GATE_OPEN)
     return NULL;
   return endpoint;
 }
@@ -283,7 +283,7 @@
 /* an endpoint that is not listed any more lets it lapse by itself */
 static void release_handle(Router *router, const Request *request,
                            gint64 now) {
-  const Endpoint *endpoint =
+  Endpoint *endpoint =
       endpoint_table_get(router->endpoints, request->handle_endpoint);
   Dispatch release = {0};
   if (endpoint == NULL || now >= request->handle_until)
--- a/router/rates.c
+++ b/router/rates.c
@@ -13,18 +13,11 @@
 #include "router/retry_exchange.h"
 #include "router/state.h"
 
-/* requests that wait for an engine look again this often while one of them
-** names a rate: what it still takes grows with time alone */
-#define LOOK_AGAIN (50 * MP_MS)
 /* who sends is counted anew after this: each look at a request that waits
 ** asks, and counting walks over all instances that are heard. (300 instances,
 ** 100 requests that wait for engines that name rates: a digest that comes in
 ** took 628 us without it, 25 us with it, on one core) */
 #define VIEW_KEPT (5 * MP_MS)
-/* who is refused comes back after this at least, and each at another moment */
-#define COME_BACK_LEAST (100 * MP_MS)
-#define COME_BACK_SPREAD (400 * MP_MS)
-
 /*
 ** {==================================================================
 ** What endpoints say
@@ -136,54 +129,14 @@
   return view->sharers;
 }
 
-gboolean rates_allow(Router *router, const Request *request,
-                     const Endpoint *endpoint, gint64 now) {
-  RateSharers sharers;
-  if (rate_limits_count(router->rates) == 0)
-    return TRUE;
-  sharers = rates_sharers(router, request->service, now);
-  return rate_limits_allow(router->rates, endpoint->hash, &sharers, now);
-}
-
-/* the first time at which an endpoint of the service is likely to take one
-** request more; G_MAXINT64: none of them names a rate */
-static gint64 shortest_wait(Router *router, const Service *service,
-                            gint64 now) {
-  RateSharers sharers = rates_sharers(router, service, now);
-  const GPtrArray *all = router->endpoints->all;
-  gint64 least = G_MAXINT64;
-  guint i;
-  for (i = 0; i < all->len; i++) {
-    const Endpoint *endpoint = all->pdata[i];
-    gint64 wait;
-    if (strcmp(endpoint->record.service, service->name) != 0 ||
-        rate_limits_of(router->rates, endpoint->hash) < 0)
-      continue;
-    wait = rate_limits_wait(router->rates, endpoint->hash, &sharers, now);
-    least = MIN(least, wait);
-  }
-  return least;
-}
-
-gboolean rates_hold_back(Router *router, Request *request, gint64 now) {
-  double spread = g_rand_double(router->random) * COME_BACK_SPREAD;
-  gint64 wait;
+GateRates rates_of_service(Router *router, const Service *service,
+                           gint64 now) {
+  GateRates rates = {0};
   if (rate_limits_count(router->rates) == 0)
-    return FALSE;
-  wait = shortest_wait(router, request->service, now);
-  if (wait == G_MAXINT64)
-    return FALSE;
-  request->come_back = MAX(wait, COME_BACK_LEAST) + (gint64)spread;
-  return TRUE;
-}
-
-void rates_plan_look(Router *router, gint64 now) {
-  gboolean needed =
-      router->waiting->len > 0 && rate_limits_count(router->rates) > 0;
-  if (!needed)
-    router->rates_look_at = 0;
-  else if (router->rates_look_at <= now)
-    router->rates_look_at = now + LOOK_AGAIN;
+    return rates;
+  rates.limits = router->rates;
+  rates.sharers = rates_sharers(router, service, now);
+  return rates;
 }
 
 /* }================================================================== */
--- a/router/router.c
+++ b/router/router.c
@@ -324,8 +324,8 @@
 
 gint64 router_next_tick(const Router *router) {
   gint64 next = stages_next_tick(router->stages);
-  if (router->rates_look_at != 0)
-    next = MIN(next, router->rates_look_at);
+  if (router->shortage_look_at != 0)
+    next = MIN(next, router->shortage_look_at);
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init(&iterator, router->requests);
--- a/router/router.h
+++ b/router/router.h
@@ -102,7 +102,8 @@
   REFUSAL_OLD_CONFIGURATION, /* not run: its key may have been taken away, or
                              ** its route have come, since the configuration */
   REFUSAL_HELD, /* not run: endpoints end under it (router/quarantine.h) */
-  REFUSAL_RATE  /* not run: endpoints take no more by the rates they name */
+  REFUSAL_RATE, /* not run: endpoints take no more by the rates they name */
+  REFUSAL_REST  /* not run: endpoints want no request for a while */
 } RefusalKind;
 
 typedef struct Refusal {
--- a/router/stages.c
+++ b/router/stages.c
@@ -242,6 +242,7 @@
     if (!is_counted(endpoint, service) || endpoint->record.stage != from ||
         endpoint_changing(table, endpoint, now) ||
         endpoint->avoid_until > now || endpoint->order_after > now ||
+        gate_ask(endpoint, DISPATCH_REPORT, NULL, now) != GATE_OPEN ||
         is_moving(stages, endpoint->record.id))
       continue;
     count = count_in_zone(stages, service, from, endpoint->record.zone, now);
@@ -372,10 +373,10 @@
 
 static gboolean may_send(const Endpoint *endpoint, DispatchKind kind,
                          gint64 now) {
-  return endpoint != NULL && gate_ask(endpoint, kind, now) == GATE_OPEN;
+  return endpoint != NULL && gate_ask(endpoint, kind, NULL, now) == GATE_OPEN;
 }
 
-static void send(Stages *stages, Move *move, const Endpoint *endpoint,
+static void send(Stages *stages, Move *move, Endpoint *endpoint,
                  const StageOrder *order, gint64 now) {
   Dispatch dispatch = {0};
   dispatch.kind = order != NULL ? DISPATCH_ORDER : DISPATCH_REPORT;
@@ -385,7 +386,7 @@
 }
 
 static void ask(Stages *stages, Move *move, gint64 now) {
-  const Endpoint *endpoint = endpoint_of(stages, move);
+  Endpoint *endpoint = endpoint_of(stages, move);
   if (!may_send(endpoint, DISPATCH_REPORT, now)) {
     give_up(stages, move, now);
     return;
--- a/router/state.h
+++ b/router/state.h
@@ -38,6 +38,7 @@
   X(REFUSED_LIMIT, "refused_for_limit")              \
   X(REFUSED_OLD, "refused_for_old_configuration")    \
   X(REFUSED_HELD, "refused_as_held")                 \
+  X(REFUSED_REST, "refused_for_rest")                \
   X(ENDPOINT_ENDS, "endpoints_ended_under_requests") \
   X(STARTED, "requests_started")                     \
   X(STARTED_LATE, "requests_started_late")           \
@@ -94,8 +95,9 @@
   unsigned prefills; /* prefills that were read to the end */
   unsigned prefills_sent;
   unsigned unreachable;
-  gboolean was_busy;    /* some endpoint turned it away */
-  gboolean was_limited; /* endpoints take no more by the rates they name */
+  gboolean was_busy;     /* some endpoint turned it away */
+  gboolean is_short;     /* endpoints take no more, by what they said */
+  RefusalKind short_for; /* is_short: what they said */
   gint64 turn_at;    /* waiting: start then, if there is still room; 0: none */
   gboolean returned; /* it was refused before, and came back */
   gint64 first_try;  /* when its caller tried first, as far as that is known */
@@ -145,19 +147,19 @@
   AccountLimits *limits;
   RateLimits *rates; /* that endpoints name */
   RateView rates_view;
-  gint64 rates_look_at;   /* who waits looks again then; 0: no need */
-  CrashWatch *crashes;    /* endpoints that may have ended under requests */
-  Quarantine *quarantine; /* requests that end endpoints */
-  gint64 revoke_bound;    /* as in RouterOptions */
-  gint64 proved_at;       /* router_configuration_proved */
-  gint64 heard_at;        /* router_news_heard; 0: never */
-  gint64 news_bound;      /* as in RouterOptions */
-  gboolean stopping;      /* no request is taken any more */
-  Stages *stages;         /* orders to engines */
-  GPtrArray *waiting;     /* Request in PHASE_WAIT, first one first */
-  gint64 last_end;        /* when the last run at an engine ended */
-  double end_interval;    /* mean time between such ends, here */
-  guint64 load_version;   /* grows when what is open here changes */
+  gint64 shortage_look_at; /* who waits looks again then; 0: no need */
+  CrashWatch *crashes;     /* endpoints that may have ended under requests */
+  Quarantine *quarantine;  /* requests that end endpoints */
+  gint64 revoke_bound;     /* as in RouterOptions */
+  gint64 proved_at;        /* router_configuration_proved */
+  gint64 heard_at;         /* router_news_heard; 0: never */
+  gint64 news_bound;       /* as in RouterOptions */
+  gboolean stopping;       /* no request is taken any more */
+  Stages *stages;          /* orders to engines */
+  GPtrArray *waiting;      /* Request in PHASE_WAIT, first one first */
+  gint64 last_end;         /* when the last run at an engine ended */
+  double end_interval;     /* mean time between such ends, here */
+  guint64 load_version;    /* grows when what is open here changes */
   guint64 counters[ROUTER_COUNTER_COUNT];
   Histogram durations[DURATION_COUNT];
 };
@@ -183,8 +185,8 @@
 
 /* send it to this life of the endpoint, which is filled in; its number, or 0
 ** when the gate is closed: nothing was sent */
-guint64 dispatcher_send(Router *router, Dispatch *dispatch,
-                        const Endpoint *endpoint, gint64 now);
+guint64 dispatcher_send(Router *router, Dispatch *dispatch, Endpoint *endpoint,
+                        gint64 now);
 
 /* }================================================================== */
 
@@ -207,6 +209,8 @@
 ** ===================================================================
 */
 
+/* the stage of the endpoints that run such a request */
+EndpointStage path_run_stage(const Request *request);
 /* begin; may end */
 void path_begin(Router *router, Request *request, gint64 now);
 /* a decode engine has room: prefill for it, or run there; may end */
@@ -294,16 +298,28 @@
                      const EndpointSignals *signals, gint64 now);
 /* 'service' is NULL where nothing is sent */
 RateSharers rates_sharers(Router *router, const Service *service, gint64 now);
-/* may the request be sent there now, by the rate that the endpoint names? */
-gboolean rates_allow(Router *router, const Request *request,
-                     const Endpoint *endpoint, gint64 now);
-/* no endpoint took it: was that for their rates? Then it is told when to come
-** back */
-gboolean rates_hold_back(Router *router, Request *request, gint64 now);
+/* for the gate: the rates that endpoints of the service name */
+GateRates rates_of_service(Router *router, const Service *service, gint64 now);
 /* endpoints have come or gone */
 void rates_endpoints_changed(Router *router);
-/* who waits looks again soon, where rates are named */
-void rates_plan_look(Router *router, gint64 now);
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** shortage.c: endpoints want fewer requests than there are
+** ===================================================================
+*/
+
+/* no endpoint took the request: if that is for what they said of rests and
+** rates, note why, and when its caller may come back */
+void shortage_note(Router *router, Request *request, gint64 now);
+/* do all endpoints that could run it rest for longer than this? */
+gboolean shortage_lasts(const Router *router, const Request *request,
+                        gint64 span, gint64 now);
+/* who waits for an engine looks again soon, where engines rest or name rates
+ */
+void shortage_plan_look(Router *router, gint64 now);
 
 /* }================================================================== */
 
--- a/test/scenario/endpoint_rest.lua
+++ b/test/scenario/endpoint_rest.lua
@@ -3,6 +3,7 @@
 --
 -- What was seen: an endpoint that had asked an instance for 3 s of rest got
 -- three and six requests from it in that time; two are the most.
+-- Cause: nothing read what it asked for (test/test_endpoint_rest.cc).
 dofile("test/scenario/lib/gateway.lua")
 start_gateway(6)
 wait_counted(6)
--- a/test/test_endpoint_rest.cc
+++ b/test/test_endpoint_rest.cc
@@ -10,11 +10,16 @@
 */
 
 #include <algorithm>
+#include <set>
 
 #include <gtest/gtest.h>
 
 #include "rate_fleet.h"
 
+extern "C" {
+#include "router/state.h"
+}
+
 using namespace rates;
 
 namespace {
@@ -82,4 +87,248 @@
   }
 }
 
+/*
+** {==================================================================
+** One instance
+** ===================================================================
+*/
+
+struct RestWorld : ::testing::Test {
+  World world;
+
+  void SetUp() override {
+    world.born_unix_ms = 1000;
+    world.populate();
+  }
+  /* the endpoint of this dispatch turns it away, and asks for rest */
+  void turn_away(guint64 dispatch, gint64 time) {
+    world.signal(dispatch, routing::signals_rest(time));
+    world.outcome(dispatch, OUTCOME_NOT_RUN, 503);
+  }
+  /* any endpoint asks for rest; nothing of it has to be open here */
+  void ask(const char *id, gint64 time) {
+    EndpointRecord record = {};
+    EndpointSignals said = routing::signals_rest(time);
+    record.id = const_cast<char *>(id);
+    record.born_unix_ms = world.born_unix_ms;
+    router_endpoint_signals(world.router, id, endpoint_life_hash(&record),
+                            &said, world.now);
+  }
+  /* where plain requests go, if they end at once */
+  unsigned plain_at(const char *id, int count) {
+    unsigned before = sent(id);
+    for (int i = 0; i < count; i++) {
+      world.request("/safe/x");
+      if (!world.last().ended)
+        world.outcome(world.last().number, OUTCOME_ANSWER);
+    }
+    return sent(id) - before;
+  }
+  unsigned sent(const char *id) const {
+    unsigned count = 0;
+    for (const Sent &one : world.dispatches)
+      count += one.endpoint == id;
+    return count;
+  }
+  unsigned resting() const {
+    return router_resting_endpoints(world.router, world.now);
+  }
+};
+
+TEST_F(RestWorld, ItGetsNothingUntilTheEndAndIsUsedAgain) {
+  ask("app-1", 3 * second);
+  EXPECT_EQ(plain_at("app-1", 5), 0u);
+  world.advance(3 * second);
+  EXPECT_EQ(plain_at("app-1", 5), 0u); /* the margin of its own clock */
+  world.advance(REST_MARGIN);
+  EXPECT_GT(plain_at("app-1", 5), 0u);
+}
+
+TEST_F(RestWorld, OfSeveralTheLatestEndHolds) {
+  ask("app-1", 3 * second);
+  world.advance(100 * ms);
+  ask("app-1", 1 * second);
+  world.advance(2 * second);
+  EXPECT_EQ(plain_at("app-1", 5), 0u);
+  ask("app-1", 2 * second);
+  world.advance(1500 * ms);
+  EXPECT_EQ(plain_at("app-1", 5), 0u);
+  world.advance(second);
+  EXPECT_GT(plain_at("app-1", 5), 0u);
+}
+
+TEST_F(RestWorld, NoTimeIsNoRest) {
+  ask("app-1", 0);
+  EXPECT_EQ(resting(), 0u);
+  EXPECT_GT(plain_at("app-1", 5), 0u);
+}
+
+TEST_F(RestWorld, AnAnswerToAnEarlierRequestEndsNone) {
+  world.request("/safe/x");
+  Sent slow = world.last();
+  ask(slow.endpoint.c_str(), 3 * second);
+  world.signal(slow.number, routing::signals_served());
+  world.outcome(slow.number, OUTCOME_ANSWER);
+  EXPECT_EQ(plain_at(slow.endpoint.c_str(), 5), 0u);
+}
+
+/* nor is it cut short where a connection fails */
+TEST_F(RestWorld, AConnectionThatFailsEndsNone) {
+  world.request("/safe/x");
+  Sent failed = world.last();
+  ask(failed.endpoint.c_str(), 5 * second);
+  world.outcome(failed.number, OUTCOME_UNREACHABLE);
+  world.advance(4 * second);
+  EXPECT_EQ(plain_at(failed.endpoint.c_str(), 5), 0u);
+}
+
+TEST_F(RestWorld, AVeryLongOneIsBelievedForAnHour) {
+  ask("app-1", 1000000000LL * second);
+  world.advance(REST_MOST);
+  EXPECT_EQ(plain_at("app-1", 5), 0u);
+  world.advance(REST_MARGIN);
+  EXPECT_GT(plain_at("app-1", 5), 0u);
+}
+
+TEST_F(RestWorld, ALaterLifeHasNone) {
+  ask("app-1", 30 * second);
+  world.born_unix_ms = 2000;
+  world.endpoint({"app-1", "app", "a", STAGE_NONE});
+  EXPECT_GT(plain_at("app-1", 5), 0u);
+}
+
+TEST_F(RestWorld, AListThatLosesItAndHasItAgainEndsNone) {
+  ask("app-1", 30 * second);
+  world.endpoint({"app-1", "app", "a", STAGE_NONE}, true, true);
+  world.endpoint({"app-1", "app", "a", STAGE_NONE});
+  EXPECT_EQ(plain_at("app-1", 5), 0u);
+}
+
+/* it was asked of this instance alone: the others are told nothing of it */
+TEST_F(RestWorld, ItBindsOneInstance) {
+  mp_LoadDigest digest = {};
+  ask("app-1", 3 * second);
+  router_load_digest(world.router, &digest, world.now);
+  EXPECT_EQ(digest.leaving_count, 0u);
+  EXPECT_EQ(digest.n, 0u);
+}
+
+TEST_F(RestWorld, WithAllRestingCallersHearAtOnceWhenTheFirstIsBack) {
+  std::set<gint64> told;
+  ask("app-1", 3 * second);
+  ask("app-2", 2 * second);
+  for (int i = 0; i < 20; i++) {
+    guint64 number = world.request("/safe/x");
+    const routing::Ended &end = world.end(number);
+    ASSERT_EQ(end.refusals, 1);
+    EXPECT_EQ(end.refusal, REFUSAL_REST);
+    EXPECT_GE(end.retry_after_ms, 2000);
+    EXPECT_LE(end.retry_after_ms, 2 * 2100);
+    told.insert(end.retry_after_ms);
+  }
+  EXPECT_GT(told.size(), 10u) << "they do not come back as one wave";
+  EXPECT_TRUE(world.dispatches.empty());
+}
+
+/* what the caller is told after a run that may have run says no such thing */
+TEST_F(RestWorld, AnUnknownOutcomeHasNoTimeToComeBack) {
+  guint64 number = world.request("/safe/x");
+  Sent first = world.last();
+  ask("app-1", 3 * second);
+  ask("app-2", 3 * second);
+  world.outcome(first.number, OUTCOME_BROKEN);
+  EXPECT_EQ(world.end(number).refusal, REFUSAL_OUTCOME_UNKNOWN);
+  EXPECT_EQ(world.end(number).retry_after_ms, 0);
+}
+
+TEST_F(RestWorld, ARefusedRunGoesToAnotherEndpoint) {
+  guint64 number = world.request("/unsafe/x");
+  Sent first = world.last();
+  turn_away(first.number, 3 * second);
+  EXPECT_EQ(world.runs(number), 2u);
+  EXPECT_NE(world.last().endpoint, first.endpoint);
+  EXPECT_EQ(resting(), 1u);
+}
+
+TEST_F(RestWorld, PromptsAndRunsOfEnginesGoElsewhere) {
+  ask("pre-1", 3 * second);
+  ask("dec-1", 3 * second);
+  guint64 number = world.request("/stream/x");
+  EXPECT_EQ(world.runs(number), 1u);
+  EXPECT_EQ(world.last().endpoint,
+            "dec-2"); /* which reads the prompt itself */
+  EXPECT_EQ(sent("pre-1"), 0u);
+}
+
+TEST_F(RestWorld, ARunGoesElsewhereThanToAReservedEngineThatRests) {
+  guint64 number = world.request("/stream/x");
+  Sent prompt = world.last();
+  ask("dec-1", 3 * second);
+  world.prefilled(prompt.number);
+  EXPECT_EQ(world.runs(number), 1u);
+  EXPECT_EQ(world.last().endpoint, "dec-2");
+}
+
+/* what can't be served in time is refused, not held */
+TEST_F(RestWorld, WithAllEnginesRestingForLongCallersHearAtOnce) {
+  ask("dec-1", 5 * second);
+  ask("dec-2", 4 * second);
+  guint64 number = world.request("/stream/x");
+  EXPECT_EQ(world.end(number).refusals, 1);
+  EXPECT_EQ(world.end(number).refusal, REFUSAL_REST);
+  EXPECT_GE(world.end(number).retry_after_ms, 4000);
+  EXPECT_TRUE(world.dispatches.empty());
+}
+
+TEST_F(RestWorld, AShortRestOfAllEnginesIsWaitedFor) {
+  ask("dec-1", 200 * ms);
+  ask("dec-2", 200 * ms);
+  guint64 number = world.request("/stream/x");
+  EXPECT_TRUE(world.dispatches.empty());
+  world.advance(400 * ms);
+  ASSERT_FALSE(world.dispatches.empty());
+  EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+  EXPECT_EQ(world.end(number).refusals, 0);
+}
+
+/* one handle is freed there in a rest; the next ones lapse by themselves */
+TEST_F(RestWorld, OneReleaseIsSentInARest) {
+  std::vector<guint64> callers;
+  for (int i = 0; i < 3; i++) {
+    callers.push_back(world.request("/stream/x", 10000, 1000, 500));
+    ASSERT_EQ(world.last().kind, DISPATCH_PREFILL);
+  }
+  std::vector<guint64> prompts;
+  for (const Sent &one : world.dispatches)
+    prompts.push_back(one.number);
+  /* no decode engine takes a run: the handles are kept, and then dropped */
+  ask("dec-1", 10 * second);
+  ask("dec-2", 10 * second);
+  ask("pre-1", 10 * second);
+  for (size_t i = 0; i < prompts.size(); i++)
+    world.prefilled(prompts[i], ("h" + std::to_string(i)).c_str());
+  for (guint64 caller : callers)
+    world.hangup(caller);
+  unsigned releases = 0;
+  for (const Sent &one : world.dispatches)
+    releases += one.kind == DISPATCH_RELEASE;
+  EXPECT_EQ(releases, 1u);
+}
+
+TEST_F(RestWorld, WhatCannotBeReadIsLoggedOnceAndCounted) {
+  EndpointSignals bad = {};
+  bad.rest = SIGNAL_UNREADABLE;
+  world.request("/safe/x");
+  for (int i = 0; i < 3; i++)
+    world.signal(world.last().number, bad);
+  unsigned lines = 0;
+  for (const std::string &line : world.log)
+    lines += line.compare(0, 4, "2015") == 0;
+  EXPECT_EQ(lines, 1u);
+  EXPECT_EQ(router_counter(world.router, ROUTER_COUNT_SIGNALS_BAD), 3u);
+  EXPECT_EQ(resting(), 0u);
+}
+
+/* }================================================================== */
+
 } // namespace
