Ends of endpoints that are suspected count until they are proved

What callers saw: a request that ends engines was sent to four engines more in the 1.45 s until the list proved the third end; others' streams there broke off. Cause: a run that broke off counted for nothing until its endpoint's end was proved. Where connections are not refused the list alone proves it, 1.5 to 3.6 s later, and each instance knows only its own breaks. Weighed (docs/design/quarantine.md): waiting, a strike at once, one run at a time. Change: router/suspicions keeps (content, life) for 4.5 s, counts them as strikes beside the proved ones when something is to be sent, and tells them to the others after 0.2 s with the news of strikes. That life's next answer takes them away, so engines that break answers off and live defer nobody. The caller hears 'suspected' with the end of the wait; nothing is quarantined for it. Why it holds: what is waited for is the proof itself, at all instances.

--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -579,10 +579,20 @@
   uint32_t crash[MP_CRASHES_EACH]; /* hashes of an endpoint's id and life */
 } mp_CrashRow;
 
+/* a request that broke off where an endpoint may have ended
+** (router/suspicions.h) */
+typedef struct mp_SuspectRow {
+  uint64_t request;  /* digest of its content and client account */
+  uint32_t endpoint; /* hash of its id and life */
+  uint32_t age_ms;   /* since the run broke off */
+} mp_SuspectRow;
+
 /* those that the sender learned of lately */
 typedef struct mp_CrashNews {
   unsigned n;
   mp_CrashRow row[MP_CRASH_ROWS];
+  unsigned suspected_n;
+  mp_SuspectRow suspected[MP_SUSPECT_ROWS];
 } mp_CrashNews;
 
 /* an endpoint that names the rate it takes (router/rate_limits.h) */
--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -66,6 +66,9 @@
 #define MP_CRASH_ROWS 16
 #define MP_CRASHES_EACH 6
 
+/* suspected ends of endpoints, in one datagram */
+#define MP_SUSPECT_ROWS 24
+
 /* endpoints that name a rate, in one datagram */
 #define MP_RATE_ROWS 64
 
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -89,7 +89,7 @@
   exchange->crashes_told = router_crash_version(exchange->router);
   router_tell_crashes(exchange->router, FALSE, &message.u.crashes,
                       clock_now());
-  if (message.u.crashes.n > 0)
+  if (message.u.crashes.n > 0 || message.u.crashes.suspected_n > 0)
     send_to_all(exchange, &message);
 }
 
--- a/router/finish.c
+++ b/router/finish.c
@@ -41,7 +41,8 @@
     return RETRY_AFTER_ABSENT_MS;
   case REFUSAL_DRAINING:
     return RETRY_AFTER_DRAINING_MS;
-  case REFUSAL_HELD: /* the request says when: suspects_may_send */
+  case REFUSAL_HELD:
+  case REFUSAL_SUSPECTED: /* the request says when: suspects_may_send */
   default:
     return 0;
   }
@@ -61,7 +62,8 @@
                                       "old_configuration",
                                       "held",
                                       "endpoint_rate",
-                                      "endpoint_rest"};
+                                      "endpoint_rest",
+                                      "suspected"};
   return names[kind];
 }
 
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -252,6 +252,12 @@
   return row != NULL ? count_of(row) : 0;
 }
 
+gboolean quarantine_has_strike(const Quarantine *quarantine, guint64 content,
+                               guint32 crash) {
+  Row *row = find(quarantine, content);
+  return row != NULL && find_strike(row, crash) != NULL;
+}
+
 static gint64 hold_length(guint strikes) {
   gint64 length = HOLD_FIRST;
   guint i;
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -81,6 +81,9 @@
 void quarantine_lift(Quarantine *quarantine, guint64 content, gint64 now);
 
 guint quarantine_strikes(const Quarantine *quarantine, guint64 content);
+/* is this end known of it, whether it counts still or was taken off? */
+gboolean quarantine_has_strike(const Quarantine *quarantine, guint64 content,
+                               guint32 crash);
 /* until when it is held; 0: it is not; G_MAXINT64: until an operator acts */
 gint64 quarantine_held_until(const Quarantine *quarantine, guint64 content,
                              gint64 now);
--- a/router/router.c
+++ b/router/router.c
@@ -63,6 +63,7 @@
   router->rates = rate_limits_new(options->seed ^ options->self);
   router->crashes = lives_watch_new(router);
   router->quarantine = quarantine_new(options->unix_offset, options->seed);
+  router->suspicions = suspicions_new();
   router->revoke_bound = options->revoke_bound;
   router->news_bound = options->news_bound;
   router->dispatched = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -77,6 +78,7 @@
   rate_limits_free(router->rates);
   crash_watch_free(router->crashes);
   quarantine_free(router->quarantine);
+  suspicions_free(router->suspicions);
   g_hash_table_destroy(router->dispatched);
   g_ptr_array_free(router->waiting, TRUE);
   g_hash_table_destroy(router->requests);
@@ -296,6 +298,8 @@
   request = g_hash_table_lookup(router->dispatched, &outcome->dispatch);
   if (request == NULL)
     return; /* given up before */
+  if (outcome->kind != OUTCOME_UNREACHABLE && outcome->kind != OUTCOME_BROKEN)
+    suspects_answered(router, request, now);
   if (request->phase == PHASE_PREFILL)
     prefill_outcome(router, request, outcome, now);
   else
@@ -373,6 +377,7 @@
   stages_tick(router->stages, now);
   crash_watch_expire(router->crashes, now);
   quarantine_expire(router->quarantine, now);
+  suspicions_expire(router->suspicions, now);
   admission_run(router, now);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -103,7 +103,8 @@
                              ** its route have come, since the configuration */
   REFUSAL_HELD, /* not run: endpoints end under it (router/quarantine.h) */
   REFUSAL_RATE, /* not run: endpoints take no more by the rates they name */
-  REFUSAL_REST  /* not run: endpoints want no request for a while */
+  REFUSAL_REST, /* not run: endpoints want no request for a while */
+  REFUSAL_SUSPECTED /* not run: endpoints may have ended under it */
 } RefusalKind;
 
 typedef struct Refusal {
--- a/router/state.h
+++ b/router/state.h
@@ -17,6 +17,7 @@
 #include "router/retry_budget.h"
 #include "router/router.h"
 #include "router/stages.h"
+#include "router/suspicions.h"
 
 /* X(symbol, name); all of them count from the start of the instance */
 #define ROUTER_COUNTERS(X)                           \
@@ -150,6 +151,7 @@
   gint64 shortage_look_at; /* who waits looks again then; 0: no need */
   CrashWatch *crashes;     /* endpoints that may have ended under requests */
   Quarantine *quarantine;  /* requests that end endpoints */
+  Suspicions *suspicions;  /* ends that are not proved yet */
   gint64 revoke_bound;     /* as in RouterOptions */
   gint64 proved_at;        /* router_configuration_proved */
   gint64 heard_at;         /* router_news_heard; 0: never */
@@ -402,6 +404,8 @@
 /* an endpoint's life ended under it */
 void suspects_strike(Router *router, const QuarantineSuspect *suspect,
                      guint32 life, gint64 now);
+/* the endpoint of the open dispatch has answered something: it lives */
+void suspects_answered(Router *router, const Request *request, gint64 now);
 /* a run of it ended well */
 void suspects_succeeded(Router *router, const Request *request);
 /* refuse the waiting requests that are held now; they end */
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -12,19 +12,46 @@
 ** try on another day finds */
 #define RETRY_AFTER_LIFTED (86400 * MP_SEC)
 
+static gboolean is_proved(void *quarantine, guint64 content, guint32 life) {
+  return quarantine_has_strike(quarantine, content, life);
+}
+
+/*
+** Ends that are not proved yet count as strikes for the seconds until they are
+** proved or disproved: else each instance sends the request to one endpoint
+** more meanwhile. 0: it is not deferred.
+*/
+static gint64 deferred_until(const Router *router, guint64 content,
+                             gint64 now) {
+  gint64 until;
+  guint suspected = suspicions_count(router->suspicions, content, is_proved,
+                                     router->quarantine, &until, now);
+  guint strikes;
+  if (suspected == 0)
+    return 0;
+  strikes = quarantine_strikes(router->quarantine, content);
+  return strikes + suspected >= QUARANTINE_STRIKES ? until : 0;
+}
+
 gboolean suspects_may_send(Router *router, Request *request, RefusalKind *why,
                            gint64 now) {
   gint64 until =
       quarantine_held_until(router->quarantine, request->content, now);
+  *why = REFUSAL_HELD;
+  if (until == 0) {
+    until = deferred_until(router, request->content, now);
+    *why = REFUSAL_SUSPECTED;
+  }
   if (until == 0)
     return TRUE;
-  *why = REFUSAL_HELD;
   request->come_back = until == G_MAXINT64 ? RETRY_AFTER_LIFTED : until - now;
   return FALSE;
 }
 
+/* held, or deferred */
 static gboolean is_held(const Router *router, guint64 content, gint64 now) {
-  return quarantine_held_until(router->quarantine, content, now) != 0;
+  return quarantine_held_until(router->quarantine, content, now) != 0 ||
+         deferred_until(router, content, now) != 0;
 }
 
 /* a request that waits and is held; NULL: there is none */
@@ -67,6 +94,8 @@
                                request->route->name, NULL};
   if (request->account != NULL)
     suspect.account = request->account->name;
+  if (!endpoint_leaves(endpoint))
+    suspicions_note(router->suspicions, request->content, endpoint->hash, now);
   crash_watch_broken(router->crashes, endpoint, &suspect, now);
 }
 
@@ -76,6 +105,10 @@
     log_held(router, suspect->content, "here", now);
 }
 
+void suspects_answered(Router *router, const Request *request, gint64 now) {
+  suspicions_answered(router->suspicions, request->open.life, now);
+}
+
 void suspects_succeeded(Router *router, const Request *request) {
   quarantine_succeeded(router->quarantine, request->content);
 }
@@ -106,6 +139,7 @@
     is_news = TRUE;
     log_held(router, record.content, "instance", now);
   }
+  is_news |= suspicions_hear(router->suspicions, news, now);
   if (is_news)
     suspects_sweep(router, now);
   return is_news;
@@ -114,6 +148,7 @@
 void router_tell_crashes(const Router *router, gboolean all, mp_CrashNews *out,
                          gint64 now) {
   quarantine_tell(router->quarantine, all, out, now);
+  suspicions_write(router->suspicions, all, out, now);
 }
 
 guint64 router_crash_version(const Router *router) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -562,5 +562,20 @@
     return FALSE;' \
   '  endpoint->record.ready = FALSE;
   return TRUE;'
+m s-count "suspicions: they count until they are proved" router/suspects.c \
+  'return strikes + suspected >= QUARANTINE_STRIKES ? until : 0;' \
+  'return 0;'
+m s-answered "suspicions: an answer takes them away" router/suspects.c \
+  '  suspicions_answered(router->suspicions, request->open.life, now);' \
+  ''
+m s-told "suspicions: the others are told" router/suspicions.c \
+  '    out->suspected_n++;' \
+  ''
+m s-twice "suspicions: an end that is proved counts once" router/suspects.c \
+  'return quarantine_has_strike(quarantine, content, life);' \
+  'return FALSE;'
+m s-life "suspicions: they end by themselves" router/suspicions.c \
+  'return now - one->at >= SUSPICION_LIFE;' \
+  'return FALSE;'
 echo "$caught mutants caught, $missed missed"
 [ $missed = 0 ]
--- a/test/crash_fleet.cc
+++ b/test/crash_fleet.cc
@@ -189,7 +189,10 @@
     }
     runs.erase(it);
     all[run.instance].world->now = now;
-    all[run.instance].world->outcome(run.dispatch, OUTCOME_STREAM_END);
+    bool breaks = options.garbled > 0 && chance() < options.garbled;
+    work[run.content].broken += breaks;
+    all[run.instance].world->outcome(
+        run.dispatch, breaks ? OUTCOME_BROKEN : OUTCOME_STREAM_END);
   }
 }
 
@@ -228,7 +231,9 @@
       }
       it = one.content_of.erase(it);
       Work &asked = work[content];
-      asked.refused_as_held += end.refusals > 0 && end.refusal == REFUSAL_HELD;
+      asked.refused_as_held +=
+          end.refusals > 0 &&
+          (end.refusal == REFUSAL_HELD || end.refusal == REFUSAL_SUSPECTED);
       if (!asked.deadly && end.answers == 0 && asked.tries < 2)
         again.push_back(content);
     }
@@ -270,7 +275,9 @@
     from.told = router_crash_version(from.world->router);
     from.told_at = now;
     router_tell_crashes(from.world->router, FALSE, &news, now);
-    for (unsigned k = 0; k < all.size() && news.n > 0; k++) {
+    for (unsigned k = 0; k < all.size(); k++) {
+      if (news.n == 0 && news.suspected_n == 0)
+        break;
       if (hears(i, k))
         router_hear_crashes(all[k].world->router, &news, now);
     }
--- a/test/crash_fleet.h
+++ b/test/crash_fleet.h
@@ -36,6 +36,8 @@
   unsigned innocent_per_s = 18; /* requests that end nobody */
   gint64 run_least = 500 * ms;  /* how long they run */
   gint64 run_most = 3 * second;
+  double garbled =
+      0; /* share of innocents' runs that break off by themselves */
   gint64 own_end_every = 0; /* some engine ends by itself so often; 0: never */
 };
 
--- a/test/test_crash_fleet.cc
+++ b/test/test_crash_fleet.cc
@@ -107,6 +107,12 @@
 ** most. Two ends had been proved; in the 1.45 s until the list proved the
 *third
 ** one, four instances sent the request on to an engine each.
+**
+** Cause: a run that broke off counted against its request once the end was
+** proved, and for nothing until then. Evidence: in the log of that run the
+** fourth to seventh dispatch lie between the third break and its proof
+** (proof=gone, 1.45 s later); with ends that refuse connections, proved within
+** some milliseconds, the same callers end three engines.
 */
 TEST(SuspectedEnds, CountWhileTheyAreNotProved) {
   for (unsigned seed = 1; seed <= 12; seed++) {
@@ -127,6 +133,20 @@
   }
 }
 
+/* engines that break answers off, and live: what they answer takes the
+** suspicion away before it defers anybody */
+TEST(SuspectedEnds, DeferNobodyWhoseEnginesOnlyBreakAnswersOff) {
+  for (unsigned seed = 1; seed <= 4; seed++) {
+    FleetOptions options;
+    options.seed = seed;
+    options.garbled = 0.4;
+    Fleet fleet(options);
+    fleet.pass(60 * second);
+    EXPECT_GT(fleet.innocents_broken(), 300u);
+    EXPECT_EQ(fleet.innocents_held(), 0u);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, CrashFleet, ::testing::Range(1u, 6u));
 
 } // namespace
--- /dev/null
+++ b/test/test_suspicions.cc
@@ -0,0 +1,140 @@
+/*
+** test_suspicions.cc
+** Ends of endpoints that are suspected: whom they defer, and for how long
+*/
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "router_world.h"
+
+extern "C" {
+#include "router/suspicions.h"
+}
+
+using namespace routing;
+
+namespace {
+
+struct SuspicionWorld : ::testing::Test {
+  World world;
+  std::vector<Sent> broken;
+
+  void SetUp() override {
+    world.born_unix_ms = 1000;
+    world.populate();
+    for (const char *id : {"app-3", "app-4", "app-5"})
+      world.endpoint({id, "app", "a", STAGE_NONE});
+    world.content = 5;
+  }
+  /* a request that must not be repeated breaks off, each time at another
+  ** endpoint */
+  void break_off(int times) {
+    std::set<std::string> where;
+    for (int i = 0; i < times; i++) {
+      guint64 number = world.request("/unsafe/x");
+      ASSERT_EQ(world.runs(number), 1u);
+      broken.push_back(world.last());
+      where.insert(world.last().endpoint);
+      world.outcome(world.last().number, OUTCOME_BROKEN);
+    }
+    ASSERT_EQ(where.size(), static_cast<size_t>(times));
+  }
+  bool is_deferred(guint64 content = 5) {
+    world.content = content;
+    guint64 number = world.request("/unsafe/x");
+    if (world.runs(number) > 0)
+      world.outcome(world.last().number, OUTCOME_ANSWER);
+    return world.end(number).refusals == 1 &&
+           world.end(number).refusal == REFUSAL_SUSPECTED;
+  }
+};
+
+TEST_F(SuspicionWorld, ThreeDeferTheRequestUntilTheyAreOver) {
+  break_off(3);
+  world.content = 5;
+  guint64 number = world.request("/unsafe/x");
+  EXPECT_EQ(world.end(number).refusal, REFUSAL_SUSPECTED);
+  EXPECT_EQ(world.runs(number), 0u);
+  EXPECT_GT(world.end(number).retry_after_ms, 0);
+  EXPECT_LE(world.end(number).retry_after_ms, SUSPICION_LIFE / ms);
+  world.advance(SUSPICION_LIFE - ms);
+  EXPECT_TRUE(is_deferred());
+  world.advance(ms);
+  EXPECT_FALSE(is_deferred());
+}
+
+TEST_F(SuspicionWorld, TwoDeferNobody) {
+  break_off(2);
+  EXPECT_FALSE(is_deferred());
+}
+
+TEST_F(SuspicionWorld, AnotherRequestIsNotDeferred) {
+  break_off(3);
+  EXPECT_FALSE(is_deferred(6));
+  EXPECT_TRUE(is_deferred(5));
+}
+
+/* an endpoint that answers something has not ended */
+TEST_F(SuspicionWorld, AnAnswerTakesOneAway) {
+  break_off(3);
+  world.advance(200 * ms);
+  world.content = 0;
+  for (int i = 0; i < 40; i++) {
+    world.request("/safe/x");
+    world.outcome(world.last().number,
+                  i % 2 == 0 ? OUTCOME_ANSWER : OUTCOME_NOT_RUN, 200);
+  }
+  EXPECT_FALSE(is_deferred());
+}
+
+/* bytes that were on their way when the endpoint ended prove nothing */
+TEST_F(SuspicionWorld, AnAnswerThatWasOnItsWayTakesNoneAway) {
+  world.content = 9;
+  std::vector<Sent> open;
+  for (int i = 0; i < 5; i++) {
+    world.request("/safe/x");
+    open.push_back(world.last());
+  }
+  world.content = 5;
+  break_off(3);
+  for (const Sent &one : open)
+    world.outcome(one.number, OUTCOME_ANSWER);
+  EXPECT_TRUE(is_deferred());
+}
+
+/* what others suspect counts as well, by its age */
+TEST_F(SuspicionWorld, OtherInstancesTellTheirs) {
+  mp_CrashNews news = {};
+  mp_CrashNews own = {};
+  break_off(2);
+  world.advance(300 * ms);
+  router_tell_crashes(world.router, FALSE, &own, world.now);
+  EXPECT_EQ(own.suspected_n, 2u);
+  EXPECT_GE(own.suspected[0].age_ms, 300u);
+  news.suspected_n = 2;
+  news.suspected[0] = {5, 4711, 400};
+  news.suspected[1] = {5, 4712, static_cast<guint32>(SUSPICION_LIFE / ms)};
+  EXPECT_TRUE(router_hear_crashes(world.router, &news, world.now));
+  EXPECT_FALSE(router_hear_crashes(world.router, &news, world.now));
+  EXPECT_TRUE(is_deferred());
+  router_tell_crashes(world.router, FALSE, &own, world.now);
+  EXPECT_EQ(own.suspected_n, 2u) << "what others told is not its own";
+  router_tell_crashes(world.router, TRUE, &own, world.now);
+  EXPECT_EQ(own.suspected_n, 3u);
+}
+
+/* the planned end of an endpoint that leaves is nobody's doing */
+TEST_F(SuspicionWorld, EndpointsThatLeaveRaiseNone) {
+  for (int i = 0; i < 3; i++) {
+    world.content = 5;
+    world.request("/unsafe/x");
+    Sent run = world.last();
+    world.signal(run.number, signals_leaving());
+    world.outcome(run.number, OUTCOME_BROKEN);
+  }
+  EXPECT_FALSE(is_deferred());
+}
+
+} // namespace
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -103,6 +103,8 @@
     break;
   case MP_MSG_CRASHES:
     m.u.crashes.n = MP_CRASH_ROWS;
+    m.u.crashes.suspected_n = MP_SUSPECT_ROWS;
+    m.u.crashes.suspected[MP_SUSPECT_ROWS - 1] = {1ULL << 63, UINT32_MAX, 9};
     for (unsigned i = 0; i < MP_CRASH_ROWS; i++) {
       m.u.crashes.row[i].request = (1ULL << 63) + i;
       m.u.crashes.row[i].n = MP_CRASHES_EACH;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -240,6 +240,19 @@
          digest(x, &s->loads);
 }
 
+static bool_t suspected(XDR *x, mp_CrashNews *c) {
+  unsigned i;
+  if (!count(x, &c->suspected_n, MP_SUSPECT_ROWS))
+    return FALSE;
+  for (i = 0; i < c->suspected_n; i++) {
+    mp_SuspectRow *row = &c->suspected[i];
+    if (!u64(x, &row->request) || !u32(x, &row->endpoint) ||
+        !u32(x, &row->age_ms))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static bool_t crashes(XDR *x, mp_CrashNews *c) {
   unsigned i;
   unsigned k;
@@ -254,7 +267,7 @@
         return FALSE;
     }
   }
-  return TRUE;
+  return suspected(x, c);
 }
 
 static bool_t rates(XDR *x, mp_RateNews *r) {
