--- a/include/madderpier.h
+++ b/include/madderpier.h
@@ -855,6 +855,7 @@
   X(EP_REST, 2014, MP_INFO, "endpoint asks for rest")                      \
   X(EP_SIGNAL_BAD, 2015, MP_WARN, "endpoint sends an unreadable signal")   \
   X(DISPATCH_HELD_BACK, 2016, MP_FAULT, "dispatch held back at the gate")  \
+  X(EP_FIELD_UNKNOWN, 2017, MP_WARN, "endpoint sends an unknown field")    \
   X(EJECT, 2008, MP_WARN, "endpoint ejected for a while")                  \
   X(MEMBER_UP, 3001, MP_INFO, "instance joined")                           \
   X(MEMBER_SUSPECT, 3002, MP_INFO, "instance suspected")                   \
--- a/router/router.c
+++ b/router/router.c
@@ -64,6 +64,8 @@
   router->crashes = lives_watch_new(router);
   router->quarantine = quarantine_new(options->unix_offset, options->seed);
   router->suspicions = suspicions_new();
+  router->unknown_fields =
+      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   router->revoke_bound = options->revoke_bound;
   router->news_bound = options->news_bound;
   router->dispatched = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -79,6 +81,7 @@
   crash_watch_free(router->crashes);
   quarantine_free(router->quarantine);
   suspicions_free(router->suspicions);
+  g_hash_table_destroy(router->unknown_fields);
   g_hash_table_destroy(router->dispatched);
   g_ptr_array_free(router->waiting, TRUE);
   g_hash_table_destroy(router->requests);
--- a/router/router.h
+++ b/router/router.h
@@ -131,9 +131,11 @@
   double rate_per_second; /* rate GIVEN: requests that it takes */
   SignalState leaving;    /* it is about to end */
   SignalState rest;
-  gint64 rest_time; /* rest GIVEN: it wants no request for so long */
-  gboolean served;  /* the answer served the request: that it names no rate
-                    ** counts as well */
+  gint64 rest_time;    /* rest GIVEN: it wants no request for so long */
+  const char *unknown; /* name of a field that is not known, or NULL: told
+                       ** to the operators alone */
+  gboolean served;     /* the answer served the request: that it names no rate
+                       ** counts as well */
 } EndpointSignals;
 
 /* how a dispatch ended, or where it stands */
--- a/router/signals.c
+++ b/router/signals.c
@@ -7,6 +7,11 @@
 
 #include "router/state.h"
 
+/* unknown fields that are logged in the life of an instance, and bytes of each
+ */
+#define UNKNOWN_MOST 32
+#define UNKNOWN_LENGTH 40
+
 /* 'said_by': an answer, or another instance */
 static void log_leaving(Router *router, const Endpoint *endpoint,
                         const char *said_by) {
@@ -49,6 +54,24 @@
              signals->rest == SIGNAL_UNREADABLE);
 }
 
+/* once for a service: it shows that endpoints say something that is not read
+** (platform/fields.h) */
+static void note_unknown(Router *router, const Endpoint *endpoint,
+                         const char *field) {
+  char *key = g_strdup_printf("%s %.*s", endpoint->record.service,
+                              UNKNOWN_LENGTH, field);
+  router_count(router, FIELDS_UNKNOWN);
+  if (g_hash_table_size(router->unknown_fields) >= UNKNOWN_MOST ||
+      g_hash_table_contains(router->unknown_fields, key)) {
+    g_free(key);
+    return;
+  }
+  g_hash_table_add(router->unknown_fields, key);
+  router_log(router, MP_LOG_EP_FIELD_UNKNOWN,
+             " endpoint=%s service=%s field=%.*s", endpoint->record.id,
+             endpoint->record.service, UNKNOWN_LENGTH, field);
+}
+
 void router_endpoint_signals(Router *router, const char *id, guint32 life,
                              const EndpointSignals *signals, gint64 now) {
   Endpoint *endpoint = endpoint_table_get_life(router->endpoints, id, life);
@@ -62,6 +85,8 @@
   if (signals->leaving == SIGNAL_UNREADABLE ||
       signals->rest == SIGNAL_UNREADABLE)
     note_unreadable(router, endpoint, signals);
+  if (signals->unknown != NULL)
+    note_unknown(router, endpoint, signals->unknown);
   rates_signalled(router, endpoint, signals, now);
 }
 
--- a/router/state.h
+++ b/router/state.h
@@ -45,7 +45,8 @@
   X(STARTED_LATE, "requests_started_late")           \
   X(RATES_BAD, "endpoint_rates_unreadable")          \
   X(SIGNALS_BAD, "endpoint_signals_unreadable")      \
-  X(HELD_BACK, "dispatches_held_back")
+  X(HELD_BACK, "dispatches_held_back")               \
+  X(FIELDS_UNKNOWN, "endpoint_fields_unknown")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -142,9 +143,10 @@
   GHashTable *requests;   /* number -> Request */
   GHashTable *dispatched; /* dispatch number -> Request */
   guint64 last_dispatch;
-  unsigned instances; /* that share the traffic */
-  unsigned near;      /* of them, that hear each other's digests */
-  gboolean is_listed; /* these two are known */
+  unsigned instances;         /* that share the traffic */
+  unsigned near;              /* of them, that hear each other's digests */
+  gboolean is_listed;         /* these two are known */
+  GHashTable *unknown_fields; /* "service field" of those that were logged */
   AccountLimits *limits;
   RateLimits *rates; /* that endpoints name */
   RateView rates_view;
--- a/test/test_endpoint_rest.cc
+++ b/test/test_endpoint_rest.cc
@@ -329,6 +329,27 @@
   EXPECT_EQ(resting(), 0u);
 }
 
+/* what an endpoint says and nobody reads is told once, and bounded */
+TEST_F(RestWorld, AnUnknownFieldIsLoggedOnceForItsService) {
+  EndpointSignals signals = routing::signals_served();
+  std::string far(1000, 'x');
+  world.request("/safe/x");
+  guint64 dispatch = world.last().number;
+  for (int i = 0; i < 100; i++) {
+    std::string name = "Field-" + std::to_string(i / 2);
+    signals.unknown = i == 0 ? far.c_str() : name.c_str();
+    world.signal(dispatch, signals);
+  }
+  unsigned lines = 0;
+  for (const std::string &line : world.log) {
+    bool is_it = line.compare(0, 4, "2017") == 0;
+    lines += is_it;
+    EXPECT_TRUE(!is_it || line.size() < 120);
+  }
+  EXPECT_EQ(lines, 32u);
+  EXPECT_EQ(router_counter(world.router, ROUTER_COUNT_FIELDS_UNKNOWN), 100u);
+}
+
 /* }================================================================== */
 
 } // namespace
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -360,6 +360,20 @@
     EXPECT_EQ(read_signals(status, name, {"3"}).rest, SIGNAL_ABSENT);
 }
 
+TEST(PlatformEndpoint, AnUnknownFieldIsNamed) {
+  HttpHead *head = http_head_answer(200);
+  EndpointHead read;
+  for (const char *known : {"server-stamp", "REQUEST-ID", "Date", "Connection",
+                            "Content-Length", "Not-Run", "Weight-Versions"})
+    http_head_add(head, known, "1");
+  platform_read_endpoint(head, &read);
+  EXPECT_EQ(read.signals.unknown, nullptr);
+  http_head_add(head, "Server-Mood", "low");
+  platform_read_endpoint(head, &read);
+  EXPECT_STREQ(read.signals.unknown, "Server-Mood");
+  http_head_free(head);
+}
+
 /* each one was asked for: none is kept shorter than it says */
 TEST(PlatformEndpoint, OfSeveralRestsTheLongestCounts) {
   const char *name = "Retry-After";
