--- a/router/router.c
+++ b/router/router.c
@@ -398,9 +398,12 @@
   return router->load_version;
 }
 
-/* in percent; one out of reach fails for certain */
+/* in percent; one out of reach fails for certain, and so does one that rests:
+** the others, whom it did not ask for rest, spare it while they have a choice
+*/
 static guint share_failing(const Endpoint *endpoint, gint64 now) {
-  if (endpoint->avoid_until > now)
+  if (endpoint->avoid_until > now ||
+      availability_rest_left(&endpoint->availability, now) > 0)
     return 100;
   return (guint)(100 * endpoint_failing(endpoint, now));
 }
--- a/test/test_endpoint_rest.cc
+++ b/test/test_endpoint_rest.cc
@@ -204,13 +204,26 @@
   EXPECT_EQ(plain_at("app-1", 5), 0u);
 }
 
-/* it was asked of this instance alone: the others are told nothing of it */
+/* it was asked of this instance alone: to the others it is as one that fails,
+** which they take where they have no better one */
 TEST_F(RestWorld, ItBindsOneInstance) {
   mp_LoadDigest digest = {};
   ask("app-1", 3 * second);
   router_load_digest(world.router, &digest, world.now);
   EXPECT_EQ(digest.leaving_count, 0u);
-  EXPECT_EQ(digest.n, 0u);
+  ASSERT_EQ(digest.n, 1u);
+  EXPECT_EQ(digest.row[0].failing, 100u);
+  World other;
+  other.born_unix_ms = 1000;
+  other.populate();
+  router_set_instances(other.router, 2, 2);
+  router_peer_load(other.router, mp_addr_parse("10.0.0.9:1"), 1, &digest,
+                   other.now);
+  other.request("/safe/x");
+  EXPECT_EQ(other.last().endpoint, "app-2");
+  other.endpoint({"app-2", "app", "b", STAGE_NONE}, false);
+  other.request("/safe/x");
+  EXPECT_EQ(other.last().endpoint, "app-1");
 }
 
 TEST_F(RestWorld, WithAllRestingCallersHearAtOnceWhenTheFirstIsBack) {
