--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -271,6 +271,8 @@
 
 double endpoint_failing(const Endpoint *endpoint, gint64 now) {
   double age = (double)(now - endpoint->failed_at);
+  if (endpoint->failures == 0)
+    return 0; /* most endpoints, asked with each choice and each digest */
   return endpoint->failures * exp(-age / FAILURE_MEMORY);
 }
 
