What is open at plain endpoints is told each 25 ms at the most, and at engines as before

Cause: each request at a plain endpoint cost two digests to every other instance, 4.9 ms apart at the least with eight of them; digests are most of what an instance sends and hears at these rates (perf on eight daemons: the kernel's sockets first, our own functions flat, none above 2%). Ruled out: engines likewise (their memory is promised twice then). Change: a version of its own for what is open at plain endpoints.

--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -15,6 +15,10 @@
 #define READ_BURST 64
 /* least time between two digests, for each instance that hears them; us */
 #define INTERVAL_PER_PEER (700LL)
+/* the same where only what is open at plain endpoints has changed: a request
+** there takes some tens of milliseconds, and each digest costs all instances a
+** datagram */
+#define INTERVAL_PLAIN (25 * MP_MS)
 /* a digest goes out this often even when nothing changed */
 #define REFRESH (500 * MP_MS)
 
@@ -27,7 +31,8 @@
   GArray *peers; /* mp_Addr */
   gboolean only; /* digests of others are not taken */
   guint32 sequence;
-  guint64 told;         /* the version that was sent last */
+  guint64 told; /* the versions that were sent last */
+  guint64 plain_told;
   guint64 crashes_told; /* router_crash_version that was sent last */
   guint64 rates_told;   /* router_rates_version that was sent last */
   gint64 rates_at;      /* when that was */
@@ -75,6 +80,7 @@
   router_load_digest(exchange->router, &message.u.digest, clock_now());
   send_to_all(exchange, &message);
   exchange->told = router_load_version(exchange->router);
+  exchange->plain_told = router_plain_version(exchange->router);
   exchange->sent_at = clock_now();
 }
 
@@ -136,9 +142,15 @@
 }
 
 static gint64 notice_loads(LoadExchange *exchange) {
-  gint64 due = exchange->sent_at + least_interval(exchange) - clock_now();
-  if (router_load_version(exchange->router) == exchange->told)
-    return REFRESH;
+  const Router *router = exchange->router;
+  gint64 interval = least_interval(exchange);
+  gint64 due;
+  if (router_load_version(router) == exchange->told) {
+    if (router_plain_version(router) == exchange->plain_told)
+      return REFRESH;
+    interval = MAX(interval, INTERVAL_PLAIN);
+  }
+  due = exchange->sent_at + interval - clock_now();
   if (due > 0)
     return due;
   send_digest(exchange);
--- a/router/path.c
+++ b/router/path.c
@@ -97,6 +97,16 @@
                                  open->life);
 }
 
+/* what is open at an engine is memory that others may promise too: they hear
+*at
+** once. At a plain endpoint it tells them how busy that is, a little later */
+static void count_change(Router *router, const Request *request) {
+  if (request->service->is_engine)
+    router->load_version++;
+  else
+    router->plain_version++;
+}
+
 void path_close_dispatch(Router *router, Request *request, gboolean cancel) {
   OpenDispatch *open = &request->open;
   Endpoint *endpoint;
@@ -107,7 +117,7 @@
     endpoint->open -= MIN(endpoint->open, 1);
     endpoint->tokens -= MIN(endpoint->tokens, open->tokens);
   }
-  router->load_version++;
+  count_change(router, request);
   g_hash_table_remove(router->dispatched, &open->number);
   if (cancel)
     router->host.cancel(router->host.data, open->number);
@@ -144,7 +154,7 @@
   open->sent = now;
   endpoint->open++;
   endpoint->tokens += tokens;
-  router->load_version++;
+  count_change(router, request);
   g_hash_table_insert(router->dispatched, &open->number, request);
 }
 
--- a/router/router.c
+++ b/router/router.c
@@ -398,6 +398,10 @@
   return router->load_version;
 }
 
+guint64 router_plain_version(const Router *router) {
+  return router->plain_version;
+}
+
 /* in percent; one out of reach fails for certain, and so does one that rests:
 ** the others, whom it did not ask for rest, spare it while they have a choice
 */
--- a/router/router.h
+++ b/router/router.h
@@ -247,6 +247,8 @@
 
 /* what this instance has open, for the others: changes with its version */
 guint64 router_load_version(const Router *router);
+/* the same of what is open at plain endpoints, which has more time */
+guint64 router_plain_version(const Router *router);
 void router_load_digest(const Router *router, mp_LoadDigest *out, gint64 now);
 /* what another instance has open; 'sequence' grows with each */
 void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
--- a/router/state.h
+++ b/router/state.h
@@ -164,6 +164,7 @@
   GPtrArray *waiting;      /* Request in PHASE_WAIT, first one first */
   gint64 last_end;         /* when the last run at an engine ended */
   double end_interval;     /* mean time between such ends, here */
+  guint64 plain_version;   /* the same, at plain endpoints */
   guint64 load_version;    /* grows when what is open here changes */
   guint64 counters[ROUTER_COUNTER_COUNT];
   Histogram durations[DURATION_COUNT];
--- a/test/rate_fleet.cc
+++ b/test/rate_fleet.cc
@@ -17,6 +17,7 @@
 static constexpr unsigned most_heard_at_once = 30;
 /* as in io/load_exchange.c: between two digests, for each that hears them */
 static constexpr gint64 interval_per_peer = 700;
+static constexpr gint64 interval_plain = 25 * ms;
 /* after the end of its trouble an instance is held to what was named */
 static constexpr gint64 contact = 3 * second;
 static constexpr gint64 refresh = 500 * ms;
@@ -358,11 +359,23 @@
   }
 }
 
+/* between two digests, as io/load_exchange.c */
+gint64 Fleet::due_after(unsigned i) const {
+  const Instance &one = all[i];
+  gint64 interval = interval_per_peer * peers_of(i);
+  if (router_load_version(one.world->router) != one.told)
+    return interval;
+  if (router_plain_version(one.world->router) != one.plain_told)
+    return std::max(interval, interval_plain);
+  return refresh;
+}
+
 void Fleet::tell_near(unsigned i) {
   Instance &one = all[i];
   mp_LoadDigest digest = {};
   router_load_digest(one.world->router, &digest, now);
   one.told = router_load_version(one.world->router);
+  one.plain_told = router_plain_version(one.world->router);
   one.told_at = now;
   one.sequence++;
   for (unsigned k = 0; k < all.size(); k++) {
@@ -391,9 +404,7 @@
     Instance &one = all[i];
     if (one.is_frozen)
       continue;
-    if (now - one.told_at >= refresh ||
-        (router_load_version(one.world->router) != one.told &&
-         now - one.told_at >= interval_per_peer * peers_of(i)))
+    if (now - one.told_at >= due_after(i))
       tell_near(i);
     if (is_summing() && now - one.summed_at >= between_sums && is_relay(i))
       tell_far(i);
--- a/test/rate_fleet.h
+++ b/test/rate_fleet.h
@@ -158,7 +158,7 @@
     std::vector<std::deque<gint64>> resting;
     gint64 trimmed_at = 0;
     int life = 0;
-    guint64 told = 0;
+    guint64 told = 0, plain_told = 0;
     gint64 told_at = 0, summed_at = 0;
     guint64 rates_told = 0;
     gint64 rates_at = 0, rate_sums_at = 0;
@@ -178,6 +178,7 @@
   void end_run(const Run &run);
   EndpointSignals signals_of(const Run &run);
   void exchange();
+  gint64 due_after(unsigned i) const;
   void tell_near(unsigned i);
   void tell_far(unsigned i);
   void tell_rates(unsigned i);
