--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -12,6 +12,7 @@
 
 #include "http/events.h"
 #include "http/reader.h"
+#include "io/endpoint_call.h"
 #include "io/endpoint_links.h"
 #include "io/link_pool.h"
 #include "io/sockets.h"
@@ -37,23 +38,6 @@
   guint64 opened;
 };
 
-/* one dispatch on its way */
-typedef struct Call {
-  guint64 dispatch;
-  DispatchKind kind;
-  guint32 life;    /* of the endpoint: Dispatch.life */
-  gboolean stream; /* the route's answers come as events */
-  char *request_id;
-  GString *text;  /* the request, until it is written */
-  HttpHead *head; /* of the answer */
-  EndpointHead facts;
-  gboolean skip;      /* the answer that comes in is another request's */
-  gboolean is_stream; /* it is passed on event by event */
-  gboolean head_told;
-  EventSplitter events;
-  GByteArray *body;
-} Call;
-
 typedef struct Link {
   EndpointLinks *links;
   char *endpoint;
@@ -63,7 +47,7 @@
   gboolean connected;
   gboolean doubtful; /* never used again */
   gint64 idle_limit;
-  Call *call; /* NULL while it rests */
+  EndpointCall *call; /* NULL while it rests */
 } Link;
 
 /*
@@ -72,24 +56,12 @@
 ** ===================================================================
 */
 
-static void call_free(Call *call) {
-  if (call == NULL)
-    return;
-  g_free(call->request_id);
-  if (call->text != NULL)
-    g_string_free(call->text, TRUE);
-  http_head_free(call->head);
-  event_splitter_clear(&call->events);
-  g_byte_array_free(call->body, TRUE);
-  g_free(call);
-}
-
 static void link_free(gpointer p) {
   Link *link = p;
   bufferevent_free(link->events);
   event_free(link->timer);
   http_reader_free(link->reader);
-  call_free(link->call);
+  endpoint_call_free(link->call);
   g_free(link->endpoint);
   g_free(link);
 }
@@ -117,7 +89,7 @@
 static void rest(Link *link, gint64 limit) {
   EndpointLinks *links = link->links;
   g_hash_table_remove(links->calls, &link->call->dispatch);
-  call_free(link->call);
+  endpoint_call_free(link->call);
   link->call = NULL;
   link_pool_rest(links->pool, link->endpoint, link);
   start_timer(link, limit);
@@ -164,7 +136,7 @@
 static void fail(Link *link, OutcomeKind kind) {
   Outcome outcome = {0};
   EndpointLinks *links = link->links;
-  Call *call = link->call;
+  EndpointCall *call = link->call;
   g_assert(call != NULL);
   outcome.kind = kind;
   outcome.dispatch = call->dispatch;
@@ -173,39 +145,12 @@
   close_link(link);
   if (call->kind != DISPATCH_RELEASE)
     links->hooks.outcome(links->hooks.data, &outcome);
-  call_free(call);
-}
-
-/* no caller asked for it */
-static gboolean is_control(const Call *call) {
-  return call->kind == DISPATCH_RELEASE || call->kind == DISPATCH_REPORT ||
-         call->kind == DISPATCH_ORDER;
-}
-
-/* statuses that promise "not run" are believed only with that promise */
-static gboolean promises_falsely(const Call *call) {
-  int status = call->head->status;
-  return status == 408 || status == 429 || status == 503;
-}
-
-static OutcomeKind classify(const Call *call) {
-  const HttpHead *head = call->head;
-  gboolean success = head->status >= 200 && head->status < 300;
-  if (call->facts.not_run)
-    return OUTCOME_NOT_RUN;
-  if (promises_falsely(call) ||
-      http_head_get(head, "Content-Encoding") != NULL)
-    return OUTCOME_BROKEN;
-  if (call->kind == DISPATCH_PREFILL)
-    return head->status == 200 ? OUTCOME_ANSWER : OUTCOME_BROKEN;
-  if (success && !call->facts.is_signed && !is_control(call))
-    return OUTCOME_BROKEN;
-  return OUTCOME_ANSWER;
+  endpoint_call_free(call);
 }
 
 /* the whole answer is there */
 static void finish(Link *link) {
-  Call *call = link->call;
+  EndpointCall *call = link->call;
   Outcome outcome = {0};
   PrefillAnswer prefill = {0};
   EngineReport report = {0};
@@ -215,7 +160,8 @@
     rest_or_close(link);
     return;
   }
-  outcome.kind = call->is_stream ? OUTCOME_STREAM_END : classify(call);
+  outcome.kind =
+      call->is_stream ? OUTCOME_STREAM_END : endpoint_call_classify(call);
   if (call->is_stream && event_splitter_pending(&call->events) > 0)
     outcome.kind = OUTCOME_BROKEN;
   outcome.status = call->head->status;
@@ -249,26 +195,20 @@
 ** ===================================================================
 */
 
-static gboolean has_served(const Call *call) {
-  int status = call->head->status;
-  return status >= 200 && status < 300 && !call->facts.not_run &&
-         (call->kind == DISPATCH_RUN || call->kind == DISPATCH_PREFILL);
-}
-
 /* what the endpoint tells about itself, if it is this request's answer */
 static void tell_signals(const Link *link) {
   const EndpointLinksHooks *hooks = &link->links->hooks;
-  const Call *call = link->call;
+  const EndpointCall *call = link->call;
   EndpointSignals signals = call->facts.signals;
   if (call->skip || call->facts.misdirected)
     return;
-  signals.served = has_served(call);
+  signals.served = endpoint_call_served(call);
   hooks->signals(hooks->data, link->endpoint, call->life, &signals);
 }
 
 static void on_head(void *data, HttpHead *head) {
   Link *link = data;
-  Call *call = link->call;
+  EndpointCall *call = link->call;
   const EndpointHead *facts = &call->facts;
   http_head_free(call->head);
   call->head = head;
@@ -285,14 +225,14 @@
 
 static void on_body(void *data, const char *bytes, size_t size) {
   Link *link = data;
-  Call *call = link->call;
+  EndpointCall *call = link->call;
   if (!call->skip && call->body->len + size <= MAX_ANSWER)
     g_byte_array_append(call->body, (const guint8 *)bytes, (guint)size);
 }
 
 /* pass on the head and the whole events so far; FALSE: the link is gone */
 static gboolean tell_stream(Link *link) {
-  Call *call = link->call;
+  EndpointCall *call = link->call;
   EndpointAnswer answer = {call->head, NULL, 0};
   Outcome outcome = {0};
   GString *whole;
@@ -327,7 +267,7 @@
 /* what the bytes read so far amount to; FALSE: the link is gone */
 static gboolean digest(Link *link) {
   HttpReaderState state = http_reader_state(link->reader);
-  const Call *call = link->call;
+  const EndpointCall *call = link->call;
   g_assert(call != NULL);
   if (state == HTTP_READER_BAD ||
       (state == HTTP_READER_DONE && call->head == NULL)) {
@@ -376,12 +316,12 @@
 */
 
 static void write_call(Link *link) {
-  Call *call = link->call;
+  EndpointCall *call = link->call;
   event_del(link->timer);
   bufferevent_write(link->events, call->text->str, call->text->len);
   g_string_free(call->text, TRUE);
   call->text = NULL;
-  if (is_control(call))
+  if (endpoint_call_is_control(call))
     start_timer(link, CONTROL_TIMEOUT);
 }
 
@@ -516,18 +456,7 @@
   return text;
 }
 
-static Call *call_new(const Dispatch *dispatch) {
-  Call *call = g_new0(Call, 1);
-  call->dispatch = dispatch->number;
-  call->kind = dispatch->kind;
-  call->life = dispatch->life;
-  call->stream = dispatch->stream;
-  call->body = g_byte_array_new();
-  event_splitter_init(&call->events);
-  return call;
-}
-
-static void carry(Link *link, Call *call) {
+static void carry(Link *link, EndpointCall *call) {
   link->call = call;
   g_hash_table_insert(link->links->calls, &call->dispatch, link);
 }
@@ -535,20 +464,20 @@
 /* a new connection, whatever rests: an old one may be silent for good */
 static void send_check(EndpointLinks *links, const Dispatch *dispatch) {
   Link *link = link_new(links, dispatch);
-  carry(link, call_new(dispatch));
+  carry(link, endpoint_call_new(dispatch));
   connect_link(link, dispatch);
 }
 
 void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
                          const HttpHead *caller, const GByteArray *body) {
-  Call *call;
+  EndpointCall *call;
   Link *link;
   CallerHead read;
   if (dispatch->kind == DISPATCH_CHECK) {
     send_check(links, dispatch);
     return;
   }
-  call = call_new(dispatch);
+  call = endpoint_call_new(dispatch);
   link = idle_link(links, dispatch->endpoint);
   call->text = request_text(links, dispatch, caller, body);
   if (caller != NULL && links->dialect->read_caller(caller, &read, NULL)) {
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -5,17 +5,14 @@
 
 #include <string.h>
 
-#include <event2/buffer.h>
-#include <event2/http.h>
-
 #include "http/content.h"
 #include "io/directory.h"
+#include "io/status_server.h"
 #include "io/endpoint_links.h"
 #include "io/front.h"
 #include "io/gateway.h"
 #include "io/load_exchange.h"
 #include "io/metrics.h"
-#include "io/news_codec.h"
 #include "io/clock.h"
 #include "io/quarantine_writer.h"
 #include "io/relays.h"
@@ -52,7 +49,7 @@
   Relays *relays;
   StoreLink *leases;
   QuarantineWriter *quarantine;
-  struct evhttp *ready_http, *control_http, *metrics_http;
+  StatusServer *status_server;
   struct event *tick;
   struct event *drain_timer;
   gint64 trim_at; /* resting connections are looked at again then */
@@ -317,34 +314,23 @@
 
 /*
 ** {==================================================================
-** Readiness, metrics and snapshots, by evhttp
+** What operators, the platform and other instances may ask
 ** ===================================================================
 */
 
-static void reply(struct evhttp_request *request, int status, const char *type,
-                  const char *text) {
-  struct evbuffer *body = evbuffer_new();
-  evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
-                    type);
-  evbuffer_add(body, text, strlen(text));
-  evhttp_send_reply(request, status, NULL, body);
-  evbuffer_free(body);
-}
-
 static gboolean is_ready(const Gateway *gateway) {
   return gateway->drain_began == 0 &&
          router_configured(gateway->router, clock_now()) &&
          directory_has_endpoints(gateway->directory);
 }
 
-static void on_ready(struct evhttp_request *request, void *data) {
+static gboolean ask_ready(void *data) {
   Gateway *gateway = data;
   gboolean ready = is_ready(gateway);
   if (ready && !gateway->was_ready)
     log_numbered(gateway->log, MP_LOG_READY, "%s", "");
   gateway->was_ready = ready;
-  reply(request, ready ? 200 : 503, "text/plain",
-        ready ? "ready\n" : "not ready\n");
+  return ready;
 }
 
 static CarrierCounts carrier_counts(const Gateway *gateway) {
@@ -379,85 +365,27 @@
   return counts;
 }
 
-static void on_metrics(struct evhttp_request *request, void *data) {
+static GString *ask_metrics(void *data) {
   const Gateway *gateway = data;
   CarrierCounts counts = carrier_counts(gateway);
-  GString *text = metrics_text(gateway->router, &counts);
-  reply(request, 200, "text/plain; version=0.0.4", text->str);
-  g_string_free(text, TRUE);
+  return metrics_text(gateway->router, &counts);
 }
 
-/* what this instance knows of the store, for other instances */
-static void on_news(struct evhttp_request *request, void *data) {
+static void ask_news(void *data, StoreKind kind, gint64 since,
+                     StoreReply *out) {
   const Gateway *gateway = data;
-  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
-  StoreReply known;
-  StoreKind kind;
-  gint64 since;
-  char *text;
-  int status;
-  if (!news_read_query(evhttp_uri_get_query(uri), &kind, &since)) {
-    reply(request, HTTP_BADREQUEST, "text/plain",
-          "ask for kind=0, 1, 2 or 3, and since=REVISION\n");
-    return;
-  }
-  directory_answer(gateway->directory, kind, since, &known);
-  text = news_write_reply(&known);
-  /* lists are for the few that start without the store */
-  status = news_status(&known, since > 0 ? strlen(text) : 0);
-  reply(request, status, "application/json", status == HTTP_OK ? text : "");
-  store_reply_clear(&known);
-  g_free(text);
-}
-
-/* NULL without an error when there is no address */
-static struct evhttp *serve(Gateway *gateway, mp_Addr address,
-                            const char *path,
-                            void (*handler)(struct evhttp_request *, void *),
-                            GError **error) {
-  struct evhttp *http;
-  char host[24];
-  if (address == 0)
-    return NULL;
-  http = evhttp_new(gateway->base);
-  evhttp_set_cb(http, path, handler, gateway);
-  mp_addr_text(address, host);
-  *strchr(host, ':') = '\0';
-  if (evhttp_bind_socket(http, host, (uint16_t)(address & 0xffff)) == 0)
-    return http;
-  evhttp_free(http);
-  g_set_error(error, MP_ERROR, MP_ERR_SETTINGS,
-              "%s: cannot bind %s:%u; choose a free address of this instance",
-              path, host, (unsigned)(address & 0xffff));
-  return NULL;
-}
-
-/* an instance without metrics is better than none */
-static void serve_metrics(Gateway *gateway, mp_Addr address) {
-  GError *failed = NULL;
-  gateway->metrics_http =
-      serve(gateway, address, "/metrics", on_metrics, &failed);
-  if (failed == NULL)
-    return;
-  log_numbered(gateway->log, MP_LOG_NO_METRICS, " error=\"%s\"",
-               failed->message);
-  g_error_free(failed);
-}
-
-static gboolean serve_all(Gateway *gateway, const GatewayOptions *options,
-                          GError **error) {
-  GError *failed = NULL;
-  gateway->ready_http =
-      serve(gateway, options->ready, "/readyz", on_ready, &failed);
-  if (failed == NULL)
-    gateway->control_http =
-        serve(gateway, options->control, NEWS_PATH, on_news, &failed);
-  if (failed == NULL) {
-    serve_metrics(gateway, options->metrics);
-    return TRUE;
-  }
-  g_propagate_error(error, failed);
-  return FALSE;
+  directory_answer(gateway->directory, kind, since, out);
+}
+
+static gboolean make_status_server(Gateway *gateway,
+                                   const GatewayOptions *options,
+                                   GError **error) {
+  StatusServerHooks hooks = {gateway, ask_ready, ask_metrics, ask_news};
+  StatusServerOptions where = {options->ready, options->control,
+                               options->metrics};
+  gateway->status_server =
+      status_server_new(gateway->base, &where, &hooks, gateway->log, error);
+  return gateway->status_server != NULL;
 }
 
 /* }================================================================== */
@@ -596,7 +524,7 @@
   gateway->group = relay_group_new(options->exchange, options->capacity,
                                    &times, clock_now());
   if (gateway->front == NULL || !make_exchange(gateway, options, error) ||
-      !serve_all(gateway, options, error)) {
+      !make_status_server(gateway, options, error)) {
     gateway_free(gateway);
     return NULL;
   }
@@ -606,20 +534,14 @@
   return gateway;
 }
 
-static void stop_serving(struct evhttp *http) {
-  if (http != NULL)
-    evhttp_free(http);
-}
-
 void gateway_reload(Gateway *gateway) {
   log_numbered(gateway->log, MP_LOG_RELOAD, "%s", "");
 }
 
 void gateway_free(Gateway *gateway) {
   log_numbered(gateway->log, MP_LOG_STOP, " drained=%d", gateway->drained);
-  stop_serving(gateway->ready_http);
-  stop_serving(gateway->control_http);
-  stop_serving(gateway->metrics_http);
+  if (gateway->status_server != NULL)
+    status_server_free(gateway->status_server);
   if (gateway->relays != NULL)
     relays_free(gateway->relays);
   if (gateway->directory != NULL)
--- a/scripts/events.sh
+++ b/scripts/events.sh
@@ -1,12 +1,12 @@
 #!/bin/bash
-# Checks docs/EVENTS.md against the catalogue in include/madderpier.h:
+# Checks docs/EVENTS.md against the catalogue in include/mplog.h:
 # every event has its row, with its level and text, and none is left over.
 # With --write, rows that are missing are added (their advice is to be
 # written by hand).
 set -u
 cd "$(dirname "$0")/.."
 page=docs/EVENTS.md
-rows=$(sed -n '/define MP_EVENTS(X)/,/^$/p' include/madderpier.h |
+rows=$(sed -n '/define MP_EVENTS(X)/,/^$/p' include/mplog.h |
   sed -nE 's/.*X\([A-Z_]+, ([0-9]+), MP_([A-Z]+),? *"([^"]+)"\).*/\1|\2|\3/p')
 wrong=0
 while IFS='|' read -r number level text; do
