--- a/router/path.c
+++ b/router/path.c
@@ -13,6 +13,7 @@
 
 #include "router/gate.h"
 #include "router/retry_exchange.h"
+#include "router/silence.h"
 #include "router/state.h"
 
 /* patience with endpoints that do not take a connection: one objective, within
@@ -20,41 +21,6 @@
 ** lost is sent again after a second */
 #define CONNECT_LEAST (100 * MP_MS)
 #define CONNECT_MOST (400 * MP_MS)
-/* endpoints that may be out of reach before a request gives up */
-#define MOST_UNREACHABLE 6
-/* runs that may be turned away before a request gives up */
-#define MOST_ARRIVALS 4
-/* repeatable streams are resumed after this silence: so many objectives
-** before the first piece, so many of the longest pauses between pieces */
-#define HEAD_SILENCE_OBJECTIVES 1.7
-#define PIECE_SILENCE_GAPS 3
-#define SILENCE_LEAST (500 * MP_MS)
-/* a silent run that may not be left now is looked at again after this */
-#define STALL_AGAIN (500 * MP_MS)
-/* an engine that says nothing of a run for so long is in doubt: with the
-** prompt read, a head comes within some ten milliseconds */
-#define SUSPECT_SILENCE (400 * MP_MS)
-/* so is a plain endpoint after so many objectives; without it one that hangs
-** kept its share of the requests that must not be repeated */
-#define PLAIN_SUSPECT_OBJECTIVES 2
-/* plain repeatable requests: silence of so many objectives */
-#define SAFE_SILENCE_OBJECTIVES 2.5
-/* memory is counted anew each time a stream has made so many tokens */
-#define COUNT_STEP 64
-/* time that must be left for another try to make sense */
-#define LEAST_TIME_LEFT (30 * MP_MS)
-
-/* a stream has grown: count its memory anew */
-static void count_memory(Router *router, Request *request) {
-  OpenDispatch *open = &request->open;
-  Endpoint *endpoint = path_open_endpoint(router, request);
-  guint64 tokens = estimate_memory(router, request);
-  if (endpoint == NULL || tokens < open->tokens + COUNT_STEP)
-    return;
-  /* no version of its own: the next digest tells it */
-  endpoint->tokens += tokens - open->tokens;
-  open->tokens = tokens;
-}
 
 EndpointWish path_wish(Router *router, const Request *request,
                        EndpointStage stage, gint64 now) {
@@ -98,8 +64,8 @@
 }
 
 /* what is open at an engine is memory that others may promise too: they hear
-*at
-** once. At a plain endpoint it tells them how busy that is, a little later */
+ *at
+ ** once. At a plain endpoint it tells them how busy that is, a little later */
 static void count_change(Router *router, const Request *request) {
   if (request->service->is_engine)
     router->load_version++;
@@ -232,26 +198,6 @@
   return endpoint_table_choose(router->endpoints, &wish, now);
 }
 
-static gint64 head_silence(const Request *request) {
-  double wait = HEAD_SILENCE_OBJECTIVES * (double)request->route->objective;
-  return MAX((gint64)wait, SILENCE_LEAST);
-}
-
-static gint64 piece_silence(const Request *request) {
-  return MAX(PIECE_SILENCE_GAPS * request->route->gap, SILENCE_LEAST);
-}
-
-/* when silence of the endpoint is taken for a failure; 0: never */
-static gint64 silence_limit(const Request *request, gint64 now) {
-  gint64 wait;
-  if (!request->repeatable || request->runs + 1 >= request->route->attempts)
-    return 0;
-  if (request->route->kind == ROUTE_STREAM)
-    return now + head_silence(request);
-  wait = (gint64)(SAFE_SILENCE_OBJECTIVES * (double)request->route->objective);
-  return now + MAX(wait, 100 * MP_MS);
-}
-
 /*
 ** The prompt is read and no decode engine has room for it: wait for room as
 ** long as the handle lives, instead of being turned away by a full engine.
@@ -266,12 +212,6 @@
   return TRUE;
 }
 
-static gint64 suspect_silence(const Request *request) {
-  gint64 objectives = PLAIN_SUSPECT_OBJECTIVES * request->route->objective;
-  return request->service->is_engine ? SUSPECT_SILENCE
-                                     : MAX(objectives, CONNECT_LEAST);
-}
-
 gboolean path_may_send(Router *router, Request *request, RefusalKind *why,
                        gint64 now) {
   return accounts_may_dispatch(router, request, why, now) &&
@@ -311,7 +251,7 @@
     return;
   }
   request->stall_at = silence_limit(request, now);
-  request->suspect_at = now + suspect_silence(request);
+  request->suspect_at = now + silence_suspect(request);
 }
 
 void path_place(Router *router, Request *request, Endpoint *decode,
@@ -333,274 +273,3 @@
 }
 
 /* }================================================================== */
-
-/*
-** {==================================================================
-** Trying again
-** ===================================================================
-*/
-
-static gboolean may_try_again(const Request *request, gboolean may_have_run,
-                              gint64 now) {
-  if (now + LEAST_TIME_LEFT >= request->expires ||
-      request->arrivals >= MOST_ARRIVALS)
-    return FALSE;
-  if (!may_have_run)
-    return TRUE;
-  return request->repeatable && request->runs < request->route->attempts;
-}
-
-static void log_retry(Router *router, const Request *request, gboolean again,
-                      gboolean may_have_run) {
-  router_log(router, MP_LOG_ROUTE_RETRY,
-             " request=%s again=%d may_have_run=%d runs=%u arrivals=%u",
-             request->id, again, may_have_run, request->runs,
-             request->arrivals);
-}
-
-/* a handle serves once, whatever became of the run that was offered it */
-static void drop_used_handle(Request *request) {
-  g_clear_pointer(&request->handle, g_free);
-  g_clear_pointer(&request->handle_endpoint, g_free);
-}
-
-void path_run_again(Router *router, Request *request, gboolean may_have_run,
-                    gint64 now) {
-  gboolean allowed = may_try_again(request, may_have_run, now);
-  if (allowed && !retry_exchange_take(router, request->service->name, now)) {
-    router_count(router, RETRIES_DENIED);
-    allowed = FALSE;
-  }
-  log_retry(router, request, allowed, may_have_run);
-  if (!allowed) {
-    finish_give_up(router, request, now);
-    return;
-  }
-  router_count(router, RETRIES);
-  path_run(router, request, now);
-}
-
-/* is there an endpoint beside those that failed and the open run's own? */
-static gboolean has_elsewhere(Router *router, Request *request, gint64 now) {
-  EndpointWish wish = path_wish(router, request, path_run_stage(request), now);
-  const char *others[MAX_EXCLUDED + 1];
-  guint i;
-  for (i = 0; i < request->excluded_count; i++)
-    others[i] = request->excluded[i];
-  others[i++] = request->open.endpoint;
-  wish.excluded = others;
-  wish.excluded_count = i;
-  return endpoint_table_choose(router->endpoints, &wish, now) != NULL;
-}
-
-/*
-** Leave the open run, which has perhaps run, and send another one. FALSE,
-** and nothing is changed, unless the route, the time, the endpoints and
-** the retry budget allow that; the budget is paid then. May end.
-*/
-static gboolean leave_for_another(Router *router, Request *request,
-                                  gboolean cancel, gint64 now) {
-  if (request->runs + 1 >= request->route->attempts ||
-      request->arrivals + 1 >= MOST_ARRIVALS ||
-      !may_try_again(request, TRUE, now) ||
-      !has_elsewhere(router, request, now) ||
-      !retry_exchange_take(router, request->service->name, now))
-    return FALSE;
-  request->arrivals++;
-  request->runs++;
-  log_retry(router, request, TRUE, TRUE);
-  router_count(router, RETRIES);
-  path_exclude(request, request->open.endpoint);
-  drop_used_handle(request);
-  path_close_dispatch(router, request, cancel);
-  path_run(router, request, now);
-  return TRUE;
-}
-
-/* silence alone ends no answer: without another run this one goes on */
-void path_stalled(Router *router, Request *request, gint64 now) {
-  Endpoint *endpoint = path_open_endpoint(router, request);
-  if (endpoint != NULL)
-    endpoint_failed(endpoint, now);
-  if (!leave_for_another(router, request, TRUE, now))
-    request->stall_at = now + STALL_AGAIN;
-}
-
-/* no connection stood: the next endpoint, and no retry is spent */
-static void unreachable(Router *router, Request *request, Endpoint *endpoint,
-                        gint64 now) {
-  router_count(router, UNREACHABLE);
-  if (endpoint != NULL)
-    endpoint_unreachable(endpoint, now);
-  path_close_dispatch(router, request, FALSE);
-  if (++request->unreachable >= MOST_UNREACHABLE ||
-      now + LEAST_TIME_LEFT >= request->expires)
-    finish_give_up(router, request, now);
-  else
-    path_run(router, request, now);
-}
-
-static void not_run(Router *router, Request *request, Endpoint *endpoint,
-                    const Outcome *outcome, gint64 now) {
-  router_count(router, NOT_RUN);
-  request->arrivals++;
-  request->was_busy = TRUE;
-  if (endpoint != NULL) {
-    endpoint_failed(endpoint, now);
-    if (outcome->misdirected)
-      endpoint_unreachable(endpoint, now);
-  }
-  path_close_dispatch(router, request, FALSE);
-  path_run_again(router, request, FALSE, now);
-}
-
-static void broken(Router *router, Request *request, Endpoint *endpoint,
-                   gint64 now) {
-  router_count(router, BROKEN);
-  request->arrivals++;
-  request->runs++;
-  if (endpoint != NULL) {
-    endpoint_failed(endpoint, now);
-    suspects_broken(router, request, endpoint, now);
-  }
-  path_close_dispatch(router, request, FALSE);
-  if (request->head_sent)
-    router_count(router, RESUMED);
-  path_run_again(router, request, TRUE, now);
-}
-
-/* }================================================================== */
-
-/*
-** {==================================================================
-** Outcomes
-** ===================================================================
-*/
-
-/* the endpoint's own failure: pass it on, or try another one */
-static void answered(Router *router, Request *request, Endpoint *endpoint,
-                     const Outcome *outcome, gint64 now) {
-  gboolean failed = outcome->status >= 500;
-  if (endpoint != NULL && failed)
-    endpoint_failed(endpoint, now);
-  else if (endpoint != NULL)
-    endpoint_succeeded(endpoint, now);
-  suspects_succeeded(router, request);
-  if (failed && leave_for_another(router, request, FALSE, now))
-    return;
-  if (request->head_sent) { /* a resumed stream got no stream */
-    request->runs++;
-    finish_give_up(router, request, now);
-    return;
-  }
-  router_time(router, request, DURATION_PLAIN, now);
-  finish_answered(router, request, outcome);
-}
-
-static void note_pause(Request *request, gint64 now) {
-  gint64 pause = request->last_piece != 0 ? now - request->last_piece : 0;
-  request->longest_pause = MAX(request->longest_pause, pause);
-  request->last_piece = now;
-}
-
-static void piece(Router *router, Request *request, const Outcome *outcome,
-                  gint64 now) {
-  note_pause(request, now);
-  if (outcome->event != NULL) {
-    g_free(request->last_event);
-    request->last_event = g_strdup(outcome->event);
-    request->made = (guint32)(g_ascii_strtoull(outcome->event, NULL, 10) *
-                              request->service->event_tokens);
-    count_memory(router, request);
-  }
-  if (request->stall_at != 0)
-    request->stall_at = now + piece_silence(request);
-  router->host.answer(router->host.data, request->number, outcome);
-}
-
-/* the run goes on; only the next choices are told */
-void path_suspect(Router *router, Request *request, gint64 now) {
-  Endpoint *endpoint = path_open_endpoint(router, request);
-  request->suspect_at = 0;
-  if (endpoint == NULL)
-    return;
-  endpoint_failed(endpoint, now);
-  router->load_version++;
-}
-
-static void stream_head(Router *router, Request *request,
-                        const Outcome *outcome, gint64 now) {
-  request->suspect_at = 0;
-  if (request->stall_at != 0)
-    request->stall_at = now + head_silence(request);
-  if (request->head_sent)
-    return; /* resumed: the caller keeps its first head */
-  request->head_sent = TRUE;
-  router_time(router, request, DURATION_FIRST_PIECE, now);
-  router->host.answer(router->host.data, request->number, outcome);
-}
-
-/* two engines refused the handle: the one that gave it loses them early */
-static void blame_prefill(Router *router, const Request *request, gint64 now) {
-  Endpoint *prefill =
-      endpoint_table_get(router->endpoints, request->handle_endpoint);
-  if (prefill != NULL)
-    endpoint_failed(prefill, now);
-}
-
-void path_outcome(Router *router, Request *request, const Outcome *outcome,
-                  gint64 now) {
-  Endpoint *endpoint = path_open_endpoint(router, request);
-  if (outcome->kind != OUTCOME_STREAM_PIECE)
-    router_log(router, MP_LOG_ROUTE_OUTCOME,
-               " request=%s endpoint=%s outcome=%s status=%d after_ms=%d "
-               "last_event=%s longest_pause_ms=%d",
-               request->id, request->open.endpoint,
-               outcome_name(outcome->kind), outcome->status,
-               (int)((now - request->open.sent) / MP_MS),
-               request->last_event != NULL ? request->last_event : "-",
-               (int)(request->longest_pause / MP_MS));
-  if (request->handle != NULL && outcome->kind == OUTCOME_NOT_RUN &&
-      request->arrivals > 0) {
-    blame_prefill(router, request, now);
-    g_clear_pointer(&request->read_by, g_free);
-  }
-  if (outcome->kind != OUTCOME_UNREACHABLE &&
-      (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
-    drop_used_handle(request); /* one that two engines refused is gone */
-  }
-  if (outcome->kind == OUTCOME_UNREACHABLE ||
-      outcome->kind == OUTCOME_NOT_RUN || outcome->kind == OUTCOME_BROKEN)
-    path_exclude(request, request->open.endpoint);
-  switch (outcome->kind) {
-  case OUTCOME_UNREACHABLE:
-    unreachable(router, request, endpoint, now);
-    break;
-  case OUTCOME_NOT_RUN:
-    not_run(router, request, endpoint, outcome, now);
-    break;
-  case OUTCOME_BROKEN:
-    broken(router, request, endpoint, now);
-    break;
-  case OUTCOME_ANSWER:
-    answered(router, request, endpoint, outcome, now);
-    break;
-  case OUTCOME_STREAM_HEAD:
-    stream_head(router, request, outcome, now);
-    break;
-  case OUTCOME_STREAM_PIECE:
-    piece(router, request, outcome, now);
-    break;
-  case OUTCOME_STREAM_END:
-    if (endpoint != NULL)
-      endpoint_succeeded(endpoint, now);
-    estimate_learn_output(router, request);
-    suspects_succeeded(router, request);
-    router_time(router, request, DURATION_STREAM, now);
-    admission_ended(router, now);
-    finish_answered(router, request, outcome);
-    break;
-  }
-}
-
-/* }================================================================== */
--- a/router/router.c
+++ b/router/router.c
@@ -308,7 +308,7 @@
   if (request->phase == PHASE_PREFILL)
     prefill_outcome(router, request, outcome, now);
   else
-    path_outcome(router, request, outcome, now);
+    outcomes_take(router, request, outcome, now);
   admission_run(router, now);
 }
 
@@ -349,7 +349,7 @@
   else if (request->phase == PHASE_PREFILL)
     prefill_stalled(router, request, now);
   else
-    path_stalled(router, request, now);
+    outcomes_stalled(router, request, now);
 }
 
 /* one request whose time has come; 0 when there is none */
@@ -364,7 +364,7 @@
     if (request->expires <= now)
       finish_expire(router, request, now);
     else if (request->suspect_at != 0 && request->suspect_at <= now)
-      path_suspect(router, request, now);
+      outcomes_suspect(router, request, now);
     else if (request->turn_at != 0 && request->turn_at <= now)
       admission_turn(router, request, now);
     else
--- a/router/state.h
+++ b/router/state.h
@@ -224,9 +224,6 @@
                 gint64 now);
 /* send the request itself; may end */
 void path_run(Router *router, Request *request, gint64 now);
-/* send it again after a dispatch that failed; may end */
-void path_run_again(Router *router, Request *request, gboolean may_have_run,
-                    gint64 now);
 /* may anything be sent for it now? Else '*why' says why not */
 gboolean path_may_send(Router *router, Request *request, RefusalKind *why,
                        gint64 now);
@@ -242,13 +239,24 @@
                        EndpointStage stage, gint64 now);
 void path_exclude(Request *request, const char *endpoint);
 gboolean path_is_excluded(const Request *request, const char *endpoint);
+/* }================================================================== */
+
+/*
+** {==================================================================
+** outcomes.c: what becomes of a request when its dispatch ends or is silent
+** ===================================================================
+*/
+
+/* send it again after a dispatch that failed; may end */
+void outcomes_try_again(Router *router, Request *request,
+                        gboolean may_have_run, gint64 now);
 /* a run that may be resumed elsewhere is silent; may end */
-void path_stalled(Router *router, Request *request, gint64 now);
+void outcomes_stalled(Router *router, Request *request, gint64 now);
 /* the endpoint of the run is silent for long: others should know */
-void path_suspect(Router *router, Request *request, gint64 now);
+void outcomes_suspect(Router *router, Request *request, gint64 now);
 /* an outcome of the open RUN dispatch; may end */
-void path_outcome(Router *router, Request *request, const Outcome *outcome,
-                  gint64 now);
+void outcomes_take(Router *router, Request *request, const Outcome *outcome,
+                   gint64 now);
 
 /* }================================================================== */
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -106,12 +106,12 @@
 m pause "a paused home does not trust what it knew" core/state.c \
   'member_paused(state);' ''
 # routed requests (router/, http/, platform/)
-m r-once "TWICE: no second run of what may not be repeated" router/path.c \
+m r-once "TWICE: no second run of what may not be repeated" router/outcomes.c \
   'return request->repeatable && request->runs < request->route->attempts;' \
   'return 1;'
 m r-promise "REFUSED: an open run may be at work" router/finish.c \
   '(request->phase == PHASE_RUN && request->open.number != 0);' '0;'
-m r-count "REFUSED: a broken run counts as run" router/path.c \
+m r-count "REFUSED: a broken run counts as run" router/outcomes.c \
   '  request->runs++;
   if (endpoint != NULL)' '  if (endpoint != NULL)'
 m r-back "CONFIG: never an older version" router/router.c \
@@ -151,22 +151,22 @@
   'path_close_dispatch(router, request, TRUE);
   admission_leave' 'path_close_dispatch(router, request, FALSE);
   admission_leave'
-m r-handle "MIXED: a handle that two engines refused is dropped" router/path.c \
+m r-handle "MIXED: a handle that two engines refused is dropped" router/outcomes.c \
   '(outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)' \
   '(outcome->kind != OUTCOME_NOT_RUN)'
-m r-resume "ORDER: a resumed stream keeps its first head" router/path.c \
+m r-resume "ORDER: a resumed stream keeps its first head" router/outcomes.c \
   'if (request->head_sent)
     return;' ''
 m r-drain "LOST: a planned stop takes nothing new" router/router.c \
   'if (router->stopping) {' 'if (0) {'
 m r-leaving "DRAIN: a leaving endpoint is not chosen" router/endpoint_table.c \
-  'return endpoint->record.ready && ' 'return '
+  'return !endpoint->record.ready ||' 'return'
 m r-room "a run starts only where there is room" router/endpoint_table.c \
-  'if (wish->must_fit && !has_room(table, wish, endpoint))' 'if (0)'
+  '(wish->must_fit && !has_room(table, wish, endpoint)) ||' ''
 m r-late "an overtaken digest changes nothing" router/peer_loads.c \
   'return behind < REORDER_WINDOW;' 'return 0;'
 m r-newer "CONFIG: an older revision takes no effect" router/follower.c \
-  'if (known != NULL && *known >= object->revision)' 'if (0)'
+  'return known->revision < object->revision ||' 'return TRUE ||'
 m r-list "DRAIN: a list forgets what it does not name" \
   router/endpoint_table.c 'if (g_hash_table_contains(names, endpoint->record.id))' \
   'if (1)'
@@ -177,9 +177,9 @@
   'if (empty > 0)' 'if (1)'
 m r-own "the system sets its own fields" platform/endpoints.c \
   'http_head_remove(head, platform_system_fields[i]);' ';'
-m r-silence "LOST: silence ends nothing without another endpoint" router/path.c \
+m r-silence "LOST: silence ends nothing without another endpoint" router/outcomes.c \
   '!has_elsewhere(router, request, now) ||' ''
-m r-paid "LOST: a resume is paid before the run is left" router/path.c \
+m r-paid "LOST: a resume is paid before the run is left" router/outcomes.c \
   '!retry_exchange_take(router, request->service->name, now))
     return FALSE;' '0)
     return FALSE;'
@@ -264,7 +264,7 @@
 m s-near "summaries: hold what was heard nearby" router/retry_exchange.c \
   'add_counts(&state->budget.near, &more);' ''
 m s-late "late loads keep requests at home" router/endpoint_table.c \
-  'table->is_late ? COST_OTHER_ZONE_LATE' 'FALSE ? COST_OTHER_ZONE_LATE'
+  'return COST_OTHER_ZONE_LATE;' 'return COST_OTHER_ZONE_ENGINE;'
 m a-door "accounts: an unknown key is refused" router/accounts.c \
   'account = route_table_account(router->routes, digest);' \
   'account = router->routes->accounts->pdata[0];'
@@ -302,13 +302,13 @@
   'use->prefill_busy = average->prefill_peak;' \
   'use->prefill_busy = average->prefill_busy;'
 m d-hang "a plain endpoint that hangs is in doubt" router/path.c \
-  'request->suspect_at = now + suspect_silence(request);' ''
+  'request->suspect_at = now + silence_suspect(request);' ''
 m q-refused "crash: a connection that stands proves no end" \
   router/crash_watch.c 'if (outcome->kind == OUTCOME_UNREACHABLE &&' 'if ('
 m q-silent "crash: silence proves no end" router/crash_watch.c \
   'now - watched->checked_at < REFUSED_WITHIN' 'TRUE'
 m q-leaving "crash: one that was leaving ends by plan" router/crash_watch.c \
-  'if (!endpoint->record.ready)' 'if (FALSE)'
+  'if (endpoint_leaves(endpoint))' 'if (FALSE)'
 m q-life "crash: of this life" router/crash_watch.c \
   'watched->life == life &&' ''
 m q-once "hold: an end counts once" router/quarantine.c \
@@ -337,7 +337,7 @@
 m v-later "lives: a later one ends what runs" router/lives.c \
   'while ((number = open_dispatch(router, id, life)) != 0)' 'while (FALSE)'
 m v-early "lives: an earlier one changes nothing" router/endpoint_table.c \
-  ': ENDPOINT_OUTDATED;' ': ENDPOINT_SAME;'
+  'return ENDPOINT_OUTDATED;' 'return ENDPOINT_SAME;'
 m v-hash "lives: told apart in digests" router/endpoint_table.c \
   '(guint64)record->born_unix_ms);' '0);'
 m v-loads "lives: loads of an earlier one are not the later's" router/path.c \
@@ -345,9 +345,9 @@
                                  open->life);' \
   'return endpoint_table_get(router->endpoints, open->endpoint);'
 m i-item "store: an object that can't be read is known by its name" \
-  platform/store.c 'object.text = read_content(span);' \
-  'object.text = read_content(span);
-  if (object.text != NULL && object.text[0] == 0) { out->nameless++; return; }'
+  platform/store.c 'is_whole ? read_content(span) : g_strdup("");' \
+  'is_whole ? read_content(span) : g_strdup("");
+    if (object.text != NULL && object.text[0] == 0) { out->nameless++; return; }'
 m i-stage "store: an unknown stage is none" platform/records.c \
   'else
     return FALSE;
@@ -417,7 +417,7 @@
   'age > TELL_OVER' \
   TRUE
 m r-choice "rates: choice leaves those out that take no more" router/endpoint_table.c \
-  '        !takes_more(wish, endpoint, now))' \
+  '        !takes_more(table, wish, endpoint, now))' \
   '        FALSE)'
 m r-counted "rates: a run is counted once" router/prefill.c \
   '    if (request->decode_counted)
@@ -426,23 +426,23 @@
 m r-reserve "rates: a place is counted when it is reserved" router/prefill.c \
   'request->decode_counted = rate_limits_sent(router->rates, decode->hash);' \
   'request->decode_counted = FALSE;'
-m r-look "rates: who waits looks again" router/rates.c \
-  'router->rates_look_at = now + LOOK_AGAIN;' \
-  'router->rates_look_at = 0;'
+m r-look "rates: who waits looks again" router/shortage.c \
+  'router->shortage_look_at = now + LOOK_AGAIN;' \
+  'router->shortage_look_at = 0;'
 m r-life "rates: a later life has none" router/lives.c \
   '  if (news == ENDPOINT_RESTARTED)
     rates_endpoints_changed(router);' \
   ''
 m r-gone "rates: one that is gone has none" router/lives.c \
-  '  endpoint_table_remove(router->endpoints, id);
+  '  endpoint_table_remove(router->endpoints, id, now);
   rates_endpoints_changed(router);' \
-  '  endpoint_table_remove(router->endpoints, id);'
+  '  endpoint_table_remove(router->endpoints, id, now);'
 m r-refuse "rates: a shortage is told as one" router/path.c \
-  'request->was_limited = rates_hold_back(router, request, now);' \
+  'shortage_note(router, request, now);' \
   ''
-m r-silent "rates: a failure without one ends none" io/endpoint_links.c \
-  '(call->head->status < 300 && !facts->not_run)' \
-  TRUE
+m r-silent "rates: a failure without one ends none" io/endpoint_call.c \
+  'return status >= 200 && status < 300 && !call->facts.not_run &&' \
+  'return'
 m r-number "rates: a plain number" platform/quantities.c \
   'if (whole + part == 0 || *end != '"'"'\0'"'"')' \
   'if (whole + part == 0)'
@@ -487,9 +487,9 @@
   's[strspn(s, "0123456789.:")] != '"'"'\0'"'"' ||' \
   ''
 m g-round "gate: a caller goes round it" router/path.c \
-  '      gate_ask(endpoint, DISPATCH_RUN, NULL, now) != GATE_OPEN)
+  'gate_ask(endpoint, DISPATCH_RUN, now) != GATE_OPEN)
     return NULL;' \
-  '      FALSE)
+  'FALSE)
     return NULL;'
 m g-door "gate: the door asks again" router/dispatcher.c \
   'if (verdict != GATE_OPEN) {' \
