--- a/bench/load.c
+++ b/bench/load.c
@@ -15,7 +15,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <cyaml/cyaml.h>
 #include <jansson.h>
 
 #include "bench/load.h"
@@ -55,55 +54,10 @@
 
 /*
 ** {==================================================================
-** The mix
+** Addresses
 ** ===================================================================
 */
 
-#define OPT(k, f) CYAML_FIELD_UINT(k, CYAML_FLAG_OPTIONAL, MixClass, f)
-#define OPTSTR(k, f)                                                  \
-  CYAML_FIELD_STRING_PTR(k, CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, \
-                         MixClass, f, 1, 255)
-
-static const cyaml_schema_field_t classfields[] = {
-    CYAML_FIELD_STRING_PTR("class", CYAML_FLAG_POINTER, MixClass, class_name,
-                           1, 63),
-    CYAML_FIELD_STRING_PTR("key", CYAML_FLAG_POINTER, MixClass, key, 1, 63),
-    OPTSTR("model", model),
-    OPTSTR("path", path),
-    OPT("weight", weight),
-    OPT("prompt_tokens", prompt_tokens),
-    OPT("shared_tokens", shared_tokens),
-    OPT("max_tokens", max_tokens),
-    OPT("first_ms", first_ms),
-    OPT("token_ms", token_ms),
-    OPT("keyed", keyed),
-    OPT("again", again),
-    OPT("hangup", hangup),
-    CYAML_FIELD_END};
-static const cyaml_schema_value_t classrow = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, MixClass, classfields)};
-static const cyaml_schema_field_t mixfields[] = {
-    CYAML_FIELD_SEQUENCE("classes", CYAML_FLAG_POINTER, Mix, classes,
-                         &classrow, 1, 32),
-    CYAML_FIELD_UINT("burst_every_s", CYAML_FLAG_OPTIONAL, Mix, burst_every_s),
-    CYAML_FIELD_UINT("burst_factor", CYAML_FLAG_OPTIONAL, Mix, burst_factor),
-    CYAML_FIELD_END};
-static const cyaml_schema_value_t mixschema = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, Mix, mixfields)};
-
-static void readmix(const char *path) {
-  cyaml_config_t c = {0};
-  cyaml_err_t e;
-  c.log_fn = cyaml_log;
-  c.log_level = CYAML_LOG_ERROR;
-  c.mem_fn = cyaml_mem;
-  e = cyaml_load_file(path, &c, &mixschema, (cyaml_data_t **)&mix, NULL);
-  if (e == CYAML_OK)
-    return;
-  fprintf(stderr, "%s: %s\n", path, cyaml_strerror(e));
-  exit(2);
-}
-
 static void addaddr(GArray *a, const json_t *row, const char *key) {
   mp_Addr at = mp_addr_parse(json_string_value(json_object_get(row, key)));
   if (at != 0)
@@ -588,7 +542,7 @@
   operators = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
   results = g_array_new(FALSE, FALSE, sizeof(Result));
   rnd = g_rand_new_with_seed((guint32)args.seed);
-  readmix(args.mix);
+  mix = mix_read(args.mix);
   readlist(args.list);
   drive();
   settle();
--- a/bench/load.h
+++ b/bench/load.h
@@ -33,6 +33,9 @@
   uint32_t burst_factor;  /* times the mean rate, a tenth of the time */
 } Mix;
 
+/* ends the program with a message when the file can't be read */
+Mix *mix_read(const char *path);
+
 /* what became of one request */
 typedef struct Result {
   unsigned class_no;
--- a/core/member.c
+++ b/core/member.c
@@ -12,9 +12,6 @@
 
 #include <string.h>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "claim.h"
 #include "doc.h"
 #include "fx.h"
@@ -39,18 +36,11 @@
   g_hash_table_remove(state->scratch, p);
 }
 
-uint64_t member_weight(mp_Addr a, uint64_t key) {
-  uint64_t both[2];
-  both[0] = a;
-  both[1] = key;
-  return XXH3_64bits(both, sizeof both);
-}
-
 Member *member_get(const mp_State *state, mp_Addr a) {
   return state_get(state->memberby, a);
 }
 
-static int serves(const Member *m) {
+int member_serves(const Member *m) {
   return m->state == MP_MEMBER_ALIVE || m->state == MP_MEMBER_SUSPECT;
 }
 
@@ -67,7 +57,7 @@
     g_array_append_val(a, state->self);
   for (i = 0; i < state->members->len; i++) {
     const Member *m = state->members->pdata[i];
-    if (!m->remote && serves(m))
+    if (!m->remote && member_serves(m))
       g_array_append_val(a, m->addr);
   }
   return a;
@@ -95,15 +85,15 @@
   if (m->state == s)
     return;
   old = liveset(state);
-  before = serves(m);
+  before = member_serves(m);
   m->state = s;
   m->since = state->now;
   m->told = 0;
-  if (!m->remote && before != serves(m))
+  if (!m->remote && before != member_serves(m))
     setchanged(state, old);
   else
     g_array_unref(old);
-  if (before != serves(m))
+  if (before != member_serves(m))
     claim_homesmoved(state);
   mp_addr_text(m->addr, text);
   effect_log(state, said[s], " instance=%s start=%u", text, m->start);
@@ -140,69 +130,16 @@
 
 /*
 ** {==================================================================
-** Rendezvous
+** How many, and who is in reach
 ** ===================================================================
 */
 
-static mp_Addr best(const mp_Addr *a, guint n, uint64_t key) {
-  mp_Addr win = 0;
-  uint64_t top = 0;
-  guint i;
-  for (i = 0; i < n; i++) {
-    uint64_t w = member_weight(a[i], key);
-    if (win == 0 || w > top || (w == top && a[i] < win)) {
-      win = a[i];
-      top = w;
-    }
-  }
-  return win;
-}
-
-mp_Addr member_home(const mp_State *state, uint32_t dc, uint64_t key) {
-  mp_Addr win = 0;
-  uint64_t top = 0;
-  guint i;
-  if (dc == state->dchash && !state->draining) {
-    win = state->self;
-    top = member_weight(win, key);
-  }
-  for (i = 0; i < state->members->len; i++) {
-    const Member *m = state->members->pdata[i];
-    uint64_t w;
-    if (m->dc != dc || !serves(m))
-      continue;
-    w = member_weight(m->addr, key);
-    if (win == 0 || w > top || (w == top && m->addr < win)) {
-      win = m->addr;
-      top = w;
-    }
-  }
-  return win;
-}
-
-mp_Addr member_homebefore(const mp_State *state, uint64_t key) {
-  const GArray *b = state->beforeset;
-  return best((const mp_Addr *)(const void *)b->data, b->len, key);
-}
-
-int member_among(const mp_State *state, uint64_t key, unsigned n) {
-  uint64_t own = member_weight(state->self, key);
-  unsigned before = 0;
-  guint i;
-  for (i = 0; i < state->members->len; i++) {
-    const Member *m = state->members->pdata[i];
-    if (!m->remote && serves(m) && member_weight(m->addr, key) > own)
-      before++;
-  }
-  return before < n;
-}
-
 unsigned member_count(const mp_State *state, int all) {
   unsigned n = 1;
   guint i;
   for (i = 0; i < state->members->len; i++) {
     const Member *m = state->members->pdata[i];
-    if (serves(m) && (all || !m->remote))
+    if (member_serves(m) && (all || !m->remote))
       n++;
   }
   return n;
@@ -526,7 +463,7 @@
     *next %= n;
   for (i = 0; i < n; i++) {
     Member *m = state->members->pdata[(*next + i) % n];
-    if (m->remote != remote || (remote && !serves(m)))
+    if (m->remote != remote || (remote && !member_serves(m)))
       continue;
     if (m->state == MP_MEMBER_DEAD && !m->listed)
       continue;
@@ -614,7 +551,7 @@
   state->incarnation++;
   for (i = 0; i < state->members->len; i++) {
     Member *m = state->members->pdata[i];
-    if (serves(m))
+    if (member_serves(m))
       probe(state, m->addr);
   }
 }
--- a/core/member.h
+++ b/core/member.h
@@ -57,6 +57,8 @@
 int member_reach(const mp_State *state, uint32_t dc);
 
 Member *member_get(const mp_State *state, mp_Addr a);
+/* does it take work: alive, or suspected and not dead yet? */
+int member_serves(const Member *m);
 
 /* news told so often has reached everyone, with near certainty */
 unsigned member_toldoften(const mp_State *state);
--- a/makefile
+++ b/makefile
@@ -73,7 +73,7 @@
   $(BUILD)/standin/serve.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/load: $(BUILD)/bench/load.o $(BUILD)/bench/caller.o \
+$(BUILD)/load: $(BUILD)/bench/load.o $(BUILD)/bench/mix.o $(BUILD)/bench/caller.o \
   $(BUILD)/standin/model.o $(BUILD)/io/http.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lm
 
--- a/router/admission.c
+++ b/router/admission.c
@@ -328,6 +328,10 @@
   guint place = in_time_before(router, request, now);
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now); /* it is read anew */
+  if (shortage_lasts(router, request, most_patience(request, now), now)) {
+    refuse_for_rest(router, request, now);
+    return;
+  }
   if (waited >= wait_most(request) ||
       (!request->returned &&
        waited + expected_wait(router, place) > wait_fresh(request))) {
--- a/router/router.c
+++ b/router/router.c
@@ -295,6 +295,12 @@
   admission_run(router, now);
 }
 
+/* the endpoint itself has said something */
+static gboolean is_answer_of_endpoint(const Outcome *outcome) {
+  return outcome->kind != OUTCOME_UNREACHABLE &&
+         outcome->kind != OUTCOME_BROKEN && !outcome->misdirected;
+}
+
 void router_outcome(Router *router, const Outcome *outcome, gint64 now) {
   Request *request;
   if (stages_outcome(router->stages, outcome, now) ||
@@ -303,7 +309,7 @@
   request = g_hash_table_lookup(router->dispatched, &outcome->dispatch);
   if (request == NULL)
     return; /* given up before */
-  if (outcome->kind != OUTCOME_UNREACHABLE && outcome->kind != OUTCOME_BROKEN)
+  if (is_answer_of_endpoint(outcome))
     suspects_answered(router, request, now);
   if (request->phase == PHASE_PREFILL)
     prefill_outcome(router, request, outcome, now);
--- a/test/fuzz/http.c
+++ b/test/fuzz/http.c
@@ -19,7 +19,9 @@
   CallerHead caller;
   (void)data;
   platform_read_endpoint(head, &endpoint);
-  if (!isfinite(endpoint.rate.per_second) || endpoint.rate.per_second < 0)
+  if (!isfinite(endpoint.signals.rate_per_second) ||
+      endpoint.signals.rate_per_second < 0 || endpoint.signals.rest_time < 0 ||
+      endpoint.signals.rest_time > G_MAXINT64 / 2)
     abort();
   if (head->target != NULL) {
     platform_read_caller(head, &caller, NULL);
--- a/test/test_endpoint_rest.cc
+++ b/test/test_endpoint_rest.cc
@@ -293,6 +293,19 @@
   EXPECT_TRUE(world.dispatches.empty());
 }
 
+/* nor held on, if the engines ask for rest while it waits */
+TEST_F(RestWorld, WhoWaitsWhenAllBeginALongRestHearsSoonToo) {
+  ask("dec-1", 100 * ms);
+  ask("dec-2", 100 * ms);
+  guint64 number = world.request("/stream/x");
+  EXPECT_EQ(world.end(number).refusals, 0);
+  ask("dec-1", 20 * second);
+  ask("dec-2", 20 * second);
+  world.advance(400 * ms);
+  EXPECT_EQ(world.end(number).refusal, REFUSAL_REST);
+  EXPECT_TRUE(world.dispatches.empty());
+}
+
 TEST_F(RestWorld, AShortRestOfAllEnginesIsWaitedFor) {
   ask("dec-1", 200 * ms);
   ask("dec-2", 200 * ms);
--- a/test/test_suspicions.cc
+++ b/test/test_suspicions.cc
@@ -89,6 +89,23 @@
   EXPECT_FALSE(is_deferred());
 }
 
+/* another endpoint at the address says nothing of it */
+TEST_F(SuspicionWorld, AMisdirectedAnswerTakesNoneAway) {
+  break_off(3);
+  world.advance(200 * ms);
+  world.content = 0;
+  for (int i = 0; i < 40; i++) {
+    world.request("/safe/x");
+    Outcome other = {};
+    other.dispatch = world.last().number;
+    other.kind = OUTCOME_NOT_RUN;
+    other.status = 421;
+    other.misdirected = TRUE;
+    router_outcome(world.router, &other, world.now);
+  }
+  EXPECT_TRUE(is_deferred());
+}
+
 /* bytes that were on their way when the endpoint ended prove nothing */
 TEST_F(SuspicionWorld, AnAnswerThatWasOnItsWayTakesNoneAway) {
   world.content = 9;
