--- a/router/shortage.c
+++ b/router/shortage.c
@@ -98,12 +98,14 @@
                         gint64 span, gint64 now) {
   const GPtrArray *all = router->endpoints->all;
   gboolean found = FALSE;
+  gint64 left;
   guint i;
   for (i = 0; i < all->len; i++) {
     const Endpoint *endpoint = all->pdata[i];
     if (!is_member(endpoint, request))
       continue;
-    if (availability_rest_left(&endpoint->availability, now) <= span)
+    left = availability_rest_left(&endpoint->availability, now);
+    if (left == 0 || left <= span)
       return FALSE;
     found = TRUE;
   }
