--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,7 +6,8 @@
 # centre, of which a few follow the store for the others (six or more), from
 # 6000 client accounts, whose keys are taken away and whose limits change, from
 # 7000 workers that end and come back, requests that end them, spoilt entries,
-# from 8000 workers that name the rate they take.
+# from 8000 workers that name the rate they take, from 9000 workers that say
+# that they leave, or ask for rest.
 # Ends with "N passed, N failed"; logs of failed seeds stay in their folder.
 set -u
 cd "$(dirname "$0")/.."
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -73,13 +73,15 @@
   const char *account = header(request, "Tenant");
   const char *key = header(request, "Api-Key");
   json_array_append_new(
-      ledger, json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:b, s:I}", "id",
-                        id != NULL ? id : "", "worker", worker->id, "what",
-                        what, "method", method_name(request), "path",
-                        evhttp_request_get_uri(request), "resumed",
-                        resumed != NULL ? resumed : "", "account",
-                        account != NULL ? account : "", "key", key != NULL,
-                        "at_ms", (json_int_t)(g_get_monotonic_time() / MS)));
+      ledger,
+      json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:b, s:s, s:b, s:I, s:I}",
+                "id", id != NULL ? id : "", "worker", worker->id, "what", what,
+                "method", method_name(request), "path",
+                evhttp_request_get_uri(request), "resumed",
+                resumed != NULL ? resumed : "", "account",
+                account != NULL ? account : "", "key", key != NULL, "rest",
+                worker->rest, "leaving", worker->leaving, "born", worker->born,
+                "at_ms", (json_int_t)(g_get_monotonic_time() / MS)));
 }
 
 /* the answer's fields that every worker sends */
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -355,6 +355,10 @@
         resumed = row:match('"resumed":"([^"]*)"'),
         account = row:match('"account":"([^"]*)"'),
         has_key = row:match('"key":true') ~= nil,
+        -- what the worker's answers say then: seconds of rest, and leaving
+        rest = tonumber(row:match('"rest":"([^"]*)"')),
+        leaving = row:match('"leaving":true') ~= nil,
+        born = row:match('"born":(%d+)'),
         at = tonumber(row:match('"at_ms":(%d+)')) })
     end
   end
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -26,9 +26,55 @@
 local ends = seed >= 7000
 gateway.direct = ends and seed % 2 == 1 -- who has ended refuses connections
 local named = seed >= 8000 -- workers that name the rate they take
+local says = seed >= 9000 -- workers that say they leave, or ask for rest
 gateway.one_zone = seed >= 4000 and seed < 6000 -- relays follow the store for the others
 start_gateway(instances)
 
+-- when instances, and the ways to workers, were in trouble: name -> intervals
+local trouble = {}
+local SETTLE_MS = 1000 -- what a link held back comes within this
+local function begins(name)
+  trouble[name] = trouble[name] or {}
+  table.insert(trouble[name], { from = sys.now() })
+end
+local function ends_soon(name)
+  for _, one in ipairs(trouble[name] or {}) do
+    one.to = one.to or sys.now() + SETTLE_MS
+  end
+end
+local function in_trouble(name, from, to)
+  for _, one in ipairs(trouble[name] or {}) do
+    if one.from <= to and (not one.to or one.to >= from) then
+      return true
+    end
+  end
+  return false
+end
+local function noting(plain, starts, stops)
+  return function(e, ...)
+    if starts then begins(e.name) end
+    plain(e, ...)
+    if stops then ends_soon(e.name) end
+  end
+end
+end_now = noting(end_now, true)
+stop_planned = noting(stop_planned, true)
+freeze = noting(freeze, true)
+thaw = noting(thaw, false, true)
+launch = noting(launch, true, true)
+local plain_link = link
+function link(name, mode, ms)
+  if mode ~= "pass" then
+    begins(name)
+  end
+  plain_link(name, mode, ms)
+  for one in pairs(trouble) do
+    if mode == "pass" and (name == "*" or name == one) then
+      ends_soon(one)
+    end
+  end
+end
+
 local connections = {} -- kept ones, used until their process is gone
 local open = {}        -- requests that have not ended
 local frozen = {}      -- instance -> steps until it is thawed
@@ -174,6 +220,14 @@
   end
 end
 
+if says then
+  faults[#faults + 1] = function() worker(any(gateway.workers), "leaving") end
+  faults[#faults + 1] = function()
+    worker(any(gateway.workers),
+           "rest=" .. any { "0", "0.3", "1.5", "3", "soon", "", "", "" })
+  end
+end
+
 local function strike()
   local n = math.random(#faults)
   if n == 1 then -- one that runs, and is started again at once
@@ -218,6 +272,10 @@
   worker(w, "ok")
   worker(w, "back")
   worker(w, "rate=")
+  worker(w, "rest=")
+  if says then -- a later life does not leave
+    worker(w, "crash")
+  end
 end
 for e in pairs(frozen) do
   thaw(e)
@@ -253,6 +311,67 @@
   expect(held >= #gateway.instances, "it is held at last, not " .. held)
   expect(runs <= 6, "three more and three until it is known, not " .. runs)
 end
+
+-- rows of the workers' ledger by worker's life and instance, in their order
+local function arrivals()
+  local rows, found = worker_ledger(), {}
+  for _, r in ipairs(gateway.asked) do
+    for _, row in ipairs(rows[r.id] or {}) do
+      if row.at then
+        local key = row.worker .. " " .. row.born .. " " .. r.instance.name
+        found[key] = found[key] or {}
+        row.sent, row.instance = r.sent, r.instance.name
+        table.insert(found[key], row)
+      end
+    end
+  end
+  for _, list in pairs(found) do
+    table.sort(list, function(a, b) return a.at < b.at end)
+  end
+  return found
+end
+
+local function calm(row, from, to)
+  return not in_trouble(row.instance, from, to) and
+         not in_trouble(row.worker, from, to)
+end
+
+-- two requests at the most in a rest that an instance was asked for, from half
+-- a second on
+local function check_rest(list, asked)
+  local ends_at, count = asked.at + asked.rest * 1000, 0
+  for _, row in ipairs(list) do
+    count = count + (row.at > asked.at + 500 and row.at <= ends_at and 1 or 0)
+  end
+  expect(count <= 2 or not calm(asked, asked.at - SETTLE_MS, ends_at),
+         string.format("%s asked %s for %.1f s of rest at %d and got %d",
+                       asked.worker, asked.instance, asked.rest, asked.at, count))
+end
+
+-- a request that comes 2 s after its instance had an answer that says so, or
+-- later, does not reach a worker that leaves; an answer takes 1.5 s at the most
+local function check_leaving(list)
+  local told
+  for _, row in ipairs(list) do
+    if row.leaving then
+      told = told or row.at + 1500
+      expect(row.sent <= told + 2000 or
+             not calm(row, told - 1500 - SETTLE_MS, row.at),
+             row.worker .. " leaves, and got one from " .. row.instance)
+    end
+  end
+end
+
+if says then
+  for _, list in pairs(arrivals()) do
+    check_leaving(list)
+    for _, row in ipairs(list) do
+      if row.what == "rest" and row.rest and row.rest > 0 then
+        check_rest(list, row)
+      end
+    end
+  end
+end
 judge()
 local served, refused = 0, 0
 for _, r in ipairs(gateway.asked) do
