Resting connections are told where an endpoint may be near what it takes

Cause: each endpoint at which connections only rest had a row in each digest. Change: router/connections tells them when all instances with as many as this one would have 0.4 of the bound, or 0.3 of it is known to be there; they come last.

--- a/router/router.c
+++ b/router/router.c
@@ -9,14 +9,9 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#include "router/gate.h"
 #include "router/retry_exchange.h"
 #include "router/state.h"
 
-/* an endpoint is failing from this share on, in percent: one instance could
-** not reach it, or several had runs fail there */
-#define FAILING_SHARE 90
-
 /* the last word leaves this long before the caller stops waiting */
 #define ANSWER_MARGIN (15 * MP_MS)
 
@@ -394,161 +389,10 @@
 
 /* }================================================================== */
 
-/*
-** {==================================================================
-** Loads
-** ===================================================================
-*/
-
-guint64 router_load_version(const Router *router) {
-  return router->load_version;
-}
-
-guint64 router_plain_version(const Router *router) {
-  return router->plain_version;
-}
-
-/* in percent; one out of reach fails for certain, and so does one that rests:
-** the others, whom it did not ask for rest, spare it while they have a choice
-*/
-static guint share_failing(const Endpoint *endpoint, gint64 now) {
-  if (endpoint->avoid_until > now ||
-      availability_rest_left(&endpoint->availability, now) > 0)
-    return 100;
-  return (guint)(100 * endpoint_failing(endpoint, now));
-}
-
-/* as mp_LoadRow.tokens */
-static guint64 told_tokens(const Endpoint *endpoint) {
-  if (endpoint->record.stage != STAGE_NONE)
-    return endpoint->tokens;
-  return (guint64)endpoint->connections * MP_TOKEN_BLOCK;
-}
-
-void router_set_connections(Router *router, const char *id, guint connections,
-                            guint resting) {
-  Endpoint *endpoint = endpoint_table_get(router->endpoints, id);
-  if (endpoint == NULL)
-    return;
-  endpoint->connections = connections;
-  endpoint->resting = resting;
-}
-
-gboolean router_keeps_connection(const Router *router, const char *id) {
-  const Endpoint *endpoint = endpoint_table_get(router->endpoints, id);
-  const Service *service;
-  if (endpoint == NULL || endpoint_leaves(endpoint) || router->routes == NULL)
-    return FALSE;
-  service = route_table_service(router->routes, endpoint->record.service);
-  if (service == NULL || service->is_engine)
-    return TRUE;
-  return gate_keeps(router->endpoints, endpoint, service->max_connections,
-                    router->instances);
-}
-
-void router_load_digest(const Router *router, mp_LoadDigest *out, gint64 now) {
-  const GPtrArray *all = router->endpoints->all;
-  guint i;
-  out->waiting = router->waiting->len;
-  out->in_time = admission_in_time(router, now);
-  out->oldest_ms = (uint32_t)(admission_oldest(router, now) / MP_MS);
-  out->n = 0;
-  for (i = 0; i < all->len && out->n < MP_DIGEST_ROWS; i++) {
-    const Endpoint *endpoint = all->pdata[i];
-    mp_LoadRow *row = &out->row[out->n];
-    guint failing = share_failing(endpoint, now);
-    guint64 tokens = told_tokens(endpoint);
-    if (endpoint->open == 0 && tokens == 0 && failing < 5)
-      continue;
-    row->endpoint = endpoint->hash;
-    row->tokens = (uint32_t)tokens;
-    row->open = endpoint->open;
-    row->failing = failing;
-    out->n++;
-  }
-  retry_exchange_write(router, out);
-  account_limits_write(router->limits, out);
-  out->changing_count =
-      stages_changing(router->stages, out->changing, MP_DIGEST_CHANGING, now);
-  signals_write(router, out, now);
-}
-
-void router_load_summary(const Router *router, mp_LoadSummary *out,
-                         gint64 now) {
-  memset(out, 0, sizeof *out);
-  router_load_digest(router, &out->loads, now);
-  out->instances = 1;
-  peer_loads_sum(router->endpoints->peers, out, now);
-  retry_exchange_write_sum(router, &out->loads);
-  account_limits_write_sum(router->limits, &out->loads);
-}
-
-guint64 router_urgent_set(const Router *router, gint64 now) {
-  const GPtrArray *all = router->endpoints->all;
-  guint64 set = 0;
-  guint i;
-  for (i = 0; i < all->len; i++) {
-    const Endpoint *endpoint = all->pdata[i];
-    if (share_failing(endpoint, now) >= FAILING_SHARE ||
-        peer_loads_failing(router->endpoints->peers, endpoint->hash) >=
-            FAILING_SHARE / 100.0)
-      set += (guint64)endpoint->hash * endpoint->hash;
-    if (endpoint->availability.leaving_since != 0)
-      set += endpoint->hash;
-  }
-  return set;
-}
-
-double router_limits_untold(const Router *router) {
-  return account_limits_untold(router->limits);
-}
-
-void router_zone_load(Router *router, guint32 sequence,
-                      const mp_LoadSummary *summary, gint64 now) {
-  PeerLoads *peers = router->endpoints->peers;
-  const mp_LoadDigest *known = peer_loads_last_summary(peers, summary->relay);
-  mp_LoadDigest before;
-  LimitSharers sharers;
-  if (known != NULL)
-    before = *known;
-  if (!peer_loads_take_summary(peers, sequence, summary, now))
-    return;
-  retry_exchange_hear_sum(router, known != NULL ? &before : NULL,
-                          &summary->loads, now);
-  sharers = accounts_sharers(router, now);
-  account_limits_hear_sum(router->limits, summary->relay, &summary->loads,
-                          &sharers, now);
-  signals_hear(router, &summary->loads, now);
-  admission_run(router, now);
-}
-
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now) {
   stages_lease_reply(router->stages, reply, now);
 }
 
-void router_peer_load(Router *router, mp_Addr peer, guint32 sequence,
-                      const mp_LoadDigest *digest, gint64 now) {
-  PeerLoads *peers = router->endpoints->peers;
-  const mp_LoadDigest *known = peer_loads_last(peers, peer);
-  mp_LoadDigest before;
-  LimitSharers sharers;
-  if (known != NULL)
-    before = *known;
-  if (!peer_loads_take(peers, peer, sequence, digest, now))
-    return;
-  retry_exchange_hear(router, known != NULL ? &before : NULL, digest, now);
-  sharers = accounts_sharers(router, now);
-  account_limits_hear(router->limits, peer, digest, &sharers, now);
-  signals_hear(router, digest, now);
-  admission_run(router, now);
-}
-
-/* }================================================================== */
-
-void router_peer_note(Router *router, mp_Addr peer, const mp_LoadNote *note) {
-  peer_loads_note(router->endpoints->peers, peer, note);
-}
-
 unsigned router_open_requests(const Router *router) {
   return g_hash_table_size(router->requests);
 }
--- a/test/test_connections.cc
+++ b/test/test_connections.cc
@@ -9,6 +9,10 @@
 
 #include "rate_fleet.h"
 
+extern "C" {
+#include "router/endpoint_table.h"
+}
+
 using namespace rates;
 
 namespace {
@@ -112,6 +116,58 @@
   EXPECT_EQ(world.runs(number), 1u);
 }
 
+/* before many endpoints a few resting connections are no news: they would fill
+** the digests */
+TEST(ConnectionsAtRest, AreToldWhereTheBoundMayBeNear) {
+  World world;
+  mp_LoadDigest digest = {};
+  world.max_connections = 110;
+  world.populate();
+  for (int i = 3; i <= 60; i++) {
+    std::string id = "app-" + std::to_string(i);
+    world.endpoint({id.c_str(), "app", "a", STAGE_NONE});
+  }
+  router_set_instances(world.router, 100, 100);
+  for (int i = 1; i <= 10; i++) {
+    std::string id = "app-" + std::to_string(i);
+    router_set_connections(world.router, id.c_str(), 1, 1);
+  }
+  router_load_digest(world.router, &digest, world.now);
+  EXPECT_EQ(digest.n, 0u); /* 100 instances, 10 each, 60 endpoints: 17 there */
+  for (int i = 1; i <= 30; i++) {
+    std::string id = "app-" + std::to_string(i);
+    router_set_connections(world.router, id.c_str(), 1, 1);
+  }
+  router_load_digest(world.router, &digest, world.now);
+  EXPECT_EQ(digest.n, 30u); /* 50 there */
+  EXPECT_EQ(digest.row[0].tokens, static_cast<unsigned>(MP_TOKEN_BLOCK));
+  /* where something is open they are told in any case, and stand first */
+  router_set_connections(world.router, "app-30", 1, 1);
+  world.request("/safe/x");
+  router_load_digest(world.router, &digest, world.now);
+  EXPECT_EQ(digest.row[0].open, 1u);
+}
+
+/* others tell that an endpoint is near what it takes: then it is news here */
+TEST(ConnectionsAtRest, AreToldWhereOthersHaveMany) {
+  World world;
+  mp_LoadDigest digest = {};
+  world.max_connections = 110;
+  world.populate();
+  router_set_connections(world.router, "app-1", 1, 1);
+  router_load_digest(world.router, &digest, world.now);
+  EXPECT_EQ(digest.n, 0u);
+  mp_LoadDigest told = {};
+  EndpointRecord record = {};
+  record.id = const_cast<char *>("app-1");
+  told.n = 1;
+  told.row[0] = {endpoint_life_hash(&record), 40 * MP_TOKEN_BLOCK, 3, 0};
+  router_peer_load(world.router, mp_addr_parse("10.0.0.9:1"), 1, &told,
+                   world.now);
+  router_load_digest(world.router, &digest, world.now);
+  EXPECT_EQ(digest.n, 1u);
+}
+
 /* with few requests connections are kept and used again */
 TEST(ConnectionsAtRest, AreKeptWhileNobodyNeedsThem) {
   FleetOptions options;
