Sight: how far an instance lags behind what others name, and calls that are given up

Cause: in the incident's logs nothing tells an instance that lags from one that is level ("news_age_ms" is the age of what its relays know), and a watch that is given up leaves no line. Ruled out: nothing yet; no decision changes here. Change: NewsState, one type for what is held, what is the newest named by anybody and since when it lags, by kind; E8111 (call given up, with bytes), E8112 and E8113 (lags, level again), madderpier_news_lag_seconds, madderpier_store_calls_left_total.

--- a/io/directory.c
+++ b/io/directory.c
@@ -535,3 +535,11 @@
     calls += following_store_calls(directory->following[kind]);
   return calls;
 }
+
+guint64 directory_store_calls_left(const Directory *directory) {
+  guint64 calls = 0;
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    calls += following_calls_left(directory->following[kind]);
+  return calls;
+}
--- a/io/directory.h
+++ b/io/directory.h
@@ -65,6 +65,8 @@
 /* endpoints have been listed, by the store or by an instance */
 gboolean directory_has_endpoints(const Directory *directory);
 guint64 directory_store_calls(const Directory *directory);
+/* of them, those given up for news known elsewhere */
+guint64 directory_store_calls_left(const Directory *directory);
 /* objects of a kind that could not be read for this field: each once a
 ** revision, and those without a name as often as they were listed */
 guint64 directory_bad_objects(const Directory *directory, StoreKind kind,
--- a/io/following.c
+++ b/io/following.c
@@ -15,6 +15,10 @@
   StoreLink *store;
   StoreLink *instance; /* a relay, or a seed */
   struct event *timer;
+  gint64 asked_at;    /* the open call's, or the last one's */
+  guint64 calls_left; /* as following_calls_left */
+  gboolean lag_told;  /* the log has a line that this instance lags */
+  gint64 lagged_from; /* lag_told: since then */
   guint64 nameless;
   gint64 nameless_told; /* when the log had a line about them */
 };
@@ -29,9 +33,57 @@
   event_add(following->timer, &time);
 }
 
+static const NewsState *news_of(const Following *following) {
+  return relay_group_news(following->source.group,
+                          following->source.follower.kind);
+}
+
+/* one line when this instance lags for long, and one when it does no more */
+static void note_lag(Following *following) {
+  const NewsState *news = news_of(following);
+  gint64 now = clock_now();
+  int kind = (int)following->source.follower.kind;
+  if (following->lag_told && news->lags_since == 0) {
+    following->lag_told = FALSE;
+    log_numbered(following->log, MP_LOG_NEWS_LEVEL,
+                 " kind=%d held=%" G_GINT64_FORMAT " lagged_ms=%d", kind,
+                 news->held, (int)((now - following->lagged_from) / MP_MS));
+  }
+  if (following->lag_told || news_state_lag(news, now) <=
+                                 relay_group_lag_most(following->source.group))
+    return;
+  following->lag_told = TRUE;
+  following->lagged_from = news->lags_since;
+  log_numbered(
+      following->log, MP_LOG_NEWS_LAG,
+      " kind=%d held=%" G_GINT64_FORMAT " newest=%" G_GINT64_FORMAT
+      " lag_ms=%d asked=%s open_ms=%d bytes=%" G_GSIZE_FORMAT,
+      kind, news->held, news->newest, (int)(news_state_lag(news, now) / MP_MS),
+      following->source.at_store ? "store" : "instance",
+      (int)((now - following->asked_at) / MP_MS),
+      store_link_received(following->source.at_store ? following->store
+                                                     : following->instance));
+}
+
+static void leave_store(Following *following) {
+  const NewsState *news = news_of(following);
+  following->calls_left++;
+  log_numbered(following->log, MP_LOG_STORE_CALL_LEFT,
+               " kind=%d held=%" G_GINT64_FORMAT " newest=%" G_GINT64_FORMAT
+               " open_ms=%d bytes=%" G_GSIZE_FORMAT,
+               (int)following->source.follower.kind, news->held, news->newest,
+               (int)((clock_now() - following->asked_at) / MP_MS),
+               store_link_received(following->store));
+  store_link_abandon(following->store);
+  start_timer(following, 0);
+}
+
 void following_look(Following *following) {
   NewsWanted wanted;
+  note_lag(following);
   news_source_next(&following->source, clock_now(), &wanted);
+  if (wanted.step == NEWS_ASK_STORE || wanted.step == NEWS_ASK_INSTANCE)
+    following->asked_at = clock_now();
   switch (wanted.step) {
   case NEWS_WAIT:
     if (wanted.at != G_MAXINT64)
@@ -45,8 +97,7 @@
     store_link_call(following->instance, &wanted.call, wanted.patience);
     break;
   case NEWS_LEAVE_STORE:
-    store_link_abandon(following->store);
-    start_timer(following, 0);
+    leave_store(following);
     break;
   }
 }
@@ -148,6 +199,10 @@
   return following->nameless;
 }
 
+guint64 following_calls_left(const Following *following) {
+  return following->calls_left;
+}
+
 guint64 following_store_calls(const Following *following) {
   return store_link_calls(following->store);
 }
--- a/io/following.h
+++ b/io/following.h
@@ -46,6 +46,8 @@
 const Follower *following_follower(const Following *following);
 /* objects without a name that can be read, in all answers of the store */
 guint64 following_nameless(const Following *following);
+/* calls to the store that were given up for news known elsewhere */
+guint64 following_calls_left(const Following *following);
 /* calls made to the store; those to instances are not counted */
 guint64 following_store_calls(const Following *following);
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -341,6 +341,7 @@
   counts.store_calls = directory_store_calls(gateway->directory) +
                        store_link_calls(gateway->leases) +
                        quarantine_writer_calls(gateway->quarantine);
+  counts.store_calls_left = directory_store_calls_left(gateway->directory);
   counts.log_lines_left_out = log_left_out(gateway->log);
   counts.log_lines_lost = log_lost(gateway->log);
   counts.idle_endpoint_connections = endpoint_links_idle(gateway->links);
@@ -358,6 +359,8 @@
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
   for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
+    counts.news_lag[kind] = news_state_lag(
+        relay_group_news(gateway->group, (StoreKind)kind), clock_now());
     for (field = 0; field < RECORD_FIELD_COUNT; field++)
       counts.bad_objects[kind][field] = directory_bad_objects(
           gateway->directory, (StoreKind)kind, (RecordField)field);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -43,6 +43,7 @@
       text,
       "madderpier_endpoint_connections_total %" G_GUINT64_FORMAT "\n"
       "madderpier_store_calls_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_store_calls_left_total %" G_GUINT64_FORMAT "\n"
       "madderpier_log_lines_left_out_total %" G_GUINT64_FORMAT "\n"
       "madderpier_log_lines_lost_total %" G_GUINT64_FORMAT "\n"
       "madderpier_idle_endpoint_connections %u\n"
@@ -58,14 +59,26 @@
       "madderpier_waiting_requests %u\n"
       "madderpier_waiting_requests_in_time %u\n",
       carriers->endpoint_connections, carriers->store_calls,
-      carriers->log_lines_left_out, carriers->log_lines_lost,
-      carriers->idle_endpoint_connections, carriers->news_role,
-      (double)carriers->news_age / MP_SEC, carriers->ready, carriers->suspects,
-      carriers->held, carriers->rate_skips, carriers->limited_endpoints,
+      carriers->store_calls_left, carriers->log_lines_left_out,
+      carriers->log_lines_lost, carriers->idle_endpoint_connections,
+      carriers->news_role, (double)carriers->news_age / MP_SEC,
+      carriers->ready, carriers->suspects, carriers->held,
+      carriers->rate_skips, carriers->limited_endpoints,
       carriers->leaving_endpoints, carriers->resting_endpoints,
       carriers->waiting, carriers->waiting_in_time);
 }
 
+static const char *const kind_names[MP_RELAY_KINDS] = {
+    "configuration", "endpoints", "instances", "quarantine"};
+
+static void write_lags(GString *text, const CarrierCounts *carriers) {
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    g_string_append_printf(
+        text, "madderpier_news_lag_seconds{kind=\"%s\"} %.3f\n",
+        kind_names[kind], (double)carriers->news_lag[kind] / MP_SEC);
+}
+
 /* a line for each field that was ever wrong, and for each kind their sum */
 static void write_bad_kind(GString *text, const char *kind,
                            const guint64 fields[RECORD_FIELD_COUNT]) {
@@ -87,11 +100,9 @@
 }
 
 static void write_bad_objects(GString *text, const CarrierCounts *carriers) {
-  static const char *const kinds[MP_RELAY_KINDS] = {
-      "configuration", "endpoints", "instances", "quarantine"};
   int kind;
   for (kind = 0; kind < MP_RELAY_KINDS; kind++)
-    write_bad_kind(text, kinds[kind], carriers->bad_objects[kind]);
+    write_bad_kind(text, kind_names[kind], carriers->bad_objects[kind]);
 }
 
 GString *metrics_text(const Router *router, const CarrierCounts *carriers) {
@@ -99,6 +110,7 @@
   int which;
   write_router(text, router);
   write_carriers(text, carriers);
+  write_lags(text, carriers);
   write_bad_objects(text, carriers);
   for (which = 0; which < DURATION_COUNT; which++)
     write_duration(text, router, (RouterDuration)which);
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -14,6 +14,8 @@
 typedef struct CarrierCounts {
   guint64 endpoint_connections;
   guint64 store_calls;
+  guint64 store_calls_left;        /* given up for news known elsewhere */
+  gint64 news_lag[MP_RELAY_KINDS]; /* by StoreKind; us */
   guint64 log_lines_left_out;
   guint64 log_lines_lost;
   unsigned idle_endpoint_connections; /* now */
--- a/io/store_link.c
+++ b/io/store_link.c
@@ -232,3 +232,7 @@
 guint64 store_link_calls(const StoreLink *link) {
   return link->calls;
 }
+
+gsize store_link_received(const StoreLink *link) {
+  return link->body->len;
+}
--- a/io/store_link.h
+++ b/io/store_link.h
@@ -36,5 +36,7 @@
 void store_link_abandon(StoreLink *link);
 
 guint64 store_link_calls(const StoreLink *link);
+/* bytes of the open call's answer so far; 0: none is open */
+gsize store_link_received(const StoreLink *link);
 
 #endif
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -242,9 +242,8 @@
     return;
   }
   follower_reply(&source->follower, reply, now);
-  if (source->follower.kind == STORE_CONFIGURATION)
-    config_proof_know(relay_group_proof(source->group),
-                      source->follower.known);
+  relay_group_hold(source->group, source->follower.kind,
+                   source->follower.known, now);
   if (source->at_store && reply->status == STORE_OK)
     prove(source, reply, now);
   if (source->at_store && reply->status == STORE_FAILED &&
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -70,6 +70,8 @@
   GHashTable *relays; /* address -> Relay, heard at some time */
   gint64 confirmed[MP_RELAY_KINDS]; /* when the store answered; 0: never */
   gint64 short_since; /* too few relays are heard; 0: enough are */
+  gint64 lag_most;    /* as relay_group_lag_most */
+  NewsState news[MP_RELAY_KINDS];
   ConfigProof proof;
 };
 
@@ -106,6 +108,7 @@
   group->order = order_of(self, capacity);
   group->watch_wait = times->watch_wait;
   group->fresh = fresh_within(times);
+  group->lag_most = times->news_within / 2;
   config_proof_init(&group->proof);
   group->alone_at = now + START_WAIT;
   group->far = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
@@ -222,6 +225,13 @@
   return FALSE;
 }
 
+static void name_news(RelayGroup *group, const mp_RelayBeat *beat,
+                      gint64 now) {
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    news_state_name(&group->news[kind], (gint64)beat->changed[kind], now);
+}
+
 void relay_group_hear(RelayGroup *group, mp_Addr from,
                       const mp_RelayBeat *beat, gint64 now) {
   Relay *relay = g_hash_table_lookup(group->relays, &from);
@@ -235,6 +245,7 @@
   relay->order = order_of_relay(group, from);
   relay->is_near = relay->order != G_MAXUINT64;
   relay->beat = *beat;
+  name_news(group, beat, now);
   config_proof_by_relay(&group->proof, from, beat, now);
 }
 
@@ -242,6 +253,21 @@
   return &group->proof;
 }
 
+const NewsState *relay_group_news(const RelayGroup *group, StoreKind kind) {
+  return &group->news[kind];
+}
+
+void relay_group_hold(RelayGroup *group, StoreKind kind, gint64 revision,
+                      gint64 now) {
+  news_state_hold(&group->news[kind], revision, now);
+  if (kind == STORE_CONFIGURATION)
+    config_proof_know(&group->proof, revision);
+}
+
+gint64 relay_group_lag_most(const RelayGroup *group) {
+  return group->lag_most;
+}
+
 void relay_group_confirm(RelayGroup *group, StoreKind kind, gint64 now) {
   group->confirmed[kind] = now;
 }
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -42,6 +42,7 @@
 #include "madderpier.h"
 #include "router/config_proof.h"
 #include "router/follower.h"
+#include "router/news_state.h"
 
 /* between a relay's heartbeats: lost ones are made good twice before a
 ** member takes the relay for lost */
@@ -98,6 +99,13 @@
 /* the relays heard whose clocks must be bounded, as relay_group_ask */
 unsigned relay_group_unbounded(const RelayGroup *group, gint64 now,
                                mp_Addr *out, unsigned most);
+/* what is held here of a kind, and what others have named */
+const NewsState *relay_group_news(const RelayGroup *group, StoreKind kind);
+/* changes of a kind up to this revision are known here */
+void relay_group_hold(RelayGroup *group, StoreKind kind, gint64 revision,
+                      gint64 now);
+/* an instance that lags for longer tells it: half of RelayTimes.news_within */
+gint64 relay_group_lag_most(const RelayGroup *group);
 /* the store has answered this instance about a kind */
 void relay_group_confirm(RelayGroup *group, StoreKind kind, gint64 now);
 /* has the store answered this instance lately, about any kind? */
