Reproduced: a large configuration does not reach whom the store turns away; an instance that lags says it is fresh

Change, tests alone: the virtual store keeps each version and answers a watch with all of them, up to 1 MB; links of 10 Mbit/s take time; instances' answers go through the product's codec and its limit; the store can refuse some instances; a cut can be from everybody; relays tell news of the store at once, as io/relays.c does.

--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -8,6 +8,10 @@
 
 #include "relay_world.h"
 
+extern "C" {
+#include "io/news_codec.h"
+}
+
 namespace relaying {
 
 /* what a member asks for a heartbeat, as io/relays.c */
@@ -15,6 +19,8 @@
 constexpr unsigned clocks_most = 8;
 constexpr gint64 travel = 1 * ms;
 constexpr gint64 store_time = 4 * ms;
+/* the store's answers end behind the object that passes this */
+constexpr gsize store_answer_most = 1 << 20;
 
 World::World(unsigned zones, unsigned instances, double loss_, unsigned seed,
              bool proving_)
@@ -75,6 +81,30 @@
 ** Lives
 */
 
+/* texts begin with their version; routes may follow */
+static std::string version_of(const char *text) {
+  return std::string(text, strcspn(text, " "));
+}
+
+std::string World::content(StoreKind kind, const std::string &text) const {
+  std::string out = text;
+  char route[200];
+  unsigned changed = routes > 0 ? (unsigned)revision % routes : 0;
+  for (unsigned i = 0; kind == STORE_CONFIGURATION && i < routes; i++) {
+    /* the names of hosts and paths have no pattern */
+    guint32 host = i * 2654435761u;
+    g_snprintf(
+        route, sizeof route,
+        " {\"Name\":\"r%08x\",\"Host\":\"h%08x.example\","
+        "\"PathPrefix\":\"/p%08x/\",\"Kind\":\"safe\",\"Service\":\"s\","
+        "\"Attempts\":2,\"TimeoutMs\":%u,\"SloMs\":300}",
+        host, host ^ 0x5bd1e995, host * 31,
+        i == changed ? 5000 + (unsigned)(revision % 977) : 4000);
+    out += route;
+  }
+  return out;
+}
+
 void World::on_object(void *data, StoreKind kind, const StoreObject *object) {
   auto *one = static_cast<Instance *>(data);
   auto &seen = one->seen[kind];
@@ -83,10 +113,11 @@
     return;
   }
   auto known = seen.find(object->name);
-  if (known != seen.end() && known->second > object->text)
+  std::string text = version_of(object->text);
+  if (known != seen.end() && known->second > text)
     one->backwards++;
-  seen[object->name] = object->text;
-  one->seen_at.emplace(std::string(object->name) + "=" + object->text,
+  seen[object->name] = text;
+  one->seen_at.emplace(std::string(object->name) + "=" + text,
                        one->world->now);
 }
 
@@ -165,7 +196,7 @@
 void World::datagram(mp_Addr to, std::function<void(Instance &)> act) {
   Instance *one = find(to);
   datagrams++;
-  if (one == nullptr || lost())
+  if (one == nullptr || one->cut_from_all || lost())
     return;
   at(now + travel, [one, act = std::move(act)] {
     if (one->alive)
@@ -174,6 +205,8 @@
 }
 
 void World::send_beat(Instance &from, mp_Addr to, gint64 asked) {
+  if (from.cut_from_all)
+    return;
   mp_RelayBeat told = {};
   mp_Addr address = from.address;
   for (int kind = 0; kind < MP_RELAY_KINDS; kind++)
@@ -204,17 +237,30 @@
   });
 }
 
+void World::send_beats(Instance &one) {
+  const GArray *near = relay_group_members(one.group);
+  GArray *far = relay_group_far(one.group, now);
+  for (int kind = 0; kind < MP_RELAY_KINDS; kind++)
+    one.told[kind] = one.source[kind].follower.changed;
+  for (guint i = 0; i < near->len; i++)
+    send_beat(one, g_array_index(near, mp_Addr, i));
+  for (guint i = 0; i < far->len; i++)
+    send_beat(one, g_array_index(far, mp_Addr, i));
+  g_array_free(far, TRUE);
+}
+
+/* news of the store are told at once */
+void World::tell_news(Instance &one, int kind) {
+  if (one.source[kind].at_store &&
+      one.told[kind] != one.source[kind].follower.changed &&
+      relay_group_role(one.group, now) == RELAY_ROLE_RELAY && knows(one))
+    send_beats(one);
+}
+
 void World::beat(Instance &one) {
   RelayRole role = relay_group_role(one.group, now);
-  if (role == RELAY_ROLE_RELAY && knows(one)) {
-    const GArray *near = relay_group_members(one.group);
-    GArray *far = relay_group_far(one.group, now);
-    for (guint i = 0; i < near->len; i++)
-      send_beat(one, g_array_index(near, mp_Addr, i));
-    for (guint i = 0; i < far->len; i++)
-      send_beat(one, g_array_index(far, mp_Addr, i));
-    g_array_free(far, TRUE);
-  }
+  if (role == RELAY_ROLE_RELAY && knows(one))
+    send_beats(one);
   if (role == RELAY_ROLE_MEMBER && !knows(one)) {
     mp_Addr asked[asked_most];
     unsigned count = relay_group_ask(one.group, asked, asked_most);
@@ -269,6 +315,7 @@
     return;
   one.open[kind]++;
   news_source_reply(&one.source[kind], &reply, now);
+  tell_news(one, kind);
   later(one, 0, [this, &one, kind] { look(one, kind); });
 }
 
@@ -309,6 +356,35 @@
             std::begin(past.back().objects));
 }
 
+/* when the link has carried so many bytes besides what it carries already */
+gint64 World::send_time(Instance &one, gsize size) {
+  if (routes == 0)
+    return 0;
+  one.link_free_at = std::max(one.link_free_at, now) +
+                     static_cast<gint64>(size) * ms / link_rate;
+  return one.link_free_at - now;
+}
+
+gint64 World::travel_of(Instance &one, StoreKind kind,
+                        const StoreReply &reply) {
+  gsize size = 0;
+  for (guint i = 0; reply.objects != nullptr && i < reply.objects->len; i++) {
+    const StoreObject &object = g_array_index(reply.objects, StoreObject, i);
+    size += object.text != nullptr ? strlen(object.text) : 0;
+  }
+  bytes += kind == STORE_CONFIGURATION ? size : 0;
+  return send_time(one, size);
+}
+
+/* each version since, as far as an answer holds them */
+static void append_versions(GArray *objects, const std::string &name,
+                            const std::string &text, gint64 revision,
+                            bool gone) {
+  StoreObject out = {g_strdup(name.c_str()), revision, gone,
+                     gone ? nullptr : g_strdup(text.c_str())};
+  g_array_append_val(objects, out);
+}
+
 StoreReply World::events(StoreKind kind, gint64 since) const {
   StoreReply out = {STORE_OK, nullptr, FALSE, revision, FALSE, 0, FALSE};
   if (since < oldest) {
@@ -316,10 +392,19 @@
     return out;
   }
   out.objects = store_objects_new();
-  for (auto &[name, object] : objects[kind]) {
-    if (object.revision > since)
-      append(out.objects, name, object);
+  auto next = std::upper_bound(
+      history.begin(), history.end(), since,
+      [](gint64 at, const Version &v) { return at < v.revision; });
+  gsize size = 0;
+  for (; next != history.end() && size < store_answer_most; ++next) {
+    if (next->kind != kind)
+      continue;
+    append_versions(out.objects, next->name, next->text, next->revision,
+                    next->gone);
+    size += next->text.size();
   }
+  if (next != history.end())
+    out.at = std::prev(next)->revision;
   return out;
 }
 
@@ -329,27 +414,47 @@
   gint64 since = wanted.call.revision;
   (wanted.call.stale ? stale_calls : store_calls)++;
   fail_after(one, kind, call, wanted.patience);
-  if (!store_up || one.cut_from_store)
+  if (!store_up || one.cut_from_store || one.cut_from_all)
     return;
+  if (one.refused_by_store) {
+    fail_after(one, kind, call, store_time);
+    return;
+  }
   if (wanted.call.operation == STORE_WATCH) {
     watches.push_back({&one, what, since, call, one.life});
-    later(one, wanted.call.wait, [this, &one, kind, call] {
-      StoreReply nothing = {STORE_OK, nullptr, FALSE, revision,
-                            FALSE,    0,       FALSE};
-      if (store_up && !one.cut_from_store)
-        reply(one, kind, call, nothing);
-    });
+    later(one, wanted.call.wait,
+          [this, &one, kind, call] { end_watch(one, kind, call); });
     at(now + store_time, [this] { answer_watches(); });
     return;
   }
   bool stale = wanted.call.stale;
-  later(one, store_time, [this, &one, kind, call, what, stale] {
-    StoreReply all_of_it = list(what, stale);
-    reply(one, kind, call, all_of_it);
-    store_reply_clear(&all_of_it);
+  unsigned life = one.life;
+  later(one, store_time, [this, &one, kind, call, what, stale, life] {
+    auto all_of_it = std::make_shared<StoreReply>(list(what, stale));
+    at(now + travel_of(one, what, *all_of_it),
+       [this, &one, kind, call, life, all_of_it] {
+         if (one.alive && one.life == life && !one.cut_from_store &&
+             !one.cut_from_all)
+           reply(one, kind, call, *all_of_it);
+         store_reply_clear(all_of_it.get());
+       });
   });
 }
 
+/* it has waited long enough, unless its answer is on the way */
+void World::end_watch(Instance &one, int kind, unsigned call) {
+  auto watch = std::find_if(watches.begin(), watches.end(), [&](auto &open) {
+    return open.one == &one && open.kind == kind && open.call == call;
+  });
+  if (watch == watches.end() || !store_up || one.cut_from_store ||
+      one.cut_from_all)
+    return;
+  StoreReply news = events(watch->kind, watch->since);
+  watches.erase(watch);
+  reply(one, kind, call, news);
+  store_reply_clear(&news);
+}
+
 void World::answer_watches() {
   std::vector<Watch> open;
   open.swap(watches);
@@ -358,14 +463,24 @@
     if (!one.alive || one.life != watch.life ||
         one.open[watch.kind] != watch.call)
       continue;
-    StoreReply news = events(watch.kind, watch.since);
+    auto news = std::make_shared<StoreReply>(events(watch.kind, watch.since));
     bool is_news =
-        news.status != STORE_OK || (news.objects && news.objects->len > 0);
-    if (is_news && store_up && !one.cut_from_store)
-      reply(one, watch.kind, watch.call, news);
-    else
+        news->status != STORE_OK || (news->objects && news->objects->len > 0);
+    if (!is_news || !store_up || one.cut_from_store || one.cut_from_all) {
       watches.push_back(watch);
-    store_reply_clear(&news);
+      store_reply_clear(news.get());
+      continue;
+    }
+    int kind = watch.kind;
+    unsigned call = watch.call;
+    unsigned life = watch.life;
+    at(now + travel_of(one, watch.kind, *news),
+       [this, &one, kind, call, life, news] {
+         if (one.alive && one.life == life && !one.cut_from_store &&
+             !one.cut_from_all)
+           reply(one, kind, call, *news);
+         store_reply_clear(news.get());
+       });
   }
 }
 
@@ -375,17 +490,31 @@
   gint64 since =
       wanted.call.operation == STORE_WATCH ? wanted.call.revision : 0;
   fail_after(one, kind, call, wanted.patience);
-  if (relay == nullptr || !relay->alive || !relay->answers)
+  if (relay == nullptr || !relay->alive || !relay->answers ||
+      relay->cut_from_all || one.cut_from_all)
     return;
   later(*relay, travel, [this, &one, kind, call, relay, since] {
     StoreReply known;
     follower_answer(&relay->source[kind].follower, since, &known);
-    auto kept = std::make_shared<StoreReply>(known);
-    at(now + travel, [this, &one, kind, call, kept] {
-      if (one.alive)
-        reply(one, kind, call, *kept);
-      store_reply_clear(kept.get());
-    });
+    /* as io/status_server.c writes it, and io/store_link.c reads it */
+    char *text = news_write_reply(&known);
+    int status = news_status(&known, since > 0 ? strlen(text) : 0);
+    gsize size = status == 200 ? strlen(text) : 0;
+    auto body = std::make_shared<std::string>(text, size);
+    store_reply_clear(&known);
+    g_free(text);
+    bytes += kind == STORE_CONFIGURATION ? size : 0;
+    at(now + travel + send_time(*relay, size),
+       [this, &one, kind, call, status, body] {
+         StoreCall asked = {};
+         StoreReply read;
+         if (!one.alive || one.cut_from_all)
+           return;
+         news_codec.read_reply(&asked, status, body->data(), body->size(),
+                               &read, nullptr);
+         reply(one, kind, call, read);
+         store_reply_clear(&read);
+       });
   });
 }
 
@@ -395,7 +524,9 @@
 
 void World::write(StoreKind kind, const std::string &name,
                   const std::string &text) {
-  objects[kind][name] = {++revision, text, false};
+  std::string whole = content(kind, text);
+  objects[kind][name] = {++revision, whole, false};
+  history.push_back({revision, kind, name, whole, false});
   written.emplace(name + "=" + text, now);
   remember();
   at(now + store_time, [this] { answer_watches(); });
@@ -404,6 +535,7 @@
 void World::remove(StoreKind kind, const std::string &name) {
   objects[kind][name].gone = true;
   objects[kind][name].revision = ++revision;
+  history.push_back({revision, kind, name, "", true});
   remember();
   at(now + store_time, [this] { answer_watches(); });
 }
@@ -450,16 +582,27 @@
   return slowest;
 }
 
+static int version_at(const Instance &one, const std::string &name) {
+  auto known = one.seen[STORE_CONFIGURATION].find(name);
+  return known == one.seen[STORE_CONFIGURATION].end()
+             ? 0
+             : std::stoi(known->second);
+}
+
 int World::oldest_configuration(const std::string &name) const {
   int oldest_known = G_MAXINT;
   for (auto &one : all) {
-    if (!one->alive || one->cut_from_store)
-      continue;
-    auto known = one->seen[STORE_CONFIGURATION].find(name);
-    int version = known == one->seen[STORE_CONFIGURATION].end()
-                      ? 0
-                      : std::stoi(known->second);
-    oldest_known = std::min(oldest_known, version);
+    if (one->alive && !one->cut_from_store && !one->cut_from_all)
+      oldest_known = std::min(oldest_known, version_at(*one, name));
+  }
+  return oldest_known;
+}
+
+int World::oldest_of_all(const std::string &name) const {
+  int oldest_known = G_MAXINT;
+  for (auto &one : all) {
+    if (one->alive && !one->cut_from_all)
+      oldest_known = std::min(oldest_known, version_at(*one, name));
   }
   return oldest_known;
 }
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -50,12 +50,16 @@
   guint32 capacity = 0; /* of its machine */
   bool alive = false;
   bool cut_from_store = false;
-  bool answers = true;   /* as a relay, in time */
-  bool is_listed = true; /* others know where it answers */
-  unsigned life = 0;     /* what was sent to an earlier life is lost */
+  bool refused_by_store = false; /* each call is answered with 503 at once */
+  bool cut_from_all = false;     /* from the store and from all instances */
+  gint64 link_free_at = 0; /* its link carries other answers until then */
+  bool answers = true;     /* as a relay, in time */
+  bool is_listed = true;   /* others know where it answers */
+  unsigned life = 0;       /* what was sent to an earlier life is lost */
   RelayGroup *group = nullptr;
   NewsSource source[MP_RELAY_KINDS] = {};
   unsigned open[MP_RELAY_KINDS] = {}; /* number of the open call */
+  gint64 told[MP_RELAY_KINDS] = {};   /* revisions in the last heartbeat */
   std::map<std::string, std::string> seen[MP_RELAY_KINDS];
   std::map<std::string, gint64> seen_at; /* name=text -> when first */
   unsigned backwards = 0; /* an object took an older text again */
@@ -88,6 +92,8 @@
   gint64 slowest(const std::string &name, const std::string &text) const;
   /* the oldest configuration (a number) of those that reach the store */
   int oldest_configuration(const std::string &name) const;
+  /* the same of all that are alive and not cut off from everybody */
+  int oldest_of_all(const std::string &name) const;
 
   Instance *find(mp_Addr address) const;
 
@@ -97,9 +103,14 @@
   RelayTimes times = {watch_wait, 3 * second};
   bool store_up = true;
   gint64 staleness = 1500 * ms; /* of a stale list */
+  /* of the configuration, which each change writes anew, but for one; 0: its
+  ** text is its version alone, and links take no time */
+  unsigned routes = 0;
+  gint64 link_rate = 1250; /* bytes a millisecond: 10 Mbit/s */
   guint64 store_calls = 0;
   guint64 stale_calls = 0; /* lists that may be old, not among those */
   guint64 datagrams = 0;
+  guint64 bytes = 0; /* of answers to questions about the configuration */
 
 private:
   struct Event {
@@ -124,7 +135,19 @@
     unsigned life;
   };
 
+  /* a change as the store's history has it */
+  struct Version {
+    gint64 revision;
+    StoreKind kind;
+    std::string name;
+    std::string text;
+    bool gone;
+  };
+
   void at(gint64 when, std::function<void()> act);
+  std::string content(StoreKind kind, const std::string &text) const;
+  gint64 travel_of(Instance &one, StoreKind kind, const StoreReply &reply);
+  gint64 send_time(Instance &one, gsize size);
   void later(Instance &one, gint64 wait, std::function<void()> act);
   void look(Instance &one, int kind);
   void look_all(Instance &one);
@@ -135,8 +158,11 @@
   StoreReply list(StoreKind kind, bool stale) const;
   void remember();
   StoreReply events(StoreKind kind, gint64 since) const;
+  void end_watch(Instance &one, int kind, unsigned call);
   void answer_watches();
   void beat(Instance &one);
+  void send_beats(Instance &one);
+  void tell_news(Instance &one, int kind);
   void send_beat(Instance &from, mp_Addr to, gint64 asked = 0);
   void ask_beat(Instance &one, mp_Addr relay);
   void datagram(mp_Addr to, std::function<void(Instance &)> act);
@@ -155,6 +181,7 @@
   gint64 oldest = 0;
   std::vector<Watch> watches;
   std::vector<Past> past;
+  std::vector<Version> history;
   double loss;
   bool proving;
   GRand *random;
--- /dev/null
+++ b/test/test_large_configuration.cc
@@ -0,0 +1,162 @@
+/*
+** test_large_configuration.cc
+** Changes of a configuration of any size reach whoever can reach the store,
+** or an instance that has them
+*/
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "relay_world.h"
+
+using namespace relaying;
+
+namespace {
+
+constexpr gint64 bound = 3 * second; /* until a change is in force */
+constexpr gint64 change_gap = 500 * ms;
+constexpr unsigned many_routes = 1400; /* some 250 kB */
+/* versions are compared as texts, so they have as many digits */
+constexpr int first_version = 1000;
+
+struct Fleet {
+  World world;
+  int version = first_version;
+  gint64 next_change;
+  std::deque<std::pair<gint64, int>> due;
+
+  Fleet(unsigned zones, unsigned instances, unsigned routes, unsigned seed = 1)
+      : world(zones, instances, 0.01, seed) {
+    world.routes = routes;
+    world.write(STORE_CONFIGURATION, "main", std::to_string(version));
+    world.write(STORE_ENDPOINTS, "e1", "1");
+    world.start_all();
+    world.run(5 * second);
+    next_change = world.now;
+  }
+
+  /* a change each 0.5 s; returns how many were not held in time by all that
+  ** are not cut off from everybody */
+  unsigned change(gint64 span) {
+    unsigned late = 0;
+    for (gint64 end = world.now + span; world.now < end;) {
+      if (world.now >= next_change) {
+        world.write(STORE_CONFIGURATION, "main", std::to_string(++version));
+        due.emplace_back(world.now + bound, version);
+        next_change += change_gap;
+      }
+      world.run(20 * ms);
+      for (; !due.empty() && due.front().first <= world.now; due.pop_front())
+        late += world.oldest_of_all("main") < due.front().second;
+    }
+    return late;
+  }
+
+  std::vector<Instance *> relays(unsigned zone) {
+    std::vector<Instance *> found;
+    for (auto &one : world.all) {
+      if (one->zone == zone &&
+          relay_group_role(one->group, world.now) == RELAY_ROLE_RELAY)
+        found.push_back(one.get());
+    }
+    return found;
+  }
+};
+
+/* every second instance, all relays of the first data centre among them */
+std::vector<Instance *> half_of(Fleet &fleet) {
+  std::vector<Instance *> half = fleet.relays(0);
+  for (size_t i = 0; i < fleet.world.all.size(); i += 2) {
+    Instance *one = fleet.world.all[i].get();
+    if (std::find(half.begin(), half.end(), one) == half.end())
+      half.push_back(one);
+  }
+  return half;
+}
+
+TEST(LargeConfiguration, ReachesWhomTheStoreDoesNotAnswer) {
+  for (unsigned instances : {12, 58}) {
+    Fleet fleet(3, instances, many_routes);
+    EXPECT_EQ(fleet.change(3 * second), 0u);
+    for (Instance *one : half_of(fleet))
+      one->cut_from_store = true;
+    EXPECT_EQ(fleet.change(8 * second), 0u) << instances;
+  }
+}
+
+TEST(LargeConfiguration, ReachesWhomTheStoreRefuses) {
+  for (unsigned instances : {12, 58}) {
+    Fleet fleet(3, instances, many_routes);
+    EXPECT_EQ(fleet.change(3 * second), 0u);
+    for (Instance *one : half_of(fleet))
+      one->refused_by_store = true;
+    EXPECT_EQ(fleet.change(8 * second), 0u) << instances;
+  }
+}
+
+/* nobody else has the news: it follows the store itself */
+TEST(LargeConfiguration, IsCaughtUpFromTheStoreWithoutAllThatWasMissed) {
+  Fleet fleet(1, 2, many_routes);
+  Instance *one = fleet.world.all[0].get();
+  EXPECT_EQ(fleet.change(3 * second), 0u);
+  one->cut_from_all = true;
+  EXPECT_EQ(fleet.change(18 * second), 0u);
+  one->cut_from_all = false;
+  fleet.due.clear();
+  EXPECT_EQ(fleet.change(bound), 0u);
+  EXPECT_EQ(fleet.change(3 * second), 0u);
+}
+
+TEST(LargeConfiguration, IsCaughtUpFromRelaysAfterACut) {
+  Fleet fleet(3, 58, many_routes);
+  EXPECT_EQ(fleet.change(3 * second), 0u);
+  for (size_t i = 20; i < 30; i++)
+    fleet.world.all[i]->cut_from_all = true;
+  EXPECT_EQ(fleet.change(10 * second), 0u);
+  for (size_t i = 20; i < 30; i++)
+    fleet.world.all[i]->cut_from_all = false;
+  fleet.due.clear();
+  EXPECT_EQ(fleet.change(5 * second), 0u);
+}
+
+/* a relay's one failure leaves an instance to a store that is silent */
+TEST(LateNews, ARelayThatFailedOnceIsAskedAgainWhileTheStoreIsSilent) {
+  Fleet fleet(2, 16, 0);
+  EXPECT_EQ(fleet.change(2 * second), 0u);
+  std::vector<Instance *> deaf = fleet.relays(0);
+  for (auto &one : fleet.world.all)
+    one->cut_from_store = one->zone == 0;
+  for (Instance *one : fleet.relays(1))
+    one->answers = false;
+  fleet.change(1 * second);
+  for (Instance *one : fleet.relays(1))
+    one->answers = true;
+  fleet.due.clear();
+  EXPECT_EQ(fleet.change(6 * second), 0u);
+}
+
+/* its members would take its word for the newest one */
+TEST(Relays, OneThatLacksWhatItHearsOfIsNotFreshByIt) {
+  RelayTimes times = {watch_wait, bound};
+  RelayGroup *group = relay_group_new(7, 0, &times, 0);
+  mp_RelayBeat told = {};
+  gint64 now = 10 * second;
+  relay_group_hold(group, STORE_CONFIGURATION, 100, now);
+  relay_group_hold(group, STORE_ENDPOINTS, 100, now);
+  told.changed[STORE_CONFIGURATION] = 100;
+  told.age_ms = 50;
+  relay_group_hear(group, 99, &told, now);
+  EXPECT_EQ(relay_group_age(group, now), 50 * ms);
+  told.changed[STORE_CONFIGURATION] = 101;
+  for (; now < 14 * second; now += RELAY_BEAT)
+    relay_group_hear(group, 99, &told, now);
+  EXPECT_GE(relay_group_age(group, now), 4 * second);
+  EXPECT_GE(relay_group_news_age(group, now), 4 * second);
+  relay_group_hold(group, STORE_CONFIGURATION, 101, now);
+  EXPECT_EQ(relay_group_news_age(group, now), RELAY_BEAT + 50 * ms);
+  relay_group_free(group);
+}
+
+} // namespace
