A relay that failed once is asked again while the store is silent

What callers saw: a whole data centre said 404 for a route that had been confirmed 3.3 s before and that instances elsewhere served. Cause: after a relay's failure the store alone was asked until it answered or failed; a call to a silent store was given up, in favour of relays, before it could fail: neither was ever asked to the end. Ruled out: that relays elsewhere lacked the news (they had each change within 50 ms). Change: giving up the call to the store ends the ban on relays.

--- a/router/news_source.c
+++ b/router/news_source.c
@@ -158,6 +158,7 @@
     return;
   source->behind_since = 0;
   source->is_behind = TRUE;
+  source->must_ask = FALSE; /* a relay that failed before may answer now */
   follower_abandon(&source->follower, now);
   out->step = NEWS_LEAVE_STORE;
 }
