A call is given up for its silence, not for its age

Cause: a watch was given up 0.5 s after another instance had named something newer, and each call after its patience, whatever arrived meanwhile. An answer of several versions of 250 kB takes 0.2 s each on 10 Mbit/s: it was thrown away, and the next one was larger still, until the store's history ended. Ruled out: a longer patience alone: it waits on dead connections. Change: each piece of an answer that comes begins the patience anew, at the link and where a call is left for a relay.

--- a/io/following.c
+++ b/io/following.c
@@ -81,6 +81,9 @@
 void following_look(Following *following) {
   NewsWanted wanted;
   note_lag(following);
+  if (store_link_heard_at(following->store) != 0)
+    news_source_progress(&following->source,
+                         store_link_heard_at(following->store));
   news_source_next(&following->source, clock_now(), &wanted);
   if (wanted.step == NEWS_ASK_STORE || wanted.step == NEWS_ASK_INSTANCE)
     following->asked_at = clock_now();
--- a/io/store_link.c
+++ b/io/store_link.c
@@ -9,6 +9,7 @@
 #include <event2/bufferevent.h>
 
 #include "http/reader.h"
+#include "io/clock.h"
 #include "io/store_link.h"
 #include "io/sockets.h"
 
@@ -27,6 +28,8 @@
   HttpReader *reader;
   struct event *timer;
   gboolean open;
+  gint64 patience; /* of the open call */
+  gint64 heard_at; /* as store_link_heard_at */
   StoreCall call;
   GString *text; /* the request, until it is written */
   HttpHead *head;
@@ -97,6 +100,11 @@
   g_clear_error(&error);
 }
 
+static void start_patience(StoreLink *link) {
+  struct timeval time = {link->patience / MP_SEC, link->patience % MP_SEC};
+  event_add(link->timer, &time);
+}
+
 static void on_read(struct bufferevent *events, void *data) {
   StoreLink *link = data;
   struct evbuffer *in = bufferevent_get_input(events);
@@ -104,6 +112,8 @@
     disconnect(link);
     return;
   }
+  link->heard_at = clock_now();
+  start_patience(link);
   while (evbuffer_get_length(in) > 0) {
     size_t size = evbuffer_get_contiguous_space(in);
     const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
@@ -170,10 +180,11 @@
 }
 
 void store_link_call(StoreLink *link, const StoreCall *call, gint64 patience) {
-  struct timeval time = {patience / MP_SEC, patience % MP_SEC};
   gboolean fresh = link->events == NULL;
   g_assert(!link->open);
   link->open = TRUE;
+  link->patience = patience;
+  link->heard_at = 0;
   link->calls++;
   link->call = *call;
   link->call.after = NULL; /* not needed to read the answer */
@@ -181,7 +192,7 @@
   if (link->text != NULL)
     g_string_free(link->text, TRUE);
   link->text = request_text(link, call);
-  event_add(link->timer, &time);
+  start_patience(link);
   if (fresh)
     connect_link(link);
   else
@@ -233,6 +244,10 @@
   return link->calls;
 }
 
+gint64 store_link_heard_at(const StoreLink *link) {
+  return link->heard_at;
+}
+
 gsize store_link_received(const StoreLink *link) {
   return link->body->len;
 }
--- a/io/store_link.h
+++ b/io/store_link.h
@@ -27,7 +27,8 @@
 /* call there from now on; no call may be open */
 void store_link_set_address(StoreLink *link, mp_Addr address);
 
-/* no call may be open; 'patience' is how long an answer is waited for */
+/* no call may be open; 'patience' is how long an answer may be silent: each
+** piece of it that comes begins that time anew */
 void store_link_call(StoreLink *link, const StoreCall *call, gint64 patience);
 
 /* a call is out */
@@ -36,6 +37,8 @@
 void store_link_abandon(StoreLink *link);
 
 guint64 store_link_calls(const StoreLink *link);
+/* when the last piece of the open call's answer came; 0: none has */
+gint64 store_link_heard_at(const StoreLink *link);
 /* bytes of the open call's answer so far; 0: none is open */
 gsize store_link_received(const StoreLink *link);
 
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -142,9 +142,14 @@
   return MIN(patience, CALL_PATIENCE);
 }
 
+void news_source_progress(NewsSource *source, gint64 now) {
+  source->progress_at = MAX(source->progress_at, now);
+}
+
 /*
-** A watch of the store is out, and another instance knows more than it has
-** brought. It should answer any moment; one that does not is lost.
+** A call to the store is out, and another instance knows more than it has
+** brought. It should answer any moment; one that is silent is lost. An answer
+** that arrives is not given up, however long it takes.
 */
 static void look_behind(NewsSource *source, gint64 now, NewsWanted *out) {
   if (!source->at_store || relay_with_news(source, now) == 0) {
@@ -153,7 +158,7 @@
   }
   if (source->behind_since == 0)
     source->behind_since = now;
-  out->at = source->behind_since + BEHIND_MOST;
+  out->at = MAX(source->behind_since, source->progress_at) + BEHIND_MOST;
   if (now < out->at)
     return;
   source->behind_since = 0;
@@ -214,6 +219,7 @@
     return;
   source->at_store = out->step == NEWS_ASK_STORE;
   follower_begin(&source->follower, &out->call);
+  source->progress_at = now;
   out->call.stale =
       out->call.operation == STORE_LIST && source->proof_within == 0 &&
       is_first_list(source, relay_group_role(source->group, now));
--- a/router/news_source.h
+++ b/router/news_source.h
@@ -6,8 +6,8 @@
 ** this part chooses between the store, a relay and, at a start without the
 ** store, the instances that the settings name. Whoever answers, revisions
 ** are the store's, so the source may change from one call to the next.
-** Invariant: one call is open at a time. A relay that does not answer has
-** the store asked at once.
+** Invariants: one call is open at a time. A relay that does not answer has
+** the store asked at once. No call is given up while its answer arrives.
 */
 
 #ifndef ROUTER_NEWS_SOURCE_H
@@ -27,7 +27,7 @@
   NewsStep step;
   gint64 at; /* WAIT: look again then; G_MAXINT64: when something changes */
   StoreCall call;
-  gint64 patience;  /* how long an answer is waited for */
+  gint64 patience;  /* how long an answer may be silent */
   mp_Addr instance; /* where it answers news */
 } NewsWanted;
 
@@ -47,6 +47,7 @@
   gboolean seed_failed; /* the last one asked knew nothing */
   gboolean at_store;    /* the open call went to the store */
   gint64 asked_at;      /* when the open call was made */
+  gint64 progress_at;   /* when bytes of its answer came last, or so */
   StoreOperation asked_for;
   gint64 asked_wait; /* WATCH: as in the call */
   gboolean asked_stale;
@@ -65,6 +66,8 @@
 
 /* what to do now; a call that is handed out is open from then on */
 void news_source_next(NewsSource *source, gint64 now, NewsWanted *out);
+/* bytes of the open call's answer have come */
+void news_source_progress(NewsSource *source, gint64 now);
 /* the open call's answer; news_source_next says how it goes on */
 void news_source_reply(NewsSource *source, const StoreReply *reply,
                        gint64 now);
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -60,6 +60,9 @@
   NewsSource source[MP_RELAY_KINDS] = {};
   unsigned open[MP_RELAY_KINDS] = {}; /* number of the open call */
   gint64 told[MP_RELAY_KINDS] = {};   /* revisions in the last heartbeat */
+  /* the open call's answer is under way until then */
+  gint64 receives_until[MP_RELAY_KINDS] = {};
+  unsigned received_call[MP_RELAY_KINDS] = {};
   std::map<std::string, std::string> seen[MP_RELAY_KINDS];
   std::map<std::string, gint64> seen_at; /* name=text -> when first */
   unsigned backwards = 0; /* an object took an older text again */
@@ -148,6 +151,8 @@
   std::string content(StoreKind kind, const std::string &text) const;
   gint64 travel_of(Instance &one, StoreKind kind, const StoreReply &reply);
   gint64 send_time(Instance &one, gsize size);
+  void receive(Instance &one, int kind, unsigned call, gint64 span);
+  bool receives(const Instance &one, int kind) const;
   void later(Instance &one, gint64 wait, std::function<void()> act);
   void look(Instance &one, int kind);
   void look_all(Instance &one);
