Catching up reads the present once, not each version that was missed

Cause: after a silent or failed call the store was watched from the old revision, which brings each version since, whole, some 1 MB an answer: the work of catching up grew with the time that an instance had lagged. Ruled out: a list in place of each watch (calls and bytes at each change). Change: a kind of one object (the configuration) is listed once after a failure or a silent call, then watched from there. Other instances are still asked for changes.

--- a/router/follower.c
+++ b/router/follower.c
@@ -71,11 +71,14 @@
   return follower->open || follower->taking ? G_MAXINT64 : follower->retry_at;
 }
 
-void follower_begin(Follower *follower, StoreCall *call) {
+void follower_begin(Follower *follower, gboolean by_instance,
+                    StoreCall *call) {
   memset(call, 0, sizeof *call);
   follower->open = TRUE;
+  follower->listing =
+      !follower->watching || (follower->lapsed && !by_instance);
   call->kind = follower->kind;
-  if (follower->watching) {
+  if (!follower->listing) {
     call->operation = STORE_WATCH;
     call->revision = follower->revision;
     /* one that fails again soon is found out soon */
@@ -152,7 +155,7 @@
   guint i;
   for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
     const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
-    if ((!follower->watching || reply->whole) && !object->gone)
+    if ((follower->listing || reply->whole) && !object->gone)
       g_hash_table_add(follower->names, g_strdup(object->name));
     if (object->gone || object->text != NULL)
       take_object(follower, object, reply->at);
@@ -189,18 +192,17 @@
                       gint64 now) {
   guint count = reply->objects != NULL ? reply->objects->len : 0;
   follower->partial |= reply->partial;
+  if (follower->after == NULL)
+    follower->list_revision = reply->at;
   g_clear_pointer(&follower->after, g_free);
   if (reply->more && count > 0) {
     const StoreObject *last =
         &g_array_index(reply->objects, StoreObject, count - 1);
-    /* changes made while the pages are read are watched from the first */
-    if (follower->revision == 0)
-      follower->revision = reply->at;
     follower->after = g_strdup(last->name);
     return;
   }
-  if (follower->revision == 0)
-    follower->revision = reply->at;
+  /* changes made while the pages are read are watched from the first */
+  follower->revision = follower->list_revision;
   if (follower->partial) {
     g_hash_table_remove_all(follower->names);
     follower->list_at = now + PARTIAL_AGAIN;
@@ -221,17 +223,27 @@
   g_hash_table_remove_all(follower->names);
 }
 
+static gboolean has_one_object(const Follower *follower) {
+  return follower->kind == STORE_CONFIGURATION;
+}
+
+void follower_leave_store(Follower *follower, gint64 now) {
+  follower->lapsed = has_one_object(follower);
+  follower_abandon(follower, now);
+}
+
 static void failed(Follower *follower, gint64 now) {
   gint64 wait = RETRY_FIRST << MIN(follower->failures, RETRY_DOUBLED);
   if (follower->failures++ == 0)
     follower->host.lost(follower->host.data, follower->kind);
+  follower->lapsed = has_one_object(follower);
   follower->retry_at = now + MIN(wait, follower->retry_most);
 }
 
 /* a list that is older than what is known would bring old things back */
 static gboolean is_overtaken(const Follower *follower,
                              const StoreReply *reply) {
-  return !follower->watching && reply->at < follower->known;
+  return follower->listing && reply->at < follower->known;
 }
 
 void follower_abandon(Follower *follower, gint64 now) {
@@ -255,10 +267,11 @@
   if (follower->failures > 0)
     follower->host.regained(follower->host.data, follower->kind);
   follower->failures = 0;
+  follower->lapsed = FALSE;
   take_objects(follower, reply);
-  if (follower->watching && reply->objects != NULL && reply->objects->len > 0)
+  if (!follower->listing && reply->objects != NULL && reply->objects->len > 0)
     follower->retry_at = now + follower->pause;
-  if (follower->watching) {
+  if (!follower->listing) {
     if (reply->whole && reply->at >= follower->known)
       take_names(follower, reply->at);
     g_hash_table_remove_all(follower->names);
--- a/router/follower.h
+++ b/router/follower.h
@@ -10,6 +10,10 @@
 ** something could not be read that may hide objects removes none, and is read
 ** again until it is whole.
 **
+** Catching up costs no more than the present: one that followed a kind of a
+** single object, and lost the store, reads that object again. A watch from
+** the old revision would bring each version since.
+**
 ** A follower keeps what it has read, so that it can answer the same calls
 ** for other instances (follower_answer). Objects that are gone stay for a
 ** while without their text, so that others hear that they are gone. A list
@@ -114,25 +118,28 @@
   FollowerHost host;
   gint64 watch_wait; /* longest wait of one watch */
   gint64 pause; /* after news: what comes meanwhile costs no call of its own */
-  gint64 retry_most;   /* longest wait after failures in a row */
-  gboolean watching;   /* else the next call lists */
-  gboolean open;       /* a call is out */
-  gboolean taking;     /* a reply is being taken: no call begins. (One that a
-                       ** hook began before a list was whole was answered with
-                       ** a page, which was read as a watch's events; the next
-                       ** page was never asked for) */
-  gint64 revision;     /* of the store, as far as it was read */
-  char *after;         /* a list goes on behind this name */
-  gboolean partial;    /* the list may hide objects: it removes none */
-  gint64 list_at;      /* it is read again then; 0: no need */
-  GHashTable *names;   /* seen by the list that is being read */
-  GHashTable *objects; /* name -> FollowedObject */
-  guint gone;          /* of these, objects that are gone */
-  gint64 known;        /* every change up to this revision is in 'objects' */
-  gint64 changed;      /* the largest 'learned' there is */
-  gint64 forgotten;    /* removals up to this revision may not be known */
-  gint64 retry_at;     /* no call before then */
-  unsigned failures;   /* in a row */
+  gint64 retry_most;    /* longest wait after failures in a row */
+  gboolean watching;    /* else the next call lists */
+  gboolean lapsed;      /* watching: the store has first to be listed again */
+  gboolean listing;     /* the open call is a list */
+  gboolean open;        /* a call is out */
+  gboolean taking;      /* a reply is being taken: no call begins. (One that a
+                        ** hook began before a list was whole was answered with
+                        ** a page, which was read as a watch's events; the next
+                        ** page was never asked for) */
+  gint64 revision;      /* of the store, as far as it was read */
+  gint64 list_revision; /* of the store, at the first page of the open list */
+  char *after;          /* a list goes on behind this name */
+  gboolean partial;     /* the list may hide objects: it removes none */
+  gint64 list_at;       /* it is read again then; 0: no need */
+  GHashTable *names;    /* seen by the list that is being read */
+  GHashTable *objects;  /* name -> FollowedObject */
+  guint gone;           /* of these, objects that are gone */
+  gint64 known;         /* every change up to this revision is in 'objects' */
+  gint64 changed;       /* the largest 'learned' there is */
+  gint64 forgotten;     /* removals up to this revision may not be known */
+  gint64 retry_at;      /* no call before then */
+  unsigned failures;    /* in a row */
 } Follower;
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
@@ -141,11 +148,14 @@
 
 /* when the next call may be made; G_MAXINT64 while one is out */
 gint64 follower_next_call(const Follower *follower);
-/* the call to make now; the texts live until its reply is handed in */
-void follower_begin(Follower *follower, StoreCall *call);
+/* the call to make now, of the store or ('by_instance') of another instance;
+** the texts live until its reply is handed in */
+void follower_begin(Follower *follower, gboolean by_instance, StoreCall *call);
 void follower_reply(Follower *follower, const StoreReply *reply, gint64 now);
 /* the call went to somebody else than the store, and came to nothing */
 void follower_abandon(Follower *follower, gint64 now);
+/* the store is silent, and its call was given up */
+void follower_leave_store(Follower *follower, gint64 now);
 /* a list was whole, or a watch has gone on from one */
 gboolean follower_knows(const Follower *follower);
 
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -164,7 +164,7 @@
   source->behind_since = 0;
   source->is_behind = TRUE;
   source->must_ask = FALSE; /* a relay that failed before may answer now */
-  follower_abandon(&source->follower, now);
+  follower_leave_store(&source->follower, now);
   out->step = NEWS_LEAVE_STORE;
 }
 
@@ -218,7 +218,7 @@
   if (out->step == NEWS_WAIT)
     return;
   source->at_store = out->step == NEWS_ASK_STORE;
-  follower_begin(&source->follower, &out->call);
+  follower_begin(&source->follower, !source->at_store, &out->call);
   source->progress_at = now;
   out->call.stale =
       out->call.operation == STORE_LIST && source->proof_within == 0 &&
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -74,7 +74,7 @@
 
   StoreCall call() {
     StoreCall out;
-    follower_begin(&follower, &out);
+    follower_begin(&follower, FALSE, &out);
     return out;
   }
   void answer(StoreStatus status, gint64 at = 0,
