A relay is fresh only by what it holds, not by what it hears of

What callers saw: 404 for a confirmed route from every instance of a data centre, also from those that the store answered. Cause: the age that a relay tells counted heartbeats of relays elsewhere, whatever this one held. Its members took it for fresh, did not take over, and answered. Ruled out: lost heartbeats (E8106: no change of role; news_age_ms under 2 s). Change: what a relay tells counts from when all that it names is known here. Class: freshness heard taken for knowledge held.

--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -52,6 +52,8 @@
   gboolean is_near; /* of this data centre */
   gint64 heard;
   gboolean doubted;
+  gint64 level_at; /* the store answered it then, or who it hears, and what it
+                   ** had then is known here */
   mp_RelayBeat beat;
 } Relay;
 
@@ -225,6 +227,27 @@
   return FALSE;
 }
 
+/* when the store answered it, or another one that it hears */
+static gint64 answered_at(const Relay *relay) {
+  return relay->heard - relay->beat.age_ms * MP_MS;
+}
+
+/* is all that it has known here? The instances and the quarantine change
+** rarely, and no request depends on the newest ones */
+static gboolean is_level(const RelayGroup *group, const Relay *relay) {
+  return (gint64)relay->beat.changed[STORE_CONFIGURATION] <=
+             group->news[STORE_CONFIGURATION].held &&
+         (gint64)relay->beat.changed[STORE_ENDPOINTS] <=
+             group->news[STORE_ENDPOINTS].held;
+}
+
+/* the newest moment at which what this relay had is known here */
+static gint64 level_at(const RelayGroup *group, const Relay *relay) {
+  if (!is_level(group, relay))
+    return relay->level_at;
+  return MAX(relay->level_at, answered_at(relay));
+}
+
 static void name_news(RelayGroup *group, const mp_RelayBeat *beat,
                       gint64 now) {
   int kind;
@@ -238,8 +261,10 @@
   if (relay == NULL) {
     relay = g_new0(Relay, 1);
     relay->address = from;
+    relay->level_at = G_MININT32;
     g_hash_table_insert(group->relays, &relay->address, relay);
-  }
+  } else
+    relay->level_at = level_at(group, relay);
   relay->heard = now;
   relay->doubted = FALSE;
   relay->order = order_of_relay(group, from);
@@ -298,7 +323,13 @@
 
 /* since the store answered it, or another one that it hears */
 static gint64 age_of(const Relay *relay, gint64 now) {
-  return now - relay->heard + relay->beat.age_ms * MP_MS;
+  return now - answered_at(relay);
+}
+
+/* how old what is known here may be, as far as this relay tells */
+static gint64 level_age(const RelayGroup *group, const Relay *relay,
+                        gint64 now) {
+  return now - level_at(group, relay);
 }
 
 static gboolean is_fresh(const RelayGroup *group, const Relay *relay,
@@ -355,8 +386,7 @@
 
 /* when this relay is fresh no more, unless it is heard again */
 static gint64 fresh_until(const RelayGroup *group, const Relay *relay) {
-  gint64 answered = relay->heard - relay->beat.age_ms * MP_MS;
-  return MIN(relay->heard + SILENCE, answered + group->fresh);
+  return MIN(relay->heard + SILENCE, answered_at(relay) + group->fresh);
 }
 
 /* when the first of the fresh relays before this instance ceases to be */
@@ -429,7 +459,7 @@
     const Relay *relay = value;
     gboolean counts = all || !relay->is_near || comes_before(group, relay);
     if (counts && is_heard(relay, now))
-      age = MIN(age, age_of(relay, now));
+      age = MIN(age, level_age(group, relay, now));
   }
   return MIN(age, G_MAXINT32);
 }
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -141,8 +141,9 @@
 /*
 ** Since the store answered this instance, or a relay that it hears and that
 ** does not stand in for it; told in a heartbeat. (A relay that counted the
-** one in its place would be fresh by it, and put it off again: once a second
-** news came 0.9 s late.)
+** one in its place would be fresh by it, and put it off again.) What a relay
+** names counts from when it is known here: one that hears of news, and lacks
+** them, is not fresh by them.
 */
 gint64 relay_group_age(const RelayGroup *group, gint64 now);
 /* the same of all relays that it hears: how old its own news may be */
