No route, no such key: said only by who lacks no change that anybody has named

Cause: the answer rested on the age of the news, which says when somebody was told that there is nothing newer, not what is held here. Evidence: the record (four instances under one old configuration, ages 61 to 1,839 ms). Ruled out: 503 for every unknown path: callers of paths that never were would get no final answer. It is 503 only while a newer revision has been named. Change: the router reads NewsState of the configuration; 401 for an unknown key likewise. E8001 shows lag_ms.

--- a/io/gateway.c
+++ b/io/gateway.c
@@ -526,6 +526,8 @@
   gateway->front = front_new(base, options->callers, dialect, &front, error);
   gateway->group = relay_group_new(options->exchange, options->capacity,
                                    &times, clock_now());
+  router_set_news(gateway->router,
+                  relay_group_news(gateway->group, STORE_CONFIGURATION));
   if (gateway->front == NULL || !make_exchange(gateway, options, error) ||
       !make_status_server(gateway, options, error)) {
     gateway_free(gateway);
--- a/router/accounts.c
+++ b/router/accounts.c
@@ -66,6 +66,12 @@
   return FALSE;
 }
 
+static void refuse_as_old(Router *router, Refusal *refusal) {
+  refusal->kind = REFUSAL_OLD_CONFIGURATION;
+  refusal->retry_after_ms = RETRY_AFTER_OLD_MS;
+  router_count(router, REFUSED_OLD);
+}
+
 /* without a key, with two, or with an unknown one there is no account */
 static const Account *find_account(Router *router, const CallerRequest *call,
                                    Refusal *refusal, gint64 now) {
@@ -73,20 +79,21 @@
   const Account *account = NULL;
   /* an old configuration does not know which keys are new: 503, not 401 */
   if (is_too_old(router, now)) {
-    refusal->kind = REFUSAL_OLD_CONFIGURATION;
-    refusal->retry_after_ms = RETRY_AFTER_OLD_MS;
-    router_count(router, REFUSED_OLD);
+    refuse_as_old(router, refusal);
     return NULL;
   }
   if (call->keys == 1) {
     mp_digest(call->key, strlen(call->key), digest);
     account = route_table_account(router->routes, digest);
   }
-  if (account == NULL) {
-    refusal->kind = REFUSAL_KEY;
+  if (account != NULL)
+    return account;
+  refusal->kind = REFUSAL_KEY;
+  if (call->keys == 1 && router_lacks_news(router, now))
+    refuse_as_old(router, refusal);
+  else
     router_count(router, REFUSED_KEY);
-  }
-  return account;
+  return NULL;
 }
 
 gboolean accounts_admit(Router *router, const CallerRequest *call,
--- a/router/router.c
+++ b/router/router.c
@@ -140,6 +140,10 @@
   router->heard_at = MAX(router->heard_at, at);
 }
 
+void router_set_news(Router *router, const NewsState *news) {
+  router->news = news;
+}
+
 void router_keep_endpoints(Router *router, GHashTable *names, gint64 now) {
   endpoint_table_keep(router->endpoints, names, now);
   rates_endpoints_changed(router);
@@ -197,14 +201,24 @@
 }
 
 /*
-** "No such route" is final for a caller. While the news are older than they
-** are at any instance that the store answers, a route may have come since:
-** the caller is told to try again, and reaches another instance.
+** "No such route" and "no such key" are final for a caller. While a newer
+** configuration is known elsewhere, or the news are older than they are at any
+** instance that the store answers, the route may have come since: the caller
+** is told to try again, and reaches another instance, or this one later.
 */
+gboolean router_lacks_news(const Router *router, gint64 now) {
+  if (router->news != NULL && router->news->lags_since != 0)
+    return TRUE;
+  return router->news_bound > 0 && news_age(router, now) > router->news_bound;
+}
+
 static RefusalKind no_route(const Router *router, gint64 now) {
-  gboolean is_old =
-      router->news_bound > 0 && news_age(router, now) > router->news_bound;
-  return is_old ? REFUSAL_OLD_CONFIGURATION : REFUSAL_NO_ROUTE;
+  return router_lacks_news(router, now) ? REFUSAL_OLD_CONFIGURATION
+                                        : REFUSAL_NO_ROUTE;
+}
+
+static gint64 news_lag(const Router *router, gint64 now) {
+  return router->news != NULL ? news_state_lag(router->news, now) : 0;
 }
 
 static void refuse_unrouted(Router *router, const CallerRequest *call,
@@ -214,9 +228,10 @@
   router_count(router, REFUSED);
   router_log(router, MP_LOG_ROUTE_REFUSED,
              " request=%s reason=%s host=%s config=%" G_GUINT64_FORMAT
-             " news_age_ms=%d",
+             " news_age_ms=%d lag_ms=%d",
              call->id, finish_refusal_name(kind), call->host, version,
-             (int)(news_age(router, now) / MP_MS));
+             (int)(news_age(router, now) / MP_MS),
+             (int)(news_lag(router, now) / MP_MS));
   router->host.refuse(router->host.data, call->number, &refusal);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -23,6 +23,7 @@
 #include "router/follower.h"
 #include "router/histogram.h"
 #include "router/lease.h"
+#include "router/news_state.h"
 #include "router/quarantine.h"
 #include "router/records.h"
 
@@ -211,6 +212,9 @@
 void router_configuration_proved(Router *router, gint64 at);
 /* the store answered then whoever this instance has its news from */
 void router_news_heard(Router *router, gint64 at);
+/* how the configuration known here compares to what any instance has named;
+** it outlives the router. Without one no instance names anything */
+void router_set_news(Router *router, const NewsState *news);
 /* add, change or (with 'gone') remove one endpoint */
 void router_set_endpoint(Router *router, const EndpointRecord *record,
                          gboolean gone, gint64 now);
--- a/router/state.h
+++ b/router/state.h
@@ -159,6 +159,7 @@
   gint64 proved_at;        /* router_configuration_proved */
   gint64 heard_at;         /* router_news_heard; 0: never */
   gint64 news_bound;       /* as in RouterOptions */
+  const NewsState *news;   /* of the configuration; NULL: nobody names any */
   gboolean stopping;       /* no request is taken any more */
   Stages *stages;          /* orders to engines */
   GPtrArray *waiting;      /* Request in PHASE_WAIT, first one first */
@@ -170,6 +171,9 @@
   Histogram durations[DURATION_COUNT];
 };
 
+/* may a newer configuration say more of a path or a key than the one here? */
+gboolean router_lacks_news(const Router *router, gint64 now);
+
 #define router_count(router, name) ((router)->counters[ROUTER_COUNT_##name]++)
 
 /* count the time since the request came */
--- a/test/test_accounts.cc
+++ b/test/test_accounts.cc
@@ -49,6 +49,16 @@
   EXPECT_EQ(world.last().account, "second");
 }
 
+TEST_F(Accounts, AnInstanceThatLacksAChangeDoesNotSayThatAKeyIsUnknown) {
+  NewsState news = {};
+  router_set_news(world.router, &news);
+  news_state_name(&news, 101, world.now);
+  world.key = "key-4";
+  EXPECT_EQ(refusal(world.request("/safe/x")), REFUSAL_OLD_CONFIGURATION);
+  news_state_hold(&news, 101, world.now);
+  EXPECT_EQ(refusal(world.request("/safe/x")), REFUSAL_KEY);
+}
+
 TEST_F(Accounts, NoKeyTwoKeysAndUnknownKeysAreRefused) {
   world.key = nullptr;
   EXPECT_EQ(refusal(world.request("/safe/x")), REFUSAL_KEY);
