News of any size are handed on: long texts travel as their changes

Cause: an instance with more than 32 kB of news to hand on answered 503. With some 1,450 routes that was each change, so members had the store alone, and no way at all where it turned them away. Change: text_patch (zstd, the older text as prefix, a checksum of what it makes), text_history (the latest patches of an object), and the codec carries them; long answers are compressed; a patch that does not fit has the text asked for in full. News.WhatIsTooLargeForARelaysLinkIsLeftToTheStore stated the fault as a rule; its purpose, that relays' links are not choked, is kept by News.ALargeTextFitsARelaysLink (200 kB travel in less than the same 32 kB) and ChangesAloneTravelBetweenInstances.

--- a/io/directory.c
+++ b/io/directory.c
@@ -494,9 +494,10 @@
   }
 }
 
-void directory_answer(const Directory *directory, StoreKind kind, gint64 since,
+void directory_answer(const Directory *directory, const NewsQuery *query,
                       StoreReply *out) {
-  follower_answer(following_follower(directory->following[kind]), since, out);
+  follower_answer(following_follower(directory->following[query->kind]),
+                  query->since, query->in_full, out);
 }
 
 void directory_changed(const Directory *directory,
--- a/io/directory.h
+++ b/io/directory.h
@@ -16,6 +16,7 @@
 
 #include "dialect/dialect.h"
 #include "io/log.h"
+#include "io/news_codec.h"
 #include "router/relay_group.h"
 
 typedef struct Directory Directory;
@@ -54,7 +55,7 @@
 void directory_look(Directory *directory);
 
 /* what this instance knows of a kind, to answer others with */
-void directory_answer(const Directory *directory, StoreKind kind, gint64 since,
+void directory_answer(const Directory *directory, const NewsQuery *query,
                       StoreReply *out);
 /* the revision of the newest change known, by kind */
 void directory_changed(const Directory *directory,
--- a/io/following.c
+++ b/io/following.c
@@ -154,8 +154,7 @@
   mp_addr_text(following->source.asked, relay);
   log_numbered(following->log, MP_LOG_RELAY_FAILED,
                " kind=%d relay=%s error=\"%s\"", kind, relay,
-               error != NULL ? error->message
-                             : "it knows nothing, or has too much to send");
+               error != NULL ? error->message : "it knows nothing");
 }
 
 static void on_instance_reply(void *data, const StoreReply *reply,
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -374,10 +374,9 @@
   return metrics_text(gateway->router, &counts);
 }
 
-static void ask_news(void *data, StoreKind kind, gint64 since,
-                     StoreReply *out) {
+static void ask_news(void *data, const NewsQuery *query, StoreReply *out) {
   const Gateway *gateway = data;
-  directory_answer(gateway->directory, kind, since, out);
+  directory_answer(gateway->directory, query, out);
 }
 
 static gboolean make_status_server(Gateway *gateway,
--- a/io/news_codec.c
+++ b/io/news_codec.c
@@ -11,8 +11,11 @@
 #include <jansson.h>
 
 #include "io/news_codec.h"
+#include "router/text_patch.h"
 
 #define STATUS_KNOWS_NOTHING 503
+/* shorter answers are not compressed, bytes: they fit into a packet */
+#define SHORT_ANSWER 1400
 
 static HttpHead *write_call(const StoreCall *call, char **body) {
   GString *target = g_string_new(NEWS_PATH);
@@ -21,6 +24,8 @@
   g_string_append_printf(target, "?kind=%d", (int)call->kind);
   if (call->operation == STORE_WATCH)
     g_string_append_printf(target, "&since=%" G_GINT64_FORMAT, call->revision);
+  if (call->in_full)
+    g_string_append(target, "&full=1");
   head = http_head_request("GET", target->str);
   http_head_add(head, "Host", "instance");
   g_string_free(target, TRUE);
@@ -32,6 +37,38 @@
   return MAX(json_integer_value(json_object_get(json, key)), 0);
 }
 
+static gboolean read_change(const json_t *json, GArray *changes) {
+  const char *text = json_string_value(json_object_get(json, "patch"));
+  GBytes *patch;
+  guchar *bytes;
+  gsize size;
+  if (text == NULL)
+    return FALSE;
+  bytes = g_base64_decode(text, &size);
+  patch = g_bytes_new_take(bytes, size);
+  text_changes_add(changes, read_revision(json, "from"),
+                   read_revision(json, "to"), patch);
+  g_bytes_unref(patch);
+  return TRUE;
+}
+
+/* NULL: there are none that can be read */
+static GArray *read_changes(const json_t *json) {
+  const json_t *list = json_object_get(json, "changes");
+  GArray *changes;
+  size_t i;
+  if (!json_is_array(list))
+    return NULL;
+  changes = text_changes_new();
+  for (i = 0; i < json_array_size(list); i++) {
+    if (!read_change(json_array_get(list, i), changes)) {
+      g_array_free(changes, TRUE);
+      return NULL;
+    }
+  }
+  return changes;
+}
+
 static gboolean read_object(const json_t *json, gboolean whole,
                             GArray *objects) {
   const char *name = json_string_value(json_object_get(json, "name"));
@@ -40,7 +77,9 @@
   if (name == NULL)
     return FALSE;
   object.gone = json_is_true(json_object_get(json, "gone"));
-  if (!object.gone && text == NULL && !whole)
+  if (!object.gone && text == NULL)
+    object.changes = read_changes(json);
+  if (!object.gone && text == NULL && object.changes == NULL && !whole)
     return FALSE;
   object.name = g_strdup(name);
   object.revision = read_revision(json, "revision");
@@ -63,6 +102,20 @@
   return TRUE;
 }
 
+/* NULL: it is no JSON */
+static json_t *load(const char *body, gsize size) {
+  char *text;
+  json_t *json;
+  if (!text_patch_is(body, size))
+    return json_loadb(body, size, JSON_REJECT_DUPLICATES, NULL);
+  text = text_patch_apply("", body, size);
+  if (text == NULL)
+    return NULL;
+  json = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
+  g_free(text);
+  return json;
+}
+
 static gboolean read_reply(const StoreCall *call, int status, const char *body,
                            gsize size, StoreReply *out, GError **error) {
   json_t *json;
@@ -72,7 +125,7 @@
   out->status = STORE_FAILED;
   if (status != 200)
     return TRUE;
-  json = json_loadb(body, size, JSON_REJECT_DUPLICATES, NULL);
+  json = load(body, size);
   out->objects = store_objects_new();
   good = read_objects(json, out);
   json_decref(json);
@@ -95,22 +148,41 @@
          g_ascii_string_to_unsigned(text, 10, 0, most, out, NULL);
 }
 
-gboolean news_read_query(const char *query, StoreKind *kind, gint64 *since) {
+gboolean news_read_query(const char *query, NewsQuery *out) {
   struct evkeyvalq fields = {0};
   guint64 number = 0;
   guint64 revision = 0;
+  guint64 full = 0;
   gboolean good;
   if (query == NULL || evhttp_parse_query_str(query, &fields) != 0)
     return FALSE;
   good = read_number(&fields, "kind", MP_RELAY_KINDS - 1, &number);
   if (evhttp_find_header(&fields, "since") != NULL)
     good = good && read_number(&fields, "since", G_MAXINT64, &revision);
+  if (evhttp_find_header(&fields, "full") != NULL)
+    good = good && read_number(&fields, "full", 1, &full);
   evhttp_clear_headers(&fields);
-  *kind = (StoreKind)number;
-  *since = (gint64)revision;
+  out->kind = (StoreKind)number;
+  out->since = (gint64)revision;
+  out->in_full = full != 0;
   return good;
 }
 
+static json_t *write_changes(const GArray *changes) {
+  json_t *list = json_array();
+  guint i;
+  for (i = 0; i < changes->len; i++) {
+    const TextChange *change = &g_array_index(changes, TextChange, i);
+    char *patch = g_base64_encode(g_bytes_get_data(change->patch, NULL),
+                                  g_bytes_get_size(change->patch));
+    json_array_append_new(
+        list, json_pack("{s:I, s:I, s:s}", "from", (json_int_t)change->from,
+                        "to", (json_int_t)change->to, "patch", patch));
+    g_free(patch);
+  }
+  return list;
+}
+
 static json_t *write_object(const StoreObject *object) {
   json_t *json = json_pack("{s:s, s:I}", "name", object->name, "revision",
                            (json_int_t)object->revision);
@@ -118,14 +190,22 @@
     json_object_set_new(json, "gone", json_true());
   if (object->text != NULL)
     json_object_set_new(json, "text", json_string(object->text));
+  if (object->changes != NULL)
+    json_object_set_new(json, "changes", write_changes(object->changes));
   return json;
 }
 
-char *news_write_reply(const StoreReply *reply) {
+static GBytes *pack(const char *text) {
+  gsize size = strlen(text);
+  return size > SHORT_ANSWER ? text_patch_new("", text)
+                             : g_bytes_new(text, size);
+}
+
+GBytes *news_write_reply(const StoreReply *reply) {
   json_t *objects = json_array();
   json_t *json;
   char *dumped;
-  char *out;
+  GBytes *out;
   guint i;
   for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
     const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
@@ -134,14 +214,12 @@
   json = json_pack("{s:I, s:b, s:o}", "at", (json_int_t)reply->at, "whole",
                    (int)reply->whole, "objects", objects);
   dumped = json_dumps(json, JSON_COMPACT);
-  out = g_strdup(dumped);
+  out = pack(dumped);
   free(dumped);
   json_decref(json);
   return out;
 }
 
-int news_status(const StoreReply *reply, gsize size) {
-  if (size > NEWS_MOST)
-    return STATUS_KNOWS_NOTHING;
+int news_status(const StoreReply *reply) {
   return reply->status == STORE_OK ? 200 : STATUS_KNOWS_NOTHING;
 }
--- a/io/status_server.c
+++ b/io/status_server.c
@@ -18,16 +18,21 @@
   struct evhttp *ready, *control, *metrics;
 };
 
-static void reply(struct evhttp_request *request, int status, const char *type,
-                  const char *text) {
+static void reply_bytes(struct evhttp_request *request, int status,
+                        const char *type, const void *bytes, gsize size) {
   struct evbuffer *body = evbuffer_new();
   evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
                     type);
-  evbuffer_add(body, text, strlen(text));
+  evbuffer_add(body, bytes, size);
   evhttp_send_reply(request, status, NULL, body);
   evbuffer_free(body);
 }
 
+static void reply(struct evhttp_request *request, int status, const char *type,
+                  const char *text) {
+  reply_bytes(request, status, type, text, strlen(text));
+}
+
 static void on_ready(struct evhttp_request *request, void *data) {
   const StatusServer *server = data;
   gboolean ready = server->hooks.ready(server->hooks.data);
@@ -46,23 +51,20 @@
 static void on_news(struct evhttp_request *request, void *data) {
   const StatusServer *server = data;
   const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+  NewsQuery query;
   StoreReply known;
-  StoreKind kind;
-  gint64 since;
-  char *text;
-  int status;
-  if (!news_read_query(evhttp_uri_get_query(uri), &kind, &since)) {
+  GBytes *body;
+  if (!news_read_query(evhttp_uri_get_query(uri), &query)) {
     reply(request, HTTP_BADREQUEST, "text/plain",
-          "ask for kind=0, 1, 2 or 3, and since=REVISION\n");
+          "ask for kind=0, 1, 2 or 3, and since=REVISION or full=1\n");
     return;
   }
-  server->hooks.news(server->hooks.data, kind, since, &known);
-  text = news_write_reply(&known);
-  /* lists are for the few that start without the store */
-  status = news_status(&known, since > 0 ? strlen(text) : 0);
-  reply(request, status, "application/json", status == HTTP_OK ? text : "");
+  server->hooks.news(server->hooks.data, &query, &known);
+  body = news_write_reply(&known);
+  reply_bytes(request, news_status(&known), "application/json",
+              g_bytes_get_data(body, NULL), g_bytes_get_size(body));
   store_reply_clear(&known);
-  g_free(text);
+  g_bytes_unref(body);
 }
 
 /* NULL without an error when there is no address */
--- a/io/status_server.h
+++ b/io/status_server.h
@@ -10,7 +10,7 @@
 #include <event2/event.h>
 
 #include "io/log.h"
-#include "router/follower.h"
+#include "io/news_codec.h"
 
 typedef struct StatusServer StatusServer;
 
@@ -20,7 +20,7 @@
   /* the caller frees it: g_string_free */
   GString *(*metrics)(void *data);
   /* objects of a kind that have changed since that revision; 0: all */
-  void (*news)(void *data, StoreKind kind, gint64 since, StoreReply *out);
+  void (*news)(void *data, const NewsQuery *query, StoreReply *out);
 } StatusServerHooks;
 
 /* addresses; 0: this is not served */
--- a/makefile
+++ b/makefile
@@ -11,10 +11,10 @@
   -Wpointer-arith -Wcast-align -Wwrite-strings
 WARNXX = -Wall -Wextra
 OPT = -O2 -g -fno-omit-frame-pointer
-PKG = libevent glib-2.0 jansson libtirpc libcyaml evhtp lua5.4 libxxhash
+PKG = libevent glib-2.0 jansson libtirpc libcyaml evhtp lua5.4 libxxhash libzstd
 CORECF := $(shell pkg-config --cflags glib-2.0)
 ALLCF := $(shell pkg-config --cflags $(PKG))
-LIBS := $(shell pkg-config --libs evhtp libevent jansson libtirpc libcyaml \
+LIBS := $(shell pkg-config --libs evhtp libevent jansson libtirpc libcyaml libzstd \
   glib-2.0) -lhttp_parser -lm
 LUALIBS := $(shell pkg-config --libs lua5.4)
 
--- a/router/follower.c
+++ b/router/follower.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "router/follower.h"
+#include "router/text_patch.h"
 
 /* waits after failures in a row: doubled from the first to the most; changes
 ** are heard within this after the store is back */
@@ -22,11 +23,15 @@
 /* objects that are gone and still told to others: ten times the endpoints
 ** of the largest deployment planned for (docs/CAPACITY.md) */
 #define GONE_MOST 8000
+/* shorter texts travel whole, bytes: an endpoint's has some 300 */
+#define SHORT_TEXT (4 << 10)
 
 static void object_clear(gpointer p) {
   StoreObject *object = p;
   g_free(object->name);
   g_free(object->text);
+  if (object->changes != NULL)
+    g_array_free(object->changes, TRUE);
 }
 
 void store_reply_clear(StoreReply *reply) {
@@ -44,6 +49,7 @@
 static void followed_object_free(gpointer p) {
   FollowedObject *object = p;
   g_free(object->text);
+  text_history_free(object->history);
   g_free(object);
 }
 
@@ -78,6 +84,7 @@
   follower->listing =
       !follower->watching || (follower->lapsed && !by_instance);
   call->kind = follower->kind;
+  call->in_full = follower->in_full;
   if (!follower->listing) {
     call->operation = STORE_WATCH;
     call->revision = follower->revision;
@@ -122,16 +129,48 @@
   follower->gone = 0;
 }
 
-/* 'text' NULL: it is gone; 'at' is the store's revision in that answer */
-static void keep_object(Follower *follower, const char *name, gint64 revision,
-                        const char *text, gint64 at) {
-  FollowedObject *object = g_hash_table_lookup(follower->objects, name);
+static void add_changes(TextHistory *history, const GArray *changes) {
+  guint i;
+  for (i = 0; i < changes->len; i++) {
+    const TextChange *change = &g_array_index(changes, TextChange, i);
+    text_history_add(history, change->from, change->to, change->patch);
+  }
+}
+
+static void add_difference(const FollowedObject *known,
+                           const StoreObject *object) {
+  GBytes *patch = text_patch_new(known->text, object->text);
+  text_history_add(known->history, known->revision, object->revision, patch);
+  g_bytes_unref(patch);
+}
+
+/* keep what changed, for others */
+static void keep_history(FollowedObject *known, const StoreObject *object) {
+  if (object->gone || known->text == NULL ||
+      strlen(object->text) < SHORT_TEXT) {
+    g_clear_pointer(&known->history, text_history_free);
+    return;
+  }
+  if (known->history == NULL)
+    known->history = text_history_new();
+  if (object->changes != NULL)
+    add_changes(known->history, object->changes);
+  else if (object->revision > known->revision)
+    add_difference(known, object);
+}
+
+/* 'at' is the store's revision in that answer */
+static void keep_object(Follower *follower, const StoreObject *told,
+                        gint64 at) {
+  const char *text = told->gone ? NULL : told->text;
+  FollowedObject *object = g_hash_table_lookup(follower->objects, told->name);
   if (object == NULL) {
     object = g_new0(FollowedObject, 1);
-    g_hash_table_insert(follower->objects, g_strdup(name), object);
+    g_hash_table_insert(follower->objects, g_strdup(told->name), object);
   } else
     follower->gone -= object->text == NULL;
-  object->revision = MAX(object->revision, revision);
+  keep_history(object, told);
+  object->revision = MAX(object->revision, told->revision);
   object->learned = MAX(at, object->revision);
   g_free(object->text);
   object->text = g_strdup(text);
@@ -146,11 +185,32 @@
       g_hash_table_lookup(follower->objects, object->name);
   if (!is_news(known, object, at))
     return;
-  keep_object(follower, object->name, object->revision,
-              object->gone ? NULL : object->text, at);
+  keep_object(follower, object, at);
   follower->host.object(follower->host.data, follower->kind, object);
 }
 
+/* the text that the changes make of the one known; FALSE: they do not fit */
+static gboolean resolve(const Follower *follower, StoreObject *object) {
+  const FollowedObject *known =
+      g_hash_table_lookup(follower->objects, object->name);
+  if (known == NULL || known->text == NULL || object->changes->len == 0 ||
+      g_array_index(object->changes, TextChange, 0).from != known->revision)
+    return FALSE;
+  object->text = text_changes_apply(object->changes, known->text);
+  return object->text != NULL;
+}
+
+static gboolean resolve_all(const Follower *follower,
+                            const StoreReply *reply) {
+  guint i;
+  for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
+    StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
+    if (object->changes != NULL && !resolve(follower, object))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static void take_objects(Follower *follower, const StoreReply *reply) {
   guint i;
   for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
@@ -264,6 +324,11 @@
     failed(follower, now);
     return;
   }
+  if (!resolve_all(follower, reply)) {
+    follower->in_full = TRUE;
+    return;
+  }
+  follower->in_full = FALSE;
   if (follower->failures > 0)
     follower->host.regained(follower->host.data, follower->kind);
   follower->failures = 0;
@@ -291,7 +356,17 @@
   follower->taking = FALSE;
 }
 
-void follower_answer(const Follower *follower, gint64 since, StoreReply *out) {
+/* the text, or what has changed since */
+static void write_content(const FollowedObject *known, gint64 since,
+                          gboolean in_full, StoreObject *out) {
+  if (known->history != NULL && !in_full)
+    out->changes = text_history_since(known->history, since);
+  if (out->changes == NULL)
+    out->text = g_strdup(known->text);
+}
+
+void follower_answer(const Follower *follower, gint64 since, gboolean in_full,
+                     StoreReply *out) {
   GHashTableIter iterator;
   gpointer name;
   gpointer value;
@@ -316,7 +391,8 @@
     object.name = g_strdup(name);
     object.revision = known->revision;
     object.gone = known->text == NULL;
-    object.text = is_old ? NULL : g_strdup(known->text);
+    if (!is_old)
+      write_content(known, since, in_full, &object);
     g_array_append_val(out->objects, object);
   }
 }
--- a/router/follower.h
+++ b/router/follower.h
@@ -14,6 +14,10 @@
 ** single object, and lost the store, reads that object again. A watch from
 ** the old revision would bring each version since.
 **
+** Between instances long texts travel as their changes. Changes that do not
+** make the text that they were made for take no effect, and the texts are then
+** asked for in full.
+**
 ** A follower keeps what it has read, so that it can answer the same calls
 ** for other instances (follower_answer). Objects that are gone stay for a
 ** while without their text, so that others hear that they are gone. A list
@@ -29,6 +33,7 @@
 #include <glib.h>
 
 #include "madderpier.h"
+#include "router/text_history.h"
 
 typedef enum StoreKind {
   STORE_CONFIGURATION, /* the operators' configuration, one object */
@@ -58,6 +63,7 @@
   gint64 revision;   /* WATCH: the last one known; REPLACE: the object's */
   gint64 wait;       /* WATCH: answer after so long at the latest */
   gboolean stale;    /* LIST: seconds old will do */
+  gboolean in_full;  /* asked of an instance: no changes in place of texts */
   const char *name;  /* CREATE, READ, REPLACE */
   const struct InstanceRecord *instance; /* CREATE, REPLACE of an instance */
   const struct LeaseRecord *lease;       /* CREATE and REPLACE of a lease */
@@ -78,6 +84,8 @@
   gboolean gone;
   char *text; /* its content; empty when it can't be read; NULL when gone, or
               ** as it was (StoreReply.whole) */
+  GArray *changes; /* TextChange: of an instance, in place of the text: what
+                   ** they make of the text that the asker has; or NULL */
 } StoreObject;
 
 typedef struct StoreReply {
@@ -108,9 +116,10 @@
 
 /* an object as it was read last */
 typedef struct FollowedObject {
-  gint64 revision; /* the newest one seen */
-  gint64 learned;  /* no smaller than the revision of its last change */
-  char *text;      /* NULL: it is gone */
+  gint64 revision;      /* the newest one seen */
+  gint64 learned;       /* no smaller than the revision of its last change */
+  char *text;           /* NULL: it is gone */
+  TextHistory *history; /* its latest changes; NULL: its text is short */
 } FollowedObject;
 
 typedef struct Follower {
@@ -122,6 +131,7 @@
   gboolean watching;    /* else the next call lists */
   gboolean lapsed;      /* watching: the store has first to be listed again */
   gboolean listing;     /* the open call is a list */
+  gboolean in_full;     /* changes did not fit: whole texts are asked for */
   gboolean open;        /* a call is out */
   gboolean taking;      /* a reply is being taken: no call begins. (One that a
                         ** hook began before a list was whole was answered with
@@ -163,8 +173,10 @@
 ** What the store would answer to another follower, as far as this one
 ** knows: everything (since 0), or what has changed after a revision, whole
 ** when removals since then may not be known. The status is STORE_FAILED until
-** a list was whole. Clear 'out' afterwards.
+** a list was whole. Long texts are told by their changes, unless they are
+** wanted 'in_full'. Clear 'out' afterwards.
 */
-void follower_answer(const Follower *follower, gint64 since, StoreReply *out);
+void follower_answer(const Follower *follower, gint64 since, gboolean in_full,
+                     StoreReply *out);
 
 #endif
--- /dev/null
+++ b/router/text_history.c
@@ -0,0 +1,99 @@
+/*
+** text_history.c
+** The latest changes of one object's text
+*/
+
+#include "router/text_history.h"
+#include "router/text_patch.h"
+
+/* bounds of a history: changes, and bytes of their patches */
+#define CHANGES_MOST 128
+#define BYTES_MOST (16 << 10)
+
+struct TextHistory {
+  GArray *changes; /* TextChange, the oldest one first */
+  gsize bytes;     /* of their patches */
+};
+
+static void change_clear(gpointer p) {
+  TextChange *change = p;
+  g_bytes_unref(change->patch);
+}
+
+GArray *text_changes_new(void) {
+  GArray *changes = g_array_new(FALSE, FALSE, sizeof(TextChange));
+  g_array_set_clear_func(changes, change_clear);
+  return changes;
+}
+
+void text_changes_add(GArray *changes, gint64 from, gint64 to, GBytes *patch) {
+  TextChange change = {from, to, g_bytes_ref(patch)};
+  g_array_append_val(changes, change);
+}
+
+static const TextChange *change_at(const GArray *changes, guint i) {
+  return &g_array_index(changes, TextChange, i);
+}
+
+char *text_changes_apply(const GArray *changes, const char *from) {
+  char *text = g_strdup(from);
+  guint i;
+  for (i = 0; text != NULL && i < changes->len; i++) {
+    const TextChange *change = change_at(changes, i);
+    char *older = text;
+    text = text_patch_apply(older, g_bytes_get_data(change->patch, NULL),
+                            g_bytes_get_size(change->patch));
+    g_free(older);
+  }
+  return text;
+}
+
+TextHistory *text_history_new(void) {
+  TextHistory *history = g_new0(TextHistory, 1);
+  history->changes = text_changes_new();
+  return history;
+}
+
+void text_history_free(TextHistory *history) {
+  if (history == NULL)
+    return;
+  g_array_free(history->changes, TRUE);
+  g_free(history);
+}
+
+static void forget_oldest(TextHistory *history) {
+  history->bytes -= g_bytes_get_size(change_at(history->changes, 0)->patch);
+  g_array_remove_index(history->changes, 0);
+}
+
+static gboolean leaves_gap(const TextHistory *history, gint64 from) {
+  guint count = history->changes->len;
+  return count > 0 && change_at(history->changes, count - 1)->to != from;
+}
+
+void text_history_add(TextHistory *history, gint64 from, gint64 to,
+                      GBytes *patch) {
+  while (history->changes->len > 0 && leaves_gap(history, from))
+    forget_oldest(history);
+  text_changes_add(history->changes, from, to, patch);
+  history->bytes += g_bytes_get_size(patch);
+  while (history->changes->len > CHANGES_MOST || history->bytes > BYTES_MOST)
+    forget_oldest(history);
+}
+
+GArray *text_history_since(const TextHistory *history, gint64 revision) {
+  GArray *since;
+  guint i = 0;
+  while (i < history->changes->len &&
+         change_at(history->changes, i)->to <= revision)
+    i++;
+  if (i == history->changes->len ||
+      change_at(history->changes, i)->from > revision)
+    return NULL;
+  since = text_changes_new();
+  for (; i < history->changes->len; i++) {
+    const TextChange *change = change_at(history->changes, i);
+    text_changes_add(since, change->from, change->to, change->patch);
+  }
+  return since;
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -206,7 +206,8 @@
   router/relay_group.c 'MAX(bound, WATCH_LEAST + SLOW_ANSWER));' \
   'bound > 0 ? relay_longest_age(times) : 0);'
 m n-often "relays: they ask the store often enough to stay fresh" \
-  router/news_source.c 'if (call->kind != STORE_INSTANCES)' 'if (0)'
+  router/news_source.c 'relay_group_watch_wait(source->group, call->kind, now));' \
+  'call->wait);'
 m n-standin "relays: none is fresh by the one in its place" \
   router/relay_group.c 'return age_by(group, FALSE, now);' \
   'return age_by(group, TRUE, now);'
@@ -214,8 +215,39 @@
   router/follower.c 'out->whole = since > 0 && since < follower->forgotten;' \
   'out->whole = FALSE;'
 m n-noroute "router: old news say nothing of a route they lack" \
-  router/router.c 'return is_old ? REFUSAL_OLD_CONFIGURATION : REFUSAL_NO_ROUTE;' \
-  'return is_old ? REFUSAL_NO_ROUTE : REFUSAL_NO_ROUTE;'
+  router/router.c \
+  'return router->news_bound > 0 && news_age(router, now) > router->news_bound;' \
+  'return FALSE;'
+m n-lacks "router: one that lacks a change says nothing of a route" \
+  router/router.c 'router->news->lags_since != 0)' \
+  'router->news->lags_since < 0)'
+m n-level "relays: none is fresh by news that it lacks" \
+  router/relay_group.c 'if (!is_level(group, relay))' 'if (FALSE)'
+m n-again "news: a relay that failed is asked again" router/news_source.c \
+  'source->must_ask = FALSE; /* a relay that failed' '/* a relay that failed'
+m n-silent "news: no call is given up while its answer arrives" \
+  router/news_source.c 'MAX(source->behind_since, source->progress_at) +' \
+  'source->behind_since +'
+m n-link "links: no call is given up while its answer arrives" \
+  io/store_link.c '  link->heard_at = clock_now();
+  start_patience(link);' '  link->heard_at = clock_now();'
+m n-lapsed "news: catching up reads the present" router/follower.c \
+  'return follower->kind == STORE_CONFIGURATION;' \
+  'return follower->kind == STORE_LEASES;'
+m n-changes "news: changes travel, not whole texts" router/follower.c \
+  'if (known->history != NULL && !in_full)' 'if (FALSE)'
+m n-base "news: changes of another revision's text take no effect" \
+  router/follower.c \
+  'g_array_index(object->changes, TextChange, 0).from != known->revision)' \
+  'FALSE)'
+m n-digest "news: a patch proves the text that it makes" \
+  router/text_patch.c 'ZSTD_c_checksumFlag, 1' 'ZSTD_c_checksumFlag, 0'
+m n-gap "news: a history has no gap" router/text_history.c \
+  'count > 0 && change_at(history->changes, count - 1)->to != from;' 'FALSE;'
+m n-full "news: texts are asked for in full when changes do not fit" \
+  router/follower.c 'follower->in_full = TRUE;' 'follower->in_full = FALSE;'
+m n-pack "news: long answers are compressed" io/news_codec.c \
+  'size > SHORT_ANSWER ?' 'FALSE ?'
 m p-lost "prefill: an arrival after a lost prompt is paid for" \
   router/prefill.c 'return retry_exchange_take(router, service, now);
 }
@@ -236,7 +268,7 @@
   router/relay_group.c 'if (relay_group_before(group, now).heard >= wanted)
     return wait;' ''
 m n-behind "relays: one that lost the store unknowingly asks another" \
-  router/news_source.c '#define BEHIND_MOST (500 * MP_MS)' \
+  router/news_source.c '#define BEHIND_MOST (300 * MP_MS)' \
   '#define BEHIND_MOST (60 * MP_SEC)'
 m n-most "relays: all take over within a second when none is heard" \
   router/relay_group.c 'return MIN(wait, TAKE_OVER_MOST);' \
@@ -245,7 +277,7 @@
   router/follower.c 'known->text == NULL && at >= known->learned' \
   'known->text == NULL'
 m n-old "news: an older list takes no effect" router/follower.c \
-  'return !follower->watching && reply->at < follower->known;' 'return FALSE;'
+  'return follower->listing && reply->at < follower->known;' 'return FALSE;'
 m n-gone "news: what is gone is told to others" router/follower.c \
   '(since == 0 && known->text == NULL)' 'known->text == NULL'
 m n-pause "news: a store that does not answer delays no relay's" \
--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -335,7 +335,8 @@
 static void append(GArray *objects, const std::string &name,
                    const Object &object) {
   StoreObject out = {g_strdup(name.c_str()), object.revision, object.gone,
-                     object.gone ? nullptr : g_strdup(object.text.c_str())};
+                     object.gone ? nullptr : g_strdup(object.text.c_str()),
+                     nullptr};
   g_array_append_val(objects, out);
 }
 
@@ -371,14 +372,12 @@
   return one.link_free_at - now;
 }
 
-gint64 World::travel_of(Instance &one, StoreKind kind,
-                        const StoreReply &reply) {
+gint64 World::travel_of(Instance &one, const StoreReply &reply) {
   gsize size = 0;
   for (guint i = 0; reply.objects != nullptr && i < reply.objects->len; i++) {
     const StoreObject &object = g_array_index(reply.objects, StoreObject, i);
     size += object.text != nullptr ? strlen(object.text) : 0;
   }
-  bytes += kind == STORE_CONFIGURATION ? size : 0;
   return send_time(one, size);
 }
 
@@ -398,7 +397,7 @@
                             const std::string &text, gint64 revision,
                             bool gone) {
   StoreObject out = {g_strdup(name.c_str()), revision, gone,
-                     gone ? nullptr : g_strdup(text.c_str())};
+                     gone ? nullptr : g_strdup(text.c_str()), nullptr};
   g_array_append_val(objects, out);
 }
 
@@ -450,7 +449,7 @@
     if (one.open[kind] != call)
       return;
     auto all_of_it = std::make_shared<StoreReply>(list(what, stale));
-    gint64 span = travel_of(one, what, *all_of_it);
+    gint64 span = travel_of(one, *all_of_it);
     receive(one, kind, call, span);
     at(now + span, [this, &one, kind, call, life, all_of_it] {
       if (one.alive && one.life == life && !one.cut_from_store &&
@@ -494,7 +493,7 @@
     int kind = watch.kind;
     unsigned call = watch.call;
     unsigned life = watch.life;
-    gint64 span = travel_of(one, watch.kind, *news);
+    gint64 span = travel_of(one, *news);
     receive(one, kind, call, span);
     at(now + span, [this, &one, kind, call, life, news] {
       if (one.alive && one.life == life && !one.cut_from_store &&
@@ -514,17 +513,19 @@
   if (relay == nullptr || !relay->alive || !relay->answers ||
       relay->cut_from_all || one.cut_from_all)
     return;
-  later(*relay, travel, [this, &one, kind, call, relay, since] {
+  gboolean in_full = wanted.call.in_full;
+  later(*relay, travel, [this, &one, kind, call, relay, since, in_full] {
     StoreReply known;
-    follower_answer(&relay->source[kind].follower, since, &known);
+    follower_answer(&relay->source[kind].follower, since, in_full, &known);
     /* as io/status_server.c writes it, and io/store_link.c reads it */
-    char *text = news_write_reply(&known);
-    int status = news_status(&known, since > 0 ? strlen(text) : 0);
-    gsize size = status == 200 ? strlen(text) : 0;
-    auto body = std::make_shared<std::string>(text, size);
+    GBytes *text = news_write_reply(&known);
+    int status = news_status(&known);
+    gsize size = g_bytes_get_size(text);
+    auto body = std::make_shared<std::string>(
+        static_cast<const char *>(g_bytes_get_data(text, nullptr)), size);
     store_reply_clear(&known);
-    g_free(text);
-    bytes += kind == STORE_CONFIGURATION ? size : 0;
+    g_bytes_unref(text);
+    told_bytes += kind == STORE_CONFIGURATION ? size : 0;
     gint64 span = travel + send_time(*relay, size);
     if (one.open[kind] == call)
       receive(one, kind, call, span);
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -113,7 +113,7 @@
   guint64 store_calls = 0;
   guint64 stale_calls = 0; /* lists that may be old, not among those */
   guint64 datagrams = 0;
-  guint64 bytes = 0; /* of answers to questions about the configuration */
+  guint64 told_bytes = 0; /* by instances, of the configuration */
 
 private:
   struct Event {
@@ -149,7 +149,7 @@
 
   void at(gint64 when, std::function<void()> act);
   std::string content(StoreKind kind, const std::string &text) const;
-  gint64 travel_of(Instance &one, StoreKind kind, const StoreReply &reply);
+  gint64 travel_of(Instance &one, const StoreReply &reply);
   gint64 send_time(Instance &one, gsize size);
   void receive(Instance &one, int kind, unsigned call, gint64 span);
   bool receives(const Instance &one, int kind) const;
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -84,7 +84,7 @@
                         partial};
     for (const Row &row : rows) {
       StoreObject object = {g_strdup(row.name), row.revision,
-                            row.text == nullptr, g_strdup(row.text)};
+                            row.text == nullptr, g_strdup(row.text), nullptr};
       g_array_append_val(reply.objects, object);
     }
     follower_reply(&follower, &reply, now);
@@ -227,20 +227,20 @@
 
 TEST_F(Follow, OthersAreAnsweredAsTheStoreWould) {
   StoreReply out;
-  follower_answer(&follower, 0, &out);
+  follower_answer(&follower, 0, FALSE, &out);
   EXPECT_EQ(out.status, STORE_FAILED); /* it knows nothing yet */
   call();
   answer(STORE_OK, 10, {{"a", 1, "1"}, {"b", 2, "2"}});
   call();
   answer(STORE_OK, 14, {{"a", 13, nullptr}, {"c", 14, "3"}});
-  follower_answer(&follower, 0, &out);
+  follower_answer(&follower, 0, FALSE, &out);
   EXPECT_EQ(out.at, 14);
   EXPECT_EQ(out.objects->len, 2u); /* b and c */
   store_reply_clear(&out);
-  follower_answer(&follower, 10, &out);
+  follower_answer(&follower, 10, FALSE, &out);
   EXPECT_EQ(out.objects->len, 2u); /* a is gone, c is new */
   store_reply_clear(&out);
-  follower_answer(&follower, 14, &out);
+  follower_answer(&follower, 14, FALSE, &out);
   EXPECT_EQ(out.objects->len, 0u);
   store_reply_clear(&out);
 }
@@ -328,17 +328,17 @@
   call(); /* the relay starts after "left" has gone */
   answer(STORE_OK, 50, {{"stays", 20, "x"}, {"new", 40, "x"}});
   StoreCall asked = member.call();
-  follower_answer(&follower, asked.revision, &told);
+  follower_answer(&follower, asked.revision, FALSE, &told);
   follower_reply(&member.follower, &told, now);
   store_reply_clear(&told);
   EXPECT_EQ(member.objects.count("left"), 0u);
   EXPECT_EQ(member.objects.count("stays"), 1u);
   EXPECT_EQ(member.objects.count("new"), 1u);
   /* and the member in its turn vouches for no more than it was told */
-  follower_answer(&member.follower, 30, &told);
+  follower_answer(&member.follower, 30, FALSE, &told);
   EXPECT_TRUE(told.whole);
   store_reply_clear(&told);
-  follower_answer(&member.follower, 50, &told);
+  follower_answer(&member.follower, 50, FALSE, &told);
   EXPECT_FALSE(told.whole);
   store_reply_clear(&told);
 }
@@ -355,4 +355,85 @@
   EXPECT_EQ(call().revision, 50);
 }
 
+/* one that asks another instance: its texts are long */
+struct Changes : Follow {
+  Follower relay;
+  std::string older = numbers() + "1";
+  std::string newer = numbers() + "2";
+  std::string other = std::string(6000, 'b');
+
+  /* a long text that no patch holds whole */
+  static std::string numbers() {
+    std::string text;
+    for (unsigned i = 1; i < 1000; i++)
+      text += std::to_string(i * 2654435761u) + " ";
+    return text;
+  }
+
+  void SetUp() override {
+    FollowerHost none = {nullptr,
+                         [](void *, StoreKind, const StoreObject *) {},
+                         [](void *, StoreKind, GHashTable *) {},
+                         [](void *, StoreKind) {}, [](void *, StoreKind) {}};
+    Follow::SetUp();
+    follower_init(&relay, STORE_ENDPOINTS, 3 * MP_SEC, 0, &none);
+    tell(&relay, 10, older, 10);
+    tell(&relay, 12, newer, 12);
+  }
+  void TearDown() override {
+    follower_clear(&relay);
+    Follow::TearDown();
+  }
+  void tell(Follower *to, gint64 revision, const std::string &text,
+            gint64 at) {
+    StoreReply reply = {STORE_OK, store_objects_new(), FALSE, at, FALSE, 0,
+                        FALSE};
+    StoreObject object = {g_strdup("a"), revision, FALSE,
+                          g_strdup(text.c_str()), nullptr};
+    StoreCall call;
+    g_array_append_val(reply.objects, object);
+    follower_begin(to, FALSE, &call);
+    follower_reply(to, &reply, now);
+    store_reply_clear(&reply);
+  }
+  /* asks the relay; were changes told in place of the text? */
+  bool ask() {
+    StoreCall call;
+    StoreReply told;
+    follower_begin(&follower, TRUE, &call);
+    follower_answer(&relay, call.revision, call.in_full, &told);
+    bool changed = g_array_index(told.objects, StoreObject, 0).changes;
+    follower_reply(&follower, &told, now);
+    store_reply_clear(&told);
+    return changed;
+  }
+};
+
+TEST_F(Changes, TravelInPlaceOfALongText) {
+  tell(&follower, 10, older, 10);
+  EXPECT_TRUE(ask());
+  EXPECT_TRUE(objects["a"] == newer);
+  EXPECT_EQ(follower.known, 12);
+}
+
+TEST_F(Changes, ThatDoNotFitTheTextTakeNoEffectAndItIsAskedForInFull) {
+  tell(&follower, 10, other, 10);
+  EXPECT_TRUE(ask());
+  EXPECT_TRUE(objects["a"] == other);
+  EXPECT_EQ(follower.known, 10);
+  EXPECT_EQ(lost, 0); /* the store did not fail */
+  EXPECT_FALSE(ask());
+  EXPECT_TRUE(objects["a"] == newer);
+  EXPECT_EQ(follower.known, 12);
+  EXPECT_FALSE(follower.in_full);
+}
+
+TEST_F(Changes, OfATextThatIsNotHeldAreAskedForInFull) {
+  tell(&follower, 11, older, 11); /* the relay has never seen this revision */
+  EXPECT_TRUE(ask());
+  EXPECT_EQ(follower.known, 11);
+  EXPECT_FALSE(ask());
+  EXPECT_TRUE(objects["a"] == newer);
+}
+
 } // namespace
--- a/test/test_large_configuration.cc
+++ b/test/test_large_configuration.cc
@@ -121,6 +121,34 @@
   EXPECT_EQ(fleet.change(5 * second), 0u);
 }
 
+/* relays that have just started know no earlier texts: whole ones travel */
+TEST(LargeConfiguration, ReachesAllWhenRelaysHaveStartedAnew) {
+  Fleet fleet(3, 58, many_routes);
+  EXPECT_EQ(fleet.change(3 * second), 0u);
+  for (Instance *one : half_of(fleet))
+    one->refused_by_store = true;
+  for (unsigned zone = 0; zone < 3; zone++) {
+    for (Instance *one : fleet.relays(zone)) {
+      one->refused_by_store = false;
+      fleet.world.kill(*one);
+      fleet.world.start(*one);
+    }
+  }
+  EXPECT_EQ(fleet.change(8 * second), 0u);
+}
+
+/* what a change costs does not grow with what there is */
+TEST(LargeConfiguration, ChangesAloneTravelBetweenInstances) {
+  Fleet fleet(3, 58, many_routes);
+  EXPECT_EQ(fleet.change(3 * second), 0u);
+  guint64 calls = fleet.world.store_calls;
+  guint64 told = fleet.world.told_bytes;
+  EXPECT_EQ(fleet.change(10 * second), 0u);
+  /* 20 changes; six relays, and watches that wait in vain besides */
+  EXPECT_LE(fleet.world.store_calls - calls, 20 * 6 + 6 * 40u);
+  EXPECT_LE(fleet.world.told_bytes - told, 20u * 58 * 600);
+}
+
 /* a relay's one failure leaves an instance to a store that is silent */
 TEST(LateNews, ARelayThatFailedOnceIsAskedAgainWhileTheStoreIsSilent) {
   Fleet fleet(2, 16, 0);
--- a/test/test_news.cc
+++ b/test/test_news.cc
@@ -11,6 +11,7 @@
 
 extern "C" {
 #include "io/news_codec.h"
+#include "router/text_patch.h"
 }
 
 namespace {
@@ -28,6 +29,14 @@
   return target;
 }
 
+std::string written(const StoreReply *reply) {
+  GBytes *bytes = news_write_reply(reply);
+  std::string text(static_cast<const char *>(g_bytes_get_data(bytes, nullptr)),
+                   g_bytes_get_size(bytes));
+  g_bytes_unref(bytes);
+  return text;
+}
+
 StoreReply read(int status, const std::string &body, bool *good) {
   StoreCall call = {};
   StoreReply out;
@@ -40,38 +49,38 @@
 }
 
 TEST(News, CallsAreReadAsTheyWereWritten) {
-  StoreKind kind;
-  gint64 since;
+  NewsQuery query;
   std::string target = target_of(STORE_WATCH, 1LL << 40);
   EXPECT_EQ(target, "/news?kind=1&since=1099511627776");
-  ASSERT_TRUE(news_read_query(strchr(target.c_str(), '?') + 1, &kind, &since));
-  EXPECT_EQ(kind, STORE_ENDPOINTS);
-  EXPECT_EQ(since, 1LL << 40);
+  ASSERT_TRUE(news_read_query(strchr(target.c_str(), '?') + 1, &query));
+  EXPECT_EQ(query.kind, STORE_ENDPOINTS);
+  EXPECT_EQ(query.since, 1LL << 40);
+  EXPECT_FALSE(query.in_full);
   target = target_of(STORE_LIST, 7);
-  ASSERT_TRUE(news_read_query(strchr(target.c_str(), '?') + 1, &kind, &since));
-  EXPECT_EQ(since, 0);
+  ASSERT_TRUE(news_read_query(strchr(target.c_str(), '?') + 1, &query));
+  EXPECT_EQ(query.since, 0);
 }
 
 TEST(News, QueriesThatAreNoneAreTold) {
-  StoreKind kind;
-  gint64 since;
-  for (const char *query : {"", "kind=", "kind=4", "kind=-1", "since=4",
-                            "kind=1&since=x", "kind=1&since=-2"})
-    EXPECT_FALSE(news_read_query(query, &kind, &since)) << query;
-  EXPECT_FALSE(news_read_query(nullptr, &kind, &since));
+  NewsQuery out;
+  for (const char *query :
+       {"", "kind=", "kind=4", "kind=-1", "since=4", "kind=1&since=x",
+        "kind=1&since=-2", "kind=1&full=x", "kind=1&full=2"})
+    EXPECT_FALSE(news_read_query(query, &out)) << query;
+  EXPECT_FALSE(news_read_query(nullptr, &out));
 }
 
 TEST(News, RepliesAreReadAsTheyWereWritten) {
   StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, FALSE, 0,
                       FALSE};
-  StoreObject here = {g_strdup("a"), 4, FALSE,
-                      g_strdup("{\"x\":\"\\u00e9\"}")};
-  StoreObject gone = {g_strdup("b"), 9, TRUE, nullptr};
+  StoreObject here = {g_strdup("a"), 4, FALSE, g_strdup("{\"x\":\"\\u00e9\"}"),
+                      nullptr};
+  StoreObject gone = {g_strdup("b"), 9, TRUE, nullptr, nullptr};
   bool good;
   g_array_append_val(reply.objects, here);
   g_array_append_val(reply.objects, gone);
-  char *text = news_write_reply(&reply);
-  StoreReply out = read(news_status(&reply, 0), text, &good);
+  std::string text = written(&reply);
+  StoreReply out = read(news_status(&reply), text, &good);
   ASSERT_TRUE(good);
   EXPECT_EQ(out.status, STORE_OK);
   EXPECT_EQ(out.at, 530);
@@ -82,13 +91,12 @@
   EXPECT_TRUE(g_array_index(out.objects, StoreObject, 1).gone);
   store_reply_clear(&out);
   store_reply_clear(&reply);
-  g_free(text);
 }
 
 TEST(News, OneThatKnowsNothingSaysSo) {
   StoreReply reply = {STORE_FAILED, nullptr, FALSE, 0, FALSE, 0, FALSE};
   bool good;
-  EXPECT_EQ(read(news_status(&reply, 0), "", &good).status, STORE_FAILED);
+  EXPECT_EQ(read(news_status(&reply), "", &good).status, STORE_FAILED);
   EXPECT_TRUE(good);
 }
 
@@ -96,10 +104,10 @@
 TEST(News, AWholeReplyNamesWhatHasNotChanged) {
   StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 530, TRUE, 0,
                       FALSE};
-  StoreObject same = {g_strdup("a"), 4, FALSE, nullptr};
+  StoreObject same = {g_strdup("a"), 4, FALSE, nullptr, nullptr};
   bool good;
   g_array_append_val(reply.objects, same);
-  char *text = news_write_reply(&reply);
+  std::string text = written(&reply);
   StoreReply out = read(200, text, &good);
   ASSERT_TRUE(good);
   EXPECT_TRUE(out.whole);
@@ -107,19 +115,74 @@
   EXPECT_FALSE(g_array_index(out.objects, StoreObject, 0).gone);
   EXPECT_EQ(g_array_index(out.objects, StoreObject, 0).text, nullptr);
   store_reply_clear(&out);
-  g_free(text);
   reply.whole = FALSE;
-  text = news_write_reply(&reply);
+  text = written(&reply);
   EXPECT_EQ(read(200, text, &good).status, STORE_FAILED);
   EXPECT_FALSE(good);
   store_reply_clear(&reply);
-  g_free(text);
 }
 
-TEST(News, WhatIsTooLargeForARelaysLinkIsLeftToTheStore) {
-  StoreReply reply = {STORE_OK, nullptr, FALSE, 5, FALSE, 0, FALSE};
-  EXPECT_EQ(news_status(&reply, NEWS_MOST), 200);
-  EXPECT_EQ(news_status(&reply, NEWS_MOST + 1), 503);
+/* 20 members that ask at once for so much take a link of 10 Mbit/s half a
+** second */
+constexpr size_t relay_answer_most = 32 << 10;
+
+std::string routes_of(unsigned count) {
+  std::string text = "{\"Routes\":[";
+  for (unsigned i = 0; i < count; i++)
+    text += "{\"Name\":\"route-" + std::to_string(i * 7919 % 100003) +
+            "\",\"Host\":\"host" + std::to_string(i % 37) +
+            ".example\",\"PathPrefix\":\"/path" +
+            std::to_string(i * 104729 % 1000003) +
+            "/\",\"Kind\":\"safe\",\"Service\":\"app\",\"Attempts\":2,"
+            "\"TimeoutMs\":4000,\"SloMs\":300,\"Priority\":1}";
+  return text + "]}";
+}
+
+TEST(News, ALargeTextFitsARelaysLink) {
+  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 5, FALSE, 0,
+                      FALSE};
+  std::string whole = routes_of(1500);
+  StoreObject large = {g_strdup("main"), 4, FALSE, g_strdup(whole.c_str()),
+                       nullptr};
+  bool good;
+  g_array_append_val(reply.objects, large);
+  ASSERT_GT(whole.size(), 200000u);
+  std::string text = written(&reply);
+  EXPECT_LE(text.size(), relay_answer_most);
+  EXPECT_EQ(news_status(&reply), 200);
+  StoreReply out = read(200, text, &good);
+  ASSERT_TRUE(good);
+  EXPECT_EQ(whole, g_array_index(out.objects, StoreObject, 0).text);
+  store_reply_clear(&out);
+  store_reply_clear(&reply);
+}
+
+TEST(News, ChangesAreReadAsTheyWereWritten) {
+  StoreReply reply = {STORE_OK, store_objects_new(), FALSE, 9, FALSE, 0,
+                      FALSE};
+  std::string older = routes_of(1500);
+  std::string newer = older;
+  newer.replace(newer.find("4000"), 4, "5000");
+  GBytes *patch = text_patch_new(older.c_str(), newer.c_str());
+  GArray *changes = text_changes_new();
+  text_changes_add(changes, 4, 8, patch);
+  StoreObject object = {g_strdup("main"), 8, FALSE, nullptr, changes};
+  bool good;
+  g_array_append_val(reply.objects, object);
+  std::string text = written(&reply);
+  EXPECT_LE(text.size(), 300u);
+  StoreReply out = read(200, text, &good);
+  ASSERT_TRUE(good);
+  const StoreObject *told = &g_array_index(out.objects, StoreObject, 0);
+  ASSERT_NE(told->changes, nullptr);
+  EXPECT_EQ(told->text, nullptr);
+  char *made = text_changes_apply(told->changes, older.c_str());
+  EXPECT_EQ(newer, made);
+  g_free(made);
+  EXPECT_EQ(text_changes_apply(told->changes, newer.c_str() + 1), nullptr);
+  store_reply_clear(&out);
+  store_reply_clear(&reply);
+  g_bytes_unref(patch);
 }
 
 TEST(News, SpoiltRepliesAreNoReplies) {
--- a/test/test_news_source.cc
+++ b/test/test_news_source.cc
@@ -54,7 +54,8 @@
   void list(gint64 revision) {
     StoreReply reply = {
         STORE_OK, store_objects_new(), FALSE, revision, FALSE, 0, FALSE};
-    StoreObject object = {g_strdup("main"), revision, FALSE, g_strdup("x")};
+    StoreObject object = {g_strdup("main"), revision, FALSE, g_strdup("x"),
+                          nullptr};
     g_array_append_val(reply.objects, object);
     EXPECT_EQ(next().call.operation, STORE_LIST);
     news_source_reply(&source, &reply, now);
