A change is named by its own revision, not by that of the answer that brought it

What callers saw: nothing yet; 503 for an unknown path in place of 404, rarely. Cause: a relay named an object by the store's revision of the whole answer, which other kinds had moved on: instances that knew all up to the change itself took it for news that they lacked, until their own watch ended. Ruled out: removals, and lists: they tell no revision of what went, and keep the answer's. Change: what a watch brings, and is newer than all that is known, is named by its own.

--- a/router/follower.c
+++ b/router/follower.c
@@ -159,6 +159,12 @@
     add_difference(known, object);
 }
 
+/* it changed after all that is known: nobody can know more and lack it. A list
+** names no revision of what it removes */
+static gboolean is_new(const Follower *follower, const StoreObject *told) {
+  return !follower->listing && !told->gone && told->revision > follower->known;
+}
+
 /* 'at' is the store's revision in that answer */
 static void keep_object(Follower *follower, const StoreObject *told,
                         gint64 at) {
@@ -171,7 +177,8 @@
     follower->gone -= object->text == NULL;
   keep_history(object, told);
   object->revision = MAX(object->revision, told->revision);
-  object->learned = MAX(at, object->revision);
+  object->learned =
+      is_new(follower, told) ? told->revision : MAX(at, object->revision);
   g_free(object->text);
   object->text = g_strdup(text);
   follower->gone += text == NULL;
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -409,6 +409,13 @@
   }
 };
 
+/* others would lack it who know all up to its own revision */
+TEST_F(Changes, AreNamedByTheirOwnRevisionHoweverNewTheAnswerIs) {
+  tell(&relay, 14, older, 30); /* by a watch */
+  EXPECT_EQ(relay.changed, 14);
+  EXPECT_EQ(relay.known, 30);
+}
+
 TEST_F(Changes, TravelInPlaceOfALongText) {
   tell(&follower, 10, older, 10);
   EXPECT_TRUE(ask());
