A watch that ends without a change that others were told of proves nothing

What callers saw: nothing that was traced to it; found by looking for the class: a silent watch counts as "nothing new". Cause: an empty answer at the end of a watch's wait moved this instance to the store's revision, and confirmed its freshness, also past a change that the store had told another instance; that change was then lost until the next one. Evidence: by reading; the users' page on a store that forgets its history says that watches hear nothing for a second while changes are made. Ruled out: answers that end before the named change (they are no contradiction). Change: such an answer is taken like a lost history: the objects are listed.

--- a/io/following.c
+++ b/io/following.c
@@ -112,10 +112,15 @@
 }
 
 static void take_reply(Following *following, const StoreReply *reply) {
+  guint missed = following->source.missed;
   if (reply->status == STORE_HISTORY_GONE)
     log_numbered(following->log, MP_LOG_STORE_HISTORY_GONE, " kind=%d",
                  (int)following->source.follower.kind);
   news_source_reply(&following->source, reply, clock_now());
+  if (following->source.missed != missed)
+    log_numbered(following->log, MP_LOG_WATCH_MISSED,
+                 " kind=%d at=%" G_GINT64_FORMAT,
+                 (int)following->source.follower.kind, reply->at);
 }
 
 static void note_nameless(Following *following, const StoreReply *reply) {
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -180,17 +180,20 @@
   source->asked_stale = call->stale;
 }
 
+static gboolean is_empty(const StoreReply *reply) {
+  return reply->objects == NULL || reply->objects->len == 0;
+}
+
 /*
 ** What an answer of the store proves: that it had nothing newer when it was
 ** asked, or, for a watch that waited its whole time in vain, at its end.
 */
 static void prove(NewsSource *source, const StoreReply *reply, gint64 now) {
   gint64 at = source->asked_at;
-  gboolean is_empty = reply->objects == NULL || reply->objects->len == 0;
   if (source->follower.kind != STORE_CONFIGURATION || source->asked_stale ||
       source->follower.failures > 0 || !source->follower.watching)
     return;
-  if (source->asked_for == STORE_WATCH && is_empty &&
+  if (source->asked_for == STORE_WATCH && is_empty(reply) &&
       now - source->asked_at >= source->asked_wait)
     at += source->asked_wait;
   config_proof_by_store(relay_group_proof(source->group), at);
@@ -228,9 +231,26 @@
                                    : INSTANCE_PATIENCE;
 }
 
+/* the store says that nothing has changed up to a revision before which
+** another instance has named a change */
+static gboolean misses_change(const NewsSource *source,
+                              const StoreReply *reply) {
+  const NewsState *news =
+      relay_group_news(source->group, source->follower.kind);
+  return source->at_store && source->asked_for == STORE_WATCH &&
+         reply->status == STORE_OK && is_empty(reply) &&
+         news->newest > news->held && reply->at >= news->newest;
+}
+
 void news_source_reply(NewsSource *source, const StoreReply *reply,
                        gint64 now) {
+  static const StoreReply list_again = {.status = STORE_HISTORY_GONE};
   gboolean by_relay = source->asked != 0;
+  if (misses_change(source, reply)) {
+    source->missed++;
+    follower_reply(&source->follower, &list_again, now);
+    return;
+  }
   if (source->at_store) {
     source->must_ask = FALSE;
     if (reply->status == STORE_OK)
--- a/router/news_source.h
+++ b/router/news_source.h
@@ -7,7 +7,9 @@
 ** store, the instances that the settings name. Whoever answers, revisions
 ** are the store's, so the source may change from one call to the next.
 ** Invariants: one call is open at a time. A relay that does not answer has
-** the store asked at once. No call is given up while its answer arrives.
+** the store asked at once. No call is given up while its answer arrives. A
+** watch that ends without a change that another instance has named proves
+** nothing: the objects are listed.
 */
 
 #ifndef ROUTER_NEWS_SOURCE_H
@@ -57,6 +59,7 @@
   gboolean must_ask;   /* a relay's news could not be had: ask the store */
   gint64 behind_since; /* others know more than the open watch; 0: no */
   gboolean is_behind;  /* they are asked in the store's place */
+  guint missed;        /* watches that missed a change, since the start */
 } NewsSource;
 
 /* 'follower' is initialised by the caller, and cleared by it */
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -100,6 +100,13 @@
   links[#links + 1] = string.format(
     '{"name":"store","listen":"%s","to":"%s"}', addr(gateway.store_proxy),
     addr(gateway.store))
+  -- each instance's own way to the store, where a scenario wants that
+  for _, e in ipairs(gateway.own_store_links and gateway.instances or {}) do
+    e.store_proxy = sys.freeport()
+    links[#links + 1] = string.format(
+      '{"name":"store-%s","listen":"%s","to":"%s"}', e.name,
+      addr(e.store_proxy), addr(gateway.store))
+  end
   write(sys.dir .. "/fleet.json", string.format(
     '{"store":"%s","admin":"%s","configuration":%s,"workers":[%s]}',
     addr(gateway.store), addr(gateway.admin), configuration(),
@@ -119,7 +126,7 @@
     "control: " .. addr(e.control),
     "metrics: " .. addr(e.metrics),
     "exchange: " .. addr(e.exchange),
-    "platform: " .. addr(gateway.store_proxy),
+    "platform: " .. addr(e.store_proxy or gateway.store_proxy),
     "peers: [" .. addr(gateway.instances[1].control) .. ", " ..
       addr(gateway.instances[#gateway.instances].control) .. "]",
     "retry_ratio: 0.2",
--- a/test/test_news_source.cc
+++ b/test/test_news_source.cc
@@ -90,6 +90,30 @@
   EXPECT_EQ(wanted.call.operation, STORE_WATCH);
 }
 
+TEST_F(Source, AWatchThatMissedAChangeHasTheObjectsListed) {
+  StoreReply nothing = {STORE_OK, store_objects_new(), FALSE, 105, FALSE, 0,
+                        FALSE};
+  EXPECT_EQ(next().call.operation, STORE_WATCH);
+  hear(103);
+  news_source_reply(&source, &nothing, now);
+  EXPECT_EQ(source.follower.known, 100);
+  NewsWanted wanted = next();
+  EXPECT_EQ(wanted.step, NEWS_ASK_STORE);
+  EXPECT_EQ(wanted.call.operation, STORE_LIST);
+  store_reply_clear(&nothing);
+}
+
+TEST_F(Source, AWatchThatEndsBeforeWhatIsNamedHasMissedNothing) {
+  StoreReply nothing = {STORE_OK, store_objects_new(), FALSE, 102, FALSE, 0,
+                        FALSE};
+  EXPECT_EQ(next().call.operation, STORE_WATCH);
+  hear(103);
+  news_source_reply(&source, &nothing, now);
+  EXPECT_EQ(source.follower.known, 102);
+  EXPECT_EQ(next().call.operation, STORE_WATCH);
+  store_reply_clear(&nothing);
+}
+
 /* an answer in ten pieces, 0.1 s apart, where 0.4 s of silence end a call */
 struct SlowStore : ::testing::Test {
   struct event_base *base = event_base_new();
