--- a/router/follower.c
+++ b/router/follower.c
@@ -148,7 +148,8 @@
 static void keep_history(FollowedObject *known, const StoreObject *object) {
   if (object->gone || known->text == NULL ||
       strlen(object->text) < SHORT_TEXT) {
-    g_clear_pointer(&known->history, text_history_free);
+    text_history_free(known->history);
+    known->history = NULL;
     return;
   }
   if (known->history == NULL)
