--- a/makefile
+++ b/makefile
@@ -89,6 +89,13 @@
   $(BUILD)/bench/slopes_world.o $(WIRELIB) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lm
 
+# what one changed route costs, for docs/CAPACITY.md
+$(BUILD)/news_cost: $(BUILD)/bench/news_cost.o $(DIALECT) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+news-cost: $(BUILD)/news_cost
+	$(BUILD)/news_cost 10 1400 6000 10000
+
 # the core embedded in a foreign program
 $(BUILD)/embed: $(BUILD)/examples/embed.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
@@ -177,6 +184,6 @@
 clean:
 	rm -rf build build-san build-fuzz
 
-.PHONY: all clean demo check processes bench slopes matrix lint format fuzz \
+.PHONY: all clean demo check processes bench slopes news-cost matrix lint format fuzz \
   fuzzers
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
