--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -27,7 +27,12 @@
 gateway.direct = ends and seed % 2 == 1 -- who has ended refuses connections
 local named = seed >= 8000 -- workers that name the rate they take
 local says = seed >= 9000 -- workers that say they leave, or ask for rest
-gateway.one_zone = seed >= 4000 and seed < 6000 -- relays follow the store for the others
+-- relays follow the store for the others
+gateway.one_zone = seed >= 4000 and seed < 6000 or seed >= 10000
+-- some 1,400 routes, of which one is added now and then, and a store that turns
+-- single instances away
+local large = seed >= 10000
+gateway.own_store_links = large
 start_gateway(instances)
 
 -- when instances, and the ways to workers, were in trouble: name -> intervals
@@ -75,6 +80,30 @@
   end
 end
 
+local routes = {} -- a large configuration: names of its further routes
+local added = {}  -- of these, those that were added, and when
+if large then
+  for i = 1, 1400 do
+    routes[i] = string.format("route%d-%d", i, i * 7919 % 100003)
+  end
+  local plain_configure = configure
+  configure = function()
+    plain_configure(routes)
+  end
+  local plain_store = store
+  store = function(mode)
+    if mode ~= "ok" then begins("store") end
+    plain_store(mode)
+    if mode == "ok" then ends_soon("store") end
+  end
+  configure()
+end
+local function add_route()
+  routes[#routes + 1] = "added" .. #routes
+  configure()
+  added[#added + 1] = { name = routes[#routes], at = sys.now() }
+end
+
 local connections = {} -- kept ones, used until their process is gone
 local open = {}        -- requests that have not ended
 local frozen = {}      -- instance -> steps until it is thawed
@@ -121,6 +150,21 @@
   end
 end
 
+-- the last route that was confirmed so long ago that it is in force everywhere
+local IN_FORCE_MS = 3000
+local asked_added = {}
+local function ask_added()
+  local row
+  for _, one in ipairs(added) do
+    row = one.at + IN_FORCE_MS < sys.now() and one or row
+  end
+  if row then
+    local r = request(any(gateway.instances), row.name)
+    asked_added[#asked_added + 1] = r
+    open[#open + 1] = r
+  end
+end
+
 local function leave_something()
   local r = #open > 0 and any(open)
   if r and not ended(r) then
@@ -228,6 +272,16 @@
   end
 end
 
+if large then
+  faults[#faults + 1] = function()
+    link("store-" .. any(gateway.instances).name,
+         any { "delay", "silent", "oneway", "reset" }, math.random(20, 300))
+  end
+  faults[#faults + 1] = function()
+    link("store-" .. any(gateway.instances).name, "pass")
+  end
+end
+
 local function strike()
   local n = math.random(#faults)
   if n == 1 then -- one that runs, and is started again at once
@@ -259,6 +313,12 @@
   if math.random(8) == 1 then
     strike()
   end
+  if large and step % (500 // STEP) == 0 then
+    add_route()
+  end
+  if large and math.random(4) == 1 then
+    ask_added()
+  end
   restart_ended()
   thaw_some()
   sweep()
@@ -372,6 +432,16 @@
     end
   end
 end
+-- "no such route" is the last word: nobody says it of a route that has been in
+-- force, whether the store turns it away or not, but who was in other trouble
+-- within the time that it takes to catch up
+local CAUGHT_UP_MS = 4000
+for _, r in ipairs(asked_added) do
+  local name, from = r.instance.name, r.sent - CAUGHT_UP_MS
+  expect(r.status ~= 404 or in_trouble(name, from, r.sent) or
+         in_trouble("store", from, r.sent),
+         string.format("%s: 404 of %s at %d", name, r.kind, r.sent))
+end
 judge()
 local served, refused = 0, 0
 for _, r in ipairs(gateway.asked) do
