--- a/test/test_large_configuration.cc
+++ b/test/test_large_configuration.cc
@@ -79,24 +79,23 @@
   return half;
 }
 
-TEST(LargeConfiguration, ReachesWhomTheStoreDoesNotAnswer) {
+/* the store turns half of the instances away, in this manner */
+void expect_all_reached(bool Instance::*trouble) {
   for (unsigned instances : {12, 58}) {
     Fleet fleet(3, instances, many_routes);
     EXPECT_EQ(fleet.change(3 * second), 0u);
     for (Instance *one : half_of(fleet))
-      one->cut_from_store = true;
+      one->*trouble = true;
     EXPECT_EQ(fleet.change(8 * second), 0u) << instances;
   }
 }
 
+TEST(LargeConfiguration, ReachesWhomTheStoreDoesNotAnswer) {
+  expect_all_reached(&Instance::cut_from_store);
+}
+
 TEST(LargeConfiguration, ReachesWhomTheStoreRefuses) {
-  for (unsigned instances : {12, 58}) {
-    Fleet fleet(3, instances, many_routes);
-    EXPECT_EQ(fleet.change(3 * second), 0u);
-    for (Instance *one : half_of(fleet))
-      one->refused_by_store = true;
-    EXPECT_EQ(fleet.change(8 * second), 0u) << instances;
-  }
+  expect_all_reached(&Instance::refused_by_store);
 }
 
 /* nobody else has the news: it follows the store itself */
