--- a/io/following.c
+++ b/io/following.c
@@ -111,8 +111,17 @@
   following_look(data);
 }
 
+static void note_overtaken(const Following *following,
+                           const StoreReply *reply) {
+  log_numbered(following->log, MP_LOG_LIST_OVERTAKEN,
+               " kind=%d at=%" G_GINT64_FORMAT " known=%" G_GINT64_FORMAT,
+               (int)following->source.follower.kind, reply->at,
+               following->source.follower.known);
+}
+
 static void take_reply(Following *following, const StoreReply *reply) {
   guint missed = following->source.missed;
+  guint overtaken = following->source.follower.overtaken;
   if (reply->status == STORE_HISTORY_GONE)
     log_numbered(following->log, MP_LOG_STORE_HISTORY_GONE, " kind=%d",
                  (int)following->source.follower.kind);
@@ -121,6 +130,8 @@
     log_numbered(following->log, MP_LOG_WATCH_MISSED,
                  " kind=%d at=%" G_GINT64_FORMAT,
                  (int)following->source.follower.kind, reply->at);
+  if (following->source.follower.overtaken != overtaken)
+    note_overtaken(following, reply);
 }
 
 static void note_nameless(Following *following, const StoreReply *reply) {
--- a/router/follower.c
+++ b/router/follower.c
@@ -329,6 +329,7 @@
     return;
   }
   if (reply->status != STORE_OK || is_overtaken(follower, reply)) {
+    follower->overtaken += reply->status == STORE_OK;
     failed(follower, now);
     return;
   }
--- a/router/follower.h
+++ b/router/follower.h
@@ -150,6 +150,7 @@
   gint64 forgotten;     /* removals up to this revision may not be known */
   gint64 retry_at;      /* no call before then */
   unsigned failures;    /* in a row */
+  guint overtaken;      /* lists older than what was known, since the start */
 } Follower;
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
