The failing tests: a store that comes back from an older copy

Change: the virtual store and the stand-in can be restored from a copy; what operators and endpoints wrote since is written again, as it stood at last, 0.3 s later.

--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -10,7 +10,7 @@
 ** ("addr" is what the list says, "listen" where the worker is: a proxy may
 ** stand between). The admin port:
 **   GET  /ledger   what each worker took: id, worker, what, method, path
-**   POST /store    {"mode": M}, see store.h
+**   POST /store    {"mode": M}, see store.h; {"mode": "restore", "ms": AGE}
 **   POST /worker   {"id", "mode"}: ok, error, shed, cut, mute, slow;
 **                  draining, gone, back (in the list); prefill, decode
 **                  (its stage from now on); crash; rate=R, rest=S, leaving
@@ -67,6 +67,10 @@
 
 static int on_store(const json_t *body) {
   const char *mode = json_string_value(json_object_get(body, "mode"));
+  if (g_strcmp0(mode, "restore") == 0) {
+    store_restore(json_integer_value(json_object_get(body, "ms")));
+    return 1;
+  }
   return mode != NULL && store_fault(mode);
 }
 
--- a/standin/store.h
+++ b/standin/store.h
@@ -23,6 +23,14 @@
 */
 int store_fault(const char *mode);
 
+/*
+** The store was away and is back from a copy that is so old: what was written
+** since is gone, revisions are given out again, the era rises, and watches are
+** cut. Objects of the operator and the workers are written again a moment
+** later, as they stood at last.
+*/
+void store_restore(int64_t age_ms);
+
 /* calls since the start */
 unsigned store_calls(void);
 
--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -114,6 +114,10 @@
   }
   auto known = seen.find(object->name);
   std::string text = version_of(object->text);
+  /* as io/directory.c: a configuration never falls */
+  if (kind == STORE_CONFIGURATION && known != seen.end() &&
+      one->world->is_restored() && known->second > text)
+    return;
   if (known != seen.end() && known->second > text)
     one->backwards++;
   seen[object->name] = text;
@@ -358,7 +362,7 @@
 }
 
 void World::remember() {
-  past.push_back({now, revision, {}});
+  past.push_back({now, revision, {}, history.size()});
   std::copy(std::begin(objects), std::end(objects),
             std::begin(past.back().objects));
 }
@@ -403,7 +407,7 @@
 
 StoreReply World::events(StoreKind kind, gint64 since) const {
   StoreReply out = {STORE_OK, nullptr, FALSE, revision, FALSE, 0, FALSE};
-  if (since < oldest) {
+  if (since < oldest || since > revision) {
     out.status = STORE_HISTORY_GONE;
     return out;
   }
@@ -546,22 +550,58 @@
 ** What happens in the store
 */
 
+void World::put(StoreKind kind, const std::string &name,
+                const std::string &whole, bool gone) {
+  objects[kind][name] = {++revision, whole, gone};
+  history.push_back({revision, kind, name, whole, gone});
+  remember();
+  at(now + store_time, [this] { answer_watches(); });
+}
+
 void World::write(StoreKind kind, const std::string &name,
                   const std::string &text) {
-  std::string whole = content(kind, text);
-  objects[kind][name] = {++revision, whole, false};
-  history.push_back({revision, kind, name, whole, false});
+  put(kind, name, content(kind, text), false);
   written.emplace(name + "=" + text, now);
-  remember();
-  at(now + store_time, [this] { answer_watches(); });
 }
 
 void World::remove(StoreKind kind, const std::string &name) {
-  objects[kind][name].gone = true;
-  objects[kind][name].revision = ++revision;
-  history.push_back({revision, kind, name, "", true});
+  put(kind, name, "", true);
+}
+
+void World::take_copy(const Past &copy) {
+  std::copy(std::begin(copy.objects), std::end(copy.objects),
+            std::begin(objects));
+  revision = copy.revision;
+  history.resize(copy.history);
+}
+
+/* whoever wrote it does so unless it has written something else since */
+void World::write_again(const Version &lost) {
+  const Object &stands = objects[lost.kind][lost.name];
+  if (lost.gone != stands.gone || lost.text > stands.text)
+    put(lost.kind, lost.name, lost.text, lost.gone);
+}
+
+void World::restore(gint64 age, gint64 again_after) {
+  gint64 then = now - age;
+  auto copy = std::find_if(past.rbegin(), past.rend(),
+                           [then](auto &one) { return one.at <= then; });
+  if (copy == past.rend())
+    return;
+  std::vector<Version> lost(history.begin() +
+                                static_cast<std::ptrdiff_t>(copy->history),
+                            history.end());
+  take_copy(Past(*copy));
   remember();
-  at(now + store_time, [this] { answer_watches(); });
+  era++;
+  watches.clear(); /* their connections are gone */
+  at(now + again_after, [this, lost] {
+    std::set<std::string> done;
+    for (auto version = lost.rbegin(); version != lost.rend(); ++version) {
+      if (done.insert(version->name).second)
+        write_again(*version);
+    }
+  });
 }
 
 void World::forget_history() {
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -85,6 +85,9 @@
   void write(StoreKind kind, const std::string &name, const std::string &text);
   void remove(StoreKind kind, const std::string &name);
   void forget_history();
+  /* the store comes back from a copy that is so old; how an object that was
+  ** written since stood at last is written again after a moment */
+  void restore(gint64 age, gint64 again_after = 300 * ms);
 
   /* live instances that know this text, and those that should */
   unsigned knowing(StoreKind kind, const std::string &name,
@@ -99,6 +102,9 @@
   int oldest_of_all(const std::string &name) const;
 
   Instance *find(mp_Addr address) const;
+  bool is_restored() const {
+    return era > 1;
+  }
 
   std::vector<std::unique_ptr<Instance>> all;
   gint64 now = 1000 * second;
@@ -129,6 +135,7 @@
     gint64 at;
     gint64 revision;
     std::map<std::string, Object> objects[MP_RELAY_KINDS];
+    size_t history; /* length of it */
   };
   struct Watch {
     Instance *one;
@@ -162,6 +169,10 @@
   void fail_after(Instance &one, int kind, unsigned call, gint64 wait);
   StoreReply list(StoreKind kind, bool stale) const;
   void remember();
+  void take_copy(const Past &copy);
+  void write_again(const Version &lost);
+  void put(StoreKind kind, const std::string &name, const std::string &whole,
+           bool gone);
   StoreReply events(StoreKind kind, gint64 since) const;
   void end_watch(Instance &one, int kind, unsigned call);
   void answer_watches();
@@ -184,6 +195,7 @@
   std::map<std::string, gint64> written; /* name=text -> when */
   gint64 revision = 100;
   gint64 oldest = 0;
+  guint64 era = 1; /* times that the store was restored, and one */
   std::vector<Watch> watches;
   std::vector<Past> past;
   std::vector<Version> history;
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -244,6 +244,12 @@
       string.format('{"mode":"%s"}', mode))
 end
 
+-- the store is back from a copy that is so old
+function restore_store(age_ms)
+  ask("POST", gateway.admin, "/store", {},
+      string.format('{"mode":"restore","ms":%d}', age_ms))
+end
+
 function worker(w, mode)
   ask("POST", gateway.admin, "/worker", {},
       string.format('{"id":"%s","mode":"%s"}', w.id, mode))
