--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -79,6 +79,9 @@
   /* objects of the reply are owned by it: store_reply_clear */
   gboolean (*read_reply)(const StoreCall *call, int status, const char *body,
                          gsize size, StoreReply *out, GError **error);
+  /* the era of the store in which it answered; 0: it names none. NULL: answers
+  ** say it in their bodies */
+  guint64 (*read_era)(const HttpHead *head);
 } StoreCodec;
 
 typedef struct Dialect {
--- a/include/mplog.h
+++ b/include/mplog.h
@@ -93,7 +93,8 @@
   X(NEWS_LAG, 8112, MP_WARN, "newer objects are known elsewhere")          \
   X(NEWS_LEVEL, 8113, MP_INFO, "newest objects are known again")           \
   X(WATCH_MISSED, 8114, MP_WARN, "watch missed a change")                  \
-  X(LIST_OVERTAKEN, 8115, MP_WARN, "list is older than what is known")     \
+  X(ANSWER_OVERTAKEN, 8115, MP_WARN, "answer is older than what is known") \
+  X(STORE_RESTORED, 8116, MP_WARN, "store was restored from a copy")       \
   X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")          \
   X(LINES_LEFT_OUT, 9001, MP_INFO, "log lines left out")                   \
   X(LINES_LOST, 9002, MP_WARN, "log lines lost")
--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -258,9 +258,16 @@
   uint32_t tokens;
 } mp_LoadNote;
 
+/* a position in the store's history (router/store_position.h) */
+typedef struct mp_StorePosition {
+  uint64_t era;     /* rises by one when the store is restored from a copy;
+                    ** 0: the store, or whoever tells it, names none */
+  int64_t revision; /* counts the changes of that era; 0: none is known */
+} mp_StorePosition;
+
 /* a relay's heartbeat: what it knows of the store (router/relay_group.h) */
 typedef struct mp_RelayBeat {
-  uint64_t changed[MP_RELAY_KINDS]; /* revision of its newest news, by kind */
+  mp_StorePosition changed[MP_RELAY_KINDS]; /* its newest news, by kind */
   uint32_t age_ms;   /* since the store last answered the relay */
   uint64_t sent_us;  /* the relay's steady clock when it sent this */
   uint32_t proof_ms; /* since its configuration was certainly the newest */
--- a/io/directory.c
+++ b/io/directory.c
@@ -109,7 +109,7 @@
                               GError **error) {
   if (!directory->dialect->read_record(object->name, object->text, out, error))
     return FALSE;
-  out->revision = object->revision;
+  out->position = object->position;
   if (!is_own(directory, out->address))
     return TRUE;
   endpoint_record_clear(out);
@@ -143,7 +143,7 @@
       router_lift_quarantine(directory->router, content, clock_now());
   } else if (directory->dialect->read_quarantine(object->name, object->text,
                                                  &record, &error))
-    router_take_quarantine(directory->router, &record, object->revision,
+    router_take_quarantine(directory->router, &record, object->position,
                            clock_now());
   else
     bad_record(directory, STORE_QUARANTINE, object->name, error);
@@ -310,22 +310,31 @@
   return 0;
 }
 
+/* this instance's own object, if the store has it */
+static const FollowedObject *own_object(const Directory *directory) {
+  const Follower *follower =
+      following_follower(directory->following[STORE_INSTANCES]);
+  const FollowedObject *object =
+      g_hash_table_lookup(follower->objects, directory->instance);
+  if (object == NULL || object->text == NULL)
+    return NULL;
+  return object;
+}
+
 static gboolean is_entered(const Directory *directory) {
   const InstanceRecord *entered =
       g_hash_table_lookup(directory->instances, directory->instance);
-  return entered != NULL && entered->exchange == directory->own.exchange &&
+  return own_object(directory) != NULL && entered != NULL &&
+         entered->exchange == directory->own.exchange &&
          entered->control == directory->own.control &&
          entered->capacity == directory->own.capacity &&
          strcmp(entered->zone, directory->own.zone) == 0;
 }
 
-/* the object's revision when one stands there that says something else */
-static gint64 entered_revision(const Directory *directory) {
-  const Follower *follower =
-      following_follower(directory->following[STORE_INSTANCES]);
-  const FollowedObject *object =
-      g_hash_table_lookup(follower->objects, directory->instance);
-  return object != NULL && object->text != NULL ? object->revision : 0;
+/* the object's position when one stands there that says something else */
+static StorePosition entered_position(const Directory *directory) {
+  const FollowedObject *object = own_object(directory);
+  return object != NULL ? object->position : store_position_none();
 }
 
 /* have this instance's own object stand in the store */
@@ -335,8 +344,9 @@
     return;
   directory->registering = TRUE;
   call.kind = STORE_INSTANCES;
-  call.revision = entered_revision(directory);
-  call.operation = call.revision != 0 ? STORE_REPLACE : STORE_CREATE;
+  call.position = entered_position(directory);
+  call.operation =
+      store_position_is_none(call.position) ? STORE_CREATE : STORE_REPLACE;
   call.name = directory->instance;
   call.instance = &directory->own;
   store_link_call(directory->registration, &call,
@@ -377,6 +387,7 @@
                               const GError *error) {
   Directory *directory = data;
   directory->registering = FALSE;
+  relay_group_hear_era(directory->group, reply->at.era);
   directory->entry_failed = reply->status == STORE_FAILED;
   event_del(directory->register_timer);
   if (directory->entry_failed) {
@@ -502,11 +513,10 @@
 }
 
 void directory_changed(const Directory *directory,
-                       guint64 changed[MP_RELAY_KINDS]) {
+                       StorePosition changed[MP_RELAY_KINDS]) {
   int kind;
   for (kind = 0; kind < MP_RELAY_KINDS; kind++)
-    changed[kind] =
-        (guint64)following_follower(directory->following[kind])->changed;
+    changed[kind] = following_follower(directory->following[kind])->changed;
 }
 
 static gboolean knows(const Directory *directory, StoreKind kind) {
--- a/io/directory.h
+++ b/io/directory.h
@@ -5,7 +5,7 @@
 **
 ** The news come from the store or from relays (io/following.h); at a start
 ** without the store, from the instances that the settings name. An object
-** never goes back to an older revision within a life, nor the configuration
+** never goes back to an older position within a life, nor the configuration
 ** to an older version.
 */
 
@@ -57,9 +57,9 @@
 /* what this instance knows of a kind, to answer others with */
 void directory_answer(const Directory *directory, const NewsQuery *query,
                       StoreReply *out);
-/* the revision of the newest change known, by kind */
+/* the position of the newest change known, by kind */
 void directory_changed(const Directory *directory,
-                       guint64 changed[MP_RELAY_KINDS]);
+                       StorePosition changed[MP_RELAY_KINDS]);
 /* configuration and endpoints have been read, from whoever */
 gboolean directory_knows(const Directory *directory);
 
--- a/io/following.c
+++ b/io/following.c
@@ -43,35 +43,43 @@
   const NewsState *news = news_of(following);
   gint64 now = clock_now();
   int kind = (int)following->source.follower.kind;
+  char held[STORE_POSITION_TEXT];
+  char newest[STORE_POSITION_TEXT];
   if (following->lag_told && news->lags_since == 0) {
     following->lag_told = FALSE;
     log_numbered(following->log, MP_LOG_NEWS_LEVEL,
-                 " kind=%d held=%" G_GINT64_FORMAT " lagged_ms=%d", kind,
-                 news->held, (int)((now - following->lagged_from) / MP_MS));
+                 " kind=%d held=%s lagged_ms=%d", kind,
+                 store_position_text(news->held, held),
+                 (int)((now - following->lagged_from) / MP_MS));
   }
   if (following->lag_told || news_state_lag(news, now) <=
                                  relay_group_lag_most(following->source.group))
     return;
   following->lag_told = TRUE;
   following->lagged_from = news->lags_since;
-  log_numbered(
-      following->log, MP_LOG_NEWS_LAG,
-      " kind=%d held=%" G_GINT64_FORMAT " newest=%" G_GINT64_FORMAT
-      " lag_ms=%d asked=%s open_ms=%d bytes=%" G_GSIZE_FORMAT,
-      kind, news->held, news->newest, (int)(news_state_lag(news, now) / MP_MS),
-      following->source.at_store ? "store" : "instance",
-      (int)((now - following->asked_at) / MP_MS),
-      store_link_received(following->source.at_store ? following->store
-                                                     : following->instance));
+  log_numbered(following->log, MP_LOG_NEWS_LAG,
+               " kind=%d held=%s newest=%s lag_ms=%d asked=%s open_ms=%d"
+               " bytes=%" G_GSIZE_FORMAT,
+               kind, store_position_text(news->held, held),
+               store_position_text(news->newest, newest),
+               (int)(news_state_lag(news, now) / MP_MS),
+               following->source.at_store ? "store" : "instance",
+               (int)((now - following->asked_at) / MP_MS),
+               store_link_received(following->source.at_store
+                                       ? following->store
+                                       : following->instance));
 }
 
 static void leave_store(Following *following) {
   const NewsState *news = news_of(following);
+  char held[STORE_POSITION_TEXT];
+  char newest[STORE_POSITION_TEXT];
   following->calls_left++;
   log_numbered(following->log, MP_LOG_STORE_CALL_LEFT,
-               " kind=%d held=%" G_GINT64_FORMAT " newest=%" G_GINT64_FORMAT
-               " open_ms=%d bytes=%" G_GSIZE_FORMAT,
-               (int)following->source.follower.kind, news->held, news->newest,
+               " kind=%d held=%s newest=%s open_ms=%d bytes=%" G_GSIZE_FORMAT,
+               (int)following->source.follower.kind,
+               store_position_text(news->held, held),
+               store_position_text(news->newest, newest),
                (int)((clock_now() - following->asked_at) / MP_MS),
                store_link_received(following->store));
   store_link_abandon(following->store);
@@ -113,25 +121,45 @@
 
 static void note_overtaken(const Following *following,
                            const StoreReply *reply) {
-  log_numbered(following->log, MP_LOG_LIST_OVERTAKEN,
-               " kind=%d at=%" G_GINT64_FORMAT " known=%" G_GINT64_FORMAT,
-               (int)following->source.follower.kind, reply->at,
-               following->source.follower.known);
+  const Follower *follower = &following->source.follower;
+  char at[STORE_POSITION_TEXT];
+  char known[STORE_POSITION_TEXT];
+  log_numbered(following->log, MP_LOG_ANSWER_OVERTAKEN,
+               " kind=%d at=%s known=%s", (int)follower->kind,
+               store_position_text(reply->at, at),
+               store_position_text(follower->known, known));
+}
+
+/* one line when a kind is first known in a newer era */
+static void note_restored(const Following *following, StorePosition was) {
+  const Follower *follower = &following->source.follower;
+  char from[STORE_POSITION_TEXT];
+  char to[STORE_POSITION_TEXT];
+  if (store_position_is_none(was) || follower->known.era == was.era)
+    return;
+  log_numbered(following->log, MP_LOG_STORE_RESTORED,
+               " kind=%d was=%s is=%s heard_from=%s", (int)follower->kind,
+               store_position_text(was, from),
+               store_position_text(follower->known, to),
+               following->source.at_store ? "store" : "instance");
 }
 
 static void take_reply(Following *following, const StoreReply *reply) {
   guint missed = following->source.missed;
   guint overtaken = following->source.follower.overtaken;
+  StorePosition known = following->source.follower.known;
+  char at[STORE_POSITION_TEXT];
   if (reply->status == STORE_HISTORY_GONE)
     log_numbered(following->log, MP_LOG_STORE_HISTORY_GONE, " kind=%d",
                  (int)following->source.follower.kind);
   news_source_reply(&following->source, reply, clock_now());
   if (following->source.missed != missed)
-    log_numbered(following->log, MP_LOG_WATCH_MISSED,
-                 " kind=%d at=%" G_GINT64_FORMAT,
-                 (int)following->source.follower.kind, reply->at);
+    log_numbered(following->log, MP_LOG_WATCH_MISSED, " kind=%d at=%s",
+                 (int)following->source.follower.kind,
+                 store_position_text(reply->at, at));
   if (following->source.follower.overtaken != overtaken)
     note_overtaken(following, reply);
+  note_restored(following, known);
 }
 
 static void note_nameless(Following *following, const StoreReply *reply) {
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -230,7 +230,7 @@
   if (reply->objects == NULL || reply->objects->len == 0)
     return;
   object = &g_array_index(reply->objects, StoreObject, 0);
-  out->revision = object->revision;
+  out->position = object->position;
   if (object->gone) {
     out->status = STORE_FAILED;
     return;
@@ -247,6 +247,7 @@
   Gateway *gateway = data;
   LeaseReply read = {0};
   (void)error;
+  relay_group_hear_era(gateway->group, reply->at.era);
   read_lease(gateway, reply, &read);
   router_lease_reply(gateway->router, &read, clock_now());
   lease_record_clear(&read.record);
--- a/io/news_codec.c
+++ b/io/news_codec.c
@@ -23,7 +23,9 @@
   *body = NULL;
   g_string_append_printf(target, "?kind=%d", (int)call->kind);
   if (call->operation == STORE_WATCH)
-    g_string_append_printf(target, "&since=%" G_GINT64_FORMAT, call->revision);
+    g_string_append_printf(
+        target, "&since=%" G_GINT64_FORMAT "&era=%" G_GUINT64_FORMAT,
+        call->position.revision, call->position.era);
   if (call->in_full)
     g_string_append(target, "&full=1");
   head = http_head_request("GET", target->str);
@@ -33,11 +35,23 @@
 }
 
 /* 0: it names none. The store counts from 1, so a negative one is none */
-static gint64 read_revision(const json_t *json, const char *key) {
+static gint64 read_count(const json_t *json, const char *key) {
   return MAX(json_integer_value(json_object_get(json, key)), 0);
 }
 
-static gboolean read_change(const json_t *json, GArray *changes) {
+static StorePosition read_position(const json_t *json, const char *key,
+                                   guint64 era) {
+  return store_position(era, read_count(json, key));
+}
+
+/* of an object: its own era, where it is not the answer's */
+static guint64 read_era(const json_t *json, guint64 era) {
+  return json_is_integer(json_object_get(json, "era"))
+             ? (guint64)read_count(json, "era")
+             : era;
+}
+
+static gboolean read_change(const json_t *json, guint64 era, GArray *changes) {
   const char *text = json_string_value(json_object_get(json, "patch"));
   GBytes *patch;
   guchar *bytes;
@@ -46,14 +60,14 @@
     return FALSE;
   bytes = g_base64_decode(text, &size);
   patch = g_bytes_new_take(bytes, size);
-  text_changes_add(changes, read_revision(json, "from"),
-                   read_revision(json, "to"), patch);
+  text_changes_add(changes, read_position(json, "from", era),
+                   read_position(json, "to", era), patch);
   g_bytes_unref(patch);
   return TRUE;
 }
 
 /* NULL: there are none that can be read */
-static GArray *read_changes(const json_t *json) {
+static GArray *read_changes(const json_t *json, guint64 era) {
   const json_t *list = json_object_get(json, "changes");
   GArray *changes;
   size_t i;
@@ -61,7 +75,7 @@
     return NULL;
   changes = text_changes_new();
   for (i = 0; i < json_array_size(list); i++) {
-    if (!read_change(json_array_get(list, i), changes)) {
+    if (!read_change(json_array_get(list, i), era, changes)) {
       g_array_free(changes, TRUE);
       return NULL;
     }
@@ -69,8 +83,8 @@
   return changes;
 }
 
-static gboolean read_object(const json_t *json, gboolean whole,
-                            GArray *objects) {
+static gboolean read_object(const json_t *json, const StoreReply *reply) {
+  guint64 era = read_era(json, reply->at.era);
   const char *name = json_string_value(json_object_get(json, "name"));
   const char *text = json_string_value(json_object_get(json, "text"));
   StoreObject object = {0};
@@ -78,25 +92,25 @@
     return FALSE;
   object.gone = json_is_true(json_object_get(json, "gone"));
   if (!object.gone && text == NULL)
-    object.changes = read_changes(json);
-  if (!object.gone && text == NULL && object.changes == NULL && !whole)
+    object.changes = read_changes(json, era);
+  if (!object.gone && text == NULL && object.changes == NULL && !reply->whole)
     return FALSE;
   object.name = g_strdup(name);
-  object.revision = read_revision(json, "revision");
+  object.position = read_position(json, "revision", era);
   object.text = object.gone ? NULL : g_strdup(text);
-  g_array_append_val(objects, object);
+  g_array_append_val(reply->objects, object);
   return TRUE;
 }
 
 static gboolean read_objects(const json_t *json, StoreReply *out) {
   const json_t *objects = json_object_get(json, "objects");
   size_t i;
-  out->at = read_revision(json, "at");
+  out->at = read_position(json, "at", (guint64)read_count(json, "era"));
   out->whole = json_is_true(json_object_get(json, "whole"));
-  if (out->at <= 0 || !json_is_array(objects))
+  if (store_position_is_none(out->at) || !json_is_array(objects))
     return FALSE;
   for (i = 0; i < json_array_size(objects); i++) {
-    if (!read_object(json_array_get(objects, i), out->whole, out->objects))
+    if (!read_object(json_array_get(objects, i), out))
       return FALSE;
   }
   return TRUE;
@@ -139,7 +153,7 @@
   return good;
 }
 
-const StoreCodec news_codec = {write_call, read_reply};
+const StoreCodec news_codec = {write_call, read_reply, NULL};
 
 static gboolean read_number(const struct evkeyvalq *query, const char *key,
                             guint64 most, guint64 *out) {
@@ -152,6 +166,7 @@
   struct evkeyvalq fields = {0};
   guint64 number = 0;
   guint64 revision = 0;
+  guint64 era = 0;
   guint64 full = 0;
   gboolean good;
   if (query == NULL || evhttp_parse_query_str(query, &fields) != 0)
@@ -159,11 +174,13 @@
   good = read_number(&fields, "kind", MP_RELAY_KINDS - 1, &number);
   if (evhttp_find_header(&fields, "since") != NULL)
     good = good && read_number(&fields, "since", G_MAXINT64, &revision);
+  if (evhttp_find_header(&fields, "era") != NULL)
+    good = good && read_number(&fields, "era", G_MAXUINT64, &era);
   if (evhttp_find_header(&fields, "full") != NULL)
     good = good && read_number(&fields, "full", 1, &full);
   evhttp_clear_headers(&fields);
   out->kind = (StoreKind)number;
-  out->since = (gint64)revision;
+  out->since = store_position(era, (gint64)revision);
   out->in_full = full != 0;
   return good;
 }
@@ -176,16 +193,20 @@
     char *patch = g_base64_encode(g_bytes_get_data(change->patch, NULL),
                                   g_bytes_get_size(change->patch));
     json_array_append_new(
-        list, json_pack("{s:I, s:I, s:s}", "from", (json_int_t)change->from,
-                        "to", (json_int_t)change->to, "patch", patch));
+        list,
+        json_pack("{s:I, s:I, s:s}", "from", (json_int_t)change->from.revision,
+                  "to", (json_int_t)change->to.revision, "patch", patch));
     g_free(patch);
   }
   return list;
 }
 
-static json_t *write_object(const StoreObject *object) {
+static json_t *write_object(const StoreObject *object, guint64 era) {
   json_t *json = json_pack("{s:s, s:I}", "name", object->name, "revision",
-                           (json_int_t)object->revision);
+                           (json_int_t)object->position.revision);
+  if (object->position.era != era)
+    json_object_set_new(json, "era",
+                        json_integer((json_int_t)object->position.era));
   if (object->gone)
     json_object_set_new(json, "gone", json_true());
   if (object->text != NULL)
@@ -209,9 +230,10 @@
   guint i;
   for (i = 0; reply->objects != NULL && i < reply->objects->len; i++) {
     const StoreObject *object = &g_array_index(reply->objects, StoreObject, i);
-    json_array_append_new(objects, write_object(object));
+    json_array_append_new(objects, write_object(object, reply->at.era));
   }
-  json = json_pack("{s:I, s:b, s:o}", "at", (json_int_t)reply->at, "whole",
+  json = json_pack("{s:I, s:I, s:b, s:o}", "era", (json_int_t)reply->at.era,
+                   "at", (json_int_t)reply->at.revision, "whole",
                    (int)reply->whole, "objects", objects);
   dumped = json_dumps(json, JSON_COMPACT);
   out = pack(dumped);
--- a/io/news_codec.h
+++ b/io/news_codec.h
@@ -2,11 +2,12 @@
 ** news_codec.h
 ** What instances ask each other about the store's objects, over HTTP
 **
-** A call is GET /news?kind=K for everything of a kind, with &since=R for
-** what has changed after revision R. The answer is JSON: the revision up
-** to which it is whole, and the objects with the texts that the store has
-** for them, long ones as changes of the text that stood at revision R, unless
-** &full=1 is added. Long answers are compressed. 503 stands for an instance
+** A call is GET /news?kind=K for everything of a kind, with &since=R&era=E for
+** what has changed after revision R of the store's era E. The answer is JSON:
+** era and revision up to which it is whole, and the objects with the texts
+** that the store has for them, long ones as changes of the text that stood at
+** that position, unless &full=1 is added. Long answers are compressed. 503
+*stands for an instance
 ** that does not know the store itself.
 */
 
@@ -22,8 +23,8 @@
 /* what a call asks for */
 typedef struct NewsQuery {
   StoreKind kind;
-  gint64 since;     /* 0: everything */
-  gboolean in_full; /* as in StoreCall */
+  StorePosition since; /* none: everything */
+  gboolean in_full;    /* as in StoreCall */
 } NewsQuery;
 
 /* read the query of a call; FALSE when it is none */
--- a/io/quarantine_writer.c
+++ b/io/quarantine_writer.c
@@ -34,11 +34,11 @@
   writer->removing = save->remove;
   call.kind = STORE_QUARANTINE;
   call.name = name;
-  call.revision = save->revision;
+  call.position = save->position;
   call.quarantine = &save->record;
-  call.operation = save->remove          ? STORE_REMOVE
-                   : save->revision != 0 ? STORE_REPLACE
-                                         : STORE_CREATE;
+  call.operation = save->remove                             ? STORE_REMOVE
+                   : store_position_is_none(save->position) ? STORE_CREATE
+                                                            : STORE_REPLACE;
   store_link_call(writer->link, &call, CALL_PATIENCE);
 }
 
@@ -65,7 +65,7 @@
   }
   if (writer->dialect->read_quarantine(object->name, object->text, &record,
                                        &error)) {
-    router_take_quarantine(writer->router, &record, object->revision,
+    router_take_quarantine(writer->router, &record, object->position,
                            clock_now());
     return;
   }
--- a/io/relays.c
+++ b/io/relays.c
@@ -34,12 +34,12 @@
   Log *log;
   struct event *timer;
   RelayRole role;
-  guint64 told[MP_RELAY_KINDS]; /* revisions in the last heartbeat */
-  gboolean summing;             /* loads are told in summaries */
-  guint32 sequence;             /* of the last summary */
-  gint64 summary_at;            /* when it was sent */
-  guint64 urgent;               /* router_urgent_set in it */
-  gint64 rates_at;              /* when sums of rates were sent */
+  StorePosition told[MP_RELAY_KINDS]; /* in the last heartbeat */
+  gboolean summing;                   /* loads are told in summaries */
+  guint32 sequence;                   /* of the last summary */
+  gint64 summary_at;                  /* when it was sent */
+  guint64 urgent;                     /* router_urgent_set in it */
+  gint64 rates_at;                    /* when sums of rates were sent */
 };
 
 static void start_timer(Relays *relays) {
@@ -234,7 +234,7 @@
 }
 
 void relays_news(Relays *relays) {
-  guint64 changed[MP_RELAY_KINDS];
+  StorePosition changed[MP_RELAY_KINDS];
   gint64 now = clock_now();
   directory_changed(relays->directory, changed);
   if (memcmp(changed, relays->told, sizeof changed) != 0)
--- a/io/store_link.c
+++ b/io/store_link.c
@@ -88,6 +88,8 @@
   link->codec->read_reply(&link->call, link->head->status,
                           (const char *)link->body->data, link->body->len,
                           &reply, &error);
+  if (link->codec->read_era != NULL)
+    store_reply_set_era(&reply, link->codec->read_era(link->head));
   if (error == NULL && reply.status == STORE_FAILED)
     g_set_error(&error, MP_ERROR, MP_ERR_STORE, "the store answered %d",
                 link->head->status);
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -118,16 +118,17 @@
 }
 
 /*
-** The store's revision tells which of two records is later. A start is told by
+** The store's position tells which of two records is later. A start is told by
 ** the endpoint's own clock, or by another writer: it tells lives apart, and
-** orders those alone whose revisions are not known. (Ordered by it, an
+** orders those alone whose positions are not known. (Ordered by it, an
 ** endpoint whose clock stood ahead at its first start was locked out for as
 ** long as its id was listed.)
 */
 static gboolean is_later(const EndpointRecord *record,
                          const EndpointRecord *known) {
-  if (record->revision != 0 && known->revision != 0)
-    return record->revision >= known->revision;
+  if (!store_position_is_none(record->position) &&
+      !store_position_is_none(known->position))
+    return !store_position_is_before(record->position, known->position);
   return record->born_unix_ms >= known->born_unix_ms ||
          is_same_life(record, known);
 }
--- a/router/follower.c
+++ b/router/follower.c
@@ -20,6 +20,10 @@
 ** instance that follows the store is a hundredth of what a small store takes
 */
 #define PARTIAL_AGAIN (5 * MP_SEC)
+/* the first list of an era is read again after this, and counts then as it
+** stands: endpoints that live have entered themselves anew within 2 s of the
+** store's return */
+#define RECONCILE_AFTER (2500 * MP_MS)
 /* objects that are gone and still told to others: ten times the endpoints
 ** of the largest deployment planned for (docs/CAPACITY.md) */
 #define GONE_MOST 8000
@@ -40,6 +44,13 @@
   memset(reply, 0, sizeof *reply);
 }
 
+void store_reply_set_era(StoreReply *reply, guint64 era) {
+  guint i;
+  reply->at.era = era;
+  for (i = 0; reply->objects != NULL && i < reply->objects->len; i++)
+    g_array_index(reply->objects, StoreObject, i).position.era = era;
+}
+
 GArray *store_objects_new(void) {
   GArray *objects = g_array_new(FALSE, TRUE, sizeof(StoreObject));
   g_array_set_clear_func(objects, object_clear);
@@ -77,17 +88,27 @@
   return follower->open || follower->taking ? G_MAXINT64 : follower->retry_at;
 }
 
+static void list_again(Follower *follower);
+
+void follower_look(Follower *follower, gint64 now) {
+  if (!follower->open && !follower->taking && follower->list_at != 0 &&
+      follower->list_at <= now)
+    list_again(follower);
+}
+
 void follower_begin(Follower *follower, gboolean by_instance,
                     StoreCall *call) {
   memset(call, 0, sizeof *call);
   follower->open = TRUE;
+  follower->by_instance = by_instance;
+  follower->is_stale = FALSE;
   follower->listing =
       !follower->watching || (follower->lapsed && !by_instance);
   call->kind = follower->kind;
   call->in_full = follower->in_full;
   if (!follower->listing) {
     call->operation = STORE_WATCH;
-    call->revision = follower->revision;
+    call->position = follower->position;
     /* one that fails again soon is found out soon */
     call->wait = follower->failures > 0
                      ? MIN(follower->watch_wait, WAIT_AFTER_FAILURE)
@@ -99,18 +120,21 @@
 }
 
 /*
-** An older revision than one that was seen does not take effect. An object
+** An older position than one that was seen does not take effect. An object
 ** that is known to be gone is back when an answer as new as that says so,
-** also under its old revision.
+** also under its old position; a copy of the store may be older than that.
 */
-static gboolean is_news(const FollowedObject *known, const StoreObject *object,
-                        gint64 at) {
+static gboolean is_news(const Follower *follower, const FollowedObject *known,
+                        const StoreObject *object, StorePosition at) {
   if (known == NULL)
     return TRUE;
   if (object->gone)
     return known->text != NULL;
-  return known->revision < object->revision ||
-         (known->text == NULL && at >= known->learned);
+  if (known->text == NULL)
+    return !follower->reconciling &&
+           (!store_position_is_before(at, known->learned) ||
+            store_position_is_before(known->position, object->position));
+  return store_position_is_before(known->position, object->position);
 }
 
 static void forget_gone(Follower *follower) {
@@ -123,7 +147,8 @@
     const FollowedObject *object = value;
     if (object->text != NULL)
       continue;
-    follower->forgotten = MAX(follower->forgotten, object->learned);
+    follower->forgotten =
+        store_position_later(follower->forgotten, object->learned);
     g_hash_table_iter_remove(&iterator);
   }
   follower->gone = 0;
@@ -140,13 +165,14 @@
 static void add_difference(const FollowedObject *known,
                            const StoreObject *object) {
   GBytes *patch = text_patch_new(known->text, object->text);
-  text_history_add(known->history, known->revision, object->revision, patch);
+  text_history_add(known->history, known->position, object->position, patch);
   g_bytes_unref(patch);
 }
 
 /* keep what changed, for others */
 static void keep_history(FollowedObject *known, const StoreObject *object) {
   if (object->gone || known->text == NULL ||
+      known->position.era != object->position.era ||
       strlen(object->text) < SHORT_TEXT) {
     text_history_free(known->history);
     known->history = NULL;
@@ -156,19 +182,20 @@
     known->history = text_history_new();
   if (object->changes != NULL)
     add_changes(known->history, object->changes);
-  else if (object->revision > known->revision)
+  else if (store_position_is_before(known->position, object->position))
     add_difference(known, object);
 }
 
 /* it changed after all that is known: nobody can know more and lack it. A list
-** names no revision of what it removes */
+** names no position of what it removes */
 static gboolean is_new(const Follower *follower, const StoreObject *told) {
-  return !follower->listing && !told->gone && told->revision > follower->known;
+  return !follower->listing && !told->gone &&
+         store_position_is_before(follower->known, told->position);
 }
 
-/* 'at' is the store's revision in that answer */
+/* 'at' is the store's position in that answer */
 static void keep_object(Follower *follower, const StoreObject *told,
-                        gint64 at) {
+                        StorePosition at) {
   const char *text = told->gone ? NULL : told->text;
   FollowedObject *object = g_hash_table_lookup(follower->objects, told->name);
   if (object == NULL) {
@@ -177,21 +204,22 @@
   } else
     follower->gone -= object->text == NULL;
   keep_history(object, told);
-  object->revision = MAX(object->revision, told->revision);
-  object->learned =
-      is_new(follower, told) ? told->revision : MAX(at, object->revision);
+  object->position = store_position_later(object->position, told->position);
+  object->learned = is_new(follower, told)
+                        ? told->position
+                        : store_position_later(at, object->position);
   g_free(object->text);
   object->text = g_strdup(text);
   follower->gone += text == NULL;
-  follower->changed = MAX(follower->changed, object->learned);
+  follower->changed = store_position_later(follower->changed, object->learned);
   forget_gone(follower);
 }
 
 static void take_object(Follower *follower, const StoreObject *object,
-                        gint64 at) {
+                        StorePosition at) {
   const FollowedObject *known =
       g_hash_table_lookup(follower->objects, object->name);
-  if (!is_news(known, object, at))
+  if (!is_news(follower, known, object, at))
     return;
   keep_object(follower, object, at);
   follower->host.object(follower->host.data, follower->kind, object);
@@ -202,7 +230,9 @@
   const FollowedObject *known =
       g_hash_table_lookup(follower->objects, object->name);
   if (known == NULL || known->text == NULL || object->changes->len == 0 ||
-      g_array_index(object->changes, TextChange, 0).from != known->revision)
+      store_position_compare(
+          g_array_index(object->changes, TextChange, 0).from,
+          known->position) != 0)
     return FALSE;
   object->text = text_changes_apply(object->changes, known->text);
   return object->text != NULL;
@@ -230,8 +260,8 @@
   }
 }
 
-/* all objects are named: the others are gone, in the store's revision 'at' */
-static void keep_listed(Follower *follower, gint64 at) {
+/* all objects are named: the others are gone, at the store's position 'at' */
+static void keep_listed(Follower *follower, StorePosition at) {
   GHashTableIter iterator;
   gpointer name;
   gpointer value;
@@ -241,27 +271,47 @@
     if (object->text == NULL || g_hash_table_contains(follower->names, name))
       continue;
     g_clear_pointer(&object->text, g_free);
-    object->learned = MAX(at, object->revision);
-    follower->changed = MAX(follower->changed, object->learned);
+    object->learned = store_position_later(at, object->position);
+    follower->changed =
+        store_position_later(follower->changed, object->learned);
     follower->gone++;
   }
   forget_gone(follower);
 }
 
 /* 'names' holds all objects there are */
-static void take_names(Follower *follower, gint64 at) {
-  follower->forgotten = MAX(follower->forgotten, at);
+static void take_names(Follower *follower, StorePosition at) {
+  follower->forgotten = store_position_later(follower->forgotten, at);
   keep_listed(follower, at);
   follower->host.listed(follower->host.data, follower->kind, follower->names);
   g_hash_table_remove_all(follower->names);
 }
 
+static void end_list(Follower *follower, gint64 now) {
+  /* changes made while the pages are read are watched from the first */
+  follower->position = follower->listed;
+  if (follower->partial) {
+    g_hash_table_remove_all(follower->names);
+    follower->list_at = now + PARTIAL_AGAIN;
+  } else if (follower->reconciling) {
+    g_hash_table_remove_all(follower->names);
+    follower->list_at = now + RECONCILE_AFTER;
+    /* an era in which nothing has changed is news, too */
+    follower->changed =
+        store_position_later(follower->changed, follower->position);
+  } else
+    take_names(follower, follower->position);
+  follower->reconciling = FALSE;
+  follower->watching = TRUE;
+  follower->known = store_position_later(follower->known, follower->position);
+  if (store_position_is_none(follower->changed)) /* no object is news too */
+    follower->changed = follower->known;
+}
+
 static void take_list(Follower *follower, const StoreReply *reply,
                       gint64 now) {
   guint count = reply->objects != NULL ? reply->objects->len : 0;
   follower->partial |= reply->partial;
-  if (follower->after == NULL)
-    follower->list_revision = reply->at;
   g_clear_pointer(&follower->after, g_free);
   if (reply->more && count > 0) {
     const StoreObject *last =
@@ -269,22 +319,13 @@
     follower->after = g_strdup(last->name);
     return;
   }
-  /* changes made while the pages are read are watched from the first */
-  follower->revision = follower->list_revision;
-  if (follower->partial) {
-    g_hash_table_remove_all(follower->names);
-    follower->list_at = now + PARTIAL_AGAIN;
-  } else
-    take_names(follower, follower->revision);
-  follower->watching = TRUE;
-  follower->known = MAX(follower->known, follower->revision);
-  if (follower->changed == 0) /* an empty list is news too */
-    follower->changed = follower->known;
+  end_list(follower, now);
 }
 
 static void list_again(Follower *follower) {
   follower->watching = FALSE;
-  follower->revision = 0;
+  follower->position = store_position_none();
+  follower->reconciling = FALSE;
   follower->partial = FALSE;
   follower->list_at = 0;
   g_clear_pointer(&follower->after, g_free);
@@ -308,10 +349,28 @@
   follower->retry_at = now + MIN(wait, follower->retry_most);
 }
 
-/* a list that is older than what is known would bring old things back */
+/* a list that is older than what is known would bring old things back, and so
+** would anything of an older era */
 static gboolean is_overtaken(const Follower *follower,
                              const StoreReply *reply) {
-  return follower->listing && reply->at < follower->known;
+  if (follower->listing)
+    return store_position_is_before(reply->at, follower->known);
+  return reply->at.era < follower->known.era;
+}
+
+/* a watch that the store answers in a newer era says nothing of what stands
+** there, and a list whose pages are of two eras is none */
+static gboolean is_of_two_eras(const Follower *follower,
+                               const StoreReply *reply) {
+  if (follower->listing)
+    return follower->after != NULL && reply->at.era != follower->listed.era;
+  return !follower->by_instance && reply->at.era != follower->known.era;
+}
+
+void follower_hear_era(Follower *follower, guint64 era) {
+  if (follower_knows(follower) && follower->known.era < era &&
+      follower->watching && !follower->open)
+    list_again(follower);
 }
 
 void follower_abandon(Follower *follower, gint64 now) {
@@ -320,10 +379,53 @@
 }
 
 gboolean follower_knows(const Follower *follower) {
-  return follower->known > 0;
+  return !store_position_is_none(follower->known);
+}
+
+/* a relay's answer that names all objects there are */
+static void take_whole(Follower *follower, const StoreReply *reply,
+                       gint64 now) {
+  if (reply->whole && reply->at.era > follower->known.era)
+    follower->list_at = now + RECONCILE_AFTER;
+  else if (reply->whole &&
+           !store_position_is_before(reply->at, follower->known))
+    take_names(follower, reply->at);
+  g_hash_table_remove_all(follower->names);
+}
+
+static void begin_list(Follower *follower, const StoreReply *reply) {
+  follower->listed = reply->at;
+  follower->reconciling =
+      follower_knows(follower) && reply->at.era != follower->known.era;
+}
+
+static void forget_position(gpointer name, gpointer value, gpointer data) {
+  FollowedObject *object = value;
+  (void)name;
+  (void)data;
+  object->position = store_position_none();
+  object->learned = store_position_none();
+}
+
+/* the store has nothing as new as what a list showed that may have been from
+** before the store's era: it was */
+static void forget_positions(Follower *follower) {
+  g_hash_table_foreach(follower->objects, forget_position, NULL);
+  follower->known = store_position_none();
+  follower->changed = store_position_none();
+  follower->forgotten = store_position_none();
+}
+
+static gboolean is_disproved(const Follower *follower,
+                             const StoreReply *reply) {
+  return follower->by_stale && follower->listing && !follower->by_instance &&
+         reply->status == STORE_OK && reply->at.era == follower->known.era &&
+         store_position_is_before(reply->at, follower->known);
 }
 
 static void take(Follower *follower, const StoreReply *reply, gint64 now) {
+  if (is_disproved(follower, reply))
+    forget_positions(follower);
   if (reply->status == STORE_HISTORY_GONE) {
     list_again(follower);
     return;
@@ -333,6 +435,10 @@
     failed(follower, now);
     return;
   }
+  if (is_of_two_eras(follower, reply)) {
+    list_again(follower);
+    return;
+  }
   if (!resolve_all(follower, reply)) {
     follower->in_full = TRUE;
     return;
@@ -342,15 +448,16 @@
     follower->host.regained(follower->host.data, follower->kind);
   follower->failures = 0;
   follower->lapsed = FALSE;
+  if (follower->listing && follower->after == NULL)
+    begin_list(follower, reply);
+  follower->by_stale = follower->is_stale;
   take_objects(follower, reply);
   if (!follower->listing && reply->objects != NULL && reply->objects->len > 0)
     follower->retry_at = now + follower->pause;
   if (!follower->listing) {
-    if (reply->whole && reply->at >= follower->known)
-      take_names(follower, reply->at);
-    g_hash_table_remove_all(follower->names);
-    follower->revision = MAX(follower->revision, reply->at);
-    follower->known = follower->revision;
+    take_whole(follower, reply, now);
+    follower->position = store_position_later(follower->position, reply->at);
+    follower->known = follower->position;
   } else
     take_list(follower, reply, now);
 }
@@ -360,13 +467,12 @@
   follower->retry_at = now;
   follower->taking = TRUE;
   take(follower, reply, now);
-  if (follower->list_at != 0 && follower->list_at <= now)
-    list_again(follower);
   follower->taking = FALSE;
+  follower_look(follower, now);
 }
 
 /* the text, or what has changed since */
-static void write_content(const FollowedObject *known, gint64 since,
+static void write_content(const FollowedObject *known, StorePosition since,
                           gboolean in_full, StoreObject *out) {
   if (known->history != NULL && !in_full)
     out->changes = text_history_since(known->history, since);
@@ -374,31 +480,33 @@
     out->text = g_strdup(known->text);
 }
 
-void follower_answer(const Follower *follower, gint64 since, gboolean in_full,
-                     StoreReply *out) {
+void follower_answer(const Follower *follower, StorePosition since,
+                     gboolean in_full, StoreReply *out) {
+  gboolean is_first = store_position_is_none(since);
   GHashTableIter iterator;
   gpointer name;
   gpointer value;
   memset(out, 0, sizeof *out);
   out->at = follower->known;
   out->status = STORE_OK;
-  if (follower->known == 0)
+  if (!follower_knows(follower))
     out->status = STORE_FAILED;
   if (out->status != STORE_OK)
     return;
-  out->whole = since > 0 && since < follower->forgotten;
+  out->whole =
+      !is_first && store_position_is_before(since, follower->forgotten);
   out->objects = store_objects_new();
   g_hash_table_iter_init(&iterator, follower->objects);
   while (g_hash_table_iter_next(&iterator, &name, &value)) {
     const FollowedObject *known = value;
     StoreObject object = {0};
-    gboolean is_old = known->learned <= since;
+    gboolean is_old = !store_position_is_before(since, known->learned);
     if (is_old && !(out->whole && known->text != NULL))
       continue;
-    if (since == 0 && known->text == NULL)
+    if (is_first && known->text == NULL)
       continue;
     object.name = g_strdup(name);
-    object.revision = known->revision;
+    object.position = known->position;
     object.gone = known->text == NULL;
     if (!is_old)
       write_content(known, since, in_full, &object);
--- a/router/follower.h
+++ b/router/follower.h
@@ -5,11 +5,18 @@
 ** A Follower decides which call to make next and what an answer means; it
 ** does no input or output. Its host performs StoreCall and hands back a
 ** StoreReply. Invariants: one call is open at a time; an object never
-** takes effect over a newer revision of itself; a list that took several
+** takes effect over a newer position of itself; a list that took several
 ** calls takes effect for absent objects only when it is whole. One in which
 ** something could not be read that may hide objects removes none, and is read
 ** again until it is whole.
 **
+** A store that was restored from a copy names a larger era. What it lists then
+** may be older than what is known, and lacks what is only not written again
+** yet. So a watch that ends in a newer era is followed by a list; that list
+** removes no object and brings none back that had gone, and a second one,
+** RECONCILE_AFTER later, counts as it stands. An answer of an older era than
+** the one known has no effect at all.
+**
 ** Catching up costs no more than the present: one that followed a kind of a
 ** single object, and lost the store, reads that object again. A watch from
 ** the old revision would bring each version since.
@@ -60,11 +67,12 @@
   StoreKind kind;
   StoreOperation operation;
   const char *after; /* LIST: continue behind this name, or NULL */
-  gint64 revision;   /* WATCH: the last one known; REPLACE: the object's */
-  gint64 wait;       /* WATCH: answer after so long at the latest */
-  gboolean stale;    /* LIST: seconds old will do */
-  gboolean in_full;  /* asked of an instance: no changes in place of texts */
-  const char *name;  /* CREATE, READ, REPLACE */
+  StorePosition
+      position;     /* WATCH: the last one known; REPLACE: the object's */
+  gint64 wait;      /* WATCH: answer after so long at the latest */
+  gboolean stale;   /* LIST: seconds old will do */
+  gboolean in_full; /* asked of an instance: no changes in place of texts */
+  const char *name; /* CREATE, READ, REPLACE */
   const struct InstanceRecord *instance; /* CREATE, REPLACE of an instance */
   const struct LeaseRecord *lease;       /* CREATE and REPLACE of a lease */
   const struct QuarantineRecord *quarantine; /* the same of such a request */
@@ -80,7 +88,7 @@
 
 typedef struct StoreObject {
   char *name;
-  gint64 revision;
+  StorePosition position; /* of its last change */
   gboolean gone;
   char *text; /* its content; empty when it can't be read; NULL when gone, or
               ** as it was (StoreReply.whole) */
@@ -92,7 +100,8 @@
   StoreStatus status;
   GArray *objects;  /* StoreObject; may be NULL */
   gboolean more;    /* LIST: it goes on behind the last name */
-  gint64 at;        /* revision of the store */
+  StorePosition at; /* of the store; its era is known of a failed call, too,
+                    ** unless there was no answer */
   gboolean whole;   /* WATCH: it names all objects there are, those that have
                     ** not changed without their text; others are gone */
   guint nameless;   /* objects that were left out: their names can't be read */
@@ -102,6 +111,8 @@
 /* an empty array of StoreObject that clears its elements */
 GArray *store_objects_new(void);
 void store_reply_clear(StoreReply *reply);
+/* all that it tells is of this era of the store */
+void store_reply_set_era(StoreReply *reply, guint64 era);
 
 /* what a follower tells its host */
 typedef struct FollowerHost {
@@ -116,10 +127,10 @@
 
 /* an object as it was read last */
 typedef struct FollowedObject {
-  gint64 revision;      /* the newest one seen */
-  gint64 learned;       /* no smaller than the revision of its last change */
-  char *text;           /* NULL: it is gone */
-  TextHistory *history; /* its latest changes; NULL: its text is short */
+  StorePosition position; /* the newest one seen */
+  StorePosition learned;  /* not before the position of its last change */
+  char *text;             /* NULL: it is gone */
+  TextHistory *history;   /* its latest changes; NULL: its text is short */
 } FollowedObject;
 
 typedef struct Follower {
@@ -137,20 +148,24 @@
                         ** hook began before a list was whole was answered with
                         ** a page, which was read as a watch's events; the next
                         ** page was never asked for) */
-  gint64 revision;      /* of the store, as far as it was read */
-  gint64 list_revision; /* of the store, at the first page of the open list */
-  char *after;          /* a list goes on behind this name */
-  gboolean partial;     /* the list may hide objects: it removes none */
-  gint64 list_at;       /* it is read again then; 0: no need */
-  GHashTable *names;    /* seen by the list that is being read */
-  GHashTable *objects;  /* name -> FollowedObject */
-  guint gone;           /* of these, objects that are gone */
-  gint64 known;         /* every change up to this revision is in 'objects' */
-  gint64 changed;       /* the largest 'learned' there is */
-  gint64 forgotten;     /* removals up to this revision may not be known */
-  gint64 retry_at;      /* no call before then */
-  unsigned failures;    /* in a row */
-  guint overtaken;      /* lists older than what was known, since the start */
+  gboolean by_instance; /* the open call is not the store's to answer */
+  StorePosition position; /* of the store, as far as it was read */
+  StorePosition listed;  /* of the store, at the first page of the open list */
+  gboolean reconciling;  /* the open list is the first one of an era */
+  gboolean is_stale;     /* the open list may be older than its era */
+  gboolean by_stale;     /* so may be all that is known */
+  char *after;           /* a list goes on behind this name */
+  gboolean partial;      /* the list may hide objects: it removes none */
+  gint64 list_at;        /* it is read again then; 0: no need */
+  GHashTable *names;     /* seen by the list that is being read */
+  GHashTable *objects;   /* name -> FollowedObject */
+  guint gone;            /* of these, objects that are gone */
+  StorePosition known;   /* every change up to there is in 'objects' */
+  StorePosition changed; /* the last 'learned' there is */
+  StorePosition forgotten; /* removals up to there may not be known */
+  gint64 retry_at;         /* no call before then */
+  unsigned failures;       /* in a row */
+  guint overtaken; /* lists older than what was known, since the start */
 } Follower;
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
@@ -159,12 +174,16 @@
 
 /* when the next call may be made; G_MAXINT64 while one is out */
 gint64 follower_next_call(const Follower *follower);
+/* it is about to be asked whether a call is due */
+void follower_look(Follower *follower, gint64 now);
 /* the call to make now, of the store or ('by_instance') of another instance;
 ** the texts live until its reply is handed in */
 void follower_begin(Follower *follower, gboolean by_instance, StoreCall *call);
 void follower_reply(Follower *follower, const StoreReply *reply, gint64 now);
 /* the call went to somebody else than the store, and came to nothing */
 void follower_abandon(Follower *follower, gint64 now);
+/* the store names an era, to whomever: a watch of an older one is in vain */
+void follower_hear_era(Follower *follower, guint64 era);
 /* the store is silent, and its call was given up */
 void follower_leave_store(Follower *follower, gint64 now);
 /* a list was whole, or a watch has gone on from one */
@@ -172,12 +191,12 @@
 
 /*
 ** What the store would answer to another follower, as far as this one
-** knows: everything (since 0), or what has changed after a revision, whole
+** knows: everything (since none), or what has changed after a position, whole
 ** when removals since then may not be known. The status is STORE_FAILED until
 ** a list was whole. Long texts are told by their changes, unless they are
 ** wanted 'in_full'. Clear 'out' afterwards.
 */
-void follower_answer(const Follower *follower, gint64 since, gboolean in_full,
-                     StoreReply *out);
+void follower_answer(const Follower *follower, StorePosition since,
+                     gboolean in_full, StoreReply *out);
 
 #endif
--- a/router/lease.c
+++ b/router/lease.c
@@ -51,7 +51,7 @@
   call->kind = STORE_LEASES;
   call->operation = next_operation(lease, now);
   call->name = LEASE_NAME;
-  call->revision = lease->revision;
+  call->position = lease->position;
   if (call->operation != STORE_READ) {
     record->holder = lease->holder;
     record->term = lease->term + 1;
@@ -65,11 +65,12 @@
 
 /* the object as the store has it */
 static void observe(Lease *lease, const LeaseReply *reply, gint64 now) {
-  if (!lease->known || lease->absent || lease->revision != reply->revision)
+  if (!lease->known || lease->absent ||
+      store_position_compare(lease->position, reply->position) != 0)
     lease->seen_at = now;
   lease->known = TRUE;
   lease->absent = FALSE;
-  lease->revision = reply->revision;
+  lease->position = reply->position;
   lease->term = reply->record.term;
   lease->own = reply->record.holder != NULL &&
                strcmp(reply->record.holder, lease->holder) == 0;
@@ -90,11 +91,11 @@
   if (reply->status == STORE_ABSENT) {
     lease->known = !wrote;
     lease->absent = !wrote;
-  } else if (reply->status == STORE_OK && reply->revision > 0) {
+  } else if (reply->status == STORE_OK && reply->position.revision > 0) {
     observe(lease, reply, now);
     if (wrote && lease->own)
       lease->held_until = lease->sent_at + lease->length;
-  } else if (reply->status == STORE_EXISTS && reply->revision > 0)
+  } else if (reply->status == STORE_EXISTS && reply->position.revision > 0)
     observe(lease, reply, now);
   else
     forget(lease, now);
--- a/router/lease.h
+++ b/router/lease.h
@@ -30,8 +30,8 @@
   gboolean known;  /* what follows was read from the store */
   gboolean absent; /* there is no object yet */
   gboolean own;    /* this instance replaced it last */
-  gint64 revision;
-  gint64 seen_at;    /* when this revision was first seen */
+  StorePosition position;
+  gint64 seen_at;    /* when this position was first seen */
   guint64 term;      /* counts the holders; makes every record differ */
   gint64 held_until; /* 0: not held */
 } Lease;
@@ -47,8 +47,8 @@
 /* what the store answered */
 typedef struct LeaseReply {
   StoreStatus status;
-  gint64 revision;    /* OK and CONFLICT; 0: it was not said */
-  LeaseRecord record; /* OK and CONFLICT */
+  StorePosition position; /* OK and CONFLICT; none: it was not said */
+  LeaseRecord record;     /* OK and CONFLICT */
 } LeaseReply;
 
 void lease_init(Lease *lease, const char *holder, gint64 length);
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -48,13 +48,21 @@
                             source->follower.known, now);
 }
 
+/* the same, or any relay that knows something while all is to be listed */
+static mp_Addr relay_to_ask(const NewsSource *source, gint64 now) {
+  if (source->follower.watching)
+    return relay_with_news(source, now);
+  return relay_group_source(source->group, source->follower.kind,
+                            store_position_none(), now);
+}
+
 /*
 ** Ask a relay that has news; FALSE when none can be asked. One that is not
 ** listed yet has no known address: another one is asked, or the store.
 */
 static gboolean ask_relay(NewsSource *source, gint64 now, NewsWanted *out) {
   mp_Addr relay;
-  while ((relay = relay_with_news(source, now)) != 0) {
+  while ((relay = relay_to_ask(source, now)) != 0) {
     out->instance = source->host.control_of(source->host.data, relay);
     if (out->instance != 0) {
       source->asked = relay;
@@ -154,12 +162,28 @@
   return answers ? BEHIND_MOST : 0;
 }
 
+static void leave_store(NewsSource *source, gint64 now, NewsWanted *out) {
+  source->behind_since = 0;
+  follower_leave_store(&source->follower, now);
+  out->step = NEWS_LEAVE_STORE;
+}
+
+/* a watch of an older era than one that was heard of since tells nothing */
+static gboolean is_in_vain(const NewsSource *source) {
+  return source->at_store && source->asked_for == STORE_WATCH &&
+         source->asked_era < relay_group_era(source->group);
+}
+
 /*
 ** A call to the store is out, and another instance knows more than it has
 ** brought. It should answer any moment; one that is silent is lost. An answer
 ** that arrives is not given up, however long it takes.
 */
 static void look_behind(NewsSource *source, gint64 now, NewsWanted *out) {
+  if (is_in_vain(source)) {
+    leave_store(source, now, out);
+    return;
+  }
   if (!source->at_store || relay_with_news(source, now) == 0) {
     source->behind_since = 0;
     return;
@@ -170,14 +194,14 @@
             silence_most(source, now);
   if (now < out->at)
     return;
-  source->behind_since = 0;
   source->is_behind = TRUE;
   source->must_ask = FALSE; /* a relay that failed before may answer now */
-  follower_leave_store(&source->follower, now);
-  out->step = NEWS_LEAVE_STORE;
+  leave_store(source, now, out);
 }
 
 static void note_call(NewsSource *source, StoreCall *call, gint64 now) {
+  if (source->follower.list_at > now)
+    call->wait = MIN(call->wait, source->follower.list_at - now);
   if (source->proof_within > 0)
     call->wait = MIN(call->wait, source->proof_within);
   if (call->kind == STORE_CONFIGURATION || call->kind == STORE_ENDPOINTS)
@@ -187,6 +211,7 @@
   source->asked_for = call->operation;
   source->asked_wait = call->wait;
   source->asked_stale = call->stale;
+  source->asked_era = relay_group_era(source->group);
 }
 
 static gboolean is_empty(const StoreReply *reply) {
@@ -214,6 +239,7 @@
   out->at = G_MAXINT64;
   if (source->follower.taking)
     return;
+  follower_look(&source->follower, now);
   if (due == G_MAXINT64) {
     look_behind(source, now, out);
     return;
@@ -230,11 +256,14 @@
   if (out->step == NEWS_WAIT)
     return;
   source->at_store = out->step == NEWS_ASK_STORE;
+  if (source->at_store)
+    follower_hear_era(&source->follower, relay_group_era(source->group));
   follower_begin(&source->follower, !source->at_store, &out->call);
   source->progress_at = now;
   out->call.stale =
       out->call.operation == STORE_LIST && source->proof_within == 0 &&
       is_first_list(source, relay_group_role(source->group, now));
+  source->follower.is_stale = out->call.stale;
   note_call(source, &out->call, now);
   out->patience = source->at_store ? store_patience(source, &out->call)
                                    : INSTANCE_PATIENCE;
@@ -248,13 +277,31 @@
       relay_group_news(source->group, source->follower.kind);
   return source->at_store && source->asked_for == STORE_WATCH &&
          reply->status == STORE_OK && is_empty(reply) &&
-         news->newest > news->held && reply->at >= news->newest;
+         news_state_lacks(news) &&
+         !store_position_is_before(reply->at, news->newest);
+}
+
+/* a watch that ended in another era says nothing of what stands now */
+static gboolean tells_present(const NewsSource *source,
+                              const StoreReply *reply) {
+  return reply->status == STORE_OK &&
+         (source->asked_for != STORE_WATCH ||
+          reply->at.era == source->follower.known.era);
+}
+
+/* an instance that knows an older era than this one has no news for it */
+static gboolean is_of_past(const NewsSource *source, const StoreReply *reply) {
+  return !source->at_store && reply->at.era < source->follower.known.era;
 }
 
 void news_source_reply(NewsSource *source, const StoreReply *reply,
                        gint64 now) {
   static const StoreReply list_again = {.status = STORE_HISTORY_GONE};
   gboolean by_relay = source->asked != 0;
+  gboolean is_answer = reply->status != STORE_FAILED;
+  relay_group_hear_era(source->group, reply->at.era);
+  if (is_of_past(source, reply))
+    is_answer = FALSE;
   if (misses_change(source, reply)) {
     source->missed++;
     follower_reply(&source->follower, &list_again, now);
@@ -262,15 +309,15 @@
   }
   if (source->at_store) {
     source->must_ask = FALSE;
-    if (reply->status == STORE_OK)
+    if (tells_present(source, reply))
       relay_group_confirm(source->group, source->follower.kind, now);
   }
-  if (!source->at_store && !by_relay && reply->status == STORE_FAILED) {
+  if (!source->at_store && !by_relay && !is_answer) {
     source->seed_failed = TRUE; /* that is no failure of the store */
     follower_abandon(&source->follower, now);
     return;
   }
-  if (by_relay && reply->status == STORE_FAILED) {
+  if (by_relay && !is_answer) {
     /* that is no outage of the store */
     relay_group_doubt(source->group, source->asked);
     source->must_ask = TRUE;
--- a/router/news_source.h
+++ b/router/news_source.h
@@ -4,7 +4,7 @@
 **
 ** The Follower says what to ask, the RelayGroup which relays have news;
 ** this part chooses between the store, a relay and, at a start without the
-** store, the instances that the settings name. Whoever answers, revisions
+** store, the instances that the settings name. Whoever answers, positions
 ** are the store's, so the source may change from one call to the next.
 ** Invariants: one call is open at a time. A relay that does not answer has
 ** the store asked at once. No call is given up while its answer arrives. A
@@ -53,6 +53,7 @@
   StoreOperation asked_for;
   gint64 asked_wait; /* WATCH: as in the call */
   gboolean asked_stale;
+  guint64 asked_era;   /* the latest era of the store that was heard of then */
   gint64 proof_within; /* the age of the configuration must be known: longest
                        ** wait of its watches; 0: it need not be */
   mp_Addr asked;       /* the relay that the open call went to; 0: none */
--- a/router/news_state.c
+++ b/router/news_state.c
@@ -5,20 +5,24 @@
 
 #include "router/news_state.h"
 
+gboolean news_state_lacks(const NewsState *state) {
+  return store_position_is_before(state->held, state->newest);
+}
+
 static void compare(NewsState *state, gint64 now) {
-  if (state->newest <= state->held)
+  if (!news_state_lacks(state))
     state->lags_since = 0;
   else if (state->lags_since == 0)
     state->lags_since = now;
 }
 
-void news_state_hold(NewsState *state, gint64 revision, gint64 now) {
-  state->held = MAX(state->held, revision);
+void news_state_hold(NewsState *state, StorePosition position, gint64 now) {
+  state->held = store_position_later(state->held, position);
   compare(state, now);
 }
 
-void news_state_name(NewsState *state, gint64 revision, gint64 now) {
-  state->newest = MAX(state->newest, revision);
+void news_state_name(NewsState *state, StorePosition position, gint64 now) {
+  state->newest = store_position_later(state->newest, position);
   compare(state, now);
 }
 
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -50,11 +50,11 @@
   guint64 content;
   guint count; /* of 'strikes' */
   Strike strikes[STRIKES_KEPT];
-  gint64 last;     /* the newest strike */
-  gint64 learned;  /* when this instance heard of the newest one */
-  gint64 revision; /* of the object in the store; 0: none is known */
-  gint64 retry_at; /* not written to the store before then */
-  gboolean over;   /* to be removed from the store, then forgotten */
+  gint64 last;            /* the newest strike */
+  gint64 learned;         /* when this instance heard of the newest one */
+  StorePosition position; /* of the object in the store; none is known */
+  gint64 retry_at;        /* not written to the store before then */
+  gboolean over;          /* to be removed from the store, then forgotten */
   char *request, *route, *account;
 } Row;
 
@@ -242,7 +242,7 @@
     return;
   for (i = 0; i < row->count; i++)
     row->strikes[i].off = TRUE;
-  row->revision = 0;
+  row->position = store_position_none();
   row->learned = now;
   row->over = TRUE;
 }
@@ -380,7 +380,7 @@
 
 static gboolean needs_save(const Row *row) {
   if (row->over)
-    return row->revision != 0;
+    return !store_position_is_none(row->position);
   return count_of(row) >= SAVED_FROM && has_unsaved(row);
 }
 
@@ -401,13 +401,13 @@
 }
 
 gboolean quarantine_stored(Quarantine *quarantine,
-                           const QuarantineRecord *record, gint64 revision,
-                           gint64 now) {
+                           const QuarantineRecord *record,
+                           StorePosition position, gint64 now) {
   gboolean is_news = quarantine_hear(quarantine, record, now);
   Row *row = need(quarantine, record->content);
   guint i;
   quarantine->may_need_save = TRUE;
-  row->revision = MAX(row->revision, revision);
+  row->position = store_position_later(row->position, position);
   for (i = 0; i < record->count; i++) {
     Strike *strike = find_strike(row, record->crashes[i]);
     if (strike != NULL)
@@ -432,7 +432,7 @@
     if (row->retry_at > now)
       continue;
     out->remove = row->over;
-    out->revision = row->revision;
+    out->position = row->position;
     write_record(quarantine, row, &out->record);
     return TRUE;
   }
@@ -470,7 +470,7 @@
 static gboolean is_forgotten(gpointer content, gpointer value, gpointer now) {
   const Row *row = value;
   (void)content;
-  return row->over && row->revision == 0 &&
+  return row->over && store_position_is_none(row->position) &&
          row->learned + LIFTED_LIFE <= *(const gint64 *)now;
 }
 
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -30,7 +30,7 @@
 
 #include <glib.h>
 
-#include "madderpier.h"
+#include "router/store_position.h"
 
 /* two engines may end by themselves under one that has come back; with three,
 ** chance is rare (and the platform allows three) */
@@ -104,15 +104,15 @@
 /* what has to be written there */
 typedef struct QuarantineSave {
   gboolean remove;         /* else create or replace */
-  gint64 revision;         /* of the object that stands there; 0: none */
+  StorePosition position;  /* of the object that stands there, if any */
   QuarantineRecord record; /* texts belong to the quarantine */
 } QuarantineSave;
 
-/* the object stands there at this revision and says that; as quarantine_hear
+/* the object stands there at this position and says that; as quarantine_hear
  */
 gboolean quarantine_stored(Quarantine *quarantine,
-                           const QuarantineRecord *record, gint64 revision,
-                           gint64 now);
+                           const QuarantineRecord *record,
+                           StorePosition position, gint64 now);
 /* FALSE: nothing has to be written now */
 gboolean quarantine_next_save(Quarantine *quarantine, QuarantineSave *out,
                               gint64 now);
--- a/router/records.h
+++ b/router/records.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 
 #include "account/key_table.h"
-#include "madderpier.h"
+#include "router/store_position.h"
 
 /*
 ** {==================================================================
@@ -158,7 +158,8 @@
 typedef struct EndpointRecord {
   char *id;            /* appears nowhere else in the list */
   gint64 born_unix_ms; /* start of this life, by its own clock; 0: not said */
-  gint64 revision;     /* of the store, when it wrote this; 0: not known */
+  StorePosition position; /* of the store's last write of this; none: it is not
+                          ** known */
   char *service;
   char *zone;
   mp_Addr address;
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -73,6 +73,7 @@
   gint64 confirmed[MP_RELAY_KINDS]; /* when the store answered; 0: never */
   gint64 short_since; /* too few relays are heard; 0: enough are */
   gint64 lag_most;    /* as relay_group_lag_most */
+  guint64 era;        /* as relay_group_era */
   NewsState news[MP_RELAY_KINDS];
   ConfigProof proof;
 };
@@ -232,13 +233,17 @@
   return relay->heard - relay->beat.age_ms * MP_MS;
 }
 
+static gboolean holds_all_of(const RelayGroup *group, const Relay *relay,
+                             StoreKind kind) {
+  return !store_position_is_before(group->news[kind].held,
+                                   relay->beat.changed[kind]);
+}
+
 /* is all that it has known here? The instances and the quarantine change
 ** rarely, and no request depends on the newest ones */
 static gboolean is_level(const RelayGroup *group, const Relay *relay) {
-  return (gint64)relay->beat.changed[STORE_CONFIGURATION] <=
-             group->news[STORE_CONFIGURATION].held &&
-         (gint64)relay->beat.changed[STORE_ENDPOINTS] <=
-             group->news[STORE_ENDPOINTS].held;
+  return holds_all_of(group, relay, STORE_CONFIGURATION) &&
+         holds_all_of(group, relay, STORE_ENDPOINTS);
 }
 
 /* the newest moment at which what this relay had is known here */
@@ -252,7 +257,24 @@
                       gint64 now) {
   int kind;
   for (kind = 0; kind < MP_RELAY_KINDS; kind++)
-    news_state_name(&group->news[kind], (gint64)beat->changed[kind], now);
+    news_state_name(&group->news[kind], beat->changed[kind], now);
+}
+
+/* the latest era that the heartbeat names */
+static guint64 era_of(const mp_RelayBeat *beat) {
+  guint64 era = 0;
+  int kind;
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    era = MAX(era, beat->changed[kind].era);
+  return era;
+}
+
+void relay_group_hear_era(RelayGroup *group, guint64 era) {
+  group->era = MAX(group->era, era);
+}
+
+guint64 relay_group_era(const RelayGroup *group) {
+  return group->era;
 }
 
 void relay_group_hear(RelayGroup *group, mp_Addr from,
@@ -270,6 +292,7 @@
   relay->order = order_of_relay(group, from);
   relay->is_near = relay->order != G_MAXUINT64;
   relay->beat = *beat;
+  relay_group_hear_era(group, era_of(beat));
   name_news(group, beat, now);
   config_proof_by_relay(&group->proof, from, beat, now);
 }
@@ -282,11 +305,11 @@
   return &group->news[kind];
 }
 
-void relay_group_hold(RelayGroup *group, StoreKind kind, gint64 revision,
-                      gint64 now) {
-  news_state_hold(&group->news[kind], revision, now);
+void relay_group_hold(RelayGroup *group, StoreKind kind,
+                      StorePosition position, gint64 now) {
+  news_state_hold(&group->news[kind], position, now);
   if (kind == STORE_CONFIGURATION)
-    config_proof_know(&group->proof, revision);
+    config_proof_know(&group->proof, position);
 }
 
 gint64 relay_group_lag_most(const RelayGroup *group) {
@@ -334,7 +357,8 @@
 
 static gboolean is_fresh(const RelayGroup *group, const Relay *relay,
                          gint64 now) {
-  return is_heard(relay, now) && age_of(relay, now) <= group->fresh;
+  return is_heard(relay, now) && age_of(relay, now) <= group->fresh &&
+         era_of(&relay->beat) >= group->era;
 }
 
 static gboolean comes_before(const RelayGroup *group, const Relay *relay) {
@@ -429,7 +453,7 @@
 
 /* of those that have the news, any one: they share the members by chance */
 mp_Addr relay_group_source(const RelayGroup *group, StoreKind kind,
-                           gint64 known, gint64 now) {
+                           StorePosition known, gint64 now) {
   GHashTableIter iterator;
   gpointer value;
   mp_Addr best = 0;
@@ -439,7 +463,7 @@
     const Relay *relay = value;
     guint64 weight = hash_of(relay->address) ^ hash_of(group->self);
     if (relay->doubted || !is_heard(relay, now) ||
-        (gint64)relay->beat.changed[kind] <= known)
+        !store_position_is_before(known, relay->beat.changed[kind]))
       continue;
     if (best == 0 || weight > best_weight) {
       best = relay->address;
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -30,8 +30,10 @@
 ** the rest. A relay asks the store often enough to stay fresh. (When the age
 ** followed from the watches' wait, members of a relay that had lost the store
 ** heard of changes after 2.75 s, where 2 s were allowed.) What a relay tells
-** is bound to revisions of the store, so a change of the source never brings
-** anything old back (follower.h).
+** is bound to positions in the store, so a change of the source never brings
+** anything old back (follower.h). A relay that knows an older era of the store
+** than this instance is not fresh, whatever its age: it says nothing of what
+** has changed since, and a relay of an earlier release names no era at all.
 */
 
 #ifndef ROUTER_RELAY_GROUP_H
@@ -99,11 +101,15 @@
 /* the relays heard whose clocks must be bounded, as relay_group_ask */
 unsigned relay_group_unbounded(const RelayGroup *group, gint64 now,
                                mp_Addr *out, unsigned most);
+/* the store, or an instance, has named this era of the store */
+void relay_group_hear_era(RelayGroup *group, guint64 era);
+/* the latest that was heard of; 0: none */
+guint64 relay_group_era(const RelayGroup *group);
 /* what is held here of a kind, and what others have named */
 const NewsState *relay_group_news(const RelayGroup *group, StoreKind kind);
-/* changes of a kind up to this revision are known here */
-void relay_group_hold(RelayGroup *group, StoreKind kind, gint64 revision,
-                      gint64 now);
+/* changes of a kind up to there are known here */
+void relay_group_hold(RelayGroup *group, StoreKind kind,
+                      StorePosition position, gint64 now);
 /* an instance that lags for longer tells it: half of RelayTimes.news_within */
 gint64 relay_group_lag_most(const RelayGroup *group);
 /* the store has answered this instance about a kind */
@@ -124,9 +130,9 @@
 /* is it a relay, and is none heard that comes before it? */
 gboolean relay_group_is_first(RelayGroup *group, gint64 now);
 
-/* a relay that has news of this kind behind that revision; 0: none has */
+/* a relay that has news of this kind behind that position; 0: none has */
 mp_Addr relay_group_source(const RelayGroup *group, StoreKind kind,
-                           gint64 known, gint64 now);
+                           StorePosition known, gint64 now);
 /* the relays of this data centre that come before this instance */
 typedef struct RelaysBefore {
   guint heard; /* lately */
--- a/router/router.h
+++ b/router/router.h
@@ -290,10 +290,10 @@
                          gint64 now);
 /* grows when there is something new to tell */
 guint64 router_crash_version(const Router *router);
-/* an object of the store says so, at this revision; or it is gone from there
+/* an object of the store says so, at this position; or it is gone from there
  */
 void router_take_quarantine(Router *router, const QuarantineRecord *record,
-                            gint64 revision, gint64 now);
+                            StorePosition position, gint64 now);
 void router_lift_quarantine(Router *router, guint64 content, gint64 now);
 /* what has to be written to the store; FALSE: nothing now */
 gboolean router_next_quarantine_save(Router *router, QuarantineSave *out,
--- a/router/stages.c
+++ b/router/stages.c
@@ -288,7 +288,7 @@
   router_log(stages->router, MP_LOG_ORDER_ROUND,
              " service=%s to=%s wanted=%d named=%u fence=%" G_GINT64_FORMAT,
              service->name, stage_name(to), ABS(wanted), named,
-             stages->lease.revision);
+             stages->lease.position.revision);
   stages->rest_until = now + ROUND_REST;
 }
 
@@ -400,14 +400,15 @@
   router_log(stages->router, number,
              " endpoint=%s to=%s outcome=%s status=%d fence=%" G_GINT64_FORMAT,
              move->endpoint, stage_name(move->to), outcome, status,
-             stages->lease.revision);
+             stages->lease.position.revision);
 }
 
 /* the engine has told its state */
 static void asked(Stages *stages, Move *move, const EngineReport *report,
                   gint64 now) {
   Endpoint *endpoint = endpoint_of(stages, move);
-  StageOrder order = {move->to, stages->holder, stages->lease.revision, 0};
+  StageOrder order = {move->to, stages->holder,
+                      stages->lease.position.revision, 0};
   if (!may_send(endpoint, DISPATCH_ORDER, now) || report == NULL ||
       report->busy || report->stage == move->to ||
       !lease_held(&stages->lease, ORDER_MARGIN, now)) {
@@ -477,7 +478,7 @@
   lease_reply(&stages->lease, reply, now);
   if (lease_held(&stages->lease, 0, now))
     router_log(stages->router, MP_LOG_LEASE_HELD, " fence=%" G_GINT64_FORMAT,
-               stages->lease.revision);
+               stages->lease.position.revision);
   stages->next_look = now;
 }
 
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -156,8 +156,8 @@
 }
 
 void router_take_quarantine(Router *router, const QuarantineRecord *record,
-                            gint64 revision, gint64 now) {
-  if (!quarantine_stored(router->quarantine, record, revision, now))
+                            StorePosition position, gint64 now) {
+  if (!quarantine_stored(router->quarantine, record, position, now))
     return;
   log_held(router, record->content, "store", now);
   suspects_sweep(router, now);
--- a/standin/store.c
+++ b/standin/store.c
@@ -17,7 +17,7 @@
 #define FIRST_REVISION 100
 /* a restored store: what the operator and the workers wrote comes again after
 ** this */
-#define AGAIN_MS 300
+#define AGAIN_MS 300L
 /* objects in one page of a list: few, so that pages are met */
 #define PAGE 5
 
@@ -56,6 +56,7 @@
 static int64_t era = 1;    /* rises when the store is restored */
 static GPtrArray *again;   /* Change: lost, and to be written again */
 static struct event *again_timer;
+static int64_t copied; /* the revision of the copy */
 
 /* every answer names the era in which it was given */
 static void answer(struct evhttp_request *request, int status, json_t *body) {
@@ -453,6 +454,9 @@
   (void)data;
   for (i = 0; i < again->len; i++) {
     const Change *change = again->pdata[i];
+    const Object *stands = find(change->kind, change->name);
+    if (stands != NULL && stands->revision > copied)
+      continue; /* its writer has said something else since */
     if (change->spec != NULL)
       store_put(change->kind, change->name, json_incref(change->spec));
     else
@@ -492,6 +496,7 @@
   revision = FIRST_REVISION;
   for (i = 0; i < changes->len; i++)
     apply(changes->pdata[i]);
+  copied = revision;
   era++;
   while (watches->len > 0)
     watch_cut(watches->pdata[0]);
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -153,6 +153,7 @@
   gint64 born_unix_ms = 0;
   /* that the next record of an endpoint has in the store */
   gint64 revision = 0;
+  guint64 era = 0; /* of the store */
 
   Router *router;
   gint64 now = 100 * second;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -290,18 +290,36 @@
   return u64(x, v) && *v <= INT64_MAX / 2;
 }
 
-static bool_t revision(XDR *x, uint64_t *v) {
-  return u64(x, v) && *v <= INT64_MAX;
+static bool_t revision(XDR *x, int64_t *v) {
+  uint64_t number = (uint64_t)*v;
+  if (!u64(x, &number) || number > INT64_MAX)
+    return FALSE;
+  *v = (int64_t)number;
+  return TRUE;
+}
+
+/* behind all else: an instance of an earlier release ends before them, and
+** does not read on */
+static bool_t eras(XDR *x, mp_RelayBeat *b) {
+  bool_t lacks_them = x->x_op == XDR_DECODE && x->x_handy == 0;
+  unsigned i;
+  for (i = 0; i < MP_RELAY_KINDS; i++) {
+    if (lacks_them)
+      b->changed[i].era = 0;
+    else if (!u64(x, &b->changed[i].era))
+      return FALSE;
+  }
+  return TRUE;
 }
 
 static bool_t beat(XDR *x, mp_RelayBeat *b) {
   unsigned i;
   for (i = 0; i < MP_RELAY_KINDS; i++) {
-    if (!revision(x, &b->changed[i]))
+    if (!revision(x, &b->changed[i].revision))
       return FALSE;
   }
   return u32(x, &b->age_ms) && moment(x, &b->sent_us) &&
-         u32(x, &b->proof_ms) && moment(x, &b->asked_us);
+         u32(x, &b->proof_ms) && moment(x, &b->asked_us) && eras(x, b);
 }
 
 static bool_t body(XDR *x, mp_Msg *m) {
