An endpoint's life that said it leaves stays left after a return of the store

Cause: of two records of one endpoint the newer position wins, and a restored store has the word of before under a newer era: draining became ready again, an earlier life replaced the one that runs. Change: across eras the birth orders lives, and leaving is kept by the life. What the store writes after that is later, whatever the endpoint's clock says, so nobody is locked out.

--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -117,17 +117,24 @@
          one->born_unix_ms == other->born_unix_ms;
 }
 
+gboolean endpoint_record_is_restored(const EndpointRecord *record,
+                                     const EndpointRecord *known) {
+  return record->position.era > known->position.era &&
+         !store_position_is_none(known->position);
+}
+
 /*
 ** The store's position tells which of two records is later. A start is told by
 ** the endpoint's own clock, or by another writer: it tells lives apart, and
-** orders those alone whose positions are not known. (Ordered by it, an
-** endpoint whose clock stood ahead at its first start was locked out for as
-** long as its id was listed.)
+** orders those alone whose positions are not known, or that a restored store
+** has from its copy. (Ordered by it, an endpoint whose clock stood ahead at
+** its first start was locked out for as long as its id was listed.)
 */
 static gboolean is_later(const EndpointRecord *record,
                          const EndpointRecord *known) {
   if (!store_position_is_none(record->position) &&
-      !store_position_is_none(known->position))
+      !store_position_is_none(known->position) &&
+      !endpoint_record_is_restored(record, known))
     return !store_position_is_before(record->position, known->position);
   return record->born_unix_ms >= known->born_unix_ms ||
          is_same_life(record, known);
@@ -221,6 +228,13 @@
   g_hash_table_insert(table->by_id, endpoint->record.id, endpoint);
 }
 
+void endpoint_table_outdated(EndpointTable *table,
+                             const EndpointRecord *record) {
+  Endpoint *known = endpoint_table_get(table, record->id);
+  known->record.position =
+      store_position_later(known->record.position, record->position);
+}
+
 void endpoint_table_remove(EndpointTable *table, const char *id, gint64 now) {
   Endpoint *endpoint = endpoint_table_get(table, id);
   if (endpoint == NULL)
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -82,6 +82,13 @@
                                     const EndpointRecord *record);
 /* as compared: an outdated one is left out */
 void endpoint_table_set(EndpointTable *table, const EndpointRecord *record);
+/* it was ENDPOINT_OUTDATED: what the store writes after it is later */
+void endpoint_table_outdated(EndpointTable *table,
+                             const EndpointRecord *record);
+/* does it stem from a newer era of the store than the one known? Its content
+** may be older all the same */
+gboolean endpoint_record_is_restored(const EndpointRecord *record,
+                                     const EndpointRecord *known);
 /* the list has lost it; what its life has said is kept for a while, in case
  *the
  ** list has it again */
--- a/router/lives.c
+++ b/router/lives.c
@@ -113,6 +113,14 @@
   g_free(id);
 }
 
+/* a restored store may have it from before the endpoint said that it leaves */
+static void keep_leaving(Endpoint *known, const EndpointRecord *record,
+                         gint64 now) {
+  if (endpoint_record_is_restored(record, &known->record) &&
+      !known->record.ready)
+    availability_leave(&known->availability, now);
+}
+
 void router_set_endpoint(Router *router, const EndpointRecord *record,
                          gboolean gone, gint64 now) {
   Endpoint *known = endpoint_table_get(router->endpoints, record->id);
@@ -123,10 +131,14 @@
     return;
   }
   news = endpoint_table_compare(router->endpoints, record);
-  if (news == ENDPOINT_OUTDATED)
+  if (news == ENDPOINT_OUTDATED) {
+    endpoint_table_outdated(router->endpoints, record);
     return;
+  }
   if (known != NULL && news == ENDPOINT_RESTARTED)
     end_life(router, known, now);
+  if (known != NULL && news == ENDPOINT_SAME)
+    keep_leaving(known, record, now);
   endpoint_table_set(router->endpoints, record);
   if (news == ENDPOINT_RESTARTED)
     rates_endpoints_changed(router);
--- a/test/test_lives.cc
+++ b/test/test_lives.cc
@@ -226,4 +226,37 @@
   EXPECT_EQ(rows(), 0u);
 }
 
+/* the copy is from before it said so */
+TEST_F(Lives, OneThatLeavesIsNotChosenAgainAfterAReturnOfTheStore) {
+  world.era = 1;
+  world.revision = 30;
+  start(plain, 1000);
+  world.revision = 40;
+  world.endpoint(plain, false);
+  world.era = 2;
+  world.revision = 30;
+  world.endpoint(plain, true);
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 0u);
+  world.revision = 33; /* the same life, by another word of it */
+  world.endpoint(plain, true);
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 0u);
+  world.revision = 35;
+  start(plain, 2000);
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 1u);
+}
+
+TEST_F(Lives, AnEarlierOneInARestoredStoreIsNoneUntilItIsWrittenAgain) {
+  world.era = 1;
+  world.revision = 40;
+  start(plain, 2000);
+  guint64 request = world.request("/unsafe/x");
+  world.era = 2;
+  world.revision = 30;
+  start(plain, 1000);
+  EXPECT_EQ(world.end(request).ends(), 0); /* the life goes on */
+  world.revision = 31; /* its clock stands behind the former one's */
+  start(plain, 1000);
+  EXPECT_EQ(world.end(request).ends(), 1);
+}
+
 } // namespace
