No lease is held over a change of the store's era, and its fence never falls

Cause: the lease's revision is its fence. A restored store has lost the lease; its former holder counts on it for the rest of its length, another creates it anew with a smaller revision, and engines that check fences refuse that one until the count has passed. A write of the old era may also meet an object whose revision was given out again. Change: a lease ends when a newer era is heard of, from whomever; none is taken within two lengths of that, nor of the start of an instance, which may not have seen it; a write that was made in an older era gives none; the fence has the era above the revision. An instance's entry in the store counts while it stands in the present era; one that was lost is written again within a second, each after a wait of its own. Evidence: five new tests of Leased; lease_hear_era and the fence did not exist before.

--- a/io/directory.c
+++ b/io/directory.c
@@ -19,6 +19,9 @@
 /* its own object was removed or spoilt by another writer: it stands again
 ** after this, and two instances under one name do not write without a pause */
 #define ENTER_AGAIN (300 * MP_MS)
+/* a restored store may have lost the entries of all instances: they write them
+** again within this, one after the other by chance */
+#define ENTER_SPREAD (700 * MP_MS)
 /* a new instance gives those that start beside it this time to enter
 ** themselves, before it lists all: they start within 300 ms of each other */
 #define SETTLE (500 * MP_MS)
@@ -310,13 +313,14 @@
   return 0;
 }
 
-/* this instance's own object, if the store has it */
+/* this instance's own object, if the store has it in its present era */
 static const FollowedObject *own_object(const Directory *directory) {
   const Follower *follower =
       following_follower(directory->following[STORE_INSTANCES]);
   const FollowedObject *object =
       g_hash_table_lookup(follower->objects, directory->instance);
-  if (object == NULL || object->text == NULL)
+  if (object == NULL || object->text == NULL ||
+      object->position.era != follower->known.era)
     return NULL;
   return object;
 }
@@ -498,8 +502,22 @@
   g_free(directory);
 }
 
+/* a restored store may have lost this instance's entry */
+static void look_at_entry(Directory *directory) {
+  gint64 wait;
+  if (!directory->instances_listed || directory->registering ||
+      is_entered(directory) ||
+      event_pending(directory->register_timer, EV_TIMEOUT, NULL))
+    return;
+  wait = ENTER_AGAIN + g_random_int_range(0, ENTER_SPREAD / MP_MS) * MP_MS;
+  start_timer(directory->register_timer, wait);
+}
+
 void directory_look(Directory *directory) {
   int kind;
+  router_hear_era(directory->router, relay_group_era(directory->group),
+                  clock_now());
+  look_at_entry(directory);
   for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
     if (kind != STORE_INSTANCES || directory->is_started)
       following_look(directory->following[kind]);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -227,6 +227,7 @@
   const StoreObject *object;
   GError *error = NULL;
   out->status = reply->status;
+  out->era = reply->at.era;
   if (reply->objects == NULL || reply->objects->len == 0)
     return;
   object = &g_array_index(reply->objects, StoreObject, 0);
--- a/router/lease.c
+++ b/router/lease.c
@@ -13,16 +13,20 @@
 #define LEASE_RETRY (1 * MP_SEC)
 /* another's lease is waited for so many lengths */
 #define LEASE_PATIENCE 2
+/* a fence has the revision below the era: no store counts to this in one era,
+** and JSON numbers hold both for two million eras */
+#define FENCE_ERA_SHIFT 32
 
 void lease_record_clear(LeaseRecord *record) {
   g_free(record->holder);
   memset(record, 0, sizeof *record);
 }
 
-void lease_init(Lease *lease, const char *holder, gint64 length) {
+void lease_init(Lease *lease, const char *holder, gint64 length, gint64 now) {
   memset(lease, 0, sizeof *lease);
   lease->holder = g_strdup(holder);
   lease->length = length;
+  lease->free_from = now + LEASE_PATIENCE * length;
 }
 
 void lease_clear(Lease *lease) {
@@ -31,15 +35,16 @@
 
 /* when another's lease has certainly lapsed, and one length more */
 static gint64 free_at(const Lease *lease) {
-  return lease->own ? 0 : lease->seen_at + LEASE_PATIENCE * lease->length;
+  if (lease->own || lease->absent)
+    return lease->free_from;
+  return MAX(lease->free_from,
+             lease->seen_at + LEASE_PATIENCE * lease->length);
 }
 
 static StoreOperation next_operation(const Lease *lease, gint64 now) {
-  if (!lease->known)
+  if (!lease->known || now < free_at(lease))
     return STORE_READ;
-  if (lease->absent)
-    return STORE_CREATE;
-  return now >= free_at(lease) ? STORE_REPLACE : STORE_READ;
+  return lease->absent ? STORE_CREATE : STORE_REPLACE;
 }
 
 gboolean lease_step(Lease *lease, StoreCall *call, LeaseRecord *record,
@@ -60,9 +65,16 @@
   lease->open = TRUE;
   lease->operation = call->operation;
   lease->sent_at = now;
+  lease->sent_era = lease->era;
   return TRUE;
 }
 
+/* until another one may take it, it is looked at now and then */
+static void wait_until_free(Lease *lease, gint64 now) {
+  if (now < free_at(lease))
+    lease->retry_at = MIN(now + lease->length, free_at(lease));
+}
+
 /* the object as the store has it */
 static void observe(Lease *lease, const LeaseReply *reply, gint64 now) {
   if (!lease->known || lease->absent ||
@@ -74,8 +86,7 @@
   lease->term = reply->record.term;
   lease->own = reply->record.holder != NULL &&
                strcmp(reply->record.holder, lease->holder) == 0;
-  if (!lease->own)
-    lease->retry_at = MIN(now + lease->length, free_at(lease));
+  wait_until_free(lease, now);
 }
 
 /* nothing certain is known: read it before the next step */
@@ -84,23 +95,53 @@
   lease->retry_at = now + LEASE_RETRY;
 }
 
+void lease_hear_era(Lease *lease, guint64 era, gint64 now) {
+  gboolean is_return = lease->era != 0 || lease->known;
+  if (era <= lease->era)
+    return;
+  lease->era = era;
+  if (!is_return)
+    return;
+  lease->held_until = 0;
+  lease->free_from = now + LEASE_PATIENCE * lease->length;
+  forget(lease, now);
+}
+
+/* a write of an older era may have met an object by chance alone */
+static gboolean is_of_past(const Lease *lease, const LeaseReply *reply) {
+  return reply->era != lease->era ||
+         (lease->sent_era != 0 && lease->sent_era != lease->era);
+}
+
+static gboolean has_object(const LeaseReply *reply) {
+  return (reply->status == STORE_OK || reply->status == STORE_EXISTS) &&
+         reply->position.revision > 0;
+}
+
 void lease_reply(Lease *lease, const LeaseReply *reply, gint64 now) {
   gboolean wrote = lease->operation != STORE_READ;
   lease->open = FALSE;
   lease->retry_at = now;
-  if (reply->status == STORE_ABSENT) {
+  lease_hear_era(lease, reply->era, now);
+  if (is_of_past(lease, reply))
+    forget(lease, now);
+  else if (reply->status == STORE_ABSENT) {
     lease->known = !wrote;
     lease->absent = !wrote;
-  } else if (reply->status == STORE_OK && reply->position.revision > 0) {
+    wait_until_free(lease, now);
+  } else if (has_object(reply)) {
     observe(lease, reply, now);
-    if (wrote && lease->own)
+    if (wrote && reply->status == STORE_OK && lease->own)
       lease->held_until = lease->sent_at + lease->length;
-  } else if (reply->status == STORE_EXISTS && reply->position.revision > 0)
-    observe(lease, reply, now);
-  else
+  } else
     forget(lease, now);
 }
 
+gint64 lease_fence(const Lease *lease) {
+  return (gint64)(lease->position.era << FENCE_ERA_SHIFT) +
+         lease->position.revision;
+}
+
 gint64 lease_next(const Lease *lease) {
   return lease->open ? G_MAXINT64 : lease->retry_at;
 }
--- a/router/lease.h
+++ b/router/lease.h
@@ -4,9 +4,14 @@
 **
 ** Whoever replaced the object last, on the condition that nobody else did
 ** since it was read, holds the lease for 'length' from the moment before
-** that call. Its revision is the fence: it grows with every holder. Nobody
+** that call. Its position is the fence: it grows with every holder. Nobody
 ** renews: a lease is taken when there is something to do, and lapses.
 **
+** A store that was restored from a copy may have lost the object while its
+** holder counts on it. So no lease is held over a change of the store's era,
+** and none is taken within twice 'length' of it, or of the start of an
+** instance that did not see it.
+**
 ** Invariants. A lease counts as held only from an answer of the store that
 ** says so, and never longer than 'length' after the call was made. Another
 ** instance's lease is taken only after its revision has stood still for
@@ -26,10 +31,13 @@
   gboolean open; /* a call is out */
   StoreOperation operation;
   gint64 sent_at;
-  gint64 retry_at; /* no call before then */
-  gboolean known;  /* what follows was read from the store */
-  gboolean absent; /* there is no object yet */
-  gboolean own;    /* this instance replaced it last */
+  gint64 retry_at;  /* no call before then */
+  gboolean known;   /* what follows was read from the store */
+  gboolean absent;  /* there is no object yet */
+  gboolean own;     /* this instance replaced it last */
+  guint64 era;      /* of the store, the latest heard of; 0: none */
+  guint64 sent_era; /* when the open call was made */
+  gint64 free_from; /* none is taken before then */
   StorePosition position;
   gint64 seen_at;    /* when this position was first seen */
   guint64 term;      /* counts the holders; makes every record differ */
@@ -47,11 +55,13 @@
 /* what the store answered */
 typedef struct LeaseReply {
   StoreStatus status;
+  guint64 era;            /* of the store; 0: it was not said */
   StorePosition position; /* OK and CONFLICT; none: it was not said */
   LeaseRecord record;     /* OK and CONFLICT */
 } LeaseReply;
 
-void lease_init(Lease *lease, const char *holder, gint64 length);
+/* 'now' is when this instance started */
+void lease_init(Lease *lease, const char *holder, gint64 length, gint64 now);
 void lease_clear(Lease *lease);
 
 /*
@@ -65,6 +75,11 @@
 /* G_MAXINT64 while a call is out */
 gint64 lease_next(const Lease *lease);
 
+/* the store has named this era, here or to another instance */
+void lease_hear_era(Lease *lease, guint64 era, gint64 now);
+/* what the holder's orders bear: grows with each holder and each era */
+gint64 lease_fence(const Lease *lease);
+
 /* is it held, and for at least 'span' more? */
 gboolean lease_held(const Lease *lease, gint64 span, gint64 now);
 /* somebody has seen a newer fence: stop at once */
--- a/router/router.c
+++ b/router/router.c
@@ -408,6 +408,13 @@
 
 /* }================================================================== */
 
+void router_hear_era(Router *router, guint64 era, gint64 now) {
+  if (era <= router->era)
+    return;
+  router->era = era;
+  stages_hear_era(router->stages, era, now);
+}
+
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now) {
   stages_lease_reply(router->stages, reply, now);
 }
--- a/router/router.h
+++ b/router/router.h
@@ -317,6 +317,9 @@
 /* grows when there is something new to tell */
 guint64 router_rates_version(const Router *router);
 
+/* the store has named this era, here or to another instance; again and again
+ */
+void router_hear_era(Router *router, guint64 era, gint64 now);
 /* the store answered RouterHost.lease_call */
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now);
 
--- a/router/stages.c
+++ b/router/stages.c
@@ -97,7 +97,7 @@
   stages->router = router;
   stages->self = self;
   stages->holder = g_strdup(holder);
-  lease_init(&stages->lease, holder, lease_length);
+  lease_init(&stages->lease, holder, lease_length, now);
   stages->uses =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
   stages->moves = g_ptr_array_new_with_free_func(move_free);
@@ -288,7 +288,7 @@
   router_log(stages->router, MP_LOG_ORDER_ROUND,
              " service=%s to=%s wanted=%d named=%u fence=%" G_GINT64_FORMAT,
              service->name, stage_name(to), ABS(wanted), named,
-             stages->lease.position.revision);
+             lease_fence(&stages->lease));
   stages->rest_until = now + ROUND_REST;
 }
 
@@ -400,15 +400,15 @@
   router_log(stages->router, number,
              " endpoint=%s to=%s outcome=%s status=%d fence=%" G_GINT64_FORMAT,
              move->endpoint, stage_name(move->to), outcome, status,
-             stages->lease.position.revision);
+             lease_fence(&stages->lease));
 }
 
 /* the engine has told its state */
 static void asked(Stages *stages, Move *move, const EngineReport *report,
                   gint64 now) {
   Endpoint *endpoint = endpoint_of(stages, move);
-  StageOrder order = {move->to, stages->holder,
-                      stages->lease.position.revision, 0};
+  StageOrder order = {move->to, stages->holder, lease_fence(&stages->lease),
+                      0};
   if (!may_send(endpoint, DISPATCH_ORDER, now) || report == NULL ||
       report->busy || report->stage == move->to ||
       !lease_held(&stages->lease, ORDER_MARGIN, now)) {
@@ -474,11 +474,15 @@
   }
 }
 
+void stages_hear_era(Stages *stages, guint64 era, gint64 now) {
+  lease_hear_era(&stages->lease, era, now);
+}
+
 void stages_lease_reply(Stages *stages, const LeaseReply *reply, gint64 now) {
   lease_reply(&stages->lease, reply, now);
   if (lease_held(&stages->lease, 0, now))
     router_log(stages->router, MP_LOG_LEASE_HELD, " fence=%" G_GINT64_FORMAT,
-               stages->lease.position.revision);
+               lease_fence(&stages->lease));
   stages->next_look = now;
 }
 
--- a/router/state.h
+++ b/router/state.h
@@ -138,6 +138,7 @@
   GRand *random;
   guint64 seed;       /* another one at each instance */
   RouteTable *routes; /* NULL: no configuration yet */
+  guint64 era;        /* of the store, the latest heard of; 0: none */
   EndpointTable *endpoints;
   GHashTable *services; /* name -> ServiceState */
   PatienceTable *patiences;
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -326,6 +326,7 @@
   LeaseReply reply = {};
   reply.status = status;
   reply.position = store_position(era, revision);
+  reply.era = era;
   reply.record.holder = const_cast<char *>(holder);
   reply.record.term = term;
   router_lease_reply(router, &reply, now);
--- a/test/test_lease.cc
+++ b/test/test_lease.cc
@@ -24,7 +24,7 @@
   guint64 era = 0; /* of the store */
 
   void SetUp() override {
-    lease_init(&lease, "me", length);
+    lease_init(&lease, "me", length, now - 2 * length);
   }
   void TearDown() override {
     lease_clear(&lease);
@@ -43,6 +43,7 @@
     LeaseReply reply = {};
     reply.status = status;
     reply.position = store_position(era, revision);
+    reply.era = era;
     reply.record.holder = const_cast<char *>(holder);
     reply.record.term = term;
     lease_reply(&lease, &reply, now);
@@ -166,7 +167,7 @@
 
 TEST_F(Leased, WithoutALengthThereIsNoLease) {
   lease_clear(&lease);
-  lease_init(&lease, "me", 0);
+  lease_init(&lease, "me", 0, now);
   EXPECT_EQ(next(), -1);
 }
 
@@ -176,4 +177,81 @@
   EXPECT_EQ(lease_next(&lease), G_MAXINT64);
 }
 
+/*
+** {==================================================================
+** A store that comes back from an older copy
+** ===================================================================
+*/
+
+TEST_F(Leased, IsNotHeldOverAChangeOfEra) {
+  era = 1;
+  next();
+  answer(STORE_ABSENT);
+  next();
+  answer(STORE_OK, 40);
+  ASSERT_TRUE(held());
+  lease_hear_era(&lease, 1, now);
+  EXPECT_TRUE(held());
+  lease_hear_era(&lease, 2, now);
+  EXPECT_FALSE(held());
+}
+
+TEST_F(Leased, OneThatWasLostIsTakenOnceEveryHoldersHasLapsed) {
+  era = 1;
+  next();
+  answer(STORE_OK, 40, "other", 5);
+  lease_hear_era(&lease, 2, now);
+  gint64 heard = now;
+  era = 2;
+  while (next() == STORE_READ)
+    answer(STORE_ABSENT);
+  EXPECT_EQ(call.operation, STORE_CREATE);
+  EXPECT_GE(now - heard, 2 * length);
+  answer(STORE_OK, 12);
+  EXPECT_TRUE(held());
+}
+
+TEST_F(Leased, TheFenceGrowsThoughTheRevisionGoesBack) {
+  era = 1;
+  next();
+  answer(STORE_ABSENT);
+  next();
+  answer(STORE_OK, 4000);
+  gint64 before = lease_fence(&lease);
+  lease_hear_era(&lease, 2, now);
+  era = 2;
+  while (next() == STORE_READ)
+    answer(STORE_ABSENT);
+  answer(STORE_OK, 12);
+  EXPECT_GT(lease_fence(&lease), before);
+}
+
+/* the object may be another holder's, whose revision was given out again */
+TEST_F(Leased, AWriteThatWasMadeInAnOlderEraGivesNone) {
+  era = 1;
+  next();
+  answer(STORE_ABSENT);
+  next();
+  answer(STORE_OK, 7);
+  now += length;
+  ASSERT_EQ(next(), STORE_REPLACE);
+  era = 2;
+  answer(STORE_OK, 8);
+  EXPECT_FALSE(held());
+  EXPECT_EQ(next(), STORE_READ);
+}
+
+/* it may have been lost by a store that was restored just before */
+TEST_F(Leased, AnInstanceThatJustStartedWaitsBeforeItCreatesOne) {
+  lease_clear(&lease);
+  lease_init(&lease, "me", length, now);
+  gint64 started = now;
+  while (next() == STORE_READ)
+    answer(STORE_ABSENT);
+  EXPECT_EQ(call.operation, STORE_CREATE);
+  EXPECT_GE(now - started, 2 * length);
+}
+
+/* }================================================================== */
+
 } // namespace
