A restored store's quarantine is written again, and what it lacks is not lifted

Cause: a write to an object that the store had lost was answered 404, which was read as an operator's lifting; and a strike counted as saved that the store no longer had. A revision of the old era could also fit another instance's record. Change: on a newer era positions are forgotten and each instance writes again what it saw itself, merged with what stands there; 404 lifts only in the era of the position named. Open: strikes whose witnesses have all ended are lost with the store's object.

--- a/io/quarantine_writer.c
+++ b/io/quarantine_writer.c
@@ -21,8 +21,9 @@
   Log *log;
   StoreLink *link;
   struct event *timer;
-  guint64 content;   /* of the call that is out */
-  gboolean removing; /* it removes the object */
+  guint64 content;        /* of the call that is out */
+  StorePosition position; /* at which it replaces or removes the object */
+  gboolean removing;      /* it removes the object */
 };
 
 static void start_call(QuarantineWriter *writer, const QuarantineSave *save) {
@@ -32,6 +33,7 @@
              save->record.content);
   writer->content = save->record.content;
   writer->removing = save->remove;
+  writer->position = save->position;
   call.kind = STORE_QUARANTINE;
   call.name = name;
   call.position = save->position;
@@ -74,14 +76,21 @@
   g_error_free(error);
 }
 
+/* what a restored store lacks nobody removed */
+static gboolean was_removed(const QuarantineWriter *writer,
+                            const StoreReply *reply) {
+  return reply->at.era == writer->position.era;
+}
+
 static void on_reply(void *data, const StoreReply *reply,
                      const GError *error) {
   QuarantineWriter *writer = data;
   struct timeval soon = {0, 0};
   guint i;
+  router_hear_era(writer->router, reply->at.era, clock_now());
   for (i = 0; reply->objects != NULL && i < reply->objects->len; i++)
     take_object(writer, &g_array_index(reply->objects, StoreObject, i));
-  if (reply->status == STORE_ABSENT ||
+  if ((reply->status == STORE_ABSENT && was_removed(writer, reply)) ||
       (reply->status == STORE_OK && writer->removing))
     router_lift_quarantine(writer->router, writer->content, clock_now());
   else if (reply->status != STORE_OK) {
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -416,6 +416,20 @@
   return is_news;
 }
 
+void quarantine_restored(Quarantine *quarantine) {
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, quarantine->rows);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    Row *row = value;
+    guint i;
+    row->position = store_position_none();
+    for (i = 0; i < row->count; i++)
+      row->strikes[i].saved = FALSE;
+  }
+  quarantine->may_need_save = TRUE;
+}
+
 gboolean quarantine_next_save(Quarantine *quarantine, QuarantineSave *out,
                               gint64 now) {
   GHashTableIter iterator;
--- a/router/router.c
+++ b/router/router.c
@@ -409,10 +409,13 @@
 /* }================================================================== */
 
 void router_hear_era(Router *router, guint64 era, gint64 now) {
+  gboolean is_return = router->era != 0;
   if (era <= router->era)
     return;
   router->era = era;
   stages_hear_era(router->stages, era, now);
+  if (is_return)
+    quarantine_restored(router->quarantine);
 }
 
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now) {
