An older configuration's bounds on callers do not come into force

What callers may see: header, body and idle limits of an older configuration after a return of the store, while its routes stay those of the newer one. Cause: the router keeps the newer version, and the front took the limits of whatever was read. Change: the front is told when the router takes a table. No test: nothing in the unit tests builds io/gateway; router_set_routes's answer is the gate.

--- a/io/directory.c
+++ b/io/directory.c
@@ -90,8 +90,8 @@
     bad_record(directory, STORE_CONFIGURATION, name, error);
     return;
   }
-  router_set_routes(directory->router, table, clock_now());
-  directory->hooks.configuration(directory->hooks.data, table);
+  if (router_set_routes(directory->router, table, clock_now()))
+    directory->hooks.configuration(directory->hooks.data, table);
   route_table_unref(table);
 }
 
--- a/router/router.c
+++ b/router/router.c
@@ -124,9 +124,9 @@
   return router->routes;
 }
 
-void router_set_routes(Router *router, RouteTable *routes, gint64 now) {
+gboolean router_set_routes(Router *router, RouteTable *routes, gint64 now) {
   if (router->routes != NULL && routes->version <= router->routes->version)
-    return; /* never back within a life */
+    return FALSE; /* never back within a life */
   route_table_ref(routes);
   route_table_unref(router->routes);
   router->routes = routes;
@@ -134,6 +134,7 @@
   router_log(router, MP_LOG_CONFIG_NEW,
              " version=%" G_GUINT64_FORMAT " routes=%u services=%u",
              routes->version, routes->routes->len, routes->services->len);
+  return TRUE;
 }
 
 void router_configuration_proved(Router *router, gint64 at) {
--- a/router/router.h
+++ b/router/router.h
@@ -207,8 +207,9 @@
 
 /* the configuration in force; NULL: none yet */
 const RouteTable *router_routes(const Router *router);
-/* a newer configuration is in force; the router shares the table */
-void router_set_routes(Router *router, RouteTable *routes, gint64 now);
+/* a newer configuration is in force; the router shares the table. FALSE: the
+** one in force is as new */
+gboolean router_set_routes(Router *router, RouteTable *routes, gint64 now);
 /* the configuration was certainly the newest one then (router/config_proof.h);
 ** 0: that is not known */
 void router_configuration_proved(Router *router, gint64 at);
