Lives of endpoints with short ids are told apart

Cause: XXH3 mixes a seed into a key of one to eight bytes by XOR alone, so ids and births that differ in the same bits share a hash (i-1 and i-6, seven milliseconds apart). Change: a short id and its birth are hashed as one message. Longer ids keep their hash, so instances of this release and the one before agree on them through a rolling restart; on short ones they do not, and count each other's loads there as nobody's meanwhile.

--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -12,6 +12,10 @@
 #include "router/endpoint_table.h"
 #include "router/gate.h"
 
+/* ids up to so many bytes: a seed is mixed into the hash of one so short by
+*XOR
+** alone, so that ids and seeds that differ in the same bits share a hash */
+#define SHORT_ID 8
 /* an endpoint out of reach is left alone this long, doubled each time */
 #define AVOID_FIRST (500 * MP_MS)
 #define AVOID_MOST (4 * MP_SEC)
@@ -98,8 +102,14 @@
 }
 
 guint32 endpoint_life_hash(const EndpointRecord *record) {
-  return (guint32)XXH3_64bits_withSeed(record->id, strlen(record->id),
-                                       (guint64)record->born_unix_ms);
+  gsize size = strlen(record->id);
+  guint64 seed = (guint64)record->born_unix_ms;
+  guint64 message[2] = {0};
+  if (size > SHORT_ID)
+    return (guint32)XXH3_64bits_withSeed(record->id, size, seed);
+  memcpy(message, record->id, size);
+  message[1] = seed;
+  return (guint32)XXH3_64bits(message, sizeof message);
 }
 
 static void record_copy(EndpointRecord *to, const EndpointRecord *from) {
