A list that may be older than its era is verified, and not vouched for

Cause: the list read at a start may be seconds old (stale=1), and its answer names the era of the moment. Revision 120 of before then stands for revision 120 of now: another text under the same position, or a position that the store has not reached. Change: what stems from such a list alone is listed again 1 s later, from the store or, by a digest that brings names alone where all is alike, from a relay; until then it is not named in heartbeats, and who knows better does not take it.

--- a/io/directory.c
+++ b/io/directory.c
@@ -527,7 +527,7 @@
 void directory_answer(const Directory *directory, const NewsQuery *query,
                       StoreReply *out) {
   follower_answer(following_follower(directory->following[query->kind]),
-                  query->since, query->in_full, out);
+                  &query->asked, out);
 }
 
 void directory_changed(const Directory *directory,
--- a/io/news_codec.c
+++ b/io/news_codec.c
@@ -26,6 +26,8 @@
     g_string_append_printf(
         target, "&since=%" G_GINT64_FORMAT "&era=%" G_GUINT64_FORMAT,
         call->position.revision, call->position.era);
+  if (call->digest != 0)
+    g_string_append_printf(target, "&digest=%" G_GUINT64_FORMAT, call->digest);
   if (call->in_full)
     g_string_append(target, "&full=1");
   head = http_head_request("GET", target->str);
@@ -107,6 +109,7 @@
   size_t i;
   out->at = read_position(json, "at", (guint64)read_count(json, "era"));
   out->whole = json_is_true(json_object_get(json, "whole"));
+  out->by_stale = json_is_true(json_object_get(json, "by_old_list"));
   if (store_position_is_none(out->at) || !json_is_array(objects))
     return FALSE;
   for (i = 0; i < json_array_size(objects); i++) {
@@ -167,6 +170,7 @@
   guint64 number = 0;
   guint64 revision = 0;
   guint64 era = 0;
+  guint64 digest = 0;
   guint64 full = 0;
   gboolean good;
   if (query == NULL || evhttp_parse_query_str(query, &fields) != 0)
@@ -176,12 +180,15 @@
     good = good && read_number(&fields, "since", G_MAXINT64, &revision);
   if (evhttp_find_header(&fields, "era") != NULL)
     good = good && read_number(&fields, "era", G_MAXUINT64, &era);
+  if (evhttp_find_header(&fields, "digest") != NULL)
+    good = good && read_number(&fields, "digest", G_MAXUINT64, &digest);
   if (evhttp_find_header(&fields, "full") != NULL)
     good = good && read_number(&fields, "full", 1, &full);
   evhttp_clear_headers(&fields);
   out->kind = (StoreKind)number;
-  out->since = store_position(era, (gint64)revision);
-  out->in_full = full != 0;
+  out->asked.since = store_position(era, (gint64)revision);
+  out->asked.digest = digest;
+  out->asked.in_full = full != 0;
   return good;
 }
 
@@ -235,6 +242,8 @@
   json = json_pack("{s:I, s:I, s:b, s:o}", "era", (json_int_t)reply->at.era,
                    "at", (json_int_t)reply->at.revision, "whole",
                    (int)reply->whole, "objects", objects);
+  if (reply->by_stale)
+    json_object_set_new(json, "by_old_list", json_true());
   dumped = json_dumps(json, JSON_COMPACT);
   out = pack(dumped);
   free(dumped);
--- a/io/news_codec.h
+++ b/io/news_codec.h
@@ -6,8 +6,9 @@
 ** what has changed after revision R of the store's era E. The answer is JSON:
 ** era and revision up to which it is whole, and the objects with the texts
 ** that the store has for them, long ones as changes of the text that stood at
-** that position, unless &full=1 is added. Long answers are compressed. 503
-*stands for an instance
+** that position, unless &full=1 is added. With &digest=D, of what the asker
+** knows, objects are named alone where that is all there is. Long answers are
+*compressed. 503 stands for an instance
 ** that does not know the store itself.
 */
 
@@ -23,8 +24,7 @@
 /* what a call asks for */
 typedef struct NewsQuery {
   StoreKind kind;
-  StorePosition since; /* none: everything */
-  gboolean in_full;    /* as in StoreCall */
+  FollowerQuery asked;
 } NewsQuery;
 
 /* read the query of a call; FALSE when it is none */
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -13,8 +13,8 @@
 #include "router/gate.h"
 
 /* ids up to so many bytes: a seed is mixed into the hash of one so short by
-*XOR
-** alone, so that ids and seeds that differ in the same bits share a hash */
+ *XOR
+ ** alone, so that ids and seeds that differ in the same bits share a hash */
 #define SHORT_ID 8
 /* an endpoint out of reach is left alone this long, doubled each time */
 #define AVOID_FIRST (500 * MP_MS)
@@ -57,10 +57,15 @@
 ** is away entries lapse, and come back, of endpoints that serve on */
 #define UNLISTED_KEPT (600 * MP_SEC)
 #define UNLISTED_MOST 1024
+/* one that had gone, and that a restored store lists again, is left alone for
+** so long: whoever removed it does so again within this */
+#define RETURN_DOUBTED (2500 * MP_MS)
 
 /* a life that is not listed now */
 typedef struct UnlistedLife {
   gint64 born_unix_ms;
+  StorePosition position; /* as in its last record */
+  gboolean ready;         /* likewise */
   Availability availability;
   gint64 since;
 } UnlistedLife;
@@ -181,32 +186,49 @@
 static void keep_unlisted(EndpointTable *table, const Endpoint *endpoint,
                           gint64 now) {
   UnlistedLife *life;
-  if (!has_said_something(&endpoint->availability))
+  if (!has_said_something(&endpoint->availability) &&
+      store_position_is_none(endpoint->record.position))
     return;
   g_hash_table_foreach_remove(table->unlisted, is_outlived, &now);
   if (g_hash_table_size(table->unlisted) >= UNLISTED_MOST)
     return;
   life = g_new(UnlistedLife, 1);
   life->born_unix_ms = endpoint->record.born_unix_ms;
+  life->position = endpoint->record.position;
+  life->ready = endpoint->record.ready;
   life->availability = endpoint->availability;
   life->since = now;
   g_hash_table_insert(table->unlisted, g_strdup(endpoint->record.id), life);
 }
 
+/* a restored store lists it from before it went: it is used again if nobody
+** has removed it by then, unless it had said that it leaves */
+static void doubt_return(Endpoint *endpoint, const UnlistedLife *life,
+                         gint64 now) {
+  if (!life->ready)
+    availability_leave(&endpoint->availability, now);
+  else
+    availability_rest(&endpoint->availability, RETURN_DOUBTED, now);
+}
+
 static void restore_unlisted(EndpointTable *table, Endpoint *endpoint,
-                             const EndpointRecord *record) {
+                             const EndpointRecord *record, gint64 now) {
   const UnlistedLife *life = g_hash_table_lookup(table->unlisted, record->id);
   if (life != NULL && (life->born_unix_ms == record->born_unix_ms ||
-                       life->born_unix_ms == 0 || record->born_unix_ms == 0))
+                       life->born_unix_ms == 0 || record->born_unix_ms == 0)) {
     endpoint->availability = life->availability;
+    if (record->position.era > life->position.era)
+      doubt_return(endpoint, life, now);
+  }
   g_hash_table_remove(table->unlisted, record->id);
 }
 
 /* }================================================================== */
 
-static Endpoint *add(EndpointTable *table, const EndpointRecord *record) {
+static Endpoint *add(EndpointTable *table, const EndpointRecord *record,
+                     gint64 now) {
   Endpoint *endpoint = g_new0(Endpoint, 1);
-  restore_unlisted(table, endpoint, record);
+  restore_unlisted(table, endpoint, record, now);
   g_ptr_array_add(table->all, endpoint);
   return endpoint;
 }
@@ -216,7 +238,8 @@
   g_ptr_array_remove(table->all, endpoint);
 }
 
-void endpoint_table_set(EndpointTable *table, const EndpointRecord *record) {
+void endpoint_table_set(EndpointTable *table, const EndpointRecord *record,
+                        gint64 now) {
   Endpoint *endpoint = endpoint_table_get(table, record->id);
   EndpointNews news = endpoint_table_compare(table, record);
   gint64 born;
@@ -227,7 +250,7 @@
   else if (news == ENDPOINT_SAME)
     g_hash_table_remove(table->by_id, record->id);
   if (news != ENDPOINT_SAME)
-    endpoint = add(table, record);
+    endpoint = add(table, record, now);
   if (endpoint->changing_until != 0 && record->stage == endpoint->changing_to)
     endpoint->changing_until = 0;
   born = record->born_unix_ms != 0 ? record->born_unix_ms
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -81,7 +81,8 @@
 EndpointNews endpoint_table_compare(const EndpointTable *table,
                                     const EndpointRecord *record);
 /* as compared: an outdated one is left out */
-void endpoint_table_set(EndpointTable *table, const EndpointRecord *record);
+void endpoint_table_set(EndpointTable *table, const EndpointRecord *record,
+                        gint64 now);
 /* it was ENDPOINT_OUTDATED: what the store writes after it is later */
 void endpoint_table_outdated(EndpointTable *table,
                              const EndpointRecord *record);
--- a/router/follower.c
+++ b/router/follower.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include "router/follower.h"
 #include "router/text_patch.h"
 
@@ -24,6 +27,10 @@
 ** stands: endpoints that live have entered themselves anew within 2 s of the
 ** store's return */
 #define RECONCILE_AFTER (2500 * MP_MS)
+/* what is known by a list that may be old is listed again after this:
+ *instances
+ ** that start together have found their relays by then */
+#define VERIFY_AFTER (1 * MP_SEC)
 /* objects that are gone and still told to others: ten times the endpoints
 ** of the largest deployment planned for (docs/CAPACITY.md) */
 #define GONE_MOST 8000
@@ -90,6 +97,28 @@
 
 static void list_again(Follower *follower);
 
+/* of the names, positions and texts of all objects that there are; 0: none */
+static guint64 digest_of(const Follower *follower) {
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer value;
+  guint64 digest = 0;
+  g_hash_table_iter_init(&iterator, follower->objects);
+  while (g_hash_table_iter_next(&iterator, &name, &value)) {
+    const FollowedObject *object = value;
+    guint64 message[3] = {XXH3_64bits(name, strlen(name)),
+                          object->position.era,
+                          (guint64)object->position.revision};
+    if (object->text == NULL)
+      continue;
+    /* a sum: the order in a table is no property of what it holds */
+    digest +=
+        XXH3_64bits_withSeed(message, sizeof message,
+                             XXH3_64bits(object->text, strlen(object->text)));
+  }
+  return digest;
+}
+
 void follower_look(Follower *follower, gint64 now) {
   if (!follower->open && !follower->taking && follower->list_at != 0 &&
       follower->list_at <= now)
@@ -116,13 +145,15 @@
   } else {
     call->operation = STORE_LIST;
     call->after = follower->after;
+    if (by_instance)
+      call->digest = digest_of(follower);
   }
 }
 
 /*
 ** An older position than one that was seen does not take effect. An object
 ** that is known to be gone is back when an answer as new as that says so,
-** also under its old position; a copy of the store may be older than that.
+** also under its old position.
 */
 static gboolean is_news(const Follower *follower, const FollowedObject *known,
                         const StoreObject *object, StorePosition at) {
@@ -130,10 +161,12 @@
     return TRUE;
   if (object->gone)
     return known->text != NULL;
+  if (follower->by_stale)
+    return store_position_compare(known->position, object->position) != 0 ||
+           g_strcmp0(known->text, object->text) != 0;
   if (known->text == NULL)
-    return !follower->reconciling &&
-           (!store_position_is_before(at, known->learned) ||
-            store_position_is_before(known->position, object->position));
+    return !store_position_is_before(at, known->learned) ||
+           store_position_is_before(known->position, object->position);
   return store_position_is_before(known->position, object->position);
 }
 
@@ -193,6 +226,12 @@
          store_position_is_before(follower->known, told->position);
 }
 
+/* others are told that there is news; not by a list that may be old */
+static void name_change(Follower *follower, StorePosition at) {
+  if (!follower->is_stale)
+    follower->changed = store_position_later(follower->changed, at);
+}
+
 /* 'at' is the store's position in that answer */
 static void keep_object(Follower *follower, const StoreObject *told,
                         StorePosition at) {
@@ -204,14 +243,17 @@
   } else
     follower->gone -= object->text == NULL;
   keep_history(object, told);
-  object->position = store_position_later(object->position, told->position);
+  object->position =
+      follower->by_stale
+          ? told->position
+          : store_position_later(object->position, told->position);
   object->learned = is_new(follower, told)
                         ? told->position
                         : store_position_later(at, object->position);
   g_free(object->text);
   object->text = g_strdup(text);
   follower->gone += text == NULL;
-  follower->changed = store_position_later(follower->changed, object->learned);
+  name_change(follower, object->learned);
   forget_gone(follower);
 }
 
@@ -272,8 +314,7 @@
       continue;
     g_clear_pointer(&object->text, g_free);
     object->learned = store_position_later(at, object->position);
-    follower->changed =
-        store_position_later(follower->changed, object->learned);
+    name_change(follower, object->learned);
     follower->gone++;
   }
   forget_gone(follower);
@@ -287,7 +328,7 @@
   g_hash_table_remove_all(follower->names);
 }
 
-static void end_list(Follower *follower, gint64 now) {
+static void end_list(Follower *follower, const StoreReply *reply, gint64 now) {
   /* changes made while the pages are read are watched from the first */
   follower->position = follower->listed;
   if (follower->partial) {
@@ -301,11 +342,14 @@
         store_position_later(follower->changed, follower->position);
   } else
     take_names(follower, follower->position);
+  follower->by_stale = follower->is_stale || reply->by_stale;
+  if (follower->by_stale)
+    follower->list_at = now + VERIFY_AFTER;
   follower->reconciling = FALSE;
   follower->watching = TRUE;
   follower->known = store_position_later(follower->known, follower->position);
   if (store_position_is_none(follower->changed)) /* no object is news too */
-    follower->changed = follower->known;
+    name_change(follower, follower->known);
 }
 
 static void take_list(Follower *follower, const StoreReply *reply,
@@ -319,7 +363,7 @@
     follower->after = g_strdup(last->name);
     return;
   }
-  end_list(follower, now);
+  end_list(follower, reply, now);
 }
 
 static void list_again(Follower *follower) {
@@ -418,7 +462,7 @@
 
 static gboolean is_disproved(const Follower *follower,
                              const StoreReply *reply) {
-  return follower->by_stale && follower->listing && !follower->by_instance &&
+  return follower->by_stale && follower->listing && !reply->by_stale &&
          reply->status == STORE_OK && reply->at.era == follower->known.era &&
          store_position_is_before(reply->at, follower->known);
 }
@@ -450,7 +494,6 @@
   follower->lapsed = FALSE;
   if (follower->listing && follower->after == NULL)
     begin_list(follower, reply);
-  follower->by_stale = follower->is_stale;
   take_objects(follower, reply);
   if (!follower->listing && reply->objects != NULL && reply->objects->len > 0)
     follower->retry_at = now + follower->pause;
@@ -480,27 +523,30 @@
     out->text = g_strdup(known->text);
 }
 
-void follower_answer(const Follower *follower, StorePosition since,
-                     gboolean in_full, StoreReply *out) {
-  gboolean is_first = store_position_is_none(since);
+void follower_answer(const Follower *follower, const FollowerQuery *query,
+                     StoreReply *out) {
+  gboolean is_first = store_position_is_none(query->since);
+  gboolean is_same =
+      is_first && query->digest != 0 && query->digest == digest_of(follower);
   GHashTableIter iterator;
   gpointer name;
   gpointer value;
   memset(out, 0, sizeof *out);
   out->at = follower->known;
-  out->status = STORE_OK;
-  if (!follower_knows(follower))
-    out->status = STORE_FAILED;
+  out->by_stale = follower->by_stale;
+  out->status = follower_knows(follower) ? STORE_OK : STORE_FAILED;
   if (out->status != STORE_OK)
     return;
   out->whole =
-      !is_first && store_position_is_before(since, follower->forgotten);
+      is_same || (!is_first &&
+                  store_position_is_before(query->since, follower->forgotten));
   out->objects = store_objects_new();
   g_hash_table_iter_init(&iterator, follower->objects);
   while (g_hash_table_iter_next(&iterator, &name, &value)) {
     const FollowedObject *known = value;
     StoreObject object = {0};
-    gboolean is_old = !store_position_is_before(since, known->learned);
+    gboolean is_old =
+        is_same || !store_position_is_before(query->since, known->learned);
     if (is_old && !(out->whole && known->text != NULL))
       continue;
     if (is_first && known->text == NULL)
@@ -509,7 +555,7 @@
     object.position = known->position;
     object.gone = known->text == NULL;
     if (!is_old)
-      write_content(known, since, in_full, &object);
+      write_content(known, query->since, query->in_full, &object);
     g_array_append_val(out->objects, object);
   }
 }
--- a/router/follower.h
+++ b/router/follower.h
@@ -13,10 +13,15 @@
 ** A store that was restored from a copy names a larger era. What it lists then
 ** may be older than what is known, and lacks what is only not written again
 ** yet. So a watch that ends in a newer era is followed by a list; that list
-** removes no object and brings none back that had gone, and a second one,
-** RECONCILE_AFTER later, counts as it stands. An answer of an older era than
+** removes no object, and a second one, RECONCILE_AFTER later, does. An answer
+*of an older era than
 ** the one known has no effect at all.
 **
+** A list that may be old may even be from before the era that its answer
+*names,
+** and a revision that was given out again may stand for another text. So what
+** is known by such a list is listed again soon, and told on with that reserve.
+**
 ** Catching up costs no more than the present: one that followed a kind of a
 ** single object, and lost the store, reads that object again. A watch from
 ** the old revision would bring each version since.
@@ -72,6 +77,7 @@
   gint64 wait;      /* WATCH: answer after so long at the latest */
   gboolean stale;   /* LIST: seconds old will do */
   gboolean in_full; /* asked of an instance: no changes in place of texts */
+  guint64 digest;   /* LIST of an instance: of what is known; 0: nothing is */
   const char *name; /* CREATE, READ, REPLACE */
   const struct InstanceRecord *instance; /* CREATE, REPLACE of an instance */
   const struct LeaseRecord *lease;       /* CREATE and REPLACE of a lease */
@@ -106,6 +112,7 @@
                     ** not changed without their text; others are gone */
   guint nameless;   /* objects that were left out: their names can't be read */
   gboolean partial; /* LIST: there may be others than those that it names */
+  gboolean by_stale; /* an instance that knows an old list alone */
 } StoreReply;
 
 /* an empty array of StoreObject that clears its elements */
@@ -161,7 +168,7 @@
   GHashTable *objects;   /* name -> FollowedObject */
   guint gone;            /* of these, objects that are gone */
   StorePosition known;   /* every change up to there is in 'objects' */
-  StorePosition changed; /* the last 'learned' there is */
+  StorePosition changed; /* the last 'learned' that others are told of */
   StorePosition forgotten; /* removals up to there may not be known */
   gint64 retry_at;         /* no call before then */
   unsigned failures;       /* in a row */
@@ -189,14 +196,23 @@
 /* a list was whole, or a watch has gone on from one */
 gboolean follower_knows(const Follower *follower);
 
+/* what another follower asks for */
+typedef struct FollowerQuery {
+  StorePosition since; /* none: everything */
+  gboolean in_full;    /* as in StoreCall */
+  guint64 digest;      /* of what it knows, where it asks for everything */
+} FollowerQuery;
+
 /*
 ** What the store would answer to another follower, as far as this one
-** knows: everything (since none), or what has changed after a position, whole
+** knows: everything, or what has changed after a position, whole
 ** when removals since then may not be known. The status is STORE_FAILED until
 ** a list was whole. Long texts are told by their changes, unless they are
-** wanted 'in_full'. Clear 'out' afterwards.
+** wanted 'in_full'; who knows everything already is told the names alone.
+*Clear
+** 'out' afterwards.
 */
-void follower_answer(const Follower *follower, StorePosition since,
-                     gboolean in_full, StoreReply *out);
+void follower_answer(const Follower *follower, const FollowerQuery *query,
+                     StoreReply *out);
 
 #endif
--- a/router/lives.c
+++ b/router/lives.c
@@ -139,7 +139,7 @@
     end_life(router, known, now);
   if (known != NULL && news == ENDPOINT_SAME)
     keep_leaving(known, record, now);
-  endpoint_table_set(router->endpoints, record);
+  endpoint_table_set(router->endpoints, record, now);
   if (news == ENDPOINT_RESTARTED)
     rates_endpoints_changed(router);
   if (news != ENDPOINT_SAME || was_ready != record->ready)
--- a/router/news_source.c
+++ b/router/news_source.c
@@ -289,9 +289,14 @@
           reply->at.era == source->follower.known.era);
 }
 
-/* an instance that knows an older era than this one has no news for it */
+/* an instance that knows an older era than this one has no news for it, nor
+** has one that knows an old list alone for one that knows better */
 static gboolean is_of_past(const NewsSource *source, const StoreReply *reply) {
-  return !source->at_store && reply->at.era < source->follower.known.era;
+  const Follower *follower = &source->follower;
+  if (source->at_store)
+    return FALSE;
+  return reply->at.era < follower->known.era ||
+         (reply->by_stale && follower_knows(follower) && !follower->by_stale);
 }
 
 void news_source_reply(NewsSource *source, const StoreReply *reply,
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,7 +8,8 @@
 # 7000 workers that end and come back, requests that end them, spoilt entries,
 # from 8000 workers that name the rate they take, from 9000 workers that say
 # that they leave, or ask for rest, from 10000 some 1,400 routes, one more each
-# 0.5 s, and a store that turns single instances away (six or more).
+# 0.5 s, and a store that turns single instances away (six or more), from 11000
+# a store that comes back from copies some seconds old.
 # Ends with "N passed, N failed"; logs of failed seeds stay in their folder.
 set -u
 cd "$(dirname "$0")/.."
--- a/standin/store.c
+++ b/standin/store.c
@@ -497,6 +497,7 @@
   for (i = 0; i < changes->len; i++)
     apply(changes->pdata[i]);
   copied = revision;
+  oldest = MIN(oldest, revision);
   era++;
   while (watches->len > 0)
     watch_cut(watches->pdata[0]);
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 extern "C" {
+#include "router/endpoint_table.h"
 #include "router/rate_limits.h"
 #include "router/router.h"
 }
@@ -93,6 +94,13 @@
   guint64 term = 0;
 };
 
+/* the hash of an endpoint's life that began at a time that is not known */
+inline guint32 life_of(const char *id) {
+  EndpointRecord record = {};
+  record.id = const_cast<char *>(id);
+  return endpoint_life_hash(&record);
+}
+
 class World {
 public:
   /* by default the retry budget is no matter, and no orders are given */
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -33,6 +33,8 @@
 -- single instances away
 local large = seed >= 10000
 gateway.own_store_links = large
+-- the store comes back from copies some seconds old
+local returns = seed >= 11000
 start_gateway(instances)
 
 -- when instances, and the ways to workers, were in trouble: name -> intervals
@@ -282,6 +284,16 @@
   end
 end
 
+if returns then
+  for _ = 1, 3 do
+    faults[#faults + 1] = function()
+      begins("store")
+      restore_store(math.random(100, 6000))
+      ends_soon("store")
+    end
+  end
+end
+
 local function strike()
   local n = math.random(#faults)
   if n == 1 then -- one that runs, and is started again at once
@@ -356,6 +368,24 @@
     return r.whole and r.status == 200
   end)
 end
+-- a change after a last return is in force everywhere in time
+if returns then
+  restore_store(4000)
+  sys.pump(100)
+  add_route()
+  local name, until_ms = routes[#routes], sys.now() + IN_FORCE_MS
+  for _, e in ipairs(gateway.instances) do
+    local status
+    repeat
+      local account = gateway.accounts and gateway.accounts[1]
+      status = answer_of(request(e, name, nil,
+                                 account and account.keys[1])).status
+      sys.pump(STEP)
+    until status ~= 404 or sys.now() > until_ms
+    expect(status ~= 404, e.name .. ": 404 of " .. name .. " after a return")
+  end
+  wait_counted(instances)
+end
 -- however many of its runs ended unseen: three more at the most, and it is held
 if ends then
   local held, runs = 0, 0
--- a/test/test_lives.cc
+++ b/test/test_lives.cc
@@ -259,4 +259,29 @@
   EXPECT_EQ(world.end(request).ends(), 1);
 }
 
+TEST_F(Lives, OneThatHadGoneIsLeftAloneAtFirstWhenARestoredStoreListsIt) {
+  world.era = 1;
+  world.revision = 30;
+  start(plain, 1000);
+  world.endpoint(plain, true, true);
+  world.era = 2;
+  start(plain, 1000);
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 0u);
+  world.now += 3 * second;
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 1u);
+}
+
+TEST_F(Lives,
+       OneThatSaidItLeavesAndHadGoneIsNotUsedWhenARestoredStoreListsIt) {
+  world.era = 1;
+  world.revision = 30;
+  start(plain, 1000);
+  world.endpoint(plain, false);
+  world.endpoint(plain, false, true);
+  world.era = 2;
+  start(plain, 1000);
+  world.now += 3 * second;
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 0u);
+}
+
 } // namespace
