Instances in the place of relays ask a store that is back within 1.4 s

What callers may see: a change that is in force 3 s after its acknowledgement (2 s are allowed) in a data centre whose relays are cut off, after an outage of the store. Cause: who stands in for relays that the store does not answer paused for 3 s after a failure of its own, longer than the bound.

--- a/router/news_source.c
+++ b/router/news_source.c
@@ -25,7 +25,7 @@
 ** endpoints is told between instances besides; and who stands in for relays
 ** that the store does not answer is one of many that ask */
 #define RARE_RETRY (5 * MP_SEC)
-#define STAND_IN_RETRY (3 * MP_SEC)
+#define STAND_IN_RETRY (1400 * MP_MS)
 
 void news_source_init(NewsSource *source, RelayGroup *group,
                       const NewsSourceHost *host, const mp_Addr *seeds,
