--- a/io/gateway.c
+++ b/io/gateway.c
@@ -349,6 +349,7 @@
   counts.idle_endpoint_connections = endpoint_links_idle(gateway->links);
   counts.news_role =
       relay_role_name(relay_group_role(gateway->group, clock_now()));
+  counts.store_era = relay_group_era(gateway->group);
   counts.news_age = relay_group_news_age(gateway->group, clock_now());
   counts.ready = is_ready(gateway);
   router_quarantine_count(gateway->router, clock_now(), &counts.suspects,
@@ -361,8 +362,9 @@
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
   for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
-    counts.news_lag[kind] = news_state_lag(
-        relay_group_news(gateway->group, (StoreKind)kind), clock_now());
+    const NewsState *news = relay_group_news(gateway->group, (StoreKind)kind);
+    counts.news_lag[kind] = news_state_lag(news, clock_now());
+    counts.held_at[kind] = news->held;
     for (field = 0; field < RECORD_FIELD_COUNT; field++)
       counts.bad_objects[kind][field] = directory_bad_objects(
           gateway->directory, (StoreKind)kind, (RecordField)field);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -79,6 +79,20 @@
         kind_names[kind], (double)carriers->news_lag[kind] / MP_SEC);
 }
 
+/* one whose era is lower than the store's has not heard of its return */
+static void write_positions(GString *text, const CarrierCounts *carriers) {
+  int kind;
+  g_string_append_printf(text, "madderpier_store_era %" G_GUINT64_FORMAT "\n",
+                         carriers->store_era);
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+    g_string_append_printf(
+        text,
+        "madderpier_news_era{kind=\"%s\"} %" G_GUINT64_FORMAT "\n"
+        "madderpier_news_revision{kind=\"%s\"} %" G_GINT64_FORMAT "\n",
+        kind_names[kind], carriers->held_at[kind].era, kind_names[kind],
+        carriers->held_at[kind].revision);
+}
+
 /* a line for each field that was ever wrong, and for each kind their sum */
 static void write_bad_kind(GString *text, const char *kind,
                            const guint64 fields[RECORD_FIELD_COUNT]) {
@@ -111,6 +125,7 @@
   write_router(text, router);
   write_carriers(text, carriers);
   write_lags(text, carriers);
+  write_positions(text, carriers);
   write_bad_objects(text, carriers);
   for (which = 0; which < DURATION_COUNT; which++)
     write_duration(text, router, (RouterDuration)which);
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -32,6 +32,8 @@
   guint waiting_in_time;   /* of them, that can still be answered in time */
   /* of the store, by StoreKind and by the field that is wrong */
   guint64 bad_objects[MP_RELAY_KINDS][RECORD_FIELD_COUNT];
+  StorePosition held_at[MP_RELAY_KINDS]; /* by StoreKind: known up to there */
+  guint64 store_era;                     /* the latest heard of; 0: none */
 } CarrierCounts;
 
 /* the caller frees it: g_string_free */
--- a/router/follower.c
+++ b/router/follower.c
@@ -471,6 +471,9 @@
   if (is_disproved(follower, reply))
     forget_positions(follower);
   if (reply->status == STORE_HISTORY_GONE) {
+    if (follower->history_gone) /* the list before was of no use either */
+      follower->retry_at = now + RETRY_FIRST;
+    follower->history_gone = TRUE;
     list_again(follower);
     return;
   }
@@ -492,6 +495,8 @@
     follower->host.regained(follower->host.data, follower->kind);
   follower->failures = 0;
   follower->lapsed = FALSE;
+  if (!follower->listing)
+    follower->history_gone = FALSE;
   if (follower->listing && follower->after == NULL)
     begin_list(follower, reply);
   take_objects(follower, reply);
--- a/router/follower.h
+++ b/router/follower.h
@@ -172,7 +172,8 @@
   StorePosition forgotten; /* removals up to there may not be known */
   gint64 retry_at;         /* no call before then */
   unsigned failures;       /* in a row */
-  guint overtaken; /* lists older than what was known, since the start */
+  gboolean history_gone; /* the last watch said so, and none has ended since */
+  guint overtaken;       /* lists older than what was known, since the start */
 } Follower;
 
 void follower_init(Follower *follower, StoreKind kind, gint64 watch_wait,
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -528,6 +528,21 @@
   EXPECT_EQ(objects.count("c"), 0u);
 }
 
+TEST_F(ReturnedStore, AHistoryThatIsAlwaysGoneIsNotAskedForWithoutAPause) {
+  unsigned calls = 0;
+  gint64 until = now + MP_SEC;
+  for (; now < until; now += MP_MS) {
+    if (follower_next_call(&follower) > now)
+      continue;
+    calls++;
+    if (call().operation == STORE_LIST)
+      answer(STORE_OK, 41, {{"a", 38, "1"}});
+    else
+      answer(STORE_HISTORY_GONE);
+  }
+  EXPECT_LE(calls, 24u);
+}
+
 /* others, who know all up to there, would never be told of it otherwise */
 TEST_F(ReturnedStore, WhatHadGoneIsBackAtOnceIfItsFirstListNamesIt) {
   call();
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -19,9 +19,10 @@
 
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
-  CarrierCounts carriers = {7, 11, 2, {}, 1, 2, 3, "relay", 250 * ms, TRUE,
-                            5, 4,  6, 3,  2, 1, 9, 8,       {}};
+  CarrierCounts carriers = {7, 11, 2, {}, 1, 2, 3, "relay", 250 * ms, TRUE, 5,
+                            4, 6,  3, 2,  1, 9, 8, {},      {},       3};
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
+  carriers.held_at[STORE_ENDPOINTS] = store_position(2, 31);
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_NAME] = 2;
   world.populate();
@@ -38,6 +39,9 @@
         "madderpier_store_calls_total 11",
         "madderpier_store_calls_left_total 2",
         "madderpier_news_lag_seconds{kind=\"configuration\"} 1.500",
+        "madderpier_store_era 3",
+        "madderpier_news_era{kind=\"endpoints\"} 2",
+        "madderpier_news_revision{kind=\"endpoints\"} 31",
         "madderpier_ready 1",
         "madderpier_news_role{role=\"relay\"} 1",
         "madderpier_suspect_requests 5",
