--- a/test/test_store_restored.cc
+++ b/test/test_store_restored.cc
@@ -142,6 +142,42 @@
   expect_newest("after four returns");
 }
 
+/* who knows what now; -1: some do not */
+gint64 time_until_known(World &world, const std::string &text, gint64 most) {
+  for (gint64 time = 0; time <= most; time += 10 * ms) {
+    if (world.knowing(STORE_CONFIGURATION, "main", text) == world.living())
+      return time;
+    world.run(10 * ms);
+  }
+  return -1;
+}
+
+/* lists of each kind, twice, by those that follow the store; instances that
+** hear relays make no call */
+TEST_P(Restored, ItCostsTheStoreCallsOfThoseThatFollowItAlone) {
+  constexpr gint64 span = 5 * second;
+  guint64 before = world->store_calls;
+  world->run(span);
+  guint64 calm = world->store_calls - before;
+  restore(3 * second, 0);
+  before = world->store_calls;
+  world->run(1 * second);
+  guint64 first = world->store_calls - before;
+  write();
+  gint64 known = time_until_known(*world, std::to_string(version), bound);
+  world->run(span - 1 * second - known);
+  guint64 all = world->store_calls - before;
+  unsigned followers =
+      world->with_role(RELAY_ROLE_RELAY) + world->with_role(RELAY_ROLE_ALONE);
+  printf("%u instances, %u of them follow the store: %d calls in the first "
+         "second, %d in 5 s (%d in calm), a change known by all after %d ms\n",
+         GetParam(), followers, static_cast<int>(first), static_cast<int>(all),
+         static_cast<int>(calm), static_cast<int>(known / ms));
+  EXPECT_LE(first, followers * 3u * MP_RELAY_KINDS);
+  EXPECT_LE(all, calm + followers * 5u * MP_RELAY_KINDS);
+  EXPECT_GE(known, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(All, Restored,
                          ::testing::Values(2u, 9u, 24u, 58u, 300u));
 
