A list that disproves an old one removes nothing at first

What callers may see: 503 for lack of endpoints for a moment, at an instance that started just before a return of the store. Cause: the list that shows that what was known is of the past counted as it stood, though its writers may not have written again yet. Found by reading. Evidence: AListThatMayBeOlderThanItsEraIsNotBelievedForGood fails without the change: b is gone. Change: it is treated as the first list of an era: the second one removes.

--- a/router/follower.c
+++ b/router/follower.c
@@ -437,10 +437,11 @@
   g_hash_table_remove_all(follower->names);
 }
 
-static void begin_list(Follower *follower, const StoreReply *reply) {
+/* 'returned': what was known is of another era than the list */
+static void begin_list(Follower *follower, const StoreReply *reply,
+                       gboolean returned) {
   follower->listed = reply->at;
-  follower->reconciling =
-      follower_knows(follower) && reply->at.era != follower->known.era;
+  follower->reconciling = returned;
 }
 
 static void forget_position(gpointer name, gpointer value, gpointer data) {
@@ -468,7 +469,10 @@
 }
 
 static void take(Follower *follower, const StoreReply *reply, gint64 now) {
-  if (is_disproved(follower, reply))
+  gboolean is_false = is_disproved(follower, reply);
+  gboolean returned = is_false || (follower_knows(follower) &&
+                                   reply->at.era != follower->known.era);
+  if (is_false)
     forget_positions(follower);
   if (reply->status == STORE_HISTORY_GONE) {
     if (follower->history_gone) /* the list before was of no use either */
@@ -498,7 +502,7 @@
   if (!follower->listing)
     follower->history_gone = FALSE;
   if (follower->listing && follower->after == NULL)
-    begin_list(follower, reply);
+    begin_list(follower, reply, returned);
   take_objects(follower, reply);
   if (!follower->listing && reply->objects != NULL && reply->objects->len > 0)
     follower->retry_at = now + follower->pause;
--- a/test/test_follower.cc
+++ b/test/test_follower.cc
@@ -572,12 +572,13 @@
   fresh.era = 2;
   fresh.call();
   fresh.follower.is_stale = TRUE;
-  fresh.answer(STORE_OK, 40, {{"a", 38, "1"}});
+  fresh.answer(STORE_OK, 40, {{"a", 38, "1"}, {"b", 39, "1"}});
   fresh.call();
   fresh.answer(STORE_HISTORY_GONE);
   EXPECT_EQ(fresh.call().operation, STORE_LIST);
   fresh.answer(STORE_OK, 31, {{"a", 30, "2"}});
   EXPECT_EQ(fresh.objects["a"], "2");
+  EXPECT_EQ(fresh.objects.count("b"), 1u); /* not written again yet, perhaps */
   EXPECT_EQ(fresh.follower.known.revision, 31);
 }
 
