--- a/io/news_codec.h
+++ b/io/news_codec.h
@@ -8,8 +8,7 @@
 ** that the store has for them, long ones as changes of the text that stood at
 ** that position, unless &full=1 is added. With &digest=D, of what the asker
 ** knows, objects are named alone where that is all there is. Long answers are
-*compressed. 503 stands for an instance
-** that does not know the store itself.
+** compressed. 503 stands for an instance that does not know the store itself.
 */
 
 #ifndef NEWS_CODEC_H
--- a/router/follower.c
+++ b/router/follower.c
@@ -469,10 +469,10 @@
 }
 
 static void take(Follower *follower, const StoreReply *reply, gint64 now) {
-  gboolean is_false = is_disproved(follower, reply);
-  gboolean returned = is_false || (follower_knows(follower) &&
-                                   reply->at.era != follower->known.era);
-  if (is_false)
+  gboolean disproved = is_disproved(follower, reply);
+  gboolean returned = disproved || (follower_knows(follower) &&
+                                    reply->at.era != follower->known.era);
+  if (disproved)
     forget_positions(follower);
   if (reply->status == STORE_HISTORY_GONE) {
     if (follower->history_gone) /* the list before was of no use either */
--- a/router/follower.h
+++ b/router/follower.h
@@ -14,13 +14,12 @@
 ** may be older than what is known, and lacks what is only not written again
 ** yet. So a watch that ends in a newer era is followed by a list; that list
 ** removes no object, and a second one, RECONCILE_AFTER later, does. An answer
-*of an older era than
-** the one known has no effect at all.
+** of an older era than the one known has no effect at all.
 **
 ** A list that may be old may even be from before the era that its answer
-*names,
-** and a revision that was given out again may stand for another text. So what
-** is known by such a list is listed again soon, and told on with that reserve.
+** names, and a revision that was given out again may stand for another text.
+** So what is known by such a list is listed again soon, and told on with that
+** reserve.
 **
 ** Catching up costs no more than the present: one that followed a kind of a
 ** single object, and lost the store, reads that object again. A watch from
@@ -206,12 +205,11 @@
 
 /*
 ** What the store would answer to another follower, as far as this one
-** knows: everything, or what has changed after a position, whole
-** when removals since then may not be known. The status is STORE_FAILED until
-** a list was whole. Long texts are told by their changes, unless they are
-** wanted 'in_full'; who knows everything already is told the names alone.
-*Clear
-** 'out' afterwards.
+** knows: everything, or what has changed after a position, whole when removals
+** since then may not be known. The status is STORE_FAILED until a list was
+** whole. Long texts are told by their changes, unless they are wanted
+** 'in_full'; who knows everything already is told the names alone. Clear 'out'
+** afterwards.
 */
 void follower_answer(const Follower *follower, const FollowerQuery *query,
                      StoreReply *out);
--- a/router/lease.h
+++ b/router/lease.h
@@ -10,8 +10,7 @@
 ** A store that was restored from a copy may have lost the object while its
 ** holder counts on it. So no lease is held over a change of the store's era,
 ** and none is taken within twice 'length' of it, or of when an instance that
-*did
-** not see it first hears of an era.
+** did not see it first hears of an era.
 **
 ** Invariants. A lease counts as held only from an answer of the store that
 ** says so, and never longer than 'length' after the call was made. Another
--- a/router/news_state.h
+++ b/router/news_state.h
@@ -5,8 +5,7 @@
 **
 ** Invariant: 'held' and 'newest' never decrease within a life. The store, or
 ** an instance that follows it, names a position before anybody lacks it. What
-*is
-** held of an older era lacks all that is named of a newer one.
+** is held of an older era lacks all that is named of a newer one.
 */
 
 #ifndef ROUTER_NEWS_STATE_H
--- a/router/signals.c
+++ b/router/signals.c
@@ -97,8 +97,7 @@
 */
 
 /* a digest names as many as it holds; if there are more, others in each span
- *of
- ** this length, which is the time between two digests */
+** of this length, which is the time between two digests */
 #define TURN (500 * MP_MS)
 
 /* others learn it from the list once that says so; a life that is not known by
