What gone endpoints had said is not crowded out; a quarantine heard anew is not forgotten

Each endpoint that goes is remembered for the case that a restored store lists it again, and 1,024 of them left no room for one that had said that it leaves; and a quarantine that was read in the new era before the era was told on was forgotten, which cost a call. Ruled out: no bound on such lives: an attacker of the list could fill memory. Change: those that said nothing take half of the room; only positions of an older era are forgotten.

--- a/io/status_server.h
+++ b/io/status_server.h
@@ -29,8 +29,7 @@
 } StatusServerOptions;
 
 /* NULL: an address can't be bound, as the error says. Without metrics alone
- *the
- ** others are served, and the log says so */
+** the others are served, and the log says so */
 StatusServer *status_server_new(struct event_base *base,
                                 const StatusServerOptions *options,
                                 const StatusServerHooks *hooks, Log *log,
--- a/router/config_proof.c
+++ b/router/config_proof.c
@@ -32,8 +32,7 @@
 }
 
 /* of the same era alone: what the relay's store had lost, or has lost since,
- *is
- ** not told by a revision */
+** is not told by a revision */
 static gboolean knows_all_of(const ConfigProof *proof, StorePosition changed) {
   return changed.era == proof->known.era &&
          !store_position_is_before(proof->known, changed);
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -13,8 +13,7 @@
 #include "router/gate.h"
 
 /* ids up to so many bytes: a seed is mixed into the hash of one so short by
- *XOR
- ** alone, so that ids and seeds that differ in the same bits share a hash */
+** XOR alone, and ids and seeds that differ in the same bits share a hash */
 #define SHORT_ID 8
 /* an endpoint out of reach is left alone this long, doubled each time */
 #define AVOID_FIRST (500 * MP_MS)
@@ -185,12 +184,13 @@
 ** holds on if the list has it again */
 static void keep_unlisted(EndpointTable *table, const Endpoint *endpoint,
                           gint64 now) {
+  gboolean is_silent = !has_said_something(&endpoint->availability);
+  guint most = is_silent ? UNLISTED_MOST / 2 : UNLISTED_MOST;
   UnlistedLife *life;
-  if (!has_said_something(&endpoint->availability) &&
-      store_position_is_none(endpoint->record.position))
+  if (is_silent && store_position_is_none(endpoint->record.position))
     return;
   g_hash_table_foreach_remove(table->unlisted, is_outlived, &now);
-  if (g_hash_table_size(table->unlisted) >= UNLISTED_MOST)
+  if (g_hash_table_size(table->unlisted) >= most)
     return;
   life = g_new(UnlistedLife, 1);
   life->born_unix_ms = endpoint->record.born_unix_ms;
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -91,8 +91,7 @@
 gboolean endpoint_record_is_restored(const EndpointRecord *record,
                                      const EndpointRecord *known);
 /* the list has lost it; what its life has said is kept for a while, in case
- *the
- ** list has it again */
+** the list has it again */
 void endpoint_table_remove(EndpointTable *table, const char *id, gint64 now);
 /* the same of every endpoint whose id is no key of 'names' */
 void endpoint_table_keep(EndpointTable *table, GHashTable *names, gint64 now);
--- a/router/follower.c
+++ b/router/follower.c
@@ -28,8 +28,7 @@
 ** store's return */
 #define RECONCILE_AFTER (2500 * MP_MS)
 /* what is known by a list that may be old is listed again after this:
- *instances
- ** that start together have found their relays by then */
+** instances that start together have found their relays by then */
 #define VERIFY_AFTER (1 * MP_SEC)
 /* objects that are gone and still told to others: ten times the endpoints
 ** of the largest deployment planned for (docs/CAPACITY.md) */
--- a/router/path.c
+++ b/router/path.c
@@ -63,9 +63,9 @@
                                  open->life);
 }
 
-/* what is open at an engine is memory that others may promise too: they hear
- *at
- ** once. At a plain endpoint it tells them how busy that is, a little later */
+/* what is open at an engine is memory that others may promise too: they
+** hear at once. At a plain endpoint it tells them how busy that is, a
+** little later */
 static void count_change(Router *router, const Request *request) {
   if (request->service->is_engine)
     router->load_version++;
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -416,13 +416,15 @@
   return is_news;
 }
 
-void quarantine_restored(Quarantine *quarantine) {
+void quarantine_restored(Quarantine *quarantine, guint64 era) {
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init(&iterator, quarantine->rows);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     Row *row = value;
     guint i;
+    if (row->position.era >= era)
+      continue; /* it has been heard of since */
     row->position = store_position_none();
     for (i = 0; i < row->count; i++)
       row->strikes[i].saved = FALSE;
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -114,9 +114,9 @@
                            const QuarantineRecord *record,
                            StorePosition position, gint64 now);
 /* FALSE: nothing has to be written now */
-/* the store was restored from a copy: what stands there is not known, and what
-** this instance saw is written again */
-void quarantine_restored(Quarantine *quarantine);
+/* the store was restored from a copy, and this era began: what stands there is
+** not known, and what this instance saw is written again */
+void quarantine_restored(Quarantine *quarantine, guint64 era);
 gboolean quarantine_next_save(Quarantine *quarantine, QuarantineSave *out,
                               gint64 now);
 /* the write has failed, or another one was faster: again a little later */
--- a/router/rates.c
+++ b/router/rates.c
@@ -4,8 +4,7 @@
 **
 ** Invariant: each request that goes to an endpoint, whatever it is, is counted
 ** there (dispatcher.c), and none of a caller's is sent that the endpoint's
-*rate
-** does not allow (rates_allow).
+** rate does not allow (rates_allow).
 */
 
 #include <string.h>
--- a/router/suspicions.h
+++ b/router/suspicions.h
@@ -33,8 +33,7 @@
 /* that life has answered something: it has not ended */
 void suspicions_answered(Suspicions *suspicions, guint32 life, gint64 now);
 /* suspected ends that stand against this content, but for those that
- *'is_known'
- ** says are proved; '*until' is when the last of them is over */
+** 'is_known' says are proved; '*until' is when the last of them is over */
 guint suspicions_count(const Suspicions *suspicions, guint64 content,
                        gboolean (*is_known)(void *data, guint64 content,
                                             guint32 life),
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -94,10 +94,11 @@
   guint64 term = 0;
 };
 
-/* the hash of an endpoint's life that began at a time that is not known */
-inline guint32 life_of(const char *id) {
+/* the hash of an endpoint's life; 0: it began at a time that is not known */
+inline guint32 life_of(const char *id, gint64 born_unix_ms = 0) {
   EndpointRecord record = {};
   record.id = const_cast<char *>(id);
+  record.born_unix_ms = born_unix_ms;
   return endpoint_life_hash(&record);
 }
 
--- a/test/test_lives.cc
+++ b/test/test_lives.cc
@@ -284,4 +284,24 @@
   EXPECT_EQ(world.runs(world.request("/unsafe/x")), 0u);
 }
 
+/* as many as are remembered */
+TEST_F(Lives, WhoSaidNothingDoesNotCrowdOutWhoSaidThatItLeaves) {
+  world.era = 1;
+  for (unsigned i = 0; i < 1100; i++) {
+    std::string id = "gone-" + std::to_string(i);
+    Place one = {id.c_str(), "app", "a", STAGE_NONE};
+    world.revision = 100 + i;
+    start(one, 1000);
+    world.endpoint(one, true, true);
+  }
+  start(plain, 1000);
+  EndpointSignals says = {};
+  says.leaving = SIGNAL_GIVEN;
+  router_endpoint_signals(world.router, plain.id, life_of(plain.id, 1000),
+                          &says, world.now);
+  world.endpoint(plain, true, true);
+  start(plain, 1000);
+  EXPECT_EQ(world.runs(world.request("/unsafe/x")), 0u);
+}
+
 } // namespace
--- a/test/test_quarantine.cc
+++ b/test/test_quarantine.cc
@@ -295,13 +295,15 @@
   quarantine_stored(table, &first.record, store_position(1, 40), now);
   hear(8, {1, 2, 3});
   ASSERT_EQ(save().record.count, 0u);
-  quarantine_restored(table);
+  quarantine_restored(table, 2);
   QuarantineSave again = save();
   EXPECT_EQ(again.record.content, 7u);
   EXPECT_EQ(again.record.count, 2u);
   EXPECT_TRUE(store_position_is_none(again.position));
   quarantine_stored(table, &again.record, store_position(2, 12), now);
   EXPECT_EQ(save().record.count, 0u);
+  quarantine_restored(table, 2); /* heard once more, from another one */
+  EXPECT_EQ(save().record.count, 0u);
 }
 
 } // namespace
