--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -18,6 +18,7 @@
   DispatchKind kind;
   guint32 life;           /* incarnation of the endpoint: Dispatch.life */
   gboolean may_stream;    /* responses of the route may be event streams */
+  gboolean on_kept;       /* its connection was open before it */
   char *request_id;       /* the caller's; NULL: none */
   GString *text;          /* the request, until it is written; then NULL */
   HttpHead *head;         /* of the response; NULL until it is received */
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -142,6 +142,7 @@
   EndpointLinks *links = link->links;
   guint64 dispatch = link->call->dispatch;
   outcome->dispatch = dispatch;
+  outcome->was_kept = link->call->on_kept;
   links->hooks.outcome(links->hooks.data, outcome);
   return g_hash_table_lookup(links->calls, &dispatch) == link;
 }
@@ -154,6 +155,7 @@
   g_assert(call != NULL);
   outcome.kind = kind;
   outcome.dispatch = call->dispatch;
+  outcome.was_kept = call->on_kept;
   link->call = NULL;
   g_hash_table_remove(links->calls, &call->dispatch);
   close_link(link);
@@ -517,6 +519,7 @@
   }
   if (link == NULL)
     link = link_new(links, dispatch);
+  call->on_kept = link->is_connected;
   set_call(link, call);
   if (caller != NULL && g_ascii_strcasecmp(caller->method, "HEAD") == 0)
     http_reader_expect_no_body(link->reader);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -375,6 +375,8 @@
   router_quarantine_count(gateway->router, clock_now(),
                           &counts.struck_requests, &counts.held_requests);
   counts.rate_skips = router_rate_skips(gateway->router);
+  counts.unreachable_endpoints =
+      router_unreachable_endpoints(gateway->router, clock_now());
   counts.limited_endpoints = router_limited_endpoints(gateway->router);
   counts.leaving_endpoints = router_leaving_endpoints(gateway->router);
   counts.resting_endpoints =
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -39,24 +39,26 @@
   guint64 log_lines_left_out;      /* log_left_out */
   guint64 log_lines_lost;          /* log_lost */
   unsigned idle_endpoint_connections;
-  const char *news_role;   /* relay_role_name of this instance */
-  gint64 news_age;         /* time in us since the store last answered this
-                           ** instance or one of the relays whose heartbeats
-                           ** it receives, whichever was last. For this
-                           ** instance, the older one of the last answers about
-                           ** the configuration and the endpoints counts. */
-  gboolean ready;          /* readiness checks succeed */
-  guint struck_requests;   /* requests with a strike: an endpoint crashed while
-                           ** it ran them, and the strike still counts
-                           ** (router/quarantine.h) */
-  guint held_requests;     /* those of them that are quarantined: they are not
-                           ** sent to endpoints until the hold ends */
-  guint64 rate_skips;      /* choices of an endpoint for a request that left
-                           ** another one out because of its rate limit; the
-                           ** router's running total */
-  guint limited_endpoints; /* endpoints that limit the rate of requests */
-  guint leaving_endpoints; /* endpoints whose responses announced that they
-                           ** are leaving service */
+  const char *news_role; /* relay_role_name of this instance */
+  gint64 news_age;       /* time in us since the store last answered this
+                         ** instance or one of the relays whose heartbeats
+                         ** it receives, whichever was last. For this
+                         ** instance, the older one of the last answers about
+                         ** the configuration and the endpoints counts. */
+  gboolean ready;        /* readiness checks succeed */
+  guint struck_requests; /* requests with a strike: an endpoint crashed while
+                         ** it ran them, and the strike still counts
+                         ** (router/quarantine.h) */
+  guint held_requests;   /* those of them that are quarantined: they are not
+                         ** sent to endpoints until the hold ends */
+  guint64 rate_skips;    /* choices of an endpoint for a request that left
+                         ** another one out because of its rate limit; the
+                         ** router's running total */
+  guint unreachable_endpoints; /* endpoints that are avoided because
+                               ** connections from here to them failed */
+  guint limited_endpoints;     /* endpoints that limit the rate of requests */
+  guint leaving_endpoints;     /* endpoints whose responses announced that they
+                               ** are leaving service */
   guint resting_endpoints; /* endpoints that have asked this instance to pause
                            ** its requests, for a time that is not over */
   guint waiting;           /* queued requests */
--- a/router/loads.c
+++ b/router/loads.c
@@ -73,6 +73,15 @@
                                service->max_connections, router->instances);
 }
 
+guint router_unreachable_endpoints(const Router *router, gint64 now) {
+  const GPtrArray *all = router->endpoints->all;
+  guint count = 0;
+  guint i;
+  for (i = 0; i < all->len; i++)
+    count += ((const Endpoint *)all->pdata[i])->avoid_until > now;
+  return count;
+}
+
 static void write_row(const Endpoint *endpoint, mp_LoadDigest *out,
                       guint failing) {
   mp_LoadRow *row = &out->row[out->n++];
--- a/router/router.h
+++ b/router/router.h
@@ -200,6 +200,7 @@
   OutcomeKind kind;
   int status;                 /* ANSWER: HTTP status */
   gboolean misdirected;       /* NOT_RUN: another endpoint has the address */
+  gboolean was_kept;          /* its connection was open before the dispatch */
   const char *event;          /* STREAM_PIECE: id of its last event, or NULL */
   void *payload;              /* the host's own; passed on to 'answer' */
   const char *handle;         /* ANSWER of a prefill; NULL: none was given */
@@ -404,6 +405,9 @@
 guint router_leaving_endpoints(const Router *router);
 /* Returns how many endpoints want no request from this instance now. */
 guint router_resting_endpoints(const Router *router, gint64 now);
+/* Returns how many endpoints are avoided because connections to them failed
+** here. */
+guint router_unreachable_endpoints(const Router *router, gint64 now);
 /* Returns how many endpoints name a rate. */
 guint router_limited_endpoints(const Router *router);
 /* Returns how many choices left an endpoint out because of its rate. */
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -20,7 +20,7 @@
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
   AdapterCounts carriers = {7, 11, 2, {}, 1, 2, 3, "relay", 250 * ms, TRUE, 5,
-                            4, 6,  3, 2,  1, 9, 8, {},      {},       3};
+                            4, 6,  7, 3,  2, 1, 9, 8,       {},       {},   3};
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
   carriers.known_positions[STORE_ENDPOINTS] = store_position(2, 31);
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
@@ -47,6 +47,7 @@
         "madderpier_suspect_requests 5",
         "madderpier_held_requests 4",
         "madderpier_endpoint_rate_skips_total 6",
+        "madderpier_unreachable_endpoints 7",
         "madderpier_limited_endpoints 3",
         "madderpier_leaving_endpoints 2",
         "madderpier_resting_endpoints 1",
