--- a/core/state.c
+++ b/core/state.c
@@ -258,6 +258,7 @@
   case MP_MSG_HEARTBEAT_REQUEST:
   case MP_MSG_LOAD_SUMMARY:
   case MP_MSG_CRASHES:
+  case MP_MSG_CARRY:
   case MP_MSG_RATES:
   case MP_MSG_LAST:
     break;
--- a/include/mplog.h
+++ b/include/mplog.h
@@ -46,6 +46,9 @@
   X(EP_SIGNAL_BAD, 2015, MP_WARN, "endpoint's signal is unreadable")          \
   X(DISPATCH_HELD_BACK, 2016, MP_FAULT, "forbidden dispatch prevented")       \
   X(EP_FIELD_UNKNOWN, 2017, MP_WARN, "endpoint sends an unknown field")       \
+  X(PATH_LOST, 2018, MP_WARN, "endpoint is reached through an instance")      \
+  X(PATH_BACK, 2019, MP_INFO, "endpoint is reached directly again")           \
+  X(PATH_NONE, 2020, MP_WARN, "no instance asked reaches the endpoint")       \
   X(EJECT, 2008, MP_WARN, "endpoint ejected temporarily")                     \
   X(MEMBER_UP, 3001, MP_INFO, "instance joined")                              \
   X(MEMBER_SUSPECT, 3002, MP_INFO, "instance suspected")                      \
@@ -100,6 +103,7 @@
   X(WATCH_MISSED, 8114, MP_WARN, "watch missed a change")                     \
   X(ANSWER_OVERTAKEN, 8115, MP_WARN, "answer is older than known objects")    \
   X(STORE_RESTORED, 8116, MP_WARN, "store was restored from a copy")          \
+  X(CARRY_BAD, 3006, MP_WARN, "invalid request to carry a connection")        \
   X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")             \
   X(LINES_LEFT_OUT, 9001, MP_INFO, "log lines suppressed")                    \
   X(LINES_LOST, 9002, MP_WARN, "log lines lost")
--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -58,6 +58,7 @@
   MP_MSG_LOAD_SUMMARY,
   MP_MSG_CRASHES,
   MP_MSG_RATES,
+  MP_MSG_CARRY,
   MP_MSG_LAST
 } mp_MsgKind;
 
@@ -298,6 +299,14 @@
   uint32_t tokens;
 } mp_LoadNote;
 
+/* CARRY: asks another instance to connect to an endpoint, and to pass bytes on
+** (io/carry_server.h). Sent over TCP; the reply holds the verdict only. */
+typedef struct mp_Carry {
+  uint32_t endpoint;   /* hash of its ID and start time */
+  uint32_t timeout_ms; /* for the connection to it */
+  uint8_t verdict;     /* CarryVerdict (router/router.h) */
+} mp_Carry;
+
 /* a position in the store's history (router/store_position.h) */
 typedef struct mp_StorePosition {
   uint64_t era; /* rises by one when the store is restored from a copy;
@@ -382,6 +391,7 @@
     mp_Fetch fetch;
     mp_LoadDigest digest;
     mp_LoadNote note;
+    mp_Carry carry;
     mp_RelayHeartbeat beat;
     mp_HeartbeatRequest ask;
     mp_LoadSummary summary;
--- a/io/directory.c
+++ b/io/directory.c
@@ -257,13 +257,14 @@
 
 /* the instances other than this one */
 typedef struct Others {
-  GArray *all;     /* mp_Addr: those of all data centres */
-  GArray *near;    /* mp_Addr: those for which is_near() holds */
-  GArray *members; /* RelayMember: the instances of 'near', with their data
-                   ** centre and capacity */
-  GArray *far;     /* RelayMember: those of other data centres that answer
-                   ** queries for the store's objects; empty when this
-                   ** instance does not answer them */
+  GArray *all;      /* mp_Addr: those of all data centres */
+  GArray *near;     /* mp_Addr: those for which is_near() holds */
+  GArray *members;  /* RelayMember: the instances of 'near', with their data
+                    ** centre and capacity */
+  GArray *carriers; /* RelayMember: those of 'all' */
+  GArray *far;      /* RelayMember: those of other data centres that answer
+                    ** queries for the store's objects; empty when this
+                    ** instance does not answer them */
 } Others;
 
 static void others_add(const Directory *directory, Others *others,
@@ -271,6 +272,7 @@
   RelayMember member = {instance->exchange, g_str_hash(instance->zone),
                         instance->capacity};
   g_array_append_val(others->all, instance->exchange);
+  g_array_append_val(others->carriers, member);
   if (is_near(directory, instance)) {
     g_array_append_val(others->near, instance->exchange);
     g_array_append_val(others->members, member);
@@ -283,6 +285,7 @@
   gpointer name;
   gpointer value;
   others->all = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
+  others->carriers = g_array_new(FALSE, FALSE, sizeof(RelayMember));
   others->near = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
   others->members = g_array_new(FALSE, FALSE, sizeof(RelayMember));
   others->far = g_array_new(FALSE, FALSE, sizeof(RelayMember));
@@ -295,6 +298,7 @@
 
 static void others_clear(Others *others) {
   g_array_free(others->all, TRUE);
+  g_array_free(others->carriers, TRUE);
   g_array_free(others->near, TRUE);
   g_array_free(others->members, TRUE);
   g_array_free(others->far, TRUE);
@@ -309,7 +313,8 @@
                others.near->len);
   relay_group_set_members(directory->group, others.members, others.far,
                           clock_now());
-  directory->hooks.instances(directory->hooks.data, others.all, others.near);
+  directory->hooks.instances(directory->hooks.data, others.all, others.near,
+                             others.carriers);
   others_clear(&others);
 }
 
--- a/io/directory.h
+++ b/io/directory.h
@@ -51,9 +51,12 @@
   /* The set of instances may have changed. 'all' are the addresses (mp_Addr,
   ** InstanceRecord.exchange) of all other instances. 'near' are those of them
   ** that are in this data centre and answer queries for the store's objects;
-  ** it is empty when this instance does not answer such queries itself. Both
-  ** arrays are valid during the callback. */
-  void (*instances)(void *data, const GArray *all, const GArray *near);
+  ** it is empty when this instance does not answer such queries itself.
+  ** 'carriers' has a RelayMember for each of 'all'. The arrays are valid
+  *during
+  ** the callback. */
+  void (*instances)(void *data, const GArray *all, const GArray *near,
+                    const GArray *carriers);
   /* The store has answered a call, with or without changes. */
   void (*news)(void *data);
 } DirectoryHooks;
--- a/io/endpoint_call.c
+++ b/io/endpoint_call.c
@@ -3,6 +3,8 @@
 ** One dispatch that was sent to an endpoint
 */
 
+#include <string.h>
+
 #include "io/endpoint_call.h"
 
 EndpointCall *endpoint_call_new(const Dispatch *dispatch) {
@@ -28,6 +30,26 @@
   g_free(call);
 }
 
+GString *endpoint_call_text(const Dialect *dialect, const Dispatch *dispatch,
+                            const HttpHead *caller, const GByteArray *body) {
+  char *own = NULL;
+  HttpHead *head = dialect->write_dispatch(dispatch, caller, &own);
+  GString *text = g_string_new(NULL);
+  if (own != NULL)
+    http_head_add_number(head, "Content-Length", (gint64)strlen(own));
+  else if (body != NULL &&
+           (body->len > 0 || g_ascii_strcasecmp(head->method, "GET") != 0))
+    http_head_add_number(head, "Content-Length", body->len);
+  http_head_write(head, text);
+  if (own != NULL)
+    g_string_append(text, own);
+  else if (body != NULL)
+    g_string_append_len(text, (const char *)body->data, body->len);
+  http_head_free(head);
+  g_free(own);
+  return text;
+}
+
 gboolean endpoint_call_is_control(const EndpointCall *call) {
   return call->kind == DISPATCH_RELEASE || call->kind == DISPATCH_REPORT ||
          call->kind == DISPATCH_ORDER;
--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -34,6 +34,15 @@
 /* 'call' may be NULL. */
 void endpoint_call_free(EndpointCall *call);
 
+/*
+** Returns the text of the dispatch's request, which the caller frees: its
+*head,
+** and the body of the dialect or of the caller. 'caller' and 'body' are NULL
+** for a dispatch that has no caller.
+*/
+GString *endpoint_call_text(const Dialect *dialect, const Dispatch *dispatch,
+                            const HttpHead *caller, const GByteArray *body);
+
 /*
 ** Is it a control call, one that the router makes for itself rather than for a
 ** caller: a release, a report or an order (DispatchKind)?
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -16,6 +16,7 @@
 
 #include "http/events.h"
 #include "http/reader.h"
+#include "io/carry_client.h"
 #include "io/endpoint_call.h"
 #include "io/endpoint_links.h"
 #include "io/link_pool.h"
@@ -34,6 +35,10 @@
 ** report or an order (endpoint_call_is_control) */
 #define CONTROL_TIMEOUT (1 * MP_SEC)
 
+/* share of the time for a connection that a carrier may take to make it, so
+** that its verdict arrives in time */
+#define CARRY_TIMEOUT_SHARE 0.75
+
 struct EndpointLinks {
   struct event_base *base;
   const Dialect *dialect;
@@ -52,10 +57,12 @@
   struct event *timer; /* timeout of connecting, idling, or a control call */
   HttpReader *reader;
   gboolean is_connected;
-  gboolean must_close; /* it is closed after its call */
-  gint64 idle_limit;   /* us after which the endpoint closes an idle
-                       ** connection, as it says; 0: it has not said */
-  EndpointCall *call;  /* NULL while the connection is idle */
+  gboolean must_close;  /* it is closed after its call */
+  gint64 idle_limit;    /* us after which the endpoint closes an idle
+                        ** connection, as it says; 0: it has not said */
+  CarryClient *carry;   /* NULL: the connection is direct */
+  gint64 carry_timeout; /* us that the carrier may take to connect */
+  EndpointCall *call;   /* NULL while the connection is idle */
 } Link;
 
 /*
@@ -69,6 +76,7 @@
   bufferevent_free(link->events);
   event_free(link->timer);
   http_reader_free(link->reader);
+  carry_client_free(link->carry);
   endpoint_call_free(link->call);
   g_free(link->endpoint);
   g_free(link);
@@ -93,6 +101,12 @@
   event_add(link->timer, &time);
 }
 
+/* What the endpoint has sent and is not read yet. */
+static struct evbuffer *input_of(const Link *link) {
+  return link->carry != NULL ? link->carry->input
+                             : bufferevent_get_input(link->events);
+}
+
 /*
 ** Ends the call. The connection is idle until the next call, and is closed
 ** after 'limit' microseconds without one.
@@ -114,7 +128,7 @@
       !link->must_close && hooks->keeps(hooks->data, link->endpoint) &&
       http_reader_state(link->reader) == HTTP_READER_DONE &&
       http_reader_keep_alive(link->reader) &&
-      evbuffer_get_length(bufferevent_get_input(link->events)) == 0 &&
+      evbuffer_get_length(input_of(link)) == 0 &&
       evbuffer_get_length(bufferevent_get_output(link->events)) == 0;
   if (link->idle_limit > 0)
     limit = MAX(link->idle_limit - IDLE_MARGIN, 100 * MP_MS);
@@ -147,6 +161,12 @@
   return g_hash_table_lookup(links->calls, &dispatch) == link;
 }
 
+/* Did the carrier find that the endpoint accepts no connection? */
+static gboolean is_endpoint_refusal(const Link *link) {
+  return link->carry->state == CARRY_REFUSED &&
+         link->carry->verdict == CARRY_UNREACHABLE;
+}
+
 /* Closes a connection without a whole response, and reports the outcome. */
 static void fail_call(Link *link, OutcomeKind kind) {
   Outcome outcome = {0};
@@ -156,6 +176,8 @@
   outcome.kind = kind;
   outcome.dispatch = call->dispatch;
   outcome.was_kept = call->on_kept;
+  outcome.carrier_failed = kind == OUTCOME_UNREACHABLE &&
+                           link->carry != NULL && !is_endpoint_refusal(link);
   link->call = NULL;
   g_hash_table_remove(links->calls, &call->dispatch);
   close_link(link);
@@ -314,7 +336,7 @@
 }
 
 static void read_response(Link *link) {
-  struct evbuffer *in = bufferevent_get_input(link->events);
+  struct evbuffer *in = input_of(link);
   while (evbuffer_get_length(in) > 0) {
     size_t size = evbuffer_get_contiguous_space(in);
     const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
@@ -325,15 +347,6 @@
   }
 }
 
-static void on_read(struct bufferevent *events, void *data) {
-  Link *link = data;
-  (void)events;
-  if (link->call == NULL)
-    close_and_forget(link); /* bytes without a request */
-  else
-    read_response(link);
-}
-
 /* }================================================================== */
 
 /*
@@ -345,7 +358,10 @@
 static void write_call(Link *link) {
   EndpointCall *call = link->call;
   event_del(link->timer);
-  bufferevent_write(link->events, call->text->str, call->text->len);
+  if (link->carry != NULL)
+    carry_client_write(link->events, call->text->str, call->text->len);
+  else
+    bufferevent_write(link->events, call->text->str, call->text->len);
   g_string_free(call->text, TRUE);
   call->text = NULL;
   if (endpoint_call_is_control(call))
@@ -378,15 +394,65 @@
     make_idle(link, DEFAULT_IDLE_TIMEOUT);
 }
 
+/* The connection to the endpoint has been made, by this instance or by the
+** carrier: nothing was written to the endpoint before. */
+static void begin_call(Link *link) {
+  link->is_connected = TRUE;
+  if (link->call->kind == DISPATCH_CHECK)
+    finish_check(link);
+  else
+    write_call(link);
+}
+
+/* The carrier has answered the call for a connection to the endpoint. */
+static void handle_verdict(Link *link) {
+  const CarryClient *carry = link->carry;
+  if (carry->state == CARRY_OPEN || carry->state == CARRY_ENDED)
+    begin_call(link);
+  else if (carry->state != CARRY_WAITING)
+    fail_call(link, OUTCOME_UNREACHABLE);
+}
+
+/* Handles what has arrived on a connection of a carrier. */
+static void read_carried(Link *link) {
+  CarryClient *carry = link->carry;
+  carry_client_read(carry, link->events);
+  if (carry_client_is_leaving(carry))
+    link->must_close = TRUE;
+  if (link->call == NULL) {
+    if (link->must_close || carry->state != CARRY_OPEN ||
+        evbuffer_get_length(carry->input) > 0)
+      close_and_forget(link);
+  } else if (!link->is_connected)
+    handle_verdict(link);
+  else if (carry->state == CARRY_ENDED)
+    on_eof(link);
+  else if (carry->state == CARRY_FAILED)
+    fail_call(link, OUTCOME_BROKEN);
+  else
+    read_response(link);
+}
+
+static void on_read(struct bufferevent *events, void *data) {
+  Link *link = data;
+  (void)events;
+  if (link->carry != NULL)
+    read_carried(link);
+  else if (link->call == NULL)
+    close_and_forget(link); /* bytes without a request */
+  else
+    read_response(link);
+}
+
 static void on_event(struct bufferevent *events, short what, void *data) {
   Link *link = data;
   if (what & BEV_EVENT_CONNECTED) {
-    link->is_connected = TRUE;
     socket_set_options(events, UNACKED_MS);
-    if (link->call->kind == DISPATCH_CHECK)
-      finish_check(link);
-    else
-      write_call(link);
+    if (link->carry != NULL) {
+      socket_set_keepalive(events);
+      carry_client_call(events, link->call->life, link->carry_timeout);
+    } else
+      begin_call(link);
     return;
   }
   if (link->call == NULL) {
@@ -404,9 +470,9 @@
     bufferevent_enable(events, EV_READ);
     return;
   }
-  if (what & BEV_EVENT_EOF)
+  if ((what & BEV_EVENT_EOF) && link->carry == NULL)
     on_eof(link);
-  else {
+  else { /* a carrier tells the end of a whole stream before it closes */
     EndpointLinks *links = link->links;
     guint64 dispatch = link->call->dispatch;
     read_response(link); /* what was received before the reset */
@@ -451,39 +517,35 @@
 }
 
 static void connect_link(Link *link, const Dispatch *dispatch) {
+  mp_Addr to = dispatch->via != 0 ? dispatch->via : dispatch->address;
   link->links->opened++;
   start_timer(link, dispatch->connect_timeout);
-  if (!socket_connect(link->events, dispatch->address))
+  if (dispatch->via != 0) {
+    link->carry = carry_client_new();
+    link->carry_timeout =
+        (gint64)(CARRY_TIMEOUT_SHARE * (double)dispatch->connect_timeout);
+  }
+  if (!socket_connect(link->events, to))
     start_timer(link, 0); /* the failure is reported from the event loop */
 }
 
-static Link *take_idle_link(EndpointLinks *links, const char *endpoint) {
-  Link *link = link_pool_take_idle(links->pool, endpoint);
-  if (link != NULL)
-    event_del(link->timer);
-  return link;
-}
-
-/* The text of the request: its head, and the dialect's or caller's body. */
-static GString *request_text(const EndpointLinks *links,
-                             const Dispatch *dispatch, const HttpHead *caller,
-                             const GByteArray *body) {
-  char *own = NULL;
-  HttpHead *head = links->dialect->write_dispatch(dispatch, caller, &own);
-  GString *text = g_string_new(NULL);
-  if (own != NULL)
-    http_head_add_number(head, "Content-Length", (gint64)strlen(own));
-  else if (body != NULL &&
-           (body->len > 0 || g_ascii_strcasecmp(head->method, "GET") != 0))
-    http_head_add_number(head, "Content-Length", body->len);
-  http_head_write(head, text);
-  if (own != NULL)
-    g_string_append(text, own);
-  else if (body != NULL)
-    g_string_append_len(text, (const char *)body->data, body->len);
-  http_head_free(head);
-  g_free(own);
-  return text;
+/*
+** Returns an idle connection for the dispatch, or NULL. One that does not lead
+** to the endpoint as the dispatch does, directly or through a carrier, is
+** closed: the path has changed since it was made.
+*/
+static Link *take_idle_link(EndpointLinks *links, const Dispatch *dispatch) {
+  gboolean is_carried = dispatch->via != 0;
+  Link *link;
+  while ((link = link_pool_take_idle(links->pool, dispatch->endpoint)) !=
+         NULL) {
+    if ((link->carry != NULL) == is_carried) {
+      event_del(link->timer);
+      return link;
+    }
+    close_link(link);
+  }
+  return NULL;
 }
 
 static void set_call(Link *link, EndpointCall *call) {
@@ -511,8 +573,8 @@
     return;
   }
   call = endpoint_call_new(dispatch);
-  link = take_idle_link(links, dispatch->endpoint);
-  call->text = request_text(links, dispatch, caller, body);
+  link = take_idle_link(links, dispatch);
+  call->text = endpoint_call_text(links->dialect, dispatch, caller, body);
   if (caller != NULL && links->dialect->read_caller(caller, &read, NULL)) {
     call->request_id = g_strdup(read.request.id);
     caller_head_clear(&read);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "http/content.h"
+#include "io/carry_server.h"
 #include "io/directory.h"
 #include "io/status_server.h"
 #include "io/endpoint_links.h"
@@ -50,6 +51,7 @@
   Router *router;
   Front *front;
   EndpointLinks *links;
+  CarryServer *carrying; /* for instances that lost their paths to endpoints */
   Directory *directory;
   LoadExchange *exchange;
   RelayGroup *group; /* knows which instances watch the store for others */
@@ -277,15 +279,24 @@
 ** (relay_group_uses_summaries), each sends them within its data centre, and
 ** relays send their sums to the other data centres.
 */
-static void on_instances(void *data, const GArray *all, const GArray *near) {
+static void on_instances(void *data, const GArray *all, const GArray *near,
+                         const GArray *carriers) {
   Gateway *gateway = data;
   gboolean uses_summaries = relay_group_uses_summaries(gateway->group);
   const GArray *hearing = uses_summaries ? near : all;
   load_exchange_set_peers(gateway->exchange, hearing, uses_summaries);
   router_set_instances(gateway->router, all->len + 1, hearing->len + 1);
+  router_set_carriers(gateway->router, carriers);
+  carry_server_set_peers(gateway->carrying, all);
   relays_set_members(gateway->relays, uses_summaries);
 }
 
+static CarryVerdict on_carry_call(void *data, guint32 endpoint,
+                                  mp_Addr *address) {
+  const Gateway *gateway = data;
+  return router_may_carry(gateway->router, endpoint, address, clock_now());
+}
+
 static void on_relay_message(void *data, mp_Addr from, const mp_Msg *message) {
   const Gateway *gateway = data;
   if (gateway->relays != NULL)
@@ -377,6 +388,9 @@
   counts.rate_skips = router_rate_skips(gateway->router);
   counts.unreachable_endpoints =
       router_unreachable_endpoints(gateway->router, clock_now());
+  counts.indirect_endpoints = router_indirect_endpoints(gateway->router);
+  counts.carried_connections = carry_server_count(gateway->carrying);
+  counts.carried_connections_total = carry_server_total(gateway->carrying);
   counts.limited_endpoints = router_limited_endpoints(gateway->router);
   counts.leaving_endpoints = router_leaving_endpoints(gateway->router);
   counts.resting_endpoints =
@@ -440,7 +454,9 @@
     router_stop_accepting(gateway->router, clock_now());
     front_close_idle(gateway->front);
   }
-  if (age >= gateway->drain_least && front_open_requests(gateway->front) == 0)
+  if (age >= gateway->drain_least &&
+      front_open_requests(gateway->front) == 0 &&
+      carry_server_count(gateway->carrying) == 0)
     gateway->is_drained = TRUE;
   if (gateway->is_drained || age >= gateway->drain_most)
     event_base_loopbreak(gateway->base);
@@ -454,6 +470,7 @@
   gateway->drain_began = clock_now();
   log_numbered(gateway->log, MP_LOG_DRAIN, "%s", "");
   front_drain(gateway->front);
+  carry_server_drain(gateway->carrying);
   start_drain_timer(gateway);
 }
 
@@ -524,6 +541,16 @@
                  gateway->directory, gateway->exchange, gateway->log);
 }
 
+/* Listens for instances that ask for a connection to an endpoint, at the same
+** address as for their datagrams. */
+static gboolean make_carrying(Gateway *gateway, const GatewayOptions *options,
+                              GError **error) {
+  CarryServerHooks hooks = {gateway, on_carry_call};
+  gateway->carrying = carry_server_new(gateway->base, options->exchange,
+                                       &hooks, gateway->log, error);
+  return gateway->carrying != NULL;
+}
+
 static gboolean make_exchange(Gateway *gateway, const GatewayOptions *options,
                               GError **error) {
   LoadExchangeHooks hooks = {gateway, on_crashes, on_rates, on_relay_message,
@@ -559,6 +586,7 @@
   router_set_news_state(gateway->router,
                         relay_group_news(gateway->group, STORE_CONFIGURATION));
   if (gateway->front == NULL || !make_exchange(gateway, options, error) ||
+      !make_carrying(gateway, options, error) ||
       !make_status_server(gateway, options, error)) {
     gateway_free(gateway);
     return NULL;
@@ -586,6 +614,8 @@
     front_free(gateway->front);
   if (gateway->exchange != NULL)
     load_exchange_free(gateway->exchange);
+  if (gateway->carrying != NULL)
+    carry_server_free(gateway->carrying);
   endpoint_links_free(gateway->links);
   store_link_free(gateway->lease_link);
   quarantine_writer_free(gateway->quarantine);
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -56,9 +56,14 @@
                          ** router's running total */
   guint unreachable_endpoints; /* endpoints that are avoided because
                                ** connections from here to them failed */
-  guint limited_endpoints;     /* endpoints that limit the rate of requests */
-  guint leaving_endpoints;     /* endpoints whose responses announced that they
-                               ** are leaving service */
+  guint indirect_endpoints;    /* endpoints that are reached through another
+                               ** instance */
+  guint carried_connections;   /* connections to endpoints that this instance
+                               ** holds for others now */
+  guint64 carried_connections_total;
+  guint limited_endpoints; /* endpoints that limit the rate of requests */
+  guint leaving_endpoints; /* endpoints whose responses announced that they
+                           ** are leaving service */
   guint resting_endpoints; /* endpoints that have asked this instance to pause
                            ** its requests, for a time that is not over */
   guint waiting;           /* queued requests */
--- a/io/sockets.c
+++ b/io/sockets.c
@@ -29,3 +29,12 @@
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
              sizeof unacked_ms);
 }
+
+void socket_set_keepalive(struct bufferevent *events) {
+  evutil_socket_t fd = bufferevent_getfd(events);
+  int on = 1;
+  int seconds = 1;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+}
--- a/io/sockets.h
+++ b/io/sockets.h
@@ -29,4 +29,11 @@
 */
 void socket_set_options(struct bufferevent *events, int unacked_ms);
 
+/*
+** Has the system probe the connection when nothing was received for a second.
+** The connection fails when a probe stays unacknowledged for the time that
+** socket_set_options was given, because TCP_USER_TIMEOUT bounds probes too.
+*/
+void socket_set_keepalive(struct bufferevent *events);
+
 #endif
--- /dev/null
+++ b/router/carriers.h
@@ -0,0 +1,52 @@
+/*
+** carriers.h
+** The instances through which this one can reach endpoints, and the choice
+** among them
+**
+** A carrier is preferred if it is in this data centre, because bytes between
+** data centres have a price. Among equals, the less loaded one of two random
+** ones is chosen, so that the load spreads without any agreement. A carrier
+** that failed is left out for CARRIER_AVOID_TIME.
+**
+** Invariant: only instances that the store lists are carriers.
+**
+** A Router owns one Carriers; reach.c uses it. Times are microseconds of the
+** router's steady clock.
+*/
+
+#ifndef ROUTER_CARRIERS_H
+#define ROUTER_CARRIERS_H
+
+#include <glib.h>
+
+#include "madderpier.h"
+#include "router/peer_loads.h"
+
+/* A carrier that failed is not chosen for this long. */
+#define CARRIER_AVOID_TIME (2 * MP_SEC)
+
+typedef struct Carriers Carriers;
+
+/* 'zone' is the hash of this instance's data centre, as in RelayMember.zone.
+** The caller frees the result with carriers_free. */
+Carriers *carriers_new(guint32 zone);
+void carriers_free(Carriers *carriers);
+
+/* Sets the other instances, an array of RelayMember, which is copied. What is
+** known of those that stay is kept. */
+void carriers_set(Carriers *carriers, const GArray *members);
+guint carriers_count(const Carriers *carriers);
+
+/*
+** Returns the address of a carrier other than the 'asked_count' ones of
+** 'asked', or 0 if there is none. After the first one, those of data centres
+** that have not been asked yet are preferred. If all failed lately, one of
+** them is returned. 'loads' tells how busy they are.
+*/
+mp_Addr carriers_choose(Carriers *carriers, const mp_Addr *asked,
+                        guint asked_count, const PeerLoads *loads,
+                        GRand *random, gint64 now);
+/* This carrier could not be used. */
+void carriers_avoid(Carriers *carriers, mp_Addr address, gint64 now);
+
+#endif
--- a/router/dispatcher.c
+++ b/router/dispatcher.c
@@ -42,6 +42,8 @@
     report_held_back(router, dispatch, endpoint, verdict);
     return 0;
   }
+  if (dispatch->kind != DISPATCH_CHECK)
+    dispatch->via = reach_choose_carrier(router->reach, endpoint, now);
   dispatch->number = ++router->last_dispatch;
   dispatch->address = endpoint->record.address;
   dispatch->endpoint = endpoint->record.id;
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -41,6 +41,8 @@
 ** known at once, so high a cost does harm: a data centre with few engines,
 ** such as four, must be able to use those of the others. */
 #define COST_OTHER_ZONE_LATE 8.0
+/* cost of an endpoint that is reached through another instance */
+#define COST_INDIRECT 1.0
 /* cost per unit of the failure rate that this instance saw */
 #define COST_FAILURES 12.0
 /* Cost per unit of the sum of the failure rates that the other instances saw;
@@ -123,6 +125,17 @@
   return endpoint != NULL && endpoint->hash == hash ? endpoint : NULL;
 }
 
+Endpoint *endpoint_table_get_by_hash(const EndpointTable *table,
+                                     guint32 hash) {
+  guint i;
+  for (i = 0; i < table->all->len; i++) {
+    Endpoint *endpoint = table->all->pdata[i];
+    if (endpoint->hash == hash)
+      return endpoint;
+  }
+  return NULL;
+}
+
 guint32 endpoint_incarnation_hash(const EndpointRecord *record) {
   gsize size = strlen(record->id);
   guint64 seed = (guint64)record->started_unix_ms;
@@ -418,6 +431,8 @@
     sum += distance_cost(table, query);
   if (endpoint->record.warmup_left > 0)
     sum += COST_COLD;
+  if (endpoint->path.state == PATH_INDIRECT)
+    sum += COST_INDIRECT;
   sum += COST_FAILURES * endpoint_failure_rate(endpoint, now);
   sum += COST_PEERS_FAILURES *
          MIN(peer_loads_failure_shares(table->peers, endpoint->hash),
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -22,6 +22,7 @@
 #define ROUTER_ENDPOINT_TABLE_H
 
 #include "router/availability.h"
+#include "router/endpoint_path.h"
 #include "router/peer_loads.h"
 #include "router/rate_limits.h"
 #include "router/records.h"
@@ -49,6 +50,7 @@
                          ** if nothing else is left, and never by a query with
                          ** 'must_fit' */
   unsigned unreachable_streak; /* unreachable attempts in a row */
+  EndpointPath path;           /* how this instance reaches it */
   Availability availability;   /* what this incarnation has announced */
   EndpointStage changing_to;   /* stage to which this instance changes it,
                                ** or did last */
@@ -148,6 +150,9 @@
 Endpoint *endpoint_table_get_incarnation(const EndpointTable *table,
                                          const char *id, guint32 hash);
 
+/* Returns the endpoint with this Endpoint.hash, or NULL. */
+Endpoint *endpoint_table_get_by_hash(const EndpointTable *table, guint32 hash);
+
 /* Returns the best endpoint for a query, or NULL if there is none. */
 Endpoint *endpoint_table_choose(const EndpointTable *table,
                                 const EndpointQuery *query, gint64 now);
--- a/router/gate.c
+++ b/router/gate.c
@@ -28,6 +28,14 @@
          (kind == DISPATCH_RELEASE && !known->has_dispatch_in_rest);
 }
 
+/* Returns TRUE if a dispatch of this kind may take such a path. */
+static gboolean may_send_on_path(PathState state, DispatchKind kind) {
+  if (kind == DISPATCH_CHECK || state == PATH_DIRECT)
+    return TRUE;
+  return state == PATH_INDIRECT && kind != DISPATCH_ORDER &&
+         kind != DISPATCH_REPORT;
+}
+
 GateVerdict gate_check(const Endpoint *endpoint, DispatchKind kind,
                        gint64 now) {
   const Availability *known = &endpoint->availability;
@@ -36,6 +44,8 @@
   if (availability_rest_remaining(known, now) > 0 &&
       !may_send_in_rest(known, kind))
     return GATE_RESTING;
+  if (!may_send_on_path(endpoint->path.state, kind))
+    return GATE_PATH;
   return GATE_OPEN;
 }
 
@@ -92,7 +102,7 @@
 }
 
 const char *gate_verdict_name(GateVerdict verdict) {
-  static const char *const names[] = {"open", "leaving", "resting", "rate",
-                                      "connections"};
+  static const char *const names[] = {"open", "leaving",     "resting",
+                                      "rate", "connections", "path"};
   return names[verdict];
 }
--- a/router/gate.h
+++ b/router/gate.h
@@ -17,6 +17,10 @@
 **                               dispatch of a rest
 **   CHECK           yes         yes                       yes, not counted
 **
+** Nothing but a CHECK goes to an endpoint to which no path is known now
+** (router/endpoint_path.h). An ORDER, and the REPORT before it, goes directly
+** only: engines tell the holders of the lease apart by where orders come from.
+**
 ** A RELEASE frees memory, which is worth one dispatch in a rest (a CHECK does
 ** not count); handles that are not released expire by themselves. A CHECK only
 ** opens a connection and sends no request.
@@ -31,17 +35,19 @@
 #include "router/router.h"
 
 typedef enum GateVerdict {
-  GATE_OPEN,       /* the dispatch may go out */
-  GATE_LEAVING,    /* the endpoint is leaving, as it announced or as the
-                   ** platform lists */
-  GATE_RESTING,    /* the endpoint wants no request from this instance */
-  GATE_RATE,       /* the rate that the endpoint names is used up */
-  GATE_CONNECTIONS /* the endpoint has about as many connections as it
-                   ** accepts */
+  GATE_OPEN,        /* the dispatch may go out */
+  GATE_LEAVING,     /* the endpoint is leaving, as it announced or as the
+                    ** platform lists */
+  GATE_RESTING,     /* the endpoint wants no request from this instance */
+  GATE_RATE,        /* the rate that the endpoint names is used up */
+  GATE_CONNECTIONS, /* the endpoint has about as many connections as it
+                    ** accepts */
+  GATE_PATH         /* no path is known that such a dispatch may take */
 } GateVerdict;
 
 /* Checks a dispatch of this kind against what the endpoint has announced:
-** GATE_OPEN, GATE_LEAVING or GATE_RESTING. Every dispatch has to pass it. */
+** GATE_OPEN, GATE_LEAVING, GATE_RESTING or GATE_PATH. Every dispatch has to
+** pass it. */
 GateVerdict gate_check(const Endpoint *endpoint, DispatchKind kind,
                        gint64 now);
 /* Checks a RUN or PREFILL against the rates and connection limits that all
--- a/router/loads.c
+++ b/router/loads.c
@@ -73,12 +73,25 @@
                                service->max_connections, router->instances);
 }
 
+static gboolean is_unreachable(const Endpoint *endpoint, gint64 now) {
+  return endpoint->avoid_until > now || endpoint->path.state == PATH_NONE;
+}
+
 guint router_unreachable_endpoints(const Router *router, gint64 now) {
   const GPtrArray *all = router->endpoints->all;
   guint count = 0;
   guint i;
   for (i = 0; i < all->len; i++)
-    count += ((const Endpoint *)all->pdata[i])->avoid_until > now;
+    count += is_unreachable(all->pdata[i], now);
+  return count;
+}
+
+guint router_indirect_endpoints(const Router *router) {
+  const GPtrArray *all = router->endpoints->all;
+  guint count = 0;
+  guint i;
+  for (i = 0; i < all->len; i++)
+    count += ((const Endpoint *)all->pdata[i])->path.state == PATH_INDIRECT;
   return count;
 }
 
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -140,11 +140,15 @@
     request->stall_at = now + STALL_RECHECK;
 }
 
-/* No connection was made: tries the next endpoint, which costs no retry. */
+/* No connection was made: tries the next endpoint, or another path to this
+** one, which costs no retry. */
 static void handle_unreachable(Router *router, Request *request,
-                               Endpoint *endpoint, gint64 now) {
+                               Endpoint *endpoint, gboolean is_path_lost,
+                               gint64 now) {
   router_count(router, UNREACHABLE);
-  if (endpoint != NULL)
+  if (!is_path_lost)
+    path_exclude(request, request->open.endpoint);
+  if (endpoint != NULL && !is_path_lost)
     endpoint_note_unreachable(endpoint, now);
   path_close_dispatch(router, request, FALSE);
   if (++request->unreachable >= UNREACHABLE_MAX ||
@@ -248,6 +252,8 @@
   if (endpoint == NULL)
     return;
   endpoint_note_failure(endpoint, now);
+  if (request->open.via == 0)
+    reach_note_silence(router->reach, endpoint, request->open.sent, now);
   router->load_version++;
 }
 
@@ -276,6 +282,8 @@
 void outcomes_handle(Router *router, Request *request, const Outcome *outcome,
                      gint64 now) {
   Endpoint *endpoint = path_open_endpoint(router, request);
+  gboolean is_path_lost = reach_note_outcome(router->reach, endpoint,
+                                             request->open.via, outcome, now);
   if (outcome->kind != OUTCOME_STREAM_PIECE)
     router_log(router, MP_LOG_ROUTE_OUTCOME,
                " request=%s endpoint=%s outcome=%s status=%d connection=%s "
@@ -295,12 +303,11 @@
       (outcome->kind != OUTCOME_NOT_RUN || request->arrivals > 0)) {
     drop_used_handle(request); /* no longer valid if two engines rejected it */
   }
-  if (outcome->kind == OUTCOME_UNREACHABLE ||
-      outcome->kind == OUTCOME_NOT_RUN || outcome->kind == OUTCOME_BROKEN)
+  if (outcome->kind == OUTCOME_NOT_RUN || outcome->kind == OUTCOME_BROKEN)
     path_exclude(request, request->open.endpoint);
   switch (outcome->kind) {
   case OUTCOME_UNREACHABLE:
-    handle_unreachable(router, request, endpoint, now);
+    handle_unreachable(router, request, endpoint, is_path_lost, now);
     break;
   case OUTCOME_NOT_RUN:
     handle_not_run(router, request, endpoint, outcome, now);
--- a/router/path.c
+++ b/router/path.c
@@ -103,23 +103,29 @@
 static void log_dispatch(Router *router, const Request *request,
                          const Dispatch *dispatch, const Endpoint *endpoint) {
   const EndpointTable *table = router->endpoints;
+  char via[24] = "-";
+  if (dispatch->via != 0)
+    mp_addr_text(dispatch->via, via);
   router_log(router, MP_LOG_ROUTE_DISPATCH,
              " request=%s kind=%s endpoint=%s zone=%s open=%u tokens=%u "
-             "failures=%.2f config=%u left_ms=%d handle=%s resume_after=%s",
+             "failures=%.2f config=%u left_ms=%d handle=%s resume_after=%s "
+             "via=%s",
              request->id, dispatch->kind == DISPATCH_RUN ? "run" : "prefill",
              endpoint->record.id, endpoint->record.zone,
              endpoint_open_count(table, endpoint) - 1,
              (guint)endpoint_tokens(table, endpoint), endpoint->failures,
              (guint)request->table->version, (int)dispatch->deadline_ms,
              dispatch->handle != NULL ? dispatch->handle : "-",
-             dispatch->last_event != NULL ? dispatch->last_event : "-");
+             dispatch->last_event != NULL ? dispatch->last_event : "-", via);
 }
 
 /* Makes the dispatch that was sent the open one of the request. */
-static void open_dispatch(Router *router, Request *request, guint64 number,
-                          Endpoint *endpoint, guint64 tokens, gint64 now) {
+static void open_dispatch(Router *router, Request *request,
+                          const Dispatch *dispatch, Endpoint *endpoint,
+                          guint64 tokens, gint64 now) {
   OpenDispatch *open = &request->open;
-  open->number = number;
+  open->number = dispatch->number;
+  open->via = dispatch->via;
   open->endpoint = g_strdup(endpoint->record.id);
   open->life = endpoint->hash;
   open->tokens = tokens;
@@ -133,7 +139,6 @@
 gboolean path_send(Router *router, Request *request, DispatchKind kind,
                    Endpoint *endpoint, guint64 tokens, gint64 now) {
   Dispatch dispatch = {0};
-  guint64 number;
   dispatch.kind = kind;
   dispatch.request = request->number;
   dispatch.account = request->account != NULL ? request->account->name : NULL;
@@ -146,10 +151,9 @@
     dispatch.handle_address = request->handle_address;
     dispatch.last_event = request->last_event;
   }
-  number = dispatcher_send(router, &dispatch, endpoint, now);
-  if (number == 0)
+  if (dispatcher_send(router, &dispatch, endpoint, now) == 0)
     return FALSE;
-  open_dispatch(router, request, number, endpoint, tokens, now);
+  open_dispatch(router, request, &dispatch, endpoint, tokens, now);
   router_count(router, DISPATCHES);
   log_dispatch(router, request, &dispatch, endpoint);
   return TRUE;
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -230,10 +230,14 @@
 /* Records a failed prefill at the engine, and charges a rejected one to the
 ** retry budget. */
 static void record_failure(Router *router, Request *request,
-                           const Outcome *outcome, gint64 now) {
+                           const Outcome *outcome, gboolean is_path_lost,
+                           gint64 now) {
   Endpoint *endpoint = path_open_endpoint(router, request);
   if (outcome->kind == OUTCOME_UNREACHABLE)
     router_count(router, UNREACHABLE);
+  if (is_path_lost)
+    return;
+  path_exclude(request, request->open.endpoint);
   if (outcome->kind == OUTCOME_NOT_RUN)
     retry_budget_count_extra(
         router_retry_budget(router, request->service->name), &router->retry,
@@ -263,6 +267,8 @@
   Endpoint *endpoint = path_open_endpoint(router, request);
   gboolean is_read =
       outcome->kind == OUTCOME_ANSWER && outcome->handle != NULL;
+  gboolean is_path_lost = reach_note_outcome(router->reach, endpoint,
+                                             request->open.via, outcome, now);
   if (is_read) {
     request->prefills++;
     update_pace(router, request, now);
@@ -271,8 +277,7 @@
       store_handle(request, outcome, endpoint, now);
     }
   } else {
-    record_failure(router, request, outcome, now);
-    path_exclude(request, request->open.endpoint);
+    record_failure(router, request, outcome, is_path_lost, now);
   }
   log_prefill(router, request, outcome_name(outcome->kind), now);
   path_close_dispatch(router, request, FALSE);
--- a/router/router.c
+++ b/router/router.c
@@ -67,6 +67,7 @@
   router->proof_age_max = options->proof_age_max;
   router->news_age_max = options->news_age_max;
   router->requests_by_dispatch = g_hash_table_new(g_int64_hash, g_int64_equal);
+  router->reach = reach_new(router, g_str_hash(options->zone));
   router->stages = stages_new(router, options->instance, options->self,
                               options->lease_length, now);
   return router;
@@ -74,6 +75,7 @@
 
 void router_free(Router *router) {
   stages_free(router->stages);
+  reach_free(router->reach);
   account_limits_free(router->limits);
   rate_limits_free(router->rates);
   crash_watch_free(router->crashes);
@@ -162,6 +164,24 @@
   router->endpoints->has_late_loads = router->near < router->instances;
 }
 
+void router_set_carriers(Router *router, const GArray *members) {
+  reach_set_carriers(router->reach, members);
+}
+
+CarryVerdict router_may_carry(const Router *router, guint32 hash,
+                              mp_Addr *address, gint64 now) {
+  const Endpoint *endpoint =
+      endpoint_table_get_by_hash(router->endpoints, hash);
+  if (router->stopping)
+    return CARRY_DRAINING;
+  if (endpoint == NULL)
+    return CARRY_UNKNOWN;
+  if (endpoint->path.state != PATH_DIRECT || endpoint->avoid_until > now)
+    return CARRY_NO_PATH;
+  *address = endpoint->record.address;
+  return CARRY_CONNECTED;
+}
+
 /* }================================================================== */
 
 /*
@@ -337,6 +357,10 @@
   if (stages_handle_outcome(router->stages, outcome, now) ||
       crash_watch_outcome(router->crashes, outcome, now))
     return;
+  if (reach_handle_outcome(router->reach, outcome, now)) {
+    admission_start_waiting_requests(router, now);
+    return;
+  }
   request =
       g_hash_table_lookup(router->requests_by_dispatch, &outcome->dispatch);
   if (request == NULL)
@@ -371,7 +395,8 @@
 }
 
 gint64 router_next_tick(const Router *router) {
-  gint64 next = stages_next_tick(router->stages);
+  gint64 next =
+      MIN(stages_next_tick(router->stages), reach_next_tick(router->reach));
   if (router->shortage_recheck_at != 0)
     next = MIN(next, router->shortage_recheck_at);
   GHashTableIter iterator;
@@ -421,6 +446,7 @@
   while (handle_one_due(router, now)) {
   }
   stages_tick(router->stages, now);
+  reach_tick(router->reach, now);
   crash_watch_expire(router->crashes, now);
   quarantine_expire(router->quarantine, now);
   suspicions_expire(router->suspicions, now);
--- a/router/router.h
+++ b/router/router.h
@@ -109,6 +109,7 @@
   DispatchKind kind;
   guint64 request; /* CallerRequest.number; 0: sent for no request */
   mp_Addr address;
+  mp_Addr via;             /* the instance that carries it there; 0: none */
   const char *endpoint;    /* id; no other endpoint may execute it */
   guint32 life;            /* the endpoint's incarnation: Endpoint.hash */
   const char *account;     /* RUN, PREFILL: the request's account, or NULL */
@@ -200,6 +201,9 @@
   OutcomeKind kind;
   int status;                 /* ANSWER: HTTP status */
   gboolean misdirected;       /* NOT_RUN: another endpoint has the address */
+  gboolean carrier_failed;    /* UNREACHABLE: the instance that was to carry it
+                               ** could not be used, so nothing is known of the
+                               ** endpoint */
   gboolean was_kept;          /* its connection was open before the dispatch */
   const char *event;          /* STREAM_PIECE: id of its last event, or NULL */
   void *payload;              /* the host's own; passed on to 'answer' */
@@ -209,6 +213,18 @@
   const EngineReport *report; /* ANSWER of a report; NULL: unreadable */
 } Outcome;
 
+/* The answer to an instance that asks to have its bytes carried to an
+** endpoint. The numbers are those of the message (mp_Carry). */
+typedef enum CarryVerdict {
+  CARRY_CONNECTED,   /* the endpoint has accepted a connection */
+  CARRY_UNREACHABLE, /* the endpoint has not accepted a connection */
+  CARRY_NO_PATH,     /* this instance has no direct path to it either */
+  CARRY_UNKNOWN,     /* no such endpoint is known here */
+  CARRY_BUSY,        /* it carries as much as it can */
+  CARRY_DRAINING,    /* it is shutting down */
+  CARRY_VERDICT_COUNT
+} CarryVerdict;
+
 /* What the router asks of its host. These functions must not call the router
 ** back before they return. */
 typedef struct RouterHost {
@@ -286,6 +302,14 @@
 ** of them are near, this one included. */
 void router_set_instances(Router *router, unsigned count, unsigned near);
 
+/* Sets the other instances, an array of RelayMember (relay_members.h), which
+** is copied: this one may reach endpoints through them (router/reach.h). */
+void router_set_carriers(Router *router, const GArray *members);
+/* Returns whether this instance can carry bytes to the endpoint with this
+** Endpoint.hash for another one; fills in the endpoint's address if so. */
+CarryVerdict router_may_carry(const Router *router, guint32 endpoint,
+                              mp_Addr *address, gint64 now);
+
 /* Begins a planned stop: new requests are refused, and so are those that wait
 ** for room; those that run go on. */
 void router_stop_accepting(Router *router, gint64 now);
@@ -406,8 +430,10 @@
 /* Returns how many endpoints want no request from this instance now. */
 guint router_resting_endpoints(const Router *router, gint64 now);
 /* Returns how many endpoints are avoided because connections to them failed
-** here. */
+** here, and no other instance is known that can carry to them. */
 guint router_unreachable_endpoints(const Router *router, gint64 now);
+/* Returns how many endpoints are reached through another instance. */
+guint router_indirect_endpoints(const Router *router);
 /* Returns how many endpoints name a rate. */
 guint router_limited_endpoints(const Router *router);
 /* Returns how many choices left an endpoint out because of its rate. */
--- a/router/stages.c
+++ b/router/stages.c
@@ -491,6 +491,8 @@
     StageChange *change = stages->changes->pdata[i];
     if (change->dispatch != outcome->dispatch || change->step == CHANGE_NAMED)
       continue;
+    reach_note_outcome(stages->router->reach, endpoint_of(stages, change), 0,
+                       outcome, now);
     if (change->step == CHANGE_ASKED)
       handle_report(stages, change,
                     outcome->kind == OUTCOME_ANSWER ? outcome->report : NULL,
--- a/router/state.h
+++ b/router/state.h
@@ -23,6 +23,7 @@
 #include "router/endpoint_table.h"
 #include "router/patience.h"
 #include "router/rate_limits.h"
+#include "router/reach.h"
 #include "router/retry_budget.h"
 #include "router/router.h"
 #include "router/stages.h"
@@ -81,6 +82,7 @@
   char *endpoint; /* id; owned */
   guint32 life;   /* the endpoint's incarnation: Endpoint.hash */
   guint64 tokens; /* counted in Endpoint.tokens for it */
+  mp_Addr via;    /* as Dispatch.via */
   gint64 sent;    /* when */
 } OpenDispatch;
 
@@ -184,6 +186,7 @@
   RateView rates_view;
   gint64 shortage_recheck_at; /* when waiting requests are checked again
                               ** because of rests and rates; 0: no need */
+  Reach *reach;               /* the paths to endpoints */
   CrashWatch *crashes;    /* endpoints that may have crashed under requests */
   Quarantine *quarantine; /* requests under which endpoints crashed */
   Suspicions *suspicions; /* crashes that are not certain yet */
--- a/test/path_fleet.cc
+++ b/test/path_fleet.cc
@@ -8,6 +8,10 @@
 
 #include "path_fleet.h"
 
+extern "C" {
+#include "router/relay_members.h"
+}
+
 namespace paths {
 
 namespace {
@@ -28,6 +32,12 @@
 constexpr gint64 stream_deadline_ms = 14000;
 constexpr gint64 objective = 300 * ms;
 const char *const zone_names[] = {"a", "b", "c"};
+
+mp_Addr address_of(unsigned instance) {
+  std::string text = "10.0." + std::to_string(instance / 200) + "." +
+                     std::to_string(instance % 200 + 1) + ":1";
+  return mp_addr_parse(text.c_str());
+}
 } // namespace
 
 Fleet::Fleet(const FleetOptions &options_)
@@ -56,9 +66,10 @@
 
 void Fleet::start(unsigned index) {
   Instance &instance = instances[index];
-  std::string self = "10.0.0." + std::to_string(index + 1) + ":1";
-  instance.world = std::make_unique<World>(1000, 10.0, 0, self.c_str(), 0,
-                                           zone_names[index % 3]);
+  char self[24];
+  mp_addr_text(address_of(index), self);
+  instance.world =
+      std::make_unique<World>(1000, 10.0, 0, self, 0, zone_names[index % 3]);
   World &world = *instance.world;
   world.configure(1, 10 * second, objective);
   world.started_unix_ms = 1;
@@ -67,6 +78,14 @@
                     endpoint.stage == STAGE_NONE ? "app" : "llm",
                     zone_names[endpoint.zone], endpoint.stage});
   router_set_instances(world.router, options.instances, options.instances);
+  GArray *others = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+  for (unsigned i = 0; i < options.instances; i++) {
+    RelayMember other = {address_of(i), g_str_hash(zone_names[i % 3]), 1};
+    if (i != index)
+      g_array_append_val(others, other);
+  }
+  router_set_carriers(world.router, others);
+  g_array_free(others, TRUE);
 }
 
 std::set<unsigned> Fleet::instances_of(unsigned zone) const {
@@ -86,6 +105,13 @@
   return 0;
 }
 
+unsigned Fleet::instance_at(mp_Addr address) const {
+  unsigned i = 0;
+  while (address_of(i) != address)
+    i++;
+  return i;
+}
+
 /*
 ** {==================================================================
 ** Cuts
@@ -97,10 +123,10 @@
   return it != cuts.end() ? it->second : Cut::NONE;
 }
 
-void Fleet::reset_open(unsigned instance, unsigned endpoint) {
+void Fleet::reset_open(unsigned hop, unsigned endpoint) {
   std::vector<Open> broken;
   for (const auto &[key, one] : open) {
-    if (one.instance == instance && one.endpoint == endpoint)
+    if (one.hop == hop && one.endpoint == endpoint)
       broken.push_back(one);
   }
   for (const Open &one : broken)
@@ -116,11 +142,13 @@
       cuts[{instance, endpoint}] = how;
       if (how != Cut::RESET)
         continue;
-      auto &kept = instances[instance].kept;
-      kept.erase(std::remove_if(
-                     kept.begin(), kept.end(),
-                     [&](const Kept &k) { return k.endpoint == endpoint; }),
-                 kept.end());
+      for (Instance &owner : instances)
+        owner.kept.erase(std::remove_if(owner.kept.begin(), owner.kept.end(),
+                                        [&](const Kept &k) {
+                                          return k.endpoint == endpoint &&
+                                                 k.hop == instance;
+                                        }),
+                         owner.kept.end());
       reset_open(instance, endpoint);
     }
   }
@@ -174,32 +202,64 @@
   world.outcome(dispatch, kind);
 }
 
-bool Fleet::take_kept(unsigned index, unsigned endpoint) {
+/* Takes an idle connection that goes through a carrier, or directly; those of
+** the other kind are closed. */
+bool Fleet::take_kept(unsigned index, unsigned endpoint, bool is_carried,
+                      unsigned *hop) {
   auto &kept = instances[index].kept;
-  for (size_t i = 0; i < kept.size(); i++) {
-    if (kept[i].endpoint != endpoint || kept[i].until <= now)
+  for (size_t i = 0; i < kept.size();) {
+    Kept one = kept[i];
+    if (one.endpoint != endpoint) {
+      i++;
       continue;
+    }
     kept.erase(kept.begin() + static_cast<long>(i));
+    if (one.until <= now || (one.hop != index) != is_carried)
+      continue;
+    *hop = one.hop;
     return true;
   }
   return false;
 }
 
-void Fleet::connect(unsigned index, const SentDispatch &dispatch) {
+/* Returns whether the carrier takes the dispatch; reports it if not. */
+bool Fleet::may_carry(unsigned index, const SentDispatch &dispatch,
+                      unsigned hop) {
+  mp_Addr address;
+  World &carrier = *instances[hop].world;
+  World *world = instances[index].world.get();
+  guint64 number = dispatch.number;
+  if (router_may_carry(carrier.router, dispatch.life, &address, now) ==
+      CARRY_CONNECTED)
+    return true;
+  at(now + round_trip, [=, this] {
+    if (open.erase({index, number}) == 0)
+      return;
+    world->now = std::max(world->now, now);
+    world->carrier_failed(number);
+  });
+  return false;
+}
+
+void Fleet::connect(unsigned index, const SentDispatch &dispatch,
+                    unsigned hop) {
   unsigned endpoint = endpoint_of(dispatch.endpoint);
   const Endpoint &target = endpoints[endpoint];
-  Cut how = cut_between(index, endpoint);
+  Cut how = cut_between(hop, endpoint);
   guint64 number = dispatch.number;
   bool hangs = how == Cut::HANG ||
                (how == Cut::NONE && target.has_ended && target.is_silent);
+  if (hop != index && !may_carry(index, dispatch, hop))
+    return;
   connects++;
   if (how == Cut::NONE && !target.has_ended) {
     SentDispatch copy = dispatch;
-    at(now + round_trip, [=, this] { run(index, copy); });
+    at(now + (hop == index ? 1 : 2) * round_trip,
+       [=, this] { run(index, copy); });
     return;
   }
   failed_connects++;
-  at(now + (hangs ? dispatch.connect_timeout : round_trip),
+  at(now + (hangs ? dispatch.connect_timeout : 2 * round_trip),
      [=, this] { report(index, number, OUTCOME_UNREACHABLE); });
 }
 
@@ -213,8 +273,10 @@
 void Fleet::finish(unsigned index, const SentDispatch &dispatch,
                    unsigned endpoint, OutcomeKind kind) {
   World &world = *instances[index].world;
-  if (!is_open(index, dispatch.number) ||
-      cut_between(index, endpoint) == Cut::HANG)
+  if (!is_open(index, dispatch.number))
+    return;
+  unsigned hop = open[{index, dispatch.number}].hop;
+  if (cut_between(hop, endpoint) == Cut::HANG)
     return; /* nothing arrives */
   world.now = std::max(world.now, now);
   if (kind == OUTCOME_STREAM_HEAD) {
@@ -222,7 +284,7 @@
     return;
   }
   if (random() % close_one_in != 0)
-    instances[index].kept.push_back({endpoint, now + idle_time});
+    instances[index].kept.push_back({endpoint, hop, now + idle_time});
   if (dispatch.kind != DISPATCH_PREFILL) {
     report(index, dispatch.number, kind);
     return;
@@ -239,7 +301,7 @@
   SentDispatch copy = dispatch;
   if (!is_open(index, dispatch.number))
     return;
-  if (cut_between(index, endpoint) == Cut::HANG ||
+  if (cut_between(open[{index, dispatch.number}].hop, endpoint) == Cut::HANG ||
       endpoints[endpoint].has_ended) {
     at(now + unacknowledged_time,
        [=, this] { report(index, copy.number, OUTCOME_BROKEN); });
@@ -270,13 +332,20 @@
 
 void Fleet::handle(unsigned index, const SentDispatch &dispatch) {
   unsigned endpoint = endpoint_of(dispatch.endpoint);
+  bool is_carried = dispatch.via != 0;
+  unsigned hop = is_carried ? instance_at(dispatch.via) : index;
   if (dispatch.kind == DISPATCH_RELEASE)
     return;
-  open[{index, dispatch.number}] = {index, dispatch.number, endpoint};
-  if (dispatch.kind != DISPATCH_CHECK && take_kept(index, endpoint))
+  bool is_kept = dispatch.kind != DISPATCH_CHECK &&
+                 take_kept(index, endpoint, is_carried, &hop);
+  open[{index, dispatch.number}] = {index, dispatch.number, endpoint, hop};
+  carried += is_carried;
+  if (is_carried)
+    carried_by[hop]++;
+  if (is_kept)
     run(index, dispatch);
   else
-    connect(index, dispatch);
+    connect(index, dispatch, hop);
 }
 
 void Fleet::handle_new_dispatches(unsigned index) {
@@ -326,8 +395,7 @@
     Instance &sender = instances[from];
     mp_LoadDigest digest = {};
     mp_CrashUpdate crashes = {};
-    mp_Addr address =
-        mp_addr_parse(("10.0.0." + std::to_string(from + 1) + ":1").c_str());
+    mp_Addr address = address_of(from);
     router_load_digest(sender.world->router, &digest, now);
     router_report_crashes(sender.world->router, FALSE, &crashes, now);
     sender.sequence++;
--- a/test/path_fleet.h
+++ b/test/path_fleet.h
@@ -8,7 +8,8 @@
 ** chosen instances and endpoints away, while callers and the other instances
 ** still reach these instances. The decisions are those of the real Router (one
 ** World for each instance); the fleet keeps connections between dispatches as
-** io/endpoint_links.c does, and carries digests and crash news as
+** io/endpoint_links.c does, carries bytes for other instances as
+** io/carry_server.c does, and exchanges digests and crash news as
 ** io/load_exchange.c does. Times are in us.
 */
 
@@ -95,6 +96,8 @@
   gint64 now = 100 * second;
   unsigned connects = 0;        /* connections begun to endpoints */
   unsigned failed_connects = 0; /* of these, those that were not made */
+  unsigned carried = 0;         /* dispatches on connections of carriers */
+  std::map<unsigned, unsigned> carried_by; /* the same, by carrier */
 
 private:
   struct Endpoint {
@@ -106,6 +109,7 @@
   };
   struct Kept {
     unsigned endpoint;
+    unsigned hop; /* the instance that connects to it: this one or a carrier */
     gint64 until;
   };
   struct Instance {
@@ -125,6 +129,7 @@
     unsigned instance;
     guint64 dispatch;
     unsigned endpoint;
+    unsigned hop; /* as in Kept */
   };
 
   void start(unsigned index);
@@ -134,16 +139,19 @@
   void run_due();
   void handle_new_dispatches(unsigned index);
   void handle(unsigned index, const SentDispatch &dispatch);
-  bool take_kept(unsigned index, unsigned endpoint);
-  void connect(unsigned index, const SentDispatch &dispatch);
+  bool take_kept(unsigned index, unsigned endpoint, bool carried,
+                 unsigned *hop);
+  void connect(unsigned index, const SentDispatch &dispatch, unsigned hop);
+  bool may_carry(unsigned index, const SentDispatch &dispatch, unsigned hop);
   void run(unsigned index, const SentDispatch &dispatch);
   void finish(unsigned index, const SentDispatch &dispatch, unsigned endpoint,
               OutcomeKind kind);
   void report(unsigned index, guint64 dispatch, OutcomeKind kind);
   bool is_open(unsigned index, guint64 dispatch) const;
-  void reset_open(unsigned instance, unsigned endpoint);
+  void reset_open(unsigned hop, unsigned endpoint);
   void send_requests();
   void exchange();
+  unsigned instance_at(mp_Addr address) const;
   void note_run(unsigned index, guint64 request);
 
   FleetOptions options;
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -22,6 +22,7 @@
   sent.last_event =
       dispatch->last_event != nullptr ? dispatch->last_event : "";
   sent.connect_timeout = dispatch->connect_timeout;
+  sent.via = dispatch->via;
   sent.stream = dispatch->stream;
   sent.account = dispatch->account != nullptr ? dispatch->account : "";
   if (dispatch->order != nullptr) {
@@ -293,6 +294,14 @@
   router_outcome(router, &outcome, now);
 }
 
+void World::carrier_failed(guint64 dispatch) {
+  Outcome outcome = {};
+  outcome.dispatch = dispatch;
+  outcome.kind = OUTCOME_UNREACHABLE;
+  outcome.carrier_failed = TRUE;
+  router_outcome(router, &outcome, now);
+}
+
 void World::prefilled(guint64 dispatch, const char *handle) {
   Outcome outcome = {};
   outcome.dispatch = dispatch;
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -50,6 +50,7 @@
   gint64 sequence = 0;
   std::string account; /* DISPATCH_RUN and DISPATCH_PREFILL */
   gint64 connect_timeout = 0;
+  mp_Addr via = 0;        /* the instance that carries it; 0: none */
   bool cancelled = false; /* by the router */
   bool ended = false;     /* the router was given its last outcome */
 };
@@ -175,6 +176,9 @@
   void signal(guint64 dispatch, const EndpointSignals &signals);
   /* Reports an outcome of a dispatch. */
   void outcome(guint64 dispatch, OutcomeKind kind, int status = 200);
+  /* Reports that the instance that was to carry a dispatch could not be
+  ** used. */
+  void carrier_failed(guint64 dispatch);
   /* Reports that a prefill is done and its KV has this handle. */
   void prefilled(guint64 dispatch, const char *handle = "h1");
   /* Reports one event of a stream. */
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -19,8 +19,9 @@
 
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
-  AdapterCounts carriers = {7, 11, 2, {}, 1, 2, 3, "relay", 250 * ms, TRUE, 5,
-                            4, 6,  7, 3,  2, 1, 9, 8,       {},       {},   3};
+  AdapterCounts carriers = {7,    11, 2, {}, 1,  2,  3,  "relay", 250 * ms,
+                            TRUE, 5,  4, 6,  7,  10, 12, 13,      3,
+                            2,    1,  9, 8,  {}, {}, 3};
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
   carriers.known_positions[STORE_ENDPOINTS] = store_position(2, 31);
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
@@ -48,6 +49,9 @@
         "madderpier_held_requests 4",
         "madderpier_endpoint_rate_skips_total 6",
         "madderpier_unreachable_endpoints 7",
+        "madderpier_indirect_endpoints 10",
+        "madderpier_carried_connections 12",
+        "madderpier_carried_connections_total 13",
         "madderpier_limited_endpoints 3",
         "madderpier_leaving_endpoints 2",
         "madderpier_resting_endpoints 1",
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -118,6 +118,12 @@
     for (unsigned i = 0; i < MP_RATE_ROWS; i++)
       m.u.rates.row[i] = {i + 1, MP_RATE_UNLIMITED, 1u << 20, UINT32_MAX - i};
     break;
+  case MP_MSG_CARRY:
+    if (m.reply)
+      m.u.carry.verdict = 5;
+    else
+      m.u.carry = {UINT32_MAX, 400, 0};
+    break;
   case MP_MSG_LOAD_NOTE:
     m.u.note = {17, 4, 3200};
     break;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -342,6 +342,12 @@
          xdr_eras(x, b);
 }
 
+static bool_t xdr_carry(XDR *x, mp_Carry *c, int is_reply) {
+  if (is_reply)
+    return xdr_u8(x, &c->verdict);
+  return xdr_u32(x, &c->endpoint) && xdr_u32(x, &c->timeout_ms);
+}
+
 static bool_t xdr_body(XDR *x, mp_Msg *m) {
   switch (m->kind) {
   case MP_MSG_PROBE:
@@ -377,6 +383,8 @@
     return xdr_rate_update(x, &m->u.rates);
   case MP_MSG_RELAY_HEARTBEAT:
     return xdr_relay_heartbeat(x, &m->u.beat);
+  case MP_MSG_CARRY:
+    return xdr_carry(x, &m->u.carry, m->reply);
   case MP_MSG_HEARTBEAT_REQUEST:
     return xdr_clock(x, &m->u.ask.asked_us);
   default:
