A refusal that one instance alone sees does not prove the end of an endpoint

What callers saw: two requests were held for an hour by all instances, and refused with 503 at instances that were not cut, because an instance whose links were reset told 25 times that a sound endpoint had ended under a request. Cause: the crash watch took a refused connection of its own for a proof. Where the links of the instance are reset, every connection is refused at once. The class: one observer's view taken for the truth. Evidence: E8009 25 times with proof=refused at the cut instance from 26.001 s on, strikes in the store at 26.060 s, E8010 from=instance everywhere. Ruled out: waiting for the list alone, which proves an end 3.5 s later and would let a request that ends endpoints run more often. Change: reach_verify: where another instance is known, an endpoint counts as refusing only if other instances that could be asked, of other data centres first, are refused too; three such refusals, and a carrier that has lost its own path does not count. An endpoint that no instance asked reaches gets no request until a connection is made; requests for it are refused at once. Conclusion: a cut instance accuses nobody; a real end is proved as fast, by three refusals within milliseconds.

--- a/router/crash_watch.h
+++ b/router/crash_watch.h
@@ -4,11 +4,14 @@
 **
 ** Connections break off for many reasons: resets, faulty endpoints, network
 ** partitions. A broken run is held against its request only when the
-** endpoint's process has ended. There are two proofs: a new connection to the
-** endpoint is refused at once, or the platform's list drops the endpoint or
+** endpoint's process has ended. There are two proofs: new connections to the
+** endpoint are refused at once, or the platform's list drops the endpoint or
 ** names a later life of it soon after. (A life, or incarnation, is one run of
-** the process, from its start to its end.) A check that gets no reply proves
-** nothing, because that is what a partition looks like.
+** the process, from its start to its end.) A refusal that this instance alone
+** sees proves nothing: its own links may be reset. So the owner has the
+** endpoint checked through other instances too, where there are any. A check
+** that gets no reply proves nothing either, because that is what a partition
+** looks like.
 **
 ** Invariants:
 ** 1. A request is reported at most once for each life of an endpoint.
@@ -36,9 +39,10 @@
 /* what the owner does for the watch; called from within its functions */
 typedef struct CrashWatchHost {
   void *data; /* passed to both */
-  /* Tries to connect to the endpoint for up to 'timeout'. Returns the number
-  ** of the dispatch whose outcome is to be passed to crash_watch_outcome, or 0
-  ** if none was sent. */
+  /* Tries to connect to the endpoint for up to 'timeout', and has others try
+  ** if that fails. Returns the number of the dispatch whose outcome, that of
+  ** the last try, is to be passed to crash_watch_outcome, or 0 if none was
+  ** sent. */
   guint64 (*check)(void *data, const Endpoint *endpoint, gint64 timeout,
                    gint64 now);
   /* This life of the endpoint ended while it ran these requests. 'how' is the
--- a/router/endpoint_path.h
+++ b/router/endpoint_path.h
@@ -36,7 +36,7 @@
 } PathState;
 
 /* The most carriers that one search asks. */
-#define CARRIERS_ASKED_MAX 3
+#define CARRIERS_ASKED_MAX 6
 
 /* All members zero: nothing is known, and dispatches go directly. */
 typedef struct EndpointPath {
@@ -51,9 +51,10 @@
   guint64 check;       /* the open CHECK dispatch; 0: none */
   mp_Addr asked[CARRIERS_ASKED_MAX]; /* carriers asked in this search */
   guint asked_count;
-  guint asked_max; /* the most that this search asks */
-  guint64 ticket;  /* of reach_verify: the crash watch waits for the result of
-                   ** the check or search; 0: it does not */
+  guint refusals;     /* of these, those that the endpoint did not accept */
+  guint refusals_max; /* the search ends after so many */
+  guint64 ticket; /* of reach_verify: the crash watch waits for the result of
+                  ** the check or search; 0: it does not */
 } EndpointPath;
 
 #endif
--- a/router/lives.c
+++ b/router/lives.c
@@ -14,16 +14,15 @@
 
 #include "router/state.h"
 
-/* Callback of the crash watch: sends a check, and returns its number or 0. */
+/* Callback of the crash watch: has the endpoint checked, by other instances
+** too; returns the number of the check or 0. */
 static guint64 send_check(void *data, const Endpoint *endpoint, gint64 timeout,
                           gint64 now) {
   Router *router = data;
   Endpoint *target = endpoint_table_get_incarnation(
       router->endpoints, endpoint->record.id, endpoint->hash);
-  Dispatch dispatch = {0};
-  dispatch.kind = DISPATCH_CHECK;
-  dispatch.connect_timeout = timeout;
-  return target != NULL ? dispatcher_send(router, &dispatch, target, now) : 0;
+  return target != NULL ? reach_verify(router->reach, target, timeout, now)
+                        : 0;
 }
 
 /* Callback of the crash watch: counts the end against the suspects. */
--- a/router/reach.c
+++ b/router/reach.c
@@ -21,6 +21,9 @@
 /* A path that is lost again this soon after it came back is tried again less
 ** often: the wait is not reset. */
 #define STABLE_TIME (10 * MP_SEC)
+/* An endpoint that this many carriers cannot connect to is out of reach. A
+** carrier that has lost its own path says so and does not count. */
+#define REFUSALS_MAX 3
 /* Direct checks that are open at a time: this many, or one for this many
 ** endpoints if that is more, so that finding out takes about as long with many
 ** endpoints as with few. */
@@ -306,7 +309,8 @@
   EndpointPath *path = &endpoint->path;
   const Router *router = reach->router;
   mp_Addr via = 0;
-  if (path->asked_count < path->asked_max)
+  if (path->asked_count < CARRIERS_ASKED_MAX &&
+      path->refusals < path->refusals_max)
     via = carriers_choose(reach->carriers, path->asked, path->asked_count,
                           router->endpoints->peers, router->random, now);
   if (via != 0) {
@@ -320,7 +324,8 @@
 static void begin_search(Reach *reach, Endpoint *endpoint, gint64 now) {
   EndpointPath *path = &endpoint->path;
   path->asked_count = 0;
-  path->asked_max = path->state == PATH_NONE ? 1 : CARRIERS_ASKED_MAX;
+  path->refusals = 0;
+  path->refusals_max = path->state == PATH_NONE ? 1 : REFUSALS_MAX;
   if (path->state != PATH_NONE)
     set_state(path, PATH_SEARCHING, now);
   ask_next_carrier(reach, endpoint, now);
@@ -337,6 +342,8 @@
   }
   if (outcome->carrier_failed)
     carriers_avoid(reach->carriers, via, now);
+  else
+    path->refusals++;
   ask_next_carrier(reach, endpoint, now);
 }
 
--- a/router/reach.h
+++ b/router/reach.h
@@ -15,8 +15,8 @@
 **    path only.
 ** 2. Where no other instance is known, nothing is searched, and an endpoint
 **    that this instance cannot connect to is handled as unreachable.
-** 3. A search asks at most CARRIERS_ASKED_MAX carriers; while an endpoint has
-**    no path, no request is sent to it, and one carrier at a time is asked.
+** 3. A search asks at most CARRIERS_ASKED_MAX carriers, one after the other;
+**    while an endpoint has no path, no request is sent to it.
 ** 4. While no connection fails, and no run is silent, nothing is sent.
 **
 ** A Router owns one Reach. Times are microseconds of the router's steady
--- a/router/router.c
+++ b/router/router.c
@@ -176,6 +176,8 @@
     return CARRY_DRAINING;
   if (endpoint == NULL)
     return CARRY_UNKNOWN;
+  if (endpoint->path.state == PATH_NONE)
+    return CARRY_UNREACHABLE;
   if (endpoint->path.state != PATH_DIRECT || endpoint->avoid_until > now)
     return CARRY_NO_PATH;
   *address = endpoint->record.address;
@@ -354,8 +356,7 @@
 
 void router_outcome(Router *router, const Outcome *outcome, gint64 now) {
   Request *request;
-  if (stages_handle_outcome(router->stages, outcome, now) ||
-      crash_watch_outcome(router->crashes, outcome, now))
+  if (stages_handle_outcome(router->stages, outcome, now))
     return;
   if (reach_handle_outcome(router->reach, outcome, now)) {
     admission_start_waiting_requests(router, now);
--- a/router/router.h
+++ b/router/router.h
@@ -217,7 +217,8 @@
 ** endpoint. The numbers are those of the message (mp_Carry). */
 typedef enum CarryVerdict {
   CARRY_CONNECTED,   /* the endpoint has accepted a connection */
-  CARRY_UNREACHABLE, /* the endpoint has not accepted a connection */
+  CARRY_UNREACHABLE, /* the endpoint has not accepted a connection, now or
+                     ** lately, of this instance or of others that it asked */
   CARRY_NO_PATH,     /* this instance has no direct path to it either */
   CARRY_UNKNOWN,     /* no such endpoint is known here */
   CARRY_BUSY,        /* it carries as much as it can */
--- a/test/path_fleet.cc
+++ b/test/path_fleet.cc
@@ -165,6 +165,10 @@
     reset_open(i, endpoint);
 }
 
+void Fleet::freeze_endpoint(unsigned endpoint, gint64 span) {
+  endpoints[endpoint].frozen_until = now + span;
+}
+
 /* }================================================================== */
 
 /*
@@ -229,10 +233,15 @@
   World &carrier = *instances[hop].world;
   World *world = instances[index].world.get();
   guint64 number = dispatch.number;
-  if (router_may_carry(carrier.router, dispatch.life, &address, now) ==
-      CARRY_CONNECTED)
+  CarryVerdict verdict =
+      router_may_carry(carrier.router, dispatch.life, &address, now);
+  if (verdict == CARRY_CONNECTED)
     return true;
   at(now + round_trip, [=, this] {
+    if (verdict == CARRY_UNREACHABLE) {
+      report(index, number, OUTCOME_UNREACHABLE);
+      return;
+    }
     if (open.erase({index, number}) == 0)
       return;
     world->now = std::max(world->now, now);
@@ -247,12 +256,14 @@
   const Endpoint &target = endpoints[endpoint];
   Cut how = cut_between(hop, endpoint);
   guint64 number = dispatch.number;
+  bool is_frozen = target.frozen_until > now;
   bool hangs = how == Cut::HANG ||
-               (how == Cut::NONE && target.has_ended && target.is_silent);
+               (how == Cut::NONE &&
+                (is_frozen || (target.has_ended && target.is_silent)));
   if (hop != index && !may_carry(index, dispatch, hop))
     return;
   connects++;
-  if (how == Cut::NONE && !target.has_ended) {
+  if (how == Cut::NONE && !target.has_ended && !is_frozen) {
     SentDispatch copy = dispatch;
     at(now + (hop == index ? 1 : 2) * round_trip,
        [=, this] { run(index, copy); });
@@ -278,6 +289,12 @@
   unsigned hop = open[{index, dispatch.number}].hop;
   if (cut_between(hop, endpoint) == Cut::HANG)
     return; /* nothing arrives */
+  if (endpoints[endpoint].frozen_until > now) {
+    SentDispatch copy = dispatch;
+    at(endpoints[endpoint].frozen_until,
+       [=, this] { finish(index, copy, endpoint, kind); });
+    return;
+  }
   world.now = std::max(world.now, now);
   if (kind == OUTCOME_STREAM_HEAD) {
     world.outcome(dispatch.number, kind);
@@ -339,6 +356,7 @@
   bool is_kept = dispatch.kind != DISPATCH_CHECK &&
                  take_kept(index, endpoint, is_carried, &hop);
   open[{index, dispatch.number}] = {index, dispatch.number, endpoint, hop};
+  checks += dispatch.kind == DISPATCH_CHECK;
   carried += is_carried;
   if (is_carried)
     carried_by[hop]++;
@@ -458,6 +476,16 @@
          failed > 10 + (at_cut.sent + at_others.sent) / 50;
 }
 
+gint64 Fleet::longest_refusal(gint64 from) const {
+  gint64 longest = 0;
+  for (const auto &[key, attempt] : attempts) {
+    const auto &end = instances[attempt.instance].world->end(attempt.request);
+    if (attempt.sent_at >= from && end.refusals > 0)
+      longest = std::max(longest, end.at - attempt.sent_at);
+  }
+  return longest;
+}
+
 unsigned Fleet::most_runs() const {
   unsigned most = 0;
   for (const auto &[key, attempt] : attempts) {
--- a/test/path_fleet.h
+++ b/test/path_fleet.h
@@ -71,6 +71,8 @@
   /* This endpoint ends: it refuses connections, or with 'silent' does not
   ** answer them, and stays listed. */
   void end_endpoint(unsigned endpoint, bool silent = false);
+  /* This endpoint answers nothing for so long, and then goes on. */
+  void freeze_endpoint(unsigned endpoint, gint64 span);
   /* Every instance of this data centre (0 to 2). */
   std::set<unsigned> instances_of(unsigned zone) const;
 
@@ -83,6 +85,9 @@
   ** more than 10 + 1 in 50 of all failed there. */
   bool cut_callers_are_worse_served(gint64 from, gint64 until,
                                     const std::set<unsigned> &cut) const;
+  /* Returns the longest time from a request that was sent after 'from' to its
+  ** refusal. */
+  gint64 longest_refusal(gint64 from) const;
   /* Returns the most runs of one request that must not be repeated. */
   unsigned most_runs() const;
   /* Returns how many requests were told that they had not run, and had. */
@@ -96,6 +101,7 @@
   gint64 now = 100 * second;
   unsigned connects = 0;        /* connections begun to endpoints */
   unsigned failed_connects = 0; /* of these, those that were not made */
+  unsigned checks = 0;          /* DISPATCH_CHECK */
   unsigned carried = 0;         /* dispatches on connections of carriers */
   std::map<unsigned, unsigned> carried_by; /* the same, by carrier */
 
@@ -106,6 +112,7 @@
     unsigned zone = 0;
     bool has_ended = false;
     bool is_silent = false;
+    gint64 frozen_until = 0;
   };
   struct Kept {
     unsigned endpoint;
--- a/test/test_endpoint_paths.cc
+++ b/test/test_endpoint_paths.cc
@@ -8,6 +8,10 @@
 
 #include "path_fleet.h"
 
+extern "C" {
+#include "router/gate.h"
+}
+
 using namespace paths;
 
 namespace {
@@ -79,4 +83,125 @@
   }
 }
 
+TEST(EndpointPaths, CutInstanceServesAfterHalfTheTime) {
+  for (Cut how : {Cut::HANG, Cut::RESET, Cut::REFUSE_NEW}) {
+    Fleet fleet({});
+    fleet.advance(2 * second);
+    std::set<unsigned> cut = fleet.instances_of(0);
+    gint64 began = fleet.now;
+    fleet.cut(cut, how);
+    fleet.advance(6 * second);
+    Count served = fleet.count(began + contact_time / 2, began + 4 * second,
+                               [&](unsigned i) { return cut.count(i) > 0; });
+    EXPECT_GE(served.served, served.sent * 98 / 100);
+  }
+}
+
+TEST(EndpointPaths, PartlyCutInstanceServesWithAllEndpoints) {
+  for (Cut how : {Cut::HANG, Cut::RESET, Cut::REFUSE_NEW}) {
+    Fleet fleet({});
+    fleet.advance(2 * second);
+    std::set<unsigned> cut = {0, 1, 3, 5};
+    gint64 began = fleet.now;
+    fleet.cut(cut, how, [](unsigned endpoint) { return endpoint % 3 != 0; });
+    fleet.advance(10 * second);
+    Count served = fleet.count(began + contact_time / 2, began + 8 * second,
+                               [&](unsigned i) { return cut.count(i) > 0; });
+    EXPECT_GE(served.served, served.sent * 98 / 100);
+    EXPECT_LE(fleet.most_runs(), 1u);
+    EXPECT_EQ(fleet.false_not_run(), 0u);
+  }
+}
+
+TEST(EndpointPaths, NothingIsSentOrCarriedWhileNoPathIsLost) {
+  Fleet fleet({});
+  fleet.advance(10 * second);
+  EXPECT_EQ(fleet.carried, 0u);
+  EXPECT_EQ(fleet.checks, 0u);
+}
+
+TEST(EndpointPaths, EndedServiceIsRefusedAtOnceAndSearchedRarely) {
+  for (bool silent : {false, true}) {
+    Fleet fleet({});
+    fleet.advance(2 * second);
+    gint64 began = fleet.now;
+    for (unsigned endpoint = 0; endpoint < 3; endpoint++)
+      fleet.end_endpoint(endpoint, silent);
+    fleet.advance(3 * second);
+    unsigned carried = fleet.carried;
+    fleet.advance(5 * second);
+    /* of 8 instances, each asks one carrier for each of 3 endpoints, at least
+    ** 375 ms apart */
+    EXPECT_LE(fleet.carried - carried, 8u * 3 * 14);
+    EXPECT_LE(fleet.longest_refusal(began + 2 * second), 20 * ms);
+  }
+}
+
+TEST(EndpointPaths, DirectPathsAreUsedAgainSoonAfterACut) {
+  for (Cut how : {Cut::HANG, Cut::RESET, Cut::REFUSE_NEW}) {
+    Fleet fleet({});
+    std::set<unsigned> cut = fleet.instances_of(0);
+    fleet.advance(2 * second);
+    fleet.cut(cut, how);
+    fleet.advance(8 * second);
+    fleet.heal();
+    fleet.advance(5 * second);
+    unsigned carried = fleet.carried;
+    unsigned connects = fleet.connects;
+    fleet.advance(2 * second);
+    EXPECT_EQ(fleet.carried, carried);
+    EXPECT_LE(fleet.connects - connects, 8u * 2 * 25);
+    for (unsigned i : cut)
+      EXPECT_EQ(router_indirect_endpoints(fleet.world(i).router), 0u);
+  }
+}
+
+TEST(EndpointPaths, LoadOfALargeCutSpreadsOverTheCarriers) {
+  FleetOptions options;
+  options.instances = 60;
+  options.decode = 24;
+  options.plain = 12;
+  options.plain_per_s = 5;
+  options.streams_per_s = 1;
+  Fleet fleet(options);
+  std::set<unsigned> cut = fleet.instances_of(0);
+  fleet.advance(2 * second);
+  fleet.cut(cut, Cut::HANG);
+  fleet.advance(6 * second);
+  unsigned most = 0;
+  for (const auto &[carrier, count] : fleet.carried_by) {
+    EXPECT_TRUE(cut.count(carrier) == 0 || count < 200);
+    most = std::max(most, count);
+  }
+  EXPECT_LE(most, 3 * fleet.carried / 40);
+}
+
+TEST(EndpointPaths, SoundEndpointThatFallsSilentIsNotCutOff) {
+  Fleet fleet({});
+  fleet.advance(2 * second);
+  gint64 began = fleet.now;
+  fleet.freeze_endpoint(0, 1200 * ms);
+  fleet.advance(6 * second);
+  Count all =
+      fleet.count(began, began + 4 * second, [](unsigned) { return true; });
+  EXPECT_GE(all.served, all.sent * 95 / 100);
+  for (unsigned i = 0; i < 8; i++)
+    EXPECT_EQ(router_unreachable_endpoints(fleet.world(i).router, fleet.now),
+              0u);
+}
+
+TEST(EndpointPaths, OrdersAreNeverCarried) {
+  Endpoint endpoint = {};
+  endpoint.record.ready = TRUE;
+  for (PathState state : {PATH_SEARCHING, PATH_INDIRECT, PATH_NONE}) {
+    endpoint.path.state = state;
+    EXPECT_EQ(gate_check(&endpoint, DISPATCH_ORDER, 0), GATE_PATH);
+    EXPECT_EQ(gate_check(&endpoint, DISPATCH_REPORT, 0), GATE_PATH);
+    EXPECT_EQ(gate_check(&endpoint, DISPATCH_CHECK, 0), GATE_OPEN);
+  }
+  endpoint.path.state = PATH_INDIRECT;
+  EXPECT_EQ(gate_check(&endpoint, DISPATCH_RUN, 0), GATE_OPEN);
+  EXPECT_EQ(gate_check(&endpoint, DISPATCH_RELEASE, 0), GATE_OPEN);
+}
+
 } // namespace
