Scenario: instances cut off from all workers, with real processes

Cause: the tests had no way to cut one instance off from the workers: all instances reached a worker by one address, through one link of the proxy. Ruled out: telling instances apart by their source address, which is the same for all on loopback.

--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -6,9 +6,13 @@
 **   standin-fleet FLEET.json
 **
 ** FLEET.json: {"store": ADDR, "admin": ADDR, "configuration": {...},
-**   "workers": [{"id", "service", "zone", "stage", "listen", "addr"}]}
+**   "workers": [{"id", "service", "zone", "stage", "listen", "addr"}],
+**   "views": [{"listen": ADDR, "addrs": {ADDR: ADDR}}]}
 ** "listen" is where the worker listens and "addr" what its entry in the store
-** says; they differ when a proxy is between. The admin port answers:
+** says; they differ when a proxy is between. At the port of a view the store
+** names other addresses of the workers, so that an instance that uses it can
+*be
+** cut off from them alone. The admin port answers:
 **   GET  /ledger   what each worker took: id, worker, what, method, path, ...
 **   POST /store    {"mode": M}, see store.h; {"mode": "restore", "ms": AGE}
 **   POST /worker   {"id", "mode": M}, see worker.h
@@ -124,6 +128,9 @@
   workers_init(base);
   store_start(base, serve_address(fleet, "store"));
   store_start_ms = (json_int_t)(g_get_monotonic_time() / MS);
+  json_array_foreach(json_object_get(fleet, "views"), i, row)
+      store_start_view(serve_address(row, "listen"),
+                       json_incref(json_object_get(row, "addrs")));
   serve_new(base, serve_address(fleet, "admin"), on_admin, NULL);
   store_put_object("config", "main",
                    json_incref(json_object_get(fleet, "configuration")));
--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -15,14 +15,21 @@
 **           link passes again
 **   oneway  forwards only what goes to the server
 **   reset   resets all connections, and new ones at once
+**   refuse  open connections live on, new ones are refused
+**   cut     resets all connections, new ones are refused
+**   hang    forwards nothing and closes nothing, as silent, and new
+*connections
+**           are not made: their first packet gets no reply
 */
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -35,13 +42,23 @@
   MODE_DELAY,
   MODE_SILENT,
   MODE_ONEWAY,
-  MODE_RESET
+  MODE_RESET,
+  MODE_REFUSE,
+  MODE_CUT,
+  MODE_HANG
 } Mode;
 
+#define LISTEN_BACKLOG 128
+/* Connections that fill a queue of length 0, so that it takes no more. */
+#define FILLERS 2
+
 /* A listening port and where its connections lead. */
 typedef struct Link {
   char *name;
+  mp_Addr listen;
   mp_Addr to;
+  struct evconnlistener *listener; /* NULL while connections are refused */
+  int fillers[FILLERS];            /* MODE_HANG: they fill its queue */
   Mode mode;
   int delay_ms;
   GPtrArray *pairs; /* Pair */
@@ -99,7 +116,7 @@
   Mode mode = side->pair->link->mode;
   if (mode == MODE_ONEWAY)
     return side == &side->pair->client;
-  return mode == MODE_PASS || mode == MODE_DELAY;
+  return mode == MODE_PASS || mode == MODE_DELAY || mode == MODE_REFUSE;
 }
 
 /*
@@ -166,17 +183,22 @@
   bufferevent_enable(side->events, EV_READ | EV_WRITE);
 }
 
+static struct sockaddr_in socket_of(mp_Addr address) {
+  struct sockaddr_in at = {0};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl((uint32_t)(address >> 16));
+  at.sin_port = htons((uint16_t)(address & 0xffff));
+  return at;
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
                       struct sockaddr *address, int size, void *data) {
   Link *link = data;
   Pair *pair = g_new0(Pair, 1);
-  struct sockaddr_in to = {0};
+  struct sockaddr_in to = socket_of(link->to);
   (void)listener;
   (void)address;
   (void)size;
-  to.sin_family = AF_INET;
-  to.sin_addr.s_addr = htonl((uint32_t)(link->to >> 16));
-  to.sin_port = htons((uint16_t)(link->to & 0xffff));
   pair->link = link;
   g_ptr_array_add(link->pairs, pair);
   open_side(pair, &pair->client, fd);
@@ -197,8 +219,8 @@
 
 /* Reads a mode; returns 0 when there is no such mode. */
 static int read_mode(const char *text, Mode *out) {
-  static const char *const names[] = {"pass", "delay", "silent", "oneway",
-                                      "reset"};
+  static const char *const names[] = {"pass",  "delay",  "silent", "oneway",
+                                      "reset", "refuse", "cut",    "hang"};
   gsize i;
   for (i = 0; text != NULL && i < G_N_ELEMENTS(names); i++) {
     if (strcmp(text, names[i]) == 0) {
@@ -216,14 +238,64 @@
     forward(&pair->server);
 }
 
+/* Has new connections wait for a reply that does not come: the queue of the
+** listener is filled, and nothing is accepted. */
+static void begin_hang(Link *link) {
+  struct sockaddr_in at = socket_of(link->listen);
+  int i;
+  evconnlistener_disable(link->listener);
+  listen(evconnlistener_get_fd(link->listener), 0);
+  for (i = 0; i < FILLERS; i++) {
+    link->fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    if (connect(link->fillers[i], (struct sockaddr *)&at, sizeof at) != 0 &&
+        errno != EINPROGRESS)
+      fprintf(stderr, "standin-proxy: cannot fill the queue of %s\n",
+              link->name);
+  }
+}
+
+static void end_hang(Link *link) {
+  int i;
+  for (i = 0; i < FILLERS; i++)
+    close(link->fillers[i]);
+  listen(evconnlistener_get_fd(link->listener), LISTEN_BACKLOG);
+  evconnlistener_enable(link->listener);
+}
+
+static void open_listener(Link *link) {
+  struct sockaddr_in at = socket_of(link->listen);
+  link->listener = evconnlistener_new_bind(
+      base, on_accept, link, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      LISTEN_BACKLOG, (struct sockaddr *)&at, sizeof at);
+  if (link->listener == NULL) {
+    fprintf(stderr, "standin-proxy: cannot listen for link %s\n", link->name);
+    exit(2);
+  }
+}
+
+/* Has new connections accepted, refused or left without a reply, as the mode
+** says. */
+static void set_listener(Link *link, Mode before, Mode mode) {
+  int refuses = mode == MODE_REFUSE || mode == MODE_CUT;
+  if (before == MODE_HANG && mode != MODE_HANG)
+    end_hang(link);
+  if (refuses && link->listener != NULL)
+    g_clear_pointer(&link->listener, evconnlistener_free);
+  if (!refuses && link->listener == NULL)
+    open_listener(link);
+  if (mode == MODE_HANG && before != MODE_HANG)
+    begin_hang(link);
+}
+
 /* Sets the mode; goes backwards because pairs may be freed meanwhile. */
 static void set_mode(Link *link, Mode mode, int ms) {
   guint i;
+  set_listener(link, link->mode, mode);
   link->mode = mode;
   link->delay_ms = ms;
   for (i = link->pairs->len; i > 0; i--) {
     Pair *pair = link->pairs->pdata[i - 1];
-    if (mode == MODE_RESET)
+    if (mode == MODE_RESET || mode == MODE_CUT)
       pair_reset(pair);
     else
       forward_held(link, pair);
@@ -257,22 +329,13 @@
 /* Opens a link of PROXY.json; exits with 2 when it cannot listen. */
 static void open_link(const json_t *json) {
   Link *link = g_new0(Link, 1);
-  mp_Addr listen = serve_address(json, "listen");
-  struct sockaddr_in at = {0};
   const char *name = json_string_value(json_object_get(json, "name"));
-  at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl((uint32_t)(listen >> 16));
-  at.sin_port = htons((uint16_t)(listen & 0xffff));
   link->name = g_strdup(name != NULL ? name : "");
+  link->listen = serve_address(json, "listen");
   link->to = serve_address(json, "to");
   link->pairs = g_ptr_array_new();
   g_ptr_array_add(links, link);
-  if (evconnlistener_new_bind(base, on_accept, link,
-                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
-                              (struct sockaddr *)&at, sizeof at) == NULL) {
-    fprintf(stderr, "standin-proxy: cannot listen for link %s\n", link->name);
-    exit(2);
-  }
+  open_listener(link);
 }
 
 int main(int argc, char **argv) {
--- a/standin/store.h
+++ b/standin/store.h
@@ -17,6 +17,13 @@
 /* Opens the empty store at an address; called once, before all others. */
 void store_start(struct event_base *base, mp_Addr at);
 
+/*
+** Has the store listen at a further address, where it gives each worker the
+** address that 'addresses' (address -> address, which it takes over) has for
+** its own. Instances that use such ports reach workers by ways of their own.
+*/
+void store_start_view(mp_Addr at, json_t *addresses);
+
 /* Creates or replaces an object whatever its revision; takes over 'spec'. */
 void store_put_object(const char *kind, const char *name, json_t *spec);
 /* Removes an object; does nothing when there is none. */
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -11,6 +11,9 @@
             one_zone = false,
             -- the list names the workers themselves, not the proxy's links
             direct = false,
+            -- each instance reaches the workers by links of its own, which are
+            -- named WORKER@INSTANCE, and the store too
+            own_worker_links = false,
             store_late_ms = 0, -- the store starts so long after the instances
             -- client accounts: { name, keys, rate, burst }; none: no keys
             accounts = nil,
@@ -101,16 +104,33 @@
     '{"name":"store","listen":"%s","to":"%s"}', addr(gateway.store_proxy),
     addr(gateway.store))
   -- each instance's own way to the store, where a scenario wants that
-  for _, e in ipairs(gateway.own_store_links and gateway.instances or {}) do
+  local own_links = gateway.own_store_links or gateway.own_worker_links
+  for _, e in ipairs(own_links and gateway.instances or {}) do
     e.store_proxy = sys.freeport()
+    e.store_view = gateway.own_worker_links and sys.freeport() or gateway.store
     links[#links + 1] = string.format(
       '{"name":"store-%s","listen":"%s","to":"%s"}', e.name,
-      addr(e.store_proxy), addr(gateway.store))
+      addr(e.store_proxy), addr(e.store_view))
+  end
+  local views = {}
+  for _, e in ipairs(gateway.own_worker_links and gateway.instances or {}) do
+    local addrs = {}
+    for _, w in ipairs(gateway.workers) do
+      local port = sys.freeport()
+      links[#links + 1] = string.format(
+        '{"name":"%s@%s","listen":"%s","to":"%s"}', w.id, e.name, addr(port),
+        addr(gateway.direct and w.port or w.proxy))
+      addrs[#addrs + 1] = string.format(
+        '"%s":"%s"', addr(gateway.direct and w.port or w.proxy), addr(port))
+    end
+    views[#views + 1] = string.format('{"listen":"%s","addrs":{%s}}',
+      addr(e.store_view), table.concat(addrs, ","))
   end
   write(sys.dir .. "/fleet.json", string.format(
-    '{"store":"%s","admin":"%s","configuration":%s,"workers":[%s]}',
+    '{"store":"%s","admin":"%s","configuration":%s,"workers":[%s],' ..
+    '"views":[%s]}',
     addr(gateway.store), addr(gateway.admin), configuration(),
-    table.concat(rows, ",")))
+    table.concat(rows, ","), table.concat(views, ",")))
   write(sys.dir .. "/proxy.json", string.format(
     '{"admin":"%s","links":[%s]}', addr(gateway.proxy_admin),
     table.concat(links, ",")))
@@ -239,6 +259,22 @@
     '{"name":"%s","mode":"%s","ms":%d}', name, mode, ms or 0))
 end
 
+-- sets the links of an instance to those workers for which 'which' (all by
+-- default) is true
+function cut_off(e, mode, which)
+  for _, w in ipairs(gateway.workers) do
+    if not which or which(w) then
+      link(w.id .. "@" .. e.name, mode)
+    end
+  end
+end
+
+-- a number of an instance's metrics
+function metric(e, name)
+  local _, text = ask("GET", e.metrics, "/metrics")
+  return tonumber(text:match("madderpier_" .. name .. " (%d+)"))
+end
+
 function store(mode)
   ask("POST", gateway.admin, "/store", {},
       string.format('{"mode":"%s"}', mode))
