--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -15,6 +15,7 @@
 #   10000  some 1,400 routes, one more every 0.5 s, and a store that refuses
 #          single instances (needs six instances or more)
 #   11000  the restored copies again
+#   13000  instances that are cut off from workers, alone or with others
 # Ends with "N passed, N failed". For a failed seed it prints the end
 # of the log, which names the folder where the logs of its processes stay.
 set -u
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -27,14 +27,19 @@
 gateway.direct = ends and seed % 2 == 1 -- who has ended refuses connections
 local named = seed >= 8000 -- workers that name the rate they take
 local says = seed >= 9000 -- workers that say they leave, or ask for rest
+-- single instances are cut off from workers
+local cuts = seed >= 13000
+gateway.own_worker_links = cuts
 -- relays follow the store for the others
-gateway.one_zone = seed >= 4000 and seed < 6000 or seed >= 10000
+gateway.one_zone = seed >= 4000 and seed < 6000 or
+                   seed >= 10000 and not cuts
 -- some 1,400 routes, of which one is added now and then, and a store that turns
 -- single instances away
-local large = seed >= 10000
+local large = seed >= 10000 and not cuts
 gateway.own_store_links = large
 -- the store comes back from copies some seconds old
-local returns = seed >= 5000 and seed < 6000 or seed >= 11000
+local returns = seed >= 5000 and seed < 6000 or
+                seed >= 11000 and not cuts
 start_gateway(instances)
 
 -- when instances, and the ways to workers, were in trouble: name -> intervals
@@ -284,6 +289,38 @@
   end
 end
 
+local function cut_instance(e, mode, which)
+  begins(e.name)
+  cut_off(e, mode, which)
+end
+if cuts then
+  local MODES = { "cut", "hang", "refuse", "silent", "oneway", "delay" }
+  for _ = 1, 2 do
+    faults[#faults + 1] = function()
+      cut_instance(any(gateway.instances), any(MODES))
+    end
+  end
+  faults[#faults + 1] = function() -- from some of the workers
+    cut_instance(any(gateway.instances), any(MODES),
+                 function() return math.random(3) > 1 end)
+  end
+  faults[#faults + 1] = function() -- most or all of a data centre
+    local zone, mode = any { "a", "b" }, any(MODES)
+    for _, e in ipairs(gateway.instances) do
+      if e.zone == zone and math.random(4) > 1 then
+        cut_instance(e, mode)
+      end
+    end
+  end
+  for _ = 1, 3 do
+    faults[#faults + 1] = function()
+      local e = any(gateway.instances)
+      cut_off(e, "pass")
+      ends_soon(e.name)
+    end
+  end
+end
+
 if returns then
   for _ = 1, 3 do
     faults[#faults + 1] = function()
