--- a/io/carry_client.c
+++ b/io/carry_client.c
@@ -80,9 +80,11 @@
     client->state = CARRY_ENDED;
 }
 
-void carry_client_write(struct bufferevent *events, const char *bytes,
-                        size_t size) {
+void carry_client_write(struct bufferevent *events, const char *id,
+                        const char *bytes, size_t size) {
   struct evbuffer *content = evbuffer_new();
+  if (id != NULL)
+    record_write_note(bufferevent_get_output(events), id);
   evbuffer_add(content, bytes, size);
   record_write(bufferevent_get_output(events), content, FALSE);
   evbuffer_free(content);
@@ -91,3 +93,8 @@
 gboolean carry_client_is_leaving(const CarryClient *client) {
   return client->reader.is_leaving;
 }
+
+gboolean carry_client_endpoint_refused(const CarryClient *client) {
+  return client->state == CARRY_REFUSED &&
+         client->verdict == CARRY_UNREACHABLE;
+}
--- a/io/carry_server.c
+++ b/io/carry_server.c
@@ -47,6 +47,8 @@
 typedef struct Carried {
   CarryServer *server;
   CarriedState state;
+  mp_Addr from;                 /* host of the asker, port 0 */
+  mp_Addr to;                   /* the address of the endpoint */
   guint32 sequence;             /* of the call */
   struct bufferevent *asker;    /* the instance that asked */
   struct bufferevent *endpoint; /* NULL before the call */
@@ -129,6 +131,7 @@
 static void connect_endpoint(Carried *carried, mp_Addr address,
                              gint64 timeout) {
   carried->state = CARRIED_CONNECTING;
+  carried->to = address;
   carried->endpoint =
       bufferevent_socket_new(carried->server->base, -1,
                              BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -204,10 +207,24 @@
   limit_reading(carried->endpoint, carried->asker);
 }
 
+/* Logs the request whose bytes follow, as the asker names it. */
+static void log_request(Carried *carried) {
+  char from[24];
+  char to[24];
+  mp_addr_text(carried->from, from);
+  mp_addr_text(carried->to, to);
+  log_numbered(carried->server->log, MP_LOG_CARRIED,
+               " request=%s from=%s address=%s", carried->reader.note, from,
+               to);
+  carried->reader.note[0] = '\0';
+}
+
 static void pass_to_endpoint(Carried *carried) {
   RecordState state =
       record_read(&carried->reader, bufferevent_get_input(carried->asker),
                   bufferevent_get_output(carried->endpoint));
+  if (carried->reader.note[0] != '\0')
+    log_request(carried);
   if (state == RECORD_MORE) {
     limit_reading(carried->asker, carried->endpoint);
     return;
@@ -333,6 +350,7 @@
   }
   carried = g_new0(Carried, 1);
   carried->server = server;
+  carried->from = host_of(address);
   carried->call = evbuffer_new();
   carried->timer = evtimer_new(server->base, on_timer, carried);
   carried->asker = bufferevent_socket_new(
--- a/io/endpoint_call.c
+++ b/io/endpoint_call.c
@@ -30,6 +30,26 @@
   g_free(call);
 }
 
+/* Returns TRUE if the response names another request than that of the call. */
+static gboolean names_other_request(const EndpointCall *call) {
+  const char *named = call->head_info.request_id;
+  return named != NULL && call->request_id != NULL &&
+         strcmp(named, call->request_id) != 0;
+}
+
+void endpoint_call_set_head(EndpointCall *call, const Dialect *dialect,
+                            HttpHead *head) {
+  const EndpointHead *info = &call->head_info;
+  http_head_free(call->head);
+  call->head = head;
+  dialect->read_endpoint(head, &call->head_info);
+  call->is_foreign = names_other_request(call);
+  call->is_stream = !call->is_foreign && call->may_stream &&
+                    info->is_event_stream && info->is_signed &&
+                    head->status == 200 &&
+                    http_head_get(head, "Content-Encoding") == NULL;
+}
+
 GString *endpoint_call_text(const Dialect *dialect, const Dispatch *dispatch,
                             const HttpHead *caller, const GByteArray *body) {
   char *own = NULL;
@@ -80,6 +100,46 @@
   return OUTCOME_ANSWER;
 }
 
+/* Reads the answer to a prefill or to the question for a report. Returns FALSE
+** if it cannot be read. */
+static gboolean read_answer(const EndpointCall *call, const Dialect *dialect,
+                            EndpointResult *out) {
+  const char *bytes = out->answer.bytes;
+  gsize size = out->answer.size;
+  if (call->kind == DISPATCH_PREFILL) {
+    gboolean is_read = dialect->read_prefill(bytes, size, &out->prefill, NULL);
+    out->outcome.handle = out->prefill.handle;
+    return is_read;
+  }
+  if (call->kind == DISPATCH_REPORT) {
+    out->outcome.report = &out->report;
+    return dialect->read_report(bytes, size, &out->report, NULL);
+  }
+  return TRUE;
+}
+
+void endpoint_call_result(EndpointCall *call, const Dialect *dialect,
+                          EndpointResult *out) {
+  Outcome *outcome = &out->outcome;
+  memset(out, 0, sizeof *out);
+  out->answer.head = call->head;
+  out->answer.bytes = (const char *)call->body->data;
+  out->answer.size = call->body->len;
+  outcome->payload = &out->answer;
+  outcome->status = call->head->status;
+  outcome->misdirected = call->head_info.misdirected;
+  outcome->kind =
+      call->is_stream ? OUTCOME_STREAM_END : endpoint_call_classify(call);
+  if (call->is_stream && event_splitter_pending_size(&call->events) > 0)
+    outcome->kind = OUTCOME_BROKEN;
+  if (outcome->kind == OUTCOME_ANSWER && !read_answer(call, dialect, out))
+    outcome->kind = OUTCOME_BROKEN;
+}
+
+void endpoint_result_clear(EndpointResult *result) {
+  g_free(result->prefill.handle);
+}
+
 gboolean endpoint_call_has_served(const EndpointCall *call) {
   int status = call->head->status;
   return status >= 200 && status < 300 && !call->head_info.not_run &&
--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -11,6 +11,7 @@
 
 #include "dialect/dialect.h"
 #include "http/events.h"
+#include "io/endpoint_links.h"
 
 /* An EndpointCall owns what its pointers refer to. */
 typedef struct EndpointCall {
@@ -34,6 +35,9 @@
 /* 'call' may be NULL. */
 void endpoint_call_free(EndpointCall *call);
 
+/* Takes the head of a response over, and reads what it says. */
+void endpoint_call_set_head(EndpointCall *call, const Dialect *dialect,
+                            HttpHead *head);
 /*
 ** Returns the text of the dispatch's request, which the caller frees: its
 *head,
@@ -54,6 +58,20 @@
 ** is not known whether the request has run.
 */
 OutcomeKind endpoint_call_classify(const EndpointCall *call);
+/* The outcome of a dispatch whose response is complete, with what it refers
+** to. It is valid as long as the call. */
+typedef struct EndpointResult {
+  Outcome outcome;
+  EndpointResponse answer;
+  PrefillResponse prefill;
+  EngineReport report;
+} EndpointResult;
+
+/* Fills in the result; it is cleared with endpoint_result_clear. */
+void endpoint_call_result(EndpointCall *call, const Dialect *dialect,
+                          EndpointResult *out);
+void endpoint_result_clear(EndpointResult *result);
+
 /*
 ** Is it a run or a prefill that the endpoint has carried out, as a status of
 *200
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -161,12 +161,6 @@
   return g_hash_table_lookup(links->calls, &dispatch) == link;
 }
 
-/* Did the carrier find that the endpoint accepts no connection? */
-static gboolean is_endpoint_refusal(const Link *link) {
-  return link->carry->state == CARRY_REFUSED &&
-         link->carry->verdict == CARRY_UNREACHABLE;
-}
-
 /* Closes a connection without a whole response, and reports the outcome. */
 static void fail_call(Link *link, OutcomeKind kind) {
   Outcome outcome = {0};
@@ -177,7 +171,8 @@
   outcome.dispatch = call->dispatch;
   outcome.was_kept = call->on_kept;
   outcome.carrier_failed = kind == OUTCOME_UNREACHABLE &&
-                           link->carry != NULL && !is_endpoint_refusal(link);
+                           link->carry != NULL &&
+                           !carry_client_endpoint_refused(link->carry);
   link->call = NULL;
   g_hash_table_remove(links->calls, &call->dispatch);
   close_link(link);
@@ -189,40 +184,18 @@
 /* Reports the outcome of a whole response, and ends the call. */
 static void finish_call(Link *link) {
   EndpointCall *call = link->call;
-  Outcome outcome = {0};
-  PrefillResponse prefill = {0};
-  EngineReport report = {0};
-  EndpointResponse answer = {call->head, (const char *)call->body->data,
-                             call->body->len};
+  EndpointResult result;
   if (call->kind == DISPATCH_RELEASE) {
     make_idle_or_close(link);
     return;
   }
-  outcome.kind =
-      call->is_stream ? OUTCOME_STREAM_END : endpoint_call_classify(call);
-  if (call->is_stream && event_splitter_pending_size(&call->events) > 0)
-    outcome.kind = OUTCOME_BROKEN;
-  outcome.status = call->head->status;
-  outcome.misdirected = call->head_info.misdirected;
-  outcome.payload = &answer;
-  if (call->kind == DISPATCH_PREFILL && outcome.kind == OUTCOME_ANSWER) {
-    if (!link->links->dialect->read_prefill(answer.bytes, answer.size,
-                                            &prefill, NULL))
-      outcome.kind = OUTCOME_BROKEN;
-    outcome.handle = prefill.handle;
-  }
-  if (call->kind == DISPATCH_REPORT && outcome.kind == OUTCOME_ANSWER) {
-    if (!link->links->dialect->read_report(answer.bytes, answer.size, &report,
-                                           NULL))
-      outcome.kind = OUTCOME_BROKEN;
-    outcome.report = &report;
-  }
-  if (outcome.kind == OUTCOME_BROKEN || outcome.misdirected)
+  endpoint_call_result(call, link->links->dialect, &result);
+  if (result.outcome.kind == OUTCOME_BROKEN || result.outcome.misdirected)
     link->must_close = TRUE;
   link->idle_limit = call->head_info.idle_limit;
-  if (report_outcome(link, &outcome))
+  if (report_outcome(link, &result.outcome))
     make_idle_or_close(link);
-  g_free(prefill.handle);
+  endpoint_result_clear(&result);
 }
 
 /* }================================================================== */
@@ -250,19 +223,10 @@
 static void on_head(void *data, HttpHead *head) {
   Link *link = data;
   EndpointCall *call = link->call;
-  const EndpointHead *info = &call->head_info;
-  http_head_free(call->head);
-  call->head = head;
-  link->links->dialect->read_endpoint(head, &call->head_info);
-  call->is_foreign = info->request_id != NULL && call->request_id != NULL &&
-                     strcmp(info->request_id, call->request_id) != 0;
+  endpoint_call_set_head(call, link->links->dialect, head);
   if (call->is_foreign)
     link->must_close = TRUE;
   report_signals(link);
-  call->is_stream = !call->is_foreign && call->may_stream &&
-                    info->is_event_stream && info->is_signed &&
-                    head->status == 200 &&
-                    http_head_get(head, "Content-Encoding") == NULL;
 }
 
 static void on_body(void *data, const char *bytes, size_t size) {
@@ -359,7 +323,8 @@
   EndpointCall *call = link->call;
   event_del(link->timer);
   if (link->carry != NULL)
-    carry_client_write(link->events, call->text->str, call->text->len);
+    carry_client_write(link->events, call->request_id, call->text->str,
+                       call->text->len);
   else
     bufferevent_write(link->events, call->text->str, call->text->len);
   g_string_free(call->text, TRUE);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -13,6 +13,7 @@
 #include "io/endpoint_links.h"
 #include "io/front.h"
 #include "io/gateway.h"
+#include "io/lease_reply.h"
 #include "io/load_exchange.h"
 #include "io/metrics.h"
 #include "io/clock.h"
@@ -234,40 +235,13 @@
   return router_keeps_connection(gateway->router, endpoint);
 }
 
-/*
-** Reads the store's response about the lease. A record that cannot be read is
-** treated like a lease that another instance holds: this instance may acquire
-** it once it has certainly expired. If it were treated as a failed call, no
-** instance could ever acquire the lease and change the stages of engines.
-*/
-static void read_lease(const Gateway *gateway, const StoreReply *reply,
-                       LeaseReply *out) {
-  const StoreObject *object;
-  GError *error = NULL;
-  out->status = reply->status;
-  out->era = reply->at.era;
-  if (reply->objects == NULL || reply->objects->len == 0)
-    return;
-  object = &g_array_index(reply->objects, StoreObject, 0);
-  out->position = object->position;
-  if (object->gone) {
-    out->status = STORE_FAILED;
-    return;
-  }
-  if (gateway->dialect->read_lease(object->text, &out->record, &error))
-    return;
-  log_numbered(gateway->log, MP_LOG_STORE_RECORD_BAD, " name=%s error=\"%s\"",
-               object->name, error->message);
-  g_error_free(error);
-}
-
 static void on_lease_reply(void *data, const StoreReply *reply,
                            const GError *error) {
   Gateway *gateway = data;
   LeaseReply parsed = {0};
   (void)error;
   relay_group_observe_era(gateway->group, reply->at.era);
-  read_lease(gateway, reply, &parsed);
+  lease_reply_read(gateway->dialect, gateway->log, reply, &parsed);
   router_lease_reply(gateway->router, &parsed, clock_now());
   lease_record_clear(&parsed.record);
   schedule_tick(gateway);
--- a/io/record_stream.h
+++ b/io/record_stream.h
@@ -9,9 +9,12 @@
 ** the sender's stream is complete: a connection that ends before it was broken
 ** off.
 **
-** A fragment without content that is not the last one tells the receiver that
-** the sender is about to shut down and takes no further request on this
-** connection.
+** Two kinds of fragments are no part of the record:
+** - One without content that is not the last one tells the receiver that the
+**   sender is about to shut down and takes no further request on this
+**   connection.
+** - A note, which the second highest bit of the header marks, is text for the
+**   receiver's log: the id of the request whose bytes follow.
 */
 
 #ifndef RECORD_STREAM_H
@@ -22,6 +25,8 @@
 
 /* bytes of content in one fragment; a longer one is an error */
 #define RECORD_FRAGMENT_MAX (64 << 10)
+/* bytes of a note; a longer one is an error when read, and cut when written */
+#define RECORD_NOTE_MAX 64
 
 typedef enum RecordState {
   RECORD_MORE, /* the record goes on */
@@ -33,7 +38,10 @@
 typedef struct RecordReader {
   guint32 left;     /* bytes of the present fragment that are not read yet */
   gboolean in_last; /* the present fragment is the last one */
+  gboolean in_note; /* the present fragment is a note */
   gboolean is_leaving; /* the sender said that it is about to shut down */
+  char note[RECORD_NOTE_MAX + 1]; /* the last note, printable; empty: none came
+                                  ** since the reader's owner cleared it */
 } RecordReader;
 
 /*
@@ -47,6 +55,8 @@
 ** ends the record. */
 void record_write(struct evbuffer *out, struct evbuffer *content,
                   gboolean is_last);
+/* Appends a note. */
+void record_write_note(struct evbuffer *out, const char *text);
 /* Appends the fragment that says that this side is about to shut down. */
 void record_write_leaving(struct evbuffer *out);
 
--- a/router/reach.c
+++ b/router/reach.c
@@ -236,12 +236,11 @@
                          gint64 now) {
   EndpointPath *path = &endpoint->path;
   char carrier[24];
-  gboolean was_stable = now - path->since >= STABLE_TIME;
   set_state(path, PATH_INDIRECT, now);
   endpoint->avoid_until = 0;
   endpoint->unreachable_streak = 0;
   endpoint->failures = 0;
-  if (was_stable)
+  if (now - path->regained_at >= STABLE_TIME)
     path->recheck_wait = RECHECK_WAIT_MIN;
   schedule_recheck(reach, path, now);
   mp_addr_text(via, carrier);
@@ -279,8 +278,10 @@
     router_log(reach->router, MP_LOG_PATH_BACK,
                " endpoint=%s lost_ms=%d indirect=%u", endpoint->record.id,
                (int)(lost / MP_MS), router_indirect_endpoints(reach->router));
-  if (before == PATH_INDIRECT)
+  if (before == PATH_INDIRECT) {
+    endpoint->path.regained_at = now;
     check_lost_paths(reach, now);
+  }
 }
 
 /* No carrier that was asked has connected to the endpoint. */
--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -13,6 +13,7 @@
 extern "C" {
 #include "io/carry_server.h"
 #include "io/endpoint_links.h"
+#include "io/record_stream.h"
 #include "platform/platform.h"
 #include "wire/rpc.h"
 }
@@ -300,6 +301,39 @@
   EXPECT_TRUE(refused.carrier_failed);
 }
 
+TEST(RecordStream, NotesAreNoPartOfTheRecord) {
+  struct evbuffer *wire = evbuffer_new();
+  struct evbuffer *content = evbuffer_new();
+  struct evbuffer *in = evbuffer_new();
+  RecordReader reader = {};
+  RecordState state = RECORD_MORE;
+  evbuffer_add(content, "abc", 3);
+  record_write_note(wire, "r\n\"1");
+  record_write(wire, content, FALSE);
+  record_write_note(wire, std::string(100, 'n').c_str());
+  evbuffer_add(content, "def", 3);
+  record_write(wire, content, TRUE);
+  std::string seen;
+  while (state == RECORD_MORE && evbuffer_get_length(wire) > 0) {
+    evbuffer_remove_buffer(wire, in, 1);
+    state = record_read(&reader, in, content);
+    if (reader.note[0] != '\0')
+      seen += std::string(reader.note) + ";";
+    reader.note[0] = '\0';
+  }
+  EXPECT_EQ(state, RECORD_END);
+  EXPECT_EQ(seen, "r??1;" + std::string(RECORD_NOTE_MAX, 'n') + ";");
+  EXPECT_EQ(std::string(reinterpret_cast<char *>(evbuffer_pullup(content, -1)),
+                        evbuffer_get_length(content)),
+            "abcdef");
+  const unsigned char too_long[] = {0x40, 0, 0, RECORD_NOTE_MAX + 1};
+  evbuffer_add(in, too_long, sizeof too_long);
+  EXPECT_EQ(record_read(&reader, in, content), RECORD_BAD);
+  evbuffer_free(wire);
+  evbuffer_free(content);
+  evbuffer_free(in);
+}
+
 TEST_F(Carry, SlowAskerHoldsTheEndpointUp) {
   mp_Msg call = {};
   char bytes[MP_DATAGRAM_MAX];
