The path to the endpoint of a stream that pauses is checked

What callers saw: with paths cut, requests went out over kept connections for 0.9 s more and ended 502 after 2.5 s (unacknowledged), because only a new connection, or a run silent from its start, showed the loss. Cause: streams under way are the first to fall silent, and nobody listened. Ruled out: a shorter TCP_USER_TIMEOUT: a sound endpoint may be silent for a second; and breaking streams off by silence. Change: a stream silent for 1.5 of its longest pauses (400 ms at least) has a connection to its endpoint tried, unless another dispatch heard of it; nothing is broken off by it.

--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -227,10 +227,25 @@
   request->last_piece = now;
 }
 
+/* Has the path checked if the stream pauses from now on. */
+static void expect_piece(Request *request, gint64 now) {
+  request->path_check_at = now + silence_check_after(request);
+}
+
+/* Only the path is in question: engines pause for other reasons too. */
+void outcomes_check_path(Router *router, Request *request, gint64 now) {
+  Endpoint *endpoint = path_open_endpoint(router, request);
+  if (endpoint != NULL && request->open.via == 0)
+    reach_note_silence(router->reach, endpoint,
+                       now - silence_check_after(request), now);
+  expect_piece(request, now);
+}
+
 /* Passes a piece of a stream on. */
 static void handle_piece(Router *router, Request *request,
                          const Outcome *outcome, gint64 now) {
   update_longest_pause(request, now);
+  expect_piece(request, now);
   if (outcome->event != NULL) {
     g_free(request->last_event);
     request->last_event = g_strdup(outcome->event);
@@ -261,6 +276,7 @@
 static void handle_stream_head(Router *router, Request *request,
                                const Outcome *outcome, gint64 now) {
   request->suspect_at = 0;
+  expect_piece(request, now);
   if (request->stall_at != 0)
     request->stall_at = now + silence_head_timeout(request);
   if (request->head_sent)
--- a/router/path.c
+++ b/router/path.c
@@ -97,6 +97,7 @@
   g_clear_pointer(&open->endpoint, g_free);
   request->stall_at = 0;
   request->suspect_at = 0;
+  request->path_check_at = 0;
 }
 
 /* Logs a dispatch with what was known of the endpoint when it was chosen. */
--- a/router/reach.c
+++ b/router/reach.c
@@ -430,11 +430,11 @@
   return FALSE;
 }
 
-void reach_note_silence(Reach *reach, Endpoint *endpoint, gint64 sent,
+void reach_note_silence(Reach *reach, Endpoint *endpoint, gint64 since,
                         gint64 now) {
   EndpointPath *path = &endpoint->path;
   if (carriers_count(reach->carriers) == 0 || path->state != PATH_DIRECT ||
-      path->check != 0 || path->heard_at >= sent ||
+      path->check != 0 || path->heard_at >= since ||
       (path->checked_at != 0 &&
        now - path->checked_at < SILENCE_CHECK_INTERVAL))
     return;
--- a/router/reach.h
+++ b/router/reach.h
@@ -49,9 +49,10 @@
 */
 gboolean reach_note_outcome(Reach *reach, Endpoint *endpoint, mp_Addr via,
                             const Outcome *outcome, gint64 now);
-/* The endpoint has sent nothing for a direct dispatch of the time 'sent':
-** checks the direct path, unless it was heard from since. */
-void reach_note_silence(Reach *reach, Endpoint *endpoint, gint64 sent,
+/* A direct dispatch has heard nothing of the endpoint since 'since': checks
+*the
+** direct path, unless other dispatches have heard of it. */
+void reach_note_silence(Reach *reach, Endpoint *endpoint, gint64 since,
                         gint64 now);
 /*
 ** Finds out whether the endpoint accepts connections from this instance or
--- a/router/router.c
+++ b/router/router.c
@@ -392,6 +392,8 @@
     wake = MIN(wake, request->start_at);
   if (request->suspect_at != 0)
     wake = MIN(wake, request->suspect_at);
+  if (request->path_check_at != 0)
+    wake = MIN(wake, request->path_check_at);
   return wake;
 }
 
@@ -432,6 +434,8 @@
       finish_expire(router, request, now);
     else if (request->suspect_at != 0 && request->suspect_at <= now)
       outcomes_mark_suspect(router, request, now);
+    else if (request->path_check_at != 0 && request->path_check_at <= now)
+      outcomes_check_path(router, request, now);
     else if (request->start_at != 0 && request->start_at <= now)
       admission_take_turn(router, request, now);
     else
--- a/router/silence.c
+++ b/router/silence.c
@@ -28,6 +28,12 @@
 ** this many objectives, but of 100 ms at least.
 */
 #define SAFE_SILENCE_OBJECTIVES 2.5
+/*
+** The path to the endpoint of a stream is checked after a silence of this many
+** of the longest pauses between pieces, but of CHECK_SILENCE_MIN at least.
+*/
+#define CHECK_SILENCE_GAPS 1.5
+#define CHECK_SILENCE_MIN (400 * MP_MS)
 /* No plain endpoint is suspected earlier than this. */
 #define PLAIN_SUSPECT_MIN (100 * MP_MS)
 
@@ -55,3 +61,8 @@
   return request->service->is_engine ? SUSPECT_SILENCE
                                      : MAX(objectives, PLAIN_SUSPECT_MIN);
 }
+
+gint64 silence_check_after(const Request *request) {
+  return MAX((gint64)(CHECK_SILENCE_GAPS * (double)request->route->gap),
+             CHECK_SILENCE_MIN);
+}
--- a/router/silence.h
+++ b/router/silence.h
@@ -25,4 +25,8 @@
 */
 gint64 silence_suspect_after(const Request *request);
 
+/* Returns after how long a silence of a stream that has begun the path to its
+** endpoint is checked, us. */
+gint64 silence_check_after(const Request *request);
+
 #endif
--- a/router/state.h
+++ b/router/state.h
@@ -148,8 +148,10 @@
   char *handle_endpoint;      /* id of that engine */
   gint64 handle_until;        /* when it expires, with a margin */
   char *read_by; /* id of the engine that prefilled the prompt last, or NULL */
-  gint64 suspect_at; /* the endpoint is suspected if the run is silent until
-                     ** then; 0: not set */
+  gint64 suspect_at;    /* the endpoint is suspected if the run is silent until
+                        ** then; 0: not set */
+  gint64 path_check_at; /* the path to the endpoint of a stream is checked if
+                        ** the endpoint is silent until then; 0: not set */
   gint64 stall_at; /* PHASE_WAIT: time of the next review; else: when the open
                    ** dispatch counts as stalled; 0: never */
   char *excluded[EXCLUDED_ENDPOINTS_MAX]; /* ids of endpoints that failed it */
@@ -319,6 +321,8 @@
 /* Counts a failure of the endpoint of a silent run, and tells other
 ** instances. */
 void outcomes_mark_suspect(Router *router, Request *request, gint64 now);
+/* Has the path to the endpoint of a stream that pauses checked. */
+void outcomes_check_path(Router *router, Request *request, gint64 now);
 /* Handles an outcome of the open RUN dispatch; may end. */
 void outcomes_handle(Router *router, Request *request, const Outcome *outcome,
                      gint64 now);
