A lost path is checked on when no other instance is left

What callers would see: 503 for good from an instance that was the last one left, at an endpoint that had been out of reach when the others went. Cause: the next check of a lost path was scheduled at the end of a search, and without carriers there is no search. Ruled out: a search that is stuck; each check ends by its timeout. Change: a direct check that fails while no carrier is known schedules the next. Figures: EndpointPaths.LostPathIsCheckedOnWhenNoCarrierIsLeft failed before (no check after the first), passes now. Conclusion: found by reading the diff; no run had shown it.

--- a/router/reach.c
+++ b/router/reach.c
@@ -356,9 +356,11 @@
   if (outcome->kind == OUTCOME_ANSWER) {
     set_direct(reach, endpoint, now);
     deliver(reach, path, OUTCOME_ANSWER, now);
-  } else if (carriers_count(reach->carriers) == 0)
+  } else if (carriers_count(reach->carriers) == 0) {
+    if (path->state != PATH_DIRECT)
+      schedule_recheck(reach, path, now);
     deliver(reach, path, OUTCOME_UNREACHABLE, now);
-  else if (path->state == PATH_INDIRECT && path->ticket == 0)
+  } else if (path->state == PATH_INDIRECT && path->ticket == 0)
     schedule_recheck(reach, path, now);
   else
     begin_search(reach, endpoint, now);
--- a/test/test_endpoint_paths.cc
+++ b/test/test_endpoint_paths.cc
@@ -10,6 +10,7 @@
 
 extern "C" {
 #include "router/gate.h"
+#include "router/relay_members.h"
 }
 
 using namespace paths;
@@ -206,6 +207,43 @@
               0u);
 }
 
+/* Answers the one open check of the world. */
+void answer_check(World &world, OutcomeKind kind) {
+  ASSERT_EQ(world.checks.size(), 1u);
+  guint64 number = world.checks[0].number;
+  world.checks.clear();
+  world.outcome(number, kind);
+}
+
+void set_carriers(World &world, guint count) {
+  RelayMember one = {mp_addr_parse("10.0.0.9:1"), 1, 1};
+  GArray *members = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+  g_array_append_vals(members, &one, count);
+  router_set_carriers(world.router, members);
+  g_array_free(members, TRUE);
+}
+
+TEST(EndpointPaths, LostPathIsCheckedOnWhenNoCarrierIsLeft) {
+  World world;
+  world.configure();
+  world.endpoint({"app-1", "app", "a", STAGE_NONE});
+  set_carriers(world, 1);
+  world.request("/unsafe/x");
+  world.outcome(world.last().number, OUTCOME_UNREACHABLE);
+  answer_check(world, OUTCOME_UNREACHABLE);
+  EXPECT_EQ(router_unreachable_endpoints(world.router, world.now), 1u);
+  set_carriers(world, 0);
+  for (int i = 0; i < 3; i++) {
+    world.advance(3 * second);
+    answer_check(world, OUTCOME_UNREACHABLE);
+  }
+  world.advance(3 * second);
+  answer_check(world, OUTCOME_ANSWER);
+  EXPECT_EQ(router_unreachable_endpoints(world.router, world.now), 0u);
+  guint64 number = world.request("/unsafe/x");
+  EXPECT_EQ(world.runs(number), 1u);
+}
+
 TEST(EndpointPaths, OrdersAreNeverCarried) {
   Endpoint endpoint = {};
   endpoint.record.ready = TRUE;
