reach.c: the states are set in shorter steps

Cause: set_none asked the same twice, set_direct nested what it skips. Ruled out: other changes; the conditions are the same. Change: early returns, one condition. Figures: unit tests of paths pass.

--- a/router/reach.c
+++ b/router/reach.c
@@ -265,21 +265,23 @@
 }
 
 static void set_direct(Reach *reach, Endpoint *endpoint, gint64 now) {
-  PathState before = endpoint->path.state;
-  gint64 lost = now - endpoint->path.since;
-  set_state(&endpoint->path, PATH_DIRECT, now);
-  endpoint->path.connected_at = now;
-  endpoint->path.check_due = 0;
-  if (before != PATH_DIRECT) {
-    endpoint->avoid_until = 0;
-    endpoint->unreachable_streak = 0;
-  }
-  if (before == PATH_NONE || before == PATH_INDIRECT)
-    router_log(reach->router, MP_LOG_PATH_BACK,
-               " endpoint=%s lost_ms=%d indirect=%u", endpoint->record.id,
-               (int)(lost / MP_MS), router_indirect_endpoints(reach->router));
+  EndpointPath *path = &endpoint->path;
+  PathState before = path->state;
+  gint64 lost = now - path->since;
+  set_state(path, PATH_DIRECT, now);
+  path->connected_at = now;
+  path->check_due = 0;
+  if (before == PATH_DIRECT)
+    return;
+  endpoint->avoid_until = 0;
+  endpoint->unreachable_streak = 0;
+  if (before == PATH_SEARCHING)
+    return;
+  router_log(reach->router, MP_LOG_PATH_BACK,
+             " endpoint=%s lost_ms=%d indirect=%u", endpoint->record.id,
+             (int)(lost / MP_MS), router_indirect_endpoints(reach->router));
   if (before == PATH_INDIRECT) {
-    endpoint->path.regained_at = now;
+    path->regained_at = now;
     check_lost_paths(reach, now);
   }
 }
@@ -287,11 +289,11 @@
 /* No carrier that was asked has connected to the endpoint. */
 static void set_none(Reach *reach, Endpoint *endpoint, gint64 now) {
   EndpointPath *path = &endpoint->path;
-  if (path->state != PATH_NONE)
+  if (path->state != PATH_NONE) {
     path->recheck_wait = RECHECK_WAIT_MIN;
-  if (path->state != PATH_NONE)
     router_log(reach->router, MP_LOG_PATH_NONE, " endpoint=%s asked=%u",
                endpoint->record.id, path->asked_count);
+  }
   set_state(path, PATH_NONE, now);
   endpoint_note_unreachable(endpoint, now);
   schedule_recheck(reach, path, now);
