A dead carrier is tried less and less often; an early answer passes a carrier

What callers would see: a request in every 2 s would wait for the time-out of a connection to an instance that has lost power and is still listed. Cause: a carrier that failed was left out for 2 s, however often it had failed. Ruled out: leaving it out until the list drops it; a cut one may be back. Change: the time doubles up to 16 s. A write error to the endpoint no longer ends a carried connection before what the endpoint sent is passed on, as on direct connections; AnswerBeforeTheRequestWasReadIsPassedOn passes with and without it (the read comes first here), so that half is not shown by a test.

--- a/io/carry_server.c
+++ b/io/carry_server.c
@@ -269,7 +269,6 @@
 static void on_endpoint_event(struct bufferevent *events, short what,
                               void *data) {
   Carried *carried = data;
-  (void)events;
   if (what & BEV_EVENT_CONNECTED) {
     if (carried->state == CARRIED_CONNECTING)
       begin_carrying(carried);
@@ -282,6 +281,12 @@
   }
   if (carried->state != CARRIED_OPEN)
     return;
+  if ((what & BEV_EVENT_ERROR) && (what & BEV_EVENT_WRITING)) {
+    /* a response that was sent before the request was read is passed on */
+    bufferevent_disable(events, EV_WRITE);
+    bufferevent_enable(events, EV_READ);
+    return;
+  }
   pass_to_asker(carried, (what & BEV_EVENT_EOF) != 0);
   close_when_written(carried);
 }
--- a/router/carriers.c
+++ b/router/carriers.c
@@ -16,7 +16,8 @@
   guint32 capacity;
   gint64 avoid_until;
   gint64 proven_until;
-  guint uses; /* how often it was chosen; halved now and then */
+  guint failures; /* in a row */
+  guint uses;     /* how often it was chosen; halved now and then */
 } Carrier;
 
 /* What is known of the carriers of one data centre. */
@@ -68,12 +69,12 @@
   for (i = 0; i < members->len; i++) {
     const RelayMember *member = &g_array_index(members, RelayMember, i);
     const Carrier *known = find(carriers, member->address);
-    Carrier carrier = {member->address,
-                       member->zone,
-                       member->capacity,
-                       known != NULL ? known->avoid_until : 0,
-                       known != NULL ? known->proven_until : 0,
-                       known != NULL ? known->uses : 0};
+    Carrier carrier = {0};
+    if (known != NULL)
+      carrier = *known;
+    carrier.address = member->address;
+    carrier.zone = member->zone;
+    carrier.capacity = member->capacity;
     g_array_append_val(all, carrier);
   }
   g_array_free(carriers->all, TRUE);
@@ -187,11 +188,16 @@
   if (carrier == NULL)
     return;
   carrier->avoid_until = 0;
+  carrier->failures = 0;
   carrier->proven_until = now + CARRIER_PROVEN_TIME;
 }
 
 void carriers_avoid(Carriers *carriers, mp_Addr address, gint64 now) {
   Carrier *carrier = find(carriers, address);
-  if (carrier != NULL)
-    carrier->avoid_until = now + CARRIER_AVOID_TIME;
+  gint64 wait;
+  if (carrier == NULL)
+    return;
+  wait = CARRIER_AVOID_TIME << MIN(carrier->failures, 3);
+  carrier->avoid_until = now + MIN(wait, CARRIER_AVOID_MAX);
+  carrier->failures++;
 }
--- a/router/carriers.h
+++ b/router/carriers.h
@@ -24,8 +24,10 @@
 #include "madderpier.h"
 #include "router/peer_loads.h"
 
-/* A carrier that failed is not chosen for this long. */
+/* A carrier that failed is not chosen for CARRIER_AVOID_TIME, which doubles
+** with each further failure in a row up to CARRIER_AVOID_MAX. */
 #define CARRIER_AVOID_TIME (2 * MP_SEC)
+#define CARRIER_AVOID_MAX (16 * MP_SEC)
 /* A carrier that connected speaks for its data centre for this long. */
 #define CARRIER_PROVEN_TIME (2 * MP_SEC)
 
--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -203,6 +203,21 @@
   EXPECT_EQ(ended(cut).kind, OUTCOME_BROKEN);
 }
 
+TEST_F(Carry, AnswerBeforeTheRequestWasReadIsPassedOn) {
+  std::string sent(3 << 20, 'q');
+  g_byte_array_append(body, reinterpret_cast<const guint8 *>(sent.data()),
+                      static_cast<guint>(sent.size()));
+  guint64 number = dispatch();
+  Peer *peer = asked(0);
+  ASSERT_NE(peer, nullptr);
+  peer->reading = false;
+  peer->send_text(answer("too long"));
+  peer->close_now(); /* unread bytes: this resets the connection */
+  Told one = ended(number);
+  EXPECT_EQ(one.kind, OUTCOME_ANSWER);
+  EXPECT_EQ(one.bytes, "too long");
+}
+
 TEST_F(Carry, CarrierThatEndsMayHaveRunTheRequest) {
   guint64 number = dispatch();
   ASSERT_NE(asked(0), nullptr);
--- a/test/test_endpoint_paths.cc
+++ b/test/test_endpoint_paths.cc
@@ -9,6 +9,7 @@
 #include "path_fleet.h"
 
 extern "C" {
+#include "router/carriers.h"
 #include "router/gate.h"
 #include "router/relay_members.h"
 }
@@ -244,6 +245,30 @@
   EXPECT_EQ(world.runs(number), 1u);
 }
 
+TEST(Carriers, DeadOneIsTriedLessAndLessOften) {
+  RelayMember members[] = {{1, 1, 1}, {2, 1, 1}};
+  GArray *all = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+  Carriers *carriers = carriers_new(1);
+  PeerLoads *loads = peer_loads_new();
+  GRand *random = g_rand_new_with_seed(1);
+  unsigned tried = 0;
+  g_array_append_vals(all, members, 2);
+  carriers_set(carriers, all);
+  for (gint64 now = 0; now < 60 * second; now += 100 * ms) {
+    if (carriers_choose(carriers, nullptr, 0, loads, random, now) == 1) {
+      tried++;
+      carriers_avoid(carriers, 1, now);
+    } else
+      carriers_note_connected(carriers, 2, now);
+  }
+  EXPECT_LE(tried, 8u);
+  EXPECT_GE(tried, 4u);
+  g_rand_free(random);
+  peer_loads_free(loads);
+  carriers_free(carriers);
+  g_array_free(all, TRUE);
+}
+
 TEST(EndpointPaths, OrdersAreNeverCarried) {
   Endpoint endpoint = {};
   endpoint.record.ready = TRUE;
