The stand-in's views of the store have a file of their own

Ruled out: other changes. Change: standin/store_view.c; no product code. Conclusion: one job a file.

--- a/makefile
+++ b/makefile
@@ -109,7 +109,7 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) $(LUALIBS)
 
 $(BUILD)/standin-fleet: $(BUILD)/standin/fleet.o $(BUILD)/standin/worker.o \
-  $(BUILD)/standin/store.o \
+  $(BUILD)/standin/store.o $(BUILD)/standin/store_view.o \
   $(BUILD)/standin/serve.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
--- a/standin/store.c
+++ b/standin/store.c
@@ -15,13 +15,10 @@
 ** default, and is then answered without events.
 */
 
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
-
-#include <event2/bufferevent.h>
 
 #include "standin/store.h"
+#include "standin/store_view.h"
 
 /* The revision of a store to which nothing was written. */
 #define FIRST_REVISION 100
@@ -70,64 +67,11 @@
 static struct event *rewrite_timer;
 static int64_t copy_revision; /* of the copy at its restore */
 
-/* A port at which the store names other addresses of the workers. */
-typedef struct View {
-  mp_Addr at;
-  json_t *addresses; /* address -> address in this view */
-} View;
-
-static GPtrArray *views; /* View */
-
-/* Returns the view through which the request came, or NULL. */
-static const View *view_of(struct evhttp_request *request) {
-  struct evhttp_connection *connection =
-      evhttp_request_get_connection(request);
-  struct sockaddr_in at = {0};
-  socklen_t size = sizeof at;
-  guint i;
-  getsockname(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
-              (struct sockaddr *)&at, &size);
-  for (i = 0; i < views->len; i++) {
-    const View *view = views->pdata[i];
-    if ((uint16_t)(view->at & 0xffff) == ntohs(at.sin_port))
-      return view;
-  }
-  return NULL;
-}
-
-/* Replaces, in all objects within 'json', the addresses that the view names
-** otherwise. */
-static void apply_view(json_t *json, const View *view) {
-  const char *key;
-  json_t *value;
-  size_t i;
-  if (json_is_array(json))
-    json_array_foreach(json, i, value) apply_view(value, view);
-  if (!json_is_object(json))
-    return;
-  json_object_foreach(json, key, value) {
-    json_t *other =
-        json_is_string(value) && strcmp(key, "Addr") == 0
-            ? json_object_get(view->addresses, json_string_value(value))
-            : NULL;
-    if (other != NULL)
-      json_object_set(json, key, other);
-    else
-      apply_view(value, view);
-  }
-}
-
 /* Replies with 'body', which it takes over, and the present era. */
 static void reply_in_era(struct evhttp_request *request, int status,
                          json_t *body) {
-  const View *view = view_of(request);
   char text[24];
-  if (view != NULL) {
-    json_t *copy = json_deep_copy(body);
-    json_decref(body);
-    body = copy;
-    apply_view(body, view);
-  }
+  body = store_view_apply(request, body);
   g_snprintf(text, sizeof text, "%" G_GINT64_FORMAT, era);
   evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
                     text);
@@ -604,14 +548,10 @@
   to_rewrite = g_ptr_array_new_with_free_func(change_free);
   rewrite_timer = evtimer_new(base, on_rewrite_timer, NULL);
   watches = g_ptr_array_new();
-  views = g_ptr_array_new();
   serve_new(base, at, on_call, NULL);
 }
 
 void store_start_view(mp_Addr at, json_t *addresses) {
-  View *view = g_new0(View, 1);
-  view->at = at;
-  view->addresses = addresses;
-  g_ptr_array_add(views, view);
+  store_view_add(at, addresses);
   serve_new(base, at, on_call, NULL);
 }
