--- a/standin/store_view.h
+++ b/standin/store_view.h
@@ -11,9 +11,8 @@
 
 #include "standin/serve.h"
 
-/* Adds the view of the port at 'at'; takes over 'addresses' (address ->
-*address
-** in this view). */
+/* Adds the view of the port at 'at'. Takes over 'addresses', an object that
+** gives for an address the one that stands in its place. */
 void store_view_add(mp_Addr at, json_t *addresses);
 /* Returns a reply's body as the view has it through which the request came;
 ** takes over 'body', and returns it if there is no such view. */
