--- a/router/reach.h
+++ b/router/reach.h
@@ -19,8 +19,8 @@
 **    while an endpoint has no path, no request is sent to it.
 ** 4. While no connection fails, and no run is silent, nothing is sent.
 **
-** A Router owns one Reach. Times are microseconds of the router's steady
-*clock.
+** A Router owns one Reach. Times are in microseconds of the router's steady
+** clock.
 */
 
 #ifndef ROUTER_REACH_H
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -11,8 +11,7 @@
 ** "listen" is where the worker listens and "addr" what its entry in the store
 ** says; they differ when a proxy is between. At the port of a view the store
 ** names other addresses of the workers, so that an instance that uses it can
-*be
-** cut off from them alone. The admin port answers:
+** be cut off from them alone. The admin port answers:
 **   GET  /ledger   what each worker took: id, worker, what, method, path, ...
 **   POST /store    {"mode": M}, see store.h; {"mode": "restore", "ms": AGE}
 **   POST /worker   {"id", "mode": M}, see worker.h
--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -17,9 +17,8 @@
 **   reset   resets all connections, and new ones at once
 **   refuse  open connections live on, new ones are refused
 **   cut     resets all connections, new ones are refused
-**   hang    forwards nothing and closes nothing, as silent, and new
-*connections
-**           are not made: their first packet gets no reply
+**   hang    as silent, and new connections are not made: their first packet
+**           gets no reply
 */
 
 #include <errno.h>
