--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -39,9 +39,9 @@
 void endpoint_call_set_head(EndpointCall *call, const Dialect *dialect,
                             HttpHead *head);
 /*
-** Returns the text of the dispatch's request, which the caller frees: its head
-** and its body, which is the dialect's or the caller's. 'caller' and 'body' are
-** NULL for a dispatch that has no caller.
+** Returns the text of the dispatch's request, which the caller frees: its
+** head, and its body, which is the dialect's or the caller's. 'caller' and
+** 'body' are NULL for a dispatch that has no caller.
 */
 GString *endpoint_call_text(const Dialect *dialect, const Dispatch *dispatch,
                             const HttpHead *caller, const GByteArray *body);
