--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -278,8 +278,10 @@
   int refuses = mode == MODE_REFUSE || mode == MODE_CUT;
   if (before == MODE_HANG && mode != MODE_HANG)
     end_hang(link);
-  if (refuses && link->listener != NULL)
-    g_clear_pointer(&link->listener, evconnlistener_free);
+  if (refuses && link->listener != NULL) {
+    evconnlistener_free(link->listener);
+    link->listener = NULL;
+  }
   if (!refuses && link->listener == NULL)
     open_listener(link);
   if (mode == MODE_HANG && before != MODE_HANG)
