Endpoint records hold the software version; log lines name it, and Resumes

Ruled out: a metric alone, since a crossing is about one request. Change: Version is read into EndpointRecord.software (an entry whose Version is not a text, or empty, is rejected as any other unreadable one); Resumes into CallerRequest.resumed_attempt. E8000 has resumes=, E8005 and E8006 software=. No choice depends on either yet.

--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -54,6 +54,7 @@
   X(STAGE, "stage")                 \
   X(WARMUP_TIME, "cold_time")       \
   X(INCARNATION, "life")            \
+  X(SOFTWARE, "software")           \
   X(HOLDER, "holder")               \
   X(CRASHES, "crashes")
 
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -154,6 +154,7 @@
   to->id = g_strdup(from->id);
   to->service = g_strdup(from->service);
   to->zone = g_strdup(from->zone);
+  to->software = g_strdup(from->software);
 }
 
 /* Returns TRUE unless both start times are known and differ. */
@@ -619,6 +620,12 @@
   return !endpoint->record.ready || endpoint->availability.leaving_since != 0;
 }
 
+const char *endpoint_software_text(const Endpoint *endpoint) {
+  if (endpoint == NULL || endpoint->record.software == NULL)
+    return "-";
+  return endpoint->record.software;
+}
+
 /* Updates the moving failure rate; 'failed' is 1 or 0. */
 static void count_failure(Endpoint *endpoint, double failed, gint64 now) {
   double recent = endpoint_failure_rate(endpoint, now);
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -193,6 +193,10 @@
 ** does not have it ready. */
 gboolean endpoint_is_leaving(const Endpoint *endpoint);
 
+/* Returns the version of the endpoint's software for logs; "-": not stated or
+** no endpoint is given. */
+const char *endpoint_software_text(const Endpoint *endpoint);
+
 /* Returns the recent share of failed dispatches that this instance saw, 0 to
 ** 1; it decays with time. */
 double endpoint_failure_rate(const Endpoint *endpoint, gint64 now);
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -302,11 +302,11 @@
                                              request->open.via, outcome, now);
   if (outcome->kind != OUTCOME_STREAM_PIECE)
     router_log(router, MP_LOG_ROUTE_OUTCOME,
-               " request=%s endpoint=%s outcome=%s status=%d connection=%s "
-               "after_ms=%d last_event=%s longest_pause_ms=%d",
+               " request=%s endpoint=%s software=%.24s outcome=%s status=%d "
+               "connection=%s after_ms=%d last_event=%s longest_pause_ms=%d",
                request->id, request->open.endpoint,
-               outcome_name(outcome->kind), outcome->status,
-               outcome->was_kept ? "kept" : "new",
+               endpoint_software_text(endpoint), outcome_name(outcome->kind),
+               outcome->status, outcome->was_kept ? "kept" : "new",
                (int)((now - request->open.sent) / MP_MS),
                request->last_event != NULL ? request->last_event : "-",
                (int)(request->longest_pause / MP_MS));
--- a/router/path.c
+++ b/router/path.c
@@ -108,11 +108,13 @@
   if (dispatch->via != 0)
     mp_addr_text(dispatch->via, via);
   router_log(router, MP_LOG_ROUTE_DISPATCH,
-             " request=%s kind=%s endpoint=%s zone=%s open=%u tokens=%u "
+             " request=%s kind=%s endpoint=%s zone=%s software=%.24s open=%u "
+             "tokens=%u "
              "failures=%.2f config=%u left_ms=%d handle=%s resume_after=%s "
              "via=%s",
              request->id, dispatch->kind == DISPATCH_RUN ? "run" : "prefill",
              endpoint->record.id, endpoint->record.zone,
+             endpoint_software_text(endpoint),
              endpoint_open_count(table, endpoint) - 1,
              (guint)endpoint_tokens(table, endpoint), endpoint->failures,
              (guint)request->table->version, (int)dispatch->deadline_ms,
--- a/router/records.h
+++ b/router/records.h
@@ -206,6 +206,9 @@
   StorePosition position;
   char *service;
   char *zone;
+  /* Version of the endpoint's software, an opaque text without an order; NULL:
+  ** not stated. */
+  char *software;
   mp_Addr address;
   gboolean ready; /* FALSE: the endpoint is leaving. */
   guint32 slots;
--- a/router/route_table.c
+++ b/router/route_table.c
@@ -213,6 +213,7 @@
   g_free(record->id);
   g_free(record->service);
   g_free(record->zone);
+  g_free(record->software);
   memset(record, 0, sizeof *record);
 }
 
--- a/router/router.c
+++ b/router/router.c
@@ -277,6 +277,14 @@
   router->host.refuse(router->host.data, call->number, &refusal);
 }
 
+/* Returns which stream the request takes up, for logs: the attempt that began
+** it, "unknown" if that is not stated, or "-" if it takes none up. */
+static const char *resumed_attempt_text(const CallerRequest *call) {
+  if (!call->resumes)
+    return "-";
+  return call->resumed_attempt != NULL ? call->resumed_attempt : "unknown";
+}
+
 void router_request(Router *router, const CallerRequest *call, gint64 now) {
   const Route *route;
   const Account *account;
@@ -317,17 +325,18 @@
   }
   retry_budget_count_request(router_retry_budget(router, service),
                              &router->retry, now);
-  router_log(router, MP_LOG_ROUTE_ACCEPT,
-             " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
-             "objective_ms=%d session=%" G_GINT64_MODIFIER
-             "x account=%s config_age_ms=%d content=%016" G_GINT64_MODIFIER
-             "x",
-             request->id, route->name, service, request->prompt_tokens,
-             request->output_tokens, (int)((request->expires - now) / MP_MS),
-             (int)(route->objective / MP_MS), request->session,
-             account != NULL ? account->name : "-",
-             (int)(accounts_configuration_age(router, now) / MP_MS),
-             request->content);
+  router_log(
+      router, MP_LOG_ROUTE_ACCEPT,
+      " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
+      "objective_ms=%d session=%" G_GINT64_MODIFIER
+      "x resumes=%s account=%s config_age_ms=%d content=%016" G_GINT64_MODIFIER
+      "x",
+      request->id, route->name, service, request->prompt_tokens,
+      request->output_tokens, (int)((request->expires - now) / MP_MS),
+      (int)(route->objective / MP_MS), request->session,
+      resumed_attempt_text(call), account != NULL ? account->name : "-",
+      (int)(accounts_configuration_age(router, now) / MP_MS),
+      request->content);
   path_start(router, request, now);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -72,7 +72,9 @@
   guint32 session_tokens; /* tokens of that part */
   gboolean resumes;       /* continues a stream whose connection the caller
                           ** lost */
-  const char *key;        /* of a client account; NULL: none */
+  const char *resumed_attempt; /* 'resumes': id of the attempt that began the
+                               ** stream; NULL: not stated */
+  const char *key;             /* of a client account; NULL: none */
   unsigned keys; /* number of keys that the request carries; only exactly one
                  ** can be valid */
 } CallerRequest;
--- a/test/test_bad_entries.cc
+++ b/test/test_bad_entries.cc
@@ -159,7 +159,8 @@
       {"Service", R"("s")"},   {"Addr", R"("10.0.0.1:80")"},
       {"Zone", R"("a")"},      {"Slots", "8"},
       {"State", R"("ready")"}, {"Stage", R"("decode")"},
-      {"ColdLeftMs", "0"},     {"born", "1700000000000"}};
+      {"ColdLeftMs", "0"},     {"born", "1700000000000"},
+      {"Version", R"("v1")"}};
   std::string out;
   for (const auto &[name, usual] : fields) {
     const std::string &text = name == field ? value : usual;
@@ -254,6 +255,8 @@
   EXPECT_EQ(field_of(spec("Stage", "1")), RECORD_STAGE);
   EXPECT_EQ(field_of(spec("ColdLeftMs", "-1")), RECORD_WARMUP_TIME);
   EXPECT_EQ(field_of(spec("born", "-1")), RECORD_INCARNATION);
+  EXPECT_EQ(field_of(spec("Version", "1")), RECORD_SOFTWARE);
+  EXPECT_EQ(field_of(spec("Version", R"("")")), RECORD_SOFTWARE);
   for (int i = 0; i < RECORD_FIELD_COUNT; i++)
     EXPECT_NE(record_field_name(static_cast<RecordField>(i)), nullptr);
 }
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -61,6 +61,33 @@
   http_head_free(head);
 }
 
+/* Returns the attempt that the request names as the beginning of its stream;
+** "-": none. */
+std::string resumed_attempt(const std::vector<std::string> &values) {
+  HttpHead *head = caller();
+  CallerHead read;
+  http_head_add(head, "Last-Event-Id", "4");
+  for (const std::string &value : values)
+    http_head_add(head, "Resumes", value.c_str());
+  EXPECT_TRUE(platform_read_caller(head, &read, nullptr));
+  EXPECT_TRUE(read.request.resumes);
+  std::string attempt = read.request.resumed_attempt != nullptr
+                            ? read.request.resumed_attempt
+                            : "-";
+  caller_head_clear(&read);
+  http_head_free(head);
+  return attempt;
+}
+
+TEST(PlatformCaller, AttemptThatBeganTheStreamIsReadOrUnknown) {
+  EXPECT_EQ(resumed_attempt({"9c40"}), "9c40");
+  EXPECT_EQ(resumed_attempt({}), "-");
+  EXPECT_EQ(resumed_attempt({""}), "-");
+  EXPECT_EQ(resumed_attempt({"9c40", "9c40"}), "-");
+  EXPECT_EQ(resumed_attempt({std::string(257, 'a')}), "-");
+  EXPECT_EQ(resumed_attempt({std::string(256, 'a')}), std::string(256, 'a'));
+}
+
 TEST(PlatformCaller, WithoutAnIdOrAHostIsRefused) {
   for (const char *field : {"Host", "Request-Id"}) {
     HttpHead *head = caller();
@@ -512,9 +539,11 @@
   ASSERT_TRUE(platform_read_endpoint_record(
       "i-7f",
       R"({"Service":"s","Addr":"10.128.0.9:8080","Zone":"z","Slots":64,)"
-      R"("State":"ready","ColdLeftMs":20,"Stage":"prefill"})",
+      R"("State":"ready","ColdLeftMs":20,"Stage":"prefill",)"
+      R"("Version":"v1.1"})",
       &record, nullptr));
   EXPECT_STREQ(record.id, "i-7f");
+  EXPECT_STREQ(record.software, "v1.1");
   EXPECT_TRUE(record.ready);
   EXPECT_EQ(record.stage, STAGE_PREFILL);
   EXPECT_EQ(record.warmup_left, 20 * MP_MS);
@@ -527,6 +556,7 @@
       R"("State":"draining"})",
       &record, nullptr));
   EXPECT_FALSE(record.ready);
+  EXPECT_EQ(record.software, nullptr);
   endpoint_record_clear(&record);
 }
 
