Failing tests: streams that go on at another software version (ORDER)

Callers see: events of two versions in one stream, within one answer (a run that broke off) and over a caller's tries (an instance that was killed).

--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -4,6 +4,7 @@
 */
 
 #include <algorithm>
+#include <utility>
 
 #include "router_world.h"
 
@@ -185,6 +186,7 @@
   record.ready = ready;
   record.stage = place.stage;
   record.started_unix_ms = started_unix_ms;
+  record.software = const_cast<char *>(software);
   record.position = store_position(era, revision);
   router_set_endpoint(router, &record, gone, now);
 }
@@ -199,9 +201,11 @@
 }
 
 guint64 World::send(const std::string &path, CallerRequest call) {
-  std::string id = "r" + std::to_string(++last_number);
+  std::string own_id = "r" + std::to_string(++last_number);
+  if (!id.empty())
+    own_id = std::exchange(id, "");
   call.number = last_number;
-  call.id = id.c_str();
+  call.id = own_id.c_str();
   call.host = "host";
   call.path = path.c_str();
   call.content = content != 0 ? content : last_number << 32;
@@ -220,14 +224,20 @@
   return send(path, call);
 }
 
-guint64 World::request_resumption(const std::string &path, guint64 session) {
+guint64 World::request_resumption(const std::string &path, guint64 session,
+                                  const char *first_attempt,
+                                  const char *last_event) {
   CallerRequest call = {};
   call.deadline_ms = 8000;
   call.prompt_tokens = 1000;
   call.output_tokens = 500;
   call.session = session;
   call.resumes = TRUE;
-  return send(path, call);
+  call.resumed_attempt = first_attempt;
+  guint64 number = send(path, call);
+  if (last_event != nullptr)
+    resumed_after[number] = last_event;
+  return number;
 }
 
 guint64 World::next_request_number() const {
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -163,9 +163,12 @@
                   guint32 prompt = 1000, guint32 output = 500);
   /*
   ** Sends the request of a caller that resumes a broken stream of this
-  ** session; returns its number.
+  ** session; returns its number. first_attempt: the attempt that began it, or
+  ** NULL; last_event: the last event that the caller has, or NULL.
   */
-  guint64 request_resumption(const std::string &path, guint64 session);
+  guint64 request_resumption(const std::string &path, guint64 session,
+                             const char *first_attempt = nullptr,
+                             const char *last_event = nullptr);
   /* Returns the number that the next request will have. */
   guint64 next_request_number() const;
   /* The caller of this request closes its connection. */
@@ -222,6 +225,10 @@
   bool was_kept = false;
   /* Start time (Unix ms) of the incarnation in the next endpoint record. */
   gint64 started_unix_ms = 0;
+  /* Version of the software in the next endpoint record; NULL: none. */
+  const char *software = nullptr;
+  /* ID of the next request; empty: "r" and its number. */
+  std::string id;
   /* Store revision of the next endpoint record. */
   gint64 revision = 0;
   guint64 era = 0; /* of the store: changes when it is restored */
@@ -234,6 +241,8 @@
   std::vector<std::string> log;          /* event number, then fields, each */
   std::vector<LeaseCallRecord> lease_calls;
   std::vector<mp_LoadNote> notes;
+  /* The last event that the caller of a resumption has, by its number. */
+  std::map<guint64, std::string> resumed_after;
 
 private:
   /* Sends the request with its number, ID, host, path, content and keys. */
--- /dev/null
+++ b/test/test_stream_versions.cc
@@ -0,0 +1,99 @@
+/*
+** test_stream_versions.cc
+** Streams that are taken up while engines of several software versions serve,
+** in virtual time
+*/
+
+#include <gtest/gtest.h>
+
+#include "stream_fleet.h"
+
+using namespace streaming;
+
+namespace {
+
+/* more streams than this with events of two versions break the rule */
+constexpr unsigned mixed_max = 2;
+/* fewer takings-up than this are not judged */
+constexpr unsigned taken_up_min = 12;
+
+/* Streams that are taken up go on at least half as often as new ones begin. */
+void expect_taken_up(const Count &count) {
+  ASSERT_GE(count.taken_up, taken_up_min);
+  double goes_on = static_cast<double>(count.went_on) / count.taken_up;
+  double begins = static_cast<double>(count.began) / count.sent;
+  EXPECT_GE(goes_on, begins / 2)
+      << count.went_on << " of " << count.taken_up << " went on, "
+      << count.began << " of " << count.sent << " began";
+}
+
+FleetOptions options_of(unsigned instances) {
+  FleetOptions options;
+  options.instances = instances;
+  options.engines = std::max(12u, instances);
+  options.prefill = std::max(3u, instances / 8);
+  options.streams_per_s = std::max(10.0, instances * 0.8);
+  options.seed = instances;
+  return options;
+}
+
+class StreamVersionsTest : public testing::TestWithParam<unsigned> {};
+
+TEST_P(StreamVersionsTest, BrokenRunGoesOnAtTheVersionThatBeganIt) {
+  FleetOptions options = options_of(GetParam());
+  Fleet fleet(options);
+  fleet.add_engines("v1.1", options.engines);
+  fleet.advance(5 * second);
+  for (int i = 0; i < 4; i++) {
+    fleet.crash_engines(options.engines / 3);
+    fleet.advance(4 * second);
+  }
+  EXPECT_LE(fleet.mixed_streams(), mixed_max);
+  EXPECT_EQ(fleet.disordered_streams(), 0u);
+}
+
+TEST_P(StreamVersionsTest, CallerOfAKilledInstanceGoesOnAtTheSameVersion) {
+  FleetOptions options = options_of(GetParam());
+  Fleet fleet(options);
+  fleet.add_engines("v1.1", options.engines);
+  fleet.advance(5 * second);
+  for (int i = 0; i < 4; i++) {
+    fleet.kill_instances(0.4);
+    fleet.advance(6 * second);
+  }
+  EXPECT_LE(fleet.mixed_streams(), mixed_max);
+  EXPECT_EQ(fleet.disordered_streams(), 0u);
+  expect_taken_up(fleet.count());
+}
+
+TEST_P(StreamVersionsTest, RollingReleaseMixesNoVersions) {
+  FleetOptions options = options_of(GetParam());
+  Fleet fleet(options);
+  fleet.advance(5 * second);
+  fleet.release("v1.1", options.engines / 2,
+                6 * second / (options.engines / 2));
+  for (int i = 0; i < 2; i++) {
+    fleet.advance(4 * second);
+    fleet.crash_engines(options.engines / 4);
+    fleet.advance(100 * ms);
+    fleet.kill_instances(0.4);
+  }
+  fleet.advance(4 * second);
+  fleet.release("v1.2", options.engines / 2,
+                6 * second / (options.engines / 2));
+  for (int i = 0; i < 2; i++) {
+    fleet.advance(4 * second);
+    fleet.crash_engines(options.engines / 4);
+    fleet.advance(100 * ms);
+    fleet.kill_instances(0.4);
+  }
+  fleet.advance(6 * second);
+  EXPECT_LE(fleet.mixed_streams(), mixed_max);
+  EXPECT_EQ(fleet.disordered_streams(), 0u);
+  expect_taken_up(fleet.count());
+}
+
+INSTANTIATE_TEST_SUITE_P(Instances, StreamVersionsTest,
+                         testing::Values(8u, 20u, 88u));
+
+} // namespace
