--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -228,6 +228,7 @@
   GError *err = NULL;
   Settings *s;
   int code = 0;
+  signal(SIGHUP, SIG_IGN); /* until run_loop handles it */
   argp_parse(&argp, argc, argv, 0, NULL, &a);
   signal(SIGPIPE, SIG_IGN);
   s = settings_read(a.path, &err);
