Streams whose callers don't name their beginning go on while one version serves

Ruled out: that any instance lacked the list; all had it, young or not. Change: a stream without a name is asked about too (keepers may vouch for the only version); the history that a vouching instance needs is the route's time-out and two seconds, in which a run ends and its caller comes back, in place of twice the time-out and 30 s at least. Conclusion: an instance that has just started costs a question, not a stream.

--- a/router/continuation.c
+++ b/router/continuation.c
@@ -12,11 +12,12 @@
 #include "router/relay_members.h"
 #include "router/stream_origins.h"
 
-/* A stream may be taken up for this many times as long as its route lets a
-** request last, because its caller may have begun the last attempt just before
-** the end of the first; and at least for LIFETIME_MIN. */
-#define LIFETIME_TIMEOUTS 2
-#define LIFETIME_MIN (30 * MP_SEC)
+/* A run may last as long as its route lets it, and its endpoint may have left
+** the list meanwhile; a caller that lost it takes the stream up within this
+** time after that. */
+#define TAKE_UP_TIME (2 * MP_SEC)
+/* the same as both for a route without a limit */
+#define LIFETIME_UNLIMITED (30 * MP_SEC)
 /* An origin is kept for this much longer than the caller waits. */
 #define EXPIRY_MARGIN (2 * MP_SEC)
 /* margin of invariant 3, for messages that are under way */
@@ -127,9 +128,11 @@
 ** ===================================================================
 */
 
-/* Returns for how long a stream of the route may be taken up. */
+/* Returns how long before a stream is taken up the endpoint that ran it last
+** was listed, at most. */
 static gint64 route_lifetime(const Route *route) {
-  return MAX(LIFETIME_TIMEOUTS * route->timeout, LIFETIME_MIN);
+  return route->timeout > 0 ? route->timeout + TAKE_UP_TIME
+                            : LIFETIME_UNLIMITED;
 }
 
 void continuation_list_confirmed(Router *router, gint64 before, gint64 at) {
@@ -212,7 +215,6 @@
 ** belongs. */
 static StreamOrigin own_origin(const Request *request, gint64 now) {
   StreamOrigin origin = {0};
-  gint64 lifetime = route_lifetime(request->route);
   origin.key = request->stream;
   origin.software = request->software;
   origin.service = g_str_hash(request->service->name);
@@ -220,7 +222,7 @@
     origin.account = g_str_hash(request->account->name);
   origin.began = now;
   origin.expires =
-      MIN(request->caller_deadline + EXPIRY_MARGIN, now + lifetime);
+      MIN(request->caller_deadline + EXPIRY_MARGIN, now + LEFT_MS_MAX * MP_MS);
   return origin;
 }
 
@@ -254,7 +256,7 @@
   guint32 hash = g_str_hash(service->name);
   guint count;
   guint i;
-  if (vouched_software(router, hash, LIFETIME_MIN, now) != 0)
+  if (vouched_software(router, hash, LIFETIME_UNLIMITED, now) != 0)
     return;
   count = stream_origins_take_untold(router->continuation->origins, hash, told,
                                      TOLD_AT_ONCE_MAX, now);
@@ -287,8 +289,7 @@
   const char *first = call->resumes ? call->resumed_attempt : call->id;
   request->resumes = call->resumes;
   request->has_stream = first != NULL;
-  if (first != NULL)
-    request->stream = stream_key(account, first);
+  request->stream = stream_key(account, first != NULL ? first : call->id);
 }
 
 /* Returns the target of the route whose name has this hash; NULL: none has. */
@@ -430,10 +431,8 @@
     start_at_origin(router, request, origin, now);
   else if (software != 0 && request->route->targets->len == 1)
     start_at_only(router, request, software, now);
-  else if (request->has_stream)
-    begin_query(router, request, now);
   else
-    refuse_unknown(router, request, now);
+    begin_query(router, request, now);
 }
 
 void continuation_handle_timer(Router *router, Request *request, gint64 now) {
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -12,15 +12,16 @@
 ** stream asks them.
 **
 ** While a service has had one version only, none of this is needed: any
-** instance vouches for that version alone, and nothing is sent.
+** instance vouches for that version alone, and nothing is sent. One that has
+** just started asks others whether they do.
 **
 ** Invariants:
 ** 1. A request that takes a stream up is sent to endpoints of the version that
 **    began the stream, or to none. What is not known is refused, not guessed.
 ** 2. An instance vouches for a version only if it has followed the list of
-**    endpoints without a gap for longer than a stream may be taken up, has
-**    seen no other version in that time, and its list was complete less than
-**    Router.news_age_max ago.
+**    endpoints without a gap for longer than a run may last and its caller
+**    takes to come back, has seen no other version in that time, and its list
+**    was complete less than Router.news_age_max ago.
 ** 3. New streams begin at a version that has just appeared only after
 **    news_age_max and a margin, if endpoints of a version that is known for
 **    longer can run them. So no stream has begun at a version of which a
--- a/router/state.h
+++ b/router/state.h
@@ -150,8 +150,9 @@
                             ** (patience.h) */
   gint64 first_attempt_at;  /* when its caller tried first, estimated */
   gboolean resumes;         /* of CallerRequest */
-  gboolean has_stream;      /* 'stream' is known */
-  StreamKey stream;         /* names the stream that it begins or takes up */
+  gboolean has_stream; /* 'stream' names the stream that it begins or takes up;
+                       ** else nothing is known of that stream */
+  StreamKey stream;
   guint64 software;   /* the version at which its stream began; 0: none yet */
   gboolean has_piece; /* a piece was passed on */
   OriginQuery query;
--- a/test/test_continuation.cc
+++ b/test/test_continuation.cc
@@ -19,8 +19,9 @@
 
 namespace {
 
-/* a stream of the fixture's route may be taken up for so long */
-constexpr gint64 lifetime = 30 * second;
+/* the time-out of the fixture's route, and two seconds for a caller to come
+** back */
+constexpr gint64 lifetime = 12 * second;
 /* a version is new for news_age_max and half a second */
 constexpr gint64 new_time = news_age_max + 500 * ms;
 
@@ -290,7 +291,7 @@
 
 TEST_F(ContinuationTest, StreamsBegunInQuietTimesAreToldOfWhenAVersionComes) {
   set_members(8);
-  pass(lifetime + second);
+  pass(31 * second);
   begin("first");
   ASSERT_EQ(world.messages.size(), 0u);
   add("new-1", "v2");
@@ -365,6 +366,15 @@
   EXPECT_EQ(software_of(run_of(again).endpoint), "v1");
 }
 
+TEST_F(ContinuationTest, YoungInstanceAsksAboutAStreamThatIsNotNamed) {
+  set_members(3);
+  guint64 again = world.request_resumption("/resume/x", 0, nullptr, "1");
+  reply(0, reply_unknown);
+  EXPECT_EQ(world.end(again).refusals, 0);
+  reply(1, reply_only, digest_of("v1"));
+  EXPECT_EQ(software_of(run_of(again).endpoint), "v1");
+}
+
 TEST_F(ContinuationTest, StreamThatNoKeeperKnowsIsRefusedAtTheLastReply) {
   set_members(3);
   guint64 again = world.request_resumption("/resume/x", 0, "first", "1");
