--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -16,6 +16,8 @@
 #          single instances (needs six instances or more)
 #   11000  the restored copies again
 #   13000  instances that are cut off from workers, alone or with others
+#   14000  workers that restart at other software versions, callers that take
+#          streams up
 # Ends with "N passed, N failed". For a failed seed it prints the end
 # of the log, which names the folder where the logs of its processes stay.
 set -u
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -192,8 +192,9 @@
     return;
   }
   piece = evbuffer_new();
-  evbuffer_add_printf(piece, "id: %d\ndata: piece %d\n\n", work->next_piece,
-                      work->next_piece);
+  evbuffer_add_printf(piece, "id: %d\ndata: piece %d of %s\n\n",
+                      work->next_piece, work->next_piece,
+                      work->worker->software);
   work->next_piece++;
   evhttp_send_reply_chunk(request, piece);
   evbuffer_free(piece);
@@ -414,11 +415,11 @@
 /* }================================================================== */
 
 void worker_write_entry(const Worker *worker) {
-  json_t *spec = json_pack("{s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "Service",
-                           worker->service, "Addr", worker->addr, "Zone",
-                           worker->zone, "Slots", 8, "State",
-                           worker->is_draining ? "draining" : "ready",
-                           "ColdLeftMs", 0, "born", worker->start_unix_ms);
+  json_t *spec = json_pack(
+      "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "Version", worker->software,
+      "Service", worker->service, "Addr", worker->addr, "Zone", worker->zone,
+      "Slots", 8, "State", worker->is_draining ? "draining" : "ready",
+      "ColdLeftMs", 0, "born", worker->start_unix_ms);
   if (worker->stage[0] != '\0')
     json_object_set_new(spec, "Stage", json_string(worker->stage));
   store_put_object("servers", worker->id, spec);
@@ -451,6 +452,11 @@
   (void)fd;
   (void)what;
   worker->start_unix_ms = unix_ms();
+  if (worker->next_software != NULL) {
+    g_free(worker->software);
+    worker->software = worker->next_software;
+    worker->next_software = NULL;
+  }
   worker->orders_taken = 0;
   worker->highest_fence = 0;
   worker->is_leaving = 0;
@@ -488,6 +494,7 @@
 
 #define RATE_MODE_PREFIX "rate="
 #define REST_MODE_PREFIX "rest="
+#define SOFTWARE_MODE_PREFIX "software="
 
 int worker_set_mode(Worker *worker, const char *mode) {
   static const char *const modes[] = {"ok",  "error", "shed",
@@ -509,6 +516,12 @@
               sizeof worker->rest_seconds);
     return 1;
   }
+  if (g_str_has_prefix(mode, SOFTWARE_MODE_PREFIX)) {
+    g_free(worker->next_software);
+    worker->next_software = g_strdup(mode + strlen(SOFTWARE_MODE_PREFIX));
+    crash_worker(worker);
+    return 1;
+  }
   if (strcmp(mode, "leaving") == 0) {
     worker->is_leaving = 1;
     return 1;
@@ -550,6 +563,7 @@
   worker->zone = text_of(json, "zone");
   worker->stage = text_of(json, "stage");
   worker->addr = text_of(json, "addr");
+  worker->software = g_strdup("v1");
   g_strlcpy(worker->mode, "ok", sizeof worker->mode);
   worker->listen = serve_address(json, "listen");
   worker->start_unix_ms = unix_ms();
--- a/standin/worker.h
+++ b/standin/worker.h
@@ -19,12 +19,14 @@
 /* A worker; it lives as long as the process of the stand-in. */
 typedef struct Worker {
   char *id, *service, *zone; /* as its entry names them */
-  char *stage;               /* "prefill" or "decode"; "": a plain service */
-  char *addr;                /* address in its entry; may be that of a proxy */
-  char mode[16];             /* how it answers: see worker_set_mode */
-  char advertised_rate[16];  /* rate limit that its answers carry; "": none */
-  char rest_seconds[16];     /* Retry-After of its refusals; "": it accepts */
-  int is_leaving;            /* its answers say that it is leaving */
+  char *software; /* version of its software, in its entry and in pieces */
+  char *next_software;      /* the version from its next start on, or NULL */
+  char *stage;              /* "prefill" or "decode"; "": a plain service */
+  char *addr;               /* address in its entry; may be that of a proxy */
+  char mode[16];            /* how it answers: see worker_set_mode */
+  char advertised_rate[16]; /* rate limit that its answers carry; "": none */
+  char rest_seconds[16];    /* Retry-After of its refusals; "": it accepts */
+  int is_leaving;           /* its answers say that it is leaving */
   mp_Addr listen;
   struct evhttp *http;         /* NULL: it has crashed and not restarted yet */
   struct event *removal_timer; /* removes the entry after a crash */
@@ -59,6 +61,7 @@
 **   back      its entry is written again, neither draining nor gone
 **   prefill, decode   its stage from now on
 **   crash     ends all its work; it restarts later
+**   software=V  the same, and it restarts at this version of its software
 **   rate=R    its answers carry this rate limit, as "rate=3.5"; empty: none
 **   rest=S    refuses all requests and asks for a rest of S seconds; empty:
 **             takes them again
