--- a/router/continuation.c
+++ b/router/continuation.c
@@ -22,7 +22,7 @@
 #define EXPIRY_MARGIN (2 * MP_SEC)
 /* margin of invariant 3, for messages that are under way */
 #define NEW_SOFTWARE_MARGIN (500 * MP_MS)
-/* Keepers that have not replied are asked again after QUERY_REPEAT, and not
+/* Replicas that have not replied are asked again after QUERY_REPEAT, and not
 ** waited for after QUERY_TIMEOUT. */
 #define QUERY_REPEAT (60 * MP_MS)
 #define QUERY_TIMEOUT (200 * MP_MS)
@@ -65,7 +65,7 @@
 
 /*
 ** {==================================================================
-** Keepers
+** Replicas
 ** ===================================================================
 */
 
@@ -86,27 +86,27 @@
 }
 
 /* Returns the weight of an instance in rendezvous hashing for this stream. */
-static guint64 keeper_weight(mp_Addr address, const StreamKey *key) {
+static guint64 replica_weight(mp_Addr address, const StreamKey *key) {
   return XXH3_64bits_withSeed(&address, sizeof address, key->digest[0]);
 }
 
-/* Writes the addresses of the stream's keepers, those of the largest weights,
-** to 'out' (STREAM_KEEPERS_MAX), and returns their number. */
-static guint list_keepers(const Continuation *continuation,
-                          const StreamKey *key, mp_Addr *out) {
-  guint64 weights[STREAM_KEEPERS_MAX];
+/* Writes the addresses of the stream's replicas, those of the largest weights,
+** to 'out' (STREAM_REPLICAS_MAX), and returns their number. */
+static guint list_replicas(const Continuation *continuation,
+                           const StreamKey *key, mp_Addr *out) {
+  guint64 weights[STREAM_REPLICAS_MAX];
   guint count = 0;
   guint i;
   for (i = 0; i < continuation->members->len; i++) {
     mp_Addr address =
         g_array_index(continuation->members, RelayMember, i).address;
-    guint64 weight = keeper_weight(address, key);
+    guint64 weight = replica_weight(address, key);
     guint at = count;
     while (at > 0 && weights[at - 1] < weight)
       at--;
-    if (at == STREAM_KEEPERS_MAX)
+    if (at == STREAM_REPLICAS_MAX)
       continue;
-    count = MIN(count + 1, STREAM_KEEPERS_MAX);
+    count = MIN(count + 1, STREAM_REPLICAS_MAX);
     memmove(weights + at + 1, weights + at,
             (count - 1 - at) * sizeof weights[0]);
     memmove(out + at + 1, out + at, (count - 1 - at) * sizeof out[0]);
@@ -179,8 +179,8 @@
 */
 
 static void tell(Router *router, const StreamOrigin *origin, gint64 now) {
-  mp_Addr keepers[STREAM_KEEPERS_MAX];
-  guint count = list_keepers(router->continuation, &origin->key, keepers);
+  mp_Addr replicas[STREAM_REPLICAS_MAX];
+  guint count = list_replicas(router->continuation, &origin->key, replicas);
   mp_Msg message;
   guint i;
   memset(&message, 0, sizeof message);
@@ -193,7 +193,7 @@
   message.u.origin.age_ms = (guint32)((now - origin->began) / MP_MS);
   message.u.origin.left_ms = (guint32)((origin->expires - now) / MP_MS);
   for (i = 0; i < count; i++)
-    send(router, keepers[i], &message);
+    send(router, replicas[i], &message);
 }
 
 /* Returns the origin in a message of another instance. */
@@ -227,7 +227,7 @@
 }
 
 /* Remembers where the stream began, or with a stream that is taken up that it
-** still goes on, and tells the keepers unless this instance vouches. */
+** still goes on, and tells the replicas unless this instance vouches. */
 static void record_origin(Router *router, const Request *request, gint64 now) {
   Continuation *continuation = router->continuation;
   StreamOrigin origin = own_origin(request, now);
@@ -338,7 +338,7 @@
 static void refuse_unknown(Router *router, Request *request, gint64 now) {
   log_origin(router, request, 0, "none", 0, now);
   router_count(router, REFUSED_ORIGIN);
-  /* keepers that did not reply may know it later */
+  /* replicas that did not reply may know it later */
   if (request->query.replied < request->query.asked)
     request->come_back = finish_default_retry_ms(REFUSAL_NO_ENDPOINT) * MP_MS;
   finish_refuse(router, request, REFUSAL_STREAM_UNKNOWN);
@@ -380,8 +380,8 @@
   start_at(router, request, software, now);
 }
 
-/* Asks the keepers that have not replied. */
-static void ask_keepers(const Router *router, const Request *request) {
+/* Asks the replicas that have not replied. */
+static void ask_replicas(const Router *router, const Request *request) {
   const OriginQuery *query = &request->query;
   mp_Msg message;
   guint i;
@@ -395,16 +395,16 @@
       (guint32)(route_lifetime(request->route) / MP_MS);
   for (i = 0; i < query->asked; i++) {
     if (!query->has_replied[i])
-      send(router, query->keepers[i], &message);
+      send(router, query->replicas[i], &message);
   }
 }
 
-/* Asks the keepers for the origin of the request's stream, or refuses the
+/* Asks the replicas for the origin of the request's stream, or refuses the
 ** request if there are none. */
 static void begin_query(Router *router, Request *request, gint64 now) {
   OriginQuery *query = &request->query;
   query->asked =
-      list_keepers(router->continuation, &request->stream, query->keepers);
+      list_replicas(router->continuation, &request->stream, query->replicas);
   if (query->asked == 0) {
     refuse_unknown(router, request, now);
     return;
@@ -412,7 +412,7 @@
   request->phase = PHASE_ORIGIN;
   query->number = ++router->continuation->last_query;
   request->stall_at = now + QUERY_REPEAT;
-  ask_keepers(router, request);
+  ask_replicas(router, request);
 }
 
 void continuation_start(Router *router, Request *request, gint64 now) {
@@ -441,7 +441,7 @@
     return;
   }
   request->stall_at = request->arrived + QUERY_TIMEOUT;
-  ask_keepers(router, request);
+  ask_replicas(router, request);
 }
 
 gboolean continuation_is_possible(const Router *router,
@@ -505,12 +505,12 @@
   return NULL;
 }
 
-/* Counts a keeper's reply; returns FALSE if it was not asked or has replied
+/* Counts a replica's reply; returns FALSE if it was not asked or has replied
 ** before. */
 static gboolean count_reply(OriginQuery *query, mp_Addr from) {
   guint i;
   for (i = 0; i < query->asked; i++) {
-    if (query->keepers[i] != from || query->has_replied[i])
+    if (query->replicas[i] != from || query->has_replied[i])
       continue;
     query->has_replied[i] = TRUE;
     query->replied++;
--- a/router/state.h
+++ b/router/state.h
@@ -95,16 +95,16 @@
 /* The most instances, beside the one where a stream began, that are told of
 ** its origin. With four in ten instances killed at once, all of them and that
 ** one are lost for one stream in 250. */
-#define STREAM_KEEPERS_MAX 5
+#define STREAM_REPLICAS_MAX 5
 
 /* Asks other instances where the stream began that a request takes up
 ** (continuation.h). */
 typedef struct OriginQuery {
   guint32 number; /* that replies name */
-  guint asked;    /* of 'keepers' */
+  guint asked;    /* of 'replicas' */
   guint replied;
-  mp_Addr keepers[STREAM_KEEPERS_MAX];
-  gboolean has_replied[STREAM_KEEPERS_MAX];
+  mp_Addr replicas[STREAM_REPLICAS_MAX];
+  gboolean has_replied[STREAM_REPLICAS_MAX];
 } OriginQuery;
 
 typedef enum Phase {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -606,7 +606,7 @@
   ''
 m v-told "streams: other instances are told where one began" \
   router/continuation.c \
-  '    send(router, keepers[i], &message);
+  '    send(router, replicas[i], &message);
 }
 
 /* Returns the origin in' \
--- a/test/test_continuation.cc
+++ b/test/test_continuation.cc
@@ -332,9 +332,10 @@
 
 /* }== The only version ==================================================== */
 
-/* {== Keepers ============================================================= */
+/* {== Replicas =============================================================
+ */
 
-TEST_F(ContinuationTest, KeepersAreToldBeforeTheFirstPieceIsPassedOn) {
+TEST_F(ContinuationTest, ReplicasAreToldBeforeTheFirstPieceIsPassedOn) {
   set_members(8);
   world.id = "first";
   SentDispatch run = run_of(world.request("/resume/x"));
@@ -346,7 +347,7 @@
   EXPECT_EQ(count_messages(MP_MSG_STREAM_ORIGIN), 5u);
 }
 
-TEST_F(ContinuationTest, KeeperThatKnowsTheStreamDecides) {
+TEST_F(ContinuationTest, ReplicaThatKnowsTheStreamDecides) {
   add("new-1", "v2");
   set_members(3);
   pass(new_time);
@@ -359,7 +360,7 @@
   EXPECT_EQ(run.endpoint, "new-1");
 }
 
-TEST_F(ContinuationTest, KeeperMayVouchForTheOnlyVersion) {
+TEST_F(ContinuationTest, ReplicaMayVouchForTheOnlyVersion) {
   set_members(3);
   guint64 again = world.request_resumption("/resume/x", 0, "first", "1");
   reply(2, reply_only, digest_of("v1"));
@@ -375,7 +376,7 @@
   EXPECT_EQ(software_of(run_of(again).endpoint), "v1");
 }
 
-TEST_F(ContinuationTest, StreamThatNoKeeperKnowsIsRefusedAtTheLastReply) {
+TEST_F(ContinuationTest, StreamThatNoReplicaKnowsIsRefusedAtTheLastReply) {
   set_members(3);
   guint64 again = world.request_resumption("/resume/x", 0, "first", "1");
   reply(0, reply_unknown);
@@ -387,7 +388,7 @@
   EXPECT_EQ(world.end(again).retry_after_ms, 0);
 }
 
-TEST_F(ContinuationTest, SilentKeepersAreAskedTwiceAndThenNotWaitedFor) {
+TEST_F(ContinuationTest, SilentReplicasAreAskedTwiceAndThenNotWaitedFor) {
   set_members(3);
   guint64 again = world.request_resumption("/resume/x", 0, "first", "1");
   reply(0, reply_unknown);
@@ -406,7 +407,7 @@
   EXPECT_EQ(world.end(again).refusals, 0);
 }
 
-TEST_F(ContinuationTest, RequestThatAsksKeepersMayBeGivenUp) {
+TEST_F(ContinuationTest, RequestThatAsksReplicasMayBeGivenUp) {
   set_members(3);
   guint64 again = world.request_resumption("/resume/x", 0, "first", "1");
   world.hangup(again);
@@ -423,7 +424,7 @@
   EXPECT_EQ(world.end(again).refusal, REFUSAL_DRAINING);
 }
 
-TEST_F(ContinuationTest, KeeperAnswersWhatItWasTold) {
+TEST_F(ContinuationTest, ReplicaAnswersWhatItWasTold) {
   set_members(3);
   mp_Msg message = {};
   message.kind = MP_MSG_STREAM_ORIGIN;
@@ -442,7 +443,8 @@
   EXPECT_EQ(reply.age_ms, 100u);
 }
 
-/* }== Keepers ============================================================= */
+/* }== Replicas =============================================================
+ */
 
 /* {== No endpoint of the version ========================================== */
 
