--- a/router/router.c
+++ b/router/router.c
@@ -287,6 +287,19 @@
   router->host.refuse(router->host.data, call->number, &refusal);
 }
 
+/* Writes the digests of the prompt's shared parts, the first few, for logs. */
+static const char *parts_text(const CallerRequest *call, char *buffer,
+                              gsize size) {
+  gsize at = 0;
+  guint i;
+  g_strlcpy(buffer, "-", size);
+  for (i = 0; i < call->parts_count && at + 18 < size; i++)
+    at += (gsize)g_snprintf(buffer + at, size - at,
+                            "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                            call->parts[i]);
+  return buffer;
+}
+
 /* Returns which stream the request takes up, for logs: the attempt that began
 ** it, "unknown" if that is not stated, or "-" if it takes none up. */
 static const char *resumed_attempt_text(const CallerRequest *call) {
@@ -301,6 +314,7 @@
   Request *request;
   const char *service;
   Refusal refusal = {0};
+  char parts[64]; /* three digests */
   router_count(router, REQUESTS);
   if (router->routes == NULL) {
     refuse_unrouted(router, call, REFUSAL_NO_CONFIGURATION, now);
@@ -336,18 +350,18 @@
   }
   retry_budget_count_request(router_retry_budget(router, service),
                              &router->retry, now);
-  router_log(
-      router, MP_LOG_ROUTE_ACCEPT,
-      " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
-      "objective_ms=%d session=%" G_GINT64_MODIFIER
-      "x resumes=%s account=%s config_age_ms=%d content=%016" G_GINT64_MODIFIER
-      "x",
-      request->id, route->name, service, request->prompt_tokens,
-      request->output_tokens, (int)((request->expires - now) / MP_MS),
-      (int)(route->objective / MP_MS), request->session,
-      resumed_attempt_text(call), account != NULL ? account->name : "-",
-      (int)(accounts_configuration_age(router, now) / MP_MS),
-      request->content);
+  router_log(router, MP_LOG_ROUTE_ACCEPT,
+             " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
+             "objective_ms=%d session=%" G_GINT64_MODIFIER
+             "x parts=%s resumes=%s account=%s config_age_ms=%d "
+             "content=%016" G_GINT64_MODIFIER "x",
+             request->id, route->name, service, request->prompt_tokens,
+             request->output_tokens, (int)((request->expires - now) / MP_MS),
+             (int)(route->objective / MP_MS), request->session,
+             parts_text(call, parts, sizeof parts), resumed_attempt_text(call),
+             account != NULL ? account->name : "-",
+             (int)(accounts_configuration_age(router, now) / MP_MS),
+             request->content);
   continuation_start(router, request, now);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -56,6 +56,9 @@
 
 typedef struct Router Router;
 
+/* The most parts of a prompt, beside the last, that are told apart. */
+#define CALLER_PARTS_MAX 16
+
 /* A caller's request as its dialect parsed it. */
 typedef struct CallerRequest {
   guint64 number; /* chosen by the host; unique while the request is open */
@@ -69,9 +72,12 @@
   guint32 output_tokens; /* the most tokens that may be generated */
   guint64 session; /* hash of the last part of the prompt; requests with the
                    ** same one prefer the same prefill engine; 0: none */
-  guint32 session_tokens; /* tokens of that part */
-  gboolean resumes;       /* continues a stream whose connection the caller
-                          ** lost */
+  guint32 session_tokens;          /* tokens of that part */
+  guint64 parts[CALLER_PARTS_MAX]; /* digests of the parts before it, which
+                                   ** other requests may have too; not 0 */
+  guint parts_count;
+  gboolean resumes; /* continues a stream whose connection the caller
+                    ** lost */
   const char *resumed_attempt; /* 'resumes': id of the attempt that began the
                                ** stream; NULL: not stated */
   const char *key;             /* of a client account; NULL: none */
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -61,6 +61,38 @@
   http_head_free(head);
 }
 
+guint parts_of(const char *value, CallerRequest *out) {
+  HttpHead *head = caller();
+  CallerHead read;
+  http_head_remove(head, "Prompt-Prefix");
+  http_head_add(head, "Prompt-Prefix", value);
+  EXPECT_TRUE(platform_read_caller(head, &read, nullptr));
+  *out = read.request;
+  caller_head_clear(&read);
+  http_head_free(head);
+  return out->parts_count;
+}
+
+TEST(PlatformCaller, SharedPartsOfThePromptAreReadWhateverTheyAre) {
+  CallerRequest one;
+  CallerRequest other;
+  EXPECT_EQ(parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250", &one), 2u);
+  EXPECT_NE(one.parts[0], one.parts[1]);
+  EXPECT_EQ(parts_of("91BD3F06:7,e5:1", &other), 1u);
+  EXPECT_EQ(other.parts[0], one.parts[1]);
+  EXPECT_EQ(parts_of("5c1e07a2:800", &one), 0u);
+  EXPECT_EQ(parts_of("", &one), 0u);
+  EXPECT_EQ(parts_of(",,,", &one), 0u);
+  EXPECT_EQ(parts_of("a:1,a:1,A:2,b:3", &one), 1u);
+  EXPECT_EQ(parts_of("no hex,\xff\x01:x,:5,b", &one), 2u);
+  EXPECT_EQ(parts_of("ffffffffffffffffffff:1,b:2", &one), 1u);
+  std::string many;
+  for (int i = 0; i < 5000; i++)
+    many += std::to_string(i) + ":1,";
+  EXPECT_EQ(parts_of((many + "b:1").c_str(), &one),
+            static_cast<guint>(CALLER_PARTS_MAX));
+}
+
 /* Returns the attempt that the request names as the beginning of its stream;
 ** "-": none. */
 std::string resumed_attempt(const std::vector<std::string> &values) {
