--- a/test/crash_fleet.cc
+++ b/test/crash_fleet.cc
@@ -93,6 +93,9 @@
   Instance &instance = instances[index];
   instance.world->now = now;
   instance.world->content = content;
+  instance.world->parts = work[content].parts;
+  if (work[content].attempts == 0)
+    work[content].sent_at = now;
   guint64 number = instance.world->request(
       work[content].is_crashing ? "/stream/x" : "/resume/x");
   instance.content_of[number] = content;
@@ -105,6 +108,27 @@
   request(random_below(options.instances), content);
 }
 
+void Fleet::send_request_with_crashing_part(guint64 first, guint64 part) {
+  guint64 content = next_part_content++;
+  work[content].content = content;
+  work[content].is_crashing = true;
+  work[content].parts = {first, part};
+  request(random_below(options.instances), content);
+}
+
+std::vector<guint64> Fleet::draw_parts() {
+  if (options.first_parts == 0)
+    return {};
+  return {first_part(random_below(options.first_parts)),
+          1000000 + random_below(std::max(options.second_parts, 1u))};
+}
+
+void Fleet::note_crash(const Run &run) {
+  crash_times[run.content].push_back(now);
+  for (guint64 part : work[run.content].parts)
+    part_crash_times[part].push_back(now);
+}
+
 Fleet::Engine &Fleet::engine_of(const std::string &id) {
   return *std::find_if(engines.begin(), engines.end(),
                        [&](const Engine &engine) { return engine.id == id; });
@@ -141,7 +165,13 @@
     world.outcome(dispatch.number, OUTCOME_BROKEN);
   } else if (engine.crashed_at != 0) {
     world.outcome(dispatch.number, OUTCOME_UNREACHABLE);
-  } else if (dispatch.kind == DISPATCH_PREFILL) {
+    return;
+  }
+  for (guint64 part : work[content].parts)
+    part_arrivals[part].push_back(now);
+  if (engine.crashed_at != 0)
+    return;
+  if (dispatch.kind == DISPATCH_PREFILL) {
     world.prefilled(dispatch.number,
                     ("h" + std::to_string(dispatch.number)).c_str());
   } else {
@@ -155,6 +185,7 @@
     run_times[content].push_back(now);
     runs.push_back({index, dispatch.number, dispatch.request,
                     dispatch.endpoint, content, now + length});
+    work[content].began |= work[content].attempts == 1;
     world.outcome(dispatch.number, OUTCOME_STREAM_HEAD);
   }
 }
@@ -202,7 +233,7 @@
     if (it == runs.end())
       continue; /* its engine has crashed meanwhile */
     if (work[run.content].is_crashing) {
-      crash_times[run.content].push_back(now);
+      note_crash(run);
       crash_engine(engine_of(run.engine));
       continue;
     }
@@ -241,6 +272,7 @@
   while (options.harmless_per_s > 0 && now >= next_harmless_at) {
     next_harmless_at += second / options.harmless_per_s;
     harmless_requests++;
+    work[next_harmless_content].parts = draw_parts();
     request(random_below(options.instances), next_harmless_content++);
   }
   std::vector<guint64> again;
@@ -373,6 +405,40 @@
   return it != crash_times.end() && it->second.size() >= 3 ? it->second[2] : 0;
 }
 
+unsigned Fleet::part_crashes(guint64 part) const {
+  auto it = part_crash_times.find(part);
+  return it != part_crash_times.end()
+             ? static_cast<unsigned>(it->second.size())
+             : 0;
+}
+
+gint64 Fleet::fifth_crash_time(guint64 part) const {
+  return part_crashes(part) >= 5 ? part_crash_times.at(part)[4] : 0;
+}
+
+unsigned Fleet::arrivals_after_fifth_crash(guint64 part, gint64 after) const {
+  gint64 fifth = fifth_crash_time(part);
+  if (fifth == 0)
+    return 0;
+  const std::vector<gint64> &times = part_arrivals.at(part);
+  return static_cast<unsigned>(
+      std::count_if(times.begin(), times.end(),
+                    [=](gint64 at) { return at > fifth + after; }));
+}
+
+double Fleet::share_begun(guint64 first, gint64 from, gint64 until) const {
+  unsigned sent = 0;
+  unsigned begun = 0;
+  for (const auto &[content, item] : work) {
+    if (item.is_crashing || item.parts.empty() || item.parts[0] != first ||
+        item.sent_at < from || item.sent_at >= until)
+      continue;
+    sent++;
+    begun += item.began;
+  }
+  return sent > 0 ? static_cast<double>(begun) / sent : 1;
+}
+
 unsigned Fleet::crashes(guint64 content) const {
   auto it = crash_times.find(content);
   return it != crash_times.end() ? static_cast<unsigned>(it->second.size())
--- a/test/crash_fleet.h
+++ b/test/crash_fleet.h
@@ -46,12 +46,21 @@
   ** there are none.
   */
   gint64 engine_crash_interval = 0;
+  /*
+  ** Harmless prompts have one of so many first parts, and one of so many
+  ** second parts; 0: no parts.
+  */
+  unsigned first_parts = 0;
+  unsigned second_parts = 0;
 };
 
 /* A request of a caller together with its retries, which have other IDs. */
 struct Work {
   guint64 content = 0; /* hash of the content, the same in each retry */
   bool is_crashing = false;
+  std::vector<guint64> parts; /* of its prompt */
+  gint64 sent_at = 0;         /* its first attempt */
+  bool began = false;         /* at its first attempt */
   unsigned attempts = 0;
   unsigned broken_runs = 0;        /* runs that broke off */
   unsigned refused_as_suspect = 0; /* REFUSAL_HELD or REFUSAL_SUSPECTED */
@@ -65,6 +74,20 @@
   void advance(gint64 span);
   /* Sends a crashing request of this content to a random instance. */
   void send_crashing_request(guint64 content);
+  /*
+  ** Sends a request that is like no other before, whose prompt has this first
+  ** part and this second one, which crashes every engine that runs it.
+  */
+  void send_request_with_crashing_part(guint64 first, guint64 part);
+  /* From now on so many harmless requests arrive in a second. */
+  void resume_harmless(unsigned per_s) {
+    options.harmless_per_s = per_s;
+    next_harmless_at = now;
+  }
+  /* Returns the first part of this number of harmless prompts. */
+  static guint64 first_part(unsigned number) {
+    return 1000 + number;
+  }
   /* Kills each instance with this probability and restarts it at once. */
   void kill_and_restart(double share);
   /* While set, datagrams between the halves of the instances are lost. */
@@ -89,6 +112,20 @@
   ** third crash; 0 if it has none.
   */
   unsigned runs_after_third_crash(guint64 content, gint64 after) const;
+  /* Returns how many engines requests with this part have crashed. */
+  unsigned part_crashes(guint64 part) const;
+  /*
+  ** Returns how many dispatches of requests with this part, prefills too,
+  ** reached engines more than 'after' later than the fifth crash of requests
+  ** with it; 0 if it has none.
+  */
+  unsigned arrivals_after_fifth_crash(guint64 part, gint64 after) const;
+  gint64 fifth_crash_time(guint64 part) const;
+  /*
+  ** Returns the share of the harmless requests with this first part, sent in
+  ** this time, that began at their first attempt.
+  */
+  double share_begun(guint64 first, gint64 from, gint64 until) const;
   /* Returns how many engines this content crashed. */
   unsigned crashes(guint64 content) const;
   /*
@@ -143,6 +180,8 @@
   void set_listed(World &world, const Engine &engine, bool gone);
   void set_listed_everywhere(const Engine &engine, bool gone);
   void request(unsigned index, guint64 content);
+  std::vector<guint64> draw_parts();
+  void note_crash(const Run &run);
   void handle_new_dispatches(unsigned index);
   void handle_dispatch(unsigned index, const SentDispatch &dispatch);
   void handle_check(World &world, const SentDispatch &check);
@@ -167,9 +206,12 @@
   std::map<guint64, Work> work;
   std::map<guint64, std::vector<gint64>> crash_times; /* by content */
   std::map<guint64, std::vector<gint64>> run_times;   /* by content */
+  std::map<guint64, std::vector<gint64>> part_crash_times;
+  std::map<guint64, std::vector<gint64>> part_arrivals; /* at engines */
   std::map<guint64, StoredRecord> store;
   gint64 revision = 10;
   guint64 next_harmless_content = 1000;
+  guint64 next_part_content = 1ULL << 40;
   gint64 next_harmless_at;
   gint64 next_engine_crash_at;
 };
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -214,6 +214,8 @@
   call.host = "host";
   call.path = path.c_str();
   call.content = content != 0 ? content : last_number << 32;
+  call.parts_count = static_cast<guint>(parts.size());
+  std::copy(parts.begin(), parts.end(), call.parts);
   call.key = key;
   call.keys = key != nullptr ? keys : 0;
   router_request(router, &call, now);
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -222,6 +222,8 @@
   ** its own.
   */
   guint64 content = 0;
+  /* Parts of the next requests' prompts that others may have too. */
+  std::vector<guint64> parts;
   /* The next outcomes came over connections that were open before. */
   bool was_kept = false;
   /* Start time (Unix ms) of the incarnation in the next endpoint record. */
