Parts of prompts that crash endpoints are found and held

Cause: the unit of blame was finer than the unit of quarantine. A request was known by its whole content, so each of these had one strike and none was held. Ruled out: ends that are not proved (each of 21 in the logs was proved within milliseconds), and our own repeats (attempts = 1 on one of the two routes). Change: a part of a prompt that others may share is a subject of the one quarantine, as a request is: same strikes, suspicions, holds, messages, store objects, lift by an operator. A run whose endpoint has written for a second, or to the end, acquits each part of its prompt, here and (in the crash messages) at the others: its earlier strikes are off, and it takes five further ones for two minutes. A strike that a held subject has too does not count against one with fewer. Two held parts with the same strikes are told apart by one trial run, at one instance. Why it works: the deadly part alone is in all ends and in no good run. Seven mutants added (not run yet).

--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -77,6 +77,9 @@
 /* most suspected crashes of endpoints in one datagram */
 #define MP_SUSPECT_ROWS 24
 
+/* most parts of prompts that are acquitted in one datagram */
+#define MP_ACQUITTAL_ROWS 16
+
 /* most endpoints with a rate limit of their own in one datagram */
 #define MP_RATE_ROWS 64
 
--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -333,9 +333,11 @@
   uint64_t asked_us; /* the sender's monotonic clock */
 } mp_HeartbeatRequest;
 
-/* a request during which endpoints crashed (router/quarantine.h) */
+/* a request, or a part of prompts, during whose runs endpoints crashed
+** (router/quarantine.h) */
 typedef struct mp_CrashRow {
-  uint64_t request; /* digest of its content and client account */
+  uint64_t request; /* digest of its content and client account, or of the
+                    ** part and the service */
   unsigned n;
   /* the crashes, each by hash of the endpoint's ID and incarnation */
   uint32_t crash[MP_CRASHES_PER_ROW];
@@ -344,17 +346,26 @@
 /* a request whose run broke off at an endpoint that may have crashed
 ** (router/suspicions.h) */
 typedef struct mp_SuspectRow {
-  uint64_t request;  /* digest of its content and client account */
+  uint64_t request;  /* as in mp_CrashRow */
   uint32_t endpoint; /* hash of its ID and incarnation */
   uint32_t age_ms;   /* since the run broke off */
 } mp_SuspectRow;
 
-/* CRASHES: the crashes and suspicions that the sender learned of recently */
+/* a part of prompts on which an endpoint wrote an answer and lived on */
+typedef struct mp_AcquittalRow {
+  uint64_t part;
+  uint32_t age_ms; /* since then */
+} mp_AcquittalRow;
+
+/* CRASHES: the crashes, suspicions and acquittals that the sender learned of
+** recently; an earlier release neither sends nor reads acquittals */
 typedef struct mp_CrashUpdate {
   unsigned n;
   mp_CrashRow row[MP_CRASH_ROWS];
   unsigned suspected_n;
   mp_SuspectRow suspected[MP_SUSPECT_ROWS];
+  unsigned acquitted_n;
+  mp_AcquittalRow acquitted[MP_ACQUITTAL_ROWS];
 } mp_CrashUpdate;
 
 /* an endpoint that announces the rate it accepts (router/rate_limits.h) */
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -98,8 +98,9 @@
   exchange->crashes_sent_at = clock_now();
   router_report_crashes(exchange->router, FALSE, &message.u.crashes,
                         clock_now());
-  exchange->has_crash_news =
-      message.u.crashes.n > 0 || message.u.crashes.suspected_n > 0;
+  exchange->has_crash_news = message.u.crashes.n > 0 ||
+                             message.u.crashes.suspected_n > 0 ||
+                             message.u.crashes.acquitted_n > 0;
   if (exchange->has_crash_news)
     send_to_all(exchange, &message);
 }
--- a/io/relays.c
+++ b/io/relays.c
@@ -134,7 +134,8 @@
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_CRASHES;
   router_report_crashes(relays->router, TRUE, &message.u.crashes, now);
-  if (message.u.crashes.n == 0 && message.u.crashes.suspected_n == 0)
+  if (message.u.crashes.n == 0 && message.u.crashes.suspected_n == 0 &&
+      message.u.crashes.acquitted_n == 0)
     return;
   send_far(relays, &message, now);
   send_to_all(relays, relay_group_members(relays->group), &message);
--- a/router/continuation.c
+++ b/router/continuation.c
@@ -116,6 +116,20 @@
   return count;
 }
 
+gboolean continuation_is_first(const Router *router, guint64 key) {
+  const Continuation *continuation = router->continuation;
+  StreamKey named = {{key, 0}};
+  guint64 own = replica_weight(router->self, &named);
+  guint i;
+  for (i = 0; i < continuation->members->len; i++) {
+    mp_Addr address =
+        g_array_index(continuation->members, RelayMember, i).address;
+    if (replica_weight(address, &named) > own)
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static void send(const Router *router, mp_Addr to, const mp_Msg *message) {
   router->host.message(router->host.data, to, message);
 }
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -69,6 +69,9 @@
 
 /* Tells the origins that are due (invariant 4) and drops expired ones. */
 void continuation_tick(Router *router, gint64 now);
+/* Returns TRUE if this instance is the first one by rendezvous hashing for
+** this key, among all that it knows. */
+gboolean continuation_is_first(const Router *router, guint64 key);
 /* Returns how many origins are remembered. */
 guint continuation_count(const Continuation *continuation);
 
--- a/router/crash_watch.c
+++ b/router/crash_watch.c
@@ -27,6 +27,7 @@
 /* an owned copy of a QuarantineSuspect */
 typedef struct Suspect {
   guint64 content;
+  gint64 at;
   char *request, *route, *account;
 } Suspect;
 
@@ -110,7 +111,7 @@
 
 static void add_suspect(WatchedIncarnation *watched,
                         const QuarantineSuspect *suspect) {
-  Suspect copy = {suspect->content, g_strdup(suspect->request),
+  Suspect copy = {suspect->content, suspect->at, g_strdup(suspect->request),
                   g_strdup(suspect->route), g_strdup(suspect->account)};
   g_array_append_val(watched->suspects, copy);
 }
@@ -126,6 +127,7 @@
     const Suspect *suspect =
         &g_array_index(watched->suspects, Suspect, from + i);
     reported[i].content = suspect->content;
+    reported[i].at = suspect->at;
     reported[i].request = suspect->request;
     reported[i].route = suspect->route;
     reported[i].account = suspect->account;
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -209,7 +209,7 @@
     endpoint_note_failure(endpoint, now);
   else if (endpoint != NULL)
     endpoint_note_success(endpoint, now);
-  suspects_note_success(router, request);
+  suspects_note_success(router, request, outcome->status < 300, now);
   if (failed && replace_run(router, request, FALSE, now))
     return;
   if (request->head_sent) { /* the resumed run answered without a stream */
@@ -246,6 +246,7 @@
 static void handle_piece(Router *router, Request *request,
                          const Outcome *outcome, gint64 now) {
   continuation_note_piece(router, request, now);
+  suspects_note_piece(router, request, now);
   update_longest_pause(request, now);
   expect_piece(request, now);
   if (outcome->event != NULL) {
@@ -346,7 +347,7 @@
     if (endpoint != NULL)
       endpoint_note_success(endpoint, now);
     estimate_observe_output(router, request);
-    suspects_note_success(router, request);
+    suspects_note_success(router, request, TRUE, now);
     router_record_duration(router, request, DURATION_STREAM, now);
     admission_note_run_end(router, now);
     finish_answered(router, request, outcome);
--- a/router/path.c
+++ b/router/path.c
@@ -140,6 +140,8 @@
   open->software = endpoint->software;
   open->tokens = tokens;
   open->sent = now;
+  request->run_piece_at = 0;
+  request->is_acquitting = FALSE;
   endpoint->open++;
   endpoint->tokens += tokens;
   mark_load_changed(router, request);
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -8,6 +8,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "router/acquittals.h"
 #include "router/quarantine.h"
 
 /* The first hold is long compared with the minutes in which callers repeat a
@@ -43,6 +44,10 @@
 #define EXPIRE_INTERVAL (1 * MP_SEC)
 /* strikes remembered for one request, including those taken off */
 #define STRIKES_PER_ROW_MAX (2 * QUARANTINE_STRIKES_MAX)
+/* A trial of a twin is over within this time, the longest in which the end of
+** an endpoint is proved; there are TRIALS_MAX for one subject. */
+#define TRIAL_INTERVAL (6 * MP_SEC)
+#define TRIALS_MAX 2
 /* At most this many requests are remembered, at 100 bytes each; each end of an
 ** endpoint adds a dozen. Beyond that the requests with the fewest strikes are
 ** dropped first. */
@@ -54,9 +59,11 @@
   gboolean is_off;    /* taken off: it doesn't count, but stays known */
   gboolean is_own;    /* this instance saw it */
   gboolean is_stored; /* the store has it */
+  gint64 at;          /* when the run broke off, or when this instance learned
+                      ** of it */
 } Strike;
 
-/* what is known of one request */
+/* what is known of one subject */
 typedef struct Row {
   guint64 content;
   guint count;                         /* of 'strikes' */
@@ -68,11 +75,15 @@
                           ** known */
   gint64 retry_at;        /* not written to the store before then */
   gboolean is_obsolete;   /* to be removed from the store, then dropped */
+  gint64 acquitted_at;    /* of a part; G_MININT64: never */
+  gint64 tried_at;        /* when the last trial began; 0: none did */
+  guint trials;
   char *request, *route, *account; /* as in QuarantineRecord */
 } Row;
 
 struct Quarantine {
   GHashTable *rows; /* content -> Row */
+  Acquittals *acquittals;
   gint64 unix_offset;
   guint64 seed;
   guint64 version;
@@ -100,6 +111,7 @@
   Quarantine *quarantine = g_new0(Quarantine, 1);
   quarantine->rows =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, row_free);
+  quarantine->acquittals = acquittals_new();
   quarantine->unix_offset = unix_offset;
   quarantine->seed = seed;
   return quarantine;
@@ -107,6 +119,7 @@
 
 void quarantine_free(Quarantine *quarantine) {
   g_hash_table_destroy(quarantine->rows);
+  acquittals_free(quarantine->acquittals);
   g_free(quarantine);
 }
 
@@ -149,6 +162,7 @@
                         &find_evictable_row(quarantine)->content);
   row = g_new0(Row, 1);
   row->content = content;
+  row->acquitted_at = acquittals_latest(quarantine->acquittals, content);
   g_hash_table_insert(quarantine->rows, &row->content, row);
   return row;
 }
@@ -189,6 +203,7 @@
   strike = &row->strikes[row->count++];
   memset(strike, 0, sizeof *strike);
   strike->crash = crash;
+  strike->at = at;
   /* 'at' may be negative, since it may be before the start of the machine, so
   ** the first strike must not be compared with 0. */
   row->last_strike_at = row->count == 1 ? at : MAX(row->last_strike_at, at);
@@ -211,7 +226,7 @@
                                const QuarantineSuspect *suspect, guint32 crash,
                                gint64 now) {
   Row *row = get_or_add_row(quarantine, suspect->content);
-  Strike *strike = add_strike(quarantine, row, crash, now, now);
+  Strike *strike = add_strike(quarantine, row, crash, suspect->at, now);
   if (strike == NULL)
     return FALSE;
   strike->is_own = TRUE;
@@ -308,21 +323,80 @@
   return duration;
 }
 
-/* Returns when the request's hold ends, also if that is past; 0 if it has too
+/* Returns from how many strikes on a subject is held that was acquitted at
+** this time (G_MININT64: never), and got its newest strike at 'at'. */
+static guint hold_strikes(gint64 acquitted_at, gint64 at) {
+  if (acquitted_at == G_MININT64 || at - acquitted_at > ACQUITTAL_LIFETIME)
+    return QUARANTINE_HOLD_STRIKES;
+  return QUARANTINE_HOLD_STRIKES_ACQUITTED;
+}
+
+static gboolean has_enough_strikes(const Row *row) {
+  return strike_count(row) >=
+         hold_strikes(row->acquitted_at, row->last_strike_at);
+}
+
+/* Returns TRUE if the row has a strike for this incarnation that counts. */
+static gboolean has_counting_strike(const Row *row, guint32 crash) {
+  guint i;
+  for (i = 0; i < row->count; i++) {
+    if (row->strikes[i].crash == crash && !row->strikes[i].is_off)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Returns how many counting strikes of the row the other one has, too. */
+static guint shared_strikes(const Row *row, const Row *other) {
+  guint shared = 0;
+  guint i;
+  for (i = 0; i < row->count; i++) {
+    const Strike *strike = &row->strikes[i];
+    shared += !strike->is_off && has_counting_strike(other, strike->crash);
+  }
+  return shared;
+}
+
+/* Returns how many strikes of the row no other one explains (invariant 6), as
+** far as the held subject goes that explains most. */
+static guint unexplained_strikes(const Quarantine *quarantine,
+                                 const Row *row) {
+  guint count = strike_count(row);
+  guint explained = 0;
+  GHashTableIter iterator;
+  gpointer value;
+  if (!has_enough_strikes(row))
+    return count;
+  g_hash_table_iter_init(&iterator, quarantine->rows);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Row *other = value;
+    if (other != row && strike_count(other) > count &&
+        has_enough_strikes(other))
+      explained = MAX(explained, shared_strikes(row, other));
+  }
+  return count - explained;
+}
+
+/* Returns when the subject's hold ends, also if that is past; 0 if it has too
 ** few strikes for one. */
-static gint64 held_until(const Row *row) {
-  guint strikes = strike_count(row);
+static gint64 held_until(const Quarantine *quarantine, const Row *row) {
+  guint strikes = unexplained_strikes(quarantine, row);
   gint64 duration;
-  if (strikes < QUARANTINE_HOLD_STRIKES)
+  if (strikes < hold_strikes(row->acquitted_at, row->last_strike_at))
     return 0;
   duration = hold_time(strikes);
   return duration == G_MAXINT64 ? duration : row->last_strike_at + duration;
 }
 
+guint quarantine_hold_strikes(const Quarantine *quarantine, guint64 content,
+                              gint64 now) {
+  return hold_strikes(quarantine_acquitted_at(quarantine, content), now);
+}
+
 gint64 quarantine_held_until(const Quarantine *quarantine, guint64 content,
                              gint64 now) {
   const Row *row = find_row(quarantine, content);
-  gint64 until = row != NULL ? held_until(row) : 0;
+  gint64 until = row != NULL ? held_until(quarantine, row) : 0;
   return until > now ? until : 0;
 }
 
@@ -335,10 +409,106 @@
   g_hash_table_iter_init(&iterator, quarantine->rows);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     *suspects += strike_count(value) > 0;
-    *held += held_until(value) > now;
+    *held += held_until(quarantine, value) > now;
+  }
+}
+
+/*
+** {==================================================================
+** Acquittals and twins
+** ===================================================================
+*/
+
+gint64 quarantine_acquitted_at(const Quarantine *quarantine, guint64 part) {
+  const Row *row = find_row(quarantine, part);
+  gint64 at = acquittals_latest(quarantine->acquittals, part);
+  return row != NULL ? MAX(at, row->acquitted_at) : at;
+}
+
+gboolean quarantine_acquit(Quarantine *quarantine, guint64 part, gint64 at,
+                           gint64 now) {
+  Row *row = find_row(quarantine, part);
+  gboolean was_held;
+  guint before;
+  guint i;
+  acquittals_note(quarantine->acquittals, part, at);
+  if (row == NULL || at <= row->acquitted_at)
+    return FALSE;
+  before = strike_count(row);
+  was_held = held_until(quarantine, row) > now;
+  row->acquitted_at = at;
+  for (i = 0; i < row->count; i++)
+    row->strikes[i].is_off |= row->strikes[i].at <= at;
+  if (strike_count(row) == before)
+    return FALSE;
+  row->learned_at = now;
+  row->is_obsolete = strike_count(row) == 0;
+  quarantine->version++;
+  quarantine->may_need_save = TRUE;
+  return was_held && held_until(quarantine, row) <= now;
+}
+
+static gboolean is_one_of(guint64 content, const guint64 *subjects,
+                          guint count) {
+  guint i;
+  for (i = 0; i < count; i++) {
+    if (subjects[i] == content)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+gboolean quarantine_has_twin(const Quarantine *quarantine, guint64 content,
+                             const guint64 *subjects, guint count) {
+  const Row *row = find_row(quarantine, content);
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, quarantine->rows);
+  while (row != NULL && g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Row *other = value;
+    if (other != row && has_enough_strikes(other) &&
+        shared_strikes(row, other) == strike_count(row) &&
+        !is_one_of(other->content, subjects, count))
+      return TRUE;
   }
+  return FALSE;
+}
+
+gboolean quarantine_begin_trial(Quarantine *quarantine, guint64 content,
+                                gint64 now) {
+  Row *row = find_row(quarantine, content);
+  if (row == NULL || row->trials >= TRIALS_MAX ||
+      (row->tried_at != 0 && now - row->tried_at < TRIAL_INTERVAL))
+    return FALSE;
+  row->tried_at = now;
+  row->trials++;
+  return TRUE;
 }
 
+/* Adds the parts among the rows that were acquitted, as long as the message
+** has room. */
+static void write_acquittals(const Quarantine *quarantine, mp_CrashUpdate *out,
+                             gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  out->acquitted_n = 0;
+  g_hash_table_iter_init(&iterator, quarantine->rows);
+  while (out->acquitted_n < MP_ACQUITTAL_ROWS &&
+         g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Row *row = value;
+    mp_AcquittalRow *acquitted = &out->acquitted[out->acquitted_n];
+    if (row->acquitted_at == G_MININT64 ||
+        now - row->acquitted_at > ACQUITTAL_LIFETIME ||
+        now - row->learned_at >= NEWS_REPEAT_TIME)
+      continue;
+    acquitted->part = row->content;
+    acquitted->age_ms = (guint32)((now - row->acquitted_at) / MP_MS);
+    out->acquitted_n++;
+  }
+}
+
+/* }================================================================== */
+
 guint64 quarantine_version(const Quarantine *quarantine) {
   return quarantine->version;
 }
@@ -403,6 +573,7 @@
     if (crashes.n > 0)
       add_or_replace_row(out, &crashes);
   }
+  write_acquittals(quarantine, out, now);
 }
 
 /* }================================================================== */
@@ -514,14 +685,15 @@
 /* }================================================================== */
 
 /* Returns the time from which on the row is obsolete. */
-static gint64 obsolete_at(const Row *row) {
+static gint64 obsolete_at(const Quarantine *quarantine, const Row *row) {
   guint strikes = strike_count(row);
   if (strikes == 0)
     return row->learned_at + LIFTED_RETENTION;
   if (strikes >= QUARANTINE_STRIKES_MAX)
     return G_MAXINT64;
   if (strikes >= QUARANTINE_HOLD_STRIKES)
-    return held_until(row) + STRIKE_LIFETIME;
+    return MAX(held_until(quarantine, row), row->last_strike_at) +
+           STRIKE_LIFETIME;
   return row->last_strike_at + STRIKE_LIFETIME;
 }
 
@@ -550,11 +722,12 @@
   g_hash_table_iter_init(&iterator, quarantine->rows);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     Row *row = value;
-    if (row->is_obsolete || obsolete_at(row) > now)
+    if (row->is_obsolete || obsolete_at(quarantine, row) > now)
       continue;
     row->is_obsolete = TRUE;
     row->retry_at = now + removal_delay(quarantine, row);
     quarantine->may_need_save = TRUE;
   }
   g_hash_table_foreach_remove(quarantine->rows, can_be_dropped, &now);
+  acquittals_expire(quarantine->acquittals, now);
 }
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -3,19 +3,22 @@
 ** Quarantine for requests during whose runs endpoints crash ("queries of
 ** death")
 **
-** A request is identified by the hash of its content and client account,
-** whatever id it bears. When an endpoint's process ends while it runs the
-** request, the request gets a strike, and so do all others that ran there, so
-** a single strike says little. From QUARANTINE_HOLD_STRIKES strikes on the
-** request is held: no instance sends it to an endpoint.
+** Two kinds of subjects collect strikes: a request, identified by the hash of
+** its content and client account, whatever id it bears; and a part of prompts
+** that many requests may have, identified by a hash with its service. When an
+** endpoint's process ends while it runs a request, the request and the parts
+** of its prompt get a strike, and so do all others that ran there, so a single
+** strike says little. From QUARANTINE_HOLD_STRIKES strikes on the subject is
+** held: no instance sends the request, or a request with that part, to an
+** endpoint.
 **
 ** Invariants:
-** 1. The strikes of a request are a set. A strike is identified by the
+** 1. The strikes of a subject are a set. A strike is identified by the
 **    incarnation, one run of an endpoint's process, that ended. To hear of a
 **    strike twice, from whomever and in whatever order, changes nothing. So
 **    instances only merge what they know, and none of them has to decide
 **    first.
-** 2. A hold ends by itself, so that a request that was blamed wrongly is
+** 2. A hold ends by itself, so that a subject that was blamed wrongly is
 **    served again. Each further strike makes the next hold longer, and from
 **    QUARANTINE_STRIKES_MAX strikes on only an operator ends it. So after the
 **    third strike is known at most QUARANTINE_STRIKES_MAX -
@@ -27,6 +30,15 @@
 **    endpoint ends.
 ** 4. A strike that an operator has lifted, or a good run has taken off, does
 **    not come back when an instance reports it late.
+** 5. A run on which an endpoint wrote an answer and lived on acquits the parts
+**    of its prompt (acquittals.h): it takes off all their strikes from before,
+**    and for as long as the acquittal counts it takes
+**    QUARANTINE_HOLD_STRIKES_ACQUITTED further ones to hold such a part. The
+**    other instances are told.
+** 6. A strike explains away: one that a held subject has too does not count
+**    against a subject with fewer strikes. Two held subjects with the same
+**    strikes are twins; a single trial run of a request that has only one of
+**    them tells them apart (quarantine_begin_trial).
 **
 ** A Router owns one Quarantine. suspects.c uses it, and io/quarantine_writer.c
 ** writes what quarantine_next_save returns to the store. Times are in
@@ -48,10 +60,15 @@
 ** hold. The platform allows three more runs. */
 #define QUARANTINE_STRIKES_MAX MP_CRASHES_PER_ROW
 
-/* the strikes of one request, as instances report them and the store keeps
+/* The same for a part of prompts that was acquitted lately: chance alone may
+** have endpoints end under one that is in many prompts. */
+#define QUARANTINE_HOLD_STRIKES_ACQUITTED 5
+
+/* the strikes of one subject, as instances report them and the store keeps
 ** them */
 typedef struct QuarantineRecord {
-  guint64 content; /* hash of the request's content and account */
+  guint64 content; /* hash of the request's content and account, or of the part
+                   ** and its service */
   guint count;     /* of 'crashes' */
   guint32 crashes[QUARANTINE_STRIKES_MAX]; /* the incarnations that ended, each
                                            ** as Endpoint.hash */
@@ -74,9 +91,10 @@
 Quarantine *quarantine_new(gint64 unix_offset, guint64 seed);
 void quarantine_free(Quarantine *quarantine);
 
-/* a request that an endpoint ran; texts belong to the caller */
+/* a subject that an endpoint ran; texts belong to the caller */
 typedef struct QuarantineSuspect {
   guint64 content;
+  gint64 at; /* when the run broke off */
   const char *request;
   const char *route;
   const char *account; /* NULL: none */
@@ -116,6 +134,28 @@
 gint64 quarantine_held_until(const Quarantine *quarantine, guint64 content,
                              gint64 now);
 
+/* A run with this part went on until 'at' (invariant 5). Returns TRUE if the
+** part was held and no longer is. */
+gboolean quarantine_acquit(Quarantine *quarantine, guint64 part, gint64 at,
+                           gint64 now);
+/* Returns until when the latest run with this part that is remembered went on;
+** G_MININT64: none is. */
+gint64 quarantine_acquitted_at(const Quarantine *quarantine, guint64 part);
+/* Returns from how many strikes on the subject is held. */
+guint quarantine_hold_strikes(const Quarantine *quarantine, guint64 content,
+                              gint64 now);
+/* Returns TRUE if the held subject has a twin (invariant 6) that is not one of
+** these subjects. */
+gboolean quarantine_has_twin(const Quarantine *quarantine, guint64 content,
+                             const guint64 *subjects, guint count);
+/* Returns TRUE if a request with the held subject, and without its twin, may
+ *be
+ ** run now to tell them apart, and counts that trial. Only one instance may
+ *ask
+ ** for a subject. */
+gboolean quarantine_begin_trial(Quarantine *quarantine, guint64 content,
+                                gint64 now);
+
 /* Counts the remembered requests with a strike that counts, and those that are
 ** held. */
 void quarantine_count(const Quarantine *quarantine, gint64 now,
--- a/router/router.c
+++ b/router/router.c
@@ -59,6 +59,7 @@
   router->waiting = g_ptr_array_new();
   router->limits = account_limits_new(&options->limits, now);
   router->seed = options->seed ^ options->self;
+  router->self = options->self;
   router->rates = rate_limits_new(router->seed);
   router->crashes = lives_new_crash_watch(router);
   router->quarantine = quarantine_new(options->unix_offset, options->seed);
@@ -340,6 +341,8 @@
   continuation_attach(request, call);
   request->service = route_table_find_service(router->routes, service);
   g_hash_table_insert(router->requests, &request->number, request);
+  if (request->service != NULL)
+    suspects_attach_parts(request, call);
   if (request->service == NULL) {
     finish_refuse(router, request, REFUSAL_NO_ENDPOINT);
     return;
--- a/router/state.h
+++ b/router/state.h
@@ -126,6 +126,12 @@
   double cost;     /* charged to the account's limit, in the limit's unit */
   guint64 content; /* hash of CallerRequest.content and the account's name;
                    ** names the request in the quarantine */
+  guint64 parts[CALLER_PARTS_MAX]; /* name the parts of its prompt that others
+                                   ** may have, in the quarantine */
+  guint parts_count;
+  guint64 trial;          /* the held part for whose trial it runs; 0: none */
+  guint trial_strikes;    /* that part's strikes when the trial began */
+  gboolean is_acquitting; /* its open run has acquitted its parts */
   guint32 prompt_tokens, output_tokens;
   guint64 session;
   gint64 arrived;
@@ -163,6 +169,8 @@
   guint32 tokens_made;  /* tokens generated so far, computed from
                         ** event ids */
   gint64 last_piece;    /* when the last piece came; 0: none yet */
+  gint64 run_piece_at;  /* when the first piece of the open run came; 0: none
+                        ** yet */
   gint64 longest_pause; /* longest time between two pieces so far */
   char *decode;         /* id of the decode engine whose memory is reserved;
                         ** NULL: none */
@@ -199,6 +207,7 @@
   RetryPolicy retry;
   GRand *random;
   guint64 seed;       /* differs between instances */
+  mp_Addr self;       /* as in RouterOptions */
   RouteTable *routes; /* NULL: no configuration yet */
   guint64 era;        /* the newest era of the store that is known; 0: none */
   EndpointTable *endpoints;
@@ -536,10 +545,17 @@
 /* Adds a strike: an incarnation of an endpoint crashed under the request. */
 void suspects_add_strike(Router *router, const QuarantineSuspect *suspect,
                          guint32 life, gint64 now);
+/* A piece of the request's open run has come: if its endpoint has written for
+** a while, it has not crashed on the prompt. */
+void suspects_note_piece(Router *router, Request *request, gint64 now);
 /* The endpoint of the open dispatch has answered, so it has not crashed. */
 void suspects_note_answer(Router *router, const Request *request, gint64 now);
-/* A run of the request succeeded. */
-void suspects_note_success(Router *router, const Request *request);
+/* A run of the request ended with an answer; 'wrote': the endpoint wrote it on
+** the prompt, so it has not crashed on that. */
+void suspects_note_success(Router *router, Request *request, gboolean wrote,
+                           gint64 now);
+/* Sets the names of the request's parts; its service must be set. */
+void suspects_attach_parts(Request *request, const CallerRequest *call);
 /* Refuses, and so ends, the waiting requests that are held now. */
 void suspects_refuse_held(Router *router, gint64 now);
 
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -1,7 +1,11 @@
 /*
-** suspects.c Requests under which endpoints end: holds or defers them
+** suspects.c
+** Requests, and parts of prompts, under which endpoints end: holds or defers
+** them
 **
-** A request is held by the quarantine (router/quarantine.h) and deferred by
+** What follows of a request holds for each shared part of its prompt too: a
+** request is held or deferred if one of its subjects is. A request is held by
+*the quarantine (router/quarantine.h) and deferred by
 ** strikes and suspicions together (router/suspicions.h). suspects_may_dispatch
 ** is asked before every dispatch for a caller, so a request that becomes held
 ** while it waits or while its prompt is read is not sent either. A request is
@@ -9,32 +13,55 @@
 ** have, under it: the list still has them, and a run there would be lost.
 */
 
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "router/continuation.h"
 #include "router/state.h"
 
 /* The caller of a request whose hold only an operator ends is asked to come
 ** back on another day, when the hold may have been lifted. */
 #define MANUAL_HOLD_RETRY_AFTER (86400 * MP_SEC)
+/* An endpoint that crashes on a part of a prompt does so when it begins to
+** write an answer; one that has written for this long has not. */
+#define WRITING_TIME (1 * MP_SEC)
+/* The caller of a request with one of two held parts that a trial will tell
+** apart is asked to come back after this. */
+#define TRIAL_RETRY_AFTER (3 * MP_SEC)
 
 static gboolean is_proved(void *quarantine, guint64 content, guint32 life) {
   return quarantine_has_strike(quarantine, content, life);
 }
 
+/* Returns TRUE if a run with the part went on so lately that a suspected end
+** is likely to have other reasons. */
+static gboolean was_just_acquitted(const Router *router, guint64 subject,
+                                   gint64 now) {
+  gint64 at = quarantine_acquitted_at(router->quarantine, subject);
+  return at != G_MININT64 && now - at < SUSPICION_LIFETIME;
+}
+
 /*
-** Returns the time until which the request is deferred, or 0 if it is not.
+** Returns the time until which the subject is deferred, or 0 if it is not.
 ** Suspected ends count like strikes for the seconds until they are proved or
 ** disproved, because otherwise each instance would send the request to one
 ** more endpoint meanwhile.
 */
-static gint64 deferred_until(const Router *router, guint64 content,
+static gint64 deferred_until(const Router *router, guint64 subject,
                              gint64 now) {
   gint64 until;
-  guint suspected = suspicions_count(router->suspicions, content, is_proved,
+  guint suspected = suspicions_count(router->suspicions, subject, is_proved,
                                      router->quarantine, &until, now);
   guint strikes;
-  if (suspected == 0)
+  if (suspected == 0 || was_just_acquitted(router, subject, now))
     return 0;
-  strikes = quarantine_strike_count(router->quarantine, content);
-  return strikes + suspected >= QUARANTINE_HOLD_STRIKES ? until : 0;
+  strikes = quarantine_strike_count(router->quarantine, subject);
+  return strikes + suspected >=
+                 quarantine_hold_strikes(router->quarantine, subject, now)
+             ? until
+             : 0;
 }
 
 void suspects_list_crashed(const Router *router, const Request *request,
@@ -74,37 +101,115 @@
   return until > now ? until : 0;
 }
 
-gboolean suspects_may_dispatch(Router *router, Request *request,
-                               RefusalKind *why, gint64 now) {
-  gint64 until =
-      quarantine_held_until(router->quarantine, request->content, now);
+/* Returns TRUE if the request runs as the trial of this held part, and no
+** endpoint has ended under the part since it began. */
+static gboolean is_on_trial(const Router *router, const Request *request,
+                            guint64 part) {
+  return request->trial == part &&
+         quarantine_strike_count(router->quarantine, part) ==
+             request->trial_strikes;
+}
+
+/* Returns the time until which the subject is held or deferred, and sets
+** '*why'; 0 if it is neither. */
+static gint64 barred_until(const Router *router, guint64 subject,
+                           RefusalKind *why, gint64 now) {
+  gint64 until = quarantine_held_until(router->quarantine, subject, now);
   *why = REFUSAL_HELD;
-  if (until == 0) {
-    until = deferred_until(router, request->content, now);
-    *why = REFUSAL_SUSPECTED;
+  if (until != 0)
+    return until;
+  *why = REFUSAL_SUSPECTED;
+  return deferred_until(router, subject, now);
+}
+
+/* Returns the part that keeps the request from being sent, and until when; 0
+** if none does. */
+static guint64 find_barred_part(const Router *router, const Request *request,
+                                gint64 *until, RefusalKind *why, gint64 now) {
+  guint64 found = 0;
+  guint i;
+  for (i = 0; i < request->parts_count; i++) {
+    RefusalKind kind;
+    gint64 ends = barred_until(router, request->parts[i], &kind, now);
+    if (ends == 0 || is_on_trial(router, request, request->parts[i]) ||
+        (found != 0 && ends <= *until))
+      continue;
+    found = request->parts[i];
+    *until = ends;
+    *why = kind;
   }
+  return found;
+}
+
+/* Returns TRUE if the request is the trial that tells a held part from its
+** twin. One instance tries for all, and one request at a time. */
+static gboolean begin_trial(Router *router, Request *request, guint64 part,
+                            gint64 now) {
+  guint held = 0;
+  guint i;
+  for (i = 0; i < request->parts_count; i++)
+    held +=
+        quarantine_held_until(router->quarantine, request->parts[i], now) != 0;
+  if (held != 1 || request->trial != 0 ||
+      !continuation_is_first(router, part) ||
+      !quarantine_begin_trial(router->quarantine, part, now))
+    return FALSE;
+  request->trial = part;
+  request->trial_strikes = quarantine_strike_count(router->quarantine, part);
+  return TRUE;
+}
+
+/* Returns TRUE if none of the request's parts keeps it from being sent; else
+** sets '*why' and Request.come_back. */
+static gboolean may_send_parts(Router *router, Request *request,
+                               RefusalKind *why, gint64 now) {
+  gint64 until = 0;
+  guint64 part = find_barred_part(router, request, &until, why, now);
+  gboolean has_twin;
+  if (part == 0)
+    return TRUE;
+  has_twin = *why == REFUSAL_HELD &&
+             quarantine_has_twin(router->quarantine, part, request->parts,
+                                 request->parts_count);
+  if (has_twin && begin_trial(router, request, part, now))
+    return TRUE;
+  if (has_twin)
+    request->come_back = TRIAL_RETRY_AFTER;
+  else
+    request->come_back =
+        until == G_MAXINT64 ? MANUAL_HOLD_RETRY_AFTER : until - now;
+  return FALSE;
+}
+
+gboolean suspects_may_dispatch(Router *router, Request *request,
+                               RefusalKind *why, gint64 now) {
+  gint64 until = barred_until(router, request->content, why, now);
   if (until == 0)
     until = crashed_everywhere_until(router, request, now);
   if (until == 0)
-    return TRUE;
+    return may_send_parts(router, request, why, now);
   request->come_back =
       until == G_MAXINT64 ? MANUAL_HOLD_RETRY_AFTER : until - now;
   return FALSE;
 }
 
-/* Returns TRUE if the request is held or deferred. */
-static gboolean is_held_or_deferred(const Router *router, guint64 content,
+/* Returns TRUE if the subject is held or deferred. */
+static gboolean is_held_or_deferred(const Router *router, guint64 subject,
                                     gint64 now) {
-  return quarantine_held_until(router->quarantine, content, now) != 0 ||
-         deferred_until(router, content, now) != 0;
+  RefusalKind why;
+  return barred_until(router, subject, &why, now) != 0;
 }
 
-/* Returns a waiting request that is held or deferred; NULL if none is. */
+/* Returns a waiting request of which a subject is held or deferred; NULL if
+** there is none. */
 static Request *find_held_waiting(const Router *router, gint64 now) {
   guint i;
   for (i = 0; i < router->waiting->len; i++) {
     Request *request = router->waiting->pdata[i];
-    if (is_held_or_deferred(router, request->content, now))
+    RefusalKind why;
+    gint64 until;
+    if (is_held_or_deferred(router, request->content, now) ||
+        find_barred_part(router, request, &until, &why, now) != 0)
       return request;
   }
   return NULL;
@@ -114,7 +219,8 @@
   Request *request;
   RefusalKind why = REFUSAL_HELD;
   while ((request = find_held_waiting(router, now)) != NULL) {
-    suspects_may_dispatch(router, request, &why, now);
+    if (suspects_may_dispatch(router, request, &why, now))
+      continue; /* it is a trial now */
     finish_forbidden(router, request, why, now);
   }
 }
@@ -134,15 +240,25 @@
              content, strikes, from, seconds);
 }
 
+static void note_broken_subject(Router *router, const Endpoint *endpoint,
+                                const QuarantineSuspect *suspect, gint64 now) {
+  if (!endpoint_is_leaving(endpoint))
+    suspicions_add(router->suspicions, suspect->content, endpoint->hash, now);
+  crash_watch_run_broken(router->crashes, endpoint, suspect, now);
+}
+
 void suspects_note_broken(Router *router, const Request *request,
                           const Endpoint *endpoint, gint64 now) {
-  QuarantineSuspect suspect = {request->content, request->id,
+  QuarantineSuspect suspect = {request->content, now, request->id,
                                request->route->name, NULL};
+  guint i;
   if (request->account != NULL)
     suspect.account = request->account->name;
-  if (!endpoint_is_leaving(endpoint))
-    suspicions_add(router->suspicions, request->content, endpoint->hash, now);
-  crash_watch_run_broken(router->crashes, endpoint, &suspect, now);
+  note_broken_subject(router, endpoint, &suspect, now);
+  for (i = 0; i < request->parts_count; i++) {
+    suspect.content = request->parts[i];
+    note_broken_subject(router, endpoint, &suspect, now);
+  }
 }
 
 void suspects_add_strike(Router *router, const QuarantineSuspect *suspect,
@@ -155,8 +271,43 @@
   suspicions_clear_incarnation(router->suspicions, request->open.life, now);
 }
 
-void suspects_note_success(Router *router, const Request *request) {
+/* Logs that a subject is no longer held. */
+static void log_lifted(Router *router, guint64 subject) {
+  router_log(router, MP_LOG_REQUEST_LIFTED,
+             " content=%016" G_GINT64_MODIFIER "x", subject);
+}
+
+static void acquit_parts(Router *router, Request *request, gint64 now) {
+  guint i;
+  request->is_acquitting = TRUE;
+  for (i = 0; i < request->parts_count; i++) {
+    if (quarantine_acquit(router->quarantine, request->parts[i], now, now))
+      log_lifted(router, request->parts[i]);
+  }
+}
+
+void suspects_note_piece(Router *router, Request *request, gint64 now) {
+  if (request->run_piece_at == 0)
+    request->run_piece_at = now;
+  if (!request->is_acquitting && now - request->run_piece_at >= WRITING_TIME)
+    acquit_parts(router, request, now);
+}
+
+void suspects_note_success(Router *router, Request *request, gboolean wrote,
+                           gint64 now) {
   quarantine_run_succeeded(router->quarantine, request->content);
+  if (wrote)
+    acquit_parts(router, request, now);
+}
+
+void suspects_attach_parts(Request *request, const CallerRequest *call) {
+  guint64 service =
+      XXH3_64bits(request->service->name, strlen(request->service->name));
+  guint i;
+  request->parts_count = call->parts_count;
+  for (i = 0; i < call->parts_count; i++)
+    request->parts[i] =
+        XXH3_64bits_withSeed(&call->parts[i], sizeof call->parts[i], service);
 }
 
 /*
@@ -174,6 +325,21 @@
     out->crashes[i] = row->crash[i];
 }
 
+static gboolean receive_acquittals(Router *router, const mp_CrashUpdate *news,
+                                   gint64 now) {
+  gboolean is_new = FALSE;
+  unsigned i;
+  for (i = 0; i < news->acquitted_n; i++) {
+    const mp_AcquittalRow *row = &news->acquitted[i];
+    if (!quarantine_acquit(router->quarantine, row->part,
+                           now - row->age_ms * MP_MS, now))
+      continue;
+    is_new = TRUE;
+    log_lifted(router, row->part);
+  }
+  return is_new;
+}
+
 gboolean router_receive_crashes(Router *router, const mp_CrashUpdate *news,
                                 gint64 now) {
   gboolean is_new = FALSE;
@@ -186,6 +352,7 @@
     is_new = TRUE;
     log_held(router, record.content, "instance", now);
   }
+  is_new |= receive_acquittals(router, news, now);
   is_new |= suspicions_receive(router->suspicions, news, now);
   if (is_new)
     suspects_refuse_held(router, now);
@@ -213,8 +380,7 @@
 
 void router_remove_quarantine(Router *router, guint64 content, gint64 now) {
   if (is_held_or_deferred(router, content, now))
-    router_log(router, MP_LOG_REQUEST_LIFTED,
-               " content=%016" G_GINT64_MODIFIER "x", content);
+    log_lifted(router, content);
   quarantine_lift(router->quarantine, content, now);
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -400,7 +400,7 @@
         !(with_received || has_own_strike(row)))' 'if (TRUE)'
 m q-door "hold: a held request is not sent" router/suspects.c \
   'if (until == 0)
-    return TRUE;' 'return TRUE;'
+    return may_send_parts(router, request, why, now);' 'return TRUE;'
 m q-choice "crash: a request avoids the endpoints that ended under it" \
   router/endpoint_table.c \
   'if (skip_crashed && endpoint_has_crashed_under(query, endpoint))' 'if (FALSE)'
@@ -707,8 +707,41 @@
     return FALSE;' \
   '  endpoint->record.ready = FALSE;
   return TRUE;'
+m c-blame "parts: they get the strikes of the requests that have them" \
+  router/suspects.c \
+  '    suspect.content = request->parts[i];
+    note_broken_subject(router, endpoint, &suspect, now);' \
+  ''
+m c-held "parts: a request with a held part is not sent" router/suspects.c \
+  '  if (part == 0)
+    return TRUE;
+  has_twin' \
+  '  if (part == 0 || part != 0)
+    return TRUE;
+  has_twin'
+m c-acquit "parts: one on which an endpoint wrote is acquitted" \
+  router/suspects.c \
+  '    if (quarantine_acquit(router->quarantine, request->parts[i], now, now))' \
+  '    if (now < 0)'
+m c-tell "parts: acquittals are told to the others" router/quarantine.c \
+  '    out->acquitted_n++;' \
+  ''
+m c-explain "parts: a held one explains the strikes of others" \
+  router/quarantine.c \
+  '      explained = MAX(explained, shared_strikes(row, other));' \
+  '      explained = 0;'
+m c-trial "parts: a trial tells twins apart" router/suspects.c \
+  '  if (has_twin && begin_trial(router, request, part, now))
+    return TRUE;' \
+  ''
+m c-first "parts: one instance tries for all" router/suspects.c \
+  '      !continuation_is_first(router, part) ||' \
+  ''
 m s-count "suspicions: they count until they are proved" router/suspects.c \
-  'return strikes + suspected >= QUARANTINE_HOLD_STRIKES ? until : 0;' \
+  'return strikes + suspected >=
+                 quarantine_hold_strikes(router->quarantine, subject, now)
+             ? until
+             : 0;' \
   'return 0;'
 m s-answered "suspicions: an answer takes them away" router/suspects.c \
   '  suspicions_clear_incarnation(router->suspicions, request->open.life, now);' \
--- a/test/crash_fleet.cc
+++ b/test/crash_fleet.cc
@@ -7,6 +7,10 @@
 
 #include "crash_fleet.h"
 
+extern "C" {
+#include "router/relay_members.h"
+}
+
 namespace crashing {
 
 namespace {
@@ -20,6 +24,12 @@
 constexpr gint64 crash_news_interval = 500 * ms;
 /* after which a check of an engine that does not answer fails */
 constexpr gint64 connect_timeout = 300 * ms;
+
+mp_Addr address_of(unsigned instance) {
+  std::string text = "10.0." + std::to_string(instance / 200) + "." +
+                     std::to_string(instance % 200 + 1) + ":1";
+  return mp_addr_parse(text.c_str());
+}
 } // namespace
 
 unsigned Fleet::random_below(unsigned below) {
@@ -65,13 +75,24 @@
       instance.sequence + 1000; /* above those sent before the restart */
   instance = Instance();
   instance.sequence = sequence;
-  instance.world = std::make_unique<World>();
+  unsigned index = static_cast<unsigned>(&instance - instances.data());
+  char self[24];
+  mp_addr_text(address_of(index), self);
+  instance.world = std::make_unique<World>(0, 10.0, 0, self);
   instance.world->now = now;
   instance.world->configure();
   for (const Engine &engine : engines) {
     if (engine.is_listed)
       set_listed(*instance.world, engine, false);
   }
+  GArray *others = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+  for (unsigned i = 0; i < instances.size(); i++) {
+    RelayMember other = {address_of(i), g_str_hash("a"), 1};
+    if (i != index)
+      g_array_append_val(others, other);
+  }
+  router_set_members(instance.world->router, others);
+  g_array_free(others, TRUE);
   for (auto &[content, stored] : store)
     router_apply_quarantine(instance.world->router, &stored.record,
                             store_position(0, stored.revision), now);
@@ -333,7 +354,7 @@
     from.crash_news_sent_at = now;
     router_report_crashes(from.world->router, FALSE, &news, now);
     for (unsigned k = 0; k < instances.size(); k++) {
-      if (news.n == 0 && news.suspected_n == 0)
+      if (news.n == 0 && news.suspected_n == 0 && news.acquitted_n == 0)
         break;
       if (is_delivered(i, k))
         router_receive_crashes(instances[k].world->router, &news, now);
--- a/test/test_quarantine.cc
+++ b/test/test_quarantine.cc
@@ -23,8 +23,8 @@
 /* Unix time minus the time of the steady clock */
 constexpr gint64 unix_offset = 1700000000LL * second;
 
-QuarantineSuspect suspect_of(guint64 content) {
-  return {content, "q1", "route", nullptr};
+QuarantineSuspect suspect_of(guint64 content, gint64 at) {
+  return {content, at, "q1", "route", nullptr};
 }
 
 QuarantineRecord record_of(guint64 content,
@@ -46,7 +46,7 @@
     quarantine_free(table);
   }
   bool add_strike(guint64 content, guint32 crash) {
-    QuarantineSuspect one = suspect_of(content);
+    QuarantineSuspect one = suspect_of(content, now);
     return quarantine_add_strike(table, &one, crash, now);
   }
   bool merge_report(guint64 content, const std::vector<guint32> &crashes,
@@ -270,7 +270,7 @@
       if (crashes_of[content].size() == QUARANTINE_STRIKES_MAX)
         continue;
       crashes_of[content].push_back(crash);
-      QuarantineSuspect one = suspect_of(content);
+      QuarantineSuspect one = suspect_of(content, now);
       quarantine_add_strike(tables[random() % 5], &one, crash, now);
     }
     for (int round = 0; round < 200; round++) {
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -544,6 +544,10 @@
   world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
   world.endpoint({"pre-3", "llm", "b", STAGE_PREFILL});
   world.endpoint({"dec-3", "llm", "a", STAGE_DECODE});
+  for (int i = 0; i < 13; i++) { /* until one version alone is known */
+    world.advance(second);
+    router_store_answered(world.router, world.now);
+  }
   for (guint64 session = 1; session <= 9; session++) {
     guint64 first = world.request_resumption("/resume/x", session);
     std::string home = world.last().endpoint;
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -104,6 +104,8 @@
   case MP_MSG_CRASHES:
     m.u.crashes.n = MP_CRASH_ROWS;
     m.u.crashes.suspected_n = MP_SUSPECT_ROWS;
+    m.u.crashes.acquitted_n = MP_ACQUITTAL_ROWS;
+    m.u.crashes.acquitted[MP_ACQUITTAL_ROWS - 1] = {1ULL << 62, 350};
     m.u.crashes.suspected[MP_SUSPECT_ROWS - 1] = {1ULL << 63, UINT32_MAX, 9};
     for (unsigned i = 0; i < MP_CRASH_ROWS; i++) {
       m.u.crashes.row[i].request = (1ULL << 63) + i;
@@ -174,6 +176,8 @@
 
 /* where a message of an earlier release ends; 0: where it ends now */
 size_t earlier_end(mp_MsgKind kind, size_t size) {
+  if (kind == MP_MSG_CRASHES)
+    return size - 4 - 12 * MP_ACQUITTAL_ROWS;
   return kind == MP_MSG_RELAY_HEARTBEAT ? size - 8 * MP_RELAY_KINDS : 0;
 }
 
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -270,6 +270,23 @@
   return TRUE;
 }
 
+/* acquittals stand at the end: an earlier release sends none */
+static bool_t xdr_acquittal_rows(XDR *x, mp_CrashUpdate *c) {
+  unsigned i;
+  if (x->x_op == XDR_DECODE && x->x_handy == 0) {
+    c->acquitted_n = 0;
+    return TRUE;
+  }
+  if (!xdr_count(x, &c->acquitted_n, MP_ACQUITTAL_ROWS))
+    return FALSE;
+  for (i = 0; i < c->acquitted_n; i++) {
+    if (!xdr_u64(x, &c->acquitted[i].part) ||
+        !xdr_u32(x, &c->acquitted[i].age_ms))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static bool_t xdr_crash_update(XDR *x, mp_CrashUpdate *c) {
   unsigned i;
   unsigned k;
@@ -285,7 +302,7 @@
         return FALSE;
     }
   }
-  return xdr_suspect_rows(x, c);
+  return xdr_suspect_rows(x, c) && xdr_acquittal_rows(x, c);
 }
 
 static bool_t xdr_rate_update(XDR *x, mp_RateUpdate *r) {
