Parts are acquitted by whole answers only; subjects say what kind they are

E8009 counted parts as requests. Ruled out: leaving such streams unacquitted for good; one that has been written for a second acquits. Change: Outcome.ends_with_close; only an answer with a length or chunks acquits at its end. A stream that ends with its connection before any event is broken off. One bit of a subject's name says that it is a part (E8009 parts=, E8010 and E8011 kind=, Subject in the store's object).

--- a/io/endpoint_call.c
+++ b/io/endpoint_call.c
@@ -118,6 +118,19 @@
   return TRUE;
 }
 
+/* Returns TRUE if the response has neither a length nor chunks. */
+static gboolean ends_with_close(const EndpointCall *call) {
+  return http_head_get(call->head, "Content-Length") == NULL &&
+         http_head_get(call->head, "Transfer-Encoding") == NULL;
+}
+
+/* Returns TRUE if the stream ended where it cannot have been complete: within
+** an event, or by the end of its connection before any event. */
+static gboolean is_broken_stream(const EndpointCall *call) {
+  return event_splitter_pending_size(&call->events) > 0 ||
+         (ends_with_close(call) && !call->has_event);
+}
+
 void endpoint_call_result(EndpointCall *call, const Dialect *dialect,
                           EndpointResult *out) {
   Outcome *outcome = &out->outcome;
@@ -130,7 +143,8 @@
   outcome->misdirected = call->head_info.misdirected;
   outcome->kind =
       call->is_stream ? OUTCOME_STREAM_END : endpoint_call_classify(call);
-  if (call->is_stream && event_splitter_pending_size(&call->events) > 0)
+  outcome->ends_with_close = ends_with_close(call);
+  if (call->is_stream && is_broken_stream(call))
     outcome->kind = OUTCOME_BROKEN;
   if (outcome->kind == OUTCOME_ANSWER && !read_answer(call, dialect, out))
     outcome->kind = OUTCOME_BROKEN;
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -262,6 +262,7 @@
                       call->body->len, whole, &id);
   g_byte_array_set_size(call->body, 0);
   if (whole->len > 0) {
+    call->has_event = TRUE;
     answer.bytes = whole->str;
     answer.size = whole->len;
     outcome.kind = OUTCOME_STREAM_PIECE;
--- a/router/lives.c
+++ b/router/lives.c
@@ -31,10 +31,14 @@
                                 const QuarantineSuspect *suspects, guint count,
                                 const char *how, gint64 now) {
   Router *router = data;
+  guint requests = 0;
   guint i;
+  for (i = 0; i < count; i++)
+    requests += (suspects[i].content & QUARANTINE_PART_BIT) == 0;
   router_count(router, ENDPOINT_ENDS);
-  router_log(router, MP_LOG_EP_ENDED, " endpoint=%s requests=%u proof=%s",
-             endpoint, count, how);
+  router_log(router, MP_LOG_EP_ENDED,
+             " endpoint=%s requests=%u parts=%u proof=%s", endpoint, requests,
+             count - requests, how);
   for (i = 0; i < count; i++)
     suspects_add_strike(router, &suspects[i], life, now);
   suspects_refuse_held(router, now);
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -209,7 +209,9 @@
     endpoint_note_failure(endpoint, now);
   else if (endpoint != NULL)
     endpoint_note_success(endpoint, now);
-  suspects_note_success(router, request, outcome->status < 300, now);
+  suspects_note_success(router, request,
+                        outcome->status < 300 && !outcome->ends_with_close,
+                        now);
   if (failed && replace_run(router, request, FALSE, now))
     return;
   if (request->head_sent) { /* the resumed run answered without a stream */
@@ -347,7 +349,7 @@
     if (endpoint != NULL)
       endpoint_note_success(endpoint, now);
     estimate_observe_output(router, request);
-    suspects_note_success(router, request, TRUE, now);
+    suspects_note_success(router, request, !outcome->ends_with_close, now);
     router_record_duration(router, request, DURATION_STREAM, now);
     admission_note_run_end(router, now);
     finish_answered(router, request, outcome);
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -64,11 +64,15 @@
 ** have endpoints end under one that is in many prompts. */
 #define QUARANTINE_HOLD_STRIKES_ACQUITTED 5
 
+/* The bit that tells parts of prompts from requests in subjects' names. */
+#define QUARANTINE_PART_BIT (1ULL << 63)
+
 /* the strikes of one subject, as instances report them and the store keeps
 ** them */
 typedef struct QuarantineRecord {
-  guint64 content; /* hash of the request's content and account, or of the part
-                   ** and its service */
+  guint64 content; /* names the subject: hash of the request's content and
+                   ** account, or with QUARANTINE_PART_BIT of the part and its
+                   ** service */
   guint count;     /* of 'crashes' */
   guint32 crashes[QUARANTINE_STRIKES_MAX]; /* the incarnations that ended, each
                                            ** as Endpoint.hash */
--- a/router/router.c
+++ b/router/router.c
@@ -210,10 +210,10 @@
 ** others. */
 static guint64 quarantine_key(const CallerRequest *call,
                               const Account *account) {
-  if (account == NULL)
-    return call->content;
-  return XXH3_64bits_withSeed(account->name, strlen(account->name),
-                              call->content);
+  guint64 key = call->content;
+  if (account != NULL)
+    key = XXH3_64bits_withSeed(account->name, strlen(account->name), key);
+  return key & ~QUARANTINE_PART_BIT;
 }
 
 /* Creates a request; its caller sets the account and the service. */
--- a/router/router.h
+++ b/router/router.h
@@ -217,6 +217,9 @@
                                ** could not be used, so nothing is known of the
                                ** endpoint */
   gboolean was_kept;          /* its connection was open before the dispatch */
+  gboolean ends_with_close;   /* ANSWER, STREAM_END: the answer has neither a
+                              ** length nor chunks, so the end of the connection
+                              ** alone says that it is complete */
   const char *event;          /* STREAM_PIECE: id of its last event, or NULL */
   void *payload;              /* the host's own; passed on to 'answer' */
   const char *handle;         /* ANSWER of a prefill; NULL: none was given */
--- a/router/state.h
+++ b/router/state.h
@@ -550,8 +550,8 @@
 void suspects_note_piece(Router *router, Request *request, gint64 now);
 /* The endpoint of the open dispatch has answered, so it has not crashed. */
 void suspects_note_answer(Router *router, const Request *request, gint64 now);
-/* A run of the request ended with an answer; 'wrote': the endpoint wrote it on
-** the prompt, so it has not crashed on that. */
+/* A run of the request ended with an answer; 'wrote': the endpoint wrote it to
+** its end, so it has not crashed on the prompt. */
 void suspects_note_success(Router *router, Request *request, gboolean wrote,
                            gint64 now);
 /* Sets the names of the request's parts; its service must be set. */
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -225,6 +225,11 @@
   }
 }
 
+/* Returns the kind of a subject, as logs have it. */
+static const char *kind_name(guint64 subject) {
+  return (subject & QUARANTINE_PART_BIT) != 0 ? "part" : "request";
+}
+
 /* Logs that a request is held, if it is. 'from' says where the newest strike
 ** comes from: "here", "instance" or "store". */
 static void log_held(Router *router, guint64 content, const char *from,
@@ -236,13 +241,14 @@
     return;
   router_log(router, MP_LOG_REQUEST_HELD,
              " content=%016" G_GINT64_MODIFIER
-             "x strikes=%u from=%s for_s=%" G_GINT64_FORMAT,
-             content, strikes, from, seconds);
+             "x kind=%s strikes=%u from=%s for_s=%" G_GINT64_FORMAT,
+             content, kind_name(content), strikes, from, seconds);
 }
 
 static void note_broken_subject(Router *router, const Endpoint *endpoint,
                                 const QuarantineSuspect *suspect, gint64 now) {
-  if (!endpoint_is_leaving(endpoint))
+  if (!endpoint_is_leaving(endpoint) &&
+      !was_just_acquitted(router, suspect->content, now))
     suspicions_add(router->suspicions, suspect->content, endpoint->hash, now);
   crash_watch_run_broken(router->crashes, endpoint, suspect, now);
 }
@@ -274,7 +280,8 @@
 /* Logs that a subject is no longer held. */
 static void log_lifted(Router *router, guint64 subject) {
   router_log(router, MP_LOG_REQUEST_LIFTED,
-             " content=%016" G_GINT64_MODIFIER "x", subject);
+             " content=%016" G_GINT64_MODIFIER "x kind=%s", subject,
+             kind_name(subject));
 }
 
 static void acquit_parts(Router *router, Request *request, gint64 now) {
@@ -307,7 +314,8 @@
   request->parts_count = call->parts_count;
   for (i = 0; i < call->parts_count; i++)
     request->parts[i] =
-        XXH3_64bits_withSeed(&call->parts[i], sizeof call->parts[i], service);
+        XXH3_64bits_withSeed(&call->parts[i], sizeof call->parts[i], service) |
+        QUARANTINE_PART_BIT;
 }
 
 /*
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -415,9 +415,11 @@
   io/load_exchange.c 'else if (!exchange->has_crash_news)' 'else'
 m q-sweep "hold: those that wait are refused at once" router/suspects.c \
   'while ((request = find_held_waiting(router, now)) != NULL)' 'while (FALSE)'
-m q-account "hold: of one client account" router/router.c \
-  'if (account == NULL)
-    return call->content;' 'return call->content;'
+m q-account "hold: an account's request is its own" router/router.c \
+  '  if (account != NULL)
+    key =' \
+  '  if (account == NULL && call == NULL)
+    key ='
 m v-later "lives: a later one ends what runs" router/lives.c \
   'while ((number = find_open_dispatch(router, id, life)) != 0)' \
   'while (FALSE)'
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -306,6 +306,7 @@
   outcome.kind = kind;
   outcome.status = status;
   outcome.was_kept = was_kept;
+  outcome.ends_with_close = ends_with_close;
   for (auto &sent : dispatches) {
     if (sent.number == dispatch && is_final_outcome(kind))
       sent.ended = true;
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -226,6 +226,8 @@
   std::vector<guint64> parts;
   /* The next outcomes came over connections that were open before. */
   bool was_kept = false;
+  /* The next answers have neither a length nor chunks. */
+  bool ends_with_close = false;
   /* Start time (Unix ms) of the incarnation in the next endpoint record. */
   gint64 started_unix_ms = 0;
   /* Version of the software in the next endpoint record; NULL: none. */
--- a/test/test_crashing_parts.cc
+++ b/test/test_crashing_parts.cc
@@ -160,4 +160,69 @@
   }
 }
 
+/* A run of a request with this part at a router alone. */
+guint64 run_with_part(World &world) {
+  world.parts = {part};
+  guint64 number = world.request("/resume/x");
+  if (world.last().kind == DISPATCH_PREFILL)
+    world.prefilled(world.last().number);
+  EXPECT_EQ(world.last().request, number);
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  return world.last().number;
+}
+
+guint acquittals_of(World &world) {
+  mp_CrashUpdate news = {};
+  router_report_crashes(world.router, FALSE, &news, world.now);
+  return news.acquitted_n;
+}
+
+/* A strike of the part, so that acquittals of it are told. */
+void strike_part(World &world) {
+  guint64 run = run_with_part(world);
+  world.was_kept = true;
+  std::string engine = world.sent(run).endpoint;
+  world.outcome(run, OUTCOME_BROKEN);
+  world.endpoint({engine.c_str(), "llm", "a", STAGE_DECODE}, true, true);
+  world.endpoint({"dec-9", "llm", "a", STAGE_DECODE});
+}
+
+TEST(CrashingParts, AnswerThatEndsWithItsConnectionAcquitsNothingAtOnce) {
+  for (bool is_framed : {false, true}) {
+    World world;
+    world.add_default_endpoints();
+    strike_part(world);
+    guint64 run = run_with_part(world);
+    world.piece(run, "1");
+    world.ends_with_close = !is_framed;
+    world.outcome(run, OUTCOME_STREAM_END);
+    EXPECT_EQ(acquittals_of(world), is_framed ? 1u : 0u);
+  }
+}
+
+TEST(CrashingParts, EndpointThatHasWrittenForASecondAcquits) {
+  World world;
+  world.add_default_endpoints();
+  strike_part(world);
+  guint64 run = run_with_part(world);
+  for (int i = 0; i < 10; i++) {
+    world.piece(run, std::to_string(i + 1).c_str());
+    EXPECT_EQ(acquittals_of(world), 0u);
+    world.advance(100 * ms);
+  }
+  world.piece(run, "11");
+  EXPECT_EQ(acquittals_of(world), 1u);
+}
+
+TEST(CrashingParts, FailureOfAnEndpointAcquitsNothing) {
+  World world;
+  world.add_default_endpoints();
+  strike_part(world);
+  world.parts = {part};
+  world.request("/resume/x");
+  world.prefilled(world.last().number);
+  world.outcome(world.last().number, OUTCOME_ANSWER, 500);
+  EXPECT_EQ(acquittals_of(world), 0u);
+}
+
 } // namespace
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -400,6 +400,30 @@
   EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
 }
 
+/* Sends a stream that has neither a length nor chunks, and its end. */
+Told end_of_unframed(Links &links, guint64 number, Peer *peer,
+                     const std::string &events) {
+  peer->send_text("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n"
+                  "Content-Type: text/event-stream\r\n\r\n" +
+                  events);
+  peer->close_now();
+  return links.ended(number);
+}
+
+TEST_F(Links, AStreamWithoutLengthThatEndsWithinAnEventIsBroken) {
+  guint64 whole = dispatch(true);
+  Told end = end_of_unframed(*this, whole, asked(0), "id: 1\ndata: a\n\n");
+  EXPECT_EQ(end.kind, OUTCOME_STREAM_END);
+  guint64 cut = dispatch(true);
+  end =
+      end_of_unframed(*this, cut, asked(1), "id: 1\ndata: a\n\nid: 2\ndata:");
+  EXPECT_EQ(end.kind, OUTCOME_BROKEN);
+  for (const Told &one : told[cut])
+    EXPECT_EQ(one.bytes.find("id: 2"), std::string::npos);
+  guint64 empty = dispatch(true);
+  EXPECT_EQ(end_of_unframed(*this, empty, asked(2), "").kind, OUTCOME_BROKEN);
+}
+
 TEST_F(Links, AStreamWithoutItsLastChunkIsBroken) {
   guint64 first = dispatch(true);
   Peer *peer = asked(0);
--- a/test/test_quarantine.cc
+++ b/test/test_quarantine.cc
@@ -313,4 +313,89 @@
   EXPECT_EQ(next_save().record.count, 0u);
 }
 
+/* {== Parts of prompts =================================================== */
+
+constexpr guint64 part = QUARANTINE_PART_BIT + 7;
+constexpr guint64 twin = QUARANTINE_PART_BIT + 8;
+
+TEST_F(QuarantineTest, RunThatGoesOnTakesAllStrikesOffAPart) {
+  for (guint32 crash = 1; crash <= 3; crash++)
+    add_strike(part, crash);
+  ASSERT_TRUE(is_held(part));
+  now += second;
+  EXPECT_TRUE(quarantine_acquit(table, part, now, now));
+  EXPECT_FALSE(is_held(part));
+  EXPECT_EQ(quarantine_strike_count(table, part), 0u);
+  EXPECT_FALSE(add_strike(part, 2)); /* a late report changes nothing */
+}
+
+TEST_F(QuarantineTest, AcquittedPartTakesFiveStrikesForTwoMinutes) {
+  quarantine_acquit(table, part, now, now);
+  now += second;
+  for (guint32 crash = 1; crash <= 4; crash++)
+    add_strike(part, crash);
+  EXPECT_FALSE(is_held(part));
+  add_strike(part, 5);
+  EXPECT_TRUE(is_held(part));
+  quarantine_acquit(table, twin, now, now);
+  now += 121 * second;
+  quarantine_expire(table, now);
+  for (guint32 crash = 11; crash <= 13; crash++)
+    add_strike(twin, crash);
+  EXPECT_TRUE(is_held(twin));
+}
+
+TEST_F(QuarantineTest, AcquittalIsToldAndFreesThePartElsewhere) {
+  Quarantine *other = quarantine_new(unix_offset, 2);
+  QuarantineSuspect one = suspect_of(part, now);
+  for (guint32 crash = 1; crash <= 3; crash++) {
+    add_strike(part, crash);
+    quarantine_add_strike(other, &one, crash, now);
+  }
+  now += second;
+  quarantine_acquit(table, part, now, now);
+  mp_CrashUpdate news = {};
+  quarantine_write_news(table, FALSE, &news, now);
+  ASSERT_EQ(news.acquitted_n, 1u);
+  EXPECT_EQ(news.acquitted[0].part, part);
+  EXPECT_EQ(news.n, 0u);
+  EXPECT_TRUE(quarantine_acquit(other, news.acquitted[0].part,
+                                now - news.acquitted[0].age_ms * MP_MS, now));
+  EXPECT_EQ(quarantine_held_until(other, part, now), 0);
+  quarantine_free(other);
+}
+
+TEST_F(QuarantineTest, StrikesOfAHeldPartAccuseNoOther) {
+  for (guint32 crash = 1; crash <= 4; crash++)
+    add_strike(part, crash);
+  for (guint32 crash = 2; crash <= 4; crash++)
+    add_strike(twin, crash);
+  EXPECT_TRUE(is_held(part));
+  EXPECT_FALSE(is_held(twin));
+  EXPECT_FALSE(quarantine_has_twin(table, part, &part, 1));
+  for (guint32 crash = 11; crash <= 13; crash++)
+    add_strike(twin, crash); /* its own */
+  EXPECT_TRUE(is_held(twin));
+}
+
+TEST_F(QuarantineTest, TwinsAreToldApartByOneTrialAtATime) {
+  for (guint32 crash = 1; crash <= 3; crash++) {
+    add_strike(part, crash);
+    add_strike(twin, crash);
+  }
+  guint64 both[] = {part, twin};
+  EXPECT_TRUE(is_held(part) && is_held(twin));
+  EXPECT_TRUE(quarantine_has_twin(table, twin, &twin, 1));
+  EXPECT_FALSE(quarantine_has_twin(table, twin, both, 2));
+  EXPECT_TRUE(quarantine_begin_trial(table, twin, now));
+  EXPECT_FALSE(quarantine_begin_trial(table, twin, now + second));
+  EXPECT_TRUE(quarantine_begin_trial(table, twin, now + 6 * second));
+  EXPECT_FALSE(quarantine_begin_trial(table, twin, now + 60 * second));
+  add_strike(part, 4); /* a trial of the other one crashed an endpoint */
+  EXPECT_TRUE(is_held(part));
+  EXPECT_FALSE(is_held(twin));
+}
+
+/* }== Parts of prompts =================================================== */
+
 } // namespace
