--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -11,8 +11,7 @@
 ** configuration, then with RATE requests per second.
 ** Bytes are those of the encoded datagrams with their UDP and IP headers, in
 ** and out; processor time is that of mp_feed and mp_next_effect alone; memory
-*is
-** what the allocator handed out for the cores. HTTP and the kernel are not
+** is what the allocator handed out for the cores. HTTP and the kernel are not
 ** included (docs/CAPACITY.md adds them, measured separately).
 */
 
--- a/core/answer.c
+++ b/core/answer.c
@@ -26,7 +26,7 @@
 
 /*
 ** Timer: no new piece came for MP_STREAM_TIMEOUT since the call or the last
-*piece.
+** piece.
 */
 static void on_stall_timeout(mp_State *state, void *ud) {
   Request *r = ud;
--- a/core/claim.c
+++ b/core/claim.c
@@ -405,8 +405,7 @@
 
 /* timer function: announce, drop the rows whose time is over, and have their
 ** shards written; runs each third of MP_HOME_SETTLE_TIME, and at once when the
-*set
-** of live instances changed */
+** set of live instances changed */
 static void run_periodic(mp_State *state, void *ud) {
   GHashTableIter it;
   gpointer v;
--- a/core/claim.h
+++ b/core/claim.h
@@ -33,8 +33,7 @@
 ** Ask the home for a claim that lasts 'ttl' (us) from when the home learns of
 ** it. 'fn' gets MP_GRANTED, MP_DENIED or MP_UNAVAILABLE, the last at latest
 ** about MP_STORE_TIMEOUT + MP_HOME_SETTLE_TIME from now. Returns a number,
-*never
-** 0, for claim_cancel_request.
+** never 0, for claim_cancel_request.
 */
 uint64_t claim_request(mp_State *state, const uint64_t id[2],
                        const mp_Token *t, mp_Time ttl, int durable,
--- a/core/doc.c
+++ b/core/doc.c
@@ -3,11 +3,11 @@
 ** Distribution of the configuration and of the instance list
 **
 ** MP_RELAYS_PER_DC instances of each data centre, the relays, watch both
-*documents on
+** documents on
 ** the platform. Every instance also learns of new versions from probes and
 ** fetches them from the instance that sent the probe; one that is no relay
 ** reads the platform only every MP_DOC_POLL_INTERVAL. A configuration is a
-*manifest and
+** manifest and
 ** sections; the manifest names each section by the digest of its text, so only
 ** the changed ones are fetched. Section texts are kept for the configuration
 ** in force and the one that is being fetched.
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -9,10 +9,10 @@
 ** Ejection: after MP_EJECT_FAILURES failures in a row an endpoint gets no new
 ** work for MP_EJECT_TIME; this time doubles with each ejection since the last
 ** success, up to MP_EJECT_TIME_MAX. An endpoint is ejected only if, without
-*it, at
+** it, at
 ** least one endpoint of its pool (the same service and role) and at least
 ** MP_EJECT_OPEN_PERCENT_MIN percent of them are still available for new work.
-*When the
+** When the
 ** time is over, the endpoint gets new work as before, not just one trial
 ** request; until one call succeeds, any single failure ejects it again.
 */
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -4,7 +4,7 @@
 **
 ** An endpoint is a server that does the work: an engine, or a server of a
 ** plain service. The platform's instance list (mp_InstanceList) names the
-*endpoints
+** endpoints
 ** and also the instances of this router; only the endpoints have rows here.
 ** "This instance" is the router process that runs this core.
 **
--- a/core/flow.c
+++ b/core/flow.c
@@ -55,8 +55,7 @@
 /*
 ** Asks the home of the request's ID to claim it (claim.h), until
 ** MP_CLAIM_RETENTION after the deadline. The claim is durable where the work
-*must
-** not be repeated.
+** must not be repeated.
 */
 static void request_claim(mp_State *state, Request *r) {
   mp_Time ttl = r->deadline - state->now + MP_CLAIM_RETENTION;
--- a/core/fx.h
+++ b/core/fx.h
@@ -5,7 +5,7 @@
 ** An effect is something that only the host (the program that embeds the core)
 ** can do: send a message, call an endpoint or the platform, answer a caller,
 ** write a log line. The functions here queue effects, which mp_next_effect
-*hands to
+** hands to
 ** the host in order; none acts at once. The answer to a call comes through the
 ** callback given with it, exactly once (for a call to an endpoint: once for
 ** each event up to the last), unless the call is cancelled before that. 'ud'
@@ -29,7 +29,7 @@
 /*
 ** Call another instance, or this one. The message is sent again, first
 ** after MP_RPC_RETRY_DELAY and each time after twice the wait before, until a
-*reply
+** reply
 ** comes or 'patience' (us) has passed. Returns the call's sequence number,
 ** never 0, for effect_rpc_cancel.
 */
--- a/core/keep.c
+++ b/core/keep.c
@@ -11,8 +11,7 @@
 ** With all slots granted, any expectation above 0 thus suffices for one more.
 **
 ** Prefill: a prompt shorter than MP_LONG_PROMPT_MIN is granted while the
-*granted
-** prompts that are shorter than that too take the engine less than
+** granted prompts that are shorter than that too take the engine less than
 ** MP_PREFILL_AHEAD. This bound is small so that the order of waiting work is
 ** decided here and not by the engine. Whether a long prompt is granted depends
 ** only on the number of long prompts that are granted there.
--- a/core/member.c
+++ b/core/member.c
@@ -475,8 +475,7 @@
 ** Timer function: tell all members that are not dead that this instance is
 ** alive, by probing them. The instances that hold claims learn from it that
 ** they must announce them to a new home, before the home's MP_HOME_SETTLE_TIME
-*is
-** over.
+** is over.
 */
 static void announce_alive(mp_State *state, void *ud) {
   guint i;
--- a/core/order.c
+++ b/core/order.c
@@ -299,8 +299,7 @@
 
 /*
 ** Timer: no answer within MP_ORDER_TIMEOUT. The engine's next load report
-*shows
-** which role it has.
+** shows which role it has.
 */
 static void on_order_timeout(mp_State *state, void *ud) {
   (void)ud;
@@ -310,8 +309,7 @@
 
 /*
 ** Orders an engine to change its role. The order is valid for
-*MP_ORDER_TIMEOUT,
-** but not beyond the lease.
+** MP_ORDER_TIMEOUT, but not beyond the lease.
 */
 static void send_order(mp_State *state, Endpoint *e, mp_Role role) {
   Orders *orders = state->orders;
@@ -339,7 +337,7 @@
 /*
 ** Orders one engine of the service to change its role when a role has needed
 ** engines for MP_ROLE_CHANGE_DELAY, the service may be given orders, and the
-*other
+** other
 ** role's pool has more engines than it must keep. 'pressed_since' belongs to
 ** all services: one that needs no engines sets it back for the others too.
 */
@@ -377,7 +375,7 @@
 
 /*
 ** Timer, MP_ORDER_RENEW_INTERVAL after the last read or write of the lease
-*ended: gives
+** ended: gives
 ** orders under the lease, then renews it, takes it when it has expired, or
 ** reads it again.
 */
--- a/core/order.h
+++ b/core/order.h
@@ -9,7 +9,7 @@
 **
 ** An engine is ordered to another role when the pressure on the one role of
 ** its service has been high, and that on the other low, for
-*MP_ROLE_CHANGE_DELAY,
+** MP_ROLE_CHANGE_DELAY,
 ** and the other role's pool has more engines than the configuration says that
 ** it must keep. The pressure is the seconds of prefill work that wait, or the
 ** share of decode slots in which streams run, as a mean over the role's
--- a/core/quota.h
+++ b/core/quota.h
@@ -6,10 +6,9 @@
 ** picks. The home owns the account's token bucket and lends the other
 ** instances slices of it: a number of requests that expires after
 ** MP_QUOTA_SLICE_TIME. An instance that cannot reach the home admits an even
-*share
+** share
 ** of the limit instead, at least one request per MP_QUOTA_SLICE_TIME, so that
-*a
-** network cut neither stops an account nor lifts its limit. With the policy
+** a network cut neither stops an account nor lifts its limit. With the policy
 ** 'quota_slices' off every instance admits the even share.
 **
 ** Reads the configuration and the members; owns its slices and buckets.
--- a/core/timer.h
+++ b/core/timer.h
@@ -3,8 +3,7 @@
 ** Timers on the core's own time (mp_State.now), not on a system clock
 **
 ** mp_feed runs those that are due; mp_next_tick tells the host when the next
-*one
-** is.
+** one is.
 */
 
 #ifndef TIMER_H
--- a/core/work.c
+++ b/core/work.c
@@ -300,8 +300,7 @@
 ** The link is free: checks the placement rules once more, for this very move,
 ** then tells the target to pull the KV from the source. The timeout is 4 times
 ** the estimated time plus half of MP_STREAM_TIMEOUT, but at most 0.5 s after
-*the
-** KV expires (or from now, when it has expired already).
+** the KV expires (or from now, when it has expired already).
 */
 static void start_import(mp_State *state, void *ud) {
   Request *r = ud;
--- a/io/adapters.h
+++ b/io/adapters.h
@@ -68,7 +68,7 @@
 void endpoints_free(Endpoints *E);
 /*
 ** Performs the effect MP_FX_ENDPOINT_CALL: begins the call '*x' to an
-*endpoint. What
+** endpoint. What
 ** comes back is fed as events from the event loop, never from within this
 ** function.
 */
--- a/io/directory.h
+++ b/io/directory.h
@@ -53,8 +53,7 @@
   ** that are in this data centre and answer queries for the store's objects;
   ** it is empty when this instance does not answer such queries itself.
   ** 'carriers' has a RelayMember for each of 'all'. The arrays are valid
-  *during
-  ** the callback. */
+  ** during the callback. */
   void (*instances)(void *data, const GArray *all, const GArray *near,
                     const GArray *carriers);
   /* The store has answered a call, with or without changes. */
--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -73,9 +73,8 @@
 void endpoint_result_clear(EndpointResult *result);
 
 /*
-** Is it a run or a prefill that the endpoint has carried out, as a status of
-*200
-** to 299 says? The head of the response must have been received.
+** Is it a run or a prefill that the endpoint has carried out, as its status
+** (200 to 299) says? The head of the response must have been received.
 */
 gboolean endpoint_call_has_served(const EndpointCall *call);
 
--- a/router/acquittals.c
+++ b/router/acquittals.c
@@ -6,7 +6,7 @@
 #include "router/acquittals.h"
 
 /* At most this many parts are remembered, at some 50 bytes each. While there
-** are as many, further ones are not: they get the benefit of fewer strikes. */
+** are as many, further ones are not; three strikes hold such a part. */
 #define PARTS_MAX 16384
 
 typedef struct Acquittal {
--- a/router/acquittals.h
+++ b/router/acquittals.h
@@ -2,10 +2,9 @@
 ** acquittals.h
 ** Remembers parts of prompts on which endpoints wrote answers and lived on
 **
-** A part that crashes the endpoints which write an answer on it crashes each
-*of
-** them, so one run that went on speaks for every part of its prompt. The
-** quarantine (quarantine.h) asks here before it holds a part.
+** A part that crashes endpoints crashes each one that writes an answer on it,
+** so one run that went on speaks for every part of its prompt. The quarantine
+** (quarantine.h) asks here before it holds a part.
 **
 ** Times are microseconds of the steady clock. A part is a 64-bit key
 ** (Request.parts).
--- a/router/admission.c
+++ b/router/admission.c
@@ -228,11 +228,10 @@
 }
 
 /* Returns how many waiting requests, here and at other instances, start before
-** this one. Of those that go on with a stream, and of the rest, each counts
-** its own kind, since they do not need the same room. At other instances only
-*one request each is counted, since the
-** digests tell no more: the most senior one in time if it is more senior, or
-** for a late request any. */
+** this one. Requests that go on with a stream, and the others, count their own
+** kind alone, since they do not need the same room. At other instances only
+** one request each is counted, since the digests tell no more: the most senior
+** one in time if it is more senior, or for a late request any. */
 static guint count_ahead(const Router *router, const Request *request,
                          gint64 now) {
   const PeerLoads *peers = router->endpoints->peers;
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -7,8 +7,7 @@
 ** Request.software from the first piece on. A caller that takes a stream up
 ** again may reach any instance, so the instance that begins a stream tells its
 ** origin to a few others, the stream's replicas, before the first event goes
-*to
-** the caller. Each instance computes a stream's replicas from the list of
+** to the caller. Each instance computes a stream's replicas from the list of
 ** instances by rendezvous hashing; one that does not know the origin of a
 ** stream asks them.
 **
--- a/router/crash_watch.h
+++ b/router/crash_watch.h
@@ -46,9 +46,8 @@
   guint64 (*check)(void *data, const Endpoint *endpoint, gint64 timeout,
                    gint64 now);
   /* This life of the endpoint ended while it ran these requests. 'how' is the
-  ** proof, a static string: "refused" or the 'how' of
-  *crash_watch_incarnation_ended.
-  ** 'suspects' is valid during the call only. */
+  ** proof, a static string: "refused", or what crash_watch_incarnation_ended
+  ** was told. 'suspects' is valid during the call only. */
   void (*ended)(void *data, const char *endpoint, guint32 life,
                 const QuarantineSuspect *suspects, guint count,
                 const char *how, gint64 now);
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -152,11 +152,9 @@
 ** these subjects. */
 gboolean quarantine_has_twin(const Quarantine *quarantine, guint64 content,
                              const guint64 *subjects, guint count);
-/* Returns TRUE if a request with the held subject, and without its twin, may
- *be
- ** run now to tell them apart, and counts that trial. Only one instance may
- *ask
- ** for a subject. */
+/* Returns TRUE if a request that has the held subject, and not its twin, may
+** run now to tell them apart, and counts that trial. One instance alone may
+** ask for a subject. */
 gboolean quarantine_begin_trial(Quarantine *quarantine, guint64 content,
                                 gint64 now);
 
--- a/router/reach.h
+++ b/router/reach.h
@@ -50,8 +50,7 @@
 gboolean reach_note_outcome(Reach *reach, Endpoint *endpoint, mp_Addr via,
                             const Outcome *outcome, gint64 now);
 /* A direct dispatch has heard nothing of the endpoint since 'since': checks
- *the
- ** direct path, unless other dispatches have heard of it. */
+** the direct path, unless other dispatches have heard of it. */
 void reach_note_silence(Reach *reach, Endpoint *endpoint, gint64 since,
                         gint64 now);
 /*
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -237,7 +237,7 @@
 /*
 ** Writes to 'out' the instances that this one is to ask for a heartbeat now,
 ** and returns how many, at most 'most'. A member that is not 'is_synced' has
-*no
+** no
 ** copy of the store's objects yet and asks those that should be relays of its
 ** data centre. A relay that is not fresh asks the instances of the other data
 ** centres in turn: those that should be relays there may be lost, and those
--- a/router/relay_members.h
+++ b/router/relay_members.h
@@ -2,9 +2,8 @@
 ** relay_members.h
 ** The other instances, in the order in which they become relays
 **
-** Those on the largest machines come first, equal ones are ordered by a hash
-*of
-** their addresses. A relay is an instance that follows the store for others
+** Those on the largest machines come first; a hash of their addresses orders
+** equal ones. A relay is an instance that follows the store for others
 ** (relay_group.h).
 **
 ** Invariant: instances that know the same members have the same order of them.
--- a/router/signals.c
+++ b/router/signals.c
@@ -106,9 +106,9 @@
 */
 
 /* A digest names at most MP_LOAD_DIGEST_LEAVING endpoints. If more are
- *leaving,
- ** the digests of each span of this length name the next ones in turn; it is
- ** the longest time between two digests. */
+** leaving,
+** the digests of each span of this length name the next ones in turn; it is
+** the longest time between two digests. */
 #define ROTATION_INTERVAL (500 * MP_MS)
 
 /*
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -5,7 +5,7 @@
 **
 ** What follows of a request holds for each shared part of its prompt too: a
 ** request is held or deferred if one of its subjects is. A request is held by
-*the quarantine (router/quarantine.h) and deferred by
+** the quarantine (router/quarantine.h) and deferred by
 ** strikes and suspicions together (router/suspicions.h). suspects_may_dispatch
 ** is asked before every dispatch for a caller, so a request that becomes held
 ** while it waits or while its prompt is read is not sent either. A request is
--- a/router/suspicions.h
+++ b/router/suspicions.h
@@ -13,9 +13,8 @@
 **    list would have proved the end.
 ** 2. It ends at once when that life of the endpoint (that run of its process)
 **    answers anything. So an endpoint that breaks answers off because of a
-**    fault, and goes on to answer, leaves no suspicion here. The instances
-*that
-**    were told of it are told of its end as well.
+**    fault, and goes on to answer, leaves no suspicion here. Whoever was told
+**    of it is told of its end as well.
 ** 3. It never becomes a strike (router/quarantine.h): a suspicion can defer a
 **    request and can't quarantine one.
 **
--- a/test/test_connections.cc
+++ b/test/test_connections.cc
@@ -80,9 +80,8 @@
                          });
 
 /* callers who come all at once, where none was before: nobody knows yet what
- *the
- ** others open, and a few are reset (a step from a tenth is in the
- ** bound above) */
+** the others open, and a few are reset (a step from a tenth is in the
+** bound above) */
 TEST(ConnectionsAtRest, OfACrowdFromNowhereFewAreReset) {
   FleetOptions options;
   options.instances = 90;
--- a/test/test_crash_fleet.cc
+++ b/test/test_crash_fleet.cc
@@ -165,8 +165,7 @@
 /*
 ** Guards against a request that is sent on before the instances know of each
 ** other's broken runs, or to an engine that it has crashed. Half of the
-*engines
-** are far, so that the same two are preferred everywhere.
+** engines are far, so that the same two are preferred everywhere.
 */
 TEST(SuspectedCrashes, AreKnownElsewhereBeforeTheRequestIsSentAgain) {
   FleetOptions options;
