--- a/router/state.h
+++ b/router/state.h
@@ -4,11 +4,12 @@
 ** that its files offer to each other
 **
 ** Only files of router/ include this. Each section below names the file that
-** implements it. A request that takes a stream up waits in continuation.c until
-** it is known where the stream began. A request for an engine passes through admission.c (waits for
-** room at a decode engine), prefill.c (has its prompt read) and path.c (is
-** run); a request for a plain service goes to path.c at once. outcomes.c and
-** prefill.c handle what becomes of the dispatches; finish.c ends the request.
+** implements it. A request that takes a stream up waits in continuation.c
+** until it is known where the stream began. A request for an engine passes
+** through admission.c (waits for room at a decode engine), prefill.c (has its
+** prompt read) and path.c (is run); a request for a plain service goes to
+** path.c at once. outcomes.c and prefill.c handle what becomes of the
+** dispatches; finish.c ends the request.
 **
 ** A function marked "may end" may end and free the request, so the caller must
 ** not use the request afterwards.
