A request that is sent again is blamed before the parts it shares with others

Cause: the same three strikes were on the request and on a part of its prompt that all requests of the service have; nothing had acquitted the part since the start, so both were held, and only one instance would have tried it. Change: a held request explains the strikes of a part that has as many; a fourth strike under another request holds the part.

--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -357,6 +357,20 @@
   return shared;
 }
 
+static gboolean is_part(const Row *row) {
+  return (row->content & QUARANTINE_PART_BIT) != 0;
+}
+
+/* Returns TRUE if the other row may explain strikes of this one (invariant 6).
+ */
+static gboolean may_explain(const Row *other, const Row *row) {
+  guint count = strike_count(row);
+  guint others = strike_count(other);
+  return other != row && has_enough_strikes(other) &&
+         (others > count ||
+          (others == count && is_part(row) && !is_part(other)));
+}
+
 /* Returns how many strikes of the row no other one explains (invariant 6), as
 ** far as the held subject goes that explains most. */
 static guint unexplained_strikes(const Quarantine *quarantine,
@@ -370,8 +384,7 @@
   g_hash_table_iter_init(&iterator, quarantine->rows);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Row *other = value;
-    if (other != row && strike_count(other) > count &&
-        has_enough_strikes(other))
+    if (may_explain(other, row))
       explained = MAX(explained, shared_strikes(row, other));
   }
   return count - explained;
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -36,9 +36,10 @@
 **    QUARANTINE_HOLD_STRIKES_ACQUITTED further ones to hold such a part. The
 **    other instances are told.
 ** 6. A strike explains away: one that a held subject has too does not count
-**    against a subject with fewer strikes. Two held subjects with the same
-**    strikes are twins; a single trial run of a request that has only one of
-**    them tells them apart (quarantine_begin_trial).
+**    against a subject with fewer strikes, nor one of a held request against a
+**    part with as many. Two held parts with the same strikes are twins: one
+**    trial run of a request that has only one of them tells them apart
+**    (quarantine_begin_trial).
 **
 ** A Router owns one Quarantine. suspects.c uses it, and io/quarantine_writer.c
 ** writes what quarantine_next_save returns to the store. Times are in
--- a/test/test_quarantine.cc
+++ b/test/test_quarantine.cc
@@ -378,6 +378,17 @@
   EXPECT_TRUE(is_held(twin));
 }
 
+TEST_F(QuarantineTest, RequestThatIsSentAgainIsBlamedBeforeItsParts) {
+  for (guint32 crash = 1; crash <= 3; crash++) {
+    add_strike(7, crash);
+    add_strike(part, crash);
+  }
+  EXPECT_TRUE(is_held(7));
+  EXPECT_FALSE(is_held(part));
+  add_strike(part, 4); /* under another request */
+  EXPECT_TRUE(is_held(part));
+}
+
 TEST_F(QuarantineTest, TwinsAreToldApartByOneTrialAtATime) {
   for (guint32 crash = 1; crash <= 3; crash++) {
     add_strike(part, crash);
