Lifting a request frees the parts of its prompt that it explained

Cause: a request explains the strikes of a part that has as many (invariant 6), so only the request is held. The lift took the request's strikes off; the part kept its own, nothing explained them any more, and the part was held from then on. Both had been written to the store from two strikes on. Change: a lift takes the strikes that the lifted subject explained off the other subjects; a part is written to the store when it is held, not from two strikes on. Conclusion: a part with more strikes than the lifted request stays held. If all instances are killed while a part has two strikes, those two are lost.

--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -32,7 +32,8 @@
 #define NEWS_REPEAT_TIME (10 * MP_SEC)
 /* A request is written to the store from this many strikes on. A dozen
 ** requests get a strike whenever an endpoint ends, and nearly all of them
-** never get another one. */
+** never get another one. A part is written when it is held: each end strikes
+** the parts that all requests of a service have. */
 #define STORED_STRIKES_MIN 2
 /* The next write of a request waits this long after one that failed. */
 #define SAVE_RETRY_DELAY (300 * MP_MS)
@@ -272,18 +273,6 @@
   quarantine->may_need_save = TRUE;
 }
 
-void quarantine_lift(Quarantine *quarantine, guint64 content, gint64 now) {
-  Row *row = find_row(quarantine, content);
-  guint i;
-  if (row == NULL)
-    return;
-  for (i = 0; i < row->count; i++)
-    row->strikes[i].is_off = TRUE;
-  row->position = store_position_none();
-  row->learned_at = now;
-  row->is_obsolete = TRUE;
-}
-
 guint quarantine_strike_count(const Quarantine *quarantine, guint64 content) {
   const Row *row = find_row(quarantine, content);
   return row != NULL ? strike_count(row) : 0;
@@ -390,6 +379,40 @@
   return count - explained;
 }
 
+/* Takes off the counting strikes of a row that the lifted one has, too. */
+static void take_off_shared_strikes(Row *row, const Row *lifted, gint64 now) {
+  guint before = strike_count(row);
+  guint i;
+  for (i = 0; i < row->count; i++) {
+    Strike *strike = &row->strikes[i];
+    strike->is_off |= has_counting_strike(lifted, strike->crash);
+  }
+  if (strike_count(row) == before)
+    return;
+  row->learned_at = now;
+  row->is_obsolete = strike_count(row) == 0;
+}
+
+void quarantine_lift(Quarantine *quarantine, guint64 content, gint64 now) {
+  Row *row = find_row(quarantine, content);
+  GHashTableIter iterator;
+  gpointer value;
+  guint i;
+  if (row == NULL)
+    return;
+  g_hash_table_iter_init(&iterator, quarantine->rows);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    if (may_explain(row, value))
+      take_off_shared_strikes(value, row, now);
+  }
+  for (i = 0; i < row->count; i++)
+    row->strikes[i].is_off = TRUE;
+  row->position = store_position_none();
+  row->learned_at = now;
+  row->is_obsolete = TRUE;
+  quarantine->may_need_save = TRUE;
+}
+
 /* Returns when the subject's hold ends, also if that is past; 0 if it has too
 ** few strikes for one. */
 static gint64 held_until(const Quarantine *quarantine, const Row *row) {
@@ -608,12 +631,21 @@
   return FALSE;
 }
 
+/* Returns TRUE if a hold of the row, now or after more strikes, should outlast
+** the instances that know it. */
+static gboolean is_worth_storing(const Quarantine *quarantine,
+                                 const Row *row) {
+  if (is_part(row))
+    return held_until(quarantine, row) != 0;
+  return strike_count(row) >= STORED_STRIKES_MIN;
+}
+
 /* An obsolete row needs its object removed, another one its strikes written.
  */
-static gboolean needs_save(const Row *row) {
+static gboolean needs_save(const Quarantine *quarantine, const Row *row) {
   if (row->is_obsolete)
     return !store_position_is_none(row->position);
-  return strike_count(row) >= STORED_STRIKES_MIN && has_unstored_strike(row);
+  return has_unstored_strike(row) && is_worth_storing(quarantine, row);
 }
 
 static void write_record(const Quarantine *quarantine, const Row *row,
@@ -674,7 +706,7 @@
   g_hash_table_iter_init(&iterator, quarantine->rows);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Row *row = value;
-    if (!needs_save(row))
+    if (!needs_save(quarantine, row))
       continue;
     is_save_pending = TRUE;
     if (row->retry_at > now)
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -37,8 +37,10 @@
 **    other instances are told.
 ** 6. A strike explains away: one that a held subject has too does not count
 **    against a subject with fewer strikes, nor one of a held request against a
-**    part with as many. Two held parts with the same strikes are twins: one
-**    trial run of a request that has only one of them tells them apart
+**    part with as many. When an operator lifts the one that explains, its
+**    strikes are taken off the others as well, so that lifting a request frees
+**    it from its parts, too. Two held parts with the same strikes are twins:
+**    one trial run of a request that has only one of them tells them apart
 **    (quarantine_begin_trial).
 **
 ** A Router owns one Quarantine. suspects.c uses it, and io/quarantine_writer.c
--- a/test/test_quarantine.cc
+++ b/test/test_quarantine.cc
@@ -389,6 +389,50 @@
   EXPECT_TRUE(is_held(part));
 }
 
+/* An operator who lifts a request found it refused all the same, since a part
+** of its prompt had the same strikes and was held from then on. */
+TEST_F(QuarantineTest, LiftedRequestFreesThePartsItExplained) {
+  const guint64 part = 8 | QUARANTINE_PART_BIT;
+  for (guint32 crash = 1; crash <= 3; crash++) {
+    add_strike(7, crash);
+    add_strike(part, crash);
+  }
+  quarantine_lift(table, 7, now);
+  EXPECT_FALSE(is_held(7));
+  EXPECT_FALSE(is_held(part));
+  merge_report(part, {1, 2, 3});
+  EXPECT_FALSE(is_held(part));
+}
+
+/* The part crashed an endpoint under another request, too, so the lifted
+** request is not the cause of its strikes. */
+TEST_F(QuarantineTest, LiftedRequestLeavesAPartWithMoreStrikesHeld) {
+  const guint64 part = 8 | QUARANTINE_PART_BIT;
+  for (guint32 crash = 1; crash <= 3; crash++) {
+    add_strike(7, crash);
+    add_strike(part, crash);
+  }
+  add_strike(part, 4);
+  quarantine_lift(table, 7, now);
+  EXPECT_TRUE(is_held(part));
+}
+
+/* Two objects in the store for one deadly request: an operator cannot tell
+** which of them to lift. */
+TEST_F(QuarantineTest, PartIsStoredOnlyWhenItIsHeld) {
+  const guint64 part = 8 | QUARANTINE_PART_BIT;
+  for (guint32 crash = 1; crash <= 3; crash++) {
+    add_strike(part, crash);
+    add_strike(7, crash);
+    EXPECT_NE(next_save().record.content, part);
+  }
+  QuarantineSave request = next_save();
+  quarantine_merge_stored(table, &request.record, store_position(0, 40), now);
+  EXPECT_EQ(next_save().record.count, 0u);
+  add_strike(part, 4);
+  EXPECT_EQ(next_save().record.content, part);
+}
+
 TEST_F(QuarantineTest, TwinsAreToldApartByOneTrialAtATime) {
   for (guint32 crash = 1; crash <= 3; crash++) {
     add_strike(part, crash);
