--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -172,6 +172,7 @@
   o->propagation_max = MIN(s->apply_ms, s->leave_ms) * MP_MS;
   o->lease_length = s->lease_ms * MP_MS;
   o->revoke_within = s->revoke_ms * MP_MS;
+  o->overload_control = s->overload_control;
   o->limits.share = s->limit_over;
   o->limits.slack = s->limit_slack;
   o->limits.window = s->limit_window_s * MP_SEC;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -70,6 +70,8 @@
     CYAML_FIELD_FLOAT("limit_over", CYAML_FLAG_OPTIONAL, Settings, limit_over),
     OPTUINT("limit_slack", limit_slack),
     OPTUINT("limit_window_s", limit_window_s),
+    CYAML_FIELD_BOOL("overload_control", CYAML_FLAG_OPTIONAL, Settings,
+                     overload_control),
     OPTUINT("contact_ms", contact_ms),
     OPTUINT("apply_ms", apply_ms),
     OPTUINT("leave_ms", leave_ms),
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -10,6 +10,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
+#include <stdbool.h>
 #include "madderpier.h"
 
 /* the interface to platform and endpoints that an instance uses */
@@ -53,6 +54,7 @@
   double limit_over;       /* share by which account limits may be exceeded */
   uint32_t limit_slack;    /* and so many units besides */
   uint32_t limit_window_s; /* in every window of this length */
+  bool overload_control;   /* see docs/design/heavy-load.md; default: off */
   uint32_t lease_ms;       /* of orders to engines; 0: none are given */
   uint32_t contact_ms;    /* after an outage, the platform counts this instance
                           ** as in contact again after this long */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -495,6 +495,7 @@
   settings.self = options->exchange;
   settings.lease_length = options->lease_length;
   settings.limits = options->limits;
+  settings.overload_control = options->overload_control;
   settings.unix_offset = g_get_real_time() - clock_now();
   settings.proof_age_max = proof_age_max(options);
   settings.news_age_max = relay_news_age_max(&times);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -50,14 +50,15 @@
   gint64 propagation_max; /* target: all instances know a change within this
                           ** time after the store has confirmed it; timeouts
                           ** of relays follow from it (router/relay_group.h) */
-  LimitTolerance limits;  /* by how much the limits of client accounts may be
-                          ** exceeded over all instances */
-  gint64 revoke_within;   /* longest time for which a revoked key of a client
-                          ** account is accepted, even while the store is not
-                          ** available; 0: until its removal is known here */
-  gint64 drain_least;     /* a planned stop accepts requests for this time */
-  gint64 drain_most;      /* a planned stop ends after this time, even if
-                          ** requests are open */
+  gboolean overload_control; /* as in RouterOptions */
+  LimitTolerance limits; /* by how much the limits of client accounts may be
+                         ** exceeded over all instances */
+  gint64 revoke_within;  /* longest time for which a revoked key of a client
+                         ** account is accepted, even while the store is not
+                         ** available; 0: until its removal is known here */
+  gint64 drain_least;    /* a planned stop accepts requests for this time */
+  gint64 drain_most;     /* a planned stop ends after this time, even if
+                         ** requests are open */
 } GatewayOptions;
 
 /*
--- a/router/router.c
+++ b/router/router.c
@@ -66,6 +66,7 @@
   router->suspicions = suspicions_new();
   router->unknown_fields =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+  router->overload_control = options->overload_control;
   router->proof_age_max = options->proof_age_max;
   router->news_age_max = options->news_age_max;
   router->requests_by_dispatch = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/router/router.h
+++ b/router/router.h
@@ -279,13 +279,17 @@
   gint64 lease_length;   /* of the lease for orders to engines; 0: no orders
                          ** are given */
   LimitTolerance limits; /* of client accounts */
-  gint64 news_age_max;   /* "no such route" and "no such key" are final only
-                         ** while the last answer of the store is at most this
-                         ** old; 0: always (relay_news_age_max) */
-  gint64 unix_offset;    /* Unix time minus the steady clock, us */
-  gint64 proof_age_max;  /* requests with keys run only if the configuration
-                         ** was certainly the newest at most this long ago; 0:
-                         ** always (router/config_proof.h) */
+  gboolean overload_control; /* apply what docs/design/heavy-load.md describes:
+                             ** outlier detection that all instances share,
+                             ** prefill capacity, deadlines at admission, and
+                             ** concurrency limits */
+  gint64 news_age_max;  /* "no such route" and "no such key" are final only
+                        ** while the last answer of the store is at most this
+                        ** old; 0: always (relay_news_age_max) */
+  gint64 unix_offset;   /* Unix time minus the steady clock, us */
+  gint64 proof_age_max; /* requests with keys run only if the configuration
+                        ** was certainly the newest at most this long ago; 0:
+                        ** always (router/config_proof.h) */
 } RouterOptions;
 
 /* Creates a router; options and host are copied. Free it with router_free,
--- a/router/state.h
+++ b/router/state.h
@@ -232,13 +232,14 @@
   CrashWatch *crashes;    /* endpoints that may have crashed under requests */
   Quarantine *quarantine; /* requests under which endpoints crashed */
   Suspicions *suspicions; /* crashes that are not certain yet */
-  gint64 proof_age_max;   /* as in RouterOptions */
-  gint64 proved_at;       /* from router_configuration_proved; 0: unknown */
-  gint64 store_answered_at; /* from router_store_answered; 0: never */
-  gint64 news_age_max;      /* as in RouterOptions */
-  const NewsState *news;    /* of the configuration; borrowed; may be NULL */
-  gboolean stopping;        /* router_stop_accepting was called */
-  Stages *stages;           /* changes of engines' stages */
+  gboolean overload_control; /* as in RouterOptions */
+  gint64 proof_age_max;      /* as in RouterOptions */
+  gint64 proved_at;          /* from router_configuration_proved; 0: unknown */
+  gint64 store_answered_at;  /* from router_store_answered; 0: never */
+  gint64 news_age_max;       /* as in RouterOptions */
+  const NewsState *news;     /* of the configuration; borrowed; may be NULL */
+  gboolean stopping;         /* router_stop_accepting was called */
+  Stages *stages;            /* changes of engines' stages */
   GPtrArray *waiting;  /* Requests in PHASE_WAIT, those with a handle first;
                        ** borrowed */
   gint64 last_run_end; /* when a stream last ended here; 0: never */
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -105,7 +105,7 @@
 
 World::World(guint32 slack, double ratio, gint64 lease_length,
              const char *self, gint64 proof_age_max, const char *zone,
-             guint64 seed) {
+             guint64 seed, bool overload_control) {
   RouterHost host = {this,       on_dispatch,  on_cancel, on_answer,
                      on_refuse,  on_break_off, on_log,    on_note,
                      on_message, on_lease_call};
@@ -120,6 +120,7 @@
   options.lease_length = lease_length;
   options.limits = {0.1, 1000, 8 * second};
   options.proof_age_max = proof_age_max;
+  options.overload_control = overload_control;
   options.news_age_max = news_age_max;
   router = router_new(&options, &host, now);
   router_set_instances(router, 1, 1);
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -131,14 +131,14 @@
   ** slack, ratio: retry budget; the defaults never limit retries.
   ** lease_length: of the lease for orders to engines; 0: no orders are given.
   ** self, zone: address and data centre of this instance.
-  ** proof_age_max, seed: as in RouterOptions.
+  ** proof_age_max, seed, overload_control: as in RouterOptions.
   ** The router starts with one instance in its data centre, and the store has
   ** just answered.
   */
   explicit World(guint32 slack = 0, double ratio = 10.0,
                  gint64 lease_length = 0, const char *self = "10.0.0.5:1",
                  gint64 proof_age_max = 0, const char *zone = "a",
-                 guint64 seed = 7);
+                 guint64 seed = 7, bool overload_control = false);
   ~World();
   World(const World &) = delete;
   World &operator=(const World &) = delete;
