Outlier detection: engines that other instances report get no waiting request

Cause: a crashed engine has no load, so it looked like the one with the most room, and each instance had to find it out by itself. A request whose prompt was prefilled ended after six engines that could not be reached.

Change, only with overload_control: - router/outlier.[ch] judges endpoints from evidence as pure functions: own failures and signs of life, and the number of other instances that report 100 percent failures. Reports count above the median of the service, and not at all if more than half of its endpoints would be down by them. - router/endpoint_health.c applies this at most every 10 ms, and only while an instance reports an endpoint; it logs E2021 and E2022. - A down endpoint is not a candidate while there is another one, and counts as without room. On trial it gets one request of an instance at a time. - An instance reports an endpoint until the trial has answered (2 s at most), so that the others do not all try it when its pause ends. - After 421 the incarnation is avoided for 5 s instead of 0.5 s. - A prefilled request that reached no engine in six attempts returns to the queue while its handle is valid.

Ruled out: the sum of failure shares as evidence. Shares of engines that are only full (503) add up to 2 over many instances; whole reports do not.

Without overload_control nothing changes; messages are the same.

--- a/include/mplog.h
+++ b/include/mplog.h
@@ -49,6 +49,8 @@
   X(PATH_LOST, 2018, MP_WARN, "endpoint is reached through an instance")      \
   X(PATH_BACK, 2019, MP_INFO, "endpoint is reached directly again")           \
   X(PATH_NONE, 2020, MP_WARN, "no instance asked reaches the endpoint")       \
+  X(EP_OUTLIER, 2021, MP_WARN, "endpoint is taken as down")                   \
+  X(EP_OUTLIER_OVER, 2022, MP_INFO, "endpoint is taken as up again")          \
   X(EJECT, 2008, MP_WARN, "endpoint ejected temporarily")                     \
   X(MEMBER_UP, 3001, MP_INFO, "instance joined")                              \
   X(MEMBER_SUSPECT, 3002, MP_INFO, "instance suspected")                      \
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -372,6 +372,7 @@
   counts.rate_skips = router_rate_skips(gateway->router);
   counts.unreachable_endpoints =
       router_unreachable_endpoints(gateway->router, clock_now());
+  counts.down_endpoints = router_down_endpoints(gateway->router);
   counts.indirect_endpoints = router_indirect_endpoints(gateway->router);
   counts.carried_connections = carry_server_count(gateway->carrying);
   counts.carried_connections_total = carry_server_total(gateway->carrying);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -54,6 +54,7 @@
       "madderpier_held_requests %u\n"
       "madderpier_endpoint_rate_skips_total %" G_GUINT64_FORMAT "\n"
       "madderpier_unreachable_endpoints %u\n"
+      "madderpier_down_endpoints %u\n"
       "madderpier_indirect_endpoints %u\n"
       "madderpier_carried_connections %u\n"
       "madderpier_carried_connections_total %" G_GUINT64_FORMAT "\n"
@@ -68,11 +69,11 @@
       counts->log_lines_lost, counts->idle_endpoint_connections,
       counts->news_role, (double)counts->news_age / MP_SEC, counts->ready,
       counts->struck_requests, counts->held_requests, counts->rate_skips,
-      counts->unreachable_endpoints, counts->indirect_endpoints,
-      counts->carried_connections, counts->carried_connections_total,
-      counts->stream_origins, counts->limited_endpoints,
-      counts->leaving_endpoints, counts->resting_endpoints, counts->waiting,
-      counts->waiting_in_time);
+      counts->unreachable_endpoints, counts->down_endpoints,
+      counts->indirect_endpoints, counts->carried_connections,
+      counts->carried_connections_total, counts->stream_origins,
+      counts->limited_endpoints, counts->leaving_endpoints,
+      counts->resting_endpoints, counts->waiting, counts->waiting_in_time);
 }
 
 /* by StoreKind */
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -56,6 +56,8 @@
                          ** router's running total */
   guint unreachable_endpoints; /* endpoints that are avoided because
                                ** connections from here to them failed */
+  guint down_endpoints;        /* endpoints that are taken as down, by own
+                               ** results or reports of other instances */
   guint indirect_endpoints;    /* endpoints that are reached through another
                                ** instance */
   guint carried_connections;   /* connections to endpoints that this instance
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -20,6 +20,10 @@
 ** each further attempt in a row up to AVOID_TIME_MAX. */
 #define AVOID_TIME_MIN (500 * MP_MS)
 #define AVOID_TIME_MAX (4 * MP_SEC)
+/* An incarnation that has ended is avoided for this long. It never comes back,
+** but a wrong answer must not take an endpoint away for good; new incarnations
+** are listed within 2 to 3 s. */
+#define ENDED_AVOID_TIME (5 * MP_SEC)
 /* time constant of the exponential decay of the failure rate */
 #define FAILURE_DECAY (3.0 * MP_SEC)
 /* weight of the newest dispatch in the moving failure rate */
@@ -496,6 +500,24 @@
   return FALSE;
 }
 
+OutlierVerdict endpoint_verdict(const Endpoint *endpoint, gint64 now) {
+  return outlier_verdict(&endpoint->evidence, endpoint->unreachable_streak,
+                         endpoint->avoid_until, now);
+}
+
+/* Returns TRUE if the endpoint gets no request while there is another choice:
+** it is down, or one request of this instance is trying it already. */
+static gboolean is_avoided(const EndpointTable *table,
+                           const Endpoint *endpoint, gint64 now) {
+  OutlierVerdict verdict;
+  if (!table->overload_control)
+    return endpoint->avoid_until > now;
+  verdict = endpoint_verdict(endpoint, now);
+  return verdict == OUTLIER_DOWN ||
+         (verdict == OUTLIER_TRIAL &&
+          (endpoint->open > 0 || endpoint->tokens > 0));
+}
+
 /* Returns TRUE if the endpoint can run the query's request now, apart from its
 ** room and the limits that all instances share. */
 static gboolean is_usable(const EndpointTable *table,
@@ -503,7 +525,7 @@
                           gint64 now) {
   return is_eligible(table, query, endpoint, now) &&
          !is_excluded(query, endpoint->record.id) &&
-         endpoint->avoid_until <= now;
+         !is_avoided(table, endpoint, now);
 }
 
 /* Returns TRUE if the query's crashed incarnations are to be left out, because
@@ -556,7 +578,7 @@
     if (!is_eligible(table, query, endpoint, now) ||
         is_excluded(query, endpoint->record.id))
       continue;
-    if (!avoided_too && endpoint->avoid_until > now)
+    if (!avoided_too && is_avoided(table, endpoint, now))
       continue;
     if (skip_crashed && endpoint_has_crashed_under(query, endpoint))
       continue;
@@ -613,12 +635,15 @@
 }
 
 /* Returns how many dispatches like the query's fit at an engine with 'planned'
-** tokens; at most one if the engine names a rate. */
+** tokens; at most one if the engine names a rate or is on trial. */
 static guint count_fitting_at(const EndpointTable *table,
                               const EndpointQuery *query,
                               const Endpoint *endpoint, guint64 planned,
                               gint64 now) {
   guint64 count = (query->capacity - planned) / MAX(query->tokens, 1);
+  if (table->overload_control &&
+      endpoint_verdict(endpoint, now) == OUTLIER_TRIAL)
+    count = MIN(count, 1);
   if (query->limits.rates != NULL &&
       rate_limits_rate(query->limits.rates, endpoint->hash) >= 0)
     count = MIN(count, is_within_limits(table, query, endpoint, now) ? 1 : 0);
@@ -633,7 +658,7 @@
     const Endpoint *endpoint = table->all->pdata[i];
     guint64 planned = endpoint_tokens(table, endpoint);
     if (is_eligible(table, query, endpoint, now) &&
-        endpoint->avoid_until <= now && planned < query->capacity)
+        !is_avoided(table, endpoint, now) && planned < query->capacity)
       count += count_fitting_at(table, query, endpoint, planned, now);
   }
   return count;
@@ -662,7 +687,7 @@
   for (i = 0; i < table->all->len; i++) {
     const Endpoint *endpoint = table->all->pdata[i];
     if (is_eligible(table, &query, endpoint, now) &&
-        endpoint->avoid_until <= now)
+        !is_avoided(table, endpoint, now))
       return TRUE;
   }
   return FALSE;
@@ -691,6 +716,11 @@
   count_failure(endpoint, 0, now);
   endpoint->unreachable_streak = 0;
   endpoint->avoid_until = 0;
+  endpoint_note_heard(endpoint, now);
+}
+
+void endpoint_note_heard(Endpoint *endpoint, gint64 now) {
+  endpoint->evidence.heard_at = now;
 }
 
 void endpoint_note_failure(Endpoint *endpoint, gint64 now) {
@@ -701,4 +731,10 @@
   gint64 wait = AVOID_TIME_MIN << MIN(endpoint->unreachable_streak, 3);
   endpoint->unreachable_streak++;
   endpoint->avoid_until = now + MIN(wait, AVOID_TIME_MAX);
+  endpoint->evidence.heard_at = 0;
+}
+
+void endpoint_note_ended(Endpoint *endpoint, gint64 now) {
+  endpoint_note_unreachable(endpoint, now);
+  endpoint->avoid_until = now + ENDED_AVOID_TIME;
 }
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -23,6 +23,7 @@
 
 #include "router/availability.h"
 #include "router/endpoint_path.h"
+#include "router/outlier.h"
 #include "router/peer_loads.h"
 #include "router/rate_limits.h"
 #include "router/records.h"
@@ -53,6 +54,9 @@
                          ** if nothing else is left, and never by a query with
                          ** 'must_fit' */
   unsigned unreachable_streak; /* unreachable attempts in a row */
+  OutlierEvidence evidence;    /* that it is up or down, apart from these */
+  gint64 judged_at;            /* when reports about it were last judged */
+  gboolean is_logged_down;     /* the last judgement that was logged */
   EndpointPath path;           /* how this instance reaches it */
   Availability availability;   /* what this incarnation has announced */
   EndpointStage changing_to;   /* stage to which this instance changes it,
@@ -70,6 +74,8 @@
   char *zone;           /* the data centre of this instance; owned */
   SoftwareHistory *software; /* of all listed endpoints; owned */
   PeerLoads *peers;          /* what the other instances have open; owned */
+  gboolean overload_control; /* as in RouterOptions: judge endpoints by the
+                             ** reports of other instances too */
   gboolean has_late_loads;   /* loads in other data centres are known only
                              ** from delayed summaries */
 } EndpointTable;
@@ -215,6 +221,15 @@
 ** 1; it decays with time. */
 double endpoint_failure_rate(const Endpoint *endpoint, gint64 now);
 
+/* Returns the judgement of the endpoint by its evidence (router/outlier.h). */
+OutlierVerdict endpoint_verdict(const Endpoint *endpoint, gint64 now);
+/* Records that the endpoint's process answered, whatever it answered. */
+void endpoint_note_heard(Endpoint *endpoint, gint64 now);
+/* Records that another process has the address, so that this incarnation has
+** ended. It is avoided for longer than an unreachable one, in which time the
+** list is expected to name the new one. */
+void endpoint_note_ended(Endpoint *endpoint, gint64 now);
+
 /* Record how a dispatch ended. A success lowers the failure rate and clears
 ** 'avoid_until'; a failure only raises the failure rate; an unreachable
 ** endpoint is avoided for a time that doubles with each attempt in a row. */
--- a/router/loads.c
+++ b/router/loads.c
@@ -22,6 +22,11 @@
 #define FAILING_PERCENT_MIN 90
 /* Smaller shares of failures are not reported, in percent. */
 #define REPORTED_FAILING_PERCENT_MIN 5
+/* An endpoint that could not be reached is reported for this long after its
+** pause unless it has answered since. Otherwise all other instances would take
+** it as up as soon as the pause ends, and try it at the same time. The limit
+** frees an endpoint for which this instance has no request. */
+#define TRIAL_REPORT_TIME (2 * MP_SEC)
 
 guint64 router_load_version(const Router *router) {
   return router->load_version;
@@ -31,14 +36,24 @@
   return router->plain_version;
 }
 
+/* Returns TRUE if the endpoint could not be reached a short time ago and has
+** not answered since. */
+static gboolean is_awaiting_trial(const Endpoint *endpoint, gint64 now) {
+  return endpoint->unreachable_streak > 0 &&
+         endpoint->evidence.heard_at == 0 &&
+         now - endpoint->avoid_until < TRIAL_REPORT_TIME;
+}
+
 /*
 ** Returns the recent share of failures at the endpoint, in percent. It is 100
 ** for an endpoint that this instance avoids as unreachable, and for one that
 ** asked this instance for a rest: the other instances, which were not asked,
 ** then prefer other endpoints while they have a choice.
 */
-static guint failing_percent(const Endpoint *endpoint, gint64 now) {
+static guint failing_percent(const Router *router, const Endpoint *endpoint,
+                             gint64 now) {
   if (endpoint->avoid_until > now ||
+      (router->overload_control && is_awaiting_trial(endpoint, now)) ||
       availability_rest_remaining(&endpoint->availability, now) > 0)
     return 100;
   return (guint)(100 * endpoint_failure_rate(endpoint, now));
@@ -121,13 +136,13 @@
   out->n = 0;
   for (i = 0; i < all->len && out->n < MP_LOAD_DIGEST_ROWS; i++) {
     const Endpoint *endpoint = all->pdata[i];
-    guint failing = failing_percent(endpoint, now);
+    guint failing = failing_percent(router, endpoint, now);
     if (has_reportable_load(endpoint, failing))
       write_row(endpoint, out, failing);
   }
   for (i = 0; i < all->len && out->n < MP_LOAD_DIGEST_ROWS; i++) {
     const Endpoint *endpoint = all->pdata[i];
-    guint failing = failing_percent(endpoint, now);
+    guint failing = failing_percent(router, endpoint, now);
     if (!has_reportable_load(endpoint, failing) &&
         connections_must_report(router, endpoint, &view))
       write_row(endpoint, out, failing);
@@ -165,7 +180,7 @@
   guint i;
   for (i = 0; i < all->len; i++) {
     const Endpoint *endpoint = all->pdata[i];
-    if (failing_percent(endpoint, now) >= FAILING_PERCENT_MIN ||
+    if (failing_percent(router, endpoint, now) >= FAILING_PERCENT_MIN ||
         peer_loads_failure_shares(router->endpoints->peers, endpoint->hash) >=
             FAILING_PERCENT_MIN / 100.0)
       set += (guint64)endpoint->hash * endpoint->hash;
@@ -198,6 +213,7 @@
                                  &summary->loads, &sharers, now);
   /* the endpoints that announced that they are leaving */
   signals_read_digest(router, &summary->loads, now);
+  endpoint_health_update(router, now);
   admission_start_waiting_requests(router, now);
 }
 
@@ -215,6 +231,7 @@
   sharers = accounts_sharers(router, now);
   account_limits_receive(router->limits, peer, digest, &sharers, now);
   signals_read_digest(router, digest, now);
+  endpoint_health_update(router, now);
   admission_start_waiting_requests(router, now);
 }
 
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -13,7 +13,8 @@
 #include "router/silence.h"
 #include "router/state.h"
 
-/* A request ends after this many RUN dispatches that reached no endpoint. */
+/* A request ends after this many RUN dispatches that reached no endpoint,
+** unless it returns to the queue with a prefilled prompt. */
 #define UNREACHABLE_MAX 6
 /* A request ends after this many RUN dispatches that reached an endpoint and
 ** failed. */
@@ -152,7 +153,12 @@
   if (endpoint != NULL && !is_path_lost)
     endpoint_note_unreachable(endpoint, now);
   path_close_dispatch(router, request, FALSE);
-  if (++request->unreachable >= UNREACHABLE_MAX ||
+  request->unreachable++;
+  if (request->unreachable >= UNREACHABLE_MAX &&
+      now + RETRY_TIME_MIN < request->expires &&
+      path_return_to_queue(router, request, now))
+    return;
+  if (request->unreachable >= UNREACHABLE_MAX ||
       now + RETRY_TIME_MIN >= request->expires)
     finish_give_up(router, request, now);
   else
@@ -168,7 +174,9 @@
   request->was_rejected = TRUE;
   if (endpoint != NULL) {
     endpoint_note_failure(endpoint, now);
-    if (outcome->misdirected)
+    if (outcome->misdirected && router->overload_control)
+      endpoint_note_ended(endpoint, now);
+    else if (outcome->misdirected)
       endpoint_note_unreachable(endpoint, now);
   }
   path_close_dispatch(router, request, FALSE);
@@ -300,6 +308,12 @@
     endpoint_note_failure(prefill, now);
 }
 
+/* Returns TRUE if the outcome shows that the endpoint's process answered. */
+static gboolean is_sign_of_life(const Outcome *outcome) {
+  return outcome->kind != OUTCOME_UNREACHABLE &&
+         outcome->kind != OUTCOME_BROKEN && !outcome->misdirected;
+}
+
 void outcomes_handle(Router *router, Request *request, const Outcome *outcome,
                      gint64 now) {
   Endpoint *endpoint = path_open_endpoint(router, request);
@@ -315,6 +329,8 @@
                (int)((now - request->open.sent) / MP_MS),
                request->last_event != NULL ? request->last_event : "-",
                (int)(request->longest_pause / MP_MS));
+  if (endpoint != NULL && is_sign_of_life(outcome))
+    endpoint_note_heard(endpoint, now);
   if (request->handle != NULL && outcome->kind == OUTCOME_NOT_RUN &&
       request->arrivals > 0) {
     blame_prefill(router, request, now);
--- /dev/null
+++ b/router/outlier.h
@@ -0,0 +1,67 @@
+/*
+** outlier.h
+** Judges from evidence whether an endpoint can be used (outlier detection)
+**
+** There are two kinds of evidence. Own results: attempts that reached nobody
+** or another process, and signs of life since. Reports: how many other
+** instances avoid the endpoint as unreachable.
+**
+** Invariants:
+** - Own evidence comes first: an endpoint that failed this instance is judged
+**   by its own pause, and one that answers this instance is up.
+** - Reports count only as far as they exceed the median of the service's
+**   endpoints, and not at all if more than half of these would be down by
+**   them. Otherwise a few instances that are cut off from all endpoints would
+**   take these away from all instances.
+** - A wrong judgement by reports leaves an endpoint unused for
+**   OUTLIER_REPORT_PAUSE at most. Then one request at a time may try it.
+**
+** The functions depend on their arguments alone. All times are microseconds of
+** one clock. Used by endpoint_table.c and endpoint_health.c.
+*/
+
+#ifndef ROUTER_OUTLIER_H
+#define ROUTER_OUTLIER_H
+
+#include "madderpier.h"
+
+#include <glib.h>
+
+/* An endpoint is down by reports if this many instances more than the median
+** report it. One alone may have lost its own path to it. */
+#define OUTLIER_REPORTS_MIN 2
+/* An endpoint that is down by reports is tried again after this. It is as long
+** as the longest pause after own failures (AVOID_TIME_MAX in
+** endpoint_table.c): the instances that report it try it earlier. */
+#define OUTLIER_REPORT_PAUSE (4 * MP_SEC)
+/* A sign of life outweighs reports for this long, so that an endpoint that
+** fails after it is not trusted for good. Pieces of a stream come more often
+** than this. */
+#define OUTLIER_HEARD_TIME (1 * MP_SEC)
+
+typedef struct OutlierEvidence {
+  gint64 heard_at;       /* last sign of life since the last own attempt that
+                         ** failed to reach it; 0: none */
+  guint reports;         /* other instances that report it as unreachable */
+  gint64 reported_since; /* since when it is down by reports; 0: it is not */
+} OutlierEvidence;
+
+typedef enum OutlierVerdict {
+  OUTLIER_UP,
+  OUTLIER_TRIAL, /* one request at a time may try it */
+  OUTLIER_DOWN   /* used only if nothing else is left */
+} OutlierVerdict;
+
+/* Sets 'reported_since' of all endpoints of one service by their 'reports'.
+** 'count' is the number of elements of 'all'. */
+void outlier_judge_reports(OutlierEvidence *const *all, guint count,
+                           gint64 now);
+
+/* Returns the judgement of one endpoint. 'failures' counts the own attempts in
+** a row that failed to reach it, and 'avoid_until' is the end of the pause
+** after the last of them. */
+OutlierVerdict outlier_verdict(const OutlierEvidence *evidence,
+                               unsigned failures, gint64 avoid_until,
+                               gint64 now);
+
+#endif
--- a/router/path.c
+++ b/router/path.c
@@ -243,6 +243,21 @@
   return endpoint_table_choose(router->endpoints, &query, now);
 }
 
+/* Returns TRUE if the request may wait again with its prefilled prompt. */
+static gboolean may_requeue(const Router *router, const Request *request) {
+  return request->handle != NULL && request->runs == 0 &&
+         !request->head_sent && !router->stopping;
+}
+
+gboolean path_return_to_queue(Router *router, Request *request, gint64 now) {
+  if (!router->overload_control || !may_requeue(router, request) ||
+      now >= request->handle_until)
+    return FALSE;
+  prefill_release_reservation(router, request);
+  admission_requeue(router, request, now);
+  return TRUE;
+}
+
 /*
 ** Queues the request again if its prompt is prefilled and no decode engine has
 ** room for it: it waits for room while the handle is valid, instead of being
@@ -250,8 +265,8 @@
 */
 static gboolean requeue_with_handle(Router *router, Request *request,
                                     gint64 now) {
-  if (request->handle == NULL || request->runs > 0 || request->head_sent ||
-      router->stopping || choose_with_room(router, request, now) != NULL)
+  if (!may_requeue(router, request) ||
+      choose_with_room(router, request, now) != NULL)
     return FALSE;
   prefill_release_reservation(router, request);
   admission_requeue(router, request, now);
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -11,6 +11,9 @@
 ** peer has restarted; one less far behind is a digest that arrived late. */
 #define REORDER_WINDOW 64
 
+/* mp_LoadRow.failing of an endpoint that an instance avoids as unreachable */
+#define UNREACHABLE_PERCENT 100
+
 /* the last digest of one instance, or the last summary of one relay */
 typedef struct Peer {
   mp_Addr address; /* for a summary as summary_address has it */
@@ -28,6 +31,7 @@
 typedef struct LoadSum {
   guint64 tokens;
   guint open;             /* dispatches */
+  guint unreachable;      /* peers that report it as unreachable */
   guint failing_percent;  /* sum of the peers' shares of failures */
   guint changing_reports; /* peers that report a change of its stage */
 } LoadSum;
@@ -35,6 +39,7 @@
 struct PeerLoads {
   GHashTable *peers; /* address -> Peer */
   GHashTable *sums;  /* endpoint hash -> LoadSum */
+  guint unreachable; /* sum of LoadSum.unreachable */
 };
 
 static void peer_free(gpointer p) {
@@ -74,11 +79,20 @@
     g_hash_table_remove(loads->sums, GUINT_TO_POINTER(endpoint));
 }
 
+/* Returns how many instances report the endpoint as unreachable in this row: a
+** share of failures of 100 says so. A summary adds the shares up, so its whole
+** hundreds are counted; several smaller shares may count as one report. */
+static guint row_unreachable(const mp_LoadRow *row) {
+  return row->failing / UNREACHABLE_PERCENT;
+}
+
 static void add_row(PeerLoads *loads, const mp_LoadRow *row) {
   LoadSum *sum = get_or_add_sum(loads, row->endpoint);
   sum->tokens += row->tokens;
   sum->open += row->open;
   sum->failing_percent += row->failing;
+  sum->unreachable += row_unreachable(row);
+  loads->unreachable += row_unreachable(row);
 }
 
 static void subtract_row(PeerLoads *loads, const mp_LoadRow *row) {
@@ -86,6 +100,8 @@
   sum->tokens -= row->tokens;
   sum->open -= row->open;
   sum->failing_percent -= row->failing;
+  sum->unreachable -= row_unreachable(row);
+  loads->unreachable -= row_unreachable(row);
   remove_if_zero(loads, row->endpoint, sum);
 }
 
@@ -310,6 +326,19 @@
   return sum != NULL ? sum->failing_percent / 100.0 : 0;
 }
 
+guint peer_loads_unreachable_reports(const PeerLoads *loads,
+                                     guint32 endpoint) {
+  const LoadSum *sum;
+  if (loads->unreachable == 0)
+    return 0; /* the common case */
+  sum = find_sum(loads, endpoint);
+  return sum != NULL ? sum->unreachable : 0;
+}
+
+gboolean peer_loads_has_unreachable_reports(const PeerLoads *loads) {
+  return loads->unreachable > 0;
+}
+
 guint peer_loads_open_dispatches(const PeerLoads *loads, guint32 endpoint) {
   const LoadSum *sum = find_sum(loads, endpoint);
   return sum != NULL ? sum->open : 0;
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -82,6 +82,10 @@
 /* The sum of the recent shares of failures that the peers report; each peer
 ** reports 0 to 1, so the sum may exceed 1. */
 double peer_loads_failure_shares(const PeerLoads *loads, guint32 endpoint);
+/* Returns how many other instances report the endpoint as unreachable. */
+guint peer_loads_unreachable_reports(const PeerLoads *loads, guint32 endpoint);
+/* Returns TRUE if any instance reports any endpoint as unreachable. */
+gboolean peer_loads_has_unreachable_reports(const PeerLoads *loads);
 /* Open dispatches. */
 guint peer_loads_open_dispatches(const PeerLoads *loads, guint32 endpoint);
 /* Returns TRUE if some peer reports that this engine is changing its stage. */
--- a/router/router.c
+++ b/router/router.c
@@ -67,6 +67,7 @@
   router->unknown_fields =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   router->overload_control = options->overload_control;
+  router->endpoints->overload_control = options->overload_control;
   router->proof_age_max = options->proof_age_max;
   router->news_age_max = options->news_age_max;
   router->requests_by_dispatch = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -440,6 +441,8 @@
       MIN(stages_next_tick(router->stages), reach_next_tick(router->reach));
   if (router->shortage_recheck_at != 0)
     next = MIN(next, router->shortage_recheck_at);
+  if (router->judge_at != 0)
+    next = MIN(next, router->judge_at);
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init(&iterator, router->requests);
@@ -486,7 +489,9 @@
 }
 
 void router_tick(Router *router, gint64 now) {
-  if (peer_loads_expire(router->endpoints->peers, now))
+  gboolean has_expired = peer_loads_expire(router->endpoints->peers, now);
+  endpoint_health_update(router, now);
+  if (has_expired)
     admission_start_waiting_requests(router, now);
   while (handle_one_due(router, now)) {
   }
--- a/router/router.h
+++ b/router/router.h
@@ -459,6 +459,9 @@
 /* Returns how many endpoints are avoided because connections to them failed
 ** here, and no other instance is known that can carry to them. */
 guint router_unreachable_endpoints(const Router *router, gint64 now);
+/* Returns how many endpoints are taken as down or on trial (router/outlier.h)
+** as of the last judgement; 0 without RouterOptions.overload_control. */
+guint router_down_endpoints(const Router *router);
 /* Returns how many endpoints are reached through another instance. */
 guint router_indirect_endpoints(const Router *router);
 /* Returns how many streams' origins are remembered here. */
--- a/router/state.h
+++ b/router/state.h
@@ -233,13 +233,17 @@
   Quarantine *quarantine; /* requests under which endpoints crashed */
   Suspicions *suspicions; /* crashes that are not certain yet */
   gboolean overload_control; /* as in RouterOptions */
-  gint64 proof_age_max;      /* as in RouterOptions */
-  gint64 proved_at;          /* from router_configuration_proved; 0: unknown */
-  gint64 store_answered_at;  /* from router_store_answered; 0: never */
-  gint64 news_age_max;       /* as in RouterOptions */
-  const NewsState *news;     /* of the configuration; borrowed; may be NULL */
-  gboolean stopping;         /* router_stop_accepting was called */
-  Stages *stages;            /* changes of engines' stages */
+  gint64 judged_at;          /* when endpoints were last judged */
+  gint64 judge_at;           /* when they are to be judged again; 0: no need */
+  gboolean has_judged_reports; /* there were reports to judge then */
+  guint down_endpoints;        /* as of then */
+  gint64 proof_age_max;        /* as in RouterOptions */
+  gint64 proved_at;         /* from router_configuration_proved; 0: unknown */
+  gint64 store_answered_at; /* from router_store_answered; 0: never */
+  gint64 news_age_max;      /* as in RouterOptions */
+  const NewsState *news;    /* of the configuration; borrowed; may be NULL */
+  gboolean stopping;        /* router_stop_accepting was called */
+  Stages *stages;           /* changes of engines' stages */
   GPtrArray *waiting;  /* Requests in PHASE_WAIT, those with a handle first;
                        ** borrowed */
   gint64 last_run_end; /* when a stream last ended here; 0: never */
@@ -304,6 +308,18 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** endpoint_health.c: which endpoints are down
+** ===================================================================
+*/
+
+/* Judges the endpoints by what the other instances report and logs changes.
+** Does nothing if that was done a few ms ago. */
+void endpoint_health_update(Router *router, gint64 now);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** path.c: choosing endpoints and sending dispatches
@@ -318,6 +334,10 @@
 ** runs the request there; may end. */
 void path_start_on_engine(Router *router, Request *request, Endpoint *decode,
                           gint64 now);
+/* Puts a request whose runs reached no engine back into the queue while the
+** handle of its prefill is valid. Returns FALSE if it may not wait again, or
+** without RouterOptions.overload_control. */
+gboolean path_return_to_queue(Router *router, Request *request, gint64 now);
 /* Sends the request itself (RUN) to the best endpoint; may end. */
 void path_run(Router *router, Request *request, gint64 now);
 /* Returns TRUE if dispatches may be sent for the request now; else sets '*why'
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -20,8 +20,8 @@
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
   AdapterCounts carriers = {7,    11, 2, {}, 1, 2,  3,  "relay", 250 * ms,
-                            TRUE, 5,  4, 6,  7, 10, 12, 13,      14,
-                            3,    2,  1, 9,  8, {}, {}, 3};
+                            TRUE, 5,  4, 6,  7, 15, 10, 12,      13,
+                            14,   3,  2, 1,  9, 8,  {}, {},      3};
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
   carriers.known_positions[STORE_ENDPOINTS] = store_position(2, 31);
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
@@ -50,6 +50,7 @@
         "madderpier_held_requests 4",
         "madderpier_endpoint_rate_skips_total 6",
         "madderpier_unreachable_endpoints 7",
+        "madderpier_down_endpoints 15",
         "madderpier_indirect_endpoints 10",
         "madderpier_carried_connections 12",
         "madderpier_carried_connections_total 13",
