Outlier detection: full engines are not reported as unreachable

Cause: a prefill engine that rejects a prompt is avoided like an unreachable one and was reported with 100 percent, as were engines that asked for a rest. A summary of a data centre adds shares up, so three smaller shares looked like two reports.

Change, only with overload_control: endpoints that answer are reported with at most 96 (the encoding rounds up to a multiple of 4), 100 means unreachable. The summary of a data centre counts as one report; so does a data centre that is cut off. A prefill that gets 421 ends the incarnation as a run does.

Ruled out: a new member of the message; old instances would not set it.

Tests: OutlierWorld.FullEnginesAreNotReportedAsUnreachable, OutlierWorld.TheSummaryOfADataCentreIsOneReport.

Conclusion: only failures to reach an endpoint, and 421, count as reports.

--- a/router/endpoint_health.c
+++ b/router/endpoint_health.c
@@ -72,7 +72,8 @@
   for (i = 0; i < table->all->len; i++) {
     Endpoint *endpoint = table->all->pdata[i];
     const OutlierEvidence *evidence = &endpoint->evidence;
-    gboolean is_down = endpoint_verdict(endpoint, now) != OUTLIER_UP;
+    gboolean is_down = endpoint_verdict(endpoint, now) != OUTLIER_UP &&
+                       !endpoint_is_rejecting(endpoint, now);
     router->down_endpoints += is_down;
     if (is_down == endpoint->is_logged_down)
       continue;
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -734,6 +734,15 @@
   endpoint->evidence.heard_at = 0;
 }
 
+void endpoint_note_rejected(Endpoint *endpoint, gint64 now) {
+  endpoint_note_unreachable(endpoint, now);
+  endpoint_note_heard(endpoint, now);
+}
+
+gboolean endpoint_is_rejecting(const Endpoint *endpoint, gint64 now) {
+  return endpoint->avoid_until > now && endpoint->evidence.heard_at != 0;
+}
+
 void endpoint_note_ended(Endpoint *endpoint, gint64 now) {
   endpoint_note_unreachable(endpoint, now);
   endpoint->avoid_until = now + ENDED_AVOID_TIME;
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -225,6 +225,11 @@
 OutlierVerdict endpoint_verdict(const Endpoint *endpoint, gint64 now);
 /* Records that the endpoint's process answered, whatever it answered. */
 void endpoint_note_heard(Endpoint *endpoint, gint64 now);
+/* Records that a prefill engine has rejected a prompt: it is avoided as an
+** unreachable endpoint is, but it answers. */
+void endpoint_note_rejected(Endpoint *endpoint, gint64 now);
+/* Returns TRUE if it is avoided for that reason. */
+gboolean endpoint_is_rejecting(const Endpoint *endpoint, gint64 now);
 /* Records that another process has the address, so that this incarnation has
 ** ended. It is avoided for longer than an unreachable one, in which time the
 ** list is expected to name the new one. */
--- a/router/loads.c
+++ b/router/loads.c
@@ -22,6 +22,10 @@
 #define FAILING_PERCENT_MIN 90
 /* Smaller shares of failures are not reported, in percent. */
 #define REPORTED_FAILING_PERCENT_MIN 5
+/* The largest share reported for an endpoint that answers, in percent. 100
+*says
+** that it cannot be reached, and the encoding rounds up to a multiple of 4. */
+#define ANSWERING_PERCENT_MAX 96
 /* An endpoint that could not be reached is reported for this long after its
 ** pause unless it has answered since. Otherwise all other instances would take
 ** it as up as soon as the pause ends, and try it at the same time. The limit
@@ -38,7 +42,7 @@
 
 /* Returns TRUE if the endpoint could not be reached a short time ago and has
 ** not answered since. */
-static gboolean is_awaiting_trial(const Endpoint *endpoint, gint64 now) {
+static gboolean is_awaiting_answer(const Endpoint *endpoint, gint64 now) {
   return endpoint->unreachable_streak > 0 &&
          endpoint->evidence.heard_at == 0 &&
          now - endpoint->avoid_until < TRIAL_REPORT_TIME;
@@ -48,15 +52,20 @@
 ** Returns the recent share of failures at the endpoint, in percent. It is 100
 ** for an endpoint that this instance avoids as unreachable, and for one that
 ** asked this instance for a rest: the other instances, which were not asked,
-** then prefer other endpoints while they have a choice.
+** then prefer other endpoints while they have a choice. With overload_control
+** an endpoint that answers is reported with ANSWERING_PERCENT_MAX instead.
 */
 static guint failing_percent(const Router *router, const Endpoint *endpoint,
                              gint64 now) {
-  if (endpoint->avoid_until > now ||
-      (router->overload_control && is_awaiting_trial(endpoint, now)) ||
-      availability_rest_remaining(&endpoint->availability, now) > 0)
+  guint rate = (guint)(100 * endpoint_failure_rate(endpoint, now));
+  gboolean is_avoided =
+      endpoint->avoid_until > now ||
+      availability_rest_remaining(&endpoint->availability, now) > 0;
+  if (!router->overload_control)
+    return is_avoided ? 100 : rate;
+  if (is_awaiting_answer(endpoint, now))
     return 100;
-  return (guint)(100 * endpoint_failure_rate(endpoint, now));
+  return is_avoided ? ANSWERING_PERCENT_MAX : MIN(rate, ANSWERING_PERCENT_MAX);
 }
 
 /* Returns the value of mp_LoadRow.tokens for the endpoint. */
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -79,11 +79,12 @@
     g_hash_table_remove(loads->sums, GUINT_TO_POINTER(endpoint));
 }
 
-/* Returns how many instances report the endpoint as unreachable in this row: a
-** share of failures of 100 says so. A summary adds the shares up, so its whole
-** hundreds are counted; several smaller shares may count as one report. */
+/* Returns 1 if the row reports the endpoint as unreachable, else 0. The
+*summary
+** of a data centre counts as one report: it adds shares up, which may be
+** smaller ones, and a data centre that is cut off is one fault. */
 static guint row_unreachable(const mp_LoadRow *row) {
-  return row->failing / UNREACHABLE_PERCENT;
+  return row->failing >= UNREACHABLE_PERCENT;
 }
 
 static void add_row(PeerLoads *loads, const mp_LoadRow *row) {
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -82,7 +82,8 @@
 /* The sum of the recent shares of failures that the peers report; each peer
 ** reports 0 to 1, so the sum may exceed 1. */
 double peer_loads_failure_shares(const PeerLoads *loads, guint32 endpoint);
-/* Returns how many other instances report the endpoint as unreachable. */
+/* Returns how many other instances report the endpoint as unreachable; the
+** summary of a data centre counts as one. */
 guint peer_loads_unreachable_reports(const PeerLoads *loads, guint32 endpoint);
 /* Returns TRUE if any instance reports any endpoint as unreachable. */
 gboolean peer_loads_has_unreachable_reports(const PeerLoads *loads);
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -245,8 +245,12 @@
   if (endpoint == NULL)
     return;
   /* an engine that rejects a prompt may be about to change its stage */
-  if (outcome->kind == OUTCOME_UNREACHABLE || outcome->kind == OUTCOME_NOT_RUN)
+  if (outcome->misdirected && router->overload_control)
+    endpoint_note_ended(endpoint, now);
+  else if (outcome->kind == OUTCOME_UNREACHABLE)
     endpoint_note_unreachable(endpoint, now);
+  else if (outcome->kind == OUTCOME_NOT_RUN)
+    endpoint_note_rejected(endpoint, now);
   else
     endpoint_note_failure(endpoint, now);
   if (outcome->kind == OUTCOME_BROKEN)
--- a/test/test_outlier.cc
+++ b/test/test_outlier.cc
@@ -256,6 +256,48 @@
   EXPECT_EQ(router_down_endpoints(world->router), 0u);
 }
 
+/* A prefill engine that rejects prompts because it is full answers; it must
+** not be taken from all instances as if it had crashed. */
+TEST_F(OutlierWorld, FullEnginesAreNotReportedAsUnreachable) {
+  for (bool misdirected : {false, true}) {
+    mp_LoadDigest digest = {};
+    Outcome outcome = {};
+    create(true);
+    world->endpoint({"p1", "llm", "a", STAGE_PREFILL});
+    world->request("/stream/x");
+    ASSERT_EQ(world->last().kind, DISPATCH_PREFILL);
+    guint32 engine = incarnation_hash_of(world->last().endpoint.c_str());
+    outcome.dispatch = world->last().number;
+    outcome.kind = OUTCOME_NOT_RUN;
+    outcome.misdirected = misdirected;
+    router_outcome(world->router, &outcome, world->now);
+    router_load_digest(world->router, &digest, world->now);
+    guint failing = 0;
+    for (unsigned i = 0; i < digest.n; i++) {
+      if (digest.row[i].endpoint == engine)
+        failing = digest.row[i].failing;
+    }
+    EXPECT_EQ(failing, misdirected ? 100u : 96u);
+  }
+}
+
+/* All instances of a data centre that is cut off count as one report. */
+TEST_F(OutlierWorld, TheSummaryOfADataCentreIsOneReport) {
+  mp_LoadSummary summary = {};
+  create(true);
+  summary.relay = 0x0a00000000020001;
+  summary.zone = 5;
+  summary.instances = 20;
+  summary.loads.n = 1;
+  summary.loads.row[0] = {incarnation_hash_of("d0"), 0, 0, 500};
+  router_receive_summary(world->router, 1, &summary, world->now);
+  world->advance(20 * ms);
+  EXPECT_EQ(router_down_endpoints(world->router), 0u);
+  report(1, {"d0"});
+  world->advance(20 * ms);
+  EXPECT_EQ(router_down_endpoints(world->router), 1u);
+}
+
 /* A prefill that was paid for must not be lost because six engines in a row
 ** could not be reached. */
 TEST_F(OutlierWorld, APrefilledRequestReturnsToTheQueue) {
