--- a/test/test_outlier.cc
+++ b/test/test_outlier.cc
@@ -21,6 +21,7 @@
 
 extern "C" {
 #include "router/outlier.h"
+#include "router/state.h"
 }
 
 using namespace routing;
@@ -361,6 +362,11 @@
         list(*one.world, "p" + std::to_string(i), STAGE_PREFILL);
     }
   }
+  /* Switches only the use of the judgement in choices off. */
+  void choose_without_evidence() {
+    for (Instance &one : all)
+      one.world->router->endpoints->overload_control = FALSE;
+  }
   /* Lets time pass with this many requests per second over all instances. */
   void run(gint64 span, unsigned per_second) {
     for (gint64 until = now + span; now < until; now += step) {
@@ -399,6 +405,17 @@
     }
     return count;
   }
+  /* Returns number, kind and endpoint of all dispatches, instance by
+  ** instance. */
+  std::vector<std::string> dispatches() const {
+    std::vector<std::string> found;
+    for (const Instance &one : all) {
+      for (const SentDispatch &sent : one.world->dispatches)
+        found.push_back(std::to_string(sent.number) + " " +
+                        std::to_string(sent.kind) + " " + sent.endpoint);
+    }
+    return found;
+  }
   unsigned wasted = 0; /* dispatches to crashed engines */
   unsigned served_by_restarted = 0;
 
@@ -519,6 +536,19 @@
   return {fleet.wasted, fleet.refused() - before};
 }
 
+/* Without failures the judgement must change no dispatch. */
+TEST(OutlierFleet, WithoutFailuresDispatchesAreTheSame) {
+  for (unsigned instances : {1u, 20u}) {
+    CrashedFleet off(instances, decode_in_fleet, 40 * ms, true);
+    CrashedFleet on(instances, decode_in_fleet, 40 * ms, true);
+    off.choose_without_evidence();
+    off.run(3 * second, requests_per_second);
+    on.run(3 * second, requests_per_second);
+    EXPECT_GT(on.dispatches().size(), 100u);
+    EXPECT_EQ(on.dispatches(), off.dispatches());
+  }
+}
+
 /* Engines that crash must be found out by all instances together, not by each
 ** one. Two reports and the trials of these instances cost about three
 ** dispatches for each engine. */
