--- a/router/loads.c
+++ b/router/loads.c
@@ -22,6 +22,15 @@
 #define FAILING_PERCENT_MIN 90
 /* Smaller shares of failures are not reported, in percent. */
 #define REPORTED_FAILING_PERCENT_MIN 5
+/* The largest share reported for an endpoint that answers, in percent. 100
+*says
+** that it cannot be reached, and the encoding rounds up to a multiple of 4. */
+#define ANSWERING_PERCENT_MAX 96
+/* An endpoint that could not be reached is reported for this long after its
+** pause unless it has answered since. Otherwise all other instances would take
+** it as up as soon as the pause ends, and try it at the same time. The limit
+** frees an endpoint for which this instance has no request. */
+#define TRIAL_REPORT_TIME (2 * MP_SEC)
 
 guint64 router_load_version(const Router *router) {
   return router->load_version;
@@ -31,17 +40,32 @@
   return router->plain_version;
 }
 
+/* Returns TRUE if the endpoint could not be reached a short time ago and has
+** not answered since. */
+static gboolean is_awaiting_answer(const Endpoint *endpoint, gint64 now) {
+  return endpoint->unreachable_streak > 0 &&
+         endpoint->evidence.heard_at == 0 &&
+         now - endpoint->avoid_until < TRIAL_REPORT_TIME;
+}
+
 /*
 ** Returns the recent share of failures at the endpoint, in percent. It is 100
 ** for an endpoint that this instance avoids as unreachable, and for one that
 ** asked this instance for a rest: the other instances, which were not asked,
-** then prefer other endpoints while they have a choice.
+** then prefer other endpoints while they have a choice. With overload_control
+** an endpoint that answers is reported with ANSWERING_PERCENT_MAX instead.
 */
-static guint failing_percent(const Endpoint *endpoint, gint64 now) {
-  if (endpoint->avoid_until > now ||
-      availability_rest_remaining(&endpoint->availability, now) > 0)
+static guint failing_percent(const Router *router, const Endpoint *endpoint,
+                             gint64 now) {
+  guint rate = (guint)(100 * endpoint_failure_rate(endpoint, now));
+  gboolean is_avoided =
+      endpoint->avoid_until > now ||
+      availability_rest_remaining(&endpoint->availability, now) > 0;
+  if (!router->overload_control)
+    return is_avoided ? 100 : rate;
+  if (is_awaiting_answer(endpoint, now))
     return 100;
-  return (guint)(100 * endpoint_failure_rate(endpoint, now));
+  return is_avoided ? ANSWERING_PERCENT_MAX : MIN(rate, ANSWERING_PERCENT_MAX);
 }
 
 /* Returns the value of mp_LoadRow.tokens for the endpoint. */
@@ -121,13 +145,13 @@
   out->n = 0;
   for (i = 0; i < all->len && out->n < MP_LOAD_DIGEST_ROWS; i++) {
     const Endpoint *endpoint = all->pdata[i];
-    guint failing = failing_percent(endpoint, now);
+    guint failing = failing_percent(router, endpoint, now);
     if (has_reportable_load(endpoint, failing))
       write_row(endpoint, out, failing);
   }
   for (i = 0; i < all->len && out->n < MP_LOAD_DIGEST_ROWS; i++) {
     const Endpoint *endpoint = all->pdata[i];
-    guint failing = failing_percent(endpoint, now);
+    guint failing = failing_percent(router, endpoint, now);
     if (!has_reportable_load(endpoint, failing) &&
         connections_must_report(router, endpoint, &view))
       write_row(endpoint, out, failing);
@@ -165,7 +189,7 @@
   guint i;
   for (i = 0; i < all->len; i++) {
     const Endpoint *endpoint = all->pdata[i];
-    if (failing_percent(endpoint, now) >= FAILING_PERCENT_MIN ||
+    if (failing_percent(router, endpoint, now) >= FAILING_PERCENT_MIN ||
         peer_loads_failure_shares(router->endpoints->peers, endpoint->hash) >=
             FAILING_PERCENT_MIN / 100.0)
       set += (guint64)endpoint->hash * endpoint->hash;
@@ -198,6 +222,7 @@
                                  &summary->loads, &sharers, now);
   /* the endpoints that announced that they are leaving */
   signals_read_digest(router, &summary->loads, now);
+  endpoint_health_update(router, now);
   admission_start_waiting_requests(router, now);
 }
 
@@ -215,6 +240,7 @@
   sharers = accounts_sharers(router, now);
   account_limits_receive(router->limits, peer, digest, &sharers, now);
   signals_read_digest(router, digest, now);
+  endpoint_health_update(router, now);
   admission_start_waiting_requests(router, now);
 }
 
