Prompts wait in the router until a prefill engine can take them

Change, with overload_control only: router/prefill_capacity.[ch] decides by slots, open dispatches, tokens, pace and retry budget; engine_with_room asks for room in the prefill stage too; a used-up budget allows half of the slots; decode engines prefill only if no prefill engine can be used or they run nothing; a rejected prompt goes back to the queue instead of to a decode engine; the pace counts the prompts that were open before. Counters prefills_at_decode, prompts_rejected.

--- a/router/admission.c
+++ b/router/admission.c
@@ -122,6 +122,7 @@
                                   gint64 now) {
   EndpointQuery query = path_query(router, request, STAGE_DECODE, now);
   query.must_fit = TRUE;
+  query.load_limit = prefill_decode_limit(router, request, now);
   return endpoint_table_choose(router->endpoints, &query, now);
 }
 
@@ -372,8 +373,9 @@
   router->load_version++;
   router_log(router, MP_LOG_ROUTE_WAIT,
              " request=%s place=%u handle=%s left_ms=%d", request->id,
-             router->waiting->len, request->handle,
-             (int)((request->handle_until - now) / MP_MS));
+             router->waiting->len,
+             request->handle != NULL ? request->handle : "-",
+             (int)(MAX(request->handle_until - now, 0) / MP_MS));
 }
 
 void admission_leave(Router *router, Request *request) {
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -430,6 +430,15 @@
          peer_loads_open_dispatches(table->peers, endpoint->hash);
 }
 
+gboolean endpoint_is_within_load(const EndpointTable *table,
+                                 const Endpoint *endpoint,
+                                 const PrefillLimit *limit) {
+  PrefillLoad load = {endpoint->record.slots,
+                      endpoint_open_count(table, endpoint),
+                      endpoint_tokens(table, endpoint)};
+  return prefill_capacity_allows(&load, limit);
+}
+
 /* Returns TRUE if the query's tokens fit into the engine's memory, or its size
 ** is not known. */
 static gboolean has_room(const EndpointTable *table,
@@ -560,6 +569,9 @@
       continue;
     if (skip_crashed && endpoint_has_crashed_under(query, endpoint))
       continue;
+    if (query->load_limit != NULL &&
+        !endpoint_is_within_load(table, endpoint, query->load_limit))
+      continue;
     if ((query->must_fit && !has_room(table, query, endpoint)) ||
         !is_within_limits(table, query, endpoint, now))
       continue;
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -24,6 +24,7 @@
 #include "router/availability.h"
 #include "router/endpoint_path.h"
 #include "router/peer_loads.h"
+#include "router/prefill_capacity.h"
 #include "router/rate_limits.h"
 #include "router/records.h"
 #include "router/software_history.h"
@@ -100,6 +101,8 @@
                      ** no engine */
   guint64 tokens;    /* engines: tokens that the dispatch adds */
   gboolean must_fit; /* choose only where 'tokens' fit into 'capacity' now */
+  const PrefillLimit *load_limit; /* engines: choose only where the load is
+                                  ** within it; NULL: any; borrowed */
   GateLimits limits;
   const char *const *excluded; /* ids of endpoints to leave out; borrowed */
   guint excluded_count;
@@ -193,6 +196,11 @@
 guint64 endpoint_tokens(const EndpointTable *table, const Endpoint *endpoint);
 guint endpoint_open_count(const EndpointTable *table,
                           const Endpoint *endpoint);
+/* Returns TRUE if what all instances have open at an engine is within the
+** limit. */
+gboolean endpoint_is_within_load(const EndpointTable *table,
+                                 const Endpoint *endpoint,
+                                 const PrefillLimit *limit);
 /* Returns the connections of all instances to a plain endpoint, idle ones
 ** too. */
 guint endpoint_connections(const EndpointTable *table,
--- a/router/path.c
+++ b/router/path.c
@@ -300,6 +300,8 @@
     finish_give_up(router, request, now);
     return;
   }
+  if (request->service->is_engine && request->handle == NULL)
+    router_count(router, PREFILLS_AT_DECODE);
   request->stall_at = silence_deadline(request, now);
   request->suspect_at = now + silence_suspect_after(request);
 }
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -7,6 +7,14 @@
 ** its handle. A handle is valid for a short time and for one fetch. If no
 ** prefill engine can read the prompt, the decode engine reads it itself.
 **
+** With Router.overload_control a prompt is sent only to a prefill engine that
+** can take it soon (prefill_capacity.h), and the request waits in the router
+** until there is one. A decode engine reads a prompt only if no prefill engine
+** can be used or if it runs nothing, because a prefill delays the runs at its
+** engine: in a burst, streams with a pause of over 300 ms had seen 5.9
+*prefills
+** at their decode engine, streams without a pause over 100 ms 0.05.
+**
 ** Invariant: of the dispatches of a request that arrive at endpoints, the
 ** first run and the one prefill that reads the prompt cost no retry. Each
 ** other one is an extra arrival, which the retry budget has to allow before it
@@ -41,6 +49,10 @@
 /* A handle counts as expired this long before it does, because a fetch would
 ** come too late. */
 #define HANDLE_MARGIN (60 * MP_MS)
+/* With overload control, an engine that rejected a prompt for lack of slots
+** gets no prompt from this instance for this long, a few times as long as it
+** takes to read one; other instances' prompts are then known here. */
+#define REJECTED_PAUSE (250 * MP_MS)
 /* connect timeout of a RELEASE */
 #define RELEASE_CONNECT_TIMEOUT (300 * MP_MS)
 
@@ -73,25 +85,128 @@
                     (guint32)request->decode_tokens);
 }
 
-/* Returns how long the prefill is expected to take, us. */
+/* Returns the pace at which a service's prompts are read, in tokens per ms. */
+static double pace_of(const ServiceState *state) {
+  return state->prefill_pace > 0 ? state->prefill_pace : INITIAL_PACE;
+}
+
+/* Returns the tokens that the engine reads until the open prompt is read. */
+static double tokens_to_read(const Request *request) {
+  return (double)(request->open.ahead + request->prompt_tokens);
+}
+
+/* Returns how long the open prefill is expected to take, us. */
 static gint64 expected_time(Router *router, const Request *request) {
   const ServiceState *state =
       router_service_state(router, request->service->name);
-  double pace = state->prefill_pace > 0 ? state->prefill_pace : INITIAL_PACE;
-  return (gint64)(request->prompt_tokens / pace * MP_MS);
+  return (gint64)(tokens_to_read(request) / pace_of(state) * MP_MS);
 }
 
-/* Updates the service's prefill pace from the time since the PREFILL was sent;
-** time in the engine's queue is included. */
+/* Updates the service's prefill pace from the time since the PREFILL was sent.
+** With overload control the prompts before it count as read in that time, so
+** that the pace is that of the engine; else its queue makes the pace lower. */
 static void update_pace(Router *router, const Request *request, gint64 now) {
   ServiceState *state = router_service_state(router, request->service->name);
   double ms = MAX((double)(now - request->open.sent) / MP_MS, 1.0);
-  double pace = request->prompt_tokens / ms;
+  double pace = tokens_to_read(request) / ms;
   if (state->prefill_pace <= 0)
     state->prefill_pace = INITIAL_PACE;
   state->prefill_pace += PACE_STEP * (pace - state->prefill_pace);
 }
 
+/* Returns the shortest objective of the routes to the request's service, us.
+*It
+** is looked up once for each configuration. */
+static gint64 shortest_objective(ServiceState *state, const Request *request) {
+  const RouteTable *table = request->table;
+  guint i, j;
+  if (state->objective_version == table->version)
+    return state->objective_min;
+  state->objective_version = table->version;
+  state->objective_min = request->route->objective;
+  for (i = 0; i < table->routes->len; i++) {
+    const Route *route = table->routes->pdata[i];
+    for (j = 0; j < route->targets->len; j++) {
+      const RouteTarget *target =
+          &g_array_index(route->targets, RouteTarget, j);
+      if (strcmp(target->service, request->service->name) == 0)
+        state->objective_min = MIN(state->objective_min, route->objective);
+    }
+  }
+  return state->objective_min;
+}
+
+/* Returns TRUE if the retry budget covers a rejection of the prompt. In the
+** first window after the start of this instance, the budget is not yet known,
+** and rejections are risked. */
+static gboolean may_be_rejected(Router *router, const Request *request,
+                                gint64 now) {
+  return now - router->retry.born < router->retry.window ||
+         retry_exchange_has_extra(router, request->service->name, now);
+}
+
+/* Returns the limit on the load of a prefill engine for the prompt. */
+static PrefillLimit limit_for_prompt(Router *router, const Request *request,
+                                     gint64 now) {
+  ServiceState *state = router_service_state(router, request->service->name);
+  PrefillLimit limit;
+  limit.tokens_ahead_max =
+      prefill_capacity_ahead_max(request->prompt_tokens, pace_of(state),
+                                 shortest_objective(state, request));
+  limit.may_be_rejected = may_be_rejected(router, request, now);
+  return limit;
+}
+
+/* Returns TRUE if prompts of the request can be sent to the endpoint, now or
+** when its load is lower. */
+static gboolean can_read_prompt(Router *router, const Request *request,
+                                const Endpoint *endpoint, gint64 now) {
+  return endpoint->record.stage == STAGE_PREFILL &&
+         strcmp(endpoint->record.service, request->service->name) == 0 &&
+         (endpoint->avoid_until <= now || endpoint->unreachable_streak == 0) &&
+         !endpoint_is_changing_stage(router->endpoints, endpoint, now) &&
+         gate_check(endpoint, DISPATCH_PREFILL, now) == GATE_OPEN &&
+         !path_is_excluded(request, endpoint->record.id);
+}
+
+/* What the prefill engines can do for a prompt. */
+typedef enum PrefillRoom {
+  PREFILL_ROOM_NOW,   /* one can take it now */
+  PREFILL_ROOM_LATER, /* one can take it when its load is lower */
+  PREFILL_ROOM_NEVER  /* none can be used */
+} PrefillRoom;
+
+static PrefillRoom find_room(Router *router, const Request *request,
+                             gint64 now) {
+  const EndpointTable *table = router->endpoints;
+  PrefillLimit limit = limit_for_prompt(router, request, now);
+  GateLimits limits = rates_limits(router, request->service, now);
+  PrefillRoom room = PREFILL_ROOM_NEVER;
+  guint i;
+  if (request->prefills_sent >= PREFILLS_MAX)
+    return PREFILL_ROOM_NEVER;
+  for (i = 0; i < table->all->len; i++) {
+    const Endpoint *endpoint = table->all->pdata[i];
+    if (!can_read_prompt(router, request, endpoint, now) ||
+        gate_check_limits(table, endpoint, &limits, now) != GATE_OPEN)
+      continue;
+    room = PREFILL_ROOM_LATER;
+    if (endpoint->avoid_until <= now &&
+        endpoint_is_within_load(table, endpoint, &limit))
+      return PREFILL_ROOM_NOW;
+  }
+  return room;
+}
+
+const PrefillLimit *prefill_decode_limit(Router *router,
+                                         const Request *request, gint64 now) {
+  if (!router->overload_control || request->handle != NULL ||
+      request->prefills > 0 ||
+      find_room(router, request, now) != PREFILL_ROOM_LATER)
+    return NULL;
+  return &prefill_limit_idle;
+}
+
 /* Returns the engine that prefilled the prompt last, if it can do so again;
 ** else NULL. */
 static Endpoint *reusable_prefill_engine(Router *router,
@@ -125,37 +240,67 @@
          !retry_exchange_has_extra(router, request->service->name, now);
 }
 
-gboolean prefill_begin(Router *router, Request *request, gint64 now) {
+/* Returns TRUE if the prompt may be sent to some prefill engine now; the
+*choice
+** of the engine considers the load of each. */
+static gboolean may_prefill(Router *router, const Request *request,
+                            gint64 now) {
+  if (router->overload_control)
+    return find_room(router, request, now) == PREFILL_ROOM_NOW;
+  return request->prefills_sent < PREFILLS_MAX &&
+         !is_too_risky(router, request, now) &&
+         endpoint_table_has_usable(router->endpoints, request->service->name,
+                                   STAGE_PREFILL, now);
+}
+
+/* Returns the engine that the prompt is sent to, or NULL; 'limit' is on its
+** load, NULL: none. */
+static Endpoint *choose_prefill_engine(Router *router, const Request *request,
+                                       const PrefillLimit *limit, gint64 now) {
   EndpointQuery query = path_query(router, request, STAGE_PREFILL, now);
   const Endpoint *decode =
       request->decode != NULL
           ? endpoint_table_get(router->endpoints, request->decode)
           : NULL;
+  Endpoint *prefill = reusable_prefill_engine(router, request, now);
+  if (prefill != NULL &&
+      (limit == NULL ||
+       endpoint_is_within_load(router->endpoints, prefill, limit)))
+    return prefill;
+  query.tokens = request->prompt_tokens;
+  query.load_limit = limit;
+  query.zone = decode != NULL ? decode->record.zone : NULL;
+  query.affinity = request->session;
+  query.affinity_overrides_load = request->resumes;
+  return endpoint_table_choose(router->endpoints, &query, now);
+}
+
+gboolean prefill_begin(Router *router, Request *request, gint64 now) {
+  PrefillLimit limit;
   Endpoint *prefill;
   RefusalKind why;
-  gint64 expected;
+  guint64 ahead = 0;
   if (!path_may_dispatch(router, request, &why, now))
     return FALSE; /* path_run refuses the request */
-  if (request->prefills_sent >= PREFILLS_MAX ||
-      is_too_risky(router, request, now) ||
-      !endpoint_table_has_usable(router->endpoints, request->service->name,
-                                 STAGE_PREFILL, now))
+  if (!may_prefill(router, request, now))
     return FALSE;
-  query.tokens = request->prompt_tokens;
-  query.zone = decode != NULL ? decode->record.zone : NULL;
-  query.affinity = request->session;
-  query.affinity_overrides_load = request->resumes;
-  prefill = reusable_prefill_engine(router, request, now);
+  if (router->overload_control)
+    limit = limit_for_prompt(router, request, now);
+  prefill = choose_prefill_engine(
+      router, request, router->overload_control ? &limit : NULL, now);
   if (prefill == NULL)
-    prefill = endpoint_table_choose(router->endpoints, &query, now);
-  if (prefill == NULL || !path_send(router, request, DISPATCH_PREFILL, prefill,
-                                    request->prompt_tokens, now))
+    return FALSE;
+  if (router->overload_control)
+    ahead = endpoint_tokens(router->endpoints, prefill);
+  if (!path_send(router, request, DISPATCH_PREFILL, prefill,
+                 request->prompt_tokens, now))
     return FALSE;
   router_count(router, PREFILLS);
   request->prefills_sent++;
-  expected = expected_time(router, request);
+  request->open.ahead = ahead;
   request->phase = PHASE_PREFILL;
-  request->stall_at = now + PREFILL_TIMES_MAX * expected + PREFILL_GRACE;
+  request->stall_at =
+      now + PREFILL_TIMES_MAX * expected_time(router, request) + PREFILL_GRACE;
   return TRUE;
 }
 
@@ -211,11 +356,45 @@
              request->prefills_sent);
 }
 
-/* Sends the prompt to another prefill engine, or else the request to a decode
-** engine; the retry budget has allowed it; may end. */
+/* Returns TRUE if the decode engine where memory is reserved runs nothing and
+** has reserved no memory for others. */
+static gboolean is_decode_idle(const Router *router, const Request *request) {
+  const EndpointTable *table = router->endpoints;
+  const Endpoint *decode;
+  if (request->decode == NULL)
+    return FALSE;
+  decode = endpoint_table_get_incarnation(table, request->decode,
+                                          request->decode_incarnation);
+  return decode != NULL && endpoint_open_count(table, decode) == 0 &&
+         endpoint_tokens(table, decode) <= request->decode_tokens;
+}
+
+/*
+** With overload control, queues a request again whose prompt no prefill engine
+** can take now, but one can later. The memory reserved at the decode engine is
+** given back, and the queue reviews at once whether the request can still be
+** answered in time. Returns FALSE if it was not queued.
+*/
+static gboolean requeue_prompt(Router *router, Request *request, gint64 now) {
+  if (!router->overload_control || request->handle != NULL ||
+      request->runs > 0 || request->arrivals > 0 || request->head_sent ||
+      router->stopping || is_decode_idle(router, request) ||
+      find_room(router, request, now) != PREFILL_ROOM_LATER)
+    return FALSE;
+  prefill_release_reservation(router, request);
+  admission_requeue(router, request, now);
+  request->stall_at = now;
+  return TRUE;
+}
+
+/* Sends the prompt to another prefill engine, or queues the request for one,
+*or
+** else sends the request to a decode engine; the retry budget has allowed it;
+** may end. */
 static void prefill_elsewhere(Router *router, Request *request, gint64 now) {
   log_prompt_retry(router, request, TRUE);
-  if (!prefill_begin(router, request, now))
+  if (!prefill_begin(router, request, now) &&
+      !requeue_prompt(router, request, now))
     path_run(router, request, now);
 }
 
@@ -227,6 +406,25 @@
   finish_give_up(router, request, now);
 }
 
+/* Records that the engine rejected the prompt. With overload control that is
+** taken for a lack of slots, since the engine was reached: it gets no more
+** prompts for a short time, but counts as one that can be used, so that decode
+** engines do not prefill in its place. */
+static void record_rejection(Router *router, Request *request,
+                             Endpoint *endpoint, gint64 now) {
+  router_count(router, PROMPTS_REJECTED);
+  retry_budget_count_extra(router_retry_budget(router, request->service->name),
+                           &router->retry, now);
+  if (!router->overload_control)
+    path_exclude(request, request->open.endpoint);
+  if (endpoint == NULL)
+    return;
+  if (router->overload_control)
+    endpoint->avoid_until = MAX(endpoint->avoid_until, now + REJECTED_PAUSE);
+  else /* it may be about to change its stage */
+    endpoint_note_unreachable(endpoint, now);
+}
+
 /* Records a failed prefill at the engine, and charges a rejected one to the
 ** retry budget. */
 static void record_failure(Router *router, Request *request,
@@ -237,15 +435,14 @@
     router_count(router, UNREACHABLE);
   if (is_path_lost)
     return;
+  if (outcome->kind == OUTCOME_NOT_RUN) {
+    record_rejection(router, request, endpoint, now);
+    return;
+  }
   path_exclude(request, request->open.endpoint);
-  if (outcome->kind == OUTCOME_NOT_RUN)
-    retry_budget_count_extra(
-        router_retry_budget(router, request->service->name), &router->retry,
-        now);
   if (endpoint == NULL)
     return;
-  /* an engine that rejects a prompt may be about to change its stage */
-  if (outcome->kind == OUTCOME_UNREACHABLE || outcome->kind == OUTCOME_NOT_RUN)
+  if (outcome->kind == OUTCOME_UNREACHABLE)
     endpoint_note_unreachable(endpoint, now);
   else
     endpoint_note_failure(endpoint, now);
--- a/router/state.h
+++ b/router/state.h
@@ -64,7 +64,9 @@
   X(TAKEN_UP, "streams_taken_up")                    \
   X(REFUSED_ORIGIN, "refused_for_unknown_stream")    \
   X(REFUSED_VERSION, "refused_for_version")          \
-  X(ORIGINS_LEFT_OUT, "stream_origins_left_out")
+  X(ORIGINS_LEFT_OUT, "stream_origins_left_out")     \
+  X(PREFILLS_AT_DECODE, "prefills_at_decode")        \
+  X(PROMPTS_REJECTED, "prompts_rejected")
 
 typedef enum RouterCounter {
 #define X(symbol, name) ROUTER_COUNT_##symbol,
@@ -75,12 +77,15 @@
 
 /* What is learned about a service; it outlasts configurations. */
 typedef struct ServiceState {
-  RetryBudget budget;  /* for extra arrivals of its requests at endpoints */
-  double mean_prompt;  /* moving mean of prompts, in tokens; 0: none came */
-  double mean_output;  /* moving mean of what streams generated, in tokens; 0:
-                       ** none ended */
-  double prefill_pace; /* prompt tokens read in a ms, queueing included; 0: not
-                       ** known */
+  RetryBudget budget;   /* for extra arrivals of its requests at endpoints */
+  double mean_prompt;   /* moving mean of prompts, in tokens; 0: none came */
+  double mean_output;   /* moving mean of what streams generated, in tokens; 0:
+                        ** none ended */
+  double prefill_pace;  /* prompt tokens read in a ms, queueing included unless
+                        ** Router.overload_control is set; 0: not known */
+  gint64 objective_min; /* shortest objective of the routes to the service, us;
+                        ** 0: none is */
+  guint64 objective_version; /* of the configuration that has it; 0: none */
 } ServiceState;
 
 /* The dispatch whose outcome a request waits for. */
@@ -90,6 +95,8 @@
   guint32 life;     /* the endpoint's incarnation: Endpoint.hash */
   guint64 software; /* Endpoint.software */
   guint64 tokens;   /* counted in Endpoint.tokens for it */
+  guint64 ahead;    /* PREFILL: prompt tokens that were open at the engine
+                    ** before; 0 without Router.overload_control */
   mp_Addr via;      /* as Dispatch.via */
   gint64 sent;      /* when */
 } OpenDispatch;
@@ -398,6 +405,13 @@
 /* Sends a PREFILL. Returns FALSE if none can be sent; the reservation of the
 ** decode engine stays. */
 gboolean prefill_begin(Router *router, Request *request, gint64 now);
+/* Returns the limit on the load of a decode engine where the request may
+*start:
+** NULL (none) if a prefill engine can take its prompt now or none can be used,
+** else that of an idle engine, which can read the prompt itself. Without
+** Router.overload_control always NULL. */
+const PrefillLimit *prefill_decode_limit(Router *router,
+                                         const Request *request, gint64 now);
 /* Reserves memory for the run at a decode engine. */
 void prefill_reserve(Router *router, Request *request, Endpoint *decode);
 /* Prefills a prompt again at the engine that prefilled it before and may still
@@ -464,7 +478,8 @@
 /* Starts a new request, queues it, or refuses it; may end. */
 void admission_enter(Router *router, Request *request, gint64 now);
 /* Queues a request again whose prompt is prefilled but for which no engine has
-** room; it waits while the handle is valid. */
+** room; it waits while the handle is valid. One whose prompt is not prefilled
+** may be queued too; its caller then sets the time of the next review. */
 void admission_requeue(Router *router, Request *request, gint64 now);
 /* Removes a request from the queue, if it is in it. */
 void admission_leave(Router *router, Request *request);
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -191,6 +191,7 @@
   record.address = mp_addr_parse("10.0.0.1:80");
   record.ready = ready;
   record.stage = place.stage;
+  record.slots = slots;
   record.started_unix_ms = started_unix_ms;
   record.software = const_cast<char *>(software);
   record.position = store_position(era, revision);
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -230,6 +230,8 @@
   bool ends_with_close = false;
   /* Start time (Unix ms) of the incarnation in the next endpoint record. */
   gint64 started_unix_ms = 0;
+  /* Slots in the next endpoint record; 0: not stated. */
+  guint32 slots = 0;
   /* Version of the software in the next endpoint record; NULL: none. */
   const char *software = nullptr;
   /* ID of the next request; empty: "r" and its number. */
