--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -59,6 +59,9 @@
 #define MP_LOAD_DIGEST_CHANGING 12
 #define MP_LOAD_DIGEST_LEAVING 12
 #define MP_LOAD_DIGEST_SERVICES 6
+/* most pairs of a service and a priority with waiting requests in one load
+** digest */
+#define MP_LOAD_DIGEST_PRIORITIES 10
 /* most client accounts in one load digest; if there are more, successive
 ** digests carry them in turn */
 #define MP_LOAD_DIGEST_ACCOUNTS 32
--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -264,6 +264,15 @@
 /* the sender has just started and has received no level yet */
 #define MP_LEVEL_UNKNOWN 255u
 
+/* requests of one service and one priority that wait for capacity and can
+** still be answered in time. The message rounds 'oldest_ms' down to 4 ms. */
+typedef struct mp_WaitingRow {
+  uint32_t service;   /* hash of its name */
+  uint32_t priority;  /* 0, the highest, to 9 */
+  uint32_t count;     /* at most 4095 */
+  uint32_t oldest_ms; /* how long the oldest of them has waited */
+} mp_WaitingRow;
+
 /* LOAD_DIGEST: all that the sender has open; replaces its last digest */
 typedef struct mp_LoadDigest {
   uint32_t waiting;   /* requests that wait for capacity */
@@ -283,6 +292,10 @@
   ** digests carry them in turn */
   unsigned leaving_count;
   uint32_t leaving[MP_LOAD_DIGEST_LEAVING];
+  /* the highest priorities first; an instance of an earlier release sends
+  ** none, and a digest that is nearly full leaves the last ones out */
+  unsigned ranked_count;
+  mp_WaitingRow ranked[MP_LOAD_DIGEST_PRIORITIES];
 } mp_LoadDigest;
 
 /* LOAD_SUMMARY: all that the instances of one data centre have open, added up
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -38,6 +38,25 @@
                          router_instances(router));
 }
 
+/* Writes the requests for engines by priority, for those that ever came. */
+static void write_priorities(GString *text, const Router *router) {
+  guint priority;
+  for (priority = 0; priority <= PRIORITY_LOWEST; priority++) {
+    PriorityCounts counts = router_priority_counts(router, priority);
+    if (counts.waiting == 0 && counts.started == 0 && counts.refused == 0)
+      continue;
+    g_string_append_printf(
+        text,
+        "madderpier_priority_waiting{priority=\"%u\"} %u\n"
+        "madderpier_priority_started_total{priority=\"%u\"} "
+        "%" G_GUINT64_FORMAT "\n"
+        "madderpier_priority_refused_total{priority=\"%u\"} "
+        "%" G_GUINT64_FORMAT "\n",
+        priority, counts.waiting, priority, counts.started, priority,
+        counts.refused);
+  }
+}
+
 static void write_adapters(GString *text, const AdapterCounts *counts) {
   g_string_append_printf(
       text,
@@ -135,6 +154,7 @@
   GString *text = g_string_new(NULL);
   int which;
   write_router(text, router);
+  write_priorities(text, router);
   write_adapters(text, counts);
   write_lags(text, counts);
   write_positions(text, counts);
--- a/router/admission.c
+++ b/router/admission.c
@@ -16,8 +16,17 @@
 ** come back late. In a simulated burst of twice the load for 6 s, 0.30 to 0.99
 ** of the callers that came 5 to 15 s after it were answered in time when
 ** retries went first; with this rule 0.96 to 1.00 are. The time of a request
-** counts from its caller's first try. Requests whose prompt is prefilled go
-** before all others.
+** counts from its caller's first try.
+**
+** admission_order.h states which request starts first. Where a service has
+** requests of several priorities, one that finds no room keeps the room that
+** appears from those of lower priority, here and (by the load digests) at
+** other instances. As the last resort an urgent request is sent to an engine
+** without room for it, which then displaces a less urgent run.
+**
+** RouterOptions.overload_control adds limits for late requests and for
+** requests that cannot end before their deadline, and makes shorter outputs
+** more senior.
 **
 ** When room appears, all instances learn of it at about the same time. So each
 ** waiting request computes its rank among all that wait at any instance: as
@@ -28,7 +37,9 @@
 
 #include <string.h>
 
+#include "router/admission_order.h"
 #include "router/continuation.h"
+#include "router/gate.h"
 #include "router/state.h"
 
 /* A first try waits for room for at most this many objectives, because reading
@@ -44,24 +55,40 @@
 #define GIVE_UP_OBJECTIVES 4
 #define GIVE_UP_GAPS 8
 #define WAIT_MAX_SHARE 0.78
+/* With overload control no request waits longer than this share of the
+** objective: the caller then still has time for another attempt. */
+#define WAIT_MAX_OBJECTIVES 0.8
+/* With overload control or several priorities a waiting request is reviewed
+** each time this share of the objective has passed: within it a refusal is to
+** come once the outcome is known. */
+#define REVIEW_SHARE 0.125
+#define REVIEW_INTERVAL_MIN (20 * MP_MS)
+/* After this share of the objective such a review refuses a request only if
+ *its
+ ** wait is over. */
+#define LAST_EARLY_REVIEW_SHARE 0.26
 /* Refused callers are told to retry after RETRY_AFTER_SHARE of their time plus
 ** a random part of RETRY_SPREAD_SHARE; they follow that up to a third of their
 ** time. */
 #define RETRY_AFTER_SHARE 0.13
 #define RETRY_SPREAD_SHARE 0.14
+/* The same with overload control, as shares of the time that is left: bursts
+** last 4 to 6 s, so an earlier retry returns into the same burst. */
+#define LATE_RETRY_AFTER_SHARE 0.20
+#define LATE_RETRY_SPREAD_SHARE 0.13
 /* A caller with less time than this share of what other callers of the route
 ** have is taken for a retry (router/patience.h). */
 #define FIRST_TRY_SHARE 0.97
-/* A request is in time while its caller has waited for less than this share of
-** the objective, because reading its prompt takes another 0.2 to 0.3 of it. */
-#define IN_TIME_SHARE 0.7
 /* A turn lasts TURN_MIN plus TURN_PER_INSTANCE (us) for each near instance:
 ** what the others start is known after about that time. */
 #define TURN_MIN (3 * MP_MS)
 #define TURN_PER_INSTANCE 1000LL
-/* A request whose prompt is prefilled counts as having come this much
-** earlier. */
-#define PREFILLED_ADVANCE (1 * MP_SEC)
+/* weight of the newest run in the moving mean of the duration of runs */
+#define RUN_STEP 0.05
+/* A mean duration of runs above this share of all the time that a caller gives
+** comes from other, longer requests of the service: refusing by it would
+** refuse all requests of such a caller. */
+#define MEAN_RUN_MAX_SHARE 0.75
 /* weight of the newest interval in the moving mean of the time between ends of
 ** streams */
 #define INTERVAL_STEP 0.15
@@ -98,23 +125,110 @@
   return (gint64)(WAIT_MAX_SHARE * (double)gives_up);
 }
 
+/* Returns TRUE if the priorities of the request's service decide about it. */
+static gboolean is_ranked(const Request *request) {
+  return request->service->has_priorities;
+}
+
+/* Returns TRUE if the limits for late requests apply to this one; a route
+** without an objective has no limit to go by. */
+static gboolean has_late_limits(const Router *router, const Request *request) {
+  return router->overload_control && request->route->objective > 0;
+}
+
+static guint32 service_hash(const Request *request) {
+  return g_str_hash(request->service->name);
+}
+
+static gboolean is_same_service(const Request *one, const Request *other) {
+  return one->service == other->service ||
+         strcmp(one->service->name, other->service->name) == 0;
+}
+
+/* Returns the request's place in the order. */
+static AdmissionRank rank_of(const Router *router, const Request *request,
+                             gint64 now) {
+  AdmissionInput input = {0};
+  input.arrived = request->arrived;
+  input.first_attempt_at = request->first_attempt_at;
+  input.objective = request->route->objective;
+  input.is_prefilled = request->handle != NULL;
+  input.priority = is_ranked(request) ? request->priority : 0;
+  input.over_share = FALSE; /* shares of accounts are not known yet */
+  input.expected_output =
+      router->overload_control ? request->expected_output : 0;
+  return admission_order_rank(&input, now);
+}
+
+/* Returns TRUE if the first token can still come within the objective. */
+static gboolean is_in_time(const Router *router, const Request *request,
+                           gint64 now) {
+  return !rank_of(router, request, now).is_late;
+}
+
+/* Returns how many requests at other instances go before this one, as far as
+** the digests tell; of the late ones all, since they do not tell their
+** order. */
+static guint count_peers_before(const Router *router, const Request *request,
+                                const AdmissionRank *rank) {
+  const PeerLoads *peers = router->endpoints->peers;
+  if (rank->is_late && has_late_limits(router, request))
+    return peer_loads_waiting_requests(peers);
+  if (is_ranked(request))
+    return peer_loads_waiting_ranked(peers, service_hash(request),
+                                     rank->priority);
+  return peer_loads_waiting_in_time(peers);
+}
+
 /*
-** Returns how long the request at this place (from 0) among those in time here
-** is expected to wait, us. Room that appears at any engine serves all
-** instances, and streams are taken to end as often at the near instances as
-** here.
+** Returns how long the request with 'place' requests before it here is
+** expected to wait, us. Room that appears at any engine serves all instances,
+** and streams are taken to end as often at the near instances as here.
 */
-static gint64 expected_wait(const Router *router, guint place) {
-  guint ahead = place + peer_loads_waiting_in_time(router->endpoints->peers);
+static gint64 expected_wait(const Router *router, const Request *request,
+                            guint place, gint64 now) {
+  AdmissionRank rank = rank_of(router, request, now);
+  guint ahead = place + count_peers_before(router, request, &rank);
   return (gint64)((ahead + 1) * router->mean_end_interval / router->near);
 }
 
-void admission_note_run_end(Router *router, gint64 now) {
+/* Records how long the run of a whole stream took. */
+static void observe_run(Router *router, const Request *request, gint64 now) {
+  ServiceState *state = router_service_state(router, request->service->name);
+  double duration = (double)(now - request->open.sent);
+  if (!request->service->is_engine || request->resumes || request->runs > 0)
+    return; /* a part of a stream */
+  if (state->mean_run <= 0)
+    state->mean_run = duration;
+  state->mean_run += RUN_STEP * (duration - state->mean_run);
+}
+
+void admission_note_run_end(Router *router, const Request *request,
+                            gint64 now) {
   double interval = (double)(now - router->last_run_end);
   if (router->last_run_end != 0)
     router->mean_end_interval += INTERVAL_STEP * (MIN(interval, 1.0 * MP_SEC) -
                                                   router->mean_end_interval);
   router->last_run_end = now;
+  observe_run(router, request, now);
+}
+
+gboolean admission_is_too_late(Router *router, const Request *request,
+                               gint64 now) {
+  gint64 patience = request->caller_deadline - request->first_attempt_at;
+  double mean;
+  if (!router->overload_control || request->runs > 0 || request->resumes ||
+      request->last_event != NULL)
+    return FALSE; /* what is left of a stream takes less than a whole one */
+  mean = router_service_state(router, request->service->name)->mean_run;
+  return (double)(request->expires - now) < mean &&
+         mean <= MEAN_RUN_MAX_SHARE * (double)patience;
+}
+
+void admission_refuse_too_late(Router *router, Request *request, gint64 now) {
+  router_count(router, REFUSED_DEADLINE);
+  prefill_drop_handle(router, request, now);
+  finish_refuse(router, request, REFUSAL_NOT_RUN);
 }
 
 /* Returns a decode engine with room for the request, or NULL. */
@@ -126,10 +240,13 @@
 }
 
 /* Returns after how long the refused caller should retry, us. */
-static gint64 draw_retry_after(Router *router, const Request *request) {
-  double share =
-      RETRY_AFTER_SHARE + g_rand_double(router->random) * RETRY_SPREAD_SHARE;
-  return (gint64)(share *
+static gint64 draw_retry_after(Router *router, const Request *request,
+                               gint64 now) {
+  double draw = g_rand_double(router->random);
+  if (router->overload_control)
+    return (gint64)((LATE_RETRY_AFTER_SHARE + draw * LATE_RETRY_SPREAD_SHARE) *
+                    (double)(request->caller_deadline - now));
+  return (gint64)((RETRY_AFTER_SHARE + draw * RETRY_SPREAD_SHARE) *
                   (double)(request->caller_deadline - request->arrived));
 }
 
@@ -137,7 +254,7 @@
 static void refuse_busy(Router *router, Request *request, gint64 now) {
   prefill_drop_handle(router, request, now);
   request->was_rejected = TRUE;
-  request->come_back = draw_retry_after(router, request);
+  request->come_back = draw_retry_after(router, request, now);
   finish_refuse(router, request, REFUSAL_BUSY);
 }
 
@@ -149,13 +266,6 @@
   finish_refuse(router, request, REFUSAL_REST);
 }
 
-/* Returns TRUE if the first token can still come within the objective. */
-static gboolean is_in_time(const Request *request, gint64 now) {
-  return request->handle != NULL ||
-         (double)(now - request->first_attempt_at) <
-             IN_TIME_SHARE * (double)request->route->objective;
-}
-
 /* Adds the request to the queue: after all those whose prompt is prefilled if
 ** its own is, else at the end. */
 static void enqueue(Router *router, Request *request) {
@@ -170,82 +280,149 @@
   g_ptr_array_insert(router->waiting, (gint)at, request);
 }
 
+/* Returns when the request has waited for as long as any request may. */
+static gint64 wait_end(const Router *router, const Request *request) {
+  gint64 end = request->arrived + wait_max(request);
+  if (has_late_limits(router, request))
+    end = MIN(end, request->queued_at - request->waited +
+                       (gint64)(WAIT_MAX_OBJECTIVES *
+                                (double)request->route->objective));
+  return end;
+}
+
+/* Returns TRUE if the request is refused when its expected wait is too
+** long. */
+static gboolean is_limited(const Router *router, const Request *request) {
+  return !request->is_caller_retry || has_late_limits(router, request);
+}
+
+/* Returns TRUE if the request is reviewed each REVIEW_SHARE. */
+static gboolean has_frequent_reviews(const Router *router,
+                                     const Request *request) {
+  return has_late_limits(router, request) || is_ranked(request);
+}
+
 /* Returns when a waiting request is to be reviewed next. */
-static gint64 next_review(const Request *request, gint64 now) {
+static gint64 next_review(const Router *router, const Request *request,
+                          gint64 now) {
+  gint64 last = wait_end(router, request);
   gint64 early =
       request->arrived +
       (gint64)(EARLY_REVIEW_SHARE * (double)request->route->objective);
-  gint64 last = request->arrived + wait_max(request);
-  return !request->is_caller_retry && now < early ? early : last;
-}
-
-/* Returns the time by which requests in time are ordered; the earliest starts
-** first. */
-static gint64 seniority(const Request *request) {
-  if (request->handle != NULL)
-    return request->arrived - PREFILLED_ADVANCE;
-  return request->first_attempt_at;
+  gint64 interval = (gint64)(REVIEW_SHARE * (double)request->route->objective);
+  if (!is_limited(router, request))
+    return last;
+  if (has_frequent_reviews(router, request))
+    return MIN(last, now + MAX(interval, REVIEW_INTERVAL_MIN));
+  return now < early ? early : last;
 }
 
 gint64 admission_oldest_wait(const Router *router, gint64 now) {
   gint64 first = now;
   guint i;
   for (i = 0; i < router->waiting->len; i++) {
-    const Request *request = router->waiting->pdata[i];
-    if (is_in_time(request, now))
-      first = MIN(first, seniority(request));
+    AdmissionRank rank = rank_of(router, router->waiting->pdata[i], now);
+    if (!rank.is_late)
+      first = MIN(first, rank.seniority);
   }
   return now - first;
 }
 
-/* Returns how many requests in time are before this one in the queue here;
-** with NULL, how many there are. */
-static guint count_in_time_before(const Router *router, const Request *request,
-                                  gint64 now) {
+void admission_write_digest(const Router *router, mp_LoadDigest *out,
+                            gint64 now) {
+  guint i;
+  out->ranked_count = 0;
+  for (i = 0; i < router->waiting->len; i++) {
+    const Request *request = router->waiting->pdata[i];
+    AdmissionRank rank = rank_of(router, request, now);
+    mp_WaitingRow row = {service_hash(request), rank.priority, 1, 0};
+    row.oldest_ms = (uint32_t)(MAX(now - rank.seniority, 0) / MP_MS);
+    if (!rank.is_late)
+      peer_loads_add_waiting(out, &row);
+  }
+}
+
+/* Compares two waiting requests as admission_order_compare does. Priorities
+** order the requests of one service alone. */
+static int compare(const Router *router, const Request *one,
+                   const Request *other, gint64 now) {
+  AdmissionRank ranks[2] = {rank_of(router, one, now),
+                            rank_of(router, other, now)};
+  if (!is_same_service(one, other))
+    ranks[0].priority = ranks[1].priority = 0;
+  return admission_order_compare(&ranks[0], &ranks[1]);
+}
+
+guint admission_count_in_time(const Router *router, gint64 now) {
+  guint count = 0;
+  guint i;
+  for (i = 0; i < router->waiting->len; i++)
+    count += is_in_time(router, router->waiting->pdata[i], now);
+  return count;
+}
+
+/* Returns how many requests in time are before this one in the queue here. */
+static guint count_queued_before(const Router *router, const Request *request,
+                                 gint64 now) {
   guint count = 0;
   guint i;
   for (i = 0; i < router->waiting->len; i++) {
     const Request *other = router->waiting->pdata[i];
     if (other == request)
       break;
-    count += is_in_time(other, now);
+    count += is_in_time(router, other, now);
   }
   return count;
 }
 
-guint admission_count_in_time(const Router *router, gint64 now) {
-  return count_in_time_before(router, NULL, now);
+/* Returns how many requests here go before this one, which may not be in the
+** queue yet. */
+static guint count_before(const Router *router, const Request *request,
+                          gint64 now) {
+  gboolean is_later = FALSE; /* in the queue than this one */
+  guint count = 0;
+  guint i;
+  if (!is_ranked(request) && !has_late_limits(router, request))
+    return count_queued_before(router, request, now);
+  for (i = 0; i < router->waiting->len; i++) {
+    const Request *other = router->waiting->pdata[i];
+    int order = compare(router, other, request, now);
+    is_later |= other == request;
+    count += order < 0 || (order == 0 && !is_later);
+  }
+  return count;
 }
 
-/* Returns TRUE if the other request starts before this one; 'in_time' is
-** is_in_time of this one. */
-static gboolean goes_before(const Request *other, const Request *request,
-                            gboolean in_time, gint64 now) {
-  if (is_in_time(other, now) != in_time)
-    return !in_time;
-  return in_time ? seniority(other) < seniority(request)
-                 : other->arrived < request->arrived;
+/* Returns how many requests at other instances start before this one. The
+** digests tell no order of the late ones, so one is counted for each instance
+** that has any waiting. */
+static guint count_peers_ahead(const Router *router, const Request *request,
+                               gint64 now) {
+  const PeerLoads *peers = router->endpoints->peers;
+  AdmissionRank rank = rank_of(router, request, now);
+  if (rank.is_late)
+    return peer_loads_count_with_waiting(peers);
+  if (is_ranked(request))
+    return peer_loads_count_before(peers, service_hash(request), rank.priority,
+                                   rank.seniority);
+  return peer_loads_count_waiting_longer(peers, rank.seniority);
 }
 
 /* Returns how many waiting requests, here and at other instances, start before
 ** this one. Requests that go on with a stream, and the others, count their own
-** kind alone, since they do not need the same room. At other instances only
-** one request each is counted, since the digests tell no more: the most senior
-** one in time if it is more senior, or for a late request any. */
+** kind alone, since they do not need the same room. Without priorities only
+** one request is counted at each other instance: the most senior one in time
+** if it is more senior, or for a late request any. */
 static guint count_ahead(const Router *router, const Request *request,
                          gint64 now) {
-  const PeerLoads *peers = router->endpoints->peers;
-  gboolean in_time = is_in_time(request, now);
   guint count = 0;
   guint i;
   if (request->software == 0)
-    count = in_time
-                ? peer_loads_count_waiting_longer(peers, seniority(request))
-                : peer_loads_count_with_waiting(peers);
+    count = count_peers_ahead(router, request, now);
   for (i = 0; i < router->waiting->len; i++) {
     const Request *other = router->waiting->pdata[i];
     count += other->software == request->software &&
-             goes_before(other, request, in_time, now);
+             compare(router, other, request, now) < 0;
   }
   return count;
 }
@@ -266,7 +443,8 @@
   if (request->handle != NULL)
     return;
   router_count(router, STARTED);
-  if (!is_in_time(request, now))
+  router->started_by_priority[request->priority]++;
+  if (!is_in_time(router, request, now))
     router_count(router, STARTED_LATE);
 }
 
@@ -274,6 +452,7 @@
 static void start_request(Router *router, Request *request, Endpoint *engine,
                           gint64 now) {
   admission_leave(router, request);
+  request->waited += now - request->queued_at;
   count_start(router, request, now);
   request->stall_at = 0;
   request->start_at = 0;
@@ -287,21 +466,128 @@
   return other->software == 0 || other->software == request->software;
 }
 
-/* Returns TRUE if the request is late and must leave the room to requests in
-** time that wait here, even if these need more room than there is. */
+/* Returns TRUE if a request of a higher priority, for which there was no room
+** when it was last tried, waits here for the same service. */
+static gboolean yields_to_priority(const Router *router,
+                                   const Request *request, gint64 now) {
+  AdmissionRank rank = rank_of(router, request, now);
+  guint i;
+  for (i = 0; is_ranked(request) && i < router->waiting->len; i++) {
+    const Request *other = router->waiting->pdata[i];
+    AdmissionRank other_rank = rank_of(router, other, now);
+    if (other->start_at == 0 && is_same_service(other, request) &&
+        needs_room_of(other, request) &&
+        admission_order_yields(&rank, &other_rank))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Returns TRUE if the request must leave the room to others that wait here,
+** even if these need more room than there is: a late one to those in time, and
+** one of a lower priority to those of higher ones. */
 static gboolean must_yield(const Router *router, const Request *request,
                            gint64 now) {
   guint i;
-  if (is_in_time(request, now))
-    return FALSE;
+  if (is_in_time(router, request, now))
+    return yields_to_priority(router, request, now);
   for (i = 0; i < router->waiting->len; i++) {
     const Request *other = router->waiting->pdata[i];
-    if (is_in_time(other, now) && needs_room_of(other, request))
+    if (is_in_time(router, other, now) && needs_room_of(other, request))
       return TRUE;
   }
-  return FALSE;
+  return yields_to_priority(router, request, now);
+}
+
+/*
+** {==================================================================
+** Preemption
+** ===================================================================
+*/
+
+/* Returns TRUE if a run at this engine can be displaced for the request: 'run'
+** is less urgent, and without its memory the request fits. */
+static gboolean can_displace(Router *router, const Request *request,
+                             const EndpointQuery *query, const Request *run,
+                             const Endpoint *engine, gint64 now) {
+  const EndpointTable *table = router->endpoints;
+  return engine->avoid_until <= now && engine->record.stage == STAGE_DECODE &&
+         !path_is_excluded(request, engine->record.id) &&
+         !endpoint_is_changing_stage(table, engine, now) &&
+         !endpoint_has_crashed_under(query, engine) &&
+         gate_check(engine, DISPATCH_RUN, now) == GATE_OPEN &&
+         gate_check_limits(table, engine, &query->limits, now) == GATE_OPEN &&
+         endpoint_tokens(table, engine) + query->tokens <=
+             query->capacity + run->open.tokens;
+}
+
+/* Returns TRUE if the open dispatch of the other request is a run of the same
+** service with a lower priority. */
+static gboolean is_less_urgent_run(const Request *other,
+                                   const Request *request) {
+  return other->phase == PHASE_RUN && other->open.number != 0 &&
+         other->priority > request->priority &&
+         is_same_service(other, request);
+}
+
+/*
+** Returns the decode engine with the least planned memory among those where a
+** less urgent run of this instance can be displaced; NULL if there is none.
+** Runs of other instances are not known by priority. An engine that already
+** has a request beyond its memory does not fit, so that no second run is
+** displaced there before the first one has ended.
+*/
+static Endpoint *engine_to_preempt(Router *router, const Request *request,
+                                   gint64 now) {
+  EndpointQuery query = path_query(router, request, STAGE_DECODE, now);
+  Endpoint *best = NULL;
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, router->requests);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Request *run = value;
+    Endpoint *engine;
+    if (!is_less_urgent_run(run, request))
+      continue;
+    engine = path_open_endpoint(router, run);
+    if (engine == NULL ||
+        !can_displace(router, request, &query, run, engine, now))
+      continue;
+    if (best == NULL || endpoint_tokens(router->endpoints, engine) <
+                            endpoint_tokens(router->endpoints, best))
+      best = engine;
+  }
+  return best;
+}
+
+/*
+** Starts an urgent request that would be late at an engine without room for
+** it, which displaces a less urgent run there. This costs that run its
+** prefill, so it is the last resort, and only done while enough of the
+** objective is left for the prompt to be read. Returns FALSE if nothing was
+** started; may end.
+*/
+static gboolean try_preempt(Router *router, Request *request, gint64 now) {
+  Endpoint *engine;
+  if (!is_ranked(request) || request->software != 0 ||
+      request->service->kv_tokens == 0 || router->stopping ||
+      now - request->first_attempt_at > first_try_wait_max(request))
+    return FALSE;
+  engine = engine_to_preempt(router, request, now);
+  if (engine == NULL)
+    return FALSE;
+  request->preempts = TRUE;
+  router_count(router, PREEMPTIONS);
+  router_log(router, MP_LOG_PREEMPTION,
+             " request=%s priority=%u endpoint=%s waited_ms=%d", request->id,
+             request->priority, engine->record.id,
+             (int)((now - request->first_attempt_at) / MP_MS));
+  start_request(router, request, engine, now);
+  return TRUE;
 }
 
+/* }================================================================== */
+
 void admission_take_turn(Router *router, Request *request, gint64 now) {
   Endpoint *engine = engine_with_room(router, request, now);
   request->start_at = 0;
@@ -309,11 +595,16 @@
     start_request(router, request, engine, now);
 }
 
-/* Starts the request if its turn has come, else sets the time of its turn.
-** Returns FALSE if there is no room; may end. */
+/* Starts the request if its turn has come, else sets the time of its turn; one
+** that cannot end before its deadline is refused. Returns FALSE if there is no
+** room; may end. */
 static gboolean try_start(Router *router, Request *request, gint64 now) {
   Endpoint *engine = engine_with_room(router, request, now);
   gint64 wait;
+  if (admission_is_too_late(router, request, now)) {
+    admission_refuse_too_late(router, request, now);
+    return TRUE;
+  }
   if (engine == NULL) {
     request->start_at = 0;
     return FALSE;
@@ -327,53 +618,75 @@
 }
 
 /* Returns how much longer the request would wait for room at most, us. */
-static gint64 wait_left_max(const Request *request, gint64 now) {
-  gint64 limit = request->is_caller_retry ? wait_max(request)
-                                          : first_try_wait_max(request);
-  return MIN(request->arrived + limit, request->expires) - now;
+static gint64 wait_left_max(const Router *router, const Request *request,
+                            gint64 now) {
+  gint64 end = request->is_caller_retry
+                   ? wait_end(router, request)
+                   : request->arrived + first_try_wait_max(request);
+  return MIN(end, request->expires) - now;
+}
+
+/* Returns TRUE if a request that has waited for this time is expected to wait
+** for longer than it may. */
+static gboolean waits_too_long(const Router *router, const Request *request,
+                               gint64 waited, gint64 now) {
+  guint place = count_before(router, request, now);
+  return is_limited(router, request) &&
+         waited + expected_wait(router, request, place, now) >
+             first_try_wait_max(request);
+}
+
+/* Refuses a new request, and so ends it, if it cannot be served in time.
+** Returns FALSE if it may wait. */
+static gboolean refuse_at_entry(Router *router, Request *request, gint64 now) {
+  if (!continuation_is_possible(router, request))
+    finish_give_up(router, request, now);
+  else if (shortage_outlasts(router, request,
+                             wait_left_max(router, request, now), now))
+    refuse_for_rest(router, request, now);
+  else if (admission_is_too_late(router, request, now))
+    admission_refuse_too_late(router, request, now);
+  else if (!waits_too_long(router, request, 0, now) ||
+           engine_with_room(router, request, now) != NULL)
+    return FALSE;
+  else if (!try_preempt(router, request, now))
+    refuse_busy(router, request, now);
+  return TRUE;
 }
 
 void admission_enter(Router *router, Request *request, gint64 now) {
   guint place;
+  request->queued_at = now;
   estimate_first_attempt(router, request);
-  if (!continuation_is_possible(router, request)) {
-    finish_give_up(router, request, now);
+  if (refuse_at_entry(router, request, now))
     return;
-  }
-  if (shortage_outlasts(router, request, wait_left_max(request, now), now)) {
-    refuse_for_rest(router, request, now);
-    return;
-  }
-  if (!request->is_caller_retry &&
-      expected_wait(router, admission_count_in_time(router, now)) >
-          first_try_wait_max(request) &&
-      engine_with_room(router, request, now) == NULL) {
-    refuse_busy(router, request, now);
-    return;
-  }
   request->phase = PHASE_WAIT;
   enqueue(router, request);
-  request->stall_at = next_review(request, now);
+  request->stall_at = next_review(router, request, now);
   router->load_version++;
   if (!must_yield(router, request, now) && try_start(router, request, now))
     return;
   shortage_schedule_recheck(router, now);
-  place = count_in_time_before(router, request, now);
+  place = count_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
-             " request=%s place=%u expected_ms=%d came_back=%d", request->id,
-             place, (int)(expected_wait(router, place) / MP_MS),
+             " request=%s place=%u priority=%u expected_ms=%d came_back=%d",
+             request->id, place, request->priority,
+             (int)(expected_wait(router, request, place, now) / MP_MS),
              request->is_caller_retry);
 }
 
 void admission_requeue(Router *router, Request *request, gint64 now) {
   request->phase = PHASE_WAIT;
   enqueue(router, request);
+  request->queued_at = now;
   request->stall_at = request->handle_until;
+  if (has_late_limits(router, request))
+    request->stall_at = MIN(request->stall_at, wait_end(router, request));
   router->load_version++;
   router_log(router, MP_LOG_ROUTE_WAIT,
-             " request=%s place=%u handle=%s left_ms=%d", request->id,
-             router->waiting->len, request->handle,
-             (int)((request->handle_until - now) / MP_MS));
+             " request=%s place=%u priority=%u handle=%s left_ms=%d",
+             request->id, router->waiting->len, request->priority,
+             request->handle, (int)((request->handle_until - now) / MP_MS));
 }
 
 void admission_leave(Router *router, Request *request) {
@@ -382,23 +695,49 @@
     router->load_version++;
 }
 
+/* Returns TRUE if a request whose expected wait is too long is still refused
+** for it: later the estimate is about as likely to be wrong as right, and the
+** refusal would come late. */
+static gboolean is_early(const Request *request, gint64 now) {
+  return (double)(now - request->arrived) <=
+         LAST_EARLY_REVIEW_SHARE * (double)request->route->objective;
+}
+
+/* Starts or refuses, and so ends its wait, a request whose wait is over or is
+** expected to become too long. Returns FALSE if it goes on waiting; may
+** end. */
+static gboolean end_long_wait(Router *router, Request *request, gint64 now) {
+  gboolean is_over = now >= wait_end(router, request);
+  if (!is_over &&
+      !waits_too_long(router, request, now - request->arrived, now))
+    return FALSE;
+  if (try_preempt(router, request, now))
+    return TRUE;
+  if (!is_over && has_frequent_reviews(router, request) &&
+      !is_early(request, now))
+    return FALSE;
+  refuse_busy(router, request, now);
+  return TRUE;
+}
+
 void admission_review(Router *router, Request *request, gint64 now) {
-  gint64 waited = now - request->arrived;
-  guint place = count_in_time_before(router, request, now);
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now); /* the prompt will be read
                                                ** again */
-  if (shortage_outlasts(router, request, wait_left_max(request, now), now)) {
+  if (shortage_outlasts(router, request, wait_left_max(router, request, now),
+                        now)) {
     refuse_for_rest(router, request, now);
     return;
   }
-  if (waited >= wait_max(request) ||
-      (!request->is_caller_retry &&
-       waited + expected_wait(router, place) > first_try_wait_max(request))) {
-    refuse_busy(router, request, now);
+  if (admission_is_too_late(router, request, now)) {
+    admission_refuse_too_late(router, request, now);
     return;
   }
-  request->stall_at = request->arrived + wait_max(request);
+  if (end_long_wait(router, request, now))
+    return;
+  request->stall_at = has_frequent_reviews(router, request)
+                          ? next_review(router, request, now)
+                          : wait_end(router, request);
 }
 
 /* Refuses, and so ends, the waiting requests that go on with a stream whose
@@ -414,17 +753,20 @@
   }
 }
 
-/* Starts what fits among the requests in time, or among the late ones. Returns
-** how many found no room; one that goes on with a stream does not count, since
-** it needs room at one version only. */
-static guint start_some(Router *router, gboolean in_time, gint64 now) {
+/* Starts what fits among the requests of one priority that are in time, or
+** late. Returns how many found no room; one that goes on with a stream does
+** not count, since it needs room at one version only. */
+static guint start_some(Router *router, gboolean in_time, guint priority,
+                        gint64 now) {
   guint without_room = 0;
   guint i = 0;
   while (i < router->waiting->len) {
     Request *request = router->waiting->pdata[i];
+    AdmissionRank rank = rank_of(router, request, now);
     gboolean is_counted = request->software == 0;
-    if (is_in_time(request, now) == in_time &&
-        !try_start(router, request, now))
+    if (rank.is_late != in_time && rank.priority == priority &&
+        (yields_to_priority(router, request, now) ||
+         !try_start(router, request, now)))
       without_room += is_counted;
     if (i < router->waiting->len && router->waiting->pdata[i] == request)
       i++;
@@ -432,10 +774,24 @@
   return without_room;
 }
 
+/* Does the same for all priorities, the highest first. */
+static guint start_by_priority(Router *router, gboolean in_time, gint64 now) {
+  guint levels = 0; /* bits: the priorities of waiting requests */
+  guint without_room = 0;
+  guint i;
+  for (i = 0; i < router->waiting->len; i++)
+    levels |= 1u << rank_of(router, router->waiting->pdata[i], now).priority;
+  for (i = 0; levels >> i != 0; i++) {
+    if ((levels >> i & 1) != 0)
+      without_room += start_some(router, in_time, i, now);
+  }
+  return without_room;
+}
+
 /* Late requests start only if every request in time has found room. */
 void admission_start_waiting_requests(Router *router, gint64 now) {
   refuse_impossible(router, now);
-  if (router->waiting->len > 0 && start_some(router, TRUE, now) == 0)
-    start_some(router, FALSE, now);
+  if (router->waiting->len > 0 && start_by_priority(router, TRUE, now) == 0)
+    start_by_priority(router, FALSE, now);
   shortage_schedule_recheck(router, now);
 }
--- a/router/finish.c
+++ b/router/finish.c
@@ -87,6 +87,8 @@
   if (request->come_back != 0 && is_told_not_run(kind))
     refusal.retry_after_ms = request->come_back / MP_MS;
   router_count(router, REFUSED);
+  if (request->service != NULL && request->service->is_engine)
+    router->refused_by_priority[request->priority]++;
   if (kind == REFUSAL_HELD)
     router_count(router, REFUSED_HELD);
   if (kind == REFUSAL_REST)
@@ -95,9 +97,10 @@
     router_count(router, REFUSED_VERSION);
   router_log(router, MP_LOG_ROUTE_REFUSED,
              " request=%s reason=%s runs=%u arrivals=%u unreachable=%u "
-             "content=%016" G_GINT64_MODIFIER "x",
+             "content=%016" G_GINT64_MODIFIER "x priority=%u",
              request->id, finish_refusal_name(kind), request->runs,
-             request->arrivals, request->unreachable, request->content);
+             request->arrivals, request->unreachable, request->content,
+             request->priority);
   path_close_dispatch(router, request, TRUE);
   router->host.refuse(router->host.data, request->number, &refusal);
   request_drop(router, request);
--- a/router/loads.c
+++ b/router/loads.c
@@ -138,6 +138,7 @@
   out->waiting = router->waiting->len;
   out->in_time = admission_count_in_time(router, now);
   out->oldest_ms = (uint32_t)(admission_oldest_wait(router, now) / MP_MS);
+  admission_write_digest(router, out, now);
   write_rows(router, out, now);
   retry_exchange_write(router, out);
   account_limits_write(router->limits, out);
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -351,7 +351,7 @@
     estimate_observe_output(router, request);
     suspects_note_success(router, request, !outcome->ends_with_close, now);
     router_record_duration(router, request, DURATION_STREAM, now);
-    admission_note_run_end(router, now);
+    admission_note_run_end(router, request, now);
     finish_answered(router, request, outcome);
     break;
   }
--- a/router/path.c
+++ b/router/path.c
@@ -168,6 +168,8 @@
   dispatch.kind = kind;
   dispatch.request = request->number;
   dispatch.account = request->account != NULL ? request->account->name : NULL;
+  dispatch.has_urgency = request->service->has_priorities;
+  dispatch.urgency = request->priority;
   dispatch.deadline_ms = MAX((request->caller_deadline - now) / MP_MS, 1);
   dispatch.connect_timeout = CLAMP(request->route->objective,
                                    CONNECT_TIMEOUT_MIN, CONNECT_TIMEOUT_MAX);
@@ -220,7 +222,8 @@
   EndpointStage stage = path_run_stage(request);
   EndpointQuery query = path_query(router, request, stage, now);
   Endpoint *endpoint = reserved_decode(router, request, now);
-  if (endpoint != NULL && !is_overbooked(router, request, endpoint) &&
+  if (endpoint != NULL &&
+      (request->preempts || !is_overbooked(router, request, endpoint)) &&
       !endpoint_has_crashed_under(&query, endpoint))
     return endpoint;
   query.must_fit = stage == STAGE_DECODE;
@@ -278,6 +281,11 @@
     finish_give_up(router, request, now);
     return;
   }
+  if (request->service->is_engine &&
+      admission_is_too_late(router, request, now)) {
+    admission_refuse_too_late(router, request, now);
+    return;
+  }
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now);
   if (requeue_with_handle(router, request, now) ||
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -213,6 +213,28 @@
     out->changing[out->changing_count++] = endpoint;
 }
 
+void peer_loads_add_waiting(mp_LoadDigest *out, const mp_WaitingRow *row) {
+  unsigned at = 0;
+  while (at < out->ranked_count && out->ranked[at].priority < row->priority)
+    at++;
+  for (; at < out->ranked_count && out->ranked[at].priority == row->priority;
+       at++) {
+    mp_WaitingRow *known = &out->ranked[at];
+    if (known->service != row->service)
+      continue;
+    known->count += row->count;
+    known->oldest_ms = MAX(known->oldest_ms, row->oldest_ms);
+    return;
+  }
+  if (at == MP_LOAD_DIGEST_PRIORITIES)
+    return; /* no room: higher priorities come first */
+  out->ranked_count =
+      MIN(out->ranked_count + 1, (unsigned)MP_LOAD_DIGEST_PRIORITIES);
+  memmove(&out->ranked[at + 1], &out->ranked[at],
+          (out->ranked_count - at - 1) * sizeof out->ranked[0]);
+  out->ranked[at] = *row;
+}
+
 static void add_digest_to_summary(mp_LoadDigest *out,
                                   const mp_LoadDigest *digest) {
   unsigned i;
@@ -223,6 +245,8 @@
     add_row_to_summary(out, &digest->row[i]);
   for (i = 0; i < digest->changing_count; i++)
     add_changing_to_summary(out, digest->changing[i]);
+  for (i = 0; i < digest->ranked_count; i++)
+    peer_loads_add_waiting(out, &digest->ranked[i]);
 }
 
 void peer_loads_add_to_summary(const PeerLoads *loads, mp_LoadSummary *out,
@@ -291,6 +315,7 @@
     peer->digest.changing_count = 0;
     peer->digest.waiting = 0;
     peer->digest.in_time = 0;
+    peer->digest.ranked_count = 0;
     found = TRUE;
   }
   return found;
@@ -315,6 +340,61 @@
   return sum != NULL ? sum->open : 0;
 }
 
+/* Returns TRUE if the oldest request in time at the peer came before 'came'.
+ */
+static gboolean has_waiting_longer(const Peer *peer, gint64 came) {
+  return peer->digest.in_time > 0 && peer->oldest_in_time < came;
+}
+
+/* Returns how many requests that the row stands for go before one of this
+** priority that came at 'came'. */
+static guint row_count_before(const Peer *peer, const mp_WaitingRow *row,
+                              guint priority, gint64 came) {
+  if (row->priority != priority)
+    return row->priority < priority ? row->count : 0;
+  return peer->received_at - row->oldest_ms * MP_MS < came;
+}
+
+guint peer_loads_count_before(const PeerLoads *loads, guint32 service,
+                              guint priority, gint64 came) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  guint i;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Peer *peer = value;
+    const mp_LoadDigest *digest = &peer->digest;
+    if (digest->ranked_count == 0)
+      count += has_waiting_longer(peer, came);
+    for (i = 0; i < digest->ranked_count; i++) {
+      if (digest->ranked[i].service == service)
+        count += row_count_before(peer, &digest->ranked[i], priority, came);
+    }
+  }
+  return count;
+}
+
+guint peer_loads_waiting_ranked(const PeerLoads *loads, guint32 service,
+                                guint priority) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  guint i;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const mp_LoadDigest *digest = &((const Peer *)value)->digest;
+    if (digest->ranked_count == 0)
+      count += digest->in_time;
+    for (i = 0; i < digest->ranked_count; i++) {
+      if (digest->ranked[i].service == service &&
+          digest->ranked[i].priority <= priority)
+        count += digest->ranked[i].count;
+    }
+  }
+  return count;
+}
+
 guint peer_loads_count_waiting_longer(const PeerLoads *loads, gint64 came) {
   GHashTableIter iterator;
   gpointer value;
@@ -322,7 +402,7 @@
   g_hash_table_iter_init(&iterator, loads->peers);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Peer *peer = value;
-    count += peer->digest.in_time > 0 && peer->oldest_in_time < came;
+    count += has_waiting_longer(peer, came);
   }
   return count;
 }
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -54,6 +54,9 @@
 ** reservations. */
 void peer_loads_add_to_summary(const PeerLoads *loads, mp_LoadSummary *out,
                                gint64 now);
+/* Adds a row to the rows by priority of a digest; if there is no room, the
+** lowest priority is left out. */
+void peer_loads_add_waiting(mp_LoadDigest *out, const mp_WaitingRow *row);
 /* Counts tokens that a peer has reserved since its digest note->after, until
 ** its next digest arrives. Does nothing unless that digest is the stored one.
 */
@@ -97,6 +100,16 @@
 /* Peers where a waiting request that can still be answered in time came
 ** before 'came'. */
 guint peer_loads_count_waiting_longer(const PeerLoads *loads, gint64 came);
+/* The requests of this service (hash of its name) of a priority above
+** 'priority' that wait in time at the peers, and one for each peer where the
+** oldest one of the same priority came before 'came'. Peers that state no
+** priorities count as peer_loads_count_waiting_longer has it. */
+guint peer_loads_count_before(const PeerLoads *loads, guint32 service,
+                              guint priority, gint64 came);
+/* The requests of this service of this or a higher priority that wait in time
+** at the peers; of peers that state no priorities, all that wait in time. */
+guint peer_loads_waiting_ranked(const PeerLoads *loads, guint32 service,
+                                guint priority);
 /* Peers where any request waits for room. */
 guint peer_loads_count_with_waiting(const PeerLoads *loads);
 /* Instances with an address lower than 'address' whose own digest came within
--- a/router/records.h
+++ b/router/records.h
@@ -35,6 +35,8 @@
   */
   gint64 switch_time;
   guint32 max_connections;
+  /* Its requests may have different priorities (route_table_rank_services). */
+  gboolean has_priorities;
 } Service;
 
 typedef enum RouteKind {
@@ -53,6 +55,11 @@
   guint32 weight;
 } RouteTarget;
 
+/* Priorities are 0 (the highest) to this number, as engines take them
+** (Request-Urgency); a larger one counts as this. */
+#define PRIORITY_LOWEST 9
+#define PRIORITY_COUNT (PRIORITY_LOWEST + 1)
+
 /* The unit in which the limit of a client account counts. */
 typedef enum AccountUnit {
   ACCOUNT_REQUESTS,
@@ -63,7 +70,9 @@
 /* A client account: who may send requests, and how many. */
 typedef struct Account {
   char *name;
-  guint32 priority; /* Replaces the priority of the route; 0 is the highest. */
+  gboolean has_priority; /* The configuration states one. */
+  /* has_priority: Replaces the priority of the route; 0 is the highest. */
+  guint32 priority;
   AccountUnit unit;
   /* Cost in tokens of a request that names no token counts. */
   guint32 plain_tokens;
@@ -150,6 +159,15 @@
 /* Returns the account whose key has this digest (mp_digest), or NULL. */
 const Account *route_table_find_account(const RouteTable *table,
                                         const char *digest);
+/*
+** Sets Service.has_priorities of all services. Call it once the table is
+** complete. Returns how many routes and accounts state a priority that is not
+** one (above PRIORITY_LOWEST).
+*/
+guint route_table_rank_services(RouteTable *table);
+/* Returns the priority of a request of this account (or NULL) and route, 0 to
+** PRIORITY_LOWEST. */
+guint request_priority(const Account *account, const Route *route);
 /* Returns what a request costs of its account's limit, in the limit's unit. */
 double account_cost(const Account *account, guint32 prompt_tokens,
                     guint32 output_tokens);
--- a/router/route_table.c
+++ b/router/route_table.c
@@ -153,6 +153,63 @@
   return tokens > 0 ? tokens : account->plain_tokens;
 }
 
+guint request_priority(const Account *account, const Route *route) {
+  guint priority = account != NULL && account->has_priority ? account->priority
+                                                            : route->priority;
+  return MIN(priority, PRIORITY_LOWEST);
+}
+
+/* Returns the priorities that accounts state, one bit for each, and adds those
+** that are none to '*bad'. */
+static guint account_priorities(const RouteTable *table, guint *bad) {
+  guint found = 0;
+  guint i;
+  for (i = 0; table->accounts != NULL && i < table->accounts->len; i++) {
+    const Account *account = table->accounts->pdata[i];
+    if (!account->has_priority)
+      continue;
+    found |= 1u << MIN(account->priority, PRIORITY_LOWEST);
+    *bad += account->priority > PRIORITY_LOWEST;
+  }
+  return found;
+}
+
+/* Returns the priorities of the routes of each service, by its name, in the
+** form of account_priorities; the caller frees the table. */
+static GHashTable *route_priorities(const RouteTable *table, guint *bad) {
+  GHashTable *found = g_hash_table_new(g_str_hash, g_str_equal);
+  guint i;
+  guint k;
+  for (i = 0; i < table->routes->len; i++) {
+    const Route *route = table->routes->pdata[i];
+    guint bit = 1u << request_priority(NULL, route);
+    *bad += route->priority > PRIORITY_LOWEST;
+    for (k = 0; k < route->targets->len; k++) {
+      char *name = g_array_index(route->targets, RouteTarget, k).service;
+      guint known = GPOINTER_TO_UINT(g_hash_table_lookup(found, name));
+      if ((known | bit) != known)
+        g_hash_table_insert(found, name, GUINT_TO_POINTER(known | bit));
+    }
+  }
+  return found;
+}
+
+guint route_table_rank_services(RouteTable *table) {
+  guint bad = 0;
+  guint of_accounts = account_priorities(table, &bad);
+  GHashTable *of_routes = route_priorities(table, &bad);
+  guint i;
+  for (i = 0; i < table->services->len; i++) {
+    Service *service = table->services->pdata[i];
+    guint found =
+        GPOINTER_TO_UINT(g_hash_table_lookup(of_routes, service->name));
+    found |= of_accounts;
+    service->has_priorities = (found & (found - 1)) != 0;
+  }
+  g_hash_table_destroy(of_routes);
+  return bad;
+}
+
 void route_add_target(Route *route, const char *service, guint32 weight) {
   RouteTarget target = {g_strdup(service), weight};
   g_array_append_val(route->targets, target);
--- a/router/router.c
+++ b/router/router.c
@@ -9,6 +9,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include "router/admission_order.h"
 #include "router/continuation.h"
 #include "router/retry_exchange.h"
 #include "router/state.h"
@@ -132,12 +133,23 @@
   return router->routes;
 }
 
+/* Finds out which services have requests of several priorities, and logs
+** priorities that are none. */
+static void rank_services(Router *router, RouteTable *routes) {
+  guint bad = route_table_rank_services(routes);
+  if (bad > 0)
+    router_log(router, MP_LOG_PRIORITY_BAD,
+               " version=%" G_GUINT64_FORMAT " count=%u taken_as=%d",
+               routes->version, bad, PRIORITY_LOWEST);
+}
+
 gboolean router_set_routes(Router *router, RouteTable *routes, gint64 now) {
   if (router->routes != NULL && routes->version <= router->routes->version)
     return FALSE; /* an instance never goes back to an older one */
   route_table_ref(routes);
   route_table_unref(router->routes);
   router->routes = routes;
+  rank_services(router, routes);
   account_limits_configure(router->limits, routes, now);
   router_log(router, MP_LOG_CONFIG_NEW,
              " version=%" G_GUINT64_FORMAT " routes=%u services=%u",
@@ -231,6 +243,9 @@
   request->repeatable = route_is_repeatable(route);
   request->prompt_tokens = call->prompt_tokens;
   request->output_tokens = call->output_tokens;
+  request->expected_output =
+      admission_order_expected_output(call->length_hint, call->output_tokens);
+  request->priority = request_priority(account, route);
   request->session = call->session;
   request->content = quarantine_key(call, account);
   request->arrived = now;
@@ -358,14 +373,14 @@
              " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
              "objective_ms=%d session=%" G_GINT64_MODIFIER
              "x parts=%s resumes=%s account=%s config_age_ms=%d "
-             "content=%016" G_GINT64_MODIFIER "x",
+             "content=%016" G_GINT64_MODIFIER "x priority=%u",
              request->id, route->name, service, request->prompt_tokens,
              request->output_tokens, (int)((request->expires - now) / MP_MS),
              (int)(route->objective / MP_MS), request->session,
              parts_text(call, parts, sizeof parts), resumed_attempt_text(call),
              account != NULL ? account->name : "-",
              (int)(accounts_configuration_age(router, now) / MP_MS),
-             request->content);
+             request->content, request->priority);
   continuation_start(router, request, now);
 }
 
@@ -525,6 +540,20 @@
   *in_time = admission_count_in_time(router, now);
 }
 
+PriorityCounts router_priority_counts(const Router *router, guint priority) {
+  PriorityCounts counts = {0};
+  guint i;
+  if (priority > PRIORITY_LOWEST)
+    return counts;
+  counts.started = router->started_by_priority[priority];
+  counts.refused = router->refused_by_priority[priority];
+  for (i = 0; i < router->waiting->len; i++) {
+    const Request *request = router->waiting->pdata[i];
+    counts.waiting += request->priority == priority;
+  }
+  return counts;
+}
+
 unsigned router_instances(const Router *router) {
   return router->instances;
 }
--- a/router/router.h
+++ b/router/router.h
@@ -70,6 +70,8 @@
                          ** 0: not given */
   guint32 prompt_tokens; /* 0: not given */
   guint32 output_tokens; /* the most tokens that may be generated */
+  guint32 length_hint;   /* tokens that the caller expects to be generated, often
+                         ** far off; 0: not given */
   guint64 session; /* hash of the last part of the prompt; requests with the
                    ** same one prefer the same prefill engine; 0: none */
   guint32 session_tokens;          /* tokens of that part */
@@ -121,6 +123,8 @@
   const char *endpoint;    /* id; no other endpoint may execute it */
   guint32 life;            /* the endpoint's incarnation: Endpoint.hash */
   const char *account;     /* RUN, PREFILL: the request's account, or NULL */
+  gboolean has_urgency;    /* RUN, PREFILL: 'urgency' is set */
+  guint urgency;           /* the request's priority; 0 is the highest */
   gint64 deadline_ms;      /* RUN, PREFILL: what is left of the caller's time,
                            ** in ms */
   const char *handle;      /* RUN: the prefilled prompt to fetch, or NULL;
@@ -473,6 +477,16 @@
 ** answered in time. */
 void router_count_waiting(const Router *router, gint64 now, guint *waiting,
                           guint *in_time);
+/* What became of the requests of one priority, from the start of the
+** instance; 'waiting' is the present number. */
+typedef struct PriorityCounts {
+  guint waiting; /* for room at a decode engine */
+  guint64 started, refused;
+} PriorityCounts;
+
+/* Returns the counts of requests for engines of this priority, 0 to
+** PRIORITY_LOWEST. */
+PriorityCounts router_priority_counts(const Router *router, guint priority);
 /* Returns how many instances share the traffic, as router_set_instances was
 ** told. */
 unsigned router_instances(const Router *router);
--- a/router/state.h
+++ b/router/state.h
@@ -57,6 +57,8 @@
   X(ENDPOINT_ENDS, "endpoints_ended_under_requests") \
   X(STARTED, "requests_started")                     \
   X(STARTED_LATE, "requests_started_late")           \
+  X(PREEMPTIONS, "runs_preempted")                   \
+  X(REFUSED_DEADLINE, "refused_for_deadline")        \
   X(RATES_BAD, "endpoint_rates_unreadable")          \
   X(SIGNALS_BAD, "endpoint_signals_unreadable")      \
   X(HELD_BACK, "dispatches_held_back")               \
@@ -79,6 +81,8 @@
   double mean_prompt;  /* moving mean of prompts, in tokens; 0: none came */
   double mean_output;  /* moving mean of what streams generated, in tokens; 0:
                        ** none ended */
+  double mean_run;     /* moving mean of the duration of runs that ended with
+                       ** a whole stream, us; 0: none ended */
   double prefill_pace; /* prompt tokens read in a ms, queueing included; 0: not
                        ** known */
 } ServiceState;
@@ -135,6 +139,12 @@
   guint trial_strikes;    /* that part's strikes when the trial began */
   gboolean is_acquitting; /* its open run has acquitted its parts */
   guint32 prompt_tokens, output_tokens;
+  guint32 expected_output; /* admission_order_expected_output */
+  guint priority;          /* request_priority */
+  gboolean preempts;       /* it was sent to an engine without room for it, to
+                           ** displace a less urgent run there */
+  gint64 queued_at; /* when it came to wait for room, last */
+  gint64 waited;    /* how long it has waited for room before that, us */
   guint64 session;
   gint64 arrived;
   gint64 caller_deadline; /* when the caller stops waiting */
@@ -251,6 +261,8 @@
                             ** reservations at engines, of the queue, or of
                             ** some states of endpoints */
   guint64 counters[ROUTER_COUNTER_COUNT];
+  guint64 started_by_priority[PRIORITY_COUNT]; /* requests for engines */
+  guint64 refused_by_priority[PRIORITY_COUNT];
   Histogram durations[DURATION_COUNT];
 };
 
@@ -481,8 +493,18 @@
 guint admission_count_in_time(const Router *router, gint64 now);
 /* Starts the waiting requests that fit; called whenever there may be room. */
 void admission_start_waiting_requests(Router *router, gint64 now);
-/* Records that a stream ended, which frees memory. */
-void admission_note_run_end(Router *router, gint64 now);
+/* Records that the stream of this request ended, which frees memory. */
+void admission_note_run_end(Router *router, const Request *request,
+                            gint64 now);
+/* Returns TRUE if a run of the request that starts now is expected to outlast
+** the request's deadline. */
+gboolean admission_is_too_late(Router *router, const Request *request,
+                               gint64 now);
+/* Refuses a request for that reason; ends it. */
+void admission_refuse_too_late(Router *router, Request *request, gint64 now);
+/* Writes for each service and priority how many requests wait in time. */
+void admission_write_digest(const Router *router, mp_LoadDigest *out,
+                            gint64 now);
 
 /* }================================================================== */
 
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -25,6 +25,8 @@
   sent.connect_timeout = dispatch->connect_timeout;
   sent.via = dispatch->via;
   sent.stream = dispatch->stream;
+  sent.urgency =
+      dispatch->has_urgency ? static_cast<int>(dispatch->urgency) : -1;
   sent.account = dispatch->account != nullptr ? dispatch->account : "";
   if (dispatch->order != nullptr) {
     sent.order_stage = dispatch->order->stage;
@@ -174,11 +176,17 @@
     account->plain_tokens = 200;
     account->rate = client.rate;
     account->burst = client.burst;
+    account->has_priority = client.priority >= 0;
+    account->priority = static_cast<guint32>(std::max(client.priority, 0));
     for (const char *client_key : client.keys)
       route_table_add_key(table, client_key);
   }
-  for (guint i = 0; i < table->routes->len; i++)
-    static_cast<Route *>(table->routes->pdata[i])->objective = objective;
+  for (guint i = 0; i < table->routes->len; i++) {
+    auto *route = static_cast<Route *>(table->routes->pdata[i]);
+    route->objective = objective;
+    auto stated = priorities.find(route->prefix);
+    route->priority = stated != priorities.end() ? stated->second : 0;
+  }
   router_set_routes(router, table, now);
   route_table_unref(table);
 }
@@ -229,6 +237,7 @@
   call.deadline_ms = deadline_ms;
   call.prompt_tokens = prompt;
   call.output_tokens = output;
+  call.length_hint = length_hint;
   return send(path, call);
 }
 
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -52,6 +52,7 @@
   std::string account; /* DISPATCH_RUN and DISPATCH_PREFILL */
   gint64 connect_timeout = 0;
   mp_Addr via = 0;        /* the instance that carries it; 0: none */
+  int urgency = -1;       /* -1: none is sent */
   bool cancelled = false; /* by the router */
   bool ended = false;     /* the router was given its last outcome */
 };
@@ -103,6 +104,7 @@
   std::vector<const char *> keys;
   double rate = 0;  /* tokens per second; 0: no limit */
   double burst = 0; /* tokens */
+  int priority = -1; /* -1: none stated */
 };
 
 /* One store call for the lease that the router asked its host for. */
@@ -214,6 +216,10 @@
   guint32 max_connections = 0;
   /* The client accounts of the next configuration. */
   std::vector<Client> clients;
+  /* Priorities of the next configuration's routes, by prefix; 0 if absent. */
+  std::map<std::string, guint32> priorities;
+  /* Length hint of the next requests in tokens; 0: none. */
+  guint32 length_hint = 0;
   /* The key that callers send; NULL: none. */
   const char *key = nullptr;
   unsigned keys = 1; /* how often a request repeats that key */
--- a/test/test_platform.cc
+++ b/test/test_platform.cc
@@ -7,6 +7,7 @@
 
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 extern "C" {
@@ -61,6 +62,26 @@
   http_head_free(head);
 }
 
+/* Guards against hints that are no number of tokens: they count as absent. */
+TEST(PlatformCaller, LengthHintIsReadIfItIsANumber) {
+  const std::pair<const char *, guint32> cases[] = {
+      {"120", 120}, {"0", 0},   {"", 0},    {"-5", 0},
+      {"many", 0},  {"12x", 0}, {"nan", 0}, {"99999999999999", G_MAXINT32}};
+  for (const auto &[text, expected] : cases) {
+    HttpHead *head = caller();
+    CallerHead read;
+    http_head_add(head, "Length-Hint", text);
+    ASSERT_TRUE(platform_read_caller(head, &read, nullptr));
+    EXPECT_EQ(read.request.length_hint, expected) << text;
+    caller_head_clear(&read);
+    http_head_add(head, "Length-Hint", "7");
+    ASSERT_TRUE(platform_read_caller(head, &read, nullptr));
+    EXPECT_EQ(read.request.length_hint, 0u) << "stands twice";
+    caller_head_clear(&read);
+    http_head_free(head);
+  }
+}
+
 guint parts_of(const char *value, CallerRequest *out) {
   HttpHead *head = caller();
   CallerHead read;
@@ -280,6 +301,26 @@
   http_head_free(from);
 }
 
+/* Guards against an urgency that a caller chooses, and against one that is
+** sent where the configuration has no priorities. */
+TEST(PlatformSystemFields, UrgencyIsSentIfTheDispatchHasOne) {
+  HttpHead *from = caller();
+  http_head_add(from, "Request-Urgency", "0");
+  for (Dispatch dispatch : forwarding_dispatches()) {
+    char *body = nullptr;
+    HttpHead *head = platform_write_dispatch(&dispatch, from, &body);
+    EXPECT_EQ(http_head_count(head, "Request-Urgency"), 0u);
+    http_head_free(head);
+    dispatch.has_urgency = TRUE;
+    dispatch.urgency = 9;
+    head = platform_write_dispatch(&dispatch, from, &body);
+    EXPECT_EQ(http_head_count(head, "Request-Urgency"), 1u);
+    EXPECT_STREQ(http_head_get(head, "Request-Urgency"), "9");
+    http_head_free(head);
+  }
+  http_head_free(from);
+}
+
 TEST(PlatformSystemFields, RandomCallersHeadsForwardNone) {
   std::mt19937 random(20261202);
   const char *const others[] = {"Accept", "Length-Hint", "Model",
@@ -708,6 +749,7 @@
       route_table_find_account(table, digest_of("k2").c_str());
   ASSERT_NE(account, nullptr);
   EXPECT_STREQ(account->name, "hule");
+  EXPECT_TRUE(account->has_priority);
   EXPECT_EQ(account->priority, 1u);
   EXPECT_EQ(account->unit, ACCOUNT_TOKENS);
   EXPECT_EQ(account->rate, 185831);
@@ -718,6 +760,7 @@
   EXPECT_EQ(route_table_find_account(table, digest_of("k1").c_str()), account);
   account = route_table_find_account(table, digest_of("k3").c_str());
   ASSERT_NE(account, nullptr);
+  EXPECT_FALSE(account->has_priority);
   EXPECT_STREQ(account->name, "other");
   EXPECT_EQ(account->rate, 0);
   EXPECT_EQ(account_cost(account, 5200, 73), 1);
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -63,6 +63,8 @@
   digest->leaving[MP_LOAD_DIGEST_LEAVING - 1] = 9;
   digest->retry_count = MP_LOAD_DIGEST_SERVICES;
   digest->retry[MP_LOAD_DIGEST_SERVICES - 1] = {8, 90, 10};
+  digest->ranked_count = MP_LOAD_DIGEST_PRIORITIES;
+  digest->ranked[MP_LOAD_DIGEST_PRIORITIES - 1] = {8, 9, 12, 400};
 }
 
 mp_Msg full(mp_MsgKind k) {
@@ -178,6 +180,8 @@
 size_t earlier_end(mp_MsgKind kind, size_t size) {
   if (kind == MP_MSG_CRASHES)
     return size - 4 - 12 * MP_ACQUITTAL_ROWS;
+  if (kind == MP_MSG_LOAD_DIGEST || kind == MP_MSG_LOAD_SUMMARY)
+    return size - 4 - 8 * MP_LOAD_DIGEST_PRIORITIES;
   return kind == MP_MSG_RELAY_HEARTBEAT ? size - 8 * MP_RELAY_KINDS : 0;
 }
 
@@ -193,6 +197,71 @@
   EXPECT_EQ(t.m.u.beat.asked_us, m.u.beat.asked_us);
 }
 
+/* Guards against a digest that instances of only one release can read. */
+TEST(Wire, AnEarlierDigestStatesNoPriorities) {
+  mp_Msg m = full(MP_MSG_LOAD_DIGEST);
+  std::string s = encode(m);
+  Taken t = decode(s.substr(0, earlier_end(m.kind, s.size())));
+  ASSERT_EQ(t.how, RPC_CALL);
+  EXPECT_EQ(t.m.u.digest.ranked_count, 0u);
+  EXPECT_EQ(t.m.u.digest.in_time, 2u);
+  EXPECT_EQ(t.m.u.digest.leaving[MP_LOAD_DIGEST_LEAVING - 1], 9u);
+}
+
+/* An earlier release stops reading where its own digest ends. So the rows by
+** priority must come last, and what comes before them must be as before. */
+TEST(Wire, PrioritiesStandAtTheEndOfADigest) {
+  mp_Msg m = full(MP_MSG_LOAD_DIGEST);
+  std::string with = encode(m);
+  m.u.digest.ranked_count = 0;
+  std::string without = encode(m);
+  size_t end = earlier_end(m.kind, with.size());
+  EXPECT_EQ(without.size(), end + 4);
+  EXPECT_EQ(with.substr(0, end), without.substr(0, end));
+}
+
+TEST(Wire, RowsByPriorityComeInAsTheyWentOut) {
+  mp_Msg m = {};
+  m.kind = MP_MSG_LOAD_DIGEST;
+  m.u.digest.ranked_count = 2;
+  m.u.digest.ranked[0] = {77, 0, 3, 400};
+  m.u.digest.ranked[1] = {78, 9, 99999, 1u << 30};
+  Taken t = decode(encode(m));
+  ASSERT_EQ(t.how, RPC_CALL);
+  const mp_WaitingRow *row = t.m.u.digest.ranked;
+  ASSERT_EQ(t.m.u.digest.ranked_count, 2u);
+  EXPECT_EQ(row[0].service, 77u);
+  EXPECT_EQ(row[0].priority, 0u);
+  EXPECT_EQ(row[0].count, 3u);
+  EXPECT_EQ(row[0].oldest_ms, 400u);
+  EXPECT_EQ(row[1].priority, 9u);
+  EXPECT_EQ(row[1].count, 4095u);
+  EXPECT_EQ(row[1].oldest_ms, 65535u * 4);
+}
+
+/* Guards against a digest that is not sent at all because the rows by priority
+** do not fit: the highest priorities are kept. */
+TEST(Wire, ADigestWithoutRoomLeavesLowPrioritiesOut) {
+  for (mp_MsgKind kind : {MP_MSG_LOAD_DIGEST, MP_MSG_LOAD_SUMMARY}) {
+    mp_Msg m = full(kind);
+    mp_LoadDigest &digest =
+        kind == MP_MSG_LOAD_DIGEST ? m.u.digest : m.u.summary.loads;
+    digest.account_count = MP_LOAD_DIGEST_ACCOUNTS;
+    for (unsigned i = 0; i < MP_LOAD_DIGEST_PRIORITIES; i++)
+      digest.ranked[i] = {8, i, 1, 0};
+    std::string s = encode(m);
+    ASSERT_GT(s.size(), 0u);
+    Taken t = decode(s);
+    ASSERT_EQ(t.how, RPC_CALL);
+    const mp_LoadDigest &read =
+        kind == MP_MSG_LOAD_DIGEST ? t.m.u.digest : t.m.u.summary.loads;
+    EXPECT_EQ(read.account_count, (unsigned)MP_LOAD_DIGEST_ACCOUNTS);
+    EXPECT_LT(read.ranked_count, (unsigned)MP_LOAD_DIGEST_PRIORITIES);
+    for (unsigned i = 0; i < read.ranked_count; i++)
+      EXPECT_EQ(read.ranked[i].priority, i);
+  }
+}
+
 TEST_P(Kinds, CutShortAreGarbage) {
   auto kind = static_cast<mp_MsgKind>(GetParam());
   std::string s = encode(full(kind));
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -236,6 +236,56 @@
   return TRUE;
 }
 
+/* largest values of the parts of a packed row of waiting requests */
+#define WAITING_PRIORITY_MAX 0xfu
+#define WAITING_COUNT_MAX 0xfffu
+#define WAITING_AGE_MAX 0xffffu
+#define WAITING_AGE_STEP_MS 4u /* 16 bits then hold 262 s */
+/* bytes of one row: the service, and the packed rest */
+#define WAITING_ROW_SIZE 8u
+
+static uint32_t at_most(uint32_t value, uint32_t max) {
+  return value < max ? value : max;
+}
+
+/* one word: 4 bits for the priority, 12 for the requests, 16 for the age */
+static bool_t xdr_waiting_row(XDR *x, mp_WaitingRow *row) {
+  uint32_t word = at_most(row->priority, WAITING_PRIORITY_MAX) << 28;
+  word |= at_most(row->count, WAITING_COUNT_MAX) << 16;
+  word |= at_most(row->oldest_ms / WAITING_AGE_STEP_MS, WAITING_AGE_MAX);
+  if (!xdr_u32(x, &row->service) || !xdr_u32(x, &word))
+    return FALSE;
+  row->priority = word >> 28;
+  row->count = word >> 16 & WAITING_COUNT_MAX;
+  row->oldest_ms = (word & WAITING_AGE_MAX) * WAITING_AGE_STEP_MS;
+  return TRUE;
+}
+
+/* the rows by priority stand at the end: an earlier release sends none, and
+** does not read them. Rows that do not fit into the datagram are left out; the
+** highest priorities come first. */
+static bool_t xdr_waiting_rows(XDR *x, mp_LoadDigest *d) {
+  unsigned i;
+  if (x->x_op == XDR_DECODE && x->x_handy == 0) {
+    d->ranked_count = 0;
+    return TRUE;
+  }
+  if (x->x_op == XDR_ENCODE) {
+    if (x->x_handy < sizeof(uint32_t))
+      return TRUE;
+    d->ranked_count =
+        at_most(d->ranked_count,
+                (x->x_handy - (u_int)sizeof(uint32_t)) / WAITING_ROW_SIZE);
+  }
+  if (!xdr_count(x, &d->ranked_count, MP_LOAD_DIGEST_PRIORITIES))
+    return FALSE;
+  for (i = 0; i < d->ranked_count; i++) {
+    if (!xdr_waiting_row(x, &d->ranked[i]))
+      return FALSE;
+  }
+  return TRUE;
+}
+
 static bool_t xdr_load_digest(XDR *x, mp_LoadDigest *d) {
   unsigned i;
   if (!xdr_u32(x, &d->waiting) || !xdr_u32(x, &d->in_time) ||
@@ -249,7 +299,9 @@
   return xdr_hashes(x, &d->changing_count, d->changing,
                     MP_LOAD_DIGEST_CHANGING) &&
          xdr_retry_rows(x, d) && xdr_account_rows(x, d) &&
-         xdr_hashes(x, &d->leaving_count, d->leaving, MP_LOAD_DIGEST_LEAVING);
+         xdr_hashes(x, &d->leaving_count, d->leaving,
+                    MP_LOAD_DIGEST_LEAVING) &&
+         xdr_waiting_rows(x, d);
 }
 
 static bool_t xdr_load_summary(XDR *x, mp_LoadSummary *s) {
