Priority admission: cheaper check for higher priorities, tests of room and metrics

Cause: the test of room that is kept for a large urgent request passed without the check in start_some, because the turn of the smaller request was checked again; and the metrics by priority had no test.

Change: the test now leaves room for two small requests, so it fails without the check (tried). yields_to_priority computes the rank of another request only if that one can matter. A test of the metrics by priority.

--- a/router/admission.c
+++ b/router/admission.c
@@ -474,10 +474,12 @@
   guint i;
   for (i = 0; is_ranked(request) && i < router->waiting->len; i++) {
     const Request *other = router->waiting->pdata[i];
-    AdmissionRank other_rank = rank_of(router, other, now);
-    if (other->start_at == 0 && is_same_service(other, request) &&
-        needs_room_of(other, request) &&
-        admission_order_yields(&rank, &other_rank))
+    AdmissionRank other_rank;
+    if (other->start_at != 0 || !is_same_service(other, request) ||
+        !needs_room_of(other, request))
+      continue;
+    other_rank = rank_of(router, other, now);
+    if (admission_order_yields(&rank, &other_rank))
       return TRUE;
   }
   return FALSE;
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -73,4 +73,31 @@
   g_string_free(text, TRUE);
 }
 
+/* Guards against counts of one priority that are added to another, and against
+** rows for priorities that nothing has. */
+TEST(Metrics, CountRequestsForEnginesByPriority) {
+  World world;
+  AdapterCounts carriers = {};
+  carriers.news_role = "relay";
+  world.priorities["/resume/"] = 2;
+  world.add_default_endpoints();
+  world.request("/stream/x");               /* starts */
+  world.request("/stream/x", 10000, 20000); /* fits into no engine */
+  world.request("/resume/x", 10000, 20000);
+  world.advance(10 * second); /* both are refused in the end */
+  world.request("/resume/x", 10000, 20000);
+  GString *text = metrics_text(world.router, &carriers);
+  std::string page = std::string("\n") + text->str;
+  for (const char *line :
+       {"madderpier_priority_started_total{priority=\"0\"} 1",
+        "madderpier_priority_refused_total{priority=\"2\"} 1",
+        "madderpier_priority_waiting{priority=\"0\"} 0",
+        "madderpier_priority_waiting{priority=\"2\"} 1",
+        "madderpier_priority_started_total{priority=\"2\"} 0"})
+    EXPECT_NE(page.find("\n" + std::string(line) + "\n"), std::string::npos)
+        << line;
+  EXPECT_EQ(page.find("priority=\"1\""), std::string::npos);
+  g_string_free(text, TRUE);
+}
+
 } // namespace
--- a/test/test_priorities.cc
+++ b/test/test_priorities.cc
@@ -276,7 +276,8 @@
   peer(plain, 9500, 9500);
   guint64 urgent = plain.request("/stream/x", 60000, 3000);
   plain.request("/resume/x", 60000, 1000);
-  peer(plain, 8000, 9500);
+  peer(plain, 7200, 9500); /* two small ones would fit */
+  plain.advance(50 * ms);
   EXPECT_TRUE(plain.dispatches.empty());
   peer(plain, 5000, 9500);
   ASSERT_FALSE(plain.dispatches.empty());
