Outlier detection: tests of 421 and of trials

OutlierWorld.AnEndedIncarnationGetsNoWaitingRequest guards against an ended incarnation that attracts requests half a second after its 421; without overload_control it still does, which the test shows. OutlierWorld.OneRequestAtATimeTriesAnEngine guards against a rush of requests when a pause ends.

--- a/test/test_outlier.cc
+++ b/test/test_outlier.cc
@@ -181,18 +181,21 @@
                        &digest, world->now);
     }
   }
-  /* Starts requests until all room is taken; returns how many reserved memory
-  ** at one of these engines. */
-  unsigned fill(const std::vector<const char *> &ids) {
+  /* Returns how many requests reserved memory at one of these engines. */
+  unsigned count_notes(const std::vector<const char *> &ids) const {
     unsigned count = 0;
-    for (unsigned i = 0; i < 60; i++)
-      world->request("/stream/x", 10000, 1500, 500);
     for (const mp_LoadNote &note : world->notes) {
       for (const char *id : ids)
         count += note.endpoint == incarnation_hash_of(id);
     }
     return count;
   }
+  /* Sends more requests than there is room for; returns count_notes. */
+  unsigned fill(const std::vector<const char *> &ids) {
+    for (unsigned i = 0; i < 60; i++)
+      world->request("/stream/x", 10000, 1500, 500);
+    return count_notes(ids);
+  }
 };
 
 /* Crashed engines that other instances found must not attract requests. */
@@ -257,6 +260,52 @@
   EXPECT_EQ(router_down_endpoints(world->router), 0u);
 }
 
+/* An incarnation that has ended stays ended: after 421 it must not attract
+** requests again half a second later. */
+TEST_F(OutlierWorld, AnEndedIncarnationGetsNoWaitingRequest) {
+  for (bool overload_control : {false, true}) {
+    Outcome outcome = {};
+    create(overload_control);
+    world->request("/resume/x");
+    world->prefilled(world->last().number);
+    ASSERT_EQ(world->last().kind, DISPATCH_RUN);
+    std::string ended = world->last().endpoint;
+    outcome.dispatch = world->last().number;
+    outcome.kind = OUTCOME_NOT_RUN;
+    outcome.misdirected = TRUE;
+    router_outcome(world->router, &outcome, world->now);
+    world->outcome(world->last().number, OUTCOME_STREAM_END);
+    world->advance(4 * second);
+    world->notes.clear();
+    if (overload_control)
+      EXPECT_EQ(fill({ended.c_str()}), 0u);
+    else
+      EXPECT_GT(fill({ended.c_str()}), 0u);
+  }
+}
+
+/* After the pause one request tries the engine, and only its answer lets the
+** others in. */
+TEST_F(OutlierWorld, OneRequestAtATimeTriesAnEngine) {
+  create(true);
+  world->request("/stream/x");
+  world->prefilled(world->last().number);
+  std::string failed = world->last().endpoint;
+  world->outcome(world->last().number, OUTCOME_UNREACHABLE);
+  world->outcome(world->last().number, OUTCOME_STREAM_END);
+  world->advance(600 * ms);
+  world->notes.clear();
+  fill({});
+  world->advance(200 * ms); /* the turns of all waiting requests have come */
+  EXPECT_EQ(count_notes({failed.c_str()}), 1u);
+  endpoint_note_heard(
+      endpoint_table_get(world->router->endpoints, failed.c_str()),
+      world->now);
+  fill({});
+  world->advance(200 * ms);
+  EXPECT_GT(count_notes({failed.c_str()}), 1u);
+}
+
 /* A prefill engine that rejects prompts because it is full answers; it must
 ** not be taken from all instances as if it had crashed. */
 TEST_F(OutlierWorld, FullEnginesAreNotReportedAsUnreachable) {
