Circuit breaker for plain endpoints that break off nearly everything

Cause: instances kept sending to a plain endpoint that broke off each run within some ms, and requests that must not be repeated ended there as "outcome unknown".

Change, only with overload_control: two runs in a row that broke off within 100 ms, each within 1.5 s of the one before, count as an endpoint that cannot be reached. It is avoided, reported and tried again as such. Requests that must not be repeated are refused as not run if only such endpoints are left. After the pause, safe requests try it first for 1 s, then others.

Ruled out: a failure share of 0.9 over one second. One of 71 instances sends about one request a second to an endpoint, so the share would not be known.

Open: trials are limited per instance, not to one per second over all of them.

Tests: OutlierWorld.AnEndpointThatBreaksOffGetsNoUnsafeRequest, which also shows the fault without overload_control, OutlierWorld.UnsafeRequestsTryAnEndpointThatNobodyElseTries and Outlier.LateOrRareBreaksDoNotCount.

Conclusion: an instance loses two such requests at an endpoint, then none.

--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -580,6 +580,10 @@
       continue;
     if (!avoided_too && is_avoided(table, endpoint, now))
       continue;
+    if (query->is_unsafe &&
+        outlier_is_unsafe(&endpoint->evidence, endpoint->unreachable_streak,
+                          endpoint->avoid_until, now))
+      continue;
     if (skip_crashed && endpoint_has_crashed_under(query, endpoint))
       continue;
     if ((query->must_fit && !has_room(table, query, endpoint)) ||
@@ -721,6 +725,7 @@
 
 void endpoint_note_heard(Endpoint *endpoint, gint64 now) {
   endpoint->evidence.heard_at = now;
+  endpoint->evidence.breaks = 0;
 }
 
 void endpoint_note_failure(Endpoint *endpoint, gint64 now) {
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -101,11 +101,13 @@
                     ** 0: no preference */
   gboolean affinity_overrides_load; /* the preferred endpoint is chosen even if
                                     ** others have less load */
-  guint64 spread;    /* random; breaks ties where there is no affinity */
-  guint64 capacity;  /* engines: memory of one engine, in tokens; 0: unknown or
-                     ** no engine */
-  guint64 tokens;    /* engines: tokens that the dispatch adds */
-  gboolean must_fit; /* choose only where 'tokens' fit into 'capacity' now */
+  guint64 spread;   /* random; breaks ties where there is no affinity */
+  guint64 capacity; /* engines: memory of one engine, in tokens; 0: unknown or
+                    ** no engine */
+  guint64 tokens;   /* engines: tokens that the dispatch adds */
+  gboolean is_unsafe; /* a run must not be repeated: leave out endpoints that
+                      ** break off nearly everything */
+  gboolean must_fit;  /* choose only where 'tokens' fit into 'capacity' now */
   GateLimits limits;
   const char *const *excluded; /* ids of endpoints to leave out; borrowed */
   guint excluded_count;
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -183,6 +183,16 @@
   outcomes_retry(router, request, FALSE, now);
 }
 
+/* Avoids a plain endpoint that breaks off nearly everything. */
+static void note_break(Router *router, const Request *request,
+                       Endpoint *endpoint, gint64 now) {
+  if (!router->overload_control || request->service->is_engine ||
+      request->head_sent)
+    return;
+  if (outlier_note_break(&endpoint->evidence, now - request->open.sent, now))
+    endpoint_note_unreachable(endpoint, now);
+}
+
 /* The run broke off without a complete answer. */
 static void handle_broken(Router *router, Request *request, Endpoint *endpoint,
                           gint64 now) {
@@ -191,6 +201,7 @@
   request->runs++;
   if (endpoint != NULL) {
     endpoint_note_failure(endpoint, now);
+    note_break(router, request, endpoint, now);
     suspects_note_broken(router, request, endpoint, now);
   }
   path_close_dispatch(router, request, FALSE);
--- a/router/outlier.c
+++ b/router/outlier.c
@@ -64,3 +64,27 @@
   return now - evidence->reported_since < OUTLIER_REPORT_PAUSE ? OUTLIER_DOWN
                                                                : OUTLIER_TRIAL;
 }
+
+gboolean outlier_note_break(OutlierEvidence *evidence, gint64 after,
+                            gint64 now) {
+  if (after > OUTLIER_AT_ONCE)
+    return FALSE;
+  if (now - evidence->broken_at > OUTLIER_BREAK_TIME &&
+      evidence->breaks < OUTLIER_BREAKS_MIN)
+    evidence->breaks = 0;
+  evidence->breaks++;
+  evidence->broken_at = now;
+  return evidence->breaks >= OUTLIER_BREAKS_MIN;
+}
+
+gboolean outlier_is_unsafe(const OutlierEvidence *evidence, unsigned failures,
+                           gint64 avoid_until, gint64 now) {
+  OutlierVerdict verdict =
+      outlier_verdict(evidence, failures, avoid_until, now);
+  if (verdict == OUTLIER_UP)
+    return FALSE;
+  if (failures > 0 && evidence->heard_at == 0)
+    return evidence->breaks >= OUTLIER_BREAKS_MIN &&
+           now < avoid_until + OUTLIER_SAFE_TRIAL_TIME;
+  return verdict == OUTLIER_DOWN && evidence->reported_since != 0;
+}
--- a/router/outlier.h
+++ b/router/outlier.h
@@ -38,10 +38,25 @@
 ** fails after it is not trusted for good. Pieces of a stream come more often
 ** than this. */
 #define OUTLIER_HEARD_TIME (1 * MP_SEC)
+/* A run breaks off at once if it does so within this time. Longer runs may
+** break off for reasons of their own. */
+#define OUTLIER_AT_ONCE (100 * MP_MS)
+/* A plain endpoint is down after this many runs in a row that broke off at
+** once, each within OUTLIER_BREAK_TIME of the one before. An instance of a
+** large system sends about one request a second to an endpoint, so a share
+** over a second would not be known before other instances have lost as many
+** requests. */
+#define OUTLIER_BREAKS_MIN 2
+#define OUTLIER_BREAK_TIME (1500 * MP_MS)
+/* After the pause of such an endpoint, requests that may be repeated try it
+** first for this long. */
+#define OUTLIER_SAFE_TRIAL_TIME (1 * MP_SEC)
 
 typedef struct OutlierEvidence {
   gint64 heard_at;       /* last sign of life since the last own attempt that
                          ** failed to reach it; 0: none */
+  guint breaks;          /* runs in a row that broke off at once */
+  gint64 broken_at;      /* the last of them */
   guint reports;         /* other instances that report it as unreachable */
   gint64 reported_since; /* since when it is down by reports; 0: it is not */
 } OutlierEvidence;
@@ -64,4 +79,16 @@
                                unsigned failures, gint64 avoid_until,
                                gint64 now);
 
+/* Counts a run that broke off 'after' it was sent. Returns TRUE if the
+*endpoint
+** is now to be avoided as one that breaks off nearly everything. */
+gboolean outlier_note_break(OutlierEvidence *evidence, gint64 after,
+                            gint64 now);
+/* Returns TRUE if a request that must not be repeated is to be refused instead
+** of being sent there: the endpoint breaks off runs, or may do so because it
+*is
+** down by reports. Arguments as for outlier_verdict. */
+gboolean outlier_is_unsafe(const OutlierEvidence *evidence, unsigned failures,
+                           gint64 avoid_until, gint64 now);
+
 #endif
--- a/router/path.c
+++ b/router/path.c
@@ -36,6 +36,8 @@
   query.tokens = estimate_memory(router, request);
   query.excluded = (const char *const *)request->excluded;
   query.excluded_count = request->excluded_count;
+  query.is_unsafe = router->overload_control && !request->repeatable &&
+                    !request->service->is_engine;
   query.spread = (guint64)g_rand_int(router->random) + 1;
   query.limits = rates_limits(router, request->service, now);
   suspects_list_crashed(router, request, &query, now);
--- a/test/test_outlier.cc
+++ b/test/test_outlier.cc
@@ -348,6 +348,59 @@
   EXPECT_EQ(router_down_endpoints(world->router), 1u);
 }
 
+/* Requests that must not be repeated end as "outcome unknown" at a plain
+** endpoint that breaks off everything; they must be refused as not run. */
+TEST_F(OutlierWorld, AnEndpointThatBreaksOffGetsNoUnsafeRequest) {
+  for (bool overload_control : {false, true}) {
+    create(overload_control);
+    world->endpoint({"app0", "app", "a", STAGE_NONE});
+    for (unsigned i = 0; i < 2; i++) {
+      guint64 request = world->request("/unsafe/x");
+      world->advance(5 * ms);
+      world->outcome(world->last().number, OUTCOME_BROKEN);
+      EXPECT_EQ(world->end(request).refusal, REFUSAL_OUTCOME_UNKNOWN);
+    }
+    guint64 unsafe = world->request("/unsafe/x");
+    EXPECT_EQ(world->runs(unsafe), overload_control ? 0u : 1u);
+    if (!overload_control)
+      continue;
+    EXPECT_EQ(world->end(unsafe).refusal, REFUSAL_NO_ENDPOINT);
+    world->advance(600 * ms);
+    unsafe = world->request("/unsafe/x");
+    EXPECT_EQ(world->runs(unsafe), 0u) << "safe ones try it first";
+    guint64 safe = world->request("/safe/x");
+    EXPECT_EQ(world->runs(safe), 1u);
+    world->outcome(world->last().number, OUTCOME_ANSWER);
+    unsafe = world->request("/unsafe/x");
+    EXPECT_EQ(world->runs(unsafe), 1u) << "the answer ends it";
+  }
+}
+
+/* Without requests that may be repeated, the endpoint must be tried too. */
+TEST_F(OutlierWorld, UnsafeRequestsTryAnEndpointThatNobodyElseTries) {
+  create(true);
+  world->endpoint({"app0", "app", "a", STAGE_NONE});
+  for (unsigned i = 0; i < 2; i++) {
+    world->request("/unsafe/x");
+    world->outcome(world->last().number, OUTCOME_BROKEN);
+  }
+  world->advance(1600 * ms);
+  guint64 first = world->request("/unsafe/x");
+  EXPECT_EQ(world->runs(first), 1u);
+  world->outcome(world->last().number, OUTCOME_BROKEN);
+  guint64 second_one = world->request("/unsafe/x");
+  EXPECT_EQ(world->runs(second_one), 0u) << "one break closes it again";
+}
+
+/* Runs that break off late, or answers in between, say nothing. */
+TEST(Outlier, LateOrRareBreaksDoNotCount) {
+  OutlierEvidence evidence = {};
+  EXPECT_FALSE(outlier_note_break(&evidence, 5 * ms, start));
+  EXPECT_FALSE(outlier_note_break(&evidence, second, start + 1));
+  EXPECT_FALSE(outlier_note_break(&evidence, 5 * ms, start + 2 * second));
+  EXPECT_TRUE(outlier_note_break(&evidence, 5 * ms, start + 3 * second));
+}
+
 /* A prefill that was paid for must not be lost because six engines in a row
 ** could not be reached. */
 TEST_F(OutlierWorld, APrefilledRequestReturnsToTheQueue) {
