--- a/router/outlier.h
+++ b/router/outlier.h
@@ -79,15 +79,13 @@
                                unsigned failures, gint64 avoid_until,
                                gint64 now);
 
-/* Counts a run that broke off 'after' it was sent. Returns TRUE if the
-*endpoint
-** is now to be avoided as one that breaks off nearly everything. */
+/* Counts a run that broke off this long 'after' it was sent. Returns TRUE if
+** the endpoint is to be avoided as one that breaks off nearly everything. */
 gboolean outlier_note_break(OutlierEvidence *evidence, gint64 after,
                             gint64 now);
 /* Returns TRUE if a request that must not be repeated is to be refused instead
-** of being sent there: the endpoint breaks off runs, or may do so because it
-*is
-** down by reports. Arguments as for outlier_verdict. */
+** of being sent there: the endpoint breaks off runs, or may do so because
+** others report it. Arguments as for outlier_verdict. */
 gboolean outlier_is_unsafe(const OutlierEvidence *evidence, unsigned failures,
                            gint64 avoid_until, gint64 now);
 
