--- a/router/loads.c
+++ b/router/loads.c
@@ -23,8 +23,8 @@
 /* Smaller shares of failures are not reported, in percent. */
 #define REPORTED_FAILING_PERCENT_MIN 5
 /* The largest share reported for an endpoint that answers, in percent. 100
-*says
-** that it cannot be reached, and the encoding rounds up to a multiple of 4. */
+** means that it cannot be reached; the encoding rounds up to a multiple of 4.
+*/
 #define ANSWERING_PERCENT_MAX 96
 /* An endpoint that could not be reached is reported for this long after its
 ** pause unless it has answered since. Otherwise all other instances would take
