--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -79,9 +79,9 @@
     g_hash_table_remove(loads->sums, GUINT_TO_POINTER(endpoint));
 }
 
-/* Returns 1 if the row reports the endpoint as unreachable, else 0. The summary
-** of a data centre is one report: it adds up shares, which may be smaller ones,
-** and a data centre that is cut off is one fault. */
+/* Returns 1 if the row reports the endpoint as unreachable, else 0. The
+** summary of a data centre is one report: it adds up shares, which may be
+** smaller ones, and a data centre that is cut off is one fault. */
 static guint row_unreachable(const mp_LoadRow *row) {
   return row->failing >= UNREACHABLE_PERCENT;
 }
