--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -102,11 +102,13 @@
                     ** 0: no preference */
   gboolean affinity_overrides_load; /* the preferred endpoint is chosen even if
                                     ** others have less load */
-  guint64 spread;    /* random; breaks ties where there is no affinity */
-  guint64 capacity;  /* engines: memory of one engine, in tokens; 0: unknown or
-                     ** no engine */
-  guint64 tokens;    /* engines: tokens that the dispatch adds */
-  gboolean must_fit; /* choose only where 'tokens' fit into 'capacity' now */
+  guint64 spread;   /* random; breaks ties where there is no affinity */
+  guint64 capacity; /* engines: memory of one engine, in tokens; 0: unknown or
+                    ** no engine */
+  guint64 tokens;   /* engines: tokens that the dispatch adds */
+  gboolean is_unsafe; /* a run must not be repeated: leave out endpoints that
+                      ** break off nearly everything */
+  gboolean must_fit;  /* choose only where 'tokens' fit into 'capacity' now */
   const PrefillLimit *load_limit; /* engines: choose only where the load is
                                   ** within it; NULL: any; borrowed */
   GateLimits limits;
