E8007 names the stage that a request waits for

Cause: with overload_control requests wait for prefill engines too, and an operator has to see which stage is short. Ruled out: an event of its own: it would double the lines of a burst. The edit in admission_enter is one field of its log line. Conclusion: preempted runs are not counted yet.

--- a/router/admission.c
+++ b/router/admission.c
@@ -361,9 +361,10 @@
   shortage_schedule_recheck(router, now);
   place = count_in_time_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
-             " request=%s place=%u expected_ms=%d came_back=%d", request->id,
-             place, (int)(expected_wait(router, place) / MP_MS),
-             request->is_caller_retry);
+             " request=%s place=%u expected_ms=%d came_back=%d short=%s",
+             request->id, place, (int)(expected_wait(router, place) / MP_MS),
+             request->is_caller_retry,
+             prefill_short_stage(router, request, now));
 }
 
 void admission_requeue(Router *router, Request *request, gint64 now) {
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -115,8 +115,8 @@
 }
 
 /* Returns the shortest objective of the routes to the request's service, us.
-*It
-** is looked up once for each configuration. */
+ *It
+ ** is looked up once for each configuration. */
 static gint64 shortest_objective(ServiceState *state, const Request *request) {
   const RouteTable *table = request->table;
   guint i, j;
@@ -207,6 +207,12 @@
   return &prefill_limit_idle;
 }
 
+const char *prefill_short_stage(Router *router, const Request *request,
+                                gint64 now) {
+  return prefill_decode_limit(router, request, now) != NULL ? "prefill"
+                                                            : "decode";
+}
+
 /* Returns the engine that prefilled the prompt last, if it can do so again;
 ** else NULL. */
 static Endpoint *reusable_prefill_engine(Router *router,
@@ -241,8 +247,8 @@
 }
 
 /* Returns TRUE if the prompt may be sent to some prefill engine now; the
-*choice
-** of the engine considers the load of each. */
+ *choice
+ ** of the engine considers the load of each. */
 static gboolean may_prefill(Router *router, const Request *request,
                             gint64 now) {
   if (router->overload_control)
@@ -388,9 +394,9 @@
 }
 
 /* Sends the prompt to another prefill engine, or queues the request for one,
-*or
-** else sends the request to a decode engine; the retry budget has allowed it;
-** may end. */
+ *or
+ ** else sends the request to a decode engine; the retry budget has allowed it;
+ ** may end. */
 static void prefill_elsewhere(Router *router, Request *request, gint64 now) {
   log_prompt_retry(router, request, TRUE);
   if (!prefill_begin(router, request, now) &&
--- a/router/state.h
+++ b/router/state.h
@@ -406,12 +406,16 @@
 ** decode engine stays. */
 gboolean prefill_begin(Router *router, Request *request, gint64 now);
 /* Returns the limit on the load of a decode engine where the request may
-*start:
-** NULL (none) if a prefill engine can take its prompt now or none can be used,
-** else that of an idle engine, which can read the prompt itself. Without
-** Router.overload_control always NULL. */
+ *start:
+ ** NULL (none) if a prefill engine can take its prompt now or none can be
+ *used,
+ ** else that of an idle engine, which can read the prompt itself. Without
+ ** Router.overload_control always NULL. */
 const PrefillLimit *prefill_decode_limit(Router *router,
                                          const Request *request, gint64 now);
+/* Returns the name, static, of the stage that a request waits for. */
+const char *prefill_short_stage(Router *router, const Request *request,
+                                gint64 now);
 /* Reserves memory for the run at a decode engine. */
 void prefill_reserve(Router *router, Request *request, Endpoint *decode);
 /* Prefills a prompt again at the engine that prefilled it before and may still
--- a/test/test_prefill_capacity.cc
+++ b/test/test_prefill_capacity.cc
@@ -176,6 +176,18 @@
   EXPECT_GE(count(DISPATCH_PREFILL), 3u);
   EXPECT_LE(count(DISPATCH_PREFILL), 6u);
   EXPECT_EQ(count(DISPATCH_RUN), 0u);
+  EXPECT_NE(world.log.back().find("8007"), std::string::npos);
+  EXPECT_NE(world.log.back().find(" short=prefill"), std::string::npos);
+}
+
+/* The log must not blame prefill engines for a shortage of memory. */
+TEST_F(PrefillStage, LogNamesDecodeWhenMemoryIsShort) {
+  for (const char *id : {"pre-1", "pre-2", "pre-3", "pre-4", "pre-5"})
+    add_prefill(id, 12);
+  occupy_decode();
+  send(20);
+  EXPECT_LT(count(DISPATCH_PREFILL), 20u);
+  EXPECT_NE(world.log.back().find(" short=decode"), std::string::npos);
 }
 
 /* Slots that are not stated limit nothing; the objective still does. */
