An engine that rejects a prompt without a retry budget is left alone for longer

Cause: the pause after a rejected prompt was 250 ms also where the retry budget is used up, so an engine that rejects all prompts could cause more extra arrivals. Ruled out: excluding it for the request only; other requests would go there. Change: without a budget such an engine counts as unreachable, as it does without overload_control. Conclusion: with a budget, rejections are still answered by the short pause.

--- a/router/prefill.c
+++ b/router/prefill.c
@@ -415,7 +415,8 @@
 /* Records that the engine rejected the prompt. With overload control that is
 ** taken for a lack of slots, since the engine was reached: it gets no more
 ** prompts for a short time, but counts as one that can be used, so that decode
-** engines do not prefill in its place. */
+** engines do not prefill in its place. If the retry budget is used up, it gets
+** none for longer, since it was not expected to reject this one. */
 static void record_rejection(Router *router, Request *request,
                              Endpoint *endpoint, gint64 now) {
   router_count(router, PROMPTS_REJECTED);
@@ -425,7 +426,7 @@
     path_exclude(request, request->open.endpoint);
   if (endpoint == NULL)
     return;
-  if (router->overload_control)
+  if (router->overload_control && may_be_rejected(router, request, now))
     endpoint->avoid_until = MAX(endpoint->avoid_until, now + REJECTED_PAUSE);
   else /* it may be about to change its stage */
     endpoint_note_unreachable(endpoint, now);
--- a/test/test_prefill_capacity.cc
+++ b/test/test_prefill_capacity.cc
@@ -297,6 +297,18 @@
   EXPECT_EQ(count(DISPATCH_RUN), 0u);
 }
 
+/* An engine with free slots that rejects prompts, as one does that is about to
+** change its stage, must not get more of them than the retry budget covers. */
+TEST_F(PrefillStageWithoutRetries, EngineThatRejectsAPromptIsLeftAlone) {
+  guint64 request = send(1)[0];
+  ASSERT_EQ(world.last().kind, DISPATCH_PREFILL);
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.end(request).refusals, 1);
+  world.advance(400 * ms);
+  send(1);
+  EXPECT_EQ(count(DISPATCH_PREFILL), 1u);
+}
+
 class WithoutOverloadControl : public PrefillStageWithoutRetries {
 protected:
   WithoutOverloadControl() : PrefillStageWithoutRetries(false) {
