Instances take turns for the places at prefill engines

Cause: with prompts waiting in the routers, one free place at a prefill engine made all instances that wait start a request at once, because turns were computed from the room at decode engines alone. Change, with overload_control only: time_to_turn (admission.c, one line) takes the smaller of the decode room and the places at prefill engines.

--- a/router/admission.c
+++ b/router/admission.c
@@ -258,6 +258,7 @@
   EndpointQuery query = path_query(router, request, STAGE_DECODE, now);
   guint fitting = endpoint_table_count_fitting(router->endpoints, &query, now);
   gint64 turn = TURN_MIN + TURN_PER_INSTANCE * router->near;
+  fitting = MIN(fitting, prefill_count_places(router, request, now));
   return count_ahead(router, request, now) / MAX(fitting, 1) * turn;
 }
 
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -430,12 +430,18 @@
          peer_loads_open_dispatches(table->peers, endpoint->hash);
 }
 
-gboolean endpoint_is_within_load(const EndpointTable *table,
-                                 const Endpoint *endpoint,
-                                 const PrefillLimit *limit) {
+PrefillLoad endpoint_load(const EndpointTable *table,
+                          const Endpoint *endpoint) {
   PrefillLoad load = {endpoint->record.slots,
                       endpoint_open_count(table, endpoint),
                       endpoint_tokens(table, endpoint)};
+  return load;
+}
+
+gboolean endpoint_is_within_load(const EndpointTable *table,
+                                 const Endpoint *endpoint,
+                                 const PrefillLimit *limit) {
+  PrefillLoad load = endpoint_load(table, endpoint);
   return prefill_capacity_allows(&load, limit);
 }
 
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -196,8 +196,10 @@
 guint64 endpoint_tokens(const EndpointTable *table, const Endpoint *endpoint);
 guint endpoint_open_count(const EndpointTable *table,
                           const Endpoint *endpoint);
-/* Returns TRUE if what all instances have open at an engine is within the
-** limit. */
+/* Returns what all instances have open at an engine. */
+PrefillLoad endpoint_load(const EndpointTable *table,
+                          const Endpoint *endpoint);
+/* Returns TRUE if that is within the limit. */
 gboolean endpoint_is_within_load(const EndpointTable *table,
                                  const Endpoint *endpoint,
                                  const PrefillLimit *limit);
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -207,6 +207,28 @@
   return &prefill_limit_idle;
 }
 
+guint prefill_count_places(Router *router, const Request *request,
+                           gint64 now) {
+  const EndpointTable *table = router->endpoints;
+  PrefillLimit limit;
+  guint count = 0;
+  guint i;
+  if (!router->overload_control || request->handle != NULL ||
+      request->prefills > 0)
+    return G_MAXUINT;
+  limit = limit_for_prompt(router, request, now);
+  for (i = 0; i < table->all->len; i++) {
+    const Endpoint *endpoint = table->all->pdata[i];
+    PrefillLoad load;
+    if (!can_read_prompt(router, request, endpoint, now) ||
+        endpoint->avoid_until > now)
+      continue;
+    load = endpoint_load(table, endpoint);
+    count += prefill_capacity_count(&load, &limit, request->prompt_tokens);
+  }
+  return count > 0 ? count : G_MAXUINT;
+}
+
 const char *prefill_short_stage(Router *router, const Request *request,
                                 gint64 now) {
   return prefill_decode_limit(router, request, now) != NULL ? "prefill"
--- a/router/prefill_capacity.h
+++ b/router/prefill_capacity.h
@@ -48,5 +48,9 @@
 ** limit. */
 gboolean prefill_capacity_allows(const PrefillLoad *load,
                                  const PrefillLimit *limit);
+/* Returns how many prompts of this many tokens an engine with this load can
+** take with this limit, one after the other. */
+guint prefill_capacity_count(const PrefillLoad *load,
+                             const PrefillLimit *limit, guint64 prompt);
 
 #endif
--- a/router/state.h
+++ b/router/state.h
@@ -413,6 +413,9 @@
  ** Router.overload_control always NULL. */
 const PrefillLimit *prefill_decode_limit(Router *router,
                                          const Request *request, gint64 now);
+/* Returns how many prompts like that of the request the prefill engines can
+** take now; G_MAXUINT if that does not limit its start. */
+guint prefill_count_places(Router *router, const Request *request, gint64 now);
 /* Returns the name, static, of the stage that a request waits for. */
 const char *prefill_short_stage(Router *router, const Request *request,
                                 gint64 now);
--- a/test/test_prefill_capacity.cc
+++ b/test/test_prefill_capacity.cc
@@ -68,6 +68,21 @@
   EXPECT_EQ(prompts_allowed(12, 1000000, {ahead, FALSE}), 1u);
 }
 
+/* Instances that wait take turns by the number of places. Without the count
+*all
+** of them started at once when one place became free. */
+TEST(PrefillCapacity, PlacesAreCountedUpToFourAtAnEngine) {
+  PrefillLoad load = {12, 2, 2000};
+  PrefillLimit limit = {4000, TRUE};
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 1000), 3u);
+  load.open = 11;
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 1000), 1u);
+  load.open = 12;
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 1000), 0u);
+  load = {0, 0, 0};
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 0), 4u); /* it ends */
+}
+
 /*
 ** Requests
 */
