--- a/router/admission.c
+++ b/router/admission.c
@@ -435,6 +435,7 @@
   EndpointQuery query = path_query(router, request, STAGE_DECODE, now);
   guint fitting = endpoint_table_count_fitting(router->endpoints, &query, now);
   gint64 turn = TURN_MIN + TURN_PER_INSTANCE * router->near;
+  fitting = MIN(fitting, prefill_count_places(router, request, now));
   return count_ahead(router, request, now) / MAX(fitting, 1) * turn;
 }
 
@@ -672,10 +673,12 @@
   shortage_schedule_recheck(router, now);
   place = count_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
-             " request=%s place=%u priority=%u expected_ms=%d came_back=%d",
+             " request=%s place=%u priority=%u expected_ms=%d came_back=%d "
+             "short=%s",
              request->id, place, request->priority,
              (int)(expected_wait(router, request, place, now) / MP_MS),
-             request->is_caller_retry);
+             request->is_caller_retry,
+             prefill_short_stage(router, request, now));
 }
 
 void admission_requeue(Router *router, Request *request, gint64 now) {
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -115,8 +115,8 @@
 }
 
 /* Returns the shortest objective of the routes to the request's service, us.
-*It
-** is looked up once for each configuration. */
+ *It
+ ** is looked up once for each configuration. */
 static gint64 shortest_objective(ServiceState *state, const Request *request) {
   const RouteTable *table = request->table;
   guint i, j;
@@ -207,6 +207,34 @@
   return &prefill_limit_idle;
 }
 
+guint prefill_count_places(Router *router, const Request *request,
+                           gint64 now) {
+  const EndpointTable *table = router->endpoints;
+  PrefillLimit limit;
+  guint count = 0;
+  guint i;
+  if (!router->overload_control || request->handle != NULL ||
+      request->prefills > 0)
+    return G_MAXUINT;
+  limit = limit_for_prompt(router, request, now);
+  for (i = 0; i < table->all->len; i++) {
+    const Endpoint *endpoint = table->all->pdata[i];
+    PrefillLoad load;
+    if (!can_read_prompt(router, request, endpoint, now) ||
+        endpoint->avoid_until > now)
+      continue;
+    load = endpoint_load(table, endpoint);
+    count += prefill_capacity_count(&load, &limit, request->prompt_tokens);
+  }
+  return count > 0 ? count : G_MAXUINT;
+}
+
+const char *prefill_short_stage(Router *router, const Request *request,
+                                gint64 now) {
+  return prefill_decode_limit(router, request, now) != NULL ? "prefill"
+                                                            : "decode";
+}
+
 /* Returns the engine that prefilled the prompt last, if it can do so again;
 ** else NULL. */
 static Endpoint *reusable_prefill_engine(Router *router,
@@ -241,8 +269,8 @@
 }
 
 /* Returns TRUE if the prompt may be sent to some prefill engine now; the
-*choice
-** of the engine considers the load of each. */
+ *choice
+ ** of the engine considers the load of each. */
 static gboolean may_prefill(Router *router, const Request *request,
                             gint64 now) {
   if (router->overload_control)
@@ -388,9 +416,9 @@
 }
 
 /* Sends the prompt to another prefill engine, or queues the request for one,
-*or
-** else sends the request to a decode engine; the retry budget has allowed it;
-** may end. */
+ *or
+ ** else sends the request to a decode engine; the retry budget has allowed it;
+ ** may end. */
 static void prefill_elsewhere(Router *router, Request *request, gint64 now) {
   log_prompt_retry(router, request, TRUE);
   if (!prefill_begin(router, request, now) &&
@@ -409,7 +437,8 @@
 /* Records that the engine rejected the prompt. With overload control that is
 ** taken for a lack of slots, since the engine was reached: it gets no more
 ** prompts for a short time, but counts as one that can be used, so that decode
-** engines do not prefill in its place. */
+** engines do not prefill in its place. If the retry budget is used up, it gets
+** none for longer, since it was not expected to reject this one. */
 static void record_rejection(Router *router, Request *request,
                              const Outcome *outcome, Endpoint *endpoint,
                              gint64 now) {
@@ -422,7 +451,7 @@
     return;
   if (router->overload_control && outcome->misdirected)
     endpoint_note_ended(endpoint, now);
-  else if (router->overload_control)
+  else if (router->overload_control && may_be_rejected(router, request, now))
     endpoint->avoid_until = MAX(endpoint->avoid_until, now + REJECTED_PAUSE);
   else /* it may be about to change its stage */
     endpoint_note_unreachable(endpoint, now);
--- a/test/test_prefill_capacity.cc
+++ b/test/test_prefill_capacity.cc
@@ -68,6 +68,21 @@
   EXPECT_EQ(prompts_allowed(12, 1000000, {ahead, FALSE}), 1u);
 }
 
+/* Instances that wait take turns by the number of places. Without the count
+*all
+** of them started at once when one place became free. */
+TEST(PrefillCapacity, PlacesAreCountedUpToFourAtAnEngine) {
+  PrefillLoad load = {12, 2, 2000};
+  PrefillLimit limit = {4000, TRUE};
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 1000), 3u);
+  load.open = 11;
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 1000), 1u);
+  load.open = 12;
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 1000), 0u);
+  load = {0, 0, 0};
+  EXPECT_EQ(prefill_capacity_count(&load, &limit, 0), 4u); /* it ends */
+}
+
 /*
 ** Requests
 */
@@ -176,6 +191,18 @@
   EXPECT_GE(count(DISPATCH_PREFILL), 3u);
   EXPECT_LE(count(DISPATCH_PREFILL), 6u);
   EXPECT_EQ(count(DISPATCH_RUN), 0u);
+  EXPECT_NE(world.log.back().find("8007"), std::string::npos);
+  EXPECT_NE(world.log.back().find(" short=prefill"), std::string::npos);
+}
+
+/* The log must not blame prefill engines for a shortage of memory. */
+TEST_F(PrefillStage, LogNamesDecodeWhenMemoryIsShort) {
+  for (const char *id : {"pre-1", "pre-2", "pre-3", "pre-4", "pre-5"})
+    add_prefill(id, 12);
+  occupy_decode();
+  send(20);
+  EXPECT_LT(count(DISPATCH_PREFILL), 20u);
+  EXPECT_NE(world.log.back().find(" short=decode"), std::string::npos);
 }
 
 /* Slots that are not stated limit nothing; the objective still does. */
@@ -285,6 +312,18 @@
   EXPECT_EQ(count(DISPATCH_RUN), 0u);
 }
 
+/* An engine with free slots that rejects prompts, as one does that is about to
+** change its stage, must not get more of them than the retry budget covers. */
+TEST_F(PrefillStageWithoutRetries, EngineThatRejectsAPromptIsLeftAlone) {
+  guint64 request = send(1)[0];
+  ASSERT_EQ(world.last().kind, DISPATCH_PREFILL);
+  world.outcome(world.last().number, OUTCOME_NOT_RUN, 503);
+  EXPECT_EQ(world.end(request).refusals, 1);
+  world.advance(400 * ms);
+  send(1);
+  EXPECT_EQ(count(DISPATCH_PREFILL), 1u);
+}
+
 class WithoutOverloadControl : public PrefillStageWithoutRetries {
 protected:
   WithoutOverloadControl() : PrefillStageWithoutRetries(false) {
