Account shares: whether an account uses more than its share

Cause: while requests wait for room, one account of 16 that sends seven times its usual amount takes the room of the others, in order of arrival. Ruled out: a decision from use alone. Use adds up to what is completed, so it does not tell what an account leaves from what it does not get; what is pending tells it. Change: router/account_shares.[ch], a pure function: weighted max-min fairness over recent use and demand, weights are the rates of the limits. account_limits.c feeds it with recent charges and pending costs of all instances, at most every 0.1 s; accounts_is_over_share gives the result for a request, FALSE while no request waits. The event of an accepted request has over_share, metrics have use and over_share by account. Nothing uses the result yet: the order of waiting requests does. The effect on a deployment was not measured.

--- a/io/metrics.c
+++ b/io/metrics.c
@@ -26,6 +26,21 @@
       name, histogram->count, name, histogram->sum, name, histogram->count);
 }
 
+static void write_account_shares(GString *text, const Router *router) {
+  AccountShare share;
+  const char *name;
+  guint i;
+  for (i = 0; (name = router_account_share(router, i, &share)) != NULL; i++) {
+    char *label = g_strescape(name, NULL);
+    g_string_append_printf(text,
+                           "madderpier_account_use{account=\"%s\"} %.0f\n"
+                           "madderpier_account_over_share{account=\"%s\"} "
+                           "%d\n",
+                           label, share.use, label, share.is_over);
+    g_free(label);
+  }
+}
+
 static void write_router(GString *text, const Router *router) {
   const char *name;
   unsigned i;
@@ -36,6 +51,7 @@
                          router_open_requests(router));
   g_string_append_printf(text, "madderpier_instances %u\n",
                          router_instances(router));
+  write_account_shares(text, router);
 }
 
 static void write_adapters(GString *text, const AdapterCounts *counts) {
--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -3,6 +3,7 @@
 ** The rate limits of client accounts, which all instances enforce together
 */
 
+#include <math.h>
 #include <string.h>
 
 #include "account/bucket.h"
@@ -28,6 +29,12 @@
 ** depend on it: until then the refund counts as pending. A request of one
 ** account reaches an instance every 1 to 3 s in a flood at 71 instances. */
 #define REFUND_LIFETIME (1 * MP_SEC)
+/* Use of a share is what was charged within about this time: loads above the
+** normal one last 4 to 6 s, and an account's share has to bind within that. */
+#define RECENT_TIME (2 * MP_SEC)
+/* Shares are computed at most this often, for all accounts at once. Between
+** data centres, reports are up to 0.2 s old. */
+#define SHARES_INTERVAL (100 * MP_MS)
 /* Requests that cost at most this part of the burst are admitted before larger
 ** ones: in a bucket that large ones keep empty there is nearly always enough
 ** left for them. (With two floods, prompts of 5,000 tokens and plain requests
@@ -99,6 +106,10 @@
   double extra_headroom; /* what may be pending before no extra rate is given,
                          ** in this window and the next: the tolerance does not
                          ** suffice for both */
+  double recent;         /* charged at all instances, decaying with
+                         ** RECENT_TIME */
+  gint64 recent_at;      /* when 'recent' was updated */
+  AccountShare share;    /* of what engines complete */
   double summarized;     /* own_spent + peers_spent in the last summary */
 } Limit;
 
@@ -109,6 +120,7 @@
   GHashTable *by_hash; /* hash of the name -> Limit */
   SharedTotals *peers; /* what they reported as spent */
   GHashTable *pending; /* address -> PeerPending (owned) */
+  gint64 shares_at;    /* when shares were computed last; 0: never */
   gint64 swept_at;     /* when silent peers were removed from 'pending' */
   guint next_row;      /* index in 'all' of the next digest's first row */
 };
@@ -138,11 +150,12 @@
 static void set_peer_pending(AccountLimits *limits, PeerPending *peer,
                              guint32 hash, guint32 steps) {
   gpointer key = GUINT_TO_POINTER(hash);
-  Limit *limit = g_hash_table_lookup(limits->by_hash, key);
   guint before = GPOINTER_TO_UINT(g_hash_table_lookup(peer->steps, key));
+  Limit *limit;
   if (steps == before)
     return;
   g_hash_table_insert(peer->steps, key, GUINT_TO_POINTER(steps));
+  limit = g_hash_table_lookup(limits->by_hash, key);
   if (limit != NULL)
     add_peer_pending(limit, peer, (double)steps - before);
 }
@@ -428,14 +441,22 @@
   return (gint64)CLAMP(wait, (double)RETRY_DELAY_MIN, (double)RETRY_DELAY_MAX);
 }
 
+/* Adds an amount that was charged here or at another instance. */
+static void add_recent(Limit *limit, double amount, gint64 now) {
+  double elapsed = (double)MAX(now - limit->recent_at, 0);
+  limit->recent = limit->recent * exp(-elapsed / RECENT_TIME) + amount;
+  limit->recent_at = now;
+}
+
 /* Charges the cost. What was refunded here is spent first, without adding to
 ** 'own_spent', because the other instances have counted it already. */
-static void charge(Limit *limit, double cost) {
+static void charge(Limit *limit, double cost, gint64 now) {
   double refunded = MIN(limit->refunded, cost);
   limit->bucket.level -= cost;
   limit->refunded -= refunded;
   limit->waiting += cost;
   limit->own_spent += cost - refunded;
+  add_recent(limit, cost - refunded, now);
 }
 
 gboolean account_limits_admit(AccountLimits *limits, const Account *account,
@@ -449,7 +470,7 @@
   refill(limit, share, now);
   if (draw < admit_chance(limit, share, cost)) {
     limit->has_admitted = TRUE;
-    charge(limit, cost);
+    charge(limit, cost, now);
     return TRUE;
   }
   *retry_delay = retry_delay_of(limit, share, cost, draw);
@@ -488,6 +509,76 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** Shares of what engines complete
+** ===================================================================
+*/
+
+/* Computes the shares of the limits in one unit; 'buffer' has room for all
+** limits. */
+static void compute_shares(AccountLimits *limits, double step,
+                           AccountShare *buffer) {
+  guint count = 0;
+  guint i;
+  for (i = 0; i < limits->all->len; i++) {
+    const Limit *limit = limits->all->pdata[i];
+    if (limit->step == step)
+      buffer[count++] = limit->share;
+  }
+  account_shares_compute(buffer, count);
+  count = 0;
+  for (i = 0; i < limits->all->len; i++) {
+    Limit *limit = limits->all->pdata[i];
+    if (limit->step == step)
+      limit->share = buffer[count++];
+  }
+}
+
+static void update_shares(AccountLimits *limits, gint64 now) {
+  AccountShare *buffer;
+  guint i;
+  if (limits->shares_at != 0 && now - limits->shares_at < SHARES_INTERVAL)
+    return;
+  limits->shares_at = now;
+  remove_silent_pending(limits, now);
+  for (i = 0; i < limits->all->len; i++) {
+    Limit *limit = limits->all->pdata[i];
+    double pending;
+    expire_refunds(limit, now);
+    add_recent(limit, 0, now);
+    pending = pending_amount(limit);
+    limit->share.weight = limit->rate;
+    limit->share.use = MAX(limit->recent - pending, 0);
+    limit->share.demand = MAX(limit->recent, pending);
+  }
+  buffer = g_new(AccountShare, limits->all->len);
+  compute_shares(limits, ACCOUNT_TOKENS_PER_STEP, buffer);
+  compute_shares(limits, 1, buffer);
+  g_free(buffer);
+}
+
+gboolean account_limits_is_over_share(AccountLimits *limits,
+                                      const char *account, gint64 now) {
+  const Limit *limit = limit_of(limits, account);
+  if (limit == NULL)
+    return FALSE;
+  update_shares(limits, now);
+  return limit->share.is_over;
+}
+
+const char *account_limits_get_share(const AccountLimits *limits, guint index,
+                                     AccountShare *share) {
+  const Limit *limit;
+  if (index >= limits->all->len)
+    return NULL;
+  limit = limits->all->pdata[index];
+  *share = limit->share;
+  return limit->name;
+}
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** Exchange with other instances
@@ -600,6 +691,8 @@
       continue;
     refill(limit, share, now);
     limit->bucket.level -= increase * limit->step;
+    if (increase > 0)
+      add_recent(limit, increase * limit->step, now);
     correct_level(limit, row->level, correction);
     limit->peers_spent += is_instance ? increase * limit->step : 0;
   }
--- a/router/account_limits.h
+++ b/router/account_limits.h
@@ -52,6 +52,7 @@
 #define ROUTER_ACCOUNT_LIMITS_H
 
 #include "madderpier.h"
+#include "router/account_shares.h"
 #include "router/records.h"
 #include "router/shared_totals.h"
 
@@ -103,6 +104,21 @@
 ** was admitted, and 0 if the account has no limit. */
 double account_limits_level(const AccountLimits *limits, const char *account);
 
+/*
+** Returns TRUE if the account uses more than its share (account_shares.h), by
+** what all instances reported; FALSE for an account without a limit. Its use
+** is what was recently charged less what is pending, and its demand is both.
+** Only accounts whose limits have the same unit share with each other. An
+** account without a limit is not reported, so the others share what it leaves.
+*/
+gboolean account_limits_is_over_share(AccountLimits *limits,
+                                      const char *account, gint64 now);
+/* Returns the name of the limit with this index, in the configuration's order,
+** and stores in '*share' what account_limits_is_over_share found last. NULL:
+** there are no more limits. */
+const char *account_limits_get_share(const AccountLimits *limits, guint index,
+                                     AccountShare *share);
+
 /* Writes what this instance has admitted since its start, and what is pending
 ** here, into a digest for the instances that receive its digests. If not all
 *accounts fit, the next digest
--- a/router/accounts.c
+++ b/router/accounts.c
@@ -141,6 +141,22 @@
          route_table_find_account(router->routes, request->key_digest) != NULL;
 }
 
+gboolean accounts_is_over_share(Router *router, const Request *request,
+                                gint64 now) {
+  if (request->account == NULL)
+    return FALSE;
+  if (router->waiting->len == 0 &&
+      peer_loads_waiting_requests(router->endpoints->peers) == 0)
+    return FALSE;
+  return account_limits_is_over_share(router->limits, request->account->name,
+                                      now);
+}
+
+const char *router_account_share(const Router *router, guint index,
+                                 AccountShare *share) {
+  return account_limits_get_share(router->limits, index, share);
+}
+
 void accounts_note_run(Router *router, Request *request) {
   if (request->account == NULL || !request->is_cost_pending)
     return;
--- a/router/router.c
+++ b/router/router.c
@@ -357,13 +357,14 @@
   router_log(router, MP_LOG_ROUTE_ACCEPT,
              " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
              "objective_ms=%d session=%" G_GINT64_MODIFIER
-             "x parts=%s resumes=%s account=%s config_age_ms=%d "
-             "content=%016" G_GINT64_MODIFIER "x",
+             "x parts=%s resumes=%s account=%s over_share=%d "
+             "config_age_ms=%d content=%016" G_GINT64_MODIFIER "x",
              request->id, route->name, service, request->prompt_tokens,
              request->output_tokens, (int)((request->expires - now) / MP_MS),
              (int)(route->objective / MP_MS), request->session,
              parts_text(call, parts, sizeof parts), resumed_attempt_text(call),
              account != NULL ? account->name : "-",
+             accounts_is_over_share(router, request, now),
              (int)(accounts_configuration_age(router, now) / MP_MS),
              request->content);
   continuation_start(router, request, now);
--- a/router/router.h
+++ b/router/router.h
@@ -391,6 +391,11 @@
 /* Returns, for the client account that used the largest share of its burst
 ** here and at near instances since the last summary, that share. */
 double router_limits_unreported(const Router *router);
+/* Returns the name of the client account with this index among those with a
+** limit, and stores its share of what engines complete, as it was computed
+** last, in '*share'. NULL: there are no more. */
+const char *router_account_share(const Router *router, guint index,
+                                 AccountShare *share);
 /* Handles the summary that a relay sent of another data centre. */
 void router_receive_summary(Router *router, guint32 sequence,
                             const mp_LoadSummary *summary, gint64 now);
--- a/router/state.h
+++ b/router/state.h
@@ -506,6 +506,10 @@
 ** dispatches now; else sets '*why' to the refusal. */
 gboolean accounts_may_dispatch(Router *router, const Request *request,
                                RefusalKind *why, gint64 now);
+/* Returns TRUE if requests wait for room, here or at other instances, and the
+** request's account uses more than its share of what engines complete. */
+gboolean accounts_is_over_share(Router *router, const Request *request,
+                                gint64 now);
 /* Notes that a RUN of the request was sent. */
 void accounts_note_run(Router *router, Request *request);
 /* Gives the cost of a request that did not run back to its account's limit. */
--- a/test/test_accounts.cc
+++ b/test/test_accounts.cc
@@ -290,6 +290,22 @@
   EXPECT_GT(digest.account[0].spent, spent); /* it was given up */
 }
 
+/* Guards against shares that cost time or change decisions while no request
+** waits for room. */
+TEST_F(AccountLimitTest, SharesAreComputedOnlyWhileRequestsWait) {
+  AccountShare share = {};
+  world.request("/stream/x");
+  ASSERT_STREQ(router_account_share(world.router, 0, &share), "first");
+  EXPECT_EQ(share.weight, 0);
+  mp_LoadDigest digest = {};
+  digest.waiting = 1;
+  router_peer_load(world.router, 99, 1, &digest, world.now);
+  world.request("/stream/x");
+  router_account_share(world.router, 0, &share);
+  EXPECT_EQ(share.weight, 1500);
+  EXPECT_FALSE(share.is_over);
+}
+
 TEST_F(AccountLimitTest, AccountWithoutALimitIsUnlimited) {
   world.clients = {{"first", {"key-1"}}};
   world.configure(3);
