--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -292,6 +292,11 @@
   ** digests carry them in turn */
   unsigned leaving_count;
   uint32_t leaving[MP_LOAD_DIGEST_LEAVING];
+  /* what is pending of the accounts in the first rows of 'account', in their
+  ** order and in steps (router/account_limits.h); encoded with an error of up
+  ** to one part in 16. An earlier release sends none. */
+  unsigned pending_count;
+  uint32_t pending[MP_LOAD_DIGEST_ACCOUNTS];
   /* the highest priorities first; an instance of an earlier release sends
   ** none, and a digest that is nearly full leaves the last ones out */
   unsigned ranked_count;
--- a/router/accounts.c
+++ b/router/accounts.c
@@ -124,6 +124,7 @@
   request->account = account;
   request->cost =
       account_cost(account, request->prompt_tokens, request->output_tokens);
+  request->is_cost_pending = TRUE;
   mp_digest(call->key, strlen(call->key), request->key_digest);
 }
 
@@ -140,8 +141,34 @@
          route_table_find_account(router->routes, request->key_digest) != NULL;
 }
 
-void accounts_refund(Router *router, const Request *request) {
-  if (request->account != NULL)
-    account_limits_refund(router->limits, request->account->name,
+gboolean accounts_is_over_share(Router *router, const Request *request,
+                                gint64 now) {
+  if (request->account == NULL)
+    return FALSE;
+  if (router->waiting->len == 0 &&
+      peer_loads_waiting_requests(router->endpoints->peers) == 0)
+    return FALSE;
+  return account_limits_is_over_share(router->limits, request->account->name,
+                                      now);
+}
+
+const char *router_account_share(const Router *router, guint index,
+                                 AccountShare *share) {
+  return account_limits_get_share(router->limits, index, share);
+}
+
+void accounts_note_run(Router *router, Request *request) {
+  if (request->account == NULL || !request->is_cost_pending)
+    return;
+  request->is_cost_pending = FALSE;
+  account_limits_note_run(router->limits, request->account->name,
                           request->cost);
 }
+
+void accounts_refund(Router *router, Request *request) {
+  if (request->account == NULL)
+    return;
+  account_limits_refund(router->limits, request->account->name, request->cost,
+                        request->is_cost_pending);
+  request->is_cost_pending = FALSE;
+}
