Flow control for slow callers: pauses, a bound on unread bytes, aborted connections

Cause: an instance read streams from endpoints as fast as they came, and held up to 4 MB for each slow caller, and complete answers without any bound over all connections. Instances of 88 MB can be killed by some tens of slow callers.

Ruled out: a pause that ends only at a quarter of the high-water mark (a caller that read 90 KB/s on loopback was aborted as holding its endpoint back; the low mark is at three quarters now); a limit of 20 s for any answer (a steady reader of a large answer would lose it; the limit is a mean rate now); leaving the kernel's send buffer to grow to 4 MB per caller (it counts as memory of the instance; it is set to 128 KB while flow control is on).

Change: io/flow_control counts the unread bytes of callers' connections. The decisions (pause, quick caller, which connection is aborted and why) are pure functions. io/front reports the bytes by a callback of the output buffer, and io/endpoint_links pauses the RUN dispatch of a request, directly or through a carrier; the end of a connection that was seen is handled without waiting. router_reading_paused() restarts the silence timeouts of a paused request. New keys memory_mb and memory_share; without memory_share nothing changes.

Priorities are not known to io/front yet: all connections count as priority 0 until the router states them.

--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -139,6 +139,7 @@
 ** counted for a megabit per second of the link */
 #define MILLICORES 1000
 #define MILLICORES_PER_MBPS 10
+#define BYTES_PER_MB 1048576
 
 /* the smaller of the two capacities that are known; 0: none is */
 static guint32 capacity_of(const Settings *s) {
@@ -172,6 +173,7 @@
   o->propagation_max = MIN(s->apply_ms, s->leave_ms) * MP_MS;
   o->lease_length = s->lease_ms * MP_MS;
   o->revoke_within = s->revoke_ms * MP_MS;
+  o->unread_bound = (guint64)(s->memory_share * s->memory_mb * BYTES_PER_MB);
   o->overload_control = s->overload_control;
   o->limits.share = s->limit_over;
   o->limits.slack = s->limit_slack;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -20,6 +20,10 @@
 ** must fit into revoke_ms */
 #define REVOKE_MIN_MS 2000
 #define DEFAULT_LIMIT_WINDOW_S 8
+/* memory_share: more would leave too little for everything else; less than
+** 1 MB would abort connections of a few callers that are merely slow */
+#define MEMORY_SHARE_MAX 0.5
+#define MEMORY_BOUND_MIN_MB 1
 #define DEFAULT_WATCH_WAIT_MS 1800
 /* time that a watch may answer late (io/directory.c), and time for a new
 ** connection and its first answer */
@@ -72,6 +76,9 @@
     OPTUINT("limit_window_s", limit_window_s),
     CYAML_FIELD_BOOL("overload_control", CYAML_FLAG_OPTIONAL, Settings,
                      overload_control),
+    OPTUINT("memory_mb", memory_mb),
+    CYAML_FIELD_FLOAT("memory_share", CYAML_FLAG_OPTIONAL, Settings,
+                      memory_share),
     OPTUINT("contact_ms", contact_ms),
     OPTUINT("apply_ms", apply_ms),
     OPTUINT("leave_ms", leave_ms),
@@ -128,6 +135,20 @@
              : DIALECT_OWN;
 }
 
+/* The rest of the memory is for requests, connections and the router. */
+static gboolean check_memory(const Settings *s, const char *path,
+                             GError **err) {
+  if (!(s->memory_share >= 0 && s->memory_share <= MEMORY_SHARE_MAX))
+    return settings_error(err, path, "memory_share",
+                          "use a number from 0 to 0.5");
+  if (s->memory_share > 0 &&
+      s->memory_share * s->memory_mb < MEMORY_BOUND_MIN_MB)
+    return settings_error(err, path, "memory_mb, memory_share",
+                          "give the machine's memory, and a share of at "
+                          "least 1 MB of it, or leave memory_share out");
+  return TRUE;
+}
+
 static gboolean check_dialect(const Settings *s, const char *path,
                               GError **err) {
   if (s->dialect != NULL && strcmp(s->dialect, "platform") != 0 &&
@@ -156,6 +177,8 @@
   if (s->lease_ms > 0 && s->lease_ms < LEASE_MIN_MS)
     return settings_error(err, path, "lease_ms",
                           "use 2000 or more, or leave it out");
+  if (!check_memory(s, path, err))
+    return FALSE;
   if (s->control != NULL && !check_address(err, path, "control", s->control))
     return FALSE;
   if (s->metrics != NULL && !check_address(err, path, "metrics", s->metrics))
--- a/io/endpoint_call.c
+++ b/io/endpoint_call.c
@@ -10,6 +10,7 @@
 EndpointCall *endpoint_call_new(const Dispatch *dispatch) {
   EndpointCall *call = g_new0(EndpointCall, 1);
   call->dispatch = dispatch->number;
+  call->request = dispatch->request;
   call->kind = dispatch->kind;
   call->life = dispatch->life;
   call->may_stream = dispatch->stream;
--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -16,6 +16,7 @@
 /* An EndpointCall owns what its pointers refer to. */
 typedef struct EndpointCall {
   guint64 dispatch; /* Dispatch.number */
+  guint64 request;  /* Dispatch.request */
   DispatchKind kind;
   guint32 life;           /* incarnation of the endpoint: Dispatch.life */
   gboolean may_stream;    /* responses of the route may be event streams */
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -45,6 +45,7 @@
   EndpointLinksHooks hooks;
   LinkPool *pool;    /* of Link */
   GHashTable *calls; /* dispatch -> Link that carries it */
+  GHashTable *runs;  /* request -> Link that carries its RUN dispatch */
   GHashTable *links; /* set of Link, which it owns */
   guint64 opened;    /* connections begun since the start */
 };
@@ -57,6 +58,9 @@
   struct event *timer; /* timeout of connecting, idling, or a control call */
   HttpReader *reader;
   gboolean is_connected;
+  gboolean is_paused;   /* endpoint_links_pause: the response is not read on */
+  gboolean is_ended;    /* the peer has ended or reset the connection: what it
+                        ** has sent is read in any case */
   gboolean must_close;  /* it is closed after its call */
   gint64 idle_limit;    /* us after which the endpoint closes an idle
                         ** connection, as it says; 0: it has not said */
@@ -89,13 +93,30 @@
   g_hash_table_remove(links->links, link);
 }
 
+/* Takes the link's call out of the tables. */
+static void unlist_call(Link *link) {
+  EndpointLinks *links = link->links;
+  const EndpointCall *call = link->call;
+  g_hash_table_remove(links->calls, &call->dispatch);
+  if (g_hash_table_lookup(links->runs, &call->request) == link)
+    g_hash_table_remove(links->runs, &call->request);
+}
+
 /* Closes the connection, and forgets its call if it has one. */
 static void close_and_forget(Link *link) {
   if (link->call != NULL)
-    g_hash_table_remove(link->links->calls, &link->call->dispatch);
+    unlist_call(link);
   close_link(link);
 }
 
+/* Reads the connection again, beginning with what was left in its buffer. */
+static void resume_link(Link *link) {
+  link->is_paused = FALSE;
+  bufferevent_enable(link->events, EV_READ);
+  bufferevent_trigger(link->events, EV_READ,
+                      BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
 static void start_timer(Link *link, gint64 wait) {
   struct timeval time = {wait / MP_SEC, wait % MP_SEC};
   event_add(link->timer, &time);
@@ -113,9 +134,11 @@
 */
 static void make_idle(Link *link, gint64 limit) {
   EndpointLinks *links = link->links;
-  g_hash_table_remove(links->calls, &link->call->dispatch);
+  unlist_call(link);
   endpoint_call_free(link->call);
   link->call = NULL;
+  if (link->is_paused)
+    resume_link(link);
   link_pool_put_idle(links->pool, link->endpoint, link);
   start_timer(link, limit);
 }
@@ -173,8 +196,8 @@
   outcome.carrier_failed = kind == OUTCOME_UNREACHABLE &&
                            link->carry != NULL &&
                            !carry_client_endpoint_refused(link->carry);
+  unlist_call(link);
   link->call = NULL;
-  g_hash_table_remove(links->calls, &call->dispatch);
   close_link(link);
   if (call->kind != DISPATCH_RELEASE)
     links->hooks.outcome(links->hooks.data, &outcome);
@@ -302,7 +325,7 @@
 
 static void read_response(Link *link) {
   struct evbuffer *in = input_of(link);
-  while (evbuffer_get_length(in) > 0) {
+  while (!link->is_paused && evbuffer_get_length(in) > 0) {
     size_t size = evbuffer_get_contiguous_space(in);
     const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
     size_t used = http_reader_feed(link->reader, bytes, size);
@@ -382,6 +405,8 @@
 /* Handles what has arrived on a connection of a carrier. */
 static void read_carried(Link *link) {
   CarryClient *carry = link->carry;
+  if (link->is_paused)
+    return; /* the end of the carried bytes is not looked at either */
   carry_client_read(carry, link->events);
   if (carry_client_is_leaving(carry))
     link->must_close = TRUE;
@@ -391,9 +416,10 @@
       close_and_forget(link);
   } else if (!link->is_connected)
     handle_verdict(link);
-  else if (carry->state == CARRY_ENDED)
+  else if (carry->state == CARRY_ENDED) {
+    link->is_ended = TRUE;
     on_eof(link);
-  else if (carry->state == CARRY_FAILED)
+  } else if (carry->state == CARRY_FAILED)
     fail_call(link, OUTCOME_BROKEN);
   else
     read_response(link);
@@ -401,13 +427,27 @@
 
 static void on_read(struct bufferevent *events, void *data) {
   Link *link = data;
-  (void)events;
   if (link->carry != NULL)
     read_carried(link);
-  else if (link->call == NULL)
-    close_and_forget(link); /* bytes without a request */
-  else
+  else if (link->call != NULL)
     read_response(link);
+  else if (evbuffer_get_length(bufferevent_get_input(events)) > 0)
+    close_and_forget(link); /* bytes without a request */
+}
+
+/*
+** The connection has ended: what is left of the response is read even if it
+** was paused. Returns FALSE when the call has ended by that.
+*/
+static gboolean end_pause(Link *link) {
+  EndpointLinks *links = link->links;
+  guint64 dispatch = link->call->dispatch;
+  gboolean was_paused = link->is_paused;
+  link->is_ended = TRUE;
+  link->is_paused = FALSE;
+  if (was_paused && link->carry != NULL)
+    read_carried(link);
+  return g_hash_table_lookup(links->calls, &dispatch) == link;
 }
 
 static void on_event(struct bufferevent *events, short what, void *data) {
@@ -433,9 +473,12 @@
     /* a response that arrived before the body was sent is still read */
     link->must_close = TRUE;
     bufferevent_disable(events, EV_WRITE);
-    bufferevent_enable(events, EV_READ);
+    if (!link->is_paused)
+      bufferevent_enable(events, EV_READ);
     return;
   }
+  if (!end_pause(link))
+    return;
   if ((what & BEV_EVENT_EOF) && link->carry == NULL)
     on_eof(link);
   else { /* a carrier tells the end of a whole stream before it closes */
@@ -517,6 +560,8 @@
 static void set_call(Link *link, EndpointCall *call) {
   link->call = call;
   g_hash_table_insert(link->links->calls, &call->dispatch, link);
+  if (call->kind == DISPATCH_RUN)
+    g_hash_table_replace(link->links->runs, &call->request, link);
 }
 
 /*
@@ -563,6 +608,19 @@
     close_and_forget(link);
 }
 
+void endpoint_links_pause(EndpointLinks *links, guint64 request,
+                          gboolean pauses) {
+  Link *link = g_hash_table_lookup(links->runs, &request);
+  if (link == NULL || link->is_ended || link->is_paused == pauses)
+    return;
+  if (!pauses) {
+    resume_link(link);
+    return;
+  }
+  link->is_paused = TRUE;
+  bufferevent_disable(link->events, EV_READ);
+}
+
 /* }================================================================== */
 
 EndpointLinks *endpoint_links_new(struct event_base *base,
@@ -575,6 +633,7 @@
   links->hooks = *hooks;
   links->pool = link_pool_new(&pool);
   links->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+  links->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
   links->links = g_hash_table_new_full(NULL, NULL, link_free, NULL);
   return links;
 }
@@ -582,6 +641,7 @@
 void endpoint_links_free(EndpointLinks *links) {
   g_hash_table_destroy(links->links);
   g_hash_table_destroy(links->calls);
+  g_hash_table_destroy(links->runs);
   link_pool_free(links->pool);
   g_free(links);
 }
--- a/io/endpoint_links.h
+++ b/io/endpoint_links.h
@@ -74,6 +74,16 @@
 */
 void endpoint_links_cancel(EndpointLinks *links, guint64 dispatch);
 
+/*
+** Pauses reading the response to a request's RUN dispatch, or resumes it. The
+** endpoint is held back when the buffers of the kernel are full. The end of
+** the connection is reported after the resumption, or at once if it has been
+** seen already; no byte that came before it is lost. It has no effect if the
+** request has no RUN dispatch.
+*/
+void endpoint_links_pause(EndpointLinks *links, guint64 request,
+                          gboolean pauses);
+
 /*
 ** Closes idle connections, those that have been idle longest first, as long as
 ** 'keeps' returns FALSE for their endpoint.
--- /dev/null
+++ b/io/flow_control.c
@@ -0,0 +1,306 @@
+/*
+** flow_control.c
+** Flow control for slow callers
+*/
+
+#include "io/flow_control.h"
+
+/* The high-water mark is this share of the bound, so that as many slow callers
+** fit into it, within the two limits below. */
+#define HIGH_SHARE 64
+/* A smaller mark would pause an answer for each piece of some kilobytes. */
+#define HIGH_MIN (32 << 10)
+/* A larger mark does not help: it is what a caller at 4 Mbit/s reads in the
+** time for which an endpoint can be held back without notice (500 ms). */
+#define HIGH_MAX (256 << 10)
+/* The low-water mark is below the high one by this share of it. So a caller
+** that reads 32 KB/s or more resumes its endpoint within FLOW_HELD_MAX. */
+#define LOW_GAP_SHARE 4
+/* Above three quarters of the bound, both marks are this share of what they
+** are otherwise. */
+#define TIGHT_SHARE 4
+
+struct FlowConnection {
+  FlowReader reader; /* 'read' is set for a decision */
+  gpointer owner;
+  guint64 request;     /* 0: none */
+  guint64 read_last;   /* bytes read in the last whole window */
+  guint64 read_now;    /* and in the present one */
+  guint index;         /* in FlowControl.connections */
+  gboolean is_aborted; /* its bytes are not counted any more */
+};
+
+struct FlowControl {
+  FlowLimits limits;
+  FlowHooks hooks;
+  void *owner_data;       /* of FlowHooks.abort */
+  GPtrArray *connections; /* of FlowConnection, which it owns */
+  guint64 total;          /* unread bytes of those that are not aborted */
+  guint paused;
+  gint64 window_at; /* when the present window began */
+  guint64 aborts[FLOW_REASON_COUNT];
+};
+
+/*
+** {==================================================================
+** Decisions
+** ===================================================================
+*/
+
+const char *flow_reason_name(FlowReason reason) {
+  static const char *const names[FLOW_REASON_COUNT] = {"bound", "held",
+                                                       "slow"};
+  return names[reason];
+}
+
+FlowLimits flow_limits(guint64 bound) {
+  FlowLimits limits = {0};
+  if (bound == 0)
+    return limits;
+  limits.bound = bound;
+  limits.high = CLAMP(bound / HIGH_SHARE, HIGH_MIN, HIGH_MAX);
+  limits.low = limits.high - limits.high / LOW_GAP_SHARE;
+  return limits;
+}
+
+gboolean flow_pauses(const FlowLimits *limits, const FlowReader *reader,
+                     guint64 total) {
+  guint64 mark = reader->paused_since != 0 ? limits->low : limits->high;
+  if (total > limits->bound / 4 * 3)
+    mark /= TIGHT_SHARE;
+  return reader->unread > mark;
+}
+
+gboolean flow_is_quick(const FlowReader *reader, gint64 now) {
+  return reader->unread == 0 || now - reader->unread_since < FLOW_QUICK_TIME ||
+         reader->read >= FLOW_QUICK_BYTES;
+}
+
+/* Is the connection over a limit of time? Sets the reason. */
+static gboolean is_overdue(const FlowReader *reader, gint64 now,
+                           FlowReason *reason) {
+  gint64 age = now - reader->unread_since;
+  if (reader->paused_since != 0 &&
+      now - reader->paused_since >= FLOW_HELD_MAX) {
+    *reason = FLOW_HELD;
+    return TRUE;
+  }
+  *reason = FLOW_SLOW;
+  return age >= FLOW_SLOW_MAX &&
+         reader->delivered < (guint64)age / G_USEC_PER_SEC * FLOW_SLOW_RATE;
+}
+
+/* Is 'a' to be aborted before 'b' if the bound is reached? */
+static gboolean goes_before(const FlowReader *a, const FlowReader *b) {
+  if (a->priority != b->priority)
+    return a->priority > b->priority;
+  return a->unread > b->unread;
+}
+
+int flow_choose(const FlowLimits *limits, const FlowReader *const *readers,
+                guint count, guint64 total, gint64 now, FlowReason *reason) {
+  int worst = -1;
+  guint i;
+  for (i = 0; i < count; i++) {
+    const FlowReader *reader = readers[i];
+    if (flow_is_quick(reader, now))
+      continue;
+    if (is_overdue(reader, now, reason))
+      return (int)i;
+    if (worst < 0 || goes_before(reader, readers[worst]))
+      worst = (int)i;
+  }
+  *reason = FLOW_BOUND;
+  return total > limits->bound ? worst : -1;
+}
+
+/* }================================================================== */
+
+/*
+** {==================================================================
+** Pauses and aborted connections
+** ===================================================================
+*/
+
+/* Stops counting the bytes of a connection, and its pause. */
+static void discount(FlowControl *flow, FlowConnection *connection) {
+  flow->total -= connection->reader.unread;
+  connection->reader.unread = 0;
+  if (connection->reader.paused_since != 0)
+    flow->paused--;
+  connection->reader.paused_since = 0;
+}
+
+static void abort_connection(FlowControl *flow, FlowConnection *connection,
+                             FlowReason reason) {
+  const FlowHooks *hooks = &flow->hooks;
+  FlowReader reader = connection->reader;
+  guint64 total = flow->total;
+  connection->is_aborted = TRUE;
+  flow->aborts[reason]++;
+  discount(flow, connection);
+  hooks->abort(flow->owner_data, connection->owner, connection->request,
+               reason, &reader, total);
+}
+
+/* Aborts connections until none has to be. */
+static void apply_limits(FlowControl *flow, gint64 now) {
+  guint count = flow->connections->len;
+  const FlowReader **readers = g_new(const FlowReader *, count);
+  FlowReason reason;
+  int index;
+  guint i;
+  for (i = 0; i < count; i++) {
+    FlowConnection *connection = flow->connections->pdata[i];
+    connection->reader.read = MAX(connection->read_last, connection->read_now);
+    readers[i] = &connection->reader;
+  }
+  while ((index = flow_choose(&flow->limits, readers, count, flow->total, now,
+                              &reason)) >= 0)
+    abort_connection(flow, flow->connections->pdata[index], reason);
+  g_free(readers);
+}
+
+/* Pauses or resumes a connection as its unread bytes require. */
+static void update_pause(FlowControl *flow, FlowConnection *connection,
+                         gint64 now) {
+  const FlowHooks *hooks = &flow->hooks;
+  FlowReader *reader = &connection->reader;
+  gboolean was_paused = reader->paused_since != 0;
+  gboolean pauses = connection->request != 0 &&
+                    flow_pauses(&flow->limits, reader, flow->total);
+  if (pauses && !was_paused) {
+    reader->paused_since = now;
+    flow->paused++;
+  } else if (!pauses && was_paused) {
+    reader->paused_since = 0;
+    flow->paused--;
+  }
+  if (pauses || was_paused)
+    hooks->pause(hooks->data, connection->request, pauses);
+}
+
+/* }================================================================== */
+
+FlowControl *flow_control_new(const FlowLimits *limits, const FlowHooks *hooks,
+                              void *owner_data) {
+  FlowControl *flow = g_new0(FlowControl, 1);
+  flow->limits = *limits;
+  flow->hooks = *hooks;
+  flow->owner_data = owner_data;
+  flow->connections = g_ptr_array_new_with_free_func(g_free);
+  return flow;
+}
+
+void flow_control_free(FlowControl *flow) {
+  g_assert(flow->connections->len == 0);
+  g_ptr_array_free(flow->connections, TRUE);
+  g_free(flow);
+}
+
+FlowConnection *flow_add(FlowControl *flow, gpointer owner) {
+  FlowConnection *connection = g_new0(FlowConnection, 1);
+  connection->owner = owner;
+  connection->index = flow->connections->len;
+  g_ptr_array_add(flow->connections, connection);
+  return connection;
+}
+
+void flow_remove(FlowControl *flow, FlowConnection *connection) {
+  guint index = connection->index;
+  FlowConnection *last = flow->connections->pdata[flow->connections->len - 1];
+  discount(flow, connection);
+  last->index = index;
+  g_ptr_array_remove_index_fast(flow->connections, index);
+}
+
+void flow_set_request(FlowControl *flow, FlowConnection *connection,
+                      guint64 request, guint priority) {
+  if (connection->reader.paused_since != 0) {
+    flow->hooks.pause(flow->hooks.data, connection->request, FALSE);
+    connection->reader.paused_since = 0;
+    flow->paused--;
+  }
+  connection->request = request;
+  connection->reader.priority = priority;
+}
+
+void flow_wrote(FlowControl *flow, FlowConnection *connection, guint64 size,
+                gint64 now) {
+  FlowReader *reader = &connection->reader;
+  if (connection->is_aborted || size == 0)
+    return;
+  if (reader->unread == 0) {
+    reader->unread_since = now;
+    reader->delivered = 0;
+  }
+  reader->unread += size;
+  flow->total += size;
+  if (flow->total > flow->limits.bound)
+    apply_limits(flow, now);
+  if (!connection->is_aborted)
+    update_pause(flow, connection, now);
+}
+
+void flow_read(FlowControl *flow, FlowConnection *connection, guint64 size,
+               gint64 now) {
+  FlowReader *reader = &connection->reader;
+  if (connection->is_aborted || size == 0)
+    return;
+  size = MIN(size, reader->unread);
+  reader->unread -= size;
+  flow->total -= size;
+  reader->delivered += size;
+  connection->read_now += size;
+  if (reader->paused_since != 0)
+    update_pause(flow, connection, now);
+}
+
+gboolean flow_is_aborted(const FlowConnection *connection) {
+  return connection->is_aborted;
+}
+
+/* Begins a new window for the rate at which callers read. */
+static void begin_window(FlowControl *flow, gint64 now) {
+  guint i;
+  flow->window_at = now;
+  for (i = 0; i < flow->connections->len; i++) {
+    FlowConnection *connection = flow->connections->pdata[i];
+    connection->read_last = connection->read_now;
+    connection->read_now = 0;
+  }
+}
+
+/* Resumes what the bytes of all connections paused, and reports the rest. */
+static void review_pauses(FlowControl *flow, gint64 now) {
+  const FlowHooks *hooks = &flow->hooks;
+  guint i;
+  for (i = 0; i < flow->connections->len; i++) {
+    FlowConnection *connection = flow->connections->pdata[i];
+    if (connection->reader.paused_since == 0)
+      continue;
+    hooks->paused(hooks->data, connection->request, now);
+    update_pause(flow, connection, now);
+  }
+}
+
+void flow_tick(FlowControl *flow, gint64 now) {
+  if (flow->total > 0)
+    apply_limits(flow, now);
+  if (now - flow->window_at >= FLOW_QUICK_TIME)
+    begin_window(flow, now);
+  if (flow->paused > 0)
+    review_pauses(flow, now);
+}
+
+guint64 flow_total(const FlowControl *flow) {
+  return flow->total;
+}
+
+guint flow_paused(const FlowControl *flow) {
+  return flow->paused;
+}
+
+guint64 flow_aborts(const FlowControl *flow, FlowReason reason) {
+  return flow->aborts[reason];
+}
--- /dev/null
+++ b/io/flow_control.h
@@ -0,0 +1,156 @@
+/*
+** flow_control.h
+** Flow control for slow callers: counts the bytes of answers that callers have
+** not read, pauses reading from endpoints, and aborts connections
+**
+** The user (front.c) reports for each connection of a caller what is added to
+** its output buffer and what leaves it. Unread bytes are those in this buffer;
+** what the kernel holds is not counted. The module does no I/O and reads no
+** clock: it acts through FlowHooks, and every time is given, in microseconds
+** of one steady clock.
+**
+** Invariants:
+** - The answer to a connection's request is paused from the moment when its
+**   unread bytes exceed the high-water mark until they fall below the
+**   low-water mark, its request ends, or it is aborted.
+** - A connection of a quick caller (FLOW_QUICK_TIME, FLOW_QUICK_BYTES) is
+*never
+**   aborted. So the bound over all connections may be exceeded by what quick
+**   callers are sent, for FLOW_QUICK_TIME.
+** - A connection is aborted once; its bytes are not counted from then on.
+*/
+
+#ifndef FLOW_CONTROL_H
+#define FLOW_CONTROL_H
+
+#include <glib.h>
+
+/* An endpoint cuts off an answer that stays unread for some seconds. So a
+** connection is aborted when its endpoint was held back for this long (us). */
+#define FLOW_HELD_MAX (2 * G_USEC_PER_SEC)
+/* After this time with unread bytes (us), a caller must have read at
+** FLOW_SLOW_RATE (bytes per second) on average. Callers wait 14 s, so one that
+** is slower by then has most likely given up. At this rate, the largest answer
+** (8 MB) takes 9 minutes. */
+#define FLOW_SLOW_MAX (20 * G_USEC_PER_SEC)
+#define FLOW_SLOW_RATE (16 << 10)
+/* A caller is quick if its output was empty within this time (us), or if it
+** has read FLOW_QUICK_BYTES in the last window of this length. At that rate,
+** the high-water mark is read down to the low one within FLOW_HELD_MAX. */
+#define FLOW_QUICK_TIME (500 * 1000)
+#define FLOW_QUICK_BYTES (64 << 10)
+
+/* us; well below the 500 ms of silence after which the router resumes a stream
+** elsewhere (router/silence.c) */
+#define FLOW_TICK_INTERVAL (100 * 1000)
+
+typedef enum FlowReason {
+  FLOW_BOUND, /* the bytes of all connections exceed the bound */
+  FLOW_HELD,  /* its endpoint was held back for FLOW_HELD_MAX */
+  FLOW_SLOW,  /* the caller reads at less than FLOW_SLOW_RATE */
+  FLOW_REASON_COUNT
+} FlowReason;
+
+/* Returns the static name of a reason, as logs and metrics have it. */
+const char *flow_reason_name(FlowReason reason);
+
+/* In bytes. All are 0 without flow control. */
+typedef struct FlowLimits {
+  guint64 bound; /* of the unread bytes of all connections */
+  guint64 high;  /* of one connection: reading from its endpoint pauses */
+  guint64 low;   /* and resumes */
+} FlowLimits;
+
+/* Returns the limits for a bound; 0: no flow control. */
+FlowLimits flow_limits(guint64 bound);
+
+/* What a decision knows of one connection. */
+typedef struct FlowReader {
+  guint64 unread;
+  guint64 read;        /* bytes that the caller has read in the last window */
+  guint priority;      /* of its request; 0 is the most urgent */
+  gint64 unread_since; /* since when it has had unread bytes */
+  guint64 delivered;   /* bytes that the caller has read since then */
+  gint64 paused_since; /* since when its endpoint is held back; 0: it is not */
+} FlowReader;
+
+/*
+** Returns whether reading from the endpoint of this connection is paused, with
+** so many unread bytes of all connections. Above three quarters of the bound,
+** the marks are a quarter of what they are otherwise.
+*/
+gboolean flow_pauses(const FlowLimits *limits, const FlowReader *reader,
+                     guint64 total);
+/* Returns whether the caller is quick. */
+gboolean flow_is_quick(const FlowReader *reader, gint64 now);
+/*
+** Chooses the connection to abort now, and the reason. Returns its index, or
+** -1 for none. Connections over a limit of time come first. For the bound it
+** is, of the slow callers, the one with the least urgent priority, and among
+** these the one with the most unread bytes.
+*/
+int flow_choose(const FlowLimits *limits, const FlowReader *const *readers,
+                guint count, guint64 total, gint64 now, FlowReason *reason);
+
+/*
+** {==================================================================
+** The connections of one instance
+** ===================================================================
+*/
+
+typedef struct FlowControl FlowControl;
+typedef struct FlowConnection FlowConnection;
+
+/* 'pause' and 'abort' may be called from within any function below, except
+** flow_remove. */
+typedef struct FlowHooks {
+  void *data; /* passed to 'pause' and 'paused' */
+  /* Pauses reading the answer to this request, or resumes it. A pause is
+  ** repeated with each piece that arrives nevertheless. It may be called while
+  ** the user handles an answer. */
+  void (*pause)(void *data, guint64 request, gboolean pauses);
+  /* Reports, within flow_tick only, that the answer to this request is
+  ** paused. */
+  void (*paused)(void *data, guint64 request, gint64 now);
+  /* Reports that a connection is to be aborted. 'request' is 0 if its answer
+  ** was complete. 'owner' has to be closed, but not before this returns. */
+  void (*abort)(void *data, gpointer owner, guint64 request, FlowReason reason,
+                const FlowReader *reader, guint64 total);
+} FlowHooks;
+
+/* 'owner_data' is passed to FlowHooks.abort. The other two are copied. */
+FlowControl *flow_control_new(const FlowLimits *limits, const FlowHooks *hooks,
+                              void *owner_data);
+/* All connections must have been removed. */
+void flow_control_free(FlowControl *flow);
+
+/* Adds a connection, which 'owner' identifies in FlowHooks.abort. */
+FlowConnection *flow_add(FlowControl *flow, gpointer owner);
+/* Removes a connection that is closed. */
+void flow_remove(FlowControl *flow, FlowConnection *connection);
+/* Sets the request whose answer the connection carries from now on; 0: none.
+** A pause ends. */
+void flow_set_request(FlowControl *flow, FlowConnection *connection,
+                      guint64 request, guint priority);
+/* Bytes were added to the output of the connection. */
+void flow_wrote(FlowControl *flow, FlowConnection *connection, guint64 size,
+                gint64 now);
+/* Bytes have left it. */
+void flow_read(FlowControl *flow, FlowConnection *connection, guint64 size,
+               gint64 now);
+/* Was the connection aborted? */
+gboolean flow_is_aborted(const FlowConnection *connection);
+/*
+** Applies the limits of time, and reports each pause again, so that the router
+** does not take it for a silence of the endpoint. To be called every
+** FLOW_TICK_INTERVAL.
+*/
+void flow_tick(FlowControl *flow, gint64 now);
+
+guint64 flow_total(const FlowControl *flow);
+guint flow_paused(const FlowControl *flow);
+guint64 flow_aborts(const FlowControl *flow, FlowReason reason);
+
+/* }================================================================== */
+
+#endif
--- a/io/front.c
+++ b/io/front.c
@@ -17,6 +17,7 @@
 #include <event2/listener.h>
 
 #include "http/reader.h"
+#include "io/clock.h"
 #include "io/front.h"
 #include "io/sockets.h"
 
@@ -32,6 +33,11 @@
 #define LINGER_SECONDS 1
 #define LISTEN_BACKLOG 512
 
+/* Bytes that the kernel may hold for a caller while flow control is on, of
+** which it reserves twice as many. Without this it reserves up to 4 MB, which
+** count as memory of the instance; with it, 10 Mbit/s fit into 100 ms. */
+#define SEND_BUFFER (128 << 10)
+
 /* limits that hold until a configuration sets them */
 #define DEFAULT_HEAD_BYTES (16 << 10)
 #define DEFAULT_BODY_BYTES (4 << 20)
@@ -51,6 +57,9 @@
   gboolean is_draining;    /* a planned stop has begun: front_drain */
   GHashTable *connections; /* set of Connection, which it owns */
   GHashTable *open;        /* number of an open request -> Connection */
+  FlowControl *flow;       /* NULL: flow control is off */
+  FrontFlowHooks flow_hooks;
+  struct event *flow_timer; /* NULL: flow control is off */
 };
 
 typedef enum ConnectionState {
@@ -66,12 +75,105 @@
   struct bufferevent *events;
   HttpReader *reader;
   ConnectionState state;
-  guint64 number;   /* of the open request; 0: none */
-  HttpHead *head;   /* of the request; NULL until it is received */
-  GByteArray *body; /* of the request */
-  gboolean lingers; /* input was rejected: discard what still arrives */
+  guint64 number;       /* of the open request; 0: none */
+  HttpHead *head;       /* of the request; NULL until it is received */
+  GByteArray *body;     /* of the request */
+  gboolean lingers;     /* input was rejected: discard what still arrives */
+  FlowConnection *flow; /* NULL: flow control is off */
 } Connection;
 
+/*
+** {==================================================================
+** Flow control
+** ===================================================================
+*/
+
+/* Reports what was added to the output of a connection, or has left it. */
+static void on_output_change(struct evbuffer *out,
+                             const struct evbuffer_cb_info *info, void *data) {
+  const Connection *connection = data;
+  FlowControl *flow = connection->front->flow;
+  gint64 now = clock_now();
+  (void)out;
+  flow_wrote(flow, connection->flow, info->n_added, now);
+  flow_read(flow, connection->flow, info->n_deleted, now);
+}
+
+static void begin_flow_control(Connection *connection, evutil_socket_t fd) {
+  int size = SEND_BUFFER;
+  if (connection->front->flow == NULL)
+    return;
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+  connection->flow = flow_add(connection->front->flow, connection);
+  evbuffer_add_cb(bufferevent_get_output(connection->events), on_output_change,
+                  connection);
+}
+
+static void end_flow_control(Connection *connection) {
+  if (connection->flow == NULL)
+    return;
+  evbuffer_remove_cb(bufferevent_get_output(connection->events),
+                     on_output_change, connection);
+  flow_remove(connection->front->flow, connection->flow);
+}
+
+/* Sets the request whose response is counted from now on; 0: none. */
+static void set_flow_request(const Connection *connection, guint64 number) {
+  if (connection->flow != NULL)
+    flow_set_request(connection->front->flow, connection->flow, number, 0);
+}
+
+/* Was the connection aborted by flow control? It is closed from the event
+** loop soon. */
+static gboolean is_aborted(const Connection *connection) {
+  return connection->flow != NULL && flow_is_aborted(connection->flow);
+}
+
+/*
+** Aborts a connection. The kernel discards what it holds for the caller, which
+** sees a reset. The connection is closed from the event loop, because this is
+** called while the user of the server sends a response.
+*/
+static void on_flow_abort(void *data, gpointer owner, guint64 number,
+                          FlowReason reason, const FlowReader *reader,
+                          guint64 total) {
+  const Front *front = data;
+  const Connection *connection = owner;
+  struct linger discard = {1, 0};
+  evutil_socket_t fd = bufferevent_getfd(connection->events);
+  front->flow_hooks.aborted(front->flow_hooks.data, number, reason, reader,
+                            total);
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  shutdown(fd, SHUT_RDWR);
+}
+
+static void on_flow_timer(evutil_socket_t fd, short what, void *data) {
+  const Front *front = data;
+  (void)fd;
+  (void)what;
+  flow_tick(front->flow, clock_now());
+}
+
+void front_control_flow(Front *front, const FlowLimits *limits,
+                        const FrontFlowHooks *hooks) {
+  FlowHooks own = {hooks->data, hooks->pause, hooks->paused, NULL};
+  struct timeval interval = {0, FLOW_TICK_INTERVAL};
+  g_assert(front->flow == NULL);
+  g_assert(g_hash_table_size(front->connections) == 0);
+  front->flow_hooks = *hooks;
+  own.abort = on_flow_abort;
+  front->flow = flow_control_new(limits, &own, front);
+  front->flow_timer =
+      event_new(front->base, -1, EV_PERSIST, on_flow_timer, front);
+  event_add(front->flow_timer, &interval);
+}
+
+const FlowControl *front_flow(const Front *front) {
+  return front->flow;
+}
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** Lifetime of a connection
@@ -80,6 +182,7 @@
 
 static void connection_free(gpointer p) {
   Connection *connection = p;
+  end_flow_control(connection);
   bufferevent_free(connection->events);
   http_reader_free(connection->reader);
   http_head_free(connection->head);
@@ -112,6 +215,7 @@
 static void forget_request(Connection *connection) {
   if (connection->number != 0)
     g_hash_table_remove(connection->front->open, &connection->number);
+  set_flow_request(connection, 0);
   connection->number = 0;
   http_head_free(connection->head);
   connection->head = NULL;
@@ -228,6 +332,7 @@
   connection->state = CONNECTION_OPEN;
   connection->number = ++front->last_number;
   g_hash_table_insert(front->open, &connection->number, connection);
+  set_flow_request(connection, connection->number);
   set_read_timeout(connection, 0);
   front->hooks.request(front->hooks.data, connection->number,
                        connection->head);
@@ -335,6 +440,7 @@
   bufferevent_setwatermark(connection->events, EV_READ, 0, READ_AHEAD);
   bufferevent_setcb(connection->events, on_read, on_write, on_event,
                     connection);
+  begin_flow_control(connection, fd);
   g_hash_table_add(front->connections, connection);
   set_read_timeout(connection, front->limits.idle_timeout);
   bufferevent_enable(connection->events, EV_READ | EV_WRITE);
@@ -389,7 +495,7 @@
                       gsize size) {
   Connection *connection = find_connection(front, number);
   struct evbuffer *out;
-  if (connection == NULL || size == 0)
+  if (connection == NULL || size == 0 || is_aborted(connection))
     return;
   out = bufferevent_get_output(connection->events);
   evbuffer_add_printf(out, "%zx\r\n", (size_t)size);
@@ -457,6 +563,10 @@
     evconnlistener_free(front->listener);
   g_hash_table_destroy(front->open);
   g_hash_table_destroy(front->connections);
+  if (front->flow != NULL) {
+    event_free(front->flow_timer);
+    flow_control_free(front->flow);
+  }
   g_free(front);
 }
 
--- a/io/front.h
+++ b/io/front.h
@@ -6,7 +6,8 @@
 ** A connection carries one request at a time. The request is received
 ** completely before it is handed to the user of the server (FrontHooks). It is
 ** identified by a number, which is valid until its response has ended or its
-** caller has disconnected; functions that get a number that is not valid do
+** caller has disconnected or was aborted by flow control; functions that get a
+*number that is not valid do
 ** nothing. Invariants: bytes of a response are written only to the connection
 ** of their request, and a connection whose response was aborted is closed.
 ** Used by gateway.c.
@@ -18,6 +19,7 @@
 #include <event2/event.h>
 
 #include "dialect/dialect.h"
+#include "io/flow_control.h"
 
 typedef struct Front Front;
 
@@ -53,6 +55,24 @@
 */
 void front_set_limits(Front *front, const CallerLimits *limits);
 
+/* Valid while the server exists. These are called while the user of the server
+** sends a response, or from the event loop. */
+typedef struct FrontFlowHooks {
+  void *data;
+  void (*pause)(void *data, guint64 number, gboolean pauses); /* FlowHooks */
+  void (*paused)(void *data, guint64 number, gint64 now);     /* FlowHooks */
+  /* A connection is aborted; 'number' is 0 if its response was complete. If it
+  ** was not, 'hangup' follows. */
+  void (*aborted)(void *data, guint64 number, FlowReason reason,
+                  const FlowReader *reader, guint64 total);
+} FrontFlowHooks;
+
+/* Switches flow control on (flow_control.h), before the event loop runs. */
+void front_control_flow(Front *front, const FlowLimits *limits,
+                        const FrontFlowHooks *hooks);
+/* The state of flow control; NULL: it is off. */
+const FlowControl *front_flow(const Front *front);
+
 /* The head or body of a request; NULL when the number is not valid. */
 const HttpHead *front_request_head(const Front *front, guint64 number);
 const GByteArray *front_request_body(const Front *front, guint64 number);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -327,6 +327,54 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** Flow control (FrontFlowHooks)
+** ===================================================================
+*/
+
+static void on_flow_pause(void *data, guint64 request, gboolean pauses) {
+  const Gateway *gateway = data;
+  endpoint_links_pause(gateway->links, request, pauses);
+}
+
+static void on_flow_paused(void *data, guint64 request, gint64 now) {
+  const Gateway *gateway = data;
+  router_reading_paused(gateway->router, request, now);
+}
+
+/* The router is told of it by on_hangup(). */
+static void on_flow_aborted(void *data, guint64 request, FlowReason reason,
+                            const FlowReader *reader, guint64 total) {
+  const Gateway *gateway = data;
+  const HttpHead *head = front_request_head(gateway->front, request);
+  gint64 now = clock_now();
+  CallerHead parsed = {0};
+  gboolean is_known =
+      head != NULL && gateway->dialect->read_caller(head, &parsed, NULL);
+  log_numbered(gateway->log, MP_LOG_CALLER_SLOW,
+               " request=%s reason=%s unread=%" G_GUINT64_FORMAT
+               " total=%" G_GUINT64_FORMAT " held_ms=%d unread_ms=%d",
+               is_known ? parsed.request.id : "-", flow_reason_name(reason),
+               reader->unread, total,
+               reader->paused_since != 0
+                   ? (int)((now - reader->paused_since) / MP_MS)
+                   : 0,
+               (int)((now - reader->unread_since) / MP_MS));
+  if (head != NULL)
+    caller_head_clear(&parsed);
+}
+
+static void control_flow(Gateway *gateway, const GatewayOptions *options) {
+  FrontFlowHooks hooks = {gateway, on_flow_pause, on_flow_paused,
+                          on_flow_aborted};
+  FlowLimits limits = flow_limits(options->unread_bound);
+  if (limits.bound > 0)
+    front_control_flow(gateway->front, &limits, &hooks);
+}
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** Queries of operators, the platform and other instances
@@ -349,6 +397,16 @@
   return ready;
 }
 
+static void count_flow(const Gateway *gateway, AdapterCounts *counts) {
+  const FlowControl *flow = front_flow(gateway->front);
+  int reason;
+  counts->held_bytes = flow != NULL ? flow_total(flow) : 0;
+  counts->paused_reads = flow != NULL ? flow_paused(flow) : 0;
+  for (reason = 0; reason < FLOW_REASON_COUNT; reason++)
+    counts->flow_aborts[reason] =
+        flow != NULL ? flow_aborts(flow, (FlowReason)reason) : 0;
+}
+
 static AdapterCounts adapter_counts(const Gateway *gateway) {
   AdapterCounts counts;
   int kind;
@@ -380,6 +438,7 @@
   counts.leaving_endpoints = router_leaving_endpoints(gateway->router);
   counts.resting_endpoints =
       router_resting_endpoints(gateway->router, clock_now());
+  count_flow(gateway, &counts);
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
   for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
@@ -577,6 +636,7 @@
     gateway_free(gateway);
     return NULL;
   }
+  control_flow(gateway, options);
   make_directory(gateway, options);
   log_numbered(gateway->log, MP_LOG_START, "%s", "");
   schedule_tick(gateway);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -75,6 +75,20 @@
       counts->waiting_in_time);
 }
 
+static void write_flow(GString *text, const AdapterCounts *counts) {
+  int reason;
+  g_string_append_printf(text,
+                         "madderpier_unread_bytes %" G_GUINT64_FORMAT "\n"
+                         "madderpier_paused_reads %u\n",
+                         counts->held_bytes, counts->paused_reads);
+  for (reason = 0; reason < FLOW_REASON_COUNT; reason++)
+    g_string_append_printf(
+        text,
+        "madderpier_slow_callers_aborted_total{reason=\"%s\"} "
+        "%" G_GUINT64_FORMAT "\n",
+        flow_reason_name((FlowReason)reason), counts->flow_aborts[reason]);
+}
+
 /* by StoreKind */
 static const char *const kind_names[MP_RELAY_KINDS] = {
     "configuration", "endpoints", "instances", "quarantine"};
@@ -136,6 +150,7 @@
   int which;
   write_router(text, router);
   write_adapters(text, counts);
+  write_flow(text, counts);
   write_lags(text, counts);
   write_positions(text, counts);
   write_bad_objects(text, counts);
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -21,6 +21,7 @@
 #define METRICS_H
 
 #include "dialect/dialect.h"
+#include "io/flow_control.h"
 #include "router/router.h"
 
 /*
@@ -67,7 +68,13 @@
                            ** are leaving service */
   guint resting_endpoints; /* endpoints that have asked this instance to pause
                            ** its requests, for a time that is not over */
-  guint waiting;           /* queued requests */
+  guint64 held_bytes;      /* bytes of answers that callers have not read; the
+                           ** present value */
+  guint paused_reads;      /* endpoints' answers that are not read on, because
+                           ** their callers read slowly */
+  guint64 flow_aborts[FLOW_REASON_COUNT]; /* connections of slow callers that
+                                          ** were aborted, by FlowReason */
+  guint waiting;                          /* queued requests */
   guint waiting_in_time; /* those of them that can still be answered in time */
   /* objects of the store that could not be read, by the field that is missing
   ** or invalid */
--- a/router/router.c
+++ b/router/router.c
@@ -11,6 +11,7 @@
 
 #include "router/continuation.h"
 #include "router/retry_exchange.h"
+#include "router/silence.h"
 #include "router/state.h"
 
 /* A request is ended this long before its caller stops waiting, so that the
@@ -413,6 +414,17 @@
   admission_start_waiting_requests(router, now);
 }
 
+void router_reading_paused(Router *router, guint64 number, gint64 now) {
+  Request *request = g_hash_table_lookup(router->requests, &number);
+  if (request == NULL || request->phase != PHASE_RUN || !request->head_sent)
+    return;
+  if (request->stall_at != 0)
+    request->stall_at =
+        MAX(request->stall_at, now + silence_piece_timeout(request));
+  if (request->path_check_at != 0)
+    request->path_check_at = now + silence_check_after(request);
+}
+
 /* }================================================================== */
 
 /*
--- a/router/router.h
+++ b/router/router.h
@@ -346,6 +346,9 @@
 void router_request(Router *router, const CallerRequest *request, gint64 now);
 /* Ends a request whose caller has disconnected. */
 void router_hangup(Router *router, guint64 request, gint64 now);
+/* Reading the answer to this request is paused, because its caller reads
+** slowly. Silence of its endpoint is counted from 'now' on. */
+void router_reading_paused(Router *router, guint64 request, gint64 now);
 /* Handles an outcome of a dispatch. */
 void router_outcome(Router *router, const Outcome *outcome, gint64 now);
 /* Handles the signals in the head of an answer from this incarnation
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -77,6 +77,29 @@
   g_error_free(error);
 }
 
+/* Without the machine's memory, or with a share of nearly nothing or nearly
+** all, the instance would run unbounded or abort the callers' connections at
+** once; it must not start. */
+TEST_F(Bounds, AMemoryShareThatCannotBeKeptIsRefused) {
+  settings_free(read("memory_mb: 88\n"));
+  Settings *settings = read("memory_mb: 88\nmemory_share: 0.25\n");
+  EXPECT_EQ(settings->memory_mb, 88u);
+  EXPECT_EQ(settings->memory_share, 0.25);
+  settings_free(settings);
+  for (const char *text :
+       {"memory_share: 0.25\n", "memory_mb: 88\nmemory_share: 0.01\n",
+        "memory_mb: 88\nmemory_share: 0.6\n",
+        "memory_mb: 88\nmemory_share: -0.1\n",
+        "memory_mb: 88\nmemory_share: .nan\n"}) {
+    write(text);
+    GError *error = nullptr;
+    EXPECT_EQ(settings_read(path.c_str(), &error), nullptr) << text;
+    ASSERT_NE(error, nullptr);
+    EXPECT_NE(strstr(error->message, "memory_share"), nullptr);
+    g_error_free(error);
+  }
+}
+
 TEST_F(Bounds, ADrainEndsBeforeTheKill) {
   Settings *settings = read("grace_s: 8\n");
   EXPECT_LT(settings->drain_most_ms, 8000u);
