Slow callers at the real daemon; endpoints that stop reading within a body

An endpoint that stops reading within a body held the body until the caller's deadline.

Ruled out: counting the size of the blocks instead of the unread bytes (the memory would still be held until the last byte is read).

Change: with flow control, a body is written in blocks of 16 KB, which are freed as the caller reads. A dispatch whose endpoint takes nothing of its body for 5 s and has sent no head of a response is broken off; a response that has begun is read on. The stand-in answers targets ending in "large" with 1 MB.

--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -43,11 +43,12 @@
   struct event_base *base;
   const Dialect *dialect;
   EndpointLinksHooks hooks;
-  LinkPool *pool;    /* of Link */
-  GHashTable *calls; /* dispatch -> Link that carries it */
-  GHashTable *runs;  /* request -> Link that carries its RUN dispatch */
-  GHashTable *links; /* set of Link, which it owns */
-  guint64 opened;    /* connections begun since the start */
+  LinkPool *pool;       /* of Link */
+  GHashTable *calls;    /* dispatch -> Link that carries it */
+  GHashTable *runs;     /* request -> Link that carries its RUN dispatch */
+  GHashTable *links;    /* set of Link, which it owns */
+  guint64 opened;       /* connections begun since the start */
+  gint64 write_timeout; /* endpoint_links_limit_writing; 0: none */
 };
 
 /* one connection to an endpoint */
@@ -469,7 +470,8 @@
     fail_call(link, OUTCOME_UNREACHABLE);
     return;
   }
-  if ((what & BEV_EVENT_ERROR) && (what & BEV_EVENT_WRITING)) {
+  if ((what & BEV_EVENT_WRITING) &&
+      ((what & BEV_EVENT_ERROR) || link->call->head != NULL)) {
     /* a response that arrived before the body was sent is still read */
     link->must_close = TRUE;
     bufferevent_disable(events, EV_WRITE);
@@ -510,6 +512,13 @@
 
 static const HttpReaderCallbacks reader_hooks = {on_head, on_body};
 
+static void limit_writing(const Link *link) {
+  gint64 wait = link->links->write_timeout;
+  struct timeval time = {wait / MP_SEC, wait % MP_SEC};
+  if (wait > 0)
+    bufferevent_set_timeouts(link->events, NULL, &time);
+}
+
 static Link *link_new(EndpointLinks *links, const Dispatch *dispatch) {
   Link *link = g_new0(Link, 1);
   link->links = links;
@@ -519,6 +528,7 @@
   link->events = bufferevent_socket_new(
       links->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(link->events, on_read, NULL, on_event, link);
+  limit_writing(link);
   bufferevent_enable(link->events, EV_READ | EV_WRITE);
   g_hash_table_add(links->links, link);
   link_pool_opened(links->pool, link->endpoint);
@@ -646,6 +656,10 @@
   g_free(links);
 }
 
+void endpoint_links_limit_writing(EndpointLinks *links, gint64 timeout) {
+  links->write_timeout = timeout;
+}
+
 void endpoint_links_trim(EndpointLinks *links) {
   const EndpointLinksHooks *hooks = &links->hooks;
   GPtrArray *endpoints = link_pool_idle_endpoints(links->pool);
--- a/io/endpoint_links.h
+++ b/io/endpoint_links.h
@@ -84,6 +84,13 @@
 void endpoint_links_pause(EndpointLinks *links, guint64 request,
                           gboolean pauses);
 
+/*
+** Breaks dispatches off whose endpoint takes no byte of the request for this
+** time and has sent no head of a response; 0: none, as at first. It holds for
+** connections that are opened from then on.
+*/
+void endpoint_links_limit_writing(EndpointLinks *links, gint64 timeout);
+
 /*
 ** Closes idle connections, those that have been idle longest first, as long as
 ** 'keeps' returns FALSE for their endpoint.
--- a/io/front.c
+++ b/io/front.c
@@ -38,6 +38,9 @@
 ** count as memory of the instance; with it, 10 Mbit/s fit into 100 ms. */
 #define SEND_BUFFER (128 << 10)
 
+/* With its header of libevent, a block of this many bytes takes 16 KB. */
+#define BODY_BLOCK ((16 << 10) - 64)
+
 /* limits that hold until a configuration sets them */
 #define DEFAULT_HEAD_BYTES (16 << 10)
 #define DEFAULT_BODY_BYTES (4 << 20)
@@ -281,6 +284,18 @@
           g_ascii_strcasecmp(connection->head->method, "HEAD") == 0);
 }
 
+/*
+** Writes a body. With flow control, its memory is freed block by block as the
+** caller reads it; libevent would put a body that is added at once into one
+** block of up to twice its size, which is freed when all of it has been read.
+*/
+static void write_body(Connection *connection, const char *body, gsize size) {
+  gsize block = connection->flow != NULL ? BODY_BLOCK : size;
+  gsize at;
+  for (at = 0; at < size; at += block)
+    bufferevent_write(connection->events, body + at, MIN(block, size - at));
+}
+
 static void write_response(Connection *connection, const HttpHead *from,
                            const char *body, gsize size, gboolean close) {
   HttpHead *head = response_head(from, close);
@@ -289,7 +304,7 @@
     http_head_add_number(head, "Content-Length", (gint64)size);
   write_head(connection, head);
   if (!bare && size > 0)
-    bufferevent_write(connection->events, body, size);
+    write_body(connection, body, size);
   http_head_free(head);
 }
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -42,6 +42,10 @@
 ** their connections and may need them for other instances. A trim follows a
 ** load digest of another instance; digests arrive more often than this. */
 #define TRIM_INTERVAL_MIN (100 * MP_MS)
+/* With flow control, a dispatch is broken off when its endpoint takes nothing
+** of its body for this long. Endpoints pause for 1 s or 2 s when they are
+** stopped and continued; callers wait 14 s, which leaves time for a retry. */
+#define BODY_TIMEOUT (5 * MP_SEC)
 /* longest time between two calls of router_tick() */
 #define MAX_TICK_WAIT (1 * MP_SEC)
 
@@ -369,8 +373,10 @@
   FrontFlowHooks hooks = {gateway, on_flow_pause, on_flow_paused,
                           on_flow_aborted};
   FlowLimits limits = flow_limits(options->unread_bound);
-  if (limits.bound > 0)
-    front_control_flow(gateway->front, &limits, &hooks);
+  if (limits.bound == 0)
+    return;
+  front_control_flow(gateway->front, &limits, &hooks);
+  endpoint_links_limit_writing(gateway->links, BODY_TIMEOUT);
 }
 
 /* }================================================================== */
--- a/standin/worker.c
+++ b/standin/worker.c
@@ -21,6 +21,10 @@
 ** after the start of the request. */
 #define CRASH_SUFFIX "crashes"
 #define CRASH_DELAY_MS 60
+/* A plain request whose target ends with this gets an answer of so many
+** bytes more. */
+#define LARGE_SUFFIX "large"
+#define LARGE_BYTES (1 << 20)
 /* After a crash, the entry is removed, and later the worker restarts. */
 #define REMOVAL_DELAY_MS 900
 #define RESTART_DELAY_MS 1500
@@ -200,6 +204,19 @@
   evbuffer_free(piece);
 }
 
+static int ends_with(const char *text, const char *end) {
+  size_t n = strlen(text);
+  size_t m = strlen(end);
+  return n >= m && strcmp(text + n - m, end) == 0;
+}
+
+/* Makes an answer large. */
+static void add_filler(struct evbuffer *body) {
+  static char filler[LARGE_BYTES];
+  memset(filler, 'x', sizeof filler);
+  evbuffer_add(body, filler, sizeof filler);
+}
+
 /* Sends a plain answer, all at once. */
 static void plain_step(evutil_socket_t fd, short what, void *data) {
   Work *work = data;
@@ -214,6 +231,8 @@
   set_common_fields(work->worker, request);
   body = evbuffer_new();
   evbuffer_add_printf(body, "answer to %s", field(request, "Request-Id"));
+  if (ends_with(evhttp_request_get_uri(request), LARGE_SUFFIX))
+    add_filler(body);
   work_free(work);
   evhttp_send_reply(request, 200, "OK", body);
   evbuffer_free(body);
@@ -248,12 +267,6 @@
   return mine;
 }
 
-static int ends_with(const char *text, const char *end) {
-  size_t n = strlen(text);
-  size_t m = strlen(end);
-  return n >= m && strcmp(text + n - m, end) == 0;
-}
-
 static void crash_step(evutil_socket_t fd, short what, void *data) {
   Work *work = data;
   Worker *worker = work->worker;
--- a/test/kept.c
+++ b/test/kept.c
@@ -162,6 +162,16 @@
   return 1;
 }
 
+static int k_stop_reading(lua_State *L) {
+  bufferevent_disable(check(L)->events, EV_READ);
+  return 0;
+}
+
+static int k_resume_reading(lua_State *L) {
+  bufferevent_enable(check(L)->events, EV_READ);
+  return 0;
+}
+
 static void close_now(Kept *kept) {
   if (kept->events != NULL)
     bufferevent_free(kept->events);
@@ -187,6 +197,8 @@
 void kept_open(lua_State *L, struct event_base *event_base) {
   static const luaL_Reg methods[] = {{"send", k_send},
                                      {"get", k_get},
+                                     {"stop_reading", k_stop_reading},
+                                     {"resume_reading", k_resume_reading},
                                      {"alive", k_alive},
                                      {"close", k_close},
                                      {NULL, NULL}};
--- a/test/kept.h
+++ b/test/kept.h
@@ -5,6 +5,8 @@
 **   c = sys.connect(port)
 **   c:send(method, path, headers, body)   one request at a time
 **   done, status, body, head, whole = c:get()
+**   c:stop_reading()    what arrives stays in the kernel from now on
+**   c:resume_reading()
 **   c:alive()   the server has not ended the connection
 **   c:close()
 ** 'done' is true once the answer or the connection ended; 'whole' says that
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -14,6 +14,7 @@
             -- each instance reaches the workers by links of its own, which are
             -- named WORKER@INSTANCE, and the store too
             own_worker_links = false,
+            memory_mb = 0, memory_share = 0, -- flow control; 0: off
             store_late_ms = 0, -- the store starts so long after the instances
             -- client accounts: { name, keys, rate, burst }; none: no keys
             accounts = nil,
@@ -156,6 +157,8 @@
     gateway.accounts and "revoke_ms: " .. gateway.revoke_ms or "# no accounts",
     "limit_over: " .. gateway.limit_over,
     "limit_slack: " .. gateway.limit_slack,
+    "memory_mb: " .. gateway.memory_mb,
+    "memory_share: " .. gateway.memory_share,
     "log_level: debug", ""
   }, "\n"))
 end
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -10,6 +10,7 @@
 #include "loopback.h"
 
 extern "C" {
+#include "io/clock.h"
 #include "io/endpoint_links.h"
 #include "io/front.h"
 #include "platform/platform.h"
@@ -346,6 +347,36 @@
   EXPECT_EQ(endpoint_links_idle_count(links), 0u);
 }
 
+/* Otherwise the body stays in memory until the caller's deadline. */
+TEST_F(Links, AnEndpointThatStopsReadingWithinABodyIsBrokenOff) {
+  endpoint_links_limit_writing(links, 300 * MP_MS);
+  g_byte_array_set_size(body, 32 << 20);
+  memset(body->data, 'x', body->len);
+  guint64 first = dispatch();
+  ASSERT_TRUE(wait([&] { return endpoint.peers.size() == 1; }));
+  endpoint.peers[0]->reading = false;
+  EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
+  EXPECT_EQ(connections, 0u);
+}
+
+/* Its answer counts, whatever it left of the body. */
+TEST_F(Links, AnAnswerThatBeginsBeforeTheBodyIsOutIsReadToItsEnd) {
+  endpoint_links_limit_writing(links, 300 * MP_MS);
+  g_byte_array_set_size(body, 32 << 20);
+  memset(body->data, 'x', body->len);
+  guint64 first = dispatch();
+  ASSERT_TRUE(wait([&] { return endpoint.peers.size() == 1; }));
+  endpoint.peers[0]->reading = false;
+  std::string text = answer("three");
+  endpoint.peers[0]->send_text(text.substr(0, text.size() - 2));
+  gint64 end = clock_now() + 800 * MP_MS;
+  wait([&] { return clock_now() > end; });
+  EXPECT_TRUE(told[first].empty());
+  endpoint.peers[0]->send_text("ee");
+  EXPECT_EQ(ended(first).bytes, "three");
+  EXPECT_EQ(connections, 0u);
+}
+
 TEST_F(Links, ALeavingEndpointsConnectionIsNotKept) {
   guint64 first = dispatch();
   asked(0)->send_text(answer("one", "Connection: close\r\n"));
