Flow control for bodies of requests: a body that does not fit is not taken in

Cause: bodies were taken in without a bound over all connections. Each is kept until its request ends, for a retry, and copied to the output towards its endpoint, so a slow endpoint makes them fill the memory.

Ruled out: holding a body back when it has partly arrived (several could fill the bound together, and none would ever be complete). The decision is made at the head, from Content-Length; a body without one is counted as it arrives and not held back. One body is always taken in.

Change: bodies count twice against the bound of memory_share. A body of more than 64 KB that does not fit is not read; it is taken in when there is room, or its request is refused after 2 s as busy, not run, with Retry-After 1 s. E8031, madderpier_body_bytes, madderpier_bodies_refused_total.

Figures: with a bound of 4 MB and bodies of 1.5 MB, a second body is held back and refused; a third one is taken in as soon as the first request has ended.

The new test fails when bodies are always taken in (6.1 MB held).

--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -58,7 +58,7 @@
   uint32_t lease_ms;       /* of orders to engines; 0: none are given */
   uint32_t memory_mb;      /* memory of this machine, MB; 0: not known */
   double memory_share;     /* share of it for answers that callers have not
-                           ** read; 0: not bounded */
+                           ** read, and bodies of requests; 0: no bound */
   uint32_t contact_ms;    /* after an outage, the platform counts this instance
                           ** as in contact again after this long */
   uint32_t apply_ms;      /* a confirmed configuration is in force everywhere
--- a/include/mplog.h
+++ b/include/mplog.h
@@ -107,6 +107,7 @@
   X(CARRIED, 8012, MP_INFO, "request carried for another instance")           \
   X(STREAM_ORIGIN, 8013, MP_INFO, "stream is taken up again")                 \
   X(CALLER_SLOW, 8030, MP_WARN, "connection of a slow caller aborted")        \
+  X(BODY_REFUSED, 8031, MP_WARN, "request refused: no memory for its body")   \
   X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")             \
   X(LINES_LEFT_OUT, 9001, MP_INFO, "log lines suppressed")                    \
   X(LINES_LOST, 9002, MP_WARN, "log lines lost")
--- a/io/flow_control.c
+++ b/io/flow_control.c
@@ -26,6 +26,7 @@
   guint64 request;     /* 0: none */
   guint64 read_last;   /* bytes read in the last whole window */
   guint64 read_now;    /* and in the present one */
+  guint64 body;        /* bytes of its request's body */
   guint index;         /* in FlowControl.connections */
   gboolean is_aborted; /* its bytes are not counted any more */
 };
@@ -36,6 +37,7 @@
   void *owner_data;       /* of FlowHooks.abort */
   GPtrArray *connections; /* of FlowConnection, which it owns */
   guint64 total;          /* unread bytes of those that are not aborted */
+  guint64 bodies;         /* sum of their bodies */
   guint paused;
   gint64 window_at; /* when the present window began */
   guint64 aborts[FLOW_REASON_COUNT];
@@ -76,6 +78,11 @@
          reader->read >= FLOW_QUICK_BYTES;
 }
 
+gboolean flow_takes_body(const FlowLimits *limits, guint64 held,
+                         guint64 bodies, guint64 size) {
+  return bodies == 0 || held + FLOW_BODY_COPIES * size <= limits->bound;
+}
+
 /* Is the connection over a limit of time? Sets the reason. */
 static gboolean is_overdue(const FlowReader *reader, gint64 now,
                            FlowReason *reason) {
@@ -135,7 +142,7 @@
                              FlowReason reason) {
   const FlowHooks *hooks = &flow->hooks;
   FlowReader reader = connection->reader;
-  guint64 total = flow->total;
+  guint64 total = flow_held(flow);
   connection->is_aborted = TRUE;
   flow->aborts[reason]++;
   discount(flow, connection);
@@ -155,8 +162,8 @@
     connection->reader.read = MAX(connection->read_last, connection->read_now);
     readers[i] = &connection->reader;
   }
-  while ((index = flow_choose(&flow->limits, readers, count, flow->total, now,
-                              &reason)) >= 0)
+  while ((index = flow_choose(&flow->limits, readers, count, flow_held(flow),
+                              now, &reason)) >= 0)
     abort_connection(flow, flow->connections->pdata[index], reason);
   g_free(readers);
 }
@@ -168,7 +175,7 @@
   FlowReader *reader = &connection->reader;
   gboolean was_paused = reader->paused_since != 0;
   gboolean pauses = connection->request != 0 &&
-                    flow_pauses(&flow->limits, reader, flow->total);
+                    flow_pauses(&flow->limits, reader, flow_held(flow));
   if (pauses && !was_paused) {
     reader->paused_since = now;
     flow->paused++;
@@ -210,6 +217,7 @@
   guint index = connection->index;
   FlowConnection *last = flow->connections->pdata[flow->connections->len - 1];
   discount(flow, connection);
+  flow->bodies -= connection->body;
   last->index = index;
   g_ptr_array_remove_index_fast(flow->connections, index);
 }
@@ -236,7 +244,7 @@
   }
   reader->unread += size;
   flow->total += size;
-  if (flow->total > flow->limits.bound)
+  if (flow_held(flow) > flow->limits.bound)
     apply_limits(flow, now);
   if (!connection->is_aborted)
     update_pause(flow, connection, now);
@@ -256,6 +264,17 @@
     update_pause(flow, connection, now);
 }
 
+gboolean flow_set_body(FlowControl *flow, FlowConnection *connection,
+                       guint64 size, gboolean must_fit) {
+  guint64 others = flow->bodies - connection->body;
+  guint64 held = flow->total + FLOW_BODY_COPIES * others;
+  if (must_fit && !flow_takes_body(&flow->limits, held, others, size))
+    return FALSE;
+  flow->bodies = others + size;
+  connection->body = size;
+  return TRUE;
+}
+
 gboolean flow_is_aborted(const FlowConnection *connection) {
   return connection->is_aborted;
 }
@@ -297,6 +316,10 @@
   return flow->total;
 }
 
+guint64 flow_held(const FlowControl *flow) {
+  return flow->total + FLOW_BODY_COPIES * flow->bodies;
+}
+
 guint flow_paused(const FlowControl *flow) {
   return flow->paused;
 }
--- a/io/flow_control.h
+++ b/io/flow_control.h
@@ -5,18 +5,18 @@
 **
 ** The user (front.c) reports for each connection of a caller what is added to
 ** its output buffer and what leaves it. Unread bytes are those in this buffer;
-** what the kernel holds is not counted. The module does no I/O and reads no
-** clock: it acts through FlowHooks, and every time is given, in microseconds
-** of one steady clock.
+** what the kernel holds is not counted. Bodies of requests count against the
+** same bound: a large one that does not fit is not taken in. The module does
+** no I/O and reads no clock: it acts through FlowHooks, and every time is
+** given, in microseconds of one steady clock.
 **
 ** Invariants:
 ** - The answer to a connection's request is paused from the moment when its
 **   unread bytes exceed the high-water mark until they fall below the
 **   low-water mark, its request ends, or it is aborted.
 ** - A connection of a quick caller (FLOW_QUICK_TIME, FLOW_QUICK_BYTES) is
-*never
-**   aborted. So the bound over all connections may be exceeded by what quick
-**   callers are sent, for FLOW_QUICK_TIME.
+**   never aborted. So the bound over all connections may be exceeded by what
+**   quick callers are sent, for FLOW_QUICK_TIME.
 ** - A connection is aborted once; its bytes are not counted from then on.
 */
 
@@ -40,6 +40,10 @@
 #define FLOW_QUICK_TIME (500 * 1000)
 #define FLOW_QUICK_BYTES (64 << 10)
 
+/* A body is kept until its request ends, for a retry, and copied to the output
+** towards its endpoint. */
+#define FLOW_BODY_COPIES 2
+
 /* us; well below the 500 ms of silence after which the router resumes a stream
 ** elsewhere (router/silence.c) */
 #define FLOW_TICK_INTERVAL (100 * 1000)
@@ -56,7 +60,7 @@
 
 /* In bytes. All are 0 without flow control. */
 typedef struct FlowLimits {
-  guint64 bound; /* of the unread bytes of all connections */
+  guint64 bound; /* of what all connections hold: flow_held */
   guint64 high;  /* of one connection: reading from its endpoint pauses */
   guint64 low;   /* and resumes */
 } FlowLimits;
@@ -84,6 +88,12 @@
 /* Returns whether the caller is quick. */
 gboolean flow_is_quick(const FlowReader *reader, gint64 now);
 /*
+** Returns whether a body of a request can be taken in, while 'held' bytes are
+** held, of which 'bodies' are for other bodies. One body is always taken in.
+*/
+gboolean flow_takes_body(const FlowLimits *limits, guint64 held,
+                         guint64 bodies, guint64 size);
+/*
 ** Chooses the connection to abort now, and the reason. Returns its index, or
 ** -1 for none. Connections over a limit of time come first. For the bound it
 ** is, of the slow callers, the one with the least urgent priority, and among
@@ -138,6 +148,13 @@
 /* Bytes have left it. */
 void flow_read(FlowControl *flow, FlowConnection *connection, guint64 size,
                gint64 now);
+/*
+** Sets the size of the request body that the connection has or is receiving.
+** With 'must_fit', nothing is changed and FALSE is returned if it cannot be
+** taken in now.
+*/
+gboolean flow_set_body(FlowControl *flow, FlowConnection *connection,
+                       guint64 size, gboolean must_fit);
 /* Was the connection aborted? */
 gboolean flow_is_aborted(const FlowConnection *connection);
 /*
@@ -147,7 +164,10 @@
 */
 void flow_tick(FlowControl *flow, gint64 now);
 
+/* Returns the unread bytes, and the bytes that are held altogether: these and
+** the copies of bodies. */
 guint64 flow_total(const FlowControl *flow);
+guint64 flow_held(const FlowControl *flow);
 guint flow_paused(const FlowControl *flow);
 guint64 flow_aborts(const FlowControl *flow, FlowReason reason);
 
--- a/io/front.c
+++ b/io/front.c
@@ -41,6 +41,13 @@
 /* With its header of libevent, a block of this many bytes takes 16 KB. */
 #define BODY_BLOCK ((16 << 10) - 64)
 
+/* Larger bodies are held back while there is no memory for them; smaller ones
+** arrive within one or two reads. */
+#define HELD_BODY_MIN READ_AHEAD
+/* Retry-After of a request whose body could not be taken in (ms): a request
+** that holds a large body is in most cases done by then */
+#define BODY_RETRY_MS 1000
+
 /* limits that hold until a configuration sets them */
 #define DEFAULT_HEAD_BYTES (16 << 10)
 #define DEFAULT_BODY_BYTES (4 << 20)
@@ -62,6 +69,7 @@
   GHashTable *open;        /* number of an open request -> Connection */
   FlowControl *flow;       /* NULL: flow control is off */
   FrontFlowHooks flow_hooks;
+  guint64 bodies_refused;
   struct event *flow_timer; /* NULL: flow control is off */
 };
 
@@ -83,6 +91,7 @@
   GByteArray *body;     /* of the request */
   gboolean lingers;     /* input was rejected: discard what still arrives */
   FlowConnection *flow; /* NULL: flow control is off */
+  gint64 body_held_at;  /* since when its body is held back; 0: it is not */
 } Connection;
 
 /*
@@ -150,31 +159,6 @@
   shutdown(fd, SHUT_RDWR);
 }
 
-static void on_flow_timer(evutil_socket_t fd, short what, void *data) {
-  const Front *front = data;
-  (void)fd;
-  (void)what;
-  flow_tick(front->flow, clock_now());
-}
-
-void front_control_flow(Front *front, const FlowLimits *limits,
-                        const FrontFlowHooks *hooks) {
-  FlowHooks own = {hooks->data, hooks->pause, hooks->paused, NULL};
-  struct timeval interval = {0, FLOW_TICK_INTERVAL};
-  g_assert(front->flow == NULL);
-  g_assert(g_hash_table_size(front->connections) == 0);
-  front->flow_hooks = *hooks;
-  own.abort = on_flow_abort;
-  front->flow = flow_control_new(limits, &own, front);
-  front->flow_timer =
-      event_new(front->base, -1, EV_PERSIST, on_flow_timer, front);
-  event_add(front->flow_timer, &interval);
-}
-
-const FlowControl *front_flow(const Front *front) {
-  return front->flow;
-}
-
 /* }================================================================== */
 
 /*
@@ -220,6 +204,8 @@
     g_hash_table_remove(connection->front->open, &connection->number);
   set_flow_request(connection, 0);
   connection->number = 0;
+  if (connection->flow != NULL)
+    flow_set_body(connection->front->flow, connection->flow, 0, FALSE);
   http_head_free(connection->head);
   connection->head = NULL;
   g_byte_array_set_size(connection->body, 0);
@@ -330,15 +316,42 @@
 ** ===================================================================
 */
 
+/* The size of the body that the head announces; 0: none, or not known. */
+static guint64 announced_body(const HttpHead *head) {
+  const char *length = http_head_get(head, "Content-Length");
+  return length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
+}
+
+/* Begins to take a body in, or holds it back while there is no memory. */
+static void begin_body(Connection *connection) {
+  guint64 size;
+  if (connection->flow == NULL)
+    return;
+  size = announced_body(connection->head);
+  if (!flow_set_body(connection->front->flow, connection->flow, size,
+                     size > HELD_BODY_MIN))
+    connection->body_held_at = clock_now();
+}
+
 static void on_head(void *data, HttpHead *head) {
   Connection *connection = data;
   http_head_free(connection->head);
   connection->head = head;
+  begin_body(connection);
+}
+
+/* Counts a body whose size was not announced. */
+static void count_body(const Connection *connection) {
+  if (connection->flow != NULL &&
+      connection->body->len > announced_body(connection->head))
+    flow_set_body(connection->front->flow, connection->flow,
+                  connection->body->len, FALSE);
 }
 
 static void on_body(void *data, const char *bytes, size_t size) {
   Connection *connection = data;
   g_byte_array_append(connection->body, (const guint8 *)bytes, (guint)size);
+  count_body(connection);
 }
 
 /* Hands a request that was received completely to the user of the server. */
@@ -375,7 +388,7 @@
   struct evbuffer *in = bufferevent_get_input(connection->events);
   HttpReader *reader = connection->reader;
   while (connection->state == CONNECTION_READING &&
-         evbuffer_get_length(in) > 0) {
+         connection->body_held_at == 0 && evbuffer_get_length(in) > 0) {
     size_t size = evbuffer_get_contiguous_space(in);
     const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
     size_t used = http_reader_feed(reader, bytes, size);
@@ -389,6 +402,10 @@
       return;
     }
   }
+  if (connection->body_held_at != 0) {
+    bufferevent_disable(connection->events, EV_READ);
+    return;
+  }
   if (http_reader_state(reader) == HTTP_READER_PARTIAL)
     set_read_timeout(connection, connection->front->limits.head_timeout);
 }
@@ -401,6 +418,66 @@
     evbuffer_drain(bufferevent_get_input(events), READ_AHEAD);
 }
 
+/* Refuses a request whose body could not be taken in. It was not run. */
+static void refuse_body(Connection *connection) {
+  Refusal refusal = {REFUSAL_BUSY, BODY_RETRY_MS};
+  const Dialect *dialect = connection->front->dialect;
+  const FrontFlowHooks *hooks = &connection->front->flow_hooks;
+  CallerHead parsed;
+  char *body = NULL;
+  HttpHead *head;
+  const char *id = dialect->read_caller(connection->head, &parsed, NULL)
+                       ? parsed.request.id
+                       : NULL;
+  hooks->body_refused(hooks->data, id, announced_body(connection->head),
+                      flow_held(connection->front->flow));
+  connection->front->bodies_refused++;
+  head = dialect->write_refusal(&refusal, id, &body);
+  caller_head_clear(&parsed);
+  connection->lingers = TRUE;
+  write_response(connection, head, body, strlen(body), TRUE);
+  http_head_free(head);
+  g_free(body);
+  close_when_flushed(connection);
+}
+
+/* Takes a body in that was held back, or refuses its request. */
+static void review_body(Connection *connection, gint64 now) {
+  gboolean fits = flow_set_body(connection->front->flow, connection->flow,
+                                announced_body(connection->head), TRUE);
+  if (!fits && now - connection->body_held_at < FLOW_HELD_MAX)
+    return;
+  connection->body_held_at = 0;
+  bufferevent_enable(connection->events, EV_READ);
+  if (fits)
+    bufferevent_trigger(connection->events, EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  else
+    refuse_body(connection);
+}
+
+/* Reviews the bodies that are held back. A review may close a connection. */
+static void review_bodies(const Front *front, gint64 now) {
+  GList *all = g_hash_table_get_keys(front->connections);
+  GList *one;
+  for (one = all; one != NULL; one = one->next) {
+    Connection *connection = one->data;
+    if (connection->body_held_at != 0 &&
+        connection->state == CONNECTION_READING)
+      review_body(connection, now);
+  }
+  g_list_free(all);
+}
+
+static void on_flow_timer(evutil_socket_t fd, short what, void *data) {
+  const Front *front = data;
+  gint64 now = clock_now();
+  (void)fd;
+  (void)what;
+  flow_tick(front->flow, now);
+  review_bodies(front, now);
+}
+
 /* Half-closes a connection, and begins to discard its input. */
 static void linger(Connection *connection) {
   connection->state = CONNECTION_LINGERING;
@@ -585,6 +662,28 @@
   g_free(front);
 }
 
+void front_control_flow(Front *front, const FlowLimits *limits,
+                        const FrontFlowHooks *hooks) {
+  FlowHooks own = {hooks->data, hooks->pause, hooks->paused, NULL};
+  struct timeval interval = {0, FLOW_TICK_INTERVAL};
+  g_assert(front->flow == NULL);
+  g_assert(g_hash_table_size(front->connections) == 0);
+  front->flow_hooks = *hooks;
+  own.abort = on_flow_abort;
+  front->flow = flow_control_new(limits, &own, front);
+  front->flow_timer =
+      event_new(front->base, -1, EV_PERSIST, on_flow_timer, front);
+  event_add(front->flow_timer, &interval);
+}
+
+guint64 front_bodies_refused(const Front *front) {
+  return front->bodies_refused;
+}
+
+const FlowControl *front_flow(const Front *front) {
+  return front->flow;
+}
+
 void front_set_limits(Front *front, const CallerLimits *limits) {
   if (limits->max_head_bytes > 0)
     front->limits.max_head_bytes = limits->max_head_bytes;
--- a/io/front.h
+++ b/io/front.h
@@ -5,11 +5,11 @@
 ** It transports heads and bodies, which the dialect and the router interpret.
 ** A connection carries one request at a time. The request is received
 ** completely before it is handed to the user of the server (FrontHooks). It is
-** identified by a number, which is valid until its response has ended or its
-** caller has disconnected or was aborted by flow control; functions that get a
-*number that is not valid do
-** nothing. Invariants: bytes of a response are written only to the connection
-** of their request, and a connection whose response was aborted is closed.
+** identified by a number, which is valid until its response has ended, its
+** caller has disconnected or flow control has aborted it; functions that get a
+** number that is not valid do nothing. Invariants: bytes of a response are
+** written only to the connection of their request, and a connection whose
+** response was aborted is closed.
 ** Used by gateway.c.
 */
 
@@ -65,11 +65,17 @@
   ** was not, 'hangup' follows. */
   void (*aborted)(void *data, guint64 number, FlowReason reason,
                   const FlowReader *reader, guint64 total);
+  /* A request was refused because there was no memory for its body. 'id' is
+  ** NULL if its head is invalid. */
+  void (*body_refused)(void *data, const char *id, guint64 size, guint64 held);
 } FrontFlowHooks;
 
 /* Switches flow control on (flow_control.h), before the event loop runs. */
 void front_control_flow(Front *front, const FlowLimits *limits,
                         const FrontFlowHooks *hooks);
+/* The number of requests refused since the start for lack of memory for their
+** bodies. */
+guint64 front_bodies_refused(const Front *front);
 /* The state of flow control; NULL: it is off. */
 const FlowControl *front_flow(const Front *front);
 
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -369,9 +369,18 @@
     caller_head_clear(&parsed);
 }
 
+static void on_body_refused(void *data, const char *id, guint64 size,
+                            guint64 held) {
+  const Gateway *gateway = data;
+  log_numbered(gateway->log, MP_LOG_BODY_REFUSED,
+               " request=%s size=%" G_GUINT64_FORMAT
+               " held=%" G_GUINT64_FORMAT,
+               id != NULL ? id : "-", size, held);
+}
+
 static void control_flow(Gateway *gateway, const GatewayOptions *options) {
   FrontFlowHooks hooks = {gateway, on_flow_pause, on_flow_paused,
-                          on_flow_aborted};
+                          on_flow_aborted, on_body_refused};
   FlowLimits limits = flow_limits(options->unread_bound);
   if (limits.bound == 0)
     return;
@@ -407,6 +416,8 @@
   const FlowControl *flow = front_flow(gateway->front);
   int reason;
   counts->held_bytes = flow != NULL ? flow_total(flow) : 0;
+  counts->body_bytes = flow != NULL ? flow_held(flow) - flow_total(flow) : 0;
+  counts->bodies_refused = front_bodies_refused(gateway->front);
   counts->paused_reads = flow != NULL ? flow_paused(flow) : 0;
   for (reason = 0; reason < FLOW_REASON_COUNT; reason++)
     counts->flow_aborts[reason] =
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -51,9 +51,9 @@
                           ** time after the store has confirmed it; timeouts
                           ** of relays follow from it (router/relay_group.h) */
   gboolean overload_control; /* as in RouterOptions */
-  guint64 unread_bound;  /* bytes of answers that callers may leave unread over
-                         ** all connections (io/flow_control.h); 0: flow control
-                         ** is off */
+  guint64 unread_bound;  /* bytes of answers that callers have not read, and of
+                         ** bodies of requests, over all connections
+                         ** (io/flow_control.h); 0: flow control is off */
   LimitTolerance limits; /* by how much the limits of client accounts may be
                          ** exceeded over all instances */
   gint64 revoke_within;  /* longest time for which a revoked key of a client
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -70,6 +70,10 @@
                            ** its requests, for a time that is not over */
   guint64 held_bytes;      /* bytes of answers that callers have not read; the
                            ** present value */
+  guint64 body_bytes;      /* bytes of requests' bodies, two copies of each;
+                           ** the present value */
+  guint64 bodies_refused;  /* requests refused for lack of memory for their
+                           ** bodies */
   guint paused_reads;      /* endpoints' answers that are not read on, because
                            ** their callers read slowly */
   guint64 flow_aborts[FLOW_REASON_COUNT]; /* connections of slow callers that
--- a/test/test_flow_control.cc
+++ b/test/test_flow_control.cc
@@ -84,6 +84,15 @@
       2);
 }
 
+/* Large bodies beside large answers would exceed the memory; but one must
+** always be taken, or a small bound would refuse it for ever. */
+TEST(FlowDecision, ABodyIsTakenInIfItsCopiesFit) {
+  FlowLimits limits = flow_limits(10 * mb);
+  EXPECT_TRUE(flow_takes_body(&limits, 2 * mb, mb, 4 * mb));
+  EXPECT_FALSE(flow_takes_body(&limits, 2 * mb + 1, mb, 4 * mb));
+  EXPECT_TRUE(flow_takes_body(&limits, 9 * mb, 0, 8 * mb));
+}
+
 /* A caller that has just been sent a large answer, or that reads it at a good
 ** rate, must not pay for the slow ones. */
 TEST(FlowDecision, QuickCallersAreNeverAborted) {
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -20,8 +20,9 @@
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
   AdapterCounts carriers = {
-      7,  11, 2,  {}, 1, 2, 3,     "relay", 250 * ms,  TRUE, 5, 4,  6,  7, 10,
-      12, 13, 14, 3,  2, 1, 70000, 2,       {5, 6, 7}, 9,    8, {}, {}, 3};
+      7,    11, 2, {},        1,  2,  3,  "relay", 250 * ms, TRUE, 5,
+      4,    6,  7, 10,        12, 13, 14, 3,       2,        1,    70000,
+      4000, 9,  2, {5, 6, 7}, 9,  8,  {}, {},      3};
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
   carriers.known_positions[STORE_ENDPOINTS] = store_position(2, 31);
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
@@ -59,6 +60,8 @@
         "madderpier_endpoint_rates_unreadable_total 0",
         "madderpier_endpoint_signals_unreadable_total 0",
         "madderpier_unread_bytes 70000",
+        "madderpier_body_bytes 4000",
+        "madderpier_bodies_refused_total 9",
         "madderpier_paused_reads 2",
         "madderpier_slow_callers_aborted_total{reason=\"bound\"} 5",
         "madderpier_slow_callers_aborted_total{reason=\"held\"} 6",
--- a/test/test_slow_callers.cc
+++ b/test/test_slow_callers.cc
@@ -41,12 +41,14 @@
   std::map<guint64, OutcomeKind> ended;  /* request -> last outcome */
   gboolean stream = TRUE;
   int paused_reports = 0;
-  guint64 most = 0; /* unread bytes of all callers */
+  std::vector<std::string> refused; /* ids of requests with too large bodies */
+  bool sends = true;                /* requests to the endpoint */
+  guint64 most = 0;                 /* unread bytes of all callers */
 
   void SetUp() override {
     signal(SIGPIPE, SIG_IGN); /* as the daemon does */
     FrontHooks hooks = {this, on_request, on_hangup, on_bad_input};
-    FrontFlowHooks flow = {this, on_pause, on_paused, on_aborted};
+    FrontFlowHooks flow = {this, on_pause, on_paused, on_aborted, on_refused};
     EndpointLinksHooks link_hooks = {this, on_outcome, on_signals, on_counted,
                                      keeps};
     FlowLimits limits = flow_limits(bound);
@@ -84,6 +86,8 @@
     one.connect_timeout = 500 * MP_MS;
     self->requests.push_back(number);
     self->request_of[one.number] = number;
+    if (!self->sends)
+      return;
     endpoint_links_send(self->links, &one, head,
                         front_request_body(self->front, number));
   }
@@ -103,6 +107,9 @@
                          const FlowReader *, guint64) {
     self_of(data)->aborted[request] = reason;
   }
+  static void on_refused(void *data, const char *id, guint64, guint64) {
+    self_of(data)->refused.emplace_back(id);
+  }
   static void on_outcome(void *data, const Outcome *outcome) {
     SlowCallers *self = self_of(data);
     guint64 request = self->request_of[outcome->dispatch];
@@ -306,6 +313,49 @@
       wait([&] { return callers[1]->got.find("two") != std::string::npos; }));
 }
 
+/*
+** Bodies that wait for a slow endpoint must not fill the memory: a further one
+** is not taken in, then refused as not run; and taken in when there is room.
+*/
+TEST_F(SlowCallers, ABodyIsHeldBackWhileOthersFillTheMemory) {
+  const std::string body(1500 << 10, 'z');
+  std::vector<size_t> sent(3);
+  sends = false;
+  auto upload = [&](size_t i, const std::string &id) {
+    callers.push_back(loopback::call(address));
+    callers[i]->send_text(
+        "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id +
+        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+  };
+  auto feed = [&] {
+    for (size_t i = 0; i < callers.size(); i++) {
+      ssize_t n = send(callers[i]->fd, body.data() + sent[i],
+                       body.size() - sent[i], MSG_NOSIGNAL | MSG_DONTWAIT);
+      sent[i] += n > 0 ? static_cast<size_t>(n) : 0;
+    }
+  };
+  upload(0, "r1");
+  EXPECT_TRUE(wait([&] { return requests.size() == 1; }, 2, feed));
+  upload(1, "r2");
+  EXPECT_FALSE(wait([&] { return requests.size() == 2; }, 1, feed));
+  EXPECT_LE(flow_held(front_flow(front)), bound);
+  ASSERT_TRUE(wait([&] { return refused.size() == 1; }, 3, feed));
+  EXPECT_EQ(refused[0], "r2");
+  EXPECT_TRUE(wait([&] {
+    return callers[1]->got.find("503") != std::string::npos &&
+           callers[1]->got.find("not run:") != std::string::npos &&
+           callers[1]->got.find("Retry-After") != std::string::npos;
+  }));
+  upload(2, "r3");
+  EXPECT_FALSE(wait([&] { return requests.size() == 2; }, 1, feed));
+  HttpHead *head = http_head_new_response(200);
+  front_send_response(front, requests[0], head, "", 0);
+  http_head_free(head);
+  ASSERT_TRUE(wait([&] { return requests.size() == 2; }, 2, feed));
+  EXPECT_EQ(front_request_body(front, requests[1])->len, body.size());
+  EXPECT_EQ(front_bodies_refused(front), 1u);
+}
+
 /*
 ** An answer that was complete has been earned: it waits for its caller. But
 ** many of them must not fill the memory, and quick callers beside them must
