Carried calls: test that a paused stream is whole after its carrier has closed

Cause: no test covered a pause on a connection through a carrier, whose end is a record that is read late.

Change: a test with a real carrier on loopback. Conclusion: no change of the code was needed.

--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -101,6 +101,7 @@
                    bool is_carried = true) {
     Dispatch one = {};
     one.number = ++last;
+    one.request = one.number;
     one.kind = kind;
     one.address = endpoint.address;
     one.via = is_carried ? carrier : 0;
@@ -203,6 +204,27 @@
   EXPECT_EQ(ended(cut).kind, OUTCOME_BROKEN);
 }
 
+/* While a stream is paused, its carrier may end: neither what it has sent nor
+** the end of the stream may be lost. */
+TEST_F(Carry, PausedStreamIsWholeAfterTheCarrierHasClosed) {
+  guint64 number = dispatch(DISPATCH_RUN, true);
+  Peer *peer = asked(0);
+  ASSERT_NE(peer, nullptr);
+  peer->send_text("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: r1\r\n"
+                  "Content-Type: text/event-stream\r\n\r\n"
+                  "id: 1\ndata: a\n\n");
+  ASSERT_TRUE(wait([&] { return told[number].size() == 2; }));
+  endpoint_links_pause(links, number, TRUE);
+  peer->send_text("id: 2\ndata: b\n\n");
+  peer->close_now();
+  EXPECT_TRUE(wait([&] { return carry_server_count(server) == 0; }));
+  EXPECT_EQ(told[number].size(), 2u);
+  endpoint_links_pause(links, number, FALSE);
+  EXPECT_EQ(ended(number).kind, OUTCOME_STREAM_END);
+  ASSERT_EQ(told[number].size(), 4u);
+  EXPECT_EQ(told[number][2].bytes, "id: 2\ndata: b\n\n");
+}
+
 TEST_F(Carry, AnswerBeforeTheRequestWasReadIsPassedOn) {
   std::string sent(3 << 20, 'q');
   g_byte_array_append(body, reinterpret_cast<const guint8 *>(sent.data()),
