Bodies that are held back are only looked for while there are any

Cause: with flow control, every tick of 100 ms listed all connections of callers to look for bodies that are held back, also when there were none.

Change: a flag says whether there may be one. Conclusion: the 7 tests of SlowCallers and the scenario slow_callers pass.

--- a/io/front.c
+++ b/io/front.c
@@ -70,6 +70,7 @@
   FlowControl *flow;       /* NULL: flow control is off */
   FrontFlowHooks flow_hooks;
   guint64 bodies_refused;
+  gboolean holds_bodies;    /* a connection may have body_held_at set */
   struct event *flow_timer; /* NULL: flow control is off */
 };
 
@@ -328,9 +329,11 @@
   if (connection->flow == NULL)
     return;
   size = announced_body(connection->head);
-  if (!flow_set_body(connection->front->flow, connection->flow, size,
-                     size > HELD_BODY_MIN))
-    connection->body_held_at = clock_now();
+  if (flow_set_body(connection->front->flow, connection->flow, size,
+                    size > HELD_BODY_MIN))
+    return;
+  connection->body_held_at = clock_now();
+  connection->front->holds_bodies = TRUE;
 }
 
 static void on_head(void *data, HttpHead *head) {
@@ -457,20 +460,26 @@
 }
 
 /* Reviews the bodies that are held back. A review may close a connection. */
-static void review_bodies(const Front *front, gint64 now) {
-  GList *all = g_hash_table_get_keys(front->connections);
+static void review_bodies(Front *front, gint64 now) {
+  GList *all;
   GList *one;
+  if (!front->holds_bodies)
+    return;
+  front->holds_bodies = FALSE;
+  all = g_hash_table_get_keys(front->connections);
   for (one = all; one != NULL; one = one->next) {
     Connection *connection = one->data;
-    if (connection->body_held_at != 0 &&
-        connection->state == CONNECTION_READING)
-      review_body(connection, now);
+    if (connection->body_held_at == 0 ||
+        connection->state != CONNECTION_READING)
+      continue;
+    review_body(connection, now);
+    front->holds_bodies = TRUE; /* it may still be held back */
   }
   g_list_free(all);
 }
 
 static void on_flow_timer(evutil_socket_t fd, short what, void *data) {
-  const Front *front = data;
+  Front *front = data;
   gint64 now = clock_now();
   (void)fd;
   (void)what;
