--- a/io/front.c
+++ b/io/front.c
@@ -17,6 +17,7 @@
 #include <event2/listener.h>
 
 #include "http/reader.h"
+#include "io/clock.h"
 #include "io/front.h"
 #include "io/sockets.h"
 
@@ -32,6 +33,21 @@
 #define LINGER_SECONDS 1
 #define LISTEN_BACKLOG 512
 
+/* Bytes that the kernel may hold for a caller while flow control is on, of
+** which it reserves twice as many. Without this it reserves up to 4 MB, which
+** count as memory of the instance; with it, 10 Mbit/s fit into 100 ms. */
+#define SEND_BUFFER (128 << 10)
+
+/* With its header of libevent, a block of this many bytes takes 16 KB. */
+#define BODY_BLOCK ((16 << 10) - 64)
+
+/* Larger bodies are held back while there is no memory for them; smaller ones
+** arrive within one or two reads. */
+#define HELD_BODY_MIN READ_AHEAD
+/* Retry-After of a request whose body could not be taken in (ms): a request
+** that holds a large body is in most cases done by then */
+#define BODY_RETRY_MS 1000
+
 /* limits that hold until a configuration sets them */
 #define DEFAULT_HEAD_BYTES (16 << 10)
 #define DEFAULT_BODY_BYTES (4 << 20)
@@ -51,6 +67,11 @@
   gboolean is_draining;    /* a planned stop has begun: front_drain */
   GHashTable *connections; /* set of Connection, which it owns */
   GHashTable *open;        /* number of an open request -> Connection */
+  FlowControl *flow;       /* NULL: flow control is off */
+  FrontFlowHooks flow_hooks;
+  guint64 bodies_refused;
+  gboolean holds_bodies;    /* a connection may have body_held_at set */
+  struct event *flow_timer; /* NULL: flow control is off */
 };
 
 typedef enum ConnectionState {
@@ -66,12 +87,81 @@
   struct bufferevent *events;
   HttpReader *reader;
   ConnectionState state;
-  guint64 number;   /* of the open request; 0: none */
-  HttpHead *head;   /* of the request; NULL until it is received */
-  GByteArray *body; /* of the request */
-  gboolean lingers; /* input was rejected: discard what still arrives */
+  guint64 number;       /* of the open request; 0: none */
+  HttpHead *head;       /* of the request; NULL until it is received */
+  GByteArray *body;     /* of the request */
+  gboolean lingers;     /* input was rejected: discard what still arrives */
+  FlowConnection *flow; /* NULL: flow control is off */
+  gint64 body_held_at;  /* since when its body is held back; 0: it is not */
 } Connection;
 
+/*
+** {==================================================================
+** Flow control
+** ===================================================================
+*/
+
+/* Reports what was added to the output of a connection, or has left it. */
+static void on_output_change(struct evbuffer *out,
+                             const struct evbuffer_cb_info *info, void *data) {
+  const Connection *connection = data;
+  FlowControl *flow = connection->front->flow;
+  gint64 now = clock_now();
+  (void)out;
+  flow_wrote(flow, connection->flow, info->n_added, now);
+  flow_read(flow, connection->flow, info->n_deleted, now);
+}
+
+static void begin_flow_control(Connection *connection, evutil_socket_t fd) {
+  int size = SEND_BUFFER;
+  if (connection->front->flow == NULL)
+    return;
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+  connection->flow = flow_add(connection->front->flow, connection);
+  evbuffer_add_cb(bufferevent_get_output(connection->events), on_output_change,
+                  connection);
+}
+
+static void end_flow_control(Connection *connection) {
+  if (connection->flow == NULL)
+    return;
+  evbuffer_remove_cb(bufferevent_get_output(connection->events),
+                     on_output_change, connection);
+  flow_remove(connection->front->flow, connection->flow);
+}
+
+/* Sets the request whose response is counted from now on; 0: none. */
+static void set_flow_request(const Connection *connection, guint64 number) {
+  if (connection->flow != NULL)
+    flow_set_request(connection->front->flow, connection->flow, number, 0);
+}
+
+/* Was the connection aborted by flow control? It is closed from the event
+** loop soon. */
+static gboolean is_aborted(const Connection *connection) {
+  return connection->flow != NULL && flow_is_aborted(connection->flow);
+}
+
+/*
+** Aborts a connection. The kernel discards what it holds for the caller, which
+** sees a reset. The connection is closed from the event loop, because this is
+** called while the user of the server sends a response.
+*/
+static void on_flow_abort(void *data, gpointer owner, guint64 number,
+                          FlowReason reason, const FlowReader *reader,
+                          guint64 total) {
+  const Front *front = data;
+  const Connection *connection = owner;
+  struct linger discard = {1, 0};
+  evutil_socket_t fd = bufferevent_getfd(connection->events);
+  front->flow_hooks.aborted(front->flow_hooks.data, number, reason, reader,
+                            total);
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  shutdown(fd, SHUT_RDWR);
+}
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** Lifetime of a connection
@@ -80,6 +170,7 @@
 
 static void connection_free(gpointer p) {
   Connection *connection = p;
+  end_flow_control(connection);
   bufferevent_free(connection->events);
   http_reader_free(connection->reader);
   http_head_free(connection->head);
@@ -112,7 +203,10 @@
 static void forget_request(Connection *connection) {
   if (connection->number != 0)
     g_hash_table_remove(connection->front->open, &connection->number);
+  set_flow_request(connection, 0);
   connection->number = 0;
+  if (connection->flow != NULL)
+    flow_set_body(connection->front->flow, connection->flow, 0, FALSE);
   http_head_free(connection->head);
   connection->head = NULL;
   g_byte_array_set_size(connection->body, 0);
@@ -177,6 +271,18 @@
           g_ascii_strcasecmp(connection->head->method, "HEAD") == 0);
 }
 
+/*
+** Writes a body. With flow control, its memory is freed block by block as the
+** caller reads it; libevent would put a body that is added at once into one
+** block of up to twice its size, which is freed when all of it has been read.
+*/
+static void write_body(Connection *connection, const char *body, gsize size) {
+  gsize block = connection->flow != NULL ? BODY_BLOCK : size;
+  gsize at;
+  for (at = 0; at < size; at += block)
+    bufferevent_write(connection->events, body + at, MIN(block, size - at));
+}
+
 static void write_response(Connection *connection, const HttpHead *from,
                            const char *body, gsize size, gboolean close) {
   HttpHead *head = response_head(from, close);
@@ -185,7 +291,7 @@
     http_head_add_number(head, "Content-Length", (gint64)size);
   write_head(connection, head);
   if (!bare && size > 0)
-    bufferevent_write(connection->events, body, size);
+    write_body(connection, body, size);
   http_head_free(head);
 }
 
@@ -211,15 +317,44 @@
 ** ===================================================================
 */
 
+/* The size of the body that the head announces; 0: none, or not known. */
+static guint64 announced_body(const HttpHead *head) {
+  const char *length = http_head_get(head, "Content-Length");
+  return length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
+}
+
+/* Begins to take a body in, or holds it back while there is no memory. */
+static void begin_body(Connection *connection) {
+  guint64 size;
+  if (connection->flow == NULL)
+    return;
+  size = announced_body(connection->head);
+  if (flow_set_body(connection->front->flow, connection->flow, size,
+                    size > HELD_BODY_MIN))
+    return;
+  connection->body_held_at = clock_now();
+  connection->front->holds_bodies = TRUE;
+}
+
 static void on_head(void *data, HttpHead *head) {
   Connection *connection = data;
   http_head_free(connection->head);
   connection->head = head;
+  begin_body(connection);
+}
+
+/* Counts a body whose size was not announced. */
+static void count_body(const Connection *connection) {
+  if (connection->flow != NULL &&
+      connection->body->len > announced_body(connection->head))
+    flow_set_body(connection->front->flow, connection->flow,
+                  connection->body->len, FALSE);
 }
 
 static void on_body(void *data, const char *bytes, size_t size) {
   Connection *connection = data;
   g_byte_array_append(connection->body, (const guint8 *)bytes, (guint)size);
+  count_body(connection);
 }
 
 /* Hands a request that was received completely to the user of the server. */
@@ -228,6 +363,7 @@
   connection->state = CONNECTION_OPEN;
   connection->number = ++front->last_number;
   g_hash_table_insert(front->open, &connection->number, connection);
+  set_flow_request(connection, connection->number);
   set_read_timeout(connection, 0);
   front->hooks.request(front->hooks.data, connection->number,
                        connection->head);
@@ -255,7 +391,7 @@
   struct evbuffer *in = bufferevent_get_input(connection->events);
   HttpReader *reader = connection->reader;
   while (connection->state == CONNECTION_READING &&
-         evbuffer_get_length(in) > 0) {
+         connection->body_held_at == 0 && evbuffer_get_length(in) > 0) {
     size_t size = evbuffer_get_contiguous_space(in);
     const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
     size_t used = http_reader_feed(reader, bytes, size);
@@ -269,6 +405,10 @@
       return;
     }
   }
+  if (connection->body_held_at != 0) {
+    bufferevent_disable(connection->events, EV_READ);
+    return;
+  }
   if (http_reader_state(reader) == HTTP_READER_PARTIAL)
     set_read_timeout(connection, connection->front->limits.head_timeout);
 }
@@ -281,6 +421,72 @@
     evbuffer_drain(bufferevent_get_input(events), READ_AHEAD);
 }
 
+/* Refuses a request whose body could not be taken in. It was not run. */
+static void refuse_body(Connection *connection) {
+  Refusal refusal = {REFUSAL_BUSY, BODY_RETRY_MS};
+  const Dialect *dialect = connection->front->dialect;
+  const FrontFlowHooks *hooks = &connection->front->flow_hooks;
+  CallerHead parsed;
+  char *body = NULL;
+  HttpHead *head;
+  const char *id = dialect->read_caller(connection->head, &parsed, NULL)
+                       ? parsed.request.id
+                       : NULL;
+  hooks->body_refused(hooks->data, id, announced_body(connection->head),
+                      flow_held(connection->front->flow));
+  connection->front->bodies_refused++;
+  head = dialect->write_refusal(&refusal, id, &body);
+  caller_head_clear(&parsed);
+  connection->lingers = TRUE;
+  write_response(connection, head, body, strlen(body), TRUE);
+  http_head_free(head);
+  g_free(body);
+  close_when_flushed(connection);
+}
+
+/* Takes a body in that was held back, or refuses its request. */
+static void review_body(Connection *connection, gint64 now) {
+  gboolean fits = flow_set_body(connection->front->flow, connection->flow,
+                                announced_body(connection->head), TRUE);
+  if (!fits && now - connection->body_held_at < FLOW_HELD_MAX)
+    return;
+  connection->body_held_at = 0;
+  bufferevent_enable(connection->events, EV_READ);
+  if (fits)
+    bufferevent_trigger(connection->events, EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  else
+    refuse_body(connection);
+}
+
+/* Reviews the bodies that are held back. A review may close a connection. */
+static void review_bodies(Front *front, gint64 now) {
+  GList *all;
+  GList *one;
+  if (!front->holds_bodies)
+    return;
+  front->holds_bodies = FALSE;
+  all = g_hash_table_get_keys(front->connections);
+  for (one = all; one != NULL; one = one->next) {
+    Connection *connection = one->data;
+    if (connection->body_held_at == 0 ||
+        connection->state != CONNECTION_READING)
+      continue;
+    review_body(connection, now);
+    front->holds_bodies = TRUE; /* it may still be held back */
+  }
+  g_list_free(all);
+}
+
+static void on_flow_timer(evutil_socket_t fd, short what, void *data) {
+  Front *front = data;
+  gint64 now = clock_now();
+  (void)fd;
+  (void)what;
+  flow_tick(front->flow, now);
+  review_bodies(front, now);
+}
+
 /* Half-closes a connection, and begins to discard its input. */
 static void linger(Connection *connection) {
   connection->state = CONNECTION_LINGERING;
@@ -335,6 +541,7 @@
   bufferevent_setwatermark(connection->events, EV_READ, 0, READ_AHEAD);
   bufferevent_setcb(connection->events, on_read, on_write, on_event,
                     connection);
+  begin_flow_control(connection, fd);
   g_hash_table_add(front->connections, connection);
   set_read_timeout(connection, front->limits.idle_timeout);
   bufferevent_enable(connection->events, EV_READ | EV_WRITE);
@@ -389,7 +596,7 @@
                       gsize size) {
   Connection *connection = find_connection(front, number);
   struct evbuffer *out;
-  if (connection == NULL || size == 0)
+  if (connection == NULL || size == 0 || is_aborted(connection))
     return;
   out = bufferevent_get_output(connection->events);
   evbuffer_add_printf(out, "%zx\r\n", (size_t)size);
@@ -457,9 +664,35 @@
     evconnlistener_free(front->listener);
   g_hash_table_destroy(front->open);
   g_hash_table_destroy(front->connections);
+  if (front->flow != NULL) {
+    event_free(front->flow_timer);
+    flow_control_free(front->flow);
+  }
   g_free(front);
 }
 
+void front_control_flow(Front *front, const FlowLimits *limits,
+                        const FrontFlowHooks *hooks) {
+  FlowHooks own = {hooks->data, hooks->pause, hooks->paused, NULL};
+  struct timeval interval = {0, FLOW_TICK_INTERVAL};
+  g_assert(front->flow == NULL);
+  g_assert(g_hash_table_size(front->connections) == 0);
+  front->flow_hooks = *hooks;
+  own.abort = on_flow_abort;
+  front->flow = flow_control_new(limits, &own, front);
+  front->flow_timer =
+      event_new(front->base, -1, EV_PERSIST, on_flow_timer, front);
+  event_add(front->flow_timer, &interval);
+}
+
+guint64 front_bodies_refused(const Front *front) {
+  return front->bodies_refused;
+}
+
+const FlowControl *front_flow(const Front *front) {
+  return front->flow;
+}
+
 void front_set_limits(Front *front, const CallerLimits *limits) {
   if (limits->max_head_bytes > 0)
     front->limits.max_head_bytes = limits->max_head_bytes;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -111,6 +111,24 @@
       counts->resting_endpoints, counts->waiting, counts->waiting_in_time);
 }
 
+static void write_flow(GString *text, const AdapterCounts *counts) {
+  int reason;
+  g_string_append_printf(text,
+                         "madderpier_unread_bytes %" G_GUINT64_FORMAT "\n"
+                         "madderpier_body_bytes %" G_GUINT64_FORMAT "\n"
+                         "madderpier_bodies_refused_total %" G_GUINT64_FORMAT
+                         "\n"
+                         "madderpier_paused_reads %u\n",
+                         counts->held_bytes, counts->body_bytes,
+                         counts->bodies_refused, counts->paused_reads);
+  for (reason = 0; reason < FLOW_REASON_COUNT; reason++)
+    g_string_append_printf(
+        text,
+        "madderpier_slow_callers_aborted_total{reason=\"%s\"} "
+        "%" G_GUINT64_FORMAT "\n",
+        flow_reason_name((FlowReason)reason), counts->flow_aborts[reason]);
+}
+
 /* by StoreKind */
 static const char *const kind_names[MP_RELAY_KINDS] = {
     "configuration", "endpoints", "instances", "quarantine"};
@@ -173,6 +191,7 @@
   write_router(text, router);
   write_priorities(text, router);
   write_adapters(text, counts);
+  write_flow(text, counts);
   write_lags(text, counts);
   write_positions(text, counts);
   write_bad_objects(text, counts);
