Account limits: a smaller part of the tolerance for pending requests

Ruled out: a part of 0.4, with which an account below its limit was refused 6% while its requests waited for up to 5 s. Change: PENDING_TOLERANCE_SHARE is 0.65 in place of 0.7. Conclusion: the bound is kept with little margin in this case; the tests are deterministic.

--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -22,9 +22,10 @@
 /* What is pending lowers the largest level of a bucket only as far as it
 ** exceeds this part of the tolerance, so that accounts below their limit lose
 ** nothing while their requests wait. The rest is for the floor and for what is
-** on its way. With 0.4, an account at 0.56 of a limit of 185,000 tokens a
-** second whose requests waited for up to 5 s was refused 6%. */
-#define PENDING_TOLERANCE_SHARE 0.7
+** on its way. With 0.7 the bound was just exceeded with one of 13 seeds of the
+** tests; with 0.4, an account at 0.56 of a limit of 185,000 tokens a second
+** whose requests waited for up to 5 s was refused 6%. */
+#define PENDING_TOLERANCE_SHARE 0.65
 /* A refund that was not spent after this time is given up. The bound does not
 ** depend on it: until then the refund counts as pending. A request of one
 ** account reaches an instance every 1 to 3 s in a flood at 71 instances. */
