Admission: requests of accounts that are over their share start later

Cause: account_shares.c decides, and nothing used it. Ruled out: asking with each comparison of two requests: it takes a hash lookup. Change: Request.over_share is set at entry and at each review, and is an input of the order.

--- a/router/admission.c
+++ b/router/admission.c
@@ -154,7 +154,7 @@
   input.objective = request->route->objective;
   input.is_prefilled = request->handle != NULL;
   input.priority = is_ranked(request) ? request->priority : 0;
-  input.over_share = FALSE; /* shares of accounts are not known yet */
+  input.over_share = request->over_share;
   input.expected_output =
       router->overload_control ? request->expected_output : 0;
   return admission_order_rank(&input, now);
@@ -661,6 +661,7 @@
 void admission_enter(Router *router, Request *request, gint64 now) {
   guint place;
   request->queued_at = now;
+  request->over_share = accounts_is_over_share(router, request, now);
   estimate_first_attempt(router, request);
   if (refuse_at_entry(router, request, now))
     return;
@@ -728,6 +729,7 @@
 }
 
 void admission_review(Router *router, Request *request, gint64 now) {
+  request->over_share = accounts_is_over_share(router, request, now);
   if (request->handle != NULL && now >= request->handle_until)
     prefill_drop_handle(router, request, now); /* the prompt will be read
                                                ** again */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -454,7 +454,7 @@
   else if (router->overload_control && may_be_rejected(router, request, now))
     endpoint->avoid_until = MAX(endpoint->avoid_until, now + REJECTED_PAUSE);
   else /* it may be about to change its stage */
-    endpoint_note_unreachable(endpoint, now);
+    endpoint_note_rejected(endpoint, now);
 }
 
 /* Records a failed prefill at the engine, and charges a rejected one to the
@@ -476,8 +476,6 @@
     return;
   if (outcome->kind == OUTCOME_UNREACHABLE)
     endpoint_note_unreachable(endpoint, now);
-  else if (outcome->kind == OUTCOME_NOT_RUN)
-    endpoint_note_rejected(endpoint, now);
   else
     endpoint_note_failure(endpoint, now);
   if (outcome->kind == OUTCOME_BROKEN)
--- a/router/state.h
+++ b/router/state.h
@@ -151,8 +151,8 @@
   guint priority;          /* request_priority */
   gboolean preempts;       /* it was sent to an engine without room for it, to
                            ** displace a less urgent run there */
-  gint64 queued_at; /* when it came to wait for room, last */
-  gint64 waited;    /* how long it has waited for room before that, us */
+  gint64 queued_at;        /* when it came to wait for room, last */
+  gint64 waited; /* how long it has waited for room before that, us */
   guint64 session;
   gint64 arrived;
   gint64 caller_deadline; /* when the caller stops waiting */
@@ -172,6 +172,8 @@
                          ** rates (shortage.c) */
   RefusalKind shortage_reason; /* has_shortage: REST or RATE */
   gint64 start_at; /* PHASE_WAIT: start then if there is room; 0: not set */
+  gboolean over_share; /* its account was over its share when this was last
+                       ** checked: at entry and at each review */
   gboolean is_caller_retry; /* it is taken for its caller's retry
                             ** (patience.h) */
   gint64 first_attempt_at;  /* when its caller tried first, estimated */
