--- a/io/adapters.h
+++ b/io/adapters.h
@@ -75,8 +75,7 @@
 void endpoints_call(Endpoints *E, const mp_EndpointCall *x);
 /*
 ** Performs the effect MP_FX_ENDPOINT_ABORT: aborts the call with the number
-*'xcall'
-** (mp_EndpointCall.xcall). No further event is fed for it.
+** 'xcall' (mp_EndpointCall.xcall). No further event is fed for it.
 */
 void endpoints_abort(Endpoints *E, uint64_t xcall);
 
--- a/router/account_limits.h
+++ b/router/account_limits.h
@@ -121,8 +121,8 @@
 
 /* Writes what this instance has admitted since its start, and what is pending
 ** here, into a digest for the instances that receive its digests. If not all
-*accounts fit, the next digest
-** or summary continues with the following ones. */
+** accounts fit, the next digest or summary continues with the following ones.
+*/
 void account_limits_write(AccountLimits *limits, mp_LoadDigest *out,
                           gint64 now);
 /* Writes a summary for other data centres: what this instance and the
--- a/router/admission.c
+++ b/router/admission.c
@@ -64,8 +64,7 @@
 #define REVIEW_SHARE 0.125
 #define REVIEW_INTERVAL_MIN (20 * MP_MS)
 /* After this share of the objective such a review refuses a request only if
- *its
- ** wait is over. */
+** its wait is over. */
 #define LAST_EARLY_REVIEW_SHARE 0.26
 /* Refused callers are told to retry after RETRY_AFTER_SHARE of their time plus
 ** a random part of RETRY_SPREAD_SHARE; they follow that up to a third of their
--- a/router/estimate.c
+++ b/router/estimate.c
@@ -14,7 +14,7 @@
 ** each of them generates until the next one ends. With 0.3, eight runs of
 ** deployment 1 (prompts of 3,200 tokens, outputs of 900) are planned where the
 ** memory of an engine is used up when each has generated 0.44 of its output.
- */
+*/
 #define RUNNING_SHARE 0.5
 /* Until a stream of the service has ended, its mean output is taken for this
 ** share of the most that the request may generate. */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -12,8 +12,7 @@
 ** until there is one. A decode engine reads a prompt only if no prefill engine
 ** can be used or if it runs nothing, because a prefill delays the runs at its
 ** engine: in a burst, streams with a pause of over 300 ms had seen 5.9
-*prefills
-** at their decode engine, streams without a pause over 100 ms 0.05.
+** prefills at their decode engine, streams without a pause over 100 ms 0.05.
 **
 ** Invariant: of the dispatches of a request that arrive at endpoints, the
 ** first run and the one prefill that reads the prompt cost no retry. Each
@@ -115,8 +114,7 @@
 }
 
 /* Returns the shortest objective of the routes to the request's service, us.
- *It
- ** is looked up once for each configuration. */
+** It is looked up once for each configuration. */
 static gint64 shortest_objective(ServiceState *state, const Request *request) {
   const RouteTable *table = request->table;
   guint i, j;
@@ -269,8 +267,7 @@
 }
 
 /* Returns TRUE if the prompt may be sent to some prefill engine now; the
- *choice
- ** of the engine considers the load of each. */
+** choice of the engine considers the load of each. */
 static gboolean may_prefill(Router *router, const Request *request,
                             gint64 now) {
   if (router->overload_control)
@@ -416,9 +413,8 @@
 }
 
 /* Sends the prompt to another prefill engine, or queues the request for one,
- *or
- ** else sends the request to a decode engine; the retry budget has allowed it;
- ** may end. */
+** or else sends the request to a decode engine; the retry budget has allowed
+** it; may end. */
 static void prefill_elsewhere(Router *router, Request *request, gint64 now) {
   log_prompt_retry(router, request, TRUE);
   if (!prefill_begin(router, request, now) &&
--- a/router/prefill_capacity.c
+++ b/router/prefill_capacity.c
@@ -8,16 +8,13 @@
 #include "router/prefill_capacity.h"
 
 /* A prompt should be read within this share of the objective after it was
- *sent.
- ** The rest is left for the wait in the router, which is at most 0.55 of the
- ** objective (admission.c). With an objective of 0.8 s, prompts of 3,200
- *tokens
- ** and 33.3 tokens per ms this allows four prompts at an engine. */
+** sent. The rest is left for the wait in the router, which is at most 0.55 of
+** the objective (admission.c). With an objective of 0.8 s, prompts of 3,200
+** tokens and 33.3 tokens per ms this allows four prompts at an engine. */
 #define READ_SHARE 0.5
 /* While the retry budget is used up, prompts are sent only to engines of which
 ** at most 1/CERTAIN_SLOTS of the slots are taken: the others may fill up
-*before
-** their load is known here. */
+** before their load is known here. */
 #define CERTAIN_SLOTS 2
 /* The most prompts that are counted at one engine: more places than this for
 ** each engine are no shortage, and the count stays cheap. */
--- a/router/prefill_capacity.h
+++ b/router/prefill_capacity.h
@@ -10,8 +10,7 @@
 **
 ** prefill.c calls this with the load of all instances at an engine, and
 ** endpoint_table.c does when it chooses one. The functions have no state and
-*do
-** not fail. They are made for the load of a burst: several times as many
+** do not fail. They are made for the load of a burst: several times as many
 ** prompts as the engines can read, decided on by up to 300 instances.
 **
 ** Invariant: an engine without load is always allowed, whatever the prompt and
--- a/router/router.c
+++ b/router/router.c
@@ -375,8 +375,7 @@
              " request=%s route=%s service=%s prompt=%u output=%u left_ms=%d "
              "objective_ms=%d session=%" G_GINT64_MODIFIER
              "x parts=%s resumes=%s account=%s over_share=%d "
-             "config_age_ms=%d content=%016" G_GINT64_MODIFIER
-             "x priority=%u",
+             "config_age_ms=%d content=%016" G_GINT64_MODIFIER "x priority=%u",
              request->id, route->name, service, request->prompt_tokens,
              request->output_tokens, (int)((request->expires - now) / MP_MS),
              (int)(route->objective / MP_MS), request->session,
--- a/router/router.h
+++ b/router/router.h
@@ -70,8 +70,8 @@
                          ** 0: not given */
   guint32 prompt_tokens; /* 0: not given */
   guint32 output_tokens; /* the most tokens that may be generated */
-  guint32 length_hint;   /* tokens that the caller expects to be generated, often
-                         ** far off; 0: not given */
+  guint32 length_hint; /* tokens that the caller expects to be generated, often
+                       ** far off; 0: not given */
   guint64 session; /* hash of the last part of the prompt; requests with the
                    ** same one prefer the same prefill engine; 0: none */
   guint32 session_tokens;          /* tokens of that part */
--- a/router/state.h
+++ b/router/state.h
@@ -441,11 +441,9 @@
 ** decode engine stays. */
 gboolean prefill_begin(Router *router, Request *request, gint64 now);
 /* Returns the limit on the load of a decode engine where the request may
- *start:
- ** NULL (none) if a prefill engine can take its prompt now or none can be
- *used,
- ** else that of an idle engine, which can read the prompt itself. Without
- ** Router.overload_control always NULL. */
+** start: NULL (none) if a prefill engine can take its prompt now or none can
+** be used, else that of an idle engine, which can read the prompt itself.
+** Without Router.overload_control always NULL. */
 const PrefillLimit *prefill_decode_limit(Router *router,
                                          const Request *request, gint64 now);
 /* Returns how many prompts like that of the request the prefill engines can
--- a/test/overload_service.h
+++ b/test/overload_service.h
@@ -6,8 +6,7 @@
 ** Callers retry once when they are refused. Engines serve whatever is sent to
 ** them. Where an instance has an urgent request displace a run (event E8021),
 ** the least urgent run of that engine ends later by the time of another
-*prefill
-** and a wait for room.
+** prefill and a wait for room.
 */
 
 #ifndef OVERLOAD_SERVICE_H
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -102,8 +102,8 @@
 struct Client {
   const char *name;
   std::vector<const char *> keys;
-  double rate = 0;  /* tokens per second; 0: no limit */
-  double burst = 0; /* tokens */
+  double rate = 0;   /* tokens per second; 0: no limit */
+  double burst = 0;  /* tokens */
   int priority = -1; /* -1: none stated */
 };
 
--- a/test/test_account_limits.cc
+++ b/test/test_account_limits.cc
@@ -508,8 +508,7 @@
 }
 
 /* Rules out a limit that is lowered twice within one window, the second time
- *at
- ** two thirds of the instances first. */
+** at two thirds of the instances first. */
 TEST_P(AccountLimitClusterTest, LimitLoweredTwiceHoldsAfterOneWindow) {
   cluster->waits = {0, 1 * second, 0.25};
   cluster->run(4 * second, 6 * rate);
--- a/test/test_account_shares.cc
+++ b/test/test_account_shares.cc
@@ -37,8 +37,7 @@
 
 /* Guards against one account that sends seven times its usual amount and
 ** takes the room of all others while requests wait: engines complete 1,600,
-*and
-** in order of arrival all get 0.73 of what they ask for. */
+** and in order of arrival all get 0.73 of what they ask for. */
 TEST(AccountShares, AnAccountThatSendsSevenTimesItsUsualAmountIsOver) {
   auto accounts = equal_accounts();
   accounts[3].demand = 700;
@@ -51,8 +50,7 @@
 }
 
 /* Guards against room that is left unused: fifteen accounts ask for little,
- *and
- ** the one that takes the rest is within its share. */
+** and the one that takes the rest is within its share. */
 TEST(AccountShares, WhatAnAccountLeavesIsSharedByTheOthers) {
   auto accounts = equal_accounts();
   for (auto &account : accounts)
--- a/test/test_prefill_capacity.cc
+++ b/test/test_prefill_capacity.cc
@@ -69,8 +69,7 @@
 }
 
 /* Instances that wait take turns by the number of places. Without the count
-*all
-** of them started at once when one place became free. */
+** all of them started at once when one place became free. */
 TEST(PrefillCapacity, PlacesAreCountedUpToFourAtAnEngine) {
   PrefillLoad load = {12, 2, 2000};
   PrefillLimit limit = {4000, TRUE};
@@ -243,8 +242,7 @@
 }
 
 /* The engine is full for reasons that are not known here. Before, it counted
- *as
- ** unreachable, and decode engines read the prompts. */
+** as unreachable, and decode engines read the prompts. */
 TEST_F(PrefillStage, RejectedPromptWaitsForThePrefillEngine) {
   add_prefill("pre-1", 12);
   occupy_decode();
--- a/test/test_stages.cc
+++ b/test/test_stages.cc
@@ -63,8 +63,7 @@
 }
 
 /* Prompts that wait in the routers do not queue at the engines, so their
-*number
-** there does not show that the stage is short. */
+** number there does not show that the stage is short. */
 TEST(StagePlan, PromptsThatWaitInTheRoutersAskForPrefillEngines) {
   StageUse one = usage(3, 57, 3.0, 8.0);
   one.waiting = TRUE;
