Flow control: times in the unit of the project

Cause: clang-tidy rejects products of int that are compared with 64-bit times. Ruled out: none. Change: FLOW_* times use MP_MS and MP_SEC, the values are the same. Conclusion: lint only.

--- a/io/flow_control.h
+++ b/io/flow_control.h
@@ -23,21 +23,23 @@
 #ifndef FLOW_CONTROL_H
 #define FLOW_CONTROL_H
 
+#include "mpconf.h"
+
 #include <glib.h>
 
 /* An endpoint cuts off an answer that stays unread for some seconds. So a
 ** connection is aborted when its endpoint was held back for this long (us). */
-#define FLOW_HELD_MAX (2 * G_USEC_PER_SEC)
+#define FLOW_HELD_MAX (2 * MP_SEC)
 /* After this time with unread bytes (us), a caller must have read at
 ** FLOW_SLOW_RATE (bytes per second) on average. Callers wait 14 s, so one that
 ** is slower by then has most likely given up. At this rate, the largest answer
 ** (8 MB) takes 9 minutes. */
-#define FLOW_SLOW_MAX (20 * G_USEC_PER_SEC)
+#define FLOW_SLOW_MAX (20 * MP_SEC)
 #define FLOW_SLOW_RATE (16 << 10)
 /* A caller is quick if its output was empty within this time (us), or if it
 ** has read FLOW_QUICK_BYTES in the last window of this length. At that rate,
 ** the high-water mark is read down to the low one within FLOW_HELD_MAX. */
-#define FLOW_QUICK_TIME (500 * 1000)
+#define FLOW_QUICK_TIME (500 * MP_MS)
 #define FLOW_QUICK_BYTES (64 << 10)
 
 /* A body is kept until its request ends, for a retry, and copied to the output
@@ -46,7 +48,7 @@
 
 /* us; well below the 500 ms of silence after which the router resumes a stream
 ** elsewhere (router/silence.c) */
-#define FLOW_TICK_INTERVAL (100 * 1000)
+#define FLOW_TICK_INTERVAL (100 * MP_MS)
 
 typedef enum FlowReason {
   FLOW_BOUND, /* the bytes of all connections exceed the bound */
