Comments of admission, outlier reports and limits: state reasons and units

The shares of Retry-After under overload control are named OVERLOAD_RETRY_*, since they hold for all refused requests, not for late ones. No change of behaviour.

--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -85,7 +85,8 @@
   double rate, burst; /* as configured: units a second, and units */
   double extra;       /* units a second on top of the rate, while
                       ** COMPLETE_VIEW_SHARE of the instances are reachable */
-  gint64 window;      /* of the tolerance */
+  gint64 window;      /* LimitTolerance.window, us */
+  /* no extra rate is given before this time */
   gint64 extra_paused_until;
   double floor; /* depth below level 0 at which no request is admitted
                 ** any more, except for small ones */
@@ -478,8 +479,8 @@
   return FALSE;
 }
 
-/* A limit that was removed and added again doesn't have what was charged
-** before. */
+/* Stops counting a cost as waiting. If the limit was removed and added again
+** since the charge, 'waiting' does not contain the cost. */
 static void end_wait(Limit *limit, double cost) {
   limit->waiting = MAX(limit->waiting - cost, 0);
 }
--- a/router/admission.c
+++ b/router/admission.c
@@ -49,8 +49,9 @@
 /* A waiting first try is reviewed once after this share of the objective, so
 ** that a refusal comes early. */
 #define EARLY_REVIEW_SHARE 0.22
-/* Callers give a stream without a first piece up after the longest of these
-** three; no request waits longer than WAIT_MAX_SHARE of that. */
+/* Callers give up a stream without a first piece after the longest of
+** GIVE_UP_MIN, GIVE_UP_OBJECTIVES times the objective, and GIVE_UP_GAPS times
+** Route.gap. No request waits longer than WAIT_MAX_SHARE of that. */
 #define GIVE_UP_MIN (2 * MP_SEC)
 #define GIVE_UP_OBJECTIVES 4
 #define GIVE_UP_GAPS 8
@@ -62,19 +63,21 @@
 ** each time this share of the objective has passed: within it a refusal is to
 ** come once the outcome is known. */
 #define REVIEW_SHARE 0.125
+/* Reviews of one request are at least this far apart, however short its
+** objective is. */
 #define REVIEW_INTERVAL_MIN (20 * MP_MS)
 /* After this share of the objective such a review refuses a request only if
 ** its wait is over. */
 #define LAST_EARLY_REVIEW_SHARE 0.26
-/* Refused callers are told to retry after RETRY_AFTER_SHARE of their time plus
-** a random part of RETRY_SPREAD_SHARE; they follow that up to a third of their
-** time. */
+/* Refused callers are told to retry after RETRY_AFTER_SHARE of the time that
+** they had on arrival, plus a random part of RETRY_SPREAD_SHARE of it. They
+** follow a Retry-After of up to a third of their time. */
 #define RETRY_AFTER_SHARE 0.13
 #define RETRY_SPREAD_SHARE 0.14
 /* The same with overload control, as shares of the time that is left: bursts
 ** last 4 to 6 s, so an earlier retry returns into the same burst. */
-#define LATE_RETRY_AFTER_SHARE 0.20
-#define LATE_RETRY_SPREAD_SHARE 0.13
+#define OVERLOAD_RETRY_AFTER_SHARE 0.20
+#define OVERLOAD_RETRY_SPREAD_SHARE 0.13
 /* A caller with less time than this share of what other callers of the route
 ** have is taken for a retry (router/patience.h). */
 #define FIRST_TRY_SHARE 0.97
@@ -89,7 +92,7 @@
 ** refuse all requests of such a caller. */
 #define MEAN_RUN_MAX_SHARE 0.75
 /* weight of the newest interval in the moving mean of the time between ends of
-** streams */
+** streams (Router.mean_end_interval) */
 #define INTERVAL_STEP 0.15
 
 /* Estimates when the caller first tried: if it has clearly less time than
@@ -110,7 +113,8 @@
     request->first_attempt_at -= longest - patience;
 }
 
-/* Returns the longest wait for room that a first try is let expect, us. */
+/* Returns the longest expected wait for room with which a first try may
+** wait, us. */
 static gint64 first_try_wait_max(const Request *request) {
   return (gint64)(FIRST_TRY_WAIT_OBJECTIVES *
                   (double)request->route->objective);
@@ -244,7 +248,8 @@
                                gint64 now) {
   double draw = g_rand_double(router->random);
   if (router->overload_control)
-    return (gint64)((LATE_RETRY_AFTER_SHARE + draw * LATE_RETRY_SPREAD_SHARE) *
+    return (gint64)((OVERLOAD_RETRY_AFTER_SHARE +
+                     draw * OVERLOAD_RETRY_SPREAD_SHARE) *
                     (double)(request->caller_deadline - now));
   return (gint64)((RETRY_AFTER_SHARE + draw * RETRY_SPREAD_SHARE) *
                   (double)(request->caller_deadline - request->arrived));
@@ -467,8 +472,9 @@
   return other->software == 0 || other->software == request->software;
 }
 
-/* Returns TRUE if a request of a higher priority, for which there was no room
-** when it was last tried, waits here for the same service. */
+/* Returns TRUE if the request yields (admission_order_yields) to another one
+** that waits here for the same service and has no time set for its turn. One
+** that has found room has such a time (Request.start_at). */
 static gboolean yields_to_priority(const Router *router,
                                    const Request *request, gint64 now) {
   AdmissionRank rank = rank_of(router, request, now);
@@ -730,8 +736,7 @@
 void admission_review(Router *router, Request *request, gint64 now) {
   request->over_share = accounts_is_over_share(router, request, now);
   if (request->handle != NULL && now >= request->handle_until)
-    prefill_drop_handle(router, request, now); /* the prompt will be read
-                                               ** again */
+    prefill_drop_handle(router, request, now);
   if (shortage_outlasts(router, request, wait_left_max(router, request, now),
                         now)) {
     refuse_for_rest(router, request, now);
@@ -782,7 +787,8 @@
   return without_room;
 }
 
-/* Does the same for all priorities, the highest first. */
+/* Calls start_some for each priority of waiting requests, the highest first.
+** Returns how many requests found no room. */
 static guint start_by_priority(Router *router, gboolean in_time, gint64 now) {
   guint levels = 0; /* bits: the priorities of waiting requests */
   guint without_room = 0;
--- a/router/endpoint_health.c
+++ b/router/endpoint_health.c
@@ -3,27 +3,28 @@
 ** Applies the reports of other instances to the judgement of endpoints
 **
 ** The judgement itself is a pure function (router/outlier.h). It is computed
-** for all endpoints at most once per JUDGE_INTERVAL, because choices run for
-** each waiting request while an instance may have a tenth of a core. While no
-** instance reports an unreachable endpoint, nothing is computed.
+** at most once per JUDGE_INTERVAL, because choices run for each waiting
+** request while an instance may have a tenth of a core. While no instance
+** reports an unreachable endpoint, only changes by own evidence are looked
+** for.
 */
 
 #include <string.h>
 
 #include "router/state.h"
 
-/* Digests of other instances arrive at this interval or more often; a shorter
-** one would judge the same reports again. */
+/* With many instances, digests arrive more often than this. A judgement at
+** each of them would cost time in proportion to instances times endpoints. */
 #define JUDGE_INTERVAL (10 * MP_MS)
 /* While an endpoint is down, the judgement is repeated at this interval at
 ** least, so that reports of instances that have ended are dropped. */
 #define REVIEW_INTERVAL (500 * MP_MS)
 
-/* Judges all endpoints of the service of the one at 'first'; those before it
-** are of other services, or were not reported. */
-static void judge_service(Router *router, guint first, gint64 now) {
+/* Judges all endpoints of the service to which the one with this index
+** belongs. */
+static void judge_service(Router *router, guint index, gint64 now) {
   const EndpointTable *table = router->endpoints;
-  const Endpoint *one = table->all->pdata[first];
+  const Endpoint *one = table->all->pdata[index];
   GPtrArray *group = g_ptr_array_new();
   guint i;
   for (i = 0; i < table->all->len; i++) {
@@ -38,7 +39,7 @@
   g_ptr_array_free(group, TRUE);
 }
 
-/* Takes the reports of the other instances over into the evidence. */
+/* Copies the numbers of reports from the digests into the evidence. */
 static void read_reports(Router *router) {
   const EndpointTable *table = router->endpoints;
   guint i;
@@ -64,7 +65,8 @@
 }
 
 /* Logs the endpoints whose judgement has changed, and counts those that are
-** not up. */
+** down or on trial. A prefill engine that is avoided because it rejected a
+** prompt is not one of them, since it answers. */
 static void note_changes(Router *router, gint64 now) {
   const EndpointTable *table = router->endpoints;
   guint i;
--- a/router/estimate.c
+++ b/router/estimate.c
@@ -9,12 +9,11 @@
 /* Memory is planned for the output so far and this share of the mean output
 ** more. */
 #define GROWTH_SHARE 0.3
-/* With overload control, the share is that which the runs of an engine have
-** generated on average, as they are at all points of their outputs, and what
-** each of them generates until the next one ends. With 0.3, eight runs of
-** deployment 1 (prompts of 3,200 tokens, outputs of 900) are planned where the
-** memory of an engine is used up when each has generated 0.44 of its output.
-*/
+/* With overload control, memory is planned for this share of the mean output,
+** which the runs of an engine have generated on average, and for what each of
+** them generates until the next one ends. With GROWTH_SHARE, eight runs of
+** deployment 1 (prompts of 3,200 tokens, outputs of 900) are planned where an
+** engine's memory is used up when each has generated 0.44 of its output. */
 #define RUNNING_SHARE 0.5
 /* Until a stream of the service has ended, its mean output is taken for this
 ** share of the most that the request may generate. */
--- a/router/loads.c
+++ b/router/loads.c
@@ -22,9 +22,9 @@
 #define FAILING_PERCENT_MIN 90
 /* Smaller shares of failures are not reported, in percent. */
 #define REPORTED_FAILING_PERCENT_MIN 5
-/* The largest share reported for an endpoint that answers, in percent. 100
-** means that it cannot be reached; the encoding rounds up to a multiple of 4.
-*/
+/* The largest share reported for an endpoint that answers, in percent. It is
+** the largest multiple of 4, to which the encoding rounds up, below 100, which
+** means that the endpoint cannot be reached. */
 #define ANSWERING_PERCENT_MAX 96
 /* An endpoint that could not be reached is reported for this long after its
 ** pause unless it has answered since. Otherwise all other instances would take
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -79,9 +79,10 @@
     g_hash_table_remove(loads->sums, GUINT_TO_POINTER(endpoint));
 }
 
-/* Returns 1 if the row reports the endpoint as unreachable, else 0. The
-** summary of a data centre is one report: it adds up shares, which may be
-** smaller ones, and a data centre that is cut off is one fault. */
+/* Returns 1 if the row reports the endpoint as unreachable, else 0. A row of a
+** data centre's summary counts as one report, because a data centre that is
+** cut off is one fault. It is the sum of the shares of its instances, so it
+** may reach 100 without any instance that reports 100. */
 static guint row_unreachable(const mp_LoadRow *row) {
   return row->failing >= UNREACHABLE_PERCENT;
 }
@@ -369,8 +370,8 @@
   return sum != NULL ? sum->open : 0;
 }
 
-/* Returns TRUE if the oldest request in time at the peer came before 'came'.
- */
+/* Returns TRUE if the oldest request in time at the peer is more senior than
+** 'came'. */
 static gboolean has_waiting_longer(const Peer *peer, gint64 came) {
   return peer->digest.in_time > 0 && peer->oldest_in_time < came;
 }
--- a/router/prefill_capacity.h
+++ b/router/prefill_capacity.h
@@ -8,10 +8,10 @@
 ** busy. An engine also rejects prompts beyond its slots, and each rejection is
 ** an extra arrival that the retry budget has to cover.
 **
-** prefill.c calls this with the load of all instances at an engine, and
-** endpoint_table.c does when it chooses one. The functions have no state and
-** do not fail. They are made for the load of a burst: several times as many
-** prompts as the engines can read, decided on by up to 300 instances.
+** prefill.c calls this with the load of all instances at an engine, as does
+** endpoint_table.c when it chooses one. The functions have no state and do not
+** fail. They are made for the load of a burst: several times as many prompts
+** as the engines can read, decided on by up to 300 instances.
 **
 ** Invariant: an engine without load is always allowed, whatever the prompt and
 ** the objective are, so a wrong pace cannot keep the engines idle.
--- a/router/state.h
+++ b/router/state.h
@@ -151,8 +151,8 @@
   guint priority;          /* request_priority */
   gboolean preempts;       /* it was sent to an engine without room for it, to
                            ** displace a less urgent run there */
-  gint64 queued_at;        /* when it came to wait for room, last */
-  gint64 waited; /* how long it has waited for room before that, us */
+  gint64 queued_at;        /* when it last entered the queue */
+  gint64 waited;           /* time in the queue before 'queued_at', us */
   guint64 session;
   gint64 arrived;
   gint64 caller_deadline; /* when the caller stops waiting */
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -267,9 +267,10 @@
                         : UINT32_MAX;
 }
 
-/* pending amounts stand after what an earlier release reads, and that one
-** sends none. A datagram without room for them has a count of 0, so that the
-** members behind it are read from the right place. */
+/* Encodes or decodes the pending amounts. They follow all members that an
+** earlier release reads, and it sends none. A datagram without room for them
+** has a count of 0, so that the members behind it are read from the right
+** place. */
 static bool_t xdr_pending_amounts(XDR *x, mp_LoadDigest *d) {
   uint8_t codes[MP_LOAD_DIGEST_ACCOUNTS] = {0};
   unsigned i;
