--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -407,7 +407,7 @@
 static void read_carried(Link *link) {
   CarryClient *carry = link->carry;
   if (link->is_paused)
-    return; /* the end of the carried bytes is not looked at either */
+    return; /* the end of the stream is handled after the resumption too */
   carry_client_read(carry, link->events);
   if (carry_client_is_leaving(carry))
     link->must_close = TRUE;
@@ -437,8 +437,9 @@
 }
 
 /*
-** The connection has ended: what is left of the response is read even if it
-** was paused. Returns FALSE when the call has ended by that.
+** Ends a pause because the connection has ended. What a carrier has sent is
+** handled here; what an endpoint has sent is read by the caller. Returns FALSE
+** when the call has ended by that.
 */
 static gboolean end_pause(Link *link) {
   EndpointLinks *links = link->links;
@@ -472,7 +473,8 @@
   }
   if ((what & BEV_EVENT_WRITING) &&
       ((what & BEV_EVENT_ERROR) || link->call->head != NULL)) {
-    /* a response that arrived before the body was sent is still read */
+    /* A response that began before the whole request was sent is still read.
+    ** Writing has failed, or timed out after the head of a response. */
     link->must_close = TRUE;
     bufferevent_disable(events, EV_WRITE);
     if (!link->is_paused)
--- a/io/endpoint_links.h
+++ b/io/endpoint_links.h
@@ -85,9 +85,9 @@
                           gboolean pauses);
 
 /*
-** Breaks dispatches off whose endpoint takes no byte of the request for this
-** time and has sent no head of a response; 0: none, as at first. It holds for
-** connections that are opened from then on.
+** Sets the time (us) after which a dispatch fails as broken if its endpoint
+** takes no byte of the request and has sent no head of a response; 0, the
+** default: no limit. Applies to connections that are opened from then on.
 */
 void endpoint_links_limit_writing(EndpointLinks *links, gint64 timeout);
 
--- a/io/flow_control.c
+++ b/io/flow_control.c
@@ -5,19 +5,19 @@
 
 #include "io/flow_control.h"
 
-/* The high-water mark is this share of the bound, so that as many slow callers
-** fit into it, within the two limits below. */
+/* The high-water mark is the bound divided by this, so that as many slow
+** callers fit into it, but HIGH_MIN to HIGH_MAX bytes. */
 #define HIGH_SHARE 64
 /* A smaller mark would pause an answer for each piece of some kilobytes. */
 #define HIGH_MIN (32 << 10)
 /* A larger mark does not help: it is what a caller at 4 Mbit/s reads in the
 ** time for which an endpoint can be held back without notice (500 ms). */
 #define HIGH_MAX (256 << 10)
-/* The low-water mark is below the high one by this share of it. So a caller
-** that reads 32 KB/s or more resumes its endpoint within FLOW_HELD_MAX. */
+/* The low-water mark is below the high one by a quarter of it. So a caller
+** that reads 32 KB/s or more resumes its endpoint within FLOW_HELD_MAX, unless
+** the marks are lowered meanwhile (TIGHT_SHARE). */
 #define LOW_GAP_SHARE 4
-/* Above three quarters of the bound, both marks are this share of what they
-** are otherwise. */
+/* Above three quarters of the bound, both marks are divided by this. */
 #define TIGHT_SHARE 4
 
 struct FlowConnection {
@@ -83,7 +83,8 @@
   return bodies == 0 || held + FLOW_BODY_COPIES * size <= limits->bound;
 }
 
-/* Is the connection over a limit of time? Sets the reason. */
+/* Returns TRUE if the connection is over a limit of time. Sets the reason,
+** which has no meaning otherwise. */
 static gboolean is_overdue(const FlowReader *reader, gint64 now,
                            FlowReason *reason) {
   gint64 age = now - reader->unread_since;
@@ -97,7 +98,7 @@
          reader->delivered < (guint64)age / G_USEC_PER_SEC * FLOW_SLOW_RATE;
 }
 
-/* Is 'a' to be aborted before 'b' if the bound is reached? */
+/* Returns TRUE if 'a' is aborted before 'b' when the bound is exceeded. */
 static gboolean goes_before(const FlowReader *a, const FlowReader *b) {
   if (a->priority != b->priority)
     return a->priority > b->priority;
--- a/io/flow_control.h
+++ b/io/flow_control.h
@@ -12,12 +12,14 @@
 **
 ** Invariants:
 ** - The answer to a connection's request is paused from the moment when its
-**   unread bytes exceed the high-water mark until they fall below the
-**   low-water mark, its request ends, or it is aborted.
+**   unread bytes exceed the high-water mark until they are at most the
+**   low-water mark, its request ends, or it is aborted. Above three quarters
+**   of the bound both marks are lower (flow_pauses).
 ** - A connection of a quick caller (FLOW_QUICK_TIME, FLOW_QUICK_BYTES) is
 **   never aborted. So the bound over all connections may be exceeded by what
 **   quick callers are sent, for FLOW_QUICK_TIME.
-** - A connection is aborted once; its bytes are not counted from then on.
+** - A connection is aborted once; its unread bytes are not counted from then
+**   on. Its body is counted until flow_remove or flow_set_body.
 */
 
 #ifndef FLOW_CONTROL_H
@@ -30,15 +32,15 @@
 /* An endpoint cuts off an answer that stays unread for some seconds. So a
 ** connection is aborted when its endpoint was held back for this long (us). */
 #define FLOW_HELD_MAX (2 * MP_SEC)
-/* After this time with unread bytes (us), a caller must have read at
-** FLOW_SLOW_RATE (bytes per second) on average. Callers wait 14 s, so one that
-** is slower by then has most likely given up. At this rate, the largest answer
-** (8 MB) takes 9 minutes. */
+/* A caller that has had unread bytes for this long (us) must have read
+** FLOW_SLOW_RATE bytes per second on average since then. Callers wait 14 s, so
+** one that is slower by then has most likely given up. */
 #define FLOW_SLOW_MAX (20 * MP_SEC)
 #define FLOW_SLOW_RATE (16 << 10)
 /* A caller is quick if its output was empty within this time (us), or if it
-** has read FLOW_QUICK_BYTES in the last window of this length. At that rate,
-** the high-water mark is read down to the low one within FLOW_HELD_MAX. */
+** has read FLOW_QUICK_BYTES in the last window of this length (us). At that
+** rate, it reads from the high-water mark down to the low one within
+** FLOW_HELD_MAX. */
 #define FLOW_QUICK_TIME (500 * MP_MS)
 #define FLOW_QUICK_BYTES (64 << 10)
 
@@ -46,8 +48,8 @@
 ** towards its endpoint. */
 #define FLOW_BODY_COPIES 2
 
-/* us; well below the 500 ms of silence after which the router resumes a stream
-** elsewhere (router/silence.c) */
+/* Interval of flow_tick (us). It is well below the 500 ms of silence after
+** which the router resumes a stream elsewhere (router/silence.c). */
 #define FLOW_TICK_INTERVAL (100 * MP_MS)
 
 typedef enum FlowReason {
@@ -81,9 +83,9 @@
 } FlowReader;
 
 /*
-** Returns whether reading from the endpoint of this connection is paused, with
-** so many unread bytes of all connections. Above three quarters of the bound,
-** the marks are a quarter of what they are otherwise.
+** Returns whether reading from the endpoint of this connection is paused while
+** 'total' bytes are held altogether (flow_held). Above three quarters of the
+** bound, the marks are a quarter of what they are otherwise.
 */
 gboolean flow_pauses(const FlowLimits *limits, const FlowReader *reader,
                      guint64 total);
@@ -97,9 +99,11 @@
                          guint64 bodies, guint64 size);
 /*
 ** Chooses the connection to abort now, and the reason. Returns its index, or
-** -1 for none. Connections over a limit of time come first. For the bound it
-** is, of the slow callers, the one with the least urgent priority, and among
-** these the one with the most unread bytes.
+** -1 for none; 'total' is flow_held. Connections of quick callers are never
+** chosen, and those over a limit of time come first. If 'total' exceeds the
+** bound, it is the one with the least urgent priority, and among these the one
+** with the most unread bytes. 'reason' is meaningful only if a connection was
+** chosen.
 */
 int flow_choose(const FlowLimits *limits, const FlowReader *const *readers,
                 guint count, guint64 total, gint64 now, FlowReason *reason);
@@ -116,7 +120,7 @@
 /* 'pause' and 'abort' may be called from within any function below, except
 ** flow_remove. */
 typedef struct FlowHooks {
-  void *data; /* passed to 'pause' and 'paused' */
+  void *data; /* passed to 'pause' and 'paused'; 'abort' gets 'owner_data' */
   /* Pauses reading the answer to this request, or resumes it. A pause is
   ** repeated with each piece that arrives nevertheless. It may be called while
   ** the user handles an answer. */
@@ -125,12 +129,14 @@
   ** paused. */
   void (*paused)(void *data, guint64 request, gint64 now);
   /* Reports that a connection is to be aborted. 'request' is 0 if its answer
-  ** was complete. 'owner' has to be closed, but not before this returns. */
+  ** was complete, 'total' what flow_held was. 'owner' has to be closed, but
+  ** not before this returns. */
   void (*abort)(void *data, gpointer owner, guint64 request, FlowReason reason,
                 const FlowReader *reader, guint64 total);
 } FlowHooks;
 
-/* 'owner_data' is passed to FlowHooks.abort. The other two are copied. */
+/* 'owner_data' is passed to FlowHooks.abort; the limits and the hooks are
+** copied. */
 FlowControl *flow_control_new(const FlowLimits *limits, const FlowHooks *hooks,
                               void *owner_data);
 /* All connections must have been removed. */
@@ -144,10 +150,10 @@
 ** A pause ends. */
 void flow_set_request(FlowControl *flow, FlowConnection *connection,
                       guint64 request, guint priority);
-/* Bytes were added to the output of the connection. */
+/* Reports that bytes were added to the output of the connection. */
 void flow_wrote(FlowControl *flow, FlowConnection *connection, guint64 size,
                 gint64 now);
-/* Bytes have left it. */
+/* Reports that bytes have left the output of the connection. */
 void flow_read(FlowControl *flow, FlowConnection *connection, guint64 size,
                gint64 now);
 /*
@@ -157,7 +163,7 @@
 */
 gboolean flow_set_body(FlowControl *flow, FlowConnection *connection,
                        guint64 size, gboolean must_fit);
-/* Was the connection aborted? */
+/* Returns whether the connection was aborted. */
 gboolean flow_is_aborted(const FlowConnection *connection);
 /*
 ** Applies the limits of time, and reports each pause again, so that the router
@@ -166,11 +172,14 @@
 */
 void flow_tick(FlowControl *flow, gint64 now);
 
-/* Returns the unread bytes, and the bytes that are held altogether: these and
-** the copies of bodies. */
+/* Returns the unread bytes of all connections. */
 guint64 flow_total(const FlowControl *flow);
+/* Returns all bytes that count against the bound: the unread bytes and
+** FLOW_BODY_COPIES of each body. */
 guint64 flow_held(const FlowControl *flow);
+/* Returns the number of answers that are paused now. */
 guint flow_paused(const FlowControl *flow);
+/* Returns the number of connections aborted for this reason. */
 guint64 flow_aborts(const FlowControl *flow, FlowReason reason);
 
 /* }================================================================== */
--- a/io/front.c
+++ b/io/front.c
@@ -33,16 +33,18 @@
 #define LINGER_SECONDS 1
 #define LISTEN_BACKLOG 512
 
-/* Bytes that the kernel may hold for a caller while flow control is on, of
-** which it reserves twice as many. Without this it reserves up to 4 MB, which
-** count as memory of the instance; with it, 10 Mbit/s fit into 100 ms. */
+/* Send buffer of a caller's connection while flow control is on, in bytes; the
+** kernel reserves twice as many. By default it reserves up to 4 MB, which
+** count as memory of the instance. This size carries 10 Mbit/s at a round-trip
+** time of 100 ms. */
 #define SEND_BUFFER (128 << 10)
 
-/* With its header of libevent, a block of this many bytes takes 16 KB. */
+/* Bytes of a body that are written as one block. With libevent's header it
+** takes 16 KB. */
 #define BODY_BLOCK ((16 << 10) - 64)
 
-/* Larger bodies are held back while there is no memory for them; smaller ones
-** arrive within one or two reads. */
+/* Bodies with more bytes than this are held back while there is no memory for
+** them; smaller ones arrive within one or two reads. */
 #define HELD_BODY_MIN READ_AHEAD
 /* Retry-After of a request whose body could not be taken in (ms): a request
 ** that holds a large body is in most cases done by then */
@@ -136,8 +138,8 @@
     flow_set_request(connection->front->flow, connection->flow, number, 0);
 }
 
-/* Was the connection aborted by flow control? It is closed from the event
-** loop soon. */
+/* Returns TRUE if flow control has aborted the connection. It is then closed
+** from the event loop soon. */
 static gboolean is_aborted(const Connection *connection) {
   return connection->flow != NULL && flow_is_aborted(connection->flow);
 }
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -43,7 +43,7 @@
 ** load digest of another instance; digests arrive more often than this. */
 #define TRIM_INTERVAL_MIN (100 * MP_MS)
 /* With flow control, a dispatch is broken off when its endpoint takes nothing
-** of its body for this long. Endpoints pause for 1 s or 2 s when they are
+** of its body for this long (us). Endpoints pause for 1 s or 2 s when they are
 ** stopped and continued; callers wait 14 s, which leaves time for a retry. */
 #define BODY_TIMEOUT (5 * MP_SEC)
 /* longest time between two calls of router_tick() */
@@ -415,7 +415,7 @@
 static void count_flow(const Gateway *gateway, AdapterCounts *counts) {
   const FlowControl *flow = front_flow(gateway->front);
   int reason;
-  counts->held_bytes = flow != NULL ? flow_total(flow) : 0;
+  counts->unread_bytes = flow != NULL ? flow_total(flow) : 0;
   counts->body_bytes = flow != NULL ? flow_held(flow) - flow_total(flow) : 0;
   counts->bodies_refused = front_bodies_refused(gateway->front);
   counts->paused_reads = flow != NULL ? flow_paused(flow) : 0;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -119,7 +119,7 @@
                          "madderpier_bodies_refused_total %" G_GUINT64_FORMAT
                          "\n"
                          "madderpier_paused_reads %u\n",
-                         counts->held_bytes, counts->body_bytes,
+                         counts->unread_bytes, counts->body_bytes,
                          counts->bodies_refused, counts->paused_reads);
   for (reason = 0; reason < FLOW_REASON_COUNT; reason++)
     g_string_append_printf(
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -70,7 +70,7 @@
                            ** are leaving service */
   guint resting_endpoints; /* endpoints that have asked this instance to pause
                            ** its requests, for a time that is not over */
-  guint64 held_bytes;      /* bytes of answers that callers have not read; the
+  guint64 unread_bytes;    /* bytes of answers that callers have not read; the
                            ** present value */
   guint64 body_bytes;      /* bytes of requests' bodies, two copies of each;
                            ** the present value */
--- a/router/router.h
+++ b/router/router.h
@@ -285,8 +285,7 @@
   LimitTolerance limits; /* of client accounts */
   gboolean overload_control; /* apply what docs/design/heavy-load.md describes:
                              ** outlier detection that all instances share,
-                             ** prefill capacity, deadlines at admission, and
-                             ** concurrency limits */
+                             ** prefill capacity, and deadlines at admission */
   gint64 news_age_max;  /* "no such route" and "no such key" are final only
                         ** while the last answer of the store is at most this
                         ** old; 0: always (relay_news_age_max) */
--- a/test/test_flow_control.cc
+++ b/test/test_flow_control.cc
@@ -106,7 +106,8 @@
   EXPECT_EQ(choose({reading}, 40 * mb, 60 * second).index, -1);
 }
 
-/* The endpoint would cut the answer off, and nobody could tell why. */
+/* Otherwise the endpoint would cut the answer off, and no log line would give
+** the reason. */
 TEST(FlowDecision, AConnectionThatHoldsItsEndpointBackForTooLongIsAborted) {
   FlowReader held = slow(300 * kb);
   held.paused_since = 1500 * ms;
--- a/test/test_slow_callers.cc
+++ b/test/test_slow_callers.cc
@@ -209,7 +209,8 @@
   EXPECT_EQ(front_open_requests(front), 0u);
 }
 
-/* It makes progress, so no time-out of writing ends it. */
+/* Guards against a caller that reads so little that its answer never ends:
+** each byte is progress, so no time-out of writing ends its connection. */
 TEST_F(SlowCallers, OneThatReadsAByteASecondIsAborted) {
   call(false);
   Peer *peer = asked(0);
@@ -227,7 +228,8 @@
   EXPECT_LT(most, flow_limits(bound).high + 4 * event.size());
 }
 
-/* Its requests end with its side of the connection, and leave no bytes. */
+/* Guards against counts that leak: a caller that closes its side while its
+** answer is paused ends its request, and leaves no bytes and no pause. */
 TEST_F(SlowCallers, OneThatClosesItsSideLeavesNothing) {
   call(false);
   Peer *peer = asked(0);
@@ -357,9 +359,8 @@
 }
 
 /*
-** An answer that was complete has been earned: it waits for its caller. But
-** many of them must not fill the memory, and quick callers beside them must
-** not suffer.
+** A complete answer is kept until its caller has read it. But many of them
+** must not fill the memory, and quick callers beside them must not be aborted.
 */
 TEST_F(SlowCallers, ManyLargeAnswersStayWithinTheBoundBesideQuickCallers) {
   const std::string large(1 << 20, 'y');
