--- a/io/front.c
+++ b/io/front.c
@@ -319,10 +319,12 @@
 ** ===================================================================
 */
 
-/* The size of the body that the head announces; 0: none, or not known. */
-static guint64 announced_body(const HttpHead *head) {
+/* The size of the body that the head announces, at most the largest one that
+** is read; 0: none, or not known. */
+static guint64 announced_body(const Front *front, const HttpHead *head) {
   const char *length = http_head_get(head, "Content-Length");
-  return length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
+  guint64 size = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
+  return MIN(size, front->limits.max_body_bytes);
 }
 
 /* Begins to take a body in, or holds it back while there is no memory. */
@@ -330,7 +332,7 @@
   guint64 size;
   if (connection->flow == NULL)
     return;
-  size = announced_body(connection->head);
+  size = announced_body(connection->front, connection->head);
   if (flow_set_body(connection->front->flow, connection->flow, size,
                     size > HELD_BODY_MIN))
     return;
@@ -348,7 +350,8 @@
 /* Counts a body whose size was not announced. */
 static void count_body(const Connection *connection) {
   if (connection->flow != NULL &&
-      connection->body->len > announced_body(connection->head))
+      connection->body->len >
+          announced_body(connection->front, connection->head))
     flow_set_body(connection->front->flow, connection->flow,
                   connection->body->len, FALSE);
 }
@@ -434,7 +437,8 @@
   const char *id = dialect->read_caller(connection->head, &parsed, NULL)
                        ? parsed.request.id
                        : NULL;
-  hooks->body_refused(hooks->data, id, announced_body(connection->head),
+  hooks->body_refused(hooks->data, id,
+                      announced_body(connection->front, connection->head),
                       flow_held(connection->front->flow));
   connection->front->bodies_refused++;
   head = dialect->write_refusal(&refusal, id, &body);
@@ -448,8 +452,9 @@
 
 /* Takes a body in that was held back, or refuses its request. */
 static void review_body(Connection *connection, gint64 now) {
-  gboolean fits = flow_set_body(connection->front->flow, connection->flow,
-                                announced_body(connection->head), TRUE);
+  gboolean fits =
+      flow_set_body(connection->front->flow, connection->flow,
+                    announced_body(connection->front, connection->head), TRUE);
   if (!fits && now - connection->body_held_at < FLOW_HELD_MAX)
     return;
   connection->body_held_at = 0;
--- a/router/admission.c
+++ b/router/admission.c
@@ -328,7 +328,7 @@
   for (i = 0; i < router->waiting->len; i++) {
     AdmissionRank rank = rank_of(router, router->waiting->pdata[i], now);
     if (!rank.is_late)
-      first = MIN(first, rank.seniority);
+      first = MIN(first, rank.came);
   }
   return now - first;
 }
@@ -341,7 +341,7 @@
     const Request *request = router->waiting->pdata[i];
     AdmissionRank rank = rank_of(router, request, now);
     mp_WaitingRow row = {service_hash(request), rank.priority, 1, 0};
-    row.oldest_ms = (uint32_t)(MAX(now - rank.seniority, 0) / MP_MS);
+    row.oldest_ms = (uint32_t)(MAX(now - rank.came, 0) / MP_MS);
     if (!rank.is_late)
       peer_loads_add_waiting(out, &row);
   }
@@ -409,8 +409,8 @@
     return peer_loads_count_with_waiting(peers);
   if (is_ranked(request))
     return peer_loads_count_before(peers, service_hash(request), rank.priority,
-                                   rank.seniority);
-  return peer_loads_count_waiting_longer(peers, rank.seniority);
+                                   rank.came);
+  return peer_loads_count_waiting_longer(peers, rank.came);
 }
 
 /* Returns how many waiting requests, here and at other instances, start before
@@ -580,8 +580,9 @@
   Endpoint *engine;
   if (!is_ranked(request) || request->software != 0 ||
       request->service->kv_tokens == 0 || router->stopping ||
-      now - request->first_attempt_at > first_try_wait_max(request))
-    return FALSE;
+      now - request->first_attempt_at > first_try_wait_max(request) ||
+      prefill_decode_limit(router, request, now) != NULL)
+    return FALSE; /* the last: no prefill engine can take its prompt now */
   engine = engine_to_preempt(router, request, now);
   if (engine == NULL)
     return FALSE;
@@ -689,6 +690,7 @@
 
 void admission_requeue(Router *router, Request *request, gint64 now) {
   request->phase = PHASE_WAIT;
+  request->preempts = FALSE;
   enqueue(router, request);
   request->queued_at = now;
   request->stall_at = request->handle_until;
--- a/router/admission_order.c
+++ b/router/admission_order.c
@@ -19,6 +19,9 @@
 /* Each expected output token counts as having come this much later, in us:
 ** while memory is short, a short run frees it sooner. */
 #define DELAY_PER_OUTPUT_TOKEN 700
+/* More expected tokens than this delay a request no further: a caller may
+** state any number. */
+#define EXPECTED_OUTPUT_MAX 8192
 
 /* Returns TRUE if the request has waited for at least this share of its
 ** objective. */
@@ -45,6 +48,7 @@
     rank.seniority = input->arrived - PREFILLED_ADVANCE;
   else
     rank.seniority = rank.is_late ? input->arrived : input->first_attempt_at;
+  rank.came = rank.seniority;
   rank.seniority += (gint64)input->expected_output * DELAY_PER_OUTPUT_TOKEN;
   return rank;
 }
@@ -69,5 +73,6 @@
 }
 
 guint32 admission_order_expected_output(guint32 hint, guint32 output_tokens) {
-  return hint > 0 ? MIN(hint, output_tokens) : output_tokens / 2;
+  guint32 expected = hint > 0 ? MIN(hint, output_tokens) : output_tokens / 2;
+  return MIN(expected, EXPECTED_OUTPUT_MAX);
 }
--- a/router/admission_order.h
+++ b/router/admission_order.h
@@ -36,6 +36,9 @@
   guint priority; /* after aging */
   gboolean over_share;
   gint64 seniority; /* the lower, the earlier */
+  gint64 came;      /* the same without the expected output. Instances compare
+                    ** their requests by this: digests state how long one has
+                    ** waited, which cannot be negative */
 } AdmissionRank;
 
 AdmissionRank admission_order_rank(const AdmissionInput *input, gint64 now);
--- a/router/endpoint_table.c
+++ b/router/endpoint_table.c
@@ -520,6 +520,11 @@
                          endpoint->avoid_until, now);
 }
 
+gboolean endpoint_is_down_by_reports(const Endpoint *endpoint, gint64 now) {
+  return endpoint->avoid_until <= now &&
+         endpoint_verdict(endpoint, now) == OUTLIER_DOWN;
+}
+
 /* Returns TRUE if the endpoint gets no request while there is another choice:
 ** it is down, or one request of this instance is trying it already. */
 static gboolean is_avoided(const EndpointTable *table,
--- a/router/endpoint_table.h
+++ b/router/endpoint_table.h
@@ -235,6 +235,8 @@
 
 /* Returns the judgement of the endpoint by its evidence (router/outlier.h). */
 OutlierVerdict endpoint_verdict(const Endpoint *endpoint, gint64 now);
+/* Returns TRUE if the endpoint is down, and not because of own failures. */
+gboolean endpoint_is_down_by_reports(const Endpoint *endpoint, gint64 now);
 /* Records that the endpoint's process answered, whatever it answered. */
 void endpoint_note_heard(Endpoint *endpoint, gint64 now);
 /* Records that a prefill engine has rejected a prompt: it is avoided as an
--- a/router/estimate.c
+++ b/router/estimate.c
@@ -9,12 +9,6 @@
 /* Memory is planned for the output so far and this share of the mean output
 ** more. */
 #define GROWTH_SHARE 0.3
-/* With overload control, memory is planned for this share of the mean output,
-** which the runs of an engine have generated on average, and for what each of
-** them generates until the next one ends. With GROWTH_SHARE, eight runs of
-** deployment 1 (prompts of 3,200 tokens, outputs of 900) are planned where an
-** engine's memory is used up when each has generated 0.44 of its output. */
-#define RUNNING_SHARE 0.5
 /* Until a stream of the service has ended, its mean output is taken for this
 ** share of the most that the request may generate. */
 #define FIRST_OUTPUT_SHARE 0.4
@@ -23,17 +17,6 @@
 /* weight of the newest prompt in the moving mean */
 #define PROMPT_STEP 0.1
 
-/* Returns the share of the mean output 'mean' for which memory is planned. */
-static double growth_share(const Router *router, const Request *request,
-                           double mean) {
-  double runs;
-  if (!router->overload_control)
-    return GROWTH_SHARE;
-  runs = request->service->kv_tokens /
-         MAX(request->prompt_tokens + RUNNING_SHARE * mean, 1.0);
-  return RUNNING_SHARE + MIN(1 / MAX(runs, 1.0), RUNNING_SHARE);
-}
-
 guint64 estimate_memory(Router *router, const Request *request) {
   const ServiceState *state =
       router_service_state(router, request->service->name);
@@ -41,7 +24,7 @@
   double output;
   if (mean <= 0)
     mean = FIRST_OUTPUT_SHARE * request->output_tokens;
-  output = request->tokens_made + growth_share(router, request, mean) * mean;
+  output = request->tokens_made + GROWTH_SHARE * mean;
   return request->prompt_tokens +
          (guint64)MIN(output, (double)request->output_tokens);
 }
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -113,22 +113,25 @@
   state->prefill_pace += PACE_STEP * (pace - state->prefill_pace);
 }
 
-/* Returns the shortest objective of the routes to the request's service, us.
-** It is looked up once for each configuration. */
+/* Returns the shortest objective of the routes to the request's service, us; 0
+** if none has one. It is looked up once for each configuration. */
 static gint64 shortest_objective(ServiceState *state, const Request *request) {
   const RouteTable *table = request->table;
   guint i, j;
   if (state->objective_version == table->version)
     return state->objective_min;
   state->objective_version = table->version;
-  state->objective_min = request->route->objective;
+  state->objective_min = 0;
   for (i = 0; i < table->routes->len; i++) {
     const Route *route = table->routes->pdata[i];
     for (j = 0; j < route->targets->len; j++) {
       const RouteTarget *target =
           &g_array_index(route->targets, RouteTarget, j);
-      if (strcmp(target->service, request->service->name) == 0)
-        state->objective_min = MIN(state->objective_min, route->objective);
+      if (strcmp(target->service, request->service->name) == 0 &&
+          route->objective > 0 &&
+          (state->objective_min == 0 ||
+           route->objective < state->objective_min))
+        state->objective_min = route->objective;
     }
   }
   return state->objective_min;
@@ -147,10 +150,12 @@
 static PrefillLimit limit_for_prompt(Router *router, const Request *request,
                                      gint64 now) {
   ServiceState *state = router_service_state(router, request->service->name);
+  gint64 objective = shortest_objective(state, request);
   PrefillLimit limit;
-  limit.tokens_ahead_max =
-      prefill_capacity_ahead_max(request->prompt_tokens, pace_of(state),
-                                 shortest_objective(state, request));
+  limit.tokens_ahead_max = G_MAXUINT64; /* limited by slots alone */
+  if (objective > 0)
+    limit.tokens_ahead_max = prefill_capacity_ahead_max(
+        request->prompt_tokens, pace_of(state), objective);
   limit.may_be_rejected = may_be_rejected(router, request, now);
   return limit;
 }
@@ -162,6 +167,7 @@
   return endpoint->record.stage == STAGE_PREFILL &&
          strcmp(endpoint->record.service, request->service->name) == 0 &&
          (endpoint->avoid_until <= now || endpoint->unreachable_streak == 0) &&
+         !endpoint_is_down_by_reports(endpoint, now) &&
          !endpoint_is_changing_stage(router->endpoints, endpoint, now) &&
          gate_check(endpoint, DISPATCH_PREFILL, now) == GATE_OPEN &&
          !path_is_excluded(request, endpoint->record.id);
--- a/router/stage_plan.c
+++ b/router/stage_plan.c
@@ -25,10 +25,6 @@
 #define USED_ENGINES_MIN 0.5
 /* Prefill engines are short when there are more prompts than this for each. */
 #define PROMPTS_PER_ENGINE_MAX 2.0
-/* Where prompts wait in the routers, prefill engines are short when requests
-** wait and more than this share of the engines are busy: the rest is idle for
-** the time until the next prompt arrives. */
-#define PREFILL_FULL_SHARE 0.9
 /* Engines change from prefill to decode only if at least 1/ENGINES_PER_CHANGE
 ** of all engines should, rounded down, but at least one engine; and from
 ** decode to prefill only if at least CHANGE_BACK_MIN engines should. */
@@ -62,20 +58,11 @@
   return use->decode_used < DECODE_SPARE_SHARE * (double)use->decode;
 }
 
-/* Returns TRUE if prompts queue at the prefill engines, or wait in the routers
-** for them. */
+/* Returns TRUE if prompts queue at the prefill engines. */
 static gboolean prefill_is_short(const StageUse *use) {
-  if (use->holds_prompts && use->waiting &&
-      use->prefill_busy > PREFILL_FULL_SHARE * (double)use->prefill)
-    return TRUE;
   return use->prompts > PROMPTS_PER_ENGINE_MAX * (double)use->prefill;
 }
 
-/* Returns how many prefill engines at least there should be for bursts. */
-static int prefill_for_bursts(const StageUse *use) {
-  return (int)ceil(use->prefill_burst);
-}
-
 int stage_plan(const StageUse *use) {
   guint all = use->prefill + use->decode;
   int surplus;
@@ -83,8 +70,6 @@
       use->decode_used < USED_ENGINES_MIN)
     return 0;
   surplus = (int)use->prefill - (int)balanced_prefill(use, all);
-  if (surplus > 0)
-    surplus = MIN(surplus, (int)use->prefill - prefill_for_bursts(use));
   if (surplus >= (int)MAX(all / ENGINES_PER_CHANGE, 1) &&
       !prefill_is_short(use) && decode_is_short(use))
     return surplus;
--- a/router/stage_plan.h
+++ b/router/stage_plan.h
@@ -9,9 +9,7 @@
 ** therefore the split that it aims at depends only on the mix of prompts and
 ** answers and not on the amount of traffic. The amount decides whether engines
 ** change at all: the result is 0 unless the memory in use, the prompts that
-** queue and 'waiting' show that one stage is short of engines. Prefill engines
-** that bursts need are kept: a balance that is measured while decode memory
-** limits the starts asks for fewer than the begin of the next burst does.
+** queue and 'waiting' show that one stage is short of engines.
 **
 ** stages.c calls this with the averaged use of a service. The function has no
 ** state and does not fail.
@@ -36,11 +34,6 @@
                        ** engine; averaged */
   gboolean waiting;    /* requests, of this or another service, wait for room
                        ** at a decode engine */
-  double prefill_burst; /* prefill engines that recent bursts kept busy; 0: not
-                        ** considered */
-  gboolean holds_prompts; /* prompts that prefill engines cannot take soon wait
-                          ** in the routers (prefill_capacity.h), and count
-                          ** as 'waiting' */
 } StageUse;
 
 /* Returns how many engines should change their stage: a positive number from
--- a/router/stages.c
+++ b/router/stages.c
@@ -28,12 +28,6 @@
 ** away, and prompts then queued for 1.3 to 2.1 s instead of 0.2 s until 12 s
 ** later. */
 #define PEAK_DECAY (10 * MP_SEC)
-/* With overload control, the prefill engines that bursts kept busy are kept.
-** Bursts last 4 to 6 s, so the number of busy engines is averaged with a time
-** constant of BURST_AVERAGE; they recur within some tens of seconds, so its
-** peak decays with that of BURST_DECAY. */
-#define BURST_AVERAGE (1 * MP_SEC)
-#define BURST_DECAY (30 * MP_SEC)
 /* A need to change engines from prefill to decode (NEED_TIME_MIN) or from
 ** decode to prefill (NEED_TIME_MIN_BACK) must last this long before an
 ** instance acts, and NEED_TIME_PER_INSTANCE longer for each live instance
@@ -87,8 +81,6 @@
 typedef struct UseAverage {
   double prefill_busy, prompts, decode_used;
   double prefill_peak; /* decaying peak of the average prefill_busy */
-  double burst_busy;   /* average of prefill_busy over a shorter time */
-  double burst_peak;   /* decaying peak of that */
   gint64 updated_at;   /* when the averages were last updated */
   gint64 used_from;    /* since when the service has been in use */
   gint64 needed_from;  /* since when a change has been needed; 0: none is */
@@ -188,7 +180,6 @@
       use.decode_used += endpoint_open_count(table, endpoint) * run_share;
   }
   use.zones = g_hash_table_size(zones);
-  use.holds_prompts = stages->router->overload_control;
   use.waiting = stages->router->waiting->len > 0 ||
                 peer_loads_waiting_requests(table->peers) > 0;
   g_hash_table_destroy(zones);
@@ -208,22 +199,10 @@
   return average;
 }
 
-/* Updates the prefill engines that bursts keep busy with the current use;
-** 'age' is the time since the last update, us. */
-static void update_burst(UseAverage *average, StageUse *use, double age) {
-  double weight = 1 - exp(-age / BURST_AVERAGE);
-  average->burst_busy += weight * (use->prefill_busy - average->burst_busy);
-  average->burst_peak =
-      MAX(average->burst_busy, average->burst_peak * exp(-age / BURST_DECAY));
-  if (use->holds_prompts)
-    use->prefill_burst = average->burst_peak;
-}
-
 /* Updates the averages with the current use, then replaces it by them. */
 static void update_average(UseAverage *average, StageUse *use, gint64 now) {
   double age = (double)(now - average->updated_at);
   double weight = 1 - exp(-age / AVERAGE_TIME);
-  update_burst(average, use, age);
   average->prefill_busy +=
       weight * (use->prefill_busy - average->prefill_busy);
   average->prompts += weight * (use->prompts - average->prompts);
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -274,14 +274,9 @@
 static bool_t xdr_pending_amounts(XDR *x, mp_LoadDigest *d) {
   uint8_t codes[MP_LOAD_DIGEST_ACCOUNTS] = {0};
   unsigned i;
-  if (x->x_op == XDR_DECODE && x->x_handy == 0) {
-    d->pending_count = 0;
-    return TRUE;
-  }
-  if (x->x_op == XDR_ENCODE && x->x_handy < BYTES_PER_XDR_UNIT)
-    return TRUE;
-  if (x->x_op == XDR_ENCODE && x->x_handy < BYTES_PER_XDR_UNIT + sizeof codes)
-    d->pending_count = 0;
+  if (x->x_op == XDR_ENCODE &&
+      x->x_handy < 2UL * BYTES_PER_XDR_UNIT + sizeof codes)
+    d->pending_count = 0; /* the count of the waiting rows needs room, too */
   for (i = 0; x->x_op == XDR_ENCODE && i < d->pending_count; i++)
     codes[i] = encode_pending(d->pending[i]);
   if (!xdr_count(x, &d->pending_count, MP_LOAD_DIGEST_ACCOUNTS) ||
@@ -322,17 +317,10 @@
 ** highest priorities come first. */
 static bool_t xdr_waiting_rows(XDR *x, mp_LoadDigest *d) {
   unsigned i;
-  if (x->x_op == XDR_DECODE && x->x_handy == 0) {
-    d->ranked_count = 0;
-    return TRUE;
-  }
-  if (x->x_op == XDR_ENCODE) {
-    if (x->x_handy < sizeof(uint32_t))
-      return TRUE;
+  if (x->x_op == XDR_ENCODE)
     d->ranked_count =
         at_most(d->ranked_count,
                 (x->x_handy - (u_int)sizeof(uint32_t)) / WAITING_ROW_SIZE);
-  }
   if (!xdr_count(x, &d->ranked_count, MP_LOAD_DIGEST_PRIORITIES))
     return FALSE;
   for (i = 0; i < d->ranked_count; i++) {
@@ -342,6 +330,20 @@
   return TRUE;
 }
 
+/* The lists that an earlier release neither sends nor reads stand at the end,
+** both or none. They are left out of a datagram without room for their
+** counts. */
+static bool_t xdr_appended_lists(XDR *x, mp_LoadDigest *d) {
+  if (x->x_op == XDR_DECODE && x->x_handy == 0) {
+    d->pending_count = 0;
+    d->ranked_count = 0;
+    return TRUE;
+  }
+  if (x->x_op == XDR_ENCODE && x->x_handy < 2 * BYTES_PER_XDR_UNIT)
+    return TRUE;
+  return xdr_pending_amounts(x, d) && xdr_waiting_rows(x, d);
+}
+
 static bool_t xdr_load_digest(XDR *x, mp_LoadDigest *d) {
   unsigned i;
   if (!xdr_u32(x, &d->waiting) || !xdr_u32(x, &d->in_time) ||
@@ -357,7 +359,7 @@
          xdr_retry_rows(x, d) && xdr_account_rows(x, d) &&
          xdr_hashes(x, &d->leaving_count, d->leaving,
                     MP_LOAD_DIGEST_LEAVING) &&
-         xdr_pending_amounts(x, d) && xdr_waiting_rows(x, d);
+         xdr_appended_lists(x, d);
 }
 
 static bool_t xdr_load_summary(XDR *x, mp_LoadSummary *s) {
