Account limits: a report of the floor raises no level below it

Cause: digests state the level of a bucket between its floor and the burst. Requests that cost at most a fiftieth of the burst are admitted down to three floors; there every instance reports "floor", and each such report pulled the others' levels up by 0.03 of the difference, hundreds of times a second. In the flood the account ran 530,000 tokens a second at a limit of 326,665, while the levels stayed at -130,000. Change: a reported level of 0 raises no known level.

--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -602,13 +602,15 @@
 ** if the level is unknown. Levels of one bucket drift apart between instances:
 ** a new one misses what was spent before the first message of each peer (with
 ** 300 instances started one after the other the limit was exceeded by 9% of
-** its bound), and others miss lost messages.
+** its bound), and others miss lost messages. A reported level of 0 says "the
+** floor or lower", so it raises no level that is below the floor.
 */
 static void correct_level(Limit *limit, guint32 reported, double correction) {
   double range = limit->burst + limit->floor;
   double level = range * reported / LEVEL_STEPS - limit->floor;
   double gap = level - limit->bucket.level;
-  if (reported == MP_LEVEL_UNKNOWN)
+  if (reported == MP_LEVEL_UNKNOWN ||
+      (reported == 0 && gap > 0 && !limit->is_unknown))
     return;
   if (limit->is_unknown)
     limit->bucket.level = level;
--- a/test/test_account_limits.cc
+++ b/test/test_account_limits.cc
@@ -588,6 +588,23 @@
   EXPECT_NEAR(level(), large_rate - 64000, 1);
 }
 
+/* Reported levels end at the floor. Small requests are admitted below it, and
+** each report of a peer there raised the level, so that a flood of them got
+** 1.6 times the limit at 71 instances. */
+TEST_F(AccountLimitInstanceTest, ReportOfTheFloorRaisesNoLevelBelowIt) {
+  receive_digest(10);
+  receive_digest(10 + static_cast<guint32>(1.5 * large_rate / 64));
+  double before = level();
+  ASSERT_LT(before, -0.4 * large_rate);
+  mp_LoadDigest digest = {};
+  digest.account_count = 1;
+  digest.account[0] = {g_str_hash("first"),
+                       10 + static_cast<guint32>(1.5 * large_rate / 64), 0};
+  for (int i = 0; i < 50; i++)
+    account_limits_receive(limits, 99, &digest, &both, cluster.now);
+  EXPECT_NEAR(level(), before, 1);
+}
+
 TEST_F(AccountLimitInstanceTest, AdmissionsOfAnUnreachablePeerAreNotCharged) {
   receive_digest(10);
   cluster.now += ACCOUNT_PEER_TIMEOUT + 100 * ms;
