--- a/review/stand.c
+++ b/review/stand.c
@@ -165,7 +165,7 @@
   static int next;
   int tries;
   if (next == 0)
-    next = 10000 + (int)getpid() * 61 % 20000;
+    next = 10000 + (int)getpid() * 211 % 20000;
   for (tries = 0; tries < 2000; tries++) {
     int port = next++;
     int fd = listen_at(port);
@@ -827,7 +827,7 @@
     char body[900];
     memset(body, 'x', 800);
     body[800] = '\0';
-    sleep_s(0.02 + 0.02 * random_share());
+    sleep_s(0.06 + 0.06 * random_share());
     done = answer_plain(link->fd, request, stamp, 200,
                         "Keep-Alive: timeout=5\r\n", body);
   }
@@ -1388,7 +1388,7 @@
 
 /*
 ** {==================================================================
-** Case "equal": many clients send the same safe request; 3 of 12 workers crash
+** Case "equal": many clients send the same safe request; 5 of 20 workers crash
 ** ===================================================================
 */
 
@@ -1407,12 +1407,15 @@
   send_request(&ask);
 }
 
+/* a quarter of the workers */
+#define EQUAL_CRASHES 5
+
 static int case_equal(void) {
   Traffic traffic = {44, 60, send_equal};
   double fault = 20;
   double back = 21;
   int i;
-  for (i = 0; i < 12; i++)
+  for (i = 0; i < 20; i++)
     add_worker("app", "");
   start_deployment(9);
   start_thread(run_traffic, &traffic);
@@ -1421,22 +1424,22 @@
     double limit = now_s() + 5;
     int busy[WORKERS_MAX];
     int count = 0;
-    while (count < 3 && now_s() < limit) {
+    while (count < EQUAL_CRASHES && now_s() < limit) {
       pthread_mutex_lock(&lock);
       count = 0;
-      for (i = 0; i < workers_count && count < 3; i++) {
+      for (i = 0; i < workers_count && count < EQUAL_CRASHES; i++) {
         if (workers[i].running > 0)
           busy[count++] = i;
       }
-      if (count == 3) {
-        for (i = 0; i < 3; i++)
+      if (count == EQUAL_CRASHES) {
+        for (i = 0; i < EQUAL_CRASHES; i++)
           crash_worker(&workers[busy[i]], 2);
       }
       pthread_mutex_unlock(&lock);
       usleep(500);
     }
-    if (count < 3)
-      cannot_run("no three workers are busy");
+    if (count < EQUAL_CRASHES)
+      cannot_run("too few workers are busy");
   }
   sleep_until(20);
   if (trouble & 2) {
