--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -79,15 +79,40 @@
 # Scenarios run the processes with sanitizers, so a memory error ends them.
 make -s -j8 BUILD=build-san SAN="$san" processes 2>&1 ||
   record_result build-processes 1
+
+# Jobs are scenarios and soaks. CHECK_JOBS of them (1) run at a time, and their
+# results are recorded in the order in which they were started.
+jobs_max=${CHECK_JOBS:-1}
+job_logs=$(mktemp -d)
+job_names=()
+
+start_job() { # name, lines of its log to show if it fails, command
+  local name=$1 lines=$2 job=$job_logs/${#job_names[@]}
+  shift 2
+  while [ "$(jobs -rp | wc -l)" -ge "$jobs_max" ]; do wait -n; done
+  job_names+=("$name")
+  echo "$lines" >"$job.lines"
+  {
+    "$@" >"$job.log" 2>&1
+    echo $? >"$job.code"
+  } &
+}
+
+record_jobs() {
+  local i code
+  wait
+  for i in "${!job_names[@]}"; do
+    code=$(cat "$job_logs/$i.code")
+    [ "$code" = 0 ] || tail -"$(cat "$job_logs/$i.lines")" "$job_logs/$i.log"
+    record_result "${job_names[i]}" "$code"
+  done
+  rm -rf "$job_logs"
+}
+
 run_scenario() { # name, build folder, script
-  local log code
-  log=$(mktemp)
-  "$2/scenario" "$2" "$3" >"$log" 2>&1
-  code=$?
-  [ $code = 0 ] || tail -40 "$log"
-  record_result "$1" $code
-  rm -f "$log"
+  start_job "$1" 40 "$2/scenario" "$2" "$3"
 }
+
 # slow_callers bounds resident memory, in which freed memory that the address
 # sanitizer holds back would count.
 no_quarantine=quarantine_size_mb=0:thread_local_quarantine_size_kb=0
@@ -95,7 +120,8 @@
   name=$(basename "$s" .lua)
   if [ "$name" = slow_callers ]; then
     run_scenario "$name-plain" build "$s"
-    ASAN_OPTIONS=$no_quarantine run_scenario "$name" build-san "$s"
+    start_job "$name" 40 env ASAN_OPTIONS=$no_quarantine build-san/scenario \
+      build-san "$s"
   else
     run_scenario "$name" build-san "$s"
   fi
@@ -103,13 +129,7 @@
 
 # A short soak: the seeds that have failed before, and fixed ones.
 run_soak() { # arguments of scripts/soak.sh
-  local log
-  log=$(mktemp)
-  BUILD=build-san scripts/soak.sh "$@" >"$log" 2>&1
-  local code=$?
-  [ $code = 0 ] || tail -20 "$log"
-  record_result "soak-$1" $code
-  rm -f "$log"
+  start_job "soak-$1" 20 env BUILD=build-san scripts/soak.sh "$@"
 }
 run_soak regress
 run_soak 1 2 6
@@ -124,6 +144,7 @@
 run_soak 17004 17004 8 6
 run_soak 17020 17020 8 6
 run_soak 17101 17102 8 6
+record_jobs
 
 # A short fuzz run of what reads external input: two minutes of processor time
 # over all targets. Seed and number of inputs are fixed, so the result depends
