--- a/io/front.c
+++ b/io/front.c
@@ -9,6 +9,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -385,6 +386,11 @@
     unsent->lingering++;
 }
 
+gboolean front_has_unaccepted(const Front *front) {
+  struct pollfd listener = {evconnlistener_get_fd(front->listener), POLLIN, 0};
+  return poll(&listener, 1, 0) == 1;
+}
+
 FrontUnsent front_unsent(const Front *front) {
   FrontUnsent unsent = {0};
   GHashTableIter iterator;
--- a/io/front.h
+++ b/io/front.h
@@ -155,6 +155,9 @@
 } FrontUnsent;
 
 FrontUnsent front_unsent(const Front *front);
+/* Do connections wait to be accepted? Their requests may be complete in the
+** kernel. */
+gboolean front_has_unaccepted(const Front *front);
 /* The number of responses since the start that were cut off because their
 ** callers did not read them in time. */
 guint64 front_responses_cut(const Front *front);
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -69,7 +69,8 @@
   struct event *drain_timer;
   gint64 trim_at; /* earliest time of the next trim of idle connections */
   PlannedStop stop;
-  guint64 cut_before;   /* front_responses_cut when the drain began */
+  guint64 cut_before;           /* front_responses_cut when the drain began */
+  guint64 closed_unread_before; /* intake_closed_unread then */
   guint ended_requests; /* those that the end of a drain left no time for */
   gboolean is_drained;  /* a drain has ended and cut nothing off */
   gboolean was_ready;   /* the last answer to a readiness check */
@@ -565,6 +566,12 @@
   return front_responses_cut(gateway->front) - gateway->cut_before;
 }
 
+/* Connections that were closed unread since the drain began. */
+static guint64 closed_unread_count(const Gateway *gateway) {
+  return intake_closed_unread(front_intake(gateway->front)) -
+         gateway->closed_unread_before;
+}
+
 static void end_requests(Gateway *gateway) {
   gateway->ended_requests = front_open_requests(gateway->front);
   router_end_requests(gateway->router, clock_now());
@@ -599,6 +606,8 @@
     return;
   gateway->stop.began_at = clock_now();
   gateway->cut_before = front_responses_cut(gateway->front);
+  gateway->closed_unread_before =
+      intake_closed_unread(front_intake(gateway->front));
   router_begin_stop(gateway->router,
                     gateway->stop.began_at + gateway->stop.most,
                     gateway->stop.began_at);
@@ -742,15 +751,17 @@
 /* Logs what the end of the process cuts off. */
 static void log_stop(const Gateway *gateway) {
   FrontUnsent unsent = front_unsent(gateway->front);
-  log_numbered(gateway->log, MP_LOG_STOP,
-               " drained=%d ended=%u cut=%" G_GUINT64_FORMAT
-               " open=%u carried=%u sending=%u unsent=%" G_GUINT64_FORMAT
-               " unacknowledged=%" G_GUINT64_FORMAT,
-               gateway->is_drained, gateway->ended_requests,
-               cut_count(gateway),
-               front_open_requests(gateway->front) + unsent.receiving,
-               carry_server_count(gateway->carrying), unsent.connections,
-               unsent.bytes, unsent.unacknowledged);
+  log_numbered(
+      gateway->log, MP_LOG_STOP,
+      " drained=%d ended=%u cut=%" G_GUINT64_FORMAT
+      " open=%u carried=%u sending=%u unsent=%" G_GUINT64_FORMAT
+      " unacknowledged=%" G_GUINT64_FORMAT " closed_unread=%" G_GUINT64_FORMAT
+      " unaccepted=%d",
+      gateway->is_drained, gateway->ended_requests, cut_count(gateway),
+      front_open_requests(gateway->front) + unsent.receiving,
+      carry_server_count(gateway->carrying), unsent.connections, unsent.bytes,
+      unsent.unacknowledged, closed_unread_count(gateway),
+      front_has_unaccepted(gateway->front));
 }
 
 void gateway_free(Gateway *gateway) {
