Red: a stop does not see requests on connections that wait to be accepted

Cause (of the failure): front_unsent looks at accepted connections only. A stop whose last look at them falls between the arrival of a connection and its acceptance ends, and the kernel resets a complete request.

--- a/test/test_planned_stop.cc
+++ b/test/test_planned_stop.cc
@@ -311,6 +311,17 @@
   EXPECT_TRUE(wait([&] { return requests.size() == 2; }));
 }
 
+/* Guards against a stop that ends while a complete request lies in a
+** connection that the kernel has made and the process has not accepted. */
+TEST_F(StoppingFront, ARequestOnAConnectionThatIsNotAcceptedYetIsReceived) {
+  front_drain(front);
+  caller->send_text(get);
+  usleep(10000); /* it arrives, and the event loop does not run */
+  front_stop_receiving(front);
+  EXPECT_GT(front_unsent(front).receiving, 0u);
+  EXPECT_TRUE(wait([&] { return requests.size() == 1; }));
+}
+
 /* Guards against a stop that ends while a request arrives, whose caller gets
 ** neither an answer nor a refusal. */
 TEST_F(StoppingFront, ARequestWhoseBodyStillArrivesIsRefusedAsNotRun) {
