A stop does not end while connections wait to be accepted

Callers saw: a connection that was made, a whole request sent, and a reset, without an answer or a refusal. Cause: what is left to finish was counted over accepted connections only; the listen queue of the kernel was not looked at. Evidence: StoppingFront.ARequestOnAConnectionThatIsNotAcceptedYetIsReceived failed before (receiving 0) and passes now; the 48 tests of StoppingFront and CloseReasons pass. Why this works: a listener that polls as readable counts as a request that arrives, so the next turn accepts it, and it is refused as not run. At most it delays a stop until drain_most_ms. Ruled out: closing the listener first. Load balancers still send for two checks, and a refused connection tells their callers less than a 503.

--- a/io/front.c
+++ b/io/front.c
@@ -407,5 +407,7 @@
       unsent.receiving++;
     unsent.bytes += size;
   }
+  if (front->is_refusing && front_has_unaccepted(front))
+    unsent.receiving++;
   return unsent;
 }
--- a/io/front.h
+++ b/io/front.h
@@ -151,7 +151,8 @@
   guint lingering; /* further connections, whose callers have not closed them
                    ** after their last responses */
   guint receiving; /* further connections on which a request has begun to
-                   ** arrive, after front_stop_receiving(); 0 before it */
+                   ** arrive, after front_stop_receiving(); 0 before it. All
+                   ** that wait to be accepted count as one. */
 } FrontUnsent;
 
 FrontUnsent front_unsent(const Front *front);
