What peers have pending of account limits is a module of its own

Ruled out: a part of shared_totals: its totals only grow, these are replaced. Change: router/pending_totals keeps sums in steps; a limit points to its sum and multiplies by its step when it is asked. No decision changes. Conclusion: the same sums, without the recount.

--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -8,6 +8,7 @@
 
 #include "account/bucket.h"
 #include "router/account_limits.h"
+#include "router/pending_totals.h"
 
 /* The floor is this part of the tolerance. The rest is for what is admitted
 ** while reports are on their way to the other instances: a flood of six times
@@ -101,8 +102,7 @@
   double refunded;       /* part of 'own_spent' that may be spent again here */
   gint64 refunded_at;    /* when the newest refund was first seen by
                          ** expire_refunds; 0: not yet */
-  double peers_pending;  /* at instances whose digests come here */
-  double zones_pending;  /* in other data centres */
+  const PendingSum *pending; /* elsewhere, in steps */
   double headroom;       /* what may be pending before the largest level of the
                          ** bucket is lowered */
   double extra_headroom; /* what may be pending before no extra rate is given,
@@ -118,133 +118,14 @@
 struct AccountLimits {
   LimitTolerance tolerance;
   gint64 started_at;
-  GPtrArray *all;      /* Limit, in the configuration's order */
-  GHashTable *by_hash; /* hash of the name -> Limit */
-  SharedTotals *peers; /* what they reported as spent */
-  GHashTable *pending; /* address -> PeerPending (owned) */
-  gint64 shares_at;    /* when shares were computed last; 0: never */
-  gint64 swept_at;     /* when silent peers were removed from 'pending' */
-  guint next_row;      /* index in 'all' of the next digest's first row */
+  GPtrArray *all;         /* Limit, in the configuration's order */
+  GHashTable *by_hash;    /* hash of the name -> Limit */
+  SharedTotals *peers;    /* what they reported as spent */
+  PendingTotals *pending; /* what they have pending */
+  gint64 shares_at;       /* when shares were computed last; 0: never */
+  guint next_row;         /* index in 'all' of the next digest's first row */
 };
 
-/* what one peer has pending */
-typedef struct PeerPending {
-  gint64 received_at;   /* its last message */
-  gboolean is_instance; /* not a relay's summary */
-  GHashTable *steps;    /* hash of a limit -> its steps */
-} PeerPending;
-
-/*
-** {==================================================================
-** What is pending at other instances
-** ===================================================================
-*/
-
-static void add_peer_pending(Limit *limit, const PeerPending *peer,
-                             double steps) {
-  if (peer->is_instance)
-    limit->peers_pending += steps * limit->step;
-  else
-    limit->zones_pending += steps * limit->step;
-}
-
-/* Replaces what a peer has pending of one limit. */
-static void set_peer_pending(AccountLimits *limits, PeerPending *peer,
-                             guint32 hash, guint32 steps) {
-  gpointer key = GUINT_TO_POINTER(hash);
-  guint before = GPOINTER_TO_UINT(g_hash_table_lookup(peer->steps, key));
-  Limit *limit;
-  if (steps == before)
-    return;
-  g_hash_table_insert(peer->steps, key, GUINT_TO_POINTER(steps));
-  limit = g_hash_table_lookup(limits->by_hash, key);
-  if (limit != NULL)
-    add_peer_pending(limit, peer, (double)steps - before);
-}
-
-/* Adds all that a peer has pending, times 'sign', to the limits. */
-static void add_all_pending(AccountLimits *limits, const PeerPending *peer,
-                            double sign) {
-  GHashTableIter iterator;
-  gpointer key;
-  gpointer steps;
-  g_hash_table_iter_init(&iterator, peer->steps);
-  while (g_hash_table_iter_next(&iterator, &key, &steps)) {
-    Limit *limit = g_hash_table_lookup(limits->by_hash, key);
-    if (limit != NULL)
-      add_peer_pending(limit, peer, sign * GPOINTER_TO_UINT(steps));
-  }
-}
-
-/* Adds up what peers have pending, for limits that may have been added or have
-** got another unit since the peers reported it. */
-static void recount_pending(AccountLimits *limits) {
-  GHashTableIter iterator;
-  gpointer peer;
-  guint i;
-  for (i = 0; i < limits->all->len; i++) {
-    Limit *limit = limits->all->pdata[i];
-    limit->peers_pending = 0;
-    limit->zones_pending = 0;
-  }
-  g_hash_table_iter_init(&iterator, limits->pending);
-  while (g_hash_table_iter_next(&iterator, NULL, &peer))
-    add_all_pending(limits, peer, 1);
-}
-
-/* Stops counting what is pending at silent peers, at most once in each
-** ACCOUNT_PEER_TIMEOUT: they have their own share of the limit. */
-static void remove_silent_pending(AccountLimits *limits, gint64 now) {
-  GHashTableIter iterator;
-  gpointer value;
-  if (now - limits->swept_at <= ACCOUNT_PEER_TIMEOUT)
-    return;
-  limits->swept_at = now;
-  g_hash_table_iter_init(&iterator, limits->pending);
-  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-    const PeerPending *peer = value;
-    if (now - peer->received_at <= ACCOUNT_PEER_TIMEOUT)
-      continue;
-    add_all_pending(limits, peer, -1);
-    g_hash_table_iter_remove(&iterator);
-  }
-}
-
-static PeerPending *peer_pending_new(gboolean is_instance) {
-  PeerPending *peer = g_new0(PeerPending, 1);
-  peer->is_instance = is_instance;
-  peer->steps = g_hash_table_new(NULL, NULL);
-  return peer;
-}
-
-static void receive_pending(AccountLimits *limits, guint64 address,
-                            gboolean is_instance, const mp_LoadDigest *digest,
-                            gint64 now) {
-  guint count = MIN(digest->pending_count, digest->account_count);
-  PeerPending *peer;
-  guint i;
-  remove_silent_pending(limits, now);
-  peer = g_hash_table_lookup(limits->pending, &address);
-  if (peer == NULL && count == 0)
-    return; /* an earlier release */
-  if (peer != NULL && count == 0) {
-    add_all_pending(limits, peer, -1);
-    g_hash_table_remove(limits->pending, &address);
-    return; /* the peer reports none, or its digest had no room for them */
-  }
-  if (peer == NULL) {
-    peer = peer_pending_new(is_instance);
-    g_hash_table_insert(limits->pending, g_memdup2(&address, sizeof address),
-                        peer);
-  }
-  peer->received_at = now;
-  for (i = 0; i < count; i++)
-    set_peer_pending(limits, peer, digest->account[i].account,
-                     digest->pending[i]);
-}
-
-/* }================================================================== */
-
 /*
 ** {==================================================================
 ** Creation and configuration
@@ -257,12 +138,6 @@
   g_free(limit);
 }
 
-static void peer_pending_free(gpointer p) {
-  PeerPending *peer = p;
-  g_hash_table_destroy(peer->steps);
-  g_free(peer);
-}
-
 AccountLimits *account_limits_new(const LimitTolerance *tolerance,
                                   gint64 now) {
   AccountLimits *limits = g_new0(AccountLimits, 1);
@@ -271,15 +146,14 @@
   limits->all = g_ptr_array_new_with_free_func(limit_free);
   limits->by_hash = g_hash_table_new(NULL, NULL);
   limits->peers = shared_totals_new(ACCOUNT_PEER_TIMEOUT);
-  limits->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                          peer_pending_free);
+  limits->pending = pending_totals_new(ACCOUNT_PEER_TIMEOUT);
   return limits;
 }
 
 void account_limits_free(AccountLimits *limits) {
   g_hash_table_destroy(limits->by_hash);
   shared_totals_free(limits->peers);
-  g_hash_table_destroy(limits->pending);
+  pending_totals_free(limits->pending);
   g_ptr_array_free(limits->all, TRUE);
   g_free(limits);
 }
@@ -296,11 +170,12 @@
 /* Creates the state of a limit. An instance that has run for a window knows
 ** that the account is new, so nothing was spent yet and the bucket is full; in
 ** its first window the level is unknown. */
-static Limit *limit_new(const AccountLimits *limits, const Account *account,
+static Limit *limit_new(AccountLimits *limits, const Account *account,
                         gint64 now) {
   Limit *limit = g_new0(Limit, 1);
   limit->name = g_strdup(account->name);
   limit->hash = g_str_hash(account->name);
+  limit->pending = pending_totals_sum(limits->pending, limit->hash);
   limit->is_unknown = is_in_first_window(limits, now);
   limit->bucket.level = limit->is_unknown ? 0 : account->burst;
   limit->bucket.at = now;
@@ -362,7 +237,6 @@
     Limit *limit = all->pdata[i];
     g_hash_table_insert(limits->by_hash, GUINT_TO_POINTER(limit->hash), limit);
   }
-  recount_pending(limits);
 }
 
 /* }================================================================== */
@@ -381,10 +255,17 @@
     limit->refunded = 0;
 }
 
+/* Returns what is pending here, and also at the other instances whose digests
+** come here if 'with_peers' is set. */
+static double pending_near(const Limit *limit, gboolean with_peers) {
+  double peers = with_peers ? (double)limit->pending->instances : 0;
+  return limit->waiting + limit->refunded + peers * limit->step;
+}
+
 /* Returns what is pending at all reachable instances. */
 static double pending_amount(const Limit *limit) {
-  return limit->waiting + limit->refunded + limit->peers_pending +
-         limit->zones_pending;
+  return pending_near(limit, TRUE) +
+         (double)limit->pending->zones * limit->step;
 }
 
 /* Returns the largest level of the bucket (invariant 4). */
@@ -468,7 +349,7 @@
   double share = limit_share(sharers);
   if (limit == NULL)
     return TRUE; /* the account has no limit */
-  remove_silent_pending(limits, now);
+  pending_totals_expire(limits->pending, now);
   refill(limit, share, now);
   if (draw < admit_chance(limit, share, cost)) {
     limit->has_admitted = TRUE;
@@ -543,7 +424,7 @@
   if (limits->shares_at != 0 && now - limits->shares_at < SHARES_INTERVAL)
     return;
   limits->shares_at = now;
-  remove_silent_pending(limits, now);
+  pending_totals_expire(limits->pending, now);
   for (i = 0; i < limits->all->len; i++) {
     Limit *limit = limits->all->pdata[i];
     double pending;
@@ -643,8 +524,7 @@
     expire_refunds(limit, now);
     write_row(out, limit,
               limit->own_spent + (with_peers ? limit->peers_spent : 0),
-              limit->waiting + limit->refunded +
-                  (with_peers ? limit->peers_pending : 0));
+              pending_near(limit, with_peers));
   }
   if (limits->all->len > count)
     limits->next_row = (limits->next_row + count) % limits->all->len;
@@ -658,7 +538,7 @@
 void account_limits_write_summary(AccountLimits *limits, mp_LoadDigest *out,
                                   gint64 now) {
   guint i;
-  remove_silent_pending(limits, now);
+  pending_totals_expire(limits->pending, now);
   write_page(limits, out, TRUE, now);
   for (i = 0; i < limits->all->len; i++) {
     Limit *limit = limits->all->pdata[i];
@@ -701,7 +581,7 @@
     limit->peers_spent += is_instance ? increase * limit->step : 0;
   }
   /* after the charges: a bucket at its largest level is lowered once */
-  receive_pending(limits, address, is_instance, digest, now);
+  pending_totals_receive(limits->pending, address, is_instance, digest, now);
 }
 
 void account_limits_receive(AccountLimits *limits, mp_Addr peer,
