Scenarios that run side by side take blocks of ports under a lock

Cause: a run takes its ports from block 'process id modulo 100'. Both runs had block 92 (callers at 28692 and 28777), started 1.4 s apart, and lost their stores within 1 s of each other (E4004 in all their logs); a port is only looked at before it is given, and bound later. Ruled out: the product; in both runs all instances lost the store for good. Change: a block is locked by an abstract address of a local socket for the life of the process; a run that needs more takes a further one. Conclusion: harness only.

--- a/test/scenario.c
+++ b/test/scenario.c
@@ -14,12 +14,14 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <spawn.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -138,12 +140,39 @@
 
 /* ports from which freeport gives: a block for each process, below the
 ** range from which connections get theirs. Two runs of closing_matrix.lua,
-*which
-** needs more than 100, collided in neighbouring blocks of 100. */
+** which needs more than 100, collided in neighbouring blocks of 100. */
 #define FIRST_PORT 10240
 #define BLOCKS 100
 #define BLOCK_SIZE 200
 
+/* Takes a block for this process alone, until it ends: the abstract address of
+** a local socket, which is bound here and never closed, is the lock. Returns
+** 0 if another process has the block. */
+static int lock_block(unsigned block) {
+  struct sockaddr_un address = {0};
+  int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int length;
+  address.sun_family = AF_UNIX;
+  length = snprintf(address.sun_path + 1, sizeof address.sun_path - 1,
+                    "madderpier-scenario-ports-%u", block);
+  length += (int)offsetof(struct sockaddr_un, sun_path) + 1;
+  if (fd >= 0 && bind(fd, (struct sockaddr *)&address, (socklen_t)length) == 0)
+    return 1;
+  close(fd);
+  return 0;
+}
+
+/* Returns a block that no process has yet, this one included; BLOCKS if there
+** is none. */
+static unsigned take_block(void) {
+  unsigned first = (unsigned)getpid() % BLOCKS;
+  unsigned i;
+  for (i = 0; i < BLOCKS; i++)
+    if (lock_block((first + i) % BLOCKS))
+      return (first + i) % BLOCKS;
+  return BLOCKS;
+}
+
 /*
 ** freeport() -> a port that nobody uses now, for TCP and UDP, and that was
 ** not given before. One out of the range of connections could be taken by
@@ -151,17 +180,22 @@
 ** that run side by side give from blocks of their own.
 */
 static int l_freeport(lua_State *L) {
-  static unsigned given;
-  unsigned block = (unsigned)getpid() % BLOCKS;
-  while (given < BLOCKS * BLOCK_SIZE) {
-    unsigned offset = (block * BLOCK_SIZE + given++) % (BLOCKS * BLOCK_SIZE);
-    uint16_t port = (uint16_t)(FIRST_PORT + offset);
+  static unsigned given = BLOCK_SIZE; /* ports of 'block' */
+  static unsigned block;
+  for (;;) {
+    uint16_t port;
+    if (given == BLOCK_SIZE) {
+      block = take_block();
+      given = 0;
+    }
+    if (block == BLOCKS)
+      return luaL_error(L, "no free port");
+    port = (uint16_t)(FIRST_PORT + block * BLOCK_SIZE + given++);
     if (!bindable(SOCK_STREAM, port) || !bindable(SOCK_DGRAM, port))
       continue;
     lua_pushinteger(L, port);
     return 1;
   }
-  return luaL_error(L, "no free port");
 }
 
 static struct sockaddr_in loopback(lua_State *L, int arg) {
