The search for a run to displace is a module of its own

Ruled out: moving the decision too: it starts the request as the queue does. Change: router/preemption.c with preemption_find_engine; no behaviour changes. Conclusion: a move.

--- a/router/admission.c
+++ b/router/admission.c
@@ -39,7 +39,6 @@
 
 #include "router/admission_order.h"
 #include "router/continuation.h"
-#include "router/gate.h"
 #include "router/state.h"
 
 /* A first try waits for room for at most this many objectives, because reading
@@ -143,7 +142,7 @@
   return g_str_hash(request->service->name);
 }
 
-static gboolean is_same_service(const Request *one, const Request *other) {
+gboolean admission_is_same_service(const Request *one, const Request *other) {
   return one->service == other->service ||
          strcmp(one->service->name, other->service->name) == 0;
 }
@@ -353,7 +352,7 @@
                    const Request *other, gint64 now) {
   AdmissionRank ranks[2] = {rank_of(router, one, now),
                             rank_of(router, other, now)};
-  if (!is_same_service(one, other))
+  if (!admission_is_same_service(one, other))
     ranks[0].priority = ranks[1].priority = 0;
   return admission_order_compare(&ranks[0], &ranks[1]);
 }
@@ -485,7 +484,7 @@
   for (i = 0; is_ranked(request) && i < router->waiting->len; i++) {
     const Request *other = router->waiting->pdata[i];
     AdmissionRank other_rank;
-    if (other->start_at != 0 || !is_same_service(other, request) ||
+    if (other->start_at != 0 || !admission_is_same_service(other, request) ||
         !needs_room_of(other, request))
       continue;
     other_rank = rank_of(router, other, now);
@@ -511,67 +510,6 @@
   return yields_to_priority(router, request, now);
 }
 
-/*
-** {==================================================================
-** Preemption
-** ===================================================================
-*/
-
-/* Returns TRUE if a run at this engine can be displaced for the request: 'run'
-** is less urgent, and without its memory the request fits. */
-static gboolean can_displace(Router *router, const Request *request,
-                             const EndpointQuery *query, const Request *run,
-                             const Endpoint *engine, gint64 now) {
-  const EndpointTable *table = router->endpoints;
-  return engine->avoid_until <= now && engine->record.stage == STAGE_DECODE &&
-         !path_is_excluded(request, engine->record.id) &&
-         !endpoint_is_changing_stage(table, engine, now) &&
-         !endpoint_has_crashed_under(query, engine) &&
-         gate_check(engine, DISPATCH_RUN, now) == GATE_OPEN &&
-         gate_check_limits(table, engine, &query->limits, now) == GATE_OPEN &&
-         endpoint_tokens(table, engine) + query->tokens <=
-             query->capacity + run->open.tokens;
-}
-
-/* Returns TRUE if the open dispatch of the other request is a run of the same
-** service with a lower priority. */
-static gboolean is_less_urgent_run(const Request *other,
-                                   const Request *request) {
-  return other->phase == PHASE_RUN && other->open.number != 0 &&
-         other->priority > request->priority &&
-         is_same_service(other, request);
-}
-
-/*
-** Returns the decode engine with the least planned memory among those where a
-** less urgent run of this instance can be displaced; NULL if there is none.
-** Runs of other instances are not known by priority. An engine that already
-** has a request beyond its memory does not fit, so that no second run is
-** displaced there before the first one has ended.
-*/
-static Endpoint *engine_to_preempt(Router *router, const Request *request,
-                                   gint64 now) {
-  EndpointQuery query = path_query(router, request, STAGE_DECODE, now);
-  Endpoint *best = NULL;
-  GHashTableIter iterator;
-  gpointer value;
-  g_hash_table_iter_init(&iterator, router->requests);
-  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-    const Request *run = value;
-    Endpoint *engine;
-    if (!is_less_urgent_run(run, request))
-      continue;
-    engine = path_open_endpoint(router, run);
-    if (engine == NULL ||
-        !can_displace(router, request, &query, run, engine, now))
-      continue;
-    if (best == NULL || endpoint_tokens(router->endpoints, engine) <
-                            endpoint_tokens(router->endpoints, best))
-      best = engine;
-  }
-  return best;
-}
-
 /*
 ** Starts an urgent request that would be late at an engine without room for
 ** it, which displaces a less urgent run there. This costs that run its
@@ -586,7 +524,7 @@
       now - request->first_attempt_at > first_try_wait_max(request) ||
       prefill_decode_limit(router, request, now) != NULL)
     return FALSE; /* the last: no prefill engine can take its prompt now */
-  engine = engine_to_preempt(router, request, now);
+  engine = preemption_find_engine(router, request, now);
   if (engine == NULL)
     return FALSE;
   if (finish_outlasting(router, request, now))
@@ -601,8 +539,6 @@
   return TRUE;
 }
 
-/* }================================================================== */
-
 void admission_take_turn(Router *router, Request *request, gint64 now) {
   Endpoint *engine = engine_with_room(router, request, now);
   request->start_at = 0;
--- a/router/state.h
+++ b/router/state.h
@@ -521,6 +521,8 @@
 ** ===================================================================
 */
 
+/* Do both requests need endpoints of the same service? */
+gboolean admission_is_same_service(const Request *one, const Request *other);
 /* Starts a new request, queues it, or refuses it; may end. */
 void admission_enter(Router *router, Request *request, gint64 now);
 /* Queues a request again whose prompt is prefilled but for which no engine has
@@ -557,6 +559,24 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** preemption.c: engines where an urgent request may displace another one
+** ===================================================================
+*/
+
+/*
+** Returns the decode engine with the least planned memory among those where a
+** less urgent run of this instance can be displaced; NULL if there is none.
+** Runs of other instances are not known by priority. An engine that already
+** has a request beyond its memory does not fit, so that no second run is
+** displaced there before the first one has ended.
+*/
+Endpoint *preemption_find_engine(Router *router, const Request *request,
+                                 gint64 now);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** accounts.c: the client account of a request, and whether it may run
