Red: a next request that comes as a stream ends is read and discarded

Callers see: a stream that began before the signal says nothing of a close. They send their next request as its last bytes arrive; it gets neither an answer nor a refusal. Cause: the end of a stream looks for a next request once, before its last bytes leave. What comes between that moment and the close is read, and discarded as input of a connection that lingers. Evidence: red in both cases, with one byte and with 2 MB that the link does not take at once (2 of 2).

--- a/test/test_planned_stop.cc
+++ b/test/test_planned_stop.cc
@@ -396,6 +396,31 @@
   EXPECT_TRUE(wait([&] { return requests.size() == 2; }));
 }
 
+/* Guards against a next request that is read and discarded because it comes
+** between the end of a stream and the close of its connection. */
+TEST_F(StoppingFront, ANextRequestThatComesAsAStreamEndsIsReceived) {
+  for (bool slow : {false, true}) {
+    SCOPED_TRACE(slow);
+    size_t before = requests.size();
+    caller = loopback::call(address);
+    caller->reading = !slow;
+    caller->send_text(get);
+    ASSERT_TRUE(wait([&] { return requests.size() == before + 1; }));
+    HttpHead *head = http_head_new_response(200);
+    front_begin_response(front, requests.back(), head);
+    http_head_free(head);
+    const std::string large(slow ? 2 << 20 : 1, 'x');
+    front_send_piece(front, requests.back(), large.data(), large.size());
+    front_drain(front);
+    front_stop_receiving(front);
+    front_end_response(front, requests.back());
+    caller->send_text(get);
+    usleep(10000); /* it arrives, and the event loop does not run */
+    caller->reading = true;
+    EXPECT_TRUE(wait([&] { return requests.size() == before + 2; }));
+  }
+}
+
 /* A caller may end its side once its request is sent. */
 TEST_F(StoppingFront, AnAnswerIsWholeAlthoughItsCallerHasEndedItsSide) {
   const std::string large(8 << 20, 'x');
