A next request that comes as a stream ends in a stop is answered

Callers saw: no answer and no refusal to a request that they sent on a connection whose stream had just ended; the connection was half-closed. Cause: whether a next request has come was asked once, when the end of the stream was queued. What came until its last byte had left, for as long as a slow link or a late loop takes, was read and discarded. Why this works: the question is asked again when the last byte has left, and then the request is read, and refused by a stop. Ruled out: for responses that announce the close nothing changes.

--- a/io/front.c
+++ b/io/front.c
@@ -222,6 +222,7 @@
   if (connection == NULL)
     return;
   bufferevent_write(connection->events, "0\r\n\r\n", 5);
+  connection->may_continue = !connection->says_close;
   connection_end_response(connection,
                           connection_closes_after_stream(connection));
 }
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -211,10 +211,30 @@
   evbuffer_drain(bufferevent_get_input(connection->events), READ_AHEAD);
 }
 
+/* Reads the next request, after the response to the one before. */
+static void read_next(Connection *connection) {
+  connection->state = CONNECTION_READING;
+  connection->may_continue = FALSE;
+  http_reader_start_next(connection->reader);
+  connection_set_read_timeout(connection,
+                              connection->front->limits.idle_timeout);
+  if (evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
+    bufferevent_trigger(connection->events, EV_READ,
+                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+/* Has the caller sent a next request, because the response that is written did
+** not announce the end of the connection? */
+static gboolean has_next_request(const Connection *connection) {
+  return connection->may_continue && connection_has_input(connection);
+}
+
 void connection_end_if_flushed(Connection *connection) {
   if (connection_unsent(connection) > 0)
     return;
-  if (connection->lingers)
+  if (has_next_request(connection))
+    read_next(connection);
+  else if (connection->lingers)
     linger(connection);
   else
     connection_close(connection, CLOSE_FINISHED);
@@ -233,13 +253,7 @@
     connection_close_when_flushed(connection);
     return;
   }
-  connection->state = CONNECTION_READING;
-  http_reader_start_next(connection->reader);
-  connection_set_read_timeout(connection,
-                              connection->front->limits.idle_timeout);
-  if (evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
-    bufferevent_trigger(connection->events, EV_READ,
-                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+  read_next(connection);
 }
 
 gboolean connection_is_still_read(const Connection *connection) {
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -66,7 +66,10 @@
   gboolean is_broken_off; /* its response ended without its last chunk */
   CloseReason reason; /* why this instance has shut it down; CLOSE_FINISHED: it
                       ** has not */
-  gboolean says_close;  /* the head of its response has "Connection: close" */
+  gboolean says_close; /* the head of its response has "Connection: close" */
+  gboolean
+      may_continue;     /* the connection is being closed after a response that
+                        ** did not say so: a next request may still come */
   FlowConnection *flow; /* NULL: flow control is off */
   gint64 body_held_at;  /* since when its body is held back; 0: it is not */
   gint64 lingers_until; /* when a connection that discards input is closed */
--- a/test/test_planned_stop.cc
+++ b/test/test_planned_stop.cc
@@ -132,6 +132,21 @@
                         body.size());
     http_head_free(head);
   }
+  /* A stream that began before a stop ends in it. Its caller's next request
+  ** has arrived before the event loop runs again. */
+  void end_stream_in_stop(const std::string &piece) {
+    caller->send_text(get);
+    ASSERT_TRUE(wait([&] { return requests.size() == 1; }));
+    HttpHead *head = http_head_new_response(200);
+    front_begin_response(front, requests[0], head);
+    http_head_free(head);
+    front_send_piece(front, requests[0], piece.data(), piece.size());
+    front_drain(front);
+    front_stop_receiving(front);
+    front_end_response(front, requests[0]);
+    caller->send_text(get);
+    usleep(10000);
+  }
   /* Connections that a stop waits for. */
   guint left() const {
     FrontUnsent unsent = front_unsent(front);
@@ -399,26 +414,16 @@
 /* Guards against a next request that is read and discarded because it comes
 ** between the end of a stream and the close of its connection. */
 TEST_F(StoppingFront, ANextRequestThatComesAsAStreamEndsIsReceived) {
-  for (bool slow : {false, true}) {
-    SCOPED_TRACE(slow);
-    size_t before = requests.size();
-    caller = loopback::call(address);
-    caller->reading = !slow;
-    caller->send_text(get);
-    ASSERT_TRUE(wait([&] { return requests.size() == before + 1; }));
-    HttpHead *head = http_head_new_response(200);
-    front_begin_response(front, requests.back(), head);
-    http_head_free(head);
-    const std::string large(slow ? 2 << 20 : 1, 'x');
-    front_send_piece(front, requests.back(), large.data(), large.size());
-    front_drain(front);
-    front_stop_receiving(front);
-    front_end_response(front, requests.back());
-    caller->send_text(get);
-    usleep(10000); /* it arrives, and the event loop does not run */
-    caller->reading = true;
-    EXPECT_TRUE(wait([&] { return requests.size() == before + 2; }));
-  }
+  end_stream_in_stop("x");
+  EXPECT_TRUE(wait([&] { return requests.size() == 2; }));
+}
+
+/* The same while the link has not taken the last bytes of the stream. */
+TEST_F(StoppingFront, ANextRequestThatComesAsAStreamIsStillSentIsReceived) {
+  caller->reading = false;
+  end_stream_in_stop(std::string(2 << 20, 'x'));
+  caller->reading = true;
+  EXPECT_TRUE(wait([&] { return requests.size() == 2; }));
 }
 
 /* A caller may end its side once its request is sent. */
