A silent prefill at an endpoint that can be connected to is waited for

Cause: a prefill was cancelled and sent elsewhere after four times its expected time and 0.3 s, whatever its endpoint's state: after 0.63 s for 1000 tokens. A sound engine may be silent for 1.5 s, and the second prefill is an extra arrival. Ruled out: a longer grace for all prefills. It delays the replacement at engines that are dead or cut off by as much. Change: 0.25 s before a prefill is late its path is checked, directly or through its carrier. If the check connects, the prefill is given 1.3 s more, with a check each 0.5 s. If it fails or hangs, the prefill is replaced when it was before. With too little time left for a second prefill as late as this one, it is replaced earlier. A late prefill still counts as a failure of its engine, which is chosen less often. Price: a prefill that hangs at an engine that can be connected to is replaced 1.3 s later.

--- a/router/endpoint_path.h
+++ b/router/endpoint_path.h
@@ -44,6 +44,9 @@
   gint64 since;        /* when the state began */
   gint64 heard_at;     /* when a direct dispatch was last answered; 0: never */
   gint64 connected_at; /* when a direct connection was last made */
+  gint64 carried_at;   /* when a carrier last connected on a check of a silent
+                       ** dispatch; 0: never */
+  mp_Addr carried_via; /* that carrier */
   gint64 regained_at;  /* when a lost direct path last came back; 0: never */
   gint64 checked_at;   /* when the last direct check began */
   gint64 check_due;    /* when the next direct check is to be sent; 0: none */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -36,10 +36,19 @@
 #define INITIAL_PACE 12.0
 /* weight of the newest prompt in the moving mean of the pace */
 #define PACE_STEP 0.1
-/* A prefill counts as stalled after PREFILL_TIMES_MAX times the expected time
-** plus PREFILL_GRACE. */
+/* A prefill is late after PREFILL_TIMES_MAX times the expected time plus
+** PREFILL_GRACE. It counts as stalled then, unless its endpoint has just been
+** connected to on the path of the prefill. */
 #define PREFILL_TIMES_MAX 4
 #define PREFILL_GRACE (300 * MP_MS)
+/* A sound endpoint may be silent for 1.5 s. One that can be connected to is
+** given this long more, which leaves 100 ms for the prompt beside the silence,
+** and its path is checked again each PATH_RECHECK. */
+#define PREFILL_PATIENCE (1300 * MP_MS)
+#define PATH_RECHECK (500 * MP_MS)
+/* The path is checked this long before a prefill is late: a check that hangs
+** has failed by then (reach.c). */
+#define PATH_CHECK_LEAD (250 * MP_MS)
 /* A stalled prefill that may not be replaced is checked again after this, as a
 ** silent run is (outcomes.c). */
 #define STALL_RECHECK (500 * MP_MS)
@@ -306,6 +315,13 @@
   return endpoint_table_choose(router->endpoints, &query, now);
 }
 
+/* Has the open prefill count as late at 'late_at', and its path checked
+** before. */
+static void set_late_at(Request *request, gint64 late_at) {
+  request->stall_at = late_at;
+  request->path_check_at = late_at - PATH_CHECK_LEAD;
+}
+
 gboolean prefill_begin(Router *router, Request *request, gint64 now) {
   PrefillLimit limit;
   Endpoint *prefill;
@@ -330,8 +346,10 @@
   request->prefills_sent++;
   request->open.ahead = ahead;
   request->phase = PHASE_PREFILL;
-  request->stall_at =
-      now + PREFILL_TIMES_MAX * expected_time(router, request) + PREFILL_GRACE;
+  request->open.patience_until = 0;
+  set_late_at(request, now +
+                           PREFILL_TIMES_MAX * expected_time(router, request) +
+                           PREFILL_GRACE);
   return TRUE;
 }
 
@@ -520,6 +538,52 @@
     deny_retry(router, request, now);
 }
 
+/* The result is looked at when the prefill is late: not before the check has
+** ended, even if this was called late. */
+void prefill_check_path(Router *router, Request *request, gint64 now) {
+  Endpoint *endpoint = path_open_endpoint(router, request);
+  request->path_check_at = 0;
+  request->stall_at = MAX(request->stall_at, now + PATH_CHECK_LEAD);
+  if (endpoint != NULL)
+    reach_check_path(router->reach, endpoint, request->open.via, now);
+}
+
+/*
+** Returns TRUE if the open prefill, which is late, is waited for: its engine
+** can be connected to, and if the engine stays silent, the time left is enough
+** for a prefill elsewhere that is as late as this one is now.
+*/
+static gboolean may_wait(const Request *request, const Endpoint *endpoint,
+                         gint64 now) {
+  const OpenDispatch *open = &request->open;
+  return endpoint != NULL &&
+         reach_has_connected(endpoint, open->via,
+                             request->stall_at - PATH_CHECK_LEAD) &&
+         (open->patience_until == 0 || now < open->patience_until) &&
+         now + (now - open->sent) < request->expires;
+}
+
+/* Waits for the open prefill, which is late. */
+static void wait_on(Request *request, gint64 now) {
+  OpenDispatch *open = &request->open;
+  if (open->patience_until == 0)
+    open->patience_until =
+        MIN(now + PREFILL_PATIENCE, request->expires - (now - open->sent));
+  if (now + PATH_RECHECK < open->patience_until)
+    set_late_at(request, now + PATH_RECHECK);
+  else
+    request->stall_at = open->patience_until;
+}
+
+/* Records that the prefill is late: its engine is chosen less often, and the
+** pace is at most this. */
+static void record_late(Router *router, const Request *request,
+                        Endpoint *endpoint, gint64 now) {
+  if (endpoint != NULL)
+    endpoint_note_failure(endpoint, now);
+  update_pace(router, request, now);
+}
+
 /*
 ** If the retry budget allows no other arrival, the request goes on waiting:
 ** the prompt may still reach the head of the engine's queue, and replacing it
@@ -527,9 +591,13 @@
 */
 void prefill_handle_stall(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint = path_open_endpoint(router, request);
-  if (endpoint != NULL)
-    endpoint_note_failure(endpoint, now);
-  update_pace(router, request, now); /* the pace is at most this */
+  gboolean waits = may_wait(request, endpoint, now);
+  if (!waits || request->open.patience_until == 0)
+    record_late(router, request, endpoint, now);
+  if (waits) {
+    wait_on(request, now);
+    return;
+  }
   if (!may_send_again(router, request, OUTCOME_BROKEN, now)) {
     request->stall_at = now + STALL_RECHECK;
     return;
--- a/router/reach.c
+++ b/router/reach.c
@@ -334,6 +334,23 @@
   ask_next_carrier(reach, endpoint, now);
 }
 
+/* A check through a carrier has ended that was sent for a silent dispatch. */
+static void handle_path_check(Reach *reach, Endpoint *endpoint, mp_Addr via,
+                              const Outcome *outcome, gint64 now) {
+  EndpointPath *path = &endpoint->path;
+  if (outcome->kind == OUTCOME_ANSWER) {
+    carriers_note_connected(reach->carriers, via, now);
+    path->carried_at = now;
+    path->carried_via = via;
+    deliver(reach, path, OUTCOME_ANSWER, now);
+    return;
+  }
+  if (outcome->carrier_failed)
+    carriers_avoid(reach->carriers, via, now);
+  if (path->ticket != 0)
+    begin_search(reach, endpoint, now);
+}
+
 /* A check through a carrier has ended. */
 static void handle_carried_check(Reach *reach, Endpoint *endpoint, mp_Addr via,
                                  const Outcome *outcome, gint64 now) {
@@ -375,6 +392,9 @@
   endpoint->path.check = 0;
   if (via == 0)
     handle_direct_check(reach, endpoint, outcome, now);
+  else if (endpoint->path.state == PATH_DIRECT ||
+           endpoint->path.state == PATH_INDIRECT)
+    handle_path_check(reach, endpoint, via, outcome, now);
   else
     handle_carried_check(reach, endpoint, via, outcome, now);
 }
@@ -448,6 +468,26 @@
   send_check(reach, endpoint, 0, DIRECT_CHECK_TIMEOUT, now);
 }
 
+void reach_check_path(Reach *reach, Endpoint *endpoint, mp_Addr via,
+                      gint64 now) {
+  const EndpointPath *path = &endpoint->path;
+  if (path->check != 0)
+    return; /* the open check tells */
+  if (via == 0 && path->state == PATH_DIRECT)
+    send_check(reach, endpoint, 0, DIRECT_CHECK_TIMEOUT, now);
+  else if (via != 0 && path->state != PATH_SEARCHING &&
+           path->state != PATH_NONE)
+    send_check(reach, endpoint, via, CARRIED_CHECK_TIMEOUT, now);
+}
+
+gboolean reach_has_connected(const Endpoint *endpoint, mp_Addr via,
+                             gint64 since) {
+  const EndpointPath *path = &endpoint->path;
+  if (via == 0)
+    return path->state == PATH_DIRECT && path->connected_at >= since;
+  return path->carried_via == via && path->carried_at >= since;
+}
+
 guint64 reach_verify(Reach *reach, Endpoint *endpoint, gint64 timeout,
                      gint64 now) {
   EndpointPath *path = &endpoint->path;
--- a/router/reach.h
+++ b/router/reach.h
@@ -17,7 +17,7 @@
 **    that this instance cannot connect to is handled as unreachable.
 ** 3. A search asks at most CARRIERS_ASKED_MAX carriers, one after the other;
 **    while an endpoint has no path, no request is sent to it.
-** 4. While no connection fails, and no run is silent, nothing is sent.
+** 4. While no connection fails, and no dispatch is silent, nothing is sent.
 **
 ** A Router owns one Reach. Times are in microseconds of the router's steady
 ** clock.
@@ -53,6 +53,15 @@
 ** the direct path, unless other dispatches have heard of it. */
 void reach_note_silence(Reach *reach, Endpoint *endpoint, gint64 since,
                         gint64 now);
+/* A dispatch that went through 'via' (0: directly) is silent: checks whether
+** its path still leads to the endpoint. reach_has_connected tells the
+** result. */
+void reach_check_path(Reach *reach, Endpoint *endpoint, mp_Addr via,
+                      gint64 now);
+/* Returns TRUE if the endpoint has been connected to through 'via' (0:
+** directly) since 'since', and that path has not been found lost. */
+gboolean reach_has_connected(const Endpoint *endpoint, mp_Addr via,
+                             gint64 since);
 /*
 ** Finds out whether the endpoint accepts connections from this instance or
 ** from another one. Returns the number of a dispatch whose outcome is passed
--- a/router/router.c
+++ b/router/router.c
@@ -505,6 +505,14 @@
     outcomes_handle_stall(router, request, now);
 }
 
+/* Handles Request.path_check_at. */
+static void check_path(Router *router, Request *request, gint64 now) {
+  if (request->phase == PHASE_PREFILL)
+    prefill_check_path(router, request, now);
+  else
+    outcomes_check_path(router, request, now);
+}
+
 /* Handles one request that needs attention now; FALSE if there is none. The
 ** caller repeats this, because handling a request may change the table. */
 static gboolean handle_one_due(Router *router, gint64 now) {
@@ -520,7 +528,7 @@
     else if (request->suspect_at != 0 && request->suspect_at <= now)
       outcomes_mark_suspect(router, request, now);
     else if (request->path_check_at != 0 && request->path_check_at <= now)
-      outcomes_check_path(router, request, now);
+      check_path(router, request, now);
     else if (request->start_at != 0 && request->start_at <= now)
       admission_take_turn(router, request, now);
     else
--- a/router/state.h
+++ b/router/state.h
@@ -97,15 +97,18 @@
 
 /* The dispatch whose outcome a request waits for. */
 typedef struct OpenDispatch {
-  guint64 number;   /* 0: none */
-  char *endpoint;   /* id; owned */
-  guint32 life;     /* the endpoint's incarnation: Endpoint.hash */
-  guint64 software; /* Endpoint.software */
-  guint64 tokens;   /* counted in Endpoint.tokens for it */
-  guint64 ahead;    /* PREFILL: prompt tokens that were open at the engine
-                    ** before; 0 without Router.overload_control */
-  mp_Addr via;      /* as Dispatch.via */
-  gint64 sent;      /* when */
+  guint64 number;        /* 0: none */
+  char *endpoint;        /* id; owned */
+  guint32 life;          /* the endpoint's incarnation: Endpoint.hash */
+  guint64 software;      /* Endpoint.software */
+  guint64 tokens;        /* counted in Endpoint.tokens for it */
+  guint64 ahead;         /* PREFILL: prompt tokens that were open at the engine
+                         ** before; 0 without Router.overload_control */
+  mp_Addr via;           /* as Dispatch.via */
+  gint64 sent;           /* when */
+  gint64 patience_until; /* PREFILL: a silent one at an endpoint that can be
+                         ** connected to is replaced then; 0: it is not late
+                         ** yet */
 } OpenDispatch;
 
 /* The most instances, beside the one where a stream began, that are told of
@@ -211,8 +214,9 @@
   char *read_by; /* id of the engine that prefilled the prompt last, or NULL */
   gint64 suspect_at;    /* the endpoint is suspected if the run is silent until
                         ** then; 0: not set */
-  gint64 path_check_at; /* the path to the endpoint of a stream is checked if
-                        ** the endpoint is silent until then; 0: not set */
+  gint64 path_check_at; /* the path to the endpoint of a stream or prefill is
+                        ** checked if the endpoint is silent until then; 0: not
+                        ** set */
   gint64 stall_at; /* PHASE_WAIT: time of the next review; else: when the open
                    ** dispatch counts as stalled; 0: never */
   char *excluded[EXCLUDED_ENDPOINTS_MAX]; /* ids of endpoints that failed it */
@@ -467,6 +471,8 @@
 /* Handles an outcome of the open PREFILL dispatch; may end. */
 void prefill_handle_outcome(Router *router, Request *request,
                             const Outcome *outcome, gint64 now);
+/* Has the path to the engine of a PREFILL checked that is late soon. */
+void prefill_check_path(Router *router, Request *request, gint64 now);
 /* Handles a PREFILL that takes too long; may end. */
 void prefill_handle_stall(Router *router, Request *request, gint64 now);
 /* Releases the handle, if there is an unused one. */
--- a/test/test_endless_answers.cc
+++ b/test/test_endless_answers.cc
@@ -8,6 +8,7 @@
 
 #include <ctime>
 #include <map>
+#include <optional>
 
 #include "loopback.h"
 #include "router_world.h"
@@ -21,6 +22,7 @@
 #include "io/http.h"
 #include "io/store_link.h"
 #include "platform/platform.h"
+#include "router/relay_members.h"
 }
 
 using loopback::Listener;
@@ -603,6 +605,22 @@
     EXPECT_EQ(world.end(request).ends(), 1);
     EXPECT_EQ(counter_value("retries"), 0u);
   }
+  /* Sends a prompt that is never read; returns after how long its prefill is
+  ** cancelled. 'check': the outcome of the checks, if they have one. */
+  gint64 time_of_replacement(std::optional<OutcomeKind> check,
+                             gint64 deadline_ms = 10000) {
+    guint64 prefill =
+        (world.request("/stream/x", deadline_ms), world.last().number);
+    gint64 from = world.now;
+    while (!world.sent(prefill).cancelled && world.now < from + 9000 * ms) {
+      world.advance(10 * ms);
+      for (; check && checked < world.checks.size(); checked++)
+        world.outcome(world.checks[checked].number, *check);
+    }
+    EXPECT_EQ(world.last().kind, DISPATCH_PREFILL);
+    EXPECT_NE(world.last().number, prefill);
+    return world.now - from;
+  }
   /* Does the endpoint get one of the next requests, which stay open? */
   bool is_used_again(const std::string &endpoint, const char *path) {
     for (int i = 0; i < 8; i++) {
@@ -677,4 +695,89 @@
   EXPECT_EQ(world.end(request).ends(), 0);
 }
 
+/* Guards against a sound engine that loses a prompt because it paused. */
+TEST_F(SilentEndpointTest, PrefillAfterASilenceOfAMomentLeadsToItsRun) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  guint64 request = world.request("/stream/x");
+  guint64 prefill = world.last().number;
+  be_silent(1550 * ms);
+  world.prefilled(prefill);
+  EXPECT_EQ(world.last().kind, DISPATCH_RUN);
+  EXPECT_EQ(world.last().handle, "h1");
+  world.outcome(world.last().number, OUTCOME_STREAM_HEAD);
+  world.outcome(world.last().number, OUTCOME_STREAM_END);
+  expect_one_answer(request);
+}
+
+/* Guards against a prefill that hangs at a sound engine until its deadline. */
+TEST_F(SilentEndpointTest, PrefillThatHangsIsReplaced) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  EXPECT_LE(time_of_replacement(OUTCOME_ANSWER), 1950 * ms);
+}
+
+/* Guards against engines that are lost being waited for like sound ones. */
+TEST_F(SilentEndpointTest, PrefillIsReplacedInTimeWhereTheCheckFails) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  EXPECT_LE(time_of_replacement(OUTCOME_UNREACHABLE), 640 * ms);
+}
+
+/* Guards against checks that hang: a network that drops packets. */
+TEST_F(SilentEndpointTest, PrefillIsReplacedInTimeWhereTheCheckHangs) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  EXPECT_LE(time_of_replacement(std::nullopt), 640 * ms);
+}
+
+/* Guards against one sound check that covers the whole silence. */
+TEST_F(SilentEndpointTest, PrefillIsReplacedSoonAfterItsEngineIsLost) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  guint64 prefill = (world.request("/stream/x"), world.last().number);
+  be_silent(700 * ms);
+  EXPECT_FALSE(world.sent(prefill).cancelled);
+  world.advance(500 * ms);
+  EXPECT_TRUE(world.sent(prefill).cancelled);
+}
+
+/* Guards against a caller whose deadline passes while an engine pauses. */
+TEST_F(SilentEndpointTest, PrefillIsReplacedWhileTheDeadlineLeavesTime) {
+  world.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+  EXPECT_LE(time_of_replacement(OUTCOME_ANSWER, 1500), 900 * ms);
+}
+
+/* Guards against a carried prefill being taken for lost, or a lost one for
+** sound, because only direct paths are checked. */
+TEST_F(SilentEndpointTest, CarriedPrefillIsReplacedOnlyWhereItsPathIsLost) {
+  for (bool is_lost : {false, true}) {
+    routing::World one;
+    one.add_default_endpoints();
+    one.endpoint({"pre-2", "llm", "a", STAGE_PREFILL});
+    RelayMember carrier = {mp_addr_parse("10.0.0.9:1"), 1, 1};
+    GArray *members = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+    g_array_append_val(members, carrier);
+    router_set_members(one.router, members);
+    g_array_free(members, TRUE);
+    size_t answered = 0;
+    auto answer_checks = [&](bool direct, bool carried) {
+      for (; answered < one.checks.size(); answered++) {
+        bool sound = one.checks[answered].via != 0 ? carried : direct;
+        one.outcome(one.checks[answered].number,
+                    sound ? OUTCOME_ANSWER : OUTCOME_UNREACHABLE);
+      }
+    };
+    one.request("/stream/x");
+    one.outcome(one.last().number, OUTCOME_UNREACHABLE);
+    answer_checks(false, true); /* the search, and the other paths */
+    one.advance(10 * ms);
+    answer_checks(false, true);
+    one.request("/stream/x");
+    routing::SentDispatch prefill = one.last();
+    ASSERT_EQ(prefill.kind, DISPATCH_PREFILL);
+    ASSERT_NE(prefill.via, 0u);
+    for (int i = 0; i < 120; i++) {
+      one.advance(10 * ms);
+      answer_checks(false, !is_lost);
+    }
+    EXPECT_EQ(one.sent(prefill.number).cancelled, is_lost);
+  }
+}
+
 } // namespace
