An asker that lives and does not read keeps its carried answer

Cause: TCP_USER_TIMEOUT (2.5 s) on a carrier's connection from its asker also ends a connection whose peer acknowledges every probe but does not read. 16384 of 262144 bytes arrived. Ruled out: 10 s only while the window is closed, seen as bytes that wait with none in flight (SIOCOUTQ, SIOCOUTQNSD, each 0.5 s). Tried: 4100 bytes stayed in flight, since the full receiver drops them and acknowledges the rest, and the answer was still cut. No time-out but probes alone: the kernel sends none while bytes wait. Change: the time-out is 10 s, as for a side that takes nothing, and the carrier looks each 0.5 s whether the asker has acknowledged anything since the kernel last sent data or a probe (socket_is_unanswered). After six times in a row without, the connection is closed. The table of time-outs on silence shows no other that harms a peer silent for 1.5 s, but for those that tests demand.

--- a/io/carry_server.c
+++ b/io/carry_server.c
@@ -20,10 +20,18 @@
 #define CALL_TIMEOUT (1 * MP_SEC)
 /* longest time for which a connection to an endpoint may be tried */
 #define CONNECT_TIMEOUT_MAX (400 * MP_MS)
-/* a connection fails when sent data stays unacknowledged this long */
+/* the connection to an endpoint fails when sent data stays unacknowledged this
+** long */
 #define UNACKED_MS 2500
 /* a side that does not read for this long is closed */
 #define WRITE_TIMEOUT_SECONDS 10
+/* An asker that acknowledges nothing in UNANSWERED_MAX checks in a row is
+ *lost:
+ ** 2.5 s to 3.5 s after the first byte that it does not acknowledge.
+ *UNACKED_MS
+ ** would also end a connection whose asker acknowledges and does not read. */
+#define ANSWER_CHECK_INTERVAL_MS 500
+#define UNANSWERED_MAX 6
 /* After the last byte for the asker, what it still sends is discarded until it
 ** closes, or has acknowledged that byte and sends nothing for this long, but
 ** no longer than LINGER_MAX: closing a socket with unread input, or before
@@ -35,6 +43,7 @@
 struct CarryServer {
   struct event_base *base;
   struct evconnlistener *listener;
+  struct event *answer_timer; /* pending while connections are carried */
   CarryServerHooks hooks;
   Log *log;
   GHashTable *peers; /* set of hosts, as mp_Addr with port 0 */
@@ -63,6 +72,7 @@
   RecordReader reader;          /* of what the asker sends */
   struct evbuffer *call;        /* of the call, what has arrived */
   struct event *timer;          /* of the call, and of connecting */
+  guint unanswered; /* checks in a row that found the asker silent */
 } Carried;
 
 static void carried_free(gpointer p) {
@@ -275,9 +285,9 @@
 }
 
 /* Sets the options and limits of a connected side. */
-static void set_limits(struct bufferevent *events) {
+static void set_limits(struct bufferevent *events, int unacked_ms) {
   struct timeval time = {WRITE_TIMEOUT_SECONDS, 0};
-  socket_set_options(events, UNACKED_MS);
+  socket_set_options(events, unacked_ms);
   socket_set_keepalive(events);
   bufferevent_setwatermark(events, EV_READ, 0, CARRIED_BUFFER);
   bufferevent_set_timeouts(events, NULL, &time);
@@ -285,7 +295,7 @@
 
 static void begin_carrying(Carried *carried) {
   event_del(carried->timer);
-  set_limits(carried->endpoint);
+  set_limits(carried->endpoint, UNACKED_MS);
   carried->state = CARRIED_OPEN;
   carried->server->total++;
   write_verdict(carried, CARRY_CONNECTED);
@@ -351,6 +361,31 @@
     close_carried(carried);
 }
 
+static void start_answer_timer(const CarryServer *server) {
+  struct timeval time = {0, ANSWER_CHECK_INTERVAL_MS * MP_MS};
+  event_add(server->answer_timer, &time);
+}
+
+/* Closes the connections whose asker is lost. */
+static void on_answer_timer(evutil_socket_t fd, short what, void *data) {
+  CarryServer *server = data;
+  GHashTableIter iterator;
+  gpointer key;
+  (void)fd;
+  (void)what;
+  g_hash_table_iter_init(&iterator, server->all);
+  while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+    Carried *carried = key;
+    evutil_socket_t asker = bufferevent_getfd(carried->asker);
+    if (!socket_is_unanswered(asker, ANSWER_CHECK_INTERVAL_MS))
+      carried->unanswered = 0;
+    else if (++carried->unanswered >= UNANSWERED_MAX)
+      g_hash_table_iter_remove(&iterator);
+  }
+  if (g_hash_table_size(server->all) > 0)
+    start_answer_timer(server);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *data) {
   Carried *carried = data;
   (void)fd;
@@ -394,7 +429,9 @@
   carried->asker = bufferevent_socket_new(
       server->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   g_hash_table_add(server->all, carried);
-  set_limits(carried->asker);
+  if (!event_pending(server->answer_timer, EV_TIMEOUT, NULL))
+    start_answer_timer(server);
+  set_limits(carried->asker, WRITE_TIMEOUT_SECONDS * 1000);
   bufferevent_setcb(carried->asker, on_asker_read, on_asker_written,
                     on_asker_event, carried);
   bufferevent_enable(carried->asker, EV_READ | EV_WRITE);
@@ -423,6 +460,7 @@
   }
   server->base = base;
   server->listener = listener;
+  server->answer_timer = evtimer_new(base, on_answer_timer, server);
   server->hooks = *hooks;
   server->log = log;
   server->peers =
@@ -433,6 +471,7 @@
 
 void carry_server_free(CarryServer *server) {
   evconnlistener_free(server->listener);
+  event_free(server->answer_timer);
   g_hash_table_destroy(server->all);
   g_hash_table_destroy(server->peers);
   g_free(server);
--- a/io/sockets.c
+++ b/io/sockets.c
@@ -41,6 +41,18 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
 }
 
+gboolean socket_is_unanswered(evutil_socket_t fd, guint32 ms) {
+  struct tcp_info info = {0};
+  socklen_t size = sizeof info;
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+    return FALSE;
+  if (info.tcpi_last_ack_recv < ms)
+    return FALSE;
+  return info.tcpi_probes > 0 ||
+         (info.tcpi_unacked > 0 &&
+          info.tcpi_last_ack_recv > info.tcpi_last_data_sent);
+}
+
 guint64 socket_unacknowledged(evutil_socket_t fd) {
   int size = 0;
   if (ioctl(fd, SIOCOUTQ, &size) != 0)
--- a/io/sockets.h
+++ b/io/sockets.h
@@ -36,6 +36,13 @@
 */
 void socket_set_keepalive(struct bufferevent *events);
 
+/*
+** Returns TRUE if the system has sent the peer of a TCP connection data or a
+** probe and has received no acknowledgement since, and none for 'ms'
+** milliseconds. A peer that does not read acknowledges too.
+*/
+gboolean socket_is_unanswered(evutil_socket_t fd, guint32 ms);
+
 /* Returns how many bytes the kernel holds that the peer of a TCP connection
 ** has not acknowledged; 0 when it cannot tell. */
 guint64 socket_unacknowledged(evutil_socket_t fd);
--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -5,6 +5,7 @@
 */
 
 #include <gtest/gtest.h>
+#include <linux/filter.h>
 
 #include <map>
 
@@ -432,6 +433,24 @@
       usleep(1000);
     }
   }
+  /* The kernel drops all that arrives for the asker from now on. */
+  void lose_path() const {
+    struct sock_filter none = {BPF_RET | BPF_K, 0, 0, 0};
+    struct sock_fprog program = {1, &none};
+    ASSERT_EQ(setsockopt(asker->fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                         sizeof program),
+              0);
+  }
+  /* Returns when no connection is carried any more, in steady time; after 12 s
+  ** at the latest. */
+  gint64 closed_at() const {
+    gint64 until = g_get_monotonic_time() + 12 * MP_SEC;
+    while (carry_server_count(server) > 0 && g_get_monotonic_time() < until) {
+      event_base_loop(base, EVLOOP_NONBLOCK);
+      usleep(1000);
+    }
+    return g_get_monotonic_time();
+  }
   /* Has the endpoint send an answer and end its side. It reads on: what a
   ** kernel has for a peer is lost when that peer's bytes reach a closed
   *socket.
@@ -520,6 +539,43 @@
   EXPECT_EQ(letters, large.size());
 }
 
+/* Guards against a lost path to an asker that holds a carried connection until
+** the limit for askers that do not read. */
+TEST_F(RawAsker, WhosePathIsLostWithBytesInFlightIsClosedInTime) {
+  send_fragment("begin");
+  silence(200); /* until the asker has nothing to repeat */
+  lose_path();
+  send(endpoint.peers[0]->fd, "x", 1, MSG_NOSIGNAL);
+  gint64 lost = g_get_monotonic_time();
+  EXPECT_LT(closed_at() - lost, 5 * MP_SEC);
+}
+
+/* The same after the asker did not read for a time, and with nothing to send.
+ */
+TEST_F(RawAsker, WhosePathIsLostAfterItHasReadOnIsClosedInTime) {
+  const std::string large(256 << 10, 'x');
+  int large_buffer = 1 << 20;
+  asker->reading = false;
+  send_fragment("begin");
+  ASSERT_TRUE(wait([this, &large, at = size_t{0}]() mutable {
+    ssize_t n = send(endpoint.peers[0]->fd, large.data() + at,
+                     large.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+    at += n > 0 ? static_cast<size_t>(n) : 0;
+    return at == large.size();
+  }));
+  silence(1500);
+  setsockopt(asker->fd, SOL_SOCKET, SO_RCVBUF, &large_buffer,
+             sizeof large_buffer);
+  asker->reading = true;
+  EXPECT_TRUE(loopback::until(
+      base, [&] { asker->read_some(); },
+      [&] { return asker->got.size() > large.size(); }));
+  silence(1000);
+  lose_path();
+  gint64 lost = g_get_monotonic_time();
+  EXPECT_LT(closed_at() - lost, 6 * MP_SEC);
+}
+
 /* A carried connection whose answer was sent must not hold a stop because its
 ** asker does not close. */
 TEST_F(RawAsker, ThatNeverClosesIsClosedAfterItsAnswer) {
