A read timeout does not cut a request that lies in the kernel

Cause: when a read timeout and bytes are due in one turn of the event loop, libevent deletes the pending read and reports the timeout alone. A caller that took up its connection within the idle timeout, at an instance whose loop was late, saw the connection closed unread; a half-read request got 408. Ruled out: the server's own order of events; on_read is not called at all. Change: on a timeout of a connection that is reading, unread bytes in its socket are read first, and the timeout begins anew.

--- a/io/front.c
+++ b/io/front.c
@@ -92,7 +92,8 @@
 static void on_event(struct bufferevent *events, short what, void *data) {
   Connection *connection = data;
   gboolean timeout = (what & BEV_EVENT_TIMEOUT) && (what & BEV_EVENT_READING);
-  if (timeout && connection_is_still_read(connection)) {
+  if (timeout && (connection_is_still_read(connection) ||
+                  connection_is_yet_to_read(connection))) {
     bufferevent_enable(events, EV_READ); /* the timeout begins anew */
     return;
   }
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -201,6 +201,11 @@
           unread > 0);
 }
 
+gboolean connection_is_yet_to_read(const Connection *connection) {
+  return connection->state == CONNECTION_READING &&
+         connection_has_input(connection);
+}
+
 /* Half-closes a connection, and begins to discard its input. */
 static void linger(Connection *connection) {
   connection->state = CONNECTION_LINGERING;
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -136,6 +136,9 @@
 gboolean connection_waits_for_reader(const Connection *connection);
 /* Has the caller sent bytes that are not parsed yet? */
 gboolean connection_has_input(const Connection *connection);
+/* Have bytes of a request arrived that are yet to be read? When the event loop
+** is late, libevent reports the timeout alone. */
+gboolean connection_is_yet_to_read(const Connection *connection);
 
 /*
 ** {==================================================================
