Limits of the configuration bind on kept connections

The idle timeout was that of the beginning of a rest, the head timeout that of each read. Ruled out: instances without the configuration; new connections get the limit. Own interface: its limits are read once, from the settings file. Change: each connection has limits of its own. A change binds at once on connections that wait for a request, on others from the next request on, and a larger limit also on a half-read request. A shorter idle timeout counts from the change, and ends no rest later. A body that may grow is counted anew.

--- a/io/front.c
+++ b/io/front.c
@@ -72,8 +72,7 @@
   }
   if (connection->state == CONNECTION_READING &&
       http_reader_state(connection->reader) == HTTP_READER_IDLE)
-    connection_set_read_timeout(connection,
-                                connection->front->limits.idle_timeout);
+    connection_set_read_timeout(connection, connection->limits.idle_timeout);
   if (connection->state == CONNECTION_READING &&
       evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
     connection_read_request(connection);
@@ -143,8 +142,7 @@
   connection->body = g_byte_array_new();
   connection->reader =
       http_reader_new(HTTP_REQUESTS, &front_reader_callbacks, connection);
-  http_reader_set_limits(connection->reader, front->limits.max_head_bytes,
-                         front->limits.max_body_bytes);
+  connection_begin_limits(connection);
   connection->events = bufferevent_socket_new(
       front->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setwatermark(connection->events, EV_READ, 0, READ_AHEAD);
@@ -152,7 +150,7 @@
                     connection);
   connection_begin_flow_control(connection, fd);
   g_hash_table_add(front->connections, connection);
-  connection_set_read_timeout(connection, front->limits.idle_timeout);
+  connection_set_read_timeout(connection, connection->limits.idle_timeout);
   bufferevent_enable(connection->events, EV_READ | EV_WRITE);
 }
 
@@ -325,6 +323,8 @@
 }
 
 void front_set_limits(Front *front, const CallerLimits *limits) {
+  GHashTableIter iterator;
+  gpointer key;
   if (limits->max_head_bytes > 0)
     front->limits.max_head_bytes = limits->max_head_bytes;
   if (limits->max_body_bytes > 0)
@@ -333,6 +333,9 @@
     front->limits.head_timeout = limits->head_timeout;
   if (limits->idle_timeout > 0)
     front->limits.idle_timeout = limits->idle_timeout;
+  g_hash_table_iter_init(&iterator, front->connections);
+  while (g_hash_table_iter_next(&iterator, &key, NULL))
+    connection_adopt_limits(key);
 }
 
 void front_drain(Front *front) {
--- a/io/front.h
+++ b/io/front.h
@@ -69,10 +69,13 @@
 
 /*
 ** Sets the limits that are above 0 in 'limits', and leaves the others as they
-** are. The limits of sizes apply only to connections that are accepted from
-** then on. 'head_timeout' is the longest time without further bytes of a
+** are. They bind at once on connections that wait for a request, and on others
+** from the next request on. For a request that has begun to arrive, the larger
+** limit holds. 'head_timeout' is the longest time without further bytes of a
 ** request that has begun to arrive, in its head or its body; 'idle_timeout' is
-** the longest wait for its first bytes.
+** the longest wait for its first bytes. A wait under way that becomes shorter
+** ends no earlier than this time after the change, or when it would have ended
+** before it.
 */
 void front_set_limits(Front *front, const CallerLimits *limits);
 
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -150,13 +150,39 @@
     front->hooks.hangup(front->hooks.data, number);
 }
 
-void connection_set_read_timeout(Connection *connection, gint64 wait) {
+/* Sets the timeouts of libevent; 0: no read timeout. */
+static void set_timeouts(const Connection *connection, gint64 wait) {
   struct timeval time = {wait / MP_SEC, wait % MP_SEC};
   struct timeval write_time = {10, 0};
   bufferevent_set_timeouts(connection->events, wait > 0 ? &time : NULL,
                            &write_time);
 }
 
+void connection_set_read_timeout(Connection *connection, gint64 wait) {
+  connection->read_began_at = clock_now();
+  connection->read_until = connection->read_began_at + wait;
+  set_timeouts(connection, wait);
+}
+
+void connection_change_read_timeout(Connection *connection, gint64 before,
+                                    gint64 wait) {
+  gint64 now = clock_now();
+  if (wait == before)
+    return;
+  if (wait > before)
+    connection->read_until =
+        MAX(connection->read_until, connection->read_began_at + wait);
+  else
+    connection->read_until = MIN(connection->read_until, now + wait);
+  set_timeouts(connection, MAX(connection->read_until - now, 1));
+}
+
+void connection_begin_limits(Connection *connection) {
+  connection->limits = connection->front->limits;
+  http_reader_set_limits(connection->reader, connection->limits.max_head_bytes,
+                         connection->limits.max_body_bytes);
+}
+
 void connection_forget_request(Connection *connection) {
   if (connection->number != 0)
     g_hash_table_remove(connection->front->open, &connection->number);
@@ -240,8 +266,8 @@
   }
   connection->state = CONNECTION_READING;
   http_reader_start_next(connection->reader);
-  connection_set_read_timeout(connection,
-                              connection->front->limits.idle_timeout);
+  connection_begin_limits(connection);
+  connection_set_read_timeout(connection, connection->limits.idle_timeout);
   if (evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
     bufferevent_trigger(connection->events, EV_READ,
                         BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -57,6 +57,10 @@
   struct bufferevent *events;
   HttpReader *reader;
   ConnectionState state;
+  CallerLimits limits;    /* of the request that is awaited or read: each the
+                          ** largest one in force since its first byte */
+  gint64 read_began_at;   /* when the read timeout began to run */
+  gint64 read_until;      /* when it ends */
   guint64 number;         /* of the open request; 0: none */
   HttpHead *head;         /* of the request; NULL until it is received */
   HttpHead *answered;     /* of the last request whose response was written */
@@ -118,6 +122,14 @@
 ** without a limit. Output may stay unsent for 10 s in any case.
 */
 void connection_set_read_timeout(Connection *connection, gint64 wait);
+/* Lets the limits of the server bind on the next request. */
+void connection_begin_limits(Connection *connection);
+/*
+** Changes the read timeout while it runs. A longer one counts from when the
+** timeout began, a shorter one from now; it does not end later for that.
+*/
+void connection_change_read_timeout(Connection *connection, gint64 before,
+                                    gint64 wait);
 /* The response to the request whose head was received is written: keeps this
 ** head, until the next response, to name the request in a report of a loss. */
 void connection_set_answered(Connection *connection);
--- a/io/front_request.c
+++ b/io/front_request.c
@@ -33,10 +33,10 @@
 
 /* The size of the body that the head announces, at most the largest one that
 ** is read; 0: none, or not known. */
-static guint64 announced_body(const Front *front, const HttpHead *head) {
-  const char *length = http_head_get(head, "Content-Length");
+static guint64 announced_body(const Connection *connection) {
+  const char *length = http_head_get(connection->head, "Content-Length");
   guint64 size = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
-  return MIN(size, front->limits.max_body_bytes);
+  return MIN(size, connection->limits.max_body_bytes);
 }
 
 /* Begins to take a body in, or holds it back while there is no memory. */
@@ -44,7 +44,7 @@
   guint64 size;
   if (connection->flow == NULL)
     return;
-  size = announced_body(connection->front, connection->head);
+  size = announced_body(connection);
   if (flow_set_body(connection->front->flow, connection->flow, size,
                     size > HELD_BODY_MIN))
     return;
@@ -62,8 +62,7 @@
 /* Counts a body whose size was not announced. */
 static void count_body(const Connection *connection) {
   if (connection->flow != NULL &&
-      connection->body->len >
-          announced_body(connection->front, connection->head))
+      connection->body->len > announced_body(connection))
     flow_set_body(connection->front->flow, connection->flow,
                   connection->body->len, FALSE);
 }
@@ -162,8 +161,43 @@
     return;
   }
   if (http_reader_state(reader) == HTTP_READER_PARTIAL)
-    connection_set_read_timeout(connection,
-                                connection->front->limits.head_timeout);
+    connection_set_read_timeout(connection, connection->limits.head_timeout);
+}
+
+/* Lets larger limits bind on a request that has begun to arrive. */
+static void raise_limits(Connection *connection) {
+  const CallerLimits *in_force = &connection->front->limits;
+  CallerLimits *limits = &connection->limits;
+  CallerLimits before = *limits;
+  guint64 announced =
+      connection->head != NULL ? announced_body(connection) : 0;
+  limits->max_head_bytes =
+      MAX(before.max_head_bytes, in_force->max_head_bytes);
+  limits->max_body_bytes =
+      MAX(before.max_body_bytes, in_force->max_body_bytes);
+  limits->head_timeout = MAX(before.head_timeout, in_force->head_timeout);
+  http_reader_set_limits(connection->reader, limits->max_head_bytes,
+                         limits->max_body_bytes);
+  if (connection->body_held_at != 0)
+    return; /* it is reviewed by the new limits, without a timeout till then */
+  connection_change_read_timeout(connection, before.head_timeout,
+                                 limits->head_timeout);
+  if (connection->head != NULL && announced_body(connection) > announced)
+    begin_body(connection);
+}
+
+void connection_adopt_limits(Connection *connection) {
+  gint64 before = connection->limits.idle_timeout;
+  if (connection->state != CONNECTION_READING)
+    return; /* connection_end_response does it */
+  if (http_reader_state(connection->reader) == HTTP_READER_PARTIAL) {
+    raise_limits(connection);
+    return;
+  }
+  connection_begin_limits(connection);
+  if (connection_unsent(connection) == 0) /* otherwise it does not run yet */
+    connection_change_read_timeout(connection, before,
+                                   connection->limits.idle_timeout);
 }
 
 gboolean connection_is_receiving(const Connection *connection) {
@@ -181,7 +215,7 @@
   const char *id = front->dialect->read_caller(connection->head, &parsed, NULL)
                        ? parsed.request.id
                        : NULL;
-  hooks->body_refused(hooks->data, id, announced_body(front, connection->head),
+  hooks->body_refused(hooks->data, id, announced_body(connection),
                       flow_held(front->flow));
   front->bodies_refused++;
   refuse_partial(connection, &refusal, id);
@@ -190,9 +224,8 @@
 
 /* Takes a body in that was held back, or refuses its request. */
 static void review_body(Connection *connection, gint64 now) {
-  gboolean fits =
-      flow_set_body(connection->front->flow, connection->flow,
-                    announced_body(connection->front, connection->head), TRUE);
+  gboolean fits = flow_set_body(connection->front->flow, connection->flow,
+                                announced_body(connection), TRUE);
   if (!fits && now - connection->body_held_at < FLOW_HELD_MAX)
     return;
   connection->body_held_at = 0;
--- a/io/front_request.h
+++ b/io/front_request.h
@@ -20,6 +20,11 @@
 ** the timeout anew.
 */
 void connection_read_request(Connection *connection);
+/*
+** Lets the limits of the server bind, which have changed: all of them if no
+** byte of a request has been read; otherwise those that are larger.
+*/
+void connection_adopt_limits(Connection *connection);
 /* Has a request begun to arrive, which is not whole yet? */
 gboolean connection_is_receiving(const Connection *connection);
 /* Answers invalid input with an error, and closes the connection. */
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -916,6 +916,23 @@
 m s-silent "callers: no read timeout while the last response is sent" io/front_connection.c \
   '  connection_set_read_timeout(connection, 0); /* only the writing counts now */
 ' ''
+m l-kept "limits: a change binds on kept connections" io/front.c \
+  '    connection_adopt_limits(key);' '    ;'
+m l-half "limits: a smaller one spares what is half read" io/front_request.c \
+  '    raise_limits(connection);
+    return;' '    ;'
+m l-next "limits: the next request gets those in force" io/front_connection.c \
+  '  connection_begin_limits(connection);
+  connection_set_read_timeout' '  connection_set_read_timeout'
+m l-rest "limits: a shorter timeout prolongs no rest" io/front_connection.c \
+  'MIN(connection->read_until, now + wait)' 'now + wait'
+m l-began "limits: a longer timeout counts from its beginning" \
+  io/front_connection.c 'connection->read_began_at + wait);' 'now + wait);'
+m l-count "limits: a body that may grow is counted" io/front_request.c \
+  'announced_body(connection) > announced)' 'FALSE)'
+m l-kernel "callers: no timeout cuts what lies in the kernel" \
+  io/front_connection.c 'return connection->state == CONNECTION_READING &&
+         connection_has_input(connection);' 'return FALSE;'
 m s-linger "callers: discarding input ends" io/front.c \
   'if (clock_now() >= connection->lingers_until)' 'if (FALSE)'
 m s-abort "callers: what was sent of a stream that is broken off arrives" \
