An offered upgrade is ignored

Cause: the parser sets 'upgrade' for a request with "Connection: Upgrade" and an Upgrade field, and http_reader_feed took that for an error: 400 for a POST whose body came in a later segment, or for the next request of the connection. Ruled out: the body; a request without one fails at its successor. Change: the flag is cleared when a head is whole, but for CONNECT, whose message has no length. Upgrade is not passed on to endpoints, as before. Conclusion: RFC 9110, 7.8 is kept.

--- a/http/reader.c
+++ b/http/reader.c
@@ -114,6 +114,10 @@
     return -1;
   }
   if (parser->type == HTTP_REQUEST) {
+    /* No other protocol is spoken here, so an offered upgrade is ignored
+    ** (RFC 9110, 7.8). The parser would end at this message. */
+    if (parser->method != HTTP_CONNECT)
+      parser->upgrade = 0;
     head->method = g_strdup(http_method_str(parser->method));
     head->target = g_strdup(reader->target->str);
   } else
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -146,6 +146,32 @@
   EXPECT_STREQ(r.head->method, "GET");
 }
 
+/* Guards against 400 for a client that offers HTTP/2, as some libraries do. */
+TEST(Reader, IgnoresAnUpgradeThatIsOffered) {
+  const std::string offer = "Connection: Upgrade, HTTP2-Settings\r\n"
+                            "Upgrade: h2c\r\nHTTP2-Settings: AA\r\n";
+  const std::string with_body = "POST /1 HTTP/1.1\r\nHost: h\r\n" + offer +
+                                "Content-Length: 5\r\n\r\nhello";
+  const std::string chunked =
+      "POST /1 HTTP/1.1\r\nHost: h\r\n" + offer +
+      "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+  const std::string bare = "GET /1 HTTP/1.1\r\nHost: h\r\n" + offer + "\r\n";
+  const std::string next = "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const std::string &first : {with_body, chunked, bare}) {
+    for (size_t step : {1, 2, 7, 60, 1000}) {
+      Reading r(HTTP_REQUESTS);
+      EXPECT_EQ(r.feed(first + next, step), first.size()) << first << step;
+      ASSERT_EQ(r.state(), HTTP_READER_DONE) << first << step;
+      EXPECT_EQ(r.body, first == bare ? "" : "hello");
+      EXPECT_TRUE(http_reader_keep_alive(r.reader));
+      http_reader_start_next(r.reader);
+      EXPECT_EQ(r.feed(next, step), next.size());
+      ASSERT_EQ(r.state(), HTTP_READER_DONE) << first << step;
+      EXPECT_STREQ(r.head->target, "/2");
+    }
+  }
+}
+
 /* mutated input never makes the reader read past its bytes or hang */
 TEST(Reader, SurvivesMutatedInput) {
   std::mt19937 random(20261202);
