--- a/test/kept.c
+++ b/test/kept.c
@@ -128,6 +128,8 @@
   kept->done = 0;
   kept->whole = 0;
   g_string_truncate(kept->body, 0);
+  http_head_free(kept->head);
+  kept->head = NULL;
   if (kept->ended || kept->events == NULL) {
     answer_ended(kept, 0);
     g_string_free(text, TRUE);
--- a/test/scenario/closing_matrix.lua
+++ b/test/scenario/closing_matrix.lua
@@ -6,6 +6,7 @@
 -- Guards against connections that are closed, timed out or reset while the
 -- process or the kernel still holds a part of an answer.
 dofile("test/scenario/lib/gateway.lua")
+dofile("test/scenario/lib/planned_work.lua")
 
 -- flow control makes the send buffers small; its bound is not reached
 gateway.memory_mb, gateway.memory_share = 400, 0.3
@@ -73,11 +74,6 @@
 local RESTORE_MS, ROUND_MS = 1200, 3200
 local AWAY_MS = 2800 -- the store; a lease of 2 s expires
 
-local steps = {} -- in time: { at, act }
-local function step(at, act)
-  steps[#steps + 1] = { at = at, act = act, number = #steps }
-end
-
 local cells = {}
 
 local function next_request(c)
@@ -234,31 +230,10 @@
   end
 end
 
-while #steps > 0 do
-  table.sort(steps, function(a, b)
-    return a.at < b.at or a.at == b.at and a.number < b.number
-  end)
-  local s = table.remove(steps, 1)
-  sys.pump(math.max(s.at - sys.now(), 1))
-  s.act()
-end
+run_steps()
 sys.pump(500)
 
-local logs = ""
-for _, e in ipairs(gateway.instances) do
-  local file = assert(io.open(e.log))
-  logs = logs .. file:read("a")
-  file:close()
-end
--- log lines by the request that they name
-local lines = {}
-for line in logs:gmatch("[^\n]+") do
-  local event, id = line:match("(E%d+)"), line:match("request=\"?([%w]+)")
-  if event and id then
-    lines[id] = (lines[id] or "") .. line .. "\n"
-  end
-end
-
+local lines = lines_by_request()
 local rows = worker_ledger()
 local function was_run(id)
   for _, row in ipairs(rows[id] or {}) do
