A space in the name of a field is an error

Cause: the parser's lenient mode takes a space for a part of a name, so "Kv-From : x" and "Transfer-Encoding : chunked" were handed on. Lists of reserved fields compare names exactly, and a recipient that forgives the space would see a forged field or another length. Ruled out: our own framing; it ignored such fields. Change: a name with a space, also before its first letter, fails the message: 400 and the end of the connection for callers, a failed response elsewhere. Two mutant rows, also for the upgrade, not run. Conclusion: RFC 9112, 5.1 is kept for requests; a response is refused whole.

--- a/http/reader.c
+++ b/http/reader.c
@@ -81,6 +81,10 @@
 
 static int on_name(http_parser *parser, const char *bytes, size_t size) {
   HttpReader *reader = reader_of(parser);
+  /* The parser lets spaces pass. A recipient that ignores one would see a
+  ** different field, such as another length (RFC 9112, 5.1). */
+  if (memchr(bytes, ' ', size) != NULL)
+    return fail(reader, HTTP_ERROR_SYNTAX);
   if (reader->in_value) {
     add_field(reader);
     reader->in_value = FALSE;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -190,6 +190,10 @@
 m r-framing "UNASKED: doubtful framing is refused" http/reader.c \
   'return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);' \
   'return 0;'
+m r-space "UNASKED: a space in the name of a field is refused" http/reader.c \
+  "if (memchr(bytes, ' ', size) != NULL)" 'if (0)'
+m r-upgrade "DENIED: an offered upgrade is ignored" http/reader.c \
+  'parser->upgrade = 0;' ';'
 m r-event "ORDER: a partial event is held back" http/events.c \
   'if (empty > 0)' 'if (1)'
 m r-own "the system sets its own fields" platform/endpoints.c \
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -172,6 +172,32 @@
   }
 }
 
+/* Guards against reserved and framing fields that an endpoint reads as such.
+ */
+TEST(Reader, SpaceInTheNameOfAFieldIsAnError) {
+  for (const char *bad : {"Kv-From : x", "Transfer-Encoding : chunked",
+                          " Kv-From: x", "Kv From: x", "Content-Length : 5"}) {
+    const std::string field(bad);
+    for (size_t step : {1, 7, 1000}) {
+      Reading request(HTTP_REQUESTS);
+      request.feed("POST /1 HTTP/1.1\r\n" + field + "\r\nHost: h\r\n\r\n",
+                   step);
+      EXPECT_EQ(request.state(), HTTP_READER_FAILED) << field;
+      EXPECT_EQ(http_reader_error(request.reader), HTTP_ERROR_SYNTAX) << field;
+      EXPECT_EQ(request.head, nullptr) << field;
+      Reading response(HTTP_RESPONSES);
+      response.feed("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n", step);
+      EXPECT_EQ(response.state(), HTTP_READER_FAILED) << field;
+      EXPECT_EQ(http_reader_error(response.reader), HTTP_ERROR_SYNTAX)
+          << field;
+    }
+  }
+  Reading whole(HTTP_REQUESTS);
+  whole.feed("GET /1 HTTP/1.1\r\nX-A:  a b \r\nHost:h\r\n\r\n", 1);
+  EXPECT_EQ(whole.state(), HTTP_READER_DONE);
+  EXPECT_STREQ(http_head_get(whole.head, "Host"), "h");
+}
+
 /* mutated input never makes the reader read past its bytes or hang */
 TEST(Reader, SurvivesMutatedInput) {
   std::mt19937 random(20261202);
--- a/test/test_planned_stop.cc
+++ b/test/test_planned_stop.cc
@@ -188,6 +188,14 @@
   EXPECT_TRUE(wait([&] { return left() == 0; }));
 }
 
+/* Guards against a connection that goes on behind a field of doubtful name. */
+TEST_F(StoppingFront, ASpaceBeforeAColonEndsTheConnectionWith400) {
+  caller->send_text("GET /1 HTTP/1.1\r\nHost: h\r\nKv-From : x\r\n\r\n" + get);
+  EXPECT_TRUE(wait([&] { return caller->ended; }));
+  EXPECT_EQ(caller->got.rfind("HTTP/1.1 400", 0), 0u);
+  EXPECT_TRUE(requests.empty());
+}
+
 TEST_F(StoppingFront, ACallerThatSentTooSlowlyLeavesNoConnectionBehind) {
   CallerLimits limits = {1000, 1000, 100 * MP_MS, MP_SEC};
   front_set_limits(front, &limits);
