Soak from seed 18000 on: silent endpoints and starved instances beside stops

Cause: seeds from 17000 on have no silent endpoint and no starved instance. Change: links of single endpoints are silent for 1 to 1.5 s, up to two instances get 3 to 12 ms of each 100 ms.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -28,6 +28,8 @@
 #          series, and callers send their next request before they have read
 #          the answer; each lost answer must have a reason in the log that
 #          docs/design/planned-stops.md allows
+#   18000  the same beside sound endpoints that fall silent for 1 to 1.5 s, and
+#          instances with 3 to 12 ms of each 100 ms for some seconds
 # Ends with "N passed, N failed". For a failed seed it prints the end
 # of the log, which names the folder where the logs of its processes stay.
 set -u
