--- a/test/test_accounts.cc
+++ b/test/test_accounts.cc
@@ -175,6 +175,28 @@
   EXPECT_EQ(refusal_of(request), REFUSAL_OLD_CONFIGURATION);
 }
 
+/* Guards against a run that is cancelled for its silence and may not be
+ * replaced. */
+TEST_F(AccountTest, SilenceUnderAnOldConfigurationBreaksNoStreamOff) {
+  guint64 request = world.request("/resume/x");
+  world.prefilled(world.last().number);
+  guint64 run = world.last().number;
+  world.outcome(run, OUTCOME_STREAM_HEAD);
+  int pieces = 0;
+  for (gint64 age = 0; age <= configuration_age_max; age += 300 * ms) {
+    world.piece(run, std::to_string(++pieces).c_str());
+    world.advance(300 * ms);
+  }
+  EXPECT_FALSE(router_is_configured(world.router, world.now));
+  world.advance(1200 * ms);
+  EXPECT_EQ(world.end(request).ends(), 0);
+  EXPECT_FALSE(world.sent(run).cancelled);
+  world.piece(run, std::to_string(++pieces).c_str());
+  world.outcome(run, OUTCOME_STREAM_END);
+  EXPECT_EQ(world.runs(request), 1u);
+  EXPECT_EQ(world.end(request).answers, 1);
+}
+
 TEST_F(AccountTest, ProofTimeNeverMovesBack) {
   router_configuration_proved(world.router, world.now - 2 * second);
   world.advance(configuration_age_max);
