A silent stream is given up only for a run that may be sent

Callers saw: a stream of a sound endpoint that was silent for 0.9 s was broken off in the middle, while the configuration changed or could not be proved. Cause: replace_run cancelled the open run, and path_run asked only then whether the configuration and the quarantine allow another one; if not, the request ended. Why this works: what path_run would refuse is asked before anything is cancelled; silence alone then ends no request, as the comment said. Ruled out: other refusals after the cancel. A request with a run is never taken for too late, and other endpoints are looked for before. Conclusion: fixed.

--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -110,16 +110,19 @@
 
 /*
 ** Replaces the open run, which may have run, by another one, if the route, the
-** time, the endpoints and the retry budget allow that; a retry is taken from
-** the budget then. Otherwise returns FALSE and changes nothing. 'cancel'
+** time, the endpoints, the configuration and the retry budget allow that; a
+** retry is taken from the budget then. Otherwise returns FALSE and changes
+** nothing: the open run is only given up for one that may be sent. 'cancel'
 ** cancels the open run at the host. May end.
 */
 static gboolean replace_run(Router *router, Request *request, gboolean cancel,
                             gint64 now) {
+  RefusalKind why;
   if (request->runs + 1 >= request->route->attempts ||
       request->arrivals + 1 >= ARRIVALS_MAX ||
       !may_retry(request, TRUE, now) ||
       !has_other_endpoint(router, request, now) ||
+      !path_may_dispatch(router, request, &why, now) ||
       !retry_exchange_try_take(router, request->service->name, now))
     return FALSE;
   request->arrivals++;
@@ -129,7 +132,7 @@
   path_exclude(request, request->open.endpoint);
   drop_used_handle(request);
   path_close_dispatch(router, request, cancel);
-  path_run(router, request, now);
+  path_run_allowed(router, request, now);
   return TRUE;
 }
 
--- a/router/path.c
+++ b/router/path.c
@@ -287,14 +287,17 @@
 }
 
 void path_run(Router *router, Request *request, gint64 now) {
+  RefusalKind why;
+  if (path_may_dispatch(router, request, &why, now))
+    path_run_allowed(router, request, now);
+  else
+    finish_forbidden(router, request, why, now);
+}
+
+void path_run_allowed(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint;
   guint64 tokens = 0;
   gboolean is_reserved;
-  RefusalKind why;
-  if (!path_may_dispatch(router, request, &why, now)) {
-    finish_forbidden(router, request, why, now);
-    return;
-  }
   request->phase = PHASE_RUN;
   if (!continuation_is_possible(router, request)) {
     finish_give_up(router, request, now);
--- a/router/state.h
+++ b/router/state.h
@@ -372,6 +372,9 @@
 gboolean path_return_to_queue(Router *router, Request *request, gint64 now);
 /* Sends the request itself (RUN) to the best endpoint; may end. */
 void path_run(Router *router, Request *request, gint64 now);
+/* The same for a request for which path_may_dispatch has just returned TRUE.
+ */
+void path_run_allowed(Router *router, Request *request, gint64 now);
 /* Returns TRUE if dispatches may be sent for the request now; else sets '*why'
 ** to the refusal. */
 gboolean path_may_dispatch(Router *router, Request *request, RefusalKind *why,
