The load digest tells that its sender stops

Cause: instances did not know which others are in a planned stop, so a refused caller could not be told from one that finds another instance. Ruled out: entries in the store (a call on the way of a stop, and late), and digests that cease (they do so after the stop). Change: mp_LoadDigest.stopping, the last word of a digest, sent only if it is not 0. An earlier release does not read it, and its digests give 0. It is sent as soon as a stop begins; a summary has the sum.

--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -301,6 +301,10 @@
   ** none, and a digest that is nearly full leaves the last ones out */
   unsigned ranked_count;
   mp_WaitingRow ranked[MP_LOAD_DIGEST_PRIORITIES];
+  /* instances of those that the digest covers which have begun a planned stop:
+  ** 0 or 1, in a summary their sum; an earlier release sends none, and a full
+  ** summary leaves it out */
+  uint32_t stopping;
 } mp_LoadDigest;
 
 /* LOAD_SUMMARY: all that the instances of one data centre have open, added up
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -611,6 +611,7 @@
   router_begin_stop(gateway->router,
                     gateway->stop.began_at + gateway->stop.most,
                     gateway->stop.began_at);
+  load_exchange_send_changes(gateway->exchange);
   log_numbered(gateway->log, MP_LOG_DRAIN, "%s", "");
   front_drain(gateway->front);
   carry_server_drain(gateway->carrying);
--- a/router/loads.c
+++ b/router/loads.c
@@ -169,6 +169,7 @@
   out->changing_count = stages_list_changing(router->stages, out->changing,
                                              MP_LOAD_DIGEST_CHANGING, now);
   signals_write_digest(router, out, now);
+  out->stopping = router->stop_ends_at != 0;
 }
 
 void router_load_summary(const Router *router, mp_LoadSummary *out,
--- a/router/peer_loads.c
+++ b/router/peer_loads.c
@@ -258,6 +258,7 @@
   out->waiting += digest->waiting;
   out->in_time += digest->in_time;
   out->oldest_ms = MAX(out->oldest_ms, digest->oldest_ms);
+  out->stopping += digest->stopping;
   for (i = 0; i < digest->n; i++)
     add_row_to_summary(out, &digest->row[i]);
   for (i = 0; i < digest->changing_count; i++)
@@ -316,6 +317,20 @@
   return count;
 }
 
+guint peer_loads_count_stopping(const PeerLoads *loads, gint64 timeout,
+                                gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init(&iterator, loads->peers);
+  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Peer *peer = value;
+    if (now - peer->received_at < timeout)
+      count += MIN(peer->digest.stopping, peer->instances);
+  }
+  return count;
+}
+
 gint64 peer_loads_oldest(const PeerLoads *loads, gint64 now) {
   GHashTableIter iterator;
   gpointer value;
--- a/router/peer_loads.h
+++ b/router/peer_loads.h
@@ -74,6 +74,10 @@
 ** by their own digests or as part of a summary. */
 guint peer_loads_count_reachable(const PeerLoads *loads, gint64 timeout,
                                  gint64 now);
+/* Returns how many of the instances that were heard from less than 'timeout'
+** ago have begun a planned stop. */
+guint peer_loads_count_stopping(const PeerLoads *loads, gint64 timeout,
+                                gint64 now);
 /* Returns the age of the oldest digest of a single instance that came within
 ** PEER_LOAD_TIMEOUT; 0 if there is none. */
 gint64 peer_loads_oldest(const PeerLoads *loads, gint64 now);
--- a/router/router.c
+++ b/router/router.c
@@ -391,6 +391,7 @@
 
 void router_begin_stop(Router *router, gint64 ends_at, gint64 now) {
   router->stop_ends_at = MAX(ends_at, now);
+  router->load_version++; /* the next digest tells the other instances */
 }
 
 void router_stop_accepting(Router *router, gint64 now) {
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -342,6 +342,34 @@
   EXPECT_EQ(t.m.u.digest.pending_count, 0u);
 }
 
+/* A full digest must still tell that its sender stops. */
+TEST(Wire, StoppingInstancesComeInAsTheyWentOut) {
+  for (unsigned accounts : {0u, unsigned(MP_LOAD_DIGEST_ACCOUNTS)}) {
+    mp_Msg m = full(MP_MSG_LOAD_DIGEST);
+    m.u.digest.account_count = accounts;
+    m.u.digest.pending_count = accounts;
+    m.u.digest.stopping = 1;
+    Taken t = decode(encode(m));
+    ASSERT_EQ(t.how, RPC_CALL);
+    EXPECT_EQ(t.m.u.digest.stopping, 1u);
+  }
+  mp_Msg m = {};
+  m.kind = MP_MSG_LOAD_SUMMARY;
+  m.u.summary.loads.stopping = 12;
+  EXPECT_EQ(decode(encode(m)).m.u.summary.loads.stopping, 12u);
+}
+
+/* An earlier release reads a digest up to the number of stopping instances. */
+TEST(Wire, StoppingInstancesStandAtTheEndOfADigest) {
+  mp_Msg m = digest_with_pending({5, 6});
+  std::string without = encode(m);
+  m.u.digest.stopping = 1;
+  std::string with = encode(m);
+  EXPECT_EQ(with.size(), without.size() + 4);
+  EXPECT_EQ(with.substr(0, without.size()), without);
+  EXPECT_EQ(decode(without).m.u.digest.stopping, 0u);
+}
+
 /* Guards against a digest that is not sent because the pending amounts make it
 ** too large for a datagram. */
 TEST(Wire, AFullDigestLeavesThePendingAmountsOut) {
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -275,8 +275,8 @@
   uint8_t codes[MP_LOAD_DIGEST_ACCOUNTS] = {0};
   unsigned i;
   if (x->x_op == XDR_ENCODE &&
-      x->x_handy < 2UL * BYTES_PER_XDR_UNIT + sizeof codes)
-    d->pending_count = 0; /* the count of the waiting rows needs room, too */
+      x->x_handy < 3UL * BYTES_PER_XDR_UNIT + sizeof codes)
+    d->pending_count = 0; /* the members behind it need room, too */
   for (i = 0; x->x_op == XDR_ENCODE && i < d->pending_count; i++)
     codes[i] = encode_pending(d->pending[i]);
   if (!xdr_count(x, &d->pending_count, MP_LOAD_DIGEST_ACCOUNTS) ||
@@ -312,15 +312,20 @@
   return TRUE;
 }
 
-/* the rows by priority stand at the end: an earlier release sends none, and
-** does not read them. Rows that do not fit into the datagram are left out; the
-** highest priorities come first. */
+/* Returns how many waiting rows the datagram has room for, with their count
+** and the number of stopping instances. */
+static uint32_t waiting_rows_room(const XDR *x) {
+  const u_int others = 2 * BYTES_PER_XDR_UNIT;
+  return x->x_handy < others ? 0 : (x->x_handy - others) / WAITING_ROW_SIZE;
+}
+
+/* An earlier release sends no rows by priority, and does not read them. Rows
+** that do not fit into the datagram are left out; the highest priorities come
+** first. */
 static bool_t xdr_waiting_rows(XDR *x, mp_LoadDigest *d) {
   unsigned i;
   if (x->x_op == XDR_ENCODE)
-    d->ranked_count =
-        at_most(d->ranked_count,
-                (x->x_handy - (u_int)sizeof(uint32_t)) / WAITING_ROW_SIZE);
+    d->ranked_count = at_most(d->ranked_count, waiting_rows_room(x));
   if (!xdr_count(x, &d->ranked_count, MP_LOAD_DIGEST_PRIORITIES))
     return FALSE;
   for (i = 0; i < d->ranked_count; i++) {
@@ -330,18 +335,31 @@
   return TRUE;
 }
 
-/* The lists that an earlier release neither sends nor reads stand at the end,
-** both or none. They are left out of a datagram without room for their
-** counts. */
-static bool_t xdr_appended_lists(XDR *x, mp_LoadDigest *d) {
+/* The number of stopping instances stands at the end if it is not 0: an
+** earlier release sends none, and does not read it. It is left out of a
+** datagram without room. */
+static bool_t xdr_stopping(XDR *x, mp_LoadDigest *d) {
+  bool_t has_room = x->x_handy >= BYTES_PER_XDR_UNIT;
+  if (x->x_op == XDR_ENCODE)
+    return d->stopping == 0 || !has_room || xdr_u32(x, &d->stopping);
+  d->stopping = 0;
+  return !has_room || xdr_u32(x, &d->stopping);
+}
+
+/* What an earlier release neither sends nor reads stands at the end. The lists
+** are there both or none. They are left out of a datagram without room for
+** their counts. */
+static bool_t xdr_appended_members(XDR *x, mp_LoadDigest *d) {
   if (x->x_op == XDR_DECODE && x->x_handy == 0) {
     d->pending_count = 0;
     d->ranked_count = 0;
+    d->stopping = 0;
     return TRUE;
   }
   if (x->x_op == XDR_ENCODE && x->x_handy < 2 * BYTES_PER_XDR_UNIT)
     return TRUE;
-  return xdr_pending_amounts(x, d) && xdr_waiting_rows(x, d);
+  return xdr_pending_amounts(x, d) && xdr_waiting_rows(x, d) &&
+         xdr_stopping(x, d);
 }
 
 static bool_t xdr_load_digest(XDR *x, mp_LoadDigest *d) {
@@ -359,7 +377,7 @@
          xdr_retry_rows(x, d) && xdr_account_rows(x, d) &&
          xdr_hashes(x, &d->leaving_count, d->leaving,
                     MP_LOAD_DIGEST_LEAVING) &&
-         xdr_appended_lists(x, d);
+         xdr_appended_members(x, d);
 }
 
 static bool_t xdr_load_summary(XDR *x, mp_LoadSummary *s) {
