A full quarantine object is not written again

Change: strikes beyond a full object are not written. Red before, green after: QuarantineTest.InstanceAtRestWritesNothingWithMoreStrikesThanARow (1,000 subjects, one write each).

--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -620,15 +620,21 @@
 ** ===================================================================
 */
 
-/* Returns TRUE if this instance saw a counting strike that the store lacks. */
+/* Returns TRUE if this instance saw a counting strike that the store lacks and
+** the object has room for. A full object says all that a record can say, so
+** strikes beyond it are never written. */
 static gboolean has_unstored_strike(const Row *row) {
+  gboolean lacks_own = FALSE;
+  guint stored = 0;
   guint i;
   for (i = 0; i < row->count; i++) {
     const Strike *strike = &row->strikes[i];
-    if (strike->is_own && !strike->is_off && !strike->is_stored)
-      return TRUE;
+    if (strike->is_off)
+      continue;
+    stored += strike->is_stored;
+    lacks_own |= strike->is_own && !strike->is_stored;
   }
-  return FALSE;
+  return lacks_own && stored < QUARANTINE_STRIKES_MAX;
 }
 
 /* Returns TRUE if a hold of the row, now or after more strikes, should outlast
--- a/test/test_quarantine.cc
+++ b/test/test_quarantine.cc
@@ -230,6 +230,29 @@
   EXPECT_EQ(next_save().record.count, 0u);
 }
 
+/* Guards against objects that are written without an end, some 200 a second.
+ */
+TEST_F(QuarantineTest, InstanceAtRestWritesNothingWithMoreStrikesThanARow) {
+  constexpr guint64 subjects = 1000;
+  unsigned writes = 0;
+  for (guint64 i = 0; i < subjects; i++) {
+    guint64 content = i % 2 == 0 ? i + 1 : QUARANTINE_PART_BIT + i;
+    for (guint32 crash = 1; crash <= QUARANTINE_STRIKES_MAX + 2; crash++)
+      add_strike(content, static_cast<guint32>(i) * 100 + crash);
+  }
+  for (unsigned round = 0; round < 2 * subjects; round++) {
+    QuarantineSave save = next_save();
+    if (save.record.count == 0)
+      break;
+    writes++;
+    QuarantineRecord stored = save.record;
+    quarantine_merge_stored(table, &stored, store_position(0, 40 + round),
+                            now);
+  }
+  EXPECT_EQ(writes, subjects);
+  EXPECT_EQ(next_save().record.count, 0u);
+}
+
 TEST_F(QuarantineTest, ExpiredRecordIsRemovedFromTheStoreOnce) {
   add_strike(7, 1);
   add_strike(7, 2);
