Ends of endpoints close in time are one event for what ran there

Requests had no acquittals, and a hold admitted no run that could have acquitted its subject. Ruled out: weighing by the share of endpoints that ended without the subject; it says nothing where all requests have it. Change: ends close in time count once unless the run was sent after the earlier end; runs that end well acquit requests, dated by when the run was sent; after a hold one instance admits one probe; holds have an end. CRASHES ends with the times of the strikes, which the last landing neither sends nor reads; objects of the store have the first strike of each event.

--- a/include/mpconf.h
+++ b/include/mpconf.h
@@ -76,6 +76,8 @@
 ** crashes listed for each of them */
 #define MP_CRASH_ROWS 16
 #define MP_CRASHES_PER_ROW 6
+/* unit in which the times of those crashes are told, in milliseconds */
+#define MP_CRASH_TIME_MS 10
 
 /* most suspected crashes of endpoints in one datagram */
 #define MP_SUSPECT_ROWS 24
--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -359,6 +359,10 @@
   unsigned n;
   /* the crashes, each by hash of the endpoint's ID and incarnation */
   uint32_t crash[MP_CRASHES_PER_ROW];
+  /* The run that broke off at each: when, and how long it had lasted, both in
+  ** MP_CRASH_TIME_MS; 0: not known, as from an earlier release. */
+  uint16_t age[MP_CRASHES_PER_ROW];
+  uint16_t length[MP_CRASHES_PER_ROW];
 } mp_CrashRow;
 
 /* a request whose run broke off at an endpoint that may have crashed
@@ -376,7 +380,8 @@
 } mp_AcquittalRow;
 
 /* CRASHES: the crashes, suspicions and acquittals that the sender learned of
-** recently; an earlier release neither sends nor reads acquittals */
+** recently; an earlier release neither sends nor reads acquittals, nor the
+** times of crashes */
 typedef struct mp_CrashUpdate {
   unsigned n;
   mp_CrashRow row[MP_CRASH_ROWS];
--- a/router/crash_watch.c
+++ b/router/crash_watch.c
@@ -29,6 +29,7 @@
   guint64 content;
   gint64 at;
   char *request, *route, *account;
+  gint64 began_at;
 } Suspect;
 
 /* one life of an endpoint at which runs broke off */
@@ -111,8 +112,9 @@
 
 static void add_suspect(WatchedIncarnation *watched,
                         const QuarantineSuspect *suspect) {
-  Suspect copy = {suspect->content, suspect->at, g_strdup(suspect->request),
-                  g_strdup(suspect->route), g_strdup(suspect->account)};
+  Suspect copy = {suspect->content,           suspect->at,
+                  g_strdup(suspect->request), g_strdup(suspect->route),
+                  g_strdup(suspect->account), suspect->began_at};
   g_array_append_val(watched->suspects, copy);
 }
 
@@ -131,6 +133,7 @@
     reported[i].request = suspect->request;
     reported[i].route = suspect->route;
     reported[i].account = suspect->account;
+    reported[i].began_at = suspect->began_at;
   }
   if (count > 0)
     watch->host.ended(watch->host.data, watched->endpoint, watched->life,
--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -17,6 +17,27 @@
 #define FIRST_HOLD_TIME (3600 * MP_SEC)
 /* Each further strike makes the hold this many times as long. */
 #define HOLD_GROWTH_FACTOR 4
+/* The hold from QUARANTINE_STRIKES_MAX strikes on. It is longer than a year,
+** so that three probes are the most within one. */
+#define LAST_HOLD_TIME (400 * 24 * 3600 * MP_SEC)
+/* The first hold of a subject that was acquitted lately. Such a subject is
+** likely to be innocent, and has to be served within 5 s of the endpoints'
+** return. */
+#define ACQUITTED_HOLD_TIME (2 * MP_SEC)
+/* Ends this close are one event, whatever ran there. The quickest crash on
+** record took 52 ms from its dispatch. */
+#define SAME_MOMENT (50 * MP_MS)
+/* Ends this close are one event for a subject that was acquitted lately,
+ *unless
+ ** they followed it. A rack that loses power, or a rollout that fails, ends
+ *its
+ ** endpoints within about this time. A subject that never ended well gets
+ ** SAME_MOMENT instead, because equal crashing requests may overlap. */
+#define EVENT_WINDOW (2 * MP_SEC)
+/* the least time between two probes of a subject; the first is the longest in
+** which the end of an endpoint is proved */
+#define PROBE_INTERVAL (6 * MP_SEC)
+#define ACQUITTED_PROBE_INTERVAL (2 * MP_SEC)
 /* Strikes too few for a hold are remembered for this long after the newest
 ** one, and those of a hold for this long after its end. */
 #define STRIKE_LIFETIME (3600 * MP_SEC)
@@ -62,6 +83,7 @@
   gboolean is_stored; /* the store has it */
   gint64 at;          /* when the run broke off, or when this instance learned
                       ** of it */
+  gint64 began_at;    /* when the run was sent; 0: not known */
 } Strike;
 
 /* what is known of one subject */
@@ -76,15 +98,18 @@
                           ** known */
   gint64 retry_at;        /* not written to the store before then */
   gboolean is_obsolete;   /* to be removed from the store, then dropped */
-  gint64 acquitted_at;    /* of a part; G_MININT64: never */
+  gint64 acquitted_at;    /* start of its last good run; G_MININT64: none */
   gint64 tried_at;        /* when the last trial began; 0: none did */
   guint trials;
+  gint64 probed_at;                /* when the last probe began; 0: none did */
   char *request, *route, *account; /* as in QuarantineRecord */
 } Row;
 
 struct Quarantine {
-  GHashTable *rows; /* content -> Row */
-  Acquittals *acquittals;
+  GHashTable *rows;     /* content -> Row */
+  Acquittals *parts;    /* that were acquitted */
+  Acquittals *requests; /* the same; most requests are never sent again, and
+                        ** must not crowd parts out */
   gint64 unix_offset;
   guint64 seed;
   guint64 version;
@@ -112,7 +137,8 @@
   Quarantine *quarantine = g_new0(Quarantine, 1);
   quarantine->rows =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, row_free);
-  quarantine->acquittals = acquittals_new();
+  quarantine->parts = acquittals_new();
+  quarantine->requests = acquittals_new();
   quarantine->unix_offset = unix_offset;
   quarantine->seed = seed;
   return quarantine;
@@ -120,10 +146,18 @@
 
 void quarantine_free(Quarantine *quarantine) {
   g_hash_table_destroy(quarantine->rows);
-  acquittals_free(quarantine->acquittals);
+  acquittals_free(quarantine->parts);
+  acquittals_free(quarantine->requests);
   g_free(quarantine);
 }
 
+/* Returns the acquittals of the subject's kind. */
+static Acquittals *acquittals_of(const Quarantine *quarantine,
+                                 guint64 content) {
+  return (content & QUARANTINE_PART_BIT) != 0 ? quarantine->parts
+                                              : quarantine->requests;
+}
+
 static Row *find_row(const Quarantine *quarantine, guint64 content) {
   return g_hash_table_lookup(quarantine->rows, &content);
 }
@@ -137,6 +171,70 @@
   return count;
 }
 
+/* Returns TRUE if the row has a strike for this incarnation that counts. */
+static gboolean has_counting_strike(const Row *row, guint32 crash) {
+  guint i;
+  for (i = 0; i < row->count; i++) {
+    if (row->strikes[i].crash == crash && !row->strikes[i].is_off)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Returns the counting strikes of the row that 'other' (NULL: no row) lacks,
+ *in
+ ** the order of their times, and their number. */
+static guint list_strikes(const Row *row, const Row *other,
+                          const Strike *out[STRIKES_PER_ROW_MAX]) {
+  guint count = 0;
+  guint i;
+  for (i = 0; i < row->count; i++) {
+    const Strike *strike = &row->strikes[i];
+    guint at = count;
+    if (strike->is_off ||
+        (other != NULL && has_counting_strike(other, strike->crash)))
+      continue;
+    for (; at > 0 && out[at - 1]->at > strike->at; at--)
+      out[at] = out[at - 1];
+    out[at] = strike;
+    count++;
+  }
+  return count;
+}
+
+/* Returns TRUE if the later strike belongs to the event of the earlier one
+** (invariant 7). */
+static gboolean is_same_event(const Row *row, const Strike *earlier,
+                              const Strike *later) {
+  gint64 gap = later->at - earlier->at;
+  gboolean is_usual = row->acquitted_at != G_MININT64 &&
+                      later->at - row->acquitted_at <= ACQUITTAL_LIFETIME;
+  if (later->began_at == 0 || earlier->began_at == 0)
+    return FALSE;
+  return gap <= SAME_MOMENT ||
+         (is_usual && gap <= EVENT_WINDOW && later->began_at < earlier->at);
+}
+
+/* Keeps the first strike of each event, and returns their number. */
+static guint keep_event_starts(const Row *row, const Strike **strikes,
+                               guint count) {
+  guint events = 0;
+  guint i;
+  for (i = 0; i < count; i++) {
+    if (events == 0 || !is_same_event(row, strikes[events - 1], strikes[i]))
+      strikes[events++] = strikes[i];
+  }
+  return events;
+}
+
+/* Returns the number of events that count, without those strikes that the
+** other row (NULL: none) has, too. */
+static guint event_count(const Row *row, const Row *other) {
+  const Strike *strikes[STRIKES_PER_ROW_MAX];
+  guint count = list_strikes(row, other, strikes);
+  return keep_event_starts(row, strikes, count);
+}
+
 /* Returns the row with the fewest counting strikes, and among those the one
 ** with the oldest newest strike. */
 static Row *find_evictable_row(const Quarantine *quarantine) {
@@ -163,7 +261,8 @@
                         &find_evictable_row(quarantine)->content);
   row = g_new0(Row, 1);
   row->content = content;
-  row->acquitted_at = acquittals_latest(quarantine->acquittals, content);
+  row->acquitted_at =
+      acquittals_latest(acquittals_of(quarantine, content), content);
   g_hash_table_insert(quarantine->rows, &row->content, row);
   return row;
 }
@@ -231,6 +330,7 @@
   if (strike == NULL)
     return FALSE;
   strike->is_own = TRUE;
+  strike->began_at = suspect->began_at;
   set_text(&row->request, suspect->request);
   set_text(&row->route, suspect->route);
   set_text(&row->account, suspect->account);
@@ -245,6 +345,16 @@
                      : now;
 }
 
+/* Notes when the run broke off at the record's strike of this index, unless
+** that is known. */
+static void add_times(Row *row, const QuarantineRecord *record, guint i) {
+  Strike *strike = find_strike(row, record->crashes[i]);
+  if (strike == NULL || strike->began_at != 0)
+    return;
+  strike->began_at = record->began_at[i];
+  strike->at = MIN(strike->at, record->broke_at[i]);
+}
+
 gboolean quarantine_merge(Quarantine *quarantine,
                           const QuarantineRecord *record, gint64 now) {
   gint64 at = to_steady_time(quarantine, record->last_unix_ms, now);
@@ -254,15 +364,21 @@
   if (record->count == 0)
     return FALSE;
   row = get_or_add_row(quarantine, record->content);
-  for (i = 0; i < record->count; i++)
-    is_new |= add_strike(quarantine, row, record->crashes[i], at, now) != NULL;
+  for (i = 0; i < record->count; i++) {
+    gboolean is_timed = record->began_at[i] != 0;
+    gint64 broke_at = is_timed ? MIN(record->broke_at[i], now) : at;
+    is_new |=
+        add_strike(quarantine, row, record->crashes[i], broke_at, now) != NULL;
+    if (is_timed)
+      add_times(row, record, i);
+  }
   return is_new;
 }
 
 void quarantine_run_succeeded(Quarantine *quarantine, guint64 content) {
   Row *row = find_row(quarantine, content);
   guint i;
-  if (row == NULL || strike_count(row) >= QUARANTINE_HOLD_STRIKES)
+  if (row == NULL || event_count(row, NULL) >= QUARANTINE_HOLD_STRIKES)
     return;
   for (i = 0; i < row->count && row->strikes[i].is_off; i++) {
   }
@@ -278,6 +394,11 @@
   return row != NULL ? strike_count(row) : 0;
 }
 
+guint quarantine_event_count(const Quarantine *quarantine, guint64 content) {
+  const Row *row = find_row(quarantine, content);
+  return row != NULL ? event_count(row, NULL) : 0;
+}
+
 gboolean quarantine_has_strike(const Quarantine *quarantine, guint64 content,
                                guint32 crash) {
   Row *row = find_row(quarantine, content);
@@ -301,40 +422,40 @@
   return row != NULL ? row->learned_at : G_MININT64;
 }
 
-/* Returns how long a request with this many strikes is held. */
-static gint64 hold_time(guint strikes) {
+/* Returns TRUE if a run of the subject that began so lately before this strike
+** went on that the strike is likely to have other reasons. */
+static gboolean was_acquitted_before(gint64 acquitted_at, gint64 strike_at) {
+  return acquitted_at != G_MININT64 &&
+         strike_at - acquitted_at <= ACQUITTAL_LIFETIME;
+}
+
+/* Returns how long a subject is held for so many events. */
+static gint64 hold_time(const Row *row, guint events) {
   gint64 duration = FIRST_HOLD_TIME;
-  guint i;
-  if (strikes >= QUARANTINE_STRIKES_MAX)
-    return G_MAXINT64;
-  for (i = QUARANTINE_HOLD_STRIKES; i < strikes; i++)
+  guint i = QUARANTINE_HOLD_STRIKES;
+  if (was_acquitted_before(row->acquitted_at, row->last_strike_at)) {
+    duration = ACQUITTED_HOLD_TIME;
+    i = QUARANTINE_HOLD_STRIKES_ACQUITTED;
+  } else if (events >= QUARANTINE_STRIKES_MAX)
+    return LAST_HOLD_TIME;
+  for (; i < events; i++)
     duration *= HOLD_GROWTH_FACTOR;
   return duration;
 }
 
-/* Returns from how many strikes on a subject is held that was acquitted at
+/* Returns from how many events on a subject is held that was acquitted at
 ** this time (G_MININT64: never), and got its newest strike at 'at'. */
 static guint hold_strikes(gint64 acquitted_at, gint64 at) {
-  if (acquitted_at == G_MININT64 || at - acquitted_at > ACQUITTAL_LIFETIME)
-    return QUARANTINE_HOLD_STRIKES;
-  return QUARANTINE_HOLD_STRIKES_ACQUITTED;
+  return was_acquitted_before(acquitted_at, at)
+             ? QUARANTINE_HOLD_STRIKES_ACQUITTED
+             : QUARANTINE_HOLD_STRIKES;
 }
 
 static gboolean has_enough_strikes(const Row *row) {
-  return strike_count(row) >=
+  return event_count(row, NULL) >=
          hold_strikes(row->acquitted_at, row->last_strike_at);
 }
 
-/* Returns TRUE if the row has a strike for this incarnation that counts. */
-static gboolean has_counting_strike(const Row *row, guint32 crash) {
-  guint i;
-  for (i = 0; i < row->count; i++) {
-    if (row->strikes[i].crash == crash && !row->strikes[i].is_off)
-      return TRUE;
-  }
-  return FALSE;
-}
-
 /* Returns how many counting strikes of the row the other one has, too. */
 static guint shared_strikes(const Row *row, const Row *other) {
   guint shared = 0;
@@ -360,23 +481,21 @@
           (others == count && is_part(row) && !is_part(other)));
 }
 
-/* Returns how many strikes of the row no other one explains (invariant 6), as
+/* Returns how many events of the row no other one explains (invariant 6), as
 ** far as the held subject goes that explains most. */
-static guint unexplained_strikes(const Quarantine *quarantine,
-                                 const Row *row) {
-  guint count = strike_count(row);
-  guint explained = 0;
+static guint unexplained_events(const Quarantine *quarantine, const Row *row) {
+  guint events = event_count(row, NULL);
   GHashTableIter iterator;
   gpointer value;
   if (!has_enough_strikes(row))
-    return count;
+    return events;
   g_hash_table_iter_init(&iterator, quarantine->rows);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Row *other = value;
     if (may_explain(other, row))
-      explained = MAX(explained, shared_strikes(row, other));
+      events = MIN(events, event_count(row, other));
   }
-  return count - explained;
+  return events;
 }
 
 /* Takes off the counting strikes of a row that the lifted one has, too. */
@@ -416,12 +535,10 @@
 /* Returns when the subject's hold ends, also if that is past; 0 if it has too
 ** few strikes for one. */
 static gint64 held_until(const Quarantine *quarantine, const Row *row) {
-  guint strikes = unexplained_strikes(quarantine, row);
-  gint64 duration;
-  if (strikes < hold_strikes(row->acquitted_at, row->last_strike_at))
+  guint events = unexplained_events(quarantine, row);
+  if (events < hold_strikes(row->acquitted_at, row->last_strike_at))
     return 0;
-  duration = hold_time(strikes);
-  return duration == G_MAXINT64 ? duration : row->last_strike_at + duration;
+  return row->last_strike_at + hold_time(row, events);
 }
 
 guint quarantine_hold_strikes(const Quarantine *quarantine, guint64 content,
@@ -436,6 +553,27 @@
   return until > now ? until : 0;
 }
 
+gboolean quarantine_needs_probe(const Quarantine *quarantine, guint64 content,
+                                gint64 now) {
+  const Row *row = find_row(quarantine, content);
+  gint64 until = row != NULL ? held_until(quarantine, row) : 0;
+  return until != 0 && until <= now;
+}
+
+gboolean quarantine_begin_probe(Quarantine *quarantine, guint64 content,
+                                gint64 now) {
+  Row *row = find_row(quarantine, content);
+  gint64 interval = PROBE_INTERVAL;
+  if (row == NULL)
+    return FALSE;
+  if (was_acquitted_before(row->acquitted_at, row->last_strike_at))
+    interval = ACQUITTED_PROBE_INTERVAL;
+  if (row->probed_at != 0 && now - row->probed_at < interval)
+    return FALSE;
+  row->probed_at = now;
+  return TRUE;
+}
+
 void quarantine_count(const Quarantine *quarantine, gint64 now,
                       guint *suspects, guint *held) {
   GHashTableIter iterator;
@@ -455,19 +593,19 @@
 ** ===================================================================
 */
 
-gint64 quarantine_acquitted_at(const Quarantine *quarantine, guint64 part) {
-  const Row *row = find_row(quarantine, part);
-  gint64 at = acquittals_latest(quarantine->acquittals, part);
+gint64 quarantine_acquitted_at(const Quarantine *quarantine, guint64 content) {
+  const Row *row = find_row(quarantine, content);
+  gint64 at = acquittals_latest(acquittals_of(quarantine, content), content);
   return row != NULL ? MAX(at, row->acquitted_at) : at;
 }
 
-gboolean quarantine_acquit(Quarantine *quarantine, guint64 part, gint64 at,
+gboolean quarantine_acquit(Quarantine *quarantine, guint64 content, gint64 at,
                            gint64 now) {
-  Row *row = find_row(quarantine, part);
+  Row *row = find_row(quarantine, content);
   gboolean was_held;
   guint before;
   guint i;
-  acquittals_note(quarantine->acquittals, part, at);
+  acquittals_note(acquittals_of(quarantine, content), content, at);
   if (row == NULL || at <= row->acquitted_at)
     return FALSE;
   before = strike_count(row);
@@ -565,13 +703,25 @@
   return FALSE;
 }
 
-static void write_row(const Row *row, mp_CrashRow *out) {
+/* Returns the time as the message has it, at least 1. */
+static guint16 message_time(gint64 time) {
+  return (guint16)CLAMP(time / (MP_CRASH_TIME_MS * MP_MS), 1, G_MAXUINT16);
+}
+
+static void write_row(const Row *row, mp_CrashRow *out, gint64 now) {
   guint i;
+  memset(out, 0, sizeof *out);
   out->request = row->content;
-  out->n = 0;
   for (i = 0; i < row->count && out->n < MP_CRASHES_PER_ROW; i++) {
-    if (!row->strikes[i].is_off)
-      out->crash[out->n++] = row->strikes[i].crash;
+    const Strike *strike = &row->strikes[i];
+    if (strike->is_off)
+      continue;
+    out->crash[out->n] = strike->crash;
+    if (strike->began_at != 0) {
+      out->age[out->n] = message_time(now - strike->at);
+      out->length[out->n] = message_time(strike->at - strike->began_at);
+    }
+    out->n++;
   }
 }
 
@@ -605,7 +755,7 @@
     if (now - row->learned_at >= NEWS_REPEAT_TIME ||
         !(with_received || has_own_strike(row)))
       continue;
-    write_row(row, &crashes);
+    write_row(row, &crashes, now);
     if (crashes.n > 0)
       add_or_replace_row(out, &crashes);
   }
@@ -620,20 +770,21 @@
 ** ===================================================================
 */
 
-/* Returns TRUE if this instance saw a counting strike that the store lacks and
-** the object has room for. A full object says all that a record can say, so
-** strikes beyond it are never written. */
+/* Returns TRUE if this instance saw a strike, the first of an event, that the
+** store lacks and the object has room for. A full object says all that a
+*record
+** can say, so strikes beyond it are never written. */
 static gboolean has_unstored_strike(const Row *row) {
+  const Strike *starts[STRIKES_PER_ROW_MAX];
+  guint count =
+      keep_event_starts(row, starts, list_strikes(row, NULL, starts));
   gboolean lacks_own = FALSE;
   guint stored = 0;
   guint i;
-  for (i = 0; i < row->count; i++) {
-    const Strike *strike = &row->strikes[i];
-    if (strike->is_off)
-      continue;
-    stored += strike->is_stored;
-    lacks_own |= strike->is_own && !strike->is_stored;
-  }
+  for (i = 0; i < count; i++)
+    lacks_own |= starts[i]->is_own && !starts[i]->is_stored;
+  for (i = 0; i < row->count; i++)
+    stored += row->strikes[i].is_stored && !row->strikes[i].is_off;
   return lacks_own && stored < QUARANTINE_STRIKES_MAX;
 }
 
@@ -641,9 +792,11 @@
 ** the instances that know it. */
 static gboolean is_worth_storing(const Quarantine *quarantine,
                                  const Row *row) {
+  if (was_acquitted_before(row->acquitted_at, row->last_strike_at))
+    return FALSE; /* it is held for seconds */
   if (is_part(row))
     return held_until(quarantine, row) != 0;
-  return strike_count(row) >= STORED_STRIKES_MIN;
+  return event_count(row, NULL) >= STORED_STRIKES_MIN;
 }
 
 /* An obsolete row needs its object removed, another one its strikes written.
@@ -654,16 +807,24 @@
   return has_unstored_strike(row) && is_worth_storing(quarantine, row);
 }
 
+/* The record has the strikes that the store has, and the first strike of each
+** event: it has no times by which a reader could tell events. */
 static void write_record(const Quarantine *quarantine, const Row *row,
                          QuarantineRecord *out) {
-  mp_CrashRow crashes;
+  const Strike *starts[STRIKES_PER_ROW_MAX];
+  guint count =
+      keep_event_starts(row, starts, list_strikes(row, NULL, starts));
   guint i;
   memset(out, 0, sizeof *out);
-  write_row(row, &crashes);
   out->content = row->content;
-  out->count = crashes.n;
-  for (i = 0; i < crashes.n; i++)
-    out->crashes[i] = crashes.crash[i];
+  for (i = 0; i < row->count && out->count < QUARANTINE_STRIKES_MAX; i++) {
+    if (row->strikes[i].is_stored && !row->strikes[i].is_off)
+      out->crashes[out->count++] = row->strikes[i].crash;
+  }
+  for (i = 0; i < count && out->count < QUARANTINE_STRIKES_MAX; i++) {
+    if (!starts[i]->is_stored)
+      out->crashes[out->count++] = starts[i]->crash;
+  }
   out->last_unix_ms = (row->last_strike_at + quarantine->unix_offset) / MP_MS;
   out->request = row->request;
   out->route = row->route;
@@ -737,15 +898,10 @@
 
 /* Returns the time from which on the row is obsolete. */
 static gint64 obsolete_at(const Quarantine *quarantine, const Row *row) {
-  guint strikes = strike_count(row);
-  if (strikes == 0)
+  if (strike_count(row) == 0)
     return row->learned_at + LIFTED_RETENTION;
-  if (strikes >= QUARANTINE_STRIKES_MAX)
-    return G_MAXINT64;
-  if (strikes >= QUARANTINE_HOLD_STRIKES)
-    return MAX(held_until(quarantine, row), row->last_strike_at) +
-           STRIKE_LIFETIME;
-  return row->last_strike_at + STRIKE_LIFETIME;
+  return MAX(held_until(quarantine, row), row->last_strike_at) +
+         STRIKE_LIFETIME;
 }
 
 /* Returns a delay that differs between instances for the same request. */
@@ -780,5 +936,6 @@
     quarantine->may_need_save = TRUE;
   }
   g_hash_table_foreach_remove(quarantine->rows, can_be_dropped, &now);
-  acquittals_expire(quarantine->acquittals, now);
+  acquittals_expire(quarantine->parts, now);
+  acquittals_expire(quarantine->requests, now);
 }
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -19,22 +19,26 @@
 **    instances only merge what they know, and none of them has to decide
 **    first.
 ** 2. A hold ends by itself, so that a subject that was blamed wrongly is
-**    served again. Each further strike makes the next hold longer, and from
-**    QUARANTINE_STRIKES_MAX strikes on only an operator ends it. So after the
+**    served again: from its end on one request is run as a probe, by one
+**    instance for all, and the others are refused until a probe went on. Each
+**    further strike makes the next hold longer, and from
+**    QUARANTINE_STRIKES_MAX strikes on it lasts more than a year. So after the
 **    third strike is known at most QUARANTINE_STRIKES_MAX -
-**    QUARANTINE_HOLD_STRIKES more runs are tried, however long the request is
-**    sent.
+**    QUARANTINE_HOLD_STRIKES more runs are tried within a year, however often
+**    the request is sent.
 ** 3. A run that ends well takes the oldest strike off a request with fewer
 **    than QUARANTINE_HOLD_STRIKES strikes. Otherwise a request that many
 **    callers send would collect strikes, since it is running whenever an
 **    endpoint ends.
 ** 4. A strike that an operator has lifted, or a good run has taken off, does
 **    not come back when an instance reports it late.
-** 5. A run on which an endpoint wrote an answer and lived on acquits the parts
-**    of its prompt (acquittals.h): it takes off all their strikes from before,
-**    and for as long as the acquittal counts it takes
-**    QUARANTINE_HOLD_STRIKES_ACQUITTED further ones to hold such a part. The
-**    other instances are told.
+** 5. A run on which an endpoint wrote an answer and lived on acquits the
+**    request and the parts of its prompt (acquittals.h): it takes off all
+*their
+**    strikes from before the run began, and for as long as the acquittal
+*counts
+**    it takes QUARANTINE_HOLD_STRIKES_ACQUITTED further ones to hold such a
+**    subject, for seconds at first. The other instances are told.
 ** 6. A strike explains away: one that a held subject has too does not count
 **    against a subject with fewer strikes, nor one of a held request against a
 **    part with as many. When an operator lifts the one that explains, its
@@ -42,6 +46,10 @@
 **    it from its parts, too. Two held parts with the same strikes are twins:
 **    one trial run of a request that has only one of them tells them apart
 **    (quarantine_begin_trial).
+** 7. What counts for a hold is the number of events. Strikes close in time are
+**    one event, because many endpoints may end for one reason and strike all
+**    that many requests have; except where the run at the later end was sent
+**    after the earlier end, and so the crash followed the subject.
 **
 ** A Router owns one Quarantine. suspects.c uses it, and io/quarantine_writer.c
 ** writes what quarantine_next_save returns to the store. Times are in
@@ -59,12 +67,12 @@
 ** themselves under a request that was sent again; with three, chance is rare
 ** (and the platform allows three). */
 #define QUARANTINE_HOLD_STRIKES 3
-/* A request with this many strikes or more is held until an operator lifts the
-** hold. The platform allows three more runs. */
+/* A request with this many strikes or more is held for more than a year. The
+** platform allows three more runs. */
 #define QUARANTINE_STRIKES_MAX MP_CRASHES_PER_ROW
 
-/* The same for a part of prompts that was acquitted lately: chance alone may
-** have endpoints end under one that is in many prompts. */
+/* The same for a subject that was acquitted lately: chance alone may have
+** endpoints end under one that is in many requests. */
 #define QUARANTINE_HOLD_STRIKES_ACQUITTED 5
 
 /* The bit that tells parts of prompts from requests in subjects' names. */
@@ -79,6 +87,10 @@
   guint count;     /* of 'crashes' */
   guint32 crashes[QUARANTINE_STRIKES_MAX]; /* the incarnations that ended, each
                                            ** as Endpoint.hash */
+  /* The run that broke off at each, in microseconds of the steady clock:
+  ** where 'began_at' is 0, neither is known. The store has no such times. */
+  gint64 began_at[QUARANTINE_STRIKES_MAX];
+  gint64 broke_at[QUARANTINE_STRIKES_MAX];
   gint64 last_unix_ms; /* time of the newest strike; 0: not known */
   /* For operators: the id, route and client account of the last request that
   ** got a strike, where this is known; else NULL. */
@@ -105,6 +117,7 @@
   const char *request;
   const char *route;
   const char *account; /* NULL: none */
+  gint64 began_at;     /* when the run was sent; 0: not known */
 } QuarantineSuspect;
 
 /* Adds a strike that this instance saw itself: the incarnation 'crash' of an
@@ -125,6 +138,8 @@
 
 /* Returns the number of strikes that count against the request. */
 guint quarantine_strike_count(const Quarantine *quarantine, guint64 content);
+/* Returns how many events these strikes are (invariant 7). */
+guint quarantine_event_count(const Quarantine *quarantine, guint64 content);
 /* Returns TRUE if the end of this incarnation is known as a strike of the
 ** request, whether it still counts or was taken off. */
 gboolean quarantine_has_strike(const Quarantine *quarantine, guint64 content,
@@ -136,18 +151,25 @@
 /* Returns when this instance last learned of a strike of the request, or of a
 ** lift; G_MININT64 if it knows of none. */
 gint64 quarantine_learned_at(const Quarantine *quarantine, guint64 content);
-/* Returns the time until which the request is held; 0 if it is not held, and
-** G_MAXINT64 if it is held until an operator lifts that. */
+/* Returns the time until which the request is held; 0 if it is not held. */
 gint64 quarantine_held_until(const Quarantine *quarantine, guint64 content,
                              gint64 now);
+/* Returns TRUE if the subject's hold has ended and no run has gone on since:
+** it runs as a probe only (invariant 2). */
+gboolean quarantine_needs_probe(const Quarantine *quarantine, guint64 content,
+                                gint64 now);
+/* Returns TRUE if a probe of the subject may begin now, and notes that it
+** does. One instance alone may ask for a subject. */
+gboolean quarantine_begin_probe(Quarantine *quarantine, guint64 content,
+                                gint64 now);
 
-/* A run with this part went on until 'at' (invariant 5). Returns TRUE if the
-** part was held and no longer is. */
-gboolean quarantine_acquit(Quarantine *quarantine, guint64 part, gint64 at,
+/* A run of the subject that began at 'at' went on (invariant 5). Returns TRUE
+** if the subject was held and no longer is. */
+gboolean quarantine_acquit(Quarantine *quarantine, guint64 content, gint64 at,
                            gint64 now);
-/* Returns until when the latest run with this part that is remembered went on;
+/* Returns when the latest run of the subject that is remembered as good began;
 ** G_MININT64: none is. */
-gint64 quarantine_acquitted_at(const Quarantine *quarantine, guint64 part);
+gint64 quarantine_acquitted_at(const Quarantine *quarantine, guint64 content);
 /* Returns from how many strikes on the subject is held. */
 guint quarantine_hold_strikes(const Quarantine *quarantine, guint64 content,
                               gint64 now);
--- a/router/state.h
+++ b/router/state.h
@@ -148,6 +148,8 @@
   guint parts_count;
   guint64 trial;          /* the held part for whose trial it runs; 0: none */
   guint trial_strikes;    /* that part's strikes when the trial began */
+  gboolean is_probe;      /* it runs as a probe after a hold */
+  guint probe_runs;       /* 'runs' when the probe began */
   gboolean is_acquitting; /* its open run has acquitted its parts */
   guint32 prompt_tokens, output_tokens;
   guint32 expected_output; /* admission_order_expected_output */
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -21,21 +21,22 @@
 #include "router/continuation.h"
 #include "router/state.h"
 
-/* The caller of a request whose hold only an operator ends is asked to come
-** back on another day, when the hold may have been lifted. */
-#define MANUAL_HOLD_RETRY_AFTER (86400 * MP_SEC)
+/* The caller of a request that is held for longer is asked to come back on
+** another day, when an operator may have lifted the hold. */
+#define RETRY_AFTER_MAX (86400 * MP_SEC)
 /* An endpoint that crashes on a part of a prompt does so when it begins to
 ** write an answer; one that has written for this long has not. */
 #define WRITING_TIME (1 * MP_SEC)
 /* The caller of a request with one of two held parts that a trial will tell
-** apart is asked to come back after this. */
+** apart, or of one that waits for a probe, is asked to come back after this.
+*/
 #define TRIAL_RETRY_AFTER (3 * MP_SEC)
 
 static gboolean is_proved(void *quarantine, guint64 content, guint32 life) {
   return quarantine_has_strike(quarantine, content, life);
 }
 
-/* Returns TRUE if a run with the part went on so lately that a suspected end
+/* Returns TRUE if a run of the subject went on so lately that a suspected end
 ** is likely to have other reasons. */
 static gboolean was_just_acquitted(const Router *router, guint64 subject,
                                    gint64 now) {
@@ -57,7 +58,7 @@
   guint strikes;
   if (suspected == 0 || was_just_acquitted(router, subject, now))
     return 0;
-  strikes = quarantine_strike_count(router->quarantine, subject);
+  strikes = quarantine_event_count(router->quarantine, subject);
   return strikes + suspected >=
                  quarantine_hold_strikes(router->quarantine, subject, now)
              ? until
@@ -110,14 +111,23 @@
              request->trial_strikes;
 }
 
-/* Returns the time until which the subject is held or deferred, and sets
-** '*why'; 0 if it is neither. */
-static gint64 barred_until(const Router *router, guint64 subject,
-                           RefusalKind *why, gint64 now) {
+/* Returns TRUE if the request runs as a probe, and none of its runs has broken
+** off since the probe began. */
+static gboolean is_on_probe(const Request *request) {
+  return request->is_probe && request->runs == request->probe_runs;
+}
+
+/* Returns the time until which the subject keeps the request from being sent,
+** and sets '*why'; 0 if it does not. */
+static gint64 barred_until(const Router *router, const Request *request,
+                           guint64 subject, RefusalKind *why, gint64 now) {
   gint64 until = quarantine_held_until(router->quarantine, subject, now);
   *why = REFUSAL_HELD;
   if (until != 0)
     return until;
+  if (!is_on_probe(request) &&
+      quarantine_needs_probe(router->quarantine, subject, now))
+    return now + TRIAL_RETRY_AFTER;
   *why = REFUSAL_SUSPECTED;
   return deferred_until(router, subject, now);
 }
@@ -130,7 +140,7 @@
   guint i;
   for (i = 0; i < request->parts_count; i++) {
     RefusalKind kind;
-    gint64 ends = barred_until(router, request->parts[i], &kind, now);
+    gint64 ends = barred_until(router, request, request->parts[i], &kind, now);
     if (ends == 0 || is_on_trial(router, request, request->parts[i]) ||
         (found != 0 && ends <= *until))
       continue;
@@ -159,6 +169,21 @@
   return TRUE;
 }
 
+/* Returns TRUE if the request becomes the probe of this subject, whose hold
+ *has
+ ** ended. One instance probes for all: should it end, the next one does, once
+ ** it is missing among the members. */
+static gboolean begin_probe(Router *router, Request *request, guint64 subject,
+                            gint64 now) {
+  if (!quarantine_needs_probe(router->quarantine, subject, now) ||
+      !continuation_is_first(router, subject) ||
+      !quarantine_begin_probe(router->quarantine, subject, now))
+    return FALSE;
+  request->is_probe = TRUE;
+  request->probe_runs = request->runs;
+  return TRUE;
+}
+
 /* Returns TRUE if none of the request's parts keeps it from being sent; else
 ** sets '*why' and Request.come_back. */
 static gboolean may_send_parts(Router *router, Request *request,
@@ -166,6 +191,8 @@
   gint64 until = 0;
   guint64 part = find_barred_part(router, request, &until, why, now);
   gboolean has_twin;
+  if (part != 0 && begin_probe(router, request, part, now))
+    part = find_barred_part(router, request, &until, why, now);
   if (part == 0)
     return TRUE;
   has_twin = *why == REFUSAL_HELD &&
@@ -176,28 +203,28 @@
   if (has_twin)
     request->come_back = TRIAL_RETRY_AFTER;
   else
-    request->come_back =
-        until == G_MAXINT64 ? MANUAL_HOLD_RETRY_AFTER : until - now;
+    request->come_back = MIN(until - now, RETRY_AFTER_MAX);
   return FALSE;
 }
 
 gboolean suspects_may_dispatch(Router *router, Request *request,
                                RefusalKind *why, gint64 now) {
-  gint64 until = barred_until(router, request->content, why, now);
+  gint64 until = barred_until(router, request, request->content, why, now);
+  if (until != 0 && begin_probe(router, request, request->content, now))
+    until = barred_until(router, request, request->content, why, now);
   if (until == 0)
     until = crashed_everywhere_until(router, request, now);
   if (until == 0)
     return may_send_parts(router, request, why, now);
-  request->come_back =
-      until == G_MAXINT64 ? MANUAL_HOLD_RETRY_AFTER : until - now;
+  request->come_back = MIN(until - now, RETRY_AFTER_MAX);
   return FALSE;
 }
 
 /* Returns TRUE if the subject is held or deferred. */
 static gboolean is_held_or_deferred(const Router *router, guint64 subject,
                                     gint64 now) {
-  RefusalKind why;
-  return barred_until(router, subject, &why, now) != 0;
+  return quarantine_held_until(router->quarantine, subject, now) != 0 ||
+         deferred_until(router, subject, now) != 0;
 }
 
 /* Returns a waiting request of which a subject is held or deferred; NULL if
@@ -208,7 +235,7 @@
     Request *request = router->waiting->pdata[i];
     RefusalKind why;
     gint64 until;
-    if (is_held_or_deferred(router, request->content, now) ||
+    if (barred_until(router, request, request->content, &why, now) != 0 ||
         find_barred_part(router, request, &until, &why, now) != 0)
       return request;
   }
@@ -236,7 +263,7 @@
                      gint64 now) {
   gint64 until = quarantine_held_until(router->quarantine, content, now);
   guint strikes = quarantine_strike_count(router->quarantine, content);
-  gint64 seconds = until == G_MAXINT64 ? -1 : (until - now) / MP_SEC;
+  gint64 seconds = (until - now) / MP_SEC;
   if (until == 0)
     return;
   router_log(router, MP_LOG_REQUEST_HELD,
@@ -255,8 +282,8 @@
 
 void suspects_note_broken(Router *router, const Request *request,
                           const Endpoint *endpoint, gint64 now) {
-  QuarantineSuspect suspect = {request->content, now, request->id,
-                               request->route->name, NULL};
+  QuarantineSuspect suspect = {request->content,     now,  request->id,
+                               request->route->name, NULL, request->open.sent};
   guint i;
   if (request->account != NULL)
     suspect.account = request->account->name;
@@ -284,13 +311,17 @@
              kind_name(subject));
 }
 
+/* The open run went on. What ended before it was sent is not its doing. */
+static void acquit(Router *router, guint64 subject, gint64 sent, gint64 now) {
+  if (quarantine_acquit(router->quarantine, subject, sent, now))
+    log_lifted(router, subject);
+}
+
 static void acquit_parts(Router *router, Request *request, gint64 now) {
   guint i;
   request->is_acquitting = TRUE;
-  for (i = 0; i < request->parts_count; i++) {
-    if (quarantine_acquit(router->quarantine, request->parts[i], now, now))
-      log_lifted(router, request->parts[i]);
-  }
+  for (i = 0; i < request->parts_count; i++)
+    acquit(router, request->parts[i], request->open.sent, now);
 }
 
 void suspects_note_piece(Router *router, Request *request, gint64 now) {
@@ -303,8 +334,10 @@
 void suspects_note_success(Router *router, Request *request, gboolean wrote,
                            gint64 now) {
   quarantine_run_succeeded(router->quarantine, request->content);
-  if (wrote)
-    acquit_parts(router, request, now);
+  if (!wrote)
+    return;
+  acquit(router, request->content, request->open.sent, now);
+  acquit_parts(router, request, now);
 }
 
 void suspects_attach_parts(Request *request, const CallerRequest *call) {
@@ -324,13 +357,20 @@
 ** ===================================================================
 */
 
-/* Makes a record of a message's row, which has neither a time nor texts. */
-static void record_from_row(const mp_CrashRow *row, QuarantineRecord *out) {
+/* Makes a record of a message's row, which has no texts. */
+static void record_from_row(const mp_CrashRow *row, QuarantineRecord *out,
+                            gint64 now) {
+  const gint64 unit = MP_CRASH_TIME_MS * MP_MS;
   unsigned i;
   out->content = row->request;
   out->count = MIN(row->n, QUARANTINE_STRIKES_MAX);
-  for (i = 0; i < out->count; i++)
+  for (i = 0; i < out->count; i++) {
     out->crashes[i] = row->crash[i];
+    if (row->length[i] == 0)
+      continue;
+    out->broke_at[i] = now - row->age[i] * unit;
+    out->began_at[i] = out->broke_at[i] - row->length[i] * unit;
+  }
 }
 
 static gboolean receive_acquittals(Router *router, const mp_CrashUpdate *news,
@@ -354,7 +394,7 @@
   unsigned i;
   for (i = 0; i < news->n; i++) {
     QuarantineRecord record = {0};
-    record_from_row(&news->row[i], &record);
+    record_from_row(&news->row[i], &record, now);
     if (!quarantine_merge(router->quarantine, &record, now))
       continue;
     is_new = TRUE;
--- a/test/crash_fleet.h
+++ b/test/crash_fleet.h
@@ -52,6 +52,10 @@
   */
   unsigned first_parts = 0;
   unsigned second_parts = 0;
+  /* share of the harmless requests that are alike: equal requests, or ones
+  ** that have a part of their prompts in common */
+  double alike_share = 0;
+  bool alike_are_equal = false;
 };
 
 /* A request of a caller together with its retries, which have other IDs. */
@@ -90,6 +94,9 @@
   }
   /* Kills each instance with this probability and restarts it at once. */
   void kill_and_restart(double share);
+  /* Crashes this share of the decode engines, spread over this time from now
+  ** on, for no request's fault. */
+  void crash_share(double share, gint64 within);
   /* While set, datagrams between the halves of the instances are lost. */
   bool is_partitioned = false;
   bool store_up = true; /* writes to the store succeed */
@@ -126,6 +133,10 @@
   ** this time, that began at their first attempt.
   */
   double share_begun(guint64 first, gint64 from, gint64 until) const;
+  /*
+  ** Returns the share of the alike requests, sent in this time, that began.
+  */
+  double share_of_alike_begun(gint64 from, gint64 until) const;
   /* Returns how many engines this content crashed. */
   unsigned crashes(guint64 content) const;
   /*
@@ -170,6 +181,11 @@
     guint64 load_version_sent = 0;
     guint32 sequence = 0;
     std::map<guint64, guint64> content_of; /* open request -> content */
+    std::map<guint64, size_t> alike_of;    /* request -> index of 'alike' */
+  };
+  struct Alike {
+    gint64 sent_at;
+    bool began;
   };
   struct StoredRecord {
     QuarantineRecord record;
@@ -187,6 +203,8 @@
   void handle_check(World &world, const SentDispatch &check);
   bool refuses_check(const Engine &engine);
   void crash_engine(Engine &engine);
+  void crash_due_engines();
+  void send_harmless();
   void finish_due_runs();
   void restart_crashed_engines();
   void send_caller_requests();
@@ -203,6 +221,8 @@
   std::vector<Instance> instances;
   std::vector<Engine> engines;
   std::vector<Run> runs;
+  std::vector<Alike> alike;
+  std::map<size_t, gint64> due_crashes; /* index of an engine -> when */
   std::map<guint64, Work> work;
   std::map<guint64, std::vector<gint64>> crash_times; /* by content */
   std::map<guint64, std::vector<gint64>> run_times;   /* by content */
--- a/test/test_crash_fleet.cc
+++ b/test/test_crash_fleet.cc
@@ -198,6 +198,95 @@
   }
 }
 
+/*
+** Events that end many engines for no request's fault
+*/
+
+struct Event {
+  unsigned instances;
+  double share;   /* of the decode engines */
+  gint64 within;  /* from the first end to the last */
+  double alike;   /* share of the requests that have the subject */
+  bool are_equal; /* the subject is the request, else a part of prompts */
+};
+
+std::vector<Event> all_events(const std::vector<unsigned> &sizes) {
+  std::vector<Event> all;
+  for (unsigned instances : sizes)
+    for (double alike : {1.0, 0.9, 0.1})
+      for (bool are_equal : {false, true}) {
+        all.push_back({instances, 0.25, 0, alike, are_equal});
+        all.push_back({instances, 1, 0, alike, are_equal});
+        all.push_back({instances, 1, 2 * second, alike, are_equal});
+      }
+  return all;
+}
+
+struct CrashEvent : ::testing::TestWithParam<Event> {
+  FleetOptions options;
+  CrashEvent() {
+    const Event &event = GetParam();
+    options.instances = event.instances;
+    options.decode = event.instances > 9 ? 44 : 12;
+    options.prefill = event.instances > 9 ? 12 : 4;
+    options.harmless_per_s = event.instances > 9 ? 60 : 18;
+    options.alike_share = event.alike;
+    options.alike_are_equal = event.are_equal;
+  }
+};
+
+struct CrashEventNine : CrashEvent {};
+
+/* from a crash to the return of the engine, and until all is served again */
+constexpr gint64 return_time = 4 * second;
+constexpr gint64 served_time = 5 * second;
+
+/* Guards against popular requests and parts that are held for one event. */
+TEST_P(CrashEvent, InnocentRequestsAreServedAfterTheEnginesReturn) {
+  for (unsigned seed = 1; seed <= (GetParam().instances > 9 ? 1u : 2u);
+       seed++) {
+    options.seed = seed;
+    Fleet fleet(options);
+    fleet.advance(8 * second);
+    gint64 served = fleet.now + GetParam().within + return_time + served_time;
+    fleet.crash_share(GetParam().share, GetParam().within);
+    fleet.advance(served - fleet.now + 8 * second);
+    EXPECT_GE(fleet.share_of_alike_begun(served, fleet.now - second), 0.95)
+        << "seed " << seed;
+  }
+}
+
+/* Guards against a crashing request that passes for a victim of the event. */
+TEST_P(CrashEvent, CrashingRequestCrashesThreeEngines) {
+  for (unsigned seed = 1; seed <= (GetParam().instances > 9 ? 1u : 2u);
+       seed++) {
+    options.seed = seed;
+    Fleet fleet(options);
+    fleet.advance(8 * second);
+    fleet.crash_share(GetParam().share, GetParam().within);
+    send_crashing_requests(fleet, 10 * second, seed);
+    EXPECT_LE(fleet.crashes(crashing_content), 3u) << "seed " << seed;
+  }
+}
+
+/* Guards against a crashing part that passes for a victim of the event. */
+TEST_P(CrashEventNine, CrashingPartCrashesFourEngines) {
+  std::mt19937 random(1);
+  Fleet fleet(options);
+  fleet.advance(8 * second);
+  fleet.crash_share(GetParam().share, GetParam().within);
+  for (int i = 0; i < 20; i++) {
+    fleet.send_request_with_crashing_part(Fleet::first_part(0), 77);
+    fleet.advance((200 + random() % 600) * ms);
+  }
+  EXPECT_LE(fleet.part_crashes(77), 4u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Events, CrashEventNine,
+                         ::testing::ValuesIn(all_events({9})));
+INSTANTIATE_TEST_SUITE_P(Events, CrashEvent,
+                         ::testing::ValuesIn(all_events({9, 88})));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, CrashFleet, ::testing::Range(1u, 6u));
 
 } // namespace
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -397,6 +397,39 @@
   return TRUE;
 }
 
+static bool_t xdr_crash_time(XDR *x, mp_CrashRow *row, unsigned k) {
+  uint32_t both = (uint32_t)row->age[k] << 16 | row->length[k];
+  if (!xdr_u32(x, &both))
+    return FALSE;
+  row->age[k] = (uint16_t)(both >> 16);
+  row->length[k] = (uint16_t)both;
+  return TRUE;
+}
+
+/* Times of the first crashes, in the order of the rows, stand at the very end,
+** as many as the datagram has room for: an earlier release sends none. */
+static bool_t xdr_crash_times(XDR *x, mp_CrashUpdate *c) {
+  unsigned count = 0;
+  unsigned i;
+  unsigned k;
+  if (x->x_handy == 0 ||
+      (x->x_op == XDR_ENCODE && x->x_handy < 2 * BYTES_PER_XDR_UNIT))
+    return TRUE;
+  for (i = 0; i < c->n; i++)
+    count += c->row[i].n;
+  if (x->x_op == XDR_ENCODE)
+    count = at_most(count, x->x_handy / BYTES_PER_XDR_UNIT - 1);
+  if (!xdr_count(x, &count, count))
+    return FALSE;
+  for (i = 0; i < c->n; i++) {
+    for (k = 0; k < c->row[i].n && count > 0; k++, count--) {
+      if (!xdr_crash_time(x, &c->row[i], k))
+        return FALSE;
+    }
+  }
+  return TRUE;
+}
+
 static bool_t xdr_crash_update(XDR *x, mp_CrashUpdate *c) {
   unsigned i;
   unsigned k;
@@ -412,7 +445,8 @@
         return FALSE;
     }
   }
-  return xdr_suspect_rows(x, c) && xdr_acquittal_rows(x, c);
+  return xdr_suspect_rows(x, c) && xdr_acquittal_rows(x, c) &&
+         xdr_crash_times(x, c);
 }
 
 static bool_t xdr_rate_update(XDR *x, mp_RateUpdate *r) {
