--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -19,7 +19,7 @@
 #define HOLD_GROWTH_FACTOR 4
 /* The hold from QUARANTINE_STRIKES_MAX strikes on. It is longer than a year,
 ** so that three probes are the most within one. */
-#define LAST_HOLD_TIME (400 * 24 * 3600 * MP_SEC)
+#define LAST_HOLD_TIME (400LL * 24 * 3600 * MP_SEC)
 /* The first hold of a subject that was acquitted lately. Such a subject is
 ** likely to be innocent, and has to be served within 5 s of the endpoints'
 ** return. */
