--- a/io/carry_server.c
+++ b/io/carry_server.c
@@ -26,10 +26,9 @@
 /* a side that does not read for this long is closed */
 #define WRITE_TIMEOUT_SECONDS 10
 /* An asker that acknowledges nothing in UNANSWERED_MAX checks in a row is
- *lost:
- ** 2.5 s to 3.5 s after the first byte that it does not acknowledge.
- *UNACKED_MS
- ** would also end a connection whose asker acknowledges and does not read. */
+** lost: 2.5 s to 3.5 s after the first byte that it does not acknowledge.
+** UNACKED_MS would also end a connection whose asker acknowledges and does not
+** read. */
 #define ANSWER_CHECK_INTERVAL_MS 500
 #define UNANSWERED_MAX 6
 /* After the last byte for the asker, what it still sends is discarded until it
--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -453,8 +453,7 @@
   }
   /* Has the endpoint send an answer and end its side. It reads on: what a
   ** kernel has for a peer is lost when that peer's bytes reach a closed
-  *socket.
-  */
+  ** socket. */
   void answer_and_end(const std::string &text) {
     size_t at = 0;
     ASSERT_TRUE(wait([&] {
--- a/test/test_planned_stop.cc
+++ b/test/test_planned_stop.cc
@@ -546,8 +546,7 @@
 }
 
 /* front_stop_receiving must not reset a connection whose last answer the
- *kernel
- ** has not sent whole. */
+** kernel has not sent whole. */
 TEST_F(StoppingFront, IdleConnectionsAreClosedWithoutCuttingTheLastAnswer) {
   const std::string large(1 << 20, 'x');
   caller->reading = false;
