--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -34,11 +34,9 @@
 **    not come back when an instance reports it late.
 ** 5. A run on which an endpoint wrote an answer and lived on acquits the
 **    request and the parts of its prompt (acquittals.h): it takes off all
-*their
-**    strikes from before the run began, and for as long as the acquittal
-*counts
-**    it takes QUARANTINE_HOLD_STRIKES_ACQUITTED further ones to hold such a
-**    subject, for seconds at first. The other instances are told.
+**    their strikes from before the run began, and for as long as the acquittal
+**    counts it takes QUARANTINE_HOLD_STRIKES_ACQUITTED further ones to hold
+**    such a subject, for seconds at first. The other instances are told.
 ** 6. A strike explains away: one that a held subject has too does not count
 **    against a subject with fewer strikes, nor one of a held request against a
 **    part with as many. When an operator lifts the one that explains, its
