--- a/test/test_next_request.cc
+++ b/test/test_next_request.cc
@@ -37,17 +37,17 @@
       Listener free_port;
       address = free_port.address;
     }
-    FrontHooks hooks = {
-        this,
-        [](void *data, guint64 number, const HttpHead *) {
-          static_cast<NextRequest *>(data)->requests.push_back(number);
-        },
-        [](void *data, guint64) {
-          static_cast<NextRequest *>(data)->hangups++;
-        },
-        [](void *, int, const char *) {},
-        [](void *, const char *) {},
-        [](void *, const FrontCut *) {}};
+    FrontHooks hooks = {this,
+                        [](void *data, guint64 number, const HttpHead *) {
+                          static_cast<NextRequest *>(data)->requests.push_back(
+                              number);
+                        },
+                        [](void *data, guint64) {
+                          static_cast<NextRequest *>(data)->hangups++;
+                        },
+                        [](void *, int, const char *) {},
+                        [](void *, const char *) {},
+                        [](void *, const FrontCut *) {}};
     front =
         front_new(base, address, &platform_dialect, &hooks, nullptr, nullptr);
     ASSERT_NE(front, nullptr);
@@ -185,7 +185,8 @@
   EXPECT_TRUE(is_received(2));
 }
 
-/* Guards against a connection that stays for ever: libevent reads no more after
+/* Guards against a connection that stays for ever: libevent reads no more
+*after
 ** the end of the caller's side, and reports neither a timeout nor a close. */
 TEST_F(NextRequest, APartOfOneBeforeTheEndLeavesNoConnectionBehind) {
   CallerLimits limits = {1000, 1000, 100 * MP_MS, 100 * MP_MS};
