A caller that has ended its side loses no next request, and no connection stays

Cause: after the end of the caller's side libevent reports neither a timeout nor a close, and nobody remembered that end. Change: a connection knows that its caller has ended its side. What was read before is answered, and that answer is the last; a part of a request is not waited for. Also: connections without a byte hold a stop only if they came within 100 ms of its last moment (they held it to its latest end).

--- a/io/front.c
+++ b/io/front.c
@@ -120,6 +120,8 @@
       connection->number == 0 && connection_unsent(connection) > 0) {
     /* the caller has ended its side, and may still read a whole response */
     connection->lingers = FALSE;
+    connection->has_ended = TRUE;
+    connection->may_continue |= connection->state == CONNECTION_READING;
     connection_close_when_flushed(connection);
     return;
   }
@@ -355,6 +357,15 @@
          clock_now() - connection->accepted_at < FIRST_BYTES_MAX;
 }
 
+/* Does a stop wait for the first bytes of the connection? Not for those of
+** connections that came later than this: one after the other, as from checks
+** by connecting, would hold it to its latest end. */
+static gboolean holds_stop(const Connection *connection) {
+  return awaits_first_bytes(connection) &&
+         connection->accepted_at <
+             connection->front->refusing_since + FIRST_BYTES_MAX;
+}
+
 /* Refuses a request that still arrives, unless its head may be in the bytes
 ** that are read next; closes a connection without one, a new one soon. */
 static void stop_receiving(Connection *connection) {
@@ -375,6 +386,8 @@
 void front_stop_receiving(Front *front) {
   GList *all = g_hash_table_get_keys(front->connections);
   GList *one;
+  if (!front->is_refusing)
+    front->refusing_since = clock_now();
   front->is_refusing = TRUE;
   for (one = all; one != NULL; one = one->next)
     stop_receiving(one->data);
@@ -422,8 +435,8 @@
       count_half_closed(connection, &unsent);
     else if (size > 0 || connection->state == CONNECTION_FLUSHING)
       unsent.connections++;
-    else if (front->is_refusing && (connection_is_receiving(connection) ||
-                                    awaits_first_bytes(connection)))
+    else if (front->is_refusing &&
+             (connection_is_receiving(connection) || holds_stop(connection)))
       unsent.receiving++;
     unsent.bytes += size;
   }
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -246,7 +246,8 @@
 static void read_next(Connection *connection) {
   connection->state = CONNECTION_READING;
   connection->may_continue = FALSE;
-  http_reader_start_next(connection->reader);
+  if (http_reader_state(connection->reader) == HTTP_READER_DONE)
+    http_reader_start_next(connection->reader);
   connection_begin_limits(connection);
   connection_set_read_timeout(connection, connection->limits.idle_timeout);
   if (evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -32,6 +32,7 @@
   guint64 last_number;     /* of the newest request */
   gboolean is_draining;    /* a planned stop has begun: front_drain */
   gboolean is_refusing;    /* front_stop_receiving */
+  gint64 refusing_since;   /* its first call */
   GHashTable *connections; /* set of Connection, which it owns */
   GHashTable *open;        /* number of an open request -> Connection */
   Intake *intake;
@@ -70,10 +71,11 @@
   gboolean is_broken_off; /* its response ended without its last chunk */
   CloseReason reason; /* why this instance has shut it down; CLOSE_FINISHED: it
                       ** has not */
-  gboolean says_close; /* the head of its response has "Connection: close" */
-  gboolean
-      may_continue;     /* the connection is being closed after a response that
-                        ** did not say so: a next request may still come */
+  gboolean says_close;   /* the head of its response has "Connection: close" */
+  gboolean may_continue; /* it is being closed after a response that did not
+                         ** say so: a next request may still come */
+  gboolean has_ended; /* the caller has ended its side: nothing more comes, and
+                      ** libevent reports neither a timeout nor a close */
   FlowConnection *flow; /* NULL: flow control is off */
   gint64 body_held_at;  /* since when its body is held back; 0: it is not */
   gint64 lingers_until; /* when a connection that discards input is closed */
--- a/io/front_request.c
+++ b/io/front_request.c
@@ -156,6 +156,10 @@
     connection_refuse_for_stop(connection);
     return;
   }
+  if (connection->has_ended) { /* the rest of the request never comes */
+    connection_close(connection, CLOSE_CALLER);
+    return;
+  }
   if (connection->body_held_at != 0) {
     bufferevent_disable(connection->events, EV_READ);
     return;
--- a/io/front_request.h
+++ b/io/front_request.h
@@ -17,7 +17,8 @@
 /*
 ** Parses what has been received of a request, and hands it to the user of the
 ** server when it is whole. Each call that leaves a request incomplete starts
-** the timeout anew.
+** the timeout anew. Closes the connection if its caller has ended its side
+** before a whole request.
 */
 void connection_read_request(Connection *connection);
 /*
--- a/io/front_response.c
+++ b/io/front_response.c
@@ -28,7 +28,7 @@
 
 gboolean connection_closes_after_response(const Connection *connection) {
   return connection->front->is_draining || connection->lingers ||
-         intake_is_full(connection->front->intake) ||
+         connection->has_ended || intake_is_full(connection->front->intake) ||
          !http_reader_keep_alive(connection->reader);
 }
 
--- a/test/test_next_request.cc
+++ b/test/test_next_request.cc
@@ -186,8 +186,8 @@
 }
 
 /* Guards against a connection that stays for ever: libevent reads no more
-*after
-** the end of the caller's side, and reports neither a timeout nor a close. */
+** after the end of the caller's side, and reports neither a timeout nor a
+** close. */
 TEST_F(NextRequest, APartOfOneBeforeTheEndLeavesNoConnectionBehind) {
   CallerLimits limits = {1000, 1000, 100 * MP_MS, 100 * MP_MS};
   front_set_limits(front, &limits);
