--- a/router/stop_choice.c
+++ b/router/stop_choice.c
@@ -9,16 +9,15 @@
 
 /* A new connection to another instance costs a caller some round trips. */
 #define NEW_CONNECTION_TIME (20 * MP_MS)
-/* Up to this share of stopping instances among the others, they take refused
-** callers. Where 88 or 20 instances are stopped in turn, at most 0.8 of the
-** others stop at a time, and 0.7 cut one request in 440 stops; where 7 of 8
-** are, 0.86 of the others stop, and callers ran out of tries. */
+/* Up to this share of stopping instances among the others, refused callers
+** find one that goes on. Instances that are stopped in turn, each 0.3 s, stop
+** at the same time in up to this share. */
 #define STOPPING_SHARE_MAX 0.8
 /* After which time refused callers come back beyond that share: the first
 ** instances return some seconds after their signal. */
 #define FEW_OTHERS_RETRY (200 * MP_MS)
 
-static gboolean do_others_take_callers(const StopInput *input) {
+static gboolean has_others_for_callers(const StopInput *input) {
   return input->others_stopping <= STOPPING_SHARE_MAX * input->others;
 }
 
@@ -50,7 +49,7 @@
 }
 
 StopChoice stop_choice_make(const StopInput *input) {
-  if (input->others > 0 && do_others_take_callers(input))
+  if (input->others > 0 && has_others_for_callers(input))
     return choose_strictly(input);
   return choose_by_expectation(input);
 }
