--- a/test/stream_fleet.cc
+++ b/test/stream_fleet.cc
@@ -32,8 +32,6 @@
 /* an engine that is leaving goes on for so long */
 constexpr gint64 drain_time = 3 * second;
 constexpr gint64 restart_time = 1 * second;
-/* an instance that has run for less is not judged */
-constexpr gint64 contact_time = 3 * second;
 const char *const zone_names[] = {"a", "b", "c"};
 
 mp_Addr address_of(unsigned instance) {
@@ -321,7 +319,7 @@
   stream.sent_at = now;
   world.now = std::max(world.now, now);
   world.id = stream.attempt;
-  bool is_calm = now - instances[index].started_at >= contact_time;
+  bool is_calm = now - instances[index].started_at >= options.contact_time;
   if (stream.events.empty()) {
     stream.request = world.request("/resume/", (stream.deadline - now) / ms);
     return;
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -39,14 +39,18 @@
   double streams_per_s = 10;
   double datagram_loss = 0.02;
   std::string software = "v1"; /* of all engines at the start */
+  /* Takings-up at an instance that has run for less are not counted. */
+  gint64 contact_time = 3 * second;
 };
 
 /* What became of streams, counted by the caller's side. */
 struct Count {
   unsigned sent = 0;
-  unsigned began = 0;    /* new ones that brought an event */
-  unsigned taken_up = 0; /* first takings-up, at instances that run for long */
-  unsigned went_on = 0;  /* of these, those that brought another event */
+  unsigned began = 0; /* new ones that brought an event */
+  /* first takings-up, at instances that have run for FleetOptions.contact_time
+   */
+  unsigned taken_up = 0;
+  unsigned went_on = 0; /* of these, those that brought another event */
 };
 
 class Fleet {
--- a/test/test_stream_versions.cc
+++ b/test/test_stream_versions.cc
@@ -97,6 +97,61 @@
   expect_taken_up(fleet.count());
 }
 
+/* Of the streams that callers take up, this share in a hundred goes on. */
+constexpr unsigned goes_on_percent = 90;
+
+void expect_all_go_on(const Fleet &fleet) {
+  const Count &count = fleet.count();
+  ASSERT_GE(count.taken_up, taken_up_min);
+  EXPECT_GE(count.went_on * 100, count.taken_up * goes_on_percent)
+      << count.went_on << " of " << count.taken_up << " went on";
+  EXPECT_EQ(fleet.mixed_streams(), 0u);
+  EXPECT_EQ(fleet.disordered_streams(), 0u);
+}
+
+FleetOptions options_with_kills(unsigned instances) {
+  FleetOptions options = options_of(instances);
+  options.contact_time = 0;
+  return options;
+}
+
+TEST_P(StreamVersionsTest, StreamsOfTheOnlyVersionGoOnAfterAllWereKilled) {
+  Fleet fleet(options_with_kills(GetParam()));
+  fleet.advance(40 * second);
+  for (int i = 0; i < 3; i++) {
+    fleet.kill_instances(1.0);
+    fleet.advance(8 * second);
+  }
+  expect_all_go_on(fleet);
+}
+
+TEST_P(StreamVersionsTest, StreamsOfTwoVersionsGoOnAfterAllWereKilled) {
+  FleetOptions options = options_with_kills(GetParam());
+  Fleet fleet(options);
+  fleet.add_engines("v1.1", options.engines);
+  fleet.advance(5 * second);
+  for (int i = 0; i < 4; i++) {
+    fleet.kill_instances(1.0);
+    fleet.advance(6 * second);
+  }
+  expect_all_go_on(fleet);
+}
+
+/* All are killed at each moment of a release in turn. */
+TEST_P(StreamVersionsTest, StreamsGoOnWhenAllAreKilledWithinARelease) {
+  FleetOptions options = options_with_kills(GetParam());
+  for (gint64 moment = 0; moment <= 9 * second; moment += 1500 * ms) {
+    Fleet fleet(options);
+    fleet.advance(40 * second);
+    fleet.release("v1.1", options.engines / 2,
+                  6 * second / (options.engines / 2));
+    fleet.advance(moment);
+    fleet.kill_instances(1.0);
+    fleet.advance(6 * second);
+    EXPECT_NO_FATAL_FAILURE(expect_all_go_on(fleet)) << moment / ms << " ms";
+  }
+}
+
 /* A version comes while half of the instances can't read the list. */
 TEST_P(StreamVersionsTest, InstanceThatIsCutFromTheListGuessesNoVersion) {
   FleetOptions options = options_of(GetParam());
