--- a/dialect/dialect.h
+++ b/dialect/dialect.h
@@ -33,6 +33,7 @@
 #include "router/lease.h"
 #include "router/records.h"
 #include "router/router.h"
+#include "router/stream_records.h"
 
 /*
 ** What is missing or invalid in a store object: one field of its content, or
@@ -214,6 +215,12 @@
   ** (request, route, account) are not set. */
   gboolean (*read_quarantine)(const char *name, const char *text,
                               QuarantineRecord *out, GError **error);
+  gboolean (*read_software_set)(const char *text, SoftwareSetRecord *out,
+                                GError **error);
+  /* 'out' owns its array (stream_origins_record_clear); it has none when this
+  ** returns FALSE. */
+  gboolean (*read_stream_origins)(const char *text, StreamOriginsRecord *out,
+                                  GError **error);
 } Dialect;
 
 #endif
--- a/router/follower.h
+++ b/router/follower.h
@@ -63,7 +63,11 @@
   /* Requests that crash endpoints; written by this system. */
   STORE_QUARANTINE,
   /* Leases on duties of a single instance; written by this system. */
-  STORE_LEASES
+  STORE_LEASES,
+  /* Versions at which streams may have begun; written by this system. */
+  STORE_SOFTWARE,
+  /* Where streams began; written by this system. */
+  STORE_ORIGINS
 } StoreKind;
 
 typedef enum StoreOperation {
@@ -79,6 +83,8 @@
 struct LeaseRecord;
 struct InstanceRecord;
 struct QuarantineRecord;
+struct SoftwareSetRecord;
+struct StreamOriginsRecord;
 
 /* A call to make. The operations that use a member stand before its colon. */
 typedef struct StoreCall {
@@ -100,6 +106,10 @@
   const struct LeaseRecord *lease; /* CREATE and REPLACE of a lease. */
   /* CREATE and REPLACE of a quarantined request. */
   const struct QuarantineRecord *quarantine;
+  /* CREATE and REPLACE of a set of versions. */
+  const struct SoftwareSetRecord *software_set;
+  /* CREATE and REPLACE of origins of streams. */
+  const struct StreamOriginsRecord *origins;
 } StoreCall;
 
 typedef enum StoreStatus {
--- a/scripts/fields.sh
+++ b/scripts/fields.sh
@@ -44,7 +44,7 @@
 compare_with_table 'RESPONSE|BODY' platform/endpoints.c
 compare_with_table CALLER platform/callers.c
 compare_with_table 'STORE|OPERATOR' platform/records.c platform/store.c \
-  platform/broken_list.c
+  platform/broken_list.c platform/stream_records.c
 
 # Prints the names on the pages that look like fields.
 names_on_pages() {
--- a/test/fuzz/store_reply.c
+++ b/test/fuzz/store_reply.c
@@ -14,6 +14,8 @@
   InstanceRecord instance = {0};
   QuarantineRecord quarantine = {0};
   LeaseRecord lease = {0};
+  SoftwareSetRecord software_set = {0};
+  StreamOriginsRecord origins = {0};
   if (object->text == NULL)
     return;
   if (platform_read_endpoint_record(object->name, object->text, &endpoint,
@@ -24,6 +26,9 @@
   platform_read_lease(object->text, &lease, NULL);
   lease_record_clear(&lease);
   platform_read_quarantine(object->name, object->text, &quarantine, NULL);
+  platform_read_software_set(object->text, &software_set, NULL);
+  platform_read_stream_origins(object->text, &origins, NULL);
+  stream_origins_record_clear(&origins);
 }
 
 static void read_as(StoreOperation operation, const char *body, size_t size) {
