The order of waiting requests is a module of its own

admission.c had 754 lines and two jobs: which waiting request goes before which, and what becomes of a request that waits. The first is router/waiting_order.c now; functions are moved and renamed, none is changed. Comments in admission.c lose figures of their tuning.

--- a/router/admission.c
+++ b/router/admission.c
@@ -13,12 +13,9 @@
 ** Invariant: a late request takes only room that no request needs which can
 ** still be answered in time. Otherwise an overload outlives its cause: late
 ** requests fill the engines, fresh ones wait behind them or are refused, and
-** come back late. In a simulated burst of twice the load for 6 s, 0.30 to 0.99
-** of the callers that came 5 to 15 s after it were answered in time when
-** retries went first; with this rule 0.96 to 1.00 are. The time of a request
-** counts from its caller's first try.
+** come back late. The time of a request counts from its caller's first try.
 **
-** admission_order.h states which request starts first. Where a service has
+** waiting_order.h states which request starts first. Where a service has
 ** requests of several priorities, one that finds no room keeps the room that
 ** appears from those of lower priority, here and (by the load digests) at
 ** other instances. As the last resort an urgent request is sent to an engine
@@ -37,13 +34,11 @@
 
 #include <string.h>
 
-#include "router/admission_order.h"
 #include "router/continuation.h"
-#include "router/state.h"
+#include "router/waiting_order.h"
 
 /* A first try waits for room for at most this many objectives, because reading
-** its prompt takes another 0.2 to 0.3 of them. 0.7 and 1.0 gave worse
-** results. */
+** its prompt takes another 0.2 to 0.3 of them. */
 #define FIRST_TRY_WAIT_OBJECTIVES 0.55
 /* A waiting first try is reviewed once after this share of the objective, so
 ** that a refusal comes early. */
@@ -127,61 +122,6 @@
   return (gint64)(WAIT_MAX_SHARE * (double)gives_up);
 }
 
-/* Returns TRUE if the priorities of the request's service decide about it. */
-static gboolean is_ranked(const Request *request) {
-  return request->service->has_priorities;
-}
-
-/* Returns TRUE if the limits for late requests apply to this one; a route
-** without an objective has no limit to go by. */
-static gboolean has_late_limits(const Router *router, const Request *request) {
-  return router->overload_control && request->route->objective > 0;
-}
-
-static guint32 service_hash(const Request *request) {
-  return g_str_hash(request->service->name);
-}
-
-gboolean admission_is_same_service(const Request *one, const Request *other) {
-  return one->service == other->service ||
-         strcmp(one->service->name, other->service->name) == 0;
-}
-
-/* Returns the request's place in the order. */
-static AdmissionRank rank_of(const Router *router, const Request *request,
-                             gint64 now) {
-  AdmissionInput input = {0};
-  input.arrived = request->arrived;
-  input.first_attempt_at = request->first_attempt_at;
-  input.objective = request->route->objective;
-  input.is_prefilled = request->handle != NULL;
-  input.priority = is_ranked(request) ? request->priority : 0;
-  input.over_share = request->over_share;
-  input.expected_output =
-      router->overload_control ? request->expected_output : 0;
-  return admission_order_rank(&input, now);
-}
-
-/* Returns TRUE if the first token can still come within the objective. */
-static gboolean is_in_time(const Router *router, const Request *request,
-                           gint64 now) {
-  return !rank_of(router, request, now).is_late;
-}
-
-/* Returns how many requests at other instances go before this one, as far as
-** the digests tell; of the late ones all, since they do not tell their
-** order. */
-static guint count_peers_before(const Router *router, const Request *request,
-                                const AdmissionRank *rank) {
-  const PeerLoads *peers = router->endpoints->peers;
-  if (rank->is_late && has_late_limits(router, request))
-    return peer_loads_waiting_requests(peers);
-  if (is_ranked(request))
-    return peer_loads_waiting_ranked(peers, service_hash(request),
-                                     rank->priority);
-  return peer_loads_waiting_in_time(peers);
-}
-
 /*
 ** Returns how long the request with 'place' requests before it here is
 ** expected to wait, us. Room that appears at any engine serves all instances,
@@ -189,8 +129,8 @@
 */
 static gint64 expected_wait(const Router *router, const Request *request,
                             guint place, gint64 now) {
-  AdmissionRank rank = rank_of(router, request, now);
-  guint ahead = place + count_peers_before(router, request, &rank);
+  AdmissionRank rank = waiting_order_rank(router, request, now);
+  guint ahead = place + waiting_order_count_peers(router, request, &rank);
   return (gint64)((ahead + 1) * router->mean_end_interval / router->near);
 }
 
@@ -287,7 +227,7 @@
 /* Returns when the request has waited for as long as any request may. */
 static gint64 wait_end(const Router *router, const Request *request) {
   gint64 end = request->arrived + wait_max(request);
-  if (has_late_limits(router, request))
+  if (waiting_order_has_late_limits(router, request))
     end = MIN(end, request->queued_at - request->waited +
                        (gint64)(WAIT_MAX_OBJECTIVES *
                                 (double)request->route->objective));
@@ -297,13 +237,15 @@
 /* Returns TRUE if the request is refused when its expected wait is too
 ** long. */
 static gboolean is_limited(const Router *router, const Request *request) {
-  return !request->is_caller_retry || has_late_limits(router, request);
+  return !request->is_caller_retry ||
+         waiting_order_has_late_limits(router, request);
 }
 
 /* Returns TRUE if the request is reviewed each REVIEW_SHARE. */
 static gboolean has_frequent_reviews(const Router *router,
                                      const Request *request) {
-  return has_late_limits(router, request) || is_ranked(request);
+  return waiting_order_has_late_limits(router, request) ||
+         waiting_order_is_ranked(request);
 }
 
 /* Returns when a waiting request is to be reviewed next. */
@@ -321,116 +263,6 @@
   return now < early ? early : last;
 }
 
-gint64 admission_oldest_wait(const Router *router, gint64 now) {
-  gint64 first = now;
-  guint i;
-  for (i = 0; i < router->waiting->len; i++) {
-    AdmissionRank rank = rank_of(router, router->waiting->pdata[i], now);
-    if (!rank.is_late)
-      first = MIN(first, rank.came);
-  }
-  return now - first;
-}
-
-void admission_write_digest(const Router *router, mp_LoadDigest *out,
-                            gint64 now) {
-  guint i;
-  out->ranked_count = 0;
-  for (i = 0; i < router->waiting->len; i++) {
-    const Request *request = router->waiting->pdata[i];
-    AdmissionRank rank = rank_of(router, request, now);
-    mp_WaitingRow row = {service_hash(request), rank.priority, 1, 0};
-    row.oldest_ms = (uint32_t)(MAX(now - rank.came, 0) / MP_MS);
-    if (!rank.is_late)
-      peer_loads_add_waiting(out, &row);
-  }
-}
-
-/* Compares two waiting requests as admission_order_compare does. Priorities
-** order the requests of one service alone. */
-static int compare(const Router *router, const Request *one,
-                   const Request *other, gint64 now) {
-  AdmissionRank ranks[2] = {rank_of(router, one, now),
-                            rank_of(router, other, now)};
-  if (!admission_is_same_service(one, other))
-    ranks[0].priority = ranks[1].priority = 0;
-  return admission_order_compare(&ranks[0], &ranks[1]);
-}
-
-guint admission_count_in_time(const Router *router, gint64 now) {
-  guint count = 0;
-  guint i;
-  for (i = 0; i < router->waiting->len; i++)
-    count += is_in_time(router, router->waiting->pdata[i], now);
-  return count;
-}
-
-/* Returns how many requests in time are before this one in the queue here. */
-static guint count_queued_before(const Router *router, const Request *request,
-                                 gint64 now) {
-  guint count = 0;
-  guint i;
-  for (i = 0; i < router->waiting->len; i++) {
-    const Request *other = router->waiting->pdata[i];
-    if (other == request)
-      break;
-    count += is_in_time(router, other, now);
-  }
-  return count;
-}
-
-/* Returns how many requests here go before this one, which may not be in the
-** queue yet. */
-static guint count_before(const Router *router, const Request *request,
-                          gint64 now) {
-  gboolean is_later = FALSE; /* in the queue than this one */
-  guint count = 0;
-  guint i;
-  if (!is_ranked(request) && !has_late_limits(router, request))
-    return count_queued_before(router, request, now);
-  for (i = 0; i < router->waiting->len; i++) {
-    const Request *other = router->waiting->pdata[i];
-    int order = compare(router, other, request, now);
-    is_later |= other == request;
-    count += order < 0 || (order == 0 && !is_later);
-  }
-  return count;
-}
-
-/* Returns how many requests at other instances start before this one. The
-** digests tell no order of the late ones, so one is counted for each instance
-** that has any waiting. */
-static guint count_peers_ahead(const Router *router, const Request *request,
-                               gint64 now) {
-  const PeerLoads *peers = router->endpoints->peers;
-  AdmissionRank rank = rank_of(router, request, now);
-  if (rank.is_late)
-    return peer_loads_count_with_waiting(peers);
-  if (is_ranked(request))
-    return peer_loads_count_before(peers, service_hash(request), rank.priority,
-                                   rank.came);
-  return peer_loads_count_waiting_longer(peers, rank.came);
-}
-
-/* Returns how many waiting requests, here and at other instances, start before
-** this one. Requests that go on with a stream, and the others, count their own
-** kind alone, since they do not need the same room. Without priorities only
-** one request is counted at each other instance: the most senior one in time
-** if it is more senior, or for a late request any. */
-static guint count_ahead(const Router *router, const Request *request,
-                         gint64 now) {
-  guint count = 0;
-  guint i;
-  if (request->software == 0)
-    count = count_peers_ahead(router, request, now);
-  for (i = 0; i < router->waiting->len; i++) {
-    const Request *other = router->waiting->pdata[i];
-    count += other->software == request->software &&
-             compare(router, other, request, now) < 0;
-  }
-  return count;
-}
-
 /* Returns how long the request waits for its turn, us, if there is room
 ** now. */
 static gint64 time_to_turn(Router *router, const Request *request,
@@ -439,7 +271,8 @@
   guint fitting = endpoint_table_count_fitting(router->endpoints, &query, now);
   gint64 turn = TURN_MIN + TURN_PER_INSTANCE * router->near;
   fitting = MIN(fitting, prefill_count_places(router, request, now));
-  return count_ahead(router, request, now) / MAX(fitting, 1) * turn;
+  return waiting_order_count_ahead(router, request, now) / MAX(fitting, 1) *
+         turn;
 }
 
 /* Counts a start. A request that waits again with its prompt prefilled was
@@ -449,7 +282,7 @@
     return;
   router_count(router, STARTED);
   router->started_by_priority[request->priority]++;
-  if (!is_in_time(router, request, now))
+  if (!waiting_order_is_in_time(router, request, now))
     router_count(router, STARTED_LATE);
 }
 
@@ -479,15 +312,17 @@
 ** that has found room has such a time (Request.start_at). */
 static gboolean yields_to_priority(const Router *router,
                                    const Request *request, gint64 now) {
-  AdmissionRank rank = rank_of(router, request, now);
+  AdmissionRank rank = waiting_order_rank(router, request, now);
   guint i;
-  for (i = 0; is_ranked(request) && i < router->waiting->len; i++) {
+  for (i = 0; waiting_order_is_ranked(request) && i < router->waiting->len;
+       i++) {
     const Request *other = router->waiting->pdata[i];
     AdmissionRank other_rank;
-    if (other->start_at != 0 || !admission_is_same_service(other, request) ||
+    if (other->start_at != 0 ||
+        !waiting_order_is_same_service(other, request) ||
         !needs_room_of(other, request))
       continue;
-    other_rank = rank_of(router, other, now);
+    other_rank = waiting_order_rank(router, other, now);
     if (admission_order_yields(&rank, &other_rank))
       return TRUE;
   }
@@ -500,11 +335,12 @@
 static gboolean must_yield(const Router *router, const Request *request,
                            gint64 now) {
   guint i;
-  if (is_in_time(router, request, now))
+  if (waiting_order_is_in_time(router, request, now))
     return yields_to_priority(router, request, now);
   for (i = 0; i < router->waiting->len; i++) {
     const Request *other = router->waiting->pdata[i];
-    if (is_in_time(router, other, now) && needs_room_of(other, request))
+    if (waiting_order_is_in_time(router, other, now) &&
+        needs_room_of(other, request))
       return TRUE;
   }
   return yields_to_priority(router, request, now);
@@ -519,7 +355,7 @@
 */
 static gboolean try_preempt(Router *router, Request *request, gint64 now) {
   Endpoint *engine;
-  if (!is_ranked(request) || request->software != 0 ||
+  if (!waiting_order_is_ranked(request) || request->software != 0 ||
       request->service->kv_tokens == 0 || router->stopping ||
       now - request->first_attempt_at > first_try_wait_max(request) ||
       prefill_decode_limit(router, request, now) != NULL)
@@ -581,7 +417,7 @@
 ** for longer than it may. */
 static gboolean waits_too_long(const Router *router, const Request *request,
                                gint64 waited, gint64 now) {
-  guint place = count_before(router, request, now);
+  guint place = waiting_order_count_before(router, request, now);
   return is_limited(router, request) &&
          waited + expected_wait(router, request, place, now) >
              first_try_wait_max(request);
@@ -619,7 +455,7 @@
   if (!must_yield(router, request, now) && try_start(router, request, now))
     return;
   shortage_schedule_recheck(router, now);
-  place = count_before(router, request, now);
+  place = waiting_order_count_before(router, request, now);
   router_log(router, MP_LOG_ROUTE_WAIT,
              " request=%s place=%u priority=%u expected_ms=%d came_back=%d "
              "short=%s",
@@ -635,7 +471,7 @@
   enqueue(router, request);
   request->queued_at = now;
   request->stall_at = request->handle_until;
-  if (has_late_limits(router, request))
+  if (waiting_order_has_late_limits(router, request))
     request->stall_at = MIN(request->stall_at, wait_end(router, request));
   router->load_version++;
   router_log(router, MP_LOG_ROUTE_WAIT,
@@ -718,7 +554,7 @@
   guint i = 0;
   while (i < router->waiting->len) {
     Request *request = router->waiting->pdata[i];
-    AdmissionRank rank = rank_of(router, request, now);
+    AdmissionRank rank = waiting_order_rank(router, request, now);
     gboolean is_counted = request->software == 0;
     if (rank.is_late != in_time && rank.priority == priority &&
         (yields_to_priority(router, request, now) ||
@@ -737,7 +573,8 @@
   guint without_room = 0;
   guint i;
   for (i = 0; i < router->waiting->len; i++)
-    levels |= 1u << rank_of(router, router->waiting->pdata[i], now).priority;
+    levels |= 1u << waiting_order_rank(router, router->waiting->pdata[i], now)
+                        .priority;
   for (i = 0; levels >> i != 0; i++) {
     if ((levels >> i & 1) != 0)
       without_room += start_some(router, in_time, i, now);
--- a/router/loads.c
+++ b/router/loads.c
@@ -14,6 +14,7 @@
 #include "router/gate.h"
 #include "router/retry_exchange.h"
 #include "router/state.h"
+#include "router/waiting_order.h"
 
 /* An endpoint counts as failing from this share of failures on, in percent.
 ** Either this instance alone has it (100 while it avoids the endpoint as
@@ -160,9 +161,9 @@
 
 void router_load_digest(const Router *router, mp_LoadDigest *out, gint64 now) {
   out->waiting = router->waiting->len;
-  out->in_time = admission_count_in_time(router, now);
-  out->oldest_ms = (uint32_t)(admission_oldest_wait(router, now) / MP_MS);
-  admission_write_digest(router, out, now);
+  out->in_time = waiting_order_count_in_time(router, now);
+  out->oldest_ms = (uint32_t)(waiting_order_oldest_wait(router, now) / MP_MS);
+  waiting_order_write_digest(router, out, now);
   write_rows(router, out, now);
   retry_exchange_write(router, out);
   account_limits_write(router->limits, out, now);
--- a/router/preemption.c
+++ b/router/preemption.c
@@ -5,6 +5,7 @@
 
 #include "router/gate.h"
 #include "router/state.h"
+#include "router/waiting_order.h"
 
 /* Returns TRUE if a run at this engine can be displaced for the request: 'run'
 ** is less urgent, and without its memory the request fits. */
@@ -28,7 +29,7 @@
                                    const Request *request) {
   return other->phase == PHASE_RUN && other->open.number != 0 &&
          other->priority > request->priority &&
-         admission_is_same_service(other, request);
+         waiting_order_is_same_service(other, request);
 }
 
 Endpoint *preemption_find_engine(Router *router, const Request *request,
--- a/router/router.c
+++ b/router/router.c
@@ -14,6 +14,7 @@
 #include "router/retry_exchange.h"
 #include "router/silence.h"
 #include "router/state.h"
+#include "router/waiting_order.h"
 
 /* A request is ended this long before its caller stops waiting, so that the
 ** answer still reaches the caller. */
@@ -590,7 +591,7 @@
 void router_count_waiting(const Router *router, gint64 now, guint *waiting,
                           guint *in_time) {
   *waiting = router->waiting->len;
-  *in_time = admission_count_in_time(router, now);
+  *in_time = waiting_order_count_in_time(router, now);
 }
 
 PriorityCounts router_priority_counts(const Router *router, guint priority) {
--- a/router/state.h
+++ b/router/state.h
@@ -532,8 +532,6 @@
 ** ===================================================================
 */
 
-/* Do both requests need endpoints of the same service? */
-gboolean admission_is_same_service(const Request *one, const Request *other);
 /* Starts a new request, queues it, or refuses it; may end. */
 void admission_enter(Router *router, Request *request, gint64 now);
 /* Queues a request again whose prompt is prefilled but for which no engine has
@@ -548,11 +546,6 @@
 /* Starts a waiting request at the time set for it, if there is still room; may
 ** end. */
 void admission_take_turn(Router *router, Request *request, gint64 now);
-/* Returns for how long the most senior request in time has waited, us; 0 if
-** there is none. */
-gint64 admission_oldest_wait(const Router *router, gint64 now);
-/* Returns how many requests that wait here can still be answered in time. */
-guint admission_count_in_time(const Router *router, gint64 now);
 /* Starts the waiting requests that fit; called whenever there may be room. */
 void admission_start_waiting_requests(Router *router, gint64 now);
 /* Records that the stream of this request ended, which frees memory. */
@@ -564,9 +557,6 @@
                                gint64 now);
 /* Refuses a request for that reason; ends it. */
 void admission_refuse_too_late(Router *router, Request *request, gint64 now);
-/* Writes for each service and priority how many requests wait in time. */
-void admission_write_digest(const Router *router, mp_LoadDigest *out,
-                            gint64 now);
 
 /* }================================================================== */
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -459,7 +459,7 @@
   'start_by_priority(router, TRUE, now) == 0)' \
   'start_by_priority(router, TRUE, now) != G_MAXUINT)'
 m o-told "admission: those in time elsewhere are waited for" \
-  router/admission.c 'place + count_peers_before(router, request, &rank)' \
+  router/admission.c 'place + waiting_order_count_peers(router, request, &rank)' \
   'place + 0 * rank.priority'
 m o-ends "admission: ends at all instances make room" router/admission.c \
   'router->mean_end_interval / router->near' 'router->mean_end_interval'
