A response with an unknown transfer coding is invalid, not read up to the close

Callers got a 200 with an empty or short body, framed as whole: http_parser reads a response whose Transfer-Encoding is not known ("chun", "gzip", empty) up to the end of the stream, and the end made it whole. "gzip, chunked" was decoded by one of its two codings, and a chunked response of HTTP/1.0 was accepted.

RFC 9112, 6.1 and 6.3: who does not know the coding cannot tell where the body ends. No request names other codings as acceptable (TE), so a correct endpoint sends none. Requests with such a coding are refused as before by the parser, and now also those with two codings.

--- a/http/reader.c
+++ b/http/reader.c
@@ -108,12 +108,33 @@
   return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0);
 }
 
+/*
+** Is the transfer coding of the body, if there is one, known here? Only
+** "chunked" is. Who does not know a coding cannot tell whether the body is
+** whole, and the parser would read a response up to the end of the stream
+** (RFC 9112, 6.1 and 6.3). HTTP/1.0 has no transfer codings.
+*/
+static gboolean is_coding_known(const http_parser *parser,
+                                const HttpHead *head) {
+  const char *coding = http_head_get(head, "Transfer-Encoding");
+  char *name;
+  gboolean is_chunked;
+  if (coding == NULL)
+    return TRUE;
+  name = g_strstrip(g_strdup(coding));
+  is_chunked = g_ascii_strcasecmp(name, "chunked") == 0;
+  g_free(name);
+  return is_chunked && (parser->flags & F_CHUNKED) != 0 &&
+         parser->http_major == 1 && parser->http_minor >= 1;
+}
+
 /* Returns 1 to tell the parser that no body follows, -1 to stop it. */
 static int on_headers_complete(http_parser *parser) {
   HttpReader *reader = reader_of(parser);
   HttpHead *head = reader->head;
   add_field(reader);
-  if (head == NULL || is_framing_ambiguous(head)) {
+  if (head == NULL || is_framing_ambiguous(head) ||
+      !is_coding_known(parser, head)) {
     fail(reader, HTTP_ERROR_SYNTAX);
     return -1;
   }
--- a/http/reader.h
+++ b/http/reader.h
@@ -8,7 +8,8 @@
 ** message, so that bytes behind a whole message are never taken for a part of
 ** it. A message whose length is ambiguous (more than one Content-Length or
 ** Transfer-Encoding, or both) is an error, since two parties could disagree
-** about where it ends.
+** about where it ends. So is one with a transfer coding other than "chunked",
+** or with any in HTTP/1.0, since its end is not known.
 **
 ** Use: http_reader_feed until the state is HTTP_READER_DONE, then
 ** http_reader_start_next and feed the bytes that were not consumed. After
@@ -36,7 +37,7 @@
 /* Why a message could not be read. */
 typedef enum HttpReaderError {
   HTTP_ERROR_NONE,
-  HTTP_ERROR_SYNTAX, /* not HTTP, or of ambiguous length */
+  HTTP_ERROR_SYNTAX, /* not HTTP, or of ambiguous or unknown length */
   HTTP_ERROR_HEAD_TOO_LARGE,
   HTTP_ERROR_BODY_TOO_LARGE
 } HttpReaderError;
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -113,6 +113,42 @@
   }
 }
 
+/* Read up to the close, such a response counted as whole, empty or short. */
+TEST(Reader, UnknownTransferCodingIsBad) {
+  for (const char *head :
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: \r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+    for (const char *body : {"", "abc", "3\r\nabc\r\n0\r\n\r\n"}) {
+      Reading r(HTTP_RESPONSES);
+      r.feed(std::string(head) + body);
+      http_reader_handle_eof(r.reader);
+      EXPECT_EQ(r.state(), HTTP_READER_FAILED) << head << body;
+      EXPECT_EQ(http_reader_error(r.reader), HTTP_ERROR_SYNTAX) << head;
+      EXPECT_EQ(r.head, nullptr) << head;
+    }
+  }
+  for (const char *coding : {"gzip, chunked", "chunked, gzip", "gzip", ""}) {
+    Reading r(HTTP_REQUESTS);
+    r.feed("POST / HTTP/1.1\r\nTransfer-Encoding: " + std::string(coding) +
+           "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    EXPECT_EQ(r.state(), HTTP_READER_FAILED) << coding;
+  }
+}
+
+TEST(Reader, NameOfTheChunkedCodingIsReadInAnyCase) {
+  for (const char *coding : {"chunked", "Chunked", "CHUNKED "}) {
+    Reading r(HTTP_RESPONSES);
+    r.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+           "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    EXPECT_EQ(r.state(), HTTP_READER_DONE) << coding;
+    EXPECT_EQ(r.body, "abc") << coding;
+  }
+}
+
 TEST(Reader, DoubtfulFramingIsBad) {
   for (const char *bytes :
        {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
