A head ends only at an empty line, not at a CR that is followed by any byte

A head with "\r\n\r" and another byte than LF behind it counted as whole: what followed became its body, up to the close where the head named no length, and callers got it as a whole 200. The package of http_parser is built without HTTP_PARSER_STRICT and does not look at that byte. The parser offers no position in its callback, so the reader pauses it there, looks at the byte, and passes the head on only then.

Ruled out: CR alone behind the status line or a field; the parser refuses these.

--- a/http/reader.c
+++ b/http/reader.c
@@ -20,6 +20,7 @@
   GString *name, *value, *target; /* what was read of each so far */
   gboolean in_value;              /* the bytes read last belong to a value */
   gboolean no_body;
+  gboolean at_head_end; /* the parser is paused at the last byte of a head */
   gboolean keep_alive;
   size_t head_limit, body_limit; /* in bytes, inclusive; 0: none */
   size_t head_bytes, body_bytes; /* read of the current message */
@@ -128,7 +129,8 @@
          parser->http_major == 1 && parser->http_minor >= 1;
 }
 
-/* Returns 1 to tell the parser that no body follows, -1 to stop it. */
+/* Pauses the parser, which says nothing of the byte that ended the head: see
+** pass_head. Returns 1 to tell it that no body follows, -1 to stop it. */
 static int on_headers_complete(http_parser *parser) {
   HttpReader *reader = reader_of(parser);
   HttpHead *head = reader->head;
@@ -147,8 +149,8 @@
     head->target = g_strdup(reader->target->str);
   } else
     head->status = parser->status_code;
-  reader->head = NULL;
-  reader->callbacks.head(reader->data, head);
+  reader->at_head_end = TRUE;
+  http_parser_pause(parser, 1);
   return reader->no_body ? 1 : 0;
 }
 
@@ -214,11 +216,40 @@
   reader->no_body = TRUE;
 }
 
+static size_t execute(HttpReader *reader, const char *bytes, size_t size) {
+  return http_parser_execute(&reader->parser, &reader->settings, bytes, size);
+}
+
+/*
+** Passes the head on, if the byte at which the parser is paused, 'last', ends
+** an empty line. Built without HTTP_PARSER_STRICT, as in packages, the parser
+** takes any byte behind the CR for that, so that the fields behind a damaged
+** line would be a body. Returns FALSE if the message can't be read.
+*/
+static gboolean pass_head(HttpReader *reader, char last) {
+  HttpHead *head = reader->head;
+  reader->at_head_end = FALSE;
+  if (last != '\n') {
+    reader->state = HTTP_READER_FAILED;
+    reader->error = HTTP_ERROR_SYNTAX;
+    return FALSE;
+  }
+  reader->head = NULL;
+  reader->callbacks.head(reader->data, head);
+  http_parser_pause(&reader->parser, 0);
+  return TRUE;
+}
+
 size_t http_reader_feed(HttpReader *reader, const char *bytes, size_t size) {
   size_t used;
   if (reader->state == HTTP_READER_FAILED || reader->state == HTTP_READER_DONE)
     return 0;
-  used = http_parser_execute(&reader->parser, &reader->settings, bytes, size);
+  used = execute(reader, bytes, size);
+  if (reader->at_head_end) {
+    if (!pass_head(reader, bytes[used]))
+      return used;
+    used += execute(reader, bytes + used, size - used);
+  }
   if (reader->state == HTTP_READER_DONE)
     return used;
   if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK || reader->parser.upgrade) {
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -139,6 +139,21 @@
   }
 }
 
+/* The parser takes any byte behind the CR for the end of the head. */
+TEST(Reader, CarriageReturnAloneEndsNoHead) {
+  for (size_t step : {1, 2, 1000}) {
+    for (const char *end :
+         {"\r\n\rX: 1\r\n\r\nabc", "\r\n\r\r\n", "\n\rabc"}) {
+      Reading r(HTTP_RESPONSES);
+      r.feed(std::string("HTTP/1.1 200 OK\r\nA: b") + end, step);
+      http_reader_handle_eof(r.reader);
+      EXPECT_EQ(r.state(), HTTP_READER_FAILED) << end;
+      EXPECT_EQ(http_reader_error(r.reader), HTTP_ERROR_SYNTAX) << end;
+      EXPECT_EQ(r.head, nullptr) << end;
+    }
+  }
+}
+
 TEST(Reader, NameOfTheChunkedCodingIsReadInAnyCase) {
   for (const char *coding : {"chunked", "Chunked", "CHUNKED "}) {
     Reading r(HTTP_RESPONSES);
