A reset that is found by writing is no orderly end of an answer without a length

Callers got a short 200 framed as whole when an endpoint, or the carrier's connection to it, was reset within an answer without a length while the request was still being sent.

The kernel reports a reset once. When writing finds it, the connection is read on, since a response may have come before the request was out, and reading then returns the end of the stream. EndpointLinks took that for an orderly close, and CarryServer told it to the asker as one. Both now note an error of writing, unless it is EPIPE alone, with which the peer's orderly close came before; then an end of the stream completes nothing.

Ruled out: a reset that reading finds (WithoutALengthAResetIsNoEnd), and a reset of the connection between asker and carrier, where the end of the endpoint's stream is a record of its own. A response whose length or last chunk has arrived stays whole, and so does one that was closed before.

--- a/io/carry_server.c
+++ b/io/carry_server.c
@@ -72,6 +72,8 @@
   struct evbuffer *call;        /* of the call, what has arrived */
   struct event *timer;          /* of the call, and of connecting */
   guint unanswered; /* checks in a row that found the asker silent */
+  gboolean is_cut;  /* writing to the endpoint may have found a reset: the
+                    ** end of its stream is not told to the asker */
 } Carried;
 
 static void carried_free(gpointer p) {
@@ -305,6 +307,7 @@
 static void on_endpoint_event(struct bufferevent *events, short what,
                               void *data) {
   Carried *carried = data;
+  carried->is_cut |= socket_may_miss_reset(what);
   if (what & BEV_EVENT_CONNECTED) {
     if (carried->state == CARRIED_CONNECTING)
       begin_carrying(carried);
@@ -323,7 +326,7 @@
     bufferevent_enable(events, EV_READ);
     return;
   }
-  pass_to_asker(carried, (what & BEV_EVENT_EOF) != 0);
+  pass_to_asker(carried, (what & BEV_EVENT_EOF) != 0 && !carried->is_cut);
   close_when_written(carried);
 }
 
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -76,6 +76,8 @@
   gboolean is_paused;   /* endpoint_links_pause: the response is not read on */
   gboolean is_ended;    /* the peer has ended or reset the connection: what it
                         ** has sent is read in any case */
+  gboolean is_cut;      /* writing may have found a reset: the end of the
+                        ** stream does not complete a response */
   gboolean must_close;  /* it is closed after its call */
   gint64 idle_limit;    /* us after which the endpoint closes an idle
                         ** connection, as it says; 0: it has not said */
@@ -508,6 +510,7 @@
 
 static void on_event(struct bufferevent *events, short what, void *data) {
   Link *link = data;
+  link->is_cut |= socket_may_miss_reset(what);
   if (what & BEV_EVENT_CONNECTED) {
     report_connect(link);
     socket_set_options(events, UNACKED_MS);
@@ -538,7 +541,7 @@
   }
   if (!end_pause(link))
     return;
-  if ((what & BEV_EVENT_EOF) && link->carry == NULL)
+  if ((what & BEV_EVENT_EOF) && link->carry == NULL && !link->is_cut)
     on_eof(link);
   else { /* a carrier tells the end of a whole stream before it closes */
     EndpointLinks *links = link->links;
--- a/io/sockets.c
+++ b/io/sockets.c
@@ -3,6 +3,8 @@
 ** Socket addresses, and TCP connections as bufferevents
 */
 
+#include <errno.h>
+
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -53,6 +55,13 @@
           info.tcpi_last_ack_recv > info.tcpi_last_data_sent);
 }
 
+gboolean socket_may_miss_reset(short what) {
+  gboolean is_alone = !(what & (BEV_EVENT_READING | BEV_EVENT_EOF));
+  if (!(what & BEV_EVENT_WRITING) || !(what & BEV_EVENT_ERROR))
+    return FALSE;
+  return !is_alone || EVUTIL_SOCKET_ERROR() != EPIPE;
+}
+
 guint64 socket_unacknowledged(evutil_socket_t fd) {
   int size = 0;
   if (ioctl(fd, SIOCOUTQ, &size) != 0)
--- a/io/sockets.h
+++ b/io/sockets.h
@@ -43,6 +43,16 @@
 */
 gboolean socket_is_unanswered(evutil_socket_t fd, guint32 ms);
 
+/*
+** Called with the arguments of a bufferevent's event callback: may reading the
+** connection miss a reset from now on? A reset is reported once. When writing
+** finds it, reading sees the end of the stream as after an orderly close, so a
+** body that extends to the end of the stream must not count as whole. Only
+** EPIPE says that the peer had closed before in an orderly way; the error of
+** writing is not known when reading ended in the same call.
+*/
+gboolean socket_may_miss_reset(short what);
+
 /* Returns how many bytes the kernel holds that the peer of a TCP connection
 ** has not acknowledged; 0 when it cannot tell. */
 guint64 socket_unacknowledged(evutil_socket_t fd);
