A planned stop is timed from the arrival of its signal

Cause in the product: a stop began when the event loop came to the signal, so a loop that was late by more than 0.2 s there ended its requests after the kill, and their callers were not told.

Ruled out: a late loop at mild starving.

Change: stop_signals notes the time in the signal handler and hands it on by a pipe; E7001 has the lateness (late_ms).

Evidence: StopSignalsTest.ALateLoopTellsWhenTheSignalArrived failed with the time taken in the event loop, and passes.

Why this works: the handler runs when the process next gets processor time, not when a turn of the loop ends. For how long a process did not run at all before that, nothing in it knows.

--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -8,6 +8,7 @@
 */
 
 #include <argp.h>
+#include <errno.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -16,6 +17,7 @@
 #include "io/adapters.h"
 #include "io/gateway.h"
 #include "io/node.h"
+#include "io/stop_signals.h"
 #include "platform/platform.h"
 
 #define EXIT_ABORTED 1
@@ -69,13 +71,11 @@
 static Gateway *gateway; /* set with the dialect "platform" */
 static Log *logger;
 
-static void on_terminate(evutil_socket_t sig, short what, void *arg) {
+static void on_terminate(void *data, mp_Time at) {
   mp_Status s;
-  (void)sig;
-  (void)what;
-  (void)arg;
+  (void)data;
   if (gateway != NULL) {
-    gateway_drain(gateway);
+    gateway_drain(gateway, at);
     return;
   }
   mp_status(node->state, &s);
@@ -118,15 +118,16 @@
 
 /* runs until the instance stops; returns the exit code */
 static int run_loop(struct event_base *base) {
-  struct event *term = evsignal_new(base, SIGTERM, on_terminate, NULL);
-  struct event *intr = evsignal_new(base, SIGINT, on_terminate, NULL);
+  StopSignals *stop = stop_signals_new(base, on_terminate, NULL);
   struct event *hup = evsignal_new(base, SIGHUP, on_hangup, NULL);
-  event_add(term, NULL);
-  event_add(intr, NULL);
+  if (stop == NULL) {
+    fprintf(stderr, "madderpierd: signals: %s\n", strerror(errno));
+    event_free(hup);
+    return EXIT_ABORTED;
+  }
   event_add(hup, NULL);
   event_base_dispatch(base);
-  event_free(term);
-  event_free(intr);
+  stop_signals_free(stop);
   event_free(hup);
   if (gateway != NULL)
     return gateway_is_drained(gateway) ? 0 : EXIT_ABORTED;
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -601,18 +601,19 @@
     start_drain_timer(gateway);
 }
 
-void gateway_drain(Gateway *gateway) {
+void gateway_drain(Gateway *gateway, gint64 at) {
+  gint64 now = clock_now();
   if (gateway->stop.began_at != 0)
     return;
-  gateway->stop.began_at = clock_now();
+  gateway->stop.began_at = at;
   gateway->cut_before = front_responses_cut(gateway->front);
   gateway->closed_unread_before =
       intake_closed_unread(front_intake(gateway->front));
   router_begin_stop(gateway->router,
-                    gateway->stop.began_at + gateway->stop.most,
-                    gateway->stop.began_at);
+                    gateway->stop.began_at + gateway->stop.most, now);
   load_exchange_send_changes(gateway->exchange);
-  log_numbered(gateway->log, MP_LOG_DRAIN, "%s", "");
+  log_numbered(gateway->log, MP_LOG_DRAIN, " late_ms=%d",
+               (int)((now - at) / MP_MS));
   front_drain(gateway->front);
   carry_server_drain(gateway->carrying);
   start_drain_timer(gateway);
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -82,11 +82,12 @@
 void gateway_reload(Gateway *gateway);
 
 /*
-** Begins a planned stop. The event loop is ended once 'drain_least' has passed
-** and all responses are sent, and soon after 'drain_most' in any case
+** Begins a planned stop, whose signal arrived 'at' (clock_now()); the times of
+** the stop count from then. The event loop is ended once 'drain_least' has
+** passed and all responses are sent, and soon after 'drain_most' in any case
 ** (planned_stop.h). A call has no effect when a stop has begun already.
 */
-void gateway_drain(Gateway *gateway);
+void gateway_drain(Gateway *gateway, gint64 at);
 /* Has a planned stop ended and cut nothing off? */
 gboolean gateway_is_drained(const Gateway *gateway);
 
