Streams of two versions go on after all instances were killed at once: origins in the store

What callers saw: every stream that was taken up after a power loss of all instances during a release was refused (stream_unknown, E8013 source=none).

Cause: where a stream began was known to instances only, and all were killed.

Change: an instance that does not vouch for a version sends the origin also to the recorder of its data centre, which writes all unexpired origins as one object of the store and acknowledges what the store has acknowledged. The first piece of a new stream waits for that, 80 ms at most, and not at all while the store does not answer. An instance that no replica can help lists the objects, once for all requests that wait, until 500 ms after their arrival. Two new kinds of messages; an earlier release does not decode them and sends no reply.

Why it works: the object outlives all processes, and holds the origin before the caller has the first piece that makes it take the stream up. The version is bound when the piece is held, so a run that breaks off meanwhile goes on at it. A write that is carried out late is merged, never replaced unread.

--- a/core/state.c
+++ b/core/state.c
@@ -263,6 +263,8 @@
   case MP_MSG_STREAM_ORIGIN:
   case MP_MSG_STREAM_QUERY:
   case MP_MSG_STREAM_REPLY:
+  case MP_MSG_STREAM_RECORD:
+  case MP_MSG_STREAM_RECORDED:
   case MP_MSG_LAST:
     break;
   }
--- a/include/mplog.h
+++ b/include/mplog.h
@@ -108,6 +108,8 @@
   X(CARRY_BAD, 3006, MP_WARN, "invalid request to carry a connection")        \
   X(CARRIED, 8012, MP_INFO, "request carried for another instance")           \
   X(STREAM_ORIGIN, 8013, MP_INFO, "stream is taken up again")                 \
+  X(ORIGINS_NOT_KEPT, 8016, MP_WARN, "origins of streams not written")        \
+  X(ORIGINS_KEPT, 8017, MP_INFO, "origins of streams are written again")      \
   X(PRIORITY_BAD, 8020, MP_WARN, "configuration states an invalid priority")  \
   X(PREEMPTION, 8021, MP_INFO, "urgent request displaces a run")              \
   X(CALLER_SLOW, 8030, MP_WARN, "connection of a slow caller aborted")        \
--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -62,6 +62,8 @@
   MP_MSG_STREAM_ORIGIN,
   MP_MSG_STREAM_QUERY,
   MP_MSG_STREAM_REPLY,
+  MP_MSG_STREAM_RECORD,
+  MP_MSG_STREAM_RECORDED,
   MP_MSG_LAST
 } mp_MsgKind;
 
@@ -444,6 +446,20 @@
   uint32_t age_ms;   /* since the stream's first event */
 } mp_StreamReply;
 
+/* STREAM_RECORD: asks the recorder of the data centre to write where a stream
+** began to the store (router/origin_store.h). An earlier release does not know
+** it and sends no reply. */
+typedef struct mp_StreamRecord {
+  uint32_t number; /* chosen by the sender; the reply names it */
+  mp_StreamOrigin origin;
+} mp_StreamRecord;
+
+/* STREAM_RECORDED: the reply, a datagram of its own */
+typedef struct mp_StreamRecorded {
+  uint32_t number;
+  uint8_t is_written; /* 0: the store does not answer the recorder */
+} mp_StreamRecorded;
+
 /* one message; 'kind' says which member of 'u' is set */
 typedef struct mp_Msg {
   mp_MsgKind kind;
@@ -469,6 +485,8 @@
     mp_StreamOrigin origin;
     mp_StreamQuery query;
     mp_StreamReply reply;
+    mp_StreamRecord record;
+    mp_StreamRecorded recorded;
   } u;
 } mp_Msg;
 
--- a/io/front.c
+++ b/io/front.c
@@ -223,6 +223,16 @@
   }
 }
 
+void front_hold_response(Front *front, guint64 number, gboolean holds) {
+  const Connection *connection = find_connection(front, number);
+  if (connection == NULL)
+    return;
+  if (holds)
+    bufferevent_disable(connection->events, EV_WRITE);
+  else
+    bufferevent_enable(connection->events, EV_WRITE);
+}
+
 void front_end_response(Front *front, guint64 number) {
   Connection *connection = find_connection(front, number);
   if (connection == NULL)
--- a/io/front.h
+++ b/io/front.h
@@ -121,6 +121,10 @@
 void front_begin_response(Front *front, guint64 number, const HttpHead *head);
 void front_send_piece(Front *front, guint64 number, const char *bytes,
                       gsize size);
+/* Holds back what is sent to the caller from now on ('holds'), or sends it and
+** what follows. What the connection still had to send before is held back too.
+** A response must not end while it is held. */
+void front_hold_response(Front *front, guint64 number, gboolean holds);
 void front_end_response(Front *front, guint64 number);
 /*
 ** Ends a request and closes its connection without the last chunk, so that the
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -18,6 +18,7 @@
 #include "io/metrics.h"
 #include "io/planned_stop.h"
 #include "io/clock.h"
+#include "io/origin_links.h"
 #include "io/quarantine_writer.h"
 #include "io/relays.h"
 #include "io/store_link.h"
@@ -64,6 +65,7 @@
   Relays *relays;
   StoreLink *lease_link; /* calls to the store about the lease */
   QuarantineWriter *quarantine;
+  OriginLinks *origins; /* calls to the store about streams */
   StatusServer *status_server;
   struct event *tick;
   struct event *drain_timer;
@@ -86,6 +88,7 @@
   struct timeval time;
   load_exchange_send_changes(gateway->exchange);
   quarantine_writer_poll(gateway->quarantine);
+  origin_links_poll(gateway->origins);
   wait = CLAMP(wait, 0, MAX_TICK_WAIT);
   time.tv_sec = wait / MP_SEC;
   time.tv_usec = wait % MP_SEC;
@@ -174,6 +177,11 @@
   load_exchange_send(gateway->exchange, to, message);
 }
 
+static void host_hold(void *data, guint64 request, gboolean holds) {
+  Gateway *gateway = data;
+  front_hold_response(gateway->front, request, holds);
+}
+
 static void host_lease_call(void *data, const StoreCall *call) {
   Gateway *gateway = data;
   store_link_call(gateway->lease_link, call, LEASE_CALL_TIMEOUT);
@@ -469,7 +477,8 @@
   counts.endpoint_connections = endpoint_links_opened_count(gateway->links);
   counts.store_calls = directory_store_calls(gateway->directory) +
                        store_link_calls(gateway->lease_link) +
-                       quarantine_writer_store_calls(gateway->quarantine);
+                       quarantine_writer_store_calls(gateway->quarantine) +
+                       origin_links_store_calls(gateway->origins);
   counts.abandoned_store_calls =
       directory_abandoned_store_calls(gateway->directory);
   counts.log_lines_left_out = log_left_out(gateway->log);
@@ -641,9 +650,9 @@
 
 static void make_router(Gateway *gateway, const GatewayOptions *options) {
   RelayTiming times = relay_times(options);
-  RouterHost host = {gateway,      host_dispatch,  host_cancel, host_answer,
-                     host_refuse,  host_break_off, host_log,    host_note,
-                     host_message, host_lease_call};
+  RouterHost host = {gateway,      host_dispatch,  host_cancel,    host_answer,
+                     host_refuse,  host_break_off, host_log,       host_note,
+                     host_message, host_hold,      host_lease_call};
   RouterOptions settings = {0};
   settings.zone = options->zone;
   settings.seed = (guint64)clock_now() ^ options->callers * 2654435761u;
@@ -726,6 +735,9 @@
   make_router(gateway, options);
   gateway->quarantine = quarantine_writer_new(base, dialect, options->store,
                                               gateway->router, log);
+  gateway->origins =
+      origin_links_new(base, dialect, options->store, options->instance,
+                       gateway->router, log, on_stream, gateway);
   gateway->front =
       front_new(base, options->callers, dialect, &front, log, error);
   gateway->group = relay_group_new(options->exchange, options->capacity,
@@ -784,6 +796,7 @@
   endpoint_links_free(gateway->links);
   store_link_free(gateway->lease_link);
   quarantine_writer_free(gateway->quarantine);
+  origin_links_free(gateway->origins);
   router_free(gateway->router);
   event_free(gateway->tick);
   event_free(gateway->drain_timer);
--- a/io/load_exchange.c
+++ b/io/load_exchange.c
@@ -272,7 +272,7 @@
   else if (message.kind == MP_MSG_RATES && message.u.rates.zone == 0)
     handle_rates(exchange, peer, &message.u.rates);
   else if (message.kind >= MP_MSG_STREAM_ORIGIN &&
-           message.kind <= MP_MSG_STREAM_REPLY)
+           message.kind <= MP_MSG_STREAM_RECORDED)
     handle_stream(exchange, peer, &message);
   else
     exchange->hooks.relay(exchange->hooks.data, peer, &message);
--- a/router/continuation.c
+++ b/router/continuation.c
@@ -5,12 +5,11 @@
 
 #include <string.h>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "router/continuation.h"
+#include "router/origin_store.h"
 #include "router/relay_members.h"
 #include "router/stream_origins.h"
+#include "router/stream_replicas.h"
 
 /* A run may last as long as its route lets it, and its endpoint may have left
 ** the list meanwhile; a caller that lost it takes the stream up within this
@@ -26,8 +25,9 @@
 ** waited for after QUERY_TIMEOUT. */
 #define QUERY_REPEAT (60 * MP_MS)
 #define QUERY_TIMEOUT (200 * MP_MS)
-/* longest time for which another instance may have an origin kept here */
-#define LEFT_MS_MAX 600000u
+/* A request whose stream no instance knows waits for the store until this time
+** after it arrived. */
+#define STORE_TIMEOUT (500 * MP_MS)
 /* the most origins told at once when an instance can no longer vouch */
 #define TOLD_AT_ONCE_MAX 64
 
@@ -75,6 +75,10 @@
   g_array_append_vals(continuation->members, members->data, members->len);
 }
 
+const GArray *continuation_members(const Continuation *continuation) {
+  return continuation->members;
+}
+
 static gboolean is_member(const Continuation *continuation, mp_Addr address) {
   guint i;
   for (i = 0; i < continuation->members->len; i++) {
@@ -85,49 +89,9 @@
   return FALSE;
 }
 
-/* Returns the weight of an instance in rendezvous hashing for this stream. */
-static guint64 replica_weight(mp_Addr address, const StreamKey *key) {
-  return XXH3_64bits_withSeed(&address, sizeof address, key->digest[0]);
-}
-
-/* Writes the addresses of the stream's replicas, those of the largest weights,
-** to 'out' (STREAM_REPLICAS_MAX), and returns their number. */
-static guint list_replicas(const Continuation *continuation,
-                           const StreamKey *key, mp_Addr *out) {
-  guint64 weights[STREAM_REPLICAS_MAX];
-  guint count = 0;
-  guint i;
-  for (i = 0; i < continuation->members->len; i++) {
-    mp_Addr address =
-        g_array_index(continuation->members, RelayMember, i).address;
-    guint64 weight = replica_weight(address, key);
-    guint at = count;
-    while (at > 0 && weights[at - 1] < weight)
-      at--;
-    if (at == STREAM_REPLICAS_MAX)
-      continue;
-    count = MIN(count + 1, STREAM_REPLICAS_MAX);
-    memmove(weights + at + 1, weights + at,
-            (count - 1 - at) * sizeof weights[0]);
-    memmove(out + at + 1, out + at, (count - 1 - at) * sizeof out[0]);
-    weights[at] = weight;
-    out[at] = address;
-  }
-  return count;
-}
-
 gboolean continuation_is_first(const Router *router, guint64 key) {
   const Continuation *continuation = router->continuation;
-  StreamKey named = {{key, 0}};
-  guint64 own = replica_weight(router->self, &named);
-  guint i;
-  for (i = 0; i < continuation->members->len; i++) {
-    mp_Addr address =
-        g_array_index(continuation->members, RelayMember, i).address;
-    if (replica_weight(address, &named) > own)
-      return FALSE;
-  }
-  return TRUE;
+  return stream_replicas_is_first(continuation->members, router->self, key);
 }
 
 static void send(const Router *router, mp_Addr to, const mp_Msg *message) {
@@ -194,37 +158,17 @@
 
 static void tell(Router *router, const StreamOrigin *origin, gint64 now) {
   mp_Addr replicas[STREAM_REPLICAS_MAX];
-  guint count = list_replicas(router->continuation, &origin->key, replicas);
+  guint count = stream_replicas_list(router->continuation->members,
+                                     &origin->key, replicas);
   mp_Msg message;
   guint i;
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_STREAM_ORIGIN;
-  message.u.origin.key[0] = origin->key.digest[0];
-  message.u.origin.key[1] = origin->key.digest[1];
-  message.u.origin.software = origin->software;
-  message.u.origin.service = origin->service;
-  message.u.origin.account = origin->account;
-  message.u.origin.age_ms = (guint32)((now - origin->began) / MP_MS);
-  message.u.origin.left_ms = (guint32)((origin->expires - now) / MP_MS);
+  message.u.origin = stream_origin_row(origin, now);
   for (i = 0; i < count; i++)
     send(router, replicas[i], &message);
 }
 
-/* Returns the origin in a message of another instance. */
-static StreamOrigin received_origin(const mp_StreamOrigin *row, mp_Addr from,
-                                    gint64 now) {
-  StreamOrigin origin = {0};
-  origin.key.digest[0] = row->key[0];
-  origin.key.digest[1] = row->key[1];
-  origin.software = row->software;
-  origin.service = row->service;
-  origin.account = row->account;
-  origin.began = now - row->age_ms * MP_MS;
-  origin.expires = now + MIN(row->left_ms, LEFT_MS_MAX) * MP_MS;
-  origin.told_by = from;
-  return origin;
-}
-
 /* Returns the origin of the stream to which the open run of the request
 ** belongs. */
 static StreamOrigin own_origin(const Request *request, gint64 now) {
@@ -235,14 +179,14 @@
   if (request->account != NULL)
     origin.account = g_str_hash(request->account->name);
   origin.began = now;
-  origin.expires =
-      MIN(request->caller_deadline + EXPIRY_MARGIN, now + LEFT_MS_MAX * MP_MS);
+  origin.expires = MIN(request->caller_deadline + EXPIRY_MARGIN,
+                       now + STREAM_LEFT_MS_MAX * MP_MS);
   return origin;
 }
 
 /* Remembers where the stream began, or with a stream that is taken up that it
 ** still goes on, and tells the replicas unless this instance vouches. */
-static void record_origin(Router *router, const Request *request, gint64 now) {
+static void record_origin(Router *router, Request *request, gint64 now) {
   Continuation *continuation = router->continuation;
   StreamOrigin origin = own_origin(request, now);
   gint64 lifetime = route_lifetime(request->route);
@@ -250,8 +194,13 @@
       vouched_software(router, origin.service, lifetime, now) == 0;
   if (!stream_origins_add(continuation->origins, &origin, now))
     router_count(router, ORIGINS_LEFT_OUT);
-  if (origin.is_told)
-    tell(router, &origin, now);
+  if (!origin.is_told)
+    return;
+  tell(router, &origin, now);
+  if (request->resumes)
+    origin_store_record(router, &origin, now);
+  else
+    origin_store_record_first(router, request, &origin, now);
 }
 
 void continuation_note_piece(Router *router, Request *request, gint64 now) {
@@ -274,8 +223,10 @@
     return;
   count = stream_origins_take_untold(router->continuation->origins, hash, told,
                                      TOLD_AT_ONCE_MAX, now);
-  for (i = 0; i < count; i++)
+  for (i = 0; i < count; i++) {
     tell(router, &told[i], now);
+    origin_store_record(router, &told[i], now);
+  }
 }
 
 void continuation_tick(Router *router, gint64 now) {
@@ -375,7 +326,9 @@
                             const StreamOrigin *origin, gint64 now) {
   const Service *service = target_with_hash(request, origin->service);
   char source[24] = "here";
-  if (origin->told_by != 0)
+  if (origin->told_by == ORIGIN_TOLD_BY_STORE)
+    g_strlcpy(source, "store", sizeof source);
+  else if (origin->told_by != 0)
     mp_addr_text(origin->told_by, source);
   if (origin->software == 0 || service == NULL) {
     refuse_unknown(router, request, now);
@@ -413,14 +366,61 @@
   }
 }
 
-/* Asks the replicas for the origin of the request's stream, or refuses the
-** request if there are none. */
+/* No instance knows the origin of the request's stream: asks the store, or
+** refuses the request. */
+static void ask_store(Router *router, Request *request, gint64 now) {
+  const StreamOrigin *origin = NULL;
+  if (request->has_stream)
+    origin = stream_origins_find(router->continuation->origins,
+                                 &request->stream, now);
+  if (origin != NULL) { /* it was told meanwhile */
+    start_at_origin(router, request, origin, now);
+  } else if (request->query.asks_store) {
+    return;
+  } else if (request->has_stream && router->origin_store != NULL) {
+    request->phase = PHASE_ORIGIN;
+    request->query.asks_store = TRUE;
+    request->stall_at = request->arrived + STORE_TIMEOUT;
+  } else {
+    refuse_unknown(router, request, now);
+  }
+}
+
+void continuation_handle_stored(Router *router, Request *request,
+                                const StreamOrigins *found, gint64 now) {
+  const StreamOrigin *origin =
+      found != NULL ? stream_origins_find(found, &request->stream, now) : NULL;
+  if (origin != NULL) {
+    router_count(router, ORIGINS_STORED);
+    stream_origins_add(router->continuation->origins, origin, now);
+    start_at_origin(router, request, origin, now);
+    return;
+  }
+  if (found == NULL) /* the store may know it later */
+    request->come_back = finish_default_retry_ms(REFUSAL_NO_ENDPOINT) * MP_MS;
+  refuse_unknown(router, request, now);
+}
+
+const StreamOrigin *continuation_find(const Router *router,
+                                      const StreamKey *key, gint64 now) {
+  return stream_origins_find(router->continuation->origins, key, now);
+}
+
+void continuation_keep_stored(Router *router, const StreamOrigin *origin,
+                              gint64 now) {
+  StreamOrigins *origins = router->continuation->origins;
+  if (stream_origins_count(origins) < ORIGINS_MAX / 2)
+    stream_origins_add(origins, origin, now);
+}
+
+/* Asks the replicas for the origin of the request's stream, or the store if
+** there are none. */
 static void begin_query(Router *router, Request *request, gint64 now) {
   OriginQuery *query = &request->query;
-  query->asked =
-      list_replicas(router->continuation, &request->stream, query->replicas);
+  query->asked = stream_replicas_list(router->continuation->members,
+                                      &request->stream, query->replicas);
   if (query->asked == 0) {
-    refuse_unknown(router, request, now);
+    ask_store(router, request, now);
     return;
   }
   request->phase = PHASE_ORIGIN;
@@ -450,8 +450,12 @@
 }
 
 void continuation_handle_timer(Router *router, Request *request, gint64 now) {
+  if (request->query.asks_store) {
+    continuation_handle_stored(router, request, NULL, now);
+    return;
+  }
   if (now >= request->arrived + QUERY_TIMEOUT) {
-    refuse_unknown(router, request, now);
+    ask_store(router, request, now);
     return;
   }
   request->stall_at = request->arrived + QUERY_TIMEOUT;
@@ -549,7 +553,7 @@
              request->route->targets->len == 1) {
     start_at_only(router, request, reply->software, now);
   } else if (request->query.replied == request->query.asked) {
-    refuse_unknown(router, request, now);
+    ask_store(router, request, now);
   }
 }
 
@@ -558,7 +562,8 @@
   if (!is_member(router->continuation, from))
     return;
   if (message->kind == MP_MSG_STREAM_ORIGIN) {
-    StreamOrigin origin = received_origin(&message->u.origin, from, now);
+    StreamOrigin origin =
+        stream_origin_received(&message->u.origin, from, now);
     if (!stream_origins_add(router->continuation->origins, &origin, now))
       router_count(router, ORIGINS_LEFT_OUT);
   } else if (message->kind == MP_MSG_STREAM_QUERY) {
@@ -566,6 +571,8 @@
   } else if (message->kind == MP_MSG_STREAM_REPLY) {
     handle_reply(router, from, &message->u.reply, now);
     admission_start_waiting_requests(router, now);
+  } else if (router->origin_store != NULL) {
+    origin_store_handle_message(router, from, message, now);
   }
 }
 
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -71,6 +71,18 @@
 /* Returns TRUE if this instance is the first one by rendezvous hashing for
 ** this key, among all that it knows. */
 gboolean continuation_is_first(const Router *router, guint64 key);
+/* Returns the other instances, an array of RelayMember that is borrowed. */
+const GArray *continuation_members(const Continuation *continuation);
+/* Decides a request that waits for the store: 'found' holds what the store
+** knows, NULL: it did not answer in time; may end. */
+void continuation_handle_stored(Router *router, Request *request,
+                                const StreamOrigins *found, gint64 now);
+/* Returns what is known here of a stream; NULL: nothing. */
+const StreamOrigin *continuation_find(const Router *router,
+                                      const StreamKey *key, gint64 now);
+/* Keeps an origin that the store has named, if the table is half empty. */
+void continuation_keep_stored(Router *router, const StreamOrigin *origin,
+                              gint64 now);
 /* Returns how many origins are remembered. */
 guint continuation_count(const Continuation *continuation);
 
--- a/router/finish.c
+++ b/router/finish.c
@@ -7,6 +7,7 @@
 */
 
 #include "router/continuation.h"
+#include "router/origin_store.h"
 #include "router/state.h"
 #include "router/stop_choice.h"
 
@@ -25,6 +26,7 @@
 void finish_answered(Router *router, Request *request,
                      const Outcome *outcome) {
   router_count(router, ANSWERED);
+  origin_store_release(router, request);
   router->host.answer(router->host.data, request->number, outcome);
   path_close_dispatch(router, request, FALSE);
   request_drop(router, request);
@@ -151,6 +153,7 @@
              " request=%s reason=%s runs=%u last_event=%s", request->id,
              reason, request->runs,
              request->last_event != NULL ? request->last_event : "-");
+  origin_store_release(router, request);
   path_close_dispatch(router, request, TRUE);
   router->host.break_off(router->host.data, request->number);
   request_drop(router, request);
--- a/router/router.c
+++ b/router/router.c
@@ -11,6 +11,7 @@
 
 #include "router/admission_order.h"
 #include "router/continuation.h"
+#include "router/origin_store.h"
 #include "router/retry_exchange.h"
 #include "router/silence.h"
 #include "router/state.h"
@@ -84,6 +85,7 @@
   stages_free(router->stages);
   reach_free(router->reach);
   continuation_free(router->continuation);
+  origin_store_free(router->origin_store);
   account_limits_free(router->limits);
   rate_limits_free(router->rates);
   crash_watch_free(router->crashes);
@@ -476,6 +478,8 @@
     wake = MIN(wake, request->suspect_at);
   if (request->path_check_at != 0)
     wake = MIN(wake, request->path_check_at);
+  if (request->hold.since != 0)
+    wake = MIN(wake, origin_store_hold_timer(&request->hold));
   return wake;
 }
 
@@ -526,6 +530,9 @@
       continue;
     if (request->expires <= now)
       finish_expire(router, request, now);
+    else if (request->hold.since != 0 &&
+             origin_store_hold_timer(&request->hold) <= now)
+      origin_store_handle_hold_timer(router, request, now);
     else if (request->suspect_at != 0 && request->suspect_at <= now)
       outcomes_mark_suspect(router, request, now);
     else if (request->path_check_at != 0 && request->path_check_at <= now)
@@ -552,6 +559,7 @@
   quarantine_expire(router->quarantine, now);
   suspicions_expire(router->suspicions, now);
   continuation_tick(router, now);
+  origin_store_expire(router, now);
   admission_start_waiting_requests(router, now);
 }
 
@@ -565,6 +573,8 @@
   stages_observe_era(router->stages, era, now);
   if (had_era)
     quarantine_store_restored(router->quarantine, era);
+  if (had_era)
+    origin_store_restored(router);
 }
 
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now) {
--- a/router/router.h
+++ b/router/router.h
@@ -270,9 +270,12 @@
   /* Tells the near instances at once that 'tokens' of memory were reserved at
   ** an engine (Endpoint.hash). */
   void (*note)(void *data, guint32 endpoint, guint32 tokens);
-  /* Sends a message of the kinds STREAM_ORIGIN, STREAM_QUERY and STREAM_REPLY
-  ** to another instance; it may get lost. */
+  /* Sends a message of the kinds STREAM_ORIGIN to STREAM_RECORDED to another
+  ** instance; it may get lost. */
   void (*message)(void *data, mp_Addr to, const mp_Msg *message);
+  /* Holds back what is passed on to the caller from now on ('holds'), or sends
+  ** it and what follows. A request that has ended is ignored. */
+  void (*hold)(void *data, guint64 request, gboolean holds);
   /* Calls the store for a lease; router_lease_reply reports the reply. */
   void (*lease_call)(void *data, const StoreCall *call);
 } RouterHost;
--- a/router/state.h
+++ b/router/state.h
@@ -69,6 +69,12 @@
   X(REFUSED_ORIGIN, "refused_for_unknown_stream")    \
   X(REFUSED_VERSION, "refused_for_version")          \
   X(ORIGINS_LEFT_OUT, "stream_origins_left_out")     \
+  X(ORIGINS_RECORDED, "stream_origins_recorded")     \
+  X(RECORDS_MISSED, "stream_records_missed")         \
+  X(PIECES_HELD, "first_pieces_held")                \
+  X(PIECES_HELD_MS, "first_pieces_held_ms")          \
+  X(ORIGIN_LISTS, "stream_origin_lists")             \
+  X(ORIGINS_STORED, "streams_known_from_store")      \
   X(PREFILLS_AT_DECODE, "prefills_at_decode")        \
   X(PROMPTS_REJECTED, "prompts_rejected")
 
@@ -124,8 +130,19 @@
   guint replied;
   mp_Addr replicas[STREAM_REPLICAS_MAX];
   gboolean has_replied[STREAM_REPLICAS_MAX];
+  gboolean asks_store; /* the replicas did not know it: the store is asked */
 } OriginQuery;
 
+/* The first piece of a stream that is held until its origin is written to the
+** store (origin_store.h). */
+typedef struct PieceHold {
+  gint64 since;     /* 0: nothing is held */
+  gint64 until;     /* it is passed on then at the latest */
+  gint64 repeat_at; /* another recorder is asked then; 0: none is */
+  guint32 number;   /* that the recorder's reply names */
+  mp_Addr recorder; /* that was asked last */
+} PieceHold;
+
 typedef enum Phase {
   PHASE_ORIGIN,  /* 'query' is open */
   PHASE_WAIT,    /* in Router.waiting, for room at a decode engine */
@@ -192,6 +209,7 @@
   guint64 software;   /* the version at which its stream began; 0: none yet */
   gboolean has_piece; /* a piece was passed on */
   OriginQuery query;
+  PieceHold hold;
   gint64 come_back;     /* when refused: the caller may retry after this, us;
                         ** 0: after finish_default_retry_ms */
   gboolean head_sent;   /* the head of a stream was passed on */
@@ -270,13 +288,14 @@
   gint64 proved_at;         /* from router_configuration_proved; 0: unknown */
   gint64 store_answered_at; /* from router_store_answered; 0: never */
   gint64 news_age_max;      /* as in RouterOptions */
-  const NewsState *news;    /* of the configuration; borrowed; may be NULL */
-  gint64 stop_ends_at;      /* of router_begin_stop; 0: not called */
-  gboolean stopping;        /* router_stop_accepting was called */
-  Stages *stages;           /* changes of engines' stages */
-  GPtrArray *waiting;  /* Requests in PHASE_WAIT, those with a handle first;
-                       ** borrowed */
-  gint64 last_run_end; /* when a stream last ended here; 0: never */
+  struct OriginStore *origin_store; /* origins of streams in the store */
+  const NewsState *news; /* of the configuration; borrowed; may be NULL */
+  gint64 stop_ends_at;   /* of router_begin_stop; 0: not called */
+  gboolean stopping;     /* router_stop_accepting was called */
+  Stages *stages;        /* changes of engines' stages */
+  GPtrArray *waiting;    /* Requests in PHASE_WAIT, those with a handle first;
+                         ** borrowed */
+  gint64 last_run_end;   /* when a stream last ended here; 0: never */
   double mean_end_interval; /* moving mean of the time between such ends, us */
   guint64 plain_version;    /* grows when what is open at plain endpoints
                             ** changes, which is less urgent */
--- a/router/stream_origins.c
+++ b/router/stream_origins.c
@@ -31,6 +31,32 @@
   return key;
 }
 
+mp_StreamOrigin stream_origin_row(const StreamOrigin *origin, gint64 now) {
+  mp_StreamOrigin row = {0};
+  row.key[0] = origin->key.digest[0];
+  row.key[1] = origin->key.digest[1];
+  row.software = origin->software;
+  row.service = origin->service;
+  row.account = origin->account;
+  row.age_ms = (guint32)((now - origin->began) / MP_MS);
+  row.left_ms = (guint32)((origin->expires - now) / MP_MS);
+  return row;
+}
+
+StreamOrigin stream_origin_received(const mp_StreamOrigin *row, mp_Addr from,
+                                    gint64 now) {
+  StreamOrigin origin = {0};
+  origin.key.digest[0] = row->key[0];
+  origin.key.digest[1] = row->key[1];
+  origin.software = row->software;
+  origin.service = row->service;
+  origin.account = row->account;
+  origin.began = now - row->age_ms * MP_MS;
+  origin.expires = now + MIN(row->left_ms, STREAM_LEFT_MS_MAX) * MP_MS;
+  origin.told_by = from;
+  return origin;
+}
+
 static guint key_hash(gconstpointer p) {
   return (guint)((const StreamKey *)p)->digest[0];
 }
@@ -139,6 +165,18 @@
   return count;
 }
 
+void stream_origins_each(const StreamOrigins *origins,
+                         void (*function)(gpointer data,
+                                          const StreamOrigin *origin,
+                                          gint64 now),
+                         gpointer data, gint64 now) {
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, origins->rows);
+  while (g_hash_table_iter_next(&iterator, NULL, &value))
+    function(data, value, now);
+}
+
 gboolean stream_origins_has_untold(const StreamOrigins *origins) {
   return origins->untold > 0;
 }
--- a/router/stream_origins.h
+++ b/router/stream_origins.h
@@ -38,6 +38,9 @@
 /* 'account' may be NULL: none. */
 StreamKey stream_key(const char *account, const char *attempt);
 
+/* StreamOrigin.told_by of an origin that the store has named. */
+#define ORIGIN_TOLD_BY_STORE ((mp_Addr)1)
+
 typedef struct StreamOrigin {
   StreamKey key;
   guint64 software; /* endpoint_software_digest; 0: ambiguous */
@@ -49,6 +52,17 @@
   gboolean is_told; /* began here: other instances were told of it */
 } StreamOrigin;
 
+/* The longest time for which another instance, or the store, may have an
+*origin
+** kept here. */
+#define STREAM_LEFT_MS_MAX 600000u
+
+/* Returns an origin as messages have it, and the origin in a message that came
+** from another instance. */
+mp_StreamOrigin stream_origin_row(const StreamOrigin *origin, gint64 now);
+StreamOrigin stream_origin_received(const mp_StreamOrigin *row, mp_Addr from,
+                                    gint64 now);
+
 typedef struct StreamOrigins StreamOrigins;
 
 StreamOrigins *stream_origins_new(void);
@@ -67,6 +81,12 @@
 ** number. */
 guint stream_origins_take_untold(StreamOrigins *origins, guint32 service,
                                  StreamOrigin *out, guint most, gint64 now);
+/* Calls 'function' with 'data' for each origin. */
+void stream_origins_each(const StreamOrigins *origins,
+                         void (*function)(gpointer data,
+                                          const StreamOrigin *origin,
+                                          gint64 now),
+                         gpointer data, gint64 now);
 /* Returns TRUE if there are origins that began here and were not told. */
 gboolean stream_origins_has_untold(const StreamOrigins *origins);
 guint stream_origins_count(const StreamOrigins *origins);
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -614,11 +614,45 @@
   '    send(router, replicas[i], &message);
 }
 
-/* Returns the origin in' \
+/* Returns the origin of' \
   '    (void)send;
 }
 
-/* Returns the origin in'
+/* Returns the origin of'
+m v-held "streams: the first piece waits until its origin is written" \
+  router/origin_store.c \
+  '  if (now >= store->no_hold_until) {' \
+  '  if (now < store->no_hold_until) {'
+m v-wait "streams: the first piece does not wait for a lost recorder" \
+  router/origin_store.c \
+  '  if (now < request->hold.until) {' \
+  '  if (now >= request->hold.until) {'
+m v-ended "streams: what ends is not held any more" router/finish.c \
+  '  origin_store_release(router, request);
+  router->host.answer' \
+  '  router->host.answer'
+m v-fresh "streams: a list from before the request decides nothing" \
+  router/origin_store.c \
+  'request->arrived <= began' \
+  'request->arrived <= began + MP_SEC'
+m v-whole "streams: a list that is not complete decides nothing" \
+  router/origin_store.c \
+  '  if (is_complete) {' \
+  '  if (is_complete || found != NULL) {'
+m v-merge "streams: what another write left in the object is kept" \
+  router/origin_recorder.c \
+  '  if (record != NULL)
+    merge_record' \
+  '  if (record == NULL)
+    merge_record'
+m v-acks "streams: an origin is acknowledged once it is written" \
+  router/origin_recorder.c \
+  'OriginAck, count).change <= change)' \
+  'OriginAck, count).change > 0)'
+m v-rest "streams: nothing is written while nothing is to be kept" \
+  router/origin_recorder.c \
+  '             : recorder->is_filled;' \
+  '             : TRUE;'
 m v-history "streams: a young instance vouches for no version" \
   router/continuation.c \
   'now - continuation->followed_since < lifetime' \
--- a/test/router_world.cc
+++ b/test/router_world.cc
@@ -55,9 +55,12 @@
   case OUTCOME_STREAM_HEAD:
     ended.heads++;
     break;
-  case OUTCOME_STREAM_PIECE:
-    ended.events.emplace_back(outcome->event);
+  case OUTCOME_STREAM_PIECE: {
+    auto it = world->held.find(request);
+    (it != world->held.end() ? it->second.events : ended.events)
+        .emplace_back(outcome->event);
     break;
+  }
   default:
     ended.answers++;
     ended.status = outcome->status;
@@ -93,6 +96,22 @@
   world->messages.emplace_back(to, *message);
 }
 
+void World::on_hold(void *data, guint64 request, gboolean holds) {
+  auto *world = static_cast<World *>(data);
+  if (holds) {
+    world->held[request].since = world->now;
+    return;
+  }
+  auto it = world->held.find(request);
+  if (it == world->held.end())
+    return;
+  world->longest_hold =
+      std::max(world->longest_hold, world->now - it->second.since);
+  for (std::string &event : it->second.events)
+    world->ended[request].events.push_back(std::move(event));
+  world->held.erase(it);
+}
+
 void World::on_lease_call(void *data, const StoreCall *call) {
   auto *world = static_cast<World *>(data);
   LeaseCallRecord record;
@@ -108,9 +127,9 @@
 World::World(guint32 slack, double ratio, gint64 lease_length,
              const char *self, gint64 proof_age_max, const char *zone,
              guint64 seed, bool overload_control) {
-  RouterHost host = {this,       on_dispatch,  on_cancel, on_answer,
-                     on_refuse,  on_break_off, on_log,    on_note,
-                     on_message, on_lease_call};
+  RouterHost host = {this,       on_dispatch,  on_cancel,    on_answer,
+                     on_refuse,  on_break_off, on_log,       on_note,
+                     on_message, on_hold,      on_lease_call};
   RouterOptions options = {};
   options.zone = zone;
   options.seed = seed;
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -107,6 +107,12 @@
   int priority = -1; /* -1: none stated */
 };
 
+/* Events that the router had the host hold back. */
+struct HeldEvents {
+  gint64 since = 0;
+  std::vector<std::string> events;
+};
+
 /* One store call for the lease that the router asked its host for. */
 struct LeaseCallRecord {
   StoreOperation operation = STORE_READ;
@@ -256,6 +262,9 @@
   std::vector<mp_LoadNote> notes;
   /* Messages to other instances, and whom they are for. */
   std::vector<std::pair<mp_Addr, mp_Msg>> messages;
+  /* What is held back now, by number of the request. */
+  std::map<guint64, HeldEvents> held;
+  gint64 longest_hold = 0; /* of those that were released */
   /* The last event that the caller of a resumption has, by its number. */
   std::map<guint64, std::string> resumed_after;
 
@@ -270,6 +279,7 @@
   static void on_log(void *data, mp_EventNo number, const char *fields);
   static void on_note(void *data, guint32 endpoint, guint32 tokens);
   static void on_message(void *data, mp_Addr to, const mp_Msg *message);
+  static void on_hold(void *data, guint64 request, gboolean holds);
   static void on_lease_call(void *data, const StoreCall *call);
   guint64 last_number = 0;
 };
--- a/test/stream_fleet.cc
+++ b/test/stream_fleet.cc
@@ -49,7 +49,8 @@
 } // namespace
 
 Fleet::Fleet(const FleetOptions &options_)
-    : options(options_), random(options_.seed), next_stream_at(now) {
+    : store(options_.seed), options(options_), random(options_.seed),
+      next_stream_at(now) {
   for (unsigned i = 0; i < options.prefill; i++) {
     Engine engine;
     engine.id = "pre-" + std::to_string(i);
@@ -238,15 +239,20 @@
   }
   router_set_members(world.router, others);
   g_array_free(others, TRUE);
+  if (options.has_store)
+    store.attach(index, world);
 }
 
 void Fleet::kill_instances(double share) {
-  for (Instance &instance : instances) {
+  for (unsigned i = 0; i < instances.size(); i++) {
+    Instance &instance = instances[i];
     if (instance.world == nullptr ||
         random_below(1000) >= static_cast<unsigned>(share * 1000))
       continue;
     old_log.insert(old_log.end(), instance.world->log.begin(),
                    instance.world->log.end());
+    hold_time_max = std::max(hold_time_max, instance.world->longest_hold);
+    store.detach(i);
     instance.world.reset();
     instance.starts_at = now + restart_time;
   }
@@ -278,6 +284,28 @@
   }
 }
 
+gint64 Fleet::longest_hold() const {
+  gint64 longest = hold_time_max;
+  for (const Instance &instance : instances) {
+    if (instance.world != nullptr)
+      longest = std::max(longest, instance.world->longest_hold);
+  }
+  return longest;
+}
+
+guint64 Fleet::counter(const std::string &name) const {
+  guint64 sum = 0;
+  for (const Instance &instance : instances) {
+    if (instance.world == nullptr)
+      continue;
+    for (unsigned i = 0; router_counter_name(i) != nullptr; i++) {
+      if (name == router_counter_name(i))
+        sum += router_counter(instance.world->router, i);
+    }
+  }
+  return sum;
+}
+
 unsigned Fleet::logged(mp_EventNo number) const {
   std::string text = std::to_string(static_cast<int>(number)) + " ";
   auto matches = [&](const std::string &line) {
@@ -543,6 +571,7 @@
         deliver_messages(i);
       }
     }
+    store.advance(now);
     advance_runs();
     follow_callers();
   }
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "router_world.h"
+#include "stream_store.h"
 
 namespace streaming {
 
@@ -41,6 +42,7 @@
   std::string software = "v1"; /* of all engines at the start */
   /* Takings-up at an instance that has run for less are not counted. */
   gint64 contact_time = 3 * second;
+  bool has_store = false; /* instances keep origins in Fleet.store */
 };
 
 /* What became of streams, counted by the caller's side. */
@@ -84,6 +86,10 @@
   unsigned mixed_streams() const;
   /* Returns how many streams whose events are out of order there are. */
   unsigned disordered_streams() const;
+  /* Returns the longest time for which an instance held a first piece. */
+  gint64 longest_hold() const;
+  /* Returns the sum of a counter over the instances that run. */
+  guint64 counter(const std::string &name) const;
   /* Returns how many log lines with this event number instances wrote. */
   unsigned logged(mp_EventNo number) const;
   /* Returns the longest time from a taking-up to its refusal, since the last
@@ -102,6 +108,7 @@
   }
 
   gint64 now = 100 * second;
+  StreamStore store;
   unsigned messages = 0; /* datagrams between instances about streams */
 
 private:
@@ -194,6 +201,7 @@
   Count counts;
   gint64 next_stream_at;
   gint64 refusal_time_max = 0;
+  gint64 hold_time_max = 0; /* of instances that were killed */
   unsigned next_engine = 0;
   unsigned next_attempt = 0;
   std::vector<std::string> old_log; /* of instances that were killed */
--- a/test/test_stream_versions.cc
+++ b/test/test_stream_versions.cc
@@ -112,6 +112,7 @@
 FleetOptions options_with_kills(unsigned instances) {
   FleetOptions options = options_of(instances);
   options.contact_time = 0;
+  options.has_store = true;
   return options;
 }
 
--- a/test/test_wire.cc
+++ b/test/test_wire.cc
@@ -151,6 +151,13 @@
   case MP_MSG_STREAM_REPLY:
     m.u.reply = {UINT32_MAX, 2, 1ULL << 62, 9, 350};
     break;
+  case MP_MSG_STREAM_RECORD:
+    m.u.record = {UINT32_MAX,
+                  {{1ULL << 63, 3}, 1ULL << 62, UINT32_MAX, 7, 350, 14000}};
+    break;
+  case MP_MSG_STREAM_RECORDED:
+    m.u.recorded = {UINT32_MAX, 1};
+    break;
   case MP_MSG_HEARTBEAT_REQUEST:
     m.u.ask.asked_us = 1ULL << 43;
     break;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -546,6 +546,14 @@
          xdr_u32(x, &r->age_ms);
 }
 
+static bool_t xdr_stream_record(XDR *x, mp_StreamRecord *r) {
+  return xdr_u32(x, &r->number) && xdr_stream_origin(x, &r->origin);
+}
+
+static bool_t xdr_stream_recorded(XDR *x, mp_StreamRecorded *r) {
+  return xdr_u32(x, &r->number) && xdr_u8(x, &r->is_written);
+}
+
 static bool_t xdr_body(XDR *x, mp_Msg *m) {
   switch (m->kind) {
   case MP_MSG_PROBE:
@@ -591,6 +599,10 @@
     return xdr_stream_query(x, &m->u.query);
   case MP_MSG_STREAM_REPLY:
     return xdr_stream_reply(x, &m->u.reply);
+  case MP_MSG_STREAM_RECORD:
+    return xdr_stream_record(x, &m->u.record);
+  case MP_MSG_STREAM_RECORDED:
+    return xdr_stream_recorded(x, &m->u.recorded);
   default:
     return FALSE;
   }
