Streams of the only version go on after all instances were killed: the set of versions in the store

After all instances were killed at once, every stream that callers took up was refused (stream_unknown), also where one version had served for hours.

Cause: to vouch for a version an instance had to follow the list of endpoints for the route's time-out and 2 s. No instance has done so after a start, and all origins were in memory that had gone. Ruled out: replicas that hold origins which nobody asks for (docs/incidents/streams-forgotten-at-power-loss.md: five asked, five replied, none knew).

Change: one object for each service with resumable routes holds the versions at which streams may have begun (router/software_set.c). An instance reads it once its list is there and when a version is new; new streams begin at versions that it found in the set, while those can run them. An instance vouches at once if the set, read after it began to follow the list, holds the one version that the list has held since. A taking-up that comes before the first read has ended asks the replicas as before and is not refused until the read has ended, 200 ms at most. The set is created by an instance that has followed the list for the keep time (the longest time-out and 2 s, at least 20 s), so that streams of instances which knew no set are over or have their version in it.

Why it works: router/software_set.h has the invariants and the cases.

--- a/include/mplog.h
+++ b/include/mplog.h
@@ -108,6 +108,8 @@
   X(CARRY_BAD, 3006, MP_WARN, "invalid request to carry a connection")        \
   X(CARRIED, 8012, MP_INFO, "request carried for another instance")           \
   X(STREAM_ORIGIN, 8013, MP_INFO, "stream is taken up again")                 \
+  X(SOFTWARE_SET, 8014, MP_INFO, "versions for new streams changed")          \
+  X(SOFTWARE_ONLY, 8015, MP_INFO, "streams have one version only")            \
   X(PRIORITY_BAD, 8020, MP_WARN, "configuration states an invalid priority")  \
   X(PREEMPTION, 8021, MP_INFO, "urgent request displaces a run")              \
   X(CALLER_SLOW, 8030, MP_WARN, "connection of a slow caller aborted")        \
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -19,6 +19,7 @@
 #include "io/planned_stop.h"
 #include "io/clock.h"
 #include "io/quarantine_writer.h"
+#include "io/software_set_writer.h"
 #include "io/relays.h"
 #include "io/store_link.h"
 
@@ -64,6 +65,7 @@
   Relays *relays;
   StoreLink *lease_link; /* calls to the store about the lease */
   QuarantineWriter *quarantine;
+  SoftwareSetWriter *software_sets;
   StatusServer *status_server;
   struct event *tick;
   struct event *drain_timer;
@@ -77,8 +79,8 @@
 };
 
 /*
-** Has the load exchange and the quarantine writer send what has changed, and
-** starts the timer for the router's next tick. It runs after every event that
+** Has the load exchange and the writers send what has changed, and starts the
+*timer for the router's next tick. It runs after every event that
 ** may have changed the router.
 */
 static void schedule_tick(Gateway *gateway) {
@@ -86,6 +88,7 @@
   struct timeval time;
   load_exchange_send_changes(gateway->exchange);
   quarantine_writer_poll(gateway->quarantine);
+  software_set_writer_poll(gateway->software_sets);
   wait = CLAMP(wait, 0, MAX_TICK_WAIT);
   time.tv_sec = wait / MP_SEC;
   time.tv_usec = wait % MP_SEC;
@@ -355,6 +358,7 @@
   router_store_answered(gateway->router,
                         clock_now() -
                             relay_group_news_age(gateway->group, clock_now()));
+  software_set_writer_poll(gateway->software_sets);
   relays_on_news(gateway->relays);
 }
 
@@ -469,7 +473,8 @@
   counts.endpoint_connections = endpoint_links_opened_count(gateway->links);
   counts.store_calls = directory_store_calls(gateway->directory) +
                        store_link_calls(gateway->lease_link) +
-                       quarantine_writer_store_calls(gateway->quarantine);
+                       quarantine_writer_store_calls(gateway->quarantine) +
+                       software_set_writer_store_calls(gateway->software_sets);
   counts.abandoned_store_calls =
       directory_abandoned_store_calls(gateway->directory);
   counts.log_lines_left_out = log_left_out(gateway->log);
@@ -726,6 +731,8 @@
   make_router(gateway, options);
   gateway->quarantine = quarantine_writer_new(base, dialect, options->store,
                                               gateway->router, log);
+  gateway->software_sets = software_set_writer_new(
+      base, dialect, options->store, gateway->router, log, on_stream, gateway);
   gateway->front =
       front_new(base, options->callers, dialect, &front, log, error);
   gateway->group = relay_group_new(options->exchange, options->capacity,
@@ -784,6 +791,7 @@
   endpoint_links_free(gateway->links);
   store_link_free(gateway->lease_link);
   quarantine_writer_free(gateway->quarantine);
+  software_set_writer_free(gateway->software_sets);
   router_free(gateway->router);
   event_free(gateway->tick);
   event_free(gateway->drain_timer);
--- a/router/continuation.c
+++ b/router/continuation.c
@@ -11,6 +11,7 @@
 #include "router/continuation.h"
 #include "router/relay_members.h"
 #include "router/stream_origins.h"
+#include "router/stream_software.h"
 
 /* A run may last as long as its route lets it, and its endpoint may have left
 ** the list meanwhile; a caller that lost it takes the stream up within this
@@ -20,8 +21,6 @@
 #define LIFETIME_UNLIMITED (30 * MP_SEC)
 /* An origin is kept for this much longer than the caller waits. */
 #define EXPIRY_MARGIN (2 * MP_SEC)
-/* margin of invariant 3, for messages that are under way */
-#define NEW_SOFTWARE_MARGIN (500 * MP_MS)
 /* Replicas that have not replied are asked again after QUERY_REPEAT, and not
 ** waited for after QUERY_TIMEOUT. */
 #define QUERY_REPEAT (60 * MP_MS)
@@ -149,6 +148,14 @@
                             : LIFETIME_UNLIMITED;
 }
 
+gint64 continuation_route_lifetime(const Route *route) {
+  return route_lifetime(route);
+}
+
+gint64 continuation_followed_since(const Continuation *continuation) {
+  return continuation->followed_since;
+}
+
 void continuation_list_confirmed(Router *router, gint64 before, gint64 at) {
   Continuation *continuation = router->continuation;
   gboolean has_gap = before == 0 || (router->news_age_max > 0 &&
@@ -162,26 +169,15 @@
 static guint64 vouched_software(const Router *router, guint32 service,
                                 gint64 lifetime, gint64 now) {
   const Continuation *continuation = router->continuation;
+  guint64 only = 0;
   if (continuation->followed_since == 0 ||
-      now - continuation->followed_since < lifetime)
+      (router->news_age_max > 0 &&
+       now - router->store_answered_at > router->news_age_max))
     return 0;
-  if (router->news_age_max > 0 &&
-      now - router->store_answered_at > router->news_age_max)
-    return 0;
-  return software_history_only(router->endpoints->software, service,
-                               now - lifetime);
-}
-
-gint64 continuation_software_before(const Router *router,
-                                    const EndpointQuery *query,
-                                    const Request *request, gint64 now) {
-  gint64 before = now - router->news_age_max - NEW_SOFTWARE_MARGIN;
-  if (request->software != 0 || request->route->kind != ROUTE_STREAM ||
-      !request->repeatable || router->news_age_max == 0 ||
-      !endpoint_table_has_older_software(router->endpoints, query, before,
-                                         now))
-    return 0;
-  return before;
+  if (now - continuation->followed_since >= lifetime)
+    only = software_history_only(router->endpoints->software, service,
+                                 now - lifetime);
+  return only != 0 ? only : stream_software_only(router, service, now);
 }
 
 /* }================================================================== */
@@ -413,13 +409,21 @@
   }
 }
 
+/* Returns TRUE if the request may go on at the only version of its service
+** once the set of versions has been read. */
+static gboolean awaits_set(const Router *router, const Request *request) {
+  return request->route->targets->len == 1 &&
+         stream_software_is_pending(router,
+                                    g_str_hash(request->service->name));
+}
+
 /* Asks the replicas for the origin of the request's stream, or refuses the
-** request if there are none. */
+** request if there are none and the set of versions does not help. */
 static void begin_query(Router *router, Request *request, gint64 now) {
   OriginQuery *query = &request->query;
   query->asked =
       list_replicas(router->continuation, &request->stream, query->replicas);
-  if (query->asked == 0) {
+  if (query->asked == 0 && !awaits_set(router, request)) {
     refuse_unknown(router, request, now);
     return;
   }
@@ -458,6 +462,17 @@
   ask_replicas(router, request);
 }
 
+void continuation_recheck(Router *router, Request *request, gint64 now) {
+  const OriginQuery *query = &request->query;
+  guint64 software =
+      vouched_software(router, g_str_hash(request->service->name),
+                       route_lifetime(request->route), now);
+  if (software != 0 && request->route->targets->len == 1)
+    start_at_only(router, request, software, now);
+  else if (query->replied == query->asked)
+    refuse_unknown(router, request, now);
+}
+
 gboolean continuation_is_possible(const Router *router,
                                   const Request *request) {
   const GPtrArray *all = router->endpoints->all;
@@ -548,7 +563,8 @@
   } else if (reply->verdict == ORIGIN_ONLY && reply->software != 0 &&
              request->route->targets->len == 1) {
     start_at_only(router, request, reply->software, now);
-  } else if (request->query.replied == request->query.asked) {
+  } else if (request->query.replied == request->query.asked &&
+             !awaits_set(router, request)) {
     refuse_unknown(router, request, now);
   }
 }
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -20,11 +20,13 @@
 **    began the stream, or to none. What is not known is refused, not guessed.
 ** 2. An instance vouches for a version only if it has followed the list of
 **    endpoints without a gap for longer than a run may last and its caller
-**    takes to come back, has seen no other version in that time, and its list
-**    was complete less than Router.news_age_max ago.
+**    takes to come back, or has read since then that the set in the store
+**    holds that version alone (software_set.h), has seen no other version in
+**    that time, and its list was complete less than Router.news_age_max ago.
 ** 3. New streams begin at a version that has just appeared only after
 **    news_age_max and a margin, if endpoints of a version that is known for
-**    longer can run them. So no stream has begun at a version of which a
+**    longer can run them (stream_software.h). So no stream has begun at a
+*version of which a
 **    vouching instance does not know.
 ** 4. The origin of a stream that began while its instance could vouch is told
 **    when it no longer can.
@@ -60,11 +62,15 @@
 ** version that began it is listed as ready. */
 gboolean continuation_is_possible(const Router *router,
                                   const Request *request);
-/* Returns the time before which a version must have been known for new streams
-** of this request to begin there; 0: any version will do. */
-gint64 continuation_software_before(const Router *router,
-                                    const EndpointQuery *query,
-                                    const Request *request, gint64 now);
+/* Returns how long before a stream of the route is taken up the endpoint that
+** ran it last was listed, at most. */
+gint64 continuation_route_lifetime(const Route *route);
+/* Returns since when the list of endpoints has been followed without a gap; 0:
+** it has not been read. */
+gint64 continuation_followed_since(const Continuation *continuation);
+/* The set of the service's versions has been read for the first time, or that
+** has failed: decides about a request with an open query; may end. */
+void continuation_recheck(Router *router, Request *request, gint64 now);
 
 /* Tells the origins that are due (invariant 4) and drops expired ones. */
 void continuation_tick(Router *router, gint64 now);
--- a/router/endpoint_choice.c
+++ b/router/endpoint_choice.c
@@ -61,12 +61,23 @@
   return FALSE;
 }
 
+static gboolean is_in_allowed(const EndpointQuery *query, guint64 software) {
+  guint i;
+  for (i = 0; i < query->allowed_count; i++) {
+    if (query->allowed[i] == software)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 /* Returns TRUE if the endpoint has a version of the software that the query
 ** allows. */
 static gboolean has_allowed_software(const Endpoint *endpoint,
                                      const EndpointQuery *query) {
   if (query->software != 0 && endpoint->software != query->software)
     return FALSE;
+  if (query->allowed != NULL && !is_in_allowed(query, endpoint->software))
+    return FALSE;
   return query->software_before == 0 ||
          endpoint->software_since <= query->software_before;
 }
@@ -315,14 +326,12 @@
   return count;
 }
 
-gboolean endpoint_table_has_older_software(const EndpointTable *table,
-                                           const EndpointQuery *query,
-                                           gint64 before, gint64 now) {
+gboolean endpoint_table_has_allowed_software(const EndpointTable *table,
+                                             const EndpointQuery *query,
+                                             gint64 now) {
   guint i;
   for (i = 0; i < table->all->len; i++) {
-    const Endpoint *endpoint = table->all->pdata[i];
-    if (endpoint->software_since <= before &&
-        is_usable(table, query, endpoint, now))
+    if (is_usable(table, query, table->all->pdata[i], now))
       return TRUE;
   }
   return FALSE;
--- a/router/endpoint_choice.h
+++ b/router/endpoint_choice.h
@@ -19,7 +19,10 @@
   EndpointStage stage;
   guint64 software;       /* Endpoint.software that it must have; 0: any */
   gint64 software_before; /* its version must have been known then; 0: any */
-  const char *zone;       /* preferred data centre; NULL: this instance's */
+  const guint64 *allowed; /* versions (Endpoint.software) that it may have;
+                          ** NULL: any; borrowed */
+  guint allowed_count;
+  const char *zone; /* preferred data centre; NULL: this instance's */
   guint64 affinity; /* queries with the same value prefer the same endpoint;
                     ** 0: no preference */
   gboolean affinity_overrides_load; /* the preferred endpoint is chosen even if
@@ -57,11 +60,11 @@
 ** endpoints; 'excluded' is not considered. */
 guint endpoint_table_count_fitting(const EndpointTable *table,
                                    const EndpointQuery *query, gint64 now);
-/* Returns TRUE if an endpoint can run the query's request whose version was
-** known at the time 'before'. Rates and load are not considered. */
-gboolean endpoint_table_has_older_software(const EndpointTable *table,
-                                           const EndpointQuery *query,
-                                           gint64 before, gint64 now);
+/* Returns TRUE if an endpoint of a version that the query allows can run its
+** request. Rates and load are not considered. */
+gboolean endpoint_table_has_allowed_software(const EndpointTable *table,
+                                             const EndpointQuery *query,
+                                             gint64 now);
 /* Returns TRUE if there is an endpoint of this service and stage that can be
 ** chosen and was not unreachable lately. Rates and load are not considered. */
 gboolean endpoint_table_has_usable(const EndpointTable *table,
--- a/router/path.c
+++ b/router/path.c
@@ -19,6 +19,7 @@
 #include "router/retry_exchange.h"
 #include "router/silence.h"
 #include "router/state.h"
+#include "router/stream_software.h"
 
 /* The connect timeout is Route.objective, the time within which an answer of
 ** the route has its full value, within these bounds.
@@ -44,8 +45,7 @@
   if (stage != path_run_stage(request))
     return query; /* any version may read the prompt */
   query.software = request->software;
-  query.software_before =
-      continuation_software_before(router, &query, request, now);
+  stream_software_restrict(router, &query, request, now);
   return query;
 }
 
--- a/router/router.c
+++ b/router/router.c
@@ -13,6 +13,7 @@
 #include "router/continuation.h"
 #include "router/retry_exchange.h"
 #include "router/silence.h"
+#include "router/software_set.h"
 #include "router/state.h"
 
 /* A request is ended this long before its caller stops waiting, so that the
@@ -75,6 +76,7 @@
   router->requests_by_dispatch = g_hash_table_new(g_int64_hash, g_int64_equal);
   router->reach = reach_new(router, g_str_hash(options->zone));
   router->continuation = continuation_new();
+  router->software_sets = software_sets_new(router->seed);
   router->stages = stages_new(router, options->instance, options->self,
                               options->lease_length, now);
   return router;
@@ -84,6 +86,7 @@
   stages_free(router->stages);
   reach_free(router->reach);
   continuation_free(router->continuation);
+  software_sets_free(router->software_sets);
   account_limits_free(router->limits);
   rate_limits_free(router->rates);
   crash_watch_free(router->crashes);
@@ -563,8 +566,10 @@
     return;
   router->era = era;
   stages_observe_era(router->stages, era, now);
-  if (had_era)
-    quarantine_store_restored(router->quarantine, era);
+  if (!had_era)
+    return;
+  quarantine_store_restored(router->quarantine, era);
+  software_sets_store_restored(router->software_sets, now);
 }
 
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now) {
--- a/router/software_history.c
+++ b/router/software_history.c
@@ -96,3 +96,27 @@
   }
   return only;
 }
+
+/* Appends the versions that are listed now, or those that are not. */
+static guint append_listed(const SoftwareHistory *history, guint32 service,
+                           gint64 since, gboolean is_listed,
+                           ListedSoftware *out, guint count, guint most) {
+  GHashTableIter iterator;
+  gpointer value;
+  g_hash_table_iter_init(&iterator, history->rows);
+  while (count < most && g_hash_table_iter_next(&iterator, NULL, &value)) {
+    const Row *row = value;
+    if (row->service != service || (row->endpoints > 0) != is_listed ||
+        (!is_listed && row->listed_until < since))
+      continue;
+    out[count].software = row->software;
+    out[count++].known_since = row->known_since;
+  }
+  return count;
+}
+
+guint software_history_list(const SoftwareHistory *history, guint32 service,
+                            gint64 since, ListedSoftware *out, guint most) {
+  guint count = append_listed(history, service, since, TRUE, out, 0, most);
+  return append_listed(history, service, since, FALSE, out, count, most);
+}
--- a/router/software_history.h
+++ b/router/software_history.h
@@ -39,4 +39,16 @@
 guint64 software_history_only(const SoftwareHistory *history, guint32 service,
                               gint64 since);
 
+/* a version that was listed at some time from the time asked for on */
+typedef struct ListedSoftware {
+  guint64 software;
+  gint64 known_since; /* as software_history_known_since */
+} ListedSoftware;
+
+/* Writes the versions of the service that were listed at any time from 'since'
+** on to 'out', those listed now first, at most 'most' of them. Returns their
+** number. */
+guint software_history_list(const SoftwareHistory *history, guint32 service,
+                            gint64 since, ListedSoftware *out, guint most);
+
 #endif
--- a/router/state.h
+++ b/router/state.h
@@ -69,6 +69,8 @@
   X(REFUSED_ORIGIN, "refused_for_unknown_stream")    \
   X(REFUSED_VERSION, "refused_for_version")          \
   X(ORIGINS_LEFT_OUT, "stream_origins_left_out")     \
+  X(VERSIONS_ADDED, "stream_versions_added")         \
+  X(VERSIONS_REMOVED, "stream_versions_removed")     \
   X(PREFILLS_AT_DECODE, "prefills_at_decode")        \
   X(PROMPTS_REJECTED, "prompts_rejected")
 
@@ -258,6 +260,9 @@
                                      ** because of rests and rates; 0: no need */
   Reach *reach;                      /* the paths to endpoints */
   struct Continuation *continuation; /* origins of streams */
+  struct SoftwareSets
+      *software_sets;     /* versions of new streams (software_set.h)
+                           */
   CrashWatch *crashes;    /* endpoints that may have crashed under requests */
   Quarantine *quarantine; /* requests under which endpoints crashed */
   Suspicions *suspicions; /* crashes that are not certain yet */
--- a/test/stream_fleet.cc
+++ b/test/stream_fleet.cc
@@ -49,7 +49,8 @@
 } // namespace
 
 Fleet::Fleet(const FleetOptions &options_)
-    : options(options_), random(options_.seed), next_stream_at(now) {
+    : software_store(options_.seed), options(options_), random(options_.seed),
+      next_stream_at(now) {
   for (unsigned i = 0; i < options.prefill; i++) {
     Engine engine;
     engine.id = "pre-" + std::to_string(i);
@@ -534,11 +535,14 @@
     end_due_engines();
     deliver_changes();
     send_new_streams();
+    software_store.advance(now);
     for (unsigned i = 0; i < instances.size(); i++) {
       if (instances[i].world != nullptr) {
         World &world = *instances[i].world;
         if (world.now < now)
           world.advance(now - world.now);
+        software_store.serve(i * 100000UL + instances[i].start, world.router,
+                             now);
         handle_new_dispatches(i);
         deliver_messages(i);
       }
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "router_world.h"
+#include "software_store.h"
 
 namespace streaming {
 
@@ -103,6 +104,7 @@
 
   gint64 now = 100 * second;
   unsigned messages = 0; /* datagrams between instances about streams */
+  SoftwareStore software_store;
 
 private:
   struct Engine {
