--- a/include/mplog.h
+++ b/include/mplog.h
@@ -108,6 +108,8 @@
   X(CARRY_BAD, 3006, MP_WARN, "invalid request to carry a connection")        \
   X(CARRIED, 8012, MP_INFO, "request carried for another instance")           \
   X(STREAM_ORIGIN, 8013, MP_INFO, "stream is taken up again")                 \
+  X(SOFTWARE_SET, 8014, MP_INFO, "versions for new streams changed")          \
+  X(SOFTWARE_ONLY, 8015, MP_INFO, "streams have one version only")            \
   X(ORIGINS_NOT_KEPT, 8016, MP_WARN, "origins of streams not written")        \
   X(ORIGINS_KEPT, 8017, MP_INFO, "origins of streams are written again")      \
   X(PRIORITY_BAD, 8020, MP_WARN, "configuration states an invalid priority")  \
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -20,6 +20,7 @@
 #include "io/clock.h"
 #include "io/origin_links.h"
 #include "io/quarantine_writer.h"
+#include "io/software_set_writer.h"
 #include "io/relays.h"
 #include "io/store_link.h"
 
@@ -66,6 +67,7 @@
   StoreLink *lease_link; /* calls to the store about the lease */
   QuarantineWriter *quarantine;
   OriginLinks *origins; /* calls to the store about streams */
+  SoftwareSetWriter *software_sets;
   StatusServer *status_server;
   struct event *tick;
   struct event *drain_timer;
@@ -79,8 +81,8 @@
 };
 
 /*
-** Has the load exchange and the quarantine writer send what has changed, and
-** starts the timer for the router's next tick. It runs after every event that
+** Has the load exchange and the writers send what has changed, and starts the
+*timer for the router's next tick. It runs after every event that
 ** may have changed the router.
 */
 static void schedule_tick(Gateway *gateway) {
@@ -89,6 +91,7 @@
   load_exchange_send_changes(gateway->exchange);
   quarantine_writer_poll(gateway->quarantine);
   origin_links_poll(gateway->origins);
+  software_set_writer_poll(gateway->software_sets);
   wait = CLAMP(wait, 0, MAX_TICK_WAIT);
   time.tv_sec = wait / MP_SEC;
   time.tv_usec = wait % MP_SEC;
@@ -363,6 +366,7 @@
   router_store_answered(gateway->router,
                         clock_now() -
                             relay_group_news_age(gateway->group, clock_now()));
+  software_set_writer_poll(gateway->software_sets);
   relays_on_news(gateway->relays);
 }
 
@@ -478,7 +482,8 @@
   counts.store_calls = directory_store_calls(gateway->directory) +
                        store_link_calls(gateway->lease_link) +
                        quarantine_writer_store_calls(gateway->quarantine) +
-                       origin_links_store_calls(gateway->origins);
+                       origin_links_store_calls(gateway->origins) +
+                       software_set_writer_store_calls(gateway->software_sets);
   counts.abandoned_store_calls =
       directory_abandoned_store_calls(gateway->directory);
   counts.log_lines_left_out = log_left_out(gateway->log);
@@ -739,6 +744,8 @@
   gateway->origins =
       origin_links_new(base, dialect, options->store, options->instance,
                        gateway->router, log, on_stream, gateway);
+  gateway->software_sets = software_set_writer_new(
+      base, dialect, options->store, gateway->router, log, on_stream, gateway);
   gateway->front =
       front_new(base, options->callers, dialect, &front, log, error);
   gateway->group = relay_group_new(options->exchange, options->capacity,
@@ -798,6 +805,7 @@
   store_link_free(gateway->lease_link);
   quarantine_writer_free(gateway->quarantine);
   origin_links_free(gateway->origins);
+  software_set_writer_free(gateway->software_sets);
   router_free(gateway->router);
   event_free(gateway->tick);
   event_free(gateway->drain_timer);
--- a/router/router.c
+++ b/router/router.c
@@ -14,6 +14,7 @@
 #include "router/origin_store.h"
 #include "router/retry_exchange.h"
 #include "router/silence.h"
+#include "router/software_set.h"
 #include "router/state.h"
 #include "router/waiting_order.h"
 
@@ -77,6 +78,7 @@
   router->requests_by_dispatch = g_hash_table_new(g_int64_hash, g_int64_equal);
   router->reach = reach_new(router, g_str_hash(options->zone));
   router->continuation = continuation_new();
+  router->software_sets = software_sets_new(router->seed);
   router->stages = stages_new(router, options->instance, options->self,
                               options->lease_length, now);
   return router;
@@ -87,6 +89,7 @@
   reach_free(router->reach);
   continuation_free(router->continuation);
   origin_store_free(router->origin_store);
+  software_sets_free(router->software_sets);
   account_limits_free(router->limits);
   rate_limits_free(router->rates);
   crash_watch_free(router->crashes);
@@ -572,10 +575,11 @@
     return;
   router->era = era;
   stages_observe_era(router->stages, era, now);
-  if (had_era)
-    quarantine_store_restored(router->quarantine, era);
-  if (had_era)
-    origin_store_restored(router);
+  if (!had_era)
+    return;
+  quarantine_store_restored(router->quarantine, era);
+  origin_store_restored(router);
+  software_sets_store_restored(router->software_sets, now);
 }
 
 void router_lease_reply(Router *router, const LeaseReply *reply, gint64 now) {
--- a/router/state.h
+++ b/router/state.h
@@ -75,6 +75,8 @@
   X(PIECES_HELD_MS, "first_pieces_held_ms")          \
   X(ORIGIN_LISTS, "stream_origin_lists")             \
   X(ORIGINS_STORED, "streams_known_from_store")      \
+  X(VERSIONS_ADDED, "stream_versions_added")         \
+  X(VERSIONS_REMOVED, "stream_versions_removed")     \
   X(PREFILLS_AT_DECODE, "prefills_at_decode")        \
   X(PROMPTS_REJECTED, "prompts_rejected")
 
@@ -276,6 +278,9 @@
                                      ** because of rests and rates; 0: no need */
   Reach *reach;                      /* the paths to endpoints */
   struct Continuation *continuation; /* origins of streams */
+  struct SoftwareSets
+      *software_sets;     /* versions of new streams (software_set.h)
+                           */
   CrashWatch *crashes;    /* endpoints that may have crashed under requests */
   Quarantine *quarantine; /* requests under which endpoints crashed */
   Suspicions *suspicions; /* crashes that are not certain yet */
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -24,6 +24,7 @@
 
 #include "router_world.h"
 #include "stream_store.h"
+#include "software_store.h"
 
 namespace streaming {
 
@@ -110,6 +111,7 @@
   gint64 now = 100 * second;
   StreamStore store;
   unsigned messages = 0; /* datagrams between instances about streams */
+  SoftwareStore software_store;
 
 private:
   struct Engine {
