--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -621,8 +621,8 @@
 /* Returns the origin in'
 m v-history "streams: a young instance vouches for no version" \
   router/continuation.c \
-  'now - continuation->followed_since < lifetime' \
-  'now < continuation->followed_since'
+  'now - continuation->followed_since >= lifetime' \
+  'now >= continuation->followed_since'
 m v-gap "streams: a gap in the list may have held another version" \
   router/continuation.c \
   '  if (has_gap)' \
@@ -633,9 +633,43 @@
   'now < router->store_answered_at'
 m v-new "streams: none begins at a version that others do not know" \
   router/path.c \
-  '  query.software_before =
-      continuation_software_before(router, &query, request, now);' \
-  '  query.software_before = 0;'
+  '  stream_software_restrict(router, &query, request, now);' \
+  '  (void)now;'
+m v-set-early "stream versions: a young instance creates no set" \
+  router/software_set.c \
+  'return view->confirmed_at - view->followed_since >= row->keep;' \
+  'return row->keep > 0 && view->confirmed_at > 0;'
+m v-set-other "stream versions: an instance that saw another does not vouch" \
+  router/software_set.c \
+  '  return only == row->entries[0].software ? only : 0;' \
+  '  return row->entries[0].software + 0 * only;'
+m v-set-gap "stream versions: a read before a gap does not count" \
+  router/software_set.c \
+  '         row->read_at >= view->followed_since;' \
+  '         row->read_at > 0;'
+m v-set-add "stream versions: a new version is added" \
+  router/software_set.c \
+  '    add_entry(out, software, FALSE);
+    add_change(out, software, SOFTWARE_ADDED);' \
+  '    (void)software;'
+m v-set-marked "stream versions: a marked version is not allowed" \
+  router/software_set.c \
+  '    if (!entry->expiring && is_read' \
+  '    if (is_read'
+m v-set-unmark "stream versions: a version that returns is unmarked" \
+  router/software_set.c \
+  '    add_entry(out, entry->software, FALSE);
+    if (entry->expiring)' \
+  '    add_entry(out, entry->software, entry->expiring);
+    if (FALSE)'
+m v-set-soon "stream versions: a mark stands before a removal" \
+  router/software_set.c \
+  'now - entry->since >= view->news_age_max + REMOVAL_MARGIN' \
+  'now >= entry->since'
+m v-set-era "stream versions: a restored store is not trusted" \
+  router/software_set.c \
+  '    row->restored_at = now;' \
+  '    row->restored_at = 0;'
 m v-untold "streams: those begun in quiet times are told of later" \
   router/lives.c \
   '  continuation_tick(router, now);' \
