Tests of the set of versions: what a mark forbids, and what a young instance leaves alone

Two mutants of router/software_set.c were caught by no test meant for them: a marked version that is allowed (no test failed), and marks before the keep time (one failed, by chance). The unmarking test now looks at what is allowed before the store has accepted the unmarking, and a new test has an instance that has just started mark and remove nothing.

--- a/test/test_software_set.cc
+++ b/test/test_software_set.cc
@@ -299,6 +299,14 @@
   EXPECT_EQ(next_within(lifetime), -1);
 }
 
+/* Guards against a removal of versions whose streams this instance, which has
+** just started, can't know of. */
+TEST_F(SoftwareSetTest, MarksAndRemovesNothingBeforeTheKeepTime) {
+  list(1);
+  begin_with({{1, false}, {2, false}, {3, true}});
+  EXPECT_EQ(next_within(lifetime - second), -1);
+}
+
 TEST_F(SoftwareSetTest, RemovesNothingWithoutAListConfirmedAfterTheMark) {
   list(1);
   begin_with({{1, false}, {2, false}});
@@ -334,6 +342,8 @@
   ASSERT_EQ(next_within(60 * ms), STORE_READ);
   answer({{1, false}, {2, true}});
   ASSERT_TRUE(next());
+  pass(10 * ms);
+  EXPECT_EQ(allowed(), std::vector<guint64>{1});
   EXPECT_EQ(call.operation, STORE_REPLACE);
   EXPECT_EQ(written(), (Versions{{1, false}, {2, false}}));
   accept();
