Origins in the store: a recorder that the store turns away is replaced at once; leftovers are emptied

What callers would have seen: with a recorder that the store turns away, first pieces were passed on unrecorded by the whole data centre, so a power loss then left their streams unknown.

Cause: a refusal of the recorder ended the wait in place of asking the next one; and an instance that was killed as a recorder and had nothing to write later left its old origins in the store for good, in every list.

Change: the first refusal asks the next-ranked instance, the second ends the wait. Both use the same number, so a late acknowledgement of the first counts. An instance that sees its own object in a list with origins reads it and empties it once they have expired.

--- a/io/origin_links.c
+++ b/io/origin_links.c
@@ -3,6 +3,8 @@
 ** Makes the calls to the store about where streams began
 */
 
+#include <string.h>
+
 #include "io/clock.h"
 #include "io/origin_links.h"
 #include "io/store_link.h"
@@ -111,7 +113,9 @@
     last = &g_array_index(reply->objects, StoreObject, i);
     if (!read_object(links, last, &record))
       continue;
-    router_origins_listed(links->router, &record, clock_now());
+    router_origins_listed(links->router, &record,
+                          strcmp(last->name, links->instance) == 0,
+                          clock_now());
     stream_origins_record_clear(&record);
   }
   if (reply->status == STORE_OK && reply->more && last != NULL) {
--- a/router/origin_recorder.c
+++ b/router/origin_recorder.c
@@ -238,6 +238,10 @@
   return take_acks(recorder, 0);
 }
 
+void origin_recorder_note_filled(OriginRecorder *recorder) {
+  recorder->is_filled = TRUE;
+}
+
 void origin_recorder_store_restored(OriginRecorder *recorder) {
   recorder->is_read = FALSE;
   if (g_hash_table_size(recorder->rows) > 0)
--- a/router/origin_recorder.h
+++ b/router/origin_recorder.h
@@ -75,6 +75,9 @@
                                      StorePosition position,
                                      const StreamOriginsRecord *record,
                                      gboolean *is_written, gint64 now);
+/* The object in the store holds origins, so it is emptied once they have
+** expired, also when this instance has nothing to write. */
+void origin_recorder_note_filled(OriginRecorder *recorder);
 /* The store was restored from a copy, which may lack what was written: writes
 ** the object again if it holds anything. */
 void origin_recorder_store_restored(OriginRecorder *recorder);
--- a/router/origin_store.c
+++ b/router/origin_store.c
@@ -23,13 +23,12 @@
 
 struct OriginStore {
   OriginRecorder *recorder;
-  mp_Addr avoided;       /* a recorder that did not acknowledge in time */
-  gint64 avoided_until;  /* is not used until then */
-  gint64 no_hold_until;  /* nothing is held until then */
-  guint32 last_number;   /* of the newest STREAM_RECORD */
-  mp_Addr last_recorder; /* whom it went to */
-  StreamOrigins *found;  /* what the open list has named; NULL: none is open */
-  gint64 list_began;     /* when the open list began */
+  mp_Addr avoided;      /* a recorder that did not acknowledge in time */
+  gint64 avoided_until; /* is not used until then */
+  gint64 no_hold_until; /* nothing is held until then */
+  guint32 last_number;  /* of the newest STREAM_RECORD */
+  StreamOrigins *found; /* what the open list has named; NULL: none is open */
+  gint64 list_began;    /* when the open list began */
   gint64 next_list_at;
   gboolean is_failing; /* the last write failed */
 };
@@ -98,28 +97,37 @@
     release(router, request, request->hold.since);
 }
 
-/* Releases the request that waits for this number. */
-static void release_number(Router *router, guint32 number, gint64 now) {
+/* Returns the request whose piece is held until this number is answered; NULL:
+** there is none any more. */
+static Request *find_held(const Router *router, guint32 number) {
   GHashTableIter iterator;
   gpointer value;
   g_hash_table_iter_init(&iterator, router->requests);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     Request *request = value;
-    if (request->hold.since != 0 && request->hold.number == number) {
-      release(router, request, now);
-      return;
-    }
+    if (request->hold.since != 0 && request->hold.number == number)
+      return request;
   }
+  return NULL;
 }
 
+static void repeat_record(Router *router, Request *request, gint64 now);
+
 /* A recorder has answered. */
-static void handle_recorded(Router *router, guint32 number,
+static void handle_recorded(Router *router, mp_Addr from, guint32 number,
                             gboolean is_written, gint64 now) {
+  Request *request = find_held(router, number);
   if (is_written)
     router_count(router, ORIGINS_RECORDED);
-  else
+  if (request == NULL || (!is_written && from != request->hold.recorder))
+    return;
+  if (!is_written && request->hold.repeat_at != 0) {
+    repeat_record(router, request, now); /* the store may answer another one */
+    return;
+  }
+  if (!is_written)
     router->origin_store->no_hold_until = now + NO_HOLD_TIME;
-  release_number(router, number, now);
+  release(router, request, now);
 }
 
 /* Adds an origin at the recorder here, and answers if its state is known. */
@@ -131,7 +139,8 @@
   if (state == RECORD_PENDING || ack.number == 0)
     return;
   if (ack.to == router->self) {
-    handle_recorded(router, ack.number, state == RECORD_WRITTEN, now);
+    handle_recorded(router, router->self, ack.number, state == RECORD_WRITTEN,
+                    now);
     return;
   }
   memset(&message, 0, sizeof message);
@@ -141,13 +150,12 @@
   router->host.message(router->host.data, ack.to, &message);
 }
 
-/* Sends the origin to the recorder; 'number' 0: no reply is wanted. */
-static void send_record(Router *router, const StreamOrigin *origin,
-                        guint32 number, gint64 now) {
-  OriginStore *store = router->origin_store;
+/* Sends the origin to this recorder; 'number' 0: no reply is wanted. */
+static void send_record(Router *router, mp_Addr recorder,
+                        const StreamOrigin *origin, guint32 number,
+                        gint64 now) {
   mp_Msg message;
-  store->last_recorder = choose_recorder(router, now);
-  if (store->last_recorder == router->self) {
+  if (recorder == router->self) {
     OriginAck ack = {router->self, number, 0};
     record_here(router, origin, ack, now);
     return;
@@ -156,7 +164,7 @@
   message.kind = MP_MSG_STREAM_RECORD;
   message.u.record.number = number;
   message.u.record.origin = stream_origin_row(origin, now);
-  router->host.message(router->host.data, store->last_recorder, &message);
+  router->host.message(router->host.data, recorder, &message);
 }
 
 /* Returns a number that is not 0. */
@@ -169,7 +177,7 @@
 void origin_store_record(Router *router, const StreamOrigin *origin,
                          gint64 now) {
   if (router->origin_store != NULL)
-    send_record(router, origin, 0, now);
+    send_record(router, choose_recorder(router, now), origin, 0, now);
 }
 
 void origin_store_record_first(Router *router, Request *request,
@@ -178,15 +186,17 @@
   PieceHold *hold = &request->hold;
   if (store == NULL)
     return;
-  if (now >= store->no_hold_until) {
-    hold->number = next_number(store);
-    hold->since = now;
-    hold->until = now + RECORD_WAIT;
-    hold->repeat_at = now + ACK_WAIT;
-    router->host.hold(router->host.data, request->number, TRUE);
+  if (now < store->no_hold_until) {
+    origin_store_record(router, origin, now);
+    return;
   }
-  send_record(router, origin, hold->number, now); /* may release it at once */
-  hold->recorder = store->last_recorder;
+  hold->number = next_number(store);
+  hold->recorder = choose_recorder(router, now);
+  hold->since = now;
+  hold->until = now + RECORD_WAIT;
+  hold->repeat_at = now + ACK_WAIT;
+  router->host.hold(router->host.data, request->number, TRUE);
+  send_record(router, hold->recorder, origin, hold->number, now);
 }
 
 /* Asks the next recorder. */
@@ -199,8 +209,9 @@
   request->hold.repeat_at = 0;
   if (origin == NULL)
     return;
-  request->hold.number = next_number(store);
-  send_record(router, origin, request->hold.number, now);
+  request->hold.recorder = choose_recorder(router, now);
+  send_record(router, request->hold.recorder, origin, request->hold.number,
+              now);
 }
 
 void origin_store_handle_hold_timer(Router *router, Request *request,
@@ -222,7 +233,7 @@
     OriginAck ack = {from, record->number, 0};
     record_here(router, &origin, ack, now);
   } else if (message->kind == MP_MSG_STREAM_RECORDED) {
-    handle_recorded(router, message->u.recorded.number,
+    handle_recorded(router, from, message->u.recorded.number,
                     message->u.recorded.is_written != 0, now);
   }
 }
@@ -264,7 +275,7 @@
     const OriginAck *ack = &g_array_index(acks, OriginAck, i);
     message.u.recorded.number = ack->number;
     if (ack->to == router->self)
-      handle_recorded(router, ack->number, is_written, now);
+      handle_recorded(router, router->self, ack->number, is_written, now);
     else
       router->host.message(router->host.data, ack->to, &message);
   }
@@ -321,8 +332,10 @@
 }
 
 void router_origins_listed(Router *router, const StreamOriginsRecord *record,
-                           gint64 now) {
+                           gboolean is_own, gint64 now) {
   guint i;
+  if (is_own && record->origins->len > 0)
+    origin_recorder_note_filled(router->origin_store->recorder);
   for (i = 0; i < record->origins->len; i++) {
     const StoredOrigin *stored =
         &g_array_index(record->origins, StoredOrigin, i);
--- a/router/origin_store.h
+++ b/router/origin_store.h
@@ -54,9 +54,9 @@
                           gint64 now);
 /* Begins a list of all recorders' objects if requests wait for one. */
 gboolean router_next_origins_list(Router *router, gint64 now);
-/* Handles one object of the open list. */
+/* Handles one object of the open list; 'is_own': this instance writes it. */
 void router_origins_listed(Router *router, const StreamOriginsRecord *record,
-                           gint64 now);
+                           gboolean is_own, gint64 now);
 /* The list has ended; 'is_complete': every object of it was readable. */
 void router_origins_list_ended(Router *router, gboolean is_complete,
                                gint64 now);
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -621,8 +621,8 @@
 /* Returns the origin of'
 m v-held "streams: the first piece waits until its origin is written" \
   router/origin_store.c \
-  '  if (now >= store->no_hold_until) {' \
-  '  if (now < store->no_hold_until) {'
+  '  if (now < store->no_hold_until) {' \
+  '  if (now >= store->no_hold_until) {'
 m v-wait "streams: the first piece does not wait for a lost recorder" \
   router/origin_store.c \
   '  if (now < request->hold.until) {' \
--- a/test/stream_store.cc
+++ b/test/stream_store.cc
@@ -71,8 +71,10 @@
   call.is_applied = true;
   call.status = STORE_OK;
   if (call.is_list) {
-    for (const auto &[name, object] : objects)
+    for (const auto &[name, object] : objects) {
       call.objects.push_back(object);
+      call.names.push_back(name);
+    }
     return;
   }
   auto it = objects.find(call.instance);
@@ -104,15 +106,15 @@
   StoreStatus status = has_answer ? call.status : STORE_FAILED;
   StreamOriginsRecord record = {nullptr};
   StorePosition position = {};
-  for (const Object &object : call.objects) {
-    if (!has_answer)
-      break;
+  for (size_t i = 0; has_answer && i < call.objects.size(); i++) {
+    const Object &object = call.objects[i];
     record.origins = g_array_new(FALSE, FALSE, sizeof(StoredOrigin));
     g_array_append_vals(record.origins, object.origins.data(),
                         static_cast<guint>(object.origins.size()));
     position.revision = object.revision;
     if (call.is_list) {
-      router_origins_listed(router, &record, now);
+      router_origins_listed(router, &record, call.names[i] == call.instance,
+                            now);
       stream_origins_record_clear(&record);
     }
   }
--- a/test/stream_store.h
+++ b/test/stream_store.h
@@ -63,6 +63,7 @@
     /* the reply: */
     StoreStatus status = STORE_FAILED;
     std::vector<Object> objects;
+    std::vector<unsigned> names; /* of a list's objects */
   };
 
   void begin_calls(unsigned instance, routing::World &world, gint64 now);
--- a/test/test_origin_store.cc
+++ b/test/test_origin_store.cc
@@ -209,6 +209,24 @@
   EXPECT_EQ(next_call(), -1);
 }
 
+/* Guards against origins that stay in the store for good since their instance
+** was killed and has none to write. */
+TEST_F(RecorderTest, EmptiesWhatAnEarlierLifeLeftWhenItIsListed) {
+  std::vector<StoredOrigin> left = {{{{9, 0}}, 19, 7, 0, 8000}};
+  origin_recorder_note_filled(recorder);
+  EXPECT_EQ(next_call(), STORE_READ);
+  answer(STORE_OK, &left);
+  EXPECT_EQ(next_call(), STORE_REPLACE);
+  EXPECT_EQ(rows.size(), 1u);
+  answer(STORE_OK);
+  now += 9 * second;
+  origin_recorder_expire(recorder, now);
+  EXPECT_EQ(next_call(), STORE_REPLACE);
+  EXPECT_TRUE(rows.empty());
+  answer(STORE_OK);
+  EXPECT_EQ(next_call(), -1);
+}
+
 /* Guards against an object that the store rejects for its size. */
 TEST_F(RecorderTest, OriginsThatExpireFirstAreLeftOut) {
   for (unsigned i = 1; i <= RECORDED_ORIGINS_MAX + 10; i++) {
@@ -330,7 +348,7 @@
     StreamOriginsRecord listed = {
         g_array_new(FALSE, FALSE, sizeof(StoredOrigin))};
     g_array_append_val(listed.origins, origin);
-    router_origins_listed(world.router, &listed, world.now);
+    router_origins_listed(world.router, &listed, FALSE, world.now);
     stream_origins_record_clear(&listed);
   }
 
@@ -373,6 +391,17 @@
   EXPECT_EQ(events_of(begin("a3")), 0u);
 }
 
+/* Guards against a piece that waits on although its origin is written. */
+TEST_F(OriginStoreTest, LateAcknowledgementOfTheFirstRecorderCounts) {
+  record_elsewhere();
+  SentDispatch run = begin("a1");
+  world.advance(50 * ms);
+  acknowledge(recorders()[0], false); /* it is not waited for any more */
+  EXPECT_EQ(events_of(run), 0u);
+  acknowledge(recorders()[0]);
+  EXPECT_EQ(events_of(run), 1u);
+}
+
 TEST_F(OriginStoreTest, SecondRecorderReleasesThePiece) {
   record_elsewhere();
   SentDispatch run = begin("a1");
@@ -382,10 +411,24 @@
   EXPECT_EQ(events_of(begin("a2")), 0u) << "the store answers";
 }
 
+/* Guards against an instance that the store turns away and that is the
+** recorder of others. */
+TEST_F(OriginStoreTest, RecorderThatTheStoreTurnsAwayIsReplacedAtOnce) {
+  record_elsewhere();
+  SentDispatch run = begin("a1");
+  acknowledge(recorders()[0], false);
+  ASSERT_EQ(recorders().size(), 2u);
+  EXPECT_NE(recorders()[0], recorders()[1]);
+  EXPECT_EQ(events_of(run), 0u);
+  acknowledge(recorders()[1]);
+  EXPECT_EQ(events_of(run), 1u);
+}
+
 TEST_F(OriginStoreTest, NothingIsHeldWhileTheStoreDoesNotAnswer) {
   record_elsewhere();
   SentDispatch run = begin("a1");
   acknowledge(recorders()[0], false);
+  acknowledge(recorders()[1], false);
   EXPECT_EQ(events_of(run), 1u);
   EXPECT_EQ(events_of(begin("a2")), 1u);
 }
--- a/test/test_stream_versions.cc
+++ b/test/test_stream_versions.cc
@@ -153,6 +153,92 @@
   }
 }
 
+/* All are killed at moments between the beginnings of writes. */
+TEST(StreamVersions, StreamsOfTwoVersionsGoOnAfterKillsAtEachMoment) {
+  for (unsigned seed = 1; seed <= 12; seed++) {
+    FleetOptions options = options_with_kills(12);
+    options.seed = seed;
+    Fleet fleet(options);
+    fleet.add_engines("v1.1", options.engines);
+    fleet.advance(4 * second);
+    for (gint64 i = 0; i < 4; i++) {
+      fleet.kill_instances(1.0);
+      fleet.advance(4 * second + (seed * 4 + i) * 5 * ms);
+    }
+    EXPECT_NO_FATAL_FAILURE(expect_all_go_on(fleet)) << "seed " << seed;
+  }
+}
+
+TEST(StreamVersions, StreamsOf300InstancesGoOnAfterAllWereKilled) {
+  FleetOptions options = options_with_kills(300);
+  Fleet fleet(options);
+  fleet.add_engines("v1.1", options.engines);
+  fleet.advance(4 * second);
+  fleet.kill_instances(1.0);
+  fleet.advance(5 * second);
+  expect_all_go_on(fleet);
+}
+
+/* The longest time for which a first piece may be held, and one step of the
+** fleet's clock. */
+constexpr gint64 hold_max = 85 * ms;
+
+/* Guards against streams that are joined, or pieces that come late, because
+** the store does not answer. */
+TEST_P(StreamVersionsTest, StoreThatDoesNotAnswerDelaysNothing) {
+  for (int kind = 0; kind < 3; kind++) {
+    Fleet fleet(options_with_kills(GetParam()));
+    fleet.add_engines("v1.1", 12);
+    fleet.advance(5 * second);
+    fleet.store.is_away = kind == 0;
+    fleet.store.turns_away = kind == 1;
+    if (kind == 2) { /* slow: later than a piece is held */
+      fleet.store.latency_min = 150 * ms;
+      fleet.store.latency_max = 900 * ms;
+    }
+    fleet.advance(3 * second);
+    unsigned began = fleet.count().began;
+    unsigned sent = fleet.count().sent;
+    fleet.advance(3 * second);
+    EXPECT_GE((fleet.count().began - began) * 2, fleet.count().sent - sent);
+    for (int i = 0; i < 2; i++) {
+      fleet.kill_instances(1.0);
+      fleet.advance(4 * second);
+    }
+    EXPECT_LE(fleet.longest_hold(), hold_max) << kind;
+    EXPECT_EQ(fleet.mixed_streams(), 0u) << kind;
+    EXPECT_EQ(fleet.disordered_streams(), 0u) << kind;
+    EXPECT_LE(fleet.longest_refusal(), 520 * ms) << kind;
+  }
+}
+
+/* Guards against calls at rest, and against an instance that writes on behalf
+** of others more than the store carries. */
+TEST_P(StreamVersionsTest, StoreIsCalledWhileTwoVersionsServeOnly) {
+  FleetOptions options = options_with_kills(GetParam());
+  Fleet fleet(options);
+  fleet.advance(45 * second);
+  unsigned before = fleet.store.saves;
+  fleet.advance(10 * second);
+  EXPECT_EQ(fleet.store.saves, before);
+  EXPECT_EQ(fleet.store.lists, 0u);
+  unsigned long long bytes = fleet.store.bytes;
+  fleet.add_engines("v1.1", options.engines);
+  fleet.advance(10 * second);
+  unsigned saves = fleet.store.saves - before;
+  /* one recorder in each of three data centres, 40 calls a second at most */
+  EXPECT_LE(saves, 3 * 40 * 10u);
+  RecordProperty("saves_in_10_s", static_cast<int>(saves));
+  RecordProperty("bytes_in_10_s", static_cast<int>(fleet.store.bytes - bytes));
+  RecordProperty("most_rows", static_cast<int>(fleet.store.most_rows));
+  RecordProperty("held", static_cast<int>(fleet.counter("first_pieces_held")));
+  RecordProperty("held_ms",
+                 static_cast<int>(fleet.counter("first_pieces_held_ms")));
+  RecordProperty("missed",
+                 static_cast<int>(fleet.counter("stream_records_missed")));
+  EXPECT_LE(fleet.longest_hold(), hold_max);
+}
+
 /* A version comes while half of the instances can't read the list. */
 TEST_P(StreamVersionsTest, InstanceThatIsCutFromTheListGuessesNoVersion) {
   FleetOptions options = options_of(GetParam());
