Own interface: a response with unknown framing, or an interim one, is not whole

Calls of the own interface go over evhttp, which reads a body of another transfer coding than "chunked" by its Content-Length or up to the close, and ends a call at an interim response other than 100. A service's answer was passed on as a whole 200, empty or short, and an interim response as the answer; the head of 100 was passed on beside that of the answer.

The head is now checked as in http/reader.c: one length or "chunked", or neither, no coding in HTTP/1.0. Otherwise, and at an interim response other than 100, the call ends as broken.

Found beside it, unchanged: when an interim response, the response and the close arrive in one turn of the loop, evhttp drops the response, and the call ends as broken.

--- a/io/http.c
+++ b/io/http.c
@@ -4,9 +4,12 @@
 */
 
 #include <string.h>
+#include <sys/queue.h>
 
 #include "io/http.h"
 
+#include <event2/http_struct.h> /* needs event2/http.h */
+
 #define MAX_REPLY_BYTES (16 << 20)
 /* evhttp has no limit of its own; http_parser, which reads the other responses
 ** (http/reader.c), ends a head at as many bytes. */
@@ -45,12 +48,42 @@
   event_base_once(c->base, -1, EV_TIMEOUT, free_call, c, &now);
 }
 
+/*
+** Does the head say where the body ends, in a way that is known here? evhttp
+** reads a body of another transfer coding than "chunked" by its Content-Length
+** or up to the close, and takes the first of several lengths. HTTP/1.0 has no
+** transfer codings (RFC 9112, 6.1 and 6.3).
+*/
+static int is_framing_known(struct evhttp_request *req) {
+  const struct evkeyvalq *q = evhttp_request_get_input_headers(req);
+  const struct evkeyval *kv;
+  unsigned lengths = 0;
+  unsigned codings = 0;
+  TAILQ_FOREACH(kv, q, next) {
+    if (g_ascii_strcasecmp(kv->key, "Content-Length") == 0)
+      lengths++;
+    else if (g_ascii_strcasecmp(kv->key, "Transfer-Encoding") == 0) {
+      codings++;
+      if (g_ascii_strcasecmp(kv->value, "chunked") != 0 || req->major != 1 ||
+          req->minor < 1)
+        return 0;
+    }
+  }
+  return lengths + codings <= 1;
+}
+
+/* evhttp calls this for interim responses too. It waits for the response to
+** follow one of status 100, and ends the call at any other. */
 static int on_head(struct evhttp_request *req, void *arg) {
   HttpCall *c = arg;
+  int status = evhttp_request_get_response_code(req);
+  if (status == 100)
+    return 0;
+  if (status < 200 || !is_framing_known(req))
+    return -1; /* the call ends with an error */
   c->has_head = 1;
   if (!c->is_ended && c->hooks->head != NULL)
-    c->hooks->head(c->ud, evhttp_request_get_response_code(req),
-                   evhttp_request_get_input_headers(req));
+    c->hooks->head(c->ud, status, evhttp_request_get_input_headers(req));
   return 0;
 }
 
