--- a/io/endpoint_call.c
+++ b/io/endpoint_call.c
@@ -125,6 +125,15 @@
          http_head_get(call->head, "Transfer-Encoding") == NULL;
 }
 
+const char *endpoint_call_framing(const EndpointCall *call) {
+  if (call->head == NULL || call->head->status < 200 || call->is_foreign)
+    return "none";
+  if (ends_with_close(call))
+    return "close";
+  return http_head_get(call->head, "Content-Length") != NULL ? "length"
+                                                             : "chunked";
+}
+
 /* Returns TRUE if the stream ended where it cannot have been complete: within
 ** an event, or by the end of its connection before any event. */
 static gboolean is_broken_stream(const EndpointCall *call) {
@@ -145,6 +154,7 @@
   outcome->kind =
       call->is_stream ? OUTCOME_STREAM_END : endpoint_call_classify(call);
   outcome->ends_with_close = ends_with_close(call);
+  outcome->framing = endpoint_call_framing(call);
   if (call->is_stream && is_broken_stream(call))
     outcome->kind = OUTCOME_BROKEN;
   if (outcome->kind == OUTCOME_ANSWER && !read_answer(call, dialect, out))
--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -56,6 +56,13 @@
 ** caller: a release, a report or an order (DispatchKind)?
 */
 gboolean endpoint_call_is_control(const EndpointCall *call);
+/*
+** Returns how the head of the call's response delimits its body, as logs have
+** it: "length", "chunked", "close" (neither), or "none" while no head has been
+** received other than those of interim and other requests' responses.
+*/
+const char *endpoint_call_framing(const EndpointCall *call);
+
 /*
 ** Returns the outcome of a dispatch whose response is complete and not a
 ** stream. OUTCOME_BROKEN means that the response cannot be used, and that it
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -84,6 +84,8 @@
   CarryClient *carry;   /* NULL: the connection is direct */
   gint64 carry_timeout; /* us that the carrier may take to connect */
   EndpointCall *call;   /* NULL while the connection is idle */
+  const char *end;      /* what ended the connection, as logs have it
+                        ** (Outcome.connection_end); NULL: it is open */
 } Link;
 
 /*
@@ -227,6 +229,8 @@
   outcome.kind = kind;
   outcome.dispatch = call->dispatch;
   outcome.was_kept = call->on_kept;
+  outcome.framing = endpoint_call_framing(call);
+  outcome.connection_end = link->end != NULL ? link->end : "open";
   outcome.carrier_failed = kind == OUTCOME_UNREACHABLE &&
                            link->carry != NULL &&
                            !carry_client_endpoint_refused(link->carry);
@@ -247,6 +251,8 @@
     return;
   }
   endpoint_call_result(call, link->links->dialect, &result);
+  if (result.outcome.kind == OUTCOME_BROKEN)
+    result.outcome.connection_end = link->end != NULL ? link->end : "open";
   if (result.outcome.kind == OUTCOME_BROKEN || result.outcome.misdirected)
     link->must_close = TRUE;
   link->idle_limit = call->head_info.idle_limit;
@@ -467,6 +473,7 @@
     handle_verdict(link);
   else if (carry->state == CARRY_ENDED) {
     link->is_ended = TRUE;
+    link->end = "orderly";
     on_eof(link);
   } else if (carry->state == CARRY_FAILED)
     fail_call(link, OUTCOME_BROKEN);
@@ -508,9 +515,21 @@
     hooks->connected(hooks->data, clock_now() - link->began_at);
 }
 
+/* Notes what ended the connection. A carrier tells the end of the endpoint's
+** stream by a record: without one, the endpoint or the carrier has failed. */
+static void note_end(Link *link, short what) {
+  if (what & BEV_EVENT_CONNECTED)
+    return;
+  if (link->carry != NULL)
+    link->end = "carrier";
+  else if (link->end == NULL || !link->is_cut)
+    link->end = socket_end_name(what);
+  link->is_cut |= socket_may_miss_reset(what);
+}
+
 static void on_event(struct bufferevent *events, short what, void *data) {
   Link *link = data;
-  link->is_cut |= socket_may_miss_reset(what);
+  note_end(link, what);
   if (what & BEV_EVENT_CONNECTED) {
     report_connect(link);
     socket_set_options(events, UNACKED_MS);
@@ -561,6 +580,7 @@
   else if (!extend_late_timer(link)) {
     if (!link->is_reached)
       report_connect(link);
+    link->end = "timeout";
     fail_call(link, link->is_connected ? OUTCOME_BROKEN : OUTCOME_UNREACHABLE);
   }
 }
--- a/io/sockets.c
+++ b/io/sockets.c
@@ -62,6 +62,17 @@
   return !is_alone || EVUTIL_SOCKET_ERROR() != EPIPE;
 }
 
+const char *socket_end_name(short what) {
+  int error = EVUTIL_SOCKET_ERROR();
+  if (what & BEV_EVENT_TIMEOUT)
+    return "timeout";
+  if (!(what & BEV_EVENT_ERROR))
+    return "orderly";
+  if (error == ETIMEDOUT)
+    return "timeout";
+  return error == ECONNRESET || error == EPIPE ? "reset" : "error";
+}
+
 guint64 socket_unacknowledged(evutil_socket_t fd) {
   int size = 0;
   if (ioctl(fd, SIOCOUTQ, &size) != 0)
--- a/io/sockets.h
+++ b/io/sockets.h
@@ -53,6 +53,14 @@
 */
 gboolean socket_may_miss_reset(short what);
 
+/*
+** Called with the arguments of a bufferevent's event callback for the end of a
+** connection. Returns what ended it, as logs have it: "orderly" (the peer
+** closed it), "reset", "timeout" (the peer acknowledged nothing, or took no
+** byte) or "error".
+*/
+const char *socket_end_name(short what);
+
 /* Returns how many bytes the kernel holds that the peer of a TCP connection
 ** has not acknowledged; 0 when it cannot tell. */
 guint64 socket_unacknowledged(evutil_socket_t fd);
--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -336,13 +336,17 @@
   if (outcome->kind != OUTCOME_STREAM_PIECE)
     router_log(router, MP_LOG_ROUTE_OUTCOME,
                " request=%s endpoint=%s software=%.24s outcome=%s status=%d "
-               "connection=%s after_ms=%d last_event=%s longest_pause_ms=%d",
+               "connection=%s after_ms=%d last_event=%s longest_pause_ms=%d "
+               "framing=%s connection_end=%s",
                request->id, request->open.endpoint,
                endpoint_software_text(endpoint), outcome_name(outcome->kind),
                outcome->status, outcome->was_kept ? "kept" : "new",
                (int)((now - request->open.sent) / MP_MS),
                request->last_event != NULL ? request->last_event : "-",
-               (int)(request->longest_pause / MP_MS));
+               (int)(request->longest_pause / MP_MS),
+               outcome->framing != NULL ? outcome->framing : "-",
+               outcome->connection_end != NULL ? outcome->connection_end
+                                               : "-");
   if (endpoint != NULL && is_sign_of_life(outcome))
     endpoint_note_heard(endpoint, now);
   if (request->handle != NULL && outcome->kind == OUTCOME_NOT_RUN &&
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -503,12 +503,17 @@
 }
 
 static void log_prefill(Router *router, const Request *request,
-                        const char *outcome, gint64 now) {
+                        const char *outcome, const Outcome *ended,
+                        gint64 now) {
+  const char *framing = ended != NULL ? ended->framing : NULL;
+  const char *end = ended != NULL ? ended->connection_end : NULL;
   router_log(router, MP_LOG_ROUTE_PREFILL,
-             " request=%s endpoint=%s outcome=%s handle=%s after_ms=%d",
+             " request=%s endpoint=%s outcome=%s handle=%s after_ms=%d "
+             "framing=%s connection_end=%s",
              request->id, request->open.endpoint, outcome,
              request->handle != NULL ? request->handle : "-",
-             (int)((now - request->open.sent) / MP_MS));
+             (int)((now - request->open.sent) / MP_MS),
+             framing != NULL ? framing : "-", end != NULL ? end : "-");
 }
 
 void prefill_handle_outcome(Router *router, Request *request,
@@ -528,7 +533,7 @@
   } else {
     record_failure(router, request, outcome, is_path_lost, now);
   }
-  log_prefill(router, request, outcome_name(outcome->kind), now);
+  log_prefill(router, request, outcome_name(outcome->kind), outcome, now);
   path_close_dispatch(router, request, FALSE);
   if (is_read)
     path_run(router, request, now);
@@ -602,7 +607,7 @@
     request->stall_at = now + STALL_RECHECK;
     return;
   }
-  log_prefill(router, request, "stalled", now);
+  log_prefill(router, request, "stalled", NULL, now);
   path_exclude(request, request->open.endpoint);
   path_close_dispatch(router, request, TRUE);
   prefill_elsewhere(router, request, now);
--- a/router/router.h
+++ b/router/router.h
@@ -235,6 +235,11 @@
   gint64 handle_lifetime;     /* ANSWER of a prefill: for how long the handle
                                ** is kept; 0: Service.handle_lifetime */
   const EngineReport *report; /* ANSWER of a report; NULL: unreadable */
+  const char *framing;        /* how the head of the response delimited its
+                               ** body, as logs have it; NULL: not known */
+  const char *connection_end; /* BROKEN, UNREACHABLE: what ended the
+                               ** connection, as logs have it; NULL: not known
+                               */
 } Outcome;
 
 /* The answer to an instance that asks to have its bytes carried to an
--- a/test/test_cut_answers.cc
+++ b/test/test_cut_answers.cc
@@ -118,6 +118,7 @@
   struct Ended {
     OutcomeKind kind;
     std::string bytes;
+    std::string framing, end; /* as the log line has them */
   };
   std::map<guint64, Ended> ended; /* dispatch -> its outcome */
   guint64 last = 0;
@@ -171,6 +172,9 @@
     one.kind = outcome->kind;
     if (answer != nullptr && answer->bytes != nullptr)
       one.bytes.assign(answer->bytes, answer->size);
+    one.framing = outcome->framing != nullptr ? outcome->framing : "";
+    if (outcome->connection_end != nullptr)
+      one.end = outcome->connection_end;
   }
 
   /* Runs the event loop without pauses, for at most two seconds. */
@@ -336,6 +340,51 @@
   }
 }
 
+/* Without this, a log does not tell a cut answer from an invalid one. */
+TEST_F(CutAnswerTest, FramingAndEndOfABrokenAnswerAreTold) {
+  const struct {
+    std::string text;
+    End how;
+    bool is_carried;
+    const char *framing, *end;
+  } cases[] = {
+      {"", End::CLOSE, false, "none", "orderly"},
+      {"HTTP/1.1 200 OK\r\nServer", End::CLOSE, false, "none", "orderly"},
+      {"HTTP/1.1 200 OK\r\nServer", End::RESET, false, "none", "reset"},
+      {"HTTP/1.1 100 Continue\r\n\r\n", End::CLOSE, false, "none", "orderly"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfo", End::HALF_CLOSE,
+       false, "length", "orderly"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfo",
+       End::RESET, false, "chunked", "reset"},
+      {"HTTP/1.1 200 OK\r\n\r\nfo", End::RESET, false, "close", "reset"},
+      {"HTTP/1.1 200 OK\r\n\r\nfo", End::RESET, true, "close", "carrier"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfo", End::CLOSE, true,
+       "length", "orderly"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chun\r\n\r\n", End::SILENCE,
+       false, "none", "open"},
+  };
+  for (const auto &one : cases) {
+    Peer &peer = dispatch(DISPATCH_RUN, false, one.is_carried);
+    if (!one.text.empty())
+      peer.send_text(one.text);
+    wait_for(2 * MP_MS);
+    end_connection(peer, one.how);
+    Ended told = outcome();
+    EXPECT_EQ(told.kind, OUTCOME_BROKEN) << one.text;
+    EXPECT_EQ(told.framing, one.framing) << one.text;
+    EXPECT_EQ(told.end, one.end) << one.text;
+  }
+}
+
+TEST_F(CutAnswerTest, TimeoutOfABrokenAnswerIsTold) {
+  dispatch(DISPATCH_REPORT, false, false)
+      .send_text("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfo");
+  Ended told = outcome();
+  EXPECT_EQ(told.kind, OUTCOME_BROKEN);
+  EXPECT_EQ(told.framing, "length");
+  EXPECT_EQ(told.end, "timeout");
+}
+
 /*
 ** A reset that is found by writing is not reported to reading, which sees an
 ** end of the stream then: an answer without a length was taken for whole.
