A CR without LF is an error in all of a head; a HEAD answer behind an interim one

The reader now checks all bytes of a head before it is passed on. (Inside a chunked body the parser is as lenient; a body that is cut does not become whole by that.)

Found beside it: http_reader_expect_no_body ended with an interim response, so the answer to a HEAD request waited for a body, and the dispatch was broken.

--- a/http/reader.c
+++ b/http/reader.c
@@ -21,6 +21,8 @@
   gboolean in_value;              /* the bytes read last belong to a value */
   gboolean no_body;
   gboolean at_head_end; /* the parser is paused at the last byte of a head */
+  gboolean has_head;    /* the head of the message was passed on */
+  gboolean after_cr;    /* the byte of a head that was read last is a CR */
   gboolean keep_alive;
   size_t head_limit, body_limit; /* in bytes, inclusive; 0: none */
   size_t head_bytes, body_bytes; /* read of the current message */
@@ -129,8 +131,9 @@
          parser->http_major == 1 && parser->http_minor >= 1;
 }
 
-/* Pauses the parser, which says nothing of the byte that ended the head: see
-** pass_head. Returns 1 to tell it that no body follows, -1 to stop it. */
+/* Pauses the parser, so that the bytes of the head are checked before it is
+** passed on (has_bare_cr). Returns 1 to tell it that no body follows, -1 to
+** stop it. */
 static int on_headers_complete(http_parser *parser) {
   HttpReader *reader = reader_of(parser);
   HttpHead *head = reader->head;
@@ -221,23 +224,30 @@
 }
 
 /*
-** Passes the head on, if the byte at which the parser is paused, 'last', ends
-** an empty line. Built without HTTP_PARSER_STRICT, as in packages, the parser
-** takes any byte behind the CR for that, so that the fields behind a damaged
-** line would be a body. Returns FALSE if the message can't be read.
+** Is there a CR without an LF behind it in these next bytes of a head? Built
+** without HTTP_PARSER_STRICT, as in packages, the parser takes any byte behind
+** a CR for the end of the status line and of the head, so that the fields
+** behind a damaged line would be a body.
 */
-static gboolean pass_head(HttpReader *reader, char last) {
+static gboolean has_bare_cr(HttpReader *reader, const char *bytes,
+                            size_t size) {
+  size_t i;
+  for (i = 0; i < size; i++) {
+    if (reader->after_cr && bytes[i] != '\n')
+      return TRUE;
+    reader->after_cr = bytes[i] == '\r';
+  }
+  return FALSE;
+}
+
+/* Passes the head on, and lets the parser continue. */
+static void pass_head(HttpReader *reader) {
   HttpHead *head = reader->head;
   reader->at_head_end = FALSE;
-  if (last != '\n') {
-    reader->state = HTTP_READER_FAILED;
-    reader->error = HTTP_ERROR_SYNTAX;
-    return FALSE;
-  }
+  reader->has_head = TRUE;
   reader->head = NULL;
   reader->callbacks.head(reader->data, head);
   http_parser_pause(&reader->parser, 0);
-  return TRUE;
 }
 
 size_t http_reader_feed(HttpReader *reader, const char *bytes, size_t size) {
@@ -245,9 +255,15 @@
   if (reader->state == HTTP_READER_FAILED || reader->state == HTTP_READER_DONE)
     return 0;
   used = execute(reader, bytes, size);
+  if (!reader->has_head &&
+      has_bare_cr(reader, bytes, reader->at_head_end ? used + 1 : used)) {
+    reader->state = HTTP_READER_FAILED;
+    if (reader->error == HTTP_ERROR_NONE)
+      reader->error = HTTP_ERROR_SYNTAX;
+    return used;
+  }
   if (reader->at_head_end) {
-    if (!pass_head(reader, bytes[used]))
-      return used;
+    pass_head(reader);
     used += execute(reader, bytes + used, size - used);
   }
   if (reader->state == HTTP_READER_DONE)
@@ -272,7 +288,11 @@
   g_assert(reader->state == HTTP_READER_DONE);
   http_parser_pause(&reader->parser, 0);
   reader->state = HTTP_READER_IDLE;
-  reader->no_body = FALSE;
+  reader->has_head = FALSE;
+  reader->after_cr = FALSE;
+  if (reader->parser.type != HTTP_RESPONSE ||
+      reader->parser.status_code >= 200)
+    reader->no_body = FALSE;
 }
 
 HttpReaderState http_reader_state(const HttpReader *reader) {
--- a/http/reader.h
+++ b/http/reader.h
@@ -65,7 +65,8 @@
                             size_t body_bytes);
 
 /* States that the message being read has no body, whatever its head says (such
-** as the response to a HEAD request). Holds until http_reader_start_next. */
+** as the response to a HEAD request). Holds until http_reader_start_next, but
+** beyond interim responses. */
 void http_reader_expect_no_body(HttpReader *reader);
 
 /* Reads bytes and returns how many were consumed. This may be fewer than
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -139,21 +139,40 @@
   }
 }
 
-/* The parser takes any byte behind the CR for the end of the head. */
+/* The parser takes any byte behind a CR for the end of the line in the status
+** line and at the end of the head. */
 TEST(Reader, CarriageReturnAloneEndsNoHead) {
   for (size_t step : {1, 2, 1000}) {
-    for (const char *end :
-         {"\r\n\rX: 1\r\n\r\nabc", "\r\n\r\r\n", "\n\rabc"}) {
+    for (const char *bytes :
+         {"HTTP/1.1 200 OK\r\nA: b\r\n\rX: 1\r\n\r\nabc",
+          "HTTP/1.1 200 OK\r\nA: b\r\n\r\r\n",
+          "HTTP/1.1 200 OK\r\nA: b\n\rabc", "HTTP/1.1 200 OK\rX\r\nabc",
+          "HTTP/1.1 200\rX\r\nabc"}) {
       Reading r(HTTP_RESPONSES);
-      r.feed(std::string("HTTP/1.1 200 OK\r\nA: b") + end, step);
+      r.feed(bytes, step);
       http_reader_handle_eof(r.reader);
-      EXPECT_EQ(r.state(), HTTP_READER_FAILED) << end;
-      EXPECT_EQ(http_reader_error(r.reader), HTTP_ERROR_SYNTAX) << end;
-      EXPECT_EQ(r.head, nullptr) << end;
+      EXPECT_EQ(r.state(), HTTP_READER_FAILED) << bytes;
+      EXPECT_EQ(http_reader_error(r.reader), HTTP_ERROR_SYNTAX) << bytes;
+      EXPECT_EQ(r.head, nullptr) << bytes;
     }
   }
 }
 
+/* The answer to a HEAD request waited for a body that never comes. */
+TEST(Reader, NoBodyIsExpectedBeyondInterimResponses) {
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+  Reading r(HTTP_RESPONSES);
+  http_reader_expect_no_body(r.reader);
+  r.feed("HTTP/1.1 103 Early Hints\r\n\r\n");
+  ASSERT_EQ(r.state(), HTTP_READER_DONE);
+  http_reader_start_next(r.reader);
+  r.feed(head);
+  ASSERT_EQ(r.state(), HTTP_READER_DONE);
+  http_reader_start_next(r.reader);
+  r.feed(head);
+  EXPECT_EQ(r.state(), HTTP_READER_PARTIAL);
+}
+
 TEST(Reader, NameOfTheChunkedCodingIsReadInAnyCase) {
   for (const char *coding : {"chunked", "Chunked", "CHUNKED "}) {
     Reading r(HTTP_RESPONSES);
