Test of a carrier that is cut within what it sends; files of the tests split

A hand-written carrier closes, half-closes or resets its connection at each byte of its verdict, of the endpoint's bytes and of their end, for an answer without a length: whole only behind the last byte. No fault was found. The forms are moved to cut_responses.h, and the tests of the store and of the own interface to test_cut_calls.cc.

--- a/test/test_cut_answers.cc
+++ b/test/test_cut_answers.cc
@@ -1,7 +1,8 @@
 /*
 ** test_cut_answers.cc
-** Responses that are cut at each byte of their head or body, or whose framing
-** is not known: nothing of them may count as whole. Raw peers on loopback.
+** Responses of endpoints that are cut at each byte of their head or body, or
+** whose framing is not known: nothing of them may count as whole. Raw peers on
+** loopback.
 */
 
 #include <gtest/gtest.h>
@@ -9,102 +10,30 @@
 #include <csignal>
 #include <map>
 
+#include "cut_responses.h"
 #include "loopback.h"
 
 extern "C" {
-#include "http/reader.h"
 #include "io/carry_server.h"
 #include "io/endpoint_links.h"
-#include "io/http.h"
-#include "io/store_link.h"
+#include "io/record_stream.h"
 #include "platform/platform.h"
+#include "wire/rpc.h"
 }
 
+using cut::End;
+using cut::end_name;
+using cut::Form;
+using cut::forms;
+using cut::Framing;
+using cut::may_be_whole;
+using cut::Response;
+using cut::response;
 using loopback::Listener;
 using loopback::Peer;
 
 namespace {
 
-/* How a peer ends its connection. */
-enum class End { CLOSE, RESET, HALF_CLOSE, SILENCE };
-
-const std::vector<End> all_ends = {End::CLOSE, End::RESET, End::HALF_CLOSE,
-                                   End::SILENCE};
-
-const char *end_name(End end) {
-  static const char *const names[] = {"close", "reset", "half-close",
-                                      "silence, then close"};
-  return names[static_cast<int>(end)];
-}
-
-/* How the head of a response delimits its body. */
-enum class Framing { LENGTH, CHUNKED, CLOSE, UNKNOWN };
-
-struct Form {
-  std::string name;
-  Framing framing;
-  std::string before;  /* interim responses */
-  std::string version; /* of the protocol */
-  std::string field;   /* of the framing */
-};
-
-const std::vector<Form> forms = {
-    {"length", Framing::LENGTH, "", "1.1", ""},
-    {"chunked", Framing::CHUNKED, "", "1.1", "Transfer-Encoding: chunked\r\n"},
-    {"neither", Framing::CLOSE, "", "1.1", ""},
-    {"neither, HTTP/1.0", Framing::CLOSE, "", "1.0", ""},
-    {"length, HTTP/1.0", Framing::LENGTH, "", "1.0", ""},
-    {"chunked, HTTP/1.0", Framing::UNKNOWN, "", "1.0",
-     "Transfer-Encoding: chunked\r\n"},
-    {"chun", Framing::UNKNOWN, "", "1.1", "Transfer-Encoding: chun\r\n"},
-    {"gzip", Framing::UNKNOWN, "", "1.1", "Transfer-Encoding: gzip\r\n"},
-    {"gzip, chunked", Framing::UNKNOWN, "", "1.1",
-     "Transfer-Encoding: gzip, chunked\r\n"},
-    {"empty coding", Framing::UNKNOWN, "", "1.1", "Transfer-Encoding: \r\n"},
-    {"interim, length", Framing::LENGTH, "HTTP/1.1 100 Continue\r\n\r\n",
-     "1.1", ""},
-    {"interim, neither", Framing::CLOSE,
-     "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "1.1", ""},
-};
-
-std::string chunk(const std::string &bytes) {
-  char size[16];
-  g_snprintf(size, sizeof size, "%zx", bytes.size());
-  return std::string(size) + "\r\n" + bytes + "\r\n";
-}
-
-struct Response {
-  std::string text;
-  size_t body_at; /* offset of the first byte behind the head */
-};
-
-Response response(const Form &form, const std::string &body, bool is_stream) {
-  Response out;
-  out.text = form.before + "HTTP/" + form.version +
-             " 200 OK\r\nServer-Stamp: s\r\nRequest-Id: r1\r\n" + form.field;
-  if (form.framing == Framing::LENGTH)
-    out.text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  if (is_stream)
-    out.text += "Content-Type: text/event-stream\r\n";
-  out.text += "\r\n";
-  out.body_at = out.text.size();
-  if (form.field.find("chunked") != std::string::npos)
-    out.text += chunk(body) + "0\r\n\r\n";
-  else
-    out.text += body;
-  return out;
-}
-
-/* May the first 'size' bytes of the response, followed by 'end', be whole? */
-bool may_be_whole(const Form &form, const Response &from, size_t size,
-                  End end) {
-  if (size < from.body_at || form.framing == Framing::UNKNOWN)
-    return false;
-  if (form.framing == Framing::CLOSE)
-    return end != End::RESET;
-  return size == from.text.size();
-}
-
 /* Dispatches to an endpoint, directly or carried, which cuts its responses. */
 struct CutAnswerTest : ::testing::Test {
   struct event_base *base = event_base_new();
@@ -385,6 +314,81 @@
   EXPECT_EQ(told.end, "timeout");
 }
 
+/* Adds a record to a text, as a carrier sends it. */
+void add_record(std::string &text, const std::string &content, bool is_last) {
+  struct evbuffer *from = evbuffer_new();
+  struct evbuffer *to = evbuffer_new();
+  evbuffer_add(from, content.data(), content.size());
+  record_write(to, from, is_last);
+  text.append(reinterpret_cast<const char *>(evbuffer_pullup(to, -1)),
+              evbuffer_get_length(to));
+  evbuffer_free(from);
+  evbuffer_free(to);
+}
+
+/* The carrier is written by hand: it stops within what it sends, or resets the
+** connection after the bytes of the endpoint and before their end. */
+struct CutCarrierTest : CutAnswerTest {
+  std::string verdict, bytes; /* what a carrier sends for a whole answer */
+
+  void SetUp() override {
+    CutAnswerTest::SetUp();
+    mp_Msg message = {};
+    char text[MP_DATAGRAM_MAX];
+    message.kind = MP_MSG_CARRY;
+    message.reply = 1;
+    message.seq = 1;
+    message.u.carry.verdict = CARRY_CONNECTED;
+    size_t size = rpc_encode(&message, text, sizeof text);
+    add_record(verdict, std::string(text, size), true);
+    add_record(bytes, response(forms[2], "four", false).text, false);
+    add_record(bytes, "", true);
+    carrier = endpoint.address;
+  }
+  /* Sends the first 'size' bytes of all that a carrier sends. */
+  Ended cut_carrier(size_t size, End end) {
+    Dispatch one = {};
+    endpoint.peers.clear();
+    ended.clear();
+    one.number = ++last;
+    one.request = last;
+    one.kind = DISPATCH_RUN;
+    one.address = one.via = carrier;
+    one.endpoint = "i-1";
+    one.life = 77;
+    one.deadline_ms = 60000;
+    one.connect_timeout = 1000 * MP_MS;
+    endpoint_links_send(links, &one, caller, body);
+    EXPECT_TRUE(wait([&] {
+      return !endpoint.peers.empty() && !endpoint.peers[0]->got.empty();
+    }));
+    Peer &peer = *endpoint.peers[0];
+    if (size > 0)
+      peer.send_text(verdict.substr(0, size));
+    if (size > verdict.size()) {
+      EXPECT_TRUE(
+          wait([&] { return peer.got.find("POST /a") != std::string::npos; }));
+      peer.send_text(bytes.substr(0, size - verdict.size()));
+    }
+    end_connection(peer, end);
+    return outcome();
+  }
+};
+
+TEST_F(CutCarrierTest, BytesCutAnywhereAreNoWholeAnswer) {
+  size_t whole = verdict.size() + bytes.size();
+  for (End end : {End::CLOSE, End::RESET, End::HALF_CLOSE}) {
+    for (size_t size = 0; size < whole; size++) {
+      OutcomeKind kind = cut_carrier(size, end).kind;
+      ASSERT_TRUE(kind == OUTCOME_BROKEN || kind == OUTCOME_UNREACHABLE)
+          << end_name(end) << " at " << size << " of " << whole;
+    }
+    Ended one = cut_carrier(whole, end);
+    EXPECT_EQ(one.kind, OUTCOME_ANSWER) << end_name(end);
+    EXPECT_EQ(one.bytes, "four") << end_name(end);
+  }
+}
+
 /*
 ** A reset that is found by writing is not reported to reading, which sees an
 ** end of the stream then: an answer without a length was taken for whole.
@@ -454,142 +458,4 @@
   }
 }
 
-/* A call to the store or a relay. */
-TEST(CutStoreReply, IsNotWhole) {
-  const std::string list = R"({"items":[],"more":false,"at":5})";
-  struct event_base *base = event_base_new();
-  Listener store;
-  struct Count {
-    int answered = 0, failed = 0;
-  } count;
-  auto on_reply = [](void *data, const StoreReply *reply, const GError *) {
-    auto *all = static_cast<Count *>(data);
-    (reply->status == STORE_OK ? all->answered : all->failed)++;
-  };
-  StoreLink *link = store_link_new(base, store.address,
-                                   &platform_dialect.store, on_reply, &count);
-  for (const Form &form : forms) {
-    Response from = response(form, list, false);
-    for (End end : {End::CLOSE, End::RESET}) {
-      for (size_t size = 0; size < from.text.size(); size++) {
-        StoreCall call = {};
-        call.operation = STORE_LIST;
-        count = {};
-        store.peers.clear();
-        store_link_call(link, &call, 1000 * MP_MS);
-        auto turn = [&] {
-          event_base_loop(base, EVLOOP_NONBLOCK);
-          store.work();
-        };
-        gint64 start = g_get_monotonic_time();
-        while (store.peers.empty() || store.peers[0]->got.empty()) {
-          turn();
-          ASSERT_LT(g_get_monotonic_time() - start, 2 * G_USEC_PER_SEC);
-        }
-        if (size > 0)
-          store.peers[0]->send_text(from.text.substr(0, size));
-        if (end == End::RESET)
-          store.peers[0]->reset();
-        else
-          store.peers[0]->close_now();
-        while (count.answered + count.failed == 0)
-          turn();
-        ASSERT_EQ(count.answered, 0)
-            << form.name << ", " << end_name(end) << " at " << size;
-      }
-    }
-  }
-  store_link_free(link);
-  event_base_free(base);
-}
-
-/* Calls of the product's own interface, to engines and its store. */
-struct OwnCallTest : ::testing::Test {
-  struct event_base *base = event_base_new();
-  Listener server;
-  struct Call {
-    int ends = 0;
-    int heads = 0;
-    HttpEnd end = HTTP_END_BROKEN;
-  };
-
-  void TearDown() override {
-    event_base_loop(base, EVLOOP_NONBLOCK);
-    event_base_free(base);
-  }
-  /* Makes a call that gets this response; returns how it ended. */
-  Call call(const std::string &text, End end) {
-    static const HttpHooks hooks = {[](void *data, int, struct evkeyvalq *) {
-                                      static_cast<Call *>(data)->heads++;
-                                    },
-                                    nullptr,
-                                    [](void *data, HttpEnd how, int) {
-                                      static_cast<Call *>(data)->end = how;
-                                      static_cast<Call *>(data)->ends++;
-                                    }};
-    Call one;
-    gint64 start = g_get_monotonic_time();
-    server.peers.clear();
-    HttpCall *made = http_call(base, server.address, EVHTTP_REQ_GET, "/",
-                               nullptr, nullptr, 0, &hooks, &one);
-    bool is_sent = false;
-    while (one.ends == 0 &&
-           g_get_monotonic_time() - start < 2 * G_USEC_PER_SEC) {
-      event_base_loop(base, EVLOOP_NONBLOCK);
-      server.work();
-      if (is_sent || server.peers.empty() || server.peers[0]->got.empty())
-        continue;
-      is_sent = true;
-      if (!text.empty())
-        server.peers[0]->send_text(text);
-      for (int i = 0; end == End::SILENCE && i < 20; i++)
-        event_base_loop(base, EVLOOP_NONBLOCK);
-      if (end == End::RESET)
-        server.peers[0]->reset();
-      else
-        server.peers[0]->close_now();
-    }
-    EXPECT_EQ(one.ends, 1);
-    if (one.ends == 0)
-      http_abort(made);
-    event_base_loop(base, EVLOOP_NONBLOCK);
-    return one;
-  }
-};
-
-/* With a transfer coding that was not known, a response was read up to the
-** close and counted as whole. */
-TEST_F(OwnCallTest, ResponseCutAtAnyByteIsNotWhole) {
-  for (const Form &form : forms) {
-    if (form.name == "interim, neither")
-      continue; /* evhttp skips interim responses of status 100 only */
-    Response from = response(form, "four", false);
-    for (End end : {End::CLOSE, End::RESET, End::SILENCE}) {
-      for (size_t size = 0; size <= from.text.size(); size++) {
-        Call one = call(from.text.substr(0, size), end);
-        bool is_whole = one.end == HTTP_END_OK;
-        if (!may_be_whole(form, from, size, end)) {
-          ASSERT_FALSE(is_whole)
-              << form.name << ", " << end_name(end) << " at " << size << " of "
-              << from.text.size();
-        } else if (size == from.text.size() && end == End::SILENCE) {
-          EXPECT_TRUE(is_whole) << form.name;
-        }
-      }
-    }
-  }
-}
-
-/* An interim response was taken for the response to the call. */
-TEST_F(OwnCallTest, InterimResponseIsNoResponse) {
-  for (const char *before :
-       {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
-    for (End end : {End::CLOSE, End::RESET}) {
-      Call one = call(before, end);
-      EXPECT_NE(one.end, HTTP_END_OK) << before << end_name(end);
-      EXPECT_EQ(one.heads, 0) << before << end_name(end);
-    }
-  }
-}
-
 } // namespace
