E8034 has a line for a request that a half-closed connection discards

Callers saw: a request that they sent on a kept connection got neither an answer nor a refusal, and no log line said so.

Cause: a connection that lingers reads its input and discards it without looking at it.

Change: input that follows a whole request is parsed while it is discarded. A whole request is logged at once as E8034 reason=discarded with its id; a part of one when the connection is closed, with the id if the head was whole. The rest of a body whose request was refused is no request and has no line. madderpier_responses_lost_total has the reason too. scripts/lost_responses.py lists such a request as one without an excuse.

Why this works: the reader of the connection stops exactly behind the request that was answered, so what follows is the next request.

--- a/io/close_reason.h
+++ b/io/close_reason.h
@@ -17,6 +17,8 @@
   CLOSE_UNREAD_MAX,  /* too many bytes of a stream were unread */
   CLOSE_FLOW,        /* flow control has aborted it (FlowReason) */
   CLOSE_SENDS_ON,    /* the caller sent on for too long after its response */
+  CLOSE_DISCARDED,   /* it was half-closed, and a request on it was read and
+                     ** discarded */
   CLOSE_PROCESS_END, /* the process ends */
   CLOSE_REASON_COUNT
 } CloseReason;
--- a/io/front.c
+++ b/io/front.c
@@ -46,10 +46,11 @@
 
 static void on_read(struct bufferevent *events, void *data) {
   Connection *connection = data;
+  (void)events;
   if (connection->state == CONNECTION_READING)
     connection_read_request(connection);
   else if (connection->state == CONNECTION_LINGERING) {
-    evbuffer_drain(bufferevent_get_input(events), READ_AHEAD);
+    connection_discard_input(connection);
     if (clock_now() >= connection->lingers_until)
       connection_close(connection, CLOSE_SENDS_ON);
   }
--- a/io/front.h
+++ b/io/front.h
@@ -51,7 +51,8 @@
   ** stop. 'id' is NULL if its head had not arrived or is invalid. */
   void (*stopped)(void *data, const char *id);
   /* A response is lost with its connection. If its request is open, 'hangup'
-  ** follows, but not when the server is freed. */
+  ** follows, but not when the server is freed. Also for a request that a
+  ** half-closed connection has read and discarded (CLOSE_DISCARDED). */
   void (*cut)(void *data, const FrontCut *cut);
 } FrontHooks;
 
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -118,10 +118,22 @@
   return connection->is_broken_off ? CLOSE_BROKEN_OFF : reason;
 }
 
+/* Reports a request, or the part of one that has arrived, that is read and
+** discarded. */
+static void report_discarded(const Connection *connection) {
+  Front *front = connection->front;
+  FrontCut cut = {CLOSE_DISCARDED, connection->head, TRUE, 0, 0};
+  front->lost[cut.reason]++;
+  front->hooks.cut(front->hooks.data, &cut);
+}
+
 void connection_report_loss(const Connection *connection, CloseReason reason) {
   Front *front = connection->front;
   gboolean is_open = connection->number != 0;
   FrontCut cut = {0};
+  if (connection->discards_requests &&
+      http_reader_state(connection->reader) == HTTP_READER_PARTIAL)
+    report_discarded(connection);
   cut.reason = first_reason(connection, reason);
   cut.head = is_open ? connection->head : connection->answered;
   cut.is_unfinished = is_open || connection->is_broken_off;
@@ -232,14 +244,38 @@
          connection_has_input(connection);
 }
 
+void connection_discard_input(Connection *connection) {
+  struct evbuffer *in = bufferevent_get_input(connection->events);
+  HttpReader *reader = connection->reader;
+  while (connection->discards_requests && evbuffer_get_length(in) > 0) {
+    size_t size = evbuffer_get_contiguous_space(in);
+    const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
+    evbuffer_drain(in, http_reader_feed(reader, bytes, size));
+    if (http_reader_state(reader) == HTTP_READER_FAILED)
+      connection->discards_requests = FALSE;
+    if (http_reader_state(reader) != HTTP_READER_DONE)
+      continue;
+    report_discarded(connection);
+    http_head_free(connection->head);
+    connection->head = NULL;
+    http_reader_start_next(reader);
+  }
+  evbuffer_drain(in, evbuffer_get_length(in));
+}
+
 /* Half-closes a connection, and begins to discard its input. */
 static void linger(Connection *connection) {
+  HttpReaderState state = http_reader_state(connection->reader);
   connection->state = CONNECTION_LINGERING;
+  if (state == HTTP_READER_DONE)
+    http_reader_start_next(connection->reader);
+  connection->discards_requests =
+      state == HTTP_READER_DONE || state == HTTP_READER_IDLE;
   connection->lingers_until = clock_now() + LINGER_MAX;
   shutdown(bufferevent_getfd(connection->events), SHUT_WR);
   connection_set_read_timeout(connection, LINGER_SECONDS * MP_SEC);
   bufferevent_enable(connection->events, EV_READ); /* a timeout disables it */
-  evbuffer_drain(bufferevent_get_input(connection->events), READ_AHEAD);
+  connection_discard_input(connection);
 }
 
 /* Reads the next request, after the response to the one before. */
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -79,6 +79,8 @@
   FlowConnection *flow; /* NULL: flow control is off */
   gint64 body_held_at;  /* since when its body is held back; 0: it is not */
   gint64 lingers_until; /* when a connection that discards input is closed */
+  gboolean discards_requests; /* it lingers after a whole request, so that its
+                              ** input is a next request */
   gint64 accepted_at;
   IntakeConnection intake;
 } Connection;
@@ -152,6 +154,10 @@
 ** the connection and discard both.
 */
 gboolean connection_waits_for_reader(const Connection *connection);
+/* Discards the input of a connection that lingers. A next request in it is
+** reported (CLOSE_DISCARDED) when it is whole, or a part of it when the
+** connection is closed: its caller hears nothing of it. */
+void connection_discard_input(Connection *connection);
 /* Has the caller sent bytes that are not parsed yet? */
 gboolean connection_has_input(const Connection *connection);
 /* Have bytes of a request arrived that are yet to be read? When the event loop
--- a/io/front_request.c
+++ b/io/front_request.c
@@ -56,7 +56,9 @@
   Connection *connection = data;
   http_head_free(connection->head);
   connection->head = head;
-  begin_body(connection);
+  if (connection->state !=
+      CONNECTION_LINGERING) /* otherwise it is discarded */
+    begin_body(connection);
 }
 
 /* Counts a body whose size was not announced. */
@@ -69,6 +71,8 @@
 
 static void on_body(void *data, const char *bytes, size_t size) {
   Connection *connection = data;
+  if (connection->state == CONNECTION_LINGERING)
+    return;
   g_byte_array_append(connection->body, (const guint8 *)bytes, (guint)size);
   count_body(connection);
 }
--- a/scripts/lost_responses.py
+++ b/scripts/lost_responses.py
@@ -4,7 +4,8 @@
     scripts/lost_responses.py LOG [LOG...]
 
 LOG is what all instances logged (`--log all` of a run of the users' bench);
-each line begins with the seconds and the instance. A lost response (E8034) is
+each line begins with the seconds and the instance. A request that was read and
+discarded (E8034 `discarded`) has no excuse. Another lost response (E8034) is
 excused if
 
   stop      it was broken off in the last sixth of the time until the kill,
@@ -66,6 +67,8 @@
     def excuse(self, at, instance, fields):
         """Returns the excuse of a lost response, or None."""
         key = instance, fields["request"]
+        if fields["reason"] == "discarded":
+            return None
         if fields["reason"] == "caller":
             return "caller"
         accepted, left = self.requests.get(key, (None, None))
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -949,6 +949,9 @@
          connection_has_input(connection);' 'return FALSE;'
 m s-linger "callers: discarding input ends" io/front.c \
   'if (clock_now() >= connection->lingers_until)' 'if (FALSE)'
+m s-discard "callers: a request that is discarded is reported" \
+  io/front_connection.c '    report_discarded(connection);
+    http_head_free' '    http_head_free'
 m s-abort "callers: what was sent of a stream that is broken off arrives" \
   io/front.c \
   '  connection->lingers |= http_reader_keep_alive(connection->reader);
--- a/test/test_close_reasons.cc
+++ b/test/test_close_reasons.cc
@@ -267,6 +267,52 @@
   EXPECT_TRUE(losses[0].is_unfinished);
 }
 
+/* Guards against a request that is read and discarded without a trace. */
+TEST_F(CloseReasons, ARequestThatAHalfClosedConnectionDiscards) {
+  front_drain(front);
+  send("r-1");
+  answer("first");
+  ASSERT_TRUE(wait([&] { return caller->ended; }));
+  caller->send_text("POST /safe/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r-2\r\n"
+                    "Deadline-Ms: 9000\r\nModel: m\r\n"
+                    "Content-Length: 4\r\n\r\nbody");
+  EXPECT_TRUE(wait([&] { return !losses.empty(); }));
+  expect_one(CLOSE_DISCARDED, "r-2");
+  EXPECT_TRUE(losses[0].is_unfinished);
+}
+
+/* The same for a part of one, when the connection is closed. */
+TEST_F(CloseReasons, APartOfARequestThatAHalfClosedConnectionDiscards) {
+  front_drain(front);
+  send("r-1");
+  answer("first");
+  ASSERT_TRUE(wait([&] { return caller->ended; }));
+  caller->send_text("POST /safe/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r-2\r\n");
+  caller->send_text("Deadline-Ms: 9000\r\n");
+  turns(20);
+  EXPECT_TRUE(losses.empty());
+  caller->close_now();
+  EXPECT_TRUE(wait([&] { return !losses.empty(); }));
+  expect_one(CLOSE_DISCARDED, "-");
+}
+
+/* Guards against a line for the rest of a body whose request was refused. */
+TEST_F(CloseReasons, TheRestOfABodyIsNoDiscardedRequest) {
+  const std::string rest = "GET /safe/1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  caller->send_text("POST /safe/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\n"
+                    "Deadline-Ms: 9000\r\nModel: m\r\n"
+                    "Content-Length: 5000\r\n\r\n");
+  turns(20);
+  front_drain(front);
+  front_stop_receiving(front);
+  ASSERT_TRUE(wait([&] { return caller->ended; }));
+  caller->send_text(rest);
+  turns(20);
+  caller->close_now();
+  EXPECT_TRUE(wait([&] { return front_unsent(front).lingering == 0; }));
+  EXPECT_TRUE(losses.empty());
+}
+
 /* Guards against the end of a connection (FIN) that counts as a byte of its
 ** response: callers may acknowledge it 40 ms later. */
 TEST_F(CloseReasons, TheEndOfAConnectionIsNoUnacknowledgedByte) {
