--- a/io/front_request.c
+++ b/io/front_request.c
@@ -56,7 +56,9 @@
   Connection *connection = data;
   http_head_free(connection->head);
   connection->head = head;
-  begin_body(connection);
+  if (connection->state !=
+      CONNECTION_LINGERING) /* otherwise it is discarded */
+    begin_body(connection);
 }
 
 /* Counts a body whose size was not announced. */
@@ -69,6 +71,8 @@
 
 static void on_body(void *data, const char *bytes, size_t size) {
   Connection *connection = data;
+  if (connection->state == CONNECTION_LINGERING)
+    return;
   g_byte_array_append(connection->body, (const guint8 *)bytes, (guint)size);
   count_body(connection);
 }
@@ -77,6 +81,7 @@
 static void submit_request(Connection *connection) {
   Front *front = connection->front;
   connection->state = CONNECTION_OPEN;
+  connection->held_until = 0;
   connection->number = ++front->last_number;
   g_hash_table_insert(front->open, &connection->number, connection);
   intake_begin_request(front->intake, &connection->intake);
@@ -199,7 +204,8 @@
     return;
   }
   connection_begin_limits(connection);
-  if (connection_unsent(connection) == 0) /* otherwise it does not run yet */
+  if (connection_unsent(connection) == 0 && /* otherwise it does not run yet */
+      connection->held_until == 0)
     connection_change_read_timeout(connection, before,
                                    connection->limits.idle_timeout);
 }
