A silent run at a sound path is waited for, for up to 1.6 s

Callers saw safe requests repeated, and resumable streams resumed elsewhere, because a sound endpoint paused for 0.1 to 1.5 s: an extra arrival of the retry budget and the work broken off for each pause.

Cause: silence_deadline, silence_head_timeout and silence_piece_timeout are multiples of a route's objective and pauses, and nothing asked whether the endpoint is still there.

Ruled out: a second run beside the first costs the same retry and two runs, and of a stream only one may go on; to act on silence never loses what hangs (docs/design/endless-answers.md, "Runs that are silent and may be replaced").

Change: after the time-out the path is checked by a new connection, and the run is waited for while such connections are made, until 1.6 s of silence at most and while the caller's time does for another run. Runs at one endpoint share checks.

Why this works: a sound endpoint's kernel accepts while its process pauses; a lost one's does not.

Conclusion: no answer is ended for silence alone below 1.6 s. An endpoint that hangs while its kernel accepts is left later than before where the objective is below 0.64 s (safe) or 0.94 s (streams).

--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -11,6 +11,7 @@
 #include "router/continuation.h"
 #include "router/retry_exchange.h"
 #include "router/silence.h"
+#include "router/silent_run.h"
 #include "router/state.h"
 
 /* A request ends after this many RUN dispatches that reached no endpoint,
@@ -139,9 +140,11 @@
 /* Silence alone ends no request: the run goes on if it cannot be replaced. */
 void outcomes_handle_stall(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint = path_open_endpoint(router, request);
-  if (endpoint != NULL)
+  gboolean is_new = silent_run_is_new(request);
+  gboolean is_awaited = silent_run_is_awaited(router, request, now);
+  if (endpoint != NULL && (is_new || !is_awaited))
     endpoint_note_failure(endpoint, now);
-  if (!replace_run(router, request, TRUE, now))
+  if (!is_awaited && !replace_run(router, request, TRUE, now))
     request->stall_at = now + STALL_RECHECK;
 }
 
@@ -254,6 +257,7 @@
 
 /* Has the path checked if the stream pauses from now on. */
 static void expect_piece(Request *request, gint64 now) {
+  silent_run_note_heard(request);
   request->path_check_at = now + silence_check_after(request);
 }
 
@@ -263,7 +267,7 @@
   if (endpoint != NULL && request->open.via == 0)
     reach_note_silence(router->reach, endpoint,
                        now - silence_check_after(request), now);
-  expect_piece(request, now);
+  request->path_check_at = now + silence_check_after(request);
 }
 
 /* Passes a piece of a stream on. */
--- a/router/path.c
+++ b/router/path.c
@@ -18,6 +18,7 @@
 #include "router/gate.h"
 #include "router/retry_exchange.h"
 #include "router/silence.h"
+#include "router/silent_run.h"
 #include "router/state.h"
 
 /* The connect timeout is Route.objective, the time within which an answer of
@@ -332,6 +333,7 @@
   }
   if (request->service->is_engine && request->handle == NULL)
     router_count(router, PREFILLS_AT_DECODE);
+  silent_run_note_heard(request);
   request->stall_at = silence_deadline(request, now);
   request->suspect_at = now + silence_suspect_after(request);
 }
--- a/router/router.c
+++ b/router/router.c
@@ -13,6 +13,7 @@
 #include "router/continuation.h"
 #include "router/retry_exchange.h"
 #include "router/silence.h"
+#include "router/silent_run.h"
 #include "router/state.h"
 
 /* A request is ended this long before its caller stops waiting, so that the
@@ -450,6 +451,7 @@
   Request *request = g_hash_table_lookup(router->requests, &number);
   if (request == NULL || request->phase != PHASE_RUN || !request->head_sent)
     return;
+  silent_run_note_heard(request);
   if (request->stall_at != 0)
     request->stall_at =
         MAX(request->stall_at, now + silence_piece_timeout(request));
--- a/router/silence.c
+++ b/router/silence.c
@@ -46,14 +46,19 @@
   return MAX(PIECE_SILENCE_GAPS * request->route->gap, SILENCE_MIN);
 }
 
+gint64 silence_timeout(const Request *request) {
+  double wait = SAFE_SILENCE_OBJECTIVES * (double)request->route->objective;
+  if (request->run_piece_at != 0)
+    return silence_piece_timeout(request);
+  if (request->route->kind == ROUTE_STREAM)
+    return silence_head_timeout(request);
+  return MAX((gint64)wait, 100 * MP_MS);
+}
+
 gint64 silence_deadline(const Request *request, gint64 now) {
-  gint64 wait;
   if (!request->repeatable || request->runs + 1 >= request->route->attempts)
     return 0;
-  if (request->route->kind == ROUTE_STREAM)
-    return now + silence_head_timeout(request);
-  wait = (gint64)(SAFE_SILENCE_OBJECTIVES * (double)request->route->objective);
-  return now + MAX(wait, 100 * MP_MS);
+  return now + silence_timeout(request);
 }
 
 gint64 silence_suspect_after(const Request *request) {
--- a/router/silence.h
+++ b/router/silence.h
@@ -10,10 +10,14 @@
 
 /*
 ** Timeout before the head of a stream, and between two of its pieces. A stream
-** is then resumed on another endpoint, if that is allowed.
+** is then resumed on another endpoint, if that is allowed and the run is not
+** waited for (silent_run.h).
 */
 gint64 silence_head_timeout(const Request *request);
 gint64 silence_piece_timeout(const Request *request);
+/* Returns how long the open run may have been silent at Request.stall_at, when
+** silent_run.h first asks whether it is replaced. */
+gint64 silence_timeout(const Request *request);
 /*
 ** Returns the time at which the endpoint's silence counts as a failure, for a
 ** dispatch that begins at 'now'; 0: never.
--- a/router/state.h
+++ b/router/state.h
@@ -106,9 +106,9 @@
                          ** before; 0 without Router.overload_control */
   mp_Addr via;           /* as Dispatch.via */
   gint64 sent;           /* when */
-  gint64 patience_until; /* PREFILL: a silent one at an endpoint that can be
-                         ** connected to is replaced then; 0: it is not late
-                         ** yet */
+  gint64 patience_until; /* a silent one at an endpoint that can be connected
+                         ** to is replaced then; 0: it is not late yet, or has
+                         ** been heard since */
 } OpenDispatch;
 
 /* The most instances, beside the one where a stream began, that are told of
--- /dev/null
+++ b/test/test_silent_runs.cc
@@ -0,0 +1,166 @@
+/*
+** test_silent_runs.cc
+** Runs that may be replaced, at endpoints that fall silent and go on
+**
+** A sound endpoint may be silent for 1.5 s. A run that is given up for that
+** costs an extra arrival and the work that was done; one that waits at an
+** endpoint that is lost costs its caller the answer.
+*/
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "router_world.h"
+
+using routing::ms;
+using routing::second;
+
+namespace {
+
+/* /safe/ and /resume/ have an objective of 0.2 s and two attempts each. */
+struct SilentRuns : ::testing::Test {
+  routing::World world;
+  size_t checked = 0;
+
+  void SetUp() override {
+    world.add_default_endpoints();
+    world.configure(2, 10 * second, 200 * ms);
+  }
+  /* Each check has this outcome; nullopt: none. */
+  void pass(gint64 time, std::optional<OutcomeKind> check = OUTCOME_ANSWER) {
+    for (gint64 passed = 0; passed < time; passed += 10 * ms) {
+      world.advance(10 * ms);
+      for (; check && checked < world.checks.size(); checked++)
+        world.outcome(world.checks[checked].number, *check);
+    }
+  }
+  guint64 safe(gint64 deadline_ms = 10000) {
+    return world.request("/safe/x", deadline_ms);
+  }
+  /* A stream that has its head, and 'pieces' pieces. */
+  guint64 stream(int pieces = 1, gint64 deadline_ms = 10000) {
+    guint64 request = world.request("/resume/x", deadline_ms);
+    if (world.last().kind == DISPATCH_PREFILL)
+      world.prefilled(world.last().number);
+    guint64 run = world.last().number;
+    EXPECT_EQ(world.last().kind, DISPATCH_RUN);
+    world.outcome(run, OUTCOME_STREAM_HEAD);
+    for (int i = 1; i <= pieces; i++)
+      world.piece(run, std::to_string(i).c_str());
+    return request;
+  }
+  /* How long it takes until the open run is given up; 9 s: it is not. */
+  gint64 time_until_left(std::optional<OutcomeKind> check) {
+    guint64 run = world.last().number;
+    gint64 from = world.now;
+    while (!world.sent(run).cancelled && world.now < from + 9 * second)
+      pass(10 * ms, check);
+    return world.now - from;
+  }
+  void expect_open(guint64 request, guint64 run) {
+    EXPECT_FALSE(world.sent(run).cancelled);
+    EXPECT_EQ(world.end(request).ends(), 0);
+    EXPECT_LE(world.runs(request), 1u);
+  }
+};
+
+TEST_F(SilentRuns, ASafeRequestIsNotRepeatedForAPause) {
+  guint64 request = safe(), run = world.last().number;
+  pass(1550 * ms);
+  expect_open(request, run);
+  world.outcome(run, OUTCOME_ANSWER);
+  EXPECT_EQ(world.end(request).answers, 1);
+}
+
+TEST_F(SilentRuns, AStreamIsNotResumedElsewhereForAPauseAfterItsHead) {
+  guint64 request = stream(0), run = world.last().number;
+  pass(1550 * ms);
+  expect_open(request, run);
+}
+
+/* Each pause counts by itself. */
+TEST_F(SilentRuns, AStreamIsNotResumedElsewhereForPausesBetweenPieces) {
+  guint64 request = stream(), run = world.last().number;
+  for (int piece = 2; piece < 5; piece++) {
+    pass(1550 * ms);
+    expect_open(request, run);
+    world.piece(run, std::to_string(piece).c_str());
+  }
+  world.outcome(run, OUTCOME_STREAM_END);
+  EXPECT_EQ(world.end(request).answers, 1);
+  EXPECT_EQ(world.end(request).events.size(), 4u);
+}
+
+/* A stop, a change of the configuration, and both, with the pause across. */
+TEST_F(SilentRuns, NoRunIsGivenUpForAPauseBesidePlannedWork) {
+  for (int work = 1; work < 4; work++) {
+    SCOPED_TRACE(work);
+    guint64 plain = safe(), plain_run = world.last().number;
+    guint64 streamed = stream(), stream_run = world.last().number;
+    pass(300 * ms);
+    if ((work & 1) != 0)
+      world.configure(static_cast<guint64>(work) + 2, 10 * second, 200 * ms);
+    if ((work & 2) != 0)
+      router_begin_stop(world.router, world.now + 7600 * ms, world.now);
+    pass(1250 * ms);
+    expect_open(plain, plain_run);
+    expect_open(streamed, stream_run);
+    world.outcome(plain_run, OUTCOME_ANSWER);
+    world.piece(stream_run, "2");
+    world.outcome(stream_run, OUTCOME_STREAM_END);
+    EXPECT_EQ(world.end(plain).answers, 1);
+    EXPECT_EQ(world.end(streamed).answers, 1);
+  }
+}
+
+/* Guards against a wait without end for an endpoint that hangs. */
+TEST_F(SilentRuns, ARunThatHangsAtASoundPathIsLeftAfterTheLongestPause) {
+  safe();
+  gint64 time = time_until_left(OUTCOME_ANSWER);
+  EXPECT_GE(time, 1600 * ms);
+  EXPECT_LE(time, 1700 * ms);
+  stream();
+  time = time_until_left(OUTCOME_ANSWER);
+  EXPECT_GE(time, 1600 * ms);
+  EXPECT_LE(time, 1700 * ms);
+}
+
+/* Guards against endpoints that are lost being waited for like sound ones:
+** 0.5 s (safe) and 0.9 s (three pauses) of silence, and one check. */
+TEST_F(SilentRuns, ARunIsLeftSoonWhereThePathIsLost) {
+  for (std::optional<OutcomeKind> check :
+       {std::optional<OutcomeKind>(OUTCOME_UNREACHABLE),
+        std::optional<OutcomeKind>()}) {
+    SCOPED_TRACE(check.has_value());
+    safe();
+    EXPECT_LE(time_until_left(check), 870 * ms);
+    stream();
+    EXPECT_LE(time_until_left(check), 1270 * ms);
+  }
+}
+
+/* Guards against one sound check that covers the whole silence. */
+TEST_F(SilentRuns, ARunIsLeftSoonAfterItsPathIsLost) {
+  guint64 request = safe(), run = world.last().number;
+  pass(700 * ms);
+  expect_open(request, run);
+  EXPECT_LE(time_until_left(OUTCOME_UNREACHABLE), 650 * ms);
+}
+
+/* Guards against a caller whose deadline passes while an endpoint pauses: a
+** second run has 0.5 s. */
+TEST_F(SilentRuns, ARunIsLeftWhileTheDeadlineLeavesTime) {
+  safe(1500);
+  EXPECT_LE(time_until_left(OUTCOME_ANSWER), 1000 * ms);
+}
+
+/* Guards against checks that cost a connection for each silent run. */
+TEST_F(SilentRuns, RunsAtOneEndpointShareItsChecks) {
+  for (int i = 0; i < 20; i++)
+    safe();
+  pass(1500 * ms);
+  EXPECT_LE(world.checks.size(), 2u * 4u);
+}
+
+} // namespace
