--- a/router/router.c
+++ b/router/router.c
@@ -14,6 +14,7 @@
 #include "router/origin_store.h"
 #include "router/retry_exchange.h"
 #include "router/silence.h"
+#include "router/silent_run.h"
 #include "router/software_set.h"
 #include "router/state.h"
 #include "router/waiting_order.h"
@@ -456,6 +457,7 @@
   Request *request = g_hash_table_lookup(router->requests, &number);
   if (request == NULL || request->phase != PHASE_RUN || !request->head_sent)
     return;
+  silent_run_note_heard(request);
   if (request->stall_at != 0)
     request->stall_at =
         MAX(request->stall_at, now + silence_piece_timeout(request));
