Origins in the store: sixteen objects for each recorder in turn, a second each

What callers would have seen: at the plan's size, recorders that write all unexpired origins for each new one: late acknowledgements, first pieces held for the full 80 ms, and a store that carries the square of the streams.

Cause: one object for each recorder held the origins of 16 s.

Ruled out: a longer pause between writes (first pieces wait for them), and dropping origins of streams that ended well (their last bytes may not have reached the caller).

Change: a recorder's object takes the origins of one second; sixteen are used in turn, one call at a time over all. A failed call stops the calls and the waits of all of them.

Evidence (-O0 build): RecorderTest, OriginSlices and OriginStoreTest, 28 tests, pass.

Conclusion: a write now repeats the origins of the present second only.

--- a/io/origin_links.c
+++ b/io/origin_links.c
@@ -17,6 +17,9 @@
 ** none of them. */
 #define LIST_TIMEOUT (500 * MP_MS)
 
+/* size of an object's name with the final NUL */
+#define NAME_SIZE 256
+
 struct OriginLinks {
   const Dialect *dialect;
   Router *router;
@@ -46,17 +49,38 @@
   return FALSE;
 }
 
+/* Writes the name of one of this instance's objects to 'out'. */
+static void object_name(const OriginLinks *links, guint slice,
+                        char out[NAME_SIZE]) {
+  g_snprintf(out, NAME_SIZE, "%s-%u", links->instance, slice);
+}
+
+/* Returns the number of this instance's object of that name; -1: it is of
+** another instance. */
+static gint own_slice(const OriginLinks *links, const char *name) {
+  char own[NAME_SIZE];
+  guint i;
+  for (i = 0; i < ORIGIN_SLICES; i++) {
+    object_name(links, i, own);
+    if (strcmp(name, own) == 0)
+      return (gint)i;
+  }
+  return -1;
+}
+
 /*
 ** {==================================================================
-** The object of this instance
+** The objects of this instance
 ** ===================================================================
 */
 
 static void start_save(OriginLinks *links, OriginsSave *save) {
+  char name[NAME_SIZE];
   StoreCall call = {0};
   call.kind = STORE_ORIGINS;
   call.operation = save->operation;
-  call.name = links->instance;
+  object_name(links, save->slice, name);
+  call.name = name;
   call.position = save->position;
   call.origins = &save->record;
   links->operation = save->operation;
@@ -113,8 +137,7 @@
     last = &g_array_index(reply->objects, StoreObject, i);
     if (!read_object(links, last, &record))
       continue;
-    router_origins_listed(links->router, &record,
-                          strcmp(last->name, links->instance) == 0,
+    router_origins_listed(links->router, &record, own_slice(links, last->name),
                           clock_now());
     stream_origins_record_clear(&record);
   }
--- a/io/origin_links.h
+++ b/io/origin_links.h
@@ -2,7 +2,7 @@
 ** origin_links.h
 ** Makes the calls to the store about where streams began
 **
-** One link writes the object of this instance, another one lists those of all
+** One link writes the objects of this instance, another one lists those of all
 ** instances (router/origin_store.h). Used by gateway.c.
 */
 
--- a/router/origin_recorder.c
+++ b/router/origin_recorder.c
@@ -169,7 +169,8 @@
   if (out->operation != STORE_READ) {
     out->record = write_rows(recorder, now);
     recorder->next_call_at =
-        now + MAX(CALL_INTERVAL, out->record.origins->len * ROW_INTERVAL);
+        now +
+        MAX(CALL_INTERVAL, (gint64)out->record.origins->len * ROW_INTERVAL);
     recorder->sent_change = recorder->change;
     recorder->is_filled = out->record.origins->len > 0;
   }
--- a/router/origin_recorder.h
+++ b/router/origin_recorder.h
@@ -3,10 +3,12 @@
 ** Keeps in one object of the store where streams began
 **
 ** The instances of a data centre send the origins of streams to one of them,
-** the recorder, which writes all that have not expired as one object of its
-** own. It acknowledges an origin only after the store has acknowledged a write
+** the recorder, which writes them to objects of its own (origin_slices.h).
+*This
+** is one object: all of its origins that have not expired. It acknowledges an
+*origin only after the store has acknowledged a write
 ** that holds it. It decides which call is next and what an answer means; it
-** does no input or output (io/origin_writer.c). Times are microseconds of the
+** does no input or output (io/origin_links.c). Times are microseconds of the
 ** steady clock.
 **
 ** Invariants:
@@ -25,9 +27,10 @@
 #include "router/follower.h"
 #include "router/stream_records.h"
 
-/* The most origins in an object, at some 90 bytes each: with the envelope they
-** stay below 0.8 MB of the 1 MB that the store accepts. */
-#define RECORDED_ORIGINS_MAX 8192
+/* The most origins in an object, at some 90 bytes each. Sixteen full ones take
+** some 3.5 MB of the smallest instance's 88 MB; the store accepts 1 MB each.
+ */
+#define RECORDED_ORIGINS_MAX 2048
 
 typedef struct OriginRecorder OriginRecorder;
 
@@ -56,6 +59,7 @@
 
 /* The next call about the object. */
 typedef struct OriginsSave {
+  guint slice;                /* number of the object (origin_slices.h) */
   StoreOperation operation;   /* READ, CREATE or REPLACE */
   StorePosition position;     /* REPLACE: of the object */
   StreamOriginsRecord record; /* CREATE, REPLACE; freed by the caller */
--- a/router/origin_store.c
+++ b/router/origin_store.c
@@ -22,7 +22,7 @@
 #define LIST_INTERVAL (50 * MP_MS)
 
 struct OriginStore {
-  OriginRecorder *recorder;
+  OriginSlices *slices;
   mp_Addr avoided;      /* a recorder that did not acknowledge in time */
   gint64 avoided_until; /* is not used until then */
   gint64 no_hold_until; /* nothing is held until then */
@@ -35,13 +35,13 @@
 
 void router_use_origin_store(Router *router) {
   router->origin_store = g_new0(OriginStore, 1);
-  router->origin_store->recorder = origin_recorder_new();
+  router->origin_store->slices = origin_slices_new();
 }
 
 void origin_store_free(OriginStore *store) {
   if (store == NULL)
     return;
-  origin_recorder_free(store->recorder);
+  origin_slices_free(store->slices);
   if (store->found != NULL)
     stream_origins_free(store->found);
   g_free(store);
@@ -49,12 +49,12 @@
 
 void origin_store_expire(Router *router, gint64 now) {
   if (router->origin_store != NULL)
-    origin_recorder_expire(router->origin_store->recorder, now);
+    origin_slices_expire(router->origin_store->slices, now);
 }
 
 void origin_store_restored(Router *router) {
   if (router->origin_store != NULL)
-    origin_recorder_store_restored(router->origin_store->recorder);
+    origin_slices_store_restored(router->origin_store->slices);
 }
 
 /*
@@ -134,7 +134,7 @@
 static void record_here(Router *router, const StreamOrigin *origin,
                         OriginAck ack, gint64 now) {
   RecordState state =
-      origin_recorder_add(router->origin_store->recorder, origin, ack, now);
+      origin_slices_add(router->origin_store->slices, origin, ack, now);
   mp_Msg message;
   if (state == RECORD_PENDING || ack.number == 0)
     return;
@@ -249,7 +249,7 @@
 gboolean router_next_origins_save(Router *router, OriginsSave *out,
                                   gint64 now) {
   OriginStore *store = router->origin_store;
-  return store != NULL && origin_recorder_next_call(store->recorder, out, now);
+  return store != NULL && origin_slices_next_call(store->slices, out, now);
 }
 
 /* Logs the first failure of a row, and the first success after it. */
@@ -287,8 +287,8 @@
                           gint64 now) {
   gboolean is_written;
   GArray *acks =
-      origin_recorder_handle_reply(router->origin_store->recorder, status,
-                                   position, record, &is_written, now);
+      origin_slices_handle_reply(router->origin_store->slices, status,
+                                 position, record, &is_written, now);
   log_state(router, status == STORE_FAILED, error);
   send_acks(router, acks, is_written, now);
   g_array_free(acks, TRUE);
@@ -325,17 +325,17 @@
   gint64 next;
   if (store == NULL)
     return G_MAXINT64;
-  next = origin_recorder_next_time(store->recorder);
+  next = origin_slices_next_time(store->slices);
   if (store->found == NULL && find_waiting(router, G_MAXINT64) != NULL)
     next = MIN(next, store->next_list_at);
   return next;
 }
 
 void router_origins_listed(Router *router, const StreamOriginsRecord *record,
-                           gboolean is_own, gint64 now) {
+                           gint own_slice, gint64 now) {
   guint i;
-  if (is_own && record->origins->len > 0)
-    origin_recorder_note_filled(router->origin_store->recorder);
+  if (own_slice >= 0 && record->origins->len > 0)
+    origin_slices_note_filled(router->origin_store->slices, (guint)own_slice);
   for (i = 0; i < record->origins->len; i++) {
     const StoredOrigin *stored =
         &g_array_index(record->origins, StoredOrigin, i);
--- a/router/origin_store.h
+++ b/router/origin_store.h
@@ -5,7 +5,7 @@
 ** The replicas of a stream's origin (continuation.h) are processes: when all
 ** instances are killed at once, none of them knows it. So an instance that
 ** does not vouch for a version also sends the origin to the recorder of its
-** data centre (origin_recorder.h), which writes it to the store. An instance
+** data centre (origin_slices.h), which writes it to the store. An instance
 ** that no replica could help lists what all recorders have written, once for
 ** all requests that wait.
 **
@@ -26,7 +26,7 @@
 #ifndef ROUTER_ORIGIN_STORE_H
 #define ROUTER_ORIGIN_STORE_H
 
-#include "router/origin_recorder.h"
+#include "router/origin_slices.h"
 #include "router/router.h"
 
 struct Request;
@@ -42,7 +42,7 @@
 /* Uses the store from now on; without it nothing is recorded, held or listed.
  */
 void router_use_origin_store(Router *router);
-/* Begins the next call about this instance's own object if one is due; the
+/* Begins the next call about this instance's own objects if one is due; the
 ** caller frees what 'out' holds. */
 gboolean router_next_origins_save(Router *router, OriginsSave *out,
                                   gint64 now);
@@ -54,9 +54,11 @@
                           gint64 now);
 /* Begins a list of all recorders' objects if requests wait for one. */
 gboolean router_next_origins_list(Router *router, gint64 now);
-/* Handles one object of the open list; 'is_own': this instance writes it. */
+/* Handles one object of the open list; 'own_slice': that of this instance
+*which is
+** in it, -1: it is of another instance. */
 void router_origins_listed(Router *router, const StreamOriginsRecord *record,
-                           gboolean is_own, gint64 now);
+                           gint own_slice, gint64 now);
 /* The list has ended; 'is_complete': every object of it was readable. */
 void router_origins_list_ended(Router *router, gboolean is_complete,
                                gint64 now);
--- a/test/stream_store.cc
+++ b/test/stream_store.cc
@@ -52,6 +52,7 @@
   call.life = lives[instance];
   if (router_next_origins_save(world.router, &save, now)) {
     call.operation = save.operation;
+    call.object = instance * ORIGIN_SLICES + save.slice;
     call.position = save.position;
     if (save.record.origins != nullptr) {
       auto *rows = reinterpret_cast<StoredOrigin *>(save.record.origins->data);
@@ -77,7 +78,7 @@
     }
     return;
   }
-  auto it = objects.find(call.instance);
+  auto it = objects.find(call.object);
   bool exists = it != objects.end();
   if (call.operation != STORE_CREATE && !exists) {
     call.status = STORE_NOT_FOUND;
@@ -88,12 +89,12 @@
        it->second.revision != call.position.revision))
     call.status = STORE_CONFLICT;
   else if (call.operation != STORE_READ) {
-    objects[call.instance] = {++revision, now, call.origins};
+    objects[call.object] = {++revision, now, call.origins};
     bytes += object_bytes + row_bytes * call.origins.size();
     most_rows =
         std::max(most_rows, static_cast<unsigned>(call.origins.size()));
   }
-  call.objects.push_back(objects[call.instance]);
+  call.objects.push_back(objects[call.object]);
 }
 
 void StreamStore::reply(const Call &call, gint64 now) {
@@ -113,8 +114,12 @@
                         static_cast<guint>(object.origins.size()));
     position.revision = object.revision;
     if (call.is_list) {
-      router_origins_listed(router, &record, call.names[i] == call.instance,
-                            now);
+      router_origins_listed(
+          router, &record,
+          call.names[i] / ORIGIN_SLICES == call.instance
+              ? static_cast<gint>(call.names[i] % ORIGIN_SLICES)
+              : -1,
+          now);
       stream_origins_record_clear(&record);
     }
   }
--- a/test/stream_store.h
+++ b/test/stream_store.h
@@ -53,6 +53,7 @@
   struct Call {
     unsigned instance;
     unsigned life;
+    unsigned object; /* its number in 'objects'; not of a list */
     bool is_list;
     StoreOperation operation;
     StorePosition position;
@@ -73,7 +74,10 @@
 
   std::mt19937 random;
   gint64 revision = 0;
-  std::map<unsigned, Object> objects; /* by the instance that writes it */
+  /* by the number of the instance that writes it, times ORIGIN_SLICES, and
+  *that
+  ** of the slice */
+  std::map<unsigned, Object> objects;
   std::map<unsigned, routing::World *> worlds;
   std::map<unsigned, unsigned> lives; /* counts the starts of instances */
   std::vector<Call> calls;
--- a/test/test_origin_store.cc
+++ b/test/test_origin_store.cc
@@ -241,10 +241,68 @@
   add(1, 11, 0, 111 * second);
   answer(STORE_OK);
   EXPECT_EQ(next_call(), -1) << "a large object is written less often";
-  now += 500 * ms;
+  now += 100 * ms;
   EXPECT_EQ(next_call(), STORE_REPLACE);
 }
 
+/* Guards against writes of all that has not expired for each new origin. */
+TEST(OriginSlices, AWriteHoldsTheOriginsOfOneSecond) {
+  OriginSlices *slices = origin_slices_new();
+  size_t most = 0;
+  unsigned calls = 0;
+  gint64 now = 100 * second;
+  for (unsigned i = 1; i <= 1000; i++, now += 20 * ms) {
+    StreamOrigin origin = origin_of(i, 11, now + 14 * second);
+    origin_slices_add(slices, &origin, {5, i, 0}, now);
+    OriginsSave save = {};
+    if (!origin_slices_next_call(slices, &save, now))
+      continue;
+    OriginsSave other = {};
+    EXPECT_FALSE(origin_slices_next_call(slices, &other, now));
+    calls++;
+    if (save.record.origins != nullptr)
+      most = std::max<size_t>(most, save.record.origins->len);
+    stream_origins_record_clear(&save.record);
+    gboolean is_written = FALSE;
+    StorePosition position = {};
+    position.revision = save.operation == STORE_READ ? 0 : i;
+    g_array_free(origin_slices_handle_reply(
+                     slices,
+                     save.operation == STORE_READ ? STORE_NOT_FOUND : STORE_OK,
+                     position, nullptr, &is_written, now),
+                 TRUE);
+    EXPECT_TRUE(is_written);
+  }
+  EXPECT_LE(most, 60u);
+  EXPECT_GE(calls, 400u);
+  origin_slices_free(slices);
+}
+
+/* Guards against a call for each object, and against waits, while the store
+** does not answer. */
+TEST(OriginSlices, FailureOfOneStopsTheOthers) {
+  OriginSlices *slices = origin_slices_new();
+  gint64 now = 100 * second;
+  StreamOrigin origin = origin_of(1, 11, now + 14 * second);
+  OriginsSave save = {};
+  gboolean is_written = TRUE;
+  EXPECT_EQ(origin_slices_add(slices, &origin, {5, 1, 0}, now),
+            RECORD_PENDING);
+  ASSERT_TRUE(origin_slices_next_call(slices, &save, now));
+  now += second; /* another slice */
+  g_array_free(origin_slices_handle_reply(slices, STORE_FAILED, {}, nullptr,
+                                          &is_written, now),
+               TRUE);
+  EXPECT_FALSE(is_written);
+  origin = origin_of(2, 11, now + 14 * second);
+  EXPECT_EQ(origin_slices_add(slices, &origin, {5, 2, 0}, now),
+            RECORD_FAILING);
+  EXPECT_FALSE(origin_slices_next_call(slices, &save, now));
+  now += 300 * ms;
+  EXPECT_TRUE(origin_slices_next_call(slices, &save, now));
+  origin_slices_free(slices);
+}
+
 /* }================================================================== */
 
 /*
@@ -353,7 +411,7 @@
     StreamOriginsRecord listed = {
         g_array_new(FALSE, FALSE, sizeof(StoredOrigin))};
     g_array_append_val(listed.origins, origin);
-    router_origins_listed(world.router, &listed, FALSE, world.now);
+    router_origins_listed(world.router, &listed, -1, world.now);
     stream_origins_record_clear(&listed);
   }
 
