--- a/router/origin_recorder.h
+++ b/router/origin_recorder.h
@@ -28,8 +28,8 @@
 #include "router/stream_records.h"
 
 /* The most origins in an object, at some 90 bytes each. Sixteen full ones take
-** some 3.5 MB of the smallest instance's 88 MB; the store accepts 1 MB each.
- */
+** some 3.5 MB of the smallest instance's 88 MB; the store accepts 1 MB for
+** each. */
 #define RECORDED_ORIGINS_MAX 2048
 
 typedef struct OriginRecorder OriginRecorder;
--- a/router/origin_slices.h
+++ b/router/origin_slices.h
@@ -6,8 +6,7 @@
 ** last one the first is used again, when what it held has expired in most
 ** routes. So a write holds the origins of the present second, not all that
 ** have not expired, which would be some sixteen times as many. One call is
-*open
-** at a time, over all objects.
+** open at a time, over all objects.
 */
 
 #ifndef ROUTER_ORIGIN_SLICES_H
--- a/router/origin_store.h
+++ b/router/origin_store.h
@@ -54,9 +54,8 @@
                           gint64 now);
 /* Begins a list of all recorders' objects if requests wait for one. */
 gboolean router_next_origins_list(Router *router, gint64 now);
-/* Handles one object of the open list; 'own_slice': that of this instance
-*which is
-** in it, -1: it is of another instance. */
+/* Handles one object of the open list; 'own_slice': its number if it is of
+** this instance, else -1. */
 void router_origins_listed(Router *router, const StreamOriginsRecord *record,
                            gint own_slice, gint64 now);
 /* The list has ended; 'is_complete': every object of it was readable. */
--- a/router/stream_origins.h
+++ b/router/stream_origins.h
@@ -53,8 +53,7 @@
 } StreamOrigin;
 
 /* The longest time for which another instance, or the store, may have an
-*origin
-** kept here. */
+** origin kept here. */
 #define STREAM_LEFT_MS_MAX 600000u
 
 /* Returns an origin as messages have it, and the origin in a message that came
--- a/test/stream_store.h
+++ b/test/stream_store.h
@@ -74,9 +74,8 @@
 
   std::mt19937 random;
   gint64 revision = 0;
-  /* by the number of the instance that writes it, times ORIGIN_SLICES, and
-  *that
-  ** of the slice */
+  /* by the number of the instance that writes it times ORIGIN_SLICES, plus
+  ** that of the slice */
   std::map<unsigned, Object> objects;
   std::map<unsigned, routing::World *> worlds;
   std::map<unsigned, unsigned> lives; /* counts the starts of instances */
