A taking-up refused before the set of versions has been read is told when to come back

With a slow store the first read of the set may take longer than the 200 ms that a taking-up waits. It was then refused as one that nobody knows of, though the set may say a moment later that its service has had one version only.

Cause: the time to come back depended on replicas that had not replied alone. Change: it is also given while the first read of the set has not ended.

A fleet in which every other instance knows no set joins no stream (9 moments of a kill of all, with the new version gone at the start).

--- a/router/continuation.c
+++ b/router/continuation.c
@@ -344,12 +344,21 @@
              (int)((now - request->arrived) / MP_MS));
 }
 
+/* Returns TRUE if the request may go on at the only version of its service
+** once the set of versions has been read. */
+static gboolean awaits_set(const Router *router, const Request *request) {
+  return request->route->targets->len == 1 &&
+         stream_software_is_pending(router,
+                                    g_str_hash(request->service->name));
+}
+
 /* Refuses a request whose stream's origin is not known. */
 static void refuse_unknown(Router *router, Request *request, gint64 now) {
   log_origin(router, request, 0, "none", 0, now);
   router_count(router, REFUSED_ORIGIN);
-  /* replicas that did not reply may know it later */
-  if (request->query.replied < request->query.asked)
+  /* replicas that did not reply, or the set, may say it later */
+  if (request->query.replied < request->query.asked ||
+      awaits_set(router, request))
     request->come_back = finish_default_retry_ms(REFUSAL_NO_ENDPOINT) * MP_MS;
   finish_refuse(router, request, REFUSAL_STREAM_UNKNOWN);
 }
@@ -409,14 +418,6 @@
   }
 }
 
-/* Returns TRUE if the request may go on at the only version of its service
-** once the set of versions has been read. */
-static gboolean awaits_set(const Router *router, const Request *request) {
-  return request->route->targets->len == 1 &&
-         stream_software_is_pending(router,
-                                    g_str_hash(request->service->name));
-}
-
 /* Asks the replicas for the origin of the request's stream, or refuses the
 ** request if there are none and the set of versions does not help. */
 static void begin_query(Router *router, Request *request, gint64 now) {
--- a/test/stream_fleet.cc
+++ b/test/stream_fleet.cc
@@ -541,8 +541,9 @@
         World &world = *instances[i].world;
         if (world.now < now)
           world.advance(now - world.now);
-        software_store.serve(i * 100000UL + instances[i].start, world.router,
-                             now);
+        if (i % options.set_known_by == 0)
+          software_store.serve(i * 100000UL + instances[i].start, world.router,
+                               now);
         handle_new_dispatches(i);
         deliver_messages(i);
       }
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -42,6 +42,9 @@
   std::string software = "v1"; /* of all engines at the start */
   /* Takings-up at an instance that has run for less are not counted. */
   gint64 contact_time = 3 * second;
+  /* One instance in so many knows the set of versions in the store; the others
+  ** make no call about it, as instances of an earlier version. */
+  unsigned set_known_by = 1;
 };
 
 /* What became of streams, counted by the caller's side. */
--- a/test/test_stream_software.cc
+++ b/test/test_stream_software.cc
@@ -104,6 +104,23 @@
   }
 }
 
+/* Guards against an update of this system in which instances that do not know
+** the set begin streams at versions that it lacks. */
+TEST(StreamSoftware, InstancesThatKnowNoSetBesideOthersJoinNoStream) {
+  for (gint64 moment = 200 * ms; moment <= 9 * second; moment += 1100 * ms) {
+    FleetOptions options = options_of(8);
+    options.set_known_by = 2;
+    Fleet fleet(options);
+    fleet.advance(30 * second);
+    fleet.add_engines("v1.1", options.engines / 2);
+    fleet.advance(moment);
+    fleet.kill_instances(1.0);
+    fleet.end_version("v1.1");
+    fleet.advance(8 * second);
+    expect_unmixed(fleet, std::to_string(moment / ms) + " ms");
+  }
+}
+
 TEST(StreamSoftware, VersionThatReturnsWhileItIsRemovedJoinsNoStream) {
   for (gint64 pause = 14 * second; pause <= 26 * second; pause += second) {
     FleetOptions options = options_of(8);
