Tests of one instance with the set of versions: what waits for the first read, where streams begin

Eight tests guard against refusals in the milliseconds after a start, a wait beyond 200 ms, answers of an older era, streams at a version that the set lacks while another can run them, and against a rule that would cost service when no other version is left or the store does not answer.

--- a/test/test_stream_software.cc
+++ b/test/test_stream_software.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <random>
+#include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -214,4 +216,151 @@
   }
 }
 
+/* One instance without others, whose calls to the store the test answers. */
+class StreamSoftwareTest : public testing::Test {
+protected:
+  World world;
+  SoftwareSetCall call = {};
+
+  void SetUp() override {
+    world.configure();
+    world.started_unix_ms = 1;
+    add("pre-1", "v1", STAGE_PREFILL);
+    add("old-1", "v1");
+    pass(10 * ms);
+  }
+  void add(const char *id, const char *software,
+           EndpointStage stage = STAGE_DECODE, bool gone = false) {
+    world.software = software;
+    world.endpoint({id, "llm", "a", stage}, true, gone);
+  }
+  void pass(gint64 span) {
+    for (gint64 until = world.now + span; world.now < until;) {
+      world.advance(std::min(100 * ms, until - world.now));
+      router_store_answered(world.router, world.now);
+    }
+  }
+  bool next() {
+    gint64 due;
+    return router_next_software_call(world.router, &call, &due, world.now) !=
+           FALSE;
+  }
+  void reply(StoreStatus status, const std::vector<const char *> &versions,
+             guint64 era = 1) {
+    SoftwareSetRecord record = {};
+    for (const char *software : versions)
+      record.entries[record.count++] = {digest_of(software), FALSE};
+    SoftwareSetReply answer = {status, store_position(era, 5),
+                               status == STORE_OK ? &record : nullptr};
+    router_software_reply(world.router, &call, &answer, era, world.now);
+  }
+  guint64 take_up() {
+    return world.request_resumption("/resume/x", 0, "unknown", "1");
+  }
+  bool has_started(guint64 request) {
+    return !world.dispatches.empty() && world.last().request == request;
+  }
+  /* Begins a stream; returns the endpoint that it is sent to. */
+  std::string endpoint_of_new() {
+    guint64 request = world.request("/resume/x");
+    if (has_started(request) && world.last().kind == DISPATCH_PREFILL)
+      world.prefilled(world.last().number);
+    std::string endpoint =
+        has_started(request) ? world.last().endpoint : "none";
+    world.hangup(request);
+    return endpoint;
+  }
+};
+
+/* Guards against refusals in the milliseconds after a start. */
+TEST_F(StreamSoftwareTest, TakingUpWaitsForTheFirstReadAndGoesOn) {
+  ASSERT_TRUE(next());
+  guint64 request = take_up();
+  pass(100 * ms);
+  EXPECT_EQ(world.ended[request].refusals, 0);
+  EXPECT_FALSE(has_started(request));
+  reply(STORE_OK, {"v1"});
+  EXPECT_TRUE(has_started(request));
+  EXPECT_TRUE(has_started(take_up()));
+}
+
+TEST_F(StreamSoftwareTest, TakingUpIsRefusedWhenTheSetHasTwoVersions) {
+  ASSERT_TRUE(next());
+  guint64 request = take_up();
+  reply(STORE_OK, {"v1", "v2"});
+  EXPECT_EQ(world.ended[request].refusals, 1);
+  EXPECT_EQ(world.ended[request].refusal, REFUSAL_STREAM_UNKNOWN);
+}
+
+TEST_F(StreamSoftwareTest, TakingUpIsRefusedWhenTheReadFails) {
+  ASSERT_TRUE(next());
+  guint64 request = take_up();
+  reply(STORE_FAILED, {}, 0);
+  EXPECT_EQ(world.ended[request].refusals, 1);
+}
+
+TEST_F(StreamSoftwareTest, TakingUpWaitsNoLongerThanForReplicas) {
+  ASSERT_TRUE(next());
+  guint64 request = take_up();
+  gint64 at = world.now;
+  pass(300 * ms);
+  ASSERT_EQ(world.ended[request].refusals, 1);
+  EXPECT_LE(world.ended[request].at - at, 210 * ms);
+  EXPECT_GT(world.ended[request].retry_after_ms, 0);
+}
+
+/* Guards against an answer that is older than the restored store. */
+TEST_F(StreamSoftwareTest, AnswerOfAnOlderEraIsNotTrusted) {
+  ASSERT_TRUE(next());
+  router_observe_era(world.router, 1, world.now);
+  router_observe_era(world.router, 2, world.now);
+  reply(STORE_OK, {"v1"}, 1);
+  EXPECT_EQ(world.ended[take_up()].refusals, 1);
+}
+
+/* Guards against streams at a version that others, who read the set, take to
+** have begun none. */
+TEST_F(StreamSoftwareTest, NewStreamsBeginAtVersionsInTheSet) {
+  ASSERT_TRUE(next());
+  reply(STORE_OK, {"v1"});
+  add("new-1", "v2");
+  add("new-2", "v2");
+  add("new-3", "v2");
+  pass(5 * second);
+  for (int i = 0; i < 20; i++)
+    EXPECT_EQ(endpoint_of_new(), "old-1");
+  ASSERT_TRUE(next());
+  reply(STORE_OK, {"v1", "v2"});
+  pass(100 * ms);
+  int at_new = 0;
+  for (int i = 0; i < 20; i++)
+    at_new += endpoint_of_new() != "old-1";
+  EXPECT_GT(at_new, 0);
+}
+
+/* Guards against an outage: safety may not cost all service. */
+TEST_F(StreamSoftwareTest, VersionThatIsNotInTheSetServesIfNoOtherCan) {
+  ASSERT_TRUE(next());
+  reply(STORE_OK, {"v1"});
+  add("new-1", "v2");
+  pass(5 * second);
+  add("old-1", "v1", STAGE_DECODE, true);
+  EXPECT_EQ(endpoint_of_new(), "new-1");
+}
+
+TEST_F(StreamSoftwareTest, StoreThatDoesNotAnswerRestrictsNoVersion) {
+  ASSERT_TRUE(next());
+  reply(STORE_OK, {"v1"});
+  add("new-1", "v2");
+  add("new-2", "v2");
+  add("new-3", "v2");
+  pass(5 * second);
+  ASSERT_TRUE(next());
+  reply(STORE_FAILED, {}, 0);
+  int at_new = 0;
+  for (int i = 0; i < 20; i++)
+    at_new += endpoint_of_new() != "old-1";
+  EXPECT_GT(at_new, 0);
+}
+
 } // namespace
