--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -866,7 +866,7 @@
          kind != DISPATCH_REPORT;' \
   'return state == PATH_INDIRECT;'
 m p-whole "carried: only a complete end is told as one" io/carry_server.c \
-  'pass_to_asker(carried, (what & BEV_EVENT_EOF) != 0);' \
+  'pass_to_asker(carried, (what & BEV_EVENT_EOF) != 0 && !carried->is_cut);' \
   'pass_to_asker(carried, TRUE);'
 m t-entry "stop: what would outlast it is not accepted" router/router.c \
   'if (finish_outlasting(router, request, now))
@@ -999,6 +999,21 @@
   'if (FALSE)'
 m e-own "endless: a head of the own interface is bounded" io/http.c \
   'evhttp_connection_set_max_headers_size(c->conn, MAX_HEAD_BYTES);' ''
+m c-coding "cut: an unknown transfer coding is no message" http/reader.c \
+  'return is_chunked && (parser->flags & F_CHUNKED) != 0 &&
+         parser->http_major == 1 && parser->http_minor >= 1;' 'return TRUE;'
+m c-cr "cut: a CR without LF ends no head" http/reader.c \
+  'if (!reader->has_head &&' 'if (FALSE &&'
+m c-reset "cut: a reset that writing finds is no end" io/endpoint_links.c \
+  'link->is_cut |= socket_may_miss_reset(what);' ''
+m c-carried "cut: a reset that writing finds is not told as an end" \
+  io/carry_server.c 'carried->is_cut |= socket_may_miss_reset(what);' ''
+m c-epipe "cut: a reset behind an orderly end changes nothing" io/sockets.c \
+  'EVUTIL_SOCKET_ERROR() != EPIPE' 'TRUE'
+m c-own "cut: own interface, an unknown framing is broken" io/http.c \
+  'status < 200 || !is_framing_known(req)' 'status < 200'
+m c-own-interim "cut: own interface, an interim response is none" io/http.c \
+  'status < 200 || !is_framing_known(req)' '!is_framing_known(req)'
 if [ -n "$stale_only" ]; then
   python3 - "$dir/rows" <<'P'
 import sys
