E8005 of a stream's head names its framing, too

gateway.lua showed `framing=-` at the nine heads of streams: report_stream fills in an outcome of its own.

Evidence: Cut*, ResetInWriting*, OwnCall*, Reader and Links green (72 tests); path.lua and streams.lua pass.

--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -317,6 +317,7 @@
   gboolean alive = TRUE;
   outcome.payload = &answer;
   outcome.status = call->head->status;
+  outcome.framing = endpoint_call_framing(call);
   if (!call->is_head_sent) {
     call->is_head_sent = TRUE;
     outcome.kind = OUTCOME_STREAM_HEAD;
