Own interface: a planned stop reads the requests that lie in the kernel

Callers saw: with madderpier's own interface, a complete request on a connection that was made shortly before the end of a planned stop got neither an answer nor a refusal (unaccepted_in_stop_own.lua, 12 of 12 requests).

Cause: the first check after the drain closed the listening socket, which resets the connections in its queue, and closed accepted connections as idle although their requests were in the kernel or on their way.

Ruled out: to listen until the process ends, as the users' platform's server does. Here a stop ends only when no connection discards input any more, and new ones would come all the time.

Change: the listening socket is closed once no connection waits to be accepted, after 1 s in any case. A connection with unread input, or without a request and accepted less than 0.1 s ago, is not idle, and the stop waits for it. The three looks (unaccepted connections, unread input, first bytes under way) are shared with the users' platform's server: io/sockets, io/intake.

Why this works: requests that the kernel has acknowledged are read before the sockets are closed, and the drained core refuses them as not run.

A connection that the kernel makes between the last look and the close is reset, unread.

--- a/io/adapters.h
+++ b/io/adapters.h
@@ -55,12 +55,16 @@
 unsigned callers_count(const Callers *C);
 /* A planned stop has begun: from now on, responses end their connections. */
 void callers_drain(Callers *C);
-/* Accepts no further connections, and closes idle ones. May be repeated. */
+/* Closes idle connections, and accepts no further ones once none waits to be
+** accepted. It is called again and again until the stop has ended. */
 void callers_stop_accepting(Callers *C);
 
 /* What the end of the process would cut off. */
 typedef struct CallersUnsent {
-  unsigned open;    /* requests without a complete response */
+  unsigned open;    /* requests without a complete response, or that have
+                    ** arrived and are yet to be read, and new connections
+                    ** whose first bytes may be under way. All connections
+                    ** that wait to be accepted count as one. */
   unsigned sending; /* connections with a complete response that the caller
                     ** has not acknowledged, or of which input is discarded so
                     ** that it does not cut off a response */
--- a/io/callers.c
+++ b/io/callers.c
@@ -45,6 +45,10 @@
 #define LINGER_TIMEOUT_S 1
 /* It is closed after this time in any case, as in front_connection.c. */
 #define LINGER_MAX (10 * MP_SEC)
+/* A planned stop closes the listening socket when no connection waits to be
+** accepted; after this time in any case, because new ones may come all the
+** time. */
+#define ACCEPT_MAX (1 * MP_SEC)
 
 struct Callers {
   Node *node;
@@ -60,9 +64,10 @@
                            ** told that their callers have disconnected */
   struct event *hangup_event; /* tells it */
   int is_listening;
-  int is_draining; /* a planned stop has begun */
-  unsigned cut;    /* as CallersUnsent has it */
-  int is_freeing;  /* callers_free ends all connections */
+  mp_Time refusing_since; /* the first callers_stop_accepting */
+  int is_draining;        /* a planned stop has begun */
+  unsigned cut;           /* as CallersUnsent has it */
+  int is_freeing;         /* callers_free ends all connections */
 };
 
 typedef struct Connection {
@@ -739,20 +744,41 @@
   evhtp_connection_free(conn);
 }
 
-static int is_idle(evhtp_connection_t *conn) {
+/* Has a request arrived on the connection that is yet to be read, or may the
+** first one be under way? */
+static int awaits_request(const Callers *C, evhtp_connection_t *conn) {
+  const Connection *connection = g_hash_table_lookup(C->connections, conn);
   struct bufferevent *bev = evhtp_connection_get_bev(conn);
   return conn->request == NULL &&
-         evbuffer_get_length(bufferevent_get_input(bev)) == 0;
+         (evbuffer_get_length(bufferevent_get_input(bev)) > 0 ||
+          socket_has_input(conn->sock) ||
+          intake_awaits_first_bytes(&connection->intake, clock_now()));
+}
+
+static int has_unaccepted(const Callers *C) {
+  return C->is_listening &&
+         socket_has_unaccepted(evconnlistener_get_fd(C->htp->server));
+}
+
+/* Connections that the kernel has made have requests that are to be refused: a
+** closed listening socket would reset them. */
+static void stop_listening(Callers *C) {
+  if (!C->is_listening ||
+      (has_unaccepted(C) && clock_now() - C->refusing_since < ACCEPT_MAX))
+    return;
+  evhtp_unbind_socket(C->htp);
+  C->is_listening = 0;
 }
 
 void callers_stop_accepting(Callers *C) {
   GList *all = g_hash_table_get_keys(C->connections);
   GList *one;
-  if (C->is_listening)
-    evhtp_unbind_socket(C->htp);
-  C->is_listening = 0;
+  if (C->refusing_since == 0)
+    C->refusing_since = clock_now();
+  stop_listening(C);
   for (one = all; one != NULL; one = one->next) {
-    if (is_idle(one->data))
+    const evhtp_connection_t *conn = one->data;
+    if (conn->request == NULL && !awaits_request(C, one->data))
       close_idle(C, one->data);
   }
   g_list_free(all);
@@ -761,7 +787,7 @@
 void callers_unsent(const Callers *C, CallersUnsent *unsent) {
   GHashTableIter iterator;
   gpointer key;
-  unsent->open = 0;
+  unsent->open = has_unaccepted(C) != 0;
   unsent->sending = g_hash_table_size(C->lingering);
   unsent->bytes = 0;
   unsent->cut = C->cut;
@@ -773,7 +799,7 @@
     evhtp_connection_t *conn = key;
     size_t n = evbuffer_get_length(
         bufferevent_get_output(evhtp_connection_get_bev(conn)));
-    if (c != NULL && !c->is_ended)
+    if ((c != NULL && !c->is_ended) || awaits_request(C, conn))
       unsent->open++;
     else if (c != NULL || n > 0 || socket_unacknowledged(conn->sock) > 0)
       unsent->sending++;
--- a/io/front.c
+++ b/io/front.c
@@ -9,7 +9,6 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -25,10 +24,6 @@
 #define MAX_UNREAD (4 << 20)
 #define LISTEN_BACKLOG 512
 
-/* A stop closes no connection as idle that was accepted this recently and has
-** had no request: its first bytes may be under way. */
-#define FIRST_BYTES_MAX (100 * MP_MS)
-
 /* limits that hold until a configuration sets them */
 #define DEFAULT_HEAD_BYTES (16 << 10)
 #define DEFAULT_BODY_BYTES (4 << 20)
@@ -141,7 +136,6 @@
   }
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   connection->front = front;
-  connection->accepted_at = clock_now();
   connection->body = g_byte_array_new();
   connection->reader =
       http_reader_new(HTTP_REQUESTS, &front_reader_callbacks, connection);
@@ -349,8 +343,7 @@
 /* Has the connection had no request yet, and may one be under way? */
 static gboolean awaits_first_bytes(const Connection *connection) {
   return connection->state == CONNECTION_READING &&
-         connection->answered == NULL &&
-         clock_now() - connection->accepted_at < FIRST_BYTES_MAX;
+         intake_awaits_first_bytes(&connection->intake, clock_now());
 }
 
 /* Does a stop wait for the first bytes of the connection? Not for those of
@@ -358,8 +351,8 @@
 ** by connecting, would hold it to its latest end. */
 static gboolean holds_stop(const Connection *connection) {
   return awaits_first_bytes(connection) &&
-         connection->accepted_at <
-             connection->front->refusing_since + FIRST_BYTES_MAX;
+         connection->intake.accepted_at <
+             connection->front->refusing_since + INTAKE_FIRST_BYTES_MAX;
 }
 
 /* Refuses a request that still arrives, unless its head may be in the bytes
@@ -372,7 +365,7 @@
   if (connection_is_receiving(connection))
     connection_refuse_for_stop(connection);
   else if (awaits_first_bytes(connection))
-    connection_set_read_timeout(connection, FIRST_BYTES_MAX);
+    connection_set_read_timeout(connection, INTAKE_FIRST_BYTES_MAX);
   else if (connection_unsent(connection) == 0)
     connection_close_idle(connection);
 }
@@ -412,8 +405,7 @@
 }
 
 gboolean front_has_unaccepted(const Front *front) {
-  struct pollfd listener = {evconnlistener_get_fd(front->listener), POLLIN, 0};
-  return poll(&listener, 1, 0) == 1;
+  return socket_has_unaccepted(evconnlistener_get_fd(front->listener));
 }
 
 FrontUnsent front_unsent(const Front *front) {
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -3,14 +3,13 @@
 ** A connection of a caller: its state, its timeouts, and how it ends
 */
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
 
 #include "io/clock.h"
 #include "io/front_connection.h"
+#include "io/sockets.h"
 
 /* After a response that ends the connection, input is read and discarded until
 ** the caller closes the connection or sends nothing for this long: closing the
@@ -226,12 +225,10 @@
 }
 
 guint64 connection_unacknowledged(const Connection *connection) {
-  int size = 0;
-  if (ioctl(bufferevent_getfd(connection->events), SIOCOUTQ, &size) != 0)
-    return 0;
+  guint64 size = socket_unacknowledged(bufferevent_getfd(connection->events));
   if (connection->state == CONNECTION_LINGERING && size > 0)
     size--; /* its end, which the kernel counts as a byte */
-  return (guint64)MAX(size, 0);
+  return size;
 }
 
 gboolean connection_waits_for_reader(const Connection *connection) {
@@ -240,11 +237,8 @@
 }
 
 gboolean connection_has_input(const Connection *connection) {
-  int unread = 0;
   return evbuffer_get_length(bufferevent_get_input(connection->events)) > 0 ||
-         (ioctl(bufferevent_getfd(connection->events), FIONREAD, &unread) ==
-              0 &&
-          unread > 0);
+         socket_has_input(bufferevent_getfd(connection->events));
 }
 
 gboolean connection_is_yet_to_read(const Connection *connection) {
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -86,7 +86,6 @@
   gint64 lingers_until; /* when a connection that discards input is closed */
   gboolean discards_requests; /* it lingers after a whole request, so that its
                               ** input is a next request */
-  gint64 accepted_at;
   IntakeConnection intake;
 } Connection;
 
--- a/io/intake.c
+++ b/io/intake.c
@@ -144,6 +144,12 @@
   connection->state = INTAKE_IDLE;
 }
 
+gboolean intake_awaits_first_bytes(const IntakeConnection *connection,
+                                   gint64 now) {
+  return connection->state == INTAKE_AWAITED &&
+         now - connection->accepted_at < INTAKE_FIRST_BYTES_MAX;
+}
+
 void intake_note_connect(Intake *intake, gint64 took) {
   path_delay_add(&intake->connects, took);
 }
--- a/io/intake.h
+++ b/io/intake.h
@@ -30,6 +30,10 @@
   INTAKE_STATE_COUNT
 } IntakeState;
 
+/* A planned stop closes no connection as idle that was accepted this recently
+** and has had no request: its first bytes may be under way. */
+#define INTAKE_FIRST_BYTES_MAX (100 * MP_MS)
+
 /* A connection, as its server keeps it; all zero before intake_admit. */
 typedef struct IntakeConnection {
   IntakeState state;
@@ -50,6 +54,11 @@
 /* The connection is closed. */
 void intake_remove(Intake *intake, IntakeConnection *connection);
 
+/* May the first bytes of the connection be under way (INTAKE_FIRST_BYTES_MAX)?
+ */
+gboolean intake_awaits_first_bytes(const IntakeConnection *connection,
+                                   gint64 now);
+
 /* A connection to an endpoint was made, or given up, after this time (us). */
 void intake_note_connect(Intake *intake, gint64 took);
 
--- a/io/sockets.c
+++ b/io/sockets.c
@@ -5,6 +5,7 @@
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -59,3 +60,13 @@
     return 0;
   return (guint64)MAX(size, 0);
 }
+
+gboolean socket_has_input(evutil_socket_t fd) {
+  int unread = 0;
+  return ioctl(fd, FIONREAD, &unread) == 0 && unread > 0;
+}
+
+gboolean socket_has_unaccepted(evutil_socket_t listener) {
+  struct pollfd waiting = {listener, POLLIN, 0};
+  return poll(&waiting, 1, 0) == 1;
+}
--- a/io/sockets.h
+++ b/io/sockets.h
@@ -47,4 +47,12 @@
 ** has not acknowledged; 0 when it cannot tell. */
 guint64 socket_unacknowledged(evutil_socket_t fd);
 
+/* Returns TRUE if the kernel holds bytes that the peer of a TCP connection has
+** sent and this process has not read. */
+gboolean socket_has_input(evutil_socket_t fd);
+
+/* Returns TRUE if connections wait to be accepted at a listening socket. Their
+** requests may be complete in the kernel. */
+gboolean socket_has_unaccepted(evutil_socket_t listener);
+
 #endif
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -957,6 +957,8 @@
 m l-kernel "callers: no timeout cuts what lies in the kernel" \
   io/front_connection.c 'return connection->state == CONNECTION_READING &&
          connection_has_input(connection);' 'return FALSE;'
+m s-first-bytes "stop: a new connection is not idle" io/intake.c \
+  'now - connection->accepted_at < INTAKE_FIRST_BYTES_MAX;' 'now < connection->accepted_at;'
 m s-linger "callers: discarding input ends" io/front.c \
   'if (clock_now() >= connection->lingers_until)' 'if (FALSE)'
 m s-discard "callers: a request that is discarded is reported" \
