Own interface: a planned stop keeps a connection until its answer has arrived

Cause: the stop closed such a connection as idle. Because of the bytes in the kernel it was half-closed, and the next request was read and discarded.

Ruled out: to leave it half-closed without reading. The request would not be lost, but its caller would spend a try where a refusal can be sent.

Change: a connection is idle only when its caller has acknowledged everything. The stop counts it as one that still sends, as before, for FLUSH_MAX at most.

Why this works: the connection still reads while it waits, and the drained core refuses what it reads as not run.

Conclusion: a stream that began before a stop and ends in it is still half-closed in callers.c; no test shows that a request is lost there.

--- a/io/callers.c
+++ b/io/callers.c
@@ -738,12 +738,6 @@
   C->is_draining = 1;
 }
 
-static void close_idle(const Callers *C, evhtp_connection_t *conn) {
-  Connection *connection = g_hash_table_lookup(C->connections, conn);
-  connection->lingers = socket_unacknowledged(conn->sock) > 0;
-  evhtp_connection_free(conn);
-}
-
 /* Has a request arrived on the connection that is yet to be read, or may the
 ** first one be under way? */
 static int awaits_request(const Callers *C, evhtp_connection_t *conn) {
@@ -755,6 +749,14 @@
           intake_awaits_first_bytes(&connection->intake, clock_now()));
 }
 
+/* A connection is not idle while its caller has not acknowledged the last
+** response: the next request may be sent before the caller knows that the
+** connection ends. */
+static int is_idle(const Callers *C, evhtp_connection_t *conn) {
+  return conn->request == NULL && !awaits_request(C, conn) &&
+         socket_unacknowledged(conn->sock) == 0;
+}
+
 static int has_unaccepted(const Callers *C) {
   return C->is_listening &&
          socket_has_unaccepted(evconnlistener_get_fd(C->htp->server));
@@ -777,9 +779,8 @@
     C->refusing_since = clock_now();
   stop_listening(C);
   for (one = all; one != NULL; one = one->next) {
-    const evhtp_connection_t *conn = one->data;
-    if (conn->request == NULL && !awaits_request(C, one->data))
-      close_idle(C, one->data);
+    if (is_idle(C, one->data))
+      evhtp_connection_free(one->data);
   }
   g_list_free(all);
 }
--- a/test/scenario/next_request_after_stop_own.lua
+++ b/test/scenario/next_request_after_stop_own.lua
@@ -27,9 +27,9 @@
 
 local function is_whole(c)
   for _ = 1, 100 do
-    local done, status, body, _, whole = c:get()
-    if done then
-      return whole and status == 200 and #body > MEDIUM
+    if c:done() then -- get() has the next answer too, if there is one
+      local count, status, size = c:answers()
+      return count > 0 and status == 200 and size > MEDIUM
     end
     sys.pump(50)
   end
--- a/test/scenario/planned_stop_own.lua
+++ b/test/scenario/planned_stop_own.lua
@@ -64,9 +64,9 @@
 
 local function is_whole(c, bytes)
   for _ = 1, 100 do
-    local done, status, body, _, whole = c:get()
-    if done then
-      return whole and status == 200 and #body > bytes
+    if c:done() then -- get() has the next answer too, if there is one
+      local count, status, size = c:answers()
+      return count > 0 and status == 200 and size > bytes
     end
     sys.pump(50)
   end
