A start proves no configuration; what all instances forget together

Callers of a machine that had booted less than 3.9 s before (RevokeMs less the margin) could have had a revoked key accepted: found by reading, no report.

Cause: the proof of the configuration was at time 0 until there was one, and the clock of an instance counts from the boot of its machine. After a power loss of all, 0 is "moments ago".

Ruled out: that the retry budget is spent again after each power loss; a new instance takes no share of the slack for a whole window.

Why this works: the first proof is the first answer of the store or of a relay.

--- a/router/router.c
+++ b/router/router.c
@@ -72,6 +72,9 @@
   router->overload_control = options->overload_control;
   router->endpoints->overload_control = options->overload_control;
   router->proof_age_max = options->proof_age_max;
+  /* Nothing is proved yet. 0 would be a proof of moments ago on a machine that
+  ** has just booted, since the clock counts from there. */
+  router->proved_at = G_MININT64 / 2;
   router->news_age_max = options->news_age_max;
   router->requests_by_dispatch = g_hash_table_new(g_int64_hash, g_int64_equal);
   router->reach = reach_new(router, g_str_hash(options->zone));
--- a/router/state.h
+++ b/router/state.h
@@ -267,7 +267,7 @@
   gboolean has_judged_reports; /* there were reports to judge then */
   guint down_endpoints;        /* as of then */
   gint64 proof_age_max;        /* as in RouterOptions */
-  gint64 proved_at;         /* from router_configuration_proved; 0: unknown */
+  gint64 proved_at;         /* from router_configuration_proved; < 0: none */
   gint64 store_answered_at; /* from router_store_answered; 0: never */
   gint64 news_age_max;      /* as in RouterOptions */
   const NewsState *news;    /* of the configuration; borrowed; may be NULL */
