--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -117,8 +117,7 @@
 ** has passed without one (HOLD_STEP), at most for HOLD_MAX. Calls itself again
 ** by the read timeout. Returns FALSE if the connection is to be closed now; a
 ** request that comes later meets a closed socket, unread, and the reset that
-*it
-** causes discards nothing.
+** it causes discards nothing.
 */
 gboolean connection_hold(Connection *connection);
 /* Closes a connection that waits for a request, now or when it is no longer
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -82,8 +82,8 @@
 
 /*
 ** Has the load exchange and the writers send what has changed, and starts the
-*timer for the router's next tick. It runs after every event that
-** may have changed the router.
+** timer for the router's next tick. It runs after every event that may have
+** changed the router.
 */
 static void schedule_tick(Gateway *gateway) {
   gint64 wait = router_next_tick(gateway->router) - clock_now();
--- a/io/stop_signals.h
+++ b/io/stop_signals.h
@@ -6,8 +6,8 @@
 ** work or little processor time begins up to a second later. A planned stop
 ** has to end before the kill that follows the signal by a fixed time, so it is
 ** timed from the arrival. A signal arrives when the process next gets
-*processor
-** time; for how long it had none before is not known. Used by madderpierd.c.
+** processor time; for how long it had none before is not known. Used by
+** madderpierd.c.
 */
 
 #ifndef STOP_SIGNALS_H
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -26,7 +26,7 @@
 ** 3. New streams begin at a version that has just appeared only after
 **    news_age_max and a margin, if endpoints of a version that is known for
 **    longer can run them (stream_software.h). So no stream has begun at a
-*version of which a
+** version of which a
 **    vouching instance does not know.
 ** 4. The origin of a stream that began while its instance could vouch is told
 **    when it no longer can.
--- a/router/silent_run.h
+++ b/router/silent_run.h
@@ -3,10 +3,9 @@
 ** Decides whether a silent run, which may be replaced, is waited for
 **
 ** A sound endpoint may fall silent for 1.5 s and go on. A run there is given
-*up
-** only where its path is lost, where the silence has lasted longer, or where
-** the caller's time would not do for another run. The path is checked by a
-** new connection; runs at one endpoint share the checks.
+** up only where its path is lost, where the silence has lasted longer, or
+** where the caller's time would not do for another run. The path is checked by
+** a new connection; runs at one endpoint share the checks.
 */
 
 #ifndef ROUTER_SILENT_RUN_H
--- a/router/software_set.h
+++ b/router/software_set.h
@@ -56,7 +56,7 @@
 **   (KEEP_MIN is longer than the absence after which it is, and a gap in its
 **   list voids its reads), so it reads the mark or the lack.
 ** - A write carried out late: invariant 4. A late mark is found, and undone,
-*by
+** by
 **   who reads next and wants the version, at the latest by the remover. A late
 **   removal meets a revision at which W is marked, so nobody is allowed W from
 **   it; it and an unmarking exclude each other. A late addition adds.
@@ -68,9 +68,8 @@
 **   news_age_max and a margin; an instance that knows the set has added the
 **   version by then if the store answers it.
 ** Left to chance: streams that begin at a version that is not allowed, since
-*no
-** allowed one can run them or this instance can't call the store, and a kill
-** of all instances before the version is added, after whose end it is no
+** no allowed one can run them or this instance can't call the store, and a
+** kill of all instances before the version is added, after whose end it is no
 ** longer listed; the same within the time of a creation that is carried out
 ** late, and in a set that an operator removed or a restored store has lost.
 **
--- a/router/stream_records.h
+++ b/router/stream_records.h
@@ -4,9 +4,8 @@
 ** contents of two kinds of objects
 **
 ** Both outlive every instance (docs/design/stream-versions.md). Versions of
-*the
-** endpoints' software are 64-bit digests (endpoint_software_digest), services
-** and accounts 32-bit hashes of their names.
+** the endpoints' software are 64-bit digests (endpoint_software_digest),
+** services and accounts 32-bit hashes of their names.
 */
 
 #ifndef ROUTER_STREAM_RECORDS_H
--- a/test/test_silent_runs.cc
+++ b/test/test_silent_runs.cc
@@ -59,8 +59,8 @@
     return world.now - from;
   }
   /* A pause of 1.55 s: work & 1: a change of the configuration in it; work &
-  *2:
-  ** the beginning of a stop. */
+   *2:
+   ** the beginning of a stop. */
   void pass_beside_planned_work(int work) {
     pass(300 * ms);
     if ((work & 1) != 0)
