Red: a young instance ignores the set of versions, and streams are joined

Callers saw nothing yet; in virtual time, streams get events of two versions (ORDER) that were refused before the set was built. Cause: stream_software_restrict asks that an endpoint's version be allowed and known for 3 s. In the first 3 s after its start an instance knows no version for that long, so it drops 'allowed', then the age, and begins streams at any version, although endpoints of an allowed one can run them (invariant 1 of software_set.h). Another young instance vouches by the set, whose list lacks the version for up to news_age_max, or a second kill of all comes before the version is added.

--- /dev/null
+++ b/test/test_streams_after_restart.cc
@@ -0,0 +1,161 @@
+/*
+** test_streams_after_restart.cc
+** Instances that have just started: where they begin streams, and whom they
+** believe about streams that are taken up
+*/
+
+#include <gtest/gtest.h>
+
+#include "stream_fleet.h"
+
+extern "C" {
+#include "router/relay_members.h"
+}
+
+using namespace streaming;
+
+namespace {
+
+constexpr unsigned members = 3;
+
+mp_Addr member_at(unsigned i) {
+  return mp_addr_parse(("10.0.1." + std::to_string(i + 1) + ":1").c_str());
+}
+
+guint64 digest_of(const char *software) {
+  EndpointRecord record = {};
+  record.service = const_cast<char *>("llm");
+  record.software = const_cast<char *>(software);
+  return endpoint_software_digest(&record);
+}
+
+/* One life of an instance; the engines "old-*" have v1, "new-*" v2. */
+struct Life {
+  World world;
+
+  explicit Life(guint64 seed) : world(0, 10.0, 0, "10.0.0.5:1", 0, "a", seed) {
+    GArray *others = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+    for (unsigned i = 0; i < members; i++) {
+      RelayMember other = {member_at(i), g_str_hash("a"), 1};
+      g_array_append_val(others, other);
+    }
+    world.configure();
+    world.started_unix_ms = 1;
+    router_set_members(world.router, others);
+    g_array_free(others, TRUE);
+    add("pre-1", "v1", STAGE_PREFILL);
+    add("old-1", "v1");
+    add("old-2", "v1");
+  }
+
+  void add(const char *id, const char *software,
+           EndpointStage stage = STAGE_DECODE) {
+    world.software = software;
+    world.endpoint({id, "llm", "a", stage});
+  }
+
+  /* Answers the prefill; returns the engine of the request's run, or "". */
+  std::string engine_of(guint64 request) {
+    if (world.dispatches.empty() || world.last().request != request)
+      return "";
+    if (world.last().kind == DISPATCH_PREFILL)
+      world.prefilled(world.last().number);
+    return world.last().kind == DISPATCH_RUN ? world.last().endpoint : "";
+  }
+
+  /* Returns the number of the newest query; 0: none was sent. */
+  guint32 last_query() const {
+    guint32 number = 0;
+    for (const auto &one : world.messages) {
+      if (one.second.kind == MP_MSG_STREAM_QUERY)
+        number = one.second.u.query.number;
+    }
+    return number;
+  }
+};
+
+/* Guards against streams at a version that the set lacks, while engines of a
+** version that it holds can run them: an instance that vouches by the set does
+** not know of them. */
+TEST(StreamsAfterRestart, YoungInstanceBeginsStreamsAtAllowedVersionsOnly) {
+  Life life(7);
+  World &world = life.world;
+  SoftwareSetCall call = {};
+  SoftwareSetRecord record = {};
+  gint64 due;
+  world.advance(10 * ms);
+  ASSERT_TRUE(router_next_software_call(world.router, &call, &due, world.now));
+  record.count = 1;
+  record.entries[0] = {digest_of("v1"), FALSE};
+  SoftwareSetReply reply = {STORE_OK, store_position(1, 1), &record};
+  router_software_reply(world.router, &call, &reply, 1, world.now);
+  world.advance(10 * ms);
+  router_store_answered(world.router, world.now);
+  life.add("new-1", "v2");
+  life.add("new-2", "v2");
+  unsigned began_at_new = 0;
+  for (int i = 0; i < 20; i++) {
+    world.id = "first" + std::to_string(i);
+    guint64 request = world.request("/resume/x");
+    std::string engine = life.engine_of(request);
+    ASSERT_NE(engine, "");
+    began_at_new += engine.substr(0, 3) == "new";
+    world.hangup(request);
+  }
+  EXPECT_EQ(began_at_new, 0u) << "of 20";
+}
+
+FleetOptions options_of(unsigned seed) {
+  FleetOptions options;
+  options.seed = seed;
+  options.instances = 8;
+  options.streams_per_s = 20;
+  options.contact_time = 0;
+  options.has_store = true;
+  return options;
+}
+
+/* Guards against two instances that have just started, of which one begins
+** streams at a version that has just appeared, and the other, whose list is
+** within news_age_max of it, vouches for the version before by the set. */
+TEST(StreamsAfterRestart, VersionThatAppearsAfterAKillOfAllJoinsNoStream) {
+  unsigned mixed = 0;
+  for (unsigned seed = 1; seed <= 8; seed++) {
+    Fleet fleet(options_of(seed));
+    fleet.advance(30 * second);
+    fleet.kill_instances(1.0);
+    fleet.advance(1300 * ms);
+    fleet.cut_from_list({0, 1, 2, 3});
+    fleet.add_engines("v1.1", 12);
+    fleet.advance(700 * ms);
+    fleet.break_callers({4, 5, 6, 7});
+    fleet.advance(second);
+    fleet.cut_from_list({});
+    fleet.advance(3 * second);
+    mixed += fleet.mixed_streams();
+    EXPECT_EQ(fleet.disordered_streams(), 0u) << seed;
+  }
+  EXPECT_EQ(mixed, 0u);
+}
+
+/* The same without any list that lags: the version's engines end when all
+** instances are killed for a second time, before the set holds it. */
+TEST(StreamsAfterRestart, VersionOfTheTimeBetweenTwoKillsIsNotForgotten) {
+  unsigned mixed = 0;
+  for (unsigned seed = 1; seed <= 8; seed++) {
+    Fleet fleet(options_of(seed));
+    fleet.advance(30 * second);
+    fleet.kill_instances(1.0);
+    fleet.advance(1300 * ms);
+    fleet.software_store.delay_max = 200 * ms;
+    fleet.add_engines("v1.1", 12);
+    fleet.advance(200 * ms);
+    fleet.kill_instances(1.0);
+    fleet.end_version("v1.1");
+    fleet.advance(6 * second);
+    mixed += fleet.mixed_streams();
+  }
+  EXPECT_EQ(mixed, 0u);
+}
+
+} // namespace
