Red: a set of versions from a restored store is trusted after a start

In virtual time, streams get events of two versions when the store returns from a copy of before a release while all instances are down, and the version's engines are gone. Cause: that a restored set is not to be trusted for the keep time is known from the change of the era, which only a running instance sees (Row.restored_at). The object does not say in which era it was written, so an instance that starts later vouches by it at once. software_set.h lists it as left to chance; before the set, such an instance did not vouch.

--- a/test/test_streams_after_restart.cc
+++ b/test/test_streams_after_restart.cc
@@ -158,4 +158,24 @@
   EXPECT_EQ(mixed, 0u);
 }
 
+/* Guards against trust in the set of a store that was restored from a copy by
+** instances that started after that, so that none of them saw the era change.
+*/
+TEST(StreamsAfterRestart, StoreRestoredWhileAllAreDownJoinsNoStream) {
+  unsigned mixed = 0;
+  for (unsigned seed = 1; seed <= 4; seed++) {
+    Fleet fleet(options_of(seed));
+    fleet.advance(30 * second);
+    auto copy = fleet.software_store.objects;
+    fleet.add_engines("v1.1", 12);
+    fleet.advance(6 * second);
+    fleet.kill_instances(1.0);
+    fleet.software_store.restore(copy);
+    fleet.end_version("v1.1");
+    fleet.advance(8 * second);
+    mixed += fleet.mixed_streams();
+  }
+  EXPECT_EQ(mixed, 0u);
+}
+
 } // namespace
