Red: a reply to a query of an earlier life decides another stream

A replica that was frozen answers, once thawed, what an instance asked before it was killed. The instance that restarted at the same address takes the reply for one to its own query of the same number, and goes on with a stream at the version of another one (ORDER). Cause: Continuation.last_query begins at 0 in each life, and STREAM_REPLY carries the number alone, not the stream's key. Query 1 of both lives is open to the same replicas. Ruled out: replies of instances that were not asked (count_reply).

--- a/test/test_streams_after_restart.cc
+++ b/test/test_streams_after_restart.cc
@@ -74,6 +74,32 @@
   }
 };
 
+/* Guards against a stream that goes on at the version of another one: a
+** replica that was frozen answers what the instance asked before its restart.
+*/
+TEST(StreamsAfterRestart, ReplyToAQueryOfAnEarlierLifeDecidesNothing) {
+  mp_Msg late = {};
+  {
+    Life before(7);
+    before.add("new-1", "v2");
+    before.world.request_resumption("/resume/x", 0, "began-at-v2", "1");
+    ASSERT_NE(before.last_query(), 0u);
+    late.kind = MP_MSG_STREAM_REPLY;
+    late.u.reply.number = before.last_query();
+    late.u.reply.verdict = 1; /* known */
+    late.u.reply.software = digest_of("v2");
+    late.u.reply.service = g_str_hash("llm");
+  }
+  Life after(8);
+  after.add("new-1", "v2");
+  guint64 again =
+      after.world.request_resumption("/resume/x", 0, "began-at-v1", "1");
+  ASSERT_NE(after.last_query(), 0u);
+  router_stream_message(after.world.router, member_at(0), &late,
+                        after.world.now);
+  EXPECT_EQ(after.engine_of(again), "");
+}
+
 /* Guards against streams at a version that the set lacks, while engines of a
 ** version that it holds can run them: an instance that vouches by the set does
 ** not know of them. */
