Red: an origin that the full object leaves out is acknowledged

With 8,192 unexpired origins at a recorder, an origin that was sent may be left out before the first write (make_room), and its sender is still told that it is written, against the contract in origin_recorder.h. After a kill of all, the stream is refused as unknown. Cause: acknowledgements follow the number of the change, not the rows. Ruled out: the limit of pending acknowledgements (one is pending).

--- a/test/test_streams_after_restart.cc
+++ b/test/test_streams_after_restart.cc
@@ -4,11 +4,14 @@
 ** believe about streams that are taken up
 */
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "stream_fleet.h"
 
 extern "C" {
+#include "router/origin_recorder.h"
 #include "router/relay_members.h"
 }
 
@@ -204,4 +207,40 @@
   EXPECT_EQ(mixed, 0u);
 }
 
+/* Guards against an acknowledgement of an origin that was left out of the
+** write, since the object was full. */
+TEST(StreamsAfterRestart, RecorderAcknowledgesOnlyWhatItsWriteHolds) {
+  OriginRecorder *recorder = origin_recorder_new();
+  gint64 now = 100 * second;
+  OriginsSave save = {};
+  gboolean is_written = FALSE;
+  for (guint32 i = 1; i <= RECORDED_ORIGINS_MAX + 1; i++) {
+    StreamOrigin origin = {};
+    origin.key.digest[0] = i;
+    origin.software = 1;
+    origin.expires = (i == 1 ? 105 : 110) * second;
+    OriginAck ack = {5, i == 1 ? 1U : 0U, 0};
+    origin_recorder_add(recorder, &origin, ack, now);
+  }
+  ASSERT_TRUE(origin_recorder_next_call(recorder, &save, now));
+  ASSERT_EQ(save.operation, STORE_READ);
+  g_array_free(origin_recorder_handle_reply(recorder, STORE_NOT_FOUND,
+                                            store_position_none(), nullptr,
+                                            &is_written, now),
+               TRUE);
+  now += 50 * ms;
+  ASSERT_TRUE(origin_recorder_next_call(recorder, &save, now));
+  auto *rows = reinterpret_cast<StoredOrigin *>(save.record.origins->data);
+  bool holds_first = std::any_of(
+      rows, rows + save.record.origins->len,
+      [](const StoredOrigin &row) { return row.key.digest[0] == 1; });
+  stream_origins_record_clear(&save.record);
+  GArray *acks = origin_recorder_handle_reply(
+      recorder, STORE_OK, store_position(1, 1), nullptr, &is_written, now);
+  bool says_written = acks->len == 1 && is_written != FALSE;
+  EXPECT_EQ(says_written, holds_first);
+  g_array_free(acks, TRUE);
+  origin_recorder_free(recorder);
+}
+
 } // namespace
