--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -86,7 +86,6 @@
   gint64 lingers_until; /* when a connection that discards input is closed */
   gboolean discards_requests; /* it lingers after a whole request, so that its
                               ** input is a next request */
-  gint64 accepted_at;
   IntakeConnection intake;
 } Connection;
 
@@ -118,8 +117,7 @@
 ** has passed without one (HOLD_STEP), at most for HOLD_MAX. Calls itself again
 ** by the read timeout. Returns FALSE if the connection is to be closed now; a
 ** request that comes later meets a closed socket, unread, and the reset that
-*it
-** causes discards nothing.
+** it causes discards nothing.
 */
 gboolean connection_hold(Connection *connection);
 /* Closes a connection that waits for a request, now or when it is no longer
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -44,6 +44,9 @@
   /* Takings-up at an instance that has run for less are not counted. */
   gint64 contact_time = 3 * second;
   bool has_store = false; /* instances keep origins in Fleet.store */
+  /* One instance in so many knows the set of versions in the store; the others
+  ** make no call about it, as instances of an earlier version. */
+  unsigned set_known_by = 1;
 };
 
 /* What became of streams, counted by the caller's side. */
