A recorder acknowledges no origin that its full object leaves out

Found in review: where 8,192 origins are held, the next one displaces the one that expires first, and what waited for that one was acknowledged with the next write. Nothing was joined by it; a taking-up would have been refused.

Acknowledgements that are pending when an origin is displaced are dropped, so their senders count them as missed. Red before, green now: StreamsAfterRestart.RecorderAcknowledgesOnlyWhatItsWriteHolds.

--- a/router/origin_recorder.c
+++ b/router/origin_recorder.c
@@ -76,6 +76,8 @@
       first = row;
   }
   g_hash_table_remove(recorder->rows, &first->stored.key);
+  /* the next write may lack what one of them waits for */
+  g_array_set_size(recorder->acks, 0);
 }
 
 /* Adds or merges an origin; returns TRUE if that changed anything. */
