Numbers of queries begin at random, so a reply to an earlier life decides nothing

Found in review, older than this work: an instance that is killed and starts again at its address numbered its queries from 1 again, and a reply carries no key. A replica that was frozen with queued queries could answer the query of the earlier life, and its version was taken for that of another stream (ORDER).

--- a/router/continuation.c
+++ b/router/continuation.c
@@ -419,6 +419,15 @@
     stream_origins_add(origins, origin, now);
 }
 
+/* Returns a number that no query of this instance has had, nor probably one
+** of its earlier lives, to which replies may still come. */
+static guint32 next_query(Router *router) {
+  Continuation *continuation = router->continuation;
+  if (continuation->last_query == 0)
+    continuation->last_query = g_rand_int(router->random);
+  return ++continuation->last_query;
+}
+
 /* Asks the replicas for the origin of the request's stream, or the store if
 ** there are none. */
 static void begin_query(Router *router, Request *request, gint64 now) {
@@ -430,7 +439,7 @@
     return;
   }
   request->phase = PHASE_ORIGIN;
-  query->number = ++router->continuation->last_query;
+  query->number = next_query(router);
   request->stall_at = now + QUERY_REPEAT;
   ask_replicas(router, request);
 }
--- a/router/origin_store.c
+++ b/router/origin_store.c
@@ -36,6 +36,8 @@
 void router_use_origin_store(Router *router) {
   router->origin_store = g_new0(OriginStore, 1);
   router->origin_store->slices = origin_slices_new();
+  /* replies to what an earlier life sent may still come */
+  router->origin_store->last_number = g_rand_int(router->random);
 }
 
 void origin_store_free(OriginStore *store) {
