A taking-up believes the set of versions only by a read that began after it arrived

An instance in its first 3 s took any version for a new stream, also one that the set lacked, since none had been known for long; another vouched by a set that it had read before.

Now an instance vouches at once only by what it has followed. What no replica knows is asked of the store: its origins, and the set, both read after the request arrived. Origins come first, so an exception from the set that was recorded is found. New streams begin at an allowed version if one can run them, also while no version has been known for 3 s. Origins are left unrecorded only for the one version of the set, also where the list was followed for long.

Ruled out: to wait 3 s after each start, which refuses or mixes what is asked for meanwhile; the age of the list, which may be 2.5 s.

--- a/router/continuation.c
+++ b/router/continuation.c
@@ -128,20 +128,18 @@
     continuation->followed_since = at;
 }
 
-/* Returns the version for which this instance vouches (invariant 2); 0: it
-** vouches for none. */
+/* Returns the version for which this instance vouches by what it has followed
+** (invariant 2); 0: it vouches for none. */
 static guint64 vouched_software(const Router *router, guint32 service,
                                 gint64 lifetime, gint64 now) {
   const Continuation *continuation = router->continuation;
-  guint64 only = 0;
   if (continuation->followed_since == 0 ||
+      now - continuation->followed_since < lifetime ||
       (router->news_age_max > 0 &&
        now - router->store_answered_at > router->news_age_max))
     return 0;
-  if (now - continuation->followed_since >= lifetime)
-    only = software_history_only(router->endpoints->software, service,
-                                 now - lifetime);
-  return only != 0 ? only : stream_software_only(router, service, now);
+  return software_history_only(router->endpoints->software, service,
+                               now - lifetime);
 }
 
 /* }================================================================== */
@@ -186,13 +184,15 @@
   Continuation *continuation = router->continuation;
   StreamOrigin origin = own_origin(request, now);
   gint64 lifetime = route_lifetime(request->route);
+  gboolean is_only =
+      stream_software_only(router, origin.service, 0, now) == origin.software;
   origin.is_told =
-      vouched_software(router, origin.service, lifetime, now) == 0;
+      !is_only && vouched_software(router, origin.service, lifetime, now) == 0;
   if (!stream_origins_add(continuation->origins, &origin, now))
     router_count(router, ORIGINS_LEFT_OUT);
   if (origin.is_told)
     tell(router, &origin, now);
-  if (stream_software_only(router, origin.service, now) != 0)
+  if (is_only)
     return; /* an instance that starts learns that from the set */
   if (request->resumes)
     origin_store_record(router, &origin, now);
@@ -216,7 +216,8 @@
   guint32 hash = g_str_hash(service->name);
   guint count;
   guint i;
-  if (vouched_software(router, hash, LIFETIME_UNLIMITED, now) != 0)
+  if (stream_software_only(router, hash, 0, now) != 0 ||
+      vouched_software(router, hash, LIFETIME_UNLIMITED, now) != 0)
     return;
   count = stream_origins_take_untold(router->continuation->origins, hash, told,
                                      TOLD_AT_ONCE_MAX, now);
@@ -296,21 +297,12 @@
              (int)((now - request->arrived) / MP_MS));
 }
 
-/* Returns TRUE if the request may go on at the only version of its service
-** once the set of versions has been read. */
-static gboolean awaits_set(const Router *router, const Request *request) {
-  return request->route->targets->len == 1 &&
-         stream_software_is_pending(router,
-                                    g_str_hash(request->service->name));
-}
-
 /* Refuses a request whose stream's origin is not known. */
 static void refuse_unknown(Router *router, Request *request, gint64 now) {
   log_origin(router, request, 0, "none", 0, now);
   router_count(router, REFUSED_ORIGIN);
-  /* replicas that did not reply, or the set, may say it later */
-  if (request->query.replied < request->query.asked ||
-      awaits_set(router, request))
+  /* replicas that did not reply may know it later */
+  if (request->query.replied < request->query.asked)
     request->come_back = finish_default_retry_ms(REFUSAL_NO_ENDPOINT) * MP_MS;
   finish_refuse(router, request, REFUSAL_STREAM_UNKNOWN);
 }
@@ -372,8 +364,19 @@
   }
 }
 
-/* No instance knows the origin of the request's stream: asks the store, or
-** refuses the request. */
+void continuation_recheck(Router *router, Request *request, gint64 now) {
+  guint32 service = g_str_hash(request->service->name);
+  guint64 software = 0;
+  if (request->route->targets->len == 1)
+    software = stream_software_only(router, service, request->arrived, now);
+  if (software != 0)
+    start_at_only(router, request, software, now);
+  else if (request->route->targets->len != 1 ||
+           !stream_software_want_read(router, service, request->arrived))
+    refuse_unknown(router, request, now);
+}
+
+/* No instance knows the origin of the request's stream: asks the store. */
 static void ask_store(Router *router, Request *request, gint64 now) {
   const StreamOrigin *origin = NULL;
   if (request->has_stream)
@@ -381,15 +384,20 @@
                                  &request->stream, now);
   if (origin != NULL) { /* it was told meanwhile */
     start_at_origin(router, request, origin, now);
-  } else if (request->query.asks_store) {
     return;
-  } else if (request->has_stream && router->origin_store != NULL) {
-    request->phase = PHASE_ORIGIN;
-    request->query.asks_store = TRUE;
-    request->stall_at = request->arrived + STORE_TIMEOUT;
-  } else {
-    refuse_unknown(router, request, now);
   }
+  if (request->query.asks_store)
+    return;
+  request->phase = PHASE_ORIGIN;
+  request->query.asks_store = TRUE;
+  request->stall_at = request->arrived + STORE_TIMEOUT;
+  if (request->has_stream && router->origin_store != NULL) {
+    stream_software_want_read(router, g_str_hash(request->service->name),
+                              request->arrived);
+    return;
+  }
+  request->query.is_listed = TRUE;
+  continuation_recheck(router, request, now);
 }
 
 void continuation_handle_stored(Router *router, Request *request,
@@ -402,9 +410,13 @@
     start_at_origin(router, request, origin, now);
     return;
   }
-  if (found == NULL) /* the store may know it later */
+  if (found == NULL) { /* the store may know it later */
     request->come_back = finish_default_retry_ms(REFUSAL_NO_ENDPOINT) * MP_MS;
-  refuse_unknown(router, request, now);
+    refuse_unknown(router, request, now);
+    return;
+  }
+  request->query.is_listed = TRUE;
+  continuation_recheck(router, request, now);
 }
 
 const StreamOrigin *continuation_find(const Router *router,
@@ -434,7 +446,7 @@
   OriginQuery *query = &request->query;
   query->asked = stream_replicas_list(router->continuation->members,
                                       &request->stream, query->replicas);
-  if (query->asked == 0 && !awaits_set(router, request)) {
+  if (query->asked == 0) {
     ask_store(router, request, now);
     return;
   }
@@ -477,17 +489,6 @@
   ask_replicas(router, request);
 }
 
-void continuation_recheck(Router *router, Request *request, gint64 now) {
-  const OriginQuery *query = &request->query;
-  guint64 software =
-      vouched_software(router, g_str_hash(request->service->name),
-                       route_lifetime(request->route), now);
-  if (software != 0 && request->route->targets->len == 1)
-    start_at_only(router, request, software, now);
-  else if (query->replied == query->asked)
-    ask_store(router, request, now);
-}
-
 gboolean continuation_is_possible(const Router *router,
                                   const Request *request) {
   const GPtrArray *all = router->endpoints->all;
@@ -578,8 +579,7 @@
   } else if (reply->verdict == ORIGIN_ONLY && reply->software != 0 &&
              request->route->targets->len == 1) {
     start_at_only(router, request, reply->software, now);
-  } else if (request->query.replied == request->query.asked &&
-             !awaits_set(router, request)) {
+  } else if (request->query.replied == request->query.asked) {
     ask_store(router, request, now);
   }
 }
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -68,8 +68,10 @@
 /* Returns since when the list of endpoints has been followed without a gap; 0:
 ** it has not been read. */
 gint64 continuation_followed_since(const Continuation *continuation);
-/* The set of the service's versions has been read for the first time, or that
-** has failed: decides about a request with an open query; may end. */
+/* Decides about a request whose stream no instance and none of the store's
+** origins knows: starts it at the version that the set of its service, read
+** after the request arrived, holds alone, or refuses it; waits for such a read
+** if there may be one. May end. */
 void continuation_recheck(Router *router, Request *request, gint64 now);
 
 /* Tells the origins that are due (invariant 4) and drops expired ones. */
--- a/router/origin_store.c
+++ b/router/origin_store.c
@@ -305,7 +305,7 @@
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     Request *request = value;
     if (request->phase == PHASE_ORIGIN && request->query.asks_store &&
-        request->arrived <= began)
+        !request->query.is_listed && request->arrived <= began)
       return request;
   }
   return NULL;
--- a/router/software_set.c
+++ b/router/software_set.c
@@ -58,6 +58,7 @@
   gint64 retry_at;     /* no call is made before */
   guint failures;      /* in a row */
   gint64 restored_at;  /* when the store was restored; 0: not seen */
+  gint64 wanted_at;    /* a read that began then or later is waited for */
 } Row;
 
 struct SoftwareSets {
@@ -207,7 +208,8 @@
   gint64 newest = view->followed_since;
   gint64 delay;
   guint i;
-  if (row->must_read || row->state == SET_UNKNOWN)
+  if (row->must_read || row->state == SET_UNKNOWN ||
+      row->read_at < row->wanted_at)
     return row->retry_at;
   for (i = 0; i < wanted->count; i++)
     newest = MAX(newest, wanted->versions[i].known_since);
@@ -453,10 +455,12 @@
 }
 
 guint64 software_sets_only(const SoftwareSets *sets, guint32 service,
-                           const SoftwareView *view, gint64 now) {
+                           const SoftwareView *view, gint64 read_since,
+                           gint64 now) {
   const Row *row = find_row(sets, service);
   guint64 only;
-  if (row == NULL || !is_read(row, view) || row->count != 1 ||
+  if (row == NULL || !is_read(row, view) || row->read_at < read_since ||
+      row->count != 1 ||
       (row->restored_at != 0 && now - row->restored_at < row->keep))
     return 0;
   only = software_history_only(view->history, service, view->followed_since);
@@ -481,9 +485,13 @@
   return row->allowed;
 }
 
-gboolean software_sets_is_pending(const SoftwareSets *sets, guint32 service,
-                                  const SoftwareView *view) {
-  const Row *row = find_row(sets, service);
-  return sets->is_driven && row != NULL && row->failures == 0 &&
-         !is_read(row, view);
+gboolean software_sets_want_read(SoftwareSets *sets, guint32 service,
+                                 const SoftwareView *view, gint64 since) {
+  Row *row = find_row(sets, service);
+  if (!sets->is_driven || row == NULL || row->failures > 0 ||
+      (is_read(row, view) && row->read_at >= since))
+    return FALSE;
+  row->wanted_at = MAX(row->wanted_at, since);
+  sets->check_at = 0;
+  return TRUE;
 }
--- a/router/software_set.h
+++ b/router/software_set.h
@@ -154,19 +154,21 @@
 /* The store was restored from a copy: forgets what was read of it. */
 void software_sets_store_restored(SoftwareSets *sets, gint64 now);
 
-/* Returns the only version of the service by the set (invariant 5); 0: it does
-** not say so. */
+/* Returns the only version of the service by a read of the set that began at
+** 'read_since' or later (invariant 5); 0: it does not say so. */
 guint64 software_sets_only(const SoftwareSets *sets, guint32 service,
-                           const SoftwareView *view, gint64 now);
+                           const SoftwareView *view, gint64 read_since,
+                           gint64 now);
 /* Returns the allowed versions of the service (invariant 1), owned by 'sets'
 ** and valid until the next call, and their number. NULL: the set does not
 ** restrict the versions, since it is not known, does not exist or the store
 ** does not answer. */
 const guint64 *software_sets_allowed(SoftwareSets *sets, guint32 service,
                                      const SoftwareView *view, guint *count);
-/* Returns TRUE if the set has not been read since the list has been followed,
-** and a call that may do that is open or due. */
-gboolean software_sets_is_pending(const SoftwareSets *sets, guint32 service,
-                                  const SoftwareView *view);
+/* Makes a read of the set due, unless one that began at 'since' or later has
+** ended since the list has been followed. Returns TRUE if it is due or open.
+*/
+gboolean software_sets_want_read(SoftwareSets *sets, guint32 service,
+                                 const SoftwareView *view, gint64 since);
 
 #endif
--- a/router/state.h
+++ b/router/state.h
@@ -132,6 +132,8 @@
   guint replied;
   mp_Addr replicas[STREAM_REPLICAS_MAX];
   gboolean has_replied[STREAM_REPLICAS_MAX];
+  gboolean is_listed;  /* the store's origins were read, and lack it: the set
+                       ** of versions decides */
   gboolean asks_store; /* the replicas did not know it: the store is asked */
 } OriginQuery;
 
--- a/router/stream_software.c
+++ b/router/stream_software.c
@@ -29,6 +29,7 @@
 void stream_software_restrict(Router *router, EndpointQuery *query,
                               const Request *request, gint64 now) {
   SoftwareView view = view_of(router);
+  gint64 before;
   if (request->software != 0 || request->route->kind != ROUTE_STREAM ||
       !request->repeatable || router->news_age_max == 0)
     return;
@@ -36,10 +37,15 @@
   query->allowed = software_sets_allowed(router->software_sets,
                                          g_str_hash(request->service->name),
                                          &view, &query->allowed_count);
+  before = query->software_before;
   if (endpoint_table_has_allowed_software(router->endpoints, query, now))
     return;
   if (query->allowed != NULL) {
+    query->software_before = 0;
+    if (endpoint_table_has_allowed_software(router->endpoints, query, now))
+      return;
     query->allowed = NULL;
+    query->software_before = before;
     if (endpoint_table_has_allowed_software(router->endpoints, query, now))
       return;
   }
@@ -47,14 +53,16 @@
 }
 
 guint64 stream_software_only(const Router *router, guint32 service,
-                             gint64 now) {
+                             gint64 read_since, gint64 now) {
   SoftwareView view = view_of(router);
-  return software_sets_only(router->software_sets, service, &view, now);
+  return software_sets_only(router->software_sets, service, &view, read_since,
+                            now);
 }
 
-gboolean stream_software_is_pending(const Router *router, guint32 service) {
+gboolean stream_software_want_read(Router *router, guint32 service,
+                                   gint64 since) {
   SoftwareView view = view_of(router);
-  return software_sets_is_pending(router->software_sets, service, &view);
+  return software_sets_want_read(router->software_sets, service, &view, since);
 }
 
 /*
@@ -92,8 +100,8 @@
   return software_sets_next_call(router->software_sets, &view, out, due, now);
 }
 
-/* Decides about the requests that waited for the first read of the service's
-** set. A decision may end other requests, so they are found by number. */
+/* Decides about the requests that wait for a read of the service's set. A
+** decision may end other requests, so they are found by number. */
 static void recheck(Router *router, guint32 service, gint64 now) {
   GArray *numbers = g_array_new(FALSE, FALSE, sizeof(guint64));
   GHashTableIter iterator;
@@ -102,7 +110,7 @@
   g_hash_table_iter_init(&iterator, router->requests);
   while (g_hash_table_iter_next(&iterator, NULL, &value)) {
     const Request *request = value;
-    if (request->phase == PHASE_ORIGIN && request->query.number != 0 &&
+    if (request->phase == PHASE_ORIGIN && request->query.is_listed &&
         g_str_hash(request->service->name) == service)
       g_array_append_val(numbers, request->number);
   }
@@ -140,22 +148,21 @@
                            gint64 now) {
   SoftwareSetReply taken = *reply;
   guint32 service = g_str_hash(call->service);
-  gboolean is_pending;
+  gboolean was_known;
   guint64 only;
   router_observe_era(router, era, now);
   if (era < router->era)
     taken.status = STORE_FAILED; /* it predates what is known */
   if (taken.status == STORE_OK && call->operation != STORE_READ)
     note_changes(router, call);
-  is_pending = stream_software_is_pending(router, service);
+  was_known = stream_software_only(router, service, 0, now) != 0;
   software_sets_reply(router->software_sets, &taken, now);
-  only = stream_software_only(router, service, now);
-  if (is_pending && only != 0)
+  only = stream_software_only(router, service, 0, now);
+  if (!was_known && only != 0)
     router_log(router, MP_LOG_SOFTWARE_ONLY,
                " service=%s software=%016" G_GINT64_MODIFIER "x",
                call->service, only);
-  if (is_pending)
-    recheck(router, service, now);
+  recheck(router, service, now);
 }
 
 /* }================================================================== */
--- a/router/stream_software.h
+++ b/router/stream_software.h
@@ -19,12 +19,14 @@
 ** next call. */
 void stream_software_restrict(Router *router, EndpointQuery *query,
                               const struct Request *request, gint64 now);
-/* Returns the version of the service for which this instance vouches by the
-** set, if its list is up to date; 0: none. */
+/* Returns the version of the service that its set holds alone, by a read that
+** began at 'read_since' or later; 0: none, or there was no such read. */
 guint64 stream_software_only(const Router *router, guint32 service,
-                             gint64 now);
-/* Returns TRUE if the first read of the service's set has not ended. */
-gboolean stream_software_is_pending(const Router *router, guint32 service);
+                             gint64 read_since, gint64 now);
+/* Has the set read again, unless a read began at 'since' or later. Returns
+** FALSE if there is none to wait for. */
+gboolean stream_software_want_read(Router *router, guint32 service,
+                                   gint64 since);
 
 /*
 ** Calls to the store, which io/software_set_writer.c makes
