--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -659,8 +659,8 @@
   '             : TRUE;'
 m v-history "streams: a young instance vouches for no version" \
   router/continuation.c \
-  'now - continuation->followed_since >= lifetime' \
-  'now >= continuation->followed_since'
+  'now - continuation->followed_since < lifetime' \
+  'now < continuation->followed_since'
 m v-gap "streams: a gap in the list may have held another version" \
   router/continuation.c \
   '  if (has_gap)' \
