--- a/router/continuation.h
+++ b/router/continuation.h
@@ -20,14 +20,14 @@
 **    began the stream, or to none. What is not known is refused, not guessed.
 ** 2. An instance vouches for a version only if it has followed the list of
 **    endpoints without a gap for longer than a run may last and its caller
-**    takes to come back, or has read since then that the set in the store
-**    holds that version alone (software_set.h), has seen no other version in
-**    that time, and its list was complete less than Router.news_age_max ago.
+**    takes to come back, has seen no other version in that time, and its list
+**    was complete less than Router.news_age_max ago. What no replica knows is
+**    looked up in the store, in its origins (origin_store.h) and in the set of
+**    versions (software_set.h), both read after the taking-up arrived.
 ** 3. New streams begin at a version that has just appeared only after
-**    news_age_max and a margin, if endpoints of a version that is known for
-**    longer can run them (stream_software.h). So no stream has begun at a
-** version of which a
-**    vouching instance does not know.
+**    news_age_max and a margin, if endpoints of an allowed version that is
+**    known for longer can run them (stream_software.h). So no stream has begun
+**    at a version of which a vouching instance does not know.
 ** 4. The origin of a stream that began while its instance could vouch is told
 **    when it no longer can.
 */
--- a/router/software_set.h
+++ b/router/software_set.h
@@ -34,18 +34,15 @@
 **    unmarks it.
 ** 4. Each write is conditional on the revision that its content was made from,
 **    so it changes that content whenever it is carried out, or nothing.
-** 5. This instance vouches by the set only if it read it after
-**    'followed_since', it holds one version, and no other was listed since.
+** 5. A stream that is taken up goes on at the version that the set holds alone
+**    only by a read that began after the taking-up arrived and after
+**    'followed_since', if no other version was listed since, and neither a
+**    replica nor the store's origins know the stream (continuation.h).
 **
-** Why no stream is joined from two versions. Let an instance vouch for V at t
-** by a read carried out at x, and let a stream have begun at W, listed for its
-** instance J, at s < t. J had found W in the set, unmarked.
-** - W is still in the set at x: the read shows two versions; nobody vouches.
-** - W was added after x. Then s > x, and J has known W for news_age_max and a
-**   margin before s (continuation.h, invariant 3) and has had its list
-**   confirmed since W was added. The list of the vouching instance is at most
-**   news_age_max old at t > s and has been followed since before x, so it has
-**   held W: invariant 5.
+** Why no stream is joined from two versions. Let a stream that began at W be
+** taken up at V by a read carried out at x. Its instance J had found W in the
+** set, unmarked, before the stream began, and so before x.
+** - W is still in the set at x: the read shows two versions; it is refused.
 ** - W was removed before x. Whoever marked and removed it did not want it. If
 **   J found W unmarked before the mark was written, and W was listed at that
 **   time or later, the remover's list, confirmed after the mark, has held W
@@ -56,9 +53,8 @@
 **   (KEEP_MIN is longer than the absence after which it is, and a gap in its
 **   list voids its reads), so it reads the mark or the lack.
 ** - A write carried out late: invariant 4. A late mark is found, and undone,
-** by
-**   who reads next and wants the version, at the latest by the remover. A late
-**   removal meets a revision at which W is marked, so nobody is allowed W from
+**   by who reads next and wants the version, at the latest by the remover. A
+**   late removal meets a revision at which W is marked, so nobody is allowed W from
 **   it; it and an unmarking exclude each other. A late addition adds.
 ** - Two instances that add, mark and remove at once: one write is carried out,
 **   the other is answered with the object and starts from it.
@@ -67,11 +63,12 @@
 ** - Instances that know no set begin streams at a new version only after
 **   news_age_max and a margin; an instance that knows the set has added the
 **   version by then if the store answers it.
-** Left to chance: streams that begin at a version that is not allowed, since
-** no allowed one can run them or this instance can't call the store, and a
-** kill of all instances before the version is added, after whose end it is no
-** longer listed; the same within the time of a creation that is carried out
-** late, and in a set that an operator removed or a restored store has lost.
+** - A stream that began at a version that was not allowed, since no allowed one
+**   could run it or the set was not read yet, has an origin in the store.
+** Left to chance: such streams if the store did not take their origins either,
+** or their callers name no attempt, and all instances are killed before the
+** version is added, and it is no longer listed then; the same within the time
+** of a creation that is carried out late.
 **
 ** Times are microseconds of this instance's steady clock.
 */
