--- a/router/software_set.h
+++ b/router/software_set.h
@@ -54,8 +54,8 @@
 **   list voids its reads), so it reads the mark or the lack.
 ** - A write carried out late: invariant 4. A late mark is found, and undone,
 **   by who reads next and wants the version, at the latest by the remover. A
-**   late removal meets a revision at which W is marked, so nobody is allowed W from
-**   it; it and an unmarking exclude each other. A late addition adds.
+**   late removal meets a revision at which W is marked, so nobody is allowed W
+**   from it; it and an unmarking exclude each other. A late addition adds.
 ** - Two instances that add, mark and remove at once: one write is carried out,
 **   the other is answered with the object and starts from it.
 ** - All killed at any moment: only the set and the list are left, and the
