--- a/router/software_set.h
+++ b/router/software_set.h
@@ -63,7 +63,7 @@
 ** - Instances that know no set begin streams at a new version only after
 **   news_age_max and a margin; an instance that knows the set has added the
 **   version by then if the store answers it.
-** - A stream that began at a version that was not allowed, since no other could
+** - A stream that began at a version that was not allowed, as no other could
 **   run it or the set was not read yet, has an origin in the store.
 ** Left to chance: such streams if the store did not take their origins either,
 ** or their callers name no attempt, and all instances are killed before the
