--- a/router/stream_software.c
+++ b/router/stream_software.c
@@ -148,17 +148,17 @@
                            gint64 now) {
   SoftwareSetReply taken = *reply;
   guint32 service = g_str_hash(call->service);
-  gboolean was_known;
+  gboolean is_first_read;
   guint64 only;
   router_observe_era(router, era, now);
   if (era < router->era)
     taken.status = STORE_FAILED; /* it predates what is known */
   if (taken.status == STORE_OK && call->operation != STORE_READ)
     note_changes(router, call);
-  was_known = stream_software_only(router, service, 0, now) != 0;
+  is_first_read = stream_software_want_read(router, service, 0);
   software_sets_reply(router->software_sets, &taken, now);
   only = stream_software_only(router, service, 0, now);
-  if (!was_known && only != 0)
+  if (is_first_read && only != 0)
     router_log(router, MP_LOG_SOFTWARE_ONLY,
                " service=%s software=%016" G_GINT64_MODIFIER "x",
                call->service, only);
