Stand-in proxy: a freed connection leaves its rate limit at once

The log of the proxy ends with an assertion of libevent in bufferevent_rate_limit_group_free: 0 == g->n_members.

Cause: bufferevent_free finalizes in a later turn of the loop, and the connection stays a member of its group until then. A link whose limit ended in the turn in which a pair was freed ended the proxy, and with it all instances' way to the store.

Ruled out: a fault of the instance, which logs E4004 for the store from then on and waits to register.

Change: a side leaves its group before it is freed.

Conclusion: a fault of the stand-in, not of the product.

--- a/standin/proxy.c
+++ b/standin/proxy.c
@@ -97,10 +97,17 @@
 ** ===================================================================
 */
 
+/* libevent frees a connection in a later turn of the loop, and its limit must
+** not be freed before. */
+static void side_free_events(const Side *side) {
+  bufferevent_remove_from_rate_limit_group(side->events);
+  bufferevent_free(side->events);
+}
+
 static void pair_free(Pair *pair) {
   g_ptr_array_remove_fast(pair->link->pairs, pair);
-  bufferevent_free(pair->client.events);
-  bufferevent_free(pair->server.events);
+  side_free_events(&pair->client);
+  side_free_events(&pair->server);
   event_free(pair->client.timer);
   event_free(pair->server.timer);
   g_free(pair);
