A stream that has begun waits for a sound endpoint that pauses

Callers saw: a stream whose endpoint was silent for 0.9 to 1.5 s and would have gone on was cancelled there and resumed elsewhere: an extra arrival, its prompt read again, and a longer pause than the endpoint's own.

Cause: silent runs were awaited before their head only, since with the wait behind it one request crashed a fourth engine.

Change: the exception leaves silent_run_is_awaited.

Price: an endpoint that hangs while its kernel accepts keeps a stream up to 1.6 s, as it keeps other runs that may be repeated.

Conclusion: silence of a sound endpoint ends or repeats nothing below 1.6 s.

--- a/router/silent_run.c
+++ b/router/silent_run.c
@@ -52,10 +52,6 @@
   OpenDispatch *open = &request->open;
   gboolean is_new = silent_run_is_new(request);
   gint64 wait = CHECK_POLL_INTERVAL;
-  /* Streams that have begun are not waited for yet: with that, one request
-  ** crashed a fourth engine (CrashEvent, docs/design/endless-answers.md). */
-  if (request->head_sent)
-    return FALSE;
   if (is_new)
     open->patience_until = MAX(patience_end(request), 1);
   if (endpoint == NULL || now >= open->patience_until ||
