--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -1309,10 +1309,12 @@
 
 -- Nothing can be answered behind a response that is broken off or announces the
 -- end of its connection: the caller learns from it that this request is not run.
-local function is_told(r)
+-- 'losses' are those of the log, by request.
+local function is_told(r, losses)
   local before = r and r.follows
   return before and not rows[r.id] and
-         (r.left or not before.whole or before.head.connection == "close")
+         (r.left or not before.whole and losses[before.id] ~= nil or
+          before.whole and before.head.connection == "close")
 end
 
 local excused, judged, paused_over_stop = 0, 0, 0
@@ -1333,7 +1335,7 @@
       -- a request's own end is no cut
       local is_cut = loss.stop_ms and loss.reason ~= "timeout" and
                      loss.reason ~= "caller" and loss.reason ~= "broken_off" and
-                     not (loss.reason == "discarded" and is_told(r))
+                     not (loss.reason == "discarded" and is_told(r, losses))
       check(not (is_cut and loss.life.is_drained),
             "%s ended with drained=1, and %s", e.name, loss.text)
     end
