Streams: three schedules against going on beside a version that has just appeared

Callers saw: when the first endpoint of a version appears while all instances are down, streams of quiet times are refused after the start.

Cause: the list shows the new version (software_set.h, invariant 5), and the first instance that starts adds it to the set before callers return.

Why nothing changes: in three other schedules the set, the list and the origins look the same, and the stream began at the new version. They are tests now, green on this code.

Ruled out: an origin before each first piece, by reasoning and not built. After a kill of all without the store no stream could begin, and a restored store has lost what it acknowledged.

--- a/router/software_set.h
+++ b/router/software_set.h
@@ -65,6 +65,10 @@
 **   version by then if the store answers it.
 ** - A stream that began at a version that was not allowed, as no other could
 **   run it or the set was not read yet, has an origin in the store.
+** - Such a stream has no origin if the store failed then, or has lost it by a
+**   restoration from a copy. If W is still listed, the stream is refused:
+**   invariant 5 asks the list. A stream of V is refused with it if W has
+**   appeared while all were down, since the store and the list are the same.
 ** Left to chance: such streams if the store did not take their origins either,
 ** or their callers name no attempt, and all instances are killed before the
 ** version is added, and it is no longer listed then; the same within the time
--- a/test/stream_store.h
+++ b/test/stream_store.h
@@ -34,6 +34,11 @@
   /* Carries out what is due and begins the calls that instances want. */
   void advance(gint64 now);
 
+  /* The store returns from a copy that has none of the objects. */
+  void restore_empty() {
+    objects.clear();
+  }
+
   gint64 latency_min = 2 * routing::ms;
   gint64 latency_max = 8 * routing::ms;
   bool is_away = false;    /* calls time out */
--- a/test/test_streams_after_restart.cc
+++ b/test/test_streams_after_restart.cc
@@ -207,6 +207,134 @@
   EXPECT_EQ(mixed, 0u);
 }
 
+/* How the store's calls about sets and origins fail; the list of engines is
+** delivered all the same. */
+struct StoreFault {
+  const char *name;
+  bool set_is_away;
+  bool origins_are_away;
+  bool turns_away; /* origins: at once */
+  gint64 set_delay_max;
+  unsigned lost_percent; /* of the set's answers */
+};
+
+const StoreFault store_faults[] = {
+    {"away", true, true, false, 20 * ms, 0},
+    {"turns away", true, false, true, 20 * ms, 0},
+    {"set is away", true, false, false, 20 * ms, 0},
+    {"origins are away", false, true, false, 20 * ms, 0},
+    {"slow", false, true, false, 900 * ms, 0},
+    {"loses answers", false, true, false, 20 * ms, 100},
+};
+
+void apply(Fleet &fleet, const StoreFault &fault) {
+  fleet.software_store.is_away = fault.set_is_away;
+  fleet.software_store.delay_max = fault.set_delay_max;
+  fleet.software_store.lost_percent = fault.lost_percent;
+  fleet.store.is_away = fault.origins_are_away;
+  fleet.store.turns_away = fault.turns_away;
+}
+
+const StoreFault no_fault = {"none", false, false, false, 20 * ms, 0};
+
+/* A second version appears, with 'kills_before' while all instances are down,
+** and the store fails from then until all are killed, 'span' later. Returns
+*how
+** many streams are joined; adds the takings-up to 'taken_up'. */
+unsigned joined_after(const StoreFault &fault, bool kills_before, gint64 span,
+                      unsigned &taken_up) {
+  FleetOptions options = options_of(1 + static_cast<unsigned>(span / second));
+  Fleet fleet(options);
+  fleet.advance(30 * second);
+  if (kills_before)
+    fleet.kill_instances(1.0);
+  apply(fleet, fault);
+  fleet.add_engines("v1.1", options.engines);
+  fleet.advance(span);
+  fleet.kill_instances(1.0);
+  apply(fleet, no_fault);
+  fleet.advance(6 * second);
+  taken_up += fleet.count().taken_up;
+  EXPECT_EQ(fleet.disordered_streams(), 0u) << fault.name;
+  return fleet.mixed_streams();
+}
+
+/* Guards against trust in a set that lacks a version which is listed. While
+** the store does not answer, streams begin at a version that has just
+** appeared, and neither the set nor an origin says so after a kill of all. To
+** the instances that start then, the store looks as if the version had
+** appeared while all were down. */
+TEST(StreamsAfterRestart, StoreThatFailsWhileAVersionAppearsJoinsNoStream) {
+  for (const StoreFault &fault : store_faults) {
+    unsigned mixed = 0;
+    unsigned taken_up = 0;
+    for (gint64 span = 0; span <= 6 * second; span += second)
+      mixed += joined_after(fault, false, span, taken_up);
+    EXPECT_EQ(mixed, 0u) << fault.name;
+    EXPECT_GE(taken_up, 100u) << fault.name;
+  }
+}
+
+/* Guards against the same after two kills: instances that can't read the set
+** begin streams at a version that appeared while all were down. A rule that
+** holds only once the set has been read does not bind them. */
+TEST(StreamsAfterRestart, StoreThatFailsBetweenTwoKillsJoinsNoStream) {
+  for (const StoreFault &fault : store_faults) {
+    unsigned mixed = 0;
+    unsigned taken_up = 0;
+    for (gint64 span = 2 * second; span <= 6 * second; span += second)
+      mixed += joined_after(fault, true, span, taken_up);
+    EXPECT_EQ(mixed, 0u) << fault.name;
+    EXPECT_GE(taken_up, 100u) << fault.name;
+  }
+}
+
+/* Guards against trust in a set that lacks a version which is listed: the
+** store returns, while all are down, from a copy of the time before the
+** version appeared, so that it has lost the origins too. */
+TEST(StreamsAfterRestart, StoreRestoredWithoutAListedVersionJoinsNoStream) {
+  unsigned mixed = 0;
+  for (unsigned seed = 1; seed <= 4; seed++) {
+    FleetOptions options = options_of(seed);
+    Fleet fleet(options);
+    fleet.advance(30 * second);
+    auto copy = fleet.software_store.objects;
+    fleet.add_engines("v1.1", options.engines);
+    fleet.advance(6 * second);
+    fleet.kill_instances(1.0);
+    fleet.software_store.restore(copy);
+    fleet.store.restore_empty();
+    fleet.advance(8 * second);
+    mixed += fleet.mixed_streams();
+    EXPECT_EQ(fleet.disordered_streams(), 0u) << seed;
+  }
+  EXPECT_EQ(mixed, 0u);
+}
+
+/* Guards against a rule that lets no stream begin without an origin in the
+** store: instances that have just started can't read which versions the set
+** holds, and still serve. */
+TEST(StreamsAfterRestart, StreamsBeginAfterAKillOfAllWithoutTheStore) {
+  for (bool turns_away : {false, true}) {
+    Fleet fleet(options_of(1));
+    fleet.advance(30 * second);
+    fleet.software_store.is_away = true;
+    fleet.store.is_away = !turns_away;
+    fleet.store.turns_away = turns_away;
+    fleet.kill_instances(1.0);
+    fleet.advance(3 * second);
+    unsigned began = fleet.count().began;
+    unsigned sent = fleet.count().sent;
+    fleet.advance(5 * second);
+    EXPECT_GE((fleet.count().began - began) * 10,
+              (fleet.count().sent - sent) * 9)
+        << turns_away;
+    EXPECT_LE(fleet.longest_hold(), 85 * ms) << turns_away;
+    EXPECT_EQ(fleet.mixed_streams(), 0u) << turns_away;
+    EXPECT_EQ(fleet.disordered_streams(), 0u) << turns_away;
+  }
+}
+
 /* Guards against an acknowledgement of an origin that was left out of the
 ** write, since the object was full. */
 TEST(StreamsAfterRestart, RecorderAcknowledgesOnlyWhatItsWriteHolds) {
