Comments of two tests are wrapped as the house style has them

Cause: the formatter had broken a line of each within a word.

Ruled out: other places, by a search for lines that begin with a star and a letter.

Conclusion: no code changed.

--- a/test/test_silent_runs.cc
+++ b/test/test_silent_runs.cc
@@ -65,9 +65,8 @@
       pass(10 * ms, check);
     return world.now - from;
   }
-  /* A pause of 1.55 s: work & 1: a change of the configuration in it; work &
-   *2:
-   ** the beginning of a stop. */
+  /* A pause of 1.55 s, with a change of the configuration (work & 1) or the
+  ** beginning of a stop (work & 2) in it. */
   void pass_beside_planned_work(int work) {
     pass(300 * ms);
     if ((work & 1) != 0)
--- a/test/test_streams_after_restart.cc
+++ b/test/test_streams_after_restart.cc
@@ -238,9 +238,8 @@
 const StoreFault no_fault = {"none", false, false, false, 20 * ms, 0};
 
 /* A second version appears, with 'kills_before' while all instances are down,
-** and the store fails from then until all are killed, 'span' later. Returns
-*how
-** many streams are joined; adds the takings-up to 'taken_up'. */
+** and the store fails from then until all are killed, 'span' later. Adds the
+** takings-up to 'taken_up'; returns the number of streams that are joined. */
 unsigned joined_after(const StoreFault &fault, bool kills_before, gint64 span,
                       unsigned &taken_up) {
   FleetOptions options = options_of(1 + static_cast<unsigned>(span / second));
