--- a/router/continuation.c
+++ b/router/continuation.c
@@ -289,11 +289,12 @@
                        gint64 now) {
   char digest[20];
   router_log(router, MP_LOG_STREAM_ORIGIN,
-             " request=%s software=%.24s source=%s age_ms=%d asked=%u "
-             "replied=%u after_ms=%d",
+             " request=%s software=%.24s source=%s age_ms=%d list_age_ms=%d "
+             "asked=%u replied=%u after_ms=%d",
              request->id,
              software_text(router, software, digest, sizeof digest), source,
-             (int)(age / MP_MS), request->query.asked, request->query.replied,
+             (int)(age / MP_MS), (int)(router_news_age(router, now) / MP_MS),
+             request->query.asked, request->query.replied,
              (int)((now - request->arrived) / MP_MS));
 }
 
--- a/router/router.c
+++ b/router/router.c
@@ -268,9 +268,7 @@
   return request;
 }
 
-/* Returns the time since the store's last answer; G_MAXINT32 us if there was
-** none. */
-static gint64 news_age(const Router *router, gint64 now) {
+gint64 router_news_age(const Router *router, gint64 now) {
   return router->store_answered_at != 0 ? now - router->store_answered_at
                                         : G_MAXINT32;
 }
@@ -286,7 +284,7 @@
   if (router->news != NULL && router->news->lags_since != 0)
     return TRUE;
   return router->news_age_max > 0 &&
-         news_age(router, now) > router->news_age_max;
+         router_news_age(router, now) > router->news_age_max;
 }
 
 /* Returns the refusal for a request that matches no route. */
@@ -311,7 +309,7 @@
              " request=%s reason=%s host=%s config=%" G_GUINT64_FORMAT
              " news_age_ms=%d lag_ms=%d",
              call->id, finish_refusal_name(kind), call->host, version,
-             (int)(news_age(router, now) / MP_MS),
+             (int)(router_news_age(router, now) / MP_MS),
              (int)(news_lag(router, now) / MP_MS));
   router->host.refuse(router->host.data, call->number, &refusal);
 }
--- a/router/state.h
+++ b/router/state.h
@@ -320,6 +320,9 @@
 /* Returns TRUE if a newer configuration may exist that has a route or a key
 ** which the one here lacks. */
 gboolean router_may_be_outdated(const Router *router, gint64 now);
+/* Returns the age in us of the lists known here (router_store_answered);
+** G_MAXINT32 if none was confirmed yet. */
+gint64 router_news_age(const Router *router, gint64 now);
 
 #define router_count(router, name) ((router)->counters[ROUTER_COUNT_##name]++)
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -246,7 +246,7 @@
 m n-noroute "router: old news say nothing of a route they lack" \
   router/router.c \
   'return router->news_age_max > 0 &&
-         news_age(router, now) > router->news_age_max;' \
+         router_news_age(router, now) > router->news_age_max;' \
   'return FALSE;'
 m n-lacks "router: one that lacks a change says nothing of a route" \
   router/router.c 'router->news->lags_since != 0)' \
--- a/test/test_continuation.cc
+++ b/test/test_continuation.cc
@@ -266,6 +266,18 @@
   EXPECT_EQ(world.end(again).refusal, REFUSAL_STREAM_UNKNOWN);
 }
 
+/* Guards against a version vouched for by an old list that no log line shows. */
+TEST_F(ContinuationTest, LogTellsTheAgeOfTheListThatDecided) {
+  pass(lifetime + second);
+  world.advance(1200 * ms);
+  world.request_resumption("/resume/x", 0, nullptr, "1");
+  bool is_told = false;
+  for (const std::string &line : world.log)
+    is_told |= line.find("8013") == 0 &&
+               line.find(" list_age_ms=1200 ") != std::string::npos;
+  EXPECT_TRUE(is_told);
+}
+
 TEST_F(ContinuationTest, GapInTheListMayHaveHeldAnotherVersion) {
   pass(lifetime + second);
   world.advance(news_age_max + second);
