--- a/test/test_continuation.cc
+++ b/test/test_continuation.cc
@@ -266,7 +266,7 @@
   EXPECT_EQ(world.end(again).refusal, REFUSAL_STREAM_UNKNOWN);
 }
 
-/* Guards against a version vouched for by an old list that no log line shows. */
+/* Guards against a version vouched for by an old list that no line shows. */
 TEST_F(ContinuationTest, LogTellsTheAgeOfTheListThatDecided) {
   pass(lifetime + second);
   world.advance(1200 * ms);
