--- a/router/news_source.c
+++ b/router/news_source.c
@@ -260,21 +260,32 @@
 }
 
 /*
-** Records what a reply of the store proves: that it had nothing newer when it
-** was asked or, for a watch that ended without changes after its whole wait,
-** at the end of that wait.
+** Returns the latest time in us at which the store certainly had nothing newer
+** than its reply, whenever that is read. A list shows the objects as they were
+** when its first page was requested, a watch all changes up to its request. A
+** watch that ended without changes after its whole wait shows that there were
+** none until then. One that is read later than such an answer comes may have
+** been cut short.
 */
+static gint64 proved_time(const NewsSource *source, const StoreReply *reply,
+                          gint64 now) {
+  gint64 end = source->asked_at + source->asked_wait;
+  if (source->asked_for == STORE_LIST)
+    return source->list_asked_at;
+  if (is_empty(reply) && now >= end && now <= end + WATCH_ANSWER_MARGIN)
+    return end;
+  return source->asked_at;
+}
+
+/* Records what a reply of the store proves of the configuration's age. */
 static void record_proof(NewsSource *source, const StoreReply *reply,
                          gint64 now) {
-  gint64 at = source->asked_at;
   if (source->follower.kind != STORE_CONFIGURATION || source->asked_stale ||
       source->follower.failures > 0 || !source->follower.watching)
     return;
-  if (source->asked_for == STORE_WATCH && is_empty(reply) &&
-      now - source->asked_at >= source->asked_wait)
-    at += source->asked_wait;
   config_proof_confirm_by_store(relay_group_proof(source->group),
-                                reply->at.era, at, now);
+                                reply->at.era, proved_time(source, reply, now),
+                                now);
 }
 
 /*
@@ -357,21 +368,24 @@
 
 /*
 ** Records up to when the store's objects are known, after the reply was
-** handled. A list shows them as they were when its first page was requested.
-** What is known only from a list that may be stale is of unknown age, and so
-** is what a watch adds to it. A watch that ended in another era says nothing
-** of the present objects.
+** handled. What is known only from a list that may be stale is of unknown age,
+** and so is what a watch adds to it. A watch that ended in another era says
+** nothing of the present objects.
 */
-static void confirm_store(const NewsSource *source, const StoreReply *reply,
+static void confirm_store(NewsSource *source, const StoreReply *reply,
                           gint64 now) {
-  const Follower *follower = &source->follower;
+  Follower *follower = &source->follower;
   if (follower->from_stale_list)
     return;
-  if (source->asked_for == STORE_WATCH && reply->at.era == follower->known.era)
-    relay_group_confirm_store(source->group, follower->kind, now);
-  else if (source->asked_for == STORE_LIST && !reply->more)
-    relay_group_confirm_store(source->group, follower->kind,
-                              source->list_asked_at);
+  if (source->asked_for == STORE_LIST ? reply->more
+                                      : reply->at.era != follower->known.era)
+    return;
+  relay_group_confirm_store(source->group, follower->kind,
+                            proved_time(source, reply, now));
+  /* The pause after changes must not make the objects too old. */
+  follower->retry_at =
+      MIN(follower->retry_at,
+          relay_group_watch_due(source->group, follower->kind, now));
 }
 
 /*
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -21,31 +21,6 @@
 */
 #define GROUP_SIZE_MIN 4
 /*
-** While the store answers, its last answer to an instance is at most as old as
-** the longest wait of a watch plus this margin, which covers the pause after
-** changes (io/directory.c) and a slow answer.
-*/
-#define ANSWER_AGE_MARGIN (700 * MP_MS)
-/*
-** Time in which a slow answer of the store arrives: 200 ms in the store, 50
-** times the usual 4 ms, and 100 ms on the network.
-*/
-#define SLOW_ANSWER_MAX (300 * MP_MS)
-/* A relay's watch waits at least this long, or it would be a poll. */
-#define WATCH_WAIT_MIN (200 * MP_MS)
-/*
-** Number of members that may take over one after the other within
-** RelayTiming.propagation_max: like the lost relay, the first of them may get
-** no answer from the store.
-*/
-#define TAKEOVERS_MAX 2
-/*
-** Time in which a change gets from the store to all instances through a relay
-** that has just taken over: the store's answer, a heartbeat that is lost, the
-** next heartbeat, and a member's request to the relay.
-*/
-#define PROPAGATION_TIME (350 * MP_MS)
-/*
 ** A relay counts as lost after three heartbeat intervals and 50 ms without a
 ** heartbeat.
 */
@@ -53,11 +28,10 @@
 /*
 ** When a data centre has too few fresh relays, the members that come first in
 ** the order, as many as there should be relays, become relays at once. Each
-** member after them waits TAKEOVER_STEP longer than the one before it, so that
-** a heartbeat of that one arrives first. If too few relays are heard at all,
-** no member waits longer than TAKEOVER_WAIT_MAX.
+** member after them waits RELAY_TAKEOVER_STEP longer than the one before it.
+*If
+** too few relays are heard at all, no member waits longer than this.
 */
-#define TAKEOVER_STEP (RELAY_HEARTBEAT_INTERVAL + 50 * MP_MS)
 #define TAKEOVER_WAIT_MAX (1000 * MP_MS)
 /*
 ** An instance that has no list of instances this long after its start follows
@@ -89,7 +63,7 @@
 
 struct RelayGroup {
   RelayMembers members;
-  gint64 watch_wait; /* longest wait of a watch, us */
+  RelayTiming times;
   /*
   ** largest age in us, inclusive, of the store's last answer to a fresh relay
   */
@@ -103,8 +77,7 @@
   gint64 confirmed_at[MP_RELAY_KINDS];
   /* time since which too few relays are heard; 0: enough are */
   gint64 shortage_since;
-  gint64 lag_max; /* as relay_group_lag_max */
-  guint64 era;    /* as relay_group_era */
+  guint64 era; /* as relay_group_era */
   NewsState news[MP_RELAY_KINDS];
   LearnedChanges learned[MP_RELAY_KINDS];
   ConfigProof proof;
@@ -115,28 +88,12 @@
   return names[role];
 }
 
-gint64 relay_news_age_max(const RelayTiming *times) {
-  return times->watch_wait + ANSWER_AGE_MARGIN;
-}
-
-/*
-** Returns the largest age of a fresh relay: what is left of the bound suffices
-** for TAKEOVERS_MAX and for changes to propagate.
-*/
-static gint64 freshness_limit(const RelayTiming *times) {
-  gint64 bound = times->propagation_max - TAKEOVERS_MAX * TAKEOVER_STEP -
-                 PROPAGATION_TIME;
-  return MIN(relay_news_age_max(times),
-             MAX(bound, WATCH_WAIT_MIN + SLOW_ANSWER_MAX));
-}
-
 RelayGroup *relay_group_new(mp_Addr self, guint32 capacity,
                             const RelayTiming *times, gint64 now) {
   RelayGroup *group = g_new0(RelayGroup, 1);
   relay_members_init(&group->members, self, capacity);
-  group->watch_wait = times->watch_wait;
-  group->fresh_age_max = freshness_limit(times);
-  group->lag_max = times->propagation_max / 2;
+  group->times = *times;
+  group->fresh_age_max = relay_freshness_max(times);
   config_proof_init(&group->proof);
   group->start_deadline = now + START_TIMEOUT;
   group->relays =
@@ -278,7 +235,7 @@
 }
 
 gint64 relay_group_lag_max(const RelayGroup *group) {
-  return group->lag_max;
+  return group->times.propagation_max / 2;
 }
 
 void relay_group_confirm_store(RelayGroup *group, StoreKind kind, gint64 at) {
@@ -365,7 +322,7 @@
   gint64 wait;
   if (group->members.place < wanted)
     return 0;
-  wait = (group->members.place - wanted + 1) * TAKEOVER_STEP;
+  wait = (group->members.place - wanted + 1) * RELAY_TAKEOVER_STEP;
   if (relay_group_relays_before(group, now).heard >= wanted)
     return wait;
   return MIN(wait, TAKEOVER_WAIT_MAX);
@@ -524,12 +481,27 @@
   return news_age_from(group, TRUE, now);
 }
 
+/* Does the age of this kind count, at an instance that follows the store? */
+static gboolean must_stay_young(StoreKind kind, RelayRole role) {
+  return (kind == STORE_CONFIGURATION || kind == STORE_ENDPOINTS) &&
+         (role == RELAY_ROLE_RELAY || role == RELAY_ROLE_ALONE);
+}
+
+gint64 relay_group_watch_due(RelayGroup *group, StoreKind kind, gint64 now) {
+  RelayRole role = relay_group_role(group, now);
+  if (!must_stay_young(kind, role))
+    return G_MAXINT64;
+  return MAX(now,
+             group->confirmed_at[kind] +
+                 relay_watch_due_age(&group->times, role == RELAY_ROLE_RELAY));
+}
+
 gint64 relay_group_watch_wait(RelayGroup *group, StoreKind kind, gint64 now) {
-  gint64 until;
-  if (relay_group_role(group, now) != RELAY_ROLE_RELAY)
-    return group->watch_wait;
-  until = group->confirmed_at[kind] + group->fresh_age_max - SLOW_ANSWER_MAX;
-  return CLAMP(until - now, WATCH_WAIT_MIN, group->watch_wait);
+  RelayRole role = relay_group_role(group, now);
+  if (!must_stay_young(kind, role))
+    return group->times.watch_wait;
+  return relay_watch_wait(&group->times, role == RELAY_ROLE_RELAY,
+                          now - group->confirmed_at[kind]);
 }
 
 unsigned relay_group_heartbeat_sources(RelayGroup *group, gboolean is_synced,
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -53,12 +53,7 @@
 #include "router/follower.h"
 #include "router/news_state.h"
 #include "router/relay_members.h"
-
-/*
-** Interval in us between a relay's heartbeats. Two in a row may be lost before
-** a member takes the relay for lost.
-*/
-#define RELAY_HEARTBEAT_INTERVAL (200 * MP_MS)
+#include "router/relay_timing.h"
 
 typedef enum RelayRole {
   RELAY_ROLE_STARTING, /* The other instances are not known yet. */
@@ -82,18 +77,6 @@
 */
 #define RELAY_FULL_MESH_MAX 30
 
-typedef struct RelayTiming {
-  gint64 watch_wait; /* Longest wait of a watch of the store, us. */
-  /* A change of the store is known at all instances within this time, us. */
-  gint64 propagation_max;
-} RelayTiming;
-
-/*
-** Returns an upper bound in us for the age of what an instance knows while the
-** store answers it.
-*/
-gint64 relay_news_age_max(const RelayTiming *times);
-
 /*
 ** Returns a group for the instance 'self', to be freed with relay_group_free.
 ** 'capacity' is this instance's, as in InstanceRecord.
@@ -213,9 +196,16 @@
 /* Returns the counts of the relays before this instance. */
 RelaysBefore relay_group_relays_before(const RelayGroup *group, gint64 now);
 
+/*
+** Returns when the next watch of this kind must be made at the latest, so that
+** its answer comes before the last one is too old; G_MAXINT64 for a kind whose
+** age does not count, and for an instance that does not follow the store.
+*/
+gint64 relay_group_watch_due(RelayGroup *group, StoreKind kind, gint64 now);
 /*
 ** Returns for how many us a watch of this kind may wait now so that a relay
-** stays fresh.
+** stays fresh, and lists of an instance without relays stay young enough
+** (relay_news_age_max).
 */
 gint64 relay_group_watch_wait(RelayGroup *group, StoreKind kind, gint64 now);
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -229,7 +229,7 @@
   router/relay_group.c 'before.fresh += is_fresh(group, relay, now);' \
   'before.fresh += is_heard(relay, now);'
 m n-within "relays: their age is bound by what is allowed" \
-  router/relay_group.c 'MAX(bound, WATCH_WAIT_MIN + SLOW_ANSWER_MAX));' \
+  router/relay_timing.c 'MAX(bound, REGULAR_WAIT_MIN + SLOW_ANSWER_MAX));' \
   'bound > 0 ? relay_news_age_max(times) : 0);'
 m n-often "relays: they ask the store often enough to stay fresh" \
   router/news_source.c 'relay_group_watch_wait(source->group, call->kind, now));' \
@@ -266,7 +266,7 @@
   router/news_source.c 'if (follower->from_stale_list)
     return;' ''
 m n-request "news: a list is as old as its request" router/news_source.c \
-  'source->list_asked_at);' 'now);'
+  'return source->list_asked_at;' 'return now;'
 m n-missed "news: who takes over lists what it missed" router/news_source.c \
   'follower_prefer_list(&source->follower);' ''
 m n-far "relays: one that is not fresh asks other data centres" \
@@ -364,7 +364,7 @@
   router/config_proof.c \
   '!knows_changes_up_to(proof, beat->changed[STORE_CONFIGURATION]))' 'FALSE)'
 m p-stale "proof: an answer counts from its question" router/news_source.c \
-  'gint64 at = source->asked_at;' 'gint64 at = now;'
+  '  return source->asked_at;' '  return now;'
 m l-cut "limits: scaled by the share heard" router/shared_totals.c \
   'return MIN((double)sharers->heard / sharers->instances, 1.0);' 'return 1;'
 m l-kill "limits: a young instance does not know the level" \
