E7008 and a metric: the process stood still

An instance that is stopped, suspended or without processor time reads what came meanwhile as if it had just come, and nothing in its log says so. With libevent's timers alone the pause is known after the sockets have been read.

Only the log and two metrics change. Instances with the own protocol (node.h) do not have it: their callers state no deadlines.

--- a/include/mplog.h
+++ b/include/mplog.h
@@ -77,6 +77,7 @@
   X(RELOAD, 7005, MP_INFO, "settings reloaded")                               \
   X(READY, 7006, MP_INFO, "instance ready")                                   \
   X(NO_METRICS, 7007, MP_WARN, "metrics cannot be served")                    \
+  X(STOOD_STILL, 7008, MP_WARN, "instance stood still")                       \
   X(ROUTE_ACCEPT, 8000, MP_INFO, "routed request accepted")                   \
   X(ROUTE_REFUSED, 8001, MP_WARN, "routed request refused")                   \
   X(ROUTE_BROKEN_OFF, 8002, MP_WARN, "routed answer aborted")                 \
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -18,6 +18,7 @@
 #include "io/metrics.h"
 #include "io/planned_stop.h"
 #include "io/clock.h"
+#include "io/standstill.h"
 #include "io/origin_links.h"
 #include "io/quarantine_writer.h"
 #include "io/software_set_writer.h"
@@ -69,6 +70,7 @@
   OriginLinks *origins; /* calls to the store about streams */
   SoftwareSetWriter *software_sets;
   StatusServer *status_server;
+  Standstill *standstill;
   struct event *tick;
   struct event *drain_timer;
   gint64 trim_at; /* earliest time of the next trim of idle connections */
@@ -102,7 +104,7 @@
   Gateway *gateway = data;
   (void)fd;
   (void)what;
-  router_tick(gateway->router, clock_now());
+  router_tick(gateway->router, standstill_check(gateway->standstill));
   schedule_tick(gateway);
 }
 
@@ -216,7 +218,8 @@
     parsed.request.number = number;
     parsed.request.content = request_content_digest(
         head, front_request_body(gateway->front, number));
-    router_request(gateway->router, &parsed.request, clock_now());
+    router_request(gateway->router, &parsed.request,
+                   standstill_check(gateway->standstill));
     schedule_tick(gateway);
   }
   caller_head_clear(&parsed);
@@ -260,7 +263,8 @@
 
 static void on_outcome(void *data, const Outcome *outcome) {
   Gateway *gateway = data;
-  router_outcome(gateway->router, outcome, clock_now());
+  router_outcome(gateway->router, outcome,
+                 standstill_check(gateway->standstill));
   schedule_tick(gateway);
 }
 
@@ -294,7 +298,8 @@
   (void)error;
   relay_group_observe_era(gateway->group, reply->at.era);
   lease_reply_read(gateway->dialect, gateway->log, reply, &parsed);
-  router_lease_reply(gateway->router, &parsed, clock_now());
+  router_lease_reply(gateway->router, &parsed,
+                     standstill_check(gateway->standstill));
   lease_record_clear(&parsed.record);
   schedule_tick(gateway);
 }
@@ -345,7 +350,7 @@
 
 static void on_digest(void *data) {
   Gateway *gateway = data;
-  gint64 now = clock_now();
+  gint64 now = standstill_check(gateway->standstill);
   if (now >= gateway->trim_at) {
     gateway->trim_at = now + TRIM_INTERVAL_MIN;
     endpoint_links_trim(gateway->links);
@@ -370,6 +375,15 @@
   relays_on_news(gateway->relays);
 }
 
+static void on_standstill(void *data, gint64 since, gint64 now) {
+  const Gateway *gateway = data;
+  gint64 length_ms = (now - since) / MP_MS;
+  gint64 since_unix_ms = g_get_real_time() / MP_MS - length_ms;
+  log_numbered(gateway->log, MP_LOG_STOOD_STILL,
+               " length_ms=%" G_GINT64_FORMAT " since=%" G_GINT64_FORMAT,
+               length_ms, since_unix_ms);
+}
+
 static void on_configuration(void *data, RouteTable *table) {
   Gateway *gateway = data;
   front_set_limits(gateway->front, &table->limits);
@@ -513,6 +527,8 @@
   counts.unsent_bytes = unsent.bytes;
   counts.intake = front_intake(gateway->front);
   counts.processor_time = clock_processor_time();
+  counts.standstills = standstill_count(gateway->standstill);
+  counts.standstill_time = standstill_total(gateway->standstill);
   counts.oldest_digest = router_oldest_digest(gateway->router, clock_now());
   router_count_waiting(gateway->router, clock_now(), &counts.waiting,
                        &counts.waiting_in_time);
@@ -616,7 +632,7 @@
 }
 
 void gateway_drain(Gateway *gateway, gint64 at) {
-  gint64 now = clock_now();
+  gint64 now = standstill_check(gateway->standstill);
   if (gateway->stop.began_at != 0)
     return;
   gateway->stop.began_at = at;
@@ -748,6 +764,7 @@
       base, dialect, options->store, gateway->router, log, on_stream, gateway);
   gateway->front =
       front_new(base, options->callers, dialect, &front, log, error);
+  gateway->standstill = standstill_new(base, on_standstill, gateway);
   gateway->group = relay_group_new(options->exchange, options->capacity,
                                    &times, clock_now());
   router_set_news_state(gateway->router,
@@ -807,6 +824,7 @@
   origin_links_free(gateway->origins);
   software_set_writer_free(gateway->software_sets);
   router_free(gateway->router);
+  standstill_free(gateway->standstill);
   event_free(gateway->tick);
   event_free(gateway->drain_timer);
   g_free(gateway);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -52,6 +52,8 @@
   g_string_append_printf(
       text,
       "process_cpu_seconds_total %.3f\n"
+      "madderpier_standstills_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_standstill_seconds_total %.3f\n"
       "madderpier_oldest_digest_seconds %.3f\n"
       "madderpier_caller_connections{state=\"idle\"} %u\n"
       "madderpier_caller_connections{state=\"awaited\"} %u\n"
@@ -64,7 +66,8 @@
       "madderpier_loop_busy_seconds %.4f\n"
       "madderpier_longest_loop_turn_seconds %.4f\n"
       "madderpier_path_delay_seconds %.4f\n",
-      (double)counts->processor_time / MP_SEC,
+      (double)counts->processor_time / MP_SEC, counts->standstills,
+      (double)counts->standstill_time / MP_SEC,
       (double)counts->oldest_digest / MP_SEC,
       intake_count(intake, INTAKE_IDLE), intake_count(intake, INTAKE_AWAITED),
       intake_count(intake, INTAKE_BUSY), intake_accepted(intake),
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -97,9 +97,11 @@
   StorePosition known_positions[MP_RELAY_KINDS];
   guint64 store_era; /* latest era of the store that is known, not a total; 0:
                      ** none */
-  const Intake *intake;  /* of callers; NULL: left out */
-  gint64 processor_time; /* us, of this process */
-  gint64 oldest_digest;  /* as router_oldest_digest() */
+  const Intake *intake;   /* of callers; NULL: left out */
+  gint64 processor_time;  /* us, of this process */
+  gint64 oldest_digest;   /* as router_oldest_digest() */
+  guint64 standstills;    /* io/standstill.h */
+  gint64 standstill_time; /* us, how long they were together */
 } AdapterCounts;
 
 /* Returns the text, which the caller frees by g_string_free. */
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -22,7 +22,7 @@
   AdapterCounts carriers = {
       7,         11, 2,  {}, 1,  2,  3, "relay", 250 * ms, TRUE, 5, 4,  6,  7,
       15,        10, 12, 13, 14, 3,  2, 1,       70000,    4000, 9, 16, 17, 2,
-      {5, 6, 7}, {}, 9,  8,  {}, {}, 3, nullptr, 0,        0};
+      {5, 6, 7}, {}, 9,  8,  {}, {}, 3, nullptr, 0,        0,    0, 0};
   carriers.responses_lost[CLOSE_NOT_READ] = 4;
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
   carriers.known_positions[STORE_ENDPOINTS] = store_position(2, 31);
@@ -35,6 +35,8 @@
   carriers.intake = intake;
   carriers.processor_time = 1250 * ms;
   carriers.oldest_digest = 80 * ms;
+  carriers.standstills = 3;
+  carriers.standstill_time = 4250 * ms;
   world.add_default_endpoints();
   world.request("/unsafe/x");
   world.outcome(world.last().number, OUTCOME_ANSWER);
@@ -44,6 +46,8 @@
        {"madderpier_requests_total 1",
         "madderpier_answered_total 1",
         "madderpier_orders_total 0",
+        "madderpier_standstills_total 3",
+        "madderpier_standstill_seconds_total 4.250",
         "madderpier_stream_origins 14",
         "madderpier_open_requests 0",
         "madderpier_endpoint_connections_total 7",
