--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -391,7 +391,8 @@
 
 local function fields_of(r)
   return {
-    Host = "h.example", ["Request-Id"] = r.id, ["Deadline-Ms"] = "9000",
+    Host = "h.example", ["Request-Id"] = r.id,
+    ["Deadline-Ms"] = tostring(r.deadline or 9000),
     Model = "m", ["Token-Count"] = "1000,300",
     ["Prompt-Prefix"] = "aa:200,bb:800",
     -- the router's to set: no endpoint may see these values
@@ -405,10 +406,11 @@
 
 -- a caller's request on a kept connection (or a new one), with the key given
 -- or one that some account has or had; 'target' and 'body' where they matter,
--- 'resumes' and 'after' where it takes a stream up
-function request(e, kind, connection, key, target, body, resumes, after)
+-- 'resumes' and 'after' where it takes a stream up; 'deadline' in milliseconds
+function request(e, kind, connection, key, target, body, resumes, after,
+                 deadline)
   local r = new_request(e, kind, connection or sys.connect(e.port), key, target)
-  r.first, r.after = resumes, after
+  r.first, r.after, r.deadline = resumes, after, deadline
   r.connection:send("POST", "/" .. kind .. "/" .. r.target, fields_of(r),
                     body or "body of " .. r.id)
   return r
