--- a/router/router.h
+++ b/router/router.h
@@ -68,6 +68,8 @@
   guint64 content;       /* hash of what it asks for (http/content.h) */
   gint64 deadline_ms;    /* for how long the caller will wait, in ms from now;
                          ** 0: not given */
+  gint64 waited_unread;  /* for how long it may have waited to be read here, in
+                         ** us; the deadline counts from then */
   guint32 prompt_tokens; /* 0: not given */
   guint32 output_tokens; /* the most tokens that may be generated */
   guint32 length_hint; /* tokens that the caller expects to be generated, often
@@ -325,6 +327,13 @@
 /* The store answered, at the time 'at', the instance from which this one
 ** learns of the store's objects: itself, or a relay. */
 void router_store_answered(Router *router, gint64 at);
+/* This instance stood still from 'since' to 'now': its process did not run, so
+** what other instances and the store sent meanwhile has not been handled yet.
+** The host calls this before it handles anything else after the pause. From
+** then on this instance vouches for no version of the endpoints' software,
+** neither for itself nor as a replica (continuation.h), until
+** router_store_answered names a time that is not before 'now'. */
+void router_stood_still(Router *router, gint64 since, gint64 now);
 /* Sets the state that compares the position of the configuration known here
 ** with the latest one that any instance has announced. The state is borrowed
 ** and must outlive the router. Without it, no newer configuration counts as
