A carried run's path is checked by itself

Cause: an endpoint had one open check, and reach_check_path sent none while one was open ("the open check tells"). For a silent run that went through a carrier, the open check was often the direct one that tries the lost path again, or one through another carrier. The first has nothing to say of the run's carrier, the second was recorded under the other carrier. So no evidence of the run's own path came within the time for a check, and the run was cancelled in the pause of a sound endpoint. Only the last carrier that connected was remembered, so two carriers also overwrote each other.

Ruled out: a longer wait without a result. It would wait as long for a carrier that is lost.

Change: each pair of endpoint and carrier has a check of its own (carried_paths.c), beside the endpoint's check, which finds out how the endpoint is reached. Who may give a run up: the asker, by a check through the run's own carrier, whose result covers both the path to the carrier and the carrier's path to the endpoint. The protocol between instances is unchanged. The result of such a check no longer decides a verification of the crash watch; that gets a direct check and, if it fails, a search. The mutant r-pause follows the changed signature.

Two new tests guard the other side: a run whose carrier is lost is left within 870 ms although the other carrier connects, and 30 runs on two carriers cost at most one check for each path and half second.

--- a/router/endpoint_path.h
+++ b/router/endpoint_path.h
@@ -44,15 +44,13 @@
   gint64 since;        /* when the state began */
   gint64 heard_at;     /* when a direct dispatch was last answered; 0: never */
   gint64 connected_at; /* when a direct connection was last made */
-  gint64 carried_at;   /* when a carrier last connected on a check of a silent
-                       ** dispatch; 0: never */
-  mp_Addr carried_via; /* that carrier */
   gint64 regained_at;  /* when a lost direct path last came back; 0: never */
   gint64 checked_at;   /* when the last direct check began */
   gint64 check_due;    /* when the next direct check is to be sent; 0: none */
   gint64 recheck_wait; /* time between direct checks; doubles with each that
                        ** fails */
-  guint64 check;       /* the open CHECK dispatch; 0: none */
+  guint64 check;       /* the open CHECK dispatch that finds out how the
+                       ** endpoint is reached; 0: none */
   mp_Addr asked[CARRIERS_ASKED_MAX]; /* carriers asked in this search */
   guint asked_count;
   guint refusals;     /* of these, those that the endpoint did not accept */
--- a/router/prefill.c
+++ b/router/prefill.c
@@ -558,11 +558,11 @@
 ** can be connected to, and if the engine stays silent, the time left is enough
 ** for a prefill elsewhere that is as late as this one is now.
 */
-static gboolean may_wait(const Request *request, const Endpoint *endpoint,
-                         gint64 now) {
+static gboolean may_wait(const Router *router, const Request *request,
+                         const Endpoint *endpoint, gint64 now) {
   const OpenDispatch *open = &request->open;
   return endpoint != NULL &&
-         reach_has_connected(endpoint, open->via,
+         reach_has_connected(router->reach, endpoint, open->via,
                              request->stall_at - PATH_CHECK_LEAD) &&
          (open->patience_until == 0 || now < open->patience_until) &&
          now + (now - open->sent) < request->expires;
@@ -596,7 +596,7 @@
 */
 void prefill_handle_stall(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint = path_open_endpoint(router, request);
-  gboolean waits = may_wait(request, endpoint, now);
+  gboolean waits = may_wait(router, request, endpoint, now);
   if (!waits || request->open.patience_until == 0)
     record_late(router, request, endpoint, now);
   if (waits) {
--- a/router/reach.c
+++ b/router/reach.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include "router/carried_paths.h"
 #include "router/carriers.h"
 #include "router/reach.h"
 #include "router/state.h"
@@ -40,14 +41,17 @@
 
 /* What an open check dispatch is about. */
 typedef struct Check {
-  char *endpoint; /* id */
-  guint32 life;   /* Endpoint.hash */
-  mp_Addr via;    /* the carrier; 0: it is direct */
+  char *endpoint;          /* id */
+  guint32 life;            /* Endpoint.hash */
+  mp_Addr via;             /* the carrier; 0: it is direct */
+  gboolean is_of_dispatch; /* it checks the path of a carried dispatch, and is
+                           ** not EndpointPath.check */
 } Check;
 
 struct Reach {
   Router *router;
   Carriers *carriers;
+  CarriedPaths *carried;
   GHashTable *checks; /* dispatch number -> Check; both owned */
   guint direct_open;  /* open direct checks */
   gint64 surveyed_at; /* when the other paths were last checked */
@@ -64,6 +68,7 @@
   Reach *reach = g_new0(Reach, 1);
   reach->router = router;
   reach->carriers = carriers_new(zone);
+  reach->carried = carried_paths_new();
   reach->checks =
       g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, check_free);
   reach->next_due = G_MAXINT64;
@@ -72,6 +77,7 @@
 
 void reach_free(Reach *reach) {
   carriers_free(reach->carriers);
+  carried_paths_free(reach->carried);
   g_hash_table_destroy(reach->checks);
   g_free(reach);
 }
@@ -100,16 +106,34 @@
              reach->router->endpoints->all->len / ENDPOINTS_PER_OPEN_CHECK);
 }
 
-/* Sends a check of the endpoint; 'via' is 0 for a direct one. */
-static gboolean send_check(Reach *reach, Endpoint *endpoint, mp_Addr via,
-                           gint64 timeout, gint64 now) {
-  EndpointPath *path = &endpoint->path;
+/* Sends a check of the endpoint, and returns its dispatch; 0: it was not
+** sent. */
+static guint64 open_check(Reach *reach, Endpoint *endpoint, mp_Addr via,
+                          gboolean is_of_dispatch, gint64 timeout,
+                          gint64 now) {
   Dispatch dispatch = {0};
+  guint64 number;
   Check *check;
   dispatch.kind = DISPATCH_CHECK;
   dispatch.via = via;
   dispatch.connect_timeout = timeout;
-  path->check = dispatcher_send(reach->router, &dispatch, endpoint, now);
+  number = dispatcher_send(reach->router, &dispatch, endpoint, now);
+  if (number == 0)
+    return 0;
+  check = g_new0(Check, 1);
+  check->endpoint = g_strdup(endpoint->record.id);
+  check->life = endpoint->hash;
+  check->via = via;
+  check->is_of_dispatch = is_of_dispatch;
+  g_hash_table_insert(reach->checks, g_memdup2(&number, sizeof number), check);
+  return number;
+}
+
+/* Sends the endpoint's own check; 'via' is 0 for a direct one. */
+static gboolean send_check(Reach *reach, Endpoint *endpoint, mp_Addr via,
+                           gint64 timeout, gint64 now) {
+  EndpointPath *path = &endpoint->path;
+  path->check = open_check(reach, endpoint, via, FALSE, timeout, now);
   if (path->check == 0)
     return FALSE;
   if (via == 0) {
@@ -117,12 +141,6 @@
     path->check_due = 0;
     reach->direct_open++;
   }
-  check = g_new0(Check, 1);
-  check->endpoint = g_strdup(endpoint->record.id);
-  check->life = endpoint->hash;
-  check->via = via;
-  g_hash_table_insert(reach->checks,
-                      g_memdup2(&path->check, sizeof path->check), check);
   return TRUE;
 }
 
@@ -334,24 +352,7 @@
   ask_next_carrier(reach, endpoint, now);
 }
 
-/* A check through a carrier has ended that was sent for a silent dispatch. */
-static void handle_path_check(Reach *reach, Endpoint *endpoint, mp_Addr via,
-                              const Outcome *outcome, gint64 now) {
-  EndpointPath *path = &endpoint->path;
-  if (outcome->kind == OUTCOME_ANSWER) {
-    carriers_note_connected(reach->carriers, via, now);
-    path->carried_at = now;
-    path->carried_via = via;
-    deliver(reach, path, OUTCOME_ANSWER, now);
-    return;
-  }
-  if (outcome->carrier_failed)
-    carriers_avoid(reach->carriers, via, now);
-  if (path->ticket != 0)
-    begin_search(reach, endpoint, now);
-}
-
-/* A check through a carrier has ended. */
+/* A check through a carrier has ended that a search sent. */
 static void handle_carried_check(Reach *reach, Endpoint *endpoint, mp_Addr via,
                                  const Outcome *outcome, gint64 now) {
   EndpointPath *path = &endpoint->path;
@@ -392,13 +393,24 @@
   endpoint->path.check = 0;
   if (via == 0)
     handle_direct_check(reach, endpoint, outcome, now);
-  else if (endpoint->path.state == PATH_DIRECT ||
-           endpoint->path.state == PATH_INDIRECT)
-    handle_path_check(reach, endpoint, via, outcome, now);
   else
     handle_carried_check(reach, endpoint, via, outcome, now);
 }
 
+/* The check of a carried dispatch's path has ended. It changes nothing about
+** how the endpoint is reached: the dispatches through this carrier alone
+** depend on it. */
+static void handle_carried_path(Reach *reach, const Check *check,
+                                const Outcome *outcome, gint64 now) {
+  gboolean has_connected = outcome->kind == OUTCOME_ANSWER;
+  if (has_connected)
+    carriers_note_connected(reach->carriers, check->via, now);
+  else if (outcome->carrier_failed)
+    carriers_avoid(reach->carriers, check->via, now);
+  carried_paths_end_check(reach->carried, check->life, check->via,
+                          has_connected, now);
+}
+
 gboolean reach_handle_outcome(Reach *reach, const Outcome *outcome,
                               gint64 now) {
   const Check *check = g_hash_table_lookup(reach->checks, &outcome->dispatch);
@@ -406,6 +418,11 @@
   mp_Addr via;
   if (check == NULL)
     return FALSE;
+  if (check->is_of_dispatch) {
+    handle_carried_path(reach, check, outcome, now);
+    g_hash_table_remove(reach->checks, &outcome->dispatch);
+    return TRUE;
+  }
   endpoint = endpoint_table_get_incarnation(reach->router->endpoints,
                                             check->endpoint, check->life);
   via = check->via;
@@ -468,24 +485,40 @@
   send_check(reach, endpoint, 0, DIRECT_CHECK_TIMEOUT, now);
 }
 
+/* Checks the path of dispatches to the endpoint through this carrier. */
+static void check_carried_path(Reach *reach, Endpoint *endpoint, mp_Addr via,
+                               gint64 now) {
+  if (carried_paths_checking_since(reach->carried, endpoint->hash, via) ==
+          G_MININT64 &&
+      open_check(reach, endpoint, via, TRUE, CARRIED_CHECK_TIMEOUT, now) != 0)
+    carried_paths_begin_check(reach->carried, endpoint->hash, via, now);
+}
+
 void reach_check_path(Reach *reach, Endpoint *endpoint, mp_Addr via,
                       gint64 now) {
   const EndpointPath *path = &endpoint->path;
-  if (path->check != 0)
-    return; /* the open check tells */
-  if (via == 0 && path->state == PATH_DIRECT)
+  if (via != 0)
+    check_carried_path(reach, endpoint, via, now);
+  else if (path->check == 0 && path->state == PATH_DIRECT)
     send_check(reach, endpoint, 0, DIRECT_CHECK_TIMEOUT, now);
-  else if (via != 0 && path->state != PATH_SEARCHING &&
-           path->state != PATH_NONE)
-    send_check(reach, endpoint, via, CARRIED_CHECK_TIMEOUT, now);
 }
 
-gboolean reach_has_connected(const Endpoint *endpoint, mp_Addr via,
-                             gint64 since) {
+gboolean reach_is_checking(const Reach *reach, const Endpoint *endpoint,
+                           mp_Addr via, gint64 since) {
+  const EndpointPath *path = &endpoint->path;
+  if (via != 0)
+    return carried_paths_checking_since(reach->carried, endpoint->hash, via) >
+           since;
+  return path->check != 0 && path->checked_at > since;
+}
+
+gboolean reach_has_connected(const Reach *reach, const Endpoint *endpoint,
+                             mp_Addr via, gint64 since) {
   const EndpointPath *path = &endpoint->path;
   if (via == 0)
     return path->state == PATH_DIRECT && path->connected_at >= since;
-  return path->carried_via == via && path->carried_at >= since;
+  return carried_paths_connected_at(reach->carried, endpoint->hash, via) >=
+         since;
 }
 
 guint64 reach_verify(Reach *reach, Endpoint *endpoint, gint64 timeout,
--- a/router/reach.h
+++ b/router/reach.h
@@ -54,14 +54,19 @@
 void reach_note_silence(Reach *reach, Endpoint *endpoint, gint64 since,
                         gint64 now);
 /* A dispatch that went through 'via' (0: directly) is silent: checks whether
-** its path still leads to the endpoint. reach_has_connected tells the
-** result. */
+** its path still leads to the endpoint, unless that is being checked.
+** reach_has_connected tells the result. The checks of a carried dispatch's
+** path are apart from those that find out how the endpoint is reached, and one
+** through another carrier says nothing of it. */
 void reach_check_path(Reach *reach, Endpoint *endpoint, mp_Addr via,
                       gint64 now);
+/* Returns TRUE if a check of this path is open that began after 'since'. */
+gboolean reach_is_checking(const Reach *reach, const Endpoint *endpoint,
+                           mp_Addr via, gint64 since);
 /* Returns TRUE if the endpoint has been connected to through 'via' (0:
 ** directly) since 'since', and that path has not been found lost. */
-gboolean reach_has_connected(const Endpoint *endpoint, mp_Addr via,
-                             gint64 since);
+gboolean reach_has_connected(const Reach *reach, const Endpoint *endpoint,
+                             mp_Addr via, gint64 since);
 /*
 ** Finds out whether the endpoint accepts connections from this instance or
 ** from another one. Returns the number of a dispatch whose outcome is passed
--- a/router/silent_run.c
+++ b/router/silent_run.c
@@ -39,16 +39,9 @@
   return request->open.via == 0 && endpoint->path.state != PATH_DIRECT;
 }
 
-/* Does an open check of the path still have time for its result? */
-static gboolean is_checking(const Request *request, const Endpoint *endpoint,
-                            gint64 now) {
-  const EndpointPath *path = &endpoint->path;
-  return path->check != 0 &&
-         (request->open.via != 0 || now - path->checked_at < CHECK_TIME_MAX);
-}
-
 gboolean silent_run_is_awaited(Router *router, Request *request, gint64 now) {
   Endpoint *endpoint = path_open_endpoint(router, request);
+  const Reach *reach = router->reach;
   OpenDispatch *open = &request->open;
   gboolean is_new = silent_run_is_new(request);
   gint64 wait = CHECK_POLL_INTERVAL;
@@ -57,13 +50,14 @@
   if (endpoint == NULL || now >= open->patience_until ||
       is_path_lost(request, endpoint))
     return FALSE;
-  if (reach_has_connected(endpoint, open->via, now - PATH_SOUND_TIME))
+  if (reach_has_connected(reach, endpoint, open->via, now - PATH_SOUND_TIME))
     wait = PATH_SOUND_TIME / 2;
   else if (is_new ||
-           reach_has_connected(endpoint, open->via,
+           reach_has_connected(reach, endpoint, open->via,
                                now - PATH_SOUND_TIME - CHECK_TIME_MAX))
     reach_check_path(router->reach, endpoint, open->via, now);
-  else if (!is_checking(request, endpoint, now))
+  else if (!reach_is_checking(reach, endpoint, open->via,
+                              now - CHECK_TIME_MAX))
     return FALSE;
   request->stall_at = MIN(now + wait, open->patience_until);
   return TRUE;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -201,7 +201,7 @@
 m r-silence "LOST: silence ends nothing without another endpoint" router/outcomes.c \
   '!has_other_endpoint(router, request, now) ||' ''
 m r-pause "LOST: a run at a sound path is waited for" router/silent_run.c \
-  'if (reach_has_connected(endpoint, open->via, now - PATH_SOUND_TIME))' 'if (FALSE)'
+  'if (reach_has_connected(reach, endpoint, open->via, now - PATH_SOUND_TIME))' 'if (FALSE)'
 m r-hang "a silent run is not waited for without end" router/silent_run.c \
   'silent_since + SOUND_SILENCE_MAX' 'silent_since + 3 * SOUND_SILENCE_MAX'
 m r-paid "LOST: a resume is paid before the run is left" router/outcomes.c \
--- a/test/test_silent_runs.cc
+++ b/test/test_silent_runs.cc
@@ -190,6 +190,7 @@
 ** after 10 ms, a direct one fails after 250 ms. */
 struct CarriedSilentRuns : SilentRuns {
   std::map<guint64, gint64> check_ends;
+  mp_Addr lost = 0; /* a carrier that connects to nothing */
 
   void SetUp() override {
     SilentRuns::SetUp();
@@ -212,9 +213,10 @@
       for (auto check = check_ends.begin(); check != check_ends.end();) {
         const routing::SentDispatch sent = world.checks[check->first];
         bool is_due = world.now >= check->second;
+        bool connects = sent.via != 0 && sent.via != lost;
         if (is_due)
           world.outcome(sent.number,
-                        sent.via != 0 ? OUTCOME_ANSWER : OUTCOME_UNREACHABLE);
+                        connects ? OUTCOME_ANSWER : OUTCOME_UNREACHABLE);
         check = is_due ? check_ends.erase(check) : std::next(check);
       }
     }
@@ -293,4 +295,33 @@
     expect_open(request, run);
 }
 
+/* Guards against a carried run that waits for its lost carrier because another
+** carrier connects to the endpoint. */
+TEST_F(CarriedSilentRuns, ARunIsLeftSoonWhereItsCarrierIsLost) {
+  lose_paths("/safe/x");
+  guint64 lost_run = carried_run("/safe/x");
+  ASSERT_NE(lost_run, 0u);
+  lost = world.sent(lost_run).via;
+  for (int i = 0; i < 8; i++)
+    ASSERT_NE(carried_run("/safe/x"), 0u);
+  gint64 from = world.now;
+  while (!world.sent(lost_run).cancelled && world.now < from + 3 * second)
+    pass_checks(10 * ms);
+  EXPECT_LE(world.now - from, 870 * ms);
+}
+
+/* Guards against checks that cost a connection for each silent run: one for
+** each endpoint, carrier and half second, besides the direct ones. */
+TEST_F(CarriedSilentRuns, RunsOnOnePathShareItsChecks) {
+  lose_paths("/safe/x");
+  for (int i = 0; i < 30; i++)
+    ASSERT_NE(carried_run("/safe/x"), 0u);
+  size_t before = world.checks.size(), carried = 0;
+  pass_checks(1500 * ms);
+  for (size_t i = before; i < world.checks.size(); i++)
+    carried += world.checks[i].via != 0;
+  EXPECT_GE(carried, 2u);
+  EXPECT_LE(carried, 2u * 2u * 4u);
+}
+
 } // namespace
