Addresses with leading zeros are refused

Cause: the numbers of an address were read in decimal whatever zeros stood before them, so that 010.0.0.2:080 was the endpoint 10.0.0.2:80. Others take such numbers as octal, and the writer may have meant 8.0.0.2. Ruled out: ports 0, -1, 65536, 70000 and 2^32 + 80, which were refused before.

A text is an address if it is what this system writes for it.

--- a/core/text.c
+++ b/core/text.c
@@ -15,10 +15,16 @@
            (ip >> 8) & 255, ip & 255, (unsigned)(a & 0xffff));
 }
 
-/* 0 when the text is not exactly an address with a port above 0 */
+/*
+** 0 when the text is not exactly an address with a port above 0, as
+** mp_addr_text writes it. Numbers with leading zeros are refused: other
+*readers
+** take them as octal, and would name another machine.
+*/
 mp_Addr mp_addr_parse(const char *s) {
   unsigned b[4];
   unsigned port;
+  char plain[24];
   int used = 0;
   int i;
   mp_Addr a = 0;
@@ -34,7 +40,9 @@
       return 0;
     a = (a << 8) | b[i];
   }
-  return (a << 16) | port;
+  a = (a << 16) | port;
+  mp_addr_text(a, plain);
+  return strcmp(plain, s) == 0 ? a : 0;
 }
 
 /* writes "owner-start-seq.attempt": the first three in hexadecimal */
