A list that ends in a page without names is partial

Cause: a page of which no object has a readable name ended its list even when the store said that more followed, and all objects after it counted as gone.

--- a/router/follower.c
+++ b/router/follower.c
@@ -405,14 +405,14 @@
 }
 
 /*
-** Applies the end of a page of a list. An empty page ends the list even if the
-** reply says that more follow, because it has no last name after which to
-** continue.
+** Applies the end of a page of a list. A page without objects ends the list
+** even if the reply says that more follow, because it has no last name after
+** which to continue. The list is then partial: what follows is not known.
 */
 static void apply_list_page(Follower *follower, const StoreReply *reply,
                             gint64 now) {
   guint count = reply->objects != NULL ? reply->objects->len : 0;
-  follower->partial |= reply->partial;
+  follower->partial |= reply->partial || (reply->more && count == 0);
   g_clear_pointer(&follower->after, g_free);
   if (reply->more && count > 0) {
     const StoreObject *last =
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -561,8 +561,10 @@
   'out->partial = list.may_hide_objects || out->unreadable_names > 0;' \
   'out->partial = FALSE;'
 m b-partial "lists: one that may hide objects removes none" router/follower.c \
-  'follower->partial |= reply->partial;' \
+  'follower->partial |= reply->partial || (reply->more && count == 0);' \
   ''
+m b-nameless "lists: one that breaks off without a name removes none" \
+  router/follower.c ' || (reply->more && count == 0);' ';'
 m b-again "lists: such a one is read again" router/follower.c \
   'follower->relist_at = now + PARTIAL_RELIST_DELAY;' \
   'follower->relist_at = 0;'
