Follower: replies and answers to instances have files of their own

Replies are in router/store_reply.c, and the answers to other instances in router/follower_answer.c. No change of behaviour; three mutants name the new file.

--- a/router/follower.c
+++ b/router/follower.c
@@ -5,9 +5,6 @@
 
 #include <string.h>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "router/follower.h"
 #include "router/text_patch.h"
 
@@ -53,33 +50,6 @@
 */
 #define HISTORY_TEXT_MIN (4 << 10)
 
-static void clear_object(gpointer p) {
-  StoreObject *object = p;
-  g_free(object->name);
-  g_free(object->text);
-  if (object->changes != NULL)
-    g_array_free(object->changes, TRUE);
-}
-
-void store_reply_clear(StoreReply *reply) {
-  if (reply->objects != NULL)
-    g_array_free(reply->objects, TRUE);
-  memset(reply, 0, sizeof *reply);
-}
-
-void store_reply_set_era(StoreReply *reply, guint64 era) {
-  guint i;
-  reply->at.era = era;
-  for (i = 0; reply->objects != NULL && i < reply->objects->len; i++)
-    g_array_index(reply->objects, StoreObject, i).position.era = era;
-}
-
-GArray *store_objects_new(void) {
-  GArray *objects = g_array_new(FALSE, TRUE, sizeof(StoreObject));
-  g_array_set_clear_func(objects, clear_object);
-  return objects;
-}
-
 static void followed_object_free(gpointer p) {
   FollowedObject *object = p;
   g_free(object->text);
@@ -114,31 +84,6 @@
 
 static void begin_relist(Follower *follower);
 
-/*
-** Returns a digest of the names, positions and texts of all objects that
-** exist; 0: there are none.
-*/
-static guint64 objects_digest(const Follower *follower) {
-  GHashTableIter iterator;
-  gpointer name;
-  gpointer value;
-  guint64 digest = 0;
-  g_hash_table_iter_init(&iterator, follower->objects);
-  while (g_hash_table_iter_next(&iterator, &name, &value)) {
-    const FollowedObject *object = value;
-    guint64 message[3] = {XXH3_64bits(name, strlen(name)),
-                          object->position.era,
-                          (guint64)object->position.revision};
-    if (object->text == NULL)
-      continue;
-    /* A sum doesn't depend on the order of the hash table. */
-    digest +=
-        XXH3_64bits_withSeed(message, sizeof message,
-                             XXH3_64bits(object->text, strlen(object->text)));
-  }
-  return digest;
-}
-
 void follower_check_relist(Follower *follower, gint64 now) {
   if (!follower->open && !follower->is_handling_reply &&
       follower->relist_at != 0 && follower->relist_at <= now)
@@ -171,7 +116,7 @@
     call->operation = STORE_LIST;
     call->after = follower->after;
     if (by_instance)
-      call->digest = objects_digest(follower);
+      call->digest = follower_digest(follower);
   }
 }
 
@@ -607,51 +552,3 @@
   follower->is_handling_reply = FALSE;
   follower_check_relist(follower, now);
 }
-
-/* Writes the text, or the patches since 'since'. */
-static void write_text_or_changes(const FollowedObject *known,
-                                  StorePosition since, gboolean in_full,
-                                  StoreObject *out) {
-  if (known->history != NULL && !in_full)
-    out->changes = text_history_since(known->history, since);
-  if (out->changes == NULL)
-    out->text = g_strdup(known->text);
-}
-
-void follower_answer(const Follower *follower, const FollowerQuery *query,
-                     StoreReply *out) {
-  gboolean is_first = store_position_is_none(query->since);
-  gboolean is_same = is_first && query->digest != 0 &&
-                     query->digest == objects_digest(follower);
-  GHashTableIter iterator;
-  gpointer name;
-  gpointer value;
-  memset(out, 0, sizeof *out);
-  out->at = follower->known;
-  out->from_stale_list = follower->from_stale_list;
-  out->status = follower_is_synced(follower) ? STORE_OK : STORE_FAILED;
-  if (out->status != STORE_OK)
-    return;
-  out->whole = is_same ||
-               (!is_first && store_position_is_before(
-                                 query->since, follower->removals_unknown_to));
-  out->objects = store_objects_new();
-  g_hash_table_iter_init(&iterator, follower->objects);
-  while (g_hash_table_iter_next(&iterator, &name, &value)) {
-    const FollowedObject *known = value;
-    StoreObject object = {0};
-    /* not changed after what the caller knows */
-    gboolean is_unchanged =
-        is_same || !store_position_is_before(query->since, known->changed_by);
-    if (is_unchanged && !(out->whole && known->text != NULL))
-      continue;
-    if (is_first && known->text == NULL)
-      continue;
-    object.name = g_strdup(name);
-    object.position = known->position;
-    object.gone = known->text == NULL;
-    if (!is_unchanged)
-      write_text_or_changes(known, query->since, query->in_full, &object);
-    g_array_append_val(out->objects, object);
-  }
-}
--- a/router/follower.h
+++ b/router/follower.h
@@ -323,6 +323,12 @@
 /* Returns TRUE once a list was read to its end, even a partial one. */
 gboolean follower_is_synced(const Follower *follower);
 
+/*
+** Returns a digest of the names, positions and texts of all objects that
+** exist; 0: there are none.
+*/
+guint64 follower_digest(const Follower *follower);
+
 /* A call of another follower, to be answered by follower_answer. */
 typedef struct FollowerQuery {
   /* Changes after this position are requested; none: all objects are. */
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -238,7 +238,7 @@
   router/relay_group.c 'return news_age_from(group, FALSE, now);' \
   'return news_age_from(group, TRUE, now);'
 m n-whole "relays: they name what there is to who asks from before a list" \
-  router/follower.c \
+  router/follower_answer.c \
   'is_same ||
                (!is_first && store_position_is_before(
                                  query->since, follower->removals_unknown_to));' \
@@ -277,7 +277,8 @@
 m n-lapsed "news: catching up reads the present" router/follower.c \
   'return follower->kind == STORE_CONFIGURATION;' \
   'return follower->kind == STORE_LEASES;'
-m n-changes "news: changes travel, not whole texts" router/follower.c \
+m n-changes "news: changes travel, not whole texts" \
+  router/follower_answer.c \
   'if (known->history != NULL && !in_full)' 'if (FALSE)'
 m n-base "news: changes of another revision's text take no effect" \
   router/follower.c \
@@ -325,7 +326,8 @@
 m n-old "news: an older list takes no effect" router/follower.c \
   'return store_position_is_before(reply->at, follower->known);' \
   'return FALSE;'
-m n-gone "news: what is gone is told to others" router/follower.c \
+m n-gone "news: what is gone is told to others" \
+  router/follower_answer.c \
   'if (is_first && known->text == NULL)' 'if (known->text == NULL)'
 m n-pause "news: a store that does not answer delays no relay's" \
   router/news_source.c '(source->follower.failures == 0 ||' '(TRUE ||'
