--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -49,12 +49,22 @@
 void World::schedule_for(Instance &instance, gint64 wait,
                          std::function<void()> act) {
   unsigned incarnation = instance.incarnation;
-  at(now + wait, [&instance, incarnation, act = std::move(act)] {
+  at(now + wait, [this, &instance, incarnation, act = std::move(act)] {
     if (instance.alive && instance.incarnation == incarnation)
-      act();
+      run_when_awake(instance, act);
   });
 }
 
+/* What falls due while an instance stands still is handled after it, in turn.
+ */
+void World::run_when_awake(Instance &instance, std::function<void()> act) {
+  if (now >= instance.still_until) {
+    act();
+    return;
+  }
+  schedule_for(instance, instance.still_until - now, std::move(act));
+}
+
 void World::run(gint64 span) {
   gint64 until = now + span;
   while (!queue.empty() && queue.top().at <= until) {
@@ -206,9 +216,9 @@
   datagrams++;
   if (instance == nullptr || instance->cut_from_all || is_datagram_lost())
     return;
-  at(now + network_delay, [instance, act = std::move(act)] {
+  at(now + network_delay, [this, instance, act = std::move(act)] {
     if (instance->alive)
-      act(*instance);
+      run_when_awake(*instance, [instance, act] { act(*instance); });
   });
 }
 
@@ -219,7 +229,7 @@
   mp_Addr address = from.address;
   for (int kind = 0; kind < MP_RELAY_KINDS; kind++)
     heartbeat.changed[kind] = from.source[kind].follower.changed;
-  heartbeat.sent_us = static_cast<guint64>(now);
+  heartbeat.sent_us = static_cast<guint64>(now + from.clock_ahead);
   heartbeat.proof_ms = config_proof_age_ms(relay_group_proof(from.group), now);
   heartbeat.asked_us = static_cast<guint64>(asked);
   heartbeat.age_ms =
@@ -335,6 +345,21 @@
   schedule_for(instance, 0, [this, &instance, kind] { poll(instance, kind); });
 }
 
+/* The instance reads the reply as soon as it does not stand still. */
+void World::deliver(Instance &instance, int kind, unsigned call,
+                    std::shared_ptr<StoreReply> read) {
+  run_when_awake(instance, [this, &instance, kind, call, read] {
+    reply(instance, kind, call, *read);
+  });
+}
+
+static std::shared_ptr<StoreReply> make_reply(const StoreReply &reply) {
+  return {new StoreReply(reply), [](StoreReply *read) {
+            store_reply_clear(read);
+            delete read;
+          }};
+}
+
 void World::schedule_failure(Instance &instance, int kind, unsigned call,
                              gint64 wait) {
   schedule_for(instance, wait, [this, &instance, kind, call, wait] {
@@ -466,29 +491,30 @@
   }
   if (wanted.call.operation == STORE_WATCH) {
     watches.push_back({&instance, what, since, call, instance.incarnation});
-    schedule_for(instance, wanted.call.wait, [this, &instance, kind, call] {
-      time_out_watch(instance, kind, call);
+    unsigned then = instance.incarnation;
+    at(now + wanted.call.wait, [this, &instance, kind, call, then] {
+      if (instance.alive && instance.incarnation == then)
+        time_out_watch(instance, kind, call);
     });
     at(now + store_delay, [this] { answer_due_watches(); });
     return;
   }
   bool stale = wanted.call.stale;
   unsigned incarnation = instance.incarnation;
-  schedule_for(
-      instance, store_delay,
-      [this, &instance, kind, call, what, stale, incarnation] {
-        if (instance.open_call[kind] != call)
-          return;
-        auto whole_list = std::make_shared<StoreReply>(list(what, stale));
-        gint64 span = answer_time(instance, *whole_list);
-        set_receiving(instance, kind, call, span);
-        at(now + span, [this, &instance, kind, call, incarnation, whole_list] {
-          if (instance.alive && instance.incarnation == incarnation &&
-              !instance.cut_from_store && !instance.cut_from_all)
-            reply(instance, kind, call, *whole_list);
-          store_reply_clear(whole_list.get());
-        });
-      });
+  at(now + store_delay,
+     [this, &instance, kind, call, what, stale, incarnation] {
+       if (!instance.alive || instance.incarnation != incarnation ||
+           instance.open_call[kind] != call)
+         return;
+       auto whole_list = make_reply(list(what, stale));
+       gint64 span = answer_time(instance, *whole_list);
+       set_receiving(instance, kind, call, span);
+       at(now + span, [this, &instance, kind, call, incarnation, whole_list] {
+         if (instance.alive && instance.incarnation == incarnation &&
+             !instance.cut_from_store && !instance.cut_from_all)
+           deliver(instance, kind, call, whole_list);
+       });
+     });
 }
 
 /* Ends a watch whose wait is over, unless its answer was sent already. */
@@ -500,10 +526,9 @@
   if (watch == watches.end() || !store_up || instance.cut_from_store ||
       instance.cut_from_all)
     return;
-  StoreReply news = changes_since(watch->kind, watch->since.revision);
+  auto news = make_reply(changes_since(watch->kind, watch->since.revision));
   watches.erase(watch);
-  reply(instance, kind, call, news);
-  store_reply_clear(&news);
+  deliver(instance, kind, call, news);
 }
 
 void World::answer_due_watches() {
@@ -514,14 +539,12 @@
     if (!instance.alive || instance.incarnation != watch.incarnation ||
         instance.open_call[watch.kind] != watch.call)
       continue;
-    auto news = std::make_shared<StoreReply>(
-        changes_since(watch.kind, watch.since.revision));
+    auto news = make_reply(changes_since(watch.kind, watch.since.revision));
     bool has_changes =
         news->status != STORE_OK || (news->objects && news->objects->len > 0);
     if (!has_changes || !store_up || instance.cut_from_store ||
         instance.cut_from_all) {
       watches.push_back(watch);
-      store_reply_clear(news.get());
       continue;
     }
     int kind = watch.kind;
@@ -532,8 +555,7 @@
     at(now + span, [this, &instance, kind, call, incarnation, news] {
       if (instance.alive && instance.incarnation == incarnation &&
           !instance.cut_from_store && !instance.cut_from_all)
-        reply(instance, kind, call, *news);
-      store_reply_clear(news.get());
+        deliver(instance, kind, call, news);
     });
   }
 }
@@ -576,8 +598,7 @@
             return;
           news_codec.read_reply(&asked, status, body->data(), body->size(),
                                 &read, nullptr);
-          reply(instance, kind, call, read);
-          store_reply_clear(&read);
+          deliver(instance, kind, call, make_reply(read));
         });
       });
 }
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -62,6 +62,8 @@
   bool cut_from_store = false;
   bool refused_by_store = false; /* each call fails at once, as by a 503 */
   bool cut_from_all = false;     /* from the store and from all instances */
+  gint64 still_until = 0;        /* stands still; reads what came after it */
+  gint64 clock_ahead = 0;        /* its clock in heartbeats less World.now */
   gint64 link_free_at = 0;       /* its link is busy with answers until then */
   bool answers = true;           /* calls of other instances */
   bool is_listed = true;         /* others know its control address */
@@ -199,12 +201,15 @@
   bool is_receiving(const Instance &instance, int kind) const;
   void schedule_for(Instance &instance, gint64 wait,
                     std::function<void()> act);
+  void run_when_awake(Instance &instance, std::function<void()> act);
   void poll(Instance &instance, int kind);
   void poll_all(Instance &instance);
   void call_store(Instance &instance, int kind, const NewsAction &wanted);
   void call_instance(Instance &instance, int kind, const NewsAction &wanted);
   void reply(Instance &instance, int kind, unsigned call,
              const StoreReply &reply);
+  void deliver(Instance &instance, int kind, unsigned call,
+               std::shared_ptr<StoreReply> read);
   void schedule_failure(Instance &instance, int kind, unsigned call,
                         gint64 wait);
   StoreReply list(StoreKind kind, bool stale) const;
--- a/test/test_answer_time.cc
+++ b/test/test_answer_time.cc
@@ -1,9 +1,11 @@
 /*
 ** test_answer_time.cc
 ** Tests of how old an instance takes its lists for, when answers of the store
-** are read long after they were written
+** and heartbeats of relays are read long after they were written
 */
 
+#include <random>
+
 #include <gtest/gtest.h>
 
 #include "relay_world.h"
@@ -151,6 +153,131 @@
   }
 }
 
+/*
+** {==================================================================
+** Heartbeats
+** ===================================================================
+*/
+
+/* A member that knows all changes of its relay, whose clock is ahead. */
+struct HeartbeatTimeTest : ::testing::Test {
+  static constexpr mp_Addr relay = 101;
+  RelayTiming times = {1800 * ms, 3 * second};
+  gint64 now = 100 * second;
+  gint64 ahead = 5000 * second;
+  RelayGroup *group = relay_group_new(7, 0, &times, now);
+
+  void SetUp() override {
+    GArray *near = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+    GArray *far = g_array_new(FALSE, FALSE, sizeof(RelayMember));
+    for (mp_Addr i = 0; i < 9; i++) {
+      RelayMember member = {relay + i, 0, 1000};
+      g_array_append_val(near, member);
+    }
+    relay_group_set_members(group, near, far, now);
+    g_array_free(near, TRUE);
+    g_array_free(far, TRUE);
+    for (int kind = 0; kind < MP_RELAY_KINDS; kind++)
+      relay_group_advance_held(group, static_cast<StoreKind>(kind),
+                               at_revision(100), now);
+  }
+  void TearDown() override {
+    relay_group_free(group);
+  }
+  /* Reads a heartbeat that was sent then, in answer to a request of 'asked';
+  ** 0: to none. */
+  void receive(gint64 sent, gint64 age, gint64 asked = 0) {
+    mp_RelayHeartbeat beat = {};
+    for (auto &changed : beat.changed)
+      changed = at_revision(100);
+    beat.age_ms = static_cast<guint32>(age / ms);
+    beat.sent_us = static_cast<guint64>(sent + ahead);
+    beat.proof_ms = CONFIG_PROOF_NONE;
+    beat.asked_us = static_cast<guint64>(asked);
+    relay_group_receive_heartbeat(group, relay, &beat, now);
+  }
+  /* The relay answers a request that took 'there' to reach it. */
+  void exchange(gint64 there = ms) {
+    gint64 asked = now;
+    now += there;
+    gint64 sent = now;
+    now += ms;
+    receive(sent, second, asked);
+  }
+  gint64 age() const {
+    return relay_group_news_age(group, now);
+  }
+  unsigned clocks_to_bound() const {
+    mp_Addr out[4];
+    return relay_group_clocks_to_bound(group, now, out, 4);
+  }
+};
+
+/* Guards against a list that is taken for fresh because the heartbeat that
+** confirms it lay unread while the member stood still. */
+TEST_F(HeartbeatTimeTest, HeartbeatReadLateIsAsOldAsItsSending) {
+  for (gint64 late : late_reads) {
+    exchange();
+    gint64 sent = now + 100 * ms;
+    now = sent + late;
+    receive(sent, 50 * ms);
+    EXPECT_GE(age(), late + 50 * ms);
+    EXPECT_LE(age(), late + 60 * ms);
+  }
+}
+
+/* Guards against the same at a relay that tells others what it heard. */
+TEST_F(HeartbeatTimeTest, RelayThatReadsAHeartbeatLateTellsItsAge) {
+  exchange();
+  gint64 sent = now + 100 * ms;
+  now = sent + 400 * ms;
+  receive(sent, 50 * ms);
+  EXPECT_GE(relay_group_age(group, now), 450 * ms);
+}
+
+/* Guards against a first heartbeat that counts from its arrival. */
+TEST_F(HeartbeatTimeTest, HeartbeatOfAnUnboundedClockMakesNoListYoung) {
+  receive(now - ms, 50 * ms);
+  EXPECT_EQ(clocks_to_bound(), 1u);
+  EXPECT_GE(age(), G_MAXINT32);
+}
+
+/* Guards against members that take over because a clock is not bounded. */
+TEST_F(HeartbeatTimeTest, RelayOfAnUnboundedClockIsFresh) {
+  receive(now - ms, 50 * ms);
+  EXPECT_EQ(relay_group_relays_before(group, now).fresh, 1u);
+}
+
+/* Guards against an address that another machine has got, whose clock is
+** ahead of the one before. */
+TEST_F(HeartbeatTimeTest, RelayOnAnotherMachineMakesNoListYoung) {
+  exchange();
+  ahead += 100 * second;
+  now += 8 * second;
+  receive(now - 8 * second, 50 * ms);
+  EXPECT_GE(age(), 8 * second);
+  EXPECT_EQ(clocks_to_bound(), 1u);
+}
+
+/* Guards against a list that seems old for long because a relay that stood
+** still has answered late. */
+TEST_F(HeartbeatTimeTest, BoundThatASlowAnswerGaveIsReplacedSoon) {
+  exchange(3 * second);
+  now += 1100 * ms;
+  receive(now, 50 * ms);
+  EXPECT_GE(age(), 50 * ms);
+  EXPECT_EQ(clocks_to_bound(), 1u);
+  exchange();
+  receive(now, 50 * ms);
+  EXPECT_LE(age(), 60 * ms);
+  EXPECT_EQ(clocks_to_bound(), 0u);
+  exchange(3 * second);
+  receive(now, 50 * ms);
+  EXPECT_LE(age(), 60 * ms);
+}
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** Many instances
@@ -217,6 +344,47 @@
   EXPECT_LE(calls_in_a_minute(150 * ms), followers * 243);
 }
 
+/*
+** Guards against lists that are taken for younger than the first change that
+** they lack, when instances, half of them relays, stand still at random.
+*/
+TEST_P(AnswerTimeFleet, NoListIsYoungerThanTheFirstChangeItLacks) {
+  std::mt19937 random(GetParam());
+  std::vector<gint64> written(2, world->now); /* of each version, from 1 */
+  for (auto &one : world->all)
+    one->clock_ahead = static_cast<gint64>(random() % 9000) * second;
+  world->run(second);
+  for (int step = 0; step < 2000; step++) {
+    if (random() % 40 == 0) {
+      char text[16];
+      g_snprintf(text, sizeof text, "%05d", static_cast<int>(written.size()));
+      world->write(STORE_ENDPOINTS, "e1", text);
+      written.push_back(world->now);
+    }
+    Instance &one = *world->all[random() % world->all.size()];
+    bool is_member =
+        relay_group_role(one.group, world->now) == RELAY_ROLE_MEMBER;
+    if (random() % (is_member ? 50 : 4) == 0)
+      one.still_until = std::max(
+          one.still_until,
+          world->now + static_cast<gint64>(200 + random() % 7800) * ms);
+    world->run(20 * ms);
+    for (auto &each : world->all) {
+      if (each->still_until > world->now)
+        continue;
+      gint64 age = relay_group_news_age(each->group, world->now);
+      size_t next = std::stoul(each->seen[STORE_ENDPOINTS]["e1"]) + 1;
+      ASSERT_TRUE(next >= written.size() ||
+                  world->now - age <= written[next] + 2 * ms)
+          << "step " << step;
+    }
+  }
+  world->run(20 * second);
+  oldest = 0;
+  calls_in_a_minute(0);
+  EXPECT_LE(oldest, relay_news_age_max(&world->times));
+}
+
 INSTANTIATE_TEST_SUITE_P(InstanceCounts, AnswerTimeFleet,
                          ::testing::Values(8u, 9u, 88u, 300u));
 
