--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -345,7 +345,7 @@
 /* RELAY_HEARTBEAT: what a relay knows of the store (router/relay_group.h) */
 typedef struct mp_RelayHeartbeat {
   mp_StorePosition changed[MP_RELAY_KINDS]; /* newest change known, by kind */
-  uint32_t age_ms;   /* since the store last answered the relay */
+  uint32_t age_ms;   /* at sent_us: since the store last answered the relay */
   uint64_t sent_us;  /* the relay's monotonic clock when it sent this */
   uint32_t proof_ms; /* since its configuration was certainly the newest */
   uint64_t asked_us; /* asked_us of the request that this answers; 0: it
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -361,11 +361,11 @@
 
 static void on_store_answer(void *data) {
   const Gateway *gateway = data;
+  gint64 now = clock_now();
   router_configuration_proved(gateway->router,
                               relay_group_proof(gateway->group)->at);
   router_store_answered(gateway->router,
-                        clock_now() -
-                            relay_group_news_age(gateway->group, clock_now()));
+                        now - relay_group_news_age(gateway->group, now));
   software_set_writer_poll(gateway->software_sets);
   relays_on_news(gateway->relays);
 }
@@ -679,8 +679,7 @@
 static void make_directory(Gateway *gateway, const GatewayOptions *options) {
   DirectoryHooks hooks = {gateway, on_configuration, on_instances,
                           on_store_answer};
-  RelaysOptions relays = {options->exchange, options->zone,
-                          options->revoke_within > 0};
+  RelaysOptions relays = {options->exchange, options->zone};
   DirectoryOptions settings = {0};
   settings.instance = options->instance;
   settings.zone = options->zone;
--- a/io/relays.c
+++ b/io/relays.c
@@ -11,9 +11,6 @@
 /* most instances that are asked for a heartbeat at once: those that should be
 ** relays, and as many more that take over when these are lost */
 #define HEARTBEATS_ASKED_MAX 4
-/* limit of relays whose clocks are asked for in one message round: all relays
-** of a few data centres */
-#define CLOCKS_AT_ONCE 8
 /* Minimum interval between two summaries. Waiting for the next heartbeat is
 ** too long: an engine that rejects all requests looks idle, and in the 0.2 s
 ** between heartbeats, 61 prompts of other data centres were sent to one such
@@ -27,8 +24,7 @@
 
 struct Relays {
   mp_Addr self;
-  guint32 zone;               /* hash of the data centre's name */
-  gboolean bounds_config_age; /* RelaysOptions.bounds_config_age */
+  guint32 zone; /* hash of the data centre's name */
   RelayGroup *group;
   Router *router;
   Directory *directory;
@@ -58,7 +54,7 @@
   memset(&message, 0, sizeof message);
   message.kind = MP_MSG_RELAY_HEARTBEAT;
   message.u.beat.age_ms =
-      (guint32)(relay_group_age(relays->group, now) / MP_MS);
+      relay_clock_age_ms(relay_group_age(relays->group, now));
   message.u.beat.sent_us = (guint64)now;
   message.u.beat.proof_ms =
       config_proof_age_ms(relay_group_proof(relays->group), now);
@@ -190,14 +186,6 @@
   send_requests(relays, asked, count);
 }
 
-/* Asks relays for a heartbeat, by which their clocks are compared again. */
-static void ask_clocks(Relays *relays, gint64 now) {
-  mp_Addr asked[CLOCKS_AT_ONCE];
-  unsigned count =
-      relay_group_clocks_to_bound(relays->group, now, asked, CLOCKS_AT_ONCE);
-  send_requests(relays, asked, count);
-}
-
 /* Updates the role of this instance, and logs a change. */
 static void update_role(Relays *relays, gint64 now) {
   RelayRole role = relay_group_role(relays->group, now);
@@ -225,8 +213,6 @@
   send_crashes(relays, now);
   send_rates(relays, now);
   ask_heartbeats(relays, now);
-  if (relays->bounds_config_age)
-    ask_clocks(relays, now);
   directory_poll(relays->directory);
   start_timer(relays);
 }
@@ -263,7 +249,10 @@
 
 static void handle_heartbeat(Relays *relays, mp_Addr from,
                              const mp_Msg *message, gint64 now) {
-  relay_group_receive_heartbeat(relays->group, from, &message->u.beat, now);
+  const mp_RelayHeartbeat *beat = &message->u.beat;
+  relay_group_receive_heartbeat(relays->group, from, beat, now);
+  if (relay_group_must_bound_clock(relays->group, from, beat, now))
+    send_requests(relays, &from, 1);
   router_configuration_proved(relays->router,
                               relay_group_proof(relays->group)->at);
   router_store_answered(relays->router,
@@ -335,7 +324,6 @@
   Relays *relays = g_new0(Relays, 1);
   relays->self = options->self;
   relays->zone = g_str_hash(options->zone);
-  relays->bounds_config_age = options->bounds_config_age;
   relays->router = router;
   /* a random start, so that a restarted instance does not use the numbers of
   ** its previous run again */
--- a/io/relays.h
+++ b/io/relays.h
@@ -29,10 +29,6 @@
 typedef struct RelaysOptions {
   mp_Addr self;     /* address of this instance's load exchange */
   const char *zone; /* its data centre */
-  /* Requests with keys need a configuration of bounded age. What relays say
-  ** about its age is used after their clocks were compared with this one's
-  ** (router/config_proof.h). */
-  gboolean bounds_config_age;
 } RelaysOptions;
 
 /* The pointers are borrowed, except for 'options', which is copied. */
--- a/router/config_proof.h
+++ b/router/config_proof.h
@@ -11,11 +11,8 @@
 ** others (relay_group.h). A relay's time is converted from the relay's clock
 ** to this instance's own.
 **
-** The arrival of a heartbeat proves nothing, because it may have waited in a
-** queue for seconds, or this instance may have been stopped since it came. The
-** offset between the two clocks is bounded by a request and its answer
-** instead: the relay's clock showed the time in the answer after the request
-** had been sent.
+** The arrival of a heartbeat proves nothing; its age counts from when it was
+** sent (relay_clock.h).
 **
 ** A store that was restored from a copy lacks what was written after the copy,
 ** until its writers have written that again. So it proves nothing in the first
@@ -31,16 +28,11 @@
 #ifndef ROUTER_CONFIG_PROOF_H
 #define ROUTER_CONFIG_PROOF_H
 
+#include "router/relay_clock.h"
 #include "router/store_position.h"
 
 /* proof_ms in a heartbeat whose sender has no proof. */
 #define CONFIG_PROOF_NONE G_MAXUINT32
-/*
-** The offset to a relay's clock is bounded anew when it is older than this,
-** us: clocks that drift apart by 100 us a second differ by 1 ms at most by
-** then.
-*/
-#define CONFIG_PROOF_CLOCK_AGE_MAX (10 * MP_SEC)
 /* How long a store proves nothing after an era was first heard of that began
 ** with a restore, us. */
 #define CONFIG_PROOF_SETTLE_TIME (1 * MP_SEC)
@@ -56,12 +48,10 @@
   gint64 store_era_heard; /* when it first did so, us */
   /* Changes of the configuration up to this position are known here. */
   StorePosition known;
-  GHashTable *clocks; /* address of a relay -> RelayClock */
 } ConfigProof;
 
-/* 'proof' is the caller's; config_proof_clear frees what it holds. */
+/* 'proof' is the caller's. */
 void config_proof_init(ConfigProof *proof);
-void config_proof_clear(ConfigProof *proof);
 
 /* Records that the store, in this era, had nothing newer at the time 'at'. */
 void config_proof_confirm_by_store(ConfigProof *proof, guint64 era, gint64 at,
@@ -69,17 +59,13 @@
 /* Records that changes up to this position are known here. */
 void config_proof_advance_known(ConfigProof *proof, StorePosition position);
 /*
-** Handles a relay's heartbeat. It counts only when this instance knows the
-** changes that it names.
+** Handles a relay's heartbeat. It counts only when the relay's clock is
+*bounded
+** and this instance knows the changes that it names.
 */
-void config_proof_apply_heartbeat(ConfigProof *proof, mp_Addr relay,
+void config_proof_apply_heartbeat(ConfigProof *proof,
+                                  const RelayClocks *clocks, mp_Addr relay,
                                   const mp_RelayHeartbeat *beat, gint64 now);
-/*
-** Returns TRUE when the relay should be sent a request so that the offset to
-** its clock can be bounded.
-*/
-gboolean config_proof_must_bound_clock(const ConfigProof *proof, mp_Addr relay,
-                                       gint64 now);
 
 /*
 ** Returns what other instances may be told: the milliseconds since the
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -44,7 +44,12 @@
   mp_Addr address;
   guint64 order;
   gboolean is_near; /* belongs to this data centre */
-  gint64 heard_at;  /* time of its last heartbeat */
+  gint64 heard_at;  /* when its last heartbeat was read */
+  /*
+  ** When the store answered the relay or another one that it hears, at the
+  ** latest; G_MININT32: its clock is not bounded.
+  */
+  gint64 answered_at;
   /* it did not answer a request, and has sent no heartbeat since */
   gboolean is_suspended;
   /*
@@ -80,6 +85,7 @@
   guint64 era; /* as relay_group_era */
   NewsState news[MP_RELAY_KINDS];
   LearnedChanges learned[MP_RELAY_KINDS];
+  RelayClocks clocks;
   ConfigProof proof;
 };
 
@@ -94,6 +100,7 @@
   relay_members_init(&group->members, self, capacity);
   group->times = *times;
   group->fresh_age_max = relay_freshness_max(times);
+  relay_clocks_init(&group->clocks);
   config_proof_init(&group->proof);
   group->start_deadline = now + START_TIMEOUT;
   group->relays =
@@ -104,7 +111,7 @@
 void relay_group_free(RelayGroup *group) {
   relay_members_clear(&group->members);
   g_hash_table_destroy(group->relays);
-  config_proof_clear(&group->proof);
+  relay_clocks_clear(&group->clocks);
   g_free(group);
 }
 
@@ -138,7 +145,11 @@
   return FALSE;
 }
 
-/* Returns when the store answered the relay, or another one that it hears. */
+/*
+** Returns when the store answered the relay, or another one that it hears, if
+** its heartbeat was read as soon as it came. Only the choice of relays goes by
+** it: an instance that has stood still would else take over from sound ones.
+*/
 static gint64 last_answer_time(const Relay *relay) {
   return relay->heard_at - relay->beat.age_ms * MP_MS;
 }
@@ -172,7 +183,7 @@
 static gint64 newest_sync_time(const RelayGroup *group, const Relay *relay) {
   if (!holds_all_news(group, relay))
     return relay->synced_at;
-  return MAX(relay->synced_at, last_answer_time(relay));
+  return MAX(relay->synced_at, relay->answered_at);
 }
 
 static void advance_newest(RelayGroup *group, const mp_RelayHeartbeat *beat,
@@ -214,9 +225,13 @@
   relay->order = relay_members_order_of(&group->members, from);
   relay->is_near = relay->order != G_MAXUINT64;
   relay->beat = *beat;
+  relay_clocks_observe(&group->clocks, from, beat, now);
+  if (!relay_clocks_time_of(&group->clocks, from, beat, beat->age_ms, now,
+                            &relay->answered_at))
+    relay->answered_at = G_MININT32;
   relay_group_observe_era(group, latest_era(beat));
   advance_newest(group, beat, now);
-  config_proof_apply_heartbeat(&group->proof, from, beat, now);
+  config_proof_apply_heartbeat(&group->proof, &group->clocks, from, beat, now);
 }
 
 ConfigProof *relay_group_proof(RelayGroup *group) {
@@ -516,19 +531,11 @@
   return 0;
 }
 
-unsigned relay_group_clocks_to_bound(const RelayGroup *group, gint64 now,
-                                     mp_Addr *out, unsigned most) {
-  GHashTableIter iterator;
-  gpointer value;
-  unsigned count = 0;
-  g_hash_table_iter_init(&iterator, group->relays);
-  while (count < most && g_hash_table_iter_next(&iterator, NULL, &value)) {
-    const Relay *relay = value;
-    if (is_heard(relay, now) &&
-        config_proof_must_bound_clock(&group->proof, relay->address, now))
-      out[count++] = relay->address;
-  }
-  return count;
+gboolean relay_group_must_bound_clock(const RelayGroup *group, mp_Addr from,
+                                      const mp_RelayHeartbeat *beat,
+                                      gint64 now) {
+  return beat->asked_us == 0 &&
+         relay_clocks_must_bound(&group->clocks, from, now);
 }
 
 const GArray *relay_group_members(const RelayGroup *group) {
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -25,8 +25,9 @@
 ** and each failed call costs, too.
 **
 ** A relay is fresh while the store has recently answered it, or another relay
-** that it hears; the age of that answer travels with the heartbeats. A relay
-** that knows an older era of the store than this instance is not fresh,
+** that it hears; the age of that answer travels with the heartbeats. For this
+** choice it counts from when a heartbeat is read. A relay that knows an older
+*era of the store than this instance is not fresh,
 ** whatever its age: it can't tell what has changed since. (The era is a number
 ** of the store that grows when the store is restored from a copy.) A relay
 ** that runs an earlier release names no era at all.
@@ -105,11 +106,13 @@
 */
 ConfigProof *relay_group_proof(RelayGroup *group);
 /*
-** Writes to 'out' the relays heard from whose clocks must be bounded, at most
-** 'most', and returns their number.
+** Returns TRUE when a heartbeat that answers no request has come from 'from',
+** whose clock must be bounded (relay_clock.h): the caller requests one, at
+** once, because a relay's first heartbeats count for nothing until then.
 */
-unsigned relay_group_clocks_to_bound(const RelayGroup *group, gint64 now,
-                                     mp_Addr *out, unsigned most);
+gboolean relay_group_must_bound_clock(const RelayGroup *group, mp_Addr from,
+                                      const mp_RelayHeartbeat *beat,
+                                      gint64 now);
 /* Records an era that the store, or an instance, has named. */
 void relay_group_observe_era(RelayGroup *group, guint64 era);
 /* Returns the latest era that was named; 0: none was. */
@@ -211,7 +214,9 @@
 
 /*
 ** Returns the us since the store answered this instance or a relay that it
-** hears, as told in heartbeats. Relays of this data centre that come after
+** hears, counted from when heartbeats were sent (relay_clock.h): what this
+** instance may tell others, and decide by. Relays of this data centre that
+*come after
 ** this one do not count: one that took over in its place would make it fresh
 ** again, which would then end the other's service, and so on. What a relay
 ** announces counts from when it is known here: an instance that hears of
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -358,11 +358,24 @@
 m a-back "accounts: what did not run is given back" router/finish.c \
   'if (is_told_not_run(kind))' 'if (FALSE)'
 m p-arrival "proof: a heartbeat counts from when it was sent" \
-  router/config_proof.c \
-  'at = (gint64)beat->sent_us + clock->offset_min -' 'at = now -'
+  router/relay_clock.c \
+  'MIN((gint64)beat->sent_us + offset_now(clock, now), now) -' 'now -'
 m p-known "proof: changes that are not known prove nothing" \
   router/config_proof.c \
-  '!knows_changes_up_to(proof, beat->changed[STORE_CONFIGURATION]))' 'FALSE)'
+  '!knows_changes_up_to(proof, beat->changed[STORE_CONFIGURATION]) ||' \
+  'FALSE ||'
+m p-loose "proof: a loose bound is replaced soon" router/relay_clock.c \
+  '(clock->is_loose ? RELAY_CLOCK_RETRY_WAIT : RELAY_CLOCK_AGE_MAX)' \
+  'RELAY_CLOCK_AGE_MAX'
+m p-other "proof: a bound of another clock does not stay" \
+  router/relay_clock.c \
+  '(gint64)beat->sent_us + offset_now(clock, now) > now)' 'FALSE)'
+m n-arrival "relays: a list's age counts from when a heartbeat was sent" \
+  router/relay_group.c '  return MAX(relay->synced_at, relay->answered_at);' \
+  '  return MAX(relay->synced_at, last_answer_time(relay));'
+m n-late "relays: a change that ends a long watch does not age the list" \
+  router/relay_group.c '  if (!must_stay_young(kind, role))
+    return group->times.watch_wait;' '  return group->times.watch_wait;'
 m p-stale "proof: an answer counts from its question" router/news_source.c \
   '  return source->asked_at;' '  return now;'
 m l-cut "limits: scaled by the share heard" router/shared_totals.c \
--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -16,7 +16,6 @@
 
 /* most relays that an instance asks for a heartbeat at once (io/relays.c) */
 constexpr unsigned heartbeats_asked_max = 4;
-constexpr unsigned clock_requests_max = 8;
 constexpr gint64 network_delay = 1 * ms;
 constexpr gint64 store_delay = 4 * ms;
 /* an answer of the store ends after the object that exceeds this size */
@@ -232,10 +231,11 @@
   heartbeat.sent_us = static_cast<guint64>(now + from.clock_ahead);
   heartbeat.proof_ms = config_proof_age_ms(relay_group_proof(from.group), now);
   heartbeat.asked_us = static_cast<guint64>(asked);
-  heartbeat.age_ms =
-      static_cast<guint32>(relay_group_age(from.group, now) / ms);
+  heartbeat.age_ms = relay_clock_age_ms(relay_group_age(from.group, now));
   send_datagram(to, [this, address, heartbeat](Instance &instance) {
     relay_group_receive_heartbeat(instance.group, address, &heartbeat, now);
+    if (relay_group_must_bound_clock(instance.group, address, &heartbeat, now))
+      request_heartbeat(instance, address);
     poll_all(instance);
   });
 }
@@ -288,13 +288,6 @@
       instance.group, is_synced(instance), now, asked, heartbeats_asked_max);
   for (unsigned i = 0; i < asked_count; i++)
     request_heartbeat(instance, asked[i]);
-  if (proving) {
-    mp_Addr clocks[clock_requests_max];
-    unsigned count = relay_group_clocks_to_bound(instance.group, now, clocks,
-                                                 clock_requests_max);
-    for (unsigned i = 0; i < count; i++)
-      request_heartbeat(instance, clocks[i]);
-  }
   poll_all(instance);
   gint64 next = relay_group_next_check(instance.group, now) - now;
   schedule_for(instance, CLAMP(next, ms, RELAY_HEARTBEAT_INTERVAL),
--- a/test/test_answer_time.cc
+++ b/test/test_answer_time.cc
@@ -207,9 +207,9 @@
   gint64 age() const {
     return relay_group_news_age(group, now);
   }
-  unsigned clocks_to_bound() const {
-    mp_Addr out[4];
-    return relay_group_clocks_to_bound(group, now, out, 4);
+  bool must_bound() const {
+    mp_RelayHeartbeat beat = {};
+    return relay_group_must_bound_clock(group, relay, &beat, now) != FALSE;
   }
 };
 
@@ -238,7 +238,7 @@
 /* Guards against a first heartbeat that counts from its arrival. */
 TEST_F(HeartbeatTimeTest, HeartbeatOfAnUnboundedClockMakesNoListYoung) {
   receive(now - ms, 50 * ms);
-  EXPECT_EQ(clocks_to_bound(), 1u);
+  EXPECT_TRUE(must_bound());
   EXPECT_GE(age(), G_MAXINT32);
 }
 
@@ -256,7 +256,7 @@
   now += 8 * second;
   receive(now - 8 * second, 50 * ms);
   EXPECT_GE(age(), 8 * second);
-  EXPECT_EQ(clocks_to_bound(), 1u);
+  EXPECT_TRUE(must_bound());
 }
 
 /* Guards against a list that seems old for long because a relay that stood
@@ -266,11 +266,11 @@
   now += 1100 * ms;
   receive(now, 50 * ms);
   EXPECT_GE(age(), 50 * ms);
-  EXPECT_EQ(clocks_to_bound(), 1u);
+  EXPECT_TRUE(must_bound());
   exchange();
   receive(now, 50 * ms);
   EXPECT_LE(age(), 60 * ms);
-  EXPECT_EQ(clocks_to_bound(), 0u);
+  EXPECT_FALSE(must_bound());
   exchange(3 * second);
   receive(now, 50 * ms);
   EXPECT_LE(age(), 60 * ms);
--- a/test/test_config_proof.cc
+++ b/test/test_config_proof.cc
@@ -25,15 +25,17 @@
 
 struct ConfigProofTest : ::testing::Test {
   ConfigProof proof = {};
+  RelayClocks clocks = {};
   gint64 now = 50 * second;
   gint64 relay_ahead = 7000 * second; /* the relay's clock minus this one */
 
   void SetUp() override {
     config_proof_init(&proof);
+    relay_clocks_init(&clocks);
     config_proof_advance_known(&proof, at_revision(10));
   }
   void TearDown() override {
-    config_proof_clear(&proof);
+    relay_clocks_clear(&clocks);
   }
   /* A heartbeat that was sent at this time of the local clock. */
   mp_RelayHeartbeat heartbeat(gint64 sent, guint32 proof_ms = 100,
@@ -47,7 +49,8 @@
     return out;
   }
   void receive(const mp_RelayHeartbeat &heard) {
-    config_proof_apply_heartbeat(&proof, relay, &heard, now);
+    relay_clocks_observe(&clocks, relay, &heard, now);
+    config_proof_apply_heartbeat(&proof, &clocks, relay, &heard, now);
   }
   /* Requests a heartbeat now and receives it after 2 ms. */
   void exchange_to_bound_clock() {
@@ -64,10 +67,10 @@
 TEST_F(ConfigProofTest, HeartbeatOfAnUnboundedClockProvesNothing) {
   receive(heartbeat(now));
   EXPECT_EQ(proof.at, 0);
-  EXPECT_TRUE(config_proof_must_bound_clock(&proof, relay, now));
+  EXPECT_TRUE(relay_clocks_must_bound(&clocks, relay, now));
   exchange_to_bound_clock();
   EXPECT_GT(proof.at, 0);
-  EXPECT_FALSE(config_proof_must_bound_clock(&proof, relay, now));
+  EXPECT_FALSE(relay_clocks_must_bound(&clocks, relay, now));
 }
 
 TEST_F(ConfigProofTest, BoundClockProvesTheSendTimeMinusTheReportedAge) {
--- a/test/test_large_configuration.cc
+++ b/test/test_large_configuration.cc
@@ -204,11 +204,16 @@
   relay_group_advance_held(group, STORE_ENDPOINTS, at_revision(100), now);
   heartbeat.changed[STORE_CONFIGURATION] = at_revision(100);
   heartbeat.age_ms = 50;
+  heartbeat.sent_us = static_cast<guint64>(now);
+  heartbeat.asked_us = heartbeat.sent_us; /* bounds its clock */
   relay_group_receive_heartbeat(group, 99, &heartbeat, now);
   EXPECT_EQ(relay_group_age(group, now), 50 * ms);
   heartbeat.changed[STORE_CONFIGURATION] = at_revision(101);
-  for (; now < 14 * second; now += RELAY_HEARTBEAT_INTERVAL)
+  for (; now < 14 * second; now += RELAY_HEARTBEAT_INTERVAL) {
+    heartbeat.sent_us = static_cast<guint64>(now);
+    heartbeat.asked_us = heartbeat.sent_us;
     relay_group_receive_heartbeat(group, 99, &heartbeat, now);
+  }
   EXPECT_GE(relay_group_age(group, now), 4 * second);
   EXPECT_GE(relay_group_news_age(group, now), 4 * second);
   relay_group_advance_held(group, STORE_CONFIGURATION, at_revision(101), now);
