--- a/test/relay_world.cc
+++ b/test/relay_world.cc
@@ -16,7 +16,6 @@
 
 /* most relays that an instance asks for a heartbeat at once (io/relays.c) */
 constexpr unsigned heartbeats_asked_max = 4;
-constexpr unsigned clock_requests_max = 8;
 constexpr gint64 network_delay = 1 * ms;
 constexpr gint64 store_delay = 4 * ms;
 /* an answer of the store ends after the object that exceeds this size */
@@ -49,12 +48,22 @@
 void World::schedule_for(Instance &instance, gint64 wait,
                          std::function<void()> act) {
   unsigned incarnation = instance.incarnation;
-  at(now + wait, [&instance, incarnation, act = std::move(act)] {
+  at(now + wait, [this, &instance, incarnation, act = std::move(act)] {
     if (instance.alive && instance.incarnation == incarnation)
-      act();
+      run_when_awake(instance, act);
   });
 }
 
+/* What falls due while an instance stands still is handled after it, in turn.
+ */
+void World::run_when_awake(Instance &instance, std::function<void()> act) {
+  if (now >= instance.still_until) {
+    act();
+    return;
+  }
+  schedule_for(instance, instance.still_until - now, std::move(act));
+}
+
 void World::run(gint64 span) {
   gint64 until = now + span;
   while (!queue.empty() && queue.top().at <= until) {
@@ -206,9 +215,9 @@
   datagrams++;
   if (instance == nullptr || instance->cut_from_all || is_datagram_lost())
     return;
-  at(now + network_delay, [instance, act = std::move(act)] {
+  at(now + network_delay, [this, instance, act = std::move(act)] {
     if (instance->alive)
-      act(*instance);
+      run_when_awake(*instance, [instance, act] { act(*instance); });
   });
 }
 
@@ -219,13 +228,14 @@
   mp_Addr address = from.address;
   for (int kind = 0; kind < MP_RELAY_KINDS; kind++)
     heartbeat.changed[kind] = from.source[kind].follower.changed;
-  heartbeat.sent_us = static_cast<guint64>(now);
+  heartbeat.sent_us = static_cast<guint64>(now + from.clock_ahead);
   heartbeat.proof_ms = config_proof_age_ms(relay_group_proof(from.group), now);
   heartbeat.asked_us = static_cast<guint64>(asked);
-  heartbeat.age_ms =
-      static_cast<guint32>(relay_group_age(from.group, now) / ms);
+  heartbeat.age_ms = relay_clock_age_ms(relay_group_age(from.group, now));
   send_datagram(to, [this, address, heartbeat](Instance &instance) {
     relay_group_receive_heartbeat(instance.group, address, &heartbeat, now);
+    if (relay_group_must_bound_clock(instance.group, address, &heartbeat, now))
+      request_heartbeat(instance, address);
     poll_all(instance);
   });
 }
@@ -278,13 +288,6 @@
       instance.group, is_synced(instance), now, asked, heartbeats_asked_max);
   for (unsigned i = 0; i < asked_count; i++)
     request_heartbeat(instance, asked[i]);
-  if (proving) {
-    mp_Addr clocks[clock_requests_max];
-    unsigned count = relay_group_clocks_to_bound(instance.group, now, clocks,
-                                                 clock_requests_max);
-    for (unsigned i = 0; i < count; i++)
-      request_heartbeat(instance, clocks[i]);
-  }
   poll_all(instance);
   gint64 next = relay_group_next_check(instance.group, now) - now;
   schedule_for(instance, CLAMP(next, ms, RELAY_HEARTBEAT_INTERVAL),
@@ -335,6 +338,21 @@
   schedule_for(instance, 0, [this, &instance, kind] { poll(instance, kind); });
 }
 
+/* The instance reads the reply as soon as it does not stand still. */
+void World::deliver(Instance &instance, int kind, unsigned call,
+                    std::shared_ptr<StoreReply> read) {
+  run_when_awake(instance, [this, &instance, kind, call, read] {
+    reply(instance, kind, call, *read);
+  });
+}
+
+static std::shared_ptr<StoreReply> make_reply(const StoreReply &reply) {
+  return {new StoreReply(reply), [](StoreReply *read) {
+            store_reply_clear(read);
+            delete read;
+          }};
+}
+
 void World::schedule_failure(Instance &instance, int kind, unsigned call,
                              gint64 wait) {
   schedule_for(instance, wait, [this, &instance, kind, call, wait] {
@@ -466,29 +484,30 @@
   }
   if (wanted.call.operation == STORE_WATCH) {
     watches.push_back({&instance, what, since, call, instance.incarnation});
-    schedule_for(instance, wanted.call.wait, [this, &instance, kind, call] {
-      time_out_watch(instance, kind, call);
+    unsigned then = instance.incarnation;
+    at(now + wanted.call.wait, [this, &instance, kind, call, then] {
+      if (instance.alive && instance.incarnation == then)
+        time_out_watch(instance, kind, call);
     });
     at(now + store_delay, [this] { answer_due_watches(); });
     return;
   }
   bool stale = wanted.call.stale;
   unsigned incarnation = instance.incarnation;
-  schedule_for(
-      instance, store_delay,
-      [this, &instance, kind, call, what, stale, incarnation] {
-        if (instance.open_call[kind] != call)
-          return;
-        auto whole_list = std::make_shared<StoreReply>(list(what, stale));
-        gint64 span = answer_time(instance, *whole_list);
-        set_receiving(instance, kind, call, span);
-        at(now + span, [this, &instance, kind, call, incarnation, whole_list] {
-          if (instance.alive && instance.incarnation == incarnation &&
-              !instance.cut_from_store && !instance.cut_from_all)
-            reply(instance, kind, call, *whole_list);
-          store_reply_clear(whole_list.get());
-        });
-      });
+  at(now + store_delay,
+     [this, &instance, kind, call, what, stale, incarnation] {
+       if (!instance.alive || instance.incarnation != incarnation ||
+           instance.open_call[kind] != call)
+         return;
+       auto whole_list = make_reply(list(what, stale));
+       gint64 span = answer_time(instance, *whole_list);
+       set_receiving(instance, kind, call, span);
+       at(now + span, [this, &instance, kind, call, incarnation, whole_list] {
+         if (instance.alive && instance.incarnation == incarnation &&
+             !instance.cut_from_store && !instance.cut_from_all)
+           deliver(instance, kind, call, whole_list);
+       });
+     });
 }
 
 /* Ends a watch whose wait is over, unless its answer was sent already. */
@@ -500,10 +519,9 @@
   if (watch == watches.end() || !store_up || instance.cut_from_store ||
       instance.cut_from_all)
     return;
-  StoreReply news = changes_since(watch->kind, watch->since.revision);
+  auto news = make_reply(changes_since(watch->kind, watch->since.revision));
   watches.erase(watch);
-  reply(instance, kind, call, news);
-  store_reply_clear(&news);
+  deliver(instance, kind, call, news);
 }
 
 void World::answer_due_watches() {
@@ -514,14 +532,12 @@
     if (!instance.alive || instance.incarnation != watch.incarnation ||
         instance.open_call[watch.kind] != watch.call)
       continue;
-    auto news = std::make_shared<StoreReply>(
-        changes_since(watch.kind, watch.since.revision));
+    auto news = make_reply(changes_since(watch.kind, watch.since.revision));
     bool has_changes =
         news->status != STORE_OK || (news->objects && news->objects->len > 0);
     if (!has_changes || !store_up || instance.cut_from_store ||
         instance.cut_from_all) {
       watches.push_back(watch);
-      store_reply_clear(news.get());
       continue;
     }
     int kind = watch.kind;
@@ -532,8 +548,7 @@
     at(now + span, [this, &instance, kind, call, incarnation, news] {
       if (instance.alive && instance.incarnation == incarnation &&
           !instance.cut_from_store && !instance.cut_from_all)
-        reply(instance, kind, call, *news);
-      store_reply_clear(news.get());
+        deliver(instance, kind, call, news);
     });
   }
 }
@@ -576,8 +591,7 @@
             return;
           news_codec.read_reply(&asked, status, body->data(), body->size(),
                                 &read, nullptr);
-          reply(instance, kind, call, read);
-          store_reply_clear(&read);
+          deliver(instance, kind, call, make_reply(read));
         });
       });
 }
