router_stood_still: an instance that woke from a pause vouches for nothing

An instance that stood still handles requests before the news that lie beside them, and vouches for a version by a list that was complete before the pause. Only the router's side is here: the host that detects pauses calls router_stood_still, and the instance vouches for no version, neither for itself nor as a replica, until router_store_answered names a time after the pause. No caller yet, so nothing changes.

--- a/router/continuation.c
+++ b/router/continuation.c
@@ -133,7 +133,7 @@
 static guint64 vouched_software(const Router *router, guint32 service,
                                 gint64 lifetime, gint64 now) {
   const Continuation *continuation = router->continuation;
-  if (continuation->followed_since == 0 ||
+  if (continuation->followed_since == 0 || !pause_is_list_confirmed(router) ||
       now - continuation->followed_since < lifetime ||
       (router->news_age_max > 0 &&
        now - router->store_answered_at > router->news_age_max))
--- a/router/router.h
+++ b/router/router.h
@@ -325,6 +325,13 @@
 /* The store answered, at the time 'at', the instance from which this one
 ** learns of the store's objects: itself, or a relay. */
 void router_store_answered(Router *router, gint64 at);
+/* This instance stood still from 'since' to 'now': its process did not run, so
+** what other instances and the store sent meanwhile has not been handled yet.
+** The host calls this before it handles anything else after the pause. From
+** then on this instance vouches for no version of the endpoints' software,
+** neither for itself nor as a replica (continuation.h), until
+** router_store_answered names a time that is not before 'now'. */
+void router_stood_still(Router *router, gint64 since, gint64 now);
 /* Sets the state that compares the position of the configuration known here
 ** with the latest one that any instance has announced. The state is borrowed
 ** and must outlive the router. Without it, no newer configuration counts as
--- a/router/state.h
+++ b/router/state.h
@@ -294,6 +294,7 @@
   gint64 proof_age_max;        /* as in RouterOptions */
   gint64 proved_at;         /* from router_configuration_proved; < 0: none */
   gint64 store_answered_at; /* from router_store_answered; 0: never */
+  gint64 stood_still_until; /* end of the last pause; 0: there was none */
   gint64 news_age_max;      /* as in RouterOptions */
   struct OriginStore *origin_store; /* origins of streams in the store */
   const NewsState *news; /* of the configuration; borrowed; may be NULL */
@@ -651,6 +652,18 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** pause.c: pauses of this instance
+** ===================================================================
+*/
+
+/* Returns TRUE if the list of endpoints was complete at a time since the last
+** pause. */
+gboolean pause_is_list_confirmed(const Router *router);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** suspects.c: requests under which endpoints crash (quarantine.h)
