Tests: streams taken up at instances that are out of step in a release

Cause: an instance that vouches for a version by its own list decides alone, although that list may be up to news_age_max old, and streams begin at a version that has just appeared at once where endpoints of the older version cannot run them.

--- a/test/software_store.cc
+++ b/test/software_store.cc
@@ -76,8 +76,9 @@
   (next.call.operation == STORE_READ ? reads : writes)++;
   next.owner = owner;
   next.service = next.call.service;
-  next.is_lost = is_away || random_below(100) < lost_percent;
-  next.is_never = is_away || (next.is_lost && random_below(2) == 0);
+  bool is_cut = is_away || cut.count(owner) > 0;
+  next.is_lost = is_cut || random_below(100) < lost_percent;
+  next.is_never = is_cut || (next.is_lost && random_below(2) == 0);
   gint64 delay = 1 + random_below(static_cast<unsigned>(delay_max));
   next.due = now + (next.is_lost ? random_below(late_max_ms) * routing::ms
                                  : delay / 2);
--- a/test/software_store.h
+++ b/test/software_store.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,7 @@
 
   std::map<std::string, Object> objects;
   bool is_away = false;
+  std::set<unsigned long> cut; /* owners that cannot reach the store */
   gint64 delay_max = 20 * routing::ms;
   unsigned lost_percent =
       0; /* answers lost; half of these calls are carried
--- a/test/stream_fleet.cc
+++ b/test/stream_fleet.cc
@@ -96,9 +96,10 @@
 
 void Fleet::deliver_changes() {
   for (Instance &instance : instances) {
-    if (instance.world == nullptr || instance.is_cut)
+    if (instance.world == nullptr || instance.is_cut ||
+        instance.still_until != 0 || now < instance.list_at)
       continue;
-    while (instance.seen_changes < changes.size()) {
+    while (!instance.is_hidden && instance.seen_changes < changes.size()) {
       const Change &change = changes[instance.seen_changes];
       gint64 delay = static_cast<gint64>((change.engine * 7919 +
                                           instance.seen_changes * 104729 +
@@ -160,6 +161,10 @@
   }
   for (size_t i = 0; i < engines.size(); i++) {
     Engine &engine = engines[i];
+    if (engine.serves_again_at != 0 && engine.serves_again_at <= now) {
+      engine.serves_again_at = 0;
+      engine.runs = true;
+    }
     if (engine.ends_at != 0 && engine.ends_at <= now) {
       engine.ends_at = 0;
       engine.runs = false;
@@ -197,6 +202,28 @@
   }
 }
 
+void Fleet::leave_version(const std::string &software) {
+  for (size_t i = 0; i < engines.size(); i++) {
+    Engine &engine = engines[i];
+    if (engine.stage != STAGE_DECODE || !engine.runs || !engine.is_ready ||
+        engine.software != software)
+      continue;
+    engine.is_ready = false;
+    engine.ends_at = now + drain_time;
+    note_change(i);
+  }
+}
+
+void Fleet::restart_version(const std::string &software, gint64 span) {
+  for (Engine &engine : engines) {
+    if (engine.stage != STAGE_DECODE || !engine.runs ||
+        engine.software != software)
+      continue;
+    engine.runs = false;
+    engine.serves_again_at = now + span;
+  }
+}
+
 bool Fleet::has_two_engines(const std::string &software) const {
   return std::count_if(engines.begin(), engines.end(), [&](const Engine &e) {
            return e.stage == STAGE_DECODE && e.runs && e.is_ready &&
@@ -254,6 +281,10 @@
     hold_time_max = std::max(hold_time_max, instance.world->longest_hold);
     store.detach(i);
     instance.world.reset();
+    instance.still_until = 0;
+    instance.accepted.clear();
+    instance.inbox.clear();
+    store.still.erase(i);
     instance.starts_at = now + restart_time;
   }
 }
@@ -270,11 +301,78 @@
     instances[i].is_cut = which.count(i) > 0;
 }
 
+void Fleet::hide_changes(const std::set<unsigned> &which) {
+  for (unsigned i = 0; i < instances.size(); i++)
+    instances[i].is_hidden = which.count(i) > 0;
+}
+
+void Fleet::cut_from_others(const std::set<unsigned> &which,
+                            bool is_together) {
+  unreachable = which;
+  is_cut_together = is_together;
+}
+
+void Fleet::cut_from_store(const std::set<unsigned> &which) {
+  store.cut = which;
+  software_store.cut.clear();
+  for (unsigned i : which)
+    software_store.cut.insert(i * 100000UL + instances[i].start);
+}
+
+void Fleet::pause(const std::set<unsigned> &which, gint64 span) {
+  for (unsigned i : which) {
+    Instance &instance = instances[i];
+    if (instance.world == nullptr)
+      continue;
+    if (instance.still_until == 0)
+      instance.still_since = now;
+    instance.still_until = now + span;
+    store.still.insert(i);
+  }
+}
+
+void Fleet::wake(unsigned index) {
+  Instance &instance = instances[index];
+  World &world = *instance.world;
+  bool is_list_first = random_below(2) == 0;
+  instance.still_until = 0;
+  store.still.erase(index);
+  world.now = now;
+  if (options.notices_pauses)
+    router_stood_still(world.router, instance.still_since, now);
+  if (is_list_first)
+    deliver_changes();
+  else
+    instance.list_at = now + random_below(300) * ms;
+  auto inbox = std::move(instance.inbox);
+  instance.inbox.clear();
+  bool is_inbox_first = random_below(2) == 0;
+  for (int i = 0; i < 2; i++) {
+    if ((i == 0) == is_inbox_first) {
+      for (const auto &[from, message] : inbox)
+        router_stream_message(world.router, from, &message, now);
+      continue;
+    }
+    auto accepted = std::move(instance.accepted);
+    instance.accepted.clear();
+    for (size_t stream : accepted)
+      hand_over(streams[stream]);
+  }
+}
+
+void Fleet::wake_instances() {
+  for (unsigned i = 0; i < instances.size(); i++) {
+    if (instances[i].still_until != 0 && instances[i].still_until <= now)
+      wake(i);
+  }
+}
+
 void Fleet::break_callers(const std::set<unsigned> &which) {
   for (Stream &stream : streams) {
     if (stream.has_ended || stream.retry_at != 0 ||
         which.count(stream.instance) == 0 ||
-        instances[stream.instance].world == nullptr)
+        instances[stream.instance].world == nullptr ||
+        instances[stream.instance].still_until != 0)
       continue;
     follow(stream);
     if (stream.has_ended || stream.retry_at != 0)
@@ -335,9 +433,10 @@
     lose(stream, restart_time);
     return;
   }
+  if (!preferred.empty() && !stream.events.empty() && random_below(2) == 0)
+    index = preferred[random_below(static_cast<unsigned>(preferred.size()))];
   while (instances[index].world == nullptr)
     index = random_below(options.instances);
-  World &world = *instances[index].world;
   stream.attempt = "a" + std::to_string(next_attempt++);
   stream.instance = index;
   stream.start = instances[index].start;
@@ -345,18 +444,35 @@
   stream.retry_at = 0;
   stream.seen_events = 0;
   stream.sent_at = now;
+  bool is_calm = now - instances[index].started_at >= options.contact_time;
+  if (!stream.events.empty()) {
+    counts.resumptions++;
+    if (!stream.is_counted_up && is_calm &&
+        has_two_engines(stream.events.back().software)) {
+      stream.is_counted_up = true;
+      counts.taken_up++;
+    }
+  }
+  if (instances[index].still_until == 0) {
+    hand_over(stream);
+    return;
+  }
+  stream.is_unread = true;
+  instances[index].accepted.push_back(
+      static_cast<size_t>(&stream - streams.data()));
+}
+
+/* The instance reads the request of the stream's open attempt. */
+void Fleet::hand_over(Stream &stream) {
+  World &world = *instances[stream.instance].world;
+  stream.is_unread = false;
+  stream.read_at = now;
   world.now = std::max(world.now, now);
   world.id = stream.attempt;
-  bool is_calm = now - instances[index].started_at >= options.contact_time;
   if (stream.events.empty()) {
     stream.request = world.request("/resume/", (stream.deadline - now) / ms);
     return;
   }
-  if (!stream.is_counted_up && is_calm &&
-      has_two_engines(stream.events.back().software)) {
-    stream.is_counted_up = true;
-    counts.taken_up++;
-  }
   std::string last = std::to_string(stream.events.back().number);
   stream.request = world.request_resumption(
       "/resume/", 0, stream.first_attempt.c_str(), last.c_str());
@@ -370,8 +486,8 @@
     Stream stream;
     stream.deadline = now + deadline_time;
     counts.sent++;
-    send_attempt(stream);
     streams.push_back(stream);
+    send_attempt(streams.back());
   }
 }
 
@@ -387,9 +503,12 @@
 void Fleet::follow(Stream &stream) {
   Instance &instance = instances[stream.instance];
   if (instance.world == nullptr || instance.start != stream.start) {
+    stream.is_unread = false;
     lose(stream, reconnect_time);
     return;
   }
+  if (stream.is_unread)
+    return;
   auto it = instance.world->ended.find(stream.request);
   if (it == instance.world->ended.end())
     return;
@@ -415,6 +534,8 @@
     if (!stream.events.empty())
       refusal_time_max =
           std::max(refusal_time_max, result.at - stream.sent_at);
+    if (result.refusal == REFUSAL_STREAM_UNKNOWN)
+      search_time_max = std::max(search_time_max, result.at - stream.read_at);
     lose(stream, result.retry_after_ms * ms);
   } else if (result.broken_off > 0) {
     lose(stream, reconnect_time);
@@ -455,20 +576,51 @@
 
 /* }================================================================== */
 
+bool Fleet::is_lost(unsigned from, unsigned to) {
+  unsigned cut =
+      static_cast<unsigned>(unreachable.count(from) + unreachable.count(to));
+  if (cut == 1 || (cut == 2 && !is_cut_together))
+    return true;
+  return random_below(1000) <
+         static_cast<unsigned>(options.datagram_loss * 1000);
+}
+
+void Fleet::deliver(unsigned from, unsigned to, const mp_Msg &message) {
+  Instance &receiver = instances[to];
+  if (receiver.world == nullptr)
+    return;
+  if (receiver.still_until != 0) {
+    receiver.inbox.emplace_back(address_of(from), message);
+    return;
+  }
+  receiver.world->now = std::max(receiver.world->now, now);
+  router_stream_message(receiver.world->router, address_of(from), &message,
+                        now);
+}
+
+void Fleet::deliver_late_messages() {
+  while (!late_messages.empty() && late_messages.begin()->first <= now) {
+    LateMessage late = late_messages.begin()->second;
+    late_messages.erase(late_messages.begin());
+    deliver(late.from, late.to, late.message);
+  }
+}
+
 /* Delivers what the instance has sent to others, if it is not lost. */
 void Fleet::deliver_messages(unsigned index) {
   auto sent = std::move(instances[index].world->messages);
   instances[index].world->messages.clear();
   for (const auto &[to, message] : sent) {
     messages++;
-    Instance &receiver = instances[instance_at(to)];
-    if (receiver.world == nullptr ||
-        random_below(1000) <
-            static_cast<unsigned>(options.datagram_loss * 1000))
+    unsigned receiver = instance_at(to);
+    if (is_lost(index, receiver))
       continue;
-    receiver.world->now = std::max(receiver.world->now, now);
-    router_stream_message(receiver.world->router, address_of(index), &message,
-                          now);
+    if (reply_delay_max > 0 && message.kind == MP_MSG_STREAM_REPLY)
+      late_messages.insert(
+          {now + random_below(static_cast<unsigned>(reply_delay_max)),
+           {index, receiver, message}});
+    else
+      deliver(index, receiver, message);
   }
 }
 
@@ -509,6 +661,8 @@
   Instance &instance = instances[run.instance];
   if (instance.world == nullptr || instance.start != run.start)
     return false;
+  if (instance.still_until != 0)
+    return true;
   World &world = *instance.world;
   SentDispatch sent = world.dispatches[run.index];
   const Engine &engine = engines[run.engine];
@@ -560,11 +714,13 @@
     start_due_instances();
     start_due_engines();
     end_due_engines();
+    wake_instances();
     deliver_changes();
+    deliver_late_messages();
     send_new_streams();
     software_store.advance(now);
     for (unsigned i = 0; i < instances.size(); i++) {
-      if (instances[i].world != nullptr) {
+      if (instances[i].world != nullptr && instances[i].still_until == 0) {
         World &world = *instances[i].world;
         if (world.now < now)
           world.advance(now - world.now);
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -47,6 +47,8 @@
   /* One instance in so many knows the set of versions in the store; the others
   ** make no call about it, as instances of an earlier version. */
   unsigned set_known_by = 1;
+  /* Instances notice that they stood still (router_stood_still). */
+  bool notices_pauses = false;
 };
 
 /* What became of streams, counted by the caller's side. */
@@ -56,7 +58,8 @@
   /* first takings-up, at instances that have run for FleetOptions.contact_time
    */
   unsigned taken_up = 0;
-  unsigned went_on = 0; /* of these, those that brought another event */
+  unsigned went_on = 0;     /* of these, those that brought another event */
+  unsigned resumptions = 0; /* all attempts that take a stream up */
 };
 
 class Fleet {
@@ -80,6 +83,32 @@
   /* Cuts these instances off from the list of engines, or with an empty set
   ** none. */
   void cut_from_list(const std::set<unsigned> &instances);
+  /* These instances stand still for this time: what is sent to them lies in
+  ** buffers. When they wake, they handle it in either order: the list first,
+  ** or first what callers sent, and the list up to 300 ms later. */
+  void pause(const std::set<unsigned> &instances, gint64 span);
+  /* From now on datagrams between one of these instances and any other one are
+  ** lost; 'is_together': those among them are not. Empty: none are. */
+  void cut_from_others(const std::set<unsigned> &instances,
+                       bool is_together = false);
+  /* Calls of these instances to the store time out. */
+  void cut_from_store(const std::set<unsigned> &instances);
+  /* The list of these instances does not change although they are told that
+  ** it is complete. */
+  void hide_changes(const std::set<unsigned> &instances);
+  /* Callers take streams up at these instances in half of their attempts. */
+  void prefer(const std::set<unsigned> &instances) {
+    preferred.assign(instances.begin(), instances.end());
+  }
+  void set_streams_per_s(double rate) {
+    options.streams_per_s = rate;
+  }
+  /* All decode engines of this version announce that they leave, and end 3 s
+  ** later. */
+  void leave_version(const std::string &software);
+  /* Every decode engine of this version crashes, and serves again, unchanged,
+  ** after this time. */
+  void restart_version(const std::string &software, gint64 span);
   /* Each of these instances closes all callers' connections once. */
   void break_callers(const std::set<unsigned> &instances);
 
@@ -101,8 +130,14 @@
   gint64 longest_refusal() const {
     return refusal_time_max;
   }
+  /* The same, from when the instance reads the taking-up, of refusals because
+  ** the stream is not known. */
+  gint64 longest_search() const {
+    return search_time_max;
+  }
   void forget_refusals() {
     refusal_time_max = 0;
+    search_time_max = 0;
   }
   World &world(unsigned instance) {
     return *instances[instance].world;
@@ -111,6 +146,8 @@
     return static_cast<unsigned>(instances.size());
   }
 
+  /* Replies about streams come up to this much later. */
+  gint64 reply_delay_max = 0;
   gint64 now = 100 * second;
   StreamStore store;
   unsigned messages = 0; /* datagrams between instances about streams */
@@ -125,7 +162,8 @@
     bool runs = true;
     bool is_ready = true;
     bool is_listed = true;
-    gint64 ends_at = 0; /* a planned end; 0: none */
+    gint64 ends_at = 0;         /* a planned end; 0: none */
+    gint64 serves_again_at = 0; /* 0: it does not */
   };
   struct Run {
     unsigned instance;
@@ -144,6 +182,12 @@
     size_t handled = 0; /* of World.dispatches */
     bool is_cut = false;
     size_t seen_changes = 0; /* of 'changes' */
+    bool is_hidden = false;  /* Fleet.hide_changes */
+    gint64 still_since = 0;
+    gint64 still_until = 0;       /* 0: it runs */
+    gint64 list_at = 0;           /* the list is not handled before */
+    std::vector<size_t> accepted; /* streams whose attempts it will read */
+    std::vector<std::pair<mp_Addr, mp_Msg>> inbox;
   };
   struct Event {
     unsigned number;
@@ -156,12 +200,14 @@
     unsigned start = 0; /* Instance.start */
     guint64 request = 0;
     gint64 sent_at = 0;
+    gint64 read_at = 0; /* by the instance */
     gint64 deadline = 0;
     gint64 retry_at = 0; /* 0: an attempt is open */
     unsigned attempts = 0;
     bool is_counted_up = false; /* in Count.taken_up */
     bool is_counted_on = false;
     bool has_ended = false;
+    bool is_unread = false; /* in Instance.accepted */
     size_t seen_events = 0; /* of the open attempt */
     std::vector<Event> events;
   };
@@ -179,7 +225,13 @@
   void follow_callers();
   void follow(Stream &stream);
   void lose(Stream &stream, gint64 wait);
+  void hand_over(Stream &stream);
+  void wake_instances();
+  void wake(unsigned index);
+  bool is_lost(unsigned from, unsigned to);
   void deliver_messages(unsigned index);
+  void deliver_late_messages();
+  void deliver(unsigned from, unsigned to, const mp_Msg &message);
   void handle_new_dispatches(unsigned index);
   void handle(unsigned index, size_t dispatch);
   void advance_runs();
@@ -206,9 +258,18 @@
   Count counts;
   gint64 next_stream_at;
   gint64 refusal_time_max = 0;
+  gint64 search_time_max = 0;
   gint64 hold_time_max = 0; /* of instances that were killed */
   unsigned next_engine = 0;
   unsigned next_attempt = 0;
+  struct LateMessage {
+    unsigned from, to;
+    mp_Msg message;
+  };
+  std::multimap<gint64, LateMessage> late_messages;
+  std::vector<unsigned> preferred;
+  std::set<unsigned> unreachable; /* of cut_from_others */
+  bool is_cut_together = false;
   std::vector<std::string> old_log; /* of instances that were killed */
 };
 
--- a/test/stream_store.cc
+++ b/test/stream_store.cc
@@ -37,9 +37,10 @@
   (call.is_list ? lists : saves)++;
   call.applied_at = now + took / 2;
   call.replied_at = now + std::min(took, timeout);
-  if (is_away)
+  bool is_cut = is_away || cut.count(call.instance) > 0;
+  if (is_cut)
     call.replied_at = now + timeout;
-  if (is_away || turns_away)
+  if (is_cut || turns_away)
     call.applied_at = G_MAXINT64;
   calls.push_back(std::move(call));
 }
@@ -141,15 +142,17 @@
   }
   std::vector<Call> due;
   auto is_due = [&](const Call &call) {
-    return call.replied_at <= now &&
+    return call.replied_at <= now && still.count(call.instance) == 0 &&
            (call.is_applied || call.applied_at == G_MAXINT64);
   };
   std::copy_if(calls.begin(), calls.end(), std::back_inserter(due), is_due);
   calls.erase(std::remove_if(calls.begin(), calls.end(), is_due), calls.end());
   for (const Call &call : due)
     reply(call, now);
-  for (auto &[instance, world] : worlds)
-    begin_calls(instance, *world, now);
+  for (auto &[instance, world] : worlds) {
+    if (still.count(instance) == 0)
+      begin_calls(instance, *world, now);
+  }
 }
 
 } // namespace streaming
--- a/test/stream_store.h
+++ b/test/stream_store.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "router_world.h"
@@ -43,6 +44,11 @@
   gint64 latency_max = 8 * routing::ms;
   bool is_away = false;    /* calls time out */
   bool turns_away = false; /* calls fail at once */
+  /* Instances that stand still: they begin no call, and answers to them wait.
+   */
+  std::set<unsigned> still;
+  /* Instances that cannot reach the store: their calls time out. */
+  std::set<unsigned> cut;
 
   unsigned saves = 0; /* calls that read or write an object */
   unsigned lists = 0;
