Streams that are taken up: the replicas are asked by those who vouch, too

Cause: an instance that vouches for a version decided alone by its own list, which may be 2.5 s old, and the first replica that answered "only this version" decided for others. Where the older version is leaving, full or restarting, streams begin at a new version at once. Ruled out: vouching by a read of the set in the store after each arrival. It is a call to the store for each taking-up, and none goes on while the store does not answer; it was not built or run. Change: an instance that does not know a stream's origin asks its replicas also if it vouches. A known origin decides. It goes on at the only version if the own list has had no other and three replicas (all, if there are fewer) say the same, two of them of other data centres where there are as many instances, and none that replied does not vouch. Else the store is asked, as before. Replicas that are silent are waited for 60 ms if enough have replied. A replica that sees several versions says so (a new verdict, which earlier releases take as unknown). An instance that stood still vouches again by a list that was complete after the pause, not at its end. ContinuationTest.OnlyVersionNeedsNoMessageAndNoMemory guarded that a taking-up asks nobody, which is the fault; in its place one test holds that nothing is sent until a taking-up and exactly one datagram to each replica then, and four hold which replies decide.

--- a/include/mpmessage.h
+++ b/include/mpmessage.h
@@ -440,7 +440,7 @@
 /* STREAM_REPLY: the reply, a datagram of its own */
 typedef struct mp_StreamReply {
   uint32_t number;
-  uint8_t verdict;   /* OriginVerdict (router/continuation.c) */
+  uint8_t verdict;   /* OriginVerdict (router/origin_query.h) */
   uint64_t software; /* digest of service and version; 0: none */
   uint32_t service;  /* hash of its name */
   uint32_t age_ms;   /* since the stream's first event */
--- a/router/continuation.c
+++ b/router/continuation.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "router/continuation.h"
+#include "router/origin_query.h"
 #include "router/origin_store.h"
 #include "router/relay_members.h"
 #include "router/stream_origins.h"
@@ -20,23 +21,12 @@
 #define LIFETIME_UNLIMITED (30 * MP_SEC)
 /* An origin is kept for this much longer than the caller waits. */
 #define EXPIRY_MARGIN (2 * MP_SEC)
-/* Replicas that have not replied are asked again after QUERY_REPEAT, and not
-** waited for after QUERY_TIMEOUT. */
-#define QUERY_REPEAT (60 * MP_MS)
-#define QUERY_TIMEOUT (200 * MP_MS)
 /* A request whose stream no instance knows waits for the store until this time
 ** after it arrived. */
 #define STORE_TIMEOUT (500 * MP_MS)
 /* the most origins told at once when an instance can no longer vouch */
 #define TOLD_AT_ONCE_MAX 64
 
-/* the reply of an instance that was asked for a stream's origin */
-typedef enum OriginVerdict {
-  ORIGIN_UNKNOWN,
-  ORIGIN_KNOWN,
-  ORIGIN_ONLY /* not known, but the service has had this version only */
-} OriginVerdict;
-
 struct Continuation {
   StreamOrigins *origins;
   GArray *members;       /* RelayMember: the other instances */
@@ -105,17 +95,11 @@
 ** ===================================================================
 */
 
-/* Returns how long before a stream is taken up the endpoint that ran it last
-** was listed, at most. */
-static gint64 route_lifetime(const Route *route) {
+gint64 continuation_route_lifetime(const Route *route) {
   return route->timeout > 0 ? route->timeout + TAKE_UP_TIME
                             : LIFETIME_UNLIMITED;
 }
 
-gint64 continuation_route_lifetime(const Route *route) {
-  return route_lifetime(route);
-}
-
 gint64 continuation_followed_since(const Continuation *continuation) {
   return continuation->followed_since;
 }
@@ -128,10 +112,8 @@
     continuation->followed_since = at;
 }
 
-/* Returns the version for which this instance vouches by what it has followed
-** (invariant 2); 0: it vouches for none. */
-static guint64 vouched_software(const Router *router, guint32 service,
-                                gint64 lifetime, gint64 now) {
+guint64 continuation_vouched(const Router *router, guint32 service,
+                             gint64 lifetime, gint64 now) {
   const Continuation *continuation = router->continuation;
   if (continuation->followed_since == 0 || !pause_is_list_confirmed(router) ||
       now - continuation->followed_since < lifetime ||
@@ -183,11 +165,11 @@
 static void record_origin(Router *router, Request *request, gint64 now) {
   Continuation *continuation = router->continuation;
   StreamOrigin origin = own_origin(request, now);
-  gint64 lifetime = route_lifetime(request->route);
+  gint64 lifetime = continuation_route_lifetime(request->route);
   gboolean is_only =
       stream_software_only(router, origin.service, 0, now) == origin.software;
-  origin.is_told =
-      !is_only && vouched_software(router, origin.service, lifetime, now) == 0;
+  origin.is_told = !is_only && continuation_vouched(router, origin.service,
+                                                    lifetime, now) == 0;
   if (!stream_origins_add(continuation->origins, &origin, now))
     router_count(router, ORIGINS_LEFT_OUT);
   if (origin.is_told)
@@ -217,7 +199,7 @@
   guint count;
   guint i;
   if (stream_software_only(router, hash, 0, now) != 0 ||
-      vouched_software(router, hash, LIFETIME_UNLIMITED, now) != 0)
+      continuation_vouched(router, hash, LIFETIME_UNLIMITED, now) != 0)
     return;
   count = stream_origins_take_untold(router->continuation->origins, hash, told,
                                      TOLD_AT_ONCE_MAX, now);
@@ -345,25 +327,6 @@
   start_at(router, request, software, now);
 }
 
-/* Asks the replicas that have not replied. */
-static void ask_replicas(const Router *router, const Request *request) {
-  const OriginQuery *query = &request->query;
-  mp_Msg message;
-  guint i;
-  memset(&message, 0, sizeof message);
-  message.kind = MP_MSG_STREAM_QUERY;
-  message.u.query.number = query->number;
-  message.u.query.key[0] = request->stream.digest[0];
-  message.u.query.key[1] = request->stream.digest[1];
-  message.u.query.service = g_str_hash(request->service->name);
-  message.u.query.lifetime_ms =
-      (guint32)(route_lifetime(request->route) / MP_MS);
-  for (i = 0; i < query->asked; i++) {
-    if (!query->has_replied[i])
-      send(router, query->replicas[i], &message);
-  }
-}
-
 void continuation_recheck(Router *router, Request *request, gint64 now) {
   guint32 service = g_str_hash(request->service->name);
   guint64 software = 0;
@@ -431,33 +394,14 @@
     stream_origins_add(origins, origin, now);
 }
 
-/* Returns a number that no query of this instance has had, nor probably one
-** of its earlier lives, to which replies may still come. */
-static guint32 next_query(Router *router) {
+guint32 continuation_next_query(Router *router) {
   Continuation *continuation = router->continuation;
   if (continuation->last_query == 0)
     continuation->last_query = g_rand_int(router->random);
   return ++continuation->last_query;
 }
 
-/* Asks the replicas for the origin of the request's stream, or the store if
-** there are none. */
-static void begin_query(Router *router, Request *request, gint64 now) {
-  OriginQuery *query = &request->query;
-  query->asked = stream_replicas_list(router->continuation->members,
-                                      &request->stream, query->replicas);
-  if (query->asked == 0) {
-    ask_store(router, request, now);
-    return;
-  }
-  request->phase = PHASE_ORIGIN;
-  query->number = next_query(router);
-  request->stall_at = now + QUERY_REPEAT;
-  ask_replicas(router, request);
-}
-
 void continuation_start(Router *router, Request *request, gint64 now) {
-  const Continuation *continuation = router->continuation;
   const StreamOrigin *origin = NULL;
   guint64 software;
   if (!request->resumes || request->route->kind != ROUTE_STREAM) {
@@ -465,28 +409,53 @@
     return;
   }
   if (request->has_stream)
-    origin = stream_origins_find(continuation->origins, &request->stream, now);
-  software = vouched_software(router, g_str_hash(request->service->name),
-                              route_lifetime(request->route), now);
-  if (origin != NULL)
+    origin = continuation_find(router, &request->stream, now);
+  if (origin != NULL) {
     start_at_origin(router, request, origin, now);
-  else if (software != 0 && request->route->targets->len == 1)
+    return;
+  }
+  if (origin_query_begin(router, request)) {
+    request->phase = PHASE_ORIGIN;
+    request->stall_at = now + QUERY_REPEAT;
+    return;
+  }
+  /* there is no other instance where the stream can have begun */
+  software =
+      continuation_vouched(router, g_str_hash(request->service->name),
+                           continuation_route_lifetime(request->route), now);
+  if (software != 0 && request->route->targets->len == 1)
     start_at_only(router, request, software, now);
   else
-    begin_query(router, request, now);
+    ask_store(router, request, now);
+}
+
+/* Decides by the replies that have come, if they do: starts the request, or
+** has the store asked if no more replies are waited for. */
+static void conclude(Router *router, Request *request, gint64 now) {
+  const OriginQuery *query = &request->query;
+  gboolean is_last = query->replied == query->asked ||
+                     now >= request->arrived + QUERY_TIMEOUT;
+  guint64 software = is_last || now >= request->arrived + QUERY_REPEAT
+                         ? origin_query_only(router, request, now)
+                         : 0;
+  if (software != 0)
+    start_at_only(router, request, software, now);
+  else if (is_last)
+    ask_store(router, request, now);
 }
 
 void continuation_handle_timer(Router *router, Request *request, gint64 now) {
+  guint64 number = request->number;
   if (request->query.asks_store) {
     continuation_handle_stored(router, request, NULL, now);
     return;
   }
-  if (now >= request->arrived + QUERY_TIMEOUT) {
-    ask_store(router, request, now);
-    return;
-  }
   request->stall_at = request->arrived + QUERY_TIMEOUT;
-  ask_replicas(router, request);
+  conclude(router, request, now);
+  request = g_hash_table_lookup(router->requests, &number);
+  if (request != NULL && request->phase == PHASE_ORIGIN &&
+      !request->query.asks_store)
+    origin_query_send(router, request);
 }
 
 gboolean continuation_is_possible(const Router *router,
@@ -513,75 +482,21 @@
 ** ===================================================================
 */
 
-static void reply_to(const Router *router, mp_Addr from,
-                     const mp_StreamQuery *query, gint64 now) {
-  StreamKey key = {{query->key[0], query->key[1]}};
-  const StreamOrigin *origin =
-      stream_origins_find(router->continuation->origins, &key, now);
-  mp_Msg message;
-  mp_StreamReply *reply = &message.u.reply;
-  memset(&message, 0, sizeof message);
-  message.kind = MP_MSG_STREAM_REPLY;
-  reply->number = query->number;
-  if (origin != NULL) {
-    reply->verdict = ORIGIN_KNOWN;
-    reply->software = origin->software;
-    reply->service = origin->service;
-    reply->age_ms = (guint32)((now - origin->began) / MP_MS);
-  } else {
-    reply->software = vouched_software(router, query->service,
-                                       query->lifetime_ms * MP_MS, now);
-    reply->verdict = reply->software != 0 ? ORIGIN_ONLY : ORIGIN_UNKNOWN;
-  }
-  send(router, from, &message);
-}
-
-/* Returns the request that waits for replies to this query; NULL: none does
-** any more. */
-static Request *find_asking(const Router *router, guint32 query) {
-  GHashTableIter iterator;
-  gpointer value;
-  g_hash_table_iter_init(&iterator, router->requests);
-  while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-    Request *request = value;
-    if (request->phase == PHASE_ORIGIN && request->query.number == query)
-      return request;
-  }
-  return NULL;
-}
-
-/* Counts a replica's reply; returns FALSE if it was not asked or has replied
-** before. */
-static gboolean count_reply(OriginQuery *query, mp_Addr from) {
-  guint i;
-  for (i = 0; i < query->asked; i++) {
-    if (query->replicas[i] != from || query->has_replied[i])
-      continue;
-    query->has_replied[i] = TRUE;
-    query->replied++;
-    return TRUE;
-  }
-  return FALSE;
-}
-
 static void handle_reply(Router *router, mp_Addr from,
                          const mp_StreamReply *reply, gint64 now) {
-  Request *request = find_asking(router, reply->number);
+  Request *request = origin_query_count(router, from, reply);
   StreamOrigin origin = {0};
-  if (request == NULL || !count_reply(&request->query, from))
+  if (request == NULL)
+    return;
+  if (reply->verdict != ORIGIN_KNOWN) {
+    conclude(router, request, now);
     return;
-  if (reply->verdict == ORIGIN_KNOWN) {
-    origin.software = reply->software;
-    origin.service = reply->service;
-    origin.began = now - reply->age_ms * MP_MS;
-    origin.told_by = from;
-    start_at_origin(router, request, &origin, now);
-  } else if (reply->verdict == ORIGIN_ONLY && reply->software != 0 &&
-             request->route->targets->len == 1) {
-    start_at_only(router, request, reply->software, now);
-  } else if (request->query.replied == request->query.asked) {
-    ask_store(router, request, now);
   }
+  origin.software = reply->software;
+  origin.service = reply->service;
+  origin.began = now - reply->age_ms * MP_MS;
+  origin.told_by = from;
+  start_at_origin(router, request, &origin, now);
 }
 
 void router_stream_message(Router *router, mp_Addr from, const mp_Msg *message,
@@ -594,7 +509,7 @@
     if (!stream_origins_add(router->continuation->origins, &origin, now))
       router_count(router, ORIGINS_LEFT_OUT);
   } else if (message->kind == MP_MSG_STREAM_QUERY) {
-    reply_to(router, from, &message->u.query, now);
+    origin_query_reply(router, from, &message->u.query, now);
   } else if (message->kind == MP_MSG_STREAM_REPLY) {
     handle_reply(router, from, &message->u.reply, now);
     admission_start_waiting_requests(router, now);
--- a/router/continuation.h
+++ b/router/continuation.h
@@ -11,9 +11,10 @@
 ** instances by rendezvous hashing; one that does not know the origin of a
 ** stream asks them.
 **
-** While a service has had one version only, none of this is needed: any
-** instance vouches for that version alone, and nothing is sent. One that has
-** just started asks others whether they do.
+** While a service has had one version only, no origin is told: instances vouch
+** for that version alone. A request that takes a stream up goes on there if the
+** stream's replicas, asked after it arrived, vouch for it too
+** (origin_query.h). At rest nothing is sent.
 **
 ** Invariants:
 ** 1. A request that takes a stream up is sent to endpoints of the version that
@@ -21,13 +22,16 @@
 ** 2. An instance vouches for a version only if it has followed the list of
 **    endpoints without a gap for longer than a run may last and its caller
 **    takes to come back, has seen no other version in that time, and its list
-**    was complete less than Router.news_age_max ago. What no replica knows is
-**    looked up in the store, in its origins (origin_store.h) and in the set of
-**    versions (software_set.h), both read after the taking-up arrived.
+**    was complete less than Router.news_age_max ago, and after the last time
+**    for which it stood still. It decides alone only if there is no other
+**    instance. What no replica knows is looked up in the store, in its origins
+**    (origin_store.h) and in the set of versions (software_set.h), both read
+**    after the taking-up arrived.
 ** 3. New streams begin at a version that has just appeared only after
 **    news_age_max and a margin, if endpoints of an allowed version that is
 **    known for longer can run them (stream_software.h). So no stream has begun
-**    at a version of which a vouching instance does not know.
+**    at a version of which a vouching instance does not know, unless those
+**    endpoints were full or left: then its replicas were told.
 ** 4. The origin of a stream that began while its instance could vouch is told
 **    when it no longer can.
 */
@@ -65,6 +69,13 @@
 /* Returns how long before a stream of the route is taken up the endpoint that
 ** ran it last was listed, at most. */
 gint64 continuation_route_lifetime(const Route *route);
+/* Returns the version for which this instance vouches by what it has followed
+** (invariant 2); 0: it vouches for none. */
+guint64 continuation_vouched(const Router *router, guint32 service,
+                             gint64 lifetime, gint64 now);
+/* Returns a number that no query of this instance has had, nor probably one
+** of its earlier lives, to which replies may still come. */
+guint32 continuation_next_query(Router *router);
 /* Returns since when the list of endpoints has been followed without a gap; 0:
 ** it has not been read. */
 gint64 continuation_followed_since(const Continuation *continuation);
--- a/router/pause.c
+++ b/router/pause.c
@@ -12,5 +12,5 @@
 }
 
 gboolean pause_is_list_confirmed(const Router *router) {
-  return router->store_answered_at >= router->stood_still_until;
+  return router->store_answered_at > router->stood_still_until;
 }
--- a/router/router.h
+++ b/router/router.h
@@ -330,7 +330,7 @@
 ** The host calls this before it handles anything else after the pause. From
 ** then on this instance vouches for no version of the endpoints' software,
 ** neither for itself nor as a replica (continuation.h), until
-** router_store_answered names a time that is not before 'now'. */
+** router_store_answered names a time after 'now'. */
 void router_stood_still(Router *router, gint64 since, gint64 now);
 /* Sets the state that compares the position of the configuration known here
 ** with the latest one that any instance has announced. The state is borrowed
--- a/router/state.h
+++ b/router/state.h
@@ -125,16 +125,24 @@
 #define STREAM_REPLICAS_MAX 5
 
 /* Asks other instances where the stream began that a request takes up
-** (continuation.h). */
+** (origin_query.h). */
 typedef struct OriginQuery {
   guint32 number; /* that replies name */
   guint asked;    /* of 'replicas' */
   guint replied;
   mp_Addr replicas[STREAM_REPLICAS_MAX];
   gboolean has_replied[STREAM_REPLICAS_MAX];
-  gboolean is_listed;  /* the store's origins were read, and lack it: the set
-                       ** of versions decides */
-  gboolean asks_store; /* the replicas did not know it: the store is asked */
+  guint64 only;        /* the only version of the service by the first reply
+                       ** that named one; 0: none has */
+  guint confirmed;     /* replies that named it */
+  guint confirmed_far; /* of these, from other data centres */
+  gboolean
+      is_disputed; /* a replica knew neither the origin nor this version as
+                   ** the only one */
+  gboolean has_several; /* a replica's list has had several versions */
+  gboolean is_listed;   /* the store's origins were read, and lack it: the set
+                        ** of versions decides */
+  gboolean asks_store;  /* the replicas did not know it: the store is asked */
 } OriginQuery;
 
 /* The first piece of a stream that is held until its origin is written to the
--- a/test/test_continuation.cc
+++ b/test/test_continuation.cc
@@ -25,6 +25,11 @@
 /* a version is new for news_age_max and half a second */
 constexpr gint64 new_time = news_age_max + 500 * ms;
 
+/* verdicts of replies (router/origin_query.h) */
+constexpr unsigned unknown = 0;
+constexpr unsigned only = 2;
+constexpr unsigned several = 3;
+
 class ContinuationTest : public testing::Test {
 protected:
   World world;
@@ -55,10 +60,12 @@
     }
   }
 
-  void set_members(unsigned count) {
+  /* Each second one is of the data centre 'odd_zone'. */
+  void set_members(unsigned count, const char *odd_zone = "a") {
     GArray *members = g_array_new(FALSE, FALSE, sizeof(RelayMember));
     for (unsigned i = 0; i < count; i++) {
-      RelayMember member = {member_at(i), g_str_hash("a"), 1};
+      RelayMember member = {member_at(i),
+                            g_str_hash(i % 2 == 1 ? odd_zone : "a"), 1};
       g_array_append_val(members, member);
     }
     router_set_members(world.router, members);
@@ -104,7 +111,19 @@
         [=](const auto &one) { return one.second.kind == kind; }));
   }
 
+  static bool is_odd(mp_Addr address) {
+    for (unsigned i = 1; i < 8; i += 2) {
+      if (member_at(i) == address)
+        return true;
+    }
+    return false;
+  }
+
   void reply(unsigned member, unsigned verdict, guint64 software = 0) {
+    reply_from(member_at(member), verdict, software);
+  }
+
+  void reply_from(mp_Addr member, unsigned verdict, guint64 software = 0) {
     mp_Msg message = {};
     message.kind = MP_MSG_STREAM_REPLY;
     for (const auto &one : world.messages) {
@@ -114,8 +133,7 @@
     message.u.reply.verdict = static_cast<uint8_t>(verdict);
     message.u.reply.software = software;
     message.u.reply.service = g_str_hash("llm");
-    router_stream_message(world.router, member_at(member), &message,
-                          world.now);
+    router_stream_message(world.router, member, &message, world.now);
   }
 
   /* Another instance plans all memory of these engines. */
@@ -242,15 +260,110 @@
 
 /* {== The only version ==================================================== */
 
-TEST_F(ContinuationTest, OnlyVersionNeedsNoMessageAndNoMemory) {
+/* Guards against messages at rest: only a taking-up asks, and each replica
+** once if it replies. */
+TEST_F(ContinuationTest, OnlyVersionNeedsNoMessageUntilAStreamIsTakenUp) {
   set_members(8);
   pass(lifetime + second);
   begin("first");
   EXPECT_EQ(world.messages.size(), 0u);
   guint64 again = world.request_resumption("/resume/x", 0, nullptr, "1");
+  EXPECT_EQ(count_messages(MP_MSG_STREAM_QUERY), 5u);
+  EXPECT_NE(run_of(again).request, again);
+  for (const auto &one : std::vector(world.messages))
+    reply_from(one.first, only, digest_of("v1"));
   EXPECT_EQ(world.end(again).refusals, 0);
   EXPECT_EQ(run_of(again).request, again);
-  EXPECT_EQ(world.messages.size(), 0u);
+  EXPECT_EQ(world.messages.size(), 5u);
+}
+
+/* Guards against an instance that decides by a list that may be out of date:
+** a replica that vouches for no version has seen another, or may have lost
+** what it was told. */
+TEST_F(ContinuationTest, OneReplicaThatDoesNotVouchOutweighsTheOthers) {
+  set_members(8);
+  pass(lifetime + second);
+  for (unsigned verdict : {unknown, several}) {
+    world.messages.clear();
+    guint64 again = world.request_resumption("/resume/x", 0, nullptr, "1");
+    auto asked = world.messages;
+    ASSERT_EQ(asked.size(), 5u);
+    reply_from(asked[0].first, verdict);
+    for (size_t i = 1; i < asked.size(); i++)
+      reply_from(asked[i].first, only, digest_of("v1"));
+    EXPECT_EQ(world.end(again).refusal, REFUSAL_STREAM_UNKNOWN) << verdict;
+  }
+}
+
+/* Guards against taking-ups that wait for instances that were killed, and
+** against going on by too few replies. */
+TEST_F(ContinuationTest, ThreeReplicasDecideIfTheOthersAreSilent) {
+  set_members(8);
+  pass(lifetime + second);
+  for (unsigned replies = 2; replies <= 3; replies++) {
+    world.messages.clear();
+    guint64 again = world.request_resumption("/resume/x", 0, nullptr, "1");
+    auto asked = world.messages;
+    ASSERT_EQ(asked.size(), 5u);
+    for (unsigned i = 0; i < replies; i++)
+      reply_from(asked[i].first, only, digest_of("v1"));
+    EXPECT_NE(run_of(again).request, again);
+    world.advance(60 * ms);
+    EXPECT_EQ(run_of(again).request == again, replies == 3) << replies;
+    world.advance(140 * ms);
+    EXPECT_EQ(world.end(again).refusals, replies == 3 ? 0 : 1) << replies;
+  }
+}
+
+/* Guards against a data centre that is cut off and decides alone. */
+TEST_F(ContinuationTest, RepliesOfTheOwnDataCentreDoNotDecide) {
+  set_members(8, "b");
+  pass(lifetime + second);
+  unsigned far = 0;
+  for (int tries = 0; far <= 2 && tries < 100; tries++) {
+    world.messages.clear();
+    guint64 again = world.request_resumption("/resume/x", 0, nullptr, "1");
+    std::vector<mp_Addr> odd;
+    std::vector<mp_Addr> even;
+    for (const auto &one : world.messages)
+      (is_odd(one.first) ? odd : even).push_back(one.first);
+    if (odd.size() != 2) /* other replicas than this test is about */
+      continue;
+    for (unsigned i = 0; i < far; i++)
+      reply_from(odd[i], only, digest_of("v1"));
+    for (mp_Addr member : even)
+      reply_from(member, only, digest_of("v1"));
+    pass(200 * ms);
+    EXPECT_EQ(world.end(again).refusals, far == 2 ? 0 : 1) << far;
+    far++;
+  }
+  EXPECT_EQ(far, 3u);
+}
+
+/* Guards against a replica that lost what it was told in a pause, or that
+** reads a question before the news that lie beside it. */
+TEST_F(ContinuationTest, InstanceThatStoodStillVouchesForNoVersion) {
+  set_members(8);
+  pass(lifetime + second);
+  mp_Msg query = {};
+  query.kind = MP_MSG_STREAM_QUERY;
+  query.u.query.service = g_str_hash("llm");
+  query.u.query.lifetime_ms = lifetime / ms;
+  auto verdict = [&] {
+    world.messages.clear();
+    router_stream_message(world.router, member_at(0), &query, world.now);
+    return world.messages.at(0).second.u.reply.verdict;
+  };
+  EXPECT_EQ(verdict(), only);
+  router_stood_still(world.router, world.now - 600 * ms, world.now);
+  EXPECT_EQ(verdict(), unknown);
+  world.advance(100 * ms);
+  router_store_answered(world.router, world.now - 100 * ms);
+  EXPECT_EQ(verdict(), unknown);
+  router_store_answered(world.router, world.now);
+  EXPECT_EQ(verdict(), only);
+  add("new-1", "v2");
+  EXPECT_EQ(verdict(), several);
 }
 
 TEST_F(ContinuationTest, YoungInstanceVouchesForNoVersion) {
