Taking up by the set: not if a replica's list has had several versions

Cause: what no replica knows goes on at the version that the set of the store holds alone, if the list here has had no other. A replica may see a version that this list lacks and that is not in the set yet; streams may have begun there at an instance whose origins were not taken. Change: one reply that names several versions outweighs the set.

--- a/router/continuation.c
+++ b/router/continuation.c
@@ -330,7 +330,9 @@
 void continuation_recheck(Router *router, Request *request, gint64 now) {
   guint32 service = g_str_hash(request->service->name);
   guint64 software = 0;
-  if (request->route->targets->len == 1)
+  /* A version that a replica's list has had, and the list here has not, may
+  ** have begun streams before it is in the set. */
+  if (request->route->targets->len == 1 && !request->query.has_several)
     software = stream_software_only(router, service, request->arrived, now);
   if (software != 0)
     start_at_only(router, request, software, now);
--- a/test/test_streams_after_restart.cc
+++ b/test/test_streams_after_restart.cc
@@ -134,6 +134,42 @@
   EXPECT_EQ(began_at_new, 0u) << "of 20";
 }
 
+/* Guards against a stream that goes on at the version that the set holds
+** alone, by a list that lacks a version which a replica's list has. */
+TEST(StreamsAfterRestart, ReplicaThatSeesSeveralVersionsOutweighsTheSet) {
+  constexpr unsigned unknown = 0;
+  constexpr unsigned several = 3;
+  for (unsigned verdict : {unknown, several}) {
+    Life life(7);
+    World &world = life.world;
+    SoftwareSetCall call = {};
+    SoftwareSetRecord record = {};
+    gint64 due;
+    record.count = 1;
+    record.entries[0] = {digest_of("v1"), FALSE};
+    SoftwareSetReply reply = {STORE_OK, store_position(1, 1), &record};
+    world.advance(10 * ms);
+    ASSERT_TRUE(
+        router_next_software_call(world.router, &call, &due, world.now));
+    router_software_reply(world.router, &call, &reply, 1, world.now);
+    world.advance(10 * ms);
+    router_store_answered(world.router, world.now);
+    guint64 again = world.request_resumption("/resume/x", 0, "began", "1");
+    mp_Msg message = {};
+    message.kind = MP_MSG_STREAM_REPLY;
+    message.u.reply.number = life.last_query();
+    message.u.reply.verdict = static_cast<uint8_t>(verdict);
+    for (unsigned i = 0; i < members; i++)
+      router_stream_message(world.router, member_at(i), &message, world.now);
+    for (int i = 0; i < 100 && world.end(again).refusals == 0; i++) {
+      world.advance(5 * ms);
+      if (router_next_software_call(world.router, &call, &due, world.now))
+        router_software_reply(world.router, &call, &reply, 1, world.now);
+    }
+    EXPECT_EQ(life.engine_of(again).empty(), verdict == several) << verdict;
+  }
+}
+
 FleetOptions options_of(unsigned seed) {
   FleetOptions options;
   options.seed = seed;
--- a/test/test_streams_out_of_step.cc
+++ b/test/test_streams_out_of_step.cc
@@ -330,4 +330,57 @@
   }
 }
 
+/* Guards against an answer that costs more than it protects: while one version
+** serves, streams go on although instances are killed, one stands still, or
+** the store does not answer for less than news_age_max. */
+TEST(QuietTimesOutOfStep, StreamsGoOn) {
+  for (unsigned instances : {8u, 20u}) {
+    for (const char *trouble : {"none", "kills", "pause", "store", "list"}) {
+      FleetOptions options;
+      options.instances = instances;
+      options.seed = instances;
+      options.has_store = true;
+      options.notices_pauses = true;
+      std::string what = trouble;
+      Fleet fleet(options);
+      std::set<unsigned> all;
+      for (unsigned i = 0; i < instances; i++)
+        all.insert(i);
+      fleet.advance(26 * second);
+      unsigned messages = fleet.messages;
+      unsigned reads = fleet.software_store.reads;
+      for (int round = 0; round < 6; round++) {
+        if (what == "kills")
+          fleet.kill_instances(0.4);
+        else if (what == "pause")
+          fleet.pause({static_cast<unsigned>(round) % instances}, second);
+        bool is_away = what == "store";
+        fleet.store.is_away = is_away;
+        fleet.software_store.is_away = is_away;
+        if (is_away || what == "list")
+          fleet.cut_from_list(all);
+        for (int i = 0; i < 4; i++) {
+          fleet.advance(500 * ms);
+          fleet.break_callers(all);
+        }
+        fleet.store.is_away = fleet.software_store.is_away = false;
+        fleet.cut_from_list({});
+        fleet.advance(2 * second);
+      }
+      const Count &count = fleet.count();
+      EXPECT_GE(count.went_on * 10, count.taken_up * 9)
+          << what << ", " << instances << ": " << count.went_on << " of "
+          << count.taken_up;
+      EXPECT_EQ(fleet.mixed_streams(), 0u);
+      if (std::getenv("SCHEDULES") != nullptr)
+        std::printf(
+            "| quiet, %s | %u | %u | %u of %u | %u | %u | %u | %d |\n",
+            trouble, instances, count.resumptions, count.went_on,
+            count.taken_up, fleet.messages - messages, fleet.store.lists,
+            fleet.software_store.reads - reads,
+            static_cast<int>(fleet.counter("refused_for_unknown_stream")));
+    }
+  }
+}
+
 } // namespace
