Test: an endpoint that starts anew with other software under its id

An instance that has not learned of the restart records the version that its list names as the origin of the streams that begin there, and an instance that takes them up follows that origin.

--- a/test/stream_fleet.cc
+++ b/test/stream_fleet.cc
@@ -83,7 +83,7 @@
 void Fleet::list_to(Instance &instance, const Engine &engine) {
   World &world = *instance.world;
   world.now = std::max(world.now, now);
-  world.started_unix_ms = 1;
+  world.started_unix_ms = engine.born;
   world.software = engine.software.c_str();
   world.endpoint(
       {engine.id.c_str(), "llm", zone_names[engine.zone], engine.stage},
@@ -164,6 +164,12 @@
     if (engine.serves_again_at != 0 && engine.serves_again_at <= now) {
       engine.serves_again_at = 0;
       engine.runs = true;
+      if (!engine.next_software.empty()) {
+        engine.software = engine.next_software;
+        engine.next_software.clear();
+        engine.born++;
+        note_change(i);
+      }
     }
     if (engine.ends_at != 0 && engine.ends_at <= now) {
       engine.ends_at = 0;
@@ -214,13 +220,15 @@
   }
 }
 
-void Fleet::restart_version(const std::string &software, gint64 span) {
+void Fleet::restart_version(const std::string &software, gint64 span,
+                            const std::string &into) {
   for (Engine &engine : engines) {
     if (engine.stage != STAGE_DECODE || !engine.runs ||
         engine.software != software)
       continue;
     engine.runs = false;
     engine.serves_again_at = now + span;
+    engine.next_software = into;
   }
 }
 
--- a/test/stream_fleet.h
+++ b/test/stream_fleet.h
@@ -107,8 +107,9 @@
   ** later. */
   void leave_version(const std::string &software);
   /* Every decode engine of this version crashes, and serves again, unchanged,
-  ** after this time. */
-  void restart_version(const std::string &software, gint64 span);
+  ** after this time, or under the same id at the version 'into'. */
+  void restart_version(const std::string &software, gint64 span,
+                       const std::string &into = "");
   /* Each of these instances closes all callers' connections once. */
   void break_callers(const std::set<unsigned> &instances);
 
@@ -164,6 +165,8 @@
     bool is_listed = true;
     gint64 ends_at = 0;         /* a planned end; 0: none */
     gint64 serves_again_at = 0; /* 0: it does not */
+    std::string next_software;  /* then; empty: the same */
+    gint64 born = 1;            /* Unix ms */
   };
   struct Run {
     unsigned instance;
--- a/test/test_streams_out_of_step.cc
+++ b/test/test_streams_out_of_step.cc
@@ -383,4 +383,31 @@
   }
 }
 
+/* Guards against streams whose origin names the version that an endpoint had
+** before it started anew with other software under its id, because the
+** instance that begins them has not learned of that yet. */
+TEST(RestartedEndpointOutOfStep, OriginNamesTheVersionThatWrites) {
+  FleetOptions options;
+  options.has_store = true;
+  options.seed = 5;
+  Fleet fleet(options);
+  std::set<unsigned> all;
+  for (unsigned i = 0; i < options.instances; i++)
+    all.insert(i);
+  fleet.advance(26 * second);
+  fleet.add_engines("v3", 6);
+  fleet.advance(4 * second);
+  fleet.cut_from_list({1});
+  fleet.restart_version("v3", 100 * ms, "v2");
+  fleet.add_engines("v3", 6);
+  for (int i = 0; i < 8; i++) {
+    fleet.advance(250 * ms);
+    fleet.break_callers(all);
+  }
+  fleet.cut_from_list({});
+  fleet.advance(4 * second);
+  EXPECT_EQ(fleet.mixed_streams(), 0u)
+      << "of " << fleet.count().resumptions << " takings-up";
+}
+
 } // namespace
