--- a/router/continuation.h
+++ b/router/continuation.h
@@ -12,8 +12,8 @@
 ** stream asks them.
 **
 ** While a service has had one version only, no origin is told: instances vouch
-** for that version alone. A request that takes a stream up goes on there if the
-** stream's replicas, asked after it arrived, vouch for it too
+** for that version alone. A request that takes a stream up goes on there if
+** the stream's replicas, asked after it arrived, vouch for it too
 ** (origin_query.h). At rest nothing is sent.
 **
 ** Invariants:
