A carrier passes on no request that its asker has given up

A request that lies unread at a carrier while that stands still was sent to its endpoint on waking, although the asker had given it up at the deadline of the caller: the bytes were read and passed on before the end of the connection behind them. The carrier reads no heads, so it cannot know the deadline. The asker closes its connection when it gives a request up, which the kernel tells ahead of the unread bytes (POLLRDHUP): the carrier looks there before it reads a call or bytes of a request, and closes.

Open: the Deadline-Ms within the bytes stays as the asker wrote it, so an endpoint may take the time of a pause for time left.

--- a/io/carry_server.c
+++ b/io/carry_server.c
@@ -330,8 +330,16 @@
   close_when_written(carried);
 }
 
+/* An asker closes its connection when it gives its request up, at the deadline
+** of the caller at the latest. What it sent before may have waited unread in
+** the kernel while this process stood still; it is not passed on. */
 static void on_asker_read(struct bufferevent *events, void *data) {
   Carried *carried = data;
+  if ((carried->state == CARRIED_CALLED || carried->state == CARRIED_OPEN) &&
+      socket_is_peer_closed(bufferevent_getfd(events))) {
+    close_carried(carried);
+    return;
+  }
   if (carried->state == CARRIED_CALLED)
     read_call(carried);
   else if (carried->state == CARRIED_OPEN)
--- a/io/sockets.c
+++ b/io/sockets.c
@@ -90,3 +90,8 @@
   struct pollfd waiting = {listener, POLLIN, 0};
   return poll(&waiting, 1, 0) == 1;
 }
+
+gboolean socket_is_peer_closed(evutil_socket_t fd) {
+  struct pollfd peer = {fd, POLLRDHUP, 0};
+  return poll(&peer, 1, 0) == 1;
+}
--- a/io/sockets.h
+++ b/io/sockets.h
@@ -73,4 +73,8 @@
 ** requests may be complete in the kernel. */
 gboolean socket_has_unaccepted(evutil_socket_t listener);
 
+/* Returns TRUE if the peer of a TCP connection has closed it, or its side of
+** it. Bytes that it has sent before may be unread. */
+gboolean socket_is_peer_closed(evutil_socket_t fd);
+
 #endif
--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -466,6 +466,17 @@
   }
 };
 
+/* Guards against a run after the deadline of a caller: its request lies unread
+** while the carrier stands still, and the asker has given it up since. */
+TEST_F(RawAsker, ARequestThatWasGivenUpUnreadIsNotPassedOn) {
+  send_fragment("POST /a/b HTTP/1.1");
+  asker->close_now();
+  silence(300);
+  endpoint.work();
+  EXPECT_EQ(endpoint.peers[0]->got, "");
+  EXPECT_EQ(carry_server_count(server), 0u);
+}
+
 /* Closing a socket with unread input resets the connection, and the kernel
 ** discards what the asker has not been sent. */
 TEST_F(RawAsker, AnAnswerIsWholeAlthoughItsRequestStillArrives) {
