A request read in the rest of the turn of a standstill is old too

A process can be stopped in the middle of a turn of its event loop. What it reads in the rest of that turn is handed on before the timer has found the standstill; the check for that request finds it, but its own bytes are no longer unread, so it counted as new. Requests that are open when a standstill is found count as having come at its beginning, which only the one that is being handed on uses.

--- a/io/front.c
+++ b/io/front.c
@@ -350,6 +350,10 @@
     Connection *connection = key;
     if (connection->unread_since == 0 && may_hold_request(connection))
       connection->unread_since = since;
+    /* the standstill may be found as a request is handed on that was read
+    ** after it: one that stood in the middle of a turn of the loop */
+    if (connection->number != 0 && connection->request_unread_since == 0)
+      connection->request_unread_since = since;
   }
 }
 
