A request is not sent on a connection that came up after its deadline

A dispatch that waits for its connection while the process stands still was written on waking when the connection's event came before the timer that ends the request. It is not written any more; the timer cancels it.

--- a/io/endpoint_call.c
+++ b/io/endpoint_call.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "io/clock.h"
 #include "io/endpoint_call.h"
 
 EndpointCall *endpoint_call_new(const Dispatch *dispatch) {
@@ -13,12 +14,18 @@
   call->request = dispatch->request;
   call->kind = dispatch->kind;
   call->life = dispatch->life;
+  if (dispatch->deadline_ms > 0)
+    call->deadline_at = clock_now() + dispatch->deadline_ms * MP_MS;
   call->may_stream = dispatch->stream;
   call->body = g_byte_array_new();
   event_splitter_init(&call->events);
   return call;
 }
 
+gboolean endpoint_call_is_late(const EndpointCall *call, gint64 now) {
+  return call->deadline_at != 0 && now >= call->deadline_at;
+}
+
 void endpoint_call_free(EndpointCall *call) {
   if (call == NULL)
     return;
--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -34,9 +34,12 @@
   gsize skipped_bytes;    /* of the bodies of other requests' responses */
   EventSplitter events;   /* splits a stream into whole events */
   GByteArray *body;       /* the body, or the part of a stream not split yet */
+  gint64 deadline_at;     /* of the caller; 0: none */
 } EndpointCall;
 
 EndpointCall *endpoint_call_new(const Dispatch *dispatch);
+/* Has the deadline of the caller passed? */
+gboolean endpoint_call_is_late(const EndpointCall *call, gint64 now);
 /* 'call' may be NULL. */
 void endpoint_call_free(EndpointCall *call);
 
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -441,11 +441,16 @@
 
 /* The connection to the endpoint has been made, by this instance or by the
 ** carrier: nothing was written to the endpoint before. */
+/*
+** The connection is there. A request whose caller's deadline has passed while
+** it was made is not sent: this happens if the process stood still meanwhile,
+** and the router ends the request by its timer, which cancels the call.
+*/
 static void begin_call(Link *link) {
   link->is_connected = TRUE;
   if (link->call->kind == DISPATCH_CHECK)
     finish_check(link);
-  else
+  else if (!endpoint_call_is_late(link->call, clock_now()))
     write_call(link);
 }
 
--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -42,7 +42,8 @@
   std::map<guint64, std::vector<Told>> told;
   guint64 last = 0;
   CarryVerdict verdict = CARRY_CONNECTED;
-  mp_Addr address = 0; /* of the endpoint, as the carrier knows it */
+  gint64 deadline_ms = 5000; /* of the next dispatches */
+  mp_Addr address = 0;       /* of the endpoint, as the carrier knows it */
 
   void SetUp() override {
     EndpointLinksHooks hooks = {this,       on_outcome, on_signals,
@@ -108,7 +109,7 @@
     one.via = is_carried ? carrier : 0;
     one.endpoint = "i-1";
     one.life = 77;
-    one.deadline_ms = 5000;
+    one.deadline_ms = deadline_ms;
     one.stream = stream;
     one.connect_timeout = 400 * MP_MS;
     endpoint_links_send(links, &one, caller, body);
@@ -466,6 +467,20 @@
   }
 };
 
+/* Guards against a run after the deadline of a caller, which passes while this
+** process stands still and the connection to the endpoint is made. */
+TEST_F(Carry, ARequestIsNotSentAfterItsDeadline) {
+  deadline_ms = 50;
+  for (bool is_carried : {false, true}) {
+    dispatch(DISPATCH_RUN, false, is_carried);
+    usleep(60 * 1000);
+    wait([turns = 0]() mutable { return ++turns > 50; });
+  }
+  ASSERT_EQ(endpoint.peers.size(), 2u);
+  for (const auto &peer : endpoint.peers)
+    EXPECT_EQ(peer->got, "");
+}
+
 /* Guards against a run after the deadline of a caller: its request lies unread
 ** while the carrier stands still, and the asker has given it up since. */
 TEST_F(RawAsker, ARequestThatWasGivenUpUnreadIsNotPassedOn) {
