Soak: instances that stand still beside stops and releases

From seed 19000 on the soak freezes up to half of the instances for 0.4 to 2.4 s, also as their planned stop begins, beside releases of endpoints, and callers have deadlines of 0.3 to 9 s. judge() checks at the endpoints, here and in all scenarios that choose deadlines, that no run or prefill is noted more than 250 ms after its caller's deadline.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -145,6 +145,7 @@
 run_soak 17020 17020 8 6
 run_soak 17101 17102 8 6
 run_soak 18002 18003 8 6
+run_soak 19001 19002 8 4
 record_jobs
 
 # A short fuzz run of what reads external input: two minutes of processor time
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -30,6 +30,9 @@
 #          docs/design/planned-stops.md allows
 #   18000  the same beside sound endpoints that fall silent for 1 to 1.5 s, and
 #          instances with 3 to 12 ms of each 100 ms for some seconds
+#   19000  instances that stand still for 0.4 to 2.4 s beside planned stops and
+#          releases, and callers with deadlines from 0.3 s on: no run begins
+#          after them
 # Ends with "N passed, N failed". For a failed seed it prints the end
 # of the log, which names the folder where the logs of its processes stay.
 set -u
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -653,6 +653,19 @@
   end
 end
 
+-- No run begins after the deadline of its caller, where one was chosen. The
+-- endpoints may be late to note it on a loaded machine.
+local DEADLINE_SLACK_MS = 250
+local function check_deadline(r, rows)
+  for _, row in ipairs(r.deadline and rows or {}) do
+    local over = row.at - r.sent - r.deadline
+    expect(over <= DEADLINE_SLACK_MS or
+           row.what ~= "run" and row.what ~= "prefill",
+           r.id .. ": " .. row.what .. " " .. over ..
+           " ms after its caller's deadline")
+  end
+end
+
 -- the promises, from both sides
 function judge()
   check_orders()
@@ -669,6 +682,7 @@
       expect(row.what ~= "forged", r.id .. ": an endpoint got a field that " ..
              "only the router may set as its caller sent it")
     end
+    check_deadline(r, rows[r.id])
     local once = r.kind ~= "safe" and r.kind ~= "resume"
     expect(not once or runs <= 1, r.id .. " (" .. r.kind .. ") ran " ..
            runs .. " times")
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -13,10 +13,14 @@
 math.randomseed(seed)
 -- planned stops of instances that nothing else befalls, beside changes of the
 -- configuration and SIGHUPs; of the kinds before it has accounts and orders
-local is_calm = seed >= 17000
+-- instances that stand still beside planned stops and releases, and callers
+-- with short deadlines; of the kinds before it has those of 14000
+local stands_still = seed >= 19000
+local level = stands_still and 14000 or seed
+local is_calm = level >= 17000
 -- the same beside sound endpoints that fall silent, and starved instances
-local falls_silent = seed >= 18000
-local kind = is_calm and 6000 or seed
+local falls_silent = level >= 18000
+local kind = is_calm and 6000 or level
 if seed >= 1000 then -- engines that are ordered to change their stage, too
   gateway.lease_ms, gateway.kv_tokens, gateway.more_prefill = 2000, 2500, 4
 end
@@ -43,7 +47,7 @@
 -- processor time
 local crowds = kind >= 15000
 -- all instances are stopped in turn, while callers read large answers slowly
-local rolling = seed >= 16000
+local rolling = level >= 16000
 if rolling then
   gateway.memory_mb, gateway.memory_share = 88, 0.3 -- small send buffers
   gateway.caller_links = true
@@ -331,11 +335,13 @@
   return kept[#kept]
 end
 
+local DEADLINES_MS = { 300, 700, 1500, 3000, 9000 }
 local function ask_something()
   local e = any(gateway.instances)
   local row = connection_to(e)
   if row then
-    row.request = request(e, any(KINDS), row.connection)
+    row.request = request(e, any(KINDS), row.connection, nil, nil, nil, nil,
+                          nil, stands_still and any(DEADLINES_MS) or nil)
     open[#open + 1] = row.request
   end
 end
@@ -846,6 +852,34 @@
 if is_calm then
   faults = { change_pace, change_pace, limit_links }
 end
+if stands_still then
+  local function frozen_count()
+    local count = 0
+    for _ in pairs(frozen) do count = count + 1 end
+    return count
+  end
+  local function stand_still(e)
+    if e and not frozen[e] and frozen_count() < instances // 2 then
+      freeze(e)
+      frozen[e] = math.random(20, 120)
+    end
+  end
+  local function stand_still_in_stop()
+    local e = any(running())
+    if e and may_stop(e) then
+      stop_planned(e)
+      ending[e] = true
+      stand_still(e)
+    end
+  end
+  local function release()
+    worker(any(gateway.workers), "software=" .. any { "v1", "v1.1", "v2" })
+  end
+  -- also those that are being stopped
+  local function still() stand_still(any(gateway.instances)) end
+  faults = { still, still, still, still, still, still, stand_still_in_stop,
+             release, release }
+end
 if falls_silent then
   for _, fault in ipairs { fall_silent, fall_silent, starve } do
     faults[#faults + 1] = fault
@@ -854,7 +888,7 @@
 
 local function strike()
   local n = math.random(#faults)
-  if n == 1 and not is_calm then -- one that runs, and is started again at once
+  if n == 1 and not is_calm and not stands_still then -- one that runs, and is started again at once
     local e = any(running())
     if e then
       end_now(e)
