What was acquitted lately frees no subject that was not

Cause: a subject with fewer strikes was freed of those that a held part has too, whatever the part's past. A part that is in many prompts and went on well lately is at every end while many endpoints end; with five strikes it was held, for seconds, and took the three strikes of a crashing request beside it, which could then run again.

Weighed: to forbid this for requests only. A crashing part beside the first part of a route is freed in the same way, so the rule is for all subjects.

Change: a subject with a counting acquittal explains nothing of a subject without one. Its good run is evidence that the strikes have another cause.

--- a/router/quarantine.c
+++ b/router/quarantine.c
@@ -468,6 +468,10 @@
   return (row->content & QUARANTINE_PART_BIT) != 0;
 }
 
+static gboolean is_acquitted_lately(const Row *row) {
+  return was_acquitted_before(row->acquitted_at, row->last_strike_at);
+}
+
 /* Returns TRUE if the other row may explain strikes of this one (invariant 6).
  */
 static gboolean may_explain(const Row *other, const Row *row) {
@@ -475,6 +479,7 @@
   guint others = strike_count(other);
   return other != row && has_enough_strikes(other) &&
          (is_part(row) || is_part(other)) &&
+         (!is_acquitted_lately(other) || is_acquitted_lately(row)) &&
          (others > count ||
           (others == count && is_part(row) && !is_part(other)));
 }
--- a/router/quarantine.h
+++ b/router/quarantine.h
@@ -39,7 +39,9 @@
 **    such a subject, for seconds at first. The other instances are told.
 ** 6. A strike explains away: one that a held part has too does not count
 **    against a subject with fewer strikes, nor one of a held request against a
-**    part with as many or fewer. Requests explain nothing of each other: while
+**    part with as many or fewer. What was acquitted lately explains nothing of
+**    a subject that was not: its good run is evidence that the strikes have
+**    another cause. Requests explain nothing of each other: while
 **    many endpoints end, a harmless one that is retried collects more strikes
 **    than one that crashes some of them. When an operator lifts the one that
 **    explains, its strikes are taken off the others as well, so that lifting a
