Watches are read around an event that cannot be separated

Cause: one event without an end made the whole reply to a watch unreadable. It was treated as lost history: the events beside it were lost until the list had been read, and each change of that entry cost a list.

Ruled out: giving up the event alone without a list, because what cannot be separated may be two events, and a removal would be lost; waiting before the list after lost history, which delays the sound events too.

Lists were already read around such items. The same reader now separates events, which begin with one of their two members. The reply is partial: the follower applies what it has, lists once at once to find what may be hidden, and does not list again for that reason within 5 s.

BrokenListsAlone.AWatchThatCannotBeCutHasTheListReadAgain demanded the list as the only effect. It is replaced by three tests: the sound event of the same reply holds and the reply is partial; an event behind the array is read; and a reply without events or a revision still has the list read again.

--- a/router/follower.c
+++ b/router/follower.c
@@ -491,6 +491,18 @@
          store_position_is_before(reply->at, follower->known);
 }
 
+/*
+** Plans the list that finds what a partial reply to a watch may hide: at once,
+** but not again within PARTIAL_RELIST_DELAY, however often the object changes
+** that makes the replies partial.
+*/
+static void plan_relist(Follower *follower, gint64 now) {
+  if (follower->relist_at != 0)
+    return;
+  follower->relist_at = MAX(now, follower->partial_relist_from);
+  follower->partial_relist_from = follower->relist_at + PARTIAL_RELIST_DELAY;
+}
+
 static void apply_reply(Follower *follower, const StoreReply *reply,
                         gint64 now) {
   gboolean is_disproved = disproves_stale_list(follower, reply);
@@ -533,12 +545,15 @@
   if (follower->listing && follower->after == NULL)
     begin_list(follower, reply, is_other_era);
   apply_objects(follower, reply);
-  if (!follower->listing && reply->objects != NULL && reply->objects->len > 0)
+  if (!follower->listing &&
+      (reply->partial || (reply->objects != NULL && reply->objects->len > 0)))
     follower->retry_at = now + follower->pause;
   if (!follower->listing) {
     apply_complete_watch(follower, reply, now);
     follower->position = store_position_later(follower->position, reply->at);
     follower->known = follower->position;
+    if (reply->partial)
+      plan_relist(follower, now);
   } else
     apply_list_page(follower, reply, now);
 }
--- a/router/follower.h
+++ b/router/follower.h
@@ -13,7 +13,7 @@
 ** older position of itself. A list that takes several pages removes objects
 ** only when it is complete. A list in which something was unreadable that may
 ** hide objects (a partial list) removes none, and is read again until it is
-** complete.
+** complete. What a watch may hide is found by a list, at a bounded rate.
 **
 ** A store that was restored from a copy names a larger era. What it lists
 ** then may be older than what is known here, and may lack objects that merely
@@ -157,7 +157,9 @@
   ** Number of objects that were left out because their names are unreadable.
   */
   guint unreadable_names;
-  gboolean partial; /* LIST: objects may exist that the reply doesn't name. */
+  /* LIST: objects may exist that the reply doesn't name; WATCH: other objects
+  ** may have changed. */
+  gboolean partial;
   /*
   ** The answer is from an instance that knows only a list that may be stale.
   */
@@ -242,6 +244,8 @@
   gboolean partial;
   /* Time in us at which the objects are listed again; 0: no need. */
   gint64 relist_at;
+  /* No list is due before this because of a partial reply to a watch, us. */
+  gint64 partial_relist_from;
   GHashTable *names;     /* Names seen so far by the open list. */
   GHashTable *objects;   /* name -> FollowedObject */
   guint tombstone_count; /* Number of tombstones among 'objects'. */
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -552,7 +552,7 @@
   'return read_separable_list(response, out) || read_broken_list(response, out);' \
   'return read_separable_list(response, out);'
 m b-swallow "lists: an end that comes too late is seen" platform/broken_list.c \
-  '    if (contains_next_item(item))
+  '    if (contains_next_item(item, members))
       return FALSE;' \
   '    if (FALSE)
       return FALSE;'
@@ -570,7 +570,17 @@
 m b-again "lists: such a one is read again" router/follower.c \
   'follower->relist_at = now + PARTIAL_RELIST_DELAY;' \
   'follower->relist_at = 0;'
-m b-watch 'watches: one that can'"'"'t be cut has the list read' platform/store.c \
+m b-around "watches: the events beside a broken one hold" platform/store.c \
+  'return read_separable_events(response, out) ||
+         read_broken_events(response, out);' \
+  'return read_separable_events(response, out);'
+m b-hidden "watches: what a broken event hides is looked for" \
+  platform/store.c '  out->partial = TRUE;' ''
+m b-rate "watches: broken events cost lists at a bounded rate" \
+  router/follower.c \
+  'follower->relist_at = MAX(now, follower->partial_relist_from);' \
+  'follower->relist_at = now;'
+m b-watch 'watches: one without a revision has the list read' platform/store.c \
   '    out->status = STORE_HISTORY_GONE;
     return TRUE;' \
   '    out->status = STORE_FAILED;
--- a/test/test_broken_lists.cc
+++ b/test/test_broken_lists.cc
@@ -216,20 +216,50 @@
   store_reply_clear(&reply);
 }
 
-/* an unreadable watch is no news: the list is read again */
-TEST(BrokenListsAlone, AWatchThatCannotBeCutHasTheListReadAgain) {
+StoreReply read_watch(const std::string &body) {
   StoreCall call = {};
   StoreReply out;
-  std::string body = R"({"events":[{"gone":false,"object":)" + item(1) +
-                     R"(},{"gone":false,"object":{"Metadata":{"Name":")" +
-                     R"(],"at":533})";
   call.kind = STORE_ENDPOINTS;
   call.operation = STORE_WATCH;
   call.position.revision = 500;
   EXPECT_TRUE(platform_read_store_reply(&call, 200, body.data(), body.size(),
                                         &out, nullptr));
-  EXPECT_EQ(out.status, STORE_HISTORY_GONE);
-  store_reply_clear(&out);
+  return out;
+}
+
+/* the sound event holds, and the reply tells that others may be hidden */
+TEST(BrokenListsAlone, AWatchThatCannotBeCutTellsWhatItMayHide) {
+  StoreReply reply = read_watch(
+      R"({"events":[{"gone":false,"object":)" + item(1) +
+      R"(},{"gone":false,"object":{"Metadata":{"Name":")" + R"(],"at":533})");
+  EXPECT_EQ(reply.status, STORE_OK);
+  EXPECT_TRUE(reply.partial);
+  EXPECT_NE(usable(reply, "i-1"), nullptr);
+  EXPECT_EQ(reply.unreadable_names, 1u);
+  EXPECT_EQ(reply.at.revision, 533);
+  store_reply_clear(&reply);
+}
+
+/* an event behind an array that closes too early is not lost silently */
+TEST(BrokenListsAlone, AnEventBehindTheArrayIsRead) {
+  StoreReply reply =
+      read_watch(R"({"at":533,"events":[{"gone":false,"object":)" + item(1) +
+                 R"(}],{"gone":false,"object":)" + item(2) + "}]}");
+  EXPECT_TRUE(reply.partial);
+  EXPECT_NE(usable(reply, "i-2"), nullptr);
+  store_reply_clear(&reply);
+}
+
+/* an unreadable watch is no news: the list is read again */
+TEST(BrokenListsAlone, AWatchWithoutARevisionHasTheListReadAgain) {
+  for (const std::string &body :
+       {R"({"events":[{"gone":false,"object":)" + item(1) + "}]}",
+        std::string(R"({"events":7,"at":533})"), std::string("x")}) {
+    StoreReply reply = read_watch(body);
+    EXPECT_EQ(reply.status, STORE_HISTORY_GONE) << body;
+    EXPECT_EQ(reply.objects, nullptr) << body;
+    store_reply_clear(&reply);
+  }
 }
 
 } // namespace
