--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -21,13 +21,19 @@
 
 make -s -j8 BUILD=build-fuzz fuzz || exit 2
 
+# Targets that read JSON also get its tokens.
+declare -A dictionary=([store_reply]=json [news]=json)
+
 fuzz_target() { # target
   local corpus
+  local words=()
+  [ -z "${dictionary[$1]:-}" ] ||
+    words=(-dict=test/fuzz/"${dictionary[$1]}".dict)
   local bound=-max_total_time=$how
   [ "$how" != fixed ] || bound=-runs=${fixed[$1]}
   corpus=$(mktemp -d)
   build-fuzz/fuzz_"$1" -seed="$seed" "$bound" -max_len=8192 \
-    -rss_limit_mb=1024 -artifact_prefix=build-fuzz/"$1"- \
+    "${words[@]}" -rss_limit_mb=1024 -artifact_prefix=build-fuzz/"$1"- \
     "$corpus" test/fuzz/corpus/"$1" >"build-fuzz/$1.log" 2>&1
   echo $? >"build-fuzz/$1.code"
   rm -rf "$corpus"
