Red: an odd entry in the running daemons, changed ten times a second

The stand-in store can give an object's text as it is, so that numbers can be out of range and an entry can have no end.

A unit test shows its cause: such a reply is not followed by the pause that other changes are.

--- a/makefile
+++ b/makefile
@@ -110,7 +110,7 @@
 
 $(BUILD)/standin-fleet: $(BUILD)/standin/fleet.o $(BUILD)/standin/worker.o \
   $(BUILD)/standin/store.o $(BUILD)/standin/store_view.o \
-  $(BUILD)/standin/serve.o $(LIB)
+  $(BUILD)/standin/store_raw.o $(BUILD)/standin/serve.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/standin-proxy: $(BUILD)/standin/proxy.o $(BUILD)/standin/serve.o $(LIB)
--- a/standin/fleet.c
+++ b/standin/fleet.c
@@ -17,7 +17,8 @@
 **   POST /worker   {"id", "mode": M}, see worker.h
 **   POST /configuration   the next version of the configuration
 **   POST /entry    {"kind", "name", "spec"}: writes an entry in the store, in
-**                  the place of some other writer
+**                  the place of some other writer; a spec {"raw": TEXT} is
+**                  the text of the whole object (store_raw.h)
 ** They answer 400 when the worker, the mode or the path is unknown.
 **
 ** A request whose target ends in "crashes" crashes each worker that begins to
--- a/standin/store.c
+++ b/standin/store.c
@@ -18,6 +18,7 @@
 #include <string.h>
 
 #include "standin/store.h"
+#include "standin/store_raw.h"
 #include "standin/store_view.h"
 
 /* The revision of a store to which nothing was written. */
@@ -75,11 +76,14 @@
   g_snprintf(text, sizeof text, "%" G_GINT64_FORMAT, era);
   evhttp_add_header(evhttp_request_get_output_headers(request), "Store-Era",
                     text);
-  serve_json(request, status, body);
+  store_raw_reply(request, status, body);
 }
 
 /* Returns the object as JSON; the caller frees it. */
 static json_t *object_json(const Object *object) {
+  const char *raw = json_string_value(json_object_get(object->spec, "raw"));
+  if (raw != NULL)
+    return store_raw_object(raw, object->revision);
   return json_pack("{s:{s:s, s:I}, s:O, s:n}", "Metadata", "Name",
                    object->name, "Rev", (json_int_t)object->revision, "Spec",
                    object->spec, "Status");
--- a/test/test_odd_entries.cc
+++ b/test/test_odd_entries.cc
@@ -205,6 +205,17 @@
   EXPECT_LE(lists, 6);
 }
 
+/* Changes of an entry without a readable name share a call, as others do. */
+TEST_F(OddEntries, AnEventWithoutANameIsFollowedByThePause) {
+  follower.pause = 400 * MP_MS;
+  answer(list(object("a", "5", "{}"), 6));
+  answer("", events(event(object("odd", "7", "{}")), 7));
+  EXPECT_EQ(follower_next_call_time(&follower), now + 400 * MP_MS);
+  now += 400 * MP_MS;
+  answer("", events(event(R"({"Metadata":{"Name":7,"Rev":8},"Spec":{}})"), 8));
+  EXPECT_EQ(follower_next_call_time(&follower), now + 400 * MP_MS);
+}
+
 /* What such an event hid is seen within the same time: here, a removal. */
 TEST_F(OddEntries, ARemovalHiddenInAWatchIsFoundByTheNextList) {
   answer(list(object("a", "5", "{}") + "," + object("b", "6", "{}"), 6));
