Soak: an odd entry that changes ten times a second

Seeds 7500 to 7999 are as those from 7000 on, beside an entry among the workers' that takes each odd form for a second: a port out of range, deep content and metadata, far numbers, a far revision, no end. Other seeds draw the same random numbers as before.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -134,6 +134,7 @@
 run_soak regress
 run_soak 1 2 6
 run_soak 5001 5002 8 6
+run_soak 7501 7501 10 4
 run_soak 10001 10002 10 8
 run_soak 11217 11217 8 6
 run_soak 11226 11226 8 6
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -9,7 +9,8 @@
 #   5000   a store that is restored from copies some seconds old
 #   6000   client accounts whose keys are revoked and whose limits change
 #   7000   workers that crash and restart, requests that crash them, and invalid
-#          entries in the store
+#          entries in the store; from 7500 to 7999 also an odd entry that
+#          changes ten times a second (test/scenario/lib/odd_entries.lua)
 #   8000   workers that advertise a rate limit
 #   9000   workers that announce that they leave, or ask for a pause
 #   10000  some 1,400 routes, one more every 0.5 s, and a store that refuses
--- a/test/soak/soak.lua
+++ b/test/soak/soak.lua
@@ -3,6 +3,7 @@
 -- callers and workers saw. SOAK_SEED, SOAK_SECONDS and SOAK_INSTANCES are
 -- taken from the environment; scripts/soak.sh runs it over many seeds.
 dofile("test/scenario/lib/gateway.lua")
+dofile("test/scenario/lib/odd_entries.lua")
 
 local seed = tonumber(os.getenv("SOAK_SEED") or "1")
 local seconds = tonumber(os.getenv("SOAK_SECONDS") or "8")
@@ -30,6 +31,8 @@
 end
 -- workers that end and come back, requests that end them, spoilt entries
 local ends = kind >= 7000
+-- the same beside an odd entry that changes ten times a second
+local odd = seed >= 7500 and seed < 8000
 gateway.direct = ends and seed % 2 == 1 -- who has ended refuses connections
 local named = kind >= 8000 -- workers that name the rate they take
 local says = kind >= 9000 -- workers that say they leave, or ask for rest
@@ -891,7 +894,17 @@
   end
 end
 
+local odd_changes = 0
+local function change_odd_entry() -- each form for a second
+  odd_changes = odd_changes + 1
+  local form = odd_forms[odd_changes // 10 % #odd_forms + 1][2]
+  entry("servers", "odd", form("odd", odd_changes))
+end
+
 for step = 1, seconds * 1000 // STEP do
+  if odd and step % (100 // STEP) == 0 then
+    change_odd_entry()
+  end
   for _ = 1, math.random(0, 2) do
     ask_something()
   end
