A change without a readable name is followed by the pause, too

Cause: after a reply that brings changes a follower pauses (400 ms for endpoints), so that changes share the next call. Whether it did was told by the objects that could be read. An entry whose metadata cannot be read brought none, so that each of its changes cost a call.

--- a/router/follower.c
+++ b/router/follower.c
@@ -491,6 +491,12 @@
          store_position_is_before(reply->at, follower->known);
 }
 
+/* Does the reply name changes, even ones that cannot be read? */
+static gboolean brings_changes(const StoreReply *reply) {
+  return reply->partial || reply->unreadable_names > 0 ||
+         (reply->objects != NULL && reply->objects->len > 0);
+}
+
 /*
 ** Plans the list that finds what a partial reply to a watch may hide: at once,
 ** but not again within PARTIAL_RELIST_DELAY, however often the object changes
@@ -545,8 +551,7 @@
   if (follower->listing && follower->after == NULL)
     begin_list(follower, reply, is_other_era);
   apply_objects(follower, reply);
-  if (!follower->listing &&
-      (reply->partial || (reply->objects != NULL && reply->objects->len > 0)))
+  if (!follower->listing && brings_changes(reply))
     follower->retry_at = now + follower->pause;
   if (!follower->listing) {
     apply_complete_watch(follower, reply, now);
