--- a/router/continuation.c
+++ b/router/continuation.c
@@ -133,7 +133,7 @@
 static guint64 vouched_software(const Router *router, guint32 service,
                                 gint64 lifetime, gint64 now) {
   const Continuation *continuation = router->continuation;
-  if (continuation->followed_since == 0 ||
+  if (continuation->followed_since == 0 || !pause_is_list_confirmed(router) ||
       now - continuation->followed_since < lifetime ||
       (router->news_age_max > 0 &&
        now - router->store_answered_at > router->news_age_max))
@@ -289,11 +289,12 @@
                        gint64 now) {
   char digest[20];
   router_log(router, MP_LOG_STREAM_ORIGIN,
-             " request=%s software=%.24s source=%s age_ms=%d asked=%u "
-             "replied=%u after_ms=%d",
+             " request=%s software=%.24s source=%s age_ms=%d list_age_ms=%d "
+             "asked=%u replied=%u after_ms=%d",
              request->id,
              software_text(router, software, digest, sizeof digest), source,
-             (int)(age / MP_MS), request->query.asked, request->query.replied,
+             (int)(age / MP_MS), (int)(router_news_age(router, now) / MP_MS),
+             request->query.asked, request->query.replied,
              (int)((now - request->arrived) / MP_MS));
 }
 
--- a/router/router.c
+++ b/router/router.c
@@ -22,6 +22,9 @@
 /* A request is ended this long before its caller stops waiting, so that the
 ** answer still reaches the caller. */
 #define ANSWER_MARGIN (15 * MP_MS)
+/* Retry-After of a request that may have waited too long to be read, in ms.
+** What waited beside it is read within some milliseconds. */
+#define STANDSTILL_RETRY_MS 20
 
 /*
 ** {==================================================================
@@ -246,8 +249,9 @@
                             const Route *route, const Account *account,
                             gint64 now) {
   Request *request = g_new0(Request, 1);
-  gint64 patience =
-      call->deadline_ms > 0 ? call->deadline_ms * MP_MS : route->timeout;
+  gint64 patience = call->deadline_ms > 0
+                        ? call->deadline_ms * MP_MS - call->waited_unread
+                        : route->timeout;
   request->number = call->number;
   request->id = g_strdup(call->id);
   request->table = route_table_ref(table);
@@ -268,9 +272,7 @@
   return request;
 }
 
-/* Returns the time since the store's last answer; G_MAXINT32 us if there was
-** none. */
-static gint64 news_age(const Router *router, gint64 now) {
+gint64 router_news_age(const Router *router, gint64 now) {
   return router->store_answered_at != 0 ? now - router->store_answered_at
                                         : G_MAXINT32;
 }
@@ -286,7 +288,7 @@
   if (router->news != NULL && router->news->lags_since != 0)
     return TRUE;
   return router->news_age_max > 0 &&
-         news_age(router, now) > router->news_age_max;
+         router_news_age(router, now) > router->news_age_max;
 }
 
 /* Returns the refusal for a request that matches no route. */
@@ -311,7 +313,7 @@
              " request=%s reason=%s host=%s config=%" G_GUINT64_FORMAT
              " news_age_ms=%d lag_ms=%d",
              call->id, finish_refusal_name(kind), call->host, version,
-             (int)(news_age(router, now) / MP_MS),
+             (int)(router_news_age(router, now) / MP_MS),
              (int)(news_lag(router, now) / MP_MS));
   router->host.refuse(router->host.data, call->number, &refusal);
 }
@@ -337,6 +339,24 @@
   return call->resumed_attempt != NULL ? call->resumed_attempt : "unknown";
 }
 
+/* Returns TRUE if the request may have waited unread until its deadline. */
+static gboolean was_unread_too_long(const CallerRequest *call) {
+  return call->deadline_ms > 0 && call->waited_unread > 0 &&
+         call->deadline_ms * MP_MS - call->waited_unread <= ANSWER_MARGIN;
+}
+
+/* Refuses a request that may have waited unread until its deadline. It may
+** also have come just now, so its caller may retry at once. */
+static void refuse_unread_too_long(Router *router, const CallerRequest *call) {
+  Refusal refusal = {REFUSAL_NOT_RUN, STANDSTILL_RETRY_MS};
+  finish_count_refusal(router, refusal.kind);
+  router_log(router, MP_LOG_ROUTE_REFUSED,
+             " request=%s reason=%s deadline_ms=%d unread_ms=%d", call->id,
+             finish_refusal_name(refusal.kind), (int)call->deadline_ms,
+             (int)(call->waited_unread / MP_MS));
+  router->host.refuse(router->host.data, call->number, &refusal);
+}
+
 void router_request(Router *router, const CallerRequest *call, gint64 now) {
   const Route *route;
   const Account *account;
@@ -353,6 +373,10 @@
     refuse_unrouted(router, call, REFUSAL_DRAINING, now);
     return;
   }
+  if (was_unread_too_long(call)) {
+    refuse_unread_too_long(router, call);
+    return;
+  }
   route = route_table_find_route(router->routes, call->host, call->path);
   if (route == NULL) {
     refuse_unrouted(router, call, unmatched_refusal(router, now), now);
--- a/router/state.h
+++ b/router/state.h
@@ -294,6 +294,7 @@
   gint64 proof_age_max;        /* as in RouterOptions */
   gint64 proved_at;         /* from router_configuration_proved; < 0: none */
   gint64 store_answered_at; /* from router_store_answered; 0: never */
+  gint64 stood_still_until; /* end of the last pause; 0: there was none */
   gint64 news_age_max;      /* as in RouterOptions */
   struct OriginStore *origin_store; /* origins of streams in the store */
   const NewsState *news; /* of the configuration; borrowed; may be NULL */
@@ -320,6 +321,9 @@
 /* Returns TRUE if a newer configuration may exist that has a route or a key
 ** which the one here lacks. */
 gboolean router_may_be_outdated(const Router *router, gint64 now);
+/* Returns the age in us of the lists known here (router_store_answered);
+** G_MAXINT32 if none was confirmed yet. */
+gint64 router_news_age(const Router *router, gint64 now);
 
 #define router_count(router, name) ((router)->counters[ROUTER_COUNT_##name]++)
 
@@ -651,6 +655,18 @@
 
 /* }================================================================== */
 
+/*
+** {==================================================================
+** pause.c: pauses of this instance
+** ===================================================================
+*/
+
+/* Returns TRUE if the list of endpoints was complete at a time since the last
+** pause. */
+gboolean pause_is_list_confirmed(const Router *router);
+
+/* }================================================================== */
+
 /*
 ** {==================================================================
 ** suspects.c: requests under which endpoints crash (quarantine.h)
