An endpoint's entry with the store's or an own address is refused

Cause: the directory compared an endpoint's address with those of this instance for callers, control and exchange, and did not know those of the store, of the readiness checks and of the metrics. An entry that named one of these was used as an endpoint.

Ruled out: reading the addresses from the settings in the dialect; it reads one object at a time and knows no instance.

Change: the gateway hands the addresses to the directory, which refuses such an entry with E8101, field address. The text says whether it is the store's.

Conclusion: an address of another instance is still used, and one that is bound to all interfaces is known only as it is written in the settings.

--- a/io/directory.c
+++ b/io/directory.c
@@ -52,7 +52,10 @@
   DirectoryHooks hooks;
   char *instance;     /* name of this instance */
   InstanceRecord own; /* the record under which this instance registers */
-  mp_Addr callers;    /* DirectoryOptions.callers */
+  mp_Addr callers;    /* this and the next three: as in DirectoryOptions */
+  mp_Addr ready;
+  mp_Addr metrics;
+  mp_Addr store;
   mp_Addr *seeds;
   Following *following[MP_RELAY_KINDS]; /* by StoreKind */
   GHashTable *instances;                /* name -> InstanceRecord */
@@ -112,29 +115,41 @@
   router_set_endpoint(directory->router, &record, TRUE, clock_now());
 }
 
-/* Is it an address of this instance? A request sent there would come back. */
-static gboolean is_own(const Directory *directory, mp_Addr address) {
-  return address == directory->callers || address == directory->own.control ||
-         address == directory->own.exchange;
+/*
+** Returns why no endpoint can have this address, or NULL. A request sent to an
+** address of this instance would come back, or be answered by what is not an
+** engine; the same holds for the store.
+*/
+static const char *misuse_of_address(const Directory *directory,
+                                     mp_Addr address) {
+  if (address == directory->store)
+    return "the endpoint's address is the address of the store; correct the "
+           "endpoint's entry";
+  if (address == directory->callers || address == directory->ready ||
+      address == directory->metrics || address == directory->own.control ||
+      address == directory->own.exchange)
+    return "the endpoint's address is an address of this instance; correct "
+           "the endpoint's entry";
+  return NULL;
 }
 
 /*
 ** Reads the record of an endpoint. Returns FALSE and sets an error when it is
-** invalid, or its address is one of this instance.
+** invalid, or its address is one of this instance or of the store.
 */
 static gboolean read_endpoint(const Directory *directory,
                               const StoreObject *object, EndpointRecord *out,
                               GError **error) {
+  const char *misuse;
   if (!directory->dialect->read_endpoint_record(object->name, object->text,
                                                 out, error))
     return FALSE;
   out->position = object->position;
-  if (!is_own(directory, out->address))
+  misuse = misuse_of_address(directory, out->address);
+  if (misuse == NULL)
     return TRUE;
   endpoint_record_clear(out);
-  g_set_error_literal(error, RECORD_ERROR, RECORD_ADDRESS,
-                      "the endpoint's address is an address of this instance; "
-                      "correct the endpoint's entry");
+  g_set_error_literal(error, RECORD_ERROR, RECORD_ADDRESS, misuse);
   return FALSE;
 }
 
@@ -530,6 +545,9 @@
   directory->own.exchange = options->exchange;
   directory->own.control = options->control;
   directory->callers = options->callers;
+  directory->ready = options->ready;
+  directory->metrics = options->metrics;
+  directory->store = options->store;
   directory->own.zone = g_strdup(options->zone);
   directory->own.capacity = options->capacity;
   directory->seeds =
--- a/io/directory.h
+++ b/io/directory.h
@@ -32,6 +32,8 @@
   mp_Addr exchange;     /* its address for datagrams of other instances */
   mp_Addr control; /* its address for queries of other instances; 0: none */
   mp_Addr callers; /* its address for callers */
+  mp_Addr ready;   /* its address for readiness checks; 0: none */
+  mp_Addr metrics; /* its address for scrapes of metrics; 0: none */
   mp_Addr store;
   const mp_Addr *seeds; /* 'control' addresses of the instances to query at
                         ** the start while the store is not available */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -708,6 +708,8 @@
   settings.exchange = options->exchange;
   settings.control = options->control;
   settings.callers = options->callers;
+  settings.ready = options->ready;
+  settings.metrics = options->metrics;
   settings.store = options->store;
   settings.seeds = options->peers;
   settings.seeds_count = options->peers_count;
