A bad object of the store is logged once for each wrong field

Cause: the directory logged E8101 for each state of an object that it could not use, and a follower hands over each revision. A writer that went on changing one bad entry so had a line for each reply that contained a change. How many entries cannot be used at present was shown nowhere.

Ruled out: the logger's limit of lines for each number; it leaves out lines of other objects as well, and faults have no such limit. Comparing the message: it is free text, and the field is what an operator has to correct.

Change: io/bad_records.c remembers the fields that were logged of each bad object, and forgets an object when it can be used, is gone or is not listed any more. It remembers 1,024 objects of a kind at most; those beyond are counted in the totals and not logged. New gauge madderpier_unusable_objects.

An entry that alternates between sound and bad still has a line each time.

--- a/io/directory.c
+++ b/io/directory.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "io/bad_records.h"
 #include "io/directory.h"
 #include "io/following.h"
 #include "io/clock.h"
@@ -60,8 +61,7 @@
   Following *following[MP_RELAY_KINDS]; /* by StoreKind */
   GHashTable *instances;                /* name -> InstanceRecord */
   gboolean has_listed_instances; /* the instances have been listed once */
-  /* as directory_bad_objects, without those that have no name */
-  guint64 bad_objects[MP_RELAY_KINDS][RECORD_FIELD_COUNT];
+  BadRecords *bad; /* objects that have a name and cannot be used */
   StoreLink *registration;
   gboolean is_registering;      /* a call to register is open */
   gboolean registration_failed; /* the last such call failed */
@@ -81,29 +81,16 @@
 ** ===================================================================
 */
 
-/*
-** Counts and logs an object that cannot be read, and frees 'error'. That
-** happens once for each revision, because a follower reports an object only
-** when it has changed.
-*/
-static void report_bad_record(Directory *directory, StoreKind kind,
-                              const char *name, GError *error) {
-  directory->bad_objects[kind][record_error_field(error)]++;
-  log_numbered(directory->log, MP_LOG_STORE_RECORD_BAD,
-               " kind=%d name=%s error=\"%s\"", (int)kind, name,
-               error != NULL ? error->message : "unreadable");
-  g_clear_error(&error);
-}
-
 static void update_configuration(Directory *directory, const char *name,
                                  const char *text) {
   GError *error = NULL;
   RouteTable *table = directory->dialect->read_configuration(
       text, router_routes(directory->router), &error);
   if (table == NULL) {
-    report_bad_record(directory, STORE_CONFIGURATION, name, error);
+    bad_records_add(directory->bad, STORE_CONFIGURATION, name, error);
     return;
   }
+  bad_records_remove(directory->bad, STORE_CONFIGURATION, name);
   if (router_set_routes(directory->router, table, clock_now()))
     directory->hooks.configuration(directory->hooks.data, table);
   route_table_unref(table);
@@ -162,10 +149,11 @@
   EndpointRecord record;
   GError *error = NULL;
   if (!read_endpoint(directory, object, &record, &error)) {
-    report_bad_record(directory, STORE_ENDPOINTS, object->name, error);
+    bad_records_add(directory->bad, STORE_ENDPOINTS, object->name, error);
     remove_endpoint(directory, object->name);
     return;
   }
+  bad_records_remove(directory->bad, STORE_ENDPOINTS, object->name);
   router_set_endpoint(directory->router, &record, FALSE, clock_now());
   endpoint_record_clear(&record);
 }
@@ -184,11 +172,12 @@
                                    NULL))
       router_remove_quarantine(directory->router, content, clock_now());
   } else if (directory->dialect->read_quarantine(object->name, object->text,
-                                                 &record, &error))
+                                                 &record, &error)) {
+    bad_records_remove(directory->bad, STORE_QUARANTINE, object->name);
     router_apply_quarantine(directory->router, &record, object->position,
                             clock_now());
-  else
-    report_bad_record(directory, STORE_QUARANTINE, object->name, error);
+  } else
+    bad_records_add(directory->bad, STORE_QUARANTINE, object->name, error);
 }
 
 static gboolean is_registered(const Directory *directory);
@@ -198,6 +187,8 @@
 
 static void on_object(void *data, StoreKind kind, const StoreObject *object) {
   Directory *directory = data;
+  if (object->gone)
+    bad_records_remove(directory->bad, kind, object->name);
   switch (kind) {
   case STORE_INSTANCES:
     update_instance(directory, object);
@@ -227,6 +218,7 @@
   Directory *directory = data;
   log_numbered(directory->log, MP_LOG_STORE_LIST, " kind=%d objects=%u",
                (int)kind, g_hash_table_size(names));
+  bad_records_keep(directory->bad, kind, names);
   if (kind == STORE_INSTANCES) {
     directory->has_listed_instances = TRUE;
     g_hash_table_foreach_remove(directory->instances, is_unlisted, names);
@@ -339,12 +331,13 @@
   if (object->gone)
     g_hash_table_remove(directory->instances, object->name);
   else if (directory->dialect->read_instance(object->text, &record, &error)) {
+    bad_records_remove(directory->bad, STORE_INSTANCES, object->name);
     g_hash_table_replace(directory->instances, g_strdup(object->name),
                          g_memdup2(&record, sizeof record));
   } else {
     /* the instance itself registers again when it receives this object */
     instance_record_clear(&record);
-    report_bad_record(directory, STORE_INSTANCES, object->name, error);
+    bad_records_add(directory->bad, STORE_INSTANCES, object->name, error);
     g_hash_table_remove(directory->instances, object->name);
   }
   if (directory->has_listed_instances)
@@ -540,6 +533,7 @@
   directory->router = router;
   directory->group = group;
   directory->log = log;
+  directory->bad = bad_records_new(log);
   directory->hooks = *hooks;
   directory->instance = g_strdup(options->instance);
   directory->own.exchange = options->exchange;
@@ -573,6 +567,7 @@
   event_free(directory->register_timer);
   event_free(directory->first_list_timer);
   g_hash_table_destroy(directory->instances);
+  bad_records_free(directory->bad);
   instance_record_clear(&directory->own);
   g_free(directory->instance);
   g_free(directory->seeds);
@@ -641,7 +636,11 @@
       field == RECORD_NAME
           ? following_nameless_objects(directory->following[kind])
           : 0;
-  return directory->bad_objects[kind][field] + unreadable_names;
+  return bad_records_total(directory->bad, kind, field) + unreadable_names;
+}
+
+guint directory_unusable_objects(const Directory *directory, StoreKind kind) {
+  return bad_records_present(directory->bad, kind);
 }
 
 guint64 directory_store_calls(const Directory *directory) {
--- a/io/directory.h
+++ b/io/directory.h
@@ -106,5 +106,10 @@
 */
 guint64 directory_bad_objects(const Directory *directory, StoreKind kind,
                               RecordField field);
+/*
+** The number of objects of a kind that have a readable name and cannot be used
+** now, BAD_RECORDS_MAX at most (io/bad_records.h).
+*/
+guint directory_unusable_objects(const Directory *directory, StoreKind kind);
 
 #endif
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -540,6 +540,8 @@
     const NewsState *news = relay_group_news(gateway->group, (StoreKind)kind);
     counts.news_lag[kind] = news_state_lag(news, clock_now());
     counts.known_positions[kind] = news->held;
+    counts.unusable_objects[kind] =
+        directory_unusable_objects(gateway->directory, (StoreKind)kind);
     for (field = 0; field < RECORD_FIELD_COUNT; field++)
       counts.bad_objects[kind][field] = directory_bad_objects(
           gateway->directory, (StoreKind)kind, (RecordField)field);
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -246,8 +246,12 @@
 
 static void write_bad_objects(GString *text, const AdapterCounts *counts) {
   int kind;
-  for (kind = 0; kind < MP_RELAY_KINDS; kind++)
+  for (kind = 0; kind < MP_RELAY_KINDS; kind++) {
     write_bad_kind(text, kind_names[kind], counts->bad_objects[kind]);
+    g_string_append_printf(text,
+                           "madderpier_unusable_objects{kind=\"%s\"} %u\n",
+                           kind_names[kind], counts->unusable_objects[kind]);
+  }
 }
 
 GString *metrics_text(const Router *router, const AdapterCounts *counts) {
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -93,6 +93,7 @@
   /* objects of the store that could not be read, by the field that is missing
   ** or invalid */
   guint64 bad_objects[MP_RELAY_KINDS][RECORD_FIELD_COUNT];
+  guint unusable_objects[MP_RELAY_KINDS]; /* directory_unusable_objects() */
   /* positions up to which this instance knows all changes */
   StorePosition known_positions[MP_RELAY_KINDS];
   guint64 store_era; /* latest era of the store that is known, not a total; 0:
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -20,14 +20,15 @@
 TEST(Metrics, ShowCountersCarriersAndWholeHistograms) {
   World world;
   AdapterCounts carriers = {
-      7,         11, 2,  {}, 1,  2,  3, "relay", 250 * ms, TRUE, 5, 4,  6,  7,
-      15,        10, 12, 13, 14, 3,  2, 1,       70000,    4000, 9, 16, 17, 2,
-      {5, 6, 7}, {}, 9,  8,  {}, {}, 3, nullptr, 0,        0,    0, 0};
+      7,         11, 2,  {}, 1,  2,  3,  "relay", 250 * ms, TRUE, 5, 4,  6,  7,
+      15,        10, 12, 13, 14, 3,  2,  1,       70000,    4000, 9, 16, 17, 2,
+      {5, 6, 7}, {}, 9,  8,  {}, {}, {}, 3,       nullptr,  0,    0, 0,  0};
   carriers.responses_lost[CLOSE_NOT_READ] = 4;
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
   carriers.known_positions[STORE_ENDPOINTS] = store_position(2, 31);
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_SLOTS] = 4;
   carriers.bad_objects[STORE_ENDPOINTS][RECORD_NAME] = 2;
+  carriers.unusable_objects[STORE_ENDPOINTS] = 3;
   struct event_base *base = event_base_new();
   Intake *intake = intake_new(base, nullptr);
   IntakeConnection connection = {};
@@ -88,6 +89,8 @@
         "madderpier_requests_started_total 0",
         "madderpier_bad_objects_total{kind=\"endpoints\"} 6",
         "madderpier_bad_objects_total{kind=\"instances\"} 0",
+        "madderpier_unusable_objects{kind=\"endpoints\"} 3",
+        "madderpier_unusable_objects{kind=\"instances\"} 0",
         "madderpier_bad_fields_total{kind=\"endpoints\",field=\"slots\"} 4",
         "madderpier_bad_fields_total{kind=\"endpoints\",field=\"name\"} 2",
         "madderpier_news_age_seconds 0.250",
