The table of registered instances has a file of its own

Change: the table of instances and their sorting are in io/instance_table.{h,c}; no change of behaviour.

--- a/io/directory.c
+++ b/io/directory.c
@@ -9,6 +9,7 @@
 #include "io/directory.h"
 #include "io/following.h"
 #include "io/clock.h"
+#include "io/instance_table.h"
 #include "io/store_link.h"
 
 /* how long the store may stay silent in a call that registers this instance */
@@ -208,12 +209,6 @@
   }
 }
 
-/* Is the instance absent from the list whose names are the keys of 'names'? */
-static gboolean is_unlisted(gpointer name, gpointer instance, gpointer names) {
-  (void)instance;
-  return !g_hash_table_contains(names, name);
-}
-
 static void on_listed(void *data, StoreKind kind, GHashTable *names) {
   Directory *directory = data;
   log_numbered(directory->log, MP_LOG_STORE_LIST, " kind=%d objects=%u",
@@ -221,7 +216,7 @@
   bad_records_keep(directory->bad, kind, names);
   if (kind == STORE_INSTANCES) {
     directory->has_listed_instances = TRUE;
-    g_hash_table_foreach_remove(directory->instances, is_unlisted, names);
+    instance_table_keep(directory->instances, names);
     report_instances(directory);
     register_instance(directory);
   }
@@ -247,82 +242,19 @@
 ** ===================================================================
 */
 
-static void instance_free(gpointer p) {
-  instance_record_clear(p);
-  g_free(p);
-}
-
-/*
-** Is the instance in this data centre, and do both it and this instance answer
-** queries for the store's objects (news_codec.h)?
-*/
-static gboolean is_near(const Directory *directory,
-                        const InstanceRecord *instance) {
-  return instance->control != 0 && directory->own.control != 0 &&
-         strcmp(instance->zone, directory->own.zone) == 0;
-}
-
-/* the instances other than this one */
-typedef struct Others {
-  GArray *all;      /* mp_Addr: those of all data centres */
-  GArray *near;     /* mp_Addr: those for which is_near() holds */
-  GArray *members;  /* RelayMember: the instances of 'near', with their data
-                    ** centre and capacity */
-  GArray *carriers; /* RelayMember: those of 'all' */
-  GArray *far;      /* RelayMember: those of other data centres that answer
-                    ** queries for the store's objects; empty when this
-                    ** instance does not answer them */
-} Others;
-
-static void others_add(const Directory *directory, Others *others,
-                       const InstanceRecord *instance) {
-  RelayMember member = {instance->exchange, g_str_hash(instance->zone),
-                        instance->capacity};
-  g_array_append_val(others->all, instance->exchange);
-  g_array_append_val(others->carriers, member);
-  if (is_near(directory, instance)) {
-    g_array_append_val(others->near, instance->exchange);
-    g_array_append_val(others->members, member);
-  } else if (instance->control != 0 && directory->own.control != 0)
-    g_array_append_val(others->far, member);
-}
-
-static void others_collect(const Directory *directory, Others *others) {
-  GHashTableIter iterator;
-  gpointer name;
-  gpointer value;
-  others->all = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
-  others->carriers = g_array_new(FALSE, FALSE, sizeof(RelayMember));
-  others->near = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
-  others->members = g_array_new(FALSE, FALSE, sizeof(RelayMember));
-  others->far = g_array_new(FALSE, FALSE, sizeof(RelayMember));
-  g_hash_table_iter_init(&iterator, directory->instances);
-  while (g_hash_table_iter_next(&iterator, &name, &value)) {
-    if (strcmp(name, directory->instance) != 0)
-      others_add(directory, others, value);
-  }
-}
-
-static void others_clear(Others *others) {
-  g_array_free(others->all, TRUE);
-  g_array_free(others->carriers, TRUE);
-  g_array_free(others->near, TRUE);
-  g_array_free(others->members, TRUE);
-  g_array_free(others->far, TRUE);
-}
-
 /* Hands the present set of instances to the relay group and the gateway. */
 static void report_instances(Directory *directory) {
   unsigned count = g_hash_table_size(directory->instances);
-  Others others;
-  others_collect(directory, &others);
+  OtherInstances others;
+  other_instances_collect(&others, directory->instances, directory->instance,
+                          &directory->own);
   log_numbered(directory->log, MP_LOG_INSTANCES, " count=%u near=%u", count,
                others.near->len);
   relay_group_set_members(directory->group, others.members, others.far,
                           clock_now());
   directory->hooks.instances(directory->hooks.data, others.all, others.near,
                              others.carriers);
-  others_clear(&others);
+  other_instances_clear(&others);
 }
 
 static void update_instance(Directory *directory, const StoreObject *object) {
@@ -546,8 +478,7 @@
   directory->own.capacity = options->capacity;
   directory->seeds =
       g_memdup2(options->seeds, options->seeds_count * sizeof *options->seeds);
-  directory->instances =
-      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, instance_free);
+  directory->instances = instance_table_new();
   directory->registration = store_link_new(
       base, options->store, &dialect->store, on_register_reply, directory);
   directory->register_timer = evtimer_new(base, on_register_timer, directory);
