Odd names, long lists and odd objects of the other kinds are tested

Cause: names of 0, 64, 65 and 4,000 bytes, a name that is listed twice, one odd object of 3,000, and the other kinds of objects with a deep nest or a far number had no test.

Ruled out: that an object without a name makes a list partial; it does so only where the list cannot be separated by its brackets.

Change: four unit tests in test/test_odd_entries.cc.

Figures: in 8 forms at 3 places 2,999 of 3,000 endpoints are read. Of 15 other odd texts all are refused, each kind's deep nest too.

Conclusion: only the odd entry is lost.

--- a/test/test_odd_entries.cc
+++ b/test/test_odd_entries.cc
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "platform/platform.h"
@@ -229,4 +230,177 @@
   EXPECT_EQ(objects.count("a"), 0u);
 }
 
+/* A name is kept whole whatever its length, and only an object without one is
+** left out. */
+TEST_F(OddEntries, NamesOfAnyLengthAreNames) {
+  std::string items = object("a", "5", "{}");
+  for (size_t size : {64, 65, 4000})
+    items += "," + object(std::string(size, 'n'), "6", "{}");
+  items += "," + object("", "7", "{}") + "," + object("z", "8", "{}");
+  answer(list(items, 500));
+  EXPECT_EQ(objects.size(), 5u);
+  for (size_t size : {64, 65, 4000})
+    EXPECT_EQ(objects.count(std::string(size, 'n')), 1u) << size;
+  EXPECT_EQ(objects.count("z"), 1u);
+}
+
+/* Which of two objects of a name is used must not depend on their order. */
+TEST_F(OddEntries, OfANameThatIsListedTwiceTheLaterRevisionIsUsed) {
+  std::string older = object("odd", "5", R"({"Slots":1})");
+  std::string newer = object("odd", "7", R"({"Slots":2})");
+  std::string other = "," + object("z", "6", "{}");
+  answer(list(older + "," + newer + other, 500));
+  EXPECT_EQ(objects["odd"], R"({"Slots":2})");
+  EXPECT_EQ(objects.size(), 2u);
+  TearDown();
+  SetUp();
+  objects.clear();
+  answer(list(newer + "," + older + other, 500));
+  EXPECT_EQ(objects["odd"], R"({"Slots":2})");
+  EXPECT_EQ(objects.size(), 2u);
+}
+
+/* the number of known objects that are read as endpoints */
+size_t count_usable(const std::map<std::string, std::string> &objects) {
+  size_t count = 0;
+  for (const auto &[name, text] : objects)
+    count += is_usable(text);
+  return count;
+}
+
+/* The size of a list must not let an odd object reach the others. */
+TEST_F(OddEntries, OneOfThreeThousandCostsItselfAlone) {
+  const std::string sound = endpoint("10.0.0.2:80", "1700000000000");
+  const std::string deep(100000, '[');
+  for (const std::string &odd :
+       {object("odd", "9", endpoint("10.0.0.2:70000", "1")),
+        object("odd", "9", endpoint("10.0.0.2:80", far)),
+        object("odd", far, endpoint("10.0.0.2:0", "1")),
+        object("odd", "9", deep + std::string(deep.size(), ']')),
+        object("odd", "9", "{\"Slots\":" + std::string(400, '9') + "}"),
+        object("odd", "9", deep), object("", "9", sound),
+        object(std::string(4000, 'o'), "9", "{}")}) {
+    for (int place : {0, 1500, 2999}) {
+      std::string items;
+      TearDown();
+      SetUp();
+      objects.clear();
+      for (int i = 0; i < 3000; i++)
+        items +=
+            (i > 0 ? "," : "") +
+            (i == place ? odd : object("i-" + std::to_string(i), "5", sound));
+      answer(list(items, 500));
+      EXPECT_EQ(count_usable(objects), 2999u)
+          << odd.substr(0, 80) << " at " << place;
+    }
+  }
+}
+
+/* What the readers of the other kinds make of a text. A record that they read
+** is cleared. */
+bool reads_instance(const std::string &text) {
+  InstanceRecord record = {};
+  bool valid = platform_read_instance(text.c_str(), &record, nullptr);
+  instance_record_clear(&record);
+  return valid;
+}
+bool reads_lease(const std::string &text) {
+  LeaseRecord record = {};
+  bool valid = platform_read_lease(text.c_str(), &record, nullptr);
+  lease_record_clear(&record);
+  return valid;
+}
+bool reads_quarantine(const std::string &text) {
+  QuarantineRecord record = {};
+  return platform_read_quarantine("00112233", text.c_str(), &record, nullptr);
+}
+bool reads_software_set(const std::string &text) {
+  SoftwareSetRecord record = {};
+  return platform_read_software_set(text.c_str(), &record, nullptr);
+}
+bool reads_origins(const std::string &text) {
+  StreamOriginsRecord record = {};
+  bool valid = platform_read_stream_origins(text.c_str(), &record, nullptr);
+  stream_origins_record_clear(&record);
+  return valid;
+}
+bool reads_configuration(const std::string &text) {
+  RouteTable *table =
+      platform_read_configuration(text.c_str(), nullptr, nullptr);
+  if (table == nullptr)
+    return false;
+  route_table_unref(table);
+  return true;
+}
+
+struct OtherKind {
+  const char *what;
+  bool (*reads)(const std::string &);
+  /* a sound text up to a value and from there on, and that value */
+  std::string before, after, sound;
+  std::vector<std::string> far; /* values that the kind does not allow */
+};
+
+const std::string digest = R"("0123456789abcdef")";
+
+const OtherKind other_kinds[] = {
+    {"instance",
+     reads_instance,
+     R"({"DataCentre":"a","Capacity":1,"Address":)",
+     "}",
+     R"("10.0.0.1:9000")",
+     {R"("10.0.0.1:70000")", far}},
+    {"lease",
+     reads_lease,
+     R"({"Term":1,"Holder":)",
+     "}",
+     R"("i-1")",
+     {far, "1e300"}},
+    {"quarantine",
+     reads_quarantine,
+     R"({"LastUnixMs":1,"Crashes":[)",
+     "]}",
+     R"("1f")",
+     {R"("1ffffffff")", far}},
+    {"software versions",
+     reads_software_set,
+     R"({"Expiring":[],"Versions":[)",
+     "]}",
+     digest,
+     {R"("10123456789abcdef")", far}},
+    {"origins",
+     reads_origins,
+     R"({"Origins":[["0123456789abcdef0123456789abcdef",)" + digest + ",1,2,",
+     "]]}",
+     "3",
+     {"4294967296", far, "-1", "1e3"}},
+    {"configuration",
+     reads_configuration,
+     R"({"Services":[],"Routes":[],"Version":)",
+     "}",
+     "7",
+     {"1e300", far + "0"}},
+    {"route",
+     reads_configuration,
+     R"({"Services":[],"Version":7,"Routes":[)",
+     "]}",
+     "",
+     {far}},
+};
+
+/* A reader that recursed without bound would end the process, and a number
+** that is cut to fewer bits would name something else. */
+TEST(OddRecords, OtherKindsAreRefusedWithADeepNestOrAFarNumber) {
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  for (const OtherKind &kind : other_kinds) {
+    EXPECT_TRUE(kind.reads(kind.before + kind.sound + kind.after))
+        << kind.what;
+    EXPECT_FALSE(kind.reads(kind.before + deep + kind.after)) << kind.what;
+    EXPECT_FALSE(kind.reads(deep)) << kind.what;
+    for (const std::string &value : kind.far)
+      EXPECT_FALSE(kind.reads(kind.before + value + kind.after))
+          << kind.what << " " << value;
+  }
+}
+
 } // namespace
