A configuration with a negative version is refused

Cause: the version was converted to an unsigned number unchecked, so that -1 was above all others. It would be applied, and each later configuration taken as older until the process is restarted.

Ruled out: 0, a missing version, 1e300 and a number past 63 bits were refused already.

Conclusion: a far positive version (up to 2^63-1) is still applied, and locks out later ones in the same way; no bound is known that no sound one exceeds.

--- a/test/test_odd_entries.cc
+++ b/test/test_odd_entries.cc
@@ -379,7 +379,7 @@
      R"({"Services":[],"Routes":[],"Version":)",
      "}",
      "7",
-     {"1e300", far + "0"}},
+     {"-1", "-" + far, "1e300", far + "0"}},
     {"route",
      reads_configuration,
      R"({"Services":[],"Version":7,"Routes":[)",
