--- a/io/directory.c
+++ b/io/directory.c
@@ -5,9 +5,11 @@
 
 #include <string.h>
 
+#include "io/bad_records.h"
 #include "io/directory.h"
 #include "io/following.h"
 #include "io/clock.h"
+#include "io/instance_table.h"
 #include "io/store_link.h"
 
 /* how long the store may stay silent in a call that registers this instance */
@@ -52,13 +54,15 @@
   DirectoryHooks hooks;
   char *instance;     /* name of this instance */
   InstanceRecord own; /* the record under which this instance registers */
-  mp_Addr callers;    /* DirectoryOptions.callers */
+  mp_Addr callers;    /* this and the next three: as in DirectoryOptions */
+  mp_Addr ready;
+  mp_Addr metrics;
+  mp_Addr store;
   mp_Addr *seeds;
   Following *following[MP_RELAY_KINDS]; /* by StoreKind */
   GHashTable *instances;                /* name -> InstanceRecord */
   gboolean has_listed_instances; /* the instances have been listed once */
-  /* as directory_bad_objects, without those that have no name */
-  guint64 bad_objects[MP_RELAY_KINDS][RECORD_FIELD_COUNT];
+  BadRecords *bad; /* objects that have a name and cannot be used */
   StoreLink *registration;
   gboolean is_registering;      /* a call to register is open */
   gboolean registration_failed; /* the last such call failed */
@@ -78,29 +82,16 @@
 ** ===================================================================
 */
 
-/*
-** Counts and logs an object that cannot be read, and frees 'error'. That
-** happens once for each revision, because a follower reports an object only
-** when it has changed.
-*/
-static void report_bad_record(Directory *directory, StoreKind kind,
-                              const char *name, GError *error) {
-  directory->bad_objects[kind][record_error_field(error)]++;
-  log_numbered(directory->log, MP_LOG_STORE_RECORD_BAD,
-               " kind=%d name=%s error=\"%s\"", (int)kind, name,
-               error != NULL ? error->message : "unreadable");
-  g_clear_error(&error);
-}
-
 static void update_configuration(Directory *directory, const char *name,
                                  const char *text) {
   GError *error = NULL;
   RouteTable *table = directory->dialect->read_configuration(
       text, router_routes(directory->router), &error);
   if (table == NULL) {
-    report_bad_record(directory, STORE_CONFIGURATION, name, error);
+    bad_records_add(directory->bad, STORE_CONFIGURATION, name, error);
     return;
   }
+  bad_records_remove(directory->bad, STORE_CONFIGURATION, name);
   if (router_set_routes(directory->router, table, clock_now()))
     directory->hooks.configuration(directory->hooks.data, table);
   route_table_unref(table);
@@ -112,29 +103,41 @@
   router_set_endpoint(directory->router, &record, TRUE, clock_now());
 }
 
-/* Is it an address of this instance? A request sent there would come back. */
-static gboolean is_own(const Directory *directory, mp_Addr address) {
-  return address == directory->callers || address == directory->own.control ||
-         address == directory->own.exchange;
+/*
+** Returns why no endpoint can have this address, or NULL. A request sent to an
+** address of this instance would come back, or be answered by what is not an
+** engine; the same holds for the store.
+*/
+static const char *misuse_of_address(const Directory *directory,
+                                     mp_Addr address) {
+  if (address == directory->store)
+    return "the endpoint's address is the address of the store; correct the "
+           "endpoint's entry";
+  if (address == directory->callers || address == directory->ready ||
+      address == directory->metrics || address == directory->own.control ||
+      address == directory->own.exchange)
+    return "the endpoint's address is an address of this instance; correct "
+           "the endpoint's entry";
+  return NULL;
 }
 
 /*
 ** Reads the record of an endpoint. Returns FALSE and sets an error when it is
-** invalid, or its address is one of this instance.
+** invalid, or its address is one of this instance or of the store.
 */
 static gboolean read_endpoint(const Directory *directory,
                               const StoreObject *object, EndpointRecord *out,
                               GError **error) {
+  const char *misuse;
   if (!directory->dialect->read_endpoint_record(object->name, object->text,
                                                 out, error))
     return FALSE;
   out->position = object->position;
-  if (!is_own(directory, out->address))
+  misuse = misuse_of_address(directory, out->address);
+  if (misuse == NULL)
     return TRUE;
   endpoint_record_clear(out);
-  g_set_error_literal(error, RECORD_ERROR, RECORD_ADDRESS,
-                      "the endpoint's address is an address of this instance; "
-                      "correct the endpoint's entry");
+  g_set_error_literal(error, RECORD_ERROR, RECORD_ADDRESS, misuse);
   return FALSE;
 }
 
@@ -147,10 +150,11 @@
   EndpointRecord record;
   GError *error = NULL;
   if (!read_endpoint(directory, object, &record, &error)) {
-    report_bad_record(directory, STORE_ENDPOINTS, object->name, error);
+    bad_records_add(directory->bad, STORE_ENDPOINTS, object->name, error);
     remove_endpoint(directory, object->name);
     return;
   }
+  bad_records_remove(directory->bad, STORE_ENDPOINTS, object->name);
   router_set_endpoint(directory->router, &record, FALSE, clock_now());
   endpoint_record_clear(&record);
 }
@@ -169,11 +173,12 @@
                                    NULL))
       router_remove_quarantine(directory->router, content, clock_now());
   } else if (directory->dialect->read_quarantine(object->name, object->text,
-                                                 &record, &error))
+                                                 &record, &error)) {
+    bad_records_remove(directory->bad, STORE_QUARANTINE, object->name);
     router_apply_quarantine(directory->router, &record, object->position,
                             clock_now());
-  else
-    report_bad_record(directory, STORE_QUARANTINE, object->name, error);
+  } else
+    bad_records_add(directory->bad, STORE_QUARANTINE, object->name, error);
 }
 
 static gboolean is_registered(const Directory *directory);
@@ -183,6 +188,8 @@
 
 static void on_object(void *data, StoreKind kind, const StoreObject *object) {
   Directory *directory = data;
+  if (object->gone)
+    bad_records_remove(directory->bad, kind, object->name);
   switch (kind) {
   case STORE_INSTANCES:
     update_instance(directory, object);
@@ -202,19 +209,14 @@
   }
 }
 
-/* Is the instance absent from the list whose names are the keys of 'names'? */
-static gboolean is_unlisted(gpointer name, gpointer instance, gpointer names) {
-  (void)instance;
-  return !g_hash_table_contains(names, name);
-}
-
 static void on_listed(void *data, StoreKind kind, GHashTable *names) {
   Directory *directory = data;
   log_numbered(directory->log, MP_LOG_STORE_LIST, " kind=%d objects=%u",
                (int)kind, g_hash_table_size(names));
+  bad_records_keep(directory->bad, kind, names);
   if (kind == STORE_INSTANCES) {
     directory->has_listed_instances = TRUE;
-    g_hash_table_foreach_remove(directory->instances, is_unlisted, names);
+    instance_table_keep(directory->instances, names);
     report_instances(directory);
     register_instance(directory);
   }
@@ -240,82 +242,19 @@
 ** ===================================================================
 */
 
-static void instance_free(gpointer p) {
-  instance_record_clear(p);
-  g_free(p);
-}
-
-/*
-** Is the instance in this data centre, and do both it and this instance answer
-** queries for the store's objects (news_codec.h)?
-*/
-static gboolean is_near(const Directory *directory,
-                        const InstanceRecord *instance) {
-  return instance->control != 0 && directory->own.control != 0 &&
-         strcmp(instance->zone, directory->own.zone) == 0;
-}
-
-/* the instances other than this one */
-typedef struct Others {
-  GArray *all;      /* mp_Addr: those of all data centres */
-  GArray *near;     /* mp_Addr: those for which is_near() holds */
-  GArray *members;  /* RelayMember: the instances of 'near', with their data
-                    ** centre and capacity */
-  GArray *carriers; /* RelayMember: those of 'all' */
-  GArray *far;      /* RelayMember: those of other data centres that answer
-                    ** queries for the store's objects; empty when this
-                    ** instance does not answer them */
-} Others;
-
-static void others_add(const Directory *directory, Others *others,
-                       const InstanceRecord *instance) {
-  RelayMember member = {instance->exchange, g_str_hash(instance->zone),
-                        instance->capacity};
-  g_array_append_val(others->all, instance->exchange);
-  g_array_append_val(others->carriers, member);
-  if (is_near(directory, instance)) {
-    g_array_append_val(others->near, instance->exchange);
-    g_array_append_val(others->members, member);
-  } else if (instance->control != 0 && directory->own.control != 0)
-    g_array_append_val(others->far, member);
-}
-
-static void others_collect(const Directory *directory, Others *others) {
-  GHashTableIter iterator;
-  gpointer name;
-  gpointer value;
-  others->all = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
-  others->carriers = g_array_new(FALSE, FALSE, sizeof(RelayMember));
-  others->near = g_array_new(FALSE, FALSE, sizeof(mp_Addr));
-  others->members = g_array_new(FALSE, FALSE, sizeof(RelayMember));
-  others->far = g_array_new(FALSE, FALSE, sizeof(RelayMember));
-  g_hash_table_iter_init(&iterator, directory->instances);
-  while (g_hash_table_iter_next(&iterator, &name, &value)) {
-    if (strcmp(name, directory->instance) != 0)
-      others_add(directory, others, value);
-  }
-}
-
-static void others_clear(Others *others) {
-  g_array_free(others->all, TRUE);
-  g_array_free(others->carriers, TRUE);
-  g_array_free(others->near, TRUE);
-  g_array_free(others->members, TRUE);
-  g_array_free(others->far, TRUE);
-}
-
 /* Hands the present set of instances to the relay group and the gateway. */
 static void report_instances(Directory *directory) {
   unsigned count = g_hash_table_size(directory->instances);
-  Others others;
-  others_collect(directory, &others);
+  OtherInstances others;
+  other_instances_collect(&others, directory->instances, directory->instance,
+                          &directory->own);
   log_numbered(directory->log, MP_LOG_INSTANCES, " count=%u near=%u", count,
                others.near->len);
   relay_group_set_members(directory->group, others.members, others.far,
                           clock_now());
   directory->hooks.instances(directory->hooks.data, others.all, others.near,
                              others.carriers);
-  others_clear(&others);
+  other_instances_clear(&others);
 }
 
 static void update_instance(Directory *directory, const StoreObject *object) {
@@ -324,12 +263,13 @@
   if (object->gone)
     g_hash_table_remove(directory->instances, object->name);
   else if (directory->dialect->read_instance(object->text, &record, &error)) {
+    bad_records_remove(directory->bad, STORE_INSTANCES, object->name);
     g_hash_table_replace(directory->instances, g_strdup(object->name),
                          g_memdup2(&record, sizeof record));
   } else {
     /* the instance itself registers again when it receives this object */
     instance_record_clear(&record);
-    report_bad_record(directory, STORE_INSTANCES, object->name, error);
+    bad_records_add(directory->bad, STORE_INSTANCES, object->name, error);
     g_hash_table_remove(directory->instances, object->name);
   }
   if (directory->has_listed_instances)
@@ -525,17 +465,20 @@
   directory->router = router;
   directory->group = group;
   directory->log = log;
+  directory->bad = bad_records_new(log);
   directory->hooks = *hooks;
   directory->instance = g_strdup(options->instance);
   directory->own.exchange = options->exchange;
   directory->own.control = options->control;
   directory->callers = options->callers;
+  directory->ready = options->ready;
+  directory->metrics = options->metrics;
+  directory->store = options->store;
   directory->own.zone = g_strdup(options->zone);
   directory->own.capacity = options->capacity;
   directory->seeds =
       g_memdup2(options->seeds, options->seeds_count * sizeof *options->seeds);
-  directory->instances =
-      g_hash_table_new_full(g_str_hash, g_str_equal, g_free, instance_free);
+  directory->instances = instance_table_new();
   directory->registration = store_link_new(
       base, options->store, &dialect->store, on_register_reply, directory);
   directory->register_timer = evtimer_new(base, on_register_timer, directory);
@@ -555,6 +498,7 @@
   event_free(directory->register_timer);
   event_free(directory->first_list_timer);
   g_hash_table_destroy(directory->instances);
+  bad_records_free(directory->bad);
   instance_record_clear(&directory->own);
   g_free(directory->instance);
   g_free(directory->seeds);
@@ -623,7 +567,11 @@
       field == RECORD_NAME
           ? following_nameless_objects(directory->following[kind])
           : 0;
-  return directory->bad_objects[kind][field] + unreadable_names;
+  return bad_records_total(directory->bad, kind, field) + unreadable_names;
+}
+
+guint directory_unusable_objects(const Directory *directory, StoreKind kind) {
+  return bad_records_present(directory->bad, kind);
 }
 
 guint64 directory_store_calls(const Directory *directory) {
