Comments that the formatter had wrapped badly

Ruled out: nothing; the code does not change. Change: the paragraphs are wrapped by hand, two members have their comment above them.

--- a/core/text.c
+++ b/core/text.c
@@ -18,8 +18,7 @@
 /*
 ** 0 when the text is not exactly an address with a port above 0, as
 ** mp_addr_text writes it. Numbers with leading zeros are refused: other
-*readers
-** take them as octal, and would name another machine.
+** readers take them as octal, and would name another machine.
 */
 mp_Addr mp_addr_parse(const char *s) {
   unsigned b[4];
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -35,9 +35,9 @@
   gint64 refusing_since;   /* its first call */
   GHashTable *connections; /* set of Connection, which it owns */
   GHashTable *open;        /* number of an open request -> Connection */
-  gint64
-      backlog_since; /* since when connections may have waited to be accepted,
-                     ** with bytes of a request; 0: none has */
+  /* since when connections may have waited to be accepted, with bytes of a
+  ** request; 0: none has */
+  gint64 backlog_since;
   Intake *intake;
   FlowControl *flow; /* NULL: flow control is off */
   FrontFlowHooks flow_hooks;
--- a/router/config_proof.h
+++ b/router/config_proof.h
@@ -60,8 +60,7 @@
 void config_proof_advance_known(ConfigProof *proof, StorePosition position);
 /*
 ** Handles a relay's heartbeat. It counts only when the relay's clock is
-*bounded
-** and this instance knows the changes that it names.
+** bounded and this instance knows the changes that it names.
 */
 void config_proof_apply_heartbeat(ConfigProof *proof,
                                   const RelayClocks *clocks, mp_Addr relay,
--- a/router/origin_recorder.h
+++ b/router/origin_recorder.h
@@ -4,11 +4,11 @@
 **
 ** The instances of a data centre send the origins of streams to one of them,
 ** the recorder, which writes them to objects of its own (origin_slices.h).
-*This
-** is one object: all of its origins that have not expired. It acknowledges an
-** origin only after the store has acknowledged a write that holds it. It
-** decides which call is next and what an answer means; it does no input or
-** output (io/origin_links.c). Times are microseconds of the steady clock.
+** This is one object: all of its origins that have not expired. It
+** acknowledges an origin only after the store has acknowledged a write that
+** holds it. It decides which call is next and what an answer means; it does no
+** input or output (io/origin_links.c). Times are microseconds of the steady
+** clock.
 **
 ** Invariants:
 ** 1. One call is open at a time. The object is created, or replaced at the
--- a/router/relay_group.c
+++ b/router/relay_group.c
@@ -29,8 +29,7 @@
 ** When a data centre has too few fresh relays, the members that come first in
 ** the order, as many as there should be relays, become relays at once. Each
 ** member after them waits RELAY_TAKEOVER_STEP longer than the one before it.
-*If
-** too few relays are heard at all, no member waits longer than this.
+** If too few relays are heard at all, no member waits longer than this.
 */
 #define TAKEOVER_WAIT_MAX (1000 * MP_MS)
 /*
--- a/router/relay_group.h
+++ b/router/relay_group.h
@@ -27,10 +27,10 @@
 ** A relay is fresh while the store has recently answered it, or another relay
 ** that it hears; the age of that answer travels with the heartbeats. For this
 ** choice it counts from when a heartbeat is read. A relay that knows an older
-*era of the store than this instance is not fresh,
-** whatever its age: it can't tell what has changed since. (The era is a number
-** of the store that grows when the store is restored from a copy.) A relay
-** that runs an earlier release names no era at all.
+** era of the store than this instance is not fresh, whatever its age: it can't
+** tell what has changed since. (The era is a number of the store that grows
+** when the store is restored from a copy.) A relay that runs an earlier
+** release names no era at all.
 **
 ** Invariants: a member counts fresh relays alone. The age up to which a relay
 ** is fresh follows from RelayTiming.propagation_max: the rest of that time
@@ -216,10 +216,9 @@
 ** Returns the us since the store answered this instance or a relay that it
 ** hears, counted from when heartbeats were sent (relay_clock.h): what this
 ** instance may tell others, and decide by. Relays of this data centre that
-*come after
-** this one do not count: one that took over in its place would make it fresh
-** again, which would then end the other's service, and so on. What a relay
-** announces counts from when it is known here: an instance that hears of
+** come after this one do not count: one that took over in its place would make
+** it fresh again, which would then end the other's service, and so on. What a
+** relay announces counts from when it is known here: an instance that hears of
 ** changes and lacks them is not fresh through them.
 */
 gint64 relay_group_age(const RelayGroup *group, gint64 now);
--- a/router/state.h
+++ b/router/state.h
@@ -136,9 +136,8 @@
                        ** that named one; 0: none has */
   guint confirmed;     /* replies that named it */
   guint confirmed_far; /* of these, from other data centres */
-  gboolean
-      is_disputed; /* a replica knew neither the origin nor this version as
-                   ** the only one */
+  /* a replica knew neither the origin nor this version as the only one */
+  gboolean is_disputed;
   gboolean has_several; /* a replica's list has had several versions */
   gboolean is_listed;   /* the store's origins were read, and lack it: the set
                         ** of versions decides */
--- a/standin/quota.c
+++ b/standin/quota.c
@@ -5,12 +5,9 @@
 **   standin-quota RUN-US PERIOD-MS PID...
 **
 ** Each process may use RUN-US microseconds of processor time in each period.
-*Once it has
-** used that, it is stopped until its period ends, as by a quota of the
-*kernel's
-** scheduler. The periods of the processes begin at different moments. Ends
-*when
-** none of the processes is left.
+** Once it has used that, it is stopped until its period ends, as by a quota of
+** the kernel's scheduler. The periods of the processes begin at different
+** moments. Ends when none of the processes is left.
 */
 
 #include <signal.h>
