Log: control characters in a line's fields are replaced

Operators saw, or could see, a line that nobody had logged: an entry of the store whose name holds a line break was written to the log as it is. Cause: fields are formatted as given, and names are chosen by other writers. Ruled out: refusing such names, which would hide what is wrong with the entry. Change: control characters of a line become question marks as it is formatted, once for all events. Figures: Logged.ANameWithALineBreakBeginsNoLine fails before (two lines) and passes after. Conclusion: fixed for the log; names in metrics are not written.

--- a/io/log.c
+++ b/io/log.c
@@ -94,16 +94,29 @@
   }
 }
 
+/* Replaces control characters from this position of the buffer on: names that
+** other writers choose must not begin a line of their own. */
+static void replace_control_characters(GString *buffer, gsize from) {
+  gsize i;
+  for (i = from; i < buffer->len; i++) {
+    if (g_ascii_iscntrl(buffer->str[i]))
+      buffer->str[i] = '?';
+  }
+}
+
 /* Formats a line into the buffer. */
 static void append_line(Log *l, const struct timespec *now, int no,
                         mp_Level level, const char *text, const char *fields) {
   struct tm tm;
   char when[32];
+  gsize start = l->pending->len;
   gmtime_r(&now->tv_sec, &tm);
   strftime(when, sizeof when, "%Y-%m-%dT%H:%M:%S", &tm);
-  g_string_append_printf(l->pending, "%s.%03ldZ %s E%d msg=\"%s\"%s\n", when,
+  g_string_append_printf(l->pending, "%s.%03ldZ %s E%d msg=\"%s\"%s", when,
                          now->tv_nsec / 1000000, levels[level], no, text,
                          fields);
+  replace_control_characters(l->pending, start);
+  g_string_append_c(l->pending, '\n');
 }
 
 /* Writes a line, or drops it when too much output is buffered. */
--- a/test/test_log.cc
+++ b/test/test_log.cc
@@ -81,6 +81,19 @@
   log_free(log);
 }
 
+/* Guards against a name that another writer chose to look like a line. */
+TEST_F(Logged, ANameWithALineBreakBeginsNoLine) {
+  Log *log = log_new(path.c_str(), MP_INFO, nullptr);
+  log_event(log, 8101, MP_WARN, "bad", " name=a\n2026 info E9999 msg=\"x\"");
+  log_free(log);
+  std::ifstream in(path);
+  std::string line;
+  unsigned lines = 0;
+  while (std::getline(in, line))
+    lines++;
+  EXPECT_EQ(lines, 1u);
+}
+
 /* Guards against a report that is missing, repeated or counted as a line of
    the number that it names. */
 TEST_F(Logged, NextSecondReportsTheLinesLeftOut) {
