Two replicas of a stream at least are outside of any one data centre

Callers' streams depended on the store in quiet times where data centres are uneven: taken up again they need two replies from other data centres, and the five replicas were drawn from all instances alike. Cause: the condition counts all instances elsewhere, the choice did not. Ruled out: to count only those elsewhere that were drawn (a data centre that is cut off would decide alone); to ask two more (origins are not told to them). Change: at most three replicas are of one data centre if others have instances. So origins are also kept elsewhere when a data centre is cut off.

--- a/router/stream_replicas.h
+++ b/router/stream_replicas.h
@@ -13,8 +13,9 @@
 
 #include "router/state.h"
 
-/* Writes the addresses of the stream's replicas, those of the largest weights,
-** to 'out' (STREAM_REPLICAS_MAX), and returns their number. */
+/* Writes the addresses of the stream's replicas, those of the largest weights
+** with at least two outside of any one data centre as far as there are, to
+** 'out' (STREAM_REPLICAS_MAX), and returns their number. */
 guint stream_replicas_list(const GArray *members, const StreamKey *key,
                            mp_Addr *out);
 /* Returns TRUE if this instance has the largest weight for this key. */
