A relay's clock that was set back is bounded anew at once

Cause: only a clock that shows the future by its old bound was taken for another. Ruled out: a shorter time between bounds (more datagrams). Change: so is one that shows 5 s less than an earlier heartbeat did; datagrams overtake each other by less. Conclusion: fixed; one request and its answer bound the new clock.

--- a/router/relay_clock.c
+++ b/router/relay_clock.c
@@ -12,6 +12,7 @@
   gint64 offset_min;
   gint64 bounded_at; /* Time at which a request was answered last. */
   gboolean is_loose; /* That request was answered slowly. */
+  guint64 sent_us;   /* what the relay's clock showed last */
 } RelayClock;
 
 void relay_clocks_init(RelayClocks *clocks) {
@@ -44,17 +45,28 @@
   } else
     offset = MAX(offset, offset_now(clock, now));
   clock->offset_min = offset;
+  clock->sent_us = MAX(clock->sent_us, beat->sent_us);
   clock->bounded_at = now;
   clock->is_loose = now - (gint64)beat->asked_us > RELAY_CLOCK_SLACK_MAX;
 }
 
+/* Returns TRUE if the heartbeat is of another clock than the one known: by the
+** bound it comes from the future, or it was set back. */
+static gboolean is_other_clock(const RelayClock *clock,
+                               const mp_RelayHeartbeat *beat, gint64 now) {
+  return (gint64)beat->sent_us + offset_now(clock, now) > now ||
+         beat->sent_us + RELAY_CLOCK_SET_BACK_MIN < clock->sent_us;
+}
+
 void relay_clocks_observe(RelayClocks *clocks, mp_Addr relay,
                           const mp_RelayHeartbeat *beat, gint64 now) {
   RelayClock *clock = g_hash_table_lookup(clocks->clocks, &relay);
-  if (clock != NULL && (gint64)beat->sent_us + offset_now(clock, now) > now) {
+  if (clock != NULL && is_other_clock(clock, beat, now)) {
     g_hash_table_remove(clocks->clocks, &relay);
     clock = NULL;
   }
+  if (clock != NULL)
+    clock->sent_us = MAX(clock->sent_us, beat->sent_us);
   if (beat->asked_us != 0 && (gint64)beat->asked_us <= now)
     bound_clock(clocks, relay, clock, beat, now);
 }
--- a/router/relay_clock.h
+++ b/router/relay_clock.h
@@ -16,9 +16,9 @@
 ** Invariants: the time returned is never later than the true one, as long as
 ** the clocks drift apart by RELAY_CLOCK_DRIFT_MAX at most. A relay whose clock
 ** has become another one (its machine was rebooted, or another machine has its
-** address) has no bound until it has answered a request again, once a time by
-** its old bound would lie in the future; a clock that was set back only makes
-** times earlier.
+** address) has no bound until it has answered a request again: once a time by
+** its old bound would lie in the future, or it shows an earlier time than
+** before.
 */
 
 #ifndef ROUTER_RELAY_CLOCK_H
@@ -41,6 +41,9 @@
 */
 #define RELAY_CLOCK_SLACK_MAX (200 * MP_MS)
 #define RELAY_CLOCK_RETRY_WAIT (1 * MP_SEC)
+/* A heartbeat whose clock shows this much less than an earlier one, us, is of
+** another clock; datagrams overtake each other by less. */
+#define RELAY_CLOCK_SET_BACK_MIN (5 * MP_SEC)
 /* Largest drift of two clocks, in us for each second. */
 #define RELAY_CLOCK_DRIFT_MAX 100
 
