What lay unread and was no request leaves no mark

A request that had just come could be refused as not run, or get less time, since an earlier standstill of the instance. Cause: an empty line between two requests lay unread as the process stood still; the reader skips it, and the connection stayed marked. Ruled out: to ignore unread bytes at idle connections (they may be a request). Change: the mark goes when all is read and no request has begun. Conclusion: fixed for what the reader skips; a body that arrives slowly counts from the standstill as before.

--- a/io/front_request.c
+++ b/io/front_request.c
@@ -174,6 +174,9 @@
   }
   if (http_reader_state(reader) == HTTP_READER_PARTIAL)
     connection_set_read_timeout(connection, connection->limits.head_timeout);
+  else if (connection->unread_since != 0 && !connection_has_input(connection))
+    connection->unread_since =
+        0; /* what lay unread was no part of a request */
 }
 
 /* Lets larger limits bind on a request that has begun to arrive. */
