--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -439,12 +439,11 @@
     make_idle(link, DEFAULT_IDLE_TIMEOUT);
 }
 
-/* The connection to the endpoint has been made, by this instance or by the
-** carrier: nothing was written to the endpoint before. */
 /*
-** The connection is there. A request whose caller's deadline has passed while
-** it was made is not sent: this happens if the process stood still meanwhile,
-** and the router ends the request by its timer, which cancels the call.
+** The connection to the endpoint has been made, by this instance or by the
+** carrier: nothing was written to the endpoint before. A request whose
+** caller's deadline has passed meanwhile, as the process stood still, is not
+** sent; the router ends it by its timer, which cancels the call.
 */
 static void begin_call(Link *link) {
   link->is_connected = TRUE;
--- a/io/front.c
+++ b/io/front.c
@@ -125,11 +125,11 @@
                       struct sockaddr *address, int size, void *data) {
   Front *front = data;
   Connection *connection = g_new0(Connection, 1);
+  gint64 backlog_since = front->backlog_since;
   int on = 1;
   (void)listener;
   (void)address;
   (void)size;
-  gint64 backlog_since = front->backlog_since;
   if (backlog_since != 0 && !front_has_unaccepted(front))
     front->backlog_since = 0; /* this is the last one that has waited */
   if (!intake_admit(front->intake, &connection->intake)) {
--- a/io/standstill.h
+++ b/io/standstill.h
@@ -4,10 +4,10 @@
 **
 ** A process stands still while it is stopped, its machine is suspended, or it
 ** gets no processor time. Meanwhile bytes arrive in the kernel, and their age
-** is not known when they are read. The event loop calls standstill_check()
-** at each event that it handles, and a timer does at least each
-** STANDSTILL_INTERVAL. A longer time between two calls in which the process
-** used next to no processor time was a standstill.
+** is not known when they are read. gateway.c calls standstill_check() as it
+** handles requests, outcomes, load digests and ticks, and a timer does at
+** least each STANDSTILL_INTERVAL. A longer time between two calls in which the
+** process used next to no processor time was a standstill.
 **
 ** A loop that is late because it is busy has used processor time since the
 ** last call, or has called in between. This holds for a process that gets
--- a/router/origin_query.h
+++ b/router/origin_query.h
@@ -15,8 +15,8 @@
 **    of the query, which no other query has.
 ** 2. A version counts as the only one by CONFIRMATIONS_MIN replicas, or all if
 **    the stream has fewer, of which FAR_CONFIRMATIONS_MIN are of other data
-**    centres, or as many as there are instances in those; no replica that
-**    replied by then vouches for no version or for another one.
+**    centres, or as many as there are instances in those; every replica that
+**    replied by then must vouch for this version.
 */
 
 #ifndef ROUTER_ORIGIN_QUERY_H
