Mutants: the condition of another clock, and two new ones

Ruled out: leaving it out. Change: the row follows; a clock that was set back and the choice of replicas outside of a data centre have rows of their own.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -371,7 +371,12 @@
   'RELAY_CLOCK_AGE_MAX'
 m p-other "proof: a bound of another clock does not stay" \
   router/relay_clock.c \
-  '(gint64)beat->sent_us + offset_now(clock, now) > now)' 'FALSE)'
+  '(gint64)beat->sent_us + offset_now(clock, now) > now ||' 'FALSE ||'
+m p-set-back "proof: a clock that was set back is another one" \
+  router/relay_clock.c \
+  "beat->sent_us + RELAY_CLOCK_SET_BACK_MIN < clock->sent_us" FALSE
+m r-outside "streams: two replicas are outside of any one data centre" \
+  router/stream_replicas.c "return near < most;" "return TRUE;"
 m n-arrival "relays: a list's age counts from when a heartbeat was sent" \
   router/relay_group.c '  return MAX(relay->synced_at, relay->answered_at);' \
   '  return MAX(relay->synced_at, last_answer_time(relay));'
