Log and metrics say which limits have an unknown level, and who is heard

Cause: E8001 printed the level of a bucket as if it were known, so that a refusal for an unknown level after a start looked like a limit that is used up. Ruled out: nothing of the logic changes. Change: E8001 has known=, heard= and instances=; E8018 and E8019 say that an instance refuses because its levels are unknown, with what it waits for, and when that ends; metric madderpier_unknown_limits.

--- a/include/mplog.h
+++ b/include/mplog.h
@@ -113,6 +113,8 @@
   X(SOFTWARE_ONLY, 8015, MP_INFO, "streams have one version only")            \
   X(ORIGINS_NOT_KEPT, 8016, MP_WARN, "origins of streams not written")        \
   X(ORIGINS_KEPT, 8017, MP_INFO, "origins of streams are written again")      \
+  X(LEVELS_UNKNOWN, 8018, MP_WARN, "levels of account limits are unknown")    \
+  X(LEVELS_KNOWN, 8019, MP_INFO, "levels of account limits are known")        \
   X(PRIORITY_BAD, 8020, MP_WARN, "configuration states an invalid priority")  \
   X(PREEMPTION, 8021, MP_INFO, "urgent request displaces a run")              \
   X(CALLER_SLOW, 8030, MP_WARN, "connection of a slow caller aborted")        \
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -103,6 +103,8 @@
                          router_open_requests(router));
   g_string_append_printf(text, "madderpier_instances %u\n",
                          router_instances(router));
+  g_string_append_printf(text, "madderpier_unknown_limits %u\n",
+                         router_unknown_limits(router));
   write_account_shares(text, router);
 }
 
--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -51,10 +51,6 @@
 ** limit then spends 1.8 s of the limit, and the time in which all instances
 ** were away pays for one second of it. */
 #define UNKNOWN_LEVEL_CHANCE 0.5
-/* From this share of reachable instances on, the level known here counts as
-** complete: the bucket gets the extra rate, and a level that was unknown is
-** used as it is. */
-#define COMPLETE_VIEW_SHARE 0.9
 /* A message closes this part of the gap between the level here and the
 ** sender's, in the first STARTUP_TIME of this instance and later. The part is
 ** the same in both directions, because an instance that saw more spent than
@@ -85,7 +81,8 @@
   guint32 hash;       /* of the name */
   double rate, burst; /* as configured: units a second, and units */
   double extra;       /* units a second on top of the rate, while
-                      ** COMPLETE_VIEW_SHARE of the instances are reachable */
+                      ** ACCOUNT_COMPLETE_VIEW_SHARE of the instances are
+                      ** reachable */
   gint64 window;      /* LimitTolerance.window, us */
   /* no extra rate is given before this time */
   gint64 extra_paused_until;
@@ -279,11 +276,12 @@
   expire_refunds(limit, now);
   if (pending_amount(limit) > limit->extra_headroom * share)
     limit->extra_paused_until = now + limit->window;
-  has_extra = share >= COMPLETE_VIEW_SHARE && now >= limit->extra_paused_until;
+  has_extra =
+      share >= ACCOUNT_COMPLETE_VIEW_SHARE && now >= limit->extra_paused_until;
   bucket_refill(&limit->bucket,
                 limit->rate * share + (has_extra ? limit->extra : 0),
                 max_level(limit, share), now);
-  if (share >= COMPLETE_VIEW_SHARE)
+  if (share >= ACCOUNT_COMPLETE_VIEW_SHARE)
     limit->is_unknown = FALSE;
 }
 
@@ -390,6 +388,22 @@
   return limit != NULL ? limit->bucket.level : 0;
 }
 
+gboolean account_limits_is_unknown(const AccountLimits *limits,
+                                   const char *account) {
+  const Limit *limit = limit_of(limits, account);
+  return limit != NULL && limit->is_unknown;
+}
+
+guint account_limits_unknown_count(const AccountLimits *limits) {
+  guint count = 0;
+  guint i;
+  for (i = 0; i < limits->all->len; i++) {
+    const Limit *limit = limits->all->pdata[i];
+    count += limit->is_unknown;
+  }
+  return count;
+}
+
 /* }================================================================== */
 
 /*
--- a/router/account_limits.h
+++ b/router/account_limits.h
@@ -63,6 +63,11 @@
 ** come at least every 0.5 s, summaries at least every 0.2 s. */
 #define ACCOUNT_PEER_TIMEOUT (700 * MP_MS)
 
+/* From this share of reachable instances on, the level known here counts as
+** complete: the bucket gets the extra rate, and a level that was unknown is
+** used as it is. */
+#define ACCOUNT_COMPLETE_VIEW_SHARE 0.9
+
 /* how much more than a limit may be admitted within a window, over all
 ** instances: 'share' of what the limit allows in the window, and 'slack' */
 typedef struct LimitTolerance {
@@ -103,6 +108,12 @@
 /* Returns what the bucket held when it was last updated; below 0 if too much
 ** was admitted, and 0 if the account has no limit. */
 double account_limits_level(const AccountLimits *limits, const char *account);
+/* Returns TRUE if the account has a limit whose level is unknown (invariant
+** 3). */
+gboolean account_limits_is_unknown(const AccountLimits *limits,
+                                   const char *account);
+/* Returns how many limits have an unknown level. */
+guint account_limits_unknown_count(const AccountLimits *limits);
 
 /*
 ** Returns TRUE if the account uses more than its share (account_shares.h), by
--- a/router/accounts.c
+++ b/router/accounts.c
@@ -10,6 +10,7 @@
 ** stops working within that time. A proof_age_max of 0 sets no bound.
 */
 
+#include <math.h>
 #include <string.h>
 
 #include "router/state.h"
@@ -38,18 +39,54 @@
   return sharers;
 }
 
+/* Logs an event about the levels of the limits, with what their instance waits
+** for. */
+static void log_levels(Router *router, mp_EventNo event, gint64 now) {
+  LimitSharers sharers = accounts_sharers(router, now);
+  double needed = ceil(ACCOUNT_COMPLETE_VIEW_SHARE * sharers.instances);
+  router_log(router, event,
+             " unknown=%u heard=%u needed=%.0f instances=%u since_ms=%d",
+             account_limits_unknown_count(router->limits), sharers.heard,
+             needed, sharers.instances,
+             (int)((now - router->started_at) / MP_MS));
+}
+
+static void note_unknown_level(Router *router, gint64 now) {
+  if (router->is_limits_unknown)
+    return;
+  router->is_limits_unknown = TRUE;
+  log_levels(router, MP_LOG_LEVELS_UNKNOWN, now);
+}
+
+void accounts_update_levels(Router *router, gint64 now) {
+  if (!router->is_limits_unknown ||
+      account_limits_unknown_count(router->limits) > 0)
+    return;
+  router->is_limits_unknown = FALSE;
+  log_levels(router, MP_LOG_LEVELS_KNOWN, now);
+}
+
+guint router_unknown_limits(const Router *router) {
+  return account_limits_unknown_count(router->limits);
+}
+
 static void log_refusal(Router *router, const CallerRequest *call,
                         const Account *account, const Refusal *refusal,
                         gint64 now) {
   const char *name = account != NULL ? account->name : "-";
+  gboolean is_unknown =
+      account != NULL && account_limits_is_unknown(router->limits, name);
   double level =
       account != NULL ? account_limits_level(router->limits, name) : 0;
+  LimitSharers sharers = accounts_sharers(router, now);
   router_log(router, MP_LOG_ROUTE_REFUSED,
              " request=%s reason=%s account=%s config=%" G_GUINT64_FORMAT
-             " config_age_ms=%d level=%.0f retry_after_ms=%d",
+             " config_age_ms=%d level=%.0f known=%d heard=%u instances=%u"
+             " retry_after_ms=%d",
              call->id, finish_refusal_name(refusal->kind), name,
              router->routes->version,
              (int)(accounts_configuration_age(router, now) / MP_MS), level,
+             !is_unknown, sharers.heard, sharers.instances,
              (int)refusal->retry_after_ms);
 }
 
@@ -65,6 +102,8 @@
   if (account_limits_admit(router->limits, account, cost, &sharers,
                            g_rand_double(router->random), now, &retry_delay))
     return TRUE;
+  if (account_limits_is_unknown(router->limits, account->name))
+    note_unknown_level(router, now);
   refusal->kind = REFUSAL_LIMIT;
   refusal->retry_after_ms = retry_delay / MP_MS;
   router_count(router, REFUSED_LIMIT);
--- a/router/loads.c
+++ b/router/loads.c
@@ -223,6 +223,7 @@
   sharers = accounts_sharers(router, now);
   account_limits_receive_summary(router->limits, summary->relay,
                                  &summary->loads, &sharers, now);
+  accounts_update_levels(router, now);
   /* the endpoints that announced that they are leaving */
   signals_read_digest(router, &summary->loads, now);
   endpoint_health_update(router, now);
@@ -242,6 +243,7 @@
   retry_exchange_receive(router, known != NULL ? &before : NULL, digest, now);
   sharers = accounts_sharers(router, now);
   account_limits_receive(router->limits, peer, digest, &sharers, now);
+  accounts_update_levels(router, now);
   signals_read_digest(router, digest, now);
   endpoint_health_update(router, now);
   admission_start_waiting_requests(router, now);
--- a/router/router.c
+++ b/router/router.c
@@ -67,6 +67,7 @@
   router->near = 1;
   router->waiting = g_ptr_array_new();
   router->limits = account_limits_new(&options->limits, now);
+  router->started_at = now;
   router->seed = options->seed ^ options->self;
   router->self = options->self;
   router->rates = rate_limits_new(router->seed);
--- a/router/router.h
+++ b/router/router.h
@@ -507,6 +507,9 @@
 guint router_indirect_endpoints(const Router *router);
 /* Returns how many streams' origins are remembered here. */
 guint router_stream_origins(const Router *router);
+/* Returns how many limits of client accounts have an unknown level, so that
+** their requests are refused (router/account_limits.h). */
+guint router_unknown_limits(const Router *router);
 /* Returns how many endpoints name a rate. */
 guint router_limited_endpoints(const Router *router);
 /* Returns how many choices left an endpoint out because of its rate. */
--- a/router/state.h
+++ b/router/state.h
@@ -281,7 +281,10 @@
   gboolean has_instance_list; /* router_set_instances was called */
   GHashTable *unknown_fields; /* "service field" of those already logged */
   AccountLimits *limits;
-  RateLimits *rates; /* named by endpoints */
+  gint64 started_at;          /* of this router */
+  gboolean is_limits_unknown; /* a request was refused because the level of its
+                              ** limit is unknown, and some still are */
+  RateLimits *rates;          /* named by endpoints */
   RateView rates_view;
   gint64 shortage_recheck_at;        /* when waiting requests are checked again
                                      ** because of rests and rates; 0: no need */
@@ -642,6 +645,9 @@
 void accounts_note_run(Router *router, Request *request);
 /* Gives the cost of a request that did not run back to its account's limit. */
 void accounts_refund(Router *router, Request *request);
+/* Logs when the levels of all limits have become known, after a request was
+** refused because its limit's was not. */
+void accounts_update_levels(Router *router, gint64 now);
 /* Returns who shares the accounts' limits. */
 LimitSharers accounts_sharers(const Router *router, gint64 now);
 /* Returns the time since the configuration was certainly the newest, us; -1:
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -71,6 +71,7 @@
         "madderpier_carried_connections 12",
         "madderpier_carried_connections_total 13",
         "madderpier_limited_endpoints 3",
+        "madderpier_unknown_limits 0",
         "madderpier_leaving_endpoints 2",
         "madderpier_resting_endpoints 1",
         "madderpier_endpoint_rates_unreadable_total 0",
