An unknown level of a limit ends after a time, whoever stays away

Cause: after a start the level of each bucket is unknown. It became known from an instance that knows it, or once nine tenths of the registered instances were heard. Where all in reach have started anew and more than a tenth stays away, neither ever comes: each waits for the others, without a bound in time. Ruled out: limits that are used up (levels above zero were refused, known=1 never). Change: the level counts as known ACCOUNT_PEER_TIMEOUT after the number of instances became known. By then each peer in reach has told its level. Retry-After reaches that time. Conclusion: fixed; the class is a start that waits for others without a bound.

--- a/router/account_limits.c
+++ b/router/account_limits.c
@@ -51,6 +51,9 @@
 ** limit then spends 1.8 s of the limit, and the time in which all instances
 ** were away pays for one second of it. */
 #define UNKNOWN_LEVEL_CHANCE 0.5
+/* The level stops being unknown this long after the number of instances became
+** known: by then each peer in reach has sent a digest. */
+#define UNKNOWN_LEVEL_TIMEOUT ACCOUNT_PEER_TIMEOUT
 /* A message closes this part of the gap between the level here and the
 ** sender's, in the first STARTUP_TIME of this instance and later. The part is
 ** the same in both directions, because an instance that saw more spent than
@@ -92,6 +95,9 @@
   Bucket bucket;
   gboolean is_unknown;   /* the level: nothing tells what was spent before this
                          ** instance started */
+  gint64 known_from;     /* the level is used as it is from this time on;
+                         ** G_MAXINT64: the number of instances is not known
+                         ** yet */
   gboolean has_admitted; /* a request, since the limit was added */
   double own_spent;      /* spent by this instance since the limit was added */
   double peers_spent;    /* spent by instances whose digests come here */
@@ -174,6 +180,7 @@
   limit->hash = g_str_hash(account->name);
   limit->pending = pending_totals_sum(limits->pending, limit->hash);
   limit->is_unknown = is_in_first_window(limits, now);
+  limit->known_from = G_MAXINT64;
   limit->bucket.level = limit->is_unknown ? 0 : account->burst;
   limit->bucket.at = now;
   return limit;
@@ -271,6 +278,15 @@
              (limit->burst + limit->headroom) * share - pending_amount(limit));
 }
 
+/* An unknown level ends when nearly all instances are reachable, and at the
+** latest after UNKNOWN_LEVEL_TIMEOUT. */
+static void end_unknown_level(Limit *limit, double share, gint64 now) {
+  if (share > 0 && limit->known_from == G_MAXINT64)
+    limit->known_from = now + UNKNOWN_LEVEL_TIMEOUT;
+  if (share >= ACCOUNT_COMPLETE_VIEW_SHARE || now >= limit->known_from)
+    limit->is_unknown = FALSE;
+}
+
 static void refill(Limit *limit, double share, gint64 now) {
   gboolean has_extra;
   expire_refunds(limit, now);
@@ -281,8 +297,8 @@
   bucket_refill(&limit->bucket,
                 limit->rate * share + (has_extra ? limit->extra : 0),
                 max_level(limit, share), now);
-  if (share >= ACCOUNT_COMPLETE_VIEW_SHARE)
-    limit->is_unknown = FALSE;
+  if (limit->is_unknown)
+    end_unknown_level(limit, share, now);
 }
 
 /* the probability of admission before the level is known */
@@ -307,15 +323,24 @@
   return CLAMP((level + floor) / MAX(floor, cost), 0, 1);
 }
 
+/* Returns the time until the level is known; 0 if it is, or if nothing tells
+** when it will be. */
+static gint64 time_to_known(const Limit *limit, gint64 now) {
+  if (!limit->is_unknown || limit->known_from == G_MAXINT64)
+    return 0;
+  return MAX(limit->known_from - now, 0);
+}
+
 /* Returns the time until the probability of admission is RETRY_ADMIT_CHANCE,
 ** plus a random part, within the bounds. */
 static gint64 retry_delay_of(const Limit *limit, double share, double cost,
-                             double draw) {
+                             double draw, gint64 now) {
   double floor = limit->floor * share;
   double wanted = RETRY_ADMIT_CHANCE * MAX(floor, cost) - floor;
   double seconds =
       (wanted - limit->bucket.level) / (limit->rate * MAX(share, SHARE_MIN));
-  double wait = MAX(seconds, 0) * MP_SEC + draw * (double)RETRY_DELAY_JITTER;
+  double earliest = MAX(seconds * MP_SEC, (double)time_to_known(limit, now));
+  double wait = earliest + draw * (double)RETRY_DELAY_JITTER;
   /* The bounds apply before the conversion: the time of a limit that hardly
   ** fills does not fit into 64 bits, and the caller would be asked to come
   ** back at once. */
@@ -354,7 +379,7 @@
     charge(limit, cost, now);
     return TRUE;
   }
-  *retry_delay = retry_delay_of(limit, share, cost, draw);
+  *retry_delay = retry_delay_of(limit, share, cost, draw, now);
   return FALSE;
 }
 
--- a/router/account_limits.h
+++ b/router/account_limits.h
@@ -28,8 +28,11 @@
 ** 3. A new instance does not know what was admitted before its start. It takes
 **    over the level of the first peer that knows it. Until then it admits at
 **    most one request of each account, which passes by an even chance. When
-**    all instances have just started, no one knows the level, and the buckets
-**    begin empty once nearly all instances are reachable.
+**    all instances in reach have just started, no one knows the level, and the
+**    buckets begin empty once nearly all instances are reachable, or after
+**    ACCOUNT_PEER_TIMEOUT: by then each peer in reach has told its level, and
+**    an empty bucket that fills with the share of the instances in reach holds
+**    no more than what invariant 1 allows.
 ** 4. What runs in a window, summed over all instances, stays within the limit
 **    and its tolerance, although a request may run some seconds after it was
 **    charged. A cost is pending from its charge until the request runs or the
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -390,6 +390,10 @@
 m l-kill "limits: a young instance does not know the level" \
   router/account_limits.c 'limit->is_unknown = is_in_first_window(limits, now);' \
   'limit->is_unknown = FALSE;'
+m l-wait "limits: an unknown level ends after a time" \
+  router/account_limits.c \
+  'share >= ACCOUNT_COMPLETE_VIEW_SHARE || now >= limit->known_from' \
+  'share >= ACCOUNT_COMPLETE_VIEW_SHARE'
 m l-silent "limits: what was spent out of reach is not charged" \
   router/shared_totals.c 'if (!is_known || peer->was_silent)' 'if (!is_known)'
 m l-small "limits: small requests pass first" router/account_limits.c \
