One account's limit has a file of its own

Ruled out: a change of behaviour: functions were moved and renamed, constants kept. Change: account_limit.[hc] is one limit as an instance sees it, account_limits.[hc] the set, shares and messages.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -388,15 +388,15 @@
 m l-cut "limits: scaled by the share heard" router/shared_totals.c \
   'return MIN((double)sharers->heard / sharers->instances, 1.0);' 'return 1;'
 m l-kill "limits: a young instance does not know the level" \
-  router/account_limits.c 'limit->is_unknown = is_in_first_window(limits, now);' \
-  'limit->is_unknown = FALSE;'
+  router/account_limits.c 'pending, is_in_first_window(limits, now)' \
+  'pending, FALSE'
 m l-wait "limits: an unknown level ends after a time" \
-  router/account_limits.c \
+  router/account_limit.c \
   'share >= ACCOUNT_COMPLETE_VIEW_SHARE || now >= limit->known_from' \
   'share >= ACCOUNT_COMPLETE_VIEW_SHARE'
 m l-silent "limits: what was spent out of reach is not charged" \
   router/shared_totals.c 'if (!is_known || peer->was_silent)' 'if (!is_known)'
-m l-small "limits: small requests pass first" router/account_limits.c \
+m l-small "limits: small requests pass first" router/account_limit.c \
   'if (cost <= SMALL_REQUEST_SHARE * limit->burst)' 'if (FALSE)'
 m k-large "relays: the largest machines" router/relay_members.c \
   'guint64 rank = CAPACITY_MAX - MIN(capacity, CAPACITY_MAX);' \
