A taking-up whose replicas do not reply has the set of versions read at 60 ms

Callers saw: at 88 instances a refusal of a stream taken up after 225 ms, 220 allowed, where replicas had been killed. Cause: the set of versions was read only when the replicas' 200 ms were over, and the store answers up to 20 ms later. Ruled out: a longer time for replicas (the bound is the caller's). Change: the read begins when the query is repeated, at 60 ms; a read that began after the request arrived serves as before.

--- a/router/continuation.c
+++ b/router/continuation.c
@@ -456,9 +456,13 @@
   request->stall_at = request->arrived + QUERY_TIMEOUT;
   conclude(router, request, now);
   request = g_hash_table_lookup(router->requests, &number);
-  if (request != NULL && request->phase == PHASE_ORIGIN &&
-      !request->query.asks_store)
-    origin_query_send(router, request);
+  if (request == NULL || request->phase != PHASE_ORIGIN ||
+      request->query.asks_store)
+    return;
+  origin_query_send(router, request);
+  /* so that the set is known if the replicas do not reply */
+  stream_software_want_read(router, g_str_hash(request->service->name),
+                            request->arrived);
 }
 
 gboolean continuation_is_possible(const Router *router,
