--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -147,6 +147,7 @@
 run_soak 17101 17102 8 6
 run_soak 18002 18003 8 6
 run_soak 19001 19002 8 4
+run_soak 20001 20002 8 6
 record_jobs
 
 # A short fuzz run of what reads external input: two minutes of processor time
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -34,6 +34,8 @@
 #   19000  instances that stand still for 0.4 to 2.4 s beside planned stops and
 #          releases, and callers with deadlines from 0.3 s on: no run begins
 #          after them
+#   20000  all instances or most are killed at once, round after round, and some
+#          stay away (test/soak/returns.lua)
 # Ends with "N passed, N failed". For a failed seed it prints the end
 # of the log, which names the folder where the logs of its processes stay.
 set -u
@@ -50,8 +52,10 @@
 make -s -j8 BUILD="$build" processes || exit 2
 
 run_seed() { # seed
+  local script=test/soak/soak.lua
+  [ "$1" -lt 20000 ] || script=test/soak/returns.lua
   SOAK_SEED=$1 SOAK_SECONDS=$seconds SOAK_INSTANCES=$instances \
-    "$build/scenario" "$build" test/soak/soak.lua >"$out/$1.log" 2>&1
+    "$build/scenario" "$build" "$script" >"$out/$1.log" 2>&1
   echo $? >"$out/$1.code"
 }
 
