Arithmetic on a revision stays in store_position.c

Ruled out: an exception in the script. Change: store_position_previous. Conclusion: behaviour unchanged.

--- a/router/store_position.c
+++ b/router/store_position.c
@@ -25,6 +25,12 @@
   return store_position_is_before(one, other) ? other : one;
 }
 
+StorePosition store_position_previous(StorePosition position) {
+  if (!store_position_is_none(position))
+    position.revision--;
+  return position;
+}
+
 const char *store_position_format(StorePosition position,
                                   char out[STORE_POSITION_TEXT_SIZE]) {
   g_snprintf(out, STORE_POSITION_TEXT_SIZE,
--- a/router/store_position.h
+++ b/router/store_position.h
@@ -48,6 +48,9 @@
 gboolean store_position_is_before(StorePosition one, StorePosition other);
 /* Returns the later one of the two positions. */
 StorePosition store_position_later(StorePosition one, StorePosition other);
+/* Returns the last position before this one in the same era; this one if it is
+** before all changes. */
+StorePosition store_position_previous(StorePosition position);
 /* Writes ERA.REVISION in decimal to 'out' and returns 'out'. */
 const char *store_position_format(StorePosition position,
                                   char out[STORE_POSITION_TEXT_SIZE]);
