--- a/router/account_limit.h
+++ b/router/account_limit.h
@@ -43,7 +43,7 @@
   double waiting;        /* charged here for requests that don't run yet */
   double refunded;       /* part of 'own_spent' that may be spent again here */
   gint64 refunded_at;    /* when the newest refund was first seen by
-                         ** expire_refunds; 0: not yet */
+                         ** account_limit_expire_refunds; 0: not yet */
   const PendingSum *pending; /* elsewhere, in steps */
   double headroom;       /* what may be pending before the largest level of the
                          ** bucket is lowered */
