--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -77,6 +77,7 @@
 run_unit_tests build-san sanitized "$san"
 
 # Scenarios run the processes with sanitizers, so a memory error ends them.
+make -s -j8 processes 2>&1 || record_result build-processes-plain 1
 make -s -j8 BUILD=build-san SAN="$san" processes 2>&1 ||
   record_result build-processes 1
 
@@ -150,6 +151,17 @@
 run_soak 20001 20002 8 6
 record_jobs
 
+# Crowds of callers outside the limits, one at a time and apart from other load:
+# they bound the memory of a process, so they run without sanitizers.
+for s in test/crowd/*.lua; do
+  log=$(mktemp)
+  build/scenario build "$s" >"$log" 2>&1
+  code=$?
+  [ $code = 0 ] || tail -20 "$log"
+  record_result "crowd-$(basename "$s" .lua)" $code
+  rm -f "$log"
+done
+
 # A short fuzz run of what reads external input: two minutes of processor time
 # over all targets. Seed and number of inputs are fixed, so the result depends
 # on the sources alone. Longer runs that search for new inputs are started by
--- a/test/scenario.c
+++ b/test/scenario.c
@@ -354,6 +354,21 @@
   return 1;
 }
 
+/* open_files(pid) -> the number of descriptors that the process has open */
+static int l_open_files(lua_State *L) {
+  char path[32];
+  GDir *dir;
+  lua_Integer count = 0;
+  g_snprintf(path, sizeof path, "/proc/%d/fd", (int)luaL_checkinteger(L, 1));
+  dir = g_dir_open(path, 0, NULL);
+  while (dir != NULL && g_dir_read_name(dir) != NULL)
+    count++;
+  if (dir != NULL)
+    g_dir_close(dir);
+  lua_pushinteger(L, count);
+  return 1;
+}
+
 static const luaL_Reg primitives[] = {{"spawn", l_spawn},
                                       {"signal", l_signal},
                                       {"reap", l_reap},
@@ -364,6 +379,7 @@
                                       {"pump", l_pump},
                                       {"now", l_now},
                                       {"mkdir", l_mkdir},
+                                      {"open_files", l_open_files},
                                       {NULL, NULL}};
 
 static const luaL_Reg callmethods[] = {
--- a/test/scenario/lib/gateway.lua
+++ b/test/scenario/lib/gateway.lua
@@ -18,6 +18,7 @@
             -- named WORKER@INSTANCE, and the store too
             own_worker_links = false,
             memory_mb = 0, memory_share = 0, -- flow control; 0: off
+            descriptors = nil, -- most that an instance may have open
             -- callers can reach each instance over a link of the proxy too, which
             -- is named callers-INSTANCE, at the port caller_link
             caller_links = false,
@@ -203,7 +204,7 @@
 end
 
 function launch(e)
-  e.pid = sys.spawn(e.log, sys.build .. "/madderpierd", e.yaml)
+  e.pid = spawn_daemon(e.log, e.yaml, gateway.descriptors)
 end
 
 function is_ready(e)
--- a/test/scenario/lib/world.lua
+++ b/test/scenario/lib/world.lua
@@ -7,7 +7,11 @@
 local PATIENCE = 600 -- looks, of 100 ms each
 local CALL = 3000    -- looks at one call, of 10 ms each
 
-world = { entries = {}, engines = {}, caller_timeout_s = 2 }
+world = { entries = {}, engines = {}, caller_timeout_s = 2,
+          max_body_bytes = 200000,
+          memory_mb = 0, memory_share = 0, -- of the machine; 0: not bounded
+          descriptors = nil -- most that an instance may have open
+        }
 
 function expect(ok, what)
   if not ok then
@@ -79,12 +83,24 @@
     "log_file: " .. e.log,
     "log_level: debug",
     "caller_timeout_s: " .. world.caller_timeout_s,
-    "max_body_bytes: 200000", ""
+    "max_body_bytes: " .. world.max_body_bytes,
+    "memory_mb: " .. world.memory_mb,
+    "memory_share: " .. world.memory_share, ""
   }, "\n"))
 end
 
+-- starts a daemon, with at most so many descriptors where that is given
+function spawn_daemon(out, yaml, descriptors)
+  local daemon = sys.build .. "/madderpierd"
+  if descriptors then
+    return sys.spawn(out, "/usr/bin/prlimit", "--nofile=" .. descriptors,
+                     daemon, yaml)
+  end
+  return sys.spawn(out, daemon, yaml)
+end
+
 function restart(e)
-  e.pid = sys.spawn(sys.dir .. "/out", sys.build .. "/madderpierd", e.yaml)
+  e.pid = spawn_daemon(sys.dir .. "/out", e.yaml, world.descriptors)
 end
 
 -- start{dcs = {...}, entries = N, engines = {{service, role, count}...}}
