--- a/io/carry_client.c
+++ b/io/carry_client.c
@@ -84,13 +84,10 @@
 }
 
 void carry_client_write(struct bufferevent *events, const char *id,
-                        const char *bytes, size_t size) {
-  struct evbuffer *content = evbuffer_new();
+                        struct evbuffer *message) {
   if (id != NULL)
     record_write_note(bufferevent_get_output(events), id);
-  evbuffer_add(content, bytes, size);
-  record_write(bufferevent_get_output(events), content, FALSE);
-  evbuffer_free(content);
+  record_write(bufferevent_get_output(events), message, FALSE);
 }
 
 gboolean carry_client_is_leaving(const CarryClient *client) {
--- a/io/carry_client.h
+++ b/io/carry_client.h
@@ -44,10 +44,10 @@
                        gint64 timeout);
 /* Reads what has arrived, and updates the state. */
 void carry_client_read(CarryClient *client, struct bufferevent *events);
-/* Sends the bytes of a request to the endpoint. The carrier logs 'id', the
-** request's, if it is not NULL. */
+/* Sends the bytes of a request to the endpoint, and empties 'message'. The
+** carrier logs 'id', the request's, if it is not NULL. */
 void carry_client_write(struct bufferevent *events, const char *id,
-                        const char *bytes, size_t size);
+                        struct evbuffer *message);
 /* Returns TRUE if the carrier found that the endpoint accepts no connection.
  */
 gboolean carry_client_endpoint_refused(const CarryClient *client);
--- a/io/endpoint_call.c
+++ b/io/endpoint_call.c
@@ -30,8 +30,8 @@
   if (call == NULL)
     return;
   g_free(call->request_id);
-  if (call->text != NULL)
-    g_string_free(call->text, TRUE);
+  if (call->message != NULL)
+    evbuffer_free(call->message);
   http_head_free(call->head);
   event_splitter_clear(&call->events);
   g_byte_array_free(call->body, TRUE);
@@ -58,8 +58,24 @@
                     http_head_get(head, "Content-Encoding") == NULL;
 }
 
-GString *endpoint_call_text(const Dialect *dialect, const Dispatch *dispatch,
-                            const HttpHead *caller, const GByteArray *body) {
+static void release_body(const void *bytes, size_t size, void *body) {
+  (void)bytes;
+  (void)size;
+  g_byte_array_unref(body);
+}
+
+/* Adds a body without copying its bytes. */
+static void add_body(struct evbuffer *message, GByteArray *body) {
+  if (body->len > 0)
+    evbuffer_add_reference(message, body->data, body->len, release_body,
+                           g_byte_array_ref(body));
+}
+
+struct evbuffer *endpoint_call_message(const Dialect *dialect,
+                                       const Dispatch *dispatch,
+                                       const HttpHead *caller,
+                                       GByteArray *body) {
+  struct evbuffer *message = evbuffer_new();
   char *own = NULL;
   HttpHead *head = dialect->write_dispatch(dispatch, caller, &own);
   GString *text = g_string_new(NULL);
@@ -71,11 +87,13 @@
   http_head_write(head, text);
   if (own != NULL)
     g_string_append(text, own);
-  else if (body != NULL)
-    g_string_append_len(text, (const char *)body->data, body->len);
+  evbuffer_add(message, text->str, text->len);
+  if (own == NULL && body != NULL)
+    add_body(message, body);
+  g_string_free(text, TRUE);
   http_head_free(head);
   g_free(own);
-  return text;
+  return message;
 }
 
 gboolean endpoint_call_is_control(const EndpointCall *call) {
--- a/io/endpoint_call.h
+++ b/io/endpoint_call.h
@@ -9,6 +9,8 @@
 #ifndef ENDPOINT_CALL_H
 #define ENDPOINT_CALL_H
 
+#include <event2/buffer.h>
+
 #include "dialect/dialect.h"
 #include "http/events.h"
 #include "io/endpoint_links.h"
@@ -18,23 +20,23 @@
   guint64 dispatch; /* Dispatch.number */
   guint64 request;  /* Dispatch.request */
   DispatchKind kind;
-  guint32 life;           /* incarnation of the endpoint: Dispatch.life */
-  gboolean may_stream;    /* responses of the route may be event streams */
-  gboolean on_kept;       /* its connection was open before it */
-  char *request_id;       /* the caller's; NULL: none */
-  GString *text;          /* the request, until it is written; then NULL */
-  HttpHead *head;         /* of the response; NULL until it is received */
-  EndpointHead head_info; /* 'head' as the dialect reads it */
-  gboolean is_foreign;    /* the response belongs to another request */
-  gboolean is_stream;     /* the response is forwarded event by event */
-  gboolean is_head_sent;  /* the head of a stream was forwarded */
-  gboolean has_event;     /* an event of a stream was forwarded */
-  gboolean is_oversized;  /* more has arrived than is buffered */
-  guint skipped_count;    /* informational and other requests' responses */
-  gsize skipped_bytes;    /* of the bodies of other requests' responses */
-  EventSplitter events;   /* splits a stream into whole events */
-  GByteArray *body;       /* the body, or the part of a stream not split yet */
-  gint64 deadline_at;     /* of the caller; 0: none */
+  guint32 life;             /* incarnation of the endpoint: Dispatch.life */
+  gboolean may_stream;      /* responses of the route may be event streams */
+  gboolean on_kept;         /* its connection was open before it */
+  char *request_id;         /* the caller's; NULL: none */
+  struct evbuffer *message; /* the request, until it is written; then NULL */
+  HttpHead *head;           /* of the response; NULL until it is received */
+  EndpointHead head_info;   /* 'head' as the dialect reads it */
+  gboolean is_foreign;      /* the response belongs to another request */
+  gboolean is_stream;       /* the response is forwarded event by event */
+  gboolean is_head_sent;    /* the head of a stream was forwarded */
+  gboolean has_event;       /* an event of a stream was forwarded */
+  gboolean is_oversized;    /* more has arrived than is buffered */
+  guint skipped_count;      /* informational and other requests' responses */
+  gsize skipped_bytes;      /* of the bodies of other requests' responses */
+  EventSplitter events;     /* splits a stream into whole events */
+  GByteArray *body;   /* the body, or the part of a stream not split yet */
+  gint64 deadline_at; /* of the caller; 0: none */
 } EndpointCall;
 
 EndpointCall *endpoint_call_new(const Dispatch *dispatch);
@@ -47,12 +49,15 @@
 void endpoint_call_set_head(EndpointCall *call, const Dialect *dialect,
                             HttpHead *head);
 /*
-** Returns the text of the dispatch's request, which the caller frees: its
+** Returns the bytes of the dispatch's request, which the caller frees: its
 ** head, and its body, which is the dialect's or the caller's. 'caller' and
-** 'body' are NULL for a dispatch that has no caller.
+** 'body' are NULL for a dispatch that has no caller. The bytes of 'body' are
+** not copied: the buffer holds a reference to it, and they must not change.
 */
-GString *endpoint_call_text(const Dialect *dialect, const Dispatch *dispatch,
-                            const HttpHead *caller, const GByteArray *body);
+struct evbuffer *endpoint_call_message(const Dialect *dialect,
+                                       const Dispatch *dispatch,
+                                       const HttpHead *caller,
+                                       GByteArray *body);
 
 /*
 ** Is it a control call, one that the router makes for itself rather than for a
--- a/io/endpoint_links.c
+++ b/io/endpoint_links.c
@@ -403,12 +403,11 @@
   EndpointCall *call = link->call;
   event_del(link->timer);
   if (link->carry != NULL)
-    carry_client_write(link->events, call->request_id, call->text->str,
-                       call->text->len);
+    carry_client_write(link->events, call->request_id, call->message);
   else
-    bufferevent_write(link->events, call->text->str, call->text->len);
-  g_string_free(call->text, TRUE);
-  call->text = NULL;
+    bufferevent_write_buffer(link->events, call->message);
+  evbuffer_free(call->message);
+  call->message = NULL;
   if (endpoint_call_is_control(call))
     start_timer(link, CONTROL_TIMEOUT);
 }
@@ -674,7 +673,7 @@
 }
 
 void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
-                         const HttpHead *caller, const GByteArray *body) {
+                         const HttpHead *caller, GByteArray *body) {
   EndpointCall *call;
   Link *link;
   CallerHead read;
@@ -684,7 +683,8 @@
   }
   call = endpoint_call_new(dispatch);
   link = take_idle_link(links, dispatch);
-  call->text = endpoint_call_text(links->dialect, dispatch, caller, body);
+  call->message =
+      endpoint_call_message(links->dialect, dispatch, caller, body);
   if (caller != NULL && links->dialect->read_caller(caller, &read, NULL)) {
     call->request_id = g_strdup(read.request.id);
     caller_head_clear(&read);
--- a/io/endpoint_links.h
+++ b/io/endpoint_links.h
@@ -66,11 +66,13 @@
 
 /*
 ** Sends a dispatch. 'caller' and 'body' are the head and body of the caller's
-** request, NULL for a dispatch that has no caller; they are not needed after
-** the call. The outcome is reported later.
+** request, NULL for a dispatch that has no caller. The head is not needed
+*after
+** the call; the body is referenced until it is sent, and its bytes must not
+** change. The outcome is reported later.
 */
 void endpoint_links_send(EndpointLinks *links, const Dispatch *dispatch,
-                         const HttpHead *caller, const GByteArray *body);
+                         const HttpHead *caller, GByteArray *body);
 /*
 ** Aborts a dispatch and closes its connection, without an outcome. It has no
 ** effect on a dispatch that has ended, whose connection may be idle.
--- a/io/front.c
+++ b/io/front.c
@@ -173,7 +173,7 @@
   return connection != NULL ? connection->head : NULL;
 }
 
-const GByteArray *front_request_body(const Front *front, guint64 number) {
+GByteArray *front_request_body(const Front *front, guint64 number) {
   const Connection *connection = find_connection(front, number);
   return connection != NULL ? connection->body : NULL;
 }
--- a/io/front.h
+++ b/io/front.h
@@ -119,7 +119,7 @@
 
 /* The head or body of a request; NULL when the number is not valid. */
 const HttpHead *front_request_head(const Front *front, guint64 number);
-const GByteArray *front_request_body(const Front *front, guint64 number);
+GByteArray *front_request_body(const Front *front, guint64 number);
 
 /* Sends a whole response, which ends the request. */
 void front_send_response(Front *front, guint64 number, const HttpHead *head,
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -103,7 +103,7 @@
   http_reader_free(connection->reader);
   http_head_free(connection->head);
   http_head_free(connection->answered);
-  g_byte_array_free(connection->body, TRUE);
+  g_byte_array_unref(connection->body);
   g_free(connection);
 }
 
@@ -202,6 +202,13 @@
                          connection->limits.max_body_bytes);
 }
 
+void connection_drop_body(Connection *connection) {
+  if (connection->body->len == 0)
+    return;
+  g_byte_array_unref(connection->body);
+  connection->body = g_byte_array_new();
+}
+
 void connection_forget_request(Connection *connection) {
   if (connection->number != 0)
     g_hash_table_remove(connection->front->open, &connection->number);
@@ -211,7 +218,7 @@
   if (connection->flow != NULL)
     flow_set_body(connection->front->flow, connection->flow, 0, FALSE);
   connection_set_answered(connection);
-  g_byte_array_set_size(connection->body, 0);
+  connection_drop_body(connection);
 }
 
 void connection_set_answered(Connection *connection) {
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -142,6 +142,8 @@
 ** its next request before it has read the response, so the connection lingers.
 */
 void connection_end_response(Connection *connection, gboolean close);
+/* Forgets the body. A dispatch that is being sent keeps its reference. */
+void connection_drop_body(Connection *connection);
 /* Forgets the request and what it holds, but for its head. */
 void connection_forget_request(Connection *connection);
 /* Counts a response that this instance cuts off because its caller does not
--- a/test/test_carry.cc
+++ b/test/test_carry.cc
@@ -70,7 +70,7 @@
     if (server != nullptr)
       carry_server_free(server);
     http_head_free(caller);
-    g_byte_array_free(body, TRUE);
+    g_byte_array_unref(body);
     event_base_free(base);
     log_free(log);
   }
--- a/test/test_endless_answers.cc
+++ b/test/test_endless_answers.cc
@@ -92,7 +92,7 @@
   void TearDown() override {
     endpoint_links_free(links);
     http_head_free(caller);
-    g_byte_array_free(body, TRUE);
+    g_byte_array_unref(body);
     event_base_free(base);
   }
   static void on_outcome(void *data, const Outcome *outcome) {
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -50,7 +50,7 @@
   void TearDown() override {
     endpoint_links_free(links);
     http_head_free(caller);
-    g_byte_array_free(body, TRUE);
+    g_byte_array_unref(body);
     event_base_free(base);
   }
 
