--- a/http/head.c
+++ b/http/head.c
@@ -7,16 +7,14 @@
 
 #include "http/head.h"
 
-static void field_clear(gpointer p) {
-  HttpField *field = p;
-  g_free(field->name);
-  g_free(field->value);
-}
+/* Texts of fields are kept in blocks of this size (bytes); a larger one has a
+** block of its own, of the next power of two. */
+#define TEXT_BLOCK_BYTES 512
 
 HttpHead *http_head_new(void) {
   HttpHead *head = g_new0(HttpHead, 1);
   head->fields = g_array_new(FALSE, FALSE, sizeof(HttpField));
-  g_array_set_clear_func(head->fields, field_clear);
+  head->texts = g_string_chunk_new(TEXT_BLOCK_BYTES);
   return head;
 }
 
@@ -24,6 +22,7 @@
   if (head == NULL)
     return;
   g_array_free(head->fields, TRUE);
+  g_string_chunk_free(head->texts);
   g_free(head->method);
   g_free(head->target);
   g_free(head);
@@ -42,11 +41,25 @@
   return head;
 }
 
+/* Returns a copy of the text, which the head owns. */
+static char *keep_text(HttpHead *head, const char *text) {
+  gsize size = strlen(text) + 1;
+  head->texts_size += size > TEXT_BLOCK_BYTES ? 2 * size : size;
+  return g_string_chunk_insert(head->texts, text);
+}
+
 void http_head_add(HttpHead *head, const char *name, const char *value) {
-  HttpField field = {g_strdup(name), g_strdup(value)};
+  HttpField field = {keep_text(head, name), keep_text(head, value)};
   g_array_append_val(head->fields, field);
 }
 
+gsize http_head_size(const HttpHead *head) {
+  gsize target = head->target != NULL ? strlen(head->target) : 0;
+  /* the array grows to the next power of two */
+  gsize fields = 2 * head->fields->len * sizeof(HttpField);
+  return sizeof *head + TEXT_BLOCK_BYTES + target + fields + head->texts_size;
+}
+
 void http_head_add_number(HttpHead *head, const char *name, gint64 value) {
   char text[32];
   g_snprintf(text, sizeof text, "%" G_GINT64_FORMAT, value);
--- a/http/head.h
+++ b/http/head.h
@@ -23,6 +23,8 @@
   char *target;   /* of a request: path and query, as received; else NULL */
   int status;     /* of a response; 0 in a request */
   GArray *fields; /* HttpField */
+  GStringChunk *texts; /* names and values of the fields */
+  gsize texts_size;    /* bytes that they take there */
 } HttpHead;
 
 /* Returns an empty head, to be freed by http_head_free. */
@@ -60,6 +62,10 @@
 */
 void http_head_copy_end_to_end(HttpHead *to, const HttpHead *from);
 
+/* Returns the bytes of memory that the head takes, at most. A field takes more
+** than its text: a caller can send 3,000 fields within a head of 16 KB. */
+gsize http_head_size(const HttpHead *head);
+
 /* Returns the reason phrase of a status code, "Status" for an unknown one. */
 const char *http_reason_phrase(int status);
 
--- a/http/reader.c
+++ b/http/reader.c
@@ -9,6 +9,13 @@
 
 #include "http/reader.h"
 
+/* Bytes of a field beside its name and its value, at least: a colon, CR, LF.
+ */
+#define FIELD_EXTRA_BYTES 3
+
+/* Capacity (bytes) that a text keeps from one message to the next. */
+#define TEXT_KEPT_BYTES 1024
+
 struct HttpReader {
   http_parser parser;
   http_parser_settings settings;
@@ -84,6 +91,7 @@
 
 static int on_name(http_parser *parser, const char *bytes, size_t size) {
   HttpReader *reader = reader_of(parser);
+  size_t size_counted = size;
   /* The parser lets spaces pass. A recipient that ignores one would see a
   ** different field, such as another length (RFC 9112, 5.1). */
   if (memchr(bytes, ' ', size) != NULL)
@@ -92,8 +100,10 @@
     add_field(reader);
     reader->in_value = FALSE;
   }
+  if (reader->name->len == 0)
+    size_counted += FIELD_EXTRA_BYTES;
   g_string_append_len(reader->name, bytes, (gssize)size);
-  return count_head_bytes(reader, size);
+  return count_head_bytes(reader, size_counted);
 }
 
 static int on_value(http_parser *parser, const char *bytes, size_t size) {
@@ -219,6 +229,16 @@
   reader->no_body = TRUE;
 }
 
+/* Frees what a text has grown to. */
+static void shrink_text(GString **text) {
+  if ((*text)->allocated_len <= TEXT_KEPT_BYTES) {
+    g_string_truncate(*text, 0);
+    return;
+  }
+  g_string_free(*text, TRUE);
+  *text = g_string_new(NULL);
+}
+
 static size_t execute(HttpReader *reader, const char *bytes, size_t size) {
   return http_parser_execute(&reader->parser, &reader->settings, bytes, size);
 }
@@ -246,6 +266,9 @@
   reader->at_head_end = FALSE;
   reader->has_head = TRUE;
   reader->head = NULL;
+  shrink_text(&reader->name);
+  shrink_text(&reader->value);
+  shrink_text(&reader->target);
   reader->callbacks.head(reader->data, head);
   http_parser_pause(&reader->parser, 0);
 }
@@ -295,6 +318,21 @@
     reader->no_body = FALSE;
 }
 
+gsize http_reader_size(const HttpReader *reader) {
+  gsize texts = reader->name->allocated_len + reader->value->allocated_len +
+                reader->target->allocated_len;
+  return texts + (reader->head != NULL ? http_head_size(reader->head) : 0);
+}
+
+void http_reader_discard(HttpReader *reader) {
+  http_head_free(reader->head);
+  reader->head = NULL;
+  shrink_text(&reader->name);
+  shrink_text(&reader->value);
+  shrink_text(&reader->target);
+  reader->state = HTTP_READER_FAILED;
+}
+
 HttpReaderState http_reader_state(const HttpReader *reader) {
   return reader->state;
 }
--- a/http/reader.h
+++ b/http/reader.h
@@ -83,6 +83,12 @@
 /* Prepares for the next message on the same stream. The state must be DONE. */
 void http_reader_start_next(HttpReader *reader);
 
+/* Returns the bytes of memory that the part of a head takes that was read. */
+gsize http_reader_size(const HttpReader *reader);
+/* Gives the present message up and frees what was read of its head. The state
+** becomes FAILED. */
+void http_reader_discard(HttpReader *reader);
+
 HttpReaderState http_reader_state(const HttpReader *reader);
 HttpReaderError http_reader_error(const HttpReader *reader);
 
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -209,6 +209,30 @@
   EXPECT_EQ(http_reader_error(body.reader), HTTP_ERROR_BODY_TOO_LARGE);
 }
 
+/* Guards against heads that take many times the memory of their bytes: the
+** shortest fields count with what stands between them, and their memory is
+** told while the head still arrives. */
+TEST(Reader, ShortFieldsCountAndTheirMemoryIsTold) {
+  HttpReaderCallbacks ignored = {
+      [](void *, HttpHead *head) { http_head_free(head); },
+      [](void *, const char *, size_t) {}};
+  std::string head = "GET / HTTP/1.1\r\n";
+  HttpReader *reader = http_reader_new(HTTP_REQUESTS, &ignored, nullptr);
+  http_reader_set_limits(reader, 16384, 0);
+  for (int i = 0; i < 3000; i++)
+    head += "a:b\r\n";
+  http_reader_feed(reader, head.data(), head.size());
+  EXPECT_EQ(http_reader_state(reader), HTTP_READER_PARTIAL);
+  EXPECT_GE(http_reader_size(reader), 3000 * (sizeof(HttpField) + 4));
+  EXPECT_LE(http_reader_size(reader), 16384 * 8u);
+  http_reader_feed(reader, head.data() + 16, head.size() - 16);
+  EXPECT_EQ(http_reader_state(reader), HTTP_READER_FAILED);
+  EXPECT_EQ(http_reader_error(reader), HTTP_ERROR_HEAD_TOO_LARGE);
+  http_reader_discard(reader);
+  EXPECT_LE(http_reader_size(reader), 4096u);
+  http_reader_free(reader);
+}
+
 TEST(Reader, KeepsTheTargetAsItCame) {
   Reading r(HTTP_REQUESTS);
   r.feed("GET /a/b%20c?q=1&r=%2f HTTP/1.1\r\nHost: h\r\n\r\n", 3);
