--- a/io/close_reason.h
+++ b/io/close_reason.h
@@ -16,6 +16,8 @@
   CLOSE_NOT_READ,    /* the kernel could send nothing for the write timeout */
   CLOSE_UNREAD_MAX,  /* too many bytes of a stream were unread */
   CLOSE_FLOW,        /* flow control has aborted it (FlowReason) */
+  CLOSE_MEMORY,      /* its caller sent on behind an open request while callers
+                     ** held too much */
   CLOSE_SENDS_ON,    /* the caller sent on for too long after its response */
   CLOSE_DISCARDED,   /* it was half-closed, and a request on it was read and
                      ** discarded */
--- a/io/flow_control.c
+++ b/io/flow_control.c
@@ -23,12 +23,18 @@
 struct FlowConnection {
   FlowReader reader; /* 'read' is set for a decision */
   gpointer owner;
-  guint64 request;     /* 0: none */
-  guint64 read_last;   /* bytes read in the last whole window */
-  guint64 read_now;    /* and in the present one */
-  guint64 body;        /* bytes of its request's body */
-  guint index;         /* in FlowControl.connections */
-  gboolean is_aborted; /* its bytes are not counted any more */
+  guint64 request;      /* 0: none */
+  guint64 read_last;    /* bytes read in the last whole window */
+  guint64 read_now;     /* and in the present one */
+  guint64 body;         /* bytes of its request's body */
+  guint64 body_max;     /* that a body of unknown size may have; 0: it is known
+                        ** or there is none */
+  guint64 input;        /* flow_set_input */
+  FlowArrival arrival;  /* 'bytes' and 'received' are set for a decision */
+  guint64 arrived_last; /* bytes that arrived in the last whole window */
+  guint64 arrived_now;  /* and in the present one */
+  guint index;          /* in FlowControl.connections */
+  gboolean is_aborted;  /* its bytes are not counted any more */
 };
 
 struct FlowControl {
@@ -38,6 +44,8 @@
   GPtrArray *connections; /* of FlowConnection, which it owns */
   guint64 total;          /* unread bytes of those that are not aborted */
   guint64 bodies;         /* sum of their bodies */
+  guint64 input;          /* sum of their input */
+  gboolean is_making_room;
   guint paused;
   gint64 window_at; /* when the present window began */
   guint64 aborts[FLOW_REASON_COUNT];
@@ -143,7 +151,7 @@
                              FlowReason reason) {
   const FlowHooks *hooks = &flow->hooks;
   FlowReader reader = connection->reader;
-  guint64 total = flow_held(flow);
+  guint64 total = flow_used(flow);
   connection->is_aborted = TRUE;
   flow->aborts[reason]++;
   discount(flow, connection);
@@ -163,12 +171,66 @@
     connection->reader.read = MAX(connection->read_last, connection->read_now);
     readers[i] = &connection->reader;
   }
-  while ((index = flow_choose(&flow->limits, readers, count, flow_held(flow),
+  while ((index = flow_choose(&flow->limits, readers, count, flow_used(flow),
                               now, &reason)) >= 0)
     abort_connection(flow, flow->connections->pdata[index], reason);
   g_free(readers);
 }
 
+/* Sets what decisions need, of all connections but 'except', in the order of
+** FlowControl.connections. The caller frees the array. */
+static const FlowArrival **collect_arrivals(FlowControl *flow,
+                                            const FlowConnection *except) {
+  guint count = flow->connections->len;
+  const FlowArrival **arrivals = g_new(const FlowArrival *, count);
+  static const FlowArrival none = {0};
+  guint i;
+  for (i = 0; i < count; i++) {
+    FlowConnection *one = flow->connections->pdata[i];
+    FlowArrival *arrival = &one->arrival;
+    /* a request that is whole has its body, and the next one arrives */
+    gboolean is_whole = one->request != 0;
+    arrival->bytes =
+        one->input + (is_whole ? 0 : FLOW_BODY_COPIES * one->body);
+    arrival->received = MAX(one->arrived_last, one->arrived_now);
+    arrivals[i] = one == except ? &none : arrival;
+  }
+  return arrivals;
+}
+
+/* Lets a request that arrives give way. Returns the bytes that it frees. */
+static guint64 give_way(FlowControl *flow, FlowConnection *connection) {
+  const FlowHooks *hooks = &flow->hooks;
+  guint64 used = flow_used(flow);
+  guint64 bytes = connection->arrival.bytes;
+  flow_end_arrival(connection);
+  flow_set_input(flow, connection, 0);
+  if (connection->request == 0)
+    flow_set_body(flow, connection, 0, FALSE);
+  hooks->give_way(flow->owner_data, connection->owner, used);
+  return bytes;
+}
+
+/* Lets requests that arrive on other connections give way until 'need' bytes
+** are free. Returns FALSE, and none gives way, if that cannot be reached. */
+static gboolean make_room(FlowControl *flow, const FlowConnection *asker,
+                          guint64 need, gint64 now) {
+  guint count = flow->connections->len;
+  const FlowArrival **arrivals;
+  guint64 freed = 0;
+  int index = 0;
+  if (flow->hooks.give_way == NULL || flow->is_making_room)
+    return FALSE;
+  flow->is_making_room = TRUE;
+  arrivals = collect_arrivals(flow, asker);
+  while (freed < need && (index = flow_arrival_choose(arrivals, count,
+                                                      need - freed, now)) >= 0)
+    freed += give_way(flow, flow->connections->pdata[index]);
+  g_free(arrivals);
+  flow->is_making_room = FALSE;
+  return freed >= need;
+}
+
 /* Pauses or resumes a connection as its unread bytes require. */
 static void update_pause(FlowControl *flow, FlowConnection *connection,
                          gint64 now) {
@@ -176,7 +238,7 @@
   FlowReader *reader = &connection->reader;
   gboolean was_paused = reader->paused_since != 0;
   gboolean pauses = connection->request != 0 &&
-                    flow_pauses(&flow->limits, reader, flow_held(flow));
+                    flow_pauses(&flow->limits, reader, flow_used(flow));
   if (pauses && !was_paused) {
     reader->paused_since = now;
     flow->paused++;
@@ -219,6 +281,7 @@
   FlowConnection *last = flow->connections->pdata[flow->connections->len - 1];
   discount(flow, connection);
   flow->bodies -= connection->body;
+  flow->input -= connection->input;
   last->index = index;
   g_ptr_array_remove_index_fast(flow->connections, index);
 }
@@ -245,7 +308,8 @@
   }
   reader->unread += size;
   flow->total += size;
-  if (flow_held(flow) > flow->limits.bound)
+  if (flow_used(flow) > flow->limits.bound && !flow->is_making_room &&
+      !make_room(flow, NULL, flow_used(flow) - flow->limits.bound, now))
     apply_limits(flow, now);
   if (!connection->is_aborted)
     update_pause(flow, connection, now);
@@ -265,17 +329,113 @@
     update_pause(flow, connection, now);
 }
 
+static void set_body(FlowControl *flow, FlowConnection *connection,
+                     guint64 size, guint64 size_max) {
+  flow->bodies += size - connection->body;
+  connection->body = size;
+  connection->body_max = size_max;
+}
+
+/* Would a body of this size fit, with so many bytes left free beside it? */
+static gboolean body_fits(const FlowControl *flow,
+                          const FlowConnection *connection, guint64 size,
+                          guint64 headroom) {
+  guint64 own = FLOW_BODY_COPIES * connection->body;
+  return flow_takes_body(&flow->limits, flow_used(flow) - own + headroom,
+                         flow->bodies - connection->body, size);
+}
+
 gboolean flow_set_body(FlowControl *flow, FlowConnection *connection,
                        guint64 size, gboolean must_fit) {
-  guint64 others = flow->bodies - connection->body;
-  guint64 held = flow->total + FLOW_BODY_COPIES * others;
-  if (must_fit && !flow_takes_body(&flow->limits, held, others, size))
+  if (must_fit && !body_fits(flow, connection, size, 0))
     return FALSE;
-  flow->bodies = others + size;
-  connection->body = size;
+  set_body(flow, connection, size, 0);
+  return TRUE;
+}
+
+/* Returns the body of unknown size that began first. */
+static const FlowConnection *oldest_growing(const FlowControl *flow) {
+  const FlowConnection *oldest = NULL;
+  guint i;
+  for (i = 0; i < flow->connections->len; i++) {
+    const FlowConnection *one = flow->connections->pdata[i];
+    if (one->body_max > one->body && one->arrival.since != 0 &&
+        (oldest == NULL || one->arrival.since < oldest->arrival.since))
+      oldest = one;
+  }
+  return oldest;
+}
+
+/* Returns the bytes that others must leave for the oldest growing body. */
+static guint64 headroom_beside(const FlowControl *flow,
+                               const FlowConnection *connection) {
+  const FlowConnection *oldest = oldest_growing(flow);
+  if (oldest == NULL || oldest == connection)
+    return 0;
+  return FLOW_BODY_COPIES * (oldest->body_max - oldest->body);
+}
+
+gboolean flow_grow_body(FlowControl *flow, FlowConnection *connection,
+                        guint64 size, guint64 size_max, gint64 now) {
+  guint64 reserved = connection->body;
+  guint64 wanted;
+  guint64 headroom;
+  if (size <= reserved)
+    return TRUE;
+  if (size <= FLOW_SMALL_BYTES) {
+    set_body(flow, connection, size, size_max);
+    return TRUE;
+  }
+  connection->body_max = size_max;
+  wanted = MIN(2 * MAX(size, reserved), MAX(size, size_max));
+  headroom = headroom_beside(flow, connection);
+  if (!body_fits(flow, connection, wanted, headroom) &&
+      !(flow_make_room(flow, connection,
+                       FLOW_BODY_COPIES * (wanted - reserved) + headroom,
+                       now) &&
+        body_fits(flow, connection, wanted, headroom)))
+    return FALSE;
+  set_body(flow, connection, wanted, size_max);
   return TRUE;
 }
 
+void flow_set_input(FlowControl *flow, FlowConnection *connection,
+                    guint64 size) {
+  flow->input += size - connection->input;
+  connection->input = size;
+}
+
+void flow_begin_arrival(FlowConnection *connection, gint64 now) {
+  if (connection->arrival.since != 0)
+    return;
+  connection->arrival.since = now;
+  connection->arrived_last = 0;
+  connection->arrived_now = 0;
+}
+
+void flow_arrived(FlowConnection *connection, guint64 size) {
+  connection->arrived_now += size;
+}
+
+void flow_set_waiting(FlowConnection *connection, gboolean is_waiting) {
+  connection->arrival.is_waiting = is_waiting;
+}
+
+void flow_end_arrival(FlowConnection *connection) {
+  connection->arrival.since = 0;
+  connection->arrival.is_waiting = FALSE;
+}
+
+gboolean flow_make_room(FlowControl *flow, const FlowConnection *connection,
+                        guint64 more, gint64 now) {
+  guint64 own = connection->input + FLOW_BODY_COPIES * connection->body + more;
+  guint64 bound = flow->limits.bound;
+  guint64 used = flow_used(flow) + more;
+  if (own <= FLOW_SMALL_BYTES * FLOW_BODY_COPIES)
+    bound += bound / FLOW_RESERVE_SHARE;
+  return used <= bound || make_room(flow, connection, used - bound, now);
+}
+
 gboolean flow_is_aborted(const FlowConnection *connection) {
   return connection->is_aborted;
 }
@@ -288,6 +448,8 @@
     FlowConnection *connection = flow->connections->pdata[i];
     connection->read_last = connection->read_now;
     connection->read_now = 0;
+    connection->arrived_last = connection->arrived_now;
+    connection->arrived_now = 0;
   }
 }
 
@@ -321,6 +483,11 @@
   return flow->total + FLOW_BODY_COPIES * flow->bodies;
 }
 
+guint64 flow_used(const FlowControl *flow) {
+  return flow_held(flow) + flow->input +
+         (guint64)flow->connections->len * FLOW_CONNECTION_BYTES;
+}
+
 guint flow_paused(const FlowControl *flow) {
   return flow->paused;
 }
--- a/io/flow_control.h
+++ b/io/flow_control.h
@@ -1,12 +1,15 @@
 /*
 ** flow_control.h
-** Flow control for slow callers: counts the bytes of answers that callers have
-** not read, pauses reading from endpoints, and aborts connections
+** Flow control for callers: counts what their connections hold, pauses reading
+** from endpoints, aborts connections of slow readers, and decides which
+** requests are taken in
 **
 ** The user (front.c) reports for each connection of a caller what is added to
 ** its output buffer and what leaves it. Unread bytes are those in this buffer;
-** what the kernel holds is not counted. Bodies of requests count against the
-** same bound: a large one that does not fit is not taken in. The module does
+** what the kernel holds of them is not counted. Bodies of requests, heads,
+** input that is not parsed yet and the connections themselves count against
+** the same bound: a large body that does not fit is not taken in, and when the
+** bound is reached, requests that are still arriving give way. The module does
 ** no I/O and reads no clock: it acts through FlowHooks, and every time is
 ** given, in microseconds of one steady clock.
 **
@@ -20,6 +23,9 @@
 **   quick callers are sent, for FLOW_QUICK_TIME.
 ** - A connection is aborted once; its unread bytes are not counted from then
 **   on. Its body is counted until flow_remove or flow_set_body.
+** - A request that is whole is never chosen to give way, nor one that arrives
+**   quickly (flow_input.h). Small requests may use FLOW_RESERVE_SHARE of the
+**   bound beyond it, so that large ones cannot shut them out.
 */
 
 #ifndef FLOW_CONTROL_H
@@ -29,6 +35,8 @@
 
 #include <glib.h>
 
+#include "io/flow_input.h"
+
 /* An endpoint cuts off an answer that stays unread for some seconds. So a
 ** connection is aborted when its endpoint was held back for this long (us). */
 #define FLOW_HELD_MAX (2 * MP_SEC)
@@ -48,6 +56,14 @@
 ** towards its endpoint. */
 #define FLOW_BODY_COPIES 2
 
+/* A request up to this size (bytes) is small: it arrives within some reads and
+** is not held back. */
+#define FLOW_SMALL_BYTES (64 << 10)
+/* Part of the bound that only small requests may use beyond it. */
+#define FLOW_RESERVE_SHARE 8
+/* What a connection holds besides its request and its output (bytes). */
+#define FLOW_CONNECTION_BYTES (4 << 10)
+
 /* Interval of flow_tick (us). It is well below the 500 ms of silence after
 ** which the router resumes a stream elsewhere (router/silence.c). */
 #define FLOW_TICK_INTERVAL (100 * MP_MS)
@@ -64,7 +80,7 @@
 
 /* In bytes. All are 0 without flow control. */
 typedef struct FlowLimits {
-  guint64 bound; /* of what all connections hold: flow_held */
+  guint64 bound; /* of what all connections hold: flow_used */
   guint64 high;  /* of one connection: reading from its endpoint pauses */
   guint64 low;   /* and resumes */
 } FlowLimits;
@@ -84,7 +100,7 @@
 
 /*
 ** Returns whether reading from the endpoint of this connection is paused while
-** 'total' bytes are held altogether (flow_held). Above three quarters of the
+** 'total' bytes are held altogether (flow_used). Above three quarters of the
 ** bound, the marks are a quarter of what they are otherwise.
 */
 gboolean flow_pauses(const FlowLimits *limits, const FlowReader *reader,
@@ -99,7 +115,7 @@
                          guint64 bodies, guint64 size);
 /*
 ** Chooses the connection to abort now, and the reason. Returns its index, or
-** -1 for none; 'total' is flow_held. Connections of quick callers are never
+** -1 for none; 'total' is flow_used. Connections of quick callers are never
 ** chosen, and those over a limit of time come first. If 'total' exceeds the
 ** bound, it is the one with the least urgent priority, and among these the one
 ** with the most unread bytes. 'reason' is meaningful only if a connection was
@@ -133,6 +149,10 @@
   ** not before this returns. */
   void (*abort)(void *data, gpointer owner, guint64 request, FlowReason reason,
                 const FlowReader *reader, guint64 total);
+  /* Reports that the request which arrives on a connection gives way. It is
+  ** not counted any more; 'owner' has to refuse it and to free what it holds,
+  ** and must not be closed before this returns. NULL: none gives way. */
+  void (*give_way)(void *data, gpointer owner, guint64 used);
 } FlowHooks;
 
 /* 'owner_data' is passed to FlowHooks.abort; the limits and the hooks are
@@ -163,6 +183,34 @@
 */
 gboolean flow_set_body(FlowControl *flow, FlowConnection *connection,
                        guint64 size, gboolean must_fit);
+/*
+** Reserves memory for a body of unknown size that has 'size' bytes by now and
+** may become 'size_max': up to twice of what it has, so that it is asked for
+** seldom. Among such bodies, room is left for the one that began first to
+** become as large as it may, so that they never wait for each other. Returns
+** FALSE if it cannot grow now.
+*/
+gboolean flow_grow_body(FlowControl *flow, FlowConnection *connection,
+                        guint64 size, guint64 size_max, gint64 now);
+/* Sets what the connection holds besides its body and its output: the head of
+** its request, and input that is not parsed yet. */
+void flow_set_input(FlowControl *flow, FlowConnection *connection,
+                    guint64 size);
+/* A request has begun to arrive, unless one arrives already. */
+void flow_begin_arrival(FlowConnection *connection, gint64 now);
+/* Reports bytes of a request that arrives. */
+void flow_arrived(FlowConnection *connection, guint64 size);
+/* The instance does not read the request on, or does so again. */
+void flow_set_waiting(FlowConnection *connection, gboolean is_waiting);
+/* The request is whole, refused or given up by its caller. */
+void flow_end_arrival(FlowConnection *connection);
+/*
+** Returns whether 'more' bytes for the request of this connection fit into
+** what callers may hold. Other requests that arrive give way before it is
+** FALSE.
+*/
+gboolean flow_make_room(FlowControl *flow, const FlowConnection *connection,
+                        guint64 more, gint64 now);
 /* Returns whether the connection was aborted. */
 gboolean flow_is_aborted(const FlowConnection *connection);
 /*
@@ -174,9 +222,11 @@
 
 /* Returns the unread bytes of all connections. */
 guint64 flow_total(const FlowControl *flow);
-/* Returns all bytes that count against the bound: the unread bytes and
-** FLOW_BODY_COPIES of each body. */
+/* Returns the unread bytes and FLOW_BODY_COPIES of each body. */
 guint64 flow_held(const FlowControl *flow);
+/* Returns all that counts against the bound: flow_held, the input of all
+** connections, and the connections themselves. */
+guint64 flow_used(const FlowControl *flow);
 /* Returns the number of answers that are paused now. */
 guint flow_paused(const FlowControl *flow);
 /* Returns the number of connections aborted for this reason. */
--- a/io/front.c
+++ b/io/front.c
@@ -16,6 +16,7 @@
 #include "io/clock.h"
 #include "io/front.h"
 #include "io/front_connection.h"
+#include "io/front_memory.h"
 #include "io/front_request.h"
 #include "io/front_response.h"
 #include "io/sockets.h"
@@ -48,7 +49,8 @@
     connection_discard_input(connection);
     if (clock_now() >= connection->lingers_until)
       connection_close(connection, CLOSE_SENDS_ON);
-  }
+  } else
+    connection_count_input(connection);
 }
 
 static void on_flow_timer(evutil_socket_t fd, short what, void *data) {
@@ -311,12 +313,12 @@
 
 void front_control_flow(Front *front, const FlowLimits *limits,
                         const FrontFlowHooks *hooks) {
-  FlowHooks own = {hooks->data, hooks->pause, hooks->paused, NULL};
+  FlowHooks own = {hooks->data, hooks->pause, hooks->paused, connection_abort,
+                   connection_give_way};
   struct timeval interval = {0, FLOW_TICK_INTERVAL};
   g_assert(front->flow == NULL);
   g_assert(g_hash_table_size(front->connections) == 0);
   front->flow_hooks = *hooks;
-  own.abort = connection_abort;
   front->flow = flow_control_new(limits, &own, front);
   front->flow_timer =
       event_new(front->base, -1, EV_PERSIST, on_flow_timer, front);
@@ -331,6 +333,10 @@
   return front->bodies_refused;
 }
 
+guint64 front_input_refused(const Front *front) {
+  return front->input_refused;
+}
+
 const FlowControl *front_flow(const Front *front) {
   return front->flow;
 }
--- a/io/front.h
+++ b/io/front.h
@@ -83,6 +83,15 @@
 /* What callers have under way; valid while the server exists. */
 Intake *front_intake(const Front *front);
 
+/* A request that was not taken in, because callers hold too much. */
+typedef struct FrontRefusal {
+  const char *id;    /* NULL: its head has not arrived, or is invalid */
+  mp_Addr caller;    /* 0: its connection has ended */
+  guint64 bytes;     /* that it held */
+  guint64 used;      /* flow_used */
+  gboolean gave_way; /* it had stalled and gave way to another one */
+} FrontRefusal;
+
 /* Valid while the server exists. These are called while the user of the server
 ** sends a response, or from the event loop. */
 typedef struct FrontFlowHooks {
@@ -96,6 +105,10 @@
   /* A request was refused because there was no memory for its body. 'id' is
   ** NULL if its head is invalid. */
   void (*body_refused)(void *data, const char *id, guint64 size, guint64 held);
+  /* A request was refused, or the connection of a caller that sends on behind
+  ** its request is closed, because callers hold too much. NULL: nobody wants
+  ** to know. */
+  void (*input_refused)(void *data, const FrontRefusal *refusal);
 } FrontFlowHooks;
 
 /* Switches flow control on (flow_control.h), before the event loop runs. */
@@ -104,6 +117,9 @@
 /* The number of requests refused since the start for lack of memory for their
 ** bodies. */
 guint64 front_bodies_refused(const Front *front);
+/* The number of requests refused, and connections closed, since the start
+** because callers held too much (FrontFlowHooks.input_refused). */
+guint64 front_input_refused(const Front *front);
 /* The state of flow control; NULL: it is off. */
 const FlowControl *front_flow(const Front *front);
 
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -34,6 +34,10 @@
 ** time of 100 ms. */
 #define SEND_BUFFER (128 << 10)
 
+/* A head is kept after its response to name the request in a report, unless it
+** takes more than this (bytes). */
+#define ANSWERED_HEAD_MAX (8 << 10)
+
 void connection_count_cut(Connection *connection) {
   if (connection->is_cut)
     return;
@@ -58,6 +62,8 @@
   if (connection->front->flow == NULL)
     return;
   setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+  size = RECEIVE_BUFFER;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
   connection->flow = flow_add(connection->front->flow, connection);
   evbuffer_add_cb(bufferevent_get_output(connection->events), on_output_change,
                   connection);
@@ -158,6 +164,18 @@
   shutdown(bufferevent_getfd(connection->events), SHUT_RDWR);
 }
 
+void connection_reset(Connection *connection, CloseReason reason) {
+  struct linger discard = {1, 0};
+  setsockopt(bufferevent_getfd(connection->events), SOL_SOCKET, SO_LINGER,
+             &discard, sizeof discard);
+  connection_shut_down(connection, reason);
+  /* a full input buffer is not read, so the end would not be noticed */
+  bufferevent_disable(connection->events, EV_READ);
+  bufferevent_trigger_event(connection->events,
+                            BEV_EVENT_READING | BEV_EVENT_ERROR,
+                            BEV_TRIG_DEFER_CALLBACKS);
+}
+
 void connection_close(Connection *connection, CloseReason reason) {
   Front *front = connection->front;
   guint64 number = connection->number;
@@ -223,7 +241,12 @@
 
 void connection_set_answered(Connection *connection) {
   http_head_free(connection->answered);
-  connection->answered = connection->head;
+  connection->answered = NULL;
+  if (connection->head != NULL &&
+      http_head_size(connection->head) <= ANSWERED_HEAD_MAX)
+    connection->answered = connection->head;
+  else
+    http_head_free(connection->head);
   connection->head = NULL;
 }
 
@@ -240,7 +263,7 @@
 
 gboolean connection_waits_for_reader(const Connection *connection) {
   return connection->state == CONNECTION_READING &&
-         connection->answered != NULL && connection_unsent(connection) > 0;
+         connection_unsent(connection) > 0;
 }
 
 gboolean connection_has_input(const Connection *connection) {
@@ -276,6 +299,10 @@
 static void linger(Connection *connection) {
   HttpReaderState state = http_reader_state(connection->reader);
   connection->state = CONNECTION_LINGERING;
+  if (connection->flow != NULL) {
+    flow_end_arrival(connection->flow);
+    flow_set_input(connection->front->flow, connection->flow, 0);
+  }
   if (state == HTTP_READER_DONE)
     http_reader_start_next(connection->reader);
   connection->discards_requests =
@@ -291,6 +318,12 @@
 static void read_next(Connection *connection) {
   connection->state = CONNECTION_READING;
   connection->may_continue = FALSE;
+  if (connection->flow != NULL) {
+    flow_end_arrival(connection->flow);
+    flow_set_input(
+        connection->front->flow, connection->flow,
+        evbuffer_get_length(bufferevent_get_input(connection->events)));
+  }
   connection->held_until = 0;
   if (http_reader_state(connection->reader) == HTTP_READER_DONE)
     http_reader_start_next(connection->reader);
@@ -348,6 +381,8 @@
 
 void connection_close_when_flushed(Connection *connection) {
   connection->state = CONNECTION_FLUSHING;
+  if (connection->flow != NULL)
+    flow_end_arrival(connection->flow);
   connection_set_read_timeout(connection, 0); /* only the writing counts now */
   connection_end_if_flushed(connection);
 }
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -21,7 +21,11 @@
 
 /* bytes that are read from a caller and buffered beyond its present request,
 ** while that request is open */
-#define READ_AHEAD (64 << 10)
+#define READ_AHEAD (16 << 10)
+/* Receive buffer of a caller's connection while flow control is on, in bytes;
+** the kernel reserves twice as many. By default it grows up to 6 MB, which
+** count as memory of the instance. */
+#define RECEIVE_BUFFER (64 << 10)
 
 struct Front {
   struct event_base *base;
@@ -42,6 +46,7 @@
   FlowControl *flow; /* NULL: flow control is off */
   FrontFlowHooks flow_hooks;
   guint64 bodies_refused;
+  guint64 input_refused;
   guint64 cut;                      /* front_responses_cut */
   guint64 lost[CLOSE_REASON_COUNT]; /* front_responses_lost */
   gboolean holds_bodies;    /* a connection may have body_held_at set */
@@ -142,6 +147,9 @@
 ** its next request before it has read the response, so the connection lingers.
 */
 void connection_end_response(Connection *connection, gboolean close);
+/* Closes a connection from the event loop soon, as connection_shut_down, and
+** has the kernel discard what it holds: its caller sees a reset. */
+void connection_reset(Connection *connection, CloseReason reason);
 /* Forgets the body. A dispatch that is being sent keeps its reference. */
 void connection_drop_body(Connection *connection);
 /* Forgets the request and what it holds, but for its head. */
@@ -166,7 +174,8 @@
 void connection_change_read_timeout(Connection *connection, gint64 before,
                                     gint64 wait);
 /* The response to the request whose head was received is written: keeps this
-** head, until the next response, to name the request in a report of a loss. */
+** head, unless it is large, until the next response, to name the request in a
+** report of a loss. */
 void connection_set_answered(Connection *connection);
 /* Bytes of responses that the kernel has not taken. */
 size_t connection_unsent(const Connection *connection);
--- a/io/front_request.c
+++ b/io/front_request.c
@@ -8,16 +8,10 @@
 #include <event2/buffer.h>
 
 #include "io/clock.h"
+#include "io/front_memory.h"
 #include "io/front_request.h"
 #include "io/front_response.h"
 
-/* Bodies with more bytes than this are held back while there is no memory for
-** them; smaller ones arrive within one or two reads. */
-#define HELD_BODY_MIN READ_AHEAD
-/* Retry-After of a request whose body could not be taken in (ms): a request
-** that holds a large body is in most cases done by then */
-#define BODY_RETRY_MS 1000
-
 void connection_reject(Connection *connection, int status,
                        const char *detail) {
   Front *front = connection->front;
@@ -28,45 +22,19 @@
   connection_write_response(connection, head, body, strlen(body), TRUE);
   http_head_free(head);
   g_free(body);
+  connection_drop_input(connection);
+  http_head_free(connection->head);
+  connection->head = NULL;
   connection_close_when_flushed(connection);
 }
 
-/* The size of the body that the head announces, at most the largest one that
-** is read; 0: none, or not known. */
-static guint64 announced_body(const Connection *connection) {
-  const char *length = http_head_get(connection->head, "Content-Length");
-  guint64 size = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
-  return MIN(size, connection->limits.max_body_bytes);
-}
-
-/* Begins to take a body in, or holds it back while there is no memory. */
-static void begin_body(Connection *connection) {
-  guint64 size;
-  if (connection->flow == NULL)
-    return;
-  size = announced_body(connection);
-  if (flow_set_body(connection->front->flow, connection->flow, size,
-                    size > HELD_BODY_MIN))
-    return;
-  connection->body_held_at = clock_now();
-  connection->front->holds_bodies = TRUE;
-}
-
 static void on_head(void *data, HttpHead *head) {
   Connection *connection = data;
   http_head_free(connection->head);
   connection->head = head;
   if (connection->state !=
       CONNECTION_LINGERING) /* otherwise it is discarded */
-    begin_body(connection);
-}
-
-/* Counts a body whose size was not announced. */
-static void count_body(const Connection *connection) {
-  if (connection->flow != NULL &&
-      connection->body->len > announced_body(connection))
-    flow_set_body(connection->front->flow, connection->flow,
-                  connection->body->len, FALSE);
+    connection_begin_body(connection);
 }
 
 static void on_body(void *data, const char *bytes, size_t size) {
@@ -74,7 +42,7 @@
   if (connection->state == CONNECTION_LINGERING)
     return;
   g_byte_array_append(connection->body, (const guint8 *)bytes, (guint)size);
-  count_body(connection);
+  connection_count_body(connection);
 }
 
 /* Hands a request that was received completely to the user of the server. */
@@ -85,6 +53,7 @@
   connection->request_unread_since = connection->unread_since;
   if (connection->unread_since != 0 && !connection_has_input(connection))
     connection->unread_since = 0; /* what comes now has not waited */
+  connection_end_arrival(connection);
   connection->number = ++front->last_number;
   g_hash_table_insert(front->open, &connection->number, connection);
   intake_begin_request(front->intake, &connection->intake);
@@ -125,6 +94,22 @@
   connection_close_when_flushed(connection);
 }
 
+void connection_refuse_busy(Connection *connection, gint64 retry_ms) {
+  Refusal refusal = {REFUSAL_BUSY, retry_ms};
+  CallerHead parsed = {0};
+  const char *id = NULL;
+  if (connection->head != NULL &&
+      connection->front->dialect->read_caller(connection->head, &parsed, NULL))
+    id = parsed.request.id;
+  connection->body_held_at = 0;
+  bufferevent_enable(connection->events, EV_READ);
+  connection_drop_input(connection);
+  refuse_partial(connection, &refusal, id);
+  caller_head_clear(&parsed);
+  http_head_free(connection->answered);
+  connection->answered = NULL;
+}
+
 void connection_refuse_for_stop(Connection *connection) {
   Refusal refusal = {REFUSAL_DRAINING, DRAINING_RETRY_MS};
   Front *front = connection->front;
@@ -151,12 +136,15 @@
     const char *bytes = (const char *)evbuffer_pullup(in, (ev_ssize_t)size);
     size_t used = http_reader_feed(reader, bytes, size);
     evbuffer_drain(in, used);
+    if (connection->flow != NULL)
+      flow_arrived(connection->flow, used);
     if (http_reader_state(reader) == HTTP_READER_FAILED) {
       reject_fault(connection);
       return;
     }
     if (http_reader_state(reader) == HTTP_READER_DONE) {
-      submit_request(connection);
+      if (connection_count_input(connection))
+        submit_request(connection);
       return;
     }
   }
@@ -168,6 +156,8 @@
     connection_close(connection, CLOSE_CALLER);
     return;
   }
+  if (!connection_count_input(connection))
+    return;
   if (connection->body_held_at != 0) {
     bufferevent_disable(connection->events, EV_READ);
     return;
@@ -185,7 +175,7 @@
   CallerLimits *limits = &connection->limits;
   CallerLimits before = *limits;
   guint64 announced =
-      connection->head != NULL ? announced_body(connection) : 0;
+      connection->head != NULL ? connection_announced_body(connection) : 0;
   limits->max_head_bytes =
       MAX(before.max_head_bytes, in_force->max_head_bytes);
   limits->max_body_bytes =
@@ -197,8 +187,9 @@
     return; /* it is reviewed by the new limits, without a timeout till then */
   connection_change_read_timeout(connection, before.head_timeout,
                                  limits->head_timeout);
-  if (connection->head != NULL && announced_body(connection) > announced)
-    begin_body(connection);
+  if (connection->head != NULL &&
+      connection_announced_body(connection) > announced)
+    connection_begin_body(connection);
 }
 
 void connection_adopt_limits(Connection *connection) {
@@ -222,53 +213,4 @@
           connection_has_input(connection));
 }
 
-/* Refuses a request whose body could not be taken in. */
-static void refuse_body(Connection *connection) {
-  Refusal refusal = {REFUSAL_BUSY, BODY_RETRY_MS};
-  Front *front = connection->front;
-  const FrontFlowHooks *hooks = &front->flow_hooks;
-  CallerHead parsed;
-  const char *id = front->dialect->read_caller(connection->head, &parsed, NULL)
-                       ? parsed.request.id
-                       : NULL;
-  hooks->body_refused(hooks->data, id, announced_body(connection),
-                      flow_held(front->flow));
-  front->bodies_refused++;
-  refuse_partial(connection, &refusal, id);
-  caller_head_clear(&parsed);
-}
-
-/* Takes a body in that was held back, or refuses its request. */
-static void review_body(Connection *connection, gint64 now) {
-  gboolean fits = flow_set_body(connection->front->flow, connection->flow,
-                                announced_body(connection), TRUE);
-  if (!fits && now - connection->body_held_at < FLOW_HELD_MAX)
-    return;
-  connection->body_held_at = 0;
-  bufferevent_enable(connection->events, EV_READ);
-  if (fits)
-    bufferevent_trigger(connection->events, EV_READ,
-                        BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
-  else
-    refuse_body(connection);
-}
-
-void front_review_bodies(Front *front, gint64 now) {
-  GList *all;
-  GList *one;
-  if (!front->holds_bodies)
-    return;
-  front->holds_bodies = FALSE;
-  all = g_hash_table_get_keys(front->connections);
-  for (one = all; one != NULL; one = one->next) {
-    Connection *connection = one->data;
-    if (connection->body_held_at == 0 ||
-        connection->state != CONNECTION_READING)
-      continue;
-    review_body(connection, now);
-    front->holds_bodies = TRUE; /* it may still be held back */
-  }
-  g_list_free(all);
-}
-
 const HttpReaderCallbacks front_reader_callbacks = {on_head, on_body};
--- a/io/front_request.h
+++ b/io/front_request.h
@@ -32,8 +32,8 @@
 void connection_reject(Connection *connection, int status, const char *detail);
 /* Refuses a request that a planned stop does not receive any more. */
 void connection_refuse_for_stop(Connection *connection);
-/* Reviews the bodies that are held back for want of memory. A review may close
-** a connection. */
-void front_review_bodies(Front *front, gint64 now);
+/* Refuses a request that has not been handed on, as not run, and frees what
+** it holds. */
+void connection_refuse_busy(Connection *connection, gint64 retry_ms);
 
 #endif
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -442,9 +442,20 @@
                id != NULL ? id : "-", size, held);
 }
 
+static void on_input_refused(void *data, const FrontRefusal *refusal) {
+  const Gateway *gateway = data;
+  char caller[24];
+  mp_addr_text(refusal->caller, caller);
+  log_numbered(gateway->log, MP_LOG_INPUT_REFUSED,
+               " request=%s caller=%s bytes=%" G_GUINT64_FORMAT
+               " used=%" G_GUINT64_FORMAT " gave_way=%d",
+               refusal->id != NULL ? refusal->id : "-", caller, refusal->bytes,
+               refusal->used, refusal->gave_way);
+}
+
 static void control_flow(Gateway *gateway, const GatewayOptions *options) {
-  FrontFlowHooks hooks = {gateway, on_flow_pause, on_flow_paused,
-                          on_flow_aborted, on_body_refused};
+  FrontFlowHooks hooks = {gateway,         on_flow_pause,   on_flow_paused,
+                          on_flow_aborted, on_body_refused, on_input_refused};
   FlowLimits limits = flow_limits(options->unread_bound);
   if (limits.bound == 0)
     return;
@@ -482,6 +493,8 @@
   counts->unread_bytes = flow != NULL ? flow_total(flow) : 0;
   counts->body_bytes = flow != NULL ? flow_held(flow) - flow_total(flow) : 0;
   counts->bodies_refused = front_bodies_refused(gateway->front);
+  counts->input_refused = front_input_refused(gateway->front);
+  counts->caller_bytes = flow != NULL ? flow_used(flow) : 0;
   for (reason = 0; reason < CLOSE_REASON_COUNT; reason++)
     counts->responses_lost[reason] =
         front_responses_lost(gateway->front, (CloseReason)reason);
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -103,6 +103,9 @@
   gint64 oldest_digest;   /* as router_oldest_digest() */
   guint64 standstills;    /* io/standstill.h */
   gint64 standstill_time; /* us, how long they were together */
+  guint64 caller_bytes;   /* all that connections of callers hold, as far as it
+                          ** is bounded (flow_used); the present value */
+  guint64 input_refused;  /* requests refused because callers held too much */
 } AdapterCounts;
 
 /* Returns the text, which the caller frees by g_string_free. */
--- a/io/sockets.c
+++ b/io/sockets.c
@@ -81,6 +81,14 @@
   return (guint64)MAX(size, 0);
 }
 
+mp_Addr socket_peer(evutil_socket_t fd) {
+  struct sockaddr_in at = {0};
+  socklen_t size = sizeof at;
+  if (getpeername(fd, (struct sockaddr *)&at, &size) != 0)
+    return 0;
+  return (mp_Addr)ntohl(at.sin_addr.s_addr) << 16 | ntohs(at.sin_port);
+}
+
 gboolean socket_has_input(evutil_socket_t fd) {
   int unread = 0;
   return ioctl(fd, FIONREAD, &unread) == 0 && unread > 0;
--- a/io/sockets.h
+++ b/io/sockets.h
@@ -65,6 +65,9 @@
 ** has not acknowledged; 0 when it cannot tell. */
 guint64 socket_unacknowledged(evutil_socket_t fd);
 
+/* Returns the address of the peer of a connection; 0 when it cannot tell. */
+mp_Addr socket_peer(evutil_socket_t fd);
+
 /* Returns TRUE if the kernel holds bytes that the peer of a TCP connection has
 ** sent and this process has not read. */
 gboolean socket_has_input(evutil_socket_t fd);
--- a/test/test_caller_limits.cc
+++ b/test/test_caller_limits.cc
@@ -290,8 +290,12 @@
 /* Guards against bodies that grow with the limit and are not counted. */
 TEST_F(CallerLimitsTest, BodyThatALargerLimitLetsGrowIsCounted) {
   FlowLimits limits = flow_limits(64 << 20);
-  FrontFlowHooks hooks = {this, nullptr, nullptr, nullptr,
-                          [](void *, const char *, guint64, guint64) {}};
+  FrontFlowHooks hooks = {this,
+                          nullptr,
+                          nullptr,
+                          nullptr,
+                          [](void *, const char *, guint64, guint64) {},
+                          nullptr};
   front_control_flow(front, &limits, &hooks);
   set_sizes(1000, 1000);
   connect();
@@ -306,8 +310,12 @@
 /* Guards against a body without a length that a change leaves uncounted. */
 TEST_F(CallerLimitsTest, BodyWithoutALengthStaysCounted) {
   FlowLimits limits = flow_limits(64 << 20);
-  FrontFlowHooks hooks = {this, nullptr, nullptr, nullptr,
-                          [](void *, const char *, guint64, guint64) {}};
+  FrontFlowHooks hooks = {this,
+                          nullptr,
+                          nullptr,
+                          nullptr,
+                          [](void *, const char *, guint64, guint64) {},
+                          nullptr};
   front_control_flow(front, &limits, &hooks);
   set_sizes(1000, 1000);
   connect();
@@ -321,10 +329,14 @@
 TEST_F(CallerLimitsTest, BodyThatALargerLimitLetsGrowWaitsForMemory) {
   FlowLimits limits = flow_limits(4 << 20);
   FrontFlowHooks hooks = {
-      this, nullptr, nullptr, nullptr,
+      this,
+      nullptr,
+      nullptr,
+      nullptr,
       [](void *data, const char *, guint64 size, guint64) {
         static_cast<CallerLimitsTest *>(data)->body_refused = size;
-      }};
+      },
+      nullptr};
   front_control_flow(front, &limits, &hooks);
   set_sizes(1000, 100 << 10);
   connect();
--- a/test/test_close_reasons.cc
+++ b/test/test_close_reasons.cc
@@ -212,9 +212,12 @@
 TEST_F(CloseReasons, AStreamThatFlowControlAborts) {
   FlowLimits limits = flow_limits(flow_bound);
   FrontFlowHooks flow = {
-      this, [](void *, guint64, gboolean) {}, [](void *, guint64, gint64) {},
+      this,
+      [](void *, guint64, gboolean) {},
+      [](void *, guint64, gint64) {},
       [](void *, guint64, FlowReason, const FlowReader *, guint64) {},
-      [](void *, const char *, guint64, guint64) {}};
+      [](void *, const char *, guint64, guint64) {},
+      nullptr};
   const std::string piece(64 << 10, 'x');
   caller->close_now();
   turns(20); /* flow control begins without connections */
--- a/test/test_flow_control.cc
+++ b/test/test_flow_control.cc
@@ -143,7 +143,7 @@
   std::vector<FlowConnection *> connections;
 
   void SetUp() override {
-    FlowHooks hooks = {this, on_pause, on_paused, on_abort};
+    FlowHooks hooks = {this, on_pause, on_paused, on_abort, nullptr};
     flow = flow_control_new(&limits, &hooks, this);
   }
   void TearDown() override {
@@ -225,6 +225,134 @@
   EXPECT_EQ(flow_total(flow), expected);
 }
 
+FlowArrival arrival(guint64 bytes, gint64 since, guint64 received = 0) {
+  return {bytes, received, since, FALSE};
+}
+
+int choose_arrival(const std::vector<FlowArrival> &arrivals, guint64 need,
+                   gint64 now) {
+  std::vector<const FlowArrival *> pointers;
+  for (const FlowArrival &one : arrivals)
+    pointers.push_back(&one);
+  return flow_arrival_choose(pointers.data(),
+                             static_cast<guint>(pointers.size()), need, now);
+}
+
+/* Guards against callers that are refused although they send quickly, have
+** just begun, or are not read by the instance. */
+TEST(FlowInput, OnlyAStalledArrivalGivesWay) {
+  const gint64 now = 10 * second;
+  FlowArrival quick = arrival(mb, 1 * second, FLOW_QUICK_BYTES);
+  FlowArrival young = arrival(mb, now - FLOW_QUICK_TIME + 1);
+  FlowArrival waiting = arrival(mb, 1 * second);
+  waiting.is_waiting = TRUE;
+  EXPECT_EQ(choose_arrival({quick, young, waiting, arrival(mb, 0)}, 1, now),
+            -1);
+  EXPECT_EQ(choose_arrival({quick, arrival(kb, 1 * second)}, 1, now), 1);
+}
+
+TEST(FlowInput, TheLargestGivesWayFirstThenTheOldest) {
+  const gint64 now = 10 * second;
+  EXPECT_EQ(
+      choose_arrival({arrival(kb, 1), arrival(mb, 3), arrival(mb, 2)}, 1, now),
+      2);
+}
+
+/* Guards against refusals that help nobody. */
+TEST(FlowInput, NoneGivesWayIfAllTogetherAreTooSmall) {
+  const gint64 now = 10 * second;
+  std::vector<FlowArrival> two = {arrival(kb, 1), arrival(kb, 2)};
+  EXPECT_EQ(choose_arrival(two, 2 * kb, now), 0);
+  EXPECT_EQ(choose_arrival(two, 2 * kb + 1, now), -1);
+}
+
+/* the same counts, with requests that give way */
+struct FlowArrivals : FlowCounts {
+  std::vector<FlowConnection *> gave_way;
+  std::map<gpointer, FlowConnection *> by_owner;
+  std::vector<int> owners = std::vector<int>(100);
+
+  void SetUp() override {
+    FlowHooks hooks = {this, on_pause, on_paused, on_abort, on_give_way};
+    flow = flow_control_new(&limits, &hooks, this);
+  }
+  static void on_give_way(void *data, gpointer owner, guint64) {
+    auto *self = static_cast<FlowArrivals *>(data);
+    self->gave_way.push_back(self->by_owner[owner]);
+  }
+  FlowConnection *arriving(gint64 since) {
+    gpointer owner = &owners[connections.size()];
+    FlowConnection *one = flow_add(flow, owner);
+    by_owner[owner] = one;
+    connections.push_back(one);
+    flow_begin_arrival(one, since);
+    return one;
+  }
+};
+
+TEST_F(FlowArrivals, InputCountsAndGoesWithItsConnection) {
+  FlowConnection *one = arriving(second);
+  flow_set_input(flow, one, 3000);
+  EXPECT_EQ(flow_used(flow), 3000u + FLOW_CONNECTION_BYTES);
+  EXPECT_EQ(flow_held(flow), 0u);
+  flow_remove(flow, one);
+  connections.clear();
+  EXPECT_EQ(flow_used(flow), 0u);
+}
+
+TEST_F(FlowArrivals, StalledOnesGiveWayToAnOrdinaryRequest) {
+  for (int i = 0; i < 5; i++)
+    flow_set_input(flow, arriving(second + i), mb);
+  FlowConnection *ordinary = arriving(5 * second);
+  flow_set_input(flow, ordinary, kb);
+  EXPECT_FALSE(flow_make_room(flow, ordinary, 0, second + 100 * ms));
+  EXPECT_TRUE(flow_make_room(flow, ordinary, 0, 5 * second));
+  EXPECT_EQ(gave_way, std::vector<FlowConnection *>{connections[0]});
+  EXPECT_LE(flow_used(flow), limits.bound + limits.bound / FLOW_RESERVE_SHARE);
+}
+
+/* Guards against large requests that shut small ones out. */
+TEST_F(FlowArrivals, OnlySmallRequestsUseTheReserve) {
+  FlowConnection *large = arriving(second);
+  FlowConnection *small = arriving(second);
+  flow_set_input(flow, large, limits.bound);
+  EXPECT_FALSE(flow_make_room(flow, large, 0, second));
+  EXPECT_TRUE(flow_make_room(flow, small, kb, second));
+  EXPECT_FALSE(flow_make_room(flow, small, limits.bound, second));
+}
+
+/* A whole request, or the body of one, must not be given up. */
+TEST_F(FlowArrivals, AWholeRequestDoesNotGiveWay) {
+  FlowConnection *whole = arriving(second);
+  FlowConnection *asker = arriving(5 * second);
+  flow_set_body(flow, whole, 2 * mb, FALSE);
+  flow_end_arrival(whole);
+  flow_set_request(flow, whole, 7, 0);
+  flow_set_input(flow, asker, mb);
+  EXPECT_FALSE(flow_make_room(flow, asker, 0, 5 * second));
+  EXPECT_TRUE(gave_way.empty());
+}
+
+/* Bodies of unknown size must not wait for each other: whatever they hold, the
+** oldest can become as large as it may. */
+TEST_F(FlowArrivals, TheOldestGrowingBodyIsNeverHeldBack) {
+  const guint64 size_max = mb;
+  for (int i = 0; i < 12; i++)
+    arriving(second + i);
+  std::vector<guint64> sizes(connections.size());
+  for (int round = 0; round < 400; round++) {
+    for (size_t i = connections.size(); i-- > 0;) {
+      flow_arrived(connections[i], FLOW_QUICK_BYTES);
+      guint64 more = MIN(sizes[i] + 16 * kb, size_max);
+      if (flow_grow_body(flow, connections[i], more, size_max, second))
+        sizes[i] = more;
+      EXPECT_LE(flow_used(flow), limits.bound);
+    }
+  }
+  EXPECT_EQ(sizes[0], size_max);
+  EXPECT_TRUE(gave_way.empty());
+}
+
 /* Runs a stream that may be resumed elsewhere until its first event, lets it
 ** be silent, and returns how many runs there were. */
 size_t runs_of_a_silent_stream(bool is_paused) {
--- a/test/test_planned_stop.cc
+++ b/test/test_planned_stop.cc
@@ -415,8 +415,12 @@
   front_free(front);
   front = nullptr;
   listen_again();
-  FrontFlowHooks hooks = {this, nullptr, nullptr, nullptr,
-                          [](void *, const char *, guint64, guint64) {}};
+  FrontFlowHooks hooks = {this,
+                          nullptr,
+                          nullptr,
+                          nullptr,
+                          [](void *, const char *, guint64, guint64) {},
+                          nullptr};
   front_control_flow(front, &limits, &hooks);
   caller = loopback::call(address);
   caller->send_text("POST /1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r-7\r\n"
@@ -479,11 +483,13 @@
   front = nullptr;
   listen_again();
   int aborts = 0;
-  FrontFlowHooks hooks = {&aborts, [](void *, guint64, gboolean) {},
+  FrontFlowHooks hooks = {&aborts,
+                          [](void *, guint64, gboolean) {},
                           [](void *, guint64, gint64) {},
                           [](void *data, guint64, FlowReason,
                              const FlowReader *,
                              guint64) { ++*static_cast<int *>(data); },
+                          nullptr,
                           nullptr};
   front_control_flow(front, &limits, &hooks);
   caller = loopback::call(address);
--- a/test/test_slow_callers.cc
+++ b/test/test_slow_callers.cc
@@ -49,7 +49,8 @@
     signal(SIGPIPE, SIG_IGN); /* as the daemon does */
     FrontHooks hooks = {this,         on_request, on_hangup,
                         on_bad_input, on_stopped, on_cut};
-    FrontFlowHooks flow = {this, on_pause, on_paused, on_aborted, on_refused};
+    FrontFlowHooks flow = {this,       on_pause,   on_paused,
+                           on_aborted, on_refused, nullptr};
     EndpointLinksHooks link_hooks = {this,       on_outcome, on_signals,
                                      on_counted, keeps,      nullptr};
     FlowLimits limits = flow_limits(bound);
