--- a/io/http.c
+++ b/io/http.c
@@ -28,6 +28,8 @@
   void *ud;
   int has_head;  /* the header of the response was received */
   int has_error; /* evhttp reported an error on an established connection */
+  int is_making; /* http_call has not returned yet */
+  int is_failed; /* evhttp ended the call while it was made */
   int is_ended;  /* no callback is called any more */
 };
 
@@ -107,7 +109,9 @@
   HttpEnd end = HTTP_END_OK;
   int status = req != NULL ? evhttp_request_get_response_code(req) : 0;
   c->req = NULL; /* evhttp frees it after this */
-  if (c->is_ended)
+  if (c->is_making)
+    c->is_failed = 1;
+  if (c->is_ended || c->is_making)
     return;
   if (c->has_error || (status == 0 && c->has_head))
     end = HTTP_END_BROKEN;
@@ -149,7 +153,11 @@
   add_headers(evhttp_request_get_output_headers(c->req), to, headers);
   if (n > 0)
     evbuffer_add(evhttp_request_get_output_buffer(c->req), body, n);
-  if (evhttp_make_request(c->conn, c->req, method, uri) != 0) {
+  /* evhttp ends a call at once for which it gets no socket */
+  c->is_making = 1;
+  c->is_failed |= evhttp_make_request(c->conn, c->req, method, uri) != 0;
+  c->is_making = 0;
+  if (c->is_failed) {
     c->req = NULL; /* freed by evhttp */
     free_call_later(c);
     return NULL;
--- a/test/test_cut_calls.cc
+++ b/test/test_cut_calls.cc
@@ -5,6 +5,7 @@
 */
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include "cut_responses.h"
 #include "loopback.h"
@@ -164,4 +165,30 @@
   }
 }
 
+/* The process ended when no descriptor was free: the end of the call was told
+** while it was made, which its caller does not expect. */
+TEST_F(OwnCallTest, WithoutADescriptorNoCallIsMadeAndNoEndTold) {
+  static const HttpHooks hooks = {
+      nullptr, nullptr,
+      [](void *data, HttpEnd, int) { static_cast<Call *>(data)->ends++; }};
+  Call one;
+  std::vector<int> taken;
+  struct rlimit before = {};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  struct rlimit few = before;
+  few.rlim_cur = MIN(before.rlim_cur, rlim_t{256});
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &few), 0);
+  for (int fd = dup(0); fd >= 0; fd = dup(0))
+    taken.push_back(fd);
+  HttpCall *made = http_call(base, server.address, EVHTTP_REQ_GET, "/",
+                             nullptr, nullptr, 0, &hooks, &one);
+  for (int fd : taken)
+    close(fd);
+  setrlimit(RLIMIT_NOFILE, &before);
+  EXPECT_EQ(made, nullptr);
+  EXPECT_EQ(one.ends, 0);
+  event_base_loop(base, EVLOOP_NONBLOCK);
+  EXPECT_EQ(one.ends, 0);
+}
+
 } // namespace
