--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -190,6 +190,8 @@
                                 GError **err) {
   mp_Addr peers[64];
   NodeOptions o = {0};
+  o->request_timeout = s->request_timeout_s * MP_SEC;
+  o->connections_max = connections_max(s, o->unread_bound);
   GatewayOptions g = {0};
   if (settings_dialect(s) == DIALECT_PLATFORM) {
     set_gateway_options(&g, s, peers);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -14,6 +14,7 @@
 #define DEFAULT_BODY_BYTES (1 << 20)
 #define DEFAULT_HEADERS 64
 #define DEFAULT_CALLER_TIMEOUT_S 10
+#define DEFAULT_REQUEST_TIMEOUT_S 30
 #define DEFAULT_RETRY_WINDOW_S 10
 #define LEASE_MIN_MS 2000 /* a round of orders must fit into the lease */
 /* a watch of the store, a heartbeat and the margin for the store's own delay
@@ -79,6 +80,9 @@
     OPTUINT("memory_mb", memory_mb),
     CYAML_FIELD_FLOAT("memory_share", CYAML_FLAG_OPTIONAL, Settings,
                       memory_share),
+    OPTUINT("max_descriptors", max_descriptors),
+    OPTUINT("max_connections", max_connections),
+    OPTUINT("request_timeout_s", request_timeout_s),
     OPTUINT("contact_ms", contact_ms),
     OPTUINT("apply_ms", apply_ms),
     OPTUINT("leave_ms", leave_ms),
@@ -238,6 +242,8 @@
   if (s->apply_ms == 0)
     s->apply_ms = DEFAULT_PROPAGATION_MS;
   if (s->leave_ms == 0)
+  if (s->request_timeout_s == 0)
+    s->request_timeout_s = DEFAULT_REQUEST_TIMEOUT_S;
     s->leave_ms = DEFAULT_PROPAGATION_MS;
   if (s->drain_least_ms == 0)
     s->drain_least_ms = DEFAULT_DRAIN_LEAST_MS;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -46,19 +46,23 @@
   char *exchange;       /* address for datagrams between instances */
   double retry_ratio;   /* retries per request that are allowed, 0 to 1 */
   uint32_t retry_slack; /* and so many besides, over all instances */
-  uint32_t retry_window_s; /* in every window of this length */
-  double processor_share;  /* processor cores of this machine; 0: not known */
-  double link_mbps;        /* rate of its link, megabits/s; 0: not known */
-  uint32_t revoke_ms;      /* a revoked key is accepted for at most this long;
-                           ** 0: no bound */
-  double limit_over;       /* share by which account limits may be exceeded */
-  uint32_t limit_slack;    /* and so many units besides */
-  uint32_t limit_window_s; /* in every window of this length */
-  bool overload_control;   /* see docs/design/heavy-load.md; default: off */
-  uint32_t lease_ms;       /* of orders to engines; 0: none are given */
-  uint32_t memory_mb;      /* memory of this machine, MB; 0: not known */
-  double memory_share;     /* share of it for answers that callers have not
-                           ** read, and bodies of requests; 0: no bound */
+  uint32_t retry_window_s;  /* in every window of this length */
+  double processor_share;   /* processor cores of this machine; 0: not known */
+  double link_mbps;         /* rate of its link, megabits/s; 0: not known */
+  uint32_t revoke_ms;       /* a revoked key is accepted for at most this long;
+                            ** 0: no bound */
+  double limit_over;        /* share by which account limits may be exceeded */
+  uint32_t limit_slack;     /* and so many units besides */
+  uint32_t limit_window_s;  /* in every window of this length */
+  bool overload_control;    /* see docs/design/heavy-load.md; default: off */
+  uint32_t lease_ms;        /* of orders to engines; 0: none are given */
+  uint32_t max_descriptors; /* that this process may have; 0: as the system
+                            ** limits it */
+  uint32_t max_connections; /* of callers */
+  uint32_t request_timeout_s; /* for a request to arrive whole */
+  uint32_t memory_mb;         /* memory of this machine, MB; 0: not known */
+  double memory_share;        /* share of it for answers that callers have not
+                              ** read, and bodies of requests; 0: no bound */
   uint32_t contact_ms;    /* after an outage, the platform counts this instance
                           ** as in contact again after this long */
   uint32_t apply_ms;      /* a confirmed configuration is in force everywhere
--- a/io/front.c
+++ b/io/front.c
@@ -36,6 +36,8 @@
 
 /*
 ** {==================================================================
+/* front_set_request_timeout: callers wait for 14 s at most */
+#define DEFAULT_REQUEST_TIMEOUT (30 * MP_SEC)
 ** Events of connections
 ** ===================================================================
 */
@@ -301,6 +303,8 @@
   report_losses(front);
   if (front->listener != NULL)
     evconnlistener_free(front->listener);
+  front->request_timeout = DEFAULT_REQUEST_TIMEOUT;
+  front->log = log;
   g_hash_table_destroy(front->open);
   g_hash_table_destroy(front->connections);
   intake_free(front->intake);
@@ -364,6 +368,18 @@
 }
 
 gint64 front_request_unread(const Front *front, guint64 number, gint64 now) {
+void front_set_request_timeout(Front *front, gint64 timeout) {
+  front->request_timeout = timeout;
+}
+
+void front_set_places(Front *front, guint places) {
+  front->places = places;
+}
+
+guint64 front_places_taken(const Front *front) {
+  return front->places_taken;
+}
+
   const Connection *connection = find_connection(front, number);
   if (connection == NULL || connection->request_unread_since == 0)
     return 0;
--- a/io/front.h
+++ b/io/front.h
@@ -80,6 +80,20 @@
 */
 void front_set_limits(Front *front, const CallerLimits *limits);
 
+/* Sets the longest time for a request to become whole, from its first byte.
+** The deadline that its caller states ends it sooner. */
+void front_set_request_timeout(Front *front, gint64 timeout);
+/* Returns how many connections callers may have for a process that may have
+** so many descriptors, and 'bound' bytes that callers may hold (FlowLimits; 0:
+** not bounded). */
+guint front_places(guint descriptors, guint64 bound);
+/* Lets callers have so many connections at most (front_places.h); before this,
+** as many as come. */
+void front_set_places(Front *front, guint places);
+/* The number of connections that were closed for new ones, or were closed as
+** they came, since the start. */
+guint64 front_places_taken(const Front *front);
+
 /* What callers have under way; valid while the server exists. */
 Intake *front_intake(const Front *front);
 
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -325,6 +325,8 @@
         evbuffer_get_length(bufferevent_get_input(connection->events)));
   }
   connection->held_until = 0;
+  connection->began_at = 0;
+  connection->arrives_until = 0;
   if (http_reader_state(connection->reader) == HTTP_READER_DONE)
     http_reader_start_next(connection->reader);
   connection_begin_limits(connection);
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -47,6 +47,12 @@
   FrontFlowHooks flow_hooks;
   guint64 bodies_refused;
   guint64 input_refused;
+  gint64 request_timeout; /* front_set_request_timeout */
+  Log *log;               /* may be NULL */
+  guint places;           /* connections at most; 0: as many as come */
+  guint64 places_taken;   /* connections closed for new ones, and new ones that
+                          ** found no place */
+  struct event *accept_timer;       /* accepts again after a failure */
   guint64 cut;                      /* front_responses_cut */
   guint64 lost[CLOSE_REASON_COUNT]; /* front_responses_lost */
   gboolean holds_bodies;    /* a connection may have body_held_at set */
@@ -67,16 +73,20 @@
   struct bufferevent *events;
   HttpReader *reader;
   ConnectionState state;
-  CallerLimits limits;    /* of the request that is awaited or read: each the
-                          ** largest one in force since its first byte */
-  gint64 read_began_at;   /* when the read timeout began to run */
-  gint64 read_until;      /* when it ends */
-  guint64 number;         /* of the open request; 0: none */
-  HttpHead *head;         /* of the request; NULL until it is received */
-  HttpHead *answered;     /* of the last request whose response was written */
-  GByteArray *body;       /* of the request */
-  gboolean lingers;       /* discard what still arrives after the response */
-  gboolean is_cut;        /* counted in Front.cut */
+  CallerLimits limits;  /* of the request that is awaited or read: each the
+                        ** largest one in force since its first byte */
+  gint64 began_at;      /* when the first byte of a request that is not whole
+                        ** yet was read; 0: none was */
+  gint64 arrives_until; /* when it must be whole; 0: its head has not arrived,
+                        ** or its caller's deadline is not known yet */
+  gint64 read_began_at; /* when the read timeout began to run */
+  gint64 read_until;    /* when it ends */
+  guint64 number;       /* of the open request; 0: none */
+  HttpHead *head;       /* of the request; NULL until it is received */
+  HttpHead *answered;   /* of the last request whose response was written */
+  GByteArray *body;     /* of the request */
+  gboolean lingers;     /* discard what still arrives after the response */
+  gboolean is_cut;      /* counted in Front.cut */
   gboolean is_broken_off; /* its response ended without its last chunk */
   CloseReason reason; /* why this instance has shut it down; CLOSE_FINISHED: it
                       ** has not */
--- a/io/front_request.c
+++ b/io/front_request.c
@@ -54,6 +54,8 @@
   if (connection->unread_since != 0 && !connection_has_input(connection))
     connection->unread_since = 0; /* what comes now has not waited */
   connection_end_arrival(connection);
+  connection->began_at = 0;
+  connection->arrives_until = 0;
   connection->number = ++front->last_number;
   g_hash_table_insert(front->open, &connection->number, connection);
   intake_begin_request(front->intake, &connection->intake);
@@ -125,6 +127,47 @@
   caller_head_clear(&parsed);
 }
 
+/* Returns how long the caller waits for the response, at most; 0: its head is
+** invalid, or states no deadline. */
+static gint64 caller_wait(const Connection *connection) {
+  CallerHead parsed = {0};
+  gint64 wait = 0;
+  if (connection->front->dialect->read_caller(connection->head, &parsed, NULL))
+    wait = parsed.request.deadline_ms * MP_MS;
+  caller_head_clear(&parsed);
+  return wait;
+}
+
+/* Returns when the request must be whole: no response can be in time for a
+** caller that has given up by then. */
+static gint64 arrives_until(Connection *connection, gint64 now) {
+  gint64 latest = connection->began_at + connection->front->request_timeout;
+  gint64 wait;
+  if (connection->head == NULL)
+    return latest;
+  if (connection->arrives_until == 0) {
+    wait = caller_wait(connection);
+    connection->arrives_until = wait > 0 ? MIN(now + wait, latest) : latest;
+  }
+  return connection->arrives_until;
+}
+
+/* Waits for the rest of a request, whose callers may not send as slowly as
+** they like, or rejects it. */
+static void await_more(Connection *connection) {
+  gint64 now = clock_now();
+  gint64 left;
+  if (connection->began_at == 0)
+    connection->began_at = now;
+  left = arrives_until(connection, now) - now;
+  if (left <= 0 && !connection_has_input(connection)) {
+    connection_reject(connection, 408, "the request did not arrive in time");
+    return;
+  }
+  connection_set_read_timeout(
+      connection, MIN(connection->limits.head_timeout, MAX(left, 1)));
+}
+
 void connection_read_request(Connection *connection) {
   struct evbuffer *in = bufferevent_get_input(connection->events);
   HttpReader *reader = connection->reader;
@@ -163,7 +206,7 @@
     return;
   }
   if (http_reader_state(reader) == HTTP_READER_PARTIAL)
-    connection_set_read_timeout(connection, connection->limits.head_timeout);
+    await_more(connection);
   else if (connection->unread_since != 0 && !connection_has_input(connection))
     connection->unread_since =
         0; /* what lay unread was no part of a request */
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -797,6 +797,8 @@
   }
   control_flow(gateway, options);
   make_directory(gateway, options);
+  front_set_places(gateway->front, options->connections_max);
+  front_set_request_timeout(gateway->front, options->request_timeout);
   log_numbered(gateway->log, MP_LOG_START, "%s", "");
   schedule_tick(gateway);
   return gateway;
--- a/io/gateway.h
+++ b/io/gateway.h
@@ -51,17 +51,19 @@
                           ** time after the store has confirmed it; timeouts
                           ** of relays follow from it (router/relay_group.h) */
   gboolean overload_control; /* as in RouterOptions */
-  guint64 unread_bound;  /* bytes of answers that callers have not read, and of
-                         ** bodies of requests, over all connections
-                         ** (io/flow_control.h); 0: flow control is off */
-  LimitTolerance limits; /* by how much the limits of client accounts may be
-                         ** exceeded over all instances */
-  gint64 revoke_within;  /* longest time for which a revoked key of a client
-                         ** account is accepted, even while the store is not
-                         ** available; 0: until its removal is known here */
-  gint64 drain_least;    /* a planned stop accepts requests for this time */
-  gint64 drain_most;     /* a planned stop ends after this time, even if
-                         ** requests are open */
+  guint64 unread_bound; /* bytes of answers that callers have not read, and of
+                        ** bodies of requests, over all connections
+                        ** (io/flow_control.h); 0: flow control is off */
+  gint64 request_timeout; /* longest time for a request to arrive whole */
+  guint connections_max;  /* of callers; 0: as many as come */
+  LimitTolerance limits;  /* by how much the limits of client accounts may be
+                          ** exceeded over all instances */
+  gint64 revoke_within;   /* longest time for which a revoked key of a client
+                          ** account is accepted, even while the store is not
+                          ** available; 0: until its removal is known here */
+  gint64 drain_least;     /* a planned stop accepts requests for this time */
+  gint64 drain_most;      /* a planned stop ends after this time, even if
+                          ** requests are open */
 } GatewayOptions;
 
 /*
