--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -12,9 +12,11 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "daemon/settings.h"
 #include "io/adapters.h"
+#include "io/front.h"
 #include "io/gateway.h"
 #include "io/node.h"
 #include "io/stop_signals.h"
@@ -97,6 +99,17 @@
     gateway_reload(gateway);
 }
 
+/* how many connections callers may have */
+static unsigned connections_max(const Settings *s, uint64_t bound) {
+  struct rlimit limit;
+  unsigned descriptors = s->max_descriptors;
+  if (s->max_connections > 0)
+    return s->max_connections;
+  if (descriptors == 0 && getrlimit(RLIMIT_NOFILE, &limit) == 0)
+    descriptors = (unsigned)MIN(limit.rlim_cur, G_MAXINT);
+  return front_places(descriptors, bound);
+}
+
 static void set_node_options(NodeOptions *o, const Settings *s,
                              mp_Addr *seeds) {
   unsigned i;
@@ -177,6 +190,8 @@
   o->lease_length = s->lease_ms * MP_MS;
   o->revoke_within = s->revoke_ms * MP_MS;
   o->unread_bound = (guint64)(s->memory_share * s->memory_mb * BYTES_PER_MB);
+  o->request_timeout = s->request_timeout_s * MP_SEC;
+  o->connections_max = connections_max(s, o->unread_bound);
   o->overload_control = s->overload_control;
   o->limits.share = s->limit_over;
   o->limits.slack = s->limit_slack;
@@ -190,8 +205,6 @@
                                 GError **err) {
   mp_Addr peers[64];
   NodeOptions o = {0};
-  o->request_timeout = s->request_timeout_s * MP_SEC;
-  o->connections_max = connections_max(s, o->unread_bound);
   GatewayOptions g = {0};
   if (settings_dialect(s) == DIALECT_PLATFORM) {
     set_gateway_options(&g, s, peers);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -25,6 +25,9 @@
 ** 1 MB would abort connections of a few callers that are merely slow */
 #define MEMORY_SHARE_MAX 0.5
 #define MEMORY_BOUND_MIN_MB 1
+/* fewer descriptors or connections would not serve a handful of callers */
+#define DESCRIPTORS_MIN 128
+#define CONNECTIONS_MIN 16
 #define DEFAULT_WATCH_WAIT_MS 1800
 /* time that a watch may answer late (io/directory.c), and time for a new
 ** connection and its first answer */
@@ -77,12 +80,12 @@
     OPTUINT("limit_window_s", limit_window_s),
     CYAML_FIELD_BOOL("overload_control", CYAML_FLAG_OPTIONAL, Settings,
                      overload_control),
-    OPTUINT("memory_mb", memory_mb),
-    CYAML_FIELD_FLOAT("memory_share", CYAML_FLAG_OPTIONAL, Settings,
-                      memory_share),
     OPTUINT("max_descriptors", max_descriptors),
     OPTUINT("max_connections", max_connections),
     OPTUINT("request_timeout_s", request_timeout_s),
+    OPTUINT("memory_mb", memory_mb),
+    CYAML_FIELD_FLOAT("memory_share", CYAML_FLAG_OPTIONAL, Settings,
+                      memory_share),
     OPTUINT("contact_ms", contact_ms),
     OPTUINT("apply_ms", apply_ms),
     OPTUINT("leave_ms", leave_ms),
@@ -196,6 +199,12 @@
   uint32_t net;
   uint32_t mask;
   unsigned i;
+  if (s->max_descriptors > 0 && s->max_descriptors < DESCRIPTORS_MIN)
+    return settings_error(err, path, "max_descriptors",
+                          "use 128 or more, or leave it out");
+  if (s->max_connections > 0 && s->max_connections < CONNECTIONS_MIN)
+    return settings_error(err, path, "max_connections",
+                          "use 16 or more, or leave it out");
   if (!check_address(err, path, "callers", s->callers) ||
       !check_address(err, path, "platform", s->platform) ||
       !check_dialect(s, path, err))
@@ -233,6 +242,8 @@
     s->max_headers = DEFAULT_HEADERS;
   if (s->caller_timeout_s == 0)
     s->caller_timeout_s = DEFAULT_CALLER_TIMEOUT_S;
+  if (s->request_timeout_s == 0)
+    s->request_timeout_s = DEFAULT_REQUEST_TIMEOUT_S;
   if (s->retry_window_s == 0)
     s->retry_window_s = DEFAULT_RETRY_WINDOW_S;
   if (s->limit_window_s == 0)
@@ -242,8 +253,6 @@
   if (s->apply_ms == 0)
     s->apply_ms = DEFAULT_PROPAGATION_MS;
   if (s->leave_ms == 0)
-  if (s->request_timeout_s == 0)
-    s->request_timeout_s = DEFAULT_REQUEST_TIMEOUT_S;
     s->leave_ms = DEFAULT_PROPAGATION_MS;
   if (s->drain_least_ms == 0)
     s->drain_least_ms = DEFAULT_DRAIN_LEAST_MS;
--- a/include/mplog.h
+++ b/include/mplog.h
@@ -123,6 +123,8 @@
   X(OVERLOAD_OVER, 8033, MP_INFO, "all connections are taken in again")       \
   X(RESPONSE_LOST, 8034, MP_INFO, "response lost with its connection")        \
   X(INPUT_REFUSED, 8035, MP_WARN, "request refused: callers hold too much")   \
+  X(PLACE_TAKEN, 8036, MP_WARN, "connection closed for a new one")            \
+  X(NOT_ACCEPTED, 8037, MP_WARN, "connection could not be accepted")          \
   X(CALLER_BAD, 8201, MP_INFO, "caller sent a malformed request")             \
   X(LINES_LEFT_OUT, 9001, MP_INFO, "log lines suppressed")                    \
   X(LINES_LOST, 9002, MP_WARN, "log lines lost")
--- a/io/front.c
+++ b/io/front.c
@@ -17,6 +17,7 @@
 #include "io/front.h"
 #include "io/front_connection.h"
 #include "io/front_memory.h"
+#include "io/front_places.h"
 #include "io/front_request.h"
 #include "io/front_response.h"
 #include "io/sockets.h"
@@ -24,6 +25,8 @@
 /* bytes of unsent response above which a connection is closed */
 #define MAX_UNREAD (4 << 20)
 #define LISTEN_BACKLOG 512
+/* time after which a connection is accepted again that could not be (us) */
+#define ACCEPT_RETRY_TIME (100 * MP_MS)
 
 /* limits that hold until a configuration sets them */
 #define DEFAULT_HEAD_BYTES (16 << 10)
@@ -33,11 +36,11 @@
 #define DEFAULT_HEAD_TIMEOUT (3 * MP_SEC)
 /* CallerLimits.idle_timeout: longest wait for the first bytes of a request */
 #define DEFAULT_IDLE_TIMEOUT (15 * MP_SEC)
+/* front_set_request_timeout: callers wait for 14 s at most */
+#define DEFAULT_REQUEST_TIMEOUT (30 * MP_SEC)
 
 /*
 ** {==================================================================
-/* front_set_request_timeout: callers wait for 14 s at most */
-#define DEFAULT_REQUEST_TIMEOUT (30 * MP_SEC)
 ** Events of connections
 ** ===================================================================
 */
@@ -136,6 +139,12 @@
   (void)size;
   if (backlog_since != 0 && !front_has_unaccepted(front))
     front->backlog_since = 0; /* this is the last one that has waited */
+  if (!front_make_place(front)) {
+    front->places_taken++;
+    evutil_closesocket(fd);
+    g_free(connection);
+    return;
+  }
   if (!intake_admit(front->intake, &connection->intake)) {
     evutil_closesocket(fd);
     g_free(connection);
@@ -160,6 +169,25 @@
   bufferevent_enable(connection->events, EV_READ | EV_WRITE);
 }
 
+static void on_accept_timer(evutil_socket_t fd, short what, void *data) {
+  Front *front = data;
+  (void)fd;
+  (void)what;
+  evconnlistener_enable(front->listener);
+}
+
+/* No connection can be accepted, for want of descriptors or of memory. It
+** would be tried again at once, without an end. */
+static void on_accept_error(struct evconnlistener *listener, void *data) {
+  const Front *front = data;
+  struct timeval wait = {0, ACCEPT_RETRY_TIME};
+  if (front->log != NULL)
+    log_numbered(front->log, MP_LOG_NOT_ACCEPTED, " error=\"%s\"",
+                 evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+  evconnlistener_disable(listener);
+  event_add(front->accept_timer, &wait);
+}
+
 /* }================================================================== */
 
 /*
@@ -275,7 +303,10 @@
   front->dialect = dialect;
   front->hooks = *hooks;
   front->limits = defaults;
+  front->request_timeout = DEFAULT_REQUEST_TIMEOUT;
+  front->log = log;
   front->intake = intake_new(base, log);
+  front->accept_timer = evtimer_new(base, on_accept_timer, front);
   front->connections =
       g_hash_table_new_full(NULL, NULL, connection_free, NULL);
   front->open = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -287,6 +318,7 @@
     front_free(front);
     return NULL;
   }
+  evconnlistener_set_error_cb(front->listener, on_accept_error);
   return front;
 }
 
@@ -303,8 +335,7 @@
   report_losses(front);
   if (front->listener != NULL)
     evconnlistener_free(front->listener);
-  front->request_timeout = DEFAULT_REQUEST_TIMEOUT;
-  front->log = log;
+  event_free(front->accept_timer);
   g_hash_table_destroy(front->open);
   g_hash_table_destroy(front->connections);
   intake_free(front->intake);
@@ -337,6 +368,18 @@
   return front->bodies_refused;
 }
 
+void front_set_request_timeout(Front *front, gint64 timeout) {
+  front->request_timeout = timeout;
+}
+
+void front_set_places(Front *front, guint places) {
+  front->places = places;
+}
+
+guint64 front_places_taken(const Front *front) {
+  return front->places_taken;
+}
+
 guint64 front_input_refused(const Front *front) {
   return front->input_refused;
 }
@@ -368,18 +411,6 @@
 }
 
 gint64 front_request_unread(const Front *front, guint64 number, gint64 now) {
-void front_set_request_timeout(Front *front, gint64 timeout) {
-  front->request_timeout = timeout;
-}
-
-void front_set_places(Front *front, guint places) {
-  front->places = places;
-}
-
-guint64 front_places_taken(const Front *front) {
-  return front->places_taken;
-}
-
   const Connection *connection = find_connection(front, number);
   if (connection == NULL || connection->request_unread_since == 0)
     return 0;
--- a/io/gateway.c
+++ b/io/gateway.c
@@ -494,6 +494,7 @@
   counts->body_bytes = flow != NULL ? flow_held(flow) - flow_total(flow) : 0;
   counts->bodies_refused = front_bodies_refused(gateway->front);
   counts->input_refused = front_input_refused(gateway->front);
+  counts->places_taken = front_places_taken(gateway->front);
   counts->caller_bytes = flow != NULL ? flow_used(flow) : 0;
   for (reason = 0; reason < CLOSE_REASON_COUNT; reason++)
     counts->responses_lost[reason] =
@@ -796,9 +797,9 @@
     return NULL;
   }
   control_flow(gateway, options);
-  make_directory(gateway, options);
   front_set_places(gateway->front, options->connections_max);
   front_set_request_timeout(gateway->front, options->request_timeout);
+  make_directory(gateway, options);
   log_numbered(gateway->log, MP_LOG_START, "%s", "");
   schedule_tick(gateway);
   return gateway;
--- a/io/metrics.c
+++ b/io/metrics.c
@@ -174,12 +174,13 @@
       "madderpier_bodies_refused_total %" G_GUINT64_FORMAT "\n"
       "madderpier_caller_bytes %" G_GUINT64_FORMAT "\n"
       "madderpier_input_refused_total %" G_GUINT64_FORMAT "\n"
+      "madderpier_connections_closed_for_new_total %" G_GUINT64_FORMAT "\n"
       "madderpier_paused_reads %u\n"
       "madderpier_sending_connections %u\n"
       "madderpier_unsent_bytes %" G_GUINT64_FORMAT "\n",
       counts->unread_bytes, counts->body_bytes, counts->bodies_refused,
-      counts->caller_bytes, counts->input_refused, counts->paused_reads,
-      counts->sending_connections, counts->unsent_bytes);
+      counts->caller_bytes, counts->input_refused, counts->places_taken,
+      counts->paused_reads, counts->sending_connections, counts->unsent_bytes);
   for (reason = 0; reason < FLOW_REASON_COUNT; reason++)
     g_string_append_printf(
         text,
--- a/io/metrics.h
+++ b/io/metrics.h
@@ -106,6 +106,7 @@
   guint64 caller_bytes;   /* all that connections of callers hold, as far as it
                           ** is bounded (flow_used); the present value */
   guint64 input_refused;  /* requests refused because callers held too much */
+  guint64 places_taken;   /* connections of callers closed for new ones */
 } AdapterCounts;
 
 /* Returns the text, which the caller frees by g_string_free. */
--- a/makefile
+++ b/makefile
@@ -132,7 +132,7 @@
 	@mkdir -p $(dir $@)
 	$(CXX) $(CXXFLAGS) -Iinclude -Iaccount -Icore -I. $(ALLCF) -MMD -c -o $@ $<
 
-UNIT_IO = $(BUILD)/io/clock.o $(BUILD)/io/loop_lag.o $(BUILD)/io/standstill.o $(BUILD)/io/connection_limit.o $(BUILD)/io/planned_stop.o $(BUILD)/io/stop_signals.o $(BUILD)/io/path_delay.o $(BUILD)/io/intake.o $(BUILD)/io/flow_control.o $(BUILD)/io/flow_input.o $(BUILD)/io/log.o $(BUILD)/io/bad_records.o $(BUILD)/io/front.o $(BUILD)/io/close_reason.o $(BUILD)/io/front_connection.o $(BUILD)/io/front_request.o $(BUILD)/io/front_memory.o $(BUILD)/io/front_response.o $(BUILD)/io/endpoint_links.o $(BUILD)/io/link_pool.o $(BUILD)/io/endpoint_call.o $(BUILD)/io/sockets.o $(BUILD)/io/store_link.o \
+UNIT_IO = $(BUILD)/io/clock.o $(BUILD)/io/loop_lag.o $(BUILD)/io/standstill.o $(BUILD)/io/connection_limit.o $(BUILD)/io/planned_stop.o $(BUILD)/io/stop_signals.o $(BUILD)/io/path_delay.o $(BUILD)/io/intake.o $(BUILD)/io/flow_control.o $(BUILD)/io/flow_input.o $(BUILD)/io/log.o $(BUILD)/io/bad_records.o $(BUILD)/io/front.o $(BUILD)/io/close_reason.o $(BUILD)/io/front_connection.o $(BUILD)/io/front_request.o $(BUILD)/io/front_memory.o $(BUILD)/io/front_places.o $(BUILD)/io/front_response.o $(BUILD)/io/endpoint_links.o $(BUILD)/io/link_pool.o $(BUILD)/io/endpoint_call.o $(BUILD)/io/sockets.o $(BUILD)/io/store_link.o \
   $(BUILD)/io/carry_client.o $(BUILD)/io/carry_server.o $(BUILD)/io/record_stream.o \
   $(BUILD)/io/metrics.o $(BUILD)/io/news_codec.o $(BUILD)/io/load_exchange.o $(BUILD)/io/datagram.o $(BUILD)/io/http.o
 
--- a/test/test_metrics.cc
+++ b/test/test_metrics.cc
@@ -23,7 +23,7 @@
       7,     11,   2, {},      1,  2,  3,         "relay", 250 * ms, TRUE, 5,
       4,     6,    7, 15,      10, 12, 13,        14,      3,        2,    1,
       70000, 4000, 9, 16,      17, 2,  {5, 6, 7}, {},      9,        8,    {},
-      {},    {},   3, nullptr, 0,  0,  0,         0,       0,        0};
+      {},    {},   3, nullptr, 0,  0,  0,         0,       0,        0,    0};
   carriers.responses_lost[CLOSE_NOT_READ] = 4;
   carriers.news_lag[STORE_CONFIGURATION] = 1500 * ms;
   carriers.known_positions[STORE_ENDPOINTS] = store_position(2, 31);
@@ -41,6 +41,7 @@
   carriers.standstill_time = 4250 * ms;
   carriers.caller_bytes = 90000;
   carriers.input_refused = 21;
+  carriers.places_taken = 22;
   world.add_default_endpoints();
   world.request("/unsafe/x");
   world.outcome(world.last().number, OUTCOME_ANSWER);
@@ -83,6 +84,7 @@
         "madderpier_body_bytes 4000",
         "madderpier_caller_bytes 90000",
         "madderpier_input_refused_total 21",
+        "madderpier_connections_closed_for_new_total 22",
         "madderpier_bodies_refused_total 9",
         "madderpier_paused_reads 2",
         "madderpier_sending_connections 16",
