--- a/io/ops.c
+++ b/io/ops.c
@@ -13,6 +13,10 @@
 #include "io/adapters.h"
 #include "io/sockets.h"
 
+/* Largest head and body of a request of an operator (bytes). */
+#define REQUEST_HEAD_MAX (16 << 10)
+#define REQUEST_BODY_MAX 4096
+
 struct Ops {
   Node *node;
   struct evhttp *http;
@@ -191,7 +195,8 @@
     ops_free(O);
     return NULL;
   }
-  evhttp_set_max_body_size(O->http, 4096);
+  evhttp_set_max_headers_size(O->http, REQUEST_HEAD_MAX);
+  evhttp_set_max_body_size(O->http, REQUEST_BODY_MAX);
   evhttp_set_timeout(O->http, 10);
   evhttp_set_cb(O->http, "/live", on_live, O);
   evhttp_set_cb(O->http, "/ready", on_ready, O);
--- a/io/status_server.c
+++ b/io/status_server.c
@@ -11,6 +11,11 @@
 #include "io/status_server.h"
 #include "io/news_codec.h"
 
+/* Largest head and body of a query (bytes). Queries have no body; evhttp would
+** take in whatever comes. */
+#define QUERY_HEAD_MAX (16 << 10)
+#define QUERY_BODY_MAX 4096
+
 struct StatusServer {
   struct event_base *base;
   StatusServerHooks hooks;
@@ -82,6 +87,8 @@
   if (address == 0)
     return NULL;
   http = evhttp_new(server->base);
+  evhttp_set_max_headers_size(http, QUERY_HEAD_MAX);
+  evhttp_set_max_body_size(http, QUERY_BODY_MAX);
   evhttp_set_cb(http, path, handler, server);
   mp_addr_text(address, host);
   *strchr(host, ':') = '\0';
