--- a/http/reader.c
+++ b/http/reader.c
@@ -16,6 +16,8 @@
 /* Capacity (bytes) that a text keeps from one message to the next. */
 #define TEXT_KEPT_BYTES 1024
 
+#define STATUS_DIGITS 3
+
 struct HttpReader {
   http_parser parser;
   http_parser_settings settings;
@@ -27,9 +29,11 @@
   GString *name, *value, *target; /* what was read of each so far */
   gboolean in_value;              /* the bytes read last belong to a value */
   gboolean no_body;
-  gboolean at_head_end; /* the parser is paused at the last byte of a head */
-  gboolean has_head;    /* the head of the message was passed on */
-  gboolean after_cr;    /* the byte of a head that was read last is a CR */
+  gboolean at_head_end;   /* the parser is paused at the last byte of a head */
+  gboolean has_head;      /* the head of the message was passed on */
+  unsigned status_spaces; /* read of the status line, before its third part */
+  unsigned status_digits; /* bytes of its second part */
+  gboolean after_cr;      /* the byte of a head that was read last is a CR */
   gboolean keep_alive;
   size_t head_limit, body_limit; /* in bytes, inclusive; 0: none */
   size_t head_bytes, body_bytes; /* read of the current message */
@@ -141,6 +145,12 @@
          parser->http_major == 1 && parser->http_minor >= 1;
 }
 
+/* Is this a status that a response may have here? Another one is no answer
+** (RFC 9110, 15). 101 answers an upgrade, and none is asked for. */
+static gboolean is_status_valid(unsigned status) {
+  return status >= 100 && status <= 599 && status != 101;
+}
+
 /* Pauses the parser, so that the bytes of the head are checked before it is
 ** passed on (has_bare_cr). Returns 1 to tell it that no body follows, -1 to
 ** stop it. */
@@ -160,8 +170,10 @@
       parser->upgrade = 0;
     head->method = g_strdup(http_method_str(parser->method));
     head->target = g_strdup(reader->target->str);
-  } else
+  } else if (is_status_valid(parser->status_code))
     head->status = parser->status_code;
+  else
+    return fail(reader, HTTP_ERROR_SYNTAX);
   reader->at_head_end = TRUE;
   http_parser_pause(parser, 1);
   return reader->no_body ? 1 : 0;
@@ -260,6 +272,31 @@
   return FALSE;
 }
 
+/* Counts the digits of the status in these next bytes of a response's head.
+** The parser takes "0200" for 200. */
+static void count_status_digits(HttpReader *reader, const char *bytes,
+                                size_t size) {
+  size_t i;
+  for (i = 0; i < size && reader->status_spaces < 2; i++) {
+    gboolean is_space = bytes[i] == ' ';
+    if (is_space || bytes[i] == '\r' || bytes[i] == '\n')
+      reader->status_spaces += is_space ? 1 : 2;
+    else if (reader->status_spaces == 1)
+      reader->status_digits++;
+  }
+}
+
+/* Are these next bytes of a head, which the parser accepts, wrong? */
+static gboolean is_head_wrong(HttpReader *reader, const char *bytes,
+                              size_t size) {
+  if (has_bare_cr(reader, bytes, size))
+    return TRUE;
+  if (reader->parser.type != HTTP_RESPONSE)
+    return FALSE;
+  count_status_digits(reader, bytes, size);
+  return reader->at_head_end && reader->status_digits != STATUS_DIGITS;
+}
+
 /* Passes the head on, and lets the parser continue. */
 static void pass_head(HttpReader *reader) {
   HttpHead *head = reader->head;
@@ -279,7 +316,7 @@
     return 0;
   used = execute(reader, bytes, size);
   if (!reader->has_head &&
-      has_bare_cr(reader, bytes, reader->at_head_end ? used + 1 : used)) {
+      is_head_wrong(reader, bytes, reader->at_head_end ? used + 1 : used)) {
     reader->state = HTTP_READER_FAILED;
     if (reader->error == HTTP_ERROR_NONE)
       reader->error = HTTP_ERROR_SYNTAX;
@@ -313,6 +350,8 @@
   reader->state = HTTP_READER_IDLE;
   reader->has_head = FALSE;
   reader->after_cr = FALSE;
+  reader->status_spaces = 0;
+  reader->status_digits = 0;
   if (reader->parser.type != HTTP_RESPONSE ||
       reader->parser.status_code >= 200)
     reader->no_body = FALSE;
--- a/io/http.c
+++ b/io/http.c
@@ -81,7 +81,7 @@
   int status = evhttp_request_get_response_code(req);
   if (status == 100)
     return 0;
-  if (status < 200 || !is_framing_known(req))
+  if (status < 200 || status > 599 || !is_framing_known(req))
     return -1; /* the call ends with an error */
   c->has_head = 1;
   if (!c->is_ended && c->hooks->head != NULL)
--- a/test/test_cut_calls.cc
+++ b/test/test_cut_calls.cc
@@ -165,6 +165,17 @@
   }
 }
 
+/* Guards against an answer to the own interface whose status is none. */
+TEST_F(OwnCallTest, AStatusThatIsNoneIsNoResponse) {
+  for (const char *status : {"000", "042", "099", "600", "999"}) {
+    Call one = call(std::string("HTTP/1.1 ") + status +
+                        " X\r\nContent-Length: 0\r\n\r\n",
+                    End::SILENCE);
+    EXPECT_NE(one.end, HTTP_END_OK) << status;
+    EXPECT_EQ(one.heads, 0) << status;
+  }
+}
+
 /* The process ended when no descriptor was free: the end of the call was told
 ** while it was made, which its caller does not expect. */
 TEST_F(OwnCallTest, WithoutADescriptorNoCallIsMadeAndNoEndTold) {
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <random>
 #include <string>
 
@@ -209,6 +210,36 @@
   EXPECT_EQ(http_reader_error(body.reader), HTTP_ERROR_BODY_TOO_LARGE);
 }
 
+/* A client got an answer with the status 000 as its answer. RFC 9110, 15: a
+** status has three digits, from 100 to 599. 101 is never asked for. */
+TEST(Reader, AStatusThatIsNoneIsBad) {
+  HttpReaderCallbacks ignored = {
+      [](void *, HttpHead *head) { http_head_free(head); },
+      [](void *, const char *, size_t) {}};
+  const std::map<std::string, bool> statuses = {
+      {"000", false}, {"001", false},  {"042", false}, {"099", false},
+      {"100", true},  {"101", false},  {"102", true},  {"199", true},
+      {"200", true},  {"204", true},   {"404", true},  {"599", true},
+      {"600", false}, {"999", false},  {"0", false},   {"20", false},
+      {"", false},    {"0200", false}, {"2000", false}};
+  for (const auto &one : statuses) {
+    for (const char *fields : {"Content-Length: 0\r\n\r\n", "\r\n",
+                               "Transfer-Encoding: chunked\r\n\r\n"}) {
+      std::string text = "HTTP/1.1 " + one.first + " X\r\n" + fields;
+      for (size_t first = 1; first <= text.size(); first++) {
+        HttpReader *reader =
+            http_reader_new(HTTP_RESPONSES, &ignored, nullptr);
+        size_t used = http_reader_feed(reader, text.data(), first);
+        if (used < text.size())
+          http_reader_feed(reader, text.data() + used, text.size() - used);
+        EXPECT_EQ(http_reader_state(reader) != HTTP_READER_FAILED, one.second)
+            << text << " first " << first;
+        http_reader_free(reader);
+      }
+    }
+  }
+}
+
 /* Guards against heads that take many times the memory of their bytes: the
 ** shortest fields count with what stands between them, and their memory is
 ** told while the head still arrives. */
--- a/test/test_links.cc
+++ b/test/test_links.cc
@@ -309,6 +309,21 @@
   EXPECT_EQ(ended(first).kind, OUTCOME_BROKEN);
 }
 
+/* Guards against an answer with the status 000 that is waited for up to the
+** caller's deadline, or passed on, though it is known at once to be none. */
+TEST_F(Links, AStatusThatIsNoneIsBroken) {
+  size_t connections = 0;
+  for (const char *status :
+       {"000", "001", "042", "099", "101", "600", "999"}) {
+    guint64 one = dispatch();
+    asked(connections++)
+        ->send_text(std::string("HTTP/1.1 ") + status +
+                    " X\r\nServer-Stamp: s\r\nRequest-Id: "
+                    "r1\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_EQ(ended(one).kind, OUTCOME_BROKEN) << status;
+  }
+}
+
 TEST_F(Links, ASuccessWithoutASignatureIsBroken) {
   guint64 first = dispatch();
   asked(0)->send_text("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
