--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -99,6 +99,13 @@
     gateway_reload(gateway);
 }
 
+#define BYTES_PER_MB 1048576
+
+/* bytes that connections of callers may hold; 0: not bounded */
+static uint64_t memory_bound(const Settings *s) {
+  return (uint64_t)(s->memory_share * s->memory_mb * BYTES_PER_MB);
+}
+
 /* how many connections callers may have */
 static unsigned connections_max(const Settings *s, uint64_t bound) {
   struct rlimit limit;
@@ -127,6 +134,8 @@
   o->max_body = s->max_body_bytes;
   o->max_headers = s->max_headers;
   o->caller_timeout_s = s->caller_timeout_s;
+  o->memory_bound = memory_bound(s);
+  o->connections_max = connections_max(s, o->memory_bound);
 }
 
 /* runs until the instance stops; returns the exit code */
@@ -155,7 +164,6 @@
 ** counted for a megabit per second of the link */
 #define MILLICORES 1000
 #define MILLICORES_PER_MBPS 10
-#define BYTES_PER_MB 1048576
 
 /* the smaller of the two capacities that are known; 0: none is */
 static guint32 capacity_of(const Settings *s) {
@@ -189,7 +197,7 @@
   o->propagation_max = MIN(s->apply_ms, s->leave_ms) * MP_MS;
   o->lease_length = s->lease_ms * MP_MS;
   o->revoke_within = s->revoke_ms * MP_MS;
-  o->unread_bound = (guint64)(s->memory_share * s->memory_mb * BYTES_PER_MB);
+  o->unread_bound = memory_bound(s);
   o->request_timeout = s->request_timeout_s * MP_SEC;
   o->connections_max = connections_max(s, o->unread_bound);
   o->overload_control = s->overload_control;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -184,8 +184,6 @@
   if (s->lease_ms > 0 && s->lease_ms < LEASE_MIN_MS)
     return settings_error(err, path, "lease_ms",
                           "use 2000 or more, or leave it out");
-  if (!check_memory(s, path, err))
-    return FALSE;
   if (s->control != NULL && !check_address(err, path, "control", s->control))
     return FALSE;
   if (s->metrics != NULL && !check_address(err, path, "metrics", s->metrics))
@@ -205,6 +203,8 @@
   if (s->max_connections > 0 && s->max_connections < CONNECTIONS_MIN)
     return settings_error(err, path, "max_connections",
                           "use 16 or more, or leave it out");
+  if (!check_memory(s, path, err))
+    return FALSE;
   if (!check_address(err, path, "callers", s->callers) ||
       !check_address(err, path, "platform", s->platform) ||
       !check_dialect(s, path, err))
--- a/io/callers.c
+++ b/io/callers.c
@@ -28,6 +28,7 @@
 #include <xxhash.h>
 
 #include "io/adapters.h"
+#include "io/caller_bounds.h"
 #include "io/caller_errors.h"
 #include "io/clock.h"
 #include "io/sockets.h"
@@ -49,6 +50,8 @@
 ** accepted; after this time in any case, because new ones may come all the
 ** time. */
 #define ACCEPT_MAX (1 * MP_SEC)
+/* Time after which a connection is accepted again that could not be (us). */
+#define ACCEPT_RETRY_TIME (100 * MP_MS)
 
 struct Callers {
   Node *node;
@@ -63,6 +66,8 @@
   GQueue hung_up;          /* numbers of calls, of which the core is yet to be
                            ** told that their callers have disconnected */
   struct event *hangup_event; /* tells it */
+  CallerBounds *bounds;
+  struct event *accept_timer; /* accepts again after a failure */
   int is_listening;
   mp_Time refusing_since; /* the first callers_stop_accepting */
   int is_draining;        /* a planned stop has begun */
@@ -72,6 +77,7 @@
 
 typedef struct Connection {
   IntakeConnection intake;
+  CallerHold hold;
   int lingers; /* its caller would keep it, but it is closed */
   int is_lost; /* the caller has closed it, or does not read */
 } Connection;
@@ -133,8 +139,10 @@
 
 static void end_request(const Callers *C, const evhtp_connection_t *conn) {
   Connection *connection = g_hash_table_lookup(C->connections, conn);
-  if (connection != NULL)
-    intake_end_request(C->node->intake, &connection->intake);
+  if (connection == NULL)
+    return;
+  intake_end_request(C->node->intake, &connection->intake);
+  caller_hold_clear(&connection->hold);
 }
 
 /*
@@ -349,6 +357,12 @@
                     NULL);
 }
 
+static void end_arrival(const Callers *C, const evhtp_connection_t *conn) {
+  Connection *connection = g_hash_table_lookup(C->connections, conn);
+  if (connection != NULL)
+    caller_hold_whole(&connection->hold);
+}
+
 static void on_request(evhtp_request_t *r, void *arg) {
   Callers *C = arg;
   Caller *c = g_hash_table_lookup(C->by_connection, r->conn);
@@ -357,6 +371,7 @@
   mp_Event e = {0};
   mp_Call *q = &e.u.call;
   g_assert(c != NULL); /* added by on_headers */
+  end_arrival(C, r->conn);
   if (c->body.method == NULL) {
     reject(c, MP_ERR_METHOD, NULL);
     return;
@@ -407,6 +422,26 @@
   return 0;
 }
 
+static evhtp_res refuse_for_memory(evhtp_request_t *r) {
+  caller_send_before_close(r->conn, MP_ERR_OVERLOAD, "callers hold too much");
+  return EVHTP_RES_ERROR;
+}
+
+/* Bounds a head as it arrives, since it may have no end. */
+static evhtp_res on_header(evhtp_request_t *r, evhtp_header_t *field,
+                           void *arg) {
+  const Callers *C = arg;
+  Connection *connection = g_hash_table_lookup(C->connections, r->conn);
+  if (connection == NULL)
+    return EVHTP_RES_OK;
+  if (!caller_hold_field(&connection->hold, field))
+    return refuse_for_memory(r);
+  if (connection->hold.fields <= C->max_headers)
+    return EVHTP_RES_OK;
+  caller_send_before_close(r->conn, MP_ERR_TOO_LARGE, "too many headers");
+  return EVHTP_RES_ERROR;
+}
+
 static evhtp_res on_headers(evhtp_request_t *r, evhtp_headers_t *h,
                             void *arg) {
   Callers *C = arg;
@@ -443,12 +478,17 @@
 /* Enforces max_body as a body arrives, since it may lack a Content-Length. */
 static evhtp_res on_body_data(evhtp_request_t *r, struct evbuffer *b,
                               void *arg) {
-  Callers *C = arg;
-  if (evbuffer_get_length(r->buffer_in) + evbuffer_get_length(b) <=
-      C->max_body)
-    return EVHTP_RES_OK;
-  caller_send_before_close(r->conn, MP_ERR_TOO_LARGE, "body");
-  return EVHTP_RES_ERROR;
+  const Callers *C = arg;
+  Connection *connection = g_hash_table_lookup(C->connections, r->conn);
+  size_t more = evbuffer_get_length(b);
+  size_t size = evbuffer_get_length(r->buffer_in) + more;
+  if (size > C->max_body) {
+    caller_send_before_close(r->conn, MP_ERR_TOO_LARGE, "body");
+    return EVHTP_RES_ERROR;
+  }
+  if (connection != NULL && !caller_hold_body(&connection->hold, size, more))
+    return refuse_for_memory(r);
+  return EVHTP_RES_OK;
 }
 
 /* An event of the connection: answers callers that send too slowly. */
@@ -513,6 +553,7 @@
   htpparse_error e = htparser_get_error(conn->parser);
   if (connection != NULL) {
     intake_remove(C->node->intake, &connection->intake);
+    caller_bounds_remove(&connection->hold);
     if (connection->lingers && !connection->is_lost && !C->is_freeing)
       linger(C, conn->sock);
   }
@@ -538,12 +579,18 @@
 /* Returns EVHTP_RES_ERROR for a connection that is to be closed unread. */
 static evhtp_res on_accept(evhtp_connection_t *c, void *arg) {
   const Callers *C = arg;
-  Connection *connection = g_new0(Connection, 1);
+  Connection *connection;
+  if (!caller_bounds_make_place(C->bounds, g_hash_table_size(C->lingering)))
+    return EVHTP_RES_ERROR;
+  connection = g_new0(Connection, 1);
   if (!intake_admit(C->node->intake, &connection->intake)) {
     g_free(connection);
     return EVHTP_RES_ERROR;
   }
   g_hash_table_insert(C->connections, c, connection);
+  caller_bounds_add(C->bounds, &connection->hold, c);
+  evhtp_connection_set_hook(c, evhtp_hook_on_header, (evhtp_hook)on_header,
+                            arg);
   evhtp_connection_set_hook(c, evhtp_hook_on_headers_start,
                             (evhtp_hook)on_request_start, arg);
   evhtp_connection_set_hook(c, evhtp_hook_on_headers, (evhtp_hook)on_headers,
@@ -810,6 +857,30 @@
 
 /* }================================================================== */
 
+static void on_accept_timer(evutil_socket_t fd, short what, void *arg) {
+  const Callers *C = arg;
+  (void)fd;
+  (void)what;
+  if (C->is_listening)
+    evconnlistener_enable(C->htp->server);
+}
+
+/* No connection can be accepted, as in front.c. */
+static void on_accept_error(struct evconnlistener *listener, void *arg) {
+  const Callers *C = ((const evhtp_t *)arg)->arg;
+  struct timeval wait = {0, ACCEPT_RETRY_TIME};
+  log_numbered(C->node->log, MP_LOG_NOT_ACCEPTED, " error=\"%s\"",
+               evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+  evconnlistener_disable(listener);
+  event_add(C->accept_timer, &wait);
+}
+
+static CallerBounds *make_bounds(const Node *node, const NodeOptions *o) {
+  CallerBoundsOptions options = {o->memory_bound, o->connections_max,
+                                 o->caller_timeout_s * MP_SEC};
+  return caller_bounds_new(node->base, &options, node->log);
+}
+
 Callers *callers_new(Node *node, const NodeOptions *o, GError **err) {
   Callers *C = g_new0(Callers, 1);
   char host[24];
@@ -824,7 +895,9 @@
   C->timeout.tv_sec = o->caller_timeout_s;
   g_queue_init(&C->hung_up);
   C->hangup_event = evtimer_new(node->base, feed_hangups, C);
-  C->htp = evhtp_new(node->base, NULL);
+  C->bounds = make_bounds(node, o);
+  C->accept_timer = evtimer_new(node->base, on_accept_timer, C);
+  C->htp = evhtp_new(node->base, C);
   evhtp_set_gencb(C->htp, on_request, C);
   evhtp_set_post_accept_cb(C->htp, on_accept, C);
   mp_addr_text(o->callers, host);
@@ -838,6 +911,7 @@
     callers_free(C);
     return NULL;
   }
+  evconnlistener_set_error_cb(C->htp->server, on_accept_error);
   C->is_listening = 1;
   return C;
 }
@@ -858,6 +932,8 @@
   free_connections(C);
   g_queue_clear_full(&C->hung_up, g_free);
   event_free(C->hangup_event);
+  event_free(C->accept_timer);
+  caller_bounds_free(C->bounds);
   evhtp_free(C->htp);
   g_hash_table_destroy(C->by_connection);
   g_hash_table_destroy(C->open);
--- a/io/node.h
+++ b/io/node.h
@@ -38,7 +38,11 @@
   uint32_t max_body;         /* bytes of a request body */
   uint32_t max_headers;      /* number of header fields of a request */
   uint32_t caller_timeout_s; /* seconds without progress after which a caller's
-                             ** connection is closed */
+                             ** connection is closed, and in which a request
+                             ** must arrive */
+  uint64_t memory_bound;     /* bytes that requests may hold while they arrive;
+                             ** 0: not bounded */
+  unsigned connections_max;  /* of callers; 0: as many as come */
 } NodeOptions;
 
 typedef struct Node {
