--- a/http/head.c
+++ b/http/head.c
@@ -56,7 +56,7 @@
 gsize http_head_size(const HttpHead *head) {
   gsize target = head->target != NULL ? strlen(head->target) : 0;
   /* the array grows to the next power of two */
-  gsize fields = 2 * head->fields->len * sizeof(HttpField);
+  gsize fields = (gsize)2 * head->fields->len * sizeof(HttpField);
   return sizeof *head + TEXT_BLOCK_BYTES + target + fields + head->texts_size;
 }
 
--- a/io/flow_control.c
+++ b/io/flow_control.c
@@ -20,6 +20,9 @@
 /* Above three quarters of the bound, both marks are divided by this. */
 #define TIGHT_SHARE 4
 
+/* What a small request holds at the most. */
+#define SMALL_OWN_BYTES ((guint64)FLOW_BODY_COPIES * FLOW_SMALL_BYTES)
+
 struct FlowConnection {
   FlowReader reader; /* 'read' is set for a decision */
   gpointer owner;
@@ -390,8 +393,7 @@
   wanted = MIN(2 * MAX(size, reserved), MAX(size, size_max));
   headroom = headroom_beside(flow, connection);
   if (!body_fits(flow, connection, wanted, headroom) &&
-      !(flow_make_room(flow, connection,
-                       FLOW_BODY_COPIES * (wanted - reserved) + headroom,
+      !(flow_make_room(flow, connection, FLOW_BODY_COPIES * wanted + headroom,
                        now) &&
         body_fits(flow, connection, wanted, headroom)))
     return FALSE;
@@ -428,10 +430,11 @@
 
 gboolean flow_make_room(FlowControl *flow, const FlowConnection *connection,
                         guint64 more, gint64 now) {
-  guint64 own = connection->input + FLOW_BODY_COPIES * connection->body + more;
+  guint64 own_body = FLOW_BODY_COPIES * connection->body;
+  guint64 own = connection->input + MAX(own_body, more);
   guint64 bound = flow->limits.bound;
-  guint64 used = flow_used(flow) + more;
-  if (own <= FLOW_SMALL_BYTES * FLOW_BODY_COPIES)
+  guint64 used = flow_used(flow) - own_body + more;
+  if (own <= SMALL_OWN_BYTES)
     bound += bound / FLOW_RESERVE_SHARE;
   return used <= bound || make_room(flow, connection, used - bound, now);
 }
--- a/io/flow_control.h
+++ b/io/flow_control.h
@@ -206,8 +206,8 @@
 void flow_end_arrival(FlowConnection *connection);
 /*
 ** Returns whether 'more' bytes for the request of this connection fit into
-** what callers may hold. Other requests that arrive give way before it is
-** FALSE.
+** what callers may hold, besides its body, for which memory was reserved
+** before. Other requests that arrive give way before it is FALSE.
 */
 gboolean flow_make_room(FlowControl *flow, const FlowConnection *connection,
                         guint64 more, gint64 now);
--- a/test/test_flow_control.cc
+++ b/test/test_flow_control.cc
@@ -311,6 +311,18 @@
   EXPECT_LE(flow_used(flow), limits.bound + limits.bound / FLOW_RESERVE_SHARE);
 }
 
+/* Guards against a body alone, within the limits of the configuration, that is
+** refused because the bound is small. */
+TEST_F(FlowArrivals, OneBodyIsTakenInWhateverItsSize) {
+  FlowConnection *alone = arriving(second);
+  EXPECT_TRUE(flow_set_body(flow, alone, limits.bound, TRUE));
+  flow_set_input(flow, alone, kb);
+  EXPECT_TRUE(flow_make_room(flow, alone, 0, second));
+  flow_set_body(flow, alone, 0, FALSE);
+  EXPECT_TRUE(flow_grow_body(flow, alone, limits.bound, limits.bound, second));
+  EXPECT_TRUE(flow_make_room(flow, alone, 0, second));
+}
+
 /* Guards against large requests that shut small ones out. */
 TEST_F(FlowArrivals, OnlySmallRequestsUseTheReserve) {
   FlowConnection *large = arriving(second);
