--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -1134,9 +1134,29 @@
 m c-epipe "cut: a reset behind an orderly end changes nothing" io/sockets.c \
   'EVUTIL_SOCKET_ERROR() != EPIPE' 'TRUE'
 m c-own "cut: own interface, an unknown framing is broken" io/http.c \
-  'status < 200 || !is_framing_known(req)' 'status < 200'
+  'status > 599 || !is_framing_known(req)' 'status > 599'
 m c-own-interim "cut: own interface, an interim response is none" io/http.c \
-  'status < 200 || !is_framing_known(req)' '!is_framing_known(req)'
+  'status < 200 || status > 599' 'status > 599'
+m c-own-status "status: own interface, 600 is none" io/http.c \
+  'status > 599 || ' ''
+m c-status "status: 000 and 600 are none" http/reader.c \
+  'return status >= 100 && status <= 599 && status != 101;' 'return TRUE;'
+m c-status-digits "status: three digits" http/reader.c \
+  'reader->status_digits != STATUS_DIGITS' 'FALSE'
+m c-head-size "heads: a field counts with what stands around it" http/reader.c \
+  'size_counted += FIELD_EXTRA_BYTES;' ''
+m f-stalled "memory: only what stalls gives way" io/flow_input.c \
+  'arrival->received < FLOW_QUICK_BYTES' 'TRUE'
+m f-helps "memory: none gives way for nothing" io/flow_input.c \
+  'return stalled_bytes >= need ? first : -1;' 'return first;'
+m f-headroom "memory: the oldest body can grow" io/flow_control.c \
+  'return FLOW_BODY_COPIES * (oldest->body_max - oldest->body);' 'return 0;'
+m f-reserve "memory: small requests have a reserve" io/flow_control.c \
+  'bound += bound / FLOW_RESERVE_SHARE;' ''
+m f-alone "memory: one body alone is taken in" io/flow_control.c \
+  'flow_used(flow) - own_body + more;' 'flow_used(flow) + more;'
+m c-no-socket "descriptors: no end within http_call" io/http.c \
+  'if (c->is_ended || c->is_making)' 'if (c->is_ended)'
 if [ -n "$stale_only" ]; then
   python3 - "$dir/rows" <<'P'
 import sys
