--- a/router/outcomes.c
+++ b/router/outcomes.c
@@ -224,6 +224,11 @@
 ** ===================================================================
 */
 
+/* How the run of a complete answer has ended. */
+static RunEnd run_end_of(const Outcome *outcome) {
+  return outcome->ends_with_close ? RUN_UNPROVED : RUN_WRITTEN;
+}
+
 /* A complete answer came. An answer with a status of 500 or more counts as
 ** a failure of the endpoint: it is passed on only if no other run may be
 ** sent. */
@@ -234,9 +239,9 @@
     endpoint_note_failure(endpoint, now);
   else if (endpoint != NULL)
     endpoint_note_success(endpoint, now);
-  suspects_note_success(router, request,
-                        outcome->status < 300 && !outcome->ends_with_close,
-                        now);
+  suspects_note_success(
+      router, request,
+      outcome->status < 300 ? run_end_of(outcome) : RUN_FAILED, now);
   if (failed && replace_run(router, request, FALSE, now))
     return;
   if (request->head_sent) { /* the resumed run answered without a stream */
@@ -387,7 +392,7 @@
     if (endpoint != NULL)
       endpoint_note_success(endpoint, now);
     estimate_observe_output(router, request);
-    suspects_note_success(router, request, !outcome->ends_with_close, now);
+    suspects_note_success(router, request, run_end_of(outcome), now);
     router_record_duration(router, request, DURATION_STREAM, now);
     admission_note_run_end(router, request, now);
     finish_answered(router, request, outcome);
--- a/router/router.c
+++ b/router/router.c
@@ -74,6 +74,7 @@
   router->crashes = lives_new_crash_watch(router);
   router->quarantine = quarantine_new(options->unix_offset, options->seed);
   router->suspicions = suspicions_new();
+  router->unproved_runs = unproved_runs_new();
   router->unknown_fields =
       g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
   router->overload_control = options->overload_control;
@@ -103,6 +104,7 @@
   crash_watch_free(router->crashes);
   quarantine_free(router->quarantine);
   suspicions_free(router->suspicions);
+  unproved_runs_free(router->unproved_runs);
   g_hash_table_destroy(router->unknown_fields);
   g_hash_table_destroy(router->requests_by_dispatch);
   g_ptr_array_free(router->waiting, TRUE);
@@ -592,6 +594,7 @@
   crash_watch_expire(router->crashes, now);
   quarantine_expire(router->quarantine, now);
   suspicions_expire(router->suspicions, now);
+  unproved_runs_expire(router->unproved_runs, now);
   continuation_tick(router, now);
   origin_store_expire(router, now);
   admission_start_waiting_requests(router, now);
--- a/router/state.h
+++ b/router/state.h
@@ -32,6 +32,7 @@
 #include "router/stages.h"
 #include "router/stream_origins.h"
 #include "router/suspicions.h"
+#include "router/unproved_runs.h"
 
 /* X(symbol, name): the counters, from the start of the instance. The names are
 ** those of the metrics. */
@@ -296,9 +297,10 @@
   CrashWatch *crashes;    /* endpoints that may have crashed under requests */
   Quarantine *quarantine; /* requests under which endpoints crashed */
   Suspicions *suspicions; /* crashes that are not certain yet */
-  gboolean overload_control; /* as in RouterOptions */
-  gint64 judged_at;          /* when endpoints were last judged */
-  gint64 judge_at;           /* when they are to be judged again; 0: no need */
+  UnprovedRuns *unproved_runs; /* good runs that are not certain yet */
+  gboolean overload_control;   /* as in RouterOptions */
+  gint64 judged_at;            /* when endpoints were last judged */
+  gint64 judge_at; /* when they are to be judged again; 0: no need */
   gboolean has_judged_reports; /* there were reports to judge then */
   guint down_endpoints;        /* as of then */
   gint64 proof_age_max;        /* as in RouterOptions */
@@ -706,9 +708,16 @@
 void suspects_note_piece(Router *router, Request *request, gint64 now);
 /* The endpoint of the open dispatch has answered, so it has not crashed. */
 void suspects_note_answer(Router *router, const Request *request, gint64 now);
-/* A run of the request ended with an answer; 'wrote': the endpoint wrote it to
-** its end, so it has not crashed on the prompt. */
-void suspects_note_success(Router *router, Request *request, gboolean wrote,
+/* How a run that was answered has ended. */
+typedef enum RunEnd {
+  RUN_FAILED,   /* the answer says so, or is none */
+  RUN_UNPROVED, /* the answer ended with its connection: the endpoint may have
+                ** crashed (router/unproved_runs.h) */
+  RUN_WRITTEN   /* the endpoint wrote the answer to its end, so it has not
+                ** crashed on the prompt */
+} RunEnd;
+/* A run of the request ended with an answer. */
+void suspects_note_success(Router *router, Request *request, RunEnd end,
                            gint64 now);
 /* Sets the names of the request's parts; its service must be set. */
 void suspects_attach_parts(Request *request, const CallerRequest *call);
--- a/router/suspects.c
+++ b/router/suspects.c
@@ -299,10 +299,6 @@
     log_held(router, suspect->content, "here", now);
 }
 
-void suspects_note_answer(Router *router, const Request *request, gint64 now) {
-  suspicions_clear_incarnation(router->suspicions, request->open.life, now);
-}
-
 /* Logs that a subject is no longer held. */
 static void log_lifted(Router *router, guint64 subject) {
   router_log(router, MP_LOG_REQUEST_LIFTED,
@@ -330,11 +326,47 @@
     acquit_parts(router, request, now);
 }
 
-void suspects_note_success(Router *router, Request *request, gboolean wrote,
+/* The answer of the open run ended with its connection. */
+static void note_unproved(Router *router, const Request *request, gint64 now) {
+  UnprovedRun run = {0};
+  run.life = request->open.life;
+  run.sent = request->open.sent;
+  run.ended = now;
+  run.content = request->content;
+  run.parts_count = request->parts_count;
+  memcpy(run.parts, request->parts,
+         request->parts_count * sizeof *request->parts);
+  unproved_runs_add(router->unproved_runs, &run);
+}
+
+/* The runs that ended with their connections at this incarnation before it was
+** sent what it has answered now were good. */
+static void acquit_unproved(Router *router, const OpenDispatch *answered,
+                            gint64 now) {
+  UnprovedRun run;
+  guint i;
+  while (unproved_runs_take(router->unproved_runs, answered->life,
+                            answered->sent, &run)) {
+    acquit(router, run.content, run.sent, now);
+    for (i = 0; i < run.parts_count; i++)
+      acquit(router, run.parts[i], run.sent, now);
+  }
+}
+
+void suspects_note_answer(Router *router, const Request *request, gint64 now) {
+  suspicions_clear_incarnation(router->suspicions, request->open.life, now);
+  acquit_unproved(router, &request->open, now);
+}
+
+void suspects_note_success(Router *router, Request *request, RunEnd end,
                            gint64 now) {
   quarantine_run_succeeded(router->quarantine, request->content);
-  if (!wrote)
+  if (end == RUN_FAILED)
     return;
+  if (end == RUN_UNPROVED) {
+    note_unproved(router, request, now);
+    return;
+  }
   acquit(router, request->content, request->open.sent, now);
   acquit_parts(router, request, now);
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -1145,6 +1145,10 @@
   'reader->status_digits != STATUS_DIGITS' 'FALSE'
 m c-head-size "heads: a field counts with what stands around it" http/reader.c \
   'size_counted += FIELD_EXTRA_BYTES;' ''
+m q-unproved "quarantine: a later answer proves a run" router/suspects.c \
+  'acquit_unproved(router, &request->open, now);' ''
+m q-earlier "quarantine: an answer to an earlier dispatch proves none" \
+  router/unproved_runs.c 'if (run->ended >= sent)' 'if (FALSE)'
 m f-stalled "memory: only what stalls gives way" io/flow_input.c \
   'arrival->received < FLOW_QUICK_BYTES' 'TRUE'
 m f-helps "memory: none gives way for nothing" io/flow_input.c \
--- a/test/crash_fleet.cc
+++ b/test/crash_fleet.cc
@@ -292,6 +292,7 @@
     bool breaks = options.broken_run_share > 0 &&
                   random_fraction() < options.broken_run_share;
     work[run.content].broken_runs += breaks;
+    instances[run.instance].world->ends_with_close = options.ends_with_close;
     instances[run.instance].world->outcome(
         run.dispatch, breaks ? OUTCOME_BROKEN : OUTCOME_STREAM_END);
   }
--- a/test/crash_fleet.h
+++ b/test/crash_fleet.h
@@ -41,6 +41,8 @@
   gint64 run_time_max = 3 * second;
   /* share of harmless runs that break off though the engine lives */
   double broken_run_share = 0;
+  /* answers of harmless runs end with their connections */
+  bool ends_with_close = false;
   /*
   ** Time between crashes of random decode engines that no request causes; 0:
   ** there are none.
--- a/test/test_crashing_parts.cc
+++ b/test/test_crashing_parts.cc
@@ -120,6 +120,36 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, CrashingPart, testing::Range(1u, 9u));
 
+/* Guards against a shared part that a few separate crashes hold for an hour,
+** though hundreds of good runs came between them: their answers end with their
+** connections within a second (review/4). */
+TEST_P(CrashingPart, IsNotAPartOfGoodRunsThatEndWithTheirConnections) {
+  options.ends_with_close = true;
+  options.run_time_min = 300 * ms;
+  options.run_time_max = 700 * ms;
+  options.engine_crash_interval = 2600 * ms;
+  Fleet fleet(options);
+  fleet.advance(60 * second);
+  for (unsigned i = 0; i < options.first_parts; i++)
+    EXPECT_GE(fleet.share_begun(Fleet::first_part(i), 30 * second, fleet.now),
+              0.8)
+        << "part " << i;
+}
+
+/* The same with a part that does crash engines. */
+TEST_P(CrashingPart, IsFoundWhereAnswersEndWithTheirConnections) {
+  options.ends_with_close = true;
+  options.run_time_min = 300 * ms;
+  options.run_time_max = 700 * ms;
+  Fleet fleet(options);
+  fleet.advance(6 * second);
+  gint64 began = fleet.now;
+  send(fleet, part, 40 * second, GetParam());
+  EXPECT_GE(fleet.part_crashes(part), 3u);
+  expect_limited(fleet, part);
+  expect_sound_served(fleet, began, began + 10 * second);
+}
+
 TEST(CrashingParts, AreHeldByManyInstances) {
   for (unsigned instances : {20u, 88u}) {
     FleetOptions options;
@@ -200,6 +230,54 @@
   }
 }
 
+/* Runs one stream, whose answer ends with its connection, to its end. Returns
+** its endpoint. */
+std::string run_to_close(World &world) {
+  guint64 run = run_with_part(world);
+  std::string engine = world.sent(run).endpoint;
+  world.piece(run, "1");
+  world.ends_with_close = true;
+  world.outcome(run, OUTCOME_STREAM_END);
+  return engine;
+}
+
+/* Guards against good runs that count for nothing where answers end with their
+** connections: an endpoint that answers what it was sent after one lived on.
+ */
+TEST(CrashingParts, NextAnswerOfTheEndpointAcquits) {
+  World world;
+  world.add_default_endpoints();
+  strike_part(world);
+  std::string engine = run_to_close(world);
+  world.parts = {};
+  EXPECT_EQ(acquittals_of(world), 0u);
+  for (int i = 0; i < 20 && acquittals_of(world) == 0; i++) {
+    world.advance(10 * ms);
+    guint64 next = run_with_part(world);
+    bool is_same = world.sent(next).endpoint == engine;
+    world.piece(next, "1");
+    EXPECT_EQ(acquittals_of(world), is_same ? 1u : 0u);
+  }
+  EXPECT_EQ(acquittals_of(world), 1u);
+}
+
+/* An answer to what was sent before the end of the run may have been written
+** before the endpoint crashed, and another endpoint's says nothing. */
+TEST(CrashingParts, AnswerToAnEarlierDispatchAcquitsNothing) {
+  World world;
+  world.add_default_endpoints();
+  strike_part(world);
+  std::vector<guint64> earlier;
+  for (int i = 0; i < 8; i++)
+    earlier.push_back(run_with_part(world));
+  world.advance(10 * ms);
+  run_to_close(world);
+  for (guint64 run : earlier) {
+    world.piece(run, "1");
+    EXPECT_EQ(acquittals_of(world), 0u);
+  }
+}
+
 TEST(CrashingParts, EndpointThatHasWrittenForASecondAcquits) {
   World world;
   world.add_default_endpoints();
