--- a/daemon/madderpierd.c
+++ b/daemon/madderpierd.c
@@ -107,14 +107,16 @@
 }
 
 /* how many connections callers may have */
-static unsigned connections_max(const Settings *s, uint64_t bound) {
+static unsigned connections_max(const Settings *s) {
   struct rlimit limit;
   unsigned descriptors = s->max_descriptors;
+  uint64_t memory =
+      s->memory_share > 0 ? (uint64_t)s->memory_mb * BYTES_PER_MB : 0;
   if (s->max_connections > 0)
     return s->max_connections;
   if (descriptors == 0 && getrlimit(RLIMIT_NOFILE, &limit) == 0)
     descriptors = (unsigned)MIN(limit.rlim_cur, G_MAXINT);
-  return front_places(descriptors, bound);
+  return front_places(descriptors, memory);
 }
 
 static void set_node_options(NodeOptions *o, const Settings *s,
@@ -135,7 +137,7 @@
   o->max_headers = s->max_headers;
   o->caller_timeout_s = s->caller_timeout_s;
   o->memory_bound = memory_bound(s);
-  o->connections_max = connections_max(s, o->memory_bound);
+  o->connections_max = connections_max(s);
 }
 
 /* runs until the instance stops; returns the exit code */
@@ -199,7 +201,7 @@
   o->revoke_within = s->revoke_ms * MP_MS;
   o->unread_bound = memory_bound(s);
   o->request_timeout = s->request_timeout_s * MP_SEC;
-  o->connections_max = connections_max(s, o->unread_bound);
+  o->connections_max = connections_max(s);
   o->overload_control = s->overload_control;
   o->limits.share = s->limit_over;
   o->limits.slack = s->limit_slack;
--- a/io/front.h
+++ b/io/front.h
@@ -84,9 +84,9 @@
 ** The deadline that its caller states ends it sooner. */
 void front_set_request_timeout(Front *front, gint64 timeout);
 /* Returns how many connections callers may have for a process that may have
-** so many descriptors, and 'bound' bytes that callers may hold (FlowLimits; 0:
-** not bounded). */
-guint front_places(guint descriptors, guint64 bound);
+** so many descriptors, on a machine with so many bytes of memory (0: it does
+** not matter). */
+guint front_places(guint descriptors, guint64 memory);
 /* Lets callers have so many connections at most (front_places.h); before this,
 ** as many as come. */
 void front_set_places(Front *front, guint places);
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -25,6 +25,8 @@
 /* Receive buffer of a caller's connection while flow control is on, in bytes;
 ** the kernel reserves twice as many. By default it grows up to 6 MB, which
 ** count as memory of the instance. */
+/* What the kernel reserves for it, and holds at the most. */
+#define RECEIVE_BYTES_MAX (2 * RECEIVE_BUFFER)
 #define RECEIVE_BUFFER (64 << 10)
 
 struct Front {
--- a/io/front_memory.c
+++ b/io/front_memory.c
@@ -28,7 +28,8 @@
   if (connection->head != NULL)
     size += http_head_size(connection->head);
   if (connection->body_held_at != 0 || unread >= READ_AHEAD)
-    size += RECEIVE_BUFFER; /* it is not read, so the kernel's may be full */
+    size +=
+        RECEIVE_BYTES_MAX; /* it is not read, so the kernel's may be full */
   return size;
 }
 
--- a/io/front_places.c
+++ b/io/front_places.c
@@ -9,19 +9,19 @@
 
 /* Descriptors for listeners, the log, the store and other instances. */
 #define DESCRIPTORS_RESERVED 64
-/* Callers' connections may use this part of what they may hold for themselves
-** alone, without a request. */
-#define CONNECTIONS_SHARE 4
+/* Part of the machine's memory that the kernel may hold for callers: what has
+** arrived and is not read counts there, and a loop that lags reads late. */
+#define KERNEL_SHARE 2
 /* So many connections are allowed in any case. */
 #define PLACES_MIN 16
 
-guint front_places(guint descriptors, guint64 bound) {
+guint front_places(guint descriptors, guint64 memory) {
   guint free_for_pairs = descriptors > DESCRIPTORS_RESERVED
                              ? descriptors - DESCRIPTORS_RESERVED
                              : 0;
   guint64 places = free_for_pairs / 2;
-  if (bound > 0)
-    places = MIN(places, bound / CONNECTIONS_SHARE / FLOW_CONNECTION_BYTES);
+  if (memory > 0)
+    places = MIN(places, memory / KERNEL_SHARE / RECEIVE_BYTES_MAX);
   return (guint)MAX(places, PLACES_MIN);
 }
 
