--- a/io/flow_control.c
+++ b/io/flow_control.c
@@ -433,7 +433,10 @@
   guint64 own_body = FLOW_BODY_COPIES * connection->body;
   guint64 own = connection->input + MAX(own_body, more);
   guint64 bound = flow->limits.bound;
-  guint64 used = flow_used(flow) - own_body + more;
+  guint64 used = flow_used(flow) + more;
+  /* memory was reserved for a large body, and 'more' is in place of it */
+  if (more > 0 || own_body > SMALL_OWN_BYTES)
+    used -= own_body;
   if (own <= SMALL_OWN_BYTES)
     bound += bound / FLOW_RESERVE_SHARE;
   return used <= bound || make_room(flow, connection, used - bound, now);
--- a/io/flow_control.h
+++ b/io/flow_control.h
@@ -205,9 +205,10 @@
 /* The request is whole, refused or given up by its caller. */
 void flow_end_arrival(FlowConnection *connection);
 /*
-** Returns whether 'more' bytes for the request of this connection fit into
-** what callers may hold, besides its body, for which memory was reserved
-** before. Other requests that arrive give way before it is FALSE.
+** Returns whether what the request of this connection holds fits into what
+** callers may hold, with 'more' bytes in place of its body, or 0: with its
+** body, unless memory was reserved for that. Other requests that arrive give
+** way before it is FALSE.
 */
 gboolean flow_make_room(FlowControl *flow, const FlowConnection *connection,
                         guint64 more, gint64 now);
--- a/io/front.c
+++ b/io/front.c
@@ -54,8 +54,8 @@
     connection_discard_input(connection);
     if (clock_now() >= connection->lingers_until)
       connection_close(connection, CLOSE_SENDS_ON);
-  } else
-    connection_count_input(connection);
+  } else if (connection_count_input(connection))
+    connection_rest_when_full(connection);
 }
 
 static void on_flow_timer(evutil_socket_t fd, short what, void *data) {
@@ -81,8 +81,10 @@
       http_reader_state(connection->reader) == HTTP_READER_IDLE)
     connection_set_read_timeout(connection, connection->limits.idle_timeout);
   if (connection->state == CONNECTION_READING &&
-      evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
+      evbuffer_get_length(bufferevent_get_input(connection->events)) > 0) {
+    connection_read_on(connection);
     connection_read_request(connection);
+  }
 }
 
 /* Returns why a connection is closed after this event of libevent. */
--- a/io/front_connection.c
+++ b/io/front_connection.c
@@ -295,6 +295,17 @@
   evbuffer_drain(in, evbuffer_get_length(in));
 }
 
+void connection_rest_when_full(const Connection *connection) {
+  struct evbuffer *in = bufferevent_get_input(connection->events);
+  if (evbuffer_get_length(in) >= READ_AHEAD)
+    bufferevent_disable(connection->events, EV_READ);
+}
+
+void connection_read_on(const Connection *connection) {
+  if (!connection->has_ended)
+    bufferevent_enable(connection->events, EV_READ);
+}
+
 /* Half-closes a connection, and begins to discard its input. */
 static void linger(Connection *connection) {
   HttpReaderState state = http_reader_state(connection->reader);
@@ -331,6 +342,7 @@
     http_reader_start_next(connection->reader);
   connection_begin_limits(connection);
   connection_set_read_timeout(connection, connection->limits.idle_timeout);
+  connection_read_on(connection);
   if (evbuffer_get_length(bufferevent_get_input(connection->events)) > 0)
     bufferevent_trigger(connection->events, EV_READ,
                         BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -22,12 +22,11 @@
 /* bytes that are read from a caller and buffered beyond its present request,
 ** while that request is open */
 #define READ_AHEAD (16 << 10)
-/* Receive buffer of a caller's connection while flow control is on, in bytes;
-** the kernel reserves twice as many. By default it grows up to 6 MB, which
-** count as memory of the instance. */
+/* Receive buffer of a caller's connection while flow control is on, in bytes.
+** By default it grows up to 6 MB, which count as memory of the instance. */
+#define RECEIVE_BUFFER (64 << 10)
 /* What the kernel reserves for it, and holds at the most. */
 #define RECEIVE_BYTES_MAX (2 * RECEIVE_BUFFER)
-#define RECEIVE_BUFFER (64 << 10)
 
 struct Front {
   struct event_base *base;
@@ -202,6 +201,12 @@
 ** the connection and discard both.
 */
 gboolean connection_waits_for_reader(const Connection *connection);
+/* Stops reading until the next request is read, if there is as much input as
+** may be: libevent would report it again and again. */
+void connection_rest_when_full(const Connection *connection);
+/* Reads again after connection_rest_when_full, unless the caller has ended its
+** side: its end would be reported once more. */
+void connection_read_on(const Connection *connection);
 /* Discards the input of a connection that lingers. A next request in it is
 ** reported (CLOSE_DISCARDED) when it is whole, or a part of it when the
 ** connection is closed: its caller hears nothing of it. */
--- a/io/front_request.c
+++ b/io/front_request.c
@@ -171,8 +171,10 @@
 void connection_read_request(Connection *connection) {
   struct evbuffer *in = bufferevent_get_input(connection->events);
   HttpReader *reader = connection->reader;
-  if (connection_waits_for_reader(connection))
+  if (connection_waits_for_reader(connection)) {
+    connection_rest_when_full(connection);
     return; /* on_write goes on */
+  }
   while (connection->state == CONNECTION_READING &&
          connection->body_held_at == 0 && evbuffer_get_length(in) > 0) {
     size_t size = evbuffer_get_contiguous_space(in);
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -1158,7 +1158,7 @@
 m f-reserve "memory: small requests have a reserve" io/flow_control.c \
   'bound += bound / FLOW_RESERVE_SHARE;' ''
 m f-alone "memory: one body alone is taken in" io/flow_control.c \
-  'flow_used(flow) - own_body + more;' 'flow_used(flow) + more;'
+  'if (more > 0 || own_body > SMALL_OWN_BYTES)' 'if (more > 0)'
 m c-no-socket "descriptors: no end within http_call" io/http.c \
   'if (c->is_ended || c->is_making)' 'if (c->is_ended)'
 if [ -n "$stale_only" ]; then
--- a/test/test_crashing_parts.cc
+++ b/test/test_crashing_parts.cc
@@ -243,7 +243,7 @@
 
 /* Guards against good runs that count for nothing where answers end with their
 ** connections: an endpoint that answers what it was sent after one lived on.
- */
+*/
 TEST(CrashingParts, NextAnswerOfTheEndpointAcquits) {
   World world;
   world.add_default_endpoints();
