--- a/io/front_connection.h
+++ b/io/front_connection.h
@@ -26,7 +26,7 @@
 ** By default it grows up to 6 MB, which count as memory of the instance. */
 #define RECEIVE_BUFFER (64 << 10)
 /* What the kernel reserves for it, and holds at the most. */
-#define RECEIVE_BYTES_MAX (2 * RECEIVE_BUFFER)
+#define RECEIVE_BYTES_MAX ((guint64)2 * RECEIVE_BUFFER)
 
 struct Front {
   struct event_base *base;
